Set up the project, its checks and the typed contracts between parts

Tooling (ruff format and lint, flake8 with WPS, mypy strict, pytest) and the messages, identifiers, ports and configuration types that the parts are built against side by side. Nothing runs yet.

--- /dev/null
+++ b/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems, for tests and the demo."""
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, run by `make measure`."""
--- /dev/null
+++ b/src/ragwortcourse/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent beside each target: its gate, its attempts, its orders."""
--- /dev/null
+++ b/src/ragwortcourse/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The ragwortcourse command line."""
--- /dev/null
+++ b/src/ragwortcourse/configuration/holder.py
@@ -0,0 +1,87 @@
+"""The configuration in force in this process."""
+
+import asyncio
+
+from ragwortcourse.configuration.configuration import ConfigurationDocument
+from ragwortcourse.identifiers import (
+    ChangeId,
+    FailureDomainName,
+    Generation,
+    TargetName,
+)
+from ragwortcourse.messages.withdrawal import Withdrawal, WithdrawalScope
+
+
+class ConfigurationHolder:
+    """Holds the newest generation seen; never goes back to a lower one."""
+
+    def __init__(self) -> None:
+        self._document: ConfigurationDocument | None = None
+        self._withdrawals: dict[ChangeId, Withdrawal] = {}
+        self._changed = asyncio.Event()
+
+    @property
+    def document(self) -> ConfigurationDocument | None:
+        """The document in force; none before the first one is learnt."""
+        return self._document
+
+    @property
+    def generation(self) -> Generation:
+        """Generation in force, zero before the first one."""
+        if self._document is None:
+            return Generation(0)
+        return self._document.generation
+
+    @property
+    def withdrawals(self) -> tuple[Withdrawal, ...]:
+        """Withdrawals that no generation in force has settled yet."""
+        return tuple(self._withdrawals.values())
+
+    def take(self, document: ConfigurationDocument) -> bool:
+        """Put a newer document in force; say whether it was newer."""
+        if document.generation <= self.generation:
+            return False
+        self._document = document
+        for change in document.settled_changes:
+            self._withdrawals.pop(change, None)
+        self._announce()
+        return True
+
+    def withdraw(self, withdrawal: Withdrawal) -> bool:
+        """Put a withdrawal in force; say whether it was news."""
+        settled = self._document is not None and (
+            withdrawal.change in self._document.settled_changes
+        )
+        if settled or withdrawal.change in self._withdrawals:
+            return False
+        self._withdrawals[withdrawal.change] = withdrawal
+        self._announce()
+        return True
+
+    def is_withdrawn(
+        self, target: TargetName, failure_domain: FailureDomainName
+    ) -> bool:
+        """Tell whether the target takes no new work by operators' word."""
+        if self._document is not None:
+            configuration = self._document.configuration
+            if failure_domain in configuration.withdrawn_failure_domains:
+                return True
+            if target in configuration.withdrawn_targets:
+                return True
+        names = {
+            (WithdrawalScope.FAILURE_DOMAIN, str(failure_domain)),
+            (WithdrawalScope.TARGET, str(target)),
+        }
+        return any(
+            (withdrawal.scope, withdrawal.name) in names
+            for withdrawal in self._withdrawals.values()
+        )
+
+    async def wait_for_change(self) -> None:
+        """Return after the next document or withdrawal is in force."""
+        await self._changed.wait()
+
+    def _announce(self) -> None:
+        changed = self._changed
+        self._changed = asyncio.Event()
+        changed.set()
--- /dev/null
+++ b/src/ragwortcourse/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Typed ports to model engines and plain services."""
--- /dev/null
+++ b/src/ragwortcourse/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry daemons: HTTP for callers and operators, routing, retries."""
--- /dev/null
+++ b/src/ragwortcourse/identifiers.py
@@ -0,0 +1,21 @@
+"""Names of the things the system speaks about, one type each."""
+
+from typing import NewType
+
+AdapterName = NewType('AdapterName', str)
+AttemptId = NewType('AttemptId', str)
+ChangeId = NewType('ChangeId', str)
+ClientAccountName = NewType('ClientAccountName', str)
+DaemonId = NewType('DaemonId', str)
+DeploymentName = NewType('DeploymentName', str)
+FailureDomainName = NewType('FailureDomainName', str)
+FencingNumber = NewType('FencingNumber', int)
+Generation = NewType('Generation', int)
+HostName = NewType('HostName', str)
+IdempotencyKey = NewType('IdempotencyKey', str)
+ModelName = NewType('ModelName', str)
+RegionName = NewType('RegionName', str)
+RequestId = NewType('RequestId', str)
+Sha256Hex = NewType('Sha256Hex', str)
+TargetName = NewType('TargetName', str)
+VersionName = NewType('VersionName', str)
--- /dev/null
+++ b/src/ragwortcourse/messages/__init__.py
@@ -0,0 +1,1 @@
+"""What the project's own processes say to each other."""
--- /dev/null
+++ b/src/ragwortcourse/messages/headers.py
@@ -0,0 +1,28 @@
+"""Header names, towards callers and between the project's own processes."""
+
+from typing import Final
+
+# Callers and answers to callers.
+REQUEST_ID: Final = 'x-request-id'
+DEADLINE_MS: Final = 'x-deadline-ms'
+PRIORITY: Final = 'x-priority'
+IDEMPOTENCY_KEY: Final = 'idempotency-key'
+OUTCOME: Final = 'x-outcome'
+MODEL_VERSION: Final = 'x-model-version'
+ERROR_CODE: Final = 'x-error-code'
+RETRY_AFTER: Final = 'retry-after'
+TRACE_PARENT: Final = 'traceparent'
+
+# Between entry daemon and agent.
+ATTEMPT_ID: Final = 'x-rc-attempt'
+CLIENT_ACCOUNT: Final = 'x-rc-account'
+ACCOUNT_WEIGHT: Final = 'x-rc-account-weight'
+DEPLOYMENT: Final = 'x-rc-deployment'
+GENERATION: Final = 'x-rc-generation'
+IDEMPOTENT: Final = 'x-rc-idempotent'
+ADAPTER: Final = 'x-rc-adapter'
+FINGERPRINT: Final = 'x-rc-fingerprint'
+RUN_METHOD: Final = 'x-rc-method'
+RUN_PATH: Final = 'x-rc-path'
+SPARE: Final = 'x-rc-spare'
+TARGET: Final = 'x-rc-target'
--- /dev/null
+++ b/src/ragwortcourse/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Typed ports to the platform, each with one HTTP adapter."""
--- /dev/null
+++ b/src/ragwortcourse/settings.py
@@ -0,0 +1,115 @@
+"""Settings of one process, read from its TOML file."""
+
+import enum
+
+import msgspec
+
+from ragwortcourse.identifiers import (
+    DaemonId,
+    DeploymentName,
+    FailureDomainName,
+    HostName,
+    RegionName,
+    Sha256Hex,
+    TargetName,
+)
+from ragwortcourse.platform.hosts import HostRecord
+
+
+class Role(enum.StrEnum):
+    """What a daemon does."""
+
+    ENTRY = 'entry'
+    AGENT = 'agent'
+
+
+class ListenSettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Own addresses, as ``ip:port``.
+
+    :param peers: for the project's own processes.
+    :param watch: for ``/healthz``, ``/readyz`` and ``/metrics``.
+    :param callers: for callers; entry daemons only.
+    :param operators: for operators; entry daemons only.
+    """
+
+    peers: str
+    watch: str
+    callers: str = ''
+    operators: str = ''
+
+
+class PlatformSettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Base URLs of the platform's services; empty where there is none."""
+
+    table: str = ''
+    objects: str = ''
+    hosts: str = ''
+    origin: str = ''
+
+
+class TelemetrySettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Where metrics and traces go; an empty URL exports nothing."""
+
+    otlp: str = ''
+    log_level: str = 'INFO'
+
+
+class EntrySettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Settings of an entry daemon.
+
+    :param operator_key_sha256: digests of operators' tokens.
+    """
+
+    operator_key_sha256: tuple[Sha256Hex, ...] = ()
+
+
+class AgentSettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Settings of an agent.
+
+    :param target: name of the target beside it.
+    :param target_url: base URL of the target.
+    :param is_model_engine: false for plain services.
+    :param checks_fencing: true where the target refuses stale orders.
+    :param chunk_memory: bytes that chunks may hold in memory.
+    :param link_rate: bytes a second of this host's link; zero: unknown.
+    """
+
+    target: TargetName
+    deployment: DeploymentName
+    target_url: str
+    is_model_engine: bool = True
+    checks_fencing: bool = True
+    chunk_memory: int = 16_777_216
+    link_rate: int = 0
+
+
+class Settings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Everything one daemon is told at its start.
+
+    :param known: daemons to begin with, before and without the
+        platform's list of hosts.
+    """
+
+    role: Role
+    daemon: DaemonId
+    host: HostName
+    failure_domain: FailureDomainName
+    region: RegionName
+    listen: ListenSettings
+    platform: PlatformSettings = PlatformSettings()
+    telemetry: TelemetrySettings = TelemetrySettings()
+    entry: EntrySettings | None = None
+    agent: AgentSettings | None = None
+    known: tuple[HostRecord, ...] = ()
--- /dev/null
+++ b/src/ragwortcourse/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- /dev/null
+++ b/src/ragwortcourse/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Weights from the origin to every engine a deployment names."""
