--- /dev/null
+++ b/src/ragwortcourse/messages/peer_port.py
@@ -0,0 +1,50 @@
+"""Port through which one daemon reaches another."""
+
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+from ragwortcourse.configuration.configuration import ConfigurationDocument
+from ragwortcourse.identifiers import AttemptId, Generation
+from ragwortcourse.messages.attempt import Attempt, AttemptOutcome
+from ragwortcourse.messages.attempt_report import AttemptReport
+from ragwortcourse.messages.heartbeat import Heartbeat
+from ragwortcourse.messages.target_status import TargetStatus
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PeerSilent:
+    """The other daemon did not answer in time, or not in full."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AgentPort:
+    """What an entry daemon asks of an agent, by its ``ip:port``.
+
+    :param start: run one attempt.
+    :param bar: report an attempt, and bar it if it never started.
+    :param heartbeat: tell the own state and get the target's.
+    """
+
+    start: Callable[[str, Attempt], Awaitable[AttemptOutcome]]
+    bar: Callable[[str, AttemptId], Awaitable[AttemptReport | PeerSilent]]
+    heartbeat: Callable[
+        [str, Heartbeat],
+        Awaitable[TargetStatus | PeerSilent],
+    ]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DaemonPort:
+    """What any daemon asks of any other, by its ``ip:port``.
+
+    :param fetch: the document of a generation, or a newer one.
+    :param exchange: tell the own state to an entry daemon, get its state.
+    """
+
+    fetch: Callable[
+        [str, Generation],
+        Awaitable[ConfigurationDocument | PeerSilent],
+    ]
+    exchange: Callable[[str, Heartbeat], Awaitable[Heartbeat | PeerSilent]]
