--- /dev/null
+++ b/fakes/memory_objects.py
@@ -0,0 +1,44 @@
+"""The object store in memory, with fault switches for each client."""
+
+from fakes.faults import Fault, Faults
+from ragwortcourse.platform.objects import (
+    ObjectFailed,
+    ObjectName,
+    ObjectRead,
+    ObjectStore,
+    ObjectWritten,
+)
+
+
+def build_memory_objects(
+    *, objects: dict[ObjectName, bytes], faults: Faults
+) -> ObjectStore:
+    """One client's way to shared objects, with that client's faults.
+
+    Truncated and garbage reads give spoilt content, as a store may.
+    """
+
+    async def read(name: ObjectName) -> ObjectRead | ObjectFailed:
+        fault = faults.take()
+        await faults.wait()
+        content = objects.get(name)
+        if fault is Fault.TRUNCATED and content is not None:
+            return ObjectRead(content=content[: len(content) // 2])
+        if fault is Fault.GARBAGE:
+            return ObjectRead(content=b'\xff garbage')
+        if fault in {None, Fault.SLOW}:
+            return ObjectRead(content=content)
+        return ObjectFailed(detail=f'object store: {fault}')
+
+    async def write(
+        name: ObjectName, content: bytes
+    ) -> ObjectWritten | ObjectFailed:
+        fault = faults.take()
+        if fault not in {Fault.REFUSED, Fault.DOWN}:
+            objects[name] = content
+        await faults.wait()
+        if fault in {None, Fault.SLOW}:
+            return ObjectWritten()
+        return ObjectFailed(detail=f'object store: {fault}')
+
+    return ObjectStore(read=read, write=write)
--- a/src/ragwortcourse/messages/target_status.py
+++ b/src/ragwortcourse/messages/target_status.py
@@ -22,6 +22,27 @@
     adapters: tuple[AdapterName, ...] = ()
 
 
+class LandingProgress(msgspec.Struct, frozen=True, kw_only=True):
+    """How far the weights of a version have come at one target.
+
+    :param held: bytes verified so far.
+    :param total: bytes of the whole version; zero while not yet known.
+    :param from_origin: bytes drawn from the origin.
+    :param from_peers: bytes drawn from other agents.
+    :param rate: bytes a second arriving now.
+    :param detail: what it waits for or why it stopped, for a person.
+    """
+
+    model: ModelName
+    version: VersionName
+    held: int
+    total: int
+    from_origin: int = 0
+    from_peers: int = 0
+    rate: float = 0
+    detail: str = ''
+
+
 class TargetStatus(msgspec.Struct, frozen=True, kw_only=True):
     """State of one target as its gate sees it now.
 
@@ -32,6 +53,7 @@
     :param served: versions that the engine confirmed.
     :param generation: configuration generation in force at the agent.
     :param withdrawals: withdrawals known there and not yet settled.
+    :param landing: weights on their way, while there are any.
     """
 
     target: TargetName
@@ -44,3 +66,4 @@
     served: tuple[ServedVersion, ...]
     generation: Generation
     withdrawals: tuple[Withdrawal, ...] = ()
+    landing: LandingProgress | None = None
