Let a bar state the attempt's age and let agents name crash suspects

Cause: an agent that lost its records by a restart or by their bound would report an attempt that ran as never started. With the attempt's age it can tell whether the attempt is younger than its memory. Suspects are needed so that every entry daemon learns which requests were under way when a target died.

--- a/src/ragwortcourse/messages/attempt.py
+++ b/src/ragwortcourse/messages/attempt.py
@@ -30,6 +30,8 @@
     :param time_left: seconds until the caller's deadline.
     :param fingerprint: digest of client account and body, by which a
         request that crashes targets is known again.
+    :param suspect: true where a target died while the fingerprint was
+        under way; a gate runs one suspect at a time.
     """
 
     attempt: AttemptId
@@ -50,6 +52,7 @@
     version: VersionName | None = None
     adapter: AdapterName | None = None
     priority: int = 0
+    suspect: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -73,12 +76,14 @@
     """No answer comes from the target; the outcome says if it ran.
 
     :param status: HTTP status that fits the refusal.
+    :param suspect: true where the target died while it ran the attempt.
     """
 
     status: int
     outcome: NotRun | Unknown
     spare: int
     generation: Generation
+    suspect: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/ragwortcourse/messages/attempt_report.py
+++ b/src/ragwortcourse/messages/attempt_report.py
@@ -32,12 +32,14 @@
     :param state: how far it came; barred and refused prove it never ran.
     :param version: model version that ran it, where one did.
     :param status: HTTP status of the target's answer, where it has one.
+    :param suspect: true where the target died while it ran the attempt.
     """
 
     attempt: AttemptId
     state: AttemptState
     version: VersionName | None = None
     status: int | None = None
+    suspect: bool = False
 
     @property
     def proves_not_run(self) -> bool:
--- a/src/ragwortcourse/messages/peer_port.py
+++ b/src/ragwortcourse/messages/peer_port.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from collections.abc import Awaitable, Callable
+from typing import Final
 
 from ragwortcourse.configuration.configuration import ConfigurationDocument
 from ragwortcourse.identifiers import AttemptId, Generation
@@ -10,6 +11,8 @@
 from ragwortcourse.messages.heartbeat import Heartbeat
 from ragwortcourse.messages.target_status import TargetStatus
 
+BAR_TIMEOUT_SECONDS: Final = 2.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PeerSilent:
@@ -23,12 +26,17 @@
     """What an entry daemon asks of an agent, by its ``ip:port``.
 
     :param start: run one attempt.
-    :param bar: report an attempt, and bar it if it never started.
+    :param bar: report an attempt sent so many seconds ago, and bar it if
+        it never started. The report counts only within
+        ``BAR_TIMEOUT_SECONDS`` of the call.
     :param heartbeat: tell the own state and get the target's.
     """
 
     start: Callable[[str, Attempt], Awaitable[AttemptOutcome]]
-    bar: Callable[[str, AttemptId], Awaitable[AttemptReport | PeerSilent]]
+    bar: Callable[
+        [str, AttemptId, float],
+        Awaitable[AttemptReport | PeerSilent],
+    ]
     heartbeat: Callable[
         [str, Heartbeat],
         Awaitable[TargetStatus | PeerSilent],
--- a/src/ragwortcourse/messages/target_status.py
+++ b/src/ragwortcourse/messages/target_status.py
@@ -32,6 +32,7 @@
     :param served: versions that the engine confirmed.
     :param generation: configuration generation in force at the agent.
     :param withdrawals: withdrawals known there and not yet settled.
+    :param suspects: fingerprints under way when the target lately died.
     """
 
     target: TargetName
@@ -44,3 +45,4 @@
     served: tuple[ServedVersion, ...]
     generation: Generation
     withdrawals: tuple[Withdrawal, ...] = ()
+    suspects: tuple[str, ...] = ()
