--- a/measure/program.py
+++ b/measure/program.py
@@ -1,9 +1,9 @@
 """``make measure``: runs measurements, prints and keeps their figures."""
 
-import datetime
+import datetime as dt
 import importlib
 import pathlib
-import subprocess  # noqa: S404  # asks git for the commit
+import subprocess
 import sys
 from collections.abc import Callable, Iterator
 from typing import Final
@@ -35,7 +35,7 @@
     """
     module = importlib.import_module(f'measure.{name}')
     run: Callable[[], Iterator[Row]] = module.run
-    stamp = datetime.datetime.now(datetime.UTC).isoformat(timespec='seconds')
+    stamp = dt.datetime.now(dt.UTC).isoformat(timespec='seconds')
     commit = read_commit()
     RESULTS.mkdir(exist_ok=True)
     kept = RESULTS / f'{name}.jsonl'
