--- a/src/ragwortcourse/messages/target_status.py
+++ b/src/ragwortcourse/messages/target_status.py
@@ -54,6 +54,7 @@
     :param generation: configuration generation in force at the agent.
     :param withdrawals: withdrawals known there and not yet settled.
     :param landing: weights on their way, while there are any.
+    :param suspects: fingerprints under way when the target lately died.
     """
 
     target: TargetName
@@ -67,3 +68,4 @@
     generation: Generation
     withdrawals: tuple[Withdrawal, ...] = ()
     landing: LandingProgress | None = None
+    suspects: tuple[str, ...] = ()
