Read and accept the configuration, watch targets and exchange between daemons

The thin path needs each entry point of configuration and membership. The head is one row moved by compare-and-set together with a row for the change, so that a lost answer is settled by that row, or the change is barred.

--- /dev/null
+++ b/src/ragwortcourse/configuration/acceptance.py
@@ -0,0 +1,176 @@
+"""Acceptance of a generation by compare-and-set of the head."""
+
+import dataclasses
+from typing import Final
+
+import msgspec
+
+from ragwortcourse.configuration.configuration import ConfigurationDocument
+from ragwortcourse.configuration.head import (
+    HEAD_KEY,
+    ChangeMark,
+    Head,
+    digest_content,
+    encode_document,
+    name_change,
+    name_document,
+)
+from ragwortcourse.configuration.store import (
+    ConfigurationStore,
+    HeadRow,
+    StoreFailed,
+)
+from ragwortcourse.identifiers import ChangeId, Generation
+from ragwortcourse.platform.objects import ObjectFailed
+from ragwortcourse.platform.table import (
+    ABSENT,
+    Committed,
+    CommitUnknown,
+    ConditionalWrite,
+    ConditionFailed,
+    ReadFailed,
+    Row,
+)
+
+SETTLE_TRIES: Final = 3
+GIVEN_UP: Final = Generation(0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Accepted:
+    """The change is in a generation.
+
+    :param document: none where an earlier sending of it was accepted.
+    """
+
+    generation: Generation
+    document: ConfigurationDocument | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Overtaken:
+    """Another generation went first; nothing took effect."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NotAccepted:
+    """Nothing took effect, nor will it."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AcceptanceUnknown:
+    """The change may have taken effect; sending it again settles it."""
+
+    detail: str
+
+
+AcceptanceOutcome = Accepted | Overtaken | NotAccepted | AcceptanceUnknown
+
+
+async def write_generation(
+    store: ConfigurationStore, base: HeadRow, document: ConfigurationDocument
+) -> AcceptanceOutcome:
+    """Make a document the head, if the head still is as it was read.
+
+    The change's own row is written in the same transaction, so that a lost
+    answer can be settled however many generations follow.
+
+    :param base: the head that the document was made from.
+    :param document: the next generation.
+    """
+    content = encode_document(document)
+    head = Head(generation=document.generation, sha256=digest_content(content))
+    written = await store.objects.write(name_document(head), content)
+    if isinstance(written, ObjectFailed):
+        return NotAccepted(detail=written.detail)
+    mark = ChangeMark(generation=document.generation)
+    outcome = await store.table.commit(
+        (
+            ConditionalWrite(
+                key=HEAD_KEY,
+                content=msgspec.json.encode(head),
+                expected_version=base.row_version,
+            ),
+            _write_mark(document.change, mark),
+        )
+    )
+    if isinstance(outcome, Committed):
+        return Accepted(generation=document.generation, document=document)
+    if isinstance(outcome, ConditionFailed):
+        return _judge_condition(document, outcome)
+    if isinstance(outcome, CommitUnknown):
+        return await _settle_change(store, document)
+    return NotAccepted(detail=outcome.detail)
+
+
+async def find_change(
+    store: ConfigurationStore, change: ChangeId
+) -> ChangeMark | StoreFailed | None:
+    """What became of a change; none where its row is absent."""
+    outcome = await store.table.read(name_change(change))
+    if isinstance(outcome, ReadFailed):
+        return StoreFailed(detail=outcome.detail)
+    return _decode_mark(outcome.row)
+
+
+def judge_mark(change: ChangeId, mark: ChangeMark) -> AcceptanceOutcome:
+    """Outcome of a change whose row was found."""
+    if mark.generation == GIVEN_UP:
+        return NotAccepted(
+            detail=f'change {change} was given up; send it under a new id'
+        )
+    return Accepted(generation=mark.generation, document=None)
+
+
+async def _settle_change(
+    store: ConfigurationStore, document: ConfigurationDocument
+) -> AcceptanceOutcome:
+    """Settle a lost answer: the row is there, or is barred from coming."""
+    bar = _write_mark(document.change, ChangeMark(generation=GIVEN_UP))
+    for _ in range(SETTLE_TRIES):
+        outcome = await store.table.commit((bar,))
+        if isinstance(outcome, Committed):
+            return NotAccepted(detail='the table service lost the change')
+        if isinstance(outcome, ConditionFailed):
+            return _judge_settled(document, outcome)
+    return AcceptanceUnknown(detail='the table service does not answer')
+
+
+def _judge_settled(
+    document: ConfigurationDocument, outcome: ConditionFailed
+) -> AcceptanceOutcome:
+    mark = _decode_mark(outcome.rows[0])
+    if mark is None or mark.generation == GIVEN_UP:
+        return NotAccepted(detail='the table service lost the change')
+    if mark.generation == document.generation:
+        return Accepted(generation=mark.generation, document=document)
+    return Accepted(generation=mark.generation, document=None)
+
+
+def _judge_condition(
+    document: ConfigurationDocument, outcome: ConditionFailed
+) -> AcceptanceOutcome:
+    for key, row in zip(outcome.keys, outcome.rows, strict=False):
+        mark = _decode_mark(row)
+        if key == name_change(document.change) and mark is not None:
+            return judge_mark(document.change, mark)
+    return Overtaken()
+
+
+def _write_mark(change: ChangeId, mark: ChangeMark) -> ConditionalWrite:
+    return ConditionalWrite(
+        key=name_change(change),
+        content=msgspec.json.encode(mark),
+        expected_version=ABSENT,
+    )
+
+
+def _decode_mark(row: Row | None) -> ChangeMark | None:
+    if row is None:
+        return None
+    try:
+        return msgspec.json.decode(row.content, type=ChangeMark)
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/src/ragwortcourse/configuration/change.py
@@ -0,0 +1,162 @@
+"""Changes that operators ask for, carried into a new generation."""
+
+import dataclasses
+from collections.abc import Callable
+from typing import Final
+
+from ragwortcourse.configuration.acceptance import (
+    AcceptanceUnknown,
+    Accepted,
+    NotAccepted,
+    Overtaken,
+    find_change,
+    judge_mark,
+    write_generation,
+)
+from ragwortcourse.configuration.configuration import (
+    Configuration,
+    ConfigurationDocument,
+)
+from ragwortcourse.configuration.holder import ConfigurationHolder
+from ragwortcourse.configuration.store import (
+    ConfigurationStore,
+    HeadRow,
+    StoreFailed,
+    read_document,
+    read_head,
+)
+from ragwortcourse.identifiers import ChangeId, Generation
+
+WRITE_TRIES: Final = 8
+# Changes that a document remembers as settled.
+SETTLED_KEPT: Final = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Conflict:
+    """Another operator's change went first; nothing took effect.
+
+    :param document: the generation that did.
+    """
+
+    document: ConfigurationDocument | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Draft:
+    """The next generation as a change would have it."""
+
+    configuration: Configuration
+    settled: tuple[ChangeId, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Base:
+    """The generation that a change builds on, and its head row.
+
+    :param document: none before the first generation.
+    """
+
+    row: HeadRow
+    document: ConfigurationDocument | None
+
+    @property
+    def generation(self) -> Generation:
+        """Generation of the document, zero before the first one."""
+        return self.document.generation if self.document else Generation(0)
+
+    @property
+    def configuration(self) -> Configuration:
+        """Configuration of the document, empty before the first one."""
+        return self.document.configuration if self.document else Configuration()
+
+
+ChangeOutcome = Accepted | Conflict | NotAccepted | AcceptanceUnknown
+# Drafts the next generation; none where the base is in conflict with it.
+Drafter = Callable[[Base], Draft | None]
+
+
+async def make_change(
+    holder: ConfigurationHolder,
+    store: ConfigurationStore,
+    change: ChangeId,
+    draft: Drafter,
+) -> ChangeOutcome:
+    """Carry a change into a new generation, and hold that one.
+
+    A change that was overtaken is drafted anew on the newer generation.
+
+    :param change: id of the change; sending it again is harmless.
+    :param draft: called with each base that is tried.
+    """
+    for _ in range(WRITE_TRIES):
+        base = await read_base(holder, store)
+        if isinstance(base, StoreFailed):
+            return NotAccepted(detail=base.detail)
+        outcome = await _try_change(holder, store, change, draft, base)
+        if not isinstance(outcome, Overtaken):
+            return outcome
+    return NotAccepted(detail='overtaken by other changes again and again')
+
+
+async def read_base(
+    holder: ConfigurationHolder, store: ConfigurationStore
+) -> Base | StoreFailed:
+    """The newest generation, from the platform or held here."""
+    row = await read_head(store)
+    if isinstance(row, StoreFailed):
+        return row
+    if row.head is None or row.head.generation <= holder.generation:
+        return Base(row=row, document=holder.document)
+    document = await read_document(store, row.head)
+    if isinstance(document, StoreFailed):
+        return document
+    holder.take(document)
+    return Base(row=row, document=document)
+
+
+async def _try_change(
+    holder: ConfigurationHolder,
+    store: ConfigurationStore,
+    change: ChangeId,
+    draft: Drafter,
+    base: Base,
+) -> ChangeOutcome | Overtaken:
+    drafted = draft(base)
+    if drafted is None:
+        return await _judge_conflict(store, change, base)
+    document = ConfigurationDocument(
+        generation=Generation(base.generation + 1),
+        configuration=drafted.configuration,
+        change=change,
+        settled_changes=_list_settled(base, drafted.settled),
+    )
+    outcome = await write_generation(store, base.row, document)
+    if isinstance(outcome, Accepted) and outcome.document is not None:
+        holder.take(outcome.document)
+    return outcome
+
+
+async def _judge_conflict(
+    store: ConfigurationStore, change: ChangeId, base: Base
+) -> ChangeOutcome:
+    """A conflict, unless it is with an earlier sending of the change."""
+    mark = await find_change(store, change)
+    if isinstance(mark, StoreFailed):
+        return NotAccepted(detail=mark.detail)
+    if mark is None:
+        return Conflict(document=base.document)
+    outcome = judge_mark(change, mark)
+    return (
+        outcome
+        if isinstance(outcome, Accepted)
+        else Conflict(document=base.document)
+    )
+
+
+def _list_settled(
+    base: Base, settled: tuple[ChangeId, ...]
+) -> tuple[ChangeId, ...]:
+    before = base.document.settled_changes if base.document else ()
+    fresh = tuple(change for change in settled if change not in before)
+    return (before + fresh)[-SETTLED_KEPT:]
--- a/src/ragwortcourse/configuration/holder.py
+++ b/src/ragwortcourse/configuration/holder.py
@@ -13,12 +13,17 @@
 
 
 class ConfigurationHolder:
-    """Holds the newest generation seen; never goes back to a lower one."""
+    """Holds the newest generation seen; never goes back to a lower one.
+
+    :ivar table_reachable: false while the platform does not answer polls.
+    """
 
     def __init__(self) -> None:
         self._document: ConfigurationDocument | None = None
         self._withdrawals: dict[ChangeId, Withdrawal] = {}
+        self._learning: set[Generation] = set()
         self._changed = asyncio.Event()
+        self.table_reachable = True
 
     @property
     def document(self) -> ConfigurationDocument | None:
@@ -49,15 +54,20 @@
 
     def withdraw(self, withdrawal: Withdrawal) -> bool:
         """Put a withdrawal in force; say whether it was news."""
-        settled = self._document is not None and (
-            withdrawal.change in self._document.settled_changes
-        )
-        if settled or withdrawal.change in self._withdrawals:
+        if self.is_settled(withdrawal.change):
+            return False
+        if withdrawal.change in self._withdrawals:
             return False
         self._withdrawals[withdrawal.change] = withdrawal
         self._announce()
         return True
 
+    def is_settled(self, change: ChangeId) -> bool:
+        """Tell whether the generation in force took over a withdrawal."""
+        if self._document is None:
+            return False
+        return change in self._document.settled_changes
+
     def is_withdrawn(
         self, target: TargetName, failure_domain: FailureDomainName
     ) -> bool:
@@ -81,6 +91,17 @@
         """Return after the next document or withdrawal is in force."""
         await self._changed.wait()
 
+    def start_learning(self, generation: Generation) -> bool:
+        """Tell whether to fetch a generation: true for the first to ask."""
+        if generation in self._learning:
+            return False
+        self._learning.add(generation)
+        return True
+
+    def end_learning(self, generation: Generation) -> None:
+        """Let a generation be fetched again, where it is still needed."""
+        self._learning.discard(generation)
+
     def _announce(self) -> None:
         changed = self._changed
         self._changed = asyncio.Event()
--- /dev/null
+++ b/src/ragwortcourse/membership/exchange.py
@@ -0,0 +1,81 @@
+"""Exchange between entry daemons: generations and withdrawals."""
+
+import asyncio
+from typing import Final
+
+from opentelemetry import metrics
+
+from ragwortcourse.configuration.feed import learn_generation
+from ragwortcourse.membership.membership import Membership, build_heartbeat
+from ragwortcourse.messages.heartbeat import Heartbeat
+from ragwortcourse.messages.peer_port import PeerSilent
+
+METER = metrics.get_meter(__name__)
+SENT = METER.create_counter('ragwortcourse.membership.exchanges')
+SILENT = METER.create_counter('ragwortcourse.membership.exchanges_silent')
+
+EXCHANGE_PERIOD_SECONDS: Final = 1.5
+EXCHANGE_JITTER: Final = 0.2
+# Peers told at once of a newer generation or a withdrawal.
+PUSH_FANOUT: Final = 5
+
+
+async def exchange_with_peers(membership: Membership) -> None:
+    """Exchange with a few other entry daemons, forever."""
+    count = PUSH_FANOUT
+    while True:
+        await asyncio.gather(
+            *(
+                exchange_once(membership, address)
+                for address in _pick_peers(membership, count)
+            )
+        )
+        count = PUSH_FANOUT if await _wait_for_news(membership) else 1
+
+
+async def exchange_once(membership: Membership, address: str) -> None:
+    """Tell one peer the own state, and take what is newer there."""
+    SENT.add(1)
+    answer = await membership.daemon_port.exchange(
+        address, build_heartbeat(membership)
+    )
+    if isinstance(answer, PeerSilent):
+        SILENT.add(1)
+        return
+    await take_heartbeat(membership, answer)
+
+
+async def answer_exchange(
+    membership: Membership, heartbeat: Heartbeat
+) -> Heartbeat:
+    """The own state, after what is newer in the other's was taken."""
+    await take_heartbeat(membership, heartbeat)
+    return build_heartbeat(membership)
+
+
+async def take_heartbeat(membership: Membership, heartbeat: Heartbeat) -> None:
+    """Take over what another entry daemon knows and this one doesn't."""
+    membership.roster.hear(heartbeat.daemon, heartbeat.sender)
+    for withdrawal in heartbeat.withdrawals:
+        membership.holder.withdraw(withdrawal)
+    await learn_generation(
+        holder=membership.holder,
+        port=membership.daemon_port,
+        sender=heartbeat.sender,
+        generation=heartbeat.generation,
+    )
+
+
+def _pick_peers(membership: Membership, count: int) -> list[str]:
+    peers = sorted(membership.roster.peers.values())
+    return membership.rng.sample(peers, min(count, len(peers)))
+
+
+async def _wait_for_news(membership: Membership) -> bool:
+    jitter = membership.rng.uniform(1 - EXCHANGE_JITTER, 1 + EXCHANGE_JITTER)
+    try:
+        async with asyncio.timeout(EXCHANGE_PERIOD_SECONDS * jitter):
+            await membership.holder.wait_for_change()
+    except TimeoutError:
+        return False
+    return True
--- /dev/null
+++ b/src/ragwortcourse/membership/membership.py
@@ -0,0 +1,40 @@
+"""State of membership in one entry daemon."""
+
+import dataclasses
+import random
+
+from ragwortcourse.configuration.holder import ConfigurationHolder
+from ragwortcourse.membership.directory import TargetDirectory
+from ragwortcourse.membership.roster import Roster
+from ragwortcourse.messages.heartbeat import Heartbeat
+from ragwortcourse.messages.peer_port import AgentPort, DaemonPort
+from ragwortcourse.platform.hosts import HostList
+from ragwortcourse.settings import Settings
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Membership:
+    """What the watching of targets and peers works on.
+
+    :param hosts: the platform's list of hosts; none where there is no such
+        list, and settings alone name the daemons.
+    """
+
+    settings: Settings
+    holder: ConfigurationHolder
+    directory: TargetDirectory
+    roster: Roster
+    hosts: HostList | None
+    agent_port: AgentPort
+    daemon_port: DaemonPort
+    rng: random.Random
+
+
+def build_heartbeat(membership: Membership) -> Heartbeat:
+    """The own state, as every heartbeat and exchange carries it."""
+    return Heartbeat(
+        daemon=membership.settings.daemon,
+        sender=membership.settings.listen.peers,
+        generation=membership.holder.generation,
+        withdrawals=membership.holder.withdrawals,
+    )
--- /dev/null
+++ b/src/ragwortcourse/membership/routes.py
@@ -0,0 +1,28 @@
+"""Route of the peers' port at entry daemons."""
+
+import msgspec
+from aiohttp import web
+
+from ragwortcourse.membership.exchange import answer_exchange
+from ragwortcourse.membership.membership import Membership
+from ragwortcourse.messages.heartbeat import Heartbeat
+
+
+def build_exchange_routes(*, membership: Membership) -> list[web.RouteDef]:
+    """The route on which entry daemons exchange their state."""
+
+    async def post_exchange(request: web.Request) -> web.Response:
+        try:
+            heartbeat = msgspec.json.decode(
+                await request.read(), type=Heartbeat
+            )
+        except msgspec.MsgspecError as error:
+            return web.Response(
+                status=web.HTTPBadRequest.status_code, text=str(error)
+            )
+        answer = await answer_exchange(membership, heartbeat)
+        return web.Response(
+            body=msgspec.json.encode(answer), content_type='application/json'
+        )
+
+    return [web.post('/exchange', post_exchange)]
--- /dev/null
+++ b/src/ragwortcourse/membership/watch.py
@@ -0,0 +1,123 @@
+"""Watching of targets: which ones, and what their agents say."""
+
+import asyncio
+import logging
+from typing import Final
+
+from opentelemetry import metrics
+
+from ragwortcourse.identifiers import TargetName
+from ragwortcourse.membership.heartbeats import watch_target
+from ragwortcourse.membership.listed_target import ListedTarget
+from ragwortcourse.membership.membership import Membership
+from ragwortcourse.membership.subset import (
+    WatchedSubset,
+    Watcher,
+    select_subset,
+)
+from ragwortcourse.membership.target_record import TargetRecord
+from ragwortcourse.platform.hosts import HostsUnavailable
+
+LOGGER = logging.getLogger(__name__)
+METER = metrics.get_meter(__name__)
+LIST_READS = METER.create_counter('ragwortcourse.membership.list_reads')
+LIST_FAILED = METER.create_counter('ragwortcourse.membership.list_failed')
+
+LIST_PERIOD_SECONDS: Final = 2.0
+LIST_JITTER: Final = 0.2
+
+
+async def watch_targets(membership: Membership) -> None:
+    """Keep the directory true to what can be seen, forever."""
+    tasks: dict[TargetName, asyncio.Task[None]] = {}
+    try:
+        while True:
+            await read_list(membership)
+            apply_subset(membership, tasks)
+            await _wait_for_list(membership)
+    finally:
+        for task in tasks.values():
+            task.cancel()
+        await asyncio.gather(*tasks.values(), return_exceptions=True)
+
+
+async def read_list(membership: Membership) -> None:
+    """Read the platform's list once, and note who is leaving by it."""
+    if membership.hosts is None:
+        return
+    LIST_READS.add(1)
+    outcome = await membership.hosts.read()
+    if isinstance(outcome, HostsUnavailable):
+        LIST_FAILED.add(1)
+        return
+    if membership.roster.replace_listed(outcome.records):
+        LOGGER.info(
+            'list of hosts changed', extra={'hosts': len(outcome.records)}
+        )
+
+
+def apply_subset(
+    membership: Membership, tasks: dict[TargetName, asyncio.Task[None]]
+) -> None:
+    """Begin and end the watching of targets as the subset now is."""
+    agents = {agent.target: agent for agent in membership.roster.agents}
+    subset = choose_subset(membership)
+    for target in tuple(tasks):
+        if target not in subset.targets:
+            tasks.pop(target).cancel()
+            membership.directory.drop(target)
+    for target in subset.targets:
+        record = _put_record(membership, agents[target])
+        if target not in tasks:
+            tasks[target] = asyncio.create_task(
+                watch_target(membership, record)
+            )
+
+
+def choose_subset(membership: Membership) -> WatchedSubset:
+    """The subset by what is known now."""
+    settings = membership.settings
+    agents = membership.roster.agents
+    watchers = tuple(
+        Watcher(daemon=entry.daemon, failure_domain=entry.failure_domain)
+        for entry in membership.roster.entries
+    )
+    withdrawn = frozenset(
+        agent.target
+        for agent in agents
+        if membership.holder.is_withdrawn(agent.target, agent.failure_domain)
+    )
+    own = Watcher(
+        daemon=settings.daemon, failure_domain=settings.failure_domain
+    )
+    return select_subset(own, watchers, agents, withdrawn)
+
+
+def _put_record(membership: Membership, agent: ListedTarget) -> TargetRecord:
+    """The record of a target, brought up to the list's newest word."""
+    target = agent.target
+    record = membership.directory.find(target)
+    if record is None or record.deployment != agent.deployment:
+        record = TargetRecord(
+            target=target,
+            deployment=agent.deployment,
+            failure_domain=agent.failure_domain,
+            region=agent.region,
+            address=agent.address,
+        )
+        membership.directory.put(record)
+    if record.address != agent.address:
+        record.address = agent.address
+        record.status = None
+        record.leaving = False
+    record.leaving = record.leaving or agent.leaving
+    return record
+
+
+async def _wait_for_list(membership: Membership) -> None:
+    jitter = membership.rng.uniform(1 - LIST_JITTER, 1 + LIST_JITTER)
+    try:
+        async with asyncio.timeout(LIST_PERIOD_SECONDS * jitter):
+            await membership.holder.wait_for_change()
+    except TimeoutError:
+        return
--- /dev/null
+++ b/src/ragwortcourse/platform/http_daemons.py
@@ -0,0 +1,70 @@
+"""Other daemons over HTTP, for what any daemon asks of any other."""
+
+from typing import Final
+
+import aiohttp
+import msgspec
+
+from ragwortcourse.configuration.configuration import ConfigurationDocument
+from ragwortcourse.identifiers import Generation
+from ragwortcourse.messages.heartbeat import Heartbeat
+from ragwortcourse.messages.peer_port import DaemonPort, PeerSilent
+
+FETCH_TIMEOUT_SECONDS: Final = 2.0
+EXCHANGE_TIMEOUT_SECONDS: Final = 1.0
+OK: Final = 200
+
+FETCH_TIMEOUT: Final = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_SECONDS)
+EXCHANGE_TIMEOUT: Final = aiohttp.ClientTimeout(total=EXCHANGE_TIMEOUT_SECONDS)
+PEER_ERRORS: Final = (
+    aiohttp.ClientError,
+    TimeoutError,
+    OSError,
+    msgspec.MsgspecError,
+)
+
+
+class _RefusedError(aiohttp.ClientError):
+    """The other daemon answered, but not with what was asked for."""
+
+
+def build_http_daemons(*, session: aiohttp.ClientSession) -> DaemonPort:
+    """Reach other daemons at their port for the project's own processes."""
+
+    async def get_document(url: str) -> ConfigurationDocument:
+        async with session.get(url, timeout=FETCH_TIMEOUT) as response:
+            body = await _read_body(response)
+        return msgspec.json.decode(body, type=ConfigurationDocument)
+
+    async def post_heartbeat(url: str, body: bytes) -> Heartbeat:
+        async with session.post(
+            url, data=body, timeout=EXCHANGE_TIMEOUT
+        ) as response:
+            answer = await _read_body(response)
+        return msgspec.json.decode(answer, type=Heartbeat)
+
+    async def fetch(
+        address: str, generation: Generation
+    ) -> ConfigurationDocument | PeerSilent:
+        url = f'http://{address}/configuration/{generation}'
+        try:
+            return await get_document(url)
+        except PEER_ERRORS as error:
+            return PeerSilent(detail=f'{url}: {error!r}')
+
+    async def exchange(
+        address: str, heartbeat: Heartbeat
+    ) -> Heartbeat | PeerSilent:
+        url = f'http://{address}/exchange'
+        try:
+            return await post_heartbeat(url, msgspec.json.encode(heartbeat))
+        except PEER_ERRORS as error:
+            return PeerSilent(detail=f'{url}: {error!r}')
+
+    return DaemonPort(fetch=fetch, exchange=exchange)
+
+
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    if response.status != OK:
+        raise _RefusedError(f'status {response.status}')
+    return await response.read()
--- /dev/null
+++ b/src/ragwortcourse/platform/http_hosts.py
@@ -0,0 +1,73 @@
+"""The platform's list of hosts over HTTP."""
+
+import dataclasses
+from typing import Final
+
+import aiohttp
+import msgspec
+
+from ragwortcourse.platform.hosts import (
+    HostList,
+    HostRecord,
+    HostsListed,
+    HostsUnavailable,
+)
+
+HOSTS_TIMEOUT_SECONDS: Final = 5.0
+HOSTS_TIMEOUT: Final = aiohttp.ClientTimeout(total=HOSTS_TIMEOUT_SECONDS)
+OK: Final = 200
+NOT_MODIFIED: Final = 304
+HOSTS_ERRORS: Final = (
+    aiohttp.ClientError,
+    TimeoutError,
+    OSError,
+    msgspec.MsgspecError,
+)
+
+
+class HostsBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of the list."""
+
+    hosts: tuple[HostRecord, ...]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _LastList:
+    """The list as last read, and the tag under which it was given."""
+
+    etag: str = ''
+    listed: HostsListed
+
+
+def build_http_hosts(
+    *, session: aiohttp.ClientSession, base_url: str
+) -> HostList:
+    """Reach the list of hosts at its URL; unchanged lists cost no body."""
+    last = _LastList(listed=HostsListed(records=()))
+
+    async def fetch() -> HostsListed | HostsUnavailable:
+        async with session.get(
+            base_url,
+            headers={'if-none-match': last.etag} if last.etag else {},
+            timeout=HOSTS_TIMEOUT,
+        ) as response:
+            if response.status == NOT_MODIFIED:
+                return last.listed
+            if response.status != OK:
+                return HostsUnavailable(detail=f'status {response.status}')
+            body = await response.read()
+            return decode(body, response.headers.get('etag', ''))
+
+    def decode(body: bytes, etag: str) -> HostsListed:
+        hosts = msgspec.json.decode(body, type=HostsBody).hosts
+        last.listed = HostsListed(records=hosts)
+        last.etag = etag
+        return last.listed
+
+    async def read() -> HostsListed | HostsUnavailable:
+        try:
+            return await fetch()
+        except HOSTS_ERRORS as error:
+            return HostsUnavailable(detail=f'{base_url}: {error!r}')
+
+    return HostList(read=read)
--- /dev/null
+++ b/src/ragwortcourse/platform/http_objects.py
@@ -0,0 +1,65 @@
+"""The object store over HTTP."""
+
+from typing import Final
+from urllib.parse import quote
+
+import aiohttp
+
+from ragwortcourse.platform.objects import (
+    ObjectFailed,
+    ObjectName,
+    ObjectRead,
+    ObjectStore,
+    ObjectWritten,
+)
+
+OBJECT_TIMEOUT_SECONDS: Final = 5.0
+OBJECT_TIMEOUT: Final = aiohttp.ClientTimeout(total=OBJECT_TIMEOUT_SECONDS)
+OK_STATUSES: Final = frozenset((200, 201, 204))
+ABSENT_STATUS: Final = 404
+
+
+def build_http_objects(
+    *, session: aiohttp.ClientSession, base_url: str
+) -> ObjectStore:
+    """Reach an object store whose objects lie under a base URL."""
+
+    def locate(name: ObjectName) -> str:
+        return f'{base_url}/{quote(name)}'
+
+    async def get(name: ObjectName) -> tuple[int, bytes]:
+        async with session.get(
+            locate(name), timeout=OBJECT_TIMEOUT
+        ) as response:
+            return response.status, await response.read()
+
+    async def put(name: ObjectName, content: bytes) -> int:
+        async with session.put(
+            locate(name), data=content, timeout=OBJECT_TIMEOUT
+        ) as response:
+            await response.read()
+            return response.status
+
+    async def read(name: ObjectName) -> ObjectRead | ObjectFailed:
+        try:
+            status, content = await get(name)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return ObjectFailed(detail=f'{name}: {error!r}')
+        if status == ABSENT_STATUS:
+            return ObjectRead(content=None)
+        if status not in OK_STATUSES:
+            return ObjectFailed(detail=f'status {status} on reading {name}')
+        return ObjectRead(content=content)
+
+    async def write(
+        name: ObjectName, content: bytes
+    ) -> ObjectWritten | ObjectFailed:
+        try:
+            status = await put(name, content)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return ObjectFailed(detail=f'{name}: {error!r}')
+        if status not in OK_STATUSES:
+            return ObjectFailed(detail=f'status {status} on writing {name}')
+        return ObjectWritten()
+
+    return ObjectStore(read=read, write=write)
