--- /dev/null
+++ b/src/ragwortcourse/settings_check.py
@@ -0,0 +1,186 @@
+"""What the settings of a process may hold, beyond their types."""
+
+import ipaddress
+import itertools
+import re
+from collections.abc import Callable, Iterator
+from typing import Final
+from urllib.parse import urlsplit
+
+from ragwortcourse.configuration.finding import Finding
+from ragwortcourse.settings import AgentSettings, Role, Settings
+from ragwortcourse.structure import show_value
+
+HIGHEST_PORT: Final = 65_535
+LEAST_CHUNK_BYTES: Final = 65_536
+MOST_CHUNK_BYTES: Final = 1_073_741_824
+NAME_PATTERN: Final = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
+DIGEST_PATTERN: Final = re.compile('[0-9a-f]{64}')
+LOG_LEVELS: Final = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
+ADDRESS_WORDS: Final = 'ip:port with a port from 1 to 65535'
+URL_WORDS: Final = 'an http or https URL, or empty'
+NAME_WORDS: Final = (
+    'letters, digits, dot, dash, underscore; 1 to 63; a letter or digit first'
+)
+
+
+def check_settings(settings: Settings) -> tuple[Finding, ...]:
+    """Every finding in settings whose structure is sound."""
+    checks = (
+        _check_names,
+        _check_addresses,
+        _check_urls,
+        _check_role,
+        _check_digests,
+        _check_ranges,
+    )
+    return tuple(
+        itertools.chain.from_iterable(check(settings) for check in checks)
+    )
+
+
+def is_address(text: str) -> bool:
+    """Tell whether a text is ``ip:port`` or ``[ip]:port``."""
+    host, separator, port = text.rpartition(':')
+    if not separator or not port.isascii() or not port.isdigit():
+        return False
+    try:
+        ipaddress.ip_address(host.removeprefix('[').removesuffix(']'))
+    except ValueError:
+        return False
+    return 1 <= int(port) <= HIGHEST_PORT
+
+
+def is_url(text: str) -> bool:
+    """Tell whether a text is the URL of an HTTP service."""
+    try:
+        parts = urlsplit(text)
+        port = parts.port
+    except ValueError:
+        return False
+    named = parts.scheme in {'http', 'https'} and bool(parts.hostname)
+    return named and port != 0
+
+
+def _check_each(
+    values: dict[str, str],
+    accept: Callable[[str], object],
+    allowed: str,
+    message: str,
+) -> Iterator[Finding]:
+    for place, value in values.items():
+        if not accept(value):
+            yield Finding(
+                place=place,
+                value=show_value(value),
+                allowed=allowed,
+                message=message,
+            )
+
+
+def _check_names(settings: Settings) -> Iterator[Finding]:
+    names: dict[str, str] = {
+        'daemon': settings.daemon,
+        'host': settings.host,
+        'failure_domain': settings.failure_domain,
+        'region': settings.region,
+    }
+    if settings.agent is not None:
+        names['agent.target'] = settings.agent.target
+        names['agent.deployment'] = settings.agent.deployment
+    return _check_each(
+        names, NAME_PATTERN.fullmatch, NAME_WORDS, 'malformed name'
+    )
+
+
+def _check_addresses(settings: Settings) -> Iterator[Finding]:
+    addresses = {
+        'listen.peers': settings.listen.peers,
+        'listen.watch': settings.listen.watch,
+    }
+    if settings.role is Role.ENTRY:
+        addresses['listen.callers'] = settings.listen.callers
+        addresses['listen.operators'] = settings.listen.operators
+    for index, record in enumerate(settings.known):
+        addresses[f'known[{index}].address'] = record.address
+    return _check_each(
+        addresses, is_address, ADDRESS_WORDS, 'malformed address'
+    )
+
+
+def _check_urls(settings: Settings) -> Iterator[Finding]:
+    optional = {
+        'platform.table': settings.platform.table,
+        'platform.objects': settings.platform.objects,
+        'platform.hosts': settings.platform.hosts,
+        'platform.origin': settings.platform.origin,
+        'telemetry.otlp': settings.telemetry.otlp,
+    }
+    given = {place: url for place, url in optional.items() if url}
+    yield from _check_each(given, is_url, URL_WORDS, 'malformed URL')
+    if settings.agent is not None:
+        yield from _check_each(
+            {'agent.target_url': settings.agent.target_url},
+            is_url,
+            'an http or https URL',
+            'malformed URL',
+        )
+
+
+def _check_role(settings: Settings) -> Iterator[Finding]:
+    sections = {
+        Role.ENTRY: settings.entry is not None,
+        Role.AGENT: settings.agent is not None,
+    }
+    for role, present in sections.items():
+        if present is (role is settings.role):
+            continue
+        yield Finding(
+            place=str(role),
+            value='(section)' if present else '',
+            allowed=f'the section [{settings.role}] and no other',
+            message='not for this role' if present else 'missing section',
+        )
+
+
+def _check_digests(settings: Settings) -> Iterator[Finding]:
+    if settings.entry is None:
+        return iter(())
+    digests: dict[str, str] = {
+        f'entry.operator_key_sha256[{index}]': digest
+        for index, digest in enumerate(settings.entry.operator_key_sha256)
+    }
+    return _check_each(
+        digests,
+        DIGEST_PATTERN.fullmatch,
+        'a SHA-256 digest: 64 digits 0-9 a-f',
+        'malformed digest',
+    )
+
+
+def _check_ranges(settings: Settings) -> Iterator[Finding]:
+    yield from _check_each(
+        {'telemetry.log_level': settings.telemetry.log_level},
+        LOG_LEVELS.__contains__,
+        f'one of {", ".join(LOG_LEVELS)}',
+        'unknown level',
+    )
+    if settings.agent is not None:
+        yield from _check_agent_ranges(settings.agent)
+
+
+def _check_agent_ranges(agent: AgentSettings) -> Iterator[Finding]:
+    if not LEAST_CHUNK_BYTES <= agent.chunk_memory <= MOST_CHUNK_BYTES:
+        yield Finding(
+            place='agent.chunk_memory',
+            value=str(agent.chunk_memory),
+            allowed=f'{LEAST_CHUNK_BYTES} to {MOST_CHUNK_BYTES} bytes',
+            message='out of range',
+        )
+    if agent.link_rate < 0:
+        yield Finding(
+            place='agent.link_rate',
+            value=str(agent.link_rate),
+            allowed='0 or more bytes a second',
+            message='out of range',
+        )
--- a/src/ragwortcourse/telemetry/__init__.py
+++ b/src/ragwortcourse/telemetry/__init__.py
@@ -1,1 +1,1 @@
-"""Logs, metrics and traces."""
+"""Logs, metrics and traces of a daemon."""
--- /dev/null
+++ b/tests/test_settings_file.py
@@ -0,0 +1,89 @@
+"""Tests of :mod:`ragwortcourse.settings_file`."""
+
+import pytest
+
+from ragwortcourse.settings import Role, Settings
+from ragwortcourse.settings_file import parse_settings, read_settings
+
+ENTRY = """
+role = "entry"
+daemon = "entry-1"
+host = "host-1"
+failure_domain = "milano-a"
+region = "lombardia"
+[listen]
+peers = "127.0.0.1:7001"
+watch = "127.0.0.1:7002"
+callers = "127.0.0.1:7003"
+operators = "127.0.0.1:7004"
+[entry]
+"""
+MANY_FAULTS = """
+role = "agent"
+daemon = "no spaces"
+host = 7
+region = "lombardia"
+colour = "blue"
+[listen]
+peers = "localhost:7001"
+[agent]
+target = "llm-1"
+target_url = "http://127.0.0.1:8000"
+deployment = "llm"
+"""
+
+
+def list_places(text: str) -> set[str]:
+    """Places of the findings in a text."""
+    findings = parse_settings(text)
+    assert not isinstance(findings, Settings)
+    return {finding.place for finding in findings}
+
+
+class TestSettingsFile:
+    """What a settings file may hold."""
+
+    def test_sound_file_is_read(self, tmp_path):
+        """A sound file gives settings."""
+        path = tmp_path / 'entry.toml'
+        path.write_text(ENTRY)
+        settings = read_settings(path)
+        assert isinstance(settings, Settings)
+        assert settings.role is Role.ENTRY
+
+    def test_structure_findings_come_together(self):
+        """Unknown, missing and mistyped keys are all reported at once."""
+        assert list_places(MANY_FAULTS) == {
+            'host',
+            'failure_domain',
+            'colour',
+            'listen.watch',
+        }
+
+    @pytest.mark.parametrize(
+        ('old', 'new', 'place'),
+        [
+            ('127.0.0.1:7001', 'localhost:7001', 'listen.peers'),
+            ('127.0.0.1:7003', '127.0.0.1:70003', 'listen.callers'),
+            ('"entry-1"', '"entry 1"', 'daemon'),
+            ('[entry]', '', 'entry'),
+            ('[entry]', '[entry]\noperator_key_sha256 = ["ab"]',
+             'entry.operator_key_sha256[0]'),
+            ('[entry]', '[entry]\n[telemetry]\notlp = "localhost"',
+             'telemetry.otlp'),
+            ('[entry]', '[entry]\n[telemetry]\nlog_level = "LOUD"',
+             'telemetry.log_level'),
+            ('[listen]', '[listen', '(file)'),
+            ('"entry"\n', '"porter"\n', 'role'),
+            ('[entry]', '[[known]]\naddress = 3', 'known[0].address'),
+        ],
+    )  # fmt: skip
+    def test_each_fault_is_found_at_its_place(self, old, new, place):
+        """A fault names the key at which it stands."""
+        assert place in list_places(ENTRY.replace(old, new, 1))
+
+    def test_unreadable_file_is_a_finding(self, tmp_path):
+        """A file that isn't there is reported, not raised."""
+        findings = read_settings(tmp_path / 'none.toml')
+        assert not isinstance(findings, Settings)
+        assert 'none.toml' in findings[0].place
