Start small fleets of real processes on loopback

Cause: the demo, the process tests and the measurements all need the same stand-ins and daemons as processes.

--- /dev/null
+++ b/fakes/child.py
@@ -0,0 +1,89 @@
+"""One process of a small fleet on 127.0.0.1."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import socket
+import sys
+from typing import Final
+
+ROOT: Final = pathlib.Path(__file__).parent.parent
+STOP_SECONDS: Final = 40.0
+
+
+def pick_address() -> str:
+    """``ip:port`` on loopback that nobody listens on now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+class Child:
+    """A process started here, and ended here by its pid."""
+
+    def __init__(self, *, name: str, module: str, log: pathlib.Path) -> None:
+        self.name = name
+        self._module = module
+        self._log = log
+        self._process: asyncio.subprocess.Process | None = None
+
+    @property
+    def pid(self) -> int:
+        """Id of the running process.
+
+        :raises RuntimeError: it was not started.
+        """
+        if self._process is None:
+            raise RuntimeError(f'{self.name} was not started')
+        return self._process.pid
+
+    @property
+    def log(self) -> str:
+        """Everything the process wrote."""
+        return self._log.read_text()
+
+    @property
+    def running(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self, *arguments: str) -> None:
+        """Start the module as a process of its own."""
+        path = f'{ROOT / "src"}{os.pathsep}{ROOT}'
+        with self._log.open('ab') as output:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                self._module,
+                *arguments,
+                stdout=output,
+                stderr=output,
+                stdin=asyncio.subprocess.DEVNULL,
+                env={**os.environ, 'PYTHONPATH': path},
+                cwd=ROOT,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, if the process still runs."""
+        if self.running:
+            os.kill(self.pid, number)
+
+    async def wait(self, seconds: float = STOP_SECONDS) -> int:
+        """Exit status, once the process has ended.
+
+        :raises TimeoutError: it did not end within the seconds.
+        """
+        if self._process is None:
+            raise RuntimeError(f'{self.name} was not started')
+        async with asyncio.timeout(seconds):
+            return await self._process.wait()
+
+    async def stop(self) -> int:
+        """End by SIGTERM; exit status. After the bound: SIGKILL."""
+        self.send(signal.SIGTERM)
+        try:
+            return await self.wait()
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            return await self.wait()
--- /dev/null
+++ b/src/ragwortcourse/processes/__init__.py
@@ -0,0 +1,1 @@
+"""The two daemons, put together from their parts."""
