--- /dev/null
+++ b/src/ragwortcourse/cli/answer.py
@@ -0,0 +1,112 @@
+"""Takes the message out of a daemon's answer, or ends the command."""
+
+from typing import Final, NoReturn, TypeVar
+
+import msgspec
+
+from ragwortcourse.cli.exit_code import ExitCode
+from ragwortcourse.cli.operator_client import Answered, AskOutcome, Unreached
+from ragwortcourse.cli.output import Failure, fail_command
+from ragwortcourse.messages.operator import ChangeConflict, OperatorErrorBody
+from ragwortcourse.messages.outcome import OutcomeKind
+
+STATUS_OK: Final = 200
+STATUS_CONFLICT: Final = 409
+
+_Message = TypeVar('_Message')
+
+
+def require_message(
+    outcome: AskOutcome, kind: type[_Message], *, as_json: bool
+) -> _Message:
+    """The message a daemon answered with; ends the command without one.
+
+    :param kind: type of the message that a status of 200 carries.
+    """
+    if not isinstance(outcome, Answered):
+        fail_without_answer(outcome, as_json=as_json)
+    if outcome.status != STATUS_OK:
+        fail_refused(outcome, as_json=as_json)
+    try:
+        return msgspec.json.decode(outcome.body, type=kind)
+    except msgspec.DecodeError as error:
+        fail_command(
+            Failure(
+                code='answer_malformed',
+                message=f'{outcome.entry} answered what cannot be read: {error}',
+                outcome=OutcomeKind.UNKNOWN,
+            ),
+            ExitCode.UNKNOWN,
+            as_json=as_json,
+        )
+
+
+def fail_without_answer(outcome: AskOutcome, *, as_json: bool) -> NoReturn:
+    """End a command to which no daemon gave an answer."""
+    detail = '' if isinstance(outcome, Answered) else outcome.detail
+    if isinstance(outcome, Unreached):
+        fail_command(
+            Failure(
+                code='unreachable',
+                message=f'no entry daemon was reached: {detail}',
+                outcome=OutcomeKind.NOT_RUN,
+            ),
+            ExitCode.UNREACHABLE,
+            as_json=as_json,
+        )
+    fail_command(
+        Failure(
+            code='answer_lost',
+            message=f'no entry daemon answered: {detail}',
+            outcome=OutcomeKind.UNKNOWN,
+        ),
+        ExitCode.UNKNOWN,
+        as_json=as_json,
+    )
+
+
+def fail_refused(answer: Answered, *, as_json: bool) -> NoReturn:
+    """End a command that a daemon turned down."""
+    if answer.status == STATUS_CONFLICT:
+        _fail_conflict(answer, as_json=as_json)
+    try:
+        refusal = msgspec.json.decode(answer.body, type=OperatorErrorBody)
+    except msgspec.DecodeError:
+        fail_command(
+            Failure(
+                code=f'status_{answer.status}',
+                message=f'{answer.entry} answered {answer.status}',
+                outcome=OutcomeKind.UNKNOWN,
+            ),
+            ExitCode.UNKNOWN,
+            as_json=as_json,
+        )
+    unknown = refusal.error.outcome is OutcomeKind.UNKNOWN
+    fail_command(
+        Failure(
+            code=refusal.error.code,
+            message=refusal.error.message,
+            outcome=refusal.error.outcome,
+            findings=refusal.findings,
+        ),
+        ExitCode.UNKNOWN if unknown else ExitCode.REFUSED,
+        as_json=as_json,
+    )
+
+
+def _fail_conflict(answer: Answered, *, as_json: bool) -> NoReturn:
+    try:
+        conflict = msgspec.json.decode(answer.body, type=ChangeConflict)
+    except msgspec.DecodeError:
+        detail = 'another change went first'
+    else:
+        detail = f'another change went first: generation {conflict.generation}'
+    fail_command(
+        Failure(
+            code='conflict',
+            message=f'{detail}; look at `ragwortcourse diff` and try again',
+            outcome=OutcomeKind.NOT_RUN,
+        ),
+        ExitCode.CONFLICT,
+        as_json=as_json,
+    )
--- /dev/null
+++ b/src/ragwortcourse/cli/change.py
@@ -0,0 +1,134 @@
+"""Sends a change so that its outcome is known, also after a lost answer."""
+
+import asyncio
+import secrets
+from typing import Final
+
+import msgspec
+
+from ragwortcourse.cli.answer import STATUS_CONFLICT, STATUS_OK
+from ragwortcourse.cli.connection import Connection
+from ragwortcourse.cli.operator_client import (
+    AnswerLost,
+    Answered,
+    AskOutcome,
+    Question,
+    Unreached,
+    ask_entries,
+)
+from ragwortcourse.configuration.configuration import ConfigurationDocument
+from ragwortcourse.identifiers import ChangeId, Generation
+from ragwortcourse.messages.operator import (
+    ChangeAccepted,
+    ChangeConflict,
+    OperatorErrorBody,
+)
+from ragwortcourse.messages.outcome import OutcomeKind
+
+CONFIGURATION_PATH: Final = '/operator/configuration'
+PAUSES_SECONDS: Final = (0.2, 1.0, 3.0)
+
+
+def make_change() -> ChangeId:
+    """A fresh change id."""
+    return ChangeId(secrets.token_hex(16))
+
+
+async def submit_change(
+    connection: Connection,
+    question: Question,
+    change: ChangeId,
+    base: Generation | None = None,
+) -> AskOutcome:
+    """Answer to a change, settled by its id where an answer was lost.
+
+    :param change: id that the question carries.
+    :param base: generation the change starts from, where it must be so.
+    """
+    outcome = await ask_entries(connection, question)
+    doubtful = is_unsettled(outcome)
+    for pause in PAUSES_SECONDS:
+        if not is_unsettled(outcome):
+            break
+        doubtful = True
+        await asyncio.sleep(pause)
+        settled = await read_back(connection, change)
+        outcome = settled or await ask_entries(connection, question)
+    return _judge_outcome(outcome, change, base, doubtful=doubtful)
+
+
+async def read_back(
+    connection: Connection, change: ChangeId
+) -> Answered | None:
+    """The acceptance of a change that the configuration in force names."""
+    outcome = await ask_entries(connection, Question(path=CONFIGURATION_PATH))
+    if not isinstance(outcome, Answered) or outcome.status != STATUS_OK:
+        return None
+    try:
+        document = msgspec.json.decode(outcome.body, type=ConfigurationDocument)
+    except msgspec.DecodeError:
+        return None
+    if document.change == change:
+        return _accept(outcome.entry, document)
+    return None
+
+
+def is_unsettled(outcome: AskOutcome) -> bool:
+    """Tell whether a change may have taken effect without a word of it."""
+    if isinstance(outcome, AnswerLost):
+        return True
+    if isinstance(outcome, Unreached):
+        return False
+    if outcome.status in {STATUS_OK, STATUS_CONFLICT}:
+        return False
+    try:
+        refusal = msgspec.json.decode(outcome.body, type=OperatorErrorBody)
+    except msgspec.DecodeError:
+        return True
+    return refusal.error.outcome is OutcomeKind.UNKNOWN
+
+
+def _accept(entry: str, document: ConfigurationDocument) -> Answered:
+    accepted = ChangeAccepted(
+        generation=document.generation, change=document.change
+    )
+    return Answered(
+        entry=entry, status=STATUS_OK, body=msgspec.json.encode(accepted)
+    )
+
+
+def _judge_outcome(
+    outcome: AskOutcome,
+    change: ChangeId,
+    base: Generation | None,
+    *,
+    doubtful: bool,
+) -> AskOutcome:
+    if isinstance(outcome, Unreached) and doubtful:
+        return AnswerLost(detail=outcome.detail)
+    if isinstance(outcome, Answered) and outcome.status == STATUS_CONFLICT:
+        return _judge_conflict(outcome, change, base, doubtful=doubtful)
+    return outcome
+
+
+def _judge_conflict(
+    answer: Answered,
+    change: ChangeId,
+    base: Generation | None,
+    *,
+    doubtful: bool,
+) -> AskOutcome:
+    try:
+        conflict = msgspec.json.decode(answer.body, type=ChangeConflict)
+    except msgspec.DecodeError:
+        return answer
+    if conflict.document is not None and conflict.document.change == change:
+        return _accept(answer.entry, conflict.document)
+    # The change may have been accepted and then replaced by a later one.
+    replaced = base is None or conflict.generation > base + 1
+    if doubtful and replaced:
+        return AnswerLost(
+            detail=f'{answer.entry}: generation {conflict.generation} is in '
+            f'force; change {change} may have been in force before it',
+        )
+    return answer
--- /dev/null
+++ b/src/ragwortcourse/cli/configuration_commands.py
@@ -0,0 +1,219 @@
+"""Commands about the configuration as a whole."""
+
+import difflib
+import pathlib
+
+import click
+import msgspec
+
+from ragwortcourse.cli.answer import require_message
+from ragwortcourse.cli.change import (
+    CONFIGURATION_PATH,
+    make_change,
+    submit_change,
+)
+from ragwortcourse.cli.configuration_file import require_configuration
+from ragwortcourse.cli.configuration_text import write_toml
+from ragwortcourse.cli.connection import Connection, accept_connection
+from ragwortcourse.cli.operator_client import (
+    Answered,
+    Question,
+    ask_entries,
+    run_client,
+)
+from ragwortcourse.cli.output import accept_json, print_json
+from ragwortcourse.configuration.configuration import (
+    Configuration,
+    ConfigurationDocument,
+)
+from ragwortcourse.identifiers import ChangeId, Generation
+from ragwortcourse.messages.operator import ChangeAccepted, ConfigurationChange
+
+STATUS_NOT_FOUND = 404
+FILE_ARGUMENT = click.argument(
+    'file', type=click.Path(path_type=pathlib.Path, dir_okay=False)
+)
+
+
+class CheckReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What ``check --json`` shows of a sound file."""
+
+    file: str
+    sound: bool = True
+
+
+class Difference(msgspec.Struct, frozen=True, kw_only=True):
+    """What ``diff --json`` shows.
+
+    :param lines: unified difference from what is in force to the file.
+    """
+
+    generation: Generation
+    lines: tuple[str, ...]
+
+
+@click.command()
+@FILE_ARGUMENT
+@accept_json
+def check(file: pathlib.Path, *, as_json: bool) -> None:
+    """Check a configuration file and report every finding at once.
+
+    Exit code 0: sound. 1: findings, one a line: file, key, value, what is
+    allowed.
+
+    Example: ragwortcourse check configuration.toml
+    """
+    require_configuration(file, as_json=as_json)
+    if as_json:
+        print_json(CheckReport(file=str(file)))
+    else:
+        click.echo(f'{file}: sound')
+
+
+@click.command()
+@FILE_ARGUMENT
+@click.option(
+    '--base',
+    type=click.IntRange(min=0),
+    help='Generation the file was made from; default: the one in force. '
+    'Where another is in force by then, nothing is changed (exit code 4).',
+)
+@accept_connection
+@accept_json
+def apply(
+    *,
+    file: pathlib.Path,
+    base: int | None,
+    connection: Connection,
+    as_json: bool,
+) -> None:
+    """Put a configuration file in force everywhere.
+
+    What is withdrawn stays withdrawn, whatever the file says; only
+    `return` ends a withdrawal.
+
+    Exit code 0: accepted. 1: refused. 3: nothing reached. 4: another
+    operator went first. 5: unknown, look at `ragwortcourse show`.
+
+    Example: ragwortcourse apply configuration.toml --base 12
+    """
+    configuration = require_configuration(file, as_json=as_json)
+    current = read_current(connection, as_json=as_json)
+    generation = Generation(0)
+    if current is not None:
+        generation = current.generation
+        configuration = keep_withdrawals(configuration, current.configuration)
+    change = ConfigurationChange(
+        base_generation=generation if base is None else Generation(base),
+        configuration=configuration,
+        change=make_change(),
+    )
+    accepted = apply_change(connection, change, as_json=as_json)
+    if as_json:
+        print_json(accepted)
+    else:
+        click.echo(f'accepted: generation {accepted.generation}')
+
+
+@click.command()
+@accept_connection
+@accept_json
+def show(*, connection: Connection, as_json: bool) -> None:
+    """Print the configuration in force, as TOML that `apply` takes.
+
+    Example: ragwortcourse show > configuration.toml
+    """
+    document = read_current(connection, as_json=as_json)
+    if as_json:
+        print_json(document)
+    elif document is None:
+        click.echo('# no configuration is in force yet')
+    else:
+        click.echo(f'# generation {document.generation}')
+        click.echo(write_toml(document.configuration), nl=False)
+
+
+@click.command()
+@FILE_ARGUMENT
+@accept_connection
+@accept_json
+def diff(
+    *, file: pathlib.Path, connection: Connection, as_json: bool
+) -> None:
+    """Show what `apply` of a file would change.
+
+    Exit code 0: nothing. 1: the lines printed, or findings.
+
+    Example: ragwortcourse diff configuration.toml
+    """
+    configuration = require_configuration(file, as_json=as_json)
+    document = read_current(connection, as_json=as_json)
+    difference = compare(document, configuration)
+    if as_json:
+        print_json(difference)
+    else:
+        click.echo('\n'.join(difference.lines))
+    if difference.lines:
+        raise click.exceptions.Exit(1)
+
+
+def compare(
+    document: ConfigurationDocument | None, wanted: Configuration
+) -> Difference:
+    """Lines that differ between what is in force and what is wanted."""
+    current = Configuration()
+    generation = Generation(0)
+    if document is not None:
+        current = document.configuration
+        generation = document.generation
+        wanted = keep_withdrawals(wanted, current)
+    lines = difflib.unified_diff(
+        write_toml(current).splitlines(),
+        write_toml(wanted).splitlines(),
+        fromfile=f'generation {generation}',
+        tofile='file',
+        lineterm='',
+    )
+    return Difference(generation=generation, lines=tuple(lines))
+
+
+def keep_withdrawals(
+    wanted: Configuration, current: Configuration
+) -> Configuration:
+    """The wanted configuration with the withdrawals that are in force."""
+    return msgspec.structs.replace(
+        wanted,
+        withdrawn_failure_domains=current.withdrawn_failure_domains,
+        withdrawn_targets=current.withdrawn_targets,
+    )
+
+
+def read_current(
+    connection: Connection, *, as_json: bool
+) -> ConfigurationDocument | None:
+    """The document in force; none before the first one."""
+    outcome = run_client(
+        ask_entries(connection, Question(path=CONFIGURATION_PATH))
+    )
+    absent = isinstance(outcome, Answered) and (
+        outcome.status == STATUS_NOT_FOUND
+    )
+    if absent:
+        return None
+    return require_message(outcome, ConfigurationDocument, as_json=as_json)
+
+
+def apply_change(
+    connection: Connection, change: ConfigurationChange, *, as_json: bool
+) -> ChangeAccepted:
+    """Acceptance of a change; ends the command without one."""
+    question = Question(path=CONFIGURATION_PATH, method='POST', body=change)
+    outcome = run_client(
+        submit_change(
+            connection,
+            question,
+            ChangeId(change.change),
+            change.base_generation,
+        )
+    )
+    return require_message(outcome, ChangeAccepted, as_json=as_json)
--- /dev/null
+++ b/src/ragwortcourse/cli/output.py
@@ -0,0 +1,88 @@
+"""What a command shows, for people or as JSON, and how it ends."""
+
+from collections.abc import Callable, Iterable
+from typing import NoReturn, ParamSpec, TypeVar
+
+import click
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from ragwortcourse.cli.exit_code import ExitCode
+from ragwortcourse.configuration.finding import Finding
+from ragwortcourse.messages.outcome import OutcomeKind
+
+_Params = ParamSpec('_Params')
+_Returned = TypeVar('_Returned')
+
+
+class Failure(msgspec.Struct, frozen=True, kw_only=True):
+    """What ``--json`` shows where a command fails.
+
+    :param code: stable, for programs.
+    :param message: for people.
+    :param outcome: whether a change took effect.
+    """
+
+    code: str
+    message: str
+    outcome: OutcomeKind
+    findings: tuple[Finding, ...] = ()
+
+
+class FailureBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Envelope of a failure."""
+
+    error: Failure
+
+
+def accept_json(
+    command: Callable[_Params, _Returned],
+) -> Callable[_Params, _Returned]:
+    """Give a command the option ``--json``."""
+    return click.option(
+        '--json', 'as_json', is_flag=True, help='Print JSON for programs.'
+    )(command)
+
+
+def build_console() -> Console:
+    """Console for people; plain text where there is no terminal."""
+    return Console(highlight=False, soft_wrap=True)
+
+
+def build_table(*columns: str) -> Table:
+    """A table without ornament."""
+    table = Table(box=None, pad_edge=False, show_header=True)
+    for column in columns:
+        table.add_column(column, overflow='fold')
+    return table
+
+
+def print_json(message: object) -> None:
+    """Print a message as indented JSON."""
+    encoded = msgspec.json.encode(message)
+    click.echo(msgspec.json.format(encoded, indent=2).decode())
+
+
+def fail_command(
+    failure: Failure, exit_code: ExitCode, *, as_json: bool
+) -> NoReturn:
+    """Show a failure and end with its exit code."""
+    if as_json:
+        print_json(FailureBody(error=failure))
+    else:
+        click.echo(f'{failure.code}: {failure.message}', err=True)
+        click.echo(f'outcome: {failure.outcome}', err=True)
+        print_findings(failure.findings)
+    raise click.exceptions.Exit(exit_code)
+
+
+def print_findings(findings: Iterable[Finding], file: str = '') -> None:
+    """One line for each finding: file, key, value, what is allowed."""
+    for finding in findings:
+        place = ': '.join(part for part in (file, finding.place) if part)
+        line = f'{place} = {finding.value}' if finding.value else place
+        text = f'{line}: {finding.message}'
+        if finding.allowed:
+            text = f'{text}; allowed: {finding.allowed}'
+        click.echo(text, err=True)
--- /dev/null
+++ b/src/ragwortcourse/cli/status_commands.py
@@ -0,0 +1,121 @@
+"""Commands that ask how things stand."""
+
+from collections.abc import Iterator
+
+import click
+
+from ragwortcourse.cli.answer import require_message
+from ragwortcourse.cli.connection import Connection, accept_connection
+from ragwortcourse.cli.operator_client import (
+    Question,
+    ask_entries,
+    run_client,
+)
+from ragwortcourse.cli.output import (
+    accept_json,
+    build_console,
+    build_table,
+    print_json,
+)
+from ragwortcourse.messages.decision import Decision, RequestRecord
+from ragwortcourse.messages.operator import OperatorStatus, TargetSummary
+
+
+@click.command()
+@accept_connection
+@accept_json
+def status(*, connection: Connection, as_json: bool) -> None:
+    """Show the targets that an entry daemon watches, and withdrawals.
+
+    Example: ragwortcourse status --entry 10.0.0.5:7004
+    """
+    report = read_status(connection, as_json=as_json)
+    if as_json:
+        print_json(report)
+        return
+    console = build_console()
+    console.print(f'daemon {report.daemon}, generation {report.generation}')
+    if not report.table_reachable:
+        console.print('the table service does not answer')
+    for withdrawal in report.withdrawals:
+        console.print(
+            f'withdrawn, not yet written: {withdrawal.scope} '
+            f'{withdrawal.name} (change {withdrawal.change})'
+        )
+    table = build_table(
+        'target', 'deployment', 'failure domain', 'state', 'running', 'limit',
+        'queued', 'generation', 'serves',
+    )  # fmt: skip
+    for target in report.targets:
+        table.add_row(*describe_target(target))
+    console.print(table)
+
+
+@click.command()
+@click.argument('request')
+@accept_connection
+@accept_json
+def explain(*, request: str, connection: Connection, as_json: bool) -> None:
+    """Show every decision on one request, in order.
+
+    REQUEST is the id that the answer carried as x-request-id.
+
+    Example: ragwortcourse explain entry-1-5f0c9a
+    """
+    question = Question(path=f'/operator/requests/{request}')
+    outcome = run_client(ask_entries(connection, question))
+    record = require_message(outcome, RequestRecord, as_json=as_json)
+    if as_json:
+        print_json(record)
+        return
+    click.echo(f'request {record.request}')
+    for decision in record.decisions:
+        click.echo('\n'.join(describe_decision(decision)))
+
+
+def read_status(connection: Connection, *, as_json: bool) -> OperatorStatus:
+    """Status as the first entry daemon that answers sees it."""
+    outcome = run_client(
+        ask_entries(connection, Question(path='/operator/status'))
+    )
+    return require_message(outcome, OperatorStatus, as_json=as_json)
+
+
+def describe_target(target: TargetSummary) -> tuple[str, ...]:
+    """Cells of one target's row."""
+    head = (
+        str(target.target),
+        str(target.deployment),
+        str(target.failure_domain),
+        name_state(target),
+    )
+    seen = target.status
+    if seen is None:
+        return (*head, '?', '?', '?', '?', '?')
+    versions = [f'{each.model} {each.version}' for each in seen.served]
+    return (
+        *head,
+        str(seen.running),
+        str(seen.limit),
+        str(seen.queued),
+        str(seen.generation),
+        ', '.join(versions) or '-',
+    )
+
+
+def name_state(target: TargetSummary) -> str:
+    """One word for what a target does."""
+    if target.withdrawn:
+        return 'withdrawn'
+    if target.leaving:
+        return 'leaving'
+    return 'silent' if target.status is None else 'in service'
+
+
+def describe_decision(decision: Decision) -> Iterator[str]:
+    """Lines about one decision."""
+    yield f'{decision.at_ms:10.1f} ms  {decision.point}: {decision.chosen}'
+    for name, found in decision.seen.items():
+        yield f'                 seen {name}: {found}'
+    for way, reason in decision.turned_down.items():
+        yield f'                 turned down {way}: {reason}'
