Offer the operators' commands over HTTP

Cause: operators need check, apply, show, diff, withdraw, return, status, explain, replicas, cancel and crashers from their own machines. Ruled out: calling a lost answer a failure. It is settled by reading back the change id and asking again with the same id; only what can't be settled ends as unknown (exit code 5).

--- a/src/ragwortcourse/cli/answer.py
+++ b/src/ragwortcourse/cli/answer.py
@@ -1,12 +1,13 @@
 """Takes the message out of a daemon's answer, or ends the command."""
 
-from typing import Final, NoReturn, TypeVar
+from typing import Final, TypeVar
 
 import msgspec
+from click.exceptions import Exit
 
 from ragwortcourse.cli.exit_code import ExitCode
 from ragwortcourse.cli.operator_client import Answered, AskOutcome, Unreached
-from ragwortcourse.cli.output import Failure, fail_command
+from ragwortcourse.cli.output import Failure, report_failure
 from ragwortcourse.messages.operator import ChangeConflict, OperatorErrorBody
 from ragwortcourse.messages.outcome import OutcomeKind
 
@@ -24,28 +25,28 @@
     :param kind: type of the message that a status of 200 carries.
     """
     if not isinstance(outcome, Answered):
-        fail_without_answer(outcome, as_json=as_json)
+        raise report_no_answer(outcome, as_json=as_json)
     if outcome.status != STATUS_OK:
-        fail_refused(outcome, as_json=as_json)
+        raise report_refusal(outcome, as_json=as_json)
     try:
         return msgspec.json.decode(outcome.body, type=kind)
     except msgspec.DecodeError as error:
-        fail_command(
+        raise report_failure(
             Failure(
                 code='answer_malformed',
-                message=f'{outcome.entry} answered what cannot be read: {error}',
+                message=f'{outcome.entry} answered, unreadably: {error}',
                 outcome=OutcomeKind.UNKNOWN,
             ),
             ExitCode.UNKNOWN,
             as_json=as_json,
-        )
+        ) from error
 
 
-def fail_without_answer(outcome: AskOutcome, *, as_json: bool) -> NoReturn:
-    """End a command to which no daemon gave an answer."""
+def report_no_answer(outcome: AskOutcome, *, as_json: bool) -> Exit:
+    """Show that no daemon gave an answer; what to raise then."""
     detail = '' if isinstance(outcome, Answered) else outcome.detail
     if isinstance(outcome, Unreached):
-        fail_command(
+        return report_failure(
             Failure(
                 code='unreachable',
                 message=f'no entry daemon was reached: {detail}',
@@ -54,7 +55,7 @@
             ExitCode.UNREACHABLE,
             as_json=as_json,
         )
-    fail_command(
+    return report_failure(
         Failure(
             code='answer_lost',
             message=f'no entry daemon answered: {detail}',
@@ -65,14 +66,14 @@
     )
 
 
-def fail_refused(answer: Answered, *, as_json: bool) -> NoReturn:
-    """End a command that a daemon turned down."""
+def report_refusal(answer: Answered, *, as_json: bool) -> Exit:
+    """Show that a daemon turned a command down; what to raise then."""
     if answer.status == STATUS_CONFLICT:
-        _fail_conflict(answer, as_json=as_json)
+        return _report_conflict(answer, as_json=as_json)
     try:
         refusal = msgspec.json.decode(answer.body, type=OperatorErrorBody)
     except msgspec.DecodeError:
-        fail_command(
+        return report_failure(
             Failure(
                 code=f'status_{answer.status}',
                 message=f'{answer.entry} answered {answer.status}',
@@ -82,7 +83,7 @@
             as_json=as_json,
         )
     unknown = refusal.error.outcome is OutcomeKind.UNKNOWN
-    fail_command(
+    return report_failure(
         Failure(
             code=refusal.error.code,
             message=refusal.error.message,
@@ -94,14 +95,14 @@
     )
 
 
-def _fail_conflict(answer: Answered, *, as_json: bool) -> NoReturn:
+def _report_conflict(answer: Answered, *, as_json: bool) -> Exit:
     try:
         conflict = msgspec.json.decode(answer.body, type=ChangeConflict)
     except msgspec.DecodeError:
         detail = 'another change went first'
     else:
         detail = f'another change went first: generation {conflict.generation}'
-    fail_command(
+    return report_failure(
         Failure(
             code='conflict',
             message=f'{detail}; look at `ragwortcourse diff` and try again',
--- a/src/ragwortcourse/cli/change.py
+++ b/src/ragwortcourse/cli/change.py
@@ -9,8 +9,8 @@
 from ragwortcourse.cli.answer import STATUS_CONFLICT, STATUS_OK
 from ragwortcourse.cli.connection import Connection
 from ragwortcourse.cli.operator_client import (
-    AnswerLost,
     Answered,
+    AnswerLost,
     AskOutcome,
     Question,
     Unreached,
@@ -26,12 +26,13 @@
 from ragwortcourse.messages.outcome import OutcomeKind
 
 CONFIGURATION_PATH: Final = '/operator/configuration'
+CHANGE_ID_BYTES: Final = 16
 PAUSES_SECONDS: Final = (0.2, 1.0, 3.0)
 
 
 def make_change() -> ChangeId:
     """A fresh change id."""
-    return ChangeId(secrets.token_hex(16))
+    return ChangeId(secrets.token_hex(CHANGE_ID_BYTES))
 
 
 async def submit_change(
--- a/src/ragwortcourse/cli/configuration_commands.py
+++ b/src/ragwortcourse/cli/configuration_commands.py
@@ -137,9 +137,7 @@
 @FILE_ARGUMENT
 @accept_connection
 @accept_json
-def diff(
-    *, file: pathlib.Path, connection: Connection, as_json: bool
-) -> None:
+def diff(*, file: pathlib.Path, connection: Connection, as_json: bool) -> None:
     """Show what `apply` of a file would change.
 
     Exit code 0: nothing. 1: the lines printed, or findings.
--- a/src/ragwortcourse/cli/configuration_file.py
+++ b/src/ragwortcourse/cli/configuration_file.py
@@ -3,7 +3,7 @@
 import pathlib
 
 from ragwortcourse.cli.exit_code import ExitCode
-from ragwortcourse.cli.output import Failure, fail_command
+from ragwortcourse.cli.output import Failure, report_failure
 from ragwortcourse.configuration.configuration import Configuration
 from ragwortcourse.configuration.document import read_configuration
 from ragwortcourse.configuration.finding import Finding
@@ -33,7 +33,7 @@
     found = read_file(path)
     if isinstance(found, Configuration):
         return found
-    fail_command(
+    raise report_failure(
         Failure(
             code='configuration_unsound',
             message=f'{path}: {len(found)} findings',
--- a/src/ragwortcourse/cli/connection.py
+++ b/src/ragwortcourse/cli/connection.py
@@ -46,14 +46,14 @@
         envvar='RAGWORTCOURSE_ENTRY',
         default=(DEFAULT_ENTRY,),
         show_default=True,
-        help='Operators’ address of an entry daemon; may be given again, '
+        help='Address of an entry daemon for operators; may be given again, '
         'the next one is asked when one is silent.',
     )
     @click.option(
         '--token',
         envvar='RAGWORTCOURSE_TOKEN',
         default='',
-        help='Operator’s token; better given by RAGWORTCOURSE_TOKEN.',
+        help='Token of the operator; better given by RAGWORTCOURSE_TOKEN.',
     )
     @click.option(
         '--timeout',
--- a/src/ragwortcourse/cli/output.py
+++ b/src/ragwortcourse/cli/output.py
@@ -1,10 +1,11 @@
 """What a command shows, for people or as JSON, and how it ends."""
 
 from collections.abc import Callable, Iterable
-from typing import NoReturn, ParamSpec, TypeVar
+from typing import ParamSpec, TypeVar
 
 import click
 import msgspec
+from click.exceptions import Exit
 from rich.console import Console
 from rich.table import Table
 
@@ -64,17 +65,17 @@
     click.echo(msgspec.json.format(encoded, indent=2).decode())
 
 
-def fail_command(
+def report_failure(
     failure: Failure, exit_code: ExitCode, *, as_json: bool
-) -> NoReturn:
-    """Show a failure and end with its exit code."""
+) -> Exit:
+    """Show a failure; what to raise to end with its exit code."""
     if as_json:
         print_json(FailureBody(error=failure))
     else:
         click.echo(f'{failure.code}: {failure.message}', err=True)
         click.echo(f'outcome: {failure.outcome}', err=True)
         print_findings(failure.findings)
-    raise click.exceptions.Exit(exit_code)
+    return Exit(exit_code)
 
 
 def print_findings(findings: Iterable[Finding], file: str = '') -> None:
--- /dev/null
+++ b/src/ragwortcourse/cli/part_commands.py
@@ -0,0 +1,123 @@
+"""Commands that take a failure domain or a target out and back."""
+
+import asyncio
+
+import click
+
+from ragwortcourse.cli.answer import require_message
+from ragwortcourse.cli.change import make_change, submit_change
+from ragwortcourse.cli.connection import Connection, accept_connection
+from ragwortcourse.cli.departure import DepartureReport, wait_for_departure
+from ragwortcourse.cli.operator_client import Question, run_client
+from ragwortcourse.cli.output import accept_json, print_json
+from ragwortcourse.messages.operator import ChangeAccepted, PartChange
+from ragwortcourse.messages.withdrawal import WithdrawalScope
+
+WITHDRAWALS_PATH = '/operator/withdrawals'
+RETURNS_PATH = '/operator/returns'
+SCOPE_ARGUMENT = click.argument(
+    'scope',
+    metavar='{failure-domain|target}',
+    type=click.Choice(['failure-domain', 'target']),
+)
+
+
+@click.command()
+@SCOPE_ARGUMENT
+@click.argument('name')
+@click.option(
+    '--wait',
+    is_flag=True,
+    help='Show progress until its work has left.',
+)
+@accept_connection
+@accept_json
+def withdraw(
+    *,
+    scope: str,
+    name: str,
+    wait: bool,
+    connection: Connection,
+    as_json: bool,
+) -> None:
+    """Give a failure domain or a target no new work; what runs finishes.
+
+    Works while the table service is away.
+
+    Exit code 0: in force (with --wait: and its work has left). 1: refused.
+    3: nothing reached. 5: unknown.
+
+    Example: ragwortcourse withdraw failure-domain padova-a --wait
+    """
+    part = make_part_change(scope, name)
+    accepted = change_part(connection, WITHDRAWALS_PATH, part, as_json=as_json)
+    if not wait:
+        show_acceptance(accepted, f'{name} withdrawn', as_json=as_json)
+        return
+    report = asyncio.run(
+        wait_for_departure(connection, part, accepted, as_json=as_json)
+    )
+    show_departure(report, as_json=as_json)
+
+
+@click.command('return')
+@SCOPE_ARGUMENT
+@click.argument('name')
+@accept_connection
+@accept_json
+def return_part(
+    *, scope: str, name: str, connection: Connection, as_json: bool
+) -> None:
+    """Let a failure domain or a target take work again.
+
+    Needs the table service. Its targets warm up before they take all.
+
+    Exit code 0: in force. 1: refused. 3: nothing reached. 4: another
+    operator went first. 5: unknown.
+
+    Example: ragwortcourse return failure-domain padova-a
+    """
+    part = make_part_change(scope, name)
+    accepted = change_part(connection, RETURNS_PATH, part, as_json=as_json)
+    show_acceptance(accepted, f'{name} returned', as_json=as_json)
+
+
+def make_part_change(scope: str, name: str) -> PartChange:
+    """The message for a part named on the command line."""
+    return PartChange(
+        scope=WithdrawalScope(scope.replace('-', '_')),
+        name=name,
+        change=make_change(),
+    )
+
+
+def change_part(
+    connection: Connection, path: str, part: PartChange, *, as_json: bool
+) -> ChangeAccepted:
+    """Acceptance of a change to one part; ends the command without one."""
+    question = Question(path=path, method='POST', body=part)
+    outcome = run_client(submit_change(connection, question, part.change))
+    return require_message(outcome, ChangeAccepted, as_json=as_json)
+
+
+def show_acceptance(
+    accepted: ChangeAccepted, text: str, *, as_json: bool
+) -> None:
+    """Show that a change is in force."""
+    if as_json:
+        print_json(accepted)
+        return
+    click.echo(f'{text}: generation {accepted.generation}')
+    if accepted.pending:
+        click.echo('in force; to be written when the table service is back')
+
+
+def show_departure(report: DepartureReport, *, as_json: bool) -> None:
+    """Show how a withdrawal ended."""
+    if as_json:
+        print_json(report)
+    elif report.unseen:
+        names = ', '.join(report.unseen)
+        click.echo(f'its work has left; not heard from: {names}')
+    else:
+        click.echo('its work has left')
--- a/src/ragwortcourse/cli/program.py
+++ b/src/ragwortcourse/cli/program.py
@@ -2,7 +2,13 @@
 
 import click
 
-from ragwortcourse.cli import configuration_commands, status_commands
+from ragwortcourse.cli import (
+    configuration_commands,
+    crasher_commands,
+    part_commands,
+    status_commands,
+    weights_commands,
+)
 
 
 @click.group(context_settings={'help_option_names': ['-h', '--help']})
@@ -10,19 +16,23 @@
 def main() -> None:
     """Operate ragwortcourse: weights and requests for bursts of traffic.
 
-    \b
     Exit codes: 0 done; 1 refused, or findings; 2 wrong usage; 3 no entry
     daemon reached; 4 another operator's change went first; 5 outcome
     unknown.
     """
 
 
-for _command in (
+COMMANDS = (
     configuration_commands.check,
     configuration_commands.apply,
     configuration_commands.show,
     configuration_commands.diff,
     status_commands.status,
     status_commands.explain,
-):
-    main.add_command(_command)
+    part_commands.withdraw,
+    part_commands.return_part,
+    weights_commands.replicas,
+    weights_commands.cancel,
+    crasher_commands.crashers,
+)
+main.commands.update({str(command.name): command for command in COMMANDS})
--- a/src/ragwortcourse/cli/status_commands.py
+++ b/src/ragwortcourse/cli/status_commands.py
@@ -83,24 +83,14 @@
 
 def describe_target(target: TargetSummary) -> tuple[str, ...]:
     """Cells of one target's row."""
-    head = (
-        str(target.target),
-        str(target.deployment),
-        str(target.failure_domain),
-        name_state(target),
-    )
+    names = (target.target, target.deployment, target.failure_domain)
+    head = (*names, name_state(target))
     seen = target.status
     if seen is None:
-        return (*head, '?', '?', '?', '?', '?')
+        return head
     versions = [f'{each.model} {each.version}' for each in seen.served]
-    return (
-        *head,
-        str(seen.running),
-        str(seen.limit),
-        str(seen.queued),
-        str(seen.generation),
-        ', '.join(versions) or '-',
-    )
+    counts = (seen.running, seen.limit, seen.queued, seen.generation)
+    return (*head, *map(str, counts), ', '.join(versions) or '-')
 
 
 def name_state(target: TargetSummary) -> str:
--- /dev/null
+++ b/src/ragwortcourse/cli/weights_commands.py
@@ -0,0 +1,165 @@
+"""Commands about weights: watch, cancel."""
+
+import time
+
+import click
+
+from ragwortcourse.cli.answer import require_message
+from ragwortcourse.cli.change import make_change, submit_change
+from ragwortcourse.cli.configuration_commands import read_current
+from ragwortcourse.cli.connection import Connection, accept_connection
+from ragwortcourse.cli.exit_code import ExitCode
+from ragwortcourse.cli.operator_client import (
+    Question,
+    ask_entries,
+    run_client,
+)
+from ragwortcourse.cli.output import (
+    Failure,
+    accept_json,
+    build_console,
+    build_table,
+    print_json,
+    report_failure,
+)
+from ragwortcourse.identifiers import DeploymentName
+from ragwortcourse.messages.operator import (
+    ChangeAccepted,
+    LandingCancellation,
+    ReplicaProgress,
+    ReplicaSummary,
+)
+from ragwortcourse.messages.outcome import OutcomeKind
+
+POLL_PERIOD_SECONDS = 1.0
+
+
+@click.command()
+@click.argument('model')
+@click.option('--wait', is_flag=True, help='Show progress to the end.')
+@accept_connection
+@accept_json
+def replicas(
+    *, model: str, wait: bool, connection: Connection, as_json: bool
+) -> None:
+    """Show how many targets answer with a model's wanted version.
+
+    MODEL is the name of a model or of a deployment.
+
+    Exit code 0: shown (with --wait: all are ready). 1: no such model.
+
+    Example: ragwortcourse replicas desk-drafts --wait
+    """
+    names = find_deployments(connection, model, as_json=as_json)
+    progress = read_progress(connection, names, as_json=as_json)
+    while wait and not all(is_complete(each) for each in progress):
+        if not as_json:
+            show_progress(progress)
+        time.sleep(POLL_PERIOD_SECONDS)
+        progress = read_progress(connection, names, as_json=as_json)
+    if as_json:
+        print_json(progress)
+    else:
+        show_progress(progress)
+        show_replicas(progress)
+
+
+@click.command()
+@click.argument('deployment')
+@accept_connection
+@accept_json
+def cancel(*, deployment: str, connection: Connection, as_json: bool) -> None:
+    """Give up the version that is on its way to a deployment's targets.
+
+    They go on with the version they have.
+
+    Example: ragwortcourse cancel desk-drafts
+    """
+    body = LandingCancellation(
+        deployment=DeploymentName(deployment), change=make_change()
+    )
+    question = Question(
+        path='/operator/weights/cancel', method='POST', body=body
+    )
+    outcome = run_client(submit_change(connection, question, body.change))
+    accepted = require_message(outcome, ChangeAccepted, as_json=as_json)
+    if as_json:
+        print_json(accepted)
+    else:
+        click.echo(f'cancelled: generation {accepted.generation}')
+
+
+def find_deployments(
+    connection: Connection, name: str, *, as_json: bool
+) -> tuple[DeploymentName, ...]:
+    """Deployments of a model, or the one of that name."""
+    document = read_current(connection, as_json=as_json)
+    models = () if document is None else document.configuration.models
+    found = tuple(
+        each.name for each in models if name in {each.name, each.model}
+    )
+    if found:
+        return found
+    known = ', '.join(each.name for each in models) or 'none'
+    raise report_failure(
+        Failure(
+            code='deployment_unknown',
+            message=f'{name} names no model or deployment; there are: {known}',
+            outcome=OutcomeKind.NOT_RUN,
+        ),
+        ExitCode.REFUSED,
+        as_json=as_json,
+    )
+
+
+def read_progress(
+    connection: Connection,
+    names: tuple[DeploymentName, ...],
+    *,
+    as_json: bool,
+) -> tuple[ReplicaProgress, ...]:
+    """Progress of each deployment."""
+    found = []
+    for name in names:
+        question = Question(path=f'/operator/replicas/{name}')
+        outcome = run_client(ask_entries(connection, question))
+        found.append(require_message(outcome, ReplicaProgress, as_json=as_json))
+    return tuple(found)
+
+
+def is_complete(progress: ReplicaProgress) -> bool:
+    """Tell whether every wanted replica is ready."""
+    return progress.wanted <= progress.ready
+
+
+def show_progress(progress: tuple[ReplicaProgress, ...]) -> None:
+    """One line for each deployment."""
+    for each in progress:
+        left = ''
+        if each.seconds_left is not None:
+            left = f', about {each.seconds_left:.0f} s left'
+        click.echo(
+            f'{each.deployment}: {each.model} {each.version}: '
+            f'{each.ready} of {each.wanted} ready, '
+            f'{each.rate:.0f} bytes/s, {each.from_origin} bytes from the '
+            f'origin, {each.from_peers} from peers{left}'
+        )
+
+
+def show_replicas(progress: tuple[ReplicaProgress, ...]) -> None:
+    """One row for each target."""
+    table = build_table('target', 'failure domain', 'ready', 'held', 'of')
+    for each in progress:
+        for replica in each.replicas:
+            table.add_row(*describe_replica(replica))
+    build_console().print(table)
+
+
+def describe_replica(replica: ReplicaSummary) -> tuple[str, ...]:
+    """Cells of one replica's row."""
+    names = (str(replica.target), str(replica.failure_domain))
+    ready = 'yes' if replica.ready else 'no'
+    if replica.landing is None:
+        return (*names, ready)
+    landing = replica.landing
+    return (*names, ready, str(landing.held), str(landing.total))
