--- a/src/ragwortcourse/configuration/change.py
+++ b/src/ragwortcourse/configuration/change.py
@@ -41,6 +41,11 @@
 
     document: ConfigurationDocument | None
 
+    @property
+    def generation(self) -> Generation:
+        """Generation that went first."""
+        return self.document.generation if self.document else Generation(0)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Draft:
--- a/src/ragwortcourse/configuration/document.py
+++ b/src/ragwortcourse/configuration/document.py
@@ -7,6 +7,7 @@
 from ragwortcourse.configuration.check import check_configuration
 from ragwortcourse.configuration.configuration import Configuration
 from ragwortcourse.configuration.finding import Finding
+from ragwortcourse.structure import collect_structure_findings
 
 
 def read_configuration(text: str) -> Configuration | tuple[Finding, ...]:
@@ -15,13 +16,18 @@
     :param text: content of the file.
     """
     try:
-        plain = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+        raw = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         return (
-            Finding(place='', value='', allowed='TOML', message=str(error)),
+            Finding(
+                place='(file)',
+                value='',
+                allowed='TOML 1.0',
+                message=str(error),
+            ),
         )
-    try:
-        configuration = msgspec.convert(plain, Configuration)
-    except msgspec.ValidationError as error:
-        return (Finding(place='', value='', allowed='', message=str(error)),)
+    findings = collect_structure_findings(raw, Configuration)
+    if findings:
+        return findings
+    configuration = msgspec.convert(raw, Configuration)
     return check_configuration(configuration) or configuration
--- /dev/null
+++ b/src/ragwortcourse/entry/operator_changes.py
@@ -0,0 +1,138 @@
+"""Operators' routes that change something."""
+
+from typing import Final
+
+from aiohttp import web
+
+from ragwortcourse.configuration.acceptance import (
+    AcceptanceUnknown,
+    Accepted,
+)
+from ragwortcourse.configuration.change import (
+    Base,
+    ChangeOutcome,
+    Conflict,
+    Draft,
+    make_change,
+)
+from ragwortcourse.configuration.check import check_configuration
+from ragwortcourse.configuration.finding import Finding
+from ragwortcourse.configuration.withdrawals import (
+    return_part,
+    withdraw_part,
+)
+from ragwortcourse.entry.operator_answers import (
+    UNAVAILABLE,
+    answer_error,
+    answer_findings,
+    answer_message,
+    check_id,
+    read_message,
+)
+from ragwortcourse.entry.operator_state import Operators
+from ragwortcourse.identifiers import ChangeId
+from ragwortcourse.messages.operator import (
+    ChangeAccepted,
+    ChangeConflict,
+    ConfigurationChange,
+    PartChange,
+)
+from ragwortcourse.messages.outcome import OutcomeKind
+from ragwortcourse.messages.withdrawal import Withdrawal
+
+CONFLICT: Final = 409
+
+
+async def post_configuration(
+    operators: Operators, request: web.Request
+) -> web.Response:
+    """Accept a whole configuration, if nobody went first."""
+    body = read_message(await request.read(), ConfigurationChange)
+    if isinstance(body, tuple):
+        return answer_findings(body)
+    findings = check_id('change', body.change) + check_configuration(
+        body.configuration
+    )
+    if findings:
+        return answer_findings(findings)
+
+    def draft(base: Base) -> Draft | None:
+        if base.generation != body.base_generation:
+            return None
+        return Draft(configuration=body.configuration)
+
+    outcome = await make_change(
+        operators.holder, operators.store, body.change, draft
+    )
+    return answer_change(body.change, outcome)
+
+
+async def post_withdrawal(
+    operators: Operators, request: web.Request
+) -> web.Response:
+    """Take a failure domain or a target out of service."""
+    part = _read_part(operators, await request.read())
+    if isinstance(part, tuple):
+        return answer_findings(part)
+    accepted = await withdraw_part(operators.holder, operators.store, part)
+    if accepted is not None:
+        return answer_change(part.change, accepted)
+    return answer_message(
+        ChangeAccepted(
+            generation=operators.holder.generation,
+            change=part.change,
+            pending=True,
+        )
+    )
+
+
+async def post_return(
+    operators: Operators, request: web.Request
+) -> web.Response:
+    """Let a failure domain or a target take work again."""
+    part = _read_part(operators, await request.read())
+    if isinstance(part, tuple):
+        return answer_findings(part)
+    outcome = await return_part(operators.holder, operators.store, part)
+    return answer_change(part.change, outcome)
+
+
+def answer_change(change: ChangeId, outcome: ChangeOutcome) -> web.Response:
+    """The answer that fits what became of a change."""
+    if isinstance(outcome, Accepted):
+        return answer_message(
+            ChangeAccepted(generation=outcome.generation, change=change)
+        )
+    if isinstance(outcome, Conflict):
+        return answer_message(
+            ChangeConflict(
+                generation=outcome.generation,
+                document=outcome.document,
+            ),
+            CONFLICT,
+        )
+    if isinstance(outcome, AcceptanceUnknown):
+        return answer_error(
+            UNAVAILABLE,
+            'change_unknown',
+            f'{outcome.detail}; send change {change} again to settle it',
+            outcome=OutcomeKind.UNKNOWN,
+        )
+    return answer_error(UNAVAILABLE, 'change_not_made', outcome.detail)
+
+
+def _read_part(
+    operators: Operators, body: bytes
+) -> Withdrawal | tuple[Finding, ...]:
+    part = read_message(body, PartChange)
+    if isinstance(part, tuple):
+        return part
+    findings = check_id('change', part.change) + check_id('name', part.name)
+    if findings:
+        return findings
+    return Withdrawal(
+        change=part.change,
+        scope=part.scope,
+        name=part.name,
+        generation=operators.holder.generation,
+    )
--- /dev/null
+++ b/src/ragwortcourse/entry/operator_status.py
@@ -0,0 +1,160 @@
+"""Operators' routes that show what the daemon sees."""
+
+from typing import Final
+
+from aiohttp import web
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.configuration.deployment import ModelDeployment
+from ragwortcourse.entry.operator_answers import answer_error, answer_message
+from ragwortcourse.entry.operator_state import Operators
+from ragwortcourse.identifiers import DeploymentName
+from ragwortcourse.membership.target_record import TargetRecord
+from ragwortcourse.messages.operator import (
+    OperatorStatus,
+    ReplicaProgress,
+    ReplicaSummary,
+    TargetSummary,
+)
+from ragwortcourse.messages.target_status import LandingProgress
+
+NOT_FOUND: Final = 404
+NOT_READY: Final = 503
+
+
+async def get_configuration(
+    operators: Operators, request: web.Request
+) -> web.Response:
+    """The document in force at this daemon."""
+    del request
+    if operators.holder.document is None:
+        return answer_error(
+            NOT_READY, 'no_configuration', 'no configuration is known here yet'
+        )
+    return answer_message(operators.holder.document)
+
+
+async def get_status(
+    operators: Operators, request: web.Request
+) -> web.Response:
+    """The targets this daemon watches, and what is withdrawn."""
+    del request
+    holder = operators.holder
+    return answer_message(
+        OperatorStatus(
+            daemon=operators.settings.daemon,
+            generation=holder.generation,
+            withdrawals=holder.withdrawals,
+            targets=tuple(
+                summarize_target(operators, record)
+                for record in operators.membership.directory.records
+            ),
+            table_reachable=holder.table_reachable,
+        )
+    )
+
+
+async def get_replicas(
+    operators: Operators, request: web.Request
+) -> web.Response:
+    """How far the version of a model deployment has come."""
+    name = request.match_info['deployment']
+    deployment = find_model(operators, name)
+    if deployment is None:
+        return answer_error(
+            NOT_FOUND, 'no_deployment', f'no model deployment {name!r}'
+        )
+    return answer_message(report_progress(operators, deployment))
+
+
+def summarize_target(
+    operators: Operators, record: TargetRecord
+) -> TargetSummary:
+    """One watched target as operators see it."""
+    return TargetSummary(
+        target=record.target,
+        deployment=record.deployment,
+        failure_domain=record.failure_domain,
+        region=record.region,
+        address=record.address,
+        status=record.status,
+        status_age=_read_age(record),
+        spare=record.spare,
+        latency=record.latency,
+        leaving=record.leaving,
+        withdrawn=operators.holder.is_withdrawn(
+            record.target, record.failure_domain
+        ),
+        in_flight=record.in_flight,
+    )
+
+
+def find_model(operators: Operators, name: str) -> ModelDeployment | None:
+    """The model deployment of that name in the configuration in force."""
+    document = operators.holder.document
+    if document is None:
+        return None
+    for deployment in document.configuration.models:
+        if deployment.name == name:
+            return deployment
+    return None
+
+
+def report_progress(
+    operators: Operators, deployment: ModelDeployment
+) -> ReplicaProgress:
+    """Progress over the targets that this daemon watches."""
+    records = operators.membership.directory.select(
+        DeploymentName(deployment.name)
+    )
+    replicas = tuple(
+        summarize_replica(deployment, record) for record in records
+    )
+    landings = [
+        replica.landing for replica in replicas if replica.landing is not None
+    ]
+    rate = sum(landing.rate for landing in landings)
+    return ReplicaProgress(
+        deployment=deployment.name,
+        model=deployment.model,
+        version=deployment.version,
+        wanted=deployment.replicas or len(replicas),
+        ready=sum(replica.ready for replica in replicas),
+        rate=rate,
+        from_origin=sum(landing.from_origin for landing in landings),
+        from_peers=sum(landing.from_peers for landing in landings),
+        replicas=replicas,
+        seconds_left=_estimate_end(landings, rate),
+    )
+
+
+def summarize_replica(
+    deployment: ModelDeployment, record: TargetRecord
+) -> ReplicaSummary:
+    """One target on its way to the wanted version."""
+    status = record.status
+    served = status.served if status else ()
+    return ReplicaSummary(
+        target=record.target,
+        failure_domain=record.failure_domain,
+        ready=any(
+            version.model == deployment.model
+            and version.version == deployment.version
+            for version in served
+        ),
+        status_age=_read_age(record),
+        landing=status.landing if status else None,
+    )
+
+
+def _estimate_end(landings: list[LandingProgress], rate: float) -> float | None:
+    if rate <= 0:
+        return None
+    left = sum(max(0, landing.total - landing.held) for landing in landings)
+    return left / rate
+
+
+def _read_age(record: TargetRecord) -> float | None:
+    if record.status is None:
+        return None
+    return read_clock() - record.status_at
--- /dev/null
+++ b/src/ragwortcourse/entry/record_relay.py
@@ -0,0 +1,60 @@
+"""Records of requests, from the entry daemon that served them."""
+
+from collections.abc import Callable
+from typing import Final
+from urllib.parse import quote
+
+import msgspec
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
+
+from ragwortcourse.entry.operator_state import RecordRelay
+from ragwortcourse.identifiers import RequestId
+from ragwortcourse.messages.decision import RequestRecord
+from ragwortcourse.messages.peer_port import PeerSilent
+
+RELAY_TIMEOUT_SECONDS: Final = 2.0
+RELAY_TIMEOUT: Final = ClientTimeout(total=RELAY_TIMEOUT_SECONDS)
+OK: Final = 200
+NOT_FOUND: Final = 404
+
+
+def build_record_routes(
+    *, find_record: Callable[[RequestId], RequestRecord | None]
+) -> list[web.RouteDef]:
+    """Route of the peers' port at entry daemons."""
+
+    async def get_record(request: web.Request) -> web.Response:
+        record = find_record(RequestId(request.match_info['request']))
+        if record is None:
+            return web.Response(status=NOT_FOUND)
+        return web.Response(
+            body=msgspec.json.encode(record), content_type='application/json'
+        )
+
+    return [web.get('/requests/{request}', get_record)]
+
+
+def build_record_relay(*, session: ClientSession) -> RecordRelay:
+    """Ask another entry daemon for the record of a request."""
+
+    async def get_record(url: str) -> RequestRecord | PeerSilent | None:
+        async with session.get(url, timeout=RELAY_TIMEOUT) as response:
+            if response.status == NOT_FOUND:
+                return None
+            if response.status != OK:
+                return PeerSilent(detail=f'status {response.status}')
+            body = await response.read()
+        return msgspec.json.decode(body, type=RequestRecord)
+
+    async def relay(
+        address: str, request: RequestId
+    ) -> RequestRecord | PeerSilent | None:
+        url = f'http://{address}/requests/{quote(request, safe="")}'
+        try:
+            return await get_record(url)
+        except (ClientError, TimeoutError, OSError) as error:
+            return PeerSilent(detail=f'{url}: {error!r}')
+        except msgspec.MsgspecError as error:
+            return PeerSilent(detail=f'{url}: {error}')
+
+    return relay
--- a/src/ragwortcourse/platform/http_hosts.py
+++ b/src/ragwortcourse/platform/http_hosts.py
@@ -25,12 +25,6 @@
 )
 
 
-class HostsBody(msgspec.Struct, frozen=True, kw_only=True):
-    """Body of the list."""
-
-    hosts: tuple[HostRecord, ...]
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _LastList:
     """The list as last read, and the tag under which it was given."""
@@ -59,7 +53,7 @@
             return decode(body, response.headers.get('etag', ''))
 
     def decode(body: bytes, etag: str) -> HostsListed:
-        hosts = msgspec.json.decode(body, type=HostsBody).hosts
+        hosts = msgspec.json.decode(body, type=tuple[HostRecord, ...])
         last.listed = HostsListed(records=hosts)
         last.etag = etag
         return last.listed
