--- /dev/null
+++ b/src/ragwortcourse/daemon.py
@@ -0,0 +1,79 @@
+"""``ragwortcoursed``: one daemon, whose role its settings give."""
+
+import os
+import pathlib
+import sys
+from typing import Final
+
+# Read by libuv when it is loaded; see docs/design/event-loop.md.
+os.environ['UV_USE_IO_URING'] = '0'
+
+import click  # noqa: E402
+import uvloop  # noqa: E402
+from aiomisc import entrypoint  # noqa: E402
+
+from ragwortcourse.configuration.finding import Finding  # noqa: E402
+from ragwortcourse.processes.service import DaemonService  # noqa: E402
+from ragwortcourse.settings import Settings  # noqa: E402
+from ragwortcourse.settings_file import read_settings  # noqa: E402
+from ragwortcourse.telemetry.logs import set_up_logging  # noqa: E402
+from ragwortcourse.telemetry.providers import set_up_telemetry  # noqa: E402
+
+BROKEN_STATUS: Final = 1
+BAD_SETTINGS_STATUS: Final = 2
+# Longest time that work under way is waited for after SIGTERM.
+DRAIN_SECONDS: Final = 600.0
+# Threads resolve names and flush exports; more would only cost memory.
+POOL_SIZE: Final = 2
+
+
+@click.command()
+@click.option(
+    '--settings',
+    'path',
+    type=click.Path(path_type=pathlib.Path),
+    required=True,
+    help='TOML file with the settings of this process.',
+)
+@click.option(
+    '--check', is_flag=True, help='Check the settings, start nothing.'
+)
+def main(path: pathlib.Path, *, check: bool) -> None:
+    """Run an entry daemon or an agent until SIGTERM.
+
+    Example: ragwortcoursed --settings /etc/ragwortcourse/entry.toml
+    """
+    settings = read_settings(path)
+    if isinstance(settings, tuple):
+        report_findings(settings)
+        sys.exit(BAD_SETTINGS_STATUS)
+    if not check:
+        run_daemon(settings)
+
+
+def report_findings(findings: tuple[Finding, ...]) -> None:
+    """Print everything that is wrong with the settings."""
+    for finding in findings:
+        click.echo(str(finding), err=True)
+
+
+def run_daemon(settings: Settings) -> None:
+    """Run until SIGTERM, then finish what is under way."""
+    set_up_logging(settings)
+    telemetry = set_up_telemetry(settings)
+    service = DaemonService(settings=settings)
+    with entrypoint(
+        service,
+        log_config=False,
+        pool_size=POOL_SIZE,
+        shutdown_timeout=DRAIN_SECONDS,
+        loop_factory=uvloop.new_event_loop,
+    ) as loop:
+        loop.run_forever()
+    telemetry.shut_down()
+    if service.broken:
+        sys.exit(BROKEN_STATUS)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/ragwortcourse/processes/agent_daemon.py
@@ -0,0 +1,124 @@
+"""An agent, put together."""
+
+import dataclasses
+import random
+from typing import Final
+
+import aiohttp
+from aiohttp import web
+
+from ragwortcourse.agent.agent import Agent
+from ragwortcourse.agent.lifecycle import drain_agent, watch_target
+from ragwortcourse.agent.server import build_agent_routes
+from ragwortcourse.configuration.holder import ConfigurationHolder
+from ragwortcourse.configuration.routes import build_configuration_routes
+from ragwortcourse.engines.http_engine import build_http_engine
+from ragwortcourse.messages.peer_port import DaemonPort
+from ragwortcourse.platform.hosts import HostList
+from ragwortcourse.platform.http_daemons import build_http_daemons
+from ragwortcourse.platform.http_hosts import build_http_hosts
+from ragwortcourse.platform.http_origin import build_http_origin
+from ragwortcourse.platform.http_table import build_http_table
+from ragwortcourse.processes.tasks import BackgroundTasks
+from ragwortcourse.settings import Settings
+from ragwortcourse.weights.http_peers import build_http_peers
+from ragwortcourse.weights.landing import Landing
+from ragwortcourse.weights.landing_ports import LandingPorts
+from ragwortcourse.weights.neighbourhood import Neighbourhood, follow_hosts
+from ragwortcourse.weights.reconciliation import land_deployments
+from ragwortcourse.weights.routes import build_weight_routes
+
+LEAVING: Final = 'leaving'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AgentDaemon:
+    """The parts of one agent that others reach into."""
+
+    agent: Agent
+    landing: Landing
+    neighbourhood: Neighbourhood
+    hosts: HostList | None
+    daemon_port: DaemonPort
+
+    @property
+    def peer_routes(self) -> list[web.RouteDef]:
+        """Routes of the port for other daemons."""
+        return [
+            *build_agent_routes(agent=self.agent, daemon_port=self.daemon_port),
+            *build_configuration_routes(holder=self.agent.holder),
+            *build_weight_routes(landing=self.landing),
+        ]
+
+    def start(self, tasks: BackgroundTasks) -> None:
+        """Run the endless tasks: the target, its weights, the list."""
+        tasks.start('watch target', watch_target(self.agent))
+        if self.agent.target.is_model_engine:
+            tasks.start('land weights', land_deployments(self.landing))
+        if self.hosts is not None:
+            tasks.start(
+                'follow hosts',
+                follow_hosts(
+                    neighbourhood=self.neighbourhood,
+                    hosts=self.hosts,
+                    rng=self.landing.rng,
+                ),
+            )
+
+    def find_obstacle(self) -> str | None:
+        """Why no work is taken now, none if it is."""
+        closed = self.agent.read_closed()
+        return None if closed is None else closed.code
+
+    async def drain(self) -> None:
+        """Return once everything under way has ended."""
+        await drain_agent(self.agent)
+
+
+def build_agent_daemon(
+    *, settings: Settings, session: aiohttp.ClientSession
+) -> AgentDaemon:
+    """Put the parts of an agent together; nothing runs yet.
+
+    :raises ValueError: the settings have no ``[agent]`` part.
+    """
+    if settings.agent is None:
+        raise ValueError('settings: [agent] is missing')
+    platform = settings.platform
+    daemon_port = build_http_daemons(session=session)
+    engine = build_http_engine(
+        session=session, base_url=settings.agent.target_url
+    )
+    agent = Agent(
+        settings=settings,
+        holder=ConfigurationHolder(),
+        engine=engine,
+        daemon_port=daemon_port,
+    )
+    neighbourhood = Neighbourhood(settings=settings)
+    landing = Landing(
+        settings=settings,
+        holder=agent.holder,
+        served=agent.served,
+        ports=LandingPorts(
+            engine=engine,
+            origin=build_http_origin(session=session, base_url=platform.origin),
+            chunk_port=build_http_peers(session=session),
+            neighbours=neighbourhood.list_peers,
+            table=build_http_table(session=session, base_url=platform.table),
+            count_running=agent.count_running,
+            count_live=lambda: agent.gate.running,
+        ),
+        rng=random.Random(),  # noqa: S311  # spreads load, guards nothing
+    )
+    return AgentDaemon(
+        agent=agent,
+        landing=landing,
+        neighbourhood=neighbourhood,
+        hosts=(
+            build_http_hosts(session=session, base_url=platform.hosts)
+            if platform.hosts
+            else None
+        ),
+        daemon_port=daemon_port,
+    )
--- /dev/null
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -0,0 +1,140 @@
+"""An entry daemon, put together."""
+
+import dataclasses
+import random
+from typing import Final
+
+import aiohttp
+from aiohttp import web
+
+from ragwortcourse.configuration.feed import follow_head
+from ragwortcourse.configuration.holder import ConfigurationHolder
+from ragwortcourse.configuration.routes import build_configuration_routes
+from ragwortcourse.configuration.store import ConfigurationStore
+from ragwortcourse.entry.callers import build_caller_routes
+from ragwortcourse.entry.entry import Entry, drain_entry
+from ragwortcourse.entry.http_agents import build_http_agents
+from ragwortcourse.entry.operator_state import Operators
+from ragwortcourse.entry.operators import build_operator_routes
+from ragwortcourse.entry.record_relay import (
+    build_record_relay,
+    build_record_routes,
+)
+from ragwortcourse.membership.directory import TargetDirectory
+from ragwortcourse.membership.exchange import exchange_with_peers
+from ragwortcourse.membership.membership import Membership
+from ragwortcourse.membership.roster import Roster
+from ragwortcourse.membership.routes import build_exchange_routes
+from ragwortcourse.membership.watch import watch_targets
+from ragwortcourse.platform.http_daemons import build_http_daemons
+from ragwortcourse.platform.http_hosts import build_http_hosts
+from ragwortcourse.platform.http_objects import build_http_objects
+from ragwortcourse.platform.http_table import build_http_table
+from ragwortcourse.processes.tasks import BackgroundTasks
+from ragwortcourse.settings import Settings
+
+NO_CONFIGURATION: Final = 'no configuration yet'
+DRAINING: Final = 'draining'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EntryDaemon:
+    """The parts of one entry daemon that others reach into."""
+
+    entry: Entry
+    membership: Membership
+    operators: Operators
+
+    @property
+    def caller_routes(self) -> list[web.RouteDef]:
+        """Routes of the callers' port."""
+        return build_caller_routes(entry=self.entry)
+
+    @property
+    def operator_routes(self) -> list[web.RouteDef]:
+        """Routes of the operators' port."""
+        return build_operator_routes(operators=self.operators)
+
+    @property
+    def peer_routes(self) -> list[web.RouteDef]:
+        """Routes of the port for other daemons."""
+        return [
+            *build_configuration_routes(holder=self.entry.holder),
+            *build_exchange_routes(membership=self.membership),
+            *build_record_routes(find_record=self.entry.records.find),
+        ]
+
+    def start(self, tasks: BackgroundTasks) -> None:
+        """Run the endless tasks: configuration, targets, peers."""
+        store = self.operators.store
+        tasks.start(
+            'follow head',
+            follow_head(
+                holder=self.entry.holder,
+                table=store.table,
+                objects=store.objects,
+                rng=self.entry.rng,
+            ),
+        )
+        tasks.start('watch targets', watch_targets(self.membership))
+        tasks.start('exchange', exchange_with_peers(self.membership))
+
+    def find_obstacle(self) -> str | None:
+        """Why no work is taken now, none if it is."""
+        if self.entry.draining:
+            return DRAINING
+        if self.entry.holder.document is None:
+            return NO_CONFIGURATION
+        return None
+
+    async def drain(self) -> None:
+        """Return once everything under way has ended."""
+        await drain_entry(self.entry)
+
+
+def build_entry_daemon(
+    *, settings: Settings, session: aiohttp.ClientSession
+) -> EntryDaemon:
+    """Put the parts of an entry daemon together; nothing runs yet."""
+    platform = settings.platform
+    table = build_http_table(session=session, base_url=platform.table)
+    objects = build_http_objects(session=session, base_url=platform.objects)
+    holder = ConfigurationHolder()
+    directory = TargetDirectory()
+    agent_port = build_http_agents(session=session)
+    rng = random.Random()  # noqa: S311  # spreads load, guards nothing
+    entry = Entry(
+        settings=settings,
+        holder=holder,
+        directory=directory,
+        agent_port=agent_port,
+        table=table,
+        rng=rng,
+    )
+    membership = Membership(
+        settings=settings,
+        holder=holder,
+        directory=directory,
+        roster=Roster(settings=settings),
+        hosts=(
+            build_http_hosts(session=session, base_url=platform.hosts)
+            if platform.hosts
+            else None
+        ),
+        agent_port=agent_port,
+        daemon_port=build_http_daemons(session=session),
+        rng=rng,
+    )
+    operators = Operators(
+        settings=settings,
+        holder=holder,
+        store=ConfigurationStore(table=table, objects=objects),
+        membership=membership,
+        find_record=entry.records.find,
+        relay_record=build_record_relay(session=session),
+        list_crashers=entry.crashers.list_crashers,
+        release_crasher=entry.crashers.release,
+    )
+    return EntryDaemon(
+        entry=entry, membership=membership, operators=operators
+    )
--- /dev/null
+++ b/src/ragwortcourse/processes/service.py
@@ -0,0 +1,114 @@
+"""The daemon as a service: started, drained and stopped."""
+
+import asyncio
+import logging
+import signal
+from typing import Final, Protocol
+
+import aiohttp
+from aiohttp import web
+from aiomisc import Service
+
+from ragwortcourse.processes.agent_daemon import build_agent_daemon
+from ragwortcourse.processes.entry_daemon import (
+    EntryDaemon,
+    build_entry_daemon,
+)
+from ragwortcourse.processes.health import build_health_routes
+from ragwortcourse.processes.sites import open_site
+from ragwortcourse.processes.tasks import BackgroundTasks
+from ragwortcourse.settings import Role, Settings
+from ragwortcourse.telemetry.metrics_page import build_metrics_route
+
+# Others see "not ready" before the sockets close.
+LAST_CONNECTIONS_SECONDS: Final = 1.0
+
+LOGGER: Final = logging.getLogger(__name__)
+
+
+class Daemon(Protocol):
+    """What either role offers."""
+
+    @property
+    def peer_routes(self) -> list[web.RouteDef]:
+        """Routes of the port for other daemons."""
+
+    def start(self, tasks: BackgroundTasks) -> None:
+        """Run the endless tasks."""
+
+    def find_obstacle(self) -> str | None:
+        """Why no work is taken now, none if it is."""
+
+    async def drain(self) -> None:
+        """Return once everything under way has ended."""
+
+
+class DaemonService(Service):
+    """One daemon in its process; a stop cuts nothing off.
+
+    ``broken`` tells afterwards that an endless task failed.
+    """
+
+    def __init__(self, *, settings: Settings) -> None:
+        super().__init__()
+        self.settings = settings
+        self.broken = False
+        self.runners: list[web.AppRunner] = []
+
+    async def start(self) -> None:
+        """Open the ports and run until stopped."""
+        # Every target has a connection for each request under way there.
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=30)
+        self.session = aiohttp.ClientSession(
+            connector=connector, auto_decompress=False
+        )
+        self.tasks = BackgroundTasks()
+        self.daemon = await self._open_daemon()
+        self.daemon.start(self.tasks)
+        self.start_event.set()
+        LOGGER.info('started', extra={'peers': self.settings.listen.peers})
+        try:
+            await self.tasks.failed
+        except Exception:  # already logged by name; the daemon must not go on
+            self.broken = True
+            signal.raise_signal(signal.SIGTERM)
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Take no new work, finish what is under way, then close."""
+        LOGGER.info('draining')
+        await self.daemon.drain()
+        await asyncio.sleep(LAST_CONNECTIONS_SECONDS)
+        await self.daemon.drain()
+        for runner in self.runners:
+            await runner.cleanup()
+        await self.tasks.stop()
+        await self.session.close()
+        LOGGER.info('stopped')
+
+    async def _open_daemon(self) -> Daemon:
+        if self.settings.role is Role.AGENT:
+            agent = build_agent_daemon(
+                settings=self.settings, session=self.session
+            )
+            await self._open_common(agent)
+            return agent
+        entry = build_entry_daemon(settings=self.settings, session=self.session)
+        await self._open_common(entry)
+        await self._open_entry(entry)
+        return entry
+
+    async def _open_common(self, daemon: Daemon) -> None:
+        listen = self.settings.listen
+        health = build_health_routes(find_obstacle=daemon.find_obstacle)
+        watch = [*health, build_metrics_route()]
+        await self._open(listen.peers, daemon.peer_routes)
+        await self._open(listen.watch, watch)
+
+    async def _open_entry(self, entry: EntryDaemon) -> None:
+        listen = self.settings.listen
+        await self._open(listen.callers, entry.caller_routes)
+        await self._open(listen.operators, entry.operator_routes)
+
+    async def _open(self, address: str, routes: list[web.RouteDef]) -> None:
+        runner = await open_site(address=address, routes=routes)
+        self.runners.append(runner)
