--- /dev/null
+++ b/src/ragwortcourse/entry/admission.py
@@ -0,0 +1,141 @@
+"""Admission: who calls, what is asked for, and whether it may run."""
+
+import hashlib
+
+import msgspec
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.configuration.client_account import ClientAccount
+from ragwortcourse.configuration.deployment import ServiceDeployment
+from ragwortcourse.entry import errors
+from ragwortcourse.entry.entry import Entry
+from ragwortcourse.entry.trail import Trail
+from ragwortcourse.entry.work import Work
+from ragwortcourse.identifiers import AdapterName, ModelName
+from ragwortcourse.messages.call import Call
+from ragwortcourse.messages.outcome import NotRun
+
+_PREFIX_BYTES = 1024
+_DIGEST_BYTES = 8
+_DRAIN_RETRY_SECONDS = 1.0
+
+
+class ModelFields(msgspec.Struct, kw_only=True):
+    """The one field of a model request that routing needs."""
+
+    model: str
+
+
+def fingerprint_call(account: ClientAccount, call: Call) -> str:
+    """Digest by which the same request of the same account is known."""
+    digest = hashlib.sha256()
+    for part in (account.name, call.method, call.path):
+        digest.update(f'{part}\n'.encode())
+    digest.update(call.body)
+    return digest.hexdigest()
+
+
+def is_idempotent(service: ServiceDeployment, call: Call) -> bool:
+    """Tell whether a service's call may run more than once."""
+    return not any(
+        pattern.method.upper() == call.method.upper()
+        and call.path.startswith(pattern.path_prefix)
+        for pattern in service.non_idempotent
+    )
+
+
+def admit_call(entry: Entry, call: Call, trail: Trail) -> Work | NotRun:
+    """Work to route, or the reason why the call is not taken."""
+    refusal = check_readiness(entry)
+    if refusal is not None:
+        return refusal
+    account = entry.catalog.find_account(call.api_key or '')
+    if account is None:
+        return NotRun(
+            code=errors.UNKNOWN_API_KEY,
+            detail='No client account has this API key.',
+        )
+    if call.deployment is None:
+        return _admit_model_call(entry, call, trail, account)
+    return _admit_service_call(entry, call, trail, account)
+
+
+def check_readiness(entry: Entry) -> NotRun | None:
+    """Reason why this daemon takes no work, if there is one."""
+    if entry.draining:
+        return NotRun(
+            code=errors.DRAINING,
+            detail='This entry daemon is stopping; call again.',
+            retry_after=_DRAIN_RETRY_SECONDS,
+        )
+    if entry.holder.document is None:
+        return NotRun(
+            code=errors.NO_CONFIGURATION,
+            detail='This entry daemon has no configuration yet.',
+            retry_after=_DRAIN_RETRY_SECONDS,
+        )
+    entry.catalog.read(entry.holder.document)
+    return None
+
+
+def _admit_service_call(
+    entry: Entry, call: Call, trail: Trail, account: ClientAccount
+) -> Work | NotRun:
+    assert call.deployment is not None  # noqa: S101
+    service = entry.catalog.find_service(call.deployment)
+    if service is None:
+        return NotRun(
+            code=errors.UNKNOWN_SERVICE,
+            detail=f'No service is called {call.deployment!r}.',
+        )
+    return Work(
+        call=call,
+        account=account,
+        deployments=(service,),
+        idempotent=call.idempotent and is_idempotent(service, call),
+        fingerprint=fingerprint_call(account, call),
+        expires_at=read_clock() + call.time_left,
+        trail=trail,
+    )
+
+
+def _admit_model_call(
+    entry: Entry, call: Call, trail: Trail, account: ClientAccount
+) -> Work | NotRun:
+    try:
+        fields = msgspec.json.decode(call.body, type=ModelFields)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return NotRun(
+            code=errors.BAD_REQUEST,
+            detail=f'The body is no JSON object with a model: {error}.',
+        )
+    name, _, adapter = fields.model.partition(':')
+    model = ModelName(name)
+    deployments = tuple(
+        deployment
+        for deployment in entry.catalog.find_models(model)
+        if not adapter or adapter in {one.name for one in deployment.adapters}
+    )
+    if not deployments:
+        return NotRun(
+            code=errors.UNKNOWN_MODEL,
+            detail=f'No deployment offers the model {fields.model!r}.',
+        )
+    return Work(
+        call=call,
+        account=account,
+        deployments=deployments,
+        idempotent=call.idempotent,
+        fingerprint=fingerprint_call(account, call),
+        expires_at=read_clock() + call.time_left,
+        trail=trail,
+        model=model,
+        adapter=AdapterName(adapter) if adapter else None,
+        prefix=digest_prefix(call.body),
+    )
+
+
+def digest_prefix(body: bytes) -> int:
+    """Number for the start of a prompt; equal starts get equal numbers."""
+    digest = hashlib.blake2b(body[:_PREFIX_BYTES], digest_size=_DIGEST_BYTES)
+    return int.from_bytes(digest.digest())
--- /dev/null
+++ b/src/ragwortcourse/entry/entry.py
@@ -0,0 +1,58 @@
+"""State of one entry daemon."""
+
+import asyncio
+import dataclasses
+import random
+import time
+from collections.abc import Callable
+
+from ragwortcourse.configuration.holder import ConfigurationHolder
+from ragwortcourse.entry.catalog import Catalog
+from ragwortcourse.entry.records import RequestRecords
+from ragwortcourse.entry.retry_budget import RetryBudget
+from ragwortcourse.membership.directory import TargetDirectory
+from ragwortcourse.messages.peer_port import AgentPort
+from ragwortcourse.platform.table import TableService
+from ragwortcourse.settings import Settings
+
+
+@dataclasses.dataclass(kw_only=True)
+class Entry:
+    """What serving calls needs; parts are shared by all requests.
+
+    :param read_wall: seconds since the epoch, to tell the age of claims
+        that other daemons made.
+    :param under_way: calls taken whose answers are not at their end yet.
+    """
+
+    settings: Settings
+    holder: ConfigurationHolder
+    directory: TargetDirectory
+    agent_port: AgentPort
+    table: TableService
+    rng: random.Random
+    read_wall: Callable[[], float] = time.time
+    catalog: Catalog = dataclasses.field(default_factory=Catalog)
+    records: RequestRecords = dataclasses.field(default_factory=RequestRecords)
+    budget: RetryBudget = dataclasses.field(default_factory=RetryBudget)
+    draining: bool = False
+    under_way: int = 0
+    idle: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    def enter(self) -> None:
+        """Count a call that was taken."""
+        self.under_way += 1
+        self.idle.clear()
+
+    def leave(self) -> None:
+        """Count a call whose answer is at its end."""
+        self.under_way -= 1
+        if not self.under_way:
+            self.idle.set()
+
+
+async def drain_entry(entry: Entry) -> None:
+    """Take no new work and return once everything under way has ended."""
+    entry.draining = True
+    if entry.under_way:
+        await entry.idle.wait()
--- /dev/null
+++ b/src/ragwortcourse/entry/records.py
@@ -0,0 +1,36 @@
+"""Records of the newest requests, for ``explain``."""
+
+import collections
+from typing import Final
+
+from ragwortcourse.entry.trail import Trail
+from ragwortcourse.identifiers import RequestId
+from ragwortcourse.messages.decision import RequestRecord
+
+RECORDS_LIMIT: Final = 1500
+
+
+class RequestRecords:
+    """Bounded store of decisions; the oldest request goes first.
+
+    :param limit: requests kept.
+    """
+
+    def __init__(self, *, limit: int = RECORDS_LIMIT) -> None:
+        self._limit = limit
+        self._trails: collections.OrderedDict[RequestId, Trail] = (
+            collections.OrderedDict()
+        )
+
+    def begin(self, request: RequestId) -> Trail:
+        """Start the record of one request."""
+        trail = Trail(request=request)
+        self._trails[request] = trail
+        while len(self._trails) > self._limit:
+            self._trails.popitem(last=False)
+        return trail
+
+    def find(self, request: RequestId) -> RequestRecord | None:
+        """Look up a request; none where it is too old or not from here."""
+        trail = self._trails.get(request)
+        return None if trail is None else trail.to_record()
--- /dev/null
+++ b/src/ragwortcourse/entry/retry_budget.py
@@ -0,0 +1,61 @@
+"""Retries as a bounded share of traffic, in all and for each target."""
+
+from typing import Final
+
+from ragwortcourse.identifiers import TargetName
+
+RETRY_SHARE: Final = 0.1
+RETRY_RESERVE: Final = 10.0
+
+
+class TokenPurse:
+    """Tokens that first dispatches earn and retries spend."""
+
+    def __init__(self) -> None:
+        self.tokens = RETRY_RESERVE
+
+    def earn(self) -> None:
+        """Count one first dispatch."""
+        self.tokens = min(RETRY_RESERVE, self.tokens + RETRY_SHARE)
+
+    @property
+    def allows(self) -> bool:
+        """Tell whether there is a whole token left."""
+        return self.tokens >= 1
+
+
+class RetryBudget:
+    """Lets at most a share of the traffic be retries.
+
+    A small reserve lets a quiet daemon retry; it refills by traffic only,
+    so an outage can't turn into a storm.
+    """
+
+    def __init__(self) -> None:
+        self._all = TokenPurse()
+        self._targets: dict[TargetName, TokenPurse] = {}
+
+    def earn(self, target: TargetName) -> None:
+        """Count a first dispatch to a target."""
+        self._all.earn()
+        self._find(target).earn()
+
+    def spend(self, target: TargetName) -> bool:
+        """Take one retry from a target's share and the whole, if left.
+
+        :param target: where the retry would go.
+        """
+        purse = self._find(target)
+        if not (self._all.allows and purse.allows):
+            return False
+        self._all.tokens -= 1
+        purse.tokens -= 1
+        return True
+
+    def keep_only(self, targets: set[TargetName]) -> None:
+        """Forget targets that are no longer watched."""
+        for gone in set(self._targets) - targets:
+            self._targets.pop(gone)
+
+    def _find(self, target: TargetName) -> TokenPurse:
+        return self._targets.setdefault(target, TokenPurse())
--- /dev/null
+++ b/src/ragwortcourse/entry/routing.py
@@ -0,0 +1,163 @@
+"""Choice of a target: near first, then by spare permits and prefix."""
+
+import hashlib
+import math
+from collections.abc import Iterator
+from typing import Final
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.configuration.deployment import (
+    Deployment,
+    ModelDeployment,
+)
+from ragwortcourse.entry.choice import Choice, NoChoice
+from ragwortcourse.entry.entry import Entry
+from ragwortcourse.entry.versions import choose_version, serves_version
+from ragwortcourse.entry.work import Work
+from ragwortcourse.identifiers import TargetName, VersionName
+from ragwortcourse.membership.target_record import TargetRecord
+
+LOAD_BOUND: Final = 1.25
+LATENCY_STEP_SECONDS: Final = 0.001
+_SCORE_BYTES: Final = 8
+_TURNED_DOWN_LIMIT: Final = 16
+
+
+
+def choose_target(
+    entry: Entry, work: Work, tried: set[TargetName]
+) -> Choice | NoChoice:
+    """Best target that has not been tried, or why there is none."""
+    turned_down: dict[str, str] = {}
+    candidates: list[Choice] = []
+    for deployment in work.deployments:
+        for choice in _list_candidates(entry, work, deployment):
+            reason = find_objection(entry, work, choice, tried)
+            if reason is None:
+                candidates.append(choice)
+            elif len(turned_down) < _TURNED_DOWN_LIMIT:
+                turned_down[choice.record.target] = reason
+    if not candidates:
+        return NoChoice(turned_down=turned_down)
+    return _pick(entry, work, candidates, turned_down)
+
+
+def find_objection(
+    entry: Entry, work: Work, choice: Choice, tried: set[TargetName]
+) -> str | None:
+    """Reason for which a target can't take the work, if there is one."""
+    record = choice.record
+    if record.target in tried:
+        return 'tried before'
+    if record.failure_domain not in choice.deployment.failure_domains:
+        return 'failure domain not in the deployment'
+    if entry.holder.is_withdrawn(record.target, record.failure_domain):
+        return 'withdrawn'
+    if record.leaving or (record.status and record.status.leaving):
+        return 'leaving'
+    if record.out_until > read_clock():
+        return 'taken out by its outcomes'
+    return _object_to_version(work, choice)
+
+
+def _object_to_version(work: Work, choice: Choice) -> str | None:
+    deployment = choice.deployment
+    if choice.version is None or not isinstance(deployment, ModelDeployment):
+        return None
+    if choice.record.status is None:
+        return None
+    if serves_version(
+        choice.record, deployment, choice.version, work.adapter
+    ):
+        return None
+    return f'does not serve version {choice.version}'
+
+
+def _list_candidates(
+    entry: Entry, work: Work, deployment: Deployment
+) -> Iterator[Choice]:
+    records = entry.directory.select(deployment.name)
+    version: VersionName | None = None
+    if isinstance(deployment, ModelDeployment):
+        version = choose_version(deployment, records, work.adapter)
+    for record in records:
+        yield Choice(
+            record=record,
+            deployment=deployment,
+            version=version,
+            reason='',
+            turned_down={},
+        )
+
+
+def rank_distance(entry: Entry, record: TargetRecord) -> tuple[int, int]:
+    """Order of nearness: own failure domain, own region, latency steps."""
+    settings = entry.settings
+    if record.failure_domain == settings.failure_domain:
+        ring = 0
+    elif record.region == settings.region:
+        ring = 1
+    else:
+        ring = 2
+    return ring, int(record.latency / LATENCY_STEP_SECONDS)
+
+
+def _pick(
+    entry: Entry,
+    work: Work,
+    candidates: list[Choice],
+    turned_down: dict[str, str],
+) -> Choice:
+    free = [one for one in candidates if one.record.spare > 0]
+    pool = free or candidates
+    nearest = min(rank_distance(entry, one.record)[0] for one in pool)
+    ring = [
+        one
+        for one in pool
+        if rank_distance(entry, one.record)[0] == nearest
+    ]
+    chosen, reason = _pick_in_ring(entry, work, ring)
+    return Choice(
+        record=chosen.record,
+        deployment=chosen.deployment,
+        version=chosen.version,
+        reason=f'{reason} of {len(ring)} at distance {nearest}',
+        turned_down=turned_down,
+    )
+
+
+def _pick_in_ring(
+    entry: Entry, work: Work, ring: list[Choice]
+) -> tuple[Choice, str]:
+    if work.prefix is not None and len(ring) > 1:
+        chosen = _pick_by_prefix(work.prefix, ring)
+        if chosen is not None:
+            return chosen, 'prefix affinity'
+    if len(ring) <= 2:
+        pair = ring
+    else:
+        pair = entry.rng.sample(ring, 2)
+    chosen = max(
+        pair,
+        key=lambda one: (one.record.spare, -one.record.latency),
+    )
+    return chosen, 'most spare of two'
+
+
+def _pick_by_prefix(prefix: int, ring: list[Choice]) -> Choice | None:
+    """Same target for the same start, unless it has more than its part."""
+    mean = sum(one.record.in_flight for one in ring) / len(ring)
+    bound = math.ceil((mean + 1) * LOAD_BOUND)
+    scored = sorted(ring, key=lambda one: _score(prefix, one.record.target))
+    for one in scored:
+        fits = one.record.in_flight < bound
+        if fits and one.record.spare > 0:
+            return one
+    return None
+
+
+def _score(prefix: int, target: TargetName) -> bytes:
+    digest = hashlib.blake2b(
+        f'{prefix}/{target}'.encode(), digest_size=_SCORE_BYTES
+    )
+    return digest.digest()
--- a/src/ragwortcourse/messages/call.py
+++ b/src/ragwortcourse/messages/call.py
@@ -22,6 +22,7 @@
         ``model:adapter``.
     :param path: path at the target.
     :param time_left: seconds until the caller's deadline.
+    :param idempotent: false where the caller marks it as not repeatable.
     """
 
     request: RequestId
@@ -34,6 +35,7 @@
     time_left: float
     priority: int = 0
     idempotency_key: IdempotencyKey | None = None
+    idempotent: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
