--- a/src/ragwortcourse/entry/admission.py
+++ b/src/ragwortcourse/entry/admission.py
@@ -135,7 +135,9 @@
     )
 
 
-def digest_prefix(body: bytes) -> int:
-    """Number for the start of a prompt; equal starts get equal numbers."""
+def digest_prefix(body: bytes) -> int | None:
+    """Number for the start of a long prompt; equal starts get equal ones."""
+    if len(body) < _PREFIX_BYTES:
+        return None
     digest = hashlib.blake2b(body[:_PREFIX_BYTES], digest_size=_DIGEST_BYTES)
     return int.from_bytes(digest.digest())
--- a/src/ragwortcourse/entry/answer_body.py
+++ b/src/ragwortcourse/entry/answer_body.py
@@ -1,10 +1,15 @@
 """Body of an answer on its way to the caller."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Final
 
 from ragwortcourse.messages.attempt import AnswerBrokenError
 
+KEPT_BYTES: Final = 16_384
+KEEP_READING_SECONDS: Final = 30.0
+
 
 async def close_body(body: AsyncIterator[bytes]) -> None:
     """Let go of a body that is not read to its end."""
@@ -19,6 +24,8 @@
     :param first: chunk already read, if any.
     :param rest: the target's body after that.
     :param finish: called once, with true where the whole answer came.
+    :param kept: gets the body's bytes, up to ``KEPT_BYTES`` and one chunk;
+        the answer is then read to its end even where the caller has left.
     """
 
     def __init__(
@@ -27,10 +34,12 @@
         first: bytes | None,
         rest: AsyncIterator[bytes],
         finish: Callable[[bool], Awaitable[None]],
+        kept: bytearray | None = None,
     ) -> None:
         self._first = first
         self._rest = rest
         self._finish: Callable[[bool], Awaitable[None]] | None = finish
+        self._kept = kept
 
     def __aiter__(self) -> 'AnswerBody':
         """The body itself."""
@@ -41,9 +50,23 @@
 
         :raises AnswerBrokenError: where the answer ends short.
         """
-        if self._first is not None:
-            first, self._first = self._first, None
-            return first
+        chunk, self._first = self._first, None
+        if chunk is None:
+            chunk = await self._read()
+        if self._kept is not None and len(self._kept) <= KEPT_BYTES:
+            self._kept += chunk
+        return chunk
+
+    async def aclose(self) -> None:
+        """Stop relaying; the answer counts as not whole unless it is kept."""
+        if self._kept is not None and self._finish is not None:
+            with contextlib.suppress(AnswerBrokenError, TimeoutError):
+                async with asyncio.timeout(KEEP_READING_SECONDS):
+                    async for _ in self:
+                        pass
+        await self._end(is_whole=False)
+
+    async def _read(self) -> bytes:
         try:
             return await anext(self._rest)
         except StopAsyncIteration:
@@ -53,10 +76,6 @@
             await self._end(is_whole=False)
             raise
 
-    async def aclose(self) -> None:
-        """Stop reading; the answer counts as not whole."""
-        await self._end(is_whole=False)
-
     async def _end(self, *, is_whole: bool) -> None:
         finish, self._finish = self._finish, None
         if finish is None:
--- /dev/null
+++ b/src/ragwortcourse/entry/answers.py
@@ -0,0 +1,94 @@
+"""Answers and errors for admitted calls, counted and recorded once."""
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from opentelemetry import metrics
+
+from ragwortcourse.entry import errors
+from ragwortcourse.entry.answer_body import AnswerBody
+from ragwortcourse.entry.attempts import Served
+from ragwortcourse.entry.dispatch import Failed, release_choice
+from ragwortcourse.entry.entry import Entry
+from ragwortcourse.entry.work import Work
+from ragwortcourse.messages.call import CallAnswer, CallError
+from ragwortcourse.messages.decision import DecisionPoint
+from ragwortcourse.messages.outcome import Completed, OutcomeKind
+
+CALLS: Final = metrics.get_meter(__name__).create_counter(
+    'entry.calls', description='Calls by what became of them.'
+)
+
+EndCallback = Callable[[bool], Awaitable[None]]
+
+
+def build_answer(
+    entry: Entry,
+    work: Work,
+    served: Served,
+    on_end: EndCallback | None = None,
+    kept: bytearray | None = None,
+) -> CallAnswer:
+    """Answer to the caller, whose body is still coming.
+
+    :param on_end: told once whether the whole answer came.
+    :param kept: gets the body's bytes; the answer is then read to its end
+        even where the caller has left.
+    """
+
+    async def finish(is_whole: bool) -> None:  # noqa: FBT001
+        release_choice(served.choice)
+        kind = OutcomeKind.COMPLETED if is_whole else OutcomeKind.UNKNOWN
+        CALLS.add(1, {'result': kind})
+        work.trail.note(
+            DecisionPoint.OUTCOME,
+            kind,
+            seen={'whole': is_whole, 'status': answer.status},
+        )
+        try:
+            if on_end is not None:
+                await on_end(is_whole)
+        finally:
+            entry.leave()
+
+    answer = served.started.answer
+    work.trail.note(
+        DecisionPoint.VERSION,
+        f'answer of {served.choice.record.target}',
+        seen={'version': answer.version, 'status': answer.status},
+    )
+    return CallAnswer(
+        request=work.call.request,
+        status=answer.status,
+        headers=answer.headers,
+        version=answer.version,
+        body=AnswerBody(
+            first=served.started.first,
+            rest=answer.body,
+            finish=finish,
+            kept=kept,
+        ),
+    )
+
+
+def build_failure(work: Work, failed: Failed) -> CallError:
+    """Error for a call that no attempt answered."""
+    request = work.call.request
+    if isinstance(failed.outcome, Completed):
+        return errors.build_completed_error(
+            request,
+            errors.ANSWER_LOST,
+            'The work ran to its end, but its answer was lost.',
+        )
+    return errors.build_error(request, failed.outcome, status=failed.status)
+
+
+def note_error(work: Work, outcome: CallError) -> None:
+    """Record an error as what became of the call."""
+    error = outcome.error
+    CALLS.add(1, {'result': error.code})
+    work.trail.note(
+        DecisionPoint.OUTCOME,
+        error.outcome,
+        seen={'code': error.code, 'detail': error.message},
+    )
--- /dev/null
+++ b/src/ragwortcourse/entry/attempts.py
@@ -0,0 +1,162 @@
+"""Attempts at one piece of work, one after another."""
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from opentelemetry import metrics
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.entry import errors
+from ragwortcourse.entry.choice import Choice, NoChoice
+from ragwortcourse.entry.dispatch import Failed, Started, run_choice
+from ragwortcourse.entry.entry import Entry
+from ragwortcourse.entry.work import Work
+from ragwortcourse.identifiers import AttemptId, TargetName
+from ragwortcourse.messages.decision import DecisionPoint
+from ragwortcourse.messages.outcome import Completed, NotRun, Unknown
+
+ATTEMPTS_LIMIT: Final = 3
+BACKOFF_SECONDS: Final = 0.02
+NO_TARGET_RETRY_SECONDS: Final = 1.0
+_RETRIES: Final = metrics.get_meter(__name__).create_counter(
+    'entry.retries', description='Retries sent, and those the budget stopped.'
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Plan:
+    """Where attempts may go and what they are called.
+
+    :param choose: next target, given those already tried.
+    :param name: attempt id by its number.
+    :param check: refusal where the next attempt may not be sent any more.
+    """
+
+    choose: Callable[[set[TargetName]], Choice | NoChoice]
+    name: Callable[[int], AttemptId]
+    check: Callable[[], Awaitable[NotRun | None]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Served:
+    """An answer has begun."""
+
+    started: Started
+    choice: Choice
+
+
+async def run_attempts(
+    entry: Entry, work: Work, plan: Plan
+) -> Served | Failed:
+    """Try targets until one answers, or nothing more may be tried."""
+    tried: set[TargetName] = set()
+    failure: Failed | None = None
+    doubt: Failed | None = None
+    for number in range(ATTEMPTS_LIMIT):
+        choice = await _prepare(entry, work, plan, tried, number)
+        if not isinstance(choice, Choice):
+            failure = failure or Failed(outcome=choice)
+            break
+        tried.add(choice.record.target)
+        step = await run_choice(entry, work, choice, plan.name(number))
+        if isinstance(step, Started):
+            return Served(started=step, choice=choice)
+        _note_failure(work, choice, step)
+        failure = step
+        if isinstance(step.outcome, Unknown):
+            doubt = step
+        if not may_retry(work, step):
+            break
+    assert failure is not None  # noqa: S101
+    return doubt or failure
+
+
+def may_retry(work: Work, step: Failed) -> bool:
+    """Tell whether the work may be tried at another target."""
+    if isinstance(step.outcome, Completed):
+        return False
+    if work.expires_at <= read_clock():
+        return False
+    if work.idempotent:
+        return True
+    if isinstance(step.outcome, Unknown):
+        return False
+    return work.call.idempotency_key is not None or not step.is_lost
+
+
+async def _prepare(
+    entry: Entry, work: Work, plan: Plan, tried: set[TargetName], number: int
+) -> Choice | NotRun:
+    if number > 1:
+        longest = BACKOFF_SECONDS * 2**number
+        await asyncio.sleep(entry.rng.uniform(0, longest))
+    if work.expires_at <= read_clock():
+        return NotRun(
+            code=errors.DEADLINE_PASSED,
+            detail='The deadline passed before a target was found.',
+        )
+    refusal = await plan.check()
+    if refusal is not None:
+        return refusal
+    choice = plan.choose(tried)
+    if isinstance(choice, NoChoice):
+        return _refuse_without_target(work, choice)
+    if number and not entry.budget.spend(choice.record.target):
+        return _refuse_retry(work, choice)
+    if number:
+        _RETRIES.add(1, {'result': 'sent'})
+    else:
+        entry.budget.earn(choice.record.target)
+    _note_choice(work, choice, number)
+    return choice
+
+
+def _refuse_without_target(work: Work, choice: NoChoice) -> NotRun:
+    work.trail.note(
+        DecisionPoint.ROUTE, 'no target', turned_down=choice.turned_down
+    )
+    return NotRun(
+        code=errors.NO_TARGET,
+        detail='No target can take the request now.',
+        retry_after=NO_TARGET_RETRY_SECONDS,
+    )
+
+
+def _refuse_retry(work: Work, choice: Choice) -> NotRun:
+    _RETRIES.add(1, {'result': 'stopped'})
+    work.trail.note(
+        DecisionPoint.RETRY,
+        'not retried',
+        turned_down={choice.record.target: 'retry budget spent'},
+    )
+    return NotRun(
+        code=errors.RETRIES_SPENT,
+        detail='Too large a share of the traffic is retries.',
+        retry_after=NO_TARGET_RETRY_SECONDS,
+    )
+
+
+def _note_choice(work: Work, choice: Choice, number: int) -> None:
+    work.trail.note(
+        DecisionPoint.RETRY if number else DecisionPoint.ROUTE,
+        choice.record.target,
+        seen={
+            'reason': choice.reason,
+            'version': choice.version,
+            'spare': choice.record.spare,
+            'deployment': choice.deployment.name,
+        },
+        turned_down=choice.turned_down,
+    )
+
+
+def _note_failure(work: Work, choice: Choice, step: Failed) -> None:
+    outcome = step.outcome
+    seen: dict[str, object] = {'outcome': outcome.kind}
+    if not isinstance(outcome, Completed):
+        seen = {**seen, 'code': outcome.code, 'detail': outcome.detail}
+    work.trail.note(
+        DecisionPoint.GATE, f'no answer from {choice.record.target}', seen=seen
+    )
--- /dev/null
+++ b/src/ragwortcourse/entry/calls.py
@@ -0,0 +1,76 @@
+"""Serving of calls, from admission to the end of the answer."""
+
+from ragwortcourse.entry import errors
+from ragwortcourse.entry.admission import admit_call
+from ragwortcourse.entry.answers import (
+    CALLS,
+    build_answer,
+    build_failure,
+    note_error,
+)
+from ragwortcourse.entry.attempts import Plan, run_attempts
+from ragwortcourse.entry.claimed_calls import serve_claimed
+from ragwortcourse.entry.dispatch import Failed
+from ragwortcourse.entry.entry import Entry
+from ragwortcourse.entry.routing import choose_target
+from ragwortcourse.entry.work import Work
+from ragwortcourse.identifiers import AttemptId
+from ragwortcourse.messages.call import Call, CallAnswer, CallError, CallOutcome
+from ragwortcourse.messages.decision import DecisionPoint
+from ragwortcourse.messages.outcome import NotRun
+
+async def serve_call(entry: Entry, call: Call) -> CallOutcome:
+    """Answer one call: the target's answer, or an error with its outcome.
+
+    The caller of this function reads the body to its end or closes it.
+    """
+    trail = entry.records.begin(call.request)
+    work = admit_call(entry, call, trail)
+    if isinstance(work, NotRun):
+        trail.note(DecisionPoint.ADMISSION, f'refused: {work.code}')
+        CALLS.add(1, {'result': work.code})
+        return errors.build_error(call.request, work)
+    trail.note(
+        DecisionPoint.ADMISSION,
+        'admitted',
+        seen={
+            'account': work.account.name,
+            'generation': entry.holder.generation,
+            'idempotent': work.idempotent,
+            'time_left': call.time_left,
+        },
+    )
+    entry.enter()
+    is_answering = False
+    try:
+        outcome = await _serve(entry, work)
+        is_answering = isinstance(outcome, CallAnswer)
+    finally:
+        if not is_answering:
+            entry.leave()
+    if isinstance(outcome, CallError):
+        note_error(work, outcome)
+    return outcome
+
+
+async def _serve(entry: Entry, work: Work) -> CallOutcome:
+    if not work.idempotent and work.call.idempotency_key is not None:
+        return await serve_claimed(entry, work)
+    return await serve_unclaimed(entry, work)
+
+
+async def serve_unclaimed(entry: Entry, work: Work) -> CallOutcome:
+    """Serve a call that needs no claim."""
+    plan = Plan(
+        choose=lambda tried: choose_target(entry, work, tried),
+        name=lambda number: AttemptId(f'{work.call.request}-{number}'),
+        check=_allow,
+    )
+    step = await run_attempts(entry, work, plan)
+    if isinstance(step, Failed):
+        return build_failure(work, step)
+    return build_answer(entry, work, step)
+
+
+async def _allow() -> NotRun | None:
+    return None
--- /dev/null
+++ b/src/ragwortcourse/entry/claimed_calls.py
@@ -0,0 +1,222 @@
+"""Serving of work that may run at most once."""
+
+from collections.abc import Sequence
+from typing import Final
+
+import msgspec
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.entry import errors
+from ragwortcourse.entry.answer_body import KEPT_BYTES
+from ragwortcourse.entry.answers import build_answer, build_failure
+from ragwortcourse.entry.attempts import (
+    NO_TARGET_RETRY_SECONDS,
+    Plan,
+    Served,
+    run_attempts,
+)
+from ragwortcourse.entry.choice import Choice, NoChoice
+from ragwortcourse.entry.claim import (
+    Claim,
+    ClaimedTarget,
+    ClaimState,
+    KeptAnswer,
+    name_attempt,
+)
+from ragwortcourse.entry.claims import (
+    ClaimFound,
+    ClaimHeld,
+    digest_body,
+    find_key,
+    read_claim,
+    take_claim,
+)
+from ragwortcourse.entry.dispatch import Failed
+from ragwortcourse.entry.earlier_claims import Takeover, judge_claim
+from ragwortcourse.entry.entry import Entry
+from ragwortcourse.entry.routing import choose_target
+from ragwortcourse.entry.work import Work
+from ragwortcourse.identifiers import TargetName
+from ragwortcourse.messages.call import CallOutcome
+from ragwortcourse.messages.decision import DecisionPoint
+from ragwortcourse.messages.outcome import NotRun
+from ragwortcourse.platform.table import ABSENT, ConditionalWrite
+
+CLAIMED_TARGETS: Final = 3
+TAKEOVERS_LIMIT: Final = 2
+FRESH_SECONDS: Final = 5.0
+BARRED: Final = 'barred'
+
+
+async def serve_claimed(entry: Entry, work: Work) -> CallOutcome:
+    """Run the work if its key is free, else tell what became of it."""
+    expected_version = ABSENT
+    takeovers = 0
+    for _ in range(TAKEOVERS_LIMIT):
+        choices = list_choices(entry, work)
+        made_at = read_clock()
+        claim = _make_claim(entry, work, choices, takeovers)
+        step = await _claim(entry, work, claim, expected_version)
+        if isinstance(step, NotRun):
+            return errors.build_error(work.call.request, step)
+        if isinstance(step, ClaimHeld):
+            return await _run_held(entry, work, step, choices, made_at)
+        judged = await judge_claim(entry, work, step)
+        if not isinstance(judged, Takeover):
+            return judged
+        expected_version = judged.version
+        takeovers = judged.takeovers
+    return errors.build_in_progress(work.call.request)
+
+
+def list_choices(entry: Entry, work: Work) -> tuple[Choice, ...]:
+    """Targets to which the work may be sent, in order."""
+    choices: list[Choice] = []
+    tried: set[TargetName] = set()
+    for _ in range(CLAIMED_TARGETS):
+        choice = choose_target(entry, work, tried)
+        if isinstance(choice, NoChoice):
+            break
+        choices.append(choice)
+        tried.add(choice.record.target)
+    return tuple(choices)
+
+
+def _make_claim(
+    entry: Entry, work: Work, choices: Sequence[Choice], takeovers: int
+) -> Claim:
+    return Claim(
+        token=f'{work.call.request}-{entry.rng.getrandbits(64):016x}',
+        request=work.call.request,
+        body_sha256=digest_body(work),
+        targets=tuple(
+            ClaimedTarget(
+                target=choice.record.target, address=choice.record.address
+            )
+            for choice in choices
+        ),
+        claimed_at=entry.read_wall(),
+        takeovers=takeovers,
+    )
+
+
+async def _claim(
+    entry: Entry, work: Work, claim: Claim, expected_version: int
+) -> ClaimHeld | ClaimFound | NotRun:
+    if claim.targets:
+        step = await take_claim(entry, work, claim, expected_version)
+    else:
+        found = await read_claim(entry, work)
+        step = found or NotRun(
+            code=errors.NO_TARGET,
+            detail='No target can take the request now.',
+            retry_after=NO_TARGET_RETRY_SECONDS,
+        )
+    work.trail.note(
+        DecisionPoint.CLAIM,
+        type(step).__name__,
+        seen={
+            'key': find_key(work),
+            'targets': [one.target for one in claim.targets],
+        },
+    )
+    return step
+
+
+async def _run_held(
+    entry: Entry,
+    work: Work,
+    held: ClaimHeld,
+    choices: tuple[Choice, ...],
+    made_at: float,
+) -> CallOutcome:
+    async def check() -> NotRun | None:
+        if read_clock() - made_at <= FRESH_SECONDS:
+            return None
+        # A paused daemon: the claim may have been taken over meanwhile.
+        found = await read_claim(entry, work)
+        if isinstance(found, ClaimFound):
+            if found.claim.token == held.claim.token:
+                return None
+        return NotRun(code=BARRED, detail='The claim is no longer held.')
+
+    def choose(tried: set[TargetName]) -> Choice | NoChoice:
+        for choice in choices:
+            if choice.record.target not in tried:
+                return choice
+        return NoChoice(turned_down=dict.fromkeys(tried, 'tried before'))
+
+    plan = Plan(
+        choose=choose,
+        name=lambda number: name_attempt(held.claim, number),
+        check=check,
+    )
+    step = await run_attempts(entry, work, plan)
+    if isinstance(step, Served):
+        return _answer(entry, work, held, step)
+    return await _fail(entry, work, held, step)
+
+
+async def _fail(
+    entry: Entry, work: Work, held: ClaimHeld, failed: Failed
+) -> CallOutcome:
+    outcome = failed.outcome
+    if isinstance(outcome, NotRun) and outcome.code == BARRED:
+        found = await read_claim(entry, work)
+        if isinstance(found, ClaimFound):
+            if found.claim.token != held.claim.token:
+                return await follow_claim(entry, work)
+    if isinstance(outcome, NotRun):
+        _put_result(entry, work, held, ClaimState.NOT_RUN, None)
+    return build_failure(work, failed)
+
+
+async def follow_claim(entry: Entry, work: Work) -> CallOutcome:
+    """Tell what became of work whose claim another daemon took over."""
+    found = await read_claim(entry, work)
+    if isinstance(found, ClaimFound):
+        if found.claim.state is ClaimState.COMPLETED:
+            judged = await judge_claim(entry, work, found)
+            if not isinstance(judged, Takeover):
+                return judged
+    return errors.build_in_progress(work.call.request)
+
+
+def _answer(
+    entry: Entry, work: Work, held: ClaimHeld, served: Served
+) -> CallOutcome:
+    kept = bytearray()
+    answer = served.started.answer
+
+    async def record(is_whole: bool) -> None:  # noqa: FBT001
+        if not is_whole:
+            return
+        keeps = len(kept) <= KEPT_BYTES
+        body = KeptAnswer(
+            status=answer.status,
+            headers=dict(answer.headers),
+            body=bytes(kept),
+            version=answer.version,
+        )
+        _put_result(
+            entry, work, held, ClaimState.COMPLETED, body if keeps else None
+        )
+
+    return build_answer(entry, work, served, on_end=record, kept=kept)
+
+
+def _put_result(
+    entry: Entry,
+    work: Work,
+    held: ClaimHeld,
+    state: ClaimState,
+    answer: KeptAnswer | None,
+) -> None:
+    claim = msgspec.structs.replace(held.claim, state=state, answer=answer)
+    entry.results.put(
+        ConditionalWrite(
+            key=find_key(work),
+            content=msgspec.json.encode(claim),
+            expected_version=held.version,
+        )
+    )
--- a/src/ragwortcourse/entry/dispatch.py
+++ b/src/ragwortcourse/entry/dispatch.py
@@ -12,7 +12,7 @@
 from ragwortcourse.entry.choice import Choice
 from ragwortcourse.entry.entry import Entry
 from ragwortcourse.entry.work import Work
-from ragwortcourse.identifiers import AttemptId
+from ragwortcourse.identifiers import AttemptId, TargetName
 from ragwortcourse.messages.attempt import (
     AnswerBrokenError,
     Attempt,
@@ -25,6 +25,7 @@
 from ragwortcourse.messages.attempt_report import AttemptReport, AttemptState
 from ragwortcourse.messages.decision import DecisionPoint
 from ragwortcourse.messages.outcome import Completed, NotRun, Unknown
+from ragwortcourse.messages.peer_port import PeerSilent
 
 METER: Final = metrics.get_meter(__name__)
 TRACER: Final = trace.get_tracer(__name__)
@@ -32,6 +33,7 @@
     'entry.attempts', description='Attempts by their result.'
 )
 UNREACHED_RETRY_SECONDS: Final = 1.0
+WHOLE_ANSWER_BYTES: Final = 262_144
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -50,13 +52,15 @@
     """No answer from this attempt.
 
     :param outcome: what became of the work by this attempt.
-    :param is_refusal: true where the gate turned it down.
+    :param is_lost: true where the attempt was sent and its answer lost.
     :param status: HTTP status of the gate's refusal.
+    :param suspect: true where the target died while it ran the attempt.
     """
 
     outcome: NotRun | Unknown | Completed
-    is_refusal: bool = False
+    is_lost: bool = False
     status: int | None = None
+    suspect: bool = False
 
 
 def build_attempt(
@@ -126,51 +130,60 @@
     with TRACER.start_as_current_span('entry.attempt') as span:
         span.set_attribute('target', choice.record.target)
         message = build_attempt(entry, work, choice, attempt)
-        outcome = await _start(entry, choice, message)
-        if isinstance(outcome, AttemptAnswer):
-            return await _receive(entry, work, choice, message, outcome)
+        outcome: AttemptOutcome | Started | Failed
+        try:
+            async with asyncio.timeout(max(message.time_left, 0)):
+                outcome = await _begin(entry, work, choice, message)
+        except TimeoutError:
+            outcome = AttemptLost(detail='no answer before the deadline')
+        if isinstance(outcome, Started | Failed):
+            return outcome
         return await _settle(entry, work, choice, message, outcome, sent_at)
 
 
-async def _start(
-    entry: Entry, choice: Choice, message: Attempt
-) -> AttemptOutcome:
+async def _begin(
+    entry: Entry, work: Work, choice: Choice, message: Attempt
+) -> AttemptRefused | AttemptUnreached | AttemptLost | Started | Failed:
+    outcome = await entry.agent_port.start(choice.record.address, message)
+    if not isinstance(outcome, AttemptAnswer):
+        return outcome
+    choice.record.spare = outcome.spare
+    if choice.version is not None and outcome.version != choice.version:
+        return await _drop_answer(work, choice, outcome)
     try:
-        async with asyncio.timeout(max(message.time_left, 0)):
-            return await entry.agent_port.start(choice.record.address, message)
-    except TimeoutError:
-        return AttemptLost(detail='no answer before the deadline')
+        first = await read_start(outcome)
+    except AnswerBrokenError as error:
+        return AttemptLost(detail=str(error))
+    return Started(answer=outcome, first=first)
 
 
-async def _receive(
-    entry: Entry,
-    work: Work,
-    choice: Choice,
-    message: Attempt,
-    answer: AttemptAnswer,
-) -> Started | Failed:
-    choice.record.spare = answer.spare
-    if choice.version is not None and answer.version != choice.version:
-        await close_body(answer.body)
-        work.trail.note(
-            DecisionPoint.VERSION,
-            'answer dropped',
-            seen={'wanted': choice.version, 'got': answer.version},
-        )
-        return Failed(
-            outcome=Unknown(
-                code=errors.WRONG_VERSION,
-                detail='The answer came from another model version.',
-            )
-        )
-    try:
-        first = await anext(answer.body, None)
-    except AnswerBrokenError as error:
-        lost = AttemptLost(detail=str(error))
-        return await _settle(
-            entry, work, choice, message, lost, read_clock()
+async def read_start(answer: AttemptAnswer) -> bytes | None:
+    """First chunk of an answer, or all of one that is small.
+
+    :raises AnswerBrokenError: where the answer ends short.
+    """
+    length = answer.headers.get('content-length', '')
+    if not length.isdecimal() or int(length) > WHOLE_ANSWER_BYTES:
+        return await anext(answer.body, None)
+    chunks = [chunk async for chunk in answer.body]
+    return b''.join(chunks) or None
+
+
+async def _drop_answer(
+    work: Work, choice: Choice, answer: AttemptAnswer
+) -> Failed:
+    await close_body(answer.body)
+    work.trail.note(
+        DecisionPoint.VERSION,
+        'answer dropped',
+        seen={'wanted': choice.version, 'got': answer.version},
+    )
+    return Failed(
+        outcome=Unknown(
+            code=errors.WRONG_VERSION,
+            detail='The answer came from another model version.',
         )
-    return Started(answer=answer, first=first)
+    )
 
 
 async def _settle(
@@ -184,7 +197,9 @@
     if isinstance(outcome, AttemptRefused):
         choice.record.spare = outcome.spare
         return Failed(
-            outcome=outcome.outcome, is_refusal=True, status=outcome.status
+            outcome=outcome.outcome,
+            status=outcome.status,
+            suspect=outcome.suspect,
         )
     if isinstance(outcome, AttemptUnreached):
         return Failed(
@@ -195,44 +210,43 @@
             )
         )
     if work.idempotent:
-        return Failed(
-            outcome=Unknown(
-                code=errors.OUTCOME_UNKNOWN,
-                detail=f'{choice.record.target}: {outcome.detail}.',
-            )
-        )
-    age = read_clock() - sent_at
+        unknown = describe_unknown(choice.record.target, outcome.detail)
+        return Failed(outcome=unknown, is_lost=True)
     report = await entry.agent_port.bar(
-        choice.record.address, message.attempt, age
+        choice.record.address, message.attempt, read_clock() - sent_at
     )
     work.trail.note(
         DecisionPoint.OUTCOME,
         'asked the agent',
         seen={'lost': outcome.detail, 'report': report},
     )
-    if not isinstance(report, AttemptReport):
-        return Failed(outcome=describe_unknown(choice, report.detail))
-    return Failed(outcome=judge_report(choice, report))
+    return Failed(
+        outcome=judge_report(choice.record.target, report),
+        is_lost=True,
+        suspect=isinstance(report, AttemptReport) and report.suspect,
+    )
 
 
 def judge_report(
-    choice: Choice, report: AttemptReport
+    target: TargetName, report: AttemptReport | PeerSilent
 ) -> NotRun | Unknown | Completed:
     """What an agent's report says about the work."""
+    if isinstance(report, PeerSilent):
+        return describe_unknown(target, report.detail)
     if report.proves_not_run:
         return NotRun(
             code=errors.TARGET_UNREACHED,
-            detail=f'{choice.record.target} never started the work.',
+            detail=f'{target} never started the work.',
             retry_after=UNREACHED_RETRY_SECONDS,
         )
     if report.state is AttemptState.COMPLETED:
         return Completed(version=report.version)
-    return describe_unknown(choice, f'attempt is {report.state}')
+    return describe_unknown(target, f'the attempt is {report.state}')
 
 
-def describe_unknown(choice: Choice, detail: str) -> Unknown:
+def describe_unknown(target: TargetName, detail: str) -> Unknown:
     """Unknown outcome of an attempt at one target."""
     return Unknown(
         code=errors.OUTCOME_UNKNOWN,
-        detail=f'{choice.record.target} can not say if it ran: {detail}.',
+        detail=f'{target} can not say if it ran: {detail}.',
     )
--- /dev/null
+++ b/src/ragwortcourse/entry/earlier_claims.py
@@ -0,0 +1,153 @@
+"""What an earlier claim on the same key means for a resend."""
+
+import asyncio
+import dataclasses
+from collections.abc import AsyncIterator, Sequence
+from typing import Final
+
+from ragwortcourse.entry import errors
+from ragwortcourse.entry.bars import bar_attempt
+from ragwortcourse.entry.claim import (
+    Claim,
+    ClaimState,
+    KeptAnswer,
+    name_attempt,
+)
+from ragwortcourse.entry.claims import (
+    ClaimFound,
+    digest_body,
+    read_claim,
+)
+from ragwortcourse.entry.entry import Entry
+from ragwortcourse.entry.work import Work
+from ragwortcourse.messages import headers
+from ragwortcourse.messages.attempt_report import AttemptReport, AttemptState
+from ragwortcourse.messages.call import CallAnswer, CallOutcome
+from ragwortcourse.messages.decision import DecisionPoint
+from ragwortcourse.messages.outcome import NotRun, Unknown
+from ragwortcourse.messages.peer_port import PeerSilent
+
+CLOCK_SKEW_SECONDS: Final = 5.0
+YOUNG_SECONDS: Final = 1.0
+POLL_SECONDS: Final = 0.25
+
+Report = AttemptReport | PeerSilent
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Takeover:
+    """The earlier claim's work is proved not to have run.
+
+    :param version: version of the row to write over.
+    :param takeovers: claims on the key before the next one.
+    """
+
+    version: int
+    takeovers: int
+
+
+async def judge_claim(
+    entry: Entry, work: Work, found: ClaimFound
+) -> CallOutcome | Takeover:
+    """What to tell a resend, or that the work may be claimed anew."""
+    request = work.call.request
+    if found.claim.body_sha256 != digest_body(work):
+        reused = NotRun(
+            code=errors.KEY_REUSED,
+            detail='The key was used before for another request.',
+        )
+        return errors.build_error(request, reused)
+    found = await _await_result(entry, work, found)
+    claim = found.claim
+    if claim.state is ClaimState.COMPLETED:
+        return _repeat_answer(work, claim)
+    if claim.state is ClaimState.NOT_RUN:
+        return _take_over(found)
+    return await _ask_targets(entry, work, found)
+
+
+async def _await_result(
+    entry: Entry, work: Work, found: ClaimFound
+) -> ClaimFound:
+    """Leave a young claim time to start, so that asking does not bar it."""
+    polls = round(YOUNG_SECONDS / POLL_SECONDS)
+    for _ in range(polls):
+        age = entry.read_wall() - found.claim.claimed_at
+        if found.claim.state is not ClaimState.CLAIMED or age > YOUNG_SECONDS:
+            break
+        await asyncio.sleep(POLL_SECONDS)
+        newer = await read_claim(entry, work)
+        if isinstance(newer, ClaimFound):
+            found = newer
+    return found
+
+
+async def _ask_targets(
+    entry: Entry, work: Work, found: ClaimFound
+) -> CallOutcome | Takeover:
+    claim = found.claim
+    age = max(entry.read_wall() - claim.claimed_at, 0) + CLOCK_SKEW_SECONDS
+    reports = await asyncio.gather(
+        *(
+            bar_attempt(
+                entry, one.address, name_attempt(claim, number), age
+            )
+            for number, one in enumerate(claim.targets)
+        )
+    )
+    work.trail.note(
+        DecisionPoint.CLAIM,
+        'asked the targets of the earlier claim',
+        seen={
+            one.target: report
+            for one, report in zip(claim.targets, reports, strict=True)
+        },
+    )
+    return _judge_reports(work, found, reports)
+
+
+def _judge_reports(
+    work: Work, found: ClaimFound, reports: Sequence[Report]
+) -> CallOutcome | Takeover:
+    request = work.call.request
+    known = [one for one in reports if isinstance(one, AttemptReport)]
+    states = {one.state for one in known}
+    if AttemptState.COMPLETED in states:
+        return _repeat_answer(work, found.claim)
+    if AttemptState.RUNNING in states:
+        return errors.build_in_progress(request)
+    if len(known) == len(reports):
+        if all(one.proves_not_run for one in known):
+            return _take_over(found)
+    unknown = Unknown(
+        code=errors.OUTCOME_UNKNOWN,
+        detail='Nobody reachable can say if the first sending ran.',
+    )
+    return errors.build_error(request, unknown)
+
+
+def _take_over(found: ClaimFound) -> Takeover:
+    return Takeover(
+        version=found.version, takeovers=found.claim.takeovers + 1
+    )
+
+
+def _repeat_answer(work: Work, claim: Claim) -> CallOutcome:
+    request = work.call.request
+    if claim.answer is None:
+        return errors.build_completed_error(
+            request,
+            errors.ANSWER_LOST,
+            'The first sending ran to its end; its answer was not kept.',
+        )
+    return CallAnswer(
+        request=request,
+        status=claim.answer.status,
+        headers={**claim.answer.headers, headers.REPLAYED: 'true'},
+        body=_iterate_once(claim.answer),
+        version=claim.answer.version,
+    )
+
+
+async def _iterate_once(answer: KeptAnswer) -> AsyncIterator[bytes]:
+    yield answer.body
--- a/src/ragwortcourse/entry/entry.py
+++ b/src/ragwortcourse/entry/entry.py
@@ -8,6 +8,7 @@
 
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.entry.catalog import Catalog
+from ragwortcourse.entry.claim_results import ClaimResults
 from ragwortcourse.entry.records import RequestRecords
 from ragwortcourse.entry.retry_budget import RetryBudget
 from ragwortcourse.membership.directory import TargetDirectory
@@ -35,10 +36,15 @@
     catalog: Catalog = dataclasses.field(default_factory=Catalog)
     records: RequestRecords = dataclasses.field(default_factory=RequestRecords)
     budget: RetryBudget = dataclasses.field(default_factory=RetryBudget)
+    results: ClaimResults = dataclasses.field(init=False)
     draining: bool = False
     under_way: int = 0
     idle: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
+    def __post_init__(self) -> None:
+        """Write results to the table that holds the claims."""
+        self.results = ClaimResults(table=self.table)
+
     def enter(self) -> None:
         """Count a call that was taken."""
         self.under_way += 1
@@ -56,3 +62,4 @@
     entry.draining = True
     if entry.under_way:
         await entry.idle.wait()
+    await entry.results.flush()
--- a/src/ragwortcourse/entry/errors.py
+++ b/src/ragwortcourse/entry/errors.py
@@ -11,6 +11,7 @@
 BAD_REQUEST: Final = 'bad_request'
 BODY_TOO_LARGE: Final = 'body_too_large'
 UNKNOWN_API_KEY: Final = 'unknown_api_key'
+UNKNOWN_PATH: Final = 'unknown_path'
 UNKNOWN_MODEL: Final = 'unknown_model'
 UNKNOWN_SERVICE: Final = 'unknown_service'
 NO_CONFIGURATION: Final = 'no_configuration'
@@ -27,11 +28,13 @@
 ANSWER_LOST: Final = 'answer_lost'
 ANSWER_BROKEN: Final = 'answer_broken'
 WRONG_VERSION: Final = 'wrong_version'
+IN_PROGRESS_RETRY_SECONDS: Final = 1.0
 
 STATUSES: Final = {
     BAD_REQUEST: HTTPStatus.BAD_REQUEST,
     BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     UNKNOWN_API_KEY: HTTPStatus.UNAUTHORIZED,
+    UNKNOWN_PATH: HTTPStatus.NOT_FOUND,
     UNKNOWN_MODEL: HTTPStatus.NOT_FOUND,
     UNKNOWN_SERVICE: HTTPStatus.NOT_FOUND,
     CRASHING_REQUEST: HTTPStatus.UNPROCESSABLE_ENTITY,
@@ -88,3 +91,17 @@
             request=request,
         ),
     )
+
+
+def build_in_progress(request: RequestId) -> CallError:
+    """Error for a resend whose first sending is still under way."""
+    return CallError(
+        status=find_status(IN_PROGRESS),
+        error=ErrorDetail(
+            code=IN_PROGRESS,
+            message='A request with this key is still under way.',
+            outcome=OutcomeKind.UNKNOWN,
+            request=request,
+            retry_after=IN_PROGRESS_RETRY_SECONDS,
+        ),
+    )
--- /dev/null
+++ b/src/ragwortcourse/entry/http_agents.py
@@ -0,0 +1,172 @@
+"""Adapter that reaches agents over HTTP."""
+
+from collections.abc import AsyncIterator, Mapping
+from http import HTTPStatus
+from typing import Final, TypeVar
+
+import aiohttp
+import msgspec
+
+from ragwortcourse.agent.attempt_codec import encode_attempt
+from ragwortcourse.identifiers import AttemptId, Generation, VersionName
+from ragwortcourse.messages import headers
+from ragwortcourse.messages.attempt import (
+    AnswerBrokenError,
+    Attempt,
+    AttemptAnswer,
+    AttemptLost,
+    AttemptOutcome,
+    AttemptRefused,
+    AttemptUnreached,
+)
+from ragwortcourse.messages.attempt_report import AttemptReport
+from ragwortcourse.messages.error_body import ErrorBody
+from ragwortcourse.messages.heartbeat import Heartbeat
+from ragwortcourse.messages.outcome import NotRun, OutcomeKind, Unknown
+from ragwortcourse.messages.peer_port import (
+    BAR_TIMEOUT_SECONDS,
+    AgentPort,
+    PeerSilent,
+)
+from ragwortcourse.messages.target_status import TargetStatus
+
+CONNECT_SECONDS: Final = 1.0
+HEARTBEAT_SECONDS: Final = 1.0
+_MILLISECONDS: Final = 1000
+_ATTEMPT_TIMEOUT: Final = aiohttp.ClientTimeout(
+    total=None, connect=CONNECT_SECONDS, sock_connect=CONNECT_SECONDS
+)
+_BAR_TIMEOUT: Final = aiohttp.ClientTimeout(total=BAR_TIMEOUT_SECONDS)
+_HEARTBEAT_TIMEOUT: Final = aiohttp.ClientTimeout(total=HEARTBEAT_SECONDS)
+_FAILURES: Final = (aiohttp.ClientError, TimeoutError, OSError)
+Kind = TypeVar('Kind', AttemptReport, TargetStatus)
+
+
+def build_http_agents(*, session: aiohttp.ClientSession) -> AgentPort:
+    """Port to agents by their ``ip:port``.
+
+    :param session: must not decompress answers, which are relayed as they
+        are.
+    """
+
+    async def start(address: str, attempt: Attempt) -> AttemptOutcome:
+        try:
+            answer = await session.post(
+                f'http://{address}/attempts/{attempt.attempt}',
+                data=attempt.body,
+                headers=encode_attempt(attempt),
+                timeout=_ATTEMPT_TIMEOUT,
+                allow_redirects=False,
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return AttemptUnreached(detail=f'no connection to {address}')
+        except _FAILURES as error:
+            return AttemptLost(detail=f'{address}: {error!r}')
+        return await read_answer(answer)
+
+    async def bar(
+        address: str, attempt: AttemptId, age: float
+    ) -> AttemptReport | PeerSilent:
+        return await _ask(
+            session,
+            f'http://{address}/attempts/{attempt}/bar',
+            fields={headers.AGE_MS: str(round(age * _MILLISECONDS))},
+            timeout=_BAR_TIMEOUT,
+            kind=AttemptReport,
+        )
+
+    async def heartbeat(
+        address: str, message: Heartbeat
+    ) -> TargetStatus | PeerSilent:
+        return await _ask(
+            session,
+            f'http://{address}/status',
+            content=msgspec.json.encode(message),
+            timeout=_HEARTBEAT_TIMEOUT,
+            kind=TargetStatus,
+        )
+
+    return AgentPort(start=start, bar=bar, heartbeat=heartbeat)
+
+
+async def read_answer(answer: aiohttp.ClientResponse) -> AttemptOutcome:
+    """Outcome that an agent's answer tells, its body still to come."""
+    fields = answer.headers
+    spare = int(fields.get(headers.SPARE, '0'))
+    generation = Generation(int(fields.get(headers.GENERATION, '0')))
+    if headers.ERROR_CODE in fields and headers.OUTCOME in fields:
+        return await _read_refusal(answer, spare, generation)
+    version = fields.get(headers.MODEL_VERSION)
+    return AttemptAnswer(
+        status=answer.status,
+        headers={
+            name.lower(): field
+            for name, field in fields.items()
+            if not name.lower().startswith(headers.OWN_PREFIX)
+        },
+        body=_relay_body(answer),
+        spare=spare,
+        generation=generation,
+        version=VersionName(version) if version else None,
+    )
+
+
+async def _read_refusal(
+    answer: aiohttp.ClientResponse, spare: int, generation: Generation
+) -> AttemptOutcome:
+    try:
+        raw = await answer.read()
+        error = msgspec.json.decode(raw, type=ErrorBody).error
+    except (*_FAILURES, msgspec.MsgspecError) as failure:
+        return AttemptLost(detail=f'refusal could not be read: {failure!r}')
+    outcome: NotRun | Unknown
+    if error.outcome is OutcomeKind.NOT_RUN:
+        outcome = NotRun(
+            code=error.code,
+            detail=error.message,
+            retry_after=error.retry_after,
+        )
+    else:
+        outcome = Unknown(code=error.code, detail=error.message)
+    return AttemptRefused(
+        status=answer.status,
+        outcome=outcome,
+        spare=spare,
+        generation=generation,
+        suspect=headers.SUSPECT in answer.headers,
+    )
+
+
+async def _relay_body(answer: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    try:
+        async for chunk in answer.content.iter_any():
+            yield chunk
+    except _FAILURES as error:
+        raise AnswerBrokenError(repr(error)) from error
+    finally:
+        # Does nothing where the answer was read to its end.
+        answer.close()
+
+
+async def _ask(
+    session: aiohttp.ClientSession,
+    url: str,
+    *,
+    timeout: aiohttp.ClientTimeout,
+    kind: type[Kind],
+    fields: Mapping[str, str] | None = None,
+    content: bytes = b'',
+) -> Kind | PeerSilent:
+    try:
+        async with session.post(
+            url, data=content, headers=fields, timeout=timeout
+        ) as answer:
+            raw = await answer.read()
+    except _FAILURES as error:
+        return PeerSilent(detail=f'{url}: {error!r}')
+    if answer.status != HTTPStatus.OK:
+        return PeerSilent(detail=f'{url}: status {answer.status}')
+    try:
+        return msgspec.json.decode(raw, type=kind)
+    except msgspec.MsgspecError as error:
+        return PeerSilent(detail=f'{url}: {error}')
