--- /dev/null
+++ b/fakes/scripted_agents.py
@@ -0,0 +1,186 @@
+"""Agents in memory that fail at chosen points of an attempt."""
+
+import asyncio
+import collections
+import enum
+from collections.abc import AsyncIterator
+
+from ragwortcourse.identifiers import (
+    AttemptId,
+    DeploymentName,
+    FailureDomainName,
+    Generation,
+    TargetName,
+    VersionName,
+)
+from ragwortcourse.messages.attempt import (
+    AnswerBrokenError,
+    Attempt,
+    AttemptAnswer,
+    AttemptLost,
+    AttemptOutcome,
+    AttemptRefused,
+    AttemptUnreached,
+)
+from ragwortcourse.messages.attempt_report import AttemptReport, AttemptState
+from ragwortcourse.messages.heartbeat import Heartbeat
+from ragwortcourse.messages.outcome import NotRun, Unknown
+from ragwortcourse.messages.peer_port import AgentPort, PeerSilent
+from ragwortcourse.messages.target_status import TargetStatus
+
+
+class Turn(enum.StrEnum):
+    """What happens to one attempt at an agent.
+
+    ``LATE``: the connection breaks and the attempt arrives only later.
+    ``LOST_BEFORE``: it breaks before the engine has the work.
+    ``LOST_DURING``: the engine goes on with it, nobody hears.
+    ``LOST_AFTER``: the engine ends it, the answer is lost.
+    ``EMPTY``: the answer breaks after its headers.
+    ``SHORT``: it breaks after its first chunk.
+    ``CRASH``: the target dies of it.
+    ``HANG``: nothing ever comes.
+    """
+
+    ANSWER = 'answer'
+    FULL = 'full'
+    BARRED = 'barred'
+    UNREACHED = 'unreached'
+    LATE = 'late'
+    LOST_BEFORE = 'lost_before'
+    LOST_DURING = 'lost_during'
+    LOST_AFTER = 'lost_after'
+    EMPTY = 'empty'
+    SHORT = 'short'
+    WRONG_VERSION = 'wrong_version'
+    CRASH = 'crash'
+    HANG = 'hang'
+
+
+_RUN_STATES = {
+    Turn.LOST_DURING: AttemptState.RUNNING,
+    Turn.LOST_AFTER: AttemptState.COMPLETED,
+    Turn.EMPTY: AttemptState.BROKEN,
+    Turn.SHORT: AttemptState.BROKEN,
+    Turn.CRASH: AttemptState.BROKEN,
+    Turn.HANG: AttemptState.RUNNING,
+}
+
+
+class ScriptedAgents:
+    """Agents by address, each with the turns it takes in order.
+
+    :param chunks: body of every answer.
+    """
+
+    def __init__(
+        self, *, chunks: tuple[bytes, ...] = (b'one ', b'two')
+    ) -> None:
+        self.chunks = chunks
+        self.turns: dict[str, collections.deque[Turn]] = {}
+        self.sent: list[tuple[str, Attempt]] = []
+        self.ran: list[tuple[str, Attempt]] = []
+        self.states: dict[tuple[str, AttemptId], AttemptState] = {}
+        self.silent: set[str] = set()
+        self.seconds = 0.0
+
+    def script(self, address: str, *turns: Turn) -> None:
+        """Say what happens next at an agent; after that it answers."""
+        self.turns[address] = collections.deque(turns)
+
+    def build_port(self) -> AgentPort:
+        """Port of one entry daemon to these agents."""
+        return AgentPort(start=self.start, bar=self.bar, heartbeat=self.beat)
+
+    async def start(self, address: str, attempt: Attempt) -> AttemptOutcome:
+        """Take one turn."""
+        self.sent.append((address, attempt))
+        turns = self.turns.get(address)
+        turn = turns.popleft() if turns else Turn.ANSWER
+        await asyncio.sleep(self.seconds)
+        if turn is Turn.UNREACHED:
+            return AttemptUnreached(detail='refused')
+        if turn in {Turn.LATE, Turn.LOST_BEFORE}:
+            return AttemptLost(detail='reset')
+        if self._is_barred(address, attempt) or turn is Turn.BARRED:
+            return self._refuse('barred')
+        if turn is Turn.FULL:
+            self.states[address, attempt.attempt] = AttemptState.REFUSED
+            return self._refuse('full')
+        return await self._run(address, attempt, turn)
+
+    def _is_barred(self, address: str, attempt: Attempt) -> bool:
+        state = self.states.get((address, attempt.attempt))
+        return state is AttemptState.BARRED
+
+    def _refuse(self, code: str) -> AttemptRefused:
+        return AttemptRefused(
+            status=503,
+            outcome=NotRun(code=code, detail=code, retry_after=1),
+            spare=0,
+            generation=Generation(1),
+        )
+
+    async def _run(
+        self, address: str, attempt: Attempt, turn: Turn
+    ) -> AttemptOutcome:
+        self.ran.append((address, attempt))
+        state = _RUN_STATES.get(turn, AttemptState.COMPLETED)
+        self.states[address, attempt.attempt] = state
+        if turn is Turn.HANG:
+            await asyncio.Event().wait()
+        if turn in {Turn.LOST_DURING, Turn.LOST_AFTER}:
+            return AttemptLost(detail='reset')
+        if turn is Turn.CRASH:
+            return AttemptRefused(
+                status=502,
+                outcome=Unknown(code='target_lost', detail='it died'),
+                spare=0,
+                generation=Generation(1),
+                suspect=True,
+            )
+        version = attempt.version
+        if turn is Turn.WRONG_VERSION:
+            version = VersionName('another')
+        return AttemptAnswer(
+            status=200,
+            headers={'content-type': 'text/event-stream'},
+            body=self._give(turn),
+            spare=1,
+            generation=Generation(1),
+            version=version,
+        )
+
+    async def _give(self, turn: Turn) -> AsyncIterator[bytes]:
+        if turn is Turn.EMPTY:
+            raise AnswerBrokenError('after the headers')
+        for chunk in self.chunks:
+            yield chunk
+            if turn is Turn.SHORT:
+                raise AnswerBrokenError('after a chunk')
+
+    async def bar(
+        self, address: str, attempt: AttemptId, age: float
+    ) -> AttemptReport | PeerSilent:
+        """Report an attempt, or bar it."""
+        await asyncio.sleep(self.seconds)
+        if address in self.silent:
+            return PeerSilent(detail='silent')
+        state = self.states.setdefault((address, attempt), AttemptState.BARRED)
+        return AttemptReport(attempt=attempt, state=state)
+
+    async def beat(
+        self, address: str, heartbeat: Heartbeat
+    ) -> TargetStatus | PeerSilent:
+        """Report a target that is well."""
+        return TargetStatus(
+            target=TargetName(address),
+            deployment=DeploymentName('booking'),
+            failure_domain=FailureDomainName('attica-a'),
+            limit=1,
+            running=0,
+            queued=0,
+            leaving=False,
+            served=(),
+            generation=heartbeat.generation,
+        )
--- a/src/ragwortcourse/entry/answer_body.py
+++ b/src/ragwortcourse/entry/answer_body.py
@@ -50,7 +50,8 @@
 
         :raises AnswerBrokenError: where the answer ends short.
         """
-        chunk, self._first = self._first, None
+        chunk = self._first
+        self._first = None
         if chunk is None:
             chunk = await self._read()
         if self._kept is not None and len(self._kept) <= KEPT_BYTES:
@@ -61,11 +62,17 @@
         """Stop relaying; the answer counts as not whole unless it is kept."""
         if self._kept is not None and self._finish is not None:
             with contextlib.suppress(AnswerBrokenError, TimeoutError):
-                async with asyncio.timeout(KEEP_READING_SECONDS):
-                    async for _ in self:
-                        pass
+                await self._read_on()
         await self._end(is_whole=False)
 
+    async def _read_on(self) -> None:
+        async with asyncio.timeout(KEEP_READING_SECONDS):
+            while True:
+                try:
+                    await anext(self)
+                except StopAsyncIteration:
+                    return
+
     async def _read(self) -> bytes:
         try:
             return await anext(self._rest)
@@ -77,7 +84,8 @@
             raise
 
     async def _end(self, *, is_whole: bool) -> None:
-        finish, self._finish = self._finish, None
+        finish = self._finish
+        self._finish = None
         if finish is None:
             return
         try:
--- a/src/ragwortcourse/entry/answers.py
+++ b/src/ragwortcourse/entry/answers.py
@@ -36,7 +36,7 @@
         even where the caller has left.
     """
 
-    async def finish(is_whole: bool) -> None:  # noqa: FBT001
+    async def finish(is_whole: bool) -> None:
         release_choice(served.choice)
         kind = OutcomeKind.COMPLETED if is_whole else OutcomeKind.UNKNOWN
         CALLS.add(1, {'result': kind})
--- a/src/ragwortcourse/entry/attempts.py
+++ b/src/ragwortcourse/entry/attempts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
 from opentelemetry import metrics
@@ -20,6 +20,7 @@
 ATTEMPTS_LIMIT: Final = 3
 BACKOFF_SECONDS: Final = 0.02
 NO_TARGET_RETRY_SECONDS: Final = 1.0
+FINAL_CODES: Final = frozenset((errors.BARRED, errors.CRASHING_REQUEST))
 _RETRIES: Final = metrics.get_meter(__name__).create_counter(
     'entry.retries', description='Retries sent, and those the budget stopped.'
 )
@@ -47,30 +48,35 @@
     choice: Choice
 
 
-async def run_attempts(
-    entry: Entry, work: Work, plan: Plan
-) -> Served | Failed:
+async def run_attempts(entry: Entry, work: Work, plan: Plan) -> Served | Failed:
     """Try targets until one answers, or nothing more may be tried."""
     tried: set[TargetName] = set()
-    failure: Failed | None = None
-    doubt: Failed | None = None
+    failures: list[Failed] = []
     for number in range(ATTEMPTS_LIMIT):
         choice = await _prepare(entry, work, plan, tried, number)
-        if not isinstance(choice, Choice):
-            failure = failure or Failed(outcome=choice)
+        if isinstance(choice, NotRun):
+            failures = failures or [Failed(outcome=choice)]
             break
         tried.add(choice.record.target)
         step = await run_choice(entry, work, choice, plan.name(number))
         if isinstance(step, Started):
             return Served(started=step, choice=choice)
         _note_failure(work, choice, step)
-        failure = step
-        if isinstance(step.outcome, Unknown):
-            doubt = step
+        failures.append(step)
         if not may_retry(work, step):
             break
-    assert failure is not None  # noqa: S101
-    return doubt or failure
+    return judge_failures(failures)
+
+
+def judge_failures(failures: Sequence[Failed]) -> Failed:
+    """Failure that tells the truth about all attempts together.
+
+    The last one, unless an earlier attempt may have run the work.
+    """
+    for failed in failures:
+        if isinstance(failed.outcome, Unknown):
+            return failed
+    return failures[-1]
 
 
 def may_retry(work: Work, step: Failed) -> bool:
@@ -79,6 +85,8 @@
         return False
     if work.expires_at <= read_clock():
         return False
+    if step.outcome.code in FINAL_CODES:
+        return False
     if work.idempotent:
         return True
     if isinstance(step.outcome, Unknown):
--- a/src/ragwortcourse/entry/call_reader.py
+++ b/src/ragwortcourse/entry/call_reader.py
@@ -4,8 +4,7 @@
 import math
 from typing import Final
 
-import aiohttp
-from aiohttp import web
+from aiohttp import ClientError, web
 
 from ragwortcourse.entry import errors
 from ragwortcourse.identifiers import (
@@ -24,27 +23,31 @@
 PRIORITY_RANGE: Final = 100
 _MILLISECONDS: Final = 1000
 _BEARER: Final = 'bearer '
-HOP_HEADERS: Final = frozenset((
-    'connection',
-    'content-length',
-    'expect',
-    'host',
-    'keep-alive',
-    'proxy-authenticate',
-    'proxy-authorization',
-    'te',
-    'trailer',
-    'transfer-encoding',
-    'upgrade',
-))
-_OWN_HEADERS: Final = frozenset((
-    'authorization',
-    'x-api-key',
-    headers.DEADLINE_MS,
-    headers.PRIORITY,
-    headers.IDEMPOTENT_MARK,
-    headers.REQUEST_ID,
-))
+HOP_HEADERS: Final = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+_OWN_HEADERS: Final = frozenset(
+    (
+        'authorization',
+        'x-api-key',
+        headers.DEADLINE_MS,
+        headers.PRIORITY,
+        headers.IDEMPOTENT_MARK,
+        headers.REQUEST_ID,
+    )
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -73,7 +76,7 @@
             errors.BODY_TOO_LARGE,
             f'The body has more than {BODY_LIMIT_BYTES} bytes.',
         )
-    except (web.RequestPayloadError, aiohttp.ClientError, OSError) as error:
+    except (web.RequestPayloadError, ClientError, OSError) as error:
         return _refuse(errors.BAD_REQUEST, f'The body was cut: {error!r}.')
     try:
         return _build_call(request, name, service, body)
--- a/src/ragwortcourse/entry/calls.py
+++ b/src/ragwortcourse/entry/calls.py
@@ -19,6 +19,7 @@
 from ragwortcourse.messages.decision import DecisionPoint
 from ragwortcourse.messages.outcome import NotRun
 
+
 async def serve_call(entry: Entry, call: Call) -> CallOutcome:
     """Answer one call: the target's answer, or an error with its outcome.
 
@@ -73,4 +74,4 @@
 
 
 async def _allow() -> NotRun | None:
-    return None
+    """Nothing stands against a further attempt."""
--- a/src/ragwortcourse/entry/claimed_calls.py
+++ b/src/ragwortcourse/entry/claimed_calls.py
@@ -32,7 +32,11 @@
     take_claim,
 )
 from ragwortcourse.entry.dispatch import Failed
-from ragwortcourse.entry.earlier_claims import Takeover, judge_claim
+from ragwortcourse.entry.earlier_claims import (
+    Takeover,
+    judge_claim,
+    repeat_answer,
+)
 from ragwortcourse.entry.entry import Entry
 from ragwortcourse.entry.routing import choose_target
 from ragwortcourse.entry.work import Work
@@ -44,8 +48,8 @@
 
 CLAIMED_TARGETS: Final = 3
 TAKEOVERS_LIMIT: Final = 2
+TOKEN_BITS: Final = 64
 FRESH_SECONDS: Final = 5.0
-BARRED: Final = 'barred'
 
 
 async def serve_claimed(entry: Entry, work: Work) -> CallOutcome:
@@ -86,7 +90,7 @@
     entry: Entry, work: Work, choices: Sequence[Choice], takeovers: int
 ) -> Claim:
     return Claim(
-        token=f'{work.call.request}-{entry.rng.getrandbits(64):016x}',
+        token=f'{work.call.request}-{entry.rng.getrandbits(TOKEN_BITS):016x}',
         request=work.call.request,
         body_sha256=digest_body(work),
         targets=tuple(
@@ -134,11 +138,9 @@
         if read_clock() - made_at <= FRESH_SECONDS:
             return None
         # A paused daemon: the claim may have been taken over meanwhile.
-        found = await read_claim(entry, work)
-        if isinstance(found, ClaimFound):
-            if found.claim.token == held.claim.token:
-                return None
-        return NotRun(code=BARRED, detail='The claim is no longer held.')
+        if await _still_holds(entry, work, held):
+            return None
+        return NotRun(code=errors.BARRED, detail='The claim is no longer held.')
 
     def choose(tried: set[TargetName]) -> Choice | NoChoice:
         for choice in choices:
@@ -157,29 +159,34 @@
     return await _fail(entry, work, held, step)
 
 
+async def _still_holds(entry: Entry, work: Work, held: ClaimHeld) -> bool:
+    found = await read_claim(entry, work)
+    if not isinstance(found, ClaimFound):
+        return False
+    return found.claim.token == held.claim.token
+
+
 async def _fail(
     entry: Entry, work: Work, held: ClaimHeld, failed: Failed
 ) -> CallOutcome:
     outcome = failed.outcome
-    if isinstance(outcome, NotRun) and outcome.code == BARRED:
-        found = await read_claim(entry, work)
-        if isinstance(found, ClaimFound):
-            if found.claim.token != held.claim.token:
-                return await follow_claim(entry, work)
-    if isinstance(outcome, NotRun):
-        _put_result(entry, work, held, ClaimState.NOT_RUN, None)
+    if not isinstance(outcome, NotRun):
+        return build_failure(work, failed)
+    if outcome.code == errors.BARRED:
+        # Another daemon asked about this claim and may have run the work.
+        return await follow_claim(entry, work)
+    _put_result(entry, work, held, ClaimState.NOT_RUN, None)
     return build_failure(work, failed)
 
 
 async def follow_claim(entry: Entry, work: Work) -> CallOutcome:
     """Tell what became of work whose claim another daemon took over."""
     found = await read_claim(entry, work)
-    if isinstance(found, ClaimFound):
-        if found.claim.state is ClaimState.COMPLETED:
-            judged = await judge_claim(entry, work, found)
-            if not isinstance(judged, Takeover):
-                return judged
-    return errors.build_in_progress(work.call.request)
+    if not isinstance(found, ClaimFound):
+        return errors.build_in_progress(work.call.request)
+    if found.claim.state is not ClaimState.COMPLETED:
+        return errors.build_in_progress(work.call.request)
+    return repeat_answer(work, found.claim)
 
 
 def _answer(
@@ -188,7 +195,7 @@
     kept = bytearray()
     answer = served.started.answer
 
-    async def record(is_whole: bool) -> None:  # noqa: FBT001
+    async def record(is_whole: bool) -> None:
         if not is_whole:
             return
         keeps = len(kept) <= KEPT_BYTES
--- a/src/ragwortcourse/entry/claims.py
+++ b/src/ragwortcourse/entry/claims.py
@@ -82,6 +82,7 @@
         expected_version=expected_version,
     )
     held = ClaimHeld(claim=claim, version=expected_version + 1)
+    detail = ''
     for _ in range(COMMIT_TRIES):
         outcome = await entry.table.commit((write,))
         if isinstance(outcome, Committed):
@@ -89,10 +90,11 @@
             return held
         if isinstance(outcome, ConditionFailed):
             return _judge_row(outcome.rows[0], held)
+        detail = outcome.detail
         if not isinstance(outcome, CommitUnknown):
             break
     _CLAIMS.add(1, {'result': 'unavailable'})
-    return refuse_without_table(outcome.detail)
+    return refuse_without_table(detail)
 
 
 def _judge_row(
--- a/src/ragwortcourse/entry/earlier_claims.py
+++ b/src/ragwortcourse/entry/earlier_claims.py
@@ -60,7 +60,7 @@
     found = await _await_result(entry, work, found)
     claim = found.claim
     if claim.state is ClaimState.COMPLETED:
-        return _repeat_answer(work, claim)
+        return repeat_answer(work, claim)
     if claim.state is ClaimState.NOT_RUN:
         return _take_over(found)
     return await _ask_targets(entry, work, found)
@@ -89,9 +89,7 @@
     age = max(entry.read_wall() - claim.claimed_at, 0) + CLOCK_SKEW_SECONDS
     reports = await asyncio.gather(
         *(
-            bar_attempt(
-                entry, one.address, name_attempt(claim, number), age
-            )
+            bar_attempt(entry, one.address, name_attempt(claim, number), age)
             for number, one in enumerate(claim.targets)
         )
     )
@@ -113,12 +111,12 @@
     known = [one for one in reports if isinstance(one, AttemptReport)]
     states = {one.state for one in known}
     if AttemptState.COMPLETED in states:
-        return _repeat_answer(work, found.claim)
+        return repeat_answer(work, found.claim)
     if AttemptState.RUNNING in states:
         return errors.build_in_progress(request)
-    if len(known) == len(reports):
-        if all(one.proves_not_run for one in known):
-            return _take_over(found)
+    is_proved = all(one.proves_not_run for one in known)
+    if is_proved and len(known) == len(reports):
+        return _take_over(found)
     unknown = Unknown(
         code=errors.OUTCOME_UNKNOWN,
         detail='Nobody reachable can say if the first sending ran.',
@@ -127,12 +125,11 @@
 
 
 def _take_over(found: ClaimFound) -> Takeover:
-    return Takeover(
-        version=found.version, takeovers=found.claim.takeovers + 1
-    )
+    return Takeover(version=found.version, takeovers=found.claim.takeovers + 1)
 
 
-def _repeat_answer(work: Work, claim: Claim) -> CallOutcome:
+def repeat_answer(work: Work, claim: Claim) -> CallOutcome:
+    """The answer that the first sending got, as far as it was kept."""
     request = work.call.request
     if claim.answer is None:
         return errors.build_completed_error(
--- a/src/ragwortcourse/entry/errors.py
+++ b/src/ragwortcourse/entry/errors.py
@@ -8,6 +8,7 @@
 from ragwortcourse.messages.error_body import ErrorDetail
 from ragwortcourse.messages.outcome import NotRun, OutcomeKind, Unknown
 
+BARRED: Final = 'barred'
 BAD_REQUEST: Final = 'bad_request'
 BODY_TOO_LARGE: Final = 'body_too_large'
 UNKNOWN_API_KEY: Final = 'unknown_api_key'
--- a/src/ragwortcourse/entry/http_agents.py
+++ b/src/ragwortcourse/entry/http_agents.py
@@ -39,6 +39,7 @@
 _BAR_TIMEOUT: Final = aiohttp.ClientTimeout(total=BAR_TIMEOUT_SECONDS)
 _HEARTBEAT_TIMEOUT: Final = aiohttp.ClientTimeout(total=HEARTBEAT_SECONDS)
 _FAILURES: Final = (aiohttp.ClientError, TimeoutError, OSError)
+_READ_FAILURES: Final = (*_FAILURES, msgspec.MsgspecError)
 Kind = TypeVar('Kind', AttemptReport, TargetStatus)
 
 
@@ -117,7 +118,7 @@
     try:
         raw = await answer.read()
         error = msgspec.json.decode(raw, type=ErrorBody).error
-    except (*_FAILURES, msgspec.MsgspecError) as failure:
+    except _READ_FAILURES as failure:
         return AttemptLost(detail=f'refusal could not be read: {failure!r}')
     outcome: NotRun | Unknown
     if error.outcome is OutcomeKind.NOT_RUN:
@@ -133,7 +134,7 @@
         outcome=outcome,
         spare=spare,
         generation=generation,
-        suspect=headers.SUSPECT in answer.headers,
+        suspect=answer.headers.get(headers.SUSPECT) == '1',
     )
 
 
@@ -162,10 +163,11 @@
             url, data=content, headers=fields, timeout=timeout
         ) as answer:
             raw = await answer.read()
+            status = answer.status
     except _FAILURES as error:
         return PeerSilent(detail=f'{url}: {error!r}')
-    if answer.status != HTTPStatus.OK:
-        return PeerSilent(detail=f'{url}: status {answer.status}')
+    if status != HTTPStatus.OK:
+        return PeerSilent(detail=f'{url}: status {status}')
     try:
         return msgspec.json.decode(raw, type=kind)
     except msgspec.MsgspecError as error:
--- a/src/ragwortcourse/entry/routing.py
+++ b/src/ragwortcourse/entry/routing.py
@@ -23,7 +23,6 @@
 _TURNED_DOWN_LIMIT: Final = 16
 
 
-
 def choose_target(
     entry: Entry, work: Work, tried: set[TargetName]
 ) -> Choice | NoChoice:
@@ -66,9 +65,7 @@
         return None
     if choice.record.status is None:
         return None
-    if serves_version(
-        choice.record, deployment, choice.version, work.adapter
-    ):
+    if serves_version(choice.record, deployment, choice.version, work.adapter):
         return None
     return f'does not serve version {choice.version}'
 
@@ -112,9 +109,7 @@
     pool = free or candidates
     nearest = min(rank_distance(entry, one.record)[0] for one in pool)
     ring = [
-        one
-        for one in pool
-        if rank_distance(entry, one.record)[0] == nearest
+        one for one in pool if rank_distance(entry, one.record)[0] == nearest
     ]
     chosen, reason = _pick_in_ring(entry, work, ring)
     return Choice(
@@ -133,10 +128,7 @@
         chosen = _pick_by_prefix(work.prefix, ring)
         if chosen is not None:
             return chosen, 'prefix affinity'
-    if len(ring) <= 2:
-        pair = ring
-    else:
-        pair = entry.rng.sample(ring, 2)
+    pair = entry.rng.sample(ring, min(len(ring), 2))
     chosen = max(
         pair,
         key=lambda one: (one.record.spare, -one.record.latency),
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,178 @@
+"""Tests of :mod:`ragwortcourse.entry.calls`."""
+
+import asyncio
+
+import pytest
+
+from fakes.entries import (
+    make_booking_call,
+    make_entry,
+    make_model_call,
+    make_record,
+)
+from fakes.scripted_agents import ScriptedAgents, Turn
+from ragwortcourse.entry.calls import serve_call
+from ragwortcourse.entry.entry import Entry, drain_entry
+from ragwortcourse.identifiers import RequestId
+from ragwortcourse.messages.attempt import AnswerBrokenError
+from ragwortcourse.messages.call import Call, CallAnswer
+from ragwortcourse.messages.decision import DecisionPoint
+
+pytestmark = pytest.mark.looptime
+
+WHOLE = b'one two'
+
+
+def make_model_entry(agents: ScriptedAgents) -> Entry:
+    """An entry daemon with a model target in its own failure domain."""
+    return make_entry(
+        agents.build_port(),
+        make_record('near', deployment='caption-llm'),
+        make_record('far', deployment='caption-llm', failure_domain='crete-a'),
+    )
+
+
+def make_service_entry(agents: ScriptedAgents) -> Entry:
+    """An entry daemon with a service target in its own failure domain."""
+    return make_entry(
+        agents.build_port(),
+        make_record('near'),
+        make_record('far', failure_domain='crete-a'),
+    )
+
+
+async def collect(entry: Entry, call: Call) -> str:
+    """What the caller got: ``whole``, ``broken`` or outcome and code."""
+    outcome = await serve_call(entry, call)
+    if not isinstance(outcome, CallAnswer):
+        return f'{outcome.error.outcome} {outcome.error.code}'
+    try:
+        body = b''.join([chunk async for chunk in outcome.body])
+    except AnswerBrokenError:
+        return 'broken'
+    assert body == WHOLE
+    return 'whole'
+
+
+class TestLostConnections:
+    """What a caller is told, and what is tried elsewhere."""
+
+    @pytest.mark.parametrize(
+        ('turn', 'told', 'sent'),
+        [
+            (Turn.ANSWER, 'whole', 1),
+            (Turn.FULL, 'whole', 2),
+            (Turn.UNREACHED, 'whole', 2),
+            (Turn.LOST_BEFORE, 'whole', 2),
+            (Turn.LOST_DURING, 'whole', 2),
+            (Turn.LOST_AFTER, 'whole', 2),
+            (Turn.EMPTY, 'whole', 2),
+            (Turn.SHORT, 'broken', 1),
+            (Turn.WRONG_VERSION, 'whole', 2),
+            (Turn.HANG, 'unknown outcome_unknown', 1),
+        ],
+    )
+    async def test_idempotent(self, turn, told, sent):
+        """Idempotent work goes elsewhere until a byte has gone out."""
+        agents = ScriptedAgents()
+        agents.script('near', turn)
+        entry = make_model_entry(agents)
+        assert await collect(entry, make_model_call()) == told
+        assert len(agents.sent) == sent
+        assert not entry.under_way
+        assert {one.in_flight for one in entry.directory.records} == {0}
+
+    @pytest.mark.parametrize(
+        ('turn', 'told', 'sent'),
+        [
+            (Turn.ANSWER, 'whole', 1),
+            (Turn.FULL, 'whole', 2),
+            (Turn.UNREACHED, 'whole', 2),
+            (Turn.LOST_BEFORE, 'not_run target_unreached', 1),
+            (Turn.LOST_DURING, 'unknown outcome_unknown', 1),
+            (Turn.LOST_AFTER, 'completed answer_lost', 1),
+            (Turn.EMPTY, 'unknown outcome_unknown', 1),
+            (Turn.SHORT, 'broken', 1),
+            (Turn.CRASH, 'unknown target_lost', 1),
+            (Turn.HANG, 'unknown outcome_unknown', 1),
+        ],
+    )
+    async def test_not_idempotent(self, turn, told, sent):
+        """Work without a key is sent once, and its outcome is asked for."""
+        agents = ScriptedAgents()
+        agents.script('near', turn)
+        entry = make_service_entry(agents)
+        assert await collect(entry, make_booking_call()) == told
+        assert len(agents.sent) == sent
+        assert len(agents.ran) <= 1
+
+    async def test_late_attempt_is_barred(self):
+        """A request told not to have run does not run when it comes late."""
+        agents = ScriptedAgents()
+        agents.script('near', Turn.LATE)
+        entry = make_service_entry(agents)
+        told = await collect(entry, make_booking_call())
+        assert told == 'not_run target_unreached'
+        await agents.start(*agents.sent[0])
+        assert not agents.ran
+
+    async def test_silent_agent_means_unknown_at_once(self):
+        """Nobody to ask: the outcome is unknown, told before the deadline."""
+        agents = ScriptedAgents()
+        agents.script('near', Turn.LOST_BEFORE)
+        agents.silent.add('near')
+        entry = make_service_entry(agents)
+        call = make_booking_call(time_left=60)
+        async with asyncio.timeout(3):
+            told = await collect(entry, call)
+        assert told == 'unknown outcome_unknown'
+
+    async def test_doubt_outlives_a_later_refusal(self):
+        """After an attempt that may have run, no refusal says not run."""
+        agents = ScriptedAgents()
+        agents.script('near', Turn.LOST_DURING)
+        agents.script('far', Turn.FULL)
+        entry = make_model_entry(agents)
+        told = await collect(entry, make_model_call())
+        assert told == 'unknown outcome_unknown'
+
+
+class TestDrain:
+    """Planned stop of an entry daemon."""
+
+    async def test_answer_under_way_is_finished(self):
+        """A drain refuses what is new and ends after what is under way."""
+        agents = ScriptedAgents()
+        entry = make_model_entry(agents)
+        answer = await serve_call(entry, make_model_call())
+        assert isinstance(answer, CallAnswer)
+        draining = asyncio.create_task(drain_entry(entry))
+        await asyncio.sleep(5)
+        assert not draining.done()
+        told = await collect(entry, make_model_call('r2'))
+        assert told == 'not_run draining'
+        assert [chunk async for chunk in answer.body] == [b'one ', b'two']
+        await asyncio.wait_for(draining, 1)
+
+
+class TestRecords:
+    """What ``explain`` shows of a request."""
+
+    async def test_decisions_are_kept_in_order(self):
+        """A retried request's record names both targets and the reason."""
+        agents = ScriptedAgents()
+        agents.script('near', Turn.FULL)
+        entry = make_model_entry(agents)
+        await collect(entry, make_model_call())
+        record = entry.records.find(RequestId('r1'))
+        assert record is not None
+        points = [decision.point for decision in record.decisions]
+        assert points == [
+            DecisionPoint.ADMISSION,
+            DecisionPoint.ROUTE,
+            DecisionPoint.GATE,
+            DecisionPoint.RETRY,
+            DecisionPoint.VERSION,
+            DecisionPoint.OUTCOME,
+        ]
+        assert record.decisions[3].turned_down == {'near': 'tried before'}
--- /dev/null
+++ b/tests/test_claimed_calls.py
@@ -0,0 +1,193 @@
+"""Tests of :mod:`ragwortcourse.entry.claimed_calls`."""
+
+import asyncio
+
+import pytest
+
+from fakes.entries import make_booking_call, make_entry, make_record
+from fakes.faults import Fault, Faults
+from fakes.memory_table import MemoryRows
+from fakes.scripted_agents import ScriptedAgents, Turn
+from ragwortcourse.entry.calls import serve_call
+from ragwortcourse.entry.entry import Entry
+from ragwortcourse.messages.call import CallAnswer
+from tests.test_calls import collect
+
+pytestmark = pytest.mark.looptime
+
+NOBODY_KNOWS = 'unknown outcome_unknown'
+ANSWER_GONE = 'completed answer_lost'
+
+
+class Site:
+    """Two entry daemons before the same targets and the same table."""
+
+    def __init__(self) -> None:
+        self.rows = MemoryRows()
+        self.agents = ScriptedAgents()
+        self.faults = {'a': Faults(), 'b': Faults()}
+        self.a = self.make_entry('a')
+        self.b = self.make_entry('b')
+
+    def make_entry(self, name: str) -> Entry:
+        """One entry daemon."""
+        return make_entry(
+            self.agents.build_port(),
+            make_record('near'),
+            make_record('far', failure_domain='crete-a'),
+            rows=self.rows,
+            faults=self.faults[name],
+            daemon=name,
+        )
+
+
+class TestResend:
+    """The same key again, at another entry daemon."""
+
+    @pytest.mark.parametrize(
+        ('turn', 'first', 'second'),
+        [
+            (Turn.ANSWER, 'whole', 'whole'),
+            (Turn.FULL, 'whole', 'whole'),
+            (Turn.LOST_BEFORE, 'whole', 'whole'),
+            (Turn.LOST_DURING, NOBODY_KNOWS, 'unknown in_progress'),
+            (Turn.LOST_AFTER, ANSWER_GONE, ANSWER_GONE),
+            (Turn.EMPTY, NOBODY_KNOWS, NOBODY_KNOWS),
+            (Turn.SHORT, 'broken', NOBODY_KNOWS),
+            (Turn.CRASH, 'unknown target_lost', NOBODY_KNOWS),
+        ],
+    )
+    async def test_runs_once(self, turn, first, second):
+        """Whatever became of the first sending, the work runs once."""
+        site = Site()
+        site.agents.script('near', turn)
+        assert await collect(site.a, make_booking_call(key='k')) == first
+        await asyncio.sleep(1)
+        told = await collect(site.b, make_booking_call('r2', key='k'))
+        assert told == second
+        assert len(site.agents.ran) == 1
+
+    async def test_both_refused_runs_at_the_resend(self):
+        """A key whose first sending is proved not to have run is free."""
+        site = Site()
+        site.agents.script('near', Turn.FULL)
+        site.agents.script('far', Turn.FULL)
+        told = await collect(site.a, make_booking_call(key='k'))
+        assert told == 'not_run full'
+        await asyncio.sleep(1)
+        assert (
+            await collect(site.b, make_booking_call('r2', key='k')) == 'whole'
+        )
+        assert len(site.agents.ran) == 1
+
+    async def test_another_body_is_refused(self):
+        """A key is not taken for another request."""
+        site = Site()
+        await collect(site.a, make_booking_call(key='k'))
+        other = make_booking_call('r2', key='k', body=b'another booking')
+        told = await collect(site.b, other)
+        assert told == 'not_run idempotency_key_reused'
+
+    async def test_both_daemons_at_once(self):
+        """The same key at two daemons at once runs once."""
+        site = Site()
+        site.agents.seconds = 0.1
+        told = await asyncio.gather(
+            collect(site.a, make_booking_call(key='k')),
+            collect(site.b, make_booking_call('r2', key='k')),
+        )
+        assert 'whole' in told
+        assert len(site.agents.ran) == 1
+
+
+class TestKilledDaemon:
+    """An entry daemon that dies at some step, and a resend elsewhere."""
+
+    @pytest.mark.parametrize(
+        ('seconds', 'told'),
+        [
+            (0.05, 'whole'),  # the claim is on its way and takes effect
+            (0.15, 'whole'),  # the claim is made, nothing reached the agent
+            (0.35, 'unknown in_progress'),  # the engine has the work
+        ],
+    )
+    async def test_killed_at_each_step(self, seconds, told):
+        """A resend asks the agents that the claim names; it runs once."""
+        site = Site()
+        site.faults['a'].set(Fault.SLOW, seconds=0.1)
+        site.agents.seconds = 0.2
+        site.agents.script('near', Turn.HANG)
+        first = asyncio.create_task(
+            serve_call(site.a, make_booking_call(key='k'))
+        )
+        await asyncio.sleep(seconds)
+        first.cancel()
+        site.agents.script('near')
+        await asyncio.sleep(10)
+        second = await collect(site.b, make_booking_call('r2', key='k'))
+        assert second == told
+        assert len(site.agents.ran) == 1
+
+    async def test_killed_before_the_result_is_written(self):
+        """The answer is lost with the daemon; the work does not run again."""
+        site = Site()
+        answer = await serve_call(site.a, make_booking_call(key='k'))
+        assert isinstance(answer, CallAnswer)
+        site.faults['a'].set(Fault.DOWN)
+        async for _ in answer.body:
+            pass
+        await asyncio.sleep(10)
+        told = await collect(site.b, make_booking_call('r2', key='k'))
+        assert told == 'completed answer_lost'
+        assert len(site.agents.ran) == 1
+
+    async def test_paused_daemon_wakes_after_its_claim_was_barred(self):
+        """What a paused daemon sends late does not run, and it says so."""
+        site = Site()
+        # The pause lies between the claim and the dispatch.
+        site.faults['a'].set(Fault.SLOW, seconds=30, times=1)
+        first = asyncio.create_task(
+            collect(site.a, make_booking_call(key='k', time_left=60))
+        )
+        await asyncio.sleep(15)
+        assert (
+            await collect(site.b, make_booking_call('r2', key='k')) == 'whole'
+        )
+        assert await first == 'whole'
+        assert len(site.agents.ran) == 1
+
+
+class TestTableFaults:
+    """Outages and lost answers of the table service."""
+
+    @pytest.mark.parametrize('fault', [Fault.DOWN, Fault.REFUSED])
+    async def test_outage_refuses_at_once(self, fault):
+        """Without the table nothing is sent, and the refusal says so."""
+        site = Site()
+        site.faults['a'].set(fault)
+        told = await collect(site.a, make_booking_call(key='k'))
+        assert told == 'not_run claims_unavailable'
+        assert not site.agents.sent
+
+    async def test_lost_answer_is_settled_by_the_own_token(self):
+        """A claim that took effect unseen is known by its token."""
+        site = Site()
+        site.faults['a'].set(Fault.ANSWER_LOST, times=1)
+        assert await collect(site.a, make_booking_call(key='k')) == 'whole'
+        assert len(site.agents.ran) == 1
+
+    async def test_result_is_written_after_an_outage(self):
+        """An outage between claim and result does not lose the answer."""
+        site = Site()
+        answer = await serve_call(site.a, make_booking_call(key='k'))
+        assert isinstance(answer, CallAnswer)
+        site.faults['a'].set(Fault.DOWN)
+        async for _ in answer.body:
+            pass
+        await asyncio.sleep(30)
+        site.faults['a'].set(None)
+        await asyncio.sleep(5)
+        assert (
+            await collect(site.b, make_booking_call('r2', key='k')) == 'whole'
+        )
+        assert len(site.agents.ran) == 1
