Add the agent: gate, attempts, relay, HTTP, engine adapter and stand-ins

Cause: the path needs a place where permits, warm-up, duplicate attempts and leaving are decided once for each target. Faults beyond the first tests are still to be proved.

--- /dev/null
+++ b/fakes/engine.py
@@ -0,0 +1,240 @@
+"""A stand-in model engine: ``python -m fakes.engine --listen IP:PORT``."""
+
+import contextlib
+from collections.abc import Mapping
+from typing import NoReturn
+
+import aiohttp
+import click
+import msgspec
+from aiohttp import web
+
+from fakes.engine_faults import EngineFaults
+from fakes.engine_load import EngineLoad
+from fakes.memory_engine import MemoryEngine
+from ragwortcourse.engines.engine import (
+    EngineAnswer,
+    EngineBrokenError,
+    EngineLost,
+    EngineOrder,
+    EngineRequest,
+    EngineSilent,
+    OrderConfirmed,
+    OrderOutcome,
+    OrderRefused,
+    StartOutcome,
+)
+from ragwortcourse.engines.http_engine import ADAPTER, RESUME_FROM
+from ragwortcourse.identifiers import (
+    AdapterName,
+    AttemptId,
+    ModelName,
+    VersionName,
+)
+from ragwortcourse.messages import headers as names
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+CONFLICT = 409
+UNAVAILABLE = 503
+
+
+def build_engine_app(
+    engine: MemoryEngine, *, collector: str = ''
+) -> web.Application:
+    """The HTTP of a stand-in engine.
+
+    :param collector: URL that gets a span for each request; empty: none.
+    """
+    app = web.Application(client_max_size=MAX_BODY_BYTES)
+
+    async def run(request: web.Request) -> web.StreamResponse:
+        wanted = decode_request(request, await request.read())
+        if collector:
+            await post_span(collector, request.headers)
+        sent = request.headers.get(RESUME_FROM)
+        if sent is None:
+            outcome = await engine.start(wanted)
+        else:
+            outcome = await engine.resume(wanted, int(sent))
+        return await send_outcome(request, outcome)
+
+    async def cancel(request: web.Request) -> web.Response:
+        known = await engine.cancel(AttemptId(request.match_info['attempt']))
+        return web.Response(status=204 if known else UNAVAILABLE)
+
+    async def describe(request: web.Request) -> web.Response:
+        state = await engine.describe()
+        if isinstance(state, EngineSilent):
+            break_off(request)
+        return build_json(state)
+
+    async def store(request: web.Request) -> web.Response:
+        place = request.match_info
+        adapter = request.query.get('adapter')
+        outcome = await engine.store_chunk(
+            ModelName(place['model']),
+            VersionName(place['version']),
+            None if adapter is None else AdapterName(adapter),
+            int(place['index']),
+            await request.read(),
+        )
+        return answer_order(request, outcome)
+
+    async def order(request: web.Request) -> web.Response:
+        given = msgspec.json.decode(await request.read(), type=EngineOrder)
+        return answer_order(request, await engine.order(given))
+
+    async def fault(request: web.Request) -> web.Response:
+        engine.faults = msgspec.json.decode(
+            await request.read(), type=EngineFaults
+        )
+        return web.Response(status=204)
+
+    async def count(request: web.Request) -> web.Response:
+        return build_json(dict(engine.runs))
+
+    app.add_routes(
+        [
+            web.get('/state', describe),
+            web.post('/orders', order),
+            web.put('/chunks/{model}/{version}/{index}', store),
+            web.delete('/attempts/{attempt}', cancel),
+            web.put('/faults', fault),
+            web.get('/runs', count),
+            web.route('*', '/{path:.*}', run),
+        ]
+    )
+    return app
+
+
+def decode_request(request: web.Request, body: bytes) -> EngineRequest:
+    """The request as the port puts it."""
+    version = request.headers.get(names.MODEL_VERSION)
+    adapter = request.headers.get(ADAPTER)
+    return EngineRequest(
+        attempt=AttemptId(request.headers.get(names.REQUEST_ID, '')),
+        method=request.method,
+        path=request.raw_path,
+        headers={name.lower(): text for name, text in request.headers.items()},
+        body=body,
+        version=None if version is None else VersionName(version),
+        adapter=None if adapter is None else AdapterName(adapter),
+        priority=int(request.headers.get(names.PRIORITY, '0')),
+    )
+
+
+async def send_outcome(
+    request: web.Request, outcome: StartOutcome
+) -> web.StreamResponse:
+    """Send an answer, or break the connection where there is none."""
+    if isinstance(outcome, EngineLost):
+        break_off(request)
+    if not isinstance(outcome, EngineAnswer):
+        # A process that listens can't be out of reach; it says so instead.
+        return web.Response(status=UNAVAILABLE)
+    response = web.StreamResponse(
+        status=outcome.status, headers=outcome.headers
+    )
+    if outcome.attempt is not None:
+        response.headers[names.REQUEST_ID] = outcome.attempt
+    if outcome.version is not None:
+        response.headers[names.MODEL_VERSION] = outcome.version
+    try:
+        await response.prepare(request)
+        async for piece in outcome.body:
+            await response.write(piece)
+        await response.write_eof()
+    except EngineBrokenError:
+        break_off(request)
+    finally:
+        await close(outcome)
+    return response
+
+
+async def close(answer: EngineAnswer) -> None:
+    """Stop the work of an answer that nobody reads any more."""
+    body = answer.body
+    if hasattr(body, 'aclose'):
+        await body.aclose()
+
+
+def break_off(request: web.Request) -> NoReturn:
+    """Cut the connection.
+
+    :raises ConnectionResetError: always, so that nothing more is sent.
+    """
+    if request.transport is not None:
+        request.transport.abort()
+    raise ConnectionResetError('broken off on demand')
+
+
+def answer_order(request: web.Request, outcome: OrderOutcome) -> web.Response:
+    """The answer to an order, or none where it is to be lost."""
+    if isinstance(outcome, OrderConfirmed):
+        return web.Response()
+    if isinstance(outcome, OrderRefused):
+        return build_json(outcome, status=CONFLICT)
+    break_off(request)
+
+
+def build_json(message: object, *, status: int = 200) -> web.Response:
+    """Anything as a JSON response."""
+    return web.Response(
+        body=msgspec.json.encode(message),
+        status=status,
+        content_type='application/json',
+    )
+
+
+async def post_span(collector: str, headers: Mapping[str, str]) -> None:
+    """Tell a collector that the engine was reached within a trace."""
+    span = {
+        'name': 'engine.request',
+        'traceparent': headers.get(names.TRACE_PARENT, ''),
+    }
+    with contextlib.suppress(aiohttp.ClientError):
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(f'{collector}/spans', json=span),
+        ):
+            pass
+
+
+@click.command()
+@click.option('--listen', required=True, help='ip:port')
+@click.option('--model', default='', help='model held from the start')
+@click.option('--version', default='', help='version held from the start')
+@click.option('--collector', default='', help='URL of a span collector')
+@click.option('--cold', default=EngineLoad().cold)
+@click.option('--warm', default=EngineLoad().warm)
+@click.option('--latency', default=EngineLoad().latency, help='seconds')
+@click.option('--pace', default=EngineLoad().pace, help='seconds')
+@click.option('--ignore-fencing', is_flag=True)
+def main(
+    listen: str,
+    model: str,
+    version: str,
+    collector: str,
+    cold: int,
+    warm: int,
+    latency: float,
+    pace: float,
+    ignore_fencing: bool,
+) -> None:
+    """Run a stand-in model engine until it is told to stop."""
+    host, _, port = listen.rpartition(':')
+
+    async def build() -> web.Application:
+        engine = MemoryEngine(
+            checks_fencing=not ignore_fencing,
+            load=EngineLoad(cold=cold, warm=warm, latency=latency, pace=pace),
+        )
+        if model and version:
+            engine.versions.install(ModelName(model), VersionName(version))
+        return build_engine_app(engine, collector=collector)
+
+    web.run_app(build(), host=host, port=int(port), print=None)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/fakes/memory_engine.py
@@ -0,0 +1,288 @@
+"""An engine or a plain service inside the process, with faults on demand."""
+
+import asyncio
+import collections
+import itertools
+import json
+from collections.abc import AsyncIterator
+
+from fakes.engine_faults import EngineFaults
+from fakes.engine_load import EngineLoad
+from fakes.engine_versions import EngineVersions
+from ragwortcourse.clock import read_clock
+from ragwortcourse.engines.engine import (
+    Engine,
+    EngineAnswer,
+    EngineBrokenError,
+    EngineLost,
+    EngineOrder,
+    EngineRequest,
+    EngineSilent,
+    EngineState,
+    EngineUnreached,
+    OrderConfirmed,
+    OrderOutcome,
+    OrderUnknown,
+    StartOutcome,
+)
+from ragwortcourse.identifiers import (
+    AdapterName,
+    AttemptId,
+    ModelName,
+    VersionName,
+)
+
+CRASH_MARK = b'crash-the-engine'
+RESTART_SECONDS = 0.5
+HANG_SECONDS = 3600
+PIECES = 8
+
+
+class MemoryEngine:
+    """State of one stand-in target.
+
+    :param is_model_engine: false for a plain service.
+    :param can_resume: true where a broken stream can be gone on with.
+    """
+
+    def __init__(
+        self,
+        *,
+        is_model_engine: bool = True,
+        checks_fencing: bool = True,
+        can_resume: bool = True,
+        load: EngineLoad | None = None,
+    ) -> None:
+        self.is_model_engine = is_model_engine
+        self.can_resume = can_resume
+        self.load = load or EngineLoad()
+        self.faults = EngineFaults()
+        self.versions = EngineVersions(checks_fencing=checks_fencing)
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.cancelled: list[AttemptId] = []
+        self.deaths = 0
+        self.dead_until: float = 0
+        self._checks_fencing = checks_fencing
+        self._instances = itertools.count(1)
+        self._instance = next(self._instances)
+        self._died = asyncio.Event()
+        self._report: tuple[float, int, int] = (0, 0, 0)
+
+    def build(self) -> Engine:
+        """The port to this target."""
+        return Engine(
+            start=self.start,
+            resume=self.resume,
+            cancel=self.cancel,
+            describe=self.describe,
+            store_chunk=self.store_chunk,
+            order=self.order,
+        )
+
+    def die(self, *, downtime: float = RESTART_SECONDS) -> None:
+        """Lose everything under way and every version, and start anew."""
+        self.deaths += 1
+        self.dead_until = read_clock() + downtime
+        self._instance = next(self._instances)
+        died, self._died = self._died, asyncio.Event()
+        died.set()
+        self.load.cool()
+        active = dict(self.versions.active)
+        self.versions = EngineVersions(checks_fencing=self._checks_fencing)
+        for model, version in active.items():
+            self.versions.install(model, version)
+
+    async def start(self, request: EngineRequest) -> StartOutcome:
+        """Run a request; see :class:`Engine`."""
+        if self._is_down() or self.faults.use_up('unreached'):
+            return EngineUnreached(detail='nobody listens')
+        key = request.headers.get('idempotency-key', request.attempt)
+        self.runs[key] += 1
+        if CRASH_MARK in request.body:
+            self.die()
+            return EngineLost(detail='the engine died')
+        return await self._answer(request, 0)
+
+    async def resume(self, request: EngineRequest, sent: int) -> StartOutcome:
+        """Go on with a stream; see :class:`Engine`."""
+        if self._is_down():
+            return EngineUnreached(detail='nobody listens')
+        if not self.can_resume:
+            return EngineLost(detail='this engine resumes nothing')
+        return await self._answer(request, sent)
+
+    async def cancel(self, attempt: AttemptId) -> bool:
+        """Stop a request; see :class:`Engine`."""
+        self.cancelled.append(attempt)
+        return not self._is_down()
+
+    async def describe(self) -> EngineState | EngineSilent:
+        """State as of the last report; see :class:`Engine`."""
+        if self._is_down() or self.faults.silent:
+            return EngineSilent(detail='nobody listens')
+        now = read_clock()
+        stale = now - self._report[0] >= self.load.report_lag
+        if stale and not self.faults.frozen_reports:
+            bearable = self.load.read_bearable()
+            self._report = (now, self.load.running, bearable)
+        made_at, running, bearable = self._report
+        return EngineState(
+            instance=f'instance-{self._instance}',
+            running=running,
+            bearable=bearable if self.load.reports else None,
+            age=now - made_at,
+            versions=self.versions.describe(),
+        )
+
+    async def store_chunk(
+        self,
+        model: ModelName,
+        version: VersionName,
+        adapter: AdapterName | None,
+        index: int,
+        chunk: bytes,
+    ) -> OrderOutcome:
+        """Keep a chunk; see :class:`Engine`."""
+        if self._is_down():
+            return OrderUnknown(detail='nobody listens')
+        if self.faults.use_up('truncated_chunks'):
+            chunk = chunk[:-1]
+        self.versions.store((model, version, adapter), index, chunk)
+        return OrderConfirmed()
+
+    async def order(self, given: EngineOrder) -> OrderOutcome:
+        """Follow an order; see :class:`Engine`."""
+        if self._is_down():
+            return OrderUnknown(detail='nobody listens')
+        outcome = self.versions.follow(given)
+        if self.faults.use_up('lost_orders'):
+            return OrderUnknown(detail='the answer was lost')
+        return outcome
+
+    def _is_down(self) -> bool:
+        return read_clock() < self.dead_until
+
+    async def _answer(self, request: EngineRequest, sent: int) -> StartOutcome:
+        died = self._died
+        self.load.begin()
+        begun = True
+        try:
+            if self.load.dies:
+                self.die()
+            await asyncio.sleep(self.load.latency * self.load.read_slowdown())
+            if died.is_set() or self.faults.use_up('lost'):
+                return EngineLost(detail='the connection broke')
+            answer = self._build_answer(request, sent, died)
+            begun = False
+            return answer
+        finally:
+            if begun:
+                self.load.end()
+
+    def _build_answer(
+        self, request: EngineRequest, sent: int, died: asyncio.Event
+    ) -> EngineAnswer:
+        attempt = request.attempt
+        if self.faults.use_up('crossed'):
+            attempt = AttemptId(f'not-{attempt}')
+        version = self._read_version(request)
+        if self.faults.use_up('wrong_version'):
+            version = VersionName('another')
+        streamed = self.is_model_engine and b'"stream":true' in (
+            request.body.replace(b' ', b'')
+        )
+        kind = 'text/event-stream' if streamed else 'application/json'
+        pieces = self._build_pieces(request, version, streamed=streamed)
+        body = EngineBody(engine=self, died=died, pieces=skip(pieces, sent))
+        return EngineAnswer(
+            status=200,
+            headers={'content-type': kind},
+            attempt=attempt,
+            version=version,
+            body=body,
+        )
+
+    def _read_version(self, request: EngineRequest) -> VersionName | None:
+        if not self.is_model_engine:
+            return None
+        if request.version in self.versions.active.values():
+            return request.version
+        return next(iter(self.versions.active.values()), None)
+
+    def _build_pieces(
+        self,
+        request: EngineRequest,
+        version: VersionName | None,
+        *,
+        streamed: bool,
+    ) -> list[bytes]:
+        if not self.is_model_engine:
+            key = request.headers.get('idempotency-key', request.attempt)
+            return [json.dumps({'runs': self.runs[key]}).encode()]
+        words = [f'{version}-{index}' for index in range(PIECES)]
+        if not streamed:
+            message = {'role': 'assistant', 'content': ' '.join(words)}
+            whole = {'model': version, 'choices': [{'message': message}]}
+            return [json.dumps(whole).encode()]
+        pieces = [
+            b'data: %s\n\n'
+            % json.dumps({'choices': [{'delta': {'content': word}}]}).encode()
+            for word in words
+        ]
+        if not self.faults.use_up('no_end'):
+            pieces.append(b'data: [DONE]\n\n')
+        return pieces
+
+
+class EngineBody:
+    """The body of one answer, piece by piece in time.
+
+    :param died: set once the engine that makes it has died.
+    """
+
+    def __init__(
+        self,
+        *,
+        engine: MemoryEngine,
+        died: asyncio.Event,
+        pieces: list[bytes],
+    ) -> None:
+        self._engine = engine
+        self._died = died
+        self._pieces = pieces
+        self._open = True
+        cuts = engine.faults.cut_after
+        self._left = cuts.pop(0) if cuts else None
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        return self
+
+    async def __anext__(self) -> bytes:
+        load = self._engine.load
+        if not self._pieces:
+            await self.aclose()
+            raise StopAsyncIteration
+        await asyncio.sleep(load.pace * load.read_slowdown())
+        piece = self._pieces.pop(0)
+        if self._left is not None:
+            piece = piece[: self._left]
+            self._left -= len(piece)
+        if self._died.is_set() or not piece:
+            await self.aclose()
+            raise EngineBrokenError('the connection broke')
+        return piece
+
+    async def aclose(self) -> None:
+        """Stop the work; once is enough."""
+        if self._open:
+            self._open = False
+            self._engine.load.end()
+
+
+def skip(pieces: list[bytes], sent: int) -> list[bytes]:
+    """The pieces after so many bytes."""
+    left: list[bytes] = []
+    for piece in pieces:
+        left.append(piece[sent:])
+        sent = max(sent - len(piece), 0)
+    return [piece for piece in left if piece]
--- /dev/null
+++ b/src/ragwortcourse/agent/agent.py
@@ -0,0 +1,99 @@
+"""Everything one agent holds."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from ragwortcourse.agent.attempt_records import AttemptRecords
+from ragwortcourse.agent.gate import Gate
+from ragwortcourse.agent.served import ServedVersions
+from ragwortcourse.agent.suspects import CrashSuspects
+from ragwortcourse.agent.warmup import WarmLimit
+from ragwortcourse.configuration.deployment import Deployment
+from ragwortcourse.configuration.holder import ConfigurationHolder
+from ragwortcourse.configuration.limits import TargetLimits
+from ragwortcourse.engines.engine import Engine
+from ragwortcourse.messages.outcome import NotRun
+from ragwortcourse.messages.peer_port import DaemonPort
+from ragwortcourse.settings import AgentSettings, Settings
+
+LEAVING_RETRY_SECONDS = 1.0
+
+
+class Agent:
+    """One target's agent.
+
+    :param daemon_port: through which newer documents are fetched.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        holder: ConfigurationHolder,
+        engine: Engine,
+        daemon_port: DaemonPort | None = None,
+    ) -> None:
+        if settings.agent is None:
+            raise ValueError('settings: [agent] is missing')
+        self.settings = settings
+        self.target: AgentSettings = settings.agent
+        self.holder = holder
+        self.engine = engine
+        self.daemon_port = daemon_port
+        self.served = ServedVersions()
+        self.limit = WarmLimit(read_limits=self.read_limits)
+        self.gate = Gate(
+            read_limit=self.limit.read,
+            read_queue_limit=lambda: self.read_limits().queue,
+            read_closed=self.read_closed,
+        )
+        self.records = AttemptRecords()
+        self.suspects = CrashSuspects()
+        self.leaving = False
+        self._background: set[asyncio.Task[None]] = set()
+
+    def read_limits(self) -> TargetLimits:
+        """Limits that the configuration in force gives the target."""
+        document = self.holder.document
+        if document is None:
+            return TargetLimits()
+        configuration = document.configuration
+        deployments: tuple[Deployment, ...] = (
+            *configuration.models,
+            *configuration.services,
+        )
+        for deployment in deployments:
+            if deployment.name == self.target.deployment:
+                return deployment.limits
+        return TargetLimits()
+
+    def read_closed(self) -> NotRun | None:
+        """None while new work is taken, else its refusal."""
+        if self.leaving:
+            return NotRun(
+                code='leaving',
+                detail=f'target {self.target.target} is leaving',
+                retry_after=LEAVING_RETRY_SECONDS,
+            )
+        withdrawn = self.holder.is_withdrawn(
+            self.target.target, self.settings.failure_domain
+        )
+        if withdrawn:
+            return NotRun(
+                code='withdrawn',
+                detail=f'target {self.target.target} is withdrawn',
+                retry_after=LEAVING_RETRY_SECONDS,
+            )
+        return None
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Go on with work that nobody waits for."""
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def wait_for_background(self) -> None:
+        """Return once no work is left that nobody waits for."""
+        while self._background:
+            await asyncio.wait(self._background)
--- /dev/null
+++ b/src/ragwortcourse/agent/attempts.py
@@ -0,0 +1,223 @@
+"""Attempts at this agent's target: run once, barred, reported."""
+
+import asyncio
+import contextlib
+import dataclasses
+from typing import Final
+
+from opentelemetry import metrics, trace
+from opentelemetry.propagate import extract
+
+from ragwortcourse.agent.agent import Agent
+from ragwortcourse.agent.attempt_record import AttemptRecord
+from ragwortcourse.agent.detached_body import DetachedBody
+from ragwortcourse.agent.learning import learn
+from ragwortcourse.agent.refusals import (
+    BAD_GATEWAY,
+    GATEWAY_TIMEOUT,
+    describe_barred,
+    refuse,
+    refuse_duplicate,
+)
+from ragwortcourse.agent.relay import (
+    Progress,
+    cancel_run,
+    close_body,
+    find_mismatch,
+    is_model_stream,
+    read_to_end,
+    relay_answer,
+)
+from ragwortcourse.agent.run import Run
+from ragwortcourse.agent.ticket import Ticket
+from ragwortcourse.clock import read_clock
+from ragwortcourse.engines.engine import (
+    EngineAnswer,
+    EngineUnreached,
+    StartOutcome,
+)
+from ragwortcourse.identifiers import AttemptId
+from ragwortcourse.messages.attempt import (
+    AnswerBrokenError,
+    Attempt,
+    AttemptAnswer,
+    AttemptOutcome,
+)
+from ragwortcourse.messages.attempt_report import AttemptReport, AttemptState
+from ragwortcourse.messages.outcome import NotRun, Unknown
+
+TRACER: Final = trace.get_tracer(__name__)
+METER: Final = metrics.get_meter(__name__)
+DROPPED: Final = METER.create_counter('ragwortcourse.answers.dropped')
+
+
+async def run_attempt(agent: Agent, attempt: Attempt) -> AttemptOutcome:
+    """Run an attempt once, as soon as the gate lets it.
+
+    :return: the answer with its body still coming, or a refusal that says
+        whether the work ran.
+    """
+    learn(agent, attempt.sender, attempt.generation)
+    known = agent.records.find(attempt.attempt)
+    if known is not None:
+        return refuse_duplicate(agent, known.state)
+    context = extract(attempt.headers)
+    with TRACER.start_as_current_span('agent.attempt', context=context):
+        record = agent.records.accept(attempt.attempt)
+        admitted = await admit_attempt(agent, attempt, record)
+        if isinstance(admitted, Run):
+            return await start_run(admitted)
+        agent.records.drop_refused(record)
+        return refuse(agent, admitted)
+
+
+async def bar_attempt(
+    agent: Agent, attempt: AttemptId, age: float
+) -> AttemptReport:
+    """Report an attempt; one that never started never will.
+
+    :param age: seconds since the attempt was sent.
+    """
+    return agent.records.bar(attempt, age)
+
+
+async def admit_attempt(
+    agent: Agent, attempt: Attempt, record: AttemptRecord
+) -> Run | NotRun:
+    """Get a permit for an attempt, or the reason why it gets none."""
+    unserved = find_unserved(agent, attempt)
+    if unserved is not None:
+        return unserved
+    ticket = Ticket(
+        account=attempt.account,
+        weight=attempt.weight,
+        deadline=read_clock() + attempt.time_left,
+        priority=attempt.priority,
+        suspect=attempt.suspect,
+    )
+    try:
+        refusal = await agent.gate.acquire(ticket)
+    except asyncio.CancelledError:
+        agent.records.drop_refused(record)
+        raise
+    if refusal is not None:
+        return refusal
+    # Much can have changed while the attempt waited for its permit.
+    if record.state is AttemptState.BARRED:
+        refusal = describe_barred()
+    else:
+        refusal = find_unserved(agent, attempt)
+    if refusal is not None:
+        agent.gate.give_back(ticket)
+        return refusal
+    return Run(agent=agent, attempt=attempt, record=record, ticket=ticket)
+
+
+def find_unserved(agent: Agent, attempt: Attempt) -> NotRun | None:
+    """The refusal of a model version that the target may not answer with."""
+    if attempt.model is None:
+        return None
+    served = attempt.version is not None and agent.served.allows(
+        attempt.model, attempt.version, attempt.adapter
+    )
+    if served:
+        return None
+    return NotRun(
+        code='version_not_served',
+        detail=f'{attempt.model} {attempt.version} is not served here',
+    )
+
+
+async def start_run(run: Run) -> AttemptOutcome:
+    """Hand the work to the target and wait for its first word."""
+    request = run.build_request()
+    start = asyncio.ensure_future(run.agent.engine.start(request))
+    try:
+        async with asyncio.timeout(run.attempt.time_left):
+            outcome = await asyncio.shield(start)
+    except TimeoutError:
+        run.agent.spawn(finish_late(run, start))
+        return refuse(
+            run.agent,
+            Unknown(
+                code='deadline_passed',
+                detail='the target had not answered by the deadline',
+            ),
+            GATEWAY_TIMEOUT,
+        )
+    except asyncio.CancelledError:
+        run.agent.spawn(finish_late(run, start))
+        raise
+    return await judge_outcome(run, outcome)
+
+
+async def finish_late(run: Run, start: asyncio.Future[StartOutcome]) -> None:
+    """End work whose answer nobody waits for any more."""
+    if run.attempt.idempotent:
+        start.cancel()
+        await asyncio.wait([start])
+        await cancel_run(run, None)
+        return
+    outcome = await judge_outcome(run, await start)
+    if isinstance(outcome, AttemptAnswer):
+        with contextlib.suppress(AnswerBrokenError):
+            await read_to_end(outcome.body)
+
+
+async def judge_outcome(run: Run, outcome: StartOutcome) -> AttemptOutcome:
+    """Turn the target's first word into the attempt's outcome."""
+    agent = run.agent
+    if isinstance(outcome, EngineAnswer):
+        return await pass_answer(run, outcome)
+    if isinstance(outcome, EngineUnreached):
+        agent.limit.fall_back('unreached')
+        run.end(AttemptState.REFUSED)
+        refusal = NotRun(
+            code='target_unreached', detail=outcome.detail, retry_after=1
+        )
+        return refuse(agent, refusal)
+    await run.end_lost()
+    return refuse(
+        agent,
+        Unknown(code='target_lost', detail=outcome.detail),
+        BAD_GATEWAY,
+        suspect=run.record.suspect,
+    )
+
+
+async def pass_answer(run: Run, answer: EngineAnswer) -> AttemptOutcome:
+    """Pass an answer on, if it is the one that was asked for."""
+    mismatch = find_mismatch(run, answer)
+    if mismatch is not None:
+        return await drop_answer(run, answer, mismatch)
+    run.note_first_byte(answer.status)
+    is_stream = is_model_stream(run, answer)
+    if not run.attempt.idempotent:
+        answer = dataclasses.replace(
+            answer, body=DetachedBody(body=answer.body)
+        )
+    progress = Progress(answer=answer, is_stream=is_stream)
+    body = relay_answer(run, progress)
+    await anext(body)
+    return AttemptAnswer(
+        status=answer.status,
+        headers=answer.headers,
+        body=body,
+        spare=run.agent.gate.spare,
+        generation=run.agent.holder.generation,
+        version=answer.version,
+    )
+
+
+async def drop_answer(
+    run: Run, answer: EngineAnswer, mismatch: str
+) -> AttemptOutcome:
+    """Refuse an answer to something else, or from another version."""
+    DROPPED.add(1, {'code': mismatch})
+    if run.attempt.idempotent:
+        await cancel_run(run, answer)
+    else:
+        await close_body(answer)
+        run.end(AttemptState.BROKEN)
+    detail = f'answer for {answer.attempt} from version {answer.version}'
+    return refuse(run.agent, Unknown(code=mismatch, detail=detail), BAD_GATEWAY)
--- /dev/null
+++ b/src/ragwortcourse/agent/relay.py
@@ -0,0 +1,177 @@
+"""The target's answer on its way back: checked, resumed, never short."""
+
+import contextlib
+import dataclasses
+from collections.abc import AsyncGenerator, AsyncIterator
+from typing import Final
+
+from opentelemetry import metrics
+
+from ragwortcourse.agent.run import Run
+from ragwortcourse.engines.engine import (
+    EngineAnswer,
+    EngineBrokenError,
+    StartOutcome,
+)
+from ragwortcourse.messages.attempt import AnswerBrokenError, AttemptAnswer
+from ragwortcourse.messages.attempt_report import AttemptState
+
+STREAM_END: Final = b'data: [DONE]'
+TAIL_BYTES: Final = 24
+MAX_RESUMES: Final = 3
+HTTP_OK: Final = 200
+
+METER: Final = metrics.get_meter(__name__)
+RESUMED: Final = METER.create_counter('ragwortcourse.streams.resumed')
+BROKEN: Final = METER.create_counter('ragwortcourse.streams.broken')
+
+
+@dataclasses.dataclass(eq=False, slots=True, kw_only=True)
+class Progress:
+    """How far the relay of one answer came.
+
+    :param sent: body bytes passed on.
+    :param tail: the last few of them, for streams.
+    """
+
+    answer: EngineAnswer
+    sent: int = 0
+    tail: bytes = b''
+    resumes: int = 0
+    is_stream: bool = False
+
+    def pass_on(self, chunk: bytes) -> None:
+        """Count a chunk."""
+        self.sent += len(chunk)
+        if self.is_stream:
+            tail = self.tail + chunk[-TAIL_BYTES:]
+            self.tail = tail[-TAIL_BYTES:]
+
+    @property
+    def whole(self) -> bool:
+        """Tell whether a body that ended may have ended here."""
+        return not self.is_stream or STREAM_END in self.tail
+
+
+def find_mismatch(run: Run, answer: EngineAnswer) -> str | None:
+    """Code of what shows that an answer is not the one asked for."""
+    attempt = run.attempt
+    is_model = attempt.model is not None
+    if answer.attempt is None and not is_model:
+        return None
+    if answer.attempt != attempt.attempt:
+        return 'crossed_answer'
+    if is_model and answer.version != attempt.version:
+        return 'wrong_version'
+    return None
+
+
+def is_model_stream(run: Run, answer: EngineAnswer) -> bool:
+    """Tell whether the answer must end with the end mark of a stream."""
+    kind = answer.headers.get('content-type', '')
+    return (
+        run.attempt.model is not None
+        and answer.status == HTTP_OK
+        and kind.startswith('text/event-stream')
+    )
+
+
+async def relay_answer(run: Run, progress: Progress) -> AsyncGenerator[bytes]:
+    """The body in chunks, an empty one first.
+
+    The empty chunk lets the caller enter the generator, so that closing
+    it at any time gives the permit back.
+
+    :raises AnswerBrokenError: where the answer can't be brought to its end.
+    """
+    try:
+        yield b''
+        async with contextlib.aclosing(follow_answer(run, progress)) as body:
+            async for chunk in body:
+                yield chunk
+    finally:
+        abandon(run, progress.answer, progress)
+
+
+async def follow_answer(run: Run, progress: Progress) -> AsyncGenerator[bytes]:
+    """The body in chunks, resumed where it breaks."""
+    while True:
+        with contextlib.suppress(EngineBrokenError):
+            async for chunk in progress.answer.body:
+                progress.pass_on(chunk)
+                yield chunk
+            if progress.whole:
+                run.end(AttemptState.COMPLETED)
+                return
+        await resume_answer(run, progress)
+
+
+async def resume_answer(run: Run, progress: Progress) -> None:
+    """Go on with a broken answer on the same version."""
+    outcome: StartOutcome | None = None
+    if progress.resumes < MAX_RESUMES:
+        progress.resumes += 1
+        outcome = await run.agent.engine.resume(
+            run.build_request(), progress.sent
+        )
+    if not isinstance(outcome, EngineAnswer):
+        await break_off(run)
+        raise AnswerBrokenError(run.attempt.attempt)
+    if outcome.status != HTTP_OK or find_mismatch(run, outcome) is not None:
+        await break_off(run)
+        raise AnswerBrokenError(run.attempt.attempt)
+    RESUMED.add(1)
+    progress.answer = outcome
+
+
+async def break_off(run: Run) -> None:
+    """End an attempt whose answer can't be brought to its end."""
+    BROKEN.add(1)
+    await run.end_lost()
+
+
+def abandon(
+    run: Run, answer: EngineAnswer | None, progress: Progress | None = None
+) -> None:
+    """Let go of an attempt whose entry daemon went away.
+
+    Idempotent work is cancelled at the target; other work runs to its
+    end, and its outcome is kept for the report.
+    """
+    if run.ended:
+        return
+    if run.attempt.idempotent or progress is None:
+        run.agent.spawn(cancel_run(run, answer))
+    else:
+        run.agent.spawn(drain_answer(run, progress))
+
+
+async def cancel_run(run: Run, answer: EngineAnswer | None) -> None:
+    """Stop the work at the target, then give the permit back."""
+    try:
+        await run.agent.engine.cancel(run.attempt.attempt)
+        await close_body(answer)
+    finally:
+        run.end(AttemptState.BROKEN)
+
+
+async def drain_answer(run: Run, progress: Progress) -> None:
+    """Read an answer to its end for nobody."""
+    with contextlib.suppress(AnswerBrokenError):
+        await read_to_end(follow_answer(run, progress))
+
+
+async def close_body(answer: EngineAnswer | AttemptAnswer | None) -> None:
+    """Let go of an answer that nobody reads."""
+    if answer is None:
+        return
+    close = getattr(answer.body, 'aclose', None)
+    if close is not None:
+        await close()
+
+
+async def read_to_end(body: AsyncIterator[bytes]) -> None:
+    """Read a body for nobody."""
+    more: bytes | None = b''
+    while more is not None:
+        more = await anext(body, None)
--- /dev/null
+++ b/src/ragwortcourse/agent/run.py
@@ -0,0 +1,104 @@
+"""One attempt that holds a permit."""
+
+from opentelemetry.propagate import inject
+
+from ragwortcourse.agent.agent import Agent
+from ragwortcourse.agent.attempt_record import AttemptRecord
+from ragwortcourse.agent.suspects import UnderWay
+from ragwortcourse.agent.ticket import Ticket
+from ragwortcourse.clock import read_clock
+from ragwortcourse.engines.engine import EngineRequest, EngineSilent
+from ragwortcourse.messages import headers as names
+from ragwortcourse.messages.attempt import Attempt
+from ragwortcourse.messages.attempt_report import AttemptState
+
+OVERLOAD_STATUSES = frozenset((429, 503))
+SERVER_ERROR = 500
+
+
+class Run:
+    """Holds the permit, and gives it back exactly once.
+
+    :param ticket: what the permit was given for.
+    """
+
+    def __init__(
+        self,
+        *,
+        agent: Agent,
+        attempt: Attempt,
+        record: AttemptRecord,
+        ticket: Ticket,
+    ) -> None:
+        self.agent = agent
+        self.attempt = attempt
+        self.record = record
+        self.ended = False
+        self.latency: float = 0
+        self._ticket = ticket
+        self._started_at = read_clock()
+        self._instance = agent.limit.instance
+        record.state = AttemptState.RUNNING
+        record.version = attempt.version
+        agent.suspects.begin(
+            UnderWay(
+                attempt=attempt.attempt,
+                fingerprint=attempt.fingerprint,
+                instance=self._instance,
+                suspect=attempt.suspect,
+            ),
+        )
+
+    def build_request(self) -> EngineRequest:
+        """What the target is asked."""
+        attempt = self.attempt
+        headers = dict(attempt.headers)
+        headers[names.REQUEST_ID] = attempt.attempt
+        inject(headers)
+        return EngineRequest(
+            attempt=attempt.attempt,
+            method=attempt.method,
+            path=attempt.path,
+            headers=headers,
+            body=attempt.body,
+            version=attempt.version,
+            adapter=attempt.adapter,
+            priority=attempt.priority,
+        )
+
+    def note_first_byte(self, status: int) -> None:
+        """Take the status and the time to it as evidence."""
+        self.latency = read_clock() - self._started_at
+        self.record.status = status
+        if status in OVERLOAD_STATUSES:
+            self.agent.limit.fall_back('overload')
+
+    def end(self, state: AttemptState) -> None:
+        """Give the permit back and keep how the attempt ended."""
+        if self.ended:
+            return
+        self.ended = True
+        agent = self.agent
+        status = self.record.status or SERVER_ERROR
+        clean = state is AttemptState.COMPLETED and status < SERVER_ERROR
+        self.record.state = state
+        self.record.suspect = agent.suspects.is_accused(self.attempt.attempt)
+        agent.suspects.end(self.attempt.attempt, clean=clean)
+        if clean:
+            agent.limit.note_answer(self.latency, agent.gate.running)
+        agent.gate.release(self._ticket, read_clock() - self._started_at)
+
+    async def end_lost(self) -> None:
+        """End after the target broke off; find out whether it died."""
+        self.agent.limit.fall_back('lost')
+        try:
+            if await self._has_target_died():
+                self.agent.suspects.accuse(self._instance)
+        finally:
+            self.end(AttemptState.BROKEN)
+
+    async def _has_target_died(self) -> bool:
+        state = await self.agent.engine.describe()
+        if isinstance(state, EngineSilent):
+            return True
+        return state.instance != self._instance
--- /dev/null
+++ b/src/ragwortcourse/agent/server.py
@@ -0,0 +1,173 @@
+"""The agent's HTTP, for entry daemons."""
+
+import asyncio
+import contextlib
+from typing import Final
+
+import msgspec
+from aiohttp import web
+
+from ragwortcourse.agent.agent import Agent
+from ragwortcourse.agent.attempt_codec import (
+    MILLISECONDS,
+    AttemptMalformed,
+    decode_attempt,
+    select_relayed,
+)
+from ragwortcourse.agent.attempts import bar_attempt, run_attempt
+from ragwortcourse.agent.relay import close_body
+from ragwortcourse.agent.status import answer_heartbeat
+from ragwortcourse.identifiers import AttemptId, RequestId
+from ragwortcourse.messages import headers as names
+from ragwortcourse.messages.attempt import (
+    AnswerBrokenError,
+    AttemptAnswer,
+    AttemptOutcome,
+    AttemptRefused,
+)
+from ragwortcourse.messages.error_body import ErrorBody, ErrorDetail
+from ragwortcourse.messages.heartbeat import Heartbeat
+from ragwortcourse.messages.outcome import NotRun
+from ragwortcourse.messages.peer_port import DaemonPort
+
+DISCONNECT_POLL_SECONDS: Final = 0.25
+BAD_REQUEST: Final = 400
+JSON: Final = 'application/json'
+
+
+def build_agent_routes(
+    *, agent: Agent, daemon_port: DaemonPort
+) -> list[web.RouteDef]:
+    """Routes of the peers' port of an agent."""
+    agent.daemon_port = agent.daemon_port or daemon_port
+
+    async def handle_attempt(request: web.Request) -> web.StreamResponse:
+        attempt = decode_attempt(
+            AttemptId(request.match_info['attempt']),
+            request.headers,
+            await request.read(),
+        )
+        if isinstance(attempt, AttemptMalformed):
+            return build_malformed(attempt.detail)
+        work = asyncio.create_task(run_attempt(agent, attempt))
+        outcome = await wait_while_connected(request, work)
+        if isinstance(outcome, AttemptAnswer):
+            return await send_answer(request, outcome)
+        if isinstance(outcome, AttemptRefused):
+            return build_refusal(attempt.request, outcome)
+        raise AssertionError(outcome)
+
+    async def handle_bar(request: web.Request) -> web.Response:
+        try:
+            age = float(request.headers[names.AGE_MS]) / MILLISECONDS
+        except (KeyError, ValueError):
+            return build_malformed(f'header {names.AGE_MS}: milliseconds')
+        report = await bar_attempt(
+            agent, AttemptId(request.match_info['attempt']), age
+        )
+        return build_json(report)
+
+    async def handle_status(request: web.Request) -> web.Response:
+        try:
+            heartbeat = msgspec.json.decode(
+                await request.read(), type=Heartbeat
+            )
+        except msgspec.DecodeError as error:
+            return build_malformed(str(error))
+        return build_json(await answer_heartbeat(agent, heartbeat))
+
+    return [
+        web.post('/attempts/{attempt}', handle_attempt),
+        web.post('/attempts/{attempt}/bar', handle_bar),
+        web.post('/status', handle_status),
+    ]
+
+
+async def wait_while_connected(
+    request: web.Request, work: asyncio.Task[AttemptOutcome]
+) -> AttemptOutcome:
+    """The outcome of the work, which ends with its connection."""
+    try:
+        while not work.done():
+            await asyncio.wait([work], timeout=DISCONNECT_POLL_SECONDS)
+            if request.transport is None:
+                work.cancel()
+        return await work
+    finally:
+        work.cancel()
+
+
+async def send_answer(
+    request: web.Request, answer: AttemptAnswer
+) -> web.StreamResponse:
+    """Relay an answer; abort the connection where it ends short."""
+    response = web.StreamResponse(
+        status=answer.status, headers=select_relayed(answer.headers)
+    )
+    response.headers[names.SPARE] = str(answer.spare)
+    response.headers[names.GENERATION] = str(answer.generation)
+    if answer.version is not None:
+        response.headers[names.MODEL_VERSION] = answer.version
+    try:
+        await response.prepare(request)
+        async for chunk in answer.body:
+            await response.write(chunk)
+        await response.write_eof()
+    except AnswerBrokenError:
+        abort_connection(request)
+    except ConnectionError:
+        # The entry daemon went away; closing the body lets the work go.
+        pass
+    finally:
+        await close_body(answer)
+    return response
+
+
+def abort_connection(request: web.Request) -> None:
+    """Let the peer see that the answer has no end."""
+    if request.transport is not None:
+        with contextlib.suppress(AttributeError):
+            request.transport.abort()
+
+
+def build_refusal(request: RequestId, refused: AttemptRefused) -> web.Response:
+    """A refusal, in headers for programs and in JSON for both."""
+    outcome = refused.outcome
+    retry_after = outcome.retry_after if isinstance(outcome, NotRun) else None
+    detail = ErrorDetail(
+        code=outcome.code,
+        message=outcome.detail,
+        outcome=outcome.kind,
+        request=request,
+        retry_after=retry_after,
+    )
+    response = build_json(ErrorBody(error=detail), status=refused.status)
+    response.headers[names.ERROR_CODE] = outcome.code
+    response.headers[names.OUTCOME] = outcome.kind
+    response.headers[names.SPARE] = str(refused.spare)
+    response.headers[names.GENERATION] = str(refused.generation)
+    response.headers[names.SUSPECT] = str(int(refused.suspect))
+    if retry_after is not None:
+        response.headers[names.RETRY_AFTER] = str(retry_after)
+    return response
+
+
+def build_malformed(detail: str) -> web.Response:
+    """A refusal of what can't be read; it proves that nothing ran."""
+    outcome = NotRun(code='malformed', detail=detail)
+    body = ErrorBody(
+        error=ErrorDetail(
+            code=outcome.code, message=detail, outcome=outcome.kind
+        ),
+    )
+    response = build_json(body, status=BAD_REQUEST)
+    response.headers[names.ERROR_CODE] = outcome.code
+    response.headers[names.OUTCOME] = outcome.kind
+    return response
+
+
+def build_json(message: msgspec.Struct, *, status: int = 200) -> web.Response:
+    """A message as a JSON response."""
+    return web.Response(
+        body=msgspec.json.encode(message), status=status, content_type=JSON
+    )
--- /dev/null
+++ b/src/ragwortcourse/agent/status.py
@@ -0,0 +1,26 @@
+"""The target's status, in answer to a heartbeat."""
+
+from ragwortcourse.agent.agent import Agent
+from ragwortcourse.agent.learning import learn
+from ragwortcourse.messages.heartbeat import Heartbeat
+from ragwortcourse.messages.target_status import TargetStatus
+
+
+async def answer_heartbeat(agent: Agent, heartbeat: Heartbeat) -> TargetStatus:
+    """Take in what the sender knows and give the state of the target."""
+    for withdrawal in heartbeat.withdrawals:
+        agent.holder.withdraw(withdrawal)
+    learn(agent, heartbeat.sender, heartbeat.generation)
+    return TargetStatus(
+        target=agent.target.target,
+        deployment=agent.target.deployment,
+        failure_domain=agent.settings.failure_domain,
+        limit=agent.limit.read(),
+        running=agent.gate.running,
+        queued=agent.gate.queued,
+        leaving=agent.leaving,
+        served=agent.served.versions,
+        generation=agent.holder.generation,
+        withdrawals=agent.holder.withdrawals,
+        suspects=agent.suspects.fingerprints,
+    )
--- /dev/null
+++ b/src/ragwortcourse/agent/warmup.py
@@ -0,0 +1,138 @@
+"""The limit of one target, which grows with evidence only."""
+
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.configuration.limits import TargetLimits
+from ragwortcourse.engines.engine import EngineSilent, EngineState
+
+REPORT_MAX_AGE_SECONDS: Final = 3.0
+SIGN_MAX_AGE_SECONDS: Final = 2.0
+SLOW_FACTOR: Final = 4.0
+SLOW_FLOOR_SECONDS: Final = 0.05
+SLOW_ANSWERS: Final = 3
+LATENCY_SMOOTHING: Final = 0.05
+GROWTH_OF_REPORTING: Final = 2.0
+
+LOGGER: Final = logging.getLogger(__name__)
+
+
+class WarmLimit:
+    """Permits in force: cold at first, warm once the target proved itself.
+
+    A clean answer given while the limit was in use raises it by its own
+    reciprocal, so that a round of clean answers adds one permit. Any sign
+    of a cold target puts it back to the cold limit at once. Where no load
+    is reported, slow answers in a row halve what was gained.
+
+    :param read_limits: what the configuration allows now.
+    """
+
+    def __init__(self, *, read_limits: Callable[[], TargetLimits]) -> None:
+        self._read_limits = read_limits
+        self._warmth: float = 0
+        self._instance: str | None = None
+        self._bearable: int | None = None
+        self._bearable_at: float = 0
+        self._reports_load = False
+        self._sign_at: float = 0
+        self._latency: float | None = None
+        self._slow_in_a_row = 0
+
+    @property
+    def instance(self) -> str | None:
+        """Instance of the engine that the evidence is about."""
+        return self._instance
+
+    def read(self) -> int:
+        """Permits in force now."""
+        limits = self._read_limits()
+        cold = min(limits.cold, limits.warm)
+        if not self._is_evidence_fresh():
+            return cold
+        limit = min(int(cold + self._warmth), limits.warm)
+        if self._bearable is not None:
+            # An engine that says it bears nothing still gets a probe.
+            limit = min(limit, max(self._bearable, 1))
+        return limit
+
+    def note_answer(self, latency: float, running: int) -> None:
+        """Take a clean answer as evidence.
+
+        :param latency: seconds to its first byte.
+        :param running: permits taken when it ended, itself included.
+        """
+        self._sign_at = read_clock()
+        if self._is_slow(latency):
+            self._slow_in_a_row += 1
+            if self._slow_in_a_row >= SLOW_ANSWERS:
+                self._slow_in_a_row = 0
+                self._warmth /= 2
+            return
+        self._slow_in_a_row = 0
+        limit = self.read()
+        if running * 2 > limit:
+            self._warmth += self._read_growth() / max(limit, 1)
+            self._bound_warmth()
+
+    def note_state(self, state: EngineState | EngineSilent) -> None:
+        """Take the engine's own word, judged by its age."""
+        if isinstance(state, EngineSilent):
+            return
+        self._sign_at = read_clock()
+        if state.instance != self._instance:
+            if self._instance is not None:
+                self.fall_back('instance')
+            self._instance = state.instance
+        if state.bearable is None:
+            self._bearable = None
+            return
+        self._reports_load = True
+        made_at = read_clock() - state.age
+        if state.age <= REPORT_MAX_AGE_SECONDS and made_at > self._bearable_at:
+            self._bearable = state.bearable
+            self._bearable_at = made_at
+            self._bound_warmth()
+
+    def fall_back(self, reason: str) -> None:
+        """Go back to the cold limit until there is new evidence."""
+        self._slow_in_a_row = 0
+        self._latency = None
+        if self._warmth:
+            LOGGER.info('target is cold', extra={'reason': reason})
+        self._warmth = 0
+
+    def _is_evidence_fresh(self) -> bool:
+        now = read_clock()
+        if now - self._sign_at > SIGN_MAX_AGE_SECONDS:
+            self.fall_back('no sign')
+            return False
+        reported_ago = now - self._bearable_at
+        if self._reports_load and reported_ago > REPORT_MAX_AGE_SECONDS:
+            self.fall_back('reports stopped')
+            return False
+        return True
+
+    def _is_slow(self, latency: float) -> bool:
+        if self._bearable is not None:
+            return False
+        if self._latency is None:
+            self._latency = latency
+            return False
+        slow = latency > max(self._latency * SLOW_FACTOR, SLOW_FLOOR_SECONDS)
+        if not slow:
+            self._latency += LATENCY_SMOOTHING * (latency - self._latency)
+        return slow
+
+    def _read_growth(self) -> float:
+        # The engine's own report bounds a step that goes too far.
+        return 1 if self._bearable is None else GROWTH_OF_REPORTING
+
+    def _bound_warmth(self) -> None:
+        limits = self._read_limits()
+        highest = limits.warm
+        if self._bearable is not None:
+            highest = min(highest, self._bearable)
+        self._warmth = max(min(self._warmth, highest - limits.cold), 0)
--- a/src/ragwortcourse/engines/engine.py
+++ b/src/ragwortcourse/engines/engine.py
@@ -9,6 +9,7 @@
     AttemptId,
     FencingNumber,
     ModelName,
+    Sha256Hex,
     VersionName,
 )
 
@@ -80,7 +81,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EngineOrder:
-    """One order, numbered so that a stale one can be refused."""
+    """One order, numbered so that a stale one can be refused.
+
+    :param chunks: chunks that a version to load consists of.
+    :param sha256: digest of all those chunks in order.
+    """
 
     fencing: FencingNumber
     action: OrderAction
@@ -88,6 +93,8 @@
     version: VersionName
     adapter: AdapterName | None = None
     role: str | None = None
+    chunks: int = 0
+    sha256: Sha256Hex | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
