Make a first configuration by questionnaire and ship both sites

Cause: a new team needs a configuration that check accepts without reading the settings page first. Ruled out: stopping at the first bad answer of a file; all bad, missing and surplus answers come together and nothing is written. Conclusion: questions are the same for a person and a file; the examples are made from their answers files, which a test holds to.

--- a/src/ragwortcourse/cli/configuration_text.py
+++ b/src/ragwortcourse/cli/configuration_text.py
@@ -1,12 +1,14 @@
 """A configuration as TOML text."""
 
-from typing import Any
+from typing import Any, Final
 
 import msgspec
 import tomlkit
 
 from ragwortcourse.configuration.configuration import Configuration
 
+EMPTY: Final[tuple[object, ...]] = (None, [], ())
+
 
 def write_toml(configuration: Configuration) -> str:
     """TOML text that reads back as the same configuration."""
@@ -19,8 +21,8 @@
         return {
             key: _drop_empty(value)
             for key, value in plain.items()
-            if value not in (None, [])
+            if value not in EMPTY
         }
-    if isinstance(plain, list):
+    if isinstance(plain, list | tuple):
         return [_drop_empty(value) for value in plain]
     return plain
--- a/src/ragwortcourse/cli/program.py
+++ b/src/ragwortcourse/cli/program.py
@@ -5,6 +5,7 @@
 from ragwortcourse.cli import (
     configuration_commands,
     crasher_commands,
+    init_command,
     part_commands,
     status_commands,
     weights_commands,
@@ -23,6 +24,7 @@
 
 
 COMMANDS = (
+    init_command.init,
     configuration_commands.check,
     configuration_commands.apply,
     configuration_commands.show,
--- /dev/null
+++ b/tests/test_cli_questionnaire.py
@@ -0,0 +1,83 @@
+"""Tests of the questionnaire and of the examples."""
+
+import pathlib
+
+import pytest
+from click.testing import CliRunner
+
+from ragwortcourse.cli.program import main
+from ragwortcourse.configuration.configuration import Configuration
+from ragwortcourse.configuration.document import read_configuration
+from ragwortcourse.settings import Settings
+from ragwortcourse.settings_file import read_settings
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+TYPED = (
+    'milano-a', 'lombardia', 'drafts', '',
+    'house, house', 'house',  # the first is not allowed
+    '', 'not a version!', '7', 'abc', 'a' * 64, '', '',
+    '4', '2', '', '',  # a warm limit below the cold one is not allowed
+    '', '',
+)  # fmt: skip
+
+
+class TestInit:
+    """The questionnaire."""
+
+    @pytest.mark.parametrize('site', ['consorzio', 'kalliga'])
+    def test_answers_give_the_example(self, tmp_path, site):
+        """The answers of a site give just its example configuration."""
+        output = tmp_path / 'configuration.toml'
+        answers = EXAMPLES / f'{site}-answers.toml'
+        result = CliRunner().invoke(
+            main, ['init', f'--answers={answers}', f'--output={output}']
+        )
+        assert result.exit_code == 0, result.output
+        example = (EXAMPLES / f'{site}.toml').read_text()
+        made = read_configuration(output.read_text())
+        assert made == read_configuration(example)
+        assert isinstance(made, Configuration)
+
+    def test_person_is_asked_until_the_answer_may_stand(self, tmp_path):
+        """Answers that may not stand are asked again; the result is sound."""
+        output = tmp_path / 'configuration.toml'
+        result = CliRunner().invoke(
+            main, ['init', f'--output={output}'], input='\n'.join((*TYPED, ''))
+        )
+        assert result.exit_code == 0, result.output
+        made = read_configuration(output.read_text())
+        assert isinstance(made, Configuration)
+        assert made.models[0].version == '7'
+        assert 'API key rc-' in result.stderr
+
+    def test_every_bad_answer_is_reported_and_nothing_written(self, tmp_path):
+        """Bad, missing and surplus answers come together."""
+        answers = tmp_path / 'answers.toml'
+        answers.write_text(
+            'failure_domains = ["a b"]\nclient_accounts = "one"\n'
+            'models = ["m"]\ncolour = "blue"\n[model.m]\ncold = "many"\n'
+        )
+        output = tmp_path / 'configuration.toml'
+        result = CliRunner().invoke(
+            main, ['init', f'--answers={answers}', f'--output={output}']
+        )
+        assert result.exit_code == 1
+        for place in (
+            'failure_domains',
+            'model.m.version',
+            'model.m.manifest_sha256',
+            'model.m.cold',
+            'colour',
+        ):
+            assert f'\n{place}' in result.stderr
+        assert not output.exists()
+
+
+class TestExamples:
+    """Examples that are shipped."""
+
+    @pytest.mark.parametrize('name', ['entry', 'agent'])
+    def test_settings_are_sound(self, name):
+        """A daemon would start with the example settings."""
+        settings = read_settings(EXAMPLES / f'{name}-settings.toml')
+        assert isinstance(settings, Settings)
