Collect spans in a stand-in; settle refusals without a body

Cause: the demo and a test look for one trace that crosses entry daemon, agent and engine; the operators' routes answer 204 to a release and 503 with a code before the first configuration. Conclusion: fakes/collector.py decodes OTLP by opentelemetry-proto; the command line reads refusals by their code, and a 4xx without a body as not run.

--- /dev/null
+++ b/fakes/collector.py
@@ -0,0 +1,124 @@
+"""A stand-in of a telemetry collector: OTLP/HTTP in, spans as JSON out."""
+
+import click
+import msgspec
+from aiohttp import web
+from opentelemetry.proto.collector.trace.v1.trace_service_pb2 import (
+    ExportTraceServiceRequest,
+    ExportTraceServiceResponse,
+)
+
+
+class CollectedSpan(msgspec.Struct, frozen=True, kw_only=True):
+    """One span as a daemon exported it; ids in hexadecimal digits.
+
+    :param service: name of the service, like ``ragwortcourse-entry``.
+    :param instance: the daemon.
+    :param parent: empty where the span has none.
+    """
+
+    trace: str
+    span: str
+    parent: str
+    name: str
+    service: str
+    instance: str
+
+
+def read_spans(body: bytes) -> list[CollectedSpan]:
+    """Spans of one export."""
+    export = ExportTraceServiceRequest.FromString(body)
+    spans: list[CollectedSpan] = []
+    for resource in export.resource_spans:
+        names = {
+            pair.key: pair.value.string_value
+            for pair in resource.resource.attributes
+        }
+        for scope in resource.scope_spans:
+            spans.extend(
+                CollectedSpan(
+                    trace=span.trace_id.hex(),
+                    span=span.span_id.hex(),
+                    parent=span.parent_span_id.hex(),
+                    name=span.name,
+                    service=names.get('service.name', ''),
+                    instance=names.get('service.instance.id', ''),
+                )
+                for span in scope.spans
+            )
+    return spans
+
+
+class EngineSpan(msgspec.Struct, frozen=True, kw_only=True):
+    """What a stand-in engine tells: the context that reached it."""
+
+    name: str
+    traceparent: str
+
+    def to_collected(self) -> CollectedSpan:
+        """The span, with the ids that its context carries."""
+        _, trace, parent, *_ = (*self.traceparent.split('-'), '', '', '')
+        return CollectedSpan(
+            trace=trace,
+            span='',
+            parent=parent,
+            name=self.name,
+            service='engine',
+            instance='',
+        )
+
+
+def group_traces(
+    spans: list[CollectedSpan],
+) -> dict[str, list[CollectedSpan]]:
+    """Spans by trace."""
+    traces: dict[str, list[CollectedSpan]] = {}
+    for span in spans:
+        traces.setdefault(span.trace, []).append(span)
+    return traces
+
+
+def build_collector_app() -> web.Application:
+    """OTLP routes, ``/spans`` for engines, ``/traces`` to look at."""
+    spans: list[CollectedSpan] = []
+
+    async def take_traces(request: web.Request) -> web.Response:
+        spans.extend(read_spans(await request.read()))
+        return web.Response(
+            body=ExportTraceServiceResponse().SerializeToString(),
+            content_type='application/x-protobuf',
+        )
+
+    async def take_metrics(request: web.Request) -> web.Response:
+        await request.read()
+        return web.Response(content_type='application/x-protobuf')
+
+    async def take_span(request: web.Request) -> web.Response:
+        told = msgspec.json.decode(await request.read(), type=EngineSpan)
+        spans.append(told.to_collected())
+        return web.Response(status=204)
+
+    async def show_traces(request: web.Request) -> web.Response:
+        return web.Response(
+            body=msgspec.json.encode(group_traces(spans)),
+            content_type='application/json',
+        )
+
+    app = web.Application()
+    app.router.add_post('/v1/traces', take_traces)
+    app.router.add_post('/v1/metrics', take_metrics)
+    app.router.add_post('/spans', take_span)
+    app.router.add_get('/traces', show_traces)
+    return app
+
+
+@click.command()
+@click.option('--listen', required=True, help='ip:port')
+def main(listen: str) -> None:
+    """Run the collector's stand-in until it is told to stop."""
+    host, _, port = listen.rpartition(':')
+    web.run_app(build_collector_app(), host=host, port=int(port), print=None)
+
+
+if __name__ == '__main__':
+    main()
--- a/src/ragwortcourse/cli/answer.py
+++ b/src/ragwortcourse/cli/answer.py
@@ -12,6 +12,8 @@
 from ragwortcourse.messages.outcome import OutcomeKind
 
 STATUS_OK: Final = 200
+STATUS_NO_CONTENT: Final = 204
+LEAST_SERVER_FAULT: Final = 500
 STATUS_CONFLICT: Final = 409
 
 _Message = TypeVar('_Message')
@@ -66,22 +68,21 @@
     )
 
 
+def require_success(outcome: AskOutcome, *, as_json: bool) -> None:
+    """Return where a daemon did what it was asked; else end the command."""
+    if not isinstance(outcome, Answered):
+        raise report_no_answer(outcome, as_json=as_json)
+    if outcome.status not in {STATUS_OK, STATUS_NO_CONTENT}:
+        raise report_refusal(outcome, as_json=as_json)
+
+
 def report_refusal(answer: Answered, *, as_json: bool) -> Exit:
     """Show that a daemon turned a command down; what to raise then."""
     if answer.status == STATUS_CONFLICT:
         return _report_conflict(answer, as_json=as_json)
-    try:
-        refusal = msgspec.json.decode(answer.body, type=OperatorErrorBody)
-    except msgspec.DecodeError:
-        return report_failure(
-            Failure(
-                code=f'status_{answer.status}',
-                message=f'{answer.entry} answered {answer.status}',
-                outcome=OutcomeKind.UNKNOWN,
-            ),
-            ExitCode.UNKNOWN,
-            as_json=as_json,
-        )
+    refusal = read_refusal(answer)
+    if refusal is None:
+        return _report_status(answer, as_json=as_json)
     unknown = refusal.error.outcome is OutcomeKind.UNKNOWN
     return report_failure(
         Failure(
@@ -95,6 +96,29 @@
     )
 
 
+def read_refusal(answer: Answered) -> OperatorErrorBody | None:
+    """The refusal in an answer; none where it holds something else."""
+    try:
+        return msgspec.json.decode(answer.body, type=OperatorErrorBody)
+    except msgspec.DecodeError:
+        return None
+
+
+def _report_status(answer: Answered, *, as_json: bool) -> Exit:
+    # No route took the request where the status is the client's fault.
+    unknown = answer.status >= LEAST_SERVER_FAULT
+    outcome = OutcomeKind.UNKNOWN if unknown else OutcomeKind.NOT_RUN
+    return report_failure(
+        Failure(
+            code=f'status_{answer.status}',
+            message=f'{answer.entry} answered {answer.status}',
+            outcome=outcome,
+        ),
+        ExitCode.UNKNOWN if unknown else ExitCode.REFUSED,
+        as_json=as_json,
+    )
+
+
 def _report_conflict(answer: Answered, *, as_json: bool) -> Exit:
     try:
         conflict = msgspec.json.decode(answer.body, type=ChangeConflict)
--- a/src/ragwortcourse/cli/change.py
+++ b/src/ragwortcourse/cli/change.py
@@ -6,7 +6,12 @@
 
 import msgspec
 
-from ragwortcourse.cli.answer import STATUS_CONFLICT, STATUS_OK
+from ragwortcourse.cli.answer import (
+    LEAST_SERVER_FAULT,
+    STATUS_CONFLICT,
+    STATUS_OK,
+    read_refusal,
+)
 from ragwortcourse.cli.connection import Connection
 from ragwortcourse.cli.operator_client import (
     Answered,
@@ -21,7 +26,6 @@
 from ragwortcourse.messages.operator import (
     ChangeAccepted,
     ChangeConflict,
-    OperatorErrorBody,
 )
 from ragwortcourse.messages.outcome import OutcomeKind
 
@@ -82,10 +86,9 @@
         return False
     if outcome.status in {STATUS_OK, STATUS_CONFLICT}:
         return False
-    try:
-        refusal = msgspec.json.decode(outcome.body, type=OperatorErrorBody)
-    except msgspec.DecodeError:
-        return True
+    refusal = read_refusal(outcome)
+    if refusal is None:
+        return outcome.status >= LEAST_SERVER_FAULT
     return refusal.error.outcome is OutcomeKind.UNKNOWN
 
 
--- a/src/ragwortcourse/cli/configuration_commands.py
+++ b/src/ragwortcourse/cli/configuration_commands.py
@@ -6,7 +6,7 @@
 import click
 import msgspec
 
-from ragwortcourse.cli.answer import require_message
+from ragwortcourse.cli.answer import read_refusal, require_message
 from ragwortcourse.cli.change import (
     CONFIGURATION_PATH,
     make_change,
@@ -29,7 +29,7 @@
 from ragwortcourse.identifiers import ChangeId, Generation
 from ragwortcourse.messages.operator import ChangeAccepted, ConfigurationChange
 
-STATUS_NOT_FOUND = 404
+STATUS_UNAVAILABLE = 503
 FILE_ARGUMENT = click.argument(
     'file', type=click.Path(path_type=pathlib.Path, dir_okay=False)
 )
@@ -193,11 +193,10 @@
     outcome = run_client(
         ask_entries(connection, Question(path=CONFIGURATION_PATH))
     )
-    absent = isinstance(outcome, Answered) and (
-        outcome.status == STATUS_NOT_FOUND
-    )
-    if absent:
-        return None
+    if isinstance(outcome, Answered) and outcome.status == STATUS_UNAVAILABLE:
+        refusal = read_refusal(outcome)
+        if refusal is not None and refusal.error.code == 'no_configuration':
+            return None
     return require_message(outcome, ConfigurationDocument, as_json=as_json)
 
 
--- a/src/ragwortcourse/cli/configuration_file.py
+++ b/src/ragwortcourse/cli/configuration_file.py
@@ -39,6 +39,7 @@
             message=f'{path}: {len(found)} findings',
             outcome=OutcomeKind.NOT_RUN,
             findings=found,
+            file=str(path),
         ),
         ExitCode.REFUSED,
         as_json=as_json,
--- a/src/ragwortcourse/cli/crasher_commands.py
+++ b/src/ragwortcourse/cli/crasher_commands.py
@@ -3,7 +3,7 @@
 import click
 import msgspec
 
-from ragwortcourse.cli.answer import require_message
+from ragwortcourse.cli.answer import require_message, require_success
 from ragwortcourse.cli.connection import Connection, accept_connection
 from ragwortcourse.cli.operator_client import (
     Question,
@@ -66,7 +66,7 @@
     """
     question = Question(path=f'{CRASHERS_PATH}/{fingerprint}', method='DELETE')
     outcome = run_client(ask_entries(connection, question))
-    require_message(outcome, msgspec.Raw, as_json=as_json)
+    require_success(outcome, as_json=as_json)
     if as_json:
         print_json(Released(released=fingerprint))
     else:
--- a/src/ragwortcourse/cli/init_command.py
+++ b/src/ragwortcourse/cli/init_command.py
@@ -72,6 +72,7 @@
             message=f'{answers or "answers"}: {len(findings)} findings',
             outcome=OutcomeKind.NOT_RUN,
             findings=findings,
+            file=str(answers or ''),
         )
         raise report_failure(failure, ExitCode.REFUSED, as_json=as_json)
     output.write_text(write_toml(configuration), encoding='utf-8')
--- a/src/ragwortcourse/cli/output.py
+++ b/src/ragwortcourse/cli/output.py
@@ -11,6 +11,7 @@
 
 from ragwortcourse.cli.exit_code import ExitCode
 from ragwortcourse.configuration.finding import Finding
+from ragwortcourse.configuration.finding_text import format_finding
 from ragwortcourse.messages.outcome import OutcomeKind
 
 _Params = ParamSpec('_Params')
@@ -23,12 +24,14 @@
     :param code: stable, for programs.
     :param message: for people.
     :param outcome: whether a change took effect.
+    :param file: file that the findings are about.
     """
 
     code: str
     message: str
     outcome: OutcomeKind
     findings: tuple[Finding, ...] = ()
+    file: str = ''
 
 
 class FailureBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -74,16 +77,11 @@
     else:
         click.echo(f'{failure.code}: {failure.message}', err=True)
         click.echo(f'outcome: {failure.outcome}', err=True)
-        print_findings(failure.findings)
+        print_findings(failure.findings, failure.file)
     return Exit(exit_code)
 
 
 def print_findings(findings: Iterable[Finding], file: str = '') -> None:
     """One line for each finding: file, key, value, what is allowed."""
     for finding in findings:
-        place = ': '.join(part for part in (file, finding.place) if part)
-        line = f'{place} = {finding.value}' if finding.value else place
-        text = f'{line}: {finding.message}'
-        if finding.allowed:
-            text = f'{text}; allowed: {finding.allowed}'
-        click.echo(text, err=True)
+        click.echo(format_finding(finding, file), err=True)
