--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,254 @@
+"""Contract of :mod:`ragwortcourse.engines.engine`, for every adapter."""
+
+import asyncio
+import hashlib
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+from aiohttp.test_utils import TestServer
+
+from fakes.agents import MODEL, STREAMED, VERSION
+from fakes.engine import build_engine_app
+from fakes.engine_faults import EngineFaults
+from fakes.engine_load import EngineLoad
+from fakes.memory_engine import MemoryEngine
+from ragwortcourse.engines.engine import (
+    Engine,
+    EngineAnswer,
+    EngineBrokenError,
+    EngineLost,
+    EngineOrder,
+    EngineRequest,
+    EngineSilent,
+    EngineState,
+    EngineUnreached,
+    OrderAction,
+    OrderConfirmed,
+    OrderRefused,
+    OrderUnknown,
+)
+from ragwortcourse.engines.http_engine import build_http_engine
+from ragwortcourse.identifiers import AttemptId, FencingNumber
+
+CHUNKS = (b'first chunk', b'second chunk')
+DIGEST = hashlib.sha256(b''.join(CHUNKS)).hexdigest()
+QUICK = {'latency': 0.001, 'pace': 0.001, 'report_lag': 0}
+
+
+class Builder:
+    """Makes the port to a stand-in, in the process or over HTTP."""
+
+    def __init__(self, *, over_http: bool) -> None:
+        self.over_http = over_http
+        self.server: TestServer | None = None
+        self.session: aiohttp.ClientSession | None = None
+
+    async def __call__(self, stand_in: MemoryEngine) -> Engine:
+        """The port."""
+        if not self.over_http:
+            return stand_in.build()
+        self.server = TestServer(build_engine_app(stand_in))
+        await self.server.start_server()
+        self.session = aiohttp.ClientSession()
+        return build_http_engine(
+            session=self.session, base_url=str(self.server.make_url('/'))
+        )
+
+    async def stop(self, stand_in: MemoryEngine) -> None:
+        """Let nobody listen any more."""
+        stand_in.die()
+        if self.server is not None:
+            await self.server.close()
+
+
+@pytest.fixture(params=['memory', 'http'])
+async def build(request: pytest.FixtureRequest) -> AsyncIterator[Builder]:
+    """Both ways to a stand-in."""
+    builder = Builder(over_http=request.param == 'http')
+    yield builder
+    if builder.session is not None:
+        await builder.session.close()
+        await builder.server.close()
+
+
+def make_stand_in(**changes: bool) -> MemoryEngine:
+    """A quick engine that holds the usual version."""
+    stand_in = MemoryEngine(load=EngineLoad(**QUICK), **changes)
+    stand_in.versions.install(MODEL, VERSION)
+    return stand_in
+
+
+def make_request(**changes: object) -> EngineRequest:
+    """A request for a streamed answer."""
+    usual = {
+        'attempt': AttemptId('attempt-1'),
+        'method': 'POST',
+        'path': '/v1/chat/completions',
+        'headers': {},
+        'body': STREAMED,
+        'version': VERSION,
+    }
+    return EngineRequest(**{**usual, **changes})
+
+
+def make_order(action: OrderAction, fencing: int = 1) -> EngineOrder:
+    """An order about a version that comes in two chunks."""
+    return EngineOrder(
+        fencing=FencingNumber(fencing),
+        action=action,
+        model=MODEL,
+        version='v2',
+        chunks=len(CHUNKS),
+        sha256=DIGEST,
+    )
+
+
+async def read_some(answer: EngineAnswer) -> tuple[bytes, bool]:
+    """What came of a body, and whether it came to its end."""
+    received = b''
+    try:
+        async for chunk in answer.body:
+            received += chunk
+    except EngineBrokenError:
+        return received, False
+    return received, True
+
+
+class TestStart:
+    """Running a request."""
+
+    async def test_answer_names_attempt_and_version(self, build):
+        """An answer carries the attempt and the version that made it."""
+        answer = await (await build(make_stand_in())).start(make_request())
+        received, whole = await read_some(answer)
+        assert (answer.attempt, answer.version) == ('attempt-1', VERSION)
+        assert whole
+        assert received.endswith(b'data: [DONE]\n\n')
+
+    @pytest.mark.parametrize(
+        ('faults', 'seen'),
+        [
+            ({'lost': 1}, EngineLost),
+            ({'crossed': 1}, 'not-attempt-1'),
+            ({'wrong_version': 1}, 'another'),
+        ],
+    )
+    async def test_fault_is_told_apart(self, build, faults, seen):
+        """A lost, crossed or mixed answer is never taken for a good one."""
+        stand_in = make_stand_in()
+        stand_in.faults = EngineFaults(**faults)
+        outcome = await (await build(stand_in)).start(make_request())
+        if isinstance(outcome, EngineAnswer):
+            assert seen in {outcome.attempt, outcome.version}
+        else:
+            assert isinstance(outcome, seen)
+        assert stand_in.runs.total() == 1
+
+    async def test_nobody_listens(self, build):
+        """A refused connection proves that the request never arrived."""
+        stand_in = make_stand_in()
+        port = await build(stand_in)
+        await build.stop(stand_in)
+        assert isinstance(await port.start(make_request()), EngineUnreached)
+
+    @pytest.mark.parametrize('method', ['GET', 'PUT', 'DELETE', 'POST'])
+    async def test_request_is_never_sent_twice(self, build, method):
+        """No method is sent again by itself after a lost answer."""
+        stand_in = make_stand_in(is_model_engine=False)
+        stand_in.faults.lost = 1
+        engine = await build(stand_in)
+        outcome = await engine.start(make_request(method=method, path='/x'))
+        assert isinstance(outcome, EngineLost)
+        assert stand_in.runs.total() == 1
+
+    @pytest.mark.parametrize('cut', [0, 1, 60, 10**6])
+    async def test_broken_stream_is_resumed(self, build, cut):
+        """The rest of a broken stream goes on at the very next byte."""
+        stand_in = make_stand_in()
+        port = await build(stand_in)
+        undisturbed, _ = await read_some(await port.start(make_request()))
+        stand_in.faults.cut_after = [cut]
+        received, whole = await read_some(await port.start(make_request()))
+        assert whole == (cut >= len(undisturbed))
+        rest = b''
+        if not whole:
+            again = await port.resume(make_request(), len(received))
+            rest, _ = await read_some(again)
+        assert received + rest == undisturbed
+
+    async def test_closed_body_ends_the_work(self, build):
+        """A body that is closed unread leaves no work at the engine."""
+        stand_in = make_stand_in()
+        port = await build(stand_in)
+        answer = await port.start(make_request())
+        await answer.body.aclose()
+        for _ in range(1000):
+            await asyncio.sleep(0.01)
+            if stand_in.load.running == 0:
+                return
+        pytest.fail('the work goes on')
+
+
+class TestDescribe:
+    """State, versions and load."""
+
+    async def test_state(self, build):
+        """Instance, load and complete versions are told."""
+        state = await (await build(make_stand_in())).describe()
+        assert isinstance(state, EngineState)
+        assert state.bearable == EngineLoad().cold
+        (version,) = state.versions
+        assert version.complete
+        assert version.active
+
+    async def test_silence(self, build):
+        """A target that does not answer is silent, not empty."""
+        stand_in = make_stand_in()
+        stand_in.faults.silent = True
+        assert isinstance(
+            await (await build(stand_in)).describe(), EngineSilent
+        )
+
+
+class TestOrder:
+    """Chunks and orders."""
+
+    @pytest.mark.parametrize(
+        ('held', 'faults', 'confirmed'),
+        [
+            (2, {}, True),
+            (1, {}, False),
+            (2, {'truncated_chunks': 1}, False),
+        ],
+    )
+    async def test_only_whole_version_is_confirmed(
+        self, build, held, faults, confirmed
+    ):
+        """A version with a missing or short chunk is never answered with."""
+        stand_in = make_stand_in()
+        stand_in.faults = EngineFaults(**faults)
+        port = await build(stand_in)
+        for index in range(held):
+            await port.store_chunk(MODEL, 'v2', None, index, CHUNKS[index])
+        loaded = await port.order(make_order(OrderAction.LOAD))
+        active = await port.order(make_order(OrderAction.ACTIVATE))
+        assert isinstance(loaded, OrderConfirmed) == confirmed
+        assert isinstance(active, OrderConfirmed) == confirmed
+
+    @pytest.mark.parametrize('checks_fencing', [True, False])
+    async def test_stale_order(self, build, checks_fencing):
+        """A stale order is refused where the engine checks, and only there."""
+        port = await build(make_stand_in(checks_fencing=checks_fencing))
+        await port.order(make_order(OrderAction.ROLE, fencing=2))
+        stale = await port.order(make_order(OrderAction.ROLE, fencing=1))
+        assert isinstance(stale, OrderRefused) == checks_fencing
+
+    async def test_lost_answer_is_unknown(self, build):
+        """An order whose answer was lost is unknown, never refused."""
+        stand_in = make_stand_in()
+        stand_in.faults.lost_orders = 1
+        port = await build(stand_in)
+        outcome = await port.order(make_order(OrderAction.ROLE))
+        assert isinstance(outcome, OrderUnknown)
+        assert len(stand_in.versions.orders) == 1
