--- /dev/null
+++ b/src/ragwortcourse/cli/answer.py
@@ -0,0 +1,137 @@
+"""Takes the message out of a daemon's answer, or ends the command."""
+
+from typing import Final, TypeVar
+
+import msgspec
+from click.exceptions import Exit
+
+from ragwortcourse.cli.exit_code import ExitCode
+from ragwortcourse.cli.operator_client import Answered, AskOutcome, Unreached
+from ragwortcourse.cli.output import Failure, report_failure
+from ragwortcourse.messages.operator import ChangeConflict, OperatorErrorBody
+from ragwortcourse.messages.outcome import OutcomeKind
+
+STATUS_OK: Final = 200
+STATUS_NO_CONTENT: Final = 204
+LEAST_SERVER_FAULT: Final = 500
+STATUS_CONFLICT: Final = 409
+
+_Message = TypeVar('_Message')
+
+
+def require_message(
+    outcome: AskOutcome, kind: type[_Message], *, as_json: bool
+) -> _Message:
+    """The message a daemon answered with; ends the command without one.
+
+    :param kind: type of the message that a status of 200 carries.
+    """
+    if not isinstance(outcome, Answered):
+        raise report_no_answer(outcome, as_json=as_json)
+    if outcome.status != STATUS_OK:
+        raise report_refusal(outcome, as_json=as_json)
+    try:
+        return msgspec.json.decode(outcome.body, type=kind)
+    except msgspec.DecodeError as error:
+        raise report_failure(
+            Failure(
+                code='answer_malformed',
+                message=f'{outcome.entry} answered, unreadably: {error}',
+                outcome=OutcomeKind.UNKNOWN,
+            ),
+            ExitCode.UNKNOWN,
+            as_json=as_json,
+        ) from error
+
+
+def report_no_answer(outcome: AskOutcome, *, as_json: bool) -> Exit:
+    """Show that no daemon gave an answer; what to raise then."""
+    detail = '' if isinstance(outcome, Answered) else outcome.detail
+    if isinstance(outcome, Unreached):
+        return report_failure(
+            Failure(
+                code='unreachable',
+                message=f'no entry daemon was reached: {detail}',
+                outcome=OutcomeKind.NOT_RUN,
+            ),
+            ExitCode.UNREACHABLE,
+            as_json=as_json,
+        )
+    return report_failure(
+        Failure(
+            code='answer_lost',
+            message=f'no entry daemon answered: {detail}',
+            outcome=OutcomeKind.UNKNOWN,
+        ),
+        ExitCode.UNKNOWN,
+        as_json=as_json,
+    )
+
+
+def require_success(outcome: AskOutcome, *, as_json: bool) -> None:
+    """Return where a daemon did what it was asked; else end the command."""
+    if not isinstance(outcome, Answered):
+        raise report_no_answer(outcome, as_json=as_json)
+    if outcome.status not in {STATUS_OK, STATUS_NO_CONTENT}:
+        raise report_refusal(outcome, as_json=as_json)
+
+
+def report_refusal(answer: Answered, *, as_json: bool) -> Exit:
+    """Show that a daemon turned a command down; what to raise then."""
+    if answer.status == STATUS_CONFLICT:
+        return _report_conflict(answer, as_json=as_json)
+    refusal = read_refusal(answer)
+    if refusal is None:
+        return _report_status(answer, as_json=as_json)
+    unknown = refusal.error.outcome is OutcomeKind.UNKNOWN
+    return report_failure(
+        Failure(
+            code=refusal.error.code,
+            message=refusal.error.message,
+            outcome=refusal.error.outcome,
+            findings=refusal.findings,
+        ),
+        ExitCode.UNKNOWN if unknown else ExitCode.REFUSED,
+        as_json=as_json,
+    )
+
+
+def read_refusal(answer: Answered) -> OperatorErrorBody | None:
+    """The refusal in an answer; none where it holds something else."""
+    try:
+        return msgspec.json.decode(answer.body, type=OperatorErrorBody)
+    except msgspec.DecodeError:
+        return None
+
+
+def _report_status(answer: Answered, *, as_json: bool) -> Exit:
+    # No route took the request where the status is the client's fault.
+    unknown = answer.status >= LEAST_SERVER_FAULT
+    outcome = OutcomeKind.UNKNOWN if unknown else OutcomeKind.NOT_RUN
+    return report_failure(
+        Failure(
+            code=f'status_{answer.status}',
+            message=f'{answer.entry} answered {answer.status}',
+            outcome=outcome,
+        ),
+        ExitCode.UNKNOWN if unknown else ExitCode.REFUSED,
+        as_json=as_json,
+    )
+
+
+def _report_conflict(answer: Answered, *, as_json: bool) -> Exit:
+    try:
+        conflict = msgspec.json.decode(answer.body, type=ChangeConflict)
+    except msgspec.DecodeError:
+        detail = 'another change went first'
+    else:
+        detail = f'another change went first: generation {conflict.generation}'
+    return report_failure(
+        Failure(
+            code='conflict',
+            message=f'{detail}; look at `ragwortcourse diff` and try again',
+            outcome=OutcomeKind.NOT_RUN,
+        ),
+        ExitCode.CONFLICT,
+        as_json=as_json,
+    )
