--- a/src/ragwortcourse/daemon.py
+++ b/src/ragwortcourse/daemon.py
@@ -8,16 +8,16 @@
 # Read by libuv when it is loaded; see docs/design/event-loop.md.
 os.environ['UV_USE_IO_URING'] = '0'
 
-import click  # noqa: E402
-import uvloop  # noqa: E402
-from aiomisc import entrypoint  # noqa: E402
+import click
+import uvloop
+from aiomisc import entrypoint
 
-from ragwortcourse.configuration.finding import Finding  # noqa: E402
-from ragwortcourse.processes.service import DaemonService  # noqa: E402
-from ragwortcourse.settings import Settings  # noqa: E402
-from ragwortcourse.settings_file import read_settings  # noqa: E402
-from ragwortcourse.telemetry.logs import set_up_logging  # noqa: E402
-from ragwortcourse.telemetry.providers import set_up_telemetry  # noqa: E402
+from ragwortcourse.configuration.finding import Finding
+from ragwortcourse.processes.service import DaemonService
+from ragwortcourse.settings import Settings
+from ragwortcourse.settings_file import read_settings
+from ragwortcourse.telemetry.logs import set_up_logging
+from ragwortcourse.telemetry.providers import set_up_telemetry
 
 BROKEN_STATUS: Final = 1
 BAD_SETTINGS_STATUS: Final = 2
--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -135,6 +135,4 @@
         list_crashers=entry.crashers.list_crashers,
         release_crasher=entry.crashers.release,
     )
-    return EntryDaemon(
-        entry=entry, membership=membership, operators=operators
-    )
+    return EntryDaemon(entry=entry, membership=membership, operators=operators)
