--- /dev/null
+++ b/src/ragwortcourse/platform/http_origin.py
@@ -0,0 +1,110 @@
+"""The origin of weights over HTTP."""
+
+import asyncio
+from http import HTTPStatus
+from typing import Final
+
+import aiohttp
+
+from ragwortcourse.identifiers import ModelName, Sha256Hex, VersionName
+from ragwortcourse.platform.origin import (
+    OriginBusy,
+    OriginContent,
+    OriginFailed,
+    OriginOutcome,
+    WeightOrigin,
+)
+from ragwortcourse.weights.publication import (
+    OriginStored,
+    OriginWriter,
+    StoreOutcome,
+)
+
+# An origin that sends nothing for so long is taken to have stalled.
+STALL_SECONDS: Final = 10.0
+DEFAULT_RETRY_SECONDS: Final = 1.0
+TIMEOUT: Final = aiohttp.ClientTimeout(
+    total=None, sock_connect=STALL_SECONDS, sock_read=STALL_SECONDS
+)
+BUSY_STATUSES: Final = frozenset(
+    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+)
+FAILURES: Final = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+
+
+def parse_retry_after(text: str | None) -> float:
+    """Seconds in a ``Retry-After`` header."""
+    try:
+        return max(float(text or DEFAULT_RETRY_SECONDS), 0)
+    except ValueError:
+        return DEFAULT_RETRY_SECONDS
+
+
+async def read_origin(
+    session: aiohttp.ClientSession, url: str
+) -> OriginOutcome:
+    """One object of the origin.
+
+    :param url: absolute.
+    """
+    try:
+        async with session.get(url, timeout=TIMEOUT) as response:
+            if response.status in BUSY_STATUSES:
+                retry = response.headers.get('retry-after')
+                return OriginBusy(retry_after=parse_retry_after(retry))
+            if response.status != HTTPStatus.OK:
+                return OriginFailed(detail=f'{url}: status {response.status}')
+            return OriginContent(content=await response.read())
+    except FAILURES as error:
+        return OriginFailed(detail=f'{url}: {error!r}')
+
+
+async def write_origin(
+    session: aiohttp.ClientSession, url: str, content: bytes
+) -> StoreOutcome:
+    """Store one object at the origin.
+
+    :param url: absolute.
+    """
+    try:
+        async with session.put(url, data=content, timeout=TIMEOUT) as response:
+            if response.ok:
+                return OriginStored()
+            return OriginFailed(detail=f'{url}: status {response.status}')
+    except FAILURES as error:
+        return OriginFailed(detail=f'{url}: {error!r}')
+
+
+def build_http_origin(
+    *, session: aiohttp.ClientSession, base_url: str
+) -> WeightOrigin:
+    """The origin behind a base URL."""
+
+    async def read_manifest(digest: Sha256Hex) -> OriginOutcome:
+        return await read_origin(session, f'{base_url}/manifests/{digest}')
+
+    async def read_chunk(
+        model: ModelName, version: VersionName, index: int
+    ) -> OriginOutcome:
+        url = f'{base_url}/weights/{model}/{version}/{index}'
+        return await read_origin(session, url)
+
+    return WeightOrigin(read_manifest=read_manifest, read_chunk=read_chunk)
+
+
+def build_http_writer(
+    *, session: aiohttp.ClientSession, base_url: str
+) -> OriginWriter:
+    """Publication to the origin behind a base URL."""
+
+    async def write_chunk(
+        model: ModelName, version: VersionName, index: int, content: bytes
+    ) -> StoreOutcome:
+        url = f'{base_url}/weights/{model}/{version}/{index}'
+        return await write_origin(session, url, content)
+
+    async def write_manifest(digest: Sha256Hex, content: bytes) -> StoreOutcome:
+        url = f'{base_url}/manifests/{digest}'
+        return await write_origin(session, url, content)
+
+    return OriginWriter(write_chunk=write_chunk, write_manifest=write_manifest)
--- a/src/ragwortcourse/settings.py
+++ b/src/ragwortcourse/settings.py
@@ -43,12 +43,17 @@
 class PlatformSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """Base URLs of the platform's services; empty where there is none."""
+    """Base URLs of the platform's services; empty where there is none.
+
+    :param origin_region: region that the origin of weights lies in; empty
+        where it makes no difference.
+    """
 
     table: str = ''
     objects: str = ''
     hosts: str = ''
     origin: str = ''
+    origin_region: RegionName = RegionName('')
 
 
 class TelemetrySettings(
--- /dev/null
+++ b/src/ragwortcourse/weights/exchange.py
@@ -0,0 +1,33 @@
+"""What all transfers of one host share: memory, link and peers."""
+
+from collections.abc import Callable
+
+from ragwortcourse.identifiers import Sha256Hex
+from ragwortcourse.weights.chunk_memory import ChunkMemory
+from ragwortcourse.weights.pace import Pace
+from ragwortcourse.weights.peer_health import PeerHealth
+from ragwortcourse.weights.transfer import Transfer
+from ragwortcourse.weights.uploads import UploadSlots
+
+
+class Exchange:
+    """The host's side of the exchange of chunks.
+
+    :param chunk_memory: bytes that chunks may hold.
+    :param link_rate: bytes a second of the host's link; zero: unknown.
+    :param count_live: live requests under way on this host.
+    """
+
+    def __init__(
+        self,
+        *,
+        chunk_memory: int,
+        link_rate: int,
+        count_live: Callable[[], int],
+    ) -> None:
+        self.memory = ChunkMemory(limit=chunk_memory)
+        self.uploads = UploadSlots()
+        self.health = PeerHealth()
+        self.pace_down = Pace(link_rate=link_rate, count_live=count_live)
+        self.pace_up = Pace(link_rate=link_rate, count_live=count_live)
+        self.transfers: dict[Sha256Hex, Transfer] = {}
--- /dev/null
+++ b/src/ragwortcourse/weights/http_peers.py
@@ -0,0 +1,60 @@
+"""Chunks from other agents over HTTP."""
+
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Final
+
+import aiohttp
+
+from ragwortcourse.messages.headers import SENDER
+from ragwortcourse.messages.peer_port import PeerSilent
+from ragwortcourse.weights.peer_port import (
+    ChunkContent,
+    ChunkGone,
+    ChunkLater,
+    ChunkOutcome,
+    ChunkPort,
+    ChunkRefused,
+    ChunkRequest,
+)
+from ragwortcourse.weights.routes import (
+    GONE_STATUS,
+    LATER_STATUS,
+    REFUSED_STATUS,
+)
+
+CONNECT_SECONDS: Final = 2.0
+# Above the time for which a peer lets a request wait for a chunk.
+READ_SECONDS: Final = 5.0
+TIMEOUT: Final = aiohttp.ClientTimeout(
+    total=None, sock_connect=CONNECT_SECONDS, sock_read=READ_SECONDS
+)
+EMPTY_ANSWERS: Final[Mapping[int, ChunkOutcome]] = {
+    LATER_STATUS: ChunkLater(),
+    GONE_STATUS: ChunkGone(),
+    REFUSED_STATUS: ChunkRefused(),
+}
+
+
+def build_http_peers(*, session: aiohttp.ClientSession) -> ChunkPort:
+    """The way to other agents' peers ports."""
+
+    async def fetch(address: str, request: ChunkRequest) -> ChunkOutcome:
+        url = f'http://{address}/chunks/{request.manifest}/{request.index}'
+        try:
+            async with session.get(
+                url,
+                params={'relay': '1'} if request.relay else None,
+                headers={SENDER: request.sender},
+                timeout=TIMEOUT,
+            ) as response:
+                if response.status == HTTPStatus.OK:
+                    return ChunkContent(content=await response.read())
+                return EMPTY_ANSWERS.get(
+                    response.status,
+                    PeerSilent(detail=f'{url}: status {response.status}'),
+                )
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return PeerSilent(detail=f'{url}: {error!r}')
+
+    return ChunkPort(fetch=fetch)
--- /dev/null
+++ b/src/ragwortcourse/weights/landing.py
@@ -0,0 +1,99 @@
+"""Everything an agent knows about weights on its host."""
+
+import asyncio
+import random
+
+from ragwortcourse.agent.served import ServedVersions
+from ragwortcourse.configuration.holder import ConfigurationHolder
+from ragwortcourse.identifiers import Sha256Hex
+from ragwortcourse.settings import AgentSettings, Settings
+from ragwortcourse.weights.exchange import Exchange
+from ragwortcourse.weights.landing_ports import LandingPorts
+from ragwortcourse.weights.landing_state import LandingState
+from ragwortcourse.weights.order_lease import OrderLease
+from ragwortcourse.weights.peer_port import PeerAddress
+from ragwortcourse.weights.transfer import Transfer
+from ragwortcourse.weights.tree import build_tree
+
+
+class Landing:
+    """The weights side of one agent.
+
+    :param settings: of an agent.
+    :param served: what the gate may answer with; this side fills it.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        holder: ConfigurationHolder,
+        served: ServedVersions,
+        ports: LandingPorts,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.holder = holder
+        self.served = served
+        self.ports = ports
+        self.rng = rng
+        self.agent = read_agent_settings(settings)
+        self.own = PeerAddress(
+            daemon=settings.daemon,
+            address=settings.listen.peers,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+        )
+        self.exchange = Exchange(
+            chunk_memory=self.agent.chunk_memory,
+            link_rate=self.agent.link_rate,
+            count_live=ports.count_live,
+        )
+        self.order_lease = OrderLease(
+            table=ports.table,
+            target=self.agent.target,
+            checks_fencing=self.agent.checks_fencing,
+            rng=rng,
+        )
+        self.state = LandingState()
+        self.changed = asyncio.Event()
+
+    def open_transfer(self, digest: Sha256Hex) -> Transfer:
+        """The transfer of a manifest, begun if there is none yet."""
+        transfer = self.exchange.transfers.get(digest)
+        if transfer is None:
+            tree = build_tree(
+                members=(*self.ports.neighbours(), self.own),
+                origin_region=self.settings.platform.origin_region,
+            )
+            transfer = Transfer(
+                digest=digest,
+                own=self.own,
+                tree=tree,
+                memory=self.exchange.memory,
+            )
+            self.exchange.transfers[digest] = transfer
+            self.announce()
+        return transfer
+
+    def close_transfer(self, digest: Sha256Hex) -> None:
+        """Forget a transfer and let its chunks go."""
+        transfer = self.exchange.transfers.pop(digest, None)
+        if transfer is not None:
+            transfer.close()
+
+    def announce(self) -> None:
+        """Wake whoever waits for a change of this state."""
+        changed = self.changed
+        self.changed = asyncio.Event()
+        changed.set()
+
+
+def read_agent_settings(settings: Settings) -> AgentSettings:
+    """The agent's part of the settings.
+
+    :raises ValueError: these are not the settings of an agent.
+    """
+    if settings.agent is None:
+        raise ValueError(f'{settings.daemon}: settings without [agent]')
+    return settings.agent
--- /dev/null
+++ b/src/ragwortcourse/weights/landing_state.py
@@ -0,0 +1,28 @@
+"""How the landing on one target stands."""
+
+import dataclasses
+
+from ragwortcourse.identifiers import AdapterName, Sha256Hex
+from ragwortcourse.weights.wanted import WantedWeights
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class LandingState:
+    """What the landing loop remembers.
+
+    :param wanted: version it works for now.
+    :param detail: what it waits for, or what went wrong, for a person.
+    :param instance: start of the engine that the rest is about.
+    :param adapters: adapters that the engine has confirmed, by manifest.
+    :param refused: manifests that cannot be right, and why.
+    :param cancelled: manifests that an operator gave up.
+    """
+
+    wanted: WantedWeights | None = None
+    detail: str = ''
+    instance: str = ''
+    adapters: dict[AdapterName, Sha256Hex] = dataclasses.field(
+        default_factory=dict
+    )
+    refused: dict[Sha256Hex, str] = dataclasses.field(default_factory=dict)
+    cancelled: set[Sha256Hex] = dataclasses.field(default_factory=set)
--- /dev/null
+++ b/src/ragwortcourse/weights/neighbourhood.py
@@ -0,0 +1,66 @@
+"""Which agents draw the same weights, as far as this agent knows."""
+
+import asyncio
+import random
+from typing import Final
+
+from ragwortcourse.platform.hosts import (
+    HostList,
+    HostRecord,
+    HostRole,
+    HostsListed,
+    HostState,
+)
+from ragwortcourse.settings import Settings
+from ragwortcourse.weights.peer_port import PeerAddress
+
+# At 2,300 agents this makes about 19 reads a second in all.
+REFRESH_SECONDS: Final = 120.0
+RETRY_SECONDS: Final = 10.0
+
+
+class Neighbourhood:
+    """The last list of hosts that this agent read; a hint."""
+
+    def __init__(self, *, settings: Settings) -> None:
+        self._settings = settings
+        self._peers = self._select(settings.known)
+
+    def list_peers(self) -> tuple[PeerAddress, ...]:
+        """Agents of the same deployment that were not leaving."""
+        return self._peers
+
+    def take(self, records: tuple[HostRecord, ...]) -> None:
+        """Put a newer list in place of the last one."""
+        self._peers = self._select(records)
+
+    def _select(
+        self, records: tuple[HostRecord, ...]
+    ) -> tuple[PeerAddress, ...]:
+        agent = self._settings.agent
+        return tuple(
+            PeerAddress(
+                daemon=record.daemon,
+                address=record.address,
+                failure_domain=record.failure_domain,
+                region=record.region,
+            )
+            for record in records
+            if agent is not None
+            and record.role is HostRole.AGENT
+            and record.state is HostState.LIVE
+            and record.deployment == agent.deployment
+        )
+
+
+async def follow_hosts(
+    *, neighbourhood: Neighbourhood, hosts: HostList, rng: random.Random
+) -> None:
+    """Read the list of hosts now and then, for as long as the agent runs."""
+    while True:
+        outcome = await hosts.read()
+        is_listed = isinstance(outcome, HostsListed)
+        if isinstance(outcome, HostsListed):
+            neighbourhood.take(outcome.records)
+        wait = REFRESH_SECONDS if is_listed else RETRY_SECONDS
+        await asyncio.sleep(rng.uniform(wait / 2, wait * 3 / 2))
--- /dev/null
+++ b/src/ragwortcourse/weights/orders.py
@@ -0,0 +1,123 @@
+"""Orders to the engine: fenced, and settled where an answer was lost."""
+
+import asyncio
+import dataclasses
+
+from ragwortcourse.engines.engine import (
+    EngineOrder,
+    EngineSilent,
+    EngineState,
+    EngineVersion,
+    OrderAction,
+    OrderConfirmed,
+    OrderOutcome,
+    OrderRefused,
+    OrderUnknown,
+)
+from ragwortcourse.identifiers import (
+    AdapterName,
+    FencingNumber,
+    ModelName,
+    VersionName,
+)
+from ragwortcourse.weights.landing import Landing
+from ragwortcourse.weights.order_lease import (
+    LONGEST_ORDER_SECONDS,
+    LeaseRefused,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OrderSubject:
+    """What an order is about.
+
+    :param version: version of the model, for its adapters too.
+    """
+
+    model: ModelName
+    version: VersionName
+    adapter: AdapterName | None = None
+
+
+async def order_engine(
+    landing: Landing, action: OrderAction, subject: OrderSubject
+) -> OrderOutcome:
+    """Give one order, under a lease taken for it if none is held."""
+    lease = landing.order_lease
+    held = await lease.acquire()
+    if isinstance(held, LeaseRefused):
+        return OrderRefused(detail=held.detail, stale=held.superseded)
+    try:
+        outcome = await _send(landing, held.fencing, action, subject)
+    finally:
+        await lease.release()
+    if isinstance(outcome, OrderRefused) and outcome.stale:
+        lease.superseded = True
+    return outcome
+
+
+async def _send(
+    landing: Landing,
+    fencing: FencingNumber,
+    action: OrderAction,
+    subject: OrderSubject,
+) -> OrderOutcome:
+    order = EngineOrder(
+        fencing=fencing,
+        action=action,
+        model=subject.model,
+        version=subject.version,
+        adapter=subject.adapter,
+    )
+    if not landing.order_lease.is_held():
+        return OrderRefused(detail='the lease lapsed before the order')
+    try:
+        async with asyncio.timeout(LONGEST_ORDER_SECONDS):
+            outcome = await landing.ports.engine.order(order)
+    except TimeoutError:
+        outcome = OrderUnknown(detail=f'{action}: no answer in time')
+    if isinstance(outcome, OrderUnknown):
+        return await settle_order(landing, action, subject, outcome)
+    return outcome
+
+
+async def settle_order(
+    landing: Landing,
+    action: OrderAction,
+    subject: OrderSubject,
+    unknown: OrderUnknown,
+) -> OrderOutcome:
+    """Read from the engine's state whether an order took effect."""
+    state = await landing.ports.engine.describe()
+    if isinstance(state, EngineSilent):
+        return unknown
+    if shows_effect(state, action, subject):
+        return OrderConfirmed()
+    return unknown
+
+
+def shows_effect(
+    state: EngineState, action: OrderAction, subject: OrderSubject
+) -> bool:
+    """Tell whether the engine's state is as an order wants it."""
+    version = find_version(state, subject.model, subject.version)
+    if subject.adapter is not None:
+        present = version is not None and subject.adapter in version.adapters
+        return present != (action is OrderAction.UNLOAD)
+    if action is OrderAction.UNLOAD:
+        return version is None
+    if version is None:
+        return False
+    if action is OrderAction.ACTIVATE:
+        return version.complete and version.active
+    return action is OrderAction.LOAD and version.complete
+
+
+def find_version(
+    state: EngineState, model: ModelName, version: VersionName
+) -> EngineVersion | None:
+    """A version in the engine's state, if it is there."""
+    for held in state.versions:
+        if held.model == model and held.version == version:
+            return held
+    return None
--- /dev/null
+++ b/src/ragwortcourse/weights/progress.py
@@ -0,0 +1,61 @@
+"""What an agent reports of weights on their way."""
+
+from ragwortcourse.messages.target_status import LandingProgress
+from ragwortcourse.weights.landing import Landing
+from ragwortcourse.weights.transfer import Transfer
+from ragwortcourse.weights.wanted import WantedWeights
+
+
+def describe_landing(landing: Landing) -> LandingProgress | None:
+    """Progress of the wanted version; none once it is served."""
+    wanted = landing.state.wanted
+    if wanted is None:
+        return None
+    is_served = landing.served.allows(wanted.model, wanted.version, None)
+    if is_served and not landing.state.detail:
+        return None
+    transfer = landing.exchange.transfers.get(wanted.manifest_sha256)
+    if transfer is None:
+        return LandingProgress(
+            model=wanted.model,
+            version=wanted.version,
+            held=0,
+            total=0,
+            detail=landing.state.detail,
+        )
+    return _describe_transfer(landing, wanted, transfer)
+
+
+def _describe_transfer(
+    landing: Landing, wanted: WantedWeights, transfer: Transfer
+) -> LandingProgress:
+    from_origin = transfer.counts.received['origin']
+    verified = transfer.counts.verified
+    total = 0 if transfer.manifest is None else transfer.manifest.size
+    return LandingProgress(
+        model=wanted.model,
+        version=wanted.version,
+        held=min(verified, total),
+        total=total,
+        from_origin=from_origin,
+        from_peers=verified - from_origin,
+        rate=0 if transfer.ended_at else transfer.counts.rate.read(),
+        detail=landing.state.detail,
+    )
+
+
+def cancel_landing(landing: Landing) -> bool:
+    """Give the coming version up; tell whether there was one.
+
+    What the target serves stays as it is. The version is taken up again
+    when the configuration names another manifest and then this one, or
+    when the agent starts anew.
+    """
+    wanted = landing.state.wanted
+    if wanted is None:
+        return False
+    if landing.served.allows(wanted.model, wanted.version, None):
+        return False
+    landing.state.cancelled.add(wanted.manifest_sha256)
+    landing.announce()
+    return True
--- /dev/null
+++ b/src/ragwortcourse/weights/publication.py
@@ -0,0 +1,127 @@
+"""Publication of weights: from a file to the origin."""
+
+import dataclasses
+import hashlib
+from collections.abc import Awaitable, Callable, Iterator
+from pathlib import Path
+from typing import Final
+
+from ragwortcourse.identifiers import ModelName, Sha256Hex, VersionName
+from ragwortcourse.platform.origin import OriginFailed
+from ragwortcourse.weights.manifest import (
+    Manifest,
+    digest_bytes,
+    encode_manifest,
+)
+
+SMALLEST_CHUNK_BYTES: Final = 65_536
+LARGEST_CHUNK_BYTES: Final = 1_048_576
+# Enough chunks that the depth of the tree costs little of the whole time.
+CHUNKS_WANTED: Final = 2048
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OriginStored:
+    """The origin keeps it."""
+
+
+StoreOutcome = OriginStored | OriginFailed
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OriginWriter:
+    """What publication asks of the origin.
+
+    :param write_chunk: one chunk of a model version by index.
+    :param write_manifest: a manifest under its digest.
+    """
+
+    write_chunk: Callable[
+        [ModelName, VersionName, int, bytes],
+        Awaitable[StoreOutcome],
+    ]
+    write_manifest: Callable[[Sha256Hex, bytes], Awaitable[StoreOutcome]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Published:
+    """The weights and their manifest are at the origin.
+
+    :param digest: what a deployment names as ``manifest_sha256``.
+    """
+
+    digest: Sha256Hex
+    manifest: Manifest
+
+
+def choose_chunk_size(size: int) -> int:
+    """Bytes a chunk should have for weights of so many bytes."""
+    chunk = SMALLEST_CHUNK_BYTES
+    while chunk < LARGEST_CHUNK_BYTES and size > chunk * CHUNKS_WANTED:
+        chunk *= 2
+    return chunk
+
+
+def read_chunks(path: Path, chunk_size: int) -> Iterator[bytes]:
+    """The bytes of a file, or of a directory's files in order of name."""
+    files = [path] if path.is_file() else sorted(path.rglob('*'))
+    rest = b''
+    for file in files:
+        if not file.is_file():
+            continue
+        with file.open('rb') as stream:
+            while piece := stream.read(chunk_size - len(rest)):
+                rest += piece
+                if len(rest) == chunk_size:
+                    yield rest
+                    rest = b''
+    if rest:
+        yield rest
+
+
+def measure_path(path: Path) -> int:
+    """Bytes that would be published."""
+    if path.is_file():
+        return path.stat().st_size
+    return sum(
+        file.stat().st_size for file in path.rglob('*') if file.is_file()
+    )
+
+
+async def publish_weights(
+    *,
+    writer: OriginWriter,
+    path: Path,
+    model: ModelName,
+    version: VersionName,
+    chunk_size: int = 0,
+) -> Published | OriginFailed:
+    """Put weights at the origin, the manifest last.
+
+    :param chunk_size: bytes; zero picks one by the size of the whole.
+    """
+    chunk_size = chunk_size or choose_chunk_size(measure_path(path))
+    whole = hashlib.sha256()
+    digests: list[Sha256Hex] = []
+    size = 0
+    for index, chunk in enumerate(read_chunks(path, chunk_size)):
+        stored = await writer.write_chunk(model, version, index, chunk)
+        if isinstance(stored, OriginFailed):
+            return stored
+        whole.update(chunk)
+        digests.append(digest_bytes(chunk))
+        size += len(chunk)
+    manifest = Manifest(
+        model=model,
+        version=version,
+        size=size,
+        sha256=Sha256Hex(whole.hexdigest()),
+        chunk_size=chunk_size,
+        chunks=tuple(digests),
+    )
+    content = encode_manifest(manifest)
+    digest = digest_bytes(content)
+    stored = await writer.write_manifest(digest, content)
+    if isinstance(stored, OriginFailed):
+        return stored
+    return Published(digest=digest, manifest=manifest)
--- /dev/null
+++ b/src/ragwortcourse/weights/receipt.py
@@ -0,0 +1,28 @@
+"""Receiving the weights of one manifest, refused manifests remembered."""
+
+from ragwortcourse.identifiers import Sha256Hex
+from ragwortcourse.weights.collect import (
+    CollectFailed,
+    CollectOutcome,
+    collect_weights,
+)
+from ragwortcourse.weights.landing import Landing
+from ragwortcourse.weights.orders import OrderSubject
+
+
+async def receive_weights(
+    landing: Landing, digest: Sha256Hex, subject: OrderSubject, version: str
+) -> CollectOutcome:
+    """Bring the weights of a manifest into the engine.
+
+    :param version: version that the manifest must name.
+    """
+    if digest in landing.state.refused:
+        return CollectFailed(detail=landing.state.refused[digest], lasting=True)
+    transfer = landing.open_transfer(digest)
+    landing.state.detail = 'draws chunks'
+    outcome = await collect_weights(landing, transfer, subject, version)
+    if isinstance(outcome, CollectFailed) and outcome.lasting:
+        landing.state.refused[digest] = outcome.detail
+        landing.close_transfer(digest)
+    return outcome
--- /dev/null
+++ b/src/ragwortcourse/weights/reconciliation.py
@@ -0,0 +1,150 @@
+"""The agent's loop that makes its target serve what is configured."""
+
+import asyncio
+import logging
+from typing import Final
+
+from ragwortcourse.engines.engine import EngineState
+from ragwortcourse.weights.activation import (
+    ActivationFailed,
+    activate_version,
+    confirm_version,
+    is_serving,
+    load_version,
+    retire_others,
+    unload_others,
+)
+from ragwortcourse.weights.adapters import land_adapters
+from ragwortcourse.weights.collect import CollectFailed
+from ragwortcourse.weights.landing import Landing
+from ragwortcourse.weights.orders import OrderSubject, find_version
+from ragwortcourse.weights.receipt import receive_weights
+from ragwortcourse.weights.wanted import WantedWeights, find_wanted
+
+LOGGER: Final = logging.getLogger(__name__)
+# How often the engine is looked at while nothing changes.
+PERIOD_SECONDS: Final = 2.0
+# After a failure the next try comes later, as it may need an operator.
+RETRY_SECONDS: Final = 10.0
+
+
+async def land_deployments(landing: Landing) -> None:
+    """Keep the target at the configured version, for as long as it runs."""
+    if not landing.agent.is_model_engine:
+        return
+    while True:
+        wanted = read_wanted(landing)
+        if wanted != landing.state.wanted:
+            forget_others(landing, wanted)
+        landing.state.wanted = wanted
+        await _work_until_changed(landing, wanted)
+
+
+def read_wanted(landing: Landing) -> WantedWeights | None:
+    """What the configuration in force wants on this target."""
+    document = landing.holder.document
+    if document is None:
+        return None
+    wanted = find_wanted(
+        document.configuration,
+        landing.agent.deployment,
+        landing.own,
+        landing.ports.neighbours(),
+    )
+    if wanted is None or wanted.manifest_sha256 in landing.state.cancelled:
+        return None
+    return wanted
+
+
+def forget_others(landing: Landing, wanted: WantedWeights | None) -> None:
+    """Let go of chunks of what is not wanted any more."""
+    kept = frozenset() if wanted is None else wanted.digests
+    for digest in tuple(landing.exchange.transfers):
+        if digest not in kept:
+            landing.close_transfer(digest)
+
+
+async def _work_until_changed(
+    landing: Landing, wanted: WantedWeights | None
+) -> None:
+    work = asyncio.create_task(_keep(landing, wanted))
+    try:
+        while read_wanted(landing) == wanted:
+            await _wait_for_news(landing)
+    finally:
+        work.cancel()
+        await asyncio.gather(work, return_exceptions=True)
+
+
+async def _wait_for_news(landing: Landing) -> None:
+    news = asyncio.create_task(landing.holder.wait_for_change())
+    cancelled = asyncio.create_task(landing.changed.wait())
+    tasks = (news, cancelled)
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
+
+
+async def _keep(landing: Landing, wanted: WantedWeights | None) -> None:
+    while True:
+        detail = await reconcile(landing, wanted)
+        if detail and detail != landing.state.detail:
+            LOGGER.warning('landing failed', extra={'detail': detail})
+        landing.state.detail = detail
+        await asyncio.sleep(RETRY_SECONDS if detail else PERIOD_SECONDS)
+
+
+async def reconcile(landing: Landing, wanted: WantedWeights | None) -> str:
+    """Do what is missing; empty, or what went wrong."""
+    state = await landing.ports.engine.describe()
+    if not isinstance(state, EngineState):
+        return f'the engine is silent: {state.detail}'
+    note_instance(landing, state)
+    if landing.holder.document is None:
+        return ''
+    if wanted is None:
+        if not landing.state.cancelled:
+            retire_others(landing, None)
+            await unload_others(landing, None)
+        return ''
+    detail = await _land_model(landing, state, wanted)
+    if not detail:
+        detail = await land_adapters(landing, wanted)
+    if not detail:
+        await unload_others(landing, wanted)
+    return detail
+
+
+def note_instance(landing: Landing, state: EngineState) -> None:
+    """Forget what an engine held before it started anew."""
+    if state.instance == landing.state.instance:
+        return
+    if landing.state.instance:
+        landing.served.clear()
+    landing.state.adapters.clear()
+    landing.state.instance = state.instance
+
+
+async def _land_model(
+    landing: Landing, state: EngineState, wanted: WantedWeights
+) -> str:
+    subject = OrderSubject(model=wanted.model, version=wanted.version)
+    if is_serving(state, wanted):
+        if not landing.served.allows(wanted.model, wanted.version, None):
+            landing.state.adapters.clear()
+            confirm_version(landing, wanted, frozenset())
+        retire_others(landing, wanted)
+        return ''
+    held = find_version(state, wanted.model, wanted.version)
+    if held is None or not held.complete:
+        received = await receive_weights(
+            landing, wanted.manifest_sha256, subject, str(wanted.version)
+        )
+        if isinstance(received, CollectFailed):
+            return received.detail
+        loaded = await load_version(landing, subject)
+        if isinstance(loaded, ActivationFailed):
+            return loaded.detail
+    landing.state.adapters.clear()
+    activated = await activate_version(landing, wanted)
+    return activated.detail if isinstance(activated, ActivationFailed) else ''
--- /dev/null
+++ b/src/ragwortcourse/weights/routes.py
@@ -0,0 +1,91 @@
+"""Weight routes on an agent's peers port."""
+
+from http import HTTPStatus
+from typing import Final
+
+import msgspec
+from aiohttp import web
+
+from ragwortcourse.identifiers import DaemonId, Sha256Hex
+from ragwortcourse.messages.headers import SENDER
+from ragwortcourse.weights.landing import Landing
+from ragwortcourse.weights.peer_port import (
+    ChunkContent,
+    ChunkGone,
+    ChunkLater,
+    ChunkOutcome,
+    ChunkRequest,
+)
+from ragwortcourse.weights.progress import cancel_landing, describe_landing
+from ragwortcourse.weights.serving import offer_chunk
+
+LATER_STATUS: Final = HTTPStatus.TOO_EARLY
+GONE_STATUS: Final = HTTPStatus.GONE
+REFUSED_STATUS: Final = HTTPStatus.TOO_MANY_REQUESTS
+
+
+def build_weight_routes(*, landing: Landing) -> list[web.RouteDef]:
+    """Routes through which peers draw chunks and operators watch."""
+
+    async def handle_chunk(request: web.Request) -> web.StreamResponse:
+        asked = read_request(request)
+        if asked is None:
+            return web.Response(
+                status=HTTPStatus.BAD_REQUEST, text=f'bad {request.path}'
+            )
+        async with offer_chunk(landing, asked) as outcome:
+            if not isinstance(outcome, ChunkContent):
+                return web.Response(status=find_status(outcome))
+            # Sent inside the context, so that few uploads run at once.
+            response = web.StreamResponse()
+            response.content_length = len(outcome.content)
+            await response.prepare(request)
+            await response.write(outcome.content)
+            await response.write_eof()
+            return response
+
+    async def handle_progress(_: web.Request) -> web.StreamResponse:
+        progress = describe_landing(landing)
+        return web.Response(
+            body=msgspec.json.encode(progress),
+            content_type='application/json',
+        )
+
+    async def handle_cancel(_: web.Request) -> web.StreamResponse:
+        return web.Response(status=find_cancel_status(landing))
+
+    return [
+        web.get('/chunks/{manifest}/{index}', handle_chunk),
+        web.get('/landing', handle_progress),
+        web.post('/landing/cancel', handle_cancel),
+    ]
+
+
+def read_request(request: web.Request) -> ChunkRequest | None:
+    """What a peer asks for, if it can be read."""
+    try:
+        index = int(request.match_info['index'])
+    except ValueError:
+        return None
+    return ChunkRequest(
+        manifest=Sha256Hex(request.match_info['manifest']),
+        index=index,
+        sender=DaemonId(request.headers.get(SENDER, '')),
+        relay='relay' in request.query,
+    )
+
+
+def find_cancel_status(landing: Landing) -> int:
+    """Give the coming version up; HTTP status of the answer."""
+    if cancel_landing(landing):
+        return HTTPStatus.NO_CONTENT
+    return HTTPStatus.CONFLICT
+
+
+def find_status(outcome: ChunkOutcome) -> int:
+    """HTTP status of an answer without bytes."""
+    if isinstance(outcome, ChunkLater):
+        return LATER_STATUS
+    if isinstance(outcome, ChunkGone):
+        return GONE_STATUS
+    return REFUSED_STATUS
--- /dev/null
+++ b/src/ragwortcourse/weights/serving.py
@@ -0,0 +1,109 @@
+"""Giving chunks to peers."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Final
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.weights.draw import WAIT_SECONDS, draw_chunk
+from ragwortcourse.weights.landing import Landing
+from ragwortcourse.weights.peer_port import (
+    MANIFEST_INDEX,
+    ChunkContent,
+    ChunkGone,
+    ChunkLater,
+    ChunkOutcome,
+    ChunkRefused,
+    ChunkRequest,
+)
+from ragwortcourse.weights.transfer import Transfer
+
+# Answers come this much before the asking side would give up waiting.
+MARGIN_SECONDS: Final = 0.5
+
+
+@contextlib.asynccontextmanager
+async def offer_chunk(
+    landing: Landing, request: ChunkRequest
+) -> AsyncIterator[ChunkOutcome]:
+    """What to answer a peer; the bytes are sent inside the context."""
+    deadline = read_clock() + WAIT_SECONDS - MARGIN_SECONDS
+    transfer = await _wait_for_transfer(landing, request, deadline)
+    if transfer is None:
+        yield ChunkLater()
+        return
+    content = await _find_content(landing, transfer, request, deadline)
+    if content is None:
+        gone = transfer.held.has_let_go(request.index)
+        yield ChunkGone() if gone else ChunkLater()
+        return
+    if not _take_budget(transfer, request, len(content)):
+        yield ChunkRefused()
+        return
+    await landing.exchange.pace_up.wait(len(content))
+    async with landing.exchange.uploads.hold(request.index):
+        yield ChunkContent(content=content)
+
+
+def _take_budget(transfer: Transfer, request: ChunkRequest, size: int) -> bool:
+    """Tell whether the host's link may carry the answer, and count it."""
+    if request.index == MANIFEST_INDEX:
+        return True
+    whole = transfer.require_manifest().size
+    if not transfer.counts.may_send(size, whole):
+        return False
+    transfer.counts.sent += size
+    transfer.held.note_sent(request.index, request.sender)
+    return True
+
+
+async def _wait_for_transfer(
+    landing: Landing, request: ChunkRequest, deadline: float
+) -> Transfer | None:
+    while True:
+        transfer = landing.exchange.transfers.get(request.manifest)
+        if transfer is not None:
+            return transfer
+        try:
+            async with asyncio.timeout_at(deadline):
+                await landing.changed.wait()
+        except TimeoutError:
+            return None
+
+
+async def _find_content(
+    landing: Landing,
+    transfer: Transfer,
+    request: ChunkRequest,
+    deadline: float,
+) -> bytes | None:
+    index = request.index
+    if transfer.asking.get(index) == request.sender:
+        # Each waits for the other; the one who asked last goes elsewhere.
+        return None
+    if request.relay and transfer.held.has_let_go(index):
+        return await relay_chunk(landing, transfer, index)
+    return await transfer.wait(index, max(deadline - read_clock(), 0))
+
+
+async def relay_chunk(
+    landing: Landing, transfer: Transfer, index: int
+) -> bytes:
+    """A chunk that was let go here, drawn anew once for all who ask."""
+    task = transfer.relays.get(index)
+    if task is None:
+        task = asyncio.create_task(_draw_again(landing, transfer, index))
+        transfer.relays[index] = task
+        task.add_done_callback(lambda _: transfer.relays.pop(index, None))
+    return await asyncio.shield(task)
+
+
+async def _draw_again(
+    landing: Landing, transfer: Transfer, index: int
+) -> bytes:
+    await landing.exchange.memory.reserve(transfer.measure(index))
+    content = await draw_chunk(landing, transfer, index)
+    transfer.keep(index, content)
+    transfer.held.settle(index)
+    return content
