--- a/fakes/demo.py
+++ b/fakes/demo.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import pathlib
 import random
 import sys
 import time
@@ -152,7 +151,7 @@
 
 async def accept_configuration(fleet: Fleet, manifest: str) -> None:
     """Put the demo's configuration in force."""
-    path = pathlib.Path(fleet.folder / 'configuration.toml')
+    path = fleet.folder / 'configuration.toml'
     path.write_text(
         CONFIGURATION.format(key=digest_key(API_KEY), manifest=manifest)
     )
--- a/src/ragwortcourse/agent/agent.py
+++ b/src/ragwortcourse/agent/agent.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from ragwortcourse.agent.attempt_records import AttemptRecords
+from ragwortcourse.agent.engaged import EngagedVersions
 from ragwortcourse.agent.gate import Gate
 from ragwortcourse.agent.served import ServedVersions
 from ragwortcourse.agent.suspects import CrashSuspects
@@ -42,6 +43,7 @@
         self.engine = engine
         self.daemon_port = daemon_port
         self.served = ServedVersions()
+        self.engaged = EngagedVersions()
         self.limit = WarmLimit(read_limits=self.read_limits)
         self.gate = Gate(
             read_limit=self.limit.read,
--- a/src/ragwortcourse/agent/attempts.py
+++ b/src/ragwortcourse/agent/attempts.py
@@ -28,7 +28,7 @@
     read_to_end,
     relay_answer,
 )
-from ragwortcourse.agent.run import Run
+from ragwortcourse.agent.run import Run, list_version
 from ragwortcourse.agent.ticket import Ticket
 from ragwortcourse.clock import read_clock
 from ragwortcourse.engines.engine import (
@@ -96,7 +96,8 @@
         suspect=attempt.suspect,
     )
     try:
-        refusal = await agent.gate.acquire(ticket)
+        with agent.engaged.hold(list_version(attempt)):
+            refusal = await agent.gate.acquire(ticket)
     except asyncio.CancelledError:
         agent.records.drop_refused(record)
         raise
--- a/src/ragwortcourse/agent/run.py
+++ b/src/ragwortcourse/agent/run.py
@@ -4,6 +4,7 @@
 
 from ragwortcourse.agent.agent import Agent
 from ragwortcourse.agent.attempt_record import AttemptRecord
+from ragwortcourse.agent.engaged import VersionKey
 from ragwortcourse.agent.suspects import UnderWay
 from ragwortcourse.agent.ticket import Ticket
 from ragwortcourse.clock import read_clock
@@ -40,6 +41,7 @@
         self._instance = agent.limit.instance
         record.state = AttemptState.RUNNING
         record.version = attempt.version
+        agent.engaged.enter(list_version(attempt))
         agent.suspects.begin(
             UnderWay(
                 attempt=attempt.attempt,
@@ -79,6 +81,7 @@
             return
         self.ended = True
         agent = self.agent
+        agent.engaged.leave(list_version(self.attempt))
         status = self.record.status or SERVER_ERROR
         clean = state is AttemptState.COMPLETED and status < SERVER_ERROR
         self.record.state = state
@@ -102,3 +105,8 @@
         if isinstance(state, EngineSilent):
             return True
         return state.instance != self._instance
+
+
+def list_version(attempt: Attempt) -> VersionKey:
+    """What the attempt needs of its target: model, version, adapter."""
+    return attempt.model, attempt.version, attempt.adapter
--- a/src/ragwortcourse/processes/agent_daemon.py
+++ b/src/ragwortcourse/processes/agent_daemon.py
@@ -4,8 +4,7 @@
 import random
 from typing import Final
 
-import aiohttp
-from aiohttp import web
+from aiohttp import ClientSession, web
 
 from ragwortcourse.agent.agent import Agent
 from ragwortcourse.agent.lifecycle import drain_agent, watch_target
@@ -76,7 +75,7 @@
 
 
 def build_agent_daemon(
-    *, settings: Settings, session: aiohttp.ClientSession
+    *, settings: Settings, session: ClientSession
 ) -> AgentDaemon:
     """Put the parts of an agent together; nothing runs yet.
 
@@ -106,7 +105,7 @@
             chunk_port=build_http_peers(session=session),
             neighbours=neighbourhood.list_peers,
             table=build_http_table(session=session, base_url=platform.table),
-            count_running=agent.count_running,
+            count_running=agent.engaged.count,
             count_live=lambda: agent.gate.running,
         ),
         rng=random.Random(),  # noqa: S311  # spreads load, guards nothing
--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -4,8 +4,7 @@
 import random
 from typing import Final
 
-import aiohttp
-from aiohttp import web
+from aiohttp import ClientSession, web
 
 from ragwortcourse.configuration.feed import follow_head
 from ragwortcourse.configuration.holder import ConfigurationHolder
@@ -26,6 +25,7 @@
 from ragwortcourse.membership.roster import Roster
 from ragwortcourse.membership.routes import build_exchange_routes
 from ragwortcourse.membership.watch import watch_targets
+from ragwortcourse.messages.operator import CrasherList
 from ragwortcourse.platform.http_daemons import build_http_daemons
 from ragwortcourse.platform.http_hosts import build_http_hosts
 from ragwortcourse.platform.http_objects import build_http_objects
@@ -93,7 +93,7 @@
 
 
 def build_entry_daemon(
-    *, settings: Settings, session: aiohttp.ClientSession
+    *, settings: Settings, session: ClientSession
 ) -> EntryDaemon:
     """Put the parts of an entry daemon together; nothing runs yet."""
     platform = settings.platform
@@ -132,7 +132,7 @@
         membership=membership,
         find_record=entry.records.find,
         relay_record=build_record_relay(session=session),
-        list_crashers=entry.crashers.list_crashers,
-        release_crasher=entry.crashers.release,
+        list_crashers=lambda: CrasherList(crashers=()),
+        release_crasher=lambda fingerprint: False,
     )
     return EntryDaemon(entry=entry, membership=membership, operators=operators)
--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -5,8 +5,7 @@
 import signal
 from typing import Final, Protocol
 
-import aiohttp
-from aiohttp import web
+from aiohttp import ClientSession, TCPConnector, web
 from aiomisc import Service
 
 from ragwortcourse.processes.agent_daemon import build_agent_daemon
@@ -20,6 +19,7 @@
 from ragwortcourse.settings import Role, Settings
 from ragwortcourse.telemetry.metrics_page import build_metrics_route
 
+KEEPALIVE_SECONDS: Final = 30.0
 # Others see "not ready" before the sockets close.
 LAST_CONNECTIONS_SECONDS: Final = 1.0
 
@@ -58,10 +58,8 @@
     async def start(self) -> None:
         """Open the ports and run until stopped."""
         # Every target has a connection for each request under way there.
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=30)
-        self.session = aiohttp.ClientSession(
-            connector=connector, auto_decompress=False
-        )
+        connector = TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS)
+        self.session = ClientSession(connector=connector, auto_decompress=False)
         self.tasks = BackgroundTasks()
         self.daemon = await self._open_daemon()
         self.daemon.start(self.tasks)
--- a/src/ragwortcourse/weights/tree.py
+++ b/src/ragwortcourse/weights/tree.py
@@ -48,9 +48,9 @@
         heads: list[PeerAddress] = []
         for group in self._order_groups(index):
             if own in group:
-                return (*_list_ancestors(group, own, index), *heads[::-1])
+                return (*_list_ancestors(group, own, index), *reversed(heads))
             heads.append(group[_find_start(group, index)])
-        return tuple(heads[::-1])
+        return tuple(reversed(heads))
 
     def list_children(
         self, own: PeerAddress, index: int
