--- a/fakes/demo.py
+++ b/fakes/demo.py
@@ -109,7 +109,7 @@
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         '-m',
-        'ragwortcourse.cli.program',
+        'ragwortcourse.cli',
         *words,
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.STDOUT,
--- a/src/ragwortcourse/cli/program.py
+++ b/src/ragwortcourse/cli/program.py
@@ -7,6 +7,7 @@
     crasher_commands,
     init_command,
     part_commands,
+    publish_command,
     status_commands,
     weights_commands,
 )
@@ -33,6 +34,7 @@
     status_commands.explain,
     part_commands.withdraw,
     part_commands.return_part,
+    publish_command.publish,
     weights_commands.replicas,
     weights_commands.cancel,
     crasher_commands.crashers,
--- a/src/ragwortcourse/processes/agent_daemon.py
+++ b/src/ragwortcourse/processes/agent_daemon.py
@@ -4,7 +4,7 @@
 import random
 from typing import Final
 
-from aiohttp import ClientSession, web
+from aiohttp import web
 
 from ragwortcourse.agent.agent import Agent
 from ragwortcourse.agent.lifecycle import drain_agent, watch_target
@@ -18,6 +18,7 @@
 from ragwortcourse.platform.http_hosts import build_http_hosts
 from ragwortcourse.platform.http_origin import build_http_origin
 from ragwortcourse.platform.http_table import build_http_table
+from ragwortcourse.processes.sessions import Sessions
 from ragwortcourse.processes.tasks import BackgroundTasks
 from ragwortcourse.settings import Settings
 from ragwortcourse.weights.http_peers import build_http_peers
@@ -75,7 +76,7 @@
 
 
 def build_agent_daemon(
-    *, settings: Settings, session: ClientSession
+    *, settings: Settings, sessions: Sessions
 ) -> AgentDaemon:
     """Put the parts of an agent together; nothing runs yet.
 
@@ -84,9 +85,10 @@
     if settings.agent is None:
         raise ValueError('settings: [agent] is missing')
     platform = settings.platform
+    session = sessions.plain
     daemon_port = build_http_daemons(session=session)
     engine = build_http_engine(
-        session=session, base_url=settings.agent.target_url
+        session=sessions.relay, base_url=settings.agent.target_url
     )
     agent = Agent(
         settings=settings,
--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -4,7 +4,7 @@
 import random
 from typing import Final
 
-from aiohttp import ClientSession, web
+from aiohttp import web
 
 from ragwortcourse.configuration.feed import follow_head
 from ragwortcourse.configuration.holder import ConfigurationHolder
@@ -30,6 +30,7 @@
 from ragwortcourse.platform.http_hosts import build_http_hosts
 from ragwortcourse.platform.http_objects import build_http_objects
 from ragwortcourse.platform.http_table import build_http_table
+from ragwortcourse.processes.sessions import Sessions
 from ragwortcourse.processes.tasks import BackgroundTasks
 from ragwortcourse.settings import Settings
 
@@ -93,15 +94,16 @@
 
 
 def build_entry_daemon(
-    *, settings: Settings, session: ClientSession
+    *, settings: Settings, sessions: Sessions
 ) -> EntryDaemon:
     """Put the parts of an entry daemon together; nothing runs yet."""
     platform = settings.platform
+    session = sessions.plain
     table = build_http_table(session=session, base_url=platform.table)
     objects = build_http_objects(session=session, base_url=platform.objects)
     holder = ConfigurationHolder()
     directory = TargetDirectory()
-    agent_port = build_http_agents(session=session)
+    agent_port = build_http_agents(session=sessions.relay)
     rng = random.Random()  # noqa: S311  # spreads load, guards nothing
     entry = Entry(
         settings=settings,
--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -5,7 +5,7 @@
 import signal
 from typing import Final, Protocol
 
-from aiohttp import ClientSession, TCPConnector, web
+from aiohttp import web
 from aiomisc import Service
 
 from ragwortcourse.processes.agent_daemon import build_agent_daemon
@@ -14,12 +14,12 @@
     build_entry_daemon,
 )
 from ragwortcourse.processes.health import build_health_routes
+from ragwortcourse.processes.sessions import open_sessions
 from ragwortcourse.processes.sites import open_site
 from ragwortcourse.processes.tasks import BackgroundTasks
 from ragwortcourse.settings import Role, Settings
 from ragwortcourse.telemetry.metrics_page import build_metrics_route
 
-KEEPALIVE_SECONDS: Final = 30.0
 # Others see "not ready" before the sockets close.
 LAST_CONNECTIONS_SECONDS: Final = 1.0
 
@@ -57,9 +57,7 @@
 
     async def start(self) -> None:
         """Open the ports and run until stopped."""
-        # Every target has a connection for each request under way there.
-        connector = TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS)
-        self.session = ClientSession(connector=connector, auto_decompress=False)
+        self.sessions = open_sessions()
         self.tasks = BackgroundTasks()
         self.daemon = await self._open_daemon()
         self.daemon.start(self.tasks)
@@ -80,17 +78,17 @@
         for runner in self.runners:
             await runner.cleanup()
         await self.tasks.stop()
-        await self.session.close()
+        await self.sessions.close()
         LOGGER.info('stopped')
 
     async def _open_daemon(self) -> Daemon:
         if self.settings.role is Role.AGENT:
             agent = build_agent_daemon(
-                settings=self.settings, session=self.session
+                settings=self.settings, sessions=self.sessions
             )
             await self._open_common(agent)
             return agent
-        entry = build_entry_daemon(settings=self.settings, session=self.session)
+        entry = build_entry_daemon(settings=self.settings, sessions=self.sessions)
         await self._open_common(entry)
         await self._open_entry(entry)
         return entry
