Prove the gate's limits, outcomes and crash suspicion under faults

Found by the new tests and mended: a death was weighed again for each stream found broken later, which accused innocent requests; a limit fell back to the cold one although the target had last said that it bears less; the stand-in went on with streams it had lost in a restart. Headers of a target that would make its answer look like a refusal are no longer passed on.

--- a/fakes/memory_engine.py
+++ b/fakes/memory_engine.py
@@ -59,6 +59,7 @@
         self.faults = EngineFaults()
         self.versions = EngineVersions(checks_fencing=checks_fencing)
         self.runs: collections.Counter[str] = collections.Counter()
+        self._resumable: set[AttemptId] = set()
         self.cancelled: list[AttemptId] = []
         self.deaths = 0
         self.dead_until: float = 0
@@ -66,7 +67,7 @@
         self._instances = itertools.count(1)
         self._instance = next(self._instances)
         self._died = asyncio.Event()
-        self._report: tuple[float, int, int] = (0, 0, 0)
+        self._report: tuple[float, int, int] | None = None
 
     def build(self) -> Engine:
         """The port to this target."""
@@ -84,6 +85,8 @@
         self.deaths += 1
         self.dead_until = read_clock() + downtime
         self._instance = next(self._instances)
+        self._report = None
+        self._resumable.clear()
         died, self._died = self._died, asyncio.Event()
         died.set()
         self.load.cool()
@@ -101,13 +104,14 @@
         if CRASH_MARK in request.body:
             self.die()
             return EngineLost(detail='the engine died')
+        self._resumable.add(request.attempt)
         return await self._answer(request, 0)
 
     async def resume(self, request: EngineRequest, sent: int) -> StartOutcome:
         """Go on with a stream; see :class:`Engine`."""
         if self._is_down():
             return EngineUnreached(detail='nobody listens')
-        if not self.can_resume:
+        if not self.can_resume or request.attempt not in self._resumable:
             return EngineLost(detail='this engine resumes nothing')
         return await self._answer(request, sent)
 
@@ -121,11 +125,11 @@
         if self._is_down() or self.faults.silent:
             return EngineSilent(detail='nobody listens')
         now = read_clock()
-        stale = now - self._report[0] >= self.load.report_lag
-        if stale and not self.faults.frozen_reports:
+        report = self._report
+        if report is None or self._is_due(now - report[0]):
             bearable = self.load.read_bearable()
-            self._report = (now, self.load.running, bearable)
-        made_at, running, bearable = self._report
+            report = self._report = (now, self.load.running, bearable)
+        made_at, running, bearable = report
         return EngineState(
             instance=f'instance-{self._instance}',
             running=running,
@@ -159,6 +163,9 @@
             return OrderUnknown(detail='the answer was lost')
         return outcome
 
+    def _is_due(self, age: float) -> bool:
+        return age >= self.load.report_lag and not self.faults.frozen_reports
+
     def _is_down(self) -> bool:
         return read_clock() < self.dead_until
 
--- a/src/ragwortcourse/agent/agent.py
+++ b/src/ragwortcourse/agent/agent.py
@@ -8,11 +8,13 @@
 from ragwortcourse.agent.gate import Gate
 from ragwortcourse.agent.served import ServedVersions
 from ragwortcourse.agent.suspects import CrashSuspects
+from ragwortcourse.agent.version_use import VersionUse
 from ragwortcourse.agent.warmup import WarmLimit
 from ragwortcourse.configuration.deployment import Deployment
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.limits import TargetLimits
 from ragwortcourse.engines.engine import Engine
+from ragwortcourse.identifiers import AdapterName, ModelName, VersionName
 from ragwortcourse.messages.outcome import NotRun
 from ragwortcourse.messages.peer_port import DaemonPort
 from ragwortcourse.settings import AgentSettings, Settings
@@ -50,6 +52,7 @@
         )
         self.records = AttemptRecords()
         self.suspects = CrashSuspects()
+        self.version_use = VersionUse()
         self.leaving = False
         self._background: set[asyncio.Task[None]] = set()
 
@@ -87,6 +90,15 @@
             )
         return None
 
+    def count_running(
+        self,
+        model: ModelName,
+        version: VersionName,
+        adapter: AdapterName | None,
+    ) -> int:
+        """Requests under way or waiting on a version or its adapter."""
+        return self.version_use.count(model, version, adapter)
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Go on with work that nobody waits for."""
         task = asyncio.create_task(work)
--- a/src/ragwortcourse/agent/attempts.py
+++ b/src/ragwortcourse/agent/attempts.py
@@ -64,10 +64,11 @@
     context = extract(attempt.headers)
     with TRACER.start_as_current_span('agent.attempt', context=context):
         record = agent.records.accept(attempt.attempt)
+        agent.version_use.begin(attempt)
         admitted = await admit_attempt(agent, attempt, record)
         if isinstance(admitted, Run):
             return await start_run(admitted)
-        agent.records.drop_refused(record)
+        forget_refused(agent, attempt, record)
         return refuse(agent, admitted)
 
 
@@ -98,7 +99,7 @@
     try:
         refusal = await agent.gate.acquire(ticket)
     except asyncio.CancelledError:
-        agent.records.drop_refused(record)
+        forget_refused(agent, attempt, record)
         raise
     if refusal is not None:
         return refusal
@@ -113,6 +114,14 @@
     return Run(agent=agent, attempt=attempt, record=record, ticket=ticket)
 
 
+def forget_refused(
+    agent: Agent, attempt: Attempt, record: AttemptRecord
+) -> None:
+    """Keep nothing of an attempt that never ran, unless it was barred."""
+    agent.records.drop_refused(record)
+    agent.version_use.end(attempt)
+
+
 def find_unserved(agent: Agent, attempt: Attempt) -> NotRun | None:
     """The refusal of a model version that the target may not answer with."""
     if attempt.model is None:
--- a/src/ragwortcourse/agent/run.py
+++ b/src/ragwortcourse/agent/run.py
@@ -84,6 +84,7 @@
         self.record.state = state
         self.record.suspect = agent.suspects.is_accused(self.attempt.attempt)
         agent.suspects.end(self.attempt.attempt, clean=clean)
+        agent.version_use.end(self.attempt)
         if clean:
             agent.limit.note_answer(self.latency, agent.gate.running)
         agent.gate.release(self._ticket, read_clock() - self._started_at)
--- a/src/ragwortcourse/agent/server.py
+++ b/src/ragwortcourse/agent/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Mapping
 from typing import Final
 
 import msgspec
@@ -33,6 +34,15 @@
 DISCONNECT_POLL_SECONDS: Final = 0.25
 BAD_REQUEST: Final = 400
 JSON: Final = 'application/json'
+# A target that sets these could pass its answer off as a refusal.
+RESERVED: Final = frozenset(
+    (
+        names.ERROR_CODE,
+        names.OUTCOME,
+        names.REQUEST_ID,
+        names.MODEL_VERSION,
+    )
+)
 
 
 def build_agent_routes(
@@ -91,8 +101,8 @@
         while not work.done():
             await asyncio.wait([work], timeout=DISCONNECT_POLL_SECONDS)
             if request.transport is None:
-                work.cancel()
-        return await work
+                raise ConnectionResetError('the entry daemon went away')
+        return work.result()
     finally:
         work.cancel()
 
@@ -102,7 +112,7 @@
 ) -> web.StreamResponse:
     """Relay an answer; abort the connection where it ends short."""
     response = web.StreamResponse(
-        status=answer.status, headers=select_relayed(answer.headers)
+        status=answer.status, headers=select_own(answer.headers)
     )
     response.headers[names.SPARE] = str(answer.spare)
     response.headers[names.GENERATION] = str(answer.generation)
@@ -123,6 +133,16 @@
     return response
 
 
+def select_own(headers: Mapping[str, str]) -> dict[str, str]:
+    """The target's headers, without any that only the agent may set."""
+    return {
+        name: text
+        for name, text in select_relayed(headers).items()
+        if name.lower() not in RESERVED
+        and not name.lower().startswith(names.OWN_PREFIX)
+    }
+
+
 def abort_connection(request: web.Request) -> None:
     """Let the peer see that the answer has no end."""
     if request.transport is not None:
--- a/src/ragwortcourse/agent/suspects.py
+++ b/src/ragwortcourse/agent/suspects.py
@@ -8,6 +8,8 @@
 
 SUSPICION_SECONDS: Final = 600.0
 MAX_SUSPECTS: Final = 64
+MAX_DEATHS: Final = 16
+SAME_DEATH_SECONDS: Final = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -31,6 +33,7 @@
         self._under_way: dict[AttemptId, UnderWay] = {}
         self._accused: set[AttemptId] = set()
         self._until: dict[str, float] = {}
+        self._deaths: dict[str | None, float] = {}
 
     @property
     def fingerprints(self) -> tuple[str, ...]:
@@ -57,8 +60,11 @@
         """Put under suspicion what an instance had when it died.
 
         Where it ran a suspect, nothing else is accused: the gate runs
-        one suspect at a time.
+        one suspect at a time. What is found broken later on was weighed
+        with the rest when the death was noticed.
         """
+        if not self._is_news(instance):
+            return
         had = [
             work
             for work in self._under_way.values()
@@ -75,3 +81,16 @@
     def is_accused(self, attempt: AttemptId) -> bool:
         """Tell whether the target died under an attempt under way."""
         return attempt in self._accused
+
+    def _is_news(self, instance: str | None) -> bool:
+        died_at = self._deaths.get(instance)
+        now = read_clock()
+        # Targets that do not name their instance can die again.
+        if died_at is not None and (
+            instance or now - died_at < SAME_DEATH_SECONDS
+        ):
+            return False
+        self._deaths[instance] = now
+        for old in tuple(self._deaths)[:-MAX_DEATHS]:
+            self._deaths.pop(old)
+        return True
--- a/src/ragwortcourse/agent/warmup.py
+++ b/src/ragwortcourse/agent/warmup.py
@@ -50,9 +50,9 @@
         """Permits in force now."""
         limits = self._read_limits()
         cold = min(limits.cold, limits.warm)
-        if not self._is_evidence_fresh():
-            return cold
-        limit = min(int(cold + self._warmth), limits.warm)
+        limit = cold
+        if self._is_evidence_fresh():
+            limit = min(int(cold + self._warmth), limits.warm)
         if self._bearable is not None:
             # An engine that says it bears nothing still gets a probe.
             limit = min(limit, max(self._bearable, 1))
@@ -91,7 +91,7 @@
             return
         self._reports_load = True
         made_at = read_clock() - state.age
-        if state.age <= REPORT_MAX_AGE_SECONDS and made_at > self._bearable_at:
+        if state.age <= REPORT_MAX_AGE_SECONDS and made_at >= self._bearable_at:
             self._bearable = state.bearable
             self._bearable_at = made_at
             self._bound_warmth()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,15 +1,34 @@
 """Tests of :mod:`ragwortcourse.agent.attempts`."""
 
 import asyncio
+import copy
 
 import pytest
 
-from fakes.agents import make_agent, make_attempt, make_service_attempt
-from fakes.memory_engine import MemoryEngine
+from fakes.agents import (
+    MODEL,
+    VERSION,
+    make_agent,
+    make_attempt,
+    make_service_attempt,
+)
+from fakes.engine_faults import EngineFaults
+from fakes.engine_load import EngineLoad
+from fakes.memory_engine import CRASH_MARK, MemoryEngine
 from ragwortcourse.agent.attempts import bar_attempt, run_attempt
-from ragwortcourse.messages.attempt import AttemptAnswer, AttemptRefused
+from ragwortcourse.agent.lifecycle import drain_agent, watch_target
+from ragwortcourse.configuration.limits import TargetLimits
+from ragwortcourse.identifiers import ChangeId, Generation
+from ragwortcourse.messages.attempt import (
+    AnswerBrokenError,
+    AttemptAnswer,
+    AttemptRefused,
+)
+from ragwortcourse.messages.attempt_report import AttemptState
+from ragwortcourse.messages.withdrawal import Withdrawal, WithdrawalScope
 
 pytestmark = pytest.mark.looptime
+ROOM = TargetLimits(cold=8, warm=8)
 
 
 async def read_body(answer: AttemptAnswer) -> bytes:
@@ -17,15 +36,62 @@
     return b''.join([chunk async for chunk in answer.body])
 
 
+async def read_state(agent, attempt) -> AttemptState:
+    """State that the agent reports of an attempt, once all has settled."""
+    await asyncio.sleep(30)
+    report = await bar_attempt(agent, attempt.attempt, 1)
+    return report.state
+
+
 class TestRunAttempt:
     """One attempt at the target."""
 
-    async def test_whole_stream_is_relayed(self):
-        """A stream arrives whole, with the version that made it."""
-        agent = make_agent(MemoryEngine())
-        answer = await run_attempt(agent, make_attempt())
-        assert answer.version == 'v1'
-        assert (await read_body(answer)).endswith(b'data: [DONE]\n\n')
+    @pytest.mark.parametrize(
+        ('fault', 'code', 'outcome', 'state'),
+        [
+            ('unreached', 'target_unreached', 'not_run', 'refused'),
+            ('lost', 'target_lost', 'unknown', 'broken'),
+            ('crossed', 'crossed_answer', 'unknown', 'broken'),
+            ('wrong_version', 'wrong_version', 'unknown', 'broken'),
+        ],
+    )
+    async def test_fault_before_the_body(self, fault, code, outcome, state):
+        """A wrong answer is dropped, and the outcome of the work is true."""
+        engine = MemoryEngine()
+        engine.faults = EngineFaults(**{fault: 1})
+        agent = make_agent(engine)
+        attempt = make_attempt()
+        refused = await run_attempt(agent, attempt)
+        assert (refused.outcome.code, refused.outcome.kind) == (code, outcome)
+        assert agent.gate.running == engine.load.running == 0
+        assert engine.runs.total() == (outcome == 'unknown')
+        assert await read_state(agent, attempt) == state
+
+    @pytest.mark.parametrize('can_resume', [True, False])
+    @pytest.mark.parametrize(
+        'faults',
+        [
+            {'cut_after': [0]},
+            {'cut_after': [70]},
+            {'cut_after': [70, 0, 100]},
+            {'no_end': 1},
+        ],
+    )
+    async def test_stream_is_never_silently_short(self, faults, can_resume):
+        """A broken stream is resumed where that works, else ends broken."""
+        engine = MemoryEngine(can_resume=can_resume)
+        agent = make_agent(engine)
+        whole = await read_body(await run_attempt(agent, make_attempt()))
+        engine.faults = EngineFaults(**copy.deepcopy(faults))
+        attempt = make_attempt()
+        answer = await run_attempt(agent, attempt)
+        if can_resume:
+            assert await read_body(answer) == whole
+            assert await read_state(agent, attempt) == 'completed'
+        else:
+            with pytest.raises(AnswerBrokenError):
+                await read_body(answer)
+            assert await read_state(agent, attempt) == 'broken'
         assert agent.gate.running == 0
 
     async def test_duplicate_runs_once(self):
@@ -41,6 +107,68 @@
         assert second.outcome.code == 'duplicate_attempt'
         assert engine.runs.total() == 1
 
+    @pytest.mark.parametrize('waits', [False, True])
+    async def test_only_confirmed_versions_answer(self, waits):
+        """A version not confirmed, or no longer, gets no new work."""
+        engine = MemoryEngine()
+        agent = make_agent(engine, limits=TargetLimits(cold=1, warm=1))
+        first = await run_attempt(agent, make_attempt())
+        asked = asyncio.create_task(run_attempt(agent, make_attempt()))
+        await asyncio.sleep(0.01 if waits else 0)
+        agent.served.remove(MODEL, VERSION)
+        await read_body(first)
+        assert (await asked).outcome.code == 'version_not_served'
+        assert engine.runs.total() == 1
+
+    async def test_deadline_while_the_target_works(self):
+        """Work that is not answered by its deadline is cancelled there."""
+        engine = MemoryEngine(load=EngineLoad(latency=100))
+        agent = make_agent(engine)
+        attempt = make_attempt(time_left=1)
+        refused = await run_attempt(agent, attempt)
+        assert refused.outcome.code == 'deadline_passed'
+        assert await read_state(agent, attempt) == 'broken'
+        assert engine.cancelled == [attempt.attempt]
+        assert agent.gate.running == engine.load.running == 0
+
+
+class TestAbandonedAttempt:
+    """An attempt whose entry daemon goes away."""
+
+    @pytest.mark.parametrize('chunks', [None, 0, 1])
+    @pytest.mark.parametrize('idempotent', [True, False])
+    async def test_work_ends_as_it_must(self, chunks, idempotent):
+        """Idempotent work is cancelled, other work runs to its end."""
+        engine = MemoryEngine(load=EngineLoad(latency=1, pace=1))
+        agent = make_agent(engine)
+        attempt = make_attempt(idempotent=idempotent)
+        working = asyncio.create_task(run_attempt(agent, attempt))
+        if chunks is None:
+            await asyncio.sleep(0.5)
+            working.cancel()
+        else:
+            body = (await working).body
+            for _ in range(chunks):
+                await anext(body)
+            await body.aclose()
+        state = await read_state(agent, attempt)
+        assert state == ('broken' if idempotent else 'completed')
+        assert bool(engine.cancelled) == idempotent
+        assert agent.gate.running == engine.load.running == 0
+
+    async def test_reader_cancelled_in_mid_read(self):
+        """Non-idempotent work survives a reader cancelled while it waits."""
+        engine = MemoryEngine(load=EngineLoad(pace=5))
+        agent = make_agent(engine)
+        attempt = make_attempt(idempotent=False)
+        answer = await run_attempt(agent, attempt)
+        reading = asyncio.create_task(read_body(answer))
+        await asyncio.sleep(1)
+        reading.cancel()
+        await asyncio.wait([reading])
+        await asyncio.sleep(60)
+        assert await read_state(agent, attempt) == 'completed'
+
 
 class TestBarAttempt:
     """A report that settles a lost connection."""
@@ -56,3 +184,113 @@
         refused = await run_attempt(agent, attempt)
         assert refused.outcome.code == 'barred'
         assert engine.runs.total() == 0
+
+    async def test_bar_stops_what_waits(self):
+        """An attempt barred while it waits at the gate never runs."""
+        engine = MemoryEngine()
+        agent = make_agent(engine, limits=TargetLimits(cold=1, warm=1))
+        first = await run_attempt(agent, make_attempt())
+        attempt = make_attempt()
+        waiting = asyncio.create_task(run_attempt(agent, attempt))
+        await asyncio.sleep(0.01)
+        report = await bar_attempt(agent, attempt.attempt, 0)
+        await read_body(first)
+        assert report.proves_not_run
+        assert (await waiting).outcome.code == 'barred'
+        assert engine.runs.total() == 1
+
+    @pytest.mark.parametrize('lost_by', ['restart', 'eviction'])
+    async def test_forgotten_is_said(self, lost_by):
+        """An attempt that may have run before the memory is not barred."""
+        engine = MemoryEngine(is_model_engine=False)
+        agent = make_agent(engine)
+        attempt = make_service_attempt()
+        await read_body(await run_attempt(agent, attempt))
+        if lost_by == 'restart':
+            agent = make_agent(engine)
+        else:
+            agent.records._max_records = 2
+            for _ in range(3):
+                again = await run_attempt(agent, make_service_attempt())
+                await read_body(again)
+        await asyncio.sleep(1)
+        report = await bar_attempt(agent, attempt.attempt, 2)
+        assert report.state is AttemptState.FORGOTTEN
+
+
+class TestClosing:
+    """Withdrawal and leaving."""
+
+    @pytest.mark.parametrize('how', ['withdrawn', 'leaving'])
+    async def test_nothing_new_and_nothing_cut(self, how):
+        """Work under way ends whole, waiting and new work is refused."""
+        engine = MemoryEngine(load=EngineLoad(pace=1))
+        agent = make_agent(engine, limits=TargetLimits(cold=1, warm=1))
+        watching = asyncio.create_task(watch_target(agent))
+        answer = await run_attempt(agent, make_attempt())
+        waiting = asyncio.create_task(run_attempt(agent, make_attempt()))
+        await asyncio.sleep(0.1)
+        if how == 'withdrawn':
+            agent.holder.withdraw(
+                Withdrawal(
+                    change=ChangeId('change-2'),
+                    scope=WithdrawalScope.FAILURE_DOMAIN,
+                    name='attica-a',
+                    generation=Generation(1),
+                ),
+            )
+        else:
+            draining = asyncio.create_task(drain_agent(agent))
+        async with asyncio.timeout(0.1):
+            assert (await waiting).outcome.code == how
+            refused = await run_attempt(agent, make_attempt())
+        assert (refused.outcome.code, refused.outcome.kind) == (how, 'not_run')
+        assert (await read_body(answer)).endswith(b'data: [DONE]\n\n')
+        if how == 'leaving':
+            async with asyncio.timeout(1):
+                await draining
+        watching.cancel()
+
+
+class TestCrashSuspects:
+    """Requests that take their target down."""
+
+    async def test_all_under_way_at_first_then_the_suspect_alone(self):
+        """Once a suspect runs again, only it is accused of a crash."""
+        engine = MemoryEngine(load=EngineLoad(latency=1, pace=1))
+        agent = make_agent(engine, limits=ROOM)
+        agent.limit.note_state(await engine.describe())
+        innocent = await run_attempt(agent, make_attempt(fingerprint='good'))
+        crash = {'body': CRASH_MARK, 'fingerprint': 'bad'}
+        refused = await run_attempt(agent, make_attempt(**crash))
+        assert refused.suspect
+        with pytest.raises(AnswerBrokenError):
+            await read_body(innocent)
+        assert set(agent.suspects.fingerprints) == {'good', 'bad'}
+        again = make_agent(engine, limits=ROOM)
+        await asyncio.sleep(1)
+        again.limit.note_state(await engine.describe())
+        other = await run_attempt(again, make_attempt(fingerprint='other'))
+        refused = await run_attempt(again, make_attempt(**crash, suspect=True))
+        assert refused.suspect
+        with pytest.raises(AnswerBrokenError):
+            await read_body(other)
+        assert again.suspects.fingerprints == ('bad',)
+
+    async def test_suspicion_ends(self):
+        """A clean run acquits at once, and time does in the end."""
+        engine = MemoryEngine()
+        agent = make_agent(engine, limits=ROOM)
+        agent.limit.note_state(await engine.describe())
+        answer = await run_attempt(agent, make_attempt(fingerprint='one'))
+        other = await run_attempt(agent, make_attempt(fingerprint='two'))
+        engine.die()
+        for broken in (answer, other):
+            with pytest.raises(AnswerBrokenError):
+                await read_body(broken)
+        await asyncio.sleep(1)
+        retried = make_attempt(fingerprint='one', suspect=True)
+        await read_body(await run_attempt(agent, retried))
+        assert agent.suspects.fingerprints == ('two',)
+        await asyncio.sleep(3600)
+        assert not agent.suspects.fingerprints
