Refuse requests that crash targets; take out bad targets; rank by nearness

Cause: a request that takes down each target that runs it went from target to target, and a target that answered badly kept its share.

--- a/src/ragwortcourse/entry/admission.py
+++ b/src/ragwortcourse/entry/admission.py
@@ -56,8 +56,30 @@
             detail='No client account has this API key.',
         )
     if call.deployment is None:
-        return _admit_model_call(entry, call, trail, account)
-    return _admit_service_call(entry, call, trail, account)
+        work = _admit_model_call(entry, call, trail, account)
+    else:
+        work = _admit_service_call(entry, call, trail, account)
+    if isinstance(work, Work) and is_crasher(entry, work):
+        return NotRun(
+            code=errors.CRASHING_REQUEST,
+            detail=(
+                'Targets died under this request; it was not run again.'
+                ' An operator can release it.'
+            ),
+        )
+    return work
+
+
+def is_crasher(entry: Entry, work: Work) -> bool:
+    """Tell whether a request is refused for the targets it took down."""
+    accusers = [
+        record.target
+        for record in entry.directory.records
+        if record.status and work.fingerprint in record.status.suspects
+    ]
+    if accusers:
+        entry.crashers.accuse(work.fingerprint, work.account.name, *accusers)
+    return entry.crashers.is_refused(work.fingerprint)
 
 
 def check_readiness(entry: Entry) -> NotRun | None:
--- a/src/ragwortcourse/entry/answers.py
+++ b/src/ragwortcourse/entry/answers.py
@@ -38,6 +38,8 @@
 
     async def finish(is_whole: bool) -> None:
         release_choice(served.choice)
+        if is_whole:
+            entry.crashers.acquit(work.fingerprint)
         kind = OutcomeKind.COMPLETED if is_whole else OutcomeKind.UNKNOWN
         CALLS.add(1, {'result': kind})
         work.trail.note(
--- a/src/ragwortcourse/entry/attempts.py
+++ b/src/ragwortcourse/entry/attempts.py
@@ -63,11 +63,20 @@
             return Served(started=step, choice=choice)
         _note_failure(work, choice, step)
         failures.append(step)
-        if not may_retry(work, step):
+        note_crash(entry, work, choice, step)
+        if not may_retry(entry, work, step):
             break
     return judge_failures(failures)
 
 
+def note_crash(entry: Entry, work: Work, choice: Choice, step: Failed) -> None:
+    """Note a target that died while it ran the work."""
+    if step.suspect:
+        entry.crashers.accuse(
+            work.fingerprint, work.account.name, choice.record.target
+        )
+
+
 def judge_failures(failures: Sequence[Failed]) -> Failed:
     """Failure that tells the truth about all attempts together.
 
@@ -79,8 +88,10 @@
     return failures[-1]
 
 
-def may_retry(work: Work, step: Failed) -> bool:
+def may_retry(entry: Entry, work: Work, step: Failed) -> bool:
     """Tell whether the work may be tried at another target."""
+    if entry.crashers.is_refused(work.fingerprint):
+        return False
     if isinstance(step.outcome, Completed):
         return False
     if work.expires_at <= read_clock():
--- a/src/ragwortcourse/entry/dispatch.py
+++ b/src/ragwortcourse/entry/dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from http import HTTPStatus
 from typing import Final
 
 from opentelemetry import metrics, propagate, trace
@@ -52,12 +53,14 @@
     """No answer from this attempt.
 
     :param outcome: what became of the work by this attempt.
+    :param is_refusal: true where the gate turned it down.
     :param is_lost: true where the attempt was sent and its answer lost.
     :param status: HTTP status of the gate's refusal.
     :param suspect: true where the target died while it ran the attempt.
     """
 
     outcome: NotRun | Unknown | Completed
+    is_refusal: bool = False
     is_lost: bool = False
     status: int | None = None
     suspect: bool = False
@@ -88,6 +91,7 @@
         version=choice.version,
         adapter=work.adapter,
         priority=work.call.priority,
+        suspect=entry.crashers.is_suspect(work.fingerprint),
     )
 
 
@@ -110,10 +114,28 @@
     finally:
         if not started:
             release_choice(choice)
+    note_standing(entry, choice, step)
     ATTEMPTS.add(1, {'result': type(step).__name__})
     return step
 
 
+def note_standing(entry: Entry, choice: Choice, step: Started | Failed) -> None:
+    """Let a target's outcome count for or against it.
+
+    A refusal by its gate is neither.
+    """
+    record = choice.record
+    if isinstance(step, Started):
+        if step.answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            entry.outliers.note_good(record.target)
+        else:
+            entry.outliers.note_bad(record, entry.rng)
+    elif step.is_refusal:
+        return
+    else:
+        entry.outliers.note_bad(record, entry.rng)
+
+
 def release_choice(choice: Choice) -> None:
     """Count a request as no longer under way at its target."""
     choice.record.in_flight -= 1
@@ -199,6 +221,7 @@
         return Failed(
             outcome=outcome.outcome,
             status=outcome.status,
+            is_refusal=isinstance(outcome.outcome, NotRun),
             suspect=outcome.suspect,
         )
     if isinstance(outcome, AttemptUnreached):
--- a/src/ragwortcourse/entry/entry.py
+++ b/src/ragwortcourse/entry/entry.py
@@ -9,6 +9,8 @@
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.entry.catalog import Catalog
 from ragwortcourse.entry.claim_results import ClaimResults
+from ragwortcourse.entry.crashers import Crashers
+from ragwortcourse.entry.outliers import Outliers
 from ragwortcourse.entry.records import RequestRecords
 from ragwortcourse.entry.retry_budget import RetryBudget
 from ragwortcourse.membership.directory import TargetDirectory
@@ -36,6 +38,8 @@
     catalog: Catalog = dataclasses.field(default_factory=Catalog)
     records: RequestRecords = dataclasses.field(default_factory=RequestRecords)
     budget: RetryBudget = dataclasses.field(default_factory=RetryBudget)
+    crashers: Crashers = dataclasses.field(default_factory=Crashers)
+    outliers: Outliers = dataclasses.field(default_factory=Outliers)
     results: ClaimResults = dataclasses.field(init=False)
     draining: bool = False
     under_way: int = 0
--- a/src/ragwortcourse/entry/routing.py
+++ b/src/ragwortcourse/entry/routing.py
@@ -7,7 +7,6 @@
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.configuration.deployment import (
-    Deployment,
     ModelDeployment,
 )
 from ragwortcourse.entry.choice import Choice, NoChoice
@@ -19,6 +18,10 @@
 
 LOAD_BOUND: Final = 1.25
 LATENCY_STEP_SECONDS: Final = 0.001
+RANK_FAR: Final = 50
+RANK_FULL: Final = 100
+RANK_UNKNOWN: Final = 200
+OUT: Final = 'taken out by its outcomes'
 _SCORE_BYTES: Final = 8
 _TURNED_DOWN_LIMIT: Final = 16
 
@@ -29,13 +32,17 @@
     """Best target that has not been tried, or why there is none."""
     turned_down: dict[str, str] = {}
     candidates: list[Choice] = []
-    for deployment in work.deployments:
-        for choice in _list_candidates(entry, work, deployment):
-            reason = find_objection(entry, work, choice, tried)
-            if reason is None:
-                candidates.append(choice)
-            elif len(turned_down) < _TURNED_DOWN_LIMIT:
-                turned_down[choice.record.target] = reason
+    taken_out: list[Choice] = []
+    for choice in list_candidates(entry, work):
+        reason = find_objection(entry, work, choice, tried)
+        if reason is None:
+            candidates.append(choice)
+        elif len(turned_down) < _TURNED_DOWN_LIMIT:
+            turned_down[choice.record.target] = reason
+        if reason == OUT:
+            taken_out.append(choice)
+    # Where every target was taken out, trying one is better than none.
+    candidates = candidates or taken_out
     if not candidates:
         return NoChoice(turned_down=turned_down)
     return _pick(entry, work, candidates, turned_down)
@@ -55,7 +62,9 @@
     if record.leaving or (record.status and record.status.leaving):
         return 'leaving'
     if record.out_until > read_clock():
-        return 'taken out by its outcomes'
+        return OUT
+    if entry.outliers.is_full(record):
+        return 'on trial, and has what it may take'
     return _object_to_version(work, choice)
 
 
@@ -70,33 +79,43 @@
     return f'does not serve version {choice.version}'
 
 
-def _list_candidates(
-    entry: Entry, work: Work, deployment: Deployment
-) -> Iterator[Choice]:
-    records = entry.directory.select(deployment.name)
-    version: VersionName | None = None
-    if isinstance(deployment, ModelDeployment):
-        version = choose_version(deployment, records, work.adapter)
-    for record in records:
-        yield Choice(
-            record=record,
-            deployment=deployment,
-            version=version,
-            reason='',
-            turned_down={},
-        )
-
-
-def rank_distance(entry: Entry, record: TargetRecord) -> tuple[int, int]:
-    """Order of nearness: own failure domain, own region, latency steps."""
+def list_candidates(entry: Entry, work: Work) -> Iterator[Choice]:
+    """Every watched target of the work's deployments, with the version."""
+    for deployment in work.deployments:
+        records = entry.directory.select(deployment.name)
+        version: VersionName | None = None
+        if isinstance(deployment, ModelDeployment):
+            version = choose_version(deployment, records, work.adapter)
+        for record in records:
+            yield Choice(
+                record=record,
+                deployment=deployment,
+                version=version,
+                reason='',
+                turned_down={},
+            )
+
+
+def rank_target(entry: Entry, record: TargetRecord) -> int:
+    """Order in which targets are considered; lower goes first.
+
+    Those heard of lately, with room, by nearness; then those without
+    room; then those of which nothing is known.
+    """
+    if record.status is None:
+        return RANK_UNKNOWN + _rank_distance(entry, record)
+    if record.spare <= 0:
+        return RANK_FULL + _rank_distance(entry, record)
+    return _rank_distance(entry, record)
+
+
+def _rank_distance(entry: Entry, record: TargetRecord) -> int:
     settings = entry.settings
     if record.failure_domain == settings.failure_domain:
-        ring = 0
-    elif record.region == settings.region:
-        ring = 1
-    else:
-        ring = 2
-    return ring, int(record.latency / LATENCY_STEP_SECONDS)
+        return 0
+    if record.region == settings.region:
+        return 1 + min(int(record.latency / LATENCY_STEP_SECONDS), RANK_FAR - 2)
+    return RANK_FAR
 
 
 def _pick(
@@ -105,18 +124,19 @@
     candidates: list[Choice],
     turned_down: dict[str, str],
 ) -> Choice:
-    free = [one for one in candidates if one.record.spare > 0]
-    pool = free or candidates
-    nearest = min(rank_distance(entry, one.record)[0] for one in pool)
+    rings = [rank_target(entry, one.record) for one in candidates]
+    nearest = min(rings)
     ring = [
-        one for one in pool if rank_distance(entry, one.record)[0] == nearest
+        one
+        for one, rank in zip(candidates, rings, strict=True)
+        if rank == nearest
     ]
     chosen, reason = _pick_in_ring(entry, work, ring)
     return Choice(
         record=chosen.record,
         deployment=chosen.deployment,
         version=chosen.version,
-        reason=f'{reason} of {len(ring)} at distance {nearest}',
+        reason=f'{reason} of {len(ring)} at rank {nearest}',
         turned_down=turned_down,
     )
 
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,192 @@
+"""Tests of :mod:`ragwortcourse.entry.routing`."""
+
+import asyncio
+import collections
+
+import msgspec
+import pytest
+
+from fakes.entries import make_entry, make_model_call, make_record
+from fakes.scripted_agents import ScriptedAgents, Turn
+from ragwortcourse.entry.entry import Entry
+from ragwortcourse.identifiers import ChangeId, Generation, TargetName
+from ragwortcourse.membership.target_record import TargetRecord
+from ragwortcourse.messages.withdrawal import Withdrawal, WithdrawalScope
+from tests.test_calls import collect
+
+pytestmark = pytest.mark.looptime
+
+
+def make_target(target: str, **fields) -> TargetRecord:
+    """A target of the model."""
+    return make_record(target, deployment='caption-llm', **fields)
+
+
+async def send(entry: Entry, agents: ScriptedAgents, calls: int = 1) -> str:
+    """Names of the targets that got some calls, most used first."""
+    before = len(agents.sent)
+    for number in range(calls):
+        await collect(entry, make_model_call(f'r{number}'))
+    counts = collections.Counter(address for address, _ in agents.sent[before:])
+    return ' '.join(address for address, _ in counts.most_common())
+
+
+def withdraw_domain(entry: Entry) -> None:
+    """Withdraw attica-a, as an operator may while the table is down."""
+    entry.holder.withdraw(
+        Withdrawal(
+            change=ChangeId('w'),
+            scope=WithdrawalScope.FAILURE_DOMAIN,
+            name='attica-a',
+            generation=Generation(1),
+        )
+    )
+
+
+def set_leaving(entry: Entry) -> None:
+    """Let the near target say that it leaves."""
+    record = entry.directory.find(TargetName('near'))
+    assert record is not None
+    assert record.status is not None
+    record.status = msgspec.structs.replace(record.status, leaving=True)
+
+
+def fill(entry: Entry) -> None:
+    """Let the near target have no permit left."""
+    record = entry.directory.find(TargetName('near'))
+    assert record is not None
+    record.spare = 0
+
+
+def silence(entry: Entry) -> None:
+    """Let nothing be known of the near target."""
+    record = entry.directory.find(TargetName('near'))
+    assert record is not None
+    record.status = None
+
+
+class TestNearness:
+    """Which target gets a request."""
+
+    @pytest.mark.parametrize(
+        ('change', 'chosen'),
+        [
+            (lambda entry: None, 'near'),
+            (withdraw_domain, 'region'),
+            (set_leaving, 'region'),
+            (fill, 'region'),
+            (silence, 'region'),
+        ],
+    )
+    async def test_nearest_that_can(self, change, chosen):
+        """Own failure domain first, the other region last."""
+        agents = ScriptedAgents()
+        entry = make_entry(
+            agents.build_port(),
+            make_target('far', failure_domain='macedonia-a'),
+            make_target('region', failure_domain='crete-a'),
+            make_target('near'),
+        )
+        change(entry)
+        assert await send(entry, agents) == chosen
+
+    async def test_withdrawn_everywhere_is_refused(self):
+        """No target left: refused as not run, and nothing was sent."""
+        agents = ScriptedAgents()
+        entry = make_entry(agents.build_port(), make_target('near'))
+        withdraw_domain(entry)
+        told = await collect(entry, make_model_call())
+        assert told == 'not_run no_target'
+        assert not agents.sent
+
+    async def test_same_prompt_start_keeps_its_target(self):
+        """Long prompts with one start go to one target, up to its part."""
+        agents = ScriptedAgents()
+        targets = [make_target(f't{number}') for number in range(6)]
+        entry = make_entry(agents.build_port(), *targets)
+        prompt = 'a house style ' * 100
+        calls = [make_model_call(f'r{n}', prompt=prompt) for n in range(12)]
+        for call in calls:
+            await collect(entry, call)
+        assert len({address for address, _ in agents.sent}) == 1
+        agents.seconds = 1
+        agents.sent.clear()
+        await asyncio.gather(*(collect(entry, call) for call in calls))
+        used = collections.Counter(address for address, _ in agents.sent)
+        assert max(used.values()) <= 4
+
+
+class TestVersions:
+    """Which model version must make an answer."""
+
+    @pytest.mark.parametrize(
+        ('served', 'chosen'),
+        [
+            ([('v1',), ('v1',), ('v1',)], 'v1'),
+            ([('v1',), ('v1', 'v2'), ('v1',)], 'v2'),
+            ([('v0',), ('v1',), ('v1',)], 'v1'),
+            ([(), (), ()], 'v2'),
+        ],
+    )
+    async def test_newest_that_is_served(self, served, chosen):
+        """The deployment's version once served, else what most serve."""
+        agents = ScriptedAgents()
+        targets = [
+            make_target(f't{number}', versions=versions)
+            for number, versions in enumerate(served)
+        ]
+        entry = make_entry(agents.build_port(), *targets)
+        await send(entry, agents)
+        wanted = {one.version for _, one in agents.sent}
+        assert wanted <= {chosen}
+        assert bool(agents.sent) == any(served)
+
+
+class TestOutliers:
+    """Targets that answer badly."""
+
+    async def test_bad_target_is_out_and_comes_back_by_a_trickle(self):
+        """After bad answers it gets nothing, then one request at a time."""
+        agents = ScriptedAgents()
+        agents.script('near', *[Turn.LOST_DURING] * 4)
+        entry = make_entry(
+            agents.build_port(),
+            make_target('near'),
+            make_target('far', failure_domain='crete-a'),
+        )
+        await send(entry, agents, 3)
+        assert await send(entry, agents, 10) == 'far'
+        await asyncio.sleep(1)
+        # Still bad on trial: out again, for longer.
+        assert await send(entry, agents, 10) == 'far near'
+        await asyncio.sleep(2)
+        agents.seconds = 0.1
+        agents.sent.clear()
+        calls = [make_model_call(f'r{number}') for number in range(8)]
+        await asyncio.gather(*(collect(entry, call) for call in calls))
+        used = [address for address, _ in agents.sent]
+        assert used.count('near') == 1
+        await send(entry, agents, 10)
+        assert await send(entry, agents, 10) == 'near'
+
+    async def test_all_out_still_tries(self):
+        """Where every target was taken out, one is tried all the same."""
+        agents = ScriptedAgents()
+        agents.script('near', *[Turn.UNREACHED] * 4)
+        entry = make_entry(agents.build_port(), make_target('near'))
+        await send(entry, agents, 4)
+        assert await collect(entry, make_model_call()) == 'whole'
+
+
+class TestRetryBudget:
+    """Retries under an outage of everything."""
+
+    async def test_no_storm(self):
+        """With every target lost, sends stay near the calls' number."""
+        agents = ScriptedAgents()
+        names = [f't{number}' for number in range(5)]
+        for name in names:
+            agents.script(name, *[Turn.UNREACHED] * 1000)
+        entry = make_entry(agents.build_port(), *map(make_target, names))
+        await send(entry, agents, 200)
+        assert len(agents.sent) <= 200 * 1.1 + 10
