--- a/fakes/demo.py
+++ b/fakes/demo.py
@@ -164,7 +164,7 @@
     started = time.monotonic()
     while True:
         text = await run_command(fleet, 'replicas', 'drafts', '--json')
-        progress = msgspec.json.decode(text)
+        (progress,) = msgspec.json.decode(text)
         if progress['ready'] == 2:
             break
         waited = time.monotonic() - started
--- a/src/ragwortcourse/agent/agent.py
+++ b/src/ragwortcourse/agent/agent.py
@@ -45,7 +45,7 @@
         self.engine = engine
         self.daemon_port = daemon_port
         self.served = ServedVersions()
-        self.engaged = EngagedVersions()
+        self._engaged = EngagedVersions()
         self.limit = WarmLimit(read_limits=self.read_limits)
         self.gate = Gate(
             read_limit=self.limit.read,
@@ -58,6 +58,11 @@
         self.leaving = False
         self._background: set[asyncio.Task[None]] = set()
 
+    @property
+    def engaged(self) -> EngagedVersions:
+        """Work, waiting or under way, by the model version it needs."""
+        return self._engaged
+
     def read_limits(self) -> TargetLimits:
         """Limits that the configuration in force gives the target."""
         document = self.holder.document
--- a/src/ragwortcourse/cli/publish_command.py
+++ b/src/ragwortcourse/cli/publish_command.py
@@ -88,9 +88,7 @@
 ) -> Published | OriginFailed:
     """Store weights through the origin's HTTP."""
     async with ClientSession() as session:
-        writer = build_http_writer(
-            session=session, base_url=origin.rstrip('/')
-        )
+        writer = build_http_writer(session=session, base_url=origin.rstrip('/'))
         return await publish_weights(
             writer=writer, path=path, model=model, version=version
         )
--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -101,35 +101,31 @@
     session = sessions.plain
     table = build_http_table(session=session, base_url=platform.table)
     objects = build_http_objects(session=session, base_url=platform.objects)
-    holder = ConfigurationHolder()
-    directory = TargetDirectory()
-    agent_port = build_http_agents(session=sessions.relay)
-    rng = random.Random()  # noqa: S311  # spreads load, guards nothing
     entry = Entry(
         settings=settings,
-        holder=holder,
-        directory=directory,
-        agent_port=agent_port,
+        holder=ConfigurationHolder(),
+        directory=TargetDirectory(),
+        agent_port=build_http_agents(session=sessions.relay),
         table=table,
-        rng=rng,
+        rng=random.Random(),  # noqa: S311  # spreads load, guards nothing
     )
     membership = Membership(
         settings=settings,
-        holder=holder,
-        directory=directory,
+        holder=entry.holder,
+        directory=entry.directory,
         roster=Roster(settings=settings),
         hosts=(
             build_http_hosts(session=session, base_url=platform.hosts)
             if platform.hosts
             else None
         ),
-        agent_port=agent_port,
+        agent_port=entry.agent_port,
         daemon_port=build_http_daemons(session=session),
-        rng=rng,
+        rng=entry.rng,
     )
     operators = Operators(
         settings=settings,
-        holder=holder,
+        holder=entry.holder,
         store=ConfigurationStore(table=table, objects=objects),
         membership=membership,
         find_record=entry.records.find,
--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -88,7 +88,9 @@
             )
             await self._open_common(agent)
             return agent
-        entry = build_entry_daemon(settings=self.settings, sessions=self.sessions)
+        entry = build_entry_daemon(
+            settings=self.settings, sessions=self.sessions
+        )
         await self._open_common(entry)
         await self._open_entry(entry)
         return entry
