--- a/fakes/memory_engine.py
+++ b/fakes/memory_engine.py
@@ -226,7 +226,9 @@
         if not self.is_model_engine:
             key = request.headers.get('idempotency-key', request.attempt)
             return [json.dumps({'runs': self.runs[key]}).encode()]
-        words = [f'{version}-{index}' for index in range(PIECES)]
+        words = [
+            f'{version}-{index}' for index in range(count_pieces(request.body))
+        ]
         if not streamed:
             message = {'role': 'assistant', 'content': ' '.join(words)}
             whole = {'model': version, 'choices': [{'message': message}]}
@@ -241,6 +243,14 @@
         return pieces
 
 
+def count_pieces(body: bytes) -> int:
+    """Tokens that a request asks for as ``max_tokens``, else a few."""
+    try:
+        return int(json.loads(body).get('max_tokens', PIECES))
+    except (ValueError, AttributeError, TypeError):
+        return PIECES
+
+
 class EngineBody:
     """The body of one answer, piece by piece in time.
 
