--- a/src/ragwortcourse/cli/__main__.py
+++ b/src/ragwortcourse/cli/__main__.py
@@ -1,5 +1,5 @@
-"""``python -m ragwortcourse.cli``: the command line without its script."""
+"""``python -m ragwortcourse.cli`` is the ``ragwortcourse`` command."""
 
 from ragwortcourse.cli.program import main
 
-main()
+main(prog_name='ragwortcourse')
