Let a daemon drain after it repeated a kept answer

Cause: a call answered from the kept result of an earlier sending was counted as taken and never as ended, so drain_entry waited for ever; seen in the demo, where one entry daemon did not end on SIGTERM within 40 s. Ruled out: idle keep-alive connections (two daemons that served no repeat ended at once). Before: the new test timed out; after: it passes. Conclusion: a repeated answer ends through the same body as every other.

--- a/src/ragwortcourse/entry/claimed_calls.py
+++ b/src/ragwortcourse/entry/claimed_calls.py
@@ -186,7 +186,7 @@
         return errors.build_in_progress(work.call.request)
     if found.claim.state is not ClaimState.COMPLETED:
         return errors.build_in_progress(work.call.request)
-    return repeat_answer(work, found.claim)
+    return repeat_answer(entry, work, found.claim)
 
 
 def _answer(
--- a/src/ragwortcourse/entry/earlier_claims.py
+++ b/src/ragwortcourse/entry/earlier_claims.py
@@ -6,11 +6,11 @@
 from typing import Final
 
 from ragwortcourse.entry import errors
+from ragwortcourse.entry.answer_body import AnswerBody
 from ragwortcourse.entry.bars import bar_attempt
 from ragwortcourse.entry.claim import (
     Claim,
     ClaimState,
-    KeptAnswer,
     name_attempt,
 )
 from ragwortcourse.entry.claims import (
@@ -60,7 +60,7 @@
     found = await _await_result(entry, work, found)
     claim = found.claim
     if claim.state is ClaimState.COMPLETED:
-        return repeat_answer(work, claim)
+        return repeat_answer(entry, work, claim)
     if claim.state is ClaimState.NOT_RUN:
         return _take_over(found)
     return await _ask_targets(entry, work, found)
@@ -101,17 +101,17 @@
             for one, report in zip(claim.targets, reports, strict=True)
         },
     )
-    return _judge_reports(work, found, reports)
+    return _judge_reports(entry, work, found, reports)
 
 
 def _judge_reports(
-    work: Work, found: ClaimFound, reports: Sequence[Report]
+    entry: Entry, work: Work, found: ClaimFound, reports: Sequence[Report]
 ) -> CallOutcome | Takeover:
     request = work.call.request
     known = [one for one in reports if isinstance(one, AttemptReport)]
     states = {one.state for one in known}
     if AttemptState.COMPLETED in states:
-        return repeat_answer(work, found.claim)
+        return repeat_answer(entry, work, found.claim)
     if AttemptState.RUNNING in states:
         return errors.build_in_progress(request)
     is_proved = all(one.proves_not_run for one in known)
@@ -128,9 +128,14 @@
     return Takeover(version=found.version, takeovers=found.claim.takeovers + 1)
 
 
-def repeat_answer(work: Work, claim: Claim) -> CallOutcome:
+def repeat_answer(entry: Entry, work: Work, claim: Claim) -> CallOutcome:
     """The answer that the first sending got, as far as it was kept."""
     request = work.call.request
+
+    async def finish(is_whole: bool) -> None:
+        del is_whole
+        entry.leave()
+
     if claim.answer is None:
         return errors.build_completed_error(
             request,
@@ -141,10 +146,14 @@
         request=request,
         status=claim.answer.status,
         headers={**claim.answer.headers, headers.REPLAYED: 'true'},
-        body=_iterate_once(claim.answer),
+        body=AnswerBody(
+            first=claim.answer.body, rest=_iterate_nothing(), finish=finish
+        ),
         version=claim.answer.version,
     )
 
 
-async def _iterate_once(answer: KeptAnswer) -> AsyncIterator[bytes]:
-    yield answer.body
+async def _iterate_nothing() -> AsyncIterator[bytes]:
+    nothing: tuple[bytes, ...] = ()
+    for chunk in nothing:
+        yield chunk
--- a/tests/test_claimed_calls.py
+++ b/tests/test_claimed_calls.py
@@ -9,7 +9,7 @@
 from fakes.memory_table import MemoryRows
 from fakes.scripted_agents import ScriptedAgents, Turn
 from ragwortcourse.entry.calls import serve_call
-from ragwortcourse.entry.entry import Entry
+from ragwortcourse.entry.entry import Entry, drain_entry
 from ragwortcourse.messages.call import CallAnswer
 from tests.test_calls import collect
 
@@ -67,6 +67,13 @@
         assert told == second
         assert len(site.agents.ran) == 1
 
+    async def test_daemon_that_repeated_an_answer_can_drain(self):
+        """A repeated answer ends as work under way ends."""
+        site = Site()
+        for entry in (site.a, site.b):
+            assert await collect(entry, make_booking_call(key='k')) == 'whole'
+        await asyncio.wait_for(drain_entry(site.b), timeout=1)
+
     async def test_both_refused_runs_at_the_resend(self):
         """A key whose first sending is proved not to have run is free."""
         site = Site()
