--- /dev/null
+++ b/fakes/landings.py
@@ -0,0 +1,328 @@
+"""Many agents' weight sides in one process, joined by limited links."""
+
+import asyncio
+import dataclasses
+import hashlib
+import random
+from collections.abc import Awaitable, Callable
+
+from fakes.faults import Faults
+from fakes.links import ORIGIN, SILENT_SECONDS, Network
+from fakes.memory_engine import MemoryEngine
+from fakes.memory_table import MemoryRows, build_memory_table
+from fakes.origin import (
+    OriginStore,
+    build_memory_origin,
+    name_chunk,
+    name_manifest,
+)
+from ragwortcourse.agent.served import ServedVersions
+from ragwortcourse.clock import read_clock
+from ragwortcourse.configuration.configuration import (
+    Configuration,
+    ConfigurationDocument,
+)
+from ragwortcourse.configuration.deployment import Adapter, ModelDeployment
+from ragwortcourse.configuration.holder import ConfigurationHolder
+from ragwortcourse.identifiers import (
+    ChangeId,
+    DaemonId,
+    DeploymentName,
+    FailureDomainName,
+    Generation,
+    HostName,
+    ModelName,
+    RegionName,
+    Sha256Hex,
+    TargetName,
+    VersionName,
+)
+from ragwortcourse.messages.peer_port import PeerSilent
+from ragwortcourse.platform.origin import (
+    OriginContent,
+    OriginFailed,
+    OriginOutcome,
+    WeightOrigin,
+)
+from ragwortcourse.settings import (
+    AgentSettings,
+    ListenSettings,
+    PlatformSettings,
+    Role,
+    Settings,
+)
+from ragwortcourse.weights.landing import Landing
+from ragwortcourse.weights.landing_ports import LandingPorts
+from ragwortcourse.weights.manifest import (
+    Manifest,
+    digest_bytes,
+    encode_manifest,
+)
+from ragwortcourse.weights.peer_port import (
+    ChunkContent,
+    ChunkOutcome,
+    ChunkPort,
+    ChunkRequest,
+    PeerAddress,
+)
+from ragwortcourse.weights.reconciliation import land_deployments
+from ragwortcourse.weights.serving import offer_chunk
+
+MODEL = ModelName('model')
+DEPLOYMENT = DeploymentName('deployment')
+# Bytes of the head lines of one exchange over HTTP, both ways.
+EXCHANGE_BYTES = 420
+POLL_SECONDS = 0.2
+
+
+@dataclasses.dataclass(kw_only=True)
+class LandingHost:
+    """One host: its landing, its engine and the task that lands."""
+
+    name: str
+    landing: Landing
+    engine: MemoryEngine
+    task: asyncio.Task[None] | None = None
+    exchanges: int = 0
+
+
+class LandingFleet:
+    """Hosts that draw weights from one origin and from each other.
+
+    :param places: name of each failure domain to its region.
+    """
+
+    def __init__(
+        self,
+        *,
+        hosts: int,
+        places: dict[str, str],
+        rate: float = 10_000,
+        line_rate: float = 10_000,
+        chunk_memory: int = 1 << 20,
+        checks_fencing: bool = True,
+        seed: int = 1,
+        requests_per_second: float = 0,
+    ) -> None:
+        self.places = places
+        self.chunk_memory = chunk_memory
+        self.checks_fencing = checks_fencing
+        self.seed = seed
+        self.network = Network(
+            rate=rate,
+            line_rate=line_rate,
+            origin_region=min(places.values()),
+        )
+        self.store = OriginStore(requests_per_second=requests_per_second)
+        self.rows = MemoryRows()
+        self.table_faults = Faults()
+        self.hosts: dict[str, LandingHost] = {}
+        self.peers: list[PeerAddress] = []
+        self.generation = 0
+        self.running: dict[str, int] = {}
+        self.document: ConfigurationDocument | None = None
+        domains = list(places)
+        for number in range(hosts):
+            self.add_host(f'host-{number:03}', domains[number % len(domains)])
+
+    def add_host(self, name: str, failure_domain: str) -> LandingHost:
+        """Add a host, which does not run yet."""
+        region = self.places[failure_domain]
+        self.network.place(name, region, failure_domain)
+        self.peers.append(
+            PeerAddress(
+                daemon=DaemonId(name),
+                address=name,
+                failure_domain=FailureDomainName(failure_domain),
+                region=RegionName(region),
+            )
+        )
+        settings = Settings(
+            role=Role.AGENT,
+            daemon=DaemonId(name),
+            host=HostName(name),
+            failure_domain=FailureDomainName(failure_domain),
+            region=RegionName(region),
+            listen=ListenSettings(peers=name, watch=''),
+            platform=PlatformSettings(
+                origin_region=RegionName(self.network.places[ORIGIN][0])
+            ),
+            agent=AgentSettings(
+                target=TargetName(name),
+                deployment=DEPLOYMENT,
+                target_url='',
+                chunk_memory=self.chunk_memory,
+                checks_fencing=self.checks_fencing,
+            ),
+        )
+        engine = MemoryEngine(checks_fencing=self.checks_fencing)
+        table = build_memory_table(rows=self.rows, faults=self.table_faults)
+        landing = Landing(
+            settings=settings,
+            holder=ConfigurationHolder(),
+            served=ServedVersions(),
+            ports=LandingPorts(
+                engine=engine.build(),
+                origin=self._build_origin(name),
+                chunk_port=ChunkPort(fetch=self._build_fetch(name)),
+                neighbours=lambda: tuple(self.peers),
+                table=table,
+                count_running=lambda *_: self.running.get(name, 0),
+            ),
+            rng=random.Random(f'{self.seed}-{name}'),
+        )
+        host = LandingHost(name=name, landing=landing, engine=engine)
+        self.hosts[name] = host
+        return host
+
+    def publish(
+        self,
+        version: str,
+        content: bytes,
+        chunk_size: int = 1000,
+        name: str = MODEL,
+    ) -> Sha256Hex:
+        """Put a version at the origin; digest of its manifest."""
+        chunks = [
+            content[start : start + chunk_size]
+            for start in range(0, len(content), chunk_size)
+        ]
+        manifest = Manifest(
+            model=ModelName(name),
+            version=VersionName(version),
+            size=len(content),
+            sha256=Sha256Hex(hashlib.sha256(content).hexdigest()),
+            chunk_size=chunk_size,
+            chunks=tuple(digest_bytes(chunk) for chunk in chunks),
+        )
+        for index, chunk in enumerate(chunks):
+            key = name_chunk(manifest.model, manifest.version, index)
+            self.store.objects[key] = chunk
+        return self.publish_manifest(manifest)
+
+    def publish_manifest(self, manifest: Manifest) -> Sha256Hex:
+        """Put just a manifest at the origin; its digest."""
+        encoded = encode_manifest(manifest)
+        digest = digest_bytes(encoded)
+        self.store.objects[name_manifest(digest)] = encoded
+        return digest
+
+    def deploy(
+        self,
+        version: str,
+        digest: Sha256Hex,
+        adapters: tuple[Adapter, ...] = (),
+        batch: int = 1,
+    ) -> None:
+        """Put a version in force everywhere."""
+        deployment = ModelDeployment(
+            name=DEPLOYMENT,
+            model=MODEL,
+            version=VersionName(version),
+            manifest_sha256=digest,
+            failure_domains=tuple(
+                FailureDomainName(name) for name in self.places
+            ),
+            adapters=adapters,
+            batch=batch,
+        )
+        self.accept((deployment,))
+
+    def accept(self, models: tuple[ModelDeployment, ...]) -> None:
+        """Put a configuration in force everywhere."""
+        self.generation += 1
+        self.document = ConfigurationDocument(
+            generation=Generation(self.generation),
+            configuration=Configuration(models=models),
+            change=ChangeId(f'change-{self.generation}'),
+        )
+        for host in self.hosts.values():
+            host.landing.holder.take(self.document)
+
+    def start(self, *names: str) -> None:
+        """Let hosts land what is deployed."""
+        for name in names or tuple(self.hosts):
+            host = self.hosts[name]
+            if self.document is not None:
+                host.landing.holder.take(self.document)
+            host.task = asyncio.create_task(land_deployments(host.landing))
+
+    async def kill(self, *names: str) -> None:
+        """Let hosts die."""
+        self.network.dead.update(names)
+        for name in names:
+            task = self.hosts[name].task
+            if task is not None:
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+
+    async def stop(self) -> None:
+        """End every host's tasks."""
+        await self.kill(*self.hosts)
+
+    def count_serving(self, version: str) -> int:
+        """Live hosts whose gate may answer with a version."""
+        return sum(
+            host.landing.served.allows(MODEL, VersionName(version), None)
+            for name, host in self.hosts.items()
+            if name not in self.network.dead
+        )
+
+    async def wait_for(self, version: str, seconds: float) -> float:
+        """Seconds until all live hosts serve a version.
+
+        :raises TimeoutError: not within the seconds.
+        """
+        began = read_clock()
+        async with asyncio.timeout(seconds):
+            while True:
+                live = len(self.hosts) - len(self.network.dead)
+                if self.count_serving(version) >= live:
+                    return read_clock() - began
+                await asyncio.sleep(POLL_SECONDS)
+
+    def _build_origin(self, receiver: str) -> WeightOrigin:
+        origin = build_memory_origin(self.store)
+
+        async def carry(outcome: OriginOutcome) -> OriginOutcome:
+            if not self.network.reaches(ORIGIN, receiver):
+                await asyncio.sleep(SILENT_SECONDS)
+                return OriginFailed(detail='cut off')
+            if not isinstance(outcome, OriginContent):
+                return outcome
+            size = len(outcome.content)
+            if await self.network.send(ORIGIN, receiver, size):
+                return outcome
+            return OriginFailed(detail='cut off')
+
+        async def read_manifest(digest: Sha256Hex) -> OriginOutcome:
+            return await carry(await origin.read_manifest(digest))
+
+        async def read_chunk(
+            model: ModelName, version: VersionName, index: int
+        ) -> OriginOutcome:
+            return await carry(await origin.read_chunk(model, version, index))
+
+        return WeightOrigin(read_manifest=read_manifest, read_chunk=read_chunk)
+
+    def _build_fetch(
+        self, receiver: str
+    ) -> Callable[[str, ChunkRequest], Awaitable[ChunkOutcome]]:
+        async def fetch(address: str, request: ChunkRequest) -> ChunkOutcome:
+            self.hosts[receiver].exchanges += 1
+            silent = PeerSilent(detail=f'{address} is silent')
+            if not self.network.reaches(address, receiver):
+                await asyncio.sleep(SILENT_SECONDS)
+                return silent
+            await asyncio.sleep(self.network.latency)
+            peer = self.hosts[address].landing
+            async with offer_chunk(peer, request) as outcome:
+                if not isinstance(outcome, ChunkContent):
+                    return outcome
+                size = len(outcome.content)
+                if not await self.network.send(address, receiver, size):
+                    return silent
+                content = self.network.spoil(address, outcome.content)
+                return ChunkContent(content=content)
+
+        return fetch
--- /dev/null
+++ b/fakes/links.py
@@ -0,0 +1,115 @@
+"""Links of limited rate, for transfers in virtual time."""
+
+import asyncio
+import random
+from collections import defaultdict
+
+from ragwortcourse.clock import read_clock
+
+ORIGIN = 'origin'
+PIECES = 4
+SILENT_SECONDS = 2.0
+FOREVER_SECONDS = 1e7
+
+
+class Link:
+    """One direction of one link: first come, first carried.
+
+    :param rate: bytes a second.
+    """
+
+    def __init__(self, *, rate: float) -> None:
+        self.rate = rate
+        self.carried = 0
+        self._free_at = 0.0
+
+    def reserve(self, size: float) -> float:
+        """When so many bytes, handed over now, will have passed."""
+        self._free_at = max(self._free_at, read_clock()) + size / self.rate
+        return self._free_at
+
+
+class Network:
+    """Links of all hosts, of the origin and between regions.
+
+    :param rate: bytes a second of each host's link, each way.
+    :param line_rate: bytes a second between two regions, each way.
+    :param latency: seconds one way.
+    """
+
+    def __init__(
+        self,
+        *,
+        rate: float,
+        line_rate: float,
+        origin_region: str,
+        latency: float = 0.001,
+    ) -> None:
+        self.rate = rate
+        self.latency = latency
+        self.up: dict[str, Link] = defaultdict(lambda: Link(rate=rate))
+        self.down: dict[str, Link] = defaultdict(lambda: Link(rate=rate))
+        self.lines: dict[tuple[str, str], Link] = defaultdict(
+            lambda: Link(rate=line_rate)
+        )
+        self.up[ORIGIN] = Link(rate=2 * rate)
+        self.places: dict[str, tuple[str, str]] = {ORIGIN: (origin_region, '')}
+        self.dead: set[str] = set()
+        self.stalled: set[tuple[str, str]] = set()
+        self.islands: list[frozenset[str]] = []
+        self.damage = 0.0
+        self.damaging: set[str] = set()
+        self.rng = random.Random(1)
+
+    def place(self, host: str, region: str, failure_domain: str) -> None:
+        """Say where a host is."""
+        self.places[host] = (region, failure_domain)
+
+    def cut(self, hosts: frozenset[str]) -> None:
+        """Cut some hosts off from all the others."""
+        self.islands.append(hosts)
+
+    def reaches(self, sender: str, receiver: str) -> bool:
+        """Whether bytes can go from one to the other now."""
+        if self.dead & {sender, receiver}:
+            return False
+        return all(
+            (sender in island) == (receiver in island)
+            for island in self.islands
+        )
+
+    async def send(self, sender: str, receiver: str, size: int) -> bool:
+        """Take the time that some bytes need; false where they do not come."""
+        if (sender, receiver) in self.stalled:
+            await asyncio.sleep(FOREVER_SECONDS)
+        arrived = read_clock()
+        for _ in range(PIECES):
+            arrived = await self._send_piece(sender, receiver, size / PIECES)
+            if not self.reaches(sender, receiver):
+                await asyncio.sleep(SILENT_SECONDS)
+                return False
+        self.up[sender].carried += size
+        self.down[receiver].carried += size
+        await asyncio.sleep(max(arrived - read_clock(), 0) + self.latency)
+        return True
+
+    async def _send_piece(
+        self, sender: str, receiver: str, size: float
+    ) -> float:
+        await self._pass(self.up[sender], size)
+        regions = (self.places[sender][0], self.places[receiver][0])
+        if regions[0] != regions[1]:
+            line = self.lines[regions]
+            line.carried += round(size)
+            await self._pass(line, size)
+        return self.down[receiver].reserve(size)
+
+    async def _pass(self, link: Link, size: float) -> None:
+        await asyncio.sleep(max(link.reserve(size) - read_clock(), 0))
+
+    def spoil(self, sender: str, content: bytes) -> bytes:
+        """The bytes as they come out of the way."""
+        is_damaged = self.damage and self.rng.random() < self.damage
+        if is_damaged or sender in self.damaging:
+            return bytes([content[0] ^ 1]) + content[1:] if content else b'x'
+        return content
--- a/src/ragwortcourse/weights/activation.py
+++ b/src/ragwortcourse/weights/activation.py
@@ -7,25 +7,28 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.engines.engine import (
     EngineState,
-    EngineVersion,
     OrderAction,
     OrderConfirmed,
 )
 from ragwortcourse.identifiers import AdapterName
 from ragwortcourse.messages.target_status import ServedVersion
 from ragwortcourse.weights.landing import Landing
+from ragwortcourse.weights.manifest import Manifest
 from ragwortcourse.weights.orders import (
     OrderSubject,
     find_version,
     order_engine,
     shows_effect,
 )
+from ragwortcourse.weights.retirement import retire_others
 from ragwortcourse.weights.turn import Turn
 from ragwortcourse.weights.wanted import WantedWeights
 
 # An engine reports with a lag; it is asked for so long after an order.
 CONFIRM_SECONDS: Final = 20.0
 POLL_SECONDS: Final = 0.25
+# Work on the former version is waited for so long before the change.
+FINISH_SECONDS: Final = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -44,13 +47,14 @@
 
 
 async def load_version(
-    landing: Landing, subject: OrderSubject
+    landing: Landing, subject: OrderSubject, manifest: Manifest
 ) -> ActivationOutcome:
     """Have the engine load what it was given, beside what it serves."""
+    subject = dataclasses.replace(subject, manifest=manifest)
     outcome = await order_engine(landing, OrderAction.LOAD, subject)
     if isinstance(outcome, OrderConfirmed):
         return Activated()
-    return ActivationFailed(detail=f'load {subject}: {outcome.detail}')
+    return ActivationFailed(detail=f'load: {outcome.detail}')
 
 
 async def activate_version(
@@ -77,16 +81,58 @@
 async def _change_version(
     landing: Landing, wanted: WantedWeights, subject: OrderSubject, turn: Turn
 ) -> ActivationOutcome:
-    if landing.served.versions and not turn.is_held():
-        return ActivationFailed(detail='the turn lapsed')
+    former = landing.served.versions
+    await _finish_running(landing, wanted)
+    outcome: ActivationOutcome
+    if former and not turn.is_held():
+        outcome = ActivationFailed(detail='the turn lapsed')
+    else:
+        outcome = await _activate(landing, subject)
+    if isinstance(outcome, ActivationFailed):
+        await _serve_again(landing, former)
+        return outcome
+    confirm_version(landing, wanted, frozenset())
+    return outcome
+
+
+async def _finish_running(landing: Landing, wanted: WantedWeights) -> None:
+    """Begin nothing new on the former version and let it finish.
+
+    An engine may answer only with the version activated last, so work that
+    is to run on the former one must have begun and ended before.
+    """
+    former = landing.served.versions
+    retire_others(landing, wanted)
+    until = read_clock() + FINISH_SECONDS
+    while read_clock() < until:
+        count = landing.ports.count_running
+        if not any(count(each.model, each.version, None) for each in former):
+            return
+        await asyncio.sleep(POLL_SECONDS)
+
+
+async def _activate(
+    landing: Landing, subject: OrderSubject
+) -> Activated | ActivationFailed:
     outcome = await order_engine(landing, OrderAction.ACTIVATE, subject)
     if not isinstance(outcome, OrderConfirmed):
         return ActivationFailed(detail=f'activate: {outcome.detail}')
-    if not await wait_for_effect(landing, OrderAction.ACTIVATE, subject):
-        return ActivationFailed(detail='the engine does not confirm it')
-    confirm_version(landing, wanted, frozenset())
-    retire_others(landing, wanted)
-    return Activated()
+    if await wait_for_effect(landing, OrderAction.ACTIVATE, subject):
+        return Activated()
+    return ActivationFailed(detail='the engine does not confirm it')
+
+
+async def _serve_again(
+    landing: Landing, former: tuple[ServedVersion, ...]
+) -> None:
+    """Go on with the former version, if the engine still answers with it."""
+    state = await landing.ports.engine.describe()
+    if not isinstance(state, EngineState):
+        return
+    for served in former:
+        held = find_version(state, served.model, served.version)
+        if held is not None and held.complete and held.active:
+            landing.served.confirm(served)
 
 
 async def wait_for_effect(
@@ -119,42 +165,6 @@
     )
 
 
-def retire_others(landing: Landing, wanted: WantedWeights | None) -> None:
-    """Let the gate begin nothing new on any other version."""
-    for served in landing.served.versions:
-        kept = wanted is not None and (
-            (served.model, served.version) == (wanted.model, wanted.version)
-        )
-        if not kept:
-            landing.served.remove(served.model, served.version)
-
-
-async def unload_others(landing: Landing, wanted: WantedWeights | None) -> None:
-    """Unload versions that nothing runs on and that are not wanted."""
-    state = await landing.ports.engine.describe()
-    if not isinstance(state, EngineState):
-        return
-    for held in state.versions:
-        if _is_removable(landing, wanted, held):
-            subject = OrderSubject(model=held.model, version=held.version)
-            await order_engine(landing, OrderAction.UNLOAD, subject)
-
-
-def _is_removable(
-    landing: Landing, wanted: WantedWeights | None, held: EngineVersion
-) -> bool:
-    if wanted is not None and _is_wanted(wanted, held):
-        return False
-    if landing.served.allows(held.model, held.version, None):
-        return False
-    return not landing.ports.count_running(held.model, held.version, None)
-
-
-def _is_wanted(wanted: WantedWeights, held: EngineVersion) -> bool:
-    named = (held.model, held.version)
-    return named == (wanted.model, wanted.version)
-
-
 def is_serving(state: EngineState, wanted: WantedWeights) -> bool:
     """Tell whether the engine answers with the wanted version."""
     held = find_version(state, wanted.model, wanted.version)
--- a/src/ragwortcourse/weights/adapters.py
+++ b/src/ragwortcourse/weights/adapters.py
@@ -78,7 +78,7 @@
     )
     if isinstance(received, CollectFailed):
         return f'adapter {adapter.name}: {received.detail}'
-    loaded = await load_version(landing, subject)
+    loaded = await load_version(landing, subject, received.manifest)
     if isinstance(loaded, ActivationFailed):
         return f'adapter {adapter.name}: {loaded.detail}'
     outcome = await order_engine(landing, OrderAction.ACTIVATE, subject)
--- a/src/ragwortcourse/weights/collect.py
+++ b/src/ragwortcourse/weights/collect.py
@@ -28,6 +28,8 @@
 class Collected:
     """The engine holds every chunk, and the whole has its digest."""
 
+    manifest: Manifest
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CollectFailed:
@@ -145,7 +147,7 @@
             detail=f'the chunks do not make {manifest.sha256}', lasting=True
         )
     transfer.ended_at = read_clock()
-    return Collected()
+    return Collected(manifest=manifest)
 
 
 async def _learn_manifest(
--- a/src/ragwortcourse/weights/draw.py
+++ b/src/ragwortcourse/weights/draw.py
@@ -142,11 +142,10 @@
         sender=landing.own.daemon,
         relay=relay,
     )
-    await landing.exchange.pace_down.wait(transfer.measure(state.index))
-    allowance = max(
-        SHORTEST_STALL_SECONDS,
-        STALL_FACTOR * landing.exchange.health.usual_seconds,
-    )
+    exchange = landing.exchange
+    await exchange.pace_down.wait(transfer.measure(state.index))
+    usual = exchange.health.usual_seconds
+    allowance = max(SHORTEST_STALL_SECONDS, STALL_FACTOR * usual)
     began = read_clock()
     transfer.asking[state.index] = source.daemon
     try:
--- a/src/ragwortcourse/weights/orders.py
+++ b/src/ragwortcourse/weights/orders.py
@@ -21,6 +21,7 @@
     VersionName,
 )
 from ragwortcourse.weights.landing import Landing
+from ragwortcourse.weights.manifest import Manifest
 from ragwortcourse.weights.order_lease import (
     LONGEST_ORDER_SECONDS,
     LeaseRefused,
@@ -32,11 +33,13 @@
     """What an order is about.
 
     :param version: version of the model, for its adapters too.
+    :param manifest: of the weights to load.
     """
 
     model: ModelName
     version: VersionName
     adapter: AdapterName | None = None
+    manifest: Manifest | None = None
 
 
 async def order_engine(
@@ -68,6 +71,8 @@
         model=subject.model,
         version=subject.version,
         adapter=subject.adapter,
+        chunks=len(subject.manifest.chunks) if subject.manifest else 0,
+        sha256=subject.manifest.sha256 if subject.manifest else None,
     )
     if not landing.order_lease.is_held():
         return OrderRefused(detail='the lease lapsed before the order')
--- a/src/ragwortcourse/weights/reconciliation.py
+++ b/src/ragwortcourse/weights/reconciliation.py
@@ -11,14 +11,13 @@
     confirm_version,
     is_serving,
     load_version,
-    retire_others,
-    unload_others,
 )
 from ragwortcourse.weights.adapters import land_adapters
 from ragwortcourse.weights.collect import CollectFailed
 from ragwortcourse.weights.landing import Landing
 from ragwortcourse.weights.orders import OrderSubject, find_version
 from ragwortcourse.weights.receipt import receive_weights
+from ragwortcourse.weights.retirement import retire_others, unload_others
 from ragwortcourse.weights.wanted import WantedWeights, find_wanted
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -80,9 +79,11 @@
     news = asyncio.create_task(landing.holder.wait_for_change())
     cancelled = asyncio.create_task(landing.changed.wait())
     tasks = (news, cancelled)
-    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-    for task in tasks:
-        task.cancel()
+    try:
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task in tasks:
+            task.cancel()
 
 
 async def _keep(landing: Landing, wanted: WantedWeights | None) -> None:
@@ -142,7 +143,7 @@
         )
         if isinstance(received, CollectFailed):
             return received.detail
-        loaded = await load_version(landing, subject)
+        loaded = await load_version(landing, subject, received.manifest)
         if isinstance(loaded, ActivationFailed):
             return loaded.detail
     landing.state.adapters.clear()
--- /dev/null
+++ b/src/ragwortcourse/weights/retirement.py
@@ -0,0 +1,46 @@
+"""Taking former versions from the gate and out of the engine."""
+
+from ragwortcourse.engines.engine import (
+    EngineState,
+    EngineVersion,
+    OrderAction,
+)
+from ragwortcourse.weights.landing import Landing
+from ragwortcourse.weights.orders import OrderSubject, order_engine
+from ragwortcourse.weights.wanted import WantedWeights
+
+
+def retire_others(landing: Landing, wanted: WantedWeights | None) -> None:
+    """Let the gate begin nothing new on any other version."""
+    for served in landing.served.versions:
+        kept = wanted is not None and (
+            (served.model, served.version) == (wanted.model, wanted.version)
+        )
+        if not kept:
+            landing.served.remove(served.model, served.version)
+
+
+async def unload_others(landing: Landing, wanted: WantedWeights | None) -> None:
+    """Unload versions that nothing runs on and that are not wanted."""
+    state = await landing.ports.engine.describe()
+    if not isinstance(state, EngineState):
+        return
+    for held in state.versions:
+        if _is_removable(landing, wanted, held):
+            subject = OrderSubject(model=held.model, version=held.version)
+            await order_engine(landing, OrderAction.UNLOAD, subject)
+
+
+def _is_removable(
+    landing: Landing, wanted: WantedWeights | None, held: EngineVersion
+) -> bool:
+    if wanted is not None and _is_wanted(wanted, held):
+        return False
+    if landing.served.allows(held.model, held.version, None):
+        return False
+    return not landing.ports.count_running(held.model, held.version, None)
+
+
+def _is_wanted(wanted: WantedWeights, held: EngineVersion) -> bool:
+    named = (held.model, held.version)
+    return named == (wanted.model, wanted.version)
--- a/src/ragwortcourse/weights/tree.py
+++ b/src/ragwortcourse/weights/tree.py
@@ -10,7 +10,7 @@
 import itertools
 import math
 from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from typing import Final, TypeVar
 
 from ragwortcourse.identifiers import (
@@ -48,19 +48,23 @@
         heads: list[PeerAddress] = []
         for group in self._order_groups(index):
             if own in group:
-                return (*_list_ancestors(group, own, index), *heads[::-1])
-            heads.append(group[_find_start(group, index)])
-        return tuple(heads[::-1])
+                heads.reverse()
+                return (*_list_ancestors(group, own, index), *heads)
+            heads.append(_find_head(group, index))
+        heads.reverse()
+        return tuple(heads)
 
     def list_children(
         self, own: PeerAddress, index: int
     ) -> frozenset[DaemonId]:
         """Who will ask the own host for a chunk."""
         groups = self._order_groups(index)
-        for turn, group in enumerate(groups):
+        for group, following in zip(groups, (*groups[1:], None), strict=True):
             if own in group:
-                following = itertools.islice(groups, turn + 1, turn + 2)
-                return _list_offspring(group, own, index, following)
+                children = _list_offspring(group, own, index)
+                if following and own == _find_head(group, index):
+                    children.add(_find_head(following, index).daemon)
+                return frozenset(children)
         return frozenset()
 
     def _order_groups(self, index: int) -> list[_Group]:
@@ -111,6 +115,10 @@
     return index * _choose_step(len(group)) % len(group)
 
 
+def _find_head(group: _Group, index: int) -> PeerAddress:
+    return group[_find_start(group, index)]
+
+
 def _list_ancestors(
     group: _Group, own: PeerAddress, index: int
 ) -> list[PeerAddress]:
@@ -124,18 +132,12 @@
 
 
 def _list_offspring(
-    group: _Group, own: PeerAddress, index: int, following: Iterable[_Group]
-) -> frozenset[DaemonId]:
+    group: _Group, own: PeerAddress, index: int
+) -> set[DaemonId]:
     start = _find_start(group, index)
     position = (group.index(own) - start) % len(group)
     first = FANOUT * position + 1
-    children = {
+    return {
         group[(start + child) % len(group)].daemon
         for child in range(first, min(first + FANOUT, len(group)))
     }
-    if position == 0:
-        children.update(
-            head_group[_find_start(head_group, index)].daemon
-            for head_group in following
-        )
-    return frozenset(children)
