Run scenarios of failure over a site in one process

Cause: the promises need a proof under failure of the whole, not of parts. Ruled out: processes for every scenario (wall-clock bounds, minutes).

--- /dev/null
+++ b/fakes/callers.py
@@ -0,0 +1,206 @@
+"""Callers of a small in-process site, and what they were told."""
+
+import asyncio
+import dataclasses
+import enum
+import random
+from typing import Final
+
+from fakes.site import Site
+from fakes.site_plan import API_KEY, MODEL, SERVICE
+from fakes.wire import Host
+from ragwortcourse.clock import read_clock
+from ragwortcourse.entry.calls import serve_call
+from ragwortcourse.entry.entry import Entry
+from ragwortcourse.identifiers import IdempotencyKey, RequestId
+from ragwortcourse.messages.attempt import AnswerBrokenError
+from ragwortcourse.messages.call import Call, CallError, CallOutcome
+from ragwortcourse.messages.outcome import OutcomeKind
+
+DEADLINE_SECONDS: Final = 10.0
+PIECES: Final = 8
+RESEND_SECONDS: Final = 1.0
+
+
+class Ending(enum.StrEnum):
+    """How a call ended for its caller.
+
+    ``WHOLE``: the whole answer. ``ERROR``: an error with its outcome.
+    ``BROKEN``: an answer that was stated to be short. ``CUT``: the
+    connection ended with the entry daemon.
+    """
+
+    WHOLE = 'whole'
+    ERROR = 'error'
+    BROKEN = 'broken'
+    CUT = 'cut'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Told:
+    """What one call came to.
+
+    :param key: idempotency key of a charge; none for a model call.
+    :param body: the bytes that came.
+    """
+
+    request: RequestId
+    entry: str
+    ending: Ending
+    began_at: float
+    ended_at: float
+    key: str | None = None
+    outcome: OutcomeKind | None = None
+    code: str = ''
+    version: str | None = None
+    body: bytes = b''
+    retry_after: float | None = None
+
+
+class Callers:
+    """Sends calls through the platform's balancer to entry daemons."""
+
+    def __init__(self, *, site: Site, rng: random.Random) -> None:
+        self.site = site
+        self.told: list[Told] = []
+        self._rng = rng
+        self._number = 0
+        self._under_way: set[asyncio.Task[Told]] = set()
+
+    async def send_steadily(
+        self, *, rate: float, seconds: float, charges: float = 0.3
+    ) -> None:
+        """Begin calls at a rate; return when the last one was begun.
+
+        :param rate: calls a second.
+        :param charges: share of calls that may run at most once.
+        """
+        end = read_clock() + seconds
+        while True:
+            await asyncio.sleep(self._rng.expovariate(rate))
+            if read_clock() >= end:
+                return
+            self.begin(is_charge=self._rng.random() < charges)
+
+    def begin(self, *, is_charge: bool) -> asyncio.Task[Told]:
+        """Send one call beside others."""
+        task = asyncio.ensure_future(self.send(is_charge=is_charge))
+        self._under_way.add(task)
+        task.add_done_callback(self._under_way.discard)
+        return task
+
+    async def wait_for_all(self) -> None:
+        """Return once every call has ended."""
+        while self._under_way:
+            await asyncio.wait(self._under_way)
+
+    async def send(
+        self,
+        *,
+        is_charge: bool,
+        entry: str | None = None,
+        key: str | None = None,
+        body: bytes | None = None,
+    ) -> Told:
+        """Send one call and keep what came of it."""
+        self._number += 1
+        name = entry or self._balance()
+        if is_charge and key is None:
+            key = f'key-{self._number}'
+        request = RequestId(f'{name}-{self._number}')
+        call = make_call(request, key, body)
+        told = await self._ask(name, call, key)
+        self.told.append(told)
+        return told
+
+    def _balance(self) -> str:
+        """An entry daemon that is ready, as the balancer would pick it."""
+        ready = [
+            name
+            for name, resident in self.site.residents.items()
+            if resident.entry is not None
+            and resident.host.alive
+            and resident.host.thawed.is_set()
+            and resident.entry.find_obstacle() is None
+        ]
+        return self._rng.choice(ready)
+
+    async def _ask(self, name: str, call: Call, key: str | None) -> Told:
+        resident = self.site.residents[name]
+        if resident.entry is None:
+            raise TypeError(f'{name} is not an entry daemon')
+        began = read_clock()
+        work = resident.host.spawn(
+            read_outcome(resident.host, resident.entry.entry, call)
+        )
+        await asyncio.wait([work])
+        base = Told(
+            request=call.request,
+            entry=name,
+            ending=Ending.CUT,
+            began_at=began,
+            ended_at=read_clock(),
+            key=key,
+        )
+        if work.cancelled():
+            return base
+        outcome, body, ending = work.result()
+        if isinstance(outcome, CallError):
+            return dataclasses.replace(
+                base,
+                ending=ending,
+                outcome=outcome.error.outcome,
+                code=outcome.error.code,
+                retry_after=outcome.error.retry_after,
+            )
+        return dataclasses.replace(
+            base, ending=ending, body=body, version=outcome.version
+        )
+
+
+async def read_outcome(
+    host: Host, entry: Entry, call: Call
+) -> tuple[CallOutcome, bytes, Ending]:
+    """Serve a call on the daemon's host and read its answer."""
+    await host.thawed.wait()
+    outcome = await serve_call(entry, call)
+    if isinstance(outcome, CallError):
+        return outcome, b'', Ending.ERROR
+    body = bytearray()
+    try:
+        async for chunk in outcome.body:
+            await host.thawed.wait()
+            body += chunk
+    except AnswerBrokenError:
+        return outcome, bytes(body), Ending.BROKEN
+    return outcome, bytes(body), Ending.WHOLE
+
+
+def make_call(
+    request: RequestId, key: str | None, body: bytes | None = None
+) -> Call:
+    """A charge where there is a key, else a streamed model call."""
+    if key is None:
+        prompt = f'"prompt":"{request}","max_tokens":{PIECES}'
+        return Call(
+            request=request,
+            api_key=API_KEY,
+            deployment=None,
+            method='POST',
+            path='/v1/completions',
+            headers={'content-type': 'application/json'},
+            body=body
+            or f'{{"model":"{MODEL}","stream":true,{prompt}}}'.encode(),
+            time_left=DEADLINE_SECONDS,
+        )
+    return Call(
+        request=request,
+        api_key=API_KEY,
+        deployment=SERVICE,
+        method='POST',
+        path='/charge',
+        headers={'idempotency-key': key},
+        body=body or key.encode(),
+        time_left=DEADLINE_SECONDS,
+        idempotency_key=IdempotencyKey(key),
+    )
--- /dev/null
+++ b/fakes/checker.py
@@ -0,0 +1,59 @@
+"""What must hold of everything that callers were told."""
+
+import collections
+import re
+from collections.abc import Iterator
+from typing import Final
+
+from fakes.callers import PIECES, Callers, Ending, Told
+from fakes.witness import Witness
+from ragwortcourse.messages.outcome import OutcomeKind
+
+WORD: Final = re.compile(rb'(v\d+)-(\d+)')
+END_MARK: Final = b'data: [DONE]'
+
+
+def find_faults(callers: Callers, witness: Witness) -> list[str]:
+    """Every breach of a promise, one line each."""
+    runs = witness.count_runs()
+    by_key: dict[str, list[Told]] = collections.defaultdict(list)
+    faults: list[str] = []
+    for told in callers.told:
+        if told.key is None:
+            faults.extend(check_model_answer(told))
+        else:
+            by_key[told.key].append(told)
+    for key, sendings in by_key.items():
+        faults.extend(check_charge(key, sendings, runs[key]))
+    faults.extend(
+        f'{each.target} got {each.load:.2f} of what it bears at {each.at:.2f}'
+        for each in witness.beginnings
+        if each.load > 1
+    )
+    return faults
+
+
+def check_model_answer(told: Told) -> Iterator[str]:
+    """A whole answer is all there and from the one version it names."""
+    if told.ending is not Ending.WHOLE:
+        return
+    words = WORD.findall(told.body)
+    versions = {version.decode() for version, _ in words}
+    if versions != {told.version}:
+        yield f'{told.request}: {told.version} answered with {versions}'
+    numbers = [int(number) for _, number in words]
+    if numbers != list(range(PIECES)) or END_MARK not in told.body:
+        yield f'{told.request}: not whole: {told.body!r}'
+
+
+def check_charge(key: str, sendings: list[Told], runs: int) -> Iterator[str]:
+    """A charge runs at most once, and what its caller was told is true."""
+    if runs > 1:
+        yield f'{key} ran {runs} times: {sendings}'
+    endings = {told.ending for told in sendings}
+    outcomes = {told.outcome for told in sendings}
+    done = Ending.WHOLE in endings or OutcomeKind.COMPLETED in outcomes
+    if done and runs != 1:
+        yield f'{key} was said to be done and ran {runs} times'
+    if runs and outcomes == {OutcomeKind.NOT_RUN}:
+        yield f'{key} was said not to have run and ran: {sendings}'
--- /dev/null
+++ b/fakes/site.py
@@ -0,0 +1,287 @@
+"""A small site in one process: daemons, targets, platform and callers.
+
+The daemons run the same tasks over the same parts as the processes do;
+only the ports between them, to targets and to the platform are stand-ins.
+"""
+
+import asyncio
+import dataclasses
+import random
+from typing import Final
+
+import msgspec
+
+from fakes.faults import Fault, Faults
+from fakes.memory_engine import MemoryEngine
+from fakes.memory_hosts import build_memory_hosts
+from fakes.memory_objects import build_memory_objects
+from fakes.memory_table import MemoryRows, build_memory_table
+from fakes.origin import (
+    OriginStore,
+    build_memory_origin,
+    build_memory_writer,
+)
+from fakes.site_daemons import (
+    PlatformPorts,
+    build_site_agent,
+    build_site_entry,
+)
+from fakes.site_plan import MODEL, SitePlan, make_configuration, make_settings
+from fakes.wire import Host, Wire
+from fakes.wire_ports import Residents, WireEnd
+from fakes.witness import Witness
+from ragwortcourse.configuration.change import Base, Draft, make_change
+from ragwortcourse.identifiers import ChangeId, DaemonId, HostName, VersionName
+from ragwortcourse.platform.hosts import HostRecord, HostRole, HostState
+from ragwortcourse.platform.objects import ObjectName
+from ragwortcourse.processes.agent_daemon import AgentDaemon
+from ragwortcourse.processes.entry_daemon import EntryDaemon
+from ragwortcourse.processes.tasks import BackgroundTasks
+from ragwortcourse.settings import Role
+from ragwortcourse.weights.publication import Published, publish_weights
+
+MODEL_BYTES: Final = 3000
+LANDING_SECONDS: Final = 60.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Resident:
+    """One daemon on its host."""
+
+    host: Host
+    tasks: BackgroundTasks
+    entry: EntryDaemon | None = None
+    agent: AgentDaemon | None = None
+
+
+class Site:
+    """Everything of one small site, with its faults."""
+
+    def __init__(self, *, plan: SitePlan, seed: int) -> None:
+        self.plan = plan
+        self.rng = random.Random(seed)
+        self.wire = Wire(rng=random.Random(seed + 1))
+        self.witness = Witness()
+        self.rows = MemoryRows()
+        self.objects: dict[ObjectName, bytes] = {}
+        self.origin = OriginStore()
+        self.records: list[HostRecord] = []
+        self.listed: list[HostRecord] = []
+        self.platform_faults: dict[str, Faults] = {}
+        self.engines: dict[str, MemoryEngine] = {}
+        self.residents: dict[str, Resident] = {}
+        self.routes = Residents()
+        self.manifests: dict[str, str] = {}
+        self._changes = 0
+
+    async def start(self) -> None:
+        """Start every daemon, accept a configuration, land the weights."""
+        await self.publish('v1')
+        for name, target in self.plan.targets.items():
+            self.engines[name] = MemoryEngine(
+                is_model_engine=target.is_model_engine
+            )
+            self._list(name, HostRole.AGENT, target.failure_domain)
+        for name, failure_domain in self.plan.entries.items():
+            self._list(name, HostRole.ENTRY, failure_domain)
+        self.listed.extend(self.records)
+        for name in self.plan.targets:
+            self.start_agent(name)
+        for name in self.plan.entries:
+            self.start_entry(name)
+        await self.deploy('v1')
+        await self.wait_until_serving('v1')
+
+    async def publish(self, version: str) -> None:
+        """Put a version's weights at the origin."""
+        path = self.plan.folder / f'{version}.bin'
+        path.write_bytes(random.Random(version).randbytes(MODEL_BYTES))
+        published = await publish_weights(
+            writer=build_memory_writer(self.origin),
+            path=path,
+            model=MODEL,
+            version=VersionName(version),
+            chunk_size=1000,
+        )
+        if not isinstance(published, Published):
+            raise TypeError(f'{version}: {published}')
+        self.manifests[version] = published.digest
+
+    async def deploy(self, version: str, entry: str | None = None) -> object:
+        """Accept a configuration that wants a version; how that ended."""
+        daemon = self.pick_entry(entry)
+        configuration = make_configuration(
+            self.plan, version, self.manifests[version]
+        )
+
+        def draft(base: Base) -> Draft:
+            before = base.configuration
+            return Draft(
+                configuration=msgspec.structs.replace(
+                    configuration,
+                    withdrawn_failure_domains=before.withdrawn_failure_domains,
+                    withdrawn_targets=before.withdrawn_targets,
+                )
+            )
+
+        return await make_change(
+            daemon.entry.holder,
+            daemon.operators.store,
+            self.name_change(),
+            draft,
+        )
+
+    def name_change(self) -> ChangeId:
+        """A fresh id for an operator's change."""
+        self._changes += 1
+        return ChangeId(f'change-{self._changes}')
+
+    async def wait_until_serving(self, version: str) -> None:
+        """Return once every engine that lives serves a version.
+
+        :raises TimeoutError: one did not come to it.
+        """
+        async with asyncio.timeout(LANDING_SECONDS):
+            while not self._all_serve(version):
+                await asyncio.sleep(0.2)
+
+    def pick_entry(self, name: str | None = None) -> EntryDaemon:
+        """An entry daemon that lives, by name or by chance."""
+        living = [
+            resident.entry
+            for resident in self.residents.values()
+            if resident.entry is not None
+            and resident.host.alive
+            and name in {None, resident.host.name}
+        ]
+        return self.rng.choice(living)
+
+    def start_entry(self, name: str) -> Resident:
+        """Start an entry daemon on a new host of that name."""
+        host = self._make_host(name, self.plan.entries[name])
+        settings = make_settings(self.plan, host, Role.ENTRY, self.records)
+        ports = self._make_ports(name)
+        daemon = build_site_entry(
+            settings, self._make_end(host), ports, self._make_rng(name)
+        )
+        self.routes.memberships[host.address] = daemon.membership
+        self.routes.holders[host.address] = daemon.entry.holder
+        resident = Resident(host=host, tasks=BackgroundTasks(), entry=daemon)
+        self.residents[name] = resident
+        daemon.start(resident.tasks)
+        return resident
+
+    def start_agent(self, name: str) -> Resident:
+        """Start an agent on a new host of that name."""
+        host = self._make_host(name, self.plan.targets[name].failure_domain)
+        settings = make_settings(self.plan, host, Role.AGENT, self.records)
+        ports = self._make_ports(name)
+        engine = self.witness.watch(name, host, self.engines[name])
+        daemon = build_site_agent(
+            settings, self._make_end(host), ports, engine, self._make_rng(name)
+        )
+        self.routes.agents[host.address] = daemon.agent
+        self.routes.landings[host.address] = daemon.landing
+        self.routes.holders[host.address] = daemon.agent.holder
+        resident = Resident(host=host, tasks=BackgroundTasks(), agent=daemon)
+        self.residents[name] = resident
+        daemon.start(resident.tasks)
+        return resident
+
+    async def kill(self, name: str) -> None:
+        """End a daemon's host at once."""
+        resident = self.residents[name]
+        await resident.tasks.stop()
+        await resident.host.kill()
+        self.wire.announce()
+
+    def restart(self, name: str) -> Resident:
+        """Start the daemon of a killed host anew."""
+        if name in self.plan.entries:
+            return self.start_entry(name)
+        return self.start_agent(name)
+
+    async def drain(self, name: str) -> None:
+        """Stop a daemon as SIGTERM does, and return once it has ended."""
+        resident = self.residents[name]
+        daemon = resident.entry or resident.agent
+        if daemon is not None:
+            await daemon.drain()
+        await self.kill(name)
+
+    def freeze(self, name: str) -> None:
+        """Let a host take no message in until it is thawed."""
+        self.residents[name].host.thawed.clear()
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen host go on."""
+        self.residents[name].host.thawed.set()
+
+    def break_platform(
+        self,
+        fault: Fault | None,
+        *,
+        failure_domain: str | None = None,
+        seconds: float = 0.5,
+    ) -> None:
+        """Make the platform fail for a failure domain, or for all."""
+        for name, faults in self.platform_faults.items():
+            where = self.residents[name].host.failure_domain
+            if failure_domain in {None, where}:
+                faults.set(fault, seconds=seconds if fault else 0)
+
+    def mark_leaving(self, name: str) -> None:
+        """Let the platform's list say that a host is leaving."""
+        self.listed[:] = [
+            msgspec.structs.replace(record, state=HostState.LEAVING)
+            if record.daemon == name
+            else record
+            for record in self.listed
+        ]
+
+    def _make_host(self, name: str, failure_domain: str) -> Host:
+        host = Host(name=name, failure_domain=failure_domain)
+        self.wire.add(host)
+        return host
+
+    def _make_end(self, host: Host) -> WireEnd:
+        return WireEnd(wire=self.wire, host=host, residents=self.routes)
+
+    def _make_rng(self, name: str) -> random.Random:
+        return random.Random(f'{name}-{self.rng.random()}')
+
+    def _make_ports(self, name: str) -> PlatformPorts:
+        faults = self.platform_faults.setdefault(name, Faults())
+        return PlatformPorts(
+            table=build_memory_table(rows=self.rows, faults=faults),
+            objects=build_memory_objects(objects=self.objects, faults=faults),
+            hosts=build_memory_hosts(records=self.listed, faults=faults),
+            origin=build_memory_origin(self.origin),
+        )
+
+    def _list(self, name: str, role: HostRole, failure_domain: str) -> None:
+        target = self.plan.targets.get(name)
+        self.records.append(
+            HostRecord(
+                host=HostName(f'host-{name}'),
+                role=role,
+                daemon=DaemonId(name),
+                address=f'{name}:1',
+                failure_domain=self.plan.name_domain(failure_domain),
+                region=self.plan.find_region(failure_domain),
+                target=target.name if target else None,
+                deployment=target.deployment if target else None,
+            )
+        )
+
+    def _all_serve(self, version: str) -> bool:
+        return all(
+            any(
+                served.version == version
+                for served in resident.agent.agent.served.versions
+            )
+            for resident in self.residents.values()
+            if resident.agent is not None
+            and resident.host.alive
+            and resident.agent.agent.target.is_model_engine
+        )
--- /dev/null
+++ b/fakes/site_plan.py
@@ -0,0 +1,165 @@
+"""Which hosts a small in-process site has, and its configuration."""
+
+import dataclasses
+import pathlib
+from typing import Final
+
+from fakes.probes import digest_key
+from fakes.wire import Host
+from ragwortcourse.configuration.client_account import ClientAccount
+from ragwortcourse.configuration.configuration import Configuration
+from ragwortcourse.configuration.deployment import (
+    CallPattern,
+    ModelDeployment,
+    ServiceDeployment,
+)
+from ragwortcourse.configuration.failure_domain import FailureDomain
+from ragwortcourse.configuration.limits import TargetLimits
+from ragwortcourse.identifiers import (
+    ClientAccountName,
+    DaemonId,
+    DeploymentName,
+    FailureDomainName,
+    HostName,
+    ModelName,
+    RegionName,
+    Sha256Hex,
+    TargetName,
+    VersionName,
+)
+from ragwortcourse.platform.hosts import HostRecord
+from ragwortcourse.settings import (
+    AgentSettings,
+    ListenSettings,
+    Role,
+    Settings,
+)
+
+MODEL: Final = ModelName('drafts')
+MODELS: Final = DeploymentName('draft-llm')
+SERVICE: Final = DeploymentName('accounts')
+API_KEY: Final = 'a key'
+LIMITS: Final = TargetLimits(cold=2, warm=8, queue=32)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlannedTarget:
+    """One target of the site."""
+
+    name: TargetName
+    deployment: DeploymentName
+    failure_domain: str
+    is_model_engine: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SitePlan:
+    """Hosts of the site.
+
+    :param entries: failure domain of each entry daemon.
+    :param folder: where weights lie before they are published.
+    """
+
+    entries: dict[str, str]
+    targets: dict[str, PlannedTarget]
+    folder: pathlib.Path
+    failure_domains: tuple[str, ...] = ('alpha', 'beta', 'gamma')
+
+    def name_domain(self, failure_domain: str) -> FailureDomainName:
+        """A failure domain's name, typed."""
+        return FailureDomainName(failure_domain)
+
+    def find_region(self, failure_domain: str) -> RegionName:
+        """The region of a failure domain: the first two share one."""
+        return RegionName('east' if failure_domain == 'gamma' else 'west')
+
+
+def make_plan(folder: pathlib.Path) -> SitePlan:
+    """Two entry daemons, two engines and a service in each of three."""
+    domains = ('alpha', 'beta', 'gamma')
+    targets = [
+        PlannedTarget(
+            name=TargetName(f'{kind}-{domain}-{number}'),
+            deployment=deployment,
+            failure_domain=domain,
+            is_model_engine=kind == 'engine',
+        )
+        for domain in domains
+        for kind, deployment, count in (
+            ('engine', MODELS, 2),
+            ('service', SERVICE, 1),
+        )
+        for number in range(count)
+    ]
+    return SitePlan(
+        entries={
+            f'entry-{domain}-{number}': domain
+            for domain in domains
+            for number in range(2)
+        },
+        targets={str(target.name): target for target in targets},
+        folder=folder,
+    )
+
+
+def make_configuration(
+    plan: SitePlan, version: str, manifest: str
+) -> Configuration:
+    """One model and one service with calls that run at most once."""
+    domains = tuple(plan.name_domain(name) for name in plan.failure_domains)
+    return Configuration(
+        failure_domains=tuple(
+            FailureDomain(name=name, region=plan.find_region(name))
+            for name in domains
+        ),
+        client_accounts=(
+            ClientAccount(
+                name=ClientAccountName('house'),
+                key_sha256=(digest_key(API_KEY),),
+            ),
+        ),
+        models=(
+            ModelDeployment(
+                name=MODELS,
+                model=MODEL,
+                version=VersionName(version),
+                manifest_sha256=Sha256Hex(manifest),
+                failure_domains=domains,
+                batch=2,
+                limits=LIMITS,
+            ),
+        ),
+        services=(
+            ServiceDeployment(
+                name=SERVICE,
+                failure_domains=domains,
+                non_idempotent=(CallPattern(method='POST'),),
+                limits=LIMITS,
+            ),
+        ),
+    )
+
+
+def make_settings(
+    plan: SitePlan, host: Host, role: Role, known: list[HostRecord]
+) -> Settings:
+    """Settings of one daemon, whose addresses are names on the wire."""
+    name = host.name
+    target = plan.targets.get(name)
+    return Settings(
+        role=role,
+        daemon=DaemonId(name),
+        host=HostName(f'host-{name}'),
+        failure_domain=plan.name_domain(host.failure_domain),
+        region=plan.find_region(host.failure_domain),
+        listen=ListenSettings(peers=f'{name}:1', watch=f'{name}:2'),
+        agent=None
+        if target is None
+        else AgentSettings(
+            target=target.name,
+            deployment=target.deployment,
+            target_url='',
+            is_model_engine=target.is_model_engine,
+        ),
+        known=tuple(known),
+    )
--- /dev/null
+++ b/fakes/stage.py
@@ -0,0 +1,180 @@
+"""A site under load on its own virtual clock, moved on step by step."""
+
+import asyncio
+import copy
+import pathlib
+import random
+from collections.abc import Coroutine
+from typing import Any, Final, TypeVar
+
+import looptime
+
+from fakes.callers import Callers, Ending
+from fakes.checker import find_faults
+from fakes.faults import Fault
+from fakes.site import Site
+from fakes.site_plan import make_plan
+from ragwortcourse.configuration.withdrawals import return_part, withdraw_part
+from ragwortcourse.messages.withdrawal import Withdrawal, WithdrawalScope
+
+STEADY_SECONDS: Final = 2.0
+ENDLESS_SECONDS: Final = 3600.0
+REPLACE_SECONDS: Final = 2.0
+
+_Told = TypeVar('_Told')
+
+
+class Stage:
+    """Runs steps on a site; between them only virtual time stands still."""
+
+    def __init__(self, *, folder: pathlib.Path, seed: int = 1) -> None:
+        self._loop = looptime.new_event_loop()
+        self._seed = seed
+        self._load: asyncio.Task[None] | None = None
+        self.marks: dict[str, float] = {}
+        self.generations: dict[str, int] = {}
+        self.run(self._open(folder))
+
+    @property
+    def now(self) -> float:
+        """Virtual seconds."""
+        return self._loop.time()
+
+    def run(self, work: Coroutine[Any, Any, _Told]) -> _Told:
+        """Run work to its end while the site goes on."""
+        return self._loop.run_until_complete(work)
+
+    def begin_load(self, rate: float) -> None:
+        """Send calls at a rate until the end, and wait until it is steady."""
+        self._load = self._loop.create_task(
+            self.callers.send_steadily(rate=rate, seconds=ENDLESS_SECONDS)
+        )
+        self.run(asyncio.sleep(STEADY_SECONDS))
+
+    def end(self) -> list[str]:
+        """End the load, let every call end; every breach of a promise."""
+        if self._load is not None:
+            self._load.cancel()
+        self.run(self.callers.wait_for_all())
+        return find_faults(self.callers, self.site.witness)
+
+    def close(self) -> None:
+        """Stop every task."""
+        self.run(self._close())
+        self._loop.close()
+
+    def mark(self, name: str) -> None:
+        """Remember this moment."""
+        self.marks[name] = self.now
+
+    def change_part(
+        self, name: str, *, withdraw: bool, at: str | None = None
+    ) -> Coroutine[Any, Any, object]:
+        """An operator's withdrawal or return of a failure domain.
+
+        :param at: failure domain of the entry daemon that is asked.
+        """
+        entry = self.pick_entry(at)
+        part = Withdrawal(
+            change=self.site.name_change(),
+            scope=WithdrawalScope.FAILURE_DOMAIN,
+            name=name,
+            generation=entry.entry.holder.generation,
+        )
+        change = withdraw_part if withdraw else return_part
+        return change(entry.entry.holder, entry.operators.store, part)
+
+    def pick_entry(self, failure_domain: str | None = None) -> Any:
+        """An entry daemon of a failure domain, or of any."""
+        names = [
+            name
+            for name, where in self.site.plan.entries.items()
+            if failure_domain in {None, where}
+            and self.site.residents[name].host.alive
+        ]
+        return self.site.pick_entry(self.site.rng.choice(names))
+
+    def cut_off(self, failure_domain: str, *, platform: bool = False) -> None:
+        """Let nothing pass between a failure domain and the others."""
+        for other in self.site.plan.failure_domains:
+            if other != failure_domain:
+                self.site.wire.cut(failure_domain, other)
+        if platform:
+            self.site.break_platform(Fault.DOWN, failure_domain=failure_domain)
+
+    def mend(self) -> None:
+        """End every fault and start every host that is down."""
+        self.site.wire.heal()
+        self.site.break_platform(None)
+        for name, resident in list(self.site.residents.items()):
+            if resident.host.alive:
+                self.site.thaw(name)
+            else:
+                self._call(self.site.restart, name)
+
+    def list_hosts(self, failure_domain: str) -> list[str]:
+        """Hosts of one failure domain."""
+        return [
+            name
+            for name, resident in self.site.residents.items()
+            if resident.host.failure_domain == failure_domain
+        ]
+
+    def kill(self, name: str) -> None:
+        """End a host at once."""
+        self.run(self.site.kill(name))
+
+    def restart(self, name: str) -> None:
+        """Start a host that was killed."""
+        self._call(self.site.restart, name)
+
+    def replace(self, names: list[str]) -> None:
+        """Stop and start daemons as planned, one after the other."""
+        for name in names:
+            self.run(self.site.drain(name))
+            self.restart(name)
+            self.run(asyncio.sleep(REPLACE_SECONDS))
+
+    def resend_cut(self) -> None:
+        """Let callers whose connection ended send their charge again."""
+        cut = [
+            told
+            for told in self.callers.told
+            if told.ending is Ending.CUT and told.key is not None
+        ]
+        for told in cut:
+            self.run(self.callers.send(is_charge=True, key=told.key))
+
+    def copy_rows(self) -> None:
+        """Keep the table's state of now."""
+        self._old_rows = copy.deepcopy(self.site.rows.rows)
+
+    def restore_rows(self) -> None:
+        """Let the table have the state that was kept."""
+        self.site.rows.rows = self._old_rows
+
+    def read_generations(self) -> dict[str, int]:
+        """Generation in force at each daemon that lives."""
+        return {
+            name: self.site.routes.holders[resident.host.address].generation
+            for name, resident in self.site.residents.items()
+            if resident.host.alive
+        }
+
+    def _call(self, action: Any, *given: Any) -> None:
+        async def call() -> None:
+            action(*given)
+
+        self.run(call())
+
+    async def _open(self, folder: pathlib.Path) -> None:
+        self.site = Site(plan=make_plan(folder), seed=self._seed)
+        await self.site.start()
+        self.callers = Callers(
+            site=self.site, rng=random.Random(self._seed + 2)
+        )
+
+    async def _close(self) -> None:
+        for name, resident in list(self.site.residents.items()):
+            if resident.host.alive:
+                await self.site.kill(name)
--- /dev/null
+++ b/fakes/wire_ports.py
@@ -0,0 +1,131 @@
+"""Ports between in-process daemons that go over the wire."""
+
+import dataclasses
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from fakes.wire import Host, Lost, Unreached, Wire
+from ragwortcourse.agent.agent import Agent
+from ragwortcourse.agent.attempts import bar_attempt, run_attempt
+from ragwortcourse.agent.status import answer_heartbeat
+from ragwortcourse.configuration.configuration import ConfigurationDocument
+from ragwortcourse.configuration.holder import ConfigurationHolder
+from ragwortcourse.identifiers import AttemptId, Generation
+from ragwortcourse.membership.exchange import answer_exchange
+from ragwortcourse.membership.membership import Membership
+from ragwortcourse.messages.attempt import (
+    Attempt,
+    AttemptLost,
+    AttemptOutcome,
+    AttemptUnreached,
+)
+from ragwortcourse.messages.attempt_report import AttemptReport
+from ragwortcourse.messages.heartbeat import Heartbeat
+from ragwortcourse.messages.peer_port import AgentPort, DaemonPort, PeerSilent
+from ragwortcourse.messages.target_status import TargetStatus
+from ragwortcourse.weights.landing import Landing
+from ragwortcourse.weights.peer_port import (
+    ChunkOutcome,
+    ChunkPort,
+    ChunkRequest,
+)
+from ragwortcourse.weights.serving import offer_chunk
+
+_Told = TypeVar('_Told')
+
+
+class Residents:
+    """What answers at each address."""
+
+    def __init__(self) -> None:
+        self.agents: dict[str, Agent] = {}
+        self.landings: dict[str, Landing] = {}
+        self.memberships: dict[str, Membership] = {}
+        self.holders: dict[str, ConfigurationHolder] = {}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WireEnd:
+    """A host's end of the wire, and what answers at the others."""
+
+    wire: Wire
+    host: Host
+    residents: Residents
+
+
+def be_silent(told: _Told | Unreached | Lost) -> _Told | PeerSilent:
+    """An answer, or that there was none."""
+    if isinstance(told, Unreached | Lost):
+        return PeerSilent(detail=type(told).__name__)
+    return told
+
+
+def build_agent_port(end: WireEnd) -> AgentPort:
+    """An entry daemon's way to agents."""
+
+    async def start(address: str, attempt: Attempt) -> AttemptOutcome:
+        def work() -> Coroutine[Any, Any, AttemptOutcome]:
+            return run_attempt(end.residents.agents[address], attempt)
+
+        told = await end.wire.carry(end.host, address, work)
+        if isinstance(told, Unreached):
+            return AttemptUnreached(detail='unreached')
+        if isinstance(told, Lost):
+            return AttemptLost(detail='lost')
+        return end.wire.relay(end.host, address, told)
+
+    async def bar(
+        address: str, attempt: AttemptId, age: float
+    ) -> AttemptReport | PeerSilent:
+        def work() -> Coroutine[Any, Any, AttemptReport]:
+            return bar_attempt(end.residents.agents[address], attempt, age)
+
+        return be_silent(await end.wire.carry(end.host, address, work))
+
+    async def heartbeat(
+        address: str, sent: Heartbeat
+    ) -> TargetStatus | PeerSilent:
+        def work() -> Coroutine[Any, Any, TargetStatus]:
+            return answer_heartbeat(end.residents.agents[address], sent)
+
+        return be_silent(await end.wire.carry(end.host, address, work))
+
+    return AgentPort(start=start, bar=bar, heartbeat=heartbeat)
+
+
+def build_daemon_port(end: WireEnd) -> DaemonPort:
+    """Any daemon's way to any other."""
+
+    async def fetch(
+        address: str, generation: Generation
+    ) -> ConfigurationDocument | PeerSilent:
+        async def work() -> ConfigurationDocument | PeerSilent:
+            document = end.residents.holders[address].document
+            if document is None or document.generation < generation:
+                return PeerSilent(detail='404')
+            return document
+
+        return be_silent(await end.wire.carry(end.host, address, work))
+
+    async def exchange(address: str, sent: Heartbeat) -> Heartbeat | PeerSilent:
+        def work() -> Coroutine[Any, Any, Heartbeat]:
+            return answer_exchange(end.residents.memberships[address], sent)
+
+        return be_silent(await end.wire.carry(end.host, address, work))
+
+    return DaemonPort(fetch=fetch, exchange=exchange)
+
+
+def build_chunk_port(end: WireEnd) -> ChunkPort:
+    """An agent's way to the chunks of others."""
+
+    async def fetch(address: str, asked: ChunkRequest) -> ChunkOutcome:
+        async def work() -> ChunkOutcome:
+            async with offer_chunk(
+                end.residents.landings[address], asked
+            ) as told:
+                return told
+
+        return be_silent(await end.wire.carry(end.host, address, work))
+
+    return ChunkPort(fetch=fetch)
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,353 @@
+"""Scenarios of features/, over a site in one process and virtual time."""
+
+import asyncio
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from fakes.callers import Ending
+from fakes.faults import Fault
+from fakes.stage import Stage
+from ragwortcourse.configuration.acceptance import Accepted
+
+scenarios('.')
+
+LATE_SECONDS = 3
+AT_ONCE_SECONDS = 1.0
+
+
+@pytest.fixture
+def stage(tmp_path):
+    """A site of its own for each scenario."""
+    made = Stage(folder=tmp_path)
+    yield made
+    made.close()
+
+
+@given(
+    parsers.parse(
+        'a site of three failure domains under a load of {rate:d} calls '
+        'a second'
+    )
+)
+def load_site(stage, rate):
+    stage.begin_load(rate)
+
+
+@when(parsers.parse('{seconds:d} seconds pass'))
+def pass_time(stage, seconds):
+    stage.run(asyncio.sleep(seconds))
+
+
+@when(parsers.parse('operators withdraw failure domain {name}'))
+def withdraw(stage, name):
+    stage.run(stage.change_part(name, withdraw=True))
+    stage.mark(name)
+
+
+@when(parsers.parse('operators at {where} withdraw failure domain {name}'))
+def withdraw_at(stage, where, name):
+    stage.run(stage.change_part(name, withdraw=True, at=where))
+    stage.mark(name)
+
+
+@when(parsers.parse('operators return failure domain {name}'))
+def return_domain(stage, name):
+    stage.run(stage.change_part(name, withdraw=False))
+    stage.mark(f'{name} returned')
+
+
+@when(
+    parsers.parse(
+        'one operator returns failure domain {name} while another withdraws it'
+    )
+)
+def race_over(stage, name):
+    async def race():
+        return await asyncio.gather(
+            stage.change_part(name, withdraw=False, at='alpha'),
+            stage.change_part(name, withdraw=True, at='gamma'),
+        )
+
+    stage.run(race())
+
+
+@when('the table service is down')
+@when('the platform is down')
+def break_table(stage):
+    stage.site.break_platform(Fault.DOWN)
+    stage.mark('outage')
+
+
+@when('the table service loses answers')
+def lose_answers(stage):
+    stage.site.break_platform(Fault.ANSWER_LOST)
+
+
+@when('the table service answers again')
+def mend_table(stage):
+    stage.site.break_platform(None)
+
+
+@when(parsers.parse('the platform can not be reached from {name}'))
+def cut_platform(stage, name):
+    stage.site.break_platform(Fault.DOWN, failure_domain=name)
+
+
+@when(parsers.parse('failure domain {name} is cut off'))
+def cut_off(stage, name):
+    stage.cut_off(name)
+
+
+@when(
+    parsers.parse(
+        'failure domain {name} is cut off from all and from the platform'
+    )
+)
+def cut_off_wholly(stage, name):
+    stage.cut_off(name, platform=True)
+    stage.mark('cut')
+
+
+@when('everything is mended')
+def mend(stage):
+    stage.mend()
+
+
+@when(parsers.parse('every host of failure domain {name} is killed'))
+def kill_domain(stage, name):
+    for host in stage.list_hosts(name):
+        stage.kill(host)
+
+
+@when(parsers.parse('every host of failure domain {name} restarts'))
+def restart_domain(stage, name):
+    for host in stage.list_hosts(name):
+        stage.restart(host)
+    stage.mark(f'{name} returned')
+
+
+@when(parsers.parse('host {name} is killed'))
+def kill_host(stage, name):
+    stage.kill(name)
+
+
+@when(parsers.parse('host {name} restarts'))
+def restart_host(stage, name):
+    stage.restart(name)
+
+
+@when(parsers.parse('host {name} freezes'))
+def freeze_host(stage, name):
+    stage.site.freeze(name)
+
+
+@when(parsers.parse('host {name} thaws'))
+def thaw_host(stage, name):
+    stage.site.thaw(name)
+
+
+@when(parsers.parse('the engine of {name} dies'))
+def kill_engine(stage, name):
+    async def die():
+        stage.site.engines[name].die()
+
+    stage.run(die())
+
+
+@when('each entry daemon is stopped and replaced in turn')
+@when('every daemon is replaced')
+def replace_entries(stage):
+    stage.replace(list(stage.site.plan.entries))
+
+
+@when('each agent is stopped and replaced in turn')
+def replace_agents(stage):
+    stage.replace(list(stage.site.plan.targets))
+
+
+@when(parsers.parse('every entry daemon of {name} is replaced'))
+def replace_entries_of(stage, name):
+    hosts = [
+        host for host, where in stage.site.plan.entries.items() if where == name
+    ]
+    stage.replace(hosts)
+
+
+@when(parsers.parse('the list says that {name} is leaving'))
+def mark_leaving(stage, name):
+    stage.site.mark_leaving(name)
+    stage.mark(name)
+
+
+@when('callers that were cut off send again')
+def resend(stage):
+    stage.resend_cut()
+
+
+@when('the same charge is sent to two entry daemons at once')
+def send_twice(stage):
+    async def send():
+        await asyncio.gather(
+            *(
+                stage.callers.send(is_charge=True, key='twice', entry=entry)
+                for entry in ('entry-alpha-0', 'entry-beta-0')
+            )
+        )
+
+    stage.run(send())
+
+
+@when(parsers.parse('operators deploy version {version}'))
+def deploy(stage, version):
+    stage.run(stage.site.publish(version))
+    stage.run(stage.site.deploy(version))
+    stage.mark('deployed')
+
+
+@when('operators accept a configuration')
+@when('operators at alpha accept a configuration')
+def accept(stage):
+    stage.copy_rows()
+    outcome = stage.run(stage.site.deploy('v1', 'entry-alpha-0'))
+    assert isinstance(outcome, Accepted), outcome
+    stage.generations = {'accepted': outcome.generation}
+
+
+@when('two operators accept configurations at once')
+def accept_two(stage):
+    async def race():
+        return await asyncio.gather(
+            stage.site.deploy('v1', 'entry-alpha-0'),
+            stage.site.deploy('v1', 'entry-gamma-0'),
+        )
+
+    outcomes = stage.run(race())
+    won = [each for each in outcomes if isinstance(each, Accepted)]
+    stage.generations = {'accepted': max(each.generation for each in won)}
+
+
+@when('the table service goes back to an older state')
+def go_back(stage):
+    stage.restore_rows()
+
+
+@then(
+    parsers.parse(
+        'no work has begun in {name} since 3 seconds after its withdrawal'
+    )
+)
+def check_no_work(stage, name):
+    late = stage.site.witness.list_since(stage.marks[name] + LATE_SECONDS, name)
+    assert late == []
+
+
+@then(parsers.parse('no work has begun at {name} since 3 seconds after that'))
+def check_no_work_at(stage, name):
+    limit = stage.marks[name] + LATE_SECONDS
+    late = [
+        each
+        for each in stage.site.witness.beginnings
+        if each.target == name and each.at > limit
+    ]
+    assert late == []
+
+
+@then(parsers.parse('work has begun again in {name}'))
+def check_work(stage, name):
+    since = stage.marks[f'{name} returned']
+    assert stage.site.witness.list_since(since, name)
+
+
+@then('every call was answered whole')
+def check_all_whole(stage):
+    stage.end()
+    bad = [
+        told for told in stage.callers.told if told.ending is not Ending.WHOLE
+    ]
+    assert bad == []
+
+
+@then('every model call was answered whole')
+def check_models_whole(stage):
+    stage.end()
+    bad = [
+        told
+        for told in stage.callers.told
+        if told.key is None and told.ending is not Ending.WHOLE
+    ]
+    assert bad == []
+
+
+@then(
+    parsers.parse(
+        'model calls at {name} were answered whole while it was cut off'
+    )
+)
+def check_served_while_cut(stage, name):
+    stage.end()
+    told = [
+        each
+        for each in stage.callers.told
+        if each.key is None
+        and each.began_at > stage.marks['cut']
+        and stage.site.plan.entries[each.entry] == name
+    ]
+    assert told
+    assert [each for each in told if each.ending is not Ending.WHOLE] == []
+
+
+@then('charges are refused at once as not run')
+def check_charges_refused(stage):
+    stage.end()
+    refused = [
+        each
+        for each in stage.callers.told
+        if each.key is not None and each.began_at > stage.marks['outage']
+    ]
+    assert refused
+    for each in refused:
+        assert each.outcome == 'not_run', each
+        assert each.ended_at - each.began_at < AT_ONCE_SECONDS, each
+        assert each.retry_after is not None, each
+
+
+@then('it ran once')
+def check_ran_once(stage):
+    assert stage.site.witness.count_runs()['twice'] == 1
+
+
+@then(parsers.parse('model calls are answered by {version}'))
+def check_version(stage, version):
+    stage.end()
+    last = [each for each in stage.callers.told if each.key is None][-20:]
+    assert {each.version for each in last} == {version}
+
+
+@then('it is in force at every daemon')
+@then('one of them is in force at every daemon')
+def check_in_force(stage):
+    wanted = stage.generations['accepted']
+    generations = stage.read_generations()
+    assert [name for name, each in generations.items() if each < wanted] == []
+    assert len(set(generations.values())) == 1
+
+
+@then('no daemon went back to a lower generation')
+def check_no_reversal(stage):
+    wanted = stage.generations['accepted']
+    assert min(stage.read_generations().values()) >= wanted
+
+
+@then(parsers.parse('every daemon agrees on {name}'))
+def check_agreement(stage, name):
+    seen = {
+        holder.is_withdrawn('', name)
+        for holder in stage.site.routes.holders.values()
+    }
+    assert len(seen) == 1
+
+
+@then('every promise holds')
+def check_promises(stage):
+    assert stage.end() == []
