Hold the callers' surface and the agents' adapter to fault tables

Cause: the callers' port and the HTTP adapter had no tests of malformed input and of connections that break. Found and mended while writing them: a path spelled with escapes, dots or doubled slashes escaped a service's list of calls that may not be repeated; the query reached the target re-quoted; a report of an agent counted however late it came.

--- a/src/ragwortcourse/entry/admission.py
+++ b/src/ragwortcourse/entry/admission.py
@@ -1,6 +1,8 @@
 """Admission: who calls, what is asked for, and whether it may run."""
 
 import hashlib
+import posixpath
+from urllib.parse import unquote
 
 import msgspec
 
@@ -36,14 +38,25 @@
 
 
 def is_idempotent(service: ServiceDeployment, call: Call) -> bool:
-    """Tell whether a service's call may run more than once."""
+    """Tell whether a service's call may run more than once.
+
+    Other spellings of a path count as the path itself.
+    """
+    path = normalize_path(call.path)
     return not any(
         pattern.method.upper() == call.method.upper()
-        and call.path.startswith(pattern.path_prefix)
+        and path.startswith(pattern.path_prefix)
         for pattern in service.non_idempotent
     )
 
 
+def normalize_path(path: str) -> str:
+    """Path without query, escapes, dot segments and doubled slashes."""
+    plain = unquote(path.partition('?')[0])
+    normal = posixpath.normpath(f'/{plain.lstrip("/")}')
+    return f'{normal}/' if plain.endswith('/') and normal != '/' else normal
+
+
 def admit_call(entry: Entry, call: Call, trail: Trail) -> Work | NotRun:
     """Work to route, or the reason why the call is not taken."""
     refusal = check_readiness(entry)
--- a/src/ragwortcourse/entry/call_reader.py
+++ b/src/ragwortcourse/entry/call_reader.py
@@ -19,6 +19,7 @@
 BODY_LIMIT_BYTES: Final = 4_194_304
 DEFAULT_DEADLINE_SECONDS: Final = 60.0
 LONGEST_DEADLINE_SECONDS: Final = 3600.0
+SERVICE_PARTS: Final = 3
 KEY_LENGTH: Final = 255
 PRIORITY_RANGE: Final = 100
 _MILLISECONDS: Final = 1000
@@ -122,10 +123,14 @@
 
 
 def _read_path(request: web.Request) -> str:
-    raw = request.rel_url.raw_path.split('/', 3)
-    tail = raw[3] if len(raw) > 3 else ''
-    query = request.rel_url.raw_query_string
-    return f'/{tail}?{query}' if query else f'/{tail}'
+    raw = request.raw_path
+    if not raw.startswith('/'):
+        raw = request.rel_url.raw_path_qs
+    path, mark, query = raw.partition('?')
+    # Empty, 'services', the service, and the rest as the caller wrote it.
+    parts = path.split('/', SERVICE_PARTS)
+    tail = parts[SERVICE_PARTS] if len(parts) > SERVICE_PARTS else ''
+    return f'/{tail}{mark}{query}'
 
 
 def _read_api_key(request: web.Request) -> str | None:
--- a/src/ragwortcourse/entry/dispatch.py
+++ b/src/ragwortcourse/entry/dispatch.py
@@ -10,6 +10,7 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.entry import errors
 from ragwortcourse.entry.answer_body import close_body
+from ragwortcourse.entry.bars import bar_attempt
 from ragwortcourse.entry.choice import Choice
 from ragwortcourse.entry.entry import Entry
 from ragwortcourse.entry.work import Work
@@ -235,8 +236,9 @@
     if work.idempotent:
         unknown = describe_unknown(choice.record.target, outcome.detail)
         return Failed(outcome=unknown, is_lost=True)
-    report = await entry.agent_port.bar(
-        choice.record.address, message.attempt, read_clock() - sent_at
+    age = read_clock() - sent_at
+    report = await bar_attempt(
+        entry, choice.record.address, message.attempt, age
     )
     work.trail.note(
         DecisionPoint.OUTCOME,
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -1,6 +1,7 @@
 """Tests of :mod:`ragwortcourse.entry.calls`."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -106,6 +107,19 @@
         assert len(agents.sent) == sent
         assert len(agents.ran) <= 1
 
+    @pytest.mark.parametrize(
+        'path',
+        ['/bookings/7', '//bookings', '/%62ookings', '/x/../bookings?a=b'],
+    )
+    async def test_other_spellings_are_not_idempotent_either(self, path):
+        """A path written otherwise is held to the same promise."""
+        agents = ScriptedAgents()
+        agents.script('near', Turn.LOST_DURING)
+        entry = make_service_entry(agents)
+        call = dataclasses.replace(make_booking_call(), path=path)
+        assert await collect(entry, call) == 'unknown outcome_unknown'
+        assert len(agents.sent) == 1
+
     async def test_late_attempt_is_barred(self):
         """A request told not to have run does not run when it comes late."""
         agents = ScriptedAgents()
@@ -127,6 +141,15 @@
             told = await collect(entry, call)
         assert told == 'unknown outcome_unknown'
 
+    async def test_late_report_does_not_count(self):
+        """A report that comes too late proves nothing."""
+        agents = ScriptedAgents()
+        agents.seconds = 5
+        agents.script('near', Turn.LOST_BEFORE)
+        entry = make_service_entry(agents)
+        call = make_booking_call(time_left=60)
+        assert await collect(entry, call) == 'unknown outcome_unknown'
+
     async def test_doubt_outlives_a_later_refusal(self):
         """After an attempt that may have run, no refusal says not run."""
         agents = ScriptedAgents()
--- a/tests/test_claimed_calls.py
+++ b/tests/test_claimed_calls.py
@@ -75,9 +75,10 @@
         told = await collect(site.a, make_booking_call(key='k'))
         assert told == 'not_run full'
         await asyncio.sleep(1)
-        assert (
-            await collect(site.b, make_booking_call('r2', key='k')) == 'whole'
-        )
+        # Nobody need be asked, the claim itself says so.
+        site.agents.silent.update(('near', 'far'))
+        told = await collect(site.b, make_booking_call('r2', key='k'))
+        assert told == 'whole'
         assert len(site.agents.ran) == 1
 
     async def test_another_body_is_refused(self):
@@ -96,7 +97,7 @@
             collect(site.a, make_booking_call(key='k')),
             collect(site.b, make_booking_call('r2', key='k')),
         )
-        assert 'whole' in told
+        assert told == ['whole', 'whole']
         assert len(site.agents.ran) == 1
 
 
@@ -141,6 +142,19 @@
         assert told == 'completed answer_lost'
         assert len(site.agents.ran) == 1
 
+    async def test_paused_daemon_wakes_after_agents_restarted(self):
+        """A claim that is old is read again before anything is sent."""
+        site = Site()
+        site.faults['a'].set(Fault.SLOW, seconds=30, times=1)
+        first = asyncio.create_task(
+            collect(site.a, make_booking_call(key='k', time_left=60))
+        )
+        await asyncio.sleep(15)
+        await collect(site.b, make_booking_call('r2', key='k'))
+        site.agents.states.clear()
+        assert await first == 'whole'
+        assert len(site.agents.ran) == 1
+
     async def test_paused_daemon_wakes_after_its_claim_was_barred(self):
         """What a paused daemon sends late does not run, and it says so."""
         site = Site()
@@ -174,6 +188,7 @@
         site = Site()
         site.faults['a'].set(Fault.ANSWER_LOST, times=1)
         assert await collect(site.a, make_booking_call(key='k')) == 'whole'
+        assert site.rows.commits == 2
         assert len(site.agents.ran) == 1
 
     async def test_result_is_written_after_an_outage(self):
--- a/tests/test_crashers.py
+++ b/tests/test_crashers.py
@@ -1,5 +1,6 @@
 """Tests of :mod:`ragwortcourse.entry.crashers` and their spread."""
 
+import msgspec
 import pytest
 
 from fakes.entries import make_entry, make_model_call, make_record
@@ -8,6 +9,7 @@
 from fakes.scripted_agents import ScriptedAgents, Turn
 from ragwortcourse.entry.crasher_spread import spread_once
 from ragwortcourse.entry.entry import Entry
+from ragwortcourse.identifiers import TargetName
 from tests.test_calls import collect
 
 pytestmark = pytest.mark.looptime
@@ -71,13 +73,8 @@
         fingerprint = site.agents.sent[0][1].fingerprint
         for record in entry.directory.records[:2]:
             assert record.status is not None
-            record.status = type(record.status)(
-                **{
-                    name: getattr(record.status, name)
-                    for name in record.status.__struct_fields__
-                    if name != 'suspects'
-                },
-                suspects=(fingerprint,),
+            record.status = msgspec.structs.replace(
+                record.status, suspects=(fingerprint,)
             )
         await spread_once(entry)
         assert await collect(entry, make_model_call('r2')) == REFUSED
@@ -85,12 +82,18 @@
     async def test_innocent_request_is_acquitted(self):
         """A request that was there when a target died runs elsewhere."""
         site = CrashSite(targets=1)
-        site.names = ('one', 'two')
         entry = site.make_entry('a')
-        for name in ('r1', 'r2', 'r3'):
-            assert await collect(entry, make_model_call(name)) == 'whole'
-        other = make_model_call('r4', prompt='another')
-        assert await collect(entry, other) == 'whole'
+        for near, far in (('one', 'two'), ('three', 'four')):
+            site.agents.script(near, Turn.CRASH)
+            for name, domain in ((near, 'attica-a'), (far, 'crete-a')):
+                entry.directory.put(
+                    make_record(
+                        name, deployment='caption-llm', failure_domain=domain
+                    )
+                )
+            assert await collect(entry, make_model_call(near)) == 'whole'
+            for name in (near, far):
+                entry.directory.drop(TargetName(name))
 
     async def test_released_at_every_daemon(self):
         """An operator's release lets it run again, at all daemons."""
--- /dev/null
+++ b/tests/test_http_agents.py
@@ -0,0 +1,180 @@
+"""Tests of :mod:`ragwortcourse.entry.http_agents`."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import pytest
+
+from ragwortcourse.entry.http_agents import build_http_agents
+from ragwortcourse.identifiers import (
+    AttemptId,
+    ClientAccountName,
+    DeploymentName,
+    Generation,
+    RequestId,
+    VersionName,
+)
+from ragwortcourse.messages.attempt import (
+    AnswerBrokenError,
+    Attempt,
+    AttemptAnswer,
+    AttemptLost,
+    AttemptOutcome,
+    AttemptRefused,
+    AttemptUnreached,
+)
+from ragwortcourse.messages.attempt_report import AttemptReport, AttemptState
+from ragwortcourse.messages.outcome import NotRun, Unknown
+from ragwortcourse.messages.peer_port import AgentPort, PeerSilent
+
+ATTEMPT = Attempt(
+    attempt=AttemptId('a1'),
+    request=RequestId('r1'),
+    account=ClientAccountName('studio'),
+    weight=1,
+    deployment=DeploymentName('caption-llm'),
+    generation=Generation(1),
+    sender='127.0.0.1:1',
+    idempotent=True,
+    method='POST',
+    path='/v1/completions',
+    headers={},
+    body=b'{}',
+    time_left=5,
+    fingerprint='f',
+)
+HEAD = (
+    b'HTTP/1.1 200 OK\r\nx-rc-spare: 3\r\nx-rc-generation: 7\r\n'
+    b'x-model-version: v2\r\n'
+)
+CHUNKED = HEAD + b'transfer-encoding: chunked\r\n\r\n'
+LENGTH = HEAD + b'content-length: 7\r\n\r\n'
+WHOLE = (200, b'one two', True)
+
+
+def make_refusal(outcome: str, body: bytes | None = None) -> bytes:
+    """An agent's own refusal."""
+    if body is None:
+        body = b'{"error":{"code":"full","message":"m","outcome":"%b"}}' % (
+            outcome.encode()
+        )
+    return (
+        b'HTTP/1.1 503 No\r\nx-error-code: full\r\nx-outcome: %b\r\n'
+        b'x-rc-suspect: 1\r\ncontent-length: %d\r\n\r\n%b'
+        % (outcome.encode(), len(body), body)
+    )
+
+
+@contextlib.asynccontextmanager
+async def serve(raw: bytes | None):
+    """Port and address of an agent that answers with raw bytes, then ends.
+
+    :param raw: none for an address at which nobody listens.
+    """
+
+    async def answer(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(raw)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(answer, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    if raw is None:
+        server.close()
+    async with aiohttp.ClientSession(auto_decompress=False) as session:
+        yield build_http_agents(session=session), f'{host}:{port}'
+    server.close()
+
+
+async def describe(outcome: AttemptOutcome) -> tuple[int, bytes, bool] | type:
+    """Status, body and whether it is whole, or the kind of failure."""
+    if not isinstance(outcome, AttemptAnswer):
+        return type(outcome)
+    body = b''
+    try:
+        async for chunk in outcome.body:
+            body += chunk
+    except AnswerBrokenError:
+        return outcome.status, body, False
+    return outcome.status, body, True
+
+
+class TestStart:
+    """An agent's answer that breaks at each point."""
+
+    @pytest.mark.parametrize(
+        ('raw', 'expected'),
+        [
+            (None, AttemptUnreached),
+            (b'', AttemptLost),
+            (HEAD, AttemptLost),
+            (b'garbage\r\n\r\n', AttemptLost),
+            (CHUNKED, (200, b'', False)),
+            (CHUNKED + b'3\r\none\r\n', (200, b'one', False)),
+            (CHUNKED + b'7\r\none', (200, b'one', False)),
+            (CHUNKED + b'7\r\none two\r\n', (200, b'one two', False)),
+            (CHUNKED + b'7\r\none two\r\n0\r\n\r\n', WHOLE),
+            (LENGTH + b'one', (200, b'one', False)),
+            (LENGTH + b'one two', WHOLE),
+            (make_refusal('not_run', b'{"err'), AttemptLost),
+            (make_refusal('not_run', b'[]'), AttemptLost),
+        ],
+    )
+    async def test_break_is_seen(self, raw, expected):
+        """Nothing short looks whole; what was never sent is known."""
+        async with serve(raw) as (port, address):
+            assert (
+                await describe(await port.start(address, ATTEMPT)) == expected
+            )
+
+    async def test_state_of_the_gate_comes_along(self):
+        """An answer carries version, spare permits and generation."""
+        async with serve(LENGTH + b'one two') as (port, address):
+            answer = await port.start(address, ATTEMPT)
+            assert isinstance(answer, AttemptAnswer)
+            assert answer.version == VersionName('v2')
+            assert (answer.spare, answer.generation) == (3, 7)
+            assert not [name for name in answer.headers if 'x-rc' in name]
+
+    @pytest.mark.parametrize(
+        ('outcome', 'kind'), [('not_run', NotRun), ('unknown', Unknown)]
+    )
+    async def test_refusal_keeps_its_outcome(self, outcome, kind):
+        """A refusal is told with the agent's own outcome."""
+        async with serve(make_refusal(outcome)) as (port, address):
+            refused = await port.start(address, ATTEMPT)
+            assert isinstance(refused, AttemptRefused)
+            assert isinstance(refused.outcome, kind)
+            assert refused.suspect
+
+
+class TestBar:
+    """Reports of agents."""
+
+    @pytest.mark.parametrize(
+        ('raw', 'expected'),
+        [
+            (
+                b'HTTP/1.1 200 OK\r\n\r\n{"attempt":"a1","state":"barred"}',
+                AttemptReport(
+                    attempt=AttemptId('a1'), state=AttemptState.BARRED
+                ),
+            ),
+            (b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}', None),
+            (b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{}', None),
+            (b'HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n', None),
+            (b'', None),
+            (None, None),
+        ],
+    )
+    async def test_only_whole_reports_count(self, raw, expected):
+        """A report that is not whole and well formed is none."""
+        port: AgentPort
+        async with serve(raw) as (port, address):
+            report = await port.bar(address, AttemptId('a1'), 1)
+            if expected is None:
+                assert isinstance(report, PeerSilent)
+            else:
+                assert report == expected
