--- a/src/ragwortcourse/agent/agent.py
+++ b/src/ragwortcourse/agent/agent.py
@@ -5,14 +5,17 @@
 from typing import Any
 
 from ragwortcourse.agent.attempt_records import AttemptRecords
+from ragwortcourse.agent.engaged import EngagedVersions
 from ragwortcourse.agent.gate import Gate
 from ragwortcourse.agent.served import ServedVersions
 from ragwortcourse.agent.suspects import CrashSuspects
+from ragwortcourse.agent.version_use import VersionUse
 from ragwortcourse.agent.warmup import WarmLimit
 from ragwortcourse.configuration.deployment import Deployment
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.limits import TargetLimits
 from ragwortcourse.engines.engine import Engine
+from ragwortcourse.identifiers import AdapterName, ModelName, VersionName
 from ragwortcourse.messages.outcome import NotRun
 from ragwortcourse.messages.peer_port import DaemonPort
 from ragwortcourse.settings import AgentSettings, Settings
@@ -42,6 +45,7 @@
         self.engine = engine
         self.daemon_port = daemon_port
         self.served = ServedVersions()
+        self._engaged = EngagedVersions()
         self.limit = WarmLimit(read_limits=self.read_limits)
         self.gate = Gate(
             read_limit=self.limit.read,
@@ -50,9 +54,15 @@
         )
         self.records = AttemptRecords()
         self.suspects = CrashSuspects()
+        self.version_use = VersionUse()
         self.leaving = False
         self._background: set[asyncio.Task[None]] = set()
 
+    @property
+    def engaged(self) -> EngagedVersions:
+        """Work, waiting or under way, by the model version it needs."""
+        return self._engaged
+
     def read_limits(self) -> TargetLimits:
         """Limits that the configuration in force gives the target."""
         document = self.holder.document
@@ -87,6 +97,15 @@
             )
         return None
 
+    def count_running(
+        self,
+        model: ModelName,
+        version: VersionName,
+        adapter: AdapterName | None,
+    ) -> int:
+        """Requests under way or waiting on a version or its adapter."""
+        return self.version_use.count(model, version, adapter)
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Go on with work that nobody waits for."""
         task = asyncio.create_task(work)
