Spread withdrawals without the table and keep generations from reverting

Cause: a withdrawal must stop new work in 3 s also while the table service is away, and no fault of it may take an accepted generation back.

--- /dev/null
+++ b/fakes/memory_network.py
@@ -0,0 +1,164 @@
+"""Daemons in one process that reach each other at their typed ports.
+
+Failure domains can be cut off from each other and from the platform.
+"""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Awaitable, Callable
+
+from fakes.faults import Fault, Faults
+from fakes.memory_hosts import build_memory_hosts
+from fakes.memory_objects import build_memory_objects
+from fakes.memory_table import MemoryRows, build_memory_table
+from ragwortcourse.configuration.configuration import ConfigurationDocument
+from ragwortcourse.configuration.holder import ConfigurationHolder
+from ragwortcourse.configuration.store import ConfigurationStore
+from ragwortcourse.identifiers import AttemptId, Generation
+from ragwortcourse.messages.attempt import (
+    Attempt,
+    AttemptOutcome,
+    AttemptUnreached,
+)
+from ragwortcourse.messages.attempt_report import AttemptReport
+from ragwortcourse.messages.heartbeat import Heartbeat
+from ragwortcourse.messages.peer_port import AgentPort, DaemonPort, PeerSilent
+from ragwortcourse.messages.target_status import TargetStatus
+from ragwortcourse.platform.hosts import HostList, HostRecord
+from ragwortcourse.platform.objects import ObjectName
+
+TRIP_SECONDS = 0.001
+SILENT_SECONDS = 1.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class MemoryDaemon:
+    """One daemon on the network.
+
+    :param exchange: answers another entry daemon; entry daemons only.
+    :param heartbeat: answers an entry daemon; agents only.
+    """
+
+    failure_domain: str
+    holder: ConfigurationHolder
+    exchange: Callable[[Heartbeat], Awaitable[Heartbeat]] | None = None
+    heartbeat: Callable[[Heartbeat], Awaitable[TargetStatus]] | None = None
+
+
+class MemoryNetwork:
+    """Addresses, the cuts between failure domains, and the platform."""
+
+    def __init__(self) -> None:
+        self.daemons: dict[str, MemoryDaemon] = {}
+        self.islands: set[str] = set()
+        self.rows = MemoryRows()
+        self.objects: dict[ObjectName, bytes] = {}
+        self.records: list[HostRecord] = []
+        self.platform_faults: dict[str, Faults] = {}
+        self.messages = 0
+
+    def cut(self, failure_domain: str) -> None:
+        """Separate a failure domain from all others and the platform."""
+        self.islands.add(failure_domain)
+        self.read_faults(failure_domain).set(Fault.DOWN)
+
+    def heal(self, failure_domain: str) -> None:
+        """End a separation."""
+        self.islands.discard(failure_domain)
+        self.read_faults(failure_domain).set(None)
+
+    def set_platform(self, fault: Fault | None, *, seconds: float = 0) -> None:
+        """Make the platform fail for everyone, or end that."""
+        for faults in self.platform_faults.values():
+            faults.set(fault, seconds=seconds)
+
+    def read_faults(self, failure_domain: str) -> Faults:
+        """Switches of the platform as one failure domain sees it."""
+        return self.platform_faults.setdefault(failure_domain, Faults())
+
+    def build_store(self, failure_domain: str) -> ConfigurationStore:
+        """The platform's services as one failure domain reaches them."""
+        faults = self.read_faults(failure_domain)
+        return ConfigurationStore(
+            table=build_memory_table(rows=self.rows, faults=faults),
+            objects=build_memory_objects(objects=self.objects, faults=faults),
+        )
+
+    def build_hosts(self, failure_domain: str) -> HostList:
+        """The list of hosts as one failure domain reaches it."""
+        faults = self.read_faults(failure_domain)
+        return build_memory_hosts(records=self.records, faults=faults)
+
+    async def reach(
+        self, failure_domain: str, address: str
+    ) -> MemoryDaemon | PeerSilent:
+        """The daemon at an address, or silence after the timeout."""
+        self.messages += 1
+        await asyncio.sleep(TRIP_SECONDS)
+        daemon = self.daemons.get(address)
+        if daemon is not None and not self._is_cut(failure_domain, daemon):
+            return daemon
+        await asyncio.sleep(SILENT_SECONDS)
+        return PeerSilent(detail=f'{address} is out of reach')
+
+    def _is_cut(self, failure_domain: str, daemon: MemoryDaemon) -> bool:
+        if failure_domain == daemon.failure_domain:
+            return False
+        return bool(self.islands & {failure_domain, daemon.failure_domain})
+
+
+def build_memory_daemons(
+    *, network: MemoryNetwork, failure_domain: str
+) -> DaemonPort:
+    """Other daemons as one failure domain reaches them."""
+
+    async def fetch(
+        address: str, generation: Generation
+    ) -> ConfigurationDocument | PeerSilent:
+        daemon = await network.reach(failure_domain, address)
+        if isinstance(daemon, PeerSilent):
+            return daemon
+        document = daemon.holder.document
+        if document is None or document.generation < generation:
+            return PeerSilent(detail='no such generation')
+        return document
+
+    async def exchange(
+        address: str, heartbeat: Heartbeat
+    ) -> Heartbeat | PeerSilent:
+        daemon = await network.reach(failure_domain, address)
+        if isinstance(daemon, PeerSilent) or daemon.exchange is None:
+            return PeerSilent(detail=address)
+        return await daemon.exchange(heartbeat)
+
+    return DaemonPort(fetch=fetch, exchange=exchange)
+
+
+def build_memory_agents(
+    *, network: MemoryNetwork, failure_domain: str
+) -> AgentPort:
+    """Heartbeats to agents as one failure domain reaches them."""
+
+    async def start(address: str, attempt: Attempt) -> AttemptOutcome:
+        return AttemptUnreached(detail=f'{address}: {attempt.attempt}')
+
+    async def bar(
+        address: str, attempt: AttemptId, seconds: float
+    ) -> AttemptReport | PeerSilent:
+        return PeerSilent(detail=f'{address}: {attempt} {seconds}')
+
+    async def heartbeat(
+        address: str, heartbeat: Heartbeat
+    ) -> TargetStatus | PeerSilent:
+        daemon = await network.reach(failure_domain, address)
+        if isinstance(daemon, PeerSilent) or daemon.heartbeat is None:
+            return PeerSilent(detail=address)
+        return await daemon.heartbeat(heartbeat)
+
+    return AgentPort(start=start, bar=bar, heartbeat=heartbeat)
+
+
+def make_rng(name: str) -> random.Random:
+    """Seeded randomness of one daemon."""
+    return random.Random(name)
--- a/src/ragwortcourse/configuration/holder.py
+++ b/src/ragwortcourse/configuration/holder.py
@@ -23,6 +23,7 @@
         self._withdrawals: dict[ChangeId, Withdrawal] = {}
         self._learning: set[Generation] = set()
         self._changed = asyncio.Event()
+        self._revision = 0
         self.table_reachable = True
 
     @property
@@ -37,6 +38,11 @@
             return Generation(0)
         return self._document.generation
 
+    @property
+    def revision(self) -> int:
+        """Count of the documents and withdrawals put in force so far."""
+        return self._revision
+
     @property
     def withdrawals(self) -> tuple[Withdrawal, ...]:
         """Withdrawals that no generation in force has settled yet."""
@@ -91,6 +97,15 @@
         """Return after the next document or withdrawal is in force."""
         await self._changed.wait()
 
+    async def wait_past(self, revision: int) -> None:
+        """Return once something newer than a revision is in force.
+
+        Unlike :meth:`wait_for_change` it misses nothing that came between
+        two calls.
+        """
+        while self._revision <= revision:
+            await self._changed.wait()
+
     def start_learning(self, generation: Generation) -> bool:
         """Tell whether to fetch a generation: true for the first to ask."""
         if generation in self._learning:
@@ -103,6 +118,7 @@
         self._learning.discard(generation)
 
     def _announce(self) -> None:
+        self._revision += 1
         changed = self._changed
         self._changed = asyncio.Event()
         changed.set()
--- a/src/ragwortcourse/membership/exchange.py
+++ b/src/ragwortcourse/membership/exchange.py
@@ -16,21 +16,22 @@
 
 EXCHANGE_PERIOD_SECONDS: Final = 1.5
 EXCHANGE_JITTER: Final = 0.2
-# Peers told at once of a newer generation or a withdrawal.
-PUSH_FANOUT: Final = 5
+# Peers told at once of news: of the own failure domain, and of others.
+PUSH_NEAR: Final = 3
+PUSH_FAR: Final = 3
 
 
 async def exchange_with_peers(membership: Membership) -> None:
     """Exchange with a few other entry daemons, forever."""
-    count = PUSH_FANOUT
+    near, far = PUSH_NEAR, PUSH_FAR
     while True:
-        await asyncio.gather(
-            *(
-                exchange_once(membership, address)
-                for address in _pick_peers(membership, count)
-            )
-        )
-        count = PUSH_FANOUT if await _wait_for_news(membership) else 1
+        revision = membership.holder.revision
+        for address in pick_peers(membership, near, far):
+            membership.background.spawn(exchange_once(membership, address))
+        if await _wait_for_news(membership, revision):
+            near, far = PUSH_NEAR, PUSH_FAR
+        else:
+            near, far = membership.rng.choice(((1, 0), (0, 1)))
 
 
 async def exchange_once(membership: Membership, address: str) -> None:
@@ -66,16 +67,29 @@
     )
 
 
-def _pick_peers(membership: Membership, count: int) -> list[str]:
-    peers = sorted(membership.roster.peers.values())
-    return membership.rng.sample(peers, min(count, len(peers)))
-
-
-async def _wait_for_news(membership: Membership) -> bool:
+def pick_peers(membership: Membership, near: int, far: int) -> list[str]:
+    """Addresses of random peers, some of the own failure domain."""
+    own = membership.settings.failure_domain
+    peers = membership.roster.peers
+    near_ids = {
+        entry.daemon
+        for entry in membership.roster.entries
+        if entry.failure_domain == own
+    }
+    inside = sorted(peers[daemon] for daemon in near_ids)
+    outside = sorted(peers[daemon] for daemon in peers.keys() - near_ids)
+    rng = membership.rng
+    return [
+        *rng.sample(inside, min(near, len(inside))),
+        *rng.sample(outside, min(far, len(outside))),
+    ]
+
+
+async def _wait_for_news(membership: Membership, revision: int) -> bool:
     jitter = membership.rng.uniform(1 - EXCHANGE_JITTER, 1 + EXCHANGE_JITTER)
     try:
         async with asyncio.timeout(EXCHANGE_PERIOD_SECONDS * jitter):
-            await membership.holder.wait_for_change()
+            await membership.holder.wait_past(revision)
     except TimeoutError:
         return False
     return True
--- a/src/ragwortcourse/membership/membership.py
+++ b/src/ragwortcourse/membership/membership.py
@@ -3,7 +3,9 @@
 import dataclasses
 import random
 
+from ragwortcourse.background import Background
 from ragwortcourse.configuration.holder import ConfigurationHolder
+from ragwortcourse.identifiers import TargetName
 from ragwortcourse.membership.directory import TargetDirectory
 from ragwortcourse.membership.roster import Roster
 from ragwortcourse.messages.heartbeat import Heartbeat
@@ -18,6 +20,8 @@
 
     :param hosts: the platform's list of hosts; none where there is no such
         list, and settings alone name the daemons.
+    :param duties: targets that this daemon must keep informed.
+    :param background: work that nobody waits for.
     """
 
     settings: Settings
@@ -28,6 +32,8 @@
     agent_port: AgentPort
     daemon_port: DaemonPort
     rng: random.Random
+    duties: set[TargetName] = dataclasses.field(default_factory=set)
+    background: Background = dataclasses.field(default_factory=Background)
 
 
 def build_heartbeat(membership: Membership) -> Heartbeat:
--- /dev/null
+++ b/src/ragwortcourse/membership/signs.py
@@ -0,0 +1,51 @@
+"""Signs of targets that ride on live requests."""
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.configuration.feed import learn_generation
+from ragwortcourse.membership.membership import Membership
+from ragwortcourse.messages.attempt import (
+    Attempt,
+    AttemptAnswer,
+    AttemptOutcome,
+    AttemptRefused,
+)
+from ragwortcourse.messages.peer_port import AgentPort
+
+
+def build_observed_agents(membership: Membership) -> AgentPort:
+    """The agents' port, with what its answers tell noted on the way.
+
+    An answer to a request is as direct a sign as one to a heartbeat: it
+    spares the heartbeat, and a newer generation in it is fetched at once.
+    """
+    port = membership.agent_port
+
+    async def start(address: str, attempt: Attempt) -> AttemptOutcome:
+        outcome = await port.start(address, attempt)
+        if isinstance(outcome, AttemptAnswer | AttemptRefused):
+            note_sign(membership, address, outcome)
+        return outcome
+
+    return AgentPort(start=start, bar=port.bar, heartbeat=port.heartbeat)
+
+
+def note_sign(
+    membership: Membership,
+    address: str,
+    outcome: AttemptAnswer | AttemptRefused,
+) -> None:
+    """Note that a target gave a sign, and what it is ahead by."""
+    for record in membership.directory.records:
+        if record.address == address:
+            record.sign_at = read_clock()
+            record.spare = outcome.spare
+    if outcome.generation <= membership.holder.generation:
+        return
+    membership.background.spawn(
+        learn_generation(
+            holder=membership.holder,
+            port=membership.daemon_port,
+            sender=address,
+            generation=outcome.generation,
+        )
+    )
--- a/src/ragwortcourse/membership/target_record.py
+++ b/src/ragwortcourse/membership/target_record.py
@@ -18,6 +18,7 @@
     :param address: ``ip:port`` of its agent.
     :param status: newest status its agent gave; none before the first.
     :param status_at: monotonic seconds of that status.
+    :param sign_at: monotonic seconds of the newest direct sign of any kind.
     :param spare: permits left by the newest sign.
     :param latency: smoothed seconds of a round trip to the agent.
     :param leaving: true once any source said so.
@@ -32,6 +33,7 @@
     address: str
     status: TargetStatus | None = None
     status_at: float = 0
+    sign_at: float = 0
     spare: int = 1
     latency: float = 0
     leaving: bool = False
--- a/src/ragwortcourse/membership/watch.py
+++ b/src/ragwortcourse/membership/watch.py
@@ -32,13 +32,21 @@
     tasks: dict[TargetName, asyncio.Task[None]] = {}
     try:
         while True:
+            revision = membership.holder.revision
             await read_list(membership)
             apply_subset(membership, tasks)
-            await _wait_for_list(membership)
+            await _wait_for_list(membership, revision)
     finally:
-        for task in tasks.values():
-            task.cancel()
-        await asyncio.gather(*tasks.values(), return_exceptions=True)
+        await _end_watching(membership, tasks)
+
+
+async def _end_watching(
+    membership: Membership, tasks: dict[TargetName, asyncio.Task[None]]
+) -> None:
+    for task in tasks.values():
+        task.cancel()
+    await asyncio.gather(*tasks.values(), return_exceptions=True)
+    await membership.background.cancel()
 
 
 async def read_list(membership: Membership) -> None:
@@ -62,6 +70,8 @@
     """Begin and end the watching of targets as the subset now is."""
     agents = {agent.target: agent for agent in membership.roster.agents}
     subset = choose_subset(membership)
+    membership.duties.clear()
+    membership.duties.update(subset.duties)
     for target in tuple(tasks):
         if target not in subset.targets:
             tasks.pop(target).cancel()
@@ -114,10 +124,10 @@
     return record
 
 
-async def _wait_for_list(membership: Membership) -> None:
+async def _wait_for_list(membership: Membership, revision: int) -> None:
     jitter = membership.rng.uniform(1 - LIST_JITTER, 1 + LIST_JITTER)
     try:
         async with asyncio.timeout(LIST_PERIOD_SECONDS * jitter):
-            await membership.holder.wait_for_change()
+            await membership.holder.wait_past(revision)
     except TimeoutError:
         return
