--- /dev/null
+++ b/measure/control_memory.py
@@ -0,0 +1,148 @@
+"""Resident memory: idle, and for each thing that a daemon holds."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterator
+
+from measure.control_site import (
+    ENGINE,
+    ENTRY,
+    SERVICE,
+    make_configuration,
+    open_site,
+    plan_engine,
+    plan_service,
+)
+from measure.fit import fit_line
+from measure.program import Row
+
+SETTLE_SECONDS = 4.0
+Readings = dict[str, list[tuple[float, float]]]
+
+
+def make_slope_row(
+    role: str, per: str, unit: str, points: list[tuple[float, float]]
+) -> Row:
+    """The fitted slope through points of size and reading."""
+    sizes = [size for size, _ in points]
+    line = fit_line(sizes, [found for _, found in points])
+    return {
+        'measure': 'control',
+        'role': role,
+        'per': per,
+        'unit': unit,
+        'slope': float(f'{line.slope:.6g}'),
+        'error': float(f'{line.error:.3g}'),
+        'at_zero': float(f'{line.start:.6g}'),
+        'sizes': ','.join(f'{size:g}' for size in sizes),
+    }
+
+
+async def read_idle() -> list[Row]:
+    """Resident memory of daemons with a configuration and nothing to do."""
+    async with open_site(plan_engine(), plan_service()) as site:
+        generation = await site.apply(make_configuration())
+        await site.wait_for_generation(SERVICE, generation)
+        await asyncio.sleep(SETTLE_SECONDS)
+        roles = {ENTRY: 'entry', ENGINE: 'agent', SERVICE: 'agent of a service'}
+        return [
+            {
+                'measure': 'control',
+                'role': role,
+                'per': 'idle',
+                'unit': 'bytes resident',
+                'value': site.read_memory(name),
+            }
+            for name, role in roles.items()
+        ]
+
+
+async def read_accounts(count: int) -> dict[str, tuple[float, float]]:
+    """Memory of entry and agent with so many client accounts."""
+    async with open_site(plan_service()) as site:
+        generation = await site.apply(make_configuration(accounts=count))
+        await site.wait_for_generation(SERVICE, generation)
+        await asyncio.sleep(SETTLE_SECONDS)
+        return {
+            'entry': (count, site.read_memory(ENTRY)),
+            'agent': (count, site.read_memory(SERVICE)),
+        }
+
+
+async def read_generations() -> Readings:
+    """Memory after more and more accepted configurations."""
+    found: Readings = {'entry': [], 'agent': []}
+    async with open_site(plan_service()) as site:
+        for accepted in range(1, 121):
+            generation = await site.apply(make_configuration(accounts=100))
+            if accepted % 40 == 0:
+                await site.wait_for_generation(SERVICE, generation)
+                await asyncio.sleep(1)
+                found['entry'].append((accepted, site.read_memory(ENTRY)))
+                found['agent'].append((accepted, site.read_memory(SERVICE)))
+    return found
+
+
+async def read_streams() -> Readings:
+    """Memory with more and more open streams."""
+    found: Readings = {'entry': [], 'agent': []}
+    async with open_site(plan_engine(pace=0.2)) as site:
+        published = await site.publish(size=4096, chunk_size=1024)
+        await site.apply(make_configuration(manifest=published.digest))
+        await site.wait_for_answer('drafts')
+        streams: list[asyncio.Task[int]] = []
+        for count in (0, 50, 100, 150):
+            streams.extend(
+                asyncio.create_task(site.stream(100_000))
+                for _ in range(count - len(streams))
+            )
+            await asyncio.sleep(3)
+            found['entry'].append((count, site.read_memory(ENTRY)))
+            found['agent'].append((count, site.read_memory(ENGINE)))
+        for stream in streams:
+            stream.cancel()
+        await asyncio.gather(*streams, return_exceptions=True)
+    return found
+
+
+async def read_chunks(count: int) -> dict[str, tuple[float, float]]:
+    """Memory of an agent that landed so many chunks of 256 bytes."""
+    async with open_site(plan_engine()) as site:
+        published = await site.publish(size=count * 256, chunk_size=256)
+        await site.apply(make_configuration(manifest=published.digest))
+        await site.wait_for_answer('drafts')
+        await asyncio.sleep(SETTLE_SECONDS)
+        return {'agent': (count, site.read_memory(ENGINE))}
+
+
+async def read_each(
+    read: Callable[[int], Awaitable[dict[str, tuple[float, float]]]],
+    sizes: tuple[int, ...],
+) -> Readings:
+    """Readings at several sizes, each at a site of its own, at once."""
+    found: Readings = {}
+    for reading in await asyncio.gather(*(read(size) for size in sizes)):
+        for role, point in reading.items():
+            found.setdefault(role, []).append(point)
+    return found
+
+
+def run_memory() -> Iterator[Row]:
+    """Every figure of memory but the watched target's."""
+    yield from asyncio.run(read_idle())
+    parts: tuple[tuple[str, Callable[[], Awaitable[Readings]]], ...] = (
+        (
+            'client account',
+            lambda: read_each(read_accounts, (10, 1000, 2000, 4000)),
+        ),
+        ('generation', read_generations),
+        ('open stream', read_streams),
+        ('chunk record', lambda: read_each(read_chunks, (64, 512, 1024))),
+    )
+    for per, read in parts:
+        found = asyncio.run(_await(read()))
+        for role, points in found.items():
+            yield make_slope_row(role, per, 'bytes resident', points)
+
+
+async def _await(work: Awaitable[Readings]) -> Readings:
+    return await work
--- /dev/null
+++ b/measure/control_work.py
@@ -0,0 +1,346 @@
+"""Processor time and bytes of each kind of control work."""
+
+import asyncio
+import functools
+import time
+from collections.abc import Awaitable, Callable, Iterator
+
+import msgspec
+
+from measure.control_memory import Readings, make_slope_row
+from measure.control_site import (
+    ENGINE,
+    ENTRY,
+    MODEL,
+    SERVICE,
+    Site,
+    make_configuration,
+    open_site,
+    plan_engine,
+    plan_service,
+)
+from measure.program import Row
+from ragwortcourse.agent.attempt_codec import encode_attempt
+from ragwortcourse.identifiers import (
+    AttemptId,
+    ClientAccountName,
+    DeploymentName,
+    Generation,
+    RequestId,
+)
+from ragwortcourse.messages.attempt import Attempt
+
+SETTLE_SECONDS = 5.0
+WINDOW_SECONDS = 10.0
+CONCURRENCY = 8
+
+
+def make_value_row(role: str, per: str, unit: str, value: float) -> Row:
+    """A figure that is a plain quotient."""
+    return {
+        'measure': 'control',
+        'role': role,
+        'per': per,
+        'unit': unit,
+        'value': float(f'{value:.6g}'),
+    }
+
+
+async def read_heartbeats(targets: int) -> dict[str, float]:
+    """Rates of one entry daemon that watches so many stand-in agents."""
+    async with open_site(stand_ins=targets) as site:
+        await site.apply(make_configuration())
+        await asyncio.sleep(SETTLE_SECONDS)
+        agents = site.plan.stand_ins
+        for counter in (site.plan.table, site.plan.hosts, site.plan.objects):
+            counter.reset()
+        bytes_before, beats_before = agents.read_totals()
+        processor = site.read_processor(ENTRY)
+        began = time.monotonic()
+        await asyncio.sleep(WINDOW_SECONDS)
+        seconds = time.monotonic() - began
+        bytes_after, beats_after = agents.read_totals()
+        return {
+            'targets': targets,
+            'memory': site.read_memory(ENTRY),
+            'beats': (beats_after - beats_before) / seconds,
+            'bytes': (bytes_after - bytes_before) / seconds,
+            'processor': (site.read_processor(ENTRY) - processor) / seconds,
+            'polls': site.plan.table.requests / seconds,
+            'poll_bytes': site.plan.table.total / seconds,
+            'lists': site.plan.hosts.requests / seconds,
+            'list_bytes': site.plan.hosts.total / seconds,
+        }
+
+
+async def measure_watching() -> list[Row]:
+    """Heartbeats and polls of an entry daemon, and the watched target."""
+    found = await asyncio.gather(
+        *(read_heartbeats(targets) for targets in (0, 4, 12, 48, 92))
+    )
+    points = [(each['beats'], each['processor']) for each in found]
+    beating = [each for each in found if each['beats']]
+    most = found[-1]
+    return [
+        make_slope_row(
+            'entry',
+            'watched target',
+            'bytes resident',
+            [(each['targets'], each['memory']) for each in found],
+        ),
+        make_slope_row('entry', 'heartbeat', 'processor seconds', points),
+        make_value_row(
+            'entry',
+            'heartbeat',
+            'bytes both ways',
+            sum(each['bytes'] for each in beating)
+            / sum(each['beats'] for each in beating),
+        ),
+        make_value_row(
+            'entry', '92 watched targets', 'heartbeats a second', most['beats']
+        ),
+        make_value_row(
+            'entry', '92 watched targets', 'core share', most['processor']
+        ),
+        make_value_row(
+            'entry', 'no watched target', 'core share', found[0]['processor']
+        ),
+        make_value_row(
+            'entry',
+            'configuration poll',
+            'bytes both ways',
+            most['poll_bytes'] / most['polls'],
+        ),
+        make_value_row('entry', 'second', 'configuration polls', most['polls']),
+        make_value_row(
+            'entry',
+            'read of an unchanged list of hosts',
+            'bytes both ways',
+            most['list_bytes'] / most['lists'],
+        ),
+        make_value_row(
+            'entry', 'second', 'reads of the list of hosts', most['lists']
+        ),
+    ]
+
+
+async def read_changes(accounts: int) -> dict[str, tuple[float, float]]:
+    """Processor seconds of one change, taken from the mean of many."""
+    changes = 20
+    async with open_site(plan_service()) as site:
+        configuration = make_configuration(accounts=accounts)
+        generation = await site.apply(configuration)
+        document = await site.wait_for_generation(SERVICE, generation)
+        await asyncio.sleep(2)
+        before = {name: site.read_processor(name) for name in (ENTRY, SERVICE)}
+        for _ in range(changes):
+            generation = await site.apply(configuration)
+            await site.wait_for_generation(SERVICE, generation)
+        spent = {
+            name: (site.read_processor(name) - start) / changes
+            for name, start in before.items()
+        }
+        return {
+            'entry': (accounts, spent[ENTRY]),
+            'agent': (accounts, spent[SERVICE]),
+            'document': (accounts, len(msgspec.json.encode(document))),
+        }
+
+
+async def measure_changes() -> list[Row]:
+    """A change of configuration: accepted, fetched and put in force."""
+    found: Readings = {}
+    for accounts in (10, 1000, 2000):
+        for role, point in (await read_changes(accounts)).items():
+            found.setdefault(role, []).append(point)
+    rows = [
+        make_slope_row(
+            role,
+            'client account in a document fetched',
+            'processor seconds',
+            found[role],
+        )
+        for role in ('entry', 'agent')
+    ]
+    rows.append(
+        make_slope_row(
+            'any',
+            'client account in a document',
+            'bytes',
+            found['document'],
+        )
+    )
+    return rows
+
+
+async def spend(
+    site: Site, names: tuple[str, ...], work: Callable[[], Awaitable[object]]
+) -> dict[str, float]:
+    """Processor seconds that daemons spend while some work is done."""
+    before = {name: site.read_processor(name) for name in names}
+    await work()
+    return {name: site.read_processor(name) - before[name] for name in names}
+
+
+async def call_many(site: Site, count: int, prefix: str, method: str) -> None:
+    """Calls of the plain service, some at once.
+
+    :raises RuntimeError: one was not answered with 200.
+    """
+    waiting = list(range(count))
+
+    async def work() -> None:
+        while waiting:
+            key = f'{prefix}-{waiting.pop()}' if prefix else ''
+            status = await site.call(key, method)
+            if status != 200:
+                raise RuntimeError(f'call answered {status}')
+
+    await asyncio.gather(*(work() for _ in range(CONCURRENCY)))
+
+
+async def measure_claims() -> list[Row]:
+    """Claims: what a non-idempotent call costs beyond an idempotent one."""
+    claimed: list[tuple[float, float]] = []
+    plain: list[tuple[float, float]] = []
+    agent: list[tuple[float, float]] = []
+    memory: list[tuple[float, float]] = []
+    written: list[tuple[float, float]] = []
+    commits: list[tuple[float, float]] = []
+    async with open_site(plan_service()) as site:
+        await site.apply(make_configuration())
+        await site.wait_for_answer('renewals')
+        await call_many(site, 100, 'warm-up', 'POST')
+        done = 0
+        for count in (200, 400, 800):
+            site.plan.table.reset()
+            names = (ENTRY, SERVICE)
+            spent = await spend(
+                site,
+                names,
+                functools.partial(call_many, site, count, f'k{count}', 'POST'),
+            )
+            done += count
+            claimed.append((count, spent[ENTRY]))
+            agent.append((count, spent[SERVICE]))
+            written.append((count, site.plan.table.total))
+            commits.append((count, site.plan.table.requests))
+            memory.append((done, site.read_memory(ENTRY)))
+            spent = await spend(
+                site,
+                names,
+                functools.partial(call_many, site, count, '', 'GET'),
+            )
+            plain.append((count, spent[ENTRY]))
+    return [
+        make_slope_row('entry', 'claimed call', 'processor seconds', claimed),
+        make_slope_row('entry', 'plain call', 'processor seconds', plain),
+        make_slope_row('agent', 'call', 'processor seconds', agent),
+        make_slope_row('entry', 'claim', 'bytes resident', memory),
+        make_slope_row('entry', 'claim', 'bytes at the table', written),
+        make_slope_row('entry', 'claim', 'requests at the table', commits),
+    ]
+
+
+async def stream_many(site: Site, tokens: int) -> None:
+    """Several streams of so many tokens, at once."""
+    await asyncio.gather(*(site.stream(tokens) for _ in range(CONCURRENCY)))
+
+
+async def measure_tokens() -> list[Row]:
+    """Tokens relayed through entry daemon and agent."""
+    found: Readings = {ENTRY: [], ENGINE: []}
+    async with open_site(plan_engine()) as site:
+        published = await site.publish(size=4096, chunk_size=1024)
+        await site.apply(make_configuration(manifest=published.digest))
+        await site.wait_for_answer(MODEL)
+        await site.stream(2000)
+        for tokens in (500, 1000, 2000, 4000):
+            spent = await spend(
+                site,
+                (ENTRY, ENGINE),
+                functools.partial(stream_many, site, tokens),
+            )
+            for name, seconds in spent.items():
+                found[name].append((tokens * CONCURRENCY, seconds))
+    return [
+        make_slope_row(
+            'entry' if name == ENTRY else 'agent',
+            'token relayed',
+            'processor seconds',
+            points,
+        )
+        for name, points in found.items()
+    ]
+
+
+def make_attempt(number: int, generation: Generation) -> Attempt:
+    """An attempt at the plain service."""
+    return Attempt(
+        attempt=AttemptId(f'attempt-{number}'),
+        request=RequestId(f'entry-1-{number}'),
+        account=ClientAccountName('account-00000'),
+        weight=1,
+        deployment=DeploymentName('renewals'),
+        generation=generation,
+        sender='127.0.0.1:1',
+        idempotent=True,
+        method='GET',
+        path='/slow',
+        headers={},
+        body=b'',
+        time_left=30,
+        fingerprint=f'{number:016x}',
+    )
+
+
+async def measure_refusals() -> list[Row]:
+    """Refusals of a gate whose only permit is taken."""
+    points: list[tuple[float, float]] = []
+    size = 0
+    async with open_site(plan_service(latency=30)) as site:
+        generation = await site.apply(make_configuration(warm=1))
+        await site.wait_for_generation(SERVICE, generation)
+        url = f'http://{site.plan.listen[SERVICE].peers}/attempts'
+
+        async def start(number: int) -> int:
+            attempt = make_attempt(number, generation)
+            async with site.session.post(
+                f'{url}/{attempt.attempt}', headers=encode_attempt(attempt)
+            ) as answer:
+                body = await answer.read()
+                if answer.status == 200:
+                    raise RuntimeError('not refused')
+                return len(body) + len(str(answer.raw_headers))
+
+        holder = asyncio.create_task(start(0))
+        await asyncio.sleep(1)
+        number = 1
+        for count in (200, 400, 800):
+
+            async def refuse(first: int = number, n: int = count) -> None:
+                nonlocal size
+                for each in range(first, first + n):
+                    size = await start(each)
+
+            spent = await spend(site, (SERVICE,), refuse)
+            points.append((count, spent[SERVICE]))
+            number += count
+        holder.cancel()
+        await asyncio.gather(holder, return_exceptions=True)
+    return [
+        make_slope_row('agent', 'gate refusal', 'processor seconds', points),
+        make_value_row('agent', 'gate refusal', 'bytes of answer', size),
+    ]
+
+
+def run_work() -> Iterator[Row]:
+    """Every figure of processor time and bytes."""
+    for measure in (
+        measure_watching,
+        measure_changes,
+        measure_claims,
+        measure_refusals,
+        measure_tokens,
+    ):
+        yield from asyncio.run(measure())
