Publish weights from the command line

Cause: a deployment names a digest that somebody has to make. Conclusion: one command around weights.publication; publishing again is harmless, so a failed origin ends as unknown (exit code 5).

--- a/src/ragwortcourse/cli/publish_command.py
+++ b/src/ragwortcourse/cli/publish_command.py
@@ -3,9 +3,9 @@
 import asyncio
 import pathlib
 
+import aiohttp
 import click
 import msgspec
-from aiohttp import ClientSession
 
 from ragwortcourse.cli.exit_code import ExitCode
 from ragwortcourse.cli.output import (
@@ -22,10 +22,10 @@
 
 
 class PublishReport(msgspec.Struct, frozen=True, kw_only=True):
-    """What ``publish`` shows.
+    """What ``publish --json`` shows.
 
     :param manifest_sha256: what a deployment names.
-    :param size: bytes of the weights.
+    :param size: bytes of the whole.
     """
 
     model: ModelName
@@ -36,32 +36,41 @@
 
 
 @click.command()
-@click.argument(
-    'path', type=click.Path(exists=True, path_type=pathlib.Path), metavar='FILE'
-)
+@click.argument('path', type=click.Path(path_type=pathlib.Path, exists=True))
 @click.option('--model', required=True, help='Name of the model.')
-@click.option('--version', required=True, help='Name of the new version.')
+@click.option('--version', required=True, help='Name of the version.')
 @click.option(
     '--origin',
-    envvar='RAGWORTCOURSE_ORIGIN',
     required=True,
+    envvar='RAGWORTCOURSE_ORIGIN',
     help='Base URL of the origin of weights.',
 )
 @accept_json
 def publish(
-    *, path: pathlib.Path, model: str, version: str, origin: str, as_json: bool
+    *,
+    path: pathlib.Path,
+    model: str,
+    version: str,
+    origin: str,
+    as_json: bool,
 ) -> None:
-    """Put the weights in FILE at the origin, with their manifest.
+    """Put the weights in a file or directory at the origin.
 
-    Nothing is served from them until a deployment names the manifest.
+    Prints the digest that a deployment names as manifest_sha256.
 
-    Exit code 0: stored. 1: the origin did not store all; try again.
+    Exit code 0: there whole. 5: the origin failed; publishing again is
+    harmless.
 
-    Example: ragwortcourse publish drafts.bin --model drafts --version v2
-    --origin http://10.0.0.5:8080/origin
+    Example: ragwortcourse publish weights.bin --model drafts --version 7
+    --origin http://10.0.0.2:9000/origin
     """
     outcome = asyncio.run(
-        store_weights(path, ModelName(model), VersionName(version), origin)
+        publish_path(
+            path,
+            ModelName(model),
+            VersionName(version),
+            origin.rstrip('/'),
+        )
     )
     if isinstance(outcome, OriginFailed):
         failure = Failure(
@@ -69,7 +78,7 @@
             message=outcome.detail,
             outcome=OutcomeKind.UNKNOWN,
         )
-        raise report_failure(failure, ExitCode.REFUSED, as_json=as_json)
+        raise report_failure(failure, ExitCode.UNKNOWN, as_json=as_json)
     report = PublishReport(
         model=outcome.manifest.model,
         version=outcome.manifest.version,
@@ -83,12 +92,12 @@
         click.echo(f'manifest_sha256 = "{report.manifest_sha256}"')
 
 
-async def store_weights(
+async def publish_path(
     path: pathlib.Path, model: ModelName, version: VersionName, origin: str
 ) -> Published | OriginFailed:
-    """Store weights through the origin's HTTP."""
-    async with ClientSession() as session:
-        writer = build_http_writer(session=session, base_url=origin.rstrip('/'))
+    """Publish a file or directory to the origin behind a base URL."""
+    async with aiohttp.ClientSession() as session:
+        writer = build_http_writer(session=session, base_url=origin)
         return await publish_weights(
             writer=writer, path=path, model=model, version=version
         )
