--- a/src/ragwortcourse/cli/program.py
+++ b/src/ragwortcourse/cli/program.py
@@ -5,7 +5,9 @@
 from ragwortcourse.cli import (
     configuration_commands,
     crasher_commands,
+    init_command,
     part_commands,
+    publish_command,
     status_commands,
     weights_commands,
 )
@@ -23,6 +25,7 @@
 
 
 COMMANDS = (
+    init_command.init,
     configuration_commands.check,
     configuration_commands.apply,
     configuration_commands.show,
@@ -31,6 +34,8 @@
     status_commands.explain,
     part_commands.withdraw,
     part_commands.return_part,
+    publish_command.publish,
+    publish_command.publish,
     weights_commands.replicas,
     weights_commands.cancel,
     crasher_commands.crashers,
--- a/src/ragwortcourse/engines/engine.py
+++ b/src/ragwortcourse/engines/engine.py
@@ -9,6 +9,7 @@
     AttemptId,
     FencingNumber,
     ModelName,
+    Sha256Hex,
     VersionName,
 )
 
@@ -38,7 +39,8 @@
 
     :param attempt: attempt the engine says it answers.
     :param version: model version the engine says made it.
-    :param body: raises :class:`EngineBrokenError` where the answer ends short.
+    :param body: raises :class:`EngineBrokenError` where the answer ends
+        short; a read that is cancelled can be begun again, no byte lost.
     """
 
     status: int
@@ -80,7 +82,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EngineOrder:
-    """One order, numbered so that a stale one can be refused."""
+    """One order, numbered so that a stale one can be refused.
+
+    :param chunks: chunks that a version to load consists of.
+    :param sha256: digest of all those chunks in order.
+    """
 
     fencing: FencingNumber
     action: OrderAction
@@ -88,6 +94,8 @@
     version: VersionName
     adapter: AdapterName | None = None
     role: str | None = None
+    chunks: int = 0
+    sha256: Sha256Hex | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
