--- a/measure/control_site.py
+++ b/measure/control_site.py
@@ -8,8 +8,6 @@
 import aiohttp
 import msgspec
 from aiohttp import web
-from ragwortcourse.platform.http_origin import build_http_writer
-from ragwortcourse.weights.publication import Published, publish_weights
 
 from fakes.blueprint import OPERATOR_TOKEN, Blueprint, EntryPlan, TargetPlan
 from fakes.fleet import Fleet
@@ -45,7 +43,9 @@
 from ragwortcourse.messages.operator import ConfigurationChange
 from ragwortcourse.messages.target_status import TargetStatus
 from ragwortcourse.platform.hosts import HostRecord, HostRole
+from ragwortcourse.platform.http_origin import build_http_writer
 from ragwortcourse.settings import PlatformSettings, Settings
+from ragwortcourse.weights.publication import Published, publish_weights
 
 API_KEY: Final = 'measure-key'
 PLACE: Final = FailureDomainName('north')
