Collect the claims of a failure domain at one of its daemons

Cause: 350 daemons with a claim or two a second each make as many small transactions as claims; the table takes several hundred writes a second.

The daemon also wires the list of crashers, their release and their spread.

--- a/measure/relay.py
+++ b/measure/relay.py
@@ -50,7 +50,9 @@
     async def start_target(self, plan: TargetPlan) -> None:
         """Start the token source in place of a stand-in service."""
         address = self.plan.target_address[plan.name]
-        await self._spawn(f'target-{plan.name}', 'measure.token_source', address)
+        await self._spawn(
+            f'target-{plan.name}', 'measure.token_source', address
+        )
         await self._wait_for_port(address)
 
 
--- a/measure/token_source.py
+++ b/measure/token_source.py
@@ -30,13 +30,15 @@
 
 async def describe(_: web.Request) -> web.Response:
     """State of a target that bears everything."""
-    return web.json_response({
-        'instance': 'one',
-        'running': 0,
-        'bearable': 512,
-        'age': 0,
-        'versions': [],
-    })
+    return web.json_response(
+        {
+            'instance': 'one',
+            'running': 0,
+            'bearable': 512,
+            'age': 0,
+            'versions': [],
+        }
+    )
 
 
 async def stream(request: web.Request) -> web.StreamResponse:
@@ -66,10 +68,12 @@
     """Serve until told to stop."""
     host, _, port = listen.rpartition(':')
     app = web.Application()
-    app.add_routes([
-        web.get('/state', describe),
-        web.route('*', '/{path:.*}', stream),
-    ])
+    app.add_routes(
+        [
+            web.get('/state', describe),
+            web.route('*', '/{path:.*}', stream),
+        ]
+    )
     web.run_app(app, host=host, port=int(port), print=None)
 
 
--- /dev/null
+++ b/src/ragwortcourse/entry/claim_helpers.py
@@ -0,0 +1,190 @@
+"""The daemon of a failure domain that collects its claims.
+
+It is picked by rendezvous among the entry daemons of the failure domain,
+keeps no state, and is passed by for a while when it is silent.
+"""
+
+import hashlib
+from collections.abc import Awaitable, Callable, Sequence
+from http import HTTPStatus
+from typing import Final
+
+import msgspec
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.entry.claim_collector import ClaimCollector
+from ragwortcourse.identifiers import DaemonId, FailureDomainName
+from ragwortcourse.messages.claim_write import (
+    ClaimWrite,
+    ClaimWriteReport,
+    ClaimWriteState,
+)
+from ragwortcourse.platform.hosts import HostRecord, HostState
+from ragwortcourse.platform.table import (
+    CommitOutcome,
+    Committed,
+    CommitUnknown,
+    ConditionalWrite,
+    ConditionFailed,
+    NotCommitted,
+    Row,
+    TableKey,
+)
+
+HELPER_SECONDS: Final = 0.25
+PASSED_BY_SECONDS: Final = 10.0
+_TIMEOUT: Final = ClientTimeout(total=HELPER_SECONDS)
+_FAILURES: Final = (
+    ClientError,
+    TimeoutError,
+    OSError,
+    msgspec.MsgspecError,
+)
+
+AskHelper = Callable[[str, ConditionalWrite], Awaitable[CommitOutcome]]
+
+
+def rank_helper(domain: FailureDomainName, daemon: DaemonId) -> bytes:
+    """Rank of a daemon for a failure domain; the highest collects."""
+    return hashlib.sha256(f'{domain}/{daemon}'.encode()).digest()
+
+
+class ClaimHelpers:
+    """Hands claims to the collecting daemon, or collects them here.
+
+    :param list_peers: every other entry daemon that is known.
+    :param ask: sends a write to a helper by its ``ip:port``.
+    """
+
+    def __init__(
+        self,
+        *,
+        daemon: DaemonId,
+        failure_domain: FailureDomainName,
+        collector: ClaimCollector,
+        list_peers: Callable[[], Sequence[HostRecord]],
+        ask: AskHelper,
+    ) -> None:
+        self.collector = collector
+        self._daemon = daemon
+        self._failure_domain = failure_domain
+        self._list_peers = list_peers
+        self._ask = ask
+        self._silent_until: dict[str, float] = {}
+
+    async def commit(self, write: ConditionalWrite) -> CommitOutcome:
+        """Write one claim by way of the helper of this failure domain.
+
+        Where the helper is silent the same write goes to the table from
+        here; if the helper's took effect, the token in the row says so.
+        """
+        helper = self.find_helper()
+        if helper is not None:
+            outcome = await self._ask(helper, write)
+            if isinstance(outcome, Committed | ConditionFailed):
+                return outcome
+            if isinstance(outcome, CommitUnknown):
+                self._silent_until[helper] = read_clock() + PASSED_BY_SECONDS
+        return await self.collector.commit(write)
+
+    def find_helper(self) -> str | None:
+        """Address of the collecting daemon; none where it is this one."""
+        own = rank_helper(self._failure_domain, self._daemon)
+        ranked = {
+            rank_helper(self._failure_domain, peer.daemon): peer.address
+            for peer in self._list_peers()
+            if self._may_help(peer)
+        }
+        best = max(ranked, default=own)
+        return ranked[best] if best > own else None
+
+    def _may_help(self, peer: HostRecord) -> bool:
+        if peer.failure_domain != self._failure_domain:
+            return False
+        if peer.state is HostState.LEAVING:
+            return False
+        return self._silent_until.get(peer.address, 0) <= read_clock()
+
+
+def build_http_helpers(*, session: ClientSession) -> AskHelper:
+    """Way to helpers over HTTP; what is not answered whole is unknown."""
+
+    async def ask(address: str, write: ConditionalWrite) -> CommitOutcome:
+        message = ClaimWrite(
+            key=write.key,
+            content=write.content or b'',
+            expected_version=write.expected_version or 0,
+        )
+        try:
+            async with session.post(
+                f'http://{address}/claims',
+                data=msgspec.json.encode(message),
+                timeout=_TIMEOUT,
+            ) as answer:
+                raw = await answer.read()
+            report = msgspec.json.decode(raw, type=ClaimWriteReport)
+        except _FAILURES as error:
+            return CommitUnknown(detail=f'{address}: {error!r}')
+        return read_report(write.key, report)
+
+    return ask
+
+
+def read_report(key: TableKey, report: ClaimWriteReport) -> CommitOutcome:
+    """Outcome of the table service that a helper reports."""
+    if report.state is ClaimWriteState.COMMITTED:
+        return Committed()
+    if report.state is ClaimWriteState.NOT_COMMITTED:
+        return NotCommitted(detail=report.detail)
+    if report.state is ClaimWriteState.UNKNOWN:
+        return CommitUnknown(detail=report.detail)
+    row = None
+    if report.version:
+        row = Row(key=key, version=report.version, content=report.content)
+    return ConditionFailed(rows=(row,), keys=(key,))
+
+
+def write_report(outcome: CommitOutcome) -> ClaimWriteReport:
+    """Report of an outcome of the table service."""
+    if isinstance(outcome, Committed):
+        return ClaimWriteReport(state=ClaimWriteState.COMMITTED)
+    if isinstance(outcome, NotCommitted):
+        return ClaimWriteReport(
+            state=ClaimWriteState.NOT_COMMITTED, detail=outcome.detail
+        )
+    if isinstance(outcome, CommitUnknown):
+        return ClaimWriteReport(
+            state=ClaimWriteState.UNKNOWN, detail=outcome.detail
+        )
+    row = outcome.rows[0]
+    if row is None:
+        return ClaimWriteReport(state=ClaimWriteState.CONDITION_FAILED)
+    return ClaimWriteReport(
+        state=ClaimWriteState.CONDITION_FAILED,
+        version=row.version,
+        content=row.content,
+    )
+
+
+def build_claim_routes(*, collector: ClaimCollector) -> list[web.RouteDef]:
+    """Routes of the peers' port for claims of other daemons."""
+
+    async def collect(request: web.Request) -> web.Response:
+        try:
+            message = msgspec.json.decode(await request.read(), type=ClaimWrite)
+        except msgspec.MsgspecError as error:
+            return web.Response(status=HTTPStatus.BAD_REQUEST, text=str(error))
+        outcome = await collector.commit(
+            ConditionalWrite(
+                key=TableKey(message.key),
+                content=message.content,
+                expected_version=message.expected_version,
+            )
+        )
+        return web.Response(
+            body=msgspec.json.encode(write_report(outcome)),
+            content_type='application/json',
+        )
+
+    return [web.post('/claims', collect)]
--- a/src/ragwortcourse/entry/claims.py
+++ b/src/ragwortcourse/entry/claims.py
@@ -84,7 +84,7 @@
     held = ClaimHeld(claim=claim, version=expected_version + 1)
     detail = ''
     for _ in range(COMMIT_TRIES):
-        outcome = await entry.table.commit((write,))
+        outcome = await entry.commit_claim(write)
         if isinstance(outcome, Committed):
             _CLAIMS.add(1, {'result': 'held'})
             return held
--- a/src/ragwortcourse/entry/entry.py
+++ b/src/ragwortcourse/entry/entry.py
@@ -8,6 +8,8 @@
 
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.entry.catalog import Catalog
+from ragwortcourse.entry.claim_collector import ClaimCollector
+from ragwortcourse.entry.claim_helpers import ClaimHelpers
 from ragwortcourse.entry.claim_results import ClaimResults
 from ragwortcourse.entry.crashers import Crashers
 from ragwortcourse.entry.outliers import Outliers
@@ -15,7 +17,11 @@
 from ragwortcourse.entry.retry_budget import RetryBudget
 from ragwortcourse.membership.directory import TargetDirectory
 from ragwortcourse.messages.peer_port import AgentPort
-from ragwortcourse.platform.table import TableService
+from ragwortcourse.platform.table import (
+    CommitOutcome,
+    ConditionalWrite,
+    TableService,
+)
 from ragwortcourse.settings import Settings
 
 
@@ -25,6 +31,8 @@
 
     :param read_wall: seconds since the epoch, to tell the age of claims
         that other daemons made.
+    :param helpers: way to the daemon that collects the claims of this
+        failure domain; none where each daemon writes its own.
     :param under_way: calls taken whose answers are not at their end yet.
     """
 
@@ -40,6 +48,8 @@
     budget: RetryBudget = dataclasses.field(default_factory=RetryBudget)
     crashers: Crashers = dataclasses.field(default_factory=Crashers)
     outliers: Outliers = dataclasses.field(default_factory=Outliers)
+    helpers: ClaimHelpers | None = None
+    collector: ClaimCollector = dataclasses.field(init=False)
     results: ClaimResults = dataclasses.field(init=False)
     draining: bool = False
     under_way: int = 0
@@ -48,6 +58,13 @@
     def __post_init__(self) -> None:
         """Write results to the table that holds the claims."""
         self.results = ClaimResults(table=self.table)
+        self.collector = ClaimCollector(table=self.table)
+
+    async def commit_claim(self, write: ConditionalWrite) -> CommitOutcome:
+        """Write one claim, by way of the helper where one is set."""
+        if self.helpers is None:
+            return await self.collector.commit(write)
+        return await self.helpers.commit(write)
 
     def enter(self) -> None:
         """Count a call that was taken."""
--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -11,6 +11,12 @@
 from ragwortcourse.configuration.routes import build_configuration_routes
 from ragwortcourse.configuration.store import ConfigurationStore
 from ragwortcourse.entry.callers import build_caller_routes
+from ragwortcourse.entry.claim_helpers import (
+    ClaimHelpers,
+    build_claim_routes,
+    build_http_helpers,
+)
+from ragwortcourse.entry.crasher_spread import spread_crashers
 from ragwortcourse.entry.entry import Entry, drain_entry
 from ragwortcourse.entry.http_agents import build_http_agents
 from ragwortcourse.entry.operator_state import Operators
@@ -25,7 +31,6 @@
 from ragwortcourse.membership.roster import Roster
 from ragwortcourse.membership.routes import build_exchange_routes
 from ragwortcourse.membership.watch import watch_targets
-from ragwortcourse.messages.operator import CrasherList
 from ragwortcourse.platform.http_daemons import build_http_daemons
 from ragwortcourse.platform.http_hosts import build_http_hosts
 from ragwortcourse.platform.http_objects import build_http_objects
@@ -63,6 +68,7 @@
             *build_configuration_routes(holder=self.entry.holder),
             *build_exchange_routes(membership=self.membership),
             *build_record_routes(find_record=self.entry.records.find),
+            *build_claim_routes(collector=self.entry.collector),
         ]
 
     def start(self, tasks: BackgroundTasks) -> None:
@@ -79,6 +85,7 @@
         )
         tasks.start('watch targets', watch_targets(self.membership))
         tasks.start('exchange', exchange_with_peers(self.membership))
+        tasks.start('spread crashers', spread_crashers(self.entry))
 
     def find_obstacle(self) -> str | None:
         """Why no work is taken now, none if it is."""
@@ -123,6 +130,13 @@
         daemon_port=build_http_daemons(session=session),
         rng=entry.rng,
     )
+    entry.helpers = ClaimHelpers(
+        daemon=settings.daemon,
+        failure_domain=settings.failure_domain,
+        collector=entry.collector,
+        list_peers=lambda: membership.roster.entries,
+        ask=build_http_helpers(session=session),
+    )
     operators = Operators(
         settings=settings,
         holder=entry.holder,
@@ -130,7 +144,7 @@
         membership=membership,
         find_record=entry.records.find,
         relay_record=build_record_relay(session=session),
-        list_crashers=lambda: CrasherList(crashers=()),
-        release_crasher=lambda fingerprint: False,
+        list_crashers=entry.crashers.list_crashers,
+        release_crasher=entry.crashers.release,
     )
     return EntryDaemon(entry=entry, membership=membership, operators=operators)
