Run the writing of pending withdrawals and the crashers in entry daemons

The composition began neither, and the operators' routes on crashers answered from an empty list. Signs that ride on requests are noted by the same port.

--- a/src/ragwortcourse/platform/http_table.py
+++ b/src/ragwortcourse/platform/http_table.py
@@ -58,7 +58,7 @@
         request = msgspec.json.encode(_encode_writes(writes))
         try:
             status, body = await post('/commit', request)
-        except aiohttp.ClientConnectorError as error:
+        except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
             return NotCommitted(detail=f'{base_url}: {error!r}')
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return CommitUnknown(detail=f'{base_url}: {error!r}')
--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -9,8 +9,10 @@
 from ragwortcourse.configuration.feed import follow_head
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.routes import build_configuration_routes
+from ragwortcourse.configuration.settlement import follow_withdrawals
 from ragwortcourse.configuration.store import ConfigurationStore
 from ragwortcourse.entry.callers import build_caller_routes
+from ragwortcourse.entry.crasher_spread import spread_crashers
 from ragwortcourse.entry.entry import Entry, drain_entry
 from ragwortcourse.entry.http_agents import build_http_agents
 from ragwortcourse.entry.operator_state import Operators
@@ -24,8 +26,8 @@
 from ragwortcourse.membership.membership import Membership
 from ragwortcourse.membership.roster import Roster
 from ragwortcourse.membership.routes import build_exchange_routes
+from ragwortcourse.membership.signs import build_observed_agents
 from ragwortcourse.membership.watch import watch_targets
-from ragwortcourse.messages.operator import CrasherList
 from ragwortcourse.platform.http_daemons import build_http_daemons
 from ragwortcourse.platform.http_hosts import build_http_hosts
 from ragwortcourse.platform.http_objects import build_http_objects
@@ -77,7 +79,14 @@
                 rng=self.entry.rng,
             ),
         )
+        tasks.start('spread crashers', spread_crashers(self.entry))
         tasks.start('watch targets', watch_targets(self.membership))
+        tasks.start(
+            'follow withdrawals',
+            follow_withdrawals(
+                holder=self.entry.holder, store=store, rng=self.entry.rng
+            ),
+        )
         tasks.start('exchange', exchange_with_peers(self.membership))
 
     def find_obstacle(self) -> str | None:
@@ -123,6 +132,7 @@
         daemon_port=build_http_daemons(session=session),
         rng=entry.rng,
     )
+    entry.agent_port = build_observed_agents(membership)
     operators = Operators(
         settings=settings,
         holder=entry.holder,
@@ -130,7 +140,7 @@
         membership=membership,
         find_record=entry.records.find,
         relay_record=build_record_relay(session=session),
-        list_crashers=lambda: CrasherList(crashers=()),
-        release_crasher=lambda fingerprint: False,
+        list_crashers=entry.crashers.list_crashers,
+        release_crasher=entry.crashers.release,
     )
     return EntryDaemon(entry=entry, membership=membership, operators=operators)
