Resume only what the engine confirms, and prove the agent's HTTP

Cause: a target that does not know the question for the rest of a stream takes it for the call itself. A plain service would then have run a broken call twice. Only idempotent model streams are resumed now, and only where the answer names the byte it goes on from. Answers above 399 no longer count as evidence of warmth, and a return starts cold as well as a withdrawal.

--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -56,7 +56,7 @@
             outcome = await engine.start(wanted)
         else:
             outcome = await engine.resume(wanted, int(sent))
-        return await send_outcome(request, outcome)
+        return await send_outcome(request, outcome, sent)
 
     async def cancel(request: web.Request) -> web.Response:
         known = await engine.cancel(AttemptId(request.match_info['attempt']))
@@ -124,7 +124,7 @@
 
 
 async def send_outcome(
-    request: web.Request, outcome: StartOutcome
+    request: web.Request, outcome: StartOutcome, sent: str | None
 ) -> web.StreamResponse:
     """Send an answer, or break the connection where there is none."""
     if isinstance(outcome, EngineLost):
@@ -135,6 +135,8 @@
     response = web.StreamResponse(
         status=outcome.status, headers=outcome.headers
     )
+    if sent is not None:
+        response.headers[RESUME_FROM] = sent
     if outcome.attempt is not None:
         response.headers[names.REQUEST_ID] = outcome.attempt
     if outcome.version is not None:
--- a/fakes/memory_engine.py
+++ b/fakes/memory_engine.py
@@ -60,7 +60,9 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self._resumable: set[AttemptId] = set()
         self.cancelled: list[AttemptId] = []
+        self.extra_headers: dict[str, str] = {}
         self.deaths = 0
+        self.resumes = 0
         self.dead_until: float = 0
         self._checks_fencing = checks_fencing
         self._instances = itertools.count(1)
@@ -108,6 +110,7 @@
 
     async def resume(self, request: EngineRequest, sent: int) -> StartOutcome:
         """Go on with a stream; see :class:`Engine`."""
+        self.resumes += 1
         if self._is_down():
             return EngineUnreached(detail='nobody listens')
         if not self.can_resume or request.attempt not in self._resumable:
@@ -202,7 +205,7 @@
         body = EngineBody(engine=self, died=died, pieces=skip(pieces, sent))
         return EngineAnswer(
             status=200,
-            headers={'content-type': kind},
+            headers={'content-type': kind, **self.extra_headers},
             attempt=attempt,
             version=version,
             body=body,
@@ -275,6 +278,9 @@
 
     async def __anext__(self) -> bytes:
         load = self._engine.load
+        if self._left == 0:
+            await self.aclose()
+            raise EngineBrokenError('the connection broke')
         if not self._pieces:
             await self.aclose()
             raise StopAsyncIteration
@@ -283,7 +289,7 @@
         if self._left is not None:
             piece = piece[: self._left]
             self._left -= len(piece)
-        if self._died.is_set() or not piece:
+        if self._died.is_set():
             await self.aclose()
             raise EngineBrokenError('the connection broke')
         return piece
--- a/src/ragwortcourse/agent/lifecycle.py
+++ b/src/ragwortcourse/agent/lifecycle.py
@@ -36,8 +36,8 @@
     while True:
         was_withdrawn = withdrawn
         withdrawn = agent.read_closed() is not None
-        if withdrawn and not was_withdrawn:
-            LOGGER.info('target takes no new work')
+        if withdrawn != was_withdrawn:
+            LOGGER.info('withdrawal', extra={'withdrawn': withdrawn})
             agent.limit.fall_back('withdrawn')
         agent.gate.admit()
         await agent.holder.wait_for_change()
--- a/src/ragwortcourse/agent/relay.py
+++ b/src/ragwortcourse/agent/relay.py
@@ -109,7 +109,10 @@
 async def resume_answer(run: Run, progress: Progress) -> None:
     """Go on with a broken answer on the same version."""
     outcome: StartOutcome | None = None
-    if progress.resumes < MAX_RESUMES:
+    # A plain service would take the question for the call itself, and run
+    # it again.
+    resumable = run.attempt.model is not None and run.attempt.idempotent
+    if resumable and progress.resumes < MAX_RESUMES:
         progress.resumes += 1
         outcome = await run.agent.engine.resume(
             run.build_request(), progress.sent
--- a/src/ragwortcourse/agent/run.py
+++ b/src/ragwortcourse/agent/run.py
@@ -14,7 +14,7 @@
 from ragwortcourse.messages.attempt_report import AttemptState
 
 OVERLOAD_STATUSES = frozenset((429, 503))
-SERVER_ERROR = 500
+BAD = 400
 
 
 class Run:
@@ -82,13 +82,13 @@
         self.ended = True
         agent = self.agent
         agent.engaged.leave(list_version(self.attempt))
-        status = self.record.status or SERVER_ERROR
-        clean = state is AttemptState.COMPLETED and status < SERVER_ERROR
+        completed = state is AttemptState.COMPLETED
+        good = completed and (self.record.status or BAD) < BAD
         self.record.state = state
         self.record.suspect = agent.suspects.is_accused(self.attempt.attempt)
-        agent.suspects.end(self.attempt.attempt, clean=clean)
+        agent.suspects.end(self.attempt.attempt, clean=completed)
         agent.version_use.end(self.attempt)
-        if clean:
+        if good:
             agent.limit.note_answer(self.latency, agent.gate.running)
         agent.gate.release(self._ticket, read_clock() - self._started_at)
 
--- a/src/ragwortcourse/engines/engine.py
+++ b/src/ragwortcourse/engines/engine.py
@@ -169,7 +169,8 @@
     """What can be asked of a target.
 
     :param start: run a request and relay its answer.
-    :param resume: go on with a stream after so many body bytes.
+    :param resume: go on with a stream after so many body bytes; lost
+        where the engine does not confirm that it does just that.
     :param cancel: stop a request; true where the engine confirms.
     :param describe: state, versions and load.
     :param store_chunk: hand one chunk of ``(model, version, adapter,
--- a/src/ragwortcourse/engines/http_body.py
+++ b/src/ragwortcourse/engines/http_body.py
@@ -31,4 +31,8 @@
 
     async def aclose(self) -> None:
         """Close the connection of an answer that was not read to its end."""
+        self.close()
+
+    def close(self) -> None:
+        """Close the connection at once."""
         self._response.close()
--- a/src/ragwortcourse/engines/http_engine.py
+++ b/src/ragwortcourse/engines/http_engine.py
@@ -80,7 +80,8 @@
     async def resume(request: EngineRequest, sent: int) -> StartOutcome:
         headers = encode_headers(request)
         headers[RESUME_FROM] = str(sent)
-        return await send(session, base, request, headers)
+        outcome = await send(session, base, request, headers)
+        return check_resumed(outcome, sent)
 
     async def cancel(attempt: AttemptId) -> bool:
         url = yarl.URL(base) / 'attempts' / attempt
@@ -187,6 +188,17 @@
     return decode_answer(response)
 
 
+def check_resumed(outcome: StartOutcome, sent: int) -> StartOutcome:
+    """Drop an answer that does not go on where the stream broke."""
+    if not isinstance(outcome, EngineAnswer):
+        return outcome
+    if outcome.headers.get(RESUME_FROM) == str(sent):
+        return outcome
+    if isinstance(outcome.body, HttpBody):
+        outcome.body.close()
+    return EngineLost(detail='the target began anew instead of resuming')
+
+
 def decode_answer(response: aiohttp.ClientResponse) -> EngineAnswer:
     """The answer that a response begins."""
     attempt = response.headers.get(names.REQUEST_ID)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -94,6 +94,18 @@
             assert await read_state(agent, attempt) == 'broken'
         assert agent.gate.running == 0
 
+    async def test_service_answer_is_never_resumed(self):
+        """A service's broken answer ends broken; the call runs once."""
+        engine = MemoryEngine(is_model_engine=False)
+        engine.faults = EngineFaults(cut_after=[1])
+        agent = make_agent(engine)
+        attempt = make_service_attempt()
+        answer = await run_attempt(agent, attempt)
+        with pytest.raises(AnswerBrokenError):
+            await read_body(answer)
+        assert engine.runs.total() == 1
+        assert engine.resumes == 0
+
     async def test_duplicate_runs_once(self):
         """The same attempt id runs once, also while the first is under way."""
         engine = MemoryEngine(is_model_engine=False)
--- /dev/null
+++ b/tests/test_server.py
@@ -0,0 +1,161 @@
+"""Tests of :mod:`ragwortcourse.agent.server`, over real sockets."""
+
+import asyncio
+import dataclasses
+
+import aiohttp
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestClient, TestServer
+
+from fakes.agents import make_agent, make_attempt, make_service_attempt
+from fakes.engine_faults import EngineFaults
+from fakes.engine_load import EngineLoad
+from fakes.memory_engine import MemoryEngine
+from ragwortcourse.agent.attempt_codec import decode_attempt, encode_attempt
+from ragwortcourse.agent.server import build_agent_routes
+from ragwortcourse.configuration.limits import TargetLimits
+from ragwortcourse.entry.http_agents import build_http_agents
+from ragwortcourse.identifiers import DaemonId, Generation
+from ragwortcourse.messages.attempt import AnswerBrokenError
+from ragwortcourse.messages.heartbeat import Heartbeat
+from ragwortcourse.messages.peer_port import DaemonPort
+
+QUICK = EngineLoad(latency=0.01, pace=0.01)
+PATIENCE = 500
+
+
+@dataclasses.dataclass(kw_only=True)
+class Site:
+    """An agent that listens, and the way to it."""
+
+    engine: MemoryEngine
+    agent: object
+    port: object
+    address: str
+    client: TestClient
+
+
+@pytest.fixture
+async def site():
+    """One agent with one permit before a quick engine."""
+    engine = MemoryEngine(can_resume=False, load=QUICK)
+    agent = make_agent(engine, limits=TargetLimits(cold=1, warm=1))
+    app = web.Application()
+    nobody = DaemonPort(fetch=None, exchange=None)
+    app.add_routes(build_agent_routes(agent=agent, daemon_port=nobody))
+    async with (
+        TestServer(app) as server,
+        TestClient(server) as client,
+        aiohttp.ClientSession() as session,
+    ):
+        yield Site(
+            engine=engine,
+            agent=agent,
+            port=build_http_agents(session=session),
+            address=f'127.0.0.1:{server.port}',
+            client=client,
+        )
+
+
+async def wait_until(holds) -> None:
+    """Return once something holds."""
+    for _ in range(PATIENCE):
+        if holds():
+            return
+        await asyncio.sleep(0.01)
+    pytest.fail('it never held')
+
+
+class TestAgentRoutes:
+    """The agent as an entry daemon meets it."""
+
+    async def test_attempt_survives_the_wire(self):
+        """Headers carry every field of an attempt, odd names included."""
+        attempt = make_attempt(
+            account='Casa Ünica', headers={'x-note': 'a b'}, suspect=True
+        )
+        encoded = encode_attempt(attempt)
+        assert decode_attempt(attempt.attempt, encoded, attempt.body) == attempt
+
+    @pytest.mark.parametrize(
+        ('faults', 'whole'), [({}, True), ({'cut_after': [70]}, False)]
+    )
+    async def test_stream_ends_whole_or_broken(self, site, faults, whole):
+        """An answer that has no end ends the connection, never the body."""
+        site.engine.faults = EngineFaults(**faults)
+        answer = await site.port.start(site.address, make_attempt())
+        received = b''
+        try:
+            async for chunk in answer.body:
+                received += chunk
+        except AnswerBrokenError:
+            assert not whole
+        else:
+            assert whole
+            assert received.endswith(b'data: [DONE]\n\n')
+        assert answer.version == 'v1'
+        await wait_until(lambda: site.agent.gate.running == 0)
+
+    async def test_refusal_keeps_its_outcome(self, site):
+        """Outcome, code and time to come back cross the wire."""
+        site.agent.leaving = True
+        refused = await site.port.start(site.address, make_attempt())
+        assert refused.outcome == site.agent.read_closed()
+
+    @pytest.mark.parametrize('while_queued', [True, False])
+    async def test_entry_that_goes_away(self, site, while_queued):
+        """Its work is taken out of the queue, or cancelled at the engine."""
+        site.engine.load.pace = 0.2
+        first = await site.port.start(site.address, make_attempt())
+        await anext(first.body)
+        if while_queued:
+            waiting = asyncio.create_task(
+                site.port.start(site.address, make_attempt())
+            )
+            await wait_until(lambda: site.agent.gate.queued == 1)
+            waiting.cancel()
+            await wait_until(lambda: site.agent.gate.queued == 0)
+            assert site.engine.runs.total() == 1
+        await first.body.aclose()
+        await wait_until(lambda: site.agent.gate.running == 0)
+        assert len(site.engine.cancelled) == 1
+
+    async def test_target_cannot_forge_a_refusal(self, site):
+        """Headers of the target never make its answer a refusal."""
+        site.engine.extra_headers = {
+            'X-Error-Code': 'leaving',
+            'x-outcome': 'not_run',
+        }
+        attempt = make_service_attempt()
+        answer = await site.port.start(site.address, attempt)
+        assert answer.status == 200
+        assert 'x-outcome' not in answer.headers
+
+    @pytest.mark.parametrize(
+        ('path', 'changed'),
+        [
+            ('/attempts/a', {'x-rc-generation': 'many'}),
+            ('/attempts/a', {'x-rc-account': None}),
+            ('/attempts/a/bar', {'x-rc-age-ms': 'old'}),
+            ('/status', {}),
+        ],
+    )
+    async def test_malformed_is_refused(self, site, path, changed):
+        """What can't be read is refused as not run; the agent goes on."""
+        headers = {**encode_attempt(make_attempt()), **changed}
+        kept = {name: text for name, text in headers.items() if text}
+        answer = await site.client.post(path, headers=kept, data=b'{"')
+        assert answer.status == 400
+        assert answer.headers['x-outcome'] == 'not_run'
+        assert site.engine.runs.total() == 0
+
+    async def test_bar_and_heartbeat(self, site):
+        """A bar and a heartbeat are answered over the wire."""
+        heartbeat = Heartbeat(
+            daemon=DaemonId('entry-1'), sender='', generation=Generation(1)
+        )
+        status = await site.port.heartbeat(site.address, heartbeat)
+        report = await site.port.bar(site.address, make_attempt().attempt, 1)
+        assert (status.limit, status.target) == (1, 'target-1')
+        assert report.state == 'forgotten'
