--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -9,6 +9,7 @@
 from ragwortcourse.configuration.feed import follow_head
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.routes import build_configuration_routes
+from ragwortcourse.configuration.settlement import follow_withdrawals
 from ragwortcourse.configuration.store import ConfigurationStore
 from ragwortcourse.entry.callers import build_caller_routes
 from ragwortcourse.entry.claim_helpers import (
@@ -30,6 +31,7 @@
 from ragwortcourse.membership.membership import Membership
 from ragwortcourse.membership.roster import Roster
 from ragwortcourse.membership.routes import build_exchange_routes
+from ragwortcourse.membership.signs import build_observed_agents
 from ragwortcourse.membership.watch import watch_targets
 from ragwortcourse.platform.http_daemons import build_http_daemons
 from ragwortcourse.platform.http_hosts import build_http_hosts
@@ -83,9 +85,15 @@
                 rng=self.entry.rng,
             ),
         )
+        tasks.start('spread crashers', spread_crashers(self.entry))
         tasks.start('watch targets', watch_targets(self.membership))
+        tasks.start(
+            'follow withdrawals',
+            follow_withdrawals(
+                holder=self.entry.holder, store=store, rng=self.entry.rng
+            ),
+        )
         tasks.start('exchange', exchange_with_peers(self.membership))
-        tasks.start('spread crashers', spread_crashers(self.entry))
 
     def find_obstacle(self) -> str | None:
         """Why no work is taken now, none if it is."""
@@ -137,6 +145,7 @@
         list_peers=lambda: membership.roster.entries,
         ask=build_http_helpers(session=session),
     )
+    entry.agent_port = build_observed_agents(membership)
     operators = Operators(
         settings=settings,
         holder=entry.holder,
