--- a/src/ragwortcourse/engines/engine.py
+++ b/src/ragwortcourse/engines/engine.py
@@ -39,7 +39,8 @@
 
     :param attempt: attempt the engine says it answers.
     :param version: model version the engine says made it.
-    :param body: raises :class:`EngineBrokenError` where the answer ends short.
+    :param body: raises :class:`EngineBrokenError` where the answer ends
+        short; a read that is cancelled can be begun again, no byte lost.
     """
 
     status: int
@@ -168,7 +169,8 @@
     """What can be asked of a target.
 
     :param start: run a request and relay its answer.
-    :param resume: go on with a stream after so many body bytes.
+    :param resume: go on with a stream after so many body bytes; lost
+        where the engine does not confirm that it does just that.
     :param cancel: stop a request; true where the engine confirms.
     :param describe: state, versions and load.
     :param store_chunk: hand one chunk of ``(model, version, adapter,
--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -9,8 +9,15 @@
 from ragwortcourse.configuration.feed import follow_head
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.routes import build_configuration_routes
+from ragwortcourse.configuration.settlement import follow_withdrawals
 from ragwortcourse.configuration.store import ConfigurationStore
 from ragwortcourse.entry.callers import build_caller_routes
+from ragwortcourse.entry.claim_helpers import (
+    ClaimHelpers,
+    build_claim_routes,
+    build_http_helpers,
+)
+from ragwortcourse.entry.crasher_spread import spread_crashers
 from ragwortcourse.entry.entry import Entry, drain_entry
 from ragwortcourse.entry.http_agents import build_http_agents
 from ragwortcourse.entry.operator_state import Operators
@@ -25,8 +32,8 @@
 from ragwortcourse.membership.membership import Membership
 from ragwortcourse.membership.roster import Roster
 from ragwortcourse.membership.routes import build_exchange_routes
+from ragwortcourse.membership.signs import build_observed_agents
 from ragwortcourse.membership.watch import watch_targets
-from ragwortcourse.messages.operator import CrasherList
 from ragwortcourse.platform.http_daemons import build_http_daemons
 from ragwortcourse.platform.http_hosts import build_http_hosts
 from ragwortcourse.platform.http_objects import build_http_objects
@@ -66,6 +73,7 @@
             *build_configuration_routes(holder=self.entry.holder),
             *build_exchange_routes(membership=self.membership),
             *build_record_routes(find_record=self.entry.records.find),
+            *build_claim_routes(collector=self.entry.collector),
         ]
 
     def start(self, tasks: BackgroundTasks) -> None:
@@ -80,7 +88,14 @@
                 rng=self.entry.rng,
             ),
         )
+        tasks.start('spread crashers', spread_crashers(self.entry))
         tasks.start('watch targets', watch_targets(self.membership))
+        tasks.start(
+            'follow withdrawals',
+            follow_withdrawals(
+                holder=self.entry.holder, store=store, rng=self.entry.rng
+            ),
+        )
         tasks.start('exchange', exchange_with_peers(self.membership))
 
     def find_obstacle(self) -> str | None:
@@ -128,6 +143,14 @@
         daemon_port=build_http_daemons(session=session),
         rng=entry.rng,
     )
+    entry.helpers = ClaimHelpers(
+        daemon=settings.daemon,
+        failure_domain=settings.failure_domain,
+        collector=entry.collector,
+        list_peers=lambda: membership.roster.entries,
+        ask=build_http_helpers(session=session),
+    )
+    entry.agent_port = build_observed_agents(membership)
     operators = Operators(
         settings=settings,
         holder=entry.holder,
@@ -135,8 +158,8 @@
         membership=membership,
         find_record=entry.records.find,
         relay_record=build_record_relay(session=session),
-        list_crashers=lambda: CrasherList(crashers=()),
-        release_crasher=lambda fingerprint: False,
+        list_crashers=entry.crashers.list_crashers,
+        release_crasher=entry.crashers.release,
     )
     return EntryDaemon(
         entry=entry,
