Learn from a gate's refusal which versions its target serves

Ruled out: more frequent heartbeats (they cost bytes in all the time that no version changes). Conclusion: state rides on the refusal.

--- a/src/ragwortcourse/agent/attempts.py
+++ b/src/ragwortcourse/agent/attempts.py
@@ -13,6 +13,7 @@
 from ragwortcourse.agent.refusals import (
     BAD_GATEWAY,
     GATEWAY_TIMEOUT,
+    VERSION_NOT_SERVED,
     describe_barred,
     refuse,
     refuse_duplicate,
@@ -131,7 +132,7 @@
     if served:
         return None
     return NotRun(
-        code='version_not_served',
+        code=VERSION_NOT_SERVED,
         detail=f'{attempt.model} {attempt.version} is not served here',
     )
 
--- a/src/ragwortcourse/agent/refusals.py
+++ b/src/ragwortcourse/agent/refusals.py
@@ -9,6 +9,7 @@
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 CONFLICT = 409
+VERSION_NOT_SERVED = 'version_not_served'
 
 
 def refuse(
@@ -19,12 +20,14 @@
     suspect: bool = False,
 ) -> AttemptRefused:
     """A refusal that carries the state of the gate."""
+    is_unserved = outcome.code == VERSION_NOT_SERVED
     return AttemptRefused(
         status=status,
         outcome=outcome,
         spare=agent.gate.spare,
         generation=agent.holder.generation,
         suspect=suspect,
+        served=agent.served.versions if is_unserved else None,
     )
 
 
--- a/src/ragwortcourse/agent/server.py
+++ b/src/ragwortcourse/agent/server.py
@@ -167,6 +167,9 @@
     response.headers[names.SPARE] = str(refused.spare)
     response.headers[names.GENERATION] = str(refused.generation)
     response.headers[names.SUSPECT] = str(int(refused.suspect))
+    if refused.served is not None:
+        served = msgspec.json.encode(refused.served)
+        response.headers[names.SERVED] = served.decode()
     if retry_after is not None:
         response.headers[names.RETRY_AFTER] = str(retry_after)
     return response
--- a/src/ragwortcourse/entry/attempts.py
+++ b/src/ragwortcourse/entry/attempts.py
@@ -57,18 +57,24 @@
         if isinstance(choice, NotRun):
             failures = failures or [Failed(outcome=choice)]
             break
-        tried.add(choice.record.target)
         step = await run_choice(entry, work, choice, plan.name(number))
         if isinstance(step, Started):
             return Served(started=step, choice=choice)
         _note_failure(work, choice, step)
         failures.append(step)
+        note_tried(tried, choice, step)
         note_crash(entry, work, choice, step)
         if not may_retry(entry, work, step):
             break
     return judge_failures(failures)
 
 
+def note_tried(tried: set[TargetName], choice: Choice, step: Failed) -> None:
+    """Ask a target again only where it was asked for the wrong version."""
+    if not step.was_outdated:
+        tried.add(choice.record.target)
+
+
 def note_crash(entry: Entry, work: Work, choice: Choice, step: Failed) -> None:
     """Note a target that died while it ran the work."""
     if step.suspect:
--- a/src/ragwortcourse/entry/dispatch.py
+++ b/src/ragwortcourse/entry/dispatch.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import Final
 
+import msgspec
 from opentelemetry import metrics, propagate, trace
 
 from ragwortcourse.clock import read_clock
@@ -58,6 +59,8 @@
     :param is_lost: true where the attempt was sent and its answer lost.
     :param status: HTTP status of the gate's refusal.
     :param suspect: true where the target died while it ran the attempt.
+    :param was_outdated: true where the target serves other versions than
+        was believed; it can be asked again.
     """
 
     outcome: NotRun | Unknown | Completed
@@ -65,6 +68,7 @@
     is_lost: bool = False
     status: int | None = None
     suspect: bool = False
+    was_outdated: bool = False
 
 
 def build_attempt(
@@ -224,6 +228,7 @@
             status=outcome.status,
             is_refusal=isinstance(outcome.outcome, NotRun),
             suspect=outcome.suspect,
+            was_outdated=_learn_served(choice, outcome),
         )
     if isinstance(outcome, AttemptUnreached):
         return Failed(
@@ -252,6 +257,16 @@
     )
 
 
+def _learn_served(choice: Choice, refused: AttemptRefused) -> bool:
+    status = choice.record.status
+    if refused.served is None or status is None:
+        return False
+    choice.record.status = msgspec.structs.replace(
+        status, served=refused.served
+    )
+    return status.served != refused.served
+
+
 def judge_report(
     target: TargetName, report: AttemptReport | PeerSilent
 ) -> NotRun | Unknown | Completed:
--- a/src/ragwortcourse/entry/http_agents.py
+++ b/src/ragwortcourse/entry/http_agents.py
@@ -28,7 +28,7 @@
     AgentPort,
     PeerSilent,
 )
-from ragwortcourse.messages.target_status import TargetStatus
+from ragwortcourse.messages.target_status import ServedVersion, TargetStatus
 
 CONNECT_SECONDS: Final = 1.0
 HEARTBEAT_SECONDS: Final = 1.0
@@ -135,9 +135,19 @@
         spare=spare,
         generation=generation,
         suspect=answer.headers.get(headers.SUSPECT) == '1',
+        served=_read_served(answer.headers.get(headers.SERVED)),
     )
 
 
+def _read_served(text: str | None) -> tuple[ServedVersion, ...] | None:
+    if text is None:
+        return None
+    try:
+        return msgspec.json.decode(text, type=tuple[ServedVersion, ...])
+    except msgspec.MsgspecError:
+        return None
+
+
 async def _relay_body(answer: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
     try:
         async for chunk in answer.content.iter_any():
--- a/src/ragwortcourse/messages/attempt.py
+++ b/src/ragwortcourse/messages/attempt.py
@@ -14,6 +14,7 @@
     VersionName,
 )
 from ragwortcourse.messages.outcome import NotRun, Unknown
+from ragwortcourse.messages.target_status import ServedVersion
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,6 +78,7 @@
 
     :param status: HTTP status that fits the refusal.
     :param suspect: true where the target died while it ran the attempt.
+    :param served: what the target serves, where that is why it refused.
     """
 
     status: int
@@ -84,6 +86,7 @@
     spare: int
     generation: Generation
     suspect: bool = False
+    served: tuple[ServedVersion, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
