Check configurations by meaning and keep withdrawals through an apply

A configuration posted whole carried its own lists of withdrawn parts, so that applying a file from before a withdrawal ended it without anyone saying so. A withdrawal of a failure domain that nobody configured is a finding.

--- /dev/null
+++ b/src/ragwortcourse/configuration/rules.py
@@ -0,0 +1,91 @@
+"""Rules for single values, each giving findings with their place."""
+
+import re
+from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Set as AbstractSet
+from typing import Final, Protocol
+
+from ragwortcourse.configuration.finding import Finding
+from ragwortcourse.structure import show_value
+
+NAME_PATTERN: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
+NAME_WORDS: Final = (
+    'letters, digits, dot, dash, underscore; 1 to 63; a letter or digit first'
+)
+DIGEST_PATTERN: Final = re.compile('[0-9a-f]{64}')
+
+
+def refuse_value(
+    place: str, value: object, allowed: str, message: str
+) -> Finding:
+    """One finding."""
+    return Finding(
+        place=place,
+        value=show_value(value),
+        allowed=allowed,
+        message=message,
+    )
+
+
+def check_name(place: str, name: str) -> Iterator[Finding]:
+    """A name must be fit for paths, headers and logs."""
+    if not NAME_PATTERN.fullmatch(name):
+        yield refuse_value(place, name, NAME_WORDS, 'malformed name')
+
+
+def check_digest(place: str, digest: str) -> Iterator[Finding]:
+    """A digest must be SHA-256 in lower-case hex."""
+    if not DIGEST_PATTERN.fullmatch(digest):
+        yield refuse_value(
+            place,
+            digest,
+            'a SHA-256 digest: 64 digits 0-9 a-f',
+            'malformed digest',
+        )
+
+
+def check_range(
+    place: str, number: float, least: float, most: float
+) -> Iterator[Finding]:
+    """A number must lie between two bounds, both allowed."""
+    if not least <= number <= most:
+        yield refuse_value(place, number, f'{least} to {most}', 'out of range')
+
+
+def check_known(
+    place: str, name: str, known: AbstractSet[str], kind: str
+) -> Iterator[Finding]:
+    """A name must be one that the configuration has."""
+    if name not in known:
+        allowed = ', '.join(sorted(known)) or f'(no {kind} is there)'
+        yield refuse_value(place, name, allowed, f'unknown {kind}')
+
+
+def check_unique(values: Mapping[str, str]) -> Iterator[Finding]:
+    """Values by their place must differ; the second one is the finding."""
+    seen: dict[str, str] = {}
+    for place, value in values.items():
+        first = seen.setdefault(value, place)
+        if first != place:
+            yield refuse_value(
+                place,
+                value,
+                f'a value other than that of {first}',
+                'given twice',
+            )
+
+
+class Named(Protocol):
+    """Anything that has a name."""
+
+    @property
+    def name(self) -> str:
+        """The name."""
+
+
+def place_names(place: str, members: Sequence[Named]) -> dict[str, str]:
+    """Name of each member by the place where it stands."""
+    return {
+        f'{place}[{index}].name': member.name
+        for index, member in enumerate(members)
+    }
--- a/src/ragwortcourse/configuration/withdrawals.py
+++ b/src/ragwortcourse/configuration/withdrawals.py
@@ -147,6 +147,25 @@
     )
 
 
+def keep_withdrawn(
+    before: Configuration, after: Configuration
+) -> Configuration:
+    """A new configuration in which nothing withdrawn before has returned.
+
+    A file that was written before the withdrawal says nothing about it;
+    only a return ends one.
+    """
+    known = {domain.name for domain in after.failure_domains}
+    domains = known.intersection(before.withdrawn_failure_domains)
+    domains.update(after.withdrawn_failure_domains)
+    targets = {*before.withdrawn_targets, *after.withdrawn_targets}
+    return msgspec.structs.replace(
+        after,
+        withdrawn_failure_domains=tuple(sorted(domains)),
+        withdrawn_targets=tuple(sorted(targets)),
+    )
+
+
 def is_listed(configuration: Configuration, part: Withdrawal) -> bool:
     """Tell whether a configuration lists a part as withdrawn."""
     if part.scope is WithdrawalScope.FAILURE_DOMAIN:
--- a/src/ragwortcourse/entry/operator_changes.py
+++ b/src/ragwortcourse/entry/operator_changes.py
@@ -17,7 +17,9 @@
 )
 from ragwortcourse.configuration.check import check_configuration
 from ragwortcourse.configuration.finding import Finding
+from ragwortcourse.configuration.rules import check_known
 from ragwortcourse.configuration.withdrawals import (
+    keep_withdrawn,
     return_part,
     withdraw_part,
 )
@@ -38,7 +40,7 @@
     PartChange,
 )
 from ragwortcourse.messages.outcome import OutcomeKind
-from ragwortcourse.messages.withdrawal import Withdrawal
+from ragwortcourse.messages.withdrawal import Withdrawal, WithdrawalScope
 
 CONFLICT: Final = 409
 
@@ -59,7 +61,9 @@
     def draft(base: Base) -> Draft | None:
         if base.generation != body.base_generation:
             return None
-        return Draft(configuration=body.configuration)
+        return Draft(
+            configuration=keep_withdrawn(base.configuration, body.configuration)
+        )
 
     outcome = await make_change(
         operators.holder, operators.store, body.change, draft
@@ -128,6 +132,7 @@
     if isinstance(part, tuple):
         return part
     findings = check_id('change', part.change) + check_id('name', part.name)
+    findings += _check_part(operators, part)
     if findings:
         return findings
     return Withdrawal(
@@ -136,3 +141,12 @@
         name=part.name,
         generation=operators.holder.generation,
     )
+
+
+def _check_part(operators: Operators, part: PartChange) -> tuple[Finding, ...]:
+    """A failure domain that nobody configured is a slip of the pen."""
+    document = operators.holder.document
+    if document is None or part.scope is not WithdrawalScope.FAILURE_DOMAIN:
+        return ()
+    known = {domain.name for domain in document.configuration.failure_domains}
+    return tuple(check_known('name', part.name, known, 'failure domain'))
