--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -12,6 +12,11 @@
 from ragwortcourse.configuration.settlement import follow_withdrawals
 from ragwortcourse.configuration.store import ConfigurationStore
 from ragwortcourse.entry.callers import build_caller_routes
+from ragwortcourse.entry.claim_helpers import (
+    ClaimHelpers,
+    build_claim_routes,
+    build_http_helpers,
+)
 from ragwortcourse.entry.crasher_spread import spread_crashers
 from ragwortcourse.entry.entry import Entry, drain_entry
 from ragwortcourse.entry.http_agents import build_http_agents
@@ -65,6 +70,7 @@
             *build_configuration_routes(holder=self.entry.holder),
             *build_exchange_routes(membership=self.membership),
             *build_record_routes(find_record=self.entry.records.find),
+            *build_claim_routes(collector=self.entry.collector),
         ]
 
     def start(self, tasks: BackgroundTasks) -> None:
@@ -132,6 +138,13 @@
         daemon_port=build_http_daemons(session=session),
         rng=entry.rng,
     )
+    entry.helpers = ClaimHelpers(
+        daemon=settings.daemon,
+        failure_domain=settings.failure_domain,
+        collector=entry.collector,
+        list_peers=lambda: membership.roster.entries,
+        ask=build_http_helpers(session=session),
+    )
     entry.agent_port = build_observed_agents(membership)
     operators = Operators(
         settings=settings,
