Keep a target cold after a silence until it is seen again

Ruled out: the poll missing the restart (it saw the silence at 15.0 s). Conclusion: silence may be a restart; only a new state ends the cold limit.

--- a/fakes/callers.py
+++ b/fakes/callers.py
@@ -123,7 +123,7 @@
             and resident.host.thawed.is_set()
             and resident.entry.find_obstacle() is None
         ]
-        return self._rng.choice(ready)
+        return self._rng.choice(ready or list(self.site.plan.entries))
 
     async def _ask(self, name: str, call: Call, key: str | None) -> Told:
         resident = self.site.residents[name]
--- a/fakes/site.py
+++ b/fakes/site.py
@@ -153,9 +153,7 @@
         living = [
             resident.entry
             for resident in self.residents.values()
-            if resident.entry is not None
-            and resident.host.alive
-            and name in {None, resident.host.name}
+            if resident.entry is not None and name in {None, resident.host.name}
         ]
         return self.rng.choice(living)
 
--- a/fakes/stage.py
+++ b/fakes/stage.py
@@ -31,6 +31,7 @@
         self._loop = looptime.new_event_loop()
         self._seed = seed
         self._load: asyncio.Task[None] | None = None
+        self._beside: set[asyncio.Task[object]] = set()
         self.marks: dict[str, float] = {}
         self.generations: dict[str, int] = {}
         self.run(self._open(folder))
@@ -90,9 +91,11 @@
             name
             for name, where in self.site.plan.entries.items()
             if failure_domain in {None, where}
-            and self.site.residents[name].host.alive
         ]
-        return self.site.pick_entry(self.site.rng.choice(names))
+        living = [
+            name for name in names if self.site.residents[name].host.alive
+        ]
+        return self.site.pick_entry(self.site.rng.choice(living or names))
 
     def cut_off(self, failure_domain: str, *, platform: bool = False) -> None:
         """Let nothing pass between a failure domain and the others."""
@@ -145,6 +148,16 @@
         for told in cut:
             self.run(self.callers.send(is_charge=True, key=told.key))
 
+    def die(self, name: str) -> None:
+        """Let the engine of a target die and start anew, cold."""
+        self._call(self.site.engines[name].die)
+
+    def begin(self, work: Coroutine[Any, Any, object]) -> None:
+        """Run work beside everything else."""
+        task = self._loop.create_task(work)
+        self._beside.add(task)
+        task.add_done_callback(self._beside.discard)
+
     def copy_rows(self) -> None:
         """Keep the table's state of now."""
         self._old_rows = copy.deepcopy(self.site.rows.rows)
--- a/fakes/witness.py
+++ b/fakes/witness.py
@@ -6,7 +6,12 @@
 from fakes.memory_engine import MemoryEngine
 from fakes.wire import Host
 from ragwortcourse.clock import read_clock
-from ragwortcourse.engines.engine import Engine, EngineRequest, StartOutcome
+from ragwortcourse.engines.engine import (
+    Engine,
+    EngineRequest,
+    EngineUnreached,
+    StartOutcome,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -37,16 +42,18 @@
 
         async def start(request: EngineRequest) -> StartOutcome:
             running = engine.load.running + 1
-            self.beginnings.append(
-                Beginning(
-                    target=name,
-                    failure_domain=host.failure_domain,
-                    key=request.headers.get('idempotency-key', request.attempt),
-                    at=read_clock(),
-                    load=running / engine.load.read_bearable(),
-                )
+            beginning = Beginning(
+                target=name,
+                failure_domain=host.failure_domain,
+                key=request.headers.get('idempotency-key', request.attempt),
+                at=read_clock(),
+                load=running / engine.load.read_bearable(),
             )
-            return await port.start(request)
+            self.beginnings.append(beginning)
+            outcome = await port.start(request)
+            if isinstance(outcome, EngineUnreached):
+                self.beginnings.remove(beginning)
+            return outcome
 
         return dataclasses.replace(port, start=start)
 
--- a/src/ragwortcourse/agent/warmup.py
+++ b/src/ragwortcourse/agent/warmup.py
@@ -40,6 +40,7 @@
         self._sign_at: float = 0
         self._latency: float | None = None
         self._slow_in_a_row = 0
+        self._silent = False
 
     @property
     def instance(self) -> str | None:
@@ -73,14 +74,18 @@
             return
         self._slow_in_a_row = 0
         limit = self.read()
-        if running * 2 > limit:
+        if running * 2 > limit and not self._silent:
             self._warmth += self._read_growth() / max(limit, 1)
             self._bound_warmth()
 
     def note_state(self, state: EngineState | EngineSilent) -> None:
         """Take the engine's own word, judged by its age."""
         if isinstance(state, EngineSilent):
+            # It may be starting anew, and then it is cold.
+            self.fall_back('silent')
+            self._silent = True
             return
+        self._silent = False
         self._sign_at = read_clock()
         if state.instance != self._instance:
             if self._instance is not None:
@@ -105,6 +110,8 @@
         self._warmth = 0
 
     def _is_evidence_fresh(self) -> bool:
+        if self._silent:
+            return False
         now = read_clock()
         if now - self._sign_at > SIGN_MAX_AGE_SECONDS:
             self.fall_back('no sign')
--- /dev/null
+++ b/tests/test_chaos.py
@@ -0,0 +1,26 @@
+"""Random schedules of faults: every promise holds at the end of each."""
+
+import os
+
+import pytest
+
+from fakes.chaos import run_schedule
+from fakes.stage import Stage
+
+CI_SEEDS = 12
+LOAD_PER_SECOND = 12
+SEEDS = range(1, 1 + int(os.environ.get('RAGWORTCOURSE_SEEDS', CI_SEEDS)))
+
+
+class TestRandomFaults:
+    """A site under load while hosts, links, platform and engines fail."""
+
+    @pytest.mark.parametrize('seed', SEEDS)
+    def test_every_promise_holds(self, tmp_path, seed):
+        """What callers were told is true, and nothing ran twice."""
+        stage = Stage(folder=tmp_path, seed=seed)
+        stage.begin_load(LOAD_PER_SECOND)
+        played = run_schedule(stage, seed)
+        faults = stage.end()
+        stage.close()
+        assert faults == [], played
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -149,10 +149,7 @@
 
 @when(parsers.parse('the engine of {name} dies'))
 def kill_engine(stage, name):
-    async def die():
-        stage.site.engines[name].die()
-
-    stage.run(die())
+    stage.die(name)
 
 
 @when('each entry daemon is stopped and replaced in turn')
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -76,6 +76,17 @@
             limit.note_state(report)
         assert limit.read() == LIMITS.cold
 
+    async def test_silence_may_be_a_restart(self):
+        """After a silence answers warm nothing until the target is seen."""
+        limit = await make_warm(8)
+        limit.note_state(EngineSilent(detail=''))
+        for _ in range(20):
+            limit.note_answer(0.01, limit.read())
+        assert limit.read() == LIMITS.cold
+        limit.note_state(make_state(8))
+        limit.note_answer(0.01, limit.read())
+        assert limit.read() > LIMITS.cold
+
     async def test_slow_answers_halve(self):
         """A target without reports that turns slow gets less."""
         limit = await make_warm(None)
