End the async generators of a stage before its loop

Cause: bodies left over were finalized after their loop had closed, which printed errors at the end of a run.

--- a/fakes/stage.py
+++ b/fakes/stage.py
@@ -62,6 +62,7 @@
     def close(self) -> None:
         """Stop every task."""
         self.run(self._close())
+        self.run(self._loop.shutdown_asyncgens())
         self._loop.close()
 
     def mark(self, name: str) -> None:
