--- a/measure/control_work.py
+++ b/measure/control_work.py
@@ -191,7 +191,8 @@
 
     async def work() -> None:
         while waiting:
-            key = f'{prefix}-{waiting.pop()}' if prefix else ''
+            number = waiting.pop()
+            key = f'{prefix}-{number}' if prefix else ''
             status = await site.call(key, method)
             if status != 200:
                 raise RuntimeError(f'call answered {status}')
@@ -211,10 +212,10 @@
         await site.apply(make_configuration())
         await site.wait_for_answer('renewals')
         await call_many(site, 100, 'warm-up', 'POST')
+        names = (ENTRY, SERVICE)
         done = 0
-        for count in (200, 400, 800):
+        for count in (100, 200, 400):
             site.plan.table.reset()
-            names = (ENTRY, SERVICE)
             spent = await spend(
                 site,
                 names,
@@ -242,31 +243,31 @@
     ]
 
 
-async def stream_many(site: Site, tokens: int) -> None:
+async def stream_many(site: Site, streams: int, tokens: int) -> None:
     """Several streams of so many tokens, at once."""
-    await asyncio.gather(*(site.stream(tokens) for _ in range(CONCURRENCY)))
+    await asyncio.gather(*(site.stream(tokens) for _ in range(streams)))
 
 
-async def measure_tokens() -> list[Row]:
-    """Tokens relayed through entry daemon and agent."""
+async def measure_tokens(streams: int, pace: float, per: str) -> list[Row]:
+    """Tokens relayed through entry daemon and agent.
+
+    :param pace: seconds between two tokens of a stream.
+    """
     found: Readings = {ENTRY: [], ENGINE: []}
-    async with open_site(plan_engine()) as site:
+    async with open_site(plan_engine(pace=pace)) as site:
         published = await site.publish(size=4096, chunk_size=1024)
         await site.apply(make_configuration(manifest=published.digest))
         await site.wait_for_answer(MODEL)
-        await site.stream(2000)
-        for tokens in (500, 1000, 2000, 4000):
-            spent = await spend(
-                site,
-                (ENTRY, ENGINE),
-                functools.partial(stream_many, site, tokens),
-            )
+        await stream_many(site, streams, 20)
+        for tokens in (50, 100, 200):
+            work = functools.partial(stream_many, site, streams, tokens)
+            spent = await spend(site, (ENTRY, ENGINE), work)
             for name, seconds in spent.items():
-                found[name].append((tokens * CONCURRENCY, seconds))
+                found[name].append((tokens * streams, seconds))
     return [
         make_slope_row(
             'entry' if name == ENTRY else 'agent',
-            'token relayed',
+            per,
             'processor seconds',
             points,
         )
@@ -274,6 +275,16 @@
     ]
 
 
+async def measure_paced_tokens() -> list[Row]:
+    """Tokens one by one, as engines make them."""
+    return await measure_tokens(40, 0.02, 'token relayed one by one')
+
+
+async def measure_dense_tokens() -> list[Row]:
+    """Tokens as fast as they can be relayed."""
+    return await measure_tokens(CONCURRENCY, 0, 'token relayed in bursts')
+
+
 def make_attempt(number: int, generation: Generation) -> Attempt:
     """An attempt at the plain service."""
     return Attempt(
@@ -298,7 +309,7 @@
     """Refusals of a gate whose only permit is taken."""
     points: list[tuple[float, float]] = []
     size = 0
-    async with open_site(plan_service(latency=30)) as site:
+    async with open_site(plan_service(latency=12)) as site:
         generation = await site.apply(make_configuration(warm=1))
         await site.wait_for_generation(SERVICE, generation)
         url = f'http://{site.plan.listen[SERVICE].peers}/attempts'
@@ -316,7 +327,7 @@
         holder = asyncio.create_task(start(0))
         await asyncio.sleep(1)
         number = 1
-        for count in (200, 400, 800):
+        for count in (200, 400, 600):
 
             async def refuse(first: int = number, n: int = count) -> None:
                 nonlocal size
@@ -341,6 +352,7 @@
         measure_changes,
         measure_claims,
         measure_refusals,
-        measure_tokens,
+        measure_paced_tokens,
+        measure_dense_tokens,
     ):
         yield from asyncio.run(measure())
