Hold running daemons to the ground rules, and a trace to every hop

Conclusion: tests read /proc of real daemons under load; a collector sees one trace from the caller through entry daemon and agent to the engine.

--- a/measure/control_site.py
+++ b/measure/control_site.py
@@ -66,11 +66,16 @@
     """
 
     def __init__(
-        self, *, targets: tuple[TargetPlan, ...], stand_ins: 'StandInAgents'
+        self,
+        *,
+        targets: tuple[TargetPlan, ...],
+        stand_ins: 'StandInAgents',
+        collector: bool = False,
     ) -> None:
         super().__init__(
             entries=(EntryPlan(name=ENTRY, failure_domain=PLACE),),
             targets=targets,
+            collector=collector,
         )
         self.stand_ins = stand_ins
         self.table = ByteCounter()
@@ -306,12 +311,14 @@
 
 @contextlib.asynccontextmanager
 async def open_site(
-    *targets: TargetPlan, stand_ins: int = 0
+    *targets: TargetPlan, stand_ins: int = 0, collector: bool = False
 ) -> AsyncIterator[Site]:
     """A running site; every process of it ends with the block."""
     agents = StandInAgents()
     await agents.start(stand_ins)
-    plan = CountedBlueprint(targets=targets, stand_ins=agents)
+    plan = CountedBlueprint(
+        targets=targets, stand_ins=agents, collector=collector
+    )
     await plan.start_counters()
     connector = aiohttp.TCPConnector(limit=0)
     headers = {'Authorization': f'Bearer {API_KEY}'}
--- /dev/null
+++ b/tests/test_proc.py
@@ -0,0 +1,86 @@
+"""What running daemons may hold, read from their own /proc entries."""
+
+import asyncio
+from collections.abc import Iterable
+
+import pytest
+
+from measure import proc
+from measure.control_memory import read_idle
+from measure.control_site import (
+    ENGINE,
+    ENTRY,
+    SERVICE,
+    Site,
+    make_configuration,
+    open_site,
+    plan_engine,
+    plan_service,
+)
+
+BUDGET_BYTES = 64_000_000
+TRACE = '0af7651916cd43dd8448eb211c80319c'
+TRACE_SECONDS = 15
+DAEMONS = (ENTRY, ENGINE, SERVICE)
+
+pytestmark = pytest.mark.processes
+
+
+async def deploy_model(site: Site) -> None:
+    """Land a small model and let callers in."""
+    published = await site.publish(size=4096, chunk_size=1024)
+    await site.apply(make_configuration(manifest=published.digest))
+    await site.wait_for_answer('drafts')
+    await site.wait_for_answer('renewals')
+
+
+def list_forbidden(pid: int) -> Iterable[str]:
+    """What the ground rules rule out."""
+    yield from (
+        link for link in proc.read_descriptors(pid) if 'io_uring' in link
+    )
+    yield from (f'child {child}' for child in proc.read_children(pid))
+    yield from proc.read_shared_mappings(pid)
+
+
+class TestDaemonProcess:
+    """A daemon under load."""
+
+    async def test_holds_nothing_that_is_ruled_out(self):
+        """No io_uring, no child process, no shared memory, under load."""
+        async with open_site(plan_engine(pace=0.01), plan_service()) as site:
+            await deploy_model(site)
+            streams = [asyncio.create_task(site.stream(300)) for _ in range(20)]
+            await asyncio.gather(*(site.call(f'k{n}') for n in range(20)))
+            pids = [site.fleet.children[name].pid for name in DAEMONS]
+            found = [line for pid in pids for line in list_forbidden(pid)]
+            await asyncio.gather(*streams)
+        assert found == []
+
+    async def test_idle_memory_is_within_the_budget(self):
+        """Either role, idle with a configuration, is under 64 MB."""
+        rows = await read_idle()
+        assert all(row['value'] < BUDGET_BYTES for row in rows), rows
+
+
+class TestTrace:
+    """One request, seen by the collector."""
+
+    async def test_one_trace_crosses_every_hop(self):
+        """The caller's trace goes on through entry, agent and engine."""
+        async with open_site(plan_engine(), collector=True) as site:
+            published = await site.publish(size=4096, chunk_size=1024)
+            await site.apply(make_configuration(manifest=published.digest))
+            await site.wait_for_answer('drafts')
+            context = f'00-{TRACE}-b7ad6b7169203331-01'
+            site.session.headers['traceparent'] = context
+            await site.stream(5)
+            url = f'http://{site.plan.collector}/traces'
+            wanted = {'ragwortcourse-entry', 'ragwortcourse-agent', 'engine'}
+            services: set[str] = set()
+            async with asyncio.timeout(TRACE_SECONDS):
+                while not wanted <= services:
+                    await asyncio.sleep(0.2)
+                    async with site.session.get(url) as answer:
+                        spans = (await answer.json()).get(TRACE, [])
+                    services = {span['service'] for span in spans}
