--- a/measure/control_site.py
+++ b/measure/control_site.py
@@ -131,6 +131,22 @@
             )
             self.counters.append(counter)
 
+    def list_silent(self, count: int) -> None:
+        """Put hosts on the list at which nobody listens."""
+        self.records.extend(
+            HostRecord(
+                host=HostName(f'host-silent-{number}'),
+                role=HostRole.AGENT,
+                daemon=DaemonId(f'agent-silent-{number}'),
+                address='127.0.0.1:1',
+                failure_domain=PLACE,
+                region=REGION,
+                target=TargetName(f'target-silent-{number}'),
+                deployment=DeploymentName('deployment-silent'),
+            )
+            for number in range(count)
+        )
+
     async def stop(self) -> None:
         """Answer no more."""
         for counter in self.counters:
@@ -311,11 +327,15 @@
 
 @contextlib.asynccontextmanager
 async def open_site(
-    *targets: TargetPlan, stand_ins: int = 0, collector: bool = False
+    *targets: TargetPlan,
+    stand_ins: int = 0,
+    silent: int = 0,
+    collector: bool = False,
 ) -> AsyncIterator[Site]:
     """A running site; every process of it ends with the block."""
     agents = StandInAgents()
     await agents.start(stand_ins)
+    agents.list_silent(silent)
     plan = CountedBlueprint(
         targets=targets, stand_ins=agents, collector=collector
     )
