Require each hop's span to be the child of the one before

Cause: the caller's header is relayed to the engine, so the test passed with the agent's own injection taken out. Conclusion: the chain engine, agent, entry daemon, caller is followed by parent ids; seen to fail without the injection.

--- a/tests/test_proc.py
+++ b/tests/test_proc.py
@@ -20,6 +20,8 @@
 
 BUDGET_BYTES = 64_000_000
 TRACE = '0af7651916cd43dd8448eb211c80319c'
+CALLER_SPAN = 'b7ad6b7169203331'
+HOPS = ['engine', 'ragwortcourse-agent', 'ragwortcourse-entry']
 TRACE_SECONDS = 15
 DAEMONS = (ENTRY, ENGINE, SERVICE)
 
@@ -43,6 +45,17 @@
     yield from proc.read_shared_mappings(pid)
 
 
+def list_hops(spans: list[dict[str, str]]) -> list[str]:
+    """Services on the way from the engine's span up to the caller's."""
+    by_id = {span['span']: span for span in spans if span['span']}
+    hops = [span for span in spans if span['service'] == 'engine'][:1]
+    while hops and hops[-1]['parent'] in by_id:
+        hops.append(by_id[hops[-1]['parent']])
+    if not hops or hops[-1]['parent'] != CALLER_SPAN:
+        return []
+    return list(dict.fromkeys(hop['service'] for hop in hops))
+
+
 class TestDaemonProcess:
     """A daemon under load."""
 
@@ -67,20 +80,19 @@
     """One request, seen by the collector."""
 
     async def test_one_trace_crosses_every_hop(self):
-        """The caller's trace goes on through entry, agent and engine."""
+        """Each hop's span is the child of the one before it."""
         async with open_site(plan_engine(), collector=True) as site:
             published = await site.publish(size=4096, chunk_size=1024)
             await site.apply(make_configuration(manifest=published.digest))
             await site.wait_for_answer('drafts')
-            context = f'00-{TRACE}-b7ad6b7169203331-01'
+            context = f'00-{TRACE}-{CALLER_SPAN}-01'
             site.session.headers['traceparent'] = context
             await site.stream(5)
             url = f'http://{site.plan.collector}/traces'
-            wanted = {'ragwortcourse-entry', 'ragwortcourse-agent', 'engine'}
-            services: set[str] = set()
             async with asyncio.timeout(TRACE_SECONDS):
-                while not wanted <= services:
-                    await asyncio.sleep(0.2)
+                while True:
                     async with site.session.get(url) as answer:
                         spans = (await answer.json()).get(TRACE, [])
-                    services = {span['service'] for span in spans}
+                    if list_hops(spans) == HOPS:
+                        return
+                    await asyncio.sleep(0.2)
