Warm targets that report no load no faster than they are said to

Cause: in a trial in virtual time a target that warms in 20 s and reports no load was given 2.67 times what it bore, since clean answers came faster than it warmed.

--- a/src/ragwortcourse/agent/warmup.py
+++ b/src/ragwortcourse/agent/warmup.py
@@ -15,6 +15,7 @@
 SLOW_ANSWERS: Final = 3
 LATENCY_SMOOTHING: Final = 0.05
 GROWTH_OF_REPORTING: Final = 2.0
+SHORTEST_WARM_SECONDS: Final = 0.001
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -25,7 +26,8 @@
     A clean answer given while the limit was in use raises it by its own
     reciprocal, so that a round of clean answers adds one permit. Any sign
     of a cold target puts it back to the cold limit at once. Where no load
-    is reported, slow answers in a row halve what was gained.
+    is reported, the limit also grows no faster than the configuration says
+    that the target warms, and slow answers in a row halve what was gained.
 
     :param read_limits: what the configuration allows now.
     """
@@ -40,6 +42,7 @@
         self._sign_at: float = 0
         self._latency: float | None = None
         self._slow_in_a_row = 0
+        self._used_since: float | None = None
 
     @property
     def instance(self) -> str | None:
@@ -65,6 +68,8 @@
         :param running: permits taken when it ended, itself included.
         """
         self._sign_at = read_clock()
+        if self._used_since is None:
+            self._used_since = read_clock()
         if self._is_slow(latency):
             self._slow_in_a_row += 1
             if self._slow_in_a_row >= SLOW_ANSWERS:
@@ -100,6 +105,7 @@
         """Go back to the cold limit until there is new evidence."""
         self._slow_in_a_row = 0
         self._latency = None
+        self._used_since = None
         if self._warmth:
             LOGGER.info('target is cold', extra={'reason': reason})
         self._warmth = 0
@@ -122,8 +128,8 @@
             self._latency = latency
             return False
         slow = latency > max(self._latency * SLOW_FACTOR, SLOW_FLOOR_SECONDS)
-        if not slow:
-            self._latency += LATENCY_SMOOTHING * (latency - self._latency)
+        # Slow answers count too, so that a lasting change becomes usual.
+        self._latency += LATENCY_SMOOTHING * (latency - self._latency)
         return slow
 
     def _read_growth(self) -> float:
@@ -132,7 +138,16 @@
 
     def _bound_warmth(self) -> None:
         limits = self._read_limits()
-        highest = limits.warm
-        if self._bearable is not None:
+        highest = float(limits.warm)
+        if self._bearable is None:
+            highest = min(highest, limits.cold + self._read_paced(limits))
+        else:
             highest = min(highest, self._bearable)
         self._warmth = max(min(self._warmth, highest - limits.cold), 0)
+
+    def _read_paced(self, limits: TargetLimits) -> float:
+        if self._used_since is None:
+            return 0
+        used = read_clock() - self._used_since
+        share = used / max(limits.warm_seconds, SHORTEST_WARM_SECONDS)
+        return share * (limits.warm - limits.cold)
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -1,15 +1,22 @@
 """Tests of :mod:`ragwortcourse.agent.warmup`."""
 
 import asyncio
+import random
 
 import pytest
 
+from fakes.agents import make_agent, make_attempt
+from fakes.engine_load import EngineLoad
+from fakes.memory_engine import MemoryEngine
+from ragwortcourse.agent.attempts import run_attempt
+from ragwortcourse.agent.lifecycle import watch_target
 from ragwortcourse.agent.warmup import WarmLimit
 from ragwortcourse.configuration.limits import TargetLimits
 from ragwortcourse.engines.engine import EngineSilent, EngineState
+from ragwortcourse.messages.attempt import AttemptAnswer
 
 pytestmark = pytest.mark.looptime
-LIMITS = TargetLimits(cold=2, warm=8)
+LIMITS = TargetLimits(cold=2, warm=8, warm_seconds=20)
 
 
 def make_state(bearable: int | None, **changes: object) -> EngineState:
@@ -23,7 +30,8 @@
     limit = WarmLimit(read_limits=lambda: LIMITS)
     limit.note_state(make_state(bearable))
     for _ in range(60):
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(0.5)
+        limit.note_state(make_state(bearable))
         limit.note_answer(0.01, limit.read())
     assert limit.read() == LIMITS.warm
     return limit
@@ -89,3 +97,39 @@
         for _ in range(60):
             limit.note_answer(0.01, 1)
         assert limit.read() == LIMITS.cold
+
+
+class TestWarmingTarget:
+    """A target whose work is more than it bears."""
+
+    @pytest.mark.parametrize('reports', [True, False])
+    async def test_fresh_target_is_never_pushed_past_what_it_bears(
+        self, reports
+    ):
+        """Under full load a fresh target gets what it bears, and warms."""
+        load = EngineLoad(
+            warm_after=20, reports=reports, latency=0.2, pace=0.02, dies_over=1
+        )
+        engine = MemoryEngine(load=load)
+        agent = make_agent(engine, limits=LIMITS)
+        watching = asyncio.create_task(watch_target(agent))
+        sending = [
+            asyncio.create_task(send_forever(agent, random.Random(seed)))
+            for seed in range(30)
+        ]
+        await asyncio.sleep(40)
+        assert load.peak <= 1
+        assert engine.deaths == 0
+        assert load.running == LIMITS.warm
+        for task in (watching, *sending):
+            task.cancel()
+
+
+async def send_forever(agent, rng: random.Random) -> None:
+    """Send one request after the other."""
+    while True:
+        outcome = await run_attempt(agent, make_attempt(time_left=5))
+        if isinstance(outcome, AttemptAnswer):
+            async for _chunk in outcome.body:
+                pass
+        await asyncio.sleep(rng.expovariate(1))
