Keep the order of failure domains the same for all chunks; wait for a live source

Impatient hosts passed by a source that had not got the chunk yet, and turning the order of failure domains with each chunk made each host wait for the latest one. Queues for an upload slot were taken for stalled links.

--- a/fakes/landings.py
+++ b/fakes/landings.py
@@ -90,6 +90,7 @@
     """Hosts that draw weights from one origin and from each other.
 
     :param places: name of each failure domain to its region.
+    :param alone: true where no host knows of another.
     """
 
     def __init__(
@@ -103,7 +104,9 @@
         checks_fencing: bool = True,
         seed: int = 1,
         requests_per_second: float = 0,
+        alone: bool = False,
     ) -> None:
+        self.alone = alone
         self.places = places
         self.chunk_memory = chunk_memory
         self.checks_fencing = checks_fencing
@@ -165,7 +168,7 @@
                 engine=engine.build(),
                 origin=self._build_origin(name),
                 chunk_port=ChunkPort(fetch=self._build_fetch(name)),
-                neighbours=lambda: tuple(self.peers),
+                neighbours=lambda: () if self.alone else tuple(self.peers),
                 table=table,
                 count_running=lambda *_: self.running.get(name, 0),
             ),
--- /dev/null
+++ b/measure/replicas.py
@@ -0,0 +1,153 @@
+"""Seconds until a version is on all hosts, and what that costs the links.
+
+The hosts' landing code runs unchanged in one process; links are stand-ins in
+virtual time. Chunks are small and links slow, in proportion.
+"""
+
+import asyncio
+import concurrent.futures
+import dataclasses
+import random
+from collections.abc import Iterator
+from typing import Final
+
+import looptime
+
+from fakes.landings import EXCHANGE_BYTES, LandingFleet
+from fakes.links import ORIGIN
+
+CHUNK_BYTES: Final = 65_536
+CHUNKS: Final = 600
+# A chunk takes a tenth of a second on a link.
+LINK_RATE: Final = 10 * CHUNK_BYTES
+MEMORY_CHUNKS: Final = 64
+LONGEST_SECONDS: Final = 5000
+WORKERS: Final = 3
+DAMAGE: Final = 0.001
+
+Figure = str | int | float | bool | None
+Row = dict[str, Figure]
+
+THREE: Final = {'a': 'region-1', 'b': 'region-2', 'c': 'region-3'}
+EIGHT: Final = {
+    f'domain-{number}': f'region-{number // 4 + 1}' for number in range(8)
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Case:
+    """One run.
+
+    :param line_share: rate of a line between regions, by a host's link.
+    """
+
+    name: str
+    hosts: int
+    places: dict[str, str]
+    chunks: int = CHUNKS
+    line_share: float = 1
+    alone: bool = False
+    damage: float = 0
+    killed: float = 0
+
+
+def list_cases() -> list[Case]:
+    """Every run, the long ones first."""
+    sizes = (48, 16, 8)
+    cases = [
+        Case(name='plain', hosts=96, places=EIGHT),
+        Case(name='corrupted', hosts=48, places=EIGHT, damage=DAMAGE),
+        Case(name='killed', hosts=48, places=EIGHT, killed=0.2),
+        Case(name='narrow line', hosts=48, places=EIGHT, line_share=0.5),
+    ]
+    for places in (EIGHT, THREE):
+        cases += [
+            Case(name='plain', hosts=hosts, places=places) for hosts in sizes
+        ]
+    cases += [
+        Case(name='baseline', hosts=hosts, places=EIGHT, alone=True, chunks=200)
+        for hosts in sizes
+    ]
+    return cases
+
+
+async def run_case(case: Case) -> Row:
+    """One run in the virtual time of the running loop."""
+    fleet = LandingFleet(
+        hosts=case.hosts,
+        places=case.places,
+        rate=LINK_RATE,
+        line_rate=LINK_RATE * case.line_share,
+        chunk_memory=MEMORY_CHUNKS * CHUNK_BYTES,
+        alone=case.alone,
+    )
+    fleet.network.damage = case.damage
+    size = case.chunks * CHUNK_BYTES
+    content = random.Random(1).randbytes(size)
+    fleet.deploy('v1', fleet.publish('v1', content, CHUNK_BYTES))
+    floor = size / LINK_RATE / min(case.line_share, 1)
+    fleet.start()
+    killing = asyncio.create_task(kill_some(fleet, case, floor / 2))
+    seconds = await fleet.wait_for('v1', LONGEST_SECONDS)
+    await killing
+    row = describe_run(fleet, case, seconds, floor)
+    await fleet.stop()
+    return row
+
+
+async def kill_some(fleet: LandingFleet, case: Case, after: float) -> None:
+    """Let a part of the hosts die half-way."""
+    if case.killed:
+        await asyncio.sleep(after)
+        number = round(case.hosts * case.killed)
+        await fleet.kill(*random.Random(2).sample(list(fleet.hosts), number))
+
+
+def describe_run(
+    fleet: LandingFleet, case: Case, seconds: float, floor: float
+) -> Row:
+    """The figures of one run."""
+    size = case.chunks * CHUNK_BYTES
+    network = fleet.network
+    links = [
+        network.up[name].carried + network.down[name].carried
+        for name in fleet.hosts
+    ]
+    exchanges = sum(host.exchanges for host in fleet.hosts.values())
+    corrupted = sum(
+        transfer.counts.corrupted
+        for host in fleet.hosts.values()
+        for transfer in host.landing.exchange.transfers.values()
+    )
+    return {
+        'measure': 'replicas',
+        'case': case.name,
+        'hosts': case.hosts,
+        'failure_domains': len(case.places),
+        'regions': len(set(case.places.values())),
+        'model_bytes': size,
+        'seconds': round(seconds, 2),
+        'floor_seconds': round(floor, 2),
+        'ratio': round(seconds / floor, 3),
+        'origin_copies': round(network.up[ORIGIN].carried / size, 3),
+        'max_link_copies': round(max(links) / size, 4),
+        'corrupted': corrupted,
+        'control_bytes_per_host': round(
+            exchanges * EXCHANGE_BYTES / case.hosts
+        ),
+    }
+
+
+def run_alone(case: Case) -> Row:
+    """One run in a loop of its own."""
+    loop = looptime.new_event_loop()
+    try:
+        return loop.run_until_complete(run_case(case))
+    finally:
+        loop.close()
+
+
+def run() -> Iterator[Row]:
+    """Every run's figures."""
+    with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
+        yield from pool.map(run_alone, list_cases())
--- a/src/ragwortcourse/weights/draw.py
+++ b/src/ragwortcourse/weights/draw.py
@@ -35,6 +35,8 @@
 # Hosts without a live source turn to the origin one after the other.
 ORIGIN_TURN_SECONDS: Final = 3.0
 LONGEST_TURN_SECONDS: Final = 60.0
+# After so many waits in vain, others than the next source are asked too.
+PATIENCE: Final = 4
 FIRST_RETRY_SECONDS: Final = 0.2
 LONGEST_RETRY_SECONDS: Final = 5.0
 
@@ -43,6 +45,7 @@
 class DrawState:
     """How the search for one chunk stands.
 
+    :param laters: times that a source asked for patience.
     :param gone: a source held the chunk and let it go.
     :param waiting: a source lives and expects to get the chunk.
     """
@@ -51,6 +54,7 @@
     index: int
     started_at: float
     attempts: int = 0
+    laters: int = 0
     gone: bool = False
     waiting: bool = False
 
@@ -69,16 +73,31 @@
     state.gone = False
     state.waiting = False
     sources = state.transfer.tree.list_sources(landing.own, state.index)
-    for source in sources:
-        content = await _try_peer(landing, state, source)
-        if content is not None:
-            return content
+    content = await _try_sources(landing, state, sources)
+    if content is not None or _is_patient(state):
+        return content
     content = await _try_others(landing, state, sources)
     if content is None and _may_ask_origin(state, len(sources)):
         content = await _try_origin(landing, state)
     return content
 
 
+async def _try_sources(
+    landing: Landing, state: DrawState, sources: tuple[PeerAddress, ...]
+) -> bytes | None:
+    """Ask up the tree, past a source only where that gives no hope."""
+    for source in sources:
+        content = await _try_peer(landing, state, source)
+        if content is not None or _is_patient(state):
+            return content
+    return None
+
+
+def _is_patient(state: DrawState) -> bool:
+    """Tell whether a source lives that is worth waiting for."""
+    return state.waiting and state.laters < PATIENCE
+
+
 async def _try_others(
     landing: Landing, state: DrawState, sources: tuple[PeerAddress, ...]
 ) -> bytes | None:
@@ -128,7 +147,9 @@
         return None
     landing.exchange.health.note_answer(source.daemon)
     state.gone = state.gone or isinstance(outcome, ChunkGone | ChunkRefused)
-    state.waiting = state.waiting or isinstance(outcome, ChunkLater)
+    if isinstance(outcome, ChunkLater):
+        state.waiting = True
+        state.laters += 1
     return None
 
 
--- a/src/ragwortcourse/weights/serving.py
+++ b/src/ragwortcourse/weights/serving.py
@@ -38,17 +38,33 @@
         gone = transfer.held.has_let_go(request.index)
         yield ChunkGone() if gone else ChunkLater()
         return
-    if not _take_budget(transfer, request, len(content)):
-        yield ChunkRefused()
+    uploads = landing.exchange.uploads
+    rank = _rank(landing, transfer, request)
+    if not await uploads.acquire(rank, deadline):
+        yield ChunkLater()
         return
-    await landing.exchange.pace_up.wait(len(content))
-    async with landing.exchange.uploads.hold(request.index):
-        yield ChunkContent(content=content)
+    try:
+        if _take_budget(transfer, request, len(content)):
+            await landing.exchange.pace_up.wait(len(content))
+            yield ChunkContent(content=content)
+        else:
+            yield ChunkRefused()
+    finally:
+        uploads.release()
+
+
+def _rank(
+    landing: Landing, transfer: Transfer, request: ChunkRequest
+) -> tuple[bool, int]:
+    """Other failure domains first, as all their hosts wait for the one."""
+    domain = transfer.tree.find_domain(request.sender)
+    return domain == landing.own.failure_domain, request.index
 
 
 def _take_budget(transfer: Transfer, request: ChunkRequest, size: int) -> bool:
     """Tell whether the host's link may carry the answer, and count it."""
     if request.index == MANIFEST_INDEX:
+        transfer.counts.sent += size
         return True
     whole = transfer.require_manifest().size
     if not transfer.counts.may_send(size, whole):
--- a/src/ragwortcourse/weights/transfer.py
+++ b/src/ragwortcourse/weights/transfer.py
@@ -53,6 +53,7 @@
         """Begin with a verified manifest."""
         self.manifest = manifest
         self._manifest_content = content
+        self.counts.overhead = len(content)
         self._manifest_arrival.set()
 
     def measure(self, index: int) -> int:
--- a/src/ragwortcourse/weights/transfer_counts.py
+++ b/src/ragwortcourse/weights/transfer_counts.py
@@ -10,11 +10,15 @@
 
 
 class TransferCounts:
-    """What came by kind of source, what was wasted, what was sent."""
+    """What came by kind of source, what was wasted, what was sent.
+
+    The manifest that came is the overhead.
+    """
 
     def __init__(self) -> None:
         self.received: Counter[str] = Counter()
         self.wasted = 0
+        self.overhead = 0
         self.sent = 0
         self.corrupted = 0
         self.rate = RateMeter()
@@ -39,5 +43,5 @@
 
         :param whole: bytes of the version.
         """
-        down = max(whole, self.verified) + self.wasted
+        down = max(whole, self.verified) + self.wasted + self.overhead
         return down + self.sent + size <= LINK_COPIES * whole
--- a/src/ragwortcourse/weights/tree.py
+++ b/src/ragwortcourse/weights/tree.py
@@ -7,11 +7,11 @@
 """
 
 import dataclasses
+import functools
 import itertools
 import math
 from collections import defaultdict
-from collections.abc import Sequence
-from typing import Final, TypeVar
+from typing import Final
 
 from ragwortcourse.identifiers import (
     DaemonId,
@@ -22,31 +22,41 @@
 
 FANOUT: Final = 2
 
-_Item = TypeVar('_Item')
 _Group = tuple[PeerAddress, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True)
 class ChunkTree:
-    """The members of one transfer, by region and failure domain.
+    """The members of one transfer, by failure domain.
 
-    :param regions: the origin's region first.
+    The order of failure domains is the same for all chunks: were it to turn,
+    each host would wait now and then for the latest of all failure domains,
+    and hold up its own receivers.
+
+    :param groups: failure domains of the origin's region first.
     """
 
-    regions: tuple[tuple[_Group, ...], ...]
+    groups: tuple[_Group, ...]
+
+    @functools.cached_property
+    def _domains(self) -> dict[DaemonId, FailureDomainName]:
+        return {each.daemon: each.failure_domain for each in self.members}
 
-    @property
+    @functools.cached_property
     def members(self) -> tuple[PeerAddress, ...]:
         """Everyone who takes part."""
-        groups = itertools.chain.from_iterable(self.regions)
-        return tuple(itertools.chain.from_iterable(groups))
+        return tuple(itertools.chain.from_iterable(self.groups))
+
+    def find_domain(self, daemon: DaemonId) -> FailureDomainName | None:
+        """Failure domain of a member."""
+        return self._domains.get(daemon)
 
     def list_sources(
         self, own: PeerAddress, index: int
     ) -> tuple[PeerAddress, ...]:
         """Whom to ask for a chunk, nearest first; none for the root."""
         heads: list[PeerAddress] = []
-        for group in self._order_groups(index):
+        for group in self.groups:
             if own in group:
                 heads.reverse()
                 return (*_list_ancestors(group, own, index), *heads)
@@ -58,8 +68,8 @@
         self, own: PeerAddress, index: int
     ) -> frozenset[DaemonId]:
         """Who will ask the own host for a chunk."""
-        groups = self._order_groups(index)
-        for group, following in zip(groups, (*groups[1:], None), strict=True):
+        followings = (*self.groups[1:], None)
+        for group, following in zip(self.groups, followings, strict=True):
             if own in group:
                 children = _list_offspring(group, own, index)
                 if following and own == _find_head(group, index):
@@ -67,13 +77,6 @@
                 return frozenset(children)
         return frozenset()
 
-    def _order_groups(self, index: int) -> list[_Group]:
-        first, *others = self.regions or ((),)
-        widest = max((len(group) for group in first), default=1)
-        turn = index // widest
-        regions = [first, *_rotate(others, turn)]
-        return [group for region in regions for group in _rotate(region, turn)]
-
 
 def build_tree(
     *, members: tuple[PeerAddress, ...], origin_region: RegionName
@@ -85,22 +88,13 @@
     for member in members:
         key = (member.region, member.failure_domain)
         domains[key][member.daemon] = member
-    regions: dict[RegionName, list[_Group]] = defaultdict(list)
-    for (region, _), group in sorted(domains.items()):
-        ordered = sorted(group.values(), key=lambda peer: peer.daemon)
-        regions[region].append(tuple(ordered))
-    names = sorted(regions, key=lambda name: (name != origin_region, name))
-    return ChunkTree(regions=tuple(tuple(regions[name]) for name in names))
-
-
-def _rotate(sequence: Sequence[_Item], turn: int) -> list[_Item]:
-    if not sequence:
-        return []
-    start = turn % len(sequence)
-    return [
-        sequence[(start + place) % len(sequence)]
-        for place in range(len(sequence))
-    ]
+    keys = sorted(domains, key=lambda key: (key[0] != origin_region, *key))
+    return ChunkTree(
+        groups=tuple(
+            tuple(sorted(domains[key].values(), key=lambda peer: peer.daemon))
+            for key in keys
+        )
+    )
 
 
 def _choose_step(size: int) -> int:
--- a/src/ragwortcourse/weights/uploads.py
+++ b/src/ragwortcourse/weights/uploads.py
@@ -1,51 +1,48 @@
 """Sending chunks to peers: how many at once, and how much of a version."""
 
 import asyncio
-import contextlib
 import heapq
 import itertools
-from collections.abc import AsyncIterator
 from typing import Final
 
 UPLOADS_AT_ONCE: Final = 4
 
-_Waiting = tuple[int, int, asyncio.Future[None]]
+_Rank = tuple[bool, int]
+_Waiting = tuple[_Rank, int, asyncio.Future[None]]
 
 
 class UploadSlots:
-    """Lets a few uploads run at once, the lowest chunk first."""
+    """Lets a few uploads run at once, in order of rank."""
 
     def __init__(self, *, limit: int = UPLOADS_AT_ONCE) -> None:
         self._free = limit
         self._ticket = itertools.count()
         self._waiting: list[_Waiting] = []
 
-    @contextlib.asynccontextmanager
-    async def hold(self, index: int) -> AsyncIterator[None]:
-        """Hold a slot for the time of one upload.
+    async def acquire(self, rank: _Rank, deadline: float) -> bool:
+        """Take a slot; tell whether there was one in time.
 
-        :param index: chunk that is sent.
+        :param rank: the lowest goes first.
+        :param deadline: monotonic seconds.
         """
-        await self._acquire(index)
-        try:
-            yield
-        finally:
-            self._release()
-
-    async def _acquire(self, index: int) -> None:
         if self._free:
             self._free -= 1
-            return
+            return True
         turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        heapq.heappush(self._waiting, (index, next(self._ticket), turn))
+        heapq.heappush(self._waiting, (rank, next(self._ticket), turn))
         try:
-            await turn
-        except asyncio.CancelledError:
+            async with asyncio.timeout_at(deadline):
+                await turn
+        except (TimeoutError, asyncio.CancelledError) as error:
             if turn.done() and not turn.cancelled():
-                self._release()
+                self.release()
+            if isinstance(error, TimeoutError):
+                return False
             raise
+        return True
 
-    def _release(self) -> None:
+    def release(self) -> None:
+        """Give a slot back."""
         while self._waiting:
             turn = heapq.heappop(self._waiting)[2]
             if not turn.done():
