--- a/src/ragwortcourse/agent/run.py
+++ b/src/ragwortcourse/agent/run.py
@@ -4,6 +4,7 @@
 
 from ragwortcourse.agent.agent import Agent
 from ragwortcourse.agent.attempt_record import AttemptRecord
+from ragwortcourse.agent.engaged import VersionKey
 from ragwortcourse.agent.suspects import UnderWay
 from ragwortcourse.agent.ticket import Ticket
 from ragwortcourse.clock import read_clock
@@ -13,7 +14,7 @@
 from ragwortcourse.messages.attempt_report import AttemptState
 
 OVERLOAD_STATUSES = frozenset((429, 503))
-SERVER_ERROR = 500
+BAD = 400
 
 
 class Run:
@@ -40,6 +41,7 @@
         self._instance = agent.limit.instance
         record.state = AttemptState.RUNNING
         record.version = attempt.version
+        agent.engaged.enter(list_version(attempt))
         agent.suspects.begin(
             UnderWay(
                 attempt=attempt.attempt,
@@ -79,13 +81,14 @@
             return
         self.ended = True
         agent = self.agent
-        status = self.record.status or SERVER_ERROR
-        clean = state is AttemptState.COMPLETED and status < SERVER_ERROR
+        agent.engaged.leave(list_version(self.attempt))
+        completed = state is AttemptState.COMPLETED
+        good = completed and (self.record.status or BAD) < BAD
         self.record.state = state
         self.record.suspect = agent.suspects.is_accused(self.attempt.attempt)
-        agent.suspects.end(self.attempt.attempt, clean=clean)
+        agent.suspects.end(self.attempt.attempt, clean=completed)
         agent.version_use.end(self.attempt)
-        if clean:
+        if good:
             agent.limit.note_answer(self.latency, agent.gate.running)
         agent.gate.release(self._ticket, read_clock() - self._started_at)
 
@@ -103,3 +106,8 @@
         if isinstance(state, EngineSilent):
             return True
         return state.instance != self._instance
+
+
+def list_version(attempt: Attempt) -> VersionKey:
+    """What the attempt needs of its target: model, version, adapter."""
+    return attempt.model, attempt.version, attempt.adapter
--- /dev/null
+++ b/src/ragwortcourse/cli/publish_command.py
@@ -0,0 +1,103 @@
+"""The command that puts weights at the origin."""
+
+import asyncio
+import pathlib
+
+import aiohttp
+import click
+import msgspec
+
+from ragwortcourse.cli.exit_code import ExitCode
+from ragwortcourse.cli.output import (
+    Failure,
+    accept_json,
+    print_json,
+    report_failure,
+)
+from ragwortcourse.identifiers import ModelName, Sha256Hex, VersionName
+from ragwortcourse.messages.outcome import OutcomeKind
+from ragwortcourse.platform.http_origin import build_http_writer
+from ragwortcourse.platform.origin import OriginFailed
+from ragwortcourse.weights.publication import Published, publish_weights
+
+
+class PublishReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What ``publish --json`` shows.
+
+    :param manifest_sha256: what a deployment names.
+    :param size: bytes of the whole.
+    """
+
+    model: ModelName
+    version: VersionName
+    manifest_sha256: Sha256Hex
+    size: int
+    chunks: int
+
+
+@click.command()
+@click.argument('path', type=click.Path(path_type=pathlib.Path, exists=True))
+@click.option('--model', required=True, help='Name of the model.')
+@click.option('--version', required=True, help='Name of the version.')
+@click.option(
+    '--origin',
+    required=True,
+    envvar='RAGWORTCOURSE_ORIGIN',
+    help='Base URL of the origin of weights.',
+)
+@accept_json
+def publish(
+    *,
+    path: pathlib.Path,
+    model: str,
+    version: str,
+    origin: str,
+    as_json: bool,
+) -> None:
+    """Put the weights in a file or directory at the origin.
+
+    Prints the digest that a deployment names as manifest_sha256.
+
+    Exit code 0: there whole. 5: the origin failed; publishing again is
+    harmless.
+
+    Example: ragwortcourse publish weights.bin --model drafts --version 7
+    --origin http://10.0.0.2:9000/origin
+    """
+    outcome = asyncio.run(
+        publish_path(
+            path,
+            ModelName(model),
+            VersionName(version),
+            origin.rstrip('/'),
+        )
+    )
+    if isinstance(outcome, OriginFailed):
+        failure = Failure(
+            code='origin_failed',
+            message=outcome.detail,
+            outcome=OutcomeKind.UNKNOWN,
+        )
+        raise report_failure(failure, ExitCode.UNKNOWN, as_json=as_json)
+    report = PublishReport(
+        model=outcome.manifest.model,
+        version=outcome.manifest.version,
+        manifest_sha256=outcome.digest,
+        size=outcome.manifest.size,
+        chunks=len(outcome.manifest.chunks),
+    )
+    if as_json:
+        print_json(report)
+    else:
+        click.echo(f'manifest_sha256 = "{report.manifest_sha256}"')
+
+
+async def publish_path(
+    path: pathlib.Path, model: ModelName, version: VersionName, origin: str
+) -> Published | OriginFailed:
+    """Publish a file or directory to the origin behind a base URL."""
+    async with aiohttp.ClientSession() as session:
+        writer = build_http_writer(session=session, base_url=origin)
+        return await publish_weights(
+            writer=writer, path=path, model=model, version=version
+        )
