--- a/src/ragwortcourse/weights/tree.py
+++ b/src/ragwortcourse/weights/tree.py
@@ -38,10 +38,6 @@
 
     groups: tuple[_Group, ...]
 
-    @functools.cached_property
-    def _domains(self) -> dict[DaemonId, FailureDomainName]:
-        return {each.daemon: each.failure_domain for each in self.members}
-
     @functools.cached_property
     def members(self) -> tuple[PeerAddress, ...]:
         """Everyone who takes part."""
@@ -77,6 +73,10 @@
                 return frozenset(children)
         return frozenset()
 
+    @functools.cached_property
+    def _domains(self) -> dict[DaemonId, FailureDomainName]:
+        return {each.daemon: each.failure_domain for each in self.members}
+
 
 def build_tree(
     *, members: tuple[PeerAddress, ...], origin_region: RegionName
