Keep targets that answer through a short, empty or missing list

The list of hosts lags and may lose lines: a list without hosts is taken for a failure, and a host that vanished from it stays as long as its target answers and isn't leaving. Sorting the list on each heartbeat cost time for each of 2,300 targets; it is sorted once a change, and the subset is chosen anew only when list or configuration changed.

--- a/src/ragwortcourse/membership/roster.py
+++ b/src/ragwortcourse/membership/roster.py
@@ -1,32 +1,29 @@
 """Every daemon heard of, from settings, the platform's list and peers."""
 
+from typing import Final
+
 from ragwortcourse.identifiers import DaemonId, TargetName
 from ragwortcourse.membership.listed_target import ListedTarget, read_target
 from ragwortcourse.platform.hosts import HostRecord, HostRole
 from ragwortcourse.settings import Settings
 
+# Entry daemons remembered that no list and no settings name.
+HEARD_LIMIT: Final = 512
+
 
 class Roster:
     """Hosts as settings and the platform's list name them.
 
-    The list is a hint: hosts that it no longer names stay known while they
-    answer, since the list lags and can be away.
+    :ivar revision: grows with each change of what the list says.
     """
 
     def __init__(self, *, settings: Settings) -> None:
         self._own = settings.daemon
         self._known = {record.daemon: record for record in settings.known}
-        self._listed: dict[DaemonId, HostRecord] = {}
         self._heard: dict[DaemonId, str] = {}
-        self._agents = self._merge_agents()
-
-    @property
-    def records(self) -> tuple[HostRecord, ...]:
-        """Every other daemon; the list goes before the settings."""
-        merged = self._known | self._listed
-        return tuple(
-            record for daemon, record in merged.items() if daemon != self._own
-        )
+        self.revision = 0
+        self.listed: tuple[HostRecord, ...] = ()
+        self._sort_records({})
 
     @property
     def agents(self) -> tuple[ListedTarget, ...]:
@@ -36,14 +33,12 @@
     @property
     def entries(self) -> tuple[HostRecord, ...]:
         """Every other entry daemon that has a record."""
-        return tuple(
-            record for record in self.records if record.role is HostRole.ENTRY
-        )
+        return self._entries
 
     @property
     def peers(self) -> dict[DaemonId, str]:
         """Address of every other entry daemon, those only heard included."""
-        recorded = {record.daemon: record.address for record in self.entries}
+        recorded = {record.daemon: record.address for record in self._entries}
         return self._heard | recorded
 
     def is_leaving(self, target: TargetName) -> bool:
@@ -53,25 +48,35 @@
 
     def replace_listed(self, records: tuple[HostRecord, ...]) -> bool:
         """Take the platform's list; say whether it differs from the last."""
-        listed = {record.daemon: record for record in records}
-        if listed == self._listed:
+        if records == self.listed:
             return False
-        self._listed = listed
-        self._agents = self._merge_agents()
+        self.listed = records
+        self.revision += 1
+        self._sort_records({record.daemon: record for record in records})
         return True
 
     def hear(self, daemon: DaemonId, address: str) -> None:
         """Remember the address of an entry daemon that spoke."""
-        if daemon != self._own:
-            self._heard[daemon] = address
+        if daemon == self._own:
+            return
+        self._heard[daemon] = address
+        if len(self._heard) > HEARD_LIMIT:
+            self._heard.pop(next(iter(self._heard)))
 
-    def _merge_agents(self) -> dict[TargetName, ListedTarget]:
-        targets: dict[TargetName, ListedTarget] = {}
-        for record in self.records:
-            listed = read_target(record)
-            if listed is None:
+    def _sort_records(self, listed: dict[DaemonId, HostRecord]) -> None:
+        """Sort by role; the list goes before the settings."""
+        merged = self._known | listed
+        merged.pop(self._own, None)
+        self._entries = tuple(
+            record
+            for record in merged.values()
+            if record.role is HostRole.ENTRY
+        )
+        self._agents: dict[TargetName, ListedTarget] = {}
+        for record in merged.values():
+            agent = read_target(record)
+            if agent is None:
                 continue
-            before = targets.get(listed.target)
+            before = self._agents.get(agent.target)
             if before is None or before.leaving:
-                targets[listed.target] = listed
-        return targets
+                self._agents[agent.target] = agent
--- a/src/ragwortcourse/membership/watch.py
+++ b/src/ragwortcourse/membership/watch.py
@@ -16,7 +16,7 @@
     select_subset,
 )
 from ragwortcourse.membership.target_record import TargetRecord
-from ragwortcourse.platform.hosts import HostsUnavailable
+from ragwortcourse.platform.hosts import HostRecord, HostsUnavailable
 
 LOGGER = logging.getLogger(__name__)
 METER = metrics.get_meter(__name__)
@@ -30,11 +30,15 @@
 async def watch_targets(membership: Membership) -> None:
     """Keep the directory true to what can be seen, forever."""
     tasks: dict[TargetName, asyncio.Task[None]] = {}
+    applied = None
     try:
         while True:
             revision = membership.holder.revision
             await read_list(membership)
-            apply_subset(membership, tasks)
+            seen = membership.roster.revision, membership.holder.revision
+            if seen != applied:
+                apply_subset(membership, tasks)
+                applied = seen
             await _wait_for_list(membership, revision)
     finally:
         await _end_watching(membership, tasks)
@@ -58,12 +62,37 @@
     if isinstance(outcome, HostsUnavailable):
         LIST_FAILED.add(1)
         return
-    if membership.roster.replace_listed(outcome.records):
+    if not outcome.records and membership.roster.listed:
+        # A list that has lost every host is wrong, or of no use.
+        LIST_FAILED.add(1)
+        return
+    kept = _keep_answering(membership, outcome.records)
+    if membership.roster.replace_listed(outcome.records + kept):
         LOGGER.info(
             'list of hosts changed', extra={'hosts': len(outcome.records)}
         )
 
 
+def _keep_answering(
+    membership: Membership, records: tuple[HostRecord, ...]
+) -> tuple[HostRecord, ...]:
+    """Hosts gone from the list whose targets still answer as ever."""
+    named = {record.target for record in records}
+    return tuple(
+        record
+        for record in membership.roster.listed
+        if record.target is not None
+        and record.target not in named
+        and _is_answering(membership.directory.find(record.target))
+    )
+
+
+def _is_answering(record: TargetRecord | None) -> bool:
+    if record is None or record.status is None:
+        return False
+    return not record.leaving
+
+
 def apply_subset(
     membership: Membership, tasks: dict[TargetName, asyncio.Task[None]]
 ) -> None:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,216 @@
+"""Watching of targets: subsets, signs, and a list that lags."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from fakes.faults import Fault
+from fakes.memory_control import ControlEntry, ControlFleet
+from ragwortcourse.identifiers import DaemonId, FailureDomainName
+from ragwortcourse.membership.heartbeats import (
+    HEARTBEAT_RATE,
+    MISSED_ALLOWED,
+    STATUS_PERIOD_SECONDS,
+)
+from ragwortcourse.membership.listed_target import ListedTarget
+from ragwortcourse.membership.signs import note_sign
+from ragwortcourse.membership.subset import Watcher, select_subset
+from ragwortcourse.membership.target_record import TargetRecord
+from ragwortcourse.messages.attempt import AttemptRefused
+from ragwortcourse.messages.outcome import NotRun
+from ragwortcourse.platform.hosts import HostState
+
+# The target: a few seconds after a target starts leaving, no new work.
+LEAVING_SECONDS = 3
+DEPLOYMENTS = ('llm', 'router', 'captions', 'desk', 'notes')
+
+
+def make_fleet(
+    domains: int, daemons: int, targets: int
+) -> tuple[list[Watcher], list[ListedTarget]]:
+    """Watchers and targets, spread evenly over failure domains."""
+    watchers = [
+        Watcher(
+            daemon=DaemonId(f'entry-{index}'),
+            failure_domain=FailureDomainName(f'fd-{index % domains}'),
+        )
+        for index in range(daemons)
+    ]
+    agents = [
+        ListedTarget(
+            target=f'target-{index}',
+            deployment=DEPLOYMENTS[index // domains % len(DEPLOYMENTS)],
+            failure_domain=FailureDomainName(f'fd-{index % domains}'),
+            region='lombardia',
+            address=f'target-{index}:1',
+            leaving=False,
+        )
+        for index in range(targets)
+    ]
+    return watchers, agents
+
+
+class TestSubset:
+    """Which targets a daemon watches."""
+
+    @pytest.mark.parametrize(
+        ('domains', 'daemons', 'targets'),
+        [(3, 7, 12), (3, 9, 10), (8, 80, 520), (1, 2, 5)],
+    )
+    def test_cover(self, domains: int, daemons: int, targets: int):
+        """Each target is informed by several daemons, also from elsewhere."""
+        watchers, agents = make_fleet(domains, daemons, targets)
+        counts = dict.fromkeys([agent.target for agent in agents], 0)
+        for watcher in watchers:
+            subset = select_subset(
+                watcher, tuple(watchers), tuple(agents), frozenset()
+            )
+            for target in subset.duties:
+                counts[target] += 1
+        assert min(counts.values()) >= 2
+        assert max(counts.values()) <= 4
+
+    def test_candidates(self):
+        """A daemon has targets of each deployment, near and elsewhere."""
+        watchers, agents = make_fleet(8, 350, 2300)
+        own = watchers[0]
+        gone = frozenset(
+            agent.target
+            for agent in agents
+            if agent.failure_domain == own.failure_domain
+        )
+        whole = {agent.target: agent for agent in agents}
+        for withdrawn in (frozenset(), gone):
+            subset = select_subset(
+                own, tuple(watchers), tuple(agents), withdrawn
+            )
+            chosen = [whole[target] for target in subset.candidates - withdrawn]
+            for deployment in DEPLOYMENTS:
+                domains = {
+                    agent.failure_domain
+                    for agent in chosen
+                    if agent.deployment == deployment
+                }
+                assert len(domains) >= 2
+            assert len(subset.targets) <= 150
+
+
+async def start(agents: int = 3) -> tuple[ControlFleet, ControlEntry]:
+    """One entry daemon that watches a few targets."""
+    fleet = ControlFleet()
+    for index in range(agents):
+        fleet.add_agent(f'w-{index}', 'milano-a')
+    fleet.list_entry('e-0', 'milano-a')
+    entry = fleet.start_entry('e-0', 'milano-a')
+    await asyncio.sleep(5)
+    return fleet, entry
+
+
+def find(entry: ControlEntry, target: str = 'w-0') -> TargetRecord:
+    """What the daemon believes of a target."""
+    return entry.membership.directory.find(target)
+
+
+@pytest.mark.looptime(start=1000)
+class TestWatching:
+    """What the daemon believes of its targets."""
+
+    async def test_leaving_by_list(self):
+        """A host that the list calls leaving gets no new work in 3 s."""
+        fleet, entry = await start()
+        fleet.network.records[0] = msgspec.structs.replace(
+            fleet.network.records[0], state=HostState.LEAVING
+        )
+        await asyncio.sleep(LEAVING_SECONDS)
+        assert find(entry).leaving
+        await asyncio.sleep(30)
+        assert find(entry).leaving
+
+    async def test_leaving_by_own_word(self):
+        """A target that says so is leaving, and back when it says so."""
+        fleet, entry = await start()
+        fleet.agents['w-0'].leaving = True
+        await asyncio.sleep(LEAVING_SECONDS)
+        assert find(entry).leaving
+        fleet.agents['w-0'].leaving = False
+        await asyncio.sleep(LEAVING_SECONDS)
+        assert not find(entry).leaving
+
+    @pytest.mark.parametrize('lack', ['empty', 'down', 'shorter'])
+    async def test_list_is_a_hint(self, lack: str):
+        """Targets that answer stay, whatever becomes of the list."""
+        fleet, entry = await start()
+        if lack == 'down':
+            fleet.network.set_platform(Fault.DOWN)
+        elif lack == 'empty':
+            fleet.network.records.clear()
+        else:
+            del fleet.network.records[0]
+        await asyncio.sleep(60)
+        assert find(entry).status is not None
+
+    async def test_gone(self):
+        """A target that is silent is not held alive, then forgotten."""
+        fleet, entry = await start()
+        fleet.network.daemons.pop('w-0:1')
+        await asyncio.sleep(15)
+        assert find(entry).status is None
+        del fleet.network.records[0]
+        await asyncio.sleep(5)
+        assert find(entry) is None
+
+    async def test_new_address(self):
+        """A target restarted on another host is found there."""
+        fleet, entry = await start()
+        fleet.network.daemons['x:1'] = fleet.network.daemons.pop('w-0:1')
+        left = msgspec.structs.replace(
+            fleet.network.records[0], state=HostState.LEAVING
+        )
+        fleet.network.records[0] = left
+        fleet.network.records.append(
+            msgspec.structs.replace(
+                left, address='x:1', daemon='w-0b', state=HostState.LIVE
+            )
+        )
+        await asyncio.sleep(LEAVING_SECONDS)
+        record = find(entry)
+        assert (record.address, record.leaving) == ('x:1', False)
+        assert record.status is not None
+
+    async def test_live_signs_spare_heartbeats(self):
+        """Requests that are answered stand in for heartbeats."""
+        fleet, entry = await start(agents=1)
+        refusal = AttemptRefused(
+            status=503,
+            outcome=NotRun(code='busy', detail=''),
+            spare=5,
+            generation=0,
+        )
+        messages = []
+        for signs in (False, True):
+            before = fleet.network.messages
+            for _ in range(600):
+                if signs:
+                    note_sign(entry.membership, 'w-0:1', refusal)
+                await asyncio.sleep(0.1)
+            messages.append(fleet.network.messages - before)
+        assert messages[1] <= 0.6 * messages[0]
+        assert find(entry).spare <= 5
+
+    async def test_heartbeats_are_bounded(self):
+        """However many targets are watched, heartbeats keep to their rate."""
+        fleet, entry = await start(agents=60)
+        for index in range(60):
+            agent = fleet.agents[f'w-{index}']
+            fleet.network.records[index] = msgspec.structs.replace(
+                agent.record, deployment=f'd-{index}'
+            )
+        await asyncio.sleep(10)
+        watched = len(entry.membership.directory.records)
+        assert watched > HEARTBEAT_RATE * STATUS_PERIOD_SECONDS
+        before = fleet.network.messages
+        await asyncio.sleep(60)
+        sent = (fleet.network.messages - before) / 60
+        assert sent <= HEARTBEAT_RATE * 1.25
+        assert MISSED_ALLOWED >= 1
