Hold the bound on origin copies under joins, cuts and outages

Seen to fail before: three hosts that join half-way drew 4.05 copies from the origin, a failure domain that came back 5.7 copies (all its hosts turned to the origin at once), hosts that together held all chunks never ended without the origin (the bound on uploads refused the last chunks), and a manifest that lies kept most hosts waiting for a source that had thrown it away.

Now late hosts leave out those that have nothing to give and share one draw; hosts whose sources wait as they do turn to the origin one in ten; a chunk that the origin failed to give is sent whatever the link has carried; a refused manifest is still passed on so that every host sees it.

--- a/fakes/landings.py
+++ b/fakes/landings.py
@@ -271,6 +271,15 @@
             if name not in self.network.dead
         )
 
+    def holds(self, index: int) -> bool:
+        """Whether any host has had a chunk."""
+        return any(
+            transfer.held.find(index) is not None
+            or transfer.held.has_let_go(index)
+            for host in self.hosts.values()
+            for transfer in host.landing.exchange.transfers.values()
+        )
+
     async def wait_for(self, version: str, seconds: float) -> float:
         """Seconds until all live hosts serve a version.
 
--- a/measure/replicas.py
+++ b/measure/replicas.py
@@ -52,10 +52,9 @@
 
 
 def list_cases() -> list[Case]:
-    """Every run, the long ones first."""
+    """Every run."""
     sizes = (48, 16, 8)
     cases = [
-        Case(name='plain', hosts=96, places=EIGHT),
         Case(name='corrupted', hosts=48, places=EIGHT, damage=DAMAGE),
         Case(name='killed', hosts=48, places=EIGHT, killed=0.2),
         Case(name='narrow line', hosts=48, places=EIGHT, line_share=0.5),
@@ -68,6 +67,7 @@
         Case(name='baseline', hosts=hosts, places=EIGHT, alone=True, chunks=200)
         for hosts in sizes
     ]
+    cases.append(Case(name='plain', hosts=96, places=EIGHT))
     return cases
 
 
--- a/src/ragwortcourse/weights/collect.py
+++ b/src/ragwortcourse/weights/collect.py
@@ -156,7 +156,9 @@
     if transfer.manifest is not None:
         return transfer.manifest
     content = await draw_chunk(landing, transfer, MANIFEST_INDEX)
+    # Kept even if it is refused: every other host has to see it as well.
+    transfer.keep_manifest(content)
     manifest = read_manifest(content, transfer.digest)
     if isinstance(manifest, Manifest):
-        transfer.take_manifest(manifest, content)
+        transfer.manifest = manifest
     return manifest
--- a/src/ragwortcourse/weights/draw.py
+++ b/src/ragwortcourse/weights/draw.py
@@ -33,8 +33,8 @@
 STALL_FACTOR: Final = 3
 SHORTEST_STALL_SECONDS: Final = 2.0
 # Hosts without a live source turn to the origin one after the other.
-ORIGIN_TURN_SECONDS: Final = 3.0
-LONGEST_TURN_SECONDS: Final = 60.0
+ORIGIN_TURN_SECONDS: Final = 10.0
+ORIGIN_TURN_SHARE: Final = 0.1
 # After so many waits in vain, others than the next source are asked too.
 PATIENCE: Final = 4
 FIRST_RETRY_SECONDS: Final = 0.2
@@ -46,6 +46,7 @@
     """How the search for one chunk stands.
 
     :param laters: times that a source asked for patience.
+    :param origin_failed: the origin did not give the chunk.
     :param gone: a source held the chunk and let it go.
     :param waiting: a source lives and expects to get the chunk.
     """
@@ -55,6 +56,7 @@
     started_at: float
     attempts: int = 0
     laters: int = 0
+    origin_failed: bool = False
     gone: bool = False
     waiting: bool = False
 
@@ -72,12 +74,13 @@
 async def _draw_once(landing: Landing, state: DrawState) -> bytes | None:
     state.gone = False
     state.waiting = False
+    landing.leave_spent(state.transfer)
     sources = state.transfer.tree.list_sources(landing.own, state.index)
     content = await _try_sources(landing, state, sources)
     if content is not None or _is_patient(state):
         return content
     content = await _try_others(landing, state, sources)
-    if content is None and _may_ask_origin(state, len(sources)):
+    if content is None and _may_ask_origin(landing, state, len(sources)):
         content = await _try_origin(landing, state)
     return content
 
@@ -123,11 +126,18 @@
     return None
 
 
-def _may_ask_origin(state: DrawState, depth: int) -> bool:
+def _may_ask_origin(landing: Landing, state: DrawState, depth: int) -> bool:
+    """Tell whether no peer can be expected to bring the chunk.
+
+    Hosts whose sources wait as they do try now and then, a few at a time:
+    else all would turn to the origin at once after an outage.
+    """
     if not (depth and state.waiting):
         return True
     waited = read_clock() - state.started_at
-    return waited > min(depth * ORIGIN_TURN_SECONDS, LONGEST_TURN_SECONDS)
+    if waited < depth * ORIGIN_TURN_SECONDS:
+        return False
+    return landing.rng.random() < ORIGIN_TURN_SHARE
 
 
 async def _try_peer(
@@ -146,7 +156,9 @@
         landing.exchange.health.note_silence(source.daemon)
         return None
     landing.exchange.health.note_answer(source.daemon)
-    state.gone = state.gone or isinstance(outcome, ChunkGone | ChunkRefused)
+    if isinstance(outcome, ChunkGone | ChunkRefused):
+        state.gone = True
+        state.transfer.spent.add(source.daemon)
     if isinstance(outcome, ChunkLater):
         state.waiting = True
         state.laters += 1
@@ -162,6 +174,7 @@
         index=state.index,
         sender=landing.own.daemon,
         relay=relay,
+        urgent=state.origin_failed,
     )
     exchange = landing.exchange
     await exchange.pace_down.wait(transfer.measure(state.index))
@@ -228,6 +241,8 @@
     if isinstance(outcome, OriginBusy):
         jitter = landing.rng.uniform(1, 2)
         await asyncio.sleep(outcome.retry_after * jitter)
+    else:
+        state.origin_failed = True
     return None
 
 
--- a/src/ragwortcourse/weights/http_peers.py
+++ b/src/ragwortcourse/weights/http_peers.py
@@ -36,6 +36,12 @@
 }
 
 
+def list_options(request: ChunkRequest) -> dict[str, str]:
+    """Query of a request."""
+    options = {'relay': request.relay, 'urgent': request.urgent}
+    return {name: '1' for name, is_set in options.items() if is_set}
+
+
 def build_http_peers(*, session: aiohttp.ClientSession) -> ChunkPort:
     """The way to other agents' peers ports."""
 
@@ -44,7 +50,7 @@
         try:
             async with session.get(
                 url,
-                params={'relay': '1'} if request.relay else None,
+                params=list_options(request),
                 headers={SENDER: request.sender},
                 timeout=TIMEOUT,
             ) as response:
--- a/src/ragwortcourse/weights/landing.py
+++ b/src/ragwortcourse/weights/landing.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import random
+from collections.abc import Collection
 
 from ragwortcourse.agent.served import ServedVersions
 from ragwortcourse.configuration.holder import ConfigurationHolder
-from ragwortcourse.identifiers import Sha256Hex
+from ragwortcourse.identifiers import DaemonId, Sha256Hex
 from ragwortcourse.settings import AgentSettings, Settings
 from ragwortcourse.weights.exchange import Exchange
 from ragwortcourse.weights.landing_ports import LandingPorts
@@ -13,7 +14,7 @@
 from ragwortcourse.weights.order_lease import OrderLease
 from ragwortcourse.weights.peer_port import PeerAddress
 from ragwortcourse.weights.transfer import Transfer
-from ragwortcourse.weights.tree import build_tree
+from ragwortcourse.weights.tree import ChunkTree, build_tree
 
 
 class Landing:
@@ -62,20 +63,36 @@
         """The transfer of a manifest, begun if there is none yet."""
         transfer = self.exchange.transfers.get(digest)
         if transfer is None:
-            tree = build_tree(
-                members=(*self.ports.neighbours(), self.own),
-                origin_region=self.settings.platform.origin_region,
-            )
             transfer = Transfer(
                 digest=digest,
                 own=self.own,
-                tree=tree,
+                tree=self.plant_tree(frozenset()),
                 memory=self.exchange.memory,
             )
             self.exchange.transfers[digest] = transfer
             self.announce()
         return transfer
 
+    def plant_tree(self, spent: Collection[DaemonId]) -> ChunkTree:
+        """A tree over the hosts known now that have something to give."""
+        others = [
+            peer for peer in self.ports.neighbours() if peer.daemon not in spent
+        ]
+        return build_tree(
+            members=(*others, self.own),
+            origin_region=self.settings.platform.origin_region,
+        )
+
+    def leave_spent(self, transfer: Transfer) -> None:
+        """Turn to hosts that are late too, once most others have ended.
+
+        Hosts that join late share what one of them draws from the origin.
+        """
+        members = {peer.daemon for peer in transfer.tree.members}
+        spent = members & transfer.spent
+        if 2 * len(spent) >= len(members):
+            transfer.tree = self.plant_tree(transfer.spent)
+
     def close_transfer(self, digest: Sha256Hex) -> None:
         """Forget a transfer and let its chunks go."""
         transfer = self.exchange.transfers.pop(digest, None)
--- a/src/ragwortcourse/weights/peer_port.py
+++ b/src/ragwortcourse/weights/peer_port.py
@@ -36,12 +36,14 @@
     :param manifest: digest of the manifest.
     :param index: chunk, or ``MANIFEST_INDEX``.
     :param relay: draw it from the origin, if it is not held any more.
+    :param urgent: the origin failed; send it whatever the link has carried.
     """
 
     manifest: Sha256Hex
     index: int
     sender: DaemonId
     relay: bool = False
+    urgent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/ragwortcourse/weights/receipt.py
+++ b/src/ragwortcourse/weights/receipt.py
@@ -24,5 +24,4 @@
     outcome = await collect_weights(landing, transfer, subject, version)
     if isinstance(outcome, CollectFailed) and outcome.lasting:
         landing.state.refused[digest] = outcome.detail
-        landing.close_transfer(digest)
     return outcome
--- a/src/ragwortcourse/weights/routes.py
+++ b/src/ragwortcourse/weights/routes.py
@@ -72,6 +72,7 @@
         index=index,
         sender=DaemonId(request.headers.get(SENDER, '')),
         relay='relay' in request.query,
+        urgent='urgent' in request.query,
     )
 
 
--- a/src/ragwortcourse/weights/serving.py
+++ b/src/ragwortcourse/weights/serving.py
@@ -67,7 +67,7 @@
         transfer.counts.sent += size
         return True
     whole = transfer.require_manifest().size
-    if not transfer.counts.may_send(size, whole):
+    if not (request.urgent or transfer.counts.may_send(size, whole)):
         return False
     transfer.counts.sent += size
     transfer.held.note_sent(request.index, request.sender)
--- a/src/ragwortcourse/weights/transfer.py
+++ b/src/ragwortcourse/weights/transfer.py
@@ -15,8 +15,7 @@
 class Transfer:
     """State of one transfer.
 
-    :param tree: from whom each chunk is drawn; the same for the whole
-        transfer.
+    :param tree: from whom each chunk is drawn.
     """
 
     def __init__(
@@ -34,6 +33,7 @@
         self.manifest: Manifest | None = None
         self.started_at = read_clock()
         self.ended_at: float | None = None
+        self.spent: set[DaemonId] = set()
         self.asking: dict[int, DaemonId] = {}
         self.relays: dict[int, asyncio.Task[bytes]] = {}
         self._own = own
@@ -49,9 +49,8 @@
             raise ValueError(f'manifest {self.digest} is not here yet')
         return self.manifest
 
-    def take_manifest(self, manifest: Manifest, content: bytes) -> None:
-        """Begin with a verified manifest."""
-        self.manifest = manifest
+    def keep_manifest(self, content: bytes) -> None:
+        """Keep the bytes that have the manifest's digest, for peers."""
         self._manifest_content = content
         self.counts.overhead = len(content)
         self._manifest_arrival.set()
