--- a/fakes/landings.py
+++ b/fakes/landings.py
@@ -90,6 +90,7 @@
     """Hosts that draw weights from one origin and from each other.
 
     :param places: name of each failure domain to its region.
+    :param alone: true where no host knows of another.
     """
 
     def __init__(
@@ -103,7 +104,9 @@
         checks_fencing: bool = True,
         seed: int = 1,
         requests_per_second: float = 0,
+        alone: bool = False,
     ) -> None:
+        self.alone = alone
         self.places = places
         self.chunk_memory = chunk_memory
         self.checks_fencing = checks_fencing
@@ -165,7 +168,7 @@
                 engine=engine.build(),
                 origin=self._build_origin(name),
                 chunk_port=ChunkPort(fetch=self._build_fetch(name)),
-                neighbours=lambda: tuple(self.peers),
+                neighbours=lambda: () if self.alone else tuple(self.peers),
                 table=table,
                 count_running=lambda *_: self.running.get(name, 0),
             ),
@@ -268,6 +271,15 @@
             if name not in self.network.dead
         )
 
+    def holds(self, index: int) -> bool:
+        """Whether any host has had a chunk."""
+        return any(
+            transfer.held.find(index) is not None
+            or transfer.held.has_let_go(index)
+            for host in self.hosts.values()
+            for transfer in host.landing.exchange.transfers.values()
+        )
+
     async def wait_for(self, version: str, seconds: float) -> float:
         """Seconds until all live hosts serve a version.
 
