--- a/src/ragwortcourse/entry/answers.py
+++ b/src/ragwortcourse/entry/answers.py
@@ -8,8 +8,9 @@
 from ragwortcourse.entry import errors
 from ragwortcourse.entry.answer_body import AnswerBody
 from ragwortcourse.entry.attempts import Served
-from ragwortcourse.entry.dispatch import Failed, release_choice
+from ragwortcourse.entry.dispatch import release_choice
 from ragwortcourse.entry.entry import Entry
+from ragwortcourse.entry.steps import Failed
 from ragwortcourse.entry.work import Work
 from ragwortcourse.messages.call import CallAnswer, CallError
 from ragwortcourse.messages.decision import DecisionPoint
--- a/src/ragwortcourse/entry/attempts.py
+++ b/src/ragwortcourse/entry/attempts.py
@@ -10,8 +10,9 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.entry import errors
 from ragwortcourse.entry.choice import Choice, NoChoice
-from ragwortcourse.entry.dispatch import Failed, Started, run_choice
+from ragwortcourse.entry.dispatch import run_choice
 from ragwortcourse.entry.entry import Entry
+from ragwortcourse.entry.steps import Failed, Started
 from ragwortcourse.entry.work import Work
 from ragwortcourse.identifiers import AttemptId, TargetName
 from ragwortcourse.messages.decision import DecisionPoint
--- a/src/ragwortcourse/entry/calls.py
+++ b/src/ragwortcourse/entry/calls.py
@@ -10,9 +10,9 @@
 )
 from ragwortcourse.entry.attempts import Plan, run_attempts
 from ragwortcourse.entry.claimed_calls import serve_claimed
-from ragwortcourse.entry.dispatch import Failed
 from ragwortcourse.entry.entry import Entry
 from ragwortcourse.entry.routing import choose_target
+from ragwortcourse.entry.steps import Failed
 from ragwortcourse.entry.work import Work
 from ragwortcourse.identifiers import AttemptId
 from ragwortcourse.messages.call import Call, CallAnswer, CallError, CallOutcome
--- a/src/ragwortcourse/entry/claimed_calls.py
+++ b/src/ragwortcourse/entry/claimed_calls.py
@@ -31,7 +31,6 @@
     read_claim,
     take_claim,
 )
-from ragwortcourse.entry.dispatch import Failed
 from ragwortcourse.entry.earlier_claims import (
     Takeover,
     judge_claim,
@@ -39,6 +38,7 @@
 )
 from ragwortcourse.entry.entry import Entry
 from ragwortcourse.entry.routing import choose_target
+from ragwortcourse.entry.steps import Failed
 from ragwortcourse.entry.work import Work
 from ragwortcourse.identifiers import TargetName
 from ragwortcourse.messages.call import CallOutcome
--- a/src/ragwortcourse/entry/dispatch.py
+++ b/src/ragwortcourse/entry/dispatch.py
@@ -1,21 +1,20 @@
 """One attempt at a piece of work, and what its outcome allows next."""
 
 import asyncio
-import dataclasses
 from http import HTTPStatus
 from typing import Final
 
-import msgspec
 from opentelemetry import metrics, propagate, trace
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.entry import errors
 from ragwortcourse.entry.answer_body import close_body
-from ragwortcourse.entry.bars import bar_attempt
 from ragwortcourse.entry.choice import Choice
 from ragwortcourse.entry.entry import Entry
+from ragwortcourse.entry.settlement import settle_attempt
+from ragwortcourse.entry.steps import Failed, Started
 from ragwortcourse.entry.work import Work
-from ragwortcourse.identifiers import AttemptId, TargetName
+from ragwortcourse.identifiers import AttemptId
 from ragwortcourse.messages.attempt import (
     AnswerBrokenError,
     Attempt,
@@ -25,52 +24,17 @@
     AttemptRefused,
     AttemptUnreached,
 )
-from ragwortcourse.messages.attempt_report import AttemptReport, AttemptState
 from ragwortcourse.messages.decision import DecisionPoint
-from ragwortcourse.messages.outcome import Completed, NotRun, Unknown
-from ragwortcourse.messages.peer_port import PeerSilent
+from ragwortcourse.messages.outcome import Unknown
 
 METER: Final = metrics.get_meter(__name__)
 TRACER: Final = trace.get_tracer(__name__)
 ATTEMPTS: Final = METER.create_counter(
     'entry.attempts', description='Attempts by their result.'
 )
-UNREACHED_RETRY_SECONDS: Final = 1.0
 WHOLE_ANSWER_BYTES: Final = 262_144
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Started:
-    """The target answers; its first chunk is here.
-
-    :param first: first chunk of the body; none where the body is empty.
-    """
-
-    answer: AttemptAnswer
-    first: bytes | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Failed:
-    """No answer from this attempt.
-
-    :param outcome: what became of the work by this attempt.
-    :param is_refusal: true where the gate turned it down.
-    :param is_lost: true where the attempt was sent and its answer lost.
-    :param status: HTTP status of the gate's refusal.
-    :param suspect: true where the target died while it ran the attempt.
-    :param was_outdated: true where the target serves other versions than
-        was believed; it can be asked again.
-    """
-
-    outcome: NotRun | Unknown | Completed
-    is_refusal: bool = False
-    is_lost: bool = False
-    status: int | None = None
-    suspect: bool = False
-    was_outdated: bool = False
-
-
 def build_attempt(
     entry: Entry, work: Work, choice: Choice, attempt: AttemptId
 ) -> Attempt:
@@ -165,7 +129,9 @@
             outcome = AttemptLost(detail='no answer before the deadline')
         if isinstance(outcome, Started | Failed):
             return outcome
-        return await _settle(entry, work, choice, message, outcome, sent_at)
+        return await settle_attempt(
+            entry, work, choice, message, outcome, sent_at
+        )
 
 
 async def _begin(
@@ -211,82 +177,3 @@
             detail='The answer came from another model version.',
         )
     )
-
-
-async def _settle(
-    entry: Entry,
-    work: Work,
-    choice: Choice,
-    message: Attempt,
-    outcome: AttemptRefused | AttemptUnreached | AttemptLost,
-    sent_at: float,
-) -> Failed:
-    if isinstance(outcome, AttemptRefused):
-        choice.record.spare = outcome.spare
-        return Failed(
-            outcome=outcome.outcome,
-            status=outcome.status,
-            is_refusal=isinstance(outcome.outcome, NotRun),
-            suspect=outcome.suspect,
-            was_outdated=_learn_served(choice, outcome),
-        )
-    if isinstance(outcome, AttemptUnreached):
-        return Failed(
-            outcome=NotRun(
-                code=errors.TARGET_UNREACHED,
-                detail=f'No connection to {choice.record.target}.',
-                retry_after=UNREACHED_RETRY_SECONDS,
-            )
-        )
-    if work.idempotent:
-        unknown = describe_unknown(choice.record.target, outcome.detail)
-        return Failed(outcome=unknown, is_lost=True)
-    age = read_clock() - sent_at
-    report = await bar_attempt(
-        entry, choice.record.address, message.attempt, age
-    )
-    work.trail.note(
-        DecisionPoint.OUTCOME,
-        'asked the agent',
-        seen={'lost': outcome.detail, 'report': report},
-    )
-    return Failed(
-        outcome=judge_report(choice.record.target, report),
-        is_lost=True,
-        suspect=isinstance(report, AttemptReport) and report.suspect,
-    )
-
-
-def _learn_served(choice: Choice, refused: AttemptRefused) -> bool:
-    status = choice.record.status
-    if refused.served is None or status is None:
-        return False
-    choice.record.status = msgspec.structs.replace(
-        status, served=refused.served
-    )
-    return status.served != refused.served
-
-
-def judge_report(
-    target: TargetName, report: AttemptReport | PeerSilent
-) -> NotRun | Unknown | Completed:
-    """What an agent's report says about the work."""
-    if isinstance(report, PeerSilent):
-        return describe_unknown(target, report.detail)
-    if report.proves_not_run:
-        return NotRun(
-            code=errors.TARGET_UNREACHED,
-            detail=f'{target} never started the work.',
-            retry_after=UNREACHED_RETRY_SECONDS,
-        )
-    if report.state is AttemptState.COMPLETED:
-        return Completed(version=report.version)
-    return describe_unknown(target, f'the attempt is {report.state}')
-
-
-def describe_unknown(target: TargetName, detail: str) -> Unknown:
-    """Unknown outcome of an attempt at one target."""
-    return Unknown(
-        code=errors.OUTCOME_UNKNOWN,
-        detail=f'{target} can not say if it ran: {detail}.',
-    )
--- a/src/ragwortcourse/entry/outliers.py
+++ b/src/ragwortcourse/entry/outliers.py
@@ -12,6 +12,8 @@
 FIRST_OUT_SECONDS: Final = 1.0
 LONGEST_OUT_SECONDS: Final = 30.0
 TRIAL_LIMIT: Final = 16
+# Targets come and go; those that failed longest ago are forgotten.
+TARGETS_LIMIT: Final = 1024
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -46,7 +48,10 @@
 
     def note_bad(self, record: TargetRecord, rng: random.Random) -> None:
         """Count a bad outcome; too many in a row take the target out."""
-        standing = self._standings.setdefault(record.target, Standing())
+        standing = self._standings.pop(record.target, None) or Standing()
+        self._standings[record.target] = standing
+        if len(self._standings) > TARGETS_LIMIT:
+            self._standings.pop(next(iter(self._standings)))
         standing.failures += 1
         if standing.trial or standing.failures >= FAILURES_ALLOWED:
             longest = min(
--- a/src/ragwortcourse/entry/retry_budget.py
+++ b/src/ragwortcourse/entry/retry_budget.py
@@ -6,6 +6,8 @@
 
 RETRY_SHARE: Final = 0.1
 RETRY_RESERVE: Final = 10.0
+# Targets come and go; those used longest ago are forgotten.
+TARGETS_LIMIT: Final = 1024
 
 
 class TokenPurse:
@@ -52,10 +54,9 @@
         purse.tokens -= 1
         return True
 
-    def keep_only(self, targets: set[TargetName]) -> None:
-        """Forget targets that are no longer watched."""
-        for gone in set(self._targets) - targets:
-            self._targets.pop(gone)
-
     def _find(self, target: TargetName) -> TokenPurse:
-        return self._targets.setdefault(target, TokenPurse())
+        purse = self._targets.pop(target, None) or TokenPurse()
+        self._targets[target] = purse
+        if len(self._targets) > TARGETS_LIMIT:
+            self._targets.pop(next(iter(self._targets)))
+        return purse
