Measure the service kept while a failure domain leaves and returns

Virtual time over the stand-ins at today's size (8 engines, 3 replicas of a service, 9 entry daemons), 30 calls a second. The baseline takes targets in turn without gate and heeds a withdrawal after 5 s.

--- a/fakes/callers.py
+++ b/fakes/callers.py
@@ -42,6 +42,7 @@
 
     :param key: idempotency key of a charge; none for a model call.
     :param body: the bytes that came.
+    :param first_at: when the first of them came; zero: none came.
     """
 
     request: RequestId
@@ -49,6 +50,7 @@
     ending: Ending
     began_at: float
     ended_at: float
+    first_at: float = 0
     key: str | None = None
     outcome: OutcomeKind | None = None
     code: str = ''
@@ -144,7 +146,8 @@
         )
         if work.cancelled():
             return base
-        outcome, body, ending = work.result()
+        outcome, reading = work.result()
+        ending = reading.ending
         if isinstance(outcome, CallError):
             return dataclasses.replace(
                 base,
@@ -154,26 +157,41 @@
                 retry_after=outcome.error.retry_after,
             )
         return dataclasses.replace(
-            base, ending=ending, body=body, version=outcome.version
+            base,
+            ending=ending,
+            body=bytes(reading.body),
+            first_at=reading.first_at,
+            version=outcome.version,
         )
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Reading:
+    """What a caller has read of an answer."""
+
+    ending: Ending = Ending.WHOLE
+    body: bytearray = dataclasses.field(default_factory=bytearray)
+    first_at: float = 0
+
+
 async def read_outcome(
     host: Host, entry: Entry, call: Call
-) -> tuple[CallOutcome, bytes, Ending]:
+) -> tuple[CallOutcome, Reading]:
     """Serve a call on the daemon's host and read its answer."""
+    reading = Reading()
     await host.thawed.wait()
     outcome = await serve_call(entry, call)
     if isinstance(outcome, CallError):
-        return outcome, b'', Ending.ERROR
-    body = bytearray()
+        reading.ending = Ending.ERROR
+        return outcome, reading
     try:
         async for chunk in outcome.body:
             await host.thawed.wait()
-            body += chunk
+            reading.first_at = reading.first_at or read_clock()
+            reading.body += chunk
     except AnswerBrokenError:
-        return outcome, bytes(body), Ending.BROKEN
-    return outcome, bytes(body), Ending.WHOLE
+        reading.ending = Ending.BROKEN
+    return outcome, reading
 
 
 def make_call(
--- a/fakes/site.py
+++ b/fakes/site.py
@@ -7,10 +7,12 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
 
+from fakes.engine_load import EngineLoad
 from fakes.faults import Fault, Faults
 from fakes.memory_engine import MemoryEngine
 from fakes.memory_hosts import build_memory_hosts
@@ -59,8 +61,15 @@
 class Site:
     """Everything of one small site, with its faults."""
 
-    def __init__(self, *, plan: SitePlan, seed: int) -> None:
+    def __init__(
+        self,
+        *,
+        plan: SitePlan,
+        seed: int,
+        make_load: Callable[[], EngineLoad] = EngineLoad,
+    ) -> None:
         self.plan = plan
+        self._make_load = make_load
         self.rng = random.Random(seed)
         self.wire = Wire(rng=random.Random(seed + 1))
         self.witness = Witness()
@@ -81,7 +90,8 @@
         await self.publish('v1')
         for name, target in self.plan.targets.items():
             self.engines[name] = MemoryEngine(
-                is_model_engine=target.is_model_engine
+                is_model_engine=target.is_model_engine,
+                load=self._make_load(),
             )
             self._list(name, HostRole.AGENT, target.failure_domain)
         for name, failure_domain in self.plan.entries.items():
--- a/fakes/site_plan.py
+++ b/fakes/site_plan.py
@@ -74,8 +74,18 @@
         return RegionName('east' if failure_domain == 'gamma' else 'west')
 
 
-def make_plan(folder: pathlib.Path) -> SitePlan:
-    """Two entry daemons, two engines and a service in each of three."""
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SiteSize:
+    """How many of each there are in each of three failure domains."""
+
+    engines: tuple[int, int, int] = (2, 2, 2)
+    services: tuple[int, int, int] = (1, 1, 1)
+    entries: tuple[int, int, int] = (2, 2, 2)
+
+
+def make_plan(folder: pathlib.Path, size: SiteSize | None = None) -> SitePlan:
+    """Hosts of three failure domains."""
+    size = size or SiteSize()
     domains = ('alpha', 'beta', 'gamma')
     targets = [
         PlannedTarget(
@@ -84,18 +94,18 @@
             failure_domain=domain,
             is_model_engine=kind == 'engine',
         )
-        for domain in domains
-        for kind, deployment, count in (
-            ('engine', MODELS, 2),
-            ('service', SERVICE, 1),
+        for kind, deployment, counts in (
+            ('engine', MODELS, size.engines),
+            ('service', SERVICE, size.services),
         )
+        for domain, count in zip(domains, counts, strict=True)
         for number in range(count)
     ]
     return SitePlan(
         entries={
             f'entry-{domain}-{number}': domain
-            for domain in domains
-            for number in range(2)
+            for domain, count in zip(domains, size.entries, strict=True)
+            for number in range(count)
         },
         targets={str(target.name): target for target in targets},
         folder=folder,
--- a/fakes/stage.py
+++ b/fakes/stage.py
@@ -4,16 +4,17 @@
 import copy
 import pathlib
 import random
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Final, TypeVar
 
 import looptime
 
 from fakes.callers import Callers, Ending
 from fakes.checker import find_faults
+from fakes.engine_load import EngineLoad
 from fakes.faults import Fault
 from fakes.site import Site
-from fakes.site_plan import make_plan
+from fakes.site_plan import SitePlan, SiteSize, make_plan
 from ragwortcourse.configuration.withdrawals import return_part, withdraw_part
 from ragwortcourse.messages.withdrawal import Withdrawal, WithdrawalScope
 
@@ -27,14 +28,21 @@
 class Stage:
     """Runs steps on a site; between them only virtual time stands still."""
 
-    def __init__(self, *, folder: pathlib.Path, seed: int = 1) -> None:
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        seed: int = 1,
+        size: SiteSize | None = None,
+        make_load: Callable[[], EngineLoad] = EngineLoad,
+    ) -> None:
         self._loop = looptime.new_event_loop()
         self._seed = seed
         self._load: asyncio.Task[None] | None = None
         self._beside: set[asyncio.Task[object]] = set()
         self.marks: dict[str, float] = {}
         self.generations: dict[str, int] = {}
-        self.run(self._open(folder))
+        self.run(self._open(make_plan(folder, size), make_load))
 
     @property
     def now(self) -> float:
@@ -52,11 +60,21 @@
         )
         self.run(asyncio.sleep(STEADY_SECONDS))
 
-    def end(self) -> list[str]:
-        """End the load, let every call end; every breach of a promise."""
+    def finish(self) -> None:
+        """End the load and let every call end."""
         if self._load is not None:
             self._load.cancel()
         self.run(self.callers.wait_for_all())
+
+    def cool(self, failure_domain: str) -> None:
+        """Let every target of a failure domain be cold again."""
+        for name, target in self.site.plan.targets.items():
+            if target.failure_domain == failure_domain:
+                self.site.engines[name].load.cool()
+
+    def end(self) -> list[str]:
+        """End the load, let every call end; every breach of a promise."""
+        self.finish()
         return find_faults(self.callers, self.site.witness)
 
     def close(self) -> None:
@@ -181,8 +199,10 @@
 
         self.run(call())
 
-    async def _open(self, folder: pathlib.Path) -> None:
-        self.site = Site(plan=make_plan(folder), seed=self._seed)
+    async def _open(
+        self, plan: SitePlan, make_load: Callable[[], EngineLoad]
+    ) -> None:
+        self.site = Site(plan=plan, seed=self._seed, make_load=make_load)
         await self.site.start()
         self.callers = Callers(
             site=self.site, rng=random.Random(self._seed + 2)
--- /dev/null
+++ b/fakes/turns.py
@@ -0,0 +1,132 @@
+"""Callers of a baseline: targets in turn, without gate or retries."""
+
+import asyncio
+import contextlib
+import itertools
+import random
+from collections.abc import Iterator
+
+from fakes.callers import Callers, Ending, Reading, Told, make_call
+from fakes.site import Site
+from fakes.site_plan import MODELS, SERVICE
+from ragwortcourse.clock import read_clock
+from ragwortcourse.engines.engine import (
+    Engine,
+    EngineAnswer,
+    EngineBrokenError,
+    EngineRequest,
+)
+from ragwortcourse.identifiers import AttemptId, RequestId, VersionName
+from ragwortcourse.messages.outcome import OutcomeKind
+
+
+class TurnCallers(Callers):
+    """Sends every call straight to the next target.
+
+    :param lag: seconds after which a withdrawal is heeded.
+    """
+
+    def __init__(self, *, site: Site, lag: float) -> None:
+        super().__init__(site=site, rng=random.Random(1))
+        self._lag = lag
+        self._withdrawn_at: dict[str, float] = {}
+        self._turns = {
+            deployment: itertools.cycle(
+                target.name
+                for target in site.plan.targets.values()
+                if target.deployment == deployment
+            )
+            for deployment in (MODELS, SERVICE)
+        }
+        self._numbers: Iterator[int] = itertools.count(1)
+        self._ports = {
+            name: site.witness.watch(
+                name, site.residents[name].host, site.engines[name]
+            )
+            for name in site.plan.targets
+        }
+
+    async def send(
+        self,
+        *,
+        is_charge: bool,
+        entry: str | None = None,
+        key: str | None = None,
+        body: bytes | None = None,
+    ) -> Told:
+        """Send one call and keep what came of it."""
+        number = next(self._numbers)
+        if is_charge:
+            key = key or f'turn-{number}'
+        request = RequestId(f'turn-{number}')
+        call = make_call(request, key, body)
+        began = read_clock()
+        target = self._next_target(is_charge=is_charge)
+        asked = EngineRequest(
+            attempt=AttemptId(request),
+            method=call.method,
+            path=call.path,
+            headers=call.headers,
+            body=call.body,
+            version=None if is_charge else VersionName('v1'),
+        )
+        reading = Reading(ending=Ending.ERROR)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(call.time_left):
+                await read_answer(self._ports[target], asked, reading)
+        told = Told(
+            request=request,
+            entry='',
+            ending=reading.ending,
+            began_at=began,
+            ended_at=read_clock(),
+            first_at=reading.first_at,
+            key=key,
+            outcome=OutcomeKind.UNKNOWN
+            if reading.ending is Ending.ERROR
+            else None,
+            body=bytes(reading.body),
+        )
+        self.told.append(told)
+        return told
+
+    def _next_target(self, *, is_charge: bool) -> str:
+        turns = self._turns[SERVICE if is_charge else MODELS]
+        for _ in self.site.plan.targets:
+            target = next(turns)
+            if not self._is_out(target):
+                break
+        return target
+
+    def _is_out(self, target: str) -> bool:
+        domain = self.site.plan.targets[target].failure_domain
+        holder = self.site.residents[target].agent
+        if holder is None:
+            return False
+        name = self.site.plan.name_domain(domain)
+        agent = holder.agent
+        withdrawn = agent.holder.is_withdrawn(agent.target.target, name)
+        if not withdrawn:
+            self._withdrawn_at.pop(domain, None)
+            return False
+        since = self._withdrawn_at.setdefault(domain, read_clock())
+        return read_clock() - since > self._lag
+
+
+async def read_answer(
+    port: Engine, asked: EngineRequest, reading: Reading
+) -> None:
+    """Read a target's answer; it is an error until its end has come."""
+    outcome = await port.start(asked)
+    if not isinstance(outcome, EngineAnswer):
+        return
+    try:
+        async for chunk in outcome.body:
+            reading.first_at = reading.first_at or read_clock()
+            reading.body += chunk
+    except EngineBrokenError:
+        reading.ending = Ending.BROKEN
+        return
+    finally:
+        await outcome.body.aclose()  # type: ignore[attr-defined]
+    reading.ending = Ending.WHOLE
--- /dev/null
+++ b/measure/service.py
@@ -0,0 +1,132 @@
+"""Service kept while a failure domain leaves and returns.
+
+The site has the sizes of today's smaller installation: eight engines, three
+replicas of a service and nine entry daemons in three failure domains. It
+runs in virtual time over the stand-ins of fakes/. The baseline sends calls
+to the targets in turn, without gate, and learns of a withdrawal by the
+list of hosts, which lags.
+"""
+
+import asyncio
+import dataclasses
+import pathlib
+import statistics
+import tempfile
+from collections.abc import Iterator
+from typing import Final
+
+from fakes.callers import Callers, Ending
+from fakes.engine_load import EngineLoad
+from fakes.site_plan import SiteSize
+from fakes.stage import Stage
+from fakes.turns import TurnCallers
+from measure.program import Row
+
+RATE_PER_SECOND: Final = 30.0
+BEFORE_SECONDS: Final = 15.0
+DURING_SECONDS: Final = 20.0
+AFTER_SECONDS: Final = 20.0
+LATE_SECONDS: Final = 3.0
+LIST_LAG_SECONDS: Final = 5.0
+SEED: Final = 5
+MILLISECONDS: Final = 1000
+DOMAIN: Final = 'beta'
+SIZE: Final = SiteSize(engines=(3, 3, 2), services=(1, 1, 1), entries=(3, 3, 3))
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Phases:
+    """Moments of the withdrawal and of the return."""
+
+    withdrawn_at: float
+    returned_at: float
+
+
+def make_load() -> EngineLoad:
+    """Targets whose answers take long enough that load matters."""
+    return EngineLoad(latency=0.2, pace=0.05, dies_over=3)
+
+
+def run() -> Iterator[Row]:
+    """Rows of the system and of the baseline."""
+    with tempfile.TemporaryDirectory() as folder:
+        stage = open_stage(pathlib.Path(folder))
+        phases = play(stage, stage.callers)
+        yield summarize(stage, stage.callers, phases)
+        stage.close()
+    with tempfile.TemporaryDirectory() as folder:
+        stage = open_stage(pathlib.Path(folder))
+        callers = TurnCallers(site=stage.site, lag=LIST_LAG_SECONDS)
+        phases = play(stage, callers)
+        yield {**summarize(stage, callers, phases), 'baseline': True}
+        stage.close()
+
+
+def open_stage(folder: pathlib.Path) -> Stage:
+    """A site of today's size."""
+    return Stage(
+        folder=folder,
+        seed=SEED,
+        size=SIZE,
+        make_load=make_load,
+    )
+
+
+def play(stage: Stage, callers: Callers) -> Phases:
+    """Withdraw and return a failure domain under steady load."""
+    stage.callers = callers
+    stage.begin_load(RATE_PER_SECOND)
+    stage.run(asyncio.sleep(BEFORE_SECONDS))
+    withdrawn_at = stage.now
+    stage.run(stage.change_part(DOMAIN, withdraw=True, at='alpha'))
+    stage.run(asyncio.sleep(DURING_SECONDS))
+    returned_at = stage.now
+    stage.cool(DOMAIN)
+    stage.run(stage.change_part(DOMAIN, withdraw=False, at='alpha'))
+    stage.run(asyncio.sleep(AFTER_SECONDS))
+    stage.finish()
+    return Phases(withdrawn_at=withdrawn_at, returned_at=returned_at)
+
+
+def summarize(stage: Stage, callers: Callers, phases: Phases) -> Row:
+    """One row of figures."""
+    withdrawn_at = phases.withdrawn_at
+    returned_at = phases.returned_at
+    runs = stage.site.witness.count_runs()
+    beginnings = stage.site.witness.list_since(
+        withdrawn_at + LATE_SECONDS, DOMAIN
+    )
+    keys = {told.key for told in callers.told if told.key is not None}
+    ended = [told.ending for told in callers.told]
+    waits = sorted(
+        (told.first_at - told.began_at) * MILLISECONDS
+        for told in callers.told
+        if told.first_at and told.key is None
+    )
+    # The baseline can collapse so far that hardly any token comes.
+    cuts = statistics.quantiles(waits, n=20) if len(waits) > 1 else [0]
+    median = statistics.median(waits) if waits else 0
+    return {
+        'measure': 'service',
+        'virtual_time': True,
+        'calls': len(callers.told),
+        'served_before': share_served(callers, 0, withdrawn_at),
+        'served_during': share_served(callers, withdrawn_at, returned_at),
+        'served_after': share_served(callers, returned_at, stage.now),
+        'cut': sum(end in {Ending.BROKEN, Ending.CUT} for end in ended),
+        'lost': sum(told.outcome == 'unknown' for told in callers.told),
+        'twice': sum(runs[key] > 1 for key in keys),
+        'late': sum(each.at < returned_at for each in beginnings),
+        'target_deaths': sum(
+            engine.deaths for engine in stage.site.engines.values()
+        ),
+        'first_token_p50_ms': round(median, 1),
+        'first_token_p95_ms': round(cuts[-1], 1),
+    }
+
+
+def share_served(callers: Callers, since: float, until: float) -> float:
+    """Share of the calls begun in a span that got their whole answer."""
+    told = [each for each in callers.told if since <= each.began_at < until]
+    whole = sum(each.ending is Ending.WHOLE for each in told)
+    return round(whole / max(len(told), 1), 4)
