--- a/measure/control.py
+++ b/measure/control.py
@@ -9,5 +9,5 @@
 
 def run() -> Iterator[Row]:
     """Every figure that docs/CAPACITY.md is worked out from."""
-    yield from run_memory()
     yield from run_work()
+    yield from run_memory()
--- a/measure/control_memory.py
+++ b/measure/control_memory.py
@@ -138,11 +138,11 @@
     """Every figure of memory but the watched target's."""
     yield from asyncio.run(read_idle())
     parts: tuple[tuple[str, Callable[[], Awaitable[Readings]]], ...] = (
+        ('listed host', lambda: read_each(read_listed, (0, 1000, 2650))),
         (
             'client account',
             lambda: read_each(read_accounts, (10, 1000, 2000, 4000)),
         ),
-        ('listed host', lambda: read_each(read_listed, (0, 1000, 2650))),
         ('generation', read_generations),
         ('open stream', read_streams),
         ('chunk record', lambda: read_each(read_chunks, (64, 512, 1024))),
