Send configuration documents compressed between daemons

Ruled out: a format of differences, until documents are larger. Seen to fail without: tests/test_configuration_routes.py.

--- /dev/null
+++ b/tests/test_configuration_routes.py
@@ -0,0 +1,36 @@
+"""Tests of :mod:`ragwortcourse.configuration.routes`."""
+
+import msgspec
+from aiohttp import ClientSession, web
+from aiohttp.test_utils import TestServer
+
+from measure.control_site import make_configuration
+from ragwortcourse.configuration.configuration import ConfigurationDocument
+from ragwortcourse.configuration.holder import ConfigurationHolder
+from ragwortcourse.configuration.routes import build_configuration_routes
+from ragwortcourse.identifiers import ChangeId, Generation
+from ragwortcourse.platform.http_daemons import build_http_daemons
+
+
+class TestDocumentRoute:
+    """The document, from one daemon to another."""
+
+    async def test_document_travels_compressed(self):
+        """A daemon that fetches it takes it compressed, and reads it."""
+        holder = ConfigurationHolder()
+        document = ConfigurationDocument(
+            generation=Generation(1),
+            configuration=make_configuration(accounts=100),
+            change=ChangeId('change'),
+        )
+        holder.take(document)
+        app = web.Application()
+        app.add_routes(build_configuration_routes(holder=holder))
+        async with TestServer(app) as server, ClientSession() as session:
+            port = build_http_daemons(session=session)
+            address = f'127.0.0.1:{server.port}'
+            assert await port.fetch(address, Generation(1)) == document
+            url = server.make_url('/configuration/1')
+            async with session.get(url) as answer:
+                size = int(answer.headers['content-length'])
+        assert size < len(msgspec.json.encode(document)) / 2
