--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -117,7 +117,9 @@
             await wait_until(lambda: site.agent.gate.queued == 1)
             waiting.cancel()
             await wait_until(lambda: site.agent.gate.queued == 0)
-            assert site.engine.runs.total() == 1
+            await asyncio.sleep(0.05)
+            # A place that was given up, not one whose turn came.
+            assert site.agent.gate.running == site.engine.runs.total() == 1
         await first.body.aclose()
         await wait_until(lambda: site.agent.gate.running == 0)
         assert len(site.engine.cancelled) == 1
