--- a/measure/spread.py
+++ b/measure/spread.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import time
+import zlib
 from collections.abc import Callable, Iterator
 from typing import Final
 
@@ -193,11 +194,12 @@
 
 
 def _measure_document(accounts: int) -> Row:
-    digest = digest_content(b'')
+    digests = [digest_content(bytes((index,))) for index in range(accounts)]
     configuration = Configuration(
         client_accounts=tuple(
             ClientAccount(
-                name=ClientAccountName(f'account-{index}'), key_sha256=(digest,)
+                name=ClientAccountName(f'account-{index}'),
+                key_sha256=(digests[index],),
             )
             for index in range(accounts)
         ),
@@ -206,16 +208,18 @@
                 name=DeploymentName(f'deployment-{index}'),
                 model=ModelName('model'),
                 version=VersionName('1'),
-                manifest_sha256=digest,
+                manifest_sha256=digests[index],
                 failure_domains=(FailureDomainName('milano-a'),),
             )
             for index in range(20)
         ),
     )
+    content = msgspec.json.encode(configuration)
     return {
         'measure': 'spread',
         'document': True,
         'accounts': accounts,
         'deployments': 20,
-        'bytes': len(msgspec.json.encode(configuration)),
+        'bytes': len(content),
+        'deflated_bytes': len(zlib.compress(content)),
     }
--- a/src/ragwortcourse/configuration/routes.py
+++ b/src/ragwortcourse/configuration/routes.py
@@ -16,9 +16,11 @@
         wanted = int(request.match_info['generation'])
         if document is None or document.generation < wanted:
             return web.Response(status=web.HTTPNotFound.status_code)
-        return web.Response(
+        response = web.Response(
             body=msgspec.json.encode(document),
             content_type='application/json',
         )
+        response.enable_compression()
+        return response
 
     return [web.get(r'/configuration/{generation:\d{1,18}}', get_configuration)]
--- /dev/null
+++ b/tests/test_configuration_routes.py
@@ -0,0 +1,54 @@
+"""Tests of the routes and adapters by which daemons reach each other."""
+
+import aiohttp
+from aiohttp import test_utils, web
+
+from fakes.memory_control import ControlFleet
+from ragwortcourse.configuration.configuration import (
+    Configuration,
+    ConfigurationDocument,
+)
+from ragwortcourse.configuration.routes import build_configuration_routes
+from ragwortcourse.membership.membership import build_heartbeat
+from ragwortcourse.membership.routes import build_exchange_routes
+from ragwortcourse.messages.peer_port import PeerSilent
+from ragwortcourse.messages.withdrawal import Withdrawal
+from ragwortcourse.platform.http_daemons import build_http_daemons
+
+
+class TestHttpDaemons:
+    """Documents and exchanges over HTTP."""
+
+    async def test_fetch_and_exchange(self):
+        """A document comes whole, a lacking one not; exchanges tell all."""
+        fleet = ControlFleet()
+        entry = fleet.start_entry('e-0', 'milano-a')
+        document = ConfigurationDocument(
+            generation=3, configuration=Configuration(), change='c'
+        )
+        entry.holder.take(document)
+        entry.holder.withdraw(
+            Withdrawal(change='w', scope='target', name='t', generation=3)
+        )
+        app = web.Application()
+        app.add_routes(
+            [
+                *build_configuration_routes(holder=entry.holder),
+                *build_exchange_routes(membership=entry.membership),
+            ]
+        )
+        async with (
+            test_utils.TestServer(app) as server,
+            aiohttp.ClientSession() as session,
+        ):
+            port = build_http_daemons(session=session)
+            address = f'{server.host}:{server.port}'
+            heartbeat = build_heartbeat(entry.membership)
+            assert await port.fetch(address, 2) == document
+            assert isinstance(await port.fetch(address, 4), PeerSilent)
+            answer = await port.exchange(address, heartbeat)
+            assert answer.withdrawals[0].change == 'w'
+            await server.close()
+            lost = await port.exchange(address, heartbeat)
+            assert isinstance(lost, PeerSilent)
+        await fleet.stop()
