--- a/measure/control_site.py
+++ b/measure/control_site.py
@@ -66,11 +66,16 @@
     """
 
     def __init__(
-        self, *, targets: tuple[TargetPlan, ...], stand_ins: 'StandInAgents'
+        self,
+        *,
+        targets: tuple[TargetPlan, ...],
+        stand_ins: 'StandInAgents',
+        collector: bool = False,
     ) -> None:
         super().__init__(
             entries=(EntryPlan(name=ENTRY, failure_domain=PLACE),),
             targets=targets,
+            collector=collector,
         )
         self.stand_ins = stand_ins
         self.table = ByteCounter()
@@ -126,6 +131,22 @@
             )
             self.counters.append(counter)
 
+    def list_silent(self, count: int) -> None:
+        """Put hosts on the list at which nobody listens."""
+        self.records.extend(
+            HostRecord(
+                host=HostName(f'host-silent-{number}'),
+                role=HostRole.AGENT,
+                daemon=DaemonId(f'agent-silent-{number}'),
+                address='127.0.0.1:1',
+                failure_domain=PLACE,
+                region=REGION,
+                target=TargetName(f'target-silent-{number}'),
+                deployment=DeploymentName('deployment-silent'),
+            )
+            for number in range(count)
+        )
+
     async def stop(self) -> None:
         """Answer no more."""
         for counter in self.counters:
@@ -306,12 +327,18 @@
 
 @contextlib.asynccontextmanager
 async def open_site(
-    *targets: TargetPlan, stand_ins: int = 0
+    *targets: TargetPlan,
+    stand_ins: int = 0,
+    silent: int = 0,
+    collector: bool = False,
 ) -> AsyncIterator[Site]:
     """A running site; every process of it ends with the block."""
     agents = StandInAgents()
     await agents.start(stand_ins)
-    plan = CountedBlueprint(targets=targets, stand_ins=agents)
+    agents.list_silent(silent)
+    plan = CountedBlueprint(
+        targets=targets, stand_ins=agents, collector=collector
+    )
     await plan.start_counters()
     connector = aiohttp.TCPConnector(limit=0)
     headers = {'Authorization': f'Bearer {API_KEY}'}
--- a/measure/program.py
+++ b/measure/program.py
@@ -12,6 +12,8 @@
 
 MEASURES: Final = (
     'relay',
+    'claims',
+    'outbox',
     'overload',
     'service',
     'replicas',
