--- a/src/ragwortcourse/daemon.py
+++ b/src/ragwortcourse/daemon.py
@@ -13,6 +13,7 @@
 from aiomisc import entrypoint
 
 from ragwortcourse.configuration.finding import Finding
+from ragwortcourse.configuration.finding_text import format_finding
 from ragwortcourse.processes.service import DaemonService
 from ragwortcourse.settings import Settings
 from ragwortcourse.settings_file import read_settings
@@ -45,16 +46,16 @@
     """
     settings = read_settings(path)
     if isinstance(settings, tuple):
-        report_findings(settings)
+        report_findings(settings, path)
         sys.exit(BAD_SETTINGS_STATUS)
     if not check:
         run_daemon(settings)
 
 
-def report_findings(findings: tuple[Finding, ...]) -> None:
+def report_findings(findings: tuple[Finding, ...], path: pathlib.Path) -> None:
     """Print everything that is wrong with the settings."""
     for finding in findings:
-        click.echo(str(finding), err=True)
+        click.echo(format_finding(finding, str(path)), err=True)
 
 
 def run_daemon(settings: Settings) -> None:
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -1,7 +1,9 @@
 """Tests of :mod:`ragwortcourse.settings_file`."""
 
 import pytest
+from click.testing import CliRunner
 
+from ragwortcourse.daemon import main
 from ragwortcourse.settings import Role, Settings
 from ragwortcourse.settings_file import parse_settings, read_settings
 
@@ -87,3 +89,16 @@
         findings = read_settings(tmp_path / 'none.toml')
         assert not isinstance(findings, Settings)
         assert 'none.toml' in findings[0].place
+
+
+class TestDaemonSettings:
+    """``ragwortcoursed`` with a bad file."""
+
+    def test_each_finding_is_a_line_with_file_and_place(self, tmp_path):
+        """Exit code 2; file, key, value and what is allowed, for each."""
+        path = tmp_path / 'bad.toml'
+        path.write_text(MANY_FAULTS)
+        result = CliRunner().invoke(main, ['--settings', str(path)])
+        assert result.exit_code == 2
+        assert f'{path}: host = 7: wrong type; allowed: a str' in result.stderr
+        assert len(result.stderr.splitlines()) == 4
