--- a/fakes/landings.py
+++ b/fakes/landings.py
@@ -25,6 +25,7 @@
 from ragwortcourse.configuration.deployment import Adapter, ModelDeployment
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.identifiers import (
+    AdapterName,
     ChangeId,
     DaemonId,
     DeploymentName,
@@ -263,12 +264,13 @@
         """End every host's tasks."""
         await self.kill(*self.hosts)
 
-    def count_serving(self, version: str) -> int:
+    def count_serving(self, version: str, adapter: str = '') -> int:
         """Live hosts whose gate may answer with a version."""
+        name = AdapterName(adapter) if adapter else None
         return sum(
-            host.landing.served.allows(MODEL, VersionName(version), None)
-            for name, host in self.hosts.items()
-            if name not in self.network.dead
+            host.landing.served.allows(MODEL, VersionName(version), name)
+            for host in self.hosts.values()
+            if host.name not in self.network.dead
         )
 
     def holds(self, index: int) -> bool:
--- a/src/ragwortcourse/weights/draw.py
+++ b/src/ragwortcourse/weights/draw.py
@@ -30,8 +30,8 @@
 # A peer may let a request wait so long for a chunk to reach it.
 WAIT_SECONDS: Final = 3.0
 # Beyond the wait, a chunk may take so many times the usual time.
-STALL_FACTOR: Final = 3
-SHORTEST_STALL_SECONDS: Final = 2.0
+STALL_FACTOR: Final = 4
+SHORTEST_STALL_SECONDS: Final = 5.0
 # Hosts without a live source turn to the origin one after the other.
 ORIGIN_TURN_SECONDS: Final = 10.0
 ORIGIN_TURN_SHARE: Final = 0.1
--- a/src/ragwortcourse/weights/peer_health.py
+++ b/src/ragwortcourse/weights/peer_health.py
@@ -7,7 +7,9 @@
 from ragwortcourse.identifiers import DaemonId
 
 # A peer that did not answer is passed by for so long, twice as long each time.
-SUSPECT_SECONDS: Final = 2.0
+SUSPECT_SECONDS: Final = 5.0
+# While one request tries it again, others pass it by for so long.
+TRIAL_SECONDS: Final = 5.0
 LONGEST_SUSPECT_SECONDS: Final = 30.0
 # A peer that sent so many damaged chunks is shut out.
 STRIKES: Final = 3
@@ -29,12 +31,20 @@
         self.usual_seconds += (seconds - self.usual_seconds) * SMOOTHING
 
     def is_passed_by(self, peer: DaemonId) -> bool:
-        """Tell whether to ask somebody else for now."""
-        return self._passed_by_until.get(peer, 0) > read_clock()
+        """Tell whether to ask somebody else for now.
+
+        A peer that was silent is tried again by one request at a time.
+        """
+        if self._passed_by_until.get(peer, 0) > read_clock():
+            return True
+        if self._silences[peer]:
+            self._pass_by(peer, TRIAL_SECONDS)
+        return False
 
     def note_answer(self, peer: DaemonId) -> None:
         """Note that a peer answered."""
-        self._silences.pop(peer, None)
+        if self._silences.pop(peer, 0):
+            self._passed_by_until.pop(peer, None)
 
     def note_silence(self, peer: DaemonId) -> None:
         """Note that a peer did not answer, or stalled."""
--- a/src/ragwortcourse/weights/serving.py
+++ b/src/ragwortcourse/weights/serving.py
@@ -98,11 +98,20 @@
     if transfer.asking.get(index) == request.sender:
         # Each waits for the other; the one who asked last goes elsewhere.
         return None
-    if request.relay and transfer.held.has_let_go(index):
+    if request.relay and _may_relay(transfer, index):
         return await relay_chunk(landing, transfer, index)
     return await transfer.wait(index, max(deadline - read_clock(), 0))
 
 
+def _may_relay(transfer: Transfer, index: int) -> bool:
+    """Tell whether the link may carry a chunk down once more, and up."""
+    if not transfer.held.has_let_go(index):
+        return False
+    manifest = transfer.require_manifest()
+    size = 2 * manifest.measure_chunk(index)
+    return transfer.counts.may_send(size, manifest.size)
+
+
 async def relay_chunk(
     landing: Landing, transfer: Transfer, index: int
 ) -> bytes:
