--- a/measure/program.py
+++ b/measure/program.py
@@ -18,6 +18,7 @@
     'service',
     'replicas',
     'control',
+    'spread',
 )
 RESULTS: Final = pathlib.Path(__file__).parent / 'results'
 
