--- a/src/ragwortcourse/weights/peer_health.py
+++ b/src/ragwortcourse/weights/peer_health.py
@@ -6,11 +6,12 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.identifiers import DaemonId
 
-# A peer that did not answer is passed by for so long, twice as long each time.
+# A peer that did not answer is passed by for so long at first.
 SUSPECT_SECONDS: Final = 5.0
 # While one request tries it again, others pass it by for so long.
 TRIAL_SECONDS: Final = 5.0
-LONGEST_SUSPECT_SECONDS: Final = 30.0
+LONGEST_SUSPECT_SECONDS: Final = 120.0
+SUSPECT_GROWTH: Final = 4
 # A peer that sent so many damaged chunks is shut out.
 STRIKES: Final = 3
 SHUT_OUT_SECONDS: Final = 600.0
@@ -48,7 +49,7 @@
 
     def note_silence(self, peer: DaemonId) -> None:
         """Note that a peer did not answer, or stalled."""
-        wait = SUSPECT_SECONDS * 2 ** min(self._silences[peer], 8)
+        wait = SUSPECT_SECONDS * SUSPECT_GROWTH ** min(self._silences[peer], 8)
         self._silences[peer] += 1
         self._pass_by(peer, min(wait, LONGEST_SUSPECT_SECONDS))
 
--- a/src/ragwortcourse/weights/serving.py
+++ b/src/ragwortcourse/weights/serving.py
@@ -29,6 +29,8 @@
 ) -> AsyncIterator[ChunkOutcome]:
     """What to answer a peer; the bytes are sent inside the context."""
     deadline = read_clock() + WAIT_SECONDS - MARGIN_SECONDS
+    # Who asks is alive, however silent it was before.
+    landing.exchange.health.note_answer(request.sender)
     transfer = await _wait_for_transfer(landing, request, deadline)
     if transfer is None:
         yield ChunkLater()
@@ -108,7 +110,8 @@
     if not transfer.held.has_let_go(index):
         return False
     manifest = transfer.require_manifest()
-    size = 2 * manifest.measure_chunk(index)
+    pending = len(transfer.relays) + 1
+    size = 2 * pending * manifest.measure_chunk(index)
     return transfer.counts.may_send(size, manifest.size)
 
 
