End an agent's connection when its answer is closed unread

Cause: the relayed body was an async generator; closed before its first chunk, none of it runs, so the connection stayed open and the agent went on. Conclusion: a class with its own aclose.

--- a/src/ragwortcourse/entry/http_agents.py
+++ b/src/ragwortcourse/entry/http_agents.py
@@ -1,6 +1,6 @@
 """Adapter that reaches agents over HTTP."""
 
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Final, TypeVar
 
@@ -8,10 +8,10 @@
 import msgspec
 
 from ragwortcourse.agent.attempt_codec import encode_attempt
+from ragwortcourse.entry.relayed_body import FAILURES, RelayedBody
 from ragwortcourse.identifiers import AttemptId, Generation, VersionName
 from ragwortcourse.messages import headers
 from ragwortcourse.messages.attempt import (
-    AnswerBrokenError,
     Attempt,
     AttemptAnswer,
     AttemptLost,
@@ -38,8 +38,7 @@
 )
 _BAR_TIMEOUT: Final = aiohttp.ClientTimeout(total=BAR_TIMEOUT_SECONDS)
 _HEARTBEAT_TIMEOUT: Final = aiohttp.ClientTimeout(total=HEARTBEAT_SECONDS)
-_FAILURES: Final = (aiohttp.ClientError, TimeoutError, OSError)
-_READ_FAILURES: Final = (*_FAILURES, msgspec.MsgspecError)
+_READ_FAILURES: Final = (*FAILURES, msgspec.MsgspecError)
 Kind = TypeVar('Kind', AttemptReport, TargetStatus)
 
 
@@ -61,7 +60,7 @@
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return AttemptUnreached(detail=f'no connection to {address}')
-        except _FAILURES as error:
+        except FAILURES as error:
             return AttemptLost(detail=f'{address}: {error!r}')
         return await read_answer(answer)
 
@@ -105,7 +104,7 @@
             for name, field in fields.items()
             if not name.lower().startswith(headers.OWN_PREFIX)
         },
-        body=_relay_body(answer),
+        body=RelayedBody(answer=answer),
         spare=spare,
         generation=generation,
         version=VersionName(version) if version else None,
@@ -148,17 +147,6 @@
         return None
 
 
-async def _relay_body(answer: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
-    try:
-        async for chunk in answer.content.iter_any():
-            yield chunk
-    except _FAILURES as error:
-        raise AnswerBrokenError(repr(error)) from error
-    finally:
-        # Does nothing where the answer was read to its end.
-        answer.close()
-
-
 async def _ask(
     session: aiohttp.ClientSession,
     url: str,
@@ -174,7 +162,7 @@
         ) as answer:
             raw = await answer.read()
             status = answer.status
-    except _FAILURES as error:
+    except FAILURES as error:
         return PeerSilent(detail=f'{url}: {error!r}')
     if status != HTTPStatus.OK:
         return PeerSilent(detail=f'{url}: status {status}')
--- a/src/ragwortcourse/entry/operator_changes.py
+++ b/src/ragwortcourse/entry/operator_changes.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+import msgspec
 from aiohttp import web
 
 from ragwortcourse.configuration.acceptance import (
@@ -32,11 +33,12 @@
     read_message,
 )
 from ragwortcourse.entry.operator_state import Operators
-from ragwortcourse.identifiers import ChangeId
+from ragwortcourse.identifiers import ChangeId, DeploymentName
 from ragwortcourse.messages.operator import (
     ChangeAccepted,
     ChangeConflict,
     ConfigurationChange,
+    LandingCancellation,
     PartChange,
 )
 from ragwortcourse.messages.outcome import OutcomeKind
@@ -101,6 +103,37 @@
     return answer_change(part.change, outcome)
 
 
+async def post_cancellation(
+    operators: Operators, request: web.Request
+) -> web.Response:
+    """Give up the version that is on its way to a deployment's targets."""
+    body = read_message(await request.read(), LandingCancellation)
+    if isinstance(body, tuple):
+        return answer_findings(body)
+    findings = check_id('change', body.change)
+    findings += _check_model(operators, body.deployment)
+    if findings:
+        return answer_findings(findings)
+
+    def draft(base: Base) -> Draft:
+        models = tuple(
+            msgspec.structs.replace(model, cancelled=True)
+            if model.name == body.deployment
+            else model
+            for model in base.configuration.models
+        )
+        return Draft(
+            configuration=msgspec.structs.replace(
+                base.configuration, models=models
+            )
+        )
+
+    outcome = await make_change(
+        operators.holder, operators.store, body.change, draft
+    )
+    return answer_change(body.change, outcome)
+
+
 def answer_change(change: ChangeId, outcome: ChangeOutcome) -> web.Response:
     """The answer that fits what became of a change."""
     if isinstance(outcome, Accepted):
@@ -143,6 +176,23 @@
     )
 
 
+def _check_model(
+    operators: Operators, name: DeploymentName
+) -> tuple[Finding, ...]:
+    document = operators.holder.document
+    models = () if document is None else document.configuration.models
+    names = sorted(model.name for model in models)
+    if name in names:
+        return ()
+    finding = Finding(
+        place='deployment',
+        value=name,
+        allowed=', '.join(names),
+        message='there is no model deployment of that name',
+    )
+    return (finding,)
+
+
 def _check_part(operators: Operators, part: PartChange) -> tuple[Finding, ...]:
     """A failure domain that nobody configured is a slip of the pen."""
     document = operators.holder.document
--- a/src/ragwortcourse/entry/operators.py
+++ b/src/ragwortcourse/entry/operators.py
@@ -32,6 +32,7 @@
         '/configuration': operator_changes.post_configuration,
         '/withdrawals': operator_changes.post_withdrawal,
         '/returns': operator_changes.post_return,
+        '/weights/cancel': operator_changes.post_cancellation,
     }
     release = _bind_action(operators, operator_requests.delete_crasher)
     return [
--- a/tests/test_http_agents.py
+++ b/tests/test_http_agents.py
@@ -129,6 +129,26 @@
                 await describe(await port.start(address, ATTEMPT)) == expected
             )
 
+    async def test_body_closed_unread_ends_the_connection(self):
+        """The agent is told at once that nobody reads its answer."""
+        gone = asyncio.Event()
+
+        async def answer(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(CHUNKED)
+            await reader.read()
+            gone.set()
+            writer.close()
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        host, number = server.sockets[0].getsockname()
+        async with aiohttp.ClientSession(auto_decompress=False) as session:
+            port = build_http_agents(session=session)
+            outcome = await port.start(f'{host}:{number}', ATTEMPT)
+            await outcome.body.aclose()
+            await asyncio.wait_for(gone.wait(), timeout=5)
+        server.close()
+
     async def test_state_of_the_gate_comes_along(self):
         """An answer carries version, spare permits and generation."""
         async with serve(LENGTH + b'one two') as (port, address):
