Make cancelling a change of the configuration; show landing progress

Cause: the command line posted to a route that did not exist, agents had a route that nobody called, and no status carried the progress of a landing. Ruled out: telling each agent to cancel (agents that are away or new would go on; the word would be lost with the agent). The test of a cancelled version at the agent now goes through the configuration and also sees it taken up again; a test of the route is new. Conclusion: cancelled is part of the deployment, in force everywhere like any other change, and never reverts by itself.

--- a/fakes/landings.py
+++ b/fakes/landings.py
@@ -217,6 +217,8 @@
         digest: Sha256Hex,
         adapters: tuple[Adapter, ...] = (),
         batch: int = 1,
+        *,
+        cancelled: bool = False,
     ) -> None:
         """Put a version in force everywhere."""
         deployment = ModelDeployment(
@@ -229,6 +231,7 @@
             ),
             adapters=adapters,
             batch=batch,
+            cancelled=cancelled,
         )
         self.accept((deployment,))
 
--- a/fakes/site_daemons.py
+++ b/fakes/site_daemons.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
 
 from fakes.wire_ports import (
@@ -31,6 +32,7 @@
 from ragwortcourse.weights.landing import Landing
 from ragwortcourse.weights.landing_ports import LandingPorts
 from ragwortcourse.weights.neighbourhood import Neighbourhood
+from ragwortcourse.weights.progress import describe_landing
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -118,6 +120,7 @@
         ),
         rng=rng,
     )
+    agent.report_landing(functools.partial(describe_landing, landing))
     return AgentDaemon(
         agent=agent,
         landing=landing,
--- a/src/ragwortcourse/agent/agent.py
+++ b/src/ragwortcourse/agent/agent.py
@@ -1,7 +1,7 @@
 """Everything one agent holds."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from ragwortcourse.agent.attempt_records import AttemptRecords
@@ -18,6 +18,7 @@
 from ragwortcourse.identifiers import AdapterName, ModelName, VersionName
 from ragwortcourse.messages.outcome import NotRun
 from ragwortcourse.messages.peer_port import DaemonPort
+from ragwortcourse.messages.target_status import LandingProgress
 from ragwortcourse.settings import AgentSettings, Settings
 
 LEAVING_RETRY_SECONDS = 1.0
@@ -56,6 +57,7 @@
         self.suspects = CrashSuspects()
         self.version_use = VersionUse()
         self.leaving = False
+        self._read_landing: Callable[[], LandingProgress | None] = read_none
         self._background: set[asyncio.Task[None]] = set()
 
     @property
@@ -63,6 +65,19 @@
         """Work, waiting or under way, by the model version it needs."""
         return self._engaged
 
+    def report_landing(
+        self, read: Callable[[], LandingProgress | None]
+    ) -> None:
+        """Let the status tell of weights on their way.
+
+        :param read: progress now; none while nothing is on its way.
+        """
+        self._read_landing = read
+
+    def read_landing(self) -> LandingProgress | None:
+        """Progress of weights on their way, if there are any."""
+        return self._read_landing()
+
     def read_limits(self) -> TargetLimits:
         """Limits that the configuration in force gives the target."""
         document = self.holder.document
@@ -116,3 +131,7 @@
         """Return once no work is left that nobody waits for."""
         while self._background:
             await asyncio.wait(self._background)
+
+
+def read_none() -> None:
+    """No weights on their way."""
--- a/src/ragwortcourse/configuration/deployment.py
+++ b/src/ragwortcourse/configuration/deployment.py
@@ -31,6 +31,8 @@
     :param manifest_sha256: digest of the manifest that names the weights.
     :param replicas: targets wanted; zero means every target there is.
     :param batch: targets that may change version at the same time.
+    :param cancelled: true where an operator gave the version up: targets
+        go on with what they have and land nothing.
     """
 
     name: DeploymentName
@@ -41,6 +43,7 @@
     adapters: tuple[Adapter, ...] = ()
     replicas: int = 0
     batch: int = 1
+    cancelled: bool = False
     limits: TargetLimits = TargetLimits()
 
 
--- a/src/ragwortcourse/processes/agent_daemon.py
+++ b/src/ragwortcourse/processes/agent_daemon.py
@@ -1,6 +1,7 @@
 """An agent, put together."""
 
 import dataclasses
+import functools
 import random
 from typing import Final
 
@@ -25,6 +26,7 @@
 from ragwortcourse.weights.landing import Landing
 from ragwortcourse.weights.landing_ports import LandingPorts
 from ragwortcourse.weights.neighbourhood import Neighbourhood, follow_hosts
+from ragwortcourse.weights.progress import describe_landing
 from ragwortcourse.weights.reconciliation import land_deployments
 from ragwortcourse.weights.routes import build_weight_routes
 
@@ -112,6 +114,7 @@
         ),
         rng=random.Random(),  # noqa: S311  # spreads load, guards nothing
     )
+    agent.report_landing(functools.partial(describe_landing, landing))
     return AgentDaemon(
         agent=agent,
         landing=landing,
--- a/src/ragwortcourse/weights/landing_state.py
+++ b/src/ragwortcourse/weights/landing_state.py
@@ -15,7 +15,6 @@
     :param instance: start of the engine that the rest is about.
     :param adapters: adapters that the engine has confirmed, by manifest.
     :param refused: manifests that cannot be right, and why.
-    :param cancelled: manifests that an operator gave up.
     """
 
     wanted: WantedWeights | None = None
@@ -25,4 +24,3 @@
         default_factory=dict
     )
     refused: dict[Sha256Hex, str] = dataclasses.field(default_factory=dict)
-    cancelled: set[Sha256Hex] = dataclasses.field(default_factory=set)
--- a/src/ragwortcourse/weights/progress.py
+++ b/src/ragwortcourse/weights/progress.py
@@ -42,20 +42,3 @@
         rate=0 if transfer.ended_at else transfer.counts.rate.read(),
         detail=landing.state.detail,
     )
-
-
-def cancel_landing(landing: Landing) -> bool:
-    """Give the coming version up; tell whether there was one.
-
-    What the target serves stays as it is. The version is taken up again
-    when the configuration names another manifest and then this one, or
-    when the agent starts anew.
-    """
-    wanted = landing.state.wanted
-    if wanted is None:
-        return False
-    if landing.served.allows(wanted.model, wanted.version, None):
-        return False
-    landing.state.cancelled.add(wanted.manifest_sha256)
-    landing.announce()
-    return True
--- a/src/ragwortcourse/weights/reconciliation.py
+++ b/src/ragwortcourse/weights/reconciliation.py
@@ -18,7 +18,11 @@
 from ragwortcourse.weights.orders import OrderSubject, find_version
 from ragwortcourse.weights.receipt import receive_weights
 from ragwortcourse.weights.retirement import retire_others, unload_others
-from ragwortcourse.weights.wanted import WantedWeights, find_wanted
+from ragwortcourse.weights.wanted import (
+    WantedWeights,
+    find_wanted,
+    is_given_up,
+)
 
 LOGGER: Final = logging.getLogger(__name__)
 # How often the engine is looked at while nothing changes.
@@ -44,15 +48,14 @@
     document = landing.holder.document
     if document is None:
         return None
-    wanted = find_wanted(
+    if is_given_up(document.configuration, landing.agent.deployment):
+        return None
+    return find_wanted(
         document.configuration,
         landing.agent.deployment,
         landing.own,
         landing.ports.neighbours(),
     )
-    if wanted is None or wanted.manifest_sha256 in landing.state.cancelled:
-        return None
-    return wanted
 
 
 def forget_others(landing: Landing, wanted: WantedWeights | None) -> None:
@@ -101,12 +104,14 @@
     if not isinstance(state, EngineState):
         return f'the engine is silent: {state.detail}'
     note_instance(landing, state)
-    if landing.holder.document is None:
+    document = landing.holder.document
+    if document is None:
         return ''
     if wanted is None:
-        if not landing.state.cancelled:
-            retire_others(landing, None)
-            await unload_others(landing, None)
+        if is_given_up(document.configuration, landing.agent.deployment):
+            return ''
+        retire_others(landing, None)
+        await unload_others(landing, None)
         return ''
     detail = await _land_model(landing, state, wanted)
     if not detail:
--- a/src/ragwortcourse/weights/routes.py
+++ b/src/ragwortcourse/weights/routes.py
@@ -16,7 +16,7 @@
     ChunkOutcome,
     ChunkRequest,
 )
-from ragwortcourse.weights.progress import cancel_landing, describe_landing
+from ragwortcourse.weights.progress import describe_landing
 from ragwortcourse.weights.serving import offer_chunk
 
 LATER_STATUS: Final = HTTPStatus.TOO_EARLY
@@ -51,13 +51,9 @@
             content_type='application/json',
         )
 
-    async def handle_cancel(_: web.Request) -> web.StreamResponse:
-        return web.Response(status=find_cancel_status(landing))
-
     return [
         web.get('/chunks/{manifest}/{index}', handle_chunk),
         web.get('/landing', handle_progress),
-        web.post('/landing/cancel', handle_cancel),
     ]
 
 
@@ -76,13 +72,6 @@
     )
 
 
-def find_cancel_status(landing: Landing) -> int:
-    """Give the coming version up; HTTP status of the answer."""
-    if cancel_landing(landing):
-        return HTTPStatus.NO_CONTENT
-    return HTTPStatus.CONFLICT
-
-
 def find_status(outcome: ChunkOutcome) -> int:
     """HTTP status of an answer without bytes."""
     if isinstance(outcome, ChunkLater):
--- a/src/ragwortcourse/weights/wanted.py
+++ b/src/ragwortcourse/weights/wanted.py
@@ -61,6 +61,17 @@
     return None
 
 
+def is_given_up(
+    configuration: Configuration, deployment: DeploymentName
+) -> bool:
+    """Tell whether an operator cancelled the version that is configured."""
+    return any(
+        candidate.cancelled
+        for candidate in configuration.models
+        if candidate.name == deployment
+    )
+
+
 def _is_chosen(
     deployment: ModelDeployment,
     own: PeerAddress,
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -15,6 +15,7 @@
 from fakes.faults import Fault
 from fakes.memory_control import ControlEntry, ControlFleet
 from ragwortcourse.configuration.configuration import Configuration
+from ragwortcourse.configuration.deployment import ModelDeployment
 from ragwortcourse.configuration.failure_domain import FailureDomain
 from ragwortcourse.entry.operator_state import Operators
 from ragwortcourse.entry.operators import build_operator_routes
@@ -23,6 +24,7 @@
 from ragwortcourse.messages.operator import (
     ConfigurationChange,
     CrasherList,
+    LandingCancellation,
     OperatorErrorBody,
     PartChange,
 )
@@ -154,6 +156,27 @@
         assert (await console.ask('POST', '/returns', back))[0] == 200
         assert not console.daemon.holder.is_withdrawn('t', 'milano-a')
 
+    async def test_cancelled_version_is_given_up_everywhere(
+        self, console: Console
+    ):
+        """Cancelling is a change of the configuration like any other."""
+        model = ModelDeployment(
+            name='drafts',
+            model='drafts',
+            version='v2',
+            manifest_sha256='0' * 64,
+            failure_domains=('milano-a',),
+        )
+        sound = msgspec.structs.replace(SOUND, models=(model,))
+        body = ConfigurationChange(
+            base_generation=0, configuration=sound, change='c-1'
+        )
+        assert (await console.ask('POST', '/configuration', body))[0] == 200
+        cancel = LandingCancellation(deployment='drafts', change='c-2')
+        assert (await console.ask('POST', '/weights/cancel', cancel))[0] == 200
+        _, document = await console.ask('GET', '/configuration')
+        assert document['configuration']['models'][0]['cancelled'] is True
+
     async def test_outage(self, console: Console):
         """Without the table a withdrawal is pending, the rest truly not run."""
         await console.apply(0, 'c-1')
--- a/tests/test_reconciliation.py
+++ b/tests/test_reconciliation.py
@@ -9,7 +9,6 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.configuration.deployment import Adapter
 from ragwortcourse.identifiers import AdapterName, VersionName
-from ragwortcourse.weights.progress import cancel_landing
 
 pytestmark = pytest.mark.looptime
 ONE_REGION = {'a': 'r', 'b': 'r', 'c': 'r'}
@@ -119,10 +118,12 @@
     async def test_cancelled_version_leaves_the_old_one(self):
         """A version given up on its way is not served, the old one is."""
         fleet = await start_fleet()
-        fleet.deploy('v2', fleet.publish('v2', OTHER))
+        digest = fleet.publish('v2', OTHER)
+        fleet.deploy('v2', digest)
         await asyncio.sleep(1)
-        for host in fleet.hosts.values():
-            assert cancel_landing(host.landing)
+        fleet.deploy('v2', digest, cancelled=True)
         await asyncio.sleep(60)
         assert (fleet.count_serving('v1'), fleet.count_serving('v2')) == (5, 0)
+        fleet.deploy('v2', digest)
+        await fleet.wait_for('v2', seconds=60)
         await fleet.stop()
--- a/tests/test_settings_page.py
+++ b/tests/test_settings_page.py
@@ -12,7 +12,13 @@
 
 PAGE = pathlib.Path(__file__).parent.parent / 'docs' / 'settings.md'
 ROW = re.compile(r'^\| `([^`]+)` \| ([^|]+) \|', re.MULTILINE)
-WORDS = {'': 'empty', '()': 'empty', 'None': 'empty', 'True': 'true'}
+WORDS = {
+    '': 'empty',
+    '()': 'empty',
+    'None': 'empty',
+    'True': 'true',
+    'False': 'false',
+}
 
 
 def list_keys(kind: inspect.Type, place: str = '') -> Iterator[tuple[str, str]]:
