--- a/src/ragwortcourse/weights/draw.py
+++ b/src/ragwortcourse/weights/draw.py
@@ -79,10 +79,7 @@
     content = await _try_sources(landing, state, sources)
     if content is not None or _is_patient(state):
         return content
-    is_expected = state.waiting
     content = await _try_others(landing, state, sources)
-    # Others may wait for this very host; only sources up the tree count.
-    state.waiting = is_expected
     if content is None and _may_ask_origin(landing, state, len(sources)):
         content = await _try_origin(landing, state)
     return content
