Let agents learn a generation the way entry daemons do

The same fetch stood twice; the agent's own began one fetch for each attempt that carried a newer generation, the shared one asks once at a time.

--- a/src/ragwortcourse/agent/learning.py
+++ b/src/ragwortcourse/agent/learning.py
@@ -1,7 +1,7 @@
 """Newer generations, learnt from whoever speaks to the agent."""
 
 from ragwortcourse.agent.agent import Agent
-from ragwortcourse.configuration.configuration import ConfigurationDocument
+from ragwortcourse.configuration.feed import learn_generation
 from ragwortcourse.identifiers import Generation
 
 
@@ -15,8 +15,10 @@
     agent: Agent, sender: str, generation: Generation
 ) -> None:
     """Put a generation in force, if its sender hands it over."""
-    if agent.daemon_port is None:
-        return
-    document = await agent.daemon_port.fetch(sender, generation)
-    if isinstance(document, ConfigurationDocument):
-        agent.holder.take(document)
+    if agent.daemon_port is not None:
+        await learn_generation(
+            holder=agent.holder,
+            port=agent.daemon_port,
+            sender=sender,
+            generation=generation,
+        )
