--- a/fakes/scripted_agents.py
+++ b/fakes/scripted_agents.py
@@ -10,6 +10,7 @@
     DeploymentName,
     FailureDomainName,
     Generation,
+    ModelName,
     TargetName,
     VersionName,
 )
@@ -26,7 +27,9 @@
 from ragwortcourse.messages.heartbeat import Heartbeat
 from ragwortcourse.messages.outcome import NotRun, Unknown
 from ragwortcourse.messages.peer_port import AgentPort, PeerSilent
-from ragwortcourse.messages.target_status import TargetStatus
+from ragwortcourse.messages.target_status import ServedVersion, TargetStatus
+
+NEWER_VERSION = VersionName('v3')
 
 
 class Turn(enum.StrEnum):
@@ -38,6 +41,7 @@
     ``LOST_AFTER``: the engine ends it, the answer is lost.
     ``EMPTY``: the answer breaks after its headers.
     ``SHORT``: it breaks after its first chunk.
+    ``NEWER``: it serves ``v3`` only, and refuses every other version.
     ``CRASH``: the target dies of it.
     ``HANG``: nothing ever comes.
     """
@@ -53,6 +57,7 @@
     EMPTY = 'empty'
     SHORT = 'short'
     WRONG_VERSION = 'wrong_version'
+    NEWER = 'newer'
     CRASH = 'crash'
     HANG = 'hang'
 
@@ -107,18 +112,26 @@
         if turn is Turn.FULL:
             self.states[address, attempt.attempt] = AttemptState.REFUSED
             return self._refuse('full')
+        if turn is Turn.NEWER and attempt.version != NEWER_VERSION:
+            return self._refuse('version_not_served', serves_newer=True)
         return await self._run(address, attempt, turn)
 
     def _is_barred(self, address: str, attempt: Attempt) -> bool:
         state = self.states.get((address, attempt.attempt))
         return state is AttemptState.BARRED
 
-    def _refuse(self, code: str) -> AttemptRefused:
+    def _refuse(
+        self, code: str, *, serves_newer: bool = False
+    ) -> AttemptRefused:
+        newer = ServedVersion(
+            model=ModelName('captions'), version=NEWER_VERSION
+        )
         return AttemptRefused(
             status=503,
             outcome=NotRun(code=code, detail=code, retry_after=1),
             spare=0,
             generation=Generation(1),
+            served=(newer,) if serves_newer else None,
         )
 
     async def _run(
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -160,6 +160,19 @@
         assert told == 'unknown outcome_unknown'
 
 
+class TestNewVersion:
+    """A version that targets began to serve since their last status."""
+
+    async def test_refusal_tells_what_is_served(self):
+        """The call goes on at a target that changed its version."""
+        agents = ScriptedAgents()
+        agents.script('near', Turn.NEWER, Turn.NEWER)
+        agents.script('far', Turn.NEWER, Turn.NEWER)
+        entry = make_model_entry(agents)
+        assert await collect(entry, make_model_call()) == 'whole'
+        assert {attempt.version for _, attempt in agents.ran} == {'v3'}
+
+
 class TestDrain:
     """Planned stop of an entry daemon."""
 
