--- a/measure/control_work.py
+++ b/measure/control_work.py
@@ -33,6 +33,7 @@
 SETTLE_SECONDS = 5.0
 WINDOW_SECONDS = 10.0
 CONCURRENCY = 8
+MILLISECONDS = 1000
 
 
 def make_value_row(role: str, per: str, unit: str, value: float) -> Row:
@@ -173,6 +174,32 @@
     return rows
 
 
+async def measure_idle() -> list[Row]:
+    """Processor time of daemons that have nothing to do.
+
+    Of an agent: watching its target, weights and list of hosts, and a
+    heartbeat every two seconds.
+    """
+    roles = {ENTRY: 'entry', ENGINE: 'agent', SERVICE: 'agent of a service'}
+    async with open_site(plan_engine(), plan_service()) as site:
+        generation = await site.apply(make_configuration())
+        await site.wait_for_generation(SERVICE, generation)
+        await asyncio.sleep(SETTLE_SECONDS)
+        before = {name: site.read_processor(name) for name in roles}
+        await asyncio.sleep(WINDOW_SECONDS)
+        return [
+            make_value_row(
+                role,
+                'idle',
+                'ms a second',
+                (site.read_processor(name) - before[name])
+                * MILLISECONDS
+                / WINDOW_SECONDS,
+            )
+            for name, role in roles.items()
+        ]
+
+
 async def spend(
     site: Site, names: tuple[str, ...], work: Callable[[], Awaitable[object]]
 ) -> dict[str, float]:
@@ -348,6 +375,7 @@
 def run_work() -> Iterator[Row]:
     """Every figure of processor time and bytes."""
     for measure in (
+        measure_idle,
         measure_watching,
         measure_changes,
         measure_claims,
