Prove the compare-and-set of the head by a race after both have read

The new one delays both; without the condition both are told 'accepted' and one is overwritten (fails), with it it passes.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -143,6 +143,22 @@
         lost = next(one for one in outcomes if isinstance(one, Conflict))
         assert lost.generation == 2
 
+    async def test_race_after_both_have_read(self, fleet: ControlFleet):
+        """What one operator was told is accepted is not overwritten."""
+        await settle(fleet)
+        for domain in ('padova-a', 'torino-a'):
+            faults = fleet.network.read_faults(domain)
+            faults.set(Fault.SLOW, seconds=0.1)
+        outcomes = await asyncio.gather(
+            apply(fleet, 'entry-padova-a-1', 'one'),
+            apply(fleet, 'entry-torino-a-1', 'two'),
+        )
+        assert {type(outcome) for outcome in outcomes} == {Accepted, Conflict}
+        won = next(one for one in outcomes if isinstance(one, Accepted))
+        await asyncio.sleep(IN_FORCE_SECONDS)
+        documents = {holder.document for holder in fleet.holders}
+        assert documents == {won.document}
+
     @pytest.mark.parametrize(
         ('fault', 'kind'),
         [
