Count the work on a model version in one place

EngagedVersions and VersionUse counted the same twice for each attempt; they came in side by side. VersionUse stays, as it counts from the arrival. Behaviour as before: the tests of attempts, gate, landing and the scenarios pass.

--- a/fakes/site_daemons.py
+++ b/fakes/site_daemons.py
@@ -115,7 +115,7 @@
             chunk_port=build_chunk_port(end),
             neighbours=neighbourhood.list_peers,
             table=ports.table,
-            count_running=agent.engaged.count,
+            count_running=agent.count_running,
             count_live=lambda: agent.gate.running,
         ),
         rng=rng,
--- a/src/ragwortcourse/agent/agent.py
+++ b/src/ragwortcourse/agent/agent.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from ragwortcourse.agent.attempt_records import AttemptRecords
-from ragwortcourse.agent.engaged import EngagedVersions
 from ragwortcourse.agent.gate import Gate
 from ragwortcourse.agent.served import ServedVersions
 from ragwortcourse.agent.suspects import CrashSuspects
@@ -46,7 +45,6 @@
         self.engine = engine
         self.daemon_port = daemon_port
         self.served = ServedVersions()
-        self._engaged = EngagedVersions()
         self.limit = WarmLimit(read_limits=self.read_limits)
         self.gate = Gate(
             read_limit=self.limit.read,
@@ -60,11 +58,6 @@
         self._read_landing: Callable[[], LandingProgress | None] = read_none
         self._background: set[asyncio.Task[None]] = set()
 
-    @property
-    def engaged(self) -> EngagedVersions:
-        """Work, waiting or under way, by the model version it needs."""
-        return self._engaged
-
     def report_landing(
         self, read: Callable[[], LandingProgress | None]
     ) -> None:
--- a/src/ragwortcourse/agent/attempts.py
+++ b/src/ragwortcourse/agent/attempts.py
@@ -27,7 +27,7 @@
     read_to_end,
     relay_answer,
 )
-from ragwortcourse.agent.run import Run, list_version
+from ragwortcourse.agent.run import Run
 from ragwortcourse.agent.ticket import Ticket
 from ragwortcourse.clock import read_clock
 from ragwortcourse.engines.engine import (
@@ -96,8 +96,7 @@
         suspect=attempt.suspect,
     )
     try:
-        with agent.engaged.hold(list_version(attempt)):
-            refusal = await agent.gate.acquire(ticket)
+        refusal = await agent.gate.acquire(ticket)
     except asyncio.CancelledError:
         forget_refused(agent, attempt, record)
         raise
--- a/src/ragwortcourse/agent/run.py
+++ b/src/ragwortcourse/agent/run.py
@@ -4,7 +4,6 @@
 
 from ragwortcourse.agent.agent import Agent
 from ragwortcourse.agent.attempt_record import AttemptRecord
-from ragwortcourse.agent.engaged import VersionKey
 from ragwortcourse.agent.suspects import UnderWay
 from ragwortcourse.agent.ticket import Ticket
 from ragwortcourse.clock import read_clock
@@ -41,7 +40,6 @@
         self._instance = agent.limit.instance
         record.state = AttemptState.RUNNING
         record.version = attempt.version
-        agent.engaged.enter(list_version(attempt))
         agent.suspects.begin(
             UnderWay(
                 attempt=attempt.attempt,
@@ -81,7 +79,6 @@
             return
         self.ended = True
         agent = self.agent
-        agent.engaged.leave(list_version(self.attempt))
         completed = state is AttemptState.COMPLETED
         good = completed and (self.record.status or BAD) < BAD
         self.record.state = state
@@ -106,8 +103,3 @@
         if isinstance(state, EngineSilent):
             return True
         return state.instance != self._instance
-
-
-def list_version(attempt: Attempt) -> VersionKey:
-    """What the attempt needs of its target: model, version, adapter."""
-    return attempt.model, attempt.version, attempt.adapter
--- a/src/ragwortcourse/processes/agent_daemon.py
+++ b/src/ragwortcourse/processes/agent_daemon.py
@@ -109,7 +109,7 @@
             chunk_port=build_http_peers(session=session),
             neighbours=neighbourhood.list_peers,
             table=build_http_table(session=session, base_url=platform.table),
-            count_running=agent.engaged.count,
+            count_running=agent.count_running,
             count_live=lambda: agent.gate.running,
         ),
         rng=random.Random(),  # noqa: S311  # spreads load, guards nothing
