--- a/fakes/wire_ports.py
+++ b/fakes/wire_ports.py
@@ -1,5 +1,6 @@
 """Ports between in-process daemons that go over the wire."""
 
+import asyncio
 import dataclasses
 from collections.abc import Coroutine
 from typing import Any, TypeVar
@@ -10,6 +11,8 @@
 from ragwortcourse.agent.status import answer_heartbeat
 from ragwortcourse.configuration.configuration import ConfigurationDocument
 from ragwortcourse.configuration.holder import ConfigurationHolder
+from ragwortcourse.entry.claim_collector import ClaimCollector
+from ragwortcourse.entry.claim_helpers import HELPER_SECONDS, AskHelper
 from ragwortcourse.identifiers import AttemptId, Generation
 from ragwortcourse.membership.exchange import answer_exchange
 from ragwortcourse.membership.membership import Membership
@@ -23,6 +26,11 @@
 from ragwortcourse.messages.heartbeat import Heartbeat
 from ragwortcourse.messages.peer_port import AgentPort, DaemonPort, PeerSilent
 from ragwortcourse.messages.target_status import TargetStatus
+from ragwortcourse.platform.table import (
+    CommitOutcome,
+    CommitUnknown,
+    ConditionalWrite,
+)
 from ragwortcourse.weights.landing import Landing
 from ragwortcourse.weights.peer_port import (
     ChunkOutcome,
@@ -42,6 +50,7 @@
         self.landings: dict[str, Landing] = {}
         self.memberships: dict[str, Membership] = {}
         self.holders: dict[str, ConfigurationHolder] = {}
+        self.collectors: dict[str, ClaimCollector] = {}
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -116,6 +125,25 @@
     return DaemonPort(fetch=fetch, exchange=exchange)
 
 
+def build_helper_port(end: WireEnd) -> AskHelper:
+    """An entry daemon's way to the one that collects claims."""
+
+    async def ask(address: str, write: ConditionalWrite) -> CommitOutcome:
+        def work() -> Coroutine[Any, Any, CommitOutcome]:
+            return end.residents.collectors[address].commit(write)
+
+        try:
+            async with asyncio.timeout(HELPER_SECONDS):
+                told = await end.wire.carry(end.host, address, work)
+        except TimeoutError:
+            told = Lost()
+        if isinstance(told, Unreached | Lost):
+            return CommitUnknown(detail=type(told).__name__)
+        return told
+
+    return ask
+
+
 def build_chunk_port(end: WireEnd) -> ChunkPort:
     """An agent's way to the chunks of others."""
 
--- a/src/ragwortcourse/processes/agent_daemon.py
+++ b/src/ragwortcourse/processes/agent_daemon.py
@@ -12,6 +12,7 @@
 from ragwortcourse.agent.server import build_agent_routes
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.routes import build_configuration_routes
+from ragwortcourse.engines.engine import Engine
 from ragwortcourse.engines.http_engine import build_http_engine
 from ragwortcourse.messages.peer_port import DaemonPort
 from ragwortcourse.platform.hosts import HostList
@@ -19,6 +20,8 @@
 from ragwortcourse.platform.http_hosts import build_http_hosts
 from ragwortcourse.platform.http_origin import build_http_origin
 from ragwortcourse.platform.http_table import build_http_table
+from ragwortcourse.platform.origin import WeightOrigin
+from ragwortcourse.platform.table import TableService
 from ragwortcourse.processes.sessions import Sessions
 from ragwortcourse.processes.tasks import BackgroundTasks
 from ragwortcourse.settings import Settings
@@ -26,6 +29,7 @@
 from ragwortcourse.weights.landing import Landing
 from ragwortcourse.weights.landing_ports import LandingPorts
 from ragwortcourse.weights.neighbourhood import Neighbourhood, follow_hosts
+from ragwortcourse.weights.peer_port import ChunkPort
 from ragwortcourse.weights.progress import describe_landing
 from ragwortcourse.weights.reconciliation import land_deployments
 from ragwortcourse.weights.routes import build_weight_routes
@@ -77,10 +81,25 @@
         await drain_agent(self.agent)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AgentPorts:
+    """An agent's ways to everything outside it.
+
+    :param hosts: none where the platform has no such list.
+    """
+
+    engine: Engine
+    table: TableService
+    hosts: HostList | None
+    origin: WeightOrigin
+    chunks: ChunkPort
+    daemons: DaemonPort
+
+
 def build_agent_daemon(
     *, settings: Settings, sessions: Sessions
 ) -> AgentDaemon:
-    """Put the parts of an agent together; nothing runs yet.
+    """An agent that reaches others by HTTP; nothing runs yet.
 
     :raises ValueError: the settings have no ``[agent]`` part.
     """
@@ -88,15 +107,33 @@
         raise ValueError('settings: [agent] is missing')
     platform = settings.platform
     session = sessions.plain
-    daemon_port = build_http_daemons(session=session)
-    engine = build_http_engine(
-        session=sessions.relay, base_url=settings.agent.target_url
+    ports = AgentPorts(
+        engine=build_http_engine(
+            session=sessions.relay, base_url=settings.agent.target_url
+        ),
+        table=build_http_table(session=session, base_url=platform.table),
+        hosts=(
+            build_http_hosts(session=session, base_url=platform.hosts)
+            if platform.hosts
+            else None
+        ),
+        origin=build_http_origin(session=session, base_url=platform.origin),
+        chunks=build_http_peers(session=session),
+        daemons=build_http_daemons(session=session),
     )
+    rng = random.Random()  # noqa: S311  # spreads load, guards nothing
+    return assemble_agent(settings=settings, ports=ports, rng=rng)
+
+
+def assemble_agent(
+    *, settings: Settings, ports: AgentPorts, rng: random.Random
+) -> AgentDaemon:
+    """Put the parts of an agent together; nothing runs yet."""
     agent = Agent(
         settings=settings,
         holder=ConfigurationHolder(),
-        engine=engine,
-        daemon_port=daemon_port,
+        engine=ports.engine,
+        daemon_port=ports.daemons,
     )
     neighbourhood = Neighbourhood(settings=settings)
     landing = Landing(
@@ -104,25 +141,21 @@
         holder=agent.holder,
         served=agent.served,
         ports=LandingPorts(
-            engine=engine,
-            origin=build_http_origin(session=session, base_url=platform.origin),
-            chunk_port=build_http_peers(session=session),
+            engine=ports.engine,
+            origin=ports.origin,
+            chunk_port=ports.chunks,
             neighbours=neighbourhood.list_peers,
-            table=build_http_table(session=session, base_url=platform.table),
+            table=ports.table,
             count_running=agent.count_running,
             count_live=lambda: agent.gate.running,
         ),
-        rng=random.Random(),  # noqa: S311  # spreads load, guards nothing
+        rng=rng,
     )
     agent.report_landing(functools.partial(describe_landing, landing))
     return AgentDaemon(
         agent=agent,
         landing=landing,
         neighbourhood=neighbourhood,
-        hosts=(
-            build_http_hosts(session=session, base_url=platform.hosts)
-            if platform.hosts
-            else None
-        ),
-        daemon_port=daemon_port,
+        hosts=ports.hosts,
+        daemon_port=ports.daemons,
     )
--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import random
+import time
+from collections.abc import Callable
 from typing import Final
 
 from aiohttp import web
@@ -13,6 +15,7 @@
 from ragwortcourse.configuration.store import ConfigurationStore
 from ragwortcourse.entry.callers import build_caller_routes
 from ragwortcourse.entry.claim_helpers import (
+    AskHelper,
     ClaimHelpers,
     build_claim_routes,
     build_http_helpers,
@@ -20,7 +23,7 @@
 from ragwortcourse.entry.crasher_spread import spread_crashers
 from ragwortcourse.entry.entry import Entry, drain_entry
 from ragwortcourse.entry.http_agents import build_http_agents
-from ragwortcourse.entry.operator_state import Operators
+from ragwortcourse.entry.operator_state import Operators, RecordRelay
 from ragwortcourse.entry.operators import build_operator_routes
 from ragwortcourse.entry.record_relay import (
     build_record_relay,
@@ -34,6 +37,8 @@
 from ragwortcourse.membership.routes import build_exchange_routes
 from ragwortcourse.membership.signs import build_observed_agents
 from ragwortcourse.membership.watch import watch_targets
+from ragwortcourse.messages.peer_port import AgentPort, DaemonPort
+from ragwortcourse.platform.hosts import HostList
 from ragwortcourse.platform.http_daemons import build_http_daemons
 from ragwortcourse.platform.http_hosts import build_http_hosts
 from ragwortcourse.platform.http_objects import build_http_objects
@@ -113,51 +118,95 @@
         await drain_entry(self.entry)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EntryPorts:
+    """An entry daemon's ways to everything outside it.
+
+    :param hosts: none where the platform has no such list.
+    :param ask_helper: sends a claim to the collecting daemon.
+    :param relay_record: record of a request from another daemon.
+    """
+
+    store: ConfigurationStore
+    hosts: HostList | None
+    agents: AgentPort
+    daemons: DaemonPort
+    ask_helper: AskHelper
+    relay_record: RecordRelay
+
+
 def build_entry_daemon(
     *, settings: Settings, sessions: Sessions
 ) -> EntryDaemon:
-    """Put the parts of an entry daemon together; nothing runs yet."""
+    """An entry daemon that reaches others by HTTP; nothing runs yet."""
     platform = settings.platform
     session = sessions.plain
-    table = build_http_table(session=session, base_url=platform.table)
-    objects = build_http_objects(session=session, base_url=platform.objects)
+    ports = EntryPorts(
+        store=ConfigurationStore(
+            table=build_http_table(session=session, base_url=platform.table),
+            objects=build_http_objects(
+                session=session, base_url=platform.objects
+            ),
+        ),
+        hosts=(
+            build_http_hosts(session=session, base_url=platform.hosts)
+            if platform.hosts
+            else None
+        ),
+        agents=build_http_agents(session=sessions.relay),
+        daemons=build_http_daemons(session=session),
+        ask_helper=build_http_helpers(session=session),
+        relay_record=build_record_relay(session=session),
+    )
+    rng = random.Random()  # noqa: S311  # spreads load, guards nothing
+    return assemble_entry(settings=settings, ports=ports, rng=rng)
+
+
+def assemble_entry(
+    *,
+    settings: Settings,
+    ports: EntryPorts,
+    rng: random.Random,
+    read_wall: Callable[[], float] = time.time,
+) -> EntryDaemon:
+    """Put the parts of an entry daemon together; nothing runs yet.
+
+    :param read_wall: seconds since the epoch.
+    """
     entry = Entry(
         settings=settings,
         holder=ConfigurationHolder(),
         directory=TargetDirectory(),
-        agent_port=build_http_agents(session=sessions.relay),
-        table=table,
-        rng=random.Random(),  # noqa: S311  # spreads load, guards nothing
+        agent_port=ports.agents,
+        table=ports.store.table,
+        rng=rng,
+        read_wall=read_wall,
     )
     membership = Membership(
         settings=settings,
         holder=entry.holder,
         directory=entry.directory,
         roster=Roster(settings=settings),
-        hosts=(
-            build_http_hosts(session=session, base_url=platform.hosts)
-            if platform.hosts
-            else None
-        ),
-        agent_port=entry.agent_port,
-        daemon_port=build_http_daemons(session=session),
-        rng=entry.rng,
+        hosts=ports.hosts,
+        agent_port=ports.agents,
+        daemon_port=ports.daemons,
+        rng=rng,
     )
     entry.helpers = ClaimHelpers(
         daemon=settings.daemon,
         failure_domain=settings.failure_domain,
         collector=entry.collector,
         list_peers=lambda: membership.roster.entries,
-        ask=build_http_helpers(session=session),
+        ask=ports.ask_helper,
     )
     entry.agent_port = build_observed_agents(membership)
     operators = Operators(
         settings=settings,
         holder=entry.holder,
-        store=ConfigurationStore(table=table, objects=objects),
+        store=ports.store,
         membership=membership,
         find_record=entry.records.find,
-        relay_record=build_record_relay(session=session),
+        relay_record=ports.relay_record,
         list_crashers=entry.crashers.list_crashers,
         release_crasher=entry.crashers.release,
     )
