Tell withdrawals by exchange from those by way of agents

Two scenarios: with every agent dead a withdrawal reaches each entry daemon by exchange alone; with exchange cut between two failure domains it passes through the agents of a third. Both with the table service down, both within 3 s. Before, no test told them apart.

--- a/features/failure_domains.feature
+++ b/features/failure_domains.feature
@@ -47,6 +47,21 @@
     Then no work has begun in beta since 3 seconds after its withdrawal
     And every promise holds
 
+  Scenario: A withdrawal passes between entry daemons without agents
+    When every agent is killed
+    And the table service is down
+    And operators at alpha withdraw failure domain beta
+    And 3 seconds pass
+    Then every entry daemon that lives has withdrawn beta
+
+  Scenario: A withdrawal passes by way of agents alone
+    When the table service is down
+    And every entry daemon of beta is killed
+    And nothing passes between alpha and gamma
+    And operators at alpha withdraw failure domain beta
+    And 3 seconds pass
+    Then every entry daemon that lives has withdrawn beta
+
   Scenario: Two operators at odds
     When operators withdraw failure domain beta
     And 1 seconds pass
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -109,6 +109,11 @@
     stage.mark('cut')
 
 
+@when(parsers.parse('nothing passes between {one} and {other}'))
+def cut_between(stage, one, other):
+    stage.site.wire.cut(one, other)
+
+
 @when('everything is mended')
 def mend(stage):
     stage.mend()
@@ -127,6 +132,19 @@
     stage.mark(f'{name} returned')
 
 
+@when('every agent is killed')
+def kill_agents(stage):
+    for host in stage.site.plan.targets:
+        stage.kill(host)
+
+
+@when(parsers.parse('every entry daemon of {name} is killed'))
+def kill_entries_of(stage, name):
+    for host, where in stage.site.plan.entries.items():
+        if where == name:
+            stage.kill(host)
+
+
 @when(parsers.parse('host {name} is killed'))
 def kill_host(stage, name):
     stage.kill(name)
@@ -345,6 +363,18 @@
     assert len(seen) == 1
 
 
+@then(parsers.parse('every entry daemon that lives has withdrawn {name}'))
+def check_withdrawn(stage, name):
+    unaware = [
+        host
+        for host, resident in stage.site.residents.items()
+        if resident.entry is not None
+        and resident.host.alive
+        and not resident.entry.entry.holder.is_withdrawn('', name)
+    ]
+    assert unaware == []
+
+
 @then('every promise holds')
 def check_promises(stage):
     assert stage.end() == []
