Play planned stops and roll-outs among the random faults

The random schedules killed, froze and cut, but no host left as planned, no target was withdrawn and no version was deployed. Now they are, so that each also meets the other faults. A stop that is overtaken by the death of its host does nothing more.

--- a/fakes/chaos.py
+++ b/fakes/chaos.py
@@ -7,10 +7,12 @@
 
 from fakes.faults import Fault
 from fakes.stage import Stage
+from ragwortcourse.messages.withdrawal import WithdrawalScope
 
 STEPS: Final = 10
 LONGEST_PAUSE_SECONDS: Final = 2.0
 LAST_SECONDS: Final = 8.0
+VERSIONS: Final = ('v1', 'v2')
 PLATFORM_FAULTS: Final = (
     Fault.DOWN,
     Fault.REFUSED,
@@ -25,6 +27,7 @@
 def run_schedule(stage: Stage, seed: int) -> list[str]:
     """Play faults, mend them, let all calls end; what was played."""
     rng = random.Random(seed)
+    stage.run(stage.site.publish(VERSIONS[-1]))
     actions = build_actions(stage, rng)
     played = []
     for _ in range(STEPS):
@@ -90,6 +93,23 @@
         stage.begin(stage.change_part(name, withdraw=withdraw))
         return f'{"withdraw" if withdraw else "return"} {name}'
 
+    def change_target() -> str:
+        name = rng.choice(sorted(stage.site.plan.targets))
+        withdraw = rng.random() < 1 / 2
+        scope = WithdrawalScope.TARGET
+        stage.begin(stage.change_part(name, withdraw=withdraw, scope=scope))
+        return f'{"withdraw" if withdraw else "return"} {name}'
+
+    def stop() -> str:
+        name = pick_host()
+        stage.begin(stage.site.replace(name))
+        return f'stop and replace {name}'
+
+    def deploy() -> str:
+        version = rng.choice(VERSIONS)
+        stage.begin(stage.site.deploy(version))
+        return f'deploy {version}'
+
     def break_answer() -> str:
         name = rng.choice(sorted(stage.site.engines))
         fault = rng.choice(('lost', 'crossed', 'wrong_version', 'no_end'))
@@ -105,6 +125,10 @@
         heal,
         break_platform,
         change_domain,
+        change_target,
+        stop,
+        stop,
+        deploy,
         break_answer,
         break_answer,
     )
--- a/fakes/site.py
+++ b/fakes/site.py
@@ -221,6 +221,20 @@
             await daemon.drain()
         await self.kill(name)
 
+    async def replace(self, name: str) -> None:
+        """Stop a daemon as SIGTERM does, and start another one there.
+
+        Nothing happens where the host dies or is replaced meanwhile.
+        """
+        resident = self.residents[name]
+        await resident.host.thawed.wait()
+        daemon = resident.entry or resident.agent
+        if daemon is not None:
+            await daemon.drain()
+        if resident.host.alive:
+            await self.kill(name)
+            self.restart(name)
+
     def freeze(self, name: str) -> None:
         """Let a host take no message in until it is thawed."""
         self.residents[name].host.thawed.clear()
--- a/fakes/stage.py
+++ b/fakes/stage.py
@@ -93,16 +93,21 @@
         self.marks[name] = self.now
 
     def change_part(
-        self, name: str, *, withdraw: bool, at: str | None = None
+        self,
+        name: str,
+        *,
+        withdraw: bool,
+        at: str | None = None,
+        scope: WithdrawalScope = WithdrawalScope.FAILURE_DOMAIN,
     ) -> Coroutine[Any, Any, object]:
-        """An operator's withdrawal or return of a failure domain.
+        """An operator's withdrawal or return of a part.
 
         :param at: failure domain of the entry daemon that is asked.
         """
         entry = self.pick_entry(at)
         part = Withdrawal(
             change=self.site.name_change(),
-            scope=WithdrawalScope.FAILURE_DOMAIN,
+            scope=scope,
             name=name,
             generation=entry.entry.holder.generation,
         )
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -9,8 +9,7 @@
 
 from fakes.callers import Ending
 from fakes.stage import Stage
-from ragwortcourse.configuration.withdrawals import withdraw_part
-from ragwortcourse.messages.withdrawal import Withdrawal, WithdrawalScope
+from ragwortcourse.messages.withdrawal import WithdrawalScope
 
 LOAD_PER_SECOND = 16
 LATE_SECONDS = 3
@@ -23,8 +22,7 @@
 
 async def stop_entry(stage):
     """Stop an entry daemon, and replace it."""
-    await stage.site.drain(STOPPED_ENTRY)
-    stage.site.restart(STOPPED_ENTRY)
+    await stage.site.replace(STOPPED_ENTRY)
 
 
 async def stop_agent(stage):
@@ -35,14 +33,7 @@
 
 async def withdraw(stage, scope, name):
     """Take a target or a failure domain out of service."""
-    daemon = stage.pick_entry()
-    part = Withdrawal(
-        change=stage.site.name_change(),
-        scope=scope,
-        name=name,
-        generation=daemon.entry.holder.generation,
-    )
-    await withdraw_part(daemon.entry.holder, daemon.operators.store, part)
+    await stage.change_part(name, withdraw=True, scope=scope)
     stage.mark(name)
 
 
