--- a/tests/test_claimed_calls.py
+++ b/tests/test_claimed_calls.py
@@ -107,6 +107,22 @@
         assert told == ['whole', 'whole']
         assert len(site.agents.ran) == 1
 
+    async def test_barred_by_one_who_could_not_take_it_over(self):
+        """The first says that it did not run, and the key is free again."""
+        site = Site()
+        site.agents.seconds = 1.5
+        site.agents.script('near', Turn.FULL)
+        site.agents.silent = {'near'}
+        first, second = await asyncio.gather(
+            collect(site.a, make_booking_call(key='k')),
+            collect(site.b, make_booking_call('r2', key='k')),
+        )
+        assert (first, second) == ('not_run barred', NOBODY_KNOWS)
+        await asyncio.sleep(1)
+        third = await collect(site.b, make_booking_call('r3', key='k'))
+        assert third == 'whole'
+        assert len(site.agents.ran) == 1
+
 
 class TestKilledDaemon:
     """An entry daemon that dies at some step, and a resend elsewhere."""
