--- a/src/ragwortcourse/entry/claimed_calls.py
+++ b/src/ragwortcourse/entry/claimed_calls.py
@@ -172,11 +172,10 @@
     outcome = failed.outcome
     if not isinstance(outcome, NotRun):
         return build_failure(work, failed)
-    if outcome.code == errors.BARRED:
-        # Another daemon asked about this claim and may have run the work,
-        # but for where it could not take the claim over.
-        if not await _still_holds(entry, work, held):
-            return await follow_claim(entry, work)
+    is_barred = outcome.code == errors.BARRED
+    if is_barred and not await _still_holds(entry, work, held):
+        # Another daemon has taken the claim over and may have run the work.
+        return await follow_claim(entry, work)
     _put_result(entry, work, held, ClaimState.NOT_RUN, None)
     return build_failure(work, failed)
 
