Prove each command against a daemon's real routes, and mend what that shows

Cause: most commands were only proved against a scripted stand-in, or by their help.

A version's name now stands for one set of weights: publication takes the name at the origin before the first chunk, and acceptance refuses another digest for a version, within a configuration and against the one in force (place, value and the digest that has the name).

Ruled out: checking only at acceptance, as the chunks are kept by version and would be damaged before. A target gone from the list but withdrawn can still be returned.

Sending a change, asking for a message and reporting a refusal each stand once now (cli/acceptance.py, ask_message, report_refused).

--- a/fakes/origin.py
+++ b/fakes/origin.py
@@ -15,10 +15,12 @@
     OriginOutcome,
     WeightOrigin,
 )
-from ragwortcourse.weights.publication import (
+from ragwortcourse.platform.origin_writer import (
     OriginStored,
     OriginWriter,
+    ReserveOutcome,
     StoreOutcome,
+    VersionTaken,
 )
 
 BODY_LIMIT_BYTES = 16_777_216
@@ -115,6 +117,15 @@
 def build_memory_writer(store: OriginStore) -> OriginWriter:
     """Publication into a store in this process."""
 
+    async def reserve_version(
+        model: ModelName, version: VersionName, digest: Sha256Hex
+    ) -> ReserveOutcome:
+        name = f'weights/{model}/{version}/manifest'
+        found = store.objects.setdefault(name, digest.encode()).decode()
+        if found == digest:
+            return OriginStored()
+        return VersionTaken(digest=Sha256Hex(found))
+
     async def write_chunk(
         model: ModelName, version: VersionName, index: int, content: bytes
     ) -> StoreOutcome:
@@ -125,7 +136,11 @@
         store.objects[name_manifest(digest)] = content
         return OriginStored()
 
-    return OriginWriter(write_chunk=write_chunk, write_manifest=write_manifest)
+    return OriginWriter(
+        reserve_version=reserve_version,
+        write_chunk=write_chunk,
+        write_manifest=write_manifest,
+    )
 
 
 def build_origin_routes(
@@ -151,7 +166,10 @@
             body += piece
             if len(body) > BODY_LIMIT_BYTES:
                 return web.Response(status=413)
-        store.objects[request.match_info['name']] = bytes(body)
+        name = request.match_info['name']
+        if name in store.objects and 'if-none-match' in request.headers:
+            return web.Response(status=412)
+        store.objects[name] = bytes(body)
         return web.Response(status=204)
 
     return [
--- a/measure/control_site.py
+++ b/measure/control_site.py
@@ -292,7 +292,7 @@
             chunk_size=chunk_size,
         )
         if not isinstance(published, Published):
-            raise RuntimeError(published.detail)
+            raise RuntimeError(str(published))
         return published
 
     async def wait_for_answer(self, deployment: str) -> None:
--- a/src/ragwortcourse/cli/answer.py
+++ b/src/ragwortcourse/cli/answer.py
@@ -5,8 +5,16 @@
 import msgspec
 from click.exceptions import Exit
 
+from ragwortcourse.cli.connection import Connection
 from ragwortcourse.cli.exit_code import ExitCode
-from ragwortcourse.cli.operator_client import Answered, AskOutcome, Unreached
+from ragwortcourse.cli.operator_client import (
+    Answered,
+    AskOutcome,
+    Question,
+    Unreached,
+    ask_entries,
+    run_client,
+)
 from ragwortcourse.cli.output import Failure, report_failure
 from ragwortcourse.messages.operator import ChangeConflict, OperatorErrorBody
 from ragwortcourse.messages.outcome import OutcomeKind
@@ -19,6 +27,21 @@
 _Message = TypeVar('_Message')
 
 
+def ask_message(
+    connection: Connection,
+    question: Question,
+    kind: type[_Message],
+    *,
+    as_json: bool,
+) -> _Message:
+    """The message that answers a question; ends the command without one.
+
+    :param kind: type of the message.
+    """
+    outcome = run_client(ask_entries(connection, question))
+    return require_message(outcome, kind, as_json=as_json)
+
+
 def require_message(
     outcome: AskOutcome, kind: type[_Message], *, as_json: bool
 ) -> _Message:
--- a/src/ragwortcourse/cli/configuration_commands.py
+++ b/src/ragwortcourse/cli/configuration_commands.py
@@ -6,12 +6,9 @@
 import click
 import msgspec
 
+from ragwortcourse.cli.acceptance import require_acceptance, show_acceptance
 from ragwortcourse.cli.answer import read_refusal, require_message
-from ragwortcourse.cli.change import (
-    CONFIGURATION_PATH,
-    make_change,
-    submit_change,
-)
+from ragwortcourse.cli.change import CONFIGURATION_PATH, make_change
 from ragwortcourse.cli.configuration_file import require_configuration
 from ragwortcourse.cli.configuration_text import write_toml
 from ragwortcourse.cli.connection import Connection, accept_connection
@@ -26,8 +23,8 @@
     Configuration,
     ConfigurationDocument,
 )
-from ragwortcourse.identifiers import ChangeId, Generation
-from ragwortcourse.messages.operator import ChangeAccepted, ConfigurationChange
+from ragwortcourse.identifiers import Generation
+from ragwortcourse.messages.operator import ConfigurationChange
 
 STATUS_UNAVAILABLE = 503
 FILE_ARGUMENT = click.argument(
@@ -108,11 +105,14 @@
         configuration=configuration,
         change=make_change(),
     )
-    accepted = apply_change(connection, change, as_json=as_json)
-    if as_json:
-        print_json(accepted)
-    else:
-        click.echo(f'accepted: generation {accepted.generation}')
+    accepted = require_acceptance(
+        connection,
+        Question(path=CONFIGURATION_PATH, method='POST', body=change),
+        change.change,
+        change.base_generation,
+        as_json=as_json,
+    )
+    show_acceptance(accepted, 'accepted', as_json=as_json)
 
 
 @click.command()
@@ -198,19 +198,3 @@
         if refusal is not None and refusal.error.code == 'no_configuration':
             return None
     return require_message(outcome, ConfigurationDocument, as_json=as_json)
-
-
-def apply_change(
-    connection: Connection, change: ConfigurationChange, *, as_json: bool
-) -> ChangeAccepted:
-    """Acceptance of a change; ends the command without one."""
-    question = Question(path=CONFIGURATION_PATH, method='POST', body=change)
-    outcome = run_client(
-        submit_change(
-            connection,
-            question,
-            ChangeId(change.change),
-            change.base_generation,
-        )
-    )
-    return require_message(outcome, ChangeAccepted, as_json=as_json)
--- a/src/ragwortcourse/cli/configuration_file.py
+++ b/src/ragwortcourse/cli/configuration_file.py
@@ -2,12 +2,10 @@
 
 import pathlib
 
-from ragwortcourse.cli.exit_code import ExitCode
-from ragwortcourse.cli.output import Failure, report_failure
+from ragwortcourse.cli.output import report_refused
 from ragwortcourse.configuration.configuration import Configuration
 from ragwortcourse.configuration.document import read_configuration
 from ragwortcourse.configuration.finding import Finding
-from ragwortcourse.messages.outcome import OutcomeKind
 
 
 def read_file(path: pathlib.Path) -> Configuration | tuple[Finding, ...]:
@@ -33,14 +31,10 @@
     found = read_file(path)
     if isinstance(found, Configuration):
         return found
-    raise report_failure(
-        Failure(
-            code='configuration_unsound',
-            message=f'{path}: {len(found)} findings',
-            outcome=OutcomeKind.NOT_RUN,
-            findings=found,
-            file=str(path),
-        ),
-        ExitCode.REFUSED,
+    raise report_refused(
+        'configuration_unsound',
+        f'{path}: {len(found)} findings',
         as_json=as_json,
+        findings=found,
+        file=str(path),
     )
--- a/src/ragwortcourse/cli/connection.py
+++ b/src/ragwortcourse/cli/connection.py
@@ -34,6 +34,19 @@
     return url.rstrip('/')
 
 
+def check_token(
+    context: click.Context, parameter: click.Parameter, token: str
+) -> str:
+    """The token, if a header can carry it."""
+    if token.isprintable():
+        return token
+    raise click.BadParameter(
+        'a token has no line ends or other control characters',
+        ctx=context,
+        param=parameter,
+    )
+
+
 def accept_connection(
     command: Callable[_Params, _Returned],
 ) -> Callable[..., _Returned]:
@@ -53,6 +66,7 @@
         '--token',
         envvar='RAGWORTCOURSE_TOKEN',
         default='',
+        callback=check_token,
         help='Token of the operator; better given by RAGWORTCOURSE_TOKEN.',
     )
     @click.option(
--- a/src/ragwortcourse/cli/crasher_commands.py
+++ b/src/ragwortcourse/cli/crasher_commands.py
@@ -3,11 +3,12 @@
 import click
 import msgspec
 
-from ragwortcourse.cli.answer import require_message, require_success
+from ragwortcourse.cli.answer import ask_message, require_success
 from ragwortcourse.cli.connection import Connection, accept_connection
 from ragwortcourse.cli.operator_client import (
     Question,
     ask_entries,
+    quote_name,
     run_client,
 )
 from ragwortcourse.cli.output import (
@@ -40,8 +41,9 @@
 
     Example: ragwortcourse crashers list
     """
-    outcome = run_client(ask_entries(connection, Question(path=CRASHERS_PATH)))
-    found = require_message(outcome, CrasherList, as_json=as_json)
+    found = ask_message(
+        connection, Question(path=CRASHERS_PATH), CrasherList, as_json=as_json
+    )
     if as_json:
         print_json(found)
         return
@@ -64,7 +66,9 @@
 
     Example: ragwortcourse crashers release 9f86d081884c7d65
     """
-    question = Question(path=f'{CRASHERS_PATH}/{fingerprint}', method='DELETE')
+    question = Question(
+        path=f'{CRASHERS_PATH}/{quote_name(fingerprint)}', method='DELETE'
+    )
     outcome = run_client(ask_entries(connection, question))
     require_success(outcome, as_json=as_json)
     if as_json:
--- a/src/ragwortcourse/cli/operator_client.py
+++ b/src/ragwortcourse/cli/operator_client.py
@@ -4,6 +4,7 @@
 import dataclasses
 from collections.abc import Coroutine
 from typing import Final
+from urllib.parse import quote
 
 import aiohttp
 import msgspec
@@ -11,6 +12,11 @@
 from ragwortcourse.cli.connection import Connection
 
 CONNECT_TIMEOUT_SECONDS: Final = 3.0
+UNREACHED: Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.InvalidURL,
+    aiohttp.NonHttpUrlClientError,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,6 +82,11 @@
     return Unreached(detail=detail)
 
 
+def quote_name(name: str) -> str:
+    """A name as one segment of a path."""
+    return quote(name, safe='')
+
+
 def run_client(work: Coroutine[object, object, AskOutcome]) -> AskOutcome:
     """Run one question to its end."""
     return asyncio.run(work)
@@ -105,7 +116,7 @@
                 status=response.status,
                 body=await response.read(),
             )
-    except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
+    except UNREACHED as error:
         return Unreached(detail=f'{entry}: {error}')
     except aiohttp.ConnectionTimeoutError:
         return Unreached(detail=f'{entry}: no connection in time')
--- a/src/ragwortcourse/cli/output.py
+++ b/src/ragwortcourse/cli/output.py
@@ -81,6 +81,25 @@
     return Exit(exit_code)
 
 
+def report_refused(
+    code: str,
+    message: str,
+    *,
+    as_json: bool,
+    findings: tuple[Finding, ...] = (),
+    file: str = '',
+) -> Exit:
+    """Show what a command would not begin with; what to raise then."""
+    failure = Failure(
+        code=code,
+        message=message,
+        outcome=OutcomeKind.NOT_RUN,
+        findings=findings,
+        file=file,
+    )
+    return report_failure(failure, ExitCode.REFUSED, as_json=as_json)
+
+
 def print_findings(findings: Iterable[Finding], file: str = '') -> None:
     """One line for each finding: file, key, value, what is allowed."""
     for finding in findings:
--- a/src/ragwortcourse/cli/part_commands.py
+++ b/src/ragwortcourse/cli/part_commands.py
@@ -4,13 +4,13 @@
 
 import click
 
-from ragwortcourse.cli.answer import require_message
-from ragwortcourse.cli.change import make_change, submit_change
+from ragwortcourse.cli.acceptance import require_acceptance, show_acceptance
+from ragwortcourse.cli.change import make_change
 from ragwortcourse.cli.connection import Connection, accept_connection
 from ragwortcourse.cli.departure import DepartureReport, wait_for_departure
-from ragwortcourse.cli.operator_client import Question, run_client
+from ragwortcourse.cli.operator_client import Question
 from ragwortcourse.cli.output import accept_json, print_json
-from ragwortcourse.messages.operator import ChangeAccepted, PartChange
+from ragwortcourse.messages.operator import PartChange
 from ragwortcourse.messages.withdrawal import WithdrawalScope
 
 WITHDRAWALS_PATH = '/operator/withdrawals'
@@ -50,7 +50,12 @@
     Example: ragwortcourse withdraw failure-domain padova-a --wait
     """
     part = make_part_change(scope, name)
-    accepted = change_part(connection, WITHDRAWALS_PATH, part, as_json=as_json)
+    accepted = require_acceptance(
+        connection,
+        Question(path=WITHDRAWALS_PATH, method='POST', body=part),
+        part.change,
+        as_json=as_json,
+    )
     if not wait:
         show_acceptance(accepted, f'{name} withdrawn', as_json=as_json)
         return
@@ -78,7 +83,12 @@
     Example: ragwortcourse return failure-domain padova-a
     """
     part = make_part_change(scope, name)
-    accepted = change_part(connection, RETURNS_PATH, part, as_json=as_json)
+    accepted = require_acceptance(
+        connection,
+        Question(path=RETURNS_PATH, method='POST', body=part),
+        part.change,
+        as_json=as_json,
+    )
     show_acceptance(accepted, f'{name} returned', as_json=as_json)
 
 
@@ -91,27 +101,6 @@
     )
 
 
-def change_part(
-    connection: Connection, path: str, part: PartChange, *, as_json: bool
-) -> ChangeAccepted:
-    """Acceptance of a change to one part; ends the command without one."""
-    question = Question(path=path, method='POST', body=part)
-    outcome = run_client(submit_change(connection, question, part.change))
-    return require_message(outcome, ChangeAccepted, as_json=as_json)
-
-
-def show_acceptance(
-    accepted: ChangeAccepted, text: str, *, as_json: bool
-) -> None:
-    """Show that a change is in force."""
-    if as_json:
-        print_json(accepted)
-        return
-    click.echo(f'{text}: generation {accepted.generation}')
-    if accepted.pending:
-        click.echo('in force; to be written when the table service is back')
-
-
 def show_departure(report: DepartureReport, *, as_json: bool) -> None:
     """Show how a withdrawal ended."""
     if as_json:
--- a/src/ragwortcourse/cli/program.py
+++ b/src/ragwortcourse/cli/program.py
@@ -35,7 +35,6 @@
     part_commands.withdraw,
     part_commands.return_part,
     publish_command.publish,
-    publish_command.publish,
     weights_commands.replicas,
     weights_commands.cancel,
     crasher_commands.crashers,
--- a/src/ragwortcourse/cli/publish_command.py
+++ b/src/ragwortcourse/cli/publish_command.py
@@ -6,6 +6,7 @@
 import aiohttp
 import click
 import msgspec
+from click.exceptions import Exit
 
 from ragwortcourse.cli.exit_code import ExitCode
 from ragwortcourse.cli.output import (
@@ -13,12 +14,19 @@
     accept_json,
     print_json,
     report_failure,
+    report_refused,
 )
+from ragwortcourse.configuration.rules import check_name, refuse_value
 from ragwortcourse.identifiers import ModelName, Sha256Hex, VersionName
 from ragwortcourse.messages.outcome import OutcomeKind
 from ragwortcourse.platform.http_origin import build_http_writer
 from ragwortcourse.platform.origin import OriginFailed
-from ragwortcourse.weights.publication import Published, publish_weights
+from ragwortcourse.platform.origin_writer import OriginUnreached, VersionTaken
+from ragwortcourse.weights.publication import (
+    Published,
+    PublishOutcome,
+    publish_weights,
+)
 
 
 class PublishReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -58,12 +66,14 @@
 
     Prints the digest that a deployment names as manifest_sha256.
 
-    Exit code 0: there whole. 5: the origin failed; publishing again is
-    harmless.
+    Exit code 0: there whole. 1: refused, as a name is malformed or the
+    version is there with other weights. 3: the origin was not reached, and
+    holds nothing new. 5: the origin failed; publishing again is harmless.
 
     Example: ragwortcourse publish weights.bin --model drafts --version 7
     --origin http://10.0.0.2:9000/origin
     """
+    require_names(model, version, as_json=as_json)
     outcome = asyncio.run(
         publish_path(
             path,
@@ -72,13 +82,8 @@
             origin.rstrip('/'),
         )
     )
-    if isinstance(outcome, OriginFailed):
-        failure = Failure(
-            code='origin_failed',
-            message=outcome.detail,
-            outcome=OutcomeKind.UNKNOWN,
-        )
-        raise report_failure(failure, ExitCode.UNKNOWN, as_json=as_json)
+    if not isinstance(outcome, Published):
+        raise report_unpublished(version, outcome, as_json=as_json)
     report = PublishReport(
         model=outcome.manifest.model,
         version=outcome.manifest.version,
@@ -92,9 +97,54 @@
         click.echo(f'manifest_sha256 = "{report.manifest_sha256}"')
 
 
+def require_names(model: str, version: str, *, as_json: bool) -> None:
+    """End the command where a configuration could not name the weights."""
+    findings = (
+        *check_name('--model', model),
+        *check_name('--version', version),
+    )
+    if findings:
+        raise report_refused(
+            'invalid',
+            f'{len(findings)} findings',
+            as_json=as_json,
+            findings=findings,
+        )
+
+
+def report_unpublished(
+    version: str,
+    outcome: OriginFailed | OriginUnreached | VersionTaken,
+    *,
+    as_json: bool,
+) -> Exit:
+    """Show why the weights are not at the origin; what to raise then."""
+    if isinstance(outcome, VersionTaken):
+        finding = refuse_value(
+            '--version',
+            version,
+            'a version that is not published yet',
+            f'there with other weights, manifest_sha256 {outcome.digest}',
+        )
+        return report_refused(
+            'version_taken',
+            'the version has other weights; nothing was changed',
+            as_json=as_json,
+            findings=(finding,),
+        )
+    reached = isinstance(outcome, OriginFailed)
+    failure = Failure(
+        code='origin_failed' if reached else 'unreachable',
+        message=outcome.detail,
+        outcome=OutcomeKind.UNKNOWN if reached else OutcomeKind.NOT_RUN,
+    )
+    exit_code = ExitCode.UNKNOWN if reached else ExitCode.UNREACHABLE
+    return report_failure(failure, exit_code, as_json=as_json)
+
+
 async def publish_path(
     path: pathlib.Path, model: ModelName, version: VersionName, origin: str
-) -> Published | OriginFailed:
+) -> PublishOutcome:
     """Publish a file or directory to the origin behind a base URL."""
     async with aiohttp.ClientSession() as session:
         writer = build_http_writer(session=session, base_url=origin)
--- a/src/ragwortcourse/cli/status_commands.py
+++ b/src/ragwortcourse/cli/status_commands.py
@@ -4,13 +4,9 @@
 
 import click
 
-from ragwortcourse.cli.answer import require_message
+from ragwortcourse.cli.answer import ask_message
 from ragwortcourse.cli.connection import Connection, accept_connection
-from ragwortcourse.cli.operator_client import (
-    Question,
-    ask_entries,
-    run_client,
-)
+from ragwortcourse.cli.operator_client import Question, quote_name
 from ragwortcourse.cli.output import (
     accept_json,
     build_console,
@@ -62,9 +58,8 @@
 
     Example: ragwortcourse explain entry-1-5f0c9a
     """
-    question = Question(path=f'/operator/requests/{request}')
-    outcome = run_client(ask_entries(connection, question))
-    record = require_message(outcome, RequestRecord, as_json=as_json)
+    question = Question(path=f'/operator/requests/{quote_name(request)}')
+    record = ask_message(connection, question, RequestRecord, as_json=as_json)
     if as_json:
         print_json(record)
         return
@@ -75,10 +70,8 @@
 
 def read_status(connection: Connection, *, as_json: bool) -> OperatorStatus:
     """Status as the first entry daemon that answers sees it."""
-    outcome = run_client(
-        ask_entries(connection, Question(path='/operator/status'))
-    )
-    return require_message(outcome, OperatorStatus, as_json=as_json)
+    question = Question(path='/operator/status')
+    return ask_message(connection, question, OperatorStatus, as_json=as_json)
 
 
 def describe_target(target: TargetSummary) -> tuple[str, ...]:
--- a/src/ragwortcourse/cli/weights_commands.py
+++ b/src/ragwortcourse/cli/weights_commands.py
@@ -4,32 +4,25 @@
 
 import click
 
-from ragwortcourse.cli.answer import require_message
-from ragwortcourse.cli.change import make_change, submit_change
+from ragwortcourse.cli.acceptance import require_acceptance, show_acceptance
+from ragwortcourse.cli.answer import ask_message
+from ragwortcourse.cli.change import make_change
 from ragwortcourse.cli.configuration_commands import read_current
 from ragwortcourse.cli.connection import Connection, accept_connection
-from ragwortcourse.cli.exit_code import ExitCode
-from ragwortcourse.cli.operator_client import (
-    Question,
-    ask_entries,
-    run_client,
-)
+from ragwortcourse.cli.operator_client import Question, quote_name
 from ragwortcourse.cli.output import (
-    Failure,
     accept_json,
     build_console,
     build_table,
     print_json,
-    report_failure,
+    report_refused,
 )
 from ragwortcourse.identifiers import DeploymentName
 from ragwortcourse.messages.operator import (
-    ChangeAccepted,
     LandingCancellation,
     ReplicaProgress,
     ReplicaSummary,
 )
-from ragwortcourse.messages.outcome import OutcomeKind
 
 POLL_PERIOD_SECONDS = 1.0
 
@@ -81,12 +74,10 @@
     question = Question(
         path='/operator/weights/cancel', method='POST', body=body
     )
-    outcome = run_client(submit_change(connection, question, body.change))
-    accepted = require_message(outcome, ChangeAccepted, as_json=as_json)
-    if as_json:
-        print_json(accepted)
-    else:
-        click.echo(f'cancelled: generation {accepted.generation}')
+    accepted = require_acceptance(
+        connection, question, body.change, as_json=as_json
+    )
+    show_acceptance(accepted, 'cancelled', as_json=as_json)
 
 
 def find_deployments(
@@ -101,13 +92,9 @@
     if found:
         return found
     known = ', '.join(each.name for each in models) or 'none'
-    raise report_failure(
-        Failure(
-            code='deployment_unknown',
-            message=f'{name} names no model or deployment; there are: {known}',
-            outcome=OutcomeKind.NOT_RUN,
-        ),
-        ExitCode.REFUSED,
+    raise report_refused(
+        'deployment_unknown',
+        f'{name} names no model or deployment; there are: {known}',
         as_json=as_json,
     )
 
@@ -119,12 +106,15 @@
     as_json: bool,
 ) -> tuple[ReplicaProgress, ...]:
     """Progress of each deployment."""
-    found = []
-    for name in names:
-        question = Question(path=f'/operator/replicas/{name}')
-        outcome = run_client(ask_entries(connection, question))
-        found.append(require_message(outcome, ReplicaProgress, as_json=as_json))
-    return tuple(found)
+    return tuple(
+        ask_message(
+            connection,
+            Question(path=f'/operator/replicas/{quote_name(name)}'),
+            ReplicaProgress,
+            as_json=as_json,
+        )
+        for name in names
+    )
 
 
 def is_complete(progress: ReplicaProgress) -> bool:
--- a/src/ragwortcourse/configuration/check.py
+++ b/src/ragwortcourse/configuration/check.py
@@ -18,6 +18,7 @@
     check_unique,
     place_names,
 )
+from ragwortcourse.configuration.version_check import check_versions
 
 LEAST_WEIGHT = 0.001
 MOST_WEIGHT = 1_000_000.0
@@ -30,6 +31,7 @@
         _check_accounts,
         _check_deployments,
         _check_withdrawn,
+        check_versions,
     )
     return tuple(
         itertools.chain.from_iterable(check(configuration) for check in checks)
--- /dev/null
+++ b/src/ragwortcourse/configuration/version_check.py
@@ -0,0 +1,66 @@
+"""A version's name stands for one set of weights."""
+
+from collections.abc import Iterator
+
+from ragwortcourse.configuration.configuration import Configuration
+from ragwortcourse.configuration.finding import Finding
+from ragwortcourse.configuration.rules import refuse_value
+from ragwortcourse.identifiers import Sha256Hex
+
+# Name of a model or an adapter, which the origin keeps alike, and version.
+Weights = tuple[str, str]
+
+
+def check_versions(configuration: Configuration) -> Iterator[Finding]:
+    """Two places that name one version must name one digest."""
+    named: dict[Weights, Sha256Hex] = {}
+    for place, weights, digest in list_weights(configuration):
+        first = named.setdefault(weights, digest)
+        if first != digest:
+            yield _refuse_digest(place, weights, digest, first)
+
+
+def check_reused(
+    configuration: Configuration, before: Configuration
+) -> Iterator[Finding]:
+    """A version that was named before must keep its digest.
+
+    :param before: configuration that the other one is to follow.
+    """
+    known = {weights: digest for _, weights, digest in list_weights(before)}
+    for place, weights, digest in list_weights(configuration):
+        first = known.get(weights, digest)
+        if first != digest:
+            yield _refuse_digest(
+                f'configuration.{place}', weights, digest, first
+            )
+
+
+def list_weights(
+    configuration: Configuration,
+) -> Iterator[tuple[str, Weights, Sha256Hex]]:
+    """Place, name and version, and digest of all weights named."""
+    for index, model in enumerate(configuration.models):
+        place = f'models[{index}]'
+        yield (
+            f'{place}.manifest_sha256',
+            (model.model, model.version),
+            model.manifest_sha256,
+        )
+        for number, adapter in enumerate(model.adapters):
+            yield (
+                f'{place}.adapters[{number}].manifest_sha256',
+                (adapter.name, adapter.version),
+                adapter.manifest_sha256,
+            )
+
+
+def _refuse_digest(
+    place: str, weights: Weights, digest: Sha256Hex, first: Sha256Hex
+) -> Finding:
+    return refuse_value(
+        place,
+        digest,
+        f'{first}, or another version',
+        f'version {weights[1]} of {weights[0]} has other weights',
+    )
--- a/src/ragwortcourse/entry/operator_changes.py
+++ b/src/ragwortcourse/entry/operator_changes.py
@@ -19,6 +19,7 @@
 from ragwortcourse.configuration.check import check_configuration
 from ragwortcourse.configuration.finding import Finding
 from ragwortcourse.configuration.rules import check_known
+from ragwortcourse.configuration.version_check import check_reused
 from ragwortcourse.configuration.withdrawals import (
     keep_withdrawn,
     return_part,
@@ -33,7 +34,12 @@
     read_message,
 )
 from ragwortcourse.entry.operator_state import Operators
-from ragwortcourse.identifiers import ChangeId, DeploymentName
+from ragwortcourse.identifiers import (
+    ChangeId,
+    DeploymentName,
+    FailureDomainName,
+    TargetName,
+)
 from ragwortcourse.messages.operator import (
     ChangeAccepted,
     ChangeConflict,
@@ -60,9 +66,14 @@
     if findings:
         return answer_findings(findings)
 
+    reused: list[Finding] = []
+
     def draft(base: Base) -> Draft | None:
         if base.generation != body.base_generation:
             return None
+        reused.extend(check_reused(body.configuration, base.configuration))
+        if reused:
+            return None
         return Draft(
             configuration=keep_withdrawn(base.configuration, body.configuration)
         )
@@ -70,6 +81,8 @@
     outcome = await make_change(
         operators.holder, operators.store, body.change, draft
     )
+    if reused:
+        return answer_findings(tuple(reused))
     return answer_change(body.change, outcome)
 
 
@@ -194,9 +207,30 @@
 
 
 def _check_part(operators: Operators, part: PartChange) -> tuple[Finding, ...]:
-    """A failure domain that nobody configured is a slip of the pen."""
+    """A part that is not there is a slip of the pen."""
     document = operators.holder.document
-    if document is None or part.scope is not WithdrawalScope.FAILURE_DOMAIN:
+    if document is None:
         return ()
+    if part.scope is WithdrawalScope.TARGET:
+        return _check_target(operators, part)
     known = {domain.name for domain in document.configuration.failure_domains}
     return tuple(check_known('name', part.name, known, 'failure domain'))
+
+
+def _check_target(
+    operators: Operators, part: PartChange
+) -> tuple[Finding, ...]:
+    """One that is withdrawn may be gone from the list and still return."""
+    agents = operators.membership.roster.agents
+    listed = any(agent.target == part.name for agent in agents)
+    if listed or operators.holder.is_withdrawn(
+        TargetName(part.name), FailureDomainName('')
+    ):
+        return ()
+    finding = Finding(
+        place='name',
+        value=part.name,
+        allowed='a target that the list of hosts or the settings name',
+        message='unknown target',
+    )
+    return (finding,)
--- a/src/ragwortcourse/platform/http_origin.py
+++ b/src/ragwortcourse/platform/http_origin.py
@@ -14,10 +14,13 @@
     OriginOutcome,
     WeightOrigin,
 )
-from ragwortcourse.weights.publication import (
+from ragwortcourse.platform.origin_writer import (
     OriginStored,
+    OriginUnreached,
     OriginWriter,
+    ReserveOutcome,
     StoreOutcome,
+    VersionTaken,
 )
 
 # An origin that sends nothing for so long is taken to have stalled.
@@ -75,6 +78,45 @@
         return OriginFailed(detail=f'{url}: {error!r}')
 
 
+async def reserve_origin(
+    session: aiohttp.ClientSession, url: str, digest: Sha256Hex
+) -> ReserveOutcome:
+    """Take a name at the origin for a digest, unless it has another.
+
+    An origin that knows conditional writes lets one of two publishers
+    through; with another one, both read back who came last.
+
+    :param url: absolute.
+    """
+    try:
+        found = await _read_digest(session, url)
+        if found is None:
+            async with session.put(
+                url,
+                data=digest,
+                headers={'If-None-Match': '*'},
+                timeout=TIMEOUT,
+            ):
+                found = await _read_digest(session, url)
+    except aiohttp.ClientConnectorError as error:
+        return OriginUnreached(detail=f'{url}: {error}')
+    except FAILURES as error:
+        return OriginFailed(detail=f'{url}: {error!r}')
+    if found is None:
+        return OriginFailed(detail=f'{url}: not kept by the origin')
+    return OriginStored() if found == digest else VersionTaken(digest=found)
+
+
+async def _read_digest(
+    session: aiohttp.ClientSession, url: str
+) -> Sha256Hex | None:
+    async with session.get(url, timeout=TIMEOUT) as response:
+        if response.status == HTTPStatus.NOT_FOUND:
+            return None
+        response.raise_for_status()
+        return Sha256Hex(await response.text())
+
+
 def build_http_origin(
     *, session: aiohttp.ClientSession, base_url: str
 ) -> WeightOrigin:
@@ -97,6 +139,12 @@
 ) -> OriginWriter:
     """Publication to the origin behind a base URL."""
 
+    async def reserve_version(
+        model: ModelName, version: VersionName, digest: Sha256Hex
+    ) -> ReserveOutcome:
+        url = f'{base_url}/weights/{model}/{version}/manifest'
+        return await reserve_origin(session, url, digest)
+
     async def write_chunk(
         model: ModelName, version: VersionName, index: int, content: bytes
     ) -> StoreOutcome:
@@ -107,4 +155,8 @@
         url = f'{base_url}/manifests/{digest}'
         return await write_origin(session, url, content)
 
-    return OriginWriter(write_chunk=write_chunk, write_manifest=write_manifest)
+    return OriginWriter(
+        reserve_version=reserve_version,
+        write_chunk=write_chunk,
+        write_manifest=write_manifest,
+    )
--- a/src/ragwortcourse/weights/publication.py
+++ b/src/ragwortcourse/weights/publication.py
@@ -2,12 +2,19 @@
 
 import dataclasses
 import hashlib
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Final
 
 from ragwortcourse.identifiers import ModelName, Sha256Hex, VersionName
 from ragwortcourse.platform.origin import OriginFailed
+from ragwortcourse.platform.origin_writer import (
+    OriginStored,
+    OriginUnreached,
+    OriginWriter,
+    StoreOutcome,
+    VersionTaken,
+)
 from ragwortcourse.weights.manifest import (
     Manifest,
     digest_bytes,
@@ -20,29 +27,6 @@
 CHUNKS_WANTED: Final = 2048
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class OriginStored:
-    """The origin keeps it."""
-
-
-StoreOutcome = OriginStored | OriginFailed
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class OriginWriter:
-    """What publication asks of the origin.
-
-    :param write_chunk: one chunk of a model version by index.
-    :param write_manifest: a manifest under its digest.
-    """
-
-    write_chunk: Callable[
-        [ModelName, VersionName, int, bytes],
-        Awaitable[StoreOutcome],
-    ]
-    write_manifest: Callable[[Sha256Hex, bytes], Awaitable[StoreOutcome]]
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Published:
     """The weights and their manifest are at the origin.
@@ -54,6 +38,9 @@
     manifest: Manifest
 
 
+PublishOutcome = Published | OriginFailed | OriginUnreached | VersionTaken
+
+
 def choose_chunk_size(size: int) -> int:
     """Bytes a chunk should have for weights of so many bytes."""
     chunk = SMALLEST_CHUNK_BYTES
@@ -95,23 +82,41 @@
     model: ModelName,
     version: VersionName,
     chunk_size: int = 0,
-) -> Published | OriginFailed:
+) -> PublishOutcome:
     """Put weights at the origin, the manifest last.
 
+    The version's name is taken first, so that the chunks of a version that
+    is there already are never written over by others.
+
     :param chunk_size: bytes; zero picks one by the size of the whole.
     """
     chunk_size = chunk_size or choose_chunk_size(measure_path(path))
+    manifest = make_manifest(path, model, version, chunk_size)
+    content = encode_manifest(manifest)
+    digest = digest_bytes(content)
+    reserved = await writer.reserve_version(model, version, digest)
+    if not isinstance(reserved, OriginStored):
+        return reserved
+    stored = await _write_chunks(writer, path, manifest)
+    if isinstance(stored, OriginStored):
+        stored = await writer.write_manifest(digest, content)
+    if isinstance(stored, OriginFailed):
+        return stored
+    return Published(digest=digest, manifest=manifest)
+
+
+def make_manifest(
+    path: Path, model: ModelName, version: VersionName, chunk_size: int
+) -> Manifest:
+    """The manifest of the bytes at a path."""
     whole = hashlib.sha256()
     digests: list[Sha256Hex] = []
     size = 0
-    for index, chunk in enumerate(read_chunks(path, chunk_size)):
-        stored = await writer.write_chunk(model, version, index, chunk)
-        if isinstance(stored, OriginFailed):
-            return stored
+    for chunk in read_chunks(path, chunk_size):
         whole.update(chunk)
         digests.append(digest_bytes(chunk))
         size += len(chunk)
-    manifest = Manifest(
+    return Manifest(
         model=model,
         version=version,
         size=size,
@@ -119,9 +124,21 @@
         chunk_size=chunk_size,
         chunks=tuple(digests),
     )
-    content = encode_manifest(manifest)
-    digest = digest_bytes(content)
-    stored = await writer.write_manifest(digest, content)
-    if isinstance(stored, OriginFailed):
-        return stored
-    return Published(digest=digest, manifest=manifest)
+
+
+async def _write_chunks(
+    writer: OriginWriter, path: Path, manifest: Manifest
+) -> StoreOutcome:
+    written = 0
+    for index, chunk in enumerate(read_chunks(path, manifest.chunk_size)):
+        if digest_bytes(chunk) not in manifest.chunks[index : index + 1]:
+            return OriginFailed(detail=f'{path} changed while it was read')
+        stored = await writer.write_chunk(
+            manifest.model, manifest.version, index, chunk
+        )
+        if isinstance(stored, OriginFailed):
+            return stored
+        written += 1
+    if written < len(manifest.chunks):
+        return OriginFailed(detail=f'{path} changed while it was read')
+    return OriginStored()
--- /dev/null
+++ b/tests/test_cli_operators.py
@@ -0,0 +1,279 @@
+"""Tests of :mod:`ragwortcourse.cli.program` against a daemon's real routes."""
+
+import asyncio
+import pathlib
+from typing import Any
+
+import msgspec
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer, unused_port
+from click.testing import CliRunner, Result
+
+from fakes.faults import Fault
+from fakes.origin import OriginStore, build_origin_routes
+from ragwortcourse.cli import change, departure
+from ragwortcourse.cli.configuration_text import write_toml
+from ragwortcourse.cli.program import main
+from ragwortcourse.configuration.deployment import ModelDeployment
+from tests.test_operators import SOUND, TOKEN, Console, open_console
+
+DRAFTS = ModelDeployment(
+    name='drafts',
+    model='draft-model',
+    version='v1',
+    manifest_sha256='0' * 64,
+    failure_domains=('milano-a',),
+)
+FILED = msgspec.structs.replace(SOUND, models=(DRAFTS,))
+PART = ('failure-domain', 'milano-a')
+COMMANDS: dict[tuple[str, ...], str] = {
+    ('status',): 'generation',
+    ('show',): 'configuration',
+    ('diff', 'FILE'): 'lines',
+    ('apply', 'FILE'): 'generation',
+    ('replicas', 'draft-model'): 'deployment',
+    ('explain', 'e-0-01'): 'decisions',
+    ('cancel', 'drafts'): 'generation',
+    ('withdraw', *PART): 'generation',
+    ('withdraw', *PART, '--wait'): 'seconds',
+    ('return', *PART): 'generation',
+    ('crashers', 'list'): 'crashers',
+    ('crashers', 'release', 'known'): 'released',
+}
+UNKNOWN = {
+    ('replicas', 'nothing'): 'deployment_unknown',
+    ('explain', 'e-0-99'): 'no_record',
+    ('explain', '../status'): 'no_daemon',
+    ('cancel', 'nothing'): 'invalid',
+    ('withdraw', 'failure-domain', 'nowhere'): 'invalid',
+    ('withdraw', 'target', 'nobody'): 'invalid',
+    ('return', 'failure-domain', 'nowhere'): 'invalid',
+    ('crashers', 'release', 'other'): 'no_crasher',
+}
+
+
+@pytest.fixture(name='file')
+def write_file(tmp_path: pathlib.Path, monkeypatch) -> str:
+    """A sound configuration file; waits of commands are cut short."""
+    monkeypatch.setattr(change, 'PAUSES_SECONDS', (0.0, 0.0, 0.0))
+    monkeypatch.setattr(departure, 'POLL_PERIOD_SECONDS', 0.01)
+    monkeypatch.setattr(departure, 'SETTLING_SECONDS', 0.0)
+    path = tmp_path / 'configuration.toml'
+    path.write_text(write_toml(FILED))
+    return str(path)
+
+
+class Terminal:
+    """An operator's terminal before one daemon."""
+
+    def __init__(self, console: Console, file: str) -> None:
+        self.console = console
+        self._file = file
+
+    async def run(
+        self, *words: str, token: str = TOKEN, entry: str = ''
+    ) -> Result:
+        """Run one command."""
+        options = (f'--token={token}', f'--entry={entry or self.console.base}')
+        arguments = [self._file if word == 'FILE' else word for word in words]
+        return await asyncio.to_thread(
+            CliRunner().invoke, main, [*arguments, *options]
+        )
+
+    async def fail(self, *words: str, **how: Any) -> tuple[int, str, str]:
+        """Exit code, code and outcome of a command that fails.
+
+        People read the same code as programs.
+        """
+        told = await self.run(*words, **how)
+        result = await self.run(*words, '--json', **how)
+        assert not isinstance(result.exception, Exception), result.exception
+        error = msgspec.json.decode(result.stdout)['error']
+        assert told.exit_code == result.exit_code
+        assert told.stderr.startswith(f'{error["code"]}: ')
+        assert f'outcome: {error["outcome"]}' in told.stderr
+        return result.exit_code, error['code'], error['outcome']
+
+
+@pytest.fixture(name='terminal')
+async def open_terminal(file: str):
+    """A terminal before a daemon with a configuration in force."""
+    async with open_console() as console:
+        terminal = Terminal(console, file)
+        assert (await terminal.run('apply', 'FILE')).exit_code == 0
+        yield terminal
+
+
+class TestCommands:
+    """Commands that ask a daemon."""
+
+    @pytest.mark.parametrize('words', list(COMMANDS))
+    async def test_works(self, terminal: Terminal, words: tuple[str, ...]):
+        """It ends in 0, for people and with JSON for programs."""
+        told = await terminal.run(*words)
+        assert told.exit_code == 0, told.output
+        result = await terminal.run(*words, '--json')
+        shown = msgspec.json.decode(result.stdout)
+        assert COMMANDS[words] in (
+            shown[0] if words[0] == 'replicas' else shown
+        )
+
+    @pytest.mark.parametrize('words', list(COMMANDS))
+    async def test_daemon_out_of_reach(
+        self, terminal: Terminal, words: tuple[str, ...]
+    ):
+        """Nothing listens there: 3, and nothing was done."""
+        entry = f'127.0.0.1:{unused_port()}'
+        failed = await terminal.fail(*words, entry=entry)
+        assert failed == (3, 'unreachable', 'not_run')
+
+    @pytest.mark.parametrize('words', list(COMMANDS))
+    async def test_refused_token(
+        self, terminal: Terminal, words: tuple[str, ...]
+    ):
+        """A token that is not an operator's is refused: 1."""
+        failed = await terminal.fail(*words, token='another')
+        assert failed == (1, 'unauthorized', 'not_run')
+
+    @pytest.mark.parametrize(
+        ('token', 'exit_code'), [('', 1), ('è', 1), ('a\nb', 2), ('\x7f', 2)]
+    )
+    async def test_malformed_token(
+        self, terminal: Terminal, token: str, exit_code: int
+    ):
+        """A token that no header carries is wrong usage."""
+        result = await terminal.run('status', token=token)
+        assert result.exit_code == exit_code
+
+    @pytest.mark.parametrize('words', list(UNKNOWN))
+    async def test_unknown_name(
+        self, terminal: Terminal, words: tuple[str, ...]
+    ):
+        """A name that nothing has is refused, and nothing is done: 1."""
+        failed = await terminal.fail(*words)
+        assert failed == (1, UNKNOWN[words], 'not_run')
+
+    @pytest.mark.parametrize('entry', ['http://', 'ftp://127.0.0.1', 'a b:1'])
+    async def test_address_that_is_none(self, terminal: Terminal, entry: str):
+        """An address nobody can be reached at counts as out of reach."""
+        failed = await terminal.fail('status', entry=entry)
+        assert failed == (3, 'unreachable', 'not_run')
+
+
+class TestRace:
+    """Two operators at once."""
+
+    async def test_one_of_two_files_is_accepted(self, terminal: Terminal):
+        """Of two files made from one generation one is accepted: 0 and 4."""
+        results = await asyncio.gather(
+            *(terminal.run('apply', 'FILE', '--base=1') for _ in range(2))
+        )
+        assert sorted(each.exit_code for each in results) == [0, 4]
+        failed = await terminal.fail('apply', 'FILE', '--base=1')
+        assert failed == (4, 'conflict', 'not_run')
+
+    async def test_changes_to_parts_all_count(self, terminal: Terminal):
+        """Withdrawals, returns and a cancellation do not undo each other."""
+        others = (
+            ('withdraw', 'failure-domain', 'padova-a'),
+            ('withdraw', *PART),
+            ('cancel', 'drafts'),
+        )
+        results = await asyncio.gather(
+            *(terminal.run(*words) for words in others)
+        )
+        assert [each.exit_code for each in results] == [0, 0, 0]
+        shown = await terminal.run('show', '--json')
+        configuration = msgspec.json.decode(shown.stdout)['configuration']
+        assert configuration['models'][0]['cancelled']
+        withdrawn = configuration['withdrawn_failure_domains']
+        assert sorted(withdrawn) == ['milano-a', 'padova-a']
+
+
+class TestOutage:
+    """The table service is away."""
+
+    async def test_withdrawal_goes_on_alone(self, terminal: Terminal):
+        """A withdrawal is in force; nothing else is done, and says so."""
+        terminal.console.fleet.network.set_platform(Fault.DOWN)
+        told = await terminal.run('withdraw', *PART)
+        assert told.exit_code == 0
+        assert 'to be written' in told.stdout
+        for words in (
+            ('return', *PART),
+            ('cancel', 'drafts'),
+            ('apply', 'FILE'),
+        ):
+            failed = await terminal.fail(*words)
+            assert failed == (1, 'change_not_made', 'not_run')
+
+
+class TestPublish:
+    """Putting weights at the origin."""
+
+    async def test_prints_the_digest(self, tmp_path: pathlib.Path):
+        """The digest that a deployment names is printed."""
+        result = await self.publish(tmp_path, b'weights')
+        report = msgspec.json.decode(result.stdout)
+        assert (result.exit_code, report['size']) == (0, 7)
+        assert len(report['manifest_sha256']) == 64
+
+    async def test_version_keeps_its_weights(self, tmp_path: pathlib.Path):
+        """The same weights may come again, others under the name not: 1."""
+        store = OriginStore()
+        first = await self.publish(tmp_path, b'weights', store=store)
+        kept = dict(store.objects)
+        again = await self.publish(tmp_path, b'weights', store=store)
+        other = await self.publish(tmp_path, b'another', store=store)
+        digest = msgspec.json.decode(first.stdout)['manifest_sha256']
+        error = msgspec.json.decode(other.stdout)['error']
+        assert (first.exit_code, again.exit_code, other.exit_code) == (0, 0, 1)
+        assert (error['code'], error['outcome']) == ('version_taken', 'not_run')
+        assert error['findings'][0]['place'] == '--version'
+        assert digest in error['findings'][0]['message']
+        assert store.objects == kept
+
+    async def test_origin_out_of_reach(self, tmp_path: pathlib.Path):
+        """Nothing listens there: 3, and nothing was published."""
+        origin = f'http://127.0.0.1:{unused_port()}'
+        result = await self.publish(tmp_path, b'weights', origin)
+        error = msgspec.json.decode(result.stdout)['error']
+        assert result.exit_code == 3
+        assert (error['code'], error['outcome']) == ('unreachable', 'not_run')
+
+    @pytest.mark.parametrize('name', ['a/b', '', 'a b'])
+    async def test_malformed_name(self, tmp_path: pathlib.Path, name: str):
+        """A name that no configuration may have is refused: 1."""
+        result = await self.publish(tmp_path, b'weights', version=name)
+        error = msgspec.json.decode(result.stdout)['error']
+        assert (result.exit_code, error['code']) == (1, 'invalid')
+        assert error['findings'][0]['place'] == '--version'
+
+    async def publish(
+        self,
+        tmp_path: pathlib.Path,
+        content: bytes,
+        origin: str = '',
+        version: str = 'v1',
+        store: OriginStore | None = None,
+    ) -> Result:
+        """Publish a file at an origin, a new one by default."""
+        path = tmp_path / 'weights.bin'
+        path.write_bytes(content)
+        app = web.Application()
+        app.add_routes(build_origin_routes(store=store or OriginStore()))
+        async with TestServer(app) as server:
+            origin = origin or str(server.make_url('/origin'))
+            return await asyncio.to_thread(
+                CliRunner().invoke,
+                main,
+                [
+                    'publish',
+                    str(path),
+                    '--model=m',
+                    f'--version={version}',
+                    f'--origin={origin}',
+                    '--json',
+                ],
+            )
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -51,7 +51,7 @@
 
     def __init__(self, session, base: str, fleet: ControlFleet) -> None:
         self._session = session
-        self._base = base
+        self.base = base
         self.fleet = fleet
         self.daemon = fleet.entries['e-0']
 
@@ -66,7 +66,7 @@
         content = body if isinstance(body, bytes) else msgspec.json.encode(body)
         async with self._session.request(
             method,
-            f'{self._base}/operator{path}',
+            f'{self.base}/operator{path}',
             data=content,
             headers=AUTHORIZED if headers is None else headers,
         ) as answer:
