Show all of a deployment, with its expected end, and wait for all of a part

Ruled out: asking a peer daemon, as none watches a whole deployment either; a steady exchange of all statuses, as 480 x 570 bytes are beyond 7 KB/s. `--wait` counts only statuses made since the withdrawal, and names targets that gave no word instead of counting what they last had.

The agent gives the seconds until its last byte at the rate of the last seconds (tests/test_progress.py: within a quarter of what came true, unknown while nothing arrives). The expected end of the deployment is that of its last wanted target, no longer the sum of bytes over the sum of rates.

--- a/fakes/memory_control.py
+++ b/fakes/memory_control.py
@@ -38,7 +38,11 @@
 from ragwortcourse.membership.roster import Roster
 from ragwortcourse.membership.watch import watch_targets
 from ragwortcourse.messages.heartbeat import Heartbeat
-from ragwortcourse.messages.target_status import TargetStatus
+from ragwortcourse.messages.target_status import (
+    LandingProgress,
+    ServedVersion,
+    TargetStatus,
+)
 from ragwortcourse.platform.hosts import HostRecord, HostRole
 from ragwortcourse.settings import ListenSettings, Role, Settings
 
@@ -55,11 +59,14 @@
 
 @dataclasses.dataclass(kw_only=True)
 class ControlAgent:
-    """One agent: what it holds, and its own word on leaving."""
+    """One agent: what it holds, and its own word on its target."""
 
     holder: ConfigurationHolder
     record: HostRecord
     leaving: bool = False
+    running: int = 0
+    served: tuple[ServedVersion, ...] = ()
+    landing: LandingProgress | None = None
 
 
 class ControlFleet:
@@ -232,10 +239,11 @@
         deployment=DeploymentName(str(record.deployment)),
         failure_domain=record.failure_domain,
         limit=1,
-        running=0,
+        running=agent.running,
         queued=0,
         leaving=agent.leaving,
-        served=(),
+        served=agent.served,
+        landing=agent.landing,
         generation=Generation(agent.holder.generation),
         withdrawals=agent.holder.withdrawals,
     )
--- a/src/ragwortcourse/cli/departure.py
+++ b/src/ragwortcourse/cli/departure.py
@@ -8,7 +8,11 @@
 
 from ragwortcourse.cli.answer import require_message
 from ragwortcourse.cli.connection import Connection
-from ragwortcourse.cli.operator_client import Question, ask_entries
+from ragwortcourse.cli.operator_client import (
+    Question,
+    ask_entries,
+    quote_name,
+)
 from ragwortcourse.identifiers import TargetName
 from ragwortcourse.messages.operator import (
     ChangeAccepted,
@@ -16,18 +20,19 @@
     PartChange,
     TargetSummary,
 )
-from ragwortcourse.messages.withdrawal import WithdrawalScope
 
 POLL_PERIOD_SECONDS: Final = 1.0
 # Statuses this young were made after the withdrawal came into force.
 SETTLING_SECONDS: Final = 3.0
+# Nothing is known of a target that has been silent for so long.
+STALE_SECONDS: Final = 10.0
 
 
 class DepartureReport(msgspec.Struct, frozen=True, kw_only=True):
     """How a part left.
 
     :param seconds: from the acceptance until its work had left.
-    :param unseen: targets whose state is not known to the daemon asked.
+    :param unseen: targets that gave no word.
     """
 
     accepted: ChangeAccepted
@@ -42,7 +47,7 @@
     *,
     as_json: bool,
 ) -> DepartureReport:
-    """Return once no target of the part has work, as one daemon sees it.
+    """Return once no target of the part has work, as its agents say.
 
     Prints a line whenever the count of work under way changes.
     """
@@ -51,38 +56,45 @@
     shown = -1
     while True:
         targets = await _read_targets(connection, part, as_json=as_json)
-        left = sum(count_work(target) for target in targets)
+        heard = tuple(target for target in targets if is_heard(target))
+        left = sum(count_work(target) for target in heard)
         waited = loop.time() - started
         if left != shown and not as_json:
             click.echo(f'{waited:6.1f} s  {left} under way or waiting')
         shown = left
-        if not left and waited >= SETTLING_SECONDS:
+        if not left and waited >= SETTLING_SECONDS + find_age(heard):
             return DepartureReport(
                 accepted=accepted,
                 seconds=round(waited, 3),
                 unseen=tuple(
-                    target.target for target in targets if not target.status
+                    target.target for target in targets if target not in heard
                 ),
             )
         await asyncio.sleep(POLL_PERIOD_SECONDS)
 
 
+def is_heard(target: TargetSummary) -> bool:
+    """Tell whether a target has lately given its status."""
+    return target.status is not None and find_age((target,)) < STALE_SECONDS
+
+
 def count_work(target: TargetSummary) -> int:
     """Requests under way or waiting at a target, from its newest status."""
     if target.status is None:
-        return target.in_flight
+        return 0
     return target.status.running + target.status.queued
 
 
+def find_age(targets: tuple[TargetSummary, ...]) -> float:
+    """Seconds since the oldest status that was given at all."""
+    return max((target.status_age or 0 for target in targets), default=0)
+
+
 async def _read_targets(
     connection: Connection, part: PartChange, *, as_json: bool
 ) -> tuple[TargetSummary, ...]:
-    outcome = await ask_entries(connection, Question(path='/operator/status'))
-    status = require_message(outcome, OperatorStatus, as_json=as_json)
-    if part.scope is WithdrawalScope.TARGET:
-        return tuple(
-            each for each in status.targets if each.target == part.name
-        )
-    return tuple(
-        each for each in status.targets if each.failure_domain == part.name
+    question = Question(
+        path=f'/operator/status?{part.scope}={quote_name(part.name)}'
     )
+    outcome = await ask_entries(connection, question)
+    return require_message(outcome, OperatorStatus, as_json=as_json).targets
--- a/src/ragwortcourse/cli/output.py
+++ b/src/ragwortcourse/cli/output.py
@@ -1,7 +1,7 @@
 """What a command shows, for people or as JSON, and how it ends."""
 
 from collections.abc import Callable, Iterable
-from typing import ParamSpec, TypeVar
+from typing import Final, ParamSpec, TypeVar
 
 import click
 import msgspec
@@ -14,6 +14,8 @@
 from ragwortcourse.configuration.finding_text import format_finding
 from ragwortcourse.messages.outcome import OutcomeKind
 
+# Columns of text that goes to a file or another program.
+PLAIN_WIDTH: Final = 200
 _Params = ParamSpec('_Params')
 _Returned = TypeVar('_Returned')
 
@@ -51,7 +53,10 @@
 
 def build_console() -> Console:
     """Console for people; plain text where there is no terminal."""
-    return Console(highlight=False, soft_wrap=True)
+    console = Console(highlight=False, soft_wrap=True)
+    if not console.is_terminal:
+        console.width = PLAIN_WIDTH
+    return console
 
 
 def build_table(*columns: str) -> Table:
--- a/src/ragwortcourse/cli/weights_commands.py
+++ b/src/ragwortcourse/cli/weights_commands.py
@@ -12,16 +12,14 @@
 from ragwortcourse.cli.operator_client import Question, quote_name
 from ragwortcourse.cli.output import (
     accept_json,
-    build_console,
-    build_table,
     print_json,
     report_refused,
 )
+from ragwortcourse.cli.replica_table import show_progress, show_replicas
 from ragwortcourse.identifiers import DeploymentName
 from ragwortcourse.messages.operator import (
     LandingCancellation,
     ReplicaProgress,
-    ReplicaSummary,
 )
 
 POLL_PERIOD_SECONDS = 1.0
@@ -37,7 +35,8 @@
 ) -> None:
     """Show how many targets answer with a model's wanted version.
 
-    MODEL is the name of a model or of a deployment.
+    MODEL is the name of a model or of a deployment. The daemon asks every
+    target of it, also those that it does not watch itself.
 
     Exit code 0: shown (with --wait: all are ready). 1: no such model.
 
@@ -120,36 +119,3 @@
 def is_complete(progress: ReplicaProgress) -> bool:
     """Tell whether every wanted replica is ready."""
     return progress.wanted <= progress.ready
-
-
-def show_progress(progress: tuple[ReplicaProgress, ...]) -> None:
-    """One line for each deployment."""
-    for each in progress:
-        left = ''
-        if each.seconds_left is not None:
-            left = f', about {each.seconds_left:.0f} s left'
-        click.echo(
-            f'{each.deployment}: {each.model} {each.version}: '
-            f'{each.ready} of {each.wanted} ready, '
-            f'{each.rate:.0f} bytes/s, {each.from_origin} bytes from the '
-            f'origin, {each.from_peers} from peers{left}'
-        )
-
-
-def show_replicas(progress: tuple[ReplicaProgress, ...]) -> None:
-    """One row for each target."""
-    table = build_table('target', 'failure domain', 'ready', 'held', 'of')
-    for each in progress:
-        for replica in each.replicas:
-            table.add_row(*describe_replica(replica))
-    build_console().print(table)
-
-
-def describe_replica(replica: ReplicaSummary) -> tuple[str, ...]:
-    """Cells of one replica's row."""
-    names = (str(replica.target), str(replica.failure_domain))
-    ready = 'yes' if replica.ready else 'no'
-    if replica.landing is None:
-        return (*names, ready)
-    landing = replica.landing
-    return (*names, ready, str(landing.held), str(landing.total))
--- a/src/ragwortcourse/entry/operator_state.py
+++ b/src/ragwortcourse/entry/operator_state.py
@@ -5,6 +5,7 @@
 
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.store import ConfigurationStore
+from ragwortcourse.entry.survey import Survey
 from ragwortcourse.identifiers import RequestId
 from ragwortcourse.membership.membership import Membership
 from ragwortcourse.messages.decision import RequestRecord
@@ -21,6 +22,7 @@
 class Operators:
     """State of the operators' routes in one entry daemon.
 
+    :param survey: asks the targets that are not watched.
     :param find_record: record of a request that this daemon served.
     :param relay_record: record of a request from another daemon, by its
         ``ip:port``; none where that one does not know it either.
@@ -32,6 +34,7 @@
     holder: ConfigurationHolder
     store: ConfigurationStore
     membership: Membership
+    survey: Survey
     find_record: Callable[[RequestId], RequestRecord | None]
     relay_record: RecordRelay
     list_crashers: Callable[[], CrasherList]
--- a/src/ragwortcourse/entry/operator_status.py
+++ b/src/ragwortcourse/entry/operator_status.py
@@ -1,5 +1,6 @@
 """Operators' routes that show what the daemon sees."""
 
+from collections.abc import Mapping
 from typing import Final
 
 from aiohttp import web
@@ -8,7 +9,6 @@
 from ragwortcourse.configuration.deployment import ModelDeployment
 from ragwortcourse.entry.operator_answers import answer_error, answer_message
 from ragwortcourse.entry.operator_state import Operators
-from ragwortcourse.identifiers import DeploymentName
 from ragwortcourse.membership.target_record import TargetRecord
 from ragwortcourse.messages.operator import (
     OperatorStatus,
@@ -16,7 +16,6 @@
     ReplicaSummary,
     TargetSummary,
 )
-from ragwortcourse.messages.target_status import LandingProgress
 
 NOT_FOUND: Final = 404
 NOT_READY: Final = 503
@@ -37,17 +36,20 @@
 async def get_status(
     operators: Operators, request: web.Request
 ) -> web.Response:
-    """The targets this daemon watches, and what is withdrawn."""
-    del request
+    """The targets this daemon watches, and what is withdrawn.
+
+    With ``failure_domain`` or ``target`` in the query: every target of
+    that part, those that are not watched here included.
+    """
     holder = operators.holder
+    records = await _select_records(operators, request.query)
     return answer_message(
         OperatorStatus(
             daemon=operators.settings.daemon,
             generation=holder.generation,
             withdrawals=holder.withdrawals,
             targets=tuple(
-                summarize_target(operators, record)
-                for record in operators.membership.directory.records
+                summarize_target(operators, record) for record in records
             ),
             table_reachable=holder.table_reachable,
         )
@@ -64,7 +66,27 @@
         return answer_error(
             NOT_FOUND, 'no_deployment', f'no model deployment {name!r}'
         )
-    return answer_message(report_progress(operators, deployment))
+    records = await operators.survey.read(
+        lambda agent: (
+            agent.deployment == deployment.name
+            and agent.failure_domain in deployment.failure_domains
+        )
+    )
+    return answer_message(report_progress(deployment, records))
+
+
+async def _select_records(
+    operators: Operators, query: Mapping[str, str]
+) -> tuple[TargetRecord, ...]:
+    failure_domain = query.get('failure_domain')
+    target = query.get('target')
+    if failure_domain is None and target is None:
+        return operators.membership.directory.records
+    return await operators.survey.read(
+        lambda agent: (
+            agent.failure_domain == failure_domain or agent.target == target
+        )
+    )
 
 
 def summarize_target(
@@ -101,30 +123,27 @@
 
 
 def report_progress(
-    operators: Operators, deployment: ModelDeployment
+    deployment: ModelDeployment, records: tuple[TargetRecord, ...]
 ) -> ReplicaProgress:
-    """Progress over the targets that this daemon watches."""
-    records = operators.membership.directory.select(
-        DeploymentName(deployment.name)
-    )
+    """Progress over all targets of a deployment."""
     replicas = tuple(
         summarize_replica(deployment, record) for record in records
     )
     landings = [
         replica.landing for replica in replicas if replica.landing is not None
     ]
-    rate = sum(landing.rate for landing in landings)
+    wanted = deployment.replicas or len(replicas)
     return ReplicaProgress(
         deployment=deployment.name,
         model=deployment.model,
         version=deployment.version,
-        wanted=deployment.replicas or len(replicas),
+        wanted=wanted,
         ready=sum(replica.ready for replica in replicas),
-        rate=rate,
+        rate=sum(landing.rate for landing in landings),
         from_origin=sum(landing.from_origin for landing in landings),
         from_peers=sum(landing.from_peers for landing in landings),
         replicas=replicas,
-        seconds_left=_estimate_end(landings, rate),
+        seconds_left=_estimate_end(replicas, wanted),
     )
 
 
@@ -147,11 +166,21 @@
     )
 
 
-def _estimate_end(landings: list[LandingProgress], rate: float) -> float | None:
-    if rate <= 0:
+def _estimate_end(
+    replicas: tuple[ReplicaSummary, ...], wanted: int
+) -> float | None:
+    """Seconds until the last wanted one has all; none if not yet known."""
+    pending = [replica for replica in replicas if not replica.ready]
+    missing = wanted - len(replicas) + len(pending)
+    ends = [
+        replica.landing.seconds_left
+        for replica in pending
+        if replica.landing is not None
+    ]
+    known = [end for end in ends if end is not None]
+    if len(known) < max(len(ends), missing):
         return None
-    left = sum(max(0, landing.total - landing.held) for landing in landings)
-    return left / rate
+    return max(known, default=0)
 
 
 def _read_age(record: TargetRecord) -> float | None:
--- a/src/ragwortcourse/messages/operator.py
+++ b/src/ragwortcourse/messages/operator.py
@@ -140,7 +140,8 @@
     :param rate: bytes a second arriving at all its targets together.
     :param from_origin: bytes drawn from the origin so far.
     :param from_peers: bytes drawn from other agents so far.
-    :param seconds_left: expected seconds to the end, where a rate is known.
+    :param seconds_left: expected seconds until the last target holds every
+        byte; none while that of any target is not known.
     """
 
     deployment: DeploymentName
--- a/src/ragwortcourse/messages/target_status.py
+++ b/src/ragwortcourse/messages/target_status.py
@@ -29,7 +29,9 @@
     :param total: bytes of the whole version; zero while not yet known.
     :param from_origin: bytes drawn from the origin.
     :param from_peers: bytes drawn from other agents.
-    :param rate: bytes a second arriving now.
+    :param rate: bytes a second, over the last seconds.
+    :param seconds_left: until all bytes are here at that rate; none while
+        nothing arrives or the size is not yet known.
     :param detail: what it waits for or why it stopped, for a person.
     """
 
@@ -40,6 +42,7 @@
     from_origin: int = 0
     from_peers: int = 0
     rate: float = 0
+    seconds_left: float | None = None
     detail: str = ''
 
 
--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -29,6 +29,7 @@
     build_record_relay,
     build_record_routes,
 )
+from ragwortcourse.entry.survey import Survey
 from ragwortcourse.membership.directory import TargetDirectory
 from ragwortcourse.membership.exchange import exchange_with_peers
 from ragwortcourse.membership.first_sight import FirstSight
@@ -205,6 +206,7 @@
         holder=entry.holder,
         store=ports.store,
         membership=membership,
+        survey=Survey(membership=membership),
         find_record=entry.records.find,
         relay_record=ports.relay_record,
         list_crashers=entry.crashers.list_crashers,
--- a/src/ragwortcourse/weights/progress.py
+++ b/src/ragwortcourse/weights/progress.py
@@ -32,6 +32,7 @@
     from_origin = transfer.counts.received['origin']
     verified = transfer.counts.verified
     total = 0 if transfer.manifest is None else transfer.manifest.size
+    rate = 0 if transfer.ended_at else transfer.counts.rate.read()
     return LandingProgress(
         model=wanted.model,
         version=wanted.version,
@@ -39,6 +40,18 @@
         total=total,
         from_origin=from_origin,
         from_peers=verified - from_origin,
-        rate=0 if transfer.ended_at else transfer.counts.rate.read(),
+        rate=rate,
+        seconds_left=_estimate_end(transfer, total - verified, rate),
         detail=landing.state.detail,
     )
+
+
+def _estimate_end(
+    transfer: Transfer, missing: int, rate: float
+) -> float | None:
+    """Seconds until all is here, at the rate of the last seconds."""
+    if transfer.ended_at:
+        return 0
+    if transfer.manifest is None or rate <= 0:
+        return None
+    return max(missing, 0) / rate
--- a/tests/test_cli_operators.py
+++ b/tests/test_cli_operators.py
@@ -1,6 +1,7 @@
 """Tests of :mod:`ragwortcourse.cli.program` against a daemon's real routes."""
 
 import asyncio
+import contextlib
 import pathlib
 from typing import Any
 
@@ -11,11 +12,15 @@
 from click.testing import CliRunner, Result
 
 from fakes.faults import Fault
+from fakes.memory_control import ControlFleet
 from fakes.origin import OriginStore, build_origin_routes
 from ragwortcourse.cli import change, departure
 from ragwortcourse.cli.configuration_text import write_toml
 from ragwortcourse.cli.program import main
 from ragwortcourse.configuration.deployment import ModelDeployment
+from ragwortcourse.entry.survey import make_record
+from ragwortcourse.messages.operator import ConfigurationChange
+from ragwortcourse.messages.target_status import LandingProgress, ServedVersion
 from tests.test_operators import SOUND, TOKEN, Console, open_console
 
 DRAFTS = ModelDeployment(
@@ -25,6 +30,14 @@
     manifest_sha256='0' * 64,
     failure_domains=('milano-a',),
 )
+WIDE = msgspec.structs.replace(
+    SOUND,
+    models=(
+        msgspec.structs.replace(
+            DRAFTS, failure_domains=('milano-a', 'padova-a')
+        ),
+    ),
+)
 FILED = msgspec.structs.replace(SOUND, models=(DRAFTS,))
 PART = ('failure-domain', 'milano-a')
 COMMANDS: dict[tuple[str, ...], str] = {
@@ -277,3 +290,132 @@
                     '--json',
                 ],
             )
+
+
+def make_fleet(agents: int) -> ControlFleet:
+    """Agents of drafts, every second one far; none is watched."""
+    fleet = ControlFleet()
+    for number in range(agents):
+        domain = 'padova-a' if number % 2 else 'milano-a'
+        fleet.add_agent(f'w-{number}', domain, 'drafts')
+    return fleet
+
+
+def make_landing(held: int, seconds_left: float | None) -> LandingProgress:
+    """A version on its way, a quarter of it from the origin."""
+    return LandingProgress(
+        model='draft-model',
+        version='v1',
+        held=held,
+        total=1000,
+        from_origin=held // 4,
+        from_peers=held - held // 4,
+        rate=100,
+        seconds_left=seconds_left,
+        detail='draws chunks',
+    )
+
+
+READY = (ServedVersion(model='draft-model', version='v1'),)
+
+
+@contextlib.asynccontextmanager
+async def open_fleet(file: str, fleet: ControlFleet):
+    """A terminal before a daemon that watches no agent of a fleet."""
+    async with open_console(fleet) as console:
+        terminal = Terminal(console, file)
+        body = ConfigurationChange(
+            base_generation=0, configuration=WIDE, change='c-wide'
+        )
+        assert (await console.ask('POST', '/configuration', body))[0] == 200
+        yield terminal
+
+
+class TestWholeDeployment:
+    """What is shown of targets that the daemon does not watch."""
+
+    async def test_replicas_counts_every_target(self, file: str):
+        """Rate, shares and expected end are those of the whole deployment."""
+        fleet = make_fleet(100)
+        for number, agent in enumerate(fleet.agents.values()):
+            agent.landing = make_landing(400, number / 2)
+            if number < 60:
+                agent.served, agent.landing = READY, None
+        async with open_fleet(file, fleet) as terminal:
+            result = await terminal.run('replicas', 'drafts', '--json')
+            (shown,) = msgspec.json.decode(result.stdout)
+            told = await terminal.run('replicas', 'drafts')
+        assert (shown['ready'], shown['wanted']) == (60, 100)
+        assert (shown['rate'], shown['seconds_left']) == (4000, 49.5)
+        assert (shown['from_origin'], shown['from_peers']) == (4000, 12_000)
+        assert '25% from the origin, last byte in 50 s' in told.stdout
+        assert len(told.stdout.splitlines()) == 102
+
+    async def test_end_is_not_known_while_one_stands_still(self, file: str):
+        """One target without a rate leaves the end unknown."""
+        fleet = make_fleet(2)
+        first, second = fleet.agents.values()
+        first.landing = make_landing(10, 5)
+        second.landing = make_landing(10, None)
+        async with open_fleet(file, fleet) as terminal:
+            told = await terminal.run('replicas', 'drafts')
+        assert 'last byte in -' in told.stdout
+
+    async def test_silent_target_is_shown(self, file: str):
+        """A target out of reach is listed as silent, and holds up nobody."""
+        fleet = make_fleet(40)
+        fleet.network.daemons.pop('w-7:1')
+        async with open_fleet(file, fleet) as terminal:
+            told = await terminal.run('replicas', 'drafts')
+        assert told.exit_code == 0
+        (row,) = (line for line in told.stdout.splitlines() if 'w-7 ' in line)
+        assert 'silent' in row
+
+    async def test_no_agent_is_asked_but_for_an_operator(self, file: str):
+        """Asking again at once asks no agent again."""
+        async with open_fleet(file, make_fleet(50)) as terminal:
+            network = terminal.console.fleet.network
+            before = network.messages
+            await terminal.run('status')
+            at_rest = network.messages
+            await terminal.run('replicas', 'drafts')
+            asked = network.messages
+            for _ in range(3):
+                await terminal.run('replicas', 'drafts')
+        assert at_rest == before
+        assert network.messages == asked > before
+
+    async def test_watched_target_with_an_old_status_is_asked(self, file: str):
+        """What is shown of a watched target is as young as of the others."""
+        fleet = make_fleet(1)
+        async with open_fleet(file, fleet) as terminal:
+            directory = terminal.console.daemon.membership.directory
+            (agent,) = terminal.console.daemon.membership.roster.agents
+            directory.put(make_record(agent))
+            fleet.agents['w-0'].served = READY
+            result = await terminal.run('replicas', 'drafts', '--json')
+        (shown,) = msgspec.json.decode(result.stdout)
+        assert shown['ready'] == 1
+
+    async def test_withdrawal_waits_for_every_target(self, file: str):
+        """Work on a target that is not watched is waited for as well."""
+        fleet = make_fleet(20)
+        fleet.agents['w-18'].running = 3
+        async with open_fleet(file, fleet) as terminal:
+            waiting = asyncio.create_task(
+                terminal.run('withdraw', *PART, '--wait', '--timeout=5')
+            )
+            await asyncio.sleep(0.5)
+            assert not waiting.done()
+            fleet.agents['w-18'].running = 0
+            told = await waiting
+        assert '3 under way' in told.stdout
+        assert told.exit_code == 0
+
+    async def test_withdrawal_names_targets_not_heard_from(self, file: str):
+        """Nothing is claimed of a target that gives no word."""
+        fleet = make_fleet(4)
+        fleet.network.daemons.pop('w-2:1')
+        async with open_fleet(file, fleet) as terminal:
+            told = await terminal.run('withdraw', *PART, '--wait')
+        assert 'not heard from: w-2' in told.stdout
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -19,6 +19,7 @@
 from ragwortcourse.configuration.failure_domain import FailureDomain
 from ragwortcourse.entry.operator_state import Operators
 from ragwortcourse.entry.operators import build_operator_routes
+from ragwortcourse.entry.survey import Survey
 from ragwortcourse.identifiers import DaemonId, RequestId
 from ragwortcourse.messages.decision import RequestRecord
 from ragwortcourse.messages.operator import (
@@ -100,6 +101,7 @@
         holder=daemon.holder,
         store=daemon.store,
         membership=daemon.membership,
+        survey=Survey(membership=daemon.membership),
         find_record={own.request: own}.get,
         relay_record=relay,
         list_crashers=lambda: CrasherList(crashers=()),
@@ -108,9 +110,14 @@
 
 
 @contextlib.asynccontextmanager
-async def open_console() -> AsyncIterator[Console]:
-    """Routes of one daemon, whose head is followed by nobody."""
-    fleet = ControlFleet()
+async def open_console(
+    fleet: ControlFleet | None = None,
+) -> AsyncIterator[Console]:
+    """Routes of one daemon, whose head is followed by nobody.
+
+    :param fleet: with agents that the daemon knows of and does not watch.
+    """
+    fleet = fleet or ControlFleet()
     for name in ('e-1', 'e-2'):
         fleet.list_entry(name, 'padova-a')
     daemon = fleet.start_entry('e-0', 'milano-a', *fleet.network.records)
--- /dev/null
+++ b/tests/test_progress.py
@@ -0,0 +1,50 @@
+"""Tests of :mod:`ragwortcourse.weights.progress`."""
+
+import asyncio
+import random
+
+import pytest
+
+from fakes.landings import LandingFleet
+from ragwortcourse.clock import read_clock
+from ragwortcourse.weights.progress import describe_landing
+
+pytestmark = pytest.mark.looptime
+CONTENT = random.Random(1).randbytes(400_000)
+
+
+class TestExpectedEnd:
+    """When an agent expects its last byte."""
+
+    async def test_is_near_what_comes_true(self):
+        """Half-way, the seconds left are within a quarter of the truth."""
+        fleet = LandingFleet(hosts=3, places={'a': 'r'}, rate=10_000)
+        fleet.deploy('v1', fleet.publish('v1', CONTENT))
+        fleet.start()
+        await asyncio.sleep(20)
+        expected = []
+        for host in fleet.hosts.values():
+            landing = describe_landing(host.landing)
+            assert landing is not None
+            assert landing.seconds_left is not None
+            expected.append(landing.seconds_left)
+        began = read_clock()
+        await fleet.wait_for('v1', seconds=60)
+        left = read_clock() - began
+        assert max(expected) == pytest.approx(left, rel=0.25)
+        await fleet.stop()
+
+    async def test_is_not_known_while_nothing_arrives(self):
+        """A landing that stands still has no expected end."""
+        fleet = LandingFleet(hosts=1, places={'a': 'r'}, rate=10_000)
+        fleet.deploy('v1', fleet.publish('v1', CONTENT))
+        fleet.start()
+        await asyncio.sleep(5)
+        fleet.network.cut(frozenset(fleet.hosts))
+        await asyncio.sleep(30)
+        (host,) = fleet.hosts.values()
+        landing = describe_landing(host.landing)
+        assert landing is not None
+        assert landing.held < landing.total
+        assert landing.seconds_left is None
+        await fleet.stop()
