Name every address that a daemon cannot listen on

Before: exit code 1, a traceback, the first address alone (the new test fails). After: exit code 2, one line for each address with file, key and value; sockets and sessions that had been opened are closed. Ruled out: a check by binding before the start (the port can be taken in between; the sockets themselves tell).

--- a/src/ragwortcourse/daemon.py
+++ b/src/ragwortcourse/daemon.py
@@ -15,6 +15,7 @@
 from ragwortcourse.configuration.finding import Finding
 from ragwortcourse.configuration.finding_text import format_finding
 from ragwortcourse.processes.service import DaemonService
+from ragwortcourse.processes.unusable_addresses import UnusableAddressesError
 from ragwortcourse.settings import Settings
 from ragwortcourse.settings_file import read_settings
 from ragwortcourse.telemetry.logs import set_up_logging
@@ -48,8 +49,13 @@
     if isinstance(settings, tuple):
         report_findings(settings, path)
         sys.exit(BAD_SETTINGS_STATUS)
-    if not check:
+    if check:
+        return
+    try:
         run_daemon(settings)
+    except UnusableAddressesError as error:
+        report_findings(error.findings, path)
+        sys.exit(BAD_SETTINGS_STATUS)
 
 
 def report_findings(findings: tuple[Finding, ...], path: pathlib.Path) -> None:
--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 from aiomisc import Service
 
+from ragwortcourse.configuration.finding import Finding
 from ragwortcourse.processes.agent_daemon import build_agent_daemon
 from ragwortcourse.processes.entry_daemon import (
     EntryDaemon,
@@ -17,6 +18,7 @@
 from ragwortcourse.processes.sessions import open_sessions
 from ragwortcourse.processes.sites import open_site
 from ragwortcourse.processes.tasks import BackgroundTasks
+from ragwortcourse.processes.unusable_addresses import UnusableAddressesError
 from ragwortcourse.settings import Role, Settings
 from ragwortcourse.telemetry.metrics_page import build_metrics_route
 
@@ -54,12 +56,19 @@
         self.settings = settings
         self.broken = False
         self.runners: list[web.AppRunner] = []
+        self._findings: list[Finding] = []
 
     async def start(self) -> None:
-        """Open the ports and run until stopped."""
+        """Open the ports and run until stopped.
+
+        :raises UnusableAddressesError: nothing was started.
+        """
         self.sessions = open_sessions()
         self.tasks = BackgroundTasks()
         self.daemon = await self._open_daemon()
+        if self._findings:
+            await self._close()
+            raise UnusableAddressesError(findings=tuple(self._findings))
         self.daemon.start(self.tasks)
         self.start_event.set()
         LOGGER.info('started', extra={'peers': self.settings.listen.peers})
@@ -75,11 +84,14 @@
         await self.daemon.drain()
         await asyncio.sleep(LAST_CONNECTIONS_SECONDS)
         await self.daemon.drain()
+        await self._close()
+        LOGGER.info('stopped')
+
+    async def _close(self) -> None:
         for runner in self.runners:
             await runner.cleanup()
         await self.tasks.stop()
         await self.sessions.close()
-        LOGGER.info('stopped')
 
     async def _open_daemon(self) -> Daemon:
         if self.settings.role is Role.AGENT:
@@ -99,14 +111,27 @@
         listen = self.settings.listen
         health = build_health_routes(find_obstacle=daemon.find_obstacle)
         watch = [*health, build_metrics_route()]
-        await self._open(listen.peers, daemon.peer_routes)
-        await self._open(listen.watch, watch)
+        await self._open('peers', listen.peers, daemon.peer_routes)
+        await self._open('watch', listen.watch, watch)
 
     async def _open_entry(self, entry: EntryDaemon) -> None:
         listen = self.settings.listen
-        await self._open(listen.callers, entry.caller_routes)
-        await self._open(listen.operators, entry.operator_routes)
+        await self._open('callers', listen.callers, entry.caller_routes)
+        await self._open('operators', listen.operators, entry.operator_routes)
 
-    async def _open(self, address: str, routes: list[web.RouteDef]) -> None:
-        runner = await open_site(address=address, routes=routes)
-        self.runners.append(runner)
+    async def _open(
+        self, key: str, address: str, routes: list[web.RouteDef]
+    ) -> None:
+        try:
+            runner = await open_site(address=address, routes=routes)
+        except OSError as error:
+            self._findings.append(
+                Finding(
+                    place=f'listen.{key}',
+                    value=address,
+                    allowed='an address of this host on which nothing listens',
+                    message=f'cannot listen here ({error.strerror})',
+                )
+            )
+        else:
+            self.runners.append(runner)
--- a/src/ragwortcourse/processes/sites.py
+++ b/src/ragwortcourse/processes/sites.py
@@ -33,5 +33,9 @@
     await runner.setup()
     host, _, port = address.rpartition(':')
     site = web.TCPSite(runner, host, int(port))
-    await site.start()
+    try:
+        await site.start()
+    except OSError:
+        await runner.cleanup()
+        raise
     return runner
