Give the system's own words for an address that cannot be had

Cause: the event loop's text repeats the address that the line has already named. Conclusion: the words of the system's error number stand alone; the test of the line holds.

--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import os
 import signal
 from typing import Final, Protocol
 
@@ -45,6 +46,11 @@
         """Return once everything under way has ended."""
 
 
+def describe_cause(error: OSError) -> str:
+    """The system's own words for an error, without the address again."""
+    return os.strerror(error.errno) if error.errno else str(error)
+
+
 class DaemonService(Service):
     """One daemon in its process; a stop cuts nothing off.
 
@@ -130,7 +136,7 @@
                     place=f'listen.{key}',
                     value=address,
                     allowed='an address of this host on which nothing listens',
-                    message=f'cannot listen here ({error.strerror})',
+                    message=f'cannot listen here: {describe_cause(error)}',
                 )
             )
         else:
