Let callers of planned stops wait as long as a slow machine needs

Cause: callers gave a silent connection up after 6 s, which counts as cut off, and gave calls a deadline of 4 s. Where processes are stopped as planned nothing is silent, and on a busy machine the bound could have failed the test without a fault. (It was not seen to.) Now each test says how patient its callers are: 45 s for planned stops, and 5 s, less than a freeze lasts, for kills and freezes.

--- a/fakes/fleet_stage.py
+++ b/fakes/fleet_stage.py
@@ -43,19 +43,27 @@
 # Work lasts long enough to be met under way by a fault.
 SLOW_ENGINE: Final = ('--pace', '0.05')
 SLOW_SERVICE: Final = ('--latency', '0.15')
+# Less than the time for which processes are frozen.
+PATIENCE_SECONDS: Final = 5.0
 POLL_SECONDS: Final = 0.1
 SIZE: Final = SiteSize(engines=(1, 1, 1), services=(1, 1, 0), entries=(2, 1, 0))
 
 
 class FleetStage:
-    """Everything that one test does to a fleet."""
+    """Everything that one test does to a fleet.
 
-    def __init__(self, *, size: SiteSize = SIZE) -> None:
+    :param patience: seconds that callers wait for a silent daemon.
+    """
+
+    def __init__(
+        self, *, size: SiteSize = SIZE, patience: float = PATIENCE_SECONDS
+    ) -> None:
         self.fleet: Fleet
         self.callers: FleetCallers
         self._session: aiohttp.ClientSession
         self._generation = Generation(0)
         self._size = size
+        self._patience = patience
         self._ways_out = contextlib.AsyncExitStack()
         self._load: asyncio.Task[None] | None = None
 
@@ -207,7 +215,9 @@
         self.fleet = Fleet(blueprint=self._make_blueprint())
         self._ways_out.push_async_callback(self.fleet.stop)
         await self.fleet.start()
-        self.callers = FleetCallers(fleet=self.fleet, rng=random.Random(1))
+        self.callers = FleetCallers(
+            fleet=self.fleet, rng=random.Random(1), patience=self._patience
+        )
         self._ways_out.push_async_callback(self.callers.close)
         await self.deploy('v1')
         await self.wait_until_serving('v1')
