End kept connections one by one while a daemon stops

Cause, by reading: a stopping daemon answered on kept connections until it closed them all at once, a second after its work had ended. A request on its way in that moment is cut off, and nobody can say if it ran. Entry daemons keep connections to agents, balancers to entry daemons. Now each answer given while the daemon stops is the last of its connection. Ruled out: only marking the answer in the library, which closes the connection but does not tell the caller.

--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -61,6 +61,7 @@
         super().__init__()
         self.settings = settings
         self.broken = False
+        self.leaving = False
         self.runners: list[web.AppRunner] = []
         self._findings: list[Finding] = []
 
@@ -87,6 +88,7 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Take no new work, finish what is under way, then close."""
         LOGGER.info('draining')
+        self.leaving = True
         await self.daemon.drain()
         await asyncio.sleep(LAST_CONNECTIONS_SECONDS)
         await self.daemon.drain()
@@ -129,7 +131,11 @@
         self, key: str, address: str, routes: list[web.RouteDef]
     ) -> None:
         try:
-            runner = await open_site(address=address, routes=routes)
+            runner = await open_site(
+                address=address,
+                routes=routes,
+                is_leaving=lambda: self.leaving,
+            )
         except OSError as error:
             self._findings.append(
                 Finding(
--- a/src/ragwortcourse/processes/sites.py
+++ b/src/ragwortcourse/processes/sites.py
@@ -1,6 +1,6 @@
 """Listening sockets with their routes."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from aiohttp import web
@@ -13,17 +13,29 @@
     *,
     address: str,
     routes: Iterable[web.AbstractRouteDef],
+    is_leaving: Callable[[], bool] = bool,
     largest_body: int = LARGEST_BODY_BYTES,
 ) -> web.AppRunner:
     """A server that answers on ``ip:port`` until its runner is cleaned up.
 
     :param address: ``ip:port`` to listen on.
+    :param is_leaving: while true each answer is the last of its connection,
+        so that few are left to be closed under a request on its way.
     :param largest_body: bytes of a request's body beyond which it is
         refused with 413.
     :raises OSError: the address can't be had.
     """
     application = web.Application(client_max_size=largest_body)
     application.add_routes(routes)
+
+    async def end_connection(
+        request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if is_leaving():
+            response.force_close()
+            response.headers['Connection'] = 'close'
+
+    application.on_response_prepare.append(end_connection)
     runner = web.AppRunner(
         application,
         access_log=None,
