Prove each way by which crashing requests become known

Two scenarios now send a request that crashes engines at one failure domain and again at another: once cut off from the first but for the table, once with the table service down, so that agents alone tell of it. It must be refused there and crash nothing.

--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -56,6 +56,21 @@
     And every call was answered whole
     And every promise holds
 
+  Scenario: A crashing request is known where only the table tells of it
+    When nothing passes between alpha and gamma
+    And nothing passes between beta and gamma
+    And a request that crashes engines is sent at alpha
+    And 5 seconds pass
+    And a request that crashes engines is sent at gamma
+    Then it is refused and no engine of gamma has died
+
+  Scenario: A crashing request is known where only agents tell of it
+    When the table service is down
+    And a request that crashes engines is sent at alpha
+    And 5 seconds pass
+    And a request that crashes engines is sent at gamma
+    Then it is refused and no engine of gamma has died
+
   Scenario: Two failures together
     When host engine-alpha-0 is killed
     And the table service loses answers
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,12 +1,15 @@
 """Scenarios of features/, over a site in one process and virtual time."""
 
 import asyncio
+import json
 
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from fakes.callers import Ending
 from fakes.faults import Fault
+from fakes.memory_engine import CRASH_MARK
+from fakes.site_plan import MODEL
 from fakes.stage import Stage
 from ragwortcourse.configuration.acceptance import Accepted
 
@@ -200,6 +203,21 @@
     stage.resend_cut()
 
 
+@when(
+    parsers.parse('a request that crashes engines is sent at {name}'),
+    target_fixture='told',
+)
+def send_crasher(stage, name):
+    body = {'model': MODEL, 'prompt': CRASH_MARK.decode()}
+    return stage.run(
+        stage.callers.send(
+            is_charge=False,
+            entry=f'entry-{name}-0',
+            body=json.dumps(body).encode(),
+        )
+    )
+
+
 @when('the same charge is sent to two entry daemons at once')
 def send_twice(stage):
     async def send():
@@ -327,6 +345,17 @@
         assert each.retry_after is not None, each
 
 
+@then(parsers.parse('it is refused and no engine of {name} has died'))
+def check_crasher_refused(stage, told, name):
+    assert told.code == 'crashing_request'
+    deaths = {
+        host: engine.deaths
+        for host, engine in stage.site.engines.items()
+        if stage.site.plan.targets[host].failure_domain == name
+    }
+    assert set(deaths.values()) == {0}, deaths
+
+
 @then('it ran once')
 def check_ran_once(stage):
     assert stage.site.witness.count_runs()['twice'] == 1
