Prove that a planned stop writes results of claims first

Trial removals: without the writing of results at the end of a drain no test failed. Now a resend right after the stop must get the kept answer; without it the new test failed ("completed answer_lost").

--- a/tests/test_claimed_calls.py
+++ b/tests/test_claimed_calls.py
@@ -165,6 +165,16 @@
         assert told == 'completed answer_lost'
         assert len(site.agents.ran) == 1
 
+    async def test_stopped_before_the_result_is_written(self):
+        """A planned stop writes the result first; a resend gets the answer."""
+        site = Site()
+        assert await collect(site.a, make_booking_call(key='k')) == 'whole'
+        await drain_entry(site.a)
+        site.faults['a'].set(Fault.DOWN)
+        told = await collect(site.b, make_booking_call('r2', key='k'))
+        assert told == 'whole'
+        assert len(site.agents.ran) == 1
+
     async def test_paused_daemon_wakes_after_agents_restarted(self):
         """A claim that is old is read again before anything is sent."""
         site = Site()
