End the writers of claims with their daemon

Cause: ClaimResults and ClaimCollector start a writer task on demand and nobody ended it, so it was destroyed while it slept; a drain wrote one batch of 64 results and lost the rest, and waited for as long as the table did not answer. A drain now writes all batches within 3 s; a stop cancels the writers, tells waiting claimers, and begins nothing new. The agent's work that nobody waits for ends the same way. A stage raises where a task is left. Ruled out: writers as endless background tasks, since an entry is also used without a daemon.

--- a/fakes/site.py
+++ b/fakes/site.py
@@ -203,8 +203,11 @@
     async def kill(self, name: str) -> None:
         """End a daemon's host at once."""
         resident = self.residents[name]
+        daemon = resident.entry or resident.agent
         await resident.tasks.stop()
         await resident.host.kill()
+        if daemon is not None:
+            await daemon.stop()
         self.wire.announce()
 
     def restart(self, name: str) -> Resident:
--- a/fakes/stage.py
+++ b/fakes/stage.py
@@ -16,6 +16,7 @@
 from fakes.faults import Fault
 from fakes.site import Site
 from fakes.site_plan import SitePlan, SiteSize, make_plan
+from ragwortcourse.background import end_task
 from ragwortcourse.configuration.withdrawals import return_part, withdraw_part
 from ragwortcourse.messages.withdrawal import Withdrawal, WithdrawalScope
 
@@ -84,7 +85,10 @@
         """Stop every task."""
         self.run(self._close())
         self.run(self._loop.shutdown_asyncgens())
+        left = asyncio.all_tasks(self._loop)
         self._loop.close()
+        if left:
+            raise RuntimeError(f'tasks left behind: {left}')
 
     def mark(self, name: str) -> None:
         """Remember this moment."""
@@ -218,8 +222,9 @@
         )
 
     async def _close(self) -> None:
-        for task in self._beside:
-            task.cancel()
+        for task in (self._load, *self._beside):
+            await end_task(task)
         for name, resident in list(self.site.residents.items()):
             if resident.host.alive:
                 await self.site.kill(name)
+        await self.callers.wait_for_all()
--- a/src/ragwortcourse/agent/agent.py
+++ b/src/ragwortcourse/agent/agent.py
@@ -10,6 +10,7 @@
 from ragwortcourse.agent.suspects import CrashSuspects
 from ragwortcourse.agent.version_use import VersionUse
 from ragwortcourse.agent.warmup import WarmLimit
+from ragwortcourse.background import end_task
 from ragwortcourse.configuration.deployment import Deployment
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.limits import TargetLimits
@@ -57,6 +58,7 @@
         self.leaving = False
         self._read_landing: Callable[[], LandingProgress | None] = read_none
         self._background: set[asyncio.Task[None]] = set()
+        self._is_stopped = False
 
     def report_landing(
         self, read: Callable[[], LandingProgress | None]
@@ -116,10 +118,19 @@
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Go on with work that nobody waits for."""
+        if self._is_stopped:
+            work.close()
+            return
         task = asyncio.create_task(work)
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
+    async def stop(self) -> None:
+        """End the work that nobody waits for."""
+        self._is_stopped = True
+        for task in tuple(self._background):
+            await end_task(task)
+
     async def wait_for_background(self) -> None:
         """Return once no work is left that nobody waits for."""
         while self._background:
--- a/src/ragwortcourse/background.py
+++ b/src/ragwortcourse/background.py
@@ -7,6 +7,13 @@
 BACKGROUND_LIMIT: Final = 64
 
 
+async def end_task(task: asyncio.Task[Any] | None) -> None:
+    """Cancel a task, if there is one, and wait for its end."""
+    if task is not None:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
 class Background:
     """Tasks under way; those beyond the limit are not begun.
 
--- a/src/ragwortcourse/entry/claim_collector.py
+++ b/src/ragwortcourse/entry/claim_collector.py
@@ -4,12 +4,14 @@
 import dataclasses
 from typing import Final
 
+from ragwortcourse.background import end_task
 from ragwortcourse.clock import read_clock
 from ragwortcourse.platform.table import (
     CommitOutcome,
     CommitUnknown,
     ConditionalWrite,
     ConditionFailed,
+    NotCommitted,
     TableService,
 )
 
@@ -46,9 +48,12 @@
         self._waiting: list[WaitingWrite] = []
         self._writer: asyncio.Task[None] | None = None
         self._last_at = -interval
+        self._is_stopped = False
 
     async def commit(self, write: ConditionalWrite) -> CommitOutcome:
         """Write one claim, with others or by itself."""
+        if self._is_stopped:
+            return NotCommitted(detail='this daemon is stopping')
         if len(self._waiting) >= WAITING_LIMIT:
             return CommitUnknown(detail='too many claims wait')
         loop = asyncio.get_running_loop()
@@ -58,6 +63,13 @@
             self._writer = asyncio.create_task(self._write_all())
         return await waiting.outcome
 
+    async def stop(self) -> None:
+        """End writing; what still waits is told that nobody knows."""
+        self._is_stopped = True
+        await end_task(self._writer)
+        _settle(self._waiting, CommitUnknown(detail='the writer has ended'))
+        self._waiting.clear()
+
     async def _write_all(self) -> None:
         while self._waiting:
             wait = self._last_at + self._interval - read_clock()
@@ -86,6 +98,9 @@
         except Exception as error:
             # The claimers must not wait for ever on a broken adapter.
             outcome = CommitUnknown(detail=repr(error))
+        except asyncio.CancelledError as error:
+            _settle(batch, CommitUnknown(detail=repr(error)))
+            raise
         if not isinstance(outcome, ConditionFailed):
             _settle(batch, outcome)
             return
--- a/src/ragwortcourse/entry/claim_results.py
+++ b/src/ragwortcourse/entry/claim_results.py
@@ -1,10 +1,12 @@
 """Results of claimed work, written behind."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+from ragwortcourse.background import end_task
 from ragwortcourse.platform.table import (
     CommitOutcome,
     Committed,
@@ -17,6 +19,7 @@
 RESULT_BATCH: Final = 64
 RESULT_RETRY_SECONDS: Final = 1.0
 RESULTS_LIMIT: Final = 1024
+FLUSH_SECONDS: Final = 3.0
 LOGGER: Final = logging.getLogger(__name__)
 
 
@@ -39,12 +42,15 @@
         self._writes: dict[TableKey, ConditionalWrite] = {}
         self._writer: asyncio.Task[None] | None = None
         self._is_failing = False
+        self._is_stopped = False
 
     def put(self, write: ConditionalWrite) -> None:
         """Write a result soon; the oldest goes first where too many wait."""
         self._writes[write.key] = write
         if len(self._writes) > RESULTS_LIMIT:
             self._writes.pop(next(iter(self._writes)))
+        if self._is_stopped:
+            return
         if self._writer is None or self._writer.done():
             self._writer = asyncio.create_task(self._write_all())
 
@@ -53,9 +59,20 @@
         return self._writes.get(key)
 
     async def flush(self) -> None:
-        """Return once everything was written or the table refuses."""
-        if self._writes:
-            await self._write_batch()
+        """Return once everything was written, the table fails or time is up.
+
+        It takes ``FLUSH_SECONDS`` at the most.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FLUSH_SECONDS):
+                is_written = True
+                while self._writes and is_written:
+                    is_written = await self._write_batch()
+
+    async def stop(self) -> None:
+        """End writing; what is not written is lost."""
+        self._is_stopped = True
+        await end_task(self._writer)
 
     async def _write_all(self) -> None:
         while self._writes:
--- a/src/ragwortcourse/entry/entry.py
+++ b/src/ragwortcourse/entry/entry.py
@@ -78,8 +78,17 @@
             self.idle.set()
 
 
+async def stop_entry(entry: Entry) -> None:
+    """End the tasks that write claims, with nothing left under way."""
+    await entry.results.stop()
+    await entry.collector.stop()
+
+
 async def drain_entry(entry: Entry) -> None:
-    """Take no new work and return once everything under way has ended."""
+    """Take no new work and return once everything under way has ended.
+
+    Results of claims are written then, as far as that goes in time.
+    """
     entry.draining = True
     if entry.under_way:
         await entry.idle.wait()
--- a/src/ragwortcourse/processes/agent_daemon.py
+++ b/src/ragwortcourse/processes/agent_daemon.py
@@ -80,6 +80,10 @@
         """Return once everything under way has ended."""
         await drain_agent(self.agent)
 
+    async def stop(self) -> None:
+        """End what runs beside the endless tasks."""
+        await self.agent.stop()
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class AgentPorts:
--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -21,7 +21,7 @@
     build_http_helpers,
 )
 from ragwortcourse.entry.crasher_spread import spread_crashers
-from ragwortcourse.entry.entry import Entry, drain_entry
+from ragwortcourse.entry.entry import Entry, drain_entry, stop_entry
 from ragwortcourse.entry.http_agents import build_http_agents
 from ragwortcourse.entry.operator_state import Operators, RecordRelay
 from ragwortcourse.entry.operators import build_operator_routes
@@ -117,6 +117,10 @@
         """Return once everything under way has ended."""
         await drain_entry(self.entry)
 
+    async def stop(self) -> None:
+        """End what runs beside the endless tasks."""
+        await stop_entry(self.entry)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EntryPorts:
--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -42,6 +42,9 @@
     async def drain(self) -> None:
         """Return once everything under way has ended."""
 
+    async def stop(self) -> None:
+        """End what runs beside the endless tasks."""
+
 
 class DaemonService(Service):
     """One daemon in its process; a stop cuts nothing off.
@@ -78,6 +81,7 @@
         for runner in self.runners:
             await runner.cleanup()
         await self.tasks.stop()
+        await self.daemon.stop()
         await self.sessions.close()
         LOGGER.info('stopped')
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -117,6 +117,7 @@
         assert isinstance(first, AttemptAnswer)
         assert isinstance(second, AttemptRefused)
         assert second.outcome.code == 'duplicate_attempt'
+        assert await read_body(first)
         assert engine.runs.total() == 1
 
     @pytest.mark.parametrize('waits', [False, True])
--- a/tests/test_claimed_calls.py
+++ b/tests/test_claimed_calls.py
@@ -1,6 +1,7 @@
 """Tests of :mod:`ragwortcourse.entry.claimed_calls`."""
 
 import asyncio
+from collections import Counter
 
 import pytest
 
@@ -9,8 +10,12 @@
 from fakes.memory_table import MemoryRows
 from fakes.scripted_agents import ScriptedAgents, Turn
 from ragwortcourse.entry.calls import serve_call
-from ragwortcourse.entry.entry import Entry, drain_entry
+from ragwortcourse.entry.claim import ClaimState
+from ragwortcourse.entry.claim_results import FLUSH_SECONDS, RESULT_BATCH
+from ragwortcourse.entry.claims import decode_claim
+from ragwortcourse.entry.entry import Entry, drain_entry, stop_entry
 from ragwortcourse.messages.call import CallAnswer
+from ragwortcourse.platform.table import ConditionalWrite
 from tests.test_calls import collect
 
 pytestmark = pytest.mark.looptime
@@ -213,3 +218,42 @@
             await collect(site.b, make_booking_call('r2', key='k')) == 'whole'
         )
         assert len(site.agents.ran) == 1
+
+
+class TestEnd:
+    """Writers of claims and results as their daemon ends."""
+
+    async def test_planned_stop_writes_every_result(self):
+        """More results than one batch are in the table after a drain."""
+        site = Site()
+        for number in range(RESULT_BATCH + 1):
+            call = make_booking_call(f'r{number}', key=f'k{number}')
+            assert await collect(site.a, call) == 'whole'
+        await drain_entry(site.a)
+        states = Counter(
+            decode_claim(row).state for row in site.rows.rows.values()
+        )
+        assert states == {ClaimState.COMPLETED: RESULT_BATCH + 1}
+
+    async def test_drain_waits_for_no_table_that_hangs(self):
+        """A table that does not answer holds a stop up for a bounded time."""
+        site = Site()
+        assert await collect(site.a, make_booking_call(key='k')) == 'whole'
+        site.faults['a'].set(Fault.SLOW, seconds=3600)
+        await asyncio.wait_for(drain_entry(site.a), timeout=FLUSH_SECONDS + 1)
+
+    async def test_nothing_runs_on_after_a_stop(self):
+        """A stopped daemon leaves no task and begins none."""
+        site = Site()
+        site.faults['a'].set(Fault.SLOW, seconds=3600)
+        first = asyncio.create_task(collect(site.a, make_booking_call(key='k')))
+        await asyncio.sleep(1)
+        site.a.results.put(
+            ConditionalWrite(key='x', content=b'', expected_version=0)
+        )
+        await stop_entry(site.a)
+        assert await first == 'not_run claims_unavailable'
+        site.a.results.put(
+            ConditionalWrite(key='y', content=b'', expected_version=0)
+        )
+        assert asyncio.all_tasks() == {asyncio.current_task()}
