Find a target that turned cold by its answers

Cause: only the poll (0.5 s) and the report (0.5 s lag) told that an engine had started anew or lost its warmth while its connections stayed; latency was weighed at the end of an answer, not for targets that report, and six answers eight times too slow were taken for usual. A report of the earlier instance let the limit grow back within 0.5 s. An answer's x-engine-instance now counts at once and voids the old report; first bytes are weighed as they come, reports or not; slow ones move the usual latency by a hundredth and restart the pace of growth. Ruled out: counting work without a first byte as slow (nothing new starts while nothing ends); falling to cold on one slow answer (long prompts).

--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -142,6 +142,8 @@
         response.headers[names.REQUEST_ID] = outcome.attempt
     if outcome.version is not None:
         response.headers[names.MODEL_VERSION] = outcome.version
+    if outcome.instance is not None:
+        response.headers[names.ENGINE_INSTANCE] = outcome.instance
     try:
         await response.prepare(request)
         async for piece in outcome.body:
--- a/fakes/memory_engine.py
+++ b/fakes/memory_engine.py
@@ -60,6 +60,7 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self._resumable: set[AttemptId] = set()
         self.cancelled: list[AttemptId] = []
+        self.tells_instance = True
         self.extra_headers: dict[str, str] = {}
         self.deaths = 0
         self.resumes = 0
@@ -81,6 +82,20 @@
             order=self.order,
         )
 
+    @property
+    def instance(self) -> str:
+        """Changes whenever the engine starts anew."""
+        return f'instance-{self._instance}'
+
+    def turn_cold(self, *, anew: bool) -> None:
+        """Lose what makes it warm, with every connection kept.
+
+        :param anew: true where another instance takes the work over.
+        """
+        self.load.cool()
+        if anew:
+            self._instance = next(self._instances)
+
     def die(self, *, downtime: float = RESTART_SECONDS) -> None:
         """Lose everything under way and every version, and start anew."""
         self.deaths += 1
@@ -133,7 +148,7 @@
             report = self._report = (now, self.load.running, bearable)
         made_at, running, bearable = report
         return EngineState(
-            instance=f'instance-{self._instance}',
+            instance=self.instance,
             running=running,
             bearable=bearable if self.load.reports else None,
             age=now - made_at,
@@ -209,6 +224,7 @@
             attempt=attempt,
             version=version,
             body=body,
+            instance=self.instance if self.tells_instance else None,
         )
 
     def _read_version(self, request: EngineRequest) -> VersionName | None:
--- a/src/ragwortcourse/agent/attempts.py
+++ b/src/ragwortcourse/agent/attempts.py
@@ -198,7 +198,7 @@
     mismatch = find_mismatch(run, answer)
     if mismatch is not None:
         return await drop_answer(run, answer, mismatch)
-    run.note_first_byte(answer.status)
+    run.note_first_byte(answer)
     is_stream = is_model_stream(run, answer)
     progress = Progress(answer=answer, is_stream=is_stream)
     body = relay_answer(run, progress)
--- a/src/ragwortcourse/agent/run.py
+++ b/src/ragwortcourse/agent/run.py
@@ -7,7 +7,11 @@
 from ragwortcourse.agent.suspects import UnderWay
 from ragwortcourse.agent.ticket import Ticket
 from ragwortcourse.clock import read_clock
-from ragwortcourse.engines.engine import EngineRequest, EngineSilent
+from ragwortcourse.engines.engine import (
+    EngineAnswer,
+    EngineRequest,
+    EngineSilent,
+)
 from ragwortcourse.messages import headers as names
 from ragwortcourse.messages.attempt import Attempt
 from ragwortcourse.messages.attempt_report import AttemptState
@@ -66,12 +70,18 @@
             priority=attempt.priority,
         )
 
-    def note_first_byte(self, status: int) -> None:
-        """Take the status and the time to it as evidence."""
+    def note_first_byte(self, answer: EngineAnswer) -> None:
+        """Take the status, the time to it and the instance as evidence."""
         self.latency = read_clock() - self._started_at
-        self.record.status = status
-        if status in OVERLOAD_STATUSES:
-            self.agent.limit.fall_back('overload')
+        self.record.status = answer.status
+        limit = self.agent.limit
+        if answer.status in OVERLOAD_STATUSES:
+            limit.fall_back('overload')
+        elif answer.status < BAD:
+            limit.note_latency(self.latency)
+        # An answer of the instance that was asked may be late.
+        if answer.instance not in {None, self._instance}:
+            limit.note_instance(answer.instance)
 
     def end(self, state: AttemptState) -> None:
         """Give the permit back and keep how the attempt ended."""
@@ -86,7 +96,7 @@
         agent.suspects.end(self.attempt.attempt, clean=completed)
         agent.version_use.end(self.attempt)
         if good:
-            agent.limit.note_answer(self.latency, agent.gate.running)
+            agent.limit.note_answer(agent.gate.running)
         agent.gate.release(self._ticket, read_clock() - self._started_at)
 
     async def end_lost(self) -> None:
--- a/src/ragwortcourse/agent/server.py
+++ b/src/ragwortcourse/agent/server.py
@@ -41,6 +41,7 @@
         names.OUTCOME,
         names.REQUEST_ID,
         names.MODEL_VERSION,
+        names.ENGINE_INSTANCE,
     )
 )
 
--- a/src/ragwortcourse/agent/warmup.py
+++ b/src/ragwortcourse/agent/warmup.py
@@ -14,6 +14,7 @@
 SLOW_FLOOR_SECONDS: Final = 0.05
 SLOW_ANSWERS: Final = 3
 LATENCY_SMOOTHING: Final = 0.05
+SLOW_SMOOTHING: Final = 0.01
 GROWTH_OF_REPORTING: Final = 2.0
 SHORTEST_WARM_SECONDS: Final = 0.001
 
@@ -62,22 +63,29 @@
             limit = min(limit, max(self._bearable, 1))
         return limit
 
-    def note_answer(self, latency: float, running: int) -> None:
-        """Take a clean answer as evidence.
+    def note_latency(self, latency: float) -> None:
+        """Take the beginning of a clean answer as evidence.
 
         :param latency: seconds to its first byte.
+        """
+        if not self._is_slow(latency):
+            self._slow_in_a_row = 0
+            return
+        self._slow_in_a_row += 1
+        if self._slow_in_a_row % SLOW_ANSWERS == 0:
+            self._warmth /= 2
+            self._restart_pace()
+
+    def note_answer(self, running: int) -> None:
+        """Take the end of a clean answer as evidence.
+
         :param running: permits taken when it ended, itself included.
         """
         self._sign_at = read_clock()
         if self._used_since is None:
             self._used_since = read_clock()
-        if self._is_slow(latency):
-            self._slow_in_a_row += 1
-            if self._slow_in_a_row >= SLOW_ANSWERS:
-                self._slow_in_a_row = 0
-                self._warmth /= 2
+        if self._slow_in_a_row:
             return
-        self._slow_in_a_row = 0
         limit = self.read()
         if running * 2 > limit and not self._silent:
             self._warmth += self._read_growth() / max(limit, 1)
@@ -92,10 +100,7 @@
             return
         self._silent = False
         self._sign_at = read_clock()
-        if state.instance != self._instance:
-            if self._instance is not None:
-                self.fall_back('instance')
-            self._instance = state.instance
+        self.note_instance(state.instance)
         if state.bearable is None:
             self._bearable = None
             return
@@ -106,6 +111,16 @@
             self._bearable_at = made_at
             self._bound_warmth()
 
+    def note_instance(self, instance: str) -> None:
+        """Take the instance that answers as evidence; another one is cold."""
+        if instance == self._instance:
+            return
+        if self._instance is not None:
+            self.fall_back('instance')
+            # What the other one reported says nothing about this one.
+            self._bearable = None
+        self._instance = instance
+
     def fall_back(self, reason: str) -> None:
         """Go back to the cold limit until there is new evidence."""
         self._slow_in_a_row = 0
@@ -129,15 +144,16 @@
         return True
 
     def _is_slow(self, latency: float) -> bool:
-        if self._bearable is not None:
-            return False
         if self._latency is None:
             self._latency = latency
             return False
-        slow = latency > max(self._latency * SLOW_FACTOR, SLOW_FLOOR_SECONDS)
-        # Slow answers count too, so that a lasting change becomes usual.
-        self._latency += LATENCY_SMOOTHING * (latency - self._latency)
-        return slow
+        slowest = max(self._latency * SLOW_FACTOR, SLOW_FLOOR_SECONDS)
+        if latency <= slowest:
+            self._latency += LATENCY_SMOOTHING * (latency - self._latency)
+            return False
+        # A lasting change becomes usual, but not within a few answers.
+        self._latency += SLOW_SMOOTHING * (slowest - self._latency)
+        return True
 
     def _read_growth(self) -> float:
         # The engine's own report bounds a step that goes too far.
@@ -152,6 +168,12 @@
             highest = min(highest, self._bearable)
         self._warmth = max(min(self._warmth, highest - limits.cold), 0)
 
+    def _restart_pace(self) -> None:
+        """Let the limit grow from here as a target warms that is this warm."""
+        limits = self._read_limits()
+        share = self._warmth / max(limits.warm - limits.cold, 1)
+        self._used_since = read_clock() - share * limits.warm_seconds
+
     def _read_paced(self, limits: TargetLimits) -> float:
         if self._used_since is None:
             return 0
--- a/src/ragwortcourse/engines/engine.py
+++ b/src/ragwortcourse/engines/engine.py
@@ -39,6 +39,8 @@
 
     :param attempt: attempt the engine says it answers.
     :param version: model version the engine says made it.
+    :param instance: instance of the engine that gives it; none where the
+        engine does not say.
     :param body: raises :class:`EngineBrokenError` where the answer ends
         short; a read that is cancelled can be begun again, no byte lost.
     """
@@ -48,6 +50,7 @@
     attempt: AttemptId | None
     version: VersionName | None
     body: AsyncIterator[bytes]
+    instance: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/ragwortcourse/engines/http_engine.py
+++ b/src/ragwortcourse/engines/http_engine.py
@@ -209,6 +209,7 @@
         attempt=None if attempt is None else AttemptId(attempt),
         version=None if version is None else VersionName(version),
         body=HttpBody(response=response),
+        instance=response.headers.get(names.ENGINE_INSTANCE),
     )
 
 
--- a/src/ragwortcourse/messages/headers.py
+++ b/src/ragwortcourse/messages/headers.py
@@ -15,6 +15,9 @@
 RETRY_AFTER: Final = 'retry-after'
 TRACE_PARENT: Final = 'traceparent'
 
+# In answers of engines.
+ENGINE_INSTANCE: Final = 'x-engine-instance'
+
 # Between entry daemon and agent.
 OWN_PREFIX: Final = 'x-rc-'
 ATTEMPT_ID: Final = 'x-rc-attempt'
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -1,6 +1,7 @@
 """Tests of :mod:`ragwortcourse.agent.warmup`."""
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
@@ -9,7 +10,7 @@
 from fakes.engine_load import EngineLoad
 from fakes.memory_engine import MemoryEngine
 from ragwortcourse.agent.attempts import run_attempt
-from ragwortcourse.agent.lifecycle import watch_target
+from ragwortcourse.agent.lifecycle import DESCRIBE_PERIOD_SECONDS, watch_target
 from ragwortcourse.agent.warmup import WarmLimit
 from ragwortcourse.configuration.limits import TargetLimits
 from ragwortcourse.engines.engine import EngineSilent, EngineState
@@ -25,6 +26,14 @@
     return EngineState(**{**usual, 'bearable': bearable, **changes})
 
 
+def note_whole(
+    limit: WarmLimit, latency: float, *, running: int | None = None
+) -> None:
+    """A clean answer, from its beginning to its end."""
+    limit.note_latency(latency)
+    limit.note_answer(limit.read() if running is None else running)
+
+
 async def make_warm(bearable: int | None) -> WarmLimit:
     """A limit that has seen enough to be warm."""
     limit = WarmLimit(read_limits=lambda: LIMITS)
@@ -32,7 +41,7 @@
     for _ in range(60):
         await asyncio.sleep(0.5)
         limit.note_state(make_state(bearable))
-        limit.note_answer(0.01, limit.read())
+        note_whole(limit, 0.01)
     assert limit.read() == LIMITS.warm
     return limit
 
@@ -89,24 +98,24 @@
         limit = await make_warm(8)
         limit.note_state(EngineSilent(detail=''))
         for _ in range(20):
-            limit.note_answer(0.01, limit.read())
+            note_whole(limit, 0.01)
         assert limit.read() == LIMITS.cold
         limit.note_state(make_state(8))
-        limit.note_answer(0.01, limit.read())
+        note_whole(limit, 0.01)
         assert limit.read() > LIMITS.cold
 
     async def test_slow_answers_halve(self):
         """A target without reports that turns slow gets less."""
         limit = await make_warm(None)
         for _ in range(3):
-            limit.note_answer(1, limit.read())
+            note_whole(limit, 1)
         assert limit.read() < LIMITS.warm
 
     async def test_unused_limit_does_not_grow(self):
         """Answers given to little load prove nothing about more."""
         limit = WarmLimit(read_limits=lambda: LIMITS)
         for _ in range(60):
-            limit.note_answer(0.01, 1)
+            note_whole(limit, 0.01, running=1)
         assert limit.read() == LIMITS.cold
 
 
@@ -136,6 +145,50 @@
             task.cancel()
 
 
+class TestTurnedCold:
+    """A warm target that turns cold while its connections stay."""
+
+    @pytest.mark.parametrize('reports', [True, False])
+    @pytest.mark.parametrize('anew', [True, False])
+    async def test_answers_tell_with_no_poll_between(self, reports, anew):
+        """Answers tell within a round, before a report can."""
+        load = EngineLoad(cold=4, warm_after=20, reports=reports)
+        engine = MemoryEngine(load=load)
+        agent = make_agent(engine, limits=LIMITS)
+        watching = asyncio.create_task(watch_target(agent))
+        sending = [
+            asyncio.create_task(send_forever(agent, random.Random(seed)))
+            for seed in range(120)
+        ]
+        await asyncio.sleep(60)
+        assert agent.limit.read() == LIMITS.warm
+        watching.cancel()
+        engine.turn_cold(anew=anew)
+        begun = []
+
+        async def start(request):
+            begun.append(agent.limit.read())
+            return await engine.start(request)
+
+        agent.engine = dataclasses.replace(agent.engine, start=start)
+        await asyncio.sleep(DESCRIBE_PERIOD_SECONDS + load.report_lag)
+        too_many = [limit for limit in begun if limit > LIMITS.warm / 2]
+        assert len(too_many) <= LIMITS.warm
+        for task in sending:
+            task.cancel()
+
+    async def test_late_answer_of_the_old_instance(self):
+        """An answer asked of an earlier instance makes nothing cold."""
+        engine = MemoryEngine(load=EngineLoad(latency=1))
+        agent = make_agent(engine, limits=LIMITS)
+        agent.limit.note_state(await engine.describe())
+        asked = asyncio.create_task(run_attempt(agent, make_attempt()))
+        await asyncio.sleep(0.5)
+        agent.limit.note_instance('newer')
+        assert isinstance(await asked, AttemptAnswer)
+        assert agent.limit.instance == 'newer'
+
+
 async def send_forever(agent, rng: random.Random) -> None:
     """Send one request after the other."""
     while True:
