Tell of a crash before its caller can send again

Cause: proof against a request reached other entry daemons by a row read every 2 s, a first death not at all, and a death in mid-stream was told by the agent's status only; a resend at another daemon took one more target. A first death now goes into a row that the daemon of the next one reads, proof goes straight to every entry daemon, and an agent is asked why its stream broke; each within half a second and before the caller hears. Ruled out: telling all of first deaths (mostly innocent, 350 x 2,000 posts when a failure domain dies), a read at each admission. Seen to fail without it: the resend elsewhere right after the second death (table up and down) and two deaths in mid-stream under two daemons. Innocents: a whole answer drops the row's suspicion (the test of acquittal failed without that), a break with the target alive accuses nobody.

--- a/fakes/scripted_agents.py
+++ b/fakes/scripted_agents.py
@@ -43,6 +43,7 @@
     ``SHORT``: it breaks after its first chunk.
     ``NEWER``: it serves ``v3`` only, and refuses every other version.
     ``CRASH``: the target dies of it.
+    ``CRASH_LATER``: the target dies of it after the first chunk.
     ``HANG``: nothing ever comes.
     """
 
@@ -59,6 +60,7 @@
     WRONG_VERSION = 'wrong_version'
     NEWER = 'newer'
     CRASH = 'crash'
+    CRASH_LATER = 'crash_later'
     HANG = 'hang'
 
 
@@ -68,6 +70,7 @@
     Turn.EMPTY: AttemptState.BROKEN,
     Turn.SHORT: AttemptState.BROKEN,
     Turn.CRASH: AttemptState.BROKEN,
+    Turn.CRASH_LATER: AttemptState.BROKEN,
     Turn.HANG: AttemptState.RUNNING,
 }
 
@@ -87,6 +90,7 @@
         self.ran: list[tuple[str, Attempt]] = []
         self.states: dict[tuple[str, AttemptId], AttemptState] = {}
         self.silent: set[str] = set()
+        self.suspects: set[AttemptId] = set()
         self.seconds = 0.0
 
     def script(self, address: str, *turns: Turn) -> None:
@@ -138,6 +142,8 @@
         self, address: str, attempt: Attempt, turn: Turn
     ) -> AttemptOutcome:
         self.ran.append((address, attempt))
+        if turn in {Turn.CRASH, Turn.CRASH_LATER}:
+            self.suspects.add(attempt.attempt)
         state = _RUN_STATES.get(turn, AttemptState.COMPLETED)
         self.states[address, attempt.attempt] = state
         if turn is Turn.HANG:
@@ -169,7 +175,7 @@
             raise AnswerBrokenError('after the headers')
         for chunk in self.chunks:
             yield chunk
-            if turn is Turn.SHORT:
+            if turn in {Turn.SHORT, Turn.CRASH_LATER}:
                 raise AnswerBrokenError('after a chunk')
 
     async def bar(
@@ -180,7 +186,9 @@
         if address in self.silent:
             return PeerSilent(detail='silent')
         state = self.states.setdefault((address, attempt), AttemptState.BARRED)
-        return AttemptReport(attempt=attempt, state=state)
+        return AttemptReport(
+            attempt=attempt, state=state, suspect=attempt in self.suspects
+        )
 
     async def beat(
         self, address: str, heartbeat: Heartbeat
--- a/fakes/site.py
+++ b/fakes/site.py
@@ -177,6 +177,7 @@
         )
         self.routes.memberships[host.address] = daemon.membership
         self.routes.collectors[host.address] = daemon.entry.collector
+        self.routes.crashers[host.address] = daemon.entry.crashers
         self.routes.holders[host.address] = daemon.entry.holder
         resident = Resident(host=host, tasks=BackgroundTasks(), entry=daemon)
         self.residents[name] = resident
--- a/fakes/site_daemons.py
+++ b/fakes/site_daemons.py
@@ -8,6 +8,7 @@
     WireEnd,
     build_agent_port,
     build_chunk_port,
+    build_crasher_port,
     build_daemon_port,
     build_helper_port,
 )
@@ -56,6 +57,7 @@
             agents=build_agent_port(end),
             daemons=build_daemon_port(end),
             ask_helper=build_helper_port(end),
+            tell_crasher=build_crasher_port(end),
             relay_record=find_no_record,
         ),
         rng=rng,
--- a/fakes/wire_ports.py
+++ b/fakes/wire_ports.py
@@ -13,6 +13,9 @@
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.entry.claim_collector import ClaimCollector
 from ragwortcourse.entry.claim_helpers import HELPER_SECONDS, AskHelper
+from ragwortcourse.entry.crasher_peers import TellCrasher
+from ragwortcourse.entry.crasher_spread import merge_one
+from ragwortcourse.entry.crashers import Crashers
 from ragwortcourse.identifiers import AttemptId, Generation
 from ragwortcourse.membership.exchange import answer_exchange
 from ragwortcourse.membership.membership import Membership
@@ -25,6 +28,7 @@
 from ragwortcourse.messages.attempt_report import AttemptReport
 from ragwortcourse.messages.heartbeat import Heartbeat
 from ragwortcourse.messages.peer_port import AgentPort, DaemonPort, PeerSilent
+from ragwortcourse.messages.shared_crasher import SharedCrasher
 from ragwortcourse.messages.target_status import TargetStatus
 from ragwortcourse.platform.table import (
     CommitOutcome,
@@ -50,6 +54,7 @@
         self.landings: dict[str, Landing] = {}
         self.memberships: dict[str, Membership] = {}
         self.holders: dict[str, ConfigurationHolder] = {}
+        self.crashers: dict[str, Crashers] = {}
         self.collectors: dict[str, ClaimCollector] = {}
 
 
@@ -144,6 +149,18 @@
     return ask
 
 
+def build_crasher_port(end: WireEnd) -> TellCrasher:
+    """An entry daemon's word to another of a crashing request."""
+
+    async def tell(address: str, crasher: SharedCrasher) -> None:
+        async def work() -> None:
+            merge_one(end.residents.crashers[address], crasher)
+
+        await end.wire.carry(end.host, address, work)
+
+    return tell
+
+
 def build_chunk_port(end: WireEnd) -> ChunkPort:
     """An agent's way to the chunks of others."""
 
--- a/src/ragwortcourse/entry/answer_body.py
+++ b/src/ragwortcourse/entry/answer_body.py
@@ -24,6 +24,8 @@
     :param first: chunk already read, if any.
     :param rest: the target's body after that.
     :param finish: called once, with true where the whole answer came.
+    :param on_break: called where the target broke the answer off, before
+        the caller hears of it.
     :param kept: gets the body's bytes, up to ``KEPT_BYTES`` and one chunk;
         the answer is then read to its end even where the caller has left.
     """
@@ -34,11 +36,13 @@
         first: bytes | None,
         rest: AsyncIterator[bytes],
         finish: Callable[[bool], Awaitable[None]],
+        on_break: Callable[[], Awaitable[None]] | None = None,
         kept: bytearray | None = None,
     ) -> None:
         self._first = first
         self._rest = rest
         self._finish: Callable[[bool], Awaitable[None]] | None = finish
+        self._on_break = on_break
         self._kept = kept
 
     def __aiter__(self) -> 'AnswerBody':
@@ -79,10 +83,20 @@
         except StopAsyncIteration:
             await self._end(is_whole=True)
             raise
-        except (AnswerBrokenError, asyncio.CancelledError):
+        except AnswerBrokenError:
+            await self._end_broken()
+            raise
+        except asyncio.CancelledError:
             await self._end(is_whole=False)
             raise
 
+    async def _end_broken(self) -> None:
+        try:
+            if self._on_break is not None:
+                await self._on_break()
+        finally:
+            await self._end(is_whole=False)
+
     async def _end(self, *, is_whole: bool) -> None:
         finish = self._finish
         self._finish = None
--- a/src/ragwortcourse/entry/answers.py
+++ b/src/ragwortcourse/entry/answers.py
@@ -8,6 +8,7 @@
 from ragwortcourse.entry import errors
 from ragwortcourse.entry.answer_body import AnswerBody
 from ragwortcourse.entry.attempts import Served
+from ragwortcourse.entry.crash_notice import acquit, note_break
 from ragwortcourse.entry.dispatch import release_choice
 from ragwortcourse.entry.entry import Entry
 from ragwortcourse.entry.steps import Failed
@@ -39,8 +40,6 @@
 
     async def finish(is_whole: bool) -> None:
         release_choice(served.choice)
-        if is_whole:
-            entry.crashers.acquit(work.fingerprint)
         kind = OutcomeKind.COMPLETED if is_whole else OutcomeKind.UNKNOWN
         CALLS.add(1, {'result': kind})
         work.trail.note(
@@ -51,9 +50,16 @@
         try:
             if on_end is not None:
                 await on_end(is_whole)
+            if is_whole:
+                await acquit(entry, work)
         finally:
             entry.leave()
 
+    async def ask_why() -> None:
+        await note_break(
+            entry, work, served.choice, served.attempt, served.sent_at
+        )
+
     answer = served.started.answer
     work.trail.note(
         DecisionPoint.VERSION,
@@ -69,6 +75,7 @@
             first=served.started.first,
             rest=answer.body,
             finish=finish,
+            on_break=ask_why,
             kept=kept,
         ),
     )
--- a/src/ragwortcourse/entry/attempts.py
+++ b/src/ragwortcourse/entry/attempts.py
@@ -10,6 +10,7 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.entry import errors
 from ragwortcourse.entry.choice import Choice, NoChoice
+from ragwortcourse.entry.crash_notice import note_crash
 from ragwortcourse.entry.dispatch import run_choice
 from ragwortcourse.entry.entry import Entry
 from ragwortcourse.entry.steps import Failed, Started
@@ -43,10 +44,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Served:
-    """An answer has begun."""
+    """An answer has begun.
+
+    :param sent_at: monotonic seconds at which its attempt was sent.
+    """
 
     started: Started
     choice: Choice
+    attempt: AttemptId
+    sent_at: float
 
 
 async def run_attempts(entry: Entry, work: Work, plan: Plan) -> Served | Failed:
@@ -58,13 +64,16 @@
         if isinstance(choice, NotRun):
             failures = failures or [Failed(outcome=choice)]
             break
-        step = await run_choice(entry, work, choice, plan.name(number))
+        attempt = plan.name(number)
+        sent_at = read_clock()
+        step = await run_choice(entry, work, choice, attempt)
         if isinstance(step, Started):
-            return Served(started=step, choice=choice)
-        _note_failure(work, choice, step)
+            return Served(
+                started=step, choice=choice, attempt=attempt, sent_at=sent_at
+            )
         failures.append(step)
         note_tried(tried, choice, step)
-        note_crash(entry, work, choice, step)
+        await _note_failure(entry, work, choice, step)
         if not may_retry(entry, work, step):
             break
     return judge_failures(failures)
@@ -76,14 +85,6 @@
         tried.add(choice.record.target)
 
 
-def note_crash(entry: Entry, work: Work, choice: Choice, step: Failed) -> None:
-    """Note a target that died while it ran the work."""
-    if step.suspect:
-        entry.crashers.accuse(
-            work.fingerprint, work.account.name, choice.record.target
-        )
-
-
 def judge_failures(failures: Sequence[Failed]) -> Failed:
     """Failure that tells the truth about all attempts together.
 
@@ -178,7 +179,11 @@
     )
 
 
-def _note_failure(work: Work, choice: Choice, step: Failed) -> None:
+async def _note_failure(
+    entry: Entry, work: Work, choice: Choice, step: Failed
+) -> None:
+    if step.suspect:
+        await note_crash(entry, work, choice)
     outcome = step.outcome
     seen: dict[str, object] = {'outcome': outcome.kind}
     if not isinstance(outcome, Completed):
--- a/src/ragwortcourse/entry/crasher_spread.py
+++ b/src/ragwortcourse/entry/crasher_spread.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from ragwortcourse.entry.crashers import EVIDENCE_LIMIT, Crashers
+from ragwortcourse.entry.crashers import EVIDENCE_LIMIT, Crashers, Evidence
 from ragwortcourse.entry.entry import Entry
-from ragwortcourse.identifiers import ClientAccountName, TargetName
+from ragwortcourse.messages.shared_crasher import SharedCrasher
 from ragwortcourse.platform.table import (
     ABSENT,
     ConditionalWrite,
@@ -20,15 +20,6 @@
 _JITTER: Final = 0.2
 
 
-class SharedCrasher(msgspec.Struct, frozen=True, kw_only=True):
-    """Evidence against one request, as the row has it."""
-
-    fingerprint: str
-    account: ClientAccountName
-    targets: tuple[TargetName, ...]
-    released: tuple[TargetName, ...] = ()
-
-
 class SharedCrashers(msgspec.Struct, frozen=True, kw_only=True):
     """Content of the row."""
 
@@ -66,11 +57,14 @@
     """Take over the evidence of the row."""
     shared = msgspec.json.decode(content, type=SharedCrashers)
     for one in shared.crashers:
-        crashers.accuse(one.fingerprint, one.account, *one.targets)
-        if one.released:
-            crashers.release_from(
-                one.fingerprint, one.account, set(one.released)
-            )
+        merge_one(crashers, one)
+
+
+def merge_one(crashers: Crashers, one: SharedCrasher) -> None:
+    """Take over the evidence against one request."""
+    crashers.accuse(one.fingerprint, one.account, *one.targets)
+    if one.released:
+        crashers.release_from(one.fingerprint, one.account, set(one.released))
 
 
 def share_crashers(crashers: Crashers) -> SharedCrashers:
@@ -78,12 +72,17 @@
     settled = sorted(crashers.list_settled().items())
     return SharedCrashers(
         crashers=tuple(
-            SharedCrasher(
-                fingerprint=fingerprint,
-                account=evidence.account,
-                targets=tuple(sorted(evidence.targets)),
-                released=tuple(sorted(evidence.released)),
-            )
+            share_one(fingerprint, evidence)
             for fingerprint, evidence in settled[:EVIDENCE_LIMIT]
         )
     )
+
+
+def share_one(fingerprint: str, evidence: Evidence) -> SharedCrasher:
+    """Evidence against one request, in an order all daemons agree on."""
+    return SharedCrasher(
+        fingerprint=fingerprint,
+        account=evidence.account,
+        targets=tuple(sorted(evidence.targets)),
+        released=tuple(sorted(evidence.released)),
+    )
--- a/src/ragwortcourse/entry/crashers.py
+++ b/src/ragwortcourse/entry/crashers.py
@@ -69,11 +69,16 @@
         evidence.targets |= targets
         evidence.released |= targets
 
-    def acquit(self, fingerprint: str) -> None:
-        """Forget a suspicion after the request was answered whole."""
+    def acquit(self, fingerprint: str) -> bool:
+        """Forget a suspicion after the request was answered whole.
+
+        :return: true where there was one.
+        """
         evidence = self._evidence.get(fingerprint)
-        if evidence is not None and not evidence.is_proof:
-            self._evidence.pop(fingerprint)
+        if evidence is None or evidence.is_proof:
+            return False
+        self._evidence.pop(fingerprint)
+        return bool(evidence.standing)
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Tell whether a target died under the request not long ago."""
@@ -87,6 +92,10 @@
         evidence = self._evidence.get(fingerprint)
         return evidence is not None and evidence.is_proof
 
+    def find(self, fingerprint: str) -> Evidence | None:
+        """Evidence against a request; none where no target died under it."""
+        return self._evidence.get(fingerprint)
+
     def list_crashers(self) -> CrasherList:
         """Every request that is refused, for operators."""
         return CrasherList(
--- a/src/ragwortcourse/entry/entry.py
+++ b/src/ragwortcourse/entry/entry.py
@@ -4,7 +4,7 @@
 import dataclasses
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.entry.catalog import Catalog
@@ -17,6 +17,7 @@
 from ragwortcourse.entry.retry_budget import RetryBudget
 from ragwortcourse.membership.directory import TargetDirectory
 from ragwortcourse.messages.peer_port import AgentPort
+from ragwortcourse.messages.shared_crasher import SharedCrasher
 from ragwortcourse.platform.table import (
     CommitOutcome,
     ConditionalWrite,
@@ -25,6 +26,10 @@
 from ragwortcourse.settings import Settings
 
 
+async def tell_nobody(crasher: SharedCrasher) -> None:
+    """No other entry daemon to tell."""
+
+
 @dataclasses.dataclass(kw_only=True)
 class Entry:
     """What serving calls needs; parts are shared by all requests.
@@ -33,6 +38,8 @@
         that other daemons made.
     :param helpers: way to the daemon that collects the claims of this
         failure domain; none where each daemon writes its own.
+    :param tell_peers: tells every other entry daemon of a request that
+        has taken down too many targets.
     :param under_way: calls taken whose answers are not at their end yet.
     """
 
@@ -49,6 +56,7 @@
     crashers: Crashers = dataclasses.field(default_factory=Crashers)
     outliers: Outliers = dataclasses.field(default_factory=Outliers)
     helpers: ClaimHelpers | None = None
+    tell_peers: Callable[[SharedCrasher], Awaitable[None]] = tell_nobody
     collector: ClaimCollector = dataclasses.field(init=False)
     results: ClaimResults = dataclasses.field(init=False)
     draining: bool = False
--- /dev/null
+++ b/src/ragwortcourse/entry/suspicion_rows.py
@@ -0,0 +1,115 @@
+"""Suspicions of all entry daemons, in a fixed number of rows.
+
+Only a daemon under whose request a target has just died reads or writes
+here. A row keeps the newest suspicions and drops those that have lapsed.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from ragwortcourse.entry.crasher_spread import merge_one, share_one
+from ragwortcourse.entry.crashers import SUSPICION_SECONDS
+from ragwortcourse.entry.entry import Entry
+from ragwortcourse.messages.shared_crasher import SharedCrasher
+from ragwortcourse.platform.table import (
+    ABSENT,
+    ConditionalWrite,
+    ConditionFailed,
+    ReadFailed,
+    Row,
+    TableKey,
+)
+
+PREFIX_DIGITS: Final = 2
+KEPT_SUSPICIONS: Final = 32
+WRITE_TRIES: Final = 4
+
+
+class Suspicion(msgspec.Struct, frozen=True, kw_only=True):
+    """Evidence against one request.
+
+    :param at: seconds since the epoch, by the clock of its writer.
+    """
+
+    crasher: SharedCrasher
+    at: float
+
+
+class Suspicions(msgspec.Struct, frozen=True, kw_only=True):
+    """Content of one row, oldest first."""
+
+    suspicions: tuple[Suspicion, ...] = ()
+
+
+def find_row(fingerprint: str) -> TableKey:
+    """Key of the row for a fingerprint."""
+    return TableKey(f'suspicions/{fingerprint[:PREFIX_DIGITS]}')
+
+
+async def share_suspicion(entry: Entry, fingerprint: str) -> None:
+    """Merge the row's evidence against a request with the own."""
+
+    def join(found: Suspicion | None) -> Suspicion | None:
+        if found is not None:
+            merge_one(entry.crashers, found.crasher)
+        evidence = entry.crashers.find(fingerprint)
+        if evidence is None:
+            return None
+        crasher = share_one(fingerprint, evidence)
+        return Suspicion(crasher=crasher, at=entry.read_wall())
+
+    await _change_row(entry, fingerprint, join)
+
+
+async def clear_suspicion(entry: Entry, fingerprint: str) -> None:
+    """Drop the evidence against a request that was answered whole."""
+    await _change_row(entry, fingerprint, _drop)
+
+
+def _drop(found: Suspicion | None) -> None:
+    """Nothing in place of what was found."""
+
+
+async def _change_row(
+    entry: Entry,
+    fingerprint: str,
+    change: Callable[[Suspicion | None], Suspicion | None],
+) -> None:
+    key = find_row(fingerprint)
+    outcome = await entry.table.read(key)
+    if isinstance(outcome, ReadFailed):
+        return
+    row = outcome.row
+    for _ in range(WRITE_TRIES):
+        fresh = _read_fresh(entry, row)
+        found = fresh.pop(fingerprint, None)
+        changed = change(found)
+        kept = list(fresh.values())
+        if changed is not None:
+            kept.append(changed)
+        write = ConditionalWrite(
+            key=key,
+            content=msgspec.json.encode(
+                Suspicions(suspicions=tuple(kept[-KEPT_SUSPICIONS:]))
+            ),
+            expected_version=ABSENT if row is None else row.version,
+        )
+        written = await entry.commit_claim(write)
+        if not isinstance(written, ConditionFailed):
+            return
+        row = written.rows[0]
+
+
+def _read_fresh(entry: Entry, row: Row | None) -> dict[str, Suspicion]:
+    """Suspicions of a row by fingerprint, without those that lapsed."""
+    if row is None:
+        return {}
+    content = msgspec.json.decode(row.content, type=Suspicions)
+    since = entry.read_wall() - SUSPICION_SECONDS
+    return {
+        one.crasher.fingerprint: one
+        for one in content.suspicions
+        if one.at >= since
+    }
--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -20,6 +20,12 @@
     build_claim_routes,
     build_http_helpers,
 )
+from ragwortcourse.entry.crasher_peers import (
+    TellCrasher,
+    build_crasher_routes,
+    build_http_crashers,
+    build_tell_peers,
+)
 from ragwortcourse.entry.crasher_spread import spread_crashers
 from ragwortcourse.entry.entry import Entry, drain_entry, stop_entry
 from ragwortcourse.entry.http_agents import build_http_agents
@@ -79,6 +85,7 @@
             *build_exchange_routes(membership=self.membership),
             *build_record_routes(find_record=self.entry.records.find),
             *build_claim_routes(collector=self.entry.collector),
+            *build_crasher_routes(crashers=self.entry.crashers),
         ]
 
     def start(self, tasks: BackgroundTasks) -> None:
@@ -128,6 +135,7 @@
 
     :param hosts: none where the platform has no such list.
     :param ask_helper: sends a claim to the collecting daemon.
+    :param tell_crasher: tells another daemon of a crashing request.
     :param relay_record: record of a request from another daemon.
     """
 
@@ -136,6 +144,7 @@
     agents: AgentPort
     daemons: DaemonPort
     ask_helper: AskHelper
+    tell_crasher: TellCrasher
     relay_record: RecordRelay
 
 
@@ -160,6 +169,7 @@
         agents=build_http_agents(session=sessions.relay),
         daemons=build_http_daemons(session=session),
         ask_helper=build_http_helpers(session=session),
+        tell_crasher=build_http_crashers(session=session),
         relay_record=build_record_relay(session=session),
     )
     rng = random.Random()  # noqa: S311  # spreads load, guards nothing
@@ -203,6 +213,10 @@
         list_peers=lambda: membership.roster.entries,
         ask=ports.ask_helper,
     )
+    entry.tell_peers = build_tell_peers(
+        tell=ports.tell_crasher,
+        list_addresses=lambda: membership.roster.peers.values(),
+    )
     entry.agent_port = build_observed_agents(membership)
     operators = Operators(
         settings=settings,
--- a/tests/test_crashers.py
+++ b/tests/test_crashers.py
@@ -1,5 +1,7 @@
 """Tests of :mod:`ragwortcourse.entry.crashers` and their spread."""
 
+import asyncio
+
 import msgspec
 import pytest
 
@@ -7,9 +9,14 @@
 from fakes.faults import Fault, Faults
 from fakes.memory_table import MemoryRows
 from fakes.scripted_agents import ScriptedAgents, Turn
-from ragwortcourse.entry.crasher_spread import spread_once
+from ragwortcourse.clock import read_clock
+from ragwortcourse.entry.crash_notice import NOTICE_SECONDS
+from ragwortcourse.entry.crasher_peers import TellCrasher, build_tell_peers
+from ragwortcourse.entry.crasher_spread import merge_one, spread_once
+from ragwortcourse.entry.crashers import SUSPICION_SECONDS
 from ragwortcourse.entry.entry import Entry
 from ragwortcourse.identifiers import TargetName
+from ragwortcourse.messages.shared_crasher import SharedCrasher
 from tests.test_calls import collect
 
 pytestmark = pytest.mark.looptime
@@ -18,15 +25,35 @@
 TARGETS = ('one', 'two', 'three', 'four')
 
 
+def tell_in_process(entry: Entry) -> TellCrasher:
+    """Word to a daemon of this process."""
+
+    async def tell(address: str, crasher: SharedCrasher) -> None:
+        merge_one(entry.crashers, crasher)
+
+    return tell
+
+
 class CrashSite:
     """Targets that die of what they get, and daemons before them."""
 
-    def __init__(self, *, targets: int) -> None:
+    def __init__(self, *, targets: int, turn: Turn = Turn.CRASH) -> None:
         self.rows = MemoryRows()
         self.agents = ScriptedAgents()
         self.names = TARGETS[:targets]
         for name in self.names:
-            self.agents.script(name, Turn.CRASH)
+            self.agents.script(name, turn)
+
+    def make_peers(self, fault: Fault | None = None) -> tuple[Entry, Entry]:
+        """Two entry daemons that know of each other."""
+        faults = Faults(fault=fault, seconds=3600 if fault else 0)
+        first = self.make_entry('a', faults)
+        second = self.make_entry('b', faults)
+        for one, other in ((first, second), (second, first)):
+            one.tell_peers = build_tell_peers(
+                tell=tell_in_process(other), list_addresses=lambda: ('peer',)
+            )
+        return first, second
 
     def make_entry(self, daemon: str, faults: Faults | None = None) -> Entry:
         """One entry daemon with records of its own."""
@@ -55,6 +82,51 @@
         assert len(site.agents.ran) == 2
         assert [one.suspect for _, one in site.agents.sent] == [False, True]
 
+    @pytest.mark.parametrize('fault', [None, Fault.DOWN])
+    async def test_resend_elsewhere_right_after_the_second(self, fault):
+        """The resend is refused at every daemon at once, table or not."""
+        site = CrashSite(targets=4)
+        first, second = site.make_peers(fault)
+        await collect(first, make_model_call())
+        assert await collect(second, make_model_call('r2')) == REFUSED
+        assert len(site.agents.ran) == 2
+
+    async def test_deaths_in_mid_stream_at_two_daemons(self):
+        """Two deaths that two daemons saw in mid-stream are enough."""
+        site = CrashSite(targets=4, turn=Turn.CRASH_LATER)
+        first, second = site.make_peers()
+        assert await collect(first, make_model_call()) == 'broken'
+        assert await collect(second, make_model_call('r2')) == 'broken'
+        for entry in (first, second):
+            assert await collect(entry, make_model_call('r3')) == REFUSED
+        assert len(site.agents.ran) == 2
+
+    async def test_table_that_hangs_holds_no_caller_up(self):
+        """Word of a crash takes a bounded time."""
+        site = CrashSite(targets=4)
+        (entry, _) = site.make_peers(Fault.SLOW)
+        asked_at = read_clock()
+        await collect(entry, make_model_call(time_left=60))
+        assert read_clock() - asked_at <= 2 * NOTICE_SECONDS
+
+    async def test_break_with_the_target_alive_accuses_nobody(self):
+        """A stream that breaks while its target lives is no crash."""
+        site = CrashSite(targets=4, turn=Turn.SHORT)
+        entry = site.make_entry('a')
+        for number in range(3):
+            told = await collect(entry, make_model_call(f'r{number}'))
+            assert told == 'broken'
+        assert not site.rows.commits
+
+    async def test_suspicion_of_an_old_row_lapses(self):
+        """A death of long ago is no evidence for the next daemon."""
+        site = CrashSite(targets=4, turn=Turn.CRASH_LATER)
+        first, second = site.make_peers()
+        assert await collect(first, make_model_call()) == 'broken'
+        await asyncio.sleep(SUSPICION_SECONDS + 1)
+        assert await collect(second, make_model_call('r2')) == 'broken'
+        assert not second.crashers.list_crashers().crashers
+
     async def test_other_daemons_refuse_it_too(self):
         """Another daemon refuses the resend once it has read the row."""
         site = CrashSite(targets=4)
--- a/tests/test_http_daemons.py
+++ b/tests/test_http_daemons.py
@@ -9,9 +9,15 @@
     ConfigurationDocument,
 )
 from ragwortcourse.configuration.routes import build_configuration_routes
+from ragwortcourse.entry.crasher_peers import (
+    build_crasher_routes,
+    build_http_crashers,
+)
+from ragwortcourse.entry.crashers import Crashers
 from ragwortcourse.membership.membership import build_heartbeat
 from ragwortcourse.membership.routes import build_exchange_routes
 from ragwortcourse.messages.peer_port import PeerSilent
+from ragwortcourse.messages.shared_crasher import SharedCrasher
 from ragwortcourse.messages.withdrawal import Withdrawal
 from ragwortcourse.platform.http_daemons import build_http_daemons
 
@@ -52,3 +58,25 @@
             lost = await port.exchange(address, heartbeat)
             assert isinstance(lost, PeerSilent)
         await fleet.stop()
+
+    async def test_crasher_is_told(self):
+        """Proof reaches another daemon; a silent one holds nobody up."""
+        crashers = Crashers()
+        told = SharedCrasher(
+            fingerprint='f', account='studio', targets=('one', 'two')
+        )
+        app = web.Application()
+        app.add_routes(build_crasher_routes(crashers=crashers))
+        async with (
+            test_utils.TestServer(app) as server,
+            aiohttp.ClientSession() as session,
+        ):
+            tell = build_http_crashers(session=session)
+            address = f'{server.host}:{server.port}'
+            await tell(address, told)
+            assert crashers.is_refused('f')
+            url = f'http://{address}/crashers'
+            async with session.post(url, data=b'no JSON') as answer:
+                assert answer.status == 400
+            await server.close()
+            await tell(address, told)
