Wait for a restarted entry daemon before asking it

Cause: the stage asked a restarted daemon for its status before its port was open; on a busy machine the connection was refused and the test of kills and freezes ended in an error. Readiness is now awaited first; the same states are demanded as before.

--- a/fakes/fleet_stage.py
+++ b/fakes/fleet_stage.py
@@ -105,9 +105,9 @@
         """
         async with asyncio.timeout(SERVING_SECONDS):
             for entry in self.fleet.plan.entries:
+                await self.fleet.wait_for(entry.name, '/readyz')
                 while not await self._sees_all(entry.name, version):
                     await asyncio.sleep(POLL_SECONDS)
-                await self.fleet.wait_for(entry.name, '/readyz')
 
     def begin_load(self, rate: float) -> None:
         """Send calls at a rate until the end."""
