Spread a generation in parts, and agents without client accounts

A generation is now an index that names 13 parts by digest; only parts that are not held yet are fetched, agents hold none of accounts, and a document is joined only from the parts of one index. Compare-and-set of the head row stays.

Ruled out: differences between generations, one part of each kind, more parts (docs/design/configuration.md).

Changed tests: the race of two operators compares the digest of the generation at every daemon and whole documents at entry daemons, as agents hold no accounts; the exchanged document picks indexes among the objects; the compressed document is fetched in parts, with the same bound.

--- a/fakes/memory_control.py
+++ b/fakes/memory_control.py
@@ -16,6 +16,7 @@
     build_memory_daemons,
     make_rng,
 )
+from ragwortcourse.configuration.backup import build_backed_daemons
 from ragwortcourse.configuration.feed import follow_head, learn_generation
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.settlement import follow_withdrawals
@@ -96,7 +97,8 @@
             deployment=DeploymentName(deployment),
         )
         self.network.records.append(record)
-        agent = ControlAgent(holder=ConfigurationHolder(), record=record)
+        holder = ConfigurationHolder(with_accounts=False)
+        agent = ControlAgent(holder=holder, record=record)
         self.agents[name] = agent
         self.network.daemons[record.address] = MemoryDaemon(
             failure_domain=failure_domain,
@@ -113,6 +115,7 @@
         network = self.network
         holder = ConfigurationHolder()
         settings = _make_settings(record, known)
+        store = network.build_store(failure_domain)
         membership = Membership(
             settings=settings,
             holder=holder,
@@ -122,8 +125,12 @@
             agent_port=build_memory_agents(
                 network=network, failure_domain=failure_domain
             ),
-            daemon_port=build_memory_daemons(
-                network=network, failure_domain=failure_domain
+            daemon_port=build_backed_daemons(
+                port=build_memory_daemons(
+                    network=network, failure_domain=failure_domain, reader=name
+                ),
+                objects=store.objects,
+                holder=holder,
             ),
             rng=make_rng(name),
         )
@@ -134,7 +141,6 @@
         network.daemons[record.address] = MemoryDaemon(
             failure_domain=failure_domain, holder=holder, exchange=answer
         )
-        store = network.build_store(failure_domain)
         self.entries[name] = ControlEntry(
             holder=holder,
             store=store,
@@ -156,6 +162,7 @@
         port = build_memory_daemons(
             network=self.network,
             failure_domain=agent.record.failure_domain,
+            reader=str(agent.record.target),
         )
 
         async def answer(heartbeat: Heartbeat) -> TargetStatus:
--- a/fakes/memory_network.py
+++ b/fakes/memory_network.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import random
 from collections.abc import Awaitable, Callable
@@ -12,10 +13,9 @@
 from fakes.memory_hosts import build_memory_hosts
 from fakes.memory_objects import build_memory_objects
 from fakes.memory_table import MemoryRows, build_memory_table
-from ragwortcourse.configuration.configuration import ConfigurationDocument
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.store import ConfigurationStore
-from ragwortcourse.identifiers import AttemptId, Generation
+from ragwortcourse.identifiers import AttemptId, Generation, Sha256Hex
 from ragwortcourse.messages.attempt import (
     Attempt,
     AttemptOutcome,
@@ -47,7 +47,12 @@
 
 
 class MemoryNetwork:
-    """Addresses, the cuts between failure domains, and the platform."""
+    """Addresses, the cuts between failure domains, and the platform.
+
+    :ivar spoilt_parts: what daemons at these addresses send as any part.
+    :ivar index_bytes: bytes of indexes, by who fetched them from daemons.
+    :ivar part_bytes: bytes of parts, by who fetched them from daemons.
+    """
 
     def __init__(self) -> None:
         self.daemons: dict[str, MemoryDaemon] = {}
@@ -57,6 +62,9 @@
         self.records: list[HostRecord] = []
         self.platform_faults: dict[str, Faults] = {}
         self.messages = 0
+        self.spoilt_parts: dict[str, bytes] = {}
+        self.index_bytes = collections.Counter[str]()
+        self.part_bytes = collections.Counter[str]()
 
     def cut(self, failure_domain: str) -> None:
         """Separate a failure domain from all others and the platform."""
@@ -109,20 +117,35 @@
 
 
 def build_memory_daemons(
-    *, network: MemoryNetwork, failure_domain: str
+    *, network: MemoryNetwork, failure_domain: str, reader: str = ''
 ) -> DaemonPort:
-    """Other daemons as one failure domain reaches them."""
+    """Other daemons as one failure domain reaches them.
+
+    :param reader: under which name fetched bytes are counted.
+    """
 
-    async def fetch(
+    async def fetch_index(
         address: str, generation: Generation
-    ) -> ConfigurationDocument | PeerSilent:
+    ) -> bytes | PeerSilent:
         daemon = await network.reach(failure_domain, address)
         if isinstance(daemon, PeerSilent):
             return daemon
-        document = daemon.holder.document
-        if document is None or document.generation < generation:
+        edition = daemon.holder.edition
+        if edition is None or edition.document.generation < generation:
             return PeerSilent(detail='no such generation')
-        return document
+        network.index_bytes[reader] += len(edition.index)
+        return edition.index
+
+    async def fetch_part(address: str, digest: Sha256Hex) -> bytes | PeerSilent:
+        daemon = await network.reach(failure_domain, address)
+        if isinstance(daemon, PeerSilent):
+            return daemon
+        edition = daemon.holder.edition
+        if edition is None or digest not in edition.contents:
+            return PeerSilent(detail='no such part')
+        content = network.spoilt_parts.get(address, edition.contents[digest])
+        network.part_bytes[reader] += len(content)
+        return content
 
     async def exchange(
         address: str, heartbeat: Heartbeat
@@ -132,7 +155,9 @@
             return PeerSilent(detail=address)
         return await daemon.exchange(heartbeat)
 
-    return DaemonPort(fetch=fetch, exchange=exchange)
+    return DaemonPort(
+        fetch_index=fetch_index, fetch_part=fetch_part, exchange=exchange
+    )
 
 
 def build_memory_agents(
--- a/fakes/wire_ports.py
+++ b/fakes/wire_ports.py
@@ -9,11 +9,10 @@
 from ragwortcourse.agent.agent import Agent
 from ragwortcourse.agent.attempts import bar_attempt, run_attempt
 from ragwortcourse.agent.status import answer_heartbeat
-from ragwortcourse.configuration.configuration import ConfigurationDocument
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.entry.claim_collector import ClaimCollector
 from ragwortcourse.entry.claim_helpers import HELPER_SECONDS, AskHelper
-from ragwortcourse.identifiers import AttemptId, Generation
+from ragwortcourse.identifiers import AttemptId, Generation, Sha256Hex
 from ragwortcourse.membership.exchange import answer_exchange
 from ragwortcourse.membership.membership import Membership
 from ragwortcourse.messages.attempt import (
@@ -105,14 +104,23 @@
 def build_daemon_port(end: WireEnd) -> DaemonPort:
     """Any daemon's way to any other."""
 
-    async def fetch(
+    async def fetch_index(
         address: str, generation: Generation
-    ) -> ConfigurationDocument | PeerSilent:
-        async def work() -> ConfigurationDocument | PeerSilent:
-            document = end.residents.holders[address].document
-            if document is None or document.generation < generation:
+    ) -> bytes | PeerSilent:
+        async def work() -> bytes | PeerSilent:
+            edition = end.residents.holders[address].edition
+            if edition is None or edition.document.generation < generation:
                 return PeerSilent(detail='404')
-            return document
+            return edition.index
+
+        return be_silent(await end.wire.carry(end.host, address, work))
+
+    async def fetch_part(address: str, digest: Sha256Hex) -> bytes | PeerSilent:
+        async def work() -> bytes | PeerSilent:
+            edition = end.residents.holders[address].edition
+            if edition is None or digest not in edition.contents:
+                return PeerSilent(detail='404')
+            return edition.contents[digest]
 
         return be_silent(await end.wire.carry(end.host, address, work))
 
@@ -122,7 +130,9 @@
 
         return be_silent(await end.wire.carry(end.host, address, work))
 
-    return DaemonPort(fetch=fetch, exchange=exchange)
+    return DaemonPort(
+        fetch_index=fetch_index, fetch_part=fetch_part, exchange=exchange
+    )
 
 
 def build_helper_port(end: WireEnd) -> AskHelper:
--- a/measure/control_site.py
+++ b/measure/control_site.py
@@ -15,10 +15,7 @@
 from measure.byte_counter import ByteCounter
 from measure.proc import read_processor, read_resident
 from ragwortcourse.configuration.client_account import ClientAccount
-from ragwortcourse.configuration.configuration import (
-    Configuration,
-    ConfigurationDocument,
-)
+from ragwortcourse.configuration.configuration import Configuration
 from ragwortcourse.configuration.deployment import (
     CallPattern,
     ModelDeployment,
@@ -260,8 +257,8 @@
 
     async def wait_for_generation(
         self, name: str, generation: Generation
-    ) -> ConfigurationDocument:
-        """The document, once a daemon has the generation in force."""
+    ) -> None:
+        """Return once a daemon has the generation in force."""
         url = (
             f'http://{self.plan.listen[name].peers}/configuration/{generation}'
         )
@@ -269,9 +266,7 @@
             while True:
                 async with self.session.get(url) as answer:
                     if answer.status == 200:
-                        return msgspec.json.decode(
-                            await answer.read(), type=ConfigurationDocument
-                        )
+                        return
                 await asyncio.sleep(POLL_SECONDS)
 
     async def publish(self, size: int, chunk_size: int) -> Published:
--- a/measure/control_work.py
+++ b/measure/control_work.py
@@ -131,7 +131,7 @@
     async with open_site(plan_service()) as site:
         configuration = make_configuration(accounts=accounts)
         generation = await site.apply(configuration)
-        document = await site.wait_for_generation(SERVICE, generation)
+        await site.wait_for_generation(SERVICE, generation)
         await asyncio.sleep(2)
         before = {name: site.read_processor(name) for name in (ENTRY, SERVICE)}
         for _ in range(changes):
@@ -144,7 +144,7 @@
         return {
             'entry': (accounts, spent[ENTRY]),
             'agent': (accounts, spent[SERVICE]),
-            'document': (accounts, len(msgspec.json.encode(document))),
+            'document': (accounts, len(msgspec.json.encode(configuration))),
         }
 
 
--- a/measure/spread.py
+++ b/measure/spread.py
@@ -19,7 +19,7 @@
 from ragwortcourse.configuration.client_account import ClientAccount
 from ragwortcourse.configuration.configuration import Configuration
 from ragwortcourse.configuration.deployment import ModelDeployment
-from ragwortcourse.configuration.head import digest_content
+from ragwortcourse.configuration.edition import digest_content
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.withdrawals import withdraw_part
 from ragwortcourse.identifiers import (
--- a/src/ragwortcourse/configuration/acceptance.py
+++ b/src/ragwortcourse/configuration/acceptance.py
@@ -1,27 +1,25 @@
 """Acceptance of a generation by compare-and-set of the head."""
 
 import dataclasses
+from collections.abc import Container
 from typing import Final
 
 import msgspec
 
 from ragwortcourse.configuration.configuration import ConfigurationDocument
+from ragwortcourse.configuration.edition import Edition
 from ragwortcourse.configuration.head import (
     HEAD_KEY,
     ChangeMark,
-    Head,
-    digest_content,
-    encode_document,
     name_change,
-    name_document,
 )
 from ragwortcourse.configuration.store import (
     ConfigurationStore,
     HeadRow,
     StoreFailed,
+    write_edition,
 )
-from ragwortcourse.identifiers import ChangeId, Generation
-from ragwortcourse.platform.objects import ObjectFailed
+from ragwortcourse.identifiers import ChangeId, Generation, Sha256Hex
 from ragwortcourse.platform.table import (
     ABSENT,
     Committed,
@@ -40,11 +38,16 @@
 class Accepted:
     """The change is in a generation.
 
-    :param document: none where an earlier sending of it was accepted.
+    :param edition: none where an earlier sending of it was accepted.
     """
 
     generation: Generation
-    document: ConfigurationDocument | None
+    edition: Edition | None
+
+    @property
+    def document(self) -> ConfigurationDocument | None:
+        """The document, where this sending of it was accepted."""
+        return self.edition.document if self.edition else None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -70,21 +73,24 @@
 
 
 async def write_generation(
-    store: ConfigurationStore, base: HeadRow, document: ConfigurationDocument
+    store: ConfigurationStore,
+    base: HeadRow,
+    edition: Edition,
+    stored: Container[Sha256Hex],
 ) -> AcceptanceOutcome:
-    """Make a document the head, if the head still is as it was read.
+    """Make a generation the head, if the head still is as it was read.
 
     The change's own row is written in the same transaction, so that a lost
     answer can be settled however many generations follow.
 
-    :param base: the head that the document was made from.
-    :param document: the next generation.
+    :param base: the head that the generation was made from.
+    :param edition: the next generation.
+    :param stored: parts that the object store is known to have.
     """
-    content = encode_document(document)
-    head = Head(generation=document.generation, sha256=digest_content(content))
-    written = await store.objects.write(name_document(head), content)
-    if isinstance(written, ObjectFailed):
-        return NotAccepted(detail=written.detail)
+    document = edition.document
+    head = await write_edition(store, edition, stored)
+    if isinstance(head, StoreFailed):
+        return NotAccepted(detail=head.detail)
     mark = ChangeMark(generation=document.generation)
     outcome = await store.table.commit(
         (
@@ -97,11 +103,11 @@
         )
     )
     if isinstance(outcome, Committed):
-        return Accepted(generation=document.generation, document=document)
+        return Accepted(generation=document.generation, edition=edition)
     if isinstance(outcome, ConditionFailed):
         return _judge_condition(document, outcome)
     if isinstance(outcome, CommitUnknown):
-        return await _settle_change(store, document)
+        return await _settle_change(store, edition)
     return NotAccepted(detail=outcome.detail)
 
 
@@ -121,32 +127,33 @@
         return NotAccepted(
             detail=f'change {change} was given up; send it under a new id'
         )
-    return Accepted(generation=mark.generation, document=None)
+    return Accepted(generation=mark.generation, edition=None)
 
 
 async def _settle_change(
-    store: ConfigurationStore, document: ConfigurationDocument
+    store: ConfigurationStore, edition: Edition
 ) -> AcceptanceOutcome:
     """Settle a lost answer: the row is there, or is barred from coming."""
-    bar = _write_mark(document.change, ChangeMark(generation=GIVEN_UP))
+    change = edition.document.change
+    bar = _write_mark(change, ChangeMark(generation=GIVEN_UP))
     for _ in range(SETTLE_TRIES):
         outcome = await store.table.commit((bar,))
         if isinstance(outcome, Committed):
             return NotAccepted(detail='the table service lost the change')
         if isinstance(outcome, ConditionFailed):
-            return _judge_settled(document, outcome)
+            return _judge_settled(edition, outcome)
     return AcceptanceUnknown(detail='the table service does not answer')
 
 
 def _judge_settled(
-    document: ConfigurationDocument, outcome: ConditionFailed
+    edition: Edition, outcome: ConditionFailed
 ) -> AcceptanceOutcome:
     mark = _decode_mark(outcome.rows[0])
     if mark is None or mark.generation == GIVEN_UP:
         return NotAccepted(detail='the table service lost the change')
-    if mark.generation == document.generation:
-        return Accepted(generation=mark.generation, document=document)
-    return Accepted(generation=mark.generation, document=None)
+    if mark.generation == edition.document.generation:
+        return Accepted(generation=mark.generation, edition=edition)
+    return Accepted(generation=mark.generation, edition=None)
 
 
 def _judge_condition(
--- a/src/ragwortcourse/configuration/change.py
+++ b/src/ragwortcourse/configuration/change.py
@@ -1,7 +1,7 @@
 """Changes that operators ask for, carried into a new generation."""
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import Final
 
 from ragwortcourse.configuration.acceptance import (
@@ -17,15 +17,17 @@
     Configuration,
     ConfigurationDocument,
 )
+from ragwortcourse.configuration.edition import Edition, make_edition
 from ragwortcourse.configuration.holder import ConfigurationHolder
+from ragwortcourse.configuration.part import arrange_configuration
 from ragwortcourse.configuration.store import (
     ConfigurationStore,
     HeadRow,
     StoreFailed,
-    read_document,
+    read_edition,
     read_head,
 )
-from ragwortcourse.identifiers import ChangeId, Generation
+from ragwortcourse.identifiers import ChangeId, Generation, Sha256Hex
 
 WRITE_TRIES: Final = 8
 # Changes that a document remembers as settled.
@@ -59,11 +61,24 @@
 class Base:
     """The generation that a change builds on, and its head row.
 
-    :param document: none before the first generation.
+    :param edition: none before the first generation.
     """
 
     row: HeadRow
-    document: ConfigurationDocument | None
+    edition: Edition | None
+
+    @property
+    def document(self) -> ConfigurationDocument | None:
+        """Document of the generation; none before the first one."""
+        return self.edition.document if self.edition else None
+
+    @property
+    def stored(self) -> Container[Sha256Hex]:
+        """Parts that were stored before the head could name them."""
+        head, edition = self.row.head, self.edition
+        if head is None or edition is None or head.sha256 != edition.sha256:
+            return frozenset()
+        return edition.contents
 
     @property
     def generation(self) -> Generation:
@@ -112,12 +127,12 @@
     if isinstance(row, StoreFailed):
         return row
     if row.head is None or row.head.generation <= holder.generation:
-        return Base(row=row, document=holder.document)
-    document = await read_document(store, row.head)
-    if isinstance(document, StoreFailed):
-        return document
-    holder.take(document)
-    return Base(row=row, document=document)
+        return Base(row=row, edition=holder.edition)
+    edition = await read_edition(holder, store, row.head)
+    if isinstance(edition, StoreFailed):
+        return edition
+    holder.take(edition.document, edition)
+    return Base(row=row, edition=edition)
 
 
 async def _try_change(
@@ -132,13 +147,14 @@
         return await _judge_conflict(store, change, base)
     document = ConfigurationDocument(
         generation=Generation(base.generation + 1),
-        configuration=drafted.configuration,
+        configuration=arrange_configuration(drafted.configuration),
         change=change,
         settled_changes=_list_settled(base, drafted.settled),
     )
-    outcome = await write_generation(store, base.row, document)
-    if isinstance(outcome, Accepted) and outcome.document is not None:
-        holder.take(outcome.document)
+    edition = make_edition(document)
+    outcome = await write_generation(store, base.row, edition, base.stored)
+    if isinstance(outcome, Accepted) and outcome.edition is not None:
+        holder.take(document, edition)
     return outcome
 
 
--- a/src/ragwortcourse/configuration/feed.py
+++ b/src/ragwortcourse/configuration/feed.py
@@ -7,16 +7,18 @@
 
 from opentelemetry import metrics
 
+from ragwortcourse.configuration.edition import Edition
+from ragwortcourse.configuration.gathering import gather_edition
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.restoration import restore_head
 from ragwortcourse.configuration.store import (
     ConfigurationStore,
     HeadRow,
     StoreFailed,
-    read_document,
+    read_edition,
     read_head,
 )
-from ragwortcourse.identifiers import Generation
+from ragwortcourse.identifiers import Generation, Sha256Hex
 from ragwortcourse.messages.peer_port import DaemonPort, PeerSilent
 from ragwortcourse.platform.objects import ObjectStore
 from ragwortcourse.platform.table import TableService
@@ -81,20 +83,35 @@
     """
     if generation <= holder.generation:
         return True
-    if not holder.start_learning(generation):
+    if generation in holder.learning:
         await _wait_for_generation(holder, generation)
         return generation <= holder.generation
+    holder.learning.add(generation)
     try:
-        fetched = await port.fetch(sender, generation)
+        edition = await _fetch_edition(holder, port, sender, generation)
     finally:
-        holder.end_learning(generation)
-    if isinstance(fetched, PeerSilent):
-        return False
-    if holder.take(fetched):
+        holder.learning.discard(generation)
+    if edition is not None and holder.take(edition.document, edition):
         TAKEN.add(1, {'from': 'peer'})
     return generation <= holder.generation
 
 
+async def _fetch_edition(
+    holder: ConfigurationHolder,
+    port: DaemonPort,
+    sender: str,
+    generation: Generation,
+) -> Edition | None:
+    async def read_part(digest: Sha256Hex) -> bytes | None:
+        part = await port.fetch_part(sender, digest)
+        return None if isinstance(part, PeerSilent) else part
+
+    content = await port.fetch_index(sender, generation)
+    if isinstance(content, PeerSilent):
+        return None
+    return await gather_edition(holder, content, read_part)
+
+
 async def _wait_for_generation(
     holder: ConfigurationHolder, generation: Generation
 ) -> None:
@@ -111,11 +128,11 @@
 ) -> None:
     if row.head is None:
         return
-    document = await read_document(store, row.head)
-    if isinstance(document, StoreFailed):
-        _note_failure(holder, document)
+    edition = await read_edition(holder, store, row.head)
+    if isinstance(edition, StoreFailed):
+        _note_failure(holder, edition)
         return
-    if holder.take(document):
+    if holder.take(edition.document, edition):
         TAKEN.add(1, {'from': 'platform'})
 
 
--- a/src/ragwortcourse/configuration/holder.py
+++ b/src/ragwortcourse/configuration/holder.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from ragwortcourse.configuration.configuration import ConfigurationDocument
+from ragwortcourse.configuration.edition import Edition, make_edition
 from ragwortcourse.identifiers import (
     ChangeId,
     FailureDomainName,
@@ -15,13 +16,17 @@
 class ConfigurationHolder:
     """Holds the newest generation seen; never goes back to a lower one.
 
+    :param with_accounts: false where client accounts are left out.
+    :ivar learning: generations that are being fetched from a peer.
     :ivar table_reachable: false while the platform does not answer polls.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, with_accounts: bool = True) -> None:
+        self.with_accounts = with_accounts
         self._document: ConfigurationDocument | None = None
+        self._edition: Edition | None = None
         self._withdrawals: dict[ChangeId, Withdrawal] = {}
-        self._learning: set[Generation] = set()
+        self.learning: set[Generation] = set()
         self._changed = asyncio.Event()
         self._revision = 0
         self.table_reachable = True
@@ -38,6 +43,13 @@
             return Generation(0)
         return self._document.generation
 
+    @property
+    def edition(self) -> Edition | None:
+        """Index and parts of the document in force, for others to take."""
+        if self._edition is None and self._document is not None:
+            self._edition = make_edition(self._document)
+        return self._edition
+
     @property
     def revision(self) -> int:
         """Count of the documents and withdrawals put in force so far."""
@@ -48,11 +60,18 @@
         """Withdrawals that no generation in force has settled yet."""
         return tuple(self._withdrawals.values())
 
-    def take(self, document: ConfigurationDocument) -> bool:
-        """Put a newer document in force; say whether it was newer."""
+    def take(
+        self, document: ConfigurationDocument, edition: Edition | None = None
+    ) -> bool:
+        """Put a newer document in force; say whether it was newer.
+
+        :param edition: what the document came from; none where the
+            document is whole, so that its edition can be made from it.
+        """
         if document.generation <= self.generation:
             return False
         self._document = document
+        self._edition = edition
         for change in document.settled_changes:
             self._withdrawals.pop(change, None)
         self._announce()
@@ -106,17 +125,6 @@
         while self._revision <= revision:
             await self._changed.wait()
 
-    def start_learning(self, generation: Generation) -> bool:
-        """Tell whether to fetch a generation: true for the first to ask."""
-        if generation in self._learning:
-            return False
-        self._learning.add(generation)
-        return True
-
-    def end_learning(self, generation: Generation) -> None:
-        """Let a generation be fetched again, where it is still needed."""
-        self._learning.discard(generation)
-
     def _announce(self) -> None:
         self._revision += 1
         changed = self._changed
--- a/src/ragwortcourse/configuration/restoration.py
+++ b/src/ragwortcourse/configuration/restoration.py
@@ -5,16 +5,14 @@
 import msgspec
 from opentelemetry import metrics
 
-from ragwortcourse.configuration.head import (
-    HEAD_KEY,
-    Head,
-    digest_content,
-    encode_document,
-    name_document,
-)
+from ragwortcourse.configuration.head import HEAD_KEY
 from ragwortcourse.configuration.holder import ConfigurationHolder
-from ragwortcourse.configuration.store import ConfigurationStore, HeadRow
-from ragwortcourse.platform.objects import ObjectWritten
+from ragwortcourse.configuration.store import (
+    ConfigurationStore,
+    HeadRow,
+    StoreFailed,
+    write_edition,
+)
 from ragwortcourse.platform.table import Committed, ConditionalWrite
 
 LOGGER = logging.getLogger(__name__)
@@ -32,20 +30,18 @@
 
     :param row: the older head as it was read; what is newer by now stays.
     """
-    document = holder.document
-    if document is None:
+    edition = holder.edition
+    if edition is None:
         return
     LOGGER.error(
         'head of the configuration went back; writing it anew',
         extra={
-            'generation': document.generation,
+            'generation': edition.document.generation,
             'found': row.head.generation if row.head else 0,
         },
     )
-    content = encode_document(document)
-    head = Head(generation=document.generation, sha256=digest_content(content))
-    written = await store.objects.write(name_document(head), content)
-    if not isinstance(written, ObjectWritten):
+    head = await write_edition(store, edition, frozenset())
+    if isinstance(head, StoreFailed):
         return
     outcome = await store.table.commit(
         (
--- a/src/ragwortcourse/configuration/routes.py
+++ b/src/ragwortcourse/configuration/routes.py
@@ -1,9 +1,14 @@
-"""Route by which daemons give each other the configuration."""
+"""Routes by which daemons give each other the configuration."""
+
+from typing import Final
 
-import msgspec
 from aiohttp import web
 
 from ragwortcourse.configuration.holder import ConfigurationHolder
+from ragwortcourse.identifiers import Sha256Hex
+
+# Shorter answers gain nothing by it.
+LEAST_COMPRESSED_BYTES: Final = 200
 
 
 def build_configuration_routes(
@@ -11,16 +16,28 @@
 ) -> list[web.RouteDef]:
     """Routes of the peers' port at any daemon."""
 
-    async def get_configuration(request: web.Request) -> web.Response:
-        document = holder.document
+    async def get_index(request: web.Request) -> web.Response:
+        edition = holder.edition
         wanted = int(request.match_info['generation'])
-        if document is None or document.generation < wanted:
+        if edition is None or edition.document.generation < wanted:
             return web.Response(status=web.HTTPNotFound.status_code)
-        response = web.Response(
-            body=msgspec.json.encode(document),
-            content_type='application/json',
-        )
-        response.enable_compression()
-        return response
+        return _answer(edition.index)
+
+    async def get_part(request: web.Request) -> web.Response:
+        edition = holder.edition
+        digest = Sha256Hex(request.match_info['digest'])
+        if edition is None or digest not in edition.contents:
+            return web.Response(status=web.HTTPNotFound.status_code)
+        return _answer(edition.contents[digest])
+
+    return [
+        web.get(r'/configuration/{generation:\d{1,18}}', get_index),
+        web.get('/configuration/part/{digest:[0-9a-f]{64}}', get_part),
+    ]
 
-    return [web.get(r'/configuration/{generation:\d{1,18}}', get_configuration)]
+
+def _answer(content: bytes) -> web.Response:
+    response = web.Response(body=content, content_type='application/json')
+    if len(content) >= LEAST_COMPRESSED_BYTES:
+        response.enable_compression()
+    return response
--- a/src/ragwortcourse/configuration/store.py
+++ b/src/ragwortcourse/configuration/store.py
@@ -1,17 +1,26 @@
 """The configuration as the platform's services hold it."""
 
+import asyncio
 import dataclasses
+from collections.abc import Container
 
 import msgspec
 
-from ragwortcourse.configuration.configuration import ConfigurationDocument
+from ragwortcourse.configuration.edition import Edition, digest_content
+from ragwortcourse.configuration.gathering import gather_edition
 from ragwortcourse.configuration.head import (
     HEAD_KEY,
     Head,
-    digest_content,
-    name_document,
+    name_index,
+    name_part,
+)
+from ragwortcourse.configuration.holder import ConfigurationHolder
+from ragwortcourse.identifiers import Sha256Hex
+from ragwortcourse.platform.objects import (
+    ObjectFailed,
+    ObjectName,
+    ObjectStore,
 )
-from ragwortcourse.platform.objects import ObjectFailed, ObjectStore
 from ragwortcourse.platform.table import (
     ABSENT,
     ReadFailed,
@@ -60,11 +69,16 @@
     return HeadRow(head=head, row_version=outcome.row.version)
 
 
-async def read_document(
-    store: ConfigurationStore, head: Head
-) -> ConfigurationDocument | StoreFailed:
-    """The document of a head, checked against its digest."""
-    name = name_document(head)
+async def read_edition(
+    holder: ConfigurationHolder, store: ConfigurationStore, head: Head
+) -> Edition | StoreFailed:
+    """The generation of a head, each part checked against its digest."""
+
+    async def read_part(digest: Sha256Hex) -> bytes | None:
+        outcome = await store.objects.read(name_part(digest))
+        return None if isinstance(outcome, ObjectFailed) else outcome.content
+
+    name = name_index(head)
     outcome = await store.objects.read(name)
     if isinstance(outcome, ObjectFailed):
         return StoreFailed(detail=outcome.detail)
@@ -72,7 +86,30 @@
         return StoreFailed(detail=f'no object {name}')
     if digest_content(outcome.content) != head.sha256:
         return StoreFailed(detail=f'digest of object {name} is wrong')
-    try:
-        return msgspec.json.decode(outcome.content, type=ConfigurationDocument)
-    except msgspec.MsgspecError as error:
-        return StoreFailed(detail=f'unreadable object {name}: {error}')
+    edition = await gather_edition(holder, outcome.content, read_part)
+    if edition is None:
+        return StoreFailed(detail=f'a part of object {name} can not be had')
+    return edition
+
+
+async def write_edition(
+    store: ConfigurationStore, edition: Edition, stored: Container[Sha256Hex]
+) -> Head | StoreFailed:
+    """Store a generation, before a head may name it.
+
+    :param stored: parts that the object store is known to have.
+    """
+    head = Head(generation=edition.document.generation, sha256=edition.sha256)
+    objects: dict[ObjectName, bytes] = {
+        name_part(digest): content
+        for digest, content in edition.contents.items()
+        if digest not in stored
+    }
+    objects[name_index(head)] = edition.index
+    outcomes = await asyncio.gather(
+        *(store.objects.write(name, part) for name, part in objects.items())
+    )
+    for outcome in outcomes:
+        if isinstance(outcome, ObjectFailed):
+            return StoreFailed(detail=outcome.detail)
+    return head
--- a/src/ragwortcourse/configuration/withdrawals.py
+++ b/src/ragwortcourse/configuration/withdrawals.py
@@ -51,7 +51,7 @@
         )
 
     if holder.is_settled(withdrawal.change):
-        return Accepted(generation=holder.generation, document=None)
+        return Accepted(generation=holder.generation, edition=None)
     try:
         async with asyncio.timeout(WITHDRAW_WAIT_SECONDS):
             outcome = await make_change(holder, store, withdrawal.change, draft)
--- a/src/ragwortcourse/messages/peer_port.py
+++ b/src/ragwortcourse/messages/peer_port.py
@@ -4,8 +4,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from ragwortcourse.configuration.configuration import ConfigurationDocument
-from ragwortcourse.identifiers import AttemptId, Generation
+from ragwortcourse.identifiers import AttemptId, Generation, Sha256Hex
 from ragwortcourse.messages.attempt import Attempt, AttemptOutcome
 from ragwortcourse.messages.attempt_report import AttemptReport
 from ragwortcourse.messages.heartbeat import Heartbeat
@@ -47,12 +46,11 @@
 class DaemonPort:
     """What any daemon asks of any other, by its ``ip:port``.
 
-    :param fetch: the document of a generation, or a newer one.
+    :param fetch_index: the index of a generation, or of a newer one.
+    :param fetch_part: a part of the generation in force there, by digest.
     :param exchange: tell the own state to an entry daemon, get its state.
     """
 
-    fetch: Callable[
-        [str, Generation],
-        Awaitable[ConfigurationDocument | PeerSilent],
-    ]
+    fetch_index: Callable[[str, Generation], Awaitable[bytes | PeerSilent]]
+    fetch_part: Callable[[str, Sha256Hex], Awaitable[bytes | PeerSilent]]
     exchange: Callable[[str, Heartbeat], Awaitable[Heartbeat | PeerSilent]]
--- a/src/ragwortcourse/platform/http_daemons.py
+++ b/src/ragwortcourse/platform/http_daemons.py
@@ -5,8 +5,7 @@
 import aiohttp
 import msgspec
 
-from ragwortcourse.configuration.configuration import ConfigurationDocument
-from ragwortcourse.identifiers import Generation
+from ragwortcourse.identifiers import Generation, Sha256Hex
 from ragwortcourse.messages.heartbeat import Heartbeat
 from ragwortcourse.messages.peer_port import DaemonPort, PeerSilent
 
@@ -31,10 +30,12 @@
 def build_http_daemons(*, session: aiohttp.ClientSession) -> DaemonPort:
     """Reach other daemons at their port for the project's own processes."""
 
-    async def get_document(url: str) -> ConfigurationDocument:
-        async with session.get(url, timeout=FETCH_TIMEOUT) as response:
-            body = await _read_body(response)
-        return msgspec.json.decode(body, type=ConfigurationDocument)
+    async def get(url: str) -> bytes | PeerSilent:
+        try:
+            async with session.get(url, timeout=FETCH_TIMEOUT) as response:
+                return await _read_body(response)
+        except PEER_ERRORS as error:
+            return PeerSilent(detail=f'{url}: {error!r}')
 
     async def post_heartbeat(url: str, body: bytes) -> Heartbeat:
         async with session.post(
@@ -43,14 +44,13 @@
             answer = await _read_body(response)
         return msgspec.json.decode(answer, type=Heartbeat)
 
-    async def fetch(
+    async def fetch_index(
         address: str, generation: Generation
-    ) -> ConfigurationDocument | PeerSilent:
-        url = f'http://{address}/configuration/{generation}'
-        try:
-            return await get_document(url)
-        except PEER_ERRORS as error:
-            return PeerSilent(detail=f'{url}: {error!r}')
+    ) -> bytes | PeerSilent:
+        return await get(f'http://{address}/configuration/{generation}')
+
+    async def fetch_part(address: str, digest: Sha256Hex) -> bytes | PeerSilent:
+        return await get(f'http://{address}/configuration/part/{digest}')
 
     async def exchange(
         address: str, heartbeat: Heartbeat
@@ -61,7 +61,9 @@
         except PEER_ERRORS as error:
             return PeerSilent(detail=f'{url}: {error!r}')
 
-    return DaemonPort(fetch=fetch, exchange=exchange)
+    return DaemonPort(
+        fetch_index=fetch_index, fetch_part=fetch_part, exchange=exchange
+    )
 
 
 async def _read_body(response: aiohttp.ClientResponse) -> bytes:
--- a/src/ragwortcourse/processes/agent_daemon.py
+++ b/src/ragwortcourse/processes/agent_daemon.py
@@ -131,7 +131,7 @@
     """Put the parts of an agent together; nothing runs yet."""
     agent = Agent(
         settings=settings,
-        holder=ConfigurationHolder(),
+        holder=ConfigurationHolder(with_accounts=False),
         engine=ports.engine,
         daemon_port=ports.daemons,
     )
--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from ragwortcourse.configuration.backup import build_backed_daemons
 from ragwortcourse.configuration.feed import follow_head
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.routes import build_configuration_routes
@@ -189,7 +190,11 @@
         roster=Roster(settings=settings),
         hosts=ports.hosts,
         agent_port=ports.agents,
-        daemon_port=ports.daemons,
+        daemon_port=build_backed_daemons(
+            port=ports.daemons,
+            objects=ports.store.objects,
+            holder=entry.holder,
+        ),
         rng=rng,
     )
     entry.helpers = ClaimHelpers(
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -156,7 +156,10 @@
         assert {type(outcome) for outcome in outcomes} == {Accepted, Conflict}
         won = next(one for one in outcomes if isinstance(one, Accepted))
         await asyncio.sleep(IN_FORCE_SECONDS)
-        documents = {holder.document for holder in fleet.holders}
+        digests = {holder.edition.sha256 for holder in fleet.holders}
+        assert digests == {won.edition.sha256}
+        entries = fleet.entries.values()
+        documents = {entry.holder.document for entry in entries}
         assert documents == {won.document}
 
     @pytest.mark.parametrize(
@@ -296,7 +299,9 @@
         await settle(fleet)
         objects = fleet.network.objects
         await apply(fleet, 'entry-milano-a-0', 'second')
-        (first, second) = sorted(objects)
+        (first, second) = sorted(
+            name for name in objects if '/part/' not in name
+        )
         accepted = objects[second]
         objects[second] = objects[first].replace(b':1', b':2')
         fleet.network.islands.update(DOMAINS)
--- a/tests/test_configuration_routes.py
+++ b/tests/test_configuration_routes.py
@@ -6,6 +6,7 @@
 
 from measure.control_site import make_configuration
 from ragwortcourse.configuration.configuration import ConfigurationDocument
+from ragwortcourse.configuration.feed import learn_generation
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.routes import build_configuration_routes
 from ragwortcourse.identifiers import ChangeId, Generation
@@ -29,8 +30,17 @@
         async with TestServer(app) as server, ClientSession() as session:
             port = build_http_daemons(session=session)
             address = f'127.0.0.1:{server.port}'
-            assert await port.fetch(address, Generation(1)) == document
-            url = server.make_url('/configuration/1')
-            async with session.get(url) as answer:
-                size = int(answer.headers['content-length'])
+            taken = ConfigurationHolder()
+            assert await learn_generation(
+                holder=taken, port=port, sender=address, generation=1
+            )
+            assert taken.document == document
+            urls = [
+                f'/configuration/part/{digest}'
+                for digest in holder.edition.contents
+            ]
+            size = 0
+            for url in ('/configuration/1', *urls):
+                async with session.get(server.make_url(url)) as answer:
+                    size += int(answer.headers['content-length'])
         assert size < len(msgspec.json.encode(document)) / 2
--- a/tests/test_http_daemons.py
+++ b/tests/test_http_daemons.py
@@ -8,6 +8,7 @@
     Configuration,
     ConfigurationDocument,
 )
+from ragwortcourse.configuration.edition import make_edition
 from ragwortcourse.configuration.routes import build_configuration_routes
 from ragwortcourse.membership.membership import build_heartbeat
 from ragwortcourse.membership.routes import build_exchange_routes
@@ -44,8 +45,13 @@
             port = build_http_daemons(session=session)
             address = f'{server.host}:{server.port}'
             heartbeat = build_heartbeat(entry.membership)
-            assert await port.fetch(address, 2) == document
-            assert isinstance(await port.fetch(address, 4), PeerSilent)
+            edition = make_edition(document)
+            assert await port.fetch_index(address, 2) == edition.index
+            assert isinstance(await port.fetch_index(address, 4), PeerSilent)
+            for digest, content in edition.contents.items():
+                assert await port.fetch_part(address, digest) == content
+            lacking = await port.fetch_part(address, edition.sha256)
+            assert isinstance(lacking, PeerSilent)
             answer = await port.exchange(address, heartbeat)
             assert answer.withdrawals[0].change == 'w'
             await server.close()
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -41,7 +41,7 @@
     engine = MemoryEngine(can_resume=False, load=load)
     agent = make_agent(engine, limits=TargetLimits(cold=1, warm=1))
     app = web.Application()
-    nobody = DaemonPort(fetch=None, exchange=None)
+    nobody = DaemonPort(fetch_index=None, fetch_part=None, exchange=None)
     app.add_routes(build_agent_routes(agent=agent, daemon_port=nobody))
     # The library's test server cancels handlers whose connection ends, and
     # would hide whether the agent notices by itself.
