--- a/fakes/memory_network.py
+++ b/fakes/memory_network.py
@@ -13,6 +13,7 @@
 from fakes.memory_hosts import build_memory_hosts
 from fakes.memory_objects import build_memory_objects
 from fakes.memory_table import MemoryRows, build_memory_table
+from fakes.paced_table import Pacer, pace_table
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.store import ConfigurationStore
 from ragwortcourse.identifiers import AttemptId, Generation, Sha256Hex
@@ -30,6 +31,9 @@
 
 TRIP_SECONDS = 0.001
 SILENT_SECONDS = 1.0
+# What the platform's table bears, a second.
+TABLE_READS = 2000
+TABLE_WRITES = 400
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -62,6 +66,8 @@
         self.records: list[HostRecord] = []
         self.platform_faults: dict[str, Faults] = {}
         self.messages = 0
+        self.reads = Pacer(TABLE_READS)
+        self.writes = Pacer(TABLE_WRITES)
         self.spoilt_parts: dict[str, bytes] = {}
         self.index_bytes = collections.Counter[str]()
         self.part_bytes = collections.Counter[str]()
@@ -89,7 +95,11 @@
         """The platform's services as one failure domain reaches them."""
         faults = self.read_faults(failure_domain)
         return ConfigurationStore(
-            table=build_memory_table(rows=self.rows, faults=faults),
+            table=pace_table(
+                build_memory_table(rows=self.rows, faults=faults),
+                self.reads,
+                self.writes,
+            ),
             objects=build_memory_objects(objects=self.objects, faults=faults),
         )
 
