Start a measured site anew where its ports were taken

Cause: ports are looked for and used a moment later; with three sites at once one was taken in between and the run of the control measurement ended with a timeout.

--- a/measure/control_site.py
+++ b/measure/control_site.py
@@ -54,6 +54,7 @@
 WAIT_SECONDS: Final = 20.0
 POLL_SECONDS: Final = 0.1
 MANY: Final = 400
+START_TRIES: Final = 3
 
 
 class CountedBlueprint(Blueprint):
@@ -330,6 +331,30 @@
         return await self.call(method='GET') == 200
 
 
+async def start_site(
+    targets: tuple[TargetPlan, ...], agents: StandInAgents, *, collector: bool
+) -> tuple[CountedBlueprint, Fleet]:
+    """Daemons that run, at ports that no other site took meanwhile.
+
+    :raises TimeoutError: some daemon did not answer, however often started.
+    """
+    for left in reversed(range(START_TRIES)):
+        plan = CountedBlueprint(
+            targets=targets, stand_ins=agents, collector=collector
+        )
+        await plan.start_counters()
+        fleet = Fleet(blueprint=plan)
+        try:
+            await fleet.start()
+        except TimeoutError:
+            await fleet.stop()
+            if not left:
+                raise
+        else:
+            break
+    return plan, fleet
+
+
 @contextlib.asynccontextmanager
 async def open_site(
     *targets: TargetPlan,
@@ -342,21 +367,18 @@
     await agents.start(stand_ins)
     # The share of entry daemons among the hosts of the target size.
     agents.list_silent(silent * 2300 // 2650, silent * 350 // 2650)
-    plan = CountedBlueprint(
-        targets=targets, stand_ins=agents, collector=collector
-    )
-    await plan.start_counters()
     connector = aiohttp.TCPConnector(limit=0)
     headers = {'Authorization': f'Bearer {API_KEY}'}
     timeout = aiohttp.ClientTimeout(total=WAIT_SECONDS * 2)
     try:
-        async with (
-            Fleet(blueprint=plan) as fleet,
-            aiohttp.ClientSession(
+        plan, fleet = await start_site(targets, agents, collector=collector)
+        try:
+            async with aiohttp.ClientSession(
                 connector=connector, headers=headers, timeout=timeout
-            ) as session,
-        ):
-            yield Site(fleet=fleet, plan=plan, session=session)
+            ) as session:
+                yield Site(fleet=fleet, plan=plan, session=session)
+        finally:
+            await fleet.stop()
     finally:
         await agents.stop()
 
