Count chunks that are going out, and write conditional rows in one place

A chunk could be let go, and its memory given to another, while up to four sendings still read its bytes: up to four chunks beyond the budget (chunks of 1 MiB: 4 MiB of 16). A lent chunk is not let go now. Seen to fail first with the check for lending taken out.

order_lease and turn wrote a row under the condition that it is as it was read, and the lease read before its claim, twice each; both stand once.

--- a/src/ragwortcourse/weights/held_chunks.py
+++ b/src/ragwortcourse/weights/held_chunks.py
@@ -1,8 +1,9 @@
 """Chunks of one transfer that are in memory, and who still needs them."""
 
 import asyncio
+import contextlib
 import dataclasses
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 from typing import Final
 
 from ragwortcourse.clock import read_clock
@@ -21,12 +22,14 @@
     :param settled: true once the engine holds it and the digest of the
         whole has taken it in.
     :param settled_at: monotonic seconds.
+    :param lent: sendings that read the bytes now.
     """
 
     content: bytes
     waiting_for: set[DaemonId]
     settled: bool = False
     settled_at: float = 0
+    lent: int = 0
 
 
 class HeldChunks:
@@ -98,12 +101,27 @@
             held.waiting_for.discard(receiver)
             self._memory.look_again()
 
+    @contextlib.contextmanager
+    def lend(self, index: int) -> Iterator[None]:
+        """Keep a chunk in memory, and counted, while its bytes go out."""
+        held = self._chunks.get(index)
+        if held is None:
+            yield
+            return
+        held.lent += 1
+        try:
+            yield
+        finally:
+            held.lent -= 1
+            self._memory.look_again()
+
     def evict(self) -> bool:
         """Let the oldest chunk go that nobody needs, if there is one."""
         now = read_clock()
         for index, held in self._chunks.items():
             overdue = now - held.settled_at >= HOLD_SECONDS
-            if held.settled and (overdue or not held.waiting_for):
+            free = held.settled and not held.lent
+            if free and (overdue or not held.waiting_for):
                 # Later chunks do not wait for a receiver that is behind.
                 self._slow.update(held.waiting_for)
                 self._drop(index)
--- a/src/ragwortcourse/weights/order_lease.py
+++ b/src/ragwortcourse/weights/order_lease.py
@@ -9,11 +9,10 @@
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.identifiers import FencingNumber, TargetName
+from ragwortcourse.platform.row_change import replace_row
 from ragwortcourse.platform.table import (
-    ABSENT,
     CommitOutcome,
     Committed,
-    ConditionalWrite,
     Row,
     RowRead,
     TableKey,
@@ -90,14 +89,7 @@
         """Take the lease, after waiting out whoever had it before."""
         if self.superseded:
             return LeaseRefused(detail='superseded', superseded=True)
-        answer = await self._table.read(self._key)
-        if not isinstance(answer, RowRead):
-            return LeaseRefused(detail=answer.detail)
-        former = _decode(answer.row)
-        if self._is_taken_over(former):
-            self.superseded = True
-            return LeaseRefused(detail='superseded', superseded=True)
-        return await self._claim(answer.row, former)
+        return await self._read_and_claim()
 
     async def release(self) -> None:
         """Let the next holder begin without waiting."""
@@ -133,7 +125,8 @@
                 return LeaseRefused(detail=f'{self._key}: not claimed')
         self._fencing = claim.fencing
         if await self._wait_out(former):
-            return await self._claim_again()
+            # The own lease has lapsed in the wait.
+            return await self._read_and_claim()
         self._lapses_at = began + LEASE_SECONDS
         return LeaseHeld(fencing=claim.fencing)
 
@@ -149,8 +142,8 @@
         await asyncio.sleep(LEASE_SECONDS + LONGEST_ORDER_SECONDS)
         return True
 
-    async def _claim_again(self) -> LeaseOutcome:
-        """Claim once more, now that the own lease has lapsed in the wait."""
+    async def _read_and_claim(self) -> LeaseOutcome:
+        """Claim the row, unless another agent has taken it over."""
         answer = await self._table.read(self._key)
         if not isinstance(answer, RowRead):
             return LeaseRefused(detail=answer.detail)
@@ -163,12 +156,9 @@
     async def _write(
         self, row: Row | None, content: OrderLeaseRow
     ) -> CommitOutcome:
-        write = ConditionalWrite(
-            key=self._key,
-            content=msgspec.json.encode(content),
-            expected_version=ABSENT if row is None else row.version,
+        return await replace_row(
+            self._table, self._key, row, msgspec.json.encode(content)
         )
-        return await self._table.commit((write,))
 
 
 def _decode(row: Row | None) -> OrderLeaseRow | None:
--- a/src/ragwortcourse/weights/serving.py
+++ b/src/ragwortcourse/weights/serving.py
@@ -47,7 +47,8 @@
         return
     try:
         if _take_budget(transfer, request, len(content)):
-            yield ChunkContent(content=content)
+            with transfer.held.lend(request.index):
+                yield ChunkContent(content=content)
         else:
             yield ChunkRefused()
     finally:
--- a/src/ragwortcourse/weights/turn.py
+++ b/src/ragwortcourse/weights/turn.py
@@ -8,10 +8,9 @@
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.identifiers import DeploymentName, TargetName
+from ragwortcourse.platform.row_change import replace_row
 from ragwortcourse.platform.table import (
-    ABSENT,
     Committed,
-    ConditionalWrite,
     Row,
     RowRead,
     TableKey,
@@ -125,9 +124,5 @@
     async def _write(
         self, key: TableKey, row: Row | None, content: bytes | None
     ) -> bool:
-        write = ConditionalWrite(
-            key=key,
-            content=content,
-            expected_version=ABSENT if row is None else row.version,
-        )
-        return isinstance(await self._table.commit((write,)), Committed)
+        outcome = await replace_row(self._table, key, row, content)
+        return isinstance(outcome, Committed)
--- /dev/null
+++ b/tests/test_held_chunks.py
@@ -0,0 +1,35 @@
+"""Tests of :mod:`ragwortcourse.weights.held_chunks`."""
+
+import asyncio
+
+import pytest
+
+from ragwortcourse.weights.chunk_memory import ChunkMemory
+from ragwortcourse.weights.held_chunks import HeldChunks
+
+pytestmark = pytest.mark.looptime
+
+
+class TestMemoryOfSending:
+    """Chunks whose bytes are on their way out."""
+
+    async def test_is_counted_until_the_last_byte_is_out(self):
+        """No other chunk takes the place of one that is being sent."""
+        memory = ChunkMemory(limit=100)
+        held = HeldChunks(memory=memory)
+        await memory.reserve(100)
+        held.put(0, bytes(100), ())
+        held.settle(0)
+        with held.lend(0), held.lend(0):
+            waiting = asyncio.create_task(memory.reserve(100))
+            await asyncio.sleep(10)
+            assert not waiting.done()
+        await waiting
+        assert memory.used == memory.highest == 100
+        assert held.has_let_go(0)
+
+    async def test_of_a_chunk_that_is_gone_holds_up_nothing(self):
+        """Lending what is not here, as the manifest, changes nothing."""
+        memory = ChunkMemory(limit=100)
+        with HeldChunks(memory=memory).lend(7):
+            await memory.reserve(100)
