Order the role that a deployment names

Cause: the engine port offers orders to change role, fenced like the others, and nothing gave one.

`models[].role` names it. The order goes under the order lease as load, activate and unload do: with its number, once, settled by the engine's report where the answer was lost. A fresh target gets it before it serves; a target that serves is taken out in its turn (`change_in_turn`, which the change of version now uses as well), so that no request is under way and service keeps all but a batch.

Ruled out: a wait for the engine's report in any case, as engines that report no role would be waited for in vain, and ordered again and again; a new try every 10 s after a refusal, as each takes a target out of service.

Tests: once for engines that check numbers and that ignore them, with and without a reported role; before the first answer; under no request; lost answer; restart; a holder overtaken by a second one.

--- a/fakes/engine_versions.py
+++ b/fakes/engine_versions.py
@@ -28,6 +28,8 @@
         self._complete: set[StoreKey] = set()
         self.active: dict[ModelName, VersionName] = {}
         self.orders: list[EngineOrder] = []
+        self.role: str | None = None
+        self.reports_role = True
 
     def store(self, key: StoreKey, index: int, chunk: bytes) -> None:
         """Keep one chunk."""
@@ -46,6 +48,8 @@
             return self._activate(key)
         if order.action is OrderAction.UNLOAD:
             self._unload(key)
+        if order.action is OrderAction.ROLE:
+            self.role = order.role
         return OrderConfirmed()
 
     def install(self, model: ModelName, version: VersionName) -> None:
--- a/fakes/landings.py
+++ b/fakes/landings.py
@@ -23,6 +23,7 @@
     ConfigurationDocument,
 )
 from ragwortcourse.configuration.deployment import Adapter, ModelDeployment
+from ragwortcourse.configuration.engine_role import EngineRole
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.identifiers import (
     AdapterName,
@@ -226,6 +227,7 @@
         batch: int = 1,
         *,
         cancelled: bool = False,
+        role: EngineRole | None = None,
     ) -> None:
         """Put a version in force everywhere."""
         deployment = ModelDeployment(
@@ -239,6 +241,7 @@
             adapters=adapters,
             batch=batch,
             cancelled=cancelled,
+            role=role,
         )
         self.accept((deployment,))
 
--- a/fakes/memory_engine.py
+++ b/fakes/memory_engine.py
@@ -138,6 +138,7 @@
             bearable=bearable if self.load.reports else None,
             age=now - made_at,
             versions=self.versions.describe(),
+            role=self.versions.role if self.versions.reports_role else None,
         )
 
     async def store_chunk(
--- a/src/ragwortcourse/configuration/deployment.py
+++ b/src/ragwortcourse/configuration/deployment.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ragwortcourse.configuration.engine_role import EngineRole
 from ragwortcourse.configuration.limits import TargetLimits
 from ragwortcourse.identifiers import (
     AdapterName,
@@ -31,6 +32,7 @@
     :param manifest_sha256: digest of the manifest that names the weights.
     :param replicas: targets wanted; zero means every target there is.
     :param batch: targets that may change version at the same time.
+    :param role: ordered from the engines; none leaves them as they are.
     :param cancelled: true where an operator gave the version up: targets
         go on with what they have and land nothing.
     """
@@ -43,6 +45,7 @@
     adapters: tuple[Adapter, ...] = ()
     replicas: int = 0
     batch: int = 1
+    role: EngineRole | None = None
     cancelled: bool = False
     limits: TargetLimits = TargetLimits()
 
--- a/src/ragwortcourse/engines/engine.py
+++ b/src/ragwortcourse/engines/engine.py
@@ -148,6 +148,7 @@
     :param bearable: requests at once it reckons it bears; none where the
         target does not report load.
     :param age: seconds since the report was made.
+    :param role: none where the engine has none, or does not report it.
     """
 
     instance: str
@@ -155,6 +156,7 @@
     bearable: int | None
     age: float
     versions: tuple[EngineVersion, ...] = ()
+    role: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/ragwortcourse/weights/activation.py
+++ b/src/ragwortcourse/weights/activation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from ragwortcourse.clock import read_clock
@@ -62,6 +63,27 @@
 ) -> ActivationOutcome:
     """Let the target answer with a loaded version, in the target's turn."""
     subject = OrderSubject(model=wanted.model, version=wanted.version)
+
+    async def change() -> ActivationOutcome:
+        outcome = await _activate(landing, subject)
+        if isinstance(outcome, Activated):
+            confirm_version(landing, wanted, frozenset())
+        return outcome
+
+    return await change_in_turn(landing, wanted, wanted, change)
+
+
+async def change_in_turn(
+    landing: Landing,
+    wanted: WantedWeights,
+    kept: WantedWeights | None,
+    change: Callable[[], Awaitable[ActivationOutcome]],
+) -> ActivationOutcome:
+    """Change the engine while nothing runs on it, in the target's turn.
+
+    :param kept: version that the gate goes on with afterwards; none: the
+        one that it had before, as it does after a change that failed.
+    """
     turn = Turn(
         table=landing.ports.table,
         target=landing.agent.target,
@@ -73,36 +95,37 @@
         landing.state.detail = 'waits for its turn in the roll-out'
         await turn.acquire()
     try:
-        return await _change_version(landing, wanted, subject, turn)
+        return await _change_at_rest(landing, kept, turn, change)
     finally:
         await turn.release()
 
 
-async def _change_version(
-    landing: Landing, wanted: WantedWeights, subject: OrderSubject, turn: Turn
+async def _change_at_rest(
+    landing: Landing,
+    kept: WantedWeights | None,
+    turn: Turn,
+    change: Callable[[], Awaitable[ActivationOutcome]],
 ) -> ActivationOutcome:
     former = landing.served.versions
-    await _finish_running(landing, wanted)
+    await _finish_running(landing, kept)
     outcome: ActivationOutcome
     if former and not turn.is_held():
         outcome = ActivationFailed(detail='the turn lapsed')
     else:
-        outcome = await _activate(landing, subject)
-    if isinstance(outcome, ActivationFailed):
+        outcome = await change()
+    if kept is None or isinstance(outcome, ActivationFailed):
         await _serve_again(landing, former)
-        return outcome
-    confirm_version(landing, wanted, frozenset())
     return outcome
 
 
-async def _finish_running(landing: Landing, wanted: WantedWeights) -> None:
+async def _finish_running(landing: Landing, kept: WantedWeights | None) -> None:
     """Begin nothing new on the former version and let it finish.
 
     An engine may answer only with the version activated last, so work that
     is to run on the former one must have begun and ended before.
     """
     former = landing.served.versions
-    retire_others(landing, wanted)
+    retire_others(landing, kept)
     until = read_clock() + FINISH_SECONDS
     while read_clock() < until:
         count = landing.ports.count_running
--- a/src/ragwortcourse/weights/landing_state.py
+++ b/src/ragwortcourse/weights/landing_state.py
@@ -14,6 +14,9 @@
     :param detail: what it waits for, or what went wrong, for a person.
     :param instance: start of the engine that the rest is about.
     :param adapters: adapters that the engine has confirmed, by manifest.
+    :param role: role that the engine has confirmed.
+    :param role_retry_at: monotonic seconds before which a target that
+        serves is not taken out for its role again.
     :param refused: manifests that cannot be right, and why.
     """
 
@@ -23,4 +26,6 @@
     adapters: dict[AdapterName, Sha256Hex] = dataclasses.field(
         default_factory=dict
     )
+    role: str = ''
+    role_retry_at: float = 0
     refused: dict[Sha256Hex, str] = dataclasses.field(default_factory=dict)
--- a/src/ragwortcourse/weights/orders.py
+++ b/src/ragwortcourse/weights/orders.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+from ragwortcourse.configuration.engine_role import EngineRole
 from ragwortcourse.engines.engine import (
     EngineOrder,
     EngineSilent,
@@ -34,12 +35,14 @@
 
     :param version: version of the model, for its adapters too.
     :param manifest: of the weights to load.
+    :param role: that the engine is to take.
     """
 
     model: ModelName
     version: VersionName
     adapter: AdapterName | None = None
     manifest: Manifest | None = None
+    role: EngineRole | None = None
 
 
 async def order_engine(
@@ -71,6 +74,7 @@
         model=subject.model,
         version=subject.version,
         adapter=subject.adapter,
+        role=subject.role,
         chunks=len(subject.manifest.chunks) if subject.manifest else 0,
         sha256=subject.manifest.sha256 if subject.manifest else None,
     )
@@ -105,6 +109,8 @@
     state: EngineState, action: OrderAction, subject: OrderSubject
 ) -> bool:
     """Tell whether the engine's state is as an order wants it."""
+    if action is OrderAction.ROLE:
+        return state.role == subject.role
     version = find_version(state, subject.model, subject.version)
     if subject.adapter is not None:
         present = version is not None and subject.adapter in version.adapters
--- a/src/ragwortcourse/weights/reconciliation.py
+++ b/src/ragwortcourse/weights/reconciliation.py
@@ -18,6 +18,7 @@
 from ragwortcourse.weights.orders import OrderSubject, find_version
 from ragwortcourse.weights.receipt import receive_weights
 from ragwortcourse.weights.retirement import retire_others, unload_others
+from ragwortcourse.weights.roles import keep_role
 from ragwortcourse.weights.wanted import (
     WantedWeights,
     find_wanted,
@@ -113,7 +114,13 @@
         retire_others(landing, None)
         await unload_others(landing, None)
         return ''
-    detail = await _land_model(landing, state, wanted)
+    detail = ''
+    if not landing.served.versions:
+        detail = await keep_role(landing, state, wanted)
+    if not detail:
+        detail = await _land_model(landing, state, wanted)
+    if not detail:
+        detail = await keep_role(landing, state, wanted)
     if not detail:
         detail = await land_adapters(landing, wanted)
     if not detail:
@@ -128,6 +135,8 @@
     if landing.state.instance:
         landing.served.clear()
     landing.state.adapters.clear()
+    landing.state.role = ''
+    landing.state.role_retry_at = 0
     landing.state.instance = state.instance
 
 
--- /dev/null
+++ b/src/ragwortcourse/weights/roles.py
@@ -0,0 +1,65 @@
+"""The role that a deployment names for its engines."""
+
+from typing import Final
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.engines.engine import (
+    EngineState,
+    OrderAction,
+    OrderConfirmed,
+)
+from ragwortcourse.weights.activation import (
+    Activated,
+    ActivationFailed,
+    ActivationOutcome,
+    change_in_turn,
+    wait_for_effect,
+)
+from ragwortcourse.weights.landing import Landing
+from ragwortcourse.weights.orders import OrderSubject, order_engine
+from ragwortcourse.weights.wanted import WantedWeights
+
+# A target that serves is not taken out again sooner for an order that failed.
+RETRY_SECONDS: Final = 300.0
+
+
+async def keep_role(
+    landing: Landing, state: EngineState, wanted: WantedWeights
+) -> str:
+    """Order the role that is wanted; empty, or what went wrong."""
+    if wanted.role is None or _plays_role(landing, state, wanted):
+        return ''
+    if landing.served.versions and read_clock() < landing.state.role_retry_at:
+        return f'role {wanted.role}: not followed'
+    landing.state.role_retry_at = read_clock() + RETRY_SECONDS
+
+    async def change() -> ActivationOutcome:
+        return await _order_role(landing, wanted)
+
+    outcome = await change_in_turn(landing, wanted, None, change)
+    return outcome.detail if isinstance(outcome, ActivationFailed) else ''
+
+
+def _plays_role(
+    landing: Landing, state: EngineState, wanted: WantedWeights
+) -> bool:
+    """Tell whether the engine has the role, by its word or by the order."""
+    return (state.role or landing.state.role) == wanted.role
+
+
+async def _order_role(
+    landing: Landing, wanted: WantedWeights
+) -> ActivationOutcome:
+    subject = OrderSubject(
+        model=wanted.model, version=wanted.version, role=wanted.role
+    )
+    outcome = await order_engine(landing, OrderAction.ROLE, subject)
+    if not isinstance(outcome, OrderConfirmed):
+        return ActivationFailed(detail=f'role {wanted.role}: {outcome.detail}')
+    landing.state.role = str(wanted.role)
+    state = await landing.ports.engine.describe()
+    if isinstance(state, EngineState) and state.role is None:
+        return Activated()
+    if await wait_for_effect(landing, OrderAction.ROLE, subject):
+        return Activated()
+    return ActivationFailed(detail=f'role {wanted.role}: not confirmed')
--- a/src/ragwortcourse/weights/wanted.py
+++ b/src/ragwortcourse/weights/wanted.py
@@ -6,6 +6,7 @@
 
 from ragwortcourse.configuration.configuration import Configuration
 from ragwortcourse.configuration.deployment import Adapter, ModelDeployment
+from ragwortcourse.configuration.engine_role import EngineRole
 from ragwortcourse.identifiers import (
     DaemonId,
     DeploymentName,
@@ -28,6 +29,7 @@
     manifest_sha256: Sha256Hex
     adapters: tuple[Adapter, ...]
     batch: int
+    role: EngineRole | None = None
 
     @property
     def digests(self) -> frozenset[Sha256Hex]:
@@ -57,6 +59,7 @@
             manifest_sha256=candidate.manifest_sha256,
             adapters=candidate.adapters,
             batch=max(candidate.batch, 1),
+            role=candidate.role,
         )
     return None
 
--- /dev/null
+++ b/tests/test_roles.py
@@ -0,0 +1,145 @@
+"""Tests of :mod:`ragwortcourse.weights.roles`."""
+
+import asyncio
+import random
+
+import pytest
+
+from fakes.landings import LandingFleet
+from ragwortcourse.configuration.document import read_configuration
+from ragwortcourse.configuration.engine_role import EngineRole
+from ragwortcourse.engines.engine import OrderAction
+from ragwortcourse.weights.order_lease import LEASE_SECONDS
+
+pytestmark = pytest.mark.looptime
+CONTENT = random.Random(1).randbytes(5000)
+
+
+async def start_fleet(*, checks: bool, reports: bool = True) -> LandingFleet:
+    """Three hosts that serve a version, in no role."""
+    fleet = LandingFleet(hosts=3, places={'a': 'r'}, checks_fencing=checks)
+    for host in fleet.hosts.values():
+        host.engine.versions.reports_role = reports
+    fleet.deploy('v1', fleet.publish('v1', CONTENT))
+    fleet.start()
+    await fleet.wait_for('v1', seconds=60)
+    return fleet
+
+
+def list_roles(fleet: LandingFleet) -> list[str | None]:
+    """Role of each engine."""
+    return [host.engine.versions.role for host in fleet.hosts.values()]
+
+
+def count_orders(fleet: LandingFleet) -> list[int]:
+    """Role orders that each engine followed."""
+    return [
+        sum(order.action is OrderAction.ROLE for order in each)
+        for each in (
+            host.engine.versions.orders for host in fleet.hosts.values()
+        )
+    ]
+
+
+class TestRole:
+    """The role that a deployment names."""
+
+    @pytest.mark.parametrize('reports', [True, False])
+    @pytest.mark.parametrize('checks', [True, False])
+    async def test_is_ordered_once(self, checks: bool, reports: bool):
+        """Every engine is told once, whether or not it reports its role."""
+        fleet = await start_fleet(checks=checks, reports=reports)
+        fleet.deploy('v1', fleet.publish('v1', CONTENT), role=EngineRole.DECODE)
+        await asyncio.sleep(120)
+        assert list_roles(fleet) == ['decode'] * 3
+        assert count_orders(fleet) == [1, 1, 1]
+        assert fleet.count_serving('v1') == 3
+        await fleet.stop()
+
+    async def test_comes_before_the_first_answer(self):
+        """A fresh target serves nothing before its engine has the role."""
+        fleet = LandingFleet(hosts=2, places={'a': 'r'})
+        digest = fleet.publish('v1', CONTENT)
+        fleet.deploy('v1', digest, role=EngineRole.PREFILL)
+        fleet.start()
+        await fleet.wait_for('v1', seconds=60)
+        assert list_roles(fleet) == ['prefill'] * 2
+        await fleet.stop()
+
+    async def test_changes_under_no_request(self):
+        """Work under way ends first, and service keeps all but a batch."""
+        fleet = await start_fleet(checks=True)
+        fleet.running.update(dict.fromkeys(fleet.hosts, 1))
+        fleet.deploy('v1', fleet.publish('v1', CONTENT), role=EngineRole.DECODE)
+        lowest = 3
+        for _ in range(80):
+            await asyncio.sleep(0.25)
+            lowest = min(lowest, fleet.count_serving('v1'))
+        assert count_orders(fleet) == [0, 0, 0]
+        fleet.running.clear()
+        for _ in range(480):
+            await asyncio.sleep(0.25)
+            lowest = min(lowest, fleet.count_serving('v1'))
+        assert list_roles(fleet) == ['decode'] * 3
+        assert (lowest, fleet.count_serving('v1')) == (2, 3)
+        await fleet.stop()
+
+    @pytest.mark.parametrize('reports', [True, False])
+    async def test_lost_answer_is_settled(self, reports: bool):
+        """An order whose answer was lost ends in the role, and in service."""
+        fleet = await start_fleet(checks=True, reports=reports)
+        for host in fleet.hosts.values():
+            host.engine.faults.lost_orders = 1
+        fleet.deploy('v1', fleet.publish('v1', CONTENT), role=EngineRole.DECODE)
+        await asyncio.sleep(1200)
+        assert list_roles(fleet) == ['decode'] * 3
+        assert fleet.count_serving('v1') == 3
+        assert max(count_orders(fleet)) <= (1 if reports else 2)
+        await fleet.stop()
+
+    async def test_is_ordered_again_after_a_restart(self):
+        """An engine that started anew is told again."""
+        fleet = await start_fleet(checks=True)
+        fleet.deploy('v1', fleet.publish('v1', CONTENT), role=EngineRole.DECODE)
+        await asyncio.sleep(60)
+        host = next(iter(fleet.hosts.values()))
+        host.engine.versions.role = None
+        host.engine.die()
+        await asyncio.sleep(60)
+        assert list_roles(fleet) == ['decode'] * 3
+        await fleet.stop()
+
+    @pytest.mark.parametrize('checks', [True, False])
+    async def test_frozen_holder_orders_nothing(self, checks: bool):
+        """A holder that is no longer the target's own gives no order."""
+        fleet = await start_fleet(checks=checks)
+        name, host = next(iter(fleet.hosts.items()))
+        other = fleet.add_host('twin', 'a')
+        other.landing.order_lease._key = host.landing.order_lease._key
+        await other.landing.order_lease.acquire()
+        await asyncio.sleep(LEASE_SECONDS)
+        fleet.deploy('v1', fleet.publish('v1', CONTENT), role=EngineRole.DECODE)
+        await asyncio.sleep(60)
+        assert host.engine.versions.role is None, name
+        assert host.landing.order_lease.superseded
+        await fleet.stop()
+
+
+class TestConfiguration:
+    """The key ``role`` of a model deployment."""
+
+    @pytest.mark.parametrize('role', ['prefill', 'decode', 'both', 'leader'])
+    def test_only_roles_of_engines_are_sound(self, role: str):
+        """Any other word is a finding with its place."""
+        found = read_configuration(
+            '[[failure_domains]]\nname = "a"\nregion = "r"\n'
+            '[[models]]\nname = "m"\nmodel = "m"\nversion = "1"\n'
+            f'manifest_sha256 = "{"0" * 64}"\nfailure_domains = ["a"]\n'
+            f'role = "{role}"\n'
+        )
+        if role != 'leader':
+            assert not isinstance(found, tuple)
+            assert found.models[0].role == role
+            return
+        assert isinstance(found, tuple)
+        assert found[0].place == 'models[0].role'
