Ask refused callers back one after the other, and tell refusals apart

Each refusal at an entry daemon now books a turn at 15 a second, plus the gate's estimate times 1 to 2 by the daemon's seeded random numbers. Ruled out: a random wait that grows with the number refused (the early seconds still get most); holding refusals back.

--- a/measure/overload.py
+++ b/measure/overload.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import contextvars
 import dataclasses
 import random
 import statistics
@@ -20,6 +21,7 @@
 from measure.program import Row
 from ragwortcourse.agent.attempts import run_attempt
 from ragwortcourse.agent.lifecycle import watch_target
+from ragwortcourse.agent.ticket import Ticket
 from ragwortcourse.configuration.limits import TargetLimits
 from ragwortcourse.engines.engine import (
     EngineAnswer,
@@ -31,6 +33,7 @@
     Attempt,
     AttemptAnswer,
 )
+from ragwortcourse.messages.outcome import NotRun
 
 BEARABLE: Final = 16
 LATENCY_SECONDS: Final = 0.05
@@ -46,6 +49,9 @@
 # takes the latency and nine pieces, slowed down by the factor of full load.
 PEAK_RATE: Final = BEARABLE / (1.5 * (LATENCY_SECONDS + 9 * PACE_SECONDS))
 
+# True in the task of a request that had a place in the queue.
+HAS_WAITED: Final = contextvars.ContextVar('has_waited', default=False)
+
 Serve = Callable[[Attempt], Awaitable[bool]]
 
 
@@ -54,12 +60,15 @@
     """What became of the requests that were sent.
 
     :param good: whole answers before the deadline.
-    :param refusals: seconds each refusal took.
+    :param at_once: seconds that refusals took which never waited.
+    :param waited: seconds until work in the queue was pushed out or given
+        up.
     """
 
     sent: int = 0
     good: int = 0
-    refusals: list[float] = dataclasses.field(default_factory=list)
+    at_once: list[float] = dataclasses.field(default_factory=list)
+    waited: list[float] = dataclasses.field(default_factory=list)
 
     @property
     def goodput(self) -> float:
@@ -80,6 +89,13 @@
     limits = TargetLimits(cold=4, warm=BEARABLE, queue=2 * BEARABLE)
     agent = make_agent(engine, limits=limits)
     agent.spawn(watch_target(agent))
+    join_queue = agent.gate._join_queue
+
+    async def note_queue(ticket: Ticket) -> NotRun | None:
+        HAS_WAITED.set(True)
+        return await join_queue(ticket)
+
+    agent.gate._join_queue = note_queue  # type: ignore[method-assign]
 
     async def serve(attempt: Attempt) -> bool:
         outcome = await run_attempt(agent, attempt)
@@ -142,8 +158,10 @@
     """Count one end before the deadline."""
     if served:
         sample.good += 1
+    elif HAS_WAITED.get():
+        sample.waited.append(took)
     else:
-        sample.refusals.append(took)
+        sample.at_once.append(took)
 
 
 async def take_sample(
@@ -165,11 +183,15 @@
     return sample
 
 
-def read_p95(seconds: list[float]) -> float | None:
-    """The 95th percentile in milliseconds, none of nothing."""
+def read_percentiles(name: str, seconds: list[float]) -> Row:
+    """Median and 95th percentile in milliseconds, nothing of nothing."""
     if len(seconds) < 2:
-        return None
-    return round(statistics.quantiles(seconds, n=20)[-1] * MILLISECONDS, 3)
+        return {}
+    twentieths = statistics.quantiles(seconds, n=20)
+    return {
+        f'{name}_p50_ms': round(twentieths[9] * MILLISECONDS, 3),
+        f'{name}_p95_ms': round(twentieths[-1] * MILLISECONDS, 3),
+    }
 
 
 def run() -> Iterator[Row]:
@@ -182,14 +204,17 @@
     for build, taken in samples.items():
         once, twice, five = taken
         sent = sum(each.sent for each in taken)
-        refusals = [took for each in taken for took in each.refusals]
+        at_once = [took for each in taken for took in each.at_once]
+        waited = [took for each in taken for took in each.waited]
         yield {
             'measure': 'overload',
             'baseline': build is build_straight,
             'goodput_1x': round(once.goodput / peak, 3),
             'goodput_2x': round(twice.goodput / peak, 3),
             'goodput_5x': round(five.goodput / peak, 3),
-            'refused_share': round(len(refusals) / sent, 3),
-            'refusal_p95_ms': read_p95(refusals),
+            'refused_share': round((len(at_once) + len(waited)) / sent, 3),
+            'at_once_share': round(len(at_once) / sent, 3),
+            **read_percentiles('at_once', at_once),
+            **read_percentiles('waited', waited),
             'peak_per_second': round(peak, 1),
         }
--- a/measure/program.py
+++ b/measure/program.py
@@ -15,6 +15,7 @@
     'claims',
     'outbox',
     'overload',
+    'prefix',
     'service',
     'replicas',
     'pacing',
--- a/src/ragwortcourse/entry/calls.py
+++ b/src/ragwortcourse/entry/calls.py
@@ -1,5 +1,9 @@
 """Serving of calls, from admission to the end of the answer."""
 
+import dataclasses
+
+import msgspec
+
 from ragwortcourse.entry import errors
 from ragwortcourse.entry.admission import admit_call
 from ragwortcourse.entry.answers import (
@@ -25,6 +29,23 @@
 
     The caller of this function reads the body to its end or closes it.
     """
+    outcome = await _answer_call(entry, call)
+    if isinstance(outcome, CallError):
+        return _spread_return(entry, outcome)
+    return outcome
+
+
+def _spread_return(entry: Entry, refused: CallError) -> CallError:
+    """Callers that are refused together don't come back together."""
+    wait = refused.error.retry_after
+    if wait is None:
+        return refused
+    later = entry.returns.book(wait, entry.rng)
+    error = msgspec.structs.replace(refused.error, retry_after=later)
+    return dataclasses.replace(refused, error=error)
+
+
+async def _answer_call(entry: Entry, call: Call) -> CallOutcome:
     trail = entry.records.begin(call.request)
     work = admit_call(entry, call, trail)
     if isinstance(work, NotRun):
--- a/src/ragwortcourse/entry/entry.py
+++ b/src/ragwortcourse/entry/entry.py
@@ -15,6 +15,7 @@
 from ragwortcourse.entry.outliers import Outliers
 from ragwortcourse.entry.records import RequestRecords
 from ragwortcourse.entry.retry_budget import RetryBudget
+from ragwortcourse.entry.return_turns import ReturnTurns
 from ragwortcourse.membership.directory import TargetDirectory
 from ragwortcourse.messages.peer_port import AgentPort
 from ragwortcourse.messages.shared_crasher import SharedCrasher
@@ -55,6 +56,7 @@
     budget: RetryBudget = dataclasses.field(default_factory=RetryBudget)
     crashers: Crashers = dataclasses.field(default_factory=Crashers)
     outliers: Outliers = dataclasses.field(default_factory=Outliers)
+    returns: ReturnTurns = dataclasses.field(default_factory=ReturnTurns)
     helpers: ClaimHelpers | None = None
     tell_peers: Callable[[SharedCrasher], Awaitable[None]] = tell_nobody
     collector: ClaimCollector = dataclasses.field(init=False)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import dataclasses
+import math
+from collections import Counter
 
 import pytest
 
@@ -12,8 +14,10 @@
     make_record,
 )
 from fakes.scripted_agents import ScriptedAgents, Turn
+from ragwortcourse.clock import read_clock
 from ragwortcourse.entry.calls import serve_call
 from ragwortcourse.entry.entry import Entry, drain_entry
+from ragwortcourse.entry.return_turns import LONGEST_WAIT_SECONDS
 from ragwortcourse.identifiers import RequestId
 from ragwortcourse.messages.attempt import AnswerBrokenError
 from ragwortcourse.messages.call import Call, CallAnswer
@@ -212,3 +216,41 @@
             DecisionPoint.OUTCOME,
         ]
         assert record.decisions[3].turned_down == {'near': 'tried before'}
+
+
+class TestReturns:
+    """When refused callers are asked to come back."""
+
+    async def refuse(self, entry: Entry, count: int) -> list[float]:
+        """Refuse so many calls now; seconds until each may come back."""
+        asked_at = read_clock()
+        waits = []
+        for number in range(count):
+            call = make_model_call(f'r{number}')
+            outcome = await serve_call(entry, call)
+            waits.append(outcome.error.retry_after)
+        assert read_clock() == asked_at
+        return waits
+
+    async def test_refused_together_come_back_apart(self):
+        """No second brings back twice what a daemon serves at the peak."""
+        entry = make_entry(ScriptedAgents().build_port())
+        waits = await self.refuse(entry, 300)
+        seconds = Counter(math.ceil(wait) for wait in waits)
+        assert max(seconds.values()) <= 2 * 5200 / 350
+
+    async def test_more_than_there_are_turns(self):
+        """Even a flood of refusals gets a bounded wait, and is spread."""
+        entry = make_entry(ScriptedAgents().build_port())
+        waits = await self.refuse(entry, 5000)
+        assert max(waits) <= LONGEST_WAIT_SECONDS + 2
+        seconds = Counter(math.ceil(wait) for wait in waits)
+        assert max(seconds.values()) <= 5000 / 20
+
+    async def test_lone_refusal_waits_no_longer_than_it_must(self):
+        """Turns that have passed count no more."""
+        entry = make_entry(ScriptedAgents().build_port())
+        await self.refuse(entry, 300)
+        await asyncio.sleep(300 * 350 / 5200)
+        (wait,) = await self.refuse(entry, 1)
+        assert 1 <= wait <= 2
