--- a/fakes/wire_ports.py
+++ b/fakes/wire_ports.py
@@ -9,11 +9,13 @@
 from ragwortcourse.agent.agent import Agent
 from ragwortcourse.agent.attempts import bar_attempt, run_attempt
 from ragwortcourse.agent.status import answer_heartbeat
-from ragwortcourse.configuration.configuration import ConfigurationDocument
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.entry.claim_collector import ClaimCollector
 from ragwortcourse.entry.claim_helpers import HELPER_SECONDS, AskHelper
-from ragwortcourse.identifiers import AttemptId, Generation
+from ragwortcourse.entry.crasher_peers import TellCrasher
+from ragwortcourse.entry.crasher_spread import merge_one
+from ragwortcourse.entry.crashers import Crashers
+from ragwortcourse.identifiers import AttemptId, Generation, Sha256Hex
 from ragwortcourse.membership.exchange import answer_exchange
 from ragwortcourse.membership.membership import Membership
 from ragwortcourse.messages.attempt import (
@@ -25,6 +27,7 @@
 from ragwortcourse.messages.attempt_report import AttemptReport
 from ragwortcourse.messages.heartbeat import Heartbeat
 from ragwortcourse.messages.peer_port import AgentPort, DaemonPort, PeerSilent
+from ragwortcourse.messages.shared_crasher import SharedCrasher
 from ragwortcourse.messages.target_status import TargetStatus
 from ragwortcourse.platform.table import (
     CommitOutcome,
@@ -50,6 +53,7 @@
         self.landings: dict[str, Landing] = {}
         self.memberships: dict[str, Membership] = {}
         self.holders: dict[str, ConfigurationHolder] = {}
+        self.crashers: dict[str, Crashers] = {}
         self.collectors: dict[str, ClaimCollector] = {}
 
 
@@ -105,14 +109,23 @@
 def build_daemon_port(end: WireEnd) -> DaemonPort:
     """Any daemon's way to any other."""
 
-    async def fetch(
+    async def fetch_index(
         address: str, generation: Generation
-    ) -> ConfigurationDocument | PeerSilent:
-        async def work() -> ConfigurationDocument | PeerSilent:
-            document = end.residents.holders[address].document
-            if document is None or document.generation < generation:
+    ) -> bytes | PeerSilent:
+        async def work() -> bytes | PeerSilent:
+            edition = end.residents.holders[address].edition
+            if edition is None or edition.document.generation < generation:
                 return PeerSilent(detail='404')
-            return document
+            return edition.index
+
+        return be_silent(await end.wire.carry(end.host, address, work))
+
+    async def fetch_part(address: str, digest: Sha256Hex) -> bytes | PeerSilent:
+        async def work() -> bytes | PeerSilent:
+            edition = end.residents.holders[address].edition
+            if edition is None or digest not in edition.contents:
+                return PeerSilent(detail='404')
+            return edition.contents[digest]
 
         return be_silent(await end.wire.carry(end.host, address, work))
 
@@ -122,7 +135,9 @@
 
         return be_silent(await end.wire.carry(end.host, address, work))
 
-    return DaemonPort(fetch=fetch, exchange=exchange)
+    return DaemonPort(
+        fetch_index=fetch_index, fetch_part=fetch_part, exchange=exchange
+    )
 
 
 def build_helper_port(end: WireEnd) -> AskHelper:
@@ -144,6 +159,18 @@
     return ask
 
 
+def build_crasher_port(end: WireEnd) -> TellCrasher:
+    """An entry daemon's word to another of a crashing request."""
+
+    async def tell(address: str, crasher: SharedCrasher) -> None:
+        async def work() -> None:
+            merge_one(end.residents.crashers[address], crasher)
+
+        await end.wire.carry(end.host, address, work)
+
+    return tell
+
+
 def build_chunk_port(end: WireEnd) -> ChunkPort:
     """An agent's way to the chunks of others."""
 
--- a/src/ragwortcourse/processes/agent_daemon.py
+++ b/src/ragwortcourse/processes/agent_daemon.py
@@ -80,6 +80,10 @@
         """Return once everything under way has ended."""
         await drain_agent(self.agent)
 
+    async def stop(self) -> None:
+        """End what runs beside the endless tasks."""
+        await self.agent.stop()
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class AgentPorts:
@@ -131,7 +135,7 @@
     """Put the parts of an agent together; nothing runs yet."""
     agent = Agent(
         settings=settings,
-        holder=ConfigurationHolder(),
+        holder=ConfigurationHolder(with_accounts=False),
         engine=ports.engine,
         daemon_port=ports.daemons,
     )
--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -45,6 +45,9 @@
     async def drain(self) -> None:
         """Return once everything under way has ended."""
 
+    async def stop(self) -> None:
+        """End what runs beside the endless tasks."""
+
 
 def describe_cause(error: OSError) -> str:
     """The system's own words for an error, without the address again."""
@@ -99,6 +102,7 @@
         for runner in self.runners:
             await runner.cleanup()
         await self.tasks.stop()
+        await self.daemon.stop()
         await self.sessions.close()
 
     async def _open_daemon(self) -> Daemon:
