--- a/src/ragwortcourse/entry/entry.py
+++ b/src/ragwortcourse/entry/entry.py
@@ -4,7 +4,7 @@
 import dataclasses
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.entry.catalog import Catalog
@@ -15,8 +15,10 @@
 from ragwortcourse.entry.outliers import Outliers
 from ragwortcourse.entry.records import RequestRecords
 from ragwortcourse.entry.retry_budget import RetryBudget
+from ragwortcourse.entry.return_turns import ReturnTurns
 from ragwortcourse.membership.directory import TargetDirectory
 from ragwortcourse.messages.peer_port import AgentPort
+from ragwortcourse.messages.shared_crasher import SharedCrasher
 from ragwortcourse.platform.table import (
     CommitOutcome,
     ConditionalWrite,
@@ -25,6 +27,10 @@
 from ragwortcourse.settings import Settings
 
 
+async def tell_nobody(crasher: SharedCrasher) -> None:
+    """No other entry daemon to tell."""
+
+
 @dataclasses.dataclass(kw_only=True)
 class Entry:
     """What serving calls needs; parts are shared by all requests.
@@ -33,6 +39,8 @@
         that other daemons made.
     :param helpers: way to the daemon that collects the claims of this
         failure domain; none where each daemon writes its own.
+    :param tell_peers: tells every other entry daemon of a request that
+        has taken down too many targets.
     :param under_way: calls taken whose answers are not at their end yet.
     """
 
@@ -48,7 +56,9 @@
     budget: RetryBudget = dataclasses.field(default_factory=RetryBudget)
     crashers: Crashers = dataclasses.field(default_factory=Crashers)
     outliers: Outliers = dataclasses.field(default_factory=Outliers)
+    returns: ReturnTurns = dataclasses.field(default_factory=ReturnTurns)
     helpers: ClaimHelpers | None = None
+    tell_peers: Callable[[SharedCrasher], Awaitable[None]] = tell_nobody
     collector: ClaimCollector = dataclasses.field(init=False)
     results: ClaimResults = dataclasses.field(init=False)
     draining: bool = False
@@ -78,8 +88,17 @@
             self.idle.set()
 
 
+async def stop_entry(entry: Entry) -> None:
+    """End the tasks that write claims, with nothing left under way."""
+    await entry.results.stop()
+    await entry.collector.stop()
+
+
 async def drain_entry(entry: Entry) -> None:
-    """Take no new work and return once everything under way has ended."""
+    """Take no new work and return once everything under way has ended.
+
+    Results of claims are written then, as far as that goes in time.
+    """
     entry.draining = True
     if entry.under_way:
         await entry.idle.wait()
--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -46,6 +46,9 @@
     async def drain(self) -> None:
         """Return once everything under way has ended."""
 
+    async def stop(self) -> None:
+        """End what runs beside the endless tasks."""
+
 
 def describe_cause(error: OSError) -> str:
     """The system's own words for an error, without the address again."""
@@ -62,6 +65,7 @@
         super().__init__()
         self.settings = settings
         self.broken = False
+        self.leaving = False
         self.runners: list[web.AppRunner] = []
         self._findings: list[Finding] = []
 
@@ -90,6 +94,7 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Take no new work, finish what is under way, then close."""
         LOGGER.info('draining')
+        self.leaving = True
         await self.daemon.drain()
         await asyncio.sleep(LAST_CONNECTIONS_SECONDS)
         await self.daemon.drain()
@@ -100,6 +105,7 @@
         for runner in self.runners:
             await runner.cleanup()
         await self.tasks.stop()
+        await self.daemon.stop()
         await self.sessions.close()
 
     async def _open_daemon(self) -> Daemon:
@@ -132,7 +138,11 @@
         self, key: str, address: str, routes: list[web.RouteDef]
     ) -> None:
         try:
-            runner = await open_site(address=address, routes=routes)
+            runner = await open_site(
+                address=address,
+                routes=routes,
+                is_leaving=lambda: self.leaving,
+            )
         except OSError as error:
             self._findings.append(
                 Finding(
