Draw by a tree without the hosts that do not answer

Cause (by a trace of the killed case): children of dead hosts asked the tree's next source, whose link then carried more than its share; hosts of one failure domain waited for each other in rings, as each had another view of who is dead; a refused host asked all its sources, of which one said 'later', and so waited for its turn to the origin.

Now the tree is built over those who answer, positions turning evenly among them; a request tells the names of silent peers, which the receiver passes by unless it heard of them itself in the last two seconds; one silent request ends all others under way to the same peer; a refusal sends the asker to the origin at once, and so does being the root. Hosts that were not there at the start get no part of the links of those that were. Chunks drawn anew for others are counted apart, so that a link stays within two copies. A chunk is kept 5 s, not 2, for a receiver that is behind. Roots draw from the origin one after the other, so that the first chunk is not as late as the last.

The stand-in let a dead host answer 'later'; it is silent now, which is harder.

--- a/fakes/landings.py
+++ b/fakes/landings.py
@@ -334,6 +334,9 @@
             await asyncio.sleep(self.network.latency)
             peer = self.hosts[address].landing
             async with offer_chunk(peer, request) as outcome:
+                if not self.network.reaches(address, receiver):
+                    await asyncio.sleep(SILENT_SECONDS)
+                    return silent
                 if not isinstance(outcome, ChunkContent):
                     return outcome
                 size = len(outcome.content)
--- a/src/ragwortcourse/weights/held_chunks.py
+++ b/src/ragwortcourse/weights/held_chunks.py
@@ -10,7 +10,7 @@
 from ragwortcourse.weights.chunk_memory import ChunkMemory
 
 # A chunk that its receivers do not fetch is kept for so long.
-HOLD_SECONDS: Final = 2.0
+HOLD_SECONDS: Final = 5.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/src/ragwortcourse/weights/http_peers.py
+++ b/src/ragwortcourse/weights/http_peers.py
@@ -5,8 +5,9 @@
 from typing import Final
 
 import aiohttp
+from multidict import CIMultiDict
 
-from ragwortcourse.messages.headers import SENDER
+from ragwortcourse.messages.headers import SENDER, SILENT
 from ragwortcourse.messages.peer_port import PeerSilent
 from ragwortcourse.weights.peer_port import (
     ChunkContent,
@@ -42,6 +43,14 @@
     return {name: '1' for name, is_set in options.items() if is_set}
 
 
+def list_headers(request: ChunkRequest) -> CIMultiDict[str]:
+    """Header lines of a request."""
+    headers = CIMultiDict[str]({SENDER: request.sender})
+    for peer in request.silent:
+        headers.add(SILENT, peer)
+    return headers
+
+
 def build_http_peers(*, session: aiohttp.ClientSession) -> ChunkPort:
     """The way to other agents' peers ports."""
 
@@ -51,7 +60,7 @@
             async with session.get(
                 url,
                 params=list_options(request),
-                headers={SENDER: request.sender},
+                headers=list_headers(request),
                 timeout=TIMEOUT,
             ) as response:
                 if response.status == HTTPStatus.OK:
--- a/src/ragwortcourse/weights/landing.py
+++ b/src/ragwortcourse/weights/landing.py
@@ -86,12 +86,13 @@
     def leave_spent(self, transfer: Transfer) -> None:
         """Turn to hosts that are late too, once most others have ended.
 
-        Hosts that join late share what one of them draws from the origin.
+        Hosts that join late are refused by those who were there before, and
+        share what one of them draws from the origin.
         """
         members = {peer.daemon for peer in transfer.tree.members}
         spent = members & transfer.spent
-        if 2 * len(spent) >= len(members):
-            transfer.tree = self.plant_tree(transfer.spent)
+        if transfer.is_late() or 2 * len(spent) >= len(members):
+            transfer.change_tree(self.plant_tree(transfer.spent))
 
     def close_transfer(self, digest: Sha256Hex) -> None:
         """Forget a transfer and let its chunks go."""
--- a/src/ragwortcourse/weights/peer_port.py
+++ b/src/ragwortcourse/weights/peer_port.py
@@ -37,6 +37,7 @@
     :param index: chunk, or ``MANIFEST_INDEX``.
     :param relay: draw it from the origin, if it is not held any more.
     :param urgent: the origin failed; send it whatever the link has carried.
+    :param silent: peers that do not answer the sender.
     """
 
     manifest: Sha256Hex
@@ -44,6 +45,7 @@
     sender: DaemonId
     relay: bool = False
     urgent: bool = False
+    silent: tuple[DaemonId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/ragwortcourse/weights/routes.py
+++ b/src/ragwortcourse/weights/routes.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from ragwortcourse.identifiers import DaemonId, Sha256Hex
-from ragwortcourse.messages.headers import SENDER
+from ragwortcourse.messages.headers import SENDER, SILENT
 from ragwortcourse.weights.landing import Landing
 from ragwortcourse.weights.peer_port import (
     ChunkContent,
@@ -69,6 +69,7 @@
         sender=DaemonId(request.headers.get(SENDER, '')),
         relay='relay' in request.query,
         urgent='urgent' in request.query,
+        silent=tuple(map(DaemonId, request.headers.getall(SILENT, ()))),
     )
 
 
--- a/src/ragwortcourse/weights/serving.py
+++ b/src/ragwortcourse/weights/serving.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from ragwortcourse.clock import read_clock
-from ragwortcourse.weights.draw import WAIT_SECONDS, draw_chunk
+from ragwortcourse.weights.draw import draw_chunk
 from ragwortcourse.weights.landing import Landing
 from ragwortcourse.weights.peer_port import (
     MANIFEST_INDEX,
@@ -17,6 +17,7 @@
     ChunkRefused,
     ChunkRequest,
 )
+from ragwortcourse.weights.sources import WAIT_SECONDS
 from ragwortcourse.weights.transfer import Transfer
 
 # Answers come this much before the asking side would give up waiting.
@@ -35,6 +36,11 @@
     if transfer is None:
         yield ChunkLater()
         return
+    landing.exchange.health.take_news(
+        peer
+        for peer in request.silent
+        if transfer.tree.find_domain(peer) and peer != landing.own.daemon
+    )
     content = await _find_content(landing, transfer, request, deadline)
     if content is None:
         gone = transfer.held.has_let_go(request.index)
@@ -69,7 +75,10 @@
         transfer.counts.sent += size
         return True
     whole = transfer.require_manifest().size
-    if not (request.urgent or transfer.counts.may_send(size, whole)):
+    may_send = transfer.serves(request.sender) and transfer.counts.may_send(
+        size, whole
+    )
+    if not (request.urgent or may_send):
         return False
     transfer.counts.sent += size
     transfer.held.note_sent(request.index, request.sender)
@@ -110,8 +119,8 @@
     if not transfer.held.has_let_go(index):
         return False
     manifest = transfer.require_manifest()
-    pending = len(transfer.relays) + 1
-    size = 2 * pending * manifest.measure_chunk(index)
+    # What is relayed now is counted down, but not yet up.
+    size = (len(transfer.relays) + 2) * manifest.measure_chunk(index)
     return transfer.counts.may_send(size, manifest.size)
 
 
@@ -121,6 +130,7 @@
     """A chunk that was let go here, drawn anew once for all who ask."""
     task = transfer.relays.get(index)
     if task is None:
+        transfer.counts.relayed += transfer.measure(index)
         task = asyncio.create_task(_draw_again(landing, transfer, index))
         transfer.relays[index] = task
         task.add_done_callback(lambda _: transfer.relays.pop(index, None))
--- /dev/null
+++ b/src/ragwortcourse/weights/sources.py
@@ -0,0 +1,147 @@
+"""Asking one peer, or the origin, for one chunk."""
+
+import asyncio
+from typing import Final
+
+from opentelemetry import metrics
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.messages.peer_port import PeerSilent
+from ragwortcourse.platform.origin import OriginBusy, OriginContent
+from ragwortcourse.weights.draw_state import DrawState
+from ragwortcourse.weights.landing import Landing
+from ragwortcourse.weights.manifest import digest_bytes
+from ragwortcourse.weights.peer_port import (
+    MANIFEST_INDEX,
+    ChunkContent,
+    ChunkGone,
+    ChunkLater,
+    ChunkOutcome,
+    ChunkRefused,
+    ChunkRequest,
+    PeerAddress,
+)
+
+METER: Final = metrics.get_meter(__name__)
+CORRUPTED: Final = METER.create_counter('weights_corrupted_chunks')
+RECEIVED: Final = METER.create_counter('weights_received_bytes')
+
+# A peer may let a request wait so long for a chunk to reach it.
+WAIT_SECONDS: Final = 3.0
+# Beyond the wait, a chunk may take so many times the usual time.
+STALL_FACTOR: Final = 4
+SHORTEST_STALL_SECONDS: Final = 5.0
+
+
+async def try_peer(
+    landing: Landing,
+    state: DrawState,
+    source: PeerAddress,
+    *,
+    relay: bool = False,
+) -> bytes | None:
+    """Bytes of the chunk from a peer, if they come and are right."""
+    if landing.exchange.health.is_passed_by(source.daemon):
+        return None
+    outcome = await _fetch(landing, state, source, relay=relay)
+    if isinstance(outcome, ChunkContent):
+        return _check(landing, state, outcome.content, source)
+    if isinstance(outcome, PeerSilent):
+        landing.exchange.health.note_silence(source.daemon)
+        return None
+    landing.exchange.health.note_answer(source.daemon)
+    if isinstance(outcome, ChunkGone | ChunkRefused):
+        state.gone = True
+        state.transfer.spent.add(source.daemon)
+    if isinstance(outcome, ChunkRefused):
+        state.refused = True
+        state.transfer.note_refusal(source.daemon)
+    if isinstance(outcome, ChunkLater):
+        state.waiting = True
+        state.laters += 1
+    return None
+
+
+async def _fetch(
+    landing: Landing, state: DrawState, source: PeerAddress, *, relay: bool
+) -> ChunkOutcome:
+    transfer = state.transfer
+    request = ChunkRequest(
+        manifest=transfer.digest,
+        index=state.index,
+        sender=landing.own.daemon,
+        relay=relay,
+        urgent=state.origin_failed,
+        silent=landing.exchange.health.list_news(),
+    )
+    exchange = landing.exchange
+    await exchange.pace_down.wait(transfer.measure(state.index))
+    usual = exchange.health.usual_seconds
+    allowance = max(SHORTEST_STALL_SECONDS, STALL_FACTOR * usual)
+    began = read_clock()
+    transfer.asking[state.index] = source.daemon
+    try:
+        async with exchange.health.limit_wait(
+            source.daemon, WAIT_SECONDS + allowance
+        ):
+            outcome = await landing.ports.chunk_port.fetch(
+                source.address, request
+            )
+    except TimeoutError:
+        return PeerSilent(detail=f'{source.address}: chunk stalled')
+    finally:
+        transfer.asking.pop(state.index, None)
+    landing.exchange.health.note_seconds(read_clock() - began)
+    return outcome
+
+
+def _check(
+    landing: Landing,
+    state: DrawState,
+    content: bytes,
+    source: PeerAddress | None,
+) -> bytes | None:
+    transfer = state.transfer
+    if digest_bytes(content) == transfer.find_digest(state.index):
+        kind = name_source(landing.own, source)
+        if state.index != MANIFEST_INDEX:
+            transfer.counts.note_received(kind, len(content))
+            RECEIVED.add(len(content), {'source': kind})
+        if source is not None:
+            landing.exchange.health.note_answer(source.daemon)
+        return content
+    transfer.counts.note_corrupted(len(content))
+    CORRUPTED.add(1)
+    if source is not None:
+        landing.exchange.health.note_damage(source.daemon)
+    return None
+
+
+def name_source(own: PeerAddress, source: PeerAddress | None) -> str:
+    """Kind of source, as progress and counters report it."""
+    if source is None:
+        return 'origin'
+    if source.failure_domain == own.failure_domain:
+        return 'failure_domain'
+    return 'region' if source.region == own.region else 'other_region'
+
+
+async def try_origin(landing: Landing, state: DrawState) -> bytes | None:
+    """Bytes of the chunk from the origin, if they come and are right."""
+    transfer = state.transfer
+    await landing.exchange.pace_down.wait(transfer.measure(state.index))
+    if state.index == MANIFEST_INDEX:
+        outcome = await landing.ports.origin.read_manifest(transfer.digest)
+    else:
+        manifest = transfer.require_manifest()
+        outcome = await landing.ports.origin.read_chunk(
+            manifest.model, manifest.version, state.index
+        )
+    if isinstance(outcome, OriginContent):
+        return _check(landing, state, outcome.content, None)
+    if isinstance(outcome, OriginBusy):
+        jitter = landing.rng.uniform(1, 2)
+        await asyncio.sleep(outcome.retry_after * jitter)
+    else:
+        state.origin_failed = True
+    return None
--- a/src/ragwortcourse/weights/transfer.py
+++ b/src/ragwortcourse/weights/transfer.py
@@ -1,6 +1,8 @@
 """One set of weights at this host, while it comes and afterwards."""
 
 import asyncio
+import dataclasses
+from typing import Final
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.identifiers import DaemonId, Sha256Hex
@@ -11,11 +13,16 @@
 from ragwortcourse.weights.transfer_counts import TransferCounts
 from ragwortcourse.weights.tree import ChunkTree
 
+# Chunks that the hosts of one failure domain draw from the origin at once while
+# others wait for them; at least one each.
+ORIGIN_DRAWS_AT_ONCE: Final = 2
+
 
 class Transfer:
     """State of one transfer.
 
-    :param tree: from whom each chunk is drawn.
+    :param tree: from whom each chunk is drawn; its view leaves those out who
+        do not answer.
     """
 
     def __init__(
@@ -28,15 +35,22 @@
     ) -> None:
         self.digest = digest
         self.tree = tree
+        self.view = tree
         self.held = HeldChunks(memory=memory)
         self.counts = TransferCounts()
         self.manifest: Manifest | None = None
         self.started_at = read_clock()
         self.ended_at: float | None = None
         self.spent: set[DaemonId] = set()
+        near = tree.count_domain(own.failure_domain)
+        self.origin_slots = asyncio.Semaphore(
+            max(ORIGIN_DRAWS_AT_ONCE // near, 1)
+        )
         self.asking: dict[int, DaemonId] = {}
         self.relays: dict[int, asyncio.Task[bytes]] = {}
         self._own = own
+        self._refusing: set[DaemonId] = set()
+        self._first_members = frozenset(each.daemon for each in tree.members)
         self._manifest_content: bytes | None = None
         self._manifest_arrival = asyncio.Event()
 
@@ -49,6 +63,26 @@
             raise ValueError(f'manifest {self.digest} is not here yet')
         return self.manifest
 
+    def serves(self, peer: DaemonId) -> bool:
+        """Tell whether a peer may have a part of what this host sends.
+
+        Hosts that joined later would take the part of those from the start.
+        """
+        return self.ended_at is not None or peer in self._first_members
+
+    def note_refusal(self, peer: DaemonId) -> None:
+        """Note that a peer sends no more."""
+        self._refusing.add(peer)
+
+    def is_late(self) -> bool:
+        """Tell whether sources have sent all they may before half has come."""
+        if self.manifest is None:
+            return False
+        refusing = any(
+            each.daemon in self._refusing for each in self.tree.members
+        )
+        return refusing and 2 * self.counts.verified < self.manifest.size
+
     def keep_manifest(self, content: bytes) -> None:
         """Keep the bytes that have the manifest's digest, for peers."""
         self._manifest_content = content
@@ -69,7 +103,7 @@
 
     def keep(self, index: int, content: bytes) -> None:
         """Keep a verified chunk, whose memory is reserved already."""
-        self.held.put(index, content, self.tree.list_children(self._own, index))
+        self.held.put(index, content, self.view.list_children(self._own, index))
 
     async def wait(self, index: int, seconds: float) -> bytes | None:
         """Bytes of a chunk or of the manifest, if they come in time."""
@@ -82,6 +116,16 @@
             return None
         return self._manifest_content
 
+    def change_tree(self, tree: ChunkTree) -> None:
+        """Draw by another tree from now on."""
+        self.tree = tree
+        self.view = tree
+
+    def pass_by(self, absent: frozenset[DaemonId]) -> None:
+        """Leave those out of the tree who do not answer."""
+        if absent != self.view.absent:
+            self.view = dataclasses.replace(self.tree, absent=absent)
+
     def close(self) -> None:
         """Let everything go."""
         for relay in self.relays.values():
--- a/src/ragwortcourse/weights/transfer_counts.py
+++ b/src/ragwortcourse/weights/transfer_counts.py
@@ -12,13 +12,15 @@
 class TransferCounts:
     """What came by kind of source, what was wasted, what was sent.
 
-    The manifest that came is the overhead.
+    The manifest that came is the overhead. Chunks that come once more for
+    others are relayed.
     """
 
     def __init__(self) -> None:
         self.received: Counter[str] = Counter()
         self.wasted = 0
         self.overhead = 0
+        self.relayed = 0
         self.sent = 0
         self.corrupted = 0
         self.rate = RateMeter()
@@ -43,5 +45,6 @@
 
         :param whole: bytes of the version.
         """
-        down = max(whole, self.verified) + self.wasted + self.overhead
-        return down + self.sent + size <= LINK_COPIES * whole
+        own = max(whole, self.verified - self.relayed)
+        others = self.relayed + self.wasted + self.overhead
+        return own + others + self.sent + size <= LINK_COPIES * whole
--- a/src/ragwortcourse/weights/tree.py
+++ b/src/ragwortcourse/weights/tree.py
@@ -34,9 +34,12 @@
     and hold up its own receivers.
 
     :param groups: failure domains of the origin's region first.
+    :param absent: members that do not answer; others take their positions,
+        turning among themselves, so that the load stays even.
     """
 
     groups: tuple[_Group, ...]
+    absent: frozenset[DaemonId] = frozenset()
 
     @functools.cached_property
     def members(self) -> tuple[PeerAddress, ...]:
@@ -47,16 +50,21 @@
         """Failure domain of a member."""
         return self._domains.get(daemon)
 
+    def count_domain(self, name: FailureDomainName) -> int:
+        """How many members a failure domain has."""
+        return sum(domain == name for domain in self._domains.values())
+
     def list_sources(
         self, own: PeerAddress, index: int
     ) -> tuple[PeerAddress, ...]:
         """Whom to ask for a chunk, nearest first; none for the root."""
         heads: list[PeerAddress] = []
-        for group in self.groups:
+        for group, present in self._present:
             if own in group:
                 heads.reverse()
-                return (*_list_ancestors(group, own, index), *heads)
-            heads.append(_find_head(group, index))
+                start = _find_start(group, present, index)
+                return (*_list_ancestors(present, own, start), *heads)
+            heads.append(present[_find_start(group, present, index)])
         heads.reverse()
         return tuple(heads)
 
@@ -64,15 +72,31 @@
         self, own: PeerAddress, index: int
     ) -> frozenset[DaemonId]:
         """Who will ask the own host for a chunk."""
-        followings = (*self.groups[1:], None)
-        for group, following in zip(self.groups, followings, strict=True):
-            if own in group:
-                children = _list_offspring(group, own, index)
-                if following and own == _find_head(group, index):
-                    children.add(_find_head(following, index).daemon)
-                return frozenset(children)
+        followings = (*self._present[1:], None)
+        for place, following in zip(self._present, followings, strict=True):
+            group, present = place
+            if own not in group:
+                continue
+            start = _find_start(group, present, index)
+            children = _list_offspring(present, own, start)
+            if following and own == present[start]:
+                head = _find_start(*following, index)
+                children.add(following[1][head].daemon)
+            return frozenset(children)
         return frozenset()
 
+    @functools.cached_property
+    def _present(self) -> tuple[tuple[_Group, _Group], ...]:
+        """Each failure domain with those who answer, if anyone does."""
+        places = (
+            (group, tuple(each for each in group if self._answers(each)))
+            for group in self.groups
+        )
+        return tuple(place for place in places if place[1])
+
+    def _answers(self, member: PeerAddress) -> bool:
+        return member.daemon not in self.absent
+
     @functools.cached_property
     def _domains(self) -> dict[DaemonId, FailureDomainName]:
         return {each.daemon: each.failure_domain for each in self.members}
@@ -105,18 +129,17 @@
     return step
 
 
-def _find_start(group: _Group, index: int) -> int:
-    return index * _choose_step(len(group)) % len(group)
-
-
-def _find_head(group: _Group, index: int) -> PeerAddress:
-    return group[_find_start(group, index)]
+def _find_start(group: _Group, present: _Group, index: int) -> int:
+    """Position of the head among those who answer."""
+    head = group[index * _choose_step(len(group)) % len(group)]
+    if len(present) == len(group) or head in present:
+        return present.index(head)
+    return index // len(group) % len(present)
 
 
 def _list_ancestors(
-    group: _Group, own: PeerAddress, index: int
+    group: _Group, own: PeerAddress, start: int
 ) -> list[PeerAddress]:
-    start = _find_start(group, index)
     position = (group.index(own) - start) % len(group)
     ancestors = []
     while position > 0:
@@ -126,9 +149,8 @@
 
 
 def _list_offspring(
-    group: _Group, own: PeerAddress, index: int
+    group: _Group, own: PeerAddress, start: int
 ) -> set[DaemonId]:
-    start = _find_start(group, index)
     position = (group.index(own) - start) % len(group)
     first = FANOUT * position + 1
     return {
