--- a/src/ragwortcourse/weights/draw.py
+++ b/src/ragwortcourse/weights/draw.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from ragwortcourse.clock import read_clock
+from ragwortcourse.identifiers import DaemonId
 from ragwortcourse.weights.draw_state import DrawState
 from ragwortcourse.weights.landing import Landing
 from ragwortcourse.weights.peer_port import PeerAddress
@@ -36,11 +37,10 @@
     content = await _try_absent(landing, state)
     if content is not None:
         return content
-    transfer.pass_by(landing.exchange.health.list_absent())
-    sources = transfer.view.list_sources(landing.own, state.index)
-    content = await _try_sources(landing, state, sources)
+    content = await _try_sources(landing, state)
     if content is not None or _is_patient(state):
         return content
+    sources = _list_sources(landing, state)
     if state.refused and not state.origin_failed:
         return await try_origin(landing, state)
     if not (sources or state.origin_failed):
@@ -65,15 +65,30 @@
         return await try_origin(landing, state)
 
 
-async def _try_sources(
-    landing: Landing, state: DrawState, sources: tuple[PeerAddress, ...]
-) -> bytes | None:
-    """Ask up the tree, past a source only where that gives no hope."""
-    for source in sources:
-        content = await try_peer(landing, state, source)
+def _list_sources(
+    landing: Landing, state: DrawState
+) -> tuple[PeerAddress, ...]:
+    """Whom to ask, by what is known now of those who do not answer."""
+    transfer = state.transfer
+    transfer.pass_by(landing.exchange.health.list_absent())
+    return transfer.view.list_sources(landing.own, state.index)
+
+
+async def _try_sources(landing: Landing, state: DrawState) -> bytes | None:
+    """Ask up the tree, past a source only where that gives no hope.
+
+    The tree may have changed after each answer, or the lack of one.
+    """
+    asked: set[DaemonId] = set()
+    while True:
+        sources = _list_sources(landing, state)
+        left = [each for each in sources if each.daemon not in asked]
+        if not left:
+            return None
+        asked.add(left[0].daemon)
+        content = await try_peer(landing, state, left[0])
         if content is not None or state.refused or _is_patient(state):
             return content
-    return None
 
 
 def _is_patient(state: DrawState) -> bool:
--- a/src/ragwortcourse/weights/http_peers.py
+++ b/src/ragwortcourse/weights/http_peers.py
@@ -7,9 +7,10 @@
 import aiohttp
 from multidict import CIMultiDict
 
-from ragwortcourse.messages.headers import SENDER, SILENT
+from ragwortcourse.messages.headers import SENDER
 from ragwortcourse.messages.peer_port import PeerSilent
 from ragwortcourse.weights.peer_port import (
+    ChunkAnswer,
     ChunkContent,
     ChunkGone,
     ChunkLater,
@@ -22,6 +23,8 @@
     GONE_STATUS,
     LATER_STATUS,
     REFUSED_STATUS,
+    list_silent,
+    read_silent,
 )
 
 CONNECT_SECONDS: Final = 2.0
@@ -30,10 +33,10 @@
 TIMEOUT: Final = aiohttp.ClientTimeout(
     total=None, sock_connect=CONNECT_SECONDS, sock_read=READ_SECONDS
 )
-EMPTY_ANSWERS: Final[Mapping[int, ChunkOutcome]] = {
-    LATER_STATUS: ChunkLater(),
-    GONE_STATUS: ChunkGone(),
-    REFUSED_STATUS: ChunkRefused(),
+EMPTY_ANSWERS: Final[Mapping[int, type[ChunkAnswer]]] = {
+    LATER_STATUS: ChunkLater,
+    GONE_STATUS: ChunkGone,
+    REFUSED_STATUS: ChunkRefused,
 }
 
 
@@ -45,9 +48,8 @@
 
 def list_headers(request: ChunkRequest) -> CIMultiDict[str]:
     """Header lines of a request."""
-    headers = CIMultiDict[str]({SENDER: request.sender})
-    for peer in request.silent:
-        headers.add(SILENT, peer)
+    headers = list_silent(request.silent)
+    headers[SENDER] = request.sender
     return headers
 
 
@@ -63,12 +65,14 @@
                 headers=list_headers(request),
                 timeout=TIMEOUT,
             ) as response:
+                silent = read_silent(response.headers)
                 if response.status == HTTPStatus.OK:
-                    return ChunkContent(content=await response.read())
-                return EMPTY_ANSWERS.get(
-                    response.status,
-                    PeerSilent(detail=f'{url}: status {response.status}'),
-                )
+                    content = await response.read()
+                    return ChunkContent(content=content, silent=silent)
+                answer = EMPTY_ANSWERS.get(response.status)
+                if answer is not None:
+                    return answer(silent=silent)
+                return PeerSilent(detail=f'{url}: status {response.status}')
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return PeerSilent(detail=f'{url}: {error!r}')
 
--- a/src/ragwortcourse/weights/peer_port.py
+++ b/src/ragwortcourse/weights/peer_port.py
@@ -49,24 +49,34 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ChunkContent:
+class ChunkAnswer:
+    """What a peer that lives answers.
+
+    :param silent: peers that do not answer it.
+    """
+
+    silent: tuple[DaemonId, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ChunkContent(ChunkAnswer):
     """Bytes as the peer sent them, not yet checked."""
 
     content: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ChunkLater:
+class ChunkLater(ChunkAnswer):
     """The peer lives, but does not hold the chunk yet."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ChunkGone:
+class ChunkGone(ChunkAnswer):
     """The peer held the chunk and let it go."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ChunkRefused:
+class ChunkRefused(ChunkAnswer):
     """The peer has sent as much of this version as its link may carry."""
 
 
--- a/src/ragwortcourse/weights/routes.py
+++ b/src/ragwortcourse/weights/routes.py
@@ -1,19 +1,21 @@
 """Weight routes on an agent's peers port."""
 
+from collections.abc import Iterable
 from http import HTTPStatus
 from typing import Final
 
 import msgspec
 from aiohttp import web
+from multidict import CIMultiDict, CIMultiDictProxy
 
 from ragwortcourse.identifiers import DaemonId, Sha256Hex
 from ragwortcourse.messages.headers import SENDER, SILENT
 from ragwortcourse.weights.landing import Landing
 from ragwortcourse.weights.peer_port import (
+    ChunkAnswer,
     ChunkContent,
     ChunkGone,
     ChunkLater,
-    ChunkOutcome,
     ChunkRequest,
 )
 from ragwortcourse.weights.progress import describe_landing
@@ -35,9 +37,13 @@
             )
         async with offer_chunk(landing, asked) as outcome:
             if not isinstance(outcome, ChunkContent):
-                return web.Response(status=find_status(outcome))
+                return web.Response(
+                    status=find_status(outcome),
+                    headers=list_silent(outcome.silent),
+                )
             # Sent inside the context, so that few uploads run at once.
-            response = web.StreamResponse()
+            headers = list_silent(outcome.silent)
+            response = web.StreamResponse(headers=headers)
             response.content_length = len(outcome.content)
             await response.prepare(request)
             await response.write(outcome.content)
@@ -69,11 +75,21 @@
         sender=DaemonId(request.headers.get(SENDER, '')),
         relay='relay' in request.query,
         urgent='urgent' in request.query,
-        silent=tuple(map(DaemonId, request.headers.getall(SILENT, ()))),
+        silent=read_silent(request.headers),
     )
 
 
-def find_status(outcome: ChunkOutcome) -> int:
+def list_silent(peers: Iterable[DaemonId]) -> CIMultiDict[str]:
+    """Header lines that name silent peers."""
+    return CIMultiDict((SILENT, peer) for peer in peers)
+
+
+def read_silent(headers: CIMultiDictProxy[str]) -> tuple[DaemonId, ...]:
+    """Silent peers that header lines name."""
+    return tuple(map(DaemonId, headers.getall(SILENT, ())))
+
+
+def find_status(outcome: ChunkAnswer) -> int:
     """HTTP status of an answer without bytes."""
     if isinstance(outcome, ChunkLater):
         return LATER_STATUS
--- a/src/ragwortcourse/weights/serving.py
+++ b/src/ragwortcourse/weights/serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from collections.abc import AsyncIterator
 from typing import Final
 
@@ -10,14 +11,14 @@
 from ragwortcourse.weights.landing import Landing
 from ragwortcourse.weights.peer_port import (
     MANIFEST_INDEX,
+    ChunkAnswer,
     ChunkContent,
     ChunkGone,
     ChunkLater,
-    ChunkOutcome,
     ChunkRefused,
     ChunkRequest,
 )
-from ragwortcourse.weights.sources import WAIT_SECONDS
+from ragwortcourse.weights.sources import WAIT_SECONDS, take_news
 from ragwortcourse.weights.transfer import Transfer
 
 # Answers come this much before the asking side would give up waiting.
@@ -27,8 +28,17 @@
 @contextlib.asynccontextmanager
 async def offer_chunk(
     landing: Landing, request: ChunkRequest
-) -> AsyncIterator[ChunkOutcome]:
+) -> AsyncIterator[ChunkAnswer]:
     """What to answer a peer; the bytes are sent inside the context."""
+    async with _find_answer(landing, request) as outcome:
+        news = landing.exchange.health.list_news()
+        yield dataclasses.replace(outcome, silent=news) if news else outcome
+
+
+@contextlib.asynccontextmanager
+async def _find_answer(
+    landing: Landing, request: ChunkRequest
+) -> AsyncIterator[ChunkAnswer]:
     deadline = read_clock() + WAIT_SECONDS - MARGIN_SECONDS
     # Who asks is alive, however silent it was before.
     landing.exchange.health.note_answer(request.sender)
@@ -36,11 +46,7 @@
     if transfer is None:
         yield ChunkLater()
         return
-    landing.exchange.health.take_news(
-        peer
-        for peer in request.silent
-        if transfer.tree.find_domain(peer) and peer != landing.own.daemon
-    )
+    take_news(landing, transfer, request.silent)
     content = await _find_content(landing, transfer, request, deadline)
     if content is None:
         gone = transfer.held.has_let_go(request.index)
--- a/src/ragwortcourse/weights/sources.py
+++ b/src/ragwortcourse/weights/sources.py
@@ -1,11 +1,13 @@
 """Asking one peer, or the origin, for one chunk."""
 
 import asyncio
+from collections.abc import Iterable
 from typing import Final
 
 from opentelemetry import metrics
 
 from ragwortcourse.clock import read_clock
+from ragwortcourse.identifiers import DaemonId
 from ragwortcourse.messages.peer_port import PeerSilent
 from ragwortcourse.platform.origin import OriginBusy, OriginContent
 from ragwortcourse.weights.draw_state import DrawState
@@ -13,6 +15,7 @@
 from ragwortcourse.weights.manifest import digest_bytes
 from ragwortcourse.weights.peer_port import (
     MANIFEST_INDEX,
+    ChunkAnswer,
     ChunkContent,
     ChunkGone,
     ChunkLater,
@@ -21,6 +24,7 @@
     ChunkRequest,
     PeerAddress,
 )
+from ragwortcourse.weights.transfer import Transfer
 
 METER: Final = metrics.get_meter(__name__)
 CORRUPTED: Final = METER.create_counter('weights_corrupted_chunks')
@@ -33,6 +37,17 @@
 SHORTEST_STALL_SECONDS: Final = 5.0
 
 
+def take_news(
+    landing: Landing, transfer: Transfer, silent: Iterable[DaemonId]
+) -> None:
+    """Pass by members that are silent, as another host says."""
+    landing.exchange.health.take_news(
+        peer
+        for peer in silent
+        if transfer.tree.find_domain(peer) and peer != landing.own.daemon
+    )
+
+
 async def try_peer(
     landing: Landing,
     state: DrawState,
@@ -44,6 +59,8 @@
     if landing.exchange.health.is_passed_by(source.daemon):
         return None
     outcome = await _fetch(landing, state, source, relay=relay)
+    if isinstance(outcome, ChunkAnswer):
+        take_news(landing, state.transfer, outcome.silent)
     if isinstance(outcome, ChunkContent):
         return _check(landing, state, outcome.content, source)
     if isinstance(outcome, PeerSilent):
