Give leaves whose source refuses to the last failure domain

Cause of the growth with hosts (trace at 96 hosts): the manifest came over each link too, so each host may send one chunk or more less than it receives; at the end all hosts refuse at the same time, and as many chunks as there are hosts come from the origin and over the line between regions in one burst. The last failure domain sends nothing to another one, so its links have room for one copy: a leaf of its region asks there before it asks the origin.

--- a/src/ragwortcourse/weights/draw.py
+++ b/src/ragwortcourse/weights/draw.py
@@ -7,7 +7,7 @@
 from ragwortcourse.identifiers import DaemonId
 from ragwortcourse.weights.draw_state import DrawState
 from ragwortcourse.weights.landing import Landing
-from ragwortcourse.weights.peer_port import PeerAddress
+from ragwortcourse.weights.peer_port import MANIFEST_INDEX, PeerAddress
 from ragwortcourse.weights.sources import try_origin, try_peer
 from ragwortcourse.weights.transfer import Transfer
 
@@ -16,6 +16,8 @@
 ORIGIN_TURN_SHARE: Final = 0.1
 # After so many waits in vain, others than the next source are asked too.
 PATIENCE: Final = 4
+# Who has waited so long at a source asks again at once.
+LONG_WAIT_SECONDS: Final = 1.0
 FIRST_RETRY_SECONDS: Final = 0.2
 LONGEST_RETRY_SECONDS: Final = 5.0
 
@@ -24,10 +26,18 @@
     """Bytes of a chunk with the right digest, however long it takes."""
     state = DrawState(transfer=transfer, index=index, started_at=read_clock())
     while True:
+        began = read_clock()
         content = await _draw_once(landing, state)
         if content is not None:
             return content
-        await _back_off(landing, state)
+        state.attempts += 1
+        if not _has_waited(state, read_clock() - began):
+            await _back_off(landing, state)
+
+
+def _has_waited(state: DrawState, seconds: float) -> bool:
+    """Tell whether a source has let this host wait, so that it asks again."""
+    return _is_patient(state) and seconds > LONG_WAIT_SECONDS
 
 
 async def _draw_once(landing: Landing, state: DrawState) -> bytes | None:
@@ -42,7 +52,7 @@
         return content
     sources = _list_sources(landing, state)
     if state.refused and not state.origin_failed:
-        return await try_origin(landing, state)
+        return await _replace_refused(landing, state)
     if not (sources or state.origin_failed):
         return await _try_origin_in_turn(landing, state)
     return await _try_beyond(landing, state, sources)
@@ -57,6 +67,16 @@
     return None
 
 
+async def _replace_refused(landing: Landing, state: DrawState) -> bytes | None:
+    """Ask a host with room on its link, or the origin."""
+    spare = state.transfer.view.find_spare(landing.own, state.index)
+    if spare is not None and state.index != MANIFEST_INDEX:
+        content = await try_peer(landing, state, spare)
+        if content is not None:
+            return content
+    return await try_origin(landing, state)
+
+
 async def _try_origin_in_turn(
     landing: Landing, state: DrawState
 ) -> bytes | None:
@@ -146,7 +166,6 @@
 
 
 async def _back_off(landing: Landing, state: DrawState) -> None:
-    state.attempts += 1
     ceiling = min(
         FIRST_RETRY_SECONDS * 2 ** min(state.attempts, 8),
         LONGEST_RETRY_SECONDS,
--- a/src/ragwortcourse/weights/http_peers.py
+++ b/src/ragwortcourse/weights/http_peers.py
@@ -33,7 +33,8 @@
 TIMEOUT: Final = aiohttp.ClientTimeout(
     total=None, sock_connect=CONNECT_SECONDS, sock_read=READ_SECONDS
 )
-EMPTY_ANSWERS: Final[Mapping[int, type[ChunkAnswer]]] = {
+AnswerTypes = Mapping[int, type[ChunkAnswer]]
+EMPTY_ANSWERS: Final[AnswerTypes] = {
     LATER_STATUS: ChunkLater,
     GONE_STATUS: ChunkGone,
     REFUSED_STATUS: ChunkRefused,
--- a/src/ragwortcourse/weights/peer_port.py
+++ b/src/ragwortcourse/weights/peer_port.py
@@ -80,7 +80,7 @@
     """The peer has sent as much of this version as its link may carry."""
 
 
-ChunkOutcome = ChunkContent | ChunkLater | ChunkGone | ChunkRefused | PeerSilent
+ChunkOutcome = ChunkAnswer | PeerSilent
 Neighbours = Callable[[], tuple[PeerAddress, ...]]
 
 
--- a/src/ragwortcourse/weights/serving.py
+++ b/src/ragwortcourse/weights/serving.py
@@ -23,6 +23,8 @@
 
 # Answers come this much before the asking side would give up waiting.
 MARGIN_SECONDS: Final = 0.5
+# A chunk for another failure domain goes before so many others.
+CHUNKS_EARLIER: Final = 8
 
 
 @contextlib.asynccontextmanager
@@ -67,12 +69,15 @@
         uploads.release()
 
 
-def _rank(
-    landing: Landing, transfer: Transfer, request: ChunkRequest
-) -> tuple[bool, int]:
-    """Other failure domains first, as all their hosts wait for the one."""
+def _rank(landing: Landing, transfer: Transfer, request: ChunkRequest) -> int:
+    """In order of index, but other failure domains earlier.
+
+    All hosts of another failure domain wait for the one that asks.
+    """
     domain = transfer.tree.find_domain(request.sender)
-    return domain == landing.own.failure_domain, request.index
+    if domain == landing.own.failure_domain:
+        return request.index
+    return request.index - CHUNKS_EARLIER
 
 
 def _take_budget(transfer: Transfer, request: ChunkRequest, size: int) -> bool:
--- a/src/ragwortcourse/weights/tree.py
+++ b/src/ragwortcourse/weights/tree.py
@@ -85,6 +85,22 @@
             return frozenset(children)
         return frozenset()
 
+    def find_spare(self, own: PeerAddress, index: int) -> PeerAddress | None:
+        """Who may send a leaf what its source does not.
+
+        The last failure domain sends nothing to others, so that its links
+        have room. A region's line is not crossed for this.
+        """
+        group, last = self._present[-1]
+        if own in group or self.list_children(own, index):
+            return None
+        spare = last[(index + self._positions[own.daemon]) % len(last)]
+        return spare if spare.region == own.region else None
+
+    @functools.cached_property
+    def _positions(self) -> dict[DaemonId, int]:
+        return {each.daemon: at for at, each in enumerate(self.members)}
+
     @functools.cached_property
     def _present(self) -> tuple[tuple[_Group, _Group], ...]:
         """Each failure domain with those who answer, if anyone does."""
--- a/src/ragwortcourse/weights/uploads.py
+++ b/src/ragwortcourse/weights/uploads.py
@@ -7,8 +7,7 @@
 
 UPLOADS_AT_ONCE: Final = 4
 
-_Rank = tuple[bool, int]
-_Waiting = tuple[_Rank, int, asyncio.Future[None]]
+_Waiting = tuple[int, int, asyncio.Future[None]]
 
 
 class UploadSlots:
@@ -19,7 +18,7 @@
         self._ticket = itertools.count()
         self._waiting: list[_Waiting] = []
 
-    async def acquire(self, rank: _Rank, deadline: float) -> bool:
+    async def acquire(self, rank: int, deadline: float) -> bool:
         """Take a slot; tell whether there was one in time.
 
         :param rank: the lowest goes first.
