--- a/tests/test_landing_faults.py
+++ b/tests/test_landing_faults.py
@@ -9,6 +9,7 @@
 
 from fakes.faults import Fault
 from fakes.landings import MODEL, LandingFleet
+from fakes.links import ORIGIN
 from fakes.origin import name_chunk
 from ragwortcourse.identifiers import DaemonId, VersionName
 from ragwortcourse.weights.manifest import Manifest, digest_bytes
@@ -267,3 +268,56 @@
         await fleet.stop()
         assert seconds <= 1.5 * floor
         assert max(links) <= 2 * len(content)
+
+    @pytest.mark.parametrize('seed', [2, 3])
+    async def test_a_fifth_of_24_hosts_killed(self, seed):
+        """Survivors have 300 chunks in 1.5 floors and 2 copies a link."""
+        fleet, size = make_slow_fleet(hosts=24, chunks=300)
+        fleet.start()
+        waiting = asyncio.create_task(fleet.wait_for('v1', PATIENCE_SECONDS))
+        await asyncio.sleep(15)
+        await fleet.kill(*random.Random(seed).sample(list(fleet.hosts), 5))
+        seconds = await waiting
+        link, origin = measure_links(fleet, size)
+        await fleet.stop()
+        assert seconds <= 1.5 * 30
+        assert link <= 2
+        assert origin <= 4
+
+    async def test_narrow_line_between_regions(self):
+        """A line at half a link's rate keeps all links at 2 copies."""
+        fleet, size = make_slow_fleet(hosts=16, chunks=150, line_share=0.5)
+        fleet.start()
+        seconds = await fleet.wait_for('v1', PATIENCE_SECONDS)
+        link, origin = measure_links(fleet, size)
+        await fleet.stop()
+        assert seconds <= 1.5 * 30
+        assert link <= 2
+        assert origin <= 4
+
+
+def make_slow_fleet(
+    *, hosts: int, chunks: int, line_share: float = 1
+) -> tuple[LandingFleet, int]:
+    """Hosts in eight failure domains, ten chunks a second; bytes of all."""
+    chunk = 6554
+    fleet = LandingFleet(
+        hosts=hosts,
+        places={f'domain-{each}': f'r{each // 4}' for each in range(8)},
+        rate=10 * chunk,
+        line_rate=10 * chunk * line_share,
+        chunk_memory=64 * chunk,
+    )
+    content = random.Random(1).randbytes(chunks * chunk)
+    fleet.deploy('v1', fleet.publish('v1', content, chunk))
+    return fleet, len(content)
+
+
+def measure_links(fleet: LandingFleet, size: int) -> tuple[float, float]:
+    """Copies over the busiest host's link, and over the origin's."""
+    network = fleet.network
+    links = [
+        network.up[name].carried + network.down[name].carried
+        for name in fleet.hosts
+    ]
+    return max(links) / size, network.up[ORIGIN].carried / size
