--- a/measure/replicas.py
+++ b/measure/replicas.py
@@ -120,6 +120,7 @@
     )
     return {
         'measure': 'replicas',
+        'baseline': case.alone,
         'case': case.name,
         'hosts': case.hosts,
         'failure_domains': len(case.places),
