--- a/fakes/site.py
+++ b/fakes/site.py
@@ -177,6 +177,7 @@
         )
         self.routes.memberships[host.address] = daemon.membership
         self.routes.collectors[host.address] = daemon.entry.collector
+        self.routes.crashers[host.address] = daemon.entry.crashers
         self.routes.holders[host.address] = daemon.entry.holder
         resident = Resident(host=host, tasks=BackgroundTasks(), entry=daemon)
         self.residents[name] = resident
@@ -203,8 +204,11 @@
     async def kill(self, name: str) -> None:
         """End a daemon's host at once."""
         resident = self.residents[name]
+        daemon = resident.entry or resident.agent
         await resident.tasks.stop()
         await resident.host.kill()
+        if daemon is not None:
+            await daemon.stop()
         self.wire.announce()
 
     def restart(self, name: str) -> Resident:
@@ -221,6 +225,20 @@
             await daemon.drain()
         await self.kill(name)
 
+    async def replace(self, name: str) -> None:
+        """Stop a daemon as SIGTERM does, and start another one there.
+
+        Nothing happens where the host dies or is replaced meanwhile.
+        """
+        resident = self.residents[name]
+        await resident.host.thawed.wait()
+        daemon = resident.entry or resident.agent
+        if daemon is not None:
+            await daemon.drain()
+        if resident.host.alive:
+            await self.kill(name)
+            self.restart(name)
+
     def freeze(self, name: str) -> None:
         """Let a host take no message in until it is thawed."""
         self.residents[name].host.thawed.clear()
--- a/fakes/stage.py
+++ b/fakes/stage.py
@@ -16,6 +16,7 @@
 from fakes.faults import Fault
 from fakes.site import Site
 from fakes.site_plan import SitePlan, SiteSize, make_plan
+from ragwortcourse.background import end_task
 from ragwortcourse.configuration.withdrawals import return_part, withdraw_part
 from ragwortcourse.messages.withdrawal import Withdrawal, WithdrawalScope
 
@@ -23,6 +24,8 @@
 ENDLESS_SECONDS: Final = 3600.0
 REPLACE_SECONDS: Final = 2.0
 SAMPLE_SECONDS: Final = 0.01
+# All ports are in memory: whatever can go on without time passing is ready.
+NOOP_CYCLES: Final = 0
 
 _Told = TypeVar('_Told')
 
@@ -38,7 +41,7 @@
         size: SiteSize | None = None,
         make_load: Callable[[], EngineLoad] = EngineLoad,
     ) -> None:
-        self._loop = looptime.new_event_loop()
+        self._loop = looptime.new_event_loop(noop_cycles=NOOP_CYCLES)
         self._seed = seed
         self._load: asyncio.Task[None] | None = None
         self._beside: set[asyncio.Task[object]] = set()
@@ -84,23 +87,31 @@
         """Stop every task."""
         self.run(self._close())
         self.run(self._loop.shutdown_asyncgens())
+        left = asyncio.all_tasks(self._loop)
         self._loop.close()
+        if left:
+            raise RuntimeError(f'tasks left behind: {left}')
 
     def mark(self, name: str) -> None:
         """Remember this moment."""
         self.marks[name] = self.now
 
     def change_part(
-        self, name: str, *, withdraw: bool, at: str | None = None
+        self,
+        name: str,
+        *,
+        withdraw: bool,
+        at: str | None = None,
+        scope: WithdrawalScope = WithdrawalScope.FAILURE_DOMAIN,
     ) -> Coroutine[Any, Any, object]:
-        """An operator's withdrawal or return of a failure domain.
+        """An operator's withdrawal or return of a part.
 
         :param at: failure domain of the entry daemon that is asked.
         """
         entry = self.pick_entry(at)
         part = Withdrawal(
             change=self.site.name_change(),
-            scope=WithdrawalScope.FAILURE_DOMAIN,
+            scope=scope,
             name=name,
             generation=entry.entry.holder.generation,
         )
@@ -218,8 +229,9 @@
         )
 
     async def _close(self) -> None:
-        for task in self._beside:
-            task.cancel()
+        for task in (self._load, *self._beside):
+            await end_task(task)
         for name, resident in list(self.site.residents.items()):
             if resident.host.alive:
                 await self.site.kill(name)
+        await self.callers.wait_for_all()
--- a/measure/program.py
+++ b/measure/program.py
@@ -15,8 +15,10 @@
     'claims',
     'outbox',
     'overload',
+    'prefix',
     'service',
     'replicas',
+    'pacing',
     'control',
     'spread',
 )
--- a/src/ragwortcourse/cli/weights_commands.py
+++ b/src/ragwortcourse/cli/weights_commands.py
@@ -4,32 +4,23 @@
 
 import click
 
-from ragwortcourse.cli.answer import require_message
-from ragwortcourse.cli.change import make_change, submit_change
+from ragwortcourse.cli.acceptance import require_acceptance, show_acceptance
+from ragwortcourse.cli.answer import ask_message
+from ragwortcourse.cli.change import make_change
 from ragwortcourse.cli.configuration_commands import read_current
 from ragwortcourse.cli.connection import Connection, accept_connection
-from ragwortcourse.cli.exit_code import ExitCode
-from ragwortcourse.cli.operator_client import (
-    Question,
-    ask_entries,
-    run_client,
-)
+from ragwortcourse.cli.operator_client import Question, quote_name
 from ragwortcourse.cli.output import (
-    Failure,
     accept_json,
-    build_console,
-    build_table,
     print_json,
-    report_failure,
+    report_refused,
 )
+from ragwortcourse.cli.replica_table import show_progress, show_replicas
 from ragwortcourse.identifiers import DeploymentName
 from ragwortcourse.messages.operator import (
-    ChangeAccepted,
     LandingCancellation,
     ReplicaProgress,
-    ReplicaSummary,
 )
-from ragwortcourse.messages.outcome import OutcomeKind
 
 POLL_PERIOD_SECONDS = 1.0
 
@@ -44,7 +35,8 @@
 ) -> None:
     """Show how many targets answer with a model's wanted version.
 
-    MODEL is the name of a model or of a deployment.
+    MODEL is the name of a model or of a deployment. The daemon asks every
+    target of it, also those that it does not watch itself.
 
     Exit code 0: shown (with --wait: all are ready). 1: no such model.
 
@@ -81,12 +73,10 @@
     question = Question(
         path='/operator/weights/cancel', method='POST', body=body
     )
-    outcome = run_client(submit_change(connection, question, body.change))
-    accepted = require_message(outcome, ChangeAccepted, as_json=as_json)
-    if as_json:
-        print_json(accepted)
-    else:
-        click.echo(f'cancelled: generation {accepted.generation}')
+    accepted = require_acceptance(
+        connection, question, body.change, as_json=as_json
+    )
+    show_acceptance(accepted, 'cancelled', as_json=as_json)
 
 
 def find_deployments(
@@ -101,13 +91,9 @@
     if found:
         return found
     known = ', '.join(each.name for each in models) or 'none'
-    raise report_failure(
-        Failure(
-            code='deployment_unknown',
-            message=f'{name} names no model or deployment; there are: {known}',
-            outcome=OutcomeKind.NOT_RUN,
-        ),
-        ExitCode.REFUSED,
+    raise report_refused(
+        'deployment_unknown',
+        f'{name} names no model or deployment; there are: {known}',
         as_json=as_json,
     )
 
@@ -119,47 +105,17 @@
     as_json: bool,
 ) -> tuple[ReplicaProgress, ...]:
     """Progress of each deployment."""
-    found = []
-    for name in names:
-        question = Question(path=f'/operator/replicas/{name}')
-        outcome = run_client(ask_entries(connection, question))
-        found.append(require_message(outcome, ReplicaProgress, as_json=as_json))
-    return tuple(found)
+    return tuple(
+        ask_message(
+            connection,
+            Question(path=f'/operator/replicas/{quote_name(name)}'),
+            ReplicaProgress,
+            as_json=as_json,
+        )
+        for name in names
+    )
 
 
 def is_complete(progress: ReplicaProgress) -> bool:
     """Tell whether every wanted replica is ready."""
     return progress.wanted <= progress.ready
-
-
-def show_progress(progress: tuple[ReplicaProgress, ...]) -> None:
-    """One line for each deployment."""
-    for each in progress:
-        left = ''
-        if each.seconds_left is not None:
-            left = f', about {each.seconds_left:.0f} s left'
-        click.echo(
-            f'{each.deployment}: {each.model} {each.version}: '
-            f'{each.ready} of {each.wanted} ready, '
-            f'{each.rate:.0f} bytes/s, {each.from_origin} bytes from the '
-            f'origin, {each.from_peers} from peers{left}'
-        )
-
-
-def show_replicas(progress: tuple[ReplicaProgress, ...]) -> None:
-    """One row for each target."""
-    table = build_table('target', 'failure domain', 'ready', 'held', 'of')
-    for each in progress:
-        for replica in each.replicas:
-            table.add_row(*describe_replica(replica))
-    build_console().print(table)
-
-
-def describe_replica(replica: ReplicaSummary) -> tuple[str, ...]:
-    """Cells of one replica's row."""
-    names = (str(replica.target), str(replica.failure_domain))
-    ready = 'yes' if replica.ready else 'no'
-    if replica.landing is None:
-        return (*names, ready)
-    landing = replica.landing
-    return (*names, ready, str(landing.held), str(landing.total))
--- a/src/ragwortcourse/engines/engine.py
+++ b/src/ragwortcourse/engines/engine.py
@@ -39,6 +39,8 @@
 
     :param attempt: attempt the engine says it answers.
     :param version: model version the engine says made it.
+    :param instance: instance of the engine that gives it; none where the
+        engine does not say.
     :param body: raises :class:`EngineBrokenError` where the answer ends
         short; a read that is cancelled can be begun again, no byte lost.
     """
@@ -48,6 +50,7 @@
     attempt: AttemptId | None
     version: VersionName | None
     body: AsyncIterator[bytes]
+    instance: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -148,6 +151,7 @@
     :param bearable: requests at once it reckons it bears; none where the
         target does not report load.
     :param age: seconds since the report was made.
+    :param role: none where the engine has none, or does not report it.
     """
 
     instance: str
@@ -155,6 +159,7 @@
     bearable: int | None
     age: float
     versions: tuple[EngineVersion, ...] = ()
+    role: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from ragwortcourse.configuration.backup import build_backed_daemons
 from ragwortcourse.configuration.feed import follow_head
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.routes import build_configuration_routes
@@ -20,8 +21,14 @@
     build_claim_routes,
     build_http_helpers,
 )
+from ragwortcourse.entry.crasher_peers import (
+    TellCrasher,
+    build_crasher_routes,
+    build_http_crashers,
+    build_tell_peers,
+)
 from ragwortcourse.entry.crasher_spread import spread_crashers
-from ragwortcourse.entry.entry import Entry, drain_entry
+from ragwortcourse.entry.entry import Entry, drain_entry, stop_entry
 from ragwortcourse.entry.http_agents import build_http_agents
 from ragwortcourse.entry.operator_state import Operators, RecordRelay
 from ragwortcourse.entry.operators import build_operator_routes
@@ -29,6 +36,7 @@
     build_record_relay,
     build_record_routes,
 )
+from ragwortcourse.entry.survey import Survey
 from ragwortcourse.membership.directory import TargetDirectory
 from ragwortcourse.membership.exchange import exchange_with_peers
 from ragwortcourse.membership.first_sight import FirstSight
@@ -79,6 +87,7 @@
             *build_exchange_routes(membership=self.membership),
             *build_record_routes(find_record=self.entry.records.find),
             *build_claim_routes(collector=self.entry.collector),
+            *build_crasher_routes(crashers=self.entry.crashers),
         ]
 
     def start(self, tasks: BackgroundTasks) -> None:
@@ -117,6 +126,10 @@
         """Return once everything under way has ended."""
         await drain_entry(self.entry)
 
+    async def stop(self) -> None:
+        """End what runs beside the endless tasks."""
+        await stop_entry(self.entry)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EntryPorts:
@@ -124,6 +137,7 @@
 
     :param hosts: none where the platform has no such list.
     :param ask_helper: sends a claim to the collecting daemon.
+    :param tell_crasher: tells another daemon of a crashing request.
     :param relay_record: record of a request from another daemon.
     """
 
@@ -132,6 +146,7 @@
     agents: AgentPort
     daemons: DaemonPort
     ask_helper: AskHelper
+    tell_crasher: TellCrasher
     relay_record: RecordRelay
 
 
@@ -156,6 +171,7 @@
         agents=build_http_agents(session=sessions.relay),
         daemons=build_http_daemons(session=session),
         ask_helper=build_http_helpers(session=session),
+        tell_crasher=build_http_crashers(session=session),
         relay_record=build_record_relay(session=session),
     )
     rng = random.Random()  # noqa: S311  # spreads load, guards nothing
@@ -189,7 +205,11 @@
         roster=Roster(settings=settings),
         hosts=ports.hosts,
         agent_port=ports.agents,
-        daemon_port=ports.daemons,
+        daemon_port=build_backed_daemons(
+            port=ports.daemons,
+            objects=ports.store.objects,
+            holder=entry.holder,
+        ),
         rng=rng,
     )
     entry.helpers = ClaimHelpers(
@@ -199,12 +219,17 @@
         list_peers=lambda: membership.roster.entries,
         ask=ports.ask_helper,
     )
+    entry.tell_peers = build_tell_peers(
+        tell=ports.tell_crasher,
+        list_addresses=lambda: membership.roster.peers.values(),
+    )
     entry.agent_port = build_observed_agents(membership)
     operators = Operators(
         settings=settings,
         holder=entry.holder,
         store=ports.store,
         membership=membership,
+        survey=Survey(membership=membership),
         find_record=entry.records.find,
         relay_record=ports.relay_record,
         list_crashers=entry.crashers.list_crashers,
--- a/src/ragwortcourse/weights/routes.py
+++ b/src/ragwortcourse/weights/routes.py
@@ -19,6 +19,7 @@
     ChunkRequest,
 )
 from ragwortcourse.weights.progress import describe_landing
+from ragwortcourse.weights.sending import pace_pieces
 from ragwortcourse.weights.serving import offer_chunk
 
 LATER_STATUS: Final = HTTPStatus.TOO_EARLY
@@ -46,7 +47,8 @@
             response = web.StreamResponse(headers=headers)
             response.content_length = len(outcome.content)
             await response.prepare(request)
-            await response.write(outcome.content)
+            async for piece in pace_pieces(landing, outcome.content):
+                await response.write(piece)
             await response.write_eof()
             return response
 
--- a/src/ragwortcourse/weights/serving.py
+++ b/src/ragwortcourse/weights/serving.py
@@ -61,8 +61,8 @@
         return
     try:
         if _take_budget(transfer, request, len(content)):
-            await landing.exchange.pace_up.wait(len(content))
-            yield ChunkContent(content=content)
+            with transfer.held.lend(request.index):
+                yield ChunkContent(content=content)
         else:
             yield ChunkRefused()
     finally:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,12 +1,15 @@
 """Scenarios of features/, over a site in one process and virtual time."""
 
 import asyncio
+import json
 
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from fakes.callers import Ending
 from fakes.faults import Fault
+from fakes.memory_engine import CRASH_MARK
+from fakes.site_plan import MODEL
 from fakes.stage import Stage
 from ragwortcourse.configuration.acceptance import Accepted
 
@@ -109,6 +112,11 @@
     stage.mark('cut')
 
 
+@when(parsers.parse('nothing passes between {one} and {other}'))
+def cut_between(stage, one, other):
+    stage.site.wire.cut(one, other)
+
+
 @when('everything is mended')
 def mend(stage):
     stage.mend()
@@ -127,6 +135,19 @@
     stage.mark(f'{name} returned')
 
 
+@when('every agent is killed')
+def kill_agents(stage):
+    for host in stage.site.plan.targets:
+        stage.kill(host)
+
+
+@when(parsers.parse('every entry daemon of {name} is killed'))
+def kill_entries_of(stage, name):
+    for host, where in stage.site.plan.entries.items():
+        if where == name:
+            stage.kill(host)
+
+
 @when(parsers.parse('host {name} is killed'))
 def kill_host(stage, name):
     stage.kill(name)
@@ -182,6 +203,21 @@
     stage.resend_cut()
 
 
+@when(
+    parsers.parse('a request that crashes engines is sent at {name}'),
+    target_fixture='told',
+)
+def send_crasher(stage, name):
+    body = {'model': MODEL, 'prompt': CRASH_MARK.decode()}
+    return stage.run(
+        stage.callers.send(
+            is_charge=False,
+            entry=f'entry-{name}-0',
+            body=json.dumps(body).encode(),
+        )
+    )
+
+
 @when('the same charge is sent to two entry daemons at once')
 def send_twice(stage):
     async def send():
@@ -309,6 +345,17 @@
         assert each.retry_after is not None, each
 
 
+@then(parsers.parse('it is refused and no engine of {name} has died'))
+def check_crasher_refused(stage, told, name):
+    assert told.code == 'crashing_request'
+    deaths = {
+        host: engine.deaths
+        for host, engine in stage.site.engines.items()
+        if stage.site.plan.targets[host].failure_domain == name
+    }
+    assert set(deaths.values()) == {0}, deaths
+
+
 @then('it ran once')
 def check_ran_once(stage):
     assert stage.site.witness.count_runs()['twice'] == 1
@@ -345,6 +392,18 @@
     assert len(seen) == 1
 
 
+@then(parsers.parse('every entry daemon that lives has withdrawn {name}'))
+def check_withdrawn(stage, name):
+    unaware = [
+        host
+        for host, resident in stage.site.residents.items()
+        if resident.entry is not None
+        and resident.host.alive
+        and not resident.entry.entry.holder.is_withdrawn('', name)
+    ]
+    assert unaware == []
+
+
 @then('every promise holds')
 def check_promises(stage):
     assert stage.end() == []
