--- a/fakes/landings.py
+++ b/fakes/landings.py
@@ -344,6 +344,9 @@
             await asyncio.sleep(self.network.latency)
             peer = self.hosts[address].landing
             async with offer_chunk(peer, request) as outcome:
+                if not self.network.reaches(address, receiver):
+                    await asyncio.sleep(SILENT_SECONDS)
+                    return silent
                 if not isinstance(outcome, ChunkContent):
                     return outcome
                 sizes = measure_pieces(peer, outcome.content)
--- a/src/ragwortcourse/weights/draw.py
+++ b/src/ragwortcourse/weights/draw.py
@@ -1,99 +1,114 @@
 """Drawing one chunk: from a peer by the tree, in need from the origin."""
 
 import asyncio
-import dataclasses
 from typing import Final
 
-from opentelemetry import metrics
-
 from ragwortcourse.clock import read_clock
-from ragwortcourse.messages.peer_port import PeerSilent
-from ragwortcourse.platform.origin import OriginBusy, OriginContent
+from ragwortcourse.identifiers import DaemonId
+from ragwortcourse.weights.draw_state import DrawState
 from ragwortcourse.weights.landing import Landing
-from ragwortcourse.weights.manifest import digest_bytes
-from ragwortcourse.weights.peer_port import (
-    MANIFEST_INDEX,
-    ChunkContent,
-    ChunkGone,
-    ChunkLater,
-    ChunkOutcome,
-    ChunkRefused,
-    ChunkRequest,
-    PeerAddress,
-)
+from ragwortcourse.weights.peer_port import MANIFEST_INDEX, PeerAddress
+from ragwortcourse.weights.sources import try_origin, try_peer
 from ragwortcourse.weights.transfer import Transfer
 
-METER: Final = metrics.get_meter(__name__)
-CORRUPTED: Final = METER.create_counter('weights_corrupted_chunks')
-RECEIVED: Final = METER.create_counter('weights_received_bytes')
-
-# A peer may let a request wait so long for a chunk to reach it.
-WAIT_SECONDS: Final = 3.0
-# Beyond the wait, a chunk may take so many times the usual time.
-STALL_FACTOR: Final = 4
-SHORTEST_STALL_SECONDS: Final = 5.0
 # Hosts without a live source turn to the origin one after the other.
 ORIGIN_TURN_SECONDS: Final = 10.0
 ORIGIN_TURN_SHARE: Final = 0.1
 # After so many waits in vain, others than the next source are asked too.
 PATIENCE: Final = 4
+# Who has waited so long at a source asks again at once.
+LONG_WAIT_SECONDS: Final = 1.0
 FIRST_RETRY_SECONDS: Final = 0.2
 LONGEST_RETRY_SECONDS: Final = 5.0
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class DrawState:
-    """How the search for one chunk stands.
-
-    :param laters: times that a source asked for patience.
-    :param origin_failed: the origin did not give the chunk.
-    :param gone: a source held the chunk and let it go.
-    :param waiting: a source lives and expects to get the chunk.
-    """
-
-    transfer: Transfer
-    index: int
-    started_at: float
-    attempts: int = 0
-    laters: int = 0
-    origin_failed: bool = False
-    gone: bool = False
-    waiting: bool = False
-
-
 async def draw_chunk(landing: Landing, transfer: Transfer, index: int) -> bytes:
     """Bytes of a chunk with the right digest, however long it takes."""
     state = DrawState(transfer=transfer, index=index, started_at=read_clock())
     while True:
+        began = read_clock()
         content = await _draw_once(landing, state)
         if content is not None:
             return content
-        await _back_off(landing, state)
+        state.attempts += 1
+        if not _has_waited(state, read_clock() - began):
+            await _back_off(landing, state)
+
+
+def _has_waited(state: DrawState, seconds: float) -> bool:
+    """Tell whether a source has let this host wait, so that it asks again."""
+    return _is_patient(state) and seconds > LONG_WAIT_SECONDS
 
 
 async def _draw_once(landing: Landing, state: DrawState) -> bytes | None:
-    state.gone = False
-    state.waiting = False
-    landing.leave_spent(state.transfer)
-    sources = state.transfer.tree.list_sources(landing.own, state.index)
-    content = await _try_sources(landing, state, sources)
+    state.forget_answers()
+    transfer = state.transfer
+    landing.leave_spent(transfer)
+    content = await _try_absent(landing, state)
+    if content is not None:
+        return content
+    content = await _try_sources(landing, state)
     if content is not None or _is_patient(state):
         return content
-    content = await _try_others(landing, state, sources)
-    if content is None and _may_ask_origin(landing, state, len(sources)):
-        content = await _try_origin(landing, state)
-    return content
+    sources = _list_sources(landing, state)
+    if state.refused and not state.origin_failed:
+        return await _replace_refused(landing, state)
+    if not (sources or state.origin_failed):
+        return await _try_origin_in_turn(landing, state)
+    return await _try_beyond(landing, state, sources)
 
 
-async def _try_sources(
-    landing: Landing, state: DrawState, sources: tuple[PeerAddress, ...]
+async def _try_absent(landing: Landing, state: DrawState) -> bytes | None:
+    """Ask a source that was silent, once in a while."""
+    transfer = state.transfer
+    for source in transfer.tree.list_sources(landing.own, state.index)[:1]:
+        if source.daemon in transfer.view.absent:
+            return await try_peer(landing, state, source)
+    return None
+
+
+async def _replace_refused(landing: Landing, state: DrawState) -> bytes | None:
+    """Ask a host with room on its link, or the origin."""
+    spare = state.transfer.view.find_spare(landing.own, state.index)
+    if spare is not None and state.index != MANIFEST_INDEX:
+        content = await try_peer(landing, state, spare)
+        if content is not None:
+            return content
+    return await try_origin(landing, state)
+
+
+async def _try_origin_in_turn(
+    landing: Landing, state: DrawState
 ) -> bytes | None:
-    """Ask up the tree, past a source only where that gives no hope."""
-    for source in sources:
-        content = await _try_peer(landing, state, source)
-        if content is not None or _is_patient(state):
+    """Ask the origin in order of index, as other hosts wait for this one."""
+    async with state.transfer.origin_slots:
+        return await try_origin(landing, state)
+
+
+def _list_sources(
+    landing: Landing, state: DrawState
+) -> tuple[PeerAddress, ...]:
+    """Whom to ask, by what is known now of those who do not answer."""
+    transfer = state.transfer
+    transfer.pass_by(landing.exchange.health.list_absent())
+    return transfer.view.list_sources(landing.own, state.index)
+
+
+async def _try_sources(landing: Landing, state: DrawState) -> bytes | None:
+    """Ask up the tree, past a source only where that gives no hope.
+
+    The tree may have changed after each answer, or the lack of one.
+    """
+    asked: set[DaemonId] = set()
+    while True:
+        sources = _list_sources(landing, state)
+        left = [each for each in sources if each.daemon not in asked]
+        if not left:
+            return None
+        asked.add(left[0].daemon)
+        content = await try_peer(landing, state, left[0])
+        if content is not None or state.refused or _is_patient(state):
             return content
-    return None
 
 
 def _is_patient(state: DrawState) -> bool:
@@ -101,12 +116,22 @@
     return state.waiting and state.laters < PATIENCE
 
 
+async def _try_beyond(
+    landing: Landing, state: DrawState, sources: tuple[PeerAddress, ...]
+) -> bytes | None:
+    """Ask others than the sources, and the origin in turn."""
+    content = await _try_others(landing, state, sources)
+    if content is None and _may_ask_origin(landing, state, len(sources)):
+        content = await _try_origin_in_turn(landing, state)
+    return content
+
+
 async def _try_others(
     landing: Landing, state: DrawState, sources: tuple[PeerAddress, ...]
 ) -> bytes | None:
     """Ask beyond the tree: the root to fetch it anew, then anybody."""
     if state.gone and sources:
-        content = await _try_peer(landing, state, sources[-1], relay=True)
+        content = await try_peer(landing, state, sources[-1], relay=True)
         if content is not None:
             return content
     if not state.attempts:
@@ -120,7 +145,7 @@
     others = [landing.rng.choice(group) for group in (near, members) if group]
     for other in others:
         if other != landing.own and other not in sources:
-            content = await _try_peer(landing, state, other)
+            content = await try_peer(landing, state, other)
             if content is not None:
                 return content
     return None
@@ -140,114 +165,7 @@
     return landing.rng.random() < ORIGIN_TURN_SHARE
 
 
-async def _try_peer(
-    landing: Landing,
-    state: DrawState,
-    source: PeerAddress,
-    *,
-    relay: bool = False,
-) -> bytes | None:
-    if landing.exchange.health.is_passed_by(source.daemon):
-        return None
-    outcome = await _fetch(landing, state, source, relay=relay)
-    if isinstance(outcome, ChunkContent):
-        return _check(landing, state, outcome.content, source)
-    if isinstance(outcome, PeerSilent):
-        landing.exchange.health.note_silence(source.daemon)
-        return None
-    landing.exchange.health.note_answer(source.daemon)
-    if isinstance(outcome, ChunkGone | ChunkRefused):
-        state.gone = True
-        state.transfer.spent.add(source.daemon)
-    if isinstance(outcome, ChunkLater):
-        state.waiting = True
-        state.laters += 1
-    return None
-
-
-async def _fetch(
-    landing: Landing, state: DrawState, source: PeerAddress, *, relay: bool
-) -> ChunkOutcome:
-    transfer = state.transfer
-    request = ChunkRequest(
-        manifest=transfer.digest,
-        index=state.index,
-        sender=landing.own.daemon,
-        relay=relay,
-        urgent=state.origin_failed,
-    )
-    exchange = landing.exchange
-    await exchange.pace_down.wait(transfer.measure(state.index))
-    usual = exchange.health.usual_seconds
-    allowance = max(SHORTEST_STALL_SECONDS, STALL_FACTOR * usual)
-    began = read_clock()
-    transfer.asking[state.index] = source.daemon
-    try:
-        async with asyncio.timeout(WAIT_SECONDS + allowance):
-            outcome = await landing.ports.chunk_port.fetch(
-                source.address, request
-            )
-    except TimeoutError:
-        return PeerSilent(detail=f'{source.address}: chunk stalled')
-    finally:
-        transfer.asking.pop(state.index, None)
-    landing.exchange.health.note_seconds(read_clock() - began)
-    return outcome
-
-
-def _check(
-    landing: Landing,
-    state: DrawState,
-    content: bytes,
-    source: PeerAddress | None,
-) -> bytes | None:
-    transfer = state.transfer
-    if digest_bytes(content) == transfer.find_digest(state.index):
-        kind = name_source(landing.own, source)
-        if state.index != MANIFEST_INDEX:
-            transfer.counts.note_received(kind, len(content))
-            RECEIVED.add(len(content), {'source': kind})
-        if source is not None:
-            landing.exchange.health.note_answer(source.daemon)
-        return content
-    transfer.counts.note_corrupted(len(content))
-    CORRUPTED.add(1)
-    if source is not None:
-        landing.exchange.health.note_damage(source.daemon)
-    return None
-
-
-def name_source(own: PeerAddress, source: PeerAddress | None) -> str:
-    """Kind of source, as progress and counters report it."""
-    if source is None:
-        return 'origin'
-    if source.failure_domain == own.failure_domain:
-        return 'failure_domain'
-    return 'region' if source.region == own.region else 'other_region'
-
-
-async def _try_origin(landing: Landing, state: DrawState) -> bytes | None:
-    transfer = state.transfer
-    await landing.exchange.pace_down.wait(transfer.measure(state.index))
-    if state.index == MANIFEST_INDEX:
-        outcome = await landing.ports.origin.read_manifest(transfer.digest)
-    else:
-        manifest = transfer.require_manifest()
-        outcome = await landing.ports.origin.read_chunk(
-            manifest.model, manifest.version, state.index
-        )
-    if isinstance(outcome, OriginContent):
-        return _check(landing, state, outcome.content, None)
-    if isinstance(outcome, OriginBusy):
-        jitter = landing.rng.uniform(1, 2)
-        await asyncio.sleep(outcome.retry_after * jitter)
-    else:
-        state.origin_failed = True
-    return None
-
-
 async def _back_off(landing: Landing, state: DrawState) -> None:
-    state.attempts += 1
     ceiling = min(
         FIRST_RETRY_SECONDS * 2 ** min(state.attempts, 8),
         LONGEST_RETRY_SECONDS,
--- a/src/ragwortcourse/weights/serving.py
+++ b/src/ragwortcourse/weights/serving.py
@@ -2,32 +2,45 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from collections.abc import AsyncIterator
 from typing import Final
 
 from ragwortcourse.clock import read_clock
-from ragwortcourse.weights.draw import WAIT_SECONDS, draw_chunk
+from ragwortcourse.weights.draw import draw_chunk
 from ragwortcourse.weights.landing import Landing
 from ragwortcourse.weights.peer_port import (
     MANIFEST_INDEX,
+    ChunkAnswer,
     ChunkContent,
     ChunkGone,
     ChunkLater,
-    ChunkOutcome,
     ChunkRefused,
     ChunkRequest,
 )
+from ragwortcourse.weights.sources import WAIT_SECONDS, take_news
 from ragwortcourse.weights.transfer import Transfer
 
 # Answers come this much before the asking side would give up waiting.
 MARGIN_SECONDS: Final = 0.5
+# A chunk for another failure domain goes before so many others.
+CHUNKS_EARLIER: Final = 8
 
 
 @contextlib.asynccontextmanager
 async def offer_chunk(
     landing: Landing, request: ChunkRequest
-) -> AsyncIterator[ChunkOutcome]:
+) -> AsyncIterator[ChunkAnswer]:
     """What to answer a peer; the bytes are sent inside the context."""
+    async with _find_answer(landing, request) as outcome:
+        news = landing.exchange.health.list_news()
+        yield dataclasses.replace(outcome, silent=news) if news else outcome
+
+
+@contextlib.asynccontextmanager
+async def _find_answer(
+    landing: Landing, request: ChunkRequest
+) -> AsyncIterator[ChunkAnswer]:
     deadline = read_clock() + WAIT_SECONDS - MARGIN_SECONDS
     # Who asks is alive, however silent it was before.
     landing.exchange.health.note_answer(request.sender)
@@ -35,6 +48,7 @@
     if transfer is None:
         yield ChunkLater()
         return
+    take_news(landing, transfer, request.silent)
     content = await _find_content(landing, transfer, request, deadline)
     if content is None:
         gone = transfer.held.has_let_go(request.index)
@@ -55,12 +69,15 @@
         uploads.release()
 
 
-def _rank(
-    landing: Landing, transfer: Transfer, request: ChunkRequest
-) -> tuple[bool, int]:
-    """Other failure domains first, as all their hosts wait for the one."""
+def _rank(landing: Landing, transfer: Transfer, request: ChunkRequest) -> int:
+    """In order of index, but other failure domains earlier.
+
+    All hosts of another failure domain wait for the one that asks.
+    """
     domain = transfer.tree.find_domain(request.sender)
-    return domain == landing.own.failure_domain, request.index
+    if domain == landing.own.failure_domain:
+        return request.index
+    return request.index - CHUNKS_EARLIER
 
 
 def _take_budget(transfer: Transfer, request: ChunkRequest, size: int) -> bool:
@@ -69,7 +86,10 @@
         transfer.counts.sent += size
         return True
     whole = transfer.require_manifest().size
-    if not (request.urgent or transfer.counts.may_send(size, whole)):
+    may_send = transfer.serves(request.sender) and transfer.counts.may_send(
+        size, whole
+    )
+    if not (request.urgent or may_send):
         return False
     transfer.counts.sent += size
     transfer.held.note_sent(request.index, request.sender)
@@ -110,8 +130,8 @@
     if not transfer.held.has_let_go(index):
         return False
     manifest = transfer.require_manifest()
-    pending = len(transfer.relays) + 1
-    size = 2 * pending * manifest.measure_chunk(index)
+    # What is relayed now is counted down, but not yet up.
+    size = (len(transfer.relays) + 2) * manifest.measure_chunk(index)
     return transfer.counts.may_send(size, manifest.size)
 
 
@@ -121,6 +141,7 @@
     """A chunk that was let go here, drawn anew once for all who ask."""
     task = transfer.relays.get(index)
     if task is None:
+        transfer.counts.relayed += transfer.measure(index)
         task = asyncio.create_task(_draw_again(landing, transfer, index))
         transfer.relays[index] = task
         task.add_done_callback(lambda _: transfer.relays.pop(index, None))
