Open the watch port of a daemon last

Ruled out: a daemon that ended (none had; it was asked 0.1 s later by others), a port taken by another process (blocks are reserved). Before: the new test saw the watch port opened second. After: last of four; the findings on taken addresses now come in that order.

--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -12,7 +12,6 @@
 from ragwortcourse.configuration.finding import Finding
 from ragwortcourse.processes.agent_daemon import build_agent_daemon
 from ragwortcourse.processes.entry_daemon import (
-    EntryDaemon,
     build_entry_daemon,
 )
 from ragwortcourse.processes.health import build_health_routes
@@ -109,30 +108,28 @@
         await self.sessions.close()
 
     async def _open_daemon(self) -> Daemon:
+        listen = self.settings.listen
         if self.settings.role is Role.AGENT:
             agent = build_agent_daemon(
                 settings=self.settings, sessions=self.sessions
             )
-            await self._open_common(agent)
+            await self._open('peers', listen.peers, agent.peer_routes)
+            await self._open_watch(agent)
             return agent
         entry = build_entry_daemon(
             settings=self.settings, sessions=self.sessions
         )
-        await self._open_common(entry)
-        await self._open_entry(entry)
+        await self._open('peers', listen.peers, entry.peer_routes)
+        await self._open('callers', listen.callers, entry.caller_routes)
+        await self._open('operators', listen.operators, entry.operator_routes)
+        await self._open_watch(entry)
         return entry
 
-    async def _open_common(self, daemon: Daemon) -> None:
-        listen = self.settings.listen
+    async def _open_watch(self, daemon: Daemon) -> None:
+        """Tell that the daemon lives, once all its other ports are open."""
         health = build_health_routes(find_obstacle=daemon.find_obstacle)
         watch = [*health, build_metrics_route()]
-        await self._open('peers', listen.peers, daemon.peer_routes)
-        await self._open('watch', listen.watch, watch)
-
-    async def _open_entry(self, entry: EntryDaemon) -> None:
-        listen = self.settings.listen
-        await self._open('callers', listen.callers, entry.caller_routes)
-        await self._open('operators', listen.operators, entry.operator_routes)
+        await self._open('watch', self.settings.listen.watch, watch)
 
     async def _open(
         self, key: str, address: str, routes: list[web.RouteDef]
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,13 +1,17 @@
 """Tests of ``ragwortcoursed`` as a process."""
 
+import asyncio
 import pathlib
 import socket
 import subprocess
 import sys
 
 import pytest
+from aiohttp import web
 
 from fakes.ports import pick_address
+from ragwortcourse.processes import service
+from ragwortcourse.settings_file import parse_settings
 
 SETTINGS = """
 role = "entry"
@@ -22,6 +26,7 @@
 operators = "{operators}"
 [entry]
 """
+KEYS = ('peers', 'watch', 'callers', 'operators')
 END_SECONDS = 60
 
 pytestmark = pytest.mark.processes
@@ -43,8 +48,7 @@
 
     def test_all_are_named_together(self, tmp_path):
         """Exit code 2; a line for each address, with its key and value."""
-        keys = ('peers', 'watch', 'callers', 'operators')
-        listen = {key: pick_address() for key in keys}
+        listen = {key: pick_address() for key in KEYS}
         path = tmp_path / 'entry.toml'
         path.write_text(SETTINGS.format(**listen))
         with (
@@ -55,11 +59,35 @@
         assert ended.returncode == 2
         lines = ended.stderr.splitlines()
         assert [line.split(': ')[1] for line in lines] == [
-            f'listen.watch = {listen["watch"]}',
             f'listen.operators = {listen["operators"]}',
+            f'listen.watch = {listen["watch"]}',
         ]
 
 
+class TestHealth:
+    """A daemon whose ports are opened one after the other."""
+
+    async def test_all_ports_are_open_before(self, monkeypatch):
+        """Once ``/healthz`` answers, nobody is refused at another port."""
+        opened = []
+
+        async def note_site(*, address, **_):
+            opened.append(address)
+            return web.AppRunner(web.Application())
+
+        monkeypatch.setattr(service, 'open_site', note_site)
+        listen = {key: pick_address() for key in KEYS}
+        settings = parse_settings(SETTINGS.format(**listen))
+        daemon = service.DaemonService(settings=settings)
+        daemon.set_loop(asyncio.get_running_loop())
+        starting = asyncio.create_task(daemon.start())
+        await daemon.start_event.wait()
+        starting.cancel()
+        await daemon.stop()
+        assert opened[-1] == settings.listen.watch
+        assert len(opened) == 4
+
+
 def split(address: str) -> tuple[str, int]:
     """Host and port of an address."""
     host, _, port = address.rpartition(':')
