--- a/tests/test_landing_faults.py
+++ b/tests/test_landing_faults.py
@@ -295,17 +295,38 @@
         assert link <= 2
         assert origin <= 4
 
+    async def test_very_narrow_line_between_regions(self):
+        """Links of 1 Gbit/s and a line of 12 Mbit/s keep to every bound."""
+        share = 12 / 1000
+        fleet, size = make_slow_fleet(
+            hosts=16, chunks=60, line_share=share, per_second=120
+        )
+        fleet.start()
+        seconds = await fleet.wait_for('v1', 20 * PATIENCE_SECONDS)
+        link, origin = measure_links(fleet, size)
+        await fleet.stop()
+        assert origin <= 4
+        assert link <= 2
+        assert seconds <= 1.5 * 60 / 120 / share
+
 
 def make_slow_fleet(
-    *, hosts: int, chunks: int, line_share: float = 1
+    *,
+    hosts: int,
+    chunks: int,
+    line_share: float = 1,
+    per_second: int = 10,
 ) -> tuple[LandingFleet, int]:
-    """Hosts in eight failure domains, ten chunks a second; bytes of all."""
+    """Hosts in eight failure domains in two regions; bytes of all.
+
+    :param per_second: chunks that a host's link carries.
+    """
     chunk = 6554
     fleet = LandingFleet(
         hosts=hosts,
         places={f'domain-{each}': f'r{each // 4}' for each in range(8)},
-        rate=10 * chunk,
-        line_rate=10 * chunk * line_share,
+        rate=per_second * chunk,
+        line_rate=per_second * chunk * line_share,
         chunk_memory=64 * chunk,
     )
     content = random.Random(1).randbytes(chunks * chunk)
