--- a/src/ragwortcourse/entry/crash_notice.py
+++ b/src/ragwortcourse/entry/crash_notice.py
@@ -9,6 +9,7 @@
 from ragwortcourse.entry.bars import bar_attempt
 from ragwortcourse.entry.choice import Choice
 from ragwortcourse.entry.crasher_spread import share_one, spread_once
+from ragwortcourse.entry.crashers import Evidence
 from ragwortcourse.entry.entry import Entry
 from ragwortcourse.entry.suspicion_rows import clear_suspicion, share_suspicion
 from ragwortcourse.entry.work import Work
@@ -94,18 +95,20 @@
 
 
 async def _tell_of_crash(entry: Entry, fingerprint: str) -> None:
-    if not _is_proven(entry, fingerprint):
+    if _find_proof(entry, fingerprint) is None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(NOTICE_SECONDS / 2):
                 await share_suspicion(entry, fingerprint)
-    evidence = entry.crashers.find(fingerprint)
-    if evidence is not None and evidence.is_proof:
+    proof = _find_proof(entry, fingerprint)
+    if proof is not None:
         await asyncio.gather(
-            entry.tell_peers(share_one(fingerprint, evidence)),
+            entry.tell_peers(share_one(fingerprint, proof)),
             spread_once(entry),
         )
 
 
-def _is_proven(entry: Entry, fingerprint: str) -> bool:
+def _find_proof(entry: Entry, fingerprint: str) -> Evidence | None:
     evidence = entry.crashers.find(fingerprint)
-    return evidence is not None and evidence.is_proof
+    if evidence is None or not evidence.is_proof:
+        return None
+    return evidence
