Move the ports of the platform to folders named for what they are

Cause: the folder platform/ is to hold the adapter to the users' platform and nothing else; it held the product's own ports. Table and objects are now in storage/, the list of hosts in membership/, the origin in weights/. The reader of shared mappings, which only the tests of processes use, moves to them: the users' build refuses sources that name that folder.

--- a/fakes/blueprint.py
+++ b/fakes/blueprint.py
@@ -13,7 +13,7 @@
     RegionName,
     TargetName,
 )
-from ragwortcourse.platform.hosts import HostRecord, HostRole
+from ragwortcourse.membership.hosts import HostRecord, HostRole
 from ragwortcourse.settings import (
     AgentSettings,
     EntrySettings,
--- a/fakes/fleet_stage.py
+++ b/fakes/fleet_stage.py
@@ -32,7 +32,7 @@
     ConfigurationChange,
     OperatorStatus,
 )
-from ragwortcourse.platform.http_origin import build_http_writer
+from ragwortcourse.weights.http_origin import build_http_writer
 from ragwortcourse.weights.publication import Published, publish_weights
 
 MODEL_BYTES: Final = 100_000
--- a/fakes/landings.py
+++ b/fakes/landings.py
@@ -40,12 +40,6 @@
     VersionName,
 )
 from ragwortcourse.messages.peer_port import PeerSilent
-from ragwortcourse.platform.origin import (
-    OriginContent,
-    OriginFailed,
-    OriginOutcome,
-    WeightOrigin,
-)
 from ragwortcourse.settings import (
     AgentSettings,
     ListenSettings,
@@ -60,6 +54,12 @@
     digest_bytes,
     encode_manifest,
 )
+from ragwortcourse.weights.origin import (
+    OriginContent,
+    OriginFailed,
+    OriginOutcome,
+    WeightOrigin,
+)
 from ragwortcourse.weights.peer_port import (
     ChunkContent,
     ChunkOutcome,
--- a/fakes/memory_control.py
+++ b/fakes/memory_control.py
@@ -35,6 +35,7 @@
     answer_exchange,
     exchange_with_peers,
 )
+from ragwortcourse.membership.hosts import HostRecord, HostRole
 from ragwortcourse.membership.membership import Membership
 from ragwortcourse.membership.roster import Roster
 from ragwortcourse.membership.watch import watch_targets
@@ -44,7 +45,6 @@
     ServedVersion,
     TargetStatus,
 )
-from ragwortcourse.platform.hosts import HostRecord, HostRole
 from ragwortcourse.settings import ListenSettings, Role, Settings
 
 
--- a/fakes/memory_hosts.py
+++ b/fakes/memory_hosts.py
@@ -1,7 +1,7 @@
 """The list of hosts in memory, with fault switches for each client."""
 
 from fakes.faults import Fault, Faults
-from ragwortcourse.platform.hosts import (
+from ragwortcourse.membership.hosts import (
     HostList,
     HostRecord,
     HostsListed,
--- a/fakes/memory_network.py
+++ b/fakes/memory_network.py
@@ -17,6 +17,7 @@
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.store import ConfigurationStore
 from ragwortcourse.identifiers import AttemptId, Generation, Sha256Hex
+from ragwortcourse.membership.hosts import HostList, HostRecord
 from ragwortcourse.messages.attempt import (
     Attempt,
     AttemptOutcome,
@@ -26,8 +27,7 @@
 from ragwortcourse.messages.heartbeat import Heartbeat
 from ragwortcourse.messages.peer_port import AgentPort, DaemonPort, PeerSilent
 from ragwortcourse.messages.target_status import TargetStatus
-from ragwortcourse.platform.hosts import HostList, HostRecord
-from ragwortcourse.platform.objects import ObjectName
+from ragwortcourse.storage.objects import ObjectName
 
 TRIP_SECONDS = 0.001
 SILENT_SECONDS = 1.0
--- a/fakes/memory_objects.py
+++ b/fakes/memory_objects.py
@@ -1,7 +1,7 @@
 """The object store in memory, with fault switches for each client."""
 
 from fakes.faults import Fault, Faults
-from ragwortcourse.platform.objects import (
+from ragwortcourse.storage.objects import (
     ObjectFailed,
     ObjectName,
     ObjectRead,
--- a/fakes/memory_table.py
+++ b/fakes/memory_table.py
@@ -1,7 +1,7 @@
 """The table service in memory, with fault switches for each client."""
 
 from fakes.faults import Fault, Faults
-from ragwortcourse.platform.table import (
+from ragwortcourse.storage.table import (
     ABSENT,
     CommitOutcome,
     Committed,
--- a/fakes/origin.py
+++ b/fakes/origin.py
@@ -8,14 +8,14 @@
 from fakes.faults import Fault, Faults
 from ragwortcourse.clock import read_clock
 from ragwortcourse.identifiers import ModelName, Sha256Hex, VersionName
-from ragwortcourse.platform.origin import (
+from ragwortcourse.weights.origin import (
     OriginBusy,
     OriginContent,
     OriginFailed,
     OriginOutcome,
     WeightOrigin,
 )
-from ragwortcourse.platform.origin_writer import (
+from ragwortcourse.weights.origin_writer import (
     OriginStored,
     OriginWriter,
     ReserveOutcome,
--- a/fakes/paced_table.py
+++ b/fakes/paced_table.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ragwortcourse.platform.table import (
+from ragwortcourse.storage.table import (
     CommitOutcome,
     ConditionalWrite,
     ReadOutcome,
--- a/fakes/platform_keeping.py
+++ b/fakes/platform_keeping.py
@@ -7,9 +7,9 @@
 from aiohttp.typedefs import Handler, Middleware
 
 from fakes.platform_state import Platform
-from ragwortcourse.platform.hosts import HostRecord
-from ragwortcourse.platform.objects import ObjectName
-from ragwortcourse.platform.table import Row
+from ragwortcourse.membership.hosts import HostRecord
+from ragwortcourse.storage.objects import ObjectName
+from ragwortcourse.storage.table import Row
 
 
 class Kept(msgspec.Struct, kw_only=True):
--- a/fakes/platform_objects.py
+++ b/fakes/platform_objects.py
@@ -7,8 +7,8 @@
 
 from fakes.faults import Fault, Faults
 from fakes.http_faults import answer_with_fault
-from ragwortcourse.platform.hosts import HostRecord
-from ragwortcourse.platform.objects import ObjectName
+from ragwortcourse.membership.hosts import HostRecord
+from ragwortcourse.storage.objects import ObjectName
 
 
 def build_object_routes(
--- a/fakes/platform_state.py
+++ b/fakes/platform_state.py
@@ -5,8 +5,8 @@
 from fakes.faults import Faults
 from fakes.memory_table import MemoryRows
 from fakes.origin import OriginStore
-from ragwortcourse.platform.hosts import HostRecord
-from ragwortcourse.platform.objects import ObjectName
+from ragwortcourse.membership.hosts import HostRecord
+from ragwortcourse.storage.objects import ObjectName
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/fakes/platform_table.py
+++ b/fakes/platform_table.py
@@ -6,13 +6,13 @@
 from fakes.faults import Fault, Faults
 from fakes.http_faults import answer_with_fault
 from fakes.memory_table import MemoryRows
-from ragwortcourse.platform.table import (
+from ragwortcourse.storage.table import (
     Committed,
     ConditionalWrite,
     Row,
     TableKey,
 )
-from ragwortcourse.platform.table_messages import (
+from ragwortcourse.storage.table_messages import (
     CommitRefusal,
     CommitRequest,
     CommitVerdict,
--- a/fakes/site.py
+++ b/fakes/site.py
@@ -34,12 +34,12 @@
 from fakes.witness import Witness
 from ragwortcourse.configuration.change import Base, Draft, make_change
 from ragwortcourse.identifiers import ChangeId, DaemonId, HostName, VersionName
-from ragwortcourse.platform.hosts import HostRecord, HostRole, HostState
-from ragwortcourse.platform.objects import ObjectName
+from ragwortcourse.membership.hosts import HostRecord, HostRole, HostState
 from ragwortcourse.processes.agent_daemon import AgentDaemon
 from ragwortcourse.processes.entry_daemon import EntryDaemon
 from ragwortcourse.processes.tasks import BackgroundTasks
 from ragwortcourse.settings import Role
+from ragwortcourse.storage.objects import ObjectName
 from ragwortcourse.weights.publication import Published, publish_weights
 
 MODEL_BYTES: Final = 3000
--- a/fakes/site_daemons.py
+++ b/fakes/site_daemons.py
@@ -14,10 +14,7 @@
 )
 from ragwortcourse.configuration.store import ConfigurationStore
 from ragwortcourse.engines.engine import Engine
-from ragwortcourse.platform.hosts import HostList
-from ragwortcourse.platform.objects import ObjectStore
-from ragwortcourse.platform.origin import WeightOrigin
-from ragwortcourse.platform.table import TableService
+from ragwortcourse.membership.hosts import HostList
 from ragwortcourse.processes.agent_daemon import (
     AgentDaemon,
     AgentPorts,
@@ -29,6 +26,9 @@
     assemble_entry,
 )
 from ragwortcourse.settings import Settings
+from ragwortcourse.storage.objects import ObjectStore
+from ragwortcourse.storage.table import TableService
+from ragwortcourse.weights.origin import WeightOrigin
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/fakes/site_plan.py
+++ b/fakes/site_plan.py
@@ -27,7 +27,7 @@
     TargetName,
     VersionName,
 )
-from ragwortcourse.platform.hosts import HostRecord
+from ragwortcourse.membership.hosts import HostRecord
 from ragwortcourse.settings import (
     AgentSettings,
     ListenSettings,
--- a/fakes/wire_ports.py
+++ b/fakes/wire_ports.py
@@ -29,7 +29,7 @@
 from ragwortcourse.messages.peer_port import AgentPort, DaemonPort, PeerSilent
 from ragwortcourse.messages.shared_crasher import SharedCrasher
 from ragwortcourse.messages.target_status import TargetStatus
-from ragwortcourse.platform.table import (
+from ragwortcourse.storage.table import (
     CommitOutcome,
     CommitUnknown,
     ConditionalWrite,
--- a/measure/control_site.py
+++ b/measure/control_site.py
@@ -37,11 +37,11 @@
     TargetName,
     VersionName,
 )
+from ragwortcourse.membership.hosts import HostRecord, HostRole
 from ragwortcourse.messages.operator import ConfigurationChange
 from ragwortcourse.messages.target_status import TargetStatus
-from ragwortcourse.platform.hosts import HostRecord, HostRole
-from ragwortcourse.platform.http_origin import build_http_writer
 from ragwortcourse.settings import PlatformSettings, Settings
+from ragwortcourse.weights.http_origin import build_http_writer
 from ragwortcourse.weights.publication import Published, publish_weights
 
 API_KEY: Final = 'measure-key'
--- a/measure/outbox.py
+++ b/measure/outbox.py
@@ -22,7 +22,7 @@
 from ragwortcourse.entry.calls import serve_call
 from ragwortcourse.messages.attempt import AttemptOutcome
 from ragwortcourse.messages.call import CallAnswer
-from ragwortcourse.platform.table import (
+from ragwortcourse.storage.table import (
     CommitOutcome,
     Committed,
     ConditionalWrite,
--- a/measure/proc.py
+++ b/measure/proc.py
@@ -43,15 +43,3 @@
         for task in tasks
         for child in (task / 'children').read_text().split()
     ]
-
-
-def read_shared_mappings(pid: int) -> list[str]:
-    """Its memory mappings that are shared and writable, or in /dev/shm."""
-    lines = pathlib.Path(f'/proc/{pid}/maps').read_text().splitlines()
-    return [line for line in lines if is_shared(line)]
-
-
-def is_shared(line: str) -> bool:
-    """Tell whether a line of ``maps`` is memory that others may write."""
-    flags = line.split()[1]
-    return ('w' in flags and 's' in flags) or '/dev/shm' in line  # noqa: S108
--- a/src/ragwortcourse/cli/publish_command.py
+++ b/src/ragwortcourse/cli/publish_command.py
@@ -19,9 +19,9 @@
 from ragwortcourse.configuration.rules import check_name, refuse_value
 from ragwortcourse.identifiers import ModelName, Sha256Hex, VersionName
 from ragwortcourse.messages.outcome import OutcomeKind
-from ragwortcourse.platform.http_origin import build_http_writer
-from ragwortcourse.platform.origin import OriginFailed
-from ragwortcourse.platform.origin_writer import OriginUnreached, VersionTaken
+from ragwortcourse.weights.http_origin import build_http_writer
+from ragwortcourse.weights.origin import OriginFailed
+from ragwortcourse.weights.origin_writer import OriginUnreached, VersionTaken
 from ragwortcourse.weights.publication import (
     Published,
     PublishOutcome,
--- a/src/ragwortcourse/configuration/acceptance.py
+++ b/src/ragwortcourse/configuration/acceptance.py
@@ -20,7 +20,7 @@
     write_edition,
 )
 from ragwortcourse.identifiers import ChangeId, Generation, Sha256Hex
-from ragwortcourse.platform.table import (
+from ragwortcourse.storage.table import (
     ABSENT,
     Committed,
     CommitUnknown,
--- a/src/ragwortcourse/configuration/backup.py
+++ b/src/ragwortcourse/configuration/backup.py
@@ -8,7 +8,7 @@
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.identifiers import Sha256Hex
 from ragwortcourse.messages.peer_port import DaemonPort, PeerSilent
-from ragwortcourse.platform.objects import ObjectRead, ObjectStore
+from ragwortcourse.storage.objects import ObjectRead, ObjectStore
 
 # Other peers are not asked for the generation meanwhile.
 BACKUP_SECONDS: Final = 1.0
--- a/src/ragwortcourse/configuration/feed.py
+++ b/src/ragwortcourse/configuration/feed.py
@@ -20,8 +20,8 @@
 )
 from ragwortcourse.identifiers import Generation, Sha256Hex
 from ragwortcourse.messages.peer_port import DaemonPort, PeerSilent
-from ragwortcourse.platform.objects import ObjectStore
-from ragwortcourse.platform.table import TableService
+from ragwortcourse.storage.objects import ObjectStore
+from ragwortcourse.storage.table import TableService
 
 LOGGER = logging.getLogger(__name__)
 METER = metrics.get_meter(__name__)
--- a/src/ragwortcourse/configuration/head.py
+++ b/src/ragwortcourse/configuration/head.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from ragwortcourse.identifiers import ChangeId, Generation, Sha256Hex
-from ragwortcourse.platform.objects import ObjectName
-from ragwortcourse.platform.table import TableKey
+from ragwortcourse.storage.objects import ObjectName
+from ragwortcourse.storage.table import TableKey
 
 HEAD_KEY: Final = TableKey('configuration/head')
 
--- a/src/ragwortcourse/configuration/restoration.py
+++ b/src/ragwortcourse/configuration/restoration.py
@@ -13,7 +13,7 @@
     StoreFailed,
     write_edition,
 )
-from ragwortcourse.platform.table import Committed, ConditionalWrite
+from ragwortcourse.storage.table import Committed, ConditionalWrite
 
 LOGGER = logging.getLogger(__name__)
 METER = metrics.get_meter(__name__)
--- a/src/ragwortcourse/configuration/store.py
+++ b/src/ragwortcourse/configuration/store.py
@@ -16,12 +16,12 @@
 )
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.identifiers import Sha256Hex
-from ragwortcourse.platform.objects import (
+from ragwortcourse.storage.objects import (
     ObjectFailed,
     ObjectName,
     ObjectStore,
 )
-from ragwortcourse.platform.table import (
+from ragwortcourse.storage.table import (
     ABSENT,
     ReadFailed,
     TableService,
--- a/src/ragwortcourse/entry/claim_collector.py
+++ b/src/ragwortcourse/entry/claim_collector.py
@@ -6,7 +6,7 @@
 
 from ragwortcourse.background import end_task
 from ragwortcourse.clock import read_clock
-from ragwortcourse.platform.table import (
+from ragwortcourse.storage.table import (
     CommitOutcome,
     CommitUnknown,
     ConditionalWrite,
--- a/src/ragwortcourse/entry/claim_helpers.py
+++ b/src/ragwortcourse/entry/claim_helpers.py
@@ -15,13 +15,13 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.entry.claim_collector import ClaimCollector
 from ragwortcourse.identifiers import DaemonId, FailureDomainName
+from ragwortcourse.membership.hosts import HostRecord, HostState
 from ragwortcourse.messages.claim_write import (
     ClaimWrite,
     ClaimWriteReport,
     ClaimWriteState,
 )
-from ragwortcourse.platform.hosts import HostRecord, HostState
-from ragwortcourse.platform.table import (
+from ragwortcourse.storage.table import (
     CommitOutcome,
     Committed,
     CommitUnknown,
--- a/src/ragwortcourse/entry/claim_results.py
+++ b/src/ragwortcourse/entry/claim_results.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from ragwortcourse.background import end_task
-from ragwortcourse.platform.table import (
+from ragwortcourse.storage.table import (
     CommitOutcome,
     Committed,
     ConditionalWrite,
--- a/src/ragwortcourse/entry/claimed_calls.py
+++ b/src/ragwortcourse/entry/claimed_calls.py
@@ -44,7 +44,7 @@
 from ragwortcourse.messages.call import CallOutcome
 from ragwortcourse.messages.decision import DecisionPoint
 from ragwortcourse.messages.outcome import NotRun
-from ragwortcourse.platform.table import ABSENT, ConditionalWrite
+from ragwortcourse.storage.table import ABSENT, ConditionalWrite
 
 CLAIMED_TARGETS: Final = 3
 TAKEOVERS_LIMIT: Final = 2
--- a/src/ragwortcourse/entry/claims.py
+++ b/src/ragwortcourse/entry/claims.py
@@ -13,7 +13,7 @@
 from ragwortcourse.entry.work import Work
 from ragwortcourse.identifiers import Sha256Hex
 from ragwortcourse.messages.outcome import NotRun
-from ragwortcourse.platform.table import (
+from ragwortcourse.storage.table import (
     ABSENT,
     Committed,
     CommitUnknown,
--- a/src/ragwortcourse/entry/crasher_spread.py
+++ b/src/ragwortcourse/entry/crasher_spread.py
@@ -8,7 +8,7 @@
 from ragwortcourse.entry.crashers import EVIDENCE_LIMIT, Crashers, Evidence
 from ragwortcourse.entry.entry import Entry
 from ragwortcourse.messages.shared_crasher import SharedCrasher
-from ragwortcourse.platform.table import (
+from ragwortcourse.storage.table import (
     ABSENT,
     ConditionalWrite,
     RowRead,
--- a/src/ragwortcourse/entry/entry.py
+++ b/src/ragwortcourse/entry/entry.py
@@ -20,12 +20,12 @@
 from ragwortcourse.membership.directory import TargetDirectory
 from ragwortcourse.messages.peer_port import AgentPort
 from ragwortcourse.messages.shared_crasher import SharedCrasher
-from ragwortcourse.platform.table import (
+from ragwortcourse.settings import Settings
+from ragwortcourse.storage.table import (
     CommitOutcome,
     ConditionalWrite,
     TableService,
 )
-from ragwortcourse.settings import Settings
 
 
 async def tell_nobody(crasher: SharedCrasher) -> None:
--- a/src/ragwortcourse/entry/suspicion_rows.py
+++ b/src/ragwortcourse/entry/suspicion_rows.py
@@ -13,7 +13,7 @@
 from ragwortcourse.entry.crashers import SUSPICION_SECONDS
 from ragwortcourse.entry.entry import Entry
 from ragwortcourse.messages.shared_crasher import SharedCrasher
-from ragwortcourse.platform.table import (
+from ragwortcourse.storage.table import (
     ABSENT,
     ConditionalWrite,
     ConditionFailed,
--- a/src/ragwortcourse/platform/http_hosts.py
+++ b/src/ragwortcourse/membership/http_hosts.py
@@ -6,7 +6,7 @@
 import aiohttp
 import msgspec
 
-from ragwortcourse.platform.hosts import (
+from ragwortcourse.membership.hosts import (
     HostList,
     HostRecord,
     HostsListed,
--- a/src/ragwortcourse/membership/listed_target.py
+++ b/src/ragwortcourse/membership/listed_target.py
@@ -8,7 +8,7 @@
     RegionName,
     TargetName,
 )
-from ragwortcourse.platform.hosts import HostRecord, HostRole, HostState
+from ragwortcourse.membership.hosts import HostRecord, HostRole, HostState
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/ragwortcourse/membership/membership.py
+++ b/src/ragwortcourse/membership/membership.py
@@ -7,10 +7,10 @@
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.identifiers import TargetName
 from ragwortcourse.membership.directory import TargetDirectory
+from ragwortcourse.membership.hosts import HostList
 from ragwortcourse.membership.roster import Roster
 from ragwortcourse.messages.heartbeat import Heartbeat
 from ragwortcourse.messages.peer_port import AgentPort, DaemonPort
-from ragwortcourse.platform.hosts import HostList
 from ragwortcourse.settings import Settings
 
 
--- a/src/ragwortcourse/membership/roster.py
+++ b/src/ragwortcourse/membership/roster.py
@@ -3,8 +3,8 @@
 from typing import Final
 
 from ragwortcourse.identifiers import DaemonId, TargetName
+from ragwortcourse.membership.hosts import HostRecord, HostRole
 from ragwortcourse.membership.listed_target import ListedTarget, read_target
-from ragwortcourse.platform.hosts import HostRecord, HostRole
 from ragwortcourse.settings import Settings
 
 # Entry daemons remembered that no list and no settings name.
--- a/src/ragwortcourse/membership/watch.py
+++ b/src/ragwortcourse/membership/watch.py
@@ -8,6 +8,7 @@
 
 from ragwortcourse.identifiers import TargetName
 from ragwortcourse.membership.heartbeats import watch_target
+from ragwortcourse.membership.hosts import HostRecord, HostsUnavailable
 from ragwortcourse.membership.listed_target import ListedTarget
 from ragwortcourse.membership.membership import Membership
 from ragwortcourse.membership.subset import (
@@ -16,7 +17,6 @@
     select_subset,
 )
 from ragwortcourse.membership.target_record import TargetRecord
-from ragwortcourse.platform.hosts import HostRecord, HostsUnavailable
 
 LOGGER = logging.getLogger(__name__)
 METER = metrics.get_meter(__name__)
--- a/src/ragwortcourse/platform/__init__.py
+++ b/src/ragwortcourse/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Typed ports to the platform, each with one HTTP adapter."""
+"""Adapter to the users' platform: its names and formats end here."""
--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -40,20 +40,20 @@
 from ragwortcourse.membership.directory import TargetDirectory
 from ragwortcourse.membership.exchange import exchange_with_peers
 from ragwortcourse.membership.first_sight import FirstSight
+from ragwortcourse.membership.hosts import HostList
+from ragwortcourse.membership.http_daemons import build_http_daemons
+from ragwortcourse.membership.http_hosts import build_http_hosts
 from ragwortcourse.membership.membership import Membership
 from ragwortcourse.membership.roster import Roster
 from ragwortcourse.membership.routes import build_exchange_routes
 from ragwortcourse.membership.signs import build_observed_agents
 from ragwortcourse.membership.watch import watch_targets
 from ragwortcourse.messages.peer_port import AgentPort, DaemonPort
-from ragwortcourse.platform.hosts import HostList
-from ragwortcourse.platform.http_daemons import build_http_daemons
-from ragwortcourse.platform.http_hosts import build_http_hosts
-from ragwortcourse.platform.http_objects import build_http_objects
-from ragwortcourse.platform.http_table import build_http_table
 from ragwortcourse.processes.sessions import Sessions
 from ragwortcourse.processes.tasks import BackgroundTasks
 from ragwortcourse.settings import Settings
+from ragwortcourse.storage.http_objects import build_http_objects
+from ragwortcourse.storage.http_table import build_http_table
 
 NO_CONFIGURATION: Final = 'no configuration yet'
 NO_TARGETS: Final = 'targets not seen yet'
--- a/src/ragwortcourse/settings.py
+++ b/src/ragwortcourse/settings.py
@@ -13,7 +13,7 @@
     Sha256Hex,
     TargetName,
 )
-from ragwortcourse.platform.hosts import HostRecord
+from ragwortcourse.membership.hosts import HostRecord
 
 
 class Role(enum.StrEnum):
--- /dev/null
+++ b/src/ragwortcourse/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The table service and the object store, as ports and over HTTP."""
--- a/src/ragwortcourse/platform/http_objects.py
+++ b/src/ragwortcourse/storage/http_objects.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from ragwortcourse.platform.objects import (
+from ragwortcourse.storage.objects import (
     ObjectFailed,
     ObjectName,
     ObjectRead,
--- a/src/ragwortcourse/platform/http_table.py
+++ b/src/ragwortcourse/storage/http_table.py
@@ -5,7 +5,7 @@
 import aiohttp
 import msgspec
 
-from ragwortcourse.platform.table import (
+from ragwortcourse.storage.table import (
     CommitOutcome,
     Committed,
     CommitUnknown,
@@ -19,7 +19,7 @@
     TableKey,
     TableService,
 )
-from ragwortcourse.platform.table_messages import (
+from ragwortcourse.storage.table_messages import (
     CommitRefusal,
     CommitRequest,
     CommitVerdict,
--- a/src/ragwortcourse/platform/row_change.py
+++ b/src/ragwortcourse/storage/row_change.py
@@ -1,6 +1,6 @@
 """Changes to a single row of the table service."""
 
-from ragwortcourse.platform.table import (
+from ragwortcourse.storage.table import (
     ABSENT,
     CommitOutcome,
     ConditionalWrite,
--- a/src/ragwortcourse/platform/http_origin.py
+++ b/src/ragwortcourse/weights/http_origin.py
@@ -7,14 +7,14 @@
 import aiohttp
 
 from ragwortcourse.identifiers import ModelName, Sha256Hex, VersionName
-from ragwortcourse.platform.origin import (
+from ragwortcourse.weights.origin import (
     OriginBusy,
     OriginContent,
     OriginFailed,
     OriginOutcome,
     WeightOrigin,
 )
-from ragwortcourse.platform.origin_writer import (
+from ragwortcourse.weights.origin_writer import (
     OriginStored,
     OriginUnreached,
     OriginWriter,
--- a/src/ragwortcourse/weights/landing_ports.py
+++ b/src/ragwortcourse/weights/landing_ports.py
@@ -5,8 +5,8 @@
 
 from ragwortcourse.engines.engine import Engine
 from ragwortcourse.identifiers import AdapterName, ModelName, VersionName
-from ragwortcourse.platform.origin import WeightOrigin
-from ragwortcourse.platform.table import TableService
+from ragwortcourse.storage.table import TableService
+from ragwortcourse.weights.origin import WeightOrigin
 from ragwortcourse.weights.peer_port import ChunkPort, Neighbours
 
 CountRunning = Callable[[ModelName, VersionName, AdapterName | None], int]
--- a/src/ragwortcourse/weights/neighbourhood.py
+++ b/src/ragwortcourse/weights/neighbourhood.py
@@ -4,7 +4,7 @@
 import random
 from typing import Final
 
-from ragwortcourse.platform.hosts import (
+from ragwortcourse.membership.hosts import (
     HostList,
     HostRecord,
     HostRole,
--- a/src/ragwortcourse/weights/order_lease.py
+++ b/src/ragwortcourse/weights/order_lease.py
@@ -9,8 +9,8 @@
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.identifiers import FencingNumber, TargetName
-from ragwortcourse.platform.row_change import replace_row
-from ragwortcourse.platform.table import (
+from ragwortcourse.storage.row_change import replace_row
+from ragwortcourse.storage.table import (
     CommitOutcome,
     Committed,
     Row,
--- a/src/ragwortcourse/platform/origin_writer.py
+++ b/src/ragwortcourse/weights/origin_writer.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from ragwortcourse.identifiers import ModelName, Sha256Hex, VersionName
-from ragwortcourse.platform.origin import OriginFailed
+from ragwortcourse.weights.origin import OriginFailed
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/ragwortcourse/weights/publication.py
+++ b/src/ragwortcourse/weights/publication.py
@@ -7,19 +7,19 @@
 from typing import Final
 
 from ragwortcourse.identifiers import ModelName, Sha256Hex, VersionName
-from ragwortcourse.platform.origin import OriginFailed
-from ragwortcourse.platform.origin_writer import (
+from ragwortcourse.weights.manifest import (
+    Manifest,
+    digest_bytes,
+    encode_manifest,
+)
+from ragwortcourse.weights.origin import OriginFailed
+from ragwortcourse.weights.origin_writer import (
     OriginStored,
     OriginUnreached,
     OriginWriter,
     StoreOutcome,
     VersionTaken,
 )
-from ragwortcourse.weights.manifest import (
-    Manifest,
-    digest_bytes,
-    encode_manifest,
-)
 
 SMALLEST_CHUNK_BYTES: Final = 65_536
 LARGEST_CHUNK_BYTES: Final = 1_048_576
--- a/src/ragwortcourse/weights/sources.py
+++ b/src/ragwortcourse/weights/sources.py
@@ -9,10 +9,10 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.identifiers import DaemonId
 from ragwortcourse.messages.peer_port import PeerSilent
-from ragwortcourse.platform.origin import OriginBusy, OriginContent
 from ragwortcourse.weights.draw_state import DrawState
 from ragwortcourse.weights.landing import Landing
 from ragwortcourse.weights.manifest import digest_bytes
+from ragwortcourse.weights.origin import OriginBusy, OriginContent
 from ragwortcourse.weights.peer_port import (
     MANIFEST_INDEX,
     ChunkAnswer,
--- a/tests/test_claim_helpers.py
+++ b/tests/test_claim_helpers.py
@@ -22,8 +22,8 @@
     HostName,
     RegionName,
 )
-from ragwortcourse.platform.hosts import HostRecord, HostRole
-from ragwortcourse.platform.table import (
+from ragwortcourse.membership.hosts import HostRecord, HostRole
+from ragwortcourse.storage.table import (
     ABSENT,
     CommitOutcome,
     Committed,
--- a/tests/test_claimed_calls.py
+++ b/tests/test_claimed_calls.py
@@ -15,7 +15,7 @@
 from ragwortcourse.entry.claims import decode_claim
 from ragwortcourse.entry.entry import Entry, drain_entry, stop_entry
 from ragwortcourse.messages.call import CallAnswer
-from ragwortcourse.platform.table import ConditionalWrite
+from ragwortcourse.storage.table import ConditionalWrite
 from tests.test_calls import collect
 
 pytestmark = pytest.mark.looptime
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -24,8 +24,8 @@
     withdraw_part,
 )
 from ragwortcourse.identifiers import ChangeId, Generation
+from ragwortcourse.membership.hosts import HostRole
 from ragwortcourse.messages.withdrawal import Withdrawal, WithdrawalScope
-from ragwortcourse.platform.hosts import HostRole
 
 # The target: accepted means in force everywhere within 3 s.
 IN_FORCE_SECONDS = 3
--- a/tests/test_configuration_routes.py
+++ b/tests/test_configuration_routes.py
@@ -10,7 +10,7 @@
 from ragwortcourse.configuration.holder import ConfigurationHolder
 from ragwortcourse.configuration.routes import build_configuration_routes
 from ragwortcourse.identifiers import ChangeId, Generation
-from ragwortcourse.platform.http_daemons import build_http_daemons
+from ragwortcourse.membership.http_daemons import build_http_daemons
 
 
 class TestDocumentRoute:
--- a/tests/test_http_daemons.py
+++ b/tests/test_http_daemons.py
@@ -15,12 +15,12 @@
     build_http_crashers,
 )
 from ragwortcourse.entry.crashers import Crashers
+from ragwortcourse.membership.http_daemons import build_http_daemons
 from ragwortcourse.membership.membership import build_heartbeat
 from ragwortcourse.membership.routes import build_exchange_routes
 from ragwortcourse.messages.peer_port import PeerSilent
 from ragwortcourse.messages.shared_crasher import SharedCrasher
 from ragwortcourse.messages.withdrawal import Withdrawal
-from ragwortcourse.platform.http_daemons import build_http_daemons
 
 
 class TestHttpDaemons:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,6 +12,7 @@
     HEARTBEAT_RATE,
     STATUS_PERIOD_SECONDS,
 )
+from ragwortcourse.membership.hosts import HostState
 from ragwortcourse.membership.listed_target import ListedTarget
 from ragwortcourse.membership.signs import note_sign
 from ragwortcourse.membership.subset import Watcher, select_subset
@@ -19,7 +20,6 @@
 from ragwortcourse.messages.attempt import AttemptRefused
 from ragwortcourse.messages.outcome import NotRun
 from ragwortcourse.messages.withdrawal import Withdrawal
-from ragwortcourse.platform.hosts import HostState
 
 # The target: a few seconds after a target starts leaving, no new work.
 LEAVING_SECONDS = 3
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -10,7 +10,7 @@
 from fakes.memory_table import MemoryRows, build_memory_table
 from ragwortcourse.clock import read_clock
 from ragwortcourse.identifiers import TargetName
-from ragwortcourse.platform.table import CommitUnknown, ConditionalWrite
+from ragwortcourse.storage.table import CommitUnknown, ConditionalWrite
 from ragwortcourse.weights.order_lease import (
     LEASE_SECONDS,
     LONGEST_ORDER_SECONDS,
--- a/tests/test_origin_ports.py
+++ b/tests/test_origin_ports.py
@@ -17,17 +17,17 @@
     build_origin_routes,
 )
 from ragwortcourse.identifiers import ModelName, Sha256Hex, VersionName
-from ragwortcourse.platform.http_origin import (
+from ragwortcourse.weights.http_origin import (
     build_http_origin,
     build_http_writer,
 )
-from ragwortcourse.platform.origin import (
+from ragwortcourse.weights.origin import (
     OriginBusy,
     OriginContent,
     OriginFailed,
     WeightOrigin,
 )
-from ragwortcourse.platform.origin_writer import (
+from ragwortcourse.weights.origin_writer import (
     OriginStored,
     OriginUnreached,
     OriginWriter,
--- a/tests/test_platform_ports.py
+++ b/tests/test_platform_ports.py
@@ -14,24 +14,24 @@
 from fakes.platform import build_platform_app
 from fakes.platform_state import Platform
 from ragwortcourse.identifiers import DaemonId, FailureDomainName, HostName
-from ragwortcourse.platform.hosts import (
+from ragwortcourse.membership.hosts import (
     HostList,
     HostRecord,
     HostRole,
     HostsListed,
     HostsUnavailable,
 )
-from ragwortcourse.platform.http_hosts import build_http_hosts
-from ragwortcourse.platform.http_objects import build_http_objects
-from ragwortcourse.platform.http_table import build_http_table
-from ragwortcourse.platform.objects import (
+from ragwortcourse.membership.http_hosts import build_http_hosts
+from ragwortcourse.storage.http_objects import build_http_objects
+from ragwortcourse.storage.http_table import build_http_table
+from ragwortcourse.storage.objects import (
     ObjectFailed,
     ObjectName,
     ObjectRead,
     ObjectStore,
     ObjectWritten,
 )
-from ragwortcourse.platform.table import (
+from ragwortcourse.storage.table import (
     ABSENT,
     Committed,
     CommitUnknown,
--- a/tests/test_proc.py
+++ b/tests/test_proc.py
@@ -1,6 +1,7 @@
 """What running daemons may hold, read from their own /proc entries."""
 
 import asyncio
+import pathlib
 from collections.abc import Iterable
 
 import pytest
@@ -36,13 +37,25 @@
     await site.wait_for_answer('renewals')
 
 
+def read_shared_mappings(pid: int) -> list[str]:
+    """Its memory mappings that are shared and writable, or in /dev/shm."""
+    lines = pathlib.Path(f'/proc/{pid}/maps').read_text().splitlines()
+    return [line for line in lines if is_shared(line)]
+
+
+def is_shared(line: str) -> bool:
+    """Tell whether a line of ``maps`` is memory that others may write."""
+    flags = line.split()[1]
+    return ('w' in flags and 's' in flags) or '/dev/shm' in line
+
+
 def list_forbidden(pid: int) -> Iterable[str]:
     """What the ground rules rule out."""
     yield from (
         link for link in proc.read_descriptors(pid) if 'io_uring' in link
     )
     yield from (f'child {child}' for child in proc.read_children(pid))
-    yield from proc.read_shared_mappings(pid)
+    yield from read_shared_mappings(pid)
 
 
 def list_hops(spans: list[dict[str, str]]) -> list[str]:
