--- /dev/null
+++ b/src/ragwortcourse/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Requests sent straight from entry daemons to targets."""
--- /dev/null
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -0,0 +1,142 @@
+"""The callers' port of an entry daemon that sends straight to targets."""
+
+import asyncio
+import logging
+from typing import Final
+
+import msgspec
+from aiohttp import web
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.account import Account
+from ragwortcourse.forwarding.call import Call, Work
+from ragwortcourse.forwarding.call_kind import CallKind
+from ragwortcourse.forwarding.forwarder import Forwarder
+from ragwortcourse.forwarding.permission import permit_call
+from ragwortcourse.forwarding.plain_call import serve_plain
+from ragwortcourse.forwarding.reply import (
+    Reason,
+    Refusal,
+    Reply,
+    WholeAnswer,
+)
+from ragwortcourse.forwarding.route import Route
+from ragwortcourse.forwarding.stream_call import (
+    StreamBrokenError,
+    serve_stream,
+)
+from ragwortcourse.forwarding.tries import Tries
+
+LOGGER: Final = logging.getLogger(__name__)
+
+
+def build_call_routes(forwarder: Forwarder) -> list[web.RouteDef]:
+    """Routes of the callers' port."""
+
+    async def answer_call(request: web.Request) -> web.StreamResponse:
+        forwarder.running += 1
+        try:
+            return await _answer(forwarder, request)
+        finally:
+            forwarder.running -= 1
+
+    return [web.route('*', '/{path:.*}', answer_call)]
+
+
+async def _answer(
+    forwarder: Forwarder, request: web.Request
+) -> web.StreamResponse:
+    call = forwarder.wire.read_call(request)
+    permitted = permit_call(forwarder.state, forwarder.fleet, call)
+    if isinstance(permitted, Refusal):
+        return _write_reply(call, permitted)
+    body = await request.read()
+    work = _accept(call, *permitted, body)
+    response: web.StreamResponse | Reply
+    try:
+        async with asyncio.timeout_at(work.deadline):
+            response = await _serve(forwarder, work, request)
+    except TimeoutError:
+        response = Refusal(status=504, reason=Reason.TIMED_OUT)
+        if _is_begun(request):
+            return _break_off(request, call, response.reason)
+    except StreamBrokenError as error:
+        return _break_off(request, call, str(error))
+    if isinstance(response, web.StreamResponse):
+        return response
+    return _write_reply(call, response)
+
+
+def _accept(
+    call: Call, route: Route, account: Account | None, body: bytes
+) -> Work:
+    limit = route.time_limit
+    if call.time_left is not None:
+        limit = min(limit, call.time_left)
+    return Work(
+        call=call,
+        route=route,
+        account=account,
+        body=body,
+        deadline=call.arrived_at + limit,
+    )
+
+
+async def _serve(
+    forwarder: Forwarder, work: Work, request: web.Request
+) -> web.StreamResponse | Reply:
+    tries = Tries(forwarder=forwarder, work=work)
+    if work.route.kind is CallKind.STREAMING:
+        return await serve_stream(tries, request)
+    return await serve_plain(tries)
+
+
+def _is_begun(request: web.Request) -> bool:
+    writer = request.writer
+    return getattr(writer, 'output_size', 0) > 0
+
+
+def _break_off(
+    request: web.Request, call: Call, detail: str
+) -> web.StreamResponse:
+    """End the connection so that the answer can't look whole."""
+    LOGGER.warning(
+        'answer broken off',
+        extra={
+            'request': call.attempt,
+            'detail': detail,
+            'seconds': read_clock() - call.arrived_at,
+        },
+    )
+    if request.transport is not None:
+        request.transport.abort()
+    # The library asks for a response even where nobody is left to read it.
+    return web.Response(status=web.HTTPBadGateway.status_code)
+
+
+def _write_reply(call: Call, reply: Reply) -> web.Response:
+    if isinstance(reply, WholeAnswer):
+        headers = reply.head.headers.copy()
+        headers.popall('Content-Length', None)
+        return web.Response(
+            status=reply.head.status, headers=headers, body=reply.body
+        )
+    LOGGER.info(
+        'refused',
+        extra={
+            'request': call.attempt,
+            'status': reply.status,
+            'reason': reply.reason,
+            'retry_after': reply.retry_after,
+            'path': call.path,
+            'seconds': read_clock() - call.arrived_at,
+        },
+    )
+    response = web.Response(
+        status=reply.status,
+        body=msgspec.json.encode({'error': reply.reason}),
+        content_type='application/json',
+    )
+    if reply.retry_after is not None:
+        response.headers['Retry-After'] = f'{reply.retry_after:.2f}'
+    return response
--- /dev/null
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -0,0 +1,177 @@
+"""The target of one try, or why there is none."""
+
+import dataclasses
+from collections.abc import Collection, Iterator
+from typing import Final
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.admission import (
+    Demand,
+    Place,
+    foresee_wait,
+    is_timely,
+)
+from ragwortcourse.forwarding.call import Work
+from ragwortcourse.forwarding.engine_rules import EngineRules
+from ragwortcourse.forwarding.forwarder import Forwarder
+from ragwortcourse.forwarding.placement import (
+    Candidate,
+    Distance,
+    choose_candidate,
+)
+from ragwortcourse.forwarding.reply import Reason, Refusal
+from ragwortcourse.forwarding.retry_share import DAEMONS_COUNTED
+from ragwortcourse.forwarding.service_rules import ServiceRules
+from ragwortcourse.forwarding.target import Target
+from ragwortcourse.identifiers import ServiceName, TargetName
+
+# Before the bound: a request may wait at its target for as long.
+VERSION_MARGIN_SECONDS: Final = 0.8
+# A target that owes answers for this long is passed by: several passes of
+# a loaded engine.
+SILENT_SECONDS: Final = 0.8
+# After it a target may be back, or another one listed.
+NO_TARGET_RETRY_SECONDS: Final = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Choice:
+    """A target, and the weights it must have.
+
+    :param version: none where any version will do.
+    """
+
+    target: Target
+    version: int | None
+
+
+def choose_service(forwarder: Forwarder, work: Work) -> ServiceName:
+    """One of the route's services, by their weights."""
+    shares = work.route.services
+    chosen = forwarder.rng.choices(
+        shares, weights=[share.weight for share in shares]
+    )
+    return chosen[0].service
+
+
+def choose_target(
+    forwarder: Forwarder,
+    work: Work,
+    service: ServiceName,
+    tried: Collection[TargetName],
+) -> Choice | Refusal:
+    """The best target not tried yet, if the work may begin there in time."""
+    desired = forwarder.state.desired
+    rules = None if desired is None else desired.services.get(service)
+    rules = rules or ServiceRules(name=service)
+    version = read_required_version(forwarder, rules.engine)
+    usable = [
+        target
+        for target in forwarder.state.targets.values()
+        if target.service == service
+        and target.name not in tried
+        and _is_usable(forwarder, work, target, rules)
+    ]
+    ready = [each for each in usable if not _is_avoided(forwarder, each)]
+    candidates = list(_describe(forwarder, ready or usable, version))
+    chosen = choose_candidate(candidates, forwarder.rng)
+    if chosen is None:
+        return _refuse(forwarder, Reason.NO_TARGET, NO_TARGET_RETRY_SECONDS)
+    place = Place(
+        load=chosen.load,
+        slots=chosen.target.slots,
+        latency=forwarder.find_load(chosen.target).latency,
+        engine=rules.engine,
+    )
+    if not is_timely(place, read_demand(forwarder, work)):
+        return _refuse(forwarder, Reason.OVERLOADED, foresee_wait(place))
+    return Choice(target=chosen.target, version=version)
+
+
+def read_demand(forwarder: Forwarder, work: Work) -> Demand:
+    """What the work asks of a target, as of now."""
+    call = work.call
+    time_left = work.route.objective - (read_clock() - call.arrived_at)
+    if call.time_left is not None and not forwarder.usual_times.is_fresh(
+        work.route.name, call.time_left
+    ):
+        time_left = 0
+    return Demand(prompt_tokens=call.prompt_tokens, time_left=time_left)
+
+
+def read_required_version(
+    forwarder: Forwarder, engine: EngineRules | None
+) -> int | None:
+    """Weights that a request must begin on, once the older ones expired."""
+    if engine is None:
+        return None
+    named = forwarder.state.weights.get(engine.model)
+    if named is None:
+        return None
+    bound = forwarder.fleet.version_ms / 1000 - VERSION_MARGIN_SECONDS
+    if read_clock() - named.seen_at < bound:
+        return None
+    return named.version
+
+
+def _refuse(forwarder: Forwarder, reason: Reason, wait: float) -> Refusal:
+    return Refusal(
+        status=503,
+        reason=reason,
+        retry_after=forwarder.turns.book(wait, forwarder.rng),
+    )
+
+
+def _is_usable(
+    forwarder: Forwarder, work: Work, target: Target, rules: ServiceRules
+) -> bool:
+    if target.leaving or target.failure_domain in forwarder.state.withdrawn:
+        return False
+    homes = [work.route.regions]
+    if work.account is not None:
+        homes.append(work.account.regions)
+    if any(home and target.region not in home for home in homes):
+        return False
+    if rules.engine is not None and not target.holds(rules.engine.layers):
+        return False
+    return _has_cold_room(forwarder, target, rules)
+
+
+def _has_cold_room(
+    forwarder: Forwarder, target: Target, rules: ServiceRules
+) -> bool:
+    """Tell whether a cold target bears one request more of this daemon."""
+    load = forwarder.find_load(target)
+    if not rules.cold_rate or load.cold_until <= read_clock():
+        return True
+    share = rules.cold_rate / DAEMONS_COUNTED
+    return load.count_recent(read_clock()) < max(share, 1)
+
+
+def _is_avoided(forwarder: Forwarder, target: Target) -> bool:
+    return forwarder.find_load(target).avoided_until > read_clock()
+
+
+def _describe(
+    forwarder: Forwarder, targets: list[Target], version: int | None
+) -> Iterator[Candidate]:
+    now = read_clock()
+    for target in targets:
+        load = forwarder.find_load(target)
+        held = target.weights
+        is_behind = bool(version and held and held.version < version)
+        yield Candidate(
+            target=target,
+            load=load.estimate(now),
+            distance=_measure_distance(forwarder, target),
+            trouble=load.read_trouble(now) + is_behind,
+            silent=load.read_silence(now) > SILENT_SECONDS,
+        )
+
+
+def _measure_distance(forwarder: Forwarder, target: Target) -> Distance:
+    if target.failure_domain == forwarder.settings.failure_domain:
+        return Distance.SAME_DOMAIN
+    if target.region == forwarder.settings.region:
+        return Distance.SAME_REGION
+    return Distance.OTHER_REGION
--- /dev/null
+++ b/src/ragwortcourse/forwarding/desired_state.py
@@ -0,0 +1,34 @@
+"""Everything that the operators of a fleet want, at one version."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from ragwortcourse.forwarding.account import Account
+from ragwortcourse.forwarding.route import Route
+from ragwortcourse.forwarding.service_rules import ServiceRules
+from ragwortcourse.identifiers import ServiceName
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DesiredState:
+    """Routes, services and client accounts of one version.
+
+    :param routes: by host in lower case, longest prefix first.
+    :param accounts: by key; none where the fleet has no client accounts.
+    """
+
+    version: int
+    routes: Mapping[str, tuple[Route, ...]]
+    services: Mapping[ServiceName, ServiceRules]
+    accounts: Mapping[str, Account] | None = None
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Route with the longest prefix that begins the path.
+
+        :param host: without port, in any case.
+        :param path: as it was received, without the query.
+        """
+        routes = self.routes.get(host.lower(), ())
+        return next(
+            (route for route in routes if path.startswith(route.prefix)), None
+        )
--- /dev/null
+++ b/src/ragwortcourse/forwarding/engine_rules.py
@@ -0,0 +1,32 @@
+"""How fast the engines of a service are."""
+
+import dataclasses
+
+from ragwortcourse.identifiers import ModelName
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EngineRules:
+    """Speeds and sizes of the model engines of one service.
+
+    :param slots: requests that an engine runs at once.
+    :param step: seconds of a token step that nobody shares.
+    :param step_per_request: seconds that each running request adds.
+    :param read_rate: prompt tokens read in a second.
+    :param stride: steps in one pass.
+    :param usual_prompt: mean prompt, in tokens.
+    :param usual_answer: mean answer, in tokens.
+    :param layers: layers of the whole model.
+    :param chunks: chunks that its weights come in.
+    """
+
+    model: ModelName
+    slots: int
+    step: float
+    step_per_request: float
+    read_rate: float
+    stride: int
+    usual_prompt: float
+    usual_answer: float
+    layers: int
+    chunks: int
--- /dev/null
+++ b/src/ragwortcourse/forwarding/event_buffer.py
@@ -0,0 +1,41 @@
+"""Whole events out of the pieces of a stream."""
+
+import re
+from typing import Final
+
+EVENT_END: Final = b'\n\n'
+EVENT_ID: Final = re.compile(rb'^id: ?([^\r\n]*)$', re.MULTILINE)
+
+
+class EventBuffer:
+    """Holds back the event that is not whole yet.
+
+    :param last_event: id of the last whole event given out.
+    """
+
+    def __init__(self, *, last_event: str | None) -> None:
+        self.last_event = last_event
+        self._rest = b''
+
+    @property
+    def has_rest(self) -> bool:
+        """Tell whether part of an event is held back."""
+        return bool(self._rest)
+
+    def add(self, piece: bytes) -> bytes:
+        """Every event that is whole now, as the target wrote them."""
+        text = self._rest + piece
+        end = text.rfind(EVENT_END)
+        if end < 0:
+            self._rest = text
+            return b''
+        end += len(EVENT_END)
+        whole, self._rest = text[:end], text[end:]
+        ids = EVENT_ID.findall(whole)
+        if ids:
+            self.last_event = ids[-1].decode('latin-1')
+        return whole
+
+    def drop_rest(self) -> None:
+        """Forget the event that will not become whole."""
+        self._rest = b''
--- /dev/null
+++ b/src/ragwortcourse/forwarding/exchange.py
@@ -0,0 +1,144 @@
+"""One request and its answer at one target."""
+
+import dataclasses
+import socket
+from collections.abc import AsyncIterator
+from typing import Final
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from yarl import URL
+
+from ragwortcourse.forwarding.answer_head import AnswerHead
+from ragwortcourse.forwarding.call import Work
+from ragwortcourse.forwarding.wire_format import Dispatch, WireFormat
+
+# Some round trips between the farthest failure domains.
+CONNECT_SECONDS: Final = 0.3
+# After it the system gives up bytes that nobody acknowledges.
+UNACKNOWLEDGED_MS: Final = 2000
+SKIPPED_HEADERS: Final = (
+    'Accept',
+    'Accept-Encoding',
+    'Content-Type',
+    'User-Agent',
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NotSent:
+    """No connection came about: the target can't have run the request."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NoAnswer:
+    """The request was sent; whether it ran is not known."""
+
+    detail: str
+
+
+class AnswerCutError(Exception):
+    """A body ended before it was whole."""
+
+
+class OpenAnswer:
+    """An answer whose body is still to be read."""
+
+    def __init__(
+        self, *, head: AnswerHead, response: aiohttp.ClientResponse
+    ) -> None:
+        self.head = head
+        self._response = response
+        connection = response.connection
+        protocol = None if connection is None else connection.protocol
+        self._protocol: ResponseHandler | None = protocol
+
+    async def read_pieces(self) -> AsyncIterator[bytes]:
+        """The body as it arrives.
+
+        :raises AnswerCutError: the connection ended before the body.
+        """
+        try:
+            async for piece in self._response.content.iter_any():
+                yield piece
+        except (aiohttp.ClientError, OSError) as error:
+            raise AnswerCutError(repr(error)) from error
+        if self._was_reset():
+            raise AnswerCutError('connection reset')
+
+    def close(self) -> None:
+        """End the connection; a target still at work stops."""
+        self._response.close()
+
+    def _was_reset(self) -> bool:
+        """Tell whether a body without length ended by a reset.
+
+        The client library takes any end of the connection for the end of
+        such a body.
+        """
+        if self._protocol is None:
+            return False
+        return isinstance(self._protocol.exception(), OSError)
+
+
+def open_target_session() -> aiohttp.ClientSession:
+    """Session whose connections each carry one request.
+
+    An earlier connection may have gone silent, or may hold a late answer
+    to another request; a new one costs a round trip.
+    """
+    connector = aiohttp.TCPConnector(
+        limit=0, force_close=True, socket_factory=_open_socket
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        skip_auto_headers=SKIPPED_HEADERS,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+        max_line_size=65_536,
+        max_field_size=65_536,
+    )
+
+
+def _open_socket(info: aiohttp.AddrInfoType) -> socket.socket:
+    opened = socket.socket(family=info[0], type=info[1], proto=info[2])
+    opened.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+    )
+    return opened
+
+
+async def open_exchange(
+    *,
+    session: aiohttp.ClientSession,
+    wire: WireFormat,
+    work: Work,
+    dispatch: Dispatch,
+) -> OpenAnswer | NotSent | NoAnswer:
+    """Send a request to a target and read the head of its answer.
+
+    Cancelling it closes the connection.
+    """
+    call = work.call
+    url = URL(
+        f'http://{dispatch.target.address}{call.target_path}', encoded=True
+    )
+    try:
+        response = await session.request(
+            call.method,
+            url,
+            headers=wire.write_headers(work, dispatch),
+            data=work.body or None,
+            allow_redirects=False,
+        )
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ) as error:
+        return NotSent(detail=repr(error))
+    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        return NoAnswer(detail=repr(error))
+    head = wire.read_head(response.status, response.headers, call.attempt)
+    return OpenAnswer(head=head, response=response)
--- /dev/null
+++ b/src/ragwortcourse/forwarding/fleet_state.py
@@ -0,0 +1,38 @@
+"""What one daemon believes of the fleet."""
+
+import dataclasses
+import time
+
+from ragwortcourse.forwarding.desired_state import DesiredState
+from ragwortcourse.forwarding.named_weights import NamedWeights
+from ragwortcourse.forwarding.target import Target
+from ragwortcourse.identifiers import FailureDomainName, ModelName, TargetName
+
+
+def read_boot_clock() -> float:
+    """Seconds since the host started, time in suspension included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class FleetState:
+    """Desired state, targets, withdrawals and versions as last read.
+
+    :param desired: none until one was read.
+    :param confirmed_at: boot clock at which the store was last asked and
+        then said that there is nothing newer.
+    :param targets_known: true once the list of targets was read.
+    """
+
+    desired: DesiredState | None = None
+    confirmed_at: float = 0
+    withdrawn: frozenset[FailureDomainName] = frozenset()
+    weights: dict[ModelName, NamedWeights] = dataclasses.field(
+        default_factory=dict
+    )
+    targets: dict[TargetName, Target] = dataclasses.field(default_factory=dict)
+    targets_known: bool = False
+
+    def read_age(self) -> float:
+        """Seconds since the desired state was confirmed as the newest."""
+        return read_boot_clock() - self.confirmed_at
--- /dev/null
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -0,0 +1,73 @@
+"""What an entry daemon needs to send requests on."""
+
+import logging
+import random
+from typing import Final
+
+import aiohttp
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.entry.return_turns import ReturnTurns
+from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.forwarding.retry_share import RetryShare
+from ragwortcourse.forwarding.target import Target
+from ragwortcourse.forwarding.target_load import TargetLoad
+from ragwortcourse.forwarding.usual_time import UsualTimes
+from ragwortcourse.forwarding.wire_format import WireFormat
+from ragwortcourse.identifiers import TargetName
+from ragwortcourse.settings import FleetSettings, Settings
+
+LOGGER: Final = logging.getLogger(__name__)
+
+
+class Forwarder:
+    """State of the requests of one entry daemon.
+
+    :param settings: of a forwarder.
+    :raises ValueError: the settings have no ``[fleet]`` part.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        state: FleetState,
+        wire: WireFormat,
+        session: aiohttp.ClientSession,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.fleet = read_fleet_settings(settings)
+        self.state = state
+        self.wire = wire
+        self.session = session
+        self.rng = rng
+        self.turns = ReturnTurns()
+        self.retries = RetryShare(fleet=self.fleet)
+        self.usual_times = UsualTimes()
+        self.running = 0
+        self._loads: dict[TargetName, TargetLoad] = {}
+
+    def find_load(self, target: Target) -> TargetLoad:
+        """Load of a target; another incarnation begins anew."""
+        load = self._loads.get(target.name)
+        if load is None or load.born != target.born:
+            self._forget_gone()
+            load = TargetLoad(born=target.born)
+            load.cold_until = read_clock() + target.cold_seconds
+            self._loads[target.name] = load
+        return load
+
+    def _forget_gone(self) -> None:
+        for name in self._loads.keys() - self.state.targets.keys():
+            self._loads.pop(name)
+
+
+def read_fleet_settings(settings: Settings) -> FleetSettings:
+    """The fleet's part of the settings.
+
+    :raises ValueError: these are not the settings of a fleet's daemon.
+    """
+    if settings.fleet is None:
+        raise ValueError(f'{settings.daemon}: settings without [fleet]')
+    return settings.fleet
--- /dev/null
+++ b/src/ragwortcourse/forwarding/named_weights.py
@@ -0,0 +1,14 @@
+"""Versions of weights that operators name."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NamedWeights:
+    """The version that engines are to be brought to.
+
+    :param seen_at: monotonic seconds; no later than the version was named.
+    """
+
+    version: int
+    seen_at: float
--- /dev/null
+++ b/src/ragwortcourse/forwarding/placement.py
@@ -0,0 +1,69 @@
+"""Which target a request goes to.
+
+Load pattern: many daemons, none of which knows all load, spread bursts over
+engines of one service while some of them fail or fall silent.
+"""
+
+import dataclasses
+import enum
+import random
+from collections.abc import Sequence
+from typing import Final
+
+from ragwortcourse.forwarding.target import Target
+
+# Shares of a target's slots that a longer way, or a failure, outweighs.
+DOMAIN_COST: Final = 0.03
+REGION_COST: Final = 0.06
+TROUBLE_COST: Final = 0.5
+SILENCE_COST: Final = 4.0
+
+
+class Distance(enum.IntEnum):
+    """How far a target is from the daemon."""
+
+    SAME_DOMAIN = 0
+    SAME_REGION = 1
+    OTHER_REGION = 2
+
+
+DISTANCE_COSTS: Final = {
+    Distance.SAME_DOMAIN: 0.0,
+    Distance.SAME_REGION: DOMAIN_COST,
+    Distance.OTHER_REGION: REGION_COST,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Candidate:
+    """A target that may take a request.
+
+    :param load: requests believed to be there.
+    :param trouble: failures of late.
+    :param silent: true where it owes answers and sends nothing.
+    """
+
+    target: Target
+    load: float
+    distance: Distance
+    trouble: float = 0
+    silent: bool = False
+
+    @property
+    def cost(self) -> float:
+        """Load in shares of the slots, and what else speaks against it."""
+        return (
+            self.load / max(self.target.slots, 1)
+            + DISTANCE_COSTS[self.distance]
+            + self.trouble * TROUBLE_COST
+            + self.silent * SILENCE_COST
+        )
+
+
+def choose_candidate(
+    candidates: Sequence[Candidate], rng: random.Random
+) -> Candidate | None:
+    """The cheapest candidate; equal ones by chance."""
+    if not candidates:
+        return None
+    return min(candidates, key=lambda each: (each.cost, rng.random()))
--- /dev/null
+++ b/src/ragwortcourse/forwarding/plain_call.py
@@ -0,0 +1,55 @@
+"""Requests whose answers are passed on whole."""
+
+import asyncio
+from typing import Final
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.exchange import AnswerCutError
+from ragwortcourse.forwarding.reply import Reason, Refusal, Reply, WholeAnswer
+from ragwortcourse.forwarding.tries import OpenTry, Tries
+
+# Part of the time left that a try may take while another one may follow.
+TRY_SHARE: Final = 0.5
+FIRST_OWN_FAILURE: Final = 500
+
+
+async def serve_plain(tries: Tries) -> Reply:
+    """Answer of a target, read whole before the caller gets any of it."""
+    failed: Reply = Refusal(status=502, reason=Reason.FAILED)
+    while True:
+        try:
+            async with asyncio.timeout_at(_read_limit(tries)):
+                opened = await tries.open(None)
+                if isinstance(opened, Refusal):
+                    return failed if tries.may_have_run else opened
+                reply = await _read_whole(tries, opened)
+        except TimeoutError:
+            reply = None
+        if reply is not None:
+            if reply.head.status < FIRST_OWN_FAILURE:
+                return reply
+            failed = reply
+        if not tries.allows_another():
+            return failed
+
+
+def _read_limit(tries: Tries) -> float:
+    work = tries.work
+    if not work.route.may_repeat or tries.runs + 1 >= work.route.attempts:
+        return work.deadline
+    now = read_clock()
+    return now + (work.deadline - now) * TRY_SHARE
+
+
+async def _read_whole(tries: Tries, opened: OpenTry) -> WholeAnswer | None:
+    try:
+        pieces = [piece async for piece in opened.answer.read_pieces()]
+    except AnswerCutError as error:
+        tries.fail(opened, str(error))
+        return None
+    finally:
+        tries.end(opened)
+    head = opened.answer.head
+    if head.is_success:
+        opened.load.note_success(read_clock() - opened.began_at)
+    return WholeAnswer(head=head, body=b''.join(pieces))
--- /dev/null
+++ b/src/ragwortcourse/forwarding/service_rules.py
@@ -0,0 +1,26 @@
+"""What the operators say of a service's targets."""
+
+import dataclasses
+
+from ragwortcourse.forwarding.engine_rules import EngineRules
+from ragwortcourse.identifiers import FailureDomainName, ServiceName
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceRules:
+    """Limits of the targets of one service.
+
+    :param cold_rate: requests a second that a cold target bears; zero for
+        no bound.
+    :param connections: connections that a target accepts.
+    :param engine: none for plain services.
+    :param origin: ``ip:port`` of an origin of weights; empty otherwise.
+    :param origin_domain: failure domain of an origin; none otherwise.
+    """
+
+    name: ServiceName
+    cold_rate: float = 0
+    connections: int = 0
+    engine: EngineRules | None = None
+    origin: str = ''
+    origin_domain: FailureDomainName | None = None
--- /dev/null
+++ b/src/ragwortcourse/forwarding/target_load.py
@@ -0,0 +1,106 @@
+"""What a daemon knows of the load and health of one target."""
+
+import math
+from typing import Final
+
+from ragwortcourse.forwarding.answer_head import ReportedLoad
+
+# Reports lose weight until they say nothing any more.
+REPORT_SECONDS: Final = 3.0
+# A failure counts half after this time.
+TROUBLE_HALF_LIFE_SECONDS: Final = 2.0
+# A refusing target is passed by for this long: some passes of an engine.
+REFUSED_SECONDS: Final = 0.15
+FIRST_AVOIDED_SECONDS: Final = 0.4
+LONGEST_AVOIDED_SECONDS: Final = 4.0
+# Weight of the newest answer in the mean time of answers.
+LATENCY_SMOOTHING: Final = 0.1
+WINDOW_SECONDS: Final = 1.0
+
+
+class TargetLoad:
+    """Requests under way at one incarnation of a target, and its signs.
+
+    :param born: incarnation that this is about.
+    """
+
+    def __init__(self, *, born: int) -> None:
+        self.born = born
+        self.own = 0
+        self.cold_until: float = 0
+        self.avoided_until: float = 0
+        self.latency: float | None = None
+        self._others: float = 0
+        self._reported_at: float = 0
+        self._sign_at: float = 0
+        self._trouble: float = 0
+        self._trouble_at: float = 0
+        self._avoided_for: float = FIRST_AVOIDED_SECONDS
+        self._sent_at: list[float] = []
+
+    def begin(self, now: float) -> None:
+        """Count a request that is sent."""
+        if not self.own:
+            self._sign_at = now
+        self.own += 1
+        self._sent_at = [
+            sent for sent in self._sent_at if now - sent < WINDOW_SECONDS
+        ]
+        self._sent_at.append(now)
+
+    def end(self) -> None:
+        """Count a request that has ended."""
+        self.own -= 1
+
+    def note_sign(self, now: float) -> None:
+        """Note that the target sent something."""
+        self._sign_at = now
+
+    def note_load(self, load: ReportedLoad, now: float) -> None:
+        """Take the target's own word."""
+        self._others = max(load.running + load.waiting - self.own, 0)
+        self._reported_at = now
+
+    def note_success(self, seconds: float) -> None:
+        """Count a good answer.
+
+        :param seconds: until its first byte.
+        """
+        self._avoided_for = FIRST_AVOIDED_SECONDS
+        if self.latency is None:
+            self.latency = seconds
+        self.latency += LATENCY_SMOOTHING * (seconds - self.latency)
+
+    def note_refusal(self, now: float) -> None:
+        """Count a request that the target did not run."""
+        self.avoided_until = max(self.avoided_until, now + REFUSED_SECONDS)
+
+    def note_failure(self, now: float) -> None:
+        """Count an answer that the target owes or spoilt."""
+        self._trouble = self.read_trouble(now) + 1
+        self._trouble_at = now
+
+    def note_unreachable(self, now: float) -> None:
+        """Count a connection that did not come about; pass the target by."""
+        self.note_failure(now)
+        self.avoided_until = now + self._avoided_for
+        self._avoided_for = min(self._avoided_for * 2, LONGEST_AVOIDED_SECONDS)
+
+    def estimate(self, now: float) -> float:
+        """Requests believed to be there, those of other daemons included."""
+        age = now - self._reported_at
+        weight = max(1 - age / REPORT_SECONDS, 0)
+        return self.own + self._others * weight
+
+    def read_trouble(self, now: float) -> float:
+        """Failures of late, the older ones counting less."""
+        age = now - self._trouble_at
+        return self._trouble * math.exp2(-age / TROUBLE_HALF_LIFE_SECONDS)
+
+    def read_silence(self, now: float) -> float:
+        """Seconds without a sign while requests are under way."""
+        return now - self._sign_at if self.own else 0
+
+    def count_recent(self, now: float) -> int:
+        """Requests sent within the last second."""
+        return sum(now - sent < WINDOW_SECONDS for sent in self._sent_at)
--- /dev/null
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -0,0 +1,189 @@
+"""Tries of one request, one target after the other."""
+
+import dataclasses
+import logging
+from typing import Final
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.call import Work
+from ragwortcourse.forwarding.choice import (
+    Choice,
+    choose_service,
+    choose_target,
+)
+from ragwortcourse.forwarding.exchange import (
+    NoAnswer,
+    NotSent,
+    OpenAnswer,
+    open_exchange,
+)
+from ragwortcourse.forwarding.forwarder import Forwarder
+from ragwortcourse.forwarding.reply import Reason, Refusal
+from ragwortcourse.forwarding.target import Target
+from ragwortcourse.forwarding.target_load import TargetLoad
+from ragwortcourse.forwarding.wire_format import Dispatch
+from ragwortcourse.identifiers import ServiceName, TargetName
+
+# Targets that may decline beside those that may run the request.
+DECLINES_ALLOWED: Final = 2
+
+LOGGER: Final = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OpenTry:
+    """A try that has an answer to be read.
+
+    :param began_at: monotonic seconds.
+    """
+
+    target: Target
+    load: TargetLoad
+    answer: OpenAnswer
+    began_at: float
+
+
+class Tries:
+    """What became of one request so far.
+
+    :param runs: targets that may have run it.
+    """
+
+    def __init__(self, *, forwarder: Forwarder, work: Work) -> None:
+        self.forwarder = forwarder
+        self.work = work
+        self.runs = 0
+        self.tried: set[TargetName] = set()
+        self._service: ServiceName = choose_service(forwarder, work)
+        self._sends = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether a refusal can no longer say that it did not run."""
+        return self.runs > 0
+
+    def allows_another(self) -> bool:
+        """Tell whether one more target may be tried."""
+        route = self.work.route
+        if self.runs >= route.attempts:
+            return False
+        if self.runs and not route.may_repeat:
+            return False
+        return self._sends < route.attempts + DECLINES_ALLOWED
+
+    async def open(self, last_event: str | None) -> OpenTry | Refusal:
+        """Send the request to targets until one answers.
+
+        :param last_event: event after which a stream is to go on.
+        """
+        refusal = Refusal(
+            status=503, reason=Reason.NOT_RUN, retry_after=self._book(0)
+        )
+        while self.allows_another():
+            choice = choose_target(
+                self.forwarder, self.work, self._service, self.tried
+            )
+            if isinstance(choice, Refusal):
+                return self._be_truthful(choice if not self._sends else refusal)
+            if self._sends and not self.forwarder.retries.spend():
+                break
+            opened = await self._send(choice, last_event)
+            if opened is not None:
+                return opened
+        return self._be_truthful(refusal)
+
+    def end(self, tried: OpenTry) -> None:
+        """Close a try; its target stops if it is still at work."""
+        tried.answer.close()
+        tried.load.end()
+
+    def fail(self, tried: OpenTry, detail: str) -> None:
+        """Count a try whose answer was cut or spoilt."""
+        tried.load.note_failure(read_clock())
+        self._log('answer lost or spoilt', tried.target, detail)
+
+    async def _send(
+        self, choice: Choice, last_event: str | None
+    ) -> OpenTry | None:
+        forwarder, target = self.forwarder, choice.target
+        began_at = read_clock()
+        if not self._sends:
+            forwarder.retries.earn()
+        self._sends += 1
+        self.tried.add(target.name)
+        load = forwarder.find_load(target)
+        load.begin(began_at)
+        self.runs += 1
+        answer = None
+        try:
+            answer = await open_exchange(
+                session=forwarder.session,
+                wire=forwarder.wire,
+                work=self.work,
+                dispatch=Dispatch(
+                    target=target,
+                    time_left=self.work.deadline - began_at,
+                    version=choice.version,
+                    last_event=last_event,
+                ),
+            )
+        finally:
+            if not isinstance(answer, OpenAnswer):
+                load.end()
+        if isinstance(answer, OpenAnswer):
+            opened = OpenTry(
+                target=target, load=load, answer=answer, began_at=began_at
+            )
+            return self._judge(opened)
+        self._note_lost(target, load, answer)
+        return None
+
+    def _judge(self, opened: OpenTry) -> OpenTry | None:
+        now = read_clock()
+        head, load = opened.answer.head, opened.load
+        load.note_sign(now)
+        if head.load is not None:
+            load.note_load(head.load, now)
+        if head.cold_seconds is not None:
+            load.cold_until = now + head.cold_seconds
+        if head.ran and head.genuine:
+            return opened
+        self.end(opened)
+        if head.ran:
+            self.fail(opened, f'status {head.status} without a true mark')
+            return None
+        self.runs -= 1
+        load.note_refusal(now)
+        self._log('target declined', opened.target, f'status {head.status}')
+        return None
+
+    def _note_lost(
+        self, target: Target, load: TargetLoad, answer: NotSent | NoAnswer
+    ) -> None:
+        if isinstance(answer, NotSent):
+            self.runs -= 1
+            load.note_unreachable(read_clock())
+            self._log('target unreachable', target, answer.detail)
+        else:
+            load.note_failure(read_clock())
+            self._log('no answer', target, answer.detail)
+
+    def _be_truthful(self, refusal: Refusal) -> Refusal:
+        if self.may_have_run:
+            return Refusal(status=502, reason=Reason.FAILED)
+        return refusal
+
+    def _book(self, wait: float) -> float:
+        return wait + self.forwarder.rng.uniform(0.1, 0.4)
+
+    def _log(self, message: str, target: Target, detail: str) -> None:
+        LOGGER.info(
+            message,
+            extra={
+                'request': self.work.call.attempt,
+                'target': target.name,
+                'detail': detail,
+                'sends': self._sends,
+                'runs': self.runs,
+            },
+        )
--- /dev/null
+++ b/src/ragwortcourse/forwarding/usual_time.py
@@ -0,0 +1,19 @@
+"""How long callers of a route usually wait."""
+
+from typing import Final
+
+# Callers that have less of it left have been refused before.
+FRESH_SHARE: Final = 0.9
+
+
+class UsualTimes:
+    """Longest time left that callers of each route brought."""
+
+    def __init__(self) -> None:
+        self._longest: dict[str, float] = {}
+
+    def is_fresh(self, route: str, time_left: float) -> bool:
+        """Tell whether this is a caller's first try, by its time left."""
+        longest = max(self._longest.get(route, 0), time_left)
+        self._longest[route] = longest
+        return time_left >= longest * FRESH_SHARE
--- /dev/null
+++ b/src/ragwortcourse/forwarding/wire_format.py
@@ -0,0 +1,36 @@
+"""How calls and answers are written on the wire, as the adapter knows it."""
+
+import dataclasses
+from collections.abc import Callable, Mapping
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from ragwortcourse.forwarding.answer_head import AnswerHead
+from ragwortcourse.forwarding.call import Call, Work
+from ragwortcourse.forwarding.target import Target
+from ragwortcourse.identifiers import AttemptId
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Dispatch:
+    """What a target is told beside the request itself.
+
+    :param time_left: seconds.
+    :param version: weights without which it must not run the request.
+    :param last_event: event after which a stream goes on.
+    """
+
+    target: Target
+    time_left: float
+    version: int | None = None
+    last_event: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WireFormat:
+    """Translation between the wire and typed messages."""
+
+    read_call: Callable[[web.Request], Call]
+    write_headers: Callable[[Work, Dispatch], CIMultiDict[str]]
+    read_head: Callable[[int, Mapping[str, str], AttemptId | None], AnswerHead]
--- /dev/null
+++ b/src/ragwortcourse/platform/desired_states.py
@@ -0,0 +1,125 @@
+"""Decodes the operators' desired state."""
+
+from collections import defaultdict
+from typing import Final
+
+import msgspec
+
+from ragwortcourse.forwarding.account import Account
+from ragwortcourse.forwarding.call_kind import CallKind
+from ragwortcourse.forwarding.desired_state import DesiredState
+from ragwortcourse.forwarding.engine_rules import EngineRules
+from ragwortcourse.forwarding.route import Route, ServiceShare
+from ragwortcourse.forwarding.service_rules import ServiceRules
+from ragwortcourse.identifiers import (
+    ClientAccountName,
+    FailureDomainName,
+    ModelName,
+    RegionName,
+    ServiceName,
+)
+from ragwortcourse.platform.wire_state import (
+    WireEngine,
+    WireRoute,
+    WireService,
+    WireState,
+    WireTenant,
+)
+
+MILLISECONDS: Final = 0.001
+
+
+def decode_desired_state(content: bytes) -> DesiredState:
+    """The desired state in a row.
+
+    :raises msgspec.DecodeError: the bytes are no desired state.
+    """
+    wire = msgspec.json.decode(content, type=WireState)
+    by_host: dict[str, list[Route]] = defaultdict(list)
+    for route in wire.routes:
+        by_host[route.host.lower()].append(_decode_route(route))
+    return DesiredState(
+        version=wire.version,
+        routes={
+            host: tuple(
+                sorted(routes, key=lambda route: -len(route.prefix)),
+            )
+            for host, routes in by_host.items()
+        },
+        services={
+            ServiceName(service.name): _decode_service(service)
+            for service in wire.services
+        },
+        accounts=_decode_accounts(wire.tenants),
+    )
+
+
+def _decode_route(wire: WireRoute) -> Route:
+    shares = tuple(
+        ServiceShare(service=ServiceName(share.service), weight=share.weight)
+        for share in wire.split
+    )
+    whole = ServiceShare(service=ServiceName(wire.service), weight=1)
+    return Route(
+        name=wire.name,
+        host=wire.host,
+        prefix=wire.prefix,
+        kind=CallKind(wire.route_type),
+        services=shares or (whole,),
+        time_limit=wire.timeout_ms * MILLISECONDS,
+        objective=wire.slo_ms * MILLISECONDS,
+        longest_gap=wire.gap_target_ms * MILLISECONDS,
+        attempts=max(wire.max_attempts, 1),
+        public=wire.public,
+        resumable=wire.resumable,
+        priority=wire.priority,
+        regions=_decode_regions(wire.allowed_regions),
+    )
+
+
+def _decode_regions(names: list[str]) -> frozenset[RegionName]:
+    return frozenset(RegionName(name) for name in names)
+
+
+def _decode_service(wire: WireService) -> ServiceRules:
+    return ServiceRules(
+        name=ServiceName(wire.name),
+        cold_rate=wire.cold_per_s,
+        connections=wire.max_conns,
+        engine=None if wire.engine is None else _decode_engine(wire.engine),
+        origin=wire.origin,
+        origin_domain=FailureDomainName(wire.zone) if wire.zone else None,
+    )
+
+
+def _decode_engine(wire: WireEngine) -> EngineRules | None:
+    if not wire.models:
+        return None
+    return EngineRules(
+        model=ModelName(wire.models[0].name),
+        slots=wire.slots,
+        step=wire.step_ms * MILLISECONDS,
+        step_per_request=wire.per_seq_ms * MILLISECONDS,
+        read_rate=wire.read_per_s,
+        stride=wire.stride,
+        usual_prompt=wire.usual.prompt,
+        usual_answer=wire.usual.answer,
+        layers=wire.layers,
+        chunks=wire.chunks,
+    )
+
+
+def _decode_accounts(
+    tenants: list[WireTenant] | None,
+) -> dict[str, Account] | None:
+    if tenants is None:
+        return None
+    return {
+        key: Account(
+            name=ClientAccountName(tenant.name),
+            priority=tenant.priority,
+            regions=_decode_regions(tenant.allowed_regions),
+        )
+        for tenant in tenants
+        for key in tenant.api_keys
+    }
--- /dev/null
+++ b/src/ragwortcourse/platform/engine.py
@@ -0,0 +1,137 @@
+"""The model engine beside a loader, on the platform's wire."""
+
+import asyncio
+import enum
+from typing import Final
+
+import aiohttp
+import msgspec
+
+from ragwortcourse.forwarding.target import HeldWeights
+from ragwortcourse.identifiers import ModelName
+from ragwortcourse.platform.target_rows import WireLayers, decode_layers
+
+# The engine is on the same host; it answers at once unless it is down.
+CALL_SECONDS: Final = 1.0
+# Runs what has begun to its end, then loads; new requests wait meanwhile.
+SWITCH_MODE: Final = 'hold_queue'
+BEGUN: Final = 202
+OK: Final = 200
+UNFIT: Final = 409
+
+
+class OrderOutcome(enum.StrEnum):
+    """What became of an order."""
+
+    BEGUN = 'begun'
+    IN_EFFECT = 'in effect'
+    UNFIT = 'does not fit the state'
+    FAILED = 'failed'
+
+
+class EngineReport(msgspec.Struct, frozen=True, kw_only=True):
+    """State of an engine, as of some hundred milliseconds ago.
+
+    :param busy: true while an order is in progress.
+    :param seq: orders accepted since its start.
+    """
+
+    busy: bool = False
+    seq: int = 0
+    waiting: int = 0
+    running: int = 0
+    layers: WireLayers | None = None
+
+    @property
+    def weights(self) -> HeldWeights | None:
+        """Layers that it holds."""
+        return decode_layers(self.layers)
+
+
+class WireHeld(msgspec.Struct, kw_only=True):
+    """Numbers of the chunks that are staged."""
+
+    held: list[int] = []
+
+
+class Engine:
+    """Calls of one engine; none of them raises where it does not answer.
+
+    :param address: ``ip:port``.
+    """
+
+    def __init__(self, *, session: aiohttp.ClientSession, address: str) -> None:
+        self._session = session
+        self._base = f'http://{address}'
+
+    async def read_report(self) -> EngineReport | None:
+        """Its state; none where it does not answer."""
+        answer = await self._call('GET', '/report')
+        if answer is None or answer[0] != OK:
+            return None
+        try:
+            return msgspec.json.decode(answer[1], type=EngineReport)
+        except msgspec.DecodeError:
+            # The next report replaces it within a second.
+            return None
+
+    async def list_staged(self, model: ModelName) -> frozenset[int]:
+        """Chunks that are staged, whatever their version."""
+        answer = await self._call('GET', f'/stage-get/{model}')
+        if answer is None or answer[0] != OK:
+            return frozenset()
+        try:
+            held = msgspec.json.decode(answer[1], type=WireHeld).held
+        except msgspec.DecodeError:
+            # Read as nothing: every chunk is then drawn and staged anew.
+            return frozenset()
+        return frozenset(held)
+
+    async def read_staged(self, model: ModelName, index: int) -> bytes | None:
+        """Bytes of a staged chunk, unchecked; none where there are none."""
+        answer = await self._call('GET', f'/stage-get/{model}?num={index}')
+        return answer[1] if answer is not None and answer[0] == OK else None
+
+    async def write_staged(
+        self, model: ModelName, index: int, content: bytes
+    ) -> bool:
+        """Stage a chunk over whatever is there; say whether it was taken."""
+        answer = await self._call(
+            'PUT', f'/stage-put/{model}?num={index}', content
+        )
+        return answer is not None and answer[0] < UNFIT // 100 * 100
+
+    async def order_start(self, model: ModelName, version: int) -> OrderOutcome:
+        """Have it load what is staged now."""
+        order = {
+            'op': 'start',
+            'model': model,
+            'version': version,
+            'switch_mode': SWITCH_MODE,
+        }
+        answer = await self._call('POST', '/order', msgspec.json.encode(order))
+        outcomes = {
+            BEGUN: OrderOutcome.BEGUN,
+            OK: OrderOutcome.IN_EFFECT,
+            UNFIT: OrderOutcome.UNFIT,
+        }
+        if answer is None:
+            return OrderOutcome.FAILED
+        return outcomes.get(answer[0], OrderOutcome.FAILED)
+
+    async def _call(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> tuple[int, bytes] | None:
+        """Status and body; none where the engine does not answer."""
+        headers = {'Content-Type': 'application/json'}
+        try:
+            async with (
+                asyncio.timeout(CALL_SECONDS),
+                self._session.request(
+                    method, f'{self._base}{path}', data=body, headers=headers
+                ) as response,
+            ):
+                return response.status, await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            # An engine that is down is seen by its loader's own watch.
+            return None
--- /dev/null
+++ b/src/ragwortcourse/platform/feed.py
@@ -0,0 +1,109 @@
+"""Follows one table of the platform's store."""
+
+import asyncio
+import dataclasses
+import logging
+import random
+from collections.abc import Callable
+from typing import Final
+
+from ragwortcourse.forwarding.fleet_state import read_boot_clock
+from ragwortcourse.platform.store import Store
+from ragwortcourse.platform.store_row import (
+    HistoryGone,
+    StoreRow,
+    StoreRows,
+    StoreSilent,
+)
+
+# Between two calls while the store fails; half of it at random.
+RETRY_SECONDS: Final = 0.25
+
+LOGGER: Final = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TableReader:
+    """What becomes of the rows of a table.
+
+    :param replace: takes all rows there are.
+    :param change: takes the rows that changed.
+    :param confirm: takes the boot clock at which a call was sent whose
+        answer leaves nothing newer unread.
+    :param regain: called after a failure, before the rows of the first
+        good answer are given out.
+    """
+
+    replace: Callable[[tuple[StoreRow, ...]], None]
+    change: Callable[[tuple[StoreRow, ...]], None]
+    confirm: Callable[[float], None]
+    regain: Callable[[], None]
+
+
+class TableFeed:
+    """Keeps a reader up to date with one table.
+
+    :param wait: seconds that one call waits for a change; bounds the age
+        of what the reader knows.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        table: str,
+        wait: float,
+        reader: TableReader,
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._wait = wait
+        self._reader = reader
+        self._rng = rng
+        self._revision: int | None = None
+        self._lost = False
+
+    async def follow(self) -> None:
+        """Ask for ever; a failed call is tried again after a pause."""
+        while True:
+            sent_at = read_boot_clock()
+            answer = await self._ask()
+            if isinstance(answer, StoreRows):
+                self._take(answer, sent_at)
+            elif isinstance(answer, HistoryGone):
+                LOGGER.info(
+                    'store forgot its history; reading the whole table',
+                    extra={'table': self._table, 'revision': self._revision},
+                )
+                self._revision = None
+            else:
+                await self._pause(answer)
+
+    async def _ask(self) -> StoreRows | HistoryGone | StoreSilent:
+        if self._revision is None:
+            return await self._store.read_table(self._table)
+        return await self._store.await_changes(
+            self._table, self._revision, self._wait
+        )
+
+    def _take(self, answer: StoreRows, sent_at: float) -> None:
+        if self._lost:
+            self._lost = False
+            LOGGER.info('store regained', extra={'table': self._table})
+            self._reader.regain()
+        if self._revision is None:
+            self._reader.replace(answer.rows)
+        elif answer.rows:
+            self._reader.change(answer.rows)
+        self._revision = max(self._revision or 0, answer.revision)
+        self._reader.confirm(sent_at)
+
+    async def _pause(self, answer: StoreSilent) -> None:
+        if not self._lost:
+            self._lost = True
+            LOGGER.warning(
+                'store lost',
+                extra={'table': self._table, 'detail': answer.detail},
+            )
+        await asyncio.sleep(RETRY_SECONDS * self._rng.uniform(0.5, 1))
--- /dev/null
+++ b/src/ragwortcourse/platform/store.py
@@ -0,0 +1,124 @@
+"""Client of the platform's store of rows."""
+
+import asyncio
+import base64
+import binascii
+from collections.abc import Mapping
+from typing import Final
+
+import aiohttp
+import msgspec
+
+from ragwortcourse.platform.store_row import (
+    HistoryGone,
+    StoreRow,
+    StoreRows,
+    StoreSilent,
+)
+
+# The store answers in some milliseconds; on bad days in some hundred.
+CALL_SECONDS: Final = 1.5
+OK: Final = 200
+GONE: Final = 410
+
+
+class WireRow(msgspec.Struct, kw_only=True):
+    """A row as the store sends it.
+
+    :param value: base64, absent for dropped rows.
+    :param deleted: true for a row that was dropped.
+    """
+
+    key: str
+    value: str = ''
+    deleted: bool = False
+
+
+class WireRows(msgspec.Struct, kw_only=True):
+    """Answer about rows.
+
+    :param row_version: newest transaction, not the version of a row.
+    """
+
+    rows: tuple[WireRow, ...]
+    row_version: int
+    has_more: bool = False
+
+
+class Store:
+    """Calls of the store, each with its own time limit.
+
+    :param address: ``ip:port``.
+    """
+
+    def __init__(self, *, session: aiohttp.ClientSession, address: str) -> None:
+        self._session = session
+        self._base = f'http://{address}'
+
+    async def read_table(self, table: str) -> StoreRows | StoreSilent:
+        """Every row of a table in its unnamed part."""
+        rows: list[StoreRow] = []
+        query = {'table': table, 'part': ''}
+        while True:
+            answer = await self._ask('/rows-get', query, CALL_SECONDS)
+            if not isinstance(answer, WireRows):
+                return _read_failure(answer)
+            rows.extend(_decode_row(row) for row in answer.rows)
+            if not (answer.has_more and answer.rows):
+                return StoreRows(rows=tuple(rows), revision=answer.row_version)
+            # The lowest key above the last one that was sent.
+            query['from'] = f'{answer.rows[-1].key}\0'
+
+    async def await_changes(
+        self, table: str, revision: int, wait: float
+    ) -> StoreRows | HistoryGone | StoreSilent:
+        """Changes after a revision, as soon as there is one.
+
+        :param wait: seconds after which the answer is empty.
+        """
+        query = {
+            'table': table,
+            'after_rev': str(revision),
+            'wait_ms': str(round(wait * 1000)),
+        }
+        answer = await self._ask('/rows-feed', query, wait + CALL_SECONDS)
+        if isinstance(answer, WireRows):
+            rows = tuple(_decode_row(row) for row in answer.rows)
+            return StoreRows(rows=rows, revision=answer.row_version)
+        return HistoryGone() if answer == GONE else _read_failure(answer)
+
+    async def _ask(
+        self, path: str, query: Mapping[str, str], limit: float
+    ) -> WireRows | int | str:
+        """Rows, a status other than success, or what went wrong."""
+        try:
+            async with (
+                asyncio.timeout(limit),
+                self._session.get(
+                    f'{self._base}{path}', params=query
+                ) as response,
+            ):
+                if response.status != OK:
+                    return response.status
+                return msgspec.json.decode(await response.read(), type=WireRows)
+        except TimeoutError:
+            return f'no answer within {limit} s'
+        except (aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
+            return repr(error)
+
+
+def _decode_row(row: WireRow) -> StoreRow:
+    if row.deleted:
+        return StoreRow(key=row.key, content=None)
+    try:
+        content = base64.b64decode(row.value, validate=True)
+    except binascii.Error:
+        # Its readers report what they can't decode, with the row's key.
+        content = row.value.encode()
+    return StoreRow(key=row.key, content=content)
+
+
+def _read_failure(answer: WireRows | int | str) -> StoreSilent:
+    if isinstance(answer, int):
+        return StoreSilent(detail=f'status {answer}')
+    return StoreSilent(detail=str(answer))
--- /dev/null
+++ b/src/ragwortcourse/platform/store_row.py
@@ -0,0 +1,40 @@
+"""Rows of the platform's store."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreRow:
+    """One row as read or as changed.
+
+    :param content: none for a row that was dropped.
+    """
+
+    key: str
+    content: bytes | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreRows:
+    """Rows as of one moment.
+
+    :param revision: newest transaction that the answer takes in.
+    """
+
+    rows: tuple[StoreRow, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HistoryGone:
+    """The store no longer knows the changes since the revision."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreSilent:
+    """The store did not answer, or refused.
+
+    :param detail: what happened.
+    """
+
+    detail: str
--- /dev/null
+++ b/src/ragwortcourse/platform/target_reader.py
@@ -0,0 +1,52 @@
+"""Reads the rows of targets into a daemon's state."""
+
+import logging
+from typing import Final
+
+import msgspec
+
+from ragwortcourse.forwarding.target_list import TargetList
+from ragwortcourse.identifiers import (
+    FailureDomainName,
+    RegionName,
+    TargetName,
+)
+from ragwortcourse.platform.feed import TableReader
+from ragwortcourse.platform.store_row import StoreRow
+from ragwortcourse.platform.target_rows import decode_target
+
+LOGGER: Final = logging.getLogger(__name__)
+
+
+def build_target_reader(
+    targets: TargetList, regions: dict[FailureDomainName, RegionName]
+) -> TableReader:
+    """Reader of the table of targets."""
+
+    def replace(rows: tuple[StoreRow, ...]) -> None:
+        targets.keep_only({TargetName(row.key) for row in rows})
+        change(rows)
+
+    def change(rows: tuple[StoreRow, ...]) -> None:
+        for row in rows:
+            name = TargetName(row.key)
+            if row.content is None:
+                targets.note_missing(name)
+                continue
+            try:
+                target = decode_target(row.key, row.content, regions)
+            except (msgspec.DecodeError, ValueError) as error:
+                LOGGER.warning(
+                    'unreadable row of a target; it names none',
+                    extra={'row': row.key, 'detail': str(error)},
+                )
+                targets.remove(name)
+            else:
+                targets.note_target(target)
+
+    def confirm(sent_at: float) -> None:
+        targets.note_read()
+
+    return TableReader(
+        replace=replace, change=change, confirm=confirm, regain=targets.regain
+    )
--- /dev/null
+++ b/src/ragwortcourse/platform/target_rows.py
@@ -0,0 +1,77 @@
+"""Decodes the rows in which targets register themselves."""
+
+from typing import Final
+
+import msgspec
+
+from ragwortcourse.forwarding.target import HeldWeights, Target
+from ragwortcourse.identifiers import (
+    FailureDomainName,
+    RegionName,
+    ServiceName,
+    TargetName,
+)
+
+MILLISECONDS: Final = 0.001
+STATES: Final = ('ready', 'draining')
+
+
+class WireLayers(msgspec.Struct, kw_only=True, rename={'first': 'from'}):
+    """Layers that an engine holds.
+
+    :param to: exclusive.
+    """
+
+    first: int = 0
+    to: int = 0
+    version: int = 0
+
+
+class WireTarget(msgspec.Struct, kw_only=True):
+    """Row of one target.
+
+    :param cold_left_ms: as of the writing of the row.
+    :param born: start of this incarnation, milliseconds since the epoch.
+    """
+
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    cold_left_ms: float
+    born: int = 0
+    layers: WireLayers | None = None
+
+
+def decode_target(
+    key: str, content: bytes, regions: dict[FailureDomainName, RegionName]
+) -> Target:
+    """The target in a row.
+
+    :raises msgspec.DecodeError: the bytes are no row of a target.
+    :raises ValueError: a value of the row makes no sense.
+    """
+    wire = msgspec.json.decode(content, type=WireTarget)
+    domain = FailureDomainName(wire.zone)
+    if wire.state not in STATES or domain not in regions:
+        raise ValueError(f'state {wire.state!r}, failure domain {domain!r}')
+    return Target(
+        name=TargetName(key),
+        born=wire.born,
+        service=ServiceName(wire.service),
+        address=wire.address,
+        failure_domain=domain,
+        region=regions[domain],
+        slots=wire.slots,
+        leaving=wire.state == 'draining',
+        cold_seconds=wire.cold_left_ms * MILLISECONDS,
+        weights=decode_layers(wire.layers),
+    )
+
+
+def decode_layers(wire: WireLayers | None) -> HeldWeights | None:
+    """Layers that an engine holds; none where it holds none."""
+    if wire is None or wire.to <= wire.first:
+        return None
+    return HeldWeights(version=wire.version, first=wire.first, end=wire.to)
--- /dev/null
+++ b/src/ragwortcourse/platform/weight_source.py
@@ -0,0 +1,74 @@
+"""The platform's origin of weights."""
+
+import asyncio
+from typing import Final
+
+import aiohttp
+import msgspec
+
+from ragwortcourse.identifiers import ModelName, Sha256Hex
+from ragwortcourse.weights.fleet_manifest import FleetManifest
+
+# A chunk over the origin's whole link takes some ten milliseconds, over
+# one shared by everybody much longer.
+CALL_SECONDS: Final = 3.0
+OK: Final = 200
+
+
+class WireManifest(msgspec.Struct, kw_only=True):
+    """Digests of one version.
+
+    :param digests: hex SHA-256 of each chunk, in order.
+    """
+
+    version: int
+    digests: list[str]
+
+
+class WeightSource:
+    """Calls of an origin."""
+
+    def __init__(self, *, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def read_manifest(
+        self, address: str, model: ModelName, version: int
+    ) -> FleetManifest | None:
+        """Digests of a version; none where the origin does not tell."""
+        content = await self._read(
+            f'http://{address}/manifest/{model}?version={version}'
+        )
+        try:
+            wire = msgspec.json.decode(content or b'', type=WireManifest)
+        except msgspec.DecodeError:
+            # Cut or spoilt on its way; the caller asks again.
+            return None
+        if wire.version != version:
+            return None
+        return FleetManifest(
+            model=model,
+            version=version,
+            digests=tuple(Sha256Hex(digest) for digest in wire.digests),
+        )
+
+    async def read_chunk(
+        self, address: str, manifest: FleetManifest, index: int
+    ) -> bytes | None:
+        """Bytes of a chunk, unchecked."""
+        return await self._read(
+            f'http://{address}/piece/{manifest.model}'
+            f'?num={index}&version={manifest.version}'
+        )
+
+    async def _read(self, url: str) -> bytes | None:
+        try:
+            async with (
+                asyncio.timeout(CALL_SECONDS),
+                self._session.get(url) as response,
+            ):
+                if response.status != OK:
+                    return None
+                return await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            # Other sources follow, then the origin again.
+            return None
--- /dev/null
+++ b/src/ragwortcourse/platform/wire.py
@@ -0,0 +1,137 @@
+"""Requests and answers as the platform's callers and targets write them."""
+
+from collections.abc import Mapping
+from typing import Final
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.entry.call_reader import HOP_HEADERS
+from ragwortcourse.forwarding.answer_head import AnswerHead, ReportedLoad
+from ragwortcourse.forwarding.call import Call, Work
+from ragwortcourse.forwarding.wire_format import Dispatch, WireFormat
+from ragwortcourse.identifiers import AttemptId
+from ragwortcourse.platform import names
+
+MILLISECONDS: Final = 0.001
+KEY_SCHEME: Final = 'Bearer '
+# Set by the system alone, whatever a caller sent.
+OWN_HEADERS: Final = (
+    'Authorization',
+    'Content-Length',
+    'Expect',
+    names.DEADLINE,
+    names.EXPECT_INSTANCE,
+    names.EXPECT_VERSION,
+    names.LAST_EVENT_ID,
+    names.PRIORITY,
+    names.TENANT,
+)
+MISDIRECTED: Final = 421
+LOAD_FIELDS: Final = 3
+
+
+def build_wire_format() -> WireFormat:
+    """Translation of requests and answers."""
+    return WireFormat(
+        read_call=read_call,
+        write_headers=write_headers,
+        read_head=read_head,
+    )
+
+
+def read_call(request: web.Request) -> Call:
+    """The request as it came, without its body."""
+    headers = CIMultiDict(request.headers)
+    for name in OWN_HEADERS:
+        headers.popall(name, None)
+    _drop_hop_headers(headers)
+    # The target selects nothing by it, but the caller's request is its own.
+    headers['Host'] = request.headers.get('Host', '')
+    tokens = request.headers.get(names.TOKENS, '').partition(',')
+    attempt = request.headers.get(names.ATTEMPT_ID)
+    path, _, _ = request.raw_path.partition('?')
+    return Call(
+        attempt=None if attempt is None else AttemptId(attempt),
+        method=request.method,
+        host=request.headers.get('Host', '').partition(':')[0],
+        path=path,
+        target_path=request.raw_path,
+        time_left=_read_milliseconds(request.headers, names.DEADLINE),
+        key=_read_key(request.headers.get('Authorization', '')),
+        prompt_tokens=_read_count(tokens[0]),
+        answer_tokens=_read_count(tokens[2]),
+        last_event=request.headers.get(names.LAST_EVENT_ID),
+        headers=headers,
+        arrived_at=read_clock(),
+    )
+
+
+def write_headers(work: Work, dispatch: Dispatch) -> CIMultiDict[str]:
+    """Headers of the request that a target gets."""
+    headers = work.call.headers.copy()
+    headers[names.DEADLINE] = str(max(round(dispatch.time_left * 1000), 1))
+    headers[names.EXPECT_INSTANCE] = dispatch.target.name
+    if work.account is not None:
+        headers[names.TENANT] = work.account.name
+    if dispatch.version is not None:
+        headers[names.EXPECT_VERSION] = str(dispatch.version)
+    if dispatch.last_event is not None:
+        headers[names.LAST_EVENT_ID] = dispatch.last_event
+    return headers
+
+
+def read_head(
+    status: int, received: Mapping[str, str], attempt: AttemptId | None
+) -> AnswerHead:
+    """Head of a target's answer."""
+    headers = CIMultiDict(received)
+    _drop_hop_headers(headers)
+    echoed = received.get(names.ATTEMPT_ID) == attempt
+    stamped = names.STAMP in received
+    return AnswerHead(
+        status=status,
+        ran=names.NOT_RUN not in received and status != MISDIRECTED,
+        # Callers ask for no encoding: an encoded body is somebody else's.
+        genuine=echoed and stamped and 'Content-Encoding' not in received,
+        load=_read_load(received.get(names.LOAD, '')),
+        cold_seconds=_read_milliseconds(received, names.COLD),
+        headers=headers,
+    )
+
+
+def _drop_hop_headers(headers: CIMultiDict[str]) -> None:
+    listed = headers.popall('Connection', [])
+    for name in ','.join(listed).split(','):
+        headers.popall(name.strip(), None)
+    for name in HOP_HEADERS:
+        headers.popall(name, None)
+
+
+def _read_key(authorization: str) -> str | None:
+    if not authorization.startswith(KEY_SCHEME):
+        return None
+    return authorization.removeprefix(KEY_SCHEME).strip()
+
+
+def _read_milliseconds(headers: Mapping[str, str], name: str) -> float | None:
+    try:
+        return float(headers[name]) * MILLISECONDS
+    except (KeyError, ValueError):
+        # Absent, or not for us to judge: the target sees it as it came.
+        return None
+
+
+def _read_count(text: str) -> int:
+    return int(text) if text.strip().isdecimal() else 0
+
+
+def _read_load(text: str) -> ReportedLoad | None:
+    fields = text.split(',')
+    if len(fields) != LOAD_FIELDS or not all(
+        field.strip().isdecimal() for field in fields
+    ):
+        return None
+    running, waiting, slots = (int(field) for field in fields)
+    return ReportedLoad(running=running, waiting=waiting, slots=slots)
--- /dev/null
+++ b/src/ragwortcourse/platform/wire_state.py
@@ -0,0 +1,103 @@
+"""The operators' desired state as the platform writes it."""
+
+import msgspec
+
+
+class WireShare(msgspec.Struct, kw_only=True):
+    """One service of a split route."""
+
+    service: str
+    weight: float
+
+
+class WireRoute(msgspec.Struct, kw_only=True):
+    """One route.
+
+    :param route_type: what may be repeated, not how the path is matched.
+    :param slo_ms: to the answer, or to the first event of a stream.
+    :param gap_target_ms: longest pause between two events of a stream.
+    :param sticky: its requests have prompts that share parts.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    route_type: str
+    timeout_ms: float
+    slo_ms: float = 0
+    priority: int = 0
+    service: str = ''
+    split: list[WireShare] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_target_ms: float = 0
+    allowed_regions: list[str] = []
+
+
+class WireModel(msgspec.Struct, kw_only=True):
+    """One model of an engine."""
+
+    name: str
+
+
+class WireUsual(msgspec.Struct, kw_only=True):
+    """Mean token counts."""
+
+    prompt: float = 0
+    answer: float = 0
+
+
+class WireEngine(msgspec.Struct, kw_only=True):
+    """Speeds of the engines of a service.
+
+    :param per_seq_ms: added to a step by each request that is writing.
+    :param stride: steps of a pass that includes writers.
+    """
+
+    slots: int
+    step_ms: float = 0
+    per_seq_ms: float = 0
+    read_per_s: float = 0
+    stride: int = 1
+    usual: WireUsual = msgspec.field(default_factory=WireUsual)
+    models: list[WireModel] = []
+    layers: int = 0
+    chunks: int = 0
+
+
+class WireService(msgspec.Struct, kw_only=True):
+    """One service, or an origin of weights.
+
+    :param max_conns: connections of all callers together.
+    :param origin: address of an origin; only origins have it.
+    :param zone: failure domain of an origin.
+    """
+
+    name: str
+    max_conns: int = 0
+    cold_per_s: float = 0
+    engine: WireEngine | None = None
+    origin: str = ''
+    zone: str = ''
+
+
+class WireTenant(msgspec.Struct, kw_only=True):
+    """One client account with its keys."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    allowed_regions: list[str] = []
+
+
+class WireState(msgspec.Struct, kw_only=True):
+    """The whole desired state of one version.
+
+    :param tenants: absent where requests need no key.
+    """
+
+    version: int
+    routes: list[WireRoute] = []
+    services: list[WireService] = []
+    tenants: list[WireTenant] | None = None
--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -14,8 +14,10 @@
 from ragwortcourse.processes.entry_daemon import (
     build_entry_daemon,
 )
+from ragwortcourse.processes.forwarder_daemon import build_forwarder_daemon
 from ragwortcourse.processes.health import build_health_routes
 from ragwortcourse.processes.heap import keep_blocks_apart
+from ragwortcourse.processes.loader_daemon import build_loader_daemon
 from ragwortcourse.processes.sessions import open_sessions
 from ragwortcourse.processes.sites import open_site
 from ragwortcourse.processes.tasks import BackgroundTasks
@@ -109,6 +111,17 @@
 
     async def _open_daemon(self) -> Daemon:
         listen = self.settings.listen
+        if self.settings.role is Role.FORWARDER:
+            forwarder = build_forwarder_daemon(settings=self.settings)
+            await self._open('peers', listen.peers, forwarder.peer_routes)
+            await self._open('callers', listen.callers, forwarder.caller_routes)
+            await self._open_watch(forwarder)
+            return forwarder
+        if self.settings.role is Role.LOADER:
+            loader = build_loader_daemon(settings=self.settings)
+            await self._open('peers', listen.peers, loader.peer_routes)
+            await self._open_watch(loader)
+            return loader
         if self.settings.role is Role.AGENT:
             agent = build_agent_daemon(
                 settings=self.settings, sessions=self.sessions
--- a/src/ragwortcourse/settings.py
+++ b/src/ragwortcourse/settings.py
@@ -10,6 +10,7 @@
     FailureDomainName,
     HostName,
     RegionName,
+    ServiceName,
     Sha256Hex,
     TargetName,
 )
@@ -17,10 +18,17 @@
 
 
 class Role(enum.StrEnum):
-    """What a daemon does."""
+    """What a daemon does.
+
+    Forwarders and loaders are the entry daemons and agents of a fleet whose
+    operators write routes and versions into a store of rows; the forwarder
+    sends straight to the targets.
+    """
 
     ENTRY = 'entry'
     AGENT = 'agent'
+    FORWARDER = 'forwarder'
+    LOADER = 'loader'
 
 
 class ListenSettings(
@@ -98,6 +106,50 @@
     link_rate: int = 0
 
 
+class FleetSettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """What the operators of a fleet promise and expect.
+
+    :param store: ``ip:port`` of the store of rows.
+    :param failure_domains: each with its region.
+    :param grace_seconds: from SIGTERM to SIGKILL.
+    :param strict_revocation: true where a revoked key must not be served
+        later than ``revoke_ms`` after its revocation.
+    :param version_ms: after it no request may begin on older weights.
+    :param retry_ratio: retries allowed, as a share of the requests of
+        ``retry_window_seconds``, summed over all daemons.
+    :param retry_reserve: retries allowed beside that share.
+    :param cold_factor: how far above its own limit a cold target may go.
+    :param cold_reserve: requests a second allowed beside that.
+    """
+
+    store: str
+    failure_domains: dict[FailureDomainName, RegionName]
+    grace_seconds: float
+    strict_revocation: bool
+    revoke_ms: int
+    version_ms: int
+    retry_ratio: float
+    retry_window_seconds: float
+    retry_reserve: int
+    cold_factor: float
+    cold_reserve: int
+
+
+class LoaderSettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Settings of a loader.
+
+    :param engine: ``ip:port`` of the engine beside it.
+    :param service: service that the engine belongs to.
+    """
+
+    engine: str
+    service: ServiceName
+
+
 class Settings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
@@ -117,4 +169,6 @@
     telemetry: TelemetrySettings = TelemetrySettings()
     entry: EntrySettings | None = None
     agent: AgentSettings | None = None
+    loader: LoaderSettings | None = None
+    fleet: FleetSettings | None = None
     known: tuple[HostRecord, ...] = ()
--- a/src/ragwortcourse/settings_check.py
+++ b/src/ragwortcourse/settings_check.py
@@ -100,9 +100,14 @@
         'listen.peers': settings.listen.peers,
         'listen.watch': settings.listen.watch,
     }
-    if settings.role is Role.ENTRY:
+    if settings.role in {Role.ENTRY, Role.FORWARDER}:
         addresses['listen.callers'] = settings.listen.callers
+    if settings.role is Role.ENTRY:
         addresses['listen.operators'] = settings.listen.operators
+    if settings.fleet is not None:
+        addresses['fleet.store'] = settings.fleet.store
+    if settings.loader is not None:
+        addresses['loader.engine'] = settings.loader.engine
     for index, record in enumerate(settings.known):
         addresses[f'known[{index}].address'] = record.address
     return _check_each(
@@ -131,16 +136,19 @@
 
 def _check_role(settings: Settings) -> Iterator[Finding]:
     sections = {
-        Role.ENTRY: settings.entry is not None,
-        Role.AGENT: settings.agent is not None,
+        'entry': (settings.entry, {Role.ENTRY}),
+        'agent': (settings.agent, {Role.AGENT}),
+        'loader': (settings.loader, {Role.LOADER}),
+        'fleet': (settings.fleet, {Role.FORWARDER, Role.LOADER}),
     }
-    for role, present in sections.items():
-        if present is (role is settings.role):
+    for name, (section, roles) in sections.items():
+        present = section is not None
+        if present is (settings.role in roles):
             continue
         yield Finding(
-            place=str(role),
+            place=name,
             value='(section)' if present else '',
-            allowed=f'the section [{settings.role}] and no other',
+            allowed=f'the sections that belong to role {settings.role}',
             message='not for this role' if present else 'missing section',
         )
 
--- /dev/null
+++ b/src/ragwortcourse/weights/chunk_store.py
@@ -0,0 +1,68 @@
+"""Chunks of the versions that a loader has in memory."""
+
+import asyncio
+from typing import Final
+
+from ragwortcourse.weights.fleet_manifest import FleetManifest
+
+# The version in force and the one that follows it.
+VERSIONS_KEPT: Final = 2
+
+
+class VersionChunks:
+    """Chunks of one version, checked, as they arrive."""
+
+    def __init__(self, *, manifest: FleetManifest) -> None:
+        self.manifest = manifest
+        self.contents: dict[int, bytes] = {}
+        self._arrived: dict[int, asyncio.Event] = {}
+
+    @property
+    def missing(self) -> tuple[int, ...]:
+        """Chunks that are not here yet."""
+        return tuple(
+            index
+            for index in range(len(self.manifest.digests))
+            if index not in self.contents
+        )
+
+    def take(self, index: int, content: bytes | None) -> bool:
+        """Keep a chunk if it is one of this version; say whether it is."""
+        if content is None or not self.manifest.matches(index, content):
+            return False
+        self.contents[index] = content
+        arrived = self._arrived.pop(index, None)
+        if arrived is not None:
+            arrived.set()
+        return True
+
+    async def wait(self, index: int, seconds: float) -> bytes | None:
+        """A chunk, once it is here; none if that takes too long."""
+        if index not in self.contents:
+            arrived = self._arrived.setdefault(index, asyncio.Event())
+            try:
+                async with asyncio.timeout(seconds):
+                    await arrived.wait()
+            except TimeoutError:
+                return None
+        return self.contents.get(index)
+
+
+class ChunkStore:
+    """The newest versions of one model."""
+
+    def __init__(self) -> None:
+        self._versions: dict[int, VersionChunks] = {}
+
+    def find(self, version: int) -> VersionChunks | None:
+        """Chunks of a version, if it is kept."""
+        return self._versions.get(version)
+
+    def open(self, manifest: FleetManifest) -> VersionChunks:
+        """Chunks of a version, kept from now on; the oldest one goes."""
+        version = manifest.version
+        if version not in self._versions:
+            self._versions[version] = VersionChunks(manifest=manifest)
+        for old in sorted(self._versions)[:-VERSIONS_KEPT]:
+            self._versions.pop(old)
+        return self._versions[version]
