Pass chunks of weights on through entry daemons, paced to each link

Cause: loaders drew from each other over links of 4.7 Mbit/s, six at once; live requests waited behind chunks (338 requests took half their objective to reach a target) and a version took 6.5 s. Now entry daemons, whose links are wide, draw each chunk once and send it at the rate of the receiver's link.

--- a/src/ragwortcourse/forwarding/answer_head.py
+++ b/src/ragwortcourse/forwarding/answer_head.py
@@ -24,6 +24,7 @@
         the target's own mark.
     :param load: none where the target does not tell.
     :param cold_seconds: how long the target stays cold; none: not said.
+    :param version: weights that the answer begins on; none: not said.
     :param headers: headers to be passed on.
     """
 
@@ -32,6 +33,7 @@
     genuine: bool
     load: ReportedLoad | None
     cold_seconds: float | None
+    version: int | None
     headers: CIMultiDict[str]
 
     @property
--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -71,9 +71,10 @@
         if target.service == service
         and target.name not in tried
         and _is_usable(forwarder, work, target, rules)
+        and forwarder.find_load(target).read_version(target) >= (version or 0)
     ]
     ready = [each for each in usable if not _is_avoided(forwarder, each)]
-    candidates = list(_describe(forwarder, ready or usable, version))
+    candidates = list(_describe(forwarder, ready or usable))
     chosen = choose_candidate(candidates, forwarder.rng)
     if chosen is None:
         return _refuse(forwarder, Reason.NO_TARGET, NO_TARGET_RETRY_SECONDS)
@@ -105,13 +106,14 @@
     """Weights that a request must begin on, once the older ones expired."""
     if engine is None:
         return None
-    named = forwarder.state.weights.get(engine.model)
-    if named is None:
-        return None
     bound = forwarder.fleet.version_ms / 1000 - VERSION_MARGIN_SECONDS
-    if read_clock() - named.seen_at < bound:
-        return None
-    return named.version
+    now = read_clock()
+    due = (
+        named.version
+        for named in forwarder.state.weights.get(engine.model, ())
+        if now - named.seen_at >= bound
+    )
+    return max(due, default=None)
 
 
 def _refuse(forwarder: Forwarder, reason: Reason, wait: float) -> Refusal:
@@ -153,18 +155,16 @@
 
 
 def _describe(
-    forwarder: Forwarder, targets: list[Target], version: int | None
+    forwarder: Forwarder, targets: list[Target]
 ) -> Iterator[Candidate]:
     now = read_clock()
     for target in targets:
         load = forwarder.find_load(target)
-        held = target.weights
-        is_behind = bool(version and held and held.version < version)
         yield Candidate(
             target=target,
             load=load.estimate(now),
             distance=_measure_distance(forwarder, target),
-            trouble=load.read_trouble(now) + is_behind,
+            trouble=load.read_trouble(now),
             silent=load.read_silence(now) > SILENT_SECONDS,
         )
 
--- a/src/ragwortcourse/forwarding/engine_rules.py
+++ b/src/ragwortcourse/forwarding/engine_rules.py
@@ -18,6 +18,7 @@
     :param usual_answer: mean answer, in tokens.
     :param layers: layers of the whole model.
     :param chunks: chunks that its weights come in.
+    :param chunk_bytes: bytes of each of them.
     """
 
     model: ModelName
@@ -30,3 +31,4 @@
     usual_answer: float
     layers: int
     chunks: int
+    chunk_bytes: int
--- a/src/ragwortcourse/forwarding/fleet_state.py
+++ b/src/ragwortcourse/forwarding/fleet_state.py
@@ -21,13 +21,14 @@
     :param desired: none until one was read.
     :param confirmed_at: boot clock at which the store was last asked and
         then said that there is nothing newer.
+    :param weights: versions named for each model, the newest last.
     :param targets_known: true once the list of targets was read.
     """
 
     desired: DesiredState | None = None
     confirmed_at: float = 0
     withdrawn: frozenset[FailureDomainName] = frozenset()
-    weights: dict[ModelName, NamedWeights] = dataclasses.field(
+    weights: dict[ModelName, tuple[NamedWeights, ...]] = dataclasses.field(
         default_factory=dict
     )
     targets: dict[TargetName, Target] = dataclasses.field(default_factory=dict)
--- a/src/ragwortcourse/forwarding/fleet_updates.py
+++ b/src/ragwortcourse/forwarding/fleet_updates.py
@@ -9,6 +9,9 @@
 from ragwortcourse.forwarding.named_weights import NamedWeights
 from ragwortcourse.identifiers import FailureDomainName, ModelName
 
+# Versions whose bounds may still run while newer ones are named.
+VERSIONS_KEPT: Final = 4
+
 LOGGER: Final = logging.getLogger(__name__)
 
 
@@ -48,13 +51,12 @@
 
     It may have been named at any time since the store last answered.
     """
-    current = state.weights.get(model)
-    if current is not None and version <= current.version:
+    named = state.weights.get(model, ())
+    if named and version <= named[-1].version:
         return
     age = state.read_age() if state.confirmed_at else 0
-    state.weights[model] = NamedWeights(
-        version=version, seen_at=read_clock() - age
-    )
+    newest = NamedWeights(version=version, seen_at=read_clock() - age)
+    state.weights[model] = (*named, newest)[-VERSIONS_KEPT:]
     LOGGER.info(
         'weights named',
         extra={'model': model, 'version': version, 'seconds_ago': age},
--- a/src/ragwortcourse/forwarding/target_list.py
+++ b/src/ragwortcourse/forwarding/target_list.py
@@ -1,5 +1,6 @@
 """The targets of the fleet, with what the list may have lost."""
 
+import dataclasses
 import logging
 from collections.abc import Collection
 from typing import Final
@@ -34,7 +35,7 @@
         known = self._state.targets.get(target.name)
         self._missing.pop(target.name, None)
         self._state.targets[target.name] = target
-        if known != target:
+        if known is None or _differs(known, target):
             LOGGER.info(
                 'target listed',
                 extra={
@@ -81,3 +82,10 @@
         self._missing.pop(name, None)
         if self._state.targets.pop(name, None) is not None:
             LOGGER.info('target gone from the list', extra={'target': name})
+
+
+def _differs(known: Target, target: Target) -> bool:
+    """Tell whether more than the remaining cold time has changed."""
+    return dataclasses.replace(known, cold_seconds=0) != dataclasses.replace(
+        target, cold_seconds=0
+    )
--- a/src/ragwortcourse/forwarding/target_load.py
+++ b/src/ragwortcourse/forwarding/target_load.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from ragwortcourse.forwarding.answer_head import ReportedLoad
+from ragwortcourse.forwarding.target import Target
 
 # Reports lose weight until they say nothing any more.
 REPORT_SECONDS: Final = 3.0
@@ -30,6 +31,7 @@
         self.cold_until: float = 0
         self.avoided_until: float = 0
         self.latency: float | None = None
+        self.version = 0
         self._others: float = 0
         self._reported_at: float = 0
         self._sign_at: float = 0
@@ -101,6 +103,11 @@
         """Seconds without a sign while requests are under way."""
         return now - self._sign_at if self.own else 0
 
+    def read_version(self, target: Target) -> int:
+        """Weights that the target has, by its entry or its newer answers."""
+        held = target.weights
+        return max(self.version, 0 if held is None else held.version)
+
     def count_recent(self, now: float) -> int:
         """Requests sent within the last second."""
         return sum(now - sent < WINDOW_SECONDS for sent in self._sent_at)
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -146,6 +146,8 @@
             load.note_load(head.load, now)
         if head.cold_seconds is not None:
             load.cold_until = now + head.cold_seconds
+        if head.version is not None:
+            load.version = max(load.version, head.version)
         if head.ran and head.genuine:
             return opened
         self.end(opened)
--- a/src/ragwortcourse/platform/desired_states.py
+++ b/src/ragwortcourse/platform/desired_states.py
@@ -106,6 +106,7 @@
         usual_answer=wire.usual.answer,
         layers=wire.layers,
         chunks=wire.chunks,
+        chunk_bytes=wire.chunk_bytes,
     )
 
 
--- a/src/ragwortcourse/platform/names.py
+++ b/src/ragwortcourse/platform/names.py
@@ -18,6 +18,8 @@
 TENANT: Final = 'Ragwortcourse-Tenant'
 # Prompt tokens and most output tokens.
 TOKENS: Final = 'Ragwortcourse-Token-Count'
+# Version of the weights, one number.
+VERSION: Final = 'Ragwortcourse-Weight-Versions'
 PRIORITY: Final = 'Ragwortcourse-Request-Priority'
 
 OPERATORS_TABLE: Final = 'op'
--- a/src/ragwortcourse/platform/store.py
+++ b/src/ragwortcourse/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import binascii
+import logging
 from collections.abc import Mapping
 from typing import Final
 
@@ -21,6 +22,8 @@
 OK: Final = 200
 GONE: Final = 410
 
+LOGGER: Final = logging.getLogger(__name__)
+
 
 class WireRow(msgspec.Struct, kw_only=True):
     """A row as the store sends it.
@@ -87,6 +90,26 @@
             return StoreRows(rows=rows, revision=answer.row_version)
         return HistoryGone() if answer == GONE else _read_failure(answer)
 
+    async def write_row(self, table: str, key: str, content: bytes) -> bool:
+        """Write a row, whatever it held; say whether the store took it."""
+        value = base64.b64encode(content).decode()
+        row = {'table': table, 'part': '', 'key': key, 'value': value}
+        change = {'expected_rev': [], 'write': [row], 'remove': []}
+        try:
+            async with (
+                asyncio.timeout(CALL_SECONDS),
+                self._session.post(
+                    f'{self._base}/rows-tx', json=change
+                ) as response,
+            ):
+                return response.status == OK
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            LOGGER.info(
+                'row not written',
+                extra={'table': table, 'key': key, 'detail': repr(error)},
+            )
+            return False
+
     async def _ask(
         self, path: str, query: Mapping[str, str], limit: float
     ) -> WireRows | int | str:
--- a/src/ragwortcourse/platform/wire.py
+++ b/src/ragwortcourse/platform/wire.py
@@ -97,6 +97,7 @@
         genuine=echoed and stamped and 'Content-Encoding' not in received,
         load=_read_load(received.get(names.LOAD, '')),
         cold_seconds=_read_milliseconds(received, names.COLD),
+        version=_read_version(received.get(names.VERSION, '')),
         headers=headers,
     )
 
@@ -127,6 +128,10 @@
     return int(text) if text.strip().isdecimal() else 0
 
 
+def _read_version(text: str) -> int | None:
+    return int(text) if text.strip().isdecimal() else None
+
+
 def _read_load(text: str) -> ReportedLoad | None:
     fields = text.split(',')
     if len(fields) != LOAD_FIELDS or not all(
--- a/src/ragwortcourse/platform/wire_state.py
+++ b/src/ragwortcourse/platform/wire_state.py
@@ -64,6 +64,7 @@
     models: list[WireModel] = []
     layers: int = 0
     chunks: int = 0
+    chunk_bytes: int = 0
 
 
 class WireService(msgspec.Struct, kw_only=True):
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
-from typing import Final
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
 
 import aiohttp
 from aiohttp import web
@@ -14,17 +16,26 @@
 from ragwortcourse.forwarding.forwarder import Forwarder, read_fleet_settings
 from ragwortcourse.forwarding.target_list import TargetList
 from ragwortcourse.platform import names
-from ragwortcourse.platform.feed import TableFeed, TableReader
+from ragwortcourse.platform.feed import TableFeed
 from ragwortcourse.platform.operator_rows import build_operator_reader
+from ragwortcourse.platform.relay_rows import RelayList, register_relay
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.target_reader import build_target_reader
+from ragwortcourse.platform.weight_source import WeightSource
 from ragwortcourse.platform.wire import build_wire_format
 from ragwortcourse.processes.tasks import BackgroundTasks
 from ragwortcourse.settings import Settings
-
-# One call to the store waits for a change no longer than this: what a
-# daemon knows is no older while the store answers.
-FEED_SECONDS: Final = 1.0
+from ragwortcourse.weights.chunk_cache import ChunkCache
+from ragwortcourse.weights.chunk_routes import build_chunk_routes
+from ragwortcourse.weights.relay import RelayRecord
+from ragwortcourse.weights.relay_drawing import RelayDrawing, build_cache
+
+# One call to the store waits for a change no longer than this: the desired
+# state that a daemon knows is no older while the store answers.
+OPERATORS_FEED_SECONDS: Final = 1.2
+# Changes of targets come at once; a call that waits longer costs less.
+TARGETS_FEED_SECONDS: Final = 4.0
+REGISTER_RETRY_SECONDS: Final = 1.0
 DRAIN_POLL_SECONDS: Final = 0.05
 DRAINING: Final = 'draining'
 NO_STATE: Final = 'desired state not read yet'
@@ -36,6 +47,8 @@
     """The parts of one forwarder that others reach into."""
 
     forwarder: Forwarder
+    cache: ChunkCache
+    register: Callable[[], Coroutine[Any, Any, None]]
     feeds: tuple[TableFeed, ...]
     sessions: tuple[aiohttp.ClientSession, ...]
     draining: bool = False
@@ -48,12 +61,13 @@
     @property
     def peer_routes(self) -> list[web.RouteDef]:
         """Routes of the port for other daemons."""
-        return []
+        return build_chunk_routes(self.cache.find)
 
     def start(self, tasks: BackgroundTasks) -> None:
         """Run the endless tasks."""
         for index, feed in enumerate(self.feeds):
             tasks.start(f'follow table {index}', feed.follow())
+        tasks.start('register', self.register())
 
     def find_obstacle(self) -> str | None:
         """Why no work is taken now, none if it is."""
@@ -69,7 +83,7 @@
     async def drain(self) -> None:
         """Return once everything under way has ended."""
         self.draining = True
-        while self.forwarder.running:
+        while self.forwarder.running:  # noqa: ASYNC110  # ends of any call
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def stop(self) -> None:
@@ -86,20 +100,19 @@
     fleet = read_fleet_settings(settings)
     rng = random.Random()  # noqa: S311  # spreads load, guards nothing
     state = FleetState()
-    targets = TargetList(state=state)
-    store_session = aiohttp.ClientSession()
+    session = aiohttp.ClientSession()
     target_session = open_target_session()
-    store = Store(session=store_session, address=fleet.store)
-
-    def build_feed(table: str, reader: TableReader) -> TableFeed:
-        return TableFeed(
-            store=store,
-            table=table,
-            wait=FEED_SECONDS,
-            reader=reader,
-            rng=rng,
-        )
-
+    store = Store(session=session, address=fleet.store)
+    origin = WeightSource(session=session)
+    drawing = RelayDrawing(
+        settings=settings,
+        fleet=fleet,
+        state=state,
+        session=session,
+        list_relays=RelayList(store=store).list,
+        read_origin_chunk=origin.read_chunk,
+        rng=rng,
+    )
     return ForwarderDaemon(
         forwarder=Forwarder(
             settings=settings,
@@ -108,12 +121,43 @@
             session=target_session,
             rng=rng,
         ),
+        cache=build_cache(
+            drawing=drawing,
+            state=state,
+            read_origin_manifest=origin.read_manifest,
+        ),
+        register=functools.partial(_register, store, settings),
         feeds=(
-            build_feed(names.OPERATORS_TABLE, build_operator_reader(state)),
-            build_feed(
-                names.TARGETS_TABLE,
-                build_target_reader(targets, fleet.failure_domains),
+            TableFeed(
+                store=store,
+                table=names.OPERATORS_TABLE,
+                wait=OPERATORS_FEED_SECONDS,
+                reader=build_operator_reader(state),
+                rng=rng,
+            ),
+            TableFeed(
+                store=store,
+                table=names.TARGETS_TABLE,
+                wait=TARGETS_FEED_SECONDS,
+                reader=build_target_reader(
+                    TargetList(state=state), fleet.failure_domains
+                ),
+                rng=rng,
             ),
         ),
-        sessions=(store_session, target_session),
+        sessions=(session, target_session),
+    )
+
+
+async def _register(store: Store, settings: Settings) -> None:
+    """Register for other daemons; tried again until the store takes it."""
+    record = RelayRecord(
+        daemon=settings.daemon,
+        address=settings.listen.peers,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
     )
+    while True:
+        if await register_relay(store, record):
+            return
+        await asyncio.sleep(REGISTER_RETRY_SECONDS)
--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -9,18 +9,21 @@
 
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.forwarder import read_fleet_settings
-from ragwortcourse.forwarding.target_list import TargetList
+from ragwortcourse.identifiers import ModelName
 from ragwortcourse.platform import names
 from ragwortcourse.platform.engine import Engine
 from ragwortcourse.platform.feed import TableFeed
 from ragwortcourse.platform.operator_rows import build_operator_reader
+from ragwortcourse.platform.relay_rows import RelayList
 from ragwortcourse.platform.store import Store
-from ragwortcourse.platform.target_reader import build_target_reader
 from ragwortcourse.platform.weight_source import WeightSource
 from ragwortcourse.processes.tasks import BackgroundTasks
 from ragwortcourse.settings import Settings
 from ragwortcourse.weights.chunk_routes import build_chunk_routes
 from ragwortcourse.weights.engine_loading import EngineLoading
+from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.loader_drawing import build_loader_drawing
+from ragwortcourse.weights.relay_drawing import find_origin
 
 # A loader acts on changes alone; a call that waits longer costs less.
 FEED_SECONDS: Final = 4.0
@@ -31,7 +34,7 @@
     """The parts of one loader that others reach into."""
 
     loading: EngineLoading
-    feeds: tuple[TableFeed, ...]
+    feed: TableFeed
     session: aiohttp.ClientSession
 
     @property
@@ -41,8 +44,7 @@
 
     def start(self, tasks: BackgroundTasks) -> None:
         """Run the endless tasks."""
-        for index, feed in enumerate(self.feeds):
-            tasks.start(f'follow table {index}', feed.follow())
+        tasks.start('follow operators', self.feed.follow())
         tasks.start('load engine', self.loading.run())
 
     def find_obstacle(self) -> str | None:
@@ -68,31 +70,37 @@
     session = aiohttp.ClientSession()
     store = Store(session=session, address=fleet.store)
     state = FleetState()
-    rng = random.Random()  # noqa: S311  # spreads load, guards nothing
-    readers = {
-        names.OPERATORS_TABLE: build_operator_reader(state),
-        names.TARGETS_TABLE: build_target_reader(
-            TargetList(state=state), fleet.failure_domains
-        ),
-    }
+    origin = WeightSource(session=session)
+
+    async def read_manifest(
+        model: ModelName, version: int
+    ) -> FleetManifest | None:
+        rules = find_origin(state)
+        if rules is None:
+            return None
+        return await origin.read_manifest(rules.origin, model, version)
+
     return LoaderDaemon(
         loading=EngineLoading(
-            settings=settings,
+            fleet=fleet,
             loader=settings.loader,
             state=state,
             engine=Engine(session=session, address=settings.loader.engine),
-            origin=WeightSource(session=session),
-            session=session,
+            read_manifest=read_manifest,
+            draw=build_loader_drawing(
+                settings=settings,
+                state=state,
+                session=session,
+                list_relays=RelayList(store=store).list,
+                read_origin_chunk=origin.read_chunk,
+            ),
         ),
-        feeds=tuple(
-            TableFeed(
-                store=store,
-                table=table,
-                wait=FEED_SECONDS,
-                reader=reader,
-                rng=rng,
-            )
-            for table, reader in readers.items()
+        feed=TableFeed(
+            store=store,
+            table=names.OPERATORS_TABLE,
+            wait=FEED_SECONDS,
+            reader=build_operator_reader(state),
+            rng=random.Random(),  # noqa: S311  # spreads load, guards nothing
         ),
         session=session,
     )
--- a/src/ragwortcourse/settings.py
+++ b/src/ragwortcourse/settings.py
@@ -144,10 +144,12 @@
 
     :param engine: ``ip:port`` of the engine beside it.
     :param service: service that the engine belongs to.
+    :param link_mbps: megabits a second of the host's link.
     """
 
     engine: str
     service: ServiceName
+    link_mbps: float
 
 
 class Settings(
--- /dev/null
+++ b/src/ragwortcourse/weights/chunk_cache.py
@@ -0,0 +1,82 @@
+"""Chunks that an entry daemon passes on."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from ragwortcourse.identifiers import ModelName
+from ragwortcourse.weights.chunk_store import ChunkStore, VersionChunks
+from ragwortcourse.weights.fleet_manifest import FleetManifest
+
+ReadManifest = Callable[[ModelName, int], Awaitable[FleetManifest | None]]
+DrawChunk = Callable[[FleetManifest, int], Awaitable[bytes | None]]
+
+LOGGER: Final = logging.getLogger(__name__)
+
+
+class ChunkCache:
+    """Draws each chunk that is asked for once, and keeps it.
+
+    :param draw: bytes of a chunk from elsewhere, unchecked.
+    """
+
+    def __init__(self, *, read_manifest: ReadManifest, draw: DrawChunk) -> None:
+        self._read_manifest = read_manifest
+        self._draw = draw
+        self._store = ChunkStore()
+        self._manifests: dict[int, asyncio.Task[VersionChunks | None]] = {}
+        self._draws: dict[tuple[int, int], asyncio.Task[bytes | None]] = {}
+
+    async def find(
+        self, model: ModelName, version: int, index: int
+    ) -> bytes | None:
+        """A chunk, drawn first if it is not here."""
+        chunks = self._store.find(version)
+        if chunks is None:
+            chunks = await self._open(model, version)
+        if chunks is None or index >= len(chunks.manifest.digests):
+            return None
+        content = chunks.contents.get(index)
+        if content is not None:
+            return content
+        key = (version, index)
+        if key not in self._draws:
+            self._draws[key] = asyncio.create_task(
+                self._draw_checked(chunks, index)
+            )
+            self._draws[key].add_done_callback(
+                lambda _task: self._draws.pop(key, None)
+            )
+        # Others wait for the same draw.
+        return await asyncio.shield(self._draws[key])
+
+    async def _open(
+        self, model: ModelName, version: int
+    ) -> VersionChunks | None:
+        if version not in self._manifests:
+            self._manifests[version] = asyncio.create_task(
+                self._open_once(model, version)
+            )
+            self._manifests[version].add_done_callback(
+                lambda _task: self._manifests.pop(version, None)
+            )
+        return await asyncio.shield(self._manifests[version])
+
+    async def _open_once(
+        self, model: ModelName, version: int
+    ) -> VersionChunks | None:
+        manifest = await self._read_manifest(model, version)
+        return None if manifest is None else self._store.open(manifest)
+
+    async def _draw_checked(
+        self, chunks: VersionChunks, index: int
+    ) -> bytes | None:
+        content = await self._draw(chunks.manifest, index)
+        if chunks.take(index, content):
+            return content
+        LOGGER.info(
+            'chunk not drawn',
+            extra={'version': chunks.manifest.version, 'chunk': index},
+        )
+        return None
--- a/src/ragwortcourse/weights/chunk_routes.py
+++ b/src/ragwortcourse/weights/chunk_routes.py
@@ -1,4 +1,4 @@
-"""Chunks between loaders over HTTP."""
+"""Chunks between the daemons of a fleet over HTTP."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -7,54 +7,95 @@
 import aiohttp
 from aiohttp import web
 
+from ragwortcourse.clock import read_clock
+from ragwortcourse.identifiers import ModelName
 from ragwortcourse.weights.fleet_manifest import FleetManifest
 
-# A chunk that is on its way to the asked loader is waited for.
-WAIT_SECONDS: Final = 1.5
-# Above it, for the bytes themselves over a narrow link that others share.
-FETCH_SECONDS: Final = 3.0
+# A chunk that is on its way to the asked daemon is waited for.
+WAIT_SECONDS: Final = 1.0
+# Above it, for the bytes themselves over a narrow link.
+FETCH_SECONDS: Final = 2.5
+CONNECT_SECONDS: Final = 0.3
+# Little enough that live requests on the same link don't wait long for it.
+SLICE_BYTES: Final = 8_192
+RATE_OPTION: Final = 'rate'
 OK: Final = 200
 
-FindChunk = Callable[[int, int, float], Awaitable[bytes | None]]
+FindChunk = Callable[[ModelName, int, int], Awaitable[bytes | None]]
 
 
 def build_chunk_routes(find_chunk: FindChunk) -> list[web.RouteDef]:
     """Route of the port for other daemons.
 
-    :param find_chunk: chunk of a version by its index, waited for up to
-        some seconds; none where it is not here.
+    :param find_chunk: chunk of a model's version by its index; none where
+        it can't be had.
     """
 
-    async def send_chunk(request: web.Request) -> web.Response:
-        content = await find_chunk(
-            int(request.match_info['version']),
-            int(request.match_info['index']),
-            WAIT_SECONDS,
-        )
+    async def send_chunk(request: web.Request) -> web.StreamResponse:
+        info = request.match_info
+        try:
+            async with asyncio.timeout(WAIT_SECONDS):
+                content = await find_chunk(
+                    ModelName(info['model']),
+                    int(info['version']),
+                    int(info['index']),
+                )
+        except TimeoutError:
+            content = None
         if content is None:
             return web.Response(status=web.HTTPNotFound.status_code)
+        rate = request.query.get(RATE_OPTION, '')
+        if rate.isdecimal() and int(rate):
+            return await _send_paced(request, content, int(rate))
         return web.Response(
             body=content, content_type='application/octet-stream'
         )
 
-    return [
-        web.get(r'/chunks/{version:\d{1,18}}/{index:\d{1,9}}', send_chunk),
-    ]
+    path = r'/chunks/{model}/{version:\d{1,18}}/{index:\d{1,9}}'
+    return [web.get(path, send_chunk)]
+
+
+async def _send_paced(
+    request: web.Request, content: bytes, rate: int
+) -> web.StreamResponse:
+    """Send no faster than the receiver's link carries it.
+
+    :param rate: bytes a second.
+    """
+    response = web.StreamResponse()
+    response.content_length = len(content)
+    await response.prepare(request)
+    began_at = read_clock()
+    for start in range(0, len(content), SLICE_BYTES):
+        early = began_at + start / rate - read_clock()
+        if early > 0:
+            await asyncio.sleep(early)
+        await response.write(content[start : start + SLICE_BYTES])
+    await response.write_eof()
+    return response
 
 
 async def fetch_chunk(
+    *,
     session: aiohttp.ClientSession,
     address: str,
     manifest: FleetManifest,
     index: int,
+    rate: int = 0,
 ) -> bytes | None:
-    """Bytes that another loader sent, unchecked; none where it has none."""
-    url = f'http://{address}/chunks/{manifest.version}/{index}'
+    """Bytes that another daemon sent, unchecked; none where it has none.
+
+    :param rate: bytes a second that it may send; zero for no bound.
+    """
+    url = (
+        f'http://{address}/chunks/{manifest.model}/{manifest.version}/{index}'
+        f'?{RATE_OPTION}={rate}'
+    )
+    timeout = aiohttp.ClientTimeout(
+        total=FETCH_SECONDS, sock_connect=CONNECT_SECONDS
+    )
     try:
-        async with (
-            asyncio.timeout(FETCH_SECONDS),
-            session.get(url) as response,
-        ):
+        async with session.get(url, timeout=timeout) as response:
             if response.status != OK:
                 return None
             return await response.read()
--- a/src/ragwortcourse/weights/chunk_sources.py
+++ b/src/ragwortcourse/weights/chunk_sources.py
@@ -1,58 +1,66 @@
-"""From which loaders a chunk is drawn.
+"""From whom a chunk is drawn.
 
-Load pattern: a version is named while no loader holds it, and all of them
-draw it at once over narrow links; or an empty engine joins while others
-hold the version.
+Load pattern: a version is named while nobody holds it, and every engine is
+to have it within seconds over links as narrow as its live requests need
+them. Entry daemons have wide links: they draw each chunk from the origin
+once, carry it over each line between regions once, and send it to the
+loaders of their failure domain. What an engine holds already comes from
+there, once for each failure domain.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import Final
 
+from ragwortcourse.identifiers import (
+    DaemonId,
+    FailureDomainName,
+    RegionName,
+)
 from ragwortcourse.membership.rendezvous import score_pair
-from ragwortcourse.weights.peer_port import PeerAddress
-from ragwortcourse.weights.tree import ChunkTree
+from ragwortcourse.weights.relay import RelayRecord
 
-# Holders that are asked before the origin is.
-HOLDERS_ASKED: Final = 3
+# Relays of the own failure domain that a loader asks before others.
+NEAR_ASKED: Final = 2
+# Relays elsewhere that are asked before the origin itself.
+FAR_ASKED: Final = 1
+# Relays that draw a chunk for all others; the second where the first fails.
+ROOTS_ASKED: Final = 2
 
 
-def list_chunk_sources(
+def list_loader_sources(
+    *, relays: Iterable[RelayRecord], domain: FailureDomainName, index: int
+) -> tuple[RelayRecord, ...]:
+    """Relays that a loader asks for a chunk, in this order."""
+    ranked = _rank(relays, index)
+    near = [relay for relay in ranked if relay.failure_domain == domain]
+    far = [relay for relay in ranked if relay.failure_domain != domain]
+    return (*near[:NEAR_ASKED], *far[:FAR_ASKED])
+
+
+def list_relay_sources(
     *,
-    own: PeerAddress,
-    holders: Sequence[PeerAddress],
-    tree: ChunkTree,
+    relays: Iterable[RelayRecord],
+    own: DaemonId,
+    origin_region: RegionName,
     index: int,
-) -> tuple[PeerAddress, ...]:
-    """Whom to ask, in this order, before the origin.
+) -> tuple[RelayRecord, ...]:
+    """Relays that a relay asks; none where it draws from the origin itself.
 
-    Where some hold the version: the nearest of them, each giving about as
-    many chunks as the others. Else the tree, in which each chunk is drawn
-    from the origin once and passed on.
+    A relay asks only those that rank before it: nobody waits in a circle.
     """
-    if not holders:
-        return tree.list_sources(own, index)
-    ranked = sorted(
-        holders,
-        key=lambda peer: (
-            peer.region != own.region,
-            peer.failure_domain != own.failure_domain,
-            score_pair(f'{index}/{own.daemon}', peer.daemon),
-        ),
-    )
-    return tuple(ranked[:HOLDERS_ASKED])
-
-
-def order_chunks(
-    *, own: PeerAddress, tree: ChunkTree, missing: Sequence[int]
-) -> tuple[int, ...]:
-    """In which order chunks are drawn: those that others wait for first."""
-    return tuple(
-        sorted(
-            missing,
-            key=lambda index: (
-                len(tree.list_sources(own, index)),
-                -len(tree.list_children(own, index)),
-                index,
-            ),
-        )
+    ranked = _rank(relays, index)
+    roots = [
+        relay for relay in ranked if relay.region == origin_region
+    ] or ranked
+    before: list[RelayRecord] = []
+    for root in roots[:ROOTS_ASKED]:
+        if root.daemon == own:
+            break
+        before.append(root)
+    return tuple(before)
+
+
+def _rank(relays: Iterable[RelayRecord], index: int) -> Sequence[RelayRecord]:
+    return sorted(
+        relays, key=lambda relay: score_pair(str(index), relay.daemon)
     )
--- /dev/null
+++ b/src/ragwortcourse/weights/loader_drawing.py
@@ -0,0 +1,50 @@
+"""How a loader draws a chunk."""
+
+from collections.abc import Awaitable, Callable, Sequence
+
+import aiohttp
+
+from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.settings import Settings
+from ragwortcourse.weights.chunk_routes import fetch_chunk
+from ragwortcourse.weights.chunk_sources import list_loader_sources
+from ragwortcourse.weights.engine_loading import DrawChunk
+from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.relay import RelayRecord
+from ragwortcourse.weights.relay_drawing import ReadOriginChunk, find_origin
+
+
+def build_loader_drawing(
+    *,
+    settings: Settings,
+    state: FleetState,
+    session: aiohttp.ClientSession,
+    list_relays: Callable[[], Awaitable[Sequence[RelayRecord]]],
+    read_origin_chunk: ReadOriginChunk,
+) -> DrawChunk:
+    """Draws from the relays, and from the origin where none has a chunk."""
+
+    async def draw(
+        manifest: FleetManifest, index: int, rate: int
+    ) -> bytes | None:
+        relays = list_loader_sources(
+            relays=await list_relays(),
+            domain=settings.failure_domain,
+            index=index,
+        )
+        for relay in relays:
+            content = await fetch_chunk(
+                session=session,
+                address=relay.address,
+                manifest=manifest,
+                index=index,
+                rate=rate,
+            )
+            if manifest.matches(index, content):
+                return content
+        origin = find_origin(state)
+        if origin is None:
+            return None
+        return await read_origin_chunk(origin.origin, manifest, index)
+
+    return draw
--- /dev/null
+++ b/src/ragwortcourse/weights/relay_drawing.py
@@ -0,0 +1,134 @@
+"""How an entry daemon draws a chunk."""
+
+import random
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Final
+
+import aiohttp
+
+from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.forwarding.service_rules import ServiceRules
+from ragwortcourse.identifiers import FailureDomainName, ModelName
+from ragwortcourse.settings import FleetSettings, Settings
+from ragwortcourse.weights.chunk_cache import ChunkCache
+from ragwortcourse.weights.chunk_routes import fetch_chunk
+from ragwortcourse.weights.chunk_sources import list_relay_sources
+from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.relay import RelayRecord
+
+# Holders that are asked before relays and the origin.
+HOLDERS_ASKED: Final = 2
+
+ListRelays = Callable[[], Awaitable[Sequence[RelayRecord]]]
+ReadOriginManifest = Callable[
+    [str, ModelName, int], Awaitable[FleetManifest | None]
+]
+ReadOriginChunk = Callable[[str, FleetManifest, int], Awaitable[bytes | None]]
+
+
+def find_origin(state: FleetState) -> ServiceRules | None:
+    """The origin of weights, if the desired state names one."""
+    if state.desired is None:
+        return None
+    services = state.desired.services.values()
+    return next((rules for rules in services if rules.origin), None)
+
+
+def list_holders(
+    state: FleetState,
+    manifest: FleetManifest,
+    domain: FailureDomainName,
+) -> list[str]:
+    """Loaders' hosts of a failure domain whose engine has a version."""
+    if state.desired is None:
+        return []
+    return [
+        target.address.rpartition(':')[0]
+        for target in state.targets.values()
+        for engine in (state.desired.find_engine(target.service),)
+        if engine is not None
+        and engine.model == manifest.model
+        and target.failure_domain == domain
+        and target.weights is not None
+        and target.weights.version == manifest.version
+        and target.holds(engine.layers)
+    ]
+
+
+class RelayDrawing:
+    """Sources of an entry daemon, in the order in which they are asked."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        fleet: FleetSettings,
+        state: FleetState,
+        session: aiohttp.ClientSession,
+        list_relays: ListRelays,
+        read_origin_chunk: ReadOriginChunk,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._fleet = fleet
+        self._state = state
+        self._session = session
+        self._list_relays = list_relays
+        self._read_origin_chunk = read_origin_chunk
+        self._rng = rng
+
+    async def draw(self, manifest: FleetManifest, index: int) -> bytes | None:
+        """Bytes of a chunk from the first source that has it right."""
+        for address in await self._list_addresses(manifest, index):
+            content = await fetch_chunk(
+                session=self._session,
+                address=address,
+                manifest=manifest,
+                index=index,
+            )
+            if manifest.matches(index, content):
+                return content
+        origin = find_origin(self._state)
+        if origin is None:
+            return None
+        return await self._read_origin_chunk(origin.origin, manifest, index)
+
+    async def _list_addresses(
+        self, manifest: FleetManifest, index: int
+    ) -> list[str]:
+        holders = list_holders(
+            self._state, manifest, self._settings.failure_domain
+        )
+        self._rng.shuffle(holders)
+        port = self._settings.listen.peers.rpartition(':')[2]
+        addresses = [f'{host}:{port}' for host in holders[:HOLDERS_ASKED]]
+        origin = find_origin(self._state)
+        region = self._settings.region
+        if origin is not None and origin.origin_domain is not None:
+            region = self._fleet.failure_domains[origin.origin_domain]
+        relays = list_relay_sources(
+            relays=await self._list_relays(),
+            own=self._settings.daemon,
+            origin_region=region,
+            index=index,
+        )
+        return [*addresses, *(relay.address for relay in relays)]
+
+
+def build_cache(
+    *,
+    drawing: RelayDrawing,
+    state: FleetState,
+    read_origin_manifest: ReadOriginManifest,
+) -> ChunkCache:
+    """A cache that draws from other daemons and the origin."""
+
+    async def read_manifest(
+        model: ModelName, version: int
+    ) -> FleetManifest | None:
+        origin = find_origin(state)
+        if origin is None:
+            return None
+        return await read_origin_manifest(origin.origin, model, version)
+
+    return ChunkCache(read_manifest=read_manifest, draw=drawing.draw)
--- /dev/null
+++ b/src/ragwortcourse/weights/version_choice.py
@@ -0,0 +1,39 @@
+"""Which version a loader brings to its engine next.
+
+Load pattern: versions are named in quick succession. The newest one alone
+counts in the end, but an engine must not answer from a version whose
+successor was named too long ago: where the newest can't be there by then,
+the one before it is finished first.
+"""
+
+from collections.abc import Sequence
+from typing import Final
+
+from ragwortcourse.forwarding.named_weights import NamedWeights
+
+# From the last chunk to the loaded engine: what runs comes to its end.
+SWITCH_SECONDS: Final = 1.5
+
+
+def choose_version(
+    named: Sequence[NamedWeights],
+    *,
+    held: int,
+    now: float,
+    drawing: float,
+    bound: float,
+) -> NamedWeights:
+    """The version to be brought next.
+
+    :param named: the newest last, at least one.
+    :param held: version that the engine holds; zero for none.
+    :param drawing: seconds until the newest version could be drawn.
+    :param bound: seconds from a version's naming after which no request
+        may begin on an older one.
+    """
+    newest = named[-1]
+    done_at = now + drawing + SWITCH_SECONDS
+    for older in named[:-1]:
+        if older.version > held and older.seen_at + bound < done_at:
+            return older
+    return newest
