--- a/src/ragwortcourse/forwarding/target_load.py
+++ b/src/ragwortcourse/forwarding/target_load.py
@@ -10,6 +10,8 @@
 REPORT_SECONDS: Final = 3.0
 # A failure counts half after this time.
 TROUBLE_HALF_LIFE_SECONDS: Final = 2.0
+# Answers that end together have one cause.
+SAME_FAILURE_SECONDS: Final = 0.2
 # A refusing target is passed by for this long: some passes of an engine.
 REFUSED_SECONDS: Final = 0.15
 FIRST_AVOIDED_SECONDS: Final = 0.4
@@ -79,6 +81,8 @@
 
     def note_failure(self, now: float) -> None:
         """Count an answer that the target owes or spoilt."""
+        if now - self._trouble_at < SAME_FAILURE_SECONDS:
+            return
         self._trouble = self.read_trouble(now) + 1
         self._trouble_at = now
 
--- a/src/ragwortcourse/platform/engine.py
+++ b/src/ragwortcourse/platform/engine.py
@@ -13,8 +13,8 @@
 
 # The engine is on the same host; it answers at once unless it is down.
 CALL_SECONDS: Final = 1.0
-# Runs what has begun to its end, then loads; new requests wait meanwhile.
-SWITCH_MODE: Final = 'hold_queue'
+# Ends what runs at once; streams go on at other engines.
+SWITCH_MODE: Final = 'truncate'
 BEGUN: Final = 202
 OK: Final = 200
 UNFIT: Final = 409
--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -45,7 +45,8 @@
     def start(self, tasks: BackgroundTasks) -> None:
         """Run the endless tasks."""
         tasks.start('follow operators', self.feed.follow())
-        tasks.start('load engine', self.loading.run())
+        tasks.start('draw weights', self.loading.draw())
+        tasks.start('switch engine', self.loading.switch())
 
     def find_obstacle(self) -> str | None:
         """None: a loader takes no work of callers."""
--- a/src/ragwortcourse/weights/chunk_store.py
+++ b/src/ragwortcourse/weights/chunk_store.py
@@ -58,6 +58,15 @@
         """Chunks of a version, if it is kept."""
         return self._versions.get(version)
 
+    def find_newest_whole(self) -> int:
+        """Newest version without missing chunks; zero where there is none."""
+        whole = (
+            version
+            for version, chunks in self._versions.items()
+            if not chunks.missing
+        )
+        return max(whole, default=0)
+
     def open(self, manifest: FleetManifest) -> VersionChunks:
         """Chunks of a version, kept from now on; the oldest one goes."""
         version = manifest.version
--- a/src/ragwortcourse/weights/engine_loading.py
+++ b/src/ragwortcourse/weights/engine_loading.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.engine_rules import EngineRules
 from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.forwarding.named_weights import NamedWeights
 from ragwortcourse.identifiers import ModelName
+from ragwortcourse.membership.rendezvous import score_pair
 from ragwortcourse.platform.engine import Engine, EngineReport, OrderOutcome
 from ragwortcourse.settings import FleetSettings, LoaderSettings
 from ragwortcourse.weights.chunk_store import ChunkStore, VersionChunks
@@ -25,6 +27,12 @@
 # Where operators have named none, engines hold the first one.
 FIRST_VERSION: Final = 1
 RETRY_SECONDS: Final = 0.2
+# Engines that drew a version at once are ordered apart by up to this, so
+# that most of them serve while some load.
+SPREAD_SECONDS: Final = 1.8
+# Before a version's bound, by which the last order is given.
+LAST_ORDER_SECONDS: Final = 1.4
+TURNS: Final = 1024
 BYTES_IN_MEGABIT: Final = 125_000
 
 DrawChunk = Callable[[FleetManifest, int, int], Awaitable[bytes | None]]
@@ -54,24 +62,31 @@
         self._state = state
         self._engine = engine
         self._read_manifest = read_manifest
-        self._draw = draw
+        self._draw_chunk = draw
         self._store = ChunkStore()
         self._report: EngineReport | None = None
         self._rate = loader.link_mbps * BYTES_IN_MEGABIT * LINK_SHARE
 
-    async def run(self) -> None:
-        """Watch the engine and the named version for ever."""
+    async def draw(self) -> None:
+        """Draw named versions into memory, one after the other, for ever."""
         while True:
-            self._report = await self._engine.read_report()
             rules = self._find_rules()
-            if rules is None or self._report is None or self._report.busy:
+            if rules is None or not await self._draw_next(rules):
                 await asyncio.sleep(WATCH_SECONDS)
-                continue
-            wanted = self._read_wanted(rules)
-            if self._read_held(rules) == wanted:
+
+    async def switch(self) -> None:
+        """Watch the engine, and order what is drawn, for ever."""
+        while True:
+            self._report = await self._engine.read_report()
+            if not await self._switch_once():
                 await asyncio.sleep(WATCH_SECONDS)
-            elif not await self._land(rules, wanted):
-                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _switch_once(self) -> bool:
+        rules = self._find_rules()
+        if rules is None or self._report is None or self._report.busy:
+            return False
+        drawn = self._find_drawn(rules)
+        return drawn is not None and await self._order(rules, drawn)
 
     async def find_chunk(
         self, model: ModelName, version: int, index: int
@@ -94,18 +109,31 @@
             return None
         return desired.find_engine(self._loader.service)
 
+    def _list_named(self, rules: EngineRules) -> Sequence[NamedWeights]:
+        first = NamedWeights(version=FIRST_VERSION, seen_at=0)
+        return self._state.weights.get(rules.model) or (first,)
+
     def _read_wanted(self, rules: EngineRules) -> int:
-        named = self._state.weights.get(rules.model)
-        if named is None:
-            return FIRST_VERSION
+        """Version that is to be drawn next, or is being drawn."""
+        named = self._list_named(rules)
+        drawn = self._store.find_newest_whole()
         return choose_version(
             named,
-            held=self._read_held(rules),
+            held=max(self._read_held(rules), drawn),
             now=read_clock(),
             drawing=self._foresee_drawing(rules, named[-1].version),
             bound=self._fleet.version_ms / 1000,
         ).version
 
+    def _find_drawn(self, rules: EngineRules) -> VersionChunks | None:
+        """The newest whole version, if the engine does not hold it."""
+        newest = self._store.find_newest_whole()
+        if not newest or newest == self._read_held(rules):
+            return None
+        if newest not in {named.version for named in self._list_named(rules)}:
+            return None
+        return self._store.find(newest)
+
     def _foresee_drawing(self, rules: EngineRules, version: int) -> float:
         """Seconds until every chunk of a version could be here."""
         kept = self._store.find(version)
@@ -119,19 +147,38 @@
             return 0
         return held.version
 
-    async def _land(self, rules: EngineRules, version: int) -> bool:
-        """Bring the engine to a version; say whether it was ordered."""
+    async def _draw_next(self, rules: EngineRules) -> bool:
+        """Draw the wanted version; false where there is none to be drawn."""
+        wanted = self._read_wanted(rules)
+        if self._report is None or self._store.find_newest_whole() == wanted:
+            return False
+        if self._read_held(rules) == wanted:
+            return False
         began_at = read_clock()
-        manifest = await self._read_manifest(rules.model, version)
+        manifest = await self._read_manifest(rules.model, wanted)
         if manifest is None or len(manifest.digests) != rules.chunks:
-            LOGGER.warning('no manifest', extra={'version': version})
+            LOGGER.warning('no manifest', extra={'version': wanted})
             return False
         chunks = self._store.open(manifest)
         await self._take_staged(chunks)
         staged = len(chunks.contents)
-        if not await self._draw_missing(rules, chunks):
-            return False
-        drawn_at = read_clock()
+        await self._draw_missing(rules, chunks)
+        LOGGER.info(
+            'version drawn' if not chunks.missing else 'drawing given up',
+            extra={
+                'version': wanted,
+                'staged_before': staged,
+                'missing': len(chunks.missing),
+                'seconds': read_clock() - began_at,
+            },
+        )
+        return True
+
+    async def _order(self, rules: EngineRules, chunks: VersionChunks) -> bool:
+        """Have the engine load a version; say whether it began to."""
+        version = chunks.manifest.version
+        if self._read_held(rules):
+            await asyncio.sleep(self._choose_delay(rules, version))
         if not await self._check_stage(chunks):
             return False
         outcome = await self._engine.order_start(rules.model, version)
@@ -140,8 +187,6 @@
             extra={
                 'version': version,
                 'outcome': outcome,
-                'staged_before': staged,
-                'drawing_seconds': drawn_at - began_at,
                 'running': self._report and self._report.running,
             },
         )
@@ -150,6 +195,17 @@
             return True
         return False
 
+    def _choose_delay(self, rules: EngineRules, version: int) -> float:
+        """Seconds by which engines that drew at once are ordered apart."""
+        bound = self._fleet.version_ms / 1000 - LAST_ORDER_SECONDS
+        left = SPREAD_SECONDS
+        for named in self._list_named(rules):
+            if named.version == version:
+                left = named.seen_at + bound - read_clock()
+        spread = max(min(left, SPREAD_SECONDS), 0)
+        turn = score_pair(self._loader.engine, str(version)) % TURNS
+        return spread * turn / TURNS
+
     async def _await_loaded(self, rules: EngineRules, version: int) -> None:
         began_at = read_clock()
         while True:
@@ -187,25 +243,21 @@
 
     async def _draw_missing(
         self, rules: EngineRules, chunks: VersionChunks
-    ) -> bool:
-        """Draw and stage every missing chunk; false: another one is wanted."""
+    ) -> None:
+        """Draw missing chunks until another version is wanted."""
         manifest = chunks.manifest
         queue = list(chunks.missing)
 
         async def draw_some() -> None:
             while queue and self._read_wanted(rules) == manifest.version:
                 index = queue.pop(0)
-                if not await self._draw_staged(chunks, index):
+                if not await self._draw_one(chunks, index):
                     queue.append(index)
                     await asyncio.sleep(RETRY_SECONDS)
 
         await asyncio.gather(*(draw_some() for _ in range(DRAWN_AT_ONCE)))
-        return not chunks.missing
 
-    async def _draw_staged(self, chunks: VersionChunks, index: int) -> bool:
-        manifest = chunks.manifest
+    async def _draw_one(self, chunks: VersionChunks, index: int) -> bool:
         rate = int(self._rate / DRAWN_AT_ONCE)
-        content = await self._draw(manifest, index, rate)
-        if content is None or not chunks.take(index, content):
-            return False
-        return await self._engine.write_staged(manifest.model, index, content)
+        content = await self._draw_chunk(chunks.manifest, index, rate)
+        return chunks.take(index, content)
