Tell loads between entry daemons, draw chunks ahead, count retries by window

Placement got worse: all daemons see the same least loaded target and choose it together; chunks leave holders unpaced and hold up events.

--- a/src/ragwortcourse/forwarding/fleet_updates.py
+++ b/src/ragwortcourse/forwarding/fleet_updates.py
@@ -46,15 +46,16 @@
     state.withdrawn = withdrawn
 
 
-def note_weights(state: FleetState, model: ModelName, version: int) -> None:
+def note_weights(
+    state: FleetState, model: ModelName, version: int, age: float
+) -> None:
     """Take a newly named version over; versions only rise.
 
-    It may have been named at any time since the store last answered.
+    :param age: seconds for which it may have been named.
     """
     named = state.weights.get(model, ())
     if named and version <= named[-1].version:
         return
-    age = state.read_age() if state.confirmed_at else 0
     newest = NamedWeights(version=version, seen_at=read_clock() - age)
     state.weights[model] = (*named, newest)[-VERSIONS_KEPT:]
     LOGGER.info(
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -58,6 +58,12 @@
             self._loads[target.name] = load
         return load
 
+    def count_running(self) -> dict[TargetName, int]:
+        """Own requests under way at each target that has any."""
+        return {
+            name: load.own for name, load in self._loads.items() if load.own
+        }
+
     def _forget_gone(self) -> None:
         for name in self._loads.keys() - self.state.targets.keys():
             self._loads.pop(name)
--- a/src/ragwortcourse/forwarding/retry_share.py
+++ b/src/ragwortcourse/forwarding/retry_share.py
@@ -1,11 +1,14 @@
 """The part of the fleet's retries that one daemon may use.
 
 Load pattern: a failing service makes each daemon repeat requests, and no
-daemon knows what the others repeat.
+daemon knows what the others repeat. Many streams end at once where an engine
+is switched or dies: the share of a whole window may be used at once.
 """
 
+import collections
 from typing import Final
 
+from ragwortcourse.clock import read_clock
 from ragwortcourse.settings import FleetSettings
 
 # Entry daemons that may be alive. Counted generously: the fleet's limit is
@@ -13,26 +16,35 @@
 # their part.
 DAEMONS_COUNTED: Final = 12
 # Part of the limit that is used; arrivals cross the ends of windows.
-USED_SHARE: Final = 0.75
+USED_SHARE: Final = 0.8
 
 
 class RetryShare:
-    """Tokens that first tries earn and further ones spend."""
+    """First tries and further ones of the last window."""
 
     def __init__(self, *, fleet: FleetSettings) -> None:
-        self._ratio = fleet.retry_ratio * USED_SHARE
-        self._most = max(
-            fleet.retry_reserve * USED_SHARE / DAEMONS_COUNTED, 1.0
-        )
-        self._tokens = self._most
+        self._window = fleet.retry_window_seconds
+        self._ratio = fleet.retry_ratio
+        self._reserve = fleet.retry_reserve / DAEMONS_COUNTED
+        self._first: collections.deque[float] = collections.deque()
+        self._further: collections.deque[float] = collections.deque()
 
     def earn(self) -> None:
         """Count a first try."""
-        self._tokens = min(self._tokens + self._ratio, self._most)
+        self._first.append(read_clock())
+        self._forget(self._first)
 
     def spend(self) -> bool:
         """Take one further try, if there is one left."""
-        if self._tokens < 1:
+        self._forget(self._first)
+        self._forget(self._further)
+        allowed = len(self._first) * self._ratio + self._reserve
+        if len(self._further) + 1 > allowed * USED_SHARE:
             return False
-        self._tokens -= 1
+        self._further.append(read_clock())
         return True
+
+    def _forget(self, tries: collections.deque[float]) -> None:
+        oldest = read_clock() - self._window
+        while tries and tries[0] < oldest:
+            tries.popleft()
--- a/src/ragwortcourse/forwarding/target_load.py
+++ b/src/ragwortcourse/forwarding/target_load.py
@@ -1,19 +1,27 @@
 """What a daemon knows of the load and health of one target."""
 
+import dataclasses
 import math
 from typing import Final
 
 from ragwortcourse.forwarding.answer_head import ReportedLoad
 from ragwortcourse.forwarding.target import Target
+from ragwortcourse.identifiers import DaemonId
 
 # Reports lose weight until they say nothing any more.
 REPORT_SECONDS: Final = 3.0
+# Other entry daemons tell more often than that while they live.
+PEER_SECONDS: Final = 1.5
+# A target's own word is older than what the daemons tell each other.
+UNTOLD_SHARE: Final = 0.5
 # A failure counts half after this time.
 TROUBLE_HALF_LIFE_SECONDS: Final = 2.0
 # Answers that end together have one cause.
 SAME_FAILURE_SECONDS: Final = 0.2
 # A refusing target is passed by for this long: some passes of an engine.
 REFUSED_SECONDS: Final = 0.15
+# A target that cuts answers off may be changing its weights.
+CUT_SECONDS: Final = 0.4
 FIRST_AVOIDED_SECONDS: Final = 0.4
 LONGEST_AVOIDED_SECONDS: Final = 4.0
 # Weight of the newest answer in the mean time of answers.
@@ -21,6 +29,14 @@
 WINDOW_SECONDS: Final = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PeerCount:
+    """Requests that another entry daemon has at a target."""
+
+    running: int
+    told_at: float
+
+
 class TargetLoad:
     """Requests under way at one incarnation of a target, and its signs.
 
@@ -34,6 +50,7 @@
         self.avoided_until: float = 0
         self.latency: float | None = None
         self.version = 0
+        self._peers: dict[DaemonId, PeerCount] = {}
         self._others: float = 0
         self._reported_at: float = 0
         self._sign_at: float = 0
@@ -65,6 +82,13 @@
         self._others = max(load.running + load.waiting - self.own, 0)
         self._reported_at = now
 
+    def note_peer(self, daemon: DaemonId, running: int, now: float) -> None:
+        """Take another entry daemon's word for its own requests there."""
+        if running:
+            self._peers[daemon] = PeerCount(running=running, told_at=now)
+        else:
+            self._peers.pop(daemon, None)
+
     def note_success(self, seconds: float) -> None:
         """Count a good answer.
 
@@ -83,6 +107,7 @@
         """Count an answer that the target owes or spoilt."""
         if now - self._trouble_at < SAME_FAILURE_SECONDS:
             return
+        self.avoided_until = max(self.avoided_until, now + CUT_SECONDS)
         self._trouble = self.read_trouble(now) + 1
         self._trouble_at = now
 
@@ -94,9 +119,14 @@
 
     def estimate(self, now: float) -> float:
         """Requests believed to be there, those of other daemons included."""
+        told = sum(
+            count.running
+            for count in self._peers.values()
+            if now - count.told_at < PEER_SECONDS
+        )
         age = now - self._reported_at
         weight = max(1 - age / REPORT_SECONDS, 0)
-        return self.own + self._others * weight
+        return self.own + max(told, self._others * weight * UNTOLD_SHARE)
 
     def read_trouble(self, now: float) -> float:
         """Failures of late, the older ones counting less."""
--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -19,6 +19,9 @@
 # Between two calls while the store fails; half of it at random.
 RETRY_SECONDS: Final = 0.25
 
+# Longest that a change of a healthy store is on its way.
+PROMPT_SECONDS: Final = 0.15
+
 LOGGER: Final = logging.getLogger(__name__)
 
 
@@ -27,7 +30,8 @@
     """What becomes of the rows of a table.
 
     :param replace: takes all rows there are.
-    :param change: takes the rows that changed.
+    :param change: takes the rows that changed, and for how many seconds
+        they may have stood there unread.
     :param confirm: takes the boot clock at which a call was sent whose
         answer leaves nothing newer unread.
     :param regain: called after a failure, before the rows of the first
@@ -35,7 +39,7 @@
     """
 
     replace: Callable[[tuple[StoreRow, ...]], None]
-    change: Callable[[tuple[StoreRow, ...]], None]
+    change: Callable[[tuple[StoreRow, ...], float], None]
     confirm: Callable[[float], None]
     regain: Callable[[], None]
 
@@ -63,6 +67,7 @@
         self._rng = rng
         self._revision: int | None = None
         self._lost = False
+        self._answered_at: float = 0
 
     async def follow(self) -> None:
         """Ask for ever; a failed call is tried again after a pause."""
@@ -95,10 +100,22 @@
         if self._revision is None:
             self._reader.replace(answer.rows)
         elif answer.rows:
-            self._reader.change(answer.rows)
+            self._reader.change(answer.rows, self._read_age(sent_at))
+        self._answered_at = read_boot_clock()
         self._revision = max(self._revision or 0, answer.revision)
         self._reader.confirm(sent_at)
 
+    def _read_age(self, sent_at: float) -> float:
+        """Seconds for which changes may have been there.
+
+        The store answers a waiting call as soon as something changes; what
+        comes back at once may have changed since the last answer.
+        """
+        now = read_boot_clock()
+        if now - sent_at > PROMPT_SECONDS:
+            return PROMPT_SECONDS
+        return now - self._answered_at
+
     async def _pause(self, answer: StoreSilent) -> None:
         if not self._lost:
             self._lost = True
--- a/src/ragwortcourse/platform/operator_rows.py
+++ b/src/ragwortcourse/platform/operator_rows.py
@@ -17,6 +17,10 @@
 from ragwortcourse.platform.feed import TableReader
 from ragwortcourse.platform.store_row import StoreRow
 
+# What a daemon finds at its start may have been written any time ago; it
+# is taken to be about as old as a start takes.
+UNREAD_SECONDS: Final = 3.0
+
 LOGGER: Final = logging.getLogger(__name__)
 
 
@@ -38,12 +42,12 @@
             if f'{names.EVACUATION_PREFIX}{domain}' in present
         }
         note_withdrawals(state, frozenset(kept))
-        change(rows)
+        change(rows, UNREAD_SECONDS)
 
-    def change(rows: tuple[StoreRow, ...]) -> None:
+    def change(rows: tuple[StoreRow, ...], age: float) -> None:
         for row in rows:
             try:
-                _apply(state, row)
+                _apply(state, row, age)
             except (msgspec.DecodeError, ValueError) as error:
                 LOGGER.warning(
                     'unreadable row of the operators',
@@ -61,7 +65,7 @@
     )
 
 
-def _apply(state: FleetState, row: StoreRow) -> None:
+def _apply(state: FleetState, row: StoreRow, age: float) -> None:
     if row.key.startswith(names.EVACUATION_PREFIX):
         domain = FailureDomainName(
             row.key.removeprefix(names.EVACUATION_PREFIX)
@@ -76,4 +80,4 @@
         note_desired(state, decode_desired_state(row.content))
     elif row.key.startswith(names.VERSION_PREFIX):
         wire = msgspec.json.decode(row.content, type=WireVersion)
-        note_weights(state, ModelName(wire.model), wire.version)
+        note_weights(state, ModelName(wire.model), wire.version, age)
--- a/src/ragwortcourse/platform/relay_rows.py
+++ b/src/ragwortcourse/platform/relay_rows.py
@@ -14,7 +14,7 @@
 # The system's own table.
 TABLE: Final = 'daemons'
 # Daemons come and go rarely; one that is gone costs a failed connection.
-FRESH_SECONDS: Final = 3.0
+FRESH_SECONDS: Final = 5.0
 
 LOGGER: Final = logging.getLogger(__name__)
 
--- a/src/ragwortcourse/platform/target_reader.py
+++ b/src/ragwortcourse/platform/target_reader.py
@@ -25,9 +25,9 @@
 
     def replace(rows: tuple[StoreRow, ...]) -> None:
         targets.keep_only({TargetName(row.key) for row in rows})
-        change(rows)
+        change(rows, 0)
 
-    def change(rows: tuple[StoreRow, ...]) -> None:
+    def change(rows: tuple[StoreRow, ...], age: float) -> None:
         for row in rows:
             name = TargetName(row.key)
             if row.content is None:
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -14,6 +14,7 @@
 from ragwortcourse.forwarding.exchange import open_target_session
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.forwarder import Forwarder, read_fleet_settings
+from ragwortcourse.forwarding.load_exchange import exchange_loads
 from ragwortcourse.forwarding.target_list import TargetList
 from ragwortcourse.platform import names
 from ragwortcourse.platform.feed import TableFeed
@@ -48,6 +49,7 @@
 
     forwarder: Forwarder
     cache: ChunkCache
+    relays: RelayList
     register: Callable[[], Coroutine[Any, Any, None]]
     feeds: tuple[TableFeed, ...]
     sessions: tuple[aiohttp.ClientSession, ...]
@@ -68,6 +70,12 @@
         for index, feed in enumerate(self.feeds):
             tasks.start(f'follow table {index}', feed.follow())
         tasks.start('register', self.register())
+        tasks.start(
+            'exchange loads',
+            exchange_loads(
+                forwarder=self.forwarder, list_relays=self.relays.list
+            ),
+        )
 
     def find_obstacle(self) -> str | None:
         """Why no work is taken now, none if it is."""
@@ -88,6 +96,7 @@
 
     async def stop(self) -> None:
         """End what runs beside the endless tasks."""
+        await self.cache.stop()
         for session in self.sessions:
             await session.close()
 
@@ -104,12 +113,13 @@
     target_session = open_target_session()
     store = Store(session=session, address=fleet.store)
     origin = WeightSource(session=session)
+    relays = RelayList(store=store)
     drawing = RelayDrawing(
         settings=settings,
         fleet=fleet,
         state=state,
         session=session,
-        list_relays=RelayList(store=store).list,
+        list_relays=relays.list,
         read_origin_chunk=origin.read_chunk,
         rng=rng,
     )
@@ -126,6 +136,7 @@
             state=state,
             read_origin_manifest=origin.read_manifest,
         ),
+        relays=relays,
         register=functools.partial(_register, store, settings),
         feeds=(
             TableFeed(
--- a/src/ragwortcourse/weights/chunk_cache.py
+++ b/src/ragwortcourse/weights/chunk_cache.py
@@ -5,12 +5,21 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+from ragwortcourse.background import Background
 from ragwortcourse.identifiers import ModelName
-from ragwortcourse.weights.chunk_store import ChunkStore, VersionChunks
+from ragwortcourse.weights.chunk_store import (
+    VERSIONS_KEPT,
+    ChunkStore,
+    VersionChunks,
+)
 from ragwortcourse.weights.fleet_manifest import FleetManifest
 
 ReadManifest = Callable[[ModelName, int], Awaitable[FleetManifest | None]]
 DrawChunk = Callable[[FleetManifest, int], Awaitable[bytes | None]]
+ListOwn = Callable[[FleetManifest], Awaitable[tuple[int, ...]]]
+
+# Chunks drawn at once before anybody asks for them.
+DRAWN_AHEAD: Final = 3
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -18,10 +27,22 @@
 class ChunkCache:
     """Draws each chunk that is asked for once, and keeps it.
 
+    The first question for a version begins to draw every chunk that others
+    are to ask this daemon for.
+
     :param draw: bytes of a chunk from elsewhere, unchecked.
+    :param list_own: chunks of a version that others ask here first.
     """
 
-    def __init__(self, *, read_manifest: ReadManifest, draw: DrawChunk) -> None:
+    def __init__(
+        self,
+        *,
+        read_manifest: ReadManifest,
+        draw: DrawChunk,
+        list_own: ListOwn,
+    ) -> None:
+        self._list_own = list_own
+        self._ahead = Background(limit=VERSIONS_KEPT)
         self._read_manifest = read_manifest
         self._draw = draw
         self._store = ChunkStore()
@@ -37,10 +58,17 @@
             chunks = await self._open(model, version)
         if chunks is None or index >= len(chunks.manifest.digests):
             return None
+        return await self._find_in(chunks, index)
+
+    async def stop(self) -> None:
+        """End what is drawn ahead."""
+        await self._ahead.cancel()
+
+    async def _find_in(self, chunks: VersionChunks, index: int) -> bytes | None:
         content = chunks.contents.get(index)
         if content is not None:
             return content
-        key = (version, index)
+        key = (chunks.manifest.version, index)
         if key not in self._draws:
             self._draws[key] = asyncio.create_task(
                 self._draw_checked(chunks, index)
@@ -67,7 +95,20 @@
         self, model: ModelName, version: int
     ) -> VersionChunks | None:
         manifest = await self._read_manifest(model, version)
-        return None if manifest is None else self._store.open(manifest)
+        if manifest is None:
+            return None
+        chunks = self._store.open(manifest)
+        self._ahead.spawn(self._draw_ahead(chunks))
+        return chunks
+
+    async def _draw_ahead(self, chunks: VersionChunks) -> None:
+        queue = list(await self._list_own(chunks.manifest))
+
+        async def draw_some() -> None:
+            while queue:
+                await self._find_in(chunks, queue.pop(0))
+
+        await asyncio.gather(*(draw_some() for _ in range(DRAWN_AHEAD)))
 
     async def _draw_checked(
         self, chunks: VersionChunks, index: int
--- a/src/ragwortcourse/weights/relay_drawing.py
+++ b/src/ragwortcourse/weights/relay_drawing.py
@@ -12,7 +12,10 @@
 from ragwortcourse.settings import FleetSettings, Settings
 from ragwortcourse.weights.chunk_cache import ChunkCache
 from ragwortcourse.weights.chunk_routes import fetch_chunk
-from ragwortcourse.weights.chunk_sources import list_relay_sources
+from ragwortcourse.weights.chunk_sources import (
+    list_loader_sources,
+    list_relay_sources,
+)
 from ragwortcourse.weights.fleet_manifest import FleetManifest
 from ragwortcourse.weights.relay import RelayRecord
 
@@ -93,6 +96,20 @@
             return None
         return await self._read_origin_chunk(origin.origin, manifest, index)
 
+    async def list_own(self, manifest: FleetManifest) -> tuple[int, ...]:
+        """Chunks that the loaders of this failure domain ask for here."""
+        relays = await self._list_relays()
+        return tuple(
+            index
+            for index in range(len(manifest.digests))
+            for first in list_loader_sources(
+                relays=relays,
+                domain=self._settings.failure_domain,
+                index=index,
+            )[:1]
+            if first.daemon == self._settings.daemon
+        )
+
     async def _list_addresses(
         self, manifest: FleetManifest, index: int
     ) -> list[str]:
@@ -131,4 +148,8 @@
             return None
         return await read_origin_manifest(origin.origin, model, version)
 
-    return ChunkCache(read_manifest=read_manifest, draw=drawing.draw)
+    return ChunkCache(
+        read_manifest=read_manifest,
+        draw=drawing.draw,
+        list_own=drawing.list_own,
+    )
