--- a/src/ragwortcourse/forwarding/admission.py
+++ b/src/ragwortcourse/forwarding/admission.py
@@ -14,6 +14,8 @@
 # Part of the objective that a start must be foreseen in: loads are known
 # to some requests only.
 TIMELY_SHARE: Final = 0.9
+# Prompts are read between the steps of the requests that write.
+READING_STRETCH: Final = 1.3
 # A plain service that has not answered yet.
 UNKNOWN_SECONDS: Final = 0.05
 
@@ -36,12 +38,14 @@
     """The target at which a request would wait.
 
     :param load: requests believed to be there.
+    :param starting: those of them that have no answer yet.
     :param latency: mean seconds of its answers; none: not known.
     :param engine: none for plain services.
     """
 
     load: float
     slots: int
+    starting: float = 0
     latency: float | None = None
     engine: EngineRules | None = None
 
@@ -62,8 +66,9 @@
     if engine is None:
         return place.latency or UNKNOWN_SECONDS
     step = engine.step + engine.step_per_request * engine.slots
-    reading = demand.prompt_tokens / max(engine.read_rate, 1)
-    return reading + step * engine.stride
+    unread = place.starting * engine.usual_prompt + demand.prompt_tokens
+    reading = unread / max(engine.read_rate, 1)
+    return reading * READING_STRETCH + step * engine.stride
 
 
 def foresee_wait(place: Place) -> float:
@@ -78,7 +83,10 @@
     One that is late already only takes a slot that is free.
     """
     wait = foresee_wait(place)
-    if wait <= 0:
+    if demand.time_left <= 0:
+        return wait <= 0
+    if place.load < 1:
+        # It can't be served sooner anywhere.
         return True
     foreseen = wait + read_start(place, demand)
     return foreseen <= demand.time_left * TIMELY_SHARE
--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -80,6 +80,7 @@
         return _refuse(forwarder, Reason.NO_TARGET, NO_TARGET_RETRY_SECONDS)
     place = Place(
         load=chosen.load,
+        starting=chosen.starting,
         slots=chosen.target.slots,
         latency=forwarder.find_load(chosen.target).latency,
         engine=rules.engine,
@@ -151,7 +152,8 @@
 
 
 def _is_avoided(forwarder: Forwarder, target: Target) -> bool:
-    return forwarder.find_load(target).avoided_until > read_clock()
+    load = forwarder.find_load(target)
+    return max(load.avoided_until, load.closed_until) > read_clock()
 
 
 def _describe(
@@ -163,6 +165,7 @@
         yield Candidate(
             target=target,
             load=load.estimate(now),
+            starting=load.estimate_starting(now),
             distance=_measure_distance(forwarder, target),
             trouble=load.read_trouble(now),
             silent=load.read_silence(now) > SILENT_SECONDS,
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -58,10 +58,12 @@
             self._loads[target.name] = load
         return load
 
-    def count_running(self) -> dict[TargetName, int]:
-        """Own requests under way at each target that has any."""
+    def count_running(self) -> dict[TargetName, tuple[int, int]]:
+        """Own requests at each target: under way, and not answered yet."""
         return {
-            name: load.own for name, load in self._loads.items() if load.own
+            name: (load.own, load.starting)
+            for name, load in self._loads.items()
+            if load.own
         }
 
     def _forget_gone(self) -> None:
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -12,6 +12,7 @@
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.forwarder import Forwarder
+from ragwortcourse.forwarding.target_load import PeerCount
 from ragwortcourse.identifiers import DaemonId, TargetName
 from ragwortcourse.weights.relay import RelayRecord
 
@@ -26,11 +27,32 @@
 ListRelays = Callable[[], Awaitable[Sequence[RelayRecord]]]
 
 
-class LoadMessage(msgspec.Struct, frozen=True, kw_only=True):
-    """Requests of one daemon under way at each target."""
+class LoadMessage(msgspec.Struct, frozen=True, kw_only=True, tag='load'):
+    """Requests of one daemon under way at each target.
+
+    :param counts: for each target those running, and those of them that
+        have no answer yet.
+    """
 
     daemon: DaemonId
-    running: dict[TargetName, int]
+    counts: dict[TargetName, tuple[int, int]]
+
+
+class SwitchMessage(msgspec.Struct, frozen=True, kw_only=True, tag='switch'):
+    """Word of a loader that its engine changes its weights.
+
+    :param address: of the engine, ``ip:port``.
+    :param seconds: for which it takes no work; zero: it does again.
+    :param version: weights that it has from then on; zero: as before.
+    """
+
+    address: str
+    seconds: float
+    version: int
+
+
+Message = LoadMessage | SwitchMessage
+DECODER: Final = msgspec.json.Decoder(Message)
 
 
 class LoadReceiver(asyncio.DatagramProtocol):
@@ -42,18 +64,31 @@
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Take over one message; unreadable ones are logged."""
         try:
-            message = msgspec.json.decode(data, type=LoadMessage)
+            message = DECODER.decode(data)
         except msgspec.DecodeError as error:
             LOGGER.warning(
                 'unreadable load message',
                 extra={'sender': str(addr), 'detail': str(error)},
             )
             return
+        if isinstance(message, LoadMessage):
+            self._take_load(message)
+        else:
+            self._take_switch(message)
+
+    def _take_load(self, message: LoadMessage) -> None:
         now = read_clock()
         for target in self._forwarder.state.targets.values():
-            running = message.running.get(target.name, 0)
-            load = self._forwarder.find_load(target)
-            load.note_peer(message.daemon, running, now)
+            running, starting = message.counts.get(target.name, (0, 0))
+            count = PeerCount(running=running, starting=starting, told_at=now)
+            self._forwarder.find_load(target).note_peer(message.daemon, count)
+
+    def _take_switch(self, message: SwitchMessage) -> None:
+        for target in self._forwarder.state.targets.values():
+            if target.address == message.address:
+                load = self._forwarder.find_load(target)
+                load.closed_until = read_clock() + message.seconds
+                load.version = max(load.version, message.version)
 
 
 async def exchange_loads(
@@ -67,28 +102,29 @@
         local_addr=(host, int(port)),
     )
     turn = 0
-    told: dict[TargetName, int] = {}
+    told: dict[TargetName, tuple[int, int]] = {}
     try:
         while True:
             turn += 1
-            running = forwarder.count_running()
+            counts = forwarder.count_running()
             is_far_turn = turn % FAR_ROUNDS == 0
-            if running != told or is_far_turn:
-                told = running
+            if counts != told or is_far_turn:
+                told = counts
                 message = msgspec.json.encode(
-                    LoadMessage(daemon=settings.daemon, running=running)
+                    LoadMessage(daemon=settings.daemon, counts=counts)
                 )
                 for relay in await list_relays():
                     near = relay.failure_domain == settings.failure_domain
                     if relay.daemon != settings.daemon and (
                         near or is_far_turn
                     ):
-                        transport.sendto(message, _read_address(relay.address))
+                        transport.sendto(message, read_address(relay.address))
             await asyncio.sleep(NEAR_SECONDS)
     finally:
         transport.close()
 
 
-def _read_address(address: str) -> tuple[str, int]:
+def read_address(address: str) -> tuple[str, int]:
+    """Host and port of ``ip:port``."""
     host, _, port = address.rpartition(':')
     return host, int(port)
--- a/src/ragwortcourse/forwarding/placement.py
+++ b/src/ragwortcourse/forwarding/placement.py
@@ -16,6 +16,11 @@
 DOMAIN_COST: Final = 0.03
 REGION_COST: Final = 0.06
 TROUBLE_COST: Final = 0.5
+# One prompt that is still unread holds up a start as much as a quarter of
+# the slots in use.
+STARTING_COST: Final = 0.25
+# Daemons that see the same loads must not all choose the same target.
+CHANCE_COST: Final = 0.15
 SILENCE_COST: Final = 4.0
 
 
@@ -39,6 +44,7 @@
     """A target that may take a request.
 
     :param load: requests believed to be there.
+    :param starting: those of them that have no answer yet.
     :param trouble: failures of late.
     :param silent: true where it owes answers and sends nothing.
     """
@@ -46,6 +52,7 @@
     target: Target
     load: float
     distance: Distance
+    starting: float = 0
     trouble: float = 0
     silent: bool = False
 
@@ -54,6 +61,7 @@
         """Load in shares of the slots, and what else speaks against it."""
         return (
             self.load / max(self.target.slots, 1)
+            + self.starting * STARTING_COST
             + DISTANCE_COSTS[self.distance]
             + self.trouble * TROUBLE_COST
             + self.silent * SILENCE_COST
@@ -63,7 +71,9 @@
 def choose_candidate(
     candidates: Sequence[Candidate], rng: random.Random
 ) -> Candidate | None:
-    """The cheapest candidate; equal ones by chance."""
+    """The cheapest candidate; nearly equal ones by chance."""
     if not candidates:
         return None
-    return min(candidates, key=lambda each: (each.cost, rng.random()))
+    return min(
+        candidates, key=lambda each: each.cost + rng.random() * CHANCE_COST
+    )
--- a/src/ragwortcourse/forwarding/stream_call.py
+++ b/src/ragwortcourse/forwarding/stream_call.py
@@ -95,6 +95,7 @@
         except StopAsyncIteration:
             break
         opened.load.note_sign(read_clock())
+        opened.note_started()
         whole = events.add(piece)
         if whole:
             yield whole
--- a/src/ragwortcourse/forwarding/target_load.py
+++ b/src/ragwortcourse/forwarding/target_load.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+from collections.abc import Iterator
 from typing import Final
 
 from ragwortcourse.forwarding.answer_head import ReportedLoad
@@ -31,9 +32,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PeerCount:
-    """Requests that another entry daemon has at a target."""
+    """Requests that another entry daemon has at a target.
+
+    :param starting: those of them that have no answer yet.
+    """
 
     running: int
+    starting: int
     told_at: float
 
 
@@ -46,6 +51,8 @@
     def __init__(self, *, born: int) -> None:
         self.born = born
         self.own = 0
+        self.starting = 0
+        self.closed_until: float = 0
         self.cold_until: float = 0
         self.avoided_until: float = 0
         self.latency: float | None = None
@@ -64,11 +71,16 @@
         if not self.own:
             self._sign_at = now
         self.own += 1
+        self.starting += 1
         self._sent_at = [
             sent for sent in self._sent_at if now - sent < WINDOW_SECONDS
         ]
         self._sent_at.append(now)
 
+    def start(self) -> None:
+        """Count a request whose answer has begun, or that has failed."""
+        self.starting -= 1
+
     def end(self) -> None:
         """Count a request that has ended."""
         self.own -= 1
@@ -82,10 +94,10 @@
         self._others = max(load.running + load.waiting - self.own, 0)
         self._reported_at = now
 
-    def note_peer(self, daemon: DaemonId, running: int, now: float) -> None:
+    def note_peer(self, daemon: DaemonId, count: PeerCount) -> None:
         """Take another entry daemon's word for its own requests there."""
-        if running:
-            self._peers[daemon] = PeerCount(running=running, told_at=now)
+        if count.running:
+            self._peers[daemon] = count
         else:
             self._peers.pop(daemon, None)
 
@@ -119,15 +131,23 @@
 
     def estimate(self, now: float) -> float:
         """Requests believed to be there, those of other daemons included."""
-        told = sum(
-            count.running
-            for count in self._peers.values()
-            if now - count.told_at < PEER_SECONDS
-        )
+        told = sum(count.running for count in self._list_told(now))
         age = now - self._reported_at
         weight = max(1 - age / REPORT_SECONDS, 0)
         return self.own + max(told, self._others * weight * UNTOLD_SHARE)
 
+    def estimate_starting(self, now: float) -> int:
+        """Requests whose prompts are believed to be still unread."""
+        told = sum(count.starting for count in self._list_told(now))
+        return self.starting + told
+
+    def _list_told(self, now: float) -> Iterator[PeerCount]:
+        return (
+            count
+            for count in self._peers.values()
+            if now - count.told_at < PEER_SECONDS
+        )
+
     def read_trouble(self, now: float) -> float:
         """Failures of late, the older ones counting less."""
         age = now - self._trouble_at
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -41,6 +41,13 @@
     load: TargetLoad
     answer: OpenAnswer
     began_at: float
+    started: list[bool] = dataclasses.field(default_factory=list)
+
+    def note_started(self) -> None:
+        """Note that the target has begun the answer."""
+        if not self.started:
+            self.started.append(True)
+            self.load.start()
 
 
 class Tries:
@@ -95,6 +102,7 @@
     def end(self, tried: OpenTry) -> None:
         """Close a try; its target stops if it is still at work."""
         tried.answer.close()
+        tried.note_started()
         tried.load.end()
 
     def fail(self, tried: OpenTry, detail: str) -> None:
@@ -129,6 +137,7 @@
             )
         finally:
             if not isinstance(answer, OpenAnswer):
+                load.start()
                 load.end()
         if isinstance(answer, OpenAnswer):
             opened = OpenTry(
--- a/src/ragwortcourse/platform/target_reader.py
+++ b/src/ragwortcourse/platform/target_reader.py
@@ -5,15 +5,21 @@
 
 import msgspec
 
+from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_list import TargetList
 from ragwortcourse.identifiers import (
     FailureDomainName,
     RegionName,
+    ServiceName,
     TargetName,
 )
+from ragwortcourse.platform import names
 from ragwortcourse.platform.feed import TableReader
-from ragwortcourse.platform.store_row import StoreRow
+from ragwortcourse.platform.store import Store
+from ragwortcourse.platform.store_row import StoreRow, StoreRows
 from ragwortcourse.platform.target_rows import decode_target
+from ragwortcourse.settings import FleetSettings
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -50,3 +56,19 @@
     return TableReader(
         replace=replace, change=change, confirm=confirm, regain=targets.regain
     )
+
+
+async def read_service(
+    store: Store, service: ServiceName, fleet: FleetSettings
+) -> tuple[Target, ...]:
+    """Targets of a service as listed now; none where the store fails."""
+    answer = await store.read_table(names.TARGETS_TABLE)
+    if not isinstance(answer, StoreRows):
+        LOGGER.info('targets not read', extra={'detail': answer.detail})
+        return ()
+    state = FleetState()
+    reader = build_target_reader(TargetList(state=state), fleet.failure_domains)
+    reader.replace(answer.rows)
+    return tuple(
+        target for target in state.targets.values() if target.service == service
+    )
--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from collections.abc import Sequence
 from typing import Final
 
 import aiohttp
@@ -9,6 +10,8 @@
 
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.forwarder import read_fleet_settings
+from ragwortcourse.forwarding.switch_notice import build_announcement
+from ragwortcourse.forwarding.target import Target
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.platform import names
 from ragwortcourse.platform.engine import Engine
@@ -16,6 +19,7 @@
 from ragwortcourse.platform.operator_rows import build_operator_reader
 from ragwortcourse.platform.relay_rows import RelayList
 from ragwortcourse.platform.store import Store
+from ragwortcourse.platform.target_reader import read_service
 from ragwortcourse.platform.weight_source import WeightSource
 from ragwortcourse.processes.tasks import BackgroundTasks
 from ragwortcourse.settings import Settings
@@ -40,7 +44,9 @@
     @property
     def peer_routes(self) -> list[web.RouteDef]:
         """Routes of the port for other daemons."""
-        return build_chunk_routes(self.loading.find_chunk)
+        return build_chunk_routes(
+            self.loading.find_chunk, link_rate=self.loading.link_rate
+        )
 
     def start(self, tasks: BackgroundTasks) -> None:
         """Run the endless tasks."""
@@ -68,6 +74,7 @@
     fleet = read_fleet_settings(settings)
     if settings.loader is None:
         raise ValueError(f'{settings.daemon}: settings without [loader]')
+    loader = settings.loader
     session = aiohttp.ClientSession()
     store = Store(session=session, address=fleet.store)
     state = FleetState()
@@ -81,18 +88,25 @@
             return None
         return await origin.read_manifest(rules.origin, model, version)
 
+    relays = RelayList(store=store)
+
+    async def list_service() -> Sequence[Target]:
+        return await read_service(store, loader.service, fleet)
+
     return LoaderDaemon(
         loading=EngineLoading(
             fleet=fleet,
-            loader=settings.loader,
+            loader=loader,
             state=state,
-            engine=Engine(session=session, address=settings.loader.engine),
+            engine=Engine(session=session, address=loader.engine),
+            announce=build_announcement(list_relays=relays.list),
+            list_service=list_service,
             read_manifest=read_manifest,
             draw=build_loader_drawing(
                 settings=settings,
                 state=state,
                 session=session,
-                list_relays=RelayList(store=store).list,
+                list_relays=relays.list,
                 read_origin_chunk=origin.read_chunk,
             ),
         ),
--- a/src/ragwortcourse/weights/chunk_routes.py
+++ b/src/ragwortcourse/weights/chunk_routes.py
@@ -24,12 +24,17 @@
 FindChunk = Callable[[ModelName, int, int], Awaitable[bytes | None]]
 
 
-def build_chunk_routes(find_chunk: FindChunk) -> list[web.RouteDef]:
+def build_chunk_routes(
+    find_chunk: FindChunk, *, link_rate: int = 0
+) -> list[web.RouteDef]:
     """Route of the port for other daemons.
 
+    :param link_rate: bytes a second that all chunks together may take of
+        the own link, one chunk after the other; zero for no bound.
     :param find_chunk: chunk of a model's version by its index; none where
         it can't be had.
     """
+    link = asyncio.Lock()
 
     async def send_chunk(request: web.Request) -> web.StreamResponse:
         info = request.match_info
@@ -44,6 +49,9 @@
             content = None
         if content is None:
             return web.Response(status=web.HTTPNotFound.status_code)
+        if link_rate:
+            async with link:
+                return await _send_paced(request, content, link_rate)
         rate = request.query.get(RATE_OPTION, '')
         if rate.isdecimal() and int(rate):
             return await _send_paced(request, content, int(rate))
--- a/src/ragwortcourse/weights/engine_loading.py
+++ b/src/ragwortcourse/weights/engine_loading.py
@@ -8,7 +8,10 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.engine_rules import EngineRules
 from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.forwarding.load_exchange import SwitchMessage
 from ragwortcourse.forwarding.named_weights import NamedWeights
+from ragwortcourse.forwarding.switch_notice import Announce
+from ragwortcourse.forwarding.target import Target
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.membership.rendezvous import score_pair
 from ragwortcourse.platform.engine import Engine, EngineReport, OrderOutcome
@@ -27,15 +30,17 @@
 # Where operators have named none, engines hold the first one.
 FIRST_VERSION: Final = 1
 RETRY_SECONDS: Final = 0.2
-# Engines that drew a version at once are ordered apart by up to this, so
-# that most of them serve while some load.
-SPREAD_SECONDS: Final = 1.8
 # Before a version's bound, by which the last order is given.
-LAST_ORDER_SECONDS: Final = 1.4
-TURNS: Final = 1024
+LAST_ORDER_SECONDS: Final = 1.2
+# Entry daemons send no work from the notice on, which is on its way for
+# some milliseconds.
+NOTICE_SECONDS: Final = 0.15
+# For the order and the loading, where the second notice is lost.
+CLOSED_SECONDS: Final = 0.8
 BYTES_IN_MEGABIT: Final = 125_000
 
 DrawChunk = Callable[[FleetManifest, int, int], Awaitable[bytes | None]]
+ListService = Callable[[], Awaitable[Sequence[Target]]]
 ReadManifest = Callable[[ModelName, int], Awaitable[FleetManifest | None]]
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -45,6 +50,8 @@
     """The weights of one engine: what it holds, and what it is to hold.
 
     :param draw: bytes of a chunk at a rate in bytes a second, unchecked.
+    :param announce: tells entry daemons of a switch.
+    :param list_service: targets of the same service, as listed now.
     """
 
     def __init__(
@@ -56,6 +63,8 @@
         engine: Engine,
         read_manifest: ReadManifest,
         draw: DrawChunk,
+        announce: Announce,
+        list_service: ListService,
     ) -> None:
         self._fleet = fleet
         self._loader = loader
@@ -63,10 +72,17 @@
         self._engine = engine
         self._read_manifest = read_manifest
         self._draw_chunk = draw
+        self._announce = announce
+        self._list_service = list_service
         self._store = ChunkStore()
         self._report: EngineReport | None = None
         self._rate = loader.link_mbps * BYTES_IN_MEGABIT * LINK_SHARE
 
+    @property
+    def link_rate(self) -> int:
+        """Bytes a second that chunks may take of the link, each way."""
+        return int(self._rate)
+
     async def draw(self) -> None:
         """Draw named versions into memory, one after the other, for ever."""
         while True:
@@ -177,10 +193,12 @@
     async def _order(self, rules: EngineRules, chunks: VersionChunks) -> bool:
         """Have the engine load a version; say whether it began to."""
         version = chunks.manifest.version
-        if self._read_held(rules):
-            await asyncio.sleep(self._choose_delay(rules, version))
         if not await self._check_stage(chunks):
             return False
+        if self._read_held(rules):
+            await asyncio.sleep(await self._choose_delay(rules, version))
+            await self._announce_switch(CLOSED_SECONDS, 0)
+            await asyncio.sleep(NOTICE_SECONDS)
         outcome = await self._engine.order_start(rules.model, version)
         LOGGER.info(
             'engine ordered to load',
@@ -195,16 +213,29 @@
             return True
         return False
 
-    def _choose_delay(self, rules: EngineRules, version: int) -> float:
+    async def _choose_delay(self, rules: EngineRules, version: int) -> float:
         """Seconds by which engines that drew at once are ordered apart."""
+        engines = sorted(
+            (target.address for target in await self._list_service()),
+            key=lambda address: score_pair(address, ''),
+        )
+        if self._loader.engine not in engines:
+            return 0
         bound = self._fleet.version_ms / 1000 - LAST_ORDER_SECONDS
-        left = SPREAD_SECONDS
-        for named in self._list_named(rules):
-            if named.version == version:
-                left = named.seen_at + bound - read_clock()
-        spread = max(min(left, SPREAD_SECONDS), 0)
-        turn = score_pair(self._loader.engine, str(version)) % TURNS
-        return spread * turn / TURNS
+        left = min(
+            named.seen_at + bound - read_clock()
+            for named in self._list_named(rules)
+            if named.version == version
+        )
+        turn = engines.index(self._loader.engine) / len(engines)
+        return max(left, 0) * turn
+
+    async def _announce_switch(self, seconds: float, version: int) -> None:
+        await self._announce(
+            SwitchMessage(
+                address=self._loader.engine, seconds=seconds, version=version
+            )
+        )
 
     async def _await_loaded(self, rules: EngineRules, version: int) -> None:
         began_at = read_clock()
@@ -213,6 +244,7 @@
             if self._report is None or not self._report.busy:
                 break
             await asyncio.sleep(LOADING_WATCH_SECONDS)
+        await self._announce_switch(0, self._read_held(rules))
         LOGGER.info(
             'engine loaded',
             extra={
