--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -1,6 +1,5 @@
 """The target of one try, or why there is none."""
 
-import dataclasses
 from collections.abc import Collection, Iterator
 from typing import Final
 
@@ -34,17 +33,6 @@
 NO_TARGET_RETRY_SECONDS: Final = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Choice:
-    """A target, and the weights it must have.
-
-    :param version: none where any version will do.
-    """
-
-    target: Target
-    version: int | None
-
-
 def choose_service(forwarder: Forwarder, work: Work) -> ServiceName:
     """One of the route's services, by their weights."""
     shares = work.route.services
@@ -59,7 +47,7 @@
     work: Work,
     service: ServiceName,
     tried: Collection[TargetName],
-) -> Choice | Refusal:
+) -> Target | Refusal:
     """The best target not tried yet, if the work may begin there in time."""
     desired = forwarder.state.desired
     rules = None if desired is None else desired.services.get(service)
@@ -74,7 +62,8 @@
         and forwarder.find_load(target).read_version(target) >= (version or 0)
     ]
     ready = [each for each in usable if not _is_avoided(forwarder, each)]
-    candidates = list(_describe(forwarder, ready or usable))
+    newest = _read_newest(forwarder, rules.engine) if tried else 0
+    candidates = list(_describe(forwarder, ready or usable, newest))
     chosen = choose_candidate(candidates, forwarder.rng)
     if chosen is None:
         return _refuse(forwarder, Reason.NO_TARGET, NO_TARGET_RETRY_SECONDS)
@@ -87,7 +76,7 @@
     )
     if not is_timely(place, read_demand(forwarder, work)):
         return _refuse(forwarder, Reason.OVERLOADED, foresee_wait(place))
-    return Choice(target=chosen.target, version=version)
+    return chosen.target
 
 
 def read_demand(forwarder: Forwarder, work: Work) -> Demand:
@@ -156,9 +145,20 @@
     return max(load.avoided_until, load.closed_until) > read_clock()
 
 
+def _read_newest(forwarder: Forwarder, engine: EngineRules | None) -> int:
+    """Newest version named for an engine; zero where none is."""
+    named = engine and forwarder.state.weights.get(engine.model)
+    return named[-1].version if named else 0
+
+
 def _describe(
-    forwarder: Forwarder, targets: list[Target]
+    forwarder: Forwarder, targets: list[Target], newest: int
 ) -> Iterator[Candidate]:
+    """Describe targets.
+
+    :param newest: version whose engines will not change weights soon, so
+        that a request need not move again; zero where that is no matter.
+    """
     now = read_clock()
     for target in targets:
         load = forwarder.find_load(target)
@@ -168,6 +168,7 @@
             starting=load.estimate_starting(now),
             distance=_measure_distance(forwarder, target),
             trouble=load.read_trouble(now),
+            changing=load.read_version(target) < newest,
             silent=load.read_silence(now) > SILENT_SECONDS,
         )
 
--- a/src/ragwortcourse/forwarding/placement.py
+++ b/src/ragwortcourse/forwarding/placement.py
@@ -21,6 +21,8 @@
 STARTING_COST: Final = 0.25
 # Daemons that see the same loads must not all choose the same target.
 CHANCE_COST: Final = 0.15
+# A request that was moved once should not be moved again.
+CHANGING_COST: Final = 0.6
 SILENCE_COST: Final = 4.0
 
 
@@ -46,6 +48,7 @@
     :param load: requests believed to be there.
     :param starting: those of them that have no answer yet.
     :param trouble: failures of late.
+    :param changing: true where its weights are to change soon.
     :param silent: true where it owes answers and sends nothing.
     """
 
@@ -54,6 +57,7 @@
     distance: Distance
     starting: float = 0
     trouble: float = 0
+    changing: bool = False
     silent: bool = False
 
     @property
@@ -64,6 +68,7 @@
             + self.starting * STARTING_COST
             + DISTANCE_COSTS[self.distance]
             + self.trouble * TROUBLE_COST
+            + self.changing * CHANGING_COST
             + self.silent * SILENCE_COST
         )
 
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -7,7 +7,6 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.call import Work
 from ragwortcourse.forwarding.choice import (
-    Choice,
     choose_service,
     choose_target,
 )
@@ -87,14 +86,14 @@
             status=503, reason=Reason.NOT_RUN, retry_after=self._book(0)
         )
         while self.allows_another():
-            choice = choose_target(
+            target = choose_target(
                 self.forwarder, self.work, self._service, self.tried
             )
-            if isinstance(choice, Refusal):
-                return self._be_truthful(choice if not self._sends else refusal)
+            if isinstance(target, Refusal):
+                return self._be_truthful(target if not self._sends else refusal)
             if self._sends and not self.forwarder.retries.spend():
                 break
-            opened = await self._send(choice, last_event)
+            opened = await self._send(target, last_event)
             if opened is not None:
                 return opened
         return self._be_truthful(refusal)
@@ -111,9 +110,9 @@
         self._log('answer lost or spoilt', tried.target, detail)
 
     async def _send(
-        self, choice: Choice, last_event: str | None
+        self, target: Target, last_event: str | None
     ) -> OpenTry | None:
-        forwarder, target = self.forwarder, choice.target
+        forwarder = self.forwarder
         began_at = read_clock()
         if not self._sends:
             forwarder.retries.earn()
@@ -131,7 +130,6 @@
                 dispatch=Dispatch(
                     target=target,
                     time_left=self.work.deadline - began_at,
-                    version=choice.version,
                     last_event=last_event,
                 ),
             )
--- a/src/ragwortcourse/forwarding/wire_format.py
+++ b/src/ragwortcourse/forwarding/wire_format.py
@@ -17,13 +17,11 @@
     """What a target is told beside the request itself.
 
     :param time_left: seconds.
-    :param version: weights without which it must not run the request.
     :param last_event: event after which a stream goes on.
     """
 
     target: Target
     time_left: float
-    version: int | None = None
     last_event: str | None = None
 
 
--- a/src/ragwortcourse/platform/wire.py
+++ b/src/ragwortcourse/platform/wire.py
@@ -75,8 +75,6 @@
     headers[names.EXPECT_INSTANCE] = dispatch.target.name
     if work.account is not None:
         headers[names.TENANT] = work.account.name
-    if dispatch.version is not None:
-        headers[names.EXPECT_VERSION] = str(dispatch.version)
     if dispatch.last_event is not None:
         headers[names.LAST_EVENT_ID] = dispatch.last_event
     return headers
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -37,9 +37,13 @@
 # Changes of targets come at once; a call that waits longer costs less.
 TARGETS_FEED_SECONDS: Final = 4.0
 REGISTER_RETRY_SECONDS: Final = 1.0
+# Two calls to the store that failed; callers do better elsewhere before
+# keys can't be served here any more.
+UNCONFIRMED_SECONDS: Final = 2.8
 DRAIN_POLL_SECONDS: Final = 0.05
 DRAINING: Final = 'draining'
 NO_STATE: Final = 'desired state not read yet'
+UNCONFIRMED: Final = 'desired state not confirmed of late'
 NO_TARGETS: Final = 'targets not read yet'
 
 
@@ -86,6 +90,8 @@
             return NO_STATE
         if not state.targets_known:
             return NO_TARGETS
+        if state.read_age() > UNCONFIRMED_SECONDS:
+            return UNCONFIRMED
         return None
 
     async def drain(self) -> None:
--- a/src/ragwortcourse/weights/chunk_cache.py
+++ b/src/ragwortcourse/weights/chunk_cache.py
@@ -19,7 +19,7 @@
 ListOwn = Callable[[FleetManifest], Awaitable[tuple[int, ...]]]
 
 # Chunks drawn at once before anybody asks for them.
-DRAWN_AHEAD: Final = 3
+DRAWN_AHEAD: Final = 2
 
 LOGGER: Final = logging.getLogger(__name__)
 
--- a/src/ragwortcourse/weights/engine_loading.py
+++ b/src/ragwortcourse/weights/engine_loading.py
@@ -26,12 +26,12 @@
 # Chunks drawn at once: while one is waited for, the other fills the link.
 DRAWN_AT_ONCE: Final = 2
 # Part of the link that chunks may take; live requests share it.
-LINK_SHARE: Final = 0.9
+LINK_SHARE: Final = 0.95
 # Where operators have named none, engines hold the first one.
 FIRST_VERSION: Final = 1
 RETRY_SECONDS: Final = 0.2
 # Before a version's bound, by which the last order is given.
-LAST_ORDER_SECONDS: Final = 1.2
+LAST_ORDER_SECONDS: Final = 0.8
 # Entry daemons send no work from the notice on, which is on its way for
 # some milliseconds.
 NOTICE_SECONDS: Final = 0.15
--- a/src/ragwortcourse/weights/relay_drawing.py
+++ b/src/ragwortcourse/weights/relay_drawing.py
@@ -22,6 +22,10 @@
 # Holders that are asked before relays and the origin.
 HOLDERS_ASKED: Final = 2
 
+# Bytes a second of one chunk between relays: several of them draw at once
+# over a line between regions that carries live requests too.
+AHEAD_RATE: Final = 250_000
+
 ListRelays = Callable[[], Awaitable[Sequence[RelayRecord]]]
 ReadOriginManifest = Callable[
     [str, ModelName, int], Awaitable[FleetManifest | None]
@@ -88,6 +92,7 @@
                 address=address,
                 manifest=manifest,
                 index=index,
+                rate=AHEAD_RATE,
             )
             if manifest.matches(index, content):
                 return content
