--- a/src/ragwortcourse/weights/engine_loading.py
+++ b/src/ragwortcourse/weights/engine_loading.py
@@ -25,6 +25,8 @@
 LOADING_WATCH_SECONDS: Final = 0.05
 # Chunks drawn at once: while one is waited for, the other fills the link.
 DRAWN_AT_ONCE: Final = 2
+# Staged chunks checked at once.
+STAGED_AT_ONCE: Final = 4
 # Part of the link that chunks may take; live requests share it.
 LINK_SHARE: Final = 0.95
 # Where operators have named none, engines hold the first one.
@@ -262,16 +264,25 @@
 
     async def _check_stage(self, chunks: VersionChunks) -> bool:
         """Stage anew what is not there as it should be."""
-        manifest = chunks.manifest
-        for index, content in chunks.contents.items():
-            staged = await self._engine.read_staged(manifest.model, index)
-            if staged == content:
-                continue
-            if not await self._engine.write_staged(
-                manifest.model, index, content
-            ):
-                return False
-        return True
+        queue = list(chunks.contents.items())
+        failed: list[int] = []
+
+        async def check_some() -> None:
+            while queue:
+                index, content = queue.pop()
+                if not await self._check_staged(chunks, index, content):
+                    failed.append(index)
+
+        await asyncio.gather(*(check_some() for _ in range(STAGED_AT_ONCE)))
+        return not failed
+
+    async def _check_staged(
+        self, chunks: VersionChunks, index: int, content: bytes
+    ) -> bool:
+        model = chunks.manifest.model
+        if await self._engine.read_staged(model, index) == content:
+            return True
+        return await self._engine.write_staged(model, index, content)
 
     async def _draw_missing(
         self, rules: EngineRules, chunks: VersionChunks
@@ -283,13 +294,21 @@
         async def draw_some() -> None:
             while queue and self._read_wanted(rules) == manifest.version:
                 index = queue.pop(0)
-                if not await self._draw_one(chunks, index):
+                if not await self._draw_one(rules, chunks, index):
                     queue.append(index)
                     await asyncio.sleep(RETRY_SECONDS)
 
         await asyncio.gather(*(draw_some() for _ in range(DRAWN_AT_ONCE)))
 
-    async def _draw_one(self, chunks: VersionChunks, index: int) -> bool:
+    async def _draw_one(
+        self, rules: EngineRules, chunks: VersionChunks, index: int
+    ) -> bool:
+        manifest = chunks.manifest
         rate = int(self._rate / DRAWN_AT_ONCE)
-        content = await self._draw_chunk(chunks.manifest, index, rate)
-        return chunks.take(index, content)
+        content = await self._draw_chunk(manifest, index, rate)
+        if content is None or not chunks.take(index, content):
+            return False
+        if self._find_drawn(rules) is None:
+            # Nothing else is to be loaded from the stage first.
+            await self._engine.write_staged(manifest.model, index, content)
+        return True
