Stop within the grace time; hold restarted daemons to versions in time

Now callers are served for 2.9 s, then told to go elsewhere; versions found at a start are due when the daemon counts as in touch, or as peers that saw them named say.

--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -27,6 +27,9 @@
 )
 from ragwortcourse.forwarding.tries import Tries
 
+# Another daemon serves the caller at once.
+STOPPING: Final = Refusal(status=503, reason=Reason.STOPPING, retry_after=0.01)
+
 LOGGER: Final = logging.getLogger(__name__)
 
 
@@ -47,6 +50,8 @@
     forwarder: Forwarder, request: web.Request
 ) -> web.StreamResponse:
     call = forwarder.wire.read_call(request)
+    if forwarder.closing:
+        return _write_reply(call, STOPPING)
     permitted = permit_call(forwarder.state, forwarder.fleet, call)
     if isinstance(permitted, Refusal):
         return _write_reply(call, permitted)
--- a/src/ragwortcourse/forwarding/exchange.py
+++ b/src/ragwortcourse/forwarding/exchange.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 from yarl import URL
 
 from ragwortcourse.forwarding.answer_head import AnswerHead
@@ -43,6 +44,21 @@
     """A body ended before it was whole."""
 
 
+class TargetResponse(aiohttp.ClientResponse):
+    """A response that still knows its protocol after its end.
+
+    :ivar target_protocol: what read it from the connection.
+    """
+
+    target_protocol: ResponseHandler | None = None
+
+    async def start(self, connection: Connection) -> 'TargetResponse':
+        """Read status and headers."""
+        self.target_protocol = connection.protocol
+        await super().start(connection)
+        return self
+
+
 class OpenAnswer:
     """An answer whose body is still to be read."""
 
@@ -51,9 +67,6 @@
     ) -> None:
         self.head = head
         self._response = response
-        connection = response.connection
-        protocol = None if connection is None else connection.protocol
-        self._protocol: ResponseHandler | None = protocol
 
     async def read_pieces(self) -> AsyncIterator[bytes]:
         """The body as it arrives.
@@ -78,9 +91,10 @@
         The client library takes any end of the connection for the end of
         such a body.
         """
-        if self._protocol is None:
-            return False
-        return isinstance(self._protocol.exception(), OSError)
+        protocol = getattr(self._response, 'target_protocol', None)
+        return protocol is not None and isinstance(
+            protocol.exception(), OSError
+        )
 
 
 def open_target_session() -> aiohttp.ClientSession:
@@ -94,6 +108,7 @@
     )
     return aiohttp.ClientSession(
         connector=connector,
+        response_class=TargetResponse,
         auto_decompress=False,
         skip_auto_headers=SKIPPED_HEADERS,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
--- a/src/ragwortcourse/forwarding/fleet_updates.py
+++ b/src/ragwortcourse/forwarding/fleet_updates.py
@@ -47,18 +47,32 @@
 
 
 def note_weights(
-    state: FleetState, model: ModelName, version: int, age: float
+    state: FleetState, model: ModelName, named: NamedWeights
 ) -> None:
-    """Take a newly named version over; versions only rise.
-
-    :param age: seconds for which it may have been named.
-    """
-    named = state.weights.get(model, ())
-    if named and version <= named[-1].version:
+    """Take a newly named version over; versions only rise."""
+    known = state.weights.get(model, ())
+    if known and named.version <= known[-1].version:
         return
-    newest = NamedWeights(version=version, seen_at=read_clock() - age)
-    state.weights[model] = (*named, newest)[-VERSIONS_KEPT:]
+    state.weights[model] = (*known, named)[-VERSIONS_KEPT:]
     LOGGER.info(
         'weights named',
-        extra={'model': model, 'version': version, 'seconds_ago': age},
+        extra={
+            'model': model,
+            'version': named.version,
+            'seconds_ago': read_clock() - named.seen_at,
+            'observed': named.observed,
+        },
+    )
+
+
+def note_naming(
+    state: FleetState, model: ModelName, told: NamedWeights
+) -> None:
+    """Take a peer's word for when a version was named.
+
+    It counts only where the own daemon had to assume the time.
+    """
+    state.weights[model] = tuple(
+        told if known.version == told.version and not known.observed else known
+        for known in state.weights.get(model, ())
     )
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -23,6 +23,8 @@
 class Forwarder:
     """State of the requests of one entry daemon.
 
+    ``closing`` is true once requests are read but no longer served.
+
     :param settings: of a forwarder.
     :raises ValueError: the settings have no ``[fleet]`` part.
     """
@@ -46,6 +48,7 @@
         self.retries = RetryShare(fleet=self.fleet)
         self.usual_times = UsualTimes()
         self.running = 0
+        self.closing = False
         self._loads: dict[TargetName, TargetLoad] = {}
 
     def find_load(self, target: Target) -> TargetLoad:
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -11,9 +11,11 @@
 import msgspec
 
 from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.fleet_updates import note_naming
 from ragwortcourse.forwarding.forwarder import Forwarder
+from ragwortcourse.forwarding.named_weights import NamedWeights
 from ragwortcourse.forwarding.target_load import PeerCount
-from ragwortcourse.identifiers import DaemonId, TargetName
+from ragwortcourse.identifiers import DaemonId, ModelName, TargetName
 from ragwortcourse.weights.relay import RelayRecord
 
 # Within a failure domain; a few requests arrive in it.
@@ -32,10 +34,13 @@
 
     :param counts: for each target those running, and those of them that
         have no answer yet.
+    :param named: versions of each model that the daemon saw being named,
+        each with the seconds since.
     """
 
     daemon: DaemonId
     counts: dict[TargetName, tuple[int, int]]
+    named: dict[ModelName, list[tuple[int, float]]] = {}
 
 
 class SwitchMessage(msgspec.Struct, frozen=True, kw_only=True, tag='switch'):
@@ -83,6 +88,11 @@
             count = PeerCount(running=running, starting=starting, told_at=now)
             self._forwarder.find_load(target).note_peer(message.daemon, count)
 
+        for model, versions in message.named.items():
+            for version, age in versions:
+                told = NamedWeights(version=version, seen_at=now - age)
+                note_naming(self._forwarder.state, model, told)
+
     def _take_switch(self, message: SwitchMessage) -> None:
         for target in self._forwarder.state.targets.values():
             if target.address == message.address:
@@ -111,7 +121,11 @@
             if counts != told or is_far_turn:
                 told = counts
                 message = msgspec.json.encode(
-                    LoadMessage(daemon=settings.daemon, counts=counts)
+                    LoadMessage(
+                        daemon=settings.daemon,
+                        counts=counts,
+                        named=_list_named(forwarder) if is_far_turn else {},
+                    )
                 )
                 for relay in await list_relays():
                     near = relay.failure_domain == settings.failure_domain
@@ -124,6 +138,20 @@
         transport.close()
 
 
+def _list_named(
+    forwarder: Forwarder,
+) -> dict[ModelName, list[tuple[int, float]]]:
+    now = read_clock()
+    return {
+        model: [
+            (each.version, round(now - each.seen_at, 2))
+            for each in named
+            if each.observed
+        ]
+        for model, named in forwarder.state.weights.items()
+    }
+
+
 def read_address(address: str) -> tuple[str, int]:
     """Host and port of ``ip:port``."""
     host, _, port = address.rpartition(':')
--- a/src/ragwortcourse/forwarding/reply.py
+++ b/src/ragwortcourse/forwarding/reply.py
@@ -11,6 +11,7 @@
 
     NOT_READY = 'no desired state known yet'
     STALE = 'desired state not confirmed'
+    STOPPING = 'stopping'
     NO_ROUTE = 'no route'
     UNKNOWN_KEY = 'unknown key'
     NO_TARGET = 'no usable target'
--- a/src/ragwortcourse/platform/operator_rows.py
+++ b/src/ragwortcourse/platform/operator_rows.py
@@ -5,21 +5,22 @@
 
 import msgspec
 
+from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.fleet_updates import (
     note_desired,
     note_weights,
     note_withdrawals,
 )
+from ragwortcourse.forwarding.named_weights import NamedWeights
 from ragwortcourse.identifiers import FailureDomainName, ModelName
 from ragwortcourse.platform import names
 from ragwortcourse.platform.desired_states import decode_desired_state
 from ragwortcourse.platform.feed import TableReader
 from ragwortcourse.platform.store_row import StoreRow
+from ragwortcourse.settings import FleetSettings
 
-# What a daemon finds at its start may have been written any time ago; it
-# is taken to be about as old as a start takes.
-UNREAD_SECONDS: Final = 3.0
+MILLISECONDS: Final = 0.001
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -31,8 +32,16 @@
     version: int
 
 
-def build_operator_reader(state: FleetState) -> TableReader:
-    """Reader of the operators' table."""
+def build_operator_reader(
+    state: FleetState, fleet: FleetSettings
+) -> TableReader:
+    """Reader of the operators' table.
+
+    A version that a daemon finds at its start may have been named any time
+    ago. It is taken to be as old as will make it due when the fleet begins
+    to hold the daemon to it.
+    """
+    unread = max(fleet.version_ms - fleet.contact_ms, 0) * MILLISECONDS
 
     def replace(rows: tuple[StoreRow, ...]) -> None:
         present = {row.key for row in rows}
@@ -42,12 +51,18 @@
             if f'{names.EVACUATION_PREFIX}{domain}' in present
         }
         note_withdrawals(state, frozenset(kept))
-        change(rows, UNREAD_SECONDS)
+        apply_rows(rows, unread, observed=False)
 
     def change(rows: tuple[StoreRow, ...], age: float) -> None:
+        apply_rows(rows, age, observed=True)
+
+    def apply_rows(
+        rows: tuple[StoreRow, ...], age: float, *, observed: bool
+    ) -> None:
+        seen_at = read_clock() - age
         for row in rows:
             try:
-                _apply(state, row, age)
+                _apply(state, row, seen_at, observed=observed)
             except (msgspec.DecodeError, ValueError) as error:
                 LOGGER.warning(
                     'unreadable row of the operators',
@@ -65,7 +80,9 @@
     )
 
 
-def _apply(state: FleetState, row: StoreRow, age: float) -> None:
+def _apply(
+    state: FleetState, row: StoreRow, seen_at: float, *, observed: bool
+) -> None:
     if row.key.startswith(names.EVACUATION_PREFIX):
         domain = FailureDomainName(
             row.key.removeprefix(names.EVACUATION_PREFIX)
@@ -80,4 +97,7 @@
         note_desired(state, decode_desired_state(row.content))
     elif row.key.startswith(names.VERSION_PREFIX):
         wire = msgspec.json.decode(row.content, type=WireVersion)
-        note_weights(state, ModelName(wire.model), wire.version, age)
+        named = NamedWeights(
+            version=wire.version, seen_at=seen_at, observed=observed
+        )
+        note_weights(state, ModelName(wire.model), named)
--- a/src/ragwortcourse/processes/agent_daemon.py
+++ b/src/ragwortcourse/processes/agent_daemon.py
@@ -35,6 +35,7 @@
 from ragwortcourse.weights.routes import build_weight_routes
 
 LEAVING: Final = 'leaving'
+LAST_CONNECTIONS_SECONDS: Final = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -47,6 +48,11 @@
     hosts: HostList | None
     daemon_port: DaemonPort
 
+    @property
+    def last_connections_seconds(self) -> float:
+        """Others see "not ready" before the sockets close."""
+        return LAST_CONNECTIONS_SECONDS
+
     @property
     def peer_routes(self) -> list[web.RouteDef]:
         """Routes of the port for other daemons."""
--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -58,6 +58,7 @@
 NO_CONFIGURATION: Final = 'no configuration yet'
 NO_TARGETS: Final = 'targets not seen yet'
 DRAINING: Final = 'draining'
+LAST_CONNECTIONS_SECONDS: Final = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -79,6 +80,11 @@
         """Routes of the operators' port."""
         return build_operator_routes(operators=self.operators)
 
+    @property
+    def last_connections_seconds(self) -> float:
+        """Others see "not ready" before the sockets close."""
+        return LAST_CONNECTIONS_SECONDS
+
     @property
     def peer_routes(self) -> list[web.RouteDef]:
         """Routes of the port for other daemons."""
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -10,6 +10,7 @@
 import aiohttp
 from aiohttp import web
 
+from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.calls import build_call_routes
 from ragwortcourse.forwarding.exchange import open_target_session
 from ragwortcourse.forwarding.fleet_state import FleetState
@@ -40,6 +41,10 @@
 # Two calls to the store that failed; callers do better elsewhere before
 # keys can't be served here any more.
 UNCONFIRMED_SECONDS: Final = 2.8
+# The platform takes a daemon out after two missed checks, a second apart.
+SERVING_SECONDS: Final = 2.9
+# For the end of the process itself, before it is killed.
+EXIT_SECONDS: Final = 1.1
 DRAIN_POLL_SECONDS: Final = 0.05
 DRAINING: Final = 'draining'
 NO_STATE: Final = 'desired state not read yet'
@@ -59,6 +64,11 @@
     sessions: tuple[aiohttp.ClientSession, ...]
     draining: bool = False
 
+    @property
+    def last_connections_seconds(self) -> float:
+        """None: they are served while the daemon drains."""
+        return 0
+
     @property
     def caller_routes(self) -> list[web.RouteDef]:
         """Routes of the callers' port."""
@@ -95,9 +105,17 @@
         return None
 
     async def drain(self) -> None:
-        """Return once everything under way has ended."""
+        """Return once everything under way has ended, or time is up.
+
+        Callers are sent here for some seconds more, and have connections
+        open: they are served at first, then told to go elsewhere.
+        """
         self.draining = True
-        while self.forwarder.running:  # noqa: ASYNC110  # ends of any call
+        grace = self.forwarder.fleet.grace_seconds
+        ends_at = read_clock() + grace - EXIT_SECONDS
+        await asyncio.sleep(min(SERVING_SECONDS, grace / 2))
+        self.forwarder.closing = True
+        while self.forwarder.running and read_clock() < ends_at:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def stop(self) -> None:
@@ -149,7 +167,7 @@
                 store=store,
                 table=names.OPERATORS_TABLE,
                 wait=OPERATORS_FEED_SECONDS,
-                reader=build_operator_reader(state),
+                reader=build_operator_reader(state, fleet),
                 rng=rng,
             ),
             TableFeed(
--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -41,6 +41,11 @@
     feed: TableFeed
     session: aiohttp.ClientSession
 
+    @property
+    def last_connections_seconds(self) -> float:
+        """None: others draw from elsewhere."""
+        return 0
+
     @property
     def peer_routes(self) -> list[web.RouteDef]:
         """Routes of the port for other daemons."""
@@ -114,7 +119,7 @@
             store=store,
             table=names.OPERATORS_TABLE,
             wait=FEED_SECONDS,
-            reader=build_operator_reader(state),
+            reader=build_operator_reader(state, fleet),
             rng=random.Random(),  # noqa: S311  # spreads load, guards nothing
         ),
         session=session,
--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -1,6 +1,7 @@
 """The daemon as a service: started, drained and stopped."""
 
 import asyncio
+import contextlib
 import logging
 import os
 import signal
@@ -25,8 +26,8 @@
 from ragwortcourse.settings import Role, Settings
 from ragwortcourse.telemetry.metrics_page import build_metrics_route
 
-# Others see "not ready" before the sockets close.
-LAST_CONNECTIONS_SECONDS: Final = 1.0
+# For the sockets of a daemon that is to be gone soon.
+CUT_SECONDS: Final = 0.4
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -34,6 +35,10 @@
 class Daemon(Protocol):
     """What either role offers."""
 
+    @property
+    def last_connections_seconds(self) -> float:
+        """How long connections stay open once everything has ended."""
+
     @property
     def peer_routes(self) -> list[web.RouteDef]:
         """Routes of the port for other daemons."""
@@ -97,18 +102,28 @@
         LOGGER.info('draining')
         self.leaving = True
         await self.daemon.drain()
-        await asyncio.sleep(LAST_CONNECTIONS_SECONDS)
-        await self.daemon.drain()
+        if self.daemon.last_connections_seconds:
+            await asyncio.sleep(self.daemon.last_connections_seconds)
+            await self.daemon.drain()
         await self._close()
         LOGGER.info('stopped')
 
     async def _close(self) -> None:
-        for runner in self.runners:
-            await runner.cleanup()
+        if self.settings.fleet is None:
+            await self._close_runners()
+        else:
+            # Time is up: what still runs is cut off, not waited for.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CUT_SECONDS):
+                    await self._close_runners()
         await self.tasks.stop()
         await self.daemon.stop()
         await self.sessions.close()
 
+    async def _close_runners(self) -> None:
+        for runner in self.runners:
+            await runner.cleanup()
+
     async def _open_daemon(self) -> Daemon:
         listen = self.settings.listen
         if self.settings.role is Role.FORWARDER:
--- a/src/ragwortcourse/settings.py
+++ b/src/ragwortcourse/settings.py
@@ -117,6 +117,8 @@
     :param strict_revocation: true where a revoked key must not be served
         later than ``revoke_ms`` after its revocation.
     :param version_ms: after it no request may begin on older weights.
+    :param contact_ms: calm that a daemon is given before it is held to the
+        bounds.
     :param retry_ratio: retries allowed, as a share of the requests of
         ``retry_window_seconds``, summed over all daemons.
     :param retry_reserve: retries allowed beside that share.
@@ -130,6 +132,7 @@
     strict_revocation: bool
     revoke_ms: int
     version_ms: int
+    contact_ms: int
     retry_ratio: float
     retry_window_seconds: float
     retry_reserve: int
--- a/src/ragwortcourse/weights/engine_loading.py
+++ b/src/ragwortcourse/weights/engine_loading.py
@@ -78,6 +78,7 @@
         self._list_service = list_service
         self._store = ChunkStore()
         self._report: EngineReport | None = None
+        self._without_manifest = 0
         self._rate = loader.link_mbps * BYTES_IN_MEGABIT * LINK_SHARE
 
     @property
@@ -175,7 +176,7 @@
         began_at = read_clock()
         manifest = await self._read_manifest(rules.model, wanted)
         if manifest is None or len(manifest.digests) != rules.chunks:
-            LOGGER.warning('no manifest', extra={'version': wanted})
+            self._note_no_manifest(wanted)
             return False
         chunks = self._store.open(manifest)
         await self._take_staged(chunks)
@@ -192,6 +193,14 @@
         )
         return True
 
+    def _note_no_manifest(self, version: int) -> None:
+        if self._without_manifest != version:
+            LOGGER.warning(
+                'origin gives no manifest; asking again',
+                extra={'version': version},
+            )
+        self._without_manifest = version
+
     async def _order(self, rules: EngineRules, chunks: VersionChunks) -> bool:
         """Have the engine load a version; say whether it began to."""
         version = chunks.manifest.version
