--- a/src/ragwortcourse/forwarding/answer_head.py
+++ b/src/ragwortcourse/forwarding/answer_head.py
@@ -1,6 +1,7 @@
 """What stands before the body of a target's answer."""
 
 import dataclasses
+from http import HTTPStatus
 
 from multidict import CIMultiDict
 
@@ -39,4 +40,4 @@
     @property
     def is_success(self) -> bool:
         """Tell whether the target did what it was asked."""
-        return 200 <= self.status < 300
+        return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -23,12 +23,15 @@
 from ragwortcourse.forwarding.route import Route
 from ragwortcourse.forwarding.stream_call import (
     StreamBrokenError,
-    serve_stream,
+    StreamCall,
 )
 from ragwortcourse.forwarding.tries import Tries
 
 # Another daemon serves the caller at once.
-STOPPING: Final = Refusal(status=503, reason=Reason.STOPPING, retry_after=0.01)
+STOPPING_RETRY_SECONDS: Final = 0.01
+STOPPING: Final = Refusal(
+    reason=Reason.STOPPING, retry_after=STOPPING_RETRY_SECONDS
+)
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -62,11 +65,14 @@
         async with asyncio.timeout_at(work.deadline):
             response = await _serve(forwarder, work, request)
     except TimeoutError:
-        response = Refusal(status=504, reason=Reason.TIMED_OUT)
+        response = Refusal(reason=Reason.TIMED_OUT)
         if _is_begun(request):
             return _break_off(request, call, response.reason)
     except StreamBrokenError as error:
         return _break_off(request, call, str(error))
+    except OSError as error:
+        # The caller has left while it was written to.
+        return _break_off(request, call, repr(error))
     if isinstance(response, web.StreamResponse):
         return response
     return _write_reply(call, response)
@@ -92,7 +98,7 @@
 ) -> web.StreamResponse | Reply:
     tries = Tries(forwarder=forwarder, work=work)
     if work.route.kind is CallKind.STREAMING:
-        return await serve_stream(tries, request)
+        return await StreamCall(tries=tries, request=request).serve()
     return await serve_plain(tries)
 
 
--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -108,9 +108,7 @@
 
 def _refuse(forwarder: Forwarder, reason: Reason, wait: float) -> Refusal:
     return Refusal(
-        status=503,
-        reason=reason,
-        retry_after=forwarder.turns.book(wait, forwarder.rng),
+        reason=reason, retry_after=forwarder.turns.book(wait, forwarder.rng)
     )
 
 
@@ -141,8 +139,7 @@
 
 
 def _is_avoided(forwarder: Forwarder, target: Target) -> bool:
-    load = forwarder.find_load(target)
-    return max(load.avoided_until, load.closed_until) > read_clock()
+    return forwarder.find_load(target).is_passed_by(read_clock())
 
 
 def _read_newest(forwarder: Forwarder, engine: EngineRules | None) -> int:
@@ -167,7 +164,7 @@
             load=load.estimate(now),
             starting=load.estimate_starting(now),
             distance=_measure_distance(forwarder, target),
-            trouble=load.read_trouble(now),
+            trouble=load.trouble.read(now),
             changing=load.read_version(target) < newest,
             silent=load.read_silence(now) > SILENT_SECONDS,
         )
--- a/src/ragwortcourse/forwarding/event_buffer.py
+++ b/src/ragwortcourse/forwarding/event_buffer.py
@@ -30,7 +30,8 @@
             self._rest = text
             return b''
         end += len(EVENT_END)
-        whole, self._rest = text[:end], text[end:]
+        whole = text[:end]
+        self._rest = text[end:]
         ids = EVENT_ID.findall(whole)
         if ids:
             self.last_event = ids[-1].decode('latin-1')
--- a/src/ragwortcourse/forwarding/exchange.py
+++ b/src/ragwortcourse/forwarding/exchange.py
@@ -18,6 +18,8 @@
 CONNECT_SECONDS: Final = 0.3
 # After it the system gives up bytes that nobody acknowledges.
 UNACKNOWLEDGED_MS: Final = 2000
+# Targets may add to what callers were allowed to send.
+HEADER_BYTES: Final = 65_536
 SKIPPED_HEADERS: Final = (
     'Accept',
     'Accept-Encoding',
@@ -45,16 +47,13 @@
 
 
 class TargetResponse(aiohttp.ClientResponse):
-    """A response that still knows its protocol after its end.
+    """A response that still knows its protocol after its end."""
 
-    :ivar target_protocol: what read it from the connection.
-    """
-
-    target_protocol: ResponseHandler | None = None
+    protocol_kept: ResponseHandler | None = None
 
     async def start(self, connection: Connection) -> 'TargetResponse':
         """Read status and headers."""
-        self.target_protocol = connection.protocol
+        self.protocol_kept = connection.protocol  # noqa: WPS601
         await super().start(connection)
         return self
 
@@ -91,7 +90,7 @@
         The client library takes any end of the connection for the end of
         such a body.
         """
-        protocol = getattr(self._response, 'target_protocol', None)
+        protocol = getattr(self._response, 'protocol_kept', None)
         return protocol is not None and isinstance(
             protocol.exception(), OSError
         )
@@ -112,8 +111,8 @@
         auto_decompress=False,
         skip_auto_headers=SKIPPED_HEADERS,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
-        max_line_size=65_536,
-        max_field_size=65_536,
+        max_line_size=HEADER_BYTES,
+        max_field_size=HEADER_BYTES,
     )
 
 
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -14,7 +14,8 @@
 from ragwortcourse.forwarding.fleet_updates import note_naming
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.named_weights import NamedWeights
-from ragwortcourse.forwarding.target_load import PeerCount
+from ragwortcourse.forwarding.peer_counts import PeerCount
+from ragwortcourse.forwarding.target import Target
 from ragwortcourse.identifiers import DaemonId, ModelName, TargetName
 from ragwortcourse.weights.relay import RelayRecord
 
@@ -29,6 +30,11 @@
 ListRelays = Callable[[], Awaitable[Sequence[RelayRecord]]]
 
 
+Counts = dict[TargetName, tuple[int, int]]
+_VersionAges = list[tuple[int, float]]
+Namings = dict[ModelName, _VersionAges]
+
+
 class LoadMessage(msgspec.Struct, frozen=True, kw_only=True, tag='load'):
     """Requests of one daemon under way at each target.
 
@@ -39,8 +45,8 @@
     """
 
     daemon: DaemonId
-    counts: dict[TargetName, tuple[int, int]]
-    named: dict[ModelName, list[tuple[int, float]]] = {}
+    counts: Counts
+    named: Namings = {}
 
 
 class SwitchMessage(msgspec.Struct, frozen=True, kw_only=True, tag='switch'):
@@ -82,17 +88,20 @@
             self._take_switch(message)
 
     def _take_load(self, message: LoadMessage) -> None:
-        now = read_clock()
         for target in self._forwarder.state.targets.values():
-            running, starting = message.counts.get(target.name, (0, 0))
-            count = PeerCount(running=running, starting=starting, told_at=now)
-            self._forwarder.find_load(target).note_peer(message.daemon, count)
-
+            self._take_count(message, target)
         for model, versions in message.named.items():
             for version, age in versions:
-                told = NamedWeights(version=version, seen_at=now - age)
+                told = NamedWeights(version=version, seen_at=read_clock() - age)
                 note_naming(self._forwarder.state, model, told)
 
+    def _take_count(self, message: LoadMessage, target: Target) -> None:
+        running, starting = message.counts.get(target.name, (0, 0))
+        count = PeerCount(
+            running=running, starting=starting, told_at=read_clock()
+        )
+        self._forwarder.find_load(target).peers.note(message.daemon, count)
+
     def _take_switch(self, message: SwitchMessage) -> None:
         for target in self._forwarder.state.targets.values():
             if target.address == message.address:
@@ -112,35 +121,45 @@
         local_addr=(host, int(port)),
     )
     turn = 0
-    told: dict[TargetName, tuple[int, int]] = {}
+    told: Counts = {}
     try:
         while True:
             turn += 1
             counts = forwarder.count_running()
-            is_far_turn = turn % FAR_ROUNDS == 0
-            if counts != told or is_far_turn:
-                told = counts
-                message = msgspec.json.encode(
-                    LoadMessage(
-                        daemon=settings.daemon,
-                        counts=counts,
-                        named=_list_named(forwarder) if is_far_turn else {},
-                    )
-                )
-                for relay in await list_relays():
-                    near = relay.failure_domain == settings.failure_domain
-                    if relay.daemon != settings.daemon and (
-                        near or is_far_turn
-                    ):
-                        transport.sendto(message, read_address(relay.address))
+            if turn % FAR_ROUNDS == 0:
+                await _tell(forwarder, transport, list_relays, is_far=True)
+            elif counts != told:
+                await _tell(forwarder, transport, list_relays, is_far=False)
+            told = counts
             await asyncio.sleep(NEAR_SECONDS)
     finally:
         transport.close()
 
 
+async def _tell(
+    forwarder: Forwarder,
+    transport: asyncio.DatagramTransport,
+    list_relays: ListRelays,
+    *,
+    is_far: bool,
+) -> None:
+    """Tell the daemons of the own failure domain, or all of them."""
+    settings = forwarder.settings
+    message = LoadMessage(
+        daemon=settings.daemon,
+        counts=forwarder.count_running(),
+        named=_list_named(forwarder) if is_far else {},
+    )
+    content = msgspec.json.encode(message)
+    for relay in await list_relays():
+        is_near = relay.failure_domain == settings.failure_domain
+        if relay.daemon != settings.daemon and (is_near or is_far):
+            transport.sendto(content, read_address(relay.address))
+
+
 def _list_named(
     forwarder: Forwarder,
-) -> dict[ModelName, list[tuple[int, float]]]:
+) -> Namings:
     now = read_clock()
     return {
         model: [
--- a/src/ragwortcourse/forwarding/permission.py
+++ b/src/ragwortcourse/forwarding/permission.py
@@ -1,5 +1,7 @@
 """Whether a call may be served at all, by the desired state in force."""
 
+from typing import Final
+
 from ragwortcourse.forwarding.account import Account
 from ragwortcourse.forwarding.call import Call
 from ragwortcourse.forwarding.fleet_state import FleetState
@@ -9,10 +11,10 @@
 
 # Margin for what the store may not have told for a while, and for the way
 # to the target.
-REVOCATION_MARGIN_SECONDS = 1.2
+REVOCATION_MARGIN_SECONDS: Final = 1.2
 # After it a daemon that just started mostly has its desired state.
-NOT_READY_RETRY_SECONDS = 0.5
-STALE_RETRY_SECONDS = 1.0
+NOT_READY_RETRY_SECONDS: Final = 0.5
+STALE_RETRY_SECONDS: Final = 1.0
 
 
 def permit_call(
@@ -22,22 +24,18 @@
     desired = state.desired
     if desired is None:
         return Refusal(
-            status=503,
-            reason=Reason.NOT_READY,
-            retry_after=NOT_READY_RETRY_SECONDS,
+            reason=Reason.NOT_READY, retry_after=NOT_READY_RETRY_SECONDS
         )
     route = desired.find_route(call.host, call.path)
     if route is None:
-        return Refusal(status=404, reason=Reason.NO_ROUTE)
+        return Refusal(reason=Reason.NO_ROUTE)
     if route.public or desired.accounts is None:
         return route, None
     if not is_confirmed(state, fleet):
-        return Refusal(
-            status=503, reason=Reason.STALE, retry_after=STALE_RETRY_SECONDS
-        )
+        return Refusal(reason=Reason.STALE, retry_after=STALE_RETRY_SECONDS)
     account = desired.accounts.get(call.key or '')
     if account is None:
-        return Refusal(status=401, reason=Reason.UNKNOWN_KEY)
+        return Refusal(reason=Reason.UNKNOWN_KEY)
     return route, account
 
 
--- a/src/ragwortcourse/forwarding/placement.py
+++ b/src/ragwortcourse/forwarding/placement.py
@@ -13,6 +13,7 @@
 from ragwortcourse.forwarding.target import Target
 
 # Shares of a target's slots that a longer way, or a failure, outweighs.
+NO_COST: Final[float] = 0
 DOMAIN_COST: Final = 0.03
 REGION_COST: Final = 0.06
 TROUBLE_COST: Final = 0.5
@@ -35,7 +36,7 @@
 
 
 DISTANCE_COSTS: Final = {
-    Distance.SAME_DOMAIN: 0.0,
+    Distance.SAME_DOMAIN: NO_COST,
     Distance.SAME_REGION: DOMAIN_COST,
     Distance.OTHER_REGION: REGION_COST,
 }
--- a/src/ragwortcourse/forwarding/plain_call.py
+++ b/src/ragwortcourse/forwarding/plain_call.py
@@ -1,38 +1,46 @@
 """Requests whose answers are passed on whole."""
 
 import asyncio
+from http import HTTPStatus
 from typing import Final
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.exchange import AnswerCutError
+from ragwortcourse.forwarding.open_try import OpenTry
 from ragwortcourse.forwarding.reply import Reason, Refusal, Reply, WholeAnswer
-from ragwortcourse.forwarding.tries import OpenTry, Tries
+from ragwortcourse.forwarding.tries import Tries
 
 # Part of the time left that a try may take while another one may follow.
 TRY_SHARE: Final = 0.5
-FIRST_OWN_FAILURE: Final = 500
 
 
 async def serve_plain(tries: Tries) -> Reply:
     """Answer of a target, read whole before the caller gets any of it."""
-    failed: Reply = Refusal(status=502, reason=Reason.FAILED)
+    failed: Reply = Refusal(reason=Reason.FAILED)
     while True:
-        try:
-            async with asyncio.timeout_at(_read_limit(tries)):
-                opened = await tries.open(None)
-                if isinstance(opened, Refusal):
-                    return failed if tries.may_have_run else opened
-                reply = await _read_whole(tries, opened)
-        except TimeoutError:
-            reply = None
+        reply = await _try_once(tries)
+        if isinstance(reply, Refusal):
+            return failed if tries.may_have_run else reply
         if reply is not None:
-            if reply.head.status < FIRST_OWN_FAILURE:
+            if reply.head.status < HTTPStatus.INTERNAL_SERVER_ERROR:
                 return reply
             failed = reply
         if not tries.allows_another():
             return failed
 
 
+async def _try_once(tries: Tries) -> Reply | None:
+    """One answer; none where it was lost, spoilt or too late."""
+    try:
+        async with asyncio.timeout_at(_read_limit(tries)):
+            opened = await tries.open(None)
+            if isinstance(opened, Refusal):
+                return opened
+            return await _read_whole(tries, opened)
+    except TimeoutError:
+        return None
+
+
 def _read_limit(tries: Tries) -> float:
     work = tries.work
     if not work.route.may_repeat or tries.runs + 1 >= work.route.attempts:
--- a/src/ragwortcourse/forwarding/reply.py
+++ b/src/ragwortcourse/forwarding/reply.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import enum
+from http import HTTPStatus
+from typing import Final
 
 from ragwortcourse.forwarding.answer_head import AnswerHead
 
@@ -21,6 +23,15 @@
     TIMED_OUT = 'time limit reached'
 
 
+# All others promise that the request has not run and never will.
+STATUSES: Final = {
+    Reason.NO_ROUTE: HTTPStatus.NOT_FOUND,
+    Reason.UNKNOWN_KEY: HTTPStatus.UNAUTHORIZED,
+    Reason.FAILED: HTTPStatus.BAD_GATEWAY,
+    Reason.TIMED_OUT: HTTPStatus.GATEWAY_TIMEOUT,
+}
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WholeAnswer:
     """An answer of a target with its whole body."""
@@ -33,14 +44,16 @@
 class Refusal:
     """The system's own answer.
 
-    :param status: 429 and 503 promise that the request has not run and
-        never will.
     :param retry_after: seconds; none where coming back does not help.
     """
 
-    status: int
     reason: Reason
     retry_after: float | None = None
 
+    @property
+    def status(self) -> HTTPStatus:
+        """Status that the caller gets."""
+        return STATUSES.get(self.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+
 
 Reply = WholeAnswer | Refusal
--- a/src/ragwortcourse/forwarding/target_load.py
+++ b/src/ragwortcourse/forwarding/target_load.py
@@ -1,50 +1,28 @@
 """What a daemon knows of the load and health of one target."""
 
-import dataclasses
-import math
-from collections.abc import Iterator
 from typing import Final
 
 from ragwortcourse.forwarding.answer_head import ReportedLoad
+from ragwortcourse.forwarding.peer_counts import PeerCounts
 from ragwortcourse.forwarding.target import Target
-from ragwortcourse.identifiers import DaemonId
+from ragwortcourse.forwarding.trouble import Trouble
 
 # Reports lose weight until they say nothing any more.
 REPORT_SECONDS: Final = 3.0
-# Other entry daemons tell more often than that while they live.
-PEER_SECONDS: Final = 1.5
 # A target's own word is older than what the daemons tell each other.
-UNTOLD_SHARE: Final = 0.5
-# A failure counts half after this time.
-TROUBLE_HALF_LIFE_SECONDS: Final = 2.0
-# Answers that end together have one cause.
-SAME_FAILURE_SECONDS: Final = 0.2
-# A refusing target is passed by for this long: some passes of an engine.
-REFUSED_SECONDS: Final = 0.15
-# A target that cuts answers off may be changing its weights.
-CUT_SECONDS: Final = 0.4
-FIRST_AVOIDED_SECONDS: Final = 0.4
-LONGEST_AVOIDED_SECONDS: Final = 4.0
+REPORT_SHARE: Final = 0.5
 # Weight of the newest answer in the mean time of answers.
 LATENCY_SMOOTHING: Final = 0.1
 WINDOW_SECONDS: Final = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class PeerCount:
-    """Requests that another entry daemon has at a target.
-
-    :param starting: those of them that have no answer yet.
-    """
-
-    running: int
-    starting: int
-    told_at: float
-
-
 class TargetLoad:
     """Requests under way at one incarnation of a target, and its signs.
 
+    ``own`` are this daemon's requests, ``starting`` those of them without
+    an answer yet; ``latency`` is the mean time to the first bytes of its
+    answers, none while there were none.
+
     :param born: incarnation that this is about.
     """
 
@@ -54,16 +32,13 @@
         self.starting = 0
         self.closed_until: float = 0
         self.cold_until: float = 0
-        self.avoided_until: float = 0
         self.latency: float | None = None
         self.version = 0
-        self._peers: dict[DaemonId, PeerCount] = {}
+        self.peers = PeerCounts()
+        self.trouble = Trouble()
         self._others: float = 0
         self._reported_at: float = 0
         self._sign_at: float = 0
-        self._trouble: float = 0
-        self._trouble_at: float = 0
-        self._avoided_for: float = FIRST_AVOIDED_SECONDS
         self._sent_at: list[float] = []
 
     def begin(self, now: float) -> None:
@@ -94,64 +69,26 @@
         self._others = max(load.running + load.waiting - self.own, 0)
         self._reported_at = now
 
-    def note_peer(self, daemon: DaemonId, count: PeerCount) -> None:
-        """Take another entry daemon's word for its own requests there."""
-        if count.running:
-            self._peers[daemon] = count
-        else:
-            self._peers.pop(daemon, None)
-
     def note_success(self, seconds: float) -> None:
         """Count a good answer.
 
         :param seconds: until its first byte.
         """
-        self._avoided_for = FIRST_AVOIDED_SECONDS
+        self.trouble.note_success()
         if self.latency is None:
             self.latency = seconds
         self.latency += LATENCY_SMOOTHING * (seconds - self.latency)
 
-    def note_refusal(self, now: float) -> None:
-        """Count a request that the target did not run."""
-        self.avoided_until = max(self.avoided_until, now + REFUSED_SECONDS)
-
-    def note_failure(self, now: float) -> None:
-        """Count an answer that the target owes or spoilt."""
-        if now - self._trouble_at < SAME_FAILURE_SECONDS:
-            return
-        self.avoided_until = max(self.avoided_until, now + CUT_SECONDS)
-        self._trouble = self.read_trouble(now) + 1
-        self._trouble_at = now
-
-    def note_unreachable(self, now: float) -> None:
-        """Count a connection that did not come about; pass the target by."""
-        self.note_failure(now)
-        self.avoided_until = now + self._avoided_for
-        self._avoided_for = min(self._avoided_for * 2, LONGEST_AVOIDED_SECONDS)
-
     def estimate(self, now: float) -> float:
         """Requests believed to be there, those of other daemons included."""
-        told = sum(count.running for count in self._list_told(now))
         age = now - self._reported_at
-        weight = max(1 - age / REPORT_SECONDS, 0)
-        return self.own + max(told, self._others * weight * UNTOLD_SHARE)
+        weight = max(1 - age / REPORT_SECONDS, 0) * REPORT_SHARE
+        told = self.peers.count_running(now)
+        return self.own + max(told, self._others * weight)
 
     def estimate_starting(self, now: float) -> int:
         """Requests whose prompts are believed to be still unread."""
-        told = sum(count.starting for count in self._list_told(now))
-        return self.starting + told
-
-    def _list_told(self, now: float) -> Iterator[PeerCount]:
-        return (
-            count
-            for count in self._peers.values()
-            if now - count.told_at < PEER_SECONDS
-        )
-
-    def read_trouble(self, now: float) -> float:
-        """Failures of late, the older ones counting less."""
-        age = now - self._trouble_at
-        return self._trouble * math.exp2(-age / TROUBLE_HALF_LIFE_SECONDS)
+        return self.starting + self.peers.count_starting(now)
 
     def read_silence(self, now: float) -> float:
         """Seconds without a sign while requests are under way."""
@@ -162,6 +99,10 @@
         held = target.weights
         return max(self.version, 0 if held is None else held.version)
 
+    def is_passed_by(self, now: float) -> bool:
+        """Tell whether others are to be preferred for the moment."""
+        return max(self.trouble.avoided_until, self.closed_until) > now
+
     def count_recent(self, now: float) -> int:
         """Requests sent within the last second."""
         return sum(now - sent < WINDOW_SECONDS for sent in self._sent_at)
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -1,6 +1,5 @@
 """Tries of one request, one target after the other."""
 
-import dataclasses
 import logging
 from typing import Final
 
@@ -17,6 +16,7 @@
     open_exchange,
 )
 from ragwortcourse.forwarding.forwarder import Forwarder
+from ragwortcourse.forwarding.open_try import OpenTry
 from ragwortcourse.forwarding.reply import Reason, Refusal
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_load import TargetLoad
@@ -25,30 +25,12 @@
 
 # Targets that may decline beside those that may run the request.
 DECLINES_ALLOWED: Final = 2
+# After it a target that declined may have room again.
+DECLINED_RETRY_SECONDS: Final = 0.2
 
 LOGGER: Final = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class OpenTry:
-    """A try that has an answer to be read.
-
-    :param began_at: monotonic seconds.
-    """
-
-    target: Target
-    load: TargetLoad
-    answer: OpenAnswer
-    began_at: float
-    started: list[bool] = dataclasses.field(default_factory=list)
-
-    def note_started(self) -> None:
-        """Note that the target has begun the answer."""
-        if not self.started:
-            self.started.append(True)
-            self.load.start()
-
-
 class Tries:
     """What became of one request so far.
 
@@ -83,14 +65,17 @@
         :param last_event: event after which a stream is to go on.
         """
         refusal = Refusal(
-            status=503, reason=Reason.NOT_RUN, retry_after=self._book(0)
+            reason=Reason.NOT_RUN,
+            retry_after=self.forwarder.turns.book(
+                DECLINED_RETRY_SECONDS, self.forwarder.rng
+            ),
         )
         while self.allows_another():
             target = choose_target(
                 self.forwarder, self.work, self._service, self.tried
             )
             if isinstance(target, Refusal):
-                return self._be_truthful(target if not self._sends else refusal)
+                return self._be_truthful(refusal if self._sends else target)
             if self._sends and not self.forwarder.retries.spend():
                 break
             opened = await self._send(target, last_event)
@@ -100,13 +85,11 @@
 
     def end(self, tried: OpenTry) -> None:
         """Close a try; its target stops if it is still at work."""
-        tried.answer.close()
-        tried.note_started()
-        tried.load.end()
+        tried.close()
 
     def fail(self, tried: OpenTry, detail: str) -> None:
         """Count a try whose answer was cut or spoilt."""
-        tried.load.note_failure(read_clock())
+        tried.load.trouble.note_failure(read_clock())
         self._log('answer lost or spoilt', tried.target, detail)
 
     async def _send(
@@ -162,7 +145,7 @@
             self.fail(opened, f'status {head.status} without a true mark')
             return None
         self.runs -= 1
-        load.note_refusal(now)
+        load.trouble.note_refusal(now)
         self._log('target declined', opened.target, f'status {head.status}')
         return None
 
@@ -171,20 +154,17 @@
     ) -> None:
         if isinstance(answer, NotSent):
             self.runs -= 1
-            load.note_unreachable(read_clock())
+            load.trouble.note_unreachable(read_clock())
             self._log('target unreachable', target, answer.detail)
         else:
-            load.note_failure(read_clock())
+            load.trouble.note_failure(read_clock())
             self._log('no answer', target, answer.detail)
 
     def _be_truthful(self, refusal: Refusal) -> Refusal:
         if self.may_have_run:
-            return Refusal(status=502, reason=Reason.FAILED)
+            return Refusal(reason=Reason.FAILED)
         return refusal
 
-    def _book(self, wait: float) -> float:
-        return wait + self.forwarder.rng.uniform(0.1, 0.4)
-
     def _log(self, message: str, target: Target, detail: str) -> None:
         LOGGER.info(
             message,
--- a/src/ragwortcourse/platform/desired_states.py
+++ b/src/ragwortcourse/platform/desired_states.py
@@ -36,14 +36,12 @@
     """
     wire = msgspec.json.decode(content, type=WireState)
     by_host: dict[str, list[Route]] = defaultdict(list)
-    for route in wire.routes:
-        by_host[route.host.lower()].append(_decode_route(route))
+    for wire_route in wire.routes:
+        by_host[wire_route.host.lower()].append(_decode_route(wire_route))
     return DesiredState(
         version=wire.version,
         routes={
-            host: tuple(
-                sorted(routes, key=lambda route: -len(route.prefix)),
-            )
+            host: tuple(sorted(routes, key=_measure_prefix, reverse=True))
             for host, routes in by_host.items()
         },
         services={
@@ -54,6 +52,10 @@
     )
 
 
+def _measure_prefix(route: Route) -> int:
+    return len(route.prefix)
+
+
 def _decode_route(wire: WireRoute) -> Route:
     shares = tuple(
         ServiceShare(service=ServiceName(share.service), weight=share.weight)
--- a/src/ragwortcourse/platform/engine.py
+++ b/src/ragwortcourse/platform/engine.py
@@ -1,15 +1,14 @@
 """The model engine beside a loader, on the platform's wire."""
 
 import asyncio
-import enum
 from typing import Final
 
 import aiohttp
 import msgspec
 
-from ragwortcourse.forwarding.target import HeldWeights
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.platform.target_rows import WireLayers, decode_layers
+from ragwortcourse.weights.engine_port import EngineReport, OrderOutcome
 
 # The engine is on the same host; it answers at once unless it is down.
 CALL_SECONDS: Final = 1.0
@@ -20,33 +19,16 @@
 UNFIT: Final = 409
 
 
-class OrderOutcome(enum.StrEnum):
-    """What became of an order."""
-
-    BEGUN = 'begun'
-    IN_EFFECT = 'in effect'
-    UNFIT = 'does not fit the state'
-    FAILED = 'failed'
-
-
-class EngineReport(msgspec.Struct, frozen=True, kw_only=True):
+class WireReport(msgspec.Struct, frozen=True, kw_only=True):
     """State of an engine, as of some hundred milliseconds ago.
 
     :param busy: true while an order is in progress.
-    :param seq: orders accepted since its start.
     """
 
     busy: bool = False
-    seq: int = 0
-    waiting: int = 0
     running: int = 0
     layers: WireLayers | None = None
 
-    @property
-    def weights(self) -> HeldWeights | None:
-        """Layers that it holds."""
-        return decode_layers(self.layers)
-
 
 class WireHeld(msgspec.Struct, kw_only=True):
     """Numbers of the chunks that are staged."""
@@ -70,10 +52,15 @@
         if answer is None or answer[0] != OK:
             return None
         try:
-            return msgspec.json.decode(answer[1], type=EngineReport)
+            wire = msgspec.json.decode(answer[1], type=WireReport)
         except msgspec.DecodeError:
             # The next report replaces it within a second.
             return None
+        return EngineReport(
+            busy=wire.busy,
+            running=wire.running,
+            weights=decode_layers(wire.layers),
+        )
 
     async def list_staged(self, model: ModelName) -> frozenset[int]:
         """Chunks that are staged, whatever their version."""
--- a/src/ragwortcourse/platform/weight_source.py
+++ b/src/ragwortcourse/platform/weight_source.py
@@ -34,7 +34,12 @@
     async def read_manifest(
         self, address: str, model: ModelName, version: int
     ) -> FleetManifest | None:
-        """Digests of a version; none where the origin does not tell."""
+        """Digests of a version; none where the origin does not tell.
+
+        :param address: ``ip:port``; empty where no origin is known.
+        """
+        if not address:
+            return None
         content = await self._read(
             f'http://{address}/manifest/{model}?version={version}'
         )
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -7,8 +7,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
-import aiohttp
-from aiohttp import web
+from aiohttp import ClientSession, web
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.calls import build_call_routes
@@ -61,7 +60,7 @@
     relays: RelayList
     register: Callable[[], Coroutine[Any, Any, None]]
     feeds: tuple[TableFeed, ...]
-    sessions: tuple[aiohttp.ClientSession, ...]
+    sessions: tuple[ClientSession, ...]
     draining: bool = False
 
     @property
@@ -115,7 +114,7 @@
         ends_at = read_clock() + grace - EXIT_SECONDS
         await asyncio.sleep(min(SERVING_SECONDS, grace / 2))
         self.forwarder.closing = True
-        while self.forwarder.running and read_clock() < ends_at:
+        while read_clock() < ends_at and self.forwarder.running:  # noqa: ASYNC110
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def stop(self) -> None:
@@ -133,7 +132,7 @@
     fleet = read_fleet_settings(settings)
     rng = random.Random()  # noqa: S311  # spreads load, guards nothing
     state = FleetState()
-    session = aiohttp.ClientSession()
+    session = ClientSession()
     target_session = open_target_session()
     store = Store(session=session, address=fleet.store)
     origin = WeightSource(session=session)
--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -1,17 +1,15 @@
 """A loader, put together."""
 
 import dataclasses
+import functools
 import random
-from collections.abc import Sequence
 from typing import Final
 
-import aiohttp
-from aiohttp import web
+from aiohttp import ClientSession, web
 
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.forwarder import read_fleet_settings
 from ragwortcourse.forwarding.switch_notice import build_announcement
-from ragwortcourse.forwarding.target import Target
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.platform import names
 from ragwortcourse.platform.engine import Engine
@@ -24,22 +22,26 @@
 from ragwortcourse.processes.tasks import BackgroundTasks
 from ragwortcourse.settings import Settings
 from ragwortcourse.weights.chunk_routes import build_chunk_routes
-from ragwortcourse.weights.engine_loading import EngineLoading
+from ragwortcourse.weights.engine_switch import switch_engine
 from ragwortcourse.weights.fleet_manifest import FleetManifest
 from ragwortcourse.weights.loader_drawing import build_loader_drawing
+from ragwortcourse.weights.loading import Loading
+from ragwortcourse.weights.loading_ports import LoadingPorts
 from ragwortcourse.weights.relay_drawing import find_origin
+from ragwortcourse.weights.version_drawing import draw_versions
 
 # A loader acts on changes alone; a call that waits longer costs less.
 FEED_SECONDS: Final = 4.0
+ENGINE_SILENT: Final = 'engine does not answer'
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LoaderDaemon:
     """The parts of one loader that others reach into."""
 
-    loading: EngineLoading
+    loading: Loading
     feed: TableFeed
-    session: aiohttp.ClientSession
+    session: ClientSession
 
     @property
     def last_connections_seconds(self) -> float:
@@ -56,12 +58,12 @@
     def start(self, tasks: BackgroundTasks) -> None:
         """Run the endless tasks."""
         tasks.start('follow operators', self.feed.follow())
-        tasks.start('draw weights', self.loading.draw())
-        tasks.start('switch engine', self.loading.switch())
+        tasks.start('draw weights', draw_versions(self.loading))
+        tasks.start('switch engine', switch_engine(self.loading))
 
     def find_obstacle(self) -> str | None:
-        """None: a loader takes no work of callers."""
-        return None
+        """Why nothing is loaded now, none if it could be."""
+        return None if self.loading.report else ENGINE_SILENT
 
     async def drain(self) -> None:
         """Return at once: no request of a caller is under way here."""
@@ -80,7 +82,7 @@
     if settings.loader is None:
         raise ValueError(f'{settings.daemon}: settings without [loader]')
     loader = settings.loader
-    session = aiohttp.ClientSession()
+    session = ClientSession()
     store = Store(session=session, address=fleet.store)
     state = FleetState()
     origin = WeightSource(session=session)
@@ -89,32 +91,28 @@
         model: ModelName, version: int
     ) -> FleetManifest | None:
         rules = find_origin(state)
-        if rules is None:
-            return None
-        return await origin.read_manifest(rules.origin, model, version)
+        address = '' if rules is None else rules.origin
+        return await origin.read_manifest(address, model, version)
 
     relays = RelayList(store=store)
 
-    async def list_service() -> Sequence[Target]:
-        return await read_service(store, loader.service, fleet)
-
-    return LoaderDaemon(
-        loading=EngineLoading(
-            fleet=fleet,
-            loader=loader,
+    ports = LoadingPorts(
+        engine=Engine(session=session, address=loader.engine),
+        read_manifest=read_manifest,
+        draw=build_loader_drawing(
+            settings=settings,
             state=state,
-            engine=Engine(session=session, address=loader.engine),
-            announce=build_announcement(list_relays=relays.list),
-            list_service=list_service,
-            read_manifest=read_manifest,
-            draw=build_loader_drawing(
-                settings=settings,
-                state=state,
-                session=session,
-                list_relays=relays.list,
-                read_origin_chunk=origin.read_chunk,
-            ),
+            session=session,
+            list_relays=relays.list,
+            read_origin_chunk=origin.read_chunk,
+        ),
+        announce=build_announcement(list_relays=relays.list),
+        list_service=functools.partial(
+            read_service, store, loader.service, fleet
         ),
+    )
+    return LoaderDaemon(
+        loading=Loading(fleet=fleet, loader=loader, state=state, ports=ports),
         feed=TableFeed(
             store=store,
             table=names.OPERATORS_TABLE,
--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -126,17 +126,8 @@
 
     async def _open_daemon(self) -> Daemon:
         listen = self.settings.listen
-        if self.settings.role is Role.FORWARDER:
-            forwarder = build_forwarder_daemon(settings=self.settings)
-            await self._open('peers', listen.peers, forwarder.peer_routes)
-            await self._open('callers', listen.callers, forwarder.caller_routes)
-            await self._open_watch(forwarder)
-            return forwarder
-        if self.settings.role is Role.LOADER:
-            loader = build_loader_daemon(settings=self.settings)
-            await self._open('peers', listen.peers, loader.peer_routes)
-            await self._open_watch(loader)
-            return loader
+        if self.settings.fleet is not None:
+            return await self._open_fleet_daemon()
         if self.settings.role is Role.AGENT:
             agent = build_agent_daemon(
                 settings=self.settings, sessions=self.sessions
@@ -153,6 +144,19 @@
         await self._open_watch(entry)
         return entry
 
+    async def _open_fleet_daemon(self) -> Daemon:
+        listen = self.settings.listen
+        if self.settings.role is Role.LOADER:
+            loader = build_loader_daemon(settings=self.settings)
+            await self._open('peers', listen.peers, loader.peer_routes)
+            await self._open_watch(loader)
+            return loader
+        forwarder = build_forwarder_daemon(settings=self.settings)
+        await self._open('peers', listen.peers, forwarder.peer_routes)
+        await self._open('callers', listen.callers, forwarder.caller_routes)
+        await self._open_watch(forwarder)
+        return forwarder
+
     async def _open_watch(self, daemon: Daemon) -> None:
         """Tell that the daemon lives, once all its other ports are open."""
         health = build_health_routes(find_obstacle=daemon.find_obstacle)
--- a/src/ragwortcourse/weights/chunk_routes.py
+++ b/src/ragwortcourse/weights/chunk_routes.py
@@ -4,8 +4,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-import aiohttp
-from aiohttp import web
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.identifiers import ModelName
@@ -85,7 +84,7 @@
 
 async def fetch_chunk(
     *,
-    session: aiohttp.ClientSession,
+    session: ClientSession,
     address: str,
     manifest: FleetManifest,
     index: int,
@@ -99,14 +98,12 @@
         f'http://{address}/chunks/{manifest.model}/{manifest.version}/{index}'
         f'?{RATE_OPTION}={rate}'
     )
-    timeout = aiohttp.ClientTimeout(
-        total=FETCH_SECONDS, sock_connect=CONNECT_SECONDS
-    )
+    timeout = ClientTimeout(total=FETCH_SECONDS, sock_connect=CONNECT_SECONDS)
     try:
         async with session.get(url, timeout=timeout) as response:
             if response.status != OK:
                 return None
             return await response.read()
-    except (aiohttp.ClientError, OSError, TimeoutError):
+    except (ClientError, OSError, TimeoutError):
         # The next source follows.
         return None
--- /dev/null
+++ b/src/ragwortcourse/weights/engine_switch.py
@@ -0,0 +1,107 @@
+"""Switches the engine beside a loader to what is drawn."""
+
+import asyncio
+import logging
+from typing import Final
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.engine_rules import EngineRules
+from ragwortcourse.forwarding.load_exchange import SwitchMessage
+from ragwortcourse.weights.chunk_store import VersionChunks
+from ragwortcourse.weights.engine_port import OrderOutcome
+from ragwortcourse.weights.loading import Loading
+from ragwortcourse.weights.stage_check import check_stage
+from ragwortcourse.weights.switch_turn import choose_delay
+
+# Reports of the engine on the same host cost next to nothing.
+WATCH_SECONDS: Final = 0.2
+LOADING_WATCH_SECONDS: Final = 0.05
+# Entry daemons send no work from the notice on, which is on its way for
+# some milliseconds.
+NOTICE_SECONDS: Final = 0.15
+# For the order and the loading, where the second notice is lost.
+CLOSED_SECONDS: Final = 0.8
+STARTED: Final = frozenset((OrderOutcome.BEGUN, OrderOutcome.IN_EFFECT))
+
+LOGGER: Final = logging.getLogger(__name__)
+
+
+async def switch_engine(loading: Loading) -> None:
+    """Watch the engine, and order what is drawn, for ever."""
+    while True:
+        loading.report = await loading.ports.engine.read_report()
+        if not await _switch_once(loading):
+            await asyncio.sleep(WATCH_SECONDS)
+
+
+async def _switch_once(loading: Loading) -> bool:
+    rules = loading.find_rules()
+    if rules is None or loading.report is None or loading.report.busy:
+        return False
+    drawn = loading.find_drawn(rules)
+    if drawn is None or not await check_stage(loading.ports.engine, drawn):
+        return False
+    if loading.read_held(rules):
+        await asyncio.sleep(await _read_delay(loading, rules, drawn))
+        await _announce(loading, CLOSED_SECONDS, 0)
+        await asyncio.sleep(NOTICE_SECONDS)
+    return await _order(loading, rules, drawn)
+
+
+async def _read_delay(
+    loading: Loading, rules: EngineRules, drawn: VersionChunks
+) -> float:
+    version = drawn.manifest.version
+    seen_at = min(
+        named.seen_at
+        for named in loading.list_named(rules)
+        if named.version == version
+    )
+    targets = await loading.ports.list_service()
+    return choose_delay(
+        engines=[target.address for target in targets],
+        own=loading.loader.engine,
+        time_left=seen_at + loading.fleet.version_ms / 1000 - read_clock(),
+    )
+
+
+async def _order(
+    loading: Loading, rules: EngineRules, drawn: VersionChunks
+) -> bool:
+    """Have the engine load a version; say whether it began to."""
+    version = drawn.manifest.version
+    outcome = await loading.ports.engine.order_start(rules.model, version)
+    LOGGER.info(
+        'engine ordered to load',
+        extra={
+            'version': version,
+            'outcome': outcome,
+            'running': loading.report and loading.report.running,
+        },
+    )
+    if outcome not in STARTED:
+        return False
+    began_at = read_clock()
+    loading.report = await loading.ports.engine.read_report()
+    while loading.report is not None and loading.report.busy:
+        await asyncio.sleep(LOADING_WATCH_SECONDS)
+        loading.report = await loading.ports.engine.read_report()
+    held = loading.read_held(rules)
+    await _announce(loading, 0, held)
+    LOGGER.info(
+        'engine loaded',
+        extra={
+            'version': version,
+            'held': held,
+            'seconds': read_clock() - began_at,
+        },
+    )
+    return True
+
+
+async def _announce(loading: Loading, seconds: float, version: int) -> None:
+    await loading.ports.announce(
+        SwitchMessage(
+            address=loading.loader.engine, seconds=seconds, version=version
+        )
+    )
--- a/src/ragwortcourse/weights/loader_drawing.py
+++ b/src/ragwortcourse/weights/loader_drawing.py
@@ -1,17 +1,18 @@
 """How a loader draws a chunk."""
 
-from collections.abc import Awaitable, Callable, Sequence
-
 import aiohttp
 
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.settings import Settings
 from ragwortcourse.weights.chunk_routes import fetch_chunk
 from ragwortcourse.weights.chunk_sources import list_loader_sources
-from ragwortcourse.weights.engine_loading import DrawChunk
 from ragwortcourse.weights.fleet_manifest import FleetManifest
-from ragwortcourse.weights.relay import RelayRecord
-from ragwortcourse.weights.relay_drawing import ReadOriginChunk, find_origin
+from ragwortcourse.weights.loading_ports import DrawChunk
+from ragwortcourse.weights.relay_drawing import (
+    ListRelays,
+    ReadOriginChunk,
+    find_origin,
+)
 
 
 def build_loader_drawing(
@@ -19,7 +20,7 @@
     settings: Settings,
     state: FleetState,
     session: aiohttp.ClientSession,
-    list_relays: Callable[[], Awaitable[Sequence[RelayRecord]]],
+    list_relays: ListRelays,
     read_origin_chunk: ReadOriginChunk,
 ) -> DrawChunk:
     """Draws from the relays, and from the origin where none has a chunk."""
--- /dev/null
+++ b/src/ragwortcourse/weights/loading.py
@@ -0,0 +1,88 @@
+"""The weights of the engine beside a loader."""
+
+from collections.abc import Sequence
+from typing import Final
+
+from ragwortcourse.forwarding.engine_rules import EngineRules
+from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.forwarding.named_weights import NamedWeights
+from ragwortcourse.identifiers import ModelName
+from ragwortcourse.settings import FleetSettings, LoaderSettings
+from ragwortcourse.weights.chunk_store import ChunkStore, VersionChunks
+from ragwortcourse.weights.engine_port import EngineReport
+from ragwortcourse.weights.loading_ports import LoadingPorts
+
+# Part of the link that chunks may take; live requests share it.
+LINK_SHARE: Final = 0.95
+# Where operators have named none, engines hold the first one.
+FIRST_VERSION: Final = 1
+BYTES_IN_MEGABIT: Final = 125_000
+
+
+class Loading:
+    """What the engine holds, what is drawn, and what operators named.
+
+    ``report`` is the engine's own word, none while it does not answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: FleetSettings,
+        loader: LoaderSettings,
+        state: FleetState,
+        ports: LoadingPorts,
+    ) -> None:
+        self.fleet = fleet
+        self.loader = loader
+        self.state = state
+        self.ports = ports
+        self.store = ChunkStore()
+        self.report: EngineReport | None = None
+
+    @property
+    def link_rate(self) -> int:
+        """Bytes a second that chunks may take of the link, each way."""
+        return int(self.loader.link_mbps * BYTES_IN_MEGABIT * LINK_SHARE)
+
+    def find_rules(self) -> EngineRules | None:
+        """Rules of the engine's service, once the desired state is known."""
+        desired = self.state.desired
+        if desired is None:
+            return None
+        return desired.find_engine(self.loader.service)
+
+    def list_named(self, rules: EngineRules) -> Sequence[NamedWeights]:
+        """Versions named for the engine's model, the newest last."""
+        first = NamedWeights(version=FIRST_VERSION, seen_at=0)
+        return self.state.weights.get(rules.model) or (first,)
+
+    def read_held(self, rules: EngineRules) -> int:
+        """Version of which the engine holds every layer; zero for none."""
+        held = None if self.report is None else self.report.weights
+        if held is None or held.first > 0 or held.end < rules.layers:
+            return 0
+        return held.version
+
+    def find_drawn(self, rules: EngineRules) -> VersionChunks | None:
+        """The newest whole version, if the engine does not hold it."""
+        newest = self.store.find_newest_whole()
+        if not newest or newest == self.read_held(rules):
+            return None
+        named = {each.version for each in self.list_named(rules)}
+        return self.store.find(newest) if newest in named else None
+
+    async def find_chunk(
+        self, model: ModelName, version: int, index: int
+    ) -> bytes | None:
+        """A chunk of the version that the engine holds, unless it rotted."""
+        rules = self.find_rules()
+        if rules is None or rules.model != model:
+            return None
+        if self.read_held(rules) != version or index >= rules.chunks:
+            return None
+        kept = self.store.find(version)
+        if kept is not None and index in kept.contents:
+            return kept.contents[index]
+        # Whoever asks checks it against the digest.
+        return await self.ports.engine.read_staged(model, index)
--- a/src/ragwortcourse/weights/relay_drawing.py
+++ b/src/ragwortcourse/weights/relay_drawing.py
@@ -49,16 +49,22 @@
     """Loaders' hosts of a failure domain whose engine has a version."""
     if state.desired is None:
         return []
+    engines = {
+        name: rules.engine
+        for name, rules in state.desired.services.items()
+        if rules.engine is not None and rules.engine.model == manifest.model
+    }
+    near = [
+        target
+        for target in state.targets.values()
+        if target.service in engines and target.failure_domain == domain
+    ]
     return [
         target.address.rpartition(':')[0]
-        for target in state.targets.values()
-        for engine in (state.desired.find_engine(target.service),)
-        if engine is not None
-        and engine.model == manifest.model
-        and target.failure_domain == domain
-        and target.weights is not None
+        for target in near
+        if target.weights is not None
         and target.weights.version == manifest.version
-        and target.holds(engine.layers)
+        and target.holds(engines[target.service].layers)
     ]
 
 
--- /dev/null
+++ b/src/ragwortcourse/weights/version_drawing.py
@@ -0,0 +1,116 @@
+"""Draws named versions of weights into a loader's memory."""
+
+import asyncio
+import logging
+from typing import Final
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.engine_rules import EngineRules
+from ragwortcourse.weights.chunk_store import VersionChunks
+from ragwortcourse.weights.loading import Loading
+from ragwortcourse.weights.stage_check import take_staged
+from ragwortcourse.weights.version_choice import choose_version
+
+WATCH_SECONDS: Final = 0.2
+RETRY_SECONDS: Final = 0.2
+# Chunks drawn at once: while one is waited for, the other fills the link.
+DRAWN_AT_ONCE: Final = 2
+
+LOGGER: Final = logging.getLogger(__name__)
+
+
+async def draw_versions(loading: Loading) -> None:
+    """Draw what the engine is to hold, one version after the other."""
+    refused = 0
+    while True:
+        rules = loading.find_rules()
+        wanted = 0 if rules is None else find_wanted(loading, rules)
+        if rules and wanted and not await _draw_named(loading, rules, wanted):
+            if refused != wanted:
+                LOGGER.warning(
+                    'origin gives no manifest; asking again',
+                    extra={'version': wanted},
+                )
+            refused = wanted
+        await asyncio.sleep(WATCH_SECONDS)
+
+
+def find_wanted(loading: Loading, rules: EngineRules) -> int:
+    """Version to be drawn; zero where it is here or the engine is down."""
+    wanted = read_wanted(loading, rules)
+    here = {loading.store.find_newest_whole(), loading.read_held(rules)}
+    return 0 if loading.report is None or wanted in here else wanted
+
+
+def read_wanted(loading: Loading, rules: EngineRules) -> int:
+    """Version that the engine is to hold next."""
+    named = loading.list_named(rules)
+    newest = named[-1].version
+    kept = loading.store.find(newest)
+    missing = rules.chunks if kept is None else len(kept.missing)
+    return choose_version(
+        named,
+        held=max(loading.read_held(rules), loading.store.find_newest_whole()),
+        now=read_clock(),
+        drawing=missing * rules.chunk_bytes / loading.link_rate,
+        bound=loading.fleet.version_ms / 1000,
+    ).version
+
+
+async def _draw_named(
+    loading: Loading, rules: EngineRules, version: int
+) -> bool:
+    """Draw a version; false where the origin does not tell its digests."""
+    manifest = await loading.ports.read_manifest(rules.model, version)
+    if manifest is None or len(manifest.digests) != rules.chunks:
+        return False
+    await _draw_version(loading, rules, loading.store.open(manifest))
+    return True
+
+
+async def _draw_version(
+    loading: Loading, rules: EngineRules, chunks: VersionChunks
+) -> None:
+    began_at = read_clock()
+    staged = await take_staged(loading.ports.engine, chunks)
+    await _draw_missing(loading, rules, chunks)
+    LOGGER.info(
+        'version given up' if chunks.missing else 'version drawn',
+        extra={
+            'version': chunks.manifest.version,
+            'staged_before': staged,
+            'missing': len(chunks.missing),
+            'seconds': read_clock() - began_at,
+        },
+    )
+
+
+async def _draw_missing(
+    loading: Loading, rules: EngineRules, chunks: VersionChunks
+) -> None:
+    """Draw missing chunks until another version is wanted."""
+    version = chunks.manifest.version
+    queue = list(chunks.missing)
+
+    async def draw_some() -> None:
+        while queue and read_wanted(loading, rules) == version:
+            index = queue.pop(0)
+            if not await _draw_one(loading, rules, chunks, index):
+                queue.append(index)
+                await asyncio.sleep(RETRY_SECONDS)
+
+    await asyncio.gather(*(draw_some() for _ in range(DRAWN_AT_ONCE)))
+
+
+async def _draw_one(
+    loading: Loading, rules: EngineRules, chunks: VersionChunks, index: int
+) -> bool:
+    ports, manifest = loading.ports, chunks.manifest
+    rate = loading.link_rate // DRAWN_AT_ONCE
+    content = await ports.draw(manifest, index, rate)
+    if content is None or not chunks.take(index, content):
+        return False
+    if loading.find_drawn(rules) is None:
+        # Nothing else is to be loaded from the stage first.
+        await ports.engine.write_staged(manifest.model, index, content)
+    return True
