--- a/src/ragwortcourse/forwarding/admission.py
+++ b/src/ragwortcourse/forwarding/admission.py
@@ -1,9 +1,10 @@
-"""Whether a request may start in time, or is refused at once.
+"""Whether a request is sent now, waits, or is refused at once.
 
 Load pattern: more requests than the targets can start within their
-objectives. Requests that wait together are late together, so that beyond
-the places from which a start in time is foreseen new ones are refused, and
-told when a place may be free.
+objectives. Requests that wait together are late together, so that new ones
+are sent only where a start in time is foreseen; beyond that they are refused
+and told to come back when the crowd has passed. Those that are late already
+lose nothing by waiting, and take what the new ones leave free.
 """
 
 import dataclasses
@@ -14,6 +15,17 @@
 # Part of the objective that a start must be foreseen in: loads are known
 # to some requests only.
 TIMELY_SHARE: Final = 0.9
+# From the arrival in the middle of a pass to the end of the next one.
+PASSES: Final = 1.5
+# Part of the slots that late requests may fill.
+LATE_SHARE: Final = 0.8
+# Callers honour a time to come back up to a third of what they have left.
+RETURN_SHARE: Final = 0.3
+LONGEST_RETURN_SECONDS: Final = 2.0
+RETURN_SPREAD: Final = 0.5
+# Late requests wait here for a free slot, and look for one that often.
+LATE_WAIT_SECONDS: Final = 1.2
+LATE_LOOK_SECONDS: Final = 0.08
 # Prompts are read between the steps of the requests that write.
 READING_STRETCH: Final = 1.3
 # A plain service that has not answered yet.
@@ -65,10 +77,15 @@
     engine = place.engine
     if engine is None:
         return place.latency or UNKNOWN_SECONDS
-    step = engine.step + engine.step_per_request * engine.slots
     unread = place.starting * engine.usual_prompt + demand.prompt_tokens
-    reading = unread / max(engine.read_rate, 1)
-    return reading * READING_STRETCH + step * engine.stride
+    reading = unread / max(engine.read_rate, 1) * READING_STRETCH
+    return reading + read_pass(place, engine) * PASSES
+
+
+def read_pass(place: Place, engine: EngineRules) -> float:
+    """Seconds of one pass; prompts of others stretch it as load grows."""
+    step = engine.step + engine.step_per_request * engine.slots
+    return step * engine.stride * (1 + place.load / max(engine.slots, 1))
 
 
 def foresee_wait(place: Place) -> float:
@@ -77,16 +94,28 @@
     return ahead * read_turnover(place)
 
 
-def is_timely(place: Place, demand: Demand) -> bool:
+def is_admitted(place: Place, demand: Demand) -> bool:
     """Tell whether a request should be sent now.
 
-    One that is late already only takes a slot that is free.
+    One that is late already takes only a slot that new ones can spare.
     """
-    wait = foresee_wait(place)
-    if demand.time_left <= 0:
-        return wait <= 0
     if place.load < 1:
         # It can't be served sooner anywhere.
         return True
-    foreseen = wait + read_start(place, demand)
+    if demand.time_left <= 0:
+        return place.load + 1 <= place.slots * LATE_SHARE
+    foreseen = foresee_wait(place) + read_start(place, demand)
     return foreseen <= demand.time_left * TIMELY_SHARE
+
+
+def choose_return(*, time_left: float, chance: float) -> float:
+    """Seconds after which a refused caller should come back.
+
+    It is late by then whenever it comes, and is better off behind the crowd
+    than refused again.
+
+    :param time_left: seconds that the caller waits in all.
+    :param chance: from zero to one; spreads those refused together.
+    """
+    longest = min(time_left * RETURN_SHARE, LONGEST_RETURN_SECONDS)
+    return longest * (1 - chance * RETURN_SPREAD)
--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -7,8 +7,8 @@
 from ragwortcourse.forwarding.admission import (
     Demand,
     Place,
-    foresee_wait,
-    is_timely,
+    choose_return,
+    is_admitted,
 )
 from ragwortcourse.forwarding.call import Work
 from ragwortcourse.forwarding.engine_rules import EngineRules
@@ -74,8 +74,9 @@
         latency=forwarder.find_load(chosen.target).latency,
         engine=rules.engine,
     )
-    if not is_timely(place, read_demand(forwarder, work)):
-        return _refuse(forwarder, Reason.OVERLOADED, foresee_wait(place))
+    # What was moved once is not refused: its caller may have part of it.
+    if not tried and not is_admitted(place, read_demand(forwarder, work)):
+        return _refuse_crowd(forwarder, work)
     return chosen.target
 
 
@@ -112,6 +113,13 @@
     )
 
 
+def _refuse_crowd(forwarder: Forwarder, work: Work) -> Refusal:
+    wait = choose_return(
+        time_left=work.deadline - read_clock(), chance=forwarder.rng.random()
+    )
+    return Refusal(reason=Reason.OVERLOADED, retry_after=max(wait, 0))
+
+
 def _is_usable(
     forwarder: Forwarder, work: Work, target: Target, rules: ServiceRules
 ) -> bool:
--- a/src/ragwortcourse/forwarding/plain_call.py
+++ b/src/ragwortcourse/forwarding/plain_call.py
@@ -33,7 +33,7 @@
     """One answer; none where it was lost, spoilt or too late."""
     try:
         async with asyncio.timeout_at(_read_limit(tries)):
-            opened = await tries.open(None)
+            opened = await tries.open(None, None)
             if isinstance(opened, Refusal):
                 return opened
             return await _read_whole(tries, opened)
--- a/src/ragwortcourse/forwarding/stream_call.py
+++ b/src/ragwortcourse/forwarding/stream_call.py
@@ -15,6 +15,9 @@
 
 # A stream that says nothing for this long goes on elsewhere, if it may.
 STALL_SECONDS: Final = 1.0
+# A target that does not begin for this long is given up. Callers leave after
+# some seconds without an event, and the next target needs time too.
+SILENT_SECONDS: Final = 1.2
 
 
 class StreamBrokenError(Exception):
@@ -59,16 +62,10 @@
         raise StreamBrokenError(refusal.reason)
 
     async def _open(self) -> OpenTry | Refusal:
-        route = self._tries.work.route
-        if not route.may_repeat:
-            return await self._tries.open(self._events.last_event)
-        while True:
-            try:
-                async with asyncio.timeout(max(STALL_SECONDS, route.objective)):
-                    return await self._tries.open(self._events.last_event)
-            except TimeoutError:
-                if not self._tries.allows_another():
-                    return Refusal(reason=Reason.FAILED)
+        may_repeat = self._tries.work.route.may_repeat
+        return await self._tries.open(
+            self._events.last_event, SILENT_SECONDS if may_repeat else None
+        )
 
     async def _relay(
         self, opened: OpenTry
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -1,13 +1,19 @@
 """Tries of one request, one target after the other."""
 
+import asyncio
 import logging
 from typing import Final
 
 from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.admission import (
+    LATE_LOOK_SECONDS,
+    LATE_WAIT_SECONDS,
+)
 from ragwortcourse.forwarding.call import Work
 from ragwortcourse.forwarding.choice import (
     choose_service,
     choose_target,
+    read_demand,
 )
 from ragwortcourse.forwarding.exchange import (
     NoAnswer,
@@ -59,10 +65,14 @@
             return False
         return self._sends < route.attempts + DECLINES_ALLOWED
 
-    async def open(self, last_event: str | None) -> OpenTry | Refusal:
+    async def open(
+        self, last_event: str | None, silence: float | None
+    ) -> OpenTry | Refusal:
         """Send the request to targets until one answers.
 
         :param last_event: event after which a stream is to go on.
+        :param silence: seconds after which a target that does not answer is
+            given up; none: the time limit of the request holds alone.
         """
         refusal = Refusal(
             reason=Reason.NOT_RUN,
@@ -71,18 +81,35 @@
             ),
         )
         while self.allows_another():
-            target = choose_target(
-                self.forwarder, self.work, self._service, self.tried
-            )
+            target = await self._choose()
             if isinstance(target, Refusal):
                 return self._be_truthful(refusal if self._sends else target)
             if self._sends and not self.forwarder.retries.spend():
                 break
-            opened = await self._send(target, last_event)
+            opened = await self._send(target, last_event, silence)
             if opened is not None:
                 return opened
         return self._be_truthful(refusal)
 
+    async def _choose(self) -> Target | Refusal:
+        """The next target; one that is late already waits for a free slot."""
+        began_at = read_clock()
+        while True:
+            target = choose_target(
+                self.forwarder, self.work, self._service, self.tried
+            )
+            if not isinstance(target, Refusal):
+                return target
+            waited = read_clock() - began_at
+            is_late = read_demand(self.forwarder, self.work).time_left <= 0
+            if target.reason is not Reason.OVERLOADED or not is_late:
+                return target
+            if waited > LATE_WAIT_SECONDS:
+                return target
+            await asyncio.sleep(
+                LATE_LOOK_SECONDS * self.forwarder.rng.uniform(0.5, 1)
+            )
+
     def end(self, tried: OpenTry) -> None:
         """Close a try; its target stops if it is still at work."""
         tried.close()
@@ -93,7 +120,7 @@
         self._log('answer lost or spoilt', tried.target, detail)
 
     async def _send(
-        self, target: Target, last_event: str | None
+        self, target: Target, last_event: str | None, silence: float | None
     ) -> OpenTry | None:
         forwarder = self.forwarder
         began_at = read_clock()
@@ -104,18 +131,22 @@
         load = forwarder.find_load(target)
         load.begin(began_at)
         self.runs += 1
-        answer = None
+        answer: OpenAnswer | NotSent | NoAnswer | None = None
+        dispatch = Dispatch(
+            target=target,
+            time_left=self.work.deadline - began_at,
+            last_event=last_event,
+        )
         try:
-            answer = await open_exchange(
-                session=forwarder.session,
-                wire=forwarder.wire,
-                work=self.work,
-                dispatch=Dispatch(
-                    target=target,
-                    time_left=self.work.deadline - began_at,
-                    last_event=last_event,
-                ),
-            )
+            async with asyncio.timeout(silence):
+                answer = await open_exchange(
+                    session=forwarder.session,
+                    wire=forwarder.wire,
+                    work=self.work,
+                    dispatch=dispatch,
+                )
+        except TimeoutError:
+            answer = NoAnswer(detail=f'silent for {silence} s')
         finally:
             if not isinstance(answer, OpenAnswer):
                 load.start()
