Switch the last engines when they are idle; pace relays by failure domain

Cause: each switch cut what all engines ran; the budget of retries did not hold for 230 moved streams in ten seconds, and 90 were broken off. Now the first seven tenths are cut in turn, the rest go on up to the version's bound and load once idle. Relays of a failure domain draw 800 kB/s in all: they filled the line between regions while a version came.

--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -19,7 +19,6 @@
     choose_candidate,
 )
 from ragwortcourse.forwarding.reply import Reason, Refusal
-from ragwortcourse.forwarding.retry_share import DAEMONS_COUNTED
 from ragwortcourse.forwarding.service_rules import ServiceRules
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.identifiers import ServiceName, TargetName
@@ -142,7 +141,7 @@
     load = forwarder.find_load(target)
     if not rules.cold_rate or load.cold_until <= read_clock():
         return True
-    share = rules.cold_rate / DAEMONS_COUNTED
+    share = rules.cold_rate / forwarder.retries.daemons
     return load.count_recent(read_clock()) < max(share, 1)
 
 
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -151,7 +151,9 @@
         named=_list_named(forwarder) if is_far else {},
     )
     content = msgspec.json.encode(message)
-    for relay in await list_relays():
+    relays = await list_relays()
+    forwarder.retries.daemons = max(len(relays), 1)
+    for relay in relays:
         is_near = relay.failure_domain == settings.failure_domain
         if relay.daemon != settings.daemon and (is_near or is_far):
             transport.sendto(content, read_address(relay.address))
--- a/src/ragwortcourse/forwarding/retry_share.py
+++ b/src/ragwortcourse/forwarding/retry_share.py
@@ -11,21 +11,25 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.settings import FleetSettings
 
-# Entry daemons that may be alive. Counted generously: the fleet's limit is
-# summed over all of them, and a daemon that misses others must not take
-# their part.
-DAEMONS_COUNTED: Final = 12
+# Entry daemons counted before any has registered: more than a small fleet
+# has, as the limit is summed over all of them.
+DAEMONS_ASSUMED: Final = 12
 # Part of the limit that is used; arrivals cross the ends of windows.
 USED_SHARE: Final = 0.8
 
 
 class RetryShare:
-    """First tries and further ones of the last window."""
+    """First tries and further ones of the last window.
+
+    ``daemons`` are those that share the limit. Daemons that have ended stay
+    registered, so that it is counted generously.
+    """
 
     def __init__(self, *, fleet: FleetSettings) -> None:
+        self.daemons = DAEMONS_ASSUMED
         self._window = fleet.retry_window_seconds
         self._ratio = fleet.retry_ratio
-        self._reserve = fleet.retry_reserve / DAEMONS_COUNTED
+        self._reserve = fleet.retry_reserve
         self._first: collections.deque[float] = collections.deque()
         self._further: collections.deque[float] = collections.deque()
 
@@ -38,7 +42,8 @@
         """Take one further try, if there is one left."""
         self._forget(self._first)
         self._forget(self._further)
-        allowed = len(self._first) * self._ratio + self._reserve
+        allowed = len(self._first) * self._ratio
+        allowed += self._reserve / self.daemons
         if len(self._further) + 1 > allowed * USED_SHARE:
             return False
         self._further.append(read_clock())
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -91,6 +91,15 @@
                 return opened
         return self._be_truthful(refusal)
 
+    def end(self, tried: OpenTry) -> None:
+        """Close a try; its target stops if it is still at work."""
+        tried.close()
+
+    def fail(self, tried: OpenTry, detail: str) -> None:
+        """Count a try whose answer was cut or spoilt."""
+        tried.load.trouble.note_failure(read_clock())
+        self._log('answer lost or spoilt', tried.target, detail)
+
     async def _choose(self) -> Target | Refusal:
         """The next target; one that is late already waits for a free slot."""
         began_at = read_clock()
@@ -110,15 +119,6 @@
                 LATE_LOOK_SECONDS * self.forwarder.rng.uniform(0.5, 1)
             )
 
-    def end(self, tried: OpenTry) -> None:
-        """Close a try; its target stops if it is still at work."""
-        tried.close()
-
-    def fail(self, tried: OpenTry, detail: str) -> None:
-        """Count a try whose answer was cut or spoilt."""
-        tried.load.trouble.note_failure(read_clock())
-        self._log('answer lost or spoilt', tried.target, detail)
-
     async def _send(
         self, target: Target, last_event: str | None, silence: float | None
     ) -> OpenTry | None:
--- a/src/ragwortcourse/weights/chunk_routes.py
+++ b/src/ragwortcourse/weights/chunk_routes.py
@@ -16,7 +16,7 @@
 FETCH_SECONDS: Final = 2.5
 CONNECT_SECONDS: Final = 0.3
 # Little enough that live requests on the same link don't wait long for it.
-SLICE_BYTES: Final = 8_192
+SLICE_BYTES: Final = 4_096
 RATE_OPTION: Final = 'rate'
 OK: Final = 200
 
--- a/src/ragwortcourse/weights/engine_switch.py
+++ b/src/ragwortcourse/weights/engine_switch.py
@@ -11,7 +11,7 @@
 from ragwortcourse.weights.engine_port import OrderOutcome
 from ragwortcourse.weights.loading import Loading
 from ragwortcourse.weights.stage_check import check_stage
-from ragwortcourse.weights.switch_turn import choose_delay
+from ragwortcourse.weights.switch_turn import choose_turn
 
 # Reports of the engine on the same host cost next to nothing.
 WATCH_SECONDS: Final = 0.2
@@ -42,15 +42,14 @@
     if drawn is None or not await check_stage(loading.ports.engine, drawn):
         return False
     if loading.read_held(rules):
-        await asyncio.sleep(await _read_delay(loading, rules, drawn))
-        await _announce(loading, CLOSED_SECONDS, 0)
-        await asyncio.sleep(NOTICE_SECONDS)
+        await _take_turn(loading, rules, drawn)
     return await _order(loading, rules, drawn)
 
 
-async def _read_delay(
+async def _take_turn(
     loading: Loading, rules: EngineRules, drawn: VersionChunks
-) -> float:
+) -> None:
+    """Wait for the engine's turn, with no new requests at its end."""
     version = drawn.manifest.version
     seen_at = min(
         named.seen_at
@@ -58,11 +57,22 @@
         if named.version == version
     )
     targets = await loading.ports.list_service()
-    return choose_delay(
+    turn = choose_turn(
         engines=[target.address for target in targets],
         own=loading.loader.engine,
         time_left=seen_at + loading.fleet.version_ms / 1000 - read_clock(),
     )
+    await asyncio.sleep(turn.delay)
+    await _announce(loading, CLOSED_SECONDS + turn.patience, 0)
+    idle_by = read_clock() + turn.patience
+    await asyncio.sleep(NOTICE_SECONDS)
+    while read_clock() < idle_by and not await _is_idle(loading):  # noqa: ASYNC110
+        await asyncio.sleep(LOADING_WATCH_SECONDS)
+
+
+async def _is_idle(loading: Loading) -> bool:
+    report = await loading.ports.engine.read_report()
+    return report is None or not report.running
 
 
 async def _order(
--- a/src/ragwortcourse/weights/loading.py
+++ b/src/ragwortcourse/weights/loading.py
@@ -13,7 +13,7 @@
 from ragwortcourse.weights.loading_ports import LoadingPorts
 
 # Part of the link that chunks may take; live requests share it.
-LINK_SHARE: Final = 0.95
+LINK_SHARE: Final = 0.92
 # Where operators have named none, engines hold the first one.
 FIRST_VERSION: Final = 1
 BYTES_IN_MEGABIT: Final = 125_000
--- a/src/ragwortcourse/weights/relay_drawing.py
+++ b/src/ragwortcourse/weights/relay_drawing.py
@@ -10,7 +10,7 @@
 from ragwortcourse.forwarding.service_rules import ServiceRules
 from ragwortcourse.identifiers import FailureDomainName, ModelName
 from ragwortcourse.settings import FleetSettings, Settings
-from ragwortcourse.weights.chunk_cache import ChunkCache
+from ragwortcourse.weights.chunk_cache import DRAWN_AHEAD, ChunkCache
 from ragwortcourse.weights.chunk_routes import fetch_chunk
 from ragwortcourse.weights.chunk_sources import (
     list_loader_sources,
@@ -22,9 +22,10 @@
 # Holders that are asked before relays and the origin.
 HOLDERS_ASKED: Final = 2
 
-# Bytes a second of one chunk between relays: several of them draw at once
-# over a line between regions that carries live requests too.
-AHEAD_RATE: Final = 250_000
+# Bytes a second that the relays of one failure domain draw together: half of
+# the narrowest line between regions, which carries live requests too, and
+# more than a loader's link takes.
+DOMAIN_RATE: Final = 800_000
 
 ListRelays = Callable[[], Awaitable[Sequence[RelayRecord]]]
 ReadOriginManifest = Callable[
@@ -92,13 +93,19 @@
 
     async def draw(self, manifest: FleetManifest, index: int) -> bytes | None:
         """Bytes of a chunk from the first source that has it right."""
-        for address in await self._list_addresses(manifest, index):
+        relays = await self._list_relays()
+        near = sum(
+            relay.failure_domain == self._settings.failure_domain
+            for relay in relays
+        )
+        rate = DOMAIN_RATE // (max(near, 1) * DRAWN_AHEAD)
+        for address in self._list_addresses(manifest, index, relays):
             content = await fetch_chunk(
                 session=self._session,
                 address=address,
                 manifest=manifest,
                 index=index,
-                rate=AHEAD_RATE,
+                rate=rate,
             )
             if manifest.matches(index, content):
                 return content
@@ -121,8 +128,11 @@
             if first.daemon == self._settings.daemon
         )
 
-    async def _list_addresses(
-        self, manifest: FleetManifest, index: int
+    def _list_addresses(
+        self,
+        manifest: FleetManifest,
+        index: int,
+        known: Sequence[RelayRecord],
     ) -> list[str]:
         holders = list_holders(
             self._state, manifest, self._settings.failure_domain
@@ -135,7 +145,7 @@
         if origin is not None and origin.origin_domain is not None:
             region = self._fleet.failure_domains[origin.origin_domain]
         relays = list_relay_sources(
-            relays=await self._list_relays(),
+            relays=known,
             own=self._settings.daemon,
             origin_region=region,
             index=index,
--- a/src/ragwortcourse/weights/switch_turn.py
+++ b/src/ragwortcourse/weights/switch_turn.py
@@ -2,28 +2,52 @@
 
 Load pattern: all engines of a service have drawn a version at nearly the
 same moment, while requests keep coming. Each takes none while it loads, and
-what it runs moves to others; so they take turns over the time that is left.
+what it runs moves to others, which read its prompts again; so they take
+turns over the time that is left. The last ones cut nothing off: from the
+version's bound on they get no new requests, and load once they are idle.
 """
 
+import dataclasses
 from collections.abc import Sequence
 from typing import Final
 
 from ragwortcourse.membership.rendezvous import score_pair
 
-# Before a version's bound, by which the last order is given.
+# Before a version's bound, from which entry daemons send nothing to engines
+# that are behind.
 LAST_ORDER_SECONDS: Final = 0.8
+# Part of the engines that go on until then: what the others bear alone.
+LAST_SHARE: Final = 0.3
+# What has begun on such an engine is over by then, or is cut off.
+IDLE_SECONDS: Final = 2.0
 
 
-def choose_delay(
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SwitchTurn:
+    """When an engine is ordered.
+
+    :param delay: seconds until it takes no more requests.
+    :param patience: seconds that it may take from then on to become idle.
+    """
+
+    delay: float
+    patience: float
+
+
+def choose_turn(
     *, engines: Sequence[str], own: str, time_left: float
-) -> float:
-    """Seconds to wait before the order.
+) -> SwitchTurn:
+    """The turn of one engine.
 
     :param engines: addresses of the engines of the service.
     :param time_left: seconds until no request may begin on an older version.
     """
     order = sorted(engines, key=lambda address: score_pair(address, ''))
-    if own not in order:
-        return 0
     spread = max(time_left - LAST_ORDER_SECONDS, 0)
-    return spread * order.index(own) / len(order)
+    if own not in order:
+        return SwitchTurn(delay=0, patience=0)
+    turn = order.index(own) / len(order)
+    early = 1 - LAST_SHARE
+    if turn < early:
+        return SwitchTurn(delay=spread * turn / early, patience=0)
+    return SwitchTurn(delay=spread, patience=IDLE_SECONDS)
