--- /dev/null
+++ b/fakes/fleet_parts.py
@@ -0,0 +1,230 @@
+"""Values of a fleet for tests: settings, routes, targets, rows."""
+
+import dataclasses
+import random
+
+import aiohttp
+from multidict import CIMultiDict
+
+from ragwortcourse.forwarding.account import Account
+from ragwortcourse.forwarding.call import Call, Work
+from ragwortcourse.forwarding.call_kind import CallKind
+from ragwortcourse.forwarding.desired_state import DesiredState
+from ragwortcourse.forwarding.engine_rules import EngineRules
+from ragwortcourse.forwarding.fleet_state import FleetState, read_boot_clock
+from ragwortcourse.forwarding.forwarder import Forwarder
+from ragwortcourse.forwarding.route import Route, ServiceShare
+from ragwortcourse.forwarding.service_rules import ServiceRules
+from ragwortcourse.forwarding.target import HeldWeights, Target
+from ragwortcourse.identifiers import (
+    AttemptId,
+    ClientAccountName,
+    DaemonId,
+    FailureDomainName,
+    HostName,
+    ModelName,
+    RegionName,
+    ServiceName,
+    TargetName,
+)
+from ragwortcourse.platform.wire import build_wire_format
+from ragwortcourse.settings import (
+    FleetSettings,
+    ListenSettings,
+    Role,
+    Settings,
+)
+
+ENGINES = ServiceName('engines')
+PLAIN = ServiceName('plain')
+MODEL = ModelName('drafts')
+NEAR = FailureDomainName('near-a')
+SAME_REGION = FailureDomainName('near-b')
+FAR = FailureDomainName('far-a')
+REGIONS = {
+    NEAR: RegionName('near'),
+    SAME_REGION: RegionName('near'),
+    FAR: RegionName('far'),
+}
+KEY = 'a-key'
+FLEET = FleetSettings(
+    store='127.0.0.1:1',
+    failure_domains=REGIONS,
+    grace_seconds=8,
+    strict_revocation=True,
+    revoke_ms=5000,
+    version_ms=8000,
+    contact_ms=3000,
+    retry_ratio=0.2,
+    retry_window_seconds=10,
+    retry_reserve=106,
+    cold_factor=1.5,
+    cold_reserve=5,
+)
+ENGINE_RULES = EngineRules(
+    model=MODEL,
+    slots=16,
+    step=0.00887,
+    step_per_request=0.0000388,
+    read_rate=19_100,
+    stride=5,
+    usual_prompt=977,
+    usual_answer=94,
+    layers=16,
+    chunks=4,
+    chunk_bytes=1000,
+)
+ACCOUNT = Account(name=ClientAccountName('parents'))
+
+
+def make_settings(**changes: object) -> Settings:
+    """Settings of a forwarder."""
+    usual: dict[str, object] = {
+        'role': Role.FORWARDER,
+        'daemon': DaemonId('entry-1'),
+        'host': HostName('entry-1'),
+        'failure_domain': NEAR,
+        'region': REGIONS[NEAR],
+        'listen': ListenSettings(
+            peers='127.0.0.1:7000',
+            watch='127.0.0.1:7001',
+            callers='127.0.0.1:7002',
+        ),
+        'fleet': FLEET,
+    }
+    return Settings(**{**usual, **changes})  # type: ignore[arg-type]
+
+
+def make_route(**changes: object) -> Route:
+    """A route to the engines."""
+    usual: dict[str, object] = {
+        'name': 'letters',
+        'host': 'desk.example',
+        'prefix': '/letters/',
+        'kind': CallKind.STREAMING,
+        'services': (ServiceShare(service=ENGINES, weight=1),),
+        'time_limit': 6.0,
+        'objective': 0.5,
+        'longest_gap': 0.4,
+        'attempts': 2,
+        'resumable': True,
+    }
+    return Route(**{**usual, **changes})  # type: ignore[arg-type]
+
+
+PLAIN_SHARE = (ServiceShare(service=PLAIN, weight=1),)
+LOOKUP = make_route(
+    name='lookups',
+    prefix='/lookups/',
+    kind=CallKind.IDEMPOTENT,
+    services=PLAIN_SHARE,
+    time_limit=0.8,
+    resumable=False,
+)
+CHARGE = make_route(
+    name='charges',
+    prefix='/charges/',
+    kind=CallKind.NON_IDEMPOTENT,
+    services=PLAIN_SHARE,
+    attempts=1,
+    time_limit=0.8,
+    resumable=False,
+)
+OPEN = dataclasses.replace(LOOKUP, name='open', prefix='/open/', public=True)
+
+
+def make_desired(*routes: Route, version: int = 1) -> DesiredState:
+    """A desired state with both services and one key."""
+    known = routes or (make_route(), LOOKUP, CHARGE, OPEN)
+    by_host: dict[str, tuple[Route, ...]] = {}
+    for route in sorted(known, key=lambda each: -len(each.prefix)):
+        by_host[route.host] = (*by_host.get(route.host, ()), route)
+    return DesiredState(
+        version=version,
+        routes=by_host,
+        services={
+            ENGINES: ServiceRules(
+                name=ENGINES, cold_rate=36, engine=ENGINE_RULES
+            ),
+            PLAIN: ServiceRules(name=PLAIN),
+        },
+        accounts={KEY: ACCOUNT},
+    )
+
+
+def make_target(name: str = 't-1', **changes: object) -> Target:
+    """An engine that holds version 1."""
+    usual: dict[str, object] = {
+        'name': TargetName(name),
+        'born': 1,
+        'service': ENGINES,
+        'address': '127.0.0.1:1',
+        'failure_domain': NEAR,
+        'region': REGIONS[NEAR],
+        'slots': 16,
+        'weights': HeldWeights(version=1, first=0, end=16),
+    }
+    target = Target(**{**usual, **changes})  # type: ignore[arg-type]
+    return dataclasses.replace(target, region=REGIONS[target.failure_domain])
+
+
+def make_plain(name: str = 'p-1', **changes: object) -> Target:
+    """A target of the plain service."""
+    return make_target(
+        name, **{'service': PLAIN, 'weights': None, 'slots': 6, **changes}
+    )
+
+
+def make_state(*targets: Target) -> FleetState:
+    """A state that was confirmed a moment ago."""
+    return FleetState(
+        desired=make_desired(),
+        confirmed_at=read_boot_clock(),
+        targets={target.name: target for target in targets},
+        targets_known=True,
+    )
+
+
+def make_forwarder(
+    state: FleetState, session: aiohttp.ClientSession, **changes: object
+) -> Forwarder:
+    """A forwarder with a seeded choice."""
+    return Forwarder(
+        settings=make_settings(**changes),
+        state=state,
+        wire=build_wire_format(),
+        session=session,
+        rng=random.Random(1),
+    )
+
+
+def make_call(**changes: object) -> Call:
+    """A fresh request for a letter."""
+    usual: dict[str, object] = {
+        'attempt': AttemptId('a1'),
+        'method': 'POST',
+        'host': 'desk.example',
+        'path': '/letters/1',
+        'target_path': '/letters/1',
+        'time_left': 6.0,
+        'key': KEY,
+        'prompt_tokens': 977,
+        'answer_tokens': 94,
+        'last_event': None,
+        'headers': CIMultiDict(),
+        'arrived_at': 0.0,
+    }
+    return Call(**{**usual, **changes})  # type: ignore[arg-type]
+
+
+def make_work(route: Route | None = None, **changes: object) -> Work:
+    """Work on a route, by default on the engines."""
+    call = make_call(**changes)
+    known = route or make_route()
+    return Work(
+        call=call,
+        route=known,
+        account=ACCOUNT,
+        body=b'',
+        deadline=call.arrived_at + known.time_limit,
+    )
--- /dev/null
+++ b/fakes/fleet_store.py
@@ -0,0 +1,148 @@
+"""A stand-in of the store of rows that the users' platform runs."""
+
+import asyncio
+import base64
+import dataclasses
+import json
+from collections.abc import Iterator
+
+from aiohttp import web
+
+OK = 200
+GONE = 410
+REFUSED = 503
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Row:
+    """One row as it was last changed; no value once it was dropped."""
+
+    table: str
+    key: str
+    value: str | None
+    version: int
+
+
+class FleetStore:
+    """Rows, their history, and switches that make calls fail.
+
+    :ivar down: every call is refused.
+    :ivar silent: calls get no answer.
+    :ivar calls: paths asked for.
+    """
+
+    def __init__(self) -> None:
+        self.down = False
+        self.silent = False
+        self.calls: list[str] = []
+        self.revision = 0
+        self._rows: dict[tuple[str, str], Row] = {}
+        self._oldest = 0
+        self._changed = asyncio.Event()
+
+    def put(self, table: str, key: str, value: object) -> None:
+        """Write a row; anything but bytes is written as JSON."""
+        content = (
+            value if isinstance(value, bytes) else json.dumps(value).encode()
+        )
+        self._change(table, key, base64.b64encode(content).decode())
+
+    def drop(self, table: str, key: str) -> None:
+        """Drop a row."""
+        self._change(table, key, None)
+
+    def forget_history(self) -> None:
+        """Keep rows, but none of the changes that led to them."""
+        self._oldest = self.revision
+
+    def read(self, table: str, key: str) -> bytes | None:
+        """Content of a row."""
+        row = self._rows.get((table, key))
+        if row is None or row.value is None:
+            return None
+        return base64.b64decode(row.value)
+
+    def build_app(self) -> web.Application:
+        """The store's calls."""
+        app = web.Application()
+        app.add_routes(
+            [
+                web.get('/rows-get', self._get),
+                web.get('/rows-feed', self._feed),
+                web.post('/rows-tx', self._write),
+            ]
+        )
+        return app
+
+    def _change(self, table: str, key: str, value: str | None) -> None:
+        self.revision += 1
+        self._rows[table, key] = Row(
+            table=table, key=key, value=value, version=self.revision
+        )
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _list(self, table: str, after: int) -> Iterator[dict[str, object]]:
+        for row in sorted(self._rows.values(), key=lambda row: row.version):
+            if row.table == table and row.version > after:
+                shown: dict[str, object] = {
+                    'table': table,
+                    'part': '',
+                    'key': row.key,
+                    'row_version': row.version,
+                }
+                if row.value is None:
+                    yield {**shown, 'deleted': True}
+                else:
+                    yield {**shown, 'value': row.value}
+
+    async def _check(self, request: web.Request) -> None:
+        self.calls.append(request.path)
+        if self.silent:
+            await asyncio.Event().wait()
+        if self.down:
+            raise web.HTTPServiceUnavailable
+
+    async def _get(self, request: web.Request) -> web.Response:
+        await self._check(request)
+        rows = [
+            row
+            for row in self._list(request.query['table'], 0)
+            if 'deleted' not in row
+        ]
+        return self._answer(rows)
+
+    async def _feed(self, request: web.Request) -> web.Response:
+        await self._check(request)
+        after = int(request.query['after_rev'])
+        if after < self._oldest:
+            return web.Response(status=GONE)
+        rows = list(self._list(request.query['table'], after))
+        if not rows:
+            await self._wait(int(request.query['wait_ms']) / 1000)
+            rows = list(self._list(request.query['table'], after))
+        return self._answer(rows)
+
+    async def _wait(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    async def _write(self, request: web.Request) -> web.Response:
+        await self._check(request)
+        change = await request.json()
+        for row in change['write']:
+            self._change(row['table'], row['key'], row['value'])
+        return self._answer([])
+
+    def _answer(self, rows: list[dict[str, object]]) -> web.Response:
+        return web.json_response(
+            {
+                'rows': rows,
+                'has_more': False,
+                'row_version': self.revision,
+                'now_ms': 0,
+            }
+        )
--- /dev/null
+++ b/fakes/fleet_target.py
@@ -0,0 +1,158 @@
+"""A stand-in target of a fleet that answers by script, byte by byte."""
+
+import asyncio
+import dataclasses
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+LINGER = struct.pack('ii', 1, 0)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Received:
+    """One request as the target read it.
+
+    :ivar headers: names in lower case.
+    """
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def attempt(self) -> str:
+        """The caller's id."""
+        return self.headers.get('ragwortcourse-attempt-id', '')
+
+
+class Wire:
+    """What a script may do with the connection."""
+
+    def __init__(self, *, writer: asyncio.StreamWriter) -> None:
+        self._writer = writer
+
+    async def send(self, content: bytes) -> None:
+        """Write some bytes."""
+        self._writer.write(content)
+        await self._writer.drain()
+
+    async def answer(
+        self,
+        received: Received,
+        status: int = 200,
+        body: bytes = b'whole',
+        **headers: str,
+    ) -> None:
+        """A whole answer of this target."""
+        await self.begin(
+            received, status, content_length=str(len(body)), **headers
+        )
+        await self.send(body)
+
+    async def begin(
+        self, received: Received, status: int = 200, **headers: str
+    ) -> None:
+        """Status and headers, with the target's own marks."""
+        marks = {
+            'ragwortcourse_attempt_id': received.attempt,
+            'ragwortcourse_server_stamp': 'stamp',
+            **headers,
+        }
+        lines = [f'HTTP/1.1 {status} X']
+        lines += [
+            f'{name.replace("_", "-")}: {text}'
+            for name, text in marks.items()
+            if text
+        ]
+        await self.send('\r\n'.join([*lines, '', '']).encode())
+
+    async def send_events(self, first: int, end: int) -> None:
+        """Events in chunks."""
+        for number in range(first, end):
+            event = f'id: {number}\ndata: word{number}\n\n'.encode()
+            await self.send(b'%x\r\n%b\r\n' % (len(event), event))
+
+    def reset(self) -> None:
+        """Reset the connection."""
+        opened = self._writer.get_extra_info('socket')
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+        self._writer.transport.abort()
+
+
+Script = Callable[[Received, Wire], Awaitable[None]]
+
+
+async def answer_whole(received: Received, wire: Wire) -> None:
+    """Answer as a healthy target does."""
+    await wire.answer(received)
+
+
+def begin_with(first: Script, then: Script) -> Script:
+    """One script for the first request at any of some targets."""
+    remaining = [first]
+
+    async def script(received: Received, wire: Wire) -> None:
+        chosen = remaining.pop() if remaining else then
+        await chosen(received, wire)
+
+    return script
+
+
+class FleetTarget:
+    """One target; its scripts are used up one by one, the last stays.
+
+    :ivar received: requests in the order in which they came.
+    :ivar left: requests whose connection the other side closed.
+    """
+
+    def __init__(self, *scripts: Script) -> None:
+        self.scripts = list(scripts) or [answer_whole]
+        self.received: list[Received] = []
+        self.left = 0
+        self.address = ''
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+
+    async def stop(self) -> None:
+        """Listen no more."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            received = await self._read(reader)
+        except (asyncio.IncompleteReadError, OSError):
+            writer.close()
+            return
+        self.received.append(received)
+        script = self.scripts.pop(0) if len(self.scripts) > 1 else None
+        run = asyncio.ensure_future(
+            (script or self.scripts[0])(received, Wire(writer=writer))
+        )
+        gone = asyncio.ensure_future(reader.read(1))
+        await asyncio.wait((run, gone), return_when=asyncio.FIRST_COMPLETED)
+        if not run.done():
+            self.left += 1
+        run.cancel()
+        gone.cancel()
+        await asyncio.gather(run, gone, return_exceptions=True)
+        writer.close()
+
+    async def _read(self, reader: asyncio.StreamReader) -> Received:
+        head = (await reader.readuntil(b'\r\n\r\n')).decode()
+        first, *lines = head.strip().split('\r\n')
+        method, path, _ = first.split(' ', 2)
+        pairs = (line.split(': ', 1) for line in lines)
+        headers = {name.lower(): text for name, text in pairs}
+        length = int(headers.get('content-length', 0))
+        body = await reader.readexactly(length)
+        return Received(method=method, path=path, headers=headers, body=body)
--- /dev/null
+++ b/tests/test_desired_states.py
@@ -0,0 +1,173 @@
+"""Tests of the decoding of the operators' rows and of targets' rows."""
+
+import json
+
+import msgspec
+import pytest
+
+from fakes.fleet_parts import REGIONS
+from ragwortcourse.forwarding.call_kind import CallKind
+from ragwortcourse.platform.desired_states import decode_desired_state
+from ragwortcourse.platform.target_rows import decode_target
+
+ROUTE = {
+    'name': 'r',
+    'host': 'Desk.Example',
+    'prefix': '/a/',
+    'route_type': 'streaming',
+    'timeout_ms': 6000,
+    'slo_ms': 404,
+    'service': 'svc',
+    'max_attempts': 2,
+    'public': False,
+    'resumable': True,
+    'gap_target_ms': 400,
+    'allowed_regions': ['near'],
+    'sticky': True,
+    'unknown': 1,
+}
+ENGINE = {
+    'slots': 16,
+    'step_ms': 8.87,
+    'per_seq_ms': 0.04,
+    'read_per_s': 19100.0,
+    'stride': 5,
+    'usual': {'prompt': 977, 'answer': 94},
+    'models': [{'name': 'm', 'pace': 1.0}],
+    'layers': 16,
+    'chunks': 48,
+    'chunk_bytes': 49152,
+}
+TARGET = {
+    'service': 'svc',
+    'address': '10.0.0.1:80',
+    'zone': 'near-a',
+    'version': 'v1',
+    'slots': 16,
+    'state': 'ready',
+    'cold_left_ms': 1500,
+    'layers': {'from': 0, 'to': 16, 'version': 2},
+    'born': 1700,
+    'seq': 4,
+}
+
+
+def decode(**changes: object):
+    """A desired state."""
+    state = {'version': 7, 'routes': [ROUTE], 'services': [], **changes}
+    return decode_desired_state(json.dumps(state).encode())
+
+
+class TestDecodeDesiredState:
+    """The operators' row."""
+
+    def test_route(self):
+        """Milliseconds become seconds, names the project's own."""
+        (route,) = decode().routes['desk.example']
+        assert route.kind is CallKind.STREAMING
+        assert route.time_limit == 6
+        assert route.objective == pytest.approx(0.404)
+        assert route.longest_gap == pytest.approx(0.4)
+        assert route.attempts == 2
+        assert route.may_repeat
+        assert route.regions == {'near'}
+
+    def test_split(self):
+        """A split route has each service with its weight."""
+        split = [
+            {'service': 'x', 'weight': 90},
+            {'service': 'y', 'weight': 10},
+        ]
+        (route,) = decode(routes=[{**ROUTE, 'split': split}]).routes[
+            'desk.example'
+        ]
+        assert [(each.service, each.weight) for each in route.services] == [
+            ('x', 90),
+            ('y', 10),
+        ]
+
+    def test_longest_prefix_first(self):
+        """Routes of a host are ordered by the length of their prefix."""
+        longer = {**ROUTE, 'name': 'longer', 'prefix': '/a/b/'}
+        routes = decode(routes=[ROUTE, longer]).routes['desk.example']
+        assert [route.name for route in routes] == ['longer', 'r']
+
+    def test_services(self):
+        """Engines and origins are told apart."""
+        services = [
+            {'name': 'svc', 'engine': ENGINE, 'cold_per_s': 36.0},
+            {'name': 'o', 'origin': '10.0.0.9:80', 'zone': 'far-a'},
+        ]
+        state = decode(services=services)
+        engine = state.find_engine('svc')
+        assert engine.model == 'm'
+        assert engine.step == pytest.approx(0.00887)
+        assert state.services['o'].origin == '10.0.0.9:80'
+        assert state.find_engine('o') is None
+        assert state.find_engine('unknown') is None
+
+    def test_accounts(self):
+        """Each key leads to its account; without accounts none is asked."""
+        tenants = [{'name': 't', 'api_keys': ['k1', 'k2'], 'priority': 1}]
+        accounts = decode(tenants=tenants).accounts
+        assert accounts['k1'] is not None
+        assert accounts['k1'] == accounts['k2']
+        assert decode().accounts is None
+
+    @pytest.mark.parametrize('content', [b'', b'{', b'[]', b'{"routes":[]}'])
+    def test_unreadable(self, content):
+        """Bytes that are no desired state are an error, not an empty one."""
+        with pytest.raises(msgspec.DecodeError):
+            decode_desired_state(content)
+
+
+def decode_row(**changes: object):
+    """A target."""
+    row = {**TARGET, **changes}
+    return decode_target('i-1', json.dumps(row).encode(), REGIONS)
+
+
+class TestDecodeTarget:
+    """Rows in which targets register."""
+
+    def test_fields(self):
+        """A row becomes a target in its region."""
+        target = decode_row()
+        assert target.name == 'i-1'
+        assert target.born == 1700
+        assert target.region == 'near'
+        assert target.cold_seconds == pytest.approx(1.5)
+        assert target.holds(16)
+        assert target.weights.version == 2
+
+    def test_leaving(self):
+        """A draining target is leaving."""
+        assert decode_row(state='draining').leaving
+
+    @pytest.mark.parametrize(
+        'layers', [None, {'from': 0, 'to': 0, 'version': 0}, {}]
+    )
+    def test_empty_engine(self, layers):
+        """An engine without layers holds nothing."""
+        target = decode_row(layers=layers)
+        assert target.weights is None
+        assert not target.holds(16)
+
+    def test_part_of_the_layers(self):
+        """An engine with some layers does not hold the model."""
+        layers = {'from': 0, 'to': 8, 'version': 2}
+        assert not decode_row(layers=layers).holds(16)
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'state': 'resting'},
+            {'zone': 'nowhere'},
+            {'slots': 'many'},
+            {'address': None},
+        ],
+    )
+    def test_foreign_rows(self, changes):
+        """Rows of other writers name no target."""
+        with pytest.raises((msgspec.DecodeError, ValueError)):
+            decode_row(**changes)
--- /dev/null
+++ b/tests/test_event_buffer.py
@@ -0,0 +1,53 @@
+"""Tests of :mod:`ragwortcourse.forwarding.event_buffer`."""
+
+import itertools
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ragwortcourse.forwarding.event_buffer import EventBuffer
+
+EVENTS = b''.join(b'id: %d\ndata: word\n\n' % number for number in range(5))
+
+
+class TestEventBuffer:
+    """Events out of pieces."""
+
+    def test_holds_back(self):
+        """Part of an event is held back."""
+        events = EventBuffer(last_event=None)
+        assert events.add(b'id: 0\ndata: wo') == b''
+        assert events.has_rest
+        assert events.add(b'rd\n\nid: 1') == b'id: 0\ndata: word\n\n'
+        assert events.last_event == '0'
+
+    def test_dropped_rest(self):
+        """A part that will not become whole is forgotten."""
+        events = EventBuffer(last_event='3')
+        events.add(b'id: 4\nda')
+        events.drop_rest()
+        assert not events.has_rest
+        assert events.last_event == '3'
+        assert events.add(b'id: 4\ndata: x\n\n') == b'id: 4\ndata: x\n\n'
+
+    @pytest.mark.parametrize(
+        ('line', 'expected'),
+        [(b'id:7', '7'), (b'id: 7', '7'), (b'idx: 7', '2')],
+    )
+    def test_id(self, line, expected):
+        """Only the id field moves on."""
+        events = EventBuffer(last_event='2')
+        events.add(line + b'\ndata: x\n\n')
+        assert events.last_event == expected
+
+    @given(st.sets(st.integers(0, len(EVENTS))))
+    def test_any_pieces(self, cuts):
+        """However a stream is cut, the same events come out."""
+        events = EventBuffer(last_event=None)
+        edges = [0, *sorted(cuts), len(EVENTS)]
+        pieces = [EVENTS[start:end] for start, end in itertools.pairwise(edges)]
+        given_out = [events.add(piece) for piece in pieces]
+        assert b''.join(given_out) == EVENTS
+        assert events.last_event == '4'
+        assert not events.has_rest
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,518 @@
+"""Tests of the callers' port of a forwarder, against scripted targets."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+import aiohttp
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestClient, TestServer
+
+from fakes.fleet_parts import (
+    CHARGE,
+    KEY,
+    LOOKUP,
+    make_desired,
+    make_forwarder,
+    make_plain,
+    make_route,
+    make_state,
+    make_target,
+)
+from fakes.fleet_target import (
+    FleetTarget,
+    Received,
+    Wire,
+    answer_whole,
+    begin_with,
+)
+from ragwortcourse.forwarding.calls import build_call_routes
+from ragwortcourse.forwarding.exchange import open_target_session
+from ragwortcourse.forwarding.fleet_state import read_boot_clock
+from ragwortcourse.forwarding.named_weights import NamedWeights
+from ragwortcourse.forwarding.target import HeldWeights
+
+LETTER = '/letters/1'
+LOOK = '/lookups/1'
+CHARGED = '/charges/1'
+EVENTS = ''.join(f'id: {number}\ndata: word{number}\n\n' for number in range(6))
+END = b'0\r\n\r\n'
+
+
+async def stream_all(received: Received, wire: Wire) -> None:
+    """Six events, after those that the caller has."""
+    first = int(received.headers.get('last-event-id', -1)) + 1
+    await begin_stream(received, wire)
+    await wire.send_events(first, 6)
+    await wire.send(END)
+
+
+async def begin_stream(received: Received, wire: Wire) -> None:
+    """Headers of a stream."""
+    await wire.begin(
+        received, transfer_encoding='chunked', content_type='text/event-stream'
+    )
+
+
+def stream_until(end: int, *, rest: bytes = b''):
+    """A stream that breaks after some events."""
+
+    async def script(received: Received, wire: Wire) -> None:
+        await begin_stream(received, wire)
+        await wire.send_events(0, end)
+        if rest:
+            await wire.send(b'%x\r\n%b\r\n' % (len(rest), rest))
+        await asyncio.sleep(0.05)
+        wire.reset()
+
+    return script
+
+
+async def decline(received: Received, wire: Wire) -> None:
+    """Say that the request was not run."""
+    await wire.answer(received, 503, b'', ragwortcourse_not_executed='1')
+
+
+async def misdirect(received: Received, wire: Wire) -> None:
+    """Answer as another instance."""
+    await wire.answer(received, 421, b'')
+
+
+async def fail(received: Received, wire: Wire) -> None:
+    """A failure of the target's own."""
+    await wire.answer(received, 500, b'broken')
+
+
+async def cut(received: Received, wire: Wire) -> None:
+    """Run the request and lose the answer."""
+    wire.reset()
+
+
+async def hang(received: Received, wire: Wire) -> None:
+    """Say nothing for ever."""
+    await asyncio.Event().wait()
+
+
+async def answer_unframed(received: Received, wire: Wire) -> None:
+    """A body that ends with its connection."""
+    await wire.begin(received)
+    await wire.send(b'whole')
+
+
+async def reset_unframed(received: Received, wire: Wire) -> None:
+    """A body without length that is reset on its way."""
+    await wire.begin(received)
+    await wire.send(b'half')
+    await asyncio.sleep(0.02)
+    wire.reset()
+
+
+async def answer_short(received: Received, wire: Wire) -> None:
+    """Less than was promised."""
+    await wire.begin(received, content_length='50')
+    await wire.send(b'short')
+
+
+async def answer_garbled(received: Received, wire: Wire) -> None:
+    """A chunk whose size can't be read."""
+    await wire.begin(received, transfer_encoding='chunked')
+    await wire.send(b'zz\r\nhalf\r\n')
+
+
+async def answer_noise(received: Received, wire: Wire) -> None:
+    """Bytes that are no answer."""
+    await wire.send(b'\x00\xffnoise\r\n\r\n')
+
+
+async def answer_other(received: Received, wire: Wire) -> None:
+    """The answer to another request."""
+    other = dataclasses.replace(
+        received, headers={'ragwortcourse-attempt-id': 'other'}
+    )
+    await wire.answer(other)
+
+
+async def answer_unmarked(received: Received, wire: Wire) -> None:
+    """An answer that no target made."""
+    await wire.answer(received, ragwortcourse_server_stamp='')
+
+
+async def answer_twice(received: Received, wire: Wire) -> None:
+    """One answer too many."""
+    await wire.answer(received)
+    await wire.answer(received, 200, b'extra')
+
+
+class Fleet:
+    """A forwarder with some targets, and a caller."""
+
+    def __init__(self) -> None:
+        self.targets: list[FleetTarget] = []
+        self.stack = contextlib.AsyncExitStack()
+
+    async def open(self, *scripts, plain: bool = False, **changes) -> None:
+        """Start a target for each list of scripts."""
+        listed = []
+        for number, each in enumerate(scripts):
+            target = FleetTarget(*each)
+            await target.start()
+            self.stack.push_async_callback(target.stop)
+            self.targets.append(target)
+            make = make_plain if plain else make_target
+            listed.append(
+                make(f't-{number}', address=target.address, **changes)
+            )
+        self.state = make_state(*listed)
+        session = await self.stack.enter_async_context(open_target_session())
+        self.forwarder = make_forwarder(self.state, session)
+        app = web.Application()
+        app.add_routes(build_call_routes(self.forwarder))
+        server = TestServer(app, handler_cancellation=True)
+        self.client = await self.stack.enter_async_context(TestClient(server))
+
+    def set_routes(self, *routes) -> None:
+        """Other routes than the usual ones."""
+        self.state.desired = make_desired(*routes)
+
+    async def ask(self, path: str, **headers: str) -> aiohttp.ClientResponse:
+        """One request, read whole."""
+        response = await self.client.post(
+            path,
+            data=b'body',
+            headers={
+                'Host': 'desk.example',
+                'Authorization': f'Bearer {KEY}',
+                'Ragwortcourse-Attempt-Id': 'a1',
+                'Ragwortcourse-Deadline-Ms': '6000',
+                **headers,
+            },
+        )
+        await response.read()
+        return response
+
+    @property
+    def runs(self) -> int:
+        """Requests that reached any target."""
+        return sum(len(target.received) for target in self.targets)
+
+
+@pytest.fixture
+async def fleet():
+    """A fleet that is closed at the end."""
+    opened = Fleet()
+    async with opened.stack:
+        yield opened
+
+
+class TestPassedOn:
+    """What targets and callers get."""
+
+    async def test_answer_unchanged(self, fleet):
+        """Status, body and the target's mark come back as they are."""
+        await fleet.open([answer_whole], plain=True)
+        response = await fleet.ask(LOOK)
+        assert response.status == 200
+        assert await response.read() == b'whole'
+        assert response.headers['Ragwortcourse-Server-Stamp'] == 'stamp'
+
+    async def test_request_unchanged(self, fleet):
+        """Method, path, query and body reach the target as they are."""
+        await fleet.open([answer_whole], plain=True)
+        await fleet.ask(f'{LOOK}?q=%20a')
+        (received,) = fleet.targets[0].received
+        assert received.method == 'POST'
+        assert received.path == f'{LOOK}?q=%20a'
+        assert received.body == b'body'
+        assert received.headers['host'] == 'desk.example'
+        assert 'authorization' not in received.headers
+        assert received.headers['ragwortcourse-tenant'] == 'parents'
+        assert received.headers['ragwortcourse-expect-instance'] == 't-0'
+        assert int(received.headers['ragwortcourse-deadline-ms']) <= 800
+
+    async def test_failure_of_the_target(self, fleet):
+        """A failure that may not be repeated comes back as it is."""
+        await fleet.open([fail], [fail], plain=True)
+        response = await fleet.ask(CHARGED)
+        assert response.status == 500
+        assert fleet.runs == 1
+
+    async def test_unframed_answer(self, fleet):
+        """A body that ends with its connection is whole."""
+        await fleet.open([answer_unframed], plain=True)
+        response = await fleet.ask(LOOK)
+        assert response.status == 200
+        assert await response.read() == b'whole'
+
+    async def test_extra_answer(self, fleet):
+        """An extra answer belongs to nobody."""
+        await fleet.open([answer_twice, answer_whole], plain=True)
+        for _ in range(2):
+            response = await fleet.ask(LOOK)
+            assert await response.read() == b'whole'
+
+
+SPOILT = [
+    cut,
+    reset_unframed,
+    answer_short,
+    answer_garbled,
+    answer_noise,
+    answer_other,
+    answer_unmarked,
+]
+
+
+class TestSpoiltAnswers:
+    """Answers that are lost or wrong."""
+
+    @pytest.mark.parametrize('script', SPOILT)
+    async def test_charge_is_not_repeated(self, fleet, script):
+        """A charge whose answer is lost is neither repeated nor denied."""
+        await fleet.open([script, answer_whole], [script], plain=True)
+        response = await fleet.ask(CHARGED)
+        assert response.status == 502
+        assert fleet.runs == 1
+
+    @pytest.mark.parametrize('script', SPOILT)
+    async def test_lookup_is_repeated(self, fleet, script):
+        """A lookup whose answer is lost is answered by another target."""
+        shared = begin_with(script, answer_whole)
+        await fleet.open([shared], [shared], plain=True)
+        response = await fleet.ask(LOOK)
+        assert response.status == 200
+        assert await response.read() == b'whole'
+
+    async def test_no_more_than_the_route_allows(self, fleet):
+        """No more targets than the route allows may run a request."""
+        await fleet.open([cut], [cut], [cut], [cut], plain=True)
+        response = await fleet.ask(LOOK)
+        assert response.status == 502
+        assert fleet.runs == LOOKUP.attempts
+
+
+class TestNotRun:
+    """Requests that targets did not run."""
+
+    @pytest.mark.parametrize('script', [decline, misdirect])
+    async def test_charge_goes_elsewhere(self, fleet, script):
+        """A charge that was not run may go to another target."""
+        shared = begin_with(script, answer_whole)
+        await fleet.open([shared], [shared], plain=True)
+        response = await fleet.ask(CHARGED)
+        assert response.status == 200
+        assert fleet.runs == 2
+
+    async def test_unreachable(self, fleet):
+        """A target that can't be reached did not run the request."""
+        await fleet.open([answer_whole], plain=True)
+        await fleet.targets[0].stop()
+        response = await fleet.ask(CHARGED)
+        assert response.status == 503
+        assert float(response.headers['Retry-After']) > 0
+
+    async def test_all_decline(self, fleet):
+        """Where all targets decline, the caller is told truthfully."""
+        await fleet.open([decline], [decline], plain=True)
+        response = await fleet.ask(CHARGED)
+        assert response.status == 503
+
+    async def test_no_target(self, fleet):
+        """Without a usable target a request is refused at once."""
+        await fleet.open([answer_whole], plain=True, leaving=True)
+        response = await fleet.ask(LOOK)
+        assert response.status == 503
+        assert fleet.runs == 0
+
+    async def test_stopping(self, fleet):
+        """A daemon that stops sends callers elsewhere."""
+        await fleet.open([answer_whole], plain=True)
+        fleet.forwarder.closing = True
+        response = await fleet.ask(LOOK)
+        assert response.status == 503
+        assert fleet.runs == 0
+
+
+class TestTimeLimits:
+    """Answers that take too long."""
+
+    async def test_route_limit(self, fleet):
+        """The caller has its final answer at the route's time limit."""
+        await fleet.open([hang], plain=True)
+        fleet.set_routes(dataclasses.replace(CHARGE, time_limit=0.1))
+        response = await fleet.ask(CHARGED)
+        assert response.status == 504
+        await asyncio.sleep(0.05)
+        assert fleet.targets[0].left == 1
+
+    async def test_stream_limit(self, fleet):
+        """A stream that lasts too long is broken off, never ended."""
+
+        async def trickle(received: Received, wire: Wire) -> None:
+            await begin_stream(received, wire)
+            await wire.send_events(0, 2)
+            await asyncio.Event().wait()
+
+        await fleet.open([trickle])
+        fleet.set_routes(make_route(time_limit=0.3))
+        with pytest.raises(aiohttp.ClientError):
+            await fleet.ask(LETTER)
+
+    async def test_caller_leaves(self, fleet):
+        """A target stops when its caller has left."""
+        await fleet.open([hang], plain=True)
+        asked = asyncio.ensure_future(fleet.ask(CHARGED))
+        await asyncio.sleep(0.1)
+        asked.cancel()
+        await asyncio.sleep(0.1)
+        assert fleet.targets[0].left == 1
+
+
+class TestStreams:
+    """Streams of events."""
+
+    async def test_whole(self, fleet):
+        """Every event comes through."""
+        await fleet.open([stream_all])
+        response = await fleet.ask(LETTER)
+        assert await response.text() == EVENTS
+
+    @pytest.mark.parametrize('end', [0, 1, 3])
+    @pytest.mark.parametrize('rest', [b'', b'id: 9\ndata: ha'])
+    async def test_goes_on_elsewhere(self, fleet, end, rest):
+        """A broken stream goes on after its last whole event."""
+        script = begin_with(stream_until(end, rest=rest), stream_all)
+        await fleet.open([script], [script])
+        response = await fleet.ask(LETTER)
+        assert await response.text() == EVENTS
+        assert fleet.runs == 2
+
+    async def test_caller_resumes(self, fleet):
+        """A caller goes on after the last event that it has."""
+        await fleet.open([stream_all])
+        response = await fleet.ask(LETTER, **{'Last-Event-Id': '3'})
+        assert await response.text() == EVENTS[EVENTS.index('id: 4') :]
+
+    async def test_not_resumable(self, fleet):
+        """A stream that can't be resumed is broken off."""
+        await fleet.open([stream_until(2)], [stream_all])
+        fleet.set_routes(make_route(resumable=False))
+        fleet.state.targets.pop('t-1')
+        with pytest.raises(aiohttp.ClientError):
+            await fleet.ask(LETTER)
+        assert fleet.runs == 1
+
+    async def test_not_resumable_before_its_first_event(self, fleet):
+        """A stream that brought nothing has a status, and no second run."""
+        await fleet.open([cut])
+        fleet.set_routes(make_route(resumable=False))
+        response = await fleet.ask(LETTER)
+        assert response.status == 502
+        assert fleet.runs == 1
+
+    async def test_silent_target(self, fleet):
+        """A stream that says nothing goes on elsewhere."""
+
+        async def pause(received: Received, wire: Wire) -> None:
+            await begin_stream(received, wire)
+            await wire.send_events(0, 2)
+            await asyncio.Event().wait()
+
+        script = begin_with(pause, stream_all)
+        await fleet.open([script], [script])
+        assert await (await fleet.ask(LETTER)).text() == EVENTS
+
+
+class TestUsable:
+    """Which targets are usable."""
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'leaving': True},
+            {'weights': None},
+            {'weights': HeldWeights(version=1, first=0, end=8)},
+        ],
+    )
+    async def test_unusable(self, fleet, changes):
+        """Leaving and empty engines get nothing."""
+        await fleet.open([stream_all], **changes)
+        response = await fleet.ask(LETTER)
+        assert response.status == 503
+        assert fleet.runs == 0
+
+    async def test_withdrawn(self, fleet):
+        """A withdrawn failure domain gets nothing until it is back."""
+        await fleet.open([stream_all])
+        fleet.state.withdrawn = frozenset(('near-a',))
+        assert (await fleet.ask(LETTER)).status == 503
+        fleet.state.withdrawn = frozenset()
+        assert (await fleet.ask(LETTER)).status == 200
+
+    async def test_regions(self, fleet):
+        """A route is served in its regions only."""
+        await fleet.open([stream_all])
+        fleet.set_routes(make_route(regions=frozenset(('far',))))
+        assert (await fleet.ask(LETTER)).status == 503
+        fleet.set_routes(make_route(regions=frozenset(('near',))))
+        assert (await fleet.ask(LETTER)).status == 200
+
+    async def test_old_version(self, fleet):
+        """Engines that are behind get nothing once the bound has passed."""
+        await fleet.open([stream_all])
+        now = asyncio.get_running_loop().time()
+        recent = NamedWeights(version=2, seen_at=now - 2)
+        fleet.state.weights['drafts'] = (recent,)
+        assert (await fleet.ask(LETTER)).status == 200
+        old = NamedWeights(version=2, seen_at=now - 7.5)
+        fleet.state.weights['drafts'] = (old,)
+        assert (await fleet.ask(LETTER)).status == 503
+
+    async def test_cold_target(self, fleet):
+        """A cold target gets no more than this daemon's share a second."""
+        await fleet.open([stream_all], cold_seconds=60)
+        statuses = [(await fleet.ask(LETTER)).status for _ in range(8)]
+        assert statuses.count(200) == 36 // fleet.forwarder.retries.daemons
+
+    async def test_reborn_target(self, fleet):
+        """A target that started again is known by nothing of before."""
+        await fleet.open([stream_all])
+        (target,) = fleet.state.targets.values()
+        load = fleet.forwarder.find_load(target)
+        load.version = 7
+        reborn = dataclasses.replace(target, born=2)
+        assert fleet.forwarder.find_load(reborn).version == 0
+
+    async def test_stale_keys(self, fleet):
+        """Keys that may have been revoked are not served."""
+        await fleet.open([stream_all])
+        fleet.state.confirmed_at = read_boot_clock() - 4.5
+        assert (await fleet.ask(LETTER)).status == 503
+        assert fleet.runs == 0
+
+
+class TestLoad:
+    """Requests of a daemon at a target."""
+
+    @pytest.mark.parametrize(
+        'script', [stream_all, cut, decline, stream_until(2), fail]
+    )
+    async def test_counts_end_at_zero(self, fleet, script):
+        """Whatever becomes of a request, it is no longer counted after."""
+        await fleet.open([script], [script])
+        with contextlib.suppress(aiohttp.ClientError):
+            await fleet.ask(LETTER)
+        for target in fleet.state.targets.values():
+            load = fleet.forwarder.find_load(target)
+            assert (load.own, load.starting) == (0, 0)
+        assert fleet.forwarder.running == 0
+
+    async def test_overload_refused_at_once(self, fleet):
+        """A request that can't start in time is refused with a time."""
+        await fleet.open([stream_all])
+        (target,) = fleet.state.targets.values()
+        fleet.forwarder.find_load(target).own = 40
+        response = await fleet.ask(LETTER)
+        assert response.status == 503
+        assert 0 < float(response.headers['Retry-After']) <= 2
+        assert fleet.runs == 0
--- /dev/null
+++ b/tests/test_permission.py
@@ -0,0 +1,102 @@
+"""Tests of :mod:`ragwortcourse.forwarding.permission`."""
+
+import dataclasses
+
+import pytest
+
+from fakes.fleet_parts import ACCOUNT, FLEET, make_call, make_state
+from ragwortcourse.forwarding.permission import permit_call
+from ragwortcourse.forwarding.reply import Reason, Refusal
+
+
+def refuse(reason: Reason, **changes: object) -> Refusal:
+    """The refusal of a call, checked for its reason."""
+    refusal = permit_call(make_state(), FLEET, make_call(**changes))
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason is reason
+    return refusal
+
+
+class TestPermitCall:
+    """Who may be served at all."""
+
+    def test_served(self):
+        """A call with a known key gets its route and account."""
+        permitted = permit_call(make_state(), FLEET, make_call())
+        assert not isinstance(permitted, Refusal)
+        assert permitted[0].name == 'letters'
+        assert permitted[1] == ACCOUNT
+
+    def test_host_in_any_case(self):
+        """The host is compared without its case."""
+        call = make_call(host='Desk.Example')
+        assert not isinstance(permit_call(make_state(), FLEET, call), Refusal)
+
+    def test_no_route(self):
+        """An unknown path is 404."""
+        assert refuse(Reason.NO_ROUTE, path='/nothing/1').status == 404
+
+    def test_prefix_ends_with_slash(self):
+        """A prefix counts only as a whole segment."""
+        refuse(Reason.NO_ROUTE, path='/lettersX/1')
+
+    @pytest.mark.parametrize('key', [None, '', 'other'])
+    def test_unknown_key(self, key):
+        """A call without a known key is 401."""
+        assert refuse(Reason.UNKNOWN_KEY, key=key).status == 401
+
+    def test_public_route(self):
+        """A public route asks for no key."""
+        call = make_call(path='/open/1', key=None)
+        permitted = permit_call(make_state(), FLEET, call)
+        assert not isinstance(permitted, Refusal)
+        assert permitted[1] is None
+
+    def test_before_the_first_state(self):
+        """Without a desired state nothing is denied, but refused."""
+        state = make_state()
+        state.desired = None
+        refusal = permit_call(state, FLEET, make_call(path='/nothing/1'))
+        assert isinstance(refusal, Refusal)
+        assert refusal.status == 503
+        assert refusal.retry_after
+
+    def test_unconfirmed_state(self):
+        """Keys are not served once they may have been revoked too long ago."""
+        state = make_state()
+        state.confirmed_at -= FLEET.revoke_ms / 1000 - 0.5
+        refusal = permit_call(state, FLEET, make_call())
+        assert isinstance(refusal, Refusal)
+        assert refusal.reason is Reason.STALE
+        assert refusal.status == 503
+
+    def test_unconfirmed_state_serves_public_routes(self):
+        """Requests without a key do not depend on revocations."""
+        state = make_state()
+        state.confirmed_at -= 60
+        call = make_call(path='/open/1', key=None)
+        assert not isinstance(permit_call(state, FLEET, call), Refusal)
+
+    def test_lax_revocation(self):
+        """Where revocation is not strict, old keys are served."""
+        state = make_state()
+        state.confirmed_at -= 60
+        lax = {
+            field: getattr(FLEET, field) for field in FLEET.__struct_fields__
+        }
+        fleet = type(FLEET)(**{**lax, 'strict_revocation': False})
+        assert not isinstance(permit_call(state, fleet, make_call()), Refusal)
+
+    def test_longest_prefix(self):
+        """The longest prefix that begins the path selects the route."""
+        state = make_state()
+        route = state.desired.routes['desk.example'][0]
+        longer = dataclasses.replace(
+            route, name='longer', prefix='/letters/gift/'
+        )
+        routes = (longer, *state.desired.routes['desk.example'])
+        state.desired = dataclasses.replace(
+            state.desired, routes={'desk.example': routes}
+        )
+        found = state.desired.find_route('desk.example', '/letters/gift/2')
+        assert found is longer
--- /dev/null
+++ b/tests/test_target_list.py
@@ -0,0 +1,70 @@
+"""Tests of :mod:`ragwortcourse.forwarding.target_list`."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from fakes.fleet_parts import make_target
+from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.forwarding.target_list import LAPSE_SECONDS, TargetList
+from ragwortcourse.identifiers import TargetName
+
+pytestmark = pytest.mark.looptime
+NAME = TargetName('t-1')
+
+
+@pytest.fixture
+def state() -> FleetState:
+    """State of a daemon."""
+    return FleetState()
+
+
+@pytest.fixture
+def targets(state) -> TargetList:
+    """Its list, with one target."""
+    known = TargetList(state=state)
+    known.note_target(make_target())
+    return known
+
+
+class TestTargetList:
+    """What becomes of entries."""
+
+    async def test_gone(self, targets, state):
+        """A target whose entry ends is gone at once."""
+        targets.note_missing(NAME)
+        assert not state.targets
+
+    async def test_lapsed(self, targets, state):
+        """Right after an outage a missing entry may only have lapsed."""
+        targets.regain()
+        targets.note_missing(NAME)
+        assert NAME in state.targets
+        await asyncio.sleep(LAPSE_SECONDS + 0.1)
+        targets.note_read()
+        assert not state.targets
+
+    async def test_back_in_time(self, targets, state):
+        """A lapsed entry that comes back stays."""
+        targets.regain()
+        targets.keep_only(())
+        await asyncio.sleep(1)
+        targets.note_target(make_target())
+        await asyncio.sleep(LAPSE_SECONDS)
+        targets.note_read()
+        assert NAME in state.targets
+
+    async def test_leaving_target_does_not_lapse(self, targets, state):
+        """A target that was leaving goes at once, outage or not."""
+        targets.note_target(dataclasses.replace(make_target(), leaving=True))
+        targets.regain()
+        targets.note_missing(NAME)
+        assert not state.targets
+
+    async def test_long_after_the_outage(self, targets, state):
+        """Later on a missing entry is gone again."""
+        targets.regain()
+        await asyncio.sleep(LAPSE_SECONDS + 0.1)
+        targets.note_missing(NAME)
+        assert not state.targets
--- /dev/null
+++ b/tests/test_version_choice.py
@@ -0,0 +1,64 @@
+"""Tests of :mod:`ragwortcourse.weights.version_choice`."""
+
+import pytest
+
+from ragwortcourse.forwarding.named_weights import NamedWeights
+from ragwortcourse.weights.version_choice import choose_version
+
+BOUND = 8.0
+DRAWING = 4.4
+
+
+def name(version: int, seen_at: float) -> NamedWeights:
+    """A version that was named."""
+    return NamedWeights(version=version, seen_at=seen_at)
+
+
+def choose(*named: NamedWeights, held: int = 1, now: float = 0) -> int:
+    """The version that is chosen."""
+    return choose_version(
+        named, held=held, now=now, drawing=DRAWING, bound=BOUND
+    ).version
+
+
+class TestChooseVersion:
+    """Which version comes next."""
+
+    def test_newest(self):
+        """One version is simply brought."""
+        assert choose(name(2, 0)) == 2
+
+    def test_quick_succession(self):
+        """An older version is dropped where the newest comes in time."""
+        assert choose(name(2, 0), name(3, 1), now=1) == 3
+
+    def test_older_one_is_due_first(self):
+        """An older version is finished where the newest would be too late."""
+        assert choose(name(2, 0), name(3, 4), now=4) == 2
+
+    def test_held(self):
+        """What the engine holds is not brought again."""
+        assert choose(name(2, 0), name(3, 4), now=4, held=2) == 3
+
+    def test_oldest_due_first(self):
+        """Of several versions that are due, the oldest is brought first."""
+        assert choose(name(2, 0), name(3, 3), name(4, 6), now=6) == 2
+
+    @pytest.mark.parametrize('gap', [0.5, 1, 2, 3, 4, 5, 6, 7])
+    def test_no_request_without_weights(self, gap):
+        """Whatever the gap, weights that may be served are always there.
+
+        A version is there once it is drawn and switched; older ones may be
+        served up to the bound of each that follows.
+        """
+        versions = (name(2, 0), name(3, gap))
+        first = choose(*versions, now=gap)
+        done_at = {}
+        if first == 2:
+            done_at[2] = DRAWING
+            done_at[3] = max(DRAWING, gap) + DRAWING
+        else:
+            done_at[3] = gap + DRAWING
+        serves_from = min(done_at.values())
+        assert serves_from < BOUND
+        assert done_at[3] < gap + BOUND or 2 in done_at
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,167 @@
+"""Tests of :mod:`ragwortcourse.platform.wire`."""
+
+import pytest
+from aiohttp.test_utils import make_mocked_request
+from multidict import CIMultiDict
+
+from fakes.fleet_parts import ACCOUNT, make_target, make_work
+from ragwortcourse.forwarding.answer_head import ReportedLoad
+from ragwortcourse.forwarding.wire_format import Dispatch
+from ragwortcourse.identifiers import AttemptId
+from ragwortcourse.platform.wire import read_call, read_head, write_headers
+
+pytestmark = pytest.mark.looptime
+SENT = {
+    'Host': 'desk.example:80',
+    'Ragwortcourse-Attempt-Id': 'a1',
+    'Ragwortcourse-Deadline-Ms': '6060',
+    'Ragwortcourse-Model': 'drafts',
+    'Ragwortcourse-Token-Count': '1460,80',
+    'Ragwortcourse-Prompt-Prefix': '5c:800',
+    'Ragwortcourse-Tenant': 'forged',
+    'Ragwortcourse-Expect-Instance': 'forged',
+    'Authorization': 'Bearer a-key',
+    'Connection': 'keep-alive, X-Hop',
+    'X-Hop': 'one',
+    'X-Other': 'kept',
+    'Last-Event-Id': '12',
+}
+MARKS = {
+    'Ragwortcourse-Attempt-Id': 'a1',
+    'Ragwortcourse-Server-Stamp': 's',
+}
+
+
+def read(**changes: str):
+    """A call as it came."""
+    headers = {**SENT, **changes}
+    return read_call(
+        make_mocked_request('POST', '/letters/1%2F2?q=%20', headers=headers)
+    )
+
+
+class TestReadCall:
+    """Requests of callers."""
+
+    async def test_fields(self):
+        """Each header becomes a typed field."""
+        call = read()
+        assert call.attempt == 'a1'
+        assert call.host == 'desk.example'
+        assert call.path == '/letters/1%2F2'
+        assert call.target_path == '/letters/1%2F2?q=%20'
+        assert call.time_left == pytest.approx(6.06)
+        assert call.key == 'a-key'
+        assert (call.prompt_tokens, call.answer_tokens) == (1460, 80)
+        assert call.last_event == '12'
+
+    async def test_what_is_passed_on(self):
+        """Other headers are kept; keys, hops and the system's own are not."""
+        headers = read().headers
+        assert headers['X-Other'] == 'kept'
+        assert headers['Host'] == 'desk.example:80'
+        assert headers['Ragwortcourse-Prompt-Prefix'] == '5c:800'
+        for name in (
+            'Authorization',
+            'Connection',
+            'X-Hop',
+            'Ragwortcourse-Tenant',
+            'Ragwortcourse-Expect-Instance',
+        ):
+            assert name not in headers
+
+    @pytest.mark.parametrize('text', ['', 'soon', '1e'])
+    async def test_unreadable_deadline(self, text):
+        """A deadline that is no number is no deadline."""
+        assert read(**{'Ragwortcourse-Deadline-Ms': text}).time_left is None
+
+    @pytest.mark.parametrize('text', ['', 'many', '5', '-1,2'])
+    async def test_unreadable_tokens(self, text):
+        """Token counts that can't be read count as none."""
+        call = read(**{'Ragwortcourse-Token-Count': text})
+        assert call.answer_tokens in {0, 2}
+        assert call.prompt_tokens in {0, 5}
+
+
+class TestWriteHeaders:
+    """Requests to targets."""
+
+    def test_own_headers(self):
+        """The target, the account and the time left are set."""
+        dispatch = Dispatch(target=make_target(), time_left=1.5)
+        headers = write_headers(make_work(), dispatch)
+        assert headers['Ragwortcourse-Deadline-Ms'] == '1500'
+        assert headers['Ragwortcourse-Expect-Instance'] == 't-1'
+        assert headers['Ragwortcourse-Tenant'] == ACCOUNT.name
+        assert 'Last-Event-Id' not in headers
+
+    def test_resumed_stream(self):
+        """A stream goes on after the last event that the caller has."""
+        dispatch = Dispatch(target=make_target(), time_left=1, last_event='7')
+        headers = write_headers(make_work(), dispatch)
+        assert headers['Last-Event-Id'] == '7'
+
+    def test_no_time_left(self):
+        """A target is never told that there is no time limit."""
+        dispatch = Dispatch(target=make_target(), time_left=-1)
+        headers = write_headers(make_work(), dispatch)
+        assert headers['Ragwortcourse-Deadline-Ms'] == '1'
+
+
+def head(status: int = 200, **changes: str):
+    """Head of an answer to request ``a1``."""
+    received = {
+        name: text for name, text in {**MARKS, **changes}.items() if text
+    }
+    return read_head(status, CIMultiDict(received), AttemptId('a1'))
+
+
+class TestReadHead:
+    """Answers of targets."""
+
+    def test_good(self):
+        """An answer with both marks is genuine and ran."""
+        assert head().genuine
+        assert head().ran
+        assert head().is_success
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'Ragwortcourse-Attempt-Id': 'a0'},
+            {'Ragwortcourse-Attempt-Id': ''},
+            {'Ragwortcourse-Server-Stamp': ''},
+            {'Content-Encoding': 'gzip'},
+        ],
+    )
+    def test_not_genuine(self, changes):
+        """Answers to others, unmarked or encoded ones don't count."""
+        assert not head(**changes).genuine
+
+    def test_not_run(self):
+        """A target that says so, or is another one, did not run it."""
+        assert not head(503, **{'Ragwortcourse-Not-Executed': '1'}).ran
+        assert not head(421).ran
+        assert head(503).ran
+
+    def test_load(self):
+        """The reported load is decoded."""
+        assert head(**{'Ragwortcourse-Server-Load': '3, 1,8'}).load == (
+            ReportedLoad(running=3, waiting=1, slots=8)
+        )
+
+    @pytest.mark.parametrize('text', ['', '3', '3,1', 'a,b,c', '1,2,3,4'])
+    def test_unreadable_load(self, text):
+        """A load that can't be read is none."""
+        assert head(**{'Ragwortcourse-Server-Load': text}).load is None
+
+    def test_version_and_cold(self):
+        """Weights and remaining cold time are decoded."""
+        told = head(
+            **{
+                'Ragwortcourse-Weight-Versions': '3',
+                'Ragwortcourse-Cold-Ms': '1500',
+            }
+        )
+        assert told.version == 3
+        assert told.cold_seconds == pytest.approx(1.5)
