Test loaders, the cache of chunks and the feed; keep versions that are asked for

A daemon that was asked for a version older than the two that it keeps failed with KeyError: the new entry itself was dropped.

--- a/fakes/fleet_parts.py
+++ b/fakes/fleet_parts.py
@@ -58,8 +58,6 @@
     retry_ratio=0.2,
     retry_window_seconds=10,
     retry_reserve=106,
-    cold_factor=1.5,
-    cold_reserve=5,
 )
 ENGINE_RULES = EngineRules(
     model=MODEL,
--- a/src/ragwortcourse/settings.py
+++ b/src/ragwortcourse/settings.py
@@ -122,8 +122,6 @@
     :param retry_ratio: retries allowed, as a share of the requests of
         ``retry_window_seconds``, summed over all daemons.
     :param retry_reserve: retries allowed beside that share.
-    :param cold_factor: how far above its own limit a cold target may go.
-    :param cold_reserve: requests a second allowed beside that.
     """
 
     store: str
@@ -136,8 +134,6 @@
     retry_ratio: float
     retry_window_seconds: float
     retry_reserve: int
-    cold_factor: float
-    cold_reserve: int
 
 
 class LoaderSettings(
--- a/src/ragwortcourse/weights/chunk_store.py
+++ b/src/ragwortcourse/weights/chunk_store.py
@@ -68,10 +68,11 @@
         return max(whole, default=0)
 
     def open(self, manifest: FleetManifest) -> VersionChunks:
-        """Chunks of a version, kept from now on; the oldest one goes."""
+        """Chunks of a version, kept from now on; the oldest other one goes."""
         version = manifest.version
         if version not in self._versions:
             self._versions[version] = VersionChunks(manifest=manifest)
-        for old in sorted(self._versions)[:-VERSIONS_KEPT]:
+        others = sorted(self._versions.keys() - {version})
+        for old in others[: 1 - VERSIONS_KEPT]:
             self._versions.pop(old)
         return self._versions[version]
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,260 @@
+"""Tests of the feed of the store, against a stand-in of it."""
+
+import asyncio
+import contextlib
+import json
+import random
+
+import pytest
+from aiohttp import ClientSession
+from aiohttp.test_utils import TestServer
+
+from fakes.fleet_parts import FLEET, REGIONS
+from fakes.fleet_store import FleetStore
+from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.forwarding.target_list import TargetList
+from ragwortcourse.platform import names
+from ragwortcourse.platform.feed import TableFeed
+from ragwortcourse.platform.operator_rows import build_operator_reader
+from ragwortcourse.platform.relay_rows import RelayList, register_relay
+from ragwortcourse.platform.store import Store
+from ragwortcourse.platform.target_reader import build_target_reader
+from ragwortcourse.weights.relay import RelayRecord
+
+ROW = {
+    'service': 'svc',
+    'address': '10.0.0.1:80',
+    'zone': 'near-a',
+    'slots': 16,
+    'state': 'ready',
+    'cold_left_ms': 0,
+}
+
+
+async def wait_for(check) -> None:
+    """Return once something holds."""
+    async with asyncio.timeout(10):
+        while not check():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+class Daemon:
+    """What follows the store."""
+
+    def __init__(self) -> None:
+        self.fake = FleetStore()
+        self.state = FleetState()
+        self.stack = contextlib.AsyncExitStack()
+
+    async def open(self) -> None:
+        """Start the store."""
+        server = TestServer(self.fake.build_app())
+        await server.start_server()
+        self.stack.push_async_callback(server.close)
+        session = await self.stack.enter_async_context(ClientSession())
+        self.store = Store(session=session, address=f'127.0.0.1:{server.port}')
+
+    def follow(self) -> None:
+        """Follow both tables."""
+        readers = {
+            names.OPERATORS_TABLE: build_operator_reader(self.state, FLEET),
+            names.TARGETS_TABLE: build_target_reader(
+                TargetList(state=self.state), REGIONS
+            ),
+        }
+        for table, reader in readers.items():
+            feed = TableFeed(
+                store=self.store,
+                table=table,
+                wait=0.2,
+                reader=reader,
+                rng=random.Random(1),
+            )
+            task = asyncio.ensure_future(feed.follow())
+            self.stack.callback(task.cancel)
+
+    def put_state(self, version: int) -> None:
+        """The operators write a desired state."""
+        self.fake.put('op', 'config', {'version': version, 'routes': []})
+
+    def is_at(self, version: int) -> bool:
+        """Whether a version is in force."""
+        desired = self.state.desired
+        return desired is not None and desired.version == version
+
+
+@pytest.fixture
+async def daemon():
+    """A daemon beside its store."""
+    opened = Daemon()
+    async with opened.stack:
+        await opened.open()
+        yield opened
+
+
+class TestTableFeed:
+    """What a daemon learns of the store."""
+
+    async def test_first_rows(self, daemon):
+        """What stands in the store at the start is taken over."""
+        daemon.put_state(3)
+        daemon.fake.put('servers', 'i-1', ROW)
+        daemon.follow()
+        await wait_for(
+            lambda: daemon.is_at(3) and 'i-1' in daemon.state.targets
+        )
+
+    async def test_changes(self, daemon):
+        """Changes are taken over as they come."""
+        daemon.follow()
+        daemon.put_state(1)
+        await wait_for(lambda: daemon.is_at(1))
+        daemon.fake.put('op', 'evacuate/near-a', {})
+        await wait_for(lambda: daemon.state.withdrawn == {'near-a'})
+        daemon.fake.drop('op', 'evacuate/near-a')
+        await wait_for(lambda: not daemon.state.withdrawn)
+
+    async def test_never_back(self, daemon):
+        """A lower version never replaces a higher one."""
+        daemon.put_state(5)
+        daemon.follow()
+        await wait_for(lambda: daemon.is_at(5))
+        daemon.put_state(4)
+        daemon.fake.put(
+            'op', 'version/drafts', {'model': 'drafts', 'version': 2}
+        )
+        await wait_for(lambda: daemon.state.weights)
+        assert daemon.is_at(5)
+
+    async def test_unreadable_rows(self, daemon, caplog):
+        """An unreadable row is reported, and the others hold."""
+        daemon.fake.put('servers', 'i-bad', b'\xff{')
+        daemon.fake.put('servers', 'i-odd', {**ROW, 'state': 'resting'})
+        daemon.fake.put('servers', 'i-1', ROW)
+        daemon.fake.put('op', 'config', b'{')
+        daemon.fake.put('op', 'evacuate/far-a', {})
+        daemon.follow()
+        await wait_for(
+            lambda: daemon.state.withdrawn and 'i-1' in daemon.state.targets
+        )
+        assert list(daemon.state.targets) == ['i-1']
+        assert daemon.state.desired is None
+        rows = {getattr(record, 'row', None) for record in caplog.records}
+        assert {'i-bad', 'i-odd', 'config'} <= rows
+
+    async def test_target_that_turns_unreadable(self, daemon):
+        """A row that another writer spoilt names no target any more."""
+        daemon.fake.put('servers', 'i-1', ROW)
+        daemon.follow()
+        await wait_for(lambda: daemon.state.targets)
+        daemon.fake.put('servers', 'i-1', b'spoilt')
+        await wait_for(lambda: not daemon.state.targets)
+
+    async def test_outage(self, daemon, caplog):
+        """What is known stays through an outage, which is told twice."""
+        daemon.put_state(1)
+        daemon.follow()
+        await wait_for(lambda: daemon.is_at(1))
+        daemon.fake.down = True
+        await wait_for(
+            lambda: any('store lost' in each.message for each in caplog.records)
+        )
+        assert daemon.is_at(1)
+        daemon.fake.down = False
+        daemon.put_state(2)
+        await wait_for(lambda: daemon.is_at(2))
+
+    async def test_age(self, daemon):
+        """The age of what is known grows while the store is away."""
+        daemon.put_state(1)
+        daemon.follow()
+        await wait_for(lambda: daemon.is_at(1))
+        await asyncio.sleep(0.5)
+        assert daemon.state.read_age() < 0.45
+        daemon.fake.down = True
+        await asyncio.sleep(0.6)
+        assert daemon.state.read_age() > 0.3
+
+    async def test_forgotten_history(self, daemon):
+        """After a lost history the whole table is read again."""
+        daemon.put_state(1)
+        daemon.fake.put('op', 'evacuate/near-a', {})
+        daemon.follow()
+        await wait_for(lambda: daemon.state.withdrawn)
+        daemon.fake.down = True
+        await asyncio.sleep(0.3)
+        daemon.fake.drop('op', 'evacuate/near-a')
+        daemon.put_state(2)
+        daemon.fake.forget_history()
+        daemon.fake.down = False
+        await wait_for(lambda: daemon.is_at(2) and not daemon.state.withdrawn)
+
+    async def test_silent_store(self, daemon):
+        """A call without an answer is given up, and the feed goes on."""
+        daemon.put_state(1)
+        daemon.follow()
+        await wait_for(lambda: daemon.is_at(1))
+        daemon.fake.silent = True
+        await asyncio.sleep(0.3)
+        daemon.fake.silent = False
+        daemon.put_state(2)
+        await wait_for(lambda: daemon.is_at(2))
+
+    async def test_when_versions_were_named(self, daemon):
+        """A version found at the start is due when it is judged."""
+        daemon.fake.put('op', 'version/m', {'model': 'm', 'version': 2})
+        daemon.follow()
+        await wait_for(lambda: daemon.state.weights)
+        now = asyncio.get_running_loop().time()
+        (found,) = daemon.state.weights['m']
+        assert not found.observed
+        assert now - found.seen_at == pytest.approx(5, abs=0.5)
+        daemon.fake.put('op', 'version/m', {'model': 'm', 'version': 4})
+        await wait_for(lambda: len(daemon.state.weights['m']) == 2)
+        observed = daemon.state.weights['m'][-1]
+        now = asyncio.get_running_loop().time()
+        assert observed.observed
+        assert now - observed.seen_at < 1
+
+
+class TestRelayList:
+    """Entry daemons that registered."""
+
+    async def test_registered(self, daemon):
+        """A registered daemon is found by others."""
+        record = RelayRecord(
+            daemon='entry-1',
+            address='10.0.0.1:7000',
+            failure_domain='near-a',
+            region='near',
+        )
+        assert await register_relay(daemon.store, record)
+        assert await RelayList(store=daemon.store).list() == (record,)
+
+    async def test_store_away(self, daemon):
+        """Without the store nobody registers, and the last list stays."""
+        daemon.fake.down = True
+        record = RelayRecord(
+            daemon='entry-1', address='a', failure_domain='b', region='c'
+        )
+        assert not await register_relay(daemon.store, record)
+        assert await RelayList(store=daemon.store).list() == ()
+
+    async def test_unreadable(self, daemon):
+        """An unreadable row names nobody."""
+        daemon.fake.put('daemons', 'odd', b'odd')
+        assert await RelayList(store=daemon.store).list() == ()
+
+    async def test_content(self, daemon):
+        """The row is JSON with the project's names."""
+        record = RelayRecord(
+            daemon='entry-1', address='a', failure_domain='b', region='c'
+        )
+        await register_relay(daemon.store, record)
+        row = json.loads(daemon.fake.read('daemons', 'entry-1'))
+        assert row == {
+            'daemon': 'entry-1',
+            'address': 'a',
+            'failure_domain': 'b',
+            'region': 'c',
+        }
--- /dev/null
+++ b/tests/test_loading.py
@@ -0,0 +1,332 @@
+"""Tests of a loader: drawing, staging and switching."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from fakes.fleet_parts import ENGINES, FLEET, MODEL, make_state, make_target
+from fakes.staged_engine import StagedEngine
+from ragwortcourse.forwarding.load_exchange import SwitchMessage
+from ragwortcourse.forwarding.named_weights import NamedWeights
+from ragwortcourse.settings import LoaderSettings
+from ragwortcourse.weights.engine_switch import switch_engine
+from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.loading import Loading
+from ragwortcourse.weights.loading_ports import LoadingPorts
+from ragwortcourse.weights.manifest import digest_bytes
+from ragwortcourse.weights.version_drawing import draw_versions
+
+pytestmark = pytest.mark.looptime
+CHUNKS = 4
+ENGINE = '10.0.0.1:1'
+
+
+def make_chunk(version: int, index: int) -> bytes:
+    """Bytes of a chunk."""
+    return f'{version}/{index}'.encode() * 100
+
+
+def make_manifest(version: int) -> FleetManifest:
+    """Digests of a version."""
+    return FleetManifest(
+        model=MODEL,
+        version=version,
+        digests=tuple(
+            digest_bytes(make_chunk(version, index)) for index in range(CHUNKS)
+        ),
+    )
+
+
+class Host:
+    """A loader with its engine, and what it draws from.
+
+    :ivar drawn: chunks drawn, in order.
+    :ivar spoilt: how many draws bring wrong bytes.
+    :ivar reachable: false while nothing can be drawn.
+    """
+
+    def __init__(self, *, version: int = 0) -> None:
+        self.engine = StagedEngine(version=version)
+        self.drawn: list[tuple[int, int]] = []
+        self.spoilt = 0
+        self.reachable = True
+        self.seconds = 0.1
+        self.notices: list[SwitchMessage] = []
+        self.state = make_state()
+        self.loading = Loading(
+            fleet=FLEET,
+            loader=LoaderSettings(
+                engine=ENGINE, service=ENGINES, link_mbps=4.7
+            ),
+            state=self.state,
+            ports=LoadingPorts(
+                engine=self.engine,
+                read_manifest=self.read_manifest,
+                draw=self.draw,
+                announce=self.announce,
+                list_service=self.list_service,
+            ),
+        )
+
+    async def read_manifest(self, model, version):
+        """Manifest of a version."""
+        return make_manifest(version) if self.reachable else None
+
+    async def draw(self, manifest, index, rate):
+        """A chunk, after some time."""
+        await asyncio.sleep(self.seconds)
+        if not self.reachable:
+            return None
+        self.drawn.append((manifest.version, index))
+        if self.spoilt:
+            self.spoilt -= 1
+            return b'spoilt'
+        return make_chunk(manifest.version, index)
+
+    async def announce(self, message):
+        """Keep a notice."""
+        self.notices.append(message)
+
+    async def list_service(self):
+        """The engine alone."""
+        return [make_target(address=ENGINE)]
+
+    def name(self, version: int) -> None:
+        """Name a version now."""
+        named = NamedWeights(
+            version=version, seen_at=asyncio.get_running_loop().time()
+        )
+        known = self.state.weights.get(MODEL, ())
+        self.state.weights[MODEL] = (*known, named)
+
+    @contextlib.asynccontextmanager
+    async def run(self):
+        """Let the loader work."""
+        tasks = [
+            asyncio.ensure_future(draw_versions(self.loading)),
+            asyncio.ensure_future(switch_engine(self.loading)),
+        ]
+        try:
+            yield
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def check_orders(self) -> None:
+        """Each order found exactly its own version on the stage."""
+        for version, stage in self.engine.orders:
+            assert stage == {
+                index: make_chunk(version, index) for index in range(CHUNKS)
+            }
+
+
+class TestLoader:
+    """What a loader does."""
+
+    async def test_empty_engine(self):
+        """An engine that joins gets the first version without being asked."""
+        host = Host()
+        async with host.run():
+            await asyncio.sleep(3)
+        assert host.engine.version == 1
+        host.check_orders()
+
+    async def test_engine_that_holds_it(self):
+        """An engine that has the version gets no order, and nothing drawn."""
+        host = Host(version=1)
+        async with host.run():
+            await asyncio.sleep(3)
+        assert not host.engine.orders
+        assert not host.drawn
+
+    async def test_new_version(self):
+        """A named version is loaded before the old one expires."""
+        host = Host(version=1)
+        async with host.run():
+            await asyncio.sleep(1)
+            host.name(2)
+            await asyncio.sleep(FLEET.version_ms / 1000)
+            assert host.engine.version == 2
+        host.check_orders()
+
+    async def test_notices(self):
+        """Entry daemons are told before the order, and after the loading."""
+        host = Host(version=1)
+        async with host.run():
+            host.name(2)
+            await asyncio.sleep(8)
+        closing, opening = host.notices
+        assert closing.seconds > 0
+        assert (opening.seconds, opening.version) == (0, 2)
+
+    async def test_spoilt_chunks(self):
+        """Bytes with another digest are drawn again."""
+        host = Host()
+        host.spoilt = 3
+        async with host.run():
+            await asyncio.sleep(4)
+        assert host.engine.version == 1
+        host.check_orders()
+
+    async def test_rot(self):
+        """A staged chunk that turns bad is staged anew before the order."""
+        host = Host()
+        async with host.run():
+            while len(host.engine.stage) < CHUNKS:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            host.engine.stage[2] = b'rotten'
+            await asyncio.sleep(3)
+        assert host.engine.version == 1
+        host.check_orders()
+
+    async def test_restarted_engine(self):
+        """An engine that started again loads what its loader has."""
+        host = Host()
+        async with host.run():
+            await asyncio.sleep(3)
+            drawn = len(host.drawn)
+            host.engine.restart()
+            await asyncio.sleep(1)
+        assert host.engine.version == 1
+        assert len(host.engine.orders) == 2
+        assert len(host.drawn) == drawn
+
+    async def test_restarted_loader(self):
+        """A loader that started again takes over what is staged."""
+        host = Host()
+        async with host.run():
+            await asyncio.sleep(3)
+        other = Host()
+        other.engine.stage = dict(host.engine.stage)
+        async with other.run():
+            await asyncio.sleep(3)
+        assert other.engine.version == 1
+        assert not other.drawn
+
+    async def test_origin_away(self):
+        """While nothing can be drawn the engine goes on; later it is loaded."""
+        host = Host(version=1)
+        host.reachable = False
+        async with host.run():
+            host.name(2)
+            await asyncio.sleep(5)
+            assert host.engine.version == 1
+            host.reachable = True
+            await asyncio.sleep(6)
+        assert host.engine.version == 2
+
+    async def test_origin_away_is_told_once(self, caplog):
+        """A lasting failure leaves one line, however often it is met."""
+        host = Host(version=1)
+        host.reachable = False
+        async with host.run():
+            host.name(2)
+            await asyncio.sleep(60)
+        lines = [
+            record for record in caplog.records if 'manifest' in record.message
+        ]
+        assert len(lines) == 1
+
+    async def test_silent_engine(self):
+        """An engine that is down is loaded once it answers."""
+        host = Host()
+        host.engine.down = True
+        async with host.run():
+            await asyncio.sleep(3)
+            assert not host.engine.orders
+            host.engine.down = False
+            await asyncio.sleep(3)
+        assert host.engine.version == 1
+
+    async def test_order_that_does_not_fit(self):
+        """A refused order is given again."""
+        host = Host()
+        host.engine.refuses = True
+        async with host.run():
+            await asyncio.sleep(3)
+            host.engine.refuses = False
+            await asyncio.sleep(2)
+        assert host.engine.version == 1
+
+    async def test_quick_succession(self):
+        """Of two versions in quick succession only the newest is loaded."""
+        host = Host(version=1)
+        host.seconds = 1
+        async with host.run():
+            host.name(2)
+            await asyncio.sleep(0.5)
+            host.name(3)
+            await asyncio.sleep(10)
+        assert [version for version, _ in host.engine.orders] == [3]
+        host.check_orders()
+
+    async def test_slow_links(self):
+        """Where the newest comes too late, the one before is loaded first."""
+        host = Host(version=1)
+        host.seconds = 2
+        host.loading.loader = LoaderSettings(
+            engine=ENGINE, service=ENGINES, link_mbps=0.009
+        )
+        async with host.run():
+            host.name(2)
+            await asyncio.sleep(3.9)
+            host.name(3)
+            await asyncio.sleep(14)
+        assert [version for version, _ in host.engine.orders] == [2, 3]
+        host.check_orders()
+
+    async def test_last_engine_waits_until_idle(self):
+        """An engine at its bound loads once its requests have ended."""
+        host = Host(version=1)
+
+        async def list_many():
+            return [
+                make_target(f't-{number}', address=f'10.0.0.{number}:1')
+                for number in range(1, 30)
+            ]
+
+        host.list_service = list_many
+        loading = Loading(
+            fleet=FLEET,
+            loader=host.loading.loader,
+            state=host.state,
+            ports=LoadingPorts(
+                engine=host.engine,
+                read_manifest=host.read_manifest,
+                draw=host.draw,
+                announce=host.announce,
+                list_service=list_many,
+            ),
+        )
+        host.loading = loading
+        async with host.run():
+            host.name(2)
+            host.engine.running = 3
+            await asyncio.sleep(12)
+        assert host.engine.version == 2
+
+
+class TestFindChunk:
+    """Chunks for others."""
+
+    async def test_held_version(self):
+        """A chunk of the held version is given, from memory or the stage."""
+        host = Host(version=1)
+        host.engine.stage = {0: make_chunk(1, 0)}
+        async with host.run():
+            await asyncio.sleep(1)
+            found = await host.loading.find_chunk(MODEL, 1, 0)
+        assert found == make_chunk(1, 0)
+
+    @pytest.mark.parametrize(
+        ('model', 'version', 'index'),
+        [('other', 1, 0), (MODEL, 2, 0), (MODEL, 1, 99)],
+    )
+    async def test_not_held(self, model, version, index):
+        """Nothing is given of what the engine does not hold."""
+        host = Host(version=1)
+        async with host.run():
+            await asyncio.sleep(1)
+            assert await host.loading.find_chunk(model, version, index) is None
