Log decisions on standard output without ever waiting for its reader

Lines go through a bounded queue to one thread; those without room are dropped and counted. Refusals name what decided them. Counters and a histogram of requests are on the metrics page.

--- a/src/ragwortcourse/daemon.py
+++ b/src/ragwortcourse/daemon.py
@@ -66,7 +66,7 @@
 
 def run_daemon(settings: Settings) -> None:
     """Run until SIGTERM, then finish what is under way."""
-    set_up_logging(settings)
+    flush_logs = set_up_logging(settings)
     telemetry = set_up_telemetry(settings)
     service = DaemonService(settings=settings)
     with entrypoint(
@@ -78,6 +78,7 @@
     ) as loop:
         loop.run_forever()
     telemetry.shut_down()
+    flush_logs()
     if service.broken:
         sys.exit(BROKEN_STATUS)
 
--- /dev/null
+++ b/src/ragwortcourse/forwarding/call_log.py
@@ -0,0 +1,87 @@
+"""Lines and figures that each request leaves behind."""
+
+import logging
+import zlib
+from typing import Final
+
+from opentelemetry import metrics
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.call import Call
+from ragwortcourse.forwarding.reply import Refusal
+from ragwortcourse.forwarding.tries import Tries
+
+# Of the requests that nothing happened to, one in so many leaves a line;
+# which ones follows from their ids, so that all daemons choose the same.
+SAMPLED_ONE_IN: Final = 32
+
+LOGGER: Final = logging.getLogger(__name__)
+METER: Final = metrics.get_meter(__name__)
+REQUESTS: Final = METER.create_counter(
+    'ragwortcourse.forwarding.requests',
+    description='requests by their final answer',
+)
+TRIES: Final = METER.create_counter(
+    'ragwortcourse.forwarding.tries',
+    description='targets that requests were sent to',
+)
+DURATION: Final = METER.create_histogram(
+    'ragwortcourse.forwarding.duration',
+    unit='s',
+    description='from the arrival of a request to the end of its answer',
+)
+
+
+def is_sampled(call: Call) -> bool:
+    """Tell whether a request is logged though nothing happened to it."""
+    return zlib.crc32((call.attempt or '').encode()) % SAMPLED_ONE_IN == 0
+
+
+def note_refused(call: Call, refusal: Refusal) -> None:
+    """Leave a line and a figure about the system's own answer."""
+    seconds = read_clock() - call.arrived_at
+    REQUESTS.add(1, {'answer': refusal.reason.name.lower()})
+    DURATION.record(seconds, {'answer': 'own'})
+    LOGGER.info(
+        'refused',
+        extra={
+            'request': call.attempt,
+            'path': call.path,
+            'status': refusal.status.value,
+            'reason': refusal.reason,
+            'retry_after': refusal.retry_after,
+            'seconds': seconds,
+            **refusal.inputs,
+        },
+    )
+
+
+def note_answered(tries: Tries, status: int) -> None:
+    """Leave a figure about a target's answer, and mostly no line."""
+    call = tries.work.call
+    seconds = read_clock() - call.arrived_at
+    REQUESTS.add(1, {'answer': str(status)})
+    TRIES.add(len(tries.tried))
+    DURATION.record(seconds, {'answer': 'target'})
+    if tries.moved or is_sampled(call):
+        LOGGER.info(
+            'answered',
+            extra={
+                'request': call.attempt,
+                'route': tries.work.route.name,
+                'status': status,
+                'targets': tries.tried,
+                'runs': tries.runs,
+                'seconds': seconds,
+            },
+        )
+
+
+def note_broken(call: Call, detail: str) -> None:
+    """Leave a line and a figure about an answer that was cut off."""
+    seconds = read_clock() - call.arrived_at
+    REQUESTS.add(1, {'answer': 'broken'})
+    LOGGER.warning(
+        'answer broken off',
+        extra={'request': call.attempt, 'detail': detail, 'seconds': seconds},
+    )
--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -1,16 +1,19 @@
 """The callers' port of an entry daemon that sends straight to targets."""
 
 import asyncio
-import logging
 from typing import Final
 
 import msgspec
 from aiohttp import web
 
-from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.account import Account
 from ragwortcourse.forwarding.call import Call, Work
 from ragwortcourse.forwarding.call_kind import CallKind
+from ragwortcourse.forwarding.call_log import (
+    note_answered,
+    note_broken,
+    note_refused,
+)
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.permission import permit_call
 from ragwortcourse.forwarding.plain_call import serve_plain
@@ -33,8 +36,6 @@
     reason=Reason.STOPPING, retry_after=STOPPING_RETRY_SECONDS
 )
 
-LOGGER: Final = logging.getLogger(__name__)
-
 
 def build_call_routes(forwarder: Forwarder) -> list[web.RouteDef]:
     """Routes of the callers' port."""
@@ -60,22 +61,31 @@
         return _write_reply(call, permitted)
     body = await request.read()
     work = _accept(call, *permitted, body)
+    tries = Tries(forwarder=forwarder, work=work)
     response: web.StreamResponse | Reply
     try:
         async with asyncio.timeout_at(work.deadline):
-            response = await _serve(forwarder, work, request)
+            response = await _serve(tries, request)
     except TimeoutError:
-        response = Refusal(reason=Reason.TIMED_OUT)
+        response = Refusal(
+            reason=Reason.TIMED_OUT, inputs={'targets': tries.tried}
+        )
         if _is_begun(request):
             return _break_off(request, call, response.reason)
-    except StreamBrokenError as error:
-        return _break_off(request, call, str(error))
-    except OSError as error:
-        # The caller has left while it was written to.
+    except (StreamBrokenError, OSError) as error:
+        # An OSError: the caller has left while it was written to.
         return _break_off(request, call, repr(error))
-    if isinstance(response, web.StreamResponse):
-        return response
-    return _write_reply(call, response)
+    if isinstance(response, Refusal):
+        return _write_reply(call, response)
+    status = (
+        response.head.status
+        if isinstance(response, WholeAnswer)
+        else response.status
+    )
+    note_answered(tries, status)
+    if isinstance(response, WholeAnswer):
+        return _write_reply(call, response)
+    return response
 
 
 def _accept(
@@ -94,10 +104,9 @@
 
 
 async def _serve(
-    forwarder: Forwarder, work: Work, request: web.Request
+    tries: Tries, request: web.Request
 ) -> web.StreamResponse | Reply:
-    tries = Tries(forwarder=forwarder, work=work)
-    if work.route.kind is CallKind.STREAMING:
+    if tries.work.route.kind is CallKind.STREAMING:
         return await StreamCall(tries=tries, request=request).serve()
     return await serve_plain(tries)
 
@@ -111,14 +120,7 @@
     request: web.Request, call: Call, detail: str
 ) -> web.StreamResponse:
     """End the connection so that the answer can't look whole."""
-    LOGGER.warning(
-        'answer broken off',
-        extra={
-            'request': call.attempt,
-            'detail': detail,
-            'seconds': read_clock() - call.arrived_at,
-        },
-    )
+    note_broken(call, detail)
     if request.transport is not None:
         request.transport.abort()
     # The library asks for a response even where nobody is left to read it.
@@ -132,17 +134,7 @@
         return web.Response(
             status=reply.head.status, headers=headers, body=reply.body
         )
-    LOGGER.info(
-        'refused',
-        extra={
-            'request': call.attempt,
-            'status': reply.status,
-            'reason': reply.reason,
-            'retry_after': reply.retry_after,
-            'path': call.path,
-            'seconds': read_clock() - call.arrived_at,
-        },
-    )
+    note_refused(call, reply)
     response = web.Response(
         status=reply.status,
         body=msgspec.json.encode({'error': reply.reason}),
--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -65,7 +65,7 @@
     candidates = list(_describe(forwarder, ready or usable, newest))
     chosen = choose_candidate(candidates, forwarder.rng)
     if chosen is None:
-        return _refuse(forwarder, Reason.NO_TARGET, NO_TARGET_RETRY_SECONDS)
+        return _refuse_all(forwarder, service, version)
     place = Place(
         load=chosen.load,
         starting=chosen.starting,
@@ -74,8 +74,9 @@
         engine=rules.engine,
     )
     # What was moved once is not refused: its caller may have part of it.
-    if not tried and not is_admitted(place, read_demand(forwarder, work)):
-        return _refuse_crowd(forwarder, work)
+    demand = read_demand(forwarder, work)
+    if not tried and not is_admitted(place, demand):
+        return _refuse_crowd(forwarder, work, chosen, demand)
     return chosen.target
 
 
@@ -106,17 +107,46 @@
     return max(due, default=None)
 
 
-def _refuse(forwarder: Forwarder, reason: Reason, wait: float) -> Refusal:
+def _refuse_all(
+    forwarder: Forwarder, service: ServiceName, version: int | None
+) -> Refusal:
+    listed = [
+        target
+        for target in forwarder.state.targets.values()
+        if target.service == service
+    ]
     return Refusal(
-        reason=reason, retry_after=forwarder.turns.book(wait, forwarder.rng)
+        reason=Reason.NO_TARGET,
+        retry_after=forwarder.turns.book(
+            NO_TARGET_RETRY_SECONDS, forwarder.rng
+        ),
+        inputs={
+            'service': service,
+            'listed': len(listed),
+            'leaving': sum(target.leaving for target in listed),
+            'withdrawn': sorted(forwarder.state.withdrawn),
+            'version_required': version,
+        },
     )
 
 
-def _refuse_crowd(forwarder: Forwarder, work: Work) -> Refusal:
+def _refuse_crowd(
+    forwarder: Forwarder, work: Work, best: Candidate, demand: Demand
+) -> Refusal:
     wait = choose_return(
         time_left=work.deadline - read_clock(), chance=forwarder.rng.random()
     )
-    return Refusal(reason=Reason.OVERLOADED, retry_after=max(wait, 0))
+    return Refusal(
+        reason=Reason.OVERLOADED,
+        retry_after=max(wait, 0),
+        inputs={
+            'best': best.target.name,
+            'load': best.load,
+            'starting': best.starting,
+            'slots': best.target.slots,
+            'objective_left': demand.time_left,
+        },
+    )
 
 
 def _is_usable(
--- a/src/ragwortcourse/forwarding/permission.py
+++ b/src/ragwortcourse/forwarding/permission.py
@@ -28,14 +28,22 @@
         )
     route = desired.find_route(call.host, call.path)
     if route is None:
-        return Refusal(reason=Reason.NO_ROUTE)
+        return Refusal(
+            reason=Reason.NO_ROUTE, inputs={'state_version': desired.version}
+        )
     if route.public or desired.accounts is None:
         return route, None
     if not is_confirmed(state, fleet):
         return Refusal(reason=Reason.STALE, retry_after=STALE_RETRY_SECONDS)
     account = desired.accounts.get(call.key or '')
     if account is None:
-        return Refusal(reason=Reason.UNKNOWN_KEY)
+        return Refusal(
+            reason=Reason.UNKNOWN_KEY,
+            inputs={
+                'state_version': desired.version,
+                'state_age': state.read_age(),
+            },
+        )
     return route, account
 
 
--- a/src/ragwortcourse/forwarding/reply.py
+++ b/src/ragwortcourse/forwarding/reply.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Final
 
@@ -45,10 +46,12 @@
     """The system's own answer.
 
     :param retry_after: seconds; none where coming back does not help.
+    :param inputs: what decided it, for the log.
     """
 
     reason: Reason
     retry_after: float | None = None
+    inputs: Mapping[str, object] = dataclasses.field(default_factory=dict)
 
     @property
     def status(self) -> HTTPStatus:
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -40,6 +40,9 @@
 class Tries:
     """What became of one request so far.
 
+    ``tried`` are the targets it was sent to, in order; ``moved`` is true
+    once one of them did not serve it.
+
     :param runs: targets that may have run it.
     """
 
@@ -47,7 +50,8 @@
         self.forwarder = forwarder
         self.work = work
         self.runs = 0
-        self.tried: set[TargetName] = set()
+        self.tried: list[TargetName] = []
+        self.moved = False
         self._service: ServiceName = choose_service(forwarder, work)
         self._sends = 0
 
@@ -127,7 +131,7 @@
         if not self._sends:
             forwarder.retries.earn()
         self._sends += 1
-        self.tried.add(target.name)
+        self.tried.append(target.name)
         load = forwarder.find_load(target)
         load.begin(began_at)
         self.runs += 1
@@ -197,6 +201,7 @@
         return refusal
 
     def _log(self, message: str, target: Target, detail: str) -> None:
+        self.moved = True
         LOGGER.info(
             message,
             extra={
--- /dev/null
+++ b/src/ragwortcourse/telemetry/line_queue.py
@@ -0,0 +1,54 @@
+"""Log lines between the event loop and a reader that may be slow."""
+
+import logging
+import queue
+from logging.handlers import QueueHandler
+from typing import Final
+
+# Lines that wait for the reader; some megabytes at the most.
+LINES_KEPT: Final = 4000
+DROPPED: Final = 'log lines dropped'
+
+LineStore = queue.Queue[logging.LogRecord]
+
+
+class LineQueue(QueueHandler):
+    """Never waits: lines without room are dropped and counted.
+
+    :param lines: what a listener writes out.
+    """
+
+    def __init__(self, *, lines: LineStore) -> None:
+        super().__init__(lines)
+        self._lines = lines
+        self._dropped = 0
+
+    def note_dropped(self) -> None:
+        """Count a line that is not to be written."""
+        self._dropped += 1
+
+    def enqueue(self, record: logging.LogRecord) -> None:
+        """Hand a line over, or drop it; tell of dropped ones when it flows."""
+        if self._lines.full():
+            self._dropped += 1
+            return
+        if self._dropped:
+            self._lines.put_nowait(self._describe_dropped())
+            self._dropped = 0
+        try:
+            self._lines.put_nowait(record)
+        except queue.Full:
+            self._dropped += 1
+
+    def _describe_dropped(self) -> logging.LogRecord:
+        record = logging.LogRecord(
+            name=__name__,
+            level=logging.WARNING,
+            pathname=__file__,
+            lineno=0,
+            msg=DROPPED,
+            args=None,
+            exc_info=None,
+        )
+        record.lines = self._dropped
+        return record
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -70,16 +70,17 @@
 class TestLogs:
     """Log lines."""
 
-    def test_line_is_json_with_the_names_of_the_daemon(self, capsys):
+    def test_line_is_json_with_the_names_of_the_daemon(self, capfd):
         """Each line names daemon, role and failure domain."""
         settings = parse_settings(ENTRY)
         assert isinstance(settings, Settings)
         root = logging.getLogger()
         handlers, level = list(root.handlers), root.level
-        set_up_logging(settings)
+        flush = set_up_logging(settings)
         logging.getLogger('part').info('withdrawn', extra={'name_of': 'a'})
         root.handlers[:], root.level = handlers, level
-        line = msgspec.json.decode(capsys.readouterr().err)
+        flush()
+        line = msgspec.json.decode(capfd.readouterr().out)
         assert line['message'] == 'withdrawn'
         assert line['name_of'] == 'a'
         assert line['failure_domain'] == 'milano-a'
