Count bounds on versions anew after an outage of the store; draw the newest of overdue ones

The users count that bound in stretches in which the store is stable. Daemons now tell each other whether they reach the store; where most do not, the bound counts from its return. Also: calls to an origin that is down are given up after 0.4 s, they hung 3 s each and drew late.

--- a/src/ragwortcourse/forwarding/call_log.py
+++ b/src/ragwortcourse/forwarding/call_log.py
@@ -72,6 +72,10 @@
                 'status': status,
                 'targets': tries.tried,
                 'runs': tries.runs,
+                'first_seconds': (
+                    tries.first_at and tries.first_at - call.arrived_at
+                ),
+                'late_already': tries.was_late,
                 'seconds': seconds,
             },
         )
--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -98,11 +98,11 @@
     if engine is None:
         return None
     bound = forwarder.fleet.version_ms / 1000 - VERSION_MARGIN_SECONDS
-    now = read_clock()
+    state, now = forwarder.state, read_clock()
     due = (
         named.version
-        for named in forwarder.state.weights.get(engine.model, ())
-        if now - named.seen_at >= bound
+        for named in state.weights.get(engine.model, ())
+        if now - max(named.seen_at, state.unstable_at) >= bound
     )
     return max(due, default=None)
 
--- a/src/ragwortcourse/forwarding/fleet_state.py
+++ b/src/ragwortcourse/forwarding/fleet_state.py
@@ -1,6 +1,7 @@
 """What one daemon believes of the fleet."""
 
 import dataclasses
+import math
 import time
 
 from ragwortcourse.forwarding.desired_state import DesiredState
@@ -22,6 +23,8 @@
     :param confirmed_at: boot clock at which the store was last asked and
         then said that there is nothing newer.
     :param weights: versions named for each model, the newest last.
+    :param unstable_at: monotonic seconds at which the store was last away
+        for most daemons; bounds on versions count anew from then.
     :param targets_known: true once the list of targets was read.
     """
 
@@ -33,6 +36,7 @@
     )
     targets: dict[TargetName, Target] = dataclasses.field(default_factory=dict)
     targets_known: bool = False
+    unstable_at: float = -math.inf
 
     def read_age(self) -> float:
         """Seconds since the desired state was confirmed as the newest."""
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -10,6 +10,7 @@
 from ragwortcourse.entry.return_turns import ReturnTurns
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.retry_share import RetryShare
+from ragwortcourse.forwarding.store_watch import StoreWatch
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_load import TargetLoad
 from ragwortcourse.forwarding.usual_time import UsualTimes
@@ -47,6 +48,7 @@
         self.turns = ReturnTurns()
         self.retries = RetryShare(fleet=self.fleet)
         self.usual_times = UsualTimes()
+        self.store_watch = StoreWatch(state=state)
         self.running = 0
         self.closing = False
         self._loads: dict[TargetName, TargetLoad] = {}
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -42,11 +42,16 @@
         have no answer yet.
     :param named: versions of each model that the daemon saw being named,
         each with the seconds since.
+    :param age: seconds since the daemon confirmed its desired state.
+    :param stable_for: seconds since it last saw the store away for the
+        fleet; none: never.
     """
 
     daemon: DaemonId
     counts: Counts
     named: Namings = {}
+    age: float = 0
+    stable_for: float | None = None
 
 
 class SwitchMessage(msgspec.Struct, frozen=True, kw_only=True, tag='switch'):
@@ -88,6 +93,9 @@
             self._take_switch(message)
 
     def _take_load(self, message: LoadMessage) -> None:
+        self._forwarder.store_watch.note_peer(
+            message.daemon, message.age, message.stable_for
+        )
         for target in self._forwarder.state.targets.values():
             self._take_count(message, target)
         for model, versions in message.named.items():
@@ -149,10 +157,13 @@
         daemon=settings.daemon,
         counts=forwarder.count_running(),
         named=_list_named(forwarder) if is_far else {},
+        age=round(forwarder.state.read_age(), 2),
+        stable_for=forwarder.store_watch.read_stable(),
     )
     content = msgspec.json.encode(message)
     relays = await list_relays()
     forwarder.retries.daemons = max(len(relays), 1)
+    forwarder.store_watch.judge([relay.daemon for relay in relays])
     for relay in relays:
         is_near = relay.failure_domain == settings.failure_domain
         if relay.daemon != settings.daemon and (is_near or is_far):
--- /dev/null
+++ b/src/ragwortcourse/forwarding/store_watch.py
@@ -0,0 +1,69 @@
+"""Whether the store is away for the fleet, or for this daemon alone.
+
+A daemon that can't reach the store may itself be cut off, and others go on.
+Only where most registered daemons say that they can't reach it either, the
+store itself is away.
+"""
+
+import math
+from collections.abc import Collection
+from typing import Final
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.identifiers import DaemonId
+
+# Two calls of a feed that failed.
+LOST_SECONDS: Final = 2.5
+# Daemons tell each other more often than that.
+FRESH_SECONDS: Final = 1.5
+# More than the daemons of one failure domain that is cut off.
+MOST: Final = 0.6
+
+
+class StoreWatch:
+    """What daemons say of the age of their desired state."""
+
+    def __init__(self, *, state: FleetState) -> None:
+        self._state = state
+        self._lost: dict[DaemonId, float] = {}
+
+    def note_peer(
+        self, daemon: DaemonId, age: float, stable_for: float | None
+    ) -> None:
+        """Take another daemon's word.
+
+        :param age: seconds since it confirmed its desired state.
+        :param stable_for: seconds since it last saw the store away for the
+            fleet; none: never.
+        """
+        now = read_clock()
+        if age > LOST_SECONDS:
+            self._lost[daemon] = now
+        else:
+            self._lost.pop(daemon, None)
+        if stable_for is not None:
+            self._state.unstable_at = max(
+                self._state.unstable_at, now - stable_for
+            )
+
+    def judge(self, registered: Collection[DaemonId]) -> None:
+        """Note an outage of the store for the fleet, if there is one.
+
+        :param registered: every daemon, this one included.
+        """
+        now = read_clock()
+        if self._state.read_age() <= LOST_SECONDS:
+            return
+        lost = [
+            daemon
+            for daemon in registered
+            if now - self._lost.get(daemon, -math.inf) < FRESH_SECONDS
+        ]
+        if len(lost) + 1 > MOST * len(registered):
+            self._state.unstable_at = now
+
+    def read_stable(self) -> float | None:
+        """Seconds since the store was last away; none: never seen."""
+        seconds = read_clock() - self._state.unstable_at
+        return None if math.isinf(seconds) else round(seconds, 2)
--- a/src/ragwortcourse/forwarding/stream_call.py
+++ b/src/ragwortcourse/forwarding/stream_call.py
@@ -115,5 +115,6 @@
             )
             response.headers.popall('Content-Length', None)
             await response.prepare(self._request)
+            self._tries.first_at = read_clock()
             self._response = response
         return self._response
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -41,7 +41,9 @@
     """What became of one request so far.
 
     ``tried`` are the targets it was sent to, in order; ``moved`` is true
-    once one of them did not serve it.
+    once one of them did not serve it; ``was_late`` is true where the caller
+    came too late for the objective; ``first_at`` is when the caller got
+    the first bytes, in monotonic seconds.
 
     :param runs: targets that may have run it.
     """
@@ -52,6 +54,8 @@
         self.runs = 0
         self.tried: list[TargetName] = []
         self.moved = False
+        self.first_at: float | None = None
+        self.was_late = self.is_late
         self._service: ServiceName = choose_service(forwarder, work)
         self._sends = 0
 
@@ -60,6 +64,11 @@
         """Tell whether a refusal can no longer say that it did not run."""
         return self.runs > 0
 
+    @property
+    def is_late(self) -> bool:
+        """Tell whether the objective can't be met any more."""
+        return read_demand(self.forwarder, self.work).time_left <= 0
+
     def allows_another(self) -> bool:
         """Tell whether one more target may be tried."""
         route = self.work.route
@@ -114,8 +123,7 @@
             if not isinstance(target, Refusal):
                 return target
             waited = read_clock() - began_at
-            is_late = read_demand(self.forwarder, self.work).time_left <= 0
-            if target.reason is not Reason.OVERLOADED or not is_late:
+            if target.reason is not Reason.OVERLOADED or not self.is_late:
                 return target
             if waited > LATE_WAIT_SECONDS:
                 return target
--- a/src/ragwortcourse/platform/weight_source.py
+++ b/src/ragwortcourse/platform/weight_source.py
@@ -1,6 +1,5 @@
 """The platform's origin of weights."""
 
-import asyncio
 from typing import Final
 
 import aiohttp
@@ -12,6 +11,11 @@
 # A chunk over the origin's whole link takes some ten milliseconds, over
 # one shared by everybody much longer.
 CALL_SECONDS: Final = 3.0
+# An origin that is down does not answer at all; others are asked meanwhile.
+CONNECT_SECONDS: Final = 0.4
+TIMEOUT: Final = aiohttp.ClientTimeout(
+    total=CALL_SECONDS, sock_connect=CONNECT_SECONDS
+)
 OK: Final = 200
 
 
@@ -67,10 +71,7 @@
 
     async def _read(self, url: str) -> bytes | None:
         try:
-            async with (
-                asyncio.timeout(CALL_SECONDS),
-                self._session.get(url) as response,
-            ):
+            async with self._session.get(url, timeout=TIMEOUT) as response:
                 if response.status != OK:
                     return None
                 return await response.read()
--- a/src/ragwortcourse/weights/version_choice.py
+++ b/src/ragwortcourse/weights/version_choice.py
@@ -3,10 +3,10 @@
 Load pattern: versions are named in quick succession. The newest one alone
 counts in the end, but an engine must not answer from a version whose
 successor was named too long ago: where the newest can't be there by then,
-the one before it is finished first.
+an older one that is mostly drawn is finished first.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from ragwortcourse.forwarding.named_weights import NamedWeights
@@ -15,25 +15,33 @@
 SWITCH_SECONDS: Final = 1.5
 
 
+# An older version is finished if that takes less than this part of the time
+# of the newest.
+MOSTLY_DRAWN: Final = 0.6
+
+
 def choose_version(
     named: Sequence[NamedWeights],
     *,
     held: int,
     now: float,
-    drawing: float,
+    foresee: Callable[[int], float],
     bound: float,
 ) -> NamedWeights:
     """The version to be brought next.
 
     :param named: the newest last, at least one.
     :param held: version that the engine holds; zero for none.
-    :param drawing: seconds until the newest version could be drawn.
+    :param foresee: seconds until a version could be drawn.
     :param bound: seconds from a version's naming after which no request
         may begin on an older one.
     """
     newest = named[-1]
+    drawing = foresee(newest.version)
     done_at = now + drawing + SWITCH_SECONDS
     for older in named[:-1]:
-        if older.version > held and older.seen_at + bound < done_at:
+        is_due = older.seen_at + bound < done_at
+        is_sooner = foresee(older.version) < drawing * MOSTLY_DRAWN
+        if older.version > held and is_due and is_sooner:
             return older
     return newest
--- a/src/ragwortcourse/weights/version_drawing.py
+++ b/src/ragwortcourse/weights/version_drawing.py
@@ -44,15 +44,17 @@
 
 def read_wanted(loading: Loading, rules: EngineRules) -> int:
     """Version that the engine is to hold next."""
-    named = loading.list_named(rules)
-    newest = named[-1].version
-    kept = loading.store.find(newest)
-    missing = rules.chunks if kept is None else len(kept.missing)
+
+    def foresee(version: int) -> float:
+        kept = loading.store.find(version)
+        missing = rules.chunks if kept is None else len(kept.missing)
+        return missing * rules.chunk_bytes / loading.link_rate
+
     return choose_version(
-        named,
+        loading.list_named(rules),
         held=max(loading.read_held(rules), loading.store.find_newest_whole()),
         now=read_clock(),
-        drawing=missing * rules.chunk_bytes / loading.link_rate,
+        foresee=foresee,
         bound=loading.fleet.version_ms / 1000,
     ).version
 
--- /dev/null
+++ b/tests/test_store_watch.py
@@ -0,0 +1,73 @@
+"""Tests of :mod:`ragwortcourse.forwarding.store_watch`."""
+
+import asyncio
+import math
+
+import pytest
+
+from fakes.fleet_parts import make_state
+from ragwortcourse.forwarding.store_watch import StoreWatch
+
+pytestmark = pytest.mark.looptime
+DAEMONS = [f'entry-{number}' for number in range(9)]
+
+
+def make_watch(*, lost: bool) -> tuple[StoreWatch, object]:
+    """A watch of a daemon that has, or has not, lost the store."""
+    state = make_state()
+    if lost:
+        state.confirmed_at -= 10
+    return StoreWatch(state=state), state
+
+
+class TestStoreWatch:
+    """Whether the store is away for all."""
+
+    async def test_away_for_most(self):
+        """The store is away where most daemons say so."""
+        watch, state = make_watch(lost=True)
+        for daemon in DAEMONS[1:7]:
+            watch.note_peer(daemon, 4, None)
+        watch.judge(DAEMONS)
+        assert state.unstable_at == asyncio.get_running_loop().time()
+
+    async def test_own_cut(self):
+        """A daemon that is cut off alone, or with its domain, is no outage."""
+        watch, state = make_watch(lost=True)
+        for daemon in DAEMONS[1:4]:
+            watch.note_peer(daemon, 4, None)
+        for daemon in DAEMONS[4:]:
+            watch.note_peer(daemon, 0.5, None)
+        watch.judge(DAEMONS)
+        assert math.isinf(state.unstable_at)
+
+    async def test_nobody_heard(self):
+        """A daemon that hears nobody judges nothing."""
+        watch, state = make_watch(lost=True)
+        watch.judge(DAEMONS)
+        assert math.isinf(state.unstable_at)
+
+    async def test_old_words(self):
+        """What daemons said long ago does not count."""
+        watch, state = make_watch(lost=True)
+        for daemon in DAEMONS[1:]:
+            watch.note_peer(daemon, 4, None)
+        await asyncio.sleep(2)
+        watch.judge(DAEMONS)
+        assert math.isinf(state.unstable_at)
+
+    async def test_own_store_answers(self):
+        """A daemon that reaches the store sees no outage."""
+        watch, state = make_watch(lost=False)
+        for daemon in DAEMONS[1:]:
+            watch.note_peer(daemon, 4, None)
+        watch.judge(DAEMONS)
+        assert math.isinf(state.unstable_at)
+
+    async def test_told_by_others(self):
+        """A daemon that just started learns of the outage from others."""
+        watch, state = make_watch(lost=False)
+        watch.note_peer(DAEMONS[1], 0.2, 3)
+        assert watch.read_stable() == 3
+        now = asyncio.get_running_loop().time()
+        assert state.unstable_at == pytest.approx(now - 3)
