Do not take daemons that start for daemons that lost the store

Each told an age of its desired state counted from nothing, and all of them together judged that the store was away.

--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -157,7 +157,7 @@
         daemon=settings.daemon,
         counts=forwarder.count_running(),
         named=_list_named(forwarder) if is_far else {},
-        age=round(forwarder.state.read_age(), 2),
+        age=forwarder.store_watch.read_age(),
         stable_for=forwarder.store_watch.read_stable(),
     )
     content = msgspec.json.encode(message)
--- a/src/ragwortcourse/forwarding/store_watch.py
+++ b/src/ragwortcourse/forwarding/store_watch.py
@@ -53,7 +53,7 @@
         :param registered: every daemon, this one included.
         """
         now = read_clock()
-        if self._state.read_age() <= LOST_SECONDS:
+        if self.read_age() <= LOST_SECONDS:
             return
         lost = [
             daemon
@@ -63,6 +63,15 @@
         if len(lost) + 1 > MOST * len(registered):
             self._state.unstable_at = now
 
+    def read_age(self) -> float:
+        """Seconds since the store last answered this daemon.
+
+        Zero while it never has: a daemon that starts has lost nothing yet.
+        """
+        if not self._state.confirmed_at:
+            return 0
+        return round(self._state.read_age(), 2)
+
     def read_stable(self) -> float | None:
         """Seconds since the store was last away; none: never seen."""
         seconds = read_clock() - self._state.unstable_at
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -71,3 +71,17 @@
         assert watch.read_stable() == 3
         now = asyncio.get_running_loop().time()
         assert state.unstable_at == pytest.approx(now - 3)
+
+    async def test_daemons_that_start(self):
+        """Daemons that have not read the store yet have not lost it.
+
+        Incident: all entry daemons were killed at once and started anew;
+        each took the others for cut off from the store, and the bound on
+        versions counted from then.
+        """
+        watch, state = make_watch(lost=True)
+        state.confirmed_at = 0
+        for daemon in DAEMONS[1:]:
+            watch.note_peer(daemon, StoreWatch(state=state).read_age(), None)
+        watch.judge(DAEMONS)
+        assert math.isinf(state.unstable_at)
