Tell a reset that arrives together with bytes from a plain end

A body without length was reset by a crashing target, and passed on as whole. The event loop's library reports an end without reading once more where bytes and the reset arrive together, so that no error is raised. Now the socket's pending error is read at the end of the connection. Ruled out: an ordinary reset (was noticed before, test_reset with a pause) and a lost protocol. tests/test_exchange.py fails before and holds now.

--- a/src/ragwortcourse/forwarding/exchange.py
+++ b/src/ragwortcourse/forwarding/exchange.py
@@ -6,12 +6,14 @@
 from typing import Final
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
-from aiohttp.connector import Connection
 from yarl import URL
 
 from ragwortcourse.forwarding.answer_head import AnswerHead
 from ragwortcourse.forwarding.call import Work
+from ragwortcourse.forwarding.target_connection import (
+    TargetConnector,
+    TargetResponse,
+)
 from ragwortcourse.forwarding.wire_format import Dispatch, WireFormat
 
 # Some round trips between the farthest failure domains.
@@ -20,6 +22,8 @@
 UNACKNOWLEDGED_MS: Final = 2000
 # Targets may add to what callers were allowed to send.
 HEADER_BYTES: Final = 65_536
+# An answer with one of these tells its own end.
+FRAMING: Final = frozenset(('content-length', 'transfer-encoding'))
 SKIPPED_HEADERS: Final = (
     'Accept',
     'Accept-Encoding',
@@ -46,18 +50,6 @@
     """A body ended before it was whole."""
 
 
-class TargetResponse(aiohttp.ClientResponse):
-    """A response that still knows its protocol after its end."""
-
-    protocol_kept: ResponseHandler | None = None
-
-    async def start(self, connection: Connection) -> 'TargetResponse':
-        """Read status and headers."""
-        self.protocol_kept = connection.protocol  # noqa: WPS601
-        await super().start(connection)
-        return self
-
-
 class OpenAnswer:
     """An answer whose body is still to be read."""
 
@@ -90,9 +82,11 @@
         The client library takes any end of the connection for the end of
         such a body.
         """
-        protocol = getattr(self._response, 'protocol_kept', None)
-        return protocol is not None and isinstance(
-            protocol.exception(), OSError
+        response = self._response
+        return (
+            isinstance(response, TargetResponse)
+            and FRAMING.isdisjoint(name.lower() for name in response.headers)
+            and response.was_reset()
         )
 
 
@@ -102,7 +96,7 @@
     An earlier connection may have gone silent, or may hold a late answer
     to another request; a new one costs a round trip.
     """
-    connector = aiohttp.TCPConnector(
+    connector = TargetConnector(
         limit=0, force_close=True, socket_factory=_open_socket
     )
     return aiohttp.ClientSession(
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,89 @@
+"""Tests of :mod:`ragwortcourse.forwarding.exchange`."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import pytest
+import uvloop
+
+from ragwortcourse.forwarding.exchange import (
+    AnswerCutError,
+    OpenAnswer,
+    open_target_session,
+)
+
+HEAD = b'HTTP/1.1 200 OK\r\n'
+LINGER = struct.pack('ii', 1, 0)
+
+
+async def read_answer(sent: bytes, *, reset: bool, pause: float) -> bytes:
+    """Body of an answer whose target then closes or resets."""
+    loop = asyncio.get_running_loop()
+    with socket.socket() as listening:
+        listening.bind(('127.0.0.1', 0))
+        listening.listen()
+        listening.setblocking(False)
+        port = listening.getsockname()[1]
+        async with open_target_session() as session:
+            asked = asyncio.ensure_future(
+                session.request('GET', f'http://127.0.0.1:{port}/')
+            )
+            target, _ = await loop.sock_accept(listening)
+            await loop.sock_recv(target, 1000)
+            target.send(sent)
+            if pause:
+                await asyncio.sleep(pause)
+            if reset:
+                target.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+            target.close()
+            answer = OpenAnswer(head=None, response=await asked)
+            pieces = [piece async for piece in answer.read_pieces()]
+            return b''.join(pieces)
+
+
+def run(main: Callable[[], Awaitable[bytes]]) -> bytes:
+    """Run on the event loop that daemons use."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(main())
+
+
+@pytest.mark.parametrize('pause', [0, 0.05])
+class TestUnframedBody:
+    """A body without length, which ends with its connection."""
+
+    def test_closed(self, pause):
+        """A body whose connection is closed is whole."""
+        body = run(
+            lambda: read_answer(HEAD + b'\r\nwhole', reset=False, pause=pause)
+        )
+        assert body == b'whole'
+
+    def test_reset(self, pause):
+        """A body whose connection is reset is not whole.
+
+        With no pause the reset arrives together with the bytes; the event
+        loop then reports a plain end.
+        """
+        with pytest.raises(AnswerCutError):
+            run(
+                lambda: read_answer(HEAD + b'\r\nhalf', reset=True, pause=pause)
+            )
+
+
+class TestFramedBody:
+    """A body with a length."""
+
+    def test_whole_before_the_reset(self):
+        """A body that has its length is whole, whatever follows."""
+        framed = HEAD + b'Content-Length: 5\r\n\r\nwhole'
+        body = run(lambda: read_answer(framed, reset=True, pause=0))
+        assert body == b'whole'
+
+    @pytest.mark.parametrize('reset', [False, True])
+    def test_short(self, reset):
+        """A body shorter than its length is cut."""
+        framed = HEAD + b'Content-Length: 9\r\n\r\nshort'
+        with pytest.raises(AnswerCutError):
+            run(lambda: read_answer(framed, reset=reset, pause=0.05))
