--- a/src/ragwortcourse/forwarding/target_connection.py
+++ b/src/ragwortcourse/forwarding/target_connection.py
@@ -41,7 +41,7 @@
     def __init__(self, **options: object) -> None:
         super().__init__(**options)  # type: ignore[arg-type]
         # The library has no public way to name the protocol.
-        self._factory: functools.partial[ResponseHandler] = functools.partial(
+        self._factory = functools.partial(  # type: ignore[assignment]
             TargetProtocol, loop=self._loop
         )
 
