--- a/src/ragwortcourse/daemon.py
+++ b/src/ragwortcourse/daemon.py
@@ -52,7 +52,7 @@
     if check:
         return
     try:
-        run_daemon(settings)
+        run_daemon(settings, path)
     except UnusableAddressesError as error:
         report_findings(error.findings, path)
         sys.exit(BAD_SETTINGS_STATUS)
@@ -64,11 +64,11 @@
         click.echo(format_finding(finding, str(path)), err=True)
 
 
-def run_daemon(settings: Settings) -> None:
+def run_daemon(settings: Settings, path: pathlib.Path) -> None:
     """Run until SIGTERM, then finish what is under way."""
     flush_logs = set_up_logging(settings)
     telemetry = set_up_telemetry(settings)
-    service = DaemonService(settings=settings)
+    service = DaemonService(settings=settings, path=path)
     with entrypoint(
         service,
         log_config=False,
--- a/src/ragwortcourse/processes/agent_daemon.py
+++ b/src/ragwortcourse/processes/agent_daemon.py
@@ -20,7 +20,7 @@
 from ragwortcourse.messages.peer_port import DaemonPort
 from ragwortcourse.processes.sessions import Sessions
 from ragwortcourse.processes.tasks import BackgroundTasks
-from ragwortcourse.settings import Settings
+from ragwortcourse.settings import FleetSettings, Settings
 from ragwortcourse.storage.http_table import build_http_table
 from ragwortcourse.storage.table import TableService
 from ragwortcourse.weights.http_origin import build_http_origin
@@ -62,6 +62,9 @@
             *build_weight_routes(landing=self.landing),
         ]
 
+    def take_fleet(self, fleet: FleetSettings) -> None:
+        """Nothing: only fleets have bounds in their settings."""
+
     def start(self, tasks: BackgroundTasks) -> None:
         """Run the endless tasks: the target, its weights, the list."""
         tasks.start('watch target', watch_target(self.agent))
--- a/src/ragwortcourse/processes/entry_daemon.py
+++ b/src/ragwortcourse/processes/entry_daemon.py
@@ -51,7 +51,7 @@
 from ragwortcourse.messages.peer_port import AgentPort, DaemonPort
 from ragwortcourse.processes.sessions import Sessions
 from ragwortcourse.processes.tasks import BackgroundTasks
-from ragwortcourse.settings import Settings
+from ragwortcourse.settings import FleetSettings, Settings
 from ragwortcourse.storage.http_objects import build_http_objects
 from ragwortcourse.storage.http_table import build_http_table
 
@@ -96,6 +96,9 @@
             *build_crasher_routes(crashers=self.entry.crashers),
         ]
 
+    def take_fleet(self, fleet: FleetSettings) -> None:
+        """Nothing: only fleets have bounds in their settings."""
+
     def start(self, tasks: BackgroundTasks) -> None:
         """Run the endless tasks: configuration, targets, peers."""
         store = self.operators.store
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -25,7 +25,7 @@
 from ragwortcourse.platform.weight_source import WeightSource
 from ragwortcourse.platform.wire import build_wire_format
 from ragwortcourse.processes.tasks import BackgroundTasks
-from ragwortcourse.settings import Settings
+from ragwortcourse.settings import FleetSettings, Settings
 from ragwortcourse.weights.chunk_cache import ChunkCache
 from ragwortcourse.weights.chunk_routes import build_chunk_routes
 from ragwortcourse.weights.relay import RelayRecord
@@ -78,6 +78,10 @@
         """Routes of the port for other daemons."""
         return build_chunk_routes(self.cache.find)
 
+    def take_fleet(self, fleet: FleetSettings) -> None:
+        """Take other bounds over."""
+        self.forwarder.fleet = fleet
+
     def start(self, tasks: BackgroundTasks) -> None:
         """Run the endless tasks."""
         for index, feed in enumerate(self.feeds):
--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -20,7 +20,7 @@
 from ragwortcourse.platform.target_reader import read_service
 from ragwortcourse.platform.weight_source import WeightSource
 from ragwortcourse.processes.tasks import BackgroundTasks
-from ragwortcourse.settings import Settings
+from ragwortcourse.settings import FleetSettings, Settings
 from ragwortcourse.weights.chunk_routes import build_chunk_routes
 from ragwortcourse.weights.engine_switch import switch_engine
 from ragwortcourse.weights.fleet_manifest import FleetManifest
@@ -55,6 +55,10 @@
             self.loading.find_chunk, link_rate=self.loading.link_rate
         )
 
+    def take_fleet(self, fleet: FleetSettings) -> None:
+        """Take other bounds over."""
+        self.loading.fleet = fleet
+
     def start(self, tasks: BackgroundTasks) -> None:
         """Run the endless tasks."""
         tasks.start('follow operators', self.feed.follow())
--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import os
+import pathlib
 import signal
 from typing import Final, Protocol
 
@@ -19,11 +20,12 @@
 from ragwortcourse.processes.health import build_health_routes
 from ragwortcourse.processes.heap import keep_blocks_apart
 from ragwortcourse.processes.loader_daemon import build_loader_daemon
+from ragwortcourse.processes.reload import follow_settings, list_changes
 from ragwortcourse.processes.sessions import open_sessions
 from ragwortcourse.processes.sites import open_site
 from ragwortcourse.processes.tasks import BackgroundTasks
 from ragwortcourse.processes.unusable_addresses import UnusableAddressesError
-from ragwortcourse.settings import Role, Settings
+from ragwortcourse.settings import FleetSettings, Role, Settings
 from ragwortcourse.telemetry.metrics_page import build_metrics_route
 
 # For the sockets of a daemon that is to be gone soon.
@@ -35,6 +37,9 @@
 class Daemon(Protocol):
     """What either role offers."""
 
+    def take_fleet(self, fleet: FleetSettings) -> None:
+        """Take other bounds over."""
+
     @property
     def last_connections_seconds(self) -> float:
         """How long connections stay open once everything has ended."""
@@ -64,12 +69,15 @@
 class DaemonService(Service):
     """One daemon in its process; a stop cuts nothing off.
 
+    :param path: file of the settings, read again when it changes.
+
     ``broken`` tells afterwards that an endless task failed.
     """
 
-    def __init__(self, *, settings: Settings) -> None:
+    def __init__(self, *, settings: Settings, path: pathlib.Path) -> None:
         super().__init__()
         self.settings = settings
+        self.path = path
         self.broken = False
         self.leaving = False
         self.runners: list[web.AppRunner] = []
@@ -89,6 +97,12 @@
             await self._close()
             raise UnusableAddressesError(findings=tuple(self._findings))
         self.daemon.start(self.tasks)
+        self.tasks.start(
+            'follow settings',
+            follow_settings(
+                path=self.path, settings=self.settings, apply=self._apply
+            ),
+        )
         self.start_event.set()
         LOGGER.info('started', extra={'peers': self.settings.listen.peers})
         try:
@@ -108,6 +122,15 @@
         await self._close()
         LOGGER.info('stopped')
 
+    def _apply(self, settings: Settings) -> tuple[str, ...]:
+        """Take bounds over; name what only a restart can change."""
+        changed = list_changes(self.settings, settings)
+        fleet = settings.fleet
+        if fleet is None:
+            return changed
+        self.daemon.take_fleet(fleet)
+        return tuple(name for name in changed if name != 'fleet')
+
     async def _close(self) -> None:
         if self.settings.fleet is None:
             await self._close_runners()
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -67,7 +67,7 @@
 class TestHealth:
     """A daemon whose ports are opened one after the other."""
 
-    async def test_all_ports_are_open_before(self, monkeypatch):
+    async def test_all_ports_are_open_before(self, monkeypatch, tmp_path):
         """Once ``/healthz`` answers, nobody is refused at another port."""
         opened = []
 
@@ -78,7 +78,9 @@
         monkeypatch.setattr(service, 'open_site', note_site)
         listen = {key: pick_address() for key in KEYS}
         settings = parse_settings(SETTINGS.format(**listen))
-        daemon = service.DaemonService(settings=settings)
+        daemon = service.DaemonService(
+            settings=settings, path=tmp_path / 'settings.toml'
+        )
         daemon.set_loop(asyncio.get_running_loop())
         starting = asyncio.create_task(daemon.start())
         await daemon.start_event.wait()
