Take back requests that have not begun when their engine's weights expire

Requests were sent 0.2 s before the margin, and waited 1.1 s in the queue of an engine that many moved streams had filled. A wider margin was ruled out: it closes engines that could still serve. Now each try at an engine that is behind ends before the bound if its answer has not begun.

--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -25,6 +25,9 @@
 
 # Before the bound: a request may wait at its target for as long.
 VERSION_MARGIN_SECONDS: Final = 0.8
+# Before the bound: a request that has not begun is taken back, which takes
+# a moment to reach its target.
+START_MARGIN_SECONDS: Final = 0.2
 # A target that owes answers for this long is passed by: several passes of
 # a loaded engine.
 SILENT_SECONDS: Final = 0.8
@@ -95,18 +98,49 @@
     forwarder: Forwarder, engine: EngineRules | None
 ) -> int | None:
     """Weights that a request must begin on, once the older ones expired."""
-    if engine is None:
-        return None
-    bound = forwarder.fleet.version_ms / 1000 - VERSION_MARGIN_SECONDS
-    state, now = forwarder.state, read_clock()
+    now = read_clock()
     due = (
-        named.version
-        for named in state.weights.get(engine.model, ())
-        if now - max(named.seen_at, state.unstable_at) >= bound
+        version
+        for version, bound in _list_bounds(forwarder, engine)
+        if now >= bound - VERSION_MARGIN_SECONDS
     )
     return max(due, default=None)
 
 
+def read_start_limit(forwarder: Forwarder, target: Target) -> float | None:
+    """Seconds in which a request must begin at a target; none: no bound.
+
+    It may wait there longer than was foreseen, until the weights that the
+    target has are too old to begin on.
+    """
+    desired = forwarder.state.desired
+    engine = None if desired is None else desired.find_engine(target.service)
+    held = forwarder.find_load(target).read_version(target)
+    bounds = (
+        bound
+        for version, bound in _list_bounds(forwarder, engine)
+        if version > held
+    )
+    first = min(bounds, default=None)
+    if first is None:
+        return None
+    return max(first - START_MARGIN_SECONDS - read_clock(), 0)
+
+
+def _list_bounds(
+    forwarder: Forwarder, engine: EngineRules | None
+) -> list[tuple[int, float]]:
+    """Each named version, and when older ones may not be begun on."""
+    if engine is None:
+        return []
+    state = forwarder.state
+    seconds = forwarder.fleet.version_ms / 1000
+    return [
+        (named.version, max(named.seen_at, state.unstable_at) + seconds)
+        for named in state.weights.get(engine.model, ())
+    ]
+
+
 def _refuse_all(
     forwarder: Forwarder, service: ServiceName, version: int | None
 ) -> Refusal:
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -14,6 +14,7 @@
     choose_service,
     choose_target,
     read_demand,
+    read_start_limit,
 )
 from ragwortcourse.forwarding.exchange import (
     NoAnswer,
@@ -149,8 +150,10 @@
             time_left=self.work.deadline - began_at,
             last_event=last_event,
         )
+        limits = (silence, read_start_limit(forwarder, target))
+        limit = min((each for each in limits if each is not None), default=None)
         try:
-            async with asyncio.timeout(silence):
+            async with asyncio.timeout(limit):
                 answer = await open_exchange(
                     session=forwarder.session,
                     wire=forwarder.wire,
@@ -158,7 +161,7 @@
                     dispatch=dispatch,
                 )
         except TimeoutError:
-            answer = NoAnswer(detail=f'silent for {silence} s')
+            answer = NoAnswer(detail=f'not begun within {limit:.2f} s')
         finally:
             if not isinstance(answer, OpenAnswer):
                 load.start()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -468,6 +468,28 @@
         fleet.state.weights['drafts'] = (old,)
         assert (await fleet.ask(LETTER)).status == 503
 
+    async def test_taken_back_at_the_bound(self, fleet):
+        """A request that has not begun by the bound is taken back.
+
+        Incident: requests waited 1.1 s in the queue of an overloaded engine
+        and began on weights that had expired meanwhile.
+        """
+        await fleet.open([hang], [stream_all])
+        fleet.state.targets['t-1'] = dataclasses.replace(
+            fleet.state.targets['t-1'],
+            weights=HeldWeights(version=2, first=0, end=16),
+        )
+        now = asyncio.get_running_loop().time()
+        named = NamedWeights(version=2, seen_at=now - 7.1)
+        fleet.state.weights['drafts'] = (named,)
+        # The engine that is behind looks better at first.
+        fleet.forwarder.find_load(fleet.state.targets['t-1']).own = 8
+        began_at = asyncio.get_running_loop().time()
+        response = await fleet.ask(LETTER)
+        assert response.status == 200
+        assert fleet.targets[0].left == 1
+        assert asyncio.get_running_loop().time() - began_at < 1.2
+
     async def test_cold_target(self, fleet):
         """A cold target gets no more than this daemon's share a second."""
         await fleet.open([stream_all], cold_seconds=60)
