--- a/src/ragwortcourse/forwarding/admission.py
+++ b/src/ragwortcourse/forwarding/admission.py
@@ -18,13 +18,13 @@
 # From the arrival in the middle of a pass to the end of the next one.
 PASSES: Final = 1.5
 # Part of the slots that late requests may fill.
-LATE_SHARE: Final = 0.8
+LATE_SHARE: Final = 0.7
 # Callers honour a time to come back up to a third of what they have left.
 RETURN_SHARE: Final = 0.3
 LONGEST_RETURN_SECONDS: Final = 2.0
 RETURN_SPREAD: Final = 0.5
 # Late requests wait here for a free slot, and look for one that often.
-LATE_WAIT_SECONDS: Final = 1.2
+LATE_WAIT_SECONDS: Final = 0.6
 LATE_LOOK_SECONDS: Final = 0.08
 # Prompts are read between the steps of the requests that write.
 READING_STRETCH: Final = 1.3
