--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -16,6 +16,7 @@
 from ragwortcourse.forwarding.forwarder import Forwarder, read_fleet_settings
 from ragwortcourse.forwarding.load_exchange import exchange_loads
 from ragwortcourse.forwarding.target_list import TargetList
+from ragwortcourse.identifiers import ModelName
 from ragwortcourse.platform import names
 from ragwortcourse.platform.feed import TableFeed
 from ragwortcourse.platform.operator_rows import build_operator_reader
@@ -87,6 +88,7 @@
         for index, feed in enumerate(self.feeds):
             tasks.start(f'follow table {index}', feed.follow())
         tasks.start('register', self.register())
+        tasks.start('draw ahead', self.cache.follow(self._list_named))
         tasks.start(
             'exchange loads',
             exchange_loads(
@@ -127,6 +129,11 @@
         for session in self.sessions:
             await session.close()
 
+    def _list_named(self) -> list[tuple[ModelName, int]]:
+        """The newest version that was named for each model."""
+        weights = self.forwarder.state.weights
+        return [(model, named[-1].version) for model, named in weights.items()]
+
 
 def build_forwarder_daemon(*, settings: Settings) -> ForwarderDaemon:
     """A forwarder that reaches store and targets by HTTP; nothing runs yet.
--- a/src/ragwortcourse/weights/chunk_cache.py
+++ b/src/ragwortcourse/weights/chunk_cache.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
 from ragwortcourse.background import Background
@@ -16,10 +16,13 @@
 
 ReadManifest = Callable[[ModelName, int], Awaitable[FleetManifest | None]]
 DrawChunk = Callable[[FleetManifest, int], Awaitable[bytes | None]]
+ListNamed = Callable[[], Sequence[tuple[ModelName, int]]]
 ListOwn = Callable[[FleetManifest], Awaitable[tuple[int, ...]]]
 
 # Chunks drawn at once before anybody asks for them.
 DRAWN_AHEAD: Final = 2
+# A look costs nothing; the store tells of new versions at once.
+LOOK_SECONDS: Final = 0.1
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -46,6 +49,7 @@
         self._read_manifest = read_manifest
         self._draw = draw
         self._store = ChunkStore()
+        self._failed = 0
         self._manifests: dict[int, asyncio.Task[VersionChunks | None]] = {}
         self._draws: dict[tuple[int, int], asyncio.Task[bytes | None]] = {}
 
@@ -60,6 +64,17 @@
             return None
         return await self._find_in(chunks, index)
 
+    async def follow(self, list_named: ListNamed) -> None:
+        """Draw what is named before anybody asks for it, for ever.
+
+        :param list_named: the newest version of each model.
+        """
+        while True:
+            for model, version in list_named():
+                if self._store.find(version) is None:
+                    await self._open(model, version)
+            await asyncio.sleep(LOOK_SECONDS)
+
     async def stop(self) -> None:
         """End what is drawn ahead."""
         await self._ahead.cancel()
@@ -116,8 +131,14 @@
         content = await self._draw(chunks.manifest, index)
         if chunks.take(index, content):
             return content
-        LOGGER.info(
-            'chunk not drawn',
-            extra={'version': chunks.manifest.version, 'chunk': index},
-        )
+        self._note_failure(chunks.manifest.version)
         return None
+
+    def _note_failure(self, version: int) -> None:
+        """Leave one line for each version, however often it is asked for."""
+        if self._failed != version:
+            LOGGER.warning(
+                'chunks can not be drawn; asking again',
+                extra={'version': version},
+            )
+        self._failed = version
--- a/src/ragwortcourse/weights/chunk_routes.py
+++ b/src/ragwortcourse/weights/chunk_routes.py
@@ -4,11 +4,19 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from aiohttp import ClientError, ClientSession, ClientTimeout, web
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientSession,
+    ClientTimeout,
+    ConnectionTimeoutError,
+    web,
+)
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.peer_reach import PeerReach
 
 # A chunk that is on its way to the asked daemon is waited for.
 WAIT_SECONDS: Final = 1.0
@@ -85,6 +93,7 @@
 async def fetch_chunk(
     *,
     session: ClientSession,
+    reach: PeerReach,
     address: str,
     manifest: FleetManifest,
     index: int,
@@ -104,6 +113,9 @@
             if response.status != OK:
                 return None
             return await response.read()
+    except (ClientConnectorError, ConnectionTimeoutError):
+        reach.note_silent(address)
+        return None
     except (ClientError, OSError, TimeoutError):
         # The next source follows.
         return None
--- a/src/ragwortcourse/weights/loader_drawing.py
+++ b/src/ragwortcourse/weights/loader_drawing.py
@@ -8,6 +8,7 @@
 from ragwortcourse.weights.chunk_sources import list_loader_sources
 from ragwortcourse.weights.fleet_manifest import FleetManifest
 from ragwortcourse.weights.loading_ports import DrawChunk
+from ragwortcourse.weights.peer_reach import PeerReach
 from ragwortcourse.weights.relay_drawing import (
     ListRelays,
     ReadOriginChunk,
@@ -24,6 +25,7 @@
     read_origin_chunk: ReadOriginChunk,
 ) -> DrawChunk:
     """Draws from the relays, and from the origin where none has a chunk."""
+    reach = PeerReach()
 
     async def draw(
         manifest: FleetManifest, index: int, rate: int
@@ -33,10 +35,12 @@
             domain=settings.failure_domain,
             index=index,
         )
-        for relay in relays:
+        addresses = [relay.address for relay in relays]
+        for address in reach.order(addresses):
             content = await fetch_chunk(
                 session=session,
-                address=relay.address,
+                reach=reach,
+                address=address,
                 manifest=manifest,
                 index=index,
                 rate=rate,
--- a/src/ragwortcourse/weights/relay_drawing.py
+++ b/src/ragwortcourse/weights/relay_drawing.py
@@ -17,6 +17,7 @@
     list_relay_sources,
 )
 from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.peer_reach import PeerReach
 from ragwortcourse.weights.relay import RelayRecord
 
 # Holders that are asked before relays and the origin.
@@ -90,6 +91,7 @@
         self._list_relays = list_relays
         self._read_origin_chunk = read_origin_chunk
         self._rng = rng
+        self._reach = PeerReach()
 
     async def draw(self, manifest: FleetManifest, index: int) -> bytes | None:
         """Bytes of a chunk from the first source that has it right."""
@@ -99,9 +101,11 @@
             for relay in relays
         )
         rate = DOMAIN_RATE // (max(near, 1) * DRAWN_AHEAD)
-        for address in self._list_addresses(manifest, index, relays):
+        addresses = self._list_addresses(manifest, index, relays)
+        for address in self._reach.order(addresses):
             content = await fetch_chunk(
                 session=self._session,
+                reach=self._reach,
                 address=address,
                 manifest=manifest,
                 index=index,
@@ -115,17 +119,38 @@
         return await self._read_origin_chunk(origin.origin, manifest, index)
 
     async def list_own(self, manifest: FleetManifest) -> tuple[int, ...]:
-        """Chunks that the loaders of this failure domain ask for here."""
+        """Chunks that others ask for here first."""
         relays = await self._list_relays()
         return tuple(
             index
             for index in range(len(manifest.digests))
-            for first in list_loader_sources(
-                relays=relays,
-                domain=self._settings.failure_domain,
-                index=index,
-            )[:1]
-            if first.daemon == self._settings.daemon
+            if self._is_first(relays, index)
+        )
+
+    def _is_first(self, relays: Sequence[RelayRecord], index: int) -> bool:
+        """Tell whether loaders, or all other relays, ask for a chunk here."""
+        asked_by_loaders = list_loader_sources(
+            relays=relays, domain=self._settings.failure_domain, index=index
+        )
+        if any(
+            relay.daemon == self._settings.daemon
+            for relay in asked_by_loaders[:1]
+        ):
+            return True
+        return not self._list_relay_sources(relays, index)
+
+    def _list_relay_sources(
+        self, relays: Sequence[RelayRecord], index: int
+    ) -> tuple[RelayRecord, ...]:
+        origin = find_origin(self._state)
+        region = self._settings.region
+        if origin is not None and origin.origin_domain is not None:
+            region = self._fleet.failure_domains[origin.origin_domain]
+        return list_relay_sources(
+            relays=relays,
+            own=self._settings.daemon,
+            origin_region=region,
+            index=index,
         )
 
     def _list_addresses(
@@ -140,16 +165,7 @@
         self._rng.shuffle(holders)
         port = self._settings.listen.peers.rpartition(':')[2]
         addresses = [f'{host}:{port}' for host in holders[:HOLDERS_ASKED]]
-        origin = find_origin(self._state)
-        region = self._settings.region
-        if origin is not None and origin.origin_domain is not None:
-            region = self._fleet.failure_domains[origin.origin_domain]
-        relays = list_relay_sources(
-            relays=known,
-            own=self._settings.daemon,
-            origin_region=region,
-            index=index,
-        )
+        relays = self._list_relay_sources(known, index)
         return [*addresses, *(relay.address for relay in relays)]
 
 
--- a/tests/test_chunk_cache.py
+++ b/tests/test_chunk_cache.py
@@ -114,3 +114,21 @@
             await source.cache.find(MODEL, version, 0)
         await source.cache.find(MODEL, 1, 0)
         assert source.draws.count((1, 0)) == 2
+
+    async def test_drawn_when_named(self):
+        """A named version is drawn before anybody asks for it."""
+        source = Source(own=(0, 1))
+        task = asyncio.ensure_future(source.cache.follow(lambda: [(MODEL, 2)]))
+        await asyncio.sleep(1)
+        task.cancel()
+        assert sorted(source.draws) == [(2, 0), (2, 1)]
+        assert source.manifests == 1
+        await source.cache.stop()
+
+    async def test_failure_is_told_once(self, caplog):
+        """A lasting failure leaves one line for each version."""
+        source = Source()
+        source.spoilt = True
+        for _ in range(20):
+            await source.cache.find(MODEL, 1, 2)
+        assert len(caplog.records) == 1
--- /dev/null
+++ b/tests/test_peer_reach.py
@@ -0,0 +1,46 @@
+"""Tests of :mod:`ragwortcourse.weights.peer_reach`."""
+
+import asyncio
+
+import pytest
+from aiohttp import ClientSession
+
+from fakes.fleet_parts import MODEL
+from ragwortcourse.weights.chunk_routes import fetch_chunk
+from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.peer_reach import SILENT_SECONDS, PeerReach
+
+
+class TestPeerReach:
+    """Who is asked first."""
+
+    @pytest.mark.looptime
+    async def test_silent_last(self):
+        """One that did not answer is asked last, for a while."""
+        reach = PeerReach()
+        reach.note_silent('a')
+        assert reach.order(['a', 'b']) == ['b', 'a']
+        await asyncio.sleep(SILENT_SECONDS + 0.1)
+        assert reach.order(['a', 'b']) == ['a', 'b']
+
+    @pytest.mark.looptime
+    async def test_order_kept(self):
+        """The order of the others stays as it was."""
+        reach = PeerReach()
+        reach.note_silent('b')
+        assert reach.order(['c', 'b', 'a']) == ['c', 'a', 'b']
+
+    async def test_refused_connection(self):
+        """A daemon that is down is noted by the fetch itself."""
+        reach = PeerReach()
+        manifest = FleetManifest(model=MODEL, version=1, digests=('',))
+        async with ClientSession() as session:
+            content = await fetch_chunk(
+                session=session,
+                reach=reach,
+                address='127.0.0.1:1',
+                manifest=manifest,
+                index=0,
+            )
+        assert content is None
+        assert reach.order(['127.0.0.1:1', 'x']) == ['x', '127.0.0.1:1']
