--- a/src/ragwortcourse/forwarding/fleet_updates.py
+++ b/src/ragwortcourse/forwarding/fleet_updates.py
@@ -70,9 +70,14 @@
 ) -> None:
     """Take a peer's word for when a version was named.
 
-    It counts only where the own daemon had to assume the time.
+    It counts where the own daemon had to assume the time, or does not know
+    of the version yet.
     """
+    known = state.weights.get(model, ())
+    if not known or told.version > known[-1].version:
+        note_weights(state, model, told)
+        return
     state.weights[model] = tuple(
-        told if known.version == told.version and not known.observed else known
-        for known in state.weights.get(model, ())
+        told if each.version == told.version and not each.observed else each
+        for each in known
     )
