--- a/src/ragwortcourse/forwarding/admission.py
+++ b/src/ragwortcourse/forwarding/admission.py
@@ -23,6 +23,9 @@
 RETURN_SHARE: Final = 0.3
 LONGEST_RETURN_SECONDS: Final = 2.0
 RETURN_SPREAD: Final = 0.5
+# With fewer slots taken, and no more prompts unread, there is no crowd.
+FREE_SHARE: Final = 0.6
+FREE_UNREAD: Final = 2
 # Late requests wait here for a free slot, and look for one that often.
 LATE_WAIT_SECONDS: Final = 0.6
 LATE_LOOK_SECONDS: Final = 0.08
@@ -104,6 +107,9 @@
         return True
     if demand.time_left <= 0:
         return place.load + 1 <= place.slots * LATE_SHARE
+    if place.load < place.slots * FREE_SHARE and place.starting <= FREE_UNREAD:
+        # A long prompt is late everywhere; refusing it frees nothing.
+        return True
     foreseen = foresee_wait(place) + read_start(place, demand)
     return foreseen <= demand.time_left * TIMELY_SHARE
 
--- a/src/ragwortcourse/forwarding/permission.py
+++ b/src/ragwortcourse/forwarding/permission.py
@@ -34,7 +34,14 @@
     if route.public or desired.accounts is None:
         return route, None
     if not is_confirmed(state, fleet):
-        return Refusal(reason=Reason.STALE, retry_after=STALE_RETRY_SECONDS)
+        return Refusal(
+            reason=Reason.STALE,
+            retry_after=STALE_RETRY_SECONDS,
+            inputs={
+                'state_version': desired.version,
+                'state_age': state.read_age(),
+            },
+        )
     account = desired.accounts.get(call.key or '')
     if account is None:
         return Refusal(
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -72,6 +72,15 @@
         """A request that would start late is not sent."""
         assert not is_admitted(make_place(20), make_demand())
 
+    def test_long_prompt(self):
+        """A long prompt is not refused while there is no crowd.
+
+        It would be late everywhere, and be refused each time it came back.
+        """
+        long = Demand(prompt_tokens=6000, time_left=OBJECTIVE)
+        assert is_admitted(make_place(8, starting=2), long)
+        assert not is_admitted(make_place(15, starting=2), long)
+
     def test_idle_target(self):
         """A request that takes long even alone is sent to an idle target."""
         assert is_admitted(make_place(0), make_demand(time_left=0.01))
--- a/tests/test_permission.py
+++ b/tests/test_permission.py
@@ -69,6 +69,7 @@
         assert isinstance(refusal, Refusal)
         assert refusal.reason is Reason.STALE
         assert refusal.status == 503
+        assert refusal.inputs['state_age'] > 4
 
     def test_unconfirmed_state_serves_public_routes(self):
         """Requests without a key do not depend on revocations."""
