Test the forwarder as a process, and the words of daemons to each other

A stop that serves, sends callers elsewhere and ends within the grace time; a kill; an outage of the store; SIGHUP.

--- /dev/null
+++ b/tests/test_forwarder_daemon.py
@@ -0,0 +1,216 @@
+"""Tests of a forwarder as a process, beside a stand-in of the store."""
+
+import asyncio
+import contextlib
+import json
+import signal
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+from aiohttp.test_utils import TestServer
+
+from fakes.child import Child
+from fakes.fleet_store import FleetStore
+from fakes.fleet_target import FleetTarget, Received, Wire, answer_whole
+from fakes.ports import pick_address
+
+pytestmark = pytest.mark.processes
+GRACE_SECONDS = 8
+KEY = 'a-key'
+SETTINGS = """
+role = "forwarder"
+daemon = "entry-1"
+host = "entry-1"
+failure_domain = "near-a"
+region = "near"
+[listen]
+peers = "{peers}"
+watch = "{watch}"
+callers = "{callers}"
+[fleet]
+store = "{store}"
+grace_seconds = {grace}
+strict_revocation = true
+revoke_ms = 5000
+contact_ms = 3000
+version_ms = 8000
+retry_ratio = 0.2
+retry_window_seconds = 10
+retry_reserve = 106
+[fleet.failure_domains]
+near-a = "near"
+"""
+STATE = {
+    'version': 1,
+    'routes': [
+        {
+            'name': 'lookups',
+            'host': 'desk.example',
+            'prefix': '/lookups/',
+            'route_type': 'non_idempotent',
+            'timeout_ms': 6000,
+            'slo_ms': 400,
+            'service': 'plain',
+        }
+    ],
+    'services': [{'name': 'plain'}],
+    'tenants': [{'name': 'parents', 'api_keys': [KEY]}],
+}
+
+
+async def answer_slowly(received: Received, wire: Wire) -> None:
+    """An answer that takes longer than callers are served after a stop."""
+    await asyncio.sleep(4)
+    await wire.answer(received)
+
+
+class Site:
+    """A forwarder with its store and one target."""
+
+    def __init__(self) -> None:
+        self.store = FleetStore()
+        self.target = FleetTarget(answer_whole)
+        self.listen = {
+            name: pick_address() for name in ('peers', 'watch', 'callers')
+        }
+
+    async def ask(self, session: aiohttp.ClientSession) -> tuple[int, str]:
+        """Status and connection header of one request."""
+        headers = {
+            'Host': 'desk.example',
+            'Authorization': f'Bearer {KEY}',
+            'Ragwortcourse-Attempt-Id': 'a1',
+            'Ragwortcourse-Deadline-Ms': '6000',
+        }
+        url = f'http://{self.listen["callers"]}/lookups/1'
+        async with session.post(url, headers=headers) as response:
+            await response.read()
+            return response.status, response.headers.get('Connection', '')
+
+    async def read_ready(self) -> int:
+        """Status of the readiness check; zero where nobody answers."""
+        url = f'http://{self.listen["watch"]}/readyz'
+        try:
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(url) as response,
+            ):
+                return response.status
+        except aiohttp.ClientError:
+            return 0
+
+    async def wait_ready(self, status: int) -> None:
+        """Return once the readiness check has a status."""
+        async with asyncio.timeout(20):
+            while await self.read_ready() != status:
+                await asyncio.sleep(0.05)
+
+
+@pytest.fixture
+async def site(tmp_path) -> AsyncIterator[Site]:
+    """A site whose forwarder is ready."""
+    opened = Site()
+    async with contextlib.AsyncExitStack() as stack:
+        await opened.target.start()
+        stack.push_async_callback(opened.target.stop)
+        server = TestServer(opened.store.build_app())
+        await server.start_server()
+        stack.push_async_callback(server.close)
+        opened.store.put('op', 'config', STATE)
+        opened.store.put(
+            'servers',
+            'i-1',
+            {
+                'service': 'plain',
+                'address': opened.target.address,
+                'zone': 'near-a',
+                'slots': 6,
+                'state': 'ready',
+                'cold_left_ms': 0,
+            },
+        )
+        path = tmp_path / 'settings.toml'
+        path.write_text(
+            SETTINGS.format(
+                store=f'127.0.0.1:{server.port}',
+                grace=GRACE_SECONDS,
+                **opened.listen,
+            )
+        )
+        opened.child = Child(
+            name='entry-1',
+            module='ragwortcourse.daemon',
+            log=tmp_path / 'log',
+        )
+        opened.path = str(path)
+        await opened.child.start('--settings', opened.path)
+        stack.push_async_callback(opened.child.stop)
+        await opened.wait_ready(200)
+        yield opened
+
+
+class TestForwarderProcess:
+    """What a forwarder does as a process."""
+
+    async def test_registers(self, site):
+        """It registers for other daemons."""
+        row = json.loads(site.store.read('daemons', 'entry-1'))
+        assert row['address'] == site.listen['peers']
+
+    async def test_stop(self, site):
+        """A stop cuts nothing off, and is over within the grace time.
+
+        Incident: streams kept a stopping daemon at work, and it went on
+        taking requests until it was killed.
+        """
+        site.target.scripts = [answer_slowly, answer_whole]
+        async with aiohttp.ClientSession() as session:
+            slow = asyncio.ensure_future(site.ask(session))
+            while not site.target.received:
+                await asyncio.sleep(0.01)
+            site.child.send(signal.SIGTERM)
+            began_at = asyncio.get_running_loop().time()
+            await site.wait_ready(503)
+            served = await site.ask(session)
+            assert served == (200, 'close')
+            statuses = []
+            while site.child.running:
+                with contextlib.suppress(aiohttp.ClientError):
+                    statuses.append((await site.ask(session))[0])
+                await asyncio.sleep(0.1)
+            assert await slow == (200, 'close')
+        assert asyncio.get_running_loop().time() - began_at < GRACE_SECONDS
+        # Served at first, then told to go elsewhere, never anything else.
+        assert statuses == sorted(statuses)
+        assert set(statuses) <= {200, 503}
+        assert 503 in statuses
+
+    async def test_hang_up(self, site):
+        """SIGHUP ends nothing."""
+        site.child.send(signal.SIGHUP)
+        await asyncio.sleep(0.5)
+        async with aiohttp.ClientSession() as session:
+            assert (await site.ask(session))[0] == 200
+
+    async def test_store_away(self, site):
+        """Without the store keys are served for a while, then refused."""
+        site.store.down = True
+        async with aiohttp.ClientSession() as session:
+            assert (await site.ask(session))[0] == 200
+            await site.wait_ready(503)
+            async with asyncio.timeout(10):
+                while (await site.ask(session))[0] == 200:
+                    await asyncio.sleep(0.1)
+            site.store.down = False
+            await site.wait_ready(200)
+            assert (await site.ask(session))[0] == 200
+
+    async def test_killed(self, site):
+        """After a kill it serves again, with nothing kept on its host."""
+        site.child.send(signal.SIGKILL)
+        await site.child.wait()
+        await site.child.start('--settings', site.path)
+        await site.wait_ready(200)
+        async with aiohttp.ClientSession() as session:
+            assert (await site.ask(session))[0] == 200
