--- a/fakes/fleet_parts.py
+++ b/fakes/fleet_parts.py
@@ -59,6 +59,30 @@
     retry_window_seconds=10,
     retry_reserve=106,
 )
+# Settings of a forwarder as a file has them, with the bounds of ``FLEET``.
+FORWARDER_TEXT = """
+role = "forwarder"
+daemon = "entry-1"
+host = "entry-1"
+failure_domain = "near-a"
+region = "near"
+[listen]
+peers = "{peers}"
+watch = "{watch}"
+callers = "{callers}"
+[fleet]
+store = "{store}"
+grace_seconds = 8
+strict_revocation = true
+revoke_ms = 5000
+contact_ms = 3000
+version_ms = 8000
+retry_ratio = 0.2
+retry_window_seconds = 10
+retry_reserve = 106
+[fleet.failure_domains]
+near-a = "near"
+"""
 ENGINE_RULES = EngineRules(
     model=MODEL,
     slots=16,
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -17,7 +17,7 @@
 from ragwortcourse.forwarding.peer_counts import PeerCount
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.identifiers import DaemonId, ModelName, TargetName
-from ragwortcourse.weights.relay import RelayRecord
+from ragwortcourse.membership.relay import RelayRecord
 
 # Within a failure domain; a few requests arrive in it.
 NEAR_SECONDS: Final = 0.1
--- a/src/ragwortcourse/platform/relay_rows.py
+++ b/src/ragwortcourse/platform/relay_rows.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from ragwortcourse.clock import read_clock
+from ragwortcourse.membership.relay import RelayRecord
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.store_row import StoreRows
-from ragwortcourse.weights.relay import RelayRecord
 
 # The system's own table.
 TABLE: Final = 'daemons'
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -17,6 +17,7 @@
 from ragwortcourse.forwarding.load_exchange import exchange_loads
 from ragwortcourse.forwarding.target_list import TargetList
 from ragwortcourse.identifiers import ModelName
+from ragwortcourse.membership.relay import RelayRecord
 from ragwortcourse.platform import names
 from ragwortcourse.platform.feed import TableFeed
 from ragwortcourse.platform.operator_rows import build_operator_reader
@@ -29,7 +30,6 @@
 from ragwortcourse.settings import FleetSettings, Settings
 from ragwortcourse.weights.chunk_cache import ChunkCache
 from ragwortcourse.weights.chunk_routes import build_chunk_routes
-from ragwortcourse.weights.relay import RelayRecord
 from ragwortcourse.weights.relay_drawing import RelayDrawing, build_cache
 
 # One call to the store waits for a change no longer than this: the desired
--- a/src/ragwortcourse/weights/chunk_sources.py
+++ b/src/ragwortcourse/weights/chunk_sources.py
@@ -16,8 +16,8 @@
     FailureDomainName,
     RegionName,
 )
+from ragwortcourse.membership.relay import RelayRecord
 from ragwortcourse.membership.rendezvous import score_pair
-from ragwortcourse.weights.relay import RelayRecord
 
 # Relays of the own failure domain that a loader asks before others.
 NEAR_ASKED: Final = 2
--- a/src/ragwortcourse/weights/relay_drawing.py
+++ b/src/ragwortcourse/weights/relay_drawing.py
@@ -9,6 +9,7 @@
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.service_rules import ServiceRules
 from ragwortcourse.identifiers import FailureDomainName, ModelName
+from ragwortcourse.membership.relay import RelayRecord
 from ragwortcourse.settings import FleetSettings, Settings
 from ragwortcourse.weights.chunk_cache import DRAWN_AHEAD, ChunkCache
 from ragwortcourse.weights.chunk_routes import fetch_chunk
@@ -18,7 +19,6 @@
 )
 from ragwortcourse.weights.fleet_manifest import FleetManifest
 from ragwortcourse.weights.peer_reach import PeerReach
-from ragwortcourse.weights.relay import RelayRecord
 
 # Holders that are asked before relays and the origin.
 HOLDERS_ASKED: Final = 2
--- a/tests/test_chunk_sources.py
+++ b/tests/test_chunk_sources.py
@@ -4,11 +4,11 @@
 
 from fakes.fleet_parts import FAR, NEAR, REGIONS, SAME_REGION
 from ragwortcourse.identifiers import DaemonId, RegionName
+from ragwortcourse.membership.relay import RelayRecord
 from ragwortcourse.weights.chunk_sources import (
     list_loader_sources,
     list_relay_sources,
 )
-from ragwortcourse.weights.relay import RelayRecord
 
 CHUNKS = 48
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -13,13 +13,13 @@
 from fakes.fleet_store import FleetStore
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.target_list import TargetList
+from ragwortcourse.membership.relay import RelayRecord
 from ragwortcourse.platform import names
 from ragwortcourse.platform.feed import TableFeed
 from ragwortcourse.platform.operator_rows import build_operator_reader
 from ragwortcourse.platform.relay_rows import RelayList, register_relay
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.target_reader import build_target_reader
-from ragwortcourse.weights.relay import RelayRecord
 
 ROW = {
     'service': 'svc',
--- a/tests/test_forwarder_daemon.py
+++ b/tests/test_forwarder_daemon.py
@@ -11,36 +11,14 @@
 from aiohttp.test_utils import TestServer
 
 from fakes.child import Child
+from fakes.fleet_parts import FLEET, FORWARDER_TEXT
 from fakes.fleet_store import FleetStore
 from fakes.fleet_target import FleetTarget, Received, Wire, answer_whole
 from fakes.ports import pick_address
 
 pytestmark = pytest.mark.processes
-GRACE_SECONDS = 8
+GRACE_SECONDS = FLEET.grace_seconds
 KEY = 'a-key'
-SETTINGS = """
-role = "forwarder"
-daemon = "entry-1"
-host = "entry-1"
-failure_domain = "near-a"
-region = "near"
-[listen]
-peers = "{peers}"
-watch = "{watch}"
-callers = "{callers}"
-[fleet]
-store = "{store}"
-grace_seconds = {grace}
-strict_revocation = true
-revoke_ms = 5000
-contact_ms = 3000
-version_ms = 8000
-retry_ratio = 0.2
-retry_window_seconds = 10
-retry_reserve = 106
-[fleet.failure_domains]
-near-a = "near"
-"""
 STATE = {
     'version': 1,
     'routes': [
@@ -132,10 +110,8 @@
         )
         path = tmp_path / 'settings.toml'
         path.write_text(
-            SETTINGS.format(
-                store=f'127.0.0.1:{server.port}',
-                grace=GRACE_SECONDS,
-                **opened.listen,
+            FORWARDER_TEXT.format(
+                store=f'127.0.0.1:{server.port}', **opened.listen
             )
         )
         opened.child = Child(
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -20,8 +20,8 @@
     exchange_loads,
 )
 from ragwortcourse.forwarding.named_weights import NamedWeights
+from ragwortcourse.membership.relay import RelayRecord
 from ragwortcourse.settings import ListenSettings
-from ragwortcourse.weights.relay import RelayRecord
 
 TARGET = make_target(address='10.0.0.1:80')
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -8,33 +8,17 @@
 
 import pytest
 
+from fakes.fleet_parts import FORWARDER_TEXT
 from ragwortcourse.processes.reload import follow_settings, list_changes
 from ragwortcourse.settings import Settings
 from ragwortcourse.settings_file import parse_settings
 
-TEXT = """
-role = "forwarder"
-daemon = "entry-1"
-host = "entry-1"
-failure_domain = "near-a"
-region = "near"
-[listen]
-peers = "127.0.0.1:7000"
-watch = "127.0.0.1:7001"
-callers = "127.0.0.1:7002"
-[fleet]
-store = "127.0.0.1:7003"
-grace_seconds = 8
-strict_revocation = true
-revoke_ms = 5000
-contact_ms = 3000
-version_ms = 8000
-retry_ratio = 0.2
-retry_window_seconds = 10
-retry_reserve = 106
-[fleet.failure_domains]
-near-a = "near"
-"""
+TEXT = FORWARDER_TEXT.format(
+    peers='127.0.0.1:7000',
+    watch='127.0.0.1:7001',
+    callers='127.0.0.1:7002',
+    store='127.0.0.1:7003',
+)
 
 
 def read(text: str) -> Settings:
