--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -49,6 +49,8 @@
 
     :param wait: seconds that one call waits for a change; bounds the age
         of what the reader knows.
+    :param pause: seconds between a change and the next call; changes that
+        come together are then read together.
     """
 
     def __init__(
@@ -59,7 +61,9 @@
         wait: float,
         reader: TableReader,
         rng: random.Random,
+        pause: float = 0,
     ) -> None:
+        self._pause_after = pause
         self._store = store
         self._table = table
         self._wait = wait
@@ -76,6 +80,8 @@
             answer = await self._ask()
             if isinstance(answer, StoreRows):
                 self._take(answer, sent_at)
+                if self._pause_after and answer.rows:
+                    await asyncio.sleep(self._pause_after)
             elif isinstance(answer, HistoryGone):
                 LOGGER.info(
                     'store forgot its history; reading the whole table',
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -37,6 +37,8 @@
 OPERATORS_FEED_SECONDS: Final = 1.2
 # Changes of targets come at once; a call that waits longer costs less.
 TARGETS_FEED_SECONDS: Final = 4.0
+# Targets that start together register together.
+TARGETS_PAUSE_SECONDS: Final = 0.25
 REGISTER_RETRY_SECONDS: Final = 1.0
 # Two calls to the store that failed; callers do better elsewhere before
 # keys can't be served here any more.
@@ -184,6 +186,7 @@
                 store=store,
                 table=names.TARGETS_TABLE,
                 wait=TARGETS_FEED_SECONDS,
+                pause=TARGETS_PAUSE_SECONDS,
                 reader=build_target_reader(
                     TargetList(state=state), fleet.failure_domains
                 ),
--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -6,26 +6,21 @@
 import os
 import pathlib
 import signal
-from typing import Final, Protocol
+from typing import Final
 
 from aiohttp import web
 from aiomisc import Service
 
 from ragwortcourse.configuration.finding import Finding
-from ragwortcourse.processes.agent_daemon import build_agent_daemon
-from ragwortcourse.processes.entry_daemon import (
-    build_entry_daemon,
-)
-from ragwortcourse.processes.forwarder_daemon import build_forwarder_daemon
+from ragwortcourse.processes.assembly import Daemon, build_daemon
 from ragwortcourse.processes.health import build_health_routes
 from ragwortcourse.processes.heap import keep_blocks_apart
-from ragwortcourse.processes.loader_daemon import build_loader_daemon
 from ragwortcourse.processes.reload import follow_settings, list_changes
 from ragwortcourse.processes.sessions import open_sessions
 from ragwortcourse.processes.sites import open_site
 from ragwortcourse.processes.tasks import BackgroundTasks
 from ragwortcourse.processes.unusable_addresses import UnusableAddressesError
-from ragwortcourse.settings import FleetSettings, Role, Settings
+from ragwortcourse.settings import Role, Settings
 from ragwortcourse.telemetry.metrics_page import build_metrics_route
 
 # For the sockets of a daemon that is to be gone soon.
@@ -34,33 +29,6 @@
 LOGGER: Final = logging.getLogger(__name__)
 
 
-class Daemon(Protocol):
-    """What either role offers."""
-
-    def take_fleet(self, fleet: FleetSettings) -> None:
-        """Take other bounds over."""
-
-    @property
-    def last_connections_seconds(self) -> float:
-        """How long connections stay open once everything has ended."""
-
-    @property
-    def peer_routes(self) -> list[web.RouteDef]:
-        """Routes of the port for other daemons."""
-
-    def start(self, tasks: BackgroundTasks) -> None:
-        """Run the endless tasks."""
-
-    def find_obstacle(self) -> str | None:
-        """Why no work is taken now, none if it is."""
-
-    async def drain(self) -> None:
-        """Return once everything under way has ended."""
-
-    async def stop(self) -> None:
-        """End what runs beside the endless tasks."""
-
-
 def describe_cause(error: OSError) -> str:
     """The system's own words for an error, without the address again."""
     return os.strerror(error.errno) if error.errno else str(error)
@@ -148,37 +116,11 @@
             await runner.cleanup()
 
     async def _open_daemon(self) -> Daemon:
-        listen = self.settings.listen
-        if self.settings.fleet is not None:
-            return await self._open_fleet_daemon()
-        if self.settings.role is Role.AGENT:
-            agent = build_agent_daemon(
-                settings=self.settings, sessions=self.sessions
-            )
-            await self._open('peers', listen.peers, agent.peer_routes)
-            await self._open_watch(agent)
-            return agent
-        entry = build_entry_daemon(
-            settings=self.settings, sessions=self.sessions
-        )
-        await self._open('peers', listen.peers, entry.peer_routes)
-        await self._open('callers', listen.callers, entry.caller_routes)
-        await self._open('operators', listen.operators, entry.operator_routes)
-        await self._open_watch(entry)
-        return entry
-
-    async def _open_fleet_daemon(self) -> Daemon:
-        listen = self.settings.listen
-        if self.settings.role is Role.LOADER:
-            loader = build_loader_daemon(settings=self.settings)
-            await self._open('peers', listen.peers, loader.peer_routes)
-            await self._open_watch(loader)
-            return loader
-        forwarder = build_forwarder_daemon(settings=self.settings)
-        await self._open('peers', listen.peers, forwarder.peer_routes)
-        await self._open('callers', listen.callers, forwarder.caller_routes)
-        await self._open_watch(forwarder)
-        return forwarder
+        built = build_daemon(settings=self.settings, sessions=self.sessions)
+        for port in built.ports:
+            await self._open(port.key, port.address, port.routes)
+        await self._open_watch(built.daemon)
+        return built.daemon
 
     async def _open_watch(self, daemon: Daemon) -> None:
         """Tell that the daemon lives, once all its other ports are open."""
