Book turns of return for refused requests alone

Found while reading the diff: each request that was served booked one too, and put off those that were refused. test_served_requests_book_no_turns fails before and holds now.

--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -88,22 +88,16 @@
         :param silence: seconds after which a target that does not answer is
             given up; none: the time limit of the request holds alone.
         """
-        refusal = Refusal(
-            reason=Reason.NOT_RUN,
-            retry_after=self.forwarder.turns.book(
-                DECLINED_RETRY_SECONDS, self.forwarder.rng
-            ),
-        )
         while self.allows_another():
             target = await self._choose()
             if isinstance(target, Refusal):
-                return self._be_truthful(refusal if self._sends else target)
+                return self._give_up(target)
             if self._sends and not self.forwarder.retries.spend():
                 break
             opened = await self._send(target, last_event, silence)
             if opened is not None:
                 return opened
-        return self._be_truthful(refusal)
+        return self._give_up(None)
 
     def end(self, tried: OpenTry) -> None:
         """Close a try; its target stops if it is still at work."""
@@ -206,10 +200,20 @@
             load.trouble.note_failure(read_clock())
             self._log('no answer', target, answer.detail)
 
-    def _be_truthful(self, refusal: Refusal) -> Refusal:
+    def _give_up(self, refusal: Refusal | None) -> Refusal:
+        """What the caller is told.
+
+        :param refusal: why there is no further target; none: enough were
+            tried.
+        """
         if self.may_have_run:
             return Refusal(reason=Reason.FAILED)
-        return refusal
+        if refusal is not None and not self._sends:
+            return refusal
+        wait = self.forwarder.turns.book(
+            DECLINED_RETRY_SECONDS, self.forwarder.rng
+        )
+        return Refusal(reason=Reason.NOT_RUN, retry_after=wait)
 
     def _log(self, message: str, target: Target, detail: str) -> None:
         self.moved = True
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -317,6 +317,15 @@
         response = await fleet.ask(CHARGED)
         assert response.status == 503
 
+    async def test_served_requests_book_no_turns(self, fleet):
+        """Requests that are served don't put off those that are refused."""
+        await fleet.open([answer_whole] * 40 + [decline], plain=True)
+        for _ in range(40):
+            assert (await fleet.ask(LOOK)).status == 200
+        response = await fleet.ask(CHARGED)
+        assert response.status == 503
+        assert float(response.headers['Retry-After']) < 0.5
+
     async def test_no_target(self, fleet):
         """Without a usable target a request is refused at once."""
         await fleet.open([answer_whole], plain=True, leaving=True)
