Judge the store by three registered daemons at least

Two daemons that had just started had an empty list of daemons, its first read had failed, and a feed that hung; none of none was most, and they told the others. Their list is read again after 1 s now, fewer than three daemons judge nothing, and word of an outage counts only for daemons that started after it.

--- a/src/ragwortcourse/forwarding/store_watch.py
+++ b/src/ragwortcourse/forwarding/store_watch.py
@@ -5,6 +5,7 @@
 store itself is away.
 """
 
+import logging
 import math
 from collections.abc import Collection
 from typing import Final
@@ -17,16 +18,22 @@
 LOST_SECONDS: Final = 2.5
 # Daemons tell each other more often than that.
 FRESH_SECONDS: Final = 1.5
+# Fewer can't tell an outage from a cut.
+LEAST: Final = 3
 # More than the daemons of one failure domain that is cut off.
 MOST: Final = 0.6
 
 
+LOGGER: Final = logging.getLogger(__name__)
+
+
 class StoreWatch:
     """What daemons say of the age of their desired state."""
 
     def __init__(self, *, state: FleetState) -> None:
         self._state = state
         self._lost: dict[DaemonId, float] = {}
+        self._started_at = read_clock()
 
     def note_peer(
         self, daemon: DaemonId, age: float, stable_for: float | None
@@ -43,9 +50,7 @@
         else:
             self._lost.pop(daemon, None)
         if stable_for is not None:
-            self._state.unstable_at = max(
-                self._state.unstable_at, now - stable_for
-            )
+            self._take_outage(daemon, now - stable_for)
 
     def judge(self, registered: Collection[DaemonId]) -> None:
         """Note an outage of the store for the fleet, if there is one.
@@ -53,7 +58,7 @@
         :param registered: every daemon, this one included.
         """
         now = read_clock()
-        if self.read_age() <= LOST_SECONDS:
+        if self.read_age() <= LOST_SECONDS or len(registered) < LEAST:
             return
         lost = [
             daemon
@@ -61,6 +66,11 @@
             if now - self._lost.get(daemon, -math.inf) < FRESH_SECONDS
         ]
         if len(lost) + 1 > MOST * len(registered):
+            if now - self._state.unstable_at > FRESH_SECONDS:
+                LOGGER.warning(
+                    'store is away for most daemons',
+                    extra={'lost': lost, 'registered': len(registered)},
+                )
             self._state.unstable_at = now
 
     def read_age(self) -> float:
@@ -76,3 +86,14 @@
         """Seconds since the store was last away; none: never seen."""
         seconds = read_clock() - self._state.unstable_at
         return None if math.isinf(seconds) else round(seconds, 2)
+
+    def _take_outage(self, daemon: DaemonId, ended_at: float) -> None:
+        """Learn of an outage that was over before this daemon started."""
+        if max(self._state.unstable_at, ended_at) > self._started_at:
+            return
+        if ended_at > self._state.unstable_at + FRESH_SECONDS:
+            LOGGER.info(
+                'outage of the store told by another daemon',
+                extra={'by': daemon, 'seconds_ago': read_clock() - ended_at},
+            )
+        self._state.unstable_at = max(self._state.unstable_at, ended_at)
--- a/src/ragwortcourse/platform/relay_rows.py
+++ b/src/ragwortcourse/platform/relay_rows.py
@@ -16,6 +16,9 @@
 # Daemons come and go rarely; one that is gone costs a failed connection.
 FRESH_SECONDS: Final = 5.0
 
+# While the store fails.
+RETRY_SECONDS: Final = 1.0
+
 LOGGER: Final = logging.getLogger(__name__)
 
 
@@ -32,11 +35,14 @@
         now = read_clock()
         if self._read_at is not None and now - self._read_at < FRESH_SECONDS:
             return self._records
+        # Others that ask meanwhile get the last list.
         self._read_at = now
         answer = await self._store.read_table(TABLE)
         if isinstance(answer, StoreRows):
             records = (_decode(row.content) for row in answer.rows)
             self._records = tuple(each for each in records if each is not None)
+        else:
+            self._read_at = now - FRESH_SECONDS + RETRY_SECONDS
         return self._records
 
 
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -85,3 +85,22 @@
             watch.note_peer(daemon, StoreWatch(state=state).read_age(), None)
         watch.judge(DAEMONS)
         assert math.isinf(state.unstable_at)
+
+    @pytest.mark.parametrize('registered', [[], ['entry-0'], DAEMONS[:2]])
+    async def test_too_few_to_judge(self, registered):
+        """A daemon that knows of too few others judges nothing.
+
+        Incident: a daemon whose list of daemons was still empty found that
+        all of none had lost the store, and told the others.
+        """
+        watch, state = make_watch(lost=True)
+        watch.note_peer('entry-1', 9, None)
+        watch.judge(registered)
+        assert math.isinf(state.unstable_at)
+
+    async def test_told_of_what_it_lived_through(self):
+        """A daemon that was there itself goes by its own view."""
+        watch, state = make_watch(lost=False)
+        await asyncio.sleep(60)
+        watch.note_peer(DAEMONS[1], 0.2, 3)
+        assert math.isinf(state.unstable_at)
