--- a/fakes/fleet_store.py
+++ b/fakes/fleet_store.py
@@ -117,18 +117,21 @@
         after = int(request.query['after_rev'])
         if after < self._oldest:
             return web.Response(status=GONE)
-        rows = list(self._list(request.query['table'], after))
-        if not rows:
-            await self._wait(int(request.query['wait_ms']) / 1000)
-            rows = list(self._list(request.query['table'], after))
+        rows = await self._await_rows(
+            request.query['table'], after, int(request.query['wait_ms']) / 1000
+        )
         return self._answer(rows)
 
-    async def _wait(self, seconds: float) -> None:
+    async def _await_rows(
+        self, table: str, after: int, seconds: float
+    ) -> list[dict[str, object]]:
         try:
             async with asyncio.timeout(seconds):
-                await self._changed.wait()
+                while not any(True for _ in self._list(table, after)):
+                    await self._changed.wait()
         except TimeoutError:
-            return
+            return []
+        return list(self._list(table, after))
 
     async def _write(self, request: web.Request) -> web.Response:
         await self._check(request)
