--- a/src/ragwortcourse/forwarding/fleet_state.py
+++ b/src/ragwortcourse/forwarding/fleet_state.py
@@ -23,6 +23,8 @@
     :param confirmed_at: boot clock at which the store was last asked and
         then said that there is nothing newer.
     :param weights: versions named for each model, the newest last.
+    :param store_lost: true from a call to the store that failed to the next
+        one that does not.
     :param unstable_at: monotonic seconds at which the store was last away
         for most daemons; bounds on versions count anew from then.
     :param targets_known: true once the list of targets was read.
@@ -36,6 +38,7 @@
     )
     targets: dict[TargetName, Target] = dataclasses.field(default_factory=dict)
     targets_known: bool = False
+    store_lost: bool = False
     unstable_at: float = -math.inf
 
     def read_age(self) -> float:
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -42,7 +42,7 @@
         have no answer yet.
     :param named: versions of each model that the daemon saw being named,
         each with the seconds since.
-    :param age: seconds since the daemon confirmed its desired state.
+    :param store_lost: true while the store does not answer the daemon.
     :param stable_for: seconds since it last saw the store away for the
         fleet; none: never.
     """
@@ -50,7 +50,7 @@
     daemon: DaemonId
     counts: Counts
     named: Namings = {}
-    age: float = 0
+    store_lost: bool = False
     stable_for: float | None = None
 
 
@@ -94,7 +94,9 @@
 
     def _take_load(self, message: LoadMessage) -> None:
         self._forwarder.store_watch.note_peer(
-            message.daemon, message.age, message.stable_for
+            message.daemon,
+            lost=message.store_lost,
+            stable_for=message.stable_for,
         )
         for target in self._forwarder.state.targets.values():
             self._take_count(message, target)
@@ -157,7 +159,7 @@
         daemon=settings.daemon,
         counts=forwarder.count_running(),
         named=_list_named(forwarder) if is_far else {},
-        age=forwarder.store_watch.read_age(),
+        store_lost=forwarder.state.store_lost,
         stable_for=forwarder.store_watch.read_stable(),
     )
     content = msgspec.json.encode(message)
--- a/src/ragwortcourse/forwarding/store_watch.py
+++ b/src/ragwortcourse/forwarding/store_watch.py
@@ -14,8 +14,6 @@
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.identifiers import DaemonId
 
-# Two calls of a feed that failed.
-LOST_SECONDS: Final = 2.5
 # Daemons tell each other more often than that.
 FRESH_SECONDS: Final = 1.5
 # Fewer can't tell an outage from a cut.
@@ -28,7 +26,7 @@
 
 
 class StoreWatch:
-    """What daemons say of the age of their desired state."""
+    """What daemons say of their own way to the store."""
 
     def __init__(self, *, state: FleetState) -> None:
         self._state = state
@@ -36,16 +34,16 @@
         self._started_at = read_clock()
 
     def note_peer(
-        self, daemon: DaemonId, age: float, stable_for: float | None
+        self, daemon: DaemonId, *, lost: bool, stable_for: float | None
     ) -> None:
         """Take another daemon's word.
 
-        :param age: seconds since it confirmed its desired state.
+        :param lost: true while the store does not answer it.
         :param stable_for: seconds since it last saw the store away for the
             fleet; none: never.
         """
         now = read_clock()
-        if age > LOST_SECONDS:
+        if lost:
             self._lost[daemon] = now
         else:
             self._lost.pop(daemon, None)
@@ -58,30 +56,21 @@
         :param registered: every daemon, this one included.
         """
         now = read_clock()
-        if self.read_age() <= LOST_SECONDS or len(registered) < LEAST:
+        if not self._state.store_lost or len(registered) < LEAST:
             return
-        lost = [
+        others = [
             daemon
             for daemon in registered
             if now - self._lost.get(daemon, -math.inf) < FRESH_SECONDS
         ]
-        if len(lost) + 1 > MOST * len(registered):
+        if len(others) + 1 > MOST * len(registered):
             if now - self._state.unstable_at > FRESH_SECONDS:
                 LOGGER.warning(
                     'store is away for most daemons',
-                    extra={'lost': lost, 'registered': len(registered)},
+                    extra={'lost': others, 'registered': len(registered)},
                 )
             self._state.unstable_at = now
 
-    def read_age(self) -> float:
-        """Seconds since the store last answered this daemon.
-
-        Zero while it never has: a daemon that starts has lost nothing yet.
-        """
-        if not self._state.confirmed_at:
-            return 0
-        return round(self._state.read_age(), 2)
-
     def read_stable(self) -> float | None:
         """Seconds since the store was last away; none: never seen."""
         seconds = read_clock() - self._state.unstable_at
--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -34,6 +34,7 @@
         they may have stood there unread.
     :param confirm: takes the boot clock at which a call was sent whose
         answer leaves nothing newer unread.
+    :param lose: called when a call fails after one that did not.
     :param regain: called after a failure, before the rows of the first
         good answer are given out.
     """
@@ -41,6 +42,7 @@
     replace: Callable[[tuple[StoreRow, ...]], None]
     change: Callable[[tuple[StoreRow, ...], float], None]
     confirm: Callable[[float], None]
+    lose: Callable[[], None]
     regain: Callable[[], None]
 
 
@@ -125,6 +127,7 @@
     async def _pause(self, answer: StoreSilent) -> None:
         if not self._lost:
             self._lost = True
+            self._reader.lose()
             LOGGER.warning(
                 'store lost',
                 extra={'table': self._table, 'detail': answer.detail},
--- a/src/ragwortcourse/platform/operator_rows.py
+++ b/src/ragwortcourse/platform/operator_rows.py
@@ -71,12 +71,20 @@
 
     def confirm(sent_at: float) -> None:
         state.confirmed_at = max(state.confirmed_at, sent_at)
+        state.store_lost = False
+
+    def lose() -> None:
+        state.store_lost = True
 
     def regain() -> None:
         """Nothing lapses in this table."""
 
     return TableReader(
-        replace=replace, change=change, confirm=confirm, regain=regain
+        replace=replace,
+        change=change,
+        confirm=confirm,
+        lose=lose,
+        regain=regain,
     )
 
 
--- a/src/ragwortcourse/platform/target_reader.py
+++ b/src/ragwortcourse/platform/target_reader.py
@@ -53,8 +53,15 @@
     def confirm(sent_at: float) -> None:
         targets.note_read()
 
+    def lose() -> None:
+        """Keep what is known."""
+
     return TableReader(
-        replace=replace, change=change, confirm=confirm, regain=targets.regain
+        replace=replace,
+        change=change,
+        confirm=confirm,
+        lose=lose,
+        regain=targets.regain,
     )
 
 
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -34,7 +34,7 @@
 
 # One call to the store waits for a change no longer than this: the desired
 # state that a daemon knows is no older while the store answers.
-OPERATORS_FEED_SECONDS: Final = 1.2
+OPERATORS_FEED_SECONDS: Final = 1.0
 # Desired states that follow each other quickly are read together: each
 # comes whole, and the line to the store's region is narrow.
 OPERATORS_PAUSE_SECONDS: Final = 0.35
@@ -43,9 +43,10 @@
 # Targets that start together register together.
 TARGETS_PAUSE_SECONDS: Final = 0.25
 REGISTER_RETRY_SECONDS: Final = 1.0
-# Two calls to the store that failed; callers do better elsewhere before
+# More than two calls and the pause between them, which is as old as it
+# gets while the store answers; callers do better elsewhere before
 # keys can't be served here any more.
-UNCONFIRMED_SECONDS: Final = 2.8
+UNCONFIRMED_SECONDS: Final = 3.2
 # The platform takes a daemon out after two missed checks, a second apart.
 SERVING_SECONDS: Final = 2.9
 # For the end of the process itself, before it is killed.
