--- a/fakes/fleet_store.py
+++ b/fakes/fleet_store.py
@@ -28,12 +28,14 @@
 
     :ivar down: every call is refused.
     :ivar silent: calls get no answer.
+    :ivar failing: how many of the next calls about a table are refused.
     :ivar calls: paths asked for.
     """
 
     def __init__(self) -> None:
         self.down = False
         self.silent = False
+        self.failing: dict[str, int] = {}
         self.calls: list[str] = []
         self.revision = 0
         self._rows: dict[tuple[str, str], Row] = {}
@@ -100,6 +102,10 @@
         self.calls.append(request.path)
         if self.silent:
             await asyncio.Event().wait()
+        table = request.query.get('table', '')
+        if self.failing.get(table):
+            self.failing[table] -= 1
+            raise web.HTTPServiceUnavailable
         if self.down:
             raise web.HTTPServiceUnavailable
 
--- a/src/ragwortcourse/forwarding/fleet_state.py
+++ b/src/ragwortcourse/forwarding/fleet_state.py
@@ -23,8 +23,8 @@
     :param confirmed_at: boot clock at which the store was last asked and
         then said that there is nothing newer.
     :param weights: versions named for each model, the newest last.
-    :param store_lost: true from a call to the store that failed to the next
-        one that does not.
+    :param store_lost: true while calls to the store fail one after the
+        other.
     :param unstable_at: monotonic seconds at which the store was last away
         for most daemons; bounds on versions count anew from then.
     :param targets_known: true once the list of targets was read.
--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -19,6 +19,8 @@
 # Between two calls while the store fails; half of it at random.
 RETRY_SECONDS: Final = 0.25
 
+# A connection that was reset is no lost store; the next call tells.
+FAILURES_TO_LOSE: Final = 2
 # Longest that a change of a healthy store is on its way.
 PROMPT_SECONDS: Final = 0.15
 
@@ -34,7 +36,7 @@
         they may have stood there unread.
     :param confirm: takes the boot clock at which a call was sent whose
         answer leaves nothing newer unread.
-    :param lose: called when a call fails after one that did not.
+    :param lose: called when two calls have failed one after the other.
     :param regain: called after a failure, before the rows of the first
         good answer are given out.
     """
@@ -73,6 +75,7 @@
         self._rng = rng
         self._revision: int | None = None
         self._lost = False
+        self._failures = 0
         self._answered_at: float = 0
 
     async def follow(self) -> None:
@@ -101,6 +104,7 @@
         )
 
     def _take(self, answer: StoreRows, sent_at: float) -> None:
+        self._failures = 0
         if self._lost:
             self._lost = False
             LOGGER.info('store regained', extra={'table': self._table})
@@ -127,9 +131,11 @@
     async def _pause(self, answer: StoreSilent) -> None:
         if not self._lost:
             self._lost = True
-            self._reader.lose()
             LOGGER.warning(
                 'store lost',
                 extra={'table': self._table, 'detail': answer.detail},
             )
+        self._failures += 1
+        if self._failures == FAILURES_TO_LOSE:
+            self._reader.lose()
         await asyncio.sleep(RETRY_SECONDS * self._rng.uniform(0.5, 1))
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -165,6 +165,24 @@
         await wait_for(lambda: daemon.is_at(2))
         assert not daemon.state.store_lost
 
+    async def test_one_failure(self, daemon, caplog):
+        """One call that fails is no lost store.
+
+        Incident: all connections of all daemons were reset at once; together
+        they took the store for away, and requests began on old weights.
+        """
+        daemon.put_state(1)
+        daemon.follow()
+        await wait_for(lambda: daemon.is_at(1))
+        caplog.set_level('INFO')
+        lost = []
+        daemon.fake.failing = {'op': 1}
+        async with asyncio.timeout(10):
+            while 'store regained' not in caplog.text:
+                lost.append(daemon.state.store_lost)
+                await asyncio.sleep(0.01)
+        assert not any(lost)
+
     async def test_age(self, daemon):
         """The age of what is known grows while the store is away."""
         daemon.put_state(1)
