--- a/src/ragwortcourse/telemetry/line_queue.py
+++ b/src/ragwortcourse/telemetry/line_queue.py
@@ -23,10 +23,6 @@
         self._lines = lines
         self._dropped = 0
 
-    def note_dropped(self) -> None:
-        """Count a line that is not to be written."""
-        self._dropped += 1
-
     def enqueue(self, record: logging.LogRecord) -> None:
         """Hand a line over, or drop it; tell of dropped ones when it flows."""
         if self._lines.full():
--- a/src/ragwortcourse/weights/chunk_store.py
+++ b/src/ragwortcourse/weights/chunk_store.py
@@ -1,6 +1,5 @@
 """Chunks of the versions that a loader has in memory."""
 
-import asyncio
 from typing import Final
 
 from ragwortcourse.weights.fleet_manifest import FleetManifest
@@ -15,7 +14,6 @@
     def __init__(self, *, manifest: FleetManifest) -> None:
         self.manifest = manifest
         self.contents: dict[int, bytes] = {}
-        self._arrived: dict[int, asyncio.Event] = {}
 
     @property
     def missing(self) -> tuple[int, ...]:
@@ -31,22 +29,8 @@
         if content is None or not self.manifest.matches(index, content):
             return False
         self.contents[index] = content
-        arrived = self._arrived.pop(index, None)
-        if arrived is not None:
-            arrived.set()
         return True
 
-    async def wait(self, index: int, seconds: float) -> bytes | None:
-        """A chunk, once it is here; none if that takes too long."""
-        if index not in self.contents:
-            arrived = self._arrived.setdefault(index, asyncio.Event())
-            try:
-                async with asyncio.timeout(seconds):
-                    await arrived.wait()
-            except TimeoutError:
-                return None
-        return self.contents.get(index)
-
 
 class ChunkStore:
     """The newest versions of one model."""
