Draw few chunks over a line between regions at once, and wait while they come

Cause (known red test_very_narrow_line_between_regions): with sixteen draws at once for each host, a chunk over a line of 12 Mbit/s outlasts the 8 s that its source is given, each try spends the sender's budget, and hosts beyond turn to the origin after four waits.

--- a/src/ragwortcourse/weights/draw.py
+++ b/src/ragwortcourse/weights/draw.py
@@ -113,7 +113,9 @@
 
 def _is_patient(state: DrawState) -> bool:
     """Tell whether a source lives that is worth waiting for."""
-    return state.waiting and state.laters < PATIENCE
+    if not state.waiting:
+        return False
+    return state.laters < PATIENCE or state.transfer.expects(state.index)
 
 
 async def _try_beyond(
--- a/src/ragwortcourse/weights/sources.py
+++ b/src/ragwortcourse/weights/sources.py
@@ -58,7 +58,11 @@
     """Bytes of the chunk from a peer, if they come and are right."""
     if landing.exchange.health.is_passed_by(source.daemon):
         return None
-    outcome = await _fetch(landing, state, source, relay=relay)
+    if source.region == landing.own.region:
+        outcome = await _fetch(landing, state, source, relay=relay)
+    else:
+        async with state.transfer.line_slots:
+            outcome = await _fetch(landing, state, source, relay=relay)
     if isinstance(outcome, ChunkAnswer):
         take_news(landing, state.transfer, outcome.silent)
     if isinstance(outcome, ChunkContent):
--- a/src/ragwortcourse/weights/transfer.py
+++ b/src/ragwortcourse/weights/transfer.py
@@ -16,6 +16,13 @@
 # Chunks that the hosts of one failure domain draw from the origin at once while
 # others wait for them; at least one each.
 ORIGIN_DRAWS_AT_ONCE: Final = 2
+# Chunks that one host draws from other regions at once: over a narrow line
+# many at once would each outlast the wait for a source, and be drawn again.
+LINE_DRAWS_AT_ONCE: Final = 4
+# A host whose chunks keep coming, however slowly, waits for the next ones.
+STANDSTILL_SECONDS: Final = 15.0
+# Chunks that may overtake one that is still on its way.
+OVERTAKEN: Final = 8
 
 
 class Transfer:
@@ -47,8 +54,11 @@
             max(ORIGIN_DRAWS_AT_ONCE // near, 1)
         )
         self.asking: dict[int, DaemonId] = {}
+        self.line_slots = asyncio.Semaphore(LINE_DRAWS_AT_ONCE)
         self.relays: dict[int, asyncio.Task[bytes]] = {}
         self._own = own
+        self._newest_index = MANIFEST_INDEX
+        self._kept_at = read_clock()
         self._refusing: set[DaemonId] = set()
         self._first_members = frozenset(each.daemon for each in tree.members)
         self._manifest_content: bytes | None = None
@@ -103,8 +113,16 @@
 
     def keep(self, index: int, content: bytes) -> None:
         """Keep a verified chunk, whose memory is reserved already."""
+        self._newest_index = max(self._newest_index, index)
+        self._kept_at = read_clock()
         self.held.put(index, content, self.view.list_children(self._own, index))
 
+    def expects(self, index: int) -> bool:
+        """Tell whether chunks come in turn, and this one is not overdue."""
+        idle = read_clock() - self._kept_at
+        is_next = self._newest_index < index + OVERTAKEN
+        return is_next and idle < STANDSTILL_SECONDS
+
     async def wait(self, index: int, seconds: float) -> bytes | None:
         """Bytes of a chunk or of the manifest, if they come in time."""
         if index != MANIFEST_INDEX:
