--- a/src/ragwortcourse/weights/draw.py
+++ b/src/ragwortcourse/weights/draw.py
@@ -81,7 +81,7 @@
     landing: Landing, state: DrawState
 ) -> bytes | None:
     """Ask the origin in order of index, as other hosts wait for this one."""
-    async with state.transfer.origin_slots:
+    async with state.transfer.slots.origin:
         return await try_origin(landing, state)
 
 
--- a/src/ragwortcourse/weights/sources.py
+++ b/src/ragwortcourse/weights/sources.py
@@ -61,7 +61,7 @@
     if source.region == landing.own.region:
         outcome = await _fetch(landing, state, source, relay=relay)
     else:
-        async with state.transfer.line_slots:
+        async with state.transfer.slots.line:
             outcome = await _fetch(landing, state, source, relay=relay)
     if isinstance(outcome, ChunkAnswer):
         take_news(landing, state.transfer, outcome.silent)
--- a/src/ragwortcourse/weights/transfer.py
+++ b/src/ragwortcourse/weights/transfer.py
@@ -7,18 +7,13 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.identifiers import DaemonId, Sha256Hex
 from ragwortcourse.weights.chunk_memory import ChunkMemory
+from ragwortcourse.weights.draw_slots import open_draw_slots
 from ragwortcourse.weights.held_chunks import HeldChunks
 from ragwortcourse.weights.manifest import Manifest
 from ragwortcourse.weights.peer_port import MANIFEST_INDEX, PeerAddress
 from ragwortcourse.weights.transfer_counts import TransferCounts
 from ragwortcourse.weights.tree import ChunkTree
 
-# Chunks that the hosts of one failure domain draw from the origin at once while
-# others wait for them; at least one each.
-ORIGIN_DRAWS_AT_ONCE: Final = 2
-# Chunks that one host draws from other regions at once: over a narrow line
-# many at once would each outlast the wait for a source, and be drawn again.
-LINE_DRAWS_AT_ONCE: Final = 4
 # A host whose chunks keep coming, however slowly, waits for the next ones.
 STANDSTILL_SECONDS: Final = 15.0
 # Chunks that may overtake one that is still on its way.
@@ -49,12 +44,8 @@
         self.started_at = read_clock()
         self.ended_at: float | None = None
         self.spent: set[DaemonId] = set()
-        near = tree.count_domain(own.failure_domain)
-        self.origin_slots = asyncio.Semaphore(
-            max(ORIGIN_DRAWS_AT_ONCE // near, 1)
-        )
+        self.slots = open_draw_slots(near=tree.count_domain(own.failure_domain))
         self.asking: dict[int, DaemonId] = {}
-        self.line_slots = asyncio.Semaphore(LINE_DRAWS_AT_ONCE)
         self.relays: dict[int, asyncio.Task[bytes]] = {}
         self._own = own
         self._newest_index = MANIFEST_INDEX
