Let no hang-up end a daemon that starts or stops; soak real daemons under faults

Removing the handler at a stop set the default action too. Ruled out: a stop that failed (its log ends with 'stopped', and the restart left none). Tests first: test_daemon.py::TestHangUp, both failed before. Also: chunks take 0.96 of a loader's link (0.92), as nothing but their headers and the store's rows crosses it.

--- /dev/null
+++ b/fakes/soak_checks.py
@@ -0,0 +1,126 @@
+"""What must hold in every soak, by what callers and targets saw."""
+
+import collections
+from collections.abc import Iterator
+
+from fakes.fleet_parts import FLEET
+from fakes.soak_records import Asked, Kind, Ran, Records
+from fakes.soak_target import EVENTS, make_answer
+
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+GOOD = 200
+# Bounds of the pages for machines that are in touch.
+REVOKE_SECONDS = FLEET.revoke_ms / 1000
+VERSION_SECONDS = FLEET.version_ms / 1000
+EVACUATE_SECONDS = 5.0
+RECOVER_SECONDS = 12.0
+TOUCH_SECONDS = FLEET.contact_ms / 1000
+ROUTE_SECONDS = 3.0
+# Past a route's time limit.
+HELD_SECONDS = 0.5
+RECOVERED_SHARE = 0.75
+
+
+def list_findings(records: Records) -> list[str]:
+    """Each broken promise, with the request that shows it."""
+    return [
+        *_check_runs(records),
+        *_check_answers(records),
+        *_check_operators(records),
+        *_check_held(records),
+        *_check_recovery(records),
+        *(
+            f'WHOLE: spoilt weights loaded, {each}'
+            for each in records.spoilt_loads
+        ),
+    ]
+
+
+def _check_runs(records: Records) -> Iterator[str]:
+    asked = {each.attempt: each for each in records.asked}
+    runs = collections.Counter(each.attempt for each in records.ran)
+    for run in records.ran:
+        sent = asked.get(run.attempt)
+        if sent is None or run.path != sent.path:
+            yield f'UNASKED: {run}'
+        elif run.key_seen or run.account != sent.key.partition('-')[0]:
+            yield f'UNASKED: account or key, {run}'
+    for each in records.asked:
+        if each.kind is not Kind.CHARGE:
+            continue
+        if runs[each.attempt] > 1:
+            yield f'TWICE: {runs[each.attempt]} runs, {each}'
+        if each.status in NOT_RUN_STATUSES and runs[each.attempt]:
+            yield f'REFUSED: has run, {each}'
+
+
+def _check_answers(records: Records) -> Iterator[str]:
+    whole = ' '.join(str(number) for number in range(EVENTS))
+    for each in records.asked:
+        if each.status != GOOD:
+            continue
+        is_stream = each.kind is Kind.LETTER
+        wanted = whole if is_stream else make_answer(each.attempt, each.path)
+        if each.body != wanted:
+            yield f'ORDER or MIXED: {each}'
+        if each.stamp != f'{each.attempt}-stamp':
+            yield f'MIXED: stamp, {each}'
+
+
+def _check_operators(records: Records) -> Iterator[str]:
+    asked = {each.attempt: each for each in records.asked}
+    for run in records.ran:
+        sent = asked.get(run.attempt)
+        if sent is None:
+            continue
+        revoked = records.revoked.get(sent.key)
+        if revoked is not None and sent.sent_at > revoked + REVOKE_SECONDS:
+            yield f'CONFIG: key was taken away at {revoked}, {run}'
+        if not _is_in_touch(records, sent, run.at):
+            continue
+        for domain, began_at, ended_at in records.withdrawn:
+            late = began_at + EVACUATE_SECONDS < run.at < ended_at
+            if run.domain == domain and late:
+                yield f'EVAC: withdrawn at {began_at}, {run}'
+        yield from _check_version(records, run)
+
+
+def _check_version(records: Records, run: Ran) -> Iterator[str]:
+    for version, named_at in records.named.items():
+        is_older = 0 < run.version < version
+        if is_older and run.at > named_at + VERSION_SECONDS:
+            yield f'VERSION: {version} was named at {named_at}, {run}'
+
+
+def _check_held(records: Records) -> Iterator[str]:
+    for each in records.asked:
+        held = each.ended_at - each.sent_at
+        limit = ROUTE_SECONDS + HELD_SECONDS
+        if held > limit and _is_in_touch(records, each, each.ended_at):
+            yield f'held for {held:.2f} s: {each}'
+
+
+def _check_recovery(records: Records) -> Iterator[str]:
+    begin = records.calm_from + RECOVER_SECONDS
+    late = [
+        each
+        for each in records.asked
+        if each.sent_at > begin and each.key not in records.revoked
+    ]
+    served = sum(each.status == GOOD for each in late)
+    if not late or served < RECOVERED_SHARE * len(late):
+        yield f'RECOVER: {served} of {len(late)} served'
+
+
+def _is_in_touch(records: Records, each: Asked, until: float) -> bool:
+    """Tell whether no fault may excuse a daemon.
+
+    Bounds on versions count in one stretch without faults of the store.
+    """
+    began_at = min(each.sent_at, until) - TOUCH_SECONDS - VERSION_SECONDS
+    return not any(
+        trouble.whom in {'', each.daemon}
+        and trouble.began_at < until
+        and trouble.ended_at > began_at
+        for trouble in records.troubles
+    )
--- /dev/null
+++ b/fakes/soak_site.py
@@ -0,0 +1,309 @@
+"""The fleet of one soak: real daemons, and stand-ins of all around them."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import signal
+import time
+
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+
+from fakes.child import Child
+from fakes.fleet_store import FleetStore
+from fakes.ports import pick_address
+from fakes.soak_proxy import LoopbackProxy
+from fakes.soak_records import Kind, Records
+from fakes.soak_target import (
+    CHUNK_BYTES,
+    CHUNKS,
+    LAYERS,
+    MODEL,
+    SoakTarget,
+    make_piece,
+)
+from ragwortcourse.weights.manifest import digest_bytes
+
+DOMAINS = {'near-a': 'near', 'near-b': 'near'}
+FORWARDERS = {'entry-1': 'near-a', 'entry-2': 'near-a', 'entry-3': 'near-b'}
+ENGINES = {'i-1': 'near-a', 'i-2': 'near-b'}
+PLAIN = {'p-1': 'near-a', 'p-2': 'near-b'}
+KEYS = [f'parents-{number}' for number in range(12)]
+ROUTE_MS = 3000
+GRACE_SECONDS = 8
+FLEET_TEXT = """
+daemon = "{name}"
+host = "{name}"
+failure_domain = "{domain}"
+region = "near"
+[fleet]
+store = "{store}"
+grace_seconds = 8
+strict_revocation = true
+revoke_ms = 5000
+contact_ms = 3000
+version_ms = 8000
+retry_ratio = 0.2
+retry_window_seconds = 10
+retry_reserve = 106
+[fleet.failure_domains]
+near-a = "near"
+near-b = "near"
+"""
+FORWARDER_TEXT = """role = "forwarder"
+{fleet}[listen]
+peers = "{peers}"
+watch = "{watch}"
+callers = "{callers}"
+"""
+LOADER_TEXT = """role = "loader"
+{fleet}[listen]
+peers = "{peers}"
+watch = "{watch}"
+[loader]
+engine = "{engine}"
+service = "engines"
+link_mbps = 4.7
+"""
+
+
+class SoakSite:
+    """Everything that runs in one soak.
+
+    :ivar callers: address of the callers' port of each forwarder.
+    :ivar links: proxies by name: a target's, or ``DAEMON/store``.
+    """
+
+    def __init__(self, *, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.records = Records()
+        self.store = FleetStore()
+        self.targets: dict[str, SoakTarget] = {}
+        self.children: dict[str, Child] = {}
+        self.links: dict[str, LoopbackProxy] = {}
+        self.callers: dict[str, str] = {}
+        self.state_version = 0
+        self.weights = 1
+        self.keys = list(KEYS)
+        self._stack = contextlib.AsyncExitStack()
+        self._origin = ''
+
+    async def open(self) -> None:
+        """Start the stand-ins, then the daemons, and wait until they serve."""
+        store = await self._serve(self.store.build_app())
+        self._origin = await self._serve(self._build_origin())
+        for name, domain in {**ENGINES, **PLAIN}.items():
+            target = SoakTarget(
+                name=name,
+                domain=domain,
+                records=self.records,
+                version=int(name in ENGINES),
+            )
+            self.targets[name] = target
+            self.links[name] = await self._link(
+                await self._serve(target.build_app())
+            )
+            self.put_target(name)
+        self.put_state()
+        for name, domain in FORWARDERS.items():
+            await self._start_forwarder(name, domain, store)
+        for name, domain in ENGINES.items():
+            await self._start_loader(f'loader-{name}', name, domain, store)
+
+    async def close(self) -> None:
+        """End every process by its id, then the stand-ins."""
+        for child in self.children.values():
+            child.send(signal.SIGCONT)
+            child.send(signal.SIGKILL)
+            if child.running:
+                await child.wait()
+        await self._stack.aclose()
+
+    def put_target(self, name: str) -> None:
+        """Write the row of a target as it is now."""
+        target = self.targets[name]
+        row = {
+            'service': 'engines' if target.has_engine else 'plain',
+            'address': self.links[name].address,
+            'zone': target.domain,
+            'slots': 16,
+            'state': 'ready',
+            'cold_left_ms': 0,
+            'born': 1,
+        }
+        if target.has_engine:
+            row['layers'] = {
+                'from': 0,
+                'to': LAYERS,
+                'version': target.version,
+            }
+        self.store.put('servers', name, row)
+
+    def put_state(self) -> None:
+        """Write the next desired state."""
+        self.state_version += 1
+        routes = [
+            self._make_route(Kind.CHARGE, 'non_idempotent', 'plain'),
+            self._make_route(Kind.LOOKUP, 'idempotent', 'plain'),
+            self._make_route(Kind.LETTER, 'streaming', 'engines'),
+        ]
+        engine = {
+            'models': [{'name': MODEL}],
+            'slots': 16,
+            'step_ms': 9,
+            'per_seq_ms': 0.04,
+            'read_per_s': 19_000,
+            'stride': 5,
+            'usual': {'prompt': 500, 'answer': 50},
+            'layers': LAYERS,
+            'chunks': CHUNKS,
+            'chunk_bytes': CHUNK_BYTES,
+        }
+        self.store.put(
+            'op',
+            'config',
+            {
+                'version': self.state_version,
+                'routes': routes,
+                'services': [
+                    {'name': 'plain'},
+                    {'name': 'engines', 'engine': engine},
+                    {
+                        'name': 'origin',
+                        'origin': self._origin,
+                        'zone': 'near-a',
+                    },
+                ],
+                'tenants': [{'name': 'parents', 'api_keys': self.keys}],
+            },
+        )
+
+    def name_weights(self) -> None:
+        """Name the next version of the weights."""
+        self.weights += 1
+        self.store.put(
+            'op',
+            f'version/{MODEL}',
+            {'model': MODEL, 'version': self.weights},
+        )
+        self.records.named[self.weights] = time.monotonic()
+
+    async def start_child(self, name: str) -> None:
+        """Start a daemon, again if it ran before."""
+        path = str(self.folder / f'{name}.toml')
+        await self.children[name].start('--settings', path)
+
+    @staticmethod
+    def _make_route(
+        kind: Kind, route_type: str, service: str
+    ) -> dict[str, object]:
+        return {
+            'name': kind.value,
+            'host': 'desk.example',
+            'prefix': f'/{kind.value}/',
+            'route_type': route_type,
+            'timeout_ms': ROUTE_MS,
+            'slo_ms': 500,
+            'service': service,
+            'max_attempts': 1 if kind is Kind.CHARGE else 2,
+            'resumable': kind is Kind.LETTER,
+        }
+
+    async def _start_forwarder(
+        self, name: str, domain: str, store: str
+    ) -> None:
+        link = self.links[f'{name}/store'] = await self._link(store)
+        fleet = FLEET_TEXT.format(name=name, domain=domain, store=link.address)
+        self.callers[name] = pick_address()
+        text = FORWARDER_TEXT.format(
+            fleet=fleet,
+            peers=pick_address(),
+            watch=pick_address(),
+            callers=self.callers[name],
+        )
+        await self._start(name, text)
+
+    async def _start_loader(
+        self, name: str, engine: str, domain: str, store: str
+    ) -> None:
+        link = self.links[f'{name}/store'] = await self._link(store)
+        fleet = FLEET_TEXT.format(name=name, domain=domain, store=link.address)
+        text = LOADER_TEXT.format(
+            fleet=fleet,
+            peers=pick_address(),
+            watch=pick_address(),
+            engine=self.links[engine].address,
+        )
+        await self._start(name, text)
+
+    async def _start(self, name: str, text: str) -> None:
+        lines = text.replace('[fleet]', '\0', 1)
+        before, _, after = lines.partition('\0')
+        (self.folder / f'{name}.toml').write_text(f'{before}[fleet]{after}')
+        self.children[name] = Child(
+            name=name,
+            module='ragwortcourse.daemon',
+            log=self.folder / f'{name}.log',
+        )
+        await self.start_child(name)
+
+    async def _serve(self, app: web.Application) -> str:
+        server = TestServer(app)
+        await server.start_server()
+        self._stack.push_async_callback(server.close)
+        return f'127.0.0.1:{server.port}'
+
+    async def _link(self, server: str) -> LoopbackProxy:
+        link = LoopbackProxy(server=server)
+        await link.start()
+        self._stack.push_async_callback(link.stop)
+        return link
+
+    def _build_origin(self) -> web.Application:
+        async def read_manifest(request: web.Request) -> web.Response:
+            version = int(request.query['version'])
+            digests = [
+                digest_bytes(make_piece(version, index))
+                for index in range(CHUNKS)
+            ]
+            return web.json_response({'version': version, 'digests': digests})
+
+        async def read_piece(request: web.Request) -> web.Response:
+            version = int(request.query['version'])
+            index = int(request.query['num'])
+            return web.Response(body=make_piece(version, index))
+
+        app = web.Application()
+        app.add_routes(
+            [
+                web.get('/manifest/{model}', read_manifest),
+                web.get('/piece/{model}', read_piece),
+            ]
+        )
+        return app
+
+
+def read_lines(path: pathlib.Path, *messages: str) -> list[str]:
+    """Lines of a daemon's log that bear one of some messages."""
+    found = []
+    for line in path.read_text().splitlines():
+        with contextlib.suppress(json.JSONDecodeError):
+            if json.loads(line).get('message') not in messages:
+                continue
+        if any(message in line for message in messages):
+            found.append(line)
+    return found
+
+
+async def wait_ready(site: SoakSite, seconds: float = 30) -> None:
+    """Return once every forwarder accepts connections and serves."""
+    async with asyncio.timeout(seconds):
+        for address in site.callers.values():
+            host, _, port = address.rpartition(':')
+            while True:
+                with contextlib.suppress(OSError):
+                    _, writer = await asyncio.open_connection(host, int(port))
+                    writer.close()
+                    break
+                await asyncio.sleep(0.05)
--- a/src/ragwortcourse/daemon.py
+++ b/src/ragwortcourse/daemon.py
@@ -2,9 +2,14 @@
 
 import os
 import pathlib
+import signal
 import sys
 from typing import Final
 
+# Until the settings are followed a hang-up asks for nothing; left alone it
+# would end a daemon that is starting.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 # Read by libuv when it is loaded; see docs/design/event-loop.md.
 os.environ['UV_USE_IO_URING'] = '0'
 
--- a/src/ragwortcourse/processes/reload.py
+++ b/src/ragwortcourse/processes/reload.py
@@ -39,6 +39,8 @@
             current = _read_again(path, current, apply, is_told=is_told)
     finally:
         loop.remove_signal_handler(signal.SIGHUP)
+        # A daemon that stops is not to be ended by it either.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
 async def _wait(told: asyncio.Event) -> bool:
--- a/src/ragwortcourse/weights/loading.py
+++ b/src/ragwortcourse/weights/loading.py
@@ -12,8 +12,9 @@
 from ragwortcourse.weights.engine_port import EngineReport
 from ragwortcourse.weights.loading_ports import LoadingPorts
 
-# Part of the link that chunks may take; live requests share it.
-LINK_SHARE: Final = 0.92
+# Part of the link that chunks may take; the rest is for their headers, for
+# reports and for what operators write.
+LINK_SHARE: Final = 0.96
 # Where operators have named none, engines hold the first one.
 FIRST_VERSION: Final = 1
 BYTES_IN_MEGABIT: Final = 125_000
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import signal
 import socket
 import subprocess
 import sys
@@ -9,8 +10,10 @@
 import pytest
 from aiohttp import web
 
+from fakes.fleet_parts import make_settings
 from fakes.ports import pick_address
 from ragwortcourse.processes import service
+from ragwortcourse.processes.reload import follow_settings
 from ragwortcourse.settings_file import parse_settings
 
 SETTINGS = """
@@ -64,6 +67,39 @@
         ]
 
 
+class TestHangUp:
+    """SIGHUP to a daemon that does not follow its settings yet, or any more."""
+
+    def test_starting(self):
+        """A daemon that starts is not ended by a hang-up.
+
+        Soak, seed 1: one that came right after a restart ended the process.
+        """
+        code = (
+            'import signal, ragwortcourse.daemon;'
+            'print(signal.getsignal(signal.SIGHUP) is signal.SIG_IGN)'
+        )
+        done = subprocess.run(
+            [sys.executable, '-c', code], capture_output=True, check=True
+        )
+        assert done.stdout.strip() == b'True'
+
+    async def test_stopping(self, tmp_path):
+        """A daemon that no longer follows its settings ignores it."""
+        task = asyncio.ensure_future(
+            follow_settings(
+                path=tmp_path / 'settings.toml',
+                settings=make_settings(),
+                apply=lambda settings: (),
+            )
+        )
+        await asyncio.sleep(0.05)
+        assert signal.getsignal(signal.SIGHUP) is not signal.SIG_IGN
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+
+
 class TestHealth:
     """A daemon whose ports are opened one after the other."""
 
