--- a/fakes/soak_site.py
+++ b/fakes/soak_site.py
@@ -123,7 +123,7 @@
     def put_target(self, name: str) -> None:
         """Write the row of a target as it is now."""
         target = self.targets[name]
-        row = {
+        row: dict[str, object] = {
             'service': 'engines' if target.has_engine else 'plain',
             'address': self.links[name].address,
             'zone': target.domain,
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,161 @@
+"""A short soak of the real daemons, and the seeds that once found a fault."""
+
+import itertools
+import random
+
+import pytest
+
+from fakes.soak import run_soak
+from fakes.soak_checks import list_findings
+from fakes.soak_plan import plan_faults
+from fakes.soak_records import Asked, Kind, Ran, Records, Trouble
+from fakes.soak_target import make_answer
+
+SECONDS = 6.0
+# Seed, seconds of faults, and the cause of what it found.
+FOUND = [
+    # SIGHUP right after a restart ended a loader before its handler was set.
+    (1, 15.0),
+]
+CHARGE = '/charges/1'
+
+
+def make_asked(**changes: object) -> Asked:
+    """A charge that was served."""
+    usual: dict[str, object] = {
+        'attempt': 'a1',
+        'kind': Kind.CHARGE,
+        'key': 'parents-1',
+        'daemon': 'entry-1',
+        'path': CHARGE,
+        'sent_at': 100.0,
+        'ended_at': 100.1,
+        'status': 200,
+        'stamp': 'a1-stamp',
+        'body': make_answer('a1', CHARGE),
+    }
+    return Asked(**{**usual, **changes})
+
+
+def make_ran(**changes: object) -> Ran:
+    """Its run."""
+    usual: dict[str, object] = {
+        'attempt': 'a1',
+        'target': 'p-1',
+        'domain': 'near-b',
+        'account': 'parents',
+        'path': CHARGE,
+        'key_seen': False,
+        'version': 0,
+        'at': 100.05,
+    }
+    return Ran(**{**usual, **changes})
+
+
+def find(asked: Asked, *ran: Ran, **records: object) -> str:
+    """Findings about one request."""
+    kept = Records(asked=[asked], ran=list(ran), **records)
+    return ' '.join(list_findings(kept))
+
+
+class TestSoak:
+    """Real processes under faults."""
+
+    @pytest.mark.processes
+    @pytest.mark.parametrize(('seed', 'seconds'), [(7, SECONDS), *FOUND])
+    async def test_promises_hold(self, tmp_path, seed, seconds):
+        """Whatever is injected, callers and targets see what was promised."""
+        findings, records = await run_soak(
+            seed=seed, seconds=seconds, folder=tmp_path
+        )
+        assert records.troubles
+        assert not findings
+
+
+class TestPlan:
+    """What is injected."""
+
+    def test_same_seed(self):
+        """A seed always gives the same faults."""
+        plans = [
+            plan_faults(seed=5, seconds=30, daemons=['d'], links=['l'])
+            for _ in range(2)
+        ]
+        assert plans[0] == plans[1]
+
+    def test_every_kind(self):
+        """All kinds of faults come, and some overlap."""
+        rng = random.Random(1)
+        names = set()
+        overlaps = 0
+        for _ in range(50):
+            plan = plan_faults(
+                seed=rng.randrange(1000),
+                seconds=20,
+                daemons=['d'],
+                links=['l'],
+            )
+            names |= {fault.name for fault in plan}
+            overlaps += any(
+                first.at + first.seconds > second.at
+                for first, second in itertools.pairwise(plan)
+            )
+        assert {'kill', 'pause', 'stop', 'hang up', 'silent', 'deaf'} <= names
+        assert {'revoke', 'withdraw', 'weights', 'rows lapse'} <= names
+        assert overlaps > 40
+
+
+class TestChecks:
+    """Each check finds what it is for."""
+
+    def test_nothing_wrong(self):
+        """A good request leaves the recovery alone to be judged."""
+        found = find(make_asked(), make_ran(), calm_from=50)
+        assert not found
+
+    @pytest.mark.parametrize(
+        ('changes', 'runs', 'finding'),
+        [
+            ({}, 2, 'TWICE'),
+            ({'status': 503}, 1, 'REFUSED'),
+            ({'body': 'other'}, 1, 'MIXED'),
+            ({'stamp': ''}, 1, 'MIXED'),
+            ({'ended_at': 104.0}, 1, 'held'),
+            ({'path': '/charges/2'}, 1, 'UNASKED'),
+            ({'key': 'others-1'}, 1, 'UNASKED'),
+        ],
+    )
+    def test_requests(self, changes, runs, finding):
+        """What callers or targets saw wrongly is found."""
+        assert finding in find(make_asked(**changes), *[make_ran()] * runs)
+
+    def test_broken_stream(self):
+        """A stream that looks whole has all its events, once and in order."""
+        letter = make_asked(kind=Kind.LETTER, body='0 1 2 2 3 4 5 6 7')
+        assert 'ORDER' in find(letter, make_ran())
+
+    def test_revoked_key(self):
+        """A request whose key was taken away too long ago does not run."""
+        found = find(make_asked(), make_ran(), revoked={'parents-1': 94.0})
+        assert 'CONFIG' in found
+
+    @pytest.mark.parametrize(
+        ('records', 'finding'),
+        [
+            ({'withdrawn': [('near-b', 90.0, 110.0)]}, 'EVAC'),
+            ({'named': {2: 91.0}}, 'VERSION'),
+        ],
+    )
+    def test_bounds(self, records, finding):
+        """Bounds hold for daemons without faults, and excuse others."""
+        ran = make_ran(version=1)
+        assert finding in find(make_asked(), ran, **records)
+        trouble = Trouble(
+            name='pause', whom='entry-1', began_at=95, ended_at=96
+        )
+        excused = find(make_asked(), ran, troubles=[trouble], **records)
+        assert finding not in excused
+
+    def test_no_recovery(self):
+        """Callers must be served again once the faults are over."""
+        assert 'RECOVER' in find(make_asked(status=502), calm_from=50)
