--- a/src/ragwortcourse/cli/status_commands.py
+++ b/src/ragwortcourse/cli/status_commands.py
@@ -1,11 +1,14 @@
 """Commands that ask how things stand."""
 
+import pathlib
 from collections.abc import Iterator
+from typing import Final
 
 import click
 
 from ragwortcourse.cli.answer import ask_message
 from ragwortcourse.cli.connection import Connection, accept_connection
+from ragwortcourse.cli.log_explanation import explain_from_logs
 from ragwortcourse.cli.operator_client import Question, quote_name
 from ragwortcourse.cli.output import (
     accept_json,
@@ -16,6 +19,9 @@
 from ragwortcourse.messages.decision import Decision, RequestRecord
 from ragwortcourse.messages.operator import OperatorStatus, TargetSummary
 
+# Enough to see a lost store, a desired state or a switch before a request.
+BELIEFS: Final = 5
+
 
 @click.command()
 @accept_connection
@@ -49,15 +55,38 @@
 
 @click.command()
 @click.argument('request')
+@click.option(
+    '--logs',
+    multiple=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+    help='Read the lines of daemons from a file instead; may come often.',
+)
+@click.option(
+    '--beliefs',
+    default=BELIEFS,
+    show_default=True,
+    help='With --logs: earlier lines of its daemons about other things.',
+)
 @accept_connection
 @accept_json
-def explain(*, request: str, connection: Connection, as_json: bool) -> None:
+def explain(
+    *,
+    request: str,
+    logs: tuple[pathlib.Path, ...],
+    beliefs: int,
+    connection: Connection,
+    as_json: bool,
+) -> None:
     """Show every decision on one request, in order.
 
-    REQUEST is the id that the answer carried as x-request-id.
+    REQUEST is the id that the answer carried as x-request-id; in the logs of
+    forwarders it is the caller's attempt id.
 
-    Example: ragwortcourse explain entry-1-5f0c9a
+    Example: ragwortcourse explain 9e6dab59d76c0ae0 --logs daemons.log
     """
+    if logs:
+        explain_from_logs(request, logs, beliefs, as_json=as_json)
+        return
     question = Question(path=f'/operator/requests/{quote_name(request)}')
     record = ask_message(connection, question, RequestRecord, as_json=as_json)
     if as_json:
--- a/src/ragwortcourse/forwarding/call_log.py
+++ b/src/ragwortcourse/forwarding/call_log.py
@@ -31,6 +31,17 @@
     description='from the arrival of a request to the end of its answer',
 )
 
+WAITING: Final = METER.create_histogram(
+    'ragwortcourse.forwarding.waiting',
+    unit='s',
+    description='from the arrival of a request to its first sending',
+)
+FIRST_EVENT: Final = METER.create_histogram(
+    'ragwortcourse.forwarding.first_event',
+    unit='s',
+    description='from the arrival of a request to the first event of a stream',
+)
+
 
 def is_sampled(call: Call) -> bool:
     """Tell whether a request is logged though nothing happened to it."""
@@ -63,6 +74,10 @@
     REQUESTS.add(1, {'answer': str(status)})
     TRIES.add(len(tries.tried))
     DURATION.record(seconds, {'answer': 'target'})
+    if tries.sent_at is not None:
+        WAITING.record(tries.sent_at - call.arrived_at)
+    if tries.first_at is not None:
+        FIRST_EVENT.record(tries.first_at - call.arrived_at)
     if tries.moved or is_sampled(call):
         LOGGER.info(
             'answered',
--- /dev/null
+++ b/src/ragwortcourse/forwarding/gauges.py
@@ -0,0 +1,64 @@
+"""What a forwarder believes and has left, as metrics."""
+
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from opentelemetry.metrics import CallbackOptions, Observation, get_meter
+
+from ragwortcourse.forwarding.forwarder import Forwarder
+
+METER: Final = get_meter(__name__)
+
+
+def watch_forwarder(forwarder: Forwarder) -> None:
+    """Show ages, targets and what is left of the retries from now on."""
+    state = forwarder.state
+    _watch(
+        'ragwortcourse.forwarding.desired_state_age',
+        's',
+        'since the desired state was confirmed as the newest',
+        state.read_age,
+    )
+    _watch(
+        'ragwortcourse.forwarding.desired_state_version',
+        '',
+        'version of the desired state in force; zero for none',
+        lambda: 0 if state.desired is None else state.desired.version,
+    )
+    _watch(
+        'ragwortcourse.forwarding.targets',
+        '',
+        'targets that are listed',
+        lambda: len(state.targets),
+    )
+    _watch(
+        'ragwortcourse.forwarding.running',
+        '',
+        'requests of callers under way',
+        lambda: forwarder.running,
+    )
+    _watch(
+        'ragwortcourse.forwarding.retries_left',
+        '',
+        'further tries that the own share of the window still allows',
+        lambda: forwarder.retries.left,
+    )
+    _watch(
+        'ragwortcourse.forwarding.weights_version',
+        '',
+        'newest version of weights that was named; zero for none',
+        lambda: max(
+            (named[-1].version for named in state.weights.values()), default=0
+        ),
+    )
+
+
+def _watch(
+    name: str, unit: str, description: str, read: Callable[[], float]
+) -> None:
+    def observe(options: CallbackOptions) -> Iterable[Observation]:
+        return (Observation(read()),)
+
+    METER.create_observable_gauge(
+        name, callbacks=(observe,), unit=unit, description=description
+    )
--- a/src/ragwortcourse/forwarding/retry_share.py
+++ b/src/ragwortcourse/forwarding/retry_share.py
@@ -33,6 +33,15 @@
         self._first: collections.deque[float] = collections.deque()
         self._further: collections.deque[float] = collections.deque()
 
+    @property
+    def left(self) -> int:
+        """Further tries that are allowed now."""
+        self._forget(self._first)
+        self._forget(self._further)
+        allowed = len(self._first) * self._ratio
+        allowed += self._reserve / self.daemons
+        return int(allowed * USED_SHARE) - len(self._further)
+
     def earn(self) -> None:
         """Count a first try."""
         self._first.append(read_clock())
@@ -40,11 +49,7 @@
 
     def spend(self) -> bool:
         """Take one further try, if there is one left."""
-        self._forget(self._first)
-        self._forget(self._further)
-        allowed = len(self._first) * self._ratio
-        allowed += self._reserve / self.daemons
-        if len(self._further) + 1 > allowed * USED_SHARE:
+        if self.left < 1:
             return False
         self._further.append(read_clock())
         return True
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -44,7 +44,8 @@
 
     ``tried`` are the targets it was sent to, in order; ``moved`` is true
     once one of them did not serve it; ``was_late`` is true where the caller
-    came too late for the objective; ``first_at`` is when the caller got
+    came too late for the objective; ``sent_at`` is when it was first sent,
+    ``first_at`` is when the caller got
     the first bytes, in monotonic seconds.
 
     :param runs: targets that may have run it.
@@ -56,6 +57,7 @@
         self.runs = 0
         self.tried: list[TargetName] = []
         self.moved = False
+        self.sent_at: float | None = None
         self.first_at: float | None = None
         self.was_late = self.is_late
         self._service: ServiceName = choose_service(forwarder, work)
@@ -134,6 +136,7 @@
         began_at = read_clock()
         if not self._sends:
             forwarder.retries.earn()
+            self.sent_at = began_at
         self._sends += 1
         self.tried.append(target.name)
         load = forwarder.find_load(target)
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -14,6 +14,7 @@
 from ragwortcourse.forwarding.exchange import open_target_session
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.forwarder import Forwarder, read_fleet_settings
+from ragwortcourse.forwarding.gauges import watch_forwarder
 from ragwortcourse.forwarding.load_exchange import exchange_loads
 from ragwortcourse.forwarding.target_list import TargetList
 from ragwortcourse.identifiers import ModelName
@@ -97,6 +98,7 @@
 
     def start(self, tasks: BackgroundTasks) -> None:
         """Run the endless tasks."""
+        watch_forwarder(self.forwarder)
         for index, feed in enumerate(self.feeds):
             tasks.start(f'follow table {index}', feed.follow())
         tasks.start('register', self.register())
--- a/tests/test_forwarder_daemon.py
+++ b/tests/test_forwarder_daemon.py
@@ -162,6 +162,31 @@
         assert set(statuses) <= {200, 503}
         assert 503 in statuses
 
+    async def test_metrics(self, site):
+        """Its metrics tell what it believes, and how long requests take."""
+        url = f'http://{site.listen["watch"]}/metrics'
+        async with aiohttp.ClientSession() as session:
+            assert (await site.ask(session))[0] == 200
+            async with session.get(url) as response:
+                page = await response.text()
+        shown = dict(
+            line.rsplit(' ', 1)
+            for line in page.splitlines()
+            if not line.startswith('#')
+        )
+        shown = {name.partition('{')[0]: text for name, text in shown.items()}
+        prefix = 'ragwortcourse_forwarding_'
+        assert {
+            f'{prefix}desired_state_age_seconds',
+            f'{prefix}retries_left',
+            f'{prefix}running',
+            f'{prefix}waiting_seconds_count',
+            f'{prefix}duration_seconds_count',
+            f'{prefix}requests_total',
+        } <= shown.keys()
+        assert float(shown[f'{prefix}targets']) == 1
+        assert float(shown[f'{prefix}desired_state_version']) == 1
+
     async def test_hang_up(self, site):
         """SIGHUP ends nothing."""
         site.child.send(signal.SIGHUP)
