Take manifests from daemons near by before the origin

Now a manifest is drawn like a chunk: two daemons of the origin's region read it, twice alike as nothing proves it, the others ask them, and loaders ask their failure domain.

--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -33,6 +33,8 @@
 from ragwortcourse.settings import FleetSettings, Settings
 from ragwortcourse.weights.chunk_cache import ChunkCache
 from ragwortcourse.weights.chunk_routes import build_chunk_routes
+from ragwortcourse.weights.manifest_routes import build_manifest_routes
+from ragwortcourse.weights.origin_calls import OriginCalls
 from ragwortcourse.weights.relay_drawing import RelayDrawing, build_cache
 
 # One call to the store waits for a change no longer than this: the desired
@@ -90,7 +92,11 @@
     @property
     def peer_routes(self) -> list[web.RouteDef]:
         """Routes of the port for other daemons."""
-        return [*build_chunk_routes(self.cache.find), *self.row_routes]
+        return [
+            *build_chunk_routes(self.cache.find),
+            *build_manifest_routes(self.cache.find_manifest),
+            *self.row_routes,
+        ]
 
     def take_fleet(self, fleet: FleetSettings) -> None:
         """Take other bounds over."""
@@ -169,7 +175,9 @@
         state=state,
         session=session,
         list_relays=relays.list,
-        read_origin_chunk=origin.read_chunk,
+        calls=OriginCalls(
+            read_manifest=origin.read_manifest, read_chunk=origin.read_chunk
+        ),
         rng=rng,
     )
     operators = RelayedStore(
@@ -189,11 +197,7 @@
             session=target_session,
             rng=rng,
         ),
-        cache=build_cache(
-            drawing=drawing,
-            state=state,
-            read_origin_manifest=origin.read_manifest,
-        ),
+        cache=build_cache(drawing=drawing),
         relays=relays,
         register=functools.partial(_register, store, settings),
         feeds=(
--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -10,7 +10,6 @@
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.forwarder import read_fleet_settings
 from ragwortcourse.forwarding.switch_notice import build_announcement
-from ragwortcourse.identifiers import ModelName
 from ragwortcourse.platform import names
 from ragwortcourse.platform.engine import Engine
 from ragwortcourse.platform.feed import TableFeed
@@ -24,11 +23,10 @@
 from ragwortcourse.settings import FleetSettings, Settings
 from ragwortcourse.weights.chunk_routes import build_chunk_routes
 from ragwortcourse.weights.engine_switch import switch_engine
-from ragwortcourse.weights.fleet_manifest import FleetManifest
-from ragwortcourse.weights.loader_drawing import build_loader_drawing
+from ragwortcourse.weights.loader_sources import LoaderSources
 from ragwortcourse.weights.loading import Loading
 from ragwortcourse.weights.loading_ports import LoadingPorts
-from ragwortcourse.weights.relay_drawing import find_origin
+from ragwortcourse.weights.origin_calls import OriginCalls
 from ragwortcourse.weights.version_drawing import draw_versions
 
 # A loader acts on changes alone; a call that waits longer costs less.
@@ -99,25 +97,20 @@
     state = FleetState()
     origin = WeightSource(session=session)
 
-    async def read_manifest(
-        model: ModelName, version: int
-    ) -> FleetManifest | None:
-        rules = find_origin(state)
-        address = '' if rules is None else rules.origin
-        return await origin.read_manifest(address, model, version)
-
     relays = RelayList(store=store)
-
+    sources = LoaderSources(
+        settings=settings,
+        state=state,
+        session=session,
+        list_relays=relays.list,
+        calls=OriginCalls(
+            read_manifest=origin.read_manifest, read_chunk=origin.read_chunk
+        ),
+    )
     ports = LoadingPorts(
         engine=Engine(session=session, address=loader.engine),
-        read_manifest=read_manifest,
-        draw=build_loader_drawing(
-            settings=settings,
-            state=state,
-            session=session,
-            list_relays=relays.list,
-            read_origin_chunk=origin.read_chunk,
-        ),
+        read_manifest=sources.read_manifest,
+        draw=sources.draw,
         announce=build_announcement(list_relays=relays.list),
         list_service=functools.partial(
             read_service, store, loader.service, fleet
--- a/src/ragwortcourse/weights/chunk_cache.py
+++ b/src/ragwortcourse/weights/chunk_cache.py
@@ -23,6 +23,8 @@
 DRAWN_AHEAD: Final = 2
 # A look costs nothing; the store tells of new versions at once.
 LOOK_SECONDS: Final = 0.1
+# After a manifest that could not be had.
+RETRY_SECONDS: Final = 0.4
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -64,6 +66,15 @@
             return None
         return await self._find_in(chunks, index)
 
+    async def find_manifest(
+        self, model: ModelName, version: int
+    ) -> FleetManifest | None:
+        """Digests of a version, read first if they are not here."""
+        chunks = self._store.find(version)
+        if chunks is None:
+            chunks = await self._open(model, version)
+        return None if chunks is None else chunks.manifest
+
     async def follow(self, list_named: ListNamed) -> None:
         """Draw what is named before anybody asks for it, for ever.
 
@@ -71,8 +82,9 @@
         """
         while True:
             for model, version in list_named():
-                if self._store.find(version) is None:
-                    await self._open(model, version)
+                if await self.find_manifest(model, version) is None:
+                    # Many daemons ask the same few, or the origin.
+                    await asyncio.sleep(RETRY_SECONDS)
             await asyncio.sleep(LOOK_SECONDS)
 
     async def stop(self) -> None:
--- a/src/ragwortcourse/weights/chunk_sources.py
+++ b/src/ragwortcourse/weights/chunk_sources.py
@@ -25,6 +25,8 @@
 FAR_ASKED: Final = 1
 # Relays that draw a chunk for all others; the second where the first fails.
 ROOTS_ASKED: Final = 2
+# The manifest is drawn as a chunk before the first one.
+MANIFEST: Final = -1
 
 
 def list_loader_sources(
--- a/src/ragwortcourse/weights/relay_drawing.py
+++ b/src/ragwortcourse/weights/relay_drawing.py
@@ -14,10 +14,13 @@
 from ragwortcourse.weights.chunk_cache import DRAWN_AHEAD, ChunkCache
 from ragwortcourse.weights.chunk_routes import fetch_chunk
 from ragwortcourse.weights.chunk_sources import (
+    MANIFEST,
     list_loader_sources,
     list_relay_sources,
 )
 from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.manifest_routes import fetch_manifest
+from ragwortcourse.weights.origin_calls import OriginCalls
 from ragwortcourse.weights.peer_reach import PeerReach
 
 # Holders that are asked before relays and the origin.
@@ -29,10 +32,6 @@
 DOMAIN_RATE: Final = 800_000
 
 ListRelays = Callable[[], Awaitable[Sequence[RelayRecord]]]
-ReadOriginManifest = Callable[
-    [str, ModelName, int], Awaitable[FleetManifest | None]
-]
-ReadOriginChunk = Callable[[str, FleetManifest, int], Awaitable[bytes | None]]
 
 
 def find_origin(state: FleetState) -> ServiceRules | None:
@@ -81,7 +80,7 @@
         state: FleetState,
         session: aiohttp.ClientSession,
         list_relays: ListRelays,
-        read_origin_chunk: ReadOriginChunk,
+        calls: OriginCalls,
         rng: random.Random,
     ) -> None:
         self._settings = settings
@@ -89,7 +88,7 @@
         self._state = state
         self._session = session
         self._list_relays = list_relays
-        self._read_origin_chunk = read_origin_chunk
+        self._calls = calls
         self._rng = rng
         self._reach = PeerReach()
 
@@ -116,7 +115,27 @@
         origin = find_origin(self._state)
         if origin is None:
             return None
-        return await self._read_origin_chunk(origin.origin, manifest, index)
+        return await self._calls.read_chunk(origin.origin, manifest, index)
+
+    async def read_manifest(
+        self, model: ModelName, version: int
+    ) -> FleetManifest | None:
+        """Digests of a version from other daemons, then the origin."""
+        relays = await self._list_relays()
+        sources = self._list_relay_sources(relays, MANIFEST)
+        manifest = await fetch_manifest(
+            session=self._session,
+            reach=self._reach,
+            addresses=[relay.address for relay in sources],
+            model=model,
+            version=version,
+        )
+        origin = find_origin(self._state)
+        if manifest is not None or origin is None:
+            return manifest
+        return await self._calls.read_manifest_twice(
+            origin.origin, model, version
+        )
 
     async def list_own(self, manifest: FleetManifest) -> tuple[int, ...]:
         """Chunks that others ask for here first."""
@@ -169,24 +188,10 @@
         return [*addresses, *(relay.address for relay in relays)]
 
 
-def build_cache(
-    *,
-    drawing: RelayDrawing,
-    state: FleetState,
-    read_origin_manifest: ReadOriginManifest,
-) -> ChunkCache:
+def build_cache(*, drawing: RelayDrawing) -> ChunkCache:
     """A cache that draws from other daemons and the origin."""
-
-    async def read_manifest(
-        model: ModelName, version: int
-    ) -> FleetManifest | None:
-        origin = find_origin(state)
-        if origin is None:
-            return None
-        return await read_origin_manifest(origin.origin, model, version)
-
     return ChunkCache(
-        read_manifest=read_manifest,
+        read_manifest=drawing.read_manifest,
         draw=drawing.draw,
         list_own=drawing.list_own,
     )
