--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 
-.PHONY: setup demo test lint types measure chaos
+.PHONY: setup demo test lint types measure chaos soak
 
 # The stamp keeps repeated runs from asking the registry again.
 .venv/.stamp: requirements/lock.txt pyproject.toml
@@ -36,3 +36,7 @@
 # A longer list of seeds than the one CI runs.
 chaos: setup
 	RAGWORTCOURSE_SEEDS=$(or $(SEEDS),200) $(BIN)/python -m pytest tests/test_chaos.py
+
+# Fresh seeds each time; logs are kept in a folder that each line names.
+soak: setup
+	$(BIN)/python -m fakes.soak --seeds $(or $(SEEDS),10)
