Bring an older version while nobody has the newest

Cause: which version a loader draws was judged by what is missing of each. Ruled out: the relays (they draw each version ahead within 1.3 s of its naming). Test first: test_newest_stalls failed (version 1 at the bound), passes now.

--- a/fakes/soak_target.py
+++ b/fakes/soak_target.py
@@ -98,10 +98,18 @@
     async def _stream(
         self, request: web.Request, marks: dict[str, str]
     ) -> web.StreamResponse:
-        first = int(request.headers.get('Last-Event-Id', -1)) + 1
         marks['Ragwortcourse-Weight-Versions'] = str(self.version)
         response = web.StreamResponse(headers=marks)
         response.content_type = 'text/event-stream'
+        # The daemon may be gone, or its connection reset.
+        with contextlib.suppress(ConnectionError):
+            await self._send_events(request, response)
+        return response
+
+    async def _send_events(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        first = int(request.headers.get('Last-Event-Id', -1)) + 1
         await response.prepare(request)
         for number in range(first, EVENTS):
             await asyncio.sleep(EVENT_SECONDS)
@@ -109,11 +117,9 @@
                 # An order ends what runs.
                 if request.transport is not None:
                     request.transport.abort()
-                return response
+                return
             await response.write(f'id: {number}\ndata: w\n\n'.encode())
-        with contextlib.suppress(ConnectionError):
-            await response.write_eof()
-        return response
+        await response.write_eof()
 
     async def _report(self, request: web.Request) -> web.Response:
         held = {'from': 0, 'to': LAYERS, 'version': self.version}
--- a/src/ragwortcourse/weights/loading.py
+++ b/src/ragwortcourse/weights/loading.py
@@ -1,8 +1,10 @@
 """The weights of the engine beside a loader."""
 
+import math
 from collections.abc import Sequence
 from typing import Final
 
+from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.engine_rules import EngineRules
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.named_weights import NamedWeights
@@ -18,6 +20,9 @@
 # Where operators have named none, engines hold the first one.
 FIRST_VERSION: Final = 1
 BYTES_IN_MEGABIT: Final = 125_000
+# A version that nobody gives is asked for again after this time; an older
+# one that others hold is brought meanwhile.
+STALLED_SECONDS: Final = 2.0
 
 
 class Loading:
@@ -40,6 +45,7 @@
         self.ports = ports
         self.store = ChunkStore()
         self.report: EngineReport | None = None
+        self._stalled_until: dict[int, float] = {}
 
     @property
     def link_rate(self) -> int:
@@ -66,11 +72,20 @@
         return held.version
 
     def foresee_drawing(self, rules: EngineRules, version: int) -> float:
-        """Seconds until what is missing of a version could be here."""
+        """Seconds until what is missing of a version could be here.
+
+        Without end while nobody has it.
+        """
+        if read_clock() < self._stalled_until.get(version, 0):
+            return math.inf
         kept = self.store.find(version)
         missing = rules.chunks if kept is None else len(kept.missing)
         return missing * rules.chunk_bytes / self.link_rate
 
+    def note_stalled(self, version: int) -> None:
+        """Note that nobody gives what is missing of a version."""
+        self._stalled_until[version] = read_clock() + STALLED_SECONDS
+
     def find_drawn(self, rules: EngineRules) -> VersionChunks | None:
         """The newest whole version, if the engine does not hold it."""
         newest = self.store.find_newest_whole()
--- a/src/ragwortcourse/weights/version_choice.py
+++ b/src/ragwortcourse/weights/version_choice.py
@@ -3,7 +3,8 @@
 Load pattern: versions are named in quick succession. The newest one alone
 counts in the end, but an engine must not answer from a version whose
 successor was named too long ago: where the newest can't be there by then,
-an older one that is mostly drawn is finished first.
+an older one that is mostly drawn is finished first. So is one that others
+hold, while the origin is down and nobody has the newest whole.
 """
 
 from collections.abc import Callable, Sequence
@@ -32,7 +33,8 @@
 
     :param named: the newest last, at least one.
     :param held: version that the engine holds; zero for none.
-    :param foresee: seconds until a version could be drawn.
+    :param foresee: seconds until a version could be drawn; infinite while
+        nobody gives it.
     :param bound: seconds from a version's naming after which no request
         may begin on an older one.
     """
--- a/src/ragwortcourse/weights/version_drawing.py
+++ b/src/ragwortcourse/weights/version_drawing.py
@@ -16,6 +16,9 @@
 RETRY_SECONDS: Final = 0.2
 # Chunks drawn at once: while one is waited for, the other fills the link.
 DRAWN_AT_ONCE: Final = 2
+# Without a chunk for this long a version can't be had now: several times
+# what one takes over the link of a host.
+STALL_SECONDS: Final = 1.5
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -88,13 +91,19 @@
     """Draw missing chunks until another version is wanted."""
     version = chunks.manifest.version
     queue = list(chunks.missing)
+    drawn_at = read_clock()
 
     async def draw_some() -> None:
+        nonlocal drawn_at
         while queue and read_wanted(loading, rules) == version:
             index = queue.pop(0)
-            if not await _draw_one(loading, rules, chunks, index):
-                queue.append(index)
-                await asyncio.sleep(RETRY_SECONDS)
+            if await _draw_one(loading, rules, chunks, index):
+                drawn_at = read_clock()
+                continue
+            queue.append(index)
+            if read_clock() - drawn_at > STALL_SECONDS:
+                loading.note_stalled(version)
+            await asyncio.sleep(RETRY_SECONDS)
 
     await asyncio.gather(*(draw_some() for _ in range(DRAWN_AT_ONCE)))
 
--- a/tests/test_loading.py
+++ b/tests/test_loading.py
@@ -44,6 +44,7 @@
     :ivar drawn: chunks drawn, in order.
     :ivar spoilt: how many draws bring wrong bytes.
     :ivar reachable: false while nothing can be drawn.
+    :ivar missing: version and index of a chunk that can't be drawn.
     """
 
     def __init__(self, *, version: int = 0) -> None:
@@ -51,6 +52,7 @@
         self.drawn: list[tuple[int, int]] = []
         self.spoilt = 0
         self.reachable = True
+        self.missing: tuple[int, int] | None = None
         self.seconds = 0.1
         self.notices: list[SwitchMessage] = []
         self.state = make_state()
@@ -76,7 +78,10 @@
     async def draw(self, manifest, index, rate):
         """A chunk, after some time."""
         await asyncio.sleep(self.seconds)
-        if not self.reachable:
+        if not self.reachable or self.missing == (
+            manifest.version,
+            index,
+        ):
             return None
         self.drawn.append((manifest.version, index))
         if self.spoilt:
@@ -301,6 +306,25 @@
             await asyncio.sleep(FLEET.version_ms / 1000)
         assert host.engine.version == 2
 
+    async def test_newest_stalls(self):
+        """A version that others hold is loaded while the newest is not had."""
+        host = Host(version=1)
+        host.seconds = 0.5
+        host.loading.loader = LoaderSettings(
+            engine=ENGINE, service=ENGINES, link_mbps=0.03
+        )
+        async with host.run():
+            host.name(2)
+            await asyncio.sleep(0.7)
+            host.name(3)
+            host.missing = (3, CHUNKS - 1)
+            await asyncio.sleep(FLEET.version_ms / 1000)
+            assert host.engine.version == 2
+            host.missing = None
+            await asyncio.sleep(5)
+        assert host.engine.version == 3
+        host.check_orders()
+
     async def test_next_version_is_nearly_drawn(self):
         """A version whose successor is nearly drawn is not loaded."""
         host = Host(version=1)
--- a/tests/test_version_choice.py
+++ b/tests/test_version_choice.py
@@ -1,5 +1,7 @@
 """Tests of :mod:`ragwortcourse.weights.version_choice`."""
 
+import math
+
 import pytest
 
 from ragwortcourse.forwarding.named_weights import NamedWeights
@@ -49,6 +51,31 @@
         """An older version is finished where the newest would be too late."""
         assert choose(name(2, 0), name(3, 4), now=4, drawn={2: 0.9}) == 2
 
+    def test_newest_can_not_be_had(self):
+        """While nobody has the newest, the one before is brought.
+
+        Incident: the origin went down half a second after a version was
+        named. All engines waited for it beside a version that others held,
+        and served nobody once the one they had expired.
+        """
+        named = (name(2, 0), name(3, 2))
+        chosen = choose_version(
+            named,
+            held=1,
+            now=4,
+            foresee=lambda version: math.inf if version == 3 else DRAWING,
+            bound=BOUND,
+        )
+        assert chosen.version == 2
+
+    def test_neither_can_be_had(self):
+        """Where none can be had the newest is asked for."""
+        named = (name(2, 0), name(3, 2))
+        chosen = choose_version(
+            named, held=1, now=4, foresee=lambda version: math.inf, bound=BOUND
+        )
+        assert chosen.version == 3
+
     def test_held(self):
         """What the engine holds is not brought again."""
         assert choose(name(2, 0), name(3, 4), now=4, held=2) == 3
