Finish an older version where both can be drawn in time; tell a stall while draws are pending

Ruled out: relays without version 2 (they finish what they began). Now draws are watched and cancelled, a version that stalls is left for 5 s, and an older one is finished where both fit their bounds; ten engines in turn need 2.5 s, not 1.5.

--- a/src/ragwortcourse/weights/loading.py
+++ b/src/ragwortcourse/weights/loading.py
@@ -20,9 +20,9 @@
 # Where operators have named none, engines hold the first one.
 FIRST_VERSION: Final = 1
 BYTES_IN_MEGABIT: Final = 125_000
-# A version that nobody gives is asked for again after this time; an older
-# one that others hold is brought meanwhile.
-STALLED_SECONDS: Final = 2.0
+# A version that nobody gives is asked for again after this time: an older
+# one that others hold can be drawn meanwhile.
+STALLED_SECONDS: Final = 5.0
 
 
 class Loading:
--- a/src/ragwortcourse/weights/version_choice.py
+++ b/src/ragwortcourse/weights/version_choice.py
@@ -3,8 +3,8 @@
 Load pattern: versions are named in quick succession. The newest one alone
 counts in the end, but an engine must not answer from a version whose
 successor was named too long ago: where the newest can't be there by then,
-an older one that is mostly drawn is finished first. So is one that others
-hold, while the origin is down and nobody has the newest whole.
+an older one is finished first, if it is mostly drawn or both can be drawn in
+time. So is one that others hold, while nobody has the newest whole.
 """
 
 from collections.abc import Callable, Sequence
@@ -12,8 +12,10 @@
 
 from ragwortcourse.forwarding.named_weights import NamedWeights
 
-# From the last chunk to the loaded engine: what runs comes to its end.
-SWITCH_SECONDS: Final = 1.5
+# From the last chunk to the last loaded engine: they take turns.
+SWITCH_SECONDS: Final = 2.5
+# From the last chunk to an engine that is ordered at once.
+ORDER_SECONDS: Final = 0.7
 
 
 # An older version is finished if that takes less than this part of the time
@@ -43,7 +45,10 @@
     done_at = now + drawing + SWITCH_SECONDS
     for older in named[:-1]:
         is_due = older.seen_at + bound < done_at
-        is_sooner = foresee(older.version) < drawing * MOSTLY_DRAWN
-        if older.version > held and is_due and is_sooner:
+        first = foresee(older.version)
+        is_sooner = first < drawing * MOSTLY_DRAWN
+        both_at = now + first + drawing + ORDER_SECONDS
+        is_in_time = both_at <= newest.seen_at + bound
+        if older.version > held and is_due and (is_sooner or is_in_time):
             return older
     return newest
--- a/src/ragwortcourse/weights/version_drawing.py
+++ b/src/ragwortcourse/weights/version_drawing.py
@@ -16,9 +16,10 @@
 RETRY_SECONDS: Final = 0.2
 # Chunks drawn at once: while one is waited for, the other fills the link.
 DRAWN_AT_ONCE: Final = 2
-# Without a chunk for this long a version can't be had now: several times
-# what one takes over the link of a host.
+# Without a chunk for this long a version can't be had now: other sources
+# have been asked too, and chunks over a slow link take their time.
 STALL_SECONDS: Final = 1.5
+STALL_CHUNKS: Final = 3
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -92,20 +93,28 @@
     version = chunks.manifest.version
     queue = list(chunks.missing)
     drawn_at = read_clock()
+    chunk_seconds = rules.chunk_bytes * DRAWN_AT_ONCE / loading.link_rate
+    patience = max(STALL_SECONDS, chunk_seconds * STALL_CHUNKS)
 
     async def draw_some() -> None:
         nonlocal drawn_at
-        while queue and read_wanted(loading, rules) == version:
+        while queue:
             index = queue.pop(0)
             if await _draw_one(loading, rules, chunks, index):
                 drawn_at = read_clock()
-                continue
-            queue.append(index)
-            if read_clock() - drawn_at > STALL_SECONDS:
+            else:
+                queue.append(index)
+                await asyncio.sleep(RETRY_SECONDS)
+
+    drawing = asyncio.gather(*(draw_some() for _ in range(DRAWN_AT_ONCE)))
+    try:
+        while read_wanted(loading, rules) == version and not drawing.done():
+            await asyncio.wait((drawing,), timeout=WATCH_SECONDS)
+            if read_clock() - drawn_at > patience:
                 loading.note_stalled(version)
-            await asyncio.sleep(RETRY_SECONDS)
-
-    await asyncio.gather(*(draw_some() for _ in range(DRAWN_AT_ONCE)))
+    finally:
+        drawing.cancel()
+        await asyncio.gather(drawing, return_exceptions=True)
 
 
 async def _draw_one(
--- a/tests/test_version_choice.py
+++ b/tests/test_version_choice.py
@@ -68,6 +68,15 @@
         )
         assert chosen.version == 2
 
+    def test_both_in_time(self):
+        """Both are brought where the newest alone would leave no time.
+
+        Ten engines take turns from the last chunk on, and a failure of the
+        origin meanwhile would leave them without weights.
+        """
+        named = (name(2, 0), name(3, 2))
+        assert choose(*named, now=2, drawn={2: 0.4}) == 2
+
     def test_neither_can_be_had(self):
         """Where none can be had the newest is asked for."""
         named = (name(2, 0), name(3, 2))
