Make the test of a version without a manifest fail without its change

With chunks as long as on the sites (0.93 s each, 3.7 s a copy) it fails without the mark and passes with it.

--- a/tests/test_loading.py
+++ b/tests/test_loading.py
@@ -336,7 +336,10 @@
         anybody the digests of the newest version.
         """
         host = Host(version=1)
-        host.seconds = 0.5
+        host.seconds = 1.85
+        host.loading.loader = LoaderSettings(
+            engine=ENGINE, service=ENGINES, link_mbps=0.009
+        )
         host.unknown = 3
         async with host.run():
             host.name(2)
@@ -345,7 +348,7 @@
             await asyncio.sleep(FLEET.version_ms / 1000)
             assert host.engine.version == 2
             host.unknown = 0
-            await asyncio.sleep(8)
+            await asyncio.sleep(12)
         assert host.engine.version == 3
         host.check_orders()
 
