--- a/src/ragwortcourse/forwarding/store_watch.py
+++ b/src/ragwortcourse/forwarding/store_watch.py
@@ -31,6 +31,7 @@
     def __init__(self, *, state: FleetState) -> None:
         self._state = state
         self._lost: dict[DaemonId, float] = {}
+        self._heard: dict[DaemonId, float] = {}
         self._started_at = read_clock()
 
     def note_peer(
@@ -43,6 +44,7 @@
             fleet; none: never.
         """
         now = read_clock()
+        self._heard[daemon] = now
         if lost:
             self._lost[daemon] = now
         else:
@@ -50,6 +52,11 @@
         if stable_for is not None:
             self._take_outage(daemon, now - stable_for)
 
+    def is_heard(self, daemon: DaemonId) -> bool:
+        """Tell whether another daemon told anything of late."""
+        heard_at = self._heard.get(daemon, -math.inf)
+        return read_clock() - heard_at < FRESH_SECONDS
+
     def judge(self, registered: Collection[DaemonId]) -> None:
         """Note an outage of the store for the fleet, if there is one.
 
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -167,19 +167,15 @@
     session = ClientSession()
     target_session = open_target_session()
     store = Store(session=session, address=fleet.store)
-    origin = WeightSource(session=session)
     relays = RelayList(store=store)
-    drawing = RelayDrawing(
+    forwarder = Forwarder(
         settings=settings,
-        fleet=fleet,
         state=state,
-        session=session,
-        list_relays=relays.list,
-        calls=OriginCalls(
-            read_manifest=origin.read_manifest, read_chunk=origin.read_chunk
-        ),
+        wire=build_wire_format(),
+        session=target_session,
         rng=rng,
     )
+
     operators = RelayedStore(
         store=store,
         session=session,
@@ -190,14 +186,8 @@
     )
     return ForwarderDaemon(
         row_routes=build_row_routes(operators.cache),
-        forwarder=Forwarder(
-            settings=settings,
-            state=state,
-            wire=build_wire_format(),
-            session=target_session,
-            rng=rng,
-        ),
-        cache=build_cache(drawing=drawing),
+        forwarder=forwarder,
+        cache=build_cache(drawing=_build_drawing(forwarder, session, relays)),
         relays=relays,
         register=functools.partial(_register, store, settings),
         feeds=(
@@ -224,6 +214,26 @@
     )
 
 
+def _build_drawing(
+    forwarder: Forwarder, session: ClientSession, relays: RelayList
+) -> RelayDrawing:
+    origin = WeightSource(session=session)
+    own = forwarder.settings.daemon
+    return RelayDrawing(
+        settings=forwarder.settings,
+        state=forwarder.state,
+        session=session,
+        list_relays=relays.list,
+        calls=OriginCalls(
+            read_manifest=origin.read_manifest, read_chunk=origin.read_chunk
+        ),
+        rng=forwarder.rng,
+        is_alive=lambda daemon: (
+            daemon == own or forwarder.store_watch.is_heard(daemon)
+        ),
+    )
+
+
 async def _register(store: Store, settings: Settings) -> None:
     """Register for other daemons; tried again until the store takes it."""
     record = RelayRecord(
--- a/src/ragwortcourse/weights/chunk_sources.py
+++ b/src/ragwortcourse/weights/chunk_sources.py
@@ -71,7 +71,7 @@
 ) -> int:
     """Bytes a second at which a relay is sent a chunk; zero for no bound.
 
-    :param near: relays of the own failure domain, which draw together.
+    :param near: live relays of the own failure domain, which draw together.
     :param at_once: chunks that each of them draws at once.
     """
     if source == own:
--- a/src/ragwortcourse/weights/relay_drawing.py
+++ b/src/ragwortcourse/weights/relay_drawing.py
@@ -7,10 +7,11 @@
 import aiohttp
 
 from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.forwarding.forwarder import read_fleet_settings
 from ragwortcourse.forwarding.service_rules import ServiceRules
-from ragwortcourse.identifiers import FailureDomainName, ModelName
+from ragwortcourse.identifiers import DaemonId, FailureDomainName, ModelName
 from ragwortcourse.membership.relay import RelayRecord
-from ragwortcourse.settings import FleetSettings, Settings
+from ragwortcourse.settings import Settings
 from ragwortcourse.weights.chunk_cache import DRAWN_AHEAD, ChunkCache
 from ragwortcourse.weights.chunk_routes import fetch_chunk
 from ragwortcourse.weights.chunk_sources import (
@@ -67,21 +68,24 @@
 
 
 class RelayDrawing:
-    """Sources of an entry daemon, in the order in which they are asked."""
+    """Sources of an entry daemon, in the order in which they are asked.
+
+    :param is_alive: tells whether another daemon was heard of late.
+    """
 
     def __init__(
         self,
         *,
         settings: Settings,
-        fleet: FleetSettings,
         state: FleetState,
         session: aiohttp.ClientSession,
         list_relays: ListRelays,
         calls: OriginCalls,
         rng: random.Random,
+        is_alive: Callable[[DaemonId], bool],
     ) -> None:
         self._settings = settings
-        self._fleet = fleet
+        self._is_alive = is_alive
         self._state = state
         self._session = session
         self._list_relays = list_relays
@@ -159,7 +163,8 @@
         origin = find_origin(self._state)
         region = self._settings.region
         if origin is not None and origin.origin_domain is not None:
-            region = self._fleet.failure_domains[origin.origin_domain]
+            domains = read_fleet_settings(self._settings).failure_domains
+            region = domains[origin.origin_domain]
         return list_relay_sources(
             relays=relays,
             own=self._settings.daemon,
@@ -179,7 +184,10 @@
         self._rng.shuffle(holders)
         port = self._settings.listen.peers.rpartition(':')[2]
         rates = {f'{host}:{port}': 0 for host in holders[:HOLDERS_ASKED]}
-        near = sum(relay.failure_domain == domain for relay in known)
+        near = sum(
+            relay.failure_domain == domain and self._is_alive(relay.daemon)
+            for relay in known
+        )
         for relay in self._list_relay_sources(known, index):
             rates[relay.address] = choose_rate(
                 source=relay.region,
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -56,6 +56,16 @@
         watch.judge(DAEMONS)
         assert math.isinf(state.unstable_at)
 
+    async def test_heard(self):
+        """A daemon is alive while it tells something now and then."""
+        watch, _ = make_watch(lost=False)
+        assert not watch.is_heard(DAEMONS[1])
+        watch.note_peer(DAEMONS[1], lost=False, stable_for=None)
+        await asyncio.sleep(1)
+        assert watch.is_heard(DAEMONS[1])
+        await asyncio.sleep(1)
+        assert not watch.is_heard(DAEMONS[1])
+
     async def test_own_store_answers(self):
         """A daemon that reaches the store sees no outage."""
         watch, state = make_watch(lost=False)
