--- a/src/ragwortcourse/platform/weight_source.py
+++ b/src/ragwortcourse/platform/weight_source.py
@@ -5,8 +5,11 @@
 import aiohttp
 import msgspec
 
+from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.identifiers import ModelName, Sha256Hex
+from ragwortcourse.weights.drawing import Drawing
 from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.origin_calls import OriginCalls
 
 # A chunk over the origin's whole link takes some ten milliseconds, over
 # one shared by everybody much longer.
@@ -78,3 +81,17 @@
         except (aiohttp.ClientError, OSError, TimeoutError):
             # Other sources follow, then the origin again.
             return None
+
+
+def build_drawing(
+    *, session: aiohttp.ClientSession, state: FleetState
+) -> Drawing:
+    """Drawing from other daemons and this origin."""
+    source = WeightSource(session=session)
+    return Drawing(
+        session=session,
+        state=state,
+        calls=OriginCalls(
+            read_manifest=source.read_manifest, read_chunk=source.read_chunk
+        ),
+    )
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -27,14 +27,13 @@
 from ragwortcourse.platform.row_relay import build_row_routes
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.target_reader import build_target_reader
-from ragwortcourse.platform.weight_source import WeightSource
+from ragwortcourse.platform.weight_source import build_drawing
 from ragwortcourse.platform.wire import build_wire_format
 from ragwortcourse.processes.tasks import BackgroundTasks
 from ragwortcourse.settings import FleetSettings, Settings
 from ragwortcourse.weights.chunk_cache import ChunkCache
 from ragwortcourse.weights.chunk_routes import build_chunk_routes
 from ragwortcourse.weights.manifest_routes import build_manifest_routes
-from ragwortcourse.weights.origin_calls import OriginCalls
 from ragwortcourse.weights.relay_drawing import RelayDrawing, build_cache
 
 # One call to the store waits for a change no longer than this: the desired
@@ -217,16 +216,11 @@
 def _build_drawing(
     forwarder: Forwarder, session: ClientSession, relays: RelayList
 ) -> RelayDrawing:
-    origin = WeightSource(session=session)
     own = forwarder.settings.daemon
     return RelayDrawing(
         settings=forwarder.settings,
-        state=forwarder.state,
-        session=session,
+        drawing=build_drawing(session=session, state=forwarder.state),
         list_relays=relays.list,
-        calls=OriginCalls(
-            read_manifest=origin.read_manifest, read_chunk=origin.read_chunk
-        ),
         rng=forwarder.rng,
         is_alive=lambda daemon: (
             daemon == own or forwarder.store_watch.is_heard(daemon)
--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -18,7 +18,7 @@
 from ragwortcourse.platform.relayed_store import RelayedStore
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.target_reader import read_service
-from ragwortcourse.platform.weight_source import WeightSource
+from ragwortcourse.platform.weight_source import build_drawing
 from ragwortcourse.processes.tasks import BackgroundTasks
 from ragwortcourse.settings import FleetSettings, Settings
 from ragwortcourse.weights.chunk_routes import build_chunk_routes
@@ -26,7 +26,6 @@
 from ragwortcourse.weights.loader_sources import LoaderSources
 from ragwortcourse.weights.loading import Loading
 from ragwortcourse.weights.loading_ports import LoadingPorts
-from ragwortcourse.weights.origin_calls import OriginCalls
 from ragwortcourse.weights.version_drawing import draw_versions
 
 # A loader acts on changes alone; a call that waits longer costs less.
@@ -95,17 +94,12 @@
     session = ClientSession()
     store = Store(session=session, address=fleet.store)
     state = FleetState()
-    origin = WeightSource(session=session)
 
     relays = RelayList(store=store)
     sources = LoaderSources(
-        settings=settings,
-        state=state,
-        session=session,
+        drawing=build_drawing(session=session, state=state),
+        domain=settings.failure_domain,
         list_relays=relays.list,
-        calls=OriginCalls(
-            read_manifest=origin.read_manifest, read_chunk=origin.read_chunk
-        ),
     )
     ports = LoadingPorts(
         engine=Engine(session=session, address=loader.engine),
--- a/src/ragwortcourse/weights/relay_drawing.py
+++ b/src/ragwortcourse/weights/relay_drawing.py
@@ -4,16 +4,12 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
-import aiohttp
-
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.forwarder import read_fleet_settings
-from ragwortcourse.forwarding.service_rules import ServiceRules
 from ragwortcourse.identifiers import DaemonId, FailureDomainName, ModelName
 from ragwortcourse.membership.relay import RelayRecord
 from ragwortcourse.settings import Settings
 from ragwortcourse.weights.chunk_cache import DRAWN_AHEAD, ChunkCache
-from ragwortcourse.weights.chunk_routes import fetch_chunk
 from ragwortcourse.weights.chunk_sources import (
     MANIFEST,
     choose_rate,
@@ -21,10 +17,8 @@
     list_relay_sources,
     order_ahead,
 )
+from ragwortcourse.weights.drawing import Drawing, find_origin
 from ragwortcourse.weights.fleet_manifest import FleetManifest
-from ragwortcourse.weights.manifest_routes import fetch_manifest
-from ragwortcourse.weights.origin_calls import OriginCalls
-from ragwortcourse.weights.peer_reach import PeerReach
 
 # Holders that are asked before relays and the origin.
 HOLDERS_ASKED: Final = 2
@@ -32,14 +26,6 @@
 ListRelays = Callable[[], Awaitable[Sequence[RelayRecord]]]
 
 
-def find_origin(state: FleetState) -> ServiceRules | None:
-    """The origin of weights, if the desired state names one."""
-    if state.desired is None:
-        return None
-    services = state.desired.services.values()
-    return next((rules for rules in services if rules.origin), None)
-
-
 def list_holders(
     state: FleetState,
     manifest: FleetManifest,
@@ -77,60 +63,33 @@
         self,
         *,
         settings: Settings,
-        state: FleetState,
-        session: aiohttp.ClientSession,
+        drawing: Drawing,
         list_relays: ListRelays,
-        calls: OriginCalls,
         rng: random.Random,
         is_alive: Callable[[DaemonId], bool],
     ) -> None:
         self._settings = settings
         self._is_alive = is_alive
-        self._state = state
-        self._session = session
+        self._drawing = drawing
+        self._state = drawing.state
         self._list_relays = list_relays
-        self._calls = calls
         self._rng = rng
-        self._reach = PeerReach()
+        self._is_alive = is_alive
 
     async def draw(self, manifest: FleetManifest, index: int) -> bytes | None:
-        """Bytes of a chunk from the first source that has it right."""
+        """Bytes of a chunk, those of the origin unchecked."""
         relays = await self._list_relays()
         rates = self._list_sources(manifest, index, relays)
-        for address in self._reach.order(list(rates)):
-            content = await fetch_chunk(
-                session=self._session,
-                reach=self._reach,
-                address=address,
-                manifest=manifest,
-                index=index,
-                rate=rates[address],
-            )
-            if manifest.matches(index, content):
-                return content
-        origin = find_origin(self._state)
-        if origin is None:
-            return None
-        return await self._calls.read_chunk(origin.origin, manifest, index)
+        return await self._drawing.draw(rates, manifest, index)
 
     async def read_manifest(
         self, model: ModelName, version: int
     ) -> FleetManifest | None:
-        """Digests of a version from other daemons, then the origin."""
+        """Digests of a version."""
         relays = await self._list_relays()
         sources = self._list_relay_sources(relays, MANIFEST)
-        manifest = await fetch_manifest(
-            session=self._session,
-            reach=self._reach,
-            addresses=[relay.address for relay in sources],
-            model=model,
-            version=version,
-        )
-        origin = find_origin(self._state)
-        if manifest is not None or origin is None:
-            return manifest
-        return await self._calls.read_manifest_twice(
-            origin.origin, model, version
+        return await self._drawing.read_manifest(
+            [relay.address for relay in sources], model, version
         )
 
     async def list_own(self, manifest: FleetManifest) -> tuple[int, ...]:
--- /dev/null
+++ b/tests/test_drawing.py
@@ -0,0 +1,118 @@
+"""Tests of :mod:`ragwortcourse.weights.drawing`, over HTTP."""
+
+import contextlib
+
+import pytest
+from aiohttp import ClientSession, web
+from aiohttp.test_utils import TestServer
+
+from fakes.fleet_parts import MODEL, NEAR, make_state
+from ragwortcourse.forwarding.service_rules import ServiceRules
+from ragwortcourse.membership.relay import RelayRecord
+from ragwortcourse.weights.chunk_routes import build_chunk_routes
+from ragwortcourse.weights.drawing import Drawing
+from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.loader_sources import LoaderSources
+from ragwortcourse.weights.manifest import digest_bytes
+from ragwortcourse.weights.manifest_routes import build_manifest_routes
+from ragwortcourse.weights.origin_calls import OriginCalls
+
+CHUNK = b'weights' * 100
+MANIFEST = FleetManifest(model=MODEL, version=2, digests=(digest_bytes(CHUNK),))
+RATE = 10_000_000
+
+
+class Site:
+    """A loader beside one relay and the origin.
+
+    :ivar kept: what the relay has.
+    :ivar asked: what the origin was asked for.
+    """
+
+    def __init__(self) -> None:
+        self.kept: dict[int, bytes] = {}
+        self.asked: list[str] = []
+        self.stack = contextlib.AsyncExitStack()
+
+    async def open(self) -> LoaderSources:
+        """Start the relay."""
+        app = web.Application()
+        app.add_routes(build_chunk_routes(self.find_chunk))
+        app.add_routes(build_manifest_routes(self.find_manifest))
+        server = TestServer(app)
+        await server.start_server()
+        self.stack.push_async_callback(server.close)
+        session = await self.stack.enter_async_context(ClientSession())
+        relay = RelayRecord(
+            daemon='entry-1',
+            address=f'127.0.0.1:{server.port}',
+            failure_domain=NEAR,
+            region='near',
+        )
+        state = make_state()
+        services = {'origin': ServiceRules(name='origin', origin='o:1')}
+        object.__setattr__(state.desired, 'services', services)
+
+        async def list_relays():
+            return (relay,)
+
+        calls = OriginCalls(
+            read_manifest=self.read_manifest, read_chunk=self.read_chunk
+        )
+        return LoaderSources(
+            drawing=Drawing(session=session, state=state, calls=calls),
+            domain=NEAR,
+            list_relays=list_relays,
+        )
+
+    async def find_chunk(self, model, version, index):
+        """A chunk at the relay."""
+        return self.kept.get(index)
+
+    async def find_manifest(self, model, version):
+        """A manifest at the relay."""
+        return MANIFEST if self.kept else None
+
+    async def read_manifest(self, address, model, version):
+        """A manifest at the origin."""
+        self.asked.append('manifest')
+        return MANIFEST
+
+    async def read_chunk(self, address, manifest, index):
+        """A chunk at the origin."""
+        self.asked.append('chunk')
+        return CHUNK
+
+
+@pytest.fixture
+async def site():
+    """A relay without anything, and the origin."""
+    opened = Site()
+    async with opened.stack:
+        yield opened
+
+
+class TestLoaderSources:
+    """Where a loader's bytes come from."""
+
+    async def test_relay_first(self, site):
+        """The origin is not asked for what a relay has."""
+        sources = await site.open()
+        site.kept = {0: CHUNK}
+        assert await sources.read_manifest(MODEL, 2) == MANIFEST
+        assert await sources.draw(MANIFEST, 0, RATE) == CHUNK
+        assert not site.asked
+
+    async def test_relay_without_it(self, site):
+        """What no relay has comes from the origin."""
+        sources = await site.open()
+        assert await sources.read_manifest(MODEL, 2) == MANIFEST
+        assert await sources.draw(MANIFEST, 0, RATE) == CHUNK
+        assert site.asked == ['manifest', 'manifest', 'chunk']
+
+    async def test_spoilt_relay(self, site):
+        """Bytes with another digest are not taken from a relay."""
+        sources = await site.open()
+        site.kept = {0: b'spoilt'}
+        assert await sources.draw(MANIFEST, 0, RATE) == CHUNK
+        assert site.asked == ['chunk']
