--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -45,8 +45,7 @@
     ``tried`` are the targets it was sent to, in order; ``moved`` is true
     once one of them did not serve it; ``was_late`` is true where the caller
     came too late for the objective; ``sent_at`` is when it was first sent,
-    ``first_at`` is when the caller got
-    the first bytes, in monotonic seconds.
+    ``first_at`` when the caller got the first bytes, in monotonic seconds.
 
     :param runs: targets that may have run it.
     """
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -174,7 +174,6 @@
         session=target_session,
         rng=rng,
     )
-
     operators = RelayedStore(
         store=store,
         session=session,
--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -94,7 +94,6 @@
     session = ClientSession()
     store = Store(session=session, address=fleet.store)
     state = FleetState()
-
     relays = RelayList(store=store)
     sources = LoaderSources(
         drawing=build_drawing(session=session, state=state),
--- a/src/ragwortcourse/weights/chunk_sources.py
+++ b/src/ragwortcourse/weights/chunk_sources.py
@@ -25,8 +25,6 @@
 FAR_ASKED: Final = 1
 # Relays that draw a chunk for all others; the second where the first fails.
 ROOTS_ASKED: Final = 2
-# The manifest is drawn as a chunk before the first one.
-MANIFEST: Final = -1
 # Bytes a second that the relays of one failure domain draw together: half of
 # the narrowest line between regions, which carries live requests too, and
 # more than a loader's link takes.
--- a/src/ragwortcourse/weights/loader_sources.py
+++ b/src/ragwortcourse/weights/loader_sources.py
@@ -3,9 +3,10 @@
 import dataclasses
 
 from ragwortcourse.identifiers import FailureDomainName, ModelName
-from ragwortcourse.weights.chunk_sources import MANIFEST, list_loader_sources
+from ragwortcourse.weights.chunk_sources import list_loader_sources
 from ragwortcourse.weights.drawing import Drawing
 from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.peer_port import MANIFEST_INDEX
 from ragwortcourse.weights.relay_drawing import ListRelays
 
 
@@ -24,7 +25,7 @@
         self, model: ModelName, version: int
     ) -> FleetManifest | None:
         """Digests of a version."""
-        addresses = await self._list_addresses(MANIFEST)
+        addresses = await self._list_addresses(MANIFEST_INDEX)
         return await self.drawing.read_manifest(addresses, model, version)
 
     async def draw(
--- a/src/ragwortcourse/weights/relay_drawing.py
+++ b/src/ragwortcourse/weights/relay_drawing.py
@@ -11,7 +11,6 @@
 from ragwortcourse.settings import Settings
 from ragwortcourse.weights.chunk_cache import DRAWN_AHEAD, ChunkCache
 from ragwortcourse.weights.chunk_sources import (
-    MANIFEST,
     choose_rate,
     list_loader_sources,
     list_relay_sources,
@@ -19,6 +18,7 @@
 )
 from ragwortcourse.weights.drawing import Drawing, find_origin
 from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.peer_port import MANIFEST_INDEX
 
 # Holders that are asked before relays and the origin.
 HOLDERS_ASKED: Final = 2
@@ -87,7 +87,7 @@
     ) -> FleetManifest | None:
         """Digests of a version."""
         relays = await self._list_relays()
-        sources = self._list_relay_sources(relays, MANIFEST)
+        sources = self._list_relay_sources(relays, MANIFEST_INDEX)
         return await self._drawing.read_manifest(
             [relay.address for relay in sources], model, version
         )
