--- a/fakes/soak_site.py
+++ b/fakes/soak_site.py
@@ -32,6 +32,7 @@
 KEYS = [f'parents-{number}' for number in range(12)]
 ROUTE_MS = 3000
 GRACE_SECONDS = 8
+CLOSE_SECONDS = 0.5
 FLEET_TEXT = """
 daemon = "{name}"
 host = "{name}"
@@ -251,7 +252,8 @@
 
     async def _serve(self, app: web.Application) -> str:
         server = TestServer(app)
-        await server.start_server()
+        # A store that is silent never ends its calls.
+        await server.start_server(shutdown_timeout=CLOSE_SECONDS)
         self._stack.push_async_callback(server.close)
         return f'127.0.0.1:{server.port}'
 
