Remove repeats that the last read of the change found

The bounds of test fleets stood twice as text, a soak's record was built twice, the settings of its daemons went through a replacement that replaced nothing, log lines were parsed twice, and three tests set slow links by hand.

--- a/fakes/fleet_parts.py
+++ b/fakes/fleet_parts.py
@@ -59,20 +59,8 @@
     retry_window_seconds=10,
     retry_reserve=106,
 )
-# Settings of a forwarder as a file has them, with the bounds of ``FLEET``.
-FORWARDER_TEXT = """
-role = "forwarder"
-daemon = "entry-1"
-host = "entry-1"
-failure_domain = "near-a"
-region = "near"
-[listen]
-peers = "{peers}"
-watch = "{watch}"
-callers = "{callers}"
-[fleet]
-store = "{store}"
-grace_seconds = 8
+# The bounds of ``FLEET`` as a file has them.
+BOUNDS_TEXT = """grace_seconds = 8
 strict_revocation = true
 revoke_ms = 5000
 contact_ms = 3000
@@ -80,7 +68,21 @@
 retry_ratio = 0.2
 retry_window_seconds = 10
 retry_reserve = 106
-[fleet.failure_domains]
+"""
+# Settings of a forwarder as a file has them.
+FORWARDER_TEXT = f"""
+role = "forwarder"
+daemon = "entry-1"
+host = "entry-1"
+failure_domain = "near-a"
+region = "near"
+[listen]
+peers = "{{peers}}"
+watch = "{{watch}}"
+callers = "{{callers}}"
+[fleet]
+store = "{{store}}"
+{BOUNDS_TEXT}[fleet.failure_domains]
 near-a = "near"
 """
 ENGINE_RULES = EngineRules(
--- a/fakes/soak.py
+++ b/fakes/soak.py
@@ -102,18 +102,13 @@
 
     async def _inject(self, fault: Fault) -> None:
         began_at = time.monotonic()
-        whom = fault.whom.partition('/')[0]
-        # Open until it is over: runs are judged while it lasts.
-        trouble = Trouble(
-            name=fault.name, whom=whom, began_at=began_at, ended_at=began_at
-        )
         try:
             await self._apply(fault)
         finally:
             self._site.records.troubles.append(
                 Trouble(
-                    name=trouble.name,
-                    whom=trouble.whom,
+                    name=fault.name,
+                    whom=fault.whom.partition('/')[0],
                     began_at=began_at,
                     ended_at=time.monotonic(),
                 )
--- a/fakes/soak_site.py
+++ b/fakes/soak_site.py
@@ -11,6 +11,7 @@
 from aiohttp.test_utils import TestServer
 
 from fakes.child import Child
+from fakes.fleet_parts import BOUNDS_TEXT
 from fakes.fleet_store import FleetStore
 from fakes.ports import pick_address
 from fakes.soak_proxy import LoopbackProxy
@@ -33,22 +34,14 @@
 ROUTE_MS = 3000
 GRACE_SECONDS = 8
 CLOSE_SECONDS = 0.5
-FLEET_TEXT = """
-daemon = "{name}"
-host = "{name}"
-failure_domain = "{domain}"
+FLEET_TEXT = f"""
+daemon = "{{name}}"
+host = "{{name}}"
+failure_domain = "{{domain}}"
 region = "near"
 [fleet]
-store = "{store}"
-grace_seconds = 8
-strict_revocation = true
-revoke_ms = 5000
-contact_ms = 3000
-version_ms = 8000
-retry_ratio = 0.2
-retry_window_seconds = 10
-retry_reserve = 106
-[fleet.failure_domains]
+store = "{{store}}"
+{BOUNDS_TEXT}[fleet.failure_domains]
 near-a = "near"
 near-b = "near"
 """
@@ -240,9 +233,7 @@
         await self._start(name, text)
 
     async def _start(self, name: str, text: str) -> None:
-        lines = text.replace('[fleet]', '\0', 1)
-        before, _, after = lines.partition('\0')
-        (self.folder / f'{name}.toml').write_text(f'{before}[fleet]{after}')
+        (self.folder / f'{name}.toml').write_text(text)
         self.children[name] = Child(
             name=name,
             module='ragwortcourse.daemon',
--- a/src/ragwortcourse/cli/log_files.py
+++ b/src/ragwortcourse/cli/log_files.py
@@ -73,9 +73,9 @@
         # Collected logs may put a time or a host before the line.
         start = text.find('{')
         try:
-            line = msgspec.json.decode(text[start:].encode(), type=LogLine)
+            fields = msgspec.json.decode(text[start:])
+            line = msgspec.convert(fields, LogLine)
         except msgspec.DecodeError:
             # Output of another program, or a line that was cut.
             continue
-        fields = msgspec.json.decode(text[start:].encode())
         yield KnownLine(line=line, fields=fields)
--- a/tests/test_loading.py
+++ b/tests/test_loading.py
@@ -48,7 +48,7 @@
     :ivar missing: version and index of a chunk that can't be drawn.
     """
 
-    def __init__(self, *, version: int = 0) -> None:
+    def __init__(self, *, version: int = 0, link_mbps: float = 4.7) -> None:
         self.engine = StagedEngine(version=version)
         self.drawn: list[tuple[int, int]] = []
         self.spoilt = 0
@@ -61,7 +61,7 @@
         self.loading = Loading(
             fleet=FLEET,
             loader=LoaderSettings(
-                engine=ENGINE, service=ENGINES, link_mbps=4.7
+                engine=ENGINE, service=ENGINES, link_mbps=link_mbps
             ),
             state=self.state,
             ports=LoadingPorts(
@@ -273,11 +273,8 @@
 
     async def test_slow_links(self):
         """Where the newest comes too late, the one before is loaded first."""
-        host = Host(version=1)
+        host = Host(version=1, link_mbps=0.009)
         host.seconds = 2
-        host.loading.loader = LoaderSettings(
-            engine=ENGINE, service=ENGINES, link_mbps=0.009
-        )
         async with host.run():
             host.name(2)
             await asyncio.sleep(3.9)
@@ -312,11 +309,8 @@
 
     async def test_newest_stalls(self):
         """A version that others hold is loaded while the newest is not had."""
-        host = Host(version=1)
+        host = Host(version=1, link_mbps=0.03)
         host.seconds = 0.5
-        host.loading.loader = LoaderSettings(
-            engine=ENGINE, service=ENGINES, link_mbps=0.03
-        )
         async with host.run():
             host.name(2)
             await asyncio.sleep(0.7)
@@ -335,11 +329,8 @@
         Seen on kalliga scale-1: the origin went down before it had told
         anybody the digests of the newest version.
         """
-        host = Host(version=1)
+        host = Host(version=1, link_mbps=0.009)
         host.seconds = 1.85
-        host.loading.loader = LoaderSettings(
-            engine=ENGINE, service=ENGINES, link_mbps=0.009
-        )
         host.unknown = 3
         async with host.run():
             host.name(2)
