--- a/src/ragwortcourse/forwarding/fleet_updates.py
+++ b/src/ragwortcourse/forwarding/fleet_updates.py
@@ -77,7 +77,15 @@
     if not known or told.version > known[-1].version:
         note_weights(state, model, told)
         return
-    state.weights[model] = tuple(
-        told if each.version == told.version and not each.observed else each
-        for each in known
-    )
+    for index, each in enumerate(known):
+        if each.version == told.version and not each.observed:
+            state.weights[model] = (*known[:index], told, *known[index + 1 :])
+            LOGGER.info(
+                'naming told by another daemon',
+                extra={
+                    'model': model,
+                    'version': told.version,
+                    'seconds_ago': read_clock() - told.seen_at,
+                    'assumed_seconds_ago': read_clock() - each.seen_at,
+                },
+            )
--- a/tests/test_fleet_updates.py
+++ b/tests/test_fleet_updates.py
@@ -1,5 +1,7 @@
 """Tests of :mod:`ragwortcourse.forwarding.fleet_updates`."""
 
+import logging
+
 import pytest
 
 from fakes.fleet_parts import MODEL, make_desired
@@ -65,6 +67,16 @@
         note_naming(state, MODEL, name(2, -1))
         assert state.weights[MODEL] == (name(2, -1),)
 
+    async def test_logged(self, caplog):
+        """The line tells what was assumed, and what is believed now."""
+        state = FleetState()
+        note_weights(state, MODEL, name(2, -5, observed=False))
+        with caplog.at_level(logging.INFO):
+            note_naming(state, MODEL, name(2, -1))
+        line = caplog.records[-1]
+        assert line.getMessage() == 'naming told by another daemon'
+        assert line.assumed_seconds_ago - line.seconds_ago == 4
+
     async def test_observed_time_stays(self):
         """An observed time stays, whatever others say."""
         state = FleetState()
