Show that a daemon which starts after two namings forgets the older one

Callers saw requests begin on version 1 up to 8.6 s after version 2 was acknowledged (bound 8 s). The test fails: after the exchange the restarted daemon requires no version, the one that ran requires version 2.

--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -1,18 +1,21 @@
 """Tests of :mod:`ragwortcourse.forwarding.load_exchange`."""
 
 import asyncio
+import contextlib
 
 import msgspec
 import pytest
 
 from fakes.fleet_parts import (
+    ENGINE_RULES,
+    FLEET,
     MODEL,
     make_forwarder,
-    make_settings,
     make_state,
     make_target,
 )
 from fakes.ports import pick_address
+from ragwortcourse.forwarding.choice import read_required_version
 from ragwortcourse.forwarding.load_exchange import (
     LoadMessage,
     LoadReceiver,
@@ -21,6 +24,8 @@
 )
 from ragwortcourse.forwarding.named_weights import NamedWeights
 from ragwortcourse.membership.relay import RelayRecord
+from ragwortcourse.platform.operator_rows import build_operator_reader
+from ragwortcourse.platform.store_row import StoreRow
 from ragwortcourse.settings import ListenSettings
 
 TARGET = make_target(address='10.0.0.1:80')
@@ -108,51 +113,86 @@
 
     async def test_told(self):
         """Each daemon learns of the other's requests."""
-        relays = []
-        forwarders = []
-        for name in ('e1', 'e2'):
-            peers = pick_address()
-            settings = make_settings(
-                daemon=name,
-                listen=ListenSettings(
-                    peers=peers, watch='127.0.0.1:1', callers='127.0.0.1:1'
-                ),
-            )
-            forwarders.append(
-                make_forwarder(
-                    make_state(TARGET), None, **settings_fields(settings)
-                )
-            )
-            relays.append(
-                RelayRecord(
-                    daemon=name,
-                    address=peers,
-                    failure_domain='near-a',
-                    region='near',
-                )
-            )
-
-        async def list_relays():
-            return relays
-
-        tasks = [
-            asyncio.ensure_future(
-                exchange_loads(forwarder=forwarder, list_relays=list_relays)
-            )
-            for forwarder in forwarders
-        ]
-        forwarders[0].find_load(TARGET).own = 3
+        first, second = make_pair()
+        first.find_load(TARGET).own = 3
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(10):
-            while forwarders[1].find_load(TARGET).estimate(loop.time()) != 3:
+        async with run_exchange(first, second):
+            while second.find_load(TARGET).estimate(loop.time()) != 3:
+                await asyncio.sleep(0.02)
+            while second.retries.daemons != 2:
                 await asyncio.sleep(0.02)
-            while forwarders[1].retries.daemons != len(relays):
+
+    async def test_version_named_before_a_restart(self):
+        """A daemon that starts after two namings knows when both expire."""
+        ran, restarted = make_pair()
+        for forwarder in (ran, restarted):
+            forwarder.fleet = msgspec.structs.replace(FLEET, version_ms=60_000)
+        reader = build_operator_reader(ran.state, ran.fleet)
+        reader.replace(())
+        reader.change((make_row(2),), 59.5)
+        reader.change((make_row(3),), 1)
+        build_operator_reader(restarted.state, restarted.fleet).replace(
+            (make_row(3),)
+        )
+        assert read_required_version(restarted, ENGINE_RULES) is None
+        async with run_exchange(ran, restarted):
+            while not all(
+                each.observed for each in restarted.state.weights[MODEL]
+            ):
                 await asyncio.sleep(0.02)
+        assert read_required_version(ran, ENGINE_RULES) == 2
+        assert read_required_version(restarted, ENGINE_RULES) == 2
+
+
+def make_row(version):
+    """The operators' row that names a version."""
+    content = msgspec.json.encode({'model': MODEL, 'version': version})
+    return StoreRow(key=f'version/{MODEL}', content=content)
+
+
+def make_pair():
+    """Two daemons of a failure domain, of which nothing runs yet."""
+    return [
+        make_forwarder(
+            make_state(TARGET),
+            None,
+            daemon=name,
+            listen=ListenSettings(
+                peers=pick_address(),
+                watch='127.0.0.1:1',
+                callers='127.0.0.1:1',
+            ),
+        )
+        for name in ('e1', 'e2')
+    ]
+
+
+@contextlib.asynccontextmanager
+async def run_exchange(*forwarders):
+    """Daemons that tell each other, for ten seconds at the most."""
+    relays = [
+        RelayRecord(
+            daemon=forwarder.settings.daemon,
+            address=forwarder.settings.listen.peers,
+            failure_domain='near-a',
+            region='near',
+        )
+        for forwarder in forwarders
+    ]
+
+    async def list_relays():
+        return relays
+
+    tasks = [
+        asyncio.ensure_future(
+            exchange_loads(forwarder=forwarder, list_relays=list_relays)
+        )
+        for forwarder in forwarders
+    ]
+    try:
+        async with asyncio.timeout(10):
+            yield
+    finally:
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-
-
-def settings_fields(settings):
-    """Fields that differ between the daemons."""
-    return {'daemon': settings.daemon, 'listen': settings.listen}
