Tell the whole history of namings to daemons that start

Callers saw requests begin on version 1 up to 8.6 s after version 2 was acknowledged (bound 8 s), at daemons that had started after version 3.

Cause: the operators' table holds the newest version alone. A daemon that starts assumes that it was named early enough to be due when the fleet begins to hold the daemon to it, which is safe for all versions before it, too. It gave that up as soon as another daemon told when the newest one was named, and dropped the older one that was told as well. From then on nothing expired until the newest was due.

A relayed row that looks young is a fault of its own, not needed here.

Now daemons tell each version whose bound may run, whether its time was seen, and for how long they have seen all namings. An assumed time is given up only for a daemon that has read the rows for longer, together with all that it knows: its history is safe as a whole.

--- a/src/ragwortcourse/forwarding/fleet_state.py
+++ b/src/ragwortcourse/forwarding/fleet_state.py
@@ -23,6 +23,8 @@
     :param confirmed_at: boot clock at which the store was last asked and
         then said that there is nothing newer.
     :param weights: versions named for each model, the newest last.
+    :param named_since: monotonic seconds from which on no version is missing
+        in ``weights``; infinite until the operators' rows were read.
     :param store_lost: true while calls to the store fail one after the
         other.
     :param unstable_at: monotonic seconds at which the store was last away
@@ -36,6 +38,7 @@
     weights: dict[ModelName, tuple[NamedWeights, ...]] = dataclasses.field(
         default_factory=dict
     )
+    named_since: float = math.inf
     targets: dict[TargetName, Target] = dataclasses.field(default_factory=dict)
     targets_known: bool = False
     store_lost: bool = False
--- a/src/ragwortcourse/forwarding/fleet_updates.py
+++ b/src/ragwortcourse/forwarding/fleet_updates.py
@@ -1,16 +1,23 @@
 """Changes of what a daemon believes; each leaves one line in the log."""
 
 import logging
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.desired_state import DesiredState
 from ragwortcourse.forwarding.fleet_state import FleetState
-from ragwortcourse.forwarding.named_weights import NamedWeights
+from ragwortcourse.forwarding.named_weights import (
+    NamedWeights,
+    NamingHistory,
+)
 from ragwortcourse.identifiers import FailureDomainName, ModelName
 
-# Versions whose bounds may still run while newer ones are named.
-VERSIONS_KEPT: Final = 4
+# Versions of a model whose bounds may run at once: more than operators name
+# within one bound.
+VERSIONS_KEPT: Final = 16
+# Below any version of a model.
+NO_VERSION: Final = 0
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -65,27 +72,51 @@
     )
 
 
-def note_naming(
-    state: FleetState, model: ModelName, told: NamedWeights
-) -> None:
-    """Take a peer's word for when a version was named.
+def note_history(state: FleetState, told: NamingHistory) -> None:
+    """Take over what another daemon knows of the versions of models.
 
-    It counts where the own daemon had to assume the time, or does not know
-    of the version yet.
+    Where it has read the operators' rows for longer, its word replaces times
+    that had to be assumed, and versions in between, whose bounds may still
+    run, are added. Otherwise only versions newer than any known count.
     """
-    known = state.weights.get(model, ())
-    if not known or told.version > known[-1].version:
-        note_weights(state, model, told)
-        return
-    for index, each in enumerate(known):
-        if each.version == told.version and not each.observed:
-            state.weights[model] = (*known[:index], told, *known[index + 1 :])
-            LOGGER.info(
-                'naming told by another daemon',
-                extra={
-                    'model': model,
-                    'version': told.version,
-                    'seconds_ago': read_clock() - told.seen_at,
-                    'assumed_seconds_ago': read_clock() - each.seen_at,
-                },
-            )
+    is_longer = told.since < state.named_since
+    for model, versions in told.versions.items():
+        known = {each.version: each for each in state.weights.get(model, ())}
+        newest = max(known, default=NO_VERSION)
+        taken = [
+            each
+            for each in versions
+            if each.version > newest
+            or (is_longer and _adds_to(known.get(each.version), each))
+        ]
+        if taken:
+            merged = known | {each.version: each for each in taken}
+            state.weights[model] = tuple(
+                merged[version] for version in sorted(merged)
+            )[-VERSIONS_KEPT:]
+            _log_told(model, known, taken)
+
+
+def _adds_to(known: NamedWeights | None, told: NamedWeights) -> bool:
+    """Tell whether a daemon knows less of a version than another one."""
+    return known is None or (told.observed and not known.observed)
+
+
+def _log_told(
+    model: ModelName,
+    known: Mapping[int, NamedWeights],
+    taken: Sequence[NamedWeights],
+) -> None:
+    now = read_clock()
+    for named in taken:
+        before = known.get(named.version)
+        LOGGER.info(
+            'naming told by another daemon',
+            extra={
+                'model': model,
+                'version': named.version,
+                'seconds_ago': now - named.seen_at,
+                'observed': named.observed,
+                'assumed_seconds_ago': before and now - before.seen_at,
+            },
+        )
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -5,15 +5,20 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
 import msgspec
 
 from ragwortcourse.clock import read_clock
-from ragwortcourse.forwarding.fleet_updates import note_naming
+from ragwortcourse.forwarding.fleet_updates import note_history
 from ragwortcourse.forwarding.forwarder import Forwarder
-from ragwortcourse.forwarding.named_weights import NamedWeights
+from ragwortcourse.forwarding.named_weights import (
+    NamedWeights,
+    NamingHistory,
+    list_running,
+)
 from ragwortcourse.forwarding.peer_counts import PeerCount
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.identifiers import DaemonId, ModelName, TargetName
@@ -31,8 +36,31 @@
 
 
 Counts = dict[TargetName, tuple[int, int]]
-_VersionAges = list[tuple[int, float]]
-Namings = dict[ModelName, _VersionAges]
+
+
+class Naming(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A version of a model, as one daemon knows it.
+
+    :param age: seconds since it was named.
+    :param observed: false where the daemon found it at its start and had to
+        assume the age.
+    """
+
+    version: int
+    age: float
+    observed: bool
+
+
+class TimedNamings(msgspec.Struct, frozen=True, kw_only=True):
+    """What one daemon knows of the versions of models.
+
+    :param versions: of each model, the newest last.
+    :param complete_for: seconds for which the daemon has seen all that were
+        named; none: it has not read them yet.
+    """
+
+    versions: dict[ModelName, list[Naming]]
+    complete_for: float | None
 
 
 class LoadMessage(msgspec.Struct, frozen=True, kw_only=True, tag='load'):
@@ -40,8 +68,7 @@
 
     :param counts: for each target those running, and those of them that
         have no answer yet.
-    :param named: versions of each model that the daemon saw being named,
-        each with the seconds since.
+    :param namings: versions of models; none in most messages.
     :param store_lost: true while the store does not answer the daemon.
     :param stable_for: seconds since it last saw the store away for the
         fleet; none: never.
@@ -49,7 +76,7 @@
 
     daemon: DaemonId
     counts: Counts
-    named: Namings = {}
+    namings: TimedNamings | None = None
     store_lost: bool = False
     stable_for: float | None = None
 
@@ -100,10 +127,9 @@
         )
         for target in self._forwarder.state.targets.values():
             self._take_count(message, target)
-        for model, versions in message.named.items():
-            for version, age in versions:
-                told = NamedWeights(version=version, seen_at=read_clock() - age)
-                note_naming(self._forwarder.state, model, told)
+        if message.namings is not None:
+            told = _decode_namings(message.namings)
+            note_history(self._forwarder.state, told)
 
     def _take_count(self, message: LoadMessage, target: Target) -> None:
         running, starting = message.counts.get(target.name, (0, 0))
@@ -158,7 +184,7 @@
     message = LoadMessage(
         daemon=settings.daemon,
         counts=forwarder.count_running(),
-        named=_list_named(forwarder) if is_far else {},
+        namings=_encode_namings(forwarder) if is_far else None,
         store_lost=forwarder.state.store_lost,
         stable_for=forwarder.store_watch.read_stable(),
     )
@@ -172,18 +198,43 @@
             transport.sendto(content, read_address(relay.address))
 
 
-def _list_named(
-    forwarder: Forwarder,
-) -> Namings:
+def _encode_namings(forwarder: Forwarder) -> TimedNamings:
+    state, now = forwarder.state, read_clock()
+    bound = forwarder.fleet.version_ms / 1000
+    age = now - state.named_since
+    return TimedNamings(
+        versions={
+            model: [
+                Naming(
+                    version=each.version,
+                    age=round(now - each.seen_at, 2),
+                    observed=each.observed,
+                )
+                for each in list_running(versions, now=now, bound=bound)
+            ]
+            for model, versions in state.weights.items()
+        },
+        complete_for=None if math.isinf(age) else round(age, 2),
+    )
+
+
+def _decode_namings(namings: TimedNamings) -> NamingHistory:
     now = read_clock()
-    return {
-        model: [
-            (each.version, round(now - each.seen_at, 2))
-            for each in named
-            if each.observed
-        ]
-        for model, named in forwarder.state.weights.items()
-    }
+    age = namings.complete_for
+    return NamingHistory(
+        versions={
+            model: [
+                NamedWeights(
+                    version=each.version,
+                    seen_at=now - each.age,
+                    observed=each.observed,
+                )
+                for each in versions
+            ]
+            for model, versions in namings.versions.items()
+        },
+        since=math.inf if age is None else now - age,
+    )
 
 
 def read_address(address: str) -> tuple[str, int]:
--- a/src/ragwortcourse/platform/operator_rows.py
+++ b/src/ragwortcourse/platform/operator_rows.py
@@ -51,6 +51,8 @@
             if f'{names.EVACUATION_PREFIX}{domain}' in present
         }
         note_withdrawals(state, frozenset(kept))
+        # A row holds the newest version; those before it went unseen.
+        state.named_since = read_clock()
         apply_rows(rows, unread, observed=False)
 
     def change(rows: tuple[StoreRow, ...], age: float) -> None:
--- a/tests/test_fleet_updates.py
+++ b/tests/test_fleet_updates.py
@@ -1,6 +1,7 @@
 """Tests of :mod:`ragwortcourse.forwarding.fleet_updates`."""
 
 import logging
+import math
 
 import pytest
 
@@ -8,11 +9,14 @@
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.fleet_updates import (
     note_desired,
-    note_naming,
+    note_history,
     note_weights,
     note_withdrawals,
 )
-from ragwortcourse.forwarding.named_weights import NamedWeights
+from ragwortcourse.forwarding.named_weights import (
+    NamedWeights,
+    NamingHistory,
+)
 
 pytestmark = pytest.mark.looptime
 
@@ -22,6 +26,11 @@
     return NamedWeights(version=version, seen_at=seen_at, observed=observed)
 
 
+def tell(*versions: NamedWeights, since: float = math.inf):
+    """What another daemon knows of the model's versions."""
+    return NamingHistory(versions={MODEL: versions}, since=since)
+
+
 class TestNoteDesired:
     """Desired states."""
 
@@ -57,31 +66,39 @@
         assert [each.version for each in state.weights[MODEL]] == [2, 3]
 
 
-class TestNoteNaming:
-    """What other daemons say of when a version was named."""
+class TestNoteHistory:
+    """What other daemons say of when versions were named."""
 
     async def test_assumed_time_is_replaced(self):
         """An assumed time gives way to one that was observed."""
-        state = FleetState()
+        state = FleetState(named_since=0)
         note_weights(state, MODEL, name(2, -5, observed=False))
-        note_naming(state, MODEL, name(2, -1))
+        note_history(state, tell(name(2, -1), since=-60))
         assert state.weights[MODEL] == (name(2, -1),)
 
     async def test_logged(self, caplog):
         """The line tells what was assumed, and what is believed now."""
-        state = FleetState()
+        state = FleetState(named_since=0)
         note_weights(state, MODEL, name(2, -5, observed=False))
         with caplog.at_level(logging.INFO):
-            note_naming(state, MODEL, name(2, -1))
+            note_history(state, tell(name(2, -1), since=-60))
         line = caplog.records[-1]
         assert line.getMessage() == 'naming told by another daemon'
         assert line.assumed_seconds_ago - line.seconds_ago == 4
 
+    async def test_told_again(self, caplog):
+        """What is known already leaves no line."""
+        state = FleetState(named_since=0)
+        note_history(state, tell(name(2, -5, observed=False), since=-60))
+        caplog.clear()
+        note_history(state, tell(name(2, -6, observed=False), since=-60))
+        assert not caplog.records
+
     async def test_observed_time_stays(self):
         """An observed time stays, whatever others say."""
-        state = FleetState()
+        state = FleetState(named_since=0)
         note_weights(state, MODEL, name(2, -1))
-        note_naming(state, MODEL, name(2, -5))
+        note_history(state, tell(name(2, -5), since=-60))
         assert state.weights[MODEL] == (name(2, -1),)
 
     async def test_unknown_version(self):
@@ -91,12 +108,45 @@
         entry for it, and ended as it looked for the newest one.
         """
         state = FleetState()
-        note_naming(state, MODEL, name(2))
+        note_history(state, tell(name(2)))
         assert state.weights[MODEL] == (name(2),)
 
-    async def test_older_version(self):
-        """An older version that others still speak of adds nothing."""
+    async def test_no_versions(self):
+        """A model without versions adds nothing."""
         state = FleetState()
-        note_weights(state, MODEL, name(3))
-        note_naming(state, MODEL, name(2))
-        assert state.weights[MODEL] == (name(3),)
+        note_history(state, tell(since=-60))
+        assert not state.weights
+
+    async def test_version_before_the_start(self):
+        """An older version is known with the time of the newest one."""
+        state = FleetState(named_since=0)
+        note_weights(state, MODEL, name(3, -5, observed=False))
+        note_history(state, tell(name(2, -4), name(3, -1), since=-60))
+        assert state.weights[MODEL] == (name(2, -4), name(3, -1))
+
+    @pytest.mark.parametrize('since', [0, 1, math.inf])
+    async def test_daemon_that_started_later(self, since):
+        """A daemon that has read the rows for less long adds no older one.
+
+        It may have missed versions in between, so that its word is no reason
+        to give the assumed time up.
+        """
+        state = FleetState(named_since=0)
+        note_weights(state, MODEL, name(3, -5, observed=False))
+        note_history(state, tell(name(2), name(3, -1), since=since))
+        assert state.weights[MODEL] == (name(3, -5, observed=False),)
+
+    async def test_newer_versions(self):
+        """Newer versions are taken over from everybody."""
+        state = FleetState(named_since=0)
+        note_weights(state, MODEL, name(1))
+        told = (name(2, 15, observed=False), name(3, 21))
+        note_history(state, tell(*told, since=20))
+        assert state.weights[MODEL] == (name(1), *told)
+
+    async def test_quick_succession(self):
+        """No version is dropped while its bound may still run."""
+        state = FleetState(named_since=0)
+        told = [name(version, version) for version in range(2, 12)]
+        note_history(state, tell(*told, since=-60))
+        assert state.weights[MODEL] == tuple(told)
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -19,7 +19,9 @@
 from ragwortcourse.forwarding.load_exchange import (
     LoadMessage,
     LoadReceiver,
+    Naming,
     SwitchMessage,
+    TimedNamings,
     exchange_loads,
 )
 from ragwortcourse.forwarding.named_weights import NamedWeights
@@ -89,13 +91,13 @@
         """Others tell when a version was named."""
         forwarder, receiver = make_receiver()
         now = asyncio.get_running_loop().time()
+        forwarder.state.named_since = now
         forwarder.state.weights[MODEL] = (
             NamedWeights(version=2, seen_at=now - 5, observed=False),
         )
-        send(
-            receiver,
-            LoadMessage(daemon='e2', counts={}, named={MODEL: [(2, 1.5)]}),
-        )
+        naming = Naming(version=2, age=1.5, observed=True)
+        namings = TimedNamings(versions={MODEL: [naming]}, complete_for=60)
+        send(receiver, LoadMessage(daemon='e2', counts={}, namings=namings))
         (named,) = forwarder.state.weights[MODEL]
         assert named.observed
         assert now - named.seen_at == pytest.approx(1.5)
--- /dev/null
+++ b/tests/test_named_weights.py
@@ -0,0 +1,23 @@
+"""Tests of :mod:`ragwortcourse.forwarding.named_weights`."""
+
+import pytest
+
+from ragwortcourse.forwarding.named_weights import NamedWeights, list_running
+
+NAMED = [NamedWeights(version=2, seen_at=0), NamedWeights(version=3, seen_at=4)]
+
+
+class TestListRunning:
+    """Versions that others need to know."""
+
+    @pytest.mark.parametrize(
+        ('now', 'expected'), [(4, [2, 3]), (8, [2, 3]), (9, [2, 3]), (13, [3])]
+    )
+    def test_expired(self, now, expected):
+        """The newest version by which all before it expired is the first."""
+        running = list_running(NAMED, now=now, bound=8)
+        assert [each.version for each in running] == expected
+
+    def test_none_named(self):
+        """Without versions there is none."""
+        assert not list_running([], now=0, bound=8)
