Count the age of a row from when it may have been written

When a version was named decides when older weights expire, and it was counted from when its row was read: 0.15 s before for any call that had waited. Too young were rows that a daemon near by had read late (it passed them on as read just now), rows in answers that were long on their way, rows that the store gave at once after two daemons near by had not answered, and rows after a late empty answer.

Now a source says for how long its rows may have been there, and since when nothing newer is missing: the store by comparing its clock in each answer with the own one, a daemon near by with what its answer spent on the way.

--- a/fakes/fleet_store.py
+++ b/fakes/fleet_store.py
@@ -4,6 +4,7 @@
 import base64
 import dataclasses
 import json
+import time
 from collections.abc import Iterator
 
 from aiohttp import web
@@ -29,12 +30,14 @@
     :ivar down: every call is refused.
     :ivar silent: calls get no answer.
     :ivar failing: how many of the next calls about a table are refused.
+    :ivar delay: seconds for which answers of the feed are on their way.
     :ivar calls: paths asked for.
     """
 
     def __init__(self) -> None:
         self.down = False
         self.silent = False
+        self.delay: float = 0
         self.failing: dict[str, int] = {}
         self.calls: list[str] = []
         self.revision = 0
@@ -126,7 +129,9 @@
         rows = await self._await_rows(
             request.query['table'], after, int(request.query['wait_ms']) / 1000
         )
-        return self._answer(rows)
+        answer = self._answer(rows)
+        await asyncio.sleep(self.delay)
+        return answer
 
     async def _await_rows(
         self, table: str, after: int, seconds: float
@@ -152,6 +157,6 @@
                 'rows': rows,
                 'has_more': False,
                 'row_version': self.revision,
-                'now_ms': 0,
+                'now_ms': time.monotonic() * 1000,
             }
         )
--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -20,8 +20,6 @@
 
 # A connection that was reset is no lost store; the next call tells.
 FAILURES_TO_LOSE: Final = 2
-# Longest that a change of a healthy store is on its way.
-PROMPT_SECONDS: Final = 0.15
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -56,7 +54,7 @@
         """Every row of a table."""
 
     async def await_changes(
-        self, table: str, revision: int, wait: float
+        self, table: str, revision: int, *, wait: float, known_at: float
     ) -> StoreRows | HistoryGone | StoreSilent:
         """Changes after a revision, or none after some seconds."""
 
@@ -89,7 +87,7 @@
         self._revision: int | None = None
         self._lost = False
         self._failures = 0
-        self._answered_at: float = 0
+        self._known_at: float = 0
 
     async def follow(self) -> None:
         """Ask for ever; a failed call is tried again after a pause."""
@@ -113,7 +111,10 @@
         if self._revision is None:
             return await self._store.read_table(self._table)
         return await self._store.await_changes(
-            self._table, self._revision, self._wait
+            self._table,
+            self._revision,
+            wait=self._wait,
+            known_at=self._known_at,
         )
 
     def _take(self, answer: StoreRows, sent_at: float) -> None:
@@ -125,23 +126,12 @@
         if self._revision is None:
             self._reader.replace(answer.rows)
         elif answer.rows:
-            age = self._read_age(sent_at) + answer.rows_age
-            self._reader.change(answer.rows, age)
-        self._answered_at = read_boot_clock()
+            self._reader.change(answer.rows, answer.rows_age)
+        known_at = read_boot_clock() - answer.known_age
+        self._known_at = max(self._known_at, known_at)
         self._revision = max(self._revision or 0, answer.revision)
         self._reader.confirm(sent_at - answer.age)
 
-    def _read_age(self, sent_at: float) -> float:
-        """Seconds for which changes may have been there.
-
-        The store answers a waiting call as soon as something changes; what
-        comes back at once may have changed since the last answer.
-        """
-        now = read_boot_clock()
-        if now - sent_at > PROMPT_SECONDS:
-            return PROMPT_SECONDS
-        return now - self._answered_at
-
     async def _pause(self, answer: StoreSilent) -> None:
         if not self._lost:
             self._lost = True
--- a/src/ragwortcourse/platform/relayed_store.py
+++ b/src/ragwortcourse/platform/relayed_store.py
@@ -51,13 +51,19 @@
         return answer
 
     async def await_changes(
-        self, table: str, revision: int, wait: float
+        self, table: str, revision: int, *, wait: float, known_at: float
     ) -> StoreRows | HistoryGone | StoreSilent:
-        """Changes after a revision, as soon as there is one."""
+        """Changes after a revision, as soon as there is one.
+
+        :param wait: seconds that a call to the store waits for it.
+        :param known_at: boot clock at which nothing newer was missing.
+        """
         sent_at = read_boot_clock()
         answer = await self._ask_readers(revision)
         if isinstance(answer, StoreSilent):
-            answer = await self.store.await_changes(table, revision, wait)
+            answer = await self.store.await_changes(
+                table, revision, wait=wait, known_at=known_at
+            )
         if isinstance(answer, StoreRows):
             self.cache.change(answer, sent_at)
         return answer
--- a/src/ragwortcourse/platform/row_cache.py
+++ b/src/ragwortcourse/platform/row_cache.py
@@ -9,27 +9,29 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CachedRow:
-    """A row, and when it was read.
+    """A row, and when it was changed.
 
     :param revision: transaction at or before which it was changed.
-    :param read_at: boot clock.
+    :param there_since: boot clock; no later than the change.
     """
 
     row: StoreRow
     revision: int
-    read_at: float
+    there_since: float
 
 
 class RowCache:
     """The newest rows, dropped ones included, and how fresh they are.
 
     ``revision`` is none until the table was read; ``confirmed_at`` is the
-    boot clock at which the rows were the newest for sure.
+    boot clock at which the rows were the newest for sure, when the answer
+    that said so was asked for; ``known_at`` when it was given.
     """
 
     def __init__(self) -> None:
         self.revision: int | None = None
         self.confirmed_at: float = 0
+        self.known_at: float = 0
         self._oldest = 0
         self._rows: dict[str, CachedRow] = {}
         self._changed = asyncio.Event()
@@ -45,13 +47,16 @@
 
         :param sent_at: boot clock at which the call was sent.
         """
-        read_at = read_boot_clock() - answer.rows_age
+        now = read_boot_clock()
         for row in answer.rows:
             self._rows[row.key] = CachedRow(
-                row=row, revision=answer.revision, read_at=read_at
+                row=row,
+                revision=answer.revision,
+                there_since=now - answer.rows_age,
             )
         self.revision = max(self.revision or 0, answer.revision)
         self.confirmed_at = max(self.confirmed_at, sent_at - answer.age)
+        self.known_at = max(self.known_at, now - answer.known_age)
         if answer.rows:
             self._changed.set()
             self._changed = asyncio.Event()
@@ -87,5 +92,6 @@
         return StoreRows(
             rows=tuple(each.row for each in found),
             revision=self.revision or 0,
-            rows_age=max((now - each.read_at for each in found), default=0),
+            rows_age=max((now - each.there_since for each in found), default=0),
+            known_age=now - self.known_at,
         )
--- a/src/ragwortcourse/platform/row_relay.py
+++ b/src/ragwortcourse/platform/row_relay.py
@@ -41,13 +41,18 @@
 
     :param age: seconds between the confirmation and the arrival of the
         question; negative where it was confirmed after that.
-    :param rows_age: seconds since the oldest of these rows was read.
+    :param rows_age: seconds for which the oldest of these rows may have been
+        there.
+    :param known_age: seconds since which nothing newer is missing.
+    :param waited: seconds between the question and this answer.
     """
 
     rows: tuple[RelayedRow, ...]
     revision: int
     age: float
     rows_age: float
+    known_age: float
+    waited: float
 
 
 def build_row_routes(cache: RowCache) -> list[web.RouteDef]:
@@ -69,6 +74,8 @@
             revision=answer.revision,
             age=arrived_at - cache.confirmed_at,
             rows_age=answer.rows_age,
+            known_age=answer.known_age,
+            waited=read_boot_clock() - arrived_at,
         )
         return web.Response(
             body=msgspec.json.encode(message), content_type='application/json'
@@ -110,6 +117,7 @@
     if after is not None:
         query |= {AFTER: str(after), WAIT: str(wait)}
         limit += wait
+    sent_at = read_boot_clock()
     try:
         async with (
             asyncio.timeout(limit),
@@ -126,13 +134,15 @@
         return StoreSilent(detail=f'{address}: no answer within {limit} s')
     except (ClientError, OSError, msgspec.DecodeError) as error:
         return StoreSilent(detail=f'{address}: {error!r}')
+    on_its_way = read_boot_clock() - sent_at - message.waited
     return StoreRows(
         rows=tuple(
             StoreRow(key=row.key, content=row.content) for row in message.rows
         ),
         revision=message.revision,
         age=message.age,
-        rows_age=message.rows_age,
+        rows_age=message.rows_age + on_its_way,
+        known_age=message.known_age + on_its_way,
     )
 
 
--- a/src/ragwortcourse/platform/store.py
+++ b/src/ragwortcourse/platform/store.py
@@ -10,6 +10,8 @@
 import aiohttp
 import msgspec
 
+from ragwortcourse.forwarding.fleet_state import read_boot_clock
+from ragwortcourse.platform.answer_delay import AnswerDelay
 from ragwortcourse.platform.store_row import (
     HistoryGone,
     StoreRow,
@@ -19,6 +21,9 @@
 
 # The store answers in some milliseconds; on bad days in some hundred.
 CALL_SECONDS: Final = 1.5
+# Longest that a change of a healthy store is on its way.
+PROMPT_SECONDS: Final = 0.15
+MILLISECONDS: Final = 0.001
 OK: Final = 200
 GONE: Final = 410
 
@@ -41,11 +46,13 @@
     """Answer about rows.
 
     :param row_version: newest transaction, not the version of a row.
+    :param now_ms: the store's steady clock; none: it does not tell.
     """
 
     rows: tuple[WireRow, ...]
     row_version: int
     has_more: bool = False
+    now_ms: float | None = None
 
 
 class Store:
@@ -57,38 +64,58 @@
     def __init__(self, *, session: aiohttp.ClientSession, address: str) -> None:
         self._session = session
         self._base = f'http://{address}'
+        self._delay = AnswerDelay()
 
     async def read_table(self, table: str) -> StoreRows | StoreSilent:
         """Every row of a table in its unnamed part."""
         rows: list[StoreRow] = []
         query = {'table': table, 'part': ''}
+        sent_at = read_boot_clock()
         while True:
             answer = await self._ask('/rows-get', query, CALL_SECONDS)
             if not isinstance(answer, WireRows):
                 return _read_failure(answer)
+            now = read_boot_clock()
+            # Any answer shows how far the two clocks are apart.
+            self._read_delay(answer, sent_at, now)
             rows.extend(_decode_row(row) for row in answer.rows)
             if not (answer.has_more and answer.rows):
-                return StoreRows(rows=tuple(rows), revision=answer.row_version)
+                return StoreRows(
+                    rows=tuple(rows),
+                    revision=answer.row_version,
+                    known_age=now - sent_at,
+                )
             # The lowest key above the last one that was sent.
             query['from'] = f'{answer.rows[-1].key}\0'
 
     async def await_changes(
-        self, table: str, revision: int, wait: float
+        self, table: str, revision: int, *, wait: float, known_at: float
     ) -> StoreRows | HistoryGone | StoreSilent:
         """Changes after a revision, as soon as there is one.
 
         :param wait: seconds after which the answer is empty.
+        :param known_at: boot clock at which nothing newer was missing.
         """
         query = {
             'table': table,
             'after_rev': str(revision),
             'wait_ms': str(round(wait * 1000)),
         }
+        sent_at = read_boot_clock()
         answer = await self._ask('/rows-feed', query, wait + CALL_SECONDS)
-        if isinstance(answer, WireRows):
-            rows = tuple(_decode_row(row) for row in answer.rows)
-            return StoreRows(rows=rows, revision=answer.row_version)
-        return HistoryGone() if answer == GONE else _read_failure(answer)
+        if not isinstance(answer, WireRows):
+            return HistoryGone() if answer == GONE else _read_failure(answer)
+        now = read_boot_clock()
+        on_its_way = self._read_delay(answer, sent_at, now)
+        # The store answers a waiting call as soon as something changes; what
+        # comes back at once may have been there since the last answer.
+        has_waited = now - sent_at > on_its_way
+        return StoreRows(
+            rows=tuple(_decode_row(row) for row in answer.rows),
+            revision=answer.row_version,
+            rows_age=on_its_way if has_waited else now - known_at,
+            known_age=min(on_its_way, now - sent_at),
+        )
 
     async def write_row(self, table: str, key: str, content: bytes) -> bool:
         """Write a row, whatever it held; say whether the store took it."""
@@ -110,6 +137,16 @@
             )
             return False
 
+    def _read_delay(
+        self, answer: WireRows, sent_at: float, now: float
+    ) -> float:
+        """Seconds since an answer was given, at the most."""
+        if answer.now_ms is None:
+            return now - sent_at
+        stated_at = answer.now_ms * MILLISECONDS
+        delay = self._delay.measure(stated_at=stated_at, now=now)
+        return delay + PROMPT_SECONDS
+
     async def _ask(
         self, path: str, query: Mapping[str, str], limit: float
     ) -> WireRows | int | str:
--- a/src/ragwortcourse/platform/store_row.py
+++ b/src/ragwortcourse/platform/store_row.py
@@ -21,13 +21,17 @@
     :param revision: newest transaction that the answer takes in.
     :param age: seconds before the question at which they were the newest
         for sure; negative where they were so after it.
-    :param rows_age: seconds for which another daemon had them already.
+    :param rows_age: seconds for which the oldest of these rows may have been
+        there, at the moment of the return.
+    :param known_age: seconds since which nothing newer is missing, at the
+        moment of the return.
     """
 
     rows: tuple[StoreRow, ...]
     revision: int
     age: float = 0
     rows_age: float = 0
+    known_age: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -252,6 +252,20 @@
         assert observed.observed
         assert now - observed.seen_at < 1
 
+    async def test_answer_on_its_way(self, daemon):
+        """A version is no younger than the answer that tells of it."""
+        daemon.fake.put('op', 'version/m', {'model': 'm', 'version': 2})
+        daemon.follow()
+        await wait_for(lambda: daemon.state.weights)
+        await asyncio.sleep(0.5)
+        daemon.fake.delay = 0.8
+        named_at = asyncio.get_running_loop().time()
+        daemon.fake.put('op', 'version/m', {'model': 'm', 'version': 4})
+        await wait_for(lambda: len(daemon.state.weights['m']) == 2)
+        observed = daemon.state.weights['m'][-1]
+        assert observed.seen_at <= named_at
+        assert observed.seen_at == pytest.approx(named_at, abs=0.6)
+
 
 class TestRelayList:
     """Entry daemons that registered."""
--- a/tests/test_row_relay.py
+++ b/tests/test_row_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 
 import pytest
@@ -19,12 +20,13 @@
 from ragwortcourse.platform.relayed_store import RelayedStore
 from ragwortcourse.platform.row_cache import RowCache
 from ragwortcourse.platform.row_relay import (
+    CALL_SECONDS,
     LONGEST_AGE_SECONDS,
     build_row_routes,
 )
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.store_row import HistoryGone, StoreRow, StoreRows
-from ragwortcourse.weights.peer_reach import SILENT_SECONDS
+from ragwortcourse.weights.peer_reach import SILENT_SECONDS, PeerReach
 
 DAEMONS = 4
 FEED_SECONDS = 0.3
@@ -126,6 +128,7 @@
         self.fake = FleetStore()
         self.states = [FleetState() for _ in range(DAEMONS)]
         self.caches: list[RowCache] = []
+        self.sources: list[RelayedStore] = []
         self.stack = contextlib.AsyncExitStack()
         self.servers: list[TestServer] = []
 
@@ -159,6 +162,7 @@
         self.stack.push_async_callback(server.close)
         self.servers.append(server)
         self.caches.append(source.cache)
+        self.sources.append(source)
         feed = TableFeed(
             store=source,
             table=names.OPERATORS_TABLE,
@@ -246,6 +250,79 @@
         await asyncio.sleep(0.5)
         assert all(state.confirmed_at <= down_at for state in domain.states)
 
+    async def test_row_read_late(self, domain):
+        """A version is no younger at others than at the one that read it."""
+        domain.put_state(1)
+        await domain.open()
+        await domain.wait_at(1)
+        await asyncio.sleep(SILENT_SECONDS + 0.5)
+        domain.fake.down = True
+        # Calls that wait for a change end first.
+        await asyncio.sleep(FEED_SECONDS + 0.1)
+        named_at = asyncio.get_running_loop().time()
+        domain.fake.put('op', 'version/m', {'model': 'm', 'version': 2})
+        await asyncio.sleep(1)
+        domain.fake.down = False
+        async with asyncio.timeout(10):
+            while not all(state.weights for state in domain.states):
+                await asyncio.sleep(0.01)
+        for state in domain.states:
+            (named,) = state.weights['m']
+            assert named.seen_at <= named_at
+            assert named.seen_at == pytest.approx(named_at, abs=2)
+
+    async def test_silent_readers(self, domain):
+        """Time spent on daemons that don't answer is no younger version."""
+        domain.put_state(1)
+        await domain.open()
+        await domain.wait_at(1)
+        last = domain.sources[-1]
+        async with contextlib.AsyncExitStack() as stack:
+            silent = [
+                await stack.enter_async_context(
+                    await asyncio.start_server(
+                        lambda reader, writer: None, '127.0.0.1', 0
+                    )
+                )
+                for _ in range(READERS_ASKED)
+            ]
+            addresses = [
+                f'127.0.0.1:{each.sockets[0].getsockname()[1]}'
+                for each in silent
+            ]
+            revision = domain.fake.revision
+            known_at = read_boot_clock()
+            domain.fake.put('op', 'version/m', {'model': 'm', 'version': 2})
+
+            async def list_silent():
+                return addresses
+
+            alone = dataclasses.replace(
+                last,
+                list_readers=list_silent,
+                cache=RowCache(),
+                reach=PeerReach(),
+            )
+            answer = await alone.await_changes(
+                names.OPERATORS_TABLE, revision, wait=1, known_at=known_at
+            )
+        assert list_keys(answer) == ['version/m']
+        assert answer.rows_age >= (PEER_SECONDS + CALL_SECONDS) * READERS_ASKED
+
+    async def test_late_empty_answer(self, domain):
+        """What is known is as old as the answer that said so."""
+        domain.put_state(1)
+        await domain.open()
+        await domain.wait_at(1)
+        store = domain.sources[0].store
+        revision = domain.fake.revision
+        domain.fake.delay = 0.8
+        answer = await store.await_changes(
+            names.OPERATORS_TABLE, revision, wait=0.1, known_at=0
+        )
+        assert not answer.rows
+        assert 0.8 <= answer.known_age < 1.4
+
     async def test_store_away(self, domain):
         """A lasting outage is noticed by all, and its end too."""
         domain.put_state(1)
