Let the earlier of two observed namings count, and assume after gaps

- A daemon that stood still reads what it was told meanwhile as new.
It kept that late time against its own reading and against all others, and gave it to daemons that started.
The earlier time counts now, whoever tells it.
- A restarted daemon's assumption, told as the first word of a version, kept a daemon that ran from its own observation: engines refused up to 5 s too early.
- A change that was read after a gap of seconds counted as observed.
It is assumed now, and the daemon's history starts anew.
- The first assumption counts from the start of the process, not from the first reading, which the fleet does not wait for.
- A table that is read whole again right after a reading tells when its rows changed; before, 5 s were assumed.

--- a/src/ragwortcourse/forwarding/fleet_updates.py
+++ b/src/ragwortcourse/forwarding/fleet_updates.py
@@ -16,6 +16,8 @@
 # Versions of a model whose bounds may run at once: more than operators name
 # within one bound.
 VERSIONS_KEPT: Final = 16
+# Rounding, and the way of a message.
+TOLD_SLACK_SECONDS: Final = 0.25
 # Below any version of a model.
 NO_VERSION: Final = 0
 
@@ -56,11 +58,18 @@
 def note_weights(
     state: FleetState, model: ModelName, named: NamedWeights
 ) -> None:
-    """Take a newly named version over; versions only rise."""
-    known = state.weights.get(model, ())
-    if known and named.version <= known[-1].version:
+    """Take over what the operators' rows say of a version.
+
+    Versions only rise. What the daemon sees itself replaces an assumed time,
+    and a later one that another daemon told.
+    """
+    known = {each.version: each for each in state.weights.get(model, ())}
+    before = known.get(named.version)
+    if named.version < max(known, default=NO_VERSION):
         return
-    state.weights[model] = (*known, named)[-VERSIONS_KEPT:]
+    if not _corrects(before, named):
+        return
+    _keep(state, model, known, [named])
     LOGGER.info(
         'weights named',
         extra={
@@ -77,7 +86,7 @@
 
     Where it has read the operators' rows for longer, its word replaces times
     that had to be assumed, and versions in between, whose bounds may still
-    run, are added. Otherwise only versions newer than any known count.
+    run, are added. Otherwise it can only bring bounds forward.
     """
     is_longer = told.since < state.named_since
     for model, versions in told.versions.items():
@@ -86,20 +95,46 @@
         taken = [
             each
             for each in versions
-            if each.version > newest
-            or (is_longer and _adds_to(known.get(each.version), each))
+            if (is_longer and _corrects(known.get(each.version), each))
+            or _brings_forward(known.get(each.version), each, newest)
         ]
         if taken:
-            merged = known | {each.version: each for each in taken}
-            state.weights[model] = tuple(
-                merged[version] for version in sorted(merged)
-            )[-VERSIONS_KEPT:]
+            _keep(state, model, known, taken)
             _log_told(model, known, taken)
 
 
-def _adds_to(known: NamedWeights | None, told: NamedWeights) -> bool:
-    """Tell whether a daemon knows less of a version than another one."""
-    return known is None or (told.observed and not known.observed)
+def _keep(
+    state: FleetState,
+    model: ModelName,
+    known: Mapping[int, NamedWeights],
+    taken: Sequence[NamedWeights],
+) -> None:
+    merged = {**known, **{each.version: each for each in taken}}
+    state.weights[model] = tuple(merged[version] for version in sorted(merged))[
+        -VERSIONS_KEPT:
+    ]
+
+
+def _brings_forward(
+    known: NamedWeights | None, told: NamedWeights, newest: int
+) -> bool:
+    """Tell whether another daemon's word can only make bounds earlier."""
+    if known is None:
+        return told.observed or told.version > newest
+    return known.observed and _corrects(known, told)
+
+
+def _corrects(known: NamedWeights | None, told: NamedWeights) -> bool:
+    """Tell whether a version is better known by another one's word.
+
+    Of two times that were observed the earlier one counts: a daemon that
+    stood still takes what it was told meanwhile for new.
+    """
+    if known is None:
+        return True
+    if not told.observed or not known.observed:
+        return told.observed
+    return told.seen_at < known.seen_at - TOLD_SLACK_SECONDS
 
 
 def _log_told(
--- a/src/ragwortcourse/forwarding/store_watch.py
+++ b/src/ragwortcourse/forwarding/store_watch.py
@@ -87,9 +87,12 @@
         """Learn of an outage that was over before this daemon started."""
         if max(self._state.unstable_at, ended_at) > self._started_at:
             return
-        if ended_at > self._state.unstable_at + FRESH_SECONDS:
-            LOGGER.info(
-                'outage of the store told by another daemon',
-                extra={'by': daemon, 'seconds_ago': read_clock() - ended_at},
-            )
-        self._state.unstable_at = max(self._state.unstable_at, ended_at)
+        # Daemons that tell each other what they were told add the way of
+        # each message.
+        if ended_at < self._state.unstable_at + FRESH_SECONDS:
+            return
+        LOGGER.info(
+            'outage of the store told by another daemon',
+            extra={'by': daemon, 'seconds_ago': read_clock() - ended_at},
+        )
+        self._state.unstable_at = ended_at
--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import random
 from collections.abc import Callable
 from typing import Final, Protocol
@@ -28,9 +29,9 @@
 class TableReader:
     """What becomes of the rows of a table.
 
-    :param replace: takes all rows there are.
-    :param change: takes the rows that changed, and for how many seconds
-        they may have stood there unread.
+    :param replace: takes all rows there are, and for how many seconds
+        changes may have stood there unread; infinite for the first ones.
+    :param change: takes the rows that changed, and the same.
     :param confirm: takes the boot clock at which a call was sent whose
         answer leaves nothing newer unread.
     :param lose: called when two calls have failed one after the other.
@@ -38,7 +39,7 @@
         good answer are given out.
     """
 
-    replace: Callable[[tuple[StoreRow, ...]], None]
+    replace: Callable[[tuple[StoreRow, ...], float], None]
     change: Callable[[tuple[StoreRow, ...], float], None]
     confirm: Callable[[float], None]
     lose: Callable[[], None]
@@ -87,7 +88,7 @@
         self._revision: int | None = None
         self._lost = False
         self._failures = 0
-        self._known_at: float = 0
+        self._known_at = -math.inf
 
     async def follow(self) -> None:
         """Ask for ever; a failed call is tried again after a pause."""
@@ -124,7 +125,8 @@
             LOGGER.info('store regained', extra={'table': self._table})
             self._reader.regain()
         if self._revision is None:
-            self._reader.replace(answer.rows)
+            unread = read_boot_clock() - self._known_at
+            self._reader.replace(answer.rows, unread)
         elif answer.rows:
             self._reader.change(answer.rows, answer.rows_age)
         known_at = read_boot_clock() - answer.known_age
--- a/src/ragwortcourse/platform/operator_rows.py
+++ b/src/ragwortcourse/platform/operator_rows.py
@@ -1,6 +1,7 @@
 """Reads the rows that operators write into a daemon's state."""
 
 import logging
+import math
 from typing import Final
 
 import msgspec
@@ -21,6 +22,14 @@
 from ragwortcourse.settings import FleetSettings
 
 MILLISECONDS: Final = 0.001
+# From the start of the process to that of its reader, on a slow host.
+START_SECONDS: Final = 0.5
+# Longer without news than a call and the pause after it: versions may have
+# been named and replaced unseen.
+GAP_SECONDS: Final = 1.5
+# From the moment at which the store can be reached again to its next answer:
+# a call that waits in vain, and the pause after it.
+REGAIN_SECONDS: Final = 2.5
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -37,13 +46,15 @@
 ) -> TableReader:
     """Reader of the operators' table.
 
-    A version that a daemon finds at its start may have been named any time
-    ago. It is taken to be as old as will make it due when the fleet begins
-    to hold the daemon to it.
+    The table holds the newest version of a model alone: what a daemon finds
+    at its start, or after it has read nothing for a while, may have been
+    named any time ago, and others before it. It is taken to be as old as will
+    make it due when the fleet begins to hold the daemon to it.
     """
     unread = max(fleet.version_ms - fleet.contact_ms, 0) * MILLISECONDS
+    started_at = read_clock() - START_SECONDS
 
-    def replace(rows: tuple[StoreRow, ...]) -> None:
+    def replace(rows: tuple[StoreRow, ...], age: float) -> None:
         present = {row.key for row in rows}
         kept = {
             domain
@@ -51,17 +62,21 @@
             if f'{names.EVACUATION_PREFIX}{domain}' in present
         }
         note_withdrawals(state, frozenset(kept))
-        # A row holds the newest version; those before it went unseen.
-        state.named_since = read_clock()
-        apply_rows(rows, unread, observed=False)
+        change(rows, age)
 
     def change(rows: tuple[StoreRow, ...], age: float) -> None:
-        apply_rows(rows, age, observed=True)
+        now = read_clock()
+        is_first = math.isinf(state.named_since)
+        observed = age <= GAP_SECONDS
+        judged_from = started_at if is_first else now - REGAIN_SECONDS
+        if not observed:
+            state.named_since = now
+            age = min(age, now - judged_from + unread)
+        apply_rows(rows, now - age, observed=observed)
 
     def apply_rows(
-        rows: tuple[StoreRow, ...], age: float, *, observed: bool
+        rows: tuple[StoreRow, ...], seen_at: float, *, observed: bool
     ) -> None:
-        seen_at = read_clock() - age
         for row in rows:
             try:
                 _apply(state, row, seen_at, observed=observed)
--- a/src/ragwortcourse/platform/target_reader.py
+++ b/src/ragwortcourse/platform/target_reader.py
@@ -29,9 +29,9 @@
 ) -> TableReader:
     """Reader of the table of targets."""
 
-    def replace(rows: tuple[StoreRow, ...]) -> None:
+    def replace(rows: tuple[StoreRow, ...], age: float) -> None:
         targets.keep_only({TargetName(row.key) for row in rows})
-        change(rows, 0)
+        change(rows, age)
 
     def change(rows: tuple[StoreRow, ...], age: float) -> None:
         for row in rows:
@@ -75,7 +75,7 @@
         return ()
     state = FleetState()
     reader = build_target_reader(TargetList(state=state), fleet.failure_domains)
-    reader.replace(answer.rows)
+    reader.replace(answer.rows, answer.known_age)
     return tuple(
         target for target in state.targets.values() if target.service == service
     )
--- /dev/null
+++ b/tests/test_operator_rows.py
@@ -0,0 +1,77 @@
+"""Tests of :mod:`ragwortcourse.platform.operator_rows`."""
+
+import asyncio
+import math
+
+import msgspec
+import pytest
+
+from fakes.fleet_parts import FLEET, MODEL
+from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.platform.operator_rows import (
+    GAP_SECONDS,
+    REGAIN_SECONDS,
+    START_SECONDS,
+    build_operator_reader,
+)
+from ragwortcourse.platform.store_row import StoreRow
+
+pytestmark = pytest.mark.looptime
+# From a naming to the moment at which the fleet holds a daemon to it.
+UNREAD = (FLEET.version_ms - FLEET.contact_ms) / 1000
+
+
+def make_row(version):
+    """The operators' row that names a version."""
+    content = msgspec.json.encode({'model': MODEL, 'version': version})
+    return StoreRow(key=f'version/{MODEL}', content=content)
+
+
+def read_clock():
+    """Seconds of the event loop."""
+    return asyncio.get_running_loop().time()
+
+
+class TestNamings:
+    """When versions are believed to have been named."""
+
+    async def test_first_reading_late(self):
+        """What is found at the start counts from the start of the process."""
+        state = FleetState()
+        reader = build_operator_reader(state, FLEET)
+        started_at = read_clock()
+        await asyncio.sleep(2)
+        reader.replace((make_row(2),), math.inf)
+        (found,) = state.weights[MODEL]
+        assert not found.observed
+        assert found.seen_at == started_at - START_SECONDS - UNREAD
+        assert state.named_since == read_clock()
+
+    async def test_whole_table_again(self):
+        """A table that is read again without a gap tells when it changed."""
+        state = FleetState()
+        reader = build_operator_reader(state, FLEET)
+        reader.replace((), math.inf)
+        since = state.named_since
+        await asyncio.sleep(20)
+        reader.replace((make_row(2),), GAP_SECONDS)
+        (found,) = state.weights[MODEL]
+        assert found.observed
+        assert found.seen_at == read_clock() - GAP_SECONDS
+        assert state.named_since == since
+
+    @pytest.mark.parametrize('whole', [True, False])
+    @pytest.mark.parametrize('gap', [GAP_SECONDS + 0.1, 60])
+    async def test_gap(self, whole, gap):
+        """After a gap versions may be missing, and the time is assumed."""
+        state = FleetState()
+        reader = build_operator_reader(state, FLEET)
+        reader.replace((), math.inf)
+        await asyncio.sleep(gap)
+        take = reader.replace if whole else reader.change
+        take((make_row(2),), gap)
+        (found,) = state.weights[MODEL]
+        assert not found.observed
+        assumed = min(gap, REGAIN_SECONDS + UNREAD)
+        assert found.seen_at == pytest.approx(read_clock() - assumed)
+        assert state.named_since == read_clock()
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -82,6 +82,17 @@
         now = asyncio.get_running_loop().time()
         assert state.unstable_at == pytest.approx(now - 3)
 
+    async def test_told_to_and_fro(self):
+        """An outage does not come nearer as daemons tell each other of it."""
+        watches = [make_watch(lost=False)[0] for _ in range(2)]
+        watches[0].note_peer(DAEMONS[2], lost=False, stable_for=3)
+        for turn in range(100):
+            teller, hearer = watches[turn % 2], watches[(turn + 1) % 2]
+            stable_for = teller.read_stable()
+            await asyncio.sleep(0.02)
+            hearer.note_peer(DAEMONS[1], lost=False, stable_for=stable_for)
+        assert watches[0].read_stable() == pytest.approx(5, abs=0.1)
+
     async def test_daemons_that_start(self):
         """Daemons that have not read the store yet have not lost it.
 
