Read long answers of the store to their end

Cause: a call to the store was ended 1.5 s after its wait, whether bytes arrived or not. Where several daemons read 0.6 MB over one line of 16 Mbit/s at once, none gets it within that time; each gives up what it has and begins anew, so that the line stays full with answers that nobody keeps. The daemons that the others ask are among them.

Why it works: silence of 1.5 s beyond the wait ends a call, as before; an answer that arrives is read to its end for up to 6 s more.

--- a/src/ragwortcourse/platform/store.py
+++ b/src/ragwortcourse/platform/store.py
@@ -1,4 +1,8 @@
-"""Client of the platform's store of rows."""
+"""Client of the platform's store of rows.
+
+Load pattern: many daemons read a desired state of thousands of routes over
+one narrow line. A call that is given up on the way loads the line once more.
+"""
 
 import asyncio
 import base64
@@ -19,6 +23,8 @@
 
 # The store answers in some milliseconds; on bad days in some hundred.
 CALL_SECONDS: Final = 1.5
+# Beyond that, while a long answer goes on arriving.
+ARRIVING_SECONDS: Final = 6.0
 OK: Final = 200
 GONE: Final = 410
 
@@ -113,19 +119,22 @@
     async def _ask(
         self, path: str, query: Mapping[str, str], limit: float
     ) -> WireRows | int | str:
-        """Rows, a status other than success, or what went wrong."""
+        """Rows, a status other than success, or what went wrong.
+
+        :param limit: seconds of silence after which the store is given up.
+        """
+        limits = aiohttp.ClientTimeout(
+            total=limit + ARRIVING_SECONDS, connect=limit, sock_read=limit
+        )
         try:
-            async with (
-                asyncio.timeout(limit),
-                self._session.get(
-                    f'{self._base}{path}', params=query
-                ) as response,
-            ):
+            async with self._session.get(
+                f'{self._base}{path}', params=query, timeout=limits
+            ) as response:
                 if response.status != OK:
                     return response.status
                 return msgspec.json.decode(await response.read(), type=WireRows)
-        except TimeoutError:
-            return f'no answer within {limit} s'
+        except TimeoutError as error:
+            return f'no answer within {limit} s: {error!r}'
         except (aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
             return repr(error)
 
