Ask daemons near by where the store turns one away

Cause: daemons ask only those that rank before them, then the store. The one that ranks first has nobody to ask while the store turns it away, though those beside it read the store. Its askers, too, went on waiting at it until its rows were 2 s old, then at the second one, whose rows were as old, then in a call to the store that waits for a change.

Ruled out: a circle. What a daemon has from one that ranks after it is not passed on; with all turned away rows age as before (test_all).

Why it works: a daemon whose call to the store fails says 503 at once, also to those that wait at it; rows are not waited for beyond their age; after a reader fell away the next call to the store does not wait for a change, so that what is known is confirmed at once. A daemon that is turned away asks up to four daemons that rank after it.

--- a/src/ragwortcourse/membership/readers.py
+++ b/src/ragwortcourse/membership/readers.py
@@ -15,6 +15,8 @@
 
 # The second one is asked where the first does not answer.
 READERS_ASKED: Final = 2
+# Some of them may have lost the store too.
+HELPERS_ASKED: Final = 4
 
 
 def list_readers(
@@ -27,10 +29,32 @@
 
     A daemon asks only those that rank before it: nobody waits in a circle.
     """
+    names, near = _rank(relays, domain)
+    before = near[: names.index(own)] if own in names else near
+    return tuple(before[:READERS_ASKED])
+
+
+def list_helpers(
+    *,
+    relays: Iterable[RelayRecord],
+    own: DaemonId,
+    domain: FailureDomainName,
+) -> tuple[RelayRecord, ...]:
+    """Daemons to be asked where the store does not answer either.
+
+    They rank after the own one. What they tell is not passed on, so that
+    here too nobody waits in a circle.
+    """
+    names, near = _rank(relays, domain)
+    after = near[names.index(own) + 1 :] if own in names else []
+    return tuple(after[:HELPERS_ASKED])
+
+
+def _rank(
+    relays: Iterable[RelayRecord], domain: FailureDomainName
+) -> tuple[list[DaemonId], list[RelayRecord]]:
     near = sorted(
         (relay for relay in relays if relay.failure_domain == domain),
         key=lambda relay: score_pair(domain, relay.daemon),
     )
-    names = [relay.daemon for relay in near]
-    before = near[: names.index(own)] if own in names else near
-    return tuple(before[:READERS_ASKED])
+    return [relay.daemon for relay in near], near
--- a/src/ragwortcourse/platform/relay_rows.py
+++ b/src/ragwortcourse/platform/relay_rows.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ragwortcourse.identifiers import DaemonId, FailureDomainName
-from ragwortcourse.membership.readers import list_readers
+from ragwortcourse.membership.readers import list_helpers, list_readers
 from ragwortcourse.membership.relay import RelayRecord
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.store_row import StoreRows
@@ -65,6 +65,18 @@
 
         return list_addresses
 
+    def build_helpers(
+        self, *, own: DaemonId, domain: FailureDomainName
+    ) -> ListReaders:
+        """Lists the addresses of daemons to be asked after the store."""
+
+        async def list_addresses() -> Sequence[str]:
+            relays = await self.list()
+            helpers = list_helpers(relays=relays, own=own, domain=domain)
+            return [helper.address for helper in helpers]
+
+        return list_addresses
+
 
 async def register_relay(store: Store, record: RelayRecord) -> bool:
     """Write the own row; say whether the store took it."""
--- a/src/ragwortcourse/platform/relayed_store.py
+++ b/src/ragwortcourse/platform/relayed_store.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
 import aiohttp
@@ -20,12 +21,21 @@
 
 LOGGER: Final = logging.getLogger(__name__)
 
+AskStore = Callable[[bool], Awaitable[StoreRows | HistoryGone | StoreSilent]]
+
+
+async def list_nobody() -> Sequence[str]:
+    """No daemon to ask."""
+    return ()
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RelayedStore:
     """Asks other daemons, then the store, and keeps what it was told.
 
     :param list_readers: addresses of daemons to be asked first.
+    :param list_helpers: addresses of daemons to be asked where the store
+        does not answer.
     :param peer_wait: seconds that a call to one of them waits for a change.
     :param services_only: leave out what serves callers alone.
     """
@@ -33,6 +43,7 @@
     store: Store
     session: aiohttp.ClientSession
     list_readers: ListReaders
+    list_helpers: ListReaders = list_nobody
     peer_wait: float
     services_only: bool = False
     cache: RowCache = dataclasses.field(default_factory=RowCache)
@@ -43,9 +54,7 @@
     ) -> StoreRows | HistoryGone | StoreSilent:
         """Every row of the table."""
         sent_at = read_boot_clock()
-        answer = await self._ask_readers(None)
-        if isinstance(answer, StoreSilent):
-            answer = await self.store.read_table(table)
+        answer = await self._ask(None, lambda _: self.store.read_table(table))
         if isinstance(answer, StoreRows):
             self.cache.replace(answer, sent_at)
         return answer
@@ -55,25 +64,57 @@
     ) -> StoreRows | HistoryGone | StoreSilent:
         """Changes after a revision, as soon as there is one."""
         sent_at = read_boot_clock()
-        answer = await self._ask_readers(revision)
-        if isinstance(answer, StoreSilent):
-            answer = await self.store.await_changes(table, revision, wait)
+        answer = await self._ask(
+            revision,
+            lambda is_late: self.store.await_changes(
+                table, revision, 0 if is_late else wait
+            ),
+        )
         if isinstance(answer, StoreRows):
             self.cache.change(answer, sent_at)
         return answer
 
-    async def _ask_readers(
-        self, after: int | None
+    async def _ask(
+        self, after: int | None, ask_store: AskStore
+    ) -> StoreRows | HistoryGone | StoreSilent:
+        """Ask readers, the store and helpers, until one answers.
+
+        :param ask_store: takes whether a reader has just fallen away; what
+            is known is then old, and must be confirmed at once.
+        """
+        asked = await self._list_heard(self.list_readers)
+        answer = await self._ask_daemons(asked, after, self.peer_wait)
+        if isinstance(answer, StoreSilent):
+            answer = await ask_store(bool(asked))
+        was_cut_off = self.cache.is_cut_off
+        is_cut_off = isinstance(answer, StoreSilent)
+        self.cache.note_cut_off(is_cut_off=is_cut_off)
+        if is_cut_off:
+            helpers = await self._list_heard(self.list_helpers)
+            helped = await self._ask_daemons(
+                helpers, after, self.peer_wait if was_cut_off else 0
+            )
+            # A refused store is no fault of the daemons that were asked.
+            answer = answer if isinstance(helped, StoreSilent) else helped
+        return answer
+
+    async def _list_heard(self, list_daemons: ListReaders) -> list[str]:
+        return [
+            address
+            for address in await list_daemons()
+            if not self.reach.is_silent(address)
+        ]
+
+    async def _ask_daemons(
+        self, addresses: Sequence[str], after: int | None, wait: float
     ) -> StoreRows | HistoryGone | StoreSilent:
         """What another daemon has; silent where none has fresh rows."""
-        for address in await self.list_readers():
-            if self.reach.is_silent(address):
-                continue
+        for address in addresses:
             answer = await fetch_rows(
                 session=self.session,
                 address=address,
                 after=after,
-                wait=self.peer_wait,
+                wait=wait,
                 services_only=self.services_only,
             )
             if not isinstance(answer, StoreSilent):
--- a/src/ragwortcourse/platform/row_cache.py
+++ b/src/ragwortcourse/platform/row_cache.py
@@ -24,12 +24,14 @@
     """The newest rows, dropped ones included, and how fresh they are.
 
     ``revision`` is none until the table was read; ``confirmed_at`` is the
-    boot clock at which the rows were the newest for sure.
+    boot clock at which the rows were the newest for sure; ``is_cut_off`` is
+    true while neither the store nor those that are asked first answer.
     """
 
     def __init__(self) -> None:
         self.revision: int | None = None
         self.confirmed_at: float = 0
+        self.is_cut_off = False
         self._oldest = 0
         self._rows: dict[str, CachedRow] = {}
         self._changed = asyncio.Event()
@@ -53,8 +55,13 @@
         self.revision = max(self.revision or 0, answer.revision)
         self.confirmed_at = max(self.confirmed_at, sent_at - answer.age)
         if answer.rows:
-            self._changed.set()
-            self._changed = asyncio.Event()
+            self._wake()
+
+    def note_cut_off(self, *, is_cut_off: bool) -> None:
+        """Note whether the rows can be confirmed; who waits for them hears."""
+        self.is_cut_off = is_cut_off
+        if is_cut_off:
+            self._wake()
 
     def list_after(self, revision: int) -> StoreRows | HistoryGone:
         """Rows that changed after a revision, dropped ones included."""
@@ -75,13 +82,20 @@
         )
 
     async def await_change(self, seconds: float) -> None:
-        """Return once a row has changed, or the time is up."""
+        """Return once a row has changed, or the time is up.
+
+        It returns early where the rows can't be confirmed any more.
+        """
         try:
             async with asyncio.timeout(seconds):
                 await self._changed.wait()
         except TimeoutError:
             return
 
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _describe(self, found: list[CachedRow]) -> StoreRows:
         now = read_boot_clock()
         return StoreRows(
--- a/src/ragwortcourse/platform/row_relay.py
+++ b/src/ragwortcourse/platform/row_relay.py
@@ -71,10 +71,9 @@
 
     async def send_rows(request: web.Request) -> web.Response:
         arrived_at = read_boot_clock()
+        _check_fresh(cache)
         answer = await _find_rows(cache, request.query)
-        age = read_boot_clock() - cache.confirmed_at
-        if cache.revision is None or age > LONGEST_AGE_SECONDS:
-            raise web.HTTPServiceUnavailable
+        _check_fresh(cache)
         if isinstance(answer, HistoryGone):
             raise web.HTTPGone
         message = RelayedRows(
@@ -90,6 +89,22 @@
     return [web.get(PATH, send_rows)]
 
 
+def _check_fresh(cache: RowCache) -> None:
+    """Send those away that do better elsewhere.
+
+    :raises HTTPServiceUnavailable: the rows can't be told to be the newest.
+    """
+    if cache.revision is None or cache.is_cut_off:
+        raise web.HTTPServiceUnavailable
+    if _read_freshness(cache) < 0:
+        raise web.HTTPServiceUnavailable
+
+
+def _read_freshness(cache: RowCache) -> float:
+    """Seconds for which the rows are still fresh."""
+    return cache.confirmed_at + LONGEST_AGE_SECONDS - read_boot_clock()
+
+
 async def _find_rows(
     cache: RowCache, query: Mapping[str, str]
 ) -> StoreRows | HistoryGone:
@@ -98,7 +113,8 @@
     after = int(query[AFTER])
     answer = cache.list_after(after)
     if isinstance(answer, StoreRows) and not answer.rows:
-        await cache.await_change(float(query[WAIT]))
+        wait = min(float(query[WAIT]), _read_freshness(cache))
+        await cache.await_change(wait)
         answer = cache.list_after(after)
     return answer
 
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -180,6 +180,9 @@
         list_readers=relays.build_readers(
             own=settings.daemon, domain=settings.failure_domain
         ),
+        list_helpers=relays.build_helpers(
+            own=settings.daemon, domain=settings.failure_domain
+        ),
         peer_wait=OPERATORS_PEER_SECONDS,
     )
     return ForwarderDaemon(
--- /dev/null
+++ b/tests/test_relayed_store.py
@@ -0,0 +1,194 @@
+"""Tests of whom the daemons of a failure domain ask for rows."""
+
+import asyncio
+import contextlib
+import random
+
+import msgspec
+import pytest
+from aiohttp import ClientSession, web
+from aiohttp.test_utils import TestServer, unused_port
+
+from fakes.fleet_parts import FLEET, NEAR, REGIONS
+from fakes.fleet_store import FleetStore
+from ragwortcourse.forwarding.fleet_state import FleetState, read_boot_clock
+from ragwortcourse.membership.relay import RelayRecord
+from ragwortcourse.membership.rendezvous import score_pair
+from ragwortcourse.platform import names
+from ragwortcourse.platform.feed import TableFeed
+from ragwortcourse.platform.operator_rows import build_operator_reader
+from ragwortcourse.platform.relay_rows import TABLE, RelayList
+from ragwortcourse.platform.relayed_store import RelayedStore
+from ragwortcourse.platform.row_relay import (
+    LONGEST_AGE_SECONDS,
+    build_row_routes,
+)
+from ragwortcourse.platform.store import Store
+
+DAEMONS = 8
+FEED_SECONDS = 0.7
+PEER_SECONDS = 0.5
+STATE = {'version': 7, 'routes': [], 'services': [], 'tenants': []}
+
+
+class SlowStore(FleetStore):
+    """A store whose answers about a whole table take a while.
+
+    :ivar reads: tables that were read whole.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reads: list[str] = []
+
+    async def _get(self, request):
+        self.reads.append(request.query['table'])
+        if request.query['table'] == names.OPERATORS_TABLE:
+            await asyncio.sleep(0.3)
+        return await super()._get(request)
+
+
+class Herd:
+    """Daemons of a failure domain that were all registered before.
+
+    :ivar cut_off: numbers of daemons that the store turns away.
+    """
+
+    def __init__(self) -> None:
+        self.fake = SlowStore()
+        self.states = [FleetState() for _ in range(DAEMONS)]
+        self.cut_off: set[int] = set()
+        self.stack = contextlib.AsyncExitStack()
+
+    async def start(self) -> None:
+        """Start the store, then all daemons together."""
+        self.session = await self.stack.enter_async_context(ClientSession())
+        self.fake.put(names.OPERATORS_TABLE, names.DESIRED_KEY, STATE)
+        ports = [unused_port() for _ in range(DAEMONS)]
+        for number, port in enumerate(ports):
+            record = RelayRecord(
+                daemon=f'd-{number}',
+                address=f'127.0.0.1:{port}',
+                failure_domain=NEAR,
+                region=REGIONS[NEAR],
+            )
+            content = msgspec.json.encode(record)
+            self.fake.put(TABLE, record.daemon, content)
+        for number, port in enumerate(ports):
+            await self._start_daemon(number, port)
+
+    async def _start_daemon(self, number: int, port: int) -> None:
+        store = Store(
+            session=self.session, address=await self._open_store(number)
+        )
+        relays = RelayList(store=store)
+        await relays.read()
+        own = f'd-{number}'
+        source = RelayedStore(
+            store=store,
+            session=self.session,
+            list_readers=relays.build_readers(own=own, domain=NEAR),
+            list_helpers=relays.build_helpers(own=own, domain=NEAR),
+            peer_wait=PEER_SECONDS,
+        )
+        app = web.Application()
+        app.add_routes(build_row_routes(source.cache))
+        await self._serve(TestServer(app, port=port))
+        feed = TableFeed(
+            store=source,
+            table=names.OPERATORS_TABLE,
+            wait=FEED_SECONDS,
+            reader=build_operator_reader(self.states[number], FLEET),
+            rng=random.Random(number),
+        )
+        task = asyncio.ensure_future(feed.follow())
+        self.stack.callback(task.cancel)
+
+    async def _open_store(self, number: int) -> str:
+        """The store as one daemon reaches it."""
+
+        @web.middleware
+        async def turn_away(request, handler):
+            if number in self.cut_off:
+                raise web.HTTPServiceUnavailable
+            answer = await handler(request)
+            if number in self.cut_off:
+                raise web.HTTPServiceUnavailable
+            return answer
+
+        app = self.fake.build_app()
+        app.middlewares.append(turn_away)
+        server = await self._serve(TestServer(app))
+        return f'127.0.0.1:{server.port}'
+
+    async def _serve(self, server: TestServer) -> TestServer:
+        await server.start_server()
+        self.stack.push_async_callback(server.close)
+        return server
+
+    async def wait_at(self, version: int) -> None:
+        """Return once every daemon has a version in force."""
+        async with asyncio.timeout(5):
+            while not all(
+                state.desired is not None and state.desired.version == version
+                for state in self.states
+            ):
+                await asyncio.sleep(0.02)
+
+    def rank(self) -> list[int]:
+        """Numbers of the daemons; who asks the store comes first."""
+        return sorted(
+            range(DAEMONS), key=lambda number: score_pair(NEAR, f'd-{number}')
+        )
+
+    async def watch_age(self, seconds: float) -> float:
+        """The oldest that any daemon's rows get in some time."""
+        oldest = 0.0
+        async with asyncio.timeout(seconds + 1):
+            until = read_boot_clock() + seconds
+            while read_boot_clock() < until:
+                ages = [state.read_age() for state in self.states]
+                oldest = max(oldest, *ages)
+                await asyncio.sleep(0.02)
+        return oldest
+
+
+@pytest.fixture
+async def herd():
+    """Daemons that start together."""
+    opened = Herd()
+    async with opened.stack:
+        yield opened
+
+
+class TestTurnedAway:
+    """The store turns some daemons away and serves the others."""
+
+    async def test_one_that_reads_the_store(self, herd):
+        """It goes on with what the others read, and nobody's rows grow old.
+
+        Incident: the one daemon of a failure domain that read the store was
+        turned away for nine seconds and refused its callers meanwhile.
+        """
+        await herd.start()
+        await herd.wait_at(7)
+        herd.cut_off = set(herd.rank()[:1])
+        assert await herd.watch_age(4) < LONGEST_AGE_SECONDS
+        herd.fake.put(
+            names.OPERATORS_TABLE, names.DESIRED_KEY, {**STATE, 'version': 8}
+        )
+        await herd.wait_at(8)
+
+    async def test_several(self, herd):
+        """Nor where those that are asked first are turned away together."""
+        await herd.start()
+        await herd.wait_at(7)
+        herd.cut_off = set(herd.rank()[:3])
+        assert await herd.watch_age(4) < LONGEST_AGE_SECONDS
+
+    async def test_all(self, herd):
+        """Where all are, nobody keeps another one's rows alive."""
+        await herd.start()
+        await herd.wait_at(7)
+        herd.cut_off = set(range(DAEMONS))
+        assert await herd.watch_age(4) > 3
