Ask daemons near by also at a start

Cause: a daemon that starts does not know whom it may ask, and who is asked has nothing yet and says so at once. So all 75 daemons read the whole desired state from the store, 0.6 MB each with 1,700 routes, 50 of them over two lines of 16 Mbit/s: 15 s, reckoned without anything else on them.

Eight daemons against a stand-in of the store: eight readings of the operators' table, now one.

Ruled out: rows of daemons that are lost with them: the store keeps them.

Why it works: the registered daemons, a small table, are read before the first question; a daemon that was asked before its own first reading lets the other wait for it, for 1.2 s at the most; then the second one is asked, then the store, as before.

--- a/src/ragwortcourse/platform/relay_rows.py
+++ b/src/ragwortcourse/platform/relay_rows.py
@@ -33,6 +33,7 @@
     def __init__(self, *, store: Store) -> None:
         self._store = store
         self._records: tuple[RelayRecord, ...] = ()
+        self._is_read = False
 
     async def follow(self) -> None:
         """Read them again and again, for ever."""
@@ -47,6 +48,7 @@
             return False
         records = (_decode(row.content) for row in answer.rows)
         self._records = tuple(each for each in records if each is not None)
+        self._is_read = True
         return True
 
     async def list(self) -> Sequence[RelayRecord]:
@@ -56,11 +58,16 @@
     def build_readers(
         self, *, own: DaemonId, domain: FailureDomainName
     ) -> ListReaders:
-        """Lists the addresses of daemons to be asked before the store."""
+        """Lists the addresses of daemons to be asked before the store.
+
+        They are read where they have not been yet: many daemons that start
+        together would all read the store.
+        """
 
         async def list_addresses() -> Sequence[str]:
-            relays = await self.list()
-            readers = list_readers(relays=relays, own=own, domain=domain)
+            if not self._is_read:
+                await self.read()
+            readers = list_readers(relays=self._records, own=own, domain=domain)
             return [reader.address for reader in readers]
 
         return list_addresses
--- a/src/ragwortcourse/platform/row_relay.py
+++ b/src/ragwortcourse/platform/row_relay.py
@@ -33,6 +33,8 @@
 LONGEST_AGE_SECONDS: Final = 2.0
 # Beyond the asked wait: a busy daemon of the same failure domain.
 SILENT_SECONDS: Final = 0.4
+# For the first reading of a daemon that starts with those that ask it.
+FIRST_READING_SECONDS: Final = 1.2
 # Beyond the asked wait: a long answer that goes on arriving.
 CALL_SECONDS: Final = 1.5
 # Level of zlib: routes resemble each other, and most is had at once.
@@ -71,6 +73,8 @@
 
     async def send_rows(request: web.Request) -> web.Response:
         arrived_at = read_boot_clock()
+        if cache.revision is None:
+            await cache.await_change(float(request.query.get(WAIT, 0)))
         _check_fresh(cache)
         answer = await _find_rows(cache, request.query)
         _check_fresh(cache)
@@ -130,21 +134,22 @@
     """Rows that another daemon has.
 
     :param after: revision after which changes are wanted; none: all rows.
-    :param wait: seconds after which the answer is empty.
+    :param wait: seconds after which an answer about changes is empty.
     :param services_only: leave out of desired states what a daemon that
         serves no callers does not need.
     """
     query = {PACKED: '1'}
     if services_only:
         query[PART] = SERVICES
-    waiting: float = 0
-    if after is not None:
-        query |= {AFTER: str(after), WAIT: str(wait)}
-        waiting = wait
+    if after is None:
+        wait = FIRST_READING_SECONDS
+    else:
+        query[AFTER] = str(after)
+    query[WAIT] = str(wait)
     limits = ClientTimeout(
-        total=waiting + CALL_SECONDS,
+        total=wait + CALL_SECONDS,
         sock_connect=SILENT_SECONDS,
-        sock_read=waiting + SILENT_SECONDS,
+        sock_read=wait + SILENT_SECONDS,
     )
     try:
         async with session.get(
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -82,7 +82,6 @@
             session=self.session, address=await self._open_store(number)
         )
         relays = RelayList(store=store)
-        await relays.read()
         own = f'd-{number}'
         source = RelayedStore(
             store=store,
@@ -161,6 +160,20 @@
         yield opened
 
 
+class TestHerd:
+    """All daemons lose power and start again."""
+
+    async def test_one_reads_the_store(self, herd):
+        """One daemon reads the desired state, the others ask it.
+
+        Incident: after a loss of power each daemon read a desired state of
+        thousands of routes over the line between regions.
+        """
+        await herd.start()
+        await herd.wait_at(7)
+        assert herd.fake.reads.count(names.OPERATORS_TABLE) == 1
+
+
 class TestTurnedAway:
     """The store turns some daemons away and serves the others."""
 
