Take over what peers tell at the cost of the message

Cause: each datagram of another forwarder went through every target of the fleet, with a look-up and a new object each, also for targets that it did not name, as a missing entry was what cleared the last one.

Why it works: the last word of each daemon is kept once, with sums for each target that are corrected by the difference; words lapse by age, oldest first, when a sum is read. A target that begins anew drops what was told of it before. Loads of targets are now begun when these are listed, not with the next datagram, so that a cold time counts from the entry.

--- a/measure/program.py
+++ b/measure/program.py
@@ -21,6 +21,7 @@
     'pacing',
     'control',
     'spread',
+    'fleet_loads',
 )
 RESULTS: Final = pathlib.Path(__file__).parent / 'results'
 
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -9,13 +9,14 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.entry.return_turns import ReturnTurns
 from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.forwarding.peer_counts import Counts, PeerCounts
 from ragwortcourse.forwarding.retry_share import RetryShare
 from ragwortcourse.forwarding.store_watch import StoreWatch
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_load import TargetLoad
 from ragwortcourse.forwarding.usual_time import UsualTimes
 from ragwortcourse.forwarding.wire_format import WireFormat
-from ragwortcourse.identifiers import TargetName
+from ragwortcourse.identifiers import DaemonId, TargetName
 from ragwortcourse.settings import FleetSettings, Settings
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -49,6 +50,7 @@
         self.retries = RetryShare(fleet=self.fleet)
         self.usual_times = UsualTimes()
         self.store_watch = StoreWatch(state=state)
+        self._peers = PeerCounts()
         self.running = 0
         self.closing = False
         self._loads: dict[TargetName, TargetLoad] = {}
@@ -58,12 +60,20 @@
         load = self._loads.get(target.name)
         if load is None or load.born != target.born:
             self._forget_gone()
-            load = TargetLoad(born=target.born)
+            if load is not None:
+                self._peers.forget(target.name)
+            load = TargetLoad(
+                name=target.name, born=target.born, peers=self._peers
+            )
             load.cold_until = read_clock() + target.cold_seconds
             load.closed_until = read_clock()
             self._loads[target.name] = load
         return load
 
+    def note_counts(self, daemon: DaemonId, counts: Counts) -> None:
+        """Take another daemon's word for its requests."""
+        self._peers.note(daemon, counts, read_clock())
+
     def count_running(self) -> dict[TargetName, tuple[int, int]]:
         """Own requests at each target: under way, and not answered yet."""
         return {
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -14,8 +14,6 @@
 from ragwortcourse.forwarding.fleet_updates import note_naming
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.named_weights import NamedWeights
-from ragwortcourse.forwarding.peer_counts import PeerCount
-from ragwortcourse.forwarding.target import Target
 from ragwortcourse.identifiers import DaemonId, ModelName, TargetName
 from ragwortcourse.membership.relay import RelayRecord
 
@@ -98,20 +96,12 @@
             lost=message.store_lost,
             stable_for=message.stable_for,
         )
-        for target in self._forwarder.state.targets.values():
-            self._take_count(message, target)
+        self._forwarder.note_counts(message.daemon, message.counts)
         for model, versions in message.named.items():
             for version, age in versions:
                 told = NamedWeights(version=version, seen_at=read_clock() - age)
                 note_naming(self._forwarder.state, model, told)
 
-    def _take_count(self, message: LoadMessage, target: Target) -> None:
-        running, starting = message.counts.get(target.name, (0, 0))
-        count = PeerCount(
-            running=running, starting=starting, told_at=read_clock()
-        )
-        self._forwarder.find_load(target).peers.note(message.daemon, count)
-
     def _take_switch(self, message: SwitchMessage) -> None:
         for target in self._forwarder.state.targets.values():
             if target.address == message.address:
--- a/src/ragwortcourse/forwarding/target_list.py
+++ b/src/ragwortcourse/forwarding/target_list.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import logging
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import Final
 
 from ragwortcourse.clock import read_clock
@@ -27,10 +27,18 @@
     An entry that is missing right after an outage of the store may only
     have lapsed: its target stays until it would have been back. One that
     was leaving goes at once.
+
+    :param welcome: is told of each new incarnation.
     """
 
-    def __init__(self, *, state: FleetState) -> None:
+    def __init__(
+        self,
+        *,
+        state: FleetState,
+        welcome: Callable[[Target], object] | None = None,
+    ) -> None:
         self._state = state
+        self._welcome = welcome
         self._regained_at: float | None = None
         self._reads_backlog = False
         self._missing: dict[TargetName, asyncio.TimerHandle] = {}
@@ -40,6 +48,9 @@
         known = self._state.targets.get(target.name)
         self._stop_waiting(target.name)
         self._state.targets[target.name] = target
+        is_new = known is None or known.born != target.born
+        if is_new and self._welcome is not None:
+            self._welcome(target)
         if known is None or _differs(known, target):
             LOGGER.info(
                 'target listed',
--- a/src/ragwortcourse/forwarding/target_load.py
+++ b/src/ragwortcourse/forwarding/target_load.py
@@ -6,6 +6,7 @@
 from ragwortcourse.forwarding.peer_counts import PeerCounts
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.trouble import Trouble
+from ragwortcourse.identifiers import TargetName
 
 # Reports lose weight until they say nothing any more.
 REPORT_SECONDS: Final = 3.0
@@ -25,9 +26,12 @@
     answers, none while there were none.
 
     :param born: incarnation that this is about.
+    :param peers: requests of other daemons at all targets.
     """
 
-    def __init__(self, *, born: int) -> None:
+    def __init__(
+        self, *, name: TargetName, born: int, peers: PeerCounts
+    ) -> None:
         self.born = born
         self.own = 0
         self.starting = 0
@@ -35,8 +39,9 @@
         self.cold_until: float = 0
         self.latency: float | None = None
         self.version = 0
-        self.peers = PeerCounts()
         self.trouble = Trouble()
+        self._name = name
+        self._peers = peers
         self._others: float = 0
         self._reported_at: float = 0
         self._sign_at: float = 0
@@ -84,12 +89,12 @@
         """Requests believed to be there, those of other daemons included."""
         age = now - self._reported_at
         weight = max(1 - age / REPORT_SECONDS, 0) * REPORT_SHARE
-        told = self.peers.count_running(now)
+        told = self._peers.count_running(self._name, now)
         return self.own + max(told, self._others * weight)
 
     def estimate_starting(self, now: float) -> int:
         """Requests whose prompts are believed to be still unread."""
-        return self.starting + self.peers.count_starting(now)
+        return self.starting + self._peers.count_starting(self._name, now)
 
     def read_silence(self, now: float) -> float:
         """Seconds without a sign while requests are under way."""
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -203,7 +203,8 @@
                 wait=TARGETS_FEED_SECONDS,
                 pause=TARGETS_PAUSE_SECONDS,
                 reader=build_target_reader(
-                    TargetList(state=state), fleet.failure_domains
+                    TargetList(state=state, welcome=forwarder.find_load),
+                    fleet.failure_domains,
                 ),
                 rng=rng,
             ),
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -1,6 +1,7 @@
 """Tests of :mod:`ragwortcourse.forwarding.load_exchange`."""
 
 import asyncio
+import dataclasses
 
 import msgspec
 import pytest
@@ -26,6 +27,16 @@
 TARGET = make_target(address='10.0.0.1:80')
 
 
+class UnreadTargets(dict):
+    """Targets of a fleet too large to be gone through."""
+
+    def values(self):
+        """Fail."""
+        raise AssertionError('all targets were gone through')
+
+    __iter__ = items = keys = values
+
+
 def make_receiver():
     """A daemon that hears others."""
     forwarder = make_forwarder(make_state(TARGET), None)
@@ -54,6 +65,25 @@
         send(receiver, LoadMessage(daemon='e2', counts={}))
         assert load.estimate(now) == 1
 
+    async def test_cost_of_a_word(self):
+        """A word costs what it holds, not what the fleet has of targets."""
+        forwarder, receiver = make_receiver()
+        now = asyncio.get_running_loop().time()
+        load = forwarder.find_load(TARGET)
+        forwarder.state.targets = UnreadTargets(forwarder.state.targets)
+        send(receiver, LoadMessage(daemon='e2', counts={'t-1': (5, 2)}))
+        send(receiver, LoadMessage(daemon='e2', counts={'t-1': (4, 2)}))
+        assert load.estimate(now) == 4
+
+    async def test_reborn_target(self):
+        """What others told of an earlier incarnation ends with it."""
+        forwarder, receiver = make_receiver()
+        now = asyncio.get_running_loop().time()
+        forwarder.find_load(TARGET)
+        send(receiver, LoadMessage(daemon='e2', counts={'t-1': (5, 2)}))
+        reborn = dataclasses.replace(TARGET, born=2)
+        assert forwarder.find_load(reborn).estimate(now) == 0
+
     async def test_dead_daemon(self):
         """Requests of a daemon that is no longer heard end with it."""
         forwarder, receiver = make_receiver()
--- a/tests/test_target_list.py
+++ b/tests/test_target_list.py
@@ -33,6 +33,16 @@
 class TestTargetList:
     """What becomes of entries."""
 
+    async def test_welcome(self, state):
+        """Each incarnation is told of once, as soon as it is listed."""
+        told = []
+        known = TargetList(state=state, welcome=told.append)
+        first = make_target(cold_seconds=5)
+        reborn = dataclasses.replace(first, born=2)
+        for target in (first, dataclasses.replace(first, slots=3), reborn):
+            known.note_target(target)
+        assert told == [first, reborn]
+
     async def test_gone(self, targets, state):
         """A target whose entry ends is gone at once."""
         targets.note_missing(NAME)
