Draw the targets of a choice one by one

Callers saw: nothing directly; a request cost a forwarder of a larger fleet more than its whole way through the rest of the choice, and requests that are late look again every 0.04 to 0.08 s.

Cause: each choice checked every target for use, looked up each load up to five times and described every usable one, to draw three of them.

Ruled out: a cheaper description of all; the check alone is one call a target. The chances stay: three of the targets that would have been described, each as likely as any other, avoided ones only where there are no others (test_choice.py).

Why it works: targets are drawn in an order of chance until three are usable and not avoided; all are looked at only where fewer are. Loads of targets that are gone are looked for only where there are as many loads as targets: the listing of many targets had a step over all of them each.

Tests: test_choice.py::test_cost failed before (seen); the other tests of that file hold before and after.

--- a/measure/fleet_loads.py
+++ b/measure/fleet_loads.py
@@ -96,6 +96,8 @@
             choose_target(forwarder, work, ENGINES, ())
 
         time_each(len(words), receive)
+        for target in forwarder.state.targets.values():
+            forwarder.find_load(target)
         return {
             'measure': 'fleet_loads',
             'daemons': daemons,
--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -1,5 +1,6 @@
 """The target of one try, or why there is none."""
 
+import functools
 from collections.abc import Collection, Iterator
 from typing import Final
 
@@ -14,10 +15,12 @@
 from ragwortcourse.forwarding.engine_rules import EngineRules
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.placement import (
+    LOOKED_AT,
     Candidate,
     Distance,
     choose_candidate,
 )
+from ragwortcourse.forwarding.random_targets import draw_targets
 from ragwortcourse.forwarding.reply import Reason, Refusal
 from ragwortcourse.forwarding.service_rules import ServiceRules
 from ragwortcourse.forwarding.target import Target
@@ -55,17 +58,21 @@
     rules = None if desired is None else desired.services.get(service)
     rules = rules or ServiceRules(name=service)
     version = read_required_version(forwarder, rules.engine)
-    usable = [
-        target
-        for target in forwarder.state.targets.values()
-        if target.service == service
-        and target.name not in tried
-        and _is_usable(forwarder, work, target, rules)
-        and forwarder.find_load(target).read_version(target) >= (version or 0)
-    ]
-    ready = [each for each in usable if not _is_avoided(forwarder, each)]
     newest = _read_newest(forwarder, rules.engine) if tried else 0
-    candidates = list(_describe(forwarder, ready or usable, newest))
+    drawn = draw_targets(
+        forwarder.state.targets.values(),
+        count=LOOKED_AT,
+        rng=forwarder.rng,
+        is_usable=lambda target: (
+            target.service == service
+            and target.name not in tried
+            and _is_usable(forwarder, work, target, rules)
+            and forwarder.find_load(target).read_version(target)
+            >= (version or 0)
+        ),
+        is_avoided=functools.partial(_is_avoided, forwarder),
+    )
+    candidates = list(_describe(forwarder, drawn, newest))
     chosen = choose_candidate(candidates, forwarder.rng)
     if chosen is None:
         return _refuse_all(forwarder, service, version)
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -59,7 +59,8 @@
         """Load of a target; another incarnation begins anew."""
         load = self._loads.get(target.name)
         if load is None or load.born != target.born:
-            self._forget_gone()
+            if len(self._loads) >= len(self.state.targets):
+                self._forget_gone()
             if load is not None:
                 self._peers.forget(target.name)
             load = TargetLoad(
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,88 @@
+"""Tests of :mod:`ragwortcourse.forwarding.choice`."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from fakes.fleet_parts import (
+    ENGINES,
+    make_forwarder,
+    make_plain,
+    make_state,
+    make_target,
+    make_work,
+)
+from ragwortcourse.forwarding.choice import choose_target
+from ragwortcourse.forwarding.reply import Reason
+
+pytestmark = pytest.mark.looptime
+# The size to design for.
+TARGETS = 2300
+# Looked up for each of the few targets that are drawn.
+LOOK_UPS = 40
+
+
+def open_engines(count: int, **changes):
+    """A forwarder whose engines have been open for long."""
+    engines = [make_target(f't-{number}', **changes) for number in range(count)]
+    plain = [make_plain(f'p-{number}') for number in range(count)]
+    forwarder = make_forwarder(make_state(*engines, *plain), None)
+    for target in (*engines, *plain):
+        forwarder.find_load(target).closed_until = -10
+    return forwarder
+
+
+def choose(forwarder, tried=()):
+    """One choice for a fresh request."""
+    now = asyncio.get_running_loop().time()
+    return choose_target(forwarder, make_work(arrived_at=now), ENGINES, tried)
+
+
+class TestChooseTarget:
+    """Choice among the listed targets."""
+
+    async def test_cost(self, monkeypatch):
+        """A choice does not look at every target of a large fleet."""
+        forwarder = open_engines(TARGETS)
+        looked_up = []
+        find_load = forwarder.find_load
+
+        def count_look_up(target):
+            looked_up.append(target.name)
+            return find_load(target)
+
+        monkeypatch.setattr(forwarder, 'find_load', count_look_up)
+        assert choose(forwarder).service == ENGINES
+        assert len(looked_up) <= LOOK_UPS
+
+    async def test_all_alike(self):
+        """Each usable target is drawn as often as any other."""
+        forwarder = open_engines(5)
+        counts = Counter(choose(forwarder).name for _ in range(1000))
+        assert len(counts) == 5
+        assert min(counts.values()) > 150
+
+    async def test_avoided(self):
+        """A target that is passed by is taken only where there is no other."""
+        forwarder = open_engines(4)
+        now = asyncio.get_running_loop().time()
+        for name in ('t-0', 't-1', 't-2'):
+            load = forwarder.find_load(forwarder.state.targets[name])
+            load.trouble.note_refusal(now)
+        assert {choose(forwarder).name for _ in range(50)} == {'t-3'}
+        last = forwarder.find_load(forwarder.state.targets['t-3'])
+        last.trouble.note_refusal(now)
+        assert len({choose(forwarder).name for _ in range(100)}) == 4
+
+    async def test_tried(self):
+        """No target is tried twice; without another there is a refusal."""
+        forwarder = open_engines(2)
+        assert choose(forwarder, ['t-0']).name == 't-1'
+        assert choose(forwarder, ['t-0', 't-1']).reason is Reason.NO_TARGET
+
+    async def test_the_only_usable_one_of_many(self):
+        """One usable target is found among many that are not."""
+        forwarder = open_engines(100, leaving=True)
+        forwarder.state.targets['t-here'] = make_target('t-here')
+        assert {choose(forwarder).name for _ in range(20)} == {'t-here'}
