--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -19,8 +19,6 @@
     NamingHistory,
     list_running,
 )
-from ragwortcourse.forwarding.peer_counts import PeerCount
-from ragwortcourse.forwarding.target import Target
 from ragwortcourse.identifiers import DaemonId, ModelName, TargetName
 from ragwortcourse.membership.relay import RelayRecord
 
@@ -125,19 +123,11 @@
             lost=message.store_lost,
             stable_for=message.stable_for,
         )
-        for target in self._forwarder.state.targets.values():
-            self._take_count(message, target)
+        self._forwarder.note_counts(message.daemon, message.counts)
         if message.namings is not None:
             told = _decode_namings(message.namings)
             note_history(self._forwarder.state, told)
 
-    def _take_count(self, message: LoadMessage, target: Target) -> None:
-        running, starting = message.counts.get(target.name, (0, 0))
-        count = PeerCount(
-            running=running, starting=starting, told_at=read_clock()
-        )
-        self._forwarder.find_load(target).peers.note(message.daemon, count)
-
     def _take_switch(self, message: SwitchMessage) -> None:
         for target in self._forwarder.state.targets.values():
             if target.address == message.address:
