--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -180,7 +180,9 @@
     )
     content = msgspec.json.encode(message)
     relays = await list_relays()
-    forwarder.retries.daemons = max(len(relays), 1)
+    if relays:
+        # An empty list was not read yet: the number assumed before stands.
+        forwarder.retries.daemons = len(relays)
     forwarder.store_watch.judge([relay.daemon for relay in relays])
     for relay in relays:
         is_near = relay.failure_domain == settings.failure_domain
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -19,6 +19,8 @@
 from fakes.ports import pick_address
 from ragwortcourse.forwarding.choice import read_required_version
 from ragwortcourse.forwarding.load_exchange import (
+    FAR_ROUNDS,
+    NEAR_SECONDS,
     LoadMessage,
     LoadReceiver,
     Naming,
@@ -155,6 +157,14 @@
             while second.retries.daemons != 2:
                 await asyncio.sleep(0.02)
 
+    async def test_list_not_read_yet(self):
+        """A daemon that knows no others yet does not take every share."""
+        (forwarder, _) = make_pair()
+        assumed = forwarder.retries.daemons
+        async with run_exchange(forwarder, listed=()):
+            await asyncio.sleep(NEAR_SECONDS * (FAR_ROUNDS + 1))
+        assert forwarder.retries.daemons == assumed > 1
+
     async def test_version_named_before_a_restart(self):
         """A daemon that starts after two namings knows when both expire."""
         ran, restarted = make_pair()
@@ -203,8 +213,11 @@
 
 
 @contextlib.asynccontextmanager
-async def run_exchange(*forwarders):
-    """Daemons that tell each other, for ten seconds at the most."""
+async def run_exchange(*forwarders, listed=None):
+    """Daemons that tell each other, for ten seconds at the most.
+
+    :param listed: what they know of each other; none: all of them.
+    """
     relays = [
         RelayRecord(
             daemon=forwarder.settings.daemon,
@@ -216,7 +229,7 @@
     ]
 
     async def list_relays():
-        return relays
+        return relays if listed is None else listed
 
     tasks = [
         asyncio.ensure_future(
