Take a target for cold again when its entry says so

The time for which a target stays cold was read when its incarnation was first listed; an entry of the same incarnation that turns cold again changed nothing, so that it got its full share of requests. Each changed entry is taken over now.

test_cold_again is new with the change (it calls what was not there).

--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -71,6 +71,13 @@
             self._loads[target.name] = load
         return load
 
+    def note_listed(self, target: Target) -> None:
+        """Take over what a target's entry says of its warm-up."""
+        load = self.find_load(target)
+        cold_until = read_clock() + target.cold_seconds
+        # A target may turn cold again at any time.
+        load.cold_until = max(load.cold_until, cold_until)
+
     def note_counts(self, daemon: DaemonId, counts: Counts) -> None:
         """Take another daemon's word for its requests."""
         self._peers.note(daemon, counts, read_clock())
--- a/src/ragwortcourse/forwarding/target_list.py
+++ b/src/ragwortcourse/forwarding/target_list.py
@@ -28,17 +28,17 @@
     have lapsed: its target stays until it would have been back. One that
     was leaving goes at once.
 
-    :param welcome: is told of each new incarnation.
+    :param notify: is told of each entry that is new or has changed.
     """
 
     def __init__(
         self,
         *,
         state: FleetState,
-        welcome: Callable[[Target], object] | None = None,
+        notify: Callable[[Target], None] | None = None,
     ) -> None:
         self._state = state
-        self._welcome = welcome
+        self._notify = notify
         self._regained_at: float | None = None
         self._reads_backlog = False
         self._missing: dict[TargetName, asyncio.TimerHandle] = {}
@@ -48,9 +48,8 @@
         known = self._state.targets.get(target.name)
         self._stop_waiting(target.name)
         self._state.targets[target.name] = target
-        is_new = known is None or known.born != target.born
-        if is_new and self._welcome is not None:
-            self._welcome(target)
+        if self._notify is not None and known != target:
+            self._notify(target)
         if known is None or _differs(known, target):
             LOGGER.info(
                 'target listed',
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -505,6 +505,16 @@
         statuses = [(await fleet.ask(LETTER)).status for _ in range(8)]
         assert statuses.count(200) == 36 // fleet.forwarder.retries.daemons
 
+    async def test_cold_again(self, fleet):
+        """A target that turns cold again gets this daemon's share only."""
+        await fleet.open([stream_all])
+        (target,) = fleet.state.targets.values()
+        fleet.forwarder.note_listed(target)
+        cold = dataclasses.replace(target, cold_seconds=60)
+        fleet.forwarder.note_listed(cold)
+        statuses = [(await fleet.ask(LETTER)).status for _ in range(8)]
+        assert statuses.count(200) == 36 // fleet.forwarder.retries.daemons
+
     async def test_reborn_target(self, fleet):
         """A target that started again is known by nothing of before."""
         await fleet.open([stream_all])
--- a/tests/test_target_list.py
+++ b/tests/test_target_list.py
@@ -33,15 +33,16 @@
 class TestTargetList:
     """What becomes of entries."""
 
-    async def test_welcome(self, state):
-        """Each incarnation is told of once, as soon as it is listed."""
+    async def test_notify(self, state):
+        """Each new or changed entry is told of, once."""
         told = []
-        known = TargetList(state=state, welcome=told.append)
+        known = TargetList(state=state, notify=told.append)
         first = make_target(cold_seconds=5)
+        changed = dataclasses.replace(first, slots=3)
         reborn = dataclasses.replace(first, born=2)
-        for target in (first, dataclasses.replace(first, slots=3), reborn):
+        for target in (first, first, changed, reborn, reborn):
             known.note_target(target)
-        assert told == [first, reborn]
+        assert told == [first, changed, reborn]
 
     async def test_gone(self, targets, state):
         """A target whose entry ends is gone at once."""
