Probe connections to the store while calls wait

A call of the targets' feed waits up to 4 s and is given up after 5.5 s. A connection that is lost without a reset in that time hides a target that begins to leave for longer than the fleet allows (2 s, from 3 s after the disturbance on). Keep-alive probes end it after two seconds, at no cost in calls of the store.

--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -26,6 +26,7 @@
 from ragwortcourse.platform.relayed_store import RelayedStore
 from ragwortcourse.platform.row_relay import build_row_routes
 from ragwortcourse.platform.store import Store
+from ragwortcourse.platform.store_session import open_store_session
 from ragwortcourse.platform.target_reader import build_target_reader
 from ragwortcourse.platform.weight_source import build_drawing
 from ragwortcourse.platform.wire import build_wire_format
@@ -165,7 +166,8 @@
     state = FleetState()
     session = ClientSession()
     target_session = open_target_session()
-    store = Store(session=session, address=fleet.store)
+    store_session = open_store_session()
+    store = Store(session=store_session, address=fleet.store)
     relays = RelayList(store=store)
     forwarder = Forwarder(
         settings=settings,
@@ -206,13 +208,13 @@
                 wait=TARGETS_FEED_SECONDS,
                 pause=TARGETS_PAUSE_SECONDS,
                 reader=build_target_reader(
-                    TargetList(state=state, welcome=forwarder.find_load),
+                    TargetList(state=state, notify=forwarder.note_listed),
                     fleet.failure_domains,
                 ),
                 rng=rng,
             ),
         ),
-        sessions=(session, target_session),
+        sessions=(session, store_session, target_session),
     )
 
 
--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -17,6 +17,7 @@
 from ragwortcourse.platform.relay_rows import RelayList
 from ragwortcourse.platform.relayed_store import RelayedStore
 from ragwortcourse.platform.store import Store
+from ragwortcourse.platform.store_session import open_store_session
 from ragwortcourse.platform.target_reader import read_service
 from ragwortcourse.platform.weight_source import build_drawing
 from ragwortcourse.processes.tasks import BackgroundTasks
@@ -45,7 +46,7 @@
     loading: Loading
     feed: TableFeed
     relays: RelayList
-    session: ClientSession
+    sessions: tuple[ClientSession, ...]
 
     @property
     def last_connections_seconds(self) -> float:
@@ -79,7 +80,8 @@
 
     async def stop(self) -> None:
         """End what runs beside the endless tasks."""
-        await self.session.close()
+        for session in self.sessions:
+            await session.close()
 
 
 def build_loader_daemon(*, settings: Settings) -> LoaderDaemon:
@@ -92,7 +94,8 @@
         raise ValueError(f'{settings.daemon}: settings without [loader]')
     loader = settings.loader
     session = ClientSession()
-    store = Store(session=session, address=fleet.store)
+    store_session = open_store_session()
+    store = Store(session=store_session, address=fleet.store)
     state = FleetState()
     relays = RelayList(store=store)
     sources = LoaderSources(
@@ -128,5 +131,5 @@
             rng=random.Random(),  # noqa: S311  # spreads load, guards nothing
         ),
         relays=relays,
-        session=session,
+        sessions=(session, store_session),
     )
