--- a/tests/test_store_session.py
+++ b/tests/test_store_session.py
@@ -14,7 +14,6 @@
 
     async def test_silence_is_noticed(self):
         """A silent connection ends before the daemon is held to bounds."""
-
         server = await asyncio.start_server(
             lambda reader, writer: None, '127.0.0.1', 0
         )
