Count bounds on versions through suspension of the host

When a version was named, and when the store was last away, were kept in monotonic time, which stands still while a host is suspended: a daemon that was frozen for 5 s let older weights live 5 s longer than the fleet allows, two seconds of them after it is held to the bounds again. Messages that waited in its socket meanwhile told ages that lack the same time.

Both are kept in elapsed time now, suspension included, and what is read right after a standstill tells loads, but no ages.

--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -4,7 +4,7 @@
 from collections.abc import Collection, Iterator
 from typing import Final
 
-from ragwortcourse.clock import read_clock
+from ragwortcourse.clock import read_clock, read_elapsed
 from ragwortcourse.forwarding.admission import (
     Demand,
     Place,
@@ -105,7 +105,7 @@
     forwarder: Forwarder, engine: EngineRules | None
 ) -> int | None:
     """Weights that a request must begin on, once the older ones expired."""
-    now = read_clock()
+    now = read_elapsed()
     due = (
         version
         for version, bound in _list_bounds(forwarder, engine)
@@ -131,7 +131,7 @@
     first = min(bounds, default=None)
     if first is None:
         return None
-    return max(first - START_MARGIN_SECONDS - read_clock(), 0)
+    return max(first - START_MARGIN_SECONDS - read_elapsed(), 0)
 
 
 def _list_bounds(
--- a/src/ragwortcourse/forwarding/fleet_state.py
+++ b/src/ragwortcourse/forwarding/fleet_state.py
@@ -23,11 +23,11 @@
     :param confirmed_at: boot clock at which the store was last asked and
         then said that there is nothing newer.
     :param weights: versions named for each model, the newest last.
-    :param named_since: monotonic seconds from which on no version is missing
+    :param named_since: elapsed seconds from which on no version is missing
         in ``weights``; infinite until the operators' rows were read.
     :param store_lost: true while calls to the store fail one after the
         other.
-    :param unstable_at: monotonic seconds at which the store was last away
+    :param unstable_at: elapsed seconds at which the store was last away
         for most daemons; bounds on versions count anew from then.
     :param targets_known: true once the list of targets was read.
     """
--- a/src/ragwortcourse/forwarding/fleet_updates.py
+++ b/src/ragwortcourse/forwarding/fleet_updates.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
-from ragwortcourse.clock import read_clock
+from ragwortcourse.clock import read_elapsed
 from ragwortcourse.forwarding.desired_state import DesiredState
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.named_weights import (
@@ -75,7 +75,7 @@
         extra={
             'model': model,
             'version': named.version,
-            'seconds_ago': read_clock() - named.seen_at,
+            'seconds_ago': read_elapsed() - named.seen_at,
             'observed': named.observed,
         },
     )
@@ -142,7 +142,7 @@
     known: Mapping[int, NamedWeights],
     taken: Sequence[NamedWeights],
 ) -> None:
-    now = read_clock()
+    now = read_elapsed()
     for named in taken:
         before = known.get(named.version)
         LOGGER.info(
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from ragwortcourse.clock import read_clock
+from ragwortcourse.clock import read_clock, read_elapsed
 from ragwortcourse.forwarding.fleet_updates import note_history
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.named_weights import (
@@ -27,6 +27,11 @@
 # Every so many rounds the other failure domains are told too: lines between
 # regions are narrow.
 FAR_ROUNDS: Final = 4
+# Longer without a round than a busy host takes: the daemon, or its host,
+# stood still, and what was sent meanwhile is read now.
+STANDSTILL_SECONDS: Final = 0.5
+# Time in which the messages that waited are read.
+LATE_SECONDS: Final = 0.15
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -101,6 +106,15 @@
 
     def __init__(self, *, forwarder: Forwarder) -> None:
         self._forwarder = forwarder
+        self._awake_at = read_elapsed()
+        self._late_until = -math.inf
+
+    def note_awake(self) -> None:
+        """Note that the daemon runs; messages read after a gap are late."""
+        now = read_elapsed()
+        if now - self._awake_at > STANDSTILL_SECONDS:
+            self._late_until = now + LATE_SECONDS
+        self._awake_at = now
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Take over one message; unreadable ones are logged."""
@@ -118,12 +132,16 @@
             self._take_switch(message)
 
     def _take_load(self, message: LoadMessage) -> None:
+        self._forwarder.note_counts(message.daemon, message.counts)
+        self.note_awake()
+        if self._awake_at < self._late_until:
+            # Ages in it may lack the time for which the daemon stood still.
+            return
         self._forwarder.store_watch.note_peer(
             message.daemon,
             lost=message.store_lost,
             stable_for=message.stable_for,
         )
-        self._forwarder.note_counts(message.daemon, message.counts)
         if message.namings is not None:
             told = _decode_namings(message.namings)
             note_history(self._forwarder.state, told)
@@ -142,8 +160,9 @@
     """Tell the other entry daemons for ever."""
     settings = forwarder.settings
     host, _, port = settings.listen.peers.rpartition(':')
+    receiver = LoadReceiver(forwarder=forwarder)
     transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
-        lambda: LoadReceiver(forwarder=forwarder),
+        lambda: receiver,
         local_addr=(host, int(port)),
     )
     turn = 0
@@ -151,6 +170,7 @@
     try:
         while True:
             turn += 1
+            receiver.note_awake()
             counts = forwarder.count_running()
             if turn % FAR_ROUNDS == 0:
                 await _tell(forwarder, transport, list_relays, is_far=True)
@@ -191,7 +211,7 @@
 
 
 def _encode_namings(forwarder: Forwarder) -> TimedNamings:
-    state, now = forwarder.state, read_clock()
+    state, now = forwarder.state, read_elapsed()
     bound = forwarder.fleet.version_ms / 1000
     age = now - state.named_since
     return TimedNamings(
@@ -211,7 +231,7 @@
 
 
 def _decode_namings(namings: TimedNamings) -> NamingHistory:
-    now = read_clock()
+    now = read_elapsed()
     age = namings.complete_for
     return NamingHistory(
         versions={
--- a/src/ragwortcourse/forwarding/named_weights.py
+++ b/src/ragwortcourse/forwarding/named_weights.py
@@ -11,7 +11,8 @@
 class NamedWeights:
     """The version that engines are to be brought to.
 
-    :param seen_at: monotonic seconds; no later than the version was named.
+    :param seen_at: seconds of :func:`~ragwortcourse.clock.read_elapsed`, no
+        later than the version was named.
     :param observed: false where a daemon found it at its start and had to
         assume when it was named.
     """
@@ -28,8 +29,8 @@
     It holds every version that was named since the daemon first read the
     operators' rows; the one before them, if there is one, has an assumed time.
 
-    :param since: monotonic seconds of that first reading; infinite where
-        there was none yet.
+    :param since: seconds of the same clock at that first reading; infinite
+        where there was none yet.
     """
 
     versions: Mapping[ModelName, Sequence[NamedWeights]]
--- a/src/ragwortcourse/platform/operator_rows.py
+++ b/src/ragwortcourse/platform/operator_rows.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ragwortcourse.clock import read_clock
+from ragwortcourse.clock import read_elapsed
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.fleet_updates import (
     note_desired,
@@ -52,7 +52,7 @@
     make it due when the fleet begins to hold the daemon to it.
     """
     unread = max(fleet.version_ms - fleet.contact_ms, 0) * MILLISECONDS
-    started_at = read_clock() - START_SECONDS
+    started_at = read_elapsed() - START_SECONDS
 
     def replace(rows: tuple[StoreRow, ...], age: float) -> None:
         present = {row.key for row in rows}
@@ -65,7 +65,7 @@
         change(rows, age)
 
     def change(rows: tuple[StoreRow, ...], age: float) -> None:
-        now = read_clock()
+        now = read_elapsed()
         is_first = math.isinf(state.named_since)
         observed = age <= GAP_SECONDS
         judged_from = started_at if is_first else now - REGAIN_SECONDS
--- a/src/ragwortcourse/weights/engine_switch.py
+++ b/src/ragwortcourse/weights/engine_switch.py
@@ -4,7 +4,7 @@
 import logging
 from typing import Final
 
-from ragwortcourse.clock import read_clock
+from ragwortcourse.clock import read_clock, read_elapsed
 from ragwortcourse.forwarding.engine_rules import EngineRules
 from ragwortcourse.forwarding.load_exchange import SwitchMessage
 from ragwortcourse.weights.chunk_store import VersionChunks
@@ -69,7 +69,7 @@
     turn = choose_turn(
         engines=[target.address for target in targets],
         own=loading.loader.engine,
-        time_left=seen_at + loading.fleet.version_ms / 1000 - read_clock(),
+        time_left=seen_at + loading.fleet.version_ms / 1000 - read_elapsed(),
     )
     await asyncio.sleep(turn.delay)
     await _announce(loading, CLOSED_SECONDS + turn.patience, 0)
--- a/src/ragwortcourse/weights/version_drawing.py
+++ b/src/ragwortcourse/weights/version_drawing.py
@@ -5,7 +5,7 @@
 import logging
 from typing import Final
 
-from ragwortcourse.clock import read_clock
+from ragwortcourse.clock import read_clock, read_elapsed
 from ragwortcourse.forwarding.engine_rules import EngineRules
 from ragwortcourse.weights.chunk_store import VersionChunks
 from ragwortcourse.weights.loading import Loading
@@ -52,7 +52,7 @@
     return choose_version(
         loading.list_named(rules),
         held=max(loading.read_held(rules), loading.store.find_newest_whole()),
-        now=read_clock(),
+        now=read_elapsed(),
         foresee=functools.partial(loading.foresee_drawing, rules),
         bound=loading.fleet.version_ms / 1000,
     ).version
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -11,6 +11,7 @@
 
 from fakes.fleet_parts import FLEET, REGIONS
 from fakes.fleet_store import FleetStore
+from ragwortcourse.clock import read_elapsed
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.target_list import TargetList
 from ragwortcourse.membership.relay import RelayRecord
@@ -244,14 +245,14 @@
         daemon.fake.put('op', 'version/m', {'model': 'm', 'version': 2})
         daemon.follow()
         await wait_for(lambda: daemon.state.weights)
-        now = asyncio.get_running_loop().time()
+        now = read_elapsed()
         (found,) = daemon.state.weights['m']
         assert not found.observed
         assert now - found.seen_at == pytest.approx(5 + START_SECONDS, abs=0.5)
         daemon.fake.put('op', 'version/m', {'model': 'm', 'version': 4})
         await wait_for(lambda: len(daemon.state.weights['m']) == 2)
         observed = daemon.state.weights['m'][-1]
-        now = asyncio.get_running_loop().time()
+        now = read_elapsed()
         assert observed.observed
         assert now - observed.seen_at < 1
 
@@ -262,7 +263,7 @@
         await wait_for(lambda: daemon.state.weights)
         await asyncio.sleep(0.5)
         daemon.fake.delay = 0.8
-        named_at = asyncio.get_running_loop().time()
+        named_at = read_elapsed()
         daemon.fake.put('op', 'version/m', {'model': 'm', 'version': 4})
         await wait_for(lambda: len(daemon.state.weights['m']) == 2)
         observed = daemon.state.weights['m'][-1]
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import math
+import time
 
 import msgspec
 import pytest
@@ -17,6 +18,7 @@
     make_target,
 )
 from fakes.ports import pick_address
+from ragwortcourse.clock import read_elapsed
 from ragwortcourse.forwarding.choice import read_required_version
 from ragwortcourse.forwarding.load_exchange import (
     FAR_ROUNDS,
@@ -123,7 +125,7 @@
     async def test_naming(self):
         """Others tell when a version was named."""
         forwarder, receiver = make_receiver()
-        now = asyncio.get_running_loop().time()
+        now = read_elapsed()
         forwarder.state.named_since = now
         forwarder.state.weights[MODEL] = (
             NamedWeights(version=2, seen_at=now - 5, observed=False),
@@ -135,6 +137,40 @@
         assert named.observed
         assert now - named.seen_at == pytest.approx(1.5)
 
+    async def test_read_late(self):
+        """What is read after a standstill tells loads, but no ages."""
+        forwarder, receiver = make_receiver()
+        naming = Naming(version=2, age=0.1, observed=True)
+        message = LoadMessage(
+            daemon='e2',
+            counts={'t-1': (5, 2)},
+            namings=TimedNamings(versions={MODEL: [naming]}, complete_for=60),
+            stable_for=1,
+        )
+        receiver.note_awake()
+        await asyncio.sleep(4)
+        send(receiver, message)
+        now = asyncio.get_running_loop().time()
+        assert forwarder.find_load(TARGET).estimate(now) == 5
+        assert not forwarder.state.weights
+        assert forwarder.store_watch.read_stable() is None
+        await asyncio.sleep(NEAR_SECONDS * 2)
+        send(receiver, message)
+        assert forwarder.state.weights
+
+    async def test_suspended(self, monkeypatch):
+        """A bound goes on while the host is suspended."""
+        forwarder, receiver = make_receiver()
+        naming = Naming(version=2, age=1, observed=True)
+        namings = TimedNamings(versions={MODEL: [naming]}, complete_for=60)
+        send(receiver, LoadMessage(daemon='e2', counts={}, namings=namings))
+        assert read_required_version(forwarder, ENGINE_RULES) is None
+        awake = time.clock_gettime
+        monkeypatch.setattr(
+            time, 'clock_gettime', lambda clock: awake(clock) + 7
+        )
+        assert read_required_version(forwarder, ENGINE_RULES) == 2
+
     @pytest.mark.parametrize('content', [b'', b'\xff', b'{}', b'[1]'])
     async def test_unreadable(self, content, caplog):
         """An unreadable message is logged, and changes nothing."""
@@ -170,7 +206,7 @@
         ran, restarted = make_pair()
         for forwarder in (ran, restarted):
             forwarder.fleet = msgspec.structs.replace(FLEET, version_ms=60_000)
-        now = asyncio.get_running_loop().time()
+        now = read_elapsed()
         ran.state.named_since = now - 100
         ran.state.weights[MODEL] = (
             NamedWeights(version=2, seen_at=now - 59.5),
--- a/tests/test_operator_rows.py
+++ b/tests/test_operator_rows.py
@@ -7,6 +7,7 @@
 import pytest
 
 from fakes.fleet_parts import FLEET, MODEL
+from ragwortcourse.clock import read_elapsed
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.platform.operator_rows import (
     GAP_SECONDS,
@@ -27,11 +28,6 @@
     return StoreRow(key=f'version/{MODEL}', content=content)
 
 
-def read_clock():
-    """Seconds of the event loop."""
-    return asyncio.get_running_loop().time()
-
-
 class TestNamings:
     """When versions are believed to have been named."""
 
@@ -39,13 +35,14 @@
         """What is found at the start counts from the start of the process."""
         state = FleetState()
         reader = build_operator_reader(state, FLEET)
-        started_at = read_clock()
+        started_at = read_elapsed()
         await asyncio.sleep(2)
         reader.replace((make_row(2),), math.inf)
         (found,) = state.weights[MODEL]
         assert not found.observed
-        assert found.seen_at == started_at - START_SECONDS - UNREAD
-        assert state.named_since == read_clock()
+        assumed = started_at - START_SECONDS - UNREAD
+        assert found.seen_at == pytest.approx(assumed, abs=0.01)
+        assert state.named_since == pytest.approx(read_elapsed(), abs=0.01)
 
     async def test_whole_table_again(self):
         """A table that is read again without a gap tells when it changed."""
@@ -57,7 +54,9 @@
         reader.replace((make_row(2),), GAP_SECONDS)
         (found,) = state.weights[MODEL]
         assert found.observed
-        assert found.seen_at == read_clock() - GAP_SECONDS
+        assert found.seen_at == pytest.approx(
+            read_elapsed() - GAP_SECONDS, abs=0.01
+        )
         assert state.named_since == since
 
     @pytest.mark.parametrize('whole', [True, False])
@@ -73,5 +72,7 @@
         (found,) = state.weights[MODEL]
         assert not found.observed
         assumed = min(gap, REGAIN_SECONDS + UNREAD)
-        assert found.seen_at == pytest.approx(read_clock() - assumed)
-        assert state.named_since == read_clock()
+        assert found.seen_at == pytest.approx(
+            read_elapsed() - assumed, abs=0.01
+        )
+        assert state.named_since == pytest.approx(read_elapsed(), abs=0.01)
