Give each chunk its own start on a line between regions

Cause: the rate of a failure domain (800 KB/s) was divided evenly among the relays that live, two draws each, but rendezvous gives one of 11 relays eight of 48 chunks and another one. Who has eight, each for 1.35 s, ends at 5.4 s, where the line carries the version in 2.9 s; and no chunk is there before 1.35 s. The more relays, the worse: with 44, as at the size to design for, a chunk takes 5.4 s, above the 2.5 s that a daemon waits for one.

Ruled out: the origin (all 48 chunks were at relays of its region in time), the loaders' links (those of the origin's region needed 4.6 to 4.8 s).

Why it works: chunk i begins i chunk times after the manifest, whoever draws it, at a quarter of the rate, so that four are on the way at a time: the line carries its rate with any number of relays and any part of the chunks at one of them, and the first chunks are there at once. Who is asked for a chunk before its start draws it then, as before.

The tests fail with the former rate and no starts (seen).

--- a/src/ragwortcourse/weights/chunk_cache.py
+++ b/src/ragwortcourse/weights/chunk_cache.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from ragwortcourse.background import Background
+from ragwortcourse.clock import read_clock
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.weights.chunk_store import (
     VERSIONS_KEPT,
@@ -18,6 +19,7 @@
 DrawChunk = Callable[[FleetManifest, int], Awaitable[bytes | None]]
 ListNamed = Callable[[], Sequence[tuple[ModelName, int]]]
 ListOwn = Callable[[FleetManifest], Awaitable[tuple[int, ...]]]
+ReadStart = Callable[[FleetManifest, int], float]
 
 # Chunks drawn at once before anybody asks for them.
 DRAWN_AHEAD: Final = 2
@@ -29,6 +31,11 @@
 LOGGER: Final = logging.getLogger(__name__)
 
 
+def start_at_once(manifest: FleetManifest, index: int) -> float:
+    """Draw every chunk as soon as the manifest is here."""
+    return 0
+
+
 class ChunkCache:
     """Draws each chunk that is asked for once, and keeps it.
 
@@ -37,6 +44,8 @@
 
     :param draw: bytes of a chunk from elsewhere, unchecked.
     :param list_own: chunks of a version that others ask here first.
+    :param read_start: seconds after the manifest at which a chunk is drawn
+        ahead.
     """
 
     def __init__(
@@ -45,8 +54,10 @@
         read_manifest: ReadManifest,
         draw: DrawChunk,
         list_own: ListOwn,
+        read_start: ReadStart = start_at_once,
     ) -> None:
         self._list_own = list_own
+        self._read_start = read_start
         self._ahead = Background(limit=VERSIONS_KEPT)
         self._read_manifest = read_manifest
         self._draw = draw
@@ -129,13 +140,22 @@
         return chunks
 
     async def _draw_ahead(self, chunks: VersionChunks) -> None:
-        queue = list(await self._list_own(chunks.manifest))
+        opened_at = read_clock()
+        own = await self._list_own(chunks.manifest)
+        starts = {
+            index: self._read_start(chunks.manifest, index) for index in own
+        }
+        queue = list(own)
 
         async def draw_some() -> None:
             while queue:
-                await self._find_in(chunks, queue.pop(0))
+                index = queue.pop(0)
+                await asyncio.sleep(opened_at + starts[index] - read_clock())
+                await self._find_in(chunks, index)
 
-        await asyncio.gather(*(draw_some() for _ in range(DRAWN_AHEAD)))
+        # Where each chunk has its own start, that alone limits the draws.
+        at_once = len(own) if any(starts.values()) else DRAWN_AHEAD
+        await asyncio.gather(*(draw_some() for _ in range(at_once)))
 
     async def _draw_checked(
         self, chunks: VersionChunks, index: int
--- a/src/ragwortcourse/weights/chunk_sources.py
+++ b/src/ragwortcourse/weights/chunk_sources.py
@@ -29,6 +29,10 @@
 # the narrowest line between regions, which carries live requests too, and
 # more than a loader's link takes.
 DOMAIN_RATE: Final = 800_000
+# Chunks that a failure domain draws over such a line at the same time: one
+# of them takes four times its part of the line's time, and the first ones are
+# there for loaders while the last ones have not begun.
+DRAWN_TOGETHER: Final = 4
 
 
 def list_loader_sources(
@@ -74,7 +78,21 @@
     """
     if source == own:
         return 0
-    return DOMAIN_RATE // (max(near, 1) * at_once)
+    return DOMAIN_RATE // min(max(near, 1) * at_once, DRAWN_TOGETHER)
+
+
+def choose_start(
+    *, origin: RegionName, own: RegionName, index: int, chunk_bytes: int
+) -> float:
+    """Seconds after which a relay begins to draw a chunk ahead.
+
+    Across regions the relays of a failure domain draw one chunk after the
+    other, whoever draws it: that keeps to the line's rate with any number of
+    relays, and with any part of the chunks at one of them.
+    """
+    if origin == own:
+        return 0
+    return index * chunk_bytes / DOMAIN_RATE
 
 
 def order_ahead(
--- a/src/ragwortcourse/weights/relay_drawing.py
+++ b/src/ragwortcourse/weights/relay_drawing.py
@@ -6,12 +6,18 @@
 
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.forwarder import read_fleet_settings
-from ragwortcourse.identifiers import DaemonId, FailureDomainName, ModelName
+from ragwortcourse.identifiers import (
+    DaemonId,
+    FailureDomainName,
+    ModelName,
+    RegionName,
+)
 from ragwortcourse.membership.relay import RelayRecord
 from ragwortcourse.settings import Settings
 from ragwortcourse.weights.chunk_cache import DRAWN_AHEAD, ChunkCache
 from ragwortcourse.weights.chunk_sources import (
     choose_rate,
+    choose_start,
     list_loader_sources,
     list_relay_sources,
     order_ahead,
@@ -104,6 +110,34 @@
             own, lambda index: not self._list_relay_sources(relays, index)
         )
 
+    def read_start(self, manifest: FleetManifest, index: int) -> float:
+        """Seconds from the manifest until a chunk is drawn ahead."""
+        desired = self._state.desired
+        services = () if desired is None else desired.services.values()
+        chunk_bytes = max(
+            (
+                rules.engine.chunk_bytes
+                for rules in services
+                if rules.engine is not None
+                and rules.engine.model == manifest.model
+            ),
+            default=0,
+        )
+        return choose_start(
+            origin=self._find_origin_region(),
+            own=self._settings.region,
+            index=index,
+            chunk_bytes=chunk_bytes,
+        )
+
+    def _find_origin_region(self) -> RegionName:
+        """The own region where the origin's is not known."""
+        origin = find_origin(self._state)
+        if origin is None or origin.origin_domain is None:
+            return self._settings.region
+        domains = read_fleet_settings(self._settings).failure_domains
+        return domains[origin.origin_domain]
+
     def _is_first(self, relays: Sequence[RelayRecord], index: int) -> bool:
         """Tell whether loaders, or all other relays, ask for a chunk here."""
         asked_by_loaders = list_loader_sources(
@@ -119,15 +153,10 @@
     def _list_relay_sources(
         self, relays: Sequence[RelayRecord], index: int
     ) -> tuple[RelayRecord, ...]:
-        origin = find_origin(self._state)
-        region = self._settings.region
-        if origin is not None and origin.origin_domain is not None:
-            domains = read_fleet_settings(self._settings).failure_domains
-            region = domains[origin.origin_domain]
         return list_relay_sources(
             relays=relays,
             own=self._settings.daemon,
-            origin_region=region,
+            origin_region=self._find_origin_region(),
             index=index,
         )
 
@@ -163,4 +192,5 @@
         read_manifest=drawing.read_manifest,
         draw=drawing.draw,
         list_own=drawing.list_own,
+        read_start=drawing.read_start,
     )
--- a/tests/test_chunk_cache.py
+++ b/tests/test_chunk_cache.py
@@ -4,8 +4,17 @@
 
 import pytest
 
-from fakes.fleet_parts import MODEL
-from ragwortcourse.weights.chunk_cache import ChunkCache
+from fakes.fleet_parts import FAR, MODEL, NEAR, REGIONS
+from ragwortcourse.clock import read_clock
+from ragwortcourse.identifiers import DaemonId
+from ragwortcourse.membership.relay import RelayRecord
+from ragwortcourse.weights.chunk_cache import DRAWN_AHEAD, ChunkCache
+from ragwortcourse.weights.chunk_sources import (
+    DOMAIN_RATE,
+    choose_rate,
+    choose_start,
+    list_loader_sources,
+)
 from ragwortcourse.weights.fleet_manifest import FleetManifest
 from ragwortcourse.weights.manifest import digest_bytes
 
@@ -132,3 +141,131 @@
         for _ in range(20):
             await source.cache.find(MODEL, 1, 2)
         assert len(caplog.records) == 1
+
+
+WHOLE = 48
+CHUNK_BYTES = 49_152
+
+
+class LineBetweenRegions:
+    """The relays of one failure domain, which draw a version over a line.
+
+    ``drawn`` is for each chunk when it began and when it was there, in
+    seconds after the manifest.
+    """
+
+    def __init__(self, *, relays: int) -> None:
+        self.drawn: dict[int, tuple[float, float]] = {}
+        self.records = [
+            RelayRecord(
+                daemon=DaemonId(f'relay-{number}'),
+                address=f'relay-{number}:1',
+                failure_domain=FAR,
+                region=REGIONS[FAR],
+            )
+            for number in range(relays)
+        ]
+        self.manifest = FleetManifest(
+            model=MODEL,
+            version=1,
+            digests=tuple(
+                digest_bytes(make_chunk(1, index)) for index in range(WHOLE)
+            ),
+        )
+        self.rate = choose_rate(
+            source=REGIONS[NEAR],
+            own=REGIONS[FAR],
+            near=relays,
+            at_once=DRAWN_AHEAD,
+        )
+
+    @property
+    def ended_at(self) -> float:
+        """When the last chunk was there."""
+        return max(end for _, end in self.drawn.values())
+
+    def measure(self, since: float, until: float) -> float:
+        """Bytes that the line carried in a span."""
+        return sum(
+            max(min(end, until) - max(begin, since), 0) * self.rate
+            for begin, end in self.drawn.values()
+        )
+
+    async def draw_whole(self) -> None:
+        """Let every relay draw what is asked of it first."""
+        caches = [self.build_cache(relay) for relay in self.records]
+        await asyncio.gather(
+            *(cache.find_manifest(MODEL, 1) for cache in caches)
+        )
+        while len(self.drawn) < WHOLE:
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*(cache.stop() for cache in caches))
+
+    def build_cache(self, relay: RelayRecord) -> ChunkCache:
+        """The cache of one relay."""
+
+        async def read_manifest(model, version):
+            return self.manifest
+
+        async def list_own(manifest):
+            return tuple(
+                index
+                for index in range(WHOLE)
+                if list_loader_sources(
+                    relays=self.records, domain=FAR, index=index
+                )[0]
+                == relay
+            )
+
+        async def draw(manifest, index):
+            begun_at = read_clock()
+            await asyncio.sleep(CHUNK_BYTES / self.rate)
+            self.drawn[index] = (begun_at, read_clock())
+            return make_chunk(manifest.version, index)
+
+        return ChunkCache(
+            read_manifest=read_manifest,
+            draw=draw,
+            list_own=list_own,
+            read_start=lambda manifest, index: choose_start(
+                origin=REGIONS[NEAR],
+                own=REGIONS[FAR],
+                index=index,
+                chunk_bytes=CHUNK_BYTES,
+            ),
+        )
+
+
+@pytest.mark.parametrize('relays', [1, 2, 5, 11, 15, 44])
+class TestLineBetweenRegions:
+    """A version that a failure domain draws from another region."""
+
+    async def test_time(self, relays):
+        """Chunks arrive at the line's rate, however many relays share them.
+
+        Seen on kalliga-grown trouble-1: with 11 relays a version came 1.5 to
+        2.7 s later than in the origin's region.
+        """
+        line = LineBetweenRegions(relays=relays)
+        began_at = read_clock()
+        await line.draw_whole()
+        whole = WHOLE * CHUNK_BYTES / DOMAIN_RATE
+        assert line.ended_at - began_at <= whole * 1.2
+
+    async def test_first_chunks(self, relays):
+        """Loaders begin while the last chunks are still far away."""
+        line = LineBetweenRegions(relays=relays)
+        began_at = read_clock()
+        await line.draw_whole()
+        first = [line.drawn[index][1] for index in range(4)]
+        assert max(first) - began_at < 1
+
+    async def test_rate(self, relays):
+        """Live requests keep their part of the line in every second."""
+        line = LineBetweenRegions(relays=relays)
+        began_at = read_clock()
+        await line.draw_whole()
+        for tenths in range(40):
+            since = began_at + tenths / 10
+            carried = line.measure(since, since + 1)
+            assert carried <= DOMAIN_RATE * 1.1
--- a/tests/test_chunk_sources.py
+++ b/tests/test_chunk_sources.py
@@ -2,12 +2,15 @@
 
 from collections import Counter
 
+import pytest
+
 from fakes.fleet_parts import FAR, NEAR, REGIONS, SAME_REGION
 from ragwortcourse.identifiers import DaemonId, RegionName
 from ragwortcourse.membership.relay import RelayRecord
 from ragwortcourse.weights.chunk_sources import (
     DOMAIN_RATE,
     choose_rate,
+    choose_start,
     list_loader_sources,
     list_relay_sources,
     order_ahead,
@@ -138,6 +141,42 @@
         )
         assert rate * 2 * 2 == DOMAIN_RATE
 
+    def test_many_relays(self):
+        """A chunk takes no longer where more relays share the line."""
+        rates = {
+            choose_rate(
+                source=RegionName('far'),
+                own=RegionName('near'),
+                near=near,
+                at_once=2,
+            )
+            for near in (2, 11, 44)
+        }
+        assert len(rates) == 1
+
+
+class TestChooseStart:
+    """When relays begin to draw ahead."""
+
+    def test_within_a_region(self):
+        """Nothing waits where no narrow line is crossed."""
+        near = RegionName('near')
+        start = choose_start(origin=near, own=near, index=40, chunk_bytes=9)
+        assert start == 0
+
+    def test_across_regions(self):
+        """One chunk after the other, at the rate of the failure domain."""
+        starts = [
+            choose_start(
+                origin=RegionName('far'),
+                own=RegionName('near'),
+                index=index,
+                chunk_bytes=DOMAIN_RATE // 10,
+            )
+            for index in range(3)
+        ]
+        assert starts == pytest.approx([0, 0.1, 0.2])
+
 
 class TestOrderAhead:
     """What a relay draws first."""
