Bring no older version after the newest one's bound

Cause: two versions are named at 18 and 20 s, and the origin is down from 20.5 to 26.5 s. At 27.1 to 27.7 s all loaders had 35 of 48 chunks of version 3, no further chunk for 1.5 s, and took it for one that can't be had: any older version was then sooner. They drew version 2, 39 chunks, until 30.6 to 31.5 s. It could be begun on until 28 s, the bound of version 3, and 13 chunks of version 3 waited meanwhile.

Ruled out: engines (they loaded within 0.4 s of the order); the origin alone (two loaders that did not turn back had version 3 at 29.9 s).

Why it works: an older version is of use only until the newest's bound; if it can't be drawn and ordered by then, the link is better used for the newest. The test failed first.

--- a/src/ragwortcourse/weights/version_choice.py
+++ b/src/ragwortcourse/weights/version_choice.py
@@ -49,6 +49,13 @@
         is_sooner = first < drawing * MOSTLY_DRAWN
         both_at = now + first + drawing + ORDER_SECONDS
         is_in_time = both_at <= newest.seen_at + bound
-        if older.version > held and is_due and (is_sooner or is_in_time):
+        # After the newest's bound no request may begin on it either.
+        is_of_use = now + first + ORDER_SECONDS < newest.seen_at + bound
+        if (
+            older.version > held
+            and is_due
+            and is_of_use
+            and (is_sooner or is_in_time)
+        ):
             return older
     return newest
--- a/tests/test_version_choice.py
+++ b/tests/test_version_choice.py
@@ -68,6 +68,25 @@
         )
         assert chosen.version == 2
 
+    def test_older_one_comes_too_late(self):
+        """One that would come after the newest's own bound serves nobody.
+
+        Seen on kalliga-grown scale-1: nearly all of the newest was here, the
+        origin was back, and all loaders turned to a version that had expired.
+        """
+        named = (name(2, 0), name(3, 2))
+        parts = {2: 0.2, 3: 0.7}
+        chosen = choose_version(
+            named,
+            held=1,
+            now=9,
+            foresee=lambda version: (
+                math.inf if version == 3 else DRAWING * (1 - parts[version])
+            ),
+            bound=BOUND,
+        )
+        assert chosen.version == 3
+
     def test_both_in_time(self):
         """Both are brought where the newest alone would leave no time.
 
