Tell callers to come back when targets have their weights again

Cause: engines come back without weights, and have them 1.1 s later; their entries tell of the former ones for as long. Each request sent there is answered with 421. After that a caller was given the time that a full target needs, and callers come back but once.

Ruled out: forwarders that were late (ready from 42.8 to 43.2 s, 126 requests refused for want of a desired state).

Why it should work: 421 says that a target is not what its entry tells, which takes about a second to be put right; the time to come back is now the one that is given in a crowd: up to a third of what the caller has left, two seconds at the most, spread. A full target (503) is as before.

--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import logging
+from http import HTTPStatus
 from typing import Final
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.admission import (
     LATE_LOOK_SECONDS,
     LATE_WAIT_SECONDS,
+    choose_return,
 )
 from ragwortcourse.forwarding.call import Work
 from ragwortcourse.forwarding.choice import (
@@ -61,6 +63,7 @@
         self.was_late = self.is_late
         self._service: ServiceName = choose_service(forwarder, work)
         self._sends = 0
+        self._was_misdirected = False
 
     @property
     def may_have_run(self) -> bool:
@@ -200,6 +203,8 @@
             self.fail(opened, f'status {head.status} without a true mark')
             return None
         self.runs -= 1
+        if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+            self._was_misdirected = True
         load.trouble.note_refusal(now)
         self._log('target declined', opened.target, f'status {head.status}')
         return None
@@ -229,9 +234,17 @@
             return Refusal(reason=Reason.FAILED)
         if refusal is not None and not self._sends:
             return refusal
-        wait = self.forwarder.turns.book(
-            DECLINED_RETRY_SECONDS, self.forwarder.rng
-        )
+        if self._was_misdirected:
+            # What a target lost takes a second to come back, and as long
+            # to be told; callers come back but once.
+            wait = choose_return(
+                time_left=max(self.work.deadline - read_clock(), 0),
+                chance=self.forwarder.rng.random(),
+            )
+        else:
+            wait = self.forwarder.turns.book(
+                DECLINED_RETRY_SECONDS, self.forwarder.rng
+            )
         return Refusal(reason=Reason.NOT_RUN, retry_after=wait)
 
     def _log(self, message: str, target: Target, detail: str) -> None:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -331,6 +331,27 @@
         assert response.status == 503
         assert float(response.headers['Retry-After']) < 0.5
 
+    async def test_all_misdirect(self, fleet):
+        """Where all targets lost what they were listed with, there is time.
+
+        Seen on kalliga-grown trouble-1 after all hosts had lost power: engines
+        that were still listed with their weights had none, 825 requests were
+        told to come back in 0.2 s and came while the engines were loading.
+        """
+        await fleet.open([misdirect], [misdirect])
+        response = await fleet.ask(LETTER)
+        assert response.status == 503
+        assert 0.8 <= float(response.headers['Retry-After']) <= 2
+
+    async def test_misdirected_charge(self, fleet):
+        """The time to come back leaves the caller most of its own."""
+        await fleet.open([misdirect], [misdirect], plain=True)
+        response = await fleet.ask(
+            CHARGED, **{'Ragwortcourse-Deadline-Ms': '900'}
+        )
+        assert response.status == 503
+        assert 0 < float(response.headers['Retry-After']) <= 0.3
+
     async def test_no_target(self, fleet):
         """Without a usable target a request is refused at once."""
         await fleet.open([answer_whole], plain=True, leaving=True)
