Draw chunks ahead again where they could not be had

Cause: a relay that could not draw one of its chunks ahead gave it up, and drew it again only when somebody asked. A question that fails takes seconds: a loader asks up to three relays, each of these two others and the origin.

Why it works: relays ask for their own chunks again 0.4 s after each failure, so that they have them when loaders ask. They end 20 s after the manifest; the origin gets one question a chunk and relay at a time, as before.

--- a/src/ragwortcourse/weights/chunk_cache.py
+++ b/src/ragwortcourse/weights/chunk_cache.py
@@ -23,9 +23,11 @@
 
 # Chunks drawn at once before anybody asks for them.
 DRAWN_AHEAD: Final = 2
+# From the manifest on; later a chunk is drawn only for those who ask.
+AHEAD_SECONDS: Final = 20.0
 # A look costs nothing; the store tells of new versions at once.
 LOOK_SECONDS: Final = 0.1
-# After a manifest that could not be had.
+# After a manifest or a chunk that could not be had.
 RETRY_SECONDS: Final = 0.4
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -148,10 +150,12 @@
         queue = list(own)
 
         async def draw_some() -> None:
-            while queue:
+            while queue and read_clock() - opened_at < AHEAD_SECONDS:
                 index = queue.pop(0)
                 await asyncio.sleep(opened_at + starts[index] - read_clock())
-                await self._find_in(chunks, index)
+                if await self._find_in(chunks, index) is None:
+                    queue.append(index)
+                    await asyncio.sleep(RETRY_SECONDS)
 
         # Where each chunk has its own start, that alone limits the draws.
         at_once = len(own) if any(starts.values()) else DRAWN_AHEAD
--- a/tests/test_chunk_cache.py
+++ b/tests/test_chunk_cache.py
@@ -112,6 +112,35 @@
         assert sorted(source.draws) == [(1, 1), (1, 3), (1, 5)]
         await source.cache.stop()
 
+    async def test_ahead_again(self):
+        """What could not be drawn ahead is drawn as soon as it can be.
+
+        Seen on kalliga-grown scale-1: the origin was back, and each chunk that
+        was missing came seconds later, as nobody asked it until a loader did.
+        """
+        source = Source(own=(1, 3, 5))
+        source.spoilt = True
+        await source.cache.find_manifest(MODEL, 1)
+        await asyncio.sleep(6)
+        source.spoilt = False
+        await asyncio.sleep(1)
+        source.draws.clear()
+        for index in source.own:
+            assert await source.cache.find(MODEL, 1, index)
+        assert not source.draws
+        await source.cache.stop()
+
+    async def test_ahead_not_for_ever(self):
+        """A chunk that is never given is not asked for without end."""
+        source = Source(own=(1, 3, 5))
+        source.spoilt = True
+        await source.cache.find_manifest(MODEL, 1)
+        await asyncio.sleep(60)
+        source.draws.clear()
+        await asyncio.sleep(60)
+        assert not source.draws
+        await source.cache.stop()
+
     async def test_unknown_chunk(self):
         """A chunk that the version does not have is none."""
         assert await Source().cache.find(MODEL, 1, CHUNKS) is None
