Count a naming from when it may have been there

What callers saw: nothing proved.

Cause: a feed takes a change for at most 0.15 s old where its call lasted longer, as the store answers a waiting call at once. Since rows are asked of daemons near by first, a call also lasts long where those do not answer (0.9 s each), and the store is asked only then; what was named meanwhile is older than 0.15 s. A reader also told others rows as just read that had stood unread during its own pause or loss of the store.

Evidence: eight daemons against a stand-in of the store, the first two frozen, a version named 0.5 s later: its time was believed up to 1.48 s later than it was.

Why it works: the time is counted from the question that was answered (StoreRows.delay), the seconds from an answer's first bytes to its last ones are added (a desired state of many routes may come with a naming), and the cache keeps for each row since when it may have been there. A question that is answered late by a daemon near by is fresh by the same time, so that what is confirmed is no longer counted from before the daemons that did not answer.

Tests: test_relayed_store.py::TestNamings; test_reader_frozen (1.48 s, bound 0.15) and test_reader_paused (0.00003 s instead of 0.5) failed before, test_long_on_its_way is new with the field that it sets.

--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -8,6 +8,7 @@
 from typing import Final, Protocol
 
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
+from ragwortcourse.platform.row_cache import read_rows_age
 from ragwortcourse.platform.store_row import (
     HistoryGone,
     StoreRow,
@@ -20,8 +21,6 @@
 
 # A connection that was reset is no lost store; the next call tells.
 FAILURES_TO_LOSE: Final = 2
-# Longest that a change of a healthy store is on its way.
-PROMPT_SECONDS: Final = 0.15
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -117,6 +116,7 @@
         )
 
     def _take(self, answer: StoreRows, sent_at: float) -> None:
+        asked_at = sent_at + answer.delay
         self._failures = 0
         if self._lost:
             self._lost = False
@@ -125,22 +125,11 @@
         if self._revision is None:
             self._reader.replace(answer.rows)
         elif answer.rows:
-            age = self._read_age(sent_at) + answer.rows_age
+            age = read_rows_age(answer, asked_at, self._answered_at)
             self._reader.change(answer.rows, age)
         self._answered_at = read_boot_clock()
         self._revision = max(self._revision or 0, answer.revision)
-        self._reader.confirm(sent_at - answer.age)
-
-    def _read_age(self, sent_at: float) -> float:
-        """Seconds for which changes may have been there.
-
-        The store answers a waiting call as soon as something changes; what
-        comes back at once may have changed since the last answer.
-        """
-        now = read_boot_clock()
-        if now - sent_at > PROMPT_SECONDS:
-            return PROMPT_SECONDS
-        return now - self._answered_at
+        self._reader.confirm(asked_at - answer.age)
 
     async def _pause(self, answer: StoreSilent) -> None:
         if not self._lost:
--- a/src/ragwortcourse/platform/relayed_store.py
+++ b/src/ragwortcourse/platform/relayed_store.py
@@ -21,7 +21,8 @@
 
 LOGGER: Final = logging.getLogger(__name__)
 
-AskStore = Callable[[bool], Awaitable[StoreRows | HistoryGone | StoreSilent]]
+Answer = StoreRows | HistoryGone | StoreSilent
+AskStore = Callable[[bool], Awaitable[Answer]]
 
 
 async def list_nobody() -> Sequence[str]:
@@ -49,9 +50,7 @@
     cache: RowCache = dataclasses.field(default_factory=RowCache)
     reach: PeerReach = dataclasses.field(default_factory=PeerReach)
 
-    async def read_table(
-        self, table: str
-    ) -> StoreRows | HistoryGone | StoreSilent:
+    async def read_table(self, table: str) -> Answer:
         """Every row of the table."""
         sent_at = read_boot_clock()
         answer = await self._ask(None, lambda _: self.store.read_table(table))
@@ -61,7 +60,7 @@
 
     async def await_changes(
         self, table: str, revision: int, wait: float
-    ) -> StoreRows | HistoryGone | StoreSilent:
+    ) -> Answer:
         """Changes after a revision, as soon as there is one."""
         sent_at = read_boot_clock()
         answer = await self._ask(
@@ -74,28 +73,31 @@
             self.cache.change(answer, sent_at)
         return answer
 
-    async def _ask(
-        self, after: int | None, ask_store: AskStore
-    ) -> StoreRows | HistoryGone | StoreSilent:
+    async def _ask(self, after: int | None, ask_store: AskStore) -> Answer:
         """Ask readers, the store and helpers, until one answers.
 
         :param ask_store: takes whether a reader has just fallen away; what
             is known is then old, and must be confirmed at once.
         """
+        began_at = read_boot_clock()
         asked = await self._list_heard(self.list_readers)
         answer = await self._ask_daemons(asked, after, self.peer_wait)
         if isinstance(answer, StoreSilent):
+            asked_at = read_boot_clock()
             answer = await ask_store(bool(asked))
+            answer = _note_delay(answer, asked_at - began_at)
         was_cut_off = self.cache.is_cut_off
         is_cut_off = isinstance(answer, StoreSilent)
         self.cache.note_cut_off(is_cut_off=is_cut_off)
         if is_cut_off:
             helpers = await self._list_heard(self.list_helpers)
+            asked_at = read_boot_clock()
             helped = await self._ask_daemons(
                 helpers, after, self.peer_wait if was_cut_off else 0
             )
+            if not isinstance(helped, StoreSilent):
+                return _note_delay(helped, asked_at - began_at)
             # A refused store is no fault of the daemons that were asked.
-            answer = answer if isinstance(helped, StoreSilent) else helped
         return answer
 
     async def _list_heard(self, list_daemons: ListReaders) -> list[str]:
@@ -107,9 +109,11 @@
 
     async def _ask_daemons(
         self, addresses: Sequence[str], after: int | None, wait: float
-    ) -> StoreRows | HistoryGone | StoreSilent:
+    ) -> Answer:
         """What another daemon has; silent where none has fresh rows."""
+        began_at = read_boot_clock()
         for address in addresses:
+            asked_at = read_boot_clock()
             answer = await fetch_rows(
                 session=self.session,
                 address=address,
@@ -118,10 +122,17 @@
                 services_only=self.services_only,
             )
             if not isinstance(answer, StoreSilent):
-                return answer
+                return _note_delay(answer, asked_at - began_at)
             LOGGER.info(
                 'daemon near by has no fresh rows; asking elsewhere',
                 extra={'detail': answer.detail},
             )
             self.reach.note_silent(address)
         return StoreSilent(detail='no daemon near by has fresh rows')
+
+
+def _note_delay(answer: Answer, seconds: float) -> Answer:
+    """Note that others were asked for some time before."""
+    if isinstance(answer, StoreRows):
+        return dataclasses.replace(answer, delay=answer.delay + seconds)
+    return answer
--- a/src/ragwortcourse/platform/row_cache.py
+++ b/src/ragwortcourse/platform/row_cache.py
@@ -2,10 +2,32 @@
 
 import asyncio
 import dataclasses
+from typing import Final
 
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.platform.store_row import HistoryGone, StoreRow, StoreRows
 
+# Longest that a change of a healthy store is on its way.
+PROMPT_SECONDS: Final = 0.15
+
+
+def read_rows_age(
+    answer: StoreRows, asked_at: float, answered_at: float
+) -> float:
+    """Seconds for which the changes in an answer may have been there.
+
+    A waiting question is answered as soon as something changes; what comes
+    back at once may have changed since the last answer.
+
+    :param asked_at: boot clock at which the question was sent.
+    :param answered_at: boot clock of the answer before.
+    """
+    began_at = read_boot_clock() - answer.arriving
+    unread = PROMPT_SECONDS
+    if began_at - asked_at <= PROMPT_SECONDS:
+        unread = began_at - answered_at
+    return unread + answer.arriving + answer.rows_age
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CachedRow:
@@ -33,6 +55,7 @@
         self.confirmed_at: float = 0
         self.is_cut_off = False
         self._oldest = 0
+        self._answered_at: float = 0
         self._rows: dict[str, CachedRow] = {}
         self._changed = asyncio.Event()
 
@@ -40,6 +63,8 @@
         """Take the whole table over."""
         self._rows.clear()
         self._oldest = answer.revision
+        # How long these were there is not known, nor told as changes.
+        self._answered_at = read_boot_clock()
         self.change(answer, sent_at)
 
     def change(self, answer: StoreRows, sent_at: float) -> None:
@@ -47,13 +72,16 @@
 
         :param sent_at: boot clock at which the call was sent.
         """
-        read_at = read_boot_clock() - answer.rows_age
+        asked_at = sent_at + answer.delay
+        rows_age = read_rows_age(answer, asked_at, self._answered_at)
+        self._answered_at = read_boot_clock()
+        read_at = self._answered_at - rows_age
         for row in answer.rows:
             self._rows[row.key] = CachedRow(
                 row=row, revision=answer.revision, read_at=read_at
             )
         self.revision = max(self.revision or 0, answer.revision)
-        self.confirmed_at = max(self.confirmed_at, sent_at - answer.age)
+        self.confirmed_at = max(self.confirmed_at, asked_at - answer.age)
         if answer.rows:
             self._wake()
 
--- a/src/ragwortcourse/platform/row_relay.py
+++ b/src/ragwortcourse/platform/row_relay.py
@@ -159,10 +159,11 @@
                 return HistoryGone()
             if response.status != HTTPStatus.OK:
                 return StoreSilent(detail=f'{address}: {response.status}')
-            message = msgspec.json.decode(
-                await response.read(), type=RelayedRows
-            )
+            began_at = read_boot_clock()
+            body = await response.read()
+            message = msgspec.json.decode(body, type=RelayedRows)
             rows = tuple(_decode_row(row) for row in message.rows)
+            arriving = read_boot_clock() - began_at
     except (ClientError, OSError) as error:
         return StoreSilent(detail=f'{address}: {error!r}')
     except (msgspec.DecodeError, zlib.error) as error:
@@ -172,6 +173,7 @@
         revision=message.revision,
         age=message.age,
         rows_age=message.rows_age,
+        arriving=arriving,
     )
 
 
--- a/src/ragwortcourse/platform/store.py
+++ b/src/ragwortcourse/platform/store.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import binascii
+import dataclasses
 import logging
 from collections.abc import Mapping
 from typing import Final
@@ -14,6 +15,7 @@
 import aiohttp
 import msgspec
 
+from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.platform.store_row import (
     HistoryGone,
     StoreRow,
@@ -54,6 +56,14 @@
     has_more: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Page:
+    """Rows, and the seconds from the first bytes to the last ones."""
+
+    content: WireRows
+    arriving: float
+
+
 class Store:
     """Calls of the store, each with its own time limit.
 
@@ -70,13 +80,14 @@
         query = {'table': table, 'part': ''}
         while True:
             answer = await self._ask('/rows-get', query, CALL_SECONDS)
-            if not isinstance(answer, WireRows):
+            if not isinstance(answer, Page):
                 return _read_failure(answer)
-            rows.extend(_decode_row(row) for row in answer.rows)
-            if not (answer.has_more and answer.rows):
-                return StoreRows(rows=tuple(rows), revision=answer.row_version)
+            page = answer.content
+            rows.extend(_decode_row(row) for row in page.rows)
+            if not (page.has_more and page.rows):
+                return StoreRows(rows=tuple(rows), revision=page.row_version)
             # The lowest key above the last one that was sent.
-            query['from'] = f'{answer.rows[-1].key}\0'
+            query['from'] = f'{page.rows[-1].key}\0'
 
     async def await_changes(
         self, table: str, revision: int, wait: float
@@ -91,9 +102,12 @@
             'wait_ms': str(round(wait * 1000)),
         }
         answer = await self._ask('/rows-feed', query, wait + CALL_SECONDS)
-        if isinstance(answer, WireRows):
-            rows = tuple(_decode_row(row) for row in answer.rows)
-            return StoreRows(rows=rows, revision=answer.row_version)
+        if isinstance(answer, Page):
+            return StoreRows(
+                rows=tuple(_decode_row(row) for row in answer.content.rows),
+                revision=answer.content.row_version,
+                arriving=answer.arriving,
+            )
         return HistoryGone() if answer == GONE else _read_failure(answer)
 
     async def write_row(self, table: str, key: str, content: bytes) -> bool:
@@ -118,7 +132,7 @@
 
     async def _ask(
         self, path: str, query: Mapping[str, str], limit: float
-    ) -> WireRows | int | str:
+    ) -> Page | int | str:
         """Rows, a status other than success, or what went wrong.
 
         :param limit: seconds of silence after which the store is given up.
@@ -132,7 +146,12 @@
             ) as response:
                 if response.status != OK:
                     return response.status
-                return msgspec.json.decode(await response.read(), type=WireRows)
+                began_at = read_boot_clock()
+                body = await response.read()
+                return Page(
+                    content=msgspec.json.decode(body, type=WireRows),
+                    arriving=read_boot_clock() - began_at,
+                )
         except TimeoutError as error:
             return f'no answer within {limit} s: {error!r}'
         except (aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
@@ -150,7 +169,7 @@
     return StoreRow(key=row.key, content=content)
 
 
-def _read_failure(answer: WireRows | int | str) -> StoreSilent:
+def _read_failure(answer: Page | int | str) -> StoreSilent:
     if isinstance(answer, int):
         return StoreSilent(detail=f'status {answer}')
     return StoreSilent(detail=str(answer))
--- a/src/ragwortcourse/platform/store_row.py
+++ b/src/ragwortcourse/platform/store_row.py
@@ -22,12 +22,17 @@
     :param age: seconds before the question at which they were the newest
         for sure; negative where they were so after it.
     :param rows_age: seconds for which another daemon had them already.
+    :param arriving: seconds from its first bytes to its last ones.
+    :param delay: seconds between the call and the question that was
+        answered; others were asked meanwhile.
     """
 
     rows: tuple[StoreRow, ...]
     revision: int
     age: float = 0
     rows_age: float = 0
+    arriving: float = 0
+    delay: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -11,6 +11,7 @@
 
 from fakes.fleet_parts import FLEET, NEAR, REGIONS
 from fakes.fleet_store import FleetStore
+from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.fleet_state import FleetState, read_boot_clock
 from ragwortcourse.membership.relay import RelayRecord
 from ragwortcourse.membership.rendezvous import score_pair
@@ -19,13 +20,16 @@
 from ragwortcourse.platform.operator_rows import build_operator_reader
 from ragwortcourse.platform.relay_rows import TABLE, RelayList
 from ragwortcourse.platform.relayed_store import RelayedStore
+from ragwortcourse.platform.row_cache import PROMPT_SECONDS, RowCache
 from ragwortcourse.platform.row_relay import (
     LONGEST_AGE_SECONDS,
     build_row_routes,
 )
 from ragwortcourse.platform.store import Store
+from ragwortcourse.platform.store_row import StoreRow, StoreRows
 
 DAEMONS = 8
+MODEL = 'm'
 FEED_SECONDS = 0.7
 PEER_SECONDS = 0.5
 STATE = {'version': 7, 'routes': [], 'services': [], 'tenants': []}
@@ -52,12 +56,14 @@
     """Daemons of a failure domain that were all registered before.
 
     :ivar cut_off: numbers of daemons that the store turns away.
+    :ivar frozen: numbers of daemons that answer nobody any more.
     """
 
     def __init__(self) -> None:
         self.fake = SlowStore()
         self.states = [FleetState() for _ in range(DAEMONS)]
         self.cut_off: set[int] = set()
+        self.frozen: set[int] = set()
         self.stack = contextlib.AsyncExitStack()
 
     async def start(self) -> None:
@@ -90,7 +96,14 @@
             list_helpers=relays.build_helpers(own=own, domain=NEAR),
             peer_wait=PEER_SECONDS,
         )
-        app = web.Application()
+
+        @web.middleware
+        async def freeze(request, handler):
+            if number in self.frozen:
+                await asyncio.Event().wait()
+            return await handler(request)
+
+        app = web.Application(middlewares=[freeze])
         app.add_routes(build_row_routes(source.cache))
         await self._serve(TestServer(app, port=port))
         feed = TableFeed(
@@ -205,3 +218,64 @@
         await herd.wait_at(7)
         herd.cut_off = set(range(DAEMONS))
         assert await herd.watch_age(4) > 3
+
+
+class TestNamings:
+    """When a version was named, as each daemon believes."""
+
+    @pytest.fixture
+    async def named(self, herd):
+        """Daemons that know one version, and when the next was named."""
+        await herd.start()
+        await herd.wait_at(7)
+        await asyncio.sleep(FEED_SECONDS)
+
+        def name_version() -> float:
+            herd.fake.put(
+                names.OPERATORS_TABLE,
+                f'{names.VERSION_PREFIX}{MODEL}',
+                {'model': MODEL, 'version': 2},
+            )
+            return read_clock()
+
+        return name_version
+
+    async def test_reader_frozen(self, herd, named):
+        """Time spent at a daemon that does not answer counts.
+
+        Found in a review for the incident VERSION: a version that was named
+        meanwhile was taken for 0.15 s old, though the store was asked only
+        after the others had been given up.
+        """
+        herd.frozen = set(herd.rank()[:2])
+        await asyncio.sleep(PEER_SECONDS)
+        named_at = named()
+        await wait_named(herd)
+        seen = [state.weights[MODEL][-1].seen_at for state in herd.states]
+        assert max(seen) <= named_at + PROMPT_SECONDS
+
+    async def test_reader_paused(self):
+        """What a reader has not looked at for a while is told as that old."""
+        cache = RowCache()
+        cache.replace(StoreRows(rows=(), revision=1), read_boot_clock())
+        await asyncio.sleep(0.5)
+        row = StoreRow(key='a', content=b'x')
+        asked_at = read_boot_clock()
+        cache.change(StoreRows(rows=(row,), revision=2), asked_at)
+        assert cache.list_after(1).rows_age >= 0.5
+
+    def test_long_on_its_way(self):
+        """An answer that took long to arrive was there for as long."""
+        cache = RowCache()
+        cache.replace(StoreRows(rows=(), revision=1), read_boot_clock() - 3)
+        row = StoreRow(key='a', content=b'x')
+        answer = StoreRows(rows=(row,), revision=2, arriving=2)
+        cache.change(answer, read_boot_clock() - 2.5)
+        assert cache.list_after(1).rows_age >= 2
+
+
+async def wait_named(herd) -> None:
+    """Return once every daemon knows a version."""
+    async with asyncio.timeout(8):
+        while not all(MODEL in state.weights for state in herd.states):
+            await asyncio.sleep(0.02)
