Wait for a first reading that is under way near by

Cause: padova-a had no way to the store from 44 to 54 s. When it was back, some daemons did not know who was registered and asked the store for all rows; for the others the first two daemons had nothing after 1.2 s, and they asked the store too: 34 readings of 0.6 MB over one line.

Eight daemons against a stand-in of the store that answers nobody for 4 s: 8 readings of the operators' table at its return; now at most half of them.

Failed on the way: a stand-in that answers 503 instead did not show the fault (the test passed before the change); waiting alone was not enough (8 readings still), as the list of daemons was not known.

Why it works: a daemon that does not know who is registered asks that first and asks for no rows before; one that lives but has had no rows yet says so (425), and is asked once more by those that have none either. Daemons that have rows go on to the store at once, as before.

Tests: test_end_of_an_outage failed before (8 readings, bound 4); test_first_ones_turned_away holds what must stay.

--- a/src/ragwortcourse/platform/relay_rows.py
+++ b/src/ragwortcourse/platform/relay_rows.py
@@ -24,6 +24,10 @@
 LOGGER: Final = logging.getLogger(__name__)
 
 
+class RelaysUnknownError(Exception):
+    """The store has not told yet which daemons are registered."""
+
+
 ListReaders = Callable[[], Awaitable[Sequence[str]]]
 
 
@@ -61,12 +65,14 @@
         """Lists the addresses of daemons to be asked before the store.
 
         They are read where they have not been yet: many daemons that start
-        together would all read the store.
+        together would all read the store. Where that fails the lister
+        raises :class:`RelaysUnknownError`: the store would fail as well, or
+        come back to all daemons at once.
         """
 
         async def list_addresses() -> Sequence[str]:
-            if not self._is_read:
-                await self.read()
+            if not self._is_read and not await self.read():
+                raise RelaysUnknownError
             readers = list_readers(relays=self._records, own=own, domain=domain)
             return [reader.address for reader in readers]
 
--- a/src/ragwortcourse/platform/relayed_store.py
+++ b/src/ragwortcourse/platform/relayed_store.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
-from ragwortcourse.platform.relay_rows import ListReaders
+from ragwortcourse.platform.relay_rows import ListReaders, RelaysUnknownError
 from ragwortcourse.platform.row_cache import RowCache
 from ragwortcourse.platform.row_relay import fetch_rows
 from ragwortcourse.platform.store import Store
@@ -19,6 +19,10 @@
 )
 from ragwortcourse.weights.peer_reach import PeerReach
 
+# Times that daemons near by are asked for a first reading that they are at
+# themselves; after an outage all would read the same over one line.
+READING_ROUNDS: Final = 2
+
 LOGGER: Final = logging.getLogger(__name__)
 
 Answer = StoreRows | HistoryGone | StoreSilent
@@ -80,11 +84,13 @@
             is known is then old, and must be confirmed at once.
         """
         began_at = read_boot_clock()
-        asked = await self._list_heard(self.list_readers)
-        answer = await self._ask_daemons(asked, after, self.peer_wait)
+        try:
+            answer, is_asked = await self._ask_readers(after)
+        except RelaysUnknownError as error:
+            return StoreSilent(detail=repr(error))
         if isinstance(answer, StoreSilent):
             asked_at = read_boot_clock()
-            answer = await ask_store(bool(asked))
+            answer = await ask_store(is_asked)
             answer = _note_delay(answer, asked_at - began_at)
         was_cut_off = self.cache.is_cut_off
         is_cut_off = isinstance(answer, StoreSilent)
@@ -100,6 +106,21 @@
             # A refused store is no fault of the daemons that were asked.
         return answer
 
+    async def _ask_readers(self, after: int | None) -> tuple[Answer, bool]:
+        """What those that are asked first have, and whether any was asked.
+
+        Those that are at their first reading are waited for where this
+        daemon has nothing yet either.
+        """
+        rounds = READING_ROUNDS if after is None else 1
+        while True:
+            rounds -= 1
+            asked = await self._list_heard(self.list_readers)
+            answer = await self._ask_daemons(asked, after, self.peer_wait)
+            is_reading = isinstance(answer, StoreSilent) and answer.is_reading
+            if not (rounds and is_reading):
+                return answer, bool(asked)
+
     async def _list_heard(self, list_daemons: ListReaders) -> list[str]:
         return [
             address
@@ -112,6 +133,7 @@
     ) -> Answer:
         """What another daemon has; silent where none has fresh rows."""
         began_at = read_boot_clock()
+        silent = StoreSilent(detail='no daemon near by has fresh rows')
         for address in addresses:
             asked_at = read_boot_clock()
             answer = await fetch_rows(
@@ -127,8 +149,11 @@
                 'daemon near by has no fresh rows; asking elsewhere',
                 extra={'detail': answer.detail},
             )
-            self.reach.note_silent(address)
-        return StoreSilent(detail='no daemon near by has fresh rows')
+            if answer.is_reading:
+                silent = answer
+            else:
+                self.reach.note_silent(address)
+        return silent
 
 
 def _note_delay(answer: Answer, seconds: float) -> Answer:
--- a/src/ragwortcourse/platform/row_relay.py
+++ b/src/ragwortcourse/platform/row_relay.py
@@ -43,6 +43,12 @@
 ROWS_PACKED: Final = 4
 
 
+class _TooEarlyError(web.HTTPClientError):
+    """The first reading is still under way."""
+
+    status_code = HTTPStatus.TOO_EARLY
+
+
 class RelayedRow(msgspec.Struct, frozen=True, kw_only=True):
     """One row; neither content nor packed content where it was dropped.
 
@@ -96,11 +102,12 @@
 def _check_fresh(cache: RowCache) -> None:
     """Send those away that do better elsewhere.
 
-    :raises HTTPServiceUnavailable: the rows can't be told to be the newest.
+    :raises HTTPException: the rows can't be told to be the newest, or none
+        are here yet.
     """
-    if cache.revision is None or cache.is_cut_off:
-        raise web.HTTPServiceUnavailable
-    if _read_freshness(cache) < 0:
+    if cache.revision is None:
+        raise _TooEarlyError
+    if cache.is_cut_off or _read_freshness(cache) < 0:
         raise web.HTTPServiceUnavailable
 
 
@@ -158,7 +165,10 @@
             if response.status == HTTPStatus.GONE:
                 return HistoryGone()
             if response.status != HTTPStatus.OK:
-                return StoreSilent(detail=f'{address}: {response.status}')
+                return StoreSilent(
+                    detail=f'{address}: {response.status}',
+                    is_reading=response.status == HTTPStatus.TOO_EARLY,
+                )
             began_at = read_boot_clock()
             body = await response.read()
             message = msgspec.json.decode(body, type=RelayedRows)
--- a/src/ragwortcourse/platform/store_row.py
+++ b/src/ragwortcourse/platform/store_row.py
@@ -45,6 +45,9 @@
     """The store did not answer, or refused.
 
     :param detail: what happened.
+    :param is_reading: true where another daemon was asked that lives, but
+        has no rows yet.
     """
 
     detail: str
+    is_reading: bool = False
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -56,6 +56,7 @@
     """Daemons of a failure domain that were all registered before.
 
     :ivar cut_off: numbers of daemons that the store turns away.
+    :ivar unheard: numbers of daemons that get no answer of the store.
     :ivar frozen: numbers of daemons that answer nobody any more.
     """
 
@@ -64,6 +65,7 @@
         self.states = [FleetState() for _ in range(DAEMONS)]
         self.cut_off: set[int] = set()
         self.frozen: set[int] = set()
+        self.unheard: set[int] = set()
         self.stack = contextlib.AsyncExitStack()
 
     async def start(self) -> None:
@@ -121,6 +123,8 @@
 
         @web.middleware
         async def turn_away(request, handler):
+            if number in self.unheard:
+                await asyncio.Event().wait()
             if number in self.cut_off:
                 raise web.HTTPServiceUnavailable
             answer = await handler(request)
@@ -186,6 +190,30 @@
         await herd.wait_at(7)
         assert herd.fake.reads.count(names.OPERATORS_TABLE) == 1
 
+    async def test_end_of_an_outage(self, herd):
+        """Nor do they all read it once the store is back.
+
+        Incident: a failure domain that was cut off while it started had 34
+        daemons read the same at once when the line came back.
+        """
+        herd.unheard = set(range(DAEMONS))
+        await herd.start()
+        await asyncio.sleep(4)
+        reads = herd.fake.reads.count(names.OPERATORS_TABLE)
+        herd.unheard = set()
+        await herd.wait_at(7)
+        again = herd.fake.reads.count(names.OPERATORS_TABLE) - reads
+        assert again <= DAEMONS / 2
+
+    async def test_first_ones_turned_away(self, herd):
+        """Where those that are asked first get nothing, others read it."""
+        herd.cut_off = set(herd.rank()[:2])
+        await herd.start()
+        others = [herd.states[number] for number in herd.rank()[2:]]
+        async with asyncio.timeout(8):
+            while not all(state.desired for state in others):
+                await asyncio.sleep(0.02)
+
 
 class TestTurnedAway:
     """The store turns some daemons away and serves the others."""
