--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -132,7 +132,7 @@
         known_at = read_boot_clock() - answer.known_age
         self._known_at = max(self._known_at, known_at)
         self._revision = max(self._revision or 0, answer.revision)
-        self._reader.confirm(sent_at - answer.age)
+        self._reader.confirm(sent_at + answer.delay - answer.age)
 
     async def _pause(self, answer: StoreSilent) -> None:
         if not self._lost:
--- a/src/ragwortcourse/platform/row_cache.py
+++ b/src/ragwortcourse/platform/row_cache.py
@@ -42,6 +42,7 @@
         """Take the whole table over."""
         self._rows.clear()
         self._oldest = answer.revision
+        # How long these were there is not known, nor told as changes.
         self.change(answer, sent_at)
 
     def change(self, answer: StoreRows, sent_at: float) -> None:
@@ -57,7 +58,8 @@
                 there_since=now - answer.rows_age,
             )
         self.revision = max(self.revision or 0, answer.revision)
-        self.confirmed_at = max(self.confirmed_at, sent_at - answer.age)
+        confirmed_at = sent_at + answer.delay - answer.age
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
         self.known_at = max(self.known_at, now - answer.known_age)
         if answer.rows:
             self._wake()
--- a/src/ragwortcourse/platform/store_row.py
+++ b/src/ragwortcourse/platform/store_row.py
@@ -25,6 +25,8 @@
         there, at the moment of the return.
     :param known_age: seconds since which nothing newer is missing, at the
         moment of the return.
+    :param delay: seconds between the call and the question that was
+        answered; others were asked meanwhile.
     """
 
     rows: tuple[StoreRow, ...]
@@ -32,6 +34,7 @@
     age: float = 0
     rows_age: float = 0
     known_age: float = 0
+    delay: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -44,6 +47,9 @@
     """The store did not answer, or refused.
 
     :param detail: what happened.
+    :param is_reading: true where another daemon was asked that lives, but
+        has no rows yet.
     """
 
     detail: str
+    is_reading: bool = False
