Tell a resend that no target can take it, not that it is under way

What callers saw: test_nothing_is_cut_off, a call told `unknown` where planned stops allow only `not run`.

Cause: while both targets of the service were leaving, a resend had no target to name in a claim, so it read the earlier claim, found it `not run`, went round once more with nothing to write, and after two rounds ended as "a request with this key is still under way". The decisions in the log line of such a call show `ClaimFound` twice with targets [].

Ruled out for these calls: a connection lost to an agent that stops (no bar was asked), FORGOTTEN attempts, results of claims not written.

Now a resend that may take a claim over and has no target says `not run`, as one without an earlier claim does. The claim stays and is free.

Test: test_refused_and_no_target_left, virtual time, failed before with `unknown in_progress`.

--- a/src/ragwortcourse/entry/attempts.py
+++ b/src/ragwortcourse/entry/attempts.py
@@ -140,10 +140,8 @@
     return choice
 
 
-def _refuse_without_target(work: Work, choice: NoChoice) -> NotRun:
-    work.trail.note(
-        DecisionPoint.ROUTE, 'no target', turned_down=choice.turned_down
-    )
+def refuse_no_target() -> NotRun:
+    """Refusal of work that no target can take; nothing was sent."""
     return NotRun(
         code=errors.NO_TARGET,
         detail='No target can take the request now.',
@@ -151,6 +149,13 @@
     )
 
 
+def _refuse_without_target(work: Work, choice: NoChoice) -> NotRun:
+    work.trail.note(
+        DecisionPoint.ROUTE, 'no target', turned_down=choice.turned_down
+    )
+    return refuse_no_target()
+
+
 def _refuse_retry(work: Work, choice: Choice) -> NotRun:
     _RETRIES.add(1, {'result': 'stopped'})
     work.trail.note(
--- a/src/ragwortcourse/entry/claimed_calls.py
+++ b/src/ragwortcourse/entry/claimed_calls.py
@@ -10,9 +10,9 @@
 from ragwortcourse.entry.answer_body import KEPT_BYTES
 from ragwortcourse.entry.answers import build_answer, build_failure
 from ragwortcourse.entry.attempts import (
-    NO_TARGET_RETRY_SECONDS,
     Plan,
     Served,
+    refuse_no_target,
     run_attempts,
 )
 from ragwortcourse.entry.choice import Choice, NoChoice
@@ -68,6 +68,8 @@
         judged = await judge_claim(entry, work, step)
         if not isinstance(judged, Takeover):
             return judged
+        if not choices:
+            return errors.build_error(work.call.request, refuse_no_target())
         expected_version = judged.version
         takeovers = judged.takeovers
     return errors.build_in_progress(work.call.request)
@@ -111,11 +113,7 @@
         step = await take_claim(entry, work, claim, expected_version)
     else:
         found = await read_claim(entry, work)
-        step = found or NotRun(
-            code=errors.NO_TARGET,
-            detail='No target can take the request now.',
-            retry_after=NO_TARGET_RETRY_SECONDS,
-        )
+        step = found or refuse_no_target()
     work.trail.note(
         DecisionPoint.CLAIM,
         type(step).__name__,
--- a/tests/test_claimed_calls.py
+++ b/tests/test_claimed_calls.py
@@ -93,6 +93,23 @@
         assert told == 'whole'
         assert len(site.agents.ran) == 1
 
+    async def test_refused_and_no_target_left(self):
+        """Work that never ran is not under way where nobody can take it."""
+        site = Site()
+        site.agents.script('near', Turn.FULL)
+        site.agents.script('far', Turn.FULL)
+        await collect(site.a, make_booking_call(key='k'))
+        await asyncio.sleep(1)
+        for record in site.b.directory.records:
+            record.leaving = True
+        told = await collect(site.b, make_booking_call('r2', key='k'))
+        assert told == 'not_run no_target'
+        for record in site.b.directory.records:
+            record.leaving = False
+        told = await collect(site.b, make_booking_call('r3', key='k'))
+        assert told == 'whole'
+        assert len(site.agents.ran) == 1
+
     async def test_another_body_is_refused(self):
         """A key is not taken for another request."""
         site = Site()
