Log each call that ends as unknown, with what was decided on it

What callers saw: an outcome `unknown`, of which no log had a line; records for `explain` are in memory and go with the daemon.

Test: test_unknown_is_logged, which failed before.

--- a/src/ragwortcourse/entry/answers.py
+++ b/src/ragwortcourse/entry/answers.py
@@ -1,8 +1,10 @@
 """Answers and errors for admitted calls, counted and recorded once."""
 
+import logging
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+import msgspec
 from opentelemetry import metrics
 
 from ragwortcourse.entry import errors
@@ -17,6 +19,7 @@
 from ragwortcourse.messages.decision import DecisionPoint
 from ragwortcourse.messages.outcome import Completed, OutcomeKind
 
+LOGGER: Final = logging.getLogger(__name__)
 CALLS: Final = metrics.get_meter(__name__).create_counter(
     'entry.calls', description='Calls by what became of them.'
 )
@@ -102,3 +105,14 @@
         error.outcome,
         seen={'code': error.code, 'detail': error.message},
     )
+    if error.outcome is OutcomeKind.UNKNOWN:
+        decisions = work.trail.to_record().decisions
+        LOGGER.warning(
+            'outcome unknown',
+            extra={
+                'request': error.request,
+                'code': error.code,
+                'detail': error.message,
+                'decisions': msgspec.to_builtins(decisions),
+            },
+        )
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -111,6 +111,16 @@
         assert len(agents.sent) == sent
         assert len(agents.ran) <= 1
 
+    async def test_unknown_is_logged(self, caplog):
+        """An outcome that nobody can tell leaves what was decided on it."""
+        agents = ScriptedAgents()
+        agents.script('near', Turn.LOST_DURING)
+        call = make_booking_call()
+        await collect(make_service_entry(agents), call)
+        [line] = [one for one in caplog.records if 'unknown' in one.message]
+        assert line.request == call.request
+        assert 'asked the agent' in [one['chosen'] for one in line.decisions]
+
     @pytest.mark.parametrize(
         'path',
         ['/bookings/7', '//bookings', '/%62ookings', '/x/../bookings?a=b'],
