Send nothing more to a target that refused because it leaves

What callers saw: retries and refusals for up to 2.4 s of each planned stop of an agent, as entry daemons learned of it by the next heartbeat only; each refused try spent one of the ten retries that a quiet daemon has in reserve.

Cause: a refusal `leaving` was taken as a sign of life that puts the next heartbeat off, and not as the word of the target that it is.

Now such a refusal marks the target as leaving; the next heartbeat that says otherwise takes the mark away, so a target that was replaced at the same address is used again as before.

Test: test_leaving_by_refusal, virtual time, failed before.

--- a/src/ragwortcourse/agent/agent.py
+++ b/src/ragwortcourse/agent/agent.py
@@ -16,6 +16,7 @@
 from ragwortcourse.configuration.limits import TargetLimits
 from ragwortcourse.engines.engine import Engine
 from ragwortcourse.identifiers import AdapterName, ModelName, VersionName
+from ragwortcourse.messages.attempt import LEAVING
 from ragwortcourse.messages.outcome import NotRun
 from ragwortcourse.messages.peer_port import DaemonPort
 from ragwortcourse.messages.target_status import LandingProgress
@@ -92,7 +93,7 @@
         """None while new work is taken, else its refusal."""
         if self.leaving:
             return NotRun(
-                code='leaving',
+                code=LEAVING,
                 detail=f'target {self.target.target} is leaving',
                 retry_after=LEAVING_RETRY_SECONDS,
             )
--- a/src/ragwortcourse/membership/signs.py
+++ b/src/ragwortcourse/membership/signs.py
@@ -4,6 +4,7 @@
 from ragwortcourse.configuration.feed import learn_generation
 from ragwortcourse.membership.membership import Membership
 from ragwortcourse.messages.attempt import (
+    LEAVING,
     Attempt,
     AttemptAnswer,
     AttemptOutcome,
@@ -29,6 +30,13 @@
     return AgentPort(start=start, bar=port.bar, heartbeat=port.heartbeat)
 
 
+def is_leaving(outcome: AttemptAnswer | AttemptRefused) -> bool:
+    """Tell whether a target refused because it takes no work any more."""
+    return (
+        isinstance(outcome, AttemptRefused) and outcome.outcome.code == LEAVING
+    )
+
+
 def note_sign(
     membership: Membership,
     address: str,
@@ -39,6 +47,7 @@
         if record.address == address:
             record.sign_at = read_clock()
             record.spare = outcome.spare
+            record.leaving = record.leaving or is_leaving(outcome)
     if outcome.generation <= membership.holder.generation:
         return
     membership.background.spawn(
--- a/src/ragwortcourse/messages/attempt.py
+++ b/src/ragwortcourse/messages/attempt.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from collections.abc import AsyncIterator, Mapping
+from typing import Final
 
 from ragwortcourse.identifiers import (
     AdapterName,
@@ -16,6 +17,9 @@
 from ragwortcourse.messages.outcome import NotRun, Unknown
 from ragwortcourse.messages.target_status import ServedVersion
 
+# Code of a target's refusals once it takes no work any more.
+LEAVING: Final = 'leaving'
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Attempt:
--- a/src/ragwortcourse/processes/agent_daemon.py
+++ b/src/ragwortcourse/processes/agent_daemon.py
@@ -34,7 +34,6 @@
 from ragwortcourse.weights.reconciliation import land_deployments
 from ragwortcourse.weights.routes import build_weight_routes
 
-LEAVING: Final = 'leaving'
 LAST_CONNECTIONS_SECONDS: Final = 1.0
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -137,6 +137,22 @@
         await asyncio.sleep(LEAVING_SECONDS)
         assert not find(entry).leaving
 
+    async def test_leaving_by_refusal(self):
+        """A target that refuses as it leaves gets nothing more at all."""
+        fleet, entry = await start()
+        fleet.agents['w-0'].leaving = True
+        refusal = AttemptRefused(
+            status=503,
+            outcome=NotRun(code='leaving', detail=''),
+            spare=1,
+            generation=0,
+        )
+        note_sign(entry.membership, 'w-0:1', refusal)
+        assert find(entry).leaving
+        fleet.agents['w-0'].leaving = False
+        await asyncio.sleep(LEAVING_SECONDS)
+        assert not find(entry).leaving
+
     @pytest.mark.parametrize('lack', ['empty', 'down', 'shorter'])
     async def test_list_is_a_hint(self, lack: str):
         """Targets that answer stay, whatever becomes of the list."""
