Close a stopping daemon's kept connections before its ports

What callers saw: `unknown` for work that runs at most once, where a call met the closing of a kept connection to an agent that stops (left open in docs/design/outcomes.md; one of the suspects for test_nothing_is_cut_off).

Cause: the listening socket was closed first, kept connections with it. The entry daemon that lost a call so asks on a new connection what became of it, and was refused: nobody could prove any more that nothing had run. A request on a connection that was taken just before was reset as well.

Now connections end first, after the answer to what is under way on them; the port answers for 1.5 s more, which with the second before is longer than a daemon goes without a heartbeat's answer (2.4 s); then the port closes, and connections that it took last have 0.3 s for their request. Stops of entry daemons and agents take 1.8 s longer; forwarders and loaders, which have a grace time of their own, are as before.

Tried first and not taken: the library's pre_shutdown alone; it makes idle connections deaf and leaves them open until the end, so that the call was lost 1.8 s later. Their shutdown alone waits 30 s for handlers that are idle.

Left open: a connection in the kernel's queue at the instant the port closes.

--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -17,7 +17,11 @@
 from ragwortcourse.processes.heap import keep_blocks_apart
 from ragwortcourse.processes.reload import follow_settings, list_changes
 from ragwortcourse.processes.sessions import open_sessions
-from ragwortcourse.processes.sites import open_site
+from ragwortcourse.processes.sites import (
+    end_connections,
+    open_site,
+    stop_listening,
+)
 from ragwortcourse.processes.tasks import BackgroundTasks
 from ragwortcourse.processes.unusable_addresses import UnusableAddressesError
 from ragwortcourse.settings import Role, Settings
@@ -25,6 +29,10 @@
 
 # For the sockets of a daemon that is to be gone soon.
 CUT_SECONDS: Final = 0.4
+# With the time before, longer than a sender goes without a heartbeat's answer.
+ASKING_SECONDS: Final = 1.5
+# For the request on a connection that was taken last.
+LAST_REQUEST_SECONDS: Final = 0.3
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -85,11 +93,24 @@
         self.leaving = True
         await self.daemon.drain()
         if self.daemon.last_connections_seconds:
-            await asyncio.sleep(self.daemon.last_connections_seconds)
-            await self.daemon.drain()
+            await self._end_connections()
         await self._close()
         LOGGER.info('stopped')
 
+    async def _end_connections(self) -> None:
+        """End kept connections first and the ports after them.
+
+        A request that meets the end of its connection is lost; whoever sent
+        it asks on a new connection what became of it.
+        """
+        await asyncio.sleep(self.daemon.last_connections_seconds)
+        await self.daemon.drain()
+        await asyncio.gather(*map(end_connections, self.runners))
+        await asyncio.sleep(ASKING_SECONDS)
+        await asyncio.gather(*map(stop_listening, self.runners))
+        await asyncio.sleep(LAST_REQUEST_SECONDS)
+        await self.daemon.drain()
+
     def _apply(self, settings: Settings) -> tuple[str, ...]:
         """Take bounds over; name what only a restart can change."""
         changed = list_changes(self.settings, settings)
--- a/src/ragwortcourse/processes/sites.py
+++ b/src/ragwortcourse/processes/sites.py
@@ -1,5 +1,6 @@
 """Listening sockets with their routes."""
 
+import asyncio
 from collections.abc import Callable, Iterable
 from typing import Final
 
@@ -51,3 +52,26 @@
         await runner.cleanup()
         raise
     return runner
+
+
+async def end_connections(runner: web.AppRunner) -> None:
+    """Close each connection, after the answer to what is under way on it.
+
+    New connections are still taken.
+    """
+    if runner.server is None:
+        return
+    # As the runner's own clean-up does, but with the socket still open.
+    runner.server.pre_shutdown()
+    await asyncio.gather(
+        *(
+            connection.shutdown(SHUTDOWN_SECONDS)
+            for connection in runner.server.connections
+        )
+    )
+
+
+async def stop_listening(runner: web.AppRunner) -> None:
+    """Take no more connections; those that are open are still served."""
+    for site in tuple(runner.sites):
+        await site.stop()
