Let a soak tell what stood still, its own loop, a process or the machine

What the kept lines say, read again: loader-i-2's timer went off in time at 32.360 (2.4 s after 29.96), and loader-i-1 asked at 32.15 (2.4 s before 34.552), so not the whole machine stood still. The forwarders did: a stream whose limit is 3 s was broken off after 4.046 s, and the three of them wrote again within 4 ms of each other.

Ruled out: that the soak's own process alone stood still, so also a call of its loop that blocks. Loaders without a fault and forwarders with one points to the machine's processors (some of them taken from the machine, or a share of processor time), not to the soak; not proved.

Now a process of its own, fakes.soak_watch, writes four lines a second to watch.log: how late it is itself, load and pressure, and of each process its state (T stopped, D held by the kernel), seconds on a processor, seconds in which it could run and had none, and pages read from disk; and the processor time that the machine's host kept for itself. The soak notes when its own loop comes late by 0.2 s (stalls.jsonl). Each seed's line is followed by the longest of each. None of it excuses a finding; the bound is as before.

Tests: TestStandStill, and test_promises_hold looks for every process in the watch's lines.

--- a/fakes/soak.py
+++ b/fakes/soak.py
@@ -23,6 +23,7 @@
     read_lines,
     wait_ready,
 )
+from fakes.soak_watch import describe_stalls, note_stalls, write_stalls
 
 CALLERS = 6
 PAUSE_SECONDS = 0.12
@@ -261,12 +262,15 @@
 ) -> tuple[list[str], Records]:
     """Findings of one seed, and the records they come from."""
     site = SoakSite(folder=folder)
+    noting = asyncio.create_task(note_stalls(site.records.stalls))
     try:
         await site.open()
         await wait_ready(site)
         findings = await Soak(site=site, seed=seed, seconds=seconds).run()
     finally:
+        noting.cancel()
         await site.close()
+        write_stalls(folder, site.records.stalls)
     return findings, site.records
 
 
@@ -290,6 +294,7 @@
                 f'{statuses.count(200)} served, {len(records.troubles)} '
                 f'faults, {len(findings)} findings in {folder}'
             )
+            click.echo(f'  {describe_stalls(folder, records.stalls)}')
             for finding in findings[:5]:
                 click.echo(f'  {finding}')
             if findings:
--- a/fakes/soak_records.py
+++ b/fakes/soak_records.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from fakes.soak_watch import Stall
+
 
 class Kind(enum.StrEnum):
     """Kinds of requests; all routes of one kind have its prefix."""
@@ -70,6 +72,7 @@
     :param revoked: when each key was taken away, by the store's answer.
     :param withdrawn: spans in which a failure domain was to get no work.
     :param named: when each version of the weights was named.
+    :param stalls: when the soak's own loop stood still; it excuses nothing.
     """
 
     asked: list[Asked] = dataclasses.field(default_factory=list)
@@ -80,5 +83,6 @@
         default_factory=list
     )
     named: dict[int, float] = dataclasses.field(default_factory=dict)
+    stalls: list[Stall] = dataclasses.field(default_factory=list)
     spoilt_loads: list[str] = dataclasses.field(default_factory=list)
     calm_from: float = 0
--- a/fakes/soak_site.py
+++ b/fakes/soak_site.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import pathlib
 import signal
 import time
@@ -24,6 +25,7 @@
     SoakTarget,
     make_piece,
 )
+from fakes.soak_watch import WATCH_LOG
 from ragwortcourse.weights.manifest import digest_bytes
 
 DOMAINS = {'near-a': 'near', 'near-b': 'near'}
@@ -81,11 +83,17 @@
         self.weights = 1
         self.origin_down = False
         self.keys = list(KEYS)
+        self._watch = Child(
+            name='watch', module='fakes.soak_watch', log=folder / WATCH_LOG
+        )
         self._stack = contextlib.AsyncExitStack()
         self._origin = ''
 
     async def open(self) -> None:
         """Start the stand-ins, then the daemons, and wait until they serve."""
+        await self._watch.start(
+            '--folder', str(self.folder), '--parent', str(os.getpid())
+        )
         store = await self._serve(self.store.build_app())
         self._origin = await self._serve(self._build_origin())
         for name, domain in {**ENGINES, **PLAIN}.items():
@@ -108,7 +116,7 @@
 
     async def close(self) -> None:
         """End every process by its id, then the stand-ins."""
-        for child in self.children.values():
+        for child in (*self.children.values(), self._watch):
             child.send(signal.SIGCONT)
             child.send(signal.SIGKILL)
             if child.running:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,13 @@
 """A short soak of the real daemons, and the seeds that once found a fault."""
 
+import asyncio
 import itertools
+import os
+import pathlib
 import random
+import signal
+import subprocess
+import time
 
 import pytest
 
@@ -9,7 +15,16 @@
 from fakes.soak_checks import list_findings
 from fakes.soak_plan import plan_faults
 from fakes.soak_records import Asked, Kind, Ran, Records, Trouble
+from fakes.soak_site import FORWARDERS
 from fakes.soak_target import make_answer
+from fakes.soak_watch import (
+    NOTED_SECONDS,
+    SOAK,
+    find_processes,
+    note_stalls,
+    read_counts,
+    read_watch,
+)
 
 SECONDS = 6.0
 # Seed, seconds of faults, and the cause of what it found.
@@ -70,6 +85,47 @@
         )
         assert records.troubles
         assert not findings
+        watched = {
+            name for line in read_watch(tmp_path) for name in line['processes']
+        }
+        assert watched == {SOAK, *FORWARDERS, 'loader-i-1', 'loader-i-2'}
+
+
+class TestStandStill:
+    """What a soak keeps of everything that stood still."""
+
+    async def test_own_loop(self):
+        """A call that blocks the soak's own loop is told by its length."""
+        stalls = []
+        noting = asyncio.create_task(note_stalls(stalls))
+        await asyncio.sleep(0)
+        time.sleep(2 * NOTED_SECONDS)  # noqa: ASYNC251
+        await asyncio.sleep(0.1)
+        noting.cancel()
+        assert stalls[0].seconds > NOTED_SECONDS
+
+    def test_stopped_process(self):
+        """A process that was stopped is told from one that has no work."""
+        with subprocess.Popen(['sleep', '60']) as process:
+            process.send_signal(signal.SIGSTOP)
+            os.waitid(os.P_PID, process.pid, os.WSTOPPED | os.WNOWAIT)
+            stopped = read_counts(process.pid)
+            process.kill()
+            os.waitid(os.P_PID, process.pid, os.WEXITED | os.WNOWAIT)
+            # Ended, and its parent has not asked for its status yet.
+            left = list(find_processes(os.getpid(), pathlib.Path('/')))
+        assert stopped.state == 'T'
+        assert left == [(SOAK, os.getpid())]
+        assert read_counts(process.pid) is None
+
+    def test_own_processor_time(self):
+        """Time on a processor is counted."""
+        before = read_counts(os.getpid())
+        until = time.process_time() + 0.2
+        while time.process_time() < until:
+            pass
+        after = read_counts(os.getpid())
+        assert after.ran - before.ran > 0.1
 
 
 class TestPlan:
