Start processes beside the loop that serves the stand-ins

Cause: the loop waits at each start, for the new thread that watches the process and, by vfork, until the new program runs; on a busy machine each waits for a processor first.

Now Child starts by fork in a thread, and waits for the end by a pidfd.

The bounds of the soak are as before.

--- a/fakes/child.py
+++ b/fakes/child.py
@@ -4,11 +4,15 @@
 import os
 import pathlib
 import signal
+import subprocess
 import sys
 from typing import Final
 
 ROOT: Final = pathlib.Path(__file__).parent.parent
 STOP_SECONDS: Final = 40.0
+# With vfork the whole interpreter waits until the new program runs, which
+# takes a second on a busy machine; stand-ins would answer nobody meanwhile.
+subprocess._USE_VFORK = False  # type: ignore[misc]  # documented switch
 
 
 class Child:
@@ -18,7 +22,7 @@
         self.name = name
         self._module = module
         self._log = log
-        self._process: asyncio.subprocess.Process | None = None
+        self._process: subprocess.Popen[bytes] | None = None
 
     @property
     def pid(self) -> int:
@@ -38,20 +42,18 @@
     @property
     def running(self) -> bool:
         """Whether the process was started and has not ended."""
-        return self._process is not None and self._process.returncode is None
+        return self._process is not None and self._process.poll() is None
 
     async def start(self, *arguments: str) -> None:
         """Start the module as a process of its own."""
         path = f'{ROOT / "src"}{os.pathsep}{ROOT}'
         with self._log.open('ab') as output:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                '-m',
-                self._module,
-                *arguments,
+            self._process = await asyncio.to_thread(
+                subprocess.Popen,
+                [sys.executable, '-m', self._module, *arguments],
                 stdout=output,
                 stderr=output,
-                stdin=asyncio.subprocess.DEVNULL,
+                stdin=subprocess.DEVNULL,
                 env={**os.environ, 'PYTHONPATH': path},
                 cwd=ROOT,
             )
@@ -69,7 +71,7 @@
         if self._process is None:
             raise RuntimeError(f'{self.name} was not started')
         async with asyncio.timeout(seconds):
-            return await self._process.wait()
+            return await wait_for_end(self._process)
 
     async def stop(self) -> int:
         """End by SIGTERM; exit status. After the bound: SIGKILL."""
@@ -79,3 +81,20 @@
         except TimeoutError:
             self.send(signal.SIGKILL)
             return await self.wait()
+
+
+async def wait_for_end(process: subprocess.Popen[bytes]) -> int:
+    """Exit status of a process, once it has ended."""
+    status = process.poll()
+    if status is not None:
+        return status
+    loop = asyncio.get_running_loop()
+    ended = asyncio.Event()
+    descriptor = os.pidfd_open(process.pid)
+    loop.add_reader(descriptor, ended.set)
+    try:
+        await ended.wait()
+    finally:
+        loop.remove_reader(descriptor)
+        os.close(descriptor)
+    return process.wait()
--- a/fakes/soak_watch.py
+++ b/fakes/soak_watch.py
@@ -72,8 +72,10 @@
 ) -> Iterator[tuple[str, int]]:
     """Name and id of the parent and of its children with settings there."""
     yield SOAK, parent
-    children = PROC / str(parent) / 'task' / str(parent) / 'children'
-    for pid in read_text(children).split():
+    # Each thread has the children that it started.
+    threads = (PROC / str(parent)).glob('task/*/children')
+    pids = ' '.join(read_text(children) for children in threads)
+    for pid in pids.split():
         command = read_text(PROC / pid / 'cmdline').rstrip('\0').split('\0')
         settings = pathlib.Path(command[-1])
         if settings.parent == folder and settings.suffix == '.toml':
--- /dev/null
+++ b/tests/test_child.py
@@ -0,0 +1,69 @@
+"""Tests of :mod:`fakes.child`."""
+
+import asyncio
+import signal
+import subprocess
+import time
+
+import pytest
+
+from fakes.child import Child
+from fakes.soak_watch import LOOP_PERIOD_SECONDS, note_stalls
+
+START_SECONDS = 1.5
+
+
+class SlowStart(subprocess.Popen):
+    """A start that takes long, as on a machine with much to do."""
+
+    def __init__(self, *arguments, **options) -> None:
+        time.sleep(START_SECONDS)
+        super().__init__(*arguments, **options)
+
+
+@pytest.fixture
+def child(tmp_path):
+    """A process that serves nothing until it is ended."""
+    return Child(name='c', module='http.server', log=tmp_path / 'c.log')
+
+
+@pytest.mark.processes
+class TestChild:
+    """Processes that are started and ended beside others."""
+
+    async def test_start(self, monkeypatch, child):
+        """Whatever a start takes, the loop that serves stand-ins goes on."""
+        monkeypatch.setattr(subprocess, 'Popen', SlowStart)
+        stalls = []
+        noting = asyncio.create_task(note_stalls(stalls))
+        await asyncio.sleep(0)
+        await child.start('0')
+        await asyncio.sleep(2 * LOOP_PERIOD_SECONDS)
+        noting.cancel()
+        child.send(signal.SIGKILL)
+        assert await child.wait() == -signal.SIGKILL
+        # The machine may be busy as well.
+        assert (
+            max((each.seconds for each in stalls), default=0)
+            < START_SECONDS / 2
+        )
+
+    async def test_no_shared_memory_until_the_program_runs(self):
+        """A start holds up no thread but the one that waits for it.
+
+        With vfork the whole interpreter waits for the new program.
+        """
+        assert not subprocess._USE_VFORK
+
+    async def test_wait(self, child):
+        """The status is told to everyone who waits, and afterwards."""
+        await child.start('0')
+        assert child.running
+        with pytest.raises(TimeoutError):
+            await child.wait(0.05)
+        waiting = asyncio.gather(child.wait(), child.wait())
+        await asyncio.sleep(0)
+        child.send(signal.SIGTERM)
+        assert await waiting == [-signal.SIGTERM] * 2
+        assert not child.running
+        assert await child.wait() == -signal.SIGTERM
