Keep a failure domain of the soak withdrawn until the last withdrawal ends

Cause: the soak's own. Two withdrawals were 0.05 s apart; the row went with the end of the first, while the second was still recorded as in force. The daemons' logs have `withdrawn failure domains changed []` at 05:51:08.30. Daemons did as the row said.

Now the row is dropped with the last one. No check is changed.

--- a/fakes/soak.py
+++ b/fakes/soak.py
@@ -60,6 +60,7 @@
         self._seed = seed
         self._seconds = seconds
         self._findings: list[str] = []
+        self._withdrawals = 0
         self._store_busy = asyncio.Lock()
         self._busy: dict[str, asyncio.Lock] = {
             name: asyncio.Lock() for name in site.children
@@ -184,10 +185,14 @@
             records.revoked[key] = time.monotonic()
         elif fault.name == 'withdraw':
             began_at = time.monotonic()
+            self._withdrawals += 1
             site.store.put('op', 'evacuate/near-b', {})
             await asyncio.sleep(WITHDRAWN_SECONDS)
             records.withdrawn.append(('near-b', began_at, time.monotonic()))
-            site.store.drop('op', 'evacuate/near-b')
+            self._withdrawals -= 1
+            # One that began later goes on.
+            if not self._withdrawals:
+                site.store.drop('op', 'evacuate/near-b')
         elif fault.name == 'weights':
             site.name_weights()
         else:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,11 +11,11 @@
 
 import pytest
 
-from fakes.soak import run_soak
+from fakes.soak import Soak, run_soak
 from fakes.soak_checks import list_findings
-from fakes.soak_plan import plan_faults
+from fakes.soak_plan import Fault, plan_faults
 from fakes.soak_records import Asked, Kind, Ran, Records, Trouble
-from fakes.soak_site import FORWARDERS
+from fakes.soak_site import FORWARDERS, SoakSite
 from fakes.soak_target import make_answer
 from fakes.soak_watch import (
     NOTED_SECONDS,
@@ -128,6 +128,24 @@
         assert after.ran - before.ran > 0.1
 
 
+class TestOperators:
+    """What operators do in a soak."""
+
+    @pytest.mark.looptime
+    async def test_overlapping_withdrawals(self, tmp_path):
+        """A failure domain stays withdrawn until the last one ends."""
+        site = SoakSite(folder=tmp_path)
+        soak = Soak(site=site, seed=1, seconds=1)
+        fault = Fault(at=0, name='withdraw', whom='', seconds=1)
+        first = asyncio.create_task(soak._inject(fault))
+        await asyncio.sleep(1)
+        second = asyncio.create_task(soak._inject(fault))
+        await first
+        assert site.store.read('op', 'evacuate/near-b') is not None
+        await second
+        assert site.store.read('op', 'evacuate/near-b') is None
+
+
 class TestPlan:
     """What is injected."""
 
