--- a/fakes/soak.py
+++ b/fakes/soak.py
@@ -23,6 +23,7 @@
     read_lines,
     wait_ready,
 )
+from fakes.soak_watch import describe_stalls, note_stalls, write_stalls
 
 CALLERS = 6
 PAUSE_SECONDS = 0.12
@@ -59,6 +60,7 @@
         self._seed = seed
         self._seconds = seconds
         self._findings: list[str] = []
+        self._withdrawals = 0
         self._store_busy = asyncio.Lock()
         self._busy: dict[str, asyncio.Lock] = {
             name: asyncio.Lock() for name in site.children
@@ -183,10 +185,14 @@
             records.revoked[key] = time.monotonic()
         elif fault.name == 'withdraw':
             began_at = time.monotonic()
+            self._withdrawals += 1
             site.store.put('op', 'evacuate/near-b', {})
             await asyncio.sleep(WITHDRAWN_SECONDS)
             records.withdrawn.append(('near-b', began_at, time.monotonic()))
-            site.store.drop('op', 'evacuate/near-b')
+            self._withdrawals -= 1
+            # One that began later goes on.
+            if not self._withdrawals:
+                site.store.drop('op', 'evacuate/near-b')
         elif fault.name == 'weights':
             site.name_weights()
         else:
@@ -261,12 +267,15 @@
 ) -> tuple[list[str], Records]:
     """Findings of one seed, and the records they come from."""
     site = SoakSite(folder=folder)
+    noting = asyncio.create_task(note_stalls(site.records.stalls))
     try:
         await site.open()
         await wait_ready(site)
         findings = await Soak(site=site, seed=seed, seconds=seconds).run()
     finally:
+        noting.cancel()
         await site.close()
+        write_stalls(folder, site.records.stalls)
     return findings, site.records
 
 
@@ -290,6 +299,7 @@
                 f'{statuses.count(200)} served, {len(records.troubles)} '
                 f'faults, {len(findings)} findings in {folder}'
             )
+            click.echo(f'  {describe_stalls(folder, records.stalls)}')
             for finding in findings[:5]:
                 click.echo(f'  {finding}')
             if findings:
