--- a/fakes/fleet_store.py
+++ b/fakes/fleet_store.py
@@ -30,6 +30,7 @@
     :ivar down: every call is refused.
     :ivar silent: calls get no answer.
     :ivar failing: how many of the next calls about a table are refused.
+    :ivar clock_from: monotonic seconds at which its clock stood at zero.
     :ivar delay: seconds for which answers of the feed are on their way.
     :ivar calls: paths asked for.
     """
@@ -38,6 +39,7 @@
         self.down = False
         self.silent = False
         self.delay: float = 0
+        self.clock_from: float = 0
         self.failing: dict[str, int] = {}
         self.calls: list[str] = []
         self.revision = 0
@@ -157,6 +159,6 @@
                 'rows': rows,
                 'has_more': False,
                 'row_version': self.revision,
-                'now_ms': time.monotonic() * 1000,
+                'now_ms': (time.monotonic() - self.clock_from) * 1000,
             }
         )
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import random
+import time
 
 import pytest
 from aiohttp import ClientSession
@@ -270,6 +271,19 @@
         assert observed.seen_at <= named_at
         assert observed.seen_at == pytest.approx(named_at, abs=0.6)
 
+    async def test_store_clock_starts_anew(self, daemon):
+        """A clock of the store that starts anew makes no version older."""
+        daemon.fake.put('op', 'version/m', {'model': 'm', 'version': 2})
+        daemon.follow()
+        await wait_for(lambda: daemon.state.weights)
+        await asyncio.sleep(0.5)
+        daemon.fake.clock_from = time.monotonic()
+        named_at = read_elapsed()
+        daemon.fake.put('op', 'version/m', {'model': 'm', 'version': 4})
+        await wait_for(lambda: len(daemon.state.weights['m']) == 2)
+        observed = daemon.state.weights['m'][-1]
+        assert observed.seen_at == pytest.approx(named_at, abs=1)
+
 
 class TestRelayList:
     """Entry daemons that registered."""
