Learn no time of a version from a reading of all rows

A daemon that read all rows again without a gap, as after a daemon near by had restarted, took a version that it knew with an assumed time for one that was named just now. Its bound moved back by as much as the daemon had run. Where others had seen the naming their word mends it within half a second; where all had started anew nothing did.

A reading of all rows now adds versions that were unknown, and leaves the others. test_known_version_found_again failed before (20 s late).

--- a/src/ragwortcourse/forwarding/fleet_updates.py
+++ b/src/ragwortcourse/forwarding/fleet_updates.py
@@ -64,12 +64,28 @@
     and a later one that another daemon told.
     """
     known = {each.version: each for each in state.weights.get(model, ())}
-    before = known.get(named.version)
     if named.version < max(known, default=NO_VERSION):
         return
-    if not _corrects(before, named):
-        return
-    _keep(state, model, known, [named])
+    if _corrects(known.get(named.version), named):
+        _keep(state, model, known, [named])
+        _log_named(model, named)
+
+
+def note_found_weights(
+    state: FleetState, model: ModelName, named: NamedWeights
+) -> None:
+    """Take over a version from a reading of all rows.
+
+    A version that was known before has not been named since, so that the
+    reading says nothing of its time.
+    """
+    known = {each.version: each for each in state.weights.get(model, ())}
+    if named.version > max(known, default=NO_VERSION):
+        _keep(state, model, known, [named])
+        _log_named(model, named)
+
+
+def _log_named(model: ModelName, named: NamedWeights) -> None:
     LOGGER.info(
         'weights named',
         extra={
--- a/src/ragwortcourse/platform/operator_rows.py
+++ b/src/ragwortcourse/platform/operator_rows.py
@@ -2,6 +2,7 @@
 
 import logging
 import math
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
@@ -10,6 +11,7 @@
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.fleet_updates import (
     note_desired,
+    note_found_weights,
     note_weights,
     note_withdrawals,
 )
@@ -31,6 +33,8 @@
 # a call that waits in vain, and the pause after it.
 REGAIN_SECONDS: Final = 2.5
 
+NoteWeights = Callable[[FleetState, ModelName, NamedWeights], None]
+
 LOGGER: Final = logging.getLogger(__name__)
 
 
@@ -62,9 +66,12 @@
             if f'{names.EVACUATION_PREFIX}{domain}' in present
         }
         note_withdrawals(state, frozenset(kept))
-        change(rows, age)
+        take(rows, age, note_found_weights)
 
     def change(rows: tuple[StoreRow, ...], age: float) -> None:
+        take(rows, age, note_weights)
+
+    def take(rows: tuple[StoreRow, ...], age: float, note: NoteWeights) -> None:
         now = read_elapsed()
         is_first = math.isinf(state.named_since)
         observed = age <= GAP_SECONDS
@@ -72,14 +79,9 @@
         if not observed:
             state.named_since = now
             age = min(age, now - judged_from + unread)
-        apply_rows(rows, now - age, observed=observed)
-
-    def apply_rows(
-        rows: tuple[StoreRow, ...], seen_at: float, *, observed: bool
-    ) -> None:
         for row in rows:
             try:
-                _apply(state, row, seen_at, observed=observed)
+                _apply(state, row, note, now - age, observed=observed)
             except (msgspec.DecodeError, ValueError) as error:
                 LOGGER.warning(
                     'unreadable row of the operators',
@@ -106,7 +108,12 @@
 
 
 def _apply(
-    state: FleetState, row: StoreRow, seen_at: float, *, observed: bool
+    state: FleetState,
+    row: StoreRow,
+    note: NoteWeights,
+    seen_at: float,
+    *,
+    observed: bool,
 ) -> None:
     if row.key.startswith(names.EVACUATION_PREFIX):
         domain = FailureDomainName(
@@ -125,4 +132,4 @@
         named = NamedWeights(
             version=wire.version, seen_at=seen_at, observed=observed
         )
-        note_weights(state, ModelName(wire.model), named)
+        note(state, ModelName(wire.model), named)
--- a/tests/test_operator_rows.py
+++ b/tests/test_operator_rows.py
@@ -59,6 +59,21 @@
         )
         assert state.named_since == since
 
+    @pytest.mark.parametrize('age', [0, GAP_SECONDS, 60])
+    async def test_known_version_found_again(self, age):
+        """A reading of all rows tells nothing of a version that is known.
+
+        The time that was assumed at the start would give way to that of the
+        reading, and the bound would move with it.
+        """
+        state = FleetState()
+        reader = build_operator_reader(state, FLEET)
+        reader.replace((make_row(2),), math.inf)
+        before = state.weights[MODEL]
+        await asyncio.sleep(20)
+        reader.replace((make_row(2),), age)
+        assert state.weights[MODEL] == before
+
     @pytest.mark.parametrize('whole', [True, False])
     @pytest.mark.parametrize('gap', [GAP_SECONDS + 0.1, 60])
     async def test_gap(self, whole, gap):
