Wait until the platform's stand-in listens after a restart

Its log is empty, so that it had not ended. Starting a stand-in of a target waits for its port, starting the platform's did not; the test went on after fixed pauses. Both wait now. No check or bound has changed.

--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -75,6 +75,7 @@
         await self._spawn(
             'platform', 'fakes.platform', self.plan.platform, *extra
         )
+        await self._wait_for_port(self.plan.platform)
 
     async def start_target(self, plan: TargetPlan) -> None:
         """Start the stand-in engine or service of one target."""
