Use one type of counts, one index of versions and one row in tests

load_exchange named the type of counts that peer_counts has; three places of fleet_updates indexed a model's versions, and two test files made the same row. No behaviour changes and no test's assertion does.

--- a/fakes/fleet_parts.py
+++ b/fakes/fleet_parts.py
@@ -4,6 +4,7 @@
 import random
 
 import aiohttp
+import msgspec
 from multidict import CIMultiDict
 
 from ragwortcourse.forwarding.account import Account
@@ -27,6 +28,7 @@
     ServiceName,
     TargetName,
 )
+from ragwortcourse.platform.store_row import StoreRow
 from ragwortcourse.platform.wire import build_wire_format
 from ragwortcourse.settings import (
     FleetSettings,
@@ -252,3 +254,9 @@
         body=b'',
         deadline=call.arrived_at + known.time_limit,
     )
+
+
+def make_naming_row(version: int) -> StoreRow:
+    """The operators' row that names a version."""
+    content = msgspec.json.encode({'model': MODEL, 'version': version})
+    return StoreRow(key=f'version/{MODEL}', content=content)
--- a/src/ragwortcourse/forwarding/fleet_updates.py
+++ b/src/ragwortcourse/forwarding/fleet_updates.py
@@ -63,7 +63,7 @@
     Versions only rise. What the daemon sees itself replaces an assumed time,
     and a later one that another daemon told.
     """
-    known = {each.version: each for each in state.weights.get(model, ())}
+    known = _index_versions(state, model)
     if named.version < max(known, default=NO_VERSION):
         return
     if _corrects(known.get(named.version), named):
@@ -79,7 +79,7 @@
     A version that was known before has not been named since, so that the
     reading says nothing of its time.
     """
-    known = {each.version: each for each in state.weights.get(model, ())}
+    known = _index_versions(state, model)
     if named.version > max(known, default=NO_VERSION):
         _keep(state, model, known, [named])
         _log_named(model, named)
@@ -106,7 +106,7 @@
     """
     is_longer = told.since < state.named_since
     for model, versions in told.versions.items():
-        known = {each.version: each for each in state.weights.get(model, ())}
+        known = _index_versions(state, model)
         newest = max(known, default=NO_VERSION)
         taken = [
             each
@@ -119,6 +119,12 @@
             _log_told(model, known, taken)
 
 
+def _index_versions(
+    state: FleetState, model: ModelName
+) -> dict[int, NamedWeights]:
+    return {each.version: each for each in state.weights.get(model, ())}
+
+
 def _keep(
     state: FleetState,
     model: ModelName,
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -19,7 +19,8 @@
     NamingHistory,
     list_running,
 )
-from ragwortcourse.identifiers import DaemonId, ModelName, TargetName
+from ragwortcourse.forwarding.peer_counts import Counts
+from ragwortcourse.identifiers import DaemonId, ModelName
 from ragwortcourse.membership.relay import RelayRecord
 
 # Within a failure domain; a few requests arrive in it.
@@ -38,9 +39,6 @@
 ListRelays = Callable[[], Awaitable[Sequence[RelayRecord]]]
 
 
-Counts = dict[TargetName, tuple[int, int]]
-
-
 class Naming(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A version of a model, as one daemon knows it.
 
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -14,6 +14,7 @@
     FLEET,
     MODEL,
     make_forwarder,
+    make_naming_row,
     make_state,
     make_target,
 )
@@ -33,7 +34,6 @@
 from ragwortcourse.forwarding.named_weights import NamedWeights
 from ragwortcourse.membership.relay import RelayRecord
 from ragwortcourse.platform.operator_rows import build_operator_reader
-from ragwortcourse.platform.store_row import StoreRow
 from ragwortcourse.settings import ListenSettings
 
 TARGET = make_target(address='10.0.0.1:80')
@@ -213,7 +213,7 @@
             NamedWeights(version=3, seen_at=now - 1),
         )
         build_operator_reader(restarted.state, restarted.fleet).replace(
-            (make_row(3),), math.inf
+            (make_naming_row(3),), math.inf
         )
         assert read_required_version(restarted, ENGINE_RULES) is None
         async with run_exchange(ran, restarted):
@@ -225,12 +225,6 @@
         assert read_required_version(restarted, ENGINE_RULES) == 2
 
 
-def make_row(version):
-    """The operators' row that names a version."""
-    content = msgspec.json.encode({'model': MODEL, 'version': version})
-    return StoreRow(key=f'version/{MODEL}', content=content)
-
-
 def make_pair():
     """Two daemons of a failure domain, of which nothing runs yet."""
     return [
--- a/tests/test_operator_rows.py
+++ b/tests/test_operator_rows.py
@@ -3,10 +3,9 @@
 import asyncio
 import math
 
-import msgspec
 import pytest
 
-from fakes.fleet_parts import FLEET, MODEL
+from fakes.fleet_parts import FLEET, MODEL, make_naming_row
 from ragwortcourse.clock import read_elapsed
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.platform.operator_rows import (
@@ -15,19 +14,12 @@
     START_SECONDS,
     build_operator_reader,
 )
-from ragwortcourse.platform.store_row import StoreRow
 
 pytestmark = pytest.mark.looptime
 # From a naming to the moment at which the fleet holds a daemon to it.
 UNREAD = (FLEET.version_ms - FLEET.contact_ms) / 1000
 
 
-def make_row(version):
-    """The operators' row that names a version."""
-    content = msgspec.json.encode({'model': MODEL, 'version': version})
-    return StoreRow(key=f'version/{MODEL}', content=content)
-
-
 class TestNamings:
     """When versions are believed to have been named."""
 
@@ -37,7 +29,7 @@
         reader = build_operator_reader(state, FLEET)
         started_at = read_elapsed()
         await asyncio.sleep(2)
-        reader.replace((make_row(2),), math.inf)
+        reader.replace((make_naming_row(2),), math.inf)
         (found,) = state.weights[MODEL]
         assert not found.observed
         assumed = started_at - START_SECONDS - UNREAD
@@ -51,7 +43,7 @@
         reader.replace((), math.inf)
         since = state.named_since
         await asyncio.sleep(20)
-        reader.replace((make_row(2),), GAP_SECONDS)
+        reader.replace((make_naming_row(2),), GAP_SECONDS)
         (found,) = state.weights[MODEL]
         assert found.observed
         assert found.seen_at == pytest.approx(
@@ -68,10 +60,10 @@
         """
         state = FleetState()
         reader = build_operator_reader(state, FLEET)
-        reader.replace((make_row(2),), math.inf)
+        reader.replace((make_naming_row(2),), math.inf)
         before = state.weights[MODEL]
         await asyncio.sleep(20)
-        reader.replace((make_row(2),), age)
+        reader.replace((make_naming_row(2),), age)
         assert state.weights[MODEL] == before
 
     @pytest.mark.parametrize('whole', [True, False])
@@ -83,7 +75,7 @@
         reader.replace((), math.inf)
         await asyncio.sleep(gap)
         take = reader.replace if whole else reader.change
-        take((make_row(2),), gap)
+        take((make_naming_row(2),), gap)
         (found,) = state.weights[MODEL]
         assert not found.observed
         assumed = min(gap, REGAIN_SECONDS + UNREAD)
