Log the identity of a repeated request and the incarnation of a target

The lines of the forwarders could not tell which request came back after it had ended a target: attempt ids differ each time, and a restarted target may keep its name. Lines about tries now bear the fingerprint that the product's own path already uses, and when the target was started. One function computes it for both paths.

--- /dev/null
+++ b/src/ragwortcourse/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the targets that run them."""
--- a/src/ragwortcourse/entry/admission.py
+++ b/src/ragwortcourse/entry/admission.py
@@ -9,11 +9,12 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.configuration.client_account import ClientAccount
 from ragwortcourse.configuration.deployment import ServiceDeployment
+from ragwortcourse.crashes.fingerprint import compute_fingerprint
 from ragwortcourse.entry import errors
 from ragwortcourse.entry.admitted_call import AdmittedCall
 from ragwortcourse.entry.decision_log import DecisionLog
 from ragwortcourse.entry.entry import EntryState
-from ragwortcourse.identifiers import AdapterName, ModelName
+from ragwortcourse.identifiers import AdapterName, Fingerprint, ModelName
 from ragwortcourse.messages.call import Call
 from ragwortcourse.messages.outcome import NotRun
 
@@ -28,13 +29,14 @@
     model: str
 
 
-def fingerprint_call(account: ClientAccount, call: Call) -> str:
+def fingerprint_call(account: ClientAccount, call: Call) -> Fingerprint:
     """Compute the digest that identifies a repeated request of an account."""
-    digest = hashlib.sha256()
-    for part in (account.name, call.method, call.path):
-        digest.update(f'{part}\n'.encode())
-    digest.update(call.body)
-    return digest.hexdigest()
+    return compute_fingerprint(
+        account=account.name,
+        method=call.method,
+        path=call.path,
+        body=call.body,
+    )
 
 
 def is_idempotent(service: ServiceDeployment, call: Call) -> bool:
--- a/src/ragwortcourse/forwarding/call.py
+++ b/src/ragwortcourse/forwarding/call.py
@@ -1,12 +1,20 @@
 """Requests of callers, before and after the permission check."""
 
 import dataclasses
+from typing import Final
 
 from multidict import CIMultiDict
 
+from ragwortcourse.crashes.fingerprint import compute_fingerprint
 from ragwortcourse.forwarding.account import Account
 from ragwortcourse.forwarding.route import Route
-from ragwortcourse.identifiers import AttemptId
+from ragwortcourse.identifiers import (
+    AttemptId,
+    ClientAccountName,
+    Fingerprint,
+)
+
+NO_ACCOUNT: Final = ClientAccountName('')
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -54,3 +62,12 @@
     account: Account | None
     body: bytes
     deadline: float
+
+    def compute_fingerprint(self) -> Fingerprint:
+        """Compute the digest that identifies a repeat of the request."""
+        return compute_fingerprint(
+            account=NO_ACCOUNT if self.account is None else self.account.name,
+            method=self.call.method,
+            path=self.call.path_and_query,
+            body=self.body,
+        )
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -49,7 +49,8 @@
     true once a target did not serve the request. ``was_late`` is true if the
     objective could no longer be met when the request arrived. ``sent_at`` is
     the time of the first try and ``first_at`` the time at which the response
-    to the caller began, in monotonic seconds.
+    to the caller began, in monotonic seconds. ``fingerprint`` is the same for
+    each repeat of the request by its caller.
 
     :param work: the permitted call.
     """
@@ -57,6 +58,7 @@
     def __init__(self, *, forwarder: Forwarder, work: PermittedCall) -> None:
         self.forwarder = forwarder
         self.work = work
+        self.fingerprint = work.compute_fingerprint()
         self.runs = 0
         self.tried: list[TargetName] = []
         self.moved = False
@@ -266,7 +268,9 @@
             message,
             extra={
                 'request': self.work.call.attempt,
+                'fingerprint': self.fingerprint,
                 'target': target.name,
+                'born': target.born,
                 'detail': detail,
                 'sends': self._sends,
                 'runs': self.runs,
