--- /dev/null
+++ b/fakes/crash_fleet.py
@@ -0,0 +1,199 @@
+"""Forwarders in one process whose targets end under certain requests."""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+from collections.abc import Sequence
+from typing import Final
+
+import aiohttp
+from aiohttp import web
+from aiohttp.test_utils import TestClient, TestServer
+
+from fakes.fleet_parts import KEY, make_forwarder, make_plain, make_state
+from fakes.fleet_target import FleetTarget, Received, Script, ScriptedConnection
+from fakes.ports import pick_address
+from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.calls import build_call_routes
+from ragwortcourse.forwarding.exchange import open_target_session
+from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.forwarding.forwarder import Forwarder
+from ragwortcourse.forwarding.load_exchange import exchange_loads
+from ragwortcourse.forwarding.target import Target
+from ragwortcourse.identifiers import TargetName
+from ragwortcourse.membership.relay_daemons import RelayRecord
+from ragwortcourse.settings import ListenSettings
+
+CRASHER: Final = b'crasher'
+# Time after which daemons see that a target has ended, and that it is back.
+SEEN_SECONDS: Final = 0.1
+DOWN_SECONDS: Final = 0.3
+LOOK: Final = '/lookups/1'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """One request at one target, in seconds of the event loop."""
+
+    target: TargetName
+    body: bytes
+    at: float
+
+
+class CrashFleet:
+    """Some forwarders that share targets and exchange messages over loopback.
+
+    :param answer: script of a target for requests that do not crash it.
+    """
+
+    def __init__(self, *, answer: Script) -> None:
+        self.arrivals: list[Arrival] = []
+        self.ended: list[float] = []
+        self.forwarders: list[Forwarder] = []
+        self.exit_stack = contextlib.AsyncExitStack()
+        self._answer = answer
+        self._down: set[TargetName] = set()
+        self._clients: list[TestClient[web.Request, web.Application]] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._attempts = itertools.count()
+        self._listed: dict[TargetName, Target] = {}
+
+    async def open(self, *, targets: int, forwarders: int) -> None:
+        """Start the targets, then the forwarders."""
+        for number in range(targets):
+            name = TargetName(f't-{number}')
+            target = FleetTarget(self._build_script(name))
+            await target.start()
+            self.exit_stack.push_async_callback(target.stop)
+            self._listed[name] = make_plain(name, address=target.address)
+        self.exit_stack.push_async_callback(self._stop_tasks)
+        for number in range(forwarders):
+            await self.start_forwarder(f'entry-{number}')
+
+    async def start_forwarder(self, name: str) -> Forwarder:
+        """Start one more forwarder that knows nothing of before."""
+        session = await self.exit_stack.enter_async_context(
+            open_target_session()
+        )
+        forwarder = make_forwarder(
+            make_state(*self._listed.values()),
+            session,
+            daemon=name,
+            listen=ListenSettings(
+                peers=pick_address(),
+                watch='127.0.0.1:1',
+                callers='127.0.0.1:1',
+            ),
+        )
+        app = web.Application()
+        app.add_routes(build_call_routes(forwarder))
+        server = TestServer(app, handler_cancellation=True)
+        client = await self.exit_stack.enter_async_context(TestClient(server))
+        self.forwarders.append(forwarder)
+        self._clients.append(client)
+        self._tasks.append(
+            asyncio.ensure_future(
+                exchange_loads(
+                    forwarder=forwarder, list_relays=self._list_relays
+                )
+            )
+        )
+        return forwarder
+
+    async def ask(
+        self, daemon: int, body: bytes, path: str = LOOK
+    ) -> aiohttp.ClientResponse:
+        """Send a request to one forwarder and read its whole answer."""
+        response = await self._clients[daemon].post(
+            path,
+            data=body,
+            headers={
+                'Host': 'desk.example',
+                'Authorization': f'Bearer {KEY}',
+                'Ragwortcourse-Attempt-Id': f'a{next(self._attempts)}',
+                'Ragwortcourse-Deadline-Ms': '6000',
+            },
+        )
+        await response.read()
+        return response
+
+    async def send_steadily(
+        self, body: bytes, *, every: float, seconds: float
+    ) -> dict[float, int]:
+        """Send a request again and again, to each forwarder in turn.
+
+        :return: the statuses of the answers by the time of sending.
+        """
+        statuses: dict[float, int] = {}
+        ends_at = read_clock() + seconds
+        for number in itertools.count():
+            if read_clock() >= ends_at:
+                return statuses
+            daemon = number % len(self._clients)
+            sent_at = read_clock()
+            response = await self.ask(daemon, body)
+            statuses[sent_at] = response.status
+            await asyncio.sleep(every)
+        return statuses
+
+    def count_arrivals(self, body: bytes, *, after: float = 0) -> int:
+        """Count the arrivals of a request at targets later than a time."""
+        return sum(
+            arrival.body == body and arrival.at > after
+            for arrival in self.arrivals
+        )
+
+    def end_target(self, name: TargetName) -> None:
+        """End a target; its row goes and comes back as a new incarnation."""
+        if name in self._down:
+            return
+        self._down.add(name)
+        self.ended.append(read_clock())
+        self._tasks.append(asyncio.ensure_future(self._replace(name)))
+
+    def _build_script(self, name: TargetName) -> Script:
+        async def serve(
+            received: Received, connection: ScriptedConnection
+        ) -> None:
+            arrival = Arrival(target=name, body=received.body, at=read_clock())
+            self.arrivals.append(arrival)
+            if received.body.startswith(CRASHER):
+                self.end_target(name)
+            if name not in self._down:
+                await self._answer(received, connection)
+            if name in self._down:
+                connection.reset()
+
+        return serve
+
+    async def _replace(self, name: TargetName) -> None:
+        await asyncio.sleep(SEEN_SECONDS)
+        for state in self._list_states():
+            state.targets.pop(name, None)
+        await asyncio.sleep(DOWN_SECONDS)
+        self._down.discard(name)
+        known = self._listed[name]
+        born = dataclasses.replace(known, born=known.born + 1)
+        self._listed[name] = born
+        for state in self._list_states():
+            state.targets[name] = born
+
+    def _list_states(self) -> list[FleetState]:
+        return [forwarder.state for forwarder in self.forwarders]
+
+    async def _list_relays(self) -> Sequence[RelayRecord]:
+        return [
+            RelayRecord(
+                daemon=forwarder.settings.daemon,
+                address=forwarder.settings.listen.peers,
+                failure_domain=forwarder.settings.failure_domain,
+                region=forwarder.settings.region,
+            )
+            for forwarder in self.forwarders
+        ]
+
+    async def _stop_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
