Confirm the desired state in the stand-in of crashing targets

Without a store the forwarders of the test refused all keys 3.8 s after their start, which the first figures counted as unserved. The test's bounds are unchanged.

--- a/fakes/crash_fleet.py
+++ b/fakes/crash_fleet.py
@@ -17,7 +17,7 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.calls import build_call_routes
 from ragwortcourse.forwarding.exchange import open_target_session
-from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.forwarding.fleet_state import FleetState, read_boot_clock
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.load_exchange import exchange_loads
 from ragwortcourse.forwarding.target import Target
@@ -29,6 +29,7 @@
 # Time after which daemons see that a target has ended, and that it is back.
 SEEN_SECONDS: Final = 0.1
 DOWN_SECONDS: Final = 0.3
+CONFIRM_SECONDS: Final = 0.5
 LOOK: Final = '/lookups/1'
 
 
@@ -68,6 +69,7 @@
             self.exit_stack.push_async_callback(target.stop)
             self._listed[name] = make_plain(name, address=target.address)
         self.exit_stack.push_async_callback(self._stop_tasks)
+        self._tasks.append(asyncio.ensure_future(self._confirm_states()))
         for number in range(forwarders):
             await self.start_forwarder(f'entry-{number}')
 
@@ -179,6 +181,13 @@
         for state in self._list_states():
             state.targets[name] = born
 
+    async def _confirm_states(self) -> None:
+        """Confirm the desired state at all forwarders, as a store does."""
+        while True:
+            for state in self._list_states():
+                state.confirmed_at = read_boot_clock()
+            await asyncio.sleep(CONFIRM_SECONDS)
+
     def _list_states(self) -> list[FleetState]:
         return [forwarder.state for forwarder in self.forwarders]
 
