Hold a request back that ends one target after another

Cause: forwarders did not know the request again. Requests that crash targets were counted on the product's own path alone; on the forwarders' path only max_tries bounded each sending. A promise held on one path and never built on the other.

Ruled out by reading: tries not charged when a target dies before the sending (it had ended before), continued streams (bounded by max_tries), repeats of callers taken for ours.

Change: a lost answer is remembered by the request's fingerprint and the target's incarnation, and counts once that incarnation is gone, if the request was sent after the one before was lost, and was not answered whole since. Two losses end our own repeats, three hold the request back until the fate of the targets is known, three ends refuse it for 600 s. Daemons exchange the evidence by datagrams. The verdict and the store of evidence are shared with the product's own path, whose rules stay as they were.

Also covered: streams that end their target midway, equal look-ups in a rack without power, targets that survive, a store that is away, daemons that start later, reports in any order, and bounded memory.

The retry budget moves beside the guard, as both bind the daemons in sum.

--- a/fakes/crash_fleet.py
+++ b/fakes/crash_fleet.py
@@ -11,7 +11,13 @@
 from aiohttp import web
 from aiohttp.test_utils import TestClient, TestServer
 
-from fakes.fleet_parts import KEY, make_forwarder, make_plain, make_state
+from fakes.fleet_parts import (
+    KEY,
+    make_forwarder,
+    make_plain,
+    make_state,
+    make_target,
+)
 from fakes.fleet_target import FleetTarget, Received, Script, ScriptedConnection
 from fakes.ports import pick_address
 from ragwortcourse.clock import read_clock
@@ -31,6 +37,7 @@
 DOWN_SECONDS: Final = 0.3
 CONFIRM_SECONDS: Final = 0.5
 LOOK: Final = '/lookups/1'
+LETTER: Final = '/letters/1'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -45,29 +52,37 @@
 class CrashFleet:
     """Some forwarders that share targets and exchange messages over loopback.
 
-    :param answer: script of a target for requests that do not crash it.
+    :param answer: script of a target that is not down.
+    :param ends_midway: true if a target ends only after that script.
     """
 
-    def __init__(self, *, answer: Script) -> None:
+    def __init__(self, *, answer: Script, ends_midway: bool = False) -> None:
         self.arrivals: list[Arrival] = []
         self.ended: list[float] = []
         self.forwarders: list[Forwarder] = []
         self.exit_stack = contextlib.AsyncExitStack()
         self._answer = answer
+        self._ends_midway = ends_midway
         self._down: set[TargetName] = set()
         self._clients: list[TestClient[web.Request, web.Application]] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._attempts = itertools.count()
         self._listed: dict[TargetName, Target] = {}
 
-    async def open(self, *, targets: int, forwarders: int) -> None:
-        """Start the targets, then the forwarders."""
+    async def open(
+        self, *, targets: int, forwarders: int, plain: bool = True
+    ) -> None:
+        """Start the targets, then the forwarders.
+
+        :param plain: true for targets of the plain service, false for engines.
+        """
+        make = make_plain if plain else make_target
         for number in range(targets):
             name = TargetName(f't-{number}')
             target = FleetTarget(self._build_script(name))
             await target.start()
             self.exit_stack.push_async_callback(target.stop)
-            self._listed[name] = make_plain(name, address=target.address)
+            self._listed[name] = make(name, address=target.address)
         self.exit_stack.push_async_callback(self._stop_tasks)
         self._tasks.append(asyncio.ensure_future(self._confirm_states()))
         for number in range(forwarders):
@@ -160,10 +175,13 @@
         ) -> None:
             arrival = Arrival(target=name, body=received.body, at=read_clock())
             self.arrivals.append(arrival)
-            if received.body.startswith(CRASHER):
+            crashes = received.body.startswith(CRASHER)
+            if crashes and not self._ends_midway:
                 self.end_target(name)
             if name not in self._down:
                 await self._answer(received, connection)
+            if crashes:
+                self.end_target(name)
             if name in self._down:
                 connection.reset()
 
--- a/src/ragwortcourse/agent/suspects.py
+++ b/src/ragwortcourse/agent/suspects.py
@@ -4,9 +4,9 @@
 from typing import Final
 
 from ragwortcourse.clock import read_clock
+from ragwortcourse.crashes.evidence_store import SUSPICION_SECONDS
 from ragwortcourse.identifiers import AttemptId
 
-SUSPICION_SECONDS: Final = 600.0
 MAX_SUSPECTS: Final = 64
 MAX_CRASHES: Final = 16
 SAME_CRASH_SECONDS: Final = 10.0
--- a/src/ragwortcourse/entry/crashers.py
+++ b/src/ragwortcourse/entry/crashers.py
@@ -4,16 +4,19 @@
 method, path and body.
 """
 
-import collections
 import dataclasses
 from typing import Final
 
 from ragwortcourse.clock import read_clock
+from ragwortcourse.crashes.evidence_store import (
+    SUSPICION_SECONDS,
+    EvidenceStore,
+)
+from ragwortcourse.crashes.verdict import Verdict, judge_request
 from ragwortcourse.identifiers import ClientAccountName, TargetName
 from ragwortcourse.messages.operator import Crasher, CrasherList
 
 CRASHES_TO_REFUSE: Final = 2
-SUSPICION_SECONDS: Final = 600.0
 EVIDENCE_LIMIT: Final = 256
 
 
@@ -41,7 +44,15 @@
     @property
     def meets_refusal_threshold(self) -> bool:
         """Tell whether enough targets crashed to refuse the request."""
-        return len(self.unreleased_targets) >= CRASHES_TO_REFUSE
+        return self.verdict is Verdict.REFUSED
+
+    @property
+    def verdict(self) -> Verdict:
+        """Return the verdict on the request."""
+        crashes = len(self.unreleased_targets)
+        return judge_request(
+            proven=crashes, suspected=crashes, refused_from=CRASHES_TO_REFUSE
+        )
 
 
 class CrasherRegistry:
@@ -52,8 +63,8 @@
     """
 
     def __init__(self) -> None:
-        self._evidence: collections.OrderedDict[str, CrashRecord] = (
-            collections.OrderedDict()
+        self._evidence = EvidenceStore[CrashRecord](
+            limit=EVIDENCE_LIMIT, is_kept=lambda _: False
         )
 
     def record_crashes(
@@ -84,10 +95,10 @@
 
         :return: true if there was a suspicion.
         """
-        evidence = self._evidence.get(fingerprint)
+        evidence = self._evidence.find(fingerprint)
         if evidence is None or evidence.meets_refusal_threshold:
             return False
-        self._evidence.pop(fingerprint)
+        self._evidence.remove(fingerprint)
         return bool(evidence.unreleased_targets)
 
     def is_suspect(self, fingerprint: str) -> bool:
@@ -95,19 +106,19 @@
 
         Recent means within ``SUSPICION_SECONDS``.
         """
-        evidence = self._evidence.get(fingerprint)
-        if evidence is None or not evidence.unreleased_targets:
+        evidence = self._evidence.find(fingerprint)
+        if evidence is None or evidence.verdict is Verdict.ALLOWED:
             return False
         return read_clock() - evidence.newest_crash_at <= SUSPICION_SECONDS
 
     def is_refused(self, fingerprint: str) -> bool:
         """Tell whether the request crashed enough targets to be refused."""
-        evidence = self._evidence.get(fingerprint)
+        evidence = self._evidence.find(fingerprint)
         return evidence is not None and evidence.meets_refusal_threshold
 
     def find(self, fingerprint: str) -> CrashRecord | None:
         """Return the evidence against a request; none if there is none."""
-        return self._evidence.get(fingerprint)
+        return self._evidence.find(fingerprint)
 
     def list_crashers(self) -> CrasherList:
         """List all refused requests, for operators."""
@@ -118,16 +129,16 @@
                     account=evidence.account,
                     targets=tuple(sorted(evidence.unreleased_targets)),
                 )
-                for fingerprint, evidence in self._evidence.items()
+                for fingerprint, evidence in self._evidence.list_items()
                 if evidence.meets_refusal_threshold
             )
         )
 
     def release(self, fingerprint: str) -> bool:
         """Allow a refused request again; false if it was not refused."""
-        if not self.is_refused(fingerprint):
+        evidence = self._evidence.find(fingerprint)
+        if evidence is None or not evidence.meets_refusal_threshold:
             return False
-        evidence = self._evidence[fingerprint]
         evidence.released |= evidence.targets
         return True
 
@@ -135,19 +146,17 @@
         """Return evidence for other daemons: refused or released requests."""
         return {
             fingerprint: evidence
-            for fingerprint, evidence in self._evidence.items()
+            for fingerprint, evidence in self._evidence.list_items()
             if evidence.meets_refusal_threshold or evidence.released
         }
 
     def _find(
         self, fingerprint: str, account: ClientAccountName
     ) -> CrashRecord:
-        evidence = self._evidence.get(fingerprint)
+        evidence = self._evidence.find(fingerprint)
         if evidence is None:
             evidence = CrashRecord(
                 account=account, newest_crash_at=read_clock()
             )
-            self._evidence[fingerprint] = evidence
-            if len(self._evidence) > EVIDENCE_LIMIT:
-                self._evidence.popitem(last=False)
+            self._evidence.add(fingerprint, evidence)
         return evidence
--- a/src/ragwortcourse/entry/suspicion_rows.py
+++ b/src/ragwortcourse/entry/suspicion_rows.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
+from ragwortcourse.crashes.evidence_store import SUSPICION_SECONDS
 from ragwortcourse.entry.crasher_sync import build_shared_crasher, merge_crasher
-from ragwortcourse.entry.crashers import SUSPICION_SECONDS
 from ragwortcourse.entry.entry import EntryState
 from ragwortcourse.messages.shared_crasher import SharedCrasher
 from ragwortcourse.storage.table import (
--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -62,9 +62,22 @@
     body = await request.read()
     work = _accept(call, *permitted, body)
     tries = Tries(forwarder=forwarder, work=work)
+    fingerprint = tries.crashes.fingerprint
+    guard = forwarder.safeguards.crash_guard
+    refusal = guard.check(fingerprint)
+    if refusal is not None:
+        return _write_reply(call, refusal)
+    with guard.count_running(fingerprint):
+        return await _answer_permitted(tries, request)
+
+
+async def _answer_permitted(
+    tries: Tries, request: web.Request
+) -> web.StreamResponse:
+    call = tries.work.call
     response: web.StreamResponse | Reply
     try:
-        async with asyncio.timeout_at(work.deadline):
+        async with asyncio.timeout_at(tries.work.deadline):
             response = await _serve(tries, request)
     except TimeoutError:
         response = Refusal(
--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -232,7 +232,7 @@
     load = forwarder.find_load(target)
     if not rules.cold_rate or load.cold_until <= read_clock():
         return True
-    share = rules.cold_rate / forwarder.fleet_retry_budget.daemons
+    share = rules.cold_rate / forwarder.safeguards.retry_budget.daemons
     return load.count_recent(read_clock()) < max(share, 1)
 
 
--- a/src/ragwortcourse/forwarding/exchange.py
+++ b/src/ragwortcourse/forwarding/exchange.py
@@ -10,6 +10,7 @@
 
 from ragwortcourse.forwarding.answer_head import AnswerHead
 from ragwortcourse.forwarding.call import PermittedCall
+from ragwortcourse.forwarding.loss_cause import LossCause
 from ragwortcourse.forwarding.target_connection import (
     TargetConnector,
     TargetResponse,
@@ -42,9 +43,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class NoAnswer:
-    """Missing answer to a sent request: whether it ran is unknown."""
+    """Missing answer to a sent request: whether it ran is unknown.
+
+    :param cause: why there is no answer.
+    """
 
     detail: str
+    cause: LossCause
 
 
 class AnswerCutError(Exception):
@@ -147,6 +152,14 @@
     ) as error:
         return NotSent(detail=repr(error))
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
-        return NoAnswer(detail=repr(error))
+        return NoAnswer(detail=repr(error), cause=_read_cause(error))
     head = wire.read_head(response.status, response.headers, call.attempt)
     return OpenAnswer(head=head, response=response)
+
+
+def _read_cause(error: Exception) -> LossCause:
+    if isinstance(error, TimeoutError):
+        return LossCause.SILENCE
+    if isinstance(error, aiohttp.ClientResponseError):
+        return LossCause.INVALID
+    return LossCause.CUT
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -1,6 +1,7 @@
 """Shared state of the requests that an entry daemon forwards."""
 
 import logging
+import math
 import random
 from typing import Final
 
@@ -9,9 +10,11 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.entry.retry_scheduler import RetryScheduler
 from ragwortcourse.forwarding.caller_timeouts import CallerTimeouts
+from ragwortcourse.forwarding.crash_guard import CrashGuard
 from ragwortcourse.forwarding.fleet_retry_budget import FleetRetryBudget
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.peer_counts import Counts, PeerCounts
+from ragwortcourse.forwarding.safeguards import Safeguards
 from ragwortcourse.forwarding.store_watch import StoreWatch
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_load import TargetLoad
@@ -49,9 +52,14 @@
         self.session = session
         self.rng = rng
         self.retry_scheduler = RetryScheduler()
-        self.fleet_retry_budget = FleetRetryBudget(fleet=self.fleet)
         self.caller_timeouts = CallerTimeouts()
         self.store_watch = StoreWatch(state=state)
+        self.safeguards = Safeguards(
+            retry_budget=FleetRetryBudget(fleet=self.fleet),
+            crash_guard=CrashGuard(
+                state=state, find_answered=self._find_answered
+            ),
+        )
         self._peers = PeerCounts()
         self.running = 0
         self.closing = False
@@ -96,6 +104,13 @@
             if load.own
         }
 
+    def _find_answered(self, target: TargetName, born: int) -> float:
+        """Find when the newest request was sent that a target answered."""
+        load = self._loads.get(target)
+        if load is None or load.born != born:
+            return -math.inf
+        return load.answered_sent_at
+
     def _forget_gone(self) -> None:
         for name in self._loads.keys() - self.state.targets.keys():
             self._loads.pop(name)
--- a/src/ragwortcourse/forwarding/gauges.py
+++ b/src/ragwortcourse/forwarding/gauges.py
@@ -41,7 +41,7 @@
         'ragwortcourse.forwarding.retries_left',
         '',
         'further tries that the own share of the window still allows',
-        lambda: forwarder.fleet_retry_budget.left,
+        lambda: forwarder.safeguards.retry_budget.left,
     )
     _watch(
         'ragwortcourse.forwarding.weights_version',
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -13,6 +13,11 @@
 import msgspec
 
 from ragwortcourse.clock import read_clock, read_clock_with_suspend
+from ragwortcourse.forwarding.crash_exchange import (
+    CrashMessage,
+    CrashSender,
+    note_reports,
+)
 from ragwortcourse.forwarding.fleet_updates import note_history
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.named_weights import (
@@ -101,7 +106,7 @@
     version: int
 
 
-Message = LoadMessage | SwitchMessage
+Message = LoadMessage | SwitchMessage | CrashMessage
 DECODER: Final = msgspec.json.Decoder(Message)
 
 
@@ -135,6 +140,8 @@
             return
         if isinstance(message, LoadMessage):
             self._take_load(message)
+        elif isinstance(message, CrashMessage):
+            self._take_crashes(message)
         else:
             self._take_switch(message)
 
@@ -153,6 +160,11 @@
             history = _decode_history(message.namings)
             note_history(self._forwarder.state, history)
 
+    def _take_crashes(self, message: CrashMessage) -> None:
+        self.note_awake()
+        if self._awake_at >= self._late_until:
+            note_reports(self._forwarder.safeguards.crash_guard, message)
+
     def _take_switch(self, message: SwitchMessage) -> None:
         for target in self._forwarder.state.targets.values():
             if target.address == message.address:
@@ -175,6 +187,14 @@
         lambda: receiver,
         local_addr=(host, int(port)),
     )
+    crash_sender = CrashSender(
+        guard=forwarder.safeguards.crash_guard,
+        daemon=settings.daemon,
+        rng=forwarder.rng,
+        send=lambda content, address: transport.sendto(
+            content, read_address(address)
+        ),
+    )
     round_number = 0
     sent_counts: Counts = {}
     try:
@@ -189,6 +209,15 @@
                     forwarder, transport, list_relays, is_far=False
                 )
             sent_counts = counts
+            if forwarder.safeguards.crash_guard.store:
+                peers = [
+                    relay.address
+                    for relay in await list_relays()
+                    if relay.daemon != settings.daemon
+                ]
+                crash_sender.send_round(
+                    peers, repeats=round_number % FAR_ROUNDS == 0
+                )
             await asyncio.sleep(NEAR_SECONDS)
     finally:
         transport.close()
@@ -217,7 +246,7 @@
     relays = await list_relays()
     if relays:
         # An empty list has not been read yet; the assumed number stays.
-        forwarder.fleet_retry_budget.daemons = len(relays)
+        forwarder.safeguards.retry_budget.daemons = len(relays)
     forwarder.store_watch.detect_outage([relay.daemon for relay in relays])
     for relay in relays:
         is_near = relay.failure_domain == settings.failure_domain
--- /dev/null
+++ b/src/ragwortcourse/forwarding/loss_cause.py
@@ -0,0 +1,14 @@
+"""Cause of a missing or incomplete answer of a target."""
+
+import enum
+
+
+class LossCause(enum.Enum):
+    """Cause of a missing or incomplete answer."""
+
+    # The connection ended.
+    CUT = 'cut'
+    # The target stopped sending.
+    SILENCE = 'silence'
+    # The target sent something that is no answer to the request.
+    INVALID = 'invalid'
--- /dev/null
+++ b/src/ragwortcourse/forwarding/lost_run.py
@@ -0,0 +1,53 @@
+"""One incarnation of a target that was lost while it ran a request."""
+
+import dataclasses
+import enum
+
+from ragwortcourse.identifiers import TargetName
+
+
+class Fate(enum.IntEnum):
+    """State of an incarnation after it lost an answer.
+
+    Where daemons differ, the higher value holds: a daemon that got an answer
+    from the incarnation afterwards knows more than one that misses its row.
+    """
+
+    UNKNOWN = 0
+    ENDED = 1
+    SURVIVED = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LostRun:
+    """Run of a request whose answer was lost at one incarnation.
+
+    Times are seconds of the clock that runs during suspension.
+
+    :param born: start time of the incarnation in milliseconds since the epoch.
+    :param sent_at: time at which the request was sent.
+    :param lost_at: time at which the loss was noticed.
+    :param silent: true if the target only stopped sending, as a slow target
+        or one that is cut off does.
+    """
+
+    target: TargetName
+    born: int
+    sent_at: float
+    lost_at: float
+    silent: bool = False
+    fate: Fate = Fate.UNKNOWN
+
+    def merge(self, other: 'LostRun') -> 'LostRun':
+        """Merge with another report about the same incarnation.
+
+        Merging is associative and commutative, so the order of reports does
+        not matter.
+        """
+        return dataclasses.replace(
+            self,
+            sent_at=min(self.sent_at, other.sent_at),
+            lost_at=min(self.lost_at, other.lost_at),
+            silent=self.silent and other.silent,
+            fate=max(self.fate, other.fate),
+        )
--- a/src/ragwortcourse/forwarding/plain_call.py
+++ b/src/ragwortcourse/forwarding/plain_call.py
@@ -6,6 +6,7 @@
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.exchange import AnswerCutError
+from ragwortcourse.forwarding.loss_cause import LossCause
 from ragwortcourse.forwarding.open_try import OpenTry
 from ragwortcourse.forwarding.reply import Reason, Refusal, Reply, WholeAnswer
 from ragwortcourse.forwarding.tries import Tries
@@ -42,6 +43,7 @@
                 return opened
             return await _read_whole(tries, opened)
     except TimeoutError:
+        tries.crashes.note_lost(LossCause.SILENCE)
         return None
 
 
@@ -57,10 +59,11 @@
     try:
         pieces = [piece async for piece in opened.answer.read_pieces()]
     except AnswerCutError as error:
-        tries.fail(opened, str(error))
+        tries.fail(opened, str(error), LossCause.CUT)
         return None
     finally:
         tries.end(opened)
+    tries.crashes.note_answered()
     head = opened.answer.head
     if head.is_success:
         opened.load.note_success(read_clock() - opened.began_at)
--- a/src/ragwortcourse/forwarding/reply.py
+++ b/src/ragwortcourse/forwarding/reply.py
@@ -19,6 +19,7 @@
     UNKNOWN_KEY = 'unknown key'
     NO_TARGET = 'no usable target'
     OVERLOADED = 'no place in time'
+    CRASHES_TARGETS = 'crashes targets'
     NOT_RUN = 'targets did not run it'
     FAILED = 'answer lost or spoilt'
     TIMED_OUT = 'time limit reached'
--- /dev/null
+++ b/src/ragwortcourse/forwarding/safeguards.py
@@ -0,0 +1,14 @@
+"""Protections of targets that entry daemons keep together."""
+
+import dataclasses
+
+from ragwortcourse.forwarding.crash_guard import CrashGuard
+from ragwortcourse.forwarding.fleet_retry_budget import FleetRetryBudget
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Safeguards:
+    """Protections that bind the entry daemons of a fleet in sum."""
+
+    retry_budget: FleetRetryBudget
+    crash_guard: CrashGuard
--- a/src/ragwortcourse/forwarding/stream_call.py
+++ b/src/ragwortcourse/forwarding/stream_call.py
@@ -9,6 +9,7 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.event_buffer import EventBuffer
 from ragwortcourse.forwarding.exchange import AnswerCutError
+from ragwortcourse.forwarding.loss_cause import LossCause
 from ragwortcourse.forwarding.open_try import OpenTry
 from ragwortcourse.forwarding.reply import Reason, Refusal, WholeAnswer
 from ragwortcourse.forwarding.tries import Tries
@@ -51,14 +52,21 @@
                 return self._give_up(opened)
             try:
                 return await self._relay(opened)
-            except (AnswerCutError, TimeoutError) as error:
-                self._events.drop_rest()
-                self._tries.fail(opened, repr(error))
+            except AnswerCutError as error:
+                self._fail(opened, error, LossCause.CUT)
+            except TimeoutError as error:
+                self._fail(opened, error, LossCause.SILENCE)
             finally:
                 self._tries.end(opened)
             if not self._tries.allows_another():
                 return self._give_up(Refusal(reason=Reason.FAILED))
 
+    def _fail(
+        self, opened: OpenTry, error: Exception, cause: LossCause
+    ) -> None:
+        self._events.drop_rest()
+        self._tries.fail(opened, repr(error), cause)
+
     def _give_up(self, refusal: Refusal) -> Refusal:
         if self._response is None:
             return refusal
@@ -75,6 +83,7 @@
     ) -> web.StreamResponse | Refusal | WholeAnswer:
         if not opened.answer.head.is_success:
             pieces = [piece async for piece in opened.answer.read_pieces()]
+            self._tries.crashes.note_answered()
             if self._response is None:
                 return WholeAnswer(
                     head=opened.answer.head, body=b''.join(pieces)
@@ -83,6 +92,7 @@
         async for whole in self._read_events(opened):
             response = await self._begin(opened)
             await response.write(whole)
+        self._tries.crashes.note_answered()
         response = await self._begin(opened)
         await response.write_eof()
         return response
--- a/src/ragwortcourse/forwarding/target_load.py
+++ b/src/ragwortcourse/forwarding/target_load.py
@@ -1,5 +1,6 @@
 """Load and health of one target as known to one daemon."""
 
+import math
 from typing import Final
 
 from ragwortcourse.forwarding.answer_head import ReportedLoad
@@ -24,6 +25,8 @@
     begin, to take requests. ``own`` counts the requests of this daemon, and
     ``unanswered`` those of them without an answer yet. ``latency`` is the
     mean time to the first bytes of an answer, none before the first answer.
+    ``answered_sent_at`` is when the newest request was sent that the target
+    answered, in seconds of the clock that runs during suspension.
 
     :param born: start time of the incarnation.
     :param peers: requests of other daemons at all targets.
@@ -37,6 +40,7 @@
         self.unanswered = 0
         self.unavailable_until: float = 0
         self.cold_until: float = 0
+        self.answered_sent_at: float = -math.inf
         self.latency: float | None = None
         self.version = 0
         self.target_health = TargetHealth()
@@ -70,6 +74,13 @@
         """Note that the target sent data."""
         self._sign_at = now
 
+    def note_answered(self, sent_at: float) -> None:
+        """Note that the target itself answered a request.
+
+        :param sent_at: seconds of the clock that runs during suspension.
+        """
+        self.answered_sent_at = max(self.answered_sent_at, sent_at)
+
     def note_load(self, load: ReportedLoad, now: float) -> None:
         """Apply a load report of the target."""
         self._others = max(load.running + load.waiting - self.own, 0)
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -25,8 +25,10 @@
     send_request,
 )
 from ragwortcourse.forwarding.forwarder import Forwarder
+from ragwortcourse.forwarding.loss_cause import LossCause
 from ragwortcourse.forwarding.open_try import OpenTry
 from ragwortcourse.forwarding.reply import Reason, Refusal
+from ragwortcourse.forwarding.request_crashes import RequestCrashes
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_load import TargetLoad
 from ragwortcourse.forwarding.urgency import Standing, rank_request
@@ -49,8 +51,7 @@
     true once a target did not serve the request. ``was_late`` is true if the
     objective could no longer be met when the request arrived. ``sent_at`` is
     the time of the first try and ``first_at`` the time at which the response
-    to the caller began, in monotonic seconds. ``fingerprint`` is the same for
-    each repeat of the request by its caller.
+    to the caller began, in monotonic seconds.
 
     :param work: the permitted call.
     """
@@ -58,7 +59,10 @@
     def __init__(self, *, forwarder: Forwarder, work: PermittedCall) -> None:
         self.forwarder = forwarder
         self.work = work
-        self.fingerprint = work.compute_fingerprint()
+        self.crashes = RequestCrashes(
+            guard=forwarder.safeguards.crash_guard,
+            fingerprint=work.compute_fingerprint(),
+        )
         self.runs = 0
         self.tried: list[TargetName] = []
         self.moved = False
@@ -89,6 +93,8 @@
             return False
         if self.runs and not route.may_repeat:
             return False
+        if self.runs and not self.crashes.allow_repeat():
+            return False
         return self._sends < route.max_tries + DECLINES_ALLOWED
 
     async def open(
@@ -106,7 +112,7 @@
                 return self._give_up(target)
             if (
                 self._sends
-                and not self.forwarder.fleet_retry_budget.try_spend()
+                and not self.forwarder.safeguards.retry_budget.try_spend()
             ):
                 break
             opened = await self._send(target, last_event, silence)
@@ -118,9 +124,10 @@
         """Close a try, which cancels the request at the target."""
         tried.close()
 
-    def fail(self, tried: OpenTry, detail: str) -> None:
+    def fail(self, tried: OpenTry, detail: str, cause: LossCause) -> None:
         """Record a try whose answer was cut or invalid."""
         tried.load.target_health.note_failure(read_clock())
+        self.crashes.note_lost(cause)
         self._log('answer cut or invalid', tried.target, detail)
 
     async def _choose(self) -> Target | Refusal:
@@ -147,12 +154,13 @@
         forwarder = self.forwarder
         began_at = read_clock()
         if not self._sends:
-            forwarder.fleet_retry_budget.count_first_try()
+            forwarder.safeguards.retry_budget.count_first_try()
             self.sent_at = began_at
         self._sends += 1
         self.tried.append(target.name)
         load = forwarder.find_load(target)
         load.count_sent(began_at)
+        self.crashes.note_sent(target)
         forwarder.state.reach.note_sent(target.failure_domain, began_at)
         self.runs += 1
         answer: OpenAnswer | NotSent | NoAnswer | None = None
@@ -177,17 +185,25 @@
                     dispatch=dispatch,
                 )
         except TimeoutError:
-            answer = NoAnswer(detail=f'not begun within {limit:.2f} s')
+            answer = NoAnswer(
+                detail=f'not begun within {limit:.2f} s',
+                cause=LossCause.SILENCE,
+            )
         finally:
             if not isinstance(answer, OpenAnswer):
                 load.count_answer_begun()
                 load.count_ended()
         if isinstance(answer, OpenAnswer):
             opened = OpenTry(
-                target=target, load=load, answer=answer, began_at=began_at
+                target=target,
+                load=load,
+                answer=answer,
+                began_at=began_at,
             )
             return self._judge(opened)
         self._note_lost(target, load, answer)
+        if isinstance(answer, NoAnswer):
+            self.crashes.note_lost(answer.cause)
         return None
 
     def _read_standing(self) -> Standing:
@@ -207,10 +223,15 @@
         if head.version is not None:
             load.version = max(load.version, head.version)
         if head.ran and head.genuine:
+            load.note_answered(self.crashes.sent_at)
             return opened
         self.end(opened)
         if head.ran:
-            self.fail(opened, f'status {head.status} without a true mark')
+            self.fail(
+                opened,
+                f'status {head.status} without a true mark',
+                LossCause.INVALID,
+            )
             return None
         self.runs -= 1
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
@@ -268,7 +289,7 @@
             message,
             extra={
                 'request': self.work.call.attempt,
-                'fingerprint': self.fingerprint,
+                'fingerprint': self.crashes.fingerprint,
                 'target': target.name,
                 'born': target.born,
                 'detail': detail,
--- /dev/null
+++ b/tests/test_crash_guard.py
@@ -0,0 +1,272 @@
+"""Tests of :mod:`ragwortcourse.forwarding.crash_guard` and its exchange."""
+
+import asyncio
+import dataclasses
+import random
+
+import msgspec
+import pytest
+
+from fakes.fleet_parts import make_plain, make_state
+from ragwortcourse.clock import read_clock_with_suspend
+from ragwortcourse.crashes.evidence_store import SUSPICION_SECONDS
+from ragwortcourse.crashes.verdict import Verdict
+from ragwortcourse.forwarding.crash_exchange import (
+    REPORTS_PER_MESSAGE,
+    REPORTS_PER_ROUND,
+    CrashMessage,
+    CrashSender,
+    note_reports,
+)
+from ragwortcourse.forwarding.crash_guard import (
+    EVIDENCE_LIMIT,
+    SETTLED_SECONDS,
+    SURVIVAL_SECONDS,
+    CrashGuard,
+)
+from ragwortcourse.forwarding.lost_run import LostRun
+from ragwortcourse.identifiers import DaemonId, Fingerprint, TargetName
+
+pytestmark = pytest.mark.looptime
+
+REQUEST = Fingerprint('request')
+
+
+class Daemon:
+    """Crash guard of one daemon that lists some targets."""
+
+    def __init__(self, *names: str) -> None:
+        self.state = make_state(*(make_plain(name) for name in names))
+        self.answered: dict[str, float] = {}
+        self.guard = CrashGuard(state=self.state, find_answered=self.find)
+        self.sent: list[tuple[bytes, str]] = []
+        self.sender = CrashSender(
+            guard=self.guard,
+            daemon=DaemonId('e1'),
+            rng=random.Random(1),
+            send=lambda content, address: self.sent.append((content, address)),
+        )
+
+    def find(self, name: TargetName, born: int) -> float:
+        """Find when an answered request was sent."""
+        return self.answered.get(name, -1)
+
+    async def lose(self, name: str, fingerprint: str = REQUEST, **changes):
+        """Lose the answer of a target to a request after 0.1 s."""
+        sent_at = read_clock_with_suspend()
+        await asyncio.sleep(0.1)
+        run = LostRun(
+            target=TargetName(name),
+            born=1,
+            sent_at=sent_at,
+            lost_at=read_clock_with_suspend(),
+        )
+        self.guard.note_lost(
+            Fingerprint(fingerprint), dataclasses.replace(run, **changes)
+        )
+
+    def end(self, name: str) -> None:
+        """Remove the row of a target."""
+        self.state.targets.pop(TargetName(name), None)
+
+    @property
+    def verdict(self) -> Verdict:
+        """Verdict on the request."""
+        return self.guard.judge(REQUEST).verdict
+
+    def deliver(self, other: 'Daemon') -> None:
+        """Deliver all messages sent so far to another daemon."""
+        for content, _ in self.sent:
+            note_reports(
+                other.guard, msgspec.json.decode(content, type=CrashMessage)
+            )
+
+
+class TestCrashGuard:
+    """Verdicts of one daemon."""
+
+    async def test_crashes(self):
+        """A request is refused after three targets have ended under it."""
+        daemon = Daemon('a', 'b', 'c')
+        verdicts = [daemon.verdict]
+        for name in 'abc':
+            await daemon.lose(name)
+            daemon.end(name)
+            verdicts.append(daemon.verdict)
+        assert verdicts == [
+            Verdict.ALLOWED,
+            Verdict.SUSPECT,
+            Verdict.SUSPECT,
+            Verdict.REFUSED,
+        ]
+        assert daemon.guard.check(REQUEST).inputs['targets'] == ['a', 'b', 'c']
+
+    async def test_held_until_known(self):
+        """A request is held back until it is known what became of targets."""
+        daemon = Daemon('a', 'b', 'c')
+        for name in 'abc':
+            await daemon.lose(name)
+        assert daemon.verdict is Verdict.HELD
+        refusal = daemon.guard.check(REQUEST)
+        assert refusal.status == 503
+        assert refusal.retry_after <= 10
+        await asyncio.sleep(SURVIVAL_SECONDS + 1)
+        assert daemon.verdict is Verdict.ALLOWED
+
+    async def test_living_targets(self):
+        """Lost answers of targets that answer afterwards are no crashes."""
+        daemon = Daemon('a', 'b', 'c')
+        for name in 'abc':
+            await daemon.lose(name)
+            daemon.answered[name] = read_clock_with_suspend() + 0.1
+        assert daemon.verdict is Verdict.ALLOWED
+
+    async def test_leaving_target(self):
+        """A target that leaves has not crashed."""
+        daemon = Daemon('a', 'b', 'c')
+        for name in 'abc':
+            await daemon.lose(name)
+            target = daemon.state.targets[name]
+            daemon.state.targets[name] = dataclasses.replace(
+                target, leaving=True
+            )
+            daemon.guard.settle()
+            daemon.end(name)
+        assert daemon.verdict is Verdict.ALLOWED
+
+    async def test_target_that_ends_much_later(self):
+        """A target that ends long after a lost answer has not crashed by it."""
+        daemon = Daemon('a', 'b', 'c')
+        for name in 'abc':
+            await daemon.lose(name, silent=True)
+        await asyncio.sleep(SURVIVAL_SECONDS + 1)
+        daemon.guard.settle()
+        for name in 'abc':
+            daemon.end(name)
+        assert daemon.verdict is Verdict.ALLOWED
+
+    async def test_store_away(self):
+        """Rows that can't change while the store is away prove nothing."""
+        daemon = Daemon('a', 'b', 'c')
+        for name in 'abc':
+            await daemon.lose(name)
+        daemon.state.store_lost = True
+        await asyncio.sleep(SURVIVAL_SECONDS + 1)
+        daemon.guard.settle()
+        daemon.state.store_lost = False
+        for name in 'abc':
+            daemon.end(name)
+        assert daemon.verdict is Verdict.REFUSED
+
+    async def test_targets_not_read_yet(self):
+        """A daemon that has no list of targets yet takes none for ended."""
+        daemon = Daemon()
+        daemon.state.targets_known = False
+        for name in 'abc':
+            await daemon.lose(name)
+        assert daemon.verdict is Verdict.HELD
+
+    async def test_one_at_a_time(self):
+        """A request suspected of two crashes runs once at a time."""
+        daemon = Daemon('a', 'b')
+        for name in 'ab':
+            await daemon.lose(name)
+        assert daemon.guard.check(REQUEST) is None
+        with daemon.guard.count_running(REQUEST):
+            assert daemon.guard.check(REQUEST).status == 503
+        assert daemon.guard.check(REQUEST) is None
+
+    async def test_expired(self):
+        """A refusal ends after ``SUSPICION_SECONDS``."""
+        daemon = Daemon('a', 'b', 'c')
+        for name in 'abc':
+            await daemon.lose(name)
+            daemon.end(name)
+        assert daemon.verdict is Verdict.REFUSED
+        await asyncio.sleep(SUSPICION_SECONDS + 1)
+        assert daemon.verdict is Verdict.ALLOWED
+        daemon.guard.settle()
+        assert not daemon.guard.store
+
+    async def test_settled_evidence_is_dropped(self):
+        """Evidence against innocent requests takes no memory for long."""
+        daemon = Daemon('a')
+        await daemon.lose('a')
+        daemon.answered['a'] = read_clock_with_suspend() + 0.1
+        await asyncio.sleep(SETTLED_SECONDS + 1)
+        daemon.guard.settle()
+        assert not daemon.guard.store
+
+    async def test_many_innocent_requests(self):
+        """A flood of other lost answers does not evict a proven request."""
+        daemon = Daemon('a', 'b', 'c', 'd')
+        for name in 'abc':
+            await daemon.lose(name)
+            daemon.end(name)
+        assert daemon.verdict is Verdict.REFUSED
+        for number in range(EVIDENCE_LIMIT * 2):
+            await daemon.lose('d', f'other-{number}')
+        assert len(daemon.guard.store) == EVIDENCE_LIMIT
+        assert daemon.verdict is Verdict.REFUSED
+
+
+class TestCrashSender:
+    """Evidence that daemons send to each other."""
+
+    async def test_each_daemon_sees_a_part(self):
+        """Crashes seen by three daemons add up at each of them."""
+        daemons = [Daemon('a', 'b', 'c') for _ in range(3)]
+        for name, daemon in zip('abc', daemons, strict=True):
+            await daemon.lose(name)
+            daemon.sender.send_round(['p1', 'p2'], repeats=False)
+            for other in daemons:
+                other.end(name)
+                if other is not daemon:
+                    daemon.deliver(other)
+        assert [daemon.verdict for daemon in daemons] == [Verdict.REFUSED] * 3
+
+    async def test_restarted_daemon(self):
+        """A daemon that starts later learns of a refused request."""
+        daemon, restarted = Daemon('a', 'b', 'c'), Daemon()
+        for name in 'abc':
+            await daemon.lose(name)
+            daemon.end(name)
+        await asyncio.sleep(60)
+        daemon.sender.send_round(['p1'], repeats=True)
+        daemon.deliver(restarted)
+        assert restarted.verdict is Verdict.REFUSED
+
+    async def test_answer_elsewhere(self):
+        """A complete answer at one daemon clears the request at all."""
+        daemon, other = Daemon('a', 'b', 'c'), Daemon('a', 'b', 'c')
+        for name in 'abc':
+            await daemon.lose(name)
+            daemon.end(name)
+        daemon.sender.send_round(['p1'], repeats=False)
+        daemon.deliver(other)
+        other.guard.note_answered(REQUEST)
+        other.sender.send_round(['p1'], repeats=False)
+        other.deliver(daemon)
+        assert daemon.verdict is Verdict.ALLOWED
+        assert other.verdict is Verdict.ALLOWED
+
+    async def test_reports_are_not_passed_on_to_all(self):
+        """A daemon tells all others only what it saw itself."""
+        daemon, other = Daemon('a'), Daemon('a')
+        await daemon.lose('a')
+        daemon.sender.send_round(['p1'], repeats=True)
+        daemon.deliver(other)
+        other.sender.send_round(['p1'], repeats=True)
+        assert (len(daemon.sent), len(other.sent)) == (1, 0)
+
+    @pytest.mark.parametrize('daemons', [9, 45, 350])
+    async def test_cost_of_a_lost_failure_domain(self, daemons):
+        """All daemons together send few reports in one round."""
+        daemon = Daemon()
+        for number in range(40):
+            await daemon.lose('a', f'request-{number}', silent=True)
+        daemon.sender.send_round(['p'] * (daemons - 1), repeats=False)
+        (content, _), *_ = daemon.sent
+        message = msgspec.json.decode(content, type=CrashMessage)
+        assert len(message.reports) <= REPORTS_PER_MESSAGE
+        assert len(message.reports) * daemons <= max(REPORTS_PER_ROUND, daemons)
--- a/tests/test_crashers.py
+++ b/tests/test_crashers.py
@@ -10,13 +10,13 @@
 from fakes.memory_table import MemoryRows
 from fakes.scripted_agents import ScriptedAgents, ScriptedResult
 from ragwortcourse.clock import read_clock
+from ragwortcourse.crashes.evidence_store import SUSPICION_SECONDS
 from ragwortcourse.entry.crash_notice import MAX_ANSWER_DELAY_SECONDS
 from ragwortcourse.entry.crasher_peers import (
     SendCrasher,
     build_crasher_broadcast,
 )
 from ragwortcourse.entry.crasher_sync import merge_crasher, sync_crashers_once
-from ragwortcourse.entry.crashers import SUSPICION_SECONDS
 from ragwortcourse.entry.entry import EntryState
 from ragwortcourse.identifiers import TargetName
 from ragwortcourse.messages.shared_crasher import SharedCrasher
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -2,11 +2,16 @@
 
 import asyncio
 
+import aiohttp
 import pytest
 
-from fakes.crash_fleet import CRASHER, CrashFleet
+from fakes.crash_fleet import CRASHER, LETTER, CrashFleet
 from fakes.fleet_parts import FLEET
-from fakes.fleet_target import answer_whole
+from fakes.fleet_target import (
+    Received,
+    ScriptedConnection,
+    answer_whole,
+)
 
 CONTACT_SECONDS = FLEET.contact_ms / 1000
 # Sendings that the users allow once all daemons must know of three crashes.
@@ -39,3 +44,92 @@
         assert {
             status for at, status in innocent.items() if at > known_from
         } == {200}
+
+    async def test_suspect_is_sent_to_one_target_only(self, fleet):
+        """A request suspected of two crashes is not repeated at once."""
+        await fleet.open(targets=6, forwarders=1)
+        assert (await fleet.ask(0, CRASHER)).status == 502
+        assert fleet.count_arrivals(CRASHER) == 2
+        assert (await fleet.ask(0, CRASHER)).status == 502
+        assert fleet.count_arrivals(CRASHER) == 3
+        refused = await fleet.ask(0, CRASHER)
+        assert refused.status == 503
+        assert float(refused.headers['Retry-After']) > 0
+        assert fleet.count_arrivals(CRASHER) == 3
+
+    async def test_started_daemon_knows(self, fleet):
+        """A daemon that starts later holds the request back, too."""
+        await fleet.open(targets=6, forwarders=2)
+        for daemon in (0, 0, 0):
+            await fleet.ask(daemon, CRASHER)
+        await fleet.start_forwarder('entry-new')
+        await asyncio.sleep(CONTACT_SECONDS)
+        assert (await fleet.ask(2, CRASHER)).status == 503
+        assert fleet.count_arrivals(CRASHER) == 3
+
+    async def test_another_caller_is_served(self, fleet):
+        """Only the same request is held back, not others of the account."""
+        await fleet.open(targets=6, forwarders=1)
+        for _ in range(3):
+            await fleet.ask(0, CRASHER)
+        await asyncio.sleep(1)
+        assert (await fleet.ask(0, b'look')).status == 200
+
+
+class TestStreams:
+    """Streams whose targets end after the first events."""
+
+    async def test_stream_that_crashed_three_targets(self):
+        """A stream that ends its targets midway is held back, too."""
+
+        async def stream_some(
+            received: Received, connection: ScriptedConnection
+        ) -> None:
+            await connection.begin(
+                received,
+                transfer_encoding='chunked',
+                content_type='text/event-stream',
+            )
+            await connection.send_events(0, 3)
+            await asyncio.sleep(0.05)
+            if received.body != CRASHER:
+                await connection.send(b'0\r\n\r\n')
+
+        fleet = CrashFleet(answer=stream_some, ends_midway=True)
+        async with fleet.exit_stack:
+            await fleet.open(targets=6, forwarders=1, plain=False)
+            for _ in range(2):
+                with pytest.raises(aiohttp.ClientError):
+                    await fleet.ask(0, CRASHER, LETTER)
+            assert (await fleet.ask(0, CRASHER, LETTER)).status == 503
+            assert fleet.count_arrivals(CRASHER) == 3
+            assert (await fleet.ask(0, b'letter', LETTER)).status == 200
+
+
+class TestInnocentRequests:
+    """Requests at targets that end for other reasons."""
+
+    async def test_equal_lookups_at_targets_without_power(self):
+        """Equal look-ups that lose many targets at once are served again."""
+
+        async def answer_slowly(
+            received: Received, connection: ScriptedConnection
+        ) -> None:
+            await asyncio.sleep(0.1)
+            await connection.answer(received)
+
+        fleet = CrashFleet(answer=answer_slowly)
+        async with fleet.exit_stack:
+            await fleet.open(targets=12, forwarders=2)
+            asked = [
+                asyncio.ensure_future(fleet.ask(number % 2, b'look'))
+                for number in range(24)
+            ]
+            await asyncio.sleep(0.05)
+            for number in range(6):
+                fleet.end_target(f't-{number}')
+            await asyncio.gather(*asked)
+            await asyncio.sleep(0.2)
+            assert [
+                (await fleet.ask(daemon, b'look')).status for daemon in (0, 1)
+            ] == [200, 200]
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -608,7 +608,7 @@
         statuses = [(await fleet.ask(LETTER)).status for _ in range(8)]
         assert (
             statuses.count(200)
-            == 36 // fleet.forwarder.fleet_retry_budget.daemons
+            == 36 // fleet.forwarder.safeguards.retry_budget.daemons
         )
 
     async def test_cold_again(self, fleet):
@@ -621,7 +621,7 @@
         statuses = [(await fleet.ask(LETTER)).status for _ in range(8)]
         assert (
             statuses.count(200)
-            == 36 // fleet.forwarder.fleet_retry_budget.daemons
+            == 36 // fleet.forwarder.safeguards.retry_budget.daemons
         )
 
     async def test_reborn_target(self, fleet):
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -196,16 +196,16 @@
         async with run_exchange(first, second):
             while second.find_load(TARGET).estimate(loop.time()) != 3:
                 await asyncio.sleep(0.02)
-            while second.fleet_retry_budget.daemons != 2:
+            while second.safeguards.retry_budget.daemons != 2:
                 await asyncio.sleep(0.02)
 
     async def test_list_not_read_yet(self):
         """A daemon with an empty list of daemons keeps the assumed number."""
         (forwarder, _) = make_pair()
-        assumed = forwarder.fleet_retry_budget.daemons
+        assumed = forwarder.safeguards.retry_budget.daemons
         async with run_exchange(forwarder, listed=()):
             await asyncio.sleep(NEAR_SECONDS * (FAR_ROUNDS + 1))
-        assert forwarder.fleet_retry_budget.daemons == assumed > 1
+        assert forwarder.safeguards.retry_budget.daemons == assumed > 1
 
     async def test_version_named_before_a_restart(self):
         """A restarted daemon learns the times of two earlier versions."""
