--- a/fakes/crash_fleet.py
+++ b/fakes/forwarder_fleet.py
@@ -1,4 +1,4 @@
-"""Forwarders in one process whose targets end under certain requests."""
+"""Forwarders in one process that share scripted targets."""
 
 import asyncio
 import contextlib
@@ -49,9 +49,11 @@
     at: float
 
 
-class CrashFleet:
+class ForwarderFleet:
     """Some forwarders that share targets and exchange messages over loopback.
 
+    A target ends under each request whose body begins with ``CRASHER``.
+
     :param answer: script of a target that is not down.
     :param ends_midway: true if a target ends only after that script.
     """
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -5,13 +5,13 @@
 import aiohttp
 import pytest
 
-from fakes.crash_fleet import CRASHER, LETTER, CrashFleet
 from fakes.fleet_parts import FLEET
 from fakes.fleet_target import (
     Received,
     ScriptedConnection,
     answer_whole,
 )
+from fakes.forwarder_fleet import CRASHER, LETTER, ForwarderFleet
 
 CONTACT_SECONDS = FLEET.contact_ms / 1000
 # Sendings that the users allow once all daemons must know of three crashes.
@@ -21,7 +21,7 @@
 @pytest.fixture
 async def fleet():
     """Fleet that is closed after the test."""
-    opened = CrashFleet(answer=answer_whole)
+    opened = ForwarderFleet(answer=answer_whole)
     async with opened.exit_stack:
         yield opened
 
@@ -95,7 +95,7 @@
             if received.body != CRASHER:
                 await connection.send(b'0\r\n\r\n')
 
-        fleet = CrashFleet(answer=stream_some, ends_midway=True)
+        fleet = ForwarderFleet(answer=stream_some, ends_midway=True)
         async with fleet.exit_stack:
             await fleet.open(targets=6, forwarders=1, plain=False)
             for _ in range(2):
@@ -118,7 +118,7 @@
             await asyncio.sleep(0.1)
             await connection.answer(received)
 
-        fleet = CrashFleet(answer=answer_slowly)
+        fleet = ForwarderFleet(answer=answer_slowly)
         async with fleet.exit_stack:
             await fleet.open(targets=12, forwarders=2)
             asked = [
