--- a/fakes/forwarder_fleet.py
+++ b/fakes/forwarder_fleet.py
@@ -163,6 +163,27 @@
             for arrival in self.arrivals
         )
 
+    def count_busiest(
+        self, target: str, *, seconds: float, after: float
+    ) -> int:
+        """Count the arrivals at a target in its busiest span of time.
+
+        :param seconds: length of the span.
+        :param after: earliest begin of the span.
+        """
+        times = [
+            arrival.at
+            for arrival in self.arrivals
+            if arrival.target == target and arrival.at > after
+        ]
+        return max(
+            (
+                sum(0 <= time - begin < seconds for time in times)
+                for begin in times
+            ),
+            default=0,
+        )
+
     def end_target(self, name: TargetName) -> None:
         """End a target; its row goes and comes back as a new incarnation."""
         if name in self._down:
