Separate how reports travel between daemons from what they say

News to all, standing reports to one daemon at random: the crash evidence is one kind of report, others need the same.

--- a/src/ragwortcourse/forwarding/crash_exchange.py
+++ b/src/ragwortcourse/forwarding/crash_exchange.py
@@ -1,14 +1,12 @@
 """Exchange of crash evidence between entry daemons.
 
-Each daemon tells all others of its own losses some times. Evidence against a
-request that is suspected of several crashes also goes to one random daemon in
-each round, which reaches restarted daemons and makes up for lost messages at
-a cost that does not grow with the number of daemons.
+Standing reports are those against requests that are suspected of several
+crashes.
 """
 
 import math
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import msgspec
@@ -17,10 +15,9 @@
 from ragwortcourse.forwarding.crash_evidence import CrashEvidence
 from ragwortcourse.forwarding.crash_guard import CRASHES_TO_SINGLE, CrashGuard
 from ragwortcourse.forwarding.lost_run import Fate, LostRun
+from ragwortcourse.forwarding.report_sender import ReportSender
 from ragwortcourse.identifiers import DaemonId, Fingerprint, TargetName
 
-# Several rounds of messages.
-FRESH_SECONDS: Final = 1.2
 # Reports that all daemons together send to a daemon in one round, and the
 # most that one message holds.
 REPORTS_PER_ROUND: Final = 64
@@ -57,53 +54,32 @@
     reports: list[CrashReport]
 
 
-class CrashSender:
-    """Sender of the evidence of one daemon.
+def build_crash_sender(
+    *,
+    guard: CrashGuard,
+    daemon: DaemonId,
+    rng: random.Random,
+    send: Callable[[bytes, str], None],
+) -> ReportSender[CrashReport]:
+    """Build the sender of the evidence of one daemon.
 
     :param send: sends a datagram to an address, ``ip:port``.
     """
 
-    def __init__(
-        self,
-        *,
-        guard: CrashGuard,
-        daemon: DaemonId,
-        rng: random.Random,
-        send: Callable[[bytes, str], None],
-    ) -> None:
-        self._guard = guard
-        self._daemon = daemon
-        self._rng = rng
-        self._send = send
-        self._sent_until = -math.inf
-
-    def send_round(self, peers: Sequence[str], *, repeats: bool) -> None:
-        """Send evidence to other daemons.
-
-        :param repeats: true to send again what was sent in earlier rounds.
-        """
-        now = read_clock_with_suspend()
-        self._guard.settle()
-        since = now - FRESH_SECONDS if repeats else self._sent_until
-        self._sent_until = now
-        fresh = list_fresh_reports(
-            self._guard, since=since, daemons=len(peers) + 1, rng=self._rng
-        )
-        self._send_reports(fresh, peers)
-        if repeats and peers:
-            grave = list_grave_reports(self._guard)
-            self._send_reports(grave, [self._rng.choice(peers)])
-
-    def _send_reports(
-        self, reports: list[CrashReport], addresses: Sequence[str]
-    ) -> None:
-        if not reports:
-            return
-        content = msgspec.json.encode(
-            CrashMessage(daemon=self._daemon, reports=reports)
-        )
-        for address in addresses:
-            self._send(content, address)
+    def encode(reports: list[CrashReport]) -> bytes:
+        return msgspec.json.encode(CrashMessage(daemon=daemon, reports=reports))
+
+    def list_news(since: float, daemons: int) -> list[CrashReport]:
+        guard.settle()
+        return list_fresh_reports(guard, since=since, daemons=daemons, rng=rng)
+
+    return ReportSender(
+        list_news=list_news,
+        list_standing=lambda: list_grave_reports(guard),
+        encode=encode,
+        send=send,
+        rng=rng,
+    )
 
 
 def list_fresh_reports(
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -15,7 +15,7 @@
 from ragwortcourse.clock import read_clock, read_clock_with_suspend
 from ragwortcourse.forwarding.crash_exchange import (
     CrashMessage,
-    CrashSender,
+    build_crash_sender,
     note_reports,
 )
 from ragwortcourse.forwarding.fleet_updates import note_history
@@ -187,7 +187,7 @@
         lambda: receiver,
         local_addr=(host, int(port)),
     )
-    crash_sender = CrashSender(
+    crash_sender = build_crash_sender(
         guard=forwarder.safeguards.crash_guard,
         daemon=settings.daemon,
         rng=forwarder.rng,
@@ -209,15 +209,14 @@
                     forwarder, transport, list_relays, is_far=False
                 )
             sent_counts = counts
-            if forwarder.safeguards.crash_guard.store:
-                peers = [
-                    relay.address
-                    for relay in await list_relays()
-                    if relay.daemon != settings.daemon
-                ]
-                crash_sender.send_round(
-                    peers, repeats=round_number % FAR_ROUNDS == 0
-                )
+            peers = [
+                relay.address
+                for relay in await list_relays()
+                if relay.daemon != settings.daemon
+            ]
+            crash_sender.send_round(
+                peers, repeats=round_number % FAR_ROUNDS == 0
+            )
             await asyncio.sleep(NEAR_SECONDS)
     finally:
         transport.close()
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -15,7 +15,7 @@
     REPORTS_PER_MESSAGE,
     REPORTS_PER_ROUND,
     CrashMessage,
-    CrashSender,
+    build_crash_sender,
     note_reports,
 )
 from ragwortcourse.forwarding.crash_guard import (
@@ -40,7 +40,7 @@
         self.answered: dict[str, float] = {}
         self.guard = CrashGuard(state=self.state, find_answered=self.find)
         self.sent: list[tuple[bytes, str]] = []
-        self.sender = CrashSender(
+        self.sender = build_crash_sender(
             guard=self.guard,
             daemon=DaemonId('e1'),
             rng=random.Random(1),
