Keep to the limit that a target names for all daemons together

Cause: nothing read the limit in its answers. The class: a bound on the sum of all daemons, which none can keep alone; divided evenly, one request a second is less than one request in the window for nine daemons or more.

Evidence: arrivals at both targets do not change as they name their limits; the test, on 35 requests in 4 s at a limit of 1 (11 allowed) and 34 at 0 (5 allowed), from nine daemons. Ruled out: the added host, as the other target ran all the while.

Change: the adapter reads the limit, daemons tell each other, and as many daemons send to the target as its rate has whole requests a second, ranked by rendezvous among those alive. Placement prefers other targets; where there are none, requests are refused at once with a time to return.

--- a/fakes/forwarder_fleet.py
+++ b/fakes/forwarder_fleet.py
@@ -28,7 +28,10 @@
 from ragwortcourse.forwarding.load_exchange import exchange_loads
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.identifiers import TargetName
-from ragwortcourse.membership.relay_daemons import RelayRecord
+from ragwortcourse.membership.relay_daemons import (
+    RelayRecord,
+    describe_daemon,
+)
 from ragwortcourse.settings import ListenSettings
 
 CRASHER: Final = b'crasher'
@@ -234,13 +237,7 @@
 
     async def _list_relays(self) -> Sequence[RelayRecord]:
         return [
-            RelayRecord(
-                daemon=forwarder.settings.daemon,
-                address=forwarder.settings.listen.peers,
-                failure_domain=forwarder.settings.failure_domain,
-                region=forwarder.settings.region,
-            )
-            for forwarder in self.forwarders
+            describe_daemon(forwarder.settings) for forwarder in self.forwarders
         ]
 
     async def _stop_tasks(self) -> None:
--- a/src/ragwortcourse/forwarding/answer_head.py
+++ b/src/ragwortcourse/forwarding/answer_head.py
@@ -26,6 +26,10 @@
     :param cold_seconds: how long the target stays cold; none: not reported.
     :param version: version of the weights on which the answer begins; none:
         not reported.
+    :param rate_limit: requests a second that the target takes from all entry
+        daemons together; none: no limit.
+    :param rate_limit_readable: false if the target names a limit that can't
+        be read.
     :param headers: headers to pass on to the caller.
     """
 
@@ -36,6 +40,15 @@
     cold_seconds: float | None
     version: int | None
     headers: CIMultiDict[str]
+    rate_limit: float | None = None
+    rate_limit_readable: bool = True
+
+    @property
+    def speaks_for_target(self) -> bool:
+        """Tell whether the answer comes from the addressed incarnation."""
+        if self.status == HTTPStatus.MISDIRECTED_REQUEST:
+            return False
+        return self.genuine or not self.ran
 
     @property
     def is_success(self) -> bool:
--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -8,10 +8,14 @@
 from ragwortcourse.forwarding.admission import (
     Demand,
     TargetOccupancy,
-    choose_retry_after,
     is_admitted,
 )
 from ragwortcourse.forwarding.call import PermittedCall
+from ragwortcourse.forwarding.choice_refusals import (
+    is_limited,
+    refuse_all,
+    refuse_crowd,
+)
 from ragwortcourse.forwarding.engine_profile import EngineProfile
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.placement import (
@@ -21,7 +25,7 @@
     choose_candidate,
 )
 from ragwortcourse.forwarding.random_targets import draw_targets
-from ragwortcourse.forwarding.reply import Reason, Refusal
+from ragwortcourse.forwarding.reply import Refusal
 from ragwortcourse.forwarding.service_rules import ServiceRules
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.identifiers import ServiceName, TargetName
@@ -35,8 +39,6 @@
 # A target that owes answers and sends nothing for this long is avoided:
 # several passes of a loaded engine.
 SILENT_SECONDS: Final = 0.8
-# After this time a target may be back or a new one may be listed.
-NO_TARGET_RETRY_SECONDS: Final = 0.5
 
 
 def choose_service(forwarder: Forwarder, work: PermittedCall) -> ServiceName:
@@ -81,7 +83,7 @@
     candidates = list(_describe(forwarder, sampled, newest))
     chosen = choose_candidate(candidates, forwarder.rng)
     if chosen is None:
-        return _refuse_all(forwarder, service, version)
+        return refuse_all(forwarder, service, version)
     place = TargetOccupancy(
         load=chosen.load,
         unanswered=chosen.unanswered,
@@ -92,7 +94,7 @@
     # A moved request is not refused: its caller may have part of the answer.
     demand = read_demand(forwarder, work)
     if not tried and not is_admitted(place, demand):
-        return _refuse_crowd(forwarder, work, chosen, demand)
+        return refuse_crowd(forwarder, work, chosen, demand)
     return chosen.target
 
 
@@ -165,48 +167,6 @@
     ]
 
 
-def _refuse_all(
-    forwarder: Forwarder, service: ServiceName, version: int | None
-) -> Refusal:
-    listed = [
-        target
-        for target in forwarder.state.targets.values()
-        if target.service == service
-    ]
-    return Refusal(
-        reason=Reason.NO_TARGET,
-        retry_after=forwarder.retry_scheduler.book(
-            NO_TARGET_RETRY_SECONDS, forwarder.rng
-        ),
-        inputs={
-            'service': service,
-            'listed': len(listed),
-            'leaving': sum(target.leaving for target in listed),
-            'withdrawn': sorted(forwarder.state.withdrawn),
-            'version_required': version,
-        },
-    )
-
-
-def _refuse_crowd(
-    forwarder: Forwarder, work: PermittedCall, best: Candidate, demand: Demand
-) -> Refusal:
-    wait = choose_retry_after(
-        time_left=work.deadline - read_clock(), chance=forwarder.rng.random()
-    )
-    return Refusal(
-        reason=Reason.OVERLOADED,
-        retry_after=max(wait, 0),
-        inputs={
-            'best': best.target.name,
-            'load': best.load,
-            'starting': best.unanswered,
-            'slots': best.target.slots,
-            'objective_left': demand.time_left,
-        },
-    )
-
-
 def _is_usable(
     forwarder: Forwarder,
     work: PermittedCall,
@@ -222,6 +182,8 @@
         return False
     if rules.engine is not None and not target.holds(rules.engine.layers):
         return False
+    if not forwarder.safeguards.target_limits.has_room(target):
+        return False
     return _has_cold_room(forwarder, target, rules)
 
 
@@ -267,6 +229,7 @@
             distance=_measure_distance(forwarder, target),
             failure_score=load.target_health.score_failures(now),
             changing=load.read_version(target) < newest,
+            limited=is_limited(forwarder, target),
             silent=load.read_silence(now) > SILENT_SECONDS,
             seconds_available=now - load.unavailable_until,
         )
--- /dev/null
+++ b/src/ragwortcourse/forwarding/choice_refusals.py
@@ -0,0 +1,72 @@
+"""Refusals of requests for which there is no target."""
+
+from typing import Final
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.admission import Demand, choose_retry_after
+from ragwortcourse.forwarding.call import PermittedCall
+from ragwortcourse.forwarding.forwarder import Forwarder
+from ragwortcourse.forwarding.placement import Candidate
+from ragwortcourse.forwarding.reply import Reason, Refusal
+from ragwortcourse.forwarding.target import Target
+from ragwortcourse.identifiers import ServiceName
+
+# After this time a target may be back or a new one may be listed.
+NO_TARGET_RETRY_SECONDS: Final = 0.5
+
+
+def is_limited(forwarder: Forwarder, target: Target) -> bool:
+    """Tell whether a target names a limit on its requests."""
+    return forwarder.safeguards.target_limits.find_rate(target) is not None
+
+
+def refuse_all(
+    forwarder: Forwarder, service: ServiceName, version: int | None
+) -> Refusal:
+    """Refuse a request for which no target is usable.
+
+    :param version: lowest version of weights that the request may begin on;
+        none for any.
+    """
+    listed = [
+        target
+        for target in forwarder.state.targets.values()
+        if target.service == service
+    ]
+    return Refusal(
+        reason=Reason.NO_TARGET,
+        retry_after=forwarder.retry_scheduler.book(
+            NO_TARGET_RETRY_SECONDS, forwarder.rng
+        ),
+        inputs={
+            'service': service,
+            'listed': len(listed),
+            'leaving': sum(target.leaving for target in listed),
+            'limited': sum(is_limited(forwarder, each) for each in listed),
+            'withdrawn': sorted(forwarder.state.withdrawn),
+            'version_required': version,
+        },
+    )
+
+
+def refuse_crowd(
+    forwarder: Forwarder, work: PermittedCall, best: Candidate, demand: Demand
+) -> Refusal:
+    """Refuse a request that is not expected to begin in time.
+
+    :param best: the best target for it.
+    """
+    wait = choose_retry_after(
+        time_left=work.deadline - read_clock(), chance=forwarder.rng.random()
+    )
+    return Refusal(
+        reason=Reason.OVERLOADED,
+        retry_after=max(wait, 0),
+        inputs={
+            'best': best.target.name,
+            'load': best.load,
+            'starting': best.unanswered,
+            'slots': best.target.slots,
+            'objective_left': demand.time_left,
+        },
+    )
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -17,9 +17,11 @@
 from ragwortcourse.forwarding.safeguards import Safeguards
 from ragwortcourse.forwarding.store_watch import StoreWatch
 from ragwortcourse.forwarding.target import Target
+from ragwortcourse.forwarding.target_limits import TargetLimits
 from ragwortcourse.forwarding.target_load import TargetLoad
 from ragwortcourse.forwarding.wire_format import WireFormat
 from ragwortcourse.identifiers import DaemonId, TargetName
+from ragwortcourse.membership.relay_daemons import describe_daemon
 from ragwortcourse.settings import FleetSettings, Settings
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -59,6 +61,11 @@
             crash_guard=CrashGuard(
                 state=state, find_answered=self._find_answered
             ),
+            target_limits=TargetLimits(
+                state=state,
+                own=describe_daemon(settings),
+                is_alive=self.store_watch.has_reported,
+            ),
         )
         self._peers = PeerCounts()
         self.running = 0
--- a/src/ragwortcourse/forwarding/gauges.py
+++ b/src/ragwortcourse/forwarding/gauges.py
@@ -5,6 +5,7 @@
 
 from opentelemetry.metrics import CallbackOptions, Observation, get_meter
 
+from ragwortcourse.forwarding.choice_refusals import is_limited
 from ragwortcourse.forwarding.forwarder import Forwarder
 
 METER: Final = get_meter(__name__)
@@ -25,6 +26,14 @@
         'version of the desired state in force; zero for none',
         lambda: 0 if state.desired is None else state.desired.version,
     )
+    _watch(
+        'ragwortcourse.forwarding.limited_targets',
+        '',
+        'targets that name a limit on their requests',
+        lambda: sum(
+            is_limited(forwarder, target) for target in state.targets.values()
+        ),
+    )
     _watch(
         'ragwortcourse.forwarding.targets',
         '',
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import logging
 import math
 from collections.abc import Awaitable, Callable, Sequence
@@ -13,11 +14,6 @@
 import msgspec
 
 from ragwortcourse.clock import read_clock, read_clock_with_suspend
-from ragwortcourse.forwarding.crash_exchange import (
-    CrashMessage,
-    build_crash_sender,
-    note_reports,
-)
 from ragwortcourse.forwarding.fleet_updates import note_history
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.named_weights import (
@@ -26,6 +22,11 @@
     list_unexpired,
 )
 from ragwortcourse.forwarding.peer_counts import Counts
+from ragwortcourse.forwarding.report_exchange import (
+    ReportMessage,
+    build_report_senders,
+    note_report,
+)
 from ragwortcourse.identifiers import DaemonId, ModelName
 from ragwortcourse.membership.relay_daemons import RelayRecord
 
@@ -106,7 +107,7 @@
     version: int
 
 
-Message = LoadMessage | SwitchMessage | CrashMessage
+Message = LoadMessage | SwitchMessage | ReportMessage
 DECODER: Final = msgspec.json.Decoder(Message)
 
 
@@ -140,10 +141,10 @@
             return
         if isinstance(message, LoadMessage):
             self._take_load(message)
-        elif isinstance(message, CrashMessage):
-            self._take_crashes(message)
-        else:
+        elif isinstance(message, SwitchMessage):
             self._take_switch(message)
+        else:
+            self._take_report(message)
 
     def _take_load(self, message: LoadMessage) -> None:
         self._forwarder.note_counts(message.daemon, message.counts)
@@ -160,10 +161,10 @@
             history = _decode_history(message.namings)
             note_history(self._forwarder.state, history)
 
-    def _take_crashes(self, message: CrashMessage) -> None:
+    def _take_report(self, message: ReportMessage) -> None:
         self.note_awake()
         if self._awake_at >= self._late_until:
-            note_reports(self._forwarder.safeguards.crash_guard, message)
+            note_report(self._forwarder.safeguards, message)
 
     def _take_switch(self, message: SwitchMessage) -> None:
         for target in self._forwarder.state.targets.values():
@@ -181,25 +182,20 @@
     :param list_relays: lists the registered entry daemons.
     """
     settings = forwarder.settings
-    host, _, port = settings.listen.peers.rpartition(':')
     receiver = LoadReceiver(forwarder=forwarder)
     transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
         lambda: receiver,
-        local_addr=(host, int(port)),
+        local_addr=read_address(settings.listen.peers),
     )
-    crash_sender = build_crash_sender(
-        guard=forwarder.safeguards.crash_guard,
-        daemon=settings.daemon,
-        rng=forwarder.rng,
-        send=lambda content, address: transport.sendto(
+    senders = build_report_senders(
+        forwarder,
+        lambda content, address: transport.sendto(
             content, read_address(address)
         ),
     )
-    round_number = 0
     sent_counts: Counts = {}
     try:
-        while True:
-            round_number += 1
+        for round_number in itertools.count(1):
             receiver.note_awake()
             counts = forwarder.count_running()
             if round_number % FAR_ROUNDS == 0:
@@ -209,19 +205,20 @@
                     forwarder, transport, list_relays, is_far=False
                 )
             sent_counts = counts
-            peers = [
-                relay.address
-                for relay in await list_relays()
-                if relay.daemon != settings.daemon
-            ]
-            crash_sender.send_round(
-                peers, repeats=round_number % FAR_ROUNDS == 0
-            )
+            peers = await _list_peers(settings.daemon, list_relays)
+            for sender in senders:
+                sender.send_round(peers, repeats=round_number % FAR_ROUNDS == 0)
             await asyncio.sleep(NEAR_SECONDS)
     finally:
         transport.close()
 
 
+async def _list_peers(own: DaemonId, list_relays: ListRelays) -> list[str]:
+    return [
+        relay.address for relay in await list_relays() if relay.daemon != own
+    ]
+
+
 async def _broadcast(
     forwarder: Forwarder,
     transport: asyncio.DatagramTransport,
@@ -246,6 +243,7 @@
     if relays:
         # An empty list has not been read yet; the assumed number stays.
         forwarder.safeguards.retry_budget.daemons = len(relays)
+        forwarder.safeguards.target_limits.daemons = relays
     forwarder.store_watch.detect_outage([relay.daemon for relay in relays])
     for relay in relays:
         is_near = relay.failure_domain == settings.failure_domain
--- a/src/ragwortcourse/forwarding/placement.py
+++ b/src/ragwortcourse/forwarding/placement.py
@@ -28,6 +28,9 @@
 # A moved request should not be moved again by a change of weights.
 CHANGING_COST: Final = 0.6
 SILENCE_COST: Final = 4.0
+# A target that names a limit is in need; others are preferred until half of
+# their slots are in use.
+LIMITED_COST: Final = 0.5
 # Slow start: a target that takes requests again looks empty to all daemons at
 # once. The target counts as half full at first, about the number of requests
 # that it begins in the slow start time.
@@ -62,6 +65,7 @@
     :param unanswered: requests of ``load`` without an answer yet.
     :param failure_score: recent failures, the older ones counting less.
     :param changing: true if the weights of the target will change soon.
+    :param limited: true if the target names a limit on its requests.
     :param silent: true if the target owes answers and sends nothing.
     :param seconds_available: seconds since the target last began to take
         requests.
@@ -73,6 +77,7 @@
     unanswered: float = 0
     failure_score: float = 0
     changing: bool = False
+    limited: bool = False
     silent: bool = False
     seconds_available: float = SLOW_START_SECONDS
 
@@ -85,6 +90,7 @@
             + DISTANCE_COSTS[self.distance]
             + self.failure_score * FAILURE_COST
             + self.changing * CHANGING_COST
+            + self.limited * LIMITED_COST
             + self.silent * SILENCE_COST
             + max(1 - self.seconds_available / SLOW_START_SECONDS, 0)
             * SLOW_START_COST
--- a/src/ragwortcourse/forwarding/safeguards.py
+++ b/src/ragwortcourse/forwarding/safeguards.py
@@ -4,6 +4,7 @@
 
 from ragwortcourse.forwarding.crash_guard import CrashGuard
 from ragwortcourse.forwarding.fleet_retry_budget import FleetRetryBudget
+from ragwortcourse.forwarding.target_limits import TargetLimits
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -12,3 +13,4 @@
 
     retry_budget: FleetRetryBudget
     crash_guard: CrashGuard
+    target_limits: TargetLimits
--- a/src/ragwortcourse/forwarding/target_load.py
+++ b/src/ragwortcourse/forwarding/target_load.py
@@ -3,7 +3,7 @@
 import math
 from typing import Final
 
-from ragwortcourse.forwarding.answer_head import ReportedLoad
+from ragwortcourse.forwarding.answer_head import AnswerHead, ReportedLoad
 from ragwortcourse.forwarding.peer_counts import PeerCounts
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_health import TargetHealth
@@ -74,12 +74,15 @@
         """Note that the target sent data."""
         self._sign_at = now
 
-    def note_answered(self, sent_at: float) -> None:
-        """Note that the target itself answered a request.
-
-        :param sent_at: seconds of the clock that runs during suspension.
-        """
-        self.answered_sent_at = max(self.answered_sent_at, sent_at)
+    def note_head(self, head: AnswerHead, now: float) -> None:
+        """Apply what the head of an answer tells about the target."""
+        self.note_sign(now)
+        if head.load is not None:
+            self.note_load(head.load, now)
+        if head.cold_seconds is not None:
+            self.cold_until = now + head.cold_seconds
+        if head.version is not None:
+            self.version = max(self.version, head.version)
 
     def note_load(self, load: ReportedLoad, now: float) -> None:
         """Apply a load report of the target."""
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -161,6 +161,7 @@
         load = forwarder.find_load(target)
         load.count_sent(began_at)
         self.crashes.note_sent(target)
+        forwarder.safeguards.target_limits.count_sent(target)
         forwarder.state.reach.note_sent(target.failure_domain, began_at)
         self.runs += 1
         answer: OpenAnswer | NotSent | NoAnswer | None = None
@@ -214,16 +215,16 @@
     def _judge(self, opened: OpenTry) -> OpenTry | None:
         now = read_clock()
         head, load = opened.answer.head, opened.load
-        load.note_sign(now)
+        load.note_head(head, now)
         self.forwarder.state.reach.note_answer(opened.target.failure_domain)
-        if head.load is not None:
-            load.note_load(head.load, now)
-        if head.cold_seconds is not None:
-            load.cold_until = now + head.cold_seconds
-        if head.version is not None:
-            load.version = max(load.version, head.version)
+        if head.speaks_for_target and head.rate_limit_readable:
+            self.forwarder.safeguards.target_limits.note_answer(
+                opened.target, head.rate_limit
+            )
         if head.ran and head.genuine:
-            load.note_answered(self.crashes.sent_at)
+            load.answered_sent_at = max(
+                load.answered_sent_at, self.crashes.sent_at
+            )
             return opened
         self.end(opened)
         if head.ran:
--- a/src/ragwortcourse/membership/relay_daemons.py
+++ b/src/ragwortcourse/membership/relay_daemons.py
@@ -7,6 +7,7 @@
     FailureDomainName,
     RegionName,
 )
+from ragwortcourse.settings import Settings
 
 
 class RelayRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -19,3 +20,13 @@
     address: str
     failure_domain: FailureDomainName
     region: RegionName
+
+
+def describe_daemon(settings: Settings) -> RelayRecord:
+    """Build the record of the daemon with these settings."""
+    return RelayRecord(
+        daemon=settings.daemon,
+        address=settings.listen.peers,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+    )
--- a/src/ragwortcourse/platform/wire.py
+++ b/src/ragwortcourse/platform/wire.py
@@ -1,5 +1,7 @@
 """Translation of the platform's requests and answers."""
 
+import logging
+import math
 from collections.abc import Mapping
 from typing import Final
 
@@ -31,6 +33,8 @@
 MISDIRECTED: Final = 421
 LOAD_FIELDS: Final = 3
 
+LOGGER: Final = logging.getLogger(__name__)
+
 
 def build_wire_format() -> WireFormat:
     """Build the translation of requests and answers."""
@@ -89,6 +93,8 @@
     headers = CIMultiDict(received)
     _drop_hop_headers(headers)
     echoed = received.get(names.ATTEMPT_ID) == attempt
+    rate_limit = received.get(names.RATE_LIMIT)
+    rate = None if rate_limit is None else _read_rate(rate_limit)
     stamped = names.STAMP in received
     return AnswerHead(
         status=status,
@@ -100,7 +106,22 @@
         cold_seconds=_read_milliseconds(received, names.COLD),
         version=_read_version(received.get(names.VERSION, '')),
         headers=headers,
+        rate_limit=rate,
+        rate_limit_readable=rate_limit is None or rate is not None,
+    )
+
+
+def _read_rate(text: str) -> float | None:
+    try:
+        rate = float(text)
+    except ValueError:
+        rate = math.nan
+    if math.isfinite(rate) and rate >= 0:
+        return rate
+    LOGGER.warning(
+        'unreadable limit of a target ignored', extra={'content': text}
     )
+    return None
 
 
 def _drop_hop_headers(headers: CIMultiDict[str]) -> None:
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -18,7 +18,7 @@
 from ragwortcourse.forwarding.load_exchange import exchange_loads
 from ragwortcourse.forwarding.target_list import TargetList
 from ragwortcourse.identifiers import ModelName
-from ragwortcourse.membership.relay_daemons import RelayRecord
+from ragwortcourse.membership.relay_daemons import describe_daemon
 from ragwortcourse.platform import names
 from ragwortcourse.platform.feed import TableFeed
 from ragwortcourse.platform.operator_rows import build_operator_handler
@@ -243,12 +243,7 @@
 
 async def _register(store: Store, settings: Settings) -> None:
     """Register the daemon for others; retry until the store accepts."""
-    record = RelayRecord(
-        daemon=settings.daemon,
-        address=settings.listen.peers,
-        failure_domain=settings.failure_domain,
-        region=settings.region,
-    )
+    record = describe_daemon(settings)
     while True:
         if await register_relay(store, record):
             return
