--- a/src/ragwortcourse/platform/names.py
+++ b/src/ragwortcourse/platform/names.py
@@ -9,7 +9,7 @@
 LAST_EVENT_ID: Final = 'Last-Event-Id'
 LOAD: Final = 'Ragwortcourse-Server-Load'
 # Requests a second from all daemons together, a decimal number.
-RATE_LIMIT: Final = 'Ragwortcourse-Server-Limit'
+RATE_LIMIT: Final = 'Server-Limit'
 COLD: Final = 'Ragwortcourse-Cold-Ms'
 # Set on every answer of a target that did not run the request.
 NOT_RUN: Final = 'Ragwortcourse-Not-Executed'
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -175,3 +175,32 @@
         )
         assert answer.version == 3
         assert answer.cold_seconds == pytest.approx(1.5)
+
+
+class TestReadRateLimit:
+    """Limits that targets name in their answers."""
+
+    @pytest.mark.parametrize(
+        ('named', 'rate', 'readable'),
+        [
+            (None, None, True),
+            ('1.8', 1.8, True),
+            ('0', 0, True),
+            ('-1', None, False),
+            ('nan', None, False),
+            ('inf', None, False),
+            ('', None, False),
+        ],
+    )
+    def test_read(self, named, rate, readable):
+        """A decimal number that is not negative is a limit."""
+        received = {} if named is None else {'Server-Limit': named}
+        head = read_head(200, CIMultiDict(received), AttemptId('a1'))
+        assert head.rate_limit == rate
+        assert head.rate_limit_readable is readable
+
+    def test_misdirected(self):
+        """A target that answers for another one says nothing about it."""
+        received = CIMultiDict({**MARKS, 'Server-Limit': '1'})
+        assert read_head(200, received, AttemptId('a1')).speaks_for_target
+        assert not read_head(421, received, AttemptId('a1')).speaks_for_target
