End answers of targets that never end

What callers would see: a forwarder that is killed for its memory, with every request on it.

Cause: bodies were joined in memory whatever their length, and an incomplete event was held and searched anew with each piece. Heads are bounded by the HTTP library already; the tests hold that.

The answer counts as invalid: its target is avoided for a moment, but has not crashed.

--- a/src/ragwortcourse/forwarding/exchange.py
+++ b/src/ragwortcourse/forwarding/exchange.py
@@ -8,6 +8,7 @@
 import aiohttp
 from yarl import URL
 
+from ragwortcourse.forwarding.answer_cut import AnswerCutError
 from ragwortcourse.forwarding.answer_head import AnswerHead
 from ragwortcourse.forwarding.call import PermittedCall
 from ragwortcourse.forwarding.loss_cause import LossCause
@@ -24,6 +25,9 @@
 UNACKNOWLEDGED_MS: Final = 2000
 # Targets may add headers to those that callers are allowed to send.
 HEADER_BYTES: Final = 65_536
+# Longest body of an answer that is read whole, the same as of a caller's
+# request.
+BODY_BYTES: Final = 4_194_304
 # The end of a body is known from the answer if it has one of these headers.
 FRAMING: Final = frozenset(('content-length', 'transfer-encoding'))
 SKIPPED_HEADERS: Final = (
@@ -52,10 +56,6 @@
     cause: LossCause
 
 
-class AnswerCutError(Exception):
-    """The body of an answer ended early."""
-
-
 class OpenAnswer:
     """Answer of a target whose body has not been read yet."""
 
@@ -78,6 +78,22 @@
         if self._was_reset():
             raise AnswerCutError('connection reset')
 
+    async def read_whole(self) -> bytes:
+        """Read the whole body.
+
+        :raises AnswerCutError: the connection ended before the body did, or
+            the body is longer than ``BODY_BYTES``.
+        """
+        body = bytearray()
+        async for piece in self.read_pieces():
+            body += piece
+            if len(body) > BODY_BYTES:
+                raise AnswerCutError(
+                    f'body longer than {BODY_BYTES} bytes',
+                    cause=LossCause.INVALID,
+                )
+        return bytes(body)
+
     def close(self) -> None:
         """Close the connection, which cancels the request at the target."""
         self._response.close()
--- a/src/ragwortcourse/forwarding/plain_call.py
+++ b/src/ragwortcourse/forwarding/plain_call.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from ragwortcourse.clock import read_clock
-from ragwortcourse.forwarding.exchange import AnswerCutError
+from ragwortcourse.forwarding.answer_cut import AnswerCutError
 from ragwortcourse.forwarding.loss_cause import LossCause
 from ragwortcourse.forwarding.open_try import OpenTry
 from ragwortcourse.forwarding.reply import Reason, Refusal, Reply, WholeAnswer
@@ -57,9 +57,9 @@
 
 async def _read_whole(tries: Tries, opened: OpenTry) -> WholeAnswer | None:
     try:
-        pieces = [piece async for piece in opened.answer.read_pieces()]
+        body = await opened.answer.read_whole()
     except AnswerCutError as error:
-        tries.fail(opened, str(error), LossCause.CUT)
+        tries.fail(opened, str(error), error.cause)
         return None
     finally:
         tries.end(opened)
@@ -67,4 +67,4 @@
     head = opened.answer.head
     if head.is_success:
         opened.load.note_success(read_clock() - opened.began_at)
-    return WholeAnswer(head=head, body=b''.join(pieces))
+    return WholeAnswer(head=head, body=body)
--- a/src/ragwortcourse/forwarding/stream_call.py
+++ b/src/ragwortcourse/forwarding/stream_call.py
@@ -7,8 +7,8 @@
 from aiohttp import web
 
 from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.answer_cut import AnswerCutError
 from ragwortcourse.forwarding.event_buffer import EventBuffer
-from ragwortcourse.forwarding.exchange import AnswerCutError
 from ragwortcourse.forwarding.loss_cause import LossCause
 from ragwortcourse.forwarding.open_try import OpenTry
 from ragwortcourse.forwarding.reply import Reason, Refusal, WholeAnswer
@@ -53,7 +53,7 @@
             try:
                 return await self._relay(opened)
             except AnswerCutError as error:
-                self._fail(opened, error, LossCause.CUT)
+                self._fail(opened, error, error.cause)
             except TimeoutError as error:
                 self._fail(opened, error, LossCause.SILENCE)
             finally:
@@ -82,12 +82,10 @@
         self, opened: OpenTry
     ) -> web.StreamResponse | Refusal | WholeAnswer:
         if not opened.answer.head.is_success:
-            pieces = [piece async for piece in opened.answer.read_pieces()]
+            body = await opened.answer.read_whole()
             self._tries.crashes.note_answered()
             if self._response is None:
-                return WholeAnswer(
-                    head=opened.answer.head, body=b''.join(pieces)
-                )
+                return WholeAnswer(head=opened.answer.head, body=body)
             return self._give_up(Refusal(reason=Reason.FAILED))
         async for whole in self._read_events(opened):
             response = await self._begin(opened)
@@ -100,7 +98,8 @@
     async def _read_events(self, opened: OpenTry) -> AsyncIterator[bytes]:
         """Yield whole events until the target ends the stream.
 
-        :raises AnswerCutError: the stream was cut, or ended inside an event.
+        :raises AnswerCutError: the stream was cut, ended inside an event, or
+            has an event that is too long.
         :raises TimeoutError: no data arrived in time, and another target may
             continue the stream.
         """
--- a/tests/test_event_buffer.py
+++ b/tests/test_event_buffer.py
@@ -6,7 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ragwortcourse.forwarding.event_buffer import EventBuffer
+from ragwortcourse.forwarding.answer_cut import AnswerCutError
+from ragwortcourse.forwarding.event_buffer import EVENT_BYTES, EventBuffer
 
 EVENTS = b''.join(b'id: %d\ndata: word\n\n' % number for number in range(5))
 
@@ -51,3 +52,18 @@
         assert b''.join(given_out) == EVENTS
         assert events.last_event == '4'
         assert not events.has_rest
+
+    def test_endless_event(self):
+        """An event without end is given up, whatever the pieces are."""
+        events = EventBuffer(last_event='3')
+        assert events.add(b'id: 4\ndata: x\n\n')
+        with pytest.raises(AnswerCutError):
+            for _ in range(EVENT_BYTES):
+                events.add(b'xx')
+        assert events.last_event == '4'
+
+    def test_end_in_two_pieces(self):
+        """The end of an event may be cut anywhere."""
+        events = EventBuffer(last_event=None)
+        assert events.add(b'id: 1\ndata: x\n') == b''
+        assert events.add(b'\n') == b'id: 1\ndata: x\n\n'
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -8,8 +8,8 @@
 import pytest
 import uvloop
 
+from ragwortcourse.forwarding.answer_cut import AnswerCutError
 from ragwortcourse.forwarding.exchange import (
-    AnswerCutError,
     OpenAnswer,
     open_target_session,
 )
