End bodies without end of the store, the origin, engines and daemons

What callers would see: a daemon that is killed for its memory.

Change: one function reads bodies up to a limit; longer ones are failures of the source, as if they had been cut. Readers of the product's own path are not changed yet.

--- a/src/ragwortcourse/engines/http_engine.py
+++ b/src/ragwortcourse/engines/http_engine.py
@@ -8,6 +8,7 @@
 import msgspec
 import yarl
 
+from ragwortcourse.bodies import SMALL_BODY_BYTES, read_body
 from ragwortcourse.engines.engine import (
     Engine,
     EngineAnswer,
@@ -121,7 +122,8 @@
                         instance='', running=0, bearable=None, age=0
                     )
                 return msgspec.json.decode(
-                    await answer.read(), type=EngineState
+                    await read_body(answer, limit=SMALL_BODY_BYTES),
+                    type=EngineState,
                 )
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as lost:
             return EngineSilent(detail=f'{base}/state: {lost!r}')
@@ -238,7 +240,9 @@
         async with session.request(
             method, url, data=body, timeout=ORDER_TIMEOUT
         ) as answer:
-            return decode_order(answer.status, await answer.read())
+            return decode_order(
+                answer.status, await read_body(answer, limit=SMALL_BODY_BYTES)
+            )
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as no:
         return OrderRefused(detail=repr(no))
     except (aiohttp.ClientError, ConnectionError, TimeoutError) as lost:
--- a/src/ragwortcourse/platform/engine.py
+++ b/src/ragwortcourse/platform/engine.py
@@ -6,6 +6,7 @@
 import aiohttp
 import msgspec
 
+from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.platform.target_rows import WireLayers, decode_layers
 from ragwortcourse.weights.engine_port import EngineReport, LoadOrderOutcome
@@ -122,7 +123,9 @@
                     method, f'{self._base}{path}', data=body, headers=headers
                 ) as response,
             ):
-                return response.status, await response.read()
+                return response.status, await read_body(
+                    response, limit=LARGE_BODY_BYTES
+                )
         except (aiohttp.ClientError, OSError, TimeoutError):
             # The loader monitors the state of the engine by itself.
             return None
--- a/src/ragwortcourse/platform/row_relay.py
+++ b/src/ragwortcourse/platform/row_relay.py
@@ -14,6 +14,7 @@
 import msgspec
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
+from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.platform import names
 from ragwortcourse.platform.row_cache import RowCache
@@ -186,7 +187,7 @@
                     detail=f'{address}: {response.status}',
                     is_reading=response.status == HTTPStatus.TOO_EARLY,
                 )
-            body = await response.read()
+            body = await read_body(response, limit=LARGE_BODY_BYTES)
             message = msgspec.json.decode(body, type=RelayedRows)
             rows = tuple(_decode_row(row) for row in message.rows)
     except (ClientError, OSError) as error:
--- a/src/ragwortcourse/platform/store.py
+++ b/src/ragwortcourse/platform/store.py
@@ -15,6 +15,7 @@
 import aiohttp
 import msgspec
 
+from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.platform.answer_delay import AnswerDelay
 from ragwortcourse.platform.store_row import (
@@ -172,7 +173,10 @@
             ) as response:
                 if response.status != OK:
                     return response.status
-                return msgspec.json.decode(await response.read(), type=WireRows)
+                return msgspec.json.decode(
+                    await read_body(response, limit=LARGE_BODY_BYTES),
+                    type=WireRows,
+                )
         except TimeoutError as error:
             return f'no answer within {limit} s: {error!r}'
         except (aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
--- a/src/ragwortcourse/platform/weight_source.py
+++ b/src/ragwortcourse/platform/weight_source.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.identifiers import ModelName, Sha256Hex
 from ragwortcourse.weights.fleet_downloader import FleetDownloader
@@ -77,7 +78,7 @@
             async with self._session.get(url, timeout=TIMEOUT) as response:
                 if response.status != OK:
                     return None
-                return await response.read()
+                return await read_body(response, limit=LARGE_BODY_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError):
             # The caller asks other sources, then the origin again.
             return None
--- a/src/ragwortcourse/weights/chunk_routes.py
+++ b/src/ragwortcourse/weights/chunk_routes.py
@@ -13,6 +13,7 @@
     web,
 )
 
+from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
 from ragwortcourse.clock import read_clock
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.weights.fleet_manifest import FleetManifest
@@ -113,7 +114,7 @@
         async with session.get(url, timeout=timeout) as response:
             if response.status != OK:
                 return None
-            return await response.read()
+            return await read_body(response, limit=LARGE_BODY_BYTES)
     except (ClientConnectorError, ConnectionTimeoutError):
         reach.note_silent(address)
         return None
--- a/src/ragwortcourse/weights/manifest_routes.py
+++ b/src/ragwortcourse/weights/manifest_routes.py
@@ -15,6 +15,7 @@
     web,
 )
 
+from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.weights.fleet_manifest import FleetManifest
 from ragwortcourse.weights.peer_reach import PeerReach
@@ -80,7 +81,8 @@
             async with session.get(url, timeout=TIMEOUT) as response:
                 if response.status == OK:
                     return msgspec.json.decode(
-                        await response.read(), type=FleetManifest
+                        await read_body(response, limit=LARGE_BODY_BYTES),
+                        type=FleetManifest,
                     )
         except (ClientConnectorError, ConnectionTimeoutError):
             reach.note_silent(address)
--- a/tests/test_event_buffer.py
+++ b/tests/test_event_buffer.py
@@ -58,8 +58,7 @@
         events = EventBuffer(last_event='3')
         assert events.add(b'id: 4\ndata: x\n\n')
         with pytest.raises(AnswerCutError):
-            for _ in range(EVENT_BYTES):
-                events.add(b'xx')
+            list(map(events.add, [b'xx'] * EVENT_BYTES))
         assert events.last_event == '4'
 
     def test_end_in_two_pieces(self):
