--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 from ragwortcourse.entry.retry_scheduler import RetryScheduler
 from ragwortcourse.forwarding.caller_timeouts import CallerTimeouts
 from ragwortcourse.forwarding.crash_guard import CrashGuard
+from ragwortcourse.forwarding.daemon_ranking import DaemonRanking
 from ragwortcourse.forwarding.fleet_retry_budget import FleetRetryBudget
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.peer_counts import Counts, PeerCounts
@@ -56,16 +57,17 @@
         self.retry_scheduler = RetryScheduler()
         self.caller_timeouts = CallerTimeouts()
         self.store_watch = StoreWatch(state=state)
+        ranking = DaemonRanking(
+            own=describe_daemon(settings),
+            is_alive=self.store_watch.has_reported,
+        )
         self.safeguards = Safeguards(
             retry_budget=FleetRetryBudget(fleet=self.fleet),
             crash_guard=CrashGuard(
                 state=state, find_answered=self._find_answered
             ),
-            target_limits=TargetLimits(
-                state=state,
-                own=describe_daemon(settings),
-                is_alive=self.store_watch.has_reported,
-            ),
+            daemon_ranking=ranking,
+            target_limits=TargetLimits(state=state, ranking=ranking),
         )
         self._peers = PeerCounts()
         self.running = 0
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -243,7 +243,7 @@
     if relays:
         # An empty list has not been read yet; the assumed number stays.
         forwarder.safeguards.retry_budget.daemons = len(relays)
-        forwarder.safeguards.target_limits.daemons = relays
+        forwarder.safeguards.daemon_ranking.register(relays)
     forwarder.store_watch.detect_outage([relay.daemon for relay in relays])
     for relay in relays:
         is_near = relay.failure_domain == settings.failure_domain
--- a/src/ragwortcourse/forwarding/safeguards.py
+++ b/src/ragwortcourse/forwarding/safeguards.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from ragwortcourse.forwarding.crash_guard import CrashGuard
+from ragwortcourse.forwarding.daemon_ranking import DaemonRanking
 from ragwortcourse.forwarding.fleet_retry_budget import FleetRetryBudget
 from ragwortcourse.forwarding.target_limits import TargetLimits
 
@@ -13,4 +14,5 @@
 
     retry_budget: FleetRetryBudget
     crash_guard: CrashGuard
+    daemon_ranking: DaemonRanking
     target_limits: TargetLimits
--- a/src/ragwortcourse/forwarding/target_limits.py
+++ b/src/ragwortcourse/forwarding/target_limits.py
@@ -7,21 +7,19 @@
 import dataclasses
 import logging
 import math
-from collections.abc import Callable, Sequence
 from typing import Final
 
 from ragwortcourse.clock import read_clock_with_suspend
+from ragwortcourse.forwarding.daemon_ranking import DaemonRanking
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.named_limit import NamedLimit
 from ragwortcourse.forwarding.rate_share import (
     MIN_BURST,
     compute_burst,
     compute_share,
-    rank_daemons,
 )
 from ragwortcourse.forwarding.target import Target
-from ragwortcourse.identifiers import DaemonId, TargetName
-from ragwortcourse.membership.relay_daemons import RelayRecord
+from ragwortcourse.identifiers import TargetName
 
 # A target that takes no requests still gets one in this time: only an answer
 # tells that its limit has ended.
@@ -43,15 +41,11 @@
 class _Allowance:
     """Requests that this daemon may send to one incarnation of a target.
 
-    :param daemons: registered daemons behind the ranking.
-    :param ranked: these daemons as ranked for the target.
     :param share: requests a second.
     :param tokens: requests that may be sent now.
     """
 
     born: int
-    daemons: Sequence[RelayRecord]
-    ranked: tuple[DaemonId, ...]
     share: float = 0
     tokens: float = 0
     at: float = -math.inf
@@ -60,24 +54,12 @@
 class TargetLimits:
     """Limits of targets as known to one daemon.
 
-    ``daemons`` are the registered entry daemons.
-
     :param state: source of the listed targets.
-    :param own: record of this daemon.
-    :param is_alive: tells whether another daemon sent a message recently.
     """
 
-    def __init__(
-        self,
-        *,
-        state: FleetState,
-        own: RelayRecord,
-        is_alive: Callable[[DaemonId], bool],
-    ) -> None:
-        self.daemons: Sequence[RelayRecord] = ()
+    def __init__(self, *, state: FleetState, ranking: DaemonRanking) -> None:
         self._state = state
-        self._own = own
-        self._is_alive = is_alive
+        self._ranking = ranking
         self._limits: dict[TargetName, NamedLimit] = {}
         self._own_news_at: dict[TargetName, float] = {}
         self._allowances: dict[TargetName, _Allowance] = {}
@@ -162,52 +144,33 @@
     def _refill(self, target: Target) -> _Allowance:
         now = read_clock_with_suspend()
         known = self._allowances.get(target.name)
-        is_new = known is None or known.born != target.born
-        if known is None or is_new or known.daemons is not self.daemons:
-            known = self._rank_again(target, None if is_new else known)
+        if known is None or known.born != target.born:
+            share = self._compute_share(target, now)
+            known = _Allowance(
+                born=target.born,
+                share=share,
+                tokens=MIN_BURST if share else 0,
+                at=now,
+            )
             self._allowances[target.name] = known
         elapsed = now - known.at
         if elapsed > SHARE_SECONDS:
-            burst = compute_burst(known.share) if known.share else 0
-            if not is_new:
-                known.tokens = min(known.tokens + known.share * elapsed, burst)
-            known.share = self._compute_share(known, target, now)
+            known.tokens = min(
+                known.tokens + known.share * elapsed,
+                compute_burst(known.share) if known.share else 0,
+            )
+            known.share = self._compute_share(target, now)
             known.at = now
-        if is_new and known.share:
-            known.tokens = MIN_BURST
         return known
 
-    def _rank_again(
-        self, target: Target, known: _Allowance | None
-    ) -> _Allowance:
-        """Rank the registered daemons, and keep the tokens."""
-        others = (
-            daemon
-            for daemon in self.daemons
-            if daemon.daemon != self._own.daemon
-        )
-        ranked = rank_daemons(target, (self._own, *others))
-        if known is not None:
-            return dataclasses.replace(
-                known, daemons=self.daemons, ranked=ranked
-            )
-        return _Allowance(born=target.born, daemons=self.daemons, ranked=ranked)
-
-    def _compute_share(
-        self, allowance: _Allowance, target: Target, now: float
-    ) -> float:
+    def _compute_share(self, target: Target, now: float) -> float:
         limit = self._limits[target.name]
         rate = max(limit.rate or 0, 1 / TRIAL_SECONDS)
         patience = max(UNANSWERED_SECONDS, UNANSWERED_REQUESTS / rate)
         unanswered = now - limit.named_at - patience
-        own = self._own.daemon
         return compute_share(
             rate=rate,
-            ranked=[
-                daemon
-                for daemon in allowance.ranked
-                if daemon == own or self._is_alive(daemon)
-            ],
-            own=own,
+            ranked=self._ranking.rank_alive(target),
+            own=self._ranking.own,
             spare=min(max(math.ceil(unanswered), 0), SPARE_DAEMONS),
         )
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -18,6 +18,7 @@
 from fakes.fleet_target import Received, ScriptedConnection
 from fakes.forwarder_fleet import ForwarderFleet
 from ragwortcourse.clock import read_clock, read_clock_with_suspend
+from ragwortcourse.forwarding.daemon_ranking import DaemonRanking
 from ragwortcourse.forwarding.limit_exchange import (
     LimitMessage,
     build_limit_sender,
@@ -120,12 +121,11 @@
 
     def start(self, record: RelayRecord) -> None:
         """Start a daemon that knows nothing of before."""
-        limits = TargetLimits(
-            state=make_state(TARGET),
-            own=record,
-            is_alive=lambda daemon: daemon in self.alive,
+        ranking = DaemonRanking(
+            own=record, is_alive=lambda daemon: daemon in self.alive
         )
-        limits.daemons = self._records
+        ranking.register(self._records)
+        limits = TargetLimits(state=make_state(TARGET), ranking=ranking)
         self.alive[record.daemon] = limits
         self._senders[record.daemon] = build_limit_sender(
             limits=limits,
@@ -244,15 +244,15 @@
 
 def make_limits() -> TargetLimits:
     """Build the limits of a daemon that is alone."""
+    own = RelayRecord(
+        daemon=DaemonId('e1'),
+        address='127.0.0.1:1',
+        failure_domain=NEAR_DOMAIN,
+        region=RegionName('near'),
+    )
     return TargetLimits(
         state=make_state(TARGET),
-        own=RelayRecord(
-            daemon=DaemonId('e1'),
-            address='127.0.0.1:1',
-            failure_domain=NEAR_DOMAIN,
-            region=RegionName('near'),
-        ),
-        is_alive=lambda _: False,
+        ranking=DaemonRanking(own=own, is_alive=lambda _: False),
     )
 
 
