Divide the rate of a cold target among as many daemons as it has requests

What callers would see: a cold target that crashes again under its first requests (FAILBACK), in a fleet of more daemons than its rate.

At 36 a second (59 allowed) 9, 45 and 350 daemons sent 36, 45 and 350 in one second; the test fails at 350 before. With the fix they send 36 each.

Where daemons outnumber the rate, only as many send as it has whole requests a second, by the ranking of limits that targets name. Fewer daemons divide it as before, by registered daemons; one that knows none yet sends one a second.

--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -25,6 +25,7 @@
     choose_candidate,
 )
 from ragwortcourse.forwarding.random_targets import draw_targets
+from ragwortcourse.forwarding.rate_share import compute_share
 from ragwortcourse.forwarding.reply import Refusal
 from ragwortcourse.forwarding.service_rules import ServiceRules
 from ragwortcourse.forwarding.target import Target
@@ -194,8 +195,28 @@
     load = forwarder.find_load(target)
     if not rules.cold_rate or load.cold_until <= read_clock():
         return True
-    share = rules.cold_rate / forwarder.safeguards.retry_budget.daemons
-    return load.count_recent(read_clock()) < max(share, 1)
+    return load.count_recent(read_clock()) < _share_cold_rate(
+        forwarder, target, rules.cold_rate
+    )
+
+
+def _share_cold_rate(
+    forwarder: Forwarder, target: Target, rate: float
+) -> float:
+    """Compute the requests a second that this daemon may send.
+
+    Daemons that have ended stay registered and leave their share unused, so
+    that a daemon that hears of no others sends no more than before.
+    """
+    safeguards = forwarder.safeguards
+    share = rate / safeguards.retry_budget.daemons
+    ranked = safeguards.daemon_ranking.rank(target)
+    if share >= 1 or len(ranked) < safeguards.retry_budget.daemons:
+        # The registered daemons are not known yet, only their assumed number.
+        return max(share, 1)
+    return compute_share(
+        rate=rate, ranked=ranked, own=safeguards.daemon_ranking.own
+    )
 
 
 def _is_avoided(forwarder: Forwarder, target: Target) -> bool:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,6 +1,7 @@
 """Tests of :mod:`ragwortcourse.forwarding.choice`."""
 
 import asyncio
+import dataclasses
 from collections import Counter
 
 import pytest
@@ -10,17 +11,24 @@
     make_forwarder,
     make_permitted_call,
     make_plain,
+    make_settings,
     make_state,
     make_target,
 )
+from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.choice import choose_target
-from ragwortcourse.forwarding.reply import Reason
+from ragwortcourse.forwarding.reply import Reason, Refusal
+from ragwortcourse.identifiers import DaemonId
+from ragwortcourse.membership.relay_daemons import describe_daemon
 
 pytestmark = pytest.mark.looptime
 # Targets of the largest fleet to support.
 TARGETS = 2300
 # Maximum number of look-ups of loads for one choice.
 LOOK_UPS = 40
+# Bound of the users on requests to a cold target in one second.
+COLD_OVERSHOOT = 1.5
+COLD_SLACK = 5
 
 
 def open_engines(count: int, **changes):
@@ -88,3 +96,44 @@
         forwarder = open_engines(100, leaving=True)
         forwarder.state.targets['t-here'] = make_target('t-here')
         assert {choose(forwarder).name for _ in range(20)} == {'t-here'}
+
+
+class TestColdTarget:
+    """Requests of all daemons together to a cold target."""
+
+    @pytest.mark.parametrize('daemons', [9, 45, 350])
+    async def test_one_request_a_second_from_each_daemon(self, daemons):
+        """A cold target gets what it bears, however many daemons there are."""
+        rate, target = 36, make_target(cold_seconds=60)
+        records = [
+            describe_daemon(make_settings(daemon=DaemonId(f'e{number}')))
+            for number in range(daemons)
+        ]
+        sent = 0
+        for record in records:
+            forwarder = make_forwarder(
+                make_state(target), None, daemon=record.daemon
+            )
+            forwarder.safeguards.retry_budget.daemons = daemons
+            forwarder.safeguards.daemon_ranking.register(records)
+            load = forwarder.find_load(target)
+            for _ in range(rate):
+                if not isinstance(choose(forwarder), Refusal):
+                    load.count_sent(read_clock())
+                    sent += 1
+        assert sent <= rate * COLD_OVERSHOOT + COLD_SLACK
+        assert sent >= rate * 0.7
+
+    async def test_daemons_not_known_yet(self):
+        """A daemon that does not know the others takes no whole rate."""
+        target = make_target(cold_seconds=60)
+        forwarder = make_forwarder(make_state(target), None)
+        state = forwarder.state
+        rules = dataclasses.replace(
+            state.desired.services[ENGINES], cold_rate=5
+        )
+        state.desired.services[ENGINES] = rules
+        chosen = choose(forwarder)
+        assert chosen == target
+        forwarder.find_load(target).count_sent(read_clock())
+        assert isinstance(choose(forwarder), Refusal)
