Hold a suspected request back until an outage of the store is over

What callers would see: a request that had ended three targets while the store was away is sent on 10 s after the third, though no row could have told meanwhile what became of them.

Cause: an unknown fate counted for 10 s by its own clock, beside the time after which a target that is still listed has survived, which does wait for the store. The second is enough.

--- a/src/ragwortcourse/forwarding/crash_evidence.py
+++ b/src/ragwortcourse/forwarding/crash_evidence.py
@@ -8,9 +8,6 @@
 from ragwortcourse.forwarding.lost_run import Fate, LostRun
 from ragwortcourse.identifiers import TargetName
 
-# Time for which a lost answer counts as a possible crash. The row of a target
-# that crashed expires sooner.
-HOLD_SECONDS: Final = 10.0
 # Tolerance for the transit time of reports of other daemons.
 ORDER_TOLERANCE_SECONDS: Final = 0.02
 
@@ -65,13 +62,12 @@
         """Count the incarnations that ended one after another."""
         return count_successive(self._list_ended())
 
-    def count_suspected(self, now: float) -> int:
+    def count_suspected(self) -> int:
         """Count the incarnations that ended, or may have, in succession."""
         return count_successive(
             run
             for run in self._list_counted()
-            if run.fate is Fate.ENDED
-            or (not run.silent and now - run.lost_at < HOLD_SECONDS)
+            if run.fate is Fate.ENDED or not run.silent
         )
 
     def _list_ended(self) -> list[LostRun]:
--- a/src/ragwortcourse/forwarding/crash_exchange.py
+++ b/src/ragwortcourse/forwarding/crash_exchange.py
@@ -109,7 +109,7 @@
     grave = [
         (fingerprint, evidence)
         for fingerprint, evidence in guard.store.list_items()
-        if evidence.count_suspected(now) >= CRASHES_TO_SINGLE
+        if evidence.count_suspected() >= CRASHES_TO_SINGLE
     ]
     return _write_reports(grave, REPORTS_PER_MESSAGE, now)
 
@@ -129,7 +129,7 @@
 ) -> list[CrashReport]:
     """Write the gravest evidence."""
     chosen = sorted(
-        items, key=lambda each: each[1].count_suspected(now), reverse=True
+        items, key=lambda each: each[1].count_suspected(), reverse=True
     )
     return [
         CrashReport(
--- a/src/ragwortcourse/forwarding/crash_guard.py
+++ b/src/ragwortcourse/forwarding/crash_guard.py
@@ -21,7 +21,7 @@
     EvidenceStore,
 )
 from ragwortcourse.crashes.verdict import Verdict, judge_request
-from ragwortcourse.forwarding.crash_evidence import HOLD_SECONDS, CrashEvidence
+from ragwortcourse.forwarding.crash_evidence import CrashEvidence
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.lost_run import Fate, LostRun
 from ragwortcourse.forwarding.reply import Reason, Refusal
@@ -95,7 +95,7 @@
         if now - evidence.newest_at > SUSPICION_SECONDS:
             return ALLOWED
         proven = evidence.count_proven()
-        suspected = evidence.count_suspected(now)
+        suspected = evidence.count_suspected()
         return Judgement(
             verdict=judge_request(
                 proven=proven,
@@ -120,7 +120,7 @@
         evidence = self.store.find(fingerprint)
         waits = {
             Verdict.REFUSED: SUSPICION_SECONDS,
-            Verdict.HELD: HOLD_SECONDS,
+            Verdict.HELD: SURVIVAL_SECONDS,
         }
         wait = waits.get(judgement.verdict)
         if (
@@ -172,7 +172,7 @@
         evidence = self.store.find(fingerprint)
         if evidence is None:
             return
-        if evidence.count_suspected(read_clock_with_suspend()):
+        if evidence.count_suspected():
             LOGGER.info(
                 'suspected request was answered, its crashes no longer count',
                 extra={'fingerprint': fingerprint},
@@ -195,7 +195,7 @@
             self._settle(fingerprint, evidence, now)
             kept = (
                 SUSPICION_SECONDS
-                if evidence.count_suspected(now)
+                if evidence.count_suspected()
                 else SETTLED_SECONDS
             )
             if now - max(evidence.newest_at, evidence.answered_at) > kept:
