End bodies without end on the product's own path, too

Answers of agents, claims, records, the table service, the object store, the list of hosts and other daemons are read up to a limit. Chunks of peers and of the origin are not bounded yet, as operators choose their size.

--- a/src/ragwortcourse/entry/claim_batch_router.py
+++ b/src/ragwortcourse/entry/claim_batch_router.py
@@ -13,6 +13,7 @@
 import msgspec
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
+from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
 from ragwortcourse.clock import read_clock
 from ragwortcourse.entry.claim_batcher import ClaimBatcher
 from ragwortcourse.identifiers import DaemonId, FailureDomainName
@@ -130,7 +131,7 @@
                 data=msgspec.json.encode(message),
                 timeout=_TIMEOUT,
             ) as answer:
-                raw = await answer.read()
+                raw = await read_body(answer, limit=LARGE_BODY_BYTES)
             report = msgspec.json.decode(raw, type=ClaimWriteReport)
         except _FAILURES as error:
             return CommitUnknown(detail=f'{address}: {error!r}')
--- a/src/ragwortcourse/entry/http_agents.py
+++ b/src/ragwortcourse/entry/http_agents.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ragwortcourse.agent.attempt_codec import encode_attempt
+from ragwortcourse.bodies import SMALL_BODY_BYTES, read_body
 from ragwortcourse.entry.relayed_body import FAILURES, RelayedBody
 from ragwortcourse.identifiers import AttemptId, Generation, VersionName
 from ragwortcourse.messages import headers
@@ -118,7 +119,7 @@
     answer: aiohttp.ClientResponse, spare: int, generation: Generation
 ) -> AttemptOutcome:
     try:
-        raw = await answer.read()
+        raw = await read_body(answer, limit=SMALL_BODY_BYTES)
         error = msgspec.json.decode(raw, type=ErrorBody).error
     except _READ_FAILURES as failure:
         return AttemptLost(detail=f'refusal could not be read: {failure!r}')
@@ -163,7 +164,7 @@
         async with session.post(
             url, data=content, headers=fields, timeout=timeout
         ) as answer:
-            raw = await answer.read()
+            raw = await read_body(answer, limit=SMALL_BODY_BYTES)
             status = answer.status
     except FAILURES as error:
         return PeerUnavailable(detail=f'{url}: {error!r}')
--- a/src/ragwortcourse/entry/record_relay.py
+++ b/src/ragwortcourse/entry/record_relay.py
@@ -7,6 +7,7 @@
 import msgspec
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
+from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
 from ragwortcourse.entry.operator_state import RecordRelay
 from ragwortcourse.identifiers import RequestId
 from ragwortcourse.messages.decision import RequestRecord
@@ -43,7 +44,7 @@
                 return None
             if response.status != OK:
                 return PeerUnavailable(detail=f'status {response.status}')
-            body = await response.read()
+            body = await read_body(response, limit=LARGE_BODY_BYTES)
         return msgspec.json.decode(body, type=RequestRecord)
 
     async def relay(
--- a/src/ragwortcourse/membership/http_daemons.py
+++ b/src/ragwortcourse/membership/http_daemons.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
 from ragwortcourse.identifiers import Generation, Sha256Hex
 from ragwortcourse.messages.heartbeat import Heartbeat
 from ragwortcourse.messages.peer_port import DaemonPort, PeerUnavailable
@@ -71,4 +72,4 @@
 async def _read_body(response: aiohttp.ClientResponse) -> bytes:
     if response.status != OK:
         raise _RefusedError(f'status {response.status}')
-    return await response.read()
+    return await read_body(response, limit=LARGE_BODY_BYTES)
--- a/src/ragwortcourse/membership/http_hosts.py
+++ b/src/ragwortcourse/membership/http_hosts.py
@@ -6,6 +6,7 @@
 import aiohttp
 import msgspec
 
+from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
 from ragwortcourse.membership.hosts import (
     HostListPort,
     HostRecord,
@@ -52,7 +53,7 @@
                 return last.listed
             if response.status != OK:
                 return HostsUnavailable(detail=f'status {response.status}')
-            body = await response.read()
+            body = await read_body(response, limit=LARGE_BODY_BYTES)
             return decode(body, response.headers.get('etag', ''))
 
     def decode(body: bytes, etag: str) -> HostsListed:
--- a/src/ragwortcourse/storage/http_objects.py
+++ b/src/ragwortcourse/storage/http_objects.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
 from ragwortcourse.storage.objects import (
     ObjectFailed,
     ObjectName,
@@ -31,13 +32,15 @@
         async with session.get(
             locate(name), timeout=OBJECT_TIMEOUT
         ) as response:
-            return response.status, await response.read()
+            return response.status, await read_body(
+                response, limit=LARGE_BODY_BYTES
+            )
 
     async def put(name: ObjectName, content: bytes) -> int:
         async with session.put(
             locate(name), data=content, timeout=OBJECT_TIMEOUT
         ) as response:
-            await response.read()
+            await read_body(response, limit=LARGE_BODY_BYTES)
             return response.status
 
     async def read(name: ObjectName) -> ObjectRead | ObjectFailed:
--- a/src/ragwortcourse/storage/http_table.py
+++ b/src/ragwortcourse/storage/http_table.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
 from ragwortcourse.storage.table import (
     CommitOutcome,
     Committed,
@@ -47,7 +48,9 @@
         async with session.post(
             f'{base_url}{path}', data=body, timeout=TABLE_TIMEOUT
         ) as response:
-            return response.status, await response.read()
+            return response.status, await read_body(
+                response, limit=LARGE_BODY_BYTES
+            )
 
     async def read(key: TableKey) -> ReadOutcome:
         request = msgspec.json.encode(ReadRequest(key=key))
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -12,10 +12,14 @@
     BodyTooLongError,
     read_body,
 )
+from ragwortcourse.membership.hosts import HostsUnavailable
+from ragwortcourse.membership.http_hosts import build_http_hosts
 from ragwortcourse.platform.engine import Engine
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.store_row import StoreSilent
 from ragwortcourse.platform.weight_source import WeightSource
+from ragwortcourse.storage.http_table import build_http_table
+from ragwortcourse.storage.table import ReadFailed, TableKey
 from ragwortcourse.weights.manifest_routes import fetch_manifest
 from ragwortcourse.weights.peer_reach import PeerReach
 
@@ -104,3 +108,17 @@
             version=2,
         )
         assert manifest is None
+
+    async def test_table(self, flood, session):
+        """A row without end is a failed read of the table service."""
+        table = build_http_table(
+            session=session, base_url=f'http://{flood.target.address}'
+        )
+        assert isinstance(await table.read(TableKey('a')), ReadFailed)
+
+    async def test_hosts(self, flood, session):
+        """A list of hosts without end is no list."""
+        hosts = build_http_hosts(
+            session=session, base_url=f'http://{flood.target.address}'
+        )
+        assert isinstance(await hosts.read(), HostsUnavailable)
