Count no crash of a target that did not run the request, log fewer fates

A target that declined a request counted as one that may have crashed under it if the request's time ran out before it was sent again. Fates of targets under innocent requests that other daemons report are no longer logged at each daemon. Ranks of daemons for a cold target are only computed where they are needed.

--- a/src/ragwortcourse/crashes/verdict.py
+++ b/src/ragwortcourse/crashes/verdict.py
@@ -12,7 +12,7 @@
     """Treatment of a request that may crash targets."""
 
     ALLOWED = 'allowed'
-    # Runs, but is not repeated at further targets.
+    # Runs at as few targets as possible.
     SUSPECT = 'suspect'
     # Refused until it is known whether the targets crashed.
     HELD = 'held'
--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -209,11 +209,13 @@
     that a daemon that hears of no others sends no more than before.
     """
     safeguards = forwarder.safeguards
-    share = rate / safeguards.retry_budget.daemons
+    daemons = safeguards.retry_budget.daemons
+    if rate >= daemons:
+        return rate / daemons
     ranked = safeguards.daemon_ranking.rank(target)
-    if share >= 1 or len(ranked) < safeguards.retry_budget.daemons:
+    if len(ranked) < daemons:
         # The registered daemons are not known yet, only their assumed number.
-        return max(share, 1)
+        return 1
     return compute_share(
         rate=rate, ranked=ranked, own=safeguards.daemon_ranking.own
     )
--- a/src/ragwortcourse/forwarding/crash_guard.py
+++ b/src/ragwortcourse/forwarding/crash_guard.py
@@ -45,7 +45,7 @@
 METER: Final = metrics.get_meter(__name__)
 CRASHES: Final = METER.create_counter(
     'ragwortcourse.forwarding.crashes',
-    description='targets that ended while they ran a request of this daemon',
+    description='targets that ended while they ran a request',
 )
 
 FindAnswered = Callable[[TargetName, int], float]
@@ -215,7 +215,10 @@
             fate = self._read_fate(run, now)
             if fate > run.fate:
                 evidence.runs[key] = dataclasses.replace(run, fate=fate)
-                self._log_fate(fingerprint, evidence, run, fate)
+                if fate is Fate.ENDED:
+                    CRASHES.add(1)
+                if _is_logged(evidence):
+                    _log_fate(fingerprint, evidence, run, fate)
 
     def _read_fate(self, run: LostRun, now: float) -> Fate:
         if self._find_answered(run.target, run.born) > run.lost_at:
@@ -231,25 +234,31 @@
             return Fate.SURVIVED
         return Fate.UNKNOWN
 
-    def _log_fate(
-        self,
-        fingerprint: str,
-        evidence: CrashEvidence,
-        run: LostRun,
-        fate: Fate,
-    ) -> None:
-        if fate is Fate.ENDED:
-            CRASHES.add(1)
-        LOGGER.info(
-            'target ended under a request'
-            if fate is Fate.ENDED
-            else 'target outlived a lost answer, no crash counted',
-            extra={
-                'fingerprint': fingerprint,
-                'target': run.target,
-                'born': run.born,
-                'crashes': evidence.count_proven(),
-                'seconds_ago': read_clock_with_suspend() - run.lost_at,
-                'answered_since': evidence.answered_at >= run.lost_at,
-            },
-        )
+
+def _is_logged(evidence: CrashEvidence) -> bool:
+    """Tell whether to log the fates of targets that ran a request.
+
+    Most evidence that other daemons report is against innocent requests.
+    """
+    return (
+        math.isfinite(evidence.own_news_at)
+        or evidence.count_suspected() >= CRASHES_TO_SINGLE
+    )
+
+
+def _log_fate(
+    fingerprint: str, evidence: CrashEvidence, run: LostRun, fate: Fate
+) -> None:
+    LOGGER.info(
+        'target ended under a request'
+        if fate is Fate.ENDED
+        else 'target outlived a lost answer, no crash counted',
+        extra={
+            'fingerprint': fingerprint,
+            'target': run.target,
+            'born': run.born,
+            'crashes': evidence.count_proven(),
+            'seconds_ago': read_clock_with_suspend() - run.lost_at,
+            'answered_since': evidence.answered_at >= run.lost_at,
+        },
+    )
--- a/src/ragwortcourse/forwarding/request_crashes.py
+++ b/src/ragwortcourse/forwarding/request_crashes.py
@@ -34,6 +34,10 @@
         self._target = target
         self.sent_at = read_clock_with_suspend()
 
+    def note_not_run(self) -> None:
+        """Note that the last target did not run the request."""
+        self._target = None
+
     def note_answered(self) -> None:
         """Note that the answer of a target arrived whole."""
         self._guard.note_answered(self.fingerprint)
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -196,10 +196,7 @@
                 load.count_ended()
         if isinstance(answer, OpenAnswer):
             opened = OpenTry(
-                target=target,
-                load=load,
-                answer=answer,
-                began_at=began_at,
+                target=target, load=load, answer=answer, began_at=began_at
             )
             return self._judge(opened)
         self._note_lost(target, load, answer)
@@ -235,6 +232,7 @@
             )
             return None
         self.runs -= 1
+        self.crashes.note_not_run()
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
             self._was_misdirected = True
         load.target_health.note_refusal(now)
@@ -250,6 +248,7 @@
     ) -> None:
         if isinstance(answer, NotSent):
             self.runs -= 1
+            self.crashes.note_not_run()
             now = read_clock()
             load.target_health.note_unreachable(now)
             self.forwarder.state.reach.note_unreachable(
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -24,7 +24,9 @@
     SURVIVAL_SECONDS,
     CrashGuard,
 )
+from ragwortcourse.forwarding.loss_cause import LossCause
 from ragwortcourse.forwarding.lost_run import LostRun
+from ragwortcourse.forwarding.request_crashes import RequestCrashes
 from ragwortcourse.identifiers import DaemonId, Fingerprint, TargetName
 
 pytestmark = pytest.mark.looptime
@@ -272,3 +274,25 @@
         message = msgspec.json.decode(content, type=CrashMessage)
         assert len(message.reports) <= REPORTS_PER_MESSAGE
         assert len(message.reports) * daemons <= max(REPORTS_PER_ROUND, daemons)
+
+
+class TestRequestCrashes:
+    """Notes of one request."""
+
+    @pytest.mark.parametrize('cause', LossCause)
+    async def test_causes(self, cause):
+        """Only a cut or silent target may have crashed."""
+        daemon = Daemon('a')
+        crashes = RequestCrashes(guard=daemon.guard, fingerprint=REQUEST)
+        crashes.note_sent(daemon.state.targets['a'])
+        crashes.note_lost(cause)
+        assert len(daemon.guard.store) == (cause is not LossCause.INVALID)
+
+    async def test_not_run(self):
+        """A target that did not run the request is not counted."""
+        daemon = Daemon('a')
+        crashes = RequestCrashes(guard=daemon.guard, fingerprint=REQUEST)
+        crashes.note_sent(daemon.state.targets['a'])
+        crashes.note_not_run()
+        crashes.note_lost(LossCause.SILENCE)
+        assert not daemon.guard.store
