Suspect a request whose targets fall silent as one whose answers are cut

What callers would see: targets that lose power under a request reset no connection; the request was sent on until the first rows were gone, some seconds and several targets later.

Only the end of an incarnation is proof, for either. A silent target that answers any later request clears the suspicion, so that one that is cut off or slow costs at most a repeat.

--- a/src/ragwortcourse/forwarding/crash_evidence.py
+++ b/src/ragwortcourse/forwarding/crash_evidence.py
@@ -64,11 +64,7 @@
 
     def count_suspected(self) -> int:
         """Count the incarnations that ended, or may have, in succession."""
-        return count_successive(
-            run
-            for run in self._list_counted()
-            if run.fate is Fate.ENDED or not run.silent
-        )
+        return count_successive(self._list_counted())
 
     def _list_ended(self) -> list[LostRun]:
         return [run for run in self._list_counted() if run.fate is Fate.ENDED]
--- a/src/ragwortcourse/forwarding/crash_exchange.py
+++ b/src/ragwortcourse/forwarding/crash_exchange.py
@@ -31,7 +31,6 @@
     born: int
     sent_age: float
     lost_age: float
-    silent: bool
     fate: Fate
 
 
@@ -151,7 +150,6 @@
         born=run.born,
         sent_age=round(now - run.sent_at, 3),
         lost_age=round(now - run.lost_at, 3),
-        silent=run.silent,
         fate=run.fate,
     )
 
@@ -162,6 +160,5 @@
         born=report.born,
         sent_at=now - report.sent_age,
         lost_at=now - report.lost_age,
-        silent=report.silent,
         fate=report.fate,
     )
--- a/src/ragwortcourse/forwarding/lost_run.py
+++ b/src/ragwortcourse/forwarding/lost_run.py
@@ -27,15 +27,12 @@
     :param born: start time of the incarnation in milliseconds since the epoch.
     :param sent_at: time at which the request was sent.
     :param lost_at: time at which the loss was noticed.
-    :param silent: true if the target only stopped sending, as a slow target
-        or one that is cut off does.
     """
 
     target: TargetName
     born: int
     sent_at: float
     lost_at: float
-    silent: bool = False
     fate: Fate = Fate.UNKNOWN
 
     def merge(self, other: 'LostRun') -> 'LostRun':
@@ -48,6 +45,5 @@
             self,
             sent_at=min(self.sent_at, other.sent_at),
             lost_at=min(self.lost_at, other.lost_at),
-            silent=self.silent and other.silent,
             fate=max(self.fate, other.fate),
         )
--- a/src/ragwortcourse/forwarding/request_crashes.py
+++ b/src/ragwortcourse/forwarding/request_crashes.py
@@ -54,6 +54,5 @@
                 born=target.born,
                 sent_at=self.sent_at,
                 lost_at=read_clock_with_suspend(),
-                silent=cause is LossCause.SILENCE,
             ),
         )
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -84,13 +84,6 @@
         assert evidence.count_proven() == 0
         assert evidence.count_suspected() == 1
 
-    def test_silent(self):
-        """A target that is only silent is not suspected until it has ended."""
-        silent = make_run('a', 0, 1, fate=Fate.UNKNOWN, silent=True)
-        assert make_evidence(silent).count_suspected() == 0
-        ended = make_run('a', 0, 1, silent=True)
-        assert make_evidence(silent, ended).count_suspected() == 1
-
     def test_bounded(self):
         """Only the newest runs are kept."""
         evidence = make_evidence(
@@ -107,7 +100,6 @@
     strategies.integers(6, 9),
     born=strategies.integers(1, 2),
     fate=strategies.sampled_from(Fate),
-    silent=strategies.booleans(),
 )
 
 
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -53,7 +53,7 @@
         """Find when an answered request was sent."""
         return self.answered.get(name, -1)
 
-    async def lose(self, name: str, fingerprint: str = REQUEST, **changes):
+    async def lose(self, name: str, fingerprint: str = REQUEST) -> None:
         """Lose the answer of a target to a request after 0.1 s."""
         sent_at = read_clock_with_suspend()
         await asyncio.sleep(0.1)
@@ -63,9 +63,7 @@
             sent_at=sent_at,
             lost_at=read_clock_with_suspend(),
         )
-        self.guard.note_lost(
-            Fingerprint(fingerprint), dataclasses.replace(run, **changes)
-        )
+        self.guard.note_lost(Fingerprint(fingerprint), run)
 
     def end(self, name: str) -> None:
         """Remove the row of a target."""
@@ -140,7 +138,7 @@
         """A target that ends long after a lost answer has not crashed by it."""
         daemon = Daemon('a', 'b', 'c')
         for name in 'abc':
-            await daemon.lose(name, silent=True)
+            await daemon.lose(name)
         await asyncio.sleep(SURVIVAL_SECONDS + 1)
         daemon.guard.settle()
         for name in 'abc':
@@ -268,7 +266,7 @@
         """All daemons together send few reports in one round."""
         daemon = Daemon()
         for number in range(40):
-            await daemon.lose('a', f'request-{number}', silent=True)
+            await daemon.lose('a', f'request-{number}')
         daemon.sender.send_round(['p'] * (daemons - 1), repeats=False)
         (content, _), *_ = daemon.sent
         message = msgspec.json.decode(content, type=CrashMessage)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -77,7 +77,25 @@
 
 
 class TestStreams:
-    """Streams whose targets end after the first events."""
+    """Streams whose targets end after the first events, or fall silent."""
+
+    async def test_targets_that_fall_silent(self):
+        """A request whose targets only fall silent is held back, too."""
+
+        async def hang(
+            received: Received, connection: ScriptedConnection
+        ) -> None:
+            if received.body == CRASHER:
+                await asyncio.Event().wait()
+            await answer_whole(received, connection)
+
+        fleet = ForwarderFleet(answer=hang, ends_midway=True)
+        async with fleet.exit_stack:
+            await fleet.open(targets=6, forwarders=1, plain=False)
+            for _ in range(2):
+                assert (await fleet.ask(0, CRASHER, LETTER)).status == 502
+            assert (await fleet.ask(0, CRASHER, LETTER)).status == 503
+            assert fleet.count_arrivals(CRASHER) == 3
 
     async def test_stream_that_crashed_three_targets(self):
         """A stream that ends its targets midway is held back, too."""
