Settle crash evidence only in the rounds that repeat reports

With hundreds of lost streams, evidence was looked through ten times a second. Each request is judged by what is known at that moment anyway; the rounds only seal what became of targets.

--- a/src/ragwortcourse/forwarding/crash_exchange.py
+++ b/src/ragwortcourse/forwarding/crash_exchange.py
@@ -69,12 +69,15 @@
         return msgspec.json.encode(CrashMessage(daemon=daemon, reports=reports))
 
     def list_news(since: float, daemons: int) -> list[CrashReport]:
-        guard.settle()
         return list_fresh_reports(guard, since=since, daemons=daemons, rng=rng)
 
+    def list_standing() -> list[CrashReport]:
+        guard.settle()
+        return list_grave_reports(guard)
+
     return ReportSender(
         list_news=list_news,
-        list_standing=lambda: list_grave_reports(guard),
+        list_standing=list_standing,
         encode=encode,
         send=send,
         rng=rng,
--- a/src/ragwortcourse/forwarding/limit_exchange.py
+++ b/src/ragwortcourse/forwarding/limit_exchange.py
@@ -52,12 +52,15 @@
         return msgspec.json.encode(LimitMessage(daemon=daemon, reports=reports))
 
     def list_news(since: float, _: int) -> list[LimitReport]:
-        limits.drop_gone()
         return _write_reports(limits.list_since(since), rng)
 
+    def list_standing() -> list[LimitReport]:
+        limits.drop_gone()
+        return _write_reports(limits.list_all(), rng)
+
     return ReportSender(
         list_news=list_news,
-        list_standing=lambda: _write_reports(limits.list_all(), rng),
+        list_standing=list_standing,
         encode=encode,
         send=send,
         rng=rng,
--- a/src/ragwortcourse/forwarding/report_sender.py
+++ b/src/ragwortcourse/forwarding/report_sender.py
@@ -25,7 +25,8 @@
     :param list_news: lists what the daemon noted itself since a time, in
         seconds of the clock that runs during suspension, for a number of
         daemons that send such reports to each other.
-    :param list_standing: lists the reports that every daemon must know.
+    :param list_standing: lists the reports that every daemon must know;
+        called in each round that repeats.
     :param encode: encodes reports as the content of one datagram.
     :param send: sends a datagram to an address, ``ip:port``.
     """
@@ -56,8 +57,9 @@
         since = now - NEWS_SECONDS if repeats else self._sent_until
         self._sent_until = now
         self._send_reports(self._list_news(since, len(peers) + 1), peers)
-        if repeats and peers:
-            self._send_reports(self._list_standing(), [self._rng.choice(peers)])
+        if repeats:
+            chosen = self._rng.sample(peers, min(len(peers), 1))
+            self._send_reports(self._list_standing(), chosen)
 
     def _send_reports(
         self, reports: list[Report], addresses: Sequence[str]
