--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -67,7 +67,7 @@
         assert (await fleet.ask(2, CRASHER)).status == 503
         assert fleet.count_arrivals(CRASHER) == 3
 
-    async def test_another_caller_is_served(self, fleet):
+    async def test_other_requests_are_served(self, fleet):
         """Only the same request is held back, not others of the account."""
         await fleet.open(targets=6, forwarders=1)
         for _ in range(3):
