Take no version for new that a late call brought

Cause: a feed takes the rows of an answer for just written if its call has waited, and it took every call for one that waited that lasted longer than an answer's transit. A call that is late to reach the store lasts as long, though the rows were there before it. After an outage nothing was known since the last answer, yet the first call was treated alike.

Nothing was read for 2.1 s after the store was back, in a test that retries each 0.25 s: the process stood still with a call under way. Callers would have had answers from older weights later than version_ms by that time. Ruled out: the clock offset (AnswerDelay saw the same process's clock) and rows passed between daemons (the time stood at the first daemon, which asks no other).

Change: the first call after a failed one asks without waiting; a call counts as one that waited only if it lasted no longer than its wait and its answer's transit. Not told apart: a call delayed by less than its wait (0.7 s in forwarders), within the margin of 0.8 s before the bound.

--- a/fakes/fleet_store.py
+++ b/fakes/fleet_store.py
@@ -36,6 +36,8 @@
     :ivar clock_from: monotonic seconds at which the clock of the store read
         zero.
     :ivar delay: seconds by which answers of the change feed are delayed.
+    :ivar arrival_delay: seconds by which calls are delayed before the store
+        handles them.
     :ivar calls: paths of all calls received.
     """
 
@@ -43,6 +45,7 @@
         self.down = False
         self.silent = False
         self.delay: float = 0
+        self.arrival_delay: float = 0
         self.clock_from: float = 0
         self.failing: dict[str, int] = {}
         self.calls: list[str] = []
@@ -112,6 +115,8 @@
 
     async def _check(self, request: web.Request) -> None:
         self.calls.append(request.path)
+        if self.arrival_delay:
+            await asyncio.sleep(self.arrival_delay)
         if self.silent:
             await asyncio.Event().wait()
         table = request.query.get('table', '')
--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -113,10 +113,12 @@
     async def _ask(self) -> StoreRows | HistoryGone | StoreSilent:
         if self._revision is None:
             return await self._store.read_table(self._table)
+        # After a failed call the rows may have changed long ago, so the store
+        # must not be taken to have answered at the moment of a change.
         return await self._store.await_changes(
             self._table,
             self._revision,
-            wait=self._wait,
+            wait=0 if self._lost else self._wait,
             known_at=self._known_at,
         )
 
--- a/src/ragwortcourse/platform/store.py
+++ b/src/ragwortcourse/platform/store.py
@@ -118,8 +118,9 @@
         now = read_boot_clock()
         max_transit = self._read_delay(answer, sent_at, now)
         # The store answers a waiting call as soon as a row changes. Rows in an
-        # immediate answer may have been in the store since the last answer.
-        has_waited = now - sent_at > max_transit
+        # immediate answer may have been in the store since the last answer,
+        # and a call that took longer than its wait was late to arrive there.
+        has_waited = max_transit < now - sent_at <= wait + max_transit
         return StoreRows(
             rows=tuple(_decode_row(row) for row in answer.rows),
             revision=answer.row_version,
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -274,6 +274,39 @@
         assert observed.seen_at <= named_at
         assert observed.seen_at == pytest.approx(named_at, abs=0.6)
 
+    async def test_call_on_its_way(self, daemon):
+        """The time that a call takes to the store counts towards the age.
+
+        Seen in CI: the process stalled for two seconds between a call and the
+        store's handling of it. The version in the answer had been in the
+        store for three seconds and was taken for just announced.
+        """
+        daemon.fake.put('op', 'version/m', {'model': 'm', 'version': 2})
+        daemon.follow()
+        await wait_for(lambda: daemon.state.weights)
+        daemon.fake.arrival_delay = 1
+        # The calls sent from now on are delayed, one of them is on its way.
+        await asyncio.sleep(0.3)
+        named_at = read_clock_with_suspend()
+        daemon.fake.put('op', 'version/m', {'model': 'm', 'version': 4})
+        await wait_for(lambda: len(daemon.state.weights['m']) == 2)
+        assert daemon.state.weights['m'][-1].seen_at <= named_at
+
+    async def test_call_after_an_outage(self, daemon):
+        """A version announced in an outage is not taken for a new one."""
+        daemon.fake.put('op', 'version/m', {'model': 'm', 'version': 2})
+        daemon.follow()
+        await wait_for(lambda: daemon.state.weights)
+        daemon.fake.down = True
+        await wait_for(lambda: daemon.state.store_lost)
+        named_at = read_clock_with_suspend()
+        daemon.fake.put('op', 'version/m', {'model': 'm', 'version': 4})
+        await asyncio.sleep(1)
+        daemon.fake.arrival_delay = 0.3
+        daemon.fake.down = False
+        await wait_for(lambda: len(daemon.state.weights['m']) == 2)
+        assert daemon.state.weights['m'][-1].seen_at <= named_at
+
     async def test_store_clock_starts_anew(self, daemon):
         """A restart of the store's clock makes no version older."""
         daemon.fake.put('op', 'version/m', {'model': 'm', 'version': 2})
