Let an outage of the store end when the last failed call was sent

Cause: bounds on versions restart at the end of an outage, and its end was the last moment at which a quorum of daemons had lost the store. A call that a silent store never answers is known to have failed 1.5 s after it was sent, and the next one a quarter second later.

Change: a feed tells when the last failed call was sent, and an outage ends at that time.

--- a/src/ragwortcourse/forwarding/fleet_state.py
+++ b/src/ragwortcourse/forwarding/fleet_state.py
@@ -30,6 +30,8 @@
         infinite until the operators' rows were read.
     :param targets_known: true once the list of targets was read.
     :param store_lost: true while consecutive calls to the store fail.
+    :param store_failed_at: seconds of the clock that runs during suspension
+        at which the last of these calls was sent.
     :param store_outage_at: seconds of the clock that runs during suspension
         at which the store was last unreachable for most daemons; bounds on
         versions restart from then.
@@ -46,6 +48,7 @@
     targets: dict[TargetName, Target] = dataclasses.field(default_factory=dict)
     targets_known: bool = False
     store_lost: bool = False
+    store_failed_at: float = -math.inf
     store_outage_at: float = -math.inf
     reach: DomainReach = dataclasses.field(default_factory=DomainReach)
 
--- a/src/ragwortcourse/forwarding/store_watch.py
+++ b/src/ragwortcourse/forwarding/store_watch.py
@@ -29,8 +29,8 @@
 class StoreWatch:
     """Reports of daemons on whether they reach the store.
 
-    :param state: holds ``store_lost`` of this daemon, and gets the time of
-        an outage.
+    :param state: holds ``store_lost`` and ``store_failed_at`` of this daemon,
+        and gets the time of an outage.
     """
 
     def __init__(self, *, state: FleetState) -> None:
@@ -65,6 +65,9 @@
     def detect_outage(self, registered: Collection[DaemonId]) -> None:
         """Record a store outage if a quorum of daemons has lost the store.
 
+        The last failed call tells until when the store was unreachable. It
+        may fail long after it was sent, with the store back meanwhile.
+
         :param registered: all entry daemons, this one included.
         """
         now = read_clock_with_suspend()
@@ -82,7 +85,9 @@
                     'bounds on versions restart',
                     extra={'lost': others, 'registered': len(registered)},
                 )
-            self._state.store_outage_at = now
+            self._state.store_outage_at = max(
+                self._state.store_outage_at, self._state.store_failed_at
+            )
 
     def read_seconds_since_outage(self) -> float | None:
         """Read the seconds since the last store outage; none: never seen."""
--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -36,7 +36,8 @@
     :param change: takes the changed rows, and the same number of seconds.
     :param confirm: takes a boot-clock time at which the rows were up to
         date; derived from the time at which the call was sent.
-    :param lose: called when two calls in a row have failed.
+    :param lose: called when two or more calls in a row have failed; takes the
+        seconds since the last of them was sent.
     :param regain: called on the first success after a failure, before
         ``replace`` or ``change``.
     """
@@ -44,7 +45,7 @@
     replace: Callable[[tuple[StoreRow, ...], float], None]
     change: Callable[[tuple[StoreRow, ...], float], None]
     confirm: Callable[[float], None]
-    lose: Callable[[], None]
+    lose: Callable[[float], None]
     regain: Callable[[], None]
 
 
@@ -108,7 +109,7 @@
                 )
                 self._revision = None
             else:
-                await self._back_off(answer)
+                await self._back_off(answer, sent_at)
 
     async def _ask(self) -> StoreRows | HistoryGone | StoreSilent:
         if self._revision is None:
@@ -138,7 +139,7 @@
         self._revision = max(self._revision or 0, answer.revision)
         self._handler.confirm(sent_at + answer.delay - answer.age)
 
-    async def _back_off(self, answer: StoreSilent) -> None:
+    async def _back_off(self, answer: StoreSilent, sent_at: float) -> None:
         if not self._lost:
             self._lost = True
             LOGGER.warning(
@@ -146,6 +147,6 @@
                 extra={'table': self._table, 'detail': answer.detail},
             )
         self._failures += 1
-        if self._failures == FAILURES_TO_LOSE:
-            self._handler.lose()
+        if self._failures >= FAILURES_TO_LOSE:
+            self._handler.lose(read_boot_clock() - sent_at)
         await asyncio.sleep(RETRY_SECONDS * self._rng.uniform(0.5, 1))
--- a/src/ragwortcourse/platform/operator_rows.py
+++ b/src/ragwortcourse/platform/operator_rows.py
@@ -95,8 +95,9 @@
         state.confirmed_at = max(state.confirmed_at, sent_at)
         state.store_lost = False
 
-    def lose() -> None:
+    def lose(seconds: float) -> None:
         state.store_lost = True
+        state.store_failed_at = read_clock_with_suspend() - seconds
 
     def regain() -> None:
         """Do nothing: rows of this table do not expire."""
--- a/src/ragwortcourse/platform/target_reader.py
+++ b/src/ragwortcourse/platform/target_reader.py
@@ -53,7 +53,7 @@
     def confirm(sent_at: float) -> None:
         targets.note_read()
 
-    def lose() -> None:
+    def lose(seconds: float) -> None:
         """Do nothing: the known targets are kept."""
 
     return TableHandler(
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -23,7 +23,7 @@
     build_operator_handler,
 )
 from ragwortcourse.platform.relay_rows import RelayRegistry, register_relay
-from ragwortcourse.platform.store import Store
+from ragwortcourse.platform.store import CALL_SECONDS, Store
 from ragwortcourse.platform.target_reader import build_target_handler
 
 ROW = {
@@ -170,6 +170,20 @@
         await wait_for(lambda: daemon.is_at(2))
         assert not daemon.state.store_lost
 
+    async def test_last_failed_call(self, daemon):
+        """The time at which the last failed call was sent is kept.
+
+        A silent store leaves a call without an answer until its time limit.
+        """
+        daemon.put_state(1)
+        daemon.follow()
+        await wait_for(lambda: daemon.is_at(1))
+        daemon.fake.silent = True
+        await wait_for(lambda: daemon.state.store_lost)
+        failed_at = daemon.state.store_failed_at
+        assert failed_at < read_clock_with_suspend() - CALL_SECONDS
+        await wait_for(lambda: daemon.state.store_failed_at > failed_at)
+
     async def test_one_failure(self, daemon, caplog):
         """A single failed call does not mark the store as lost.
 
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -22,6 +22,8 @@
     """
     state = make_state()
     state.store_lost = lost
+    if lost:
+        state.store_failed_at = read_clock_with_suspend()
     return StoreWatch(state=state), state
 
 
@@ -38,6 +40,21 @@
             read_clock_with_suspend(), abs=0.01
         )
 
+    async def test_end_of_an_outage(self):
+        """An outage ends when the last failed call was sent, not later.
+
+        Incident: soak, seed 4052. A version was announced as the store came
+        back. Calls sent before then timed out 1.5 s later, and older versions
+        expired as much too late.
+        """
+        watch, state = make_watch(lost=True)
+        sent_at = state.store_failed_at
+        await asyncio.sleep(1.5)
+        for daemon in DAEMONS[1:7]:
+            watch.note_peer(daemon, lost=True, stable_for=None)
+        watch.detect_outage(DAEMONS)
+        assert state.store_outage_at == pytest.approx(sent_at, abs=0.01)
+
     async def test_own_cut(self):
         """Daemons of one partitioned failure domain make no outage."""
         watch, state = make_watch(lost=True)
