--- a/fakes/fleet_store.py
+++ b/fakes/fleet_store.py
@@ -12,6 +12,10 @@
 OK = 200
 GONE = 410
 REFUSED = 503
+ERA_HEADER = 'Store-Era'
+# Tables that operators and targets write; what a restore lost of them is
+# written again.
+OUTSIDE_TABLES = frozenset(('op', 'servers'))
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -27,9 +31,19 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Transaction:
+    """Change of one row and when it was made."""
+
+    row: Row
+    at: float
+
+
 class FleetStore:
     """Versioned rows with a change feed, and switches that make calls fail.
 
+    :ivar era: value of the header that counts restores; none: no header.
+
     :ivar down: true to refuse every call with 503.
     :ivar silent: true to leave every call without an answer.
     :ivar failing: number of next calls to refuse, by table.
@@ -49,7 +63,11 @@
         self.clock_from: float = 0
         self.failing: dict[str, int] = {}
         self.calls: list[str] = []
+        self.era: int | str | None = 1
         self.revision = 0
+        self._restores = 0
+        self._log: list[Transaction] = []
+        self._rewriting: set[asyncio.Task[None]] = set()
         self._rows: dict[tuple[str, str], Row] = {}
         self._oldest = 0
         self._changed = asyncio.Event()
@@ -72,6 +90,31 @@
         """
         self._oldest = self.revision
 
+    def restore(self, seconds: float, *, rewrite_after: float) -> None:
+        """Go back to a copy of some seconds ago.
+
+        Operators and targets write again what the restore lost. Rows of the
+        system are lost.
+
+        :param rewrite_after: seconds until the lost rows are written again.
+        """
+        copied_at = time.monotonic() - seconds
+        kept = [each for each in self._log if each.at <= copied_at]
+        lost = self._log[len(kept) :]
+        self._log = kept
+        self._rows = {(each.row.table, each.row.key): each.row for each in kept}
+        self.revision = len(kept)
+        self._oldest = min(self._oldest, self.revision)
+        self._restores += 1
+        if isinstance(self.era, int):
+            self.era += 1
+        self._wake()
+        task = asyncio.ensure_future(
+            self._rewrite(lost, self.revision, rewrite_after)
+        )
+        self._rewriting.add(task)
+        task.add_done_callback(self._rewriting.discard)
+
     def read(self, table: str, key: str) -> bytes | None:
         """Return the content of a row; none if the row does not exist."""
         row = self._rows.get((table, key))
@@ -93,9 +136,24 @@
 
     def _change(self, table: str, key: str, value: str | None) -> None:
         self.revision += 1
-        self._rows[table, key] = Row(
-            table=table, key=key, value=value, version=self.revision
-        )
+        row = Row(table=table, key=key, value=value, version=self.revision)
+        self._rows[table, key] = row
+        self._log.append(Transaction(row=row, at=time.monotonic()))
+        self._wake()
+
+    async def _rewrite(
+        self, lost: list[Transaction], restored_at: int, seconds: float
+    ) -> None:
+        """Write lost rows again unless they were written meanwhile."""
+        await asyncio.sleep(seconds)
+        last = {(each.row.table, each.row.key): each.row for each in lost}
+        for place, row in last.items():
+            present = self._rows.get(place)
+            is_newer = present is not None and present.version > restored_at
+            if row.table in OUTSIDE_TABLES and not is_newer:
+                self._change(row.table, row.key, row.value)
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -138,11 +196,15 @@
     async def _feed(self, request: web.Request) -> web.Response:
         await self._check(request)
         after = int(request.query['after_rev'])
-        if after < self._oldest:
-            return web.Response(status=GONE)
+        if not self._oldest <= after <= self.revision:
+            return web.Response(status=GONE, headers=self._build_headers())
+        restores = self._restores
         rows = await self._await_rows(
             request.query['table'], after, int(request.query['wait_ms']) / 1000
         )
+        if restores != self._restores:
+            # Waiting calls end with the process that runs the store.
+            raise web.HTTPServiceUnavailable
         answer = self._answer(rows)
         await asyncio.sleep(self.delay)
         return answer
@@ -152,7 +214,10 @@
     ) -> list[dict[str, object]]:
         try:
             async with asyncio.timeout(seconds):
-                while not any(True for _ in self._list(table, after)):
+                restores = self._restores
+                while restores == self._restores and not any(
+                    True for _ in self._list(table, after)
+                ):
                     await self._changed.wait()
         except TimeoutError:
             return []
@@ -172,5 +237,9 @@
                 'has_more': False,
                 'row_version': self.revision,
                 'now_ms': (time.monotonic() - self.clock_from) * 1000,
-            }
+            },
+            headers=self._build_headers(),
         )
+
+    def _build_headers(self) -> dict[str, str]:
+        return {} if self.era is None else {ERA_HEADER: str(self.era)}
