Read anew when the store comes back from an older copy

Cause: a position in the store was its revision alone. After a restore the same revisions are given out again for other transactions. RowCache.change kept the highest revision ever read, after a whole read too, and list_after answered a daemon that had read in the era before as if nothing had changed. That answer also confirmed its rows. Rows written until the revisions had passed the old one were not read by daemons that ask others.

Change: Store-Era is read in one place (store_era.py) into a field of each answer, and a position is era and revision, compared as such: feed, cache, messages between daemons. An answer of a newer era than the position is followed by a read of all rows. Without the parameter (daemons of the release before) a revision that the new era has not given out is answered 410.

Not done here: beliefs that a missing row ends, registrations, the store's clock; they follow.

--- /dev/null
+++ b/fakes/row_domain.py
@@ -0,0 +1,111 @@
+"""Daemons of one failure domain that read the operators' rows."""
+
+import asyncio
+import contextlib
+import random
+
+from aiohttp import ClientSession, web
+from aiohttp.test_utils import TestServer
+
+from fakes.fleet_parts import FLEET
+from fakes.fleet_store import FleetStore
+from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.membership.readers import MAX_READERS
+from ragwortcourse.platform import names
+from ragwortcourse.platform.feed import TableFeed
+from ragwortcourse.platform.operator_rows import build_operator_handler
+from ragwortcourse.platform.relayed_store import RelayedStore
+from ragwortcourse.platform.row_cache import RowCache
+from ragwortcourse.platform.row_relay import build_row_routes
+from ragwortcourse.platform.store import Store
+
+DAEMONS = 4
+FEED_SECONDS = 0.3
+PEER_SECONDS = 0.2
+
+
+class RowDomain:
+    """Daemons of one failure domain; each asks those started before.
+
+    :ivar states: state of each daemon.
+    :ivar sources: row source of each daemon.
+    """
+
+    def __init__(self) -> None:
+        self.fake = FleetStore()
+        self.states = [FleetState() for _ in range(DAEMONS)]
+        self.caches: list[RowCache] = []
+        self.sources: list[RelayedStore] = []
+        self.stack = contextlib.AsyncExitStack()
+        self.servers: list[TestServer] = []
+        self.rng = random.Random(1)
+
+    async def open(self, *, services_only: bool = False) -> None:
+        """Start the fake store and the daemons."""
+        server = TestServer(self.fake.build_app())
+        await server.start_server()
+        self.stack.push_async_callback(server.close)
+        self.session = await self.stack.enter_async_context(ClientSession())
+        address = f'127.0.0.1:{server.port}'
+        for number in range(DAEMONS):
+            store = Store(session=self.session, address=address)
+            await self._start(number, store, services_only=services_only)
+
+    async def _start(
+        self, number: int, store: Store, *, services_only: bool
+    ) -> None:
+        before = [f'127.0.0.1:{each.port}' for each in self.servers]
+
+        async def list_before() -> list[str]:
+            return before[:MAX_READERS]
+
+        source = RelayedStore(
+            store=store,
+            session=self.session,
+            list_upstreams=list_before,
+            peer_wait=PEER_SECONDS,
+            services_only=services_only,
+        )
+        app = web.Application()
+        app.add_routes(build_row_routes(source.cache))
+        server = TestServer(app)
+        await server.start_server()
+        self.stack.push_async_callback(server.close)
+        self.servers.append(server)
+        self.caches.append(source.cache)
+        self.sources.append(source)
+        feed = TableFeed(
+            store=source,
+            table=names.OPERATORS_TABLE,
+            wait=FEED_SECONDS,
+            handler=build_operator_handler(self.states[number], FLEET),
+            rng=random.Random(number),
+        )
+        task = asyncio.ensure_future(feed.follow())
+        self.stack.callback(task.cancel)
+
+    def put_state(self, version: int) -> None:
+        """Write a desired state as operators do."""
+        route = {
+            'name': 'r',
+            'host': 'h',
+            'prefix': '/',
+            'route_type': 'idempotent',
+            'timeout_ms': 1,
+        }
+        state = {
+            'version': version,
+            'routes': [route],
+            'services': [{'name': 'plain'}],
+            'tenants': [],
+        }
+        self.fake.put('op', 'config', state)
+
+    async def wait_at(self, version: int) -> None:
+        """Wait until a version is in force at every daemon."""
+        async with asyncio.timeout(10):
+            while not all(
+                state.desired is not None and state.desired.version == version
+                for state in self.states
+            ):
+                await asyncio.sleep(0.01)
--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -9,6 +9,7 @@
 from typing import Final, Protocol
 
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
+from ragwortcourse.platform.store_position import UNKNOWN_ERA, StorePosition
 from ragwortcourse.platform.store_row import (
     HistoryGone,
     StoreRow,
@@ -38,6 +39,8 @@
         date; derived from the time at which the call was sent.
     :param lose: called when two or more calls in a row have failed; takes the
         seconds since the last of them was sent.
+    :param restore: called before ``replace`` if the rows are of a newer era
+        than those before: changes made since the store was copied are missing.
     :param regain: called on the first success after a failure, before
         ``replace`` or ``change``.
     """
@@ -46,6 +49,7 @@
     change: Callable[[tuple[StoreRow, ...], float], None]
     confirm: Callable[[float], None]
     lose: Callable[[float], None]
+    restore: Callable[[], None]
     regain: Callable[[], None]
 
 
@@ -58,9 +62,12 @@
         """Read every row of a table."""
 
     async def await_changes(
-        self, table: str, revision: int, *, wait: float, known_at: float
+        self, table: str, after: StorePosition, *, wait: float, known_at: float
     ) -> StoreRows | HistoryGone | StoreSilent:
-        """Wait for changes after a revision; no rows if the time is up."""
+        """Wait for changes after a position; no rows if the time is up.
+
+        The rows of a newer era than that of the position are not complete.
+        """
 
 
 class TableFeed:
@@ -88,7 +95,8 @@
         self._wait = wait
         self._handler = handler
         self._rng = rng
-        self._revision: int | None = None
+        self._position: StorePosition | None = None
+        self._era = UNKNOWN_ERA
         self._lost = False
         self._failures = 0
         self._known_at = -math.inf
@@ -98,45 +106,61 @@
         while True:
             sent_at = read_boot_clock()
             answer = await self._ask()
-            if isinstance(answer, StoreRows):
+            if isinstance(answer, StoreRows) and self._is_continued(answer):
                 self._pass_on(answer, sent_at)
                 if self._pause_seconds and answer.rows:
                     await asyncio.sleep(self._pause_seconds)
-            elif isinstance(answer, HistoryGone):
-                LOGGER.info(
-                    'change history unavailable; reading the whole table',
-                    extra={'table': self._table, 'revision': self._revision},
-                )
-                self._revision = None
-            else:
+            elif isinstance(answer, StoreSilent):
                 await self._back_off(answer, sent_at)
+            else:
+                self._discard_position()
 
     async def _ask(self) -> StoreRows | HistoryGone | StoreSilent:
-        if self._revision is None:
+        if self._position is None:
             return await self._store.read_table(self._table)
         # After a failed call the rows may have changed long ago, so the store
         # must not be taken to have answered at the moment of a change.
         return await self._store.await_changes(
             self._table,
-            self._revision,
+            self._position,
             wait=0 if self._lost else self._wait,
             known_at=self._known_at,
         )
 
+    def _discard_position(self) -> None:
+        position = self._position
+        LOGGER.info(
+            'change history unavailable; reading the whole table',
+            extra={
+                'table': self._table,
+                'era': position and position.era,
+                'revision': position and position.revision,
+            },
+        )
+        self._position = None
+
+    def _is_continued(self, answer: StoreRows) -> bool:
+        """Tell whether the answer has all changes since the position."""
+        known = self._position
+        return known is None or answer.era <= known.era
+
     def _pass_on(self, answer: StoreRows, sent_at: float) -> None:
         self._failures = 0
         if self._lost:
             self._lost = False
             LOGGER.info('store regained', extra={'table': self._table})
             self._handler.regain()
-        if self._revision is None:
+        if self._position is None:
             unread_seconds = read_boot_clock() - self._known_at
+            if UNKNOWN_ERA < self._era < answer.era:
+                self._handler.restore()
             self._handler.replace(answer.rows, unread_seconds)
         elif answer.rows:
             self._handler.change(answer.rows, answer.rows_age)
         known_at = read_boot_clock() - answer.known_age
         self._known_at = max(self._known_at, known_at)
-        self._revision = max(self._revision or 0, answer.revision)
+        self._era = max(self._era, answer.era)
+        self._position = _advance(self._position, answer.position)
         self._handler.confirm(sent_at + answer.delay - answer.age)
 
     async def _back_off(self, answer: StoreSilent, sent_at: float) -> None:
@@ -150,3 +174,15 @@
         if self._failures >= FAILURES_TO_LOSE:
             self._handler.lose(read_boot_clock() - sent_at)
         await asyncio.sleep(RETRY_SECONDS * self._rng.uniform(0.5, 1))
+
+
+def _advance(known: StorePosition | None, read: StorePosition) -> StorePosition:
+    """Return the position from which to continue after an answer.
+
+    Daemons that answer in turn may be at different revisions of one era. An
+    answer of an older era, or of another read of the whole table, tells
+    nothing about changes at the known position.
+    """
+    if known is None or known.era != read.era:
+        return read
+    return max(known, read)
--- a/src/ragwortcourse/platform/names.py
+++ b/src/ragwortcourse/platform/names.py
@@ -10,6 +10,8 @@
 LOAD: Final = 'Ragwortcourse-Server-Load'
 # Requests a second from all daemons together, a decimal number.
 RATE_LIMIT: Final = 'Server-Limit'
+# Rises by one each time the store comes back from an older copy.
+ERA: Final = 'Store-Era'
 COLD: Final = 'Ragwortcourse-Cold-Ms'
 # Set on every answer of a target that did not run the request.
 NOT_RUN: Final = 'Ragwortcourse-Not-Executed'
--- a/src/ragwortcourse/platform/operator_rows.py
+++ b/src/ragwortcourse/platform/operator_rows.py
@@ -99,6 +99,9 @@
         state.store_lost = True
         state.store_failed_at = read_clock_with_suspend() - seconds
 
+    def restore() -> None:
+        """Do nothing: the rows of a new era are read whole."""
+
     def regain() -> None:
         """Do nothing: rows of this table do not expire."""
 
@@ -107,6 +110,7 @@
         change=change,
         confirm=confirm,
         lose=lose,
+        restore=restore,
         regain=regain,
     )
 
--- a/src/ragwortcourse/platform/relayed_store.py
+++ b/src/ragwortcourse/platform/relayed_store.py
@@ -10,8 +10,9 @@
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.platform.relay_rows import ListAddresses, RelaysUnknownError
 from ragwortcourse.platform.row_cache import RowCache
-from ragwortcourse.platform.row_relay import fetch_rows
+from ragwortcourse.platform.row_fetch import fetch_rows
 from ragwortcourse.platform.store import Store
+from ragwortcourse.platform.store_position import UNKNOWN_ERA, StorePosition
 from ragwortcourse.platform.store_row import (
     HistoryGone,
     StoreRows,
@@ -64,9 +65,9 @@
         return answer
 
     async def await_changes(
-        self, table: str, revision: int, *, wait: float, known_at: float
+        self, table: str, after: StorePosition, *, wait: float, known_at: float
     ) -> Answer:
-        """Wait for changes after a revision.
+        """Wait for changes after a position.
 
         :param wait: seconds that a call to the store waits for a change.
         :param known_at: boot-clock time at which the caller's rows were
@@ -74,19 +75,28 @@
         """
         sent_at = read_boot_clock()
         answer = await self._ask(
-            revision,
+            after,
             lambda is_late: self.store.await_changes(
                 table,
-                revision,
+                after,
                 wait=0 if is_late else wait,
                 known_at=known_at,
             ),
         )
         if isinstance(answer, StoreRows):
+            if answer.era > after.era:
+                # The rows changed before the restore are missing.
+                return HistoryGone()
             self.cache.change(answer, sent_at)
         return answer
 
-    async def _ask(self, after: int | None, ask_store: AskStore) -> Answer:
+    def _read_era(self) -> int:
+        position = self.cache.position
+        return UNKNOWN_ERA if position is None else position.era
+
+    async def _ask(
+        self, after: StorePosition | None, ask_store: AskStore
+    ) -> Answer:
         """Ask upstreams, the store and fallbacks in turn until one answers.
 
         :param ask_store: takes whether upstreams were asked in vain; the
@@ -116,7 +126,9 @@
             # Report the failure of the store, not that of the fallbacks.
         return answer
 
-    async def _ask_upstreams(self, after: int | None) -> tuple[Answer, bool]:
+    async def _ask_upstreams(
+        self, after: StorePosition | None
+    ) -> tuple[Answer, bool]:
         """Return the answer of the upstreams, and whether any was asked.
 
         If this daemon has no rows yet, upstreams that are at their own first
@@ -139,10 +151,14 @@
         ]
 
     async def _ask_daemons(
-        self, addresses: Sequence[str], after: int | None, wait: float
+        self,
+        addresses: Sequence[str],
+        after: StorePosition | None,
+        wait: float,
     ) -> Answer:
         """Return the first answer; ``StoreSilent`` if no rows are fresh."""
         began_at = read_boot_clock()
+        era = max(self.store.era.newest, self._read_era())
         silent = StoreSilent(detail='no daemon near by has fresh rows')
         for address in addresses:
             asked_at = read_boot_clock()
@@ -150,6 +166,7 @@
                 session=self.session,
                 address=address,
                 after=after,
+                era=era,
                 wait=wait,
                 services_only=self.services_only,
             )
--- a/src/ragwortcourse/platform/row_cache.py
+++ b/src/ragwortcourse/platform/row_cache.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Iterable
 
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
+from ragwortcourse.platform.store_position import UNKNOWN_ERA, StorePosition
 from ragwortcourse.platform.store_row import HistoryGone, StoreRow, StoreRows
 
 
@@ -23,7 +25,7 @@
 class RowCache:
     """The newest rows, including deleted ones, and their freshness.
 
-    :ivar revision: newest transaction read; None until the table was read.
+    :ivar position: newest transaction read; None until the table was read.
     :ivar confirmed_at: boot-clock time at which the rows were certainly the
         newest: when the answer that confirmed them was requested.
     :ivar known_at: boot-clock time at which that answer was given.
@@ -32,21 +34,26 @@
     """
 
     def __init__(self) -> None:
-        self.revision: int | None = None
+        self.position: StorePosition | None = None
         self.confirmed_at: float = 0
         self.known_at: float = 0
         self.is_cut_off = False
         self._oldest_revision = 0
+        self._is_restored = False
         self._rows: dict[str, CachedRow] = {}
         self._changed = asyncio.Event()
 
     def replace(self, answer: StoreRows, sent_at: float) -> None:
         """Replace the cache by the whole table."""
+        if self.position is not None and answer.era > self.position.era:
+            self._is_restored = self.position.era != UNKNOWN_ERA
         self._rows.clear()
         self._oldest_revision = answer.revision
+        self.position = answer.position
         # The age of these rows is unknown, so ``list_after`` must never return
         # them; it answers ``HistoryGone`` to older revisions.
         self.change(answer, sent_at)
+        self._wake()
 
     def change(self, answer: StoreRows, sent_at: float) -> None:
         """Apply changes to the cache.
@@ -60,7 +67,7 @@
                 revision=answer.revision,
                 present_since=now - answer.rows_age,
             )
-        self.revision = max(self.revision or 0, answer.revision)
+        self.position = max(self.position or answer.position, answer.position)
         confirmed_at = sent_at + answer.delay - answer.age
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
         self.known_at = max(self.known_at, now - answer.known_age)
@@ -73,24 +80,32 @@
         if is_cut_off:
             self._wake()
 
-    def list_after(self, revision: int) -> StoreRows | HistoryGone:
-        """List rows changed after a revision, including deleted ones."""
-        if self.revision is None or revision < self._oldest_revision:
-            return HistoryGone()
-        return self._build_answer(
-            [each for each in self._rows.values() if each.revision > revision]
-        )
+    def list_after(self, after: StorePosition) -> StoreRows | HistoryGone:
+        """List rows changed after a position, including deleted ones.
 
-    def list_all(self) -> StoreRows:
-        """List every row that is not deleted."""
+        :param after: a position without an era is that of a daemon of an
+            older release.
+        """
+        if self.position is None or after.revision < self._oldest_revision:
+            return HistoryGone()
+        if self._is_of_other_era(after, self.position):
+            return HistoryGone()
         return self._build_answer(
             [
                 each
                 for each in self._rows.values()
-                if each.row.content is not None
+                if each.revision > after.revision
             ]
         )
 
+    def list_all(self) -> StoreRows:
+        """List every row that is not deleted."""
+        return self._build_answer(list(self._list_present()))
+
+    def list_rows(self) -> tuple[StoreRow, ...]:
+        """List every row that is not deleted, without its freshness."""
+        return tuple(each.row for each in self._list_present())
+
     async def await_change(self, seconds: float) -> None:
         """Wait until a row has changed or the time is up.
 
@@ -106,11 +121,26 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _list_present(self) -> Iterable[CachedRow]:
+        return (
+            each for each in self._rows.values() if each.row.content is not None
+        )
+
+    def _is_of_other_era(
+        self, after: StorePosition, newest: StorePosition
+    ) -> bool:
+        if after.era == UNKNOWN_ERA:
+            # The revision may have been given out again since.
+            return self._is_restored and after.revision > newest.revision
+        return after.era != newest.era
+
     def _build_answer(self, found: list[CachedRow]) -> StoreRows:
         now = read_boot_clock()
+        position = self.position or StorePosition(era=UNKNOWN_ERA, revision=0)
         return StoreRows(
             rows=tuple(each.row for each in found),
-            revision=self.revision or 0,
+            revision=position.revision,
+            era=position.era,
             rows_age=max(
                 (now - each.present_since for each in found), default=0
             ),
--- a/src/ragwortcourse/platform/store.py
+++ b/src/ragwortcourse/platform/store.py
@@ -17,7 +17,10 @@
 
 from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
+from ragwortcourse.platform import names
 from ragwortcourse.platform.answer_delay import AnswerDelay
+from ragwortcourse.platform.store_era import StoreEra
+from ragwortcourse.platform.store_position import UNKNOWN_ERA, StorePosition
 from ragwortcourse.platform.store_row import (
     HistoryGone,
     StoreRow,
@@ -56,23 +59,27 @@
     :param row_version: newest transaction, not the version of a row.
     :param now_ms: the store's monotonic clock, milliseconds; None if the
         store does not send it.
+    :param era: era of the store, from the header of the answer.
     """
 
     rows: tuple[WireRow, ...]
     row_version: int
     has_more: bool = False
     now_ms: float | None = None
+    era: int = UNKNOWN_ERA
 
 
 class Store:
     """Client of the store; each call has a time limit.
 
     :param address: ``ip:port``.
+    :ivar era: the newest era that an answer stated.
     """
 
     def __init__(self, *, session: aiohttp.ClientSession, address: str) -> None:
         self._session = session
         self._base = f'http://{address}'
+        self.era = StoreEra()
         self._delay = AnswerDelay()
 
     async def read_table(self, table: str) -> StoreRows | StoreSilent:
@@ -80,10 +87,14 @@
         rows: list[StoreRow] = []
         query = {'table': table, 'part': ''}
         sent_at = read_boot_clock()
+        era: int | None = None
         while True:
             answer = await self._ask('/rows-get', query, CALL_SECONDS)
             if not isinstance(answer, WireRows):
                 return _read_failure(answer)
+            if answer.era != (era or answer.era):
+                return StoreSilent(detail='store restored during the read')
+            era = answer.era
             now = read_boot_clock()
             # Every answer improves the estimate of the clock offset.
             self._read_delay(answer, sent_at, now)
@@ -93,14 +104,18 @@
                     rows=tuple(rows),
                     revision=answer.row_version,
                     known_age=now - sent_at,
+                    era=answer.era,
                 )
             # The lowest key above the last received one.
             query['from'] = f'{answer.rows[-1].key}\0'
 
     async def await_changes(
-        self, table: str, revision: int, *, wait: float, known_at: float
+        self, table: str, after: StorePosition, *, wait: float, known_at: float
     ) -> StoreRows | HistoryGone | StoreSilent:
-        """Wait for changes after a revision.
+        """Wait for changes after a position.
+
+        The store knows revisions of its newest era only. After a restore the
+        rows of the answer are not complete, as its era tells.
 
         :param wait: seconds after which the answer is empty.
         :param known_at: boot-clock time at which the caller's rows were
@@ -108,7 +123,7 @@
         """
         query = {
             'table': table,
-            'after_rev': str(revision),
+            'after_rev': str(after.revision),
             'wait_ms': str(round(wait * 1000)),
         }
         sent_at = read_boot_clock()
@@ -126,6 +141,7 @@
             revision=answer.row_version,
             rows_age=max_transit if has_waited else now - known_at,
             known_age=min(max_transit, now - sent_at),
+            era=answer.era,
         )
 
     async def write_row(self, table: str, key: str, content: bytes) -> bool:
@@ -140,6 +156,7 @@
                     f'{self._base}/rows-tx', json=change
                 ) as response,
             ):
+                self.era.read(response.headers.get(names.ERA))
                 return response.status == OK
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             LOGGER.info(
@@ -172,12 +189,14 @@
             async with self._session.get(
                 f'{self._base}{path}', params=query, timeout=limits
             ) as response:
+                era = self.era.read(response.headers.get(names.ERA))
                 if response.status != OK:
                     return response.status
-                return msgspec.json.decode(
+                rows = msgspec.json.decode(
                     await read_body(response, limit=LARGE_BODY_BYTES),
                     type=WireRows,
                 )
+                return msgspec.structs.replace(rows, era=era)
         except TimeoutError as error:
             return f'no answer within {limit} s: {error!r}'
         except (aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
--- /dev/null
+++ b/src/ragwortcourse/platform/store_position.py
@@ -0,0 +1,22 @@
+"""Position in the change history of the platform's store."""
+
+import dataclasses
+from typing import Final
+
+# Era of answers that state none.
+UNKNOWN_ERA: Final = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True, kw_only=True)
+class StorePosition:
+    """Transaction of the store, ordered by era first.
+
+    A store that comes back from an older copy begins a new era and gives out
+    the same revisions again, for other transactions.
+
+    :param era: number of the era; ``UNKNOWN_ERA`` if it was not stated.
+    :param revision: number of the transaction within the era.
+    """
+
+    era: int
+    revision: int
--- a/src/ragwortcourse/platform/store_row.py
+++ b/src/ragwortcourse/platform/store_row.py
@@ -2,16 +2,21 @@
 
 import dataclasses
 
+from ragwortcourse.platform.store_position import UNKNOWN_ERA, StorePosition
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StoreRow:
     """One row of a read or a change.
 
     :param content: None for a row that was deleted.
+    :param held: true for a row that the store lacks since it was restored,
+        kept until the operators can have written it again.
     """
 
     key: str
     content: bytes | None
+    held: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -19,6 +24,7 @@
     """Rows as of one moment.
 
     :param revision: newest transaction that the answer includes.
+    :param era: era of that transaction.
     :param age: seconds between the moment at which the rows were certainly
         the newest and the request; negative if that moment is after it.
     :param rows_age: seconds for which the oldest of these rows may have been
@@ -35,6 +41,12 @@
     rows_age: float = 0
     known_age: float = 0
     delay: float = 0
+    era: int = UNKNOWN_ERA
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the newest transaction that the answer includes."""
+        return StorePosition(era=self.era, revision=self.revision)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/ragwortcourse/platform/target_reader.py
+++ b/src/ragwortcourse/platform/target_reader.py
@@ -61,6 +61,7 @@
         change=change,
         confirm=confirm,
         lose=lose,
+        restore=targets.note_store_back,
         regain=targets.note_store_back,
     )
 
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -26,6 +26,7 @@
     build_row_routes,
 )
 from ragwortcourse.platform.store import Store
+from ragwortcourse.platform.store_position import StorePosition
 from ragwortcourse.platform.store_row import StoreRow, StoreRows
 
 DAEMONS = 8
@@ -295,7 +296,7 @@
         told = StoreRows(rows=(row,), revision=2, rows_age=0.5, known_age=0.3)
         cache.change(told, read_boot_clock())
         await asyncio.sleep(0.2)
-        answer = cache.list_after(1)
+        answer = cache.list_after(StorePosition(era=0, revision=1))
         assert answer.rows_age >= 0.7
         assert 0.2 <= answer.known_age < answer.rows_age
 
--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,122 @@
+"""Tests of daemons whose store comes back from an older copy."""
+
+import asyncio
+
+import pytest
+
+from fakes.row_domain import FEED_SECONDS, RowDomain
+from ragwortcourse.forwarding.fleet_state import read_boot_clock
+from ragwortcourse.platform.row_cache import RowCache
+from ragwortcourse.platform.store_position import StorePosition
+from ragwortcourse.platform.store_row import HistoryGone, StoreRow, StoreRows
+
+COPY_SECONDS = 0.2
+REWRITE_SECONDS = 0.6
+WITHDRAWN = 'near-a'
+EVACUATION = f'evacuate/{WITHDRAWN}'
+
+
+@pytest.fixture
+async def domain():
+    """Daemons at a desired state that the store has a copy of."""
+    opened = RowDomain()
+    async with opened.stack:
+        opened.put_state(1)
+        await opened.open()
+        await opened.wait_at(1)
+        await asyncio.sleep(COPY_SECONDS * 2)
+        yield opened
+
+
+async def wait_for(check) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(10):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+async def list_violations(check, seconds: float) -> list[float]:
+    """List the times in a span at which a condition does not hold."""
+    began_at, violated = read_boot_clock(), []
+    while read_boot_clock() - began_at < seconds:
+        if not check():
+            violated.append(read_boot_clock() - began_at)
+        await asyncio.sleep(0.01)
+    return violated
+
+
+class TestReading:
+    """Reads of the operators' rows after a restore."""
+
+    async def test_whole_reads(self, domain):
+        """The table is read once, not each time until revisions pass."""
+        for version in range(2, 9):
+            domain.put_state(version)
+        await domain.wait_at(8)
+        domain.fake.restore(COPY_SECONDS, rewrite_after=REWRITE_SECONDS)
+        calls = len(domain.fake.calls)
+        await asyncio.sleep(2)
+        await domain.wait_at(8)
+        reads = domain.fake.calls[calls:].count('/rows-get')
+        assert reads <= len(domain.states)
+
+    async def test_rows_after_a_restore(self, domain):
+        """Rows written in the new era are read by all daemons at once."""
+        for version in range(2, 9):
+            domain.put_state(version)
+        await domain.wait_at(8)
+        domain.fake.restore(COPY_SECONDS, rewrite_after=REWRITE_SECONDS)
+        for version in range(9, 30):
+            domain.put_state(version)
+            await asyncio.sleep(0.02)
+        async with asyncio.timeout(FEED_SECONDS * 3):
+            await domain.wait_at(29)
+
+    async def test_revisions_passed_at_once(self, domain):
+        """Rows whose revisions were given out before are not passed over."""
+        for version in range(2, 5):
+            domain.put_state(version)
+        await domain.wait_at(4)
+        domain.fake.down = True
+        await wait_for(lambda: all(each.store_lost for each in domain.states))
+        domain.fake.restore(5, rewrite_after=REWRITE_SECONDS)
+        domain.fake.put('op', EVACUATION, {})
+        for version in range(5, 15):
+            domain.put_state(version)
+        domain.fake.down = False
+        await domain.wait_at(14)
+        await wait_for(
+            lambda: all(WITHDRAWN in each.withdrawn for each in domain.states)
+        )
+
+
+class TestRowCache:
+    """Answers to daemons that read in another era."""
+
+    @pytest.fixture
+    def cache(self):
+        """Build a cache that has read the table in two eras."""
+        cache = RowCache()
+        for era, revision in ((1, 9), (2, 3)):
+            row = StoreRow(key='a', content=b'x')
+            rows = StoreRows(rows=(row,), revision=revision, era=era)
+            cache.replace(rows, read_boot_clock())
+        return cache
+
+    def test_earlier_era(self, cache):
+        """Rows of an earlier era are not confirmed."""
+        answer = cache.list_after(StorePosition(era=1, revision=9))
+        assert isinstance(answer, HistoryGone)
+
+    def test_own_era(self, cache):
+        """Rows of the same era are confirmed."""
+        answer = cache.list_after(StorePosition(era=2, revision=3))
+        assert isinstance(answer, StoreRows)
+        assert not answer.rows
+
+    def test_older_release(self, cache):
+        """A revision that the new era has not given out is not confirmed."""
+        answer = cache.list_after(StorePosition(era=0, revision=9))
+        assert isinstance(answer, HistoryGone)
+        answer = cache.list_after(StorePosition(era=0, revision=3))
+        assert isinstance(answer, StoreRows)
--- a/tests/test_row_relay.py
+++ b/tests/test_row_relay.py
@@ -11,17 +11,15 @@
 from aiohttp import ClientSession, web
 from aiohttp.test_utils import TestServer
 
-from fakes.fleet_parts import FAR_DOMAIN, FLEET, NEAR_DOMAIN, REGIONS
-from fakes.fleet_store import FleetStore
+from fakes.fleet_parts import FAR_DOMAIN, NEAR_DOMAIN, REGIONS
+from fakes.row_domain import FEED_SECONDS, PEER_SECONDS, RowDomain
 from ragwortcourse.clock import read_clock_with_suspend
-from ragwortcourse.forwarding.fleet_state import FleetState, read_boot_clock
+from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.membership.readers import MAX_READERS, list_upstream_readers
 from ragwortcourse.membership.relay_daemons import RelayRecord
-from ragwortcourse.platform import names, row_relay
-from ragwortcourse.platform.feed import TableFeed
-from ragwortcourse.platform.operator_rows import build_operator_handler
-from ragwortcourse.platform.relayed_store import RelayedStore
+from ragwortcourse.platform import names, row_fetch
 from ragwortcourse.platform.row_cache import RowCache
+from ragwortcourse.platform.row_fetch import fetch_rows
 from ragwortcourse.platform.row_relay import (
     AFTER,
     LONGEST_AGE_SECONDS,
@@ -30,9 +28,8 @@
     RelayedRow,
     RelayedRows,
     build_row_routes,
-    fetch_rows,
 )
-from ragwortcourse.platform.store import Store
+from ragwortcourse.platform.store_position import UNKNOWN_ERA, StorePosition
 from ragwortcourse.platform.store_row import (
     HistoryGone,
     StoreRow,
@@ -41,10 +38,6 @@
 )
 from ragwortcourse.weights.peer_reach import SILENT_SECONDS, PeerReach
 
-DAEMONS = 4
-FEED_SECONDS = 0.3
-PEER_SECONDS = 0.2
-
 
 def make_relay(name: str, domain: str = NEAR_DOMAIN) -> RelayRecord:
     """Build the record of a registered daemon."""
@@ -92,6 +85,11 @@
         )
 
 
+def make_position(revision: int, *, era: int = UNKNOWN_ERA) -> StorePosition:
+    """Build a position, without an era by default."""
+    return StorePosition(era=era, revision=revision)
+
+
 def make_rows(revision: int, *keys: str, dropped: bool = False) -> StoreRows:
     """Build an answer with rows of these keys."""
     content = None if dropped else b'x'
@@ -114,7 +112,7 @@
         cache = RowCache()
         cache.replace(make_rows(5, 'a', 'b'), read_boot_clock())
         cache.change(make_rows(7, 'b', dropped=True), read_boot_clock())
-        answer = cache.list_after(5)
+        answer = cache.list_after(make_position(5))
         assert list_keys(answer) == ['b']
         assert answer.revision == 7
         assert list_keys(cache.list_all()) == ['a']
@@ -125,9 +123,9 @@
         Rows deleted before that read are unknown.
         """
         cache = RowCache()
-        assert isinstance(cache.list_after(0), HistoryGone)
+        assert isinstance(cache.list_after(make_position(0)), HistoryGone)
         cache.replace(make_rows(5, 'a'), read_boot_clock())
-        assert isinstance(cache.list_after(4), HistoryGone)
+        assert isinstance(cache.list_after(make_position(4)), HistoryGone)
 
     def test_age_adds_up(self):
         """The age that another daemon reports makes the rows older."""
@@ -200,7 +198,8 @@
         return await fetch_rows(
             session=self._session,
             address=self.address,
-            after=1,
+            after=make_position(1),
+            era=UNKNOWN_ERA,
             wait=wait,
             services_only=services_only,
         )
@@ -315,92 +314,10 @@
         assert isinstance(answer, StoreSilent)
 
 
-class Domain:
-    """Daemons of one failure domain; each asks those started before.
-
-    :ivar states: state of each daemon.
-    """
-
-    def __init__(self) -> None:
-        self.fake = FleetStore()
-        self.states = [FleetState() for _ in range(DAEMONS)]
-        self.caches: list[RowCache] = []
-        self.sources: list[RelayedStore] = []
-        self.stack = contextlib.AsyncExitStack()
-        self.servers: list[TestServer] = []
-
-    async def open(self, *, services_only: bool = False) -> None:
-        """Start the fake store and the daemons."""
-        server = TestServer(self.fake.build_app())
-        await server.start_server()
-        self.stack.push_async_callback(server.close)
-        session = await self.stack.enter_async_context(ClientSession())
-        store = Store(session=session, address=f'127.0.0.1:{server.port}')
-        for number, state in enumerate(self.states):
-            await self._start(number, state, store, session, services_only)
-
-    async def _start(self, number, state, store, session, services_only):
-        before = [f'127.0.0.1:{each.port}' for each in self.servers]
-
-        async def list_before():
-            return before[:MAX_READERS]
-
-        source = RelayedStore(
-            store=store,
-            session=session,
-            list_upstreams=list_before,
-            peer_wait=PEER_SECONDS,
-            services_only=services_only,
-        )
-        app = web.Application()
-        app.add_routes(build_row_routes(source.cache))
-        server = TestServer(app)
-        await server.start_server()
-        self.stack.push_async_callback(server.close)
-        self.servers.append(server)
-        self.caches.append(source.cache)
-        self.sources.append(source)
-        feed = TableFeed(
-            store=source,
-            table=names.OPERATORS_TABLE,
-            wait=FEED_SECONDS,
-            handler=build_operator_handler(state, FLEET),
-            rng=random.Random(number),
-        )
-        task = asyncio.ensure_future(feed.follow())
-        self.stack.callback(task.cancel)
-
-    def put_state(self, version: int) -> None:
-        """Write a desired state as operators do."""
-        route = {
-            'name': 'r',
-            'host': 'h',
-            'prefix': '/',
-            'route_type': 'idempotent',
-            'timeout_ms': 1,
-        }
-        state = {
-            'version': version,
-            'routes': [route],
-            'services': [{'name': 'plain'}],
-            'tenants': [],
-        }
-        self.fake.put('op', 'config', state)
-
-    async def wait_at(self, version: int) -> None:
-        """Wait until a version is in force at every daemon."""
-        async with asyncio.timeout(10):
-            while not all(
-                state.desired is not None and state.desired.version == version
-                for state in self.states
-            ):
-                await asyncio.sleep(0.01)
-
-
 @pytest.fixture
 async def domain():
     """Daemons with their fake store, not yet started."""
-    opened = Domain()
+    opened = RowDomain()
     async with opened.stack:
         yield opened
 
@@ -487,7 +404,7 @@
                 f'127.0.0.1:{each.sockets[0].getsockname()[1]}'
                 for each in silent
             ]
-            revision = domain.fake.revision
+            after = make_position(domain.fake.revision, era=domain.fake.era)
             known_at = read_boot_clock()
             domain.fake.put('op', 'version/m', {'model': 'm', 'version': 2})
 
@@ -501,10 +418,10 @@
                 reach=PeerReach(),
             )
             answer = await alone.await_changes(
-                names.OPERATORS_TABLE, revision, wait=1, known_at=known_at
+                names.OPERATORS_TABLE, after, wait=1, known_at=known_at
             )
         assert list_keys(answer) == ['version/m']
-        call_seconds = PEER_SECONDS + row_relay.SILENT_SECONDS
+        call_seconds = PEER_SECONDS + row_fetch.SILENT_SECONDS
         assert answer.rows_age >= call_seconds * MAX_READERS
 
     async def test_late_empty_answer(self, domain):
@@ -513,10 +430,10 @@
         await domain.open()
         await domain.wait_at(1)
         store = domain.sources[0].store
-        revision = domain.fake.revision
+        after = make_position(domain.fake.revision, era=domain.fake.era)
         domain.fake.delay = 0.8
         answer = await store.await_changes(
-            names.OPERATORS_TABLE, revision, wait=0.1, known_at=0
+            names.OPERATORS_TABLE, after, wait=0.1, known_at=0
         )
         assert not answer.rows
         assert 0.8 <= answer.known_age < 1.4
