Register again when the store has lost registrations

Cause: a daemon wrote its registration once. A restore of the store takes it back, and nothing writes it again. The number of registered daemons divides the retry budget, the rate of cold targets and the limits that targets name, so each daemon that is left would take more than its part; quorums on store outages and the order of daemons to ask change as well.

For 10 s after a restore a registry keeps those that it knew.

Not covered: a daemon that starts within these seconds reads the shortened list.

--- a/fakes/row_domain.py
+++ b/fakes/row_domain.py
@@ -39,6 +39,7 @@
         self.stack = contextlib.AsyncExitStack()
         self.servers: list[TestServer] = []
         self.rng = random.Random(1)
+        self.rng = random.Random(1)
 
     async def open(self, *, services_only: bool = False) -> None:
         """Start the fake store and the daemons."""
--- a/src/ragwortcourse/platform/relay_rows.py
+++ b/src/ragwortcourse/platform/relay_rows.py
@@ -1,12 +1,20 @@
-"""Registration of entry daemons that relay rows to other daemons."""
+"""Registration of entry daemons that relay rows to other daemons.
+
+Load pattern: the store comes back from a copy in which the registrations of
+many daemons are missing. All of them register again, and meanwhile no share
+of a limit may be computed for fewer daemons than there are.
+"""
 
 import asyncio
 import logging
+import math
+import random
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
 import msgspec
 
+from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.identifiers import DaemonId, FailureDomainName
 from ragwortcourse.membership.readers import (
     list_fallback_readers,
@@ -14,6 +22,7 @@
 )
 from ragwortcourse.membership.relay_daemons import RelayRecord
 from ragwortcourse.platform.store import Store
+from ragwortcourse.platform.store_position import UNKNOWN_ERA
 from ragwortcourse.platform.store_row import StoreRows
 
 # A table of this project, not of the platform.
@@ -23,6 +32,11 @@
 
 # Used while the store fails.
 RETRY_SECONDS: Final = 1.0
+# Daemons register again within this time after a restore, so that their calls
+# do not arrive together.
+REGISTER_SPREAD_SECONDS: Final = 2.0
+# Longer than it takes until the registrations made after a restore are read.
+RESTORED_SECONDS: Final = 10.0
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -41,6 +55,8 @@
         self._store = store
         self._records: tuple[RelayRecord, ...] = ()
         self._is_read = False
+        self._era = UNKNOWN_ERA
+        self._kept_until = -math.inf
 
     async def follow(self) -> None:
         """Read the registrations periodically, forever."""
@@ -56,8 +72,16 @@
         answer = await self._store.read_table(TABLE)
         if not isinstance(answer, StoreRows):
             return False
-        records = (_decode(row.content) for row in answer.rows)
-        self._records = tuple(each for each in records if each is not None)
+        found = [_decode(row.content) for row in answer.rows]
+        records = {each.daemon: each for each in found if each is not None}
+        now = read_boot_clock()
+        if UNKNOWN_ERA < self._era < answer.era:
+            self._kept_until = now + RESTORED_SECONDS
+        self._era = max(self._era, answer.era)
+        if now < self._kept_until:
+            known = {each.daemon: each for each in self._records}
+            records = {**known, **records}
+        self._records = tuple(records.values())
         self._is_read = True
         return True
 
@@ -109,6 +133,23 @@
     return await store.write_row(TABLE, record.daemon, content)
 
 
+async def keep_registered(
+    store: Store, record: RelayRecord, rng: random.Random
+) -> None:
+    """Write the registration, and again after each restore of the store.
+
+    Repeats a write until the store accepts it. Never returns.
+    """
+    while True:
+        era = store.era.newest
+        if not await register_relay(store, record):
+            await asyncio.sleep(RETRY_SECONDS)
+            continue
+        # The answer to the first call states the first era.
+        await store.era.await_newer(era or store.era.newest)
+        await asyncio.sleep(rng.uniform(0, REGISTER_SPREAD_SECONDS))
+
+
 def _decode(content: bytes | None) -> RelayRecord | None:
     try:
         return msgspec.json.decode(content or b'', type=RelayRecord)
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -22,7 +22,7 @@
 from ragwortcourse.platform import names
 from ragwortcourse.platform.feed import TableFeed
 from ragwortcourse.platform.operator_rows import build_operator_handler
-from ragwortcourse.platform.relay_rows import RelayRegistry, register_relay
+from ragwortcourse.platform.relay_rows import RelayRegistry, keep_registered
 from ragwortcourse.platform.relayed_store import RelayedStore
 from ragwortcourse.platform.row_relay import build_row_routes
 from ragwortcourse.platform.store import Store
@@ -49,7 +49,6 @@
 TARGETS_FEED_SECONDS: Final = 4.0
 # The pause merges the registrations of targets that start together.
 TARGETS_PAUSE_SECONDS: Final = 0.25
-REGISTER_RETRY_SECONDS: Final = 1.0
 # Age of the desired state above which the daemon reports not ready. While
 # the store answers, the state is at most two calls and the pause between them
 # old. Callers should move to other daemons before the state is too old for
@@ -198,7 +197,9 @@
             downloader=_build_downloader(forwarder, session, relays)
         ),
         relays=relays,
-        register=functools.partial(_register, store, settings),
+        register=functools.partial(
+            keep_registered, store, describe_daemon(settings), rng
+        ),
         feeds=(
             TableFeed(
                 store=operators,
@@ -239,12 +240,3 @@
             daemon == own or forwarder.store_watch.has_reported(daemon)
         ),
     )
-
-
-async def _register(store: Store, settings: Settings) -> None:
-    """Register the daemon for others; retry until the store accepts."""
-    record = describe_daemon(settings)
-    while True:
-        if await register_relay(store, record):
-            return
-        await asyncio.sleep(REGISTER_RETRY_SECONDS)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -7,6 +7,9 @@
 
 from fakes.row_domain import FEED_SECONDS, RowDomain
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
+from ragwortcourse.membership.relay_daemons import RelayRecord
+from ragwortcourse.platform import relay_rows
+from ragwortcourse.platform.relay_rows import RelayRegistry, keep_registered
 from ragwortcourse.platform.row_cache import RowCache
 from ragwortcourse.platform.store_position import StorePosition
 from ragwortcourse.platform.store_row import HistoryGone, StoreRow, StoreRows
@@ -36,16 +39,6 @@
             await asyncio.sleep(0.01)
 
 
-async def list_violations(check, seconds: float) -> list[float]:
-    """List the times in a span at which a condition does not hold."""
-    began_at, violated = read_boot_clock(), []
-    while read_boot_clock() - began_at < seconds:
-        if not check():
-            violated.append(read_boot_clock() - began_at)
-        await asyncio.sleep(0.01)
-    return violated
-
-
 class TestReading:
     """Reads of the operators' rows after a restore."""
 
@@ -123,6 +116,56 @@
         assert isinstance(answer, StoreRows)
 
 
+class TestRegistrations:
+    """Registrations of daemons that a restore lost."""
+
+    def _make_record(self, number):
+        return RelayRecord(
+            daemon=f'entry-{number}',
+            address=f'10.0.0.{number}:7000',
+            failure_domain=WITHDRAWN,
+            region='near',
+        )
+
+    async def test_count(self, domain):
+        """No daemon is taken for gone after a restore."""
+        store = domain.sources[0].store
+        for number in range(4):
+            content = self._make_record(number)
+            await relay_rows.register_relay(store, content)
+        registry = RelayRegistry(store=store)
+        await registry.read()
+        domain.fake.restore(COPY_SECONDS, rewrite_after=REWRITE_SECONDS)
+        await registry.read()
+        assert len(await registry.list()) == 4
+
+    async def test_ended_daemons(self, domain, monkeypatch):
+        """Registrations that are not written again are dropped later."""
+        monkeypatch.setattr(relay_rows, 'RESTORED_SECONDS', 0.3)
+        store = domain.sources[0].store
+        await relay_rows.register_relay(store, self._make_record(1))
+        registry = RelayRegistry(store=store)
+        await registry.read()
+        domain.fake.restore(COPY_SECONDS, rewrite_after=REWRITE_SECONDS)
+        await registry.read()
+        await asyncio.sleep(0.4)
+        await registry.read()
+        assert not await registry.list()
+
+    async def test_written_again(self, domain):
+        """A daemon registers again when it learns of the restore."""
+        store, rng = domain.sources[0].store, domain.rng
+        task = asyncio.ensure_future(
+            keep_registered(store, self._make_record(1), rng)
+        )
+        domain.stack.callback(task.cancel)
+        await wait_for(lambda: domain.fake.read('daemons', 'entry-1'))
+        domain.fake.restore(COPY_SECONDS, rewrite_after=REWRITE_SECONDS)
+        assert domain.fake.read('daemons', 'entry-1') is None
+        await wait_for(lambda: domain.fake.read('daemons', 'entry-1'))
+        assert domain.fake.calls.count('/rows-tx') == 2
+
+
 class TestClock:
     """Clock of the process that runs a restored store."""
 
