Keep what a restored store lacks until it can be written again

Cause: a read of all rows lifts a withdrawal whose row is missing. After a restore the row of a withdrawal may be missing until the operators have written it again, and new requests reached the domain meanwhile. A daemon that started then, or asked another one, got older desired states too.

Change (restore_hold.py): when the era rises, rows of the era before that are missing are merged into the read. Rows with a version in their content (desired state, weights) keep the higher one for good, as operators only raise them; others are held until the operators have had contact_ms since the first answer of the restored store, then they count as deleted. While the store is away again, that time does not run. Held rows are marked in the messages between daemons, so that starting daemons learn of them.

Why contact_ms: the fleet's bounds apply to a daemon that time after the store is back; operators who write later than that leave no daemon a way to keep them. If they really lifted a withdrawal in the lost seconds and write nothing, it ends contact_ms late; if they write the deletion, at once.

Weighed: keeping beliefs in the handler instead (starting daemons would not learn of them); asking all daemons of other domains (no message carries rows between domains); a longer time (capacity of a domain that is back stays unused).

--- a/fakes/row_domain.py
+++ b/fakes/row_domain.py
@@ -15,6 +15,7 @@
 from ragwortcourse.platform.feed import TableFeed
 from ragwortcourse.platform.operator_rows import build_operator_handler
 from ragwortcourse.platform.relayed_store import RelayedStore
+from ragwortcourse.platform.restore_hold import RestoreHold
 from ragwortcourse.platform.row_cache import RowCache
 from ragwortcourse.platform.row_relay import build_row_routes
 from ragwortcourse.platform.store import Store
@@ -22,6 +23,8 @@
 DAEMONS = 4
 FEED_SECONDS = 0.3
 PEER_SECONDS = 0.2
+# Shorter than the time that a fleet grants; tests wait for its end.
+HOLD_SECONDS = 1.5
 
 
 class RowDomain:
@@ -33,13 +36,12 @@
 
     def __init__(self) -> None:
         self.fake = FleetStore()
-        self.states = [FleetState() for _ in range(DAEMONS)]
+        self.states: list[FleetState] = []
         self.caches: list[RowCache] = []
         self.sources: list[RelayedStore] = []
         self.stack = contextlib.AsyncExitStack()
         self.servers: list[TestServer] = []
         self.rng = random.Random(1)
-        self.rng = random.Random(1)
 
     async def open(self, *, services_only: bool = False) -> None:
         """Start the fake store and the daemons."""
@@ -47,14 +49,18 @@
         await server.start_server()
         self.stack.push_async_callback(server.close)
         self.session = await self.stack.enter_async_context(ClientSession())
-        address = f'127.0.0.1:{server.port}'
-        for number in range(DAEMONS):
-            store = Store(session=self.session, address=address)
-            await self._start(number, store, services_only=services_only)
+        self.address = f'127.0.0.1:{server.port}'
+        for _ in range(DAEMONS):
+            await self.start_daemon(services_only=services_only)
+
+    async def start_daemon(self, *, services_only: bool = False) -> None:
+        """Start one more daemon."""
+        self.states.append(FleetState())
+        store = Store(session=self.session, address=self.address)
+        await self._start(store, services_only=services_only)
 
-    async def _start(
-        self, number: int, store: Store, *, services_only: bool
-    ) -> None:
+    async def _start(self, store: Store, *, services_only: bool) -> None:
+        number = len(self.servers)
         before = [f'127.0.0.1:{each.port}' for each in self.servers]
 
         async def list_before() -> list[str]:
@@ -65,6 +71,7 @@
             session=self.session,
             list_upstreams=list_before,
             peer_wait=PEER_SECONDS,
+            hold=RestoreHold(seconds=HOLD_SECONDS),
             services_only=services_only,
         )
         app = web.Application()
--- a/src/ragwortcourse/platform/relayed_store.py
+++ b/src/ragwortcourse/platform/relayed_store.py
@@ -9,6 +9,7 @@
 
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.platform.relay_rows import ListAddresses, RelaysUnknownError
+from ragwortcourse.platform.restore_hold import RestoreHold
 from ragwortcourse.platform.row_cache import RowCache
 from ragwortcourse.platform.row_fetch import fetch_rows
 from ragwortcourse.platform.store import Store
@@ -43,6 +44,7 @@
     :param list_fallbacks: lists the addresses of daemons to ask if the store
         does not answer.
     :param peer_wait: seconds that a call to a daemon waits for a change.
+    :param hold: keeps rows that the store lost in a restore.
     :param services_only: leave out routes and client accounts, which only
         daemons with callers need.
     """
@@ -52,6 +54,7 @@
     list_upstreams: ListAddresses
     list_fallbacks: ListAddresses = list_no_daemons
     peer_wait: float
+    hold: RestoreHold
     services_only: bool = False
     cache: RowCache = dataclasses.field(default_factory=RowCache)
     reach: PeerReach = dataclasses.field(default_factory=PeerReach)
@@ -61,6 +64,7 @@
         sent_at = read_boot_clock()
         answer = await self._ask(None, lambda _: self.store.read_table(table))
         if isinstance(answer, StoreRows):
+            answer = self._merge(answer)
             self.cache.replace(answer, sent_at)
         return answer
 
@@ -87,9 +91,16 @@
             if answer.era > after.era:
                 # The rows changed before the restore are missing.
                 return HistoryGone()
+            answer = self.hold.apply_changes(answer)
             self.cache.change(answer, sent_at)
         return answer
 
+    def _merge(self, answer: StoreRows) -> StoreRows:
+        """Add the rows that a restored store lacks to a read of all rows."""
+        if UNKNOWN_ERA < self._read_era() < answer.era:
+            return self.hold.merge_restored(answer, self.cache.list_rows())
+        return self.hold.merge_held(answer)
+
     def _read_era(self) -> int:
         position = self.cache.position
         return UNKNOWN_ERA if position is None else position.era
@@ -114,6 +125,8 @@
             answer = _add_delay(answer, asked_at - began_at)
         was_cut_off = self.cache.is_cut_off
         is_cut_off = isinstance(answer, StoreSilent)
+        if is_cut_off:
+            self.hold.note_silent()
         self.cache.note_cut_off(is_cut_off=is_cut_off)
         if is_cut_off:
             fallbacks = await self._list_responsive(self.list_fallbacks)
--- a/src/ragwortcourse/platform/row_relay.py
+++ b/src/ragwortcourse/platform/row_relay.py
@@ -51,7 +51,8 @@
     """One row, without content or packed content if it was deleted.
 
     :param packed: content compressed by zlib, for daemons that request it.
-    :param held: true if the store lacks the row since it was restored.
+    :param held: true if the store lacks the row since it was restored. Older
+        releases keep such a row until they read all rows again.
     """
 
     key: str
@@ -97,11 +98,7 @@
         if isinstance(answer, HistoryGone):
             raise web.HTTPGone
         message = RelayedRows(
-            rows=tuple(
-                _encode_row(row, query)
-                for row in answer.rows
-                if _is_wanted(row, query)
-            ),
+            rows=tuple(_encode_row(row, query) for row in answer.rows),
             revision=answer.revision,
             age=arrived_at - cache.confirmed_at,
             rows_age=answer.rows_age,
@@ -126,14 +123,6 @@
     return int(query.get(ERA, UNKNOWN_ERA))
 
 
-def _is_wanted(row: StoreRow, query: Mapping[str, str]) -> bool:
-    """Tell whether the sender of a request can handle a row.
-
-    Older releases would never let go of rows that the store lacks.
-    """
-    return ERA in query or not row.held
-
-
 def _check_fresh(cache: RowCache, query: Mapping[str, str]) -> None:
     """Reject the request if the cached rows are not fresh.
 
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -24,6 +24,7 @@
 from ragwortcourse.platform.operator_rows import build_operator_handler
 from ragwortcourse.platform.relay_rows import RelayRegistry, keep_registered
 from ragwortcourse.platform.relayed_store import RelayedStore
+from ragwortcourse.platform.restore_hold import RestoreHold
 from ragwortcourse.platform.row_relay import build_row_routes
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.store_session import open_store_session
@@ -189,6 +190,7 @@
             own=settings.daemon, domain=settings.failure_domain
         ),
         peer_wait=OPERATORS_PEER_SECONDS,
+        hold=RestoreHold(seconds=fleet.contact_ms / 1000),
     )
     return ForwarderDaemon(
         row_routes=build_row_routes(operators.cache),
--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -16,6 +16,7 @@
 from ragwortcourse.platform.operator_rows import build_operator_handler
 from ragwortcourse.platform.relay_rows import RelayRegistry
 from ragwortcourse.platform.relayed_store import RelayedStore
+from ragwortcourse.platform.restore_hold import RestoreHold
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.store_session import open_store_session
 from ragwortcourse.platform.target_reader import read_service
@@ -127,6 +128,7 @@
                     own=settings.daemon, domain=settings.failure_domain
                 ),
                 peer_wait=PEER_SECONDS,
+                hold=RestoreHold(seconds=fleet.contact_ms / 1000),
                 services_only=True,
             ),
             table=names.OPERATORS_TABLE,
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -20,6 +20,7 @@
 from ragwortcourse.platform.operator_rows import build_operator_handler
 from ragwortcourse.platform.relay_rows import TABLE, RelayRegistry
 from ragwortcourse.platform.relayed_store import RelayedStore
+from ragwortcourse.platform.restore_hold import RestoreHold
 from ragwortcourse.platform.row_cache import RowCache
 from ragwortcourse.platform.row_relay import (
     LONGEST_AGE_SECONDS,
@@ -32,6 +33,7 @@
 DAEMONS = 8
 MODEL = 'm'
 FEED_SECONDS = 0.7
+HOLD_SECONDS = 1.5
 PEER_SECONDS = 0.5
 STATE = {'version': 7, 'routes': [], 'services': [], 'tenants': []}
 
@@ -102,6 +104,7 @@
                 own=own, domain=NEAR_DOMAIN
             ),
             peer_wait=PEER_SECONDS,
+            hold=RestoreHold(seconds=HOLD_SECONDS),
         )
 
         @web.middleware
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from fakes.row_domain import FEED_SECONDS, RowDomain
+from fakes.row_domain import FEED_SECONDS, HOLD_SECONDS, RowDomain
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.membership.relay_daemons import RelayRecord
 from ragwortcourse.platform import relay_rows
@@ -39,6 +39,16 @@
             await asyncio.sleep(0.01)
 
 
+async def list_violations(check, seconds: float) -> list[float]:
+    """List the times in a span at which a condition does not hold."""
+    began_at, violated = read_boot_clock(), []
+    while read_boot_clock() - began_at < seconds:
+        if not check():
+            violated.append(read_boot_clock() - began_at)
+        await asyncio.sleep(0.01)
+    return violated
+
+
 class TestReading:
     """Reads of the operators' rows after a restore."""
 
@@ -116,6 +126,71 @@
         assert isinstance(answer, StoreRows)
 
 
+class TestWithdrawals:
+    """Withdrawals that a restore lost."""
+
+    async def _withdraw(self, domain):
+        domain.fake.put('op', EVACUATION, {})
+        await wait_for(lambda: self._is_withdrawn(domain))
+
+    def _is_withdrawn(self, domain):
+        return all(WITHDRAWN in each.withdrawn for each in domain.states)
+
+    async def test_kept(self, domain):
+        """A withdrawal holds until the operators have written it again."""
+        await self._withdraw(domain)
+        domain.fake.restore(COPY_SECONDS, rewrite_after=REWRITE_SECONDS)
+        assert not await list_violations(
+            lambda: self._is_withdrawn(domain),
+            REWRITE_SECONDS + HOLD_SECONDS + 1,
+        )
+
+    async def test_daemon_that_starts(self, domain):
+        """A daemon that starts during the hold learns what was lost."""
+        domain.put_state(2)
+        await domain.wait_at(2)
+        await self._withdraw(domain)
+        domain.fake.restore(COPY_SECONDS, rewrite_after=60)
+        await asyncio.sleep(FEED_SECONDS * 2)
+        await domain.start_daemon()
+        started = domain.states[-1]
+        await wait_for(lambda: started.desired is not None)
+        assert started.desired.version == 2
+        assert WITHDRAWN in started.withdrawn
+        await wait_for(lambda: not started.withdrawn)
+
+    async def test_not_written_again(self, domain):
+        """A withdrawal that is not written again ends after the hold."""
+        await self._withdraw(domain)
+        domain.fake.restore(COPY_SECONDS, rewrite_after=60)
+        await asyncio.sleep(HOLD_SECONDS / 2)
+        assert self._is_withdrawn(domain)
+        await wait_for(
+            lambda: not any(each.withdrawn for each in domain.states)
+        )
+
+    async def test_lifted_meanwhile(self, domain):
+        """A withdrawal that is lifted during the hold ends at once."""
+        await self._withdraw(domain)
+        domain.fake.restore(COPY_SECONDS, rewrite_after=0.1)
+        await asyncio.sleep(0.3)
+        domain.fake.drop('op', EVACUATION)
+        await asyncio.sleep(FEED_SECONDS * 2)
+        assert not any(each.withdrawn for each in domain.states)
+
+    async def test_outage_in_the_hold(self, domain):
+        """While the store is away the operators can't write, so it holds."""
+        await self._withdraw(domain)
+        domain.fake.restore(COPY_SECONDS, rewrite_after=60)
+        await asyncio.sleep(HOLD_SECONDS / 2)
+        domain.fake.down = True
+        await asyncio.sleep(HOLD_SECONDS)
+        domain.fake.down = False
+        assert not await list_violations(
+            lambda: self._is_withdrawn(domain), HOLD_SECONDS / 2
+        )
+
+
 class TestRegistrations:
     """Registrations of daemons that a restore lost."""
 
