Confirm no key while a restored store may lack revocations

Cause: an answer of a restored store confirmed the rows of a daemon as the newest. A revocation that was acknowledged, but not read by this daemon before the store failed, is lost until it is written again; its key counted as freshly confirmed meanwhile, also at daemons that had been cut off for seconds.

Change: for contact_ms from the first answer of a newer era the age of the rows goes on growing, as in an outage. With strict revocation a key is then refused once the rows are too old (revoke_ms less its margin); without it, ages change nothing and are confirmed as before.

--- a/src/ragwortcourse/forwarding/fleet_state.py
+++ b/src/ragwortcourse/forwarding/fleet_state.py
@@ -35,6 +35,9 @@
     :param store_outage_at: seconds of the clock that runs during suspension
         at which the store was last unreachable for most daemons; bounds on
         versions restart from then.
+    :param restored_until: seconds of the clock that runs during suspension
+        until which changes may be missing in the store, as it came back from
+        an older copy.
     :param reach: failure domains to which connections failed.
     """
 
@@ -50,6 +53,7 @@
     store_lost: bool = False
     store_failed_at: float = -math.inf
     store_outage_at: float = -math.inf
+    restored_until: float = -math.inf
     reach: DomainReach = dataclasses.field(default_factory=DomainReach)
 
     def read_age(self) -> float:
--- a/src/ragwortcourse/platform/operator_rows.py
+++ b/src/ragwortcourse/platform/operator_rows.py
@@ -1,5 +1,6 @@
 """Handler that applies the operators' rows to the state of a daemon."""
 
+import functools
 import logging
 import math
 from collections.abc import Callable
@@ -91,30 +92,42 @@
                     extra={'row': row.key, 'detail': str(error)},
                 )
 
-    def confirm(sent_at: float) -> None:
-        state.confirmed_at = max(state.confirmed_at, sent_at)
-        state.store_lost = False
-
-    def lose(seconds: float) -> None:
-        state.store_lost = True
-        state.store_failed_at = read_clock_with_suspend() - seconds
-
-    def restore() -> None:
-        """Do nothing: the rows of a new era are read whole."""
-
     def regain() -> None:
         """Do nothing: rows of this table do not expire."""
 
     return TableHandler(
         replace=replace,
         change=change,
-        confirm=confirm,
-        lose=lose,
-        restore=restore,
+        confirm=functools.partial(_confirm, state, fleet),
+        lose=functools.partial(_note_lost, state, fleet),
+        restore=functools.partial(_note_restored, state, fleet),
         regain=regain,
     )
 
 
+def _confirm(state: FleetState, fleet: FleetSettings, sent_at: float) -> None:
+    state.store_lost = False
+    is_complete = read_clock_with_suspend() >= state.restored_until
+    if is_complete or not fleet.strict_revocation:
+        state.confirmed_at = max(state.confirmed_at, sent_at)
+
+
+def _note_lost(state: FleetState, fleet: FleetSettings, seconds: float) -> None:
+    now = read_clock_with_suspend()
+    state.store_lost = True
+    state.store_failed_at = now - seconds
+    if now < state.restored_until:
+        # The operators can't write while the store is away.
+        _note_restored(state, fleet)
+
+
+def _note_restored(state: FleetState, fleet: FleetSettings) -> None:
+    """Confirm no key until revocations can have been written again."""
+    state.restored_until = (
+        read_clock_with_suspend() + fleet.contact_ms * SECONDS_PER_MILLISECOND
+    )
+
+
 def _apply(
     state: FleetState,
     row: StoreRow,
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from fakes.fleet_parts import FLEET
 from fakes.row_domain import FEED_SECONDS, HOLD_SECONDS, RowDomain
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.membership.relay_daemons import RelayRecord
@@ -191,6 +192,27 @@
         )
 
 
+class TestKeys:
+    """Confirmation of client accounts after a restore."""
+
+    async def test_not_confirmed(self, domain):
+        """Rows are not confirmed until revocations can be written again."""
+        domain.fake.restore(COPY_SECONDS, rewrite_after=REWRITE_SECONDS)
+        restored_at = read_boot_clock()
+        granted = FLEET.contact_ms / 1000
+        assert not await list_violations(
+            lambda: all(
+                each.confirmed_at <= restored_at for each in domain.states
+            ),
+            granted - 0.2,
+        )
+        await wait_for(
+            lambda: all(
+                each.confirmed_at > restored_at for each in domain.states
+            )
+        )
+
+
 class TestRegistrations:
     """Registrations of daemons that a restore lost."""
 
