Apply no older entry of a target while it can be written again

Cause: a target's entry replaced the known one whatever its age. After a restore of the store an entry may be one of seconds ago: a leaving target becomes ready again and gets new requests, and an earlier incarnation looks like a restart. The latter counts as the end of the one before, so a request that had lost its answer there was taken for one that crashes targets, and a limit that the target had named was forgotten.

Change: an entry that is older than the known one (born, leaving, weights) waits for as long as a missing entry does after an outage or restore (2.3 s, 1.5 s after the first answer). The next entry replaces it; if none comes, it takes effect. At other times entries apply at once as before, as a target's clock may be set back.

Measured: test_written_again (three ways to be older) failed before, passes now.

--- a/src/ragwortcourse/forwarding/target_list.py
+++ b/src/ragwortcourse/forwarding/target_list.py
@@ -1,7 +1,8 @@
-"""List of targets that tolerates entries lost in a store outage."""
+"""List of targets that tolerates entries lost in an outage or a restore."""
 
 import asyncio
 import dataclasses
+import functools
 import logging
 from collections.abc import Callable, Collection
 from typing import Final
@@ -27,7 +28,8 @@
 
     An entry that is missing right after a store outage may only have lapsed.
     Its target is kept for the time in which the entry would be restored. A
-    leaving target is removed at once.
+    leaving target is removed at once. An older entry, from a store that came
+    back from a copy, takes effect after the same time.
 
     :param state: state whose targets are updated.
     :param notify: called with each new or changed entry.
@@ -43,28 +45,28 @@
         self._notify = notify
         self._regained_at: float | None = None
         self._awaits_first_read = False
-        self._missing: dict[TargetName, asyncio.TimerHandle] = {}
+        self._waiting: dict[TargetName, asyncio.TimerHandle] = {}
 
     def note_target(self, target: Target) -> None:
         """Apply a new or updated entry."""
         known = self._state.targets.get(target.name)
         self._stop_waiting(target.name)
-        self._state.targets[target.name] = target
-        if self._notify is not None and known != target:
-            self._notify(target)
-        if known is None or _differs(known, target):
+        seconds = self._read_restore_delay()
+        if known is not None and _is_older(target, known) and seconds > 0:
             LOGGER.info(
-                'target listed',
+                'older entry of a target not applied yet',
                 extra={
                     'target': target.name,
                     'born': target.born,
-                    'service': target.service,
-                    'address': target.address,
-                    'leaving': target.leaving,
-                    'cold_seconds': target.cold_seconds,
-                    'weights': target.weights and target.weights.version,
+                    'born_known': known.born,
+                    'seconds': seconds,
                 },
             )
+            self._apply_later(
+                target.name, seconds, functools.partial(self._apply, target)
+            )
+        else:
+            self._apply(target)
 
     def note_missing(self, name: TargetName) -> None:
         """Apply the end of an entry, after a delay if it may have lapsed."""
@@ -74,9 +76,10 @@
         seconds = 0 if target.leaving else self._read_restore_delay()
         if seconds <= 0:
             self.remove(name)
-        elif name not in self._missing:
-            loop = asyncio.get_running_loop()
-            self._missing[name] = loop.call_later(seconds, self.remove, name)
+        elif name not in self._waiting:
+            self._apply_later(
+                name, seconds, functools.partial(self.remove, name)
+            )
 
     def apply_full_list(self, names: Collection[TargetName]) -> None:
         """Apply a full list: treat all other entries as missing."""
@@ -99,6 +102,25 @@
         if self._state.targets.pop(name, None) is not None:
             LOGGER.info('target removed from the list', extra={'target': name})
 
+    def _apply(self, target: Target) -> None:
+        known = self._state.targets.get(target.name)
+        self._state.targets[target.name] = target
+        if self._notify is not None and known != target:
+            self._notify(target)
+        if known is None or _differs(known, target):
+            LOGGER.info(
+                'target listed',
+                extra={
+                    'target': target.name,
+                    'born': target.born,
+                    'service': target.service,
+                    'address': target.address,
+                    'leaving': target.leaving,
+                    'cold_seconds': target.cold_seconds,
+                    'weights': target.weights and target.weights.version,
+                },
+            )
+
     def _read_restore_delay(self) -> float:
         """Compute for how many seconds a missing entry may be restored."""
         if self._regained_at is None:
@@ -108,8 +130,17 @@
             left if self._awaits_first_read else min(left, LATE_LAPSE_SECONDS)
         )
 
+    def _apply_later(
+        self,
+        name: TargetName,
+        seconds: float,
+        apply: Callable[[], None],
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self._waiting[name] = loop.call_later(seconds, apply)
+
     def _stop_waiting(self, name: TargetName) -> None:
-        waiting = self._missing.pop(name, None)
+        waiting = self._waiting.pop(name, None)
         if waiting is not None:
             waiting.cancel()
 
@@ -119,3 +150,16 @@
     return dataclasses.replace(known, cold_seconds=0) != dataclasses.replace(
         target, cold_seconds=0
     )
+
+
+def _is_older(entry: Target, known: Target) -> bool:
+    """Tell whether an entry describes an earlier state of a known target."""
+    if entry.born != known.born:
+        return entry.born < known.born
+    if known.leaving and not entry.leaving:
+        return True
+    return _read_version(entry) < _read_version(known)
+
+
+def _read_version(target: Target) -> int:
+    return 0 if target.weights is None else target.weights.version
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -5,20 +5,31 @@
 
 import pytest
 
-from fakes.fleet_parts import FLEET
+from fakes.fleet_parts import FLEET, REGIONS
 from fakes.row_domain import FEED_SECONDS, HOLD_SECONDS, RowDomain
-from ragwortcourse.forwarding.fleet_state import read_boot_clock
+from ragwortcourse.forwarding.fleet_state import FleetState, read_boot_clock
+from ragwortcourse.forwarding.target_list import LAPSE_SECONDS, TargetList
 from ragwortcourse.membership.relay_daemons import RelayRecord
-from ragwortcourse.platform import relay_rows
+from ragwortcourse.platform import names, relay_rows
+from ragwortcourse.platform.feed import TableFeed
 from ragwortcourse.platform.relay_rows import RelayRegistry, keep_registered
 from ragwortcourse.platform.row_cache import RowCache
 from ragwortcourse.platform.store_position import StorePosition
 from ragwortcourse.platform.store_row import HistoryGone, StoreRow, StoreRows
+from ragwortcourse.platform.target_reader import build_target_handler
 
 COPY_SECONDS = 0.2
 REWRITE_SECONDS = 0.6
 WITHDRAWN = 'near-a'
 EVACUATION = f'evacuate/{WITHDRAWN}'
+TARGET_ROW = {
+    'service': 'svc',
+    'address': '10.0.0.1:80',
+    'zone': 'near-a',
+    'slots': 16,
+    'state': 'ready',
+    'cold_left_ms': 0,
+}
 
 
 @pytest.fixture
@@ -283,3 +294,28 @@
         changed = await waiting
         assert changed.rows
         assert changed.rows_age < 0.5
+
+
+class TestTargets:
+    """Targets that a restore lost."""
+
+    async def test_kept(self, domain):
+        """A target stays listed until it can have written its row again."""
+        state, store = FleetState(), domain.sources[0].store
+        feed = TableFeed(
+            store=store,
+            table=names.TARGETS_TABLE,
+            wait=FEED_SECONDS,
+            handler=build_target_handler(TargetList(state=state), REGIONS),
+            rng=domain.rng,
+        )
+        task = asyncio.ensure_future(feed.follow())
+        domain.stack.callback(task.cancel)
+        domain.fake.put(names.TARGETS_TABLE, 'i-1', TARGET_ROW)
+        await wait_for(lambda: state.targets)
+        domain.fake.restore(COPY_SECONDS, rewrite_after=REWRITE_SECONDS)
+        assert not await list_violations(
+            lambda: state.targets, REWRITE_SECONDS + LAPSE_SECONDS
+        )
+        domain.fake.drop(names.TARGETS_TABLE, 'i-1')
+        await wait_for(lambda: not state.targets)
--- a/tests/test_target_list.py
+++ b/tests/test_target_list.py
@@ -7,6 +7,7 @@
 
 from fakes.fleet_parts import make_target
 from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.forwarding.target import HeldWeights, Target
 from ragwortcourse.forwarding.target_list import LAPSE_SECONDS, TargetList
 from ragwortcourse.identifiers import TargetName
 
@@ -95,3 +96,48 @@
         await asyncio.sleep(LAPSE_SECONDS + 0.1)
         targets.note_missing(NAME)
         assert not state.targets
+
+
+OLDER = [{'born': 1}, {'leaving': False}, {'weights': None}]
+
+
+@pytest.fixture
+def newest(state) -> Target:
+    """Target in its newest state, as it was listed before a restore."""
+    weights = HeldWeights(version=2, first=0, end=9)
+    target = dataclasses.replace(
+        make_target(), born=2, leaving=True, weights=weights
+    )
+    state.targets[target.name] = target
+    return target
+
+
+class TestOlderEntries:
+    """Entries of a store that came back from an older copy."""
+
+    @pytest.mark.parametrize('older', OLDER)
+    async def test_written_again(self, targets, state, newest, older):
+        """An older entry has no effect until the target can write again."""
+        targets.note_store_back()
+        targets.note_target(dataclasses.replace(newest, **older))
+        assert state.targets[NAME] == newest
+        await asyncio.sleep(LAPSE_SECONDS / 2)
+        targets.note_target(newest)
+        await asyncio.sleep(LAPSE_SECONDS)
+        assert state.targets[NAME] == newest
+
+    @pytest.mark.parametrize('older', OLDER)
+    async def test_not_written_again(self, targets, state, newest, older):
+        """An older entry that stays takes effect after that time."""
+        entry = dataclasses.replace(newest, **older)
+        targets.note_store_back()
+        targets.note_target(entry)
+        await asyncio.sleep(LAPSE_SECONDS + 0.1)
+        assert state.targets[NAME] == entry
+
+    @pytest.mark.parametrize('older', OLDER)
+    async def test_no_restore(self, targets, state, newest, older):
+        """At other times an entry takes effect at once, also an older one."""
+        entry = dataclasses.replace(newest, **older)
+        targets.note_target(entry)
+        assert state.targets[NAME] == entry
