Let one daemon of a failure domain read a restored store

Cause: daemons that fail to answer others are not asked for 2 s. While the store is away all fail, so when it came back from a copy each daemon read the whole table itself, over one line, and went on asking the store for those 2 s.

Change: at the first read of a newer era daemons are asked whatever they failed to do before, and one that answers is no longer passed over. A daemon that hangs costs such a read up to 1.6 s once.

--- a/src/ragwortcourse/platform/relayed_store.py
+++ b/src/ragwortcourse/platform/relayed_store.py
@@ -150,12 +150,19 @@
         rounds = READING_ROUNDS if after is None else 1
         while True:
             rounds -= 1
-            asked = await self._list_responsive(self.list_upstreams)
+            asked = await self._list_upstreams()
             answer = await self._ask_daemons(asked, after, self.peer_wait)
             is_reading = isinstance(answer, StoreSilent) and answer.is_reading
             if not (rounds and is_reading):
                 return answer, bool(asked)
 
+    async def _list_upstreams(self) -> Sequence[str]:
+        if UNKNOWN_ERA < self._read_era() < self.store.era.newest:
+            # They may only have been silent because the store was away. All
+            # daemons read the table now; one of them should read the store.
+            return await self.list_upstreams()
+        return await self._list_responsive(self.list_upstreams)
+
     async def _list_responsive(self, list_daemons: ListAddresses) -> list[str]:
         return [
             address
@@ -184,6 +191,7 @@
                 services_only=self.services_only,
             )
             if not isinstance(answer, StoreSilent):
+                self.reach.note_answered(address)
                 return _add_delay(answer, asked_at - began_at)
             LOGGER.info(
                 'no fresh rows from a daemon; asking the next source',
--- a/src/ragwortcourse/weights/peer_reach.py
+++ b/src/ragwortcourse/weights/peer_reach.py
@@ -23,6 +23,10 @@
         """Note that a connection to an address failed."""
         self._silent_until[address] = read_clock() + SILENT_SECONDS
 
+    def note_answered(self, address: str) -> None:
+        """Note that an address answered, whatever it failed to do before."""
+        self._silent_until.pop(address, None)
+
     def is_silent(self, address: str) -> bool:
         """Tell whether a connection to an address failed recently."""
         return self._silent_until.get(address, 0) > read_clock()
--- a/tests/test_peer_reach.py
+++ b/tests/test_peer_reach.py
@@ -23,6 +23,14 @@
         await asyncio.sleep(SILENT_SECONDS + 0.1)
         assert reach.order(['a', 'b']) == ['a', 'b']
 
+    @pytest.mark.looptime
+    async def test_answers_again(self):
+        """A daemon that answers is no longer silent."""
+        reach = PeerReach()
+        reach.note_silent('a')
+        reach.note_answered('a')
+        assert not reach.is_silent('a')
+
     @pytest.mark.looptime
     async def test_order_kept(self):
         """The order of the other daemons does not change."""
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -76,6 +76,22 @@
         reads = domain.fake.calls[calls:].count('/rows-get')
         assert reads <= len(domain.states)
 
+    @pytest.mark.parametrize('outage', [0, 0.6, 2.5])
+    async def test_one_reads_the_store(self, domain, outage):
+        """One daemon reads the table from the store, others ask it.
+
+        Incident: rounds of restores. Daemons that had not answered during the
+        outage were not asked, and each daemon read the table itself.
+        """
+        domain.fake.down = True
+        await asyncio.sleep(outage)
+        domain.fake.restore(COPY_SECONDS, rewrite_after=REWRITE_SECONDS)
+        domain.put_state(2)
+        calls = len(domain.fake.calls)
+        domain.fake.down = False
+        await domain.wait_at(2)
+        assert domain.fake.calls[calls:].count('/rows-get') == 1
+
     async def test_rows_after_a_restore(self, domain):
         """Rows written in the new era are read by all daemons at once."""
         for version in range(2, 9):
