Spread the reads of all targets after a loss of history

Cause: a restore, or a store that forgets its history, makes every daemon read the table of targets in the same moment: 350 reads beside the other calls of that second.

Change: such a read waits a random part of 1 s.

--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -77,6 +77,9 @@
         of the rows that the handler has.
     :param pause: seconds between a change and the next call; changes in
         quick succession are then read together.
+    :param spread: longest delay of a read of the whole table after the history
+        was lost. All daemons lose it at once, and the store takes a number of
+        calls a second from all of them.
     """
 
     def __init__(
@@ -88,8 +91,10 @@
         handler: TableHandler,
         rng: random.Random,
         pause: float = 0,
+        spread: float = 0,
     ) -> None:
         self._pause_seconds = pause
+        self._spread_seconds = spread
         self._store = store
         self._table = table
         self._wait = wait
@@ -114,6 +119,7 @@
                 await self._back_off(answer, sent_at)
             else:
                 self._discard_position()
+                await asyncio.sleep(self._rng.uniform(0, self._spread_seconds))
 
     async def _ask(self) -> StoreRows | HistoryGone | StoreSilent:
         if self._position is None:
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -50,6 +50,8 @@
 TARGETS_FEED_SECONDS: Final = 4.0
 # The pause merges the registrations of targets that start together.
 TARGETS_PAUSE_SECONDS: Final = 0.25
+# Less than the time for which missing targets are kept after a restore.
+TARGETS_SPREAD_SECONDS: Final = 1.0
 # Age of the desired state above which the daemon reports not ready. While
 # the store answers, the state is at most two calls and the pause between them
 # old. Callers should move to other daemons before the state is too old for
@@ -216,6 +218,7 @@
                 table=names.TARGETS_TABLE,
                 wait=TARGETS_FEED_SECONDS,
                 pause=TARGETS_PAUSE_SECONDS,
+                spread=TARGETS_SPREAD_SECONDS,
                 handler=build_target_handler(
                     TargetList(state=state, notify=forwarder.note_listed),
                     fleet.failure_domains,
--- /dev/null
+++ b/tests/test_feed_spread.py
@@ -0,0 +1,71 @@
+"""Tests of when feeds of many daemons read whole tables."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.forwarding.target_list import TargetList
+from ragwortcourse.platform.feed import TableFeed
+from ragwortcourse.platform.store_row import HistoryGone, StoreRows
+from ragwortcourse.platform.target_reader import build_target_handler
+
+pytestmark = pytest.mark.looptime
+DAEMONS = 350
+GONE_AT = 10.0
+SPREAD_SECONDS = 1.0
+# Of 2,000 reads a second that all daemons share.
+READS_PER_100_MS = 200
+
+
+class ForgetfulStore:
+    """A store that loses its history once.
+
+    :ivar reads: times of the reads of whole tables.
+    """
+
+    def __init__(self) -> None:
+        self.reads: list[float] = []
+
+    async def read_table(self, table):
+        """Record the time and return no rows."""
+        self.reads.append(read_clock())
+        return StoreRows(rows=(), revision=1)
+
+    async def await_changes(self, table, after, *, wait, known_at):
+        """Answer as one that has no rows, and at one time no history."""
+        left = GONE_AT - read_clock()
+        await asyncio.sleep(min(left, wait) if left > 0 else wait)
+        is_gone = 0 < left <= wait
+        return HistoryGone() if is_gone else StoreRows(rows=(), revision=1)
+
+
+async def test_many_daemons():
+    """Reads after a loss of history are spread over all daemons."""
+    store = ForgetfulStore()
+    with contextlib.ExitStack() as stack:
+        for number in range(DAEMONS):
+            feed = TableFeed(
+                store=store,
+                table='t',
+                wait=4,
+                handler=build_target_handler(
+                    TargetList(state=FleetState()), {}
+                ),
+                rng=random.Random(number),
+                spread=SPREAD_SECONDS,
+            )
+            task = asyncio.ensure_future(feed.follow())
+            stack.callback(task.cancel)
+        await asyncio.sleep(GONE_AT + SPREAD_SECONDS + 1)
+    reads = [at - GONE_AT for at in store.reads if at >= GONE_AT]
+    assert len(reads) == DAEMONS
+    assert max(reads) <= SPREAD_SECONDS + 0.01
+    for tenth in range(10):
+        begin = tenth / 10
+        assert (
+            sum(begin <= at < begin + 0.1 for at in reads) <= READS_PER_100_MS
+        )
