Remark on no refusal that states no era

Cause: each answer without a readable era was logged, also a refusal of the kind that a process in front of the store gives.

Change: a refusal without the header tells nothing about the era. Measured: test_refusal_without_an_era had the line before, none now.

--- a/src/ragwortcourse/platform/store.py
+++ b/src/ragwortcourse/platform/store.py
@@ -157,7 +157,7 @@
                     f'{self._base}/rows-tx', json=change
                 ) as response,
             ):
-                self.era.read(response.headers.get(names.ERA))
+                self._read_era(response)
                 return response.status == OK
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             LOGGER.info(
@@ -166,6 +166,16 @@
             )
             return False
 
+    def _read_era(self, response: aiohttp.ClientResponse) -> int:
+        """Return the era of an answer, or the newest for a bare refusal.
+
+        A refusal may come from another process than the store's.
+        """
+        header = response.headers.get(names.ERA)
+        if header is None and response.status != OK:
+            return self.era.newest
+        return self.era.read(header)
+
     def _read_delay(
         self, answer: WireRows, sent_at: float, now: float
     ) -> float:
@@ -194,7 +204,7 @@
             async with self._session.get(
                 f'{self._base}{path}', params=query, timeout=limits
             ) as response:
-                era = self.era.read(response.headers.get(names.ERA))
+                era = self._read_era(response)
                 if response.status != OK:
                     return response.status
                 rows = msgspec.json.decode(
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -184,6 +184,15 @@
         assert failed_at < read_clock_with_suspend() - CALL_SECONDS
         await wait_for(lambda: daemon.state.store_failed_at > failed_at)
 
+    async def test_refusal_without_an_era(self, daemon, caplog):
+        """A refusal may come from another process and state no era."""
+        daemon.put_state(1)
+        daemon.follow()
+        await wait_for(lambda: daemon.is_at(1))
+        daemon.fake.down = True
+        await wait_for(lambda: daemon.state.store_lost)
+        assert not any('no era' in each.message for each in caplog.records)
+
     async def test_one_failure(self, daemon, caplog):
         """A single failed call does not mark the store as lost.
 
@@ -347,7 +356,7 @@
             region='near',
         )
         assert await register_relay(daemon.store, record)
-        relays = RelayRegistry(store=daemon.store)
+        relays = RelayRegistry(store=daemon.store, rng=random.Random(1))
         assert await relays.read()
         assert await relays.list() == (record,)
 
@@ -359,7 +368,7 @@
         )
         assert not await register_relay(daemon.store, record)
         daemon.fake.down = False
-        relays = RelayRegistry(store=daemon.store)
+        relays = RelayRegistry(store=daemon.store, rng=random.Random(1))
         await register_relay(daemon.store, record)
         await relays.read()
         daemon.fake.down = True
@@ -369,7 +378,7 @@
     async def test_unreadable(self, daemon):
         """An unreadable row is ignored."""
         daemon.fake.put('daemons', 'odd', b'odd')
-        relays = RelayRegistry(store=daemon.store)
+        relays = RelayRegistry(store=daemon.store, rng=random.Random(1))
         assert await relays.read()
         assert await relays.list() == ()
 
