Let daemons that start together drift apart in their reads

Cause: the list of registrations was read each 5 s to the second, so daemons started at once, as after a loss of power, read it in the same moment for as long as they ran, on top of what a restore makes them read.

Change: the pause is 5 s give or take a fifth.

--- a/src/ragwortcourse/platform/relay_rows.py
+++ b/src/ragwortcourse/platform/relay_rows.py
@@ -29,6 +29,7 @@
 TABLE: Final = 'daemons'
 # Daemons rarely come and go; a stale entry costs one failed connection.
 FRESH_SECONDS: Final = 5.0
+FRESH_SPREAD: Final = (0.8, 1.2)
 
 # Used while the store fails.
 RETRY_SECONDS: Final = 1.0
@@ -51,8 +52,9 @@
 class RelayRegistry:
     """Registered entry daemons as last read from the store."""
 
-    def __init__(self, *, store: Store) -> None:
+    def __init__(self, *, store: Store, rng: random.Random) -> None:
         self._store = store
+        self._rng = rng
         self._records: tuple[RelayRecord, ...] = ()
         self._is_read = False
         self._era = UNKNOWN_ERA
@@ -62,7 +64,9 @@
         """Read the registrations periodically, forever."""
         while True:
             is_read = await self.read()
-            await asyncio.sleep(FRESH_SECONDS if is_read else RETRY_SECONDS)
+            seconds = FRESH_SECONDS if is_read else RETRY_SECONDS
+            # Daemons that started together drift apart.
+            await asyncio.sleep(seconds * self._rng.uniform(*FRESH_SPREAD))
 
     async def read(self) -> bool:
         """Read the registrations; keep the last ones if the store fails.
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -174,7 +174,7 @@
     target_session = open_target_session()
     store_session = open_store_session()
     store = Store(session=store_session, address=fleet.store)
-    relays = RelayRegistry(store=store)
+    relays = RelayRegistry(store=store, rng=rng)
     forwarder = Forwarder(
         settings=settings,
         state=state,
--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -101,7 +101,8 @@
     store_session = open_store_session()
     store = Store(session=store_session, address=fleet.store)
     state = FleetState()
-    relays = RelayRegistry(store=store)
+    rng = random.Random()  # noqa: S311  # load spreading, not security
+    relays = RelayRegistry(store=store, rng=rng)
     sources = LoaderSources(
         downloader=build_weight_downloader(session=session, state=state),
         domain=settings.failure_domain,
@@ -135,7 +136,7 @@
             wait=LONG_POLL_SECONDS,
             pause=PAUSE_SECONDS,
             handler=build_operator_handler(state, fleet),
-            rng=random.Random(),  # noqa: S311  # load spreading, not security
+            rng=rng,
         ),
         relays=relays,
         sessions=(session, store_session),
--- a/tests/test_feed_spread.py
+++ b/tests/test_feed_spread.py
@@ -1,6 +1,7 @@
-"""Tests of when feeds of many daemons read whole tables."""
+"""Tests of when many daemons read whole tables."""
 
 import asyncio
+import collections
 import contextlib
 import random
 
@@ -10,6 +11,7 @@
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.target_list import TargetList
 from ragwortcourse.platform.feed import TableFeed
+from ragwortcourse.platform.relay_rows import RelayRegistry
 from ragwortcourse.platform.store_row import HistoryGone, StoreRows
 from ragwortcourse.platform.target_reader import build_target_handler
 
@@ -21,6 +23,11 @@
 READS_PER_100_MS = 200
 
 
+def count_most(times: list[float]) -> int:
+    """Count the most reads in a tenth of a second, in tenths of the clock."""
+    return max(collections.Counter(int(at * 10) for at in times).values())
+
+
 class ForgetfulStore:
     """A store that loses its history once.
 
@@ -43,7 +50,7 @@
         return HistoryGone() if is_gone else StoreRows(rows=(), revision=1)
 
 
-async def test_many_daemons():
+async def test_lost_history():
     """Reads after a loss of history are spread over all daemons."""
     store = ForgetfulStore()
     with contextlib.ExitStack() as stack:
@@ -64,8 +71,16 @@
     reads = [at - GONE_AT for at in store.reads if at >= GONE_AT]
     assert len(reads) == DAEMONS
     assert max(reads) <= SPREAD_SECONDS + 0.01
-    for tenth in range(10):
-        begin = tenth / 10
-        assert (
-            sum(begin <= at < begin + 0.1 for at in reads) <= READS_PER_100_MS
-        )
+    assert count_most(reads) <= READS_PER_100_MS
+
+
+async def test_registrations():
+    """Daemons that start together do not read registrations together."""
+    store = ForgetfulStore()
+    with contextlib.ExitStack() as stack:
+        for number in range(DAEMONS):
+            relays = RelayRegistry(store=store, rng=random.Random(number))
+            task = asyncio.ensure_future(relays.follow())
+            stack.callback(task.cancel)
+        await asyncio.sleep(60)
+    assert count_most([at for at in store.reads if at > 1]) <= READS_PER_100_MS
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -92,7 +92,7 @@
         store = Store(
             session=self.session, address=await self._open_store(number)
         )
-        relays = RelayRegistry(store=store)
+        relays = RelayRegistry(store=store, rng=random.Random(1))
         own = f'd-{number}'
         source = RelayedStore(
             store=store,
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -257,7 +257,7 @@
         for number in range(4):
             content = self._make_record(number)
             await relay_rows.register_relay(store, content)
-        registry = RelayRegistry(store=store)
+        registry = RelayRegistry(store=store, rng=domain.rng)
         await registry.read()
         domain.fake.restore(COPY_SECONDS, rewrite_after=REWRITE_SECONDS)
         await registry.read()
@@ -268,7 +268,7 @@
         monkeypatch.setattr(relay_rows, 'RESTORED_SECONDS', 0.3)
         store = domain.sources[0].store
         await relay_rows.register_relay(store, self._make_record(1))
-        registry = RelayRegistry(store=store)
+        registry = RelayRegistry(store=store, rng=domain.rng)
         await registry.read()
         domain.fake.restore(COPY_SECONDS, rewrite_after=REWRITE_SECONDS)
         await registry.read()
