Start over at once when another feed has heard of a restore

Cause: each of a daemon's two feeds learned of a newer era by a call that was answered 410, though the first of them had told it to the daemon.

Change: before a call a feed looks whether the store has stated a newer era than that of its position, once for each era, so that a store that goes on stating an earlier one to this feed is not read again and again.

--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -56,6 +56,10 @@
 class TableSource(Protocol):
     """Source of the rows of a feed."""
 
+    @property
+    def newest_era(self) -> int:
+        """Return the newest era that the store has stated in any answer."""
+
     async def read_table(
         self, table: str
     ) -> StoreRows | HistoryGone | StoreSilent:
@@ -102,6 +106,7 @@
         self._rng = rng
         self._position: StorePosition | None = None
         self._era = UNKNOWN_ERA
+        self._heard_era = UNKNOWN_ERA
         self._lost = False
         self._failures = 0
         self._known_at = -math.inf
@@ -109,17 +114,22 @@
     async def follow(self) -> None:
         """Follow the table forever; retry failed calls after a pause."""
         while True:
+            if self._hears_of_restore():
+                await self._start_over()
             sent_at = read_boot_clock()
-            answer = await self._ask()
-            if isinstance(answer, StoreRows) and self._is_continued(answer):
-                self._pass_on(answer, sent_at)
-                if self._pause_seconds and answer.rows:
-                    await asyncio.sleep(self._pause_seconds)
-            elif isinstance(answer, StoreSilent):
-                await self._back_off(answer, sent_at)
-            else:
-                self._discard_position()
-                await asyncio.sleep(self._rng.uniform(0, self._spread_seconds))
+            await self._handle(await self._ask(), sent_at)
+
+    async def _handle(
+        self, answer: StoreRows | HistoryGone | StoreSilent, sent_at: float
+    ) -> None:
+        if isinstance(answer, StoreRows) and self._is_continued(answer):
+            self._pass_on(answer, sent_at)
+            if self._pause_seconds and answer.rows:
+                await asyncio.sleep(self._pause_seconds)
+        elif isinstance(answer, StoreSilent):
+            await self._back_off(answer, sent_at)
+        else:
+            await self._start_over()
 
     async def _ask(self) -> StoreRows | HistoryGone | StoreSilent:
         if self._position is None:
@@ -133,7 +143,17 @@
             known_at=self._known_at,
         )
 
-    def _discard_position(self) -> None:
+    def _hears_of_restore(self) -> bool:
+        """Tell, once for each era, whether the position is of an earlier one.
+
+        Another feed may have heard of it. That saves a call without an answer.
+        """
+        newest, heard = self._store.newest_era, self._heard_era
+        self._heard_era = newest
+        known = self._position
+        return known is not None and newest > max(heard, known.era)
+
+    async def _start_over(self) -> None:
         position = self._position
         LOGGER.info(
             'change history unavailable; reading the whole table',
@@ -144,6 +164,7 @@
             },
         )
         self._position = None
+        await asyncio.sleep(self._rng.uniform(0, self._spread_seconds))
 
     def _is_continued(self, answer: StoreRows) -> bool:
         """Tell whether the answer has all changes since the position."""
--- a/src/ragwortcourse/platform/relayed_store.py
+++ b/src/ragwortcourse/platform/relayed_store.py
@@ -59,6 +59,11 @@
     cache: RowCache = dataclasses.field(default_factory=RowCache)
     reach: PeerReach = dataclasses.field(default_factory=PeerReach)
 
+    @property
+    def newest_era(self) -> int:
+        """Return the newest era that an answer of the store stated."""
+        return self.store.newest_era
+
     async def read_table(self, table: str) -> Answer:
         """Read every row of the table."""
         sent_at = read_boot_clock()
@@ -157,7 +162,7 @@
                 return answer, bool(asked)
 
     async def _list_upstreams(self) -> Sequence[str]:
-        if UNKNOWN_ERA < self._read_era() < self.store.era.newest:
+        if UNKNOWN_ERA < self._read_era() < self.store.newest_era:
             # They may only have been silent because the store was away. All
             # daemons read the table now; one of them should read the store.
             return await self.list_upstreams()
@@ -178,7 +183,7 @@
     ) -> Answer:
         """Return the first answer; ``StoreSilent`` if no rows are fresh."""
         began_at = read_boot_clock()
-        era = max(self.store.era.newest, self._read_era())
+        era = max(self.store.newest_era, self._read_era())
         silent = StoreSilent(detail='no daemon near by has fresh rows')
         for address in addresses:
             asked_at = read_boot_clock()
--- a/src/ragwortcourse/platform/store.py
+++ b/src/ragwortcourse/platform/store.py
@@ -83,6 +83,11 @@
         self._delay = AnswerDelay()
         self._delay_era = UNKNOWN_ERA
 
+    @property
+    def newest_era(self) -> int:
+        """Return the newest era that an answer stated."""
+        return self.era.newest
+
     async def read_table(self, table: str) -> StoreRows | StoreSilent:
         """Read every row of a table in the partition with the empty name."""
         rows: list[StoreRow] = []
--- a/tests/test_feed_spread.py
+++ b/tests/test_feed_spread.py
@@ -12,6 +12,7 @@
 from ragwortcourse.forwarding.target_list import TargetList
 from ragwortcourse.platform.feed import TableFeed
 from ragwortcourse.platform.relay_rows import RelayRegistry
+from ragwortcourse.platform.store_position import UNKNOWN_ERA
 from ragwortcourse.platform.store_row import HistoryGone, StoreRows
 from ragwortcourse.platform.target_reader import build_target_handler
 
@@ -31,9 +32,13 @@
 class ForgetfulStore:
     """A store that loses its history once.
 
+    :cvar newest_era: it states none.
+
     :ivar reads: times of the reads of whole tables.
     """
 
+    newest_era = UNKNOWN_ERA
+
     def __init__(self) -> None:
         self.reads: list[float] = []
 
