Let the stand-in write again what was lost last

Cause: two restores in a row each had a task that wrote its lost rows again, and the first could write an older row over that of the second.

Change: rows that are lost and not written yet are one mapping, a later loss or write replaces an earlier one.

--- a/fakes/fleet_store.py
+++ b/fakes/fleet_store.py
@@ -67,7 +67,8 @@
         self.revision = 0
         self._restores = 0
         self._log: list[Transaction] = []
-        self._rewriting: set[asyncio.Task[None]] = set()
+        self._unwritten: dict[tuple[str, str], Row] = {}
+        self._rewriting: asyncio.Task[None] | None = None
         self._rows: dict[tuple[str, str], Row] = {}
         self._oldest = 0
         self._changed = asyncio.Event()
@@ -109,11 +110,14 @@
         if isinstance(self.era, int):
             self.era += 1
         self._wake()
-        task = asyncio.ensure_future(
-            self._rewrite(lost, self.revision, rewrite_after)
+        self._unwritten.update(
+            ((each.row.table, each.row.key), each.row)
+            for each in lost
+            if each.row.table in OUTSIDE_TABLES
         )
-        self._rewriting.add(task)
-        task.add_done_callback(self._rewriting.discard)
+        if self._rewriting is not None:
+            self._rewriting.cancel()
+        self._rewriting = asyncio.ensure_future(self._rewrite(rewrite_after))
 
     def read(self, table: str, key: str) -> bytes | None:
         """Return the content of a row; none if the row does not exist."""
@@ -138,20 +142,15 @@
         self.revision += 1
         row = Row(table=table, key=key, value=value, version=self.revision)
         self._rows[table, key] = row
+        self._unwritten.pop((table, key), None)
         self._log.append(Transaction(row=row, at=time.monotonic()))
         self._wake()
 
-    async def _rewrite(
-        self, lost: list[Transaction], restored_at: int, seconds: float
-    ) -> None:
+    async def _rewrite(self, seconds: float) -> None:
         """Write lost rows again unless they were written meanwhile."""
         await asyncio.sleep(seconds)
-        last = {(each.row.table, each.row.key): each.row for each in lost}
-        for place, row in last.items():
-            present = self._rows.get(place)
-            is_newer = present is not None and present.version > restored_at
-            if row.table in OUTSIDE_TABLES and not is_newer:
-                self._change(row.table, row.key, row.value)
+        for row in tuple(self._unwritten.values()):
+            self._change(row.table, row.key, row.value)
 
     def _wake(self) -> None:
         self._changed.set()
--- a/tests/test_fleet_store.py
+++ b/tests/test_fleet_store.py
@@ -74,6 +74,16 @@
         assert store.read('op', 'evacuate/near-a') == b'newer'
         assert store.read('daemons', 'entry-1') is None
 
+    async def test_restored_twice(self, opened):
+        """What was lost last is written again, not what was lost first."""
+        store, _ = opened
+        store.put('op', 'config', b'2')
+        store.restore(0.05, rewrite_after=REWRITE_SECONDS)
+        store.put('op', 'config', b'3')
+        store.restore(0.05, rewrite_after=0)
+        await asyncio.sleep(REWRITE_SECONDS + 0.1)
+        assert store.read('op', 'config') == b'3'
+
     async def test_waiting_calls(self, opened):
         """A call that waits for a change fails with the former process."""
         store, feed = opened
