Restore the store in the soak

A seed draws up to two restores to a copy of up to 10 s, apart from its other faults so that these stay as they were, in turn with outages of the store.

--- a/fakes/soak.py
+++ b/fakes/soak.py
@@ -15,7 +15,7 @@
 import click
 
 from fakes.soak_checks import RECOVER_SECONDS, list_findings
-from fakes.soak_plan import Fault, plan_faults
+from fakes.soak_plan import RESTORE, Fault, plan_faults
 from fakes.soak_proxy import LinkFault
 from fakes.soak_records import InjectedFault, Kind, Records, SentRequest
 from fakes.soak_site import (
@@ -35,6 +35,10 @@
 # The platform writes lapsed rows again within two seconds of the return of
 # the store.
 LAPSE_SECONDS = 1.5
+# The store is away for this time before it comes back from a copy, and the
+# rows that it lost are written again within the second one.
+RESTORE_SECONDS = 0.7
+REWRITE_SECONDS = 1.0
 # Longer than a withdrawal takes to come into force.
 WITHDRAWN_SECONDS = 8.0
 # Longer than engines may go on serving older weights.
@@ -66,6 +70,7 @@
         self._seconds = seconds
         self._findings: list[str] = []
         self._withdrawals = 0
+        self._began_at = time.monotonic()
         self._store_busy = asyncio.Lock()
         self._busy: dict[str, asyncio.Lock] = {
             name: asyncio.Lock() for name in site.children
@@ -134,6 +139,9 @@
         elif fault.name in {'store down', 'store silent', 'rows lapse'}:
             async with self._store_busy:
                 await self._stop_store(fault)
+        elif fault.name == RESTORE:
+            async with self._store_busy:
+                await self._restore_store(fault)
         else:
             await self._operate(fault)
 
@@ -177,6 +185,17 @@
             for name in self._site.targets:
                 self._site.put_target(name)
 
+    async def _restore_store(self, fault: Fault) -> None:
+        store = self._site.store
+        store.down = True
+        await asyncio.sleep(RESTORE_SECONDS)
+        store.restore(
+            min(fault.seconds, time.monotonic() - self._began_at),
+            rewrite_after=REWRITE_SECONDS,
+        )
+        store.down = False
+        await asyncio.sleep(REWRITE_SECONDS)
+
     async def _operate(self, fault: Fault) -> None:
         site, records = self._site, self._site.records
         if fault.name == 'history gone':
--- a/fakes/soak_plan.py
+++ b/fakes/soak_plan.py
@@ -21,6 +21,10 @@
     'rows lapse',
     'origin down',
 )
+RESTORE = 'store restored'
+MOST_RESTORES = 2
+# Age of the copy that the store comes back from.
+OLDEST_COPY_SECONDS = 10.0
 SHORTEST_SECONDS = 0.3
 LONGEST_SECONDS = 4.0
 
@@ -32,7 +36,7 @@
     :param at: seconds from the start of the schedule.
     :param whom: name of a daemon or of the link of a daemon or target; empty
         for a fault of the store or origin and for a change by operators.
-    :param seconds: duration.
+    :param seconds: duration; of a restore the age of the copy.
     """
 
     at: float
@@ -62,4 +66,22 @@
         at += rng.choice(
             (0.05, rng.uniform(0.2, 1), rng.uniform(1, 3), rng.uniform(4, 9))
         )
-    return faults
+    return sorted([*faults, *_plan_restores(seed, seconds)], key=_read_time)
+
+
+def _plan_restores(seed: int, seconds: float) -> list[Fault]:
+    """Draw the restores apart, so that the other faults of a seed remain."""
+    rng = random.Random(f'{seed} restore')
+    return [
+        Fault(
+            at=rng.uniform(1, seconds),
+            name=RESTORE,
+            whom='',
+            seconds=rng.uniform(1, OLDEST_COPY_SECONDS),
+        )
+        for _ in range(rng.randint(0, MOST_RESTORES))
+    ]
+
+
+def _read_time(fault: Fault) -> float:
+    return fault.at
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,7 +17,7 @@
 
 from fakes.soak import Soak, run_soak
 from fakes.soak_checks import list_findings
-from fakes.soak_plan import Fault, plan_faults
+from fakes.soak_plan import RESTORE, Fault, plan_faults
 from fakes.soak_records import (
     InjectedFault,
     Kind,
@@ -185,7 +185,7 @@
                 for first, second in itertools.pairwise(plan)
             )
         assert {'kill', 'pause', 'stop', 'hang up', 'silent', 'deaf'} <= names
-        assert {'revoke', 'withdraw', 'weights', 'rows lapse'} <= names
+        assert {'revoke', 'withdraw', 'weights', 'rows lapse', RESTORE} <= names
         assert overlaps > 40
 
 
