--- a/src/ragwortcourse/platform/store_era.py
+++ b/src/ragwortcourse/platform/store_era.py
@@ -4,11 +4,16 @@
 import logging
 from typing import Final
 
+from opentelemetry.metrics import get_meter
+
 from ragwortcourse.platform.store_position import UNKNOWN_ERA
 
 # Of any number that counts restores; longer digits are no such number.
 MAX_DIGITS: Final = 18
 
+RESTORES: Final = get_meter(__name__).create_counter(
+    'ragwortcourse.forwarding.store_restores'
+)
 LOGGER: Final = logging.getLogger(__name__)
 
 
@@ -46,6 +51,7 @@
 
     def _raise(self, era: int) -> None:
         if self.newest != UNKNOWN_ERA:
+            RESTORES.add(1)
             LOGGER.warning(
                 'store came back from an older copy; its newest changes are '
                 'lost until they are written again',
