--- a/src/ragwortcourse/platform/restore_hold.py
+++ b/src/ragwortcourse/platform/restore_hold.py
@@ -84,8 +84,14 @@
 
         :return: the changes, with the deletion of rows that are due.
         """
-        for row in answer.rows:
-            self._held.pop(row.key, None)
+        written = [
+            row.key for row in answer.rows if self._held.pop(row.key, None)
+        ]
+        if written:
+            LOGGER.info(
+                'rows lost in a restore of the store were written again',
+                extra={'rows': written, 'left': sorted(self._held)},
+            )
         if not self._held or read_boot_clock() < self._ends_at:
             return answer
         LOGGER.warning(
