--- a/fakes/restore_daemon.py
+++ b/fakes/restore_daemon.py
@@ -43,11 +43,13 @@
     """A call of a daemon that the store did not refuse outright.
 
     :param at: boot-clock time of its arrival.
+    :param table: empty for a write.
     :param size: bytes of the answer's body.
     """
 
     at: float
     path: str
+    table: str
     size: int
 
 
@@ -148,7 +150,12 @@
         body = answer.body if isinstance(answer, web.Response) else None
         size = len(body) if isinstance(body, bytes) else 0
         self.accepted.append(
-            AcceptedCall(at=arrived_at, path=request.path, size=size)
+            AcceptedCall(
+                at=arrived_at,
+                path=request.path,
+                table=request.query.get('table', ''),
+                size=size,
+            )
         )
         return answer
 
--- a/measure/program.py
+++ b/measure/program.py
@@ -22,6 +22,7 @@
     'control',
     'spread',
     'fleet_loads',
+    'restore',
 )
 RESULTS: Final = pathlib.Path(__file__).parent / 'results'
 
