Take rows of an older release for rows of the era known before

Cause: a daemon of the release before states no era, and its rows moved the position of the daemon that asked it to an unknown one. The next answer of the store then counted as one of a newer era and all rows were read again, each time that a daemon of this release turned from such a daemon to the store. Its cache kept the higher position meanwhile and told rows twice. Found on reading the change, not in a run with two releases.

Change: rows without an era get that of the position after which they were asked for. Rows of any other era than that are not cached as changes.

Measured: test_older_release failed before, passes now; test_goes_down (a store that lowers its era for good) passed before and after.

--- a/src/ragwortcourse/platform/relayed_store.py
+++ b/src/ragwortcourse/platform/relayed_store.py
@@ -93,8 +93,8 @@
             ),
         )
         if isinstance(answer, StoreRows):
-            if answer.era > after.era:
-                # The rows changed before the restore are missing.
+            if answer.era != after.era:
+                # Rows changed between the two eras may be missing.
                 return HistoryGone()
             answer = self.hold.apply_changes(answer)
             self.cache.change(answer, sent_at)
@@ -197,6 +197,9 @@
             )
             if not isinstance(answer, StoreSilent):
                 self.reach.note_answered(address)
+                answer = _complete_era(
+                    answer, self._read_era() if after is None else after.era
+                )
                 return _add_delay(answer, asked_at - began_at)
             LOGGER.info(
                 'no fresh rows from a daemon; asking the next source',
@@ -209,6 +212,13 @@
         return silent
 
 
+def _complete_era(answer: Answer, era: int) -> Answer:
+    """Add the known era to rows of a daemon of an older release."""
+    if isinstance(answer, StoreRows) and answer.era == UNKNOWN_ERA:
+        return dataclasses.replace(answer, era=era)
+    return answer
+
+
 def _add_delay(answer: Answer, seconds: float) -> Answer:
     """Add the time spent on asking others before to the answer's delay."""
     if isinstance(answer, StoreRows):
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -1,9 +1,13 @@
 """Tests of daemons whose store comes back from an older copy."""
 
 import asyncio
+import dataclasses
 import time
 
+import msgspec
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 
 from fakes.fleet_parts import FLEET, REGIONS
 from fakes.row_domain import FEED_SECONDS, HOLD_SECONDS, RowDomain
@@ -14,6 +18,7 @@
 from ragwortcourse.platform.feed import TableFeed
 from ragwortcourse.platform.relay_rows import RelayRegistry, keep_registered
 from ragwortcourse.platform.row_cache import RowCache
+from ragwortcourse.platform.row_relay import PATH, RelayedRow, RelayedRows
 from ragwortcourse.platform.store_position import StorePosition
 from ragwortcourse.platform.store_row import HistoryGone, StoreRow, StoreRows
 from ragwortcourse.platform.target_reader import build_target_handler
@@ -122,6 +127,51 @@
         )
 
 
+class TestOddEras:
+    """Eras that are missing or go down."""
+
+    async def test_goes_down(self, domain):
+        """Daemons go on with a store that states an earlier era."""
+        domain.fake.era = 3
+        domain.put_state(2)
+        await domain.wait_at(2)
+        domain.fake.era = 2
+        for version in range(3, 6):
+            domain.put_state(version)
+            await domain.wait_at(version)
+        calls = len(domain.fake.calls)
+        await asyncio.sleep(2)
+        assert not domain.fake.calls[calls:].count('/rows-get')
+
+    async def test_older_release(self, domain):
+        """Rows of a daemon that states no era are of the era known before."""
+
+        async def send_rows(request):
+            row = RelayedRow(key='a', content=b'{}')
+            revision = domain.fake.revision + 1
+            rows = RelayedRows(
+                rows=(row,), revision=revision, age=0, rows_age=0
+            )
+            return web.Response(body=msgspec.json.encode(rows))
+
+        app = web.Application()
+        app.add_routes([web.get(PATH, send_rows)])
+        server = TestServer(app)
+        await server.start_server()
+        domain.stack.push_async_callback(server.close)
+
+        async def list_older():
+            return [f'127.0.0.1:{server.port}']
+
+        source = dataclasses.replace(
+            domain.sources[0], list_upstreams=list_older
+        )
+        after = source.cache.position
+        answer = await source.await_changes('op', after, wait=1, known_at=0)
+        assert answer.position > after
+        assert source.cache.position == answer.position
+
+
 class TestRowCache:
     """Answers to daemons that read in another era."""
 
