--- a/fakes/row_domain.py
+++ b/fakes/row_domain.py
@@ -7,6 +7,7 @@
 from aiohttp import ClientSession, web
 from aiohttp.test_utils import TestServer
 
+from fakes.conditions import wait_for
 from fakes.fleet_parts import FLEET
 from fakes.fleet_store import FleetStore
 from ragwortcourse.forwarding.fleet_state import FleetState
@@ -111,9 +112,9 @@
 
     async def wait_at(self, version: int) -> None:
         """Wait until a version is in force at every daemon."""
-        async with asyncio.timeout(10):
-            while not all(
+        await wait_for(
+            lambda: all(
                 state.desired is not None and state.desired.version == version
                 for state in self.states
-            ):
-                await asyncio.sleep(0.01)
+            )
+        )
--- a/measure/restore.py
+++ b/measure/restore.py
@@ -6,12 +6,11 @@
 
 import asyncio
 import collections
-import json
-import random
 from collections.abc import Iterator
 from typing import Final
 
 from fakes.fleet_store import FleetStore
+from fakes.many_routes import make_many_routes
 from fakes.restore_daemon import AcceptedCall, RestoreDaemon
 from fakes.restore_rounds import count_most
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
@@ -127,26 +126,7 @@
 
 
 def _put_state(store: FleetStore, version: int, count: int) -> None:
-    rng = random.Random(version)
-    routes = [
-        {
-            'name': f'r-{rng.getrandbits(36):x}',
-            'host': f'{rng.getrandbits(24):x}.example',
-            'prefix': f'/{rng.getrandbits(32):x}/{rng.getrandbits(16):x}/',
-            'route_type': 'streaming',
-            'timeout_ms': 6000,
-            'slo_ms': 404,
-            'service': 'plain',
-        }
-        for _ in range(count)
-    ]
-    content = {
-        'version': version,
-        'routes': routes,
-        'services': [{'name': 'plain'}],
-        'tenants': [],
-    }
-    store.put('op', 'config', json.dumps(content).encode())
+    store.put('op', 'config', make_many_routes(count, version=version))
 
 
 def _make_target(number: int) -> dict[str, str | int]:
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -10,6 +10,7 @@
 from aiohttp import ClientSession
 from aiohttp.test_utils import TestServer
 
+from fakes.conditions import wait_for
 from fakes.fleet_parts import FLEET, REGIONS
 from fakes.fleet_store import FleetStore
 from ragwortcourse.clock import read_clock_with_suspend
@@ -36,13 +37,6 @@
 }
 
 
-async def wait_for(check) -> None:
-    """Wait until a condition holds."""
-    async with asyncio.timeout(10):
-        while not check():
-            await asyncio.sleep(0.01)
-
-
 class Daemon:
     """A daemon's state, with feeds of both tables."""
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
+from fakes.conditions import wait_for
 from fakes.fleet_parts import FLEET, REGIONS
 from fakes.row_domain import FEED_SECONDS, HOLD_SECONDS, RowDomain
 from ragwortcourse.forwarding.fleet_state import FleetState, read_boot_clock
@@ -49,13 +50,6 @@
         yield opened
 
 
-async def wait_for(check) -> None:
-    """Wait until a condition holds."""
-    async with asyncio.timeout(10):
-        while not check():
-            await asyncio.sleep(0.01)
-
-
 async def list_violations(check, seconds: float) -> list[float]:
     """List the times in a span at which a condition does not hold."""
     began_at, violated = read_boot_clock(), []
--- a/tests/test_row_relay.py
+++ b/tests/test_row_relay.py
@@ -3,8 +3,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import json
-import random
 
 import msgspec
 import pytest
@@ -12,6 +10,7 @@
 from aiohttp.test_utils import TestServer
 
 from fakes.fleet_parts import FAR_DOMAIN, NEAR_DOMAIN, REGIONS
+from fakes.many_routes import make_many_routes
 from fakes.row_domain import FEED_SECONDS, PEER_SECONDS, RowDomain
 from ragwortcourse.clock import read_clock_with_suspend
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
@@ -144,32 +143,6 @@
 SPREAD_SECONDS = 1.0
 
 
-def make_many_routes(count: int) -> bytes:
-    """Build a desired state of distinct routes of typical length."""
-    rng = random.Random(count)
-    routes = [
-        {
-            'name': f'r-{rng.getrandbits(36):x}',
-            'host': f'{rng.getrandbits(24):x}.example',
-            'prefix': f'/{rng.getrandbits(32):x}/{rng.getrandbits(16):x}/',
-            'route_type': 'streaming',
-            'timeout_ms': 6000,
-            'slo_ms': 404,
-            'priority': 1,
-            'service': 'plain',
-            'max_attempts': 2,
-            'public': False,
-            'sticky': True,
-            'resumable': True,
-            'gap_target_ms': 400,
-            'allowed_regions': [],
-        }
-        for _ in range(count)
-    ]
-    state = {'version': 1, 'routes': routes, 'services': [], 'tenants': []}
-    return json.dumps(state).encode()
-
-
 class Answerer:
     """A daemon that sends rows to others.
 
