Go on with order numbers after a restore of the table service

Cause: an agent took the number of its next claim from the row alone, and a row of another holder for a later claim. If the table service comes back from a copy before the agent's first claim, that row is an earlier agent's: the agent gave its target up for good. If the row was gone, its numbers began at 1 and an engine that checks them refused every order, with the same end. Callers would have seen a target that never takes a version again.

Change: a row counts as a later claim only with a number no lower than the own, and a claim takes the number after the higher of both.

Measured: test_table_restored_before_the_claim and test_row_lost_in_a_restore failed before, pass now; test_claimed_by_another_after_a_restore passed before too.

--- a/src/ragwortcourse/weights/order_lease.py
+++ b/src/ragwortcourse/weights/order_lease.py
@@ -110,12 +110,16 @@
     def _is_taken_over(self, former: OrderLeaseRow | None) -> bool:
         if former is None or not self._fencing:
             return False
-        return former.holder != self._token
+        # A lower number than the own one is that of an earlier holder, in a
+        # table that came back from an older copy.
+        is_later = former.fencing >= self._fencing
+        return is_later and former.holder != self._token
 
     async def _claim(
         self, row: Row | None, former: OrderLeaseRow | None
     ) -> LeaseOutcome:
-        number = 1 if former is None else former.fencing + 1
+        known = 0 if former is None else former.fencing
+        number = max(known, self._fencing) + 1
         claim = OrderLeaseRow(
             fencing=FencingNumber(number), holder=self._token, released=False
         )
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -78,6 +78,43 @@
         assert again == LeaseRefused(detail='superseded', superseded=True)
         assert not former.is_held()
 
+    async def test_table_restored_before_the_claim(self):
+        """A holder goes on when the table lost its claims, with new numbers.
+
+        The row is then that of an earlier agent. An engine that checks
+        numbers refuses those that it has seen.
+        """
+        rows = MemoryRows()
+        await make_lease(rows, 1, checks=True).acquire()
+        copy = dict(rows.rows)
+        holder = make_lease(rows, 2, checks=True)
+        await holder.acquire()
+        before = await holder.acquire()
+        rows.rows = copy
+        after = await holder.acquire()
+        assert isinstance(after, LeaseHeld)
+        assert after.fencing > before.fencing
+
+    async def test_row_lost_in_a_restore(self):
+        """A holder whose row is gone does not begin its numbers anew."""
+        rows = MemoryRows()
+        holder = make_lease(rows, 1, checks=True)
+        await holder.acquire()
+        before = await holder.acquire()
+        rows.rows.clear()
+        after = await holder.acquire()
+        assert after.fencing > before.fencing
+
+    async def test_claimed_by_another_after_a_restore(self):
+        """Of two agents with the same number the later claim counts."""
+        rows = MemoryRows()
+        former = make_lease(rows, 1, checks=True)
+        await former.acquire()
+        rows.rows.clear()
+        await make_lease(rows, 2, checks=True).acquire()
+        again = await former.acquire()
+        assert again == LeaseRefused(detail='superseded', superseded=True)
+
     async def test_lost_answer_of_the_claim_is_settled(self):
         """A claim with a lost answer is confirmed by reading the row."""
         table = build_memory_table(rows=MemoryRows(), faults=Faults())
