--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -122,7 +122,7 @@
     async def _handle(
         self, answer: StoreRows | HistoryGone | StoreSilent, sent_at: float
     ) -> None:
-        if isinstance(answer, StoreRows) and self._is_continued(answer):
+        if isinstance(answer, StoreRows) and self._has_all_changes(answer):
             self._pass_on(answer, sent_at)
             if self._pause_seconds and answer.rows:
                 await asyncio.sleep(self._pause_seconds)
@@ -166,7 +166,7 @@
         self._position = None
         await asyncio.sleep(self._rng.uniform(0, self._spread_seconds))
 
-    def _is_continued(self, answer: StoreRows) -> bool:
+    def _has_all_changes(self, answer: StoreRows) -> bool:
         """Tell whether the answer has all changes since the position."""
         known = self._position
         return known is None or answer.era <= known.era
--- a/src/ragwortcourse/platform/relayed_store.py
+++ b/src/ragwortcourse/platform/relayed_store.py
@@ -155,13 +155,13 @@
         rounds = READING_ROUNDS if after is None else 1
         while True:
             rounds -= 1
-            asked = await self._list_upstreams()
+            asked = await self._choose_upstreams()
             answer = await self._ask_daemons(asked, after, self.peer_wait)
             is_reading = isinstance(answer, StoreSilent) and answer.is_reading
             if not (rounds and is_reading):
                 return answer, bool(asked)
 
-    async def _list_upstreams(self) -> Sequence[str]:
+    async def _choose_upstreams(self) -> Sequence[str]:
         if UNKNOWN_ERA < self._read_era() < self.store.newest_era:
             # They may only have been silent because the store was away. All
             # daemons read the table now; one of them should read the store.
