Remove a target whose older entry ends

Cause: the wait of an older entry and that of a missing one shared a timer for each target. If an entry went back to an older state in a restore and then ended, the end found a timer and set none, and the older entry took effect at its time: a target that is gone stayed listed. Found on the last reading of the change, not in a run.

Change: two timers; an entry that ends stops the wait of the older one. Measured: test_ends_meanwhile failed before, passes now.

--- a/src/ragwortcourse/forwarding/target_list.py
+++ b/src/ragwortcourse/forwarding/target_list.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import functools
 import logging
 from collections.abc import Callable, Collection
 from typing import Final
@@ -45,7 +44,8 @@
         self._notify = notify
         self._regained_at: float | None = None
         self._awaits_first_read = False
-        self._waiting: dict[TargetName, asyncio.TimerHandle] = {}
+        self._missing: dict[TargetName, asyncio.TimerHandle] = {}
+        self._older: dict[TargetName, asyncio.TimerHandle] = {}
 
     def note_target(self, target: Target) -> None:
         """Apply a new or updated entry."""
@@ -62,8 +62,8 @@
                     'seconds': seconds,
                 },
             )
-            self._apply_later(
-                target.name, seconds, functools.partial(self._apply, target)
+            self._older[target.name] = asyncio.get_running_loop().call_later(
+                seconds, self._apply, target
             )
         else:
             self._apply(target)
@@ -73,13 +73,13 @@
         target = self._state.targets.get(name)
         if target is None:
             return
+        _cancel(self._older, name)
         seconds = 0 if target.leaving else self._read_restore_delay()
         if seconds <= 0:
             self.remove(name)
-        elif name not in self._waiting:
-            self._apply_later(
-                name, seconds, functools.partial(self.remove, name)
-            )
+        elif name not in self._missing:
+            loop = asyncio.get_running_loop()
+            self._missing[name] = loop.call_later(seconds, self.remove, name)
 
     def apply_full_list(self, names: Collection[TargetName]) -> None:
         """Apply a full list: treat all other entries as missing."""
@@ -130,19 +130,17 @@
             left if self._awaits_first_read else min(left, LATE_LAPSE_SECONDS)
         )
 
-    def _apply_later(
-        self,
-        name: TargetName,
-        seconds: float,
-        apply: Callable[[], None],
-    ) -> None:
-        loop = asyncio.get_running_loop()
-        self._waiting[name] = loop.call_later(seconds, apply)
-
     def _stop_waiting(self, name: TargetName) -> None:
-        waiting = self._waiting.pop(name, None)
-        if waiting is not None:
-            waiting.cancel()
+        _cancel(self._missing, name)
+        _cancel(self._older, name)
+
+
+def _cancel(
+    timers: dict[TargetName, asyncio.TimerHandle], name: TargetName
+) -> None:
+    waiting = timers.pop(name, None)
+    if waiting is not None:
+        waiting.cancel()
 
 
 def _differs(known: Target, target: Target) -> bool:
--- a/tests/test_target_list.py
+++ b/tests/test_target_list.py
@@ -135,6 +135,15 @@
         await asyncio.sleep(LAPSE_SECONDS + 0.1)
         assert state.targets[NAME] == entry
 
+    async def test_ends_meanwhile(self, targets, state, newest):
+        """A target whose older entry ends is removed, not put back."""
+        targets.note_store_back()
+        targets.note_target(dataclasses.replace(newest, born=1, leaving=False))
+        state.targets[NAME] = dataclasses.replace(newest, leaving=False)
+        targets.note_missing(NAME)
+        await asyncio.sleep(LAPSE_SECONDS + 0.1)
+        assert not state.targets
+
     @pytest.mark.parametrize('older', OLDER)
     async def test_no_restore(self, targets, state, newest, older):
         """At other times an entry takes effect at once, also an older one."""
