--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -19,6 +19,7 @@
     make_version_row,
 )
 from fakes.ports import pick_address
+from ragwortcourse import clock
 from ragwortcourse.clock import read_clock_with_suspend
 from ragwortcourse.forwarding.choice import read_required_version
 from ragwortcourse.forwarding.load_exchange import (
@@ -171,9 +172,11 @@
         )
         send(receiver, LoadMessage(daemon='e2', counts={}, namings=namings))
         assert read_required_version(forwarder, ENGINE_RULES) is None
+        # The meter keeps what it has measured, also after this test.
+        monkeypatch.setattr(clock, 'SUSPENSION', clock.SuspensionMeter())
         awake = time.clock_gettime
         monkeypatch.setattr(
-            time, 'clock_gettime', lambda clock: awake(clock) + 7
+            time, 'clock_gettime', lambda number: awake(number) + 7
         )
         assert read_required_version(forwarder, ENGINE_RULES) == 2
 
