Take the ports of a test's daemons from the reserved block

Cause: eight ports were looked up free in the kernel's range for outgoing connections and bound up to a second later, when another process may have taken one for a connection.

Thousands of connections a minute were opened on the machine then. Not a fault of the daemons.

Change: the ports come from the block that a test process holds, below that range (fakes/ports.py), as those of the other fleets do. Measured: the file's tests pass twice; the race itself was not reproduced.

--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -7,10 +7,11 @@
 import msgspec
 import pytest
 from aiohttp import ClientSession, web
-from aiohttp.test_utils import TestServer, unused_port
+from aiohttp.test_utils import TestServer
 
 from fakes.fleet_parts import FLEET, NEAR_DOMAIN, REGIONS
 from fakes.fleet_store import FleetStore
+from fakes.ports import pick_address
 from ragwortcourse.clock import read_clock_with_suspend
 from ragwortcourse.forwarding.fleet_state import FleetState, read_boot_clock
 from ragwortcourse.membership.relay_daemons import RelayRecord
@@ -75,7 +76,8 @@
         """Register all daemons, then start them."""
         self.session = await self.stack.enter_async_context(ClientSession())
         self.fake.put(names.OPERATORS_TABLE, names.DESIRED_KEY, STATE)
-        ports = [unused_port() for _ in range(DAEMONS)]
+        addresses = [pick_address() for _ in range(DAEMONS)]
+        ports = [int(each.rpartition(':')[2]) for each in addresses]
         for number, port in enumerate(ports):
             record = RelayRecord(
                 daemon=f'd-{number}',
