--- a/fakes/row_domain.py
+++ b/fakes/row_domain.py
@@ -31,11 +31,13 @@
 class RowDomain:
     """Daemons of one failure domain; each asks those started before.
 
+    :param hold_seconds: time for which daemons keep rows lost in a restore.
     :ivar states: state of each daemon.
     :ivar sources: row source of each daemon.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, hold_seconds: float = HOLD_SECONDS) -> None:
+        self._hold_seconds = hold_seconds
         self.fake = FleetStore()
         self.states: list[FleetState] = []
         self.caches: list[RowCache] = []
@@ -72,7 +74,7 @@
             session=self.session,
             list_upstreams=list_before,
             peer_wait=PEER_SECONDS,
-            hold=RestoreHold(seconds=HOLD_SECONDS),
+            hold=RestoreHold(seconds=self._hold_seconds),
             services_only=services_only,
         )
         app = web.Application()
