Ask in one place whether the store was restored between two eras

The same chained comparison with the unknown era stood in four modules of the platform package, twice in one of them, and in two more as other checks for the same. It is one function beside the position now.

Looked at and left: the builders of crash and limit senders share only the passing of their parameters; stand-ins of one failure domain in two test files differ in registration, cuts and freezes.

--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -9,7 +9,11 @@
 from typing import Final, Protocol
 
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
-from ragwortcourse.platform.store_position import UNKNOWN_ERA, StorePosition
+from ragwortcourse.platform.store_position import (
+    UNKNOWN_ERA,
+    StorePosition,
+    is_restored,
+)
 from ragwortcourse.platform.store_row import (
     HistoryGone,
     StoreRow,
@@ -179,7 +183,7 @@
             self._handler.regain()
         if self._position is None:
             unread_seconds = read_boot_clock() - self._known_at
-            if UNKNOWN_ERA < self._era < answer.era:
+            if is_restored(self._era, answer.era):
                 self._handler.restore()
             self._handler.replace(answer.rows, unread_seconds)
         elif answer.rows:
--- a/src/ragwortcourse/platform/relay_rows.py
+++ b/src/ragwortcourse/platform/relay_rows.py
@@ -22,7 +22,7 @@
 )
 from ragwortcourse.membership.relay_daemons import RelayRecord
 from ragwortcourse.platform.store import Store
-from ragwortcourse.platform.store_position import UNKNOWN_ERA
+from ragwortcourse.platform.store_position import UNKNOWN_ERA, is_restored
 from ragwortcourse.platform.store_row import StoreRows
 
 # A table of this project, not of the platform.
@@ -79,7 +79,7 @@
         found = [_decode(row.content) for row in answer.rows]
         records = {each.daemon: each for each in found if each is not None}
         now = read_boot_clock()
-        if UNKNOWN_ERA < self._era < answer.era:
+        if is_restored(self._era, answer.era):
             self._kept_until = now + RESTORED_SECONDS
         self._era = max(self._era, answer.era)
         if now < self._kept_until:
--- a/src/ragwortcourse/platform/relayed_store.py
+++ b/src/ragwortcourse/platform/relayed_store.py
@@ -13,7 +13,11 @@
 from ragwortcourse.platform.row_cache import RowCache
 from ragwortcourse.platform.row_fetch import fetch_rows
 from ragwortcourse.platform.store import Store
-from ragwortcourse.platform.store_position import UNKNOWN_ERA, StorePosition
+from ragwortcourse.platform.store_position import (
+    UNKNOWN_ERA,
+    StorePosition,
+    is_restored,
+)
 from ragwortcourse.platform.store_row import (
     HistoryGone,
     StoreRows,
@@ -102,7 +106,7 @@
 
     def _merge(self, answer: StoreRows) -> StoreRows:
         """Add the rows that a restored store lacks to a read of all rows."""
-        if UNKNOWN_ERA < self._read_era() < answer.era:
+        if is_restored(self._read_era(), answer.era):
             return self.hold.merge_restored(answer, self.cache.list_rows())
         return self.hold.merge_held(answer)
 
@@ -162,7 +166,7 @@
                 return answer, bool(asked)
 
     async def _choose_upstreams(self) -> Sequence[str]:
-        if UNKNOWN_ERA < self._read_era() < self.store.newest_era:
+        if is_restored(self._read_era(), self.store.newest_era):
             # They may only have been silent because the store was away. All
             # daemons read the table now; one of them should read the store.
             return await self.list_upstreams()
--- a/src/ragwortcourse/platform/row_cache.py
+++ b/src/ragwortcourse/platform/row_cache.py
@@ -5,7 +5,11 @@
 from collections.abc import Iterable
 
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
-from ragwortcourse.platform.store_position import UNKNOWN_ERA, StorePosition
+from ragwortcourse.platform.store_position import (
+    UNKNOWN_ERA,
+    StorePosition,
+    is_restored,
+)
 from ragwortcourse.platform.store_row import HistoryGone, StoreRow, StoreRows
 
 
@@ -45,8 +49,8 @@
 
     def replace(self, answer: StoreRows, sent_at: float) -> None:
         """Replace the cache by the whole table."""
-        if self.position is not None and answer.era > self.position.era:
-            self._is_restored = self.position.era != UNKNOWN_ERA
+        if self.position is not None:
+            self._is_restored |= is_restored(self.position.era, answer.era)
         self._rows.clear()
         self._oldest_revision = answer.revision
         self.position = answer.position
--- a/src/ragwortcourse/platform/row_fetch.py
+++ b/src/ragwortcourse/platform/row_fetch.py
@@ -20,7 +20,7 @@
     RelayedRow,
     RelayedRows,
 )
-from ragwortcourse.platform.store_position import UNKNOWN_ERA, StorePosition
+from ragwortcourse.platform.store_position import StorePosition, is_restored
 from ragwortcourse.platform.store_row import (
     HistoryGone,
     StoreRow,
@@ -89,7 +89,7 @@
         return StoreSilent(detail=f'{address}: {error!r}')
     except (msgspec.DecodeError, zlib.error) as error:
         return StoreSilent(detail=f'{address}: unreadable, {error!r}')
-    if UNKNOWN_ERA < message.era < era:
+    if is_restored(message.era, era):
         return StoreSilent(
             detail=f'{address}: rows of the earlier era {message.era}',
             is_reading=True,
--- a/src/ragwortcourse/platform/store_era.py
+++ b/src/ragwortcourse/platform/store_era.py
@@ -6,7 +6,7 @@
 
 from opentelemetry.metrics import get_meter
 
-from ragwortcourse.platform.store_position import UNKNOWN_ERA
+from ragwortcourse.platform.store_position import UNKNOWN_ERA, is_restored
 
 # Of any number that counts restores; longer digits are no such number.
 MAX_DIGITS: Final = 18
@@ -50,7 +50,7 @@
             await self._rose.wait()
 
     def _raise(self, era: int) -> None:
-        if self.newest != UNKNOWN_ERA:
+        if is_restored(self.newest, era):
             RESTORES.add(1)
             LOGGER.warning(
                 'store came back from an older copy; its newest changes are '
--- a/src/ragwortcourse/platform/store_position.py
+++ b/src/ragwortcourse/platform/store_position.py
@@ -20,3 +20,11 @@
 
     era: int
     revision: int
+
+
+def is_restored(before: int, after: int) -> bool:
+    """Tell whether the store was restored between two eras.
+
+    The first era that is stated after an unknown one is no restore.
+    """
+    return UNKNOWN_ERA < before < after
