--- a/fakes/fleet_parts.py
+++ b/fakes/fleet_parts.py
@@ -236,6 +236,7 @@
         'key': KEY,
         'prompt_tokens': 977,
         'answer_tokens': 94,
+        'shared_parts': (),
         'last_event': None,
         'headers': CIMultiDict(),
         'arrived_at': 0.0,
--- a/src/ragwortcourse/forwarding/call.py
+++ b/src/ragwortcourse/forwarding/call.py
@@ -12,6 +12,7 @@
     AttemptId,
     ClientAccountName,
     Fingerprint,
+    PromptPartId,
 )
 
 NO_ACCOUNT: Final = ClientAccountName('')
@@ -28,6 +29,8 @@
     :param key: key of a client account; none if absent.
     :param prompt_tokens: zero if the request generates no tokens.
     :param answer_tokens: maximum number of tokens of the answer.
+    :param shared_parts: parts of the prompt that other requests may share, in
+        order.
     :param last_event: id of the last event of a stream that the caller has
         received; none for a new stream.
     :param headers: headers to pass on to the target.
@@ -43,6 +46,7 @@
     key: str | None
     prompt_tokens: int
     answer_tokens: int
+    shared_parts: tuple[PromptPartId, ...]
     last_event: str | None
     headers: CIMultiDict[str]
     arrived_at: float
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -290,6 +290,7 @@
             extra={
                 'request': self.work.call.attempt,
                 'fingerprint': self.crashes.fingerprint,
+                'shared_parts': self.work.call.shared_parts,
                 'target': target.name,
                 'born': target.born,
                 'detail': detail,
--- a/src/ragwortcourse/platform/names.py
+++ b/src/ragwortcourse/platform/names.py
@@ -17,6 +17,9 @@
 NOT_RUN: Final = 'Ragwortcourse-Not-Executed'
 # Proves that a target made the answer.
 STAMP: Final = 'Ragwortcourse-Server-Stamp'
+# Parts of the prompt in order, comma-separated ``ID:TOKENS`` entries; requests
+# share all but the last.
+PROMPT_PARTS: Final = 'Ragwortcourse-Prompt-Prefix'
 # Name of the client account, not its key.
 TENANT: Final = 'Ragwortcourse-Tenant'
 # Prompt tokens and maximum output tokens, comma-separated.
--- a/src/ragwortcourse/platform/wire.py
+++ b/src/ragwortcourse/platform/wire.py
@@ -15,6 +15,7 @@
 from ragwortcourse.forwarding.wire_format import Dispatch, WireFormat
 from ragwortcourse.identifiers import AttemptId
 from ragwortcourse.platform import names
+from ragwortcourse.platform.prompt_parts import read_shared_parts
 
 SECONDS_PER_MILLISECOND: Final = 0.001
 KEY_SCHEME: Final = 'Bearer '
@@ -66,6 +67,9 @@
         key=_read_key(request.headers.get('Authorization', '')),
         prompt_tokens=_read_count(tokens[0]),
         answer_tokens=_read_count(tokens[2]),
+        shared_parts=read_shared_parts(
+            ','.join(request.headers.getall(names.PROMPT_PARTS, ()))
+        ),
         last_event=request.headers.get(names.LAST_EVENT_ID),
         headers=headers,
         arrived_at=read_clock(),
