--- a/fakes/fleet_target.py
+++ b/fakes/fleet_target.py
@@ -82,8 +82,14 @@
             event = f'id: {number}\ndata: word{number}\n\n'.encode()
             await self.send(b'%x\r\n%b\r\n' % (len(event), event))
 
+    def close(self) -> None:
+        """Close the connection in order."""
+        self._writer.close()
+
     def reset(self) -> None:
-        """Close the connection by a TCP reset."""
+        """Close the connection by a TCP reset, unless it is closed."""
+        if self._writer.is_closing():
+            return
         opened = self._writer.get_extra_info('socket')
         opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
         self._writer.transport.abort()
@@ -132,8 +138,11 @@
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        """Listen on a free port, after a stop on the same one."""
+        _, _, known = self.address.partition(':')
+        self._server = await asyncio.start_server(
+            self._serve, '127.0.0.1', int(known or 0)
+        )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{port}'
 
--- a/fakes/forwarder_fleet.py
+++ b/fakes/forwarder_fleet.py
@@ -4,7 +4,8 @@
 import contextlib
 import dataclasses
 import itertools
-from collections.abc import Sequence
+import types
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 import aiohttp
@@ -41,14 +42,19 @@
 CONFIRM_SECONDS: Final = 0.5
 LOOK: Final = '/lookups/1'
 LETTER: Final = '/letters/1'
+NO_HEADERS: Final[Mapping[str, str]] = types.MappingProxyType({})
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Arrival:
-    """One request at one target, in seconds of the event loop."""
+    """One request at one target, in seconds of the event loop.
+
+    :ivar headers: values by lower-case name.
+    """
 
     target: TargetName
     body: bytes
+    headers: Mapping[str, str]
     at: float
 
 
@@ -59,16 +65,29 @@
 
     :param answer: script of a target that is not down.
     :param ends_midway: true if a target ends only after that script.
+    :param seen_seconds: time from the end of a target until its row is gone.
+    :param refuses: true if a target that has ended refuses connections, false
+        if it resets them.
     """
 
-    def __init__(self, *, answer: Script, ends_midway: bool = False) -> None:
+    def __init__(
+        self,
+        *,
+        answer: Script,
+        ends_midway: bool = False,
+        seen_seconds: float = SEEN_SECONDS,
+        refuses: bool = False,
+    ) -> None:
         self.arrivals: list[Arrival] = []
         self.ended: list[float] = []
         self.forwarders: list[Forwarder] = []
         self.exit_stack = contextlib.AsyncExitStack()
         self._answer = answer
+        self.down: set[TargetName] = set()
         self._ends_midway = ends_midway
-        self._down: set[TargetName] = set()
+        self._seen_seconds = seen_seconds
+        self._refuses = refuses
+        self._targets: dict[TargetName, FleetTarget] = {}
         self._clients: list[TestClient[web.Request, web.Application]] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._attempts = itertools.count()
@@ -86,6 +105,7 @@
             name = TargetName(f't-{number}')
             target = FleetTarget(self._build_script(name))
             await target.start()
+            self._targets[name] = target
             self.exit_stack.push_async_callback(target.stop)
             self._listed[name] = make(name, address=target.address)
         self.exit_stack.push_async_callback(self._stop_tasks)
@@ -124,9 +144,16 @@
         return forwarder
 
     async def ask(
-        self, daemon: int, body: bytes, path: str = LOOK
+        self,
+        daemon: int,
+        body: bytes,
+        path: str = LOOK,
+        headers: Mapping[str, str] = NO_HEADERS,
     ) -> aiohttp.ClientResponse:
-        """Send a request to one forwarder and read its whole answer."""
+        """Send a request to one forwarder and read its whole answer.
+
+        :param headers: further headers.
+        """
         response = await self._clients[daemon].post(
             path,
             data=body,
@@ -135,6 +162,7 @@
                 'Authorization': f'Bearer {KEY}',
                 'Ragwortcourse-Attempt-Id': f'a{next(self._attempts)}',
                 'Ragwortcourse-Deadline-Ms': '6000',
+                **headers,
             },
         )
         await response.read()
@@ -187,38 +215,47 @@
             default=0,
         )
 
-    def end_target(self, name: TargetName) -> None:
+    async def end_target(self, name: TargetName) -> None:
         """End a target; its row goes and comes back as a new incarnation."""
-        if name in self._down:
+        if name in self.down:
             return
-        self._down.add(name)
+        self.down.add(name)
         self.ended.append(read_clock())
+        if self._refuses:
+            await self._targets[name].stop()
         self._tasks.append(asyncio.ensure_future(self._replace(name)))
 
     def _build_script(self, name: TargetName) -> Script:
         async def serve(
             received: Received, connection: ScriptedConnection
         ) -> None:
-            arrival = Arrival(target=name, body=received.body, at=read_clock())
+            arrival = Arrival(
+                target=name,
+                body=received.body,
+                headers=received.headers,
+                at=read_clock(),
+            )
             self.arrivals.append(arrival)
             crashes = received.body.startswith(CRASHER)
             if crashes and not self._ends_midway:
-                self.end_target(name)
-            if name not in self._down:
+                await self.end_target(name)
+            if name not in self.down:
                 await self._answer(received, connection)
             if crashes:
-                self.end_target(name)
-            if name in self._down:
+                await self.end_target(name)
+            if name in self.down:
                 connection.reset()
 
         return serve
 
     async def _replace(self, name: TargetName) -> None:
-        await asyncio.sleep(SEEN_SECONDS)
+        await asyncio.sleep(self._seen_seconds)
         for state in self._list_states():
             state.targets.pop(name, None)
         await asyncio.sleep(DOWN_SECONDS)
-        self._down.discard(name)
+        if self._refuses:
+            await self._targets[name].start()
+        self.down.discard(name)
         known = self._listed[name]
         born = dataclasses.replace(known, born=known.born + 1)
         self._listed[name] = born
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -145,7 +145,7 @@
             ]
             await asyncio.sleep(0.05)
             for number in range(6):
-                fleet.end_target(f't-{number}')
+                await fleet.end_target(f't-{number}')
             await asyncio.gather(*asked)
             await asyncio.sleep(0.2)
             assert [
