Hold back prompt parts that crash targets, not only single requests

Cause: evidence was gathered under one identity, the fingerprint of client account, method, path and body, while the cause may be anything that requests share. No two of these requests are alike, so each crash began evidence of its own.

Change: a request has suspects, itself and each part of its prompt but the last, and is judged by the gravest.

--- a/src/ragwortcourse/crashes/__init__.py
+++ b/src/ragwortcourse/crashes/__init__.py
@@ -1,1 +1,1 @@
-"""Requests that crash the targets that run them."""
+"""Requests, and parts of prompts, that crash the targets that run them."""
--- a/src/ragwortcourse/crashes/verdict.py
+++ b/src/ragwortcourse/crashes/verdict.py
@@ -1,8 +1,8 @@
-"""Decision about a request by the crashes that it seems to have caused.
+"""Decision about a request by the crashes that a suspect seems to have caused.
 
-Load pattern: one request ends each target that runs it, and callers send it
-again to other daemons. Other requests at those targets lose their answers
-each time, too.
+Load pattern: one request, or each request with one part in its prompt, ends
+the target that runs it, and callers send them to all daemons. Other requests
+at those targets lose their answers each time, too.
 """
 
 import enum
@@ -19,12 +19,12 @@
     REFUSED = 'refused'
 
 
-def judge_request(*, proven: int, suspected: int, refused_from: int) -> Verdict:
-    """Judge a request by crashes of targets that ran it.
+def judge_suspect(*, proven: int, suspected: int, refused_from: int) -> Verdict:
+    """Judge a suspect by crashes of targets that ran requests with it.
 
     :param proven: crashes that are certain.
     :param suspected: crashes that are certain or not known yet.
-    :param refused_from: number of crashes from which a request is refused.
+    :param refused_from: number of crashes from which requests are refused.
     """
     if proven >= refused_from:
         return Verdict.REFUSED
--- a/src/ragwortcourse/entry/crashers.py
+++ b/src/ragwortcourse/entry/crashers.py
@@ -12,7 +12,7 @@
     SUSPICION_SECONDS,
     EvidenceStore,
 )
-from ragwortcourse.crashes.verdict import Verdict, judge_request
+from ragwortcourse.crashes.verdict import Verdict, judge_suspect
 from ragwortcourse.identifiers import ClientAccountName, TargetName
 from ragwortcourse.messages.operator import Crasher, CrasherList
 
@@ -50,7 +50,7 @@
     def verdict(self) -> Verdict:
         """Return the verdict on the request."""
         crashes = len(self.unreleased_targets)
-        return judge_request(
+        return judge_suspect(
             proven=crashes, suspected=crashes, refused_from=CRASHES_TO_REFUSE
         )
 
@@ -63,7 +63,7 @@
     """
 
     def __init__(self) -> None:
-        self._evidence = EvidenceStore[CrashRecord](
+        self._evidence = EvidenceStore[str, CrashRecord](
             limit=EVIDENCE_LIMIT, is_kept=lambda _: False
         )
 
--- a/src/ragwortcourse/forwarding/call.py
+++ b/src/ragwortcourse/forwarding/call.py
@@ -6,12 +6,12 @@
 from multidict import CIMultiDict
 
 from ragwortcourse.crashes.fingerprint import compute_fingerprint
+from ragwortcourse.crashes.suspect import Suspect, SuspectKind
 from ragwortcourse.forwarding.account import Account
 from ragwortcourse.forwarding.route import Route
 from ragwortcourse.identifiers import (
     AttemptId,
     ClientAccountName,
-    Fingerprint,
     PromptPartId,
 )
 
@@ -67,11 +67,21 @@
     body: bytes
     deadline: float
 
-    def compute_fingerprint(self) -> Fingerprint:
-        """Compute the digest that identifies a repeat of the request."""
-        return compute_fingerprint(
+    def list_suspects(self) -> tuple[Suspect, ...]:
+        """List what may crash targets: the request, and parts of its prompt.
+
+        A part counts under its id alone, whatever else its requests hold.
+        """
+        fingerprint = compute_fingerprint(
             account=NO_ACCOUNT if self.account is None else self.account.name,
             method=self.call.method,
             path=self.call.path_and_query,
             body=self.body,
         )
+        return (
+            Suspect(kind=SuspectKind.REQUEST, name=fingerprint),
+            *(
+                Suspect(kind=SuspectKind.PROMPT_PART, name=part)
+                for part in self.call.shared_parts
+            ),
+        )
--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -62,12 +62,12 @@
     body = await request.read()
     work = _accept(call, *permitted, body)
     tries = Tries(forwarder=forwarder, work=work)
-    fingerprint = tries.crashes.fingerprint
-    guard = forwarder.safeguards.crash_guard
-    refusal = guard.check(fingerprint)
+    suspects = tries.crashes.suspects
+    admission = forwarder.safeguards.crash_admission
+    refusal = admission.check(suspects)
     if refusal is not None:
         return _write_reply(call, refusal)
-    with guard.count_running(fingerprint):
+    with admission.count_running(suspects):
         return await _answer_permitted(tries, request)
 
 
--- a/src/ragwortcourse/forwarding/crash_evidence.py
+++ b/src/ragwortcourse/forwarding/crash_evidence.py
@@ -1,17 +1,14 @@
-"""Evidence that one request crashes the targets that run it."""
+"""Evidence that one suspect crashes the targets that run it."""
 
 import dataclasses
 import math
-from collections.abc import Iterable
 from typing import Final
 
+from ragwortcourse.forwarding.crash_rules import CrashRules
 from ragwortcourse.forwarding.lost_run import Fate, LostRun
 from ragwortcourse.identifiers import TargetName
 
-# Tolerance for the transit time of reports of other daemons.
-ORDER_TOLERANCE_SECONDS: Final = 0.02
-
-# More than the crashes after which a request is refused.
+# More than the crashes after which any suspect is refused.
 RUNS_LIMIT: Final = 16
 
 Incarnation = tuple[TargetName, int]
@@ -19,19 +16,22 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class CrashEvidence:
-    """Lost runs of one request, at most one for each incarnation.
+    """Lost runs under one suspect, at most one for each incarnation.
 
     Times are seconds of the clock that runs during suspension.
 
-    :param answered_at: time of the newest complete answer; runs lost before do
-        not count.
+    :param answered_at: time of the newest answer that clears the suspect; runs
+        lost before do not count.
     :param own_news_at: time of the newest loss or answer that this daemon
         noted itself.
+    :param sends: rounds of messages in which these news were sent.
     """
 
+    rules: CrashRules
     runs: dict[Incarnation, LostRun] = dataclasses.field(default_factory=dict)
     answered_at: float = -math.inf
     own_news_at: float = -math.inf
+    sends: int = 0
 
     @property
     def newest_at(self) -> float:
@@ -54,39 +54,41 @@
             oldest = min(self.runs, key=lambda each: self.runs[each].lost_at)
             self.runs.pop(oldest)
 
+    def note_own_news(self, at: float) -> None:
+        """Note a loss or an answer that this daemon saw itself."""
+        self.own_news_at = at
+        self.sends = 0
+
     def note_answer(self, answered_at: float) -> None:
-        """Note a complete answer."""
+        """Note an answer that clears the suspect."""
         self.answered_at = max(self.answered_at, answered_at)
 
     def count_proven(self) -> int:
-        """Count the incarnations that ended one after another."""
-        return count_successive(self._list_ended())
+        """Count the crashes that are certain."""
+        return self.rules.count_runs(self._list_ended())
 
     def count_suspected(self) -> int:
-        """Count the incarnations that ended, or may have, in succession."""
-        return count_successive(self._list_counted())
+        """Count the crashes that are certain, or not known yet."""
+        return self.rules.count_runs(self._list_counted())
+
+    def find_refused_since(self) -> float:
+        """Find when the crashes became too many.
+
+        :return: infinite if there are not enough of them.
+        """
+        losses = sorted(run.lost_at for run in self._list_counted())
+        index = self.rules.refused_from - 1
+        return losses[index] if index < len(losses) else math.inf
 
     def _list_ended(self) -> list[LostRun]:
         return [run for run in self._list_counted() if run.fate is Fate.ENDED]
 
     def _list_counted(self) -> list[LostRun]:
-        return [
-            run
-            for run in self.runs.values()
-            if run.fate is not Fate.SURVIVED and run.lost_at > self.answered_at
-        ]
-
-
-def count_successive(runs: Iterable[LostRun]) -> int:
-    """Count the runs that were each sent after the one before was lost.
-
-    Repeats of a request that crashes its targets follow each other. Equal
-    requests at several targets that lose power together do not.
-    """
-    count = 0
-    newest = -math.inf
-    for run in sorted(runs, key=lambda each: each.lost_at):
-        if run.sent_at >= newest - ORDER_TOLERANCE_SECONDS:
-            count += 1
-            newest = run.lost_at
-    return count
+        return [run for run in self.runs.values() if self._is_counted(run)]
+
+    def _is_counted(self, run: LostRun) -> bool:
+        if run.lost_at <= self.answered_at:
+            return False
+        if run.fate is Fate.UNKNOWN:
+            return run.end >= self.rules.suspected_end
+        return run.fate is Fate.ENDED
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -10,6 +10,7 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.entry.retry_scheduler import RetryScheduler
 from ragwortcourse.forwarding.caller_timeouts import CallerTimeouts
+from ragwortcourse.forwarding.crash_admission import CrashAdmission
 from ragwortcourse.forwarding.crash_guard import CrashGuard
 from ragwortcourse.forwarding.daemon_ranking import DaemonRanking
 from ragwortcourse.forwarding.fleet_retry_budget import FleetRetryBudget
@@ -61,10 +62,15 @@
             own=describe_daemon(settings),
             is_alive=self.store_watch.has_reported,
         )
+        guard = CrashGuard(state=state, find_answered=self._find_answered)
+        budget = FleetRetryBudget(fleet=self.fleet)
         self.safeguards = Safeguards(
-            retry_budget=FleetRetryBudget(fleet=self.fleet),
-            crash_guard=CrashGuard(
-                state=state, find_answered=self._find_answered
+            retry_budget=budget,
+            crash_guard=guard,
+            crash_admission=CrashAdmission(
+                guard=guard,
+                own=settings.daemon,
+                count_daemons=lambda: budget.daemons,
             ),
             daemon_ranking=ranking,
             target_limits=TargetLimits(state=state, ranking=ranking),
--- a/src/ragwortcourse/forwarding/lost_run.py
+++ b/src/ragwortcourse/forwarding/lost_run.py
@@ -6,6 +6,15 @@
 from ragwortcourse.identifiers import TargetName
 
 
+class RunEnd(enum.IntEnum):
+    """How an answer was lost; of several the higher value holds."""
+
+    # The target stopped sending.
+    SILENT = 0
+    # The connection ended.
+    CUT = 1
+
+
 class Fate(enum.IntEnum):
     """State of an incarnation after it lost an answer.
 
@@ -27,12 +36,14 @@
     :param born: start time of the incarnation in milliseconds since the epoch.
     :param sent_at: time at which the request was sent.
     :param lost_at: time at which the loss was noticed.
+    :param end: how the answer was lost.
     """
 
     target: TargetName
     born: int
     sent_at: float
     lost_at: float
+    end: RunEnd = RunEnd.CUT
     fate: Fate = Fate.UNKNOWN
 
     def merge(self, other: 'LostRun') -> 'LostRun':
@@ -45,5 +56,6 @@
             self,
             sent_at=min(self.sent_at, other.sent_at),
             lost_at=min(self.lost_at, other.lost_at),
+            end=max(self.end, other.end),
             fate=max(self.fate, other.fate),
         )
--- a/src/ragwortcourse/forwarding/plain_call.py
+++ b/src/ragwortcourse/forwarding/plain_call.py
@@ -63,8 +63,8 @@
         return None
     finally:
         tries.end(opened)
-    tries.crashes.note_answered()
     head = opened.answer.head
+    tries.crashes.note_answered(success=head.is_success)
     if head.is_success:
         opened.load.note_success(read_clock() - opened.began_at)
     return WholeAnswer(head=head, body=body)
--- a/src/ragwortcourse/forwarding/request_crashes.py
+++ b/src/ragwortcourse/forwarding/request_crashes.py
@@ -1,13 +1,23 @@
 """Crashes that one request may have caused."""
 
 import math
+from collections.abc import Sequence
+from typing import Final
 
 from ragwortcourse.clock import read_clock_with_suspend
+from ragwortcourse.crashes.suspect import Suspect, SuspectKind
 from ragwortcourse.forwarding.crash_guard import CrashGuard
 from ragwortcourse.forwarding.loss_cause import LossCause
-from ragwortcourse.forwarding.lost_run import LostRun
+from ragwortcourse.forwarding.lost_run import LostRun, RunEnd
 from ragwortcourse.forwarding.target import Target
-from ragwortcourse.identifiers import Fingerprint
+
+# A part of a prompt crashes a target as the target begins to write, within
+# some passes of a loaded engine. One that writes for longer clears the part.
+WRITING_SECONDS: Final = 1.0
+ENDS: Final = {
+    LossCause.CUT: RunEnd.CUT,
+    LossCause.SILENCE: RunEnd.SILENT,
+}
 
 
 class RequestCrashes:
@@ -16,43 +26,72 @@
     ``sent_at`` is when the request was last sent to a target, in seconds of
     the clock that runs during suspension.
 
-    :param fingerprint: the same for each repeat of the request by its caller.
+    :param suspects: the request itself and the parts of its prompt.
     """
 
-    def __init__(self, *, guard: CrashGuard, fingerprint: Fingerprint) -> None:
-        self.fingerprint = fingerprint
+    def __init__(
+        self, *, guard: CrashGuard, suspects: Sequence[Suspect]
+    ) -> None:
+        self.suspects = suspects
         self.sent_at = -math.inf
         self._guard = guard
+        self._parts = tuple(
+            each for each in suspects if each.kind is SuspectKind.PROMPT_PART
+        )
         self._target: Target | None = None
-
-    def allow_repeat(self) -> bool:
-        """Tell whether the request may be sent to one more target at once."""
-        return self._guard.allows_repeat(self.fingerprint)
+        self._began_at: float | None = None
+        self._parts_cleared = False
 
     def note_sent(self, target: Target) -> None:
         """Note that the request is sent to a target."""
         self._target = target
+        self._began_at = None
+        self._parts_cleared = False
         self.sent_at = read_clock_with_suspend()
 
     def note_not_run(self) -> None:
         """Note that the last target did not run the request."""
         self._target = None
 
-    def note_answered(self) -> None:
-        """Note that the answer of a target arrived whole."""
-        self._guard.note_answered(self.fingerprint)
+    def note_written(self) -> None:
+        """Note that the last target sent a piece of its answer."""
+        now = read_clock_with_suspend()
+        if self._began_at is None:
+            self._began_at = now
+        if now - self._began_at >= WRITING_SECONDS and not self._parts_cleared:
+            self._parts_cleared = True
+            self._guard.note_answered(self._parts)
+
+    def note_answered(self, *, success: bool) -> None:
+        """Note that the answer of a target arrived whole.
+
+        :param success: false for an error, which tells nothing about what
+            the target writes on.
+        """
+        self._guard.note_answered(
+            [each for each in self.suspects if success or self._is_whole(each)]
+        )
 
     def note_lost(self, cause: LossCause) -> None:
         """Note that the answer of the last target was lost."""
         target = self._target
-        if target is None or cause is LossCause.INVALID:
+        end = ENDS.get(cause)
+        if target is None or end is None:
             return
         self._guard.note_lost(
-            self.fingerprint,
+            [
+                each
+                for each in self.suspects
+                if self._is_whole(each) or not self._parts_cleared
+            ],
             LostRun(
                 target=target.name,
                 born=target.born,
                 sent_at=self.sent_at,
                 lost_at=read_clock_with_suspend(),
+                end=end,
             ),
         )
+
+    def _is_whole(self, suspect: Suspect) -> bool:
+        return suspect.kind is SuspectKind.REQUEST
--- a/src/ragwortcourse/forwarding/safeguards.py
+++ b/src/ragwortcourse/forwarding/safeguards.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from ragwortcourse.forwarding.crash_admission import CrashAdmission
 from ragwortcourse.forwarding.crash_guard import CrashGuard
 from ragwortcourse.forwarding.daemon_ranking import DaemonRanking
 from ragwortcourse.forwarding.fleet_retry_budget import FleetRetryBudget
@@ -14,5 +15,6 @@
 
     retry_budget: FleetRetryBudget
     crash_guard: CrashGuard
+    crash_admission: CrashAdmission
     daemon_ranking: DaemonRanking
     target_limits: TargetLimits
--- a/src/ragwortcourse/forwarding/stream_call.py
+++ b/src/ragwortcourse/forwarding/stream_call.py
@@ -83,14 +83,14 @@
     ) -> web.StreamResponse | Refusal | WholeAnswer:
         if not opened.answer.head.is_success:
             body = await opened.answer.read_whole()
-            self._tries.crashes.note_answered()
+            self._tries.crashes.note_answered(success=False)
             if self._response is None:
                 return WholeAnswer(head=opened.answer.head, body=body)
             return self._give_up(Refusal(reason=Reason.FAILED))
         async for whole in self._read_events(opened):
             response = await self._begin(opened)
             await response.write(whole)
-        self._tries.crashes.note_answered()
+        self._tries.crashes.note_answered(success=True)
         response = await self._begin(opened)
         await response.write_eof()
         return response
@@ -112,6 +112,7 @@
             except StopAsyncIteration:
                 break
             opened.note_piece(read_clock())
+            self._tries.crashes.note_written()
             whole = self._events.add(piece)
             if whole:
                 yield whole
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -61,7 +61,7 @@
         self.work = work
         self.crashes = RequestCrashes(
             guard=forwarder.safeguards.crash_guard,
-            fingerprint=work.compute_fingerprint(),
+            suspects=work.list_suspects(),
         )
         self.runs = 0
         self.tried: list[TargetName] = []
@@ -93,7 +93,8 @@
             return False
         if self.runs and not route.may_repeat:
             return False
-        if self.runs and not self.crashes.allow_repeat():
+        admission = self.forwarder.safeguards.crash_admission
+        if self.runs and not admission.allows_repeat(self.crashes.suspects):
             return False
         return self._sends < route.max_tries + DECLINES_ALLOWED
 
@@ -110,6 +111,12 @@
             target = await self._choose()
             if isinstance(target, Refusal):
                 return self._give_up(target)
+            # A request may have waited for its target.
+            refusal = self.forwarder.safeguards.crash_admission.check(
+                self.crashes.suspects, running=1
+            )
+            if refusal is not None:
+                return self._give_up(refusal)
             if (
                 self._sends
                 and not self.forwarder.safeguards.retry_budget.try_spend()
@@ -289,7 +296,7 @@
             message,
             extra={
                 'request': self.work.call.attempt,
-                'fingerprint': self.crashes.fingerprint,
+                'fingerprint': self.crashes.suspects[0].name,
                 'shared_parts': self.work.call.shared_parts,
                 'target': target.name,
                 'born': target.born,
--- a/src/ragwortcourse/membership/rendezvous.py
+++ b/src/ragwortcourse/membership/rendezvous.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Sequence
 
 SCORE_BYTES = 8
+SCORE_RANGE = 1 << (8 * SCORE_BYTES)
 
 
 def score_pair(chooser: str, name: str) -> int:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -6,11 +6,13 @@
 import pytest
 from hypothesis import given, strategies
 
-from ragwortcourse.crashes.verdict import Verdict, judge_request
+from ragwortcourse.crashes.suspect import SuspectKind
+from ragwortcourse.crashes.verdict import Verdict, judge_suspect
 from ragwortcourse.forwarding.crash_evidence import (
     RUNS_LIMIT,
     CrashEvidence,
 )
+from ragwortcourse.forwarding.crash_rules import RULES
 from ragwortcourse.forwarding.lost_run import Fate, LostRun
 from ragwortcourse.identifiers import TargetName
 
@@ -28,7 +30,7 @@
 
 def make_evidence(*runs: LostRun) -> CrashEvidence:
     """Build evidence from lost runs."""
-    evidence = CrashEvidence()
+    evidence = CrashEvidence(rules=RULES[SuspectKind.REQUEST])
     for run in runs:
         evidence.note_run(run)
     return evidence
@@ -131,10 +133,13 @@
     )
     def test_verdict(self, proven, suspected, verdict):
         """Only crashes that are certain lead to a lasting refusal."""
-        assert verdict is judge_request(
+        assert verdict is judge_suspect(
             proven=proven, suspected=suspected, refused_from=3
         )
 
     def test_nothing(self):
         """Evidence without runs has no newest loss."""
-        assert CrashEvidence().newest_at == -math.inf
+        assert (
+            CrashEvidence(rules=RULES[SuspectKind.REQUEST]).newest_at
+            == -math.inf
+        )
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import dataclasses
-import random
 
 import msgspec
 import pytest
 
-from fakes.fleet_parts import make_plain, make_state
+from fakes.crash_daemon import REQUEST, CrashDaemon, make_request
 from ragwortcourse.clock import read_clock_with_suspend
 from ragwortcourse.crashes.evidence_store import SUSPICION_SECONDS
 from ragwortcourse.crashes.verdict import Verdict
@@ -15,79 +14,24 @@
     REPORTS_PER_MESSAGE,
     REPORTS_PER_ROUND,
     CrashMessage,
-    build_crash_sender,
-    note_reports,
 )
 from ragwortcourse.forwarding.crash_guard import (
     EVIDENCE_LIMIT,
     SETTLED_SECONDS,
     SURVIVAL_SECONDS,
-    CrashGuard,
 )
 from ragwortcourse.forwarding.loss_cause import LossCause
-from ragwortcourse.forwarding.lost_run import LostRun
 from ragwortcourse.forwarding.request_crashes import RequestCrashes
-from ragwortcourse.identifiers import DaemonId, Fingerprint, TargetName
 
 pytestmark = pytest.mark.looptime
 
-REQUEST = Fingerprint('request')
-
-
-class Daemon:
-    """Crash guard of one daemon that lists some targets."""
-
-    def __init__(self, *names: str) -> None:
-        self.state = make_state(*(make_plain(name) for name in names))
-        self.answered: dict[str, float] = {}
-        self.guard = CrashGuard(state=self.state, find_answered=self.find)
-        self.sent: list[tuple[bytes, str]] = []
-        self.sender = build_crash_sender(
-            guard=self.guard,
-            daemon=DaemonId('e1'),
-            rng=random.Random(1),
-            send=lambda content, address: self.sent.append((content, address)),
-        )
-
-    def find(self, name: TargetName, born: int) -> float:
-        """Find when an answered request was sent."""
-        return self.answered.get(name, -1)
-
-    async def lose(self, name: str, fingerprint: str = REQUEST) -> None:
-        """Lose the answer of a target to a request after 0.1 s."""
-        sent_at = read_clock_with_suspend()
-        await asyncio.sleep(0.1)
-        run = LostRun(
-            target=TargetName(name),
-            born=1,
-            sent_at=sent_at,
-            lost_at=read_clock_with_suspend(),
-        )
-        self.guard.note_lost(Fingerprint(fingerprint), run)
-
-    def end(self, name: str) -> None:
-        """Remove the row of a target."""
-        self.state.targets.pop(TargetName(name), None)
-
-    @property
-    def verdict(self) -> Verdict:
-        """Verdict on the request."""
-        return self.guard.judge(REQUEST).verdict
-
-    def deliver(self, other: 'Daemon') -> None:
-        """Deliver all messages sent so far to another daemon."""
-        for content, _ in self.sent:
-            note_reports(
-                other.guard, msgspec.json.decode(content, type=CrashMessage)
-            )
-
 
 class TestCrashGuard:
     """Verdicts of one daemon."""
 
     async def test_crashes(self):
         """A request is refused after three targets have ended under it."""
-        daemon = Daemon('a', 'b', 'c')
+        daemon = CrashDaemon('a', 'b', 'c')
         verdicts = [daemon.verdict]
         for name in 'abc':
             await daemon.lose(name)
@@ -99,15 +43,19 @@
             Verdict.SUSPECT,
             Verdict.REFUSED,
         ]
-        assert daemon.guard.check(REQUEST).inputs['targets'] == ['a', 'b', 'c']
+        assert daemon.admission.check([REQUEST]).inputs['targets'] == [
+            'a',
+            'b',
+            'c',
+        ]
 
     async def test_held_until_known(self):
         """A request is held back until it is known what became of targets."""
-        daemon = Daemon('a', 'b', 'c')
+        daemon = CrashDaemon('a', 'b', 'c')
         for name in 'abc':
             await daemon.lose(name)
         assert daemon.verdict is Verdict.HELD
-        refusal = daemon.guard.check(REQUEST)
+        refusal = daemon.admission.check([REQUEST])
         assert refusal.status == 503
         assert refusal.retry_after <= 10
         await asyncio.sleep(SURVIVAL_SECONDS + 1)
@@ -115,7 +63,7 @@
 
     async def test_living_targets(self):
         """Lost answers of targets that answer afterwards are no crashes."""
-        daemon = Daemon('a', 'b', 'c')
+        daemon = CrashDaemon('a', 'b', 'c')
         for name in 'abc':
             await daemon.lose(name)
             daemon.answered[name] = read_clock_with_suspend() + 0.1
@@ -123,7 +71,7 @@
 
     async def test_leaving_target(self):
         """A target that leaves has not crashed."""
-        daemon = Daemon('a', 'b', 'c')
+        daemon = CrashDaemon('a', 'b', 'c')
         for name in 'abc':
             await daemon.lose(name)
             target = daemon.state.targets[name]
@@ -136,7 +84,7 @@
 
     async def test_target_that_ends_much_later(self):
         """A target that ends long after a lost answer has not crashed by it."""
-        daemon = Daemon('a', 'b', 'c')
+        daemon = CrashDaemon('a', 'b', 'c')
         for name in 'abc':
             await daemon.lose(name)
         await asyncio.sleep(SURVIVAL_SECONDS + 1)
@@ -147,7 +95,7 @@
 
     async def test_store_away(self):
         """Rows that can't change while the store is away prove nothing."""
-        daemon = Daemon('a', 'b', 'c')
+        daemon = CrashDaemon('a', 'b', 'c')
         for name in 'abc':
             await daemon.lose(name)
         daemon.state.store_lost = True
@@ -162,7 +110,7 @@
 
     async def test_targets_not_read_yet(self):
         """A daemon that has no list of targets yet takes none for ended."""
-        daemon = Daemon()
+        daemon = CrashDaemon()
         daemon.state.targets_known = False
         for name in 'abc':
             await daemon.lose(name)
@@ -170,17 +118,17 @@
 
     async def test_one_at_a_time(self):
         """A request suspected of two crashes runs once at a time."""
-        daemon = Daemon('a', 'b')
+        daemon = CrashDaemon('a', 'b')
         for name in 'ab':
             await daemon.lose(name)
-        assert daemon.guard.check(REQUEST) is None
-        with daemon.guard.count_running(REQUEST):
-            assert daemon.guard.check(REQUEST).status == 503
-        assert daemon.guard.check(REQUEST) is None
+        assert daemon.admission.check([REQUEST]) is None
+        with daemon.admission.count_running([REQUEST]):
+            assert daemon.admission.check([REQUEST]).status == 503
+        assert daemon.admission.check([REQUEST]) is None
 
     async def test_expired(self):
         """A refusal ends after ``SUSPICION_SECONDS``."""
-        daemon = Daemon('a', 'b', 'c')
+        daemon = CrashDaemon('a', 'b', 'c')
         for name in 'abc':
             await daemon.lose(name)
             daemon.end(name)
@@ -192,7 +140,7 @@
 
     async def test_settled_evidence_is_dropped(self):
         """Evidence against innocent requests takes no memory for long."""
-        daemon = Daemon('a')
+        daemon = CrashDaemon('a')
         await daemon.lose('a')
         daemon.answered['a'] = read_clock_with_suspend() + 0.1
         await asyncio.sleep(SETTLED_SECONDS + 1)
@@ -201,13 +149,13 @@
 
     async def test_many_innocent_requests(self):
         """A flood of other lost answers does not evict a proven request."""
-        daemon = Daemon('a', 'b', 'c', 'd')
+        daemon = CrashDaemon('a', 'b', 'c', 'd')
         for name in 'abc':
             await daemon.lose(name)
             daemon.end(name)
         assert daemon.verdict is Verdict.REFUSED
         for number in range(EVIDENCE_LIMIT * 2):
-            await daemon.lose('d', f'other-{number}')
+            await daemon.lose('d', make_request(f'other-{number}'))
         assert len(daemon.guard.store) == EVIDENCE_LIMIT
         assert daemon.verdict is Verdict.REFUSED
 
@@ -217,7 +165,7 @@
 
     async def test_each_daemon_sees_a_part(self):
         """Crashes seen by three daemons add up at each of them."""
-        daemons = [Daemon('a', 'b', 'c') for _ in range(3)]
+        daemons = [CrashDaemon('a', 'b', 'c') for _ in range(3)]
         for name, daemon in zip('abc', daemons, strict=True):
             await daemon.lose(name)
             daemon.sender.send_round(['p1', 'p2'], repeats=False)
@@ -229,7 +177,7 @@
 
     async def test_restarted_daemon(self):
         """A daemon that starts later learns of a refused request."""
-        daemon, restarted = Daemon('a', 'b', 'c'), Daemon()
+        daemon, restarted = CrashDaemon('a', 'b', 'c'), CrashDaemon()
         for name in 'abc':
             await daemon.lose(name)
             daemon.end(name)
@@ -240,13 +188,13 @@
 
     async def test_answer_elsewhere(self):
         """A complete answer at one daemon clears the request at all."""
-        daemon, other = Daemon('a', 'b', 'c'), Daemon('a', 'b', 'c')
+        daemon, other = CrashDaemon('a', 'b', 'c'), CrashDaemon('a', 'b', 'c')
         for name in 'abc':
             await daemon.lose(name)
             daemon.end(name)
         daemon.sender.send_round(['p1'], repeats=False)
         daemon.deliver(other)
-        other.guard.note_answered(REQUEST)
+        other.guard.note_answered([REQUEST])
         other.sender.send_round(['p1'], repeats=False)
         other.deliver(daemon)
         assert daemon.verdict is Verdict.ALLOWED
@@ -254,7 +202,7 @@
 
     async def test_reports_are_not_passed_on_to_all(self):
         """A daemon tells all others only what it saw itself."""
-        daemon, other = Daemon('a'), Daemon('a')
+        daemon, other = CrashDaemon('a'), CrashDaemon('a')
         await daemon.lose('a')
         daemon.sender.send_round(['p1'], repeats=True)
         daemon.deliver(other)
@@ -264,9 +212,9 @@
     @pytest.mark.parametrize('daemons', [9, 45, 350])
     async def test_cost_of_a_lost_failure_domain(self, daemons):
         """All daemons together send few reports in one round."""
-        daemon = Daemon()
+        daemon = CrashDaemon()
         for number in range(40):
-            await daemon.lose('a', f'request-{number}')
+            await daemon.lose('a', make_request(f'request-{number}'))
         daemon.sender.send_round(['p'] * (daemons - 1), repeats=False)
         (content, _), *_ = daemon.sent
         message = msgspec.json.decode(content, type=CrashMessage)
@@ -280,16 +228,16 @@
     @pytest.mark.parametrize('cause', LossCause)
     async def test_causes(self, cause):
         """Only a cut or silent target may have crashed."""
-        daemon = Daemon('a')
-        crashes = RequestCrashes(guard=daemon.guard, fingerprint=REQUEST)
+        daemon = CrashDaemon('a')
+        crashes = RequestCrashes(guard=daemon.guard, suspects=[REQUEST])
         crashes.note_sent(daemon.state.targets['a'])
         crashes.note_lost(cause)
         assert len(daemon.guard.store) == (cause is not LossCause.INVALID)
 
     async def test_not_run(self):
         """A target that did not run the request is not counted."""
-        daemon = Daemon('a')
-        crashes = RequestCrashes(guard=daemon.guard, fingerprint=REQUEST)
+        daemon = CrashDaemon('a')
+        crashes = RequestCrashes(guard=daemon.guard, suspects=[REQUEST])
         crashes.note_sent(daemon.state.targets['a'])
         crashes.note_not_run()
         crashes.note_lost(LossCause.SILENCE)
