Let answers that end with a crash clear nothing

Cause: such an answer ends with its connection, and so does one whose target crashes between two events. It was taken for whole and cleared the request and its parts of all crashes before, at each crash.

Change: the answer waits until the fate of its incarnation is known, which is read as for lost answers. A target that answers a later request, or is listed 10 s later, makes it clear its suspects, of what was lost before its end; one whose row is gone makes it a crash. A connection that the target refuses meanwhile makes it suspected at once, as rows go only seconds later. Answers of the caller's side are as before: an orderly close between two events can't be told from the end of the stream.

--- a/src/ragwortcourse/forwarding/crash_guard.py
+++ b/src/ragwortcourse/forwarding/crash_guard.py
@@ -5,6 +5,7 @@
 also end for other reasons under many innocent requests.
 """
 
+import collections
 import dataclasses
 import logging
 import math
@@ -23,13 +24,16 @@
 from ragwortcourse.forwarding.crash_evidence import CrashEvidence
 from ragwortcourse.forwarding.crash_rules import RULES
 from ragwortcourse.forwarding.fleet_state import FleetState
-from ragwortcourse.forwarding.lost_run import Fate, LostRun
+from ragwortcourse.forwarding.lost_run import Fate, LostRun, RunEnd
+from ragwortcourse.forwarding.target import Target
 from ragwortcourse.identifiers import TargetName
 
 # Suspected crashes from which a request runs at one target at a time and is
 # not repeated.
 CRASHES_TO_SINGLE: Final = 2
 EVIDENCE_LIMIT: Final = 512
+# Answers that ended with their connection and may have been lost.
+CLOSED_LIMIT: Final = 1024
 # An incarnation that is still listed this long after it lost an answer has
 # survived.
 SURVIVAL_SECONDS: Final = 10.0
@@ -58,6 +62,17 @@
 ALLOWED: Final = Judgement(verdict=Verdict.ALLOWED)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _ClosedAnswer:
+    """Answer that is whole only if its target did not end with it.
+
+    :param suspects: what the answer clears, or is evidence against.
+    """
+
+    suspects: tuple[Suspect, ...]
+    run: LostRun
+
+
 class CrashGuard:
     """Evidence of one daemon, merged with that of the others.
 
@@ -77,6 +92,7 @@
         )
         self._state = state
         self._find_answered = find_answered
+        self._closed = collections.deque[_ClosedAnswer](maxlen=CLOSED_LIMIT)
         self._store_lost_at = -math.inf
 
     def judge(self, suspect: Suspect) -> Judgement:
@@ -112,14 +128,40 @@
         for suspect in suspects:
             evidence = self._find(suspect)
             evidence.note_run(run)
-            evidence.note_own_news(run.lost_at)
+            evidence.note_own_news(read_clock_with_suspend())
 
     def merge_run(self, suspect: Suspect, run: LostRun) -> None:
         """Merge a lost run of any daemon."""
         self._find(suspect).note_run(run)
 
-    def note_answered(self, suspects: Iterable[Suspect]) -> None:
-        """Note an answer that clears suspects: they do not crash targets."""
+    def note_closed(self, suspects: Iterable[Suspect], run: LostRun) -> None:
+        """Note an answer that ended with its connection.
+
+        It clears suspects once its target is known to live, and counts
+        against them once the target is known to have ended.
+        """
+        self._closed.append(_ClosedAnswer(suspects=tuple(suspects), run=run))
+
+    def note_refused(self, target: Target) -> None:
+        """Note that nothing listens at the address of a target."""
+        for closed in tuple(self._closed):
+            run = closed.run
+            if run.target == target.name and run.born == target.born:
+                self._closed.remove(closed)
+                # The fate is still open: the target may be out of
+                # connections.
+                self.note_lost(
+                    closed.suspects, dataclasses.replace(run, end=RunEnd.CUT)
+                )
+
+    def note_answered(
+        self, suspects: Iterable[Suspect], answered_at: float | None = None
+    ) -> None:
+        """Note an answer that clears suspects: they do not crash targets.
+
+        :param answered_at: seconds of the clock that runs during suspension;
+            none for now.
+        """
         now = read_clock_with_suspend()
         for suspect in suspects:
             evidence = self.store.find(suspect)
@@ -131,7 +173,7 @@
                     extra=suspect.describe(),
                 )
             evidence.note_own_news(now)
-            evidence.note_answer(now)
+            evidence.note_answer(now if answered_at is None else answered_at)
 
     def merge_answer(self, suspect: Suspect, answered_at: float) -> None:
         """Merge an answer that another daemon noted."""
@@ -142,6 +184,7 @@
         now = read_clock_with_suspend()
         if self._state.store_lost:
             self._store_lost_at = now
+        self._settle_closed(now)
         for suspect, evidence in tuple(self.store.list_items()):
             self._settle(suspect, evidence, now)
             kept = (
@@ -159,6 +202,17 @@
             self.store.add(suspect, evidence)
         return evidence
 
+    def _settle_closed(self, now: float) -> None:
+        for closed in tuple(self._closed):
+            fate = self._read_fate(closed.run, now)
+            if fate is Fate.UNKNOWN:
+                continue
+            self._closed.remove(closed)
+            if fate is Fate.SURVIVED:
+                self.note_answered(closed.suspects, closed.run.lost_at)
+            else:
+                self.note_lost(closed.suspects, closed.run)
+
     def _settle(
         self, suspect: Suspect, evidence: CrashEvidence, now: float
     ) -> None:
--- a/src/ragwortcourse/forwarding/exchange.py
+++ b/src/ragwortcourse/forwarding/exchange.py
@@ -1,6 +1,7 @@
 """Sending of one request to one target and reading of the answer."""
 
 import dataclasses
+import errno
 import socket
 from collections.abc import AsyncIterator
 from typing import Final
@@ -40,9 +41,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class NotSent:
-    """Failed connection: the target can't have run the request."""
+    """Failed connection: the target can't have run the request.
+
+    :param refused: true if nothing listens at the address.
+    """
 
     detail: str
+    refused: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -65,6 +70,13 @@
         self.head = head
         self._response = response
 
+    @property
+    def is_framed(self) -> bool:
+        """Tell whether the end of the body is known from the answer."""
+        return not FRAMING.isdisjoint(
+            name.lower() for name in self._response.headers
+        )
+
     async def read_pieces(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
@@ -106,7 +118,7 @@
         response = self._response
         return (
             isinstance(response, TargetResponse)
-            and FRAMING.isdisjoint(name.lower() for name in response.headers)
+            and not self.is_framed
             and response.was_reset()
         )
 
@@ -166,7 +178,11 @@
         aiohttp.ClientConnectorError,
         aiohttp.ConnectionTimeoutError,
     ) as error:
-        return NotSent(detail=repr(error))
+        return NotSent(
+            detail=repr(error),
+            refused=isinstance(error, OSError)
+            and error.errno == errno.ECONNREFUSED,
+        )
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         return NoAnswer(detail=repr(error), cause=_read_cause(error))
     head = wire.read_head(response.status, response.headers, call.attempt)
--- a/src/ragwortcourse/forwarding/lost_run.py
+++ b/src/ragwortcourse/forwarding/lost_run.py
@@ -9,10 +9,13 @@
 class RunEnd(enum.IntEnum):
     """How an answer was lost; of several the higher value holds."""
 
+    # The connection of an answer without a stated length ended in order,
+    # which is the end of the answer or of the target.
+    CLOSED = 0
     # The target stopped sending.
-    SILENT = 0
+    SILENT = 1
     # The connection ended.
-    CUT = 1
+    CUT = 2
 
 
 class Fate(enum.IntEnum):
--- a/src/ragwortcourse/forwarding/plain_call.py
+++ b/src/ragwortcourse/forwarding/plain_call.py
@@ -64,7 +64,9 @@
     finally:
         tries.end(opened)
     head = opened.answer.head
-    tries.crashes.note_answered(success=head.is_success)
+    tries.crashes.note_answered(
+        success=head.is_success, framed=opened.answer.is_framed
+    )
     if head.is_success:
         opened.load.note_success(read_clock() - opened.began_at)
     return WholeAnswer(head=head, body=body)
--- a/src/ragwortcourse/forwarding/request_crashes.py
+++ b/src/ragwortcourse/forwarding/request_crashes.py
@@ -62,15 +62,24 @@
             self._parts_cleared = True
             self._guard.note_answered(self._parts)
 
-    def note_answered(self, *, success: bool) -> None:
+    def note_answered(self, *, success: bool, framed: bool) -> None:
         """Note that the answer of a target arrived whole.
 
         :param success: false for an error, which tells nothing about what
             the target writes on.
+        :param framed: false if the answer ended with its connection, as it
+            also does when the target ends.
         """
-        self._guard.note_answered(
-            [each for each in self.suspects if success or self._is_whole(each)]
-        )
+        answered = [
+            each for each in self.suspects if success or _is_whole(each)
+        ]
+        target = self._target
+        if framed or target is None:
+            self._guard.note_answered(answered)
+        else:
+            self._guard.note_closed(
+                answered, self._describe_run(target, RunEnd.CLOSED)
+            )
 
     def note_lost(self, cause: LossCause) -> None:
         """Note that the answer of the last target was lost."""
@@ -82,16 +91,20 @@
             [
                 each
                 for each in self.suspects
-                if self._is_whole(each) or not self._parts_cleared
+                if _is_whole(each) or not self._parts_cleared
             ],
-            LostRun(
-                target=target.name,
-                born=target.born,
-                sent_at=self.sent_at,
-                lost_at=read_clock_with_suspend(),
-                end=end,
-            ),
+            self._describe_run(target, end),
         )
 
-    def _is_whole(self, suspect: Suspect) -> bool:
-        return suspect.kind is SuspectKind.REQUEST
+    def _describe_run(self, target: Target, end: RunEnd) -> LostRun:
+        return LostRun(
+            target=target.name,
+            born=target.born,
+            sent_at=self.sent_at,
+            lost_at=read_clock_with_suspend(),
+            end=end,
+        )
+
+
+def _is_whole(suspect: Suspect) -> bool:
+    return suspect.kind is SuspectKind.REQUEST
--- a/src/ragwortcourse/forwarding/stream_call.py
+++ b/src/ragwortcourse/forwarding/stream_call.py
@@ -83,14 +83,18 @@
     ) -> web.StreamResponse | Refusal | WholeAnswer:
         if not opened.answer.head.is_success:
             body = await opened.answer.read_whole()
-            self._tries.crashes.note_answered(success=False)
+            self._tries.crashes.note_answered(
+                success=False, framed=opened.answer.is_framed
+            )
             if self._response is None:
                 return WholeAnswer(head=opened.answer.head, body=body)
             return self._give_up(Refusal(reason=Reason.FAILED))
         async for whole in self._read_events(opened):
             response = await self._begin(opened)
             await response.write(whole)
-        self._tries.crashes.note_answered(success=True)
+        self._tries.crashes.note_answered(
+            success=True, framed=opened.answer.is_framed
+        )
         response = await self._begin(opened)
         await response.write_eof()
         return response
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -256,6 +256,8 @@
         if isinstance(answer, NotSent):
             self.runs -= 1
             self.crashes.note_not_run()
+            if answer.refused:
+                self.forwarder.safeguards.crash_guard.note_refused(target)
             now = read_clock()
             load.target_health.note_unreachable(now)
             self.forwarder.state.reach.note_unreachable(
--- a/tests/test_crash_admission.py
+++ b/tests/test_crash_admission.py
@@ -192,11 +192,77 @@
         daemon = CrashDaemon(*TARGETS)
         await crash_five(daemon, BAD)
         crashes = self.make_crashes(daemon)
-        crashes.note_answered(success=success)
+        crashes.note_answered(success=success, framed=True)
         cleared = judge(daemon) is Verdict.ALLOWED
         assert cleared is success
 
 
+class TestAnswersWithoutLength:
+    """Answers that end with their connections, as they do in a crash."""
+
+    def close(self, daemon: CrashDaemon, name: str) -> None:
+        """End an answer with its connection."""
+        crashes = RequestCrashes(
+            guard=daemon.guard, suspects=[make_request('r'), BAD]
+        )
+        crashes.note_sent(daemon.state.targets[name])
+        crashes.note_written()
+        crashes.note_answered(success=True, framed=False)
+
+    async def test_target_that_ended(self):
+        """Answers whose targets end with them count as crashes."""
+        daemon = CrashDaemon(*TARGETS)
+        for name in TARGETS:
+            await asyncio.sleep(0.1)
+            self.close(daemon, name)
+            assert judge(daemon) is not Verdict.HELD
+        for name in TARGETS:
+            daemon.end(name)
+        daemon.guard.settle()
+        assert judge(daemon) is Verdict.REFUSED
+
+    async def test_evidence_is_kept(self):
+        """Such an answer clears nothing before its target is known to live."""
+        daemon = CrashDaemon(*TARGETS)
+        await crash_five(daemon, BAD)
+        self.close(daemon, 'e')
+        daemon.guard.settle()
+        assert judge(daemon) is Verdict.HELD
+        daemon.answered['e'] = read_clock_with_suspend() + 0.1
+        daemon.guard.settle()
+        assert judge(daemon) is Verdict.ALLOWED
+
+    async def test_losses_after_the_answer(self):
+        """An answer clears only what was lost before its end."""
+        daemon = CrashDaemon(*TARGETS, 'f')
+        self.close(daemon, 'f')
+        await crash_five(daemon, BAD)
+        daemon.answered['f'] = read_clock_with_suspend()
+        daemon.guard.settle()
+        assert judge(daemon) is Verdict.HELD
+
+    async def test_refused_connections(self):
+        """A target that refuses connections since is suspected at once."""
+        daemon = CrashDaemon(*TARGETS)
+        for name in TARGETS:
+            await asyncio.sleep(0.1)
+            self.close(daemon, name)
+            daemon.guard.note_refused(daemon.state.targets[name])
+        assert judge(daemon) is Verdict.HELD
+        for name in TARGETS:
+            daemon.answered[name] = read_clock_with_suspend() + 0.1
+        assert judge(daemon) is Verdict.ALLOWED
+
+    async def test_answers_of_sound_targets(self):
+        """Answers of targets that live leave no evidence."""
+        daemon = CrashDaemon(*TARGETS)
+        for name in TARGETS:
+            self.close(daemon, name)
+        await asyncio.sleep(SURVIVAL_SECONDS + 1)
+        daemon.guard.settle()
+        assert not daemon.guard.store
+
+
 class TestTrials:
     """Single requests that tell whether a refused part still crashes."""
 
