Count a trial of a refused part until its answer is known

A trial is now noted when it is sent, told to the other daemons, and counts as a loss for the times of trials until an answer clears the suspect. test_part_that_still_crashes plays it with unknown ends, too.

The exchange's messages and the waiting answers have modules of their own; evidence of other daemons is merged in one place.

--- a/fakes/crash_daemon.py
+++ b/fakes/crash_daemon.py
@@ -11,11 +11,11 @@
 from ragwortcourse.crashes.verdict import Verdict
 from ragwortcourse.forwarding.crash_admission import CrashAdmission
 from ragwortcourse.forwarding.crash_exchange import (
-    CrashMessage,
     build_crash_sender,
     note_reports,
 )
 from ragwortcourse.forwarding.crash_guard import CrashGuard
+from ragwortcourse.forwarding.crash_messages import CrashMessage
 from ragwortcourse.forwarding.lost_run import LostRun, RunEnd
 from ragwortcourse.identifiers import DaemonId, TargetName
 
--- a/src/ragwortcourse/forwarding/crash_evidence.py
+++ b/src/ragwortcourse/forwarding/crash_evidence.py
@@ -22,14 +22,17 @@
 
     :param answered_at: time of the newest answer that clears the suspect; runs
         lost before do not count.
-    :param own_news_at: time of the newest loss or answer that this daemon
-        noted itself.
+    :param trial_at: time at which the newest trial of a refused suspect was
+        sent.
+    :param own_news_at: time of the newest loss, answer or trial that this
+        daemon noted itself.
     :param sends: rounds of messages in which these news were sent.
     """
 
     rules: CrashRules
     runs: dict[Incarnation, LostRun] = dataclasses.field(default_factory=dict)
     answered_at: float = -math.inf
+    trial_at: float = -math.inf
     own_news_at: float = -math.inf
     sends: int = 0
 
@@ -55,7 +58,7 @@
             self.runs.pop(oldest)
 
     def note_own_news(self, at: float) -> None:
-        """Note a loss or an answer that this daemon saw itself."""
+        """Note what this daemon saw itself."""
         self.own_news_at = at
         self.sends = 0
 
@@ -63,6 +66,17 @@
         """Note an answer that clears the suspect."""
         self.answered_at = max(self.answered_at, answered_at)
 
+    def note_trial(self, trial_at: float) -> None:
+        """Note a trial."""
+        self.trial_at = max(self.trial_at, trial_at)
+
+    def merge(self, other: 'CrashEvidence') -> None:
+        """Merge what another daemon knows."""
+        for run in other.runs.values():
+            self.note_run(run)
+        self.note_answer(other.answered_at)
+        self.note_trial(other.trial_at)
+
     def count_proven(self) -> int:
         """Count the crashes that are certain."""
         return self.rules.count_runs(self._list_ended())
--- a/src/ragwortcourse/forwarding/crash_guard.py
+++ b/src/ragwortcourse/forwarding/crash_guard.py
@@ -5,7 +5,6 @@
 also end for other reasons under many innocent requests.
 """
 
-import collections
 import dataclasses
 import logging
 import math
@@ -21,6 +20,7 @@
 )
 from ragwortcourse.crashes.suspect import Suspect
 from ragwortcourse.crashes.verdict import Verdict, judge_suspect
+from ragwortcourse.forwarding.closed_answers import ClosedAnswers
 from ragwortcourse.forwarding.crash_evidence import CrashEvidence
 from ragwortcourse.forwarding.crash_rules import RULES
 from ragwortcourse.forwarding.fleet_state import FleetState
@@ -32,8 +32,6 @@
 # not repeated.
 CRASHES_TO_SINGLE: Final = 2
 EVIDENCE_LIMIT: Final = 512
-# Answers that ended with their connection and may have been lost.
-CLOSED_LIMIT: Final = 1024
 # An incarnation that is still listed this long after it lost an answer has
 # survived.
 SURVIVAL_SECONDS: Final = 10.0
@@ -59,20 +57,10 @@
     suspected: int = 0
 
 
+REFUSING: Final = frozenset((Verdict.HELD, Verdict.REFUSED))
 ALLOWED: Final = Judgement(verdict=Verdict.ALLOWED)
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _ClosedAnswer:
-    """Answer that is whole only if its target did not end with it.
-
-    :param suspects: what the answer clears, or is evidence against.
-    """
-
-    suspects: tuple[Suspect, ...]
-    run: LostRun
-
-
 class CrashGuard:
     """Evidence of one daemon, merged with that of the others.
 
@@ -92,7 +80,7 @@
         )
         self._state = state
         self._find_answered = find_answered
-        self._closed = collections.deque[_ClosedAnswer](maxlen=CLOSED_LIMIT)
+        self._closed = ClosedAnswers()
         self._store_lost_at = -math.inf
 
     def judge(self, suspect: Suspect) -> Judgement:
@@ -116,6 +104,20 @@
             suspected=suspected,
         )
 
+    def note_sent(self, suspects: Iterable[Suspect]) -> None:
+        """Note that a request is sent, as a trial if a suspect is refused."""
+        now = read_clock_with_suspend()
+        for suspect in suspects:
+            evidence = self.store.find(suspect)
+            if evidence is None or self.judge(suspect).verdict not in REFUSING:
+                continue
+            LOGGER.info(
+                'request sent as a trial of a refused suspect',
+                extra=suspect.describe(),
+            )
+            evidence.note_own_news(now)
+            evidence.note_trial(now)
+
     def note_lost(self, suspects: Iterable[Suspect], run: LostRun) -> None:
         """Note that the answer of a target to a request was lost.
 
@@ -130,9 +132,9 @@
             evidence.note_run(run)
             evidence.note_own_news(read_clock_with_suspend())
 
-    def merge_run(self, suspect: Suspect, run: LostRun) -> None:
-        """Merge a lost run of any daemon."""
-        self._find(suspect).note_run(run)
+    def merge(self, suspect: Suspect, evidence: CrashEvidence) -> None:
+        """Merge the evidence of another daemon."""
+        self._find(suspect).merge(evidence)
 
     def note_closed(self, suspects: Iterable[Suspect], run: LostRun) -> None:
         """Note an answer that ended with its connection.
@@ -140,19 +142,14 @@
         It clears suspects once its target is known to live, and counts
         against them once the target is known to have ended.
         """
-        self._closed.append(_ClosedAnswer(suspects=tuple(suspects), run=run))
+        self._closed.add(suspects, run)
 
     def note_refused(self, target: Target) -> None:
         """Note that nothing listens at the address of a target."""
-        for closed in tuple(self._closed):
-            run = closed.run
-            if run.target == target.name and run.born == target.born:
-                self._closed.remove(closed)
-                # The fate is still open: the target may be out of
-                # connections.
-                self.note_lost(
-                    closed.suspects, dataclasses.replace(run, end=RunEnd.CUT)
-                )
+        for closed in self._closed.take_of(target):
+            # The fate is still open: the target may be out of connections.
+            cut = dataclasses.replace(closed.run, end=RunEnd.CUT)
+            self.note_lost(closed.suspects, cut)
 
     def note_answered(
         self, suspects: Iterable[Suspect], answered_at: float | None = None
@@ -175,10 +172,6 @@
             evidence.note_own_news(now)
             evidence.note_answer(now if answered_at is None else answered_at)
 
-    def merge_answer(self, suspect: Suspect, answered_at: float) -> None:
-        """Merge an answer that another daemon noted."""
-        self._find(suspect).note_answer(answered_at)
-
     def settle(self) -> None:
         """Find out which incarnations ended, and drop settled evidence."""
         now = read_clock_with_suspend()
@@ -203,11 +196,8 @@
         return evidence
 
     def _settle_closed(self, now: float) -> None:
-        for closed in tuple(self._closed):
-            fate = self._read_fate(closed.run, now)
-            if fate is Fate.UNKNOWN:
-                continue
-            self._closed.remove(closed)
+        fates = self._closed.take_known(lambda run: self._read_fate(run, now))
+        for closed, fate in fates:
             if fate is Fate.SURVIVED:
                 self.note_answered(closed.suspects, closed.run.lost_at)
             else:
--- a/src/ragwortcourse/forwarding/crash_trials.py
+++ b/src/ragwortcourse/forwarding/crash_trials.py
@@ -27,9 +27,10 @@
 
     :return: seconds of the clock that runs during suspension.
     """
-    refused_for = evidence.newest_at - evidence.find_refused_since()
-    pause = max(FIRST_TRIAL_SECONDS, refused_for * TRIAL_GROWTH)
-    return evidence.newest_at + pause
+    # A trial counts as lost until its answer clears the suspect.
+    newest_at = max(evidence.newest_at, evidence.trial_at)
+    refused_for = newest_at - evidence.find_refused_since()
+    return newest_at + max(FIRST_TRIAL_SECONDS, refused_for * TRIAL_GROWTH)
 
 
 def may_send_trial(
--- a/src/ragwortcourse/forwarding/report_exchange.py
+++ b/src/ragwortcourse/forwarding/report_exchange.py
@@ -3,11 +3,10 @@
 from collections.abc import Callable
 
 from ragwortcourse.forwarding.crash_exchange import (
-    CrashMessage,
-    CrashReport,
     build_crash_sender,
     note_reports,
 )
+from ragwortcourse.forwarding.crash_messages import CrashMessage, CrashReport
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.limit_exchange import (
     LimitMessage,
--- a/src/ragwortcourse/forwarding/request_crashes.py
+++ b/src/ragwortcourse/forwarding/request_crashes.py
@@ -48,6 +48,7 @@
         self._began_at = None
         self._parts_cleared = False
         self.sent_at = read_clock_with_suspend()
+        self._guard.note_sent(self.suspects)
 
     def note_not_run(self) -> None:
         """Note that the last target did not run the request."""
--- a/tests/test_crash_admission.py
+++ b/tests/test_crash_admission.py
@@ -267,10 +267,15 @@
     """Single requests that tell whether a refused part still crashes."""
 
     async def play(
-        self, daemons: list[CrashDaemon], seconds: float, *, crashes: bool
+        self,
+        daemons: list[CrashDaemon],
+        seconds: float,
+        *,
+        crashes: bool | None,
     ) -> list[float]:
         """Send requests with the part to random daemons.
 
+        :param crashes: none if it is not known what became of their targets.
         :return: when requests ran, in seconds since the last crash.
         """
         rng = random.Random(1)
@@ -280,8 +285,11 @@
             daemon = rng.choice(daemons)
             if daemon.admission.check([BAD]) is None:
                 ran_at.append(now - began_at)
+                daemon.guard.note_sent([BAD])
                 await asyncio.sleep(0.3)
-                if crashes:
+                if crashes is None:
+                    pass
+                elif crashes:
                     daemon.cut(f't{now}', BAD, sent_at=now)
                 else:
                     daemon.guard.note_answered([BAD])
@@ -312,11 +320,12 @@
         assert {judge(daemon) for daemon in daemons} == {Verdict.REFUSED}
         return daemons
 
+    @pytest.mark.parametrize('crashes', [True, None])
     @pytest.mark.parametrize('count', [1, 9, 45])
-    async def test_part_that_still_crashes(self, count):
+    async def test_part_that_still_crashes(self, count, crashes):
         """Trials become rare; all daemons together send few."""
         daemons = await self.open(count)
-        ran_at = await self.play(daemons, SUSPICION_SECONDS, crashes=True)
+        ran_at = await self.play(daemons, SUSPICION_SECONDS, crashes=crashes)
         assert sum(at > CONTACT_SECONDS for at in ran_at) <= ALLOWED
 
     @pytest.mark.parametrize('count', [1, 9, 45])
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -13,13 +13,13 @@
 from ragwortcourse.forwarding.crash_exchange import (
     REPORTS_PER_MESSAGE,
     REPORTS_PER_ROUND,
-    CrashMessage,
 )
 from ragwortcourse.forwarding.crash_guard import (
     EVIDENCE_LIMIT,
     SETTLED_SECONDS,
     SURVIVAL_SECONDS,
 )
+from ragwortcourse.forwarding.crash_messages import CrashMessage
 from ragwortcourse.forwarding.loss_cause import LossCause
 from ragwortcourse.forwarding.request_crashes import RequestCrashes
 
