Read a target's rest and leaving, and log them with refused tries

Names as in the issue: Retry-After in a 503, Server-Leaving.

Values are decoded once in the adapter: a number of seconds that is not negative, or '1' and '0'; anything else is ignored with a log line, and so is a rest in an answer to another attempt. Nothing decides by them yet.

--- a/src/ragwortcourse/forwarding/answer_head.py
+++ b/src/ragwortcourse/forwarding/answer_head.py
@@ -30,6 +30,9 @@
         daemons together; none: no limit.
     :param rate_limit_readable: false if the target names a limit that can't
         be read.
+    :param rest_seconds: how long the target wants nothing from this daemon;
+        none: it does not say so.
+    :param leaving: true if the target says that it leaves.
     :param headers: headers to pass on to the caller.
     """
 
@@ -42,6 +45,8 @@
     headers: CIMultiDict[str]
     rate_limit: float | None = None
     rate_limit_readable: bool = True
+    rest_seconds: float | None = None
+    leaving: bool = False
 
     @property
     def speaks_for_target(self) -> bool:
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -247,6 +247,8 @@
             'target did not run the request',
             opened.target,
             f'status {head.status}',
+            rest_seconds=head.rest_seconds,
+            leaving=head.leaving,
         )
         return None
 
@@ -292,7 +294,9 @@
             )
         return Refusal(reason=Reason.NOT_RUN, retry_after=wait)
 
-    def _log(self, message: str, target: Target, detail: str) -> None:
+    def _log(
+        self, message: str, target: Target, detail: str, **fields: object
+    ) -> None:
         self.moved = True
         LOGGER.info(
             message,
@@ -305,5 +309,6 @@
                 'detail': detail,
                 'sends': self._sends,
                 'runs': self.runs,
+                **fields,
             },
         )
--- a/src/ragwortcourse/platform/names.py
+++ b/src/ragwortcourse/platform/names.py
@@ -10,6 +10,10 @@
 LOAD: Final = 'Ragwortcourse-Server-Load'
 # Requests a second from all daemons together, a decimal number.
 RATE_LIMIT: Final = 'Server-Limit'
+# ``1`` in each answer of a target that leaves.
+LEAVING: Final = 'Server-Leaving'
+# Seconds for which a target that answers 503 wants nothing from this daemon.
+RETRY_AFTER: Final = 'Retry-After'
 # Rises by one each time the store comes back from an older copy.
 ERA: Final = 'Store-Era'
 COLD: Final = 'Ragwortcourse-Cold-Ms'
--- a/src/ragwortcourse/platform/wire.py
+++ b/src/ragwortcourse/platform/wire.py
@@ -3,6 +3,7 @@
 import logging
 import math
 from collections.abc import Mapping
+from http import HTTPStatus
 from typing import Final
 
 from aiohttp import web
@@ -33,6 +34,8 @@
 )
 MISDIRECTED: Final = 421
 LOAD_FIELDS: Final = 3
+YES: Final = '1'
+NO: Final = '0'
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -112,20 +115,53 @@
         headers=headers,
         rate_limit=rate,
         rate_limit_readable=rate_limit is None or rate is not None,
+        rest_seconds=_read_rest(status, received, attempt),
+        leaving=_read_leaving(received.get(names.LEAVING)),
     )
 
 
+def _read_rest(
+    status: int, received: Mapping[str, str], attempt: AttemptId | None
+) -> float | None:
+    text = received.get(names.RETRY_AFTER)
+    if text is None or status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return None
+    if received.get(names.ATTEMPT_ID, attempt) != attempt:
+        return None
+    seconds = _read_amount(text)
+    if seconds is None:
+        LOGGER.warning(
+            'unreadable time of rest of a target ignored',
+            extra={'content': text},
+        )
+    return seconds
+
+
+def _read_leaving(text: str | None) -> bool:
+    if text is not None and text.strip() not in {YES, NO}:
+        LOGGER.warning(
+            'unreadable word of a target on its leaving ignored',
+            extra={'content': text},
+        )
+    return text is not None and text.strip() == YES
+
+
 def _read_rate(text: str) -> float | None:
+    rate = _read_amount(text)
+    if rate is None:
+        LOGGER.warning(
+            'unreadable limit of a target ignored', extra={'content': text}
+        )
+    return rate
+
+
+def _read_amount(text: str) -> float | None:
+    """Read a finite number that is not negative; none for anything else."""
     try:
-        rate = float(text)
+        amount = float(text)
     except ValueError:
-        rate = math.nan
-    if math.isfinite(rate) and rate >= 0:
-        return rate
-    LOGGER.warning(
-        'unreadable limit of a target ignored', extra={'content': text}
-    )
-    return None
+        return None
+    return amount if math.isfinite(amount) and amount >= 0 else None
 
 
 def _drop_hop_headers(headers: CIMultiDict[str]) -> None:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -204,3 +204,59 @@
         received = CIMultiDict({**MARKS, 'Server-Limit': '1'})
         assert read_head(200, received, AttemptId('a1')).speaks_for_target
         assert not read_head(421, received, AttemptId('a1')).speaks_for_target
+
+
+class TestReadRest:
+    """Times for which targets want no requests."""
+
+    @pytest.mark.parametrize(
+        ('named', 'seconds'),
+        [
+            (None, None),
+            ('3', 3),
+            ('0.25', 0.25),
+            ('0', 0),
+            ('1e9', 1e9),
+            ('-1', None),
+            ('nan', None),
+            ('inf', None),
+            (' ', None),
+            ('Wed, 21 Oct 2026 07:28:00 GMT', None),
+        ],
+    )
+    def test_read(self, named, seconds, caplog):
+        """A number of seconds that is not negative is a rest."""
+        received = {} if named is None else {'Retry-After': named}
+        answer = head(503, **received)
+        assert answer.rest_seconds == seconds
+        is_unreadable = named is not None and seconds is None
+        assert len(caplog.records) == is_unreadable
+
+    @pytest.mark.parametrize('status', [200, 429, 500])
+    def test_other_statuses(self, status):
+        """Only a target that answers 503 asks for rest."""
+        assert head(status, **{'Retry-After': '3'}).rest_seconds is None
+
+    def test_answer_to_another_request(self):
+        """An answer with another attempt id says nothing."""
+        other = {'Ragwortcourse-Attempt-Id': 'a0', 'Retry-After': '3'}
+        assert head(503, **other).rest_seconds is None
+
+
+class TestReadLeaving:
+    """Targets that say in their answers that they leave."""
+
+    @pytest.mark.parametrize(
+        ('text', 'leaving', 'lines'),
+        [('1', True, 0), ('0', False, 0), (' ', False, 1), ('soon', False, 1)],
+    )
+    def test_read(self, text, leaving, lines, caplog):
+        """Only ``1`` says it; anything but a digit is logged."""
+        assert head(**{'Server-Leaving': text}).leaving is leaving
+        assert len(caplog.records) == lines
+
+    @pytest.mark.parametrize('status', [200, 429, 500, 503])
+    def test_any_status(self, status):
+        """Each answer says it, whatever its status."""
+        assert head(status, **{'Server-Leaving': '1'}).leaving
+        assert not head(status).leaving
