Send nothing to a target for as long as it asks for rest

Cause: Retry-After in a target's 503 was read nowhere. The class: what targets say of themselves is read field by field as incidents come.

Change: a rest binds this daemon and this incarnation, first tries, repeats, continued streams and trials alike, as all choose their target in choose_target. It is no failure of the target. Where all targets of a service rest, requests are refused at once, and callers told the first end. Nothing is told to other daemons, as the target asked this one.

Ruled out: chains of tries as a cause of their own (each target is asked once for each rest now), other paths than choose_target.

--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -183,7 +183,10 @@
         return False
     if rules.engine is not None and not target.holds(rules.engine.layers):
         return False
-    if not forwarder.safeguards.target_limits.has_room(target):
+    safeguards = forwarder.safeguards
+    if safeguards.target_rests.read_seconds_left(target) > 0:
+        return False
+    if not safeguards.target_limits.has_room(target):
         return False
     return _has_cold_room(forwarder, target, rules)
 
--- a/src/ragwortcourse/forwarding/choice_refusals.py
+++ b/src/ragwortcourse/forwarding/choice_refusals.py
@@ -13,6 +13,8 @@
 
 # After this time a target may be back or a new one may be listed.
 NO_TARGET_RETRY_SECONDS: Final = 0.5
+# Callers return this long after the end of a rest, spread by as much again.
+RESTED_RETRY_SECONDS: Final = 0.1
 
 
 def is_limited(forwarder: Forwarder, target: Target) -> bool:
@@ -20,6 +22,33 @@
     return forwarder.safeguards.target_limits.find_rate(target) is not None
 
 
+def is_resting(forwarder: Forwarder, target: Target) -> bool:
+    """Tell whether a target wants nothing from this daemon for now."""
+    return forwarder.safeguards.target_rests.read_seconds_left(target) > 0
+
+
+def choose_return(
+    forwarder: Forwarder, service: ServiceName, wait: float
+) -> float:
+    """Choose when a caller returns whom no target of a service served.
+
+    :param wait: seconds after which a target may serve it. Where all targets
+        rest, the caller returns after the first end of these rests.
+    """
+    rests = forwarder.safeguards.target_rests
+    first_end = min(
+        (
+            rests.read_seconds_left(target)
+            for target in forwarder.state.targets.values()
+            if target.service == service and not target.leaving
+        ),
+        default=0,
+    )
+    if first_end > 0:
+        wait = RESTED_RETRY_SECONDS
+    return first_end + forwarder.retry_scheduler.book(wait, forwarder.rng)
+
+
 def refuse_all(
     forwarder: Forwarder, service: ServiceName, version: int | None
 ) -> Refusal:
@@ -35,13 +64,12 @@
     ]
     return Refusal(
         reason=Reason.NO_TARGET,
-        retry_after=forwarder.retry_scheduler.book(
-            NO_TARGET_RETRY_SECONDS, forwarder.rng
-        ),
+        retry_after=choose_return(forwarder, service, NO_TARGET_RETRY_SECONDS),
         inputs={
             'service': service,
             'listed': len(listed),
             'leaving': sum(target.leaving for target in listed),
+            'resting': sum(is_resting(forwarder, each) for each in listed),
             'limited': sum(is_limited(forwarder, each) for each in listed),
             'withdrawn': sorted(forwarder.state.withdrawn),
             'version_required': version,
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -21,6 +21,7 @@
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_limits import TargetLimits
 from ragwortcourse.forwarding.target_load import TargetLoad
+from ragwortcourse.forwarding.target_rests import TargetRests
 from ragwortcourse.forwarding.wire_format import WireFormat
 from ragwortcourse.identifiers import DaemonId, TargetName
 from ragwortcourse.membership.relay_daemons import describe_daemon
@@ -74,6 +75,7 @@
             ),
             daemon_ranking=ranking,
             target_limits=TargetLimits(state=state, ranking=ranking),
+            target_rests=TargetRests(state=state),
         )
         self._peers = PeerCounts()
         self.running = 0
--- a/src/ragwortcourse/forwarding/gauges.py
+++ b/src/ragwortcourse/forwarding/gauges.py
@@ -5,7 +5,7 @@
 
 from opentelemetry.metrics import CallbackOptions, Observation, get_meter
 
-from ragwortcourse.forwarding.choice_refusals import is_limited
+from ragwortcourse.forwarding.choice_refusals import is_limited, is_resting
 from ragwortcourse.forwarding.forwarder import Forwarder
 
 METER: Final = get_meter(__name__)
@@ -34,6 +34,14 @@
             is_limited(forwarder, target) for target in state.targets.values()
         ),
     )
+    _watch(
+        'ragwortcourse.forwarding.resting_targets',
+        '',
+        'targets that want nothing from this daemon for now',
+        lambda: sum(
+            is_resting(forwarder, target) for target in state.targets.values()
+        ),
+    )
     _watch(
         'ragwortcourse.forwarding.targets',
         '',
--- a/src/ragwortcourse/forwarding/safeguards.py
+++ b/src/ragwortcourse/forwarding/safeguards.py
@@ -1,4 +1,4 @@
-"""Protections of targets that entry daemons keep together."""
+"""Protections of targets."""
 
 import dataclasses
 
@@ -7,14 +7,16 @@
 from ragwortcourse.forwarding.daemon_ranking import DaemonRanking
 from ragwortcourse.forwarding.fleet_retry_budget import FleetRetryBudget
 from ragwortcourse.forwarding.target_limits import TargetLimits
+from ragwortcourse.forwarding.target_rests import TargetRests
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Safeguards:
-    """Protections that bind the entry daemons of a fleet in sum."""
+    """Protections that entry daemons keep in sum, and rests of one daemon."""
 
     retry_budget: FleetRetryBudget
     crash_guard: CrashGuard
     crash_admission: CrashAdmission
     daemon_ranking: DaemonRanking
     target_limits: TargetLimits
+    target_rests: TargetRests
--- /dev/null
+++ b/src/ragwortcourse/forwarding/target_statements.py
@@ -0,0 +1,22 @@
+"""What a target states about itself in its answers."""
+
+from ragwortcourse.forwarding.answer_head import AnswerHead
+from ragwortcourse.forwarding.forwarder import Forwarder
+from ragwortcourse.forwarding.target import Target
+
+
+def note_statements(
+    forwarder: Forwarder, target: Target, head: AnswerHead
+) -> None:
+    """Apply what the head of an answer states about its target.
+
+    Answers that come from another incarnation, or from nobody known, state
+    nothing.
+    """
+    if not head.speaks_for_target:
+        return
+    safeguards = forwarder.safeguards
+    if head.rate_limit_readable:
+        safeguards.target_limits.note_answer(target, head.rate_limit)
+    if head.rest_seconds:
+        safeguards.target_rests.note_answer(target, head.rest_seconds)
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -18,6 +18,7 @@
     read_demand,
     read_start_limit,
 )
+from ragwortcourse.forwarding.choice_refusals import choose_return
 from ragwortcourse.forwarding.exchange import (
     NoAnswer,
     NotSent,
@@ -31,6 +32,7 @@
 from ragwortcourse.forwarding.request_crashes import RequestCrashes
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_load import TargetLoad
+from ragwortcourse.forwarding.target_statements import note_statements
 from ragwortcourse.forwarding.urgency import Standing, rank_request
 from ragwortcourse.forwarding.wire_format import Dispatch
 from ragwortcourse.identifiers import ServiceName, TargetName
@@ -221,10 +223,7 @@
         head, load = opened.answer.head, opened.load
         load.note_head(head, now)
         self.forwarder.state.reach.note_answer(opened.target.failure_domain)
-        if head.speaks_for_target and head.rate_limit_readable:
-            self.forwarder.safeguards.target_limits.note_answer(
-                opened.target, head.rate_limit
-            )
+        note_statements(self.forwarder, opened.target, head)
         if head.ran and head.genuine:
             load.answered_sent_at = max(
                 load.answered_sent_at, self.crashes.sent_at
@@ -289,8 +288,8 @@
                 chance=self.forwarder.rng.random(),
             )
         else:
-            wait = self.forwarder.retry_scheduler.book(
-                DECLINED_RETRY_SECONDS, self.forwarder.rng
+            wait = choose_return(
+                self.forwarder, self._service, DECLINED_RETRY_SECONDS
             )
         return Refusal(reason=Reason.NOT_RUN, retry_after=wait)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -98,6 +98,33 @@
         assert {choose(forwarder).name for _ in range(20)} == {'t-here'}
 
 
+class TestRestingTargets:
+    """Targets that want nothing from this daemon for some time."""
+
+    @pytest.mark.parametrize('tried', [(), ('t-9',)])
+    async def test_not_chosen(self, tried):
+        """No try of a request goes to a resting target."""
+        forwarder = open_engines(4)
+        rests = forwarder.safeguards.target_rests
+        for name in ('t-0', 't-1', 't-2'):
+            rests.note_answer(forwarder.state.targets[name], 3)
+        chosen = {choose(forwarder, tried).name for _ in range(50)}
+        assert chosen == {'t-3'}
+
+    async def test_all_rest(self):
+        """Requests are refused at once until the first rest ends."""
+        forwarder = open_engines(3)
+        rests = forwarder.safeguards.target_rests
+        for seconds, name in enumerate(('t-0', 't-1', 't-2'), start=3):
+            rests.note_answer(forwarder.state.targets[name], seconds)
+        refusal = choose(forwarder)
+        assert refusal.reason is Reason.NO_TARGET
+        assert 3 <= refusal.retry_after < 3.5
+        assert refusal.inputs['resting'] == 3
+        await asyncio.sleep(3.1)
+        assert choose(forwarder).name == 't-0'
+
+
 class TestColdTarget:
     """Requests of all daemons together to a cold target."""
 
