Send nothing new to a target that says in its answers that it leaves

Cause: the header was read nowhere; whether a target leaves came from the state of its row alone.

Change: an answer of the addressed incarnation, refusals and failures included, makes the listed target a leaving one, at once and for as long as this incarnation lives; a row that is read later and still says ready does not take it back, a new incarnation starts anew. What runs goes on.

Ruled out: an answer of another incarnation at the same address (421) and one without the target's mark say nothing (test_answers).

--- a/src/ragwortcourse/forwarding/fleet_state.py
+++ b/src/ragwortcourse/forwarding/fleet_state.py
@@ -8,6 +8,7 @@
 from ragwortcourse.forwarding.domain_reach import DomainReach
 from ragwortcourse.forwarding.named_weights import AnnouncedVersion
 from ragwortcourse.forwarding.target import Target
+from ragwortcourse.forwarding.target_departures import TargetDepartures
 from ragwortcourse.identifiers import FailureDomainName, ModelName, TargetName
 
 
@@ -39,6 +40,7 @@
         until which changes may be missing in the store, as it came back from
         an older copy.
     :param reach: failure domains to which connections failed.
+    :param departures: targets that said in an answer that they leave.
     """
 
     desired: DesiredState | None = None
@@ -55,6 +57,9 @@
     store_outage_at: float = -math.inf
     restored_until: float = -math.inf
     reach: DomainReach = dataclasses.field(default_factory=DomainReach)
+    departures: TargetDepartures = dataclasses.field(
+        default_factory=TargetDepartures
+    )
 
     def read_age(self) -> float:
         """Compute the seconds since the desired state was last confirmed."""
--- a/src/ragwortcourse/forwarding/fleet_updates.py
+++ b/src/ragwortcourse/forwarding/fleet_updates.py
@@ -11,7 +11,8 @@
     AnnouncedVersion,
     VersionHistory,
 )
-from ragwortcourse.identifiers import FailureDomainName, ModelName
+from ragwortcourse.forwarding.target_departures import Departure
+from ragwortcourse.identifiers import DaemonId, FailureDomainName, ModelName
 
 # Versions of a model that are kept: more than operators announce within one
 # bound on old versions.
@@ -55,6 +56,28 @@
     state.withdrawn = withdrawn
 
 
+def note_departure(
+    state: FleetState, departure: Departure, told_by: DaemonId | None = None
+) -> None:
+    """Apply that a target leaves; it gets no new requests.
+
+    :param told_by: daemon that got the answer; none for this one.
+    """
+    if not state.departures.add(departure, own=told_by is None):
+        return
+    listed = state.targets.get(departure.target)
+    if listed is not None:
+        state.targets[listed.name] = state.departures.apply(listed)
+    LOGGER.info(
+        'target says that it leaves',
+        extra={
+            'target': departure.target,
+            'born': departure.born,
+            'told_by': told_by,
+        },
+    )
+
+
 def note_weights(
     state: FleetState, model: ModelName, named: AnnouncedVersion
 ) -> None:
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -164,7 +164,7 @@
     def _take_report(self, message: ReportMessage) -> None:
         self.note_awake()
         if self._awake_at >= self._late_until:
-            note_report(self._forwarder.safeguards, message)
+            note_report(self._forwarder, message)
 
     def _take_switch(self, message: SwitchMessage) -> None:
         for target in self._forwarder.state.targets.values():
--- a/src/ragwortcourse/forwarding/report_exchange.py
+++ b/src/ragwortcourse/forwarding/report_exchange.py
@@ -1,4 +1,4 @@
-"""Reports that bind the entry daemons of a fleet in sum."""
+"""Reports on targets that entry daemons of a fleet send each other."""
 
 from collections.abc import Callable
 
@@ -7,6 +7,12 @@
     note_reports,
 )
 from ragwortcourse.forwarding.crash_messages import CrashMessage, CrashReport
+from ragwortcourse.forwarding.departure_exchange import (
+    DepartureMessage,
+    DepartureReport,
+    build_departure_sender,
+    note_departures,
+)
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.limit_exchange import (
     LimitMessage,
@@ -15,14 +21,17 @@
     note_limits,
 )
 from ragwortcourse.forwarding.report_sender import ReportSender
-from ragwortcourse.forwarding.safeguards import Safeguards
 
-ReportMessage = CrashMessage | LimitMessage
+ReportMessage = CrashMessage | LimitMessage | DepartureMessage
 
 
 def build_report_senders(
     forwarder: Forwarder, send: Callable[[bytes, str], None]
-) -> tuple[ReportSender[CrashReport], ReportSender[LimitReport]]:
+) -> tuple[
+    ReportSender[CrashReport],
+    ReportSender[LimitReport],
+    ReportSender[DepartureReport],
+]:
     """Build the senders of all kinds of reports.
 
     :param send: sends a datagram to an address, ``ip:port``.
@@ -41,12 +50,20 @@
             rng=forwarder.rng,
             send=send,
         ),
+        build_departure_sender(
+            state=forwarder.state,
+            daemon=daemon,
+            rng=forwarder.rng,
+            send=send,
+        ),
     )
 
 
-def note_report(safeguards: Safeguards, message: ReportMessage) -> None:
+def note_report(forwarder: Forwarder, message: ReportMessage) -> None:
     """Merge the reports in a message of another daemon."""
     if isinstance(message, CrashMessage):
-        note_reports(safeguards.crash_guard, message)
+        note_reports(forwarder.safeguards.crash_guard, message)
+    elif isinstance(message, LimitMessage):
+        note_limits(forwarder.safeguards.target_limits, message)
     else:
-        note_limits(safeguards.target_limits, message)
+        note_departures(forwarder.state, message)
--- a/src/ragwortcourse/forwarding/target_list.py
+++ b/src/ragwortcourse/forwarding/target_list.py
@@ -49,6 +49,7 @@
 
     def note_target(self, target: Target) -> None:
         """Apply a new or updated entry."""
+        target = self._state.departures.apply(target)
         known = self._state.targets.get(target.name)
         self._stop_waiting(target.name)
         seconds = self._read_restore_delay()
--- a/src/ragwortcourse/forwarding/target_statements.py
+++ b/src/ragwortcourse/forwarding/target_statements.py
@@ -1,8 +1,10 @@
 """What a target states about itself in its answers."""
 
 from ragwortcourse.forwarding.answer_head import AnswerHead
+from ragwortcourse.forwarding.fleet_updates import note_departure
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.target import Target
+from ragwortcourse.forwarding.target_departures import Departure
 
 
 def note_statements(
@@ -15,6 +17,9 @@
     """
     if not head.speaks_for_target:
         return
+    if head.leaving:
+        departure = Departure(target=target.name, born=target.born)
+        note_departure(forwarder.state, departure)
     safeguards = forwarder.safeguards
     if head.rate_limit_readable:
         safeguards.target_limits.note_answer(target, head.rate_limit)
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -1,10 +1,32 @@
 """Tests of targets that say in their answers that they leave."""
 
 import asyncio
+import dataclasses
+import random
 
+import msgspec
+import pytest
+from multidict import CIMultiDict
+
+from fakes.fleet_parts import make_forwarder, make_plain, make_state
 from fakes.fleet_target import Received, ScriptedConnection
 from fakes.forwarder_fleet import ForwarderFleet
 from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.departure_exchange import (
+    DepartureMessage,
+    build_departure_sender,
+    note_departures,
+)
+from ragwortcourse.forwarding.fleet_updates import note_departure
+from ragwortcourse.forwarding.target_departures import (
+    DEPARTURES_LIMIT,
+    Departure,
+    TargetDepartures,
+)
+from ragwortcourse.forwarding.target_list import TargetList
+from ragwortcourse.forwarding.target_statements import note_statements
+from ragwortcourse.identifiers import AttemptId, DaemonId, TargetName
+from ragwortcourse.platform.wire import read_head
 
 LEAVER = 't-0'
 # Bound of the users on requests after an answer that says it.
@@ -75,3 +97,136 @@
             for _ in range(30):
                 assert (await fleet.ask(1, b'look')).status == 200
         assert count_arrivals(fleet, after=0) == before
+
+
+LISTED = make_plain(LEAVER)
+DEPARTURE = Departure(target=LISTED.name, born=LISTED.born)
+
+
+class TestBelief:
+    """What a daemon believes of a target that leaves."""
+
+    @pytest.fixture
+    def state(self):
+        """State of a daemon that lists the target."""
+        return make_state(LISTED)
+
+    @pytest.mark.looptime
+    async def test_later_row(self, state):
+        """A row that still says ready does not take the answer back."""
+        note_departure(state, DEPARTURE)
+        targets = TargetList(state=state)
+        targets.note_target(dataclasses.replace(LISTED, cold_seconds=1))
+        assert state.targets[LEAVER].leaving
+
+    @pytest.mark.looptime
+    async def test_new_incarnation(self, state):
+        """A restarted target under the same name starts anew."""
+        note_departure(state, DEPARTURE)
+        restarted = dataclasses.replace(LISTED, born=LISTED.born + 1)
+        TargetList(state=state).note_target(restarted)
+        assert not state.targets[LEAVER].leaving
+        note_departure(state, DEPARTURE)
+        assert not state.targets[LEAVER].leaving
+
+    @pytest.mark.looptime
+    async def test_row_that_comes_back(self, state):
+        """A row that lapsed in an outage comes back as leaving."""
+        note_departure(state, DEPARTURE)
+        targets = TargetList(state=state)
+        targets.note_missing(LISTED.name)
+        assert not state.targets
+        targets.note_target(LISTED)
+        assert state.targets[LEAVER].leaving
+
+    @pytest.mark.looptime
+    @pytest.mark.parametrize(
+        ('status', 'changes', 'leaving'),
+        [
+            (200, {}, True),
+            (500, {}, True),
+            (
+                503,
+                {
+                    'Ragwortcourse-Not-Executed': '1',
+                    'Ragwortcourse-Server-Stamp': '',
+                },
+                True,
+            ),
+            (200, {'Ragwortcourse-Weight-Versions': '7'}, True),
+            (421, {}, False),
+            (200, {'Ragwortcourse-Attempt-Id': 'a0'}, False),
+            (200, {'Ragwortcourse-Server-Stamp': ''}, False),
+        ],
+    )
+    async def test_answers(self, state, status, changes, leaving):
+        """Any answer of this incarnation says it, and no other one."""
+        marks = {
+            'Ragwortcourse-Attempt-Id': 'a1',
+            'Ragwortcourse-Server-Stamp': 's',
+            'Server-Leaving': '1',
+            **changes,
+        }
+        received = CIMultiDict({k: text for k, text in marks.items() if text})
+        head = read_head(status, received, AttemptId('a1'))
+        note_statements(make_forwarder(state, None), LISTED, head)
+        assert state.targets[LEAVER].leaving is leaving
+
+
+@pytest.mark.looptime
+class TestDepartureSender:
+    """Departures that daemons send to each other."""
+
+    def send(self, state, *, repeats: bool) -> list[bytes]:
+        """Send one round to two other daemons."""
+        sent = []
+        sender = build_departure_sender(
+            state=state,
+            daemon=DaemonId('e1'),
+            rng=random.Random(1),
+            send=lambda content, _: sent.append(content),
+        )
+        sender.send_round(['p1', 'p2'], repeats=repeats)
+        return sent
+
+    def deliver(self, content: bytes, state) -> None:
+        """Apply a message."""
+        message = msgspec.json.decode(content, type=DepartureMessage)
+        note_departures(state, message)
+
+    async def test_news(self):
+        """All daemons are told at once, and tell only random ones again."""
+        state, other = make_state(LISTED), make_state(LISTED)
+        note_departure(state, DEPARTURE)
+        first, _ = self.send(state, repeats=False)
+        self.deliver(first, other)
+        assert other.targets[LEAVER].leaving
+        assert not self.send(other, repeats=False)
+        assert len(self.send(other, repeats=True)) == 1
+
+    async def test_restarted_daemon(self):
+        """A daemon that starts later is told, also before it reads the row."""
+        state, restarted = make_state(LISTED), make_state()
+        note_departure(state, DEPARTURE)
+        await asyncio.sleep(60)
+        (content,) = self.send(state, repeats=True)
+        self.deliver(content, restarted)
+        TargetList(state=restarted).note_target(LISTED)
+        assert restarted.targets[LEAVER].leaving
+
+    async def test_gone_target(self):
+        """Nothing is told of targets that are no longer listed."""
+        state = make_state(LISTED)
+        note_departure(state, DEPARTURE)
+        await asyncio.sleep(60)
+        state.targets.clear()
+        assert not self.send(state, repeats=True)
+
+    async def test_bounded(self):
+        """The oldest departures are forgotten."""
+        departures = TargetDepartures()
+        for number in range(DEPARTURES_LIMIT + 5):
+            name = TargetName(f't-{number}')
+            departures.add(Departure(target=name, born=1), own=True)
+        assert len(departures.list_all()) == DEPARTURES_LIMIT
+        assert len(departures.list_since(-1)) == DEPARTURES_LIMIT
