Take statements about a target only from answers of that target

Load, cold time and version of the weights were taken from any answer at a target's address, also from a 421 of another incarnation, and from answers without the target's mark. A version taken so counts as held: requests would begin on weights that have expired, as if they were newer (VERSION).

Evidence: test_weights_of_another_target_count_as_held failed before: version 7 of a misdirected answer against 1 in the row.

Change: all statements in the head of an answer are applied in one place, and only if the answer speaks for the addressed incarnation. That an answer came is still a sign of life.

--- a/src/ragwortcourse/forwarding/target_load.py
+++ b/src/ragwortcourse/forwarding/target_load.py
@@ -75,8 +75,7 @@
         self._sign_at = now
 
     def note_head(self, head: AnswerHead, now: float) -> None:
-        """Apply what the head of an answer tells about the target."""
-        self.note_sign(now)
+        """Apply what the head of an answer of the target tells about it."""
         if head.load is not None:
             self.note_load(head.load, now)
         if head.cold_seconds is not None:
--- a/src/ragwortcourse/forwarding/target_statements.py
+++ b/src/ragwortcourse/forwarding/target_statements.py
@@ -1,5 +1,6 @@
 """What a target states about itself in its answers."""
 
+from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.answer_head import AnswerHead
 from ragwortcourse.forwarding.fleet_updates import note_departure
 from ragwortcourse.forwarding.forwarder import Forwarder
@@ -17,6 +18,7 @@
     """
     if not head.speaks_for_target:
         return
+    forwarder.find_load(target).note_head(head, read_clock())
     if head.leaving:
         departure = Departure(target=target.name, born=target.born)
         note_departure(forwarder.state, departure)
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -221,7 +221,7 @@
     def _judge(self, opened: OpenTry) -> OpenTry | None:
         now = read_clock()
         head, load = opened.answer.head, opened.load
-        load.note_head(head, now)
+        load.note_sign(now)
         self.forwarder.state.reach.note_answer(opened.target.failure_domain)
         note_statements(self.forwarder, opened.target, head)
         if head.ran and head.genuine:
