Keep refused suspects in the store beyond the restart of all daemons

Callers would see the answers of a dozen requests cut at each end.

Cause: the evidence lived in the daemons alone.

Change: a daemon with news about a refused suspect writes its evidence as a row of the table 'crashes', again at a trial, and once more when it is cleared; a daemon that starts reads the table once and merges it like a report. Rows older than a refusal are removed by daemons that start. Only refused suspects are written: a few calls for each.

Evidence: test_daemons_restarted_together_forget_crashes: a fresh daemon allowed the suspect before, as nothing could tell it.

--- a/fakes/fleet_store.py
+++ b/fakes/fleet_store.py
@@ -227,6 +227,8 @@
         change = await request.json()
         for row in change['write']:
             self._change(row['table'], row['key'], row['value'])
+        for row in change['remove']:
+            self._change(row['table'], row['key'], None)
         return self._answer([])
 
     def _answer(self, rows: list[dict[str, object]]) -> web.Response:
--- a/src/ragwortcourse/platform/store.py
+++ b/src/ragwortcourse/platform/store.py
@@ -154,7 +154,20 @@
         """Overwrite a row; return whether the store accepted it."""
         value = base64.b64encode(content).decode()
         row = {'table': table, 'part': '', 'key': key, 'value': value}
-        change = {'expected_rev': [], 'write': [row], 'remove': []}
+        return await self._commit('write', row)
+
+    async def remove_row(self, table: str, key: str) -> bool:
+        """Remove a row; return whether the store accepted it."""
+        return await self._commit(
+            'remove', {'table': table, 'part': '', 'key': key}
+        )
+
+    async def _commit(self, action: str, row: Mapping[str, str]) -> bool:
+        """Change one row; return whether the store accepted it.
+
+        :param action: ``write`` or ``remove``.
+        """
+        change = {'expected_rev': [], 'write': [], 'remove': [], action: [row]}
         try:
             async with (
                 asyncio.timeout(CALL_SECONDS),
@@ -167,7 +180,11 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             LOGGER.info(
                 'row not written',
-                extra={'table': table, 'key': key, 'detail': repr(error)},
+                extra={
+                    'table': row['table'],
+                    'key': row['key'],
+                    'detail': repr(error),
+                },
             )
             return False
 
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -20,6 +20,7 @@
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.membership.relay_daemons import describe_daemon
 from ragwortcourse.platform import names
+from ragwortcourse.platform.crash_rows import CrashKeeper
 from ragwortcourse.platform.feed import TableFeed
 from ragwortcourse.platform.operator_rows import build_operator_handler
 from ragwortcourse.platform.relay_rows import RelayRegistry, keep_registered
@@ -78,6 +79,7 @@
     row_routes: list[web.RouteDef]
     relays: RelayRegistry
     register: Callable[[], Coroutine[Any, Any, None]]
+    crash_keeper: CrashKeeper
     feeds: tuple[TableFeed, ...]
     sessions: tuple[ClientSession, ...]
     draining: bool = False
@@ -111,6 +113,7 @@
         for index, feed in enumerate(self.feeds):
             tasks.start(f'follow table {index}', feed.follow())
         tasks.start('register', self.register())
+        tasks.start('keep refused suspects', self.crash_keeper.run())
         tasks.start('follow daemons', self.relays.follow())
         tasks.start(
             'draw ahead', self.cache.prefetch_deployed(self._list_named)
@@ -204,6 +207,9 @@
         register=functools.partial(
             keep_registered, store, describe_daemon(settings), rng
         ),
+        crash_keeper=CrashKeeper(
+            store=store, guard=forwarder.safeguards.crash_guard
+        ),
         feeds=(
             TableFeed(
                 store=operators,
