Count targets whose silence only the caller ended against prompt parts

A last try, which no other may follow, has no limit on silence, as the target may only be slow. Where a target ends without a reset, its caller leaves after 2 s, and nothing was noted: a part under suspicion, whose requests are not repeated, could not gather further evidence so.

Change: a target that owed the next piece for 1 s when its caller left counts as silent against the parts, which count silence only where the row of the target goes. The request itself is not suspected by it: callers also leave targets that are slow.

Evidence: test_caller_that_leaves_a_silent_target failed before: no evidence against the part.

--- a/src/ragwortcourse/forwarding/request_crashes.py
+++ b/src/ragwortcourse/forwarding/request_crashes.py
@@ -14,6 +14,9 @@
 # A part of a prompt crashes a target as the target begins to write, within
 # some passes of a loaded engine. One that writes for longer clears the part.
 WRITING_SECONDS: Final = 1.0
+# A target that owed the next piece of an answer for this long when its caller
+# left may have ended.
+ABANDONED_SECONDS: Final = 1.0
 ENDS: Final = {
     LossCause.CUT: RunEnd.CUT,
     LossCause.SILENCE: RunEnd.SILENT,
@@ -39,6 +42,8 @@
             each for each in suspects if each.kind is SuspectKind.PROMPT_PART
         )
         self._target: Target | None = None
+        self._sign_at = -math.inf
+        self._is_settled = True
         self._began_at: float | None = None
         self._parts_cleared = False
 
@@ -48,15 +53,19 @@
         self._began_at = None
         self._parts_cleared = False
         self.sent_at = read_clock_with_suspend()
+        self._sign_at = self.sent_at
+        self._is_settled = False
         self._guard.note_sent(self.suspects)
 
     def note_not_run(self) -> None:
         """Note that the last target did not run the request."""
+        self._is_settled = True
         self._target = None
 
     def note_written(self) -> None:
         """Note that the last target sent a piece of its answer."""
         now = read_clock_with_suspend()
+        self._sign_at = now
         if self._began_at is None:
             self._began_at = now
         if now - self._began_at >= WRITING_SECONDS and not self._parts_cleared:
@@ -71,6 +80,7 @@
         :param framed: false if the answer ended with its connection, as it
             also does when the target ends.
         """
+        self._is_settled = True
         answered = [
             each for each in self.suspects if success or _is_whole(each)
         ]
@@ -84,6 +94,7 @@
 
     def note_lost(self, cause: LossCause) -> None:
         """Note that the answer of the last target was lost."""
+        self._is_settled = True
         target = self._target
         end = ENDS.get(cause)
         if target is None or end is None:
@@ -97,6 +108,22 @@
             self._describe_run(target, end),
         )
 
+    def note_abandoned(self) -> None:
+        """Note that nobody waits for the answer of the last target any more.
+
+        A caller also leaves a target that is only slow, so that this counts
+        against prompt parts alone: they count silence only where the target
+        is known to have ended.
+        """
+        target = self._target
+        silence = read_clock_with_suspend() - self._sign_at
+        if target is None or self._is_settled or self._parts_cleared:
+            return
+        if silence >= ABANDONED_SECONDS:
+            self._is_settled = True
+            run = self._describe_run(target, RunEnd.SILENT)
+            self._guard.note_lost(self._parts, run)
+
     def _describe_run(self, target: Target, end: RunEnd) -> LostRun:
         return LostRun(
             target=target.name,
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -132,6 +132,7 @@
     def end(self, tried: OpenTry) -> None:
         """Close a try, which cancels the request at the target."""
         tried.close()
+        self.crashes.note_abandoned()
 
     def fail(self, tried: OpenTry, detail: str, cause: LossCause) -> None:
         """Record a try whose answer was cut or invalid."""
@@ -203,6 +204,8 @@
             if not isinstance(answer, OpenAnswer):
                 load.count_answer_begun()
                 load.count_ended()
+            if answer is None:
+                self.crashes.note_abandoned()
         if isinstance(answer, OpenAnswer):
             opened = OpenTry(
                 target=target, load=load, answer=answer, began_at=began_at
--- a/tests/test_crash_admission.py
+++ b/tests/test_crash_admission.py
@@ -17,6 +17,7 @@
 from ragwortcourse.forwarding.loss_cause import LossCause
 from ragwortcourse.forwarding.lost_run import RunEnd
 from ragwortcourse.forwarding.request_crashes import (
+    ABANDONED_SECONDS,
     WRITING_SECONDS,
     RequestCrashes,
 )
@@ -186,6 +187,35 @@
         crashes.note_lost(LossCause.CUT)
         assert judge(daemon) is Verdict.SUSPECT
 
+    async def test_caller_that_leaves_a_silent_target(self):
+        """Silence that only the caller ends counts if the target ended."""
+        daemon = CrashDaemon(*TARGETS)
+        crashes = self.make_crashes(daemon)
+        await asyncio.sleep(ABANDONED_SECONDS)
+        crashes.note_abandoned()
+        assert judge(daemon) is Verdict.ALLOWED
+        daemon.end('a')
+        assert judge(daemon) is Verdict.SUSPECT
+        assert judge(daemon, make_request('r')) is Verdict.ALLOWED
+
+    async def test_caller_that_leaves_early(self):
+        """A target that was about to answer is not suspected."""
+        daemon = CrashDaemon(*TARGETS)
+        crashes = self.make_crashes(daemon)
+        await asyncio.sleep(ABANDONED_SECONDS)
+        crashes.note_written()
+        crashes.note_abandoned()
+        assert not daemon.guard.store
+
+    async def test_end_of_an_answer(self):
+        """The end of a try is no loss after its answer."""
+        daemon = CrashDaemon(*TARGETS)
+        crashes = self.make_crashes(daemon)
+        await asyncio.sleep(ABANDONED_SECONDS)
+        crashes.note_answered(success=True, framed=True)
+        crashes.note_abandoned()
+        assert not daemon.guard.store
+
     @pytest.mark.parametrize('success', [True, False])
     async def test_error(self, success):
         """An error clears the request, but not its parts."""
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -12,6 +12,7 @@
     answer_whole,
 )
 from fakes.forwarder_fleet import CRASHER, LETTER, ForwarderFleet
+from ragwortcourse.crashes.suspect import SuspectKind
 
 CONTACT_SECONDS = FLEET.contact_ms / 1000
 # Sendings that the users allow once all daemons must know of three crashes.
@@ -97,6 +98,28 @@
             assert (await fleet.ask(0, CRASHER, LETTER)).status == 503
             assert fleet.count_arrivals(CRASHER) == 3
 
+    async def test_caller_that_leaves_a_silent_target(self):
+        """A caller that leaves its last target tells of its silence."""
+
+        async def hang(
+            received: Received, connection: ScriptedConnection
+        ) -> None:
+            await asyncio.Event().wait()
+
+        fleet = ForwarderFleet(answer=hang)
+        async with fleet.exit_stack:
+            await fleet.open(targets=1, forwarders=1, plain=False)
+            prompt = {'Ragwortcourse-Prompt-Prefix': 'bad:1,5c:2'}
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(1.1):
+                    await fleet.ask(0, b'letter', LETTER, prompt)
+            await asyncio.sleep(0.1)
+            guard = fleet.forwarders[0].safeguards.crash_guard
+            assert any(
+                suspect.kind is SuspectKind.PROMPT_PART
+                for suspect, _ in guard.store.list_items()
+            )
+
     async def test_stream_that_crashed_three_targets(self):
         """A stream that ends its targets midway is held back, too."""
 
