Leave parts out of ends of targets that had written on them for long

Found on reading the change: an answer that ends with its connection and its target counted against the parts of its prompt although the target had written on them for longer than a crash takes. A lost answer did not. Evidence: test_target_that_wrote_for_long failed before, SUSPECT instead of ALLOWED. Change: both choose the suspects about which an end may tell in one place.

--- a/src/ragwortcourse/forwarding/request_crashes.py
+++ b/src/ragwortcourse/forwarding/request_crashes.py
@@ -81,15 +81,14 @@
             also does when the target ends.
         """
         self._is_settled = True
-        answered = [
-            each for each in self.suspects if success or _is_whole(each)
-        ]
+        answered = self.suspects if success else self._list_open(parts=False)
         target = self._target
         if framed or target is None:
             self._guard.note_answered(answered)
         else:
             self._guard.note_closed(
-                answered, self._describe_run(target, RunEnd.CLOSED)
+                self._list_open(parts=success),
+                self._describe_run(target, RunEnd.CLOSED),
             )
 
     def note_lost(self, cause: LossCause) -> None:
@@ -100,12 +99,7 @@
         if target is None or end is None:
             return
         self._guard.note_lost(
-            [
-                each
-                for each in self.suspects
-                if _is_whole(each) or not self._parts_cleared
-            ],
-            self._describe_run(target, end),
+            self._list_open(parts=True), self._describe_run(target, end)
         )
 
     def note_abandoned(self) -> None:
@@ -124,6 +118,17 @@
             run = self._describe_run(target, RunEnd.SILENT)
             self._guard.note_lost(self._parts, run)
 
+    def _list_open(self, *, parts: bool) -> Sequence[Suspect]:
+        """List the suspects about which the last target's end may tell.
+
+        :param parts: false for the request alone.
+        """
+        if parts and not self._parts_cleared:
+            return self.suspects
+        return [
+            each for each in self.suspects if each.kind is SuspectKind.REQUEST
+        ]
+
     def _describe_run(self, target: Target, end: RunEnd) -> LostRun:
         return LostRun(
             target=target.name,
@@ -132,7 +137,3 @@
             lost_at=read_clock_with_suspend(),
             end=end,
         )
-
-
-def _is_whole(suspect: Suspect) -> bool:
-    return suspect.kind is SuspectKind.REQUEST
--- a/tests/test_crash_admission.py
+++ b/tests/test_crash_admission.py
@@ -251,6 +251,19 @@
         daemon.guard.settle()
         assert judge(daemon) is Verdict.REFUSED
 
+    async def test_target_that_wrote_for_long(self):
+        """A part on which the target wrote for long did not end it."""
+        daemon = CrashDaemon(*TARGETS)
+        crashes = RequestCrashes(guard=daemon.guard, suspects=[BAD])
+        crashes.note_sent(daemon.state.targets['a'])
+        crashes.note_written()
+        await asyncio.sleep(WRITING_SECONDS)
+        crashes.note_written()
+        crashes.note_answered(success=True, framed=False)
+        daemon.end('a')
+        daemon.guard.settle()
+        assert judge(daemon) is Verdict.ALLOWED
+
     async def test_evidence_is_kept(self):
         """Such an answer clears nothing before its target is known to live."""
         daemon = CrashDaemon(*TARGETS)
