Take a late refusal of a target for no silence

Found on reading the change: a try is closed before it was noted that its target did not run the request, so that a refusal after 1 s counted as silence against the parts of the prompt, if the target ended later. Evidence: test_target_that_declines_late failed before: evidence left. Change: what became of a try is noted before it is closed.

--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -232,16 +232,17 @@
                 load.answered_sent_at, self.crashes.sent_at
             )
             return opened
-        self.end(opened)
         if head.ran:
             self.fail(
                 opened,
                 f'status {head.status} without a true mark',
                 LossCause.INVALID,
             )
+            self.end(opened)
             return None
         self.runs -= 1
         self.crashes.note_not_run()
+        self.end(opened)
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
             self._was_misdirected = True
         load.target_health.note_refusal(now)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -120,6 +120,26 @@
                 for suspect, _ in guard.store.list_items()
             )
 
+    async def test_target_that_declines_late(self):
+        """A late refusal of a target that did not run it is no silence."""
+
+        async def decline_late(
+            received: Received, connection: ScriptedConnection
+        ) -> None:
+            await asyncio.sleep(1.05)
+            await connection.answer(
+                received, 503, b'', ragwortcourse_not_executed='1'
+            )
+
+        fleet = ForwarderFleet(answer=decline_late)
+        async with fleet.exit_stack:
+            await fleet.open(targets=1, forwarders=1, plain=False)
+            prompt = {'Ragwortcourse-Prompt-Prefix': 'bad:1,5c:2'}
+            refused = await fleet.ask(0, b'letter', LETTER, prompt)
+            assert refused.status == 503
+            guard = fleet.forwarders[0].safeguards.crash_guard
+            assert not guard.store
+
     async def test_stream_that_crashed_three_targets(self):
         """A stream that ends its targets midway is held back, too."""
 
