Count an ended target once in crashes_total, not for each suspect

Found on reading the change: the parts of a prompt counted beside their request. The metric counts losses of requests, as before the change.

--- a/src/ragwortcourse/forwarding/crash_guard.py
+++ b/src/ragwortcourse/forwarding/crash_guard.py
@@ -18,7 +18,7 @@
     SUSPICION_SECONDS,
     EvidenceStore,
 )
-from ragwortcourse.crashes.suspect import Suspect
+from ragwortcourse.crashes.suspect import Suspect, SuspectKind
 from ragwortcourse.crashes.verdict import Verdict, judge_suspect
 from ragwortcourse.forwarding.closed_answers import ClosedAnswers
 from ragwortcourse.forwarding.crash_evidence import CrashEvidence
@@ -210,7 +210,7 @@
             fate = self._read_fate(run, now)
             if fate > run.fate:
                 evidence.runs[key] = dataclasses.replace(run, fate=fate)
-                if fate is Fate.ENDED:
+                if fate is Fate.ENDED and suspect.kind is SuspectKind.REQUEST:
                     CRASHES.add(1)
                 if _is_logged(evidence):
                     _log_fate(suspect, evidence, run, fate)
