--- a/src/ragwortcourse/forwarding/departure_exchange.py
+++ b/src/ragwortcourse/forwarding/departure_exchange.py
@@ -2,19 +2,15 @@
 
 import random
 from collections.abc import Callable
-from typing import Final
 
 import msgspec
 
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.fleet_updates import note_departure
-from ragwortcourse.forwarding.report_sender import ReportSender
+from ragwortcourse.forwarding.report_sender import ReportSender, draw_reports
 from ragwortcourse.forwarding.target_departures import Departure
 from ragwortcourse.identifiers import DaemonId, TargetName
 
-# Departures in one message, about 1.5 KB.
-REPORTS_PER_MESSAGE: Final = 32
-
 
 class DepartureReport(
     msgspec.Struct, frozen=True, kw_only=True, array_like=True
@@ -83,5 +79,5 @@
 ) -> list[DepartureReport]:
     return [
         DepartureReport(target=departure.target, born=departure.born)
-        for departure in rng.sample(known, min(len(known), REPORTS_PER_MESSAGE))
+        for departure in draw_reports(known, rng)
     ]
--- a/src/ragwortcourse/forwarding/limit_exchange.py
+++ b/src/ragwortcourse/forwarding/limit_exchange.py
@@ -2,19 +2,15 @@
 
 import random
 from collections.abc import Callable
-from typing import Final
 
 import msgspec
 
 from ragwortcourse.clock import read_clock_with_suspend
 from ragwortcourse.forwarding.named_limit import NamedLimit
-from ragwortcourse.forwarding.report_sender import ReportSender
+from ragwortcourse.forwarding.report_sender import ReportSender, draw_reports
 from ragwortcourse.forwarding.target_limits import TargetLimits
 from ragwortcourse.identifiers import DaemonId, TargetName
 
-# Limits in one message, about 2 KB.
-REPORTS_PER_MESSAGE: Final = 32
-
 
 class LimitReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Limit of a target.
@@ -92,5 +88,5 @@
             rate=limit.rate,
             age=round(now - limit.named_at, 3),
         )
-        for limit in rng.sample(known, min(len(known), REPORTS_PER_MESSAGE))
+        for limit in draw_reports(known, rng)
     ]
--- a/src/ragwortcourse/forwarding/report_sender.py
+++ b/src/ragwortcourse/forwarding/report_sender.py
@@ -16,9 +16,17 @@
 # Several rounds of messages.
 NEWS_SECONDS: Final = 1.2
 
+# Small reports in one message, about 2 KB.
+REPORTS_PER_MESSAGE: Final = 32
+
 Report = TypeVar('Report')
 
 
+def draw_reports(known: Sequence[Report], rng: random.Random) -> list[Report]:
+    """Draw as many reports as one message holds."""
+    return rng.sample(known, min(len(known), REPORTS_PER_MESSAGE))
+
+
 class ReportSender(Generic[Report]):
     """Sender of one kind of report of one daemon.
 
