Take no cut for a crash that a change of weights announced

Callers saw 503 with 'crashes targets'. No target had ended.

Cause: a cut is suspected of being a crash until the row or a later answer tells, although the loader beside the engine has announced the change.

Change: a loss at a target within the time for which it has announced that it takes no requests counts against nothing.

--- a/src/ragwortcourse/forwarding/loss_cause.py
+++ b/src/ragwortcourse/forwarding/loss_cause.py
@@ -10,5 +10,7 @@
     CUT = 'cut'
     # The target stopped sending.
     SILENCE = 'silence'
+    # The target had announced a change of its weights, which ends requests.
+    ANNOUNCED = 'announced'
     # The target sent something that is no answer to the request.
     INVALID = 'invalid'
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -137,7 +137,7 @@
     def fail(self, tried: OpenTry, detail: str, cause: LossCause) -> None:
         """Record a try whose answer was cut or invalid."""
         tried.load.target_health.note_failure(read_clock())
-        self.crashes.note_lost(cause)
+        self.crashes.note_lost(_explain(tried.load, cause))
         self._log('answer cut or invalid', tried.target, detail)
 
     async def _choose(self) -> Target | Refusal:
@@ -213,7 +213,7 @@
             return self._judge(opened)
         self._note_lost(target, load, answer)
         if isinstance(answer, NoAnswer):
-            self.crashes.note_lost(answer.cause)
+            self.crashes.note_lost(_explain(load, answer.cause))
         return None
 
     def _read_standing(self) -> Standing:
@@ -315,3 +315,10 @@
                 **fields,
             },
         )
+
+
+def _explain(load: TargetLoad, cause: LossCause) -> LossCause:
+    """Explain a loss by what its target has announced."""
+    if load.unavailable_until > read_clock():
+        return LossCause.ANNOUNCED
+    return cause
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -12,6 +12,7 @@
     answer_whole,
 )
 from fakes.forwarder_fleet import CRASHER, LETTER, ForwarderFleet
+from ragwortcourse.clock import read_clock
 from ragwortcourse.crashes.suspect import SuspectKind
 
 CONTACT_SECONDS = FLEET.contact_ms / 1000
@@ -120,6 +121,31 @@
                 for suspect, _ in guard.store.list_items()
             )
 
+    async def test_targets_that_change_their_weights(self):
+        """Streams that targets cut for a change of weights are no crashes."""
+
+        async def cut(
+            received: Received, connection: ScriptedConnection
+        ) -> None:
+            await connection.begin(received, transfer_encoding='chunked')
+            await connection.send_events(0, 2)
+            await asyncio.sleep(0.05)
+            for load in loads:
+                load.unavailable_until = read_clock() + 1
+            connection.reset()
+
+        fleet = ForwarderFleet(answer=cut)
+        async with fleet.exit_stack:
+            await fleet.open(targets=2, forwarders=1, plain=False)
+            (forwarder,) = fleet.forwarders
+            loads = [
+                forwarder.find_load(target)
+                for target in forwarder.state.targets.values()
+            ]
+            with pytest.raises(aiohttp.ClientError):
+                await fleet.ask(0, b'letter', LETTER)
+            assert not forwarder.safeguards.crash_guard.store
+
     async def test_target_that_declines_late(self):
         """A late refusal of a target that did not run it is no silence."""
 
