--- a/src/ragwortcourse/forwarding/crash_rules.py
+++ b/src/ragwortcourse/forwarding/crash_rules.py
@@ -17,8 +17,8 @@
 # A dozen requests lose their answers in one crash; two may follow each other
 # by chance.
 CRASHES_TO_REFUSE: Final = 3
-# Where a third of the targets is lost, one part in 240 that five requests
-# share loses all of these, against one in 27 with three requests.
+# Where a third of the targets is lost, a sound part loses five requests out of
+# five once in 243 times, and three out of three once in 27.
 PART_CRASHES_TO_REFUSE: Final = 5
 # Tolerance for the transit time of reports of other daemons.
 ORDER_TOLERANCE_SECONDS: Final = 0.02
