--- a/src/ragwortcourse/forwarding/target_rests.py
+++ b/src/ragwortcourse/forwarding/target_rests.py
@@ -70,7 +70,7 @@
             )
 
     def read_seconds_left(self, target: Target) -> float:
-        """Read for how long a target wants nothing; zero if it does not rest."""
+        """Read for how long a target wants nothing; zero if not at all."""
         known = self._find(target)
         if known is None:
             return 0
