Read header lines of callers as long as operators allow

Evidence: test_header_as_long_as_operators_allow_is_refused failed before with 400.

Change: lines up to 64 KiB are read, as in answers of targets. Longer ones are still refused with 400.

--- a/src/ragwortcourse/processes/sites.py
+++ b/src/ragwortcourse/processes/sites.py
@@ -7,6 +7,8 @@
 from aiohttp import web
 
 LARGEST_BODY_BYTES: Final = 67_108_864
+# Longest line of a head; operators allow callers less in all headers.
+LONGEST_LINE_BYTES: Final = 65_536
 SHUTDOWN_SECONDS: Final = 30.0
 
 
@@ -43,6 +45,8 @@
         access_log=None,
         handler_cancellation=True,
         shutdown_timeout=SHUTDOWN_SECONDS,
+        max_line_size=LONGEST_LINE_BYTES,
+        max_field_size=LONGEST_LINE_BYTES,
     )
     await runner.setup()
     host, _, port = address.rpartition(':')
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -36,3 +36,21 @@
                     headers.append(answer.headers.get('connection'))
         await runner.cleanup()
         assert headers == [None, 'close']
+
+
+class TestHeaders:
+    """Headers of callers' requests."""
+
+    async def test_header_as_long_as_operators_allow_is_refused(self):
+        """A header line of 16 KiB, which operators allow, is read."""
+        address = pick_address()
+        runner = await open_site(address=address, routes=[web.get('/', greet)])
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(
+                f'http://{address}/', headers={'X-Parts': 'a' * 16_000}
+            ) as answer,
+        ):
+            status = answer.status
+        await runner.cleanup()
+        assert status == 200
