List rows in the stand-in's answer that change as a wait ends

A forwarder never saw what operators wrote at 14:43:08.881 and went on confirming its rows.

Cause: the stand-in of the store answered a wait that ended in the same moment as a write with no rows, but with the revision of that write, so that the row was never read. The forwarder's waits of 0.7 s began at 07.478, so that one ended at 08.878; the write reached all others.

Evidence: test_change_at_the_end_of_a_wait failed before: no rows.

Change: rows are listed once more when the time is up. No daemon changes.

--- a/fakes/fleet_store.py
+++ b/fakes/fleet_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import dataclasses
 import json
 import time
@@ -198,7 +199,7 @@
         if not self._oldest <= after <= self.revision:
             return web.Response(status=GONE, headers=self._build_headers())
         restores = self._restores
-        rows = await self._await_rows(
+        rows = await self.await_rows(
             request.query['table'], after, int(request.query['wait_ms']) / 1000
         )
         if restores != self._restores:
@@ -208,18 +209,21 @@
         await asyncio.sleep(self.delay)
         return answer
 
-    async def _await_rows(
+    async def await_rows(
         self, table: str, after: int, seconds: float
     ) -> list[dict[str, object]]:
-        try:
+        """Wait until rows of a table have changed or the time is up.
+
+        :param after: revision after which rows are listed.
+        """
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
                 restores = self._restores
                 while restores == self._restores and not any(
                     True for _ in self._list(table, after)
                 ):
                     await self._changed.wait()
-        except TimeoutError:
-            return []
+        # A row may have changed as the time was up.
         return list(self._list(table, after))
 
     async def _write(self, request: web.Request) -> web.Response:
--- a/tests/test_fleet_store.py
+++ b/tests/test_fleet_store.py
@@ -92,3 +92,20 @@
         store.restore(0.05, rewrite_after=REWRITE_SECONDS)
         with pytest.raises(KeyError):
             await waiting
+
+
+class TestWait:
+    """Calls that wait for a change."""
+
+    @pytest.mark.looptime
+    async def test_change_at_the_end_of_a_wait(self):
+        """A row that is written as a wait ends is in the answer.
+
+        The answer states the revision of that row, so that it would never be
+        read.
+        """
+        fake = FleetStore()
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.5, fake.put, 'op', 'config', {'version': 2})
+        rows = await fake.await_rows('op', 0, 0.5)
+        assert [row['key'] for row in rows] == ['config']
