Read the bounds of a fleet whole or as fractions

Cause: the platform renders bounds as whole numbers or fractions, and small twins of large sites have a retry reserve of 37.83; the settings took whole numbers alone for it and for the bounds in milliseconds, so the daemon did not start. Looked through: every number that the template renders. Numbers that no daemon can keep (negative, nan, inf, a link without bandwidth) are findings now.

--- a/src/ragwortcourse/settings.py
+++ b/src/ragwortcourse/settings.py
@@ -113,6 +113,8 @@
 ):
     """Time limits and retry budget that the operators of a fleet set.
 
+    Operators may give each number whole or as a fraction.
+
     :param store: ``ip:port`` of the store, which holds the rows of operators
         and targets.
     :param failure_domains: region of each failure domain.
@@ -132,12 +134,12 @@
     failure_domains: dict[FailureDomainName, RegionName]
     grace_seconds: float
     strict_revocation: bool
-    revoke_ms: int
-    version_ms: int
-    contact_ms: int
+    revoke_ms: float
+    version_ms: float
+    contact_ms: float
     retry_ratio: float
     retry_window_seconds: float
-    retry_reserve: int
+    retry_reserve: float
 
 
 class LoaderSettings(
--- a/src/ragwortcourse/settings_check.py
+++ b/src/ragwortcourse/settings_check.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import itertools
+import math
 import re
 from collections.abc import Callable, Iterator
 from typing import Final
@@ -16,6 +17,15 @@
 MAX_CHUNK_BYTES: Final = 1_073_741_824
 NAME_PATTERN: Final = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
 DIGEST_PATTERN: Final = re.compile('[0-9a-f]{64}')
+FLEET_BOUNDS: Final = (
+    'grace_seconds',
+    'revoke_ms',
+    'version_ms',
+    'contact_ms',
+    'retry_ratio',
+    'retry_window_seconds',
+    'retry_reserve',
+)
 LOG_LEVELS: Final = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 ADDRESS_WORDS: Final = 'ip:port with a port from 1 to 65535'
 URL_WORDS: Final = 'an http or https URL, or empty'
@@ -33,6 +43,7 @@
         _check_role,
         _check_digests,
         _check_ranges,
+        _check_bounds,
     )
     return tuple(
         itertools.chain.from_iterable(check(settings) for check in checks)
@@ -179,18 +190,38 @@
         yield from _check_agent_ranges(settings.agent)
 
 
+def _check_bounds(settings: Settings) -> Iterator[Finding]:
+    fleet, loader = settings.fleet, settings.loader
+    if fleet is not None:
+        for name in FLEET_BOUNDS:
+            bound: float = getattr(fleet, name)
+            if not 0 <= bound < math.inf:
+                yield _build_range_finding(
+                    f'fleet.{name}', bound, 'a number from 0'
+                )
+    if loader is not None and not 0 < loader.link_mbps < math.inf:
+        yield _build_range_finding(
+            'loader.link_mbps', loader.link_mbps, 'a number above 0'
+        )
+
+
+def _build_range_finding(place: str, number: float, allowed: str) -> Finding:
+    return Finding(
+        place=place,
+        value=show_value(number),
+        allowed=allowed,
+        message='out of range',
+    )
+
+
 def _check_agent_ranges(agent: AgentSettings) -> Iterator[Finding]:
     if not MIN_CHUNK_BYTES <= agent.chunk_memory <= MAX_CHUNK_BYTES:
-        yield Finding(
-            place='agent.chunk_memory',
-            value=str(agent.chunk_memory),
-            allowed=f'{MIN_CHUNK_BYTES} to {MAX_CHUNK_BYTES} bytes',
-            message='out of range',
+        yield _build_range_finding(
+            'agent.chunk_memory',
+            agent.chunk_memory,
+            f'{MIN_CHUNK_BYTES} to {MAX_CHUNK_BYTES} bytes',
         )
     if agent.link_rate < 0:
-        yield Finding(
-            place='agent.link_rate',
-            value=str(agent.link_rate),
-            allowed='0 or more bytes a second',
-            message='out of range',
+        yield _build_range_finding(
+            'agent.link_rate', agent.link_rate, '0 or more bytes a second'
         )
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -1,8 +1,11 @@
 """Tests of :mod:`ragwortcourse.settings_file`."""
 
+import re
+
 import pytest
 from click.testing import CliRunner
 
+from fakes.fleet_parts import BOUNDS_TEXT, FORWARDER_TEXT
 from ragwortcourse.daemon import main
 from ragwortcourse.settings import Role, Settings
 from ragwortcourse.settings_file import parse_settings, read_settings
@@ -91,6 +94,57 @@
         assert 'none.toml' in findings[0].place
 
 
+FORWARDER = FORWARDER_TEXT.format(
+    peers='127.0.0.1:7001',
+    watch='127.0.0.1:7002',
+    callers='127.0.0.1:7003',
+    store='127.0.0.1:7004',
+)
+BOUNDS = tuple(
+    line.partition(' = ')[0]
+    for line in BOUNDS_TEXT.splitlines()
+    if not line.endswith('true')
+)
+LOADER = (
+    FORWARDER.replace('"forwarder"', '"loader"')
+    + '[loader]\nengine = "127.0.0.1:7005"\nservice = "m"\nlink_mbps = 5\n'
+)
+
+
+class TestNumbersOfOperators:
+    """Numbers that operators give, whole or as fractions."""
+
+    @pytest.mark.parametrize('number', ['37', '37.0', '37.83', '0.5', '4e3'])
+    @pytest.mark.parametrize('key', BOUNDS)
+    def test_daemon_did_not_start_with_a_fraction(self, key, number):
+        """Each bound of the fleet may be whole or a fraction."""
+        text = re.sub(f'(?m)^{key} = .*$', f'{key} = {number}', FORWARDER)
+        settings = parse_settings(text)
+        assert isinstance(settings, Settings)
+        assert getattr(settings.fleet, key) == float(number)
+
+    @pytest.mark.parametrize('number', ['5', '4.7', '0.009'])
+    def test_bandwidth_of_a_loader(self, number):
+        """The bandwidth of a link may be whole or a fraction."""
+        text = LOADER.replace('link_mbps = 5', f'link_mbps = {number}')
+        settings = parse_settings(text)
+        assert isinstance(settings, Settings)
+        assert settings.loader.link_mbps == float(number)
+
+    @pytest.mark.parametrize('number', ['-1', '-0.5', 'nan', 'inf'])
+    @pytest.mark.parametrize('key', BOUNDS)
+    def test_number_out_of_range_is_found(self, key, number):
+        """A bound that no daemon can keep is a finding at its key."""
+        text = re.sub(f'(?m)^{key} = .*$', f'{key} = {number}', FORWARDER)
+        assert list_places(text) == {f'fleet.{key}'}
+
+    @pytest.mark.parametrize('number', ['0', '-1', 'nan', 'inf'])
+    def test_loader_without_bandwidth_is_found(self, number):
+        """A loader needs a link that carries something."""
+        text = LOADER.replace('link_mbps = 5', f'link_mbps = {number}')
+        assert list_places(text) == {'loader.link_mbps'}
+
+
 class TestDaemonSettings:
     """Command ``ragwortcoursed`` with an invalid file."""
 
