Let two daemons of a failure domain read targets and registrations for all

The lines were full: calls to the store timed out after 1.5 to 5.5 s, version 16 was in force 0.1 s after its acknowledgement in the store's region, and up to 5.7 s later elsewhere. Ruled out: a read after a 410 taken for a confirmed one (each daemon logged the version it had, and its age). Each of 255 daemons read all registrations every 5 s, each forwarder followed the targets, and each loader read all targets at each switch. Change: the first two forwarders of a failure domain, by rendezvous, follow the store; all other forwarders and loaders follow both, and the first answer with rows counts, so that one which is cut off, frozen or slow delays nobody. Where both lost the store, the next two take their place. Rows are not passed on beyond an age. Answers tell when the sender regained the store, so that a daemon which noticed no outage keeps entries that lapsed in it; and daemons hear of a restore through their readers. Registrations are followed by their changes. The sources of all tables are built in one place. Weighed: one reader with fresh rows (as for the operators' table) needs calls each 0.7 s and sees a silent reader late; two readers at once need four calls in four seconds, whatever the number of daemons.

--- a/fakes/restore_daemon.py
+++ b/fakes/restore_daemon.py
@@ -22,6 +22,12 @@
 from ragwortcourse.platform.relayed_store import RelayedStore
 from ragwortcourse.platform.restore_hold import RestoreHold
 from ragwortcourse.platform.row_relay import build_row_routes
+from ragwortcourse.platform.shared_table import (
+    DAEMONS_PACE,
+    TARGETS_PACE,
+    SharedTable,
+    share_table,
+)
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.target_reader import build_target_handler
 from ragwortcourse.processes.forwarder_daemon import (
@@ -95,8 +101,21 @@
             peer_wait=OPERATORS_PEER_SECONDS,
             hold=RestoreHold(seconds=FLEET.contact_ms / 1000),
         )
+        targets, registrations = (
+            share_table(
+                store=store,
+                session=session,
+                relays=self.registry,
+                own=self.name,
+                domain=self.domain,
+                pace=pace,
+            )
+            for pace in (TARGETS_PACE, DAEMONS_PACE)
+        )
         peers = web.Application()
         peers.add_routes(build_row_routes(source.cache))
+        peers.add_routes(targets.routes)
+        peers.add_routes(registrations.routes)
         record = RelayRecord(
             daemon=self.name,
             address=await self._serve(peers),
@@ -105,9 +124,9 @@
         )
         for work in (
             keep_registered(store, record, self._rng),
-            self.registry.follow(),
+            self.registry.follow(registrations),
             self._build_operators_feed(source).follow(),
-            self._build_targets_feed(store).follow(),
+            self._build_targets_feed(targets).follow(),
         ):
             task = asyncio.ensure_future(work)
             self._stack.callback(task.cancel)
@@ -126,9 +145,9 @@
             rng=self._rng,
         )
 
-    def _build_targets_feed(self, store: Store) -> TableFeed:
+    def _build_targets_feed(self, source: SharedTable) -> TableFeed:
         return TableFeed(
-            store=store,
+            store=source,
             table=names.TARGETS_TABLE,
             wait=TARGETS_FEED_SECONDS,
             pause=TARGETS_PAUSE_SECONDS,
--- a/src/ragwortcourse/forwarding/target_list.py
+++ b/src/ragwortcourse/forwarding/target_list.py
@@ -18,6 +18,9 @@
 # leaving target. The entry is kept for less than the time in which a leaving
 # target may still get requests.
 LATE_LAPSE_SECONDS: Final = 1.5
+# Two reports of one return of the store differ by less: transit times and the
+# calls of two daemons.
+SAME_RETURN_SECONDS: Final = 0.25
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -92,9 +95,18 @@
         self._state.targets_known = True
         self._awaits_first_read = False
 
-    def note_store_back(self) -> None:
-        """Note that the store answers again."""
-        self._regained_at = read_clock()
+    def note_store_back(self, seconds_ago: float = 0) -> None:
+        """Note that the store answers again.
+
+        :param seconds_ago: seconds since it did, as seen by this daemon or the
+            one that told it.
+        """
+        regained_at = read_clock() - seconds_ago
+        if self._regained_at is not None and regained_at <= (
+            self._regained_at + SAME_RETURN_SECONDS
+        ):
+            return
+        self._regained_at = regained_at
         self._awaits_first_read = True
 
     def remove(self, name: TargetName) -> None:
--- a/src/ragwortcourse/membership/readers.py
+++ b/src/ragwortcourse/membership/readers.py
@@ -3,7 +3,8 @@
 Load pattern: a desired state with many routes changes several times a second,
 and each daemon that reads the store transfers the whole state over the link
 between regions. Only a few daemons of a failure domain therefore read the
-store, and the others ask those daemons.
+store, and the others ask those daemons. If the first ones lose the store, the
+next ones take their place, and not all daemons at once.
 """
 
 from collections.abc import Iterable
@@ -35,6 +36,24 @@
     return tuple(before[:MAX_READERS])
 
 
+def list_shared_readers(
+    *,
+    relays: Iterable[RelayRecord],
+    own: DaemonId,
+    domain: FailureDomainName,
+) -> tuple[RelayRecord, ...]:
+    """Return the daemons that may read a shared table for this one.
+
+    The first ``MAX_READERS`` daemons of a failure domain read the store, so
+    nobody reads for them. All others list every daemon that ranks before them:
+    where the first ones are silent, the next ones read.
+    """
+    names, near = _rank(relays, domain)
+    if own in names[:MAX_READERS]:
+        return ()
+    return tuple(near[: names.index(own)] if own in names else near)
+
+
 def list_fallback_readers(
     *,
     relays: Iterable[RelayRecord],
--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -21,8 +21,12 @@
     StoreSilent,
 )
 
-# Backoff between two calls while the store fails; half of it is jitter.
+# Shortest backoff between two calls while the store fails; half of it is
+# jitter.
 RETRY_SECONDS: Final = 0.25
+# Backoff as a share of the wait of a call: whoever may hear late of a change
+# calls a failing store less often.
+RETRY_SHARE: Final = 0.25
 
 # A single reset connection does not mean that the store is lost; the next
 # call shows whether it is.
@@ -45,8 +49,9 @@
         seconds since the last of them was sent.
     :param restore: called before ``replace`` if the rows are of a newer era
         than those before: changes made since the store was copied are missing.
-    :param regain: called on the first success after a failure, before
-        ``replace`` or ``change``.
+    :param regain: called on the first success after a failure, and on answers
+        of daemons that had lost the store, before ``replace`` or ``change``;
+        takes the seconds since the store could be reached again.
     """
 
     replace: Callable[[tuple[StoreRow, ...], float], None]
@@ -54,7 +59,7 @@
     confirm: Callable[[float], None]
     lose: Callable[[float], None]
     restore: Callable[[], None]
-    regain: Callable[[], None]
+    regain: Callable[[float], None]
 
 
 class TableSource(Protocol):
@@ -101,6 +106,7 @@
         pause: float = 0,
         spread: float = 0,
     ) -> None:
+        self._retry_seconds = max(RETRY_SECONDS, wait * RETRY_SHARE)
         self._pause_seconds = pause
         self._spread_seconds = spread
         self._store = store
@@ -180,7 +186,9 @@
         if self._lost:
             self._lost = False
             LOGGER.info('store regained', extra={'table': self._table})
-            self._handler.regain()
+            self._handler.regain(0)
+        elif math.isfinite(answer.regained_ago):
+            self._handler.regain(answer.regained_ago)
         if self._position is None:
             unread_seconds = read_boot_clock() - self._known_at
             if is_restored(self._era, answer.era):
@@ -204,7 +212,7 @@
         self._failures += 1
         if self._failures >= FAILURES_TO_LOSE:
             self._handler.lose(read_boot_clock() - sent_at)
-        await asyncio.sleep(RETRY_SECONDS * self._rng.uniform(0.5, 1))
+        await asyncio.sleep(self._retry_seconds * self._rng.uniform(0.5, 1))
 
 
 def _advance(known: StorePosition | None, read: StorePosition) -> StorePosition:
--- a/src/ragwortcourse/platform/operator_rows.py
+++ b/src/ragwortcourse/platform/operator_rows.py
@@ -92,7 +92,7 @@
                     extra={'row': row.key, 'detail': str(error)},
                 )
 
-    def regain() -> None:
+    def regain(seconds_ago: float) -> None:
         """Do nothing: rows of this table do not expire."""
 
     return TableHandler(
--- a/src/ragwortcourse/platform/relay_rows.py
+++ b/src/ragwortcourse/platform/relay_rows.py
@@ -9,7 +9,7 @@
 import logging
 import math
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Final
 
 import msgspec
@@ -18,18 +18,26 @@
 from ragwortcourse.identifiers import DaemonId, FailureDomainName
 from ragwortcourse.membership.readers import (
     list_fallback_readers,
+    list_shared_readers,
     list_upstream_readers,
 )
 from ragwortcourse.membership.relay_daemons import RelayRecord
+from ragwortcourse.platform.feed import (
+    TableFeed,
+    TableHandler,
+    TableSource,
+)
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.store_position import UNKNOWN_ERA, is_restored
-from ragwortcourse.platform.store_row import StoreRows
+from ragwortcourse.platform.store_row import StoreRow, StoreRows
 
 # A table of this project, not of the platform.
 TABLE: Final = 'daemons'
-# Daemons rarely come and go; a stale entry costs one failed connection.
-FRESH_SECONDS: Final = 5.0
-FRESH_SPREAD: Final = (0.8, 1.2)
+FEED_SECONDS: Final = 10.0
+# The pause merges the registrations of daemons that start together.
+PAUSE_SECONDS: Final = 1.0
+# Longest delay of a read of all registrations after the history was lost.
+SPREAD_SECONDS: Final = 5.0
 
 # Used while the store fails.
 RETRY_SECONDS: Final = 1.0
@@ -55,18 +63,38 @@
     def __init__(self, *, store: Store, rng: random.Random) -> None:
         self._store = store
         self._rng = rng
-        self._records: tuple[RelayRecord, ...] = ()
+        self._records: dict[str, RelayRecord] = {}
+        self._reading = asyncio.Lock()
         self._is_read = False
         self._era = UNKNOWN_ERA
         self._kept_until = -math.inf
 
-    async def follow(self) -> None:
-        """Read the registrations periodically, forever."""
-        while True:
-            is_read = await self.read()
-            seconds = FRESH_SECONDS if is_read else RETRY_SECONDS
-            # Daemons that started together drift apart.
-            await asyncio.sleep(seconds * self._rng.uniform(*FRESH_SPREAD))
+    async def follow(self, source: TableSource) -> None:
+        """Follow the registrations, forever.
+
+        The first read is one of the store, as nobody else is known yet.
+
+        :param source: from which changes are read.
+        """
+        while not await self._read_once():  # noqa: ASYNC110
+            await asyncio.sleep(RETRY_SECONDS * self._rng.uniform(0.5, 1))
+        feed = TableFeed(
+            store=source,
+            table=TABLE,
+            wait=FEED_SECONDS,
+            pause=PAUSE_SECONDS,
+            spread=SPREAD_SECONDS,
+            handler=TableHandler(
+                replace=lambda rows, _: self._replace(rows),
+                change=lambda rows, _: self._change(rows),
+                confirm=_ignore,
+                lose=_ignore,
+                restore=self._keep_known,
+                regain=_ignore,
+            ),
+            rng=self._rng,
+        )
+        await feed.follow()
 
     async def read(self) -> bool:
         """Read the registrations; keep the last ones if the store fails.
@@ -76,22 +104,15 @@
         answer = await self._store.read_table(TABLE)
         if not isinstance(answer, StoreRows):
             return False
-        found = [_decode(row.content) for row in answer.rows]
-        records = {each.daemon: each for each in found if each is not None}
-        now = read_boot_clock()
         if is_restored(self._era, answer.era):
-            self._kept_until = now + RESTORED_SECONDS
+            self._keep_known()
         self._era = max(self._era, answer.era)
-        if now < self._kept_until:
-            known = {each.daemon: each for each in self._records}
-            records = {**known, **records}
-        self._records = tuple(records.values())
-        self._is_read = True
+        self._replace(answer.rows)
         return True
 
     async def list(self) -> Sequence[RelayRecord]:
         """List the registered daemons without asking the store."""
-        return self._records
+        return tuple(self._records.values())
 
     def build_upstream_lister(
         self, *, own: DaemonId, domain: FailureDomainName
@@ -107,15 +128,30 @@
         """
 
         async def list_addresses() -> Sequence[str]:
-            if not self._is_read and not await self.read():
-                raise RelaysUnknownError
             upstreams = list_upstream_readers(
-                relays=self._records, own=own, domain=domain
+                relays=await self._list_read(), own=own, domain=domain
             )
             return [upstream.address for upstream in upstreams]
 
         return list_addresses
 
+    def build_reader_lister(
+        self, *, own: DaemonId, domain: FailureDomainName
+    ) -> ListAddresses:
+        """Build a function that lists the readers of shared tables.
+
+        It reads the registrations first, like that of the daemons to ask
+        before the store.
+        """
+
+        async def list_addresses() -> Sequence[str]:
+            readers = list_shared_readers(
+                relays=await self._list_read(), own=own, domain=domain
+            )
+            return [reader.address for reader in readers]
+
+        return list_addresses
+
     def build_fallback_lister(
         self, *, own: DaemonId, domain: FailureDomainName
     ) -> ListAddresses:
@@ -130,6 +166,35 @@
 
         return list_addresses
 
+    async def _list_read(self) -> Sequence[RelayRecord]:
+        """List the registered daemons; read them if they are unknown yet.
+
+        :raises RelaysUnknownError: the store did not answer.
+        """
+        if not await self._read_once():
+            raise RelaysUnknownError
+        return await self.list()
+
+    async def _read_once(self) -> bool:
+        """Read the registrations unless this has been done."""
+        async with self._reading:
+            return self._is_read or await self.read()
+
+    def _replace(self, rows: Sequence[StoreRow]) -> None:
+        is_kept = read_boot_clock() < self._kept_until
+        known = self._records if is_kept else {}
+        self._records = {**known, **_decode_all(rows)}
+        self._is_read = True
+
+    def _change(self, rows: Sequence[StoreRow]) -> None:
+        self._records.update(_decode_all(rows))
+        for row in rows:
+            if row.content is None:
+                self._records.pop(row.key, None)
+
+    def _keep_known(self) -> None:
+        self._kept_until = read_boot_clock() + RESTORED_SECONDS
+
 
 async def register_relay(store: Store, record: RelayRecord) -> bool:
     """Write the registration; return whether the store accepted it."""
@@ -154,9 +219,21 @@
         await asyncio.sleep(rng.uniform(0, REGISTER_SPREAD_SECONDS))
 
 
-def _decode(content: bytes | None) -> RelayRecord | None:
+def _ignore(seconds: float) -> None:
+    """Do nothing: registrations do not expire, and a stale one costs little."""
+
+
+def _decode_all(rows: Iterable[StoreRow]) -> dict[str, RelayRecord]:
+    """Return the registrations in rows, by key."""
+    found = {
+        row.key: _decode(row.content) for row in rows if row.content is not None
+    }
+    return {key: record for key, record in found.items() if record is not None}
+
+
+def _decode(content: bytes) -> RelayRecord | None:
     try:
-        return msgspec.json.decode(content or b'', type=RelayRecord)
+        return msgspec.json.decode(content, type=RelayRecord)
     except msgspec.DecodeError as error:
         LOGGER.warning(
             'unreadable registration of a daemon ignored',
--- a/src/ragwortcourse/platform/relayed_store.py
+++ b/src/ragwortcourse/platform/relayed_store.py
@@ -12,6 +12,7 @@
 from ragwortcourse.platform.restore_hold import RestoreHold
 from ragwortcourse.platform.row_cache import RowCache
 from ragwortcourse.platform.row_fetch import fetch_rows
+from ragwortcourse.platform.row_relay import OPERATORS_PATH
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.store_position import (
     UNKNOWN_ERA,
@@ -194,6 +195,7 @@
             answer = await fetch_rows(
                 session=self.session,
                 address=address,
+                path=OPERATORS_PATH,
                 after=after,
                 era=era,
                 wait=wait,
--- a/src/ragwortcourse/platform/row_cache.py
+++ b/src/ragwortcourse/platform/row_cache.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Iterable
 
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
@@ -35,6 +36,8 @@
     :ivar known_at: boot-clock time at which that answer was given.
     :ivar is_cut_off: true while neither the store nor the upstream daemons
         answer.
+    :ivar regained_at: boot-clock time at which the store could last be
+        reached again, by this daemon or one that it asked.
     """
 
     def __init__(self) -> None:
@@ -42,6 +45,7 @@
         self.confirmed_at: float = 0
         self.known_at: float = 0
         self.is_cut_off = False
+        self.regained_at = -math.inf
         self._oldest_revision = 0
         self._is_restored = False
         self._rows: dict[str, CachedRow] = {}
@@ -75,11 +79,14 @@
         confirmed_at = sent_at + answer.delay - answer.age
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
         self.known_at = max(self.known_at, now - answer.known_age)
+        self.regained_at = max(self.regained_at, now - answer.regained_ago)
         if answer.rows:
             self._wake()
 
     def note_cut_off(self, *, is_cut_off: bool) -> None:
         """Set ``is_cut_off``; wake the waiting calls if it is true."""
+        if self.is_cut_off and not is_cut_off:
+            self.regained_at = read_boot_clock()
         self.is_cut_off = is_cut_off
         if is_cut_off:
             self._wake()
--- a/src/ragwortcourse/platform/row_fetch.py
+++ b/src/ragwortcourse/platform/row_fetch.py
@@ -1,5 +1,6 @@
 """Client of the exchange of rows between daemons."""
 
+import math
 import zlib
 from http import HTTPStatus
 from typing import Final
@@ -14,7 +15,6 @@
     ERA,
     PACKED,
     PART,
-    PATH,
     SERVICES,
     WAIT,
     RelayedRow,
@@ -43,14 +43,16 @@
     *,
     session: ClientSession,
     address: str,
+    path: str,
     after: StorePosition | None,
     era: int,
     wait: float,
-    services_only: bool,
+    services_only: bool = False,
 ) -> StoreRows | HistoryGone | StoreSilent:
     """Fetch rows from another daemon.
 
     :param address: ``ip:port``.
+    :param path: path of the table's rows.
     :param after: position after which changes are wanted; None: all rows.
     :param era: rows of an earlier era are not wanted.
     :param wait: seconds after which an answer about changes is empty.
@@ -73,7 +75,7 @@
     sent_at = read_boot_clock()
     try:
         async with session.get(
-            f'http://{address}{PATH}', params=query, timeout=limits
+            f'http://{address}{path}', params=query, timeout=limits
         ) as response:
             if response.status == HTTPStatus.GONE:
                 return HistoryGone()
@@ -81,6 +83,9 @@
                 return StoreSilent(
                     detail=f'{address}: {response.status}',
                     is_reading=response.status == HTTPStatus.TOO_EARLY,
+                    is_cut_off=(
+                        response.status == HTTPStatus.SERVICE_UNAVAILABLE
+                    ),
                 )
             body = await read_body(response, limit=LARGE_BODY_BYTES)
             message = msgspec.json.decode(body, type=RelayedRows)
@@ -102,6 +107,11 @@
         age=message.age,
         rows_age=message.rows_age + transit_seconds,
         known_age=_read_known_age(message) + transit_seconds,
+        regained_ago=(
+            math.inf
+            if message.regained_ago is None
+            else message.regained_ago + transit_seconds
+        ),
     )
 
 
--- a/src/ragwortcourse/platform/row_relay.py
+++ b/src/ragwortcourse/platform/row_relay.py
@@ -1,11 +1,12 @@
-"""Exchange of the operators' rows between the daemons of a failure domain.
+"""Exchange of the store's rows between the daemons of a failure domain.
 
-Load pattern: all daemons of a failure domain ask one of them. That daemon
-sends a desired state of thousands of routes to each of the others over the
-narrow link of its host.
+Load pattern: all daemons of a failure domain ask one or two of them. Such a
+daemon sends a desired state of thousands of routes to each of the others over
+the narrow link of its host.
 """
 
 import functools
+import math
 import zlib
 from collections.abc import Mapping
 from http import HTTPStatus
@@ -24,7 +25,7 @@
     StoreRows,
 )
 
-PATH: Final = '/operators'
+OPERATORS_PATH: Final = '/operators'
 AFTER: Final = 'after'
 ERA: Final = 'era'
 WAIT: Final = 'wait'
@@ -73,6 +74,8 @@
     :param waited: seconds between the request and this answer; zero from
         older releases.
     :param era: era of the revision; ``UNKNOWN_ERA`` from older releases.
+    :param regained_ago: seconds since the sender could reach the store again;
+        None if it never lost the store, and from older releases.
     """
 
     rows: tuple[RelayedRow, ...]
@@ -82,19 +85,29 @@
     known_age: float | None = None
     waited: float = 0
     era: int = UNKNOWN_ERA
+    regained_ago: float | None = None
 
 
-def build_row_routes(cache: RowCache) -> list[web.RouteDef]:
-    """Build the routes that send cached rows to other daemons."""
+def build_row_routes(
+    cache: RowCache,
+    *,
+    path: str = OPERATORS_PATH,
+    longest_age: float = LONGEST_AGE_SECONDS,
+) -> list[web.RouteDef]:
+    """Build the routes that send cached rows to other daemons.
+
+    :param longest_age: age of the rows in seconds, above which they are not
+        passed on.
+    """
 
     async def send_rows(request: web.Request) -> web.Response:
         arrived_at = read_boot_clock()
         query = request.query
         if _is_behind(cache, query):
             await cache.await_change(float(query.get(WAIT, 0)))
-        _check_fresh(cache, query)
-        answer = await _find_rows(cache, query)
-        _check_fresh(cache, query)
+        _check_fresh(cache, query, longest_age)
+        answer = await _find_rows(cache, query, longest_age)
+        _check_fresh(cache, query, longest_age)
         if isinstance(answer, HistoryGone):
             raise web.HTTPGone
         message = RelayedRows(
@@ -105,12 +118,18 @@
             known_age=answer.known_age,
             waited=read_boot_clock() - arrived_at,
             era=answer.era,
+            regained_ago=_read_regained_ago(cache),
         )
         return web.Response(
             body=msgspec.json.encode(message), content_type='application/json'
         )
 
-    return [web.get(PATH, send_rows)]
+    return [web.get(path, send_rows)]
+
+
+def _read_regained_ago(cache: RowCache) -> float | None:
+    seconds = read_boot_clock() - cache.regained_at
+    return None if math.isinf(seconds) else seconds
 
 
 def _is_behind(cache: RowCache, query: Mapping[str, str]) -> bool:
@@ -123,7 +142,9 @@
     return int(query.get(ERA, UNKNOWN_ERA))
 
 
-def _check_fresh(cache: RowCache, query: Mapping[str, str]) -> None:
+def _check_fresh(
+    cache: RowCache, query: Mapping[str, str], longest_age: float
+) -> None:
     """Reject the request if the cached rows are not fresh.
 
     :raises HTTPException: the rows may not be the newest, or none have been
@@ -131,24 +152,24 @@
     """
     if _is_behind(cache, query):
         raise _TooEarlyError
-    if cache.is_cut_off or _read_freshness(cache) < 0:
+    if cache.is_cut_off or _read_freshness(cache, longest_age) < 0:
         raise web.HTTPServiceUnavailable
 
 
-def _read_freshness(cache: RowCache) -> float:
+def _read_freshness(cache: RowCache, longest_age: float) -> float:
     """Return the seconds for which the rows are still fresh."""
-    return cache.confirmed_at + LONGEST_AGE_SECONDS - read_boot_clock()
+    return cache.confirmed_at + longest_age - read_boot_clock()
 
 
 async def _find_rows(
-    cache: RowCache, query: Mapping[str, str]
+    cache: RowCache, query: Mapping[str, str], longest_age: float
 ) -> StoreRows | HistoryGone:
     if AFTER not in query:
         return cache.list_all()
     after = StorePosition(era=_read_era(query), revision=int(query[AFTER]))
     answer = cache.list_after(after)
     if isinstance(answer, StoreRows) and not answer.rows:
-        wait = min(float(query[WAIT]), _read_freshness(cache))
+        wait = min(float(query[WAIT]), _read_freshness(cache, longest_age))
         await cache.await_change(wait)
         answer = cache.list_after(after)
     return answer
--- /dev/null
+++ b/src/ragwortcourse/platform/shared_table.py
@@ -0,0 +1,274 @@
+"""Source of a table that two daemons of a failure domain read for all others.
+
+Load pattern: hundreds of daemons follow a table that changes with each target
+that comes or goes. If each read the store, the calls would grow with the
+number of daemons, and after a loss of the change history all of them would
+read the whole table at once over the line between regions.
+"""
+
+import asyncio
+import dataclasses
+import logging
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Final
+
+from aiohttp import ClientSession, web
+
+from ragwortcourse.forwarding.fleet_state import read_boot_clock
+from ragwortcourse.identifiers import DaemonId, FailureDomainName
+from ragwortcourse.membership.readers import MAX_READERS
+from ragwortcourse.platform.relay_rows import (
+    ListAddresses,
+    RelayRegistry,
+    RelaysUnknownError,
+)
+from ragwortcourse.platform.row_cache import RowCache
+from ragwortcourse.platform.row_fetch import fetch_rows
+from ragwortcourse.platform.row_relay import build_row_routes
+from ragwortcourse.platform.store import Store
+from ragwortcourse.platform.store_position import StorePosition
+from ragwortcourse.platform.store_row import (
+    HistoryGone,
+    StoreRows,
+    StoreSilent,
+)
+from ragwortcourse.weights.peer_reach import PeerReach
+
+# Calls to readers in a row, each to two of them, before the store is asked.
+MAX_ROUNDS: Final = 3
+
+LOGGER: Final = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TablePace:
+    """How daemons exchange the rows of a table.
+
+    :param path: path of the rows at a daemon.
+    :param wait: seconds that a call to a reader waits for a change. Readers
+        that fall silent delay a change by little more.
+    :param longest_age: age of the rows in seconds, above which a reader does
+        not pass them on; longer than its own call to the store.
+    """
+
+    path: str
+    wait: float
+    longest_age: float
+
+
+# A target that leaves gets no new requests after a few seconds.
+TARGETS_WAIT_SECONDS: Final = 1.0
+TARGETS_LONGEST_AGE_SECONDS: Final = 6.0
+TARGETS_PACE: Final = TablePace(
+    path='/targets',
+    wait=TARGETS_WAIT_SECONDS,
+    longest_age=TARGETS_LONGEST_AGE_SECONDS,
+)
+# Daemons rarely come and go; a stale entry costs one failed connection.
+DAEMONS_WAIT_SECONDS: Final = 8.0
+DAEMONS_LONGEST_AGE_SECONDS: Final = 15.0
+DAEMONS_PACE: Final = TablePace(
+    path='/daemons',
+    wait=DAEMONS_WAIT_SECONDS,
+    longest_age=DAEMONS_LONGEST_AGE_SECONDS,
+)
+
+Answer = StoreRows | HistoryGone | StoreSilent
+AskStore = Callable[[], Awaitable[Answer]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SharedTable:
+    """Follows two readers at once, and the store if none of them answers.
+
+    A change counts as soon as the first reader tells it, so that one which is
+    cut off, slow or suspended makes no rows older.
+
+    :param list_readers: lists the addresses of the daemons that may read the
+        store for this one, in order; empty if this one reads for others.
+    :param pace: path of the rows at other daemons, and how old they may get.
+    """
+
+    store: Store
+    session: ClientSession
+    list_readers: ListAddresses
+    pace: TablePace
+    cache: RowCache = dataclasses.field(default_factory=RowCache)
+    reach: PeerReach = dataclasses.field(default_factory=PeerReach)
+
+    @property
+    def newest_era(self) -> int:
+        """Return the newest era that an answer of the store stated."""
+        return self.store.newest_era
+
+    @property
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes that send the rows to other daemons."""
+        return build_row_routes(
+            self.cache,
+            path=self.pace.path,
+            longest_age=self.pace.longest_age,
+        )
+
+    async def read_table(self, table: str) -> Answer:
+        """Read every row of the table."""
+        sent_at = read_boot_clock()
+        answer = await self._ask(None, lambda: self.store.read_table(table))
+        if isinstance(answer, StoreRows):
+            self.cache.replace(answer, sent_at)
+        return answer
+
+    async def await_changes(
+        self, table: str, after: StorePosition, *, wait: float, known_at: float
+    ) -> Answer:
+        """Wait for changes after a position.
+
+        :param wait: seconds that a call to the store waits for a change.
+        :param known_at: boot-clock time at which the caller's rows were
+            complete.
+        """
+        sent_at = read_boot_clock()
+        answer = await self._ask(
+            after,
+            lambda: self.store.await_changes(
+                table, after, wait=wait, known_at=known_at
+            ),
+        )
+        if isinstance(answer, StoreRows):
+            if answer.era != after.era:
+                # Rows changed between the two eras may be missing.
+                return HistoryGone()
+            self.cache.change(answer, sent_at)
+        return answer
+
+    async def _ask(
+        self, after: StorePosition | None, ask_store: AskStore
+    ) -> Answer:
+        """Ask the readers, and the store if none of them has rows."""
+        began_at = read_boot_clock()
+        try:
+            told = await self._ask_readers(after)
+        except RelaysUnknownError as error:
+            return StoreSilent(detail=repr(error))
+        if not isinstance(told, StoreSilent):
+            self._note_told(told)
+            return told
+        asked_at = read_boot_clock()
+        answer = await ask_store()
+        self.cache.note_cut_off(is_cut_off=isinstance(answer, StoreSilent))
+        if not isinstance(answer, StoreRows):
+            return answer
+        return dataclasses.replace(
+            answer,
+            delay=answer.delay + asked_at - began_at,
+            regained_ago=0 if told.is_cut_off else answer.regained_ago,
+        )
+
+    def _note_told(self, answer: StoreRows | HistoryGone) -> None:
+        self.cache.note_cut_off(is_cut_off=False)
+        if isinstance(answer, StoreRows):
+            # This daemon itself may not call the store for long.
+            self.store.era.hear(answer.era)
+
+    async def _ask_readers(self, after: StorePosition | None) -> Answer:
+        """Ask two readers, and the next two if the first have lost the store.
+
+        Readers that fall silent are not followed by others: the time that a
+        change may take is spent.
+        """
+        told = StoreSilent(detail='no reader asked')
+        for _ in range(MAX_ROUNDS):
+            addresses = [
+                address
+                for address in await self.list_readers()
+                if not self.reach.is_silent(address)
+            ]
+            if not addresses:
+                break
+            answer = await self._ask_two(addresses[:MAX_READERS], after)
+            if not isinstance(answer, StoreSilent):
+                return answer
+            told = answer
+            if not told.is_cut_off:
+                break
+        return told
+
+    async def _ask_two(
+        self, addresses: Sequence[str], after: StorePosition | None
+    ) -> Answer:
+        """Return the first answer with rows, else the best of all answers."""
+        asked = [
+            asyncio.ensure_future(self._ask_reader(address, after))
+            for address in addresses
+        ]
+        best: Answer = StoreSilent(detail='no reader asked')
+        try:
+            for answering in asyncio.as_completed(asked):
+                best = _choose_answer(best, await answering)
+                if isinstance(best, StoreRows) and best.rows:
+                    break
+        finally:
+            for call in asked:
+                call.cancel()
+        return best
+
+    async def _ask_reader(
+        self, address: str, after: StorePosition | None
+    ) -> Answer:
+        answer = await fetch_rows(
+            session=self.session,
+            address=address,
+            path=self.pace.path,
+            after=after,
+            era=self.store.newest_era,
+            wait=self.pace.wait,
+        )
+        if not isinstance(answer, StoreSilent):
+            self.reach.note_answered(address)
+        elif not answer.is_reading:
+            self.reach.note_silent(address)
+            LOGGER.info(
+                'no fresh rows from a reader of the store',
+                extra={'path': self.pace.path, 'detail': answer.detail},
+            )
+        return answer
+
+
+def share_table(
+    *,
+    store: Store,
+    session: ClientSession,
+    relays: RelayRegistry,
+    own: DaemonId,
+    domain: FailureDomainName,
+    pace: TablePace,
+) -> SharedTable:
+    """Build the source of a table for a daemon of a failure domain."""
+    return SharedTable(
+        store=store,
+        session=session,
+        list_readers=relays.build_reader_lister(own=own, domain=domain),
+        pace=pace,
+    )
+
+
+def _choose_answer(best: Answer, other: Answer) -> Answer:
+    """Choose between the answers of two readers.
+
+    Rows go before a lost history, as the other reader may just have started,
+    and changes before none. A reader that lost the store tells most of those
+    that have no rows.
+    """
+    if isinstance(best, StoreRows) and isinstance(other, StoreRows):
+        return max(best, other, key=_rank_rows)
+    for kind in (StoreRows, HistoryGone):
+        for answer in (best, other):
+            if isinstance(answer, kind):
+                return answer
+    if isinstance(best, StoreSilent) and best.is_cut_off:
+        return best
+    return other
+
+
+def _rank_rows(answer: StoreRows) -> tuple[StorePosition, float]:
+    return answer.position, -answer.age
--- a/src/ragwortcourse/platform/store_era.py
+++ b/src/ragwortcourse/platform/store_era.py
@@ -40,9 +40,13 @@
             self._report(header)
         if era is None:
             return self.newest
+        self.hear(era)
+        return era
+
+    def hear(self, era: int) -> None:
+        """Note an era that another daemon read from the store."""
         if era > self.newest:
             self._raise(era)
-        return era
 
     async def await_newer(self, era: int) -> None:
         """Wait until the store has stated a newer era."""
--- a/src/ragwortcourse/platform/store_row.py
+++ b/src/ragwortcourse/platform/store_row.py
@@ -1,6 +1,7 @@
 """Rows of the platform's store."""
 
 import dataclasses
+import math
 
 from ragwortcourse.platform.store_position import UNKNOWN_ERA, StorePosition
 
@@ -33,6 +34,9 @@
         the call returned.
     :param delay: seconds between the call and the request that was answered,
         spent on asking other daemons.
+    :param regained_ago: seconds since the daemon that gave the answer, or one
+        that it asked, could reach the store again; infinite if it never lost
+        the store.
     """
 
     rows: tuple[StoreRow, ...]
@@ -42,6 +46,7 @@
     known_age: float = 0
     delay: float = 0
     era: int = UNKNOWN_ERA
+    regained_ago: float = math.inf
 
     @property
     def position(self) -> StorePosition:
@@ -61,7 +66,9 @@
     :param detail: error text for the log.
     :param is_reading: true if a daemon answered that is still at its first
         read and has no rows yet.
+    :param is_cut_off: true if a daemon answered that can't reach the store.
     """
 
     detail: str
     is_reading: bool = False
+    is_cut_off: bool = False
--- a/src/ragwortcourse/platform/target_reader.py
+++ b/src/ragwortcourse/platform/target_reader.py
@@ -15,8 +15,7 @@
     TargetName,
 )
 from ragwortcourse.platform import names
-from ragwortcourse.platform.feed import TableHandler
-from ragwortcourse.platform.store import Store
+from ragwortcourse.platform.feed import TableHandler, TableSource
 from ragwortcourse.platform.store_row import StoreRow, StoreRows
 from ragwortcourse.platform.target_rows import decode_target
 from ragwortcourse.settings import FleetSettings
@@ -67,14 +66,12 @@
 
 
 async def read_service(
-    store: Store, service: ServiceName, fleet: FleetSettings
+    source: TableSource, service: ServiceName, fleet: FleetSettings
 ) -> tuple[Target, ...]:
-    """Read the targets of a service; empty if the store fails."""
-    answer = await store.read_table(names.TARGETS_TABLE)
+    """Read the targets of a service; empty if the source fails."""
+    answer = await source.read_table(names.TARGETS_TABLE)
     if not isinstance(answer, StoreRows):
-        LOGGER.info(
-            'targets not read from the store', extra={'detail': answer.detail}
-        )
+        LOGGER.info('targets not read', extra={'detail': str(answer)})
         return ()
     state = FleetState()
     reader = build_target_handler(
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -22,12 +22,12 @@
 from ragwortcourse.platform import names
 from ragwortcourse.platform.crash_rows import CrashKeeper
 from ragwortcourse.platform.feed import TableFeed
+from ragwortcourse.platform.fleet_tables import (
+    FleetTables,
+    build_fleet_tables,
+)
 from ragwortcourse.platform.operator_rows import build_operator_handler
 from ragwortcourse.platform.relay_rows import RelayRegistry, keep_registered
-from ragwortcourse.platform.relayed_store import RelayedStore
-from ragwortcourse.platform.restore_hold import RestoreHold
-from ragwortcourse.platform.row_relay import build_row_routes
-from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.store_session import open_store_session
 from ragwortcourse.platform.target_reader import build_target_handler
 from ragwortcourse.platform.weight_source import build_weight_downloader
@@ -76,8 +76,7 @@
 
     forwarder: Forwarder
     cache: ChunkCache
-    row_routes: list[web.RouteDef]
-    relays: RelayRegistry
+    tables: FleetTables
     register: Callable[[], Coroutine[Any, Any, None]]
     crash_keeper: CrashKeeper
     feeds: tuple[TableFeed, ...]
@@ -100,7 +99,7 @@
         return [
             *build_chunk_routes(self.cache.find),
             *build_manifest_routes(self.cache.find_manifest),
-            *self.row_routes,
+            *self.tables.routes,
         ]
 
     def apply_fleet_settings(self, fleet: FleetSettings) -> None:
@@ -114,15 +113,14 @@
             tasks.start(f'follow table {index}', feed.follow())
         tasks.start('register', self.register())
         tasks.start('keep refused suspects', self.crash_keeper.run())
-        tasks.start('follow daemons', self.relays.follow())
+        relays = self.tables.relays
+        tasks.start('follow daemons', relays.follow(self.tables.registrations))
         tasks.start(
             'draw ahead', self.cache.prefetch_deployed(self._list_named)
         )
         tasks.start(
             'exchange loads',
-            exchange_loads(
-                forwarder=self.forwarder, list_relays=self.relays.list
-            ),
+            exchange_loads(forwarder=self.forwarder, list_relays=relays.list),
         )
 
     def find_unready_reason(self) -> str | None:
@@ -176,8 +174,13 @@
     session = ClientSession()
     target_session = open_target_session()
     store_session = open_store_session()
-    store = Store(session=store_session, address=fleet.store)
-    relays = RelayRegistry(store=store, rng=rng)
+    tables = build_fleet_tables(
+        settings=settings,
+        session=session,
+        store_session=store_session,
+        rng=rng,
+        peer_wait=OPERATORS_PEER_SECONDS,
+    )
     forwarder = Forwarder(
         settings=settings,
         state=state,
@@ -185,34 +188,21 @@
         session=target_session,
         rng=rng,
     )
-    operators = RelayedStore(
-        store=store,
-        session=session,
-        list_upstreams=relays.build_upstream_lister(
-            own=settings.daemon, domain=settings.failure_domain
-        ),
-        list_fallbacks=relays.build_fallback_lister(
-            own=settings.daemon, domain=settings.failure_domain
-        ),
-        peer_wait=OPERATORS_PEER_SECONDS,
-        hold=RestoreHold(seconds=fleet.contact_ms / 1000),
-    )
     return ForwarderDaemon(
-        row_routes=build_row_routes(operators.cache),
         forwarder=forwarder,
         cache=build_cache(
-            downloader=_build_downloader(forwarder, session, relays)
+            downloader=_build_downloader(forwarder, session, tables.relays)
         ),
-        relays=relays,
+        tables=tables,
         register=functools.partial(
-            keep_registered, store, describe_daemon(settings), rng
+            keep_registered, tables.store, describe_daemon(settings), rng
         ),
         crash_keeper=CrashKeeper(
-            store=store, guard=forwarder.safeguards.crash_guard
+            store=tables.store, guard=forwarder.safeguards.crash_guard
         ),
         feeds=(
             TableFeed(
-                store=operators,
+                store=tables.operators,
                 table=names.OPERATORS_TABLE,
                 wait=OPERATORS_FEED_SECONDS,
                 pause=OPERATORS_PAUSE_SECONDS,
@@ -220,7 +210,7 @@
                 rng=rng,
             ),
             TableFeed(
-                store=store,
+                store=tables.targets,
                 table=names.TARGETS_TABLE,
                 wait=TARGETS_FEED_SECONDS,
                 pause=TARGETS_PAUSE_SECONDS,
--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -13,11 +13,11 @@
 from ragwortcourse.platform import names
 from ragwortcourse.platform.engine import Engine
 from ragwortcourse.platform.feed import TableFeed
+from ragwortcourse.platform.fleet_tables import (
+    FleetTables,
+    build_fleet_tables,
+)
 from ragwortcourse.platform.operator_rows import build_operator_handler
-from ragwortcourse.platform.relay_rows import RelayRegistry
-from ragwortcourse.platform.relayed_store import RelayedStore
-from ragwortcourse.platform.restore_hold import RestoreHold
-from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.store_session import open_store_session
 from ragwortcourse.platform.target_reader import read_service
 from ragwortcourse.platform.weight_source import build_weight_downloader
@@ -47,7 +47,7 @@
 
     loader_weights: LoaderWeights
     feed: TableFeed
-    relays: RelayRegistry
+    tables: FleetTables
     sessions: tuple[ClientSession, ...]
 
     @property
@@ -69,7 +69,8 @@
 
     def start(self, tasks: SupervisedTasks) -> None:
         """Start the background tasks."""
-        tasks.start('follow daemons', self.relays.follow())
+        relays = self.tables.relays
+        tasks.start('follow daemons', relays.follow(self.tables.registrations))
         tasks.start('follow operators', self.feed.follow())
         tasks.start('draw weights', download_versions(self.loader_weights))
         tasks.start('switch engine', switch_engine(self.loader_weights))
@@ -99,10 +100,17 @@
     loader = settings.loader
     session = ClientSession()
     store_session = open_store_session()
-    store = Store(session=store_session, address=fleet.store)
     state = FleetState()
     rng = random.Random()  # noqa: S311  # load spreading, not security
-    relays = RelayRegistry(store=store, rng=rng)
+    tables = build_fleet_tables(
+        settings=settings,
+        session=session,
+        store_session=store_session,
+        rng=rng,
+        peer_wait=PEER_SECONDS,
+        services_only=True,
+    )
+    relays = tables.relays
     sources = LoaderSources(
         downloader=build_weight_downloader(session=session, state=state),
         domain=settings.failure_domain,
@@ -114,7 +122,7 @@
         download_chunk=sources.download_chunk,
         announce=build_announcement(list_relays=relays.list),
         list_service=functools.partial(
-            read_service, store, loader.service, fleet
+            read_service, tables.targets, loader.service, fleet
         ),
     )
     return LoaderDaemon(
@@ -122,22 +130,13 @@
             fleet=fleet, loader=loader, state=state, ports=ports
         ),
         feed=TableFeed(
-            store=RelayedStore(
-                store=store,
-                session=session,
-                list_upstreams=relays.build_upstream_lister(
-                    own=settings.daemon, domain=settings.failure_domain
-                ),
-                peer_wait=PEER_SECONDS,
-                hold=RestoreHold(seconds=fleet.contact_ms / 1000),
-                services_only=True,
-            ),
+            store=tables.operators,
             table=names.OPERATORS_TABLE,
             wait=LONG_POLL_SECONDS,
             pause=PAUSE_SECONDS,
             handler=build_operator_handler(state, fleet),
             rng=rng,
         ),
-        relays=relays,
+        tables=tables,
         sessions=(session, store_session),
     )
--- a/tests/test_feed_eras.py
+++ b/tests/test_feed_eras.py
@@ -53,7 +53,7 @@
             confirm=lambda sent_at: None,
             lose=lambda seconds: None,
             restore=lambda: told.append('restore'),
-            regain=lambda: told.append('regain'),
+            regain=lambda seconds_ago: told.append('regain'),
         ),
         rng=random.Random(1),
     )
--- a/tests/test_feed_spread.py
+++ b/tests/test_feed_spread.py
@@ -85,7 +85,7 @@
     with contextlib.ExitStack() as stack:
         for number in range(DAEMONS):
             relays = RelayRegistry(store=store, rng=random.Random(number))
-            task = asyncio.ensure_future(relays.follow())
+            task = asyncio.ensure_future(relays.follow(store))
             stack.callback(task.cancel)
         await asyncio.sleep(60)
     assert count_most([at for at in store.reads if at > 1]) <= READS_PER_100_MS
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -19,7 +19,11 @@
 from ragwortcourse.platform.feed import TableFeed
 from ragwortcourse.platform.relay_rows import RelayRegistry, keep_registered
 from ragwortcourse.platform.row_cache import RowCache
-from ragwortcourse.platform.row_relay import PATH, RelayedRow, RelayedRows
+from ragwortcourse.platform.row_relay import (
+    OPERATORS_PATH,
+    RelayedRow,
+    RelayedRows,
+)
 from ragwortcourse.platform.store_position import StorePosition
 from ragwortcourse.platform.store_row import HistoryGone, StoreRow, StoreRows
 from ragwortcourse.platform.target_reader import build_target_handler
@@ -167,7 +171,7 @@
             return web.Response(body=msgspec.json.encode(rows))
 
         app = web.Application()
-        app.add_routes([web.get(PATH, send_rows)])
+        app.add_routes([web.get(OPERATORS_PATH, send_rows)])
         server = TestServer(app)
         await server.start_server()
         domain.stack.push_async_callback(server.close)
--- a/tests/test_row_relay.py
+++ b/tests/test_row_relay.py
@@ -22,7 +22,7 @@
 from ragwortcourse.platform.row_relay import (
     AFTER,
     LONGEST_AGE_SECONDS,
-    PATH,
+    OPERATORS_PATH,
     WAIT,
     RelayedRow,
     RelayedRows,
@@ -171,6 +171,7 @@
         return await fetch_rows(
             session=self._session,
             address=self.address,
+            path=OPERATORS_PATH,
             after=make_position(1),
             era=UNKNOWN_ERA,
             wait=wait,
@@ -179,7 +180,7 @@
 
     async def read_plain(self) -> bytes:
         """Read the answer to a request without packed rows."""
-        url = f'http://{self.address}{PATH}'
+        url = f'http://{self.address}{OPERATORS_PATH}'
         async with self._session.get(
             url, params={AFTER: '1', WAIT: '0'}
         ) as response:
@@ -237,7 +238,7 @@
             message = RelayedRows(rows=(row,), revision=2, age=0, rows_age=0)
             return web.Response(body=msgspec.json.encode(message))
 
-        async with Answerer([web.get(PATH, send_plain)]) as answerer:
+        async with Answerer([web.get(OPERATORS_PATH, send_plain)]) as answerer:
             answer = await answerer.fetch()
         assert answer.rows == (StoreRow(key='a', content=b'x'),)
 
@@ -255,7 +256,7 @@
                 await asyncio.sleep(0.2)
             return response
 
-        async with Answerer([web.get(PATH, send_slowly)]) as answerer:
+        async with Answerer([web.get(OPERATORS_PATH, send_slowly)]) as answerer:
             answer = await answerer.fetch()
         assert isinstance(answer, StoreRows)
 
@@ -269,7 +270,7 @@
             await asyncio.sleep(3)
             return response
 
-        async with Answerer([web.get(PATH, fall_silent)]) as answerer:
+        async with Answerer([web.get(OPERATORS_PATH, fall_silent)]) as answerer:
             async with asyncio.timeout(1):
                 answer = await answerer.fetch()
         assert isinstance(answer, StoreSilent)
@@ -282,7 +283,7 @@
             message = RelayedRows(rows=(row,), revision=2, age=0, rows_age=0)
             return web.Response(body=msgspec.json.encode(message))
 
-        async with Answerer([web.get(PATH, send_spoilt)]) as answerer:
+        async with Answerer([web.get(OPERATORS_PATH, send_spoilt)]) as answerer:
             answer = await answerer.fetch()
         assert isinstance(answer, StoreSilent)
 
