Call no route or key unknown by a desired state that may be too old

Cause: a 404 or 401 says something about the newest desired state, but was given by any state, however long ago it was confirmed. Change: beyond the time after which each desired state must be in force, a new setting fleet.apply_ms, such a request gets 503 and a time to come back. Refusals log the age of the state. Test: test_permission.py::test_refused_by_an_older_state failed before, for a route and for a key.

--- a/fakes/fleet_parts.py
+++ b/fakes/fleet_parts.py
@@ -60,6 +60,7 @@
     retry_ratio=0.2,
     retry_window_seconds=10,
     retry_reserve=106,
+    apply_ms=2000,
 )
 # Bounds of ``FLEET`` in the TOML form of a settings file.
 BOUNDS_TEXT = """grace_seconds = 8
@@ -70,6 +71,7 @@
 retry_ratio = 0.2
 retry_window_seconds = 10
 retry_reserve = 106
+apply_ms = 2000
 """
 # Settings of a forwarder in the TOML form of a settings file.
 FORWARDER_TEXT = f"""
--- a/src/ragwortcourse/forwarding/permission.py
+++ b/src/ragwortcourse/forwarding/permission.py
@@ -1,4 +1,10 @@
-"""Permission check of a call against the desired state in force."""
+"""Permission check of a call against the desired state in force.
+
+Load pattern: desired states follow each other while a failure domain hears of
+none of them, its line to the store being cut or full. That a route or a key is
+unknown is a statement about the newest desired state, so a daemon whose state
+may be older than operators allow answers that it can't tell.
+"""
 
 from typing import Final
 
@@ -20,37 +26,33 @@
 def permit_call(
     state: FleetState, fleet: FleetSettings, call: Call
 ) -> tuple[Route, Account | None] | Refusal:
-    """Find the route and client account of a call, or refuse the call."""
+    """Find the route and client account of a call, or refuse the call.
+
+    A route or key is called unknown only while every desired state that must
+    be in force by now is known.
+    """
     desired = state.desired
     if desired is None:
         return Refusal(
             reason=Reason.NOT_READY, retry_after=NOT_READY_RETRY_SECONDS
         )
     route = desired.find_route(call.host, call.path)
+    inputs = {'state_version': desired.version, 'state_age': state.read_age()}
+    stale = Refusal(
+        reason=Reason.STALE, retry_after=STALE_RETRY_SECONDS, inputs=inputs
+    )
+    is_newest = state.read_age() <= fleet.apply_ms / 1000
     if route is None:
-        return Refusal(
-            reason=Reason.NO_ROUTE, inputs={'state_version': desired.version}
-        )
+        unknown = Refusal(reason=Reason.NO_ROUTE, inputs=inputs)
+        return unknown if is_newest else stale
     if route.public or desired.accounts is None:
         return route, None
     if not is_confirmed(state, fleet):
-        return Refusal(
-            reason=Reason.STALE,
-            retry_after=STALE_RETRY_SECONDS,
-            inputs={
-                'state_version': desired.version,
-                'state_age': state.read_age(),
-            },
-        )
+        return stale
     account = desired.accounts.get(call.key or '')
     if account is None:
-        return Refusal(
-            reason=Reason.UNKNOWN_KEY,
-            inputs={
-                'state_version': desired.version,
-                'state_age': state.read_age(),
-            },
-        )
+        unknown = Refusal(reason=Reason.UNKNOWN_KEY, inputs=inputs)
+        return unknown if is_newest else stale
     return route, account
 
 
--- a/src/ragwortcourse/settings.py
+++ b/src/ragwortcourse/settings.py
@@ -128,6 +128,7 @@
     :param retry_ratio: retry budget as a share of the requests within
         ``retry_window_seconds``, summed over all daemons.
     :param retry_reserve: retries allowed in addition to that share.
+    :param apply_ms: time after which each desired state must be in force.
     """
 
     store: str
@@ -140,6 +141,7 @@
     retry_ratio: float
     retry_window_seconds: float
     retry_reserve: float
+    apply_ms: float = 2000
 
 
 class LoaderSettings(
--- a/src/ragwortcourse/settings_check.py
+++ b/src/ragwortcourse/settings_check.py
@@ -25,6 +25,7 @@
     'retry_ratio',
     'retry_window_seconds',
     'retry_reserve',
+    'apply_ms',
 )
 LOG_LEVELS: Final = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 ADDRESS_WORDS: Final = 'ip:port with a port from 1 to 65535'
--- a/tests/test_permission.py
+++ b/tests/test_permission.py
@@ -71,6 +71,23 @@
         assert refusal.status == 503
         assert refusal.inputs['state_age'] > 4
 
+    @pytest.mark.parametrize(
+        'changes', [{'path': '/nothing/1'}, {'key': 'other'}]
+    )
+    def test_refused_by_an_older_state(self, changes):
+        """A daemon that may lack a desired state calls nothing unknown.
+
+        Incident: daemons of a failure domain whose line to the store was full
+        refused a route with 404 that had been there for 5.7 s.
+        """
+        state = make_state()
+        state.confirmed_at -= FLEET.apply_ms / 1000 + 0.1
+        refusal = permit_call(state, FLEET, make_call(**changes))
+        assert isinstance(refusal, Refusal)
+        assert refusal.reason is Reason.STALE
+        assert refusal.status == 503
+        assert refusal.retry_after
+
     def test_unconfirmed_state_serves_public_routes(self):
         """Public routes are served without regard to revocations."""
         state = make_state()
