Use no connection to a target for a second request

Cause, looked for as operators of similar systems had seen it: an agent's requests carried Connection: close, but its session kept connections that the target left open, of reports on its state as of requests. A target that sends a second copy of an answer late then answers the next request with it: a charge got the 404 of a report in the test. A plain service need not name the request that it answers, so nothing else told. Change: the agent's session for its target closes each connection. Test: test_engine.py::TestConnections failed before with (404, b'report'). Ruled out: the header on every request; aiohttp keeps the connection if the target's answer does not say close (tried, the test still failed).

--- a/src/ragwortcourse/engines/http_engine.py
+++ b/src/ragwortcourse/engines/http_engine.py
@@ -66,10 +66,11 @@
 
     Each request uses a new connection. The target may close a kept-alive
     connection while a request is sent, and it is then unknown whether the
-    request ran.
+    request ran; or it may send a second copy of an earlier answer late, and a
+    service need not name the request that it answers.
 
-    :param session: session used only for targets; its automatic retries are
-        turned off.
+    :param session: session used only for targets, which uses no connection
+        twice; its automatic retries are turned off.
     """
     # aiohttp repeats idempotent methods such as PUT and DELETE after a lost
     # connection, but a service may require that a call runs at most once.
--- a/src/ragwortcourse/processes/agent_daemon.py
+++ b/src/ragwortcourse/processes/agent_daemon.py
@@ -121,7 +121,7 @@
     session = sessions.plain
     ports = AgentPorts(
         engine=build_http_engine(
-            session=sessions.relay, base_url=settings.agent.target_url
+            session=sessions.targets, base_url=settings.agent.target_url
         ),
         table=build_http_table(session=session, base_url=platform.table),
         hosts=(
--- a/src/ragwortcourse/processes/sessions.py
+++ b/src/ragwortcourse/processes/sessions.py
@@ -1,4 +1,9 @@
-"""HTTP client sessions of one daemon."""
+"""HTTP client sessions of one daemon.
+
+Load pattern: a target sends a second copy of an answer late, on a connection
+that is in use again, or closes an idle connection just as a request is sent
+on it.
+"""
 
 import dataclasses
 from typing import Final
@@ -12,19 +17,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Sessions:
-    """Sessions that share one pool of connections.
+    """Sessions to other daemons and the platform, and one to targets.
 
     :param relay: session that relays bodies without decompression.
     :param plain: session that decompresses the bodies of answers.
+    :param targets: session whose requests each use a connection of their own.
     """
 
     relay: ClientSession
     plain: ClientSession
+    targets: ClientSession
 
     async def close(self) -> None:
         """Close every connection."""
         await self.relay.close()
         await self.plain.close()
+        await self.targets.close()
 
 
 def open_sessions() -> Sessions:
@@ -38,4 +46,18 @@
             skip_auto_headers=SKIPPED_HEADERS,
         ),
         plain=ClientSession(connector=connector, connector_owner=False),
+        targets=open_single_use_session(),
+    )
+
+
+def open_single_use_session() -> ClientSession:
+    """Open a session that uses no connection for a second request.
+
+    A ``Connection: close`` header does not ensure this: a target may leave it
+    unheeded, and its connection would be used again.
+    """
+    return ClientSession(
+        connector=TCPConnector(limit=0, force_close=True),
+        auto_decompress=False,
+        skip_auto_headers=SKIPPED_HEADERS,
     )
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import re
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -30,6 +31,7 @@
 )
 from ragwortcourse.engines.http_engine import build_http_engine
 from ragwortcourse.identifiers import AttemptId, FencingNumber
+from ragwortcourse.processes.sessions import open_single_use_session
 
 CHUNKS = (b'first chunk', b'second chunk')
 DIGEST = hashlib.sha256(b''.join(CHUNKS)).hexdigest()
@@ -50,7 +52,7 @@
             return stand_in.build()
         self.server = TestServer(build_engine_app(stand_in))
         await self.server.start_server()
-        self.session = aiohttp.ClientSession()
+        self.session = open_single_use_session()
         return build_http_engine(
             session=self.session, base_url=str(self.server.make_url('/'))
         )
@@ -271,3 +273,61 @@
         outcome = await port.order(make_order(OrderAction.ROLE))
         assert isinstance(outcome, OrderUnknown)
         assert len(stand_in.versions.orders) == 1
+
+
+class RepeatingTarget:
+    """A service that sends its first answer on a connection once more.
+
+    The second copy arrives as the next request on that connection is read.
+    """
+
+    REPORT = b'HTTP/1.1 404 Not Found\r\nContent-Length: 6\r\n\r\nreport'
+    ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer'
+
+    async def serve(self, reader, writer) -> None:
+        """Answer the requests of one connection."""
+        is_first = True
+        while head := await self._read_head(reader):
+            if not is_first:
+                writer.write(self.REPORT)
+            is_state = head.startswith(b'get /state')
+            writer.write(self.REPORT if is_state else self.ANSWER)
+            is_first = False
+            if b'connection: close' in head:
+                break
+        writer.close()
+
+    async def _read_head(self, reader) -> bytes:
+        """Read one request; return its head in lower case, empty at the end."""
+        try:
+            head = (await reader.readuntil(b'\r\n\r\n')).lower()
+        except asyncio.IncompleteReadError:
+            return b''
+        length = re.search(rb'content-length: (\d+)', head)
+        if length is not None:
+            await reader.readexactly(int(length[1]))
+        return head
+
+
+class TestConnections:
+    """Connections to a target that repeats answers late."""
+
+    async def test_late_copy_was_taken_for_the_next_answer(self):
+        """A request gets its own answer after a report on the target's state.
+
+        The service names no request in its answers, so nothing but the
+        connection tells whose answer it is.
+        """
+        server = await asyncio.start_server(
+            RepeatingTarget().serve, '127.0.0.1', 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        async with open_single_use_session() as session:
+            engine = build_http_engine(
+                session=session, base_url=f'http://127.0.0.1:{port}'
+            )
+            await engine.describe()
+            answer = await engine.start(make_request())
+            body = b''.join([chunk async for chunk in answer.body])
+        server.close()
+        assert (answer.status, body) == (200, b'answer')
