Let runners without a list of served connections stop

Cause: the list was read by a key that only open_site sets; a stand-in of a runner in test_daemon.py::test_all_ports_are_open_before has none, and failed.

--- a/src/ragwortcourse/processes/sites.py
+++ b/src/ragwortcourse/processes/sites.py
@@ -77,7 +77,7 @@
     New connections are still accepted, and one without a request so far stays
     open: its first request is on the way, and its answer ends the connection.
     """
-    used = runner.app[SERVED].intersection(find_connections(runner))
+    used = runner.app.get(SERVED, set()).intersection(find_connections(runner))
     # Same as the runner's own clean-up, but with the socket still open.
     for connection in used:
         connection.close()
