List open connections only now and then, not for each answer

Found on the read-through: each answer copied the list of all open connections to bound the set of served ones. Now only each 256th size of the set does. Checked with lint, types and the tests of sites, service and daemon.

--- a/src/ragwortcourse/processes/sites.py
+++ b/src/ragwortcourse/processes/sites.py
@@ -11,7 +11,7 @@
 # Longest line of a head; operators allow callers less in all headers.
 LONGEST_LINE_BYTES: Final = 65_536
 SHUTDOWN_SECONDS: Final = 30.0
-# Closed connections that may be kept in memory.
+# Answered connections after which those that are closed are forgotten.
 CLOSED_KEPT: Final = 256
 
 
@@ -45,7 +45,7 @@
         request: web.Request, response: web.StreamResponse
     ) -> None:
         served.add(request.protocol)
-        if len(served) > len(find_connections(runner)) + CLOSED_KEPT:
+        if len(served) % CLOSED_KEPT == 0:
             served.intersection_update(find_connections(runner))
         if is_leaving():
             response.force_close()
