Log what decides the version that a request may begin on

The five hypotheses of requests on expired weights could not be told apart: lines about tries said nothing of the version that their target was taken to hold, and no line said when a daemon began to require a version or on whose word. Now a line says when the lowest version that requests may begin on changes, and why; lines about tries name what is believed of the target and by whose word; an answer that begins on expired weights is logged and counted.

The bounds are moved from choice.py to version_bounds.py for it, with the same decisions. Rounds of messages can be sent without a socket (send_rounds).

--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -4,7 +4,7 @@
 from collections.abc import Collection, Iterator
 from typing import Final
 
-from ragwortcourse.clock import read_clock, read_clock_with_suspend
+from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.admission import (
     Demand,
     TargetOccupancy,
@@ -29,14 +29,9 @@
 from ragwortcourse.forwarding.reply import Refusal
 from ragwortcourse.forwarding.service_rules import ServiceRules
 from ragwortcourse.forwarding.target import Target
+from ragwortcourse.forwarding.version_bounds import read_required_version
 from ragwortcourse.identifiers import ServiceName, TargetName
 
-# Targets with older weights get no requests from this long before the bound
-# on old versions, as a request may wait at its target for as long.
-VERSION_MARGIN_SECONDS: Final = 0.8
-# A request that has not begun is cancelled this long before the bound, as the
-# cancellation takes time to reach the target.
-START_MARGIN_SECONDS: Final = 0.2
 # A target that owes answers and sends nothing for this long is avoided:
 # several passes of a loaded engine.
 SILENT_SECONDS: Final = 0.8
@@ -113,61 +108,6 @@
     return Demand(prompt_tokens=call.prompt_tokens, time_left=time_left)
 
 
-def read_required_version(
-    forwarder: Forwarder, engine: EngineProfile | None
-) -> int | None:
-    """Compute the lowest version of weights that a request may begin on.
-
-    :return: none while no version has expired.
-    """
-    now = read_clock_with_suspend()
-    due = (
-        version
-        for version, bound in _list_bounds(forwarder, engine)
-        if now >= bound - VERSION_MARGIN_SECONDS
-    )
-    return max(due, default=None)
-
-
-def read_start_limit(forwarder: Forwarder, target: Target) -> float | None:
-    """Compute the seconds within which a request must begin at a target.
-
-    A request may wait at the target longer than estimated, until the weights
-    of the target are too old to begin on.
-
-    :return: none if there is no bound.
-    """
-    desired = forwarder.state.desired
-    engine = None if desired is None else desired.find_engine(target.service)
-    held = forwarder.find_load(target).read_version(target)
-    bounds = (
-        bound
-        for version, bound in _list_bounds(forwarder, engine)
-        if version > held
-    )
-    first = min(bounds, default=None)
-    if first is None:
-        return None
-    return max(first - START_MARGIN_SECONDS - read_clock_with_suspend(), 0)
-
-
-def _list_bounds(
-    forwarder: Forwarder, engine: EngineProfile | None
-) -> list[tuple[int, float]]:
-    """List announced versions and when requests may not begin on older ones.
-
-    :return: versions and seconds of the clock that runs during suspension.
-    """
-    if engine is None:
-        return []
-    state = forwarder.state
-    seconds = forwarder.fleet.version_ms / 1000
-    return [
-        (named.version, max(named.seen_at, state.store_outage_at) + seconds)
-        for named in state.weights.get(engine.model, ())
-    ]
-
-
 def _is_usable(
     forwarder: Forwarder,
     work: PermittedCall,
--- a/src/ragwortcourse/forwarding/fleet_updates.py
+++ b/src/ragwortcourse/forwarding/fleet_updates.py
@@ -1,5 +1,6 @@
 """Updates of a daemon's state of the fleet, each with one log line."""
 
+import dataclasses
 import logging
 from collections.abc import Mapping, Sequence
 from typing import Final
@@ -120,19 +121,26 @@
     )
 
 
-def note_history(state: FleetState, history: VersionHistory) -> None:
+def note_history(
+    state: FleetState,
+    history: VersionHistory,
+    *,
+    told_by: DaemonId | None = None,
+) -> None:
     """Merge the versions of models that another daemon knows.
 
     If the other daemon has read the operators' rows for longer, its times
     replace assumed times, and intermediate versions, whose bounds may still
     run, are added. Otherwise the report can only make bounds earlier.
+
+    :param told_by: the other daemon.
     """
     is_longer = history.since < state.versions_complete_since
     for model, versions in history.versions.items():
         known = _index_versions(state, model)
         newest = max(known, default=NO_VERSION)
         taken = [
-            each
+            dataclasses.replace(each, told_by=told_by)
             for each in versions
             if (is_longer and _is_more_reliable(known.get(each.version), each))
             or _makes_earlier(known.get(each.version), each, newest)
@@ -199,6 +207,7 @@
                 'version': named.version,
                 'seconds_ago': now - named.seen_at,
                 'observed': named.observed,
+                'told_by': named.told_by,
                 'assumed_seconds_ago': before and now - before.seen_at,
             },
         )
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -27,6 +27,8 @@
     build_report_senders,
     note_report,
 )
+from ragwortcourse.forwarding.version_log import RequiredVersionLog
+from ragwortcourse.forwarding.version_source import VersionSource
 from ragwortcourse.identifiers import DaemonId, ModelName
 from ragwortcourse.membership.relay_daemons import RelayRecord
 
@@ -45,6 +47,8 @@
 LOGGER: Final = logging.getLogger(__name__)
 
 ListRelays = Callable[[], Awaitable[Sequence[RelayRecord]]]
+# Takes the content and the address, ``ip:port``.
+SendDatagram = Callable[[bytes, str], None]
 
 
 class VersionAnnouncement(
@@ -159,7 +163,7 @@
         )
         if message.namings is not None:
             history = _decode_history(message.namings)
-            note_history(self._forwarder.state, history)
+            note_history(self._forwarder.state, history, told_by=message.daemon)
 
     def _take_report(self, message: ReportMessage) -> None:
         self.note_awake()
@@ -171,7 +175,7 @@
             if target.address == message.address:
                 load = self._forwarder.find_load(target)
                 load.unavailable_until = read_clock() + message.seconds
-                load.version = max(load.version, message.version)
+                load.stated_version.note(message.version, VersionSource.LOADER)
 
 
 async def exchange_loads(
@@ -181,38 +185,53 @@
 
     :param list_relays: lists the registered entry daemons.
     """
-    settings = forwarder.settings
     receiver = LoadReceiver(forwarder=forwarder)
     transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
         lambda: receiver,
-        local_addr=read_address(settings.listen.peers),
-    )
-    senders = build_report_senders(
-        forwarder,
-        lambda content, address: transport.sendto(
-            content, read_address(address)
-        ),
+        local_addr=read_address(forwarder.settings.listen.peers),
     )
-    sent_counts: Counts = {}
     try:
-        for round_number in itertools.count(1):
-            receiver.note_awake()
-            counts = forwarder.count_running()
-            if round_number % FAR_ROUNDS == 0:
-                await _broadcast(forwarder, transport, list_relays, is_far=True)
-            elif counts != sent_counts:
-                await _broadcast(
-                    forwarder, transport, list_relays, is_far=False
-                )
-            sent_counts = counts
-            peers = await _list_peers(settings.daemon, list_relays)
-            for sender in senders:
-                sender.send_round(peers, repeats=round_number % FAR_ROUNDS == 0)
-            await asyncio.sleep(NEAR_SECONDS)
+        await send_rounds(
+            receiver=receiver,
+            forwarder=forwarder,
+            send=lambda content, address: transport.sendto(
+                content, read_address(address)
+            ),
+            list_relays=list_relays,
+        )
     finally:
         transport.close()
 
 
+async def send_rounds(
+    *,
+    forwarder: Forwarder,
+    receiver: LoadReceiver,
+    send: SendDatagram,
+    list_relays: ListRelays,
+) -> None:
+    """Send the own messages in rounds until cancelled.
+
+    :param receiver: learns in each round that the daemon runs.
+    """
+    senders = build_report_senders(forwarder, send)
+    version_log = RequiredVersionLog(forwarder=forwarder)
+    sent_counts: Counts = {}
+    for round_number in itertools.count(1):
+        receiver.note_awake()
+        version_log.note_round()
+        counts = forwarder.count_running()
+        if round_number % FAR_ROUNDS == 0:
+            await _broadcast(forwarder, send, list_relays, is_far=True)
+        elif counts != sent_counts:
+            await _broadcast(forwarder, send, list_relays, is_far=False)
+        sent_counts = counts
+        peers = await _list_peers(forwarder.settings.daemon, list_relays)
+        for sender in senders:
+            sender.send_round(peers, repeats=round_number % FAR_ROUNDS == 0)
+        await asyncio.sleep(NEAR_SECONDS)
+
+
 async def _list_peers(own: DaemonId, list_relays: ListRelays) -> list[str]:
     return [
         relay.address for relay in await list_relays() if relay.daemon != own
@@ -221,7 +240,7 @@
 
 async def _broadcast(
     forwarder: Forwarder,
-    transport: asyncio.DatagramTransport,
+    send: SendDatagram,
     list_relays: ListRelays,
     *,
     is_far: bool,
@@ -248,7 +267,7 @@
     for relay in relays:
         is_near = relay.failure_domain == settings.failure_domain
         if relay.daemon != settings.daemon and (is_near or is_far):
-            transport.sendto(content, read_address(relay.address))
+            send(content, relay.address)
 
 
 def _encode_history(forwarder: Forwarder) -> VersionHistoryMessage:
--- a/src/ragwortcourse/forwarding/named_weights.py
+++ b/src/ragwortcourse/forwarding/named_weights.py
@@ -4,7 +4,7 @@
 import math
 from collections.abc import Mapping, Sequence
 
-from ragwortcourse.identifiers import ModelName
+from ragwortcourse.identifiers import DaemonId, ModelName
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -21,6 +21,7 @@
     version: int
     seen_at: float
     observed: bool = True
+    told_by: DaemonId | None = dataclasses.field(default=None, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/ragwortcourse/forwarding/target_load.py
+++ b/src/ragwortcourse/forwarding/target_load.py
@@ -5,8 +5,10 @@
 
 from ragwortcourse.forwarding.answer_head import AnswerHead, ReportedLoad
 from ragwortcourse.forwarding.peer_counts import PeerCounts
+from ragwortcourse.forwarding.stated_version import StatedVersion
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_health import TargetHealth
+from ragwortcourse.forwarding.version_source import VersionSource
 from ragwortcourse.identifiers import TargetName
 
 # The weight of a target's load report falls to zero over this time.
@@ -42,7 +44,7 @@
         self.cold_until: float = 0
         self.answered_sent_at: float = -math.inf
         self.latency: float | None = None
-        self.version = 0
+        self.stated_version = StatedVersion()
         self.target_health = TargetHealth()
         self._name = name
         self._peers = peers
@@ -81,7 +83,7 @@
         if head.cold_seconds is not None:
             self.cold_until = now + head.cold_seconds
         if head.version is not None:
-            self.version = max(self.version, head.version)
+            self.stated_version.note(head.version, VersionSource.ANSWER)
 
     def note_load(self, load: ReportedLoad, now: float) -> None:
         """Apply a load report of the target."""
@@ -119,7 +121,9 @@
     def read_version(self, target: Target) -> int:
         """Read the version of the weights, by the entry or newer answers."""
         held = target.weights
-        return max(self.version, 0 if held is None else held.version)
+        return max(
+            self.stated_version.number, 0 if held is None else held.version
+        )
 
     def is_avoided(self, now: float) -> bool:
         """Tell whether other targets are preferred for now."""
--- a/src/ragwortcourse/forwarding/target_statements.py
+++ b/src/ragwortcourse/forwarding/target_statements.py
@@ -6,6 +6,7 @@
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_departures import Departure
+from ragwortcourse.forwarding.version_log import warn_expired
 
 
 def note_statements(
@@ -18,6 +19,7 @@
     """
     if not head.speaks_for_target:
         return
+    warn_expired(forwarder, target, head)
     forwarder.find_load(target).note_head(head, read_clock())
     if head.leaving:
         departure = Departure(target=target.name, born=target.born)
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -16,7 +16,6 @@
     choose_service,
     choose_target,
     read_demand,
-    read_start_limit,
 )
 from ragwortcourse.forwarding.choice_refusals import choose_return
 from ragwortcourse.forwarding.exchange import (
@@ -34,6 +33,8 @@
 from ragwortcourse.forwarding.target_load import TargetLoad
 from ragwortcourse.forwarding.target_statements import note_statements
 from ragwortcourse.forwarding.urgency import Standing, rank_request
+from ragwortcourse.forwarding.version_bounds import read_start_limit
+from ragwortcourse.forwarding.version_log import describe_version
 from ragwortcourse.forwarding.wire_format import Dispatch
 from ragwortcourse.identifiers import ServiceName, TargetName
 
@@ -312,6 +313,7 @@
                 'detail': detail,
                 'sends': self._sends,
                 'runs': self.runs,
+                **describe_version(self.forwarder, target),
                 **fields,
             },
         )
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -629,9 +629,9 @@
         await fleet.open([stream_all])
         (target,) = fleet.state.targets.values()
         load = fleet.forwarder.find_load(target)
-        load.version = 7
+        load.stated_version.number = 7
         reborn = dataclasses.replace(target, born=2)
-        assert fleet.forwarder.find_load(reborn).version == 0
+        assert fleet.forwarder.find_load(reborn).stated_version.number == 0
 
     async def test_stale_keys(self, fleet):
         """Keys are refused if the desired state is not confirmed."""
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -21,7 +21,6 @@
 from fakes.ports import pick_address
 from ragwortcourse import clock
 from ragwortcourse.clock import read_clock_with_suspend
-from ragwortcourse.forwarding.choice import read_required_version
 from ragwortcourse.forwarding.load_exchange import (
     FAR_ROUNDS,
     NEAR_SECONDS,
@@ -33,6 +32,7 @@
     exchange_loads,
 )
 from ragwortcourse.forwarding.named_weights import AnnouncedVersion
+from ragwortcourse.forwarding.version_bounds import read_required_version
 from ragwortcourse.membership.relay_daemons import RelayRecord
 from ragwortcourse.platform.operator_rows import build_operator_handler
 from ragwortcourse.settings import ListenSettings
--- a/tests/test_target_statements.py
+++ b/tests/test_target_statements.py
@@ -43,7 +43,7 @@
             },
         )
         load = forwarder.find_load(ENGINE)
-        assert load.version == 7
+        assert load.stated_version.number == 7
         assert load.cold_until > read_clock()
         assert load.estimate(read_clock()) > 0
         assert forwarder.safeguards.target_limits.find_rate(ENGINE) == 1
@@ -67,7 +67,7 @@
         """Nothing is taken from answers of others at the same address."""
         forwarder = self.note(status, **marks)
         load = forwarder.find_load(ENGINE)
-        assert load.version == 0
+        assert load.stated_version.number == 0
         assert load.cold_until <= read_clock()
         assert load.estimate(read_clock()) == 0
         assert forwarder.safeguards.target_limits.find_rate(ENGINE) is None
