--- a/fakes/fleet_store.py
+++ b/fakes/fleet_store.py
@@ -6,7 +6,7 @@
 import dataclasses
 import json
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from aiohttp import web
 
@@ -43,6 +43,7 @@
 class FleetStore:
     """Versioned rows with a change feed, and switches that make calls fail.
 
+    :param read_clock: reads monotonic seconds.
     :ivar era: value of the header that counts restores; none: no header.
 
     :ivar down: true to refuse every call with 503.
@@ -56,7 +57,10 @@
     :ivar calls: paths of all calls received.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, read_clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._read_clock = read_clock
         self.down = False
         self.silent = False
         self.delay: float = 0
@@ -100,7 +104,7 @@
 
         :param rewrite_after: seconds until the lost rows are written again.
         """
-        copied_at = time.monotonic() - seconds
+        copied_at = self._read_clock() - seconds
         kept = [each for each in self._log if each.at <= copied_at]
         lost = self._log[len(kept) :]
         self._log = kept
@@ -144,7 +148,7 @@
         row = Row(table=table, key=key, value=value, version=self.revision)
         self._rows[table, key] = row
         self._unwritten.pop((table, key), None)
-        self._log.append(Transaction(row=row, at=time.monotonic()))
+        self._log.append(Transaction(row=row, at=self._read_clock()))
         self._wake()
 
     async def _rewrite(self, seconds: float) -> None:
@@ -241,7 +245,7 @@
                 'rows': rows,
                 'has_more': False,
                 'row_version': self.revision,
-                'now_ms': (time.monotonic() - self.clock_from) * 1000,
+                'now_ms': (self._read_clock() - self.clock_from) * 1000,
             },
             headers=self._build_headers(),
         )
