Assume a version that was replaced before a daemon read it

After a gap the rows of a daemon near by may be young, so that the age of a row says nothing about what it replaced. The feed now tells its handler also since when the rows were not known to be complete. Where the version that is read is not the successor of the known one, the versions between count as announced at that moment, as an assumed time that the word of a daemon that has read for longer corrects. Its history is safe as a whole again.

--- a/src/ragwortcourse/forwarding/fleet_updates.py
+++ b/src/ragwortcourse/forwarding/fleet_updates.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+import math
 from collections.abc import Mapping, Sequence
 from typing import Final
 
@@ -80,19 +81,43 @@
 
 
 def note_weights(
-    state: FleetState, model: ModelName, named: AnnouncedVersion
+    state: FleetState,
+    model: ModelName,
+    named: AnnouncedVersion,
+    *,
+    complete_at: float = math.inf,
 ) -> None:
     """Apply a version from the operators' rows.
 
     Versions only rise. A time that the daemon observed itself replaces an
     assumed time and a later time reported by another daemon.
+
+    :param complete_at: seconds on the clock of ``seen_at`` at which the rows
+        were last complete; versions announced since then may have been
+        replaced unread.
     """
     known = _index_versions(state, model)
-    if named.version < max(known, default=NO_VERSION):
+    newest = max(known, default=NO_VERSION)
+    if named.version < newest:
         return
     if _is_more_reliable(known.get(named.version), named):
-        _keep(state, model, known, [named])
-        _log_announced(model, named)
+        taken = [named]
+        skips = named.version > newest + 1 and complete_at < named.seen_at
+        # An assumed time is early enough for all versions before it, too.
+        if skips and named.observed:
+            taken.insert(0, _assume_skipped(named, complete_at))
+        _keep(state, model, known, taken)
+        for each in taken:
+            _log_announced(model, each)
+
+
+def _assume_skipped(
+    named: AnnouncedVersion, complete_at: float
+) -> AnnouncedVersion:
+    """Assume that all versions before one were announced at once."""
+    return AnnouncedVersion(
+        version=named.version - 1, seen_at=complete_at, observed=False
+    )
 
 
 def note_found_weights(
--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -42,7 +42,10 @@
     :param replace: takes all rows of the table, and for how many seconds
         changes may have been in the store unread; infinite on the first
         read.
-    :param change: takes the changed rows, and the same number of seconds.
+    :param change: takes the changed rows, for how many seconds they may have
+        been in the store unread, and for how many the rows were not known to
+        be complete before. Rows of a daemon near by may be young after a long
+        gap, in which a row may have changed more than once.
     :param confirm: takes a boot-clock time at which the rows were up to
         date; derived from the time at which the call was sent.
     :param lose: called when two or more calls in a row have failed; takes the
@@ -55,7 +58,7 @@
     """
 
     replace: Callable[[tuple[StoreRow, ...], float], None]
-    change: Callable[[tuple[StoreRow, ...], float], None]
+    change: Callable[[tuple[StoreRow, ...], float, float], None]
     confirm: Callable[[float], None]
     lose: Callable[[float], None]
     restore: Callable[[], None]
@@ -189,13 +192,13 @@
             self._handler.regain(0)
         elif math.isfinite(answer.regained_ago):
             self._handler.regain(answer.regained_ago)
+        unread_seconds = read_boot_clock() - self._known_at
         if self._position is None:
-            unread_seconds = read_boot_clock() - self._known_at
             if is_restored(self._era, answer.era):
                 self._handler.restore()
             self._handler.replace(answer.rows, unread_seconds)
         elif answer.rows:
-            self._handler.change(answer.rows, answer.rows_age)
+            self._handler.change(answer.rows, answer.rows_age, unread_seconds)
         known_at = read_boot_clock() - answer.known_age
         self._known_at = max(self._known_at, known_at)
         self._era = max(self._era, answer.era)
--- a/src/ragwortcourse/platform/operator_rows.py
+++ b/src/ragwortcourse/platform/operator_rows.py
@@ -72,8 +72,11 @@
         note_withdrawals(state, frozenset(kept))
         take(rows, age, note_found_weights)
 
-    def change(rows: tuple[StoreRow, ...], age: float) -> None:
-        take(rows, age, note_weights)
+    def change(rows: tuple[StoreRow, ...], age: float, gap: float) -> None:
+        complete_at = read_clock_with_suspend() - gap
+        take(
+            rows, age, functools.partial(note_weights, complete_at=complete_at)
+        )
 
     def take(rows: tuple[StoreRow, ...], age: float, note: NoteWeights) -> None:
         now = read_clock_with_suspend()
--- a/src/ragwortcourse/platform/relay_rows.py
+++ b/src/ragwortcourse/platform/relay_rows.py
@@ -86,7 +86,7 @@
             spread=SPREAD_SECONDS,
             handler=TableHandler(
                 replace=lambda rows, _: self._replace(rows),
-                change=lambda rows, _: self._change(rows),
+                change=lambda rows, _age, _gap: self._change(rows),
                 confirm=_ignore,
                 lose=_ignore,
                 restore=self._keep_known,
--- a/src/ragwortcourse/platform/target_reader.py
+++ b/src/ragwortcourse/platform/target_reader.py
@@ -30,9 +30,12 @@
 
     def replace(rows: tuple[StoreRow, ...], age: float) -> None:
         targets.apply_full_list({TargetName(row.key) for row in rows})
-        change(rows, age)
+        take(rows)
 
-    def change(rows: tuple[StoreRow, ...], age: float) -> None:
+    def change(rows: tuple[StoreRow, ...], age: float, gap: float) -> None:
+        take(rows)
+
+    def take(rows: tuple[StoreRow, ...]) -> None:
         for row in rows:
             name = TargetName(row.key)
             if row.content is None:
