Let an engine's answer correct what its loader said of its weights

A notice goes by address, so that one of an engine that has ended counted for the next one there until its end, and requests began on older weights while its answers said so. Now an answer to a request that was sent after the notice counts.

--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -28,7 +28,6 @@
     note_report,
 )
 from ragwortcourse.forwarding.version_log import RequiredVersionLog
-from ragwortcourse.forwarding.version_source import VersionSource
 from ragwortcourse.identifiers import DaemonId, ModelName
 from ragwortcourse.membership.relay_daemons import RelayRecord
 
@@ -175,7 +174,7 @@
             if target.address == message.address:
                 load = self._forwarder.find_load(target)
                 load.unavailable_until = read_clock() + message.seconds
-                load.stated_version.note(message.version, VersionSource.LOADER)
+                load.stated_version.note_loader(message.version, read_clock())
 
 
 async def exchange_loads(
--- a/src/ragwortcourse/forwarding/target_load.py
+++ b/src/ragwortcourse/forwarding/target_load.py
@@ -8,7 +8,6 @@
 from ragwortcourse.forwarding.stated_version import StatedVersion
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_health import TargetHealth
-from ragwortcourse.forwarding.version_source import VersionSource
 from ragwortcourse.identifiers import TargetName
 
 # The weight of a target's load report falls to zero over this time.
@@ -76,14 +75,19 @@
         """Note that the target sent data."""
         self._sign_at = now
 
-    def note_head(self, head: AnswerHead, now: float) -> None:
-        """Apply what the head of an answer of the target tells about it."""
+    def note_head(
+        self, head: AnswerHead, now: float, *, sent_at: float
+    ) -> None:
+        """Apply what the head of an answer of the target tells about it.
+
+        :param sent_at: monotonic seconds at which the request was sent.
+        """
         if head.load is not None:
             self.note_load(head.load, now)
         if head.cold_seconds is not None:
             self.cold_until = now + head.cold_seconds
         if head.version is not None:
-            self.stated_version.note(head.version, VersionSource.ANSWER)
+            self.stated_version.note_answer(head.version, sent_at=sent_at)
 
     def note_load(self, load: ReportedLoad, now: float) -> None:
         """Apply a load report of the target."""
--- a/src/ragwortcourse/forwarding/target_statements.py
+++ b/src/ragwortcourse/forwarding/target_statements.py
@@ -10,17 +10,20 @@
 
 
 def note_statements(
-    forwarder: Forwarder, target: Target, head: AnswerHead
+    forwarder: Forwarder, target: Target, head: AnswerHead, *, sent_at: float
 ) -> None:
     """Apply what the head of an answer states about its target.
 
     Answers that come from another incarnation, or from nobody known, state
     nothing.
+
+    :param sent_at: monotonic seconds at which the request was sent.
     """
     if not head.speaks_for_target:
         return
     warn_expired(forwarder, target, head)
-    forwarder.find_load(target).note_head(head, read_clock())
+    load = forwarder.find_load(target)
+    load.note_head(head, read_clock(), sent_at=sent_at)
     if head.leaving:
         departure = Departure(target=target.name, born=target.born)
         note_departure(forwarder.state, departure)
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -227,7 +227,9 @@
         head, load = opened.answer.head, opened.load
         load.note_sign(now)
         self.forwarder.state.reach.note_answer(opened.target.failure_domain)
-        note_statements(self.forwarder, opened.target, head)
+        note_statements(
+            self.forwarder, opened.target, head, sent_at=opened.began_at
+        )
         if head.ran and head.genuine:
             load.answered_sent_at = max(
                 load.answered_sent_at, self.crashes.sent_at
--- a/tests/test_target_statements.py
+++ b/tests/test_target_statements.py
@@ -30,7 +30,7 @@
         forwarder = make_forwarder(make_state(ENGINE), None)
         received = CIMultiDict({**STATEMENTS, **marks})
         head = read_head(status, received, AttemptId('a1'))
-        note_statements(forwarder, ENGINE, head)
+        note_statements(forwarder, ENGINE, head, sent_at=0)
         return forwarder
 
     async def test_genuine(self):
--- a/tests/test_version_log.py
+++ b/tests/test_version_log.py
@@ -87,7 +87,7 @@
         """The line tells what was believed of the target, and by whom."""
         forwarder = announce(8.5)
         load = forwarder.find_load(ENGINE)
-        load.stated_version.note(3, VersionSource.LOADER)
+        load.stated_version.note_loader(3, read_clock_with_suspend())
         warn_expired(forwarder, ENGINE, ANSWER)
         (line,) = list_lines(caplog, EXPIRED)
         assert (line.version, line.version_held) == (1, 3)
