Assume no version before the first, and log no infinite ages

Engines hold that version at their start. Where no outage was ever seen the new line had an age that is no JSON.

--- a/src/ragwortcourse/forwarding/fleet_updates.py
+++ b/src/ragwortcourse/forwarding/fleet_updates.py
@@ -10,6 +10,7 @@
 from ragwortcourse.forwarding.desired_state import DesiredState
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.named_weights import (
+    FIRST_VERSION,
     AnnouncedVersion,
     VersionHistory,
 )
@@ -102,7 +103,10 @@
         return
     if _is_more_reliable(known.get(named.version), named):
         taken = [named]
-        skips = named.version > newest + 1 and complete_at < named.seen_at
+        skips = (
+            named.version > max(newest, FIRST_VERSION) + 1
+            and complete_at < named.seen_at
+        )
         # An assumed time is early enough for all versions before it, too.
         if skips and named.observed:
             taken.insert(0, _assume_skipped(named, complete_at))
--- a/src/ragwortcourse/forwarding/named_weights.py
+++ b/src/ragwortcourse/forwarding/named_weights.py
@@ -3,9 +3,13 @@
 import dataclasses
 import math
 from collections.abc import Mapping, Sequence
+from typing import Final
 
 from ragwortcourse.identifiers import DaemonId, ModelName
 
+# Engines hold this version until an operator names one.
+FIRST_VERSION: Final = 1
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class AnnouncedVersion:
--- a/src/ragwortcourse/forwarding/version_log.py
+++ b/src/ragwortcourse/forwarding/version_log.py
@@ -1,6 +1,7 @@
 """Log lines that tell why a request began on a version of the weights."""
 
 import logging
+import math
 from typing import Final
 
 from opentelemetry import metrics
@@ -107,10 +108,13 @@
         return {}
     now = read_clock_with_suspend()
     outage_ago = now - bound.outage_at
+    is_outage_known = math.isfinite(outage_ago)
     return {
         'seconds_left': round(bound.expires_at - now, 2),
         'named_seconds_ago': round(now - bound.named.seen_at, 2),
         'observed': bound.named.observed,
         'told_by': bound.named.told_by,
-        'outage_seconds_ago': round(outage_ago, 2),
+        'outage_seconds_ago': (
+            round(outage_ago, 2) if is_outage_known else None
+        ),
     }
--- a/src/ragwortcourse/weights/loader_weights.py
+++ b/src/ragwortcourse/weights/loader_weights.py
@@ -7,7 +7,10 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.engine_profile import EngineProfile
 from ragwortcourse.forwarding.fleet_state import FleetState
-from ragwortcourse.forwarding.named_weights import AnnouncedVersion
+from ragwortcourse.forwarding.named_weights import (
+    FIRST_VERSION,
+    AnnouncedVersion,
+)
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.settings import FleetSettings, LoaderSettings
 from ragwortcourse.weights.chunk_store import ChunkStore, VersionChunks
@@ -17,8 +20,6 @@
 # Share of the link for chunk contents; the rest carries chunk headers, reports
 # and operators' writes.
 LINK_SHARE: Final = 0.96
-# Engines hold this version until an operator names one.
-FIRST_VERSION: Final = 1
 BYTES_IN_MEGABIT: Final = 125_000
 # Delay before a version that no source offers is requested again, so that an
 # older version can be downloaded in the meantime.
--- a/tests/test_skipped_versions.py
+++ b/tests/test_skipped_versions.py
@@ -79,8 +79,8 @@
         assert await read_required(3, BOUND_SECONDS) == 2
 
     async def test_nothing_was_skipped(self):
-        """The version after the known one has no predecessor to miss."""
-        assert await read_required(1, BOUND_SECONDS) is None
+        """The version after the one of the start has none to miss before."""
+        assert await read_required(2, BOUND_SECONDS) is None
 
     async def test_newest_version(self):
         """The bound of the version that was read counts from its own time."""
--- a/tests/test_version_log.py
+++ b/tests/test_version_log.py
@@ -68,6 +68,13 @@
         assert line.named_seconds_ago == pytest.approx(7.3, abs=0.02)
         assert line.outage_seconds_ago == pytest.approx(30.3, abs=0.02)
 
+    async def test_no_outage(self, caplog):
+        """Lines stay JSON where no outage was ever seen."""
+        caplog.set_level(logging.INFO)
+        RequiredVersionLog(forwarder=announce(9.0)).note_round()
+        (line,) = list_lines(caplog, CHANGED)
+        assert line.outage_seconds_ago is None
+
     async def test_bound_that_moves_back(self, caplog):
         """A line says that requests may begin on older versions again."""
         caplog.set_level(logging.INFO)
