Name the attempts of a claim by their targets

A target that refuses since it serves another version by then is asked again, so all later numbers are one too high: the takeover bars an attempt at the next target that was never sent, takes that as proof that the work did not run, and runs it again. Change: the id of an attempt of claimed work is built from its target's index in the claim. A target that is asked again has refused the attempt of that id and dropped its record; if a takeover barred it meanwhile, it stays barred.

--- a/src/ragwortcourse/entry/attempts.py
+++ b/src/ragwortcourse/entry/attempts.py
@@ -33,12 +33,13 @@
     """Target choice, attempt ids and precondition for the attempts of a call.
 
     :param choose: chooses the next target, given the targets already tried.
-    :param build_attempt_id: builds an attempt id from the attempt's number.
+    :param build_attempt_id: builds an attempt id from the chosen target and
+        the attempt's number.
     :param check: returns a refusal if the next attempt must not be sent.
     """
 
     choose: Callable[[set[TargetName]], Choice | NoChoice]
-    build_attempt_id: Callable[[int], AttemptId]
+    build_attempt_id: Callable[[Choice, int], AttemptId]
     check: Callable[[], Awaitable[NotRun | None]]
 
 
@@ -66,7 +67,7 @@
         if isinstance(choice, NotRun):
             failures = failures or [Failed(outcome=choice)]
             break
-        attempt = plan.build_attempt_id(number)
+        attempt = plan.build_attempt_id(choice, number)
         sent_at = read_clock()
         step = await dispatch_attempt(entry, work, choice, attempt)
         if isinstance(step, Started):
--- a/src/ragwortcourse/entry/calls.py
+++ b/src/ragwortcourse/entry/calls.py
@@ -85,7 +85,7 @@
     """Serve a call that needs no claim on an idempotency key."""
     plan = Plan(
         choose=lambda tried: choose_target(entry, work, tried),
-        build_attempt_id=lambda number: AttemptId(
+        build_attempt_id=lambda _, number: AttemptId(
             f'{work.call.request}-{number}'
         ),
         check=_allow,
--- a/src/ragwortcourse/entry/claimed_calls.py
+++ b/src/ragwortcourse/entry/claimed_calls.py
@@ -40,7 +40,7 @@
 )
 from ragwortcourse.entry.entry import EntryState
 from ragwortcourse.entry.routing import choose_target
-from ragwortcourse.identifiers import TargetName
+from ragwortcourse.identifiers import AttemptId, TargetName
 from ragwortcourse.messages.call import CallOutcome
 from ragwortcourse.messages.decision import DecisionPoint
 from ragwortcourse.messages.outcome import NotRun
@@ -150,9 +150,15 @@
                 return choice
         return NoChoice(turned_down=dict.fromkeys(tried, 'tried before'))
 
+    def identify(choice: Choice, _: int) -> AttemptId:
+        # A takeover asks each target of the claim about the attempt with its
+        # index. A target that is asked again has refused that attempt.
+        targets = [one.target for one in held.claim.targets]
+        return build_attempt_id(held.claim, targets.index(choice.record.target))
+
     plan = Plan(
         choose=choose,
-        build_attempt_id=lambda number: build_attempt_id(held.claim, number),
+        build_attempt_id=identify,
         check=check,
     )
     step = await run_attempts(entry, work, plan)
--- a/tests/test_claimed_calls.py
+++ b/tests/test_claimed_calls.py
@@ -1,11 +1,17 @@
 """Tests of :mod:`ragwortcourse.entry.claimed_calls`."""
 
 import asyncio
+import dataclasses
 from collections import Counter
 
 import pytest
 
-from fakes.entries import make_booking_call, make_entry, make_record
+from fakes.entries import (
+    make_booking_call,
+    make_entry,
+    make_model_call,
+    make_record,
+)
 from fakes.faults import Fault, Faults
 from fakes.memory_table import MemoryRows
 from fakes.scripted_agents import ScriptedAgents, ScriptedResult
@@ -14,7 +20,8 @@
 from ragwortcourse.entry.claim_results import FLUSH_SECONDS, RESULT_BATCH
 from ragwortcourse.entry.claims import decode_claim
 from ragwortcourse.entry.entry import EntryState, drain_entry, stop_entry
-from ragwortcourse.messages.call import CallAnswer
+from ragwortcourse.identifiers import IdempotencyKey
+from ragwortcourse.messages.call import Call, CallAnswer
 from ragwortcourse.storage.table import ConditionalWrite
 from tests.test_calls import collect
 
@@ -24,10 +31,23 @@
 ANSWER_LOST = 'completed answer_lost'
 
 
+def make_claimed_model_call(name: str = 'r1') -> Call:
+    """Build a model call that may run at most once, with a key."""
+    return dataclasses.replace(
+        make_model_call(name),
+        idempotent=False,
+        idempotency_key=IdempotencyKey('k'),
+    )
+
+
 class Site:
-    """Two entry daemons with the same targets and the same table."""
+    """Two entry daemons with the same targets and the same table.
 
-    def __init__(self) -> None:
+    :param deployment: deployment of the targets.
+    """
+
+    def __init__(self, deployment: str = 'booking-app') -> None:
+        self._deployment = deployment
         self.rows = MemoryRows()
         self.agents = ScriptedAgents()
         self.faults = {'a': Faults(), 'b': Faults()}
@@ -38,8 +58,12 @@
         """Build one entry daemon."""
         return make_entry(
             self.agents.build_port(),
-            make_record('near'),
-            make_record('far', failure_domain='crete-a'),
+            make_record('near', deployment=self._deployment),
+            make_record(
+                'far',
+                deployment=self._deployment,
+                failure_domain='crete-a',
+            ),
             rows=self.rows,
             faults=self.faults[name],
             daemon=name,
@@ -157,6 +181,26 @@
         assert len(site.agents.ran) == 1
 
 
+class TestNewVersion:
+    """Claimed work at targets that started to serve another version."""
+
+    async def test_target_asked_twice_does_not_hide_the_next(self):
+        """A resend asks each target about the attempt that was sent there.
+
+        The first target is asked twice, as it serves another version by now,
+        before the second one runs the work, whose answer is lost.
+        """
+        site = Site('caption-llm')
+        site.agents.script('near', ScriptedResult.NEWER, ScriptedResult.FULL)
+        site.agents.script('far', ScriptedResult.LOST_DURING)
+        told = await collect(site.a, make_claimed_model_call())
+        assert told == OUTCOME_UNKNOWN
+        await asyncio.sleep(1)
+        told = await collect(site.b, make_claimed_model_call('r2'))
+        assert told == 'unknown in_progress'
+        assert len(site.agents.ran) == 1
+
+
 class TestKilledDaemon:
     """Entry daemons that die or pause, with a resend to another daemon."""
 
