Let a call follow its targets to the version that they serve

A gate that no longer serves v1 refuses and says what it serves, but each such refusal was one of the call's three attempts and took from the retry budget. Three more ways to the same refusal were found by reading and shown by tests: a refusal that arrived after another call or a heartbeat had told of the same change ruled the target out; a spent retry budget; claimed work kept the version of its first choice for all of its attempts. Change: the first refusal of each target of a call that tells of a change is no try, needs no retry budget and does not rule the target out; the second one is and does, so that a call is sent at most once more to each watched target. Claimed work draws the version anew among the targets of its claim. Tests, all five failed before: test_calls.py::TestNewVersion (four) and test_claimed_calls.py::TestNewVersion::test_all_targets_changed. Open: a call whose watched targets all serve no version for the moment of their change is still refused at once; in the site, far targets prevent it.

--- a/fakes/scripted_agents.py
+++ b/fakes/scripted_agents.py
@@ -42,6 +42,7 @@
     ``EMPTY``: the answer breaks after its headers.
     ``SHORT``: the answer breaks after its first chunk.
     ``NEWER``: the target serves ``v3`` only; other versions are refused.
+    ``FICKLE``: the target serves a version that it never served before.
     ``CRASH``: the attempt crashes the target.
     ``CRASH_LATER``: the attempt crashes the target after the first chunk.
     ``HANG``: no answer ever arrives.
@@ -59,6 +60,7 @@
     SHORT = 'short'
     WRONG_VERSION = 'wrong_version'
     NEWER = 'newer'
+    FICKLE = 'fickle'
     CRASH = 'crash'
     CRASH_LATER = 'crash_later'
     HANG = 'hang'
@@ -125,7 +127,10 @@
             self.states[address, attempt.attempt] = AttemptState.REFUSED
             return self._refuse('full')
         if result is ScriptedResult.NEWER and attempt.version != NEWER_VERSION:
-            return self._refuse('version_not_served', serves_newer=True)
+            return self._refuse('version_not_served', serves=NEWER_VERSION)
+        if result is ScriptedResult.FICKLE:
+            another = VersionName(f'{attempt.version}-later')
+            return self._refuse('version_not_served', serves=another)
         return await self._run(address, attempt, result)
 
     def _is_barred(self, address: str, attempt: Attempt) -> bool:
@@ -133,17 +138,17 @@
         return state is AttemptState.BARRED
 
     def _refuse(
-        self, code: str, *, serves_newer: bool = False
+        self, code: str, *, serves: VersionName | None = None
     ) -> AttemptRefused:
-        newer = ServedVersion(
-            model=ModelName('captions'), version=NEWER_VERSION
+        served = serves and ServedVersion(
+            model=ModelName('captions'), version=serves
         )
         return AttemptRefused(
             status=503,
             outcome=NotRun(code=code, detail=code, retry_after=1),
             spare=0,
             generation=Generation(1),
-            served=(newer,) if serves_newer else None,
+            served=(served,) if served else None,
         )
 
     async def _run(
--- a/src/ragwortcourse/entry/attempt_result.py
+++ b/src/ragwortcourse/entry/attempt_result.py
@@ -27,8 +27,8 @@
     :param status: HTTP status of the agent's refusal.
     :param suspect: true if the target crashed while it ran the attempt.
     :param was_outdated: true if the refusal shows that the target serves
-        other versions than its last status listed. The target's record is
-        updated, so the target may be tried again.
+        other versions than its status listed when it was chosen. The target's
+        record is updated, so the target may be tried again.
     """
 
     outcome: NotRun | Unknown | Completed
--- a/src/ragwortcourse/entry/attempts.py
+++ b/src/ragwortcourse/entry/attempts.py
@@ -15,6 +15,7 @@
 from ragwortcourse.entry.crash_notice import note_crash
 from ragwortcourse.entry.dispatch import dispatch_attempt
 from ragwortcourse.entry.entry import EntryState
+from ragwortcourse.entry.failed_attempts import FailedAttempts
 from ragwortcourse.identifiers import AttemptId, TargetName
 from ragwortcourse.messages.decision import DecisionPoint
 from ragwortcourse.messages.outcome import Completed, NotRun, Unknown
@@ -60,35 +61,23 @@
     entry: EntryState, work: AdmittedCall, plan: Plan
 ) -> AnsweredAttempt | Failed:
     """Try targets until one answers or no further attempt is allowed."""
-    tried: set[TargetName] = set()
-    failures: list[Failed] = []
-    for number in range(ATTEMPTS_LIMIT):
-        choice = await _prepare(entry, work, plan, tried, number)
+    failed = FailedAttempts()
+    while failed.tries < ATTEMPTS_LIMIT:
+        choice = await _prepare(entry, work, plan, failed)
         if isinstance(choice, NotRun):
-            failures = failures or [Failed(outcome=choice)]
-            break
-        attempt = plan.build_attempt_id(choice, number)
+            return judge_failures(failed.failures or [Failed(outcome=choice)])
+        attempt = plan.build_attempt_id(choice, len(failed.failures))
         sent_at = read_clock()
         step = await dispatch_attempt(entry, work, choice, attempt)
         if isinstance(step, Started):
             return AnsweredAttempt(
                 started=step, choice=choice, attempt=attempt, sent_at=sent_at
             )
-        failures.append(step)
-        note_tried(tried, choice, step)
+        failed.note(choice.record.target, step)
         await _note_failure(entry, work, choice, step)
         if not may_retry(entry, work, step):
             break
-    return judge_failures(failures)
-
-
-def note_tried(tried: set[TargetName], choice: Choice, step: Failed) -> None:
-    """Exclude a target from further attempts of this call.
-
-    A target that was asked for an outdated version stays eligible.
-    """
-    if not step.was_outdated:
-        tried.add(choice.record.target)
+    return judge_failures(failed.failures)
 
 
 def judge_failures(failures: Sequence[Failed]) -> Failed:
@@ -124,11 +113,10 @@
     entry: EntryState,
     work: AdmittedCall,
     plan: Plan,
-    tried: set[TargetName],
-    number: int,
+    failed: FailedAttempts,
 ) -> Choice | NotRun:
-    if number > 1:
-        longest = BACKOFF_SECONDS * 2**number
+    if failed.tries > 1 and not failed.was_told:
+        longest = BACKOFF_SECONDS * 2**failed.tries
         await asyncio.sleep(entry.rng.uniform(0, longest))
     if work.expires_at <= read_clock():
         return NotRun(
@@ -138,19 +126,29 @@
     refusal = await plan.check()
     if refusal is not None:
         return refusal
-    choice = plan.choose(tried)
+    choice = plan.choose(failed.tried)
     if isinstance(choice, NoChoice):
         return _refuse_without_target(work, choice)
-    if number and not entry.budget.spend(choice.record.target):
+    if not _pay(entry, choice, failed):
         return _refuse_retry(work, choice)
-    if number:
-        _RETRIES.add(1, {'result': 'sent'})
-    else:
-        entry.budget.earn(choice.record.target)
-    _note_choice(work, choice, number)
+    _note_choice(work, choice, len(failed.failures))
     return choice
 
 
+def _pay(entry: EntryState, choice: Choice, failed: FailedAttempts) -> bool:
+    """Pay for an attempt from the retry budget; return whether it may go."""
+    if not failed.failures:
+        entry.budget.earn(choice.record.target)
+        return True
+    if failed.was_told:
+        _RETRIES.add(1, {'result': 'told of a change'})
+        return True
+    if not entry.budget.spend(choice.record.target):
+        return False
+    _RETRIES.add(1, {'result': 'sent'})
+    return True
+
+
 def refuse_no_target() -> NotRun:
     """Build the refusal of work that no target can take."""
     return NotRun(
--- a/src/ragwortcourse/entry/claimed_calls.py
+++ b/src/ragwortcourse/entry/claimed_calls.py
@@ -39,7 +39,7 @@
     replay_answer,
 )
 from ragwortcourse.entry.entry import EntryState
-from ragwortcourse.entry.routing import choose_target
+from ragwortcourse.entry.routing import choose_again, choose_target
 from ragwortcourse.identifiers import AttemptId, TargetName
 from ragwortcourse.messages.call import CallOutcome
 from ragwortcourse.messages.decision import DecisionPoint
@@ -145,10 +145,7 @@
         return NotRun(code=errors.BARRED, detail='The claim is no longer held.')
 
     def choose(tried: set[TargetName]) -> Choice | NoChoice:
-        for choice in choices:
-            if choice.record.target not in tried:
-                return choice
-        return NoChoice(turned_down=dict.fromkeys(tried, 'tried before'))
+        return choose_again(work, choices, tried)
 
     def identify(choice: Choice, _: int) -> AttemptId:
         # A takeover asks each target of the claim about the attempt with its
--- a/src/ragwortcourse/entry/routing.py
+++ b/src/ragwortcourse/entry/routing.py
@@ -1,8 +1,9 @@
 """Chooses targets by rank, then by prefix affinity or spare permits."""
 
+import dataclasses
 import hashlib
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Final
 
 from ragwortcourse.clock import read_clock
@@ -49,6 +50,38 @@
     return _pick(entry, work, candidates, turned_down)
 
 
+def choose_again(
+    work: AdmittedCall, choices: Sequence[Choice], tried: set[TargetName]
+) -> Choice | NoChoice:
+    """Choose the first of earlier choices, with the version to serve by now.
+
+    :param tried: targets to which the work is not sent again.
+    """
+    left = [choice for choice in choices if choice.record.target not in tried]
+    turned_down: dict[str, str] = dict.fromkeys(tried, 'tried before')
+    for choice in left:
+        renewed = _renew_version(work, choice, left)
+        reason = _object_to_version(work, renewed)
+        if reason is None:
+            return renewed
+        turned_down[choice.record.target] = reason
+    return NoChoice(turned_down=turned_down)
+
+
+def _renew_version(
+    work: AdmittedCall, choice: Choice, choices: Sequence[Choice]
+) -> Choice:
+    deployment = choice.deployment
+    if not isinstance(deployment, ModelDeployment):
+        return choice
+    records = [
+        one.record for one in choices if one.deployment.name == deployment.name
+    ]
+    return dataclasses.replace(
+        choice, version=choose_version(deployment, records, work.adapter)
+    )
+
+
 def find_objection(
     entry: EntryState,
     work: AdmittedCall,
--- a/src/ragwortcourse/entry/settlement.py
+++ b/src/ragwortcourse/entry/settlement.py
@@ -78,13 +78,17 @@
 
 
 def _update_served(choice: Choice, refused: AttemptRefused) -> bool:
+    """Record what a target serves; return whether it told of a change.
+
+    Another call or a heartbeat may have told this daemon since the choice.
+    """
     status = choice.record.status
     if refused.served is None or status is None:
         return False
     choice.record.status = msgspec.structs.replace(
         status, served=refused.served
     )
-    return status.served != refused.served
+    return True
 
 
 def judge_report(
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import math
 from collections import Counter
 
@@ -15,10 +16,11 @@
 )
 from fakes.scripted_agents import ScriptedAgents, ScriptedResult
 from ragwortcourse.clock import read_clock
+from ragwortcourse.entry.attempts import ATTEMPTS_LIMIT
 from ragwortcourse.entry.calls import serve_call
 from ragwortcourse.entry.entry import EntryState, drain_entry
 from ragwortcourse.entry.retry_scheduler import LONGEST_WAIT_SECONDS
-from ragwortcourse.identifiers import RequestId
+from ragwortcourse.identifiers import RequestId, TargetName
 from ragwortcourse.messages.attempt import AnswerBrokenError
 from ragwortcourse.messages.call import Call, CallAnswer
 from ragwortcourse.messages.decision import DecisionPoint
@@ -210,6 +212,54 @@
         assert await collect(entry, make_model_call()) == 'whole'
         assert {attempt.version for _, attempt in agents.ran} == {'v3'}
 
+    async def test_more_targets_changed_than_a_call_has_tries(self):
+        """A call is served although its first targets all changed versions."""
+        agents = ScriptedAgents()
+        names = [f'target-{number}' for number in range(ATTEMPTS_LIMIT + 2)]
+        for name in names:
+            agents.script(name, *itertools.repeat(ScriptedResult.NEWER, 9))
+        entry = make_entry(
+            agents.build_port(),
+            *(make_record(name, deployment='caption-llm') for name in names),
+        )
+        assert await collect(entry, make_model_call()) == 'whole'
+        assert len(agents.sent) <= len(names) + 1
+
+    async def test_change_is_learned_by_two_calls_at_once(self):
+        """A call that learns of a change second is retried as well."""
+        agents = ScriptedAgents()
+        agents.seconds = 0.1
+        agents.script('only', *itertools.repeat(ScriptedResult.NEWER, 9))
+        entry = make_entry(
+            agents.build_port(), make_record('only', deployment='caption-llm')
+        )
+        told = await asyncio.gather(
+            collect(entry, make_model_call()),
+            collect(entry, make_model_call('r2')),
+        )
+        assert told == ['whole', 'whole']
+
+    async def test_retries_are_spent(self):
+        """A call follows a change of version without the retry budget."""
+        agents = ScriptedAgents()
+        agents.script('near', *itertools.repeat(ScriptedResult.NEWER, 9))
+        agents.script('far', *itertools.repeat(ScriptedResult.NEWER, 9))
+        entry = make_model_entry(agents)
+        while entry.budget.spend(TargetName('near')):
+            """Spend what is left."""
+        assert await collect(entry, make_model_call()) == 'whole'
+
+    async def test_target_that_changes_with_each_try(self):
+        """A target is asked again once only, whatever it says it serves."""
+        agents = ScriptedAgents()
+        agents.script('only', *itertools.repeat(ScriptedResult.FICKLE, 20))
+        entry = make_entry(
+            agents.build_port(), make_record('only', deployment='caption-llm')
+        )
+        told = await collect(entry, make_model_call())
+        assert told == 'not_run version_not_served'
+        assert len(agents.sent) == 2
+
 
 class TestDrain:
     """Planned stop of an entry daemon."""
--- a/tests/test_claimed_calls.py
+++ b/tests/test_claimed_calls.py
@@ -200,6 +200,14 @@
         assert told == 'unknown in_progress'
         assert len(site.agents.ran) == 1
 
+    async def test_all_targets_changed(self):
+        """Claimed work follows its targets to the version that they serve."""
+        site = Site('caption-llm')
+        for name in ('near', 'far'):
+            site.agents.script(name, *(ScriptedResult.NEWER for _ in range(9)))
+        assert await collect(site.a, make_claimed_model_call()) == 'whole'
+        assert [one.version for _, one in site.agents.ran] == ['v3']
+
 
 class TestKilledDaemon:
     """Entry daemons that die or pause, with a resend to another daemon."""
