Start to watch targets in the order of their names

Cause, found with the red entry of order26-0: an entry daemon started its heartbeats in the order of a set of names, which the hash seed decides. Change: the names are sorted. Test: test_membership.py::TestWatching::test_order_of_the_records; failed before with hash seeds 0, 1 and 2.

--- a/src/ragwortcourse/membership/watch.py
+++ b/src/ragwortcourse/membership/watch.py
@@ -105,7 +105,7 @@
         if target not in subset.targets:
             tasks.pop(target).cancel()
             membership.directory.drop(target)
-    for target in subset.targets:
+    for target in sorted(subset.targets):
         record = _put_record(membership, agents[target])
         if target not in tasks:
             tasks[target] = asyncio.create_task(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -121,6 +121,13 @@
 class TestWatching:
     """Records that a daemon keeps of its targets."""
 
+    async def test_order_of_the_records(self):
+        """The order of the records does not depend on the hash seed."""
+        _, entry = await start(agents=12)
+        names = [one.target for one in entry.membership.directory.records]
+        assert len(names) == 12
+        assert names == sorted(names)
+
     async def test_leaving_by_list(self):
         """A planned stop in the list is known within 3 s and stays known."""
         fleet, entry = await start()
