Avoid a plain target that does not answer within its try

Cause of the red entry test_suspect_is_sent_to_one_target_only: the time of a try of a plain request is kept by plain_call.py, which told the crash guard of the silence but not the health of the target, as tries.py does for every other loss. So a target that had just fallen silent was as good as any: the next request, and the repeat of a suspect, went to it again. There a suspect shows nothing new, as one incarnation counts once, and one more target had to end before the third request was refused with 503. In the test it takes a machine so busy that the event loop stands still for 0.4 s during the first try. Change: such a try counts as a failure of the target, if it lasted at least a quarter of the route's time limit; a caller that leaves little time does not discredit a target. A time that ends while the request waits for a target is no longer told of the target before. A target that is silent up to the deadline of its request (504) is noted by neither, since the deadline ends the try from outside.

--- a/src/ragwortcourse/forwarding/plain_call.py
+++ b/src/ragwortcourse/forwarding/plain_call.py
@@ -6,7 +6,6 @@
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.answer_cut import AnswerCutError
-from ragwortcourse.forwarding.loss_cause import LossCause
 from ragwortcourse.forwarding.open_try import OpenTry
 from ragwortcourse.forwarding.reply import Reason, Refusal, Reply, WholeAnswer
 from ragwortcourse.forwarding.tries import Tries
@@ -43,7 +42,7 @@
                 return opened
             return await _read_whole(tries, opened)
     except TimeoutError:
-        tries.crashes.note_lost(LossCause.SILENCE)
+        tries.note_timeout()
         return None
 
 
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from typing import Final
 
-from ragwortcourse.clock import read_clock
+from ragwortcourse.clock import read_clock, read_clock_with_suspend
 from ragwortcourse.forwarding.admission import (
     LATE_POLL_SECONDS,
     LATE_WAIT_SECONDS,
@@ -39,6 +39,9 @@
 
 # Additional targets that may be tried if others did not run the request.
 DECLINES_ALLOWED: Final = 2
+# Share of the time limit of a route after which a silent target is avoided. A
+# try that ends sooner, as its caller left little time, tells nothing.
+SILENT_SHARE: Final = 0.25
 # A target that did not run a request may have a free slot after this time.
 DECLINED_RETRY_SECONDS: Final = 0.2
 
@@ -71,6 +74,7 @@
         self.sent_at: float | None = None
         self.first_at: float | None = None
         self.was_late = self.is_late
+        self._asked: tuple[Target, TargetLoad] | None = None
         self._service: ServiceName = choose_service(forwarder, work)
         self._sends = 0
         self._was_misdirected = False
@@ -110,6 +114,7 @@
             given up; none: only the time limit of the request applies.
         """
         while self.allows_another():
+            self._asked = None
             target = await self._choose()
             if isinstance(target, Refusal):
                 return self._give_up(target)
@@ -140,6 +145,18 @@
         self.crashes.note_lost(_explain(tried.load, cause))
         self._log('answer cut or invalid', tried.target, detail)
 
+    def note_timeout(self) -> None:
+        """Record that the time of a try ended before its answer did."""
+        if self._asked is None:
+            # The request was waiting for a target.
+            return
+        target, load = self._asked
+        silence = read_clock_with_suspend() - self.crashes.sent_at
+        if silence >= self.work.route.time_limit * SILENT_SHARE:
+            load.target_health.note_failure(read_clock())
+        self.crashes.note_lost(_explain(load, LossCause.SILENCE))
+        self._log('no answer from target', target, f'within {silence:.2f} s')
+
     async def _choose(self) -> Target | Refusal:
         """Choose the next target; a late request waits for a free slot."""
         began_at = read_clock()
@@ -169,6 +186,7 @@
         self._sends += 1
         self.tried.append(target.name)
         load = forwarder.find_load(target)
+        self._asked = target, load
         load.count_sent(began_at)
         self.crashes.note_sent(target)
         forwarder.safeguards.target_limits.count_sent(target)
@@ -182,7 +200,7 @@
             rank=rank_request(
                 route=self.work.route,
                 account=self.work.account,
-                standing=self._read_standing(),
+                standing=_read_standing(self),
             ),
         )
         limits = (silence, read_start_limit(forwarder, target))
@@ -216,11 +234,6 @@
             self.crashes.note_lost(_explain(load, answer.cause))
         return None
 
-    def _read_standing(self) -> Standing:
-        if self.first_at is not None:
-            return Standing.MOVED
-        return Standing.LATE if self.is_late else Standing.FRESH
-
     def _judge(self, opened: OpenTry) -> OpenTry | None:
         now = read_clock()
         head, load = opened.answer.head, opened.load
@@ -322,3 +335,9 @@
     if load.unavailable_until > read_clock():
         return LossCause.ANNOUNCED
     return cause
+
+
+def _read_standing(tries: Tries) -> Standing:
+    if tries.first_at is not None:
+        return Standing.MOVED
+    return Standing.LATE if tries.is_late else Standing.FRESH
