Give look-ups of the stand-in fleet more time than a busy machine takes

Cause: the look-ups of ForwarderFleet had 0.8 s, so that a try ended after 0.4 s of real time. Where the event loop stands still for longer, a try ends before its request has arrived, and the tests that count arrivals fail, whatever the forwarder does: a wall-clock bound that no test is about. Change: their look-ups have 6 s, as callers of the fleet give. No assertion is changed; what a forwarder does when a try ends is tested in virtual time in test_plain_call.py.

--- a/fakes/forwarder_fleet.py
+++ b/fakes/forwarder_fleet.py
@@ -14,8 +14,11 @@
 
 from fakes.fleet_parts import (
     KEY,
+    LOOKUP,
+    make_desired,
     make_forwarder,
     make_plain,
+    make_route,
     make_state,
     make_target,
 )
@@ -42,6 +45,8 @@
 CONFIRM_SECONDS: Final = 0.5
 LOOK: Final = '/lookups/1'
 LETTER: Final = '/letters/1'
+# A busy machine may stop the event loop for longer than a try of ``LOOKUP``.
+PATIENT_LOOKUP: Final = dataclasses.replace(LOOKUP, time_limit=6.0)
 NO_HEADERS: Final[Mapping[str, str]] = types.MappingProxyType({})
 
 
@@ -118,8 +123,10 @@
         session = await self.exit_stack.enter_async_context(
             open_target_session()
         )
+        state = make_state(*self._listed.values())
+        state.desired = make_desired(make_route(), PATIENT_LOOKUP)
         forwarder = make_forwarder(
-            make_state(*self._listed.values()),
+            state,
             session,
             daemon=name,
             listen=ListenSettings(
