Ask no peer that fell silent while the request was queued

Cause: a host downloads at most four chunks from other regions at once. Requests looked whether their source is silent before they queued for that slot, not after. When a source of another region died, each four of the queued requests asked it for two seconds more: with hosts 5, 8 and 11 of 16 dead, host 12 asked dead host 11 at 7.08, 9.08 and 11.08 s (trace of all requests).

Change: the request looks again once it has the slot.

--- a/src/ragwortcourse/weights/sources.py
+++ b/src/ragwortcourse/weights/sources.py
@@ -66,6 +66,9 @@
         outcome = await _fetch(agent_weights, state, source, relay=relay)
     else:
         async with state.transfer.slots.cross_region:
+            # The peer may have fallen silent while the request was queued.
+            if agent_weights.exchange.health.is_ejected(source.daemon):
+                return None
             outcome = await _fetch(agent_weights, state, source, relay=relay)
     if isinstance(outcome, ChunkAnswer):
         accept_silence_reports(agent_weights, state.transfer, outcome.silent)
