Decline sends to leaves beforehand, spread over the whole version

Cause: the manifest takes part of each link's budget of two copies, so a host may send one to three chunks less than its place in the trees asks of it. Each host sent until nothing was left and refused its last chunks: 42 refusals with 16 hosts and 100 chunks, told only after up to 1.9 s in queues, then all asked the origin at once (trace: every other link idle for the last second). What is refused grows with hosts, and so did that end: 1.1 copies at 480 hosts.

Change: a host declines as many sends as its budget lacks, at even intervals over the version, at once, and only to leaves of the chunk's tree, for which nobody waits. The leaf names itself so in the request; an older peer ignores that, and an older receiver is never declined.

--- a/src/ragwortcourse/weights/chunk_download.py
+++ b/src/ragwortcourse/weights/chunk_download.py
@@ -19,6 +19,8 @@
 # "Not ready" answers after which hosts other than the next source are asked,
 # unless other chunks keep arriving and this one is not overdue.
 WAITS_BEFORE_FALLBACK: Final = 4
+# "Not ready" answers of a spare host after which the origin is asked.
+WAITS_AT_SPARE: Final = 4
 # After a longer wait at a source, the host asks again without backoff.
 LONG_WAIT_SECONDS: Final = 1.0
 FIRST_RETRY_SECONDS: Final = 0.2
@@ -89,12 +91,26 @@
     """Ask a host with spare link capacity, then the origin."""
     spare_host = state.transfer.view.find_spare(agent_weights.own, state.index)
     if spare_host is not None and state.index != MANIFEST_INDEX:
-        content = await try_peer(agent_weights, state, spare_host)
+        content = await _wait_for_spare(agent_weights, state, spare_host)
         if content is not None:
             return content
     return await try_origin(agent_weights, state)
 
 
+async def _wait_for_spare(
+    agent_weights: AgentWeights,
+    state: ChunkDownloadState,
+    spare_host: PeerAddress,
+) -> bytes | None:
+    """Ask a spare host, which gets the chunk later than this host's source."""
+    for _ in range(WAITS_AT_SPARE):
+        state.waiting = False
+        content = await try_peer(agent_weights, state, spare_host)
+        if content is not None or not state.waiting:
+            return content
+    return None
+
+
 async def _try_origin_limited(
     agent_weights: AgentWeights, state: ChunkDownloadState
 ) -> bytes | None:
--- a/src/ragwortcourse/weights/chunk_download_state.py
+++ b/src/ragwortcourse/weights/chunk_download_state.py
@@ -17,7 +17,7 @@
     :param gone: in this round, a source had evicted the chunk or refused it.
     :param waiting: in this round, a source answered "not ready".
     :param refused: in this round, a source had no link budget left for this
-        version.
+        version, or kept it for other chunks.
     """
 
     transfer: Transfer
--- a/src/ragwortcourse/weights/http_peers.py
+++ b/src/ragwortcourse/weights/http_peers.py
@@ -12,6 +12,7 @@
 from ragwortcourse.weights.peer_port import (
     ChunkAnswer,
     ChunkContent,
+    ChunkDeclined,
     ChunkEvicted,
     ChunkNotReady,
     ChunkOutcome,
@@ -20,6 +21,7 @@
     ChunkRequest,
 )
 from ragwortcourse.weights.routes import (
+    DECLINED_STATUS,
     GONE_STATUS,
     LATER_STATUS,
     REFUSED_STATUS,
@@ -38,12 +40,17 @@
     LATER_STATUS: ChunkNotReady,
     GONE_STATUS: ChunkEvicted,
     REFUSED_STATUS: ChunkRefused,
+    DECLINED_STATUS: ChunkDeclined,
 }
 
 
 def list_options(request: ChunkRequest) -> dict[str, str]:
     """Return the query parameters of a request."""
-    options = {'relay': request.refetch, 'urgent': request.urgent}
+    options = {
+        'relay': request.refetch,
+        'urgent': request.urgent,
+        'leaf': request.leaf,
+    }
     return {name: '1' for name, is_set in options.items() if is_set}
 
 
--- a/src/ragwortcourse/weights/peer_port.py
+++ b/src/ragwortcourse/weights/peer_port.py
@@ -39,6 +39,8 @@
         evicted it.
     :param urgent: the origin failed; send the chunk even if the link budget
         of the version is used up.
+    :param leaf: no host waits for the sender to pass the chunk on, so the peer
+        may decline.
     :param silent: peers that do not answer the sender.
     """
 
@@ -47,6 +49,7 @@
     sender: DaemonId
     refetch: bool = False
     urgent: bool = False
+    leaf: bool = False
     silent: tuple[DaemonId, ...] = ()
 
 
@@ -82,6 +85,11 @@
     """The peer's link budget for this version is used up."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ChunkDeclined(ChunkAnswer):
+    """The peer keeps its link budget for other chunks."""
+
+
 ChunkOutcome = ChunkAnswer | PeerUnavailable
 ListPeers = Callable[[], tuple[PeerAddress, ...]]
 
--- a/src/ragwortcourse/weights/routes.py
+++ b/src/ragwortcourse/weights/routes.py
@@ -14,6 +14,7 @@
 from ragwortcourse.weights.peer_port import (
     ChunkAnswer,
     ChunkContent,
+    ChunkDeclined,
     ChunkEvicted,
     ChunkNotReady,
     ChunkRequest,
@@ -25,6 +26,7 @@
 LATER_STATUS: Final = HTTPStatus.TOO_EARLY
 GONE_STATUS: Final = HTTPStatus.GONE
 REFUSED_STATUS: Final = HTTPStatus.TOO_MANY_REQUESTS
+DECLINED_STATUS: Final = HTTPStatus.MISDIRECTED_REQUEST
 
 
 def build_weight_routes(*, agent_weights: AgentWeights) -> list[web.RouteDef]:
@@ -77,6 +79,7 @@
         sender=DaemonId(request.headers.get(SENDER, '')),
         refetch='relay' in request.query,
         urgent='urgent' in request.query,
+        leaf='leaf' in request.query,
         silent=read_silent(request.headers),
     )
 
@@ -97,4 +100,6 @@
         return LATER_STATUS
     if isinstance(outcome, ChunkEvicted):
         return GONE_STATUS
+    if isinstance(outcome, ChunkDeclined):
+        return DECLINED_STATUS
     return REFUSED_STATUS
--- a/src/ragwortcourse/weights/serving.py
+++ b/src/ragwortcourse/weights/serving.py
@@ -9,10 +9,12 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.weights.agent_weights import AgentWeights
 from ragwortcourse.weights.chunk_download import download_chunk
+from ragwortcourse.weights.declining import decline
 from ragwortcourse.weights.peer_port import (
     MANIFEST_INDEX,
     ChunkAnswer,
     ChunkContent,
+    ChunkDeclined,
     ChunkEvicted,
     ChunkNotReady,
     ChunkRefused,
@@ -52,6 +54,9 @@
         yield ChunkNotReady()
         return
     accept_silence_reports(agent_weights, transfer, request.silent)
+    if decline(agent_weights, transfer, request):
+        yield ChunkDeclined()
+        return
     content = await _find_content(agent_weights, transfer, request, deadline)
     if content is None:
         evicted = transfer.held.was_evicted(request.index)
@@ -88,7 +93,7 @@
 def _take_budget(transfer: Transfer, request: ChunkRequest, size: int) -> bool:
     """Charge an answer to the link budget; return whether it may be sent."""
     if request.index == MANIFEST_INDEX:
-        transfer.counts.sent += size
+        transfer.counts.overhead += size
         return True
     whole = transfer.require_manifest().size
     may_send = transfer.serves(request.sender) and transfer.counts.may_send(
--- a/src/ragwortcourse/weights/sources.py
+++ b/src/ragwortcourse/weights/sources.py
@@ -17,6 +17,7 @@
     MANIFEST_INDEX,
     ChunkAnswer,
     ChunkContent,
+    ChunkDeclined,
     ChunkEvicted,
     ChunkNotReady,
     ChunkOutcome,
@@ -81,8 +82,9 @@
     if isinstance(outcome, ChunkEvicted | ChunkRefused):
         state.gone = True
         state.transfer.exhausted_peers.add(source.daemon)
-    if isinstance(outcome, ChunkRefused):
+    if isinstance(outcome, ChunkDeclined | ChunkRefused):
         state.refused = True
+    if isinstance(outcome, ChunkRefused):
         state.transfer.note_refusal(source.daemon)
     if isinstance(outcome, ChunkNotReady):
         state.waiting = True
@@ -104,6 +106,7 @@
         sender=agent_weights.own.daemon,
         refetch=relay,
         urgent=state.origin_failed,
+        leaf=_is_leaf(agent_weights, state),
         silent=agent_weights.exchange.health.list_recently_silent(),
     )
     exchange = agent_weights.exchange
@@ -127,6 +130,17 @@
     return outcome
 
 
+def _is_leaf(agent_weights: AgentWeights, state: ChunkDownloadState) -> bool:
+    """Tell whether no host waits for the chunk, in the first request for it.
+
+    Later requests are for a chunk that is hard to get and must not be declined.
+    """
+    if state.attempts or state.refused:
+        return False
+    view = state.transfer.view
+    return not view.list_children(agent_weights.own, state.index)
+
+
 def _check(
     agent_weights: AgentWeights,
     state: ChunkDownloadState,
--- a/src/ragwortcourse/weights/transfer.py
+++ b/src/ragwortcourse/weights/transfer.py
@@ -94,7 +94,7 @@
     def keep_manifest(self, content: bytes) -> None:
         """Keep the verified manifest content to serve it to peers."""
         self._manifest_content = content
-        self.counts.overhead = len(content)
+        self.counts.overhead += len(content)
         self._manifest_arrival.set()
 
     def measure(self, index: int) -> int:
--- a/src/ragwortcourse/weights/transfer_counts.py
+++ b/src/ragwortcourse/weights/transfer_counts.py
@@ -14,9 +14,10 @@
 
     :ivar received: verified bytes by kind of source.
     :ivar wasted: bytes of corrupted chunks.
-    :ivar overhead: bytes of the manifest.
+    :ivar overhead: bytes of the manifest, received and sent.
     :ivar refetched: bytes of evicted chunks downloaded again for peers.
-    :ivar sent: bytes sent to peers.
+    :ivar sent: bytes of chunks sent to peers.
+    :ivar declined: number of chunks that this host declined to send.
     :ivar corrupted: number of corrupted chunks.
     :ivar rate: current rate of verified bytes.
     """
@@ -27,6 +28,7 @@
         self.overhead = 0
         self.refetched = 0
         self.sent = 0
+        self.declined = 0
         self.corrupted = 0
         self.rate = RateMeter()
 
@@ -51,6 +53,18 @@
         :param size: bytes to send.
         :param whole: bytes of the version.
         """
+        return self.sent + size <= self._count_budget(whole)
+
+    def count_lacking(self, whole: int, copies: float) -> float:
+        """Return the bytes that the link budget lacks; negative: has left.
+
+        :param whole: bytes of the version.
+        :param copies: copies that peers ask of this host in all.
+        """
+        return copies * whole - self._count_budget(whole)
+
+    def _count_budget(self, whole: int) -> int:
+        """Return the bytes of chunks that this host may send in all."""
         own = max(whole, self.verified - self.refetched)
         others = self.refetched + self.wasted + self.overhead
-        return own + others + self.sent + size <= LINK_COPIES * whole
+        return LINK_COPIES * whole - own - others
--- a/src/ragwortcourse/weights/tree.py
+++ b/src/ragwortcourse/weights/tree.py
@@ -103,6 +103,14 @@
         spare = last[(index + self._positions[own.daemon]) % len(last)]
         return spare if spare.region == own.region else None
 
+    def count_copies(self, own: PeerAddress) -> float:
+        """Return the copies that a host sends in whole rotations."""
+        for group, present in self._present:
+            if own in present:
+                is_last = group is self._present[-1][0]
+                return (len(present) - is_last) / len(present)
+        return 0
+
     @functools.cached_property
     def _positions(self) -> dict[DaemonId, int]:
         return {each.daemon: at for at, each in enumerate(self.members)}
