Probe sources of weights that have become quiet

Cause: a source holds a request until it has the chunk, so a host took a dead source for one that waits until its connections timed out, two seconds in the stand-in and up to eight over HTTP. Requests to the dead source filled the host's 16 concurrent downloads, and all hosts behind it stood still; if its next source was dead as well, for two seconds more (host 1 of 16, with hosts 7, 8 and 9 dead: from 5 to 9.03 s in the trace).

Change: every 0.25 s a host probes the one source with requests under way that has been quiet longest, if it was quiet for 0.5 s. A probe is answered at once, without content. An older peer answers a probe with the manifest. A live host that answers late is taken back at its next request or answer. Probes take no part of the stand-in's links, so how often a busy link makes a live host look silent is not measured.

--- a/src/ragwortcourse/weights/collect.py
+++ b/src/ragwortcourse/weights/collect.py
@@ -15,6 +15,7 @@
 )
 from ragwortcourse.weights.orders import OrderSubject
 from ragwortcourse.weights.peer_port import MANIFEST_INDEX
+from ragwortcourse.weights.source_watch import watch_sources
 from ragwortcourse.weights.transfer import Transfer
 from ragwortcourse.weights.whole_digest import WholeDigest
 
@@ -154,7 +155,10 @@
     )
     chunk = max(manifest.chunk_size, 1)
     capacity = max(agent_weights.exchange.memory.limit // chunk // 2, 1)
-    async with asyncio.TaskGroup() as group:
+    async with (
+        watch_sources(agent_weights, transfer),
+        asyncio.TaskGroup() as group,
+    ):
         for _ in range(min(CONCURRENT_DOWNLOADS, capacity)):
             group.create_task(pipeline.work())
     if pipeline.failure is not None:
--- a/src/ragwortcourse/weights/http_peers.py
+++ b/src/ragwortcourse/weights/http_peers.py
@@ -50,6 +50,7 @@
         'relay': request.refetch,
         'urgent': request.urgent,
         'leaf': request.leaf,
+        'probe': request.probe,
     }
     return {name: '1' for name, is_set in options.items() if is_set}
 
--- a/src/ragwortcourse/weights/peer_health.py
+++ b/src/ragwortcourse/weights/peer_health.py
@@ -34,15 +34,18 @@
     """Faults of its peers that this host has seen.
 
     :ivar usual_seconds: moving average of the time for one chunk.
+    :ivar usual_probe_seconds: moving average of the time for one probe.
     """
 
     def __init__(self) -> None:
         self.usual_seconds: float = 0
+        self.usual_probe_seconds: float = 0
         self._ejected_until: dict[DaemonId, float] = {}
         self._silences: Counter[DaemonId] = Counter()
         self._damaged_chunks: Counter[DaemonId] = Counter()
         self._heard_at: dict[DaemonId, float] = {}
         self._silent_at: dict[DaemonId, float] = {}
+        self._quiet_since: dict[DaemonId, float] = {}
         self._waits: dict[DaemonId, set[asyncio.Timeout]] = defaultdict(set)
 
     @contextlib.asynccontextmanager
@@ -56,6 +59,8 @@
         :raises TimeoutError: the peer is silent, or the seconds are over.
         """
         waits = self._waits[peer]
+        if not waits:
+            self._quiet_since[peer] = read_clock()
         async with asyncio.timeout(seconds) as wait:
             waits.add(wait)
             try:
@@ -67,6 +72,34 @@
         """Add the time for one chunk to the moving average."""
         self.usual_seconds += (seconds - self.usual_seconds) * SMOOTHING
 
+    def note_probe_seconds(self, seconds: float) -> None:
+        """Add the time for one probe to the moving average."""
+        self.usual_probe_seconds += (
+            seconds - self.usual_probe_seconds
+        ) * SMOOTHING
+
+    def was_heard_since(self, peer: DaemonId, since: float) -> bool:
+        """Tell whether a peer asked or answered since a monotonic time."""
+        return self._heard_at.get(peer, float('-inf')) >= since
+
+    def take_quiet(self, seconds: float) -> DaemonId | None:
+        """Return the peer that has been quiet longest with requests under way.
+
+        It is not returned again before the same time is over.
+
+        :param seconds: shortest time without an answer or a request.
+        """
+        quiet = {
+            peer: max(self._quiet_since[peer], self._heard_at.get(peer, 0))
+            for peer, waits in self._waits.items()
+            if waits
+        }
+        longest = min(quiet, key=quiet.__getitem__, default=None)
+        if longest is None or read_clock() - quiet[longest] < seconds:
+            return None
+        self._quiet_since[longest] = read_clock()
+        return longest
+
     def is_ejected(self, peer: DaemonId) -> bool:
         """Tell whether to avoid a peer for now.
 
--- a/src/ragwortcourse/weights/peer_port.py
+++ b/src/ragwortcourse/weights/peer_port.py
@@ -41,6 +41,7 @@
         of the version is used up.
     :param leaf: no host waits for the sender to pass the chunk on, so the peer
         may decline.
+    :param probe: answer at once, without content.
     :param silent: peers that do not answer the sender.
     """
 
@@ -50,6 +51,7 @@
     refetch: bool = False
     urgent: bool = False
     leaf: bool = False
+    probe: bool = False
     silent: tuple[DaemonId, ...] = ()
 
 
--- a/src/ragwortcourse/weights/routes.py
+++ b/src/ragwortcourse/weights/routes.py
@@ -80,6 +80,7 @@
         refetch='relay' in request.query,
         urgent='urgent' in request.query,
         leaf='leaf' in request.query,
+        probe='probe' in request.query,
         silent=read_silent(request.headers),
     )
 
--- a/src/ragwortcourse/weights/serving.py
+++ b/src/ragwortcourse/weights/serving.py
@@ -49,11 +49,14 @@
     deadline = read_clock() + WAIT_SECONDS - MARGIN_SECONDS
     # A request shows that its sender is alive.
     agent_weights.exchange.health.note_answer(request.sender)
+    if request.probe:
+        deadline = read_clock()
     transfer = await _wait_for_transfer(agent_weights, request, deadline)
-    if transfer is None:
+    if transfer is not None:
+        accept_silence_reports(agent_weights, transfer, request.silent)
+    if transfer is None or request.probe:
         yield ChunkNotReady()
         return
-    accept_silence_reports(agent_weights, transfer, request.silent)
     if decline(agent_weights, transfer, request):
         yield ChunkDeclined()
         return
--- a/src/ragwortcourse/weights/tree.py
+++ b/src/ragwortcourse/weights/tree.py
@@ -52,6 +52,11 @@
         """Return the failure domain of a member; None for other hosts."""
         return self._domains.get(daemon)
 
+    def find_member(self, daemon: DaemonId) -> PeerAddress | None:
+        """Return a member; None for other hosts."""
+        position = self._positions.get(daemon)
+        return None if position is None else self.members[position]
+
     def count_domain(self, name: FailureDomainName) -> int:
         """Return the number of members of a failure domain."""
         return sum(domain == name for domain in self._domains.values())
