--- a/src/ragwortcourse/weights/tree.py
+++ b/src/ragwortcourse/weights/tree.py
@@ -52,6 +52,11 @@
         """Return the failure domain of a member; None for other hosts."""
         return self._domains.get(daemon)
 
+    def find_member(self, daemon: DaemonId) -> PeerAddress | None:
+        """Return a member; None for other hosts."""
+        position = self._positions.get(daemon)
+        return None if position is None else self.members[position]
+
     def count_domain(self, name: FailureDomainName) -> int:
         """Return the number of members of a failure domain."""
         return sum(domain == name for domain in self._domains.values())
@@ -103,6 +108,14 @@
         spare = last[(index + self._positions[own.daemon]) % len(last)]
         return spare if spare.region == own.region else None
 
+    def count_copies(self, own: PeerAddress) -> float:
+        """Return the copies that a host sends in whole rotations."""
+        for group, present in self._present:
+            if own in present:
+                is_last = group is self._present[-1][0]
+                return (len(present) - is_last) / len(present)
+        return 0
+
     @functools.cached_property
     def _positions(self) -> dict[DaemonId, int]:
         return {each.daemon: at for at, each in enumerate(self.members)}
