Download a version as soon as a source offers it again

Cause: a loader that reads no manifest of a version, or no chunk of it for 1.5 s, takes it as unavailable for five seconds, whatever happens meanwhile. Loaders then finish an older version even if the newest could be loaded in time, and give up the newest version while its chunks arrive once the mark of the older one, set earlier, has run out. Change: a chunk that arrives ends the mark. While an older version is downloaded, the newest is requested every half second: its manifest, or one missing chunk, which is kept. Tests: three in test_loader_weights.py, all of which failed before.

--- a/src/ragwortcourse/weights/loader_weights.py
+++ b/src/ragwortcourse/weights/loader_weights.py
@@ -79,16 +79,24 @@
 
         :return: infinity while no source offers the version.
         """
-        if read_clock() < self._stalled_until.get(version, 0):
+        if self.is_stalled(version):
             return math.inf
         kept = self.store.find(version)
         missing = rules.chunks if kept is None else len(kept.missing)
         return missing * rules.chunk_bytes / self.link_rate
 
+    def is_stalled(self, version: int) -> bool:
+        """Tell whether no source offered a version recently."""
+        return read_clock() < self._stalled_until.get(version, 0)
+
     def note_stalled(self, version: int) -> None:
         """Record that no source offers the missing chunks of a version."""
         self._stalled_until[version] = read_clock() + STALLED_SECONDS
 
+    def note_offered(self, version: int) -> None:
+        """Record that a source offers a version."""
+        self._stalled_until.pop(version, None)
+
     def find_downloaded(self, rules: EngineProfile) -> VersionChunks | None:
         """Return the newest complete version unless the engine holds it."""
         newest = self.store.find_newest_whole()
--- a/src/ragwortcourse/weights/version_drawing.py
+++ b/src/ragwortcourse/weights/version_drawing.py
@@ -20,6 +20,9 @@
 # long enough to try other sources; slow links get STALL_CHUNKS chunk times.
 STALL_SECONDS: Final = 1.5
 STALL_CHUNKS: Final = 3
+# Pause between the requests for the newest version while an older one is
+# downloaded because no source offered the newest.
+PROBE_SECONDS: Final = 0.5
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -133,6 +136,7 @@
             index = queue.pop(0)
             if await _download_one(loader_weights, rules, chunks, index):
                 received_at = read_clock()
+                loader_weights.note_offered(version)
             else:
                 queue.append(index)
                 await asyncio.sleep(RETRY_SECONDS)
@@ -140,6 +144,9 @@
     downloading = asyncio.gather(
         *(download_some() for _ in range(CONCURRENT_DOWNLOADS))
     )
+    probing = asyncio.ensure_future(
+        _probe_newest(loader_weights, rules, version)
+    )
     try:
         while (
             choose_next_version(loader_weights, rules) == version
@@ -149,8 +156,45 @@
             if read_clock() - received_at > stall_limit:
                 loader_weights.note_stalled(version)
     finally:
-        downloading.cancel()
-        await asyncio.gather(downloading, return_exceptions=True)
+        for running in (downloading, probing):
+            running.cancel()
+        await asyncio.gather(downloading, probing, return_exceptions=True)
+
+
+async def _probe_newest(
+    loader_weights: LoaderWeights, rules: EngineProfile, version: int
+) -> None:
+    """Request the newest version, if it counts as unavailable, forever.
+
+    :param version: version that is downloaded meanwhile.
+    """
+    while True:
+        await asyncio.sleep(PROBE_SECONDS)
+        newest = loader_weights.list_named(rules)[-1].version
+        if (
+            newest != version
+            and loader_weights.is_stalled(newest)
+            and await _is_offered(loader_weights, rules, newest)
+        ):
+            loader_weights.note_offered(newest)
+
+
+async def _is_offered(
+    loader_weights: LoaderWeights, rules: EngineProfile, version: int
+) -> bool:
+    """Tell whether a source offers what is missing of a version.
+
+    A chunk that arrives is kept.
+    """
+    ports = loader_weights.ports
+    kept = loader_weights.store.find(version)
+    if kept is None:
+        manifest = await ports.read_manifest(rules.model, version)
+        return manifest is not None and len(manifest.digests) == rules.chunks
+    index = kept.missing[0]
+    rate = loader_weights.link_rate // CONCURRENT_DOWNLOADS
+    content = await ports.download_chunk(kept.manifest, index, rate)
+    return kept.take(index, content)
 
 
 async def _download_one(
--- a/tests/test_loader_weights.py
+++ b/tests/test_loader_weights.py
@@ -5,7 +5,14 @@
 
 import pytest
 
-from fakes.fleet_parts import ENGINES, FLEET, MODEL, make_state, make_target
+from fakes.fleet_parts import (
+    ENGINE_RULES,
+    ENGINES,
+    FLEET,
+    MODEL,
+    make_state,
+    make_target,
+)
 from fakes.staged_engine import StagedEngine
 from ragwortcourse.clock import read_clock_with_suspend
 from ragwortcourse.forwarding.load_exchange import SwitchMessage
@@ -346,6 +353,64 @@
         assert host.engine.version == 3
         host.check_orders()
 
+    async def test_newest_appears_during_an_older_download(self):
+        """The newest version is loaded once a source offers it in time.
+
+        After a failed read of its manifest, the newest version was not
+        requested for five seconds. Loaders downloaded an older version
+        meanwhile, although the origin answered again, and the engines had
+        only expired weights when that was done.
+        """
+        host = Host(version=1, link_mbps=0.009)
+        host.seconds = 1.85
+        host.unknown = 3
+        async with host.run():
+            host.name(2)
+            host.name(3)
+            await asyncio.sleep(1)
+            host.unknown = 0
+            await asyncio.sleep(FLEET.version_ms / 1000 - 1)
+            assert host.engine.version == 3
+        assert [version for version, _ in host.engine.orders] == [3]
+        host.check_orders()
+
+    async def test_missing_chunk_appears_during_an_older_download(self):
+        """A version whose last chunk was missing is finished at once."""
+        host = Host(version=1, link_mbps=0.03)
+        host.seconds = 0.2
+        host.missing = (3, CHUNKS - 1)
+        async with host.run():
+            host.name(2)
+            host.name(3)
+            while host.loading.estimate_download_seconds(ENGINE_RULES, 3) < 9:
+                await asyncio.sleep(0.1)
+            host.seconds = 1.5
+            await asyncio.sleep(0.5)
+            host.missing = None
+            await asyncio.sleep(3.5)
+            assert host.engine.version == 3
+        assert [version for version, _ in host.engine.orders] == [3]
+        host.check_orders()
+
+    async def test_newest_is_not_given_up_as_it_arrives(self):
+        """A version whose chunks arrive is not abandoned for an older one.
+
+        Both versions were unavailable in an outage of the origin, the newest
+        one noted last.
+        """
+        host = Host(version=1, link_mbps=0.03)
+        host.seconds = 1.5
+        host.reachable = False
+        async with host.run():
+            host.name(2)
+            host.name(3)
+            await asyncio.sleep(3)
+            host.reachable = True
+            await asyncio.sleep(FLEET.version_ms / 1000 - 3)
+            assert host.engine.version == 3
+        assert all(version == 3 for version, _ in host.drawn)
+        host.check_orders()
+
     async def test_next_version_is_nearly_drawn(self):
         """A version is skipped if its successor is nearly downloaded."""
         host = Host(version=1)
