Ask the first daemon for a manifest again while later sources are slow

The relays of that region had the manifest of the version named at 21.0 s at 26.62 s. Their loaders had asked a relay behind the cut at 25.4 s after two near ones, waited 1.5 s for it and 0.4 s for the origin, whose link was full of chunks by then, and had the manifest at 27.54 s. Ruled out for the failure domains behind the cut: nothing of the version can reach them before 29.6 s, and they had the manifest at 29.63 s. Test: test_fleet_downloader.py::test_relay_gets_it_while_another_is_silent failed before.

--- a/tests/test_fleet_downloader.py
+++ b/tests/test_fleet_downloader.py
@@ -1,5 +1,6 @@
 """Tests of :mod:`ragwortcourse.weights.fleet_downloader`, over HTTP."""
 
+import asyncio
 import contextlib
 
 import pytest
@@ -23,38 +24,33 @@
 
 
 class Site:
-    """A loader with one relay and the origin.
+    """A loader with one relay of its failure domain and the origin.
 
     :ivar kept: chunks that the relay holds, by index.
+    :ivar late: chunks that the relay holds after the first question.
+    :ivar silent: whether there is a relay elsewhere, which does not answer.
     :ivar asked: requests to the origin.
     """
 
     def __init__(self) -> None:
         self.kept: dict[int, bytes] = {}
+        self.late: dict[int, bytes] = {}
+        self.silent = False
         self.asked: list[str] = []
         self.stack = contextlib.AsyncExitStack()
 
     async def open(self) -> LoaderSources:
         """Start the relay and return the loader's sources."""
-        app = web.Application()
-        app.add_routes(build_chunk_routes(self.find_chunk))
-        app.add_routes(build_manifest_routes(self.find_manifest))
-        server = TestServer(app)
-        await server.start_server()
-        self.stack.push_async_callback(server.close)
         session = await self.stack.enter_async_context(ClientSession())
-        relay = RelayRecord(
-            daemon='entry-1',
-            address=f'127.0.0.1:{server.port}',
-            failure_domain=NEAR_DOMAIN,
-            region='near',
-        )
+        relays = [await self.open_relay('near', self.find_manifest)]
+        if self.silent:
+            relays.append(await self.open_relay('far', self.find_never))
         state = make_state()
         services = {'origin': ServiceRules(name='origin', origin='o:1')}
         object.__setattr__(state.desired, 'services', services)
 
         async def list_relays():
-            return (relay,)
+            return tuple(relays)
 
         calls = OriginCalls(
             read_manifest=self.read_manifest, read_chunk=self.read_chunk
@@ -67,13 +63,33 @@
             list_relays=list_relays,
         )
 
+    async def open_relay(self, region, find_manifest) -> RelayRecord:
+        """Start a relay and return its registration."""
+        app = web.Application()
+        app.add_routes(build_chunk_routes(self.find_chunk))
+        app.add_routes(build_manifest_routes(find_manifest))
+        server = TestServer(app)
+        await server.start_server()
+        self.stack.push_async_callback(server.close)
+        return RelayRecord(
+            daemon=f'entry-{region}',
+            address=f'127.0.0.1:{server.port}',
+            failure_domain=NEAR_DOMAIN if region == 'near' else 'far-a',
+            region=region,
+        )
+
     async def find_chunk(self, model, version, index):
         """Return a chunk from the relay."""
         return self.kept.get(index)
 
     async def find_manifest(self, model, version):
         """Return the manifest from the relay, if it holds a chunk."""
-        return MANIFEST if self.kept else None
+        kept, self.kept = self.kept, self.kept or self.late
+        return MANIFEST if kept else None
+
+    async def find_never(self, model, version):
+        """Never return."""
+        await asyncio.Event().wait()
 
     async def read_manifest(self, address, model, version):
         """Return the manifest from the origin."""
@@ -112,6 +128,19 @@
         assert await sources.download_chunk(MANIFEST, 0, RATE) == CHUNK
         assert site.asked == ['manifest', 'manifest', 'chunk']
 
+    async def test_relay_gets_it_while_another_is_silent(self, site):
+        """A relay is asked again while a later source does not answer.
+
+        Seen on mra-estimates-grown scale-1: the relays of a failure domain
+        had a manifest a tenth of a second after the origin came back, but
+        their loaders waited for a relay behind a cut, then for the origin.
+        """
+        site.silent = True
+        sources = await site.open()
+        site.late = {0: CHUNK}
+        assert await sources.read_manifest(MODEL, 2) == MANIFEST
+        assert not site.asked
+
     async def test_spoilt_relay(self, site):
         """Bytes with a wrong digest are not accepted from a relay."""
         sources = await site.open()
