Keep what covers a missed version when its successor is read

A daemon's assumed time of the newest version stands for all versions before it. Its own reading of that version replaced the assumed time though the read tells nothing about its predecessors, in three ways:

- a row with an age between 1.5 s and the gap before it: the assumed time was the age of the row, and nothing was assumed for what it had replaced;
- version 3 is told by a daemon that restarted after it (assumed), then read as a young row after a gap: 3 is the successor of 3, so nothing was skipped;
- a row that is written again after a restart: 3, assumed 5 s before the start, counted as announced now.

In each the daemon requires no version until the bound of version 3, and tells others a history that says to be complete. Now the versions between the newest known one below and the one that is read keep the assumed time, or get that of the last complete read. That time is no earlier than the age assumed after a regained store, as before the bounds apply nothing need expire.

Found by reading; not seen in a run.

--- a/src/ragwortcourse/forwarding/fleet_updates.py
+++ b/src/ragwortcourse/forwarding/fleet_updates.py
@@ -3,7 +3,7 @@
 import dataclasses
 import logging
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Final
 
 from ragwortcourse.clock import read_clock_with_suspend
@@ -23,6 +23,8 @@
 REPORT_TOLERANCE_SECONDS: Final = 0.25
 # Lower than every version of a model.
 NO_VERSION: Final = 0
+# No version before this one can expire.
+FIRST_VERSION: Final = 1
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -97,27 +99,35 @@
         replaced unread.
     """
     known = _index_versions(state, model)
-    newest = max(known, default=NO_VERSION)
-    if named.version < newest:
+    if named.version < max(known, default=NO_VERSION):
         return
     if _is_more_reliable(known.get(named.version), named):
-        taken = [named]
-        skips = named.version > newest + 1 and complete_at < named.seen_at
-        # An assumed time is early enough for all versions before it, too.
-        if skips and named.observed:
-            taken.insert(0, _assume_skipped(named, complete_at))
+        taken = [*_assume_missed(known, named, complete_at), named]
         _keep(state, model, known, taken)
         for each in taken:
             _log_announced(model, each)
 
 
-def _assume_skipped(
-    named: AnnouncedVersion, complete_at: float
-) -> AnnouncedVersion:
-    """Assume that all versions before one were announced at once."""
-    return AnnouncedVersion(
-        version=named.version - 1, seen_at=complete_at, observed=False
+def _assume_missed(
+    known: Mapping[int, AnnouncedVersion],
+    named: AnnouncedVersion,
+    complete_at: float,
+) -> Iterator[AnnouncedVersion]:
+    """Assume that all unknown versions before one were announced at once.
+
+    A time that was assumed for the version so far was early enough for them.
+    """
+    before = known.get(named.version)
+    if before is not None and not before.observed:
+        complete_at = min(complete_at, before.seen_at)
+    older = max(
+        (version for version in known if version < named.version),
+        default=FIRST_VERSION,
     )
+    if named.version > older + 1 and complete_at < named.seen_at:
+        yield AnnouncedVersion(
+            version=named.version - 1, seen_at=complete_at, observed=False
+        )
 
 
 def note_found_weights(
--- a/src/ragwortcourse/platform/operator_rows.py
+++ b/src/ragwortcourse/platform/operator_rows.py
@@ -73,7 +73,8 @@
         take(rows, age, note_found_weights)
 
     def change(rows: tuple[StoreRow, ...], age: float, gap: float) -> None:
-        complete_at = read_clock_with_suspend() - gap
+        longest = REGAIN_SECONDS + assumed_initial_age
+        complete_at = read_clock_with_suspend() - min(gap, longest)
         take(
             rows, age, functools.partial(note_weights, complete_at=complete_at)
         )
