Order no engine back to weights older than it holds

A loader that starts while the store's row is older than its engine (a store that came back from a copy, or a report that was missing at the start) downloaded the declared version and ordered the engine to load it. Entry daemons keep the highest version that was stated for an incarnation, so that the engine is then taken for newer than it is and gets requests that begin on expired weights. Versions only rise: neither a download nor an order is now begun for one that is not newer than what is held.

tests/test_loader_weights.py (test_engine_is_not_set_back) failed before (version 2 loaded over 3), passes now. Found by reading; not seen in a run.

--- a/src/ragwortcourse/weights/loader_weights.py
+++ b/src/ragwortcourse/weights/loader_weights.py
@@ -90,9 +90,9 @@
         self._stalled_until[version] = read_clock() + STALLED_SECONDS
 
     def find_downloaded(self, rules: EngineProfile) -> VersionChunks | None:
-        """Return the newest complete version unless the engine holds it."""
+        """Return the newest complete version if it is newer than the held."""
         newest = self.store.find_newest_whole()
-        if not newest or newest == self.read_held(rules):
+        if newest <= self.read_held(rules):
             return None
         named = {each.version for each in self.list_named(rules)}
         return self.store.find(newest) if newest in named else None
--- a/src/ragwortcourse/weights/version_drawing.py
+++ b/src/ragwortcourse/weights/version_drawing.py
@@ -53,15 +53,15 @@
 ) -> int:
     """Return the version to download.
 
-    :return: zero if the version is complete here or the engine does not
-        answer.
+    :return: zero if the version or a newer one is complete here, or the
+        engine does not answer.
     """
     wanted = choose_next_version(loader_weights, rules)
-    here = {
+    here = max(
         loader_weights.store.find_newest_whole(),
         loader_weights.read_held(rules),
-    }
-    return 0 if loader_weights.report is None or wanted in here else wanted
+    )
+    return 0 if loader_weights.report is None or wanted <= here else wanted
 
 
 def choose_next_version(
--- a/tests/test_loader_weights.py
+++ b/tests/test_loader_weights.py
@@ -217,6 +217,15 @@
         assert other.engine.version == 1
         assert not other.drawn
 
+    async def test_engine_is_not_set_back(self):
+        """A restarted loader that reads old rows loads no older version."""
+        host = Host(version=3)
+        async with host.run():
+            host.name(2)
+            await asyncio.sleep(FLEET.version_ms / 1000)
+        assert host.engine.version == 3
+        assert not host.engine.orders
+
     async def test_origin_away(self):
         """The engine keeps its version until sources are reachable again."""
         host = Host(version=1)
