Keep late copies of reports from answering orders to an engine

Cause, looked for as operators of similar systems had seen it: a loader's calls to the engine beside it shared kept connections, and the engine's answers do not name their requests. A second copy of a report that arrives late was taken for the answer to the next call: an order that the engine refused with 409 counted as in effect, a refused chunk as staged, and the report's text as a staged chunk. Change: each order and each call about staged chunks uses a connection of its own, by the same session as an agent's calls to its target. Reports, five a second for each engine, keep theirs: a copy of a report is a report, and a new connection may hold a slot of the engine. Open: a connection whose reports were repeated once gives each report one poll late.

--- a/src/ragwortcourse/platform/engine.py
+++ b/src/ragwortcourse/platform/engine.py
@@ -40,18 +40,31 @@
 class Engine:
     """Client of one engine.
 
-    No method raises when the engine does not answer.
-
+    No method raises when the engine does not answer. An engine may send a
+    second copy of an answer late, at the place of the next answer on that
+    connection, and its answers do not name their requests.
+
+    :param session: session that uses no connection twice.
+    :param reports: session of the reports. A copy of a report is a report;
+        each new connection may hold a slot of the engine, several times a
+        second.
     :param address: ``ip:port``.
     """
 
-    def __init__(self, *, session: aiohttp.ClientSession, address: str) -> None:
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        reports: aiohttp.ClientSession,
+        address: str,
+    ) -> None:
         self._session = session
+        self._reports = reports
         self._base = f'http://{address}'
 
     async def read_report(self) -> EngineReport | None:
         """Read the state of the engine; None if it does not answer."""
-        answer = await self._call('GET', '/report')
+        answer = await self._call('GET', '/report', session=self._reports)
         if answer is None or answer[0] != OK:
             return None
         try:
@@ -112,14 +125,19 @@
         return outcomes.get(answer[0], LoadOrderOutcome.FAILED)
 
     async def _call(
-        self, method: str, path: str, body: bytes | None = None
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        *,
+        session: aiohttp.ClientSession | None = None,
     ) -> tuple[int, bytes] | None:
         """Return status and body; None if the engine does not answer."""
         headers = {'Content-Type': 'application/json'}
         try:
             async with (
                 asyncio.timeout(CALL_SECONDS),
-                self._session.request(
+                (session or self._session).request(
                     method, f'{self._base}{path}', data=body, headers=headers
                 ) as response,
             ):
--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -21,6 +21,7 @@
 from ragwortcourse.platform.store_session import open_store_session
 from ragwortcourse.platform.target_reader import read_service
 from ragwortcourse.platform.weight_source import build_weight_downloader
+from ragwortcourse.processes.sessions import open_single_use_session
 from ragwortcourse.processes.tasks import SupervisedTasks
 from ragwortcourse.settings import FleetSettings, Settings
 from ragwortcourse.weights.chunk_routes import build_chunk_routes
@@ -100,6 +101,7 @@
     loader = settings.loader
     session = ClientSession()
     store_session = open_store_session()
+    engine_session = open_single_use_session()
     state = FleetState()
     rng = random.Random()  # noqa: S311  # load spreading, not security
     tables = build_fleet_tables(
@@ -110,17 +112,20 @@
         peer_wait=PEER_SECONDS,
         services_only=True,
     )
-    relays = tables.relays
     sources = LoaderSources(
         downloader=build_weight_downloader(session=session, state=state),
         domain=settings.failure_domain,
-        list_relays=relays.list,
+        list_relays=tables.relays.list,
     )
     ports = LoaderWeightsPorts(
-        engine=Engine(session=session, address=loader.engine),
+        engine=Engine(
+            session=engine_session,
+            reports=session,
+            address=loader.engine,
+        ),
         read_manifest=sources.read_manifest,
         download_chunk=sources.download_chunk,
-        announce=build_announcement(list_relays=relays.list),
+        announce=build_announcement(list_relays=tables.relays.list),
         list_service=functools.partial(
             read_service, tables.targets, loader.service, fleet
         ),
@@ -138,5 +143,5 @@
             rng=rng,
         ),
         tables=tables,
-        sessions=(session, store_session),
+        sessions=(session, store_session, engine_session),
     )
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -95,7 +95,9 @@
 
     async def test_engine(self, flood, session):
         """A report without end is no report."""
-        engine = Engine(session=session, address=flood.target.address)
+        engine = Engine(
+            session=session, reports=session, address=flood.target.address
+        )
         assert await engine.read_report() is None
 
     async def test_peer(self, flood, session):
