End the wait of a request at a bound that became known meanwhile

The limit on a request's wait at its engine was computed once, when it was sent. The limit is now read again while the request waits.

--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -29,6 +29,7 @@
 from ragwortcourse.forwarding.open_try import OpenTry
 from ragwortcourse.forwarding.reply import Reason, Refusal
 from ragwortcourse.forwarding.request_crashes import RequestCrashes
+from ragwortcourse.forwarding.start_limit import keep_start_limit
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_load import TargetLoad
 from ragwortcourse.forwarding.target_statements import note_statements
@@ -207,16 +208,18 @@
         limits = (silence, read_start_limit(forwarder, target))
         limit = min((each for each in limits if each is not None), default=None)
         try:
-            async with asyncio.timeout(limit):
-                answer = await send_request(
-                    session=forwarder.session,
-                    wire=forwarder.wire,
-                    work=self.work,
-                    dispatch=dispatch,
-                )
+            async with asyncio.timeout(limit) as wait:
+                with keep_start_limit(forwarder, target, wait):
+                    answer = await send_request(
+                        session=forwarder.session,
+                        wire=forwarder.wire,
+                        work=self.work,
+                        dispatch=dispatch,
+                    )
         except TimeoutError:
+            waited = read_clock() - began_at
             answer = NoAnswer(
-                detail=f'not begun within {limit:.2f} s',
+                detail=f'not begun within {waited:.2f} s',
                 cause=LossCause.SILENCE,
             )
         finally:
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -169,7 +169,7 @@
         }
         received = CIMultiDict({k: text for k, text in marks.items() if text})
         head = read_head(status, received, AttemptId('a1'))
-        note_statements(make_forwarder(state, None), LISTED, head)
+        note_statements(make_forwarder(state, None), LISTED, head, sent_at=0)
         assert state.targets[LEAVER].leaving is leaving
 
 
