Check the bound itself in rounds of announced versions

The rounds checked from when on targets with older weights are left out, 0.8 s before the bound, so that a daemon that dated a version up to 0.9 s late passed.

--- a/fakes/version_daemon.py
+++ b/fakes/version_daemon.py
@@ -13,7 +13,10 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.load_exchange import LoadReceiver, send_rounds
-from ragwortcourse.forwarding.version_bounds import read_required_version
+from ragwortcourse.forwarding.version_bounds import (
+    START_MARGIN_SECONDS,
+    find_bound,
+)
 from ragwortcourse.identifiers import DaemonId, FailureDomainName
 from ragwortcourse.membership.relay_daemons import describe_daemon
 from ragwortcourse.platform import names
@@ -77,8 +80,12 @@
 
     @property
     def required_version(self) -> int:
-        """Return the lowest version that requests may begin on; zero: any."""
-        return read_required_version(self._forwarder, ENGINE_RULES) or 0
+        """Return the lowest version that requests may begin on; zero: any.
+
+        Requests that wait at a target may begin until the second margin.
+        """
+        bound = find_bound(self._forwarder, ENGINE_RULES, START_MARGIN_SECONDS)
+        return 0 if bound is None else bound.named.version
 
     def start(self) -> None:
         """Start to follow the rows and to exchange messages."""
