Keep room in the link budget for a damaged chunk

Cause: a host sent until its budget was used up; a chunk that arrived damaged after that and was downloaded again took its link over two copies.

Change: until it has the whole version, a host keeps room for one chunk, and declines one more send to a leaf for it.

Two damaged chunks after the last send would still break the bound; not seen.

--- a/src/ragwortcourse/weights/declining.py
+++ b/src/ragwortcourse/weights/declining.py
@@ -26,8 +26,10 @@
         return False
     copies = transfer.view.count_copies(agent_weights.own)
     lacking = transfer.counts.count_lacking(manifest.size, copies)
+    chunk = max(manifest.chunk_size, 1)
     is_due = is_decline_due(
-        lacking=lacking / max(manifest.chunk_size, 1),
+        # One more is kept for a chunk that arrives damaged.
+        lacking=lacking / chunk + 1,
         chunks=len(manifest.chunks),
         index=request.index,
         declined=transfer.counts.declined,
--- a/src/ragwortcourse/weights/transfer_counts.py
+++ b/src/ragwortcourse/weights/transfer_counts.py
@@ -50,10 +50,13 @@
     def may_send(self, size: int, whole: int) -> bool:
         """Return whether the link budget allows sending more bytes.
 
+        Until the version is complete, room is kept for one damaged chunk.
+
         :param size: bytes to send.
         :param whole: bytes of the version.
         """
-        return self.sent + size <= self._count_budget(whole)
+        reserve = 0 if self.verified >= whole else size
+        return self.sent + size + reserve <= self._count_budget(whole)
 
     def count_lacking(self, whole: int, copies: float) -> float:
         """Return the bytes that the link budget lacks; negative: has left.
