Fetch the chunks of stopped relays ahead at the others

Cause: relays fetch ahead only the chunks for which they are asked first. A relay that stops takes its chunks with it; loaders then ask the second relay for each of them, which fetches it over the link between regions while the loader's link is idle (0.25 s a chunk on one of two downloads). A chunk whose two relays were both down came from another failure domain.

Change: a loader asks the first two relays that accept connections, and says which do not. The relay that is asked instead fetches the following chunks of those ahead, at the same rate. A restarted relay begins with the chunk that is asked for, not with the first one.

Open: a relay that restarts and reads the newest version's manifest by itself still begins with the first chunk.

--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -97,7 +97,9 @@
     def peer_routes(self) -> list[web.RouteDef]:
         """Return the routes of the port for other daemons."""
         return [
-            *build_chunk_routes(self.cache.find),
+            *build_chunk_routes(
+                self.cache.find, note_gone=self.cache.note_gone
+            ),
             *build_manifest_routes(self.cache.find_manifest),
             *self.tables.routes,
         ]
--- a/src/ragwortcourse/weights/chunk_cache.py
+++ b/src/ragwortcourse/weights/chunk_cache.py
@@ -19,6 +19,11 @@
 DownloadChunk = Callable[[FleetManifest, int], Awaitable[bytes | None]]
 ListDeployed = Callable[[], Sequence[tuple[ModelName, int]]]
 ListOwn = Callable[[FleetManifest], Awaitable[tuple[int, ...]]]
+ListReplaced = Callable[
+    [FleetManifest, int, tuple[str, ...]], Awaitable[tuple[int, ...]]
+]
+# A version and the addresses of the relays that are gone.
+Replacement = tuple[int, frozenset[str]]
 ReadStart = Callable[[FleetManifest, int], float]
 
 # Chunks of one version that one cache prefetches concurrently.
@@ -30,6 +35,8 @@
 POLL_SECONDS: Final = 0.1
 # Pause after a manifest or a chunk that no source returned.
 RETRY_SECONDS: Final = 0.4
+# Prefetches of chunks of other relays that one cache runs concurrently.
+REPLACEMENTS: Final = 8
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -39,15 +46,24 @@
     return 0
 
 
+async def replace_nobody(
+    manifest: FleetManifest, index: int, gone: tuple[str, ...]
+) -> tuple[int, ...]:
+    """Send no chunks instead of other relays."""
+    return ()
+
+
 class ChunkCache:
     """Cache that downloads each requested chunk once.
 
     The first request for a version starts the prefetch of every chunk for
-    which other daemons ask this daemon first.
+    which other daemons ask this daemon first, from the requested chunk on.
 
     :param download_chunk: downloads the bytes of a chunk, unverified.
     :param list_own: indices of the chunks of a version for which other
         daemons ask this daemon first.
+    :param list_replaced: indices of the chunks after one for which others ask
+        here while some addresses are gone.
     :param read_start: seconds from the arrival of the manifest to the
         prefetch of a chunk.
     """
@@ -58,11 +74,15 @@
         read_manifest: ReadManifest,
         download_chunk: DownloadChunk,
         list_own: ListOwn,
+        list_replaced: ListReplaced = replace_nobody,
         read_start: ReadStart = start_at_once,
     ) -> None:
         self._list_own = list_own
+        self._list_replaced = list_replaced
         self._read_start = read_start
         self._prefetches = DetachedTasks(limit=VERSIONS_KEPT)
+        self._replacements = DetachedTasks(limit=REPLACEMENTS)
+        self._replaced: set[Replacement] = set()
         self._read_manifest = read_manifest
         self._download_chunk = download_chunk
         self._store = ChunkStore()
@@ -76,7 +96,7 @@
         """Return a chunk, after downloading it if it is not cached."""
         chunks = self._store.find(version)
         if chunks is None:
-            chunks = await self._open(model, version)
+            chunks = await self._open(model, version, index)
         if chunks is None or index >= len(chunks.manifest.digests):
             return None
         return await self._find_in(chunks, index)
@@ -102,9 +122,31 @@
                     await asyncio.sleep(RETRY_SECONDS)
             await asyncio.sleep(POLL_SECONDS)
 
+    def note_gone(
+        self,
+        model: ModelName,
+        version: int,
+        index: int,
+        gone: tuple[str, ...],
+    ) -> None:
+        """Prefetch what others ask for here after a chunk of a stopped relay.
+
+        :param index: the chunk that is asked for here.
+        :param gone: addresses that do not accept connections.
+        """
+        key = (version, frozenset(gone))
+        if key in self._replaced:
+            return
+        self._replaced = {
+            known for known in self._replaced if self._store.find(known[0])
+        }
+        self._replaced.add(key)
+        self._replacements.spawn(self._replace(model, version, index, gone))
+
     async def stop(self) -> None:
         """Cancel the prefetches."""
         await self._prefetches.cancel()
+        await self._replacements.cancel()
 
     async def _find_in(self, chunks: VersionChunks, index: int) -> bytes | None:
         content = chunks.contents.get(index)
@@ -122,11 +164,11 @@
         return await asyncio.shield(self._downloads[key])
 
     async def _open(
-        self, model: ModelName, version: int
+        self, model: ModelName, version: int, first: int = 0
     ) -> VersionChunks | None:
         if version not in self._manifests:
             self._manifests[version] = asyncio.create_task(
-                self._open_once(model, version)
+                self._open_once(model, version, first)
             )
             self._manifests[version].add_done_callback(
                 lambda _task: self._manifests.pop(version, None)
@@ -134,22 +176,51 @@
         return await asyncio.shield(self._manifests[version])
 
     async def _open_once(
-        self, model: ModelName, version: int
+        self, model: ModelName, version: int, first: int
     ) -> VersionChunks | None:
         manifest = await self._read_manifest(model, version)
         if manifest is None:
             return None
         chunks = self._store.open(manifest)
-        self._prefetches.spawn(self._prefetch(chunks))
+        self._prefetches.spawn(self._prefetch_own(chunks, first))
         return chunks
 
-    async def _prefetch(self, chunks: VersionChunks) -> None:
-        opened_at = read_clock()
+    async def _prefetch_own(self, chunks: VersionChunks, first: int) -> None:
         own = await self._list_own(chunks.manifest)
+        # A restarted relay is asked for the later chunks only.
+        in_order = sorted(own, key=lambda index: index < first)
+        await self._prefetch(chunks, in_order, first)
+
+    async def _replace(
+        self,
+        model: ModelName,
+        version: int,
+        index: int,
+        gone: tuple[str, ...],
+    ) -> None:
+        manifest = await self.find_manifest(model, version)
+        chunks = self._store.find(version)
+        if manifest is None or chunks is None:
+            return
+        await self._prefetch(
+            chunks, await self._list_replaced(manifest, index, gone), index
+        )
+
+    async def _prefetch(
+        self, chunks: VersionChunks, indices: Sequence[int], first: int
+    ) -> None:
+        """Download chunks ahead.
+
+        :param first: chunk that is due now; the others are due after it, in
+            order, and then those before it.
+        """
+        opened_at = read_clock()
+        count = len(chunks.manifest.digests)
         start_seconds = {
-            index: self._read_start(chunks.manifest, index) for index in own
+            index: self._read_start(chunks.manifest, (index - first) % count)
+            for index in indices
         }
-        queue = list(own)
+        queue = list(indices)
 
         async def prefetch_next() -> None:
             while queue and read_clock() - opened_at < PREFETCH_WINDOW_SECONDS:
@@ -163,7 +234,9 @@
 
         # Start times that are set per chunk limit the rate by themselves.
         concurrency = (
-            len(own) if any(start_seconds.values()) else CONCURRENT_PREFETCHES
+            len(indices)
+            if any(start_seconds.values())
+            else CONCURRENT_PREFETCHES
         )
         await asyncio.gather(*(prefetch_next() for _ in range(concurrency)))
 
--- a/src/ragwortcourse/weights/chunk_routes.py
+++ b/src/ragwortcourse/weights/chunk_routes.py
@@ -1,7 +1,7 @@
 """HTTP transfer of chunks between the daemons of a fleet."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import Final
 
 from aiohttp import (
@@ -27,18 +27,27 @@
 # Small enough that live requests on the same link are not delayed for long.
 SLICE_BYTES: Final = 4_096
 RATE_OPTION: Final = 'rate'
+# Addresses asked before that did not accept a connection.
+GONE_OPTION: Final = 'gone'
+GONE_SEPARATOR: Final = ','
 OK: Final = 200
 
 FindChunk = Callable[[ModelName, int, int], Awaitable[bytes | None]]
+NoteGone = Callable[[ModelName, int, int, tuple[str, ...]], None]
 
 
 def build_chunk_routes(
-    find_chunk: FindChunk, *, link_rate: int = 0
+    find_chunk: FindChunk,
+    *,
+    link_rate: int = 0,
+    note_gone: NoteGone | None = None,
 ) -> list[web.RouteDef]:
     """Build the route that serves chunks on the port for other daemons.
 
     :param find_chunk: returns a chunk of a model version by index, or
         ``None`` if the chunk is not available.
+    :param note_gone: called for a request that comes here because the given
+        addresses accept no connections.
     :param link_rate: bytes a second that all chunks together may take of
         this host's link, one chunk after the other; zero: no limit.
     """
@@ -46,13 +55,17 @@
 
     async def send_chunk(request: web.Request) -> web.StreamResponse:
         info = request.match_info
+        asked = (
+            ModelName(info['model']),
+            int(info['version']),
+            int(info['index']),
+        )
+        gone = _parse_gone(request)
+        if gone and note_gone is not None:
+            note_gone(*asked, gone)
         try:
             async with asyncio.timeout(WAIT_SECONDS):
-                content = await find_chunk(
-                    ModelName(info['model']),
-                    int(info['version']),
-                    int(info['index']),
-                )
+                content = await find_chunk(*asked)
         except TimeoutError:
             content = None
         if content is None:
@@ -71,6 +84,11 @@
     return [web.get(path, send_chunk)]
 
 
+def _parse_gone(request: web.Request) -> tuple[str, ...]:
+    gone = request.query.get(GONE_OPTION, '')
+    return tuple(filter(None, gone.split(GONE_SEPARATOR)))
+
+
 async def _send_paced(
     request: web.Request, content: bytes, rate: int
 ) -> web.StreamResponse:
@@ -99,19 +117,24 @@
     manifest: FleetManifest,
     index: int,
     rate: int = 0,
+    gone: Collection[str] = (),
 ) -> bytes | None:
     """Fetch a chunk from another daemon, unverified.
 
     :param rate: bytes a second that the daemon may send; zero: no limit.
+    :param gone: addresses that come before this one and do not accept
+        connections.
     :return: bytes, or ``None`` if the daemon failed or lacks the chunk.
     """
-    url = (
-        f'http://{address}/chunks/{manifest.model}/{manifest.version}/{index}'
-        f'?{RATE_OPTION}={rate}'
-    )
+    url = f'http://{address}/chunks/{manifest.model}/{manifest.version}/{index}'
+    options = {RATE_OPTION: str(rate)}
+    if gone:
+        options[GONE_OPTION] = GONE_SEPARATOR.join(gone)
     timeout = ClientTimeout(total=FETCH_SECONDS, sock_connect=CONNECT_SECONDS)
     try:
-        async with session.get(url, timeout=timeout) as response:
+        async with session.get(
+            url, params=options, timeout=timeout
+        ) as response:
             if response.status != OK:
                 return None
             return await read_body(response, limit=LARGE_BODY_BYTES)
--- a/src/ragwortcourse/weights/chunk_sources.py
+++ b/src/ragwortcourse/weights/chunk_sources.py
@@ -6,9 +6,13 @@
 origin once, send it over each link between regions once, and serve it to the
 loaders of their failure domain. A version that an engine holds already is
 downloaded from the engine's host, once per failure domain.
+
+Relays are stopped in turn meanwhile, and each takes its chunks with it. A
+loader then waits for each of these chunks while the next relay downloads it,
+with its link idle, unless that relay downloads the following ones ahead.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Final
 
 from ragwortcourse.identifiers import (
@@ -46,6 +50,34 @@
     return (*near[:RELAYS_IN_DOMAIN], *far[:RELAYS_ELSEWHERE])
 
 
+def list_replaced(
+    *,
+    relays: Iterable[RelayRecord],
+    own: DaemonId,
+    gone: Collection[str],
+    chunks: Iterable[int],
+) -> tuple[int, ...]:
+    """List the chunks that a relay sends instead of relays that are gone.
+
+    :param own: the relay that is asked instead.
+    :param gone: addresses in the loader's failure domain that do not accept
+        connections.
+    :param chunks: indices of the chunks that loaders may still need.
+    """
+    known = tuple(relays)
+    domains = {relay.failure_domain for relay in known if relay.address in gone}
+    near = [relay for relay in known if relay.failure_domain in domains]
+    left = [relay for relay in near if relay.address not in gone]
+    owns = [relay for relay in left if relay.daemon == own]
+    return tuple(
+        index
+        for index in chunks
+        for domain in domains
+        if _find_first(near, domain, index) not in left
+        and _find_first(left, domain, index) in owns
+    )
+
+
 def list_relay_sources(
     *,
     relays: Iterable[RelayRecord],
@@ -127,3 +159,11 @@
     return sorted(
         relays, key=lambda relay: score_pair(str(index), relay.daemon)
     )
+
+
+def _find_first(
+    relays: Sequence[RelayRecord], domain: FailureDomainName, index: int
+) -> RelayRecord | None:
+    """Find the relay that loaders of a failure domain ask first."""
+    sources = list_loader_sources(relays=relays, domain=domain, index=index)
+    return sources[0] if sources else None
--- a/src/ragwortcourse/weights/fleet_downloader.py
+++ b/src/ragwortcourse/weights/fleet_downloader.py
@@ -51,12 +51,17 @@
         )
 
     async def download_chunk(
-        self, rates: Mapping[str, int], manifest: FleetManifest, index: int
+        self,
+        rates: Mapping[str, int],
+        manifest: FleetManifest,
+        index: int,
+        gone: tuple[str, ...] = (),
     ) -> bytes | None:
         """Return a chunk; bytes from the origin are unverified.
 
         :param rates: bytes a second by address, in the order in which the
             daemons are asked; zero: no limit.
+        :param gone: daemons that would be asked if they accepted connections.
         :return: bytes, or ``None`` if no source has the chunk.
         """
         for address in self.reach.order(list(rates)):
@@ -67,6 +72,7 @@
                 manifest=manifest,
                 index=index,
                 rate=rates[address],
+                gone=gone,
             )
             if manifest.matches(index, content):
                 return content
--- a/src/ragwortcourse/weights/loader_sources.py
+++ b/src/ragwortcourse/weights/loader_sources.py
@@ -1,8 +1,10 @@
 """Sources from which a loader downloads manifests and chunks."""
 
 import dataclasses
+from collections.abc import Sequence
 
 from ragwortcourse.identifiers import FailureDomainName, ModelName
+from ragwortcourse.membership.relay_daemons import RelayRecord
 from ragwortcourse.weights.chunk_sources import list_loader_sources
 from ragwortcourse.weights.fleet_downloader import FleetDownloader
 from ragwortcourse.weights.fleet_manifest import FleetManifest
@@ -26,7 +28,9 @@
         self, model: ModelName, version: int
     ) -> FleetManifest | None:
         """Return a version's manifest, or ``None`` if no source has it."""
-        addresses = await self._list_addresses(MANIFEST_INDEX)
+        addresses = self._list_addresses(
+            await self.list_relays(), MANIFEST_INDEX
+        )
         return await self.downloader.read_manifest(addresses, model, version)
 
     async def download_chunk(
@@ -37,13 +41,30 @@
         :param rate: bytes a second at which a relay sends; zero: no limit.
         :return: bytes, or ``None`` if no source has the chunk.
         """
-        addresses = await self._list_addresses(index)
+        relays = await self.list_relays()
+        addresses = self._list_addresses(relays, index)
         return await self.downloader.download_chunk(
-            dict.fromkeys(addresses, rate), manifest, index
+            dict.fromkeys(addresses, rate),
+            manifest,
+            index,
+            gone=tuple(
+                relay.address
+                for relay in relays
+                if relay.failure_domain == self.domain
+                and self.downloader.reach.is_silent(relay.address)
+            ),
         )
 
-    async def _list_addresses(self, index: int) -> list[str]:
+    def _list_addresses(
+        self, relays: Sequence[RelayRecord], index: int
+    ) -> list[str]:
+        """List the daemons to ask, without those that are down if possible."""
+        running = [
+            relay
+            for relay in relays
+            if not self.downloader.reach.is_silent(relay.address)
+        ]
         sources = list_loader_sources(
-            relays=await self.list_relays(), domain=self.domain, index=index
+            relays=running or relays, domain=self.domain, index=index
         )
         return [relay.address for relay in sources]
--- a/src/ragwortcourse/weights/relay_downloader.py
+++ b/src/ragwortcourse/weights/relay_downloader.py
@@ -20,6 +20,7 @@
     choose_start,
     list_loader_sources,
     list_relay_sources,
+    list_replaced,
     order_prefetch,
 )
 from ragwortcourse.weights.fleet_downloader import FleetDownloader, find_origin
@@ -117,6 +118,17 @@
             own, lambda index: not self._list_relay_sources(relays, index)
         )
 
+    async def list_replaced(
+        self, manifest: FleetManifest, index: int, gone: tuple[str, ...]
+    ) -> tuple[int, ...]:
+        """Return the chunks after one that are due here as others are gone."""
+        return list_replaced(
+            relays=await self._list_relays(),
+            own=self._settings.daemon,
+            gone=gone,
+            chunks=range(index + 1, len(manifest.digests)),
+        )
+
     def read_start(self, manifest: FleetManifest, index: int) -> float:
         """Return the seconds from the manifest to the prefetch of a chunk."""
         desired = self._state.desired
@@ -201,5 +213,6 @@
         read_manifest=downloader.read_manifest,
         download_chunk=downloader.download_chunk,
         list_own=downloader.list_own,
+        list_replaced=downloader.list_replaced,
         read_start=downloader.read_start,
     )
