--- a/src/ragwortcourse/forwarding/stated_version.py
+++ b/src/ragwortcourse/forwarding/stated_version.py
@@ -8,11 +8,12 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class StatedVersion:
-    """The highest version stated for one incarnation of a target.
+    """The version of the weights that one incarnation of a target holds.
 
-    A loader states what its engine holds after a change of weights. If the
-    engine answers a later request on older weights, the loader was wrong, or
-    spoke of an earlier incarnation at the same address.
+    Statements overtake each other, so the highest version counts, with one
+    exception. A loader states what its engine holds after a change of weights.
+    If the engine answers a later request on older weights, the loader was
+    wrong, or spoke of an earlier incarnation at the same address.
 
     :param number: zero until a version was stated.
     :param stated_at: monotonic seconds at which the statement arrived.
--- a/src/ragwortcourse/forwarding/version_log.py
+++ b/src/ragwortcourse/forwarding/version_log.py
@@ -12,7 +12,6 @@
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.version_bounds import (
-    START_MARGIN_SECONDS,
     VERSION_MARGIN_SECONDS,
     VersionBound,
     find_bound,
@@ -21,9 +20,9 @@
 )
 from ragwortcourse.identifiers import ModelName
 
-# Later than this after a bound, an answer that begins on older weights is no
-# matter of the time that the answer took.
-BEGUN_SECONDS: Final = START_MARGIN_SECONDS
+# Longest transit of an answer. One that arrives later after a bound began
+# after it, too.
+ANSWER_SECONDS: Final = 0.2
 
 LOGGER: Final = logging.getLogger(__name__)
 EXPIRED_ANSWERS: Final = metrics.get_meter(__name__).create_counter(
@@ -83,7 +82,7 @@
 ) -> None:
     """Log and count an answer that began on expired weights."""
     bound = find_bound(
-        forwarder, find_engine(forwarder, target), -BEGUN_SECONDS
+        forwarder, find_engine(forwarder, target), -ANSWER_SECONDS
     )
     if bound is None or head.version is None or not head.ran:
         return
