--- a/fakes/forwarder_fleet.py
+++ b/fakes/forwarder_fleet.py
@@ -29,7 +29,9 @@
 from ragwortcourse.forwarding.exchange import open_target_session
 from ragwortcourse.forwarding.fleet_state import FleetState, read_boot_clock
 from ragwortcourse.forwarding.forwarder import Forwarder
-from ragwortcourse.forwarding.load_exchange import exchange_loads
+from ragwortcourse.forwarding.load_exchange import (
+    exchange_loads,
+)
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.identifiers import TargetName
 from ragwortcourse.membership.relay_daemons import (
--- a/fakes/version_daemon.py
+++ b/fakes/version_daemon.py
@@ -12,7 +12,10 @@
 from fakes.suspension import Suspension
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.fleet_state import FleetState
-from ragwortcourse.forwarding.load_exchange import LoadReceiver, send_rounds
+from ragwortcourse.forwarding.load_exchange import (
+    LoadReceiver,
+    send_rounds,
+)
 from ragwortcourse.forwarding.version_bounds import (
     START_MARGIN_SECONDS,
     find_bound,
--- a/measure/fleet_loads.py
+++ b/measure/fleet_loads.py
@@ -24,7 +24,12 @@
 )
 from ragwortcourse.forwarding.choice import choose_target
 from ragwortcourse.forwarding.forwarder import Forwarder
-from ragwortcourse.forwarding.load_exchange import LoadMessage, LoadReceiver
+from ragwortcourse.forwarding.load_exchange import (
+    LoadReceiver,
+)
+from ragwortcourse.forwarding.load_messages import (
+    LoadMessage,
+)
 from ragwortcourse.identifiers import DaemonId, TargetName
 
 Figure = str | int | float | bool | None
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -16,6 +16,12 @@
 from ragwortcourse.clock import read_clock, read_clock_with_suspend
 from ragwortcourse.forwarding.fleet_updates import note_history
 from ragwortcourse.forwarding.forwarder import Forwarder
+from ragwortcourse.forwarding.load_messages import (
+    LoadMessage,
+    SwitchMessage,
+    VersionAnnouncement,
+    VersionHistoryMessage,
+)
 from ragwortcourse.forwarding.named_weights import (
     AnnouncedVersion,
     VersionHistory,
@@ -28,7 +34,7 @@
     note_report,
 )
 from ragwortcourse.forwarding.version_log import RequiredVersionLog
-from ragwortcourse.identifiers import DaemonId, ModelName
+from ragwortcourse.identifiers import DaemonId
 from ragwortcourse.membership.relay_daemons import RelayRecord
 
 # Interval of messages within a failure domain; only a few requests arrive
@@ -50,66 +56,6 @@
 SendDatagram = Callable[[bytes, str], None]
 
 
-class VersionAnnouncement(
-    msgspec.Struct, frozen=True, kw_only=True, array_like=True
-):
-    """Version of a model as known to one daemon.
-
-    :param age: seconds since the version was announced.
-    :param observed: false if the daemon found the version at its start and
-        had to assume the age.
-    """
-
-    version: int
-    age: float
-    observed: bool
-
-
-class VersionHistoryMessage(msgspec.Struct, frozen=True, kw_only=True):
-    """Versions of models as known to one daemon.
-
-    :param versions: versions of each model, the newest last.
-    :param complete_for: seconds for which the daemon has seen every announced
-        version; none: the daemon has not read the versions yet.
-    """
-
-    versions: dict[ModelName, list[VersionAnnouncement]]
-    complete_for: float | None
-
-
-class LoadMessage(msgspec.Struct, frozen=True, kw_only=True, tag='load'):
-    """Requests of one daemon that are running at each target.
-
-    :param daemon: the sender.
-    :param counts: for each target the running requests, and those of them
-        without an answer yet.
-    :param namings: versions of models; none in most messages.
-    :param store_lost: true while the store does not answer the sender.
-    :param stable_for: seconds since the sender last knew of a store outage
-        of the fleet; none: never.
-    """
-
-    daemon: DaemonId
-    counts: Counts
-    namings: VersionHistoryMessage | None = None
-    store_lost: bool = False
-    stable_for: float | None = None
-
-
-class SwitchMessage(msgspec.Struct, frozen=True, kw_only=True, tag='switch'):
-    """Notice of a loader that its engine changes its weights.
-
-    :param address: address of the engine, ``ip:port``.
-    :param seconds: how long the engine takes no requests; zero: the engine
-        takes requests again.
-    :param version: version of the weights after the change; zero: unchanged.
-    """
-
-    address: str
-    seconds: float
-    version: int
-
-
 Message = LoadMessage | SwitchMessage | ReportMessage
 DECODER: Final = msgspec.json.Decoder(Message)
 
--- /dev/null
+++ b/src/ragwortcourse/forwarding/load_messages.py
@@ -0,0 +1,66 @@
+"""Messages about loads and versions between the daemons of a fleet."""
+
+import msgspec
+
+from ragwortcourse.forwarding.peer_counts import Counts
+from ragwortcourse.identifiers import DaemonId, ModelName
+
+
+class VersionAnnouncement(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
+    """Version of a model as known to one daemon.
+
+    :param age: seconds since the version was announced.
+    :param observed: false if the daemon found the version at its start and
+        had to assume the age.
+    """
+
+    version: int
+    age: float
+    observed: bool
+
+
+class VersionHistoryMessage(msgspec.Struct, frozen=True, kw_only=True):
+    """Versions of models as known to one daemon.
+
+    :param versions: versions of each model, the newest last.
+    :param complete_for: seconds for which the daemon has seen every announced
+        version; none: the daemon has not read the versions yet.
+    """
+
+    versions: dict[ModelName, list[VersionAnnouncement]]
+    complete_for: float | None
+
+
+class LoadMessage(msgspec.Struct, frozen=True, kw_only=True, tag='load'):
+    """Requests of one daemon that are running at each target.
+
+    :param daemon: the sender.
+    :param counts: for each target the running requests, and those of them
+        without an answer yet.
+    :param namings: versions of models; none in most messages.
+    :param store_lost: true while the store does not answer the sender.
+    :param stable_for: seconds since the sender last knew of a store outage
+        of the fleet; none: never.
+    """
+
+    daemon: DaemonId
+    counts: Counts
+    namings: VersionHistoryMessage | None = None
+    store_lost: bool = False
+    stable_for: float | None = None
+
+
+class SwitchMessage(msgspec.Struct, frozen=True, kw_only=True, tag='switch'):
+    """Notice of a loader that its engine changes its weights.
+
+    :param address: address of the engine, ``ip:port``.
+    :param seconds: how long the engine takes no requests; zero: the engine
+        takes requests again.
+    :param version: version of the weights after the change; zero: unchanged.
+    """
+
+    address: str
+    seconds: float
+    version: int
--- a/src/ragwortcourse/forwarding/switch_notice.py
+++ b/src/ragwortcourse/forwarding/switch_notice.py
@@ -7,9 +7,11 @@
 
 from ragwortcourse.forwarding.load_exchange import (
     ListRelays,
-    SwitchMessage,
     read_address,
 )
+from ragwortcourse.forwarding.load_messages import (
+    SwitchMessage,
+)
 
 Announce = Callable[[SwitchMessage], Awaitable[None]]
 
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -15,7 +15,9 @@
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.forwarder import Forwarder, read_fleet_settings
 from ragwortcourse.forwarding.gauges import watch_forwarder
-from ragwortcourse.forwarding.load_exchange import exchange_loads
+from ragwortcourse.forwarding.load_exchange import (
+    exchange_loads,
+)
 from ragwortcourse.forwarding.target_list import TargetList
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.membership.relay_daemons import describe_daemon
--- a/src/ragwortcourse/weights/engine_switch.py
+++ b/src/ragwortcourse/weights/engine_switch.py
@@ -6,7 +6,9 @@
 
 from ragwortcourse.clock import read_clock, read_clock_with_suspend
 from ragwortcourse.forwarding.engine_profile import EngineProfile
-from ragwortcourse.forwarding.load_exchange import SwitchMessage
+from ragwortcourse.forwarding.load_messages import (
+    SwitchMessage,
+)
 from ragwortcourse.weights.chunk_store import VersionChunks
 from ragwortcourse.weights.engine_port import LoadOrderOutcome
 from ragwortcourse.weights.loader_weights import LoaderWeights
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -24,12 +24,14 @@
 from ragwortcourse.forwarding.load_exchange import (
     FAR_ROUNDS,
     NEAR_SECONDS,
-    LoadMessage,
     LoadReceiver,
+    exchange_loads,
+)
+from ragwortcourse.forwarding.load_messages import (
+    LoadMessage,
     SwitchMessage,
     VersionAnnouncement,
     VersionHistoryMessage,
-    exchange_loads,
 )
 from ragwortcourse.forwarding.named_weights import AnnouncedVersion
 from ragwortcourse.forwarding.version_bounds import read_required_version
--- a/tests/test_loader_weights.py
+++ b/tests/test_loader_weights.py
@@ -15,7 +15,9 @@
 )
 from fakes.staged_engine import StagedEngine
 from ragwortcourse.clock import read_clock_with_suspend
-from ragwortcourse.forwarding.load_exchange import SwitchMessage
+from ragwortcourse.forwarding.load_messages import (
+    SwitchMessage,
+)
 from ragwortcourse.forwarding.named_weights import AnnouncedVersion
 from ragwortcourse.settings import LoaderSettings
 from ragwortcourse.weights.engine_switch import switch_engine
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -24,7 +24,10 @@
     build_limit_sender,
     note_limits,
 )
-from ragwortcourse.forwarding.load_exchange import FAR_ROUNDS, NEAR_SECONDS
+from ragwortcourse.forwarding.load_exchange import (
+    FAR_ROUNDS,
+    NEAR_SECONDS,
+)
 from ragwortcourse.forwarding.target_limits import (
     ENDED_SECONDS,
     TRIAL_SECONDS,
