Call the store for short waits while readers of a table are silent

A follower now waits at the store no longer than at a reader, 1 s.

test_shared_table.py::TestSilentReaders failed before (4.0 s where 1.0 is due). Why these calls to the store told nothing of the change while they waited is not traced.

--- a/src/ragwortcourse/platform/shared_table.py
+++ b/src/ragwortcourse/platform/shared_table.py
@@ -74,7 +74,7 @@
 )
 
 Answer = StoreRows | HistoryGone | StoreSilent
-AskStore = Callable[[], Awaitable[Answer]]
+AskStore = Callable[[bool], Awaitable[Answer]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -113,7 +113,7 @@
     async def read_table(self, table: str) -> Answer:
         """Read every row of the table."""
         sent_at = read_boot_clock()
-        answer = await self._ask(None, lambda: self.store.read_table(table))
+        answer = await self._ask(None, lambda _: self.store.read_table(table))
         if isinstance(answer, StoreRows):
             self.cache.replace(answer, sent_at)
         return answer
@@ -123,6 +123,10 @@
     ) -> Answer:
         """Wait for changes after a position.
 
+        A daemon whose readers do not answer calls the store for no longer than
+        it would wait for a reader: a store in trouble may leave a waiting call
+        without the changes that it tells others, and readers may be back.
+
         :param wait: seconds that a call to the store waits for a change.
         :param known_at: boot-clock time at which the caller's rows were
             complete.
@@ -130,8 +134,11 @@
         sent_at = read_boot_clock()
         answer = await self._ask(
             after,
-            lambda: self.store.await_changes(
-                table, after, wait=wait, known_at=known_at
+            lambda is_follower: self.store.await_changes(
+                table,
+                after,
+                wait=min(wait, self.pace.wait) if is_follower else wait,
+                known_at=known_at,
             ),
         )
         if isinstance(answer, StoreRows):
@@ -144,17 +151,22 @@
     async def _ask(
         self, after: StorePosition | None, ask_store: AskStore
     ) -> Answer:
-        """Ask the readers, and the store if none of them has rows."""
+        """Ask the readers, and the store if none of them has rows.
+
+        :param ask_store: takes whether others should have read for this
+            daemon.
+        """
         began_at = read_boot_clock()
         try:
             told = await self._ask_readers(after)
+            is_follower = bool(await self.list_readers())
         except RelaysUnknownError as error:
             return StoreSilent(detail=repr(error))
         if not isinstance(told, StoreSilent):
             self._note_told(told)
             return told
         asked_at = read_boot_clock()
-        answer = await ask_store()
+        answer = await ask_store(is_follower)
         self.cache.note_cut_off(is_cut_off=isinstance(answer, StoreSilent))
         if not isinstance(answer, StoreRows):
             return answer
--- a/tests/test_shared_table.py
+++ b/tests/test_shared_table.py
@@ -31,6 +31,8 @@
     share_table,
 )
 from ragwortcourse.platform.store import Store
+from ragwortcourse.platform.store_position import UNKNOWN_ERA, StorePosition
+from ragwortcourse.platform.store_row import StoreRows
 from ragwortcourse.platform.target_reader import build_target_handler
 
 DAEMONS = 8
@@ -390,3 +392,60 @@
         assert domain.fake.read('daemons', relay.daemon) is None
         await wait_for(lambda: domain.fake.read('daemons', relay.daemon))
         assert not follower.count(FEED)
+
+
+class PatientStore:
+    """A store that tells no changes.
+
+    :ivar waits: seconds that each call was to wait.
+    """
+
+    newest_era = UNKNOWN_ERA
+
+    def __init__(self) -> None:
+        self.waits: list[float] = []
+
+    async def await_changes(self, table, after, *, wait, known_at):
+        """Return no changes at the end of the wait."""
+        self.waits.append(wait)
+        await asyncio.sleep(wait)
+        return StoreRows(rows=(), revision=after.revision)
+
+
+@pytest.mark.looptime
+class TestSilentReaders:
+    """Calls to the store while readers do not answer."""
+
+    @pytest.mark.parametrize(
+        ('readers', 'seconds'),
+        [(('127.0.0.1:9',), TARGETS_PACE.wait), ((), FEED_SECONDS)],
+    )
+    async def test_leaving_target_is_missed_by_a_long_call(
+        self, readers, seconds
+    ):
+        """A follower's call ends in time to hear of targets that leave.
+
+        Seen in a hunt: both readers had lost the store, and the call that a
+        daemon then made itself heard nothing for four seconds, while others
+        heard of a target that left.
+        """
+
+        async def list_readers():
+            return readers
+
+        store = PatientStore()
+        table = SharedTable(
+            store=store,
+            session=None,
+            list_readers=list_readers,
+            pace=TARGETS_PACE,
+        )
+        for address in readers:
+            table.reach.note_silent(address)
+        await table.await_changes(
+            names.TARGETS_TABLE,
+            StorePosition(era=UNKNOWN_ERA, revision=1),
+            wait=FEED_SECONDS,
+            known_at=0,
+        )
+        assert store.waits == [seconds]
