Log why no further target was asked for a lost answer

Callers see an aborted stream or a 502. The lines about both said 'answer lost or spoilt' whatever ended the tries: no usable target, all declined, the retry budget, crash admission, the route's number of tries.

--- a/src/ragwortcourse/forwarding/call_log.py
+++ b/src/ragwortcourse/forwarding/call_log.py
@@ -96,11 +96,16 @@
         )
 
 
-def note_broken(call: Call, detail: str) -> None:
+def note_broken(call: Call, refusal: Refusal) -> None:
     """Log and count an answer that was aborted after its beginning."""
     seconds = read_clock() - call.arrived_at
     REQUESTS.add(1, {'answer': 'broken'})
     LOGGER.warning(
         'answer aborted before its end',
-        extra={'request': call.attempt, 'detail': detail, 'seconds': seconds},
+        extra={
+            'request': call.attempt,
+            'reason': refusal.reason,
+            'seconds': seconds,
+            **refusal.inputs,
+        },
     )
--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -84,11 +84,16 @@
             reason=Reason.TIMED_OUT, inputs={'targets': tries.tried}
         )
         if _is_begun(request):
-            return _break_off(request, call, response.reason)
-    except (StreamBrokenError, OSError) as error:
-        # An OSError means that the caller closed its connection during a
-        # write.
-        return _break_off(request, call, repr(error))
+            return _break_off(request, call, response)
+    except StreamBrokenError as error:
+        return _break_off(request, call, error.refusal)
+    except OSError as error:
+        # The caller closed its connection during a write.
+        return _break_off(
+            request,
+            call,
+            Refusal(reason=Reason.CALLER_LEFT, inputs={'error': repr(error)}),
+        )
     if isinstance(response, Refusal):
         return _write_reply(call, response)
     status = (
@@ -131,10 +136,10 @@
 
 
 def _break_off(
-    request: web.Request, call: Call, detail: str
+    request: web.Request, call: Call, refusal: Refusal
 ) -> web.StreamResponse:
     """Abort the connection so that the answer can't be taken as complete."""
-    note_broken(call, detail)
+    note_broken(call, refusal)
     if request.transport is not None:
         request.transport.abort()
     # aiohttp requires a response even after the connection was aborted.
--- a/src/ragwortcourse/forwarding/plain_call.py
+++ b/src/ragwortcourse/forwarding/plain_call.py
@@ -7,7 +7,7 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.answer_cut import AnswerCutError
 from ragwortcourse.forwarding.open_try import OpenTry
-from ragwortcourse.forwarding.reply import Reason, Refusal, Reply, WholeAnswer
+from ragwortcourse.forwarding.reply import Refusal, Reply, WholeAnswer
 from ragwortcourse.forwarding.tries import Tries
 
 # Share of the remaining time that a try may take if another may follow.
@@ -20,17 +20,18 @@
     :return: the whole answer, or the last failure if no target may be tried
         any more.
     """
-    failed: Reply = Refusal(reason=Reason.FAILED)
+    failed: WholeAnswer | None = None
     while True:
         reply = await _try_once(tries)
         if isinstance(reply, Refusal):
-            return failed if tries.may_have_run else reply
+            return failed if failed and tries.may_have_run else reply
         if reply is not None:
             if reply.head.status < HTTPStatus.INTERNAL_SERVER_ERROR:
                 return reply
             failed = reply
-        if not tries.allows_another():
-            return failed
+        end = tries.find_end()
+        if end is not None:
+            return failed or tries.give_up(end)
 
 
 async def _try_once(tries: Tries) -> Reply | None:
--- a/src/ragwortcourse/forwarding/stream_call.py
+++ b/src/ragwortcourse/forwarding/stream_call.py
@@ -24,7 +24,14 @@
 
 
 class StreamBrokenError(Exception):
-    """A stream can't be completed after the caller got its first events."""
+    """A stream can't be completed after the caller got its first events.
+
+    :param refusal: why no target continues the stream.
+    """
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.reason)
+        self.refusal = refusal
 
 
 class StreamCall:
@@ -58,8 +65,9 @@
                 self._fail(opened, error, LossCause.SILENCE)
             finally:
                 self._tries.end(opened)
-            if not self._tries.allows_another():
-                return self._give_up(Refusal(reason=Reason.FAILED))
+            end = self._tries.find_end()
+            if end is not None:
+                return self._give_up(self._tries.give_up(end))
 
     def _fail(
         self, opened: OpenTry, error: Exception, cause: LossCause
@@ -70,7 +78,7 @@
     def _give_up(self, refusal: Refusal) -> Refusal:
         if self._response is None:
             return refusal
-        raise StreamBrokenError(refusal.reason)
+        raise StreamBrokenError(refusal)
 
     async def _open(self) -> OpenTry | Refusal:
         may_repeat = self._tries.work.route.may_repeat
@@ -88,7 +96,12 @@
             )
             if self._response is None:
                 return WholeAnswer(head=opened.answer.head, body=body)
-            return self._give_up(Refusal(reason=Reason.FAILED))
+            return self._give_up(
+                Refusal(
+                    reason=Reason.FAILED,
+                    inputs={'status': opened.answer.head.status},
+                )
+            )
         async for whole in self._read_events(opened):
             response = await self._begin(opened)
             await response.write(whole)
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -33,6 +33,7 @@
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_load import TargetLoad
 from ragwortcourse.forwarding.target_statements import note_statements
+from ragwortcourse.forwarding.tries_end import TriesEnd
 from ragwortcourse.forwarding.urgency import Standing, rank_request
 from ragwortcourse.forwarding.version_bounds import read_start_limit
 from ragwortcourse.forwarding.version_log import describe_version
@@ -96,15 +97,21 @@
 
     def allows_another(self) -> bool:
         """Tell whether one more target may be tried."""
+        return self.find_end() is None
+
+    def find_end(self) -> TriesEnd | None:
+        """Find why no further target may be tried; none if one may."""
         route = self.work.route
-        if self.runs >= route.max_tries:
-            return False
         if self.runs and not route.may_repeat:
-            return False
+            return TriesEnd.ONCE
+        if self.runs >= route.max_tries:
+            return TriesEnd.RUNS
         admission = self.forwarder.safeguards.crash_admission
         if self.runs and not admission.allows_repeat(self.crashes.suspects):
-            return False
-        return self._sends < route.max_tries + DECLINES_ALLOWED
+            return TriesEnd.SUSPECT
+        if self._sends >= route.max_tries + DECLINES_ALLOWED:
+            return TriesEnd.DECLINED
+        return None
 
     async def open(
         self, last_event: str | None, silence: float | None
@@ -119,22 +126,22 @@
             self._asked = None
             target = await self._choose()
             if isinstance(target, Refusal):
-                return self._give_up(target)
+                return self.give_up(target)
             # A request may have waited for its target.
             refusal = self.forwarder.safeguards.crash_admission.check(
                 self.crashes.suspects, running=1
             )
             if refusal is not None:
-                return self._give_up(refusal)
+                return self.give_up(refusal)
             if (
                 self._sends
                 and not self.forwarder.safeguards.retry_budget.try_spend()
             ):
-                break
+                return self.give_up(TriesEnd.BUDGET)
             opened = await self._send(target, last_event, silence)
             if opened is not None:
                 return opened
-        return self._give_up(None)
+        return self.give_up(self.find_end())
 
     def end(self, tried: OpenTry) -> None:
         """Close a try, which cancels the request at the target."""
@@ -292,16 +299,20 @@
             load.target_health.note_failure(read_clock())
             self._log('no answer from target', target, answer.detail)
 
-    def _give_up(self, refusal: Refusal | None) -> Refusal:
+    def give_up(self, cause: Refusal | TriesEnd | None) -> Refusal:
         """Build the refusal that ends the tries.
 
-        :param refusal: why there is no further target; none: no further try
-            is allowed.
+        :param cause: why there is no further target.
         """
+        if isinstance(cause, Refusal):
+            if not self._sends:
+                return cause
+            inputs = {**cause.inputs, 'ended_by': cause.reason}
+        else:
+            inputs = {'ended_by': cause}
+        inputs |= {'targets': self.tried, 'runs': self.runs}
         if self.may_have_run:
-            return Refusal(reason=Reason.FAILED)
-        if refusal is not None and not self._sends:
-            return refusal
+            return Refusal(reason=Reason.FAILED, inputs=inputs)
         if self._was_misdirected:
             # A target needs about a second to reload lost weights, and the
             # entry daemons learn of the reload as much later. Callers retry
@@ -314,7 +325,7 @@
             wait = choose_return(
                 self.forwarder, self._service, DECLINED_RETRY_SECONDS
             )
-        return Refusal(reason=Reason.NOT_RUN, retry_after=wait)
+        return Refusal(reason=Reason.NOT_RUN, retry_after=wait, inputs=inputs)
 
     def _log(
         self, message: str, target: Target, detail: str, **fields: object
