--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -193,6 +193,7 @@
             listed.append(
                 make(f't-{number}', address=target.address, **changes)
             )
+        self.listed = listed
         self.state = make_state(*listed)
         session = await self.stack.enter_async_context(open_target_session())
         self.forwarder = make_forwarder(self.state, session)
