Keep a request at a silent target while another one is asked

Callers saw streams aborted in the middle, and 502 to look-ups, though the target of their request went on after a pause of a second or so.

Cause: silence ended a try wherever one more was allowed: streams after 1.0 s without data or 1.2 s without a first event, look-ups after half of their time. Whether one was possible was known only after that: no usable target, all declined, the retry budget spent, the failure domain withdrawn. Class: work is ended on a belief, before what should replace it is secured.

Now each request has lanes (TryLane), one target after another each, and silence only starts one more beside the first (TryRace). The first lane with the next event, or the answer, goes on and the others are let go. The silence of a target is noted for its health and as crash evidence at the same moments as before, and at the deadline.

--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -62,7 +62,7 @@
     body = await request.read()
     work = _accept(call, *permitted, body)
     tries = Tries(forwarder=forwarder, work=work)
-    suspects = tries.crashes.suspects
+    suspects = tries.suspects
     admission = forwarder.safeguards.crash_admission
     refusal = admission.check(suspects)
     if refusal is not None:
--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -26,7 +26,8 @@
 )
 from ragwortcourse.forwarding.random_targets import draw_targets
 from ragwortcourse.forwarding.rate_share import compute_share
-from ragwortcourse.forwarding.reply import Refusal
+from ragwortcourse.forwarding.reply import Reason, Refusal
+from ragwortcourse.forwarding.second_ask import Silence, is_worth_asking
 from ragwortcourse.forwarding.service_rules import ServiceRules
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.version_bounds import read_required_version
@@ -51,12 +52,16 @@
     work: PermittedCall,
     service: ServiceName,
     tried: Collection[TargetName],
+    silence: Silence | None = None,
 ) -> Target | Refusal:
     """Choose the best target that has not been tried yet.
 
     :param tried: targets to which the request was sent before.
-    :return: a refusal if no target is usable, or if a new request is not
-        expected to begin in time at the best one.
+    :param silence: of the targets that still have the request; none if no
+        target has it.
+    :return: a refusal if no target is usable, if a new request is not
+        expected to begin in time at the best one, or if waiting for the
+        silent targets is better.
     """
     desired = forwarder.state.desired
     rules = None if desired is None else desired.services.get(service)
@@ -79,6 +84,8 @@
     candidates = list(_describe(forwarder, sampled, newest))
     chosen = choose_candidate(candidates, forwarder.rng)
     if chosen is None:
+        if silence is not None:
+            return Refusal(reason=Reason.NO_TARGET)
         return refuse_all(forwarder, service, version)
     place = TargetOccupancy(
         load=chosen.load,
@@ -87,6 +94,16 @@
         latency=forwarder.find_load(chosen.target).latency,
         engine=rules.engine,
     )
+    if silence is not None:
+        worth_asking = is_worth_asking(
+            place,
+            prompt_tokens=work.call.prompt_tokens,
+            silent=chosen.silent,
+            silence=silence,
+        )
+        return (
+            chosen.target if worth_asking else Refusal(reason=Reason.OVERLOADED)
+        )
     # A moved request is not refused: its caller may have part of the answer.
     demand = read_demand(forwarder, work)
     if not tried and not is_admitted(place, demand):
--- /dev/null
+++ b/src/ragwortcourse/forwarding/try_race.py
@@ -0,0 +1,132 @@
+"""Race of the targets that have one request while some of them are silent.
+
+A silent target is a reason to ask another one, not to end the request: nobody
+knows yet whether another target can take it. The first target that has what
+the caller waits for goes on, and the others are let go.
+"""
+
+import asyncio
+import contextlib
+import math
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Final, Generic, TypeVar
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.tries import Tries
+from ragwortcourse.forwarding.try_lane import TryLane
+
+# Interval at which one more target is looked for.
+ASK_AGAIN_SECONDS: Final = 0.25
+
+End = TypeVar('End')
+
+
+class TryRace(Generic[End]):
+    """Lanes of one request that are under way, each with a task of its own.
+
+    :param run: runs a lane to its end.
+    :param choose_patience: chooses the seconds of silence of a new lane after
+        which one more target may be asked.
+    """
+
+    def __init__(
+        self,
+        *,
+        tries: Tries,
+        run: Callable[[TryLane], Awaitable[End]],
+        choose_patience: Callable[[], float],
+    ) -> None:
+        self._tries = tries
+        self._run = run
+        self._choose_patience = choose_patience
+        self._asked_at = -math.inf
+        self._lanes: dict[asyncio.Future[End], TryLane] = {}
+        self._let_go: set[asyncio.Future[End]] = set()
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no lane is left."""
+        return not self._lanes
+
+    def start(self, *, beside: bool = False) -> None:
+        """Start one more lane.
+
+        :param beside: true if the targets of the other lanes may still answer.
+        """
+        lane = TryLane(
+            tries=self._tries,
+            patience=self._choose_patience(),
+            silent=tuple(self._lanes.values()) if beside else (),
+        )
+        if beside:
+            self._asked_at = read_clock()
+        self._lanes[asyncio.ensure_future(self._run(lane))] = lane
+
+    def claim(self, chosen: TryLane) -> None:
+        """Let all lanes go except the one that has what the caller waits for.
+
+        This cancels the request at their targets.
+        """
+        for run, lane in tuple(self._lanes.items()):
+            if lane is not chosen:
+                self._lanes.pop(run)
+                self._let_go.add(run)
+                run.cancel()
+
+    async def wait_end(self) -> tuple[TryLane, End]:
+        """Wait for the end of any lane.
+
+        Meanwhile one more target is asked whenever those that have the request
+        are silent for too long.
+        """
+        while True:
+            await asyncio.wait(
+                self._lanes,
+                timeout=self._find_next_ask(),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for run, lane in self._lanes.items():
+                if run.done():
+                    self._lanes.pop(run)
+                    return lane, run.result()
+            for lane in self._lanes.values():
+                if not lane.patience_left:
+                    lane.note_silent()
+            if self._find_next_ask() == 0:
+                self.start(beside=True)
+
+    @contextlib.asynccontextmanager
+    async def keep_deadline(self) -> AsyncIterator[None]:
+        """Let all lanes go at the end, at the deadline of the request at most.
+
+        :raises TimeoutError: the deadline has passed.
+        """
+        limit = asyncio.timeout_at(self._tries.work.deadline)
+        try:
+            async with limit:
+                yield
+        finally:
+            if limit.expired():
+                for lane in self._lanes.values():
+                    lane.note_silent()
+            await self._close()
+
+    async def _close(self) -> None:
+        runs = self._let_go | self._lanes.keys()
+        for run in runs:
+            run.cancel()
+        if runs:
+            await asyncio.wait(runs)
+
+    def _find_next_ask(self) -> float | None:
+        """Find the seconds until one more target may be asked.
+
+        :return: none if the request may not be repeated.
+        """
+        wait = max(lane.patience_left for lane in self._lanes.values())
+        if math.isinf(wait):
+            return None
+        if not wait and self._tries.find_end() is not None:
+            return ASK_AGAIN_SECONDS
+        asked = read_clock() - self._asked_at
+        return max(wait, ASK_AGAIN_SECONDS - asked, 0)
