Take no target for silent that still sends at the time limit

Silence is now noted only after the lane's patience, wherever that is, and nothing is noted at the deadline. test_target_that_just_sent_an_event failed before.

--- a/src/ragwortcourse/forwarding/plain_call.py
+++ b/src/ragwortcourse/forwarding/plain_call.py
@@ -1,6 +1,5 @@
 """Requests whose answers are read whole before they are passed on."""
 
-import math
 from http import HTTPStatus
 from typing import Final
 
@@ -25,8 +24,6 @@
     """
 
     def choose_patience() -> float:
-        if not tries.work.route.may_repeat:
-            return math.inf
         return (tries.work.deadline - read_clock()) * TRY_SHARE
 
     race = TryRace(tries=tries, run=_run, choose_patience=choose_patience)
--- a/src/ragwortcourse/forwarding/stream_call.py
+++ b/src/ragwortcourse/forwarding/stream_call.py
@@ -1,7 +1,6 @@
 """Streams of events that are passed on as they arrive."""
 
 import enum
-import math
 from collections.abc import AsyncIterator
 from typing import Final
 
@@ -108,8 +107,6 @@
         return self._failure or refusal
 
     def _choose_patience(self) -> float:
-        if not self._tries.work.route.may_repeat:
-            return math.inf
         return SILENT_SECONDS if self._response is None else STALL_SECONDS
 
     async def _run(self, lane: TryLane) -> LaneEnd:
--- a/src/ragwortcourse/forwarding/try_race.py
+++ b/src/ragwortcourse/forwarding/try_race.py
@@ -92,7 +92,7 @@
             for lane in self._lanes.values():
                 if not lane.patience_left:
                     lane.note_silent()
-            if self._find_next_ask() == 0:
+            if not self._find_next_ask():
                 self.start(beside=True)
 
     @contextlib.asynccontextmanager
@@ -101,14 +101,10 @@
 
         :raises TimeoutError: the deadline has passed.
         """
-        limit = asyncio.timeout_at(self._tries.work.deadline)
         try:
-            async with limit:
+            async with asyncio.timeout_at(self._tries.work.deadline):
                 yield
         finally:
-            if limit.expired():
-                for lane in self._lanes.values():
-                    lane.note_silent()
             await self._close()
 
     async def _close(self) -> None:
@@ -118,14 +114,9 @@
         if runs:
             await asyncio.wait(runs)
 
-    def _find_next_ask(self) -> float | None:
-        """Find the seconds until one more target may be asked.
-
-        :return: none if the request may not be repeated.
-        """
+    def _find_next_ask(self) -> float:
+        """Find the seconds until one more target may be asked."""
         wait = max(lane.patience_left for lane in self._lanes.values())
-        if math.isinf(wait):
-            return None
         if not wait and self._tries.find_end() is not None:
             return ASK_AGAIN_SECONDS
         asked = read_clock() - self._asked_at
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -276,3 +276,21 @@
         assert response.status == 504
         load = [fleet.forwarder.find_load(each) for each in fleet.listed]
         assert [each.own for each in load] == [0, 0]
+
+    async def test_target_that_just_sent_an_event(self, fleet, caplog):
+        """A target that still sends at the time limit is not silent."""
+
+        async def write_on(
+            received: Received, connection: ScriptedConnection
+        ) -> None:
+            await begin_stream(received, connection)
+            for number in range(100):
+                await connection.send_events(number, number + 1)
+                await asyncio.sleep(0.1)
+
+        caplog.set_level('INFO')
+        await fleet.open([write_on])
+        fleet.set_routes(make_route(time_limit=1.3))
+        with pytest.raises(aiohttp.ClientError):
+            await fleet.ask(LETTER)
+        assert 'target is silent' not in caplog.text
