Believe no refusal that names another request

Reported by another operator: a faulty worker wrote an earlier refusal once more. Callers of charges were told to retry what a target had run, or the request ran at a second target. read_head took the mark of a request that did not run, and status 421, whatever attempt id stood beside them.

An answer with another id now counts as one of a request that may have run, like any other answer that is not genuine: 502 for what may run once, another target within max_attempts for the rest, and no statement about the target. An answer without an id is believed as before. Each connection carries one request, so that such a refusal can't be a late copy of another one's.

--- a/src/ragwortcourse/platform/wire.py
+++ b/src/ragwortcourse/platform/wire.py
@@ -99,35 +99,37 @@
     """Read the head of a target's answer."""
     headers = CIMultiDict(received)
     _drop_hop_headers(headers)
-    echoed = received.get(names.ATTEMPT_ID) == attempt
+    named = received.get(names.ATTEMPT_ID)
+    # An answer without an id is no other request's: a target has none to
+    # repeat if it got none, and each connection carries one request.
+    is_other = bool(named) and named != attempt
+    refused = names.NOT_RUN in received or status == MISDIRECTED
     rate_limit = received.get(names.RATE_LIMIT)
     rate = None if rate_limit is None else _read_rate(rate_limit)
     stamped = names.STAMP in received
     return AnswerHead(
         status=status,
-        ran=names.NOT_RUN not in received and status != MISDIRECTED,
+        ran=is_other or not refused,
         # Callers request no encoding, so an encoded body belongs to another
         # request.
-        genuine=echoed and stamped and 'Content-Encoding' not in received,
+        genuine=named == attempt
+        and stamped
+        and 'Content-Encoding' not in received,
         load=_read_load(received.get(names.LOAD, '')),
         cold_seconds=_read_milliseconds(received, names.COLD),
         version=_read_version(received.get(names.VERSION, '')),
         headers=headers,
         rate_limit=rate,
         rate_limit_readable=rate_limit is None or rate is not None,
-        rest_seconds=_read_rest(status, received, attempt),
+        rest_seconds=None if is_other else _read_rest(status, received),
         leaving=_read_leaving(received.get(names.LEAVING)),
     )
 
 
-def _read_rest(
-    status: int, received: Mapping[str, str], attempt: AttemptId | None
-) -> float | None:
+def _read_rest(status: int, received: Mapping[str, str]) -> float | None:
     text = received.get(names.RETRY_AFTER)
     if text is None or status != HTTPStatus.SERVICE_UNAVAILABLE:
         return None
-    if received.get(names.ATTEMPT_ID, attempt) != attempt:
-        return None
     seconds = _read_amount(text)
     if seconds is None:
         LOGGER.warning(
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -154,6 +154,22 @@
         assert not head(421).ran
         assert head(503).ran
 
+    @pytest.mark.parametrize(
+        ('named', 'ran'), [('a1', False), ('', False), ('a0', True)]
+    )
+    @pytest.mark.parametrize(('status', 'mark'), [(503, '1'), (421, '')])
+    def test_refusal_of_another_request(self, status, mark, named, ran):
+        """Only a refusal that names no other request means not run."""
+        answer = head(
+            status,
+            **{
+                'Ragwortcourse-Attempt-Id': named,
+                'Ragwortcourse-Not-Executed': mark,
+            },
+        )
+        assert answer.ran is ran
+        assert not (answer.ran and answer.speaks_for_target)
+
     def test_load(self):
         """The reported load is decoded."""
         assert head(**{'Ragwortcourse-Server-Load': '3, 1,8'}).load == (
