Pass on only what continues a begun stream

Reported by another operator: a stream broke off, the next worker answered with an error, and clients found the error's text in the middle of their stream, or the stream ended as if it were complete. StreamCall passed on the body of any 2xx answer, and took its end as the end of the stream. After three events and a reset a second target could end the stream with 204 or an empty body, add the text of a JSON failure that ends in a blank line, or begin again at the first event, which the caller then had twice.

An answer now continues a begun stream only with status 200, the type text/event-stream where the first answer had it, and events that each have one id, a number above that of the event before; find_head_fault and find_event_fault decide, and the event buffer asks them for all answers but the first. Anything else is an invalid answer like a garbled one: another target may go on after the last event that the caller has, else the connection is aborted. No event of a rejected piece is passed on.

An answer without an event does not end a begun stream.

The first answer of a stream is passed on unchanged, as before.

--- a/src/ragwortcourse/forwarding/event_buffer.py
+++ b/src/ragwortcourse/forwarding/event_buffer.py
@@ -1,19 +1,26 @@
 """Reassembly of whole events from the pieces of a stream."""
 
-import re
 from typing import Final
 
 from ragwortcourse.forwarding.answer_cut import AnswerCutError
+from ragwortcourse.forwarding.answer_head import AnswerHead
 from ragwortcourse.forwarding.loss_cause import LossCause
+from ragwortcourse.forwarding.stream_continuation import (
+    EVENT_END,
+    EVENT_ID,
+    find_event_fault,
+    find_head_fault,
+)
 
 # Longest event. An event holds some tokens.
 EVENT_BYTES: Final = 262_144
-EVENT_END: Final = b'\n\n'
-EVENT_ID: Final = re.compile(rb'^id: ?([^\r\n]*)$', re.MULTILINE)
 
 
 class EventBuffer:
-    """Buffer that holds back an incomplete event.
+    """Buffer of one stream that holds back an incomplete event.
+
+    The first answer with a whole event begins the stream. Each later answer
+    must continue it.
 
     :param last_event: id of the last whole event that was returned.
     """
@@ -21,17 +28,33 @@
     def __init__(self, *, last_event: str | None) -> None:
         self.last_event = last_event
         self._rest = bytearray()
+        self._head: AnswerHead | None = None
+        self._first: AnswerHead | None = None
+        self._continues = False
+        self._has_events = False
 
     @property
     def has_rest(self) -> bool:
         """Tell whether part of an event is held back."""
         return bool(self._rest)
 
+    def begin_answer(self, head: AnswerHead) -> None:
+        """Take the following pieces as the body of another answer.
+
+        :raises AnswerCutError: the answer can't continue the stream.
+        """
+        self.drop_rest()
+        self._head = head
+        self._has_events = False
+        self._continues = self._first is not None
+        if self._first is not None:
+            _check(find_head_fault(self._first, head, self.last_event))
+
     def add(self, piece: bytes) -> bytes:
         """Add a piece and return all whole events, unchanged.
 
         :raises AnswerCutError: the incomplete event is longer than
-            ``EVENT_BYTES``.
+            ``EVENT_BYTES``, or the events can't continue the stream.
         """
         # Only the end of an event may begin in the bytes searched before.
         searched = max(len(self._rest) - len(EVENT_END) + 1, 0)
@@ -44,11 +67,26 @@
         whole = bytes(self._rest[:end])
         del self._rest[:end]
         self._check_length()
+        if self._continues:
+            _check(find_event_fault(whole, self.last_event))
+        self._has_events = True
+        self._first = self._first or self._head
         ids = EVENT_ID.findall(whole)
         if ids:
             self.last_event = ids[-1].decode('latin-1')
         return whole
 
+    def end_answer(self) -> None:
+        """Note that the body of an answer is whole.
+
+        :raises AnswerCutError: the body ended inside an event, or continued
+            the stream with no event.
+        """
+        if self.has_rest:
+            raise AnswerCutError('ended inside an event')
+        if self._continues and not self._has_events:
+            _check('stream continued with no event')
+
     def drop_rest(self) -> None:
         """Discard the incomplete event."""
         self._rest.clear()
@@ -59,3 +97,8 @@
                 f'event longer than {EVENT_BYTES} bytes',
                 cause=LossCause.INVALID,
             )
+
+
+def _check(fault: str | None) -> None:
+    if fault is not None:
+        raise AnswerCutError(fault, cause=LossCause.INVALID)
--- a/src/ragwortcourse/forwarding/stream_call.py
+++ b/src/ragwortcourse/forwarding/stream_call.py
@@ -89,6 +89,7 @@
             if self._response is None:
                 return WholeAnswer(head=opened.answer.head, body=body)
             return self._give_up(Refusal(reason=Reason.FAILED))
+        self._events.begin_answer(opened.answer.head)
         async for whole in self._read_events(opened):
             response = await self._begin(opened)
             await response.write(whole)
@@ -102,8 +103,8 @@
     async def _read_events(self, opened: OpenTry) -> AsyncIterator[bytes]:
         """Yield whole events until the target ends the stream.
 
-        :raises AnswerCutError: the stream was cut, ended inside an event, or
-            has an event that is too long.
+        :raises AnswerCutError: the stream was cut, ended inside an event, has
+            an event that is too long, or can't continue what the caller has.
         :raises TimeoutError: no data arrived in time, and another target may
             continue the stream.
         """
@@ -120,8 +121,7 @@
             whole = self._events.add(piece)
             if whole:
                 yield whole
-        if self._events.has_rest:
-            raise AnswerCutError('ended inside an event')
+        self._events.end_answer()
 
     async def _begin(self, opened: OpenTry) -> web.StreamResponse:
         """Begin the response with the headers of the first target, once."""
--- a/tests/test_event_buffer.py
+++ b/tests/test_event_buffer.py
@@ -5,11 +5,22 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from multidict import CIMultiDict
 
 from ragwortcourse.forwarding.answer_cut import AnswerCutError
+from ragwortcourse.forwarding.answer_head import AnswerHead
 from ragwortcourse.forwarding.event_buffer import EVENT_BYTES, EventBuffer
 
 EVENTS = b''.join(b'id: %d\ndata: word\n\n' % number for number in range(5))
+HEAD = AnswerHead(
+    status=200,
+    ran=True,
+    genuine=True,
+    load=None,
+    cold_seconds=None,
+    version=None,
+    headers=CIMultiDict({'Content-Type': 'text/event-stream'}),
+)
 
 
 class TestEventBuffer:
@@ -66,3 +77,69 @@
         events = EventBuffer(last_event=None)
         assert events.add(b'id: 1\ndata: x\n') == b''
         assert events.add(b'\n') == b'id: 1\ndata: x\n\n'
+
+
+def read_answer(events: EventBuffer, body: bytes, cuts: set[int]) -> bytes:
+    """Return what a buffer gives out of one answer until it rejects it."""
+    edges = [0, *sorted(cut for cut in cuts if cut < len(body)), len(body)]
+    given_out = b''
+    try:
+        events.begin_answer(HEAD)
+        for start, end in itertools.pairwise(edges):
+            given_out += events.add(body[start:end])
+        events.end_answer()
+    except AnswerCutError:
+        events.drop_rest()
+    return given_out
+
+
+class TestAnswers:
+    """Streams of several answers."""
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.lists(st.integers(0, 9), max_size=6),
+                st.sets(st.integers(1, 60)),
+            ),
+            min_size=2,
+            max_size=4,
+        )
+    )
+    def test_ids_increase(self, answers):
+        """What later answers add has increasing ids, however it is cut."""
+        events = EventBuffer(last_event=None)
+        begun: list[int] = []
+        for ids, cuts in answers:
+            body = b''.join(b'id: %d\ndata: x\n\n' % each for each in ids)
+            given_out = read_answer(events, body, cuts)
+            added = [
+                int(event.partition(b'\n')[0][3:])
+                for event in given_out.split(b'\n\n')[:-1]
+            ]
+            if begun:
+                increasing = [begun[-1], *added]
+                assert all(
+                    earlier < later
+                    for earlier, later in itertools.pairwise(increasing)
+                )
+            begun += added
+
+    def test_each_answer_needs_an_event(self):
+        """An earlier continuation makes no later one complete."""
+        events = EventBuffer(last_event=None)
+        for body in (b'id: 1\n\n', b'id: 2\n\n'):
+            events.begin_answer(HEAD)
+            assert events.add(body) == body
+            events.end_answer()
+        events.begin_answer(HEAD)
+        with pytest.raises(AnswerCutError):
+            events.end_answer()
+
+    def test_rest_of_another_answer(self):
+        """The incomplete event of one answer is not joined to the next."""
+        events = EventBuffer(last_event=None)
+        events.begin_answer(HEAD)
+        assert events.add(b'id: 1\n\nid: 2\nda') == b'id: 1\n\n'
+        events.begin_answer(HEAD)
+        assert events.add(b'id: 2\n\n') == b'id: 2\n\n'
