Take no agent's answer that names another attempt

Found while looking for the reported refusal that was sent once more on a kept connection: entry daemons keep their connections to agents and took a refusal, an answer or the report on an attempt as they came. A second copy of an earlier refusal, in the place of the next answer, counted as proof that the next attempt did not run: its work went to another agent and ran twice, or its caller was told to retry. Our own agents write each answer once; nothing but that kept it from happening.

Agents now name the attempt in answers and refusals (x-rc-attempt, which was defined and not used), and reports named theirs already. What names another attempt is a lost answer, about which the agent is asked as before; a report on another attempt is no report. Answers without a name count, as agents of an earlier release send none during an update.

Engines need no such change: their requests use a connection each, and the agent already drops answers to another attempt (find_mismatch) and takes no engine's answer as proof that work did not run.

--- a/src/ragwortcourse/agent/server.py
+++ b/src/ragwortcourse/agent/server.py
@@ -18,10 +18,11 @@
 from ragwortcourse.agent.attempts import bar_attempt, run_attempt
 from ragwortcourse.agent.relay import close_body
 from ragwortcourse.agent.status import answer_heartbeat
-from ragwortcourse.identifiers import AttemptId, RequestId
+from ragwortcourse.identifiers import AttemptId
 from ragwortcourse.messages import headers as names
 from ragwortcourse.messages.attempt import (
     AnswerBrokenError,
+    Attempt,
     AttemptAnswer,
     AttemptOutcome,
     AttemptRefused,
@@ -63,9 +64,9 @@
         work = asyncio.create_task(run_attempt(agent, attempt))
         outcome = await wait_while_connected(request, work)
         if isinstance(outcome, AttemptAnswer):
-            return await send_answer(request, outcome)
+            return await send_answer(request, attempt.attempt, outcome)
         if isinstance(outcome, AttemptRefused):
-            return build_refusal(attempt.request, outcome)
+            return build_refusal(attempt, outcome)
         raise AssertionError(outcome)
 
     async def handle_bar(request: web.Request) -> web.Response:
@@ -112,12 +113,13 @@
 
 
 async def send_answer(
-    request: web.Request, answer: AttemptAnswer
+    request: web.Request, attempt: AttemptId, answer: AttemptAnswer
 ) -> web.StreamResponse:
     """Send an answer; abort the connection if the body is truncated."""
     response = web.StreamResponse(
         status=answer.status, headers=drop_reserved_headers(answer.headers)
     )
+    response.headers[names.ATTEMPT_ID] = attempt
     response.headers[names.SPARE] = str(answer.spare)
     response.headers[names.GENERATION] = str(answer.generation)
     if answer.version is not None:
@@ -155,7 +157,7 @@
             request.transport.abort()
 
 
-def build_refusal(request: RequestId, refused: AttemptRefused) -> web.Response:
+def build_refusal(attempt: Attempt, refused: AttemptRefused) -> web.Response:
     """Build the response to a refused attempt.
 
     The headers repeat the code and the outcome of the JSON body, so that a
@@ -167,10 +169,11 @@
         code=outcome.code,
         message=outcome.detail,
         outcome=outcome.kind,
-        request=request,
+        request=attempt.request,
         retry_after=retry_after,
     )
     response = build_json(ErrorBody(error=detail), status=refused.status)
+    response.headers[names.ATTEMPT_ID] = attempt.attempt
     response.headers[names.ERROR_CODE] = outcome.code
     response.headers[names.OUTCOME] = outcome.kind
     response.headers[names.SPARE] = str(refused.spare)
--- a/src/ragwortcourse/entry/http_agents.py
+++ b/src/ragwortcourse/entry/http_agents.py
@@ -46,6 +46,9 @@
 def build_http_agents(*, session: aiohttp.ClientSession) -> AgentPort:
     """Build the port that reaches agents over HTTP by their ``ip:port``.
 
+    Connections are kept. An answer that names another attempt tells nothing
+    about the sent one; agents of earlier releases name none.
+
     :param session: HTTP session that must not decompress answers, because
         answers are relayed unchanged.
     """
@@ -63,18 +66,27 @@
             return AttemptUnreached(detail=f'no connection to {address}')
         except FAILURES as error:
             return AttemptLost(detail=f'{address}: {error!r}')
+        named = answer.headers.get(headers.ATTEMPT_ID, attempt.attempt)
+        if named != attempt.attempt:
+            answer.close()
+            return AttemptLost(detail=f'{address}: answer to {named}')
         return await read_answer(answer)
 
     async def bar(
         address: str, attempt: AttemptId, age: float
     ) -> AttemptReport | PeerUnavailable:
-        return await _ask(
+        report = await _ask(
             session,
             f'http://{address}/attempts/{attempt}/bar',
             fields={headers.AGE_MS: str(round(age * _MILLISECONDS))},
             timeout=_BAR_TIMEOUT,
             kind=AttemptReport,
         )
+        if isinstance(report, AttemptReport) and report.attempt != attempt:
+            return PeerUnavailable(
+                detail=f'{address}: report on {report.attempt}'
+            )
+        return report
 
     async def heartbeat(
         address: str, message: Heartbeat
--- a/tests/test_http_agents.py
+++ b/tests/test_http_agents.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 import aiohttp
 import pytest
@@ -53,6 +54,12 @@
 WHOLE = (200, b'one two', True)
 
 
+def name_attempt(raw: bytes, attempt: str) -> bytes:
+    """Add the id of an attempt to the HTTP answer of an agent."""
+    named = b'\r\nx-rc-attempt: %b\r\n' % attempt.encode()
+    return raw.replace(b'\r\n', named, 1)
+
+
 def make_refusal(outcome: str, body: bytes | None = None) -> bytes:
     """Build the HTTP answer of an agent that refuses an attempt."""
     if body is None:
@@ -182,9 +189,72 @@
             assert refused.suspect
 
 
+class TestOtherAttempt:
+    """Answers that name another attempt: the sent one may have run."""
+
+    @pytest.mark.parametrize(
+        'raw',
+        [
+            make_refusal('not_run'),
+            make_refusal('unknown'),
+            LENGTH + b'one two',
+            CHUNKED + b'7\r\none two\r\n0\r\n\r\n',
+        ],
+    )
+    async def test_is_lost(self, raw):
+        """Neither an answer nor a refusal of another attempt counts."""
+        async with serve(name_attempt(raw, 'a0')) as (port, address):
+            outcome = await port.start(address, ATTEMPT)
+            assert isinstance(outcome, AttemptLost)
+            assert 'a0' in outcome.detail
+
+    async def test_own(self):
+        """A refusal that names the attempt counts."""
+        raw = name_attempt(make_refusal('not_run'), 'a1')
+        async with serve(raw) as (port, address):
+            refused = await port.start(address, ATTEMPT)
+            assert isinstance(refused, AttemptRefused)
+
+    async def test_earlier_refusal_on_a_kept_connection(self):
+        """A refusal that is sent once more refuses no later attempt."""
+        refusal = name_attempt(make_refusal('not_run'), 'a1')
+        connections = []
+
+        async def answer(reader, writer):
+            connections.append(writer)
+            for _ in range(2):
+                await reader.readuntil(b'\r\n\r\n')
+                await reader.readexactly(len(ATTEMPT.body))
+                writer.write(refusal)
+                await writer.drain()
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        host, number = server.sockets[0].getsockname()
+        async with aiohttp.ClientSession(auto_decompress=False) as session:
+            port = build_http_agents(session=session)
+            first = await port.start(f'{host}:{number}', ATTEMPT)
+            assert isinstance(first, AttemptRefused)
+            later = dataclasses.replace(ATTEMPT, attempt=AttemptId('a2'))
+            outcome = await port.start(f'{host}:{number}', later)
+        server.close()
+        assert len(connections) == 1
+        assert isinstance(outcome, AttemptLost)
+
+
 class TestBar:
     """Reports of agents on attempts."""
 
+    @pytest.mark.parametrize('state', ['barred', 'refused', 'completed'])
+    async def test_other_attempt(self, state):
+        """A report on another attempt proves nothing."""
+        body = b'{"attempt":"a0","state":"%b"}' % state.encode()
+        raw = b'HTTP/1.1 200 OK\r\n\r\n%b' % body
+        async with serve(raw) as (port, address):
+            report = await port.bar(address, AttemptId('a1'), 1)
+            assert isinstance(report, PeerUnavailable)
+
     @pytest.mark.parametrize(
         ('raw', 'expected'),
         [
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -111,6 +111,20 @@
         refused = await site.port.start(site.address, make_attempt())
         assert refused.outcome == site.agent.find_admission_refusal()
 
+    @pytest.mark.parametrize('leaving', [False, True])
+    async def test_names_the_attempt(self, site, leaving):
+        """Answers and refusals name the attempt to which they belong."""
+        site.agent.leaving = leaving
+        attempt = make_attempt()
+        async with site.session.post(
+            f'http://{site.address}/attempts/{attempt.attempt}',
+            data=attempt.body,
+            headers=encode_attempt(attempt),
+        ) as answer:
+            await answer.read()
+        assert (answer.status == 503) is leaving
+        assert answer.headers['x-rc-attempt'] == attempt.attempt
+
     @pytest.mark.parametrize('while_queued', [True, False])
     async def test_entry_that_goes_away(self, site, while_queued):
         """On disconnect, work is removed from the queue or cancelled."""
