Let only the same type of answer resume a broken one at an agent

The reported error inside a stream, looked for on the agents' path. An agent resumes a broken answer of a model at the same engine, which confirms the offset. An engine that confirmed it and answered 200 with the JSON text of a failure had that text passed on inside the stream, up to three times, before the stream was broken off. A body in one piece was taken as whole after any resumed answer, also an empty one: agents send no Content-Length on, so that callers got a truncated JSON body that looked complete.

A resumed answer now needs the media type of the broken one, and a body in one piece the announced length, or a further byte if none was announced. Streams need their end mark, as before. RelayProgress moves to a module of its own; agent/relay.py and forwarding/stream_continuation.py share the reading of media types in bodies.py.

--- a/src/ragwortcourse/agent/attempts.py
+++ b/src/ragwortcourse/agent/attempts.py
@@ -19,7 +19,6 @@
     refuse_duplicate,
 )
 from ragwortcourse.agent.relay import (
-    RelayProgress,
     cancel_run,
     close_body,
     find_mismatch,
@@ -27,6 +26,7 @@
     read_to_end,
     relay_answer,
 )
+from ragwortcourse.agent.relay_progress import RelayProgress, read_length
 from ragwortcourse.agent.run import Run
 from ragwortcourse.agent.ticket import Ticket
 from ragwortcourse.clock import read_clock
@@ -205,7 +205,9 @@
         return await drop_answer(run, answer, mismatch)
     run.note_first_byte(answer)
     is_stream = is_model_stream(run, answer)
-    progress = RelayProgress(answer=answer, is_stream=is_stream)
+    progress = RelayProgress(
+        answer=answer, length=read_length(answer), is_stream=is_stream
+    )
     body = relay_answer(run, progress)
     await anext(body)
     return AttemptAnswer(
--- a/src/ragwortcourse/agent/relay.py
+++ b/src/ragwortcourse/agent/relay.py
@@ -1,13 +1,14 @@
 """Relays a target's answer, resumes broken streams, reports truncation."""
 
 import contextlib
-import dataclasses
 from collections.abc import AsyncGenerator, AsyncIterator
 from typing import Final
 
 from opentelemetry import metrics
 
+from ragwortcourse.agent.relay_progress import RelayProgress
 from ragwortcourse.agent.run import Run
+from ragwortcourse.bodies import read_media_type
 from ragwortcourse.engines.engine import (
     EngineAnswer,
     EngineBrokenError,
@@ -16,42 +17,25 @@
 from ragwortcourse.messages.attempt import AnswerBrokenError, AttemptAnswer
 from ragwortcourse.messages.attempt_report import AttemptState
 
-STREAM_END: Final = b'data: [DONE]'
-TAIL_BYTES: Final = 24
 MAX_RESUMES: Final = 3
 HTTP_OK: Final = 200
+EVENT_STREAM: Final = 'text/event-stream'
 
 METER: Final = metrics.get_meter(__name__)
 RESUMED: Final = METER.create_counter('ragwortcourse.streams.resumed')
 BROKEN: Final = METER.create_counter('ragwortcourse.streams.broken')
 
 
-@dataclasses.dataclass(eq=False, slots=True, kw_only=True)
-class RelayProgress:
-    """Progress of the relay of one answer.
+def may_continue(run: Run, first: EngineAnswer, resumed: EngineAnswer) -> bool:
+    """Tell whether an answer may go on with the body of a broken one.
 
-    :param sent: body bytes relayed.
-    :param tail: the last ``TAIL_BYTES`` of the body, kept for streams only.
-    :param resumes: number of resumptions attempted.
+    A failure that is worded as a success has another media type.
     """
-
-    answer: EngineAnswer
-    sent: int = 0
-    tail: bytes = b''
-    resumes: int = 0
-    is_stream: bool = False
-
-    def count_chunk(self, chunk: bytes) -> None:
-        """Add a relayed chunk to the progress."""
-        self.sent += len(chunk)
-        if self.is_stream:
-            tail = self.tail + chunk[-TAIL_BYTES:]
-            self.tail = tail[-TAIL_BYTES:]
-
-    @property
-    def may_be_complete(self) -> bool:
-        """Tell whether a body that ends here may be complete."""
-        return not self.is_stream or STREAM_END in self.tail
+    return (
+        resumed.status == HTTP_OK
+        and find_mismatch(run, resumed) is None
+        and read_media_type(resumed.headers) == read_media_type(first.headers)
+    )
 
 
 def find_mismatch(run: Run, answer: EngineAnswer) -> str | None:
@@ -69,11 +53,10 @@
 
 def is_model_stream(run: Run, answer: EngineAnswer) -> bool:
     """Tell whether the answer must end with ``STREAM_END``."""
-    kind = answer.headers.get('content-type', '')
     return (
         run.attempt.model is not None
         and answer.status == HTTP_OK
-        and kind.startswith('text/event-stream')
+        and read_media_type(answer.headers) == EVENT_STREAM
     )
 
 
@@ -130,11 +113,12 @@
     if not isinstance(outcome, EngineAnswer):
         await break_off(run)
         raise AnswerBrokenError(run.attempt.attempt)
-    if outcome.status != HTTP_OK or find_mismatch(run, outcome) is not None:
+    if not may_continue(run, progress.answer, outcome):
+        await close_body(outcome)
         await break_off(run)
         raise AnswerBrokenError(run.attempt.attempt)
     RESUMED.add(1)
-    progress.answer = outcome
+    progress.resume_with(outcome)
 
 
 async def break_off(run: Run) -> None:
--- a/src/ragwortcourse/bodies.py
+++ b/src/ragwortcourse/bodies.py
@@ -1,5 +1,6 @@
-"""Reading of whole HTTP bodies up to a limit."""
+"""Reading of whole HTTP bodies up to a limit, and of their types."""
 
+from collections.abc import Mapping
 from typing import Final
 
 import aiohttp
@@ -29,3 +30,13 @@
                 f'{response.url}: body longer than {limit} bytes'
             )
     return bytes(body)
+
+
+def read_media_type(headers: Mapping[str, str]) -> str:
+    """Return the media type of a body, in lower case, without parameters.
+
+    :param headers: headers by lower-case name, or in any case if the mapping
+        ignores it.
+    """
+    kind, _, _ = headers.get('content-type', '').partition(';')
+    return kind.strip().lower()
--- a/src/ragwortcourse/forwarding/stream_continuation.py
+++ b/src/ragwortcourse/forwarding/stream_continuation.py
@@ -12,6 +12,7 @@
 from http import HTTPStatus
 from typing import Final
 
+from ragwortcourse.bodies import read_media_type
 from ragwortcourse.forwarding.answer_head import AnswerHead
 
 EVENT_END: Final = b'\n\n'
@@ -33,8 +34,8 @@
         return f'stream continued after event {last_event}'
     if following.status != HTTPStatus.OK:
         return f'stream continued with status {following.status}'
-    kind = _read_media_type(following)
-    if kind != EVENT_STREAM and _read_media_type(first) == EVENT_STREAM:
+    kind = read_media_type(following.headers)
+    if kind != EVENT_STREAM and read_media_type(first.headers) == EVENT_STREAM:
         return f'stream continued with content of type {kind}'
     return None
 
@@ -60,8 +61,3 @@
     if text is None or EVENT_NUMBER.fullmatch(text) is None:
         return None
     return int(text)
-
-
-def _read_media_type(head: AnswerHead) -> str:
-    kind, _, _ = head.headers.get('Content-Type', '').partition(';')
-    return kind.strip().lower()
