Pass on no target's 408, 429 or 503 that it does not prove

Callers were told to try again what a target may have run. A target's 503 without the mark, with the right attempt id and stamp, was passed on all the same: a caller may repeat a charge that has run.

Such an answer now counts like one without a true mark: 502 of our own, without the target's stamp, for what may run once; another target within max_attempts for the rest. Marked refusals, 421 and all other statuses are treated as before. What the head states about its target, such as a rest, still counts. Nobody has reported such a target; it was found while reading for the refusals of other requests.

--- a/src/ragwortcourse/forwarding/answer_head.py
+++ b/src/ragwortcourse/forwarding/answer_head.py
@@ -2,9 +2,20 @@
 
 import dataclasses
 from http import HTTPStatus
+from typing import Final
 
 from multidict import CIMultiDict
 
+# Callers send a request again after these, also one that may run once.
+PROMISES: Final = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ReportedLoad:
@@ -55,6 +66,15 @@
             return False
         return self.genuine or not self.ran
 
+    @property
+    def may_be_passed_on(self) -> bool:
+        """Tell whether the answer is the request's, and true for its caller.
+
+        A status by which callers take the request as not run is not, unless
+        the target proves it.
+        """
+        return self.ran and self.genuine and self.status not in PROMISES
+
     @property
     def is_success(self) -> bool:
         """Tell whether the status is in the 2xx range."""
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -246,7 +246,7 @@
         note_statements(
             self.forwarder, opened.target, head, sent_at=opened.began_at
         )
-        if head.ran and head.genuine:
+        if head.may_be_passed_on:
             load.answered_sent_at = max(
                 load.answered_sent_at, self.crashes.sent_at
             )
