Give a caller that resumes a stream no event that it has

A target that began the stream anew had its events passed on, which the caller then had twice.

On routes that may be resumed, an answer with an event whose number is not above the one that the caller named is invalid now, before any of it is passed on: another target is asked, else the caller gets 502. Answers without such an event are the target's own and passed on unchanged, as are all on routes that can't be resumed.

Before: 3 of the 11 tests of TestResumedByCaller in test_stream_continuation.py failed, with events 0 to 2 at a caller that had them; the other 8 state what must not change.

--- a/src/ragwortcourse/forwarding/event_buffer.py
+++ b/src/ragwortcourse/forwarding/event_buffer.py
@@ -10,6 +10,7 @@
     EVENT_ID,
     find_event_fault,
     find_head_fault,
+    find_repeated_event,
 )
 
 # Longest event. An event holds some tokens.
@@ -23,10 +24,15 @@
     must continue it.
 
     :param last_event: id of the last whole event that was returned.
+    :param resumed: true if the caller has the events up to that one, so that
+        no answer may repeat them.
     """
 
-    def __init__(self, *, last_event: str | None) -> None:
+    def __init__(
+        self, *, last_event: str | None, resumed: bool = False
+    ) -> None:
         self.last_event = last_event
+        self._resumed_after = last_event if resumed else None
         self._rest = bytearray()
         self._head: AnswerHead | None = None
         self._first: AnswerHead | None = None
@@ -54,7 +60,8 @@
         """Add a piece and return all whole events, unchanged.
 
         :raises AnswerCutError: the incomplete event is longer than
-            ``EVENT_BYTES``, or the events can't continue the stream.
+            ``EVENT_BYTES``, the events can't continue the stream, or the
+            caller has one of them.
         """
         # Only the end of an event may begin in the bytes searched before.
         searched = max(len(self._rest) - len(EVENT_END) + 1, 0)
@@ -69,6 +76,8 @@
         self._check_length()
         if self._continues:
             _check(find_event_fault(whole, self.last_event))
+        else:
+            _check(find_repeated_event(whole, self._resumed_after))
         self._has_events = True
         self._first = self._first or self._head
         ids = EVENT_ID.findall(whole)
--- a/src/ragwortcourse/forwarding/stream_call.py
+++ b/src/ragwortcourse/forwarding/stream_call.py
@@ -37,7 +37,10 @@
     def __init__(self, *, tries: Tries, request: web.Request) -> None:
         self._tries = tries
         self._request = request
-        self._events = EventBuffer(last_event=tries.work.call.last_event)
+        self._events = EventBuffer(
+            last_event=tries.work.call.last_event,
+            resumed=tries.work.route.may_repeat,
+        )
         self._response: web.StreamResponse | None = None
 
     async def serve(self) -> web.StreamResponse | Refusal | WholeAnswer:
--- a/src/ragwortcourse/forwarding/stream_continuation.py
+++ b/src/ragwortcourse/forwarding/stream_continuation.py
@@ -57,6 +57,22 @@
     return None
 
 
+def find_repeated_event(events: bytes, last_event: str | None) -> str | None:
+    """Return which event a caller already has; none if there is none.
+
+    :param events: whole events of the answer to a caller that resumes.
+    :param last_event: id of the last event that the caller named.
+    """
+    last = _read_number(last_event)
+    if last is None:
+        return None
+    for found in EVENT_ID.findall(events):
+        number = _read_number(found.decode('latin-1'))
+        if number is not None and number <= last:
+            return f'event with id {number} after {last}'
+    return None
+
+
 def _read_number(text: str | None) -> int | None:
     if text is None or EVENT_NUMBER.fullmatch(text) is None:
         return None
--- a/tests/test_stream_continuation.py
+++ b/tests/test_stream_continuation.py
@@ -196,3 +196,50 @@
         )
         await fleet.open([script], [script])
         assert await read_stream(fleet) == (FAILURE.decode(), True)
+
+
+class TestResumedByCaller:
+    """Streams that a caller resumes after its last event."""
+
+    @pytest.mark.parametrize('first', [0, 2])
+    async def test_begun_again(self, fleet, first):
+        """An answer that repeats the caller's events is not passed on."""
+        body = write_events(*range(first, 6))
+        script = begin_with(answer_with(200, STREAM, body), stream_all)
+        await fleet.open([script], [script])
+        assert await read_stream(fleet, **{'Last-Event-Id': '2'}) == (
+            write_events(3, 4, 5).decode(),
+            True,
+        )
+        assert fleet.runs == 2
+
+    async def test_no_other_target(self, fleet):
+        """The caller gets 502, as none of the stream was passed on."""
+        await fleet.open([answer_with(200, STREAM, write_events(0, 1, 2, 3))])
+        response = await fleet.ask(LETTER, **{'Last-Event-Id': '2'})
+        assert response.status == 502
+
+    @pytest.mark.parametrize(
+        'body', [write_events(3, 4), b'', FAILURE, b'id: x\ndata: x\n\n']
+    )
+    async def test_passed_on_unchanged(self, fleet, body):
+        """An answer that repeats nothing is the target's own."""
+        await fleet.open([answer_with(200, STREAM, body)])
+        assert await read_stream(fleet, **{'Last-Event-Id': '2'}) == (
+            body.decode(),
+            True,
+        )
+
+    @pytest.mark.parametrize('last_event', ['x', '', '9' * 5000])
+    async def test_unreadable(self, fleet, last_event):
+        """An id that is no number of an event rules nothing out."""
+        await fleet.open([answer_with(200, STREAM, EVENTS.encode())])
+        headers = {'Last-Event-Id': last_event}
+        assert await read_stream(fleet, **headers) == (EVENTS, True)
+
+    async def test_not_resumable(self, fleet):
+        """A stream that can't be resumed may begin again."""
+        await fleet.open([answer_with(200, STREAM, EVENTS.encode())])
+        fleet.set_routes(make_route(resumable=False))
+        headers = {'Last-Event-Id': '2'}
+        assert await read_stream(fleet, **headers) == (EVENTS, True)
