--- a/src/ragwortcourse/forwarding/stream_call.py
+++ b/src/ragwortcourse/forwarding/stream_call.py
@@ -8,6 +8,7 @@
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.answer_cut import AnswerCutError
+from ragwortcourse.forwarding.answer_head import AnswerHead
 from ragwortcourse.forwarding.event_buffer import EventBuffer
 from ragwortcourse.forwarding.open_try import OpenTry
 from ragwortcourse.forwarding.reply import Refusal, WholeAnswer
@@ -60,6 +61,7 @@
         self._request = request
         self._last_event = tries.work.call.last_event
         self._response: web.StreamResponse | None = None
+        self._first: AnswerHead | None = None
         self._failure: WholeAnswer | None = None
         self._race = TryRace(
             tries=tries, run=self._run, choose_patience=self._choose_patience
@@ -111,7 +113,11 @@
 
     async def _run(self, lane: TryLane) -> LaneEnd:
         """Relay the stream from the target of one lane to its end."""
-        events = EventBuffer(last_event=self._last_event)
+        events = EventBuffer(
+            last_event=self._last_event,
+            resumed=self._tries.work.route.may_repeat,
+            first=self._first,
+        )
         opened = await lane.open(events.last_event)
         if not isinstance(opened, OpenTry):
             return opened
@@ -131,6 +137,7 @@
             body = await answer.read_whole()
             lane.crashes.note_answered(success=False, framed=answer.is_framed)
             return WholeAnswer(head=answer.head, body=body)
+        events.begin_answer(answer.head)
         async for whole in _read_events(lane, opened, events):
             self._race.claim(lane)
             with lane.pass_on():
@@ -155,6 +162,7 @@
             await response.prepare(self._request)
             self._tries.first_at = read_clock()
             self._response = response
+            self._first = head
         return self._response
 
 
@@ -163,8 +171,8 @@
 ) -> AsyncIterator[bytes]:
     """Yield whole events until the target ends the stream.
 
-    :raises AnswerCutError: the stream was cut, ended inside an event, or has
-        an event that is too long.
+    :raises AnswerCutError: the stream was cut, ended inside an event, has an
+        event that is too long, or can't continue what the caller has.
     """
     async for piece in opened.answer.read_pieces():
         opened.note_piece(read_clock())
@@ -172,5 +180,4 @@
         whole = events.add(piece)
         if whole:
             yield whole
-    if events.has_rest:
-        raise AnswerCutError('ended inside an event')
+    events.end_answer()
--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -252,7 +252,7 @@
         note_statements(
             self._tries.forwarder, opened.target, head, sent_at=opened.began_at
         )
-        if head.ran and head.genuine:
+        if head.may_be_passed_on:
             load.answered_sent_at = max(
                 load.answered_sent_at, self.crashes.sent_at
             )
