Pass over a target's row that is nested too deeply

Callers' connections ended because the daemons ended: a row in the table of targets with a part nested some thousand levels deep, left by another writer, ended the task that follows the table and with it the daemon, and again at each start.

The handler logs the row's key and applies the other rows. A target whose row turns odd gets no new requests, as PROTOCOL.md says of entries of other writers ("It names no worker to use; the others hold").

--- a/src/ragwortcourse/platform/target_reader.py
+++ b/src/ragwortcourse/platform/target_reader.py
@@ -3,8 +3,6 @@
 import logging
 from typing import Final
 
-import msgspec
-
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_list import TargetList
@@ -19,6 +17,7 @@
 from ragwortcourse.platform.store_row import StoreRow, StoreRows
 from ragwortcourse.platform.target_rows import decode_target
 from ragwortcourse.settings import FleetSettings
+from ragwortcourse.unreadable import UnreadableError
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -26,7 +25,12 @@
 def build_target_handler(
     targets: TargetList, regions: dict[FailureDomainName, RegionName]
 ) -> TableHandler:
-    """Build the handler of the table of targets."""
+    """Build the handler of the table of targets.
+
+    A row that can't be read names no target: one that was listed gets no new
+    requests, as it may be leaving, until its row can be read again. Requests
+    that it has already are not touched.
+    """
 
     def replace(rows: tuple[StoreRow, ...], age: float) -> None:
         targets.apply_full_list({TargetName(row.key) for row in rows})
@@ -43,7 +47,7 @@
                 continue
             try:
                 target = decode_target(row.key, row.content, regions)
-            except (msgspec.DecodeError, ValueError) as error:
+            except UnreadableError as error:
                 LOGGER.warning(
                     'unreadable target row; target not listed',
                     extra={'row': row.key, 'detail': str(error)},
--- a/src/ragwortcourse/platform/target_rows.py
+++ b/src/ragwortcourse/platform/target_rows.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.target import HeldWeights, Target
 from ragwortcourse.identifiers import (
     FailureDomainName,
@@ -11,6 +12,7 @@
     ServiceName,
     TargetName,
 )
+from ragwortcourse.unreadable import UnreadableError
 
 SECONDS_PER_MILLISECOND: Final = 0.001
 STATES: Final = ('ready', 'draining')
@@ -49,13 +51,13 @@
 ) -> Target:
     """Decode the target in a row.
 
-    :raises msgspec.DecodeError: the bytes are not a row of a target.
-    :raises ValueError: the state or the failure domain is unknown.
+    :raises UnreadableError: the bytes are not a row of a target, or its state
+        or failure domain is unknown.
     """
-    wire = msgspec.json.decode(content, type=WireTarget)
+    wire = decode_json(content, WireTarget)
     domain = FailureDomainName(wire.zone)
     if wire.state not in STATES or domain not in regions:
-        raise ValueError(
+        raise UnreadableError(
             f'unknown state {wire.state!r} or failure domain {domain!r}'
         )
     return Target(
--- a/tests/test_desired_states.py
+++ b/tests/test_desired_states.py
@@ -9,6 +9,7 @@
 from ragwortcourse.forwarding.call_kind import CallKind
 from ragwortcourse.platform.desired_states import decode_desired_state
 from ragwortcourse.platform.target_rows import decode_target
+from ragwortcourse.unreadable import UnreadableError
 
 ROUTE = {
     'name': 'r',
@@ -169,5 +170,5 @@
     )
     def test_foreign_rows(self, changes):
         """A row with an unknown state or domain or a wrong type is an error."""
-        with pytest.raises((msgspec.DecodeError, ValueError)):
+        with pytest.raises(UnreadableError):
             decode_row(**changes)
