Keep the last good state when a row of the operators is nested too deeply

What operators and callers saw: every daemon ended at the row and again at each start, as with the row of a target; daemons that relay the rows answered loaders with 500, so that those followed no rows.

The same cause as before, in the handler of the operators' rows, in the hold on rows that a restored store lacks and in the relay that removes the routes. They use decode_json now. The handler keeps what the row said before and logs its key; the relay sends the bytes as they are, and its receivers log them. The type of a route is an enum of the wire type, so that every fault of a desired state is the same error.

--- a/src/ragwortcourse/platform/desired_states.py
+++ b/src/ragwortcourse/platform/desired_states.py
@@ -3,10 +3,8 @@
 from collections import defaultdict
 from typing import Final
 
-import msgspec
-
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.account import Account
-from ragwortcourse.forwarding.call_kind import CallKind
 from ragwortcourse.forwarding.desired_state import DesiredState
 from ragwortcourse.forwarding.engine_profile import EngineProfile
 from ragwortcourse.forwarding.route import Route, ServiceShare
@@ -32,9 +30,9 @@
 def decode_desired_state(content: bytes) -> DesiredState:
     """Decode the desired state in a row.
 
-    :raises msgspec.DecodeError: the bytes are not a desired state.
+    :raises UnreadableError: the bytes are not a desired state.
     """
-    wire = msgspec.json.decode(content, type=WireState)
+    wire = decode_json(content, WireState)
     by_host: dict[str, list[Route]] = defaultdict(list)
     for wire_route in wire.routes:
         by_host[wire_route.host.lower()].append(_decode_route(wire_route))
@@ -66,7 +64,7 @@
         name=wire.name,
         host=wire.host,
         prefix=wire.prefix,
-        kind=CallKind(wire.route_type),
+        kind=wire.route_type,
         services=shares or (sole_share,),
         time_limit=wire.timeout_ms * SECONDS_PER_MILLISECOND,
         objective=wire.slo_ms * SECONDS_PER_MILLISECOND,
--- a/src/ragwortcourse/platform/operator_rows.py
+++ b/src/ragwortcourse/platform/operator_rows.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ragwortcourse.clock import read_clock_with_suspend
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.fleet_updates import (
     note_desired,
@@ -23,6 +24,7 @@
 from ragwortcourse.platform.feed import TableHandler
 from ragwortcourse.platform.store_row import StoreRow
 from ragwortcourse.settings import FleetSettings
+from ragwortcourse.unreadable import UnreadableError
 
 SECONDS_PER_MILLISECOND: Final = 0.001
 # Time from the start of the process to that of the handler on a slow host.
@@ -56,6 +58,9 @@
     and other versions before it. The handler assumes an age at which the
     version becomes due when the fleet's bounds on versions begin to apply to
     the daemon.
+
+    A row that can't be read changes nothing: what it said before stays in
+    force until it can be read again, and the log names the row.
     """
     assumed_initial_age = (
         max(fleet.version_ms - fleet.contact_ms, 0) * SECONDS_PER_MILLISECOND
@@ -90,7 +95,7 @@
         for row in rows:
             try:
                 _apply(state, row, note, now - age, observed=observed)
-            except (msgspec.DecodeError, ValueError) as error:
+            except UnreadableError as error:
                 LOGGER.warning(
                     'unreadable operator row ignored',
                     extra={'row': row.key, 'detail': str(error)},
@@ -156,7 +161,7 @@
     elif row.key == names.DESIRED_KEY:
         note_desired(state, decode_desired_state(row.content))
     elif row.key.startswith(names.VERSION_PREFIX):
-        wire = msgspec.json.decode(row.content, type=WireVersion)
+        wire = decode_json(row.content, WireVersion)
         named = AnnouncedVersion(
             version=wire.version, seen_at=seen_at, observed=observed
         )
--- a/src/ragwortcourse/platform/restore_hold.py
+++ b/src/ragwortcourse/platform/restore_hold.py
@@ -13,8 +13,10 @@
 
 import msgspec
 
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.platform.store_row import StoreRow, StoreRows
+from ragwortcourse.unreadable import UnreadableError
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -128,9 +130,7 @@
 
 def _read_version(row: StoreRow) -> int | None:
     try:
-        return msgspec.json.decode(
-            row.content or b'', type=VersionedContent
-        ).version
-    except msgspec.DecodeError:
+        return decode_json(row.content or b'', VersionedContent).version
+    except UnreadableError:
         # The handler of the rows logs content that it can't decode.
         return None
--- a/src/ragwortcourse/platform/row_relay.py
+++ b/src/ragwortcourse/platform/row_relay.py
@@ -15,6 +15,7 @@
 import msgspec
 from aiohttp import web
 
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.platform import names
 from ragwortcourse.platform.row_cache import RowCache
@@ -24,6 +25,7 @@
     StoreRow,
     StoreRows,
 )
+from ragwortcourse.unreadable import UnreadableError
 
 OPERATORS_PATH: Final = '/operators'
 AFTER: Final = 'after'
@@ -195,8 +197,8 @@
 def _remove_routes(content: bytes) -> bytes:
     """Return a desired state without routes and client accounts."""
     try:
-        wire = msgspec.json.decode(content, type=dict[str, msgspec.Raw])
-    except msgspec.DecodeError:
+        wire = decode_json(content, dict[str, msgspec.Raw])
+    except UnreadableError:
         # The receiver logs content that it can't decode, with the row's key.
         return content
     return msgspec.json.encode(
--- a/src/ragwortcourse/platform/wire_state.py
+++ b/src/ragwortcourse/platform/wire_state.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from ragwortcourse.forwarding.call_kind import CallKind
+
 
 class WireShare(msgspec.Struct, kw_only=True):
     """Share of one service in a split route."""
@@ -24,7 +26,7 @@
     name: str
     host: str
     prefix: str
-    route_type: str
+    route_type: CallKind
     timeout_ms: float
     slo_ms: float = 0
     priority: int = 0
--- a/tests/test_desired_states.py
+++ b/tests/test_desired_states.py
@@ -2,7 +2,6 @@
 
 import json
 
-import msgspec
 import pytest
 
 from fakes.fleet_parts import REGIONS
@@ -117,10 +116,15 @@
 
     @pytest.mark.parametrize('content', [b'', b'{', b'[]', b'{"routes":[]}'])
     def test_unreadable(self, content):
-        """Bytes that are not a desired state raise a decode error."""
-        with pytest.raises(msgspec.DecodeError):
+        """Bytes that are not a desired state are unreadable."""
+        with pytest.raises(UnreadableError):
             decode_desired_state(content)
 
+    def test_unknown_type_of_route(self):
+        """A state with an unknown type of route is unreadable."""
+        with pytest.raises(UnreadableError):
+            decode(routes=[{**ROUTE, 'route_type': 'odd'}])
+
 
 def decode_row(**changes: object):
     """Decode a target row with some changed fields."""
--- a/tests/test_restore_hold.py
+++ b/tests/test_restore_hold.py
@@ -54,6 +54,13 @@
         )
         assert rows['evacuate/a'].held
 
+    def test_deeply_nested_content(self, hold):
+        """A row that is nested too deeply has no version."""
+        deep = b'{"version":9,"a":%s}' % (b'[' * 100_000 + b']' * 100_000)
+        before = StoreRow(key='odd', content=deep)
+        rows = index_rows(hold.merge_restored(make_answer(), [before]))
+        assert rows['odd'].held
+
     def test_content_without_version(self, hold):
         """Of a row without a version the content that was read is taken."""
         before = StoreRow(key='odd', content=b'a')
--- a/tests/test_row_relay.py
+++ b/tests/test_row_relay.py
@@ -287,6 +287,18 @@
             answer = await answerer.fetch()
         assert isinstance(answer, StoreSilent)
 
+    async def test_deeply_nested_state(self):
+        """Rows that can't be read are sent to loaders as they are.
+
+        The loaders log them; the answer was 500, and they followed no rows.
+        """
+        content = b'{"other":%s}' % (b'[' * 100_000 + b']' * 100_000)
+        routes = build_row_routes(make_full_cache(content))
+        async with Answerer(routes) as answerer:
+            answer = await answerer.fetch(services_only=True)
+        (row,) = answer.rows
+        assert row.content == content
+
 
 @pytest.fixture
 async def domain():
