Pass over deeply nested registrations and rows of refused suspects

The tables `daemons` and `crashes` are this project's own, but any writer of the store can leave a row there. A deeply nested one ended each forwarder, and in the first table each loader, with RecursionError out of the task that reads it, again at each start. Both use decode_json, and the line on a registration names its row.

Failed before: the deep case of test_feed.py::TestRelayList::test_unreadable and of test_crash_rows.py::TestCrashKeeper::test_unreadable (RecursionError), and both cases of the first for the missing key. Both tests keep their former case; that of the suspects now also asks that the other row is read.

--- a/src/ragwortcourse/platform/crash_rows.py
+++ b/src/ragwortcourse/platform/crash_rows.py
@@ -15,6 +15,7 @@
 from ragwortcourse.clock import read_clock_with_suspend
 from ragwortcourse.crashes.evidence_store import SUSPICION_SECONDS
 from ragwortcourse.crashes.suspect import Suspect
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.crash_evidence import CrashEvidence
 from ragwortcourse.forwarding.crash_guard import REFUSING, CrashGuard
 from ragwortcourse.forwarding.crash_messages import (
@@ -24,6 +25,7 @@
 )
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.store_row import StoreRow, StoreRows
+from ragwortcourse.unreadable import UnreadableError
 
 # A table of this project, not of the platform.
 TABLE: Final = 'crashes'
@@ -114,8 +116,8 @@
 
     async def _read_row(self, row: StoreRow) -> None:
         try:
-            wire = msgspec.json.decode(row.content or b'', type=CrashRow)
-        except msgspec.DecodeError as error:
+            wire = decode_json(row.content or b'', CrashRow)
+        except UnreadableError as error:
             LOGGER.warning(
                 'unreadable row of a refused suspect ignored',
                 extra={'row': row.key, 'detail': str(error)},
--- a/src/ragwortcourse/platform/relay_rows.py
+++ b/src/ragwortcourse/platform/relay_rows.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.identifiers import DaemonId, FailureDomainName
 from ragwortcourse.membership.readers import (
@@ -30,6 +31,7 @@
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.store_position import UNKNOWN_ERA, is_restored
 from ragwortcourse.platform.store_row import StoreRow, StoreRows
+from ragwortcourse.unreadable import UnreadableError
 
 # A table of this project, not of the platform.
 TABLE: Final = 'daemons'
@@ -226,17 +228,19 @@
 def _decode_all(rows: Iterable[StoreRow]) -> dict[str, RelayRecord]:
     """Return the registrations in rows, by key."""
     found = {
-        row.key: _decode(row.content) for row in rows if row.content is not None
+        row.key: _decode(row.key, row.content)
+        for row in rows
+        if row.content is not None
     }
     return {key: record for key, record in found.items() if record is not None}
 
 
-def _decode(content: bytes) -> RelayRecord | None:
+def _decode(key: str, content: bytes) -> RelayRecord | None:
     try:
-        return msgspec.json.decode(content, type=RelayRecord)
-    except msgspec.DecodeError as error:
+        return decode_json(content, RelayRecord)
+    except UnreadableError as error:
         LOGGER.warning(
             'unreadable registration of a daemon ignored',
-            extra={'detail': str(error)},
+            extra={'row': key, 'detail': str(error)},
         )
         return None
--- a/tests/test_crash_rows.py
+++ b/tests/test_crash_rows.py
@@ -145,9 +145,18 @@
         assert restarted.guard.judge(BAD).verdict is Verdict.ALLOWED
         assert stage.fake.read(TABLE, ROW) is None
 
-    async def test_unreadable(self, stage):
-        """An unreadable row is ignored."""
-        stage.fake.put(TABLE, 'odd', b'odd')
+    @pytest.mark.parametrize(
+        'content',
+        [b'odd', b'{"other":%s}' % (b'[' * 100_000 + b']' * 100_000)],
+    )
+    async def test_unreadable(self, stage, content):
+        """An unreadable row is ignored, and the others are read."""
         daemon, keeper = stage.start()
+        await crash(daemon, BAD)
+        await keeper.update()
+        stage.fake.put(TABLE, 'odd', content)
+        restarted, keeper = stage.start()
         await keeper.update()
-        assert not daemon.guard.store
+        assert [
+            suspect for suspect, _ in restarted.guard.store.list_items()
+        ] == [BAD]
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -35,6 +35,7 @@
     'state': 'ready',
     'cold_left_ms': 0,
 }
+DEEP = b'{"other":%s}' % (b'[' * 100_000 + b']' * 100_000)
 
 
 class Daemon:
@@ -369,12 +370,17 @@
         assert not await relays.read()
         assert await relays.list() == (record,)
 
-    async def test_unreadable(self, daemon):
-        """An unreadable row is ignored."""
-        daemon.fake.put('daemons', 'odd', b'odd')
+    @pytest.mark.parametrize('content', [b'odd', DEEP])
+    async def test_unreadable(self, daemon, content, caplog):
+        """An unreadable row is logged by its key and ignored."""
+        daemon.fake.put('daemons', 'odd', content)
         relays = RelayRegistry(store=daemon.store, rng=random.Random(1))
         assert await relays.read()
         assert await relays.list() == ()
+        (record,) = [
+            each for each in caplog.records if 'unreadable' in each.message
+        ]
+        assert record.row == 'odd'
 
     async def test_content(self, daemon):
         """The row is JSON with the names of the record's fields."""
