Count a deeply nested answer of another daemon as none

A daemon that asked another one for rows ended when the answer was nested too deeply, as RecursionError left the task of the feed. It is now unreadable as other answers that can't be decoded: the daemon is passed over for a while and the next source asked, so that no change is lost.

test_row_relay.py::TestLongAnswers::test_deeply_nested_answer failed before with RecursionError.

--- a/src/ragwortcourse/platform/row_fetch.py
+++ b/src/ragwortcourse/platform/row_fetch.py
@@ -5,10 +5,10 @@
 from http import HTTPStatus
 from typing import Final
 
-import msgspec
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
 from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.platform.row_relay import (
     AFTER,
@@ -27,6 +27,7 @@
     StoreRows,
     StoreSilent,
 )
+from ragwortcourse.unreadable import UnreadableError
 
 # Added to the requested wait; allows for a busy daemon of the same failure
 # domain.
@@ -88,11 +89,11 @@
                     ),
                 )
             body = await read_body(response, limit=LARGE_BODY_BYTES)
-            message = msgspec.json.decode(body, type=RelayedRows)
+            message = decode_json(body, RelayedRows)
             rows = tuple(_decode_row(row) for row in message.rows)
     except (ClientError, OSError) as error:
         return StoreSilent(detail=f'{address}: {error!r}')
-    except (msgspec.DecodeError, zlib.error) as error:
+    except (UnreadableError, zlib.error) as error:
         return StoreSilent(detail=f'{address}: unreadable, {error!r}')
     if is_restored(message.era, era):
         return StoreSilent(
--- a/tests/test_row_relay.py
+++ b/tests/test_row_relay.py
@@ -287,6 +287,20 @@
             answer = await answerer.fetch()
         assert isinstance(answer, StoreSilent)
 
+    async def test_deeply_nested_answer(self):
+        """An answer that is nested too deeply counts as none.
+
+        The feed of the asking daemon ended with it, and the daemon too.
+        """
+
+        async def send_deep(request):
+            deep = b'[' * 100_000 + b']' * 100_000
+            return web.Response(body=b'{"other":%s}' % deep)
+
+        async with Answerer([web.get(OPERATORS_PATH, send_deep)]) as answerer:
+            answer = await answerer.fetch()
+        assert isinstance(answer, StoreSilent)
+
     async def test_deeply_nested_state(self):
         """Rows that can't be read are sent to loaders as they are.
 
