Read the rows beside an odd one in an answer of the store

Daemons stopped following a table: one row of another type than the store's own made the whole answer unreadable, which counts as a silent store, and one nested too deeply ended the daemon with RecursionError. Nothing new was read as long as the row was there.

Each row is decoded for itself now. An odd one that still names its key is passed on with empty content, so that its readers treat it as any row that they can't read, and the store's client logs what it found; one without a key is logged and left out. Of an answer that is nested too deeply, the parts below those of the rows are cut out first, without recursion, as msgspec can't even skip them.

--- a/src/ragwortcourse/platform/store.py
+++ b/src/ragwortcourse/platform/store.py
@@ -16,7 +16,9 @@
 import msgspec
 
 from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
+from ragwortcourse.nesting import trim_nesting
 from ragwortcourse.platform import names
 from ragwortcourse.platform.answer_delay import AnswerDelay
 from ragwortcourse.platform.store_era import StoreEra
@@ -27,6 +29,7 @@
     StoreRows,
     StoreSilent,
 )
+from ragwortcourse.unreadable import UnreadableError
 
 # The store answers within some milliseconds, on bad days within some hundred.
 CALL_SECONDS: Final = 1.5
@@ -36,6 +39,10 @@
 # Longest transit of a change from a healthy store.
 MAX_HEALTHY_DELAY_SECONDS: Final = 0.15
 SECONDS_PER_MILLISECOND: Final = 0.001
+# Levels of an answer down to the parts of its rows.
+ROW_LEVELS: Final = 3
+# Part of an odd row in the log.
+ODD_BYTES: Final = 200
 OK: Final = 200
 GONE: Final = 410
 
@@ -53,16 +60,23 @@
     deleted: bool = False
 
 
+class WireKey(msgspec.Struct, kw_only=True):
+    """Key of a row whose other parts may be of any type."""
+
+    key: str
+
+
 class WireRows(msgspec.Struct, kw_only=True):
     """Answer of the store to a read.
 
+    :param rows: each a ``WireRow``, decoded for itself.
     :param row_version: newest transaction, not the version of a row.
     :param now_ms: the store's monotonic clock, milliseconds; None if the
         store does not send it.
     :param era: era of the store, from the header of the answer.
     """
 
-    rows: tuple[WireRow, ...]
+    rows: tuple[msgspec.Raw, ...]
     row_version: int
     has_more: bool = False
     now_ms: float | None = None
@@ -104,8 +118,9 @@
             now = read_boot_clock()
             # Every answer improves the estimate of the clock offset.
             self._read_delay(answer, sent_at, now)
-            rows.extend(_decode_row(row) for row in answer.rows)
-            if not (answer.has_more and answer.rows):
+            page = _decode_rows(answer)
+            rows.extend(page)
+            if not (answer.has_more and page):
                 return StoreRows(
                     rows=tuple(rows),
                     revision=answer.row_version,
@@ -113,7 +128,7 @@
                     era=answer.era,
                 )
             # The lowest key above the last received one.
-            query['from'] = f'{answer.rows[-1].key}\0'
+            query['from'] = f'{page[-1].key}\0'
 
     async def await_changes(
         self, table: str, after: StorePosition, *, wait: float, known_at: float
@@ -143,7 +158,7 @@
         # and a call that took longer than its wait was late to arrive there.
         has_waited = max_transit < now - sent_at <= wait + max_transit
         return StoreRows(
-            rows=tuple(_decode_row(row) for row in answer.rows),
+            rows=_decode_rows(answer),
             revision=answer.row_version,
             rows_age=max_transit if has_waited else now - known_at,
             known_age=min(max_transit, now - sent_at),
@@ -229,18 +244,56 @@
                 era = self._read_era(response)
                 if response.status != OK:
                     return response.status
-                rows = msgspec.json.decode(
-                    await read_body(response, limit=LARGE_BODY_BYTES),
-                    type=WireRows,
+                rows = _decode_answer(
+                    await read_body(response, limit=LARGE_BODY_BYTES)
                 )
                 return msgspec.structs.replace(rows, era=era)
         except TimeoutError as error:
             return f'no answer within {limit} s: {error!r}'
-        except (aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
+        except (aiohttp.ClientError, OSError, UnreadableError) as error:
             return repr(error)
 
 
-def _decode_row(row: WireRow) -> StoreRow:
+def _decode_answer(content: bytes) -> WireRows:
+    """Decode an answer, without what is nested too deeply in its rows.
+
+    :raises UnreadableError: the content is no answer with rows.
+    """
+    try:
+        return decode_json(content, WireRows)
+    except UnreadableError:
+        return decode_json(trim_nesting(content, ROW_LEVELS), WireRows)
+
+
+def _decode_rows(answer: WireRows) -> tuple[StoreRow, ...]:
+    rows = (_decode_row(bytes(row)) for row in answer.rows)
+    return tuple(row for row in rows if row is not None)
+
+
+def _decode_row(content: bytes) -> StoreRow | None:
+    """Decode a row; one that is odd beside its key has empty content.
+
+    :return: none for a row without a key, which is logged.
+    """
+    try:
+        return _read_row(decode_json(content, WireRow))
+    except UnreadableError as error:
+        LOGGER.warning(
+            'odd row of the store',
+            extra={'content': repr(content[:ODD_BYTES]), 'detail': str(error)},
+        )
+    try:
+        # The readers log empty content with the row's key.
+        return StoreRow(key=decode_json(content, WireKey).key, content=b'')
+    except UnreadableError as error:
+        LOGGER.warning(
+            'row of the store without a key ignored',
+            extra={'detail': str(error)},
+        )
+        return None
+
+
+def _read_row(row: WireRow) -> StoreRow:
     if row.deleted:
         return StoreRow(key=row.key, content=None)
     try:
