Log a deeply nested datagram of another daemon as unreadable

A datagram with a part nested some thousand levels deep left the receiver with RecursionError, as a traceback of the event loop. It is decoded as the rows are now, logged with its sender and ignored.

The two deep cases of test_load_exchange.py::TestLoadReceiver::test_unreadable failed before with RecursionError.

--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from ragwortcourse.clock import read_clock, read_clock_with_suspend
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.fleet_updates import note_history
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.load_messages import (
@@ -36,6 +37,7 @@
 from ragwortcourse.forwarding.version_log import RequiredVersionLog
 from ragwortcourse.identifiers import DaemonId
 from ragwortcourse.membership.relay_daemons import RelayRecord
+from ragwortcourse.unreadable import UnreadableError
 
 # Interval of messages within a failure domain; only a few requests arrive
 # during one interval.
@@ -57,7 +59,6 @@
 
 
 Message = LoadMessage | SwitchMessage | ReportMessage
-DECODER: Final = msgspec.json.Decoder(Message)
 
 
 class LoadReceiver(asyncio.DatagramProtocol):
@@ -81,8 +82,8 @@
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Apply one message; log an unreadable one."""
         try:
-            message = DECODER.decode(data)
-        except msgspec.DecodeError as error:
+            message: Message = decode_json(data, Message)
+        except UnreadableError as error:
             LOGGER.warning(
                 'unreadable load message ignored',
                 extra={'sender': str(addr), 'detail': str(error)},
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -40,6 +40,10 @@
 from ragwortcourse.settings import ListenSettings
 
 TARGET = make_target(address='10.0.0.1:80')
+# As long as a datagram may be.
+DEEP = b'{"type":"load","daemon":"e2","counts":{},"other":%s}' % (
+    b'[' * 30_000 + b']' * 30_000
+)
 
 
 class UnreadTargets(dict):
@@ -182,7 +186,9 @@
         )
         assert read_required_version(forwarder, ENGINE_RULES) == 2
 
-    @pytest.mark.parametrize('content', [b'', b'\xff', b'{}', b'[1]'])
+    @pytest.mark.parametrize(
+        'content', [b'', b'\xff', b'{}', b'[1]', DEEP, DEEP[:2000]]
+    )
     async def test_unreadable(self, content, caplog):
         """An unreadable message is logged and ignored."""
         _, receiver = make_receiver()
