List no target whose address can't be called

Callers got 500 from each daemon that chose a target with the address `127.0.0.1:99999`, `[::1:80` or `x..y:80`, and 502 for an empty one, which counted as "may have run" (seen in the trials of the issue); the target stayed listed. The URL of such an address raises ValueError in send_request, where only errors of the network are expected.

parse_address checks the text once, where the row is decoded, and gives an Address, the type of Target.address. It takes the rule of the settings, moved from settings_check, which took `[::1:80`, `127.0.0.1]:80` and `::1:80`, and raised for a port of 5000 digits. Names are refused, as machines have no name lookup (DEPLOY.md) and workers are named IP:PORT (PROTOCOL.md). split_address replaces two splits, of which that of the listening port kept the brackets.

--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from ragwortcourse.addresses import split_address
 from ragwortcourse.clock import read_clock, read_clock_with_suspend
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.fleet_updates import note_history
@@ -134,14 +135,14 @@
     receiver = LoadReceiver(forwarder=forwarder)
     transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
         lambda: receiver,
-        local_addr=read_address(forwarder.settings.listen.peers),
+        local_addr=split_address(forwarder.settings.listen.peers),
     )
     try:
         await send_rounds(
             receiver=receiver,
             forwarder=forwarder,
             send=lambda content, address: transport.sendto(
-                content, read_address(address)
+                content, split_address(address)
             ),
             list_relays=list_relays,
         )
@@ -253,9 +254,3 @@
         },
         since=math.inf if age is None else now - age,
     )
-
-
-def read_address(address: str) -> tuple[str, int]:
-    """Split ``ip:port`` into host and port."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
--- a/src/ragwortcourse/forwarding/switch_notice.py
+++ b/src/ragwortcourse/forwarding/switch_notice.py
@@ -5,10 +5,8 @@
 
 import msgspec
 
-from ragwortcourse.forwarding.load_exchange import (
-    ListRelays,
-    read_address,
-)
+from ragwortcourse.addresses import split_address
+from ragwortcourse.forwarding.load_exchange import ListRelays
 from ragwortcourse.forwarding.load_messages import (
     SwitchMessage,
 )
@@ -33,7 +31,7 @@
         )
         try:
             for relay in await list_relays():
-                transport.sendto(content, read_address(relay.address))
+                transport.sendto(content, split_address(relay.address))
         finally:
             transport.close()
 
--- a/src/ragwortcourse/forwarding/target.py
+++ b/src/ragwortcourse/forwarding/target.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from ragwortcourse.identifiers import (
+    Address,
     FailureDomainName,
     RegionName,
     ServiceName,
@@ -29,7 +30,6 @@
 
     :param born: start time in milliseconds since the epoch; another value
         under the same name is a restarted target without any earlier state.
-    :param address: ``ip:port``.
     :param slots: requests that the target runs at once.
     :param leaving: true once the target takes no new requests.
     :param cold_seconds: remaining cold time when the entry was written.
@@ -39,7 +39,7 @@
     name: TargetName
     born: int
     service: ServiceName
-    address: str
+    address: Address
     failure_domain: FailureDomainName
     region: RegionName
     slots: int
--- a/src/ragwortcourse/identifiers.py
+++ b/src/ragwortcourse/identifiers.py
@@ -2,6 +2,8 @@
 
 from typing import NewType
 
+# Made by ``parse_address`` from what another process named.
+Address = NewType('Address', str)
 AdapterName = NewType('AdapterName', str)
 AttemptId = NewType('AttemptId', str)
 ChangeId = NewType('ChangeId', str)
--- a/src/ragwortcourse/platform/target_rows.py
+++ b/src/ragwortcourse/platform/target_rows.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ragwortcourse.addresses import parse_address
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.target import HeldWeights, Target
 from ragwortcourse.identifiers import (
@@ -51,8 +52,8 @@
 ) -> Target:
     """Decode the target in a row.
 
-    :raises UnreadableError: the bytes are not a row of a target, or its state
-        or failure domain is unknown.
+    :raises UnreadableError: the bytes are not a row of a target, its state or
+        failure domain is unknown, or nothing can be called at its address.
     """
     wire = decode_json(content, WireTarget)
     domain = FailureDomainName(wire.zone)
@@ -64,7 +65,7 @@
         name=TargetName(key),
         born=wire.born,
         service=ServiceName(wire.service),
-        address=wire.address,
+        address=parse_address(wire.address),
         failure_domain=domain,
         region=regions[domain],
         slots=wire.slots,
--- a/src/ragwortcourse/processes/sites.py
+++ b/src/ragwortcourse/processes/sites.py
@@ -7,6 +7,8 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from ragwortcourse.addresses import split_address
+
 LARGEST_BODY_BYTES: Final = 67_108_864
 # Longest line of a head; operators allow callers less in all headers.
 LONGEST_LINE_BYTES: Final = 65_536
@@ -61,8 +63,7 @@
         max_field_size=LONGEST_LINE_BYTES,
     )
     await runner.setup()
-    host, _, port = address.rpartition(':')
-    site = web.TCPSite(runner, host, int(port))
+    site = web.TCPSite(runner, *split_address(address))
     try:
         await site.start()
     except OSError:
--- a/src/ragwortcourse/settings_check.py
+++ b/src/ragwortcourse/settings_check.py
@@ -1,6 +1,5 @@
 """Checks of the values in settings, beyond their types."""
 
-import ipaddress
 import itertools
 import math
 import re
@@ -8,11 +7,11 @@
 from typing import Final
 from urllib.parse import urlsplit
 
+from ragwortcourse.addresses import is_address
 from ragwortcourse.configuration.finding import Finding
 from ragwortcourse.settings import AgentSettings, Role, Settings
 from ragwortcourse.structure import show_value
 
-MAX_PORT: Final = 65_535
 MIN_CHUNK_BYTES: Final = 65_536
 MAX_CHUNK_BYTES: Final = 1_073_741_824
 NAME_PATTERN: Final = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
@@ -51,18 +50,6 @@
     )
 
 
-def is_address(text: str) -> bool:
-    """Tell whether a text is ``ip:port`` or ``[ip]:port``."""
-    host, separator, port = text.rpartition(':')
-    if not separator or not port.isascii() or not port.isdigit():
-        return False
-    try:
-        ipaddress.ip_address(host.removeprefix('[').removesuffix(']'))
-    except ValueError:
-        return False
-    return 1 <= int(port) <= MAX_PORT
-
-
 def is_url(text: str) -> bool:
     """Tell whether a text is the URL of an HTTP service."""
     try:
--- a/tests/test_target_reader.py
+++ b/tests/test_target_reader.py
@@ -67,6 +67,14 @@
         ]
         assert record.row == 'odd'
 
+    async def test_no_address(self, handler, state):
+        """A target at which nothing can be called is not listed."""
+        odd = make_row('odd', address='127.0.0.1:99999')
+        handler.replace((odd, make_row('a')), 0)
+        assert state.targets.keys() == {'a'}
+        handler.change((make_row('odd'),), 0, 0)
+        assert state.targets.keys() == {'a', 'odd'}
+
     async def test_good_again(self, handler, state):
         """A target is listed again with the next good version of its row."""
         handler.change((StoreRow(key='a', content=DEEP),), 0, 0)
--- /dev/null
+++ b/tests/test_target_rows.py
@@ -0,0 +1,41 @@
+"""Tests of :mod:`ragwortcourse.platform.target_rows`."""
+
+import json
+
+import pytest
+
+from fakes.fleet_parts import REGIONS
+from ragwortcourse.platform.target_rows import decode_target
+from ragwortcourse.unreadable import UnreadableError
+
+ROW = {
+    'service': 'svc',
+    'address': '10.0.0.1:80',
+    'zone': 'near-a',
+    'slots': 16,
+    'state': 'ready',
+    'cold_left_ms': 1500,
+    'layers': {'from': 0, 'to': 16, 'version': 2},
+    'born': 1700,
+}
+
+
+def decode(key: str = 'i-1', **changes: object):
+    """Decode the row of a target with some changed fields."""
+    content = json.dumps({**ROW, **changes}).encode()
+    return decode_target(key, content, REGIONS)
+
+
+class TestAddress:
+    """Addresses at which no target can be called."""
+
+    @pytest.mark.parametrize(
+        'address', ['127.0.0.1:99999', '[::1:80', 'x..y:80', '']
+    )
+    def test_unusable_address_fails_calls(self, address):
+        """The row names no target.
+
+        It was listed, and each call that chose it was answered 500 or 502.
+        """
+        with pytest.raises(UnreadableError):
+            decode(address=address)
