Pass over a registration whose address can't be called

Each forwarder ended, at each start again, when the table `daemons` held a row with an address such as `a` or `a:b`: the datagrams of the exchange of loads go to every registered address, and the split of such a text, or uvloop's sendto, raises ValueError out of the task that sends them (a trial with uvloop: `a` raises "a DNS lookup is required"). A loader failed to announce a change of weights in the same way. The registry checks the address as it reads the row.

The new case of test_feed.py::TestRelayList::test_unreadable failed before: the registration was listed. test_store_away used `a` as the address of a sound daemon, and has a real one now; it asks what it asked before.

--- a/fakes/restore_daemon.py
+++ b/fakes/restore_daemon.py
@@ -11,6 +11,7 @@
 
 from fakes.fleet_parts import FLEET, REGIONS
 from fakes.fleet_store import FleetStore
+from ragwortcourse.addresses import parse_address
 from ragwortcourse.forwarding.fleet_state import FleetState, read_boot_clock
 from ragwortcourse.forwarding.target_list import TargetList
 from ragwortcourse.identifiers import DaemonId, FailureDomainName, RegionName
@@ -118,7 +119,7 @@
         peers.add_routes(registrations.routes)
         record = RelayRecord(
             daemon=self.name,
-            address=await self._serve(peers),
+            address=parse_address(await self._serve(peers)),
             failure_domain=self.domain,
             region=REGIONS.get(self.domain, OTHER_REGION),
         )
--- a/src/ragwortcourse/membership/relay_daemons.py
+++ b/src/ragwortcourse/membership/relay_daemons.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
+from ragwortcourse.addresses import parse_address
 from ragwortcourse.identifiers import (
+    Address,
     DaemonId,
     FailureDomainName,
     RegionName,
@@ -13,11 +15,11 @@
 class RelayRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Address and location of an entry daemon, for other daemons.
 
-    :param address: ``ip:port`` of the port for other daemons.
+    :param address: address of the port for other daemons.
     """
 
     daemon: DaemonId
-    address: str
+    address: Address
     failure_domain: FailureDomainName
     region: RegionName
 
@@ -26,7 +28,7 @@
     """Build the record of the daemon with these settings."""
     return RelayRecord(
         daemon=settings.daemon,
-        address=settings.listen.peers,
+        address=parse_address(settings.listen.peers),
         failure_domain=settings.failure_domain,
         region=settings.region,
     )
--- a/src/ragwortcourse/platform/relay_rows.py
+++ b/src/ragwortcourse/platform/relay_rows.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from ragwortcourse.addresses import parse_address
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.identifiers import DaemonId, FailureDomainName
@@ -237,10 +238,12 @@
 
 def _decode(key: str, content: bytes) -> RelayRecord | None:
     try:
-        return decode_json(content, RelayRecord)
+        record = decode_json(content, RelayRecord)
+        parse_address(record.address)
     except UnreadableError as error:
         LOGGER.warning(
             'unreadable registration of a daemon ignored',
             extra={'row': key, 'detail': str(error)},
         )
         return None
+    return record
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -36,6 +36,13 @@
     'cold_left_ms': 0,
 }
 DEEP = b'{"other":%s}' % (b'[' * 100_000 + b']' * 100_000)
+# Sending to it raised ValueError, which ended the daemon.
+RELAY_WITHOUT_PORT = {
+    'daemon': 'odd',
+    'address': 'a',
+    'failure_domain': 'near-a',
+    'region': 'near',
+}
 
 
 class Daemon:
@@ -359,7 +366,10 @@
         """If the store fails, registration fails and the list is kept."""
         daemon.fake.down = True
         record = RelayRecord(
-            daemon='entry-1', address='a', failure_domain='b', region='c'
+            daemon='entry-1',
+            address='10.0.0.1:7000',
+            failure_domain='b',
+            region='c',
         )
         assert not await register_relay(daemon.store, record)
         daemon.fake.down = False
@@ -370,7 +380,7 @@
         assert not await relays.read()
         assert await relays.list() == (record,)
 
-    @pytest.mark.parametrize('content', [b'odd', DEEP])
+    @pytest.mark.parametrize('content', [b'odd', DEEP, RELAY_WITHOUT_PORT])
     async def test_unreadable(self, daemon, content, caplog):
         """An unreadable row is logged by its key and ignored."""
         daemon.fake.put('daemons', 'odd', content)
