Send no datagrams to an address of another family

A registration with a sound IPv6 address ended each forwarder that listens on IPv4: uvloop's sendto raises ValueError ("socket family mismatch") out of the task that exchanges loads.

--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -16,6 +16,10 @@
 from ragwortcourse.addresses import split_address
 from ragwortcourse.clock import read_clock, read_clock_with_suspend
 from ragwortcourse.decoding import decode_json
+from ragwortcourse.forwarding.datagrams import (
+    SendDatagram,
+    build_datagram_sender,
+)
 from ragwortcourse.forwarding.fleet_updates import note_history
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.load_messages import (
@@ -55,8 +59,6 @@
 LOGGER: Final = logging.getLogger(__name__)
 
 ListRelays = Callable[[], Awaitable[Sequence[RelayRecord]]]
-# Takes the content and the address, ``ip:port``.
-SendDatagram = Callable[[bytes, str], None]
 
 
 Message = LoadMessage | SwitchMessage | ReportMessage
@@ -141,9 +143,7 @@
         await send_rounds(
             receiver=receiver,
             forwarder=forwarder,
-            send=lambda content, address: transport.sendto(
-                content, split_address(address)
-            ),
+            send=build_datagram_sender(transport),
             list_relays=list_relays,
         )
     finally:
--- a/src/ragwortcourse/forwarding/switch_notice.py
+++ b/src/ragwortcourse/forwarding/switch_notice.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ragwortcourse.addresses import split_address
+from ragwortcourse.forwarding.datagrams import build_datagram_sender
 from ragwortcourse.forwarding.load_exchange import ListRelays
 from ragwortcourse.forwarding.load_messages import (
     SwitchMessage,
@@ -30,8 +30,9 @@
             local_addr=('0.0.0.0', 0),  # noqa: S104
         )
         try:
+            send = build_datagram_sender(transport)
             for relay in await list_relays():
-                transport.sendto(content, split_address(relay.address))
+                send(content, relay.address)
         finally:
             transport.close()
 
