List no target whose name can't be sent in a header

A row of the targets under a key with a control character was listed, and a call to it raises ValueError ("Forbidden control character detected in headers", a trial with aiohttp), which is no error of the network: callers would get 500, as with an odd address. An empty key would name no target in the header that pins a request to one. Both are refused where the row is read.

test_target_rows.py::TestName::test_unsendable_name_fails_calls failed before in its four cases.

--- a/src/ragwortcourse/platform/target_rows.py
+++ b/src/ragwortcourse/platform/target_rows.py
@@ -53,7 +53,8 @@
     """Decode the target in a row.
 
     :raises UnreadableError: the bytes are not a row of a target, its state or
-        failure domain is unknown, or nothing can be called at its address.
+        failure domain is unknown, or nothing can be called at its address or
+        by its name.
     """
     wire = decode_json(content, WireTarget)
     domain = FailureDomainName(wire.zone)
@@ -62,7 +63,7 @@
             f'unknown state {wire.state!r} or failure domain {domain!r}'
         )
     return Target(
-        name=TargetName(key),
+        name=_read_name(key),
         born=wire.born,
         service=ServiceName(wire.service),
         address=parse_address(wire.address),
@@ -75,6 +76,16 @@
     )
 
 
+def _read_name(key: str) -> TargetName:
+    """Read the name of a target, which calls to it carry in a header.
+
+    :raises UnreadableError: no header can carry the name.
+    """
+    if not key.isprintable() or not key:
+        raise UnreadableError(f'no name of a target: {key!r}')
+    return TargetName(key)
+
+
 def decode_layers(wire: WireLayers | None) -> HeldWeights | None:
     """Decode the layers that an engine holds; None if it holds none."""
     if wire is None or wire.to <= wire.first:
--- a/tests/test_target_rows.py
+++ b/tests/test_target_rows.py
@@ -39,3 +39,17 @@
         """
         with pytest.raises(UnreadableError):
             decode(address=address)
+
+
+class TestName:
+    """Keys that can't be the name of a target."""
+
+    @pytest.mark.parametrize('key', ['', 'a\nb: c', 'a\r', 'a\0'])
+    def test_unsendable_name_fails_calls(self, key):
+        """The row names no target.
+
+        Each call that chose it was answered 500, as no header can carry the
+        name.
+        """
+        with pytest.raises(UnreadableError):
+            decode(key)
