List no target with a number that means nothing

A row of a target was taken with `slots` below zero, `born` of 400 digits or `cold_left_ms` of 1e308, as JSON has numbers of any length: such a target counted as cold for ever, as full, or as of a start that no later row can replace. No call was seen to fail.

bounded.py has the types of numbers in messages, with bounds far above what a fleet states. The wire types of targets, and with them the layers in an engine's report, use them. A remaining time below zero is over, and is taken as before.

test_target_rows.py::TestNumbers::test_meaningless_number_is_taken failed before in its twelve cases; test_sound passed before and after, but for a case added with the change.

--- a/src/ragwortcourse/platform/target_rows.py
+++ b/src/ragwortcourse/platform/target_rows.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ragwortcourse.addresses import parse_address
+from ragwortcourse.bounded import Count, MillisecondsLeft, WholeNumber
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.target import HeldWeights, Target
 from ragwortcourse.identifiers import (
@@ -25,9 +26,9 @@
     :param to: end of the range, exclusive.
     """
 
-    first: int = 0
-    to: int = 0
-    version: int = 0
+    first: Count = 0
+    to: Count = 0
+    version: WholeNumber = 0
 
 
 class WireTarget(msgspec.Struct, kw_only=True):
@@ -40,10 +41,10 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Count
     state: str
-    cold_left_ms: float
-    born: int = 0
+    cold_left_ms: MillisecondsLeft
+    born: WholeNumber = 0
     layers: WireLayers | None = None
 
 
--- a/tests/test_target_rows.py
+++ b/tests/test_target_rows.py
@@ -53,3 +53,47 @@
         """
         with pytest.raises(UnreadableError):
             decode(key)
+
+
+class TestNumbers:
+    """Numbers that mean nothing."""
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'slots': -1},
+            {'slots': 10**9},
+            {'slots': 10**400},
+            {'cold_left_ms': -1e308},
+            {'cold_left_ms': 1e308},
+            {'cold_left_ms': 10**300},
+            {'born': -1},
+            {'born': 10**399},
+            {'layers': {'from': -1, 'to': 16, 'version': 1}},
+            {'layers': {'from': 0, 'to': 10**30, 'version': 1}},
+            {'layers': {'from': 0, 'to': 16, 'version': -1}},
+            {'layers': {'from': 0, 'to': 16, 'version': 10**399}},
+        ],
+    )
+    def test_meaningless_number_is_taken(self, changes):
+        """The row names no target."""
+        with pytest.raises(UnreadableError):
+            decode(**changes)
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'slots': 0},
+            {'slots': 4096},
+            {'cold_left_ms': 0},
+            {'cold_left_ms': -0.5},
+            {'cold_left_ms': 86_400_000.5},
+            {'born': 0},
+            {'born': 1_800_000_000_000},
+            {'layers': {}},
+            {'layers': {'from': 8, 'to': 8, 'version': 2**53}},
+        ],
+    )
+    def test_sound(self, changes):
+        """Any number that a target may state is taken."""
+        assert decode(**changes).name == 'i-1'
