Keep the last good desired state instead of one that can't be applied

A desired state was put in force with a split whose weights are all zero or below, for which random.choices raises at each call, with a client's name that no header can carry, with an origin that can't be called, and with limits and speeds below zero or near the largest float. The first two would answer every call they concern with 500 (read in the code). A version of weights of 400 digits counted as announced, so that no engine had it, and one in a desired state was held for good over a sound one after a restore of the store.

The wire types state the bounds, so that such a row is unreadable as a whole: the last good state stays in force, and the log names the row. `max_conns`, which nothing reads, is not bounded.

Failed before: 27 cases in test_desired_states.py (test_meaningless_..., and test_unsendable_account_fails_calls), both of test_operator_rows.py:: TestOddRows::test_meaningless_version, test_restore_hold.py:: TestMergeRestored::test_meaningless_version. test_sound_numbers passed before.

--- a/src/ragwortcourse/platform/desired_states.py
+++ b/src/ragwortcourse/platform/desired_states.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from typing import Final
 
+from ragwortcourse.addresses import parse_address
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.account import Account
 from ragwortcourse.forwarding.desired_state import DesiredState
@@ -30,7 +31,11 @@
 def decode_desired_state(content: bytes) -> DesiredState:
     """Decode the desired state in a row.
 
-    :raises UnreadableError: the bytes are not a desired state.
+    The state is taken whole or not at all: a part of it may be wrong for
+    requests that another part allows.
+
+    :raises UnreadableError: the bytes are not a desired state, or some part of
+        it can't be applied.
     """
     wire = decode_json(content, WireState)
     by_host: dict[str, list[Route]] = defaultdict(list)
@@ -87,7 +92,7 @@
         cold_rate=wire.cold_per_s,
         connections=wire.max_conns,
         engine=None if wire.engine is None else _decode_engine(wire.engine),
-        origin=wire.origin,
+        origin=parse_address(wire.origin) if wire.origin else '',
         origin_domain=FailureDomainName(wire.zone) if wire.zone else None,
     )
 
--- a/src/ragwortcourse/platform/operator_rows.py
+++ b/src/ragwortcourse/platform/operator_rows.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ragwortcourse.bounded import WholeNumber
 from ragwortcourse.clock import read_clock_with_suspend
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.fleet_state import FleetState
@@ -45,7 +46,7 @@
     """Announced weights version of a model."""
 
     model: str
-    version: int
+    version: WholeNumber
 
 
 def build_operator_handler(
--- a/src/ragwortcourse/platform/restore_hold.py
+++ b/src/ragwortcourse/platform/restore_hold.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from ragwortcourse.bounded import WholeNumber
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.platform.store_row import StoreRow, StoreRows
@@ -24,7 +25,7 @@
 class VersionedContent(msgspec.Struct, kw_only=True):
     """Part of the content of rows whose version only rises."""
 
-    version: int
+    version: WholeNumber
 
 
 class RestoreHold:
--- a/src/ragwortcourse/platform/wire_state.py
+++ b/src/ragwortcourse/platform/wire_state.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ragwortcourse.bounded import Amount, Milliseconds, WholeNumber
 from ragwortcourse.forwarding.call_kind import CallKind
 
 
@@ -9,7 +10,7 @@
     """Share of one service in a split route."""
 
     service: str
-    weight: float
+    weight: Amount
 
 
 class WireRoute(msgspec.Struct, kw_only=True):
@@ -27,17 +28,22 @@
     host: str
     prefix: str
     route_type: CallKind
-    timeout_ms: float
-    slo_ms: float = 0
-    priority: int = 0
+    timeout_ms: Milliseconds
+    slo_ms: Milliseconds = 0
+    priority: WholeNumber = 0
     service: str = ''
     split: list[WireShare] = []
-    max_attempts: int = 1
+    max_attempts: WholeNumber = 1
     public: bool = False
     resumable: bool = False
-    gap_target_ms: float = 0
+    gap_target_ms: Milliseconds = 0
     allowed_regions: list[str] = []
 
+    def __post_init__(self) -> None:
+        """Refuse a split that sends no request anywhere."""
+        if self.split and not sum(share.weight for share in self.split):
+            raise ValueError('all weights of a split are zero')
+
 
 class WireModel(msgspec.Struct, kw_only=True):
     """One model of an engine."""
@@ -48,8 +54,8 @@
 class WireUsual(msgspec.Struct, kw_only=True):
     """Mean token counts."""
 
-    prompt: float = 0
-    answer: float = 0
+    prompt: Amount = 0
+    answer: Amount = 0
 
 
 class WireEngine(msgspec.Struct, kw_only=True):
@@ -59,16 +65,16 @@
     :param stride: steps of a pass that includes generating requests.
     """
 
-    slots: int
-    step_ms: float = 0
-    per_seq_ms: float = 0
-    read_per_s: float = 0
-    stride: int = 1
+    slots: WholeNumber
+    step_ms: Milliseconds = 0
+    per_seq_ms: Milliseconds = 0
+    read_per_s: Amount = 0
+    stride: WholeNumber = 1
     usual: WireUsual = msgspec.field(default_factory=WireUsual)
     models: list[WireModel] = []
-    layers: int = 0
-    chunks: int = 0
-    chunk_bytes: int = 0
+    layers: WholeNumber = 0
+    chunks: WholeNumber = 0
+    chunk_bytes: WholeNumber = 0
 
 
 class WireService(msgspec.Struct, kw_only=True):
@@ -81,7 +87,7 @@
 
     name: str
     max_conns: int = 0
-    cold_per_s: float = 0
+    cold_per_s: Amount = 0
     engine: WireEngine | None = None
     origin: str = ''
     zone: str = ''
@@ -92,9 +98,14 @@
 
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: WholeNumber | None = None
     allowed_regions: list[str] = []
 
+    def __post_init__(self) -> None:
+        """Refuse a name that no header can carry."""
+        if not self.name.isprintable():
+            raise ValueError(f'no name of a client account: {self.name!r}')
+
 
 class WireState(msgspec.Struct, kw_only=True):
     """One version of the desired state.
@@ -102,7 +113,7 @@
     :param tenants: None if requests need no key.
     """
 
-    version: int
+    version: WholeNumber
     routes: list[WireRoute] = []
     services: list[WireService] = []
     tenants: list[WireTenant] | None = None
--- a/tests/test_desired_states.py
+++ b/tests/test_desired_states.py
@@ -120,6 +120,108 @@
         with pytest.raises(UnreadableError):
             decode_desired_state(content)
 
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'timeout_ms': -1},
+            {'timeout_ms': 1e308},
+            {'slo_ms': -1},
+            {'gap_target_ms': 1e308},
+            {'priority': -1},
+            {'priority': 10**399},
+            {'max_attempts': 10**399},
+            {'split': [{'service': 'x', 'weight': -1}]},
+            {'split': [{'service': 'x', 'weight': 0}]},
+            {
+                'split': [
+                    {'service': 'x', 'weight': 2},
+                    {'service': 'y', 'weight': -1},
+                ]
+            },
+        ],
+    )
+    def test_meaningless_number_in_a_route_is_taken(self, changes):
+        """The state is unreadable."""
+        with pytest.raises(UnreadableError):
+            decode(routes=[{**ROUTE, **changes}])
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'slots': -1},
+            {'step_ms': -1},
+            {'per_seq_ms': 1e308},
+            {'read_per_s': -1},
+            {'stride': -1},
+            {'usual': {'prompt': -1}},
+            {'usual': {'answer': 1e308}},
+            {'layers': -1},
+            {'chunks': 10**399},
+            {'chunk_bytes': -1},
+        ],
+    )
+    def test_meaningless_number_of_an_engine_is_taken(self, changes):
+        """The state is unreadable."""
+        services = [{'name': 'svc', 'engine': {**ENGINE, **changes}}]
+        with pytest.raises(UnreadableError):
+            decode(services=services)
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'cold_per_s': -1},
+            {'cold_per_s': 1e308},
+            {'origin': 'x..y:80'},
+            {'origin': '127.0.0.1:99999'},
+        ],
+    )
+    def test_meaningless_service_is_taken(self, changes):
+        """The state is unreadable."""
+        with pytest.raises(UnreadableError):
+            decode(services=[{'name': 'svc', **changes}])
+
+    def test_unsendable_account_fails_calls(self):
+        """A state is unreadable if no header can carry a client's name.
+
+        Each call with the key was answered 500.
+        """
+        with pytest.raises(UnreadableError):
+            decode(tenants=[{'name': 'a\nb', 'api_keys': ['k']}])
+
+    @pytest.mark.parametrize('version', [-1, 10**399])
+    def test_meaningless_version_is_taken(self, version):
+        """The state is unreadable."""
+        with pytest.raises(UnreadableError):
+            decode(version=version)
+
+    def test_sound_numbers(self):
+        """Zeroes and high numbers that operators may write are taken."""
+        split = [
+            {'service': 'x', 'weight': 0},
+            {'service': 'y', 'weight': 1e9},
+        ]
+        state = decode(
+            version=2**53,
+            routes=[
+                {
+                    **ROUTE,
+                    'split': split,
+                    'timeout_ms': 86_400_000,
+                    'max_attempts': 2**31,
+                    'priority': 99,
+                }
+            ],
+            services=[
+                {
+                    'name': 'svc',
+                    'max_conns': -1,
+                    'engine': {**ENGINE, 'slots': 0, 'chunk_bytes': 2**40},
+                }
+            ],
+        )
+        assert state.version == 2**53
+        assert state.find_engine('svc').chunk_bytes == 2**40
+
     def test_unknown_type_of_route(self):
         """A state with an unknown type of route is unreadable."""
         with pytest.raises(UnreadableError):
--- a/tests/test_operator_rows.py
+++ b/tests/test_operator_rows.py
@@ -136,6 +136,16 @@
         ]
         assert record.row == row.key
 
+    @pytest.mark.parametrize('version', [-1, 10**399])
+    async def test_meaningless_version(self, version, caplog):
+        """A version of weights that none can have is passed over."""
+        state = FleetState()
+        reader = build_operator_handler(state, FLEET)
+        reader.replace((make_version_row(2),), math.inf)
+        reader.change((make_version_row(version),), 0, 0)
+        assert state.weights[MODEL][-1].version == 2
+        assert 'unreadable' in caplog.text
+
     async def test_good_again(self):
         """The next good desired state is applied."""
         state = FleetState()
--- a/tests/test_restore_hold.py
+++ b/tests/test_restore_hold.py
@@ -54,6 +54,13 @@
         )
         assert rows['evacuate/a'].held
 
+    def test_meaningless_version(self, hold):
+        """A version that none can have does not go before a sound one."""
+        before = [make_row('config', 10**399)]
+        read = make_answer(make_row('config', 5))
+        rows = index_rows(hold.merge_restored(read, before))
+        assert rows['config'] == make_row('config', 5)
+
     def test_deeply_nested_content(self, hold):
         """A row that is nested too deeply has no version."""
         deep = b'{"version":9,"a":%s}' % (b'[' * 100_000 + b']' * 100_000)
