--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -13,7 +13,13 @@
 
 import msgspec
 
+from ragwortcourse.addresses import split_address
 from ragwortcourse.clock import read_clock, read_clock_with_suspend
+from ragwortcourse.decoding import decode_json
+from ragwortcourse.forwarding.datagrams import (
+    SendDatagram,
+    build_datagram_sender,
+)
 from ragwortcourse.forwarding.fleet_updates import note_history
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.load_messages import (
@@ -36,6 +42,7 @@
 from ragwortcourse.forwarding.version_log import RequiredVersionLog
 from ragwortcourse.identifiers import DaemonId
 from ragwortcourse.membership.relay_daemons import RelayRecord
+from ragwortcourse.unreadable import UnreadableError
 
 # Interval of messages within a failure domain; only a few requests arrive
 # during one interval.
@@ -52,12 +59,9 @@
 LOGGER: Final = logging.getLogger(__name__)
 
 ListRelays = Callable[[], Awaitable[Sequence[RelayRecord]]]
-# Takes the content and the address, ``ip:port``.
-SendDatagram = Callable[[bytes, str], None]
 
 
 Message = LoadMessage | SwitchMessage | ReportMessage
-DECODER: Final = msgspec.json.Decoder(Message)
 
 
 class LoadReceiver(asyncio.DatagramProtocol):
@@ -81,8 +85,8 @@
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Apply one message; log an unreadable one."""
         try:
-            message = DECODER.decode(data)
-        except msgspec.DecodeError as error:
+            message: Message = decode_json(data, Message)
+        except UnreadableError as error:
             LOGGER.warning(
                 'unreadable load message ignored',
                 extra={'sender': str(addr), 'detail': str(error)},
@@ -133,15 +137,13 @@
     receiver = LoadReceiver(forwarder=forwarder)
     transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
         lambda: receiver,
-        local_addr=read_address(forwarder.settings.listen.peers),
+        local_addr=split_address(forwarder.settings.listen.peers),
     )
     try:
         await send_rounds(
             receiver=receiver,
             forwarder=forwarder,
-            send=lambda content, address: transport.sendto(
-                content, read_address(address)
-            ),
+            send=build_datagram_sender(transport),
             list_relays=list_relays,
         )
     finally:
@@ -252,9 +254,3 @@
         },
         since=math.inf if age is None else now - age,
     )
-
-
-def read_address(address: str) -> tuple[str, int]:
-    """Split ``ip:port`` into host and port."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
--- a/src/ragwortcourse/platform/desired_states.py
+++ b/src/ragwortcourse/platform/desired_states.py
@@ -3,10 +3,9 @@
 from collections import defaultdict
 from typing import Final
 
-import msgspec
-
+from ragwortcourse.addresses import parse_address
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.account import Account
-from ragwortcourse.forwarding.call_kind import CallKind
 from ragwortcourse.forwarding.desired_state import DesiredState
 from ragwortcourse.forwarding.engine_profile import EngineProfile
 from ragwortcourse.forwarding.route import Route, ServiceShare
@@ -32,9 +31,13 @@
 def decode_desired_state(content: bytes) -> DesiredState:
     """Decode the desired state in a row.
 
-    :raises msgspec.DecodeError: the bytes are not a desired state.
+    The state is taken whole or not at all: a part of it may be wrong for
+    requests that another part allows.
+
+    :raises UnreadableError: the bytes are not a desired state, or some part of
+        it can't be applied.
     """
-    wire = msgspec.json.decode(content, type=WireState)
+    wire = decode_json(content, WireState)
     by_host: dict[str, list[Route]] = defaultdict(list)
     for wire_route in wire.routes:
         by_host[wire_route.host.lower()].append(_decode_route(wire_route))
@@ -66,7 +69,7 @@
         name=wire.name,
         host=wire.host,
         prefix=wire.prefix,
-        kind=CallKind(wire.route_type),
+        kind=wire.route_type,
         services=shares or (sole_share,),
         time_limit=wire.timeout_ms * SECONDS_PER_MILLISECOND,
         objective=wire.slo_ms * SECONDS_PER_MILLISECOND,
@@ -89,7 +92,7 @@
         cold_rate=wire.cold_per_s,
         connections=wire.max_conns,
         engine=None if wire.engine is None else _decode_engine(wire.engine),
-        origin=wire.origin,
+        origin=parse_address(wire.origin) if wire.origin else '',
         origin_domain=FailureDomainName(wire.zone) if wire.zone else None,
     )
 
