Use targets in their slow start if there are no others

Callers saw 503 `no_target`. Targets that were silent together, for about as long as the deadlines of their calls, were ejected together. While all were ejected they were still tried, but at the end of the ejections each took one call at a time, and every other call was refused though no target was full.

The slow start now ranks between usable and ejected targets: it is left out only while another target can take the call. What a target bears is decided by the gate of its agent, with its cold limit, so the slow start of the entry daemon isn't needed for that. An ejected target that lacks the version of the call is no longer asked either, which only led to a refusal.

--- a/src/ragwortcourse/entry/routing.py
+++ b/src/ragwortcourse/entry/routing.py
@@ -24,6 +24,7 @@
 RANK_FULL: Final = 100
 RANK_UNKNOWN: Final = 200
 EJECTED_REASON: Final = 'taken out by its outcomes'
+SLOW_START_REASON: Final = 'on trial, and has what it may take'
 _SCORE_BYTES: Final = 8
 _TURNED_DOWN_LIMIT: Final = 16
 
@@ -31,20 +32,27 @@
 def choose_target(
     entry: EntryState, work: AdmittedCall, tried: set[TargetName]
 ) -> Choice | NoChoice:
-    """Choose the best target, or say why each target is rejected."""
+    """Choose the best target, or say why each target is rejected.
+
+    Targets that are ejected or full in their slow start are chosen only if
+    there are no others; their agents limit what they take.
+    """
     turned_down: dict[str, str] = {}
     candidates: list[Choice] = []
-    ejected: list[Choice] = []
+    fallbacks: dict[str, list[Choice]] = {
+        SLOW_START_REASON: [],
+        EJECTED_REASON: [],
+    }
     for choice in list_candidates(entry, work, tried):
         reason = find_objection(entry, work, choice, tried)
         if reason is None:
             candidates.append(choice)
         elif len(turned_down) < _TURNED_DOWN_LIMIT:
             turned_down[choice.record.target] = reason
-        if reason == EJECTED_REASON:
-            ejected.append(choice)
-    # If outlier ejection leaves no target, an ejected one may still answer.
-    candidates = candidates or ejected
+        if reason in fallbacks and _object_to_version(work, choice) is None:
+            fallbacks[reason].append(choice)
+    for fallback in fallbacks.values():
+        candidates = candidates or fallback
     if not candidates:
         return NoChoice(turned_down=turned_down)
     return _pick(entry, work, candidates, turned_down)
@@ -110,7 +118,7 @@
     if record.ejected_until > read_clock():
         return EJECTED_REASON
     if entry.outliers.is_full(record):
-        return 'on trial, and has what it may take'
+        return SLOW_START_REASON
     return None
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,6 +8,7 @@
 
 from fakes.entries import make_entry, make_model_call, make_record
 from fakes.scripted_agents import ScriptedAgents, ScriptedResult
+from ragwortcourse.clock import read_clock
 from ragwortcourse.entry.entry import EntryState
 from ragwortcourse.identifiers import ChangeId, Generation, TargetName
 from ragwortcourse.membership.target_record import TargetRecord
@@ -204,6 +205,44 @@
         await send(entry, agents, 4)
         assert await collect(entry, make_model_call()) == 'whole'
 
+    async def test_call_is_refused_while_all_targets_start_slowly(self):
+        """Targets in their slow start get all calls if there are no others.
+
+        Targets that were silent together for a second end their ejections
+        together. Their agents decide how much each target takes.
+        """
+        agents = ScriptedAgents()
+        names = ['near', 'second']
+        for name in names:
+            agents.script(name, *[ScriptedResult.LOST_DURING] * 3)
+        entry = make_entry(agents.build_port(), *map(make_target, names))
+        await send(entry, agents, 3)
+        await asyncio.sleep(2)
+        agents.seconds = 0.1
+        calls = [make_model_call(f'r{number}') for number in range(8)]
+        results = await asyncio.gather(
+            *(collect(entry, call) for call in calls)
+        )
+        assert results == ['whole'] * 8
+
+    async def test_ejected_target_is_preferred_to_a_slow_start(self):
+        """A target in its slow start is preferred to an ejected one."""
+        agents = ScriptedAgents()
+        agents.script('near', *[ScriptedResult.LOST_DURING] * 3)
+        entry = make_entry(
+            agents.build_port(), make_target('near'), make_target('dead')
+        )
+        dead = entry.directory.find(TargetName('dead'))
+        assert dead is not None
+        dead.ejected_until = read_clock() + 60
+        await send(entry, agents, 3)
+        await asyncio.sleep(2)
+        agents.seconds = 0.1
+        agents.sent.clear()
+        calls = [make_model_call(f'r{number}') for number in range(8)]
+        await asyncio.gather(*(collect(entry, call) for call in calls))
+        assert {address for address, _ in agents.sent} == {'near'}
+
 
 class TestRetryBudget:
     """Retries while all targets are down."""
