Take a short silence after a lost answer for no crash

When an answer was lost, the agent asked the target for its state once, with a timeout of 1 s, and took no answer for a crash: every request under way became suspect. Two targets that were silent for a second while one answer broke at each were enough to refuse equal, sound requests (`crashing_request`, until an operator releases them) at all entry daemons.

A refused connection, or another instance, still counts as a crash at once. A silent target is asked again in the background for 3 s, and the requests of the moment of the loss become suspect if it stays silent or has restarted; one that ended well meanwhile does not. The caller of the lost answer waits no longer than before. The cost: where a host is lost with its target, the evidence comes up to 3 s later, by the statuses only, and the first resend of the lost request is not marked suspect.

test_attempts.py::TestCrashSuspects:: test_silence_of_a_target_accuses_its_requests[resumes] failed before with {'good', 'lost'}; [restarts] and test_target_that_stays_silent keep what the old way did for real crashes.

--- a/fakes/memory_engine.py
+++ b/fakes/memory_engine.py
@@ -145,8 +145,10 @@
 
     async def describe(self) -> EngineState | EngineSilent:
         """Return the state as last reported; see :class:`Engine`."""
-        if self._is_down() or self.faults.silent:
-            return EngineSilent(detail='nobody listens')
+        if self._is_down():
+            return EngineSilent(detail='nobody listens', refused=True)
+        if self.faults.silent:
+            return EngineSilent(detail='no answer')
         now = read_clock()
         report = self._report
         if report is None or self._is_due(now - report[0]):
--- a/src/ragwortcourse/agent/run.py
+++ b/src/ragwortcourse/agent/run.py
@@ -4,13 +4,13 @@
 
 from ragwortcourse.agent.agent import Agent
 from ragwortcourse.agent.attempt_record import AttemptRecord
+from ragwortcourse.agent.crash_check import check_for_crash
 from ragwortcourse.agent.suspects import InFlightAttempt
 from ragwortcourse.agent.ticket import Ticket
 from ragwortcourse.clock import read_clock
 from ragwortcourse.engines.engine import (
     EngineAnswer,
     EngineRequest,
-    EngineSilent,
 )
 from ragwortcourse.messages import headers as names
 from ragwortcourse.messages.attempt import Attempt
@@ -115,13 +115,6 @@
         """
         self.agent.limit.reset_to_cold('lost')
         try:
-            if await self._has_target_crashed():
-                self.agent.suspects.mark_crash_suspects(self._instance)
+            await check_for_crash(self.agent, self._instance)
         finally:
             self.end(AttemptState.BROKEN)
-
-    async def _has_target_crashed(self) -> bool:
-        state = await self.agent.engine.describe()
-        if isinstance(state, EngineSilent):
-            return True
-        return state.instance != self._instance
--- a/src/ragwortcourse/agent/suspects.py
+++ b/src/ragwortcourse/agent/suspects.py
@@ -35,6 +35,7 @@
 
     def __init__(self) -> None:
         self._in_flight: dict[AttemptId, InFlightAttempt] = {}
+        self._unsettled: dict[AttemptId, InFlightAttempt] | None = None
         self._crash_suspects: set[AttemptId] = set()
         self._suspect_until: dict[str, float] = {}
         self._crashes: dict[str | None, float] = {}
@@ -59,6 +60,27 @@
         self._crash_suspects.discard(attempt)
         if clean and work is not None:
             self._suspect_until.pop(work.fingerprint, None)
+            if self._unsettled is not None:
+                self._unsettled.pop(attempt, None)
+
+    def begin_check(self, instance: str | None) -> bool:
+        """Keep the requests in flight until it is known if the target crashed.
+
+        :return: false if a check is already in progress.
+        """
+        if self._unsettled is not None:
+            return False
+        self._unsettled = {
+            work.attempt: work for work in self._list_in_flight(instance)
+        }
+        return True
+
+    def end_check(self, instance: str | None, *, crashed: bool) -> None:
+        """Mark the requests kept since ``begin_check`` after a crash."""
+        unsettled = self._unsettled or {}
+        self._unsettled = None
+        if crashed:
+            self._mark(instance, list(unsettled.values()))
 
     def mark_crash_suspects(self, instance: str | None) -> None:
         """Mark the requests an instance was running when it crashed as suspect.
@@ -68,16 +90,28 @@
         ignored, because all requests in flight were considered at the
         first report.
         """
-        if not self._is_new_crash(instance):
-            return
-        in_flight = [
+        self._mark(instance, self._list_in_flight(instance))
+
+    def is_crash_suspect(self, attempt: AttemptId) -> bool:
+        """Tell whether an unfinished attempt is suspected of a crash."""
+        return attempt in self._crash_suspects
+
+    def _list_in_flight(self, instance: str | None) -> list[InFlightAttempt]:
+        return [
             work
             for work in self._in_flight.values()
             if work.instance == instance
         ]
+
+    def _mark(
+        self, instance: str | None, in_flight: list[InFlightAttempt]
+    ) -> None:
+        if not self._is_new_crash(instance):
+            return
         suspects = [work for work in in_flight if work.suspect]
         for work in suspects or in_flight:
-            self._crash_suspects.add(work.attempt)
+            if work.attempt in self._in_flight:
+                self._crash_suspects.add(work.attempt)
             self._suspect_until.pop(work.fingerprint, None)
             self._suspect_until[work.fingerprint] = (
                 read_clock() + SUSPICION_SECONDS
@@ -85,10 +119,6 @@
         for fingerprint in tuple(self._suspect_until)[:-MAX_SUSPECTS]:
             self._suspect_until.pop(fingerprint)
 
-    def is_crash_suspect(self, attempt: AttemptId) -> bool:
-        """Tell whether an unfinished attempt is suspected of a crash."""
-        return attempt in self._crash_suspects
-
     def _is_new_crash(self, instance: str | None) -> bool:
         crashed_at = self._crashes.get(instance)
         now = read_clock()
--- a/src/ragwortcourse/engines/engine.py
+++ b/src/ragwortcourse/engines/engine.py
@@ -164,9 +164,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EngineSilent:
-    """The target did not answer."""
+    """The target did not answer.
+
+    :param refused: true if nothing listens at its address.
+    """
 
     detail: str
+    refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/ragwortcourse/engines/http_engine.py
+++ b/src/ragwortcourse/engines/http_engine.py
@@ -1,6 +1,7 @@
 """HTTP adapter for engines and plain services."""
 
 import dataclasses
+import errno
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -127,11 +128,20 @@
                     type=EngineState,
                 )
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as lost:
-            return EngineSilent(detail=f'{base}/state: {lost!r}')
+            return EngineSilent(
+                detail=f'{base}/state: {lost!r}', refused=_is_refused(lost)
+            )
 
     return describe
 
 
+def _is_refused(error: Exception) -> bool:
+    return (
+        isinstance(error, aiohttp.ClientConnectorError)
+        and error.errno == errno.ECONNREFUSED
+    )
+
+
 def build_store_chunk(
     session: aiohttp.ClientSession, base: str
 ) -> Callable[
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -330,3 +330,50 @@
         assert agent.suspects.fingerprints == ('two',)
         await asyncio.sleep(3600)
         assert not agent.suspects.fingerprints
+
+    @pytest.mark.parametrize(
+        ('end', 'suspects'),
+        [('resumes', set()), ('restarts', {'lost', 'good'})],
+    )
+    async def test_silence_of_a_target_accuses_its_requests(
+        self, end, suspects
+    ):
+        """A short silence after a lost answer is no crash by itself.
+
+        Only another instance after the silence tells of a crash.
+        """
+        engine = MemoryEngine(load=EngineLoad(latency=0.1, pace=1))
+        agent = make_agent(engine, limits=EIGHT_PERMITS)
+        agent.limit.note_state(await engine.describe())
+        innocent = await run_attempt(agent, make_attempt(fingerprint='good'))
+        engine.faults = EngineFaults(silent=True, lost=1)
+        refused = await run_attempt(agent, make_attempt(fingerprint='lost'))
+        assert refused.outcome.code == 'target_lost'
+        await asyncio.sleep(1.3)
+        if end == 'restarts':
+            engine.die(downtime=0)
+        engine.faults.silent = False
+        await asyncio.sleep(1)
+        assert set(agent.suspects.fingerprints) == suspects
+        await innocent.body.aclose()
+
+    async def test_target_that_stays_silent(self):
+        """A target that stays silent after a lost answer has crashed.
+
+        Requests that end well meanwhile, or begin later, are not suspect.
+        """
+        load = EngineLoad(latency=0.1, pace=0.1, cold=8)
+        engine = MemoryEngine(load=load)
+        agent = make_agent(engine, limits=EIGHT_PERMITS)
+        agent.limit.note_state(await engine.describe())
+        begun = [
+            await run_attempt(agent, make_attempt(fingerprint=fingerprint))
+            for fingerprint in ('ends', 'hangs')
+        ]
+        engine.faults = EngineFaults(silent=True, lost=2)
+        for fingerprint in ('lost', 'later'):
+            await run_attempt(agent, make_attempt(fingerprint=fingerprint))
+        await read_body(begun[0])
+        await asyncio.sleep(10)
+        assert set(agent.suspects.fingerprints) == {'lost', 'hangs'}
+        await begun[1].body.aclose()
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -227,9 +227,18 @@
         """A target that does not answer is reported as silent."""
         stand_in = make_stand_in()
         stand_in.faults.silent = True
-        assert isinstance(
-            await (await build(stand_in)).describe(), EngineSilent
-        )
+        state = await (await build(stand_in)).describe()
+        assert isinstance(state, EngineSilent)
+        assert not state.refused
+
+    async def test_nothing_listens(self, build):
+        """A target that is down is told from one that does not answer."""
+        stand_in = make_stand_in()
+        port = await build(stand_in)
+        await build.stop(stand_in)
+        state = await port.describe()
+        assert isinstance(state, EngineSilent)
+        assert state.refused
 
 
 class TestOrder:
