Answer callers whose headers are not UTF-8

Callers saw aiohttp's own 500, without an error code or outcome, for a baggage header, an idempotency key or an API key with a byte that isn't UTF-8. aiohttp decodes such bytes to surrogates, which the baggage propagator of OpenTelemetry and two digests encoded strictly; UnicodeEncodeError left the handler.

The agents' path now uses the trace context alone, as the forwarders do (telemetry/context.py); baggage is passed on as any header is. The digests of keys are taken over the bytes as received.

--- a/src/ragwortcourse/agent/attempts.py
+++ b/src/ragwortcourse/agent/attempts.py
@@ -5,7 +5,6 @@
 from typing import Final
 
 from opentelemetry import metrics, trace
-from opentelemetry.propagate import extract
 
 from ragwortcourse.agent.agent import Agent
 from ragwortcourse.agent.attempt_record import AttemptRecord
@@ -44,6 +43,7 @@
 )
 from ragwortcourse.messages.attempt_report import AttemptReport, AttemptState
 from ragwortcourse.messages.outcome import NotRun, Unknown
+from ragwortcourse.telemetry.context import extract_context
 
 TRACER: Final = trace.get_tracer(__name__)
 METER: Final = metrics.get_meter(__name__)
@@ -60,7 +60,7 @@
     known = agent.records.find(attempt.attempt)
     if known is not None:
         return refuse_duplicate(agent, known.state)
-    context = extract(attempt.headers)
+    context = extract_context(attempt.headers)
     with TRACER.start_as_current_span('agent.attempt', context=context):
         record = agent.records.accept(attempt.attempt)
         agent.version_use.begin(attempt)
--- a/src/ragwortcourse/agent/run.py
+++ b/src/ragwortcourse/agent/run.py
@@ -1,7 +1,5 @@
 """An attempt that holds a permit."""
 
-from opentelemetry.propagate import inject
-
 from ragwortcourse.agent.agent import Agent
 from ragwortcourse.agent.attempt_record import AttemptRecord
 from ragwortcourse.agent.crash_check import check_for_crash
@@ -15,6 +13,7 @@
 from ragwortcourse.messages import headers as names
 from ragwortcourse.messages.attempt import Attempt
 from ragwortcourse.messages.attempt_report import AttemptState
+from ragwortcourse.telemetry.context import inject_context
 
 OVERLOAD_STATUSES = frozenset((429, 503))
 FIRST_ERROR_STATUS = 400
@@ -61,7 +60,7 @@
         attempt = self.attempt
         headers = dict(attempt.headers)
         headers[names.REQUEST_ID] = attempt.attempt
-        inject(headers)
+        inject_context(headers)
         return EngineRequest(
             attempt=attempt.attempt,
             method=attempt.method,
--- a/src/ragwortcourse/entry/callers.py
+++ b/src/ragwortcourse/entry/callers.py
@@ -5,7 +5,7 @@
 
 import msgspec
 from aiohttp import web
-from opentelemetry import context, propagate, trace
+from opentelemetry import context, trace
 
 from ragwortcourse.entry import errors
 from ragwortcourse.entry.admission import check_readiness
@@ -16,6 +16,7 @@
 from ragwortcourse.identifiers import DeploymentName, RequestId
 from ragwortcourse.messages.call import CallError
 from ragwortcourse.messages.outcome import NotRun
+from ragwortcourse.telemetry.context import extract_context
 
 TRACER: Final = trace.get_tracer(__name__)
 _REQUEST_BYTES: Final = 8
@@ -93,7 +94,7 @@
 ) -> web.StreamResponse:
     """Read one call, serve it and write its answer or error."""
     name = generate_request_id(entry)
-    parent = propagate.extract(request.headers)
+    parent = extract_context(request.headers)
     token = context.attach(parent)
     try:
         with TRACER.start_as_current_span('entry.call') as span:
--- a/src/ragwortcourse/entry/catalog.py
+++ b/src/ragwortcourse/entry/catalog.py
@@ -8,6 +8,7 @@
     ModelDeployment,
     ServiceDeployment,
 )
+from ragwortcourse.header_text import encode_header
 from ragwortcourse.identifiers import (
     DeploymentName,
     Generation,
@@ -54,7 +55,7 @@
 
     def find_account(self, api_key: str) -> ClientAccount | None:
         """Look up the client account of an API key."""
-        digest = hashlib.sha256(api_key.encode()).hexdigest()
+        digest = hashlib.sha256(encode_header(api_key)).hexdigest()
         return self._accounts.get(Sha256Hex(digest))
 
     def find_models(self, model: ModelName) -> tuple[ModelDeployment, ...]:
--- a/src/ragwortcourse/entry/claims.py
+++ b/src/ragwortcourse/entry/claims.py
@@ -11,6 +11,7 @@
 from ragwortcourse.entry.admitted_call import AdmittedCall
 from ragwortcourse.entry.claim import Claim
 from ragwortcourse.entry.entry import EntryState
+from ragwortcourse.header_text import encode_header
 from ragwortcourse.identifiers import Sha256Hex
 from ragwortcourse.messages.outcome import NotRun
 from ragwortcourse.storage.table import (
@@ -56,7 +57,7 @@
 def build_claim_key(work: AdmittedCall) -> TableKey:
     """Build the row key for an idempotency key of a client account."""
     key = work.call.idempotency_key or ''
-    digest = hashlib.sha256(key.encode()).hexdigest()
+    digest = hashlib.sha256(encode_header(key)).hexdigest()
     return TableKey(f'claims/{work.account.name}/{digest}')
 
 
--- a/src/ragwortcourse/entry/dispatch.py
+++ b/src/ragwortcourse/entry/dispatch.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 from typing import Final
 
-from opentelemetry import metrics, propagate, trace
+from opentelemetry import metrics, trace
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.entry import errors
@@ -26,6 +26,7 @@
 )
 from ragwortcourse.messages.decision import DecisionPoint
 from ragwortcourse.messages.outcome import Unknown
+from ragwortcourse.telemetry.context import inject_context
 
 METER: Final = metrics.get_meter(__name__)
 TRACER: Final = trace.get_tracer(__name__)
@@ -40,7 +41,7 @@
 ) -> Attempt:
     """Build the message that asks an agent to run the work."""
     headers = dict(work.call.headers)
-    propagate.inject(headers)
+    inject_context(headers)
     return Attempt(
         attempt=attempt,
         request=work.call.request,
