Refuse deeply nested bodies of model calls

Callers saw aiohttp's own 500 without an outcome for a body nested some thousand levels deep: msgspec raises RecursionError, which is not among its own errors, and it left the handler. It is now refused with 400 bad_request, like any other body that can't be read.

test_callers.py::TestErrors::test_code_and_outcome with such a body failed before; the malformed requests drawn in TestMalformedRequests have one, too.

--- a/src/ragwortcourse/entry/admission.py
+++ b/src/ragwortcourse/entry/admission.py
@@ -159,7 +159,7 @@
 ) -> AdmittedCall | NotRun:
     try:
         fields = msgspec.json.decode(call.body, type=ModelFields)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         return NotRun(
             code=errors.BAD_REQUEST,
             detail=f'The body is no JSON object with a model: {error}.',
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -24,6 +24,7 @@
 BAD = 'bad_request'
 BOOKINGS = '/services/booking-app/bookings'
 LARGE = b' ' * (BODY_LIMIT_BYTES + 1)
+NESTED = b'[' * 100_000
 LATIN = 'a=caf\xe9'
 ANSWER_SECONDS = 0.2
 
@@ -53,6 +54,7 @@
             ('POST', CHAT, KEY, b'', 400, BAD),
             ('POST', CHAT, KEY, b'[1]', 400, BAD),
             ('POST', CHAT, KEY, b'{"model":7}', 400, BAD),
+            ('POST', CHAT, KEY, b'{"model":"x","a":' + NESTED, 400, BAD),
             ('POST', CHAT, KEY, b'{"model":"\xff"}', 400, BAD),
             ('POST', CHAT, KEY, b'{"model":"x"}', 404, 'unknown_model'),
             ('POST', '/services/x/y', KEY, b'', 404, 'unknown_service'),
@@ -193,6 +195,7 @@
         st.just(BODY),
         st.binary(max_size=60),
         st.just(b'[' * 3000),
+        st.just(b'{"model":' + NESTED),
         st.just(b'5\r\nabc'),
     ),
 )
