Refuse calls whose claim row can not be read

Callers with an idempotency key saw aiohttp's own 500 without an outcome if the row of the key held no claim: the error of its decoding left the handler, at the first sending and at each resend. The call is now refused like one while the table is away (claims_unavailable, not run), and the row is logged.

test_claimed_calls.py::TestTableFaults::test_row_that_cannot_be_read failed before for each of four rows.

--- a/src/ragwortcourse/entry/claims.py
+++ b/src/ragwortcourse/entry/claims.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import logging
 from typing import Final
 
 import msgspec
@@ -25,6 +26,7 @@
     TableKey,
 )
 
+LOGGER: Final = logging.getLogger(__name__)
 COMMIT_TRIES: Final = 3
 TABLE_RETRY_SECONDS: Final = 2.0
 _CLAIMS: Final = metrics.get_meter(__name__).create_counter(
@@ -114,7 +116,9 @@
 ) -> ClaimHeld | ClaimFound | NotRun:
     if row is None:
         return refuse_without_table('the row went away')
-    claim = decode_claim(row)
+    claim = _read_row(row)
+    if isinstance(claim, NotRun):
+        return claim
     if claim.token == held.claim.token:
         return ClaimHeld(claim=held.claim, version=row.version)
     _CLAIMS.add(1, {'result': 'found'})
@@ -130,15 +134,25 @@
         return refuse_without_table(outcome.detail)
     if outcome.row is None:
         return None
-    return ClaimFound(
-        claim=decode_claim(outcome.row), version=outcome.row.version
-    )
+    claim = _read_row(outcome.row)
+    if isinstance(claim, NotRun):
+        return claim
+    return ClaimFound(claim=claim, version=outcome.row.version)
+
+
+def _read_row(row: Row) -> Claim | NotRun:
+    try:
+        return decode_claim(row)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        LOGGER.warning('unreadable claim row', extra={'detail': str(error)})
+        return refuse_without_table('its row can not be read')
 
 
 def decode_claim(row: Row) -> Claim:
     """Decode the claim in a row.
 
-    :raises msgspec.ValidationError: if the row does not hold a claim.
+    :raises msgspec.DecodeError: if the row does not hold a claim.
+    :raises RecursionError: if its content is nested too deeply.
     """
     return msgspec.json.decode(row.content, type=Claim)
 
--- a/tests/test_claimed_calls.py
+++ b/tests/test_claimed_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import hashlib
 from collections import Counter
 
 import pytest
@@ -22,13 +23,18 @@
 from ragwortcourse.entry.entry import EntryState, drain_entry, stop_entry
 from ragwortcourse.identifiers import IdempotencyKey
 from ragwortcourse.messages.call import Call, CallAnswer
-from ragwortcourse.storage.table import ConditionalWrite
+from ragwortcourse.storage.table import (
+    ABSENT_VERSION,
+    ConditionalWrite,
+    TableKey,
+)
 from tests.test_calls import collect
 
 pytestmark = pytest.mark.looptime
 
 OUTCOME_UNKNOWN = 'unknown outcome_unknown'
 ANSWER_LOST = 'completed answer_lost'
+CLAIM_KEY = TableKey(f'claims/studio/{hashlib.sha256(b"k").hexdigest()}')
 
 
 def make_claimed_model_call(name: str = 'r1') -> Call:
@@ -309,6 +315,26 @@
         assert site.rows.commits == 2
         assert len(site.agents.ran) == 1
 
+    @pytest.mark.parametrize(
+        'content', [b'', b'[]', b'{"token":7}', b'{"x":' + b'[' * 100_000]
+    )
+    async def test_row_that_cannot_be_read(self, content):
+        """A call whose row holds no claim is refused, and nothing is sent."""
+        site = Site()
+        site.rows.commit(
+            (
+                ConditionalWrite(
+                    key=CLAIM_KEY,
+                    content=content,
+                    expected_version=ABSENT_VERSION,
+                ),
+            )
+        )
+        told = await collect(site.a, make_booking_call(key='k'))
+        assert told == 'not_run claims_unavailable'
+        assert not site.agents.sent
+        assert not site.a.calls_in_flight
+
     async def test_result_is_written_after_an_outage(self):
         """An outage between claim and result does not lose the answer."""
         site = Site()
