Replace rows of crash evidence that can not be read

The error of decoding the shared row of crashers left sync_crashers_once, which a supervised task calls every two seconds; a failed task ends its daemon (read in processes/service.py, not run). An unreadable row of suspicions kept crashes from being noted there. Such rows hold no evidence: they are logged and written over.

test_crashers.py::TestUnreadableRows failed before for three contents of each row.

--- a/src/ragwortcourse/entry/crasher_sync.py
+++ b/src/ragwortcourse/entry/crasher_sync.py
@@ -1,6 +1,7 @@
 """Sharing of crashing requests among all entry daemons, in one row."""
 
 import asyncio
+import logging
 from typing import Final
 
 import msgspec
@@ -19,6 +20,7 @@
     TableKey,
 )
 
+LOGGER: Final = logging.getLogger(__name__)
 CRASHERS_KEY: Final = TableKey('crashers')
 SPREAD_PERIOD_SECONDS: Final = 2.0
 _JITTER: Final = 0.2
@@ -61,8 +63,17 @@
 
 
 def merge_shared(crashers: CrasherRegistry, content: bytes) -> None:
-    """Merge the content of the shared row into local evidence."""
-    shared = msgspec.json.decode(content, type=SharedCrashers)
+    """Merge the content of the shared row into local evidence.
+
+    Content that can't be read holds no evidence, and is written over.
+    """
+    try:
+        shared = msgspec.json.decode(content, type=SharedCrashers)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        LOGGER.warning(
+            'unreadable row of crashers', extra={'detail': str(error)}
+        )
+        return
     for one in shared.crashers:
         merge_crasher(crashers, one)
 
--- a/src/ragwortcourse/entry/suspicion_rows.py
+++ b/src/ragwortcourse/entry/suspicion_rows.py
@@ -6,6 +6,7 @@
 row keeps the newest suspicions and drops expired ones.
 """
 
+import logging
 from collections.abc import Callable
 from typing import Final
 
@@ -24,6 +25,7 @@
     TableKey,
 )
 
+LOGGER: Final = logging.getLogger(__name__)
 PREFIX_DIGITS: Final = 2
 KEPT_SUSPICIONS: Final = 32
 WRITE_TRIES: Final = 4
@@ -109,7 +111,13 @@
     """Return a row's unexpired suspicions by fingerprint."""
     if row is None:
         return {}
-    content = msgspec.json.decode(row.content, type=Suspicions)
+    try:
+        content = msgspec.json.decode(row.content, type=Suspicions)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        LOGGER.warning(
+            'unreadable row of suspicions', extra={'detail': str(error)}
+        )
+        return {}
     since = entry.read_wall_clock() - SUSPICION_SECONDS
     return {
         one.crasher.fingerprint: one
--- a/tests/test_crashers.py
+++ b/tests/test_crashers.py
@@ -16,15 +16,25 @@
     SendCrasher,
     build_crasher_broadcast,
 )
-from ragwortcourse.entry.crasher_sync import merge_crasher, sync_crashers_once
+from ragwortcourse.entry.crasher_sync import (
+    CRASHERS_KEY,
+    merge_crasher,
+    sync_crashers_once,
+)
 from ragwortcourse.entry.entry import EntryState
 from ragwortcourse.identifiers import TargetName
 from ragwortcourse.messages.shared_crasher import SharedCrasher
+from ragwortcourse.storage.table import (
+    ABSENT_VERSION,
+    ConditionalWrite,
+    TableKey,
+)
 from tests.test_calls import collect
 
 pytestmark = pytest.mark.looptime
 
 REFUSED = 'not_run crashing_request'
+UNREADABLE = (b'', b'[]', b'{"x":' + b'[' * 100_000)
 TARGET_NAMES = ('one', 'two', 'three', 'four')
 
 
@@ -37,6 +47,15 @@
     return tell
 
 
+def write_row(rows: MemoryRows, key: TableKey, content: bytes) -> None:
+    """Write a row, whatever it holds."""
+    found = rows.read(key)
+    version = ABSENT_VERSION if found is None else found.version
+    rows.commit(
+        (ConditionalWrite(key=key, content=content, expected_version=version),)
+    )
+
+
 class CrashSite:
     """Scripted crashing targets and the entry daemons that use them."""
 
@@ -193,3 +212,33 @@
             await sync_crashers_once(entry)
             assert not entry.crashers.list_crashers().crashers
         assert await collect(first, make_model_call('r2')) == 'whole'
+
+
+class TestUnreadableRows:
+    """Rows in the table that hold no evidence."""
+
+    @pytest.mark.parametrize('content', UNREADABLE)
+    async def test_shared_row_is_replaced(self, content):
+        """Daemons go on, and share their evidence in place of the row."""
+        site = CrashSite(targets=4)
+        first, second = site.make_entry('a'), site.make_entry('b')
+        write_row(site.rows, CRASHERS_KEY, content)
+        await collect(first, make_model_call())
+        await sync_crashers_once(first)
+        await sync_crashers_once(second)
+        assert await collect(second, make_model_call('r2')) == REFUSED
+
+    @pytest.mark.parametrize('content', UNREADABLE)
+    async def test_suspicion_row_is_replaced(self, content):
+        """A first crash is noted in place of the row."""
+        site = CrashSite(targets=3, turn=ScriptedResult.CRASH_LATER)
+        entries = [site.make_entry(daemon) for daemon in 'abc']
+        for entry, own in zip(entries, site.names, strict=True):
+            for name in set(site.names) - {own}:
+                entry.directory.drop(TargetName(name))
+        assert await collect(entries[0], make_model_call()) == 'broken'
+        (key,) = site.rows.rows
+        write_row(site.rows, key, content)
+        for entry in entries[1:]:
+            assert await collect(entry, make_model_call('r2')) == 'broken'
+        assert await collect(entries[2], make_model_call('r3')) == REFUSED
