Keep sources of weights while the own link has stopped

A host that probed a quiet source for half a second in vain took it for dead, ended all requests to it and told others. If the host's own link, or the link of all hosts, stopped for a second, every source was given up in turn, though nothing was lost and nobody else could send: the hosts then avoided each other for 5 s and went to the origin.

A source is now given up only if another host or the origin is heard while it is probed. If nobody is, it is probed once more beside two other hosts, so that a source that was the only one asked is still found out, half a second later. Without other hosts in the transfer a probe decides alone, as before.

Failed before: test_source_watch.py::TestLiveSource:: test_host_whose_link_stops_gives_its_sources_up (both cases) and test_landing_faults.py::TestBoundsUnderFaults:: test_links_that_stop_for_a_moment (20.2 s). test_dead_only_source keeps what the old way did.

--- a/fakes/landings.py
+++ b/fakes/landings.py
@@ -359,11 +359,13 @@
                 await asyncio.sleep(SILENT_SECONDS)
                 return silent
             await asyncio.sleep(self.network.latency)
+            await self.network.pass_stop(address, receiver)
             peer = self.hosts[address].agent_weights
             async with offer_chunk(peer, request) as outcome:
                 if not self.network.reaches(address, receiver):
                     await asyncio.sleep(SILENT_SECONDS)
                     return silent
+                await self.network.pass_stop(address, receiver)
                 if not isinstance(outcome, ChunkContent):
                     return outcome
                 sizes = measure_pieces(peer, outcome.content)
--- a/fakes/links.py
+++ b/fakes/links.py
@@ -46,6 +46,8 @@
     :ivar islands: groups of hosts cut off from all others.
     :ivar damage: probability that content is damaged on the way.
     :ivar damaging: senders whose content is always damaged.
+    :ivar stopped_until: when the stopped link of each host goes on, in
+        monotonic seconds.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self.islands: list[frozenset[str]] = []
         self.damage = 0.0
         self.damaging: set[str] = set()
+        self.stopped_until: dict[str, float] = {}
         self.rng = random.Random(1)
 
     def place(self, host: str, region: str, failure_domain: str) -> None:
@@ -80,6 +83,15 @@
         """Cut some hosts off from all the others."""
         self.islands.append(hosts)
 
+    def stop_links(self, *hosts: str, seconds: float) -> None:
+        """Stop the links of hosts both ways for a while; nothing is lost."""
+        self.stopped_until.update(dict.fromkeys(hosts, read_clock() + seconds))
+
+    async def pass_stop(self, *hosts: str) -> None:
+        """Wait until the links of all these hosts go on."""
+        stopped_until = max(self.stopped_until.get(host, 0) for host in hosts)
+        await asyncio.sleep(max(stopped_until - read_clock(), 0))
+
     def reaches(self, sender: str, receiver: str) -> bool:
         """Tell whether two hosts are alive and not cut off from each other."""
         if self.dead & {sender, receiver}:
@@ -130,6 +142,7 @@
     async def _send_piece(
         self, sender: str, receiver: str, size: float
     ) -> float:
+        await self.pass_stop(sender, receiver)
         await self._pass_link(self.up[sender], size)
         regions = (self.places[sender][0], self.places[receiver][0])
         if regions[0] != regions[1]:
--- a/src/ragwortcourse/weights/peer_health.py
+++ b/src/ragwortcourse/weights/peer_health.py
@@ -35,11 +35,14 @@
 
     :ivar usual_seconds: moving average of the time for one chunk.
     :ivar usual_probe_seconds: moving average of the time for one probe.
+    :ivar heard_at: monotonic seconds at which a peer or the origin last
+        answered.
     """
 
     def __init__(self) -> None:
         self.usual_seconds: float = 0
         self.usual_probe_seconds: float = 0
+        self.heard_at = float('-inf')
         self._ejected_until: dict[DaemonId, float] = {}
         self._silences: Counter[DaemonId] = Counter()
         self._damaged_chunks: Counter[DaemonId] = Counter()
@@ -139,7 +142,8 @@
 
     def note_answer(self, peer: DaemonId) -> None:
         """Note that a peer answered; end the ejection of a silent peer."""
-        self._heard_at[peer] = read_clock()
+        self.heard_at = read_clock()
+        self._heard_at[peer] = self.heard_at
         if self._silences.pop(peer, 0):
             self._ejected_until.pop(peer, None)
 
--- a/src/ragwortcourse/weights/source_watch.py
+++ b/src/ragwortcourse/weights/source_watch.py
@@ -15,7 +15,6 @@
 from typing import Final
 
 from ragwortcourse.clock import read_clock
-from ragwortcourse.messages.peer_port import PeerUnavailable
 from ragwortcourse.weights.agent_weights import AgentWeights
 from ragwortcourse.weights.peer_port import (
     MANIFEST_INDEX,
@@ -32,6 +31,8 @@
 # A probe may take this time, or this multiple of the usual time if longer.
 SHORTEST_LIMIT_SECONDS: Final = 0.5
 LIMIT_FACTOR: Final = 8
+# Hosts that are probed beside a source that may not be the only quiet one.
+WITNESSES: Final = 2
 
 
 @contextlib.asynccontextmanager
@@ -60,6 +61,43 @@
 async def _probe(
     agent_weights: AgentWeights, transfer: Transfer, source: PeerAddress
 ) -> None:
+    """Probe a source; it is silent if only others answer meanwhile."""
+    health = agent_weights.exchange.health
+    began = read_clock()
+    if await _is_answered(agent_weights, transfer, source):
+        return
+    witnesses = _draw_witnesses(agent_weights, transfer, source)
+    if health.heard_at < began and witnesses:
+        # The link of this host may have stopped.
+        began = read_clock()
+        await asyncio.gather(
+            *(
+                _is_answered(agent_weights, transfer, peer)
+                for peer in (source, *witnesses)
+            )
+        )
+    is_heard = health.was_heard_since(source.daemon, began)
+    if not is_heard and (health.heard_at >= began or not witnesses):
+        health.note_silence(source.daemon)
+
+
+def _draw_witnesses(
+    agent_weights: AgentWeights, transfer: Transfer, source: PeerAddress
+) -> tuple[PeerAddress, ...]:
+    """Draw hosts that show whether the own link works."""
+    health = agent_weights.exchange.health
+    others = [
+        member
+        for member in transfer.tree.members
+        if member not in {agent_weights.own, source}
+        and member.daemon not in health.list_ejected()
+    ]
+    return tuple(agent_weights.rng.sample(others, min(len(others), WITNESSES)))
+
+
+async def _is_answered(
+    agent_weights: AgentWeights, transfer: Transfer, peer: PeerAddress
+) -> bool:
     health = agent_weights.exchange.health
     request = ChunkRequest(
         manifest=transfer.digest,
@@ -75,15 +113,13 @@
     try:
         async with asyncio.timeout(limit):
             outcome = await agent_weights.ports.chunk_port.fetch(
-                source.address, request
+                peer.address, request
             )
     except TimeoutError:
-        outcome = PeerUnavailable(
-            detail=f'{source.address}: probe not answered'
-        )
-    if isinstance(outcome, ChunkAnswer):
-        health.note_probe_seconds(read_clock() - began)
-        health.note_answer(source.daemon)
-        accept_silence_reports(agent_weights, transfer, outcome.silent)
-    elif not health.was_heard_since(source.daemon, began):
-        health.note_silence(source.daemon)
+        return False
+    if not isinstance(outcome, ChunkAnswer):
+        return False
+    health.note_probe_seconds(read_clock() - began)
+    health.note_answer(peer.daemon)
+    accept_silence_reports(agent_weights, transfer, outcome.silent)
+    return True
--- a/src/ragwortcourse/weights/sources.py
+++ b/src/ragwortcourse/weights/sources.py
@@ -190,6 +190,8 @@
         outcome = await agent_weights.ports.origin.read_chunk(
             manifest.model, manifest.version, state.index
         )
+    if isinstance(outcome, OriginContent | OriginBusy):
+        agent_weights.exchange.health.heard_at = read_clock()
     if isinstance(outcome, OriginContent):
         return _check(agent_weights, state, outcome.content, None)
     if isinstance(outcome, OriginBusy):
--- a/tests/test_landing_faults.py
+++ b/tests/test_landing_faults.py
@@ -290,6 +290,24 @@
         assert link <= 2
         assert origin <= 4
 
+    async def test_links_that_stop_for_a_moment(self):
+        """Links that all stop for 1.5 s cost no sources: 1.5 floors.
+
+        Nothing is lost meanwhile, and hosts that took each other for dead
+        would go to the origin.
+        """
+        fleet, size = make_slow_fleet(hosts=16, chunks=100)
+        fleet.start()
+        waiting = asyncio.create_task(fleet.wait_for('v1', PATIENCE_SECONDS))
+        await asyncio.sleep(5)
+        fleet.network.stop_links(*fleet.hosts, ORIGIN, seconds=1.5)
+        seconds = await waiting
+        link, origin = measure_links(fleet, size)
+        await fleet.stop()
+        assert seconds <= 1.5 * 10
+        assert link <= 2
+        assert origin <= 4
+
     async def test_narrow_line_between_regions(self):
         """A line with half a link's rate keeps links within 2 copies."""
         fleet, size = make_slow_fleet(hosts=16, chunks=150, line_share=0.5)
--- a/tests/test_source_watch.py
+++ b/tests/test_source_watch.py
@@ -7,12 +7,14 @@
 
 from fakes.faults import Fault
 from fakes.landings import LandingFleet
+from fakes.links import ORIGIN
 from ragwortcourse.clock import read_clock
 from ragwortcourse.identifiers import DaemonId, Sha256Hex
 from ragwortcourse.weights.http_peers import list_options
 from ragwortcourse.weights.peer_health import PeerHealth
 from ragwortcourse.weights.peer_port import ChunkNotReady, ChunkRequest
 from ragwortcourse.weights.serving import offer_chunk
+from ragwortcourse.weights.source_watch import watch_sources
 
 pytestmark = pytest.mark.looptime
 CHUNK = 6554
@@ -20,10 +22,10 @@
 OTHER = DaemonId('host-002')
 
 
-def make_fleet() -> LandingFleet:
-    """Make two hosts in each of three failure domains; chunks take 0.1 s."""
+def make_fleet(hosts: int = 6) -> LandingFleet:
+    """Make hosts in three failure domains; chunks take 0.1 s."""
     fleet = LandingFleet(
-        hosts=6,
+        hosts=hosts,
         regions_by_domain={'a': 'r', 'b': 'r', 'c': 'r'},
         rate=10 * CHUNK,
         chunk_memory=64 * CHUNK,
@@ -84,6 +86,44 @@
         await fleet.stop()
         assert not any(silent.values())
 
+    @pytest.mark.parametrize('stopped', ['host-004', 'all'])
+    async def test_host_whose_link_stops_gives_its_sources_up(self, stopped):
+        """A host whose own link stops for a moment avoids no source for it.
+
+        It hears from nobody meanwhile, and nothing is lost.
+        """
+        fleet = make_fleet()
+        fleet.start()
+        await asyncio.sleep(5)
+        names = tuple(fleet.hosts) if stopped == 'all' else (stopped,)
+        fleet.network.stop_links(*names, ORIGIN, seconds=1.5)
+        await asyncio.sleep(2)
+        silent = list_silent(fleet)
+        await fleet.wait_for('v1', 60)
+        await fleet.stop()
+        assert not any(silent[name] for name in names)
+
+    @pytest.mark.parametrize('hosts', [6, 2])
+    async def test_dead_only_source(self, hosts):
+        """A source that dies is found out even if it was the only one asked.
+
+        No other host answers meanwhile, as none has been asked or there is
+        none.
+        """
+        fleet = make_fleet(hosts)
+        weights = fleet.hosts['host-000'].agent_weights
+        digest = Sha256Hex('0' * 64)
+        transfer = weights.open_transfer(digest)
+        source = transfer.tree.find_member(DEAD)
+        assert source is not None
+        await fleet.kill(DEAD)
+        health = weights.exchange.health
+        async with watch_sources(weights, transfer):
+            with pytest.raises(TimeoutError):
+                async with health.limit_wait(DEAD, 60):
+                    await asyncio.sleep(3)
+        assert health.list_ejected() == {DEAD}
+
     @pytest.mark.parametrize('number', [0, 1_000_000])
     async def test_probe_is_answered_at_once(self, number):
         """A peer answers a probe even if it lacks the transfer."""
