--- a/src/ragwortcourse/agent/run.py
+++ b/src/ragwortcourse/agent/run.py
@@ -1,20 +1,19 @@
 """An attempt that holds a permit."""
 
-from opentelemetry.propagate import inject
-
 from ragwortcourse.agent.agent import Agent
 from ragwortcourse.agent.attempt_record import AttemptRecord
+from ragwortcourse.agent.crash_check import check_for_crash
 from ragwortcourse.agent.suspects import InFlightAttempt
 from ragwortcourse.agent.ticket import Ticket
 from ragwortcourse.clock import read_clock
 from ragwortcourse.engines.engine import (
     EngineAnswer,
     EngineRequest,
-    EngineSilent,
 )
 from ragwortcourse.messages import headers as names
 from ragwortcourse.messages.attempt import Attempt
 from ragwortcourse.messages.attempt_report import AttemptState
+from ragwortcourse.telemetry.context import inject_context
 
 OVERLOAD_STATUSES = frozenset((429, 503))
 FIRST_ERROR_STATUS = 400
@@ -61,7 +60,7 @@
         attempt = self.attempt
         headers = dict(attempt.headers)
         headers[names.REQUEST_ID] = attempt.attempt
-        inject(headers)
+        inject_context(headers)
         return EngineRequest(
             attempt=attempt.attempt,
             method=attempt.method,
@@ -115,13 +114,6 @@
         """
         self.agent.limit.reset_to_cold('lost')
         try:
-            if await self._has_target_crashed():
-                self.agent.suspects.mark_crash_suspects(self._instance)
+            await check_for_crash(self.agent, self._instance)
         finally:
             self.end(AttemptState.BROKEN)
-
-    async def _has_target_crashed(self) -> bool:
-        state = await self.agent.engine.describe()
-        if isinstance(state, EngineSilent):
-            return True
-        return state.instance != self._instance
