Refuse requests on a route whose services all have weight zero

Callers got a 500 of the HTTP server, after their whole request had been read, for each request on a route that operators had given no traffic share (split with all weights zero, or none above zero).

Cause: choose_service drew with random.choices, which raises ValueError if the weights add up to zero; nothing catches it between the handler and aiohttp.

test_no_share_of_the_route_has_weight failed before with 500, for (0, 0) and (0, -1). A share without weight is now not drawn, and a route without any leads to no service, so that the request is refused like one without usable targets: 503 and a time to return.

--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -32,14 +32,21 @@
 from ragwortcourse.forwarding.version_bounds import read_required_version
 from ragwortcourse.identifiers import ServiceName, TargetName
 
+# Service without targets.
+NO_SERVICE: Final = ServiceName('')
 # A target that owes answers and sends nothing for this long is avoided:
 # several passes of a loaded engine.
 SILENT_SECONDS: Final = 0.8
 
 
 def choose_service(forwarder: Forwarder, work: PermittedCall) -> ServiceName:
-    """Draw one of the services of the route, by their weights."""
-    shares = work.route.services
+    """Draw one of the services of the route, by their weights.
+
+    :return: ``NO_SERVICE`` if none of them gets traffic.
+    """
+    shares = [share for share in work.route.services if share.weight > 0]
+    if not shares:
+        return NO_SERVICE
     chosen = forwarder.rng.choices(
         shares, weights=[share.weight for share in shares]
     )
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -15,6 +15,7 @@
     KEY,
     LOOKUP,
     NEAR_DOMAIN,
+    PLAIN,
     REGIONS,
     make_desired,
     make_forwarder,
@@ -35,6 +36,7 @@
 from ragwortcourse.forwarding.exchange import open_target_session
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.forwarding.named_weights import AnnouncedVersion
+from ragwortcourse.forwarding.route import ServiceShare
 from ragwortcourse.forwarding.target import HeldWeights
 from ragwortcourse.identifiers import TargetName
 
@@ -385,6 +387,23 @@
         assert response.status == 503
         assert fleet.runs == 0
 
+    @pytest.mark.parametrize('weights', [(0, 0), (0, -1)])
+    async def test_no_share_of_the_route_has_weight(self, fleet, weights):
+        """A request on a route without any traffic share is refused.
+
+        Operators take all traffic off a route for a while. Each request on it
+        got a 500 of the HTTP server.
+        """
+        await fleet.open([answer_whole], plain=True)
+        shares = tuple(
+            ServiceShare(service=PLAIN, weight=weight) for weight in weights
+        )
+        fleet.set_routes(dataclasses.replace(LOOKUP, services=shares))
+        response = await fleet.ask(LOOK)
+        assert response.status == 503
+        assert float(response.headers['Retry-After']) > 0
+        assert fleet.runs == 0
+
     async def test_stopping(self, fleet):
         """A daemon that is stopping refuses requests with 503."""
         await fleet.open([answer_whole], plain=True)
