--- a/fakes/fleet_store.py
+++ b/fakes/fleet_store.py
@@ -134,15 +134,17 @@
     def build_app(self) -> web.Application:
         """Build the HTTP application that serves the store."""
         app = web.Application()
-        app.add_routes(
-            [
-                web.get('/rows-get', self._get),
-                web.get('/rows-feed', self._feed),
-                web.post('/rows-tx', self._write),
-            ]
-        )
+        app.add_routes(self.build_routes())
         return app
 
+    def build_routes(self) -> list[web.RouteDef]:
+        """Build the HTTP routes of the store."""
+        return [
+            web.get('/rows-get', self._get),
+            web.get('/rows-feed', self._feed),
+            web.post('/rows-tx', self._write),
+        ]
+
     def _change(self, table: str, key: str, value: str | None) -> None:
         self.revision += 1
         row = Row(table=table, key=key, value=value, version=self.revision)
