--- a/fakes/child.py
+++ b/fakes/child.py
@@ -10,6 +10,7 @@
 
 ROOT: Final = pathlib.Path(__file__).parent.parent
 STOP_SECONDS: Final = 40.0
+HANDLER_POLL_SECONDS: Final = 0.005
 # vfork blocks the whole interpreter until the new program runs, which takes a
 # second on a busy machine. Stand-ins could not answer during that time.
 subprocess._USE_VFORK = False  # type: ignore[misc]  # documented switch
@@ -63,6 +64,17 @@
         if self.running:
             os.kill(self.pid, number)
 
+    async def wait_for_handler(
+        self, number: signal.Signals, seconds: float = STOP_SECONDS
+    ) -> None:
+        """Wait until the process ignores or catches a signal, or has ended.
+
+        :raises TimeoutError: it still has the default action after ``seconds``.
+        """
+        async with asyncio.timeout(seconds):
+            while self.running and not _handles(self.pid, number):
+                await asyncio.sleep(HANDLER_POLL_SECONDS)
+
     async def wait(self, seconds: float = STOP_SECONDS) -> int:
         """Wait until the process has ended and return its exit status.
 
@@ -102,3 +114,13 @@
         loop.remove_reader(descriptor)
         os.close(descriptor)
     return process.wait()
+
+
+def _handles(pid: int, number: signal.Signals) -> bool:
+    """Read from proc_pid_status(5) whether a signal is ignored or caught."""
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    fields = dict(line.split(':', 1) for line in status.splitlines())
+    masks = int(fields.get('SigIgn', '0'), 16) | int(
+        fields.get('SigCgt', '0'), 16
+    )
+    return bool(masks >> (number - 1) & 1)
--- a/fakes/soak.py
+++ b/fakes/soak.py
@@ -9,27 +9,42 @@
 import signal
 import tempfile
 import time
-import uuid
 
-import aiohttp
 import click
 
+from fakes.soak_caller import run_caller
 from fakes.soak_checks import RECOVER_SECONDS, list_findings
-from fakes.soak_plan import RESTORE, Fault, plan_faults
+from fakes.soak_losses import CONTACT_SECONDS
+from fakes.soak_operation import Operation
+from fakes.soak_operators import SoakOperators
+from fakes.soak_plan import (
+    HALF_SILENT,
+    RESTORE,
+    Fault,
+    plan_changes,
+    plan_faults,
+)
 from fakes.soak_proxy import LinkFault
-from fakes.soak_records import InjectedFault, Kind, Records, SentRequest
+from fakes.soak_records import (
+    InjectedFault,
+    PlannedKind,
+    PlannedWork,
+    Records,
+    write_records,
+)
+from fakes.soak_setup import SoakSetup
 from fakes.soak_site import (
-    FORWARDERS,
     GRACE_SECONDS,
-    KEYS,
+    PREFIXES,
     SoakSite,
     read_lines,
     wait_ready,
 )
+from fakes.soak_state import SPARE
 from fakes.soak_watch import describe_stalls, record_stalls, write_stalls
 
-CALLERS = 6
-PAUSE_SECONDS = 0.12
+# One of two stays with its daemon.
+CALLERS_PER_FORWARDER = 2
 SETTLE_SECONDS = 1.5
 CALM_SECONDS = RECOVER_SECONDS + 3.0
 # The platform writes lapsed rows again within two seconds of the return of
@@ -39,37 +54,30 @@
 # rows that it lost are written again within the second one.
 RESTORE_SECONDS = 0.7
 REWRITE_SECONDS = 1.0
-# Longer than a withdrawal takes to come into force.
-WITHDRAWN_SECONDS = 8.0
 # Longer than engines may go on serving older weights.
 ORIGIN_SECONDS = 9.5
 FINAL_CHANGES = tuple(
     Fault(at=0, name=name, whom='', seconds=ORIGIN_SECONDS)
     for name in (
-        'origin down',
-        'weights',
-        'withdraw',
-        'revoke',
-        'desired state',
+        Operation.ORIGIN_DOWN,
+        Operation.WEIGHTS,
+        Operation.WITHDRAW,
+        Operation.REVOKE,
+        Operation.DESIRED_STATE,
     )
 )
 CRASH_MARKS = ('Traceback', 'background task failed')
-DEADLINE_MS = 4000
-# A signal that arrives before the first line of the daemon runs would test the
-# interpreter instead of the daemon.
-STARTUP_SECONDS = 0.3
 
 
 class Soak:
-    """One run: callers, injected faults and the findings."""
+    """One run: callers, injected faults, planned work and the findings."""
 
-    def __init__(self, *, site: SoakSite, seed: int, seconds: float) -> None:
+    def __init__(self, *, site: SoakSite, setup: SoakSetup) -> None:
         self._site = site
-        self._rng = random.Random(seed)
-        self._seed = seed
-        self._seconds = seconds
+        self._setup = setup
+        self._rng = random.Random(setup.seed)
+        self._operators = SoakOperators(site=site, rng=self._rng)
         self._findings: list[str] = []
-        self._withdrawals = 0
         self._began_at = time.monotonic()
         self._store_busy = asyncio.Lock()
         self._busy: dict[str, asyncio.Lock] = {
@@ -77,14 +85,22 @@
         }
 
     async def run(self) -> list[str]:
-        """Run callers and faults and return all findings."""
+        """Run callers and schedules and return all findings."""
         site = self._site
         callers = [
-            asyncio.create_task(self._run_caller(number))
-            for number in range(CALLERS)
+            asyncio.create_task(
+                run_caller(
+                    site,
+                    random.Random(f'{self._setup.seed} caller {number}'),
+                    stays=bool(number % 2),
+                )
+            )
+            for number in range(CALLERS_PER_FORWARDER * len(site.forwarders))
         ]
         await asyncio.sleep(SETTLE_SECONDS)
-        await self._inject_schedule()
+        await self._inject_all(self._plan_faults())
+        if self._setup.planned_seconds:
+            await self._work_as_planned()
         site.records.calm_from = time.monotonic()
         # No fault excuses a late effect of these changes by operators.
         changes = [
@@ -99,13 +115,35 @@
         self._check_processes()
         return [*self._findings, *list_findings(site.records)]
 
-    async def _inject_schedule(self) -> None:
-        faults = plan_faults(
-            seed=self._seed,
-            seconds=self._seconds,
+    async def _work_as_planned(self) -> None:
+        # Losses count once the last fault is this long ago.
+        await asyncio.sleep(CONTACT_SECONDS if self._setup.fault_seconds else 0)
+        await self._inject_all(
+            plan_changes(
+                seed=self._setup.seed,
+                seconds=self._setup.planned_seconds,
+                # Forwarders are drawn more often than loaders.
+                daemons=[*self._site.forwarders, *self._site.children],
+                services=list(PREFIXES),
+            )
+        )
+
+    def _plan_faults(self) -> list[Fault]:
+        if not self._setup.fault_seconds:
+            return []
+        return plan_faults(
+            seed=self._setup.seed,
+            seconds=self._setup.fault_seconds,
             daemons=list(self._site.children),
-            links=list(self._site.links),
+            # The links of spare targets stay sound.
+            links=[
+                name
+                for name in self._site.links
+                if not name.startswith(PREFIXES[SPARE])
+            ],
         )
+
+    async def _inject_all(self, faults: list[Fault]) -> None:
         began_at = time.monotonic()
         tasks = []
         for fault in faults:
@@ -131,6 +169,8 @@
         if fault.whom in self._site.children:
             async with self._busy[fault.whom]:
                 await self._signal(fault)
+        elif fault.name == HALF_SILENT:
+            self._silence_half(fault)
         elif fault.whom:
             link = self._site.links[fault.whom]
             link.set_fault(LinkFault(fault.name))
@@ -143,11 +183,13 @@
             async with self._store_busy:
                 await self._restore_store(fault)
         else:
-            await self._operate(fault)
+            await self._operators.change(fault)
 
     async def _signal(self, fault: Fault) -> None:
         child = self._site.children[fault.whom]
-        if fault.name == 'hang up':
+        if fault.name == PlannedKind.HANG_UP:
+            self._site.change_settings(fault.whom)
+            self._note_signal(fault)
             child.send(signal.SIGHUP)
         elif fault.name == 'pause':
             child.send(signal.SIGSTOP)
@@ -158,6 +200,7 @@
             await child.wait()
             await self._start(fault.whom)
         else:
+            self._note_signal(fault)
             child.send(signal.SIGTERM)
             try:
                 await child.wait(GRACE_SECONDS)
@@ -167,9 +210,25 @@
                 await child.wait()
             await self._start(fault.whom)
 
+    def _note_signal(self, fault: Fault) -> None:
+        self._site.records.planned.append(
+            PlannedWork(
+                kind=PlannedKind(fault.name),
+                whom=fault.whom,
+                at=time.monotonic(),
+            )
+        )
+
+    def _silence_half(self, fault: Fault) -> None:
+        """Let half of the targets of a service fall silent together."""
+        targets = self._site.list_targets(fault.whom)
+        for target in self._rng.sample(targets, (len(targets) + 1) // 2):
+            target.silence.begin(fault.seconds)
+
     async def _start(self, name: str) -> None:
         await self._site.start_child(name)
-        await asyncio.sleep(STARTUP_SECONDS)
+        # An earlier signal would test the interpreter instead of the daemon.
+        await self._site.children[name].wait_for_handler(signal.SIGHUP)
 
     async def _stop_store(self, fault: Fault) -> None:
         store = self._site.store
@@ -196,81 +255,6 @@
         store.down = False
         await asyncio.sleep(REWRITE_SECONDS)
 
-    async def _operate(self, fault: Fault) -> None:
-        site, records = self._site, self._site.records
-        if fault.name == 'history gone':
-            site.store.forget_history()
-        elif fault.name == 'origin down':
-            site.origin_down = True
-            await asyncio.sleep(fault.seconds)
-            site.origin_down = False
-        elif fault.name == 'revoke' and len(site.keys) > 4:
-            key = site.keys.pop()
-            site.put_state()
-            records.revoked[key] = time.monotonic()
-        elif fault.name == 'withdraw':
-            began_at = time.monotonic()
-            self._withdrawals += 1
-            site.store.put('op', 'evacuate/near-b', {})
-            await asyncio.sleep(WITHDRAWN_SECONDS)
-            records.withdrawn.append(('near-b', began_at, time.monotonic()))
-            self._withdrawals -= 1
-            # A later withdrawal of the failure domain may still be in force.
-            if not self._withdrawals:
-                site.store.drop('op', 'evacuate/near-b')
-        elif fault.name == 'weights':
-            site.set_weights_version()
-        else:
-            site.put_state()
-
-    async def _run_caller(self, number: int) -> None:
-        """Send requests as one caller, over kept-alive connections."""
-        rng = random.Random(self._seed * CALLERS + number)
-        async with aiohttp.ClientSession() as session:
-            while True:
-                daemon = rng.choice(list(FORWARDERS))
-                kind = rng.choice(list(Kind))
-                request = SentRequest(
-                    attempt=uuid.UUID(int=rng.getrandbits(128)).hex,
-                    kind=kind,
-                    # Callers keep using revoked keys.
-                    key=rng.choice(KEYS),
-                    daemon=daemon,
-                    path=f'/{kind.value}/{rng.randrange(100)}',
-                    sent_at=time.monotonic(),
-                )
-                self._site.records.requests.append(request)
-                await self._send(session, request)
-                await asyncio.sleep(PAUSE_SECONDS * rng.uniform(0.5, 1.5))
-
-    async def _send(
-        self, session: aiohttp.ClientSession, request: SentRequest
-    ) -> None:
-        headers = {
-            'Host': 'desk.example',
-            'Authorization': f'Bearer {request.key}',
-            'Ragwortcourse-Attempt-Id': request.attempt,
-            'Ragwortcourse-Deadline-Ms': str(DEADLINE_MS),
-        }
-        url = f'http://{self._site.callers[request.daemon]}{request.path}'
-        try:
-            async with (
-                asyncio.timeout(DEADLINE_MS / 1000),
-                session.post(url, headers=headers) as response,
-            ):
-                body = await response.text()
-                request.stamp = response.headers.get(
-                    'Ragwortcourse-Server-Stamp', ''
-                )
-                is_stream = response.content_type == 'text/event-stream'
-                request.body = _list_events(body) if is_stream else body
-                request.status = response.status
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            # A broken connection leaves the outcome unknown.
-            request.status = None
-        finally:
-            request.ended_at = time.monotonic()
-
     def _check_processes(self) -> None:
         for name, child in self._site.children.items():
             if not child.running:
@@ -280,55 +264,46 @@
                 self._findings.append(f'{name}: {line[:300]}')
 
 
-def _list_events(body: str) -> str:
-    """Extract the ids of the events of a stream, in order."""
-    return ' '.join(
-        line.removeprefix('id: ')
-        for line in body.splitlines()
-        if line.startswith('id: ')
-    )
-
-
 async def run_soak(
-    *, seed: int, seconds: float, folder: pathlib.Path
+    setup: SoakSetup, folder: pathlib.Path
 ) -> tuple[list[str], Records]:
     """Run one soak.
 
-    :param seed: seed of the faults and of the callers.
-    :param seconds: length of the schedule of faults.
-    :param folder: directory for settings and logs.
+    :param folder: directory for settings, logs and records.
     :return: the findings and the records behind them.
     """
-    site = SoakSite(folder=folder)
+    site = SoakSite(
+        folder=folder, forwarders=setup.forwarders, targets=setup.targets
+    )
     noting = asyncio.create_task(record_stalls(site.records.stalls))
+    findings: list[str] = []
     try:
         await site.open()
         await wait_ready(site)
-        findings = await Soak(site=site, seed=seed, seconds=seconds).run()
+        findings = await Soak(site=site, setup=setup).run()
     finally:
         noting.cancel()
         await site.close()
         write_stalls(folder, site.records.stalls)
+        write_records(folder, site.records, findings)
     return findings, site.records
 
 
 async def _run_all(
-    seeds: list[int], seconds: float, jobs: int, keep: pathlib.Path
+    setups: list[SoakSetup], jobs: int, keep: pathlib.Path
 ) -> int:
-    queue, broken = list(seeds), []
+    queue, broken = list(setups), []
 
     async def work() -> None:
         while queue:
-            seed = queue.pop(0)
+            setup = queue.pop(0)
             folder = pathlib.Path(
-                tempfile.mkdtemp(prefix=f'seed-{seed}-', dir=keep)
-            )
-            findings, records = await run_soak(
-                seed=seed, seconds=seconds, folder=folder
+                tempfile.mkdtemp(prefix=f'seed-{setup.seed}-', dir=keep)
             )
+            findings, records = await run_soak(setup, folder)
             statuses = [each.status for each in records.requests]
             click.echo(
-                f'seed {seed}: {len(statuses)} requests, '
+                f'seed {setup.seed}: {len(statuses)} requests, '
                 f'{statuses.count(200)} served, {len(records.faults)} '
                 f'faults, {len(findings)} findings in {folder}'
             )
@@ -336,10 +311,10 @@
             for finding in findings[:5]:
                 click.echo(f'  {finding}')
             if findings:
-                broken.append(seed)
+                broken.append(setup.seed)
 
     await asyncio.gather(*(work() for _ in range(jobs)))
-    click.echo(f'{len(seeds)} seeds, broken: {sorted(broken)}')
+    click.echo(f'{len(setups)} seeds, broken: {sorted(broken)}')
     return len(broken)
 
 
@@ -347,7 +322,12 @@
 @click.option('--seeds', default=5, help='how many seeds')
 @click.option('--first', type=int, help='first seed; a fresh one if absent')
 @click.option('--seconds', default=20.0, help='of faults in each run')
-@click.option('--jobs', default=2, help='runs at once, nine processes each')
+@click.option('--planned', default=20.0, help='seconds of planned work')
+@click.option('--forwarders', default=3, help='processes in each run')
+@click.option(
+    '--targets', default=2, help='of each service, and as many loaders'
+)
+@click.option('--jobs', default=2, help='runs at once')
 @click.option(
     '--keep',
     type=click.Path(path_type=pathlib.Path),
@@ -358,14 +338,26 @@
     seeds: int,
     first: int | None,
     seconds: float,
+    planned: float,
+    forwarders: int,
+    targets: int,
     jobs: int,
     keep: pathlib.Path,
 ) -> None:
     """Harm a small fleet of real processes and check what callers see."""
     if first is None:
         first = random.SystemRandom().randrange(10**6)
-    chosen = list(range(first, first + seeds))
-    raise SystemExit(min(asyncio.run(_run_all(chosen, seconds, jobs, keep)), 1))
+    setups = [
+        SoakSetup(
+            seed=seed,
+            fault_seconds=seconds,
+            planned_seconds=planned,
+            forwarders=forwarders,
+            targets=targets,
+        )
+        for seed in range(first, first + seeds)
+    ]
+    raise SystemExit(min(asyncio.run(_run_all(setups, jobs, keep)), 1))
 
 
 if __name__ == '__main__':
--- a/fakes/soak_checks.py
+++ b/fakes/soak_checks.py
@@ -7,8 +7,16 @@
 from collections.abc import Iterator
 
 from fakes.fleet_parts import FLEET
-from fakes.soak_plan import OPERATIONS
-from fakes.soak_records import Kind, Records, SentRequest, TargetRun
+from fakes.soak_losses import CONTACT_SECONDS, list_losses
+from fakes.soak_plan import HARMLESS
+from fakes.soak_records import (
+    STREAMS,
+    Ending,
+    Kind,
+    Records,
+    SentRequest,
+    TargetRun,
+)
 from fakes.soak_target import EVENTS, make_answer
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -18,7 +26,6 @@
 VERSION_SECONDS = FLEET.version_ms / 1000
 EVACUATE_SECONDS = 5.0
 RECOVER_SECONDS = 12.0
-CONTACT_SECONDS = FLEET.contact_ms / 1000
 ROUTE_SECONDS = 3.0
 # Allowance past the time limit of a route.
 ALLOWANCE_SECONDS = 0.5
@@ -32,6 +39,7 @@
         *_check_answers(records),
         *_check_operators(records),
         *_check_held(records),
+        *list_losses(records),
         *_check_recovery(records),
         *(
             f'WHOLE: spoilt weights loaded, {each}'
@@ -61,9 +69,12 @@
 def _check_answers(records: Records) -> Iterator[str]:
     whole = ' '.join(str(number) for number in range(EVENTS))
     for each in records.requests:
+        is_stream = each.kind in STREAMS
+        is_partial = each.ending in {Ending.CUT, Ending.LEFT}
+        if is_stream and is_partial and not whole.startswith(each.body):
+            yield f'ORDER: {each}'
         if each.status != HTTP_OK:
             continue
-        is_stream = each.kind is Kind.LETTER
         wanted = whole if is_stream else make_answer(each.attempt, each.path)
         if each.body != wanted:
             yield f'ORDER or MIXED: {each}'
@@ -134,7 +145,7 @@
     """
     return not any(
         fault.whom in {'', each.daemon}
-        and fault.name not in {*OPERATIONS, 'origin down'}
+        and fault.name not in HARMLESS
         and fault.began_at < until
         and fault.ended_at > until - seconds
         for fault in records.faults
--- a/fakes/soak_plan.py
+++ b/fakes/soak_plan.py
@@ -2,26 +2,47 @@
 
 import dataclasses
 import random
+from collections.abc import Iterator
 
+from fakes.soak_operation import Operation
 from fakes.soak_proxy import LinkFault
+from fakes.soak_records import PlannedKind
 
-PROCESS_FAULTS = ('kill', 'pause', 'stop', 'hang up')
+PROCESS_FAULTS = ('kill', 'pause', PlannedKind.STOP, PlannedKind.HANG_UP)
 LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
 OPERATIONS = (
-    'desired state',
-    'revoke',
-    'withdraw',
-    'weights',
-    'weights',
+    Operation.DESIRED_STATE,
+    Operation.REVOKE,
+    Operation.WITHDRAW,
+    Operation.WEIGHTS,
+    Operation.WEIGHTS,
 )
 STORE_FAULTS = (
     'store down',
     'store silent',
-    'history gone',
+    Operation.HISTORY_GONE,
     'rows lapse',
-    'origin down',
+    Operation.ORIGIN_DOWN,
 )
 RESTORE = 'store restored'
+# Changes in quick succession, beside other planned work.
+CHANGES = (
+    Operation.DROP_ROUTE,
+    Operation.SPLIT,
+    Operation.TIMEOUTS,
+    Operation.GRANT,
+    Operation.REVOKE,
+    Operation.WITHDRAW_BRIEFLY,
+)
+# Each new version stops every engine for a time.
+WEIGHTS_SHARE = 0.08
+HALF_SILENT = 'half silent'
+# What leaves every link, daemon and target sound.
+HARMLESS = frozenset((*Operation, HALF_SILENT)) - {Operation.HISTORY_GONE}
+PLANNED = HARMLESS | {PlannedKind.STOP, PlannedKind.HANG_UP}
+SERIES_SECONDS = (1.5, 5.0)
+QUIET_SECONDS = (0.5, 3.0)
+SILENT_SECONDS = (0.3, 1.8)
 MOST_RESTORES = 2
 # Age of the copy that the store comes back from.
 OLDEST_COPY_SECONDS = 10.0
@@ -69,6 +90,63 @@
     return sorted([*faults, *_plan_restores(seed, seconds)], key=_read_time)
 
 
+def plan_changes(
+    *, seed: int, seconds: float, daemons: list[str], services: list[str]
+) -> list[Fault]:
+    """Draw planned work in order of time.
+
+    Series of changes and signals overlap; quiet times lie between them.
+    """
+    rng = random.Random(f'{seed} changes')
+    faults: list[Fault] = []
+    at = 0.5
+    while at < seconds:
+        ends_at = at + rng.uniform(*SERIES_SECONDS)
+        faults.extend(_plan_signals(rng, at, ends_at, daemons))
+        faults.append(
+            Fault(
+                at=rng.uniform(at, ends_at),
+                name=HALF_SILENT,
+                whom=rng.choice(services),
+                seconds=rng.uniform(*SILENT_SECONDS),
+            )
+        )
+        while at < ends_at:
+            faults.append(
+                Fault(
+                    at=at,
+                    name=_draw_change(rng),
+                    whom='',
+                    seconds=rng.uniform(SHORTEST_SECONDS, LONGEST_SECONDS),
+                )
+            )
+            at += rng.choice((0.02, rng.uniform(0.1, 0.5), rng.uniform(0.3, 1)))
+        at = ends_at + rng.uniform(*QUIET_SECONDS)
+    return sorted(faults, key=_read_time)
+
+
+def _draw_change(rng: random.Random) -> Operation:
+    change = rng.choice(CHANGES)
+    return Operation.WEIGHTS if rng.random() < WEIGHTS_SHARE else change
+
+
+def _plan_signals(
+    rng: random.Random, begins_at: float, ends_at: float, daemons: list[str]
+) -> Iterator[Fault]:
+    """Draw planned stops and hang-ups of some daemons, each a series."""
+    name = rng.choice((PlannedKind.STOP, PlannedKind.STOP, PlannedKind.HANG_UP))
+    whom = rng.sample(daemons, rng.randint(1, min(3, len(daemons))))
+    at = rng.uniform(begins_at, ends_at)
+    for daemon in whom:
+        yield Fault(at=at, name=name, whom=daemon, seconds=0)
+        for _ in range(rng.randint(0, 3)):
+            late = at + rng.uniform(0, 0.6)
+            yield Fault(
+                at=late, name=PlannedKind.HANG_UP, whom=daemon, seconds=0
+            )
+        at += rng.uniform(0.1, 2)
+
+
 def _plan_restores(seed: int, seconds: float) -> list[Fault]:
     """Draw the restores apart, so that the other faults of a seed remain."""
     rng = random.Random(f'{seed} restore')
--- a/fakes/soak_records.py
+++ b/fakes/soak_records.py
@@ -2,27 +2,62 @@
 
 import dataclasses
 import enum
+import json
+import pathlib
 
 from fakes.soak_watch import Stall
 
+RECORDS_FILE = 'records.jsonl'
+
 
 class Kind(enum.StrEnum):
-    """Kinds of requests, each the name and path prefix of a route."""
+    """Kinds of requests, each the name and path prefix of a route.
+
+    Operators take the route of ``NOTE`` away at times.
+    """
 
     CHARGE = 'charges'
     LOOKUP = 'lookups'
     LETTER = 'letters'
+    NOTE = 'notes'
+
+
+STREAMS = frozenset((Kind.LETTER, Kind.NOTE))
+
+
+class Ending(enum.StrEnum):
+    """How one HTTP exchange ended.
+
+    ``COMPLETE``: with a complete answer. ``CUT``: the server closed the
+    connection before that. ``LEFT``: the client did. ``UNREACHED``: there was
+    no connection.
+    """
+
+    OPEN = 'open'
+    COMPLETE = 'complete'
+    CUT = 'cut'
+    LEFT = 'left'
+    UNREACHED = 'unreached'
+
+
+class PlannedKind(enum.StrEnum):
+    """Kinds of planned work, each the name that schedules use."""
+
+    STOP = 'stop'
+    HANG_UP = 'hang up'
+    CHANGE = 'change'
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class SentRequest:
-    """One request as its caller saw it.
+    """One request as its caller saw it; moments are monotonic seconds.
 
-    :param sent_at: monotonic seconds.
-    :param ended_at: monotonic seconds.
+    :param whole_at: time at which the last byte was sent; zero if it was not.
+    :param limit: seconds after which the request may be ended: the least of
+        what its caller waits and of all route timeouts that may be in force.
     :param status: HTTP status; none without a complete answer.
-    :param body: complete body, or the event ids of a stream, separated by
-        spaces.
+    :param body: body, or the event ids of a stream, separated by spaces; as
+        far as it arrived.
     """
 
     attempt: str
@@ -31,20 +66,25 @@
     daemon: str
     path: str
     sent_at: float
+    whole_at: float = 0
     ended_at: float = 0
+    limit: float = 3
+    ending: Ending = Ending.OPEN
     status: int | None = None
     stamp: str = ''
     body: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class TargetRun:
-    """One run of a request at a target.
+    """One run of a request at a target; moments are monotonic seconds.
 
     :param key_seen: true if the API key reached the target.
     :param version: version of the weights at the start of the run; zero at
         plain targets.
-    :param at: start of the run in monotonic seconds.
+    :param at: start of the run.
+    :param ending: how it ended; the daemon is the client here.
+    :param silences: begin and end of each pause.
     """
 
     attempt: str
@@ -55,6 +95,24 @@
     key_seen: bool
     version: int
     at: float
+    ended_at: float = 0
+    ending: Ending = Ending.OPEN
+    silences: list[tuple[float, float]] = dataclasses.field(
+        default_factory=list
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlannedWork:
+    """One signal, or one change of what operators have in the store.
+
+    :param whom: the daemon that was signalled; empty for a change.
+    :param at: monotonic seconds; a change is acknowledged at once.
+    """
+
+    kind: PlannedKind
+    whom: str
+    at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,6 +134,7 @@
 class Records:
     """All records of one soak; moments are monotonic seconds.
 
+    :param planned: signals and changes by operators, in order of time.
     :param revoked: time at which the store had the revocation, by API key.
     :param withdrawn: failure domain, start and end of each withdrawal.
     :param named: time at which operators set each version of the weights.
@@ -88,6 +147,7 @@
     requests: list[SentRequest] = dataclasses.field(default_factory=list)
     runs: list[TargetRun] = dataclasses.field(default_factory=list)
     faults: list[InjectedFault] = dataclasses.field(default_factory=list)
+    planned: list[PlannedWork] = dataclasses.field(default_factory=list)
     revoked: dict[str, float] = dataclasses.field(default_factory=dict)
     withdrawn: list[tuple[str, float, float]] = dataclasses.field(
         default_factory=list
@@ -96,3 +156,21 @@
     stalls: list[Stall] = dataclasses.field(default_factory=list)
     spoilt_loads: list[str] = dataclasses.field(default_factory=list)
     calm_from: float = 0
+
+
+def write_records(
+    folder: pathlib.Path, records: Records, findings: list[str]
+) -> None:
+    """Write findings, requests, runs and what was done, one in a line."""
+    kept: tuple[SentRequest | TargetRun | PlannedWork | InjectedFault, ...] = (
+        *records.requests,
+        *records.runs,
+        *records.planned,
+        *records.faults,
+    )
+    lines = [
+        json.dumps({type(each).__name__: dataclasses.asdict(each)})
+        for each in kept
+    ]
+    lines.extend(json.dumps({'finding': each}) for each in findings)
+    (folder / RECORDS_FILE).write_text('\n'.join(lines))
--- a/fakes/soak_site.py
+++ b/fakes/soak_site.py
@@ -16,9 +16,9 @@
 from fakes.fleet_store import FleetStore
 from fakes.ports import pick_address
 from fakes.soak_proxy import LoopbackProxy
-from fakes.soak_records import Kind, Records
+from fakes.soak_records import PlannedKind, PlannedWork, Records
+from fakes.soak_state import ENGINES, PLAIN, SPARE, SoakState
 from fakes.soak_target import (
-    CHUNK_BYTES,
     CHUNKS,
     LAYERS,
     MODEL,
@@ -28,12 +28,11 @@
 from fakes.soak_watch import WATCH_LOG
 from ragwortcourse.weights.manifest import digest_bytes
 
-DOMAINS = {'near-a': 'near', 'near-b': 'near'}
-FORWARDERS = {'entry-1': 'near-a', 'entry-2': 'near-a', 'entry-3': 'near-b'}
-ENGINES = {'i-1': 'near-a', 'i-2': 'near-b'}
-PLAIN = {'p-1': 'near-a', 'p-2': 'near-b'}
-KEYS = [f'parents-{number}' for number in range(12)]
-ROUTE_MS = 3000
+# The last one may be withdrawn.
+DOMAINS = ('near-a', 'near-b')
+# Prefix of the names of targets, by service.
+PREFIXES = {ENGINES: 'i', PLAIN: 'p', SPARE: 's'}
+RESERVES = ('retry_reserve = 106', 'retry_reserve = 107')
 GRACE_SECONDS = 8
 CLOSE_SECONDS = 0.5
 FLEET_TEXT = f"""
@@ -71,21 +70,31 @@
     :ivar links: fault proxies, by name of the target behind the proxy or by
         ``DAEMON/store``.
     :ivar weights: version of the weights that operators set last.
-    :ivar keys: API keys that are not revoked.
+    :ivar state: the desired state.
+    :ivar forwarders: failure domain of each forwarder.
+
+    :param forwarders: number of forwarders.
+    :param targets: number of targets of each service; engines have a loader.
     """
 
-    def __init__(self, *, folder: pathlib.Path) -> None:
+    def __init__(
+        self, *, folder: pathlib.Path, forwarders: int = 3, targets: int = 2
+    ) -> None:
         self.folder = folder
+        self.forwarders = {
+            f'entry-{number + 1}': DOMAINS[number % 3 // 2]
+            for number in range(forwarders)
+        }
+        self._per_service = targets
         self.records = Records()
         self.store = FleetStore()
         self.targets: dict[str, SoakTarget] = {}
         self.children: dict[str, Child] = {}
         self.links: dict[str, LoopbackProxy] = {}
         self.callers: dict[str, str] = {}
-        self.state_version = 0
+        self.state = SoakState()
         self.weights = 1
         self.origin_down = False
-        self.keys = list(KEYS)
         self._watch = Child(
             name='watch', module='fakes.soak_watch', log=folder / WATCH_LOG
         )
@@ -99,23 +108,14 @@
         )
         store = await self._serve(self.store.build_app())
         self._origin = await self._serve(self._build_origin())
-        for name, domain in {**ENGINES, **PLAIN}.items():
-            target = SoakTarget(
-                name=name,
-                domain=domain,
-                records=self.records,
-                version=int(name in ENGINES),
-            )
-            self.targets[name] = target
-            self.links[name] = await self._link(
-                await self._serve(target.build_app())
-            )
-            self.put_target(name)
+        for service in PREFIXES:
+            for number in range(self._per_service):
+                await self._open_target(service, number)
         self.put_state()
-        for name, domain in FORWARDERS.items():
+        for name, domain in self.forwarders.items():
             await self._start_forwarder(name, domain, store)
-        for name, domain in ENGINES.items():
-            await self._start_loader(f'loader-{name}', name, domain, store)
+        for target in self.list_targets(ENGINES):
+            await self._start_loader(target, store)
 
     async def close(self) -> None:
         """Kill every process by its id, then stop the stand-ins."""
@@ -126,11 +126,19 @@
                 await child.wait()
         await self._stack.aclose()
 
+    def list_targets(self, service: str) -> list[SoakTarget]:
+        """List the targets of one service."""
+        return [
+            target
+            for target in self.targets.values()
+            if target.service == service
+        ]
+
     def put_target(self, name: str) -> None:
         """Write the store row of a target from its present state."""
         target = self.targets[name]
         row: dict[str, object] = {
-            'service': 'engines' if target.has_engine else 'plain',
+            'service': target.service,
             'address': self.links[name].address,
             'zone': target.domain,
             'slots': 16,
@@ -148,50 +156,24 @@
 
     def put_state(self) -> None:
         """Write the desired state to the store under the next version."""
-        self.state_version += 1
-        routes = [
-            self._make_route(Kind.CHARGE, 'non_idempotent', 'plain'),
-            self._make_route(Kind.LOOKUP, 'idempotent', 'plain'),
-            self._make_route(Kind.LETTER, 'streaming', 'engines'),
-        ]
-        engine = {
-            'models': [{'name': MODEL}],
-            'slots': 16,
-            'step_ms': 9,
-            'per_seq_ms': 0.04,
-            'read_per_s': 19_000,
-            'stride': 5,
-            'usual': {'prompt': 500, 'answer': 50},
-            'layers': LAYERS,
-            'chunks': CHUNKS,
-            'chunk_bytes': CHUNK_BYTES,
-        }
-        self.store.put(
-            'op',
-            'config',
-            {
-                'version': self.state_version,
-                'routes': routes,
-                'services': [
-                    {'name': 'plain'},
-                    {'name': 'engines', 'engine': engine},
-                    {
-                        'name': 'origin',
-                        'origin': self._origin,
-                        'zone': 'near-a',
-                    },
-                ],
-                'tenants': [{'name': 'parents', 'api_keys': self.keys}],
-            },
-        )
+        at = time.monotonic()
+        content = self.state.build(origin=self._origin, at=at)
+        self._put_as_operator('config', content)
+
+    def set_withdrawn(self, domain: str, *, is_withdrawn: bool) -> None:
+        """Withdraw a failure domain, or take the withdrawal back."""
+        key = f'evacuate/{domain}'
+        if is_withdrawn:
+            self._put_as_operator(key, {})
+        else:
+            self.store.drop('op', key)
+            self._note_change()
 
     def set_weights_version(self) -> None:
         """Set the next version of the weights, as operators do."""
         self.weights += 1
-        self.store.put(
-            'op',
-            f'version/{MODEL}',
-            {'model': MODEL, 'version': self.weights},
+        self._put_as_operator(
+            f'version/{MODEL}', {'model': MODEL, 'version': self.weights}
         )
         self.records.named[self.weights] = time.monotonic()
 
@@ -200,21 +182,24 @@
         path = str(self.folder / f'{name}.toml')
         await self.children[name].start('--settings', path)
 
-    @staticmethod
-    def _make_route(
-        kind: Kind, route_type: str, service: str
-    ) -> dict[str, object]:
-        return {
-            'name': kind.value,
-            'host': 'desk.example',
-            'prefix': f'/{kind.value}/',
-            'route_type': route_type,
-            'timeout_ms': ROUTE_MS,
-            'slo_ms': 500,
-            'service': service,
-            'max_attempts': 1 if kind is Kind.CHARGE else 2,
-            'resumable': kind is Kind.LETTER,
-        }
+    def change_settings(self, name: str) -> None:
+        """Change a bound in the settings file of a daemon, or restore it."""
+        path = self.folder / f'{name}.toml'
+        text = path.read_text()
+        old, new = RESERVES if RESERVES[0] in text else RESERVES[::-1]
+        # The daemon also reads the file without a signal.
+        written = path.with_suffix('.new')
+        written.write_text(text.replace(old, new))
+        written.replace(path)
+
+    def _put_as_operator(self, key: str, content: dict[str, object]) -> None:
+        self._note_change()
+        self.store.put('op', key, content)
+
+    def _note_change(self) -> None:
+        self.records.planned.append(
+            PlannedWork(kind=PlannedKind.CHANGE, whom='', at=time.monotonic())
+        )
 
     async def _start_forwarder(
         self, name: str, domain: str, store: str
@@ -230,16 +215,32 @@
         )
         await self._start(name, text)
 
-    async def _start_loader(
-        self, name: str, engine: str, domain: str, store: str
-    ) -> None:
+    async def _open_target(self, service: str, number: int) -> None:
+        name = f'{PREFIXES[service]}-{number + 1}'
+        target = SoakTarget(
+            name=name,
+            service=service,
+            domain=DOMAINS[number % len(DOMAINS)],
+            records=self.records,
+            version=int(service == ENGINES),
+        )
+        self.targets[name] = target
+        self.links[name] = await self._link(
+            await self._serve(target.build_app())
+        )
+        self.put_target(name)
+
+    async def _start_loader(self, target: SoakTarget, store: str) -> None:
+        name = f'loader-{target.name}'
         link = self.links[f'{name}/store'] = await self._link(store)
-        fleet = FLEET_TEXT.format(name=name, domain=domain, store=link.address)
+        fleet = FLEET_TEXT.format(
+            name=name, domain=target.domain, store=link.address
+        )
         text = LOADER_TEXT.format(
             fleet=fleet,
             peers=pick_address(),
             watch=pick_address(),
-            engine=self.links[engine].address,
+            engine=self.links[target.name].address,
         )
         await self._start(name, text)
 
--- a/fakes/soak_target.py
+++ b/fakes/soak_target.py
@@ -1,16 +1,18 @@
 """HTTP stand-ins of the targets of a soak: plain services and engines."""
 
 import asyncio
-import contextlib
 import time
 
 from aiohttp import web
 
-from fakes.soak_records import Records, TargetRun
+from fakes.soak_records import Ending, Records, TargetRun
+from fakes.soak_silence import TargetSilence
 
 EVENTS = 8
 EVENT_SECONDS = 0.06
-PLAIN_SECONDS = 0.04
+# The head of a plain answer, and each half of its body.
+PLAIN_STEPS = 3
+PLAIN_SECONDS = 0.013
 LOAD_SECONDS = 0.3
 CHUNKS = 6
 CHUNK_BYTES = 8192
@@ -33,22 +35,30 @@
 
     :ivar version: version of the loaded weights; zero for none.
     :ivar has_engine: false for a plain target.
-    :ivar running: number of requests in progress.
     :ivar stage: staged chunks of the next version, by index.
     :ivar closed: true while weights load; requests are refused.
+    :ivar silence: silences after which the target goes on.
     """
 
     def __init__(
-        self, *, name: str, domain: str, records: Records, version: int = 0
+        self,
+        *,
+        name: str,
+        service: str,
+        domain: str,
+        records: Records,
+        version: int = 0,
     ) -> None:
         self.name = name
+        self.service = service
         self.domain = domain
         self.records = records
         self.version = version
         self.has_engine = bool(version)
-        self.running = 0
+        self._running: dict[int, tuple[web.Request, TargetRun]] = {}
         self.stage: dict[int, bytes] = {}
         self.closed = False
+        self.silence = TargetSilence(target=name)
 
     def build_app(self) -> web.Application:
         """Build the HTTP application that serves the target."""
@@ -75,59 +85,64 @@
         if self.closed:
             marks['Ragwortcourse-Not-Executed'] = '1'
             return web.Response(status=503, headers=marks)
-        self.records.runs.append(
-            TargetRun(
-                attempt=attempt,
-                target=self.name,
-                domain=self.domain,
-                account=request.headers.get('Ragwortcourse-Tenant', ''),
-                path=request.path,
-                key_seen='Authorization' in request.headers,
-                version=self.version,
-                at=time.monotonic(),
-            )
+        run = TargetRun(
+            attempt=attempt,
+            target=self.name,
+            domain=self.domain,
+            account=request.headers.get('Ragwortcourse-Tenant', ''),
+            path=request.path,
+            key_seen='Authorization' in request.headers,
+            version=self.version,
+            at=time.monotonic(),
         )
-        self.running += 1
+        self.records.runs.append(run)
+        self._running[id(run)] = request, run
         try:
-            if self.has_engine:
-                return await self._stream(request, marks)
-            await asyncio.sleep(PLAIN_SECONDS)
-            return web.Response(
-                text=make_answer(attempt, request.path), headers=marks
-            )
+            response = await self._answer(request, run, marks)
+        except (ConnectionError, asyncio.CancelledError):
+            if run.ending is Ending.OPEN:
+                # The daemon closed the connection, was killed or cut off.
+                run.ending = Ending.LEFT
+            raise
         finally:
-            self.running -= 1
+            self._running.pop(id(run))
+            run.ended_at = time.monotonic()
+        run.ending = Ending.COMPLETE
+        return response
 
-    async def _stream(
-        self, request: web.Request, marks: dict[str, str]
+    async def _answer(
+        self, request: web.Request, run: TargetRun, marks: dict[str, str]
     ) -> web.StreamResponse:
-        marks['Ragwortcourse-Weight-Versions'] = str(self.version)
         response = web.StreamResponse(headers=marks)
-        response.content_type = 'text/event-stream'
-        # The daemon may have been killed, or its connection reset.
-        with contextlib.suppress(ConnectionError):
-            await self._send_events(request, response)
-        return response
-
-    async def _send_events(
-        self, request: web.Request, response: web.StreamResponse
-    ) -> None:
-        first = int(request.headers.get('Last-Event-Id', -1)) + 1
+        if self.has_engine:
+            first = int(request.headers.get('Last-Event-Id', -1)) + 1
+            response.headers['Ragwortcourse-Weight-Versions'] = str(run.version)
+            response.content_type = 'text/event-stream'
+            pieces = [f'id: {each}\ndata: w\n\n' for each in range(EVENTS)]
+            pieces, seconds = pieces[first:], EVENT_SECONDS
+        else:
+            answer = make_answer(run.attempt, run.path)
+            half = len(answer) // 2
+            response.content_length = len(answer)
+            pieces, seconds = [answer[:half], answer[half:]], PLAIN_SECONDS
+        steps = len(pieces) + 1
+        await self.silence.keep_in_run(run, 0, seconds, steps)
         await response.prepare(request)
-        for number in range(first, EVENTS):
-            await asyncio.sleep(EVENT_SECONDS)
-            if self.closed:
-                # A load order aborts the requests in progress.
-                if request.transport is not None:
-                    request.transport.abort()
-                return
-            await response.write(f'id: {number}\ndata: w\n\n'.encode())
+        for step, piece in enumerate(pieces, start=1):
+            await self.silence.keep_in_run(run, step, seconds, steps)
+            await response.write(piece.encode())
         await response.write_eof()
+        return response
 
     async def _report(self, request: web.Request) -> web.Response:
+        await self.silence.keep()
         held = {'from': 0, 'to': LAYERS, 'version': self.version}
         return web.json_response(
-            {'busy': self.closed, 'running': self.running, 'layers': held}
+            {
+                'busy': self.closed,
+                'running': len(self._running),
+                'layers': held,
+            }
         )
 
     async def _read_stage(self, request: web.Request) -> web.Response:
@@ -148,6 +163,14 @@
         if self.stage != whole:
             self.records.spoilt_loads.append(f'{self.name} {version}')
         self.closed = True
+        self._abort_runs()
         await asyncio.sleep(LOAD_SECONDS)
         self.version, self.closed = version, False
         return web.Response(status=202)
+
+    def _abort_runs(self) -> None:
+        """Break off the requests in progress, as a load order does."""
+        for request, run in self._running.values():
+            run.ending = Ending.CUT
+            if request.transport is not None:
+                request.transport.abort()
--- a/tests/test_child.py
+++ b/tests/test_child.py
@@ -67,3 +67,14 @@
         assert await waiting == [-signal.SIGTERM] * 2
         assert not child.running
         assert await child.wait() == -signal.SIGTERM
+
+    async def test_wait_for_handler(self, child):
+        """The interpreter catches SIGINT but leaves the action of SIGHUP."""
+        await child.start('0')
+        await child.wait_for_handler(signal.SIGINT)
+        with pytest.raises(TimeoutError):
+            await child.wait_for_handler(signal.SIGHUP, seconds=0.2)
+        child.send(signal.SIGKILL)
+        await child.wait()
+        # There is nothing to wait for after the end.
+        await child.wait_for_handler(signal.SIGHUP)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,21 +12,39 @@
 import signal
 import subprocess
 import time
+from collections.abc import Callable
+from types import MappingProxyType
 
 import pytest
+from aiohttp import ServerDisconnectedError
+from aiohttp.test_utils import TestClient, TestServer
 
 from fakes.soak import Soak, run_soak
 from fakes.soak_checks import list_findings
-from fakes.soak_plan import RESTORE, Fault, plan_faults
+from fakes.soak_losses import list_losses
+from fakes.soak_operation import Operation
+from fakes.soak_plan import (
+    CHANGES,
+    HALF_SILENT,
+    RESTORE,
+    Fault,
+    plan_changes,
+    plan_faults,
+)
 from fakes.soak_records import (
+    Ending,
     InjectedFault,
     Kind,
+    PlannedKind,
+    PlannedWork,
     Records,
     SentRequest,
     TargetRun,
 )
-from fakes.soak_site import FORWARDERS, SoakSite
-from fakes.soak_target import make_answer
+from fakes.soak_setup import SoakSetup
+from fakes.soak_silence import draw_silence
+from fakes.soak_site import SoakSite
+from fakes.soak_target import EVENTS, SoakTarget, make_answer
 from fakes.soak_watch import (
     NOTED_SECONDS,
     SOAK,
@@ -36,13 +54,20 @@
     record_stalls,
 )
 
-SECONDS = 6.0
-# Seed and seconds of faults, each with the cause of its finding.
-FAULT_SEEDS = [
+# Each with the cause of its finding, if it once had one.
+SETUPS = {
+    'faults': SoakSetup(seed=7, fault_seconds=6),
     # SIGHUP right after a restart ended a loader that had not set its handler.
-    (1, 15.0),
-]
+    'hang up': SoakSetup(seed=1, fault_seconds=15),
+    'planned': SoakSetup(seed=38, planned_seconds=12),
+}
+PROCESSES = {'entry-1', 'entry-2', 'entry-3', 'loader-i-1', 'loader-i-2'}
 CHARGE = '/charges/1'
+# The target has no silence of its own for this attempt.
+HEADERS = {
+    'Ragwortcourse-Attempt-Id': 'a1',
+    'Ragwortcourse-Expect-Instance': 't-1',
+}
 
 
 def make_request(**changes: object) -> SentRequest:
@@ -83,22 +108,107 @@
     return ' '.join(list_findings(kept))
 
 
+def make_lost(**changes: object) -> SentRequest:
+    """Build the record of a lookup that was cut."""
+    usual: dict[str, object] = {
+        'kind': Kind.LOOKUP,
+        'whole_at': 100.0,
+        'ended_at': 100.5,
+        'ending': Ending.CUT,
+        'status': None,
+        'stamp': '',
+        'body': '',
+    }
+    return make_request(**{**usual, **changes})
+
+
+def make_silent_run(**changes: object) -> TargetRun:
+    """Build the record of a run that was closed in the middle of a silence."""
+    usual: dict[str, object] = {
+        'ended_at': 100.4,
+        'ending': Ending.LEFT,
+        'silences': [(100.1, 101.0)],
+    }
+    return make_run(**{**usual, **changes})
+
+
+def make_fault(**changes: object) -> InjectedFault:
+    """Build the record of a fault that ended before the request was sent."""
+    usual: dict[str, object] = {'began_at': 96.0, 'ended_at': 98.0}
+    return InjectedFault(**{**usual, **changes})
+
+
+def find_loss(
+    *,
+    work: dict[str, object] | None = MappingProxyType(
+        {'kind': PlannedKind.STOP, 'at': 99.0}
+    ),
+    runs: list[TargetRun] | None = None,
+    faults: list[InjectedFault] = (),
+    others: list[SentRequest] = (),
+    **changes: object,
+) -> str:
+    """List the losses of a lookup that was cut, joined by spaces.
+
+    :param work: planned work beside it, by default a stop of its daemon.
+    :param runs: runs of the lookup, by default one that the daemon closed.
+    :param others: further requests.
+    :param changes: fields of the record of the lookup.
+    """
+    if runs is None:
+        runs = [make_run(ended_at=100.5, ending=Ending.LEFT)]
+    own = [
+        make_run(attempt=each.attempt, at=each.sent_at, ended_at=each.ended_at)
+        for each in others
+    ]
+    # Without another daemon nobody is apart from a fault.
+    idle = make_request(attempt='idle', daemon='entry-2', sent_at=10.0)
+    records = Records(
+        requests=[make_lost(**changes), *others, idle],
+        runs=[*runs, *own],
+        faults=list(faults),
+        planned=[PlannedWork(**{'whom': 'entry-1', **work})] if work else [],
+    )
+    return ' '.join(list_losses(records))
+
+
+def make_target(*, version: int) -> tuple[SoakTarget, Records]:
+    """Build a target of its own, an engine if it has a version."""
+    records = Records()
+    target = SoakTarget(
+        name='t-1',
+        service='any',
+        domain='near-a',
+        records=records,
+        version=version,
+    )
+    return target, records
+
+
+async def wait_until(condition: Callable[[], object]) -> None:
+    """Wait until a condition holds.
+
+    :raises TimeoutError: it does not hold within five seconds.
+    """
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
 class TestSoak:
     """Soaks of real processes under faults."""
 
     @pytest.mark.processes
-    @pytest.mark.parametrize(('seed', 'seconds'), [(7, SECONDS), *FAULT_SEEDS])
-    async def test_promises_hold(self, tmp_path, seed, seconds):
+    @pytest.mark.parametrize('name', SETUPS)
+    async def test_promises_hold(self, tmp_path, name):
         """Faults violate no guarantee, and all processes are watched."""
-        findings, records = await run_soak(
-            seed=seed, seconds=seconds, folder=tmp_path
-        )
+        findings, records = await run_soak(SETUPS[name], tmp_path)
         assert records.faults
         assert not findings
         watched = {
             name for line in read_watch(tmp_path) for name in line['processes']
         }
-        assert watched == {SOAK, *FORWARDERS, 'loader-i-1', 'loader-i-2'}
+        assert watched == {SOAK, *PROCESSES}
 
 
 class TestStandStill:
@@ -145,7 +255,7 @@
     async def test_overlapping_withdrawals(self, tmp_path):
         """A failure domain stays withdrawn until its last withdrawal ends."""
         site = SoakSite(folder=tmp_path)
-        soak = Soak(site=site, seed=1, seconds=1)
+        soak = Soak(site=site, setup=SoakSetup(seed=1))
         fault = Fault(at=0, name='withdraw', whom='', seconds=1)
         first = asyncio.create_task(soak._inject(fault))
         await asyncio.sleep(1)
@@ -188,6 +298,261 @@
         assert {'revoke', 'withdraw', 'weights', 'rows lapse', RESTORE} <= names
         assert overlaps > 40
 
+    def test_changes_same_seed(self):
+        """The same seed gives the same planned work."""
+        plans = [
+            plan_changes(seed=5, seconds=30, daemons=['d'], services=['s'])
+            for _ in range(2)
+        ]
+        assert plans[0] == plans[1]
+
+    def test_every_change(self):
+        """Planned work has all changes, in quick succession with signals."""
+        plans = [
+            plan_changes(
+                seed=seed, seconds=20, daemons=['a', 'b'], services=['s']
+            )
+            for seed in range(20)
+        ]
+        names = {fault.name for plan in plans for fault in plan}
+        assert names == {
+            *CHANGES,
+            Operation.WEIGHTS,
+            HALF_SILENT,
+            'stop',
+            'hang up',
+        }
+        for plan in plans:
+            gaps = [
+                second.at - first.at
+                for first, second in itertools.pairwise(plan)
+            ]
+            assert min(gaps) < 0.1
+            assert max(gaps) > 0.5
+            assert {'stop', 'hang up'} & {fault.name for fault in plan}
+
+
+class TestSilence:
+    """Targets that fall silent and go on."""
+
+    def test_every_step(self):
+        """A run may fall silent before each step, and most runs do not."""
+        drawn = [draw_silence(f'a{number}', 't', 3) for number in range(2000)]
+        silences = [each for each in drawn if each is not None]
+        assert 100 < len(silences) < 400
+        assert {each.step for each in silences} == {0, 1, 2}
+        assert all(0.3 <= each.seconds <= 1.8 for each in silences)
+
+    @pytest.mark.parametrize('version', [0, 1])
+    async def test_goes_on(self, version):
+        """A silent target goes on to the end of its answer."""
+        target, records = make_target(version=version)
+        async with TestClient(TestServer(target.build_app())) as client:
+            target.silence.begin(0.4)
+            async with asyncio.timeout(5):
+                answer = await client.post('/letters/1', headers=HEADERS)
+                body = await answer.text()
+        [run] = records.runs
+        assert body.count('id: ') == (EVENTS if version else 0)
+        assert run.ending is Ending.COMPLETE
+        assert run.silences[0][1] - run.at == pytest.approx(0.4, abs=0.1)
+
+    async def test_client_closes(self):
+        """A run that the client leaves is recorded as left, in its silence."""
+        target, records = make_target(version=1)
+        async with TestClient(TestServer(target.build_app())) as client:
+            target.silence.begin(1.0)
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.3):
+                    await client.post('/letters/1', headers=HEADERS)
+            await wait_until(lambda: records.runs[0].ended_at)
+        [run] = records.runs
+        assert run.ending is Ending.LEFT
+        assert run.silences[0][0] < run.ended_at < run.silences[0][1]
+
+    async def test_load_order(self):
+        """A run that a load order breaks off is recorded as cut."""
+        target, records = make_target(version=1)
+        async with TestClient(TestServer(target.build_app())) as client:
+            target.silence.begin(1.0)
+            answer = asyncio.create_task(
+                client.post('/letters/1', headers=HEADERS)
+            )
+            await wait_until(lambda: records.runs)
+            await client.post('/order', json={'version': 2})
+            with pytest.raises(ServerDisconnectedError):
+                await answer
+        [run] = records.runs
+        assert run.ending is Ending.CUT
+
+
+class TestLosses:
+    """Whole requests whose connections end without an answer."""
+
+    @pytest.mark.parametrize(
+        'work',
+        [
+            {'kind': PlannedKind.STOP, 'at': 99.0},
+            {'kind': PlannedKind.STOP, 'at': 91.6},
+            {'kind': PlannedKind.HANG_UP, 'at': 98.1},
+            {'kind': PlannedKind.CHANGE, 'whom': '', 'at': 97.6},
+        ],
+    )
+    def test_beside_planned_work(self, work):
+        """A request that is cut beside planned work is found."""
+        assert 'LOST' in find_loss(work=work)
+
+    @pytest.mark.parametrize(
+        'work',
+        [
+            {'kind': PlannedKind.STOP, 'whom': 'entry-2', 'at': 99.0},
+            {'kind': PlannedKind.STOP, 'at': 91.4},
+            {'kind': PlannedKind.STOP, 'at': 100.6},
+            {'kind': PlannedKind.HANG_UP, 'at': 97.9},
+            {'kind': PlannedKind.CHANGE, 'whom': '', 'at': 97.4},
+        ],
+    )
+    def test_apart(self, work):
+        """One request that is cut apart from planned work is no finding."""
+        assert not find_loss(work=work)
+
+    def test_not_passed_on(self):
+        """A request that no target got is found after an allowance only."""
+        assert 'LOST' in find_loss(runs=[], ended_at=100.3)
+        assert not find_loss(runs=[], ended_at=100.1)
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'whole_at': 0.0},
+            {'ending': Ending.LEFT},
+            {'ending': Ending.UNREACHED},
+            {'ending': Ending.OPEN},
+            # Its time is over.
+            {'limit': 0.5},
+        ],
+    )
+    def test_excused_request(self, changes):
+        """A request that was not whole, or left, or out of time is excused."""
+        assert not find_loss(**changes)
+
+    def test_target_broke_off(self):
+        """A request is excused if the target that had it last broke it off."""
+        left = make_run(ended_at=100.2, ending=Ending.LEFT)
+        cut = make_run(ended_at=100.4, ending=Ending.CUT)
+        assert not find_loss(runs=[left, cut])
+        at_work = make_run(ended_at=100.5, ending=Ending.LEFT)
+        assert 'LOST' in find_loss(runs=[cut, at_work])
+
+    @pytest.mark.parametrize(
+        ('fault', 'excused'),
+        [
+            ({'name': 'pause', 'whom': 'entry-1'}, True),
+            ({'name': 'silent', 'whom': 'p-1'}, True),
+            ({'name': 'store down', 'whom': ''}, True),
+            ({'name': 'pause', 'whom': 'entry-1', 'ended_at': 96.9}, False),
+            ({'name': 'pause', 'whom': 'entry-2'}, False),
+            ({'name': 'half silent', 'whom': 'plain'}, False),
+            ({'name': 'stop', 'whom': 'entry-1'}, False),
+        ],
+    )
+    def test_unplanned_trouble(self, fault, excused):
+        """Recent unplanned trouble excuses a loss, and nothing else does."""
+        found = find_loss(faults=[make_fault(**fault)])
+        assert ('LOST' not in found) == excused
+
+    @pytest.mark.parametrize(
+        ('stop_at', 'excused'), [(93.7, True), (94.0, False), (93.1, False)]
+    )
+    def test_end_of_grace(self, stop_at, excused):
+        """A target at work in the last sixth of the grace time excuses a loss.
+
+        It does so for a request that was sent soon after SIGTERM.
+        """
+        work = {'kind': PlannedKind.STOP, 'at': stop_at}
+        found = find_loss(
+            work=work, sent_at=96.5, whole_at=96.5, limit=9.0, ended_at=100.5
+        )
+        assert ('LOST' not in found) == excused
+
+    @pytest.mark.parametrize(
+        ('cuts', 'found'), [(0, True), (1, True), (2, False)]
+    )
+    def test_rate_beside_changes(self, cuts, found):
+        """A loss beside a change is found if its daemon loses more than else.
+
+        One of two requests is cut beside the change.
+        """
+        change = {'kind': PlannedKind.CHANGE, 'whom': '', 'at': 99.0}
+        served = make_request(attempt='served', kind=Kind.LOOKUP)
+        apart = [
+            make_lost(attempt=f'apart {number}', sent_at=50.0, ended_at=50.5)
+            if number < cuts
+            else make_request(attempt=f'apart {number}', ended_at=50.1)
+            for number in range(7)
+        ]
+        findings = find_loss(work=change, others=[served, *apart])
+        assert ('LOST' in findings) == found
+
+    def test_used_time(self):
+        """A loss beside a change is excused in the last part of its time."""
+        change = {'kind': PlannedKind.CHANGE, 'whom': '', 'at': 99.0}
+        assert 'LOST' in find_loss(work=change, limit=0.73)
+        assert not find_loss(work=change, limit=0.7)
+
+    @pytest.mark.parametrize(('number', 'found'), [(2, False), (3, True)])
+    def test_at_any_time(self, number, found):
+        """More than three losses of a daemon are found without any work."""
+        others = [make_lost(attempt=f'more {each}') for each in range(number)]
+        assert ('LOST' in find_loss(work=None, others=others)) == found
+
+
+class TestSilentLosses:
+    """Answers that are ended while their target is merely silent."""
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {},
+            {'ending': Ending.COMPLETE, 'status': 502},
+            {'ending': Ending.COMPLETE, 'status': 503},
+        ],
+    )
+    def test_found(self, changes):
+        """A cut or a failure is found, with no planned work beside it."""
+        assert 'merely silent' in find_loss(
+            work=None, runs=[make_silent_run()], **changes
+        )
+
+    def test_target_moved_from(self):
+        """The silence of the first target does not excuse giving up."""
+        later = make_run(at=100.45, ended_at=100.48, ending=Ending.LEFT)
+        runs = [make_silent_run(), later]
+        assert 'merely silent' in find_loss(work=None, runs=runs)
+
+    @pytest.mark.parametrize(
+        ('run', 'changes'),
+        [
+            ({}, {'limit': 0.5}),
+            ({}, {'ending': Ending.LEFT}),
+            ({}, {'ending': Ending.COMPLETE, 'stamp': 'a1-stamp'}),
+            ({'ending': Ending.CUT}, {}),
+            ({'ending': Ending.COMPLETE}, {}),
+            ({'silences': [(100.1, 100.3)]}, {}),
+            ({}, {'faults': [('pause', 'entry-1')]}),
+            ({}, {'faults': [('reset', 'p-1')]}),
+        ],
+    )
+    def test_excused(self, run, changes):
+        """The caller, the time limit, a fault or the target may end it."""
+        faults = [
+            make_fault(name=name, whom=whom)
+            for name, whom in changes.pop('faults', ())
+        ]
+        assert not find_loss(
+            work=None, runs=[make_silent_run(**run)], faults=faults, **changes
+        )
+
 
 class TestChecks:
     """Each check reports the violation that it is for."""
@@ -218,6 +583,17 @@
         letter = make_request(kind=Kind.LETTER, body='0 1 2 2 3 4 5 6 7')
         assert 'ORDER' in find(letter, make_run())
 
+    @pytest.mark.parametrize('body', ['1 2', '0 2', '0 1 1', '0 1 2 1'])
+    def test_broken_part_of_a_stream(self, body):
+        """A cut stream whose ids do not increase one by one is found."""
+        letter = make_lost(kind=Kind.LETTER, body=body)
+        assert 'ORDER' in find(letter, make_run())
+
+    def test_part_of_a_stream(self):
+        """A cut stream whose ids increase is in order."""
+        letter = make_lost(kind=Kind.LETTER, body='0 1 2')
+        assert 'ORDER' not in find(letter, make_run())
+
     def test_revoked_key(self):
         """A run is found whose key was revoked longer ago than the bound."""
         found = find(make_request(), make_run(), revoked={'parents-1': 94.0})
