Send bodies in the soak, and judge that targets get them unchanged

Reason: the requests of the soak had no body, so that nothing was refused, drained or cut off while a request was on its way, and no request was whole later than its head.

--- a/fakes/soak_caller.py
+++ b/fakes/soak_caller.py
@@ -4,10 +4,11 @@
 import random
 import time
 import uuid
-from types import SimpleNamespace
+from collections.abc import AsyncIterator
 
 import aiohttp
 
+from fakes.soak_body import make_body, send_body
 from fakes.soak_records import STREAMS, Ending, Kind, SentRequest
 from fakes.soak_site import SoakSite
 from fakes.soak_state import KEYS
@@ -15,6 +16,8 @@
 PAUSE_SECONDS = 0.12
 DEADLINE_MS = 4000
 OLD_KEY_SHARE = 0.3
+# Half of the attempt ids, in hexadecimal, are below this.
+HALF = '8'
 
 
 async def run_caller(
@@ -26,7 +29,7 @@
         intervals, until its connection ends.
     """
     daemon = rng.choice(list(site.forwarders))
-    async with aiohttp.ClientSession(trace_configs=[_build_trace()]) as session:
+    async with aiohttp.ClientSession() as session:
         while True:
             kind = rng.choice(list(Kind))
             request = SentRequest(
@@ -51,18 +54,11 @@
     return rng.choice(KEYS if rng.random() < OLD_KEY_SHARE else valid)
 
 
-def _build_trace() -> aiohttp.TraceConfig:
-    async def note_sent(
-        _session: aiohttp.ClientSession,
-        context: SimpleNamespace,
-        _params: aiohttp.TraceRequestHeadersSentParams,
-    ) -> None:
-        # The requests have no body.
-        context.trace_request_ctx.whole_at = time.monotonic()
-
-    trace = aiohttp.TraceConfig()
-    trace.on_request_headers_sent.append(note_sent)
-    return trace
+async def _send_whole(request: SentRequest) -> AsyncIterator[bytes]:
+    """Yield the body of a request, then note that the request was whole."""
+    async for piece in send_body(request.attempt):
+        yield piece
+    request.whole_at = time.monotonic()
 
 
 async def _send(
@@ -74,13 +70,17 @@
         'Ragwortcourse-Attempt-Id': request.attempt,
         'Ragwortcourse-Deadline-Ms': str(DEADLINE_MS),
     }
+    size = len(make_body(request.attempt))
+    # The others are sent in chunks.
+    if request.attempt < HALF:
+        headers['Content-Length'] = str(size)
     url = f'http://{site.callers[request.daemon]}{request.path}'
     body = bytearray()
     try:
         async with (
             asyncio.timeout(DEADLINE_MS / 1000),
             session.post(
-                url, headers=headers, trace_request_ctx=request
+                url, headers=headers, data=_send_whole(request)
             ) as response,
         ):
             request.stamp = response.headers.get(
--- a/fakes/soak_checks.py
+++ b/fakes/soak_checks.py
@@ -57,6 +57,8 @@
             yield f'UNASKED: {run}'
         elif run.key_seen or run.account != sent.key.partition('-')[0]:
             yield f'UNASKED: account or key, {run}'
+        elif not run.body_intact:
+            yield f'UNASKED: body changed, {run}'
     for each in records.requests:
         if each.kind is not Kind.CHARGE:
             continue
--- a/fakes/soak_records.py
+++ b/fakes/soak_records.py
@@ -80,6 +80,7 @@
     """One run of a request at a target; moments are monotonic seconds.
 
     :param key_seen: true if the API key reached the target.
+    :param body_intact: true if the body is the one that the caller sent.
     :param version: version of the weights at the start of the run; zero at
         plain targets.
     :param at: start of the run.
@@ -93,6 +94,7 @@
     account: str
     path: str
     key_seen: bool
+    body_intact: bool
     version: int
     at: float
     ended_at: float = 0
--- a/fakes/soak_target.py
+++ b/fakes/soak_target.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from fakes.soak_body import make_body
 from fakes.soak_records import Ending, Records, TargetRun
 from fakes.soak_silence import TargetSilence
 
@@ -85,6 +86,7 @@
         if self.closed:
             marks['Ragwortcourse-Not-Executed'] = '1'
             return web.Response(status=503, headers=marks)
+        body = await request.read()
         run = TargetRun(
             attempt=attempt,
             target=self.name,
@@ -92,6 +94,7 @@
             account=request.headers.get('Ragwortcourse-Tenant', ''),
             path=request.path,
             key_seen='Authorization' in request.headers,
+            body_intact=body == make_body(attempt),
             version=self.version,
             at=time.monotonic(),
         )
@@ -99,16 +102,18 @@
         self._running[id(run)] = request, run
         try:
             response = await self._answer(request, run, marks)
-        except (ConnectionError, asyncio.CancelledError):
-            if run.ending is Ending.OPEN:
-                # The daemon closed the connection, was killed or cut off.
-                run.ending = Ending.LEFT
-            raise
+        except ConnectionError:
+            # The connection was lost during a write.
+            return web.Response()
+        else:
+            run.ending = Ending.COMPLETE
+            return response
         finally:
             self._running.pop(id(run))
             run.ended_at = time.monotonic()
-        run.ending = Ending.COMPLETE
-        return response
+            if run.ending is Ending.OPEN:
+                # The daemon closed the connection, was killed or cut off.
+                run.ending = Ending.LEFT
 
     async def _answer(
         self, request: web.Request, run: TargetRun, marks: dict[str, str]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
 import signal
 import subprocess
 import time
+import uuid
 from collections.abc import Callable
 from types import MappingProxyType
 
@@ -20,6 +21,7 @@
 from aiohttp.test_utils import TestClient, TestServer
 
 from fakes.soak import Soak, run_soak
+from fakes.soak_body import SIZES, make_body, send_body
 from fakes.soak_checks import list_findings
 from fakes.soak_losses import list_losses
 from fakes.soak_operation import Operation
@@ -96,6 +98,7 @@
         'account': 'parents',
         'path': CHARGE,
         'key_seen': False,
+        'body_intact': True,
         'version': 0,
         'at': 100.05,
     }
@@ -386,6 +389,21 @@
         assert run.ending is Ending.CUT
 
 
+class TestBodies:
+    """Bodies of requests."""
+
+    async def test_whole(self):
+        """The pieces of each body make up the body, and sizes differ."""
+        sizes = set()
+        for number in range(40):
+            attempt = uuid.UUID(int=number).hex
+            body = make_body(attempt)
+            pieces = [piece async for piece in send_body(attempt)]
+            assert b''.join(pieces) == body
+            sizes.add(len(body))
+        assert sizes == set(SIZES)
+
+
 class TestLosses:
     """Whole requests whose connections end without an answer."""
 
@@ -578,6 +596,10 @@
         """A wrong answer or run of one request is found."""
         assert finding in find(make_request(**changes), *[make_run()] * runs)
 
+    def test_changed_body(self):
+        """A run with another body than the one that was sent is found."""
+        assert 'UNASKED' in find(make_request(), make_run(body_intact=False))
+
     def test_broken_stream(self):
         """A complete stream that repeats an event is found."""
         letter = make_request(kind=Kind.LETTER, body='0 1 2 2 3 4 5 6 7')
