Start no downloads of chunks after a stop

The read of a manifest is shared by its waiters and was not cancelled by the stop. It ended later and started prefetches, which used closed sessions.

Change: a stop ends replacements, reads of manifests, prefetches and downloads, in the order in which one starts the other.

--- a/src/ragwortcourse/weights/chunk_cache.py
+++ b/src/ragwortcourse/weights/chunk_cache.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from ragwortcourse.clock import read_clock
-from ragwortcourse.detached_tasks import DetachedTasks
+from ragwortcourse.detached_tasks import DetachedTasks, end_task
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.weights.chunk_store import (
     VERSIONS_KEPT,
@@ -144,9 +144,12 @@
         self._replacements.spawn(self._replace(model, version, index, gone))
 
     async def stop(self) -> None:
-        """Cancel the prefetches."""
-        await self._prefetches.cancel()
+        """Cancel the downloads and prefetches."""
+        # Each of these starts some of the next.
         await self._replacements.cancel()
+        await asyncio.gather(*map(end_task, self._manifests.values()))
+        await self._prefetches.cancel()
+        await asyncio.gather(*map(end_task, self._downloads.values()))
 
     async def _find_in(self, chunks: VersionChunks, index: int) -> bytes | None:
         content = chunks.contents.get(index)
--- a/tests/test_chunk_cache.py
+++ b/tests/test_chunk_cache.py
@@ -146,6 +146,19 @@
         assert not source.draws
         await source.cache.stop()
 
+    @pytest.mark.parametrize('seconds', [0.05, 0.15, 0.25])
+    async def test_nothing_after_a_stop(self, seconds):
+        """Nothing is downloaded after a stop, at whatever step it comes."""
+        source = Source(own=tuple(range(CHUNKS)))
+        reading = asyncio.ensure_future(source.cache.find(MODEL, 1, 0))
+        await asyncio.sleep(seconds)
+        await source.cache.stop()
+        draws = len(source.draws)
+        await asyncio.sleep(2)
+        assert len(source.draws) == draws
+        assert asyncio.all_tasks() <= {asyncio.current_task(), reading}
+        await asyncio.gather(reading, return_exceptions=True)
+
     async def test_unknown_chunk(self):
         """An index beyond the last chunk of the version gives ``None``."""
         assert await Source().cache.find(MODEL, 1, CHUNKS) is None
