--- a/src/ragwortcourse/forwarding/event_buffer.py
+++ b/src/ragwortcourse/forwarding/event_buffer.py
@@ -18,25 +18,26 @@
 
 
 class EventBuffer:
-    """Buffer of one stream that holds back an incomplete event.
-
-    The first answer with a whole event begins the stream. Each later answer
-    must continue it.
+    """Buffer of the events of one answer that holds back an incomplete one.
 
     :param last_event: id of the last whole event that was returned.
     :param resumed: true if the caller has the events up to that one, so that
-        no answer may repeat them.
+        the answer may not repeat them.
+    :param first: head of the answer that began the stream, which this one
+        continues; none if this one begins it.
     """
 
     def __init__(
-        self, *, last_event: str | None, resumed: bool = False
+        self,
+        *,
+        last_event: str | None,
+        resumed: bool = False,
+        first: AnswerHead | None = None,
     ) -> None:
         self.last_event = last_event
         self._resumed_after = last_event if resumed else None
+        self._first = first
         self._rest = bytearray()
-        self._head: AnswerHead | None = None
-        self._first: AnswerHead | None = None
-        self._continues = False
         self._has_events = False
 
     @property
@@ -44,15 +45,11 @@
         """Tell whether part of an event is held back."""
         return bool(self._rest)
 
-    def begin_answer(self, head: AnswerHead) -> None:
-        """Take the following pieces as the body of another answer.
+    def check_head(self, head: AnswerHead) -> None:
+        """Check the head of the answer.
 
         :raises AnswerCutError: the answer can't continue the stream.
         """
-        self.drop_rest()
-        self._head = head
-        self._has_events = False
-        self._continues = self._first is not None
         if self._first is not None:
             _check(find_head_fault(self._first, head, self.last_event))
 
@@ -74,26 +71,25 @@
         whole = bytes(self._rest[:end])
         del self._rest[:end]
         self._check_length()
-        if self._continues:
-            _check(find_event_fault(whole, self.last_event))
-        else:
+        if self._first is None:
             _check(find_repeated_event(whole, self._resumed_after))
+        else:
+            _check(find_event_fault(whole, self.last_event))
         self._has_events = True
-        self._first = self._first or self._head
         ids = EVENT_ID.findall(whole)
         if ids:
             self.last_event = ids[-1].decode('latin-1')
         return whole
 
-    def end_answer(self) -> None:
-        """Note that the body of an answer is whole.
+    def check_end(self) -> None:
+        """Check the end of the answer.
 
         :raises AnswerCutError: the body ended inside an event, or continued
             the stream with no event.
         """
         if self.has_rest:
             raise AnswerCutError('ended inside an event')
-        if self._continues and not self._has_events:
+        if self._first is not None and not self._has_events:
             _check('stream continued with no event')
 
     def drop_rest(self) -> None:
