--- a/tests/test_stream_continuation.py
+++ b/tests/test_stream_continuation.py
@@ -171,6 +171,32 @@
         assert 'word0' not in text
 
 
+class TestSilentStream:
+    """Streams whose first target is silent and goes on later."""
+
+    @pytest.mark.parametrize(
+        'answer', ['nothing', 'failure', 'failure as a stream', 'begun again']
+    )
+    async def test_first_target_goes_on(self, fleet, answer):
+        """What the second target answers meanwhile ends nothing."""
+
+        async def pause(
+            received: Received, connection: ScriptedConnection
+        ) -> None:
+            await connection.begin(
+                received, transfer_encoding='chunked', content_type=STREAM
+            )
+            await connection.send_events(0, BEGUN)
+            await asyncio.sleep(1.4)
+            await connection.send_events(BEGUN, 6)
+            await connection.send(b'0\r\n\r\n')
+
+        script = begin_with(pause, answer_with(*ANSWERS[answer]))
+        await fleet.open([script], [script])
+        assert await read_stream(fleet) == (EVENTS, True)
+        assert fleet.runs == 2
+
+
 class TestFirstAnswer:
     """Answers that begin a stream are the target's own."""
 
