--- a/src/ragwortcourse/platform/wire_state.py
+++ b/src/ragwortcourse/platform/wire_state.py
@@ -39,11 +39,6 @@
     gap_target_ms: Milliseconds = 0
     allowed_regions: list[str] = []
 
-    def __post_init__(self) -> None:
-        """Refuse a split that sends no request anywhere."""
-        if self.split and not sum(share.weight for share in self.split):
-            raise ValueError('all weights of a split are zero')
-
 
 class WireModel(msgspec.Struct, kw_only=True):
     """One model of an engine."""
