Keep a retry and a sending for streams that break off after a pause

A stream whose target paused, went on and then broke off was aborted: while it paused it was offered to targets that declined it, which spent its sendings, and requests at silent targets could spend the whole retry budget of the daemon, which a lost request needs more. Asking beside a silent target now keeps the last sending, and half of the budget. Both tests of TestLostAfterSilence failed without it.

--- a/src/ragwortcourse/forwarding/fleet_retry_budget.py
+++ b/src/ragwortcourse/forwarding/fleet_retry_budget.py
@@ -37,23 +37,28 @@
         self._first: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
 
-    @property
-    def left(self) -> int:
-        """Retries that are allowed now."""
+    def count_left(self, *, share: float = 1) -> int:
+        """Count the retries that are allowed now.
+
+        :param share: share of the limit that may be used.
+        """
         self._drop_expired(self._first)
         self._drop_expired(self._retries)
         allowed = len(self._first) * self._ratio
         allowed += self._reserve / self.daemons
-        return int(allowed * USED_SHARE) - len(self._retries)
+        return int(allowed * USED_SHARE * share) - len(self._retries)
 
     def count_first_try(self) -> None:
         """Count a first try."""
         self._first.append(read_clock())
         self._drop_expired(self._first)
 
-    def try_spend(self) -> bool:
-        """Take one retry from the budget if one is left."""
-        if self.left < 1:
+    def try_spend(self, *, share: float = 1) -> bool:
+        """Take one retry from the budget if one is left.
+
+        :param share: share of the limit that may be used.
+        """
+        if self.count_left(share=share) < 1:
             return False
         self._retries.append(read_clock())
         return True
--- a/src/ragwortcourse/forwarding/gauges.py
+++ b/src/ragwortcourse/forwarding/gauges.py
@@ -58,7 +58,7 @@
         'ragwortcourse.forwarding.retries_left',
         '',
         'further tries that the own share of the window still allows',
-        lambda: forwarder.safeguards.retry_budget.left,
+        forwarder.safeguards.retry_budget.count_left,
     )
     _watch(
         'ragwortcourse.forwarding.weights_version',
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -15,6 +15,9 @@
 
 # Additional targets that may be tried if others did not run the request.
 DECLINES_ALLOWED: Final = 2
+# Share of the retry budget that requests at silent targets may use: most of
+# these go on, while a lost request needs its retry.
+BESIDE_SHARE: Final = 0.5
 # A target that did not run a request may have a free slot after this time.
 DECLINED_RETRY_SECONDS: Final = 0.2
 
@@ -67,8 +70,12 @@
             return Standing.MOVED
         return Standing.LATE if self.is_late else Standing.FRESH
 
-    def find_end(self) -> TriesEnd | None:
-        """Find why no further target may be tried; none if one may."""
+    def find_end(self, *, beside: bool = False) -> TriesEnd | None:
+        """Find why no further target may be tried; none if one may.
+
+        :param beside: true if silent targets have the request. The last
+            sending is kept for the case that they break off.
+        """
         route = self.work.route
         if self.runs and not route.may_repeat:
             return TriesEnd.ONCE
@@ -77,21 +84,26 @@
         admission = self.forwarder.safeguards.crash_admission
         if self.runs and not admission.allows_repeat(self.suspects):
             return TriesEnd.SUSPECT
-        if self.sends >= route.max_tries + DECLINES_ALLOWED:
+        if self.sends + beside >= route.max_tries + DECLINES_ALLOWED:
             return TriesEnd.DECLINED
         return None
 
-    def find_refusal(self) -> Refusal | TriesEnd | None:
+    def find_refusal(
+        self, *, beside: bool = False
+    ) -> Refusal | TriesEnd | None:
         """Find why the request may not be sent on; none if it may.
 
         This takes a retry from the budget.
+
+        :param beside: true if silent targets have the request.
         """
         safeguards = self.forwarder.safeguards
         # A request may have waited for its target.
         refusal = safeguards.crash_admission.check(self.suspects, running=1)
         if refusal is not None:
             return refusal
-        if self.sends and not safeguards.retry_budget.try_spend():
+        share = BESIDE_SHARE if beside else 1
+        if self.sends and not safeguards.retry_budget.try_spend(share=share):
             return TriesEnd.BUDGET
         return None
 
--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -108,13 +108,13 @@
         :return: without an answer, why there is no further target.
         """
         while True:
-            end = self._tries.find_end()
+            end = self._tries.find_end(beside=bool(self.silent))
             if end is not None:
                 return end
             target = await self._choose()
             if isinstance(target, Refusal):
                 return target
-            refusal = self._tries.find_refusal()
+            refusal = self._tries.find_refusal(beside=bool(self.silent))
             if refusal is not None:
                 return refusal
             opened = await self._send(target, last_event)
--- a/src/ragwortcourse/forwarding/try_race.py
+++ b/src/ragwortcourse/forwarding/try_race.py
@@ -117,7 +117,7 @@
     def _find_next_ask(self) -> float:
         """Find the seconds until one more target may be asked."""
         wait = max(lane.patience_left for lane in self._lanes.values())
-        if not wait and self._tries.find_end() is not None:
+        if not wait and self._tries.find_end(beside=True) is not None:
             return ASK_AGAIN_SECONDS
         asked = read_clock() - self._asked_at
         return max(wait, ASK_AGAIN_SECONDS - asked, 0)
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -294,3 +294,50 @@
         with pytest.raises(aiohttp.ClientError):
             await fleet.ask(LETTER)
         assert 'target is silent' not in caplog.text
+
+
+class TestLostAfterSilence:
+    """Streams whose target pauses, and breaks off later."""
+
+    def break_off(self) -> Script:
+        """Build a script of a stream that pauses, goes on and is reset."""
+
+        async def script(
+            received: Received, connection: ScriptedConnection
+        ) -> None:
+            await begin_stream(received, connection)
+            await connection.send_events(0, 2)
+            await asyncio.sleep(2.4)
+            await connection.send_events(2, 4)
+            await asyncio.sleep(0.05)
+            connection.reset()
+
+        return script
+
+    async def test_targets_that_declined_meanwhile(self, fleet):
+        """A target is left to go on, though many declined in the pause."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+
+        async def decline_at_first(
+            received: Received, connection: ScriptedConnection
+        ) -> None:
+            is_full = loop.time() < began_at + 2.4
+            await (decline if is_full else stream_all)(received, connection)
+
+        script = begin_with(self.break_off(), decline_at_first)
+        await fleet.open(*[[script]] * 8)
+        assert await read_stream(fleet) == EVENTS
+
+    async def test_retries_spent_on_silent_targets(self, fleet):
+        """Enough retries are left for a request whose target is lost."""
+        script = begin_with(self.break_off(), stream_all)
+        await fleet.open([script], [script])
+        budget = fleet.forwarder.safeguards.retry_budget
+        while budget.try_spend(share=0.5):
+            pass
+        asked = asyncio.ensure_future(read_stream(fleet))
+        await asyncio.sleep(2)
+        assert fleet.runs == 1
+        assert await asked == EVENTS
+        assert fleet.runs == 2
