Ignore messages of daemons with numbers that mean nothing

A datagram, or a row of a refused suspect, with an age of -1e308 gave a time that never passes: a suspect refused for ever, a limit that no later answer replaces, a target unavailable for ever by a change of weights of 1e308 seconds. Counts below zero drew requests to a target. No such message was seen; the issue asks for the boundary. The types of the messages state bounds now, and a message out of them is logged as unreadable. An age may be below zero by a second, for rounding.

test_load_exchange.py::TestLoadReceiver::test_meaningless_number_is_taken failed before in its 14 cases.

--- a/src/ragwortcourse/bounded.py
+++ b/src/ragwortcourse/bounded.py
@@ -16,11 +16,20 @@
 MAX_MILLISECONDS: Final = 1e12
 # Of weights, rates and means.
 MAX_AMOUNT: Final = 1e12
+# Ages in seconds: below zero by no more than rounding and transit.
+MIN_AGE: Final = -1.0
+MAX_AGE: Final = 1e9
+MAX_SWITCH: Final = 86_400.0
 
 WholeNumber = Annotated[int, Meta(ge=0, le=MAX_WHOLE)]
 Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
 Amount = Annotated[float, Meta(ge=0, le=MAX_AMOUNT)]
+# As targets name it, which state any finite rate.
+Rate = Annotated[float, Meta(ge=0)]
 Milliseconds = Annotated[float, Meta(ge=0, le=MAX_MILLISECONDS)]
+# An engine changes its weights within a day.
+SwitchSeconds = Annotated[float, Meta(ge=0, le=MAX_SWITCH)]
+Age = Annotated[float, Meta(ge=MIN_AGE, le=MAX_AGE)]
 # Negative for what is over.
 MillisecondsLeft = Annotated[
     float, Meta(ge=-MAX_MILLISECONDS, le=MAX_MILLISECONDS)
--- a/src/ragwortcourse/forwarding/crash_messages.py
+++ b/src/ragwortcourse/forwarding/crash_messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ragwortcourse.bounded import Age, WholeNumber
 from ragwortcourse.crashes.suspect import Suspect, SuspectKind
 from ragwortcourse.forwarding.crash_evidence import CrashEvidence
 from ragwortcourse.forwarding.crash_rules import RULES
@@ -19,9 +20,9 @@
     """Lost run; ages are seconds."""
 
     target: TargetName
-    born: int
-    sent_age: float
-    lost_age: float
+    born: WholeNumber
+    sent_age: Age
+    lost_age: Age
     fate: Fate
     end: RunEnd = RunEnd.CUT
 
@@ -37,8 +38,8 @@
 
     name: str
     runs: list[RunReport]
-    answered_age: float | None
-    trial_age: float | None = None
+    answered_age: Age | None
+    trial_age: Age | None = None
 
 
 class CrashMessage(msgspec.Struct, frozen=True, kw_only=True, tag='crash'):
--- a/src/ragwortcourse/forwarding/departure_exchange.py
+++ b/src/ragwortcourse/forwarding/departure_exchange.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ragwortcourse.bounded import WholeNumber
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.fleet_updates import note_departure
 from ragwortcourse.forwarding.report_sender import ReportSender, draw_reports
@@ -18,7 +19,7 @@
     """Incarnation of a target that leaves."""
 
     target: TargetName
-    born: int
+    born: WholeNumber
 
 
 class DepartureMessage(
--- a/src/ragwortcourse/forwarding/limit_exchange.py
+++ b/src/ragwortcourse/forwarding/limit_exchange.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ragwortcourse.bounded import Age, Rate, WholeNumber
 from ragwortcourse.clock import read_clock_with_suspend
 from ragwortcourse.forwarding.named_limit import NamedLimit
 from ragwortcourse.forwarding.report_sender import ReportSender, draw_reports
@@ -20,9 +21,9 @@
     """
 
     target: TargetName
-    born: int
-    rate: float | None
-    age: float
+    born: WholeNumber
+    rate: Rate | None
+    age: Age
 
 
 class LimitMessage(msgspec.Struct, frozen=True, kw_only=True, tag='limit'):
--- a/src/ragwortcourse/forwarding/load_messages.py
+++ b/src/ragwortcourse/forwarding/load_messages.py
@@ -1,9 +1,11 @@
 """Messages about loads and versions between the daemons of a fleet."""
 
+from collections.abc import Mapping
+
 import msgspec
 
-from ragwortcourse.forwarding.peer_counts import Counts
-from ragwortcourse.identifiers import DaemonId, ModelName
+from ragwortcourse.bounded import Age, Count, SwitchSeconds, WholeNumber
+from ragwortcourse.identifiers import DaemonId, ModelName, TargetName
 
 
 class VersionAnnouncement(
@@ -16,8 +18,8 @@
         had to assume the age.
     """
 
-    version: int
-    age: float
+    version: WholeNumber
+    age: Age
     observed: bool
 
 
@@ -30,7 +32,7 @@
     """
 
     versions: dict[ModelName, list[VersionAnnouncement]]
-    complete_for: float | None
+    complete_for: Age | None
 
 
 class LoadMessage(msgspec.Struct, frozen=True, kw_only=True, tag='load'):
@@ -46,10 +48,10 @@
     """
 
     daemon: DaemonId
-    counts: Counts
+    counts: Mapping[TargetName, tuple[Count, Count]]
     namings: VersionHistoryMessage | None = None
     store_lost: bool = False
-    stable_for: float | None = None
+    stable_for: Age | None = None
 
 
 class SwitchMessage(msgspec.Struct, frozen=True, kw_only=True, tag='switch'):
@@ -62,5 +64,5 @@
     """
 
     address: str
-    seconds: float
-    version: int
+    seconds: SwitchSeconds
+    version: WholeNumber
--- a/src/ragwortcourse/platform/crash_rows.py
+++ b/src/ragwortcourse/platform/crash_rows.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from ragwortcourse.bounded import Amount
 from ragwortcourse.clock import read_clock_with_suspend
 from ragwortcourse.crashes.evidence_store import SUSPICION_SECONDS
 from ragwortcourse.crashes.suspect import Suspect
@@ -43,7 +44,7 @@
     """
 
     report: CrashReport
-    written_at: float
+    written_at: Amount
 
 
 class CrashKeeper:
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -195,6 +195,54 @@
         receiver.datagram_received(content, ('10.0.0.2', 1))
         assert 'unreadable' in caplog.text
 
+    @pytest.mark.parametrize(
+        'message',
+        [
+            {'type': 'load', 'counts': {'t-1': [-1, 0]}},
+            {'type': 'load', 'counts': {'t-1': [10**399, 0]}},
+            {'type': 'load', 'counts': {}, 'stable_for': -1e308},
+            {
+                'type': 'load',
+                'counts': {},
+                'namings': {
+                    'versions': {'m': [[2, -1e308, True]]},
+                    'complete_for': 1,
+                },
+            },
+            {
+                'type': 'load',
+                'counts': {},
+                'namings': {
+                    'versions': {'m': [[10**399, 1, True]]},
+                    'complete_for': 1,
+                },
+            },
+            {'type': 'switch', 'address': 'a', 'seconds': 1e308, 'version': 1},
+            {'type': 'switch', 'address': 'a', 'seconds': 1, 'version': -1},
+            {'type': 'limit', 'reports': [['t-1', 1, -1, 0]]},
+            {'type': 'limit', 'reports': [['t-1', 1, 1, -1e308]]},
+            {'type': 'departure', 'reports': [['t-1', 10**399]]},
+            {'type': 'crash', 'reports': [['r', [], -1e308, None]]},
+            {'type': 'crash', 'reports': [['r', [], None, -1e308]]},
+            {
+                'type': 'crash',
+                'reports': [['r', [['t-1', 1, 1e308, 1, 1, 1]], None, None]],
+            },
+            {
+                'type': 'crash',
+                'reports': [['r', [['t-1', 1, 1, -1e308, 1, 1]], None, None]],
+            },
+        ],
+    )
+    async def test_meaningless_number_is_taken(self, message, caplog):
+        """A message with a number that means nothing is ignored.
+
+        An age far below zero is a time that never passes.
+        """
+        _, receiver = make_receiver()
+        send(receiver, {'daemon': 'e2', **message})
+        assert 'unreadable' in caplog.text
+
 
 class TestExchangeLoads:
     """Exchange of messages between daemons over loopback."""
