Log odd reports, manifests and rows of leases instead of ending the daemon

A loader ended when its engine's report or list of chunks, or a manifest of an origin or another daemon, was nested too deeply (RecursionError out of its tasks). An agent ended at any odd row of a lease: its decoding was not guarded at all. Unreadable reports and manifests were dropped without a line.

All use decode_json, and each drop has its line. Over an odd row of an order lease nothing is claimed, as its holder may still send orders and its number is unknown; an odd row of a roll-out lease is that of another target and expires. Numbers in these messages are bounded.

--- a/src/ragwortcourse/platform/engine.py
+++ b/src/ragwortcourse/platform/engine.py
@@ -1,14 +1,18 @@
 """Client of the model engine on the loader's host, in the platform's format."""
 
 import asyncio
+import logging
 from typing import Final
 
 import aiohttp
 import msgspec
 
 from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
+from ragwortcourse.bounded import Count
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.platform.target_rows import WireLayers, decode_layers
+from ragwortcourse.unreadable import UnreadableError
 from ragwortcourse.weights.engine_port import EngineReport, LoadOrderOutcome
 
 # The engine is on the same host and answers at once unless it is down.
@@ -19,6 +23,8 @@
 OK: Final = 200
 CONFLICT: Final = 409
 
+LOGGER: Final = logging.getLogger(__name__)
+
 
 class WireReport(msgspec.Struct, frozen=True, kw_only=True):
     """State of an engine, some hundred milliseconds old.
@@ -27,14 +33,14 @@
     """
 
     busy: bool = False
-    running: int = 0
+    running: Count = 0
     layers: WireLayers | None = None
 
 
 class WireHeld(msgspec.Struct, kw_only=True):
     """Indexes of the staged chunks."""
 
-    held: list[int] = []
+    held: list[Count] = []
 
 
 class Engine:
@@ -68,9 +74,12 @@
         if answer is None or answer[0] != OK:
             return None
         try:
-            wire = msgspec.json.decode(answer[1], type=WireReport)
-        except msgspec.DecodeError:
+            wire = decode_json(answer[1], WireReport)
+        except UnreadableError as error:
             # The next report follows within a second.
+            LOGGER.info(
+                'unreadable report of the engine', extra={'detail': str(error)}
+            )
             return None
         return EngineReport(
             busy=wire.busy,
@@ -84,9 +93,13 @@
         if answer is None or answer[0] != OK:
             return frozenset()
         try:
-            held = msgspec.json.decode(answer[1], type=WireHeld).held
-        except msgspec.DecodeError:
+            held = decode_json(answer[1], WireHeld).held
+        except UnreadableError as error:
             # With an empty result every chunk is downloaded and staged again.
+            LOGGER.info(
+                'unreadable list of the chunks of the engine',
+                extra={'model': model, 'detail': str(error)},
+            )
             return frozenset()
         return frozenset(held)
 
--- a/src/ragwortcourse/platform/weight_source.py
+++ b/src/ragwortcourse/platform/weight_source.py
@@ -1,13 +1,17 @@
 """Client of the platform's origins of weights."""
 
+import logging
 from typing import Final
 
 import aiohttp
 import msgspec
 
 from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
+from ragwortcourse.bounded import WholeNumber
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.identifiers import ModelName, Sha256Hex
+from ragwortcourse.unreadable import UnreadableError
 from ragwortcourse.weights.fleet_downloader import FleetDownloader
 from ragwortcourse.weights.fleet_manifest import FleetManifest
 from ragwortcourse.weights.origin_calls import OriginCalls
@@ -22,6 +26,8 @@
 )
 OK: Final = 200
 
+LOGGER: Final = logging.getLogger(__name__)
+
 
 class WireManifest(msgspec.Struct, kw_only=True):
     """Chunk digests of one version.
@@ -29,7 +35,7 @@
     :param digests: hex SHA-256 of each chunk, in order.
     """
 
-    version: int
+    version: WholeNumber
     digests: list[str]
 
 
@@ -51,10 +57,20 @@
         content = await self._read(
             f'http://{address}/manifest/{model}?version={version}'
         )
+        if content is None:
+            return None
         try:
-            wire = msgspec.json.decode(content or b'', type=WireManifest)
-        except msgspec.DecodeError:
+            wire = decode_json(content, WireManifest)
+        except UnreadableError as error:
             # Truncated or corrupted in transit; the caller retries.
+            LOGGER.info(
+                'unreadable manifest of an origin',
+                extra={
+                    'model': model,
+                    'version': version,
+                    'detail': str(error),
+                },
+            )
             return None
         if wire.version != version:
             return None
--- a/src/ragwortcourse/weights/manifest.py
+++ b/src/ragwortcourse/weights/manifest.py
@@ -5,7 +5,9 @@
 
 import msgspec
 
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import ModelName, Sha256Hex, VersionName
+from ragwortcourse.unreadable import UnreadableError
 
 # Larger manifests are refused.
 MANIFEST_LIMIT_BYTES: Final = 8_388_608
@@ -65,8 +67,8 @@
     if digest_bytes(content) != digest:
         return ManifestRefused(detail=f'bytes do not have digest {digest}')
     try:
-        manifest = msgspec.json.decode(content, type=Manifest)
-    except msgspec.DecodeError as error:
+        manifest = decode_json(content, Manifest)
+    except UnreadableError as error:
         return ManifestRefused(detail=f'manifest {digest}: {error}')
     if manifest.size < 0 or manifest.chunk_size <= 0:
         return ManifestRefused(
--- a/src/ragwortcourse/weights/manifest_routes.py
+++ b/src/ragwortcourse/weights/manifest_routes.py
@@ -16,7 +16,9 @@
 )
 
 from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import ModelName
+from ragwortcourse.unreadable import UnreadableError
 from ragwortcourse.weights.fleet_manifest import FleetManifest
 from ragwortcourse.weights.peer_reach import PeerReach
 
@@ -27,7 +29,7 @@
 FETCH_SECONDS: Final = 1.5
 CONNECT_SECONDS: Final = 0.3
 OK: Final = 200
-FAILURES: Final = (ClientError, OSError, TimeoutError, msgspec.DecodeError)
+FAILURES: Final = (ClientError, OSError, TimeoutError, UnreadableError)
 TIMEOUT: Final = ClientTimeout(
     total=FETCH_SECONDS, sock_connect=CONNECT_SECONDS
 )
@@ -80,9 +82,9 @@
         try:
             async with session.get(url, timeout=TIMEOUT) as response:
                 if response.status == OK:
-                    return msgspec.json.decode(
+                    return decode_json(
                         await read_body(response, limit=LARGE_BODY_BYTES),
-                        type=FleetManifest,
+                        FleetManifest,
                     )
         except (ClientConnectorError, ConnectionTimeoutError):
             reach.note_silent(address)
--- a/src/ragwortcourse/weights/order_lease.py
+++ b/src/ragwortcourse/weights/order_lease.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import dataclasses
+import logging
 import random
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
+from ragwortcourse.bounded import MAX_WHOLE
 from ragwortcourse.clock import read_clock
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import FencingNumber, TargetName
 from ragwortcourse.storage.row_change import replace_row
 from ragwortcourse.storage.table import (
@@ -18,12 +21,15 @@
     TableKey,
     TableService,
 )
+from ragwortcourse.unreadable import UnreadableError
 
 LEASE_SECONDS: Final = 30.0
 # Limit for waiting on an order and for an engine to act on it.
 LONGEST_ORDER_SECONDS: Final = 20.0
 TOKEN_BITS: Final = 64
 
+LOGGER: Final = logging.getLogger(__name__)
+
 
 class OrderLeaseRow(msgspec.Struct, frozen=True, kw_only=True):
     """Lease row of one target.
@@ -33,7 +39,7 @@
     :param released: whether the holder has stopped sending orders.
     """
 
-    fencing: FencingNumber
+    fencing: Annotated[FencingNumber, msgspec.Meta(ge=0, le=MAX_WHOLE)]
     holder: str
     released: bool
 
@@ -150,11 +156,17 @@
         return True
 
     async def _read_and_claim(self) -> LeaseOutcome:
-        """Claim the row unless another agent has taken over the target."""
+        """Claim the row unless another agent has taken over the target.
+
+        Over a row that can't be read nothing is claimed: its holder may still
+        send orders, and a lower number than its own would fence the claim off.
+        """
         answer = await self._table.read(self._key)
         if not isinstance(answer, RowRead):
             return LeaseRefused(detail=answer.detail)
         former = _decode(answer.row)
+        if former is None and answer.row is not None:
+            return LeaseRefused(detail=f'{self._key}: unreadable row')
         if self._is_taken_over(former):
             self.superseded = True
             return LeaseRefused(detail='superseded', superseded=True)
@@ -169,6 +181,14 @@
 
 
 def _decode(row: Row | None) -> OrderLeaseRow | None:
+    """Decode a row; none if there is none, or one that is logged as odd."""
     if row is None:
         return None
-    return msgspec.json.decode(row.content, type=OrderLeaseRow)
+    try:
+        return decode_json(row.content, OrderLeaseRow)
+    except UnreadableError as error:
+        LOGGER.warning(
+            'unreadable row of a lease',
+            extra={'row': row.key, 'detail': str(error)},
+        )
+        return None
--- a/src/ragwortcourse/weights/rollout_lease.py
+++ b/src/ragwortcourse/weights/rollout_lease.py
@@ -1,12 +1,14 @@
 """Roll-out leases that limit how many targets change at the same time."""
 
 import asyncio
+import logging
 import random
 from typing import Final
 
 import msgspec
 
 from ragwortcourse.clock import read_clock
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import DeploymentName, TargetName
 from ragwortcourse.storage.row_change import replace_row
 from ragwortcourse.storage.table import (
@@ -16,6 +18,7 @@
     TableKey,
     TableService,
 )
+from ragwortcourse.unreadable import UnreadableError
 from ragwortcourse.weights.order_lease import TOKEN_BITS
 
 # A change that takes longer loses the lease.
@@ -23,6 +26,8 @@
 SHORTEST_POLL_SECONDS: Final = 1.0
 LONGEST_POLL_SECONDS: Final = 3.0
 
+LOGGER: Final = logging.getLogger(__name__)
+
 
 class RolloutLeaseRow(msgspec.Struct, frozen=True, kw_only=True):
     """Holder of one of the roll-out leases; a free lease has no row."""
@@ -117,11 +122,17 @@
         return now - since > LEASE_SECONDS
 
     def _is_own(self, row: Row | None) -> bool:
+        """Return whether a row is this target's; an odd one is not."""
         if row is None:
             return False
-        return (
-            msgspec.json.decode(row.content, type=RolloutLeaseRow) == self._row
-        )
+        try:
+            return decode_json(row.content, RolloutLeaseRow) == self._row
+        except UnreadableError as error:
+            LOGGER.warning(
+                'unreadable row of a lease',
+                extra={'row': row.key, 'detail': str(error)},
+            )
+            return False
 
     async def _write(
         self, key: TableKey, row: Row | None, content: bytes | None
--- a/tests/test_manifest_routes.py
+++ b/tests/test_manifest_routes.py
@@ -1,5 +1,8 @@
 """Tests of the transfer of manifests between daemons."""
 
+import logging
+
+import msgspec
 import pytest
 from aiohttp import ClientSession, web
 from aiohttp.test_utils import TestServer
@@ -69,6 +72,16 @@
         """Without a daemon that has the manifest, there is no result."""
         assert await fetch(find_nothing) is None
 
+    async def test_deeply_nested_answer(self, caplog):
+        """The next daemon is asked after an answer that can't be read."""
+        caplog.set_level(logging.INFO)
+
+        async def find_odd(model, version):
+            return msgspec.Raw(b'{"a":%s}' % (b'[' * 100_000 + b']' * 100_000))
+
+        assert await fetch(find_odd, find_present) == MANIFEST
+        assert 'asking the next daemon' in caplog.text
+
 
 class TestReadTwice:
     """Manifests from the origin, which daemons then serve to others."""
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -20,6 +20,12 @@
 )
 
 pytestmark = pytest.mark.looptime
+ODD = [
+    b'odd',
+    b'{"a":%s}' % (b'[' * 100_000 + b']' * 100_000),
+    b'{"fencing":%s,"holder":"a","released":true}' % (b'9' * 400),
+    b'{"fencing":-1,"holder":"a","released":true}',
+]
 
 
 def make_lease(
@@ -131,6 +137,24 @@
         )
         assert isinstance(await lease.acquire(), LeaseHeld)
 
+    @pytest.mark.parametrize('content', ODD)
+    async def test_odd_row_ends_the_agent(self, content, caplog):
+        """No lease is given over a row that can't be read.
+
+        Its holder may still send orders, and its number is not known.
+        """
+        rows = MemoryRows()
+        holder = make_lease(rows, 1, checks=True)
+        await holder.acquire()
+        (key,) = rows.rows
+        rows.rows[key] = dataclasses.replace(rows.rows[key], content=content)
+        lease = make_lease(rows, 2, checks=True)
+        assert isinstance(await lease.acquire(), LeaseRefused)
+        assert not lease.superseded
+        assert 'unreadable row of a lease' in caplog.text
+        await holder.release()
+        assert rows.rows[key].content == content
+
     async def test_table_out_of_reach_gives_no_lease(self):
         """The lease is refused while the table service is down."""
         faults = Faults()
--- a/tests/test_platform_engine.py
+++ b/tests/test_platform_engine.py
@@ -1,12 +1,17 @@
 """Tests of :mod:`ragwortcourse.platform.engine`."""
 
 import asyncio
+import contextlib
+import logging
 import re
 
 import pytest
+from aiohttp import ClientSession, web
+from aiohttp.test_utils import TestServer
 
 from fakes.fleet_parts import MODEL, make_settings
 from ragwortcourse.identifiers import ServiceName
+from ragwortcourse.platform.engine import Engine
 from ragwortcourse.processes.loader_daemon import build_loader_daemon
 from ragwortcourse.settings import LoaderSettings, Role
 from ragwortcourse.weights.engine_port import LoadOrderOutcome
@@ -88,3 +93,39 @@
     async def test_late_copy_is_no_staged_chunk(self, engine):
         """A report is not taken for a chunk."""
         assert await engine.read_staged(MODEL, 0) is None
+
+
+class TestOddAnswers:
+    """Answers of an engine that are nested too deeply."""
+
+    @pytest.fixture
+    async def engine(self):
+        """Client of an engine that gives one such answer to everything."""
+
+        async def send_deep(request):
+            return web.Response(body=b'{"a":%s}' % (b'[' * 100_000))
+
+        app = web.Application()
+        app.add_routes([web.get('/{path:.*}', send_deep)])
+        async with contextlib.AsyncExitStack() as stack:
+            server = TestServer(app)
+            await server.start_server()
+            stack.push_async_callback(server.close)
+            session = await stack.enter_async_context(ClientSession())
+            yield Engine(
+                session=session,
+                reports=session,
+                address=f'127.0.0.1:{server.port}',
+            )
+
+    async def test_deeply_nested_report_ends_the_loader(self, engine, caplog):
+        """The report counts as none, and the log says why."""
+        caplog.set_level(logging.INFO)
+        assert await engine.read_report() is None
+        assert 'unreadable report' in caplog.text
+
+    async def test_deeply_nested_list_of_chunks(self, engine, caplog):
+        """The list counts as empty, and the log says why."""
+        caplog.set_level(logging.INFO)
+        assert not await engine.list_staged(MODEL)
+        assert 'unreadable list' in caplog.text
