Answer 400 to a body that is nested too deeply

A caller of a model got 500 without an error code for a body with some thousand levels, as RecursionError left the handler. The body is decoded by decode_json and refused as any other that is no JSON object with a model.

The new case of test_callers.py::TestErrors::test_code_and_outcome failed before (500, no error code).

--- a/src/ragwortcourse/entry/admission.py
+++ b/src/ragwortcourse/entry/admission.py
@@ -10,6 +10,7 @@
 from ragwortcourse.configuration.client_account import ClientAccount
 from ragwortcourse.configuration.deployment import ServiceDeployment
 from ragwortcourse.crashes.fingerprint import compute_fingerprint
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.entry import errors
 from ragwortcourse.entry.admitted_call import AdmittedCall
 from ragwortcourse.entry.decision_log import DecisionLog
@@ -17,6 +18,7 @@
 from ragwortcourse.identifiers import AdapterName, Fingerprint, ModelName
 from ragwortcourse.messages.call import Call
 from ragwortcourse.messages.outcome import NotRun
+from ragwortcourse.unreadable import UnreadableError
 
 _PREFIX_BYTES = 1024
 _DIGEST_BYTES = 8
@@ -158,8 +160,8 @@
     account: ClientAccount,
 ) -> AdmittedCall | NotRun:
     try:
-        fields = msgspec.json.decode(call.body, type=ModelFields)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        fields = decode_json(call.body, ModelFields)
+    except UnreadableError as error:
         return NotRun(
             code=errors.BAD_REQUEST,
             detail=f'The body is no JSON object with a model: {error}.',
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -22,6 +22,7 @@
 BODY = b'{"model":"%b"}' % MODEL.encode()
 CHAT = '/v1/chat/completions'
 BAD = 'bad_request'
+DEEP = b'{"messages":%s}' % (b'[' * 100_000)
 LARGE = b' ' * (BODY_LIMIT_BYTES + 1)
 
 
@@ -51,6 +52,7 @@
             ('POST', CHAT, KEY, b'[1]', 400, BAD),
             ('POST', CHAT, KEY, b'{"model":7}', 400, BAD),
             ('POST', CHAT, KEY, b'{"model":"\xff"}', 400, BAD),
+            ('POST', CHAT, KEY, DEEP, 400, BAD),
             ('POST', CHAT, KEY, b'{"model":"x"}', 404, 'unknown_model'),
             ('POST', '/services/x/y', KEY, b'', 404, 'unknown_service'),
             ('GET', '/v1/nothing', KEY, b'', 404, 'unknown_path'),
