Log odd rows of claims, crashing requests and suspicions

An odd row of crashing requests ended each entry daemon, as its reader had no guard, also for plain DecodeError. An odd claim left the handler of a call as an exception; an odd row of suspicions lost its task and stayed for good.

Rows of crashing requests and suspicions are logged and written anew from what the daemon knows. A call whose claim can't be read is refused as if the table could not be reached: the work may have run, so nothing is sent for its key.

Failed before, with DecodeError and RecursionError: test_claimed_calls.py:: TestTableFaults::test_odd_claim_fails_the_call, test_crashers.py:: TestCrashingRequest::test_odd_row_of_crashers_ends_the_daemon and test_odd_row_of_suspicions_stays, two cases each.

--- a/src/ragwortcourse/entry/claims.py
+++ b/src/ragwortcourse/entry/claims.py
@@ -2,11 +2,13 @@
 
 import dataclasses
 import hashlib
+import logging
 from typing import Final
 
 import msgspec
 from opentelemetry import metrics
 
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.entry import errors
 from ragwortcourse.entry.admitted_call import AdmittedCall
 from ragwortcourse.entry.claim import Claim
@@ -23,9 +25,13 @@
     Row,
     TableKey,
 )
+from ragwortcourse.unreadable import UnreadableError
 
 COMMIT_TRIES: Final = 3
 TABLE_RETRY_SECONDS: Final = 2.0
+UNREADABLE: Final = 'its row can not be read'
+
+LOGGER: Final = logging.getLogger(__name__)
 _CLAIMS: Final = metrics.get_meter(__name__).create_counter(
     'entry.claims', description='Claims by their result.'
 )
@@ -114,6 +120,8 @@
     if row is None:
         return refuse_without_table('the row went away')
     claim = decode_claim(row)
+    if claim is None:
+        return refuse_without_table(UNREADABLE)
     if claim.token == held.claim.token:
         return ClaimHeld(claim=held.claim, version=row.version)
     _CLAIMS.add(1, {'result': 'found'})
@@ -129,17 +137,24 @@
         return refuse_without_table(outcome.detail)
     if outcome.row is None:
         return None
-    return ClaimFound(
-        claim=decode_claim(outcome.row), version=outcome.row.version
-    )
+    claim = decode_claim(outcome.row)
+    if claim is None:
+        return refuse_without_table(UNREADABLE)
+    return ClaimFound(claim=claim, version=outcome.row.version)
 
 
-def decode_claim(row: Row) -> Claim:
-    """Decode the claim in a row.
+def decode_claim(row: Row) -> Claim | None:
+    """Decode the claim in a row; none for an odd row, which is logged.
 
-    :raises msgspec.ValidationError: if the row does not hold a claim.
+    The work under its key may have run, so nothing more is sent for the key.
     """
-    return msgspec.json.decode(row.content, type=Claim)
+    try:
+        return decode_json(row.content, Claim)
+    except UnreadableError as error:
+        LOGGER.warning(
+            'unreadable claim', extra={'row': row.key, 'detail': str(error)}
+        )
+        return None
 
 
 def refuse_without_table(detail: str) -> NotRun:
--- a/src/ragwortcourse/entry/crasher_sync.py
+++ b/src/ragwortcourse/entry/crasher_sync.py
@@ -1,10 +1,12 @@
 """Sharing of crashing requests among all entry daemons, in one row."""
 
 import asyncio
+import logging
 from typing import Final
 
 import msgspec
 
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.entry.crashers import (
     EVIDENCE_LIMIT,
     CrasherRegistry,
@@ -18,11 +20,14 @@
     RowRead,
     TableKey,
 )
+from ragwortcourse.unreadable import UnreadableError
 
 CRASHERS_KEY: Final = TableKey('crashers')
 SPREAD_PERIOD_SECONDS: Final = 2.0
 _JITTER: Final = 0.2
 
+LOGGER: Final = logging.getLogger(__name__)
+
 
 class SharedCrashers(msgspec.Struct, frozen=True, kw_only=True):
     """Content of the shared row."""
@@ -61,8 +66,18 @@
 
 
 def merge_shared(crashers: CrasherRegistry, content: bytes) -> None:
-    """Merge the content of the shared row into local evidence."""
-    shared = msgspec.json.decode(content, type=SharedCrashers)
+    """Merge the content of the shared row into local evidence.
+
+    An odd row holds none, and is written anew.
+    """
+    try:
+        shared = decode_json(content, SharedCrashers)
+    except UnreadableError as error:
+        LOGGER.warning(
+            'unreadable row of crashing requests',
+            extra={'row': CRASHERS_KEY, 'detail': str(error)},
+        )
+        return
     for one in shared.crashers:
         merge_crasher(crashers, one)
 
--- a/src/ragwortcourse/entry/suspicion_rows.py
+++ b/src/ragwortcourse/entry/suspicion_rows.py
@@ -6,12 +6,14 @@
 row keeps the newest suspicions and drops expired ones.
 """
 
+import logging
 from collections.abc import Callable
 from typing import Final
 
 import msgspec
 
 from ragwortcourse.crashes.evidence_store import SUSPICION_SECONDS
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.entry.crasher_sync import build_shared_crasher, merge_crasher
 from ragwortcourse.entry.entry import EntryState
 from ragwortcourse.messages.shared_crasher import SharedCrasher
@@ -23,11 +25,14 @@
     Row,
     TableKey,
 )
+from ragwortcourse.unreadable import UnreadableError
 
 PREFIX_DIGITS: Final = 2
 KEPT_SUSPICIONS: Final = 32
 WRITE_TRIES: Final = 4
 
+LOGGER: Final = logging.getLogger(__name__)
+
 
 class Suspicion(msgspec.Struct, frozen=True, kw_only=True):
     """Time-stamped crash evidence against one request.
@@ -106,10 +111,20 @@
 
 
 def _read_fresh(entry: EntryState, row: Row | None) -> dict[str, Suspicion]:
-    """Return a row's unexpired suspicions by fingerprint."""
+    """Return a row's unexpired suspicions by fingerprint; none of an odd row.
+
+    The odd row is then written anew.
+    """
     if row is None:
         return {}
-    content = msgspec.json.decode(row.content, type=Suspicions)
+    try:
+        content = decode_json(row.content, Suspicions)
+    except UnreadableError as error:
+        LOGGER.warning(
+            'unreadable row of suspicions',
+            extra={'row': row.key, 'detail': str(error)},
+        )
+        return {}
     since = entry.read_wall_clock() - SUSPICION_SECONDS
     return {
         one.crasher.fingerprint: one
--- a/tests/test_claimed_calls.py
+++ b/tests/test_claimed_calls.py
@@ -301,6 +301,22 @@
         assert told == 'not_run claims_unavailable'
         assert not site.agents.sent
 
+    @pytest.mark.parametrize(
+        'content', [b'odd', b'{"a":%s}' % (b'[' * 100_000)]
+    )
+    async def test_odd_claim_fails_the_call(self, content, caplog):
+        """A call whose claim can't be read is refused; it may have run."""
+        site = Site()
+        assert await collect(site.a, make_booking_call(key='k')) == 'whole'
+        (key,) = site.rows.rows
+        site.rows.rows[key] = dataclasses.replace(
+            site.rows.rows[key], content=content
+        )
+        told = await collect(site.b, make_booking_call('r2', key='k'))
+        assert told == 'not_run claims_unavailable'
+        assert len(site.agents.ran) == 1
+        assert 'unreadable claim' in caplog.text
+
     async def test_lost_answer_is_settled_by_the_own_token(self):
         """A claim whose commit answer was lost is recognized by its token."""
         site = Site()
--- a/tests/test_crashers.py
+++ b/tests/test_crashers.py
@@ -16,14 +16,24 @@
     SendCrasher,
     build_crasher_broadcast,
 )
-from ragwortcourse.entry.crasher_sync import merge_crasher, sync_crashers_once
+from ragwortcourse.entry.crasher_sync import (
+    CRASHERS_KEY,
+    merge_crasher,
+    sync_crashers_once,
+)
 from ragwortcourse.entry.entry import EntryState
+from ragwortcourse.entry.suspicion_rows import (
+    build_suspicion_key,
+    clear_suspicion,
+)
 from ragwortcourse.identifiers import TargetName
 from ragwortcourse.messages.shared_crasher import SharedCrasher
+from ragwortcourse.storage.table import Row
 from tests.test_calls import collect
 
 pytestmark = pytest.mark.looptime
 
+ODD = [b'odd', b'{"a":%s}' % (b'[' * 100_000)]
 REFUSED = 'not_run crashing_request'
 TARGET_NAMES = ('one', 'two', 'three', 'four')
 
@@ -146,6 +156,30 @@
         assert await collect(second, make_model_call('r2')) == REFUSED
         assert len(site.agents.ran) == 2
 
+    @pytest.mark.parametrize('content', ODD)
+    async def test_odd_row_of_crashers_ends_the_daemon(self, content, caplog):
+        """The row is logged and written anew from what this daemon knows."""
+        site = CrashSite(targets=4)
+        first, second = site.make_entry('a'), site.make_entry('b')
+        site.rows.rows[CRASHERS_KEY] = Row(
+            key=CRASHERS_KEY, version=1, content=content
+        )
+        await collect(first, make_model_call())
+        await sync_crashers_once(first)
+        assert 'unreadable row of crashing requests' in caplog.text
+        await sync_crashers_once(second)
+        assert await collect(second, make_model_call('r2')) == REFUSED
+
+    @pytest.mark.parametrize('content', ODD)
+    async def test_odd_row_of_suspicions_stays(self, content, caplog):
+        """The row is logged and written anew."""
+        site = CrashSite(targets=1)
+        key = build_suspicion_key('ab')
+        site.rows.rows[key] = Row(key=key, version=1, content=content)
+        await clear_suspicion(site.make_entry('a'), 'ab')
+        assert 'unreadable row of suspicions' in caplog.text
+        assert site.rows.rows[key].content == b'{"suspicions":[]}'
+
     async def test_statuses_tell_while_the_table_is_down(self):
         """Suspects in target statuses suffice if the table can't be read."""
         site = CrashSite(targets=4)
