--- a/src/ragwortcourse/entry/crasher_sync.py
+++ b/src/ragwortcourse/entry/crasher_sync.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.entry.crashers import (
     EVIDENCE_LIMIT,
     CrasherRegistry,
@@ -19,12 +20,14 @@
     RowRead,
     TableKey,
 )
+from ragwortcourse.unreadable import UnreadableError
 
-LOGGER: Final = logging.getLogger(__name__)
 CRASHERS_KEY: Final = TableKey('crashers')
 SPREAD_PERIOD_SECONDS: Final = 2.0
 _JITTER: Final = 0.2
 
+LOGGER: Final = logging.getLogger(__name__)
+
 
 class SharedCrashers(msgspec.Struct, frozen=True, kw_only=True):
     """Content of the shared row."""
@@ -65,13 +68,14 @@
 def merge_shared(crashers: CrasherRegistry, content: bytes) -> None:
     """Merge the content of the shared row into local evidence.
 
-    Content that can't be read holds no evidence, and is written over.
+    An odd row holds none, and is written anew.
     """
     try:
-        shared = msgspec.json.decode(content, type=SharedCrashers)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        shared = decode_json(content, SharedCrashers)
+    except UnreadableError as error:
         LOGGER.warning(
-            'unreadable row of crashers', extra={'detail': str(error)}
+            'unreadable row of crashing requests',
+            extra={'row': CRASHERS_KEY, 'detail': str(error)},
         )
         return
     for one in shared.crashers:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -23,6 +23,7 @@
 CHAT = '/v1/chat/completions'
 BAD = 'bad_request'
 BOOKINGS = '/services/booking-app/bookings'
+DEEP = b'{"messages":%s}' % (b'[' * 100_000)
 LARGE = b' ' * (BODY_LIMIT_BYTES + 1)
 NESTED = b'[' * 100_000
 LATIN = 'a=caf\xe9'
@@ -56,6 +57,7 @@
             ('POST', CHAT, KEY, b'{"model":7}', 400, BAD),
             ('POST', CHAT, KEY, b'{"model":"x","a":' + NESTED, 400, BAD),
             ('POST', CHAT, KEY, b'{"model":"\xff"}', 400, BAD),
+            ('POST', CHAT, KEY, DEEP, 400, BAD),
             ('POST', CHAT, KEY, b'{"model":"x"}', 404, 'unknown_model'),
             ('POST', '/services/x/y', KEY, b'', 404, 'unknown_service'),
             ('GET', '/v1/nothing', KEY, b'', 404, 'unknown_path'),
