Refuse requests that can't be sent as the daemon ends

Callers got a 500 of the HTTP server instead of a refusal for a request that was to be sent, for the first time or again, after the daemon had closed its connections to targets at the end of the grace time.

Cause: aiohttp raises RuntimeError for a closed session, which nothing catches between the handler and aiohttp.

test_daemon_ends failed before with 500 for a lookup and a charge. A closed session is now a target that was not reached, so that the request is refused with 503 if it has not run, and a begun stream is broken off like any other.

--- a/src/ragwortcourse/forwarding/exchange.py
+++ b/src/ragwortcourse/forwarding/exchange.py
@@ -162,6 +162,8 @@
 
     Cancellation closes the connection.
     """
+    if session.closed:
+        return NotSent(detail='the daemon ends', refused=False)
     call = work.call
     url = URL(
         f'http://{dispatch.target.address}{call.path_and_query}', encoded=True
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -404,6 +404,19 @@
         assert float(response.headers['Retry-After']) > 0
         assert fleet.runs == 0
 
+    @pytest.mark.parametrize('path', [LOOK, CHARGED])
+    async def test_daemon_ends(self, fleet, path):
+        """A request that is not sent as the daemon ends is refused.
+
+        A daemon closes its connections to targets at the end of its grace
+        time. Requests that were to be sent then got a 500 of the HTTP server.
+        """
+        await fleet.open([answer_whole], plain=True)
+        await fleet.forwarder.session.close()
+        response = await fleet.ask(path)
+        assert response.status == 503
+        assert fleet.runs == 0
+
     async def test_stopping(self, fleet):
         """A daemon that is stopping refuses requests with 503."""
         await fleet.open([answer_whole], plain=True)
