Refuse requests whose body ends after the time of service

Callers saw a stream cut at the end of the grace time although it had been sent later than 3 s after SIGTERM, which excuses no cut.

Cause: whether the daemon still serves was checked only as the head of a request arrived. A body that took some hundred ms more let a request begin after the time of service, with less than its time limit left until the exit.

test_stopping_while_the_body_arrives failed before with 200. The check is repeated once the body was read: the request has not run, so that 503 is true, and another daemon can serve it at once.

The rounds now close a daemon's connections as it exits, as the system does.

--- a/fakes/change_rounds.py
+++ b/fakes/change_rounds.py
@@ -224,7 +224,13 @@
 
     def _terminate(self) -> None:
         self._terminated_at = read_clock()
-        self._stopping = asyncio.ensure_future(self._service.stop())
+        self._stopping = asyncio.ensure_future(self._exit())
+
+    async def _exit(self) -> None:
+        """End the daemon, whose exit closes all its connections."""
+        await self._service.stop()
+        for end in self._ports.accepted[PORTS['callers']]:
+            end.abort()
 
     async def _ask(self, plan: RequestPlan, first_at: float) -> None:
         caller = RawCaller(port=PORTS['callers'])
--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -60,6 +60,8 @@
     if isinstance(permitted, Refusal):
         return _write_reply(call, permitted)
     body = await request.read()
+    if forwarder.closing:
+        return _write_reply(call, STOPPING)
     work = _accept(call, *permitted, body)
     tries = Tries(forwarder=forwarder, work=work)
     suspects = tries.crashes.suspects
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -404,6 +404,26 @@
         assert float(response.headers['Retry-After']) > 0
         assert fleet.runs == 0
 
+    async def test_stopping_while_the_body_arrives(self, fleet):
+        """A request whose body ends after the time of service is refused.
+
+        It would run until after the end of the grace time.
+        """
+
+        async def write_slowly():
+            yield b'begin'
+            await asyncio.sleep(0.05)
+            fleet.forwarder.closing = True
+            yield b'end'
+
+        await fleet.open([answer_whole], plain=True)
+        headers = {'Host': 'desk.example', 'Authorization': f'Bearer {KEY}'}
+        async with fleet.client.post(
+            CHARGED, data=write_slowly(), headers=headers
+        ) as response:
+            assert response.status == 503
+        assert fleet.runs == 0
+
     @pytest.mark.parametrize('path', [LOOK, CHARGED])
     async def test_daemon_ends(self, fleet, path):
         """A request that is not sent as the daemon ends is refused.
