--- a/fakes/change_rounds.py
+++ b/fakes/change_rounds.py
@@ -336,6 +336,12 @@
     )
 
 
+def list_kinds() -> list[str]:
+    """List the names of all changes that rounds draw from."""
+    state = ChangingState(store=FleetStore(), rng=random.Random())
+    return [*state.list_changes(), RELOAD, STOP, VERSION]
+
+
 def play_round(
     seed: int, *, silences: bool = True, kinds: tuple[str, ...] = ()
 ) -> ChangeRound:
--- a/tests/test_change_rounds.py
+++ b/tests/test_change_rounds.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from fakes.change_rounds import play_round
+from fakes.change_rounds import list_kinds, play_round
 from ragwortcourse.forwarding import calls, choice, tries
 from ragwortcourse.forwarding.permission import permit_call
 from ragwortcourse.processes.forwarder_daemon import ForwarderDaemon
 
-# Each kind of change is drawn in some of these rounds.
+# Rounds in which several changes follow each other.
 SEEDS = (2, 7, 11, 18, 39, 57, 60, 106, 124, 2001, 2002, 2003)
 # Rounds in which sound targets fall silent and go on.
 SILENT_SEEDS = (1, 12)
@@ -30,6 +30,12 @@
     assert play_round(seed, silences=False).findings == []
 
 
+@pytest.mark.parametrize('kind', list_kinds())
+def test_beside_each_kind_of_change(kind):
+    """Each whole request is answered beside each kind of change."""
+    assert find(kind, seeds=1) == []
+
+
 @pytest.mark.parametrize('seed', SILENT_SEEDS)
 def test_targets_that_fall_silent_and_go_on(seed):
     """The silence of a sound target ends no request."""
