Keep the permits of a target through a short silence

One poll of its state without an answer (a timeout of 1 s) reset a target to its cold limit, and it needed rounds of clean answers to take as much as before: at all targets at once if they were silent together. What waits at the gate meanwhile, or is refused there, was not measured.

While a target is silent its cold limit is still in force. After at most 2 s the next load report of the same instance, which caps the limit anyway, brings the permits back; a restart, a report without load, a lower one and a longer silence reset or cap them as before.

test_warmup.py::TestWarmLimit:: test_short_silence_of_one_instance_takes_its_permits failed before (limit 2 where 8 is due); test_silence_that_may_have_cooled_the_target keeps the rest.

--- a/src/ragwortcourse/agent/warmup.py
+++ b/src/ragwortcourse/agent/warmup.py
@@ -89,17 +89,29 @@
         if self._slow_in_a_row:
             return
         limit = self.read()
+        # Faster growth is safe with reports: the reported capacity caps the
+        # limit.
+        growth = (
+            1 if self._reported_capacity is None else GROWTH_FACTOR_WITH_REPORTS
+        )
         if running * 2 > limit and not self._silent:
-            self._gained_permits += self._read_growth() / max(limit, 1)
+            self._gained_permits += growth / max(limit, 1)
             self._clamp_gained_permits()
 
     def note_state(self, state: EngineState | EngineSilent) -> None:
-        """Apply the engine's state; an older load report is ignored."""
+        """Apply the engine's state; an older load report is ignored.
+
+        A silent engine may be restarting, and starts cold. The permits gained
+        are lost unless the same instance soon reports what it can take.
+        """
+        self._reset_if_unheard()
         if isinstance(state, EngineSilent):
-            # The engine may be restarting, and starts cold.
-            self.reset_to_cold('silent')
+            if not self._reports_load:
+                self.reset_to_cold('silent')
             self._silent = True
             return
+        if self._silent and state.bearable is None:
+            self.reset_to_cold('silent')
         self._silent = False
         self._last_heard_at = read_clock()
         self.note_instance(state.instance)
@@ -133,18 +145,23 @@
         self._gained_permits = 0
 
     def _is_evidence_fresh(self) -> bool:
-        if self._silent:
+        if self._reset_if_unheard() or self._silent:
             return False
         now = read_clock()
-        if now - self._last_heard_at > LAST_HEARD_MAX_AGE_SECONDS:
-            self.reset_to_cold('no sign')
-            return False
         reported_ago = now - self._capacity_reported_at
         if self._reports_load and reported_ago > REPORT_MAX_AGE_SECONDS:
             self.reset_to_cold('reports stopped')
             return False
         return True
 
+    def _reset_if_unheard(self) -> bool:
+        """Reset to the cold limit after a long silence; return whether."""
+        silence = read_clock() - self._last_heard_at
+        if silence <= LAST_HEARD_MAX_AGE_SECONDS:
+            return False
+        self.reset_to_cold('no sign')
+        return True
+
     def _is_slow(self, latency: float) -> bool:
         if self._latency is None:
             self._latency = latency
@@ -158,13 +175,6 @@
         self._latency += SLOW_SMOOTHING * (slowest - self._latency)
         return True
 
-    def _read_growth(self) -> float:
-        # Faster growth is safe with reports: the reported capacity caps the
-        # limit.
-        return (
-            1 if self._reported_capacity is None else GROWTH_FACTOR_WITH_REPORTS
-        )
-
     def _clamp_gained_permits(self) -> None:
         limits = self._read_limits()
         highest = float(limits.warm)
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -110,6 +110,40 @@
         note_whole(limit, 0.01)
         assert limit.read() > LIMITS.cold
 
+    async def test_short_silence_of_one_instance_takes_its_permits(self):
+        """A short silence costs no permits if the same instance reports.
+
+        While it lasts, the cold limit is in force.
+        """
+        limit = await make_warm(8)
+        for _ in range(2):
+            limit.note_state(EngineSilent(detail=''))
+            assert limit.read() == LIMITS.cold
+            await asyncio.sleep(0.5)
+        limit.note_state(make_state(8))
+        assert limit.read() == LIMITS.warm
+
+    @pytest.mark.parametrize(
+        ('report', 'seconds'),
+        [
+            (make_state(8, instance='second'), 1),
+            (make_state(None), 1),
+            (make_state(3), 1),
+            (make_state(8), 3),
+        ],
+        ids=['restarted', 'no load', 'bears less', 'long'],
+    )
+    async def test_silence_that_may_have_cooled_the_target(
+        self, report, seconds
+    ):
+        """Permits are kept only for what the same instance says it bears."""
+        limit = await make_warm(8)
+        limit.note_state(EngineSilent(detail=''))
+        await asyncio.sleep(seconds)
+        limit.read()
+        limit.note_state(report)
+        assert limit.read() < LIMITS.warm
+
     async def test_slow_answers_halve(self):
         """Three slow answers lower the limit of a target without reports."""
         limit = await make_warm(None)
