--- a/tests/test_domain_reach.py
+++ b/tests/test_domain_reach.py
@@ -1,8 +1,12 @@
 """Tests of :mod:`ragwortcourse.forwarding.domain_reach`."""
 
+import asyncio
 import random
 
 from fakes.fleet_parts import FAR_DOMAIN, NEAR_DOMAIN
+from fakes.fleet_target import Received, ScriptedConnection, answer_whole
+from fakes.forwarder_fleet import LETTER, ForwarderFleet
+from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.domain_reach import (
     FAILURE_WINDOW_SECONDS,
     MAX_BACKOFF_SECONDS,
@@ -17,6 +21,14 @@
 LOST_SECONDS = 5.7
 
 
+async def answer_late(
+    received: Received, connection: ScriptedConnection
+) -> None:
+    """Answer after a silence that is too long for one try."""
+    await asyncio.sleep(1.5)
+    await answer_whole(received, connection)
+
+
 def mark_lost(reach: DomainReach, now: float) -> None:
     """Report enough unreachable targets to make the domain count as lost."""
     for number in range(UNREACHABLE_TARGETS):
@@ -70,6 +82,34 @@
         ]
 
 
+class TestSilence:
+    """Targets of one failure domain that are silent together."""
+
+    async def test_silent_targets(self):
+        """Targets that connect and send nothing do not count as lost.
+
+        Each is silent for longer than a try may last, and then goes on.
+        """
+        fleet = ForwarderFleet(answer=answer_late)
+        async with fleet.exit_stack:
+            await fleet.open(targets=4, forwarders=1, plain=False)
+            reach = fleet.forwarders[0].state.reach
+            asked = [
+                asyncio.ensure_future(fleet.ask(0, b'letter', LETTER))
+                for _ in range(8)
+            ]
+            avoided = []
+            while not all(each.done() for each in asked):
+                await asyncio.sleep(0.05)
+                now = read_clock()
+                avoided += [
+                    reach.is_avoided(domain, now)
+                    for domain in (NEAR_DOMAIN, FAR_DOMAIN)
+                ]
+        assert len(avoided) > 10
+        assert not any(avoided)
+
+
 class TestTrial:
     """Probes of a lost failure domain."""
 
