Judge every error in the logs of a soak's daemons

Change: each line of level ERROR or CRITICAL is a finding, and, as before, each traceback that is not in a JSON line. That includes the former message (background task failed, level ERROR).

--- a/fakes/soak.py
+++ b/fakes/soak.py
@@ -37,7 +37,7 @@
     GRACE_SECONDS,
     PREFIXES,
     SoakSite,
-    read_lines,
+    list_errors,
     wait_ready,
 )
 from fakes.soak_state import SPARE
@@ -66,7 +66,6 @@
         Operation.DESIRED_STATE,
     )
 )
-CRASH_MARKS = ('Traceback', 'background task failed')
 
 
 class Soak:
@@ -260,7 +259,7 @@
             if not child.running:
                 self._findings.append(f'{name} ended by itself')
             path = self._site.folder / f'{name}.log'
-            for line in read_lines(path, *CRASH_MARKS):
+            for line in list_errors(path):
                 self._findings.append(f'{name}: {line[:300]}')
 
 
--- a/fakes/soak_site.py
+++ b/fakes/soak_site.py
@@ -33,6 +33,7 @@
 # Prefix of the names of targets, by service.
 PREFIXES = {ENGINES: 'i', PLAIN: 'p', SPARE: 's'}
 RESERVES = ('retry_reserve = 106', 'retry_reserve = 107')
+ERROR_LEVELS = frozenset(('ERROR', 'CRITICAL'))
 GRACE_SECONDS = 8
 CLOSE_SECONDS = 0.5
 FLEET_TEXT = f"""
@@ -296,17 +297,15 @@
         return app
 
 
-def read_lines(path: pathlib.Path, *messages: str) -> list[str]:
-    """Find the lines of a log with one of some messages.
-
-    A JSON line must have the message in full; any other line must contain it.
-    """
+def list_errors(path: pathlib.Path) -> list[str]:
+    """List the errors in the log of a daemon, and tracebacks beside it."""
     found = []
     for line in path.read_text().splitlines():
-        with contextlib.suppress(json.JSONDecodeError):
-            if json.loads(line).get('message') not in messages:
-                continue
-        if any(message in line for message in messages):
+        try:
+            is_error = json.loads(line)['level'] in ERROR_LEVELS
+        except json.JSONDecodeError:
+            is_error = 'Traceback' in line
+        if is_error:
             found.append(line)
     return found
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -45,7 +45,7 @@
 )
 from fakes.soak_setup import SoakSetup
 from fakes.soak_silence import draw_silence
-from fakes.soak_site import SoakSite
+from fakes.soak_site import SoakSite, list_errors
 from fakes.soak_target import EVENTS, SoakTarget, make_answer
 from fakes.soak_watch import (
     NOTED_SECONDS,
@@ -251,6 +251,23 @@
         assert after.ran - before.ran > 0.1
 
 
+class TestLogs:
+    """Errors in the logs of daemons."""
+
+    def test_errors(self, tmp_path):
+        """Errors and tracebacks are listed, and nothing else."""
+        lines = [
+            '{"level": "WARNING", "message": "store lost"}',
+            '{"level": "ERROR", "message": "background task failed"}',
+            '{"level": "ERROR", "message": "Task exception was never found"}',
+            'Traceback (most recent call last):',
+            'the end of a line that was cut off"}',
+        ]
+        path = tmp_path / 'entry-1.log'
+        path.write_text('\n'.join(lines))
+        assert list_errors(path) == lines[1:4]
+
+
 class TestOperators:
     """Changes by operators in a soak."""
 
