--- a/src/ragwortcourse/agent/attempts.py
+++ b/src/ragwortcourse/agent/attempts.py
@@ -5,7 +5,6 @@
 from typing import Final
 
 from opentelemetry import metrics, trace
-from opentelemetry.propagate import extract
 
 from ragwortcourse.agent.agent import Agent
 from ragwortcourse.agent.attempt_record import AttemptRecord
@@ -19,7 +18,6 @@
     refuse_duplicate,
 )
 from ragwortcourse.agent.relay import (
-    RelayProgress,
     cancel_run,
     close_body,
     find_mismatch,
@@ -27,6 +25,7 @@
     read_to_end,
     relay_answer,
 )
+from ragwortcourse.agent.relay_progress import RelayProgress, read_length
 from ragwortcourse.agent.run import Run
 from ragwortcourse.agent.ticket import Ticket
 from ragwortcourse.clock import read_clock
@@ -44,6 +43,7 @@
 )
 from ragwortcourse.messages.attempt_report import AttemptReport, AttemptState
 from ragwortcourse.messages.outcome import NotRun, Unknown
+from ragwortcourse.telemetry.context import extract_context
 
 TRACER: Final = trace.get_tracer(__name__)
 METER: Final = metrics.get_meter(__name__)
@@ -60,7 +60,7 @@
     known = agent.records.find(attempt.attempt)
     if known is not None:
         return refuse_duplicate(agent, known.state)
-    context = extract(attempt.headers)
+    context = extract_context(attempt.headers)
     with TRACER.start_as_current_span('agent.attempt', context=context):
         record = agent.records.accept(attempt.attempt)
         agent.version_use.begin(attempt)
@@ -205,7 +205,9 @@
         return await drop_answer(run, answer, mismatch)
     run.note_first_byte(answer)
     is_stream = is_model_stream(run, answer)
-    progress = RelayProgress(answer=answer, is_stream=is_stream)
+    progress = RelayProgress(
+        answer=answer, length=read_length(answer), is_stream=is_stream
+    )
     body = relay_answer(run, progress)
     await anext(body)
     return AttemptAnswer(
--- a/src/ragwortcourse/entry/claims.py
+++ b/src/ragwortcourse/entry/claims.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import logging
 from typing import Final
 
 import msgspec
@@ -11,6 +12,7 @@
 from ragwortcourse.entry.admitted_call import AdmittedCall
 from ragwortcourse.entry.claim import Claim
 from ragwortcourse.entry.entry import EntryState
+from ragwortcourse.header_text import encode_header
 from ragwortcourse.identifiers import Sha256Hex
 from ragwortcourse.messages.outcome import NotRun
 from ragwortcourse.storage.table import (
@@ -24,6 +26,7 @@
     TableKey,
 )
 
+LOGGER: Final = logging.getLogger(__name__)
 COMMIT_TRIES: Final = 3
 TABLE_RETRY_SECONDS: Final = 2.0
 _CLAIMS: Final = metrics.get_meter(__name__).create_counter(
@@ -56,7 +59,7 @@
 def build_claim_key(work: AdmittedCall) -> TableKey:
     """Build the row key for an idempotency key of a client account."""
     key = work.call.idempotency_key or ''
-    digest = hashlib.sha256(key.encode()).hexdigest()
+    digest = hashlib.sha256(encode_header(key)).hexdigest()
     return TableKey(f'claims/{work.account.name}/{digest}')
 
 
@@ -113,7 +116,9 @@
 ) -> ClaimHeld | ClaimFound | NotRun:
     if row is None:
         return refuse_without_table('the row went away')
-    claim = decode_claim(row)
+    claim = _read_row(row)
+    if isinstance(claim, NotRun):
+        return claim
     if claim.token == held.claim.token:
         return ClaimHeld(claim=held.claim, version=row.version)
     _CLAIMS.add(1, {'result': 'found'})
@@ -129,15 +134,25 @@
         return refuse_without_table(outcome.detail)
     if outcome.row is None:
         return None
-    return ClaimFound(
-        claim=decode_claim(outcome.row), version=outcome.row.version
-    )
+    claim = _read_row(outcome.row)
+    if isinstance(claim, NotRun):
+        return claim
+    return ClaimFound(claim=claim, version=outcome.row.version)
+
+
+def _read_row(row: Row) -> Claim | NotRun:
+    try:
+        return decode_claim(row)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        LOGGER.warning('unreadable claim row', extra={'detail': str(error)})
+        return refuse_without_table('its row can not be read')
 
 
 def decode_claim(row: Row) -> Claim:
     """Decode the claim in a row.
 
-    :raises msgspec.ValidationError: if the row does not hold a claim.
+    :raises msgspec.DecodeError: if the row does not hold a claim.
+    :raises RecursionError: if its content is nested too deeply.
     """
     return msgspec.json.decode(row.content, type=Claim)
 
--- a/src/ragwortcourse/platform/target_rows.py
+++ b/src/ragwortcourse/platform/target_rows.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+from ragwortcourse.addresses import parse_address
+from ragwortcourse.bounded import Count, MillisecondsLeft, WholeNumber
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.target import HeldWeights, Target
 from ragwortcourse.identifiers import (
     FailureDomainName,
@@ -11,6 +14,7 @@
     ServiceName,
     TargetName,
 )
+from ragwortcourse.unreadable import UnreadableError
 
 SECONDS_PER_MILLISECOND: Final = 0.001
 STATES: Final = ('ready', 'draining')
@@ -22,9 +26,9 @@
     :param to: end of the range, exclusive.
     """
 
-    first: int = 0
-    to: int = 0
-    version: int = 0
+    first: Count = 0
+    to: Count = 0
+    version: WholeNumber = 0
 
 
 class WireTarget(msgspec.Struct, kw_only=True):
@@ -37,10 +41,10 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Count
     state: str
-    cold_left_ms: float
-    born: int = 0
+    cold_left_ms: MillisecondsLeft
+    born: WholeNumber = 0
     layers: WireLayers | None = None
 
 
@@ -49,20 +53,21 @@
 ) -> Target:
     """Decode the target in a row.
 
-    :raises msgspec.DecodeError: the bytes are not a row of a target.
-    :raises ValueError: the state or the failure domain is unknown.
+    :raises UnreadableError: the bytes are not a row of a target, its state or
+        failure domain is unknown, or nothing can be called at its address or
+        by its name.
     """
-    wire = msgspec.json.decode(content, type=WireTarget)
+    wire = decode_json(content, WireTarget)
     domain = FailureDomainName(wire.zone)
     if wire.state not in STATES or domain not in regions:
-        raise ValueError(
+        raise UnreadableError(
             f'unknown state {wire.state!r} or failure domain {domain!r}'
         )
     return Target(
-        name=TargetName(key),
+        name=_read_name(key),
         born=wire.born,
         service=ServiceName(wire.service),
-        address=wire.address,
+        address=parse_address(wire.address),
         failure_domain=domain,
         region=regions[domain],
         slots=wire.slots,
@@ -72,6 +77,16 @@
     )
 
 
+def _read_name(key: str) -> TargetName:
+    """Read the name of a target, which calls to it carry in a header.
+
+    :raises UnreadableError: no header can carry the name.
+    """
+    if not key.isprintable() or not key:
+        raise UnreadableError(f'no name of a target: {key!r}')
+    return TargetName(key)
+
+
 def decode_layers(wire: WireLayers | None) -> HeldWeights | None:
     """Decode the layers that an engine holds; None if it holds none."""
     if wire is None or wire.to <= wire.first:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -94,9 +94,12 @@
         fleet = ForwarderFleet(answer=hang, ends_midway=True)
         async with fleet.exit_stack:
             await fleet.open(targets=6, forwarders=1, plain=False)
+            waits = {'Ragwortcourse-Deadline-Ms': '2600'}
             for _ in range(2):
-                assert (await fleet.ask(0, CRASHER, LETTER)).status == 502
-            assert (await fleet.ask(0, CRASHER, LETTER)).status == 503
+                asked = await fleet.ask(0, CRASHER, LETTER, waits)
+                assert asked.status == 504
+            asked = await fleet.ask(0, CRASHER, LETTER, waits)
+            assert asked.status == 503
             assert fleet.count_arrivals(CRASHER) == 3
 
     async def test_caller_that_leaves_a_silent_target(self):
@@ -177,7 +180,8 @@
                 transfer_encoding='chunked',
                 content_type='text/event-stream',
             )
-            await connection.send_events(0, 3)
+            first = int(received.headers.get('last-event-id', -1)) + 1
+            await connection.send_events(first, first + 3)
             await asyncio.sleep(0.05)
             if received.body != CRASHER:
                 await connection.send(b'0\r\n\r\n')
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -35,6 +35,14 @@
     'state': 'ready',
     'cold_left_ms': 0,
 }
+DEEP = b'{"other":%s}' % (b'[' * 100_000 + b']' * 100_000)
+# Sending to it raised ValueError, which ended the daemon.
+RELAY_WITHOUT_PORT = {
+    'daemon': 'odd',
+    'address': 'a',
+    'failure_domain': 'near-a',
+    'region': 'near',
+}
 
 
 class Daemon:
@@ -358,7 +366,10 @@
         """If the store fails, registration fails and the list is kept."""
         daemon.fake.down = True
         record = RelayRecord(
-            daemon='entry-1', address='a', failure_domain='b', region='c'
+            daemon='entry-1',
+            address='10.0.0.1:7000',
+            failure_domain='b',
+            region='c',
         )
         assert not await register_relay(daemon.store, record)
         daemon.fake.down = False
@@ -369,12 +380,17 @@
         assert not await relays.read()
         assert await relays.list() == (record,)
 
-    async def test_unreadable(self, daemon):
-        """An unreadable row is ignored."""
-        daemon.fake.put('daemons', 'odd', b'odd')
+    @pytest.mark.parametrize('content', [b'odd', DEEP, RELAY_WITHOUT_PORT])
+    async def test_unreadable(self, daemon, content, caplog):
+        """An unreadable row is logged by its key and ignored."""
+        daemon.fake.put('daemons', 'odd', content)
         relays = RelayRegistry(store=daemon.store, rng=random.Random(1))
         assert await relays.read()
         assert await relays.list() == ()
+        (record,) = [
+            each for each in caplog.records if 'unreadable' in each.message
+        ]
+        assert record.row == 'odd'
 
     async def test_content(self, daemon):
         """The row is JSON with the names of the record's fields."""
