Refuse deeply nested messages between daemons

A heartbeat or crash evidence with some thousand levels was answered 500 by the daemon that got it, and such an answer of a daemon, an agent, an engine or the table service raised RecursionError in the caller's task, where other unreadable answers count as a failure of the other side. All use decode_json now, also for the head, the parts and the changes of a configuration.

--- a/src/ragwortcourse/agent/server.py
+++ b/src/ragwortcourse/agent/server.py
@@ -18,6 +18,7 @@
 from ragwortcourse.agent.attempts import bar_attempt, run_attempt
 from ragwortcourse.agent.relay import close_body
 from ragwortcourse.agent.status import answer_heartbeat
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import AttemptId, RequestId
 from ragwortcourse.messages import headers as names
 from ragwortcourse.messages.attempt import (
@@ -30,6 +31,7 @@
 from ragwortcourse.messages.heartbeat import Heartbeat
 from ragwortcourse.messages.outcome import NotRun
 from ragwortcourse.messages.peer_port import DaemonPort
+from ragwortcourse.unreadable import UnreadableError
 
 DISCONNECT_POLL_SECONDS: Final = 0.25
 BAD_REQUEST: Final = 400
@@ -80,10 +82,8 @@
 
     async def handle_status(request: web.Request) -> web.Response:
         try:
-            heartbeat = msgspec.json.decode(
-                await request.read(), type=Heartbeat
-            )
-        except msgspec.DecodeError as error:
+            heartbeat = decode_json(await request.read(), Heartbeat)
+        except UnreadableError as error:
             return build_malformed(str(error))
         return build_json(await answer_heartbeat(agent, heartbeat))
 
--- a/src/ragwortcourse/configuration/acceptance.py
+++ b/src/ragwortcourse/configuration/acceptance.py
@@ -19,6 +19,7 @@
     StoreFailed,
     write_snapshot,
 )
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import ChangeId, Generation, Sha256Hex
 from ragwortcourse.storage.table import (
     ABSENT_VERSION,
@@ -29,6 +30,7 @@
     ReadFailed,
     Row,
 )
+from ragwortcourse.unreadable import UnreadableError
 
 SETTLE_TRIES: Final = 3
 ABANDONED_GENERATION: Final = Generation(0)
@@ -203,6 +205,6 @@
     if row is None:
         return None
     try:
-        return msgspec.json.decode(row.content, type=ChangeRecord)
-    except msgspec.MsgspecError:
+        return decode_json(row.content, ChangeRecord)
+    except UnreadableError:
         return None
--- a/src/ragwortcourse/configuration/snapshot.py
+++ b/src/ragwortcourse/configuration/snapshot.py
@@ -14,7 +14,9 @@
     split_accounts,
     split_shared,
 )
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import ChangeId, Generation, Sha256Hex
+from ragwortcourse.unreadable import UnreadableError
 
 
 class Index(msgspec.Struct, frozen=True, kw_only=True):
@@ -80,8 +82,8 @@
 def read_index(content: bytes) -> Index | None:
     """Decode an index; none where the bytes are not an index."""
     try:
-        return msgspec.json.decode(content, type=Index)
-    except msgspec.MsgspecError:
+        return decode_json(content, Index)
+    except UnreadableError:
         return None
 
 
@@ -104,8 +106,8 @@
         return None
     wanted = list_parts(index, with_accounts=with_accounts)
     try:
-        read = [msgspec.json.decode(parts[one], type=Part) for one in wanted]
-    except (KeyError, msgspec.MsgspecError):
+        read = [decode_json(parts[one], Part) for one in wanted]
+    except (KeyError, UnreadableError):
         return None
     return ConfigurationSnapshot(
         document=ConfigurationDocument(
--- a/src/ragwortcourse/configuration/store.py
+++ b/src/ragwortcourse/configuration/store.py
@@ -4,8 +4,6 @@
 import dataclasses
 from collections.abc import Container
 
-import msgspec
-
 from ragwortcourse.configuration.gathering import fetch_snapshot
 from ragwortcourse.configuration.head import (
     HEAD_KEY,
@@ -18,6 +16,7 @@
     ConfigurationSnapshot,
     digest_content,
 )
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import Sha256Hex
 from ragwortcourse.storage.objects import (
     ObjectFailed,
@@ -29,6 +28,7 @@
     ReadFailed,
     TableService,
 )
+from ragwortcourse.unreadable import UnreadableError
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -69,8 +69,8 @@
     if outcome.row is None:
         return HeadRow(head=None, row_version=ABSENT_VERSION)
     try:
-        head = msgspec.json.decode(outcome.row.content, type=Head)
-    except msgspec.MsgspecError as error:
+        head = decode_json(outcome.row.content, Head)
+    except UnreadableError as error:
         return StoreFailed(detail=f'unreadable row {HEAD_KEY}: {error}')
     return HeadRow(head=head, row_version=outcome.row.version)
 
--- a/src/ragwortcourse/engines/http_engine.py
+++ b/src/ragwortcourse/engines/http_engine.py
@@ -9,6 +9,7 @@
 import yarl
 
 from ragwortcourse.bodies import SMALL_BODY_BYTES, read_body
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.engines.engine import (
     Engine,
     EngineAnswer,
@@ -32,6 +33,7 @@
     VersionName,
 )
 from ragwortcourse.messages import headers as names
+from ragwortcourse.unreadable import UnreadableError
 
 CONNECT_TIMEOUT_SECONDS: Final = 2.0
 DESCRIBE_TIMEOUT_SECONDS: Final = 1.0
@@ -122,11 +124,10 @@
                     return EngineState(
                         instance='', running=0, bearable=None, age=0
                     )
-                return msgspec.json.decode(
-                    await read_body(answer, limit=SMALL_BODY_BYTES),
-                    type=EngineState,
+                return decode_json(
+                    await read_body(answer, limit=SMALL_BODY_BYTES), EngineState
                 )
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as lost:
+        except (aiohttp.ClientError, TimeoutError, UnreadableError) as lost:
             return EngineSilent(detail=f'{base}/state: {lost!r}')
 
     return describe
@@ -257,7 +258,7 @@
     if status >= SERVER_ERROR:
         return OrderUnknown(detail=f'status {status}')
     try:
-        refusal = msgspec.json.decode(body, type=OrderRefusal)
-    except msgspec.DecodeError:
+        refusal = decode_json(body, OrderRefusal)
+    except UnreadableError:
         return OrderRefused(detail=f'status {status}')
     return OrderRefused(detail=refusal.detail, stale=refusal.stale)
--- a/src/ragwortcourse/entry/claim_batch_router.py
+++ b/src/ragwortcourse/entry/claim_batch_router.py
@@ -15,6 +15,7 @@
 
 from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
 from ragwortcourse.clock import read_clock
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.entry.claim_batcher import ClaimBatcher
 from ragwortcourse.identifiers import DaemonId, FailureDomainName
 from ragwortcourse.membership.hosts import HostRecord, HostState
@@ -33,6 +34,7 @@
     Row,
     TableKey,
 )
+from ragwortcourse.unreadable import UnreadableError
 
 BATCHER_TIMEOUT_SECONDS: Final = 0.25
 BATCHER_BACKOFF_SECONDS: Final = 10.0
@@ -41,7 +43,7 @@
     ClientError,
     TimeoutError,
     OSError,
-    msgspec.MsgspecError,
+    UnreadableError,
 )
 
 SendToBatcher = Callable[[str, ConditionalWrite], Awaitable[CommitOutcome]]
@@ -132,7 +134,7 @@
                 timeout=_TIMEOUT,
             ) as answer:
                 raw = await read_body(answer, limit=LARGE_BODY_BYTES)
-            report = msgspec.json.decode(raw, type=ClaimWriteReport)
+            report = decode_json(raw, ClaimWriteReport)
         except _FAILURES as error:
             return CommitUnknown(detail=f'{address}: {error!r}')
         return convert_claim_report(write.key, report)
@@ -183,8 +185,8 @@
 
     async def collect(request: web.Request) -> web.Response:
         try:
-            message = msgspec.json.decode(await request.read(), type=ClaimWrite)
-        except msgspec.MsgspecError as error:
+            message = decode_json(await request.read(), ClaimWrite)
+        except UnreadableError as error:
             return web.Response(status=HTTPStatus.BAD_REQUEST, text=str(error))
         outcome = await batcher.commit(
             ConditionalWrite(
--- a/src/ragwortcourse/entry/crasher_peers.py
+++ b/src/ragwortcourse/entry/crasher_peers.py
@@ -8,9 +8,11 @@
 import msgspec
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.entry.crasher_sync import merge_crasher
 from ragwortcourse.entry.crashers import CrasherRegistry
 from ragwortcourse.messages.shared_crasher import SharedCrasher
+from ragwortcourse.unreadable import UnreadableError
 
 PEER_SECONDS: Final = 0.5
 PEERS_AT_ONCE: Final = 64
@@ -68,10 +70,8 @@
 
     async def take(request: web.Request) -> web.Response:
         try:
-            crasher = msgspec.json.decode(
-                await request.read(), type=SharedCrasher
-            )
-        except msgspec.MsgspecError as error:
+            crasher = decode_json(await request.read(), SharedCrasher)
+        except UnreadableError as error:
             return web.Response(status=HTTPStatus.BAD_REQUEST, text=str(error))
         merge_crasher(crashers, crasher)
         return web.Response(status=HTTPStatus.NO_CONTENT)
--- a/src/ragwortcourse/entry/http_agents.py
+++ b/src/ragwortcourse/entry/http_agents.py
@@ -9,6 +9,7 @@
 
 from ragwortcourse.agent.attempt_codec import encode_attempt
 from ragwortcourse.bodies import SMALL_BODY_BYTES, read_body
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.entry.relayed_body import FAILURES, RelayedBody
 from ragwortcourse.identifiers import AttemptId, Generation, VersionName
 from ragwortcourse.messages import headers
@@ -30,6 +31,7 @@
     PeerUnavailable,
 )
 from ragwortcourse.messages.target_status import ServedVersion, TargetStatus
+from ragwortcourse.unreadable import UnreadableError
 
 CONNECT_SECONDS: Final = 1.0
 HEARTBEAT_SECONDS: Final = 1.0
@@ -39,7 +41,7 @@
 )
 _BAR_TIMEOUT: Final = aiohttp.ClientTimeout(total=BAR_TIMEOUT_SECONDS)
 _HEARTBEAT_TIMEOUT: Final = aiohttp.ClientTimeout(total=HEARTBEAT_SECONDS)
-_READ_FAILURES: Final = (*FAILURES, msgspec.MsgspecError)
+_READ_FAILURES: Final = (*FAILURES, UnreadableError)
 Kind = TypeVar('Kind', AttemptReport, TargetStatus)
 
 
@@ -120,7 +122,7 @@
 ) -> AttemptOutcome:
     try:
         raw = await read_body(answer, limit=SMALL_BODY_BYTES)
-        error = msgspec.json.decode(raw, type=ErrorBody).error
+        error = decode_json(raw, ErrorBody).error
     except _READ_FAILURES as failure:
         return AttemptLost(detail=f'refusal could not be read: {failure!r}')
     outcome: NotRun | Unknown
@@ -146,8 +148,10 @@
     if text is None:
         return None
     try:
-        return msgspec.json.decode(text, type=tuple[ServedVersion, ...])
-    except msgspec.MsgspecError:
+        return decode_json(
+            text.encode(errors='surrogateescape'), tuple[ServedVersion, ...]
+        )
+    except UnreadableError:
         return None
 
 
@@ -171,6 +175,6 @@
     if status != HTTPStatus.OK:
         return PeerUnavailable(detail=f'{url}: status {status}')
     try:
-        return msgspec.json.decode(raw, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode_json(raw, kind)
+    except UnreadableError as error:
         return PeerUnavailable(detail=f'{url}: {error}')
--- a/src/ragwortcourse/entry/record_relay.py
+++ b/src/ragwortcourse/entry/record_relay.py
@@ -8,10 +8,12 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
 from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.entry.operator_state import RecordRelay
 from ragwortcourse.identifiers import RequestId
 from ragwortcourse.messages.decision import RequestRecord
 from ragwortcourse.messages.peer_port import PeerUnavailable
+from ragwortcourse.unreadable import UnreadableError
 
 RELAY_TIMEOUT_SECONDS: Final = 2.0
 RELAY_TIMEOUT: Final = ClientTimeout(total=RELAY_TIMEOUT_SECONDS)
@@ -45,7 +47,7 @@
             if response.status != OK:
                 return PeerUnavailable(detail=f'status {response.status}')
             body = await read_body(response, limit=LARGE_BODY_BYTES)
-        return msgspec.json.decode(body, type=RequestRecord)
+        return decode_json(body, RequestRecord)
 
     async def relay(
         address: str, request: RequestId
@@ -55,7 +57,7 @@
             return await get_record(url)
         except (ClientError, TimeoutError, OSError) as error:
             return PeerUnavailable(detail=f'{url}: {error!r}')
-        except msgspec.MsgspecError as error:
+        except UnreadableError as error:
             return PeerUnavailable(detail=f'{url}: {error}')
 
     return relay
--- a/src/ragwortcourse/membership/http_daemons.py
+++ b/src/ragwortcourse/membership/http_daemons.py
@@ -6,9 +6,11 @@
 import msgspec
 
 from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import Generation, Sha256Hex
 from ragwortcourse.messages.heartbeat import Heartbeat
 from ragwortcourse.messages.peer_port import DaemonPort, PeerUnavailable
+from ragwortcourse.unreadable import UnreadableError
 
 FETCH_TIMEOUT_SECONDS: Final = 2.0
 EXCHANGE_TIMEOUT_SECONDS: Final = 1.0
@@ -20,7 +22,7 @@
     aiohttp.ClientError,
     TimeoutError,
     OSError,
-    msgspec.MsgspecError,
+    UnreadableError,
 )
 
 
@@ -43,7 +45,7 @@
             url, data=body, timeout=EXCHANGE_TIMEOUT
         ) as response:
             answer = await _read_body(response)
-        return msgspec.json.decode(answer, type=Heartbeat)
+        return decode_json(answer, Heartbeat)
 
     async def fetch_index(
         address: str, generation: Generation
--- a/src/ragwortcourse/membership/routes.py
+++ b/src/ragwortcourse/membership/routes.py
@@ -3,9 +3,11 @@
 import msgspec
 from aiohttp import web
 
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.membership.exchange import answer_exchange
 from ragwortcourse.membership.membership import Membership
 from ragwortcourse.messages.heartbeat import Heartbeat
+from ragwortcourse.unreadable import UnreadableError
 
 
 def build_exchange_routes(*, membership: Membership) -> list[web.RouteDef]:
@@ -13,10 +15,8 @@
 
     async def post_exchange(request: web.Request) -> web.Response:
         try:
-            heartbeat = msgspec.json.decode(
-                await request.read(), type=Heartbeat
-            )
-        except msgspec.MsgspecError as error:
+            heartbeat = decode_json(await request.read(), Heartbeat)
+        except UnreadableError as error:
             return web.Response(
                 status=web.HTTPBadRequest.status_code, text=str(error)
             )
--- a/src/ragwortcourse/storage/http_table.py
+++ b/src/ragwortcourse/storage/http_table.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.storage.table import (
     CommitOutcome,
     Committed,
@@ -29,6 +30,7 @@
     WireRow,
     WireWrite,
 )
+from ragwortcourse.unreadable import UnreadableError
 
 TABLE_TIMEOUT_SECONDS: Final = 2.0
 TABLE_TIMEOUT: Final = aiohttp.ClientTimeout(total=TABLE_TIMEOUT_SECONDS)
@@ -90,8 +92,8 @@
     if status != OK:
         return ReadFailed(detail=f'status {status} on reading {key}')
     try:
-        answer = msgspec.json.decode(body, type=ReadAnswer)
-    except msgspec.MsgspecError as error:
+        answer = decode_json(body, ReadAnswer)
+    except UnreadableError as error:
         return ReadFailed(detail=f'unreadable answer on reading {key}: {error}')
     row = _decode_row(answer.row)
     if row is not None and row.key != key:
@@ -108,18 +110,18 @@
 def _decode_commit(status: int, body: bytes) -> CommitOutcome:
     try:
         return _decode_verdict(status, body)
-    except msgspec.MsgspecError as error:
+    except UnreadableError as error:
         return CommitUnknown(detail=f'unreadable answer {status}: {error}')
 
 
 def _decode_verdict(status: int, body: bytes) -> CommitOutcome:
     if status == UNAVAILABLE:
-        refusal = msgspec.json.decode(body, type=CommitRefusal)
+        refusal = decode_json(body, CommitRefusal)
         if refusal.refused:
             return NotCommitted(detail=refusal.detail)
     if status != OK:
         return CommitUnknown(detail=f'status {status} on commit')
-    verdict = msgspec.json.decode(body, type=CommitVerdict)
+    verdict = decode_json(body, CommitVerdict)
     if verdict.committed:
         return Committed()
     return ConditionFailed(
