--- a/src/ragwortcourse/bounded.py
+++ b/src/ragwortcourse/bounded.py
@@ -20,8 +20,11 @@
 MIN_AGE: Final = -1.0
 MAX_AGE: Final = 1e9
 MAX_SWITCH: Final = 86_400.0
+# Of 18 digits, as an era is read from a header.
+MAX_ERA: Final = 999_999_999_999_999_999
 
 WholeNumber = Annotated[int, Meta(ge=0, le=MAX_WHOLE)]
+Era = Annotated[int, Meta(ge=0, le=MAX_ERA)]
 Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
 Amount = Annotated[float, Meta(ge=0, le=MAX_AMOUNT)]
 # As targets name it, which state any finite rate.
@@ -30,6 +33,10 @@
 # An engine changes its weights within a day.
 SwitchSeconds = Annotated[float, Meta(ge=0, le=MAX_SWITCH)]
 Age = Annotated[float, Meta(ge=MIN_AGE, le=MAX_AGE)]
+# Differences of times on one clock.
+Seconds = Annotated[float, Meta(ge=-MAX_AGE, le=MAX_AGE)]
+# Of a clock with any beginning, also the epoch.
+ClockMilliseconds = Annotated[float, Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
 # Negative for what is over.
 MillisecondsLeft = Annotated[
     float, Meta(ge=-MAX_MILLISECONDS, le=MAX_MILLISECONDS)
--- a/src/ragwortcourse/platform/row_relay.py
+++ b/src/ragwortcourse/platform/row_relay.py
@@ -15,6 +15,7 @@
 import msgspec
 from aiohttp import web
 
+from ragwortcourse.bounded import Era, Seconds, WholeNumber
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.platform import names
@@ -81,13 +82,13 @@
     """
 
     rows: tuple[RelayedRow, ...]
-    revision: int
-    age: float
-    rows_age: float
-    known_age: float | None = None
-    waited: float = 0
-    era: int = UNKNOWN_ERA
-    regained_ago: float | None = None
+    revision: WholeNumber
+    age: Seconds
+    rows_age: Seconds
+    known_age: Seconds | None = None
+    waited: Seconds = 0
+    era: Era = UNKNOWN_ERA
+    regained_ago: Seconds | None = None
 
 
 def build_row_routes(
--- a/src/ragwortcourse/platform/store.py
+++ b/src/ragwortcourse/platform/store.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
+from ragwortcourse.bounded import ClockMilliseconds, Era, WholeNumber
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.nesting import trim_nesting
@@ -77,10 +78,10 @@
     """
 
     rows: tuple[msgspec.Raw, ...]
-    row_version: int
+    row_version: WholeNumber
     has_more: bool = False
-    now_ms: float | None = None
-    era: int = UNKNOWN_ERA
+    now_ms: ClockMilliseconds | None = None
+    era: Era = UNKNOWN_ERA
 
 
 class Store:
--- a/src/ragwortcourse/weights/fleet_manifest.py
+++ b/src/ragwortcourse/weights/fleet_manifest.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from ragwortcourse.bounded import WholeNumber
 from ragwortcourse.identifiers import ModelName, Sha256Hex
 from ragwortcourse.weights.manifest import digest_bytes
 
@@ -14,7 +15,7 @@
     """
 
     model: ModelName
-    version: int
+    version: WholeNumber
     digests: tuple[Sha256Hex, ...]
 
     def matches(self, index: int, content: bytes | None) -> bool:
