--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -16,7 +16,7 @@
 from ragwortcourse.entry.record_relay import build_record_relay
 from ragwortcourse.identifiers import AttemptId, RequestId
 from ragwortcourse.membership.heartbeats import build_heartbeat
-from ragwortcourse.membership.hosts import HostsUnavailable
+from ragwortcourse.membership.hosts import HostsListed, HostsUnavailable
 from ragwortcourse.membership.http_daemons import build_http_daemons
 from ragwortcourse.membership.http_hosts import build_http_hosts
 from ragwortcourse.membership.routes import build_exchange_routes
@@ -30,6 +30,11 @@
 )
 
 ODD = [b'', b'odd', b'{"a":"\xff"', b'{"a":%s}' % (b'[' * 100_000)]
+DEEP = b'[' * 100_000 + b']' * 100_000
+HOST = (
+    b'{"host":"h","role":"entry","daemon":"e-1","address":"10.0.0.1:80",'
+    b'"failure_domain":"a","region":"r"}'
+)
 WRITE = ConditionalWrite(key=TableKey('a'), content=b'', expected_version=1)
 
 
@@ -141,3 +146,29 @@
             url = f'http://{address}/{path}'
             async with session.post(url, data=body) as answer:
                 return answer.status
+
+
+class TestHosts:
+    """The platform's list of hosts with odd entries."""
+
+    @pytest.mark.parametrize(
+        'odd',
+        [
+            b'1',
+            b'{"host":"h"}',
+            b'{"a":%s}' % DEEP,
+            DEEP,
+            HOST.replace(b'10.0.0.1:80', b'127.0.0.1:99999'),
+        ],
+    )
+    async def test_odd_entry_hides_the_others(self, odd, caplog):
+        """The entries beside an odd one are read, and it is logged."""
+        body = b'[%s,%s,%s]' % (HOST, odd, HOST)
+        async with serve_body(body) as (session, address):
+            port = build_http_hosts(
+                session=session, base_url=f'http://{address}/hosts'
+            )
+            listed = await port.read()
+        assert isinstance(listed, HostsListed)
+        assert [record.daemon for record in listed.records] == ['e-1', 'e-1']
+        assert 'odd entry in the list of hosts' in caplog.text
