Test that both tables are followed after deeply nested rows

test_feed.py::TestTableFeed::test_followed_after_odd_rows puts such rows into the store, for each kind of row, and good ones after them.

--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -134,6 +134,21 @@
         await wait_for(lambda: daemon.state.weights)
         assert daemon.is_at(5)
 
+    async def test_followed_after_odd_rows(self, daemon):
+        """Both tables are followed on after rows that are nested deeply."""
+        daemon.put_state(1)
+        daemon.fake.put('servers', 'i-1', ROW)
+        daemon.follow()
+        await wait_for(lambda: daemon.is_at(1) and daemon.state.targets)
+        for row in ('config', 'version/drafts', 'evacuate/far-a'):
+            daemon.fake.put('op', row, DEEP)
+        daemon.fake.put('servers', 'i-1', DEEP)
+        await wait_for(lambda: not daemon.state.targets)
+        assert daemon.is_at(1)
+        daemon.put_state(2)
+        daemon.fake.put('servers', 'i-1', ROW)
+        await wait_for(lambda: daemon.is_at(2) and daemon.state.targets)
+
     async def test_unreadable_rows(self, daemon, caplog):
         """An unreadable row is logged, and the other rows are applied."""
         daemon.fake.put('servers', 'i-bad', b'\xff{')
