Keep the load of a target while requests wait at a former incarnation

What is known of the load of a target (requests under way, those just sent to it while it is cold, its latency) began from zero several times a second while a request waited at a former incarnation of it.

Cause: the watch on the bound of a version asks every 0.25 s for the load of the incarnation that the request was sent to, and Forwarder.find_load replaced the load of the listed one for it, which was replaced back by the next choice.

test_former_incarnation failed before: the load was another object without the request counted on it. A former incarnation of a listed target now gets a load that is not kept. The order of listing decides, so that an older row that a restored store puts in force still counts as listed.

--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -83,20 +83,22 @@
         self._loads: dict[TargetName, TargetLoad] = {}
 
     def find_load(self, target: Target) -> TargetLoad:
-        """Find the load of a target; a new incarnation starts from zero."""
+        """Find the load of a target; a new incarnation starts from zero.
+
+        A former incarnation has a load that nobody else sees.
+        """
         load = self._loads.get(target.name)
-        if load is None or load.born != target.born:
-            if len(self._loads) >= len(self.state.targets):
-                self._forget_gone()
-            if load is not None:
-                self._peers.forget(target.name)
-            load = TargetLoad(
-                name=target.name, born=target.born, peers=self._peers
-            )
-            load.cold_until = read_clock() + target.cold_seconds
-            load.unavailable_until = read_clock()
-            self._loads[target.name] = load
-        return load
+        if load is not None and load.born == target.born:
+            return load
+        if load is not None and self._is_former(target, load):
+            return self._make_load(target)
+        if len(self._loads) >= len(self.state.targets):
+            self._forget_gone()
+        if load is not None:
+            self._peers.forget(target.name)
+        made = self._make_load(target)
+        self._loads[target.name] = made
+        return made
 
     def note_listed(self, target: Target) -> None:
         """Apply the remaining cold time from the entry of a target."""
@@ -128,6 +130,19 @@
             return -math.inf
         return load.answered_sent_at
 
+    def _is_former(self, target: Target, load: TargetLoad) -> bool:
+        """Tell whether a target is listed as a newer incarnation."""
+        listed = self.state.targets.get(target.name)
+        if listed is None or listed.born != load.born:
+            return False
+        return target.born < listed.born
+
+    def _make_load(self, target: Target) -> TargetLoad:
+        load = TargetLoad(name=target.name, born=target.born, peers=self._peers)
+        load.cold_until = read_clock() + target.cold_seconds
+        load.unavailable_until = read_clock()
+        return load
+
     def _forget_gone(self) -> None:
         for name in self._loads.keys() - self.state.targets.keys():
             self._loads.pop(name)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -709,6 +709,31 @@
             assert (load.own, load.unanswered) == (0, 0)
         assert fleet.forwarder.running == 0
 
+    async def test_former_incarnation(self, fleet):
+        """A request at a former incarnation leaves the load of the new one.
+
+        Each look at the bound on its version began the load from zero, and
+        the requests that were just sent to a cold target no longer counted.
+        """
+
+        async def begin_late(
+            received: Received, connection: ScriptedConnection
+        ) -> None:
+            await asyncio.sleep(0.5)
+            await stream_all(received, connection)
+
+        await fleet.open([begin_late])
+        asked = asyncio.ensure_future(fleet.ask(LETTER))
+        await asyncio.sleep(0.1)
+        (target,) = fleet.state.targets.values()
+        reborn = dataclasses.replace(target, born=target.born + 1)
+        fleet.state.targets[reborn.name] = reborn
+        load = fleet.forwarder.find_load(reborn)
+        load.count_sent(read_clock())
+        assert await (await asked).text() == EVENTS
+        assert fleet.forwarder.find_load(reborn) is load
+        assert load.count_recent(read_clock()) == 1
+
     async def test_overload_refused_at_once(self, fleet):
         """A request that can't start in time is refused with Retry-After."""
         await fleet.open([stream_all])
