Count agents whose address can not be one as unreached

An odd address in the list of hosts (such as x..y:80) raised UnicodeError out of the call to the agent: callers saw aiohttp's own 500 without an outcome. An empty address, a port of 99999 or half an IPv6 address counted as a call whose answer was lost, which may have run. Nothing is sent to such an address: the attempt is now unreached, which is true for a call that may run only once, and the next target is asked.

test_http_agents.py::TestStart::test_address_that_is_none failed before for each of four addresses.

--- a/src/ragwortcourse/entry/http_agents.py
+++ b/src/ragwortcourse/entry/http_agents.py
@@ -39,7 +39,15 @@
 )
 _BAR_TIMEOUT: Final = aiohttp.ClientTimeout(total=BAR_TIMEOUT_SECONDS)
 _HEARTBEAT_TIMEOUT: Final = aiohttp.ClientTimeout(total=HEARTBEAT_SECONDS)
+_ASK_FAILURES: Final = (*FAILURES, UnicodeError)
 _READ_FAILURES: Final = (*FAILURES, msgspec.MsgspecError)
+# The last two are raised for addresses that can't be one, before sending.
+UNREACHED: Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    aiohttp.InvalidURL,
+    UnicodeError,
+)
 Kind = TypeVar('Kind', AttemptReport, TargetStatus)
 
 
@@ -59,7 +67,7 @@
                 timeout=_ATTEMPT_TIMEOUT,
                 allow_redirects=False,
             )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        except UNREACHED:
             return AttemptUnreached(detail=f'no connection to {address}')
         except FAILURES as error:
             return AttemptLost(detail=f'{address}: {error!r}')
@@ -166,7 +174,7 @@
         ) as answer:
             raw = await read_body(answer, limit=SMALL_BODY_BYTES)
             status = answer.status
-    except FAILURES as error:
+    except _ASK_FAILURES as error:
         return PeerUnavailable(detail=f'{url}: {error!r}')
     if status != HTTPStatus.OK:
         return PeerUnavailable(detail=f'{url}: status {status}')
--- a/tests/test_http_agents.py
+++ b/tests/test_http_agents.py
@@ -135,6 +135,18 @@
                 await describe(await port.start(address, ATTEMPT)) == expected
             )
 
+    @pytest.mark.parametrize(
+        'address', ['', '127.0.0.1:99999', '[::1:80', 'x..y:80']
+    )
+    async def test_address_that_is_none(self, address):
+        """Nothing is sent to an address that can't be one."""
+        async with aiohttp.ClientSession() as session:
+            port = build_http_agents(session=session)
+            outcome = await port.start(address, ATTEMPT)
+            report = await port.bar(address, ATTEMPT.attempt, 1)
+        assert isinstance(outcome, AttemptUnreached)
+        assert isinstance(report, PeerUnavailable)
+
     async def test_body_closed_unread_ends_the_connection(self):
         """Closing a body before its first chunk closes the connection.
 
