Close idle connections of callers while a peer still waits

A caller sent a whole request on a kept connection at 03:15:29.652, and the connection was reset at 29.963 without an answer. SIGTERM came at 25.825, the port was closed by 28.932 (connections refused), "stopped" was logged at 29.433, the process ended later; no line of entry-1 names the request. The ports are closed one after the other within 0.4 s, the peers' first, where other daemons wait for rows: their port took all of the time, so that the callers' connections stayed open until the process ended.

Change: all ports are closed at the same time.

Result: test_idle_caller, with a peer that waits for ever, failed before (the connection was open when the stop had ended) and passes now. test_service, test_forwarder_daemon, test_daemon: 13 passed.

--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -135,7 +135,11 @@
             # The grace time is over: requests still in progress are cut off.
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(FORCED_CLOSE_SECONDS):
-                    await self._close_runners()
+                    # A port whose requests go on must not keep the idle
+                    # connections of another open until the process ends.
+                    await asyncio.gather(
+                        *(runner.cleanup() for runner in self.runners)
+                    )
         await self.tasks.stop()
         await self.daemon.stop()
         await self.sessions.close()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -6,7 +6,9 @@
 import aiohttp
 import msgspec
 import pytest
+from aiohttp import web
 
+from fakes import fleet_parts
 from fakes.agents import make_agent, make_service_attempt, make_settings
 from fakes.engine_load import EngineLoad
 from fakes.memory_engine import MemoryEngine
@@ -105,6 +107,99 @@
     await proxy.stop()
 
 
+class StoppingForwarder:
+    """Forwarder without tasks; peers wait for an answer without end."""
+
+    last_connections_seconds = 0
+
+    def start(self, tasks):
+        """Start no background tasks."""
+
+    def find_unready_reason(self):
+        """Return none: the forwarder is ready."""
+
+    async def drain(self):
+        """Have nothing in progress."""
+
+    async def stop(self):
+        """Have nothing to release."""
+
+    async def answer(self, _request):
+        """Answer a caller."""
+        return web.Response()
+
+    async def wait(self, _request):
+        """Leave a peer without an answer."""
+        await asyncio.Event().wait()
+
+
+@contextlib.asynccontextmanager
+async def run_forwarder(monkeypatch, tmp_path):
+    """Run a service with a forwarder."""
+    listen = ListenSettings(
+        peers=pick_address(), watch=pick_address(), callers=pick_address()
+    )
+    forwarder = StoppingForwarder()
+    ports = (
+        ListenerPlan(
+            key='peers',
+            address=listen.peers,
+            routes=[web.get('/', forwarder.wait)],
+        ),
+        ListenerPlan(
+            key='callers',
+            address=listen.callers,
+            routes=[web.get('/', forwarder.answer)],
+        ),
+    )
+    monkeypatch.setattr(
+        service,
+        'build_daemon',
+        lambda **_: BuiltDaemon(daemon=forwarder, ports=ports),
+    )
+    daemon = service.DaemonService(
+        settings=fleet_parts.make_settings(listen=listen),
+        path=tmp_path / 'settings.toml',
+    )
+    daemon.set_loop(asyncio.get_running_loop())
+    starting = asyncio.create_task(daemon.start())
+    await daemon.start_event.wait()
+    yield daemon
+    starting.cancel()
+    await asyncio.gather(starting, return_exceptions=True)
+
+
+async def open_connection(address):
+    """Send a request on a connection of its own, and leave it open."""
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+    return reader, writer
+
+
+class TestForcedClose:
+    """Connections of a forwarder at the end of its stop."""
+
+    async def test_idle_caller(self, monkeypatch, tmp_path):
+        """An idle connection ends although a peer still waits.
+
+        A request on it would otherwise get no answer until the process ends.
+        """
+        async with run_forwarder(monkeypatch, tmp_path) as daemon:
+            listen = daemon.settings.listen
+            reader, writer = await open_connection(listen.callers)
+            assert b'200 OK' in await reader.readuntil(b'\r\n\r\n')
+            _, waiting = await open_connection(listen.peers)
+            await asyncio.sleep(0.1)
+            stopping = asyncio.create_task(daemon.stop())
+            async with asyncio.timeout(5):
+                assert not await reader.read()
+            assert not stopping.done()
+            await stopping
+            writer.close()
+            waiting.close()
+
+
 class TestStop:
     """Requests that are on the way to a daemon that stops."""
 
