Sleep until one more target may be asked

Callers of a daemon on a real clock saw nothing; a test or soak in virtual time would hang.

Cause: timers may fire a little early. TryLane.patience_left allows for that, the pause between two looks for one more target did not: with 4e-16 s left of it, TryRace.wait_end waits for no time at all and looks again. On a real clock that ends with the next tick, in virtual time never.

The same margin now holds for both waits, so that the loop sleeps or asks.

--- a/src/ragwortcourse/forwarding/try_race.py
+++ b/src/ragwortcourse/forwarding/try_race.py
@@ -13,7 +13,7 @@
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.tries import Tries
-from ragwortcourse.forwarding.try_lane import TryLane
+from ragwortcourse.forwarding.try_lane import TIMER_SECONDS, TryLane
 
 # Interval at which one more target is looked for.
 ASK_AGAIN_SECONDS: Final = 0.25
@@ -119,5 +119,5 @@
         wait = max(lane.patience_left for lane in self._lanes.values())
         if not wait and self._tries.find_end() is not None:
             return ASK_AGAIN_SECONDS
-        asked = read_clock() - self._asked_at
-        return max(wait, ASK_AGAIN_SECONDS - asked, 0)
+        pause = self._asked_at + ASK_AGAIN_SECONDS - read_clock()
+        return max(wait, pause if pause > TIMER_SECONDS else 0)
