Ask no third target while the second one may answer

A target that had been silent declined a stream, or cut it, just after a second one had been asked: a third got it at once, also where all were full. That took one more retry of the fleet's budget, and with a cut one more run, though nobody knew yet that the second one would not do.

Cause: a lane whose target is lost goes on to the next one by itself, and knows only of the lanes that were silent when it began. The first lane thus took the request for its own alone, and a moved request is not refused.

Evidence: test_silent_target_ends_late (3 targets asked instead of 2, for a late decline and a late cut). A lane now ends if another one has a target that is not silent for too long yet; the race asks on once that one is silent or ends. A second lane whose target declines still goes on at once, as the first one is silent for too long by then.

--- a/src/ragwortcourse/forwarding/stream_call.py
+++ b/src/ragwortcourse/forwarding/stream_call.py
@@ -119,6 +119,8 @@
             first=self._first,
         )
         opened = await lane.open(events.last_event)
+        if opened is None:
+            return StreamEnd.LOST
         if not isinstance(opened, OpenTry):
             return opened
         try:
--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -6,7 +6,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from http import HTTPStatus
 from typing import Final
 
@@ -57,6 +57,8 @@
     asked beside this lane.
 
     :param silent: lanes whose targets have the request and are silent.
+    :param is_covered: tells whether another lane has a target that is not
+        silent for too long.
     """
 
     def __init__(
@@ -65,9 +67,11 @@
         tries: Tries,
         patience: float,
         silent: Sequence['TryLane'] = (),
+        is_covered: Callable[[], bool] = bool,
     ) -> None:
         self.patience = patience
         self.silent = silent
+        self._is_covered = is_covered
         self.crashes = RequestCrashes(
             guard=tries.forwarder.safeguards.crash_guard,
             suspects=tries.suspects,
@@ -78,6 +82,11 @@
         self._is_silent = False
         self._is_passing_on = False
 
+    @property
+    def may_answer_soon(self) -> bool:
+        """Tell whether a target has the request and is not silent too long."""
+        return self._asked is not None and self.patience_left > 0
+
     @property
     def silence(self) -> Silence:
         """Silence of the target that owes the next part of the answer.
@@ -101,11 +110,12 @@
 
     async def open(
         self, last_event: str | None
-    ) -> OpenTry | Refusal | TriesEnd:
+    ) -> OpenTry | Refusal | TriesEnd | None:
         """Send the request to targets until one answers.
 
         :param last_event: id of the event after which a stream continues.
-        :return: without an answer, why there is no further target.
+        :return: without an answer, why there is no further target; none if
+            another lane may answer soon.
         """
         while True:
             end = self._tries.find_end()
@@ -118,7 +128,7 @@
             if refusal is not None:
                 return refusal
             opened = await self._send(target, last_event)
-            if opened is not None:
+            if opened is not None or self._is_covered():
                 return opened
 
     @contextlib.contextmanager
--- a/src/ragwortcourse/forwarding/try_race.py
+++ b/src/ragwortcourse/forwarding/try_race.py
@@ -57,6 +57,7 @@
             tries=self._tries,
             patience=self._choose_patience(),
             silent=tuple(self._lanes.values()) if beside else (),
+            is_covered=self._may_answer_soon,
         )
         if beside:
             self._asked_at = read_clock()
@@ -114,6 +115,9 @@
         if runs:
             await asyncio.wait(runs)
 
+    def _may_answer_soon(self) -> bool:
+        return any(lane.may_answer_soon for lane in self._lanes.values())
+
     def _find_next_ask(self) -> float:
         """Find the seconds until one more target may be asked."""
         wait = max(lane.patience_left for lane in self._lanes.values())
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -183,6 +183,15 @@
         assert await read_stream(fleet) == EVENTS
         assert fleet.runs == 2
 
+    @pytest.mark.parametrize('end', [decline, cut])
+    async def test_silent_target_ends_late(self, fleet, end):
+        """No third target gets a stream that the second one has just got."""
+        script = begin_with(pause_before(1.6, end), pause_before(1, stream_all))
+        await fleet.open([script], [script], [script])
+        fleet.set_routes(make_route(max_tries=3))
+        assert await read_stream(fleet) == EVENTS
+        assert fleet.runs == 2
+
     async def test_full_targets_are_not_asked(self, fleet):
         """A silent stream does not go where it would take a place.
 
