Count no crash where a silent target declines after all

Callers saw a broken stream aborted though a free target had not been asked.

Cause: since silence no longer ends a try, it is noted as a loss under the request while the target may still answer. A decline that came later took back the run, not that loss; with the broken one it made two suspected crashes, from which a request is not repeated.

Evidence: test_broken_stream_declined_late (aborted before, whole now). The decline shows that this incarnation lives, so its fate is noted as survived, as an answer to a later request would; a loss of another incarnation counts as before.

--- a/src/ragwortcourse/forwarding/crash_guard.py
+++ b/src/ragwortcourse/forwarding/crash_guard.py
@@ -132,6 +132,16 @@
             evidence.note_run(run)
             evidence.note_own_news(read_clock_with_suspend())
 
+    def note_survived(self, suspects: Iterable[Suspect], run: LostRun) -> None:
+        """Note that a target lives whose silence was noted as a loss."""
+        survived = dataclasses.replace(run, fate=Fate.SURVIVED)
+        for suspect in suspects:
+            evidence = self.store.find(suspect)
+            if evidence is None or (run.target, run.born) not in evidence.runs:
+                continue
+            evidence.note_run(survived)
+            evidence.note_own_news(read_clock_with_suspend())
+
     def merge(self, suspect: Suspect, evidence: CrashEvidence) -> None:
         """Merge the evidence of another daemon."""
         self._find(suspect).merge(evidence)
--- a/src/ragwortcourse/forwarding/request_crashes.py
+++ b/src/ragwortcourse/forwarding/request_crashes.py
@@ -59,6 +59,12 @@
 
     def note_not_run(self) -> None:
         """Note that the last target did not run the request."""
+        if self._target is not None and self._is_settled:
+            # Its silence was noted before it answered.
+            self._guard.note_survived(
+                self.suspects,
+                self._describe_run(self._target, RunEnd.SILENT),
+            )
         self._is_settled = True
         self._target = None
 
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -192,6 +192,15 @@
         assert await read_stream(fleet) == EVENTS
         assert fleet.runs == 2
 
+    async def test_broken_stream_declined_late(self, fleet):
+        """A target that declines after a silence has not crashed."""
+        late = begin_with(pause_before(1.3, decline), stream_all)
+        script = begin_with(stream_until(2), late)
+        await fleet.open([script], [script], [script])
+        fleet.set_routes(make_route(max_tries=3))
+        assert await read_stream(fleet) == EVENTS
+        assert fleet.runs == 3
+
     async def test_full_targets_are_not_asked(self, fleet):
         """A silent stream does not go where it would take a place.
 
