Keep a request at its target when asking another one fails

Callers got 500, or a cut stream, though their target was sound: TryRace raised the error of any lane at once and so ended the others.

Evidence: TestErrorBesideSilentTarget (cut and 500 before, whole now). A lane that raises is logged with its traceback and dropped while another one has the request. The last lane still raises: a caller that left shows as an OSError of the lane that passes on, which is alone by then.

--- a/src/ragwortcourse/forwarding/try_race.py
+++ b/src/ragwortcourse/forwarding/try_race.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import logging
 import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Final, Generic, TypeVar
@@ -18,6 +19,8 @@
 # Interval at which one more target is looked for.
 ASK_AGAIN_SECONDS: Final = 0.25
 
+LOGGER: Final = logging.getLogger(__name__)
+
 End = TypeVar('End')
 
 
@@ -86,10 +89,9 @@
                 timeout=self._find_next_ask(),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            for run, lane in self._lanes.items():
-                if run.done():
-                    self._lanes.pop(run)
-                    return lane, run.result()
+            ended = self._take_ended()
+            if ended is not None:
+                return ended
             for lane in self._lanes.values():
                 if not lane.patience_left:
                     lane.note_silent()
@@ -115,6 +117,22 @@
         if runs:
             await asyncio.wait(runs)
 
+    def _take_ended(self) -> tuple[TryLane, End] | None:
+        for run, lane in tuple(self._lanes.items()):
+            if run.done() and not self._drop_failed(run):
+                self._lanes.pop(run)
+                return lane, run.result()
+        return None
+
+    def _drop_failed(self, run: asyncio.Future[End]) -> bool:
+        """Drop a lane that raised if another one has the request."""
+        error = run.exception()
+        if error is None or len(self._lanes) == 1:
+            return False
+        self._lanes.pop(run)
+        LOGGER.error('lane of a request failed', exc_info=error)
+        return True
+
     def _may_answer_soon(self) -> bool:
         return any(lane.may_answer_soon for lane in self._lanes.values())
 
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -14,6 +14,8 @@
     answer_whole,
     begin_with,
 )
+from ragwortcourse.forwarding import try_lane
+from ragwortcourse.forwarding.choice import choose_target
 from tests.test_forwarding import (
     EVENTS,
     LETTER,
@@ -235,6 +237,28 @@
         assert await asked == EVENTS
 
 
+class TestErrorBesideSilentTarget:
+    """Streams for which asking another target raises an error."""
+
+    @pytest.mark.parametrize(
+        'script', [pause_within(), pause_before(1.6, stream_all)]
+    )
+    async def test_silent_target_goes_on(
+        self, fleet, monkeypatch, caplog, script
+    ):
+        """The error is logged, and the silent target serves the caller."""
+
+        def choose(forwarder, work, service, tried, silence):
+            if silence is not None:
+                raise ValueError('not a target')
+            return choose_target(forwarder, work, service, tried)
+
+        monkeypatch.setattr(try_lane, 'choose_target', choose)
+        await fleet.open([script], [script])
+        assert await read_stream(fleet) == EVENTS
+        assert 'lane of a request failed' in caplog.text
+
+
 class TestLookUpGivenUpBeforeAnotherTargetAnswers:
     """Look-ups whose target answers late, but within their time limit."""
 
