--- a/src/ragwortcourse/entry/claims.py
+++ b/src/ragwortcourse/entry/claims.py
@@ -8,6 +8,7 @@
 import msgspec
 from opentelemetry import metrics
 
+from ragwortcourse.decoding import decode_json
 from ragwortcourse.entry import errors
 from ragwortcourse.entry.admitted_call import AdmittedCall
 from ragwortcourse.entry.claim import Claim
@@ -25,10 +26,13 @@
     Row,
     TableKey,
 )
+from ragwortcourse.unreadable import UnreadableError
 
-LOGGER: Final = logging.getLogger(__name__)
 COMMIT_TRIES: Final = 3
 TABLE_RETRY_SECONDS: Final = 2.0
+UNREADABLE: Final = 'its row can not be read'
+
+LOGGER: Final = logging.getLogger(__name__)
 _CLAIMS: Final = metrics.get_meter(__name__).create_counter(
     'entry.claims', description='Claims by their result.'
 )
@@ -116,9 +120,9 @@
 ) -> ClaimHeld | ClaimFound | NotRun:
     if row is None:
         return refuse_without_table('the row went away')
-    claim = _read_row(row)
-    if isinstance(claim, NotRun):
-        return claim
+    claim = decode_claim(row)
+    if claim is None:
+        return refuse_without_table(UNREADABLE)
     if claim.token == held.claim.token:
         return ClaimHeld(claim=held.claim, version=row.version)
     _CLAIMS.add(1, {'result': 'found'})
@@ -134,27 +138,24 @@
         return refuse_without_table(outcome.detail)
     if outcome.row is None:
         return None
-    claim = _read_row(outcome.row)
-    if isinstance(claim, NotRun):
-        return claim
+    claim = decode_claim(outcome.row)
+    if claim is None:
+        return refuse_without_table(UNREADABLE)
     return ClaimFound(claim=claim, version=outcome.row.version)
 
 
-def _read_row(row: Row) -> Claim | NotRun:
-    try:
-        return decode_claim(row)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        LOGGER.warning('unreadable claim row', extra={'detail': str(error)})
-        return refuse_without_table('its row can not be read')
-
-
-def decode_claim(row: Row) -> Claim:
-    """Decode the claim in a row.
+def decode_claim(row: Row) -> Claim | None:
+    """Decode the claim in a row; none for an odd row, which is logged.
 
-    :raises msgspec.DecodeError: if the row does not hold a claim.
-    :raises RecursionError: if its content is nested too deeply.
+    The work under its key may have run, so nothing more is sent for the key.
     """
-    return msgspec.json.decode(row.content, type=Claim)
+    try:
+        return decode_json(row.content, Claim)
+    except UnreadableError as error:
+        LOGGER.warning(
+            'unreadable claim', extra={'row': row.key, 'detail': str(error)}
+        )
+        return None
 
 
 def refuse_without_table(detail: str) -> NotRun:
--- a/src/ragwortcourse/forwarding/stream_call.py
+++ b/src/ragwortcourse/forwarding/stream_call.py
@@ -139,7 +139,7 @@
             body = await answer.read_whole()
             lane.crashes.note_answered(success=False, framed=answer.is_framed)
             return WholeAnswer(head=answer.head, body=body)
-        events.begin_answer(answer.head)
+        events.check_head(answer.head)
         async for whole in _read_events(lane, opened, events):
             self._race.claim(lane)
             with lane.pass_on():
@@ -182,4 +182,4 @@
         whole = events.add(piece)
         if whole:
             yield whole
-    events.end_answer()
+    events.check_end()
--- a/tests/test_try_race.py
+++ b/tests/test_try_race.py
@@ -33,10 +33,10 @@
         checks = []
         find_end = Tries.find_end
 
-        def count(tries):
+        def count(tries, **options):
             checks.append(read_clock())
             assert len(checks) < MOST_CHECKS
-            return find_end(tries)
+            return find_end(tries, **options)
 
         monkeypatch.setattr(Tries, 'find_end', count)
         forwarder = make_forwarder(
