--- a/tests/test_plain_call.py
+++ b/tests/test_plain_call.py
@@ -57,6 +57,8 @@
     :ivar asked: addresses asked, in order.
     """
 
+    closed = False
+
     def __init__(
         self, *silent: str, silences: int = 0, cuts: bool = False
     ) -> None:
--- a/tests/test_start_limit.py
+++ b/tests/test_start_limit.py
@@ -31,6 +31,8 @@
     :ivar held_for: seconds for which requests were held, in order.
     """
 
+    closed = False
+
     def __init__(self) -> None:
         self.held_for: list[float] = []
 
