--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -14,6 +14,8 @@
     answer_whole,
     begin_with,
 )
+from ragwortcourse.forwarding import try_lane
+from ragwortcourse.forwarding.choice import choose_target
 from tests.test_forwarding import (
     EVENTS,
     LETTER,
@@ -183,6 +185,24 @@
         assert await read_stream(fleet) == EVENTS
         assert fleet.runs == 2
 
+    @pytest.mark.parametrize('end', [decline, cut])
+    async def test_silent_target_ends_late(self, fleet, end):
+        """No third target gets a stream that the second one has just got."""
+        script = begin_with(pause_before(1.6, end), pause_before(1, stream_all))
+        await fleet.open([script], [script], [script])
+        fleet.set_routes(make_route(max_tries=3))
+        assert await read_stream(fleet) == EVENTS
+        assert fleet.runs == 2
+
+    async def test_broken_stream_declined_late(self, fleet):
+        """A target that declines after a silence has not crashed."""
+        late = begin_with(pause_before(1.3, decline), stream_all)
+        script = begin_with(stream_until(2), late)
+        await fleet.open([script], [script], [script])
+        fleet.set_routes(make_route(max_tries=3))
+        assert await read_stream(fleet) == EVENTS
+        assert fleet.runs == 3
+
     async def test_full_targets_are_not_asked(self, fleet):
         """A silent stream does not go where it would take a place.
 
@@ -217,6 +237,28 @@
         assert await asked == EVENTS
 
 
+class TestErrorBesideSilentTarget:
+    """Streams for which asking another target raises an error."""
+
+    @pytest.mark.parametrize(
+        'script', [pause_within(), pause_before(1.6, stream_all)]
+    )
+    async def test_silent_target_goes_on(
+        self, fleet, monkeypatch, caplog, script
+    ):
+        """The error is logged, and the silent target serves the caller."""
+
+        def choose(forwarder, work, service, tried, silence):
+            if silence is not None:
+                raise ValueError('not a target')
+            return choose_target(forwarder, work, service, tried)
+
+        monkeypatch.setattr(try_lane, 'choose_target', choose)
+        await fleet.open([script], [script])
+        assert await read_stream(fleet) == EVENTS
+        assert 'lane of a request failed' in caplog.text
+
+
 class TestLookUpGivenUpBeforeAnotherTargetAnswers:
     """Look-ups whose target answers late, but within their time limit."""
 
