Give the daemons of version rounds addresses that can be called

test_version_rounds.py failed since an address of another daemon must be an IP: the rounds named theirs after the daemons.

--- a/fakes/version_daemon.py
+++ b/fakes/version_daemon.py
@@ -4,6 +4,7 @@
 import contextlib
 import functools
 import random
+import zlib
 from collections.abc import Coroutine
 from typing import Any
 
@@ -40,6 +41,13 @@
 STORE_ADDRESS = 'store:1'
 
 
+def make_host_address(name: DaemonId) -> str:
+    """Make an address of the loopback network from the name of a daemon."""
+    return (
+        f'127.{".".join(map(str, zlib.crc32(name.encode()).to_bytes(4)[1:]))}'
+    )
+
+
 class VersionDaemon:
     """Feed of the operators' rows and exchange of versions of one forwarder.
 
@@ -62,7 +70,8 @@
         self._rng = random.Random(seed)
         self._fleet = fleet
         self._stack = contextlib.AsyncExitStack()
-        address = f'{name}:1'
+        host = make_host_address(name)
+        address = f'{host}:1'
         self._session = MemorySession(fleet=fleet, own=address)
         self._forwarder = make_forwarder(
             self.state,
@@ -71,7 +80,7 @@
             failure_domain=domain,
             region=REGIONS[domain],
             listen=ListenSettings(
-                peers=address, watch=f'{name}:2', callers=f'{name}:3'
+                peers=address, watch=f'{host}:2', callers=f'{host}:3'
             ),
         )
         self.record = describe_daemon(self._forwarder.settings)
