--- a/fakes/version_daemon.py
+++ b/fakes/version_daemon.py
@@ -39,13 +39,13 @@
 from ragwortcourse.settings import ListenSettings
 
 STORE_ADDRESS = 'store:1'
+PEERS_PORT = 1
 
 
-def make_host_address(name: DaemonId) -> str:
-    """Make an address of the loopback network from the name of a daemon."""
-    return (
-        f'127.{".".join(map(str, zlib.crc32(name.encode()).to_bytes(4)[1:]))}'
-    )
+def make_address(name: DaemonId, port: int = PEERS_PORT) -> str:
+    """Make an address of a daemon, which others can call, from its name."""
+    host = zlib.crc32(name.encode()).to_bytes(4)[1:]
+    return f'127.{".".join(map(str, host))}:{port}'
 
 
 class VersionDaemon:
@@ -70,8 +70,7 @@
         self._rng = random.Random(seed)
         self._fleet = fleet
         self._stack = contextlib.AsyncExitStack()
-        host = make_host_address(name)
-        address = f'{host}:1'
+        address = make_address(name)
         self._session = MemorySession(fleet=fleet, own=address)
         self._forwarder = make_forwarder(
             self.state,
@@ -80,7 +79,9 @@
             failure_domain=domain,
             region=REGIONS[domain],
             listen=ListenSettings(
-                peers=address, watch=f'{host}:2', callers=f'{host}:3'
+                peers=address,
+                watch=make_address(name, 2),
+                callers=make_address(name, 3),
             ),
         )
         self.record = describe_daemon(self._forwarder.settings)
--- a/fakes/version_rounds.py
+++ b/fakes/version_rounds.py
@@ -22,7 +22,7 @@
 from fakes.fleet_parts import FLEET, MODEL, REGIONS
 from fakes.fleet_store import FleetStore
 from fakes.memory_fleet import MemoryFleet
-from fakes.version_daemon import STORE_ADDRESS, VersionDaemon
+from fakes.version_daemon import STORE_ADDRESS, VersionDaemon, make_address
 from fakes.virtual_clocks import follow_loop
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.store_watch import OUTAGE_QUORUM_SHARE
@@ -179,7 +179,7 @@
     async def _cut_from_store(self, after: float) -> None:
         names, seconds = self._draw_daemons(), self._draw_seconds()
         await asyncio.sleep(after)
-        ways = {(f'{name}:1', STORE_ADDRESS) for name in names}
+        ways = {(make_address(name), STORE_ADDRESS) for name in names}
         await self._cut(names, ways, seconds, 'from the store')
         if len(names) > OUTAGE_QUORUM_SHARE * self._size:
             # Nobody can tell this from an outage of the store.
@@ -190,7 +190,9 @@
         await asyncio.sleep(after)
         others = set(self._daemons) - set(names)
         ways = {
-            (f'{name}:1', f'{other}:1') for name in names for other in others
+            (make_address(name), make_address(other))
+            for name in names
+            for other in others
         }
         if self._disturbing.random() < 0.5:
             ways |= {(receiver, sender) for sender, receiver in ways}
