--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,8 @@
 """Pytest hooks: expected failures of KNOWN-RED.txt, logs of failed tests."""
 
 import pathlib
-from collections.abc import Generator
+import signal
+from collections.abc import Generator, Iterator
 
 import pytest
 
@@ -14,6 +15,14 @@
 LOGS = 'kept logs'
 
 
+@pytest.fixture(autouse=True)
+def keep_hang_up() -> Iterator[None]:
+    """Restore the action of SIGHUP, which processes of later tests inherit."""
+    before = signal.getsignal(signal.SIGHUP)
+    yield
+    signal.signal(signal.SIGHUP, before)
+
+
 def read_known_red() -> list[str]:
     """Read the test node ids from the ``test:`` lines of KNOWN-RED.txt."""
     if not KNOWN_RED.exists():
