Take readers that wait for a change for no outage of the store

Cause: a waiting call confirms a reader's rows as of its sending, so that they are up to 8 s old by its end; from 6 s on the reader answered 503. A follower took that for a lost store and its own call's answer for the end of an outage, and kept a target whose entry was missing for LAPSE_SECONDS (2.3), as one that lapsed in an outage. The lines: both readers 503 at 26.277 s, the entry gone at 26.507, removed at 28.812 at this daemon alone, changes of other targets applied meanwhile.

A reader that has the store and rows too old now answers 504: it serves no rows, and counts for no outage. test_quiet_readers_delay_the_end_of_a_target failed before, twice of two.

--- a/src/ragwortcourse/platform/row_relay.py
+++ b/src/ragwortcourse/platform/row_relay.py
@@ -155,8 +155,12 @@
     """
     if _is_behind(cache, query):
         raise _TooEarlyError
-    if cache.is_cut_off or _read_freshness(cache, longest_age) < 0:
+    if cache.is_cut_off:
         raise web.HTTPServiceUnavailable
+    if _read_freshness(cache, longest_age) < 0:
+        # Not 503, as the store is not lost: a call that waits for a change
+        # confirms no rows until its end.
+        raise web.HTTPGatewayTimeout
 
 
 def _read_freshness(cache: RowCache, longest_age: float) -> float:
--- a/tests/test_shared_table.py
+++ b/tests/test_shared_table.py
@@ -394,6 +394,28 @@
         assert not follower.count(FEED)
 
 
+class TestQuietTable:
+    """Readers whose rows nobody has confirmed for some seconds."""
+
+    async def test_quiet_readers_delay_the_end_of_a_target(self, domain):
+        """Readers that only wait for a change have not lost the store.
+
+        Their followers took the store for just regained, and kept a target
+        whose entry was gone, as one that lapses in an outage.
+        """
+        await asyncio.sleep(TARGETS_PACE.longest_age + TARGETS_PACE.wait)
+        domain.fake.drop(names.TARGETS_TABLE, TARGET)
+        async with asyncio.timeout(DRAIN_SECONDS):
+            await wait_for(
+                lambda: (
+                    not any(
+                        TARGET in each.state.targets
+                        for each in domain.followers
+                    )
+                )
+            )
+
+
 class PatientStore:
     """A store that tells no changes.
 
