--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,7 @@
 
 import pathlib
 import signal
-from collections.abc import Generator, Iterator
+from collections.abc import Generator
 
 import pytest
 
@@ -16,11 +16,12 @@
 
 
 @pytest.fixture(autouse=True)
-def keep_hang_up() -> Iterator[None]:
-    """Restore the action of SIGHUP, which processes of later tests inherit."""
-    before = signal.getsignal(signal.SIGHUP)
-    yield
-    signal.signal(signal.SIGHUP, before)
+def reset_hang_up() -> None:
+    """Reset the action of SIGHUP, which processes of a test inherit.
+
+    Daemons ignore it from the import of their program on, also in tests.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
 
 
 def read_known_red() -> list[str]:
