--- a/fakes/suspension.py
+++ b/fakes/suspension.py
@@ -3,7 +3,9 @@
 import asyncio
 import types
 from collections.abc import Callable, Coroutine, Generator
-from typing import Any
+from typing import Any, TypeVar
+
+Result = TypeVar('Result')
 
 
 class Suspension:
@@ -40,19 +42,27 @@
         """Wait until the daemon runs."""
         await self._running.wait()
 
+    async def run(self, work: Coroutine[Any, Any, Result]) -> Result:
+        """Run a coroutine that neither starts nor goes on while suspended."""
+        await self.wait()
+        return await self.drive(work)
+
     @types.coroutine
-    def drive(self, work: Coroutine[Any, Any, None]) -> Generator[Any]:
+    def drive(
+        self, work: Coroutine[Any, Any, Result]
+    ) -> Generator[Any, Any, Result]:
         """Run a coroutine that makes no progress while suspended."""
         resume: Callable[[], Any] = lambda: work.send(None)  # noqa: E731
         while True:
             try:
                 waited = resume()
-            except StopIteration:
-                return
+            except StopIteration as end:
+                returned: Result = end.value
+                return returned
             resume = yield from self._await(waited, work)
 
     def _await(
-        self, waited: Any, work: Coroutine[Any, Any, None]
+        self, waited: Any, work: Coroutine[Any, Any, Result]
     ) -> Generator[Any, Any, Callable[[], Any]]:
         failure: BaseException | None = None
         try:
--- a/fakes/version_rounds.py
+++ b/fakes/version_rounds.py
@@ -15,7 +15,6 @@
 from typing import Any
 
 import click
-import looptime
 import msgspec
 from aiohttp import web
 
@@ -23,7 +22,7 @@
 from fakes.fleet_store import FleetStore
 from fakes.memory_fleet import MemoryFleet
 from fakes.version_daemon import STORE_ADDRESS, VersionDaemon, make_address
-from fakes.virtual_clocks import follow_loop
+from fakes.virtual_clocks import run_in_virtual_time
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.store_watch import OUTAGE_QUORUM_SHARE
 from ragwortcourse.identifiers import DaemonId, FailureDomainName
@@ -315,14 +314,7 @@
 
 def play_round(seed: int) -> VersionRound:
     """Play the round of a seed in virtual time."""
-    # Nothing waits for real input, so no turns are spent on it.
-    loop = looptime.new_event_loop(noop_cycles=0)
-    try:
-        with follow_loop():
-            played = loop.run_until_complete(_play(seed))
-    finally:
-        loop.close()
-    return played
+    return run_in_virtual_time(_play(seed))
 
 
 async def _play(seed: int) -> VersionRound:
--- a/fakes/virtual_clocks.py
+++ b/fakes/virtual_clocks.py
@@ -3,11 +3,16 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import Iterator
+from collections.abc import Coroutine, Iterator
+from typing import Any, TypeVar
 from unittest import mock
 
+import looptime
+
 from ragwortcourse import clock
 
+Result = TypeVar('Result')
+
 
 @contextlib.contextmanager
 def follow_loop() -> Iterator[None]:
@@ -21,3 +26,15 @@
         mock.patch.object(clock.SuspensionMeter, 'read', return_value=0.0),
     ):
         yield
+
+
+def run_in_virtual_time(work: Coroutine[Any, Any, Result]) -> Result:
+    """Run a coroutine in an event loop of its own, in virtual time."""
+    # Nothing waits for real input, so no turns are spent on it.
+    loop = looptime.new_event_loop(noop_cycles=0)
+    try:
+        with follow_loop():
+            returned: Result = loop.run_until_complete(work)
+    finally:
+        loop.close()
+    return returned
--- a/tests/test_loader_weights.py
+++ b/tests/test_loader_weights.py
@@ -14,6 +14,7 @@
     make_target,
 )
 from fakes.staged_engine import StagedEngine
+from fakes.version_chunks import make_chunk, make_manifest
 from ragwortcourse.clock import read_clock_with_suspend
 from ragwortcourse.forwarding.load_messages import (
     SwitchMessage,
@@ -21,10 +22,8 @@
 from ragwortcourse.forwarding.named_weights import AnnouncedVersion
 from ragwortcourse.settings import LoaderSettings
 from ragwortcourse.weights.engine_switch import switch_engine
-from ragwortcourse.weights.fleet_manifest import FleetManifest
 from ragwortcourse.weights.loader_weights import LoaderWeights
 from ragwortcourse.weights.loader_weights_ports import LoaderWeightsPorts
-from ragwortcourse.weights.manifest import digest_bytes
 from ragwortcourse.weights.version_drawing import download_versions
 
 pytestmark = pytest.mark.looptime
@@ -32,22 +31,6 @@
 ENGINE = '10.0.0.1:1'
 
 
-def make_chunk(version: int, index: int) -> bytes:
-    """Make the content of a chunk."""
-    return f'{version}/{index}'.encode() * 100
-
-
-def make_manifest(version: int) -> FleetManifest:
-    """Make the manifest of a version."""
-    return FleetManifest(
-        model=MODEL,
-        version=version,
-        digests=tuple(
-            digest_bytes(make_chunk(version, index)) for index in range(CHUNKS)
-        ),
-    )
-
-
 class Host:
     """A loader with a fake engine and fake sources.
 
@@ -89,7 +72,7 @@
         """Return the manifest of a version if it is available."""
         if not self.reachable or version == self.unknown:
             return None
-        return make_manifest(version)
+        return make_manifest(version, CHUNKS)
 
     async def draw(self, manifest, index, rate):
         """Return a chunk after the download time."""
