--- a/src/ragwortcourse/platform/engine.py
+++ b/src/ragwortcourse/platform/engine.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
-from ragwortcourse.bounded import Count
+from ragwortcourse.bounded import Count, WholeNumber
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.platform.target_rows import WireLayers, decode_layers
@@ -30,10 +30,12 @@
     """State of an engine, some hundred milliseconds old.
 
     :param busy: true while an order is in progress.
+    :param seq: number of orders accepted.
     """
 
     busy: bool = False
     running: Count = 0
+    seq: WholeNumber | None = None
     layers: WireLayers | None = None
 
 
@@ -85,6 +87,7 @@
             busy=wire.busy,
             running=wire.running,
             weights=decode_layers(wire.layers),
+            orders=wire.seq,
         )
 
     async def list_staged(self, model: ModelName) -> frozenset[int]:
@@ -134,7 +137,7 @@
             CONFLICT: LoadOrderOutcome.CONFLICT,
         }
         if answer is None:
-            return LoadOrderOutcome.FAILED
+            return LoadOrderOutcome.UNANSWERED
         return outcomes.get(answer[0], LoadOrderOutcome.FAILED)
 
     async def _call(
--- a/src/ragwortcourse/weights/engine_port.py
+++ b/src/ragwortcourse/weights/engine_port.py
@@ -15,6 +15,8 @@
     IN_EFFECT = 'in effect'
     CONFLICT = 'does not fit the state'
     FAILED = 'failed'
+    # The engine may still accept the order.
+    UNANSWERED = 'no answer'
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -24,11 +26,14 @@
     :param busy: whether an order is in progress.
     :param running: number of running requests.
     :param weights: layers that the engine holds; None if it holds none.
+    :param orders: number of orders accepted since the engine started; None if
+        the engine does not state it.
     """
 
     busy: bool
     running: int
     weights: HeldWeights | None
+    orders: int | None = None
 
 
 class EnginePort(Protocol):
--- a/src/ragwortcourse/weights/engine_switch.py
+++ b/src/ragwortcourse/weights/engine_switch.py
@@ -12,7 +12,7 @@
 from ragwortcourse.weights.chunk_store import VersionChunks
 from ragwortcourse.weights.engine_port import LoadOrderOutcome
 from ragwortcourse.weights.loader_weights import LoaderWeights
-from ragwortcourse.weights.stage_check import ensure_staged
+from ragwortcourse.weights.stage_check import StageCheck, ensure_staged
 from ragwortcourse.weights.switch_schedule import (
     SUCCESSOR_SECONDS,
     is_ready_to_switch,
@@ -49,18 +49,20 @@
     ):
         return False
     downloaded = loader_weights.find_downloaded(rules)
-    if downloaded is None or not await ensure_staged(
-        loader_weights.ports.engine, downloaded
-    ):
+    if downloaded is None:
+        return False
+    check = await ensure_staged(loader_weights.ports.engine, downloaded)
+    if check.failed:
         return False
     if loader_weights.read_held(rules):
         await _await_turn(loader_weights, rules, downloaded)
         newest = await _await_successor(loader_weights, rules, downloaded)
         if newest is not downloaded:
             downloaded = newest
-            if not await ensure_staged(loader_weights.ports.engine, downloaded):
+            check = await ensure_staged(loader_weights.ports.engine, downloaded)
+            if check.failed:
                 return False
-    return await _order(loader_weights, rules, downloaded)
+    return await _order(loader_weights, rules, downloaded, check)
 
 
 async def _await_turn(
@@ -132,16 +134,21 @@
     loader_weights: LoaderWeights,
     rules: EngineProfile,
     downloaded: VersionChunks,
+    check: StageCheck,
 ) -> bool:
     """Order the engine to load a version; return whether loading began."""
     version = downloaded.manifest.version
+    check_age = check.age
     outcome = await loader_weights.ports.engine.order_load(rules.model, version)
     LOGGER.info(
-        'engine answered the order to load a version',
+        'order to load a version ended',
         extra={
             'version': version,
             'outcome': outcome,
             'running': loader_weights.report and loader_weights.report.running,
+            'orders': loader_weights.report and loader_weights.report.orders,
+            'check_age': check_age,
+            'restaged': check.restaged,
         },
     )
     if outcome not in STARTED:
--- a/src/ragwortcourse/weights/stage_check.py
+++ b/src/ragwortcourse/weights/stage_check.py
@@ -1,37 +1,56 @@
 """Make the staged chunks of an engine match the version to load."""
 
 import asyncio
+import dataclasses
 from typing import Final
 
+from ragwortcourse.clock import read_clock_with_suspend
 from ragwortcourse.weights.chunk_store import VersionChunks
 from ragwortcourse.weights.engine_port import EnginePort
 
 CONCURRENT_CHECKS: Final = 4
 
 
-async def ensure_staged(engine: EnginePort, chunks: VersionChunks) -> bool:
-    """Stage missing or differing chunks; return whether all succeeded."""
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StageCheck:
+    """Result of a comparison of all staged chunks with a version.
+
+    :param began_at: seconds on the clock that counts suspension.
+    :param restaged: number of chunks that were missing or differed.
+    :param failed: number of these that could not be staged.
+    """
+
+    began_at: float
+    restaged: int
+    failed: int
+
+    @property
+    def age(self) -> float:
+        """Seconds since the comparison began."""
+        return read_clock_with_suspend() - self.began_at
+
+
+async def ensure_staged(
+    engine: EnginePort, chunks: VersionChunks
+) -> StageCheck:
+    """Stage missing or differing chunks."""
+    began_at = read_clock_with_suspend()
+    model = chunks.manifest.model
     queue = list(chunks.contents.items())
-    failed: list[int] = []
+    written: list[bool] = []
 
     async def check_some() -> None:
         while queue:
             index, content = queue.pop()
-            if not await ensure_chunk_staged(engine, chunks, index, content):
-                failed.append(index)
+            if await engine.read_staged(model, index) != content:
+                written.append(await engine.write_staged(model, index, content))
 
     await asyncio.gather(*(check_some() for _ in range(CONCURRENT_CHECKS)))
-    return not failed
-
-
-async def ensure_chunk_staged(
-    engine: EnginePort, chunks: VersionChunks, index: int, content: bytes
-) -> bool:
-    """Stage one chunk unless the same content is staged already."""
-    model = chunks.manifest.model
-    if await engine.read_staged(model, index) == content:
-        return True
-    return await engine.write_staged(model, index, content)
+    return StageCheck(
+        began_at=began_at,
+        restaged=len(written),
+        failed=written.count(False),
+    )
 
 
 async def adopt_staged(engine: EnginePort, chunks: VersionChunks) -> int:
