--- /dev/null
+++ b/tests/test_late_orders.py
@@ -0,0 +1,103 @@
+"""Tests of calls to an engine that it does after the loader gave them up."""
+
+import asyncio
+
+import pytest
+
+from fakes.fleet_parts import FLEET
+from fakes.loader_host import ENGINE, LoaderHost, make_chunk
+
+pytestmark = pytest.mark.looptime
+VERSION_SECONDS = FLEET.version_ms / 1000
+# The engine of the host switches after others.
+SERVICE = [ENGINE, *(f'10.0.0.{each}:1' for each in range(2, 12))]
+
+
+class TestUnansweredOrder:
+    """An order without an answer that the engine accepts later."""
+
+    @pytest.mark.parametrize('seconds', [1.3, 1.8, 2.5, 4.0, 6.0, 9.6])
+    async def test_late_order_loads_another_version(self, seconds):
+        """Chunks of a newer version are not loaded as the ordered version."""
+        host = LoaderHost(version=1)
+        async with host.run():
+            host.name(2)
+            host.engine.late_orders = [seconds]
+            while host.engine.late_orders:
+                await asyncio.sleep(0.01)
+            host.name(3)
+            await asyncio.sleep(seconds + VERSION_SECONDS)
+        host.check_orders()
+        assert host.engine.version == 3
+
+    @pytest.mark.parametrize('seconds', [2.5, 4.0, 6.0, 9.6])
+    async def test_several_late_orders(self, seconds):
+        """Two orders of one version are late, and a third one is accepted."""
+        host = LoaderHost(version=1)
+        async with host.run():
+            host.name(2)
+            host.engine.late_orders = [seconds, seconds]
+            while host.engine.late_orders:
+                await asyncio.sleep(0.01)
+            host.name(3)
+            await asyncio.sleep(seconds + VERSION_SECONDS)
+        host.check_orders()
+        assert host.engine.version == 3
+
+    async def test_late_order_of_a_restarted_loader(self):
+        """A loader that starts anew waits for the order of its predecessor."""
+        host = LoaderHost(version=1)
+        async with host.run():
+            host.name(2)
+            host.engine.late_orders = [6.0]
+            while host.engine.late_orders:
+                await asyncio.sleep(0.01)
+        successor = LoaderHost(engine=host.engine)
+        async with successor.run():
+            successor.name(2)
+            successor.name(3)
+            await asyncio.sleep(2 * VERSION_SECONDS)
+        successor.check_orders()
+        assert host.engine.version == 3
+
+
+class TestUnansweredWrite:
+    """A staged chunk without an answer that the engine writes later."""
+
+    @pytest.mark.parametrize('seconds', [1.3, 3.0, 5.0, 7.5, 9.6])
+    async def test_late_write_spoils_a_newer_version(self, seconds):
+        """A chunk of an older version does not get into a load."""
+        host = LoaderHost(version=1)
+        host.service = SERVICE
+        async with host.run():
+            host.name(2)
+            host.engine.late_writes = [seconds]
+            await asyncio.sleep(0.35)
+            host.name(3)
+            await asyncio.sleep(seconds + VERSION_SECONDS)
+        host.check_orders()
+        assert host.engine.version == 3
+
+
+class TestAgeOfTheCheck:
+    """Staged chunks that change between the check and the order."""
+
+    @pytest.mark.parametrize('content', [None, b'rotten'])
+    async def test_chunk_spoilt_while_the_loader_waits_for_its_turn(
+        self, content
+    ):
+        """An engine that switches late finds all chunks of the version."""
+        host = LoaderHost(version=1)
+        host.service = SERVICE
+        async with host.run():
+            host.name(2)
+            while host.engine.stage.get(3) != make_chunk(2, 3):
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.5)
+            assert not host.engine.orders
+            host.engine.stage.pop(2)
+            if content is not None:
+                host.engine.stage[2] = content
+            await asyncio.sleep(VERSION_SECONDS)
+        host.check_orders()
+        assert host.engine.version == 2
--- a/tests/test_loader_weights.py
+++ b/tests/test_loader_weights.py
@@ -1,146 +1,13 @@
 """Tests of a loader: downloading, staging and switching."""
 
 import asyncio
-import contextlib
 
 import pytest
 
-from fakes.fleet_parts import (
-    ENGINE_RULES,
-    ENGINES,
-    FLEET,
-    MODEL,
-    make_state,
-    make_target,
-)
-from fakes.staged_engine import StagedEngine
-from ragwortcourse.clock import read_clock_with_suspend
-from ragwortcourse.forwarding.load_messages import (
-    SwitchMessage,
-)
-from ragwortcourse.forwarding.named_weights import AnnouncedVersion
-from ragwortcourse.settings import LoaderSettings
-from ragwortcourse.weights.engine_switch import switch_engine
-from ragwortcourse.weights.fleet_manifest import FleetManifest
-from ragwortcourse.weights.loader_weights import LoaderWeights
-from ragwortcourse.weights.loader_weights_ports import LoaderWeightsPorts
-from ragwortcourse.weights.manifest import digest_bytes
-from ragwortcourse.weights.version_drawing import download_versions
+from fakes.fleet_parts import ENGINE_RULES, FLEET, MODEL
+from fakes.loader_host import CHUNKS, LoaderHost, make_chunk
 
 pytestmark = pytest.mark.looptime
-CHUNKS = 4
-ENGINE = '10.0.0.1:1'
-
-
-def make_chunk(version: int, index: int) -> bytes:
-    """Make the content of a chunk."""
-    return f'{version}/{index}'.encode() * 100
-
-
-def make_manifest(version: int) -> FleetManifest:
-    """Make the manifest of a version."""
-    return FleetManifest(
-        model=MODEL,
-        version=version,
-        digests=tuple(
-            digest_bytes(make_chunk(version, index)) for index in range(CHUNKS)
-        ),
-    )
-
-
-class Host:
-    """A loader with a fake engine and fake sources.
-
-    :ivar drawn: versions and indexes of downloaded chunks, in order.
-    :ivar spoilt: number of downloads that return corrupted content.
-    :ivar reachable: whether any source answers.
-    :ivar unknown: version whose manifest is unavailable.
-    :ivar missing: version and index of an unavailable chunk.
-    :ivar seconds: duration of a download.
-    :ivar notices: announced switch messages, in order.
-    """
-
-    def __init__(self, *, version: int = 0, link_mbps: float = 4.7) -> None:
-        self.engine = StagedEngine(version=version)
-        self.drawn: list[tuple[int, int]] = []
-        self.spoilt = 0
-        self.reachable = True
-        self.unknown = 0
-        self.missing: tuple[int, int] | None = None
-        self.seconds = 0.1
-        self.notices: list[SwitchMessage] = []
-        self.state = make_state()
-        self.loading = LoaderWeights(
-            fleet=FLEET,
-            loader=LoaderSettings(
-                engine=ENGINE, service=ENGINES, link_mbps=link_mbps
-            ),
-            state=self.state,
-            ports=LoaderWeightsPorts(
-                engine=self.engine,
-                read_manifest=self.read_manifest,
-                download_chunk=self.draw,
-                announce=self.announce,
-                list_service=self.list_service,
-            ),
-        )
-
-    async def read_manifest(self, model, version):
-        """Return the manifest of a version if it is available."""
-        if not self.reachable or version == self.unknown:
-            return None
-        return make_manifest(version)
-
-    async def draw(self, manifest, index, rate):
-        """Return a chunk after the download time."""
-        await asyncio.sleep(self.seconds)
-        if not self.reachable or self.missing == (
-            manifest.version,
-            index,
-        ):
-            return None
-        self.drawn.append((manifest.version, index))
-        if self.spoilt:
-            self.spoilt -= 1
-            return b'spoilt'
-        return make_chunk(manifest.version, index)
-
-    async def announce(self, message):
-        """Record a switch message."""
-        self.notices.append(message)
-
-    async def list_service(self):
-        """List the engine of this host as the only target."""
-        return [make_target(address=ENGINE)]
-
-    def name(self, version: int) -> None:
-        """Record that an operator names a version now."""
-        named = AnnouncedVersion(
-            version=version, seen_at=read_clock_with_suspend()
-        )
-        known = self.state.weights.get(MODEL, ())
-        self.state.weights[MODEL] = (*known, named)
-
-    @contextlib.asynccontextmanager
-    async def run(self):
-        """Run the loader's tasks inside the context."""
-        tasks = [
-            asyncio.ensure_future(download_versions(self.loading)),
-            asyncio.ensure_future(switch_engine(self.loading)),
-        ]
-        try:
-            yield
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-
-    def check_orders(self) -> None:
-        """Assert that each order found exactly its own version staged."""
-        for version, stage in self.engine.orders:
-            assert stage == {
-                index: make_chunk(version, index) for index in range(CHUNKS)
-            }
 
 
 class TestLoader:
@@ -148,7 +15,7 @@
 
     async def test_empty_engine(self):
         """An empty engine loads the first version if none was named."""
-        host = Host()
+        host = LoaderHost()
         async with host.run():
             await asyncio.sleep(3)
         assert host.engine.version == 1
@@ -156,7 +23,7 @@
 
     async def test_engine_that_holds_it(self):
         """An engine that holds the version causes no order or download."""
-        host = Host(version=1)
+        host = LoaderHost(version=1)
         async with host.run():
             await asyncio.sleep(3)
         assert not host.engine.orders
@@ -164,7 +31,7 @@
 
     async def test_new_version(self):
         """A named version is loaded before the old one expires."""
-        host = Host(version=1)
+        host = LoaderHost(version=1)
         async with host.run():
             await asyncio.sleep(1)
             host.name(2)
@@ -174,7 +41,7 @@
 
     async def test_notices(self):
         """Entry daemons are notified before the order and after loading."""
-        host = Host(version=1)
+        host = LoaderHost(version=1)
         async with host.run():
             host.name(2)
             await asyncio.sleep(8)
@@ -184,7 +51,7 @@
 
     async def test_spoilt_chunks(self):
         """Chunks with another digest are downloaded again."""
-        host = Host()
+        host = LoaderHost()
         host.spoilt = 3
         async with host.run():
             await asyncio.sleep(4)
@@ -193,7 +60,7 @@
 
     async def test_rot(self):
         """A corrupted staged chunk is staged again before the order."""
-        host = Host()
+        host = LoaderHost()
         async with host.run():
             while len(host.engine.stage) < CHUNKS:
                 await asyncio.sleep(0.01)
@@ -204,7 +71,7 @@
 
     async def test_restarted_engine(self):
         """A restarted engine loads the version that its loader holds."""
-        host = Host()
+        host = LoaderHost()
         async with host.run():
             await asyncio.sleep(3)
             drawn = len(host.drawn)
@@ -216,10 +83,10 @@
 
     async def test_restarted_loader(self):
         """A restarted loader adopts the staged chunks."""
-        host = Host()
+        host = LoaderHost()
         async with host.run():
             await asyncio.sleep(3)
-        other = Host()
+        other = LoaderHost()
         other.engine.stage = dict(host.engine.stage)
         async with other.run():
             await asyncio.sleep(3)
@@ -228,7 +95,7 @@
 
     async def test_engine_is_not_set_back(self):
         """A restarted loader that reads old rows loads no older version."""
-        host = Host(version=3)
+        host = LoaderHost(version=3)
         async with host.run():
             host.name(2)
             await asyncio.sleep(FLEET.version_ms / 1000)
@@ -237,7 +104,7 @@
 
     async def test_origin_away(self):
         """The engine keeps its version until sources are reachable again."""
-        host = Host(version=1)
+        host = LoaderHost(version=1)
         host.reachable = False
         async with host.run():
             host.name(2)
@@ -249,7 +116,7 @@
 
     async def test_origin_away_is_told_once(self, caplog):
         """A lasting failure is logged only once."""
-        host = Host(version=1)
+        host = LoaderHost(version=1)
         host.reachable = False
         async with host.run():
             host.name(2)
@@ -261,7 +128,7 @@
 
     async def test_silent_engine(self):
         """An engine that is down gets an order only once it answers."""
-        host = Host()
+        host = LoaderHost()
         host.engine.down = True
         async with host.run():
             await asyncio.sleep(3)
@@ -272,7 +139,7 @@
 
     async def test_order_that_does_not_fit(self):
         """A refused order is sent again."""
-        host = Host()
+        host = LoaderHost()
         host.engine.refuses = True
         async with host.run():
             await asyncio.sleep(3)
@@ -282,7 +149,7 @@
 
     async def test_quick_succession(self):
         """Only the newest of two quickly named versions is loaded."""
-        host = Host(version=1)
+        host = LoaderHost(version=1)
         host.seconds = 1
         async with host.run():
             host.name(2)
@@ -294,7 +161,7 @@
 
     async def test_slow_links(self):
         """An older version is loaded first if the newest would be late."""
-        host = Host(version=1, link_mbps=0.009)
+        host = LoaderHost(version=1, link_mbps=0.009)
         host.seconds = 2
         async with host.run():
             host.name(2)
@@ -306,7 +173,7 @@
 
     async def test_finishes_most_of_its_work(self):
         """A full engine is ordered once half of its requests have ended."""
-        host = Host(version=1)
+        host = LoaderHost(version=1)
         host.engine.running = 16
         async with host.run():
             host.name(2)
@@ -321,7 +188,7 @@
 
     async def test_long_answers(self):
         """Requests that do not end in time do not delay the order further."""
-        host = Host(version=1)
+        host = LoaderHost(version=1)
         host.engine.running = 16
         async with host.run():
             host.name(2)
@@ -330,7 +197,7 @@
 
     async def test_newest_stalls(self):
         """An older version is loaded while a chunk of the newest is missing."""
-        host = Host(version=1, link_mbps=0.03)
+        host = LoaderHost(version=1, link_mbps=0.03)
         host.seconds = 0.5
         async with host.run():
             host.name(2)
@@ -350,7 +217,7 @@
         Seen on kalliga scale-1: the origin went down before any host had
         read the manifest of the newest version.
         """
-        host = Host(version=1, link_mbps=0.009)
+        host = LoaderHost(version=1, link_mbps=0.009)
         host.seconds = 1.85
         host.unknown = 3
         async with host.run():
@@ -372,7 +239,7 @@
         meanwhile, although the origin answered again, and the engines had
         only expired weights when that was done.
         """
-        host = Host(version=1, link_mbps=0.009)
+        host = LoaderHost(version=1, link_mbps=0.009)
         host.seconds = 1.85
         host.unknown = 3
         async with host.run():
@@ -387,7 +254,7 @@
 
     async def test_missing_chunk_appears_during_an_older_download(self):
         """A version whose last chunk was missing is finished at once."""
-        host = Host(version=1, link_mbps=0.03)
+        host = LoaderHost(version=1, link_mbps=0.03)
         host.seconds = 0.2
         host.missing = (3, CHUNKS - 1)
         async with host.run():
@@ -409,7 +276,7 @@
         Both versions were unavailable in an outage of the origin, the newest
         one noted last.
         """
-        host = Host(version=1, link_mbps=0.03)
+        host = LoaderHost(version=1, link_mbps=0.03)
         host.seconds = 1.5
         host.reachable = False
         async with host.run():
@@ -424,7 +291,7 @@
 
     async def test_next_version_is_nearly_drawn(self):
         """A version is skipped if its successor is nearly downloaded."""
-        host = Host(version=1)
+        host = LoaderHost(version=1)
         host.engine.running = 16
         async with host.run():
             host.name(2)
@@ -441,7 +308,7 @@
 
     async def test_held_version(self):
         """A chunk of the held version is read from memory or the stage."""
-        host = Host(version=1)
+        host = LoaderHost(version=1)
         host.engine.stage = {0: make_chunk(1, 0)}
         async with host.run():
             await asyncio.sleep(1)
@@ -454,7 +321,7 @@
     )
     async def test_not_held(self, model, version, index):
         """No chunk is returned that the engine does not hold."""
-        host = Host(version=1)
+        host = LoaderHost(version=1)
         async with host.run():
             await asyncio.sleep(1)
             assert await host.loading.find_chunk(model, version, index) is None
