Stage nothing else while an order to load may still be accepted

Cause: a loader took an order without an answer for one that was not done. The engine accepted it 2 to 10 s later and loaded what was staged then, the next version. Of the same class: an order was sent on a check of the stage from before the wait for the engine's turn, up to 7 s old.

Change: EngineStage owns the staged chunks and the orders of one engine. An order states the number of orders that the engine has accepted, so that the engine refuses it once it has accepted another one. While an unanswered order may still be accepted, no other version is staged, and the order is repeated until the engine's count shows that one was accepted. All chunks are compared right before each order, those with an unanswered write last; a check older than 1.5 s sends none, so that with the call's limit of 1 s no chunk has been bad for 3 s. A loader that starts looks for the version that its predecessor may have ordered. Counting the engine's restarts by its time of birth was left out: the number of accepted orders starts anew, which settles the order in all cases but the first order of an engine, which is kept open.

--- a/src/ragwortcourse/platform/engine.py
+++ b/src/ragwortcourse/platform/engine.py
@@ -121,15 +121,21 @@
         return answer is not None and answer[0] < CONFLICT // 100 * 100
 
     async def order_load(
-        self, model: ModelName, version: int
+        self, model: ModelName, version: int, expected_orders: int | None
     ) -> LoadOrderOutcome:
-        """Order the engine to load the chunks that are staged now."""
-        order = {
+        """Order the engine to load what is staged when it accepts the order.
+
+        :param expected_orders: number of orders that the engine has to have
+            accepted before; None for any.
+        """
+        order: dict[str, str | int] = {
             'op': 'start',
             'model': model,
             'version': version,
             'switch_mode': SWITCH_MODE,
         }
+        if expected_orders is not None:
+            order['expected_rev'] = expected_orders
         answer = await self._call('POST', '/order', msgspec.json.encode(order))
         outcomes = {
             ACCEPTED: LoadOrderOutcome.BEGUN,
--- a/src/ragwortcourse/weights/engine_port.py
+++ b/src/ragwortcourse/weights/engine_port.py
@@ -54,6 +54,10 @@
         """Stage a chunk, replacing any other; return whether it succeeded."""
 
     async def order_load(
-        self, model: ModelName, version: int
+        self, model: ModelName, version: int, expected_orders: int | None
     ) -> LoadOrderOutcome:
-        """Order the engine to load the staged chunks."""
+        """Order the engine to load the staged chunks.
+
+        :param expected_orders: number of orders that the engine has to have
+            accepted before; None for any.
+        """
--- /dev/null
+++ b/src/ragwortcourse/weights/engine_stage.py
@@ -0,0 +1,137 @@
+"""Chunks staged at an engine, and the orders to load them.
+
+An engine loads what is staged at the moment at which it accepts an order, and
+checks nothing. So nothing else is staged while an order is sent or may still
+be accepted, and all chunks are compared right before each order.
+"""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Callable, Iterator
+from typing import Final
+
+from ragwortcourse.clock import read_clock_with_suspend
+from ragwortcourse.weights.chunk_store import VersionChunks
+from ragwortcourse.weights.engine_port import (
+    EnginePort,
+    EngineReport,
+    LoadOrderOutcome,
+)
+from ragwortcourse.weights.stage_check import StageCheck, compare_staged
+from ragwortcourse.weights.unanswered_order import (
+    UnansweredOrder,
+    may_be_accepted,
+)
+
+LOGGER: Final = logging.getLogger(__name__)
+
+
+class EngineStage:
+    """Writer of one engine's staged chunks, and sender of its load orders.
+
+    :ivar open_order: order that the engine may still accept, if any.
+    :ivar is_inspected: whether an order of a former loader is ruled out or
+        known; nothing is staged before.
+    """
+
+    def __init__(self, *, engine: EnginePort) -> None:
+        self.open_order: UnansweredOrder | None = None
+        self.is_inspected = False
+        self.started_at = read_clock_with_suspend()
+        self._engine = engine
+        self._is_reserved = False
+        self._writing = asyncio.Lock()
+        # Chunks that an unanswered write may still replace.
+        self._unanswered: set[int] = set()
+
+    async def stage_chunk(
+        self,
+        chunks: VersionChunks,
+        index: int,
+        is_wanted: Callable[[], bool],
+    ) -> None:
+        """Stage a chunk of a version that is being downloaded.
+
+        The chunk is left out while other chunks have to stay staged; the
+        check before the order stages it.
+        """
+        if not (self.is_free and is_wanted()):
+            return
+        async with self._writing:
+            if self.is_free and is_wanted():
+                await self._write(chunks, index)
+
+    @property
+    def is_free(self) -> bool:
+        """Tell whether chunks of any version may be staged."""
+        return (
+            self.is_inspected
+            and self.open_order is None
+            and not self._is_reserved
+        )
+
+    @contextlib.contextmanager
+    def reserve(self) -> Iterator[None]:
+        """Stage no chunks of downloads within the context."""
+        self._is_reserved = True
+        try:
+            yield
+        finally:
+            self._is_reserved = False
+
+    async def ensure_staged(self, chunks: VersionChunks) -> StageCheck:
+        """Stage the chunks that are missing or differ."""
+        async with self._writing:
+            return await compare_staged(
+                self._engine,
+                chunks,
+                write=self._write,
+                # What may change meanwhile is read as late as possible.
+                read_last=frozenset(self._unanswered),
+            )
+
+    async def order_load(
+        self, chunks: VersionChunks, orders: int | None
+    ) -> LoadOrderOutcome:
+        """Order the engine to load what is staged.
+
+        :param orders: number of accepted orders by the engine's last report.
+        """
+        former = self.open_order
+        # A caller that is cancelled learns nothing of the order either.
+        self.open_order = UnansweredOrder(
+            chunks=chunks, orders=orders, sent_at=read_clock_with_suspend()
+        )
+        outcome = await self._engine.order_load(
+            chunks.manifest.model, chunks.manifest.version, orders
+        )
+        if outcome is LoadOrderOutcome.BEGUN:
+            self.open_order = None
+        elif outcome is not LoadOrderOutcome.UNANSWERED:
+            self.open_order = former
+        return outcome
+
+    def settle(self, report: EngineReport) -> None:
+        """Drop the open order if the engine can't accept it any more."""
+        order = self.open_order
+        now = read_clock_with_suspend()
+        if order is not None and not may_be_accepted(order, report, now):
+            self.open_order = None
+            LOGGER.info(
+                'unanswered order to load a version is settled',
+                extra={
+                    'version': order.chunks.manifest.version,
+                    'stated_orders': order.orders,
+                    'orders': report.orders,
+                    'seconds': now - order.sent_at,
+                },
+            )
+
+    async def _write(self, chunks: VersionChunks, index: int) -> bool:
+        is_staged = await self._engine.write_staged(
+            chunks.manifest.model, index, chunks.contents[index]
+        )
+        if not is_staged:
+            self._unanswered.add(index)
+        return is_staged
--- a/src/ragwortcourse/weights/engine_switch.py
+++ b/src/ragwortcourse/weights/engine_switch.py
@@ -12,7 +12,7 @@
 from ragwortcourse.weights.chunk_store import VersionChunks
 from ragwortcourse.weights.engine_port import LoadOrderOutcome
 from ragwortcourse.weights.loader_weights import LoaderWeights
-from ragwortcourse.weights.stage_check import StageCheck, ensure_staged
+from ragwortcourse.weights.stage_inspection import inspect_stage
 from ragwortcourse.weights.switch_schedule import (
     SUCCESSOR_SECONDS,
     is_ready_to_switch,
@@ -27,6 +27,9 @@
 NOTICE_SECONDS: Final = 0.15
 # Covers the order and the loading if the second notice is lost.
 CLOSED_SECONDS: Final = 0.8
+# Longest time from the beginning of the check to the order. Chunks that the
+# engine loads have been whole a call's time limit and this time ago.
+LONGEST_CHECK_SECONDS: Final = 1.5
 STARTED: Final = frozenset((LoadOrderOutcome.BEGUN, LoadOrderOutcome.IN_EFFECT))
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -41,28 +44,32 @@
 
 
 async def _switch_once(loader_weights: LoaderWeights) -> bool:
-    rules = loader_weights.find_rules()
-    if (
-        rules is None
-        or loader_weights.report is None
-        or loader_weights.report.busy
-    ):
+    """Take the next step to the newest downloaded version, if there is one.
+
+    :return: whether loading began.
+    """
+    rules, report = loader_weights.find_rules(), loader_weights.report
+    if rules is None or report is None or report.busy:
         return False
+    stage = loader_weights.stage
+    stage.settle(report)
+    held = loader_weights.read_held(rules)
+    if loader_weights.list_named(rules)[-1].version > held:
+        await inspect_stage(loader_weights, rules)
+    if stage.open_order is not None:
+        await _announce(loader_weights, CLOSED_SECONDS, 0)
+        return await _order(loader_weights, rules, stage.open_order.chunks)
     downloaded = loader_weights.find_downloaded(rules)
-    if downloaded is None:
+    if downloaded is None or not stage.is_inspected:
         return False
-    check = await ensure_staged(loader_weights.ports.engine, downloaded)
+    # Most chunks that differ are staged before the turn.
+    check = await stage.ensure_staged(downloaded)
     if check.failed:
         return False
-    if loader_weights.read_held(rules):
+    if held:
         await _await_turn(loader_weights, rules, downloaded)
-        newest = await _await_successor(loader_weights, rules, downloaded)
-        if newest is not downloaded:
-            downloaded = newest
-            check = await ensure_staged(loader_weights.ports.engine, downloaded)
-            if check.failed:
-                return False
-    return await _order(loader_weights, rules, downloaded, check)
+        downloaded = await _await_successor(loader_weights, rules, downloaded)
+    return await _order(loader_weights, rules, downloaded)
 
 
 async def _await_turn(
@@ -134,23 +141,10 @@
     loader_weights: LoaderWeights,
     rules: EngineProfile,
     downloaded: VersionChunks,
-    check: StageCheck,
 ) -> bool:
     """Order the engine to load a version; return whether loading began."""
-    version = downloaded.manifest.version
-    check_age = check.age
-    outcome = await loader_weights.ports.engine.order_load(rules.model, version)
-    LOGGER.info(
-        'order to load a version ended',
-        extra={
-            'version': version,
-            'outcome': outcome,
-            'running': loader_weights.report and loader_weights.report.running,
-            'orders': loader_weights.report and loader_weights.report.orders,
-            'check_age': check_age,
-            'restaged': check.restaged,
-        },
-    )
+    with loader_weights.stage.reserve():
+        outcome = await _check_and_order(loader_weights, downloaded)
     if outcome not in STARTED:
         return False
     began_at = read_clock()
@@ -163,7 +157,7 @@
     LOGGER.info(
         'engine finished loading a version',
         extra={
-            'version': version,
+            'version': downloaded.manifest.version,
             'held': held,
             'seconds': read_clock() - began_at,
         },
@@ -171,6 +165,38 @@
     return True
 
 
+async def _check_and_order(
+    loader_weights: LoaderWeights, downloaded: VersionChunks
+) -> LoadOrderOutcome | None:
+    """Compare all staged chunks, then send the order.
+
+    :return: None if no order was sent.
+    """
+    report = await loader_weights.ports.engine.read_report()
+    if report is None or report.busy:
+        return None
+    check = await loader_weights.stage.ensure_staged(downloaded)
+    check_age = check.age
+    outcome = None
+    if not check.failed and check_age <= LONGEST_CHECK_SECONDS:
+        outcome = await loader_weights.stage.order_load(
+            downloaded, report.orders
+        )
+    LOGGER.info(
+        'order to load a version ended',
+        extra={
+            'version': downloaded.manifest.version,
+            'outcome': outcome or 'not sent',
+            'running': report.running,
+            'orders': report.orders,
+            'check_age': check_age,
+            'restaged': check.restaged,
+            'not_staged': check.failed,
+        },
+    )
+    return outcome
+
+
 async def _announce(
     loader_weights: LoaderWeights, seconds: float, version: int
 ) -> None:
--- a/src/ragwortcourse/weights/loader_weights.py
+++ b/src/ragwortcourse/weights/loader_weights.py
@@ -15,6 +15,7 @@
 from ragwortcourse.settings import FleetSettings, LoaderSettings
 from ragwortcourse.weights.chunk_store import ChunkStore, VersionChunks
 from ragwortcourse.weights.engine_port import EngineReport
+from ragwortcourse.weights.engine_stage import EngineStage
 from ragwortcourse.weights.loader_weights_ports import LoaderWeightsPorts
 
 # Share of the link for chunk contents; the rest carries chunk headers, reports
@@ -29,8 +30,9 @@
 class LoaderWeights:
     """Versions that the engine holds, the loader stores and operators named.
 
-    ``report`` is the last report of the engine, None while the engine does
-    not answer.
+    :ivar report: last report of the engine, None while the engine does not
+        answer.
+    :ivar stage: chunks staged at the engine.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         self.state = state
         self.ports = ports
         self.store = ChunkStore()
+        self.stage = EngineStage(engine=ports.engine)
         self.report: EngineReport | None = None
         self._stalled_until: dict[int, float] = {}
 
--- a/src/ragwortcourse/weights/stage_check.py
+++ b/src/ragwortcourse/weights/stage_check.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Awaitable, Callable, Collection
 from typing import Final
 
 from ragwortcourse.clock import read_clock_with_suspend
@@ -30,22 +31,32 @@
         return read_clock_with_suspend() - self.began_at
 
 
-async def ensure_staged(
-    engine: EnginePort, chunks: VersionChunks
+async def compare_staged(
+    engine: EnginePort,
+    chunks: VersionChunks,
+    *,
+    write: Callable[[VersionChunks, int], Awaitable[bool]],
+    read_last: Collection[int] = (),
 ) -> StageCheck:
-    """Stage missing or differing chunks."""
+    """Compare all staged chunks with a version; stage those that differ.
+
+    :param write: stages a chunk; tells whether it succeeded.
+    :param read_last: indexes of the chunks to read after the others.
+    """
     began_at = read_clock_with_suspend()
     model = chunks.manifest.model
-    queue = list(chunks.contents.items())
+    queue = sorted(chunks.contents, key=lambda index: index in read_last)
     written: list[bool] = []
 
-    async def check_some() -> None:
-        while queue:
-            index, content = queue.pop()
-            if await engine.read_staged(model, index) != content:
-                written.append(await engine.write_staged(model, index, content))
+    async def compare_some() -> None:
+        # An engine that does not answer costs one time limit, not one a chunk.
+        while queue and False not in written:
+            index = queue.pop(0)
+            staged = await engine.read_staged(model, index)
+            if staged != chunks.contents[index]:
+                written.append(await write(chunks, index))
 
-    await asyncio.gather(*(check_some() for _ in range(CONCURRENT_CHECKS)))
+    await asyncio.gather(*(compare_some() for _ in range(CONCURRENT_CHECKS)))
     return StageCheck(
         began_at=began_at,
         restaged=len(written),
--- a/src/ragwortcourse/weights/version_drawing.py
+++ b/src/ragwortcourse/weights/version_drawing.py
@@ -208,7 +208,10 @@
     content = await ports.download_chunk(manifest, index, rate)
     if content is None or not chunks.take(index, content):
         return False
-    if loader_weights.find_downloaded(rules) is None:
+    await loader_weights.stage.stage_chunk(
+        chunks,
+        index,
         # No other complete version needs the stage for its load order.
-        await ports.engine.write_staged(manifest.model, index, content)
+        lambda: loader_weights.find_downloaded(rules) is None,
+    )
     return True
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -5,7 +5,8 @@
 import pytest
 
 from fakes.fleet_parts import FLEET
-from fakes.loader_host import ENGINE, LoaderHost, make_chunk
+from fakes.loader_host import CHUNKS, ENGINE, LoaderHost, make_chunk
+from ragwortcourse.weights.unanswered_order import LATE_CALL_SECONDS
 
 pytestmark = pytest.mark.looptime
 VERSION_SECONDS = FLEET.version_ms / 1000
@@ -101,3 +102,59 @@
             await asyncio.sleep(VERSION_SECONDS)
         host.check_orders()
         assert host.engine.version == 2
+
+
+class TestInspection:
+    """What a loader that starts finds staged."""
+
+    async def test_stage_of_the_held_version(self):
+        """A restarted loader loads a new version without a delay."""
+        host = LoaderHost(version=1)
+        host.engine.stage = {
+            index: make_chunk(1, index) for index in range(CHUNKS)
+        }
+        async with host.run():
+            host.name(1)
+            host.name(2)
+            await asyncio.sleep(2)
+        assert host.engine.version == 2
+        host.check_orders()
+
+    async def test_stage_of_two_versions(self):
+        """A download that a former loader began is continued."""
+        host = LoaderHost(version=1)
+        host.engine.stage = {
+            index: make_chunk(1 + index % 2, index) for index in range(CHUNKS)
+        }
+        async with host.run():
+            host.name(1)
+            host.name(2)
+            await asyncio.sleep(2)
+        assert host.engine.version == 2
+        host.check_orders()
+
+    async def test_stage_of_an_unknown_version(self):
+        """Chunks of no known version stay staged until late calls are over."""
+        host = LoaderHost(version=1)
+        host.engine.stage = dict.fromkeys(range(CHUNKS), b'unknown')
+        async with host.run():
+            host.name(2)
+            await asyncio.sleep(LATE_CALL_SECONDS - 1)
+            assert set(host.engine.stage.values()) == {b'unknown'}
+            await asyncio.sleep(3)
+        assert host.engine.version == 2
+        host.check_orders()
+
+    async def test_crashed_engine(self):
+        """An engine that lost its weights gets the staged version at once."""
+        host = LoaderHost()
+        host.unknown = 3
+        host.engine.stage = {
+            index: make_chunk(2, index) for index in range(CHUNKS)
+        }
+        async with host.run():
+            host.name(2)
+            host.name(3)
+            await asyncio.sleep(1)
+        assert host.engine.version == 2
+        host.check_orders()
--- a/tests/test_platform_engine.py
+++ b/tests/test_platform_engine.py
@@ -83,7 +83,7 @@
 
     async def test_late_copy_is_no_answer_to_an_order(self, engine):
         """A refused order is not taken to be in effect after a report."""
-        outcome = await engine.order_load(MODEL, 2)
+        outcome = await engine.order_load(MODEL, 2, None)
         assert outcome is LoadOrderOutcome.CONFLICT
 
     async def test_late_copy_is_no_answer_to_a_chunk(self, engine):
@@ -129,3 +129,48 @@
         caplog.set_level(logging.INFO)
         assert not await engine.list_staged(MODEL)
         assert 'unreadable list' in caplog.text
+
+
+class TestOrderCondition:
+    """Condition of an order on the number of orders accepted before."""
+
+    @pytest.fixture
+    async def orders(self):
+        """Bodies of the orders that arrive."""
+        return []
+
+    @pytest.fixture
+    async def engine(self, orders):
+        """Client of an engine that has accepted three orders."""
+
+        async def report(request):
+            return web.json_response({'busy': False, 'running': 0, 'seq': 3})
+
+        async def order(request):
+            orders.append(await request.json())
+            return web.Response(status=202)
+
+        app = web.Application()
+        app.add_routes([web.get('/report', report), web.post('/order', order)])
+        async with contextlib.AsyncExitStack() as stack:
+            server = TestServer(app)
+            await server.start_server()
+            stack.push_async_callback(server.close)
+            session = await stack.enter_async_context(ClientSession())
+            yield Engine(
+                session=session,
+                reports=session,
+                address=f'127.0.0.1:{server.port}',
+            )
+
+    async def test_order_states_the_number_of_the_report(self, engine, orders):
+        """The engine can refuse an order that arrives after another one."""
+        report = await engine.read_report()
+        outcome = await engine.order_load(MODEL, 2, report.orders)
+        assert outcome is LoadOrderOutcome.BEGUN
+        assert [order['expected_rev'] for order in orders] == [3]
+
+    async def test_unknown_number(self, engine, orders):
+        """An order to an engine that states no number has no condition."""
+        await engine.order_load(MODEL, 2, None)
+        assert 'expected_rev' not in orders[0]
