--- a/fakes/late_engine.py
+++ b/fakes/late_engine.py
@@ -4,7 +4,7 @@
 import contextvars
 import random
 from collections.abc import Callable, Mapping
-from typing import Any, TypeVar
+from typing import TypeVar
 
 from fakes.call_fate import CallFate, draw_lost_fate
 from fakes.engine_moment import EngineMoment
@@ -24,8 +24,6 @@
 # order: each has a connection of its own.
 WAKING_SECONDS = 0.3
 LOADING_SECONDS = 0.3
-UNANSWERED = getattr(LoadOrderOutcome, 'UNANSWERED', LoadOrderOutcome.FAILED)
-COUNTS_ORDERS = 'orders' in EngineReport.__dataclass_fields__
 
 
 class LateEngine:
@@ -157,7 +155,7 @@
         outcome = await self._call('order', accept)
         if outcome is None:
             self._tell(f'{number}: no answer')
-        return outcome or UNANSWERED
+        return outcome or LoadOrderOutcome.UNANSWERED
 
     async def _call(
         self, name: str, act: Callable[[bool], Answer]
@@ -217,16 +215,13 @@
             self._moments[0],
         )
         is_busy = then < moment.busy_until
-        counts: dict[str, Any] = (
-            {'orders': moment.orders} if COUNTS_ORDERS else {}
-        )
         return EngineReport(
             busy=is_busy,
             running=self.running,
             weights=HeldWeights(version=moment.version, first=0, end=LAYERS)
             if moment.version and not is_busy
             else None,
-            **counts,
+            orders=moment.orders,
         )
 
     def _accept(
--- a/fakes/round_loader.py
+++ b/fakes/round_loader.py
@@ -7,7 +7,7 @@
 from fakes.fleet_parts import ENGINE_RULES, ENGINES, FLEET, make_target
 from fakes.held_tasks import HeldTasks
 from fakes.late_engine import LateEngine
-from fakes.version_chunks import make_chunk, make_manifest
+from fakes.loader_host import make_chunk, make_manifest
 from ragwortcourse.forwarding.desired_state import DesiredState
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.load_messages import SwitchMessage
--- a/fakes/weight_rounds.py
+++ b/fakes/weight_rounds.py
@@ -21,8 +21,8 @@
 from fakes.late_engine import LOADING_SECONDS, PROMPT_SECONDS, LateEngine
 from fakes.load_cause import LoadCause
 from fakes.load_finding import LoadFinding
+from fakes.loader_host import make_chunk, make_manifest
 from fakes.round_loader import CHUNKS, RoundLoader, RoundSite, make_desired
-from fakes.version_chunks import make_chunk, make_manifest
 from fakes.virtual_clocks import run_in_virtual_time
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.fleet_state import FleetState
--- a/src/ragwortcourse/platform/engine.py
+++ b/src/ragwortcourse/platform/engine.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
-from ragwortcourse.bounded import Count
+from ragwortcourse.bounded import Count, WholeNumber
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.platform.target_rows import WireLayers, decode_layers
@@ -30,10 +30,12 @@
     """State of an engine, some hundred milliseconds old.
 
     :param busy: true while an order is in progress.
+    :param seq: number of orders accepted.
     """
 
     busy: bool = False
     running: Count = 0
+    seq: WholeNumber | None = None
     layers: WireLayers | None = None
 
 
@@ -85,6 +87,7 @@
             busy=wire.busy,
             running=wire.running,
             weights=decode_layers(wire.layers),
+            orders=wire.seq,
         )
 
     async def list_staged(self, model: ModelName) -> frozenset[int]:
@@ -118,15 +121,21 @@
         return answer is not None and answer[0] < CONFLICT // 100 * 100
 
     async def order_load(
-        self, model: ModelName, version: int
+        self, model: ModelName, version: int, expected_orders: int | None
     ) -> LoadOrderOutcome:
-        """Order the engine to load the chunks that are staged now."""
-        order = {
+        """Order the engine to load what is staged when it accepts the order.
+
+        :param expected_orders: number of orders that the engine has to have
+            accepted before; None for any.
+        """
+        order: dict[str, str | int] = {
             'op': 'start',
             'model': model,
             'version': version,
             'switch_mode': SWITCH_MODE,
         }
+        if expected_orders is not None:
+            order['expected_rev'] = expected_orders
         answer = await self._call('POST', '/order', msgspec.json.encode(order))
         outcomes = {
             ACCEPTED: LoadOrderOutcome.BEGUN,
@@ -134,7 +143,7 @@
             CONFLICT: LoadOrderOutcome.CONFLICT,
         }
         if answer is None:
-            return LoadOrderOutcome.FAILED
+            return LoadOrderOutcome.UNANSWERED
         return outcomes.get(answer[0], LoadOrderOutcome.FAILED)
 
     async def _call(
--- a/src/ragwortcourse/weights/stage_check.py
+++ b/src/ragwortcourse/weights/stage_check.py
@@ -1,37 +1,67 @@
 """Make the staged chunks of an engine match the version to load."""
 
 import asyncio
+import dataclasses
+from collections.abc import Awaitable, Callable, Collection
 from typing import Final
 
+from ragwortcourse.clock import read_clock_with_suspend
 from ragwortcourse.weights.chunk_store import VersionChunks
 from ragwortcourse.weights.engine_port import EnginePort
 
 CONCURRENT_CHECKS: Final = 4
 
 
-async def ensure_staged(engine: EnginePort, chunks: VersionChunks) -> bool:
-    """Stage missing or differing chunks; return whether all succeeded."""
-    queue = list(chunks.contents.items())
-    failed: list[int] = []
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StageCheck:
+    """Result of a comparison of all staged chunks with a version.
 
-    async def check_some() -> None:
-        while queue:
-            index, content = queue.pop()
-            if not await ensure_chunk_staged(engine, chunks, index, content):
-                failed.append(index)
+    :param began_at: seconds on the clock that counts suspension.
+    :param restaged: number of chunks that were missing or differed.
+    :param failed: number of these that could not be staged.
+    """
 
-    await asyncio.gather(*(check_some() for _ in range(CONCURRENT_CHECKS)))
-    return not failed
+    began_at: float
+    restaged: int
+    failed: int
 
+    @property
+    def age(self) -> float:
+        """Seconds since the comparison began."""
+        return read_clock_with_suspend() - self.began_at
 
-async def ensure_chunk_staged(
-    engine: EnginePort, chunks: VersionChunks, index: int, content: bytes
-) -> bool:
-    """Stage one chunk unless the same content is staged already."""
+
+async def compare_staged(
+    engine: EnginePort,
+    chunks: VersionChunks,
+    *,
+    write: Callable[[VersionChunks, int], Awaitable[bool]],
+    read_last: Collection[int] = (),
+) -> StageCheck:
+    """Compare all staged chunks with a version; stage those that differ.
+
+    :param write: stages a chunk; tells whether it succeeded.
+    :param read_last: indexes of the chunks to read after the others.
+    """
+    began_at = read_clock_with_suspend()
     model = chunks.manifest.model
-    if await engine.read_staged(model, index) == content:
-        return True
-    return await engine.write_staged(model, index, content)
+    queue = sorted(chunks.contents, key=lambda index: index in read_last)
+    written: list[bool] = []
+
+    async def compare_some() -> None:
+        # An engine that does not answer costs one time limit, not one a chunk.
+        while queue and False not in written:
+            index = queue.pop(0)
+            staged = await engine.read_staged(model, index)
+            if staged != chunks.contents[index]:
+                written.append(await write(chunks, index))
+
+    await asyncio.gather(*(compare_some() for _ in range(CONCURRENT_CHECKS)))
+    return StageCheck(
+        began_at=began_at,
+        restaged=len(written),
+        failed=written.count(False),
+    )
 
 
 async def adopt_staged(engine: EnginePort, chunks: VersionChunks) -> int:
