--- a/tests/test_loader_weights.py
+++ b/tests/test_loader_weights.py
@@ -159,6 +159,26 @@
         assert [version for version, _ in host.engine.orders] == [3]
         host.check_orders()
 
+    async def test_two_newer_versions_during_the_wait(self):
+        """A version that is given up for newer ones is not loaded in part.
+
+        Its chunks leave the loader's store when the second newer version is
+        opened, and chunks of that one are staged until the engine's turn.
+        """
+        host = LoaderHost(version=1, link_mbps=0.009)
+        host.service += [f'10.0.0.{each}:1' for each in range(2, 12)]
+        async with host.run():
+            host.name(2)
+            while host.loading.store.find_newest_whole() < 2:
+                await asyncio.sleep(0.01)
+            host.seconds = 1.85
+            host.name(3)
+            await asyncio.sleep(0.5)
+            host.name(4)
+            await asyncio.sleep(3 * FLEET.version_ms / 1000)
+        assert host.engine.version == 4
+        host.check_orders()
+
     async def test_slow_links(self):
         """An older version is loaded first if the newest would be late."""
         host = LoaderHost(version=1, link_mbps=0.009)
