Stage for a new version at once where no former order is possible

A loader that starts waited 15 s, as single staged chunks were of no known version: spoilt ones, or late writes of an older version. An order of its predecessor leaves one version staged, but for single spoilt chunks, so that the others are of no meaning where most chunks are of the held version or of several. The decision is a plain function now. test_spoilt_chunk_of_the_held_version fails before.

--- a/src/ragwortcourse/weights/engine_switch.py
+++ b/src/ragwortcourse/weights/engine_switch.py
@@ -55,7 +55,7 @@
     stage.settle(report)
     held = loader_weights.read_held(rules)
     if loader_weights.list_named(rules)[-1].version > held:
-        await inspect_stage(loader_weights, rules)
+        await inspect_stage(loader_weights, rules, report)
     if stage.open_order is not None:
         await _announce(loader_weights, CLOSED_SECONDS, 0)
         return await _order(loader_weights, rules, stage.open_order.chunks)
--- a/tests/test_late_orders.py
+++ b/tests/test_engine_stage.py
@@ -1,4 +1,4 @@
-"""Tests of calls to an engine that it does after the loader gave them up."""
+"""Tests of chunks and orders at an engine that does calls late."""
 
 import asyncio
 
@@ -6,6 +6,7 @@
 
 from fakes.fleet_parts import FLEET
 from fakes.loader_host import CHUNKS, ENGINE, LoaderHost, make_chunk
+from ragwortcourse.weights.stage_inspection import FormerOrder, judge_staged
 from ragwortcourse.weights.unanswered_order import LATE_CALL_SECONDS
 
 pytestmark = pytest.mark.looptime
@@ -145,6 +146,20 @@
         assert host.engine.version == 2
         host.check_orders()
 
+    async def test_spoilt_chunk_of_the_held_version(self):
+        """A chunk that no version has does not delay a new version."""
+        host = LoaderHost(version=1)
+        host.engine.stage = {
+            index: make_chunk(1, index) for index in range(CHUNKS)
+        }
+        host.engine.stage[0] = b'rotten'
+        async with host.run():
+            host.name(1)
+            host.name(2)
+            await asyncio.sleep(2)
+        assert host.engine.version == 2
+        host.check_orders()
+
     async def test_crashed_engine(self):
         """An engine that lost its weights gets the staged version at once."""
         host = LoaderHost()
@@ -158,3 +173,22 @@
             await asyncio.sleep(1)
         assert host.engine.version == 2
         host.check_orders()
+
+    @pytest.mark.parametrize(
+        ('found', 'former'),
+        [
+            ({2: 48}, FormerOrder.POSSIBLE),
+            ({3: 48}, FormerOrder.POSSIBLE),
+            ({1: 48}, FormerOrder.NONE),
+            ({1: 47}, FormerOrder.NONE),
+            ({1: 20, 3: 28}, FormerOrder.NONE),
+            ({3: 30}, FormerOrder.NONE),
+            ({2: 47}, FormerOrder.UNKNOWN),
+            ({1: 20}, FormerOrder.UNKNOWN),
+            ({}, FormerOrder.UNKNOWN),
+        ],
+    )
+    def test_judge_staged(self, found, former):
+        """Chunks of one newer version tell of an order, also if one is bad."""
+        judged = judge_staged(found, chunks=48, held=1, newest=3)
+        assert judged is former
