--- a/fakes/loader_host.py
+++ b/fakes/loader_host.py
@@ -28,13 +28,13 @@
     return f'{version}/{index}'.encode() * 100
 
 
-def make_manifest(version: int) -> FleetManifest:
+def make_manifest(version: int, chunks: int = CHUNKS) -> FleetManifest:
     """Make the manifest of a version."""
     return FleetManifest(
         model=MODEL,
         version=version,
         digests=tuple(
-            digest_bytes(make_chunk(version, index)) for index in range(CHUNKS)
+            digest_bytes(make_chunk(version, index)) for index in range(chunks)
         ),
     )
 
