Settle an unanswered order of the version that the engine holds

Such an order has no effect whenever it arrives. Fails before: TestMayBeAccepted with the held version 2.

--- a/src/ragwortcourse/weights/unanswered_order.py
+++ b/src/ragwortcourse/weights/unanswered_order.py
@@ -38,9 +38,10 @@
     :param report: report that was read after the order was sent.
     :param now: seconds on the clock of ``sent_at``.
     """
+    held = 0 if report.weights is None else report.weights.version
+    # An order of the version that the engine holds has no effect.
+    if held == order.chunks.manifest.version:
+        return False
     if now - order.sent_at > LATE_CALL_SECONDS:
         return False
-    if order.orders is not None and report.orders is not None:
-        return report.orders == order.orders
-    held = 0 if report.weights is None else report.weights.version
-    return held != order.chunks.manifest.version
+    return order.orders is None or report.orders in {None, order.orders}
--- a/tests/test_engine_stage.py
+++ b/tests/test_engine_stage.py
@@ -5,9 +5,22 @@
 import pytest
 
 from fakes.fleet_parts import FLEET
-from fakes.loader_host import CHUNKS, ENGINE, LoaderHost, make_chunk
+from fakes.loader_host import (
+    CHUNKS,
+    ENGINE,
+    LoaderHost,
+    make_chunk,
+    make_manifest,
+)
+from ragwortcourse.forwarding.target import HeldWeights
+from ragwortcourse.weights.chunk_store import VersionChunks
+from ragwortcourse.weights.engine_port import EngineReport
 from ragwortcourse.weights.stage_inspection import FormerOrder, judge_staged
-from ragwortcourse.weights.unanswered_order import LATE_CALL_SECONDS
+from ragwortcourse.weights.unanswered_order import (
+    LATE_CALL_SECONDS,
+    UnansweredOrder,
+    may_be_accepted,
+)
 
 pytestmark = pytest.mark.looptime
 VERSION_SECONDS = FLEET.version_ms / 1000
@@ -63,6 +76,38 @@
         assert host.engine.version == 3
 
 
+class TestMayBeAccepted:
+    """Whether an engine may still accept an order that stated two others."""
+
+    @pytest.mark.parametrize(
+        ('held', 'orders', 'seconds', 'expected'),
+        [
+            (1, 2, 1, True),
+            (None, 2, 1, True),
+            (1, 3, 1, False),
+            (None, 0, 1, False),
+            (1, None, 1, True),
+            (1, 2, LATE_CALL_SECONDS + 1, False),
+            # Without an effect; repeated, it would never be counted.
+            (2, 2, 1, False),
+        ],
+    )
+    def test_report(self, held, orders, seconds, expected):
+        """Another accepted order, its own version and time settle it."""
+        order = UnansweredOrder(
+            chunks=VersionChunks(manifest=make_manifest(2)),
+            orders=2,
+            sent_at=0,
+        )
+        report = EngineReport(
+            busy=False,
+            running=0,
+            weights=held and HeldWeights(version=held, first=0, end=16),
+            orders=orders,
+        )
+        assert may_be_accepted(order, report, seconds) is expected
+
+
 class TestUnansweredWrite:
     """A staged chunk without an answer that the engine writes later."""
 
