--- a/tests/test_late_orders.py
+++ b/tests/test_engine_stage.py
@@ -1,12 +1,26 @@
-"""Tests of calls to an engine that it does after the loader gave them up."""
+"""Tests of chunks and orders at an engine that does calls late."""
 
 import asyncio
 
 import pytest
 
 from fakes.fleet_parts import FLEET
-from fakes.loader_host import CHUNKS, ENGINE, LoaderHost, make_chunk
-from ragwortcourse.weights.unanswered_order import LATE_CALL_SECONDS
+from fakes.loader_host import (
+    CHUNKS,
+    ENGINE,
+    LoaderHost,
+    make_chunk,
+    make_manifest,
+)
+from ragwortcourse.forwarding.target import HeldWeights
+from ragwortcourse.weights.chunk_store import VersionChunks
+from ragwortcourse.weights.engine_port import EngineReport
+from ragwortcourse.weights.stage_inspection import FormerOrder, judge_staged
+from ragwortcourse.weights.unanswered_order import (
+    LATE_CALL_SECONDS,
+    UnansweredOrder,
+    may_be_accepted,
+)
 
 pytestmark = pytest.mark.looptime
 VERSION_SECONDS = FLEET.version_ms / 1000
@@ -62,6 +76,38 @@
         assert host.engine.version == 3
 
 
+class TestMayBeAccepted:
+    """Whether an engine may still accept an order that stated two others."""
+
+    @pytest.mark.parametrize(
+        ('held', 'orders', 'seconds', 'expected'),
+        [
+            (1, 2, 1, True),
+            (None, 2, 1, True),
+            (1, 3, 1, False),
+            (None, 0, 1, False),
+            (1, None, 1, True),
+            (1, 2, LATE_CALL_SECONDS + 1, False),
+            # Without an effect; repeated, it would never be counted.
+            (2, 2, 1, False),
+        ],
+    )
+    def test_report(self, held, orders, seconds, expected):
+        """Another accepted order, its own version and time settle it."""
+        order = UnansweredOrder(
+            chunks=VersionChunks(manifest=make_manifest(2)),
+            orders=2,
+            sent_at=0,
+        )
+        report = EngineReport(
+            busy=False,
+            running=0,
+            weights=held and HeldWeights(version=held, first=0, end=16),
+            orders=orders,
+        )
+        assert may_be_accepted(order, report, seconds) is expected
+
+
 class TestUnansweredWrite:
     """A staged chunk without an answer that the engine writes later."""
 
@@ -145,6 +191,20 @@
         assert host.engine.version == 2
         host.check_orders()
 
+    async def test_spoilt_chunk_of_the_held_version(self):
+        """A chunk that no version has does not delay a new version."""
+        host = LoaderHost(version=1)
+        host.engine.stage = {
+            index: make_chunk(1, index) for index in range(CHUNKS)
+        }
+        host.engine.stage[0] = b'rotten'
+        async with host.run():
+            host.name(1)
+            host.name(2)
+            await asyncio.sleep(2)
+        assert host.engine.version == 2
+        host.check_orders()
+
     async def test_crashed_engine(self):
         """An engine that lost its weights gets the staged version at once."""
         host = LoaderHost()
@@ -158,3 +218,22 @@
             await asyncio.sleep(1)
         assert host.engine.version == 2
         host.check_orders()
+
+    @pytest.mark.parametrize(
+        ('found', 'former'),
+        [
+            ({2: 48}, FormerOrder.POSSIBLE),
+            ({3: 48}, FormerOrder.POSSIBLE),
+            ({1: 48}, FormerOrder.NONE),
+            ({1: 47}, FormerOrder.NONE),
+            ({1: 20, 3: 28}, FormerOrder.NONE),
+            ({3: 30}, FormerOrder.NONE),
+            ({2: 47}, FormerOrder.UNKNOWN),
+            ({1: 20}, FormerOrder.UNKNOWN),
+            ({}, FormerOrder.UNKNOWN),
+        ],
+    )
+    def test_judge_staged(self, found, former):
+        """Chunks of one newer version tell of an order, also if one is bad."""
+        judged = judge_staged(found, chunks=48, held=1, newest=3)
+        assert judged is former
