--- a/tests/test_engine_stage.py
+++ b/tests/test_engine_stage.py
@@ -75,6 +75,61 @@
         successor.check_orders()
         assert host.engine.version == 3
 
+    async def test_late_order_of_a_restarted_loader_beside_a_late_write(self):
+        """A late write of an older version hides no order of a former loader.
+
+        The write of version 2 is done after the check for version 3, into its
+        complete stage.
+        """
+        host = LoaderHost(version=1)
+        async with host.run():
+            host.name(2)
+            host.name(3)
+            host.engine.late_orders = [4.0]
+            while host.engine.late_orders:
+                await asyncio.sleep(0.01)
+            host.engine.stage[0] = make_chunk(2, 0)
+        successor = LoaderHost(engine=host.engine, link_mbps=0.009)
+        successor.seconds = 1.85
+        async with successor.run():
+            for version in (2, 3, 4):
+                successor.name(version)
+            await asyncio.sleep(2 * VERSION_SECONDS)
+        successor.check_orders()
+        assert host.engine.version == 4
+
+    async def test_engine_that_restarts_between_report_and_order(self):
+        """An order that states the count of a former incarnation stays open.
+
+        The engine counts its orders anew, and accepts the late order once it
+        has accepted as many as the order states.
+        """
+        host = LoaderHost(version=1)
+        host.engine.accepted = 1
+        read_staged = host.engine.read_staged
+
+        async def restart_and_read(model, index):
+            if host.engine.late_orders and host.engine.version:
+                host.engine.restart()
+            return await read_staged(model, index)
+
+        async with host.run():
+            host.name(2)
+            while host.loading.store.find_newest_whole() < 2:
+                await asyncio.sleep(0.01)
+            host.engine.running = 16
+            while not host.notices:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.3)
+            host.engine.read_staged = restart_and_read
+            host.engine.late_orders = [4.0]
+            while host.engine.late_orders:
+                await asyncio.sleep(0.01)
+            host.name(3)
+            await asyncio.sleep(4 + VERSION_SECONDS)
+        host.check_orders()
+        assert host.engine.version == 3
+
 
 class TestMayBeAccepted:
     """Whether an engine may still accept an order that stated two others."""
@@ -237,3 +292,41 @@
         """Chunks of one newer version tell of an order, also if one is bad."""
         judged = judge_staged(found, chunks=48, held=1, newest=3)
         assert judged is former
+
+
+class TestRestartedLoader:
+    """Versions arrive in time at a loader that starts with no order open."""
+
+    @pytest.mark.parametrize('staged', [(1, 1, 1, 1), (1, 3, 1, 3)])
+    async def test_held_version_is_two_back(self, staged):
+        """The origin has no manifest any more of all or some staged chunks."""
+        host = LoaderHost(version=1)
+        host.unknown = 1
+        host.engine.stage = {
+            index: make_chunk(version, index)
+            for index, version in enumerate(staged)
+        }
+        async with host.run():
+            for version in (1, 2, 3):
+                host.name(version)
+            await asyncio.sleep(VERSION_SECONDS)
+        assert host.engine.version == 3
+        host.check_orders()
+
+    async def test_engine_restarts_after_the_loader(self):
+        """No order of a former loader reaches an engine that starts later."""
+        host = LoaderHost(version=1)
+        host.engine.accepted = 1
+        host.unknown = 1
+        host.engine.stage = {
+            index: make_chunk(1, index) for index in range(CHUNKS)
+        }
+        async with host.run():
+            host.name(1)
+            await asyncio.sleep(1)
+            host.engine.restart()
+            host.name(2)
+            host.name(3)
+            await asyncio.sleep(VERSION_SECONDS)
+        assert host.engine.version == 3
+        host.check_orders()
