Rule out orders of a former loader by the engine's first reports

An engine that has restarted since, or accepted an order, can't accept an order that was sent before. Waits 12 s in the other cases. test_restarted_engine and test_order_of_the_former_loader fail before.

--- a/fakes/staged_engine.py
+++ b/fakes/staged_engine.py
@@ -21,6 +21,7 @@
     :ivar stage: staged chunks by index.
     :ivar orders: versions ordered, each with the chunks staged then.
     :ivar accepted: number of orders accepted since the start.
+    :ivar born: number of the start.
     :ivar down: true while the engine does not answer.
     :ivar refuses: true while load orders are refused as unfit.
     :ivar late_orders: for each of the next orders, the seconds after which it
@@ -37,6 +38,7 @@
         self.stage: dict[int, bytes] = {}
         self.orders: list[tuple[int, dict[int, bytes]]] = []
         self.accepted = 0
+        self.born = 1
         self.late_orders: list[float] = []
         self.late_writes: list[float] = []
         self._busy_until: float = 0
@@ -52,6 +54,7 @@
             running=self.running,
             weights=held if self.version and not busy else None,
             orders=self.accepted,
+            born=self.born,
         )
 
     async def list_staged(self, model: ModelName) -> frozenset[int]:
@@ -95,6 +98,7 @@
         """Restart without any layer; staged chunks stay."""
         self.version = 0
         self.accepted = 0
+        self.born += 1
 
     def _accept(
         self, version: int, expected_orders: int | None
--- a/src/ragwortcourse/platform/engine.py
+++ b/src/ragwortcourse/platform/engine.py
@@ -31,11 +31,13 @@
 
     :param busy: true while an order is in progress.
     :param seq: number of orders accepted.
+    :param born: start of this incarnation, milliseconds since the epoch.
     """
 
     busy: bool = False
     running: Count = 0
     seq: WholeNumber | None = None
+    born: WholeNumber = 0
     layers: WireLayers | None = None
 
 
@@ -88,6 +90,7 @@
             running=wire.running,
             weights=decode_layers(wire.layers),
             orders=wire.seq,
+            born=wire.born,
         )
 
     async def list_staged(self, model: ModelName) -> frozenset[int]:
--- a/src/ragwortcourse/weights/engine_port.py
+++ b/src/ragwortcourse/weights/engine_port.py
@@ -28,12 +28,15 @@
     :param weights: layers that the engine holds; None if it holds none.
     :param orders: number of orders accepted since the engine started; None if
         the engine does not state it.
+    :param born: start of the engine, milliseconds since the epoch; zero if it
+        does not state it.
     """
 
     busy: bool
     running: int
     weights: HeldWeights | None
     orders: int | None = None
+    born: int = 0
 
 
 class EnginePort(Protocol):
--- a/src/ragwortcourse/weights/engine_stage.py
+++ b/src/ragwortcourse/weights/engine_stage.py
@@ -40,6 +40,7 @@
         self.is_inspected = False
         self.started_at = read_clock_with_suspend()
         self._engine = engine
+        self._first_report: EngineReport | None = None
         self._is_reserved = False
         self._writing = asyncio.Lock()
         # Chunks that an unanswered write may still replace.
@@ -113,7 +114,11 @@
         return outcome
 
     def settle(self, report: EngineReport) -> None:
-        """Drop the open order if the engine can't accept it any more."""
+        """Drop the orders that the engine can't accept any more."""
+        first = self._first_report = self._first_report or report
+        if (report.born, report.orders) != (first.born, first.orders):
+            # It has restarted, or accepted an order after this loader started.
+            self.is_inspected = True
         order = self.open_order
         now = read_clock_with_suspend()
         if order is not None and not may_be_accepted(order, report, now):
--- a/src/ragwortcourse/weights/unanswered_order.py
+++ b/src/ragwortcourse/weights/unanswered_order.py
@@ -12,7 +12,7 @@
 from ragwortcourse.weights.engine_port import EngineReport
 
 # Time after which a call without an answer counts as never performed.
-LATE_CALL_SECONDS: Final = 15.0
+LATE_CALL_SECONDS: Final = 12.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_engine_stage.py
+++ b/tests/test_engine_stage.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from fakes.fleet_parts import FLEET
+from fakes.fleet_parts import FLEET, MODEL
 from fakes.loader_host import (
     CHUNKS,
     ENGINE,
@@ -206,6 +206,32 @@
         assert host.engine.version == 2
         host.check_orders()
 
+    async def test_restarted_engine(self):
+        """Chunks of no known version do not delay the load after a crash."""
+        host = LoaderHost(version=1)
+        host.engine.stage = dict.fromkeys(range(CHUNKS), b'unknown')
+        async with host.run():
+            host.name(2)
+            await asyncio.sleep(1)
+            host.engine.restart()
+            await asyncio.sleep(2)
+        assert host.engine.version == 2
+        host.check_orders()
+
+    async def test_order_of_the_former_loader(self):
+        """Once an order is accepted, the former ones can't be any more."""
+        host = LoaderHost(version=1)
+        host.engine.stage = dict.fromkeys(range(CHUNKS), b'unknown')
+        async with host.run():
+            host.name(2)
+            host.name(3)
+            await asyncio.sleep(1)
+            await host.engine.order_load(MODEL, 2, 0)
+            host.engine.orders.clear()
+            await asyncio.sleep(2)
+        assert host.engine.version == 3
+        host.check_orders()
+
     async def test_crashed_engine(self):
         """An engine that lost its weights gets the staged version at once."""
         host = LoaderHost()
