--- a/src/ragwortcourse/weights/engine_stage.py
+++ b/src/ragwortcourse/weights/engine_stage.py
@@ -115,7 +115,8 @@
 
     def settle(self, report: EngineReport) -> None:
         """Drop the orders that the engine can't accept any more."""
-        first = self._first_report = self._first_report or report
+        first = self._first_report or report
+        self._first_report = first
         if (report.born, report.orders) != (first.born, first.orders):
             # It has restarted, or accepted an order after this loader started.
             self.is_inspected = True
