--- a/fakes/late_engine.py
+++ b/fakes/late_engine.py
@@ -215,6 +215,7 @@
             if state.version and not is_busy
             else None,
             orders=state.orders,
+            born=self._incarnation,
         )
 
     def _accept(
--- a/src/ragwortcourse/weights/stage_inspection.py
+++ b/src/ragwortcourse/weights/stage_inspection.py
@@ -54,8 +54,11 @@
     unknown = chunks - sum(found.values())
     if count == chunks and version > held:
         return FormerOrder.POSSIBLE
+    if newest in found:
+        # A download stages its first chunk when no order is open.
+        return FormerOrder.NONE
     is_spoilt = unknown > 0 and count * 2 > chunks
-    if unknown * 2 > chunks or (is_spoilt and held < version < newest):
+    if unknown * 2 > chunks or (is_spoilt and version > held):
         return FormerOrder.UNKNOWN
     return FormerOrder.NONE
 
--- a/tests/test_engine_stage.py
+++ b/tests/test_engine_stage.py
@@ -255,6 +255,7 @@
             ({1: 47}, FormerOrder.NONE),
             ({1: 20, 3: 28}, FormerOrder.NONE),
             ({3: 30}, FormerOrder.NONE),
+            ({3: 1}, FormerOrder.NONE),
             ({2: 47}, FormerOrder.UNKNOWN),
             ({1: 20}, FormerOrder.UNKNOWN),
             ({}, FormerOrder.UNKNOWN),
