Count a host's suspension in the time of leases

An agent whose host was suspended for longer than its order or roll-out lease still held it by the monotonic clock, which stands still meanwhile, and could order its engine beside the next holder. Engines that check fencing numbers refuse that order; others follow it, and a roll-out lease has no number.

Both leases now end by the clock that counts suspension. The two tests failed before. The waiting side keeps the monotonic clock: it only waits longer.

--- a/src/ragwortcourse/weights/order_lease.py
+++ b/src/ragwortcourse/weights/order_lease.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ragwortcourse.bounded import MAX_WHOLE
-from ragwortcourse.clock import read_clock
+from ragwortcourse.clock import read_clock_with_suspend
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import FencingNumber, TargetName
 from ragwortcourse.storage.row_change import replace_row
@@ -91,7 +91,9 @@
 
     def is_held(self) -> bool:
         """Return whether an order may be sent now."""
-        return not self.superseded and read_clock() < self._lapses_at
+        return (
+            not self.superseded and read_clock_with_suspend() < self._lapses_at
+        )
 
     async def acquire(self) -> LeaseOutcome:
         """Acquire the lease after the former holder's lease has expired."""
@@ -131,7 +133,7 @@
         )
         # The write may take effect at any time after this, so the lease must
         # count from here.
-        began = read_clock()
+        began = read_clock_with_suspend()
         if not isinstance(await self._write(row, claim), Committed):
             answer = await self._table.read(self._key)
             if not isinstance(answer, RowRead) or _decode(answer.row) != claim:
--- a/src/ragwortcourse/weights/rollout_lease.py
+++ b/src/ragwortcourse/weights/rollout_lease.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ragwortcourse.clock import read_clock
+from ragwortcourse.clock import read_clock, read_clock_with_suspend
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import DeploymentName, TargetName
 from ragwortcourse.storage.row_change import replace_row
@@ -65,7 +65,10 @@
 
     def is_held(self) -> bool:
         """Return whether the target may change now."""
-        return self._key is not None and read_clock() < self._lapses_at
+        if self._key is None:
+            return False
+        # Others count the time for which this host was suspended.
+        return read_clock_with_suspend() < self._lapses_at
 
     async def acquire(self) -> None:
         """Wait until this target holds a lease."""
@@ -102,7 +105,7 @@
             return False
         if answer.row is not None and not self._may_take(answer.row):
             return False
-        began = read_clock()
+        began = read_clock_with_suspend()
         content = msgspec.json.encode(self._row)
         if not await self._write(key, answer.row, content):
             return False
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -3,12 +3,13 @@
 import asyncio
 import dataclasses
 import random
+from unittest import mock
 
 import pytest
 
 from fakes.faults import Fault, Faults
 from fakes.memory_table import MemoryRows, build_memory_table
-from ragwortcourse.clock import read_clock
+from ragwortcourse.clock import SuspensionMeter, read_clock
 from ragwortcourse.identifiers import TargetName
 from ragwortcourse.storage.table import CommitUnknown, ConditionalWrite
 from ragwortcourse.weights.order_lease import (
@@ -50,6 +51,15 @@
         await asyncio.sleep(LEASE_SECONDS)
         assert not lease.is_held()
 
+    async def test_holder_of_a_suspended_host_orders_nothing(self):
+        """A host that was suspended beyond the lease wakes without it."""
+        lease = make_lease(MemoryRows(), 1, checks=False)
+        await lease.acquire()
+        with mock.patch.object(
+            SuspensionMeter, 'read', return_value=LEASE_SECONDS
+        ):
+            assert not lease.is_held()
+
     @pytest.mark.parametrize('released', [True, False])
     @pytest.mark.parametrize('checks', [True, False])
     async def test_next_holder_waits_out_the_former_one(
--- a/tests/test_rollout_lease.py
+++ b/tests/test_rollout_lease.py
@@ -3,12 +3,13 @@
 import asyncio
 import dataclasses
 import random
+from unittest import mock
 
 import pytest
 
 from fakes.faults import Faults
 from fakes.memory_table import MemoryRows, build_memory_table
-from ragwortcourse.clock import read_clock
+from ragwortcourse.clock import SuspensionMeter, read_clock
 from ragwortcourse.identifiers import DeploymentName, TargetName
 from ragwortcourse.weights.rollout_lease import LEASE_SECONDS, RolloutLease
 
@@ -46,3 +47,17 @@
             await lease.acquire()
         assert read_clock() - began > LEASE_SECONDS
         assert 'unreadable row of a lease' in caplog.text
+
+
+class TestSuspendedHost:
+    """Hosts that are suspended while they hold a lease."""
+
+    async def test_changes_nothing_when_it_wakes(self):
+        """A lease that others may have taken meanwhile is no longer held."""
+        lease = make_lease(MemoryRows(), 'a')
+        await lease.acquire()
+        assert lease.is_held()
+        with mock.patch.object(
+            SuspensionMeter, 'read', return_value=LEASE_SECONDS
+        ):
+            assert not lease.is_held()
