Wait for an unanswered order before the next one at unfenced engines

An agent that gave an order up (20 s), lost its answer or cancelled it on a change of the configuration gave its order lease back as after any order. At an engine that does not check fencing numbers the next order, of this agent or of its successor, went out at once; the engine then followed the first one after it, and served a version that nobody had ordered last.

Engines that check numbers refuse the late order, as before.

--- a/fakes/engine_faults.py
+++ b/fakes/engine_faults.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from ragwortcourse.engines.engine import OrderAction
+
 
 class EngineFaults(msgspec.Struct, kw_only=True):
     """Switches, and counters of how many requests a fault still affects.
@@ -16,6 +18,8 @@
     :param silent: true while the engine does not report its state.
     :param frozen_reports: true while the load report is not refreshed.
     :param lost_orders: orders that take effect but whose answer is lost.
+    :param late_orders: seconds after which the engine follows the next order
+        of an action, which it does not answer.
     :param truncated_chunks: chunks stored without their last byte.
     """
 
@@ -29,6 +33,7 @@
     frozen_reports: bool = False
     lost_orders: int = 0
     truncated_chunks: int = 0
+    late_orders: dict[OrderAction, float] = {}
 
     def use_up(self, name: str) -> bool:
         """Use a counted fault once; return whether any use was left."""
--- a/fakes/memory_engine.py
+++ b/fakes/memory_engine.py
@@ -184,6 +184,13 @@
         """Carry out an order; see :class:`Engine`."""
         if self._is_down():
             return OrderUnknown(detail='nobody listens')
+        late = self.faults.late_orders.pop(given.action, None)
+        if late is not None:
+            # It is in the engine's socket, also when nobody waits any more.
+            loop = asyncio.get_running_loop()
+            loop.call_later(late, self.versions.follow, given)
+            await asyncio.sleep(late)
+            return OrderUnknown(detail='no answer')
         outcome = self.versions.follow(given)
         if self.faults.use_up('lost_orders'):
             return OrderUnknown(detail='the answer was lost')
--- a/src/ragwortcourse/weights/order_lease.py
+++ b/src/ragwortcourse/weights/order_lease.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ragwortcourse.bounded import MAX_WHOLE
-from ragwortcourse.clock import read_clock_with_suspend
+from ragwortcourse.clock import read_clock, read_clock_with_suspend
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import FencingNumber, TargetName
 from ragwortcourse.storage.row_change import replace_row
@@ -24,8 +24,11 @@
 from ragwortcourse.unreadable import UnreadableError
 
 LEASE_SECONDS: Final = 30.0
-# Limit for waiting on an order and for an engine to act on it.
+# Limit for waiting on an order.
 LONGEST_ORDER_SECONDS: Final = 20.0
+# An engine that was silent may follow an order for this long after its agent
+# stopped waiting for the answer.
+LATE_ORDER_SECONDS: Final = 20.0
 TOKEN_BITS: Final = 64
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -71,6 +74,10 @@
 
     The lease is not renewed, so an idle target causes no writes in the table
     service.
+
+    An order without an answer may still be followed, so that the lease is not
+    given back after it. At an engine that does not check fencing numbers the
+    next order waits until that can't happen any more.
     """
 
     def __init__(
@@ -88,6 +95,26 @@
         self._token = f'{rng.getrandbits(TOKEN_BITS):016x}'
         self._fencing = FencingNumber(0)
         self._lapses_at = float('-inf')
+        self._unanswered_until = float('-inf')
+
+    @property
+    def has_unanswered(self) -> bool:
+        """Whether the engine may still follow an order without an answer."""
+        return read_clock() < self._unanswered_until
+
+    def note_unanswered(self) -> None:
+        """Note that the engine did not answer an order."""
+        # An engine that checks numbers ends this with the next order that it
+        # follows.
+        self._unanswered_until = (
+            float('inf')
+            if self._checks_fencing
+            else read_clock() + LATE_ORDER_SECONDS
+        )
+
+    def note_followed(self) -> None:
+        """Note that the engine followed an order, and so none before it."""
+        self._unanswered_until = float('-inf')
 
     def is_held(self) -> bool:
         """Return whether an order may be sent now."""
@@ -106,6 +133,8 @@
         if not self.is_held():
             return
         self._lapses_at = float('-inf')
+        if self.has_unanswered:
+            return
         answer = await self._table.read(self._key)
         if not isinstance(answer, RowRead) or answer.row is None:
             return
@@ -148,13 +177,19 @@
     async def _wait_out(self, former: OrderLeaseRow | None) -> bool:
         """Wait until a former holder's lease and last order have expired.
 
-        :return: whether there was a former holder to wait for.
+        :return: whether there was a former holder, or an own order, to wait
+            for.
         """
-        if former is None or former.released or self._checks_fencing:
+        if self._checks_fencing:
             return False
-        if former.holder == self._token:
+        if self.has_unanswered:
+            await asyncio.sleep(self._unanswered_until - read_clock())
+            return True
+        if former is None or former.released or former.holder == self._token:
             return False
-        await asyncio.sleep(LEASE_SECONDS + LONGEST_ORDER_SECONDS)
+        await asyncio.sleep(
+            LEASE_SECONDS + LONGEST_ORDER_SECONDS + LATE_ORDER_SECONDS
+        )
         return True
 
     async def _read_and_claim(self) -> LeaseOutcome:
--- a/src/ragwortcourse/weights/orders.py
+++ b/src/ragwortcourse/weights/orders.py
@@ -79,15 +79,22 @@
         chunks=len(subject.manifest.chunks) if subject.manifest else 0,
         sha256=subject.manifest.sha256 if subject.manifest else None,
     )
-    if not agent_weights.order_lease.is_held():
+    lease = agent_weights.order_lease
+    if not lease.is_held():
         return OrderRefused(detail='the lease lapsed before the order')
     try:
         async with asyncio.timeout(LONGEST_ORDER_SECONDS):
             outcome = await agent_weights.ports.engine.order(order)
     except TimeoutError:
         outcome = OrderUnknown(detail=f'{action}: no answer in time')
+    except asyncio.CancelledError:
+        lease.note_unanswered()
+        raise
     if isinstance(outcome, OrderUnknown):
-        return await settle_order(agent_weights, action, subject, outcome)
+        lease.note_unanswered()
+        outcome = await settle_order(agent_weights, action, subject, outcome)
+    if isinstance(outcome, OrderConfirmed):
+        lease.note_followed()
     return outcome
 
 
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -13,6 +13,7 @@
 from ragwortcourse.identifiers import TargetName
 from ragwortcourse.storage.table import CommitUnknown, ConditionalWrite
 from ragwortcourse.weights.order_lease import (
+    LATE_ORDER_SECONDS,
     LEASE_SECONDS,
     LONGEST_ORDER_SECONDS,
     LeaseHeld,
@@ -82,7 +83,9 @@
         assert isinstance(second, LeaseHeld)
         assert second.fencing > first.fencing
         if not (checks or released):
-            assert waited >= LEASE_SECONDS + LONGEST_ORDER_SECONDS
+            assert waited >= (
+                LEASE_SECONDS + LONGEST_ORDER_SECONDS + LATE_ORDER_SECONDS
+            )
 
     async def test_superseded_holder_gives_up_for_good(self):
         """Of two agents for one target only the later one keeps the lease."""
