Confirm no version while an unanswered order may end it

An agent whose order to activate a version got no answer served the former one again as soon as the engine's state showed it, and so did a configuration that went back while an order to activate or unload was on its way. The engine followed the order seconds later: requests went to an engine that had given up their version, and their answers were dropped as of the wrong version; a stream under way could change its weights. Fencing numbers did not help, as no later order had been sent.

Before it admits a version on the word of the state, the agent now orders the engine to activate it, if an earlier order is unanswered: an engine that followed it refuses the earlier one, and one that ignores numbers is waited for. While two orders are unanswered the state does not settle which was followed.

--- a/src/ragwortcourse/weights/activation.py
+++ b/src/ragwortcourse/weights/activation.py
@@ -153,15 +153,31 @@
     agent_weights: AgentWeights, former: tuple[ServedVersion, ...]
 ) -> None:
     """Serve the former versions again if they are still active."""
-    state = await agent_weights.ports.engine.describe()
-    if not isinstance(state, EngineState):
-        return
     for served in former:
-        held = find_version(state, served.model, served.version)
-        if held is not None and held.complete and held.active:
+        if await _is_active(agent_weights, served):
             agent_weights.served.confirm(served)
 
 
+async def _is_active(
+    agent_weights: AgentWeights, served: ServedVersion
+) -> bool:
+    """Return whether a version is active, and no earlier order can end that.
+
+    An order without an answer may still be followed; the engine refuses it
+    once it has followed a later one.
+    """
+    state = await agent_weights.ports.engine.describe()
+    if not isinstance(state, EngineState):
+        return False
+    held = find_version(state, served.model, served.version)
+    if held is None or not (held.complete and held.active):
+        return False
+    if not agent_weights.order_lease.has_unanswered:
+        return True
+    subject = OrderSubject(model=served.model, version=served.version)
+    return isinstance(await _activate(agent_weights, subject), Activated)
+
+
 async def wait_for_effect(
     agent_weights: AgentWeights, action: OrderAction, subject: OrderSubject
 ) -> bool:
--- a/src/ragwortcourse/weights/orders.py
+++ b/src/ragwortcourse/weights/orders.py
@@ -91,8 +91,13 @@
         lease.note_unanswered()
         raise
     if isinstance(outcome, OrderUnknown):
+        # The state does not tell an order from an earlier one.
+        is_first = not lease.has_unanswered
         lease.note_unanswered()
-        outcome = await settle_order(agent_weights, action, subject, outcome)
+        if is_first:
+            outcome = await settle_order(
+                agent_weights, action, subject, outcome
+            )
     if isinstance(outcome, OrderConfirmed):
         lease.note_followed()
     return outcome
--- a/src/ragwortcourse/weights/reconciliation.py
+++ b/src/ragwortcourse/weights/reconciliation.py
@@ -155,8 +155,14 @@
     agent_weights: AgentWeights, state: EngineState, wanted: WantedWeights
 ) -> str:
     subject = OrderSubject(model=wanted.model, version=wanted.version)
-    if is_serving(state, wanted):
-        if not agent_weights.served.allows(wanted.model, wanted.version, None):
+    is_admitted = agent_weights.served.allows(
+        wanted.model, wanted.version, None
+    )
+    # An earlier order without an answer may end what the state shows; the
+    # order to activate the version comes after it.
+    is_settled = is_admitted or not agent_weights.order_lease.has_unanswered
+    if is_serving(state, wanted) and is_settled:
+        if not is_admitted:
             agent_weights.state.adapters.clear()
             confirm_version(agent_weights, wanted, frozenset())
         retire_others(agent_weights, wanted)
