Forget an engine's role while an order to change it is unanswered

An engine that does not report its role was ordered another one and did not answer; the deployment went back meanwhile, and the agent still remembered the former role as confirmed. The engine followed the order late and kept the other role for good (seen where it ignores fencing numbers).

The agent forgets the confirmed role before the order and remembers it again only if the engine refused. Evidence: one of the four cases of the new test failed before, all pass.

--- a/src/ragwortcourse/weights/roles.py
+++ b/src/ragwortcourse/weights/roles.py
@@ -7,6 +7,7 @@
     EngineState,
     OrderAction,
     OrderConfirmed,
+    OrderRefused,
 )
 from ragwortcourse.weights.activation import (
     Activated,
@@ -61,7 +62,12 @@
     subject = OrderSubject(
         model=wanted.model, version=wanted.version, role=wanted.role
     )
+    former = agent_weights.state.role
+    # From here on the engine may have either role.
+    agent_weights.state.role = ''
     outcome = await order_engine(agent_weights, OrderAction.ROLE, subject)
+    if isinstance(outcome, OrderRefused):
+        agent_weights.state.role = former
     if not isinstance(outcome, OrderConfirmed):
         return ActivationFailed(detail=f'role {wanted.role}: {outcome.detail}')
     agent_weights.state.role = str(wanted.role)
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -10,6 +10,7 @@
 from ragwortcourse.configuration.toml_parsing import parse_configuration
 from ragwortcourse.engines.engine import OrderAction
 from ragwortcourse.weights.order_lease import LEASE_SECONDS
+from ragwortcourse.weights.roles import RETRY_SECONDS
 
 pytestmark = pytest.mark.looptime
 CONTENT = random.Random(1).randbytes(5000)
@@ -103,6 +104,30 @@
         assert max(count_orders(fleet)) <= (1 if reports else 2)
         await fleet.stop()
 
+    @pytest.mark.parametrize('reports', [True, False])
+    @pytest.mark.parametrize('checks', [True, False])
+    async def test_roll_back_after_an_order_without_answer(
+        self, checks: bool, reports: bool
+    ):
+        """An engine has the former role again if its deployment goes back.
+
+        It followed the order to change late, and did not answer it.
+        """
+        fleet = await start_fleet(checks=checks, reports=reports)
+        digest = fleet.publish('v1', CONTENT)
+        fleet.deploy('v1', digest, role=EngineRole.PREFILL, batch=3)
+        # An engine that serves is not drained for a role again before that.
+        await asyncio.sleep(RETRY_SECONDS + 60)
+        for host in fleet.hosts.values():
+            host.engine.faults.late_orders = {OrderAction.ROLE: 10}
+        fleet.deploy('v1', digest, role=EngineRole.DECODE, batch=3)
+        await asyncio.sleep(8)
+        fleet.deploy('v1', digest, role=EngineRole.PREFILL, batch=3)
+        await asyncio.sleep(1200)
+        assert list_roles(fleet) == ['prefill'] * 3
+        assert fleet.count_serving('v1') == 3
+        await fleet.stop()
+
     async def test_is_ordered_again_after_a_restart(self):
         """A restarted engine is ordered again."""
         fleet = await start_fleet(checks=True)
