Do not take a former adapter for the one to be loaded

The state of an engine names adapters without their versions. When an engine did not unload an adapter and the order to load its next version was lost, the agent saw the name in the state, took the order as followed, activated the former adapter and served it as the next one.

A lost answer to an order to load an adapter is no longer settled from the state; the agent orders it again after its usual delay. Evidence: the new test failed before, and passes.

--- a/src/ragwortcourse/weights/orders.py
+++ b/src/ragwortcourse/weights/orders.py
@@ -109,7 +109,13 @@
     subject: OrderSubject,
     unknown: OrderUnknown,
 ) -> OrderOutcome:
-    """Resolve an order with a lost answer from the engine state."""
+    """Resolve an order with a lost answer from the engine state.
+
+    An adapter that is to be loaded stays unresolved: the state does not tell
+    it from a former one of the same name.
+    """
+    if action is OrderAction.LOAD and subject.adapter is not None:
+        return unknown
     state = await agent_weights.ports.engine.describe()
     if isinstance(state, EngineSilent):
         return unknown
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -7,12 +7,16 @@
 import pytest
 
 from fakes.landings import MODEL, LandingFleet, LandingHost
+from ragwortcourse.configuration.deployment import Adapter
 from ragwortcourse.engines.engine import (
+    EngineOrder,
     OrderAction,
     OrderConfirmed,
+    OrderOutcome,
+    OrderRefused,
     OrderUnknown,
 )
-from ragwortcourse.identifiers import VersionName
+from ragwortcourse.identifiers import AdapterName, VersionName
 from ragwortcourse.weights.order_lease import LONGEST_ORDER_SECONDS
 from ragwortcourse.weights.orders import OrderSubject, order_engine
 
@@ -150,3 +154,63 @@
         assert not wrong + await watch(fleet, 200)
         assert fleet.count_serving('v1') == 2
         await fleet.stop()
+
+
+class TestAdapter:
+    """Adapters whose orders get no answer."""
+
+    async def test_former_adapter_is_not_taken_for_the_next(self):
+        """The state names adapters without their versions.
+
+        The engine refuses to unload the former one, and the order to load the
+        next one is lost on its way.
+        """
+        fleet = LandingFleet(hosts=1, regions_by_domain={'a': 'r'})
+        model = fleet.publish('v1', CONTENT)
+        former = make_adapter(fleet, 'a1', CONTENT[:1000])
+        fleet.deploy('v1', model, adapters=(former,))
+        fleet.start()
+        await asyncio.sleep(60)
+        (host,) = fleet.hosts.values()
+        drop_orders(
+            host,
+            {
+                OrderAction.UNLOAD: OrderRefused(detail='busy'),
+                OrderAction.LOAD: OrderUnknown(detail='the connection broke'),
+            },
+        )
+        following = make_adapter(fleet, 'a2', OTHER[:1000])
+        fleet.deploy('v1', model, adapters=(following,))
+        loaded = host.engine.versions.orders[:]
+        await asyncio.sleep(120)
+        assert fleet.count_serving('v1', 'tone') == 1
+        later = host.engine.versions.orders[len(loaded) :]
+        assert OrderAction.LOAD in [order.action for order in later]
+        await fleet.stop()
+
+
+def make_adapter(fleet: LandingFleet, version: str, content: bytes) -> Adapter:
+    """Publish a version of an adapter."""
+    return Adapter(
+        name=AdapterName('tone'),
+        version=VersionName(version),
+        manifest_sha256=fleet.publish(version, content, name='tone'),
+    )
+
+
+def drop_orders(
+    host: LandingHost, outcomes: dict[OrderAction, OrderOutcome]
+) -> None:
+    """Let the next order of each action have an outcome and no effect."""
+
+    async def order(given: EngineOrder) -> OrderOutcome:
+        if given.action in outcomes:
+            return outcomes.pop(given.action)
+        return await host.engine.order(given)
+
+    host.agent_weights.ports = dataclasses.replace(
+        host.agent_weights.ports,
+        engine=dataclasses.replace(
+            host.agent_weights.ports.engine, order=order
+        ),
+    )
