Serve a former version again without adapters that are lost

An engine that restarted at the order to activate the next version came back with the former version alone; the agent, after that change had failed, served it with the adapters of before until it noticed the restart up to 10 s later.

The agent admits only the adapters that the engine's state names. Evidence: the new test failed before, and passes.

--- a/src/ragwortcourse/weights/activation.py
+++ b/src/ragwortcourse/weights/activation.py
@@ -5,9 +5,12 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+import msgspec
+
 from ragwortcourse.clock import read_clock
 from ragwortcourse.engines.engine import (
     EngineState,
+    EngineVersion,
     OrderAction,
     OrderConfirmed,
 )
@@ -154,28 +157,35 @@
 ) -> None:
     """Serve the former versions again if they are still active."""
     for served in former:
-        if await _is_active(agent_weights, served):
-            agent_weights.served.confirm(served)
+        held = await _find_active(agent_weights, served)
+        if held is None:
+            continue
+        # An engine that restarted meanwhile may lack some adapters.
+        adapters = sorted({*served.adapters} & {*held.adapters})
+        agent_weights.served.confirm(
+            msgspec.structs.replace(served, adapters=tuple(adapters))
+        )
 
 
-async def _is_active(
+async def _find_active(
     agent_weights: AgentWeights, served: ServedVersion
-) -> bool:
-    """Return whether a version is active, and no earlier order can end that.
+) -> EngineVersion | None:
+    """Return a version if it is active, and no earlier order can end that.
 
     An order without an answer may still be followed; the engine refuses it
     once it has followed a later one.
     """
     state = await agent_weights.ports.engine.describe()
     if not isinstance(state, EngineState):
-        return False
+        return None
     held = find_version(state, served.model, served.version)
     if held is None or not (held.complete and held.active):
-        return False
-    if not agent_weights.order_lease.has_unanswered:
-        return True
-    subject = OrderSubject(model=served.model, version=served.version)
-    return isinstance(await _activate(agent_weights, subject), Activated)
+        return None
+    if agent_weights.order_lease.has_unanswered:
+        subject = OrderSubject(model=served.model, version=served.version)
+        activated = await _activate(agent_weights, subject)
+        return held if isinstance(activated, Activated) else None
+    return held
 
 
 async def wait_for_effect(
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Awaitable, Callable
 
 import pytest
 
@@ -188,6 +189,42 @@
         assert OrderAction.LOAD in [order.action for order in later]
         await fleet.stop()
 
+    async def test_former_adapter_of_an_engine_that_restarts(self):
+        """A version that is served again comes without lost adapters.
+
+        The engine restarts at the order to activate the next version.
+        """
+        fleet = LandingFleet(hosts=1, regions_by_domain={'a': 'r'})
+        adapter = make_adapter(fleet, 'a1', CONTENT[:1000])
+        fleet.deploy('v1', fleet.publish('v1', CONTENT), adapters=(adapter,))
+        fleet.start()
+        await asyncio.sleep(60)
+        (host,) = fleet.hosts.values()
+        held_before = fleet.count_serving('v1', 'tone')
+        restart_at_order(host, OrderAction.ACTIVATE)
+        fleet.deploy('v2', fleet.publish('v2', OTHER))
+        while not host.engine.crashes:  # no event
+            await asyncio.sleep(0.1)
+        served = host.agent_weights.served
+        while not served.versions:
+            await asyncio.sleep(0.1)
+        assert held_before == 1
+        assert served.allows(MODEL, V1.version, None)
+        assert not served.allows(MODEL, V1.version, adapter.name)
+        await fleet.stop()
+
+
+def restart_at_order(host: LandingHost, action: OrderAction) -> None:
+    """Let the engine restart when it gets the next order of an action."""
+
+    async def order(given: EngineOrder) -> OrderOutcome:
+        if given.action is not action or host.engine.crashes:
+            return await host.engine.order(given)
+        host.engine.die(downtime=0)
+        return OrderUnknown(detail='the connection broke')
+
+    set_order(host, order)
+
 
 def make_adapter(fleet: LandingFleet, version: str, content: bytes) -> Adapter:
     """Publish a version of an adapter."""
@@ -208,9 +245,13 @@
             return outcomes.pop(given.action)
         return await host.engine.order(given)
 
-    host.agent_weights.ports = dataclasses.replace(
-        host.agent_weights.ports,
-        engine=dataclasses.replace(
-            host.agent_weights.ports.engine, order=order
-        ),
-    )
+    set_order(host, order)
+
+
+def set_order(
+    host: LandingHost, order: Callable[[EngineOrder], Awaitable[OrderOutcome]]
+) -> None:
+    """Replace the call of an engine that takes orders."""
+    ports = host.agent_weights.ports
+    engine = dataclasses.replace(ports.engine, order=order)
+    host.agent_weights.ports = dataclasses.replace(ports, engine=engine)
