Check the turn in a roll-out when the order goes out

An agent checked its roll-out lease (120 s) once its requests had ended (up to 60 s), then acquired the order lease, which takes 70 s where an engine ignores fencing numbers and a former agent did not give it back. The order went out after other targets had taken the turn, so that more of them than a batch left service at the same time.

The check is now repeated with that of the order lease, right before the order is sent.

--- a/src/ragwortcourse/weights/activation.py
+++ b/src/ragwortcourse/weights/activation.py
@@ -20,6 +20,7 @@
 from ragwortcourse.weights.manifest import Manifest
 from ragwortcourse.weights.orders import (
     OrderSubject,
+    always,
     find_version,
     order_engine,
     shows_effect,
@@ -48,6 +49,8 @@
 
 
 ActivationOutcome = Activated | ActivationFailed
+# Takes what tells whether the target still has its turn in the roll-out.
+Change = Callable[[Callable[[], bool]], Awaitable[ActivationOutcome]]
 
 
 async def load_version(
@@ -67,8 +70,8 @@
     """Activate a loaded version while holding the roll-out lease."""
     subject = OrderSubject(model=wanted.model, version=wanted.version)
 
-    async def change() -> ActivationOutcome:
-        outcome = await _activate(agent_weights, subject)
+    async def change(has_turn: Callable[[], bool]) -> ActivationOutcome:
+        outcome = await _activate(agent_weights, subject, has_turn)
         if isinstance(outcome, Activated):
             confirm_version(agent_weights, wanted, frozenset())
         return outcome
@@ -82,7 +85,7 @@
     agent_weights: AgentWeights,
     wanted: WantedWeights,
     kept: WantedWeights | None,
-    change: Callable[[], Awaitable[ActivationOutcome]],
+    change: Change,
 ) -> ActivationOutcome:
     """Change an idle engine while holding the roll-out lease.
 
@@ -109,15 +112,16 @@
     agent_weights: AgentWeights,
     kept: WantedWeights | None,
     lease: RolloutLease,
-    change: Callable[[], Awaitable[ActivationOutcome]],
+    change: Change,
 ) -> ActivationOutcome:
     former = agent_weights.served.versions
     await _finish_running(agent_weights, kept)
     outcome: ActivationOutcome
-    if former and not lease.is_held():
-        outcome = ActivationFailed(detail='the turn lapsed')
+    has_turn = lease.is_held if former else always
+    if has_turn():
+        outcome = await change(has_turn)
     else:
-        outcome = await change()
+        outcome = ActivationFailed(detail='the turn lapsed')
     if kept is None or isinstance(outcome, ActivationFailed):
         await _restore_former(agent_weights, former)
     return outcome
@@ -142,9 +146,13 @@
 
 
 async def _activate(
-    agent_weights: AgentWeights, subject: OrderSubject
+    agent_weights: AgentWeights,
+    subject: OrderSubject,
+    has_turn: Callable[[], bool] = always,
 ) -> Activated | ActivationFailed:
-    outcome = await order_engine(agent_weights, OrderAction.ACTIVATE, subject)
+    outcome = await order_engine(
+        agent_weights, OrderAction.ACTIVATE, subject, has_turn
+    )
     if not isinstance(outcome, OrderConfirmed):
         return ActivationFailed(detail=f'activate: {outcome.detail}')
     if await wait_for_effect(agent_weights, OrderAction.ACTIVATE, subject):
--- a/src/ragwortcourse/weights/orders.py
+++ b/src/ragwortcourse/weights/orders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from ragwortcourse.configuration.engine_role import EngineRole
 from ragwortcourse.engines.engine import (
@@ -46,15 +47,29 @@
     role: EngineRole | None = None
 
 
+def always() -> bool:
+    """Tell that an order needs no turn in a roll-out."""
+    return True
+
+
 async def order_engine(
-    agent_weights: AgentWeights, action: OrderAction, subject: OrderSubject
+    agent_weights: AgentWeights,
+    action: OrderAction,
+    subject: OrderSubject,
+    has_turn: Callable[[], bool] = always,
 ) -> OrderOutcome:
-    """Send one order while holding the order lease."""
+    """Send one order while holding the order lease.
+
+    :param has_turn: tells whether the target still has its turn in the
+        roll-out, which may lapse while the order lease is acquired.
+    """
     lease = agent_weights.order_lease
     held = await lease.acquire()
     if isinstance(held, LeaseRefused):
         return OrderRefused(detail=held.detail, stale=held.superseded)
     try:
+        if not (lease.is_held() and has_turn()):
+            return OrderRefused(detail='the lease lapsed before the order')
         outcome = await _send(agent_weights, held.fencing, action, subject)
     finally:
         await lease.release()
@@ -80,8 +95,6 @@
         sha256=subject.manifest.sha256 if subject.manifest else None,
     )
     lease = agent_weights.order_lease
-    if not lease.is_held():
-        return OrderRefused(detail='the lease lapsed before the order')
     try:
         async with asyncio.timeout(LONGEST_ORDER_SECONDS):
             outcome = await agent_weights.ports.engine.order(order)
--- a/src/ragwortcourse/weights/roles.py
+++ b/src/ragwortcourse/weights/roles.py
@@ -1,5 +1,6 @@
 """Order engines to take the role that their deployment names."""
 
+from collections.abc import Callable
 from typing import Final
 
 from ragwortcourse.clock import read_clock
@@ -40,8 +41,8 @@
         return f'role {wanted.role}: not followed'
     agent_weights.state.role_retry_at = read_clock() + RETRY_SECONDS
 
-    async def change() -> ActivationOutcome:
-        return await _order_role(agent_weights, wanted)
+    async def change(has_turn: Callable[[], bool]) -> ActivationOutcome:
+        return await _order_role(agent_weights, wanted, has_turn)
 
     outcome = await change_under_rollout_lease(
         agent_weights, wanted, None, change
@@ -57,7 +58,9 @@
 
 
 async def _order_role(
-    agent_weights: AgentWeights, wanted: WantedWeights
+    agent_weights: AgentWeights,
+    wanted: WantedWeights,
+    has_turn: Callable[[], bool],
 ) -> ActivationOutcome:
     subject = OrderSubject(
         model=wanted.model, version=wanted.version, role=wanted.role
@@ -65,7 +68,9 @@
     former = agent_weights.state.role
     # From here on the engine may have either role.
     agent_weights.state.role = ''
-    outcome = await order_engine(agent_weights, OrderAction.ROLE, subject)
+    outcome = await order_engine(
+        agent_weights, OrderAction.ROLE, subject, has_turn
+    )
     if isinstance(outcome, OrderRefused):
         agent_weights.state.role = former
     if not isinstance(outcome, OrderConfirmed):
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -1,16 +1,23 @@
 """Tests of :mod:`ragwortcourse.weights.roles`."""
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
 
 from fakes.landings import LandingFleet
+from ragwortcourse.clock import read_clock
 from ragwortcourse.configuration.engine_role import EngineRole
 from ragwortcourse.configuration.toml_parsing import parse_configuration
-from ragwortcourse.engines.engine import OrderAction
-from ragwortcourse.weights.order_lease import LEASE_SECONDS
+from ragwortcourse.engines.engine import (
+    EngineOrder,
+    OrderAction,
+    OrderOutcome,
+)
+from ragwortcourse.weights.order_lease import LEASE_SECONDS, OrderLease
 from ragwortcourse.weights.roles import RETRY_SECONDS
+from ragwortcourse.weights.rollout_lease import LEASE_SECONDS as ROLLOUT_SECONDS
 
 pytestmark = pytest.mark.looptime
 CONTENT = random.Random(1).randbytes(5000)
@@ -157,6 +164,61 @@
         assert host.agent_weights.order_lease.superseded
         await fleet.stop()
 
+    async def test_turn_that_lapses_before_the_order(self):
+        """An engine is not ordered once another target may have the turn.
+
+        The agent waits for running requests, then for the order lease of a
+        former agent, together longer than the roll-out lease.
+        """
+        fleet = await start_fleet(checks=False)
+        name, host = next(iter(fleet.hosts.items()))
+        weights = host.agent_weights
+        former = weights.order_lease
+        await former.acquire()
+        weights.order_lease = OrderLease(
+            table=weights.ports.table,
+            target=weights.agent.target,
+            checks_fencing=False,
+            rng=random.Random(2),
+        )
+        order = weights.ports.engine.order
+        turns: dict[bytes, float] = {}
+        lapsed: list[bool] = []
+
+        async def note_order(given: EngineOrder) -> OrderOutcome:
+            if given.action is OrderAction.ROLE:
+                lapsed.append(
+                    not any(
+                        name.encode() in row
+                        and read_clock() - turns[row] < ROLLOUT_SECONDS
+                        for row in list_turns(fleet)
+                    )
+                )
+            return await order(given)
+
+        weights.ports = dataclasses.replace(
+            weights.ports,
+            engine=dataclasses.replace(weights.ports.engine, order=note_order),
+        )
+        fleet.running[name] = 1
+        fleet.deploy('v1', fleet.publish('v1', CONTENT), role=EngineRole.DECODE)
+        async with asyncio.timeout(1200):
+            while not lapsed:  # no event
+                for row in list_turns(fleet):
+                    turns.setdefault(row, read_clock())
+                await asyncio.sleep(0.1)
+        assert lapsed == [False]
+        await fleet.stop()
+
+
+def list_turns(fleet: LandingFleet) -> list[bytes]:
+    """List the rows of the roll-out leases that are taken."""
+    return [
+        row.content
+        for key, row in fleet.rows.rows.items()
+        if key.startswith('turns/')
+    ]
+
 
 class TestConfiguration:
     """Validation of the key ``role`` of a model deployment."""
