Read an engine's role when it is compared

A pass of the reconciliation compared the role with a state read at its begin, also after the weights had landed. An engine that had another role at first and was ordered before the download counted as not following; after a download of more than 300 s its agent drained it and ordered the role once more.

The state is now read when the role is compared, only where a deployment names one. Evidence: the new test failed before (two orders), and passes.

--- a/src/ragwortcourse/weights/activation.py
+++ b/src/ragwortcourse/weights/activation.py
@@ -169,7 +169,7 @@
         if held is None:
             continue
         # An engine that restarted meanwhile may lack some adapters.
-        adapters = sorted({*served.adapters} & {*held.adapters})
+        adapters = sorted(set(served.adapters) & set(held.adapters))
         agent_weights.served.confirm(
             msgspec.structs.replace(served, adapters=tuple(adapters))
         )
--- a/src/ragwortcourse/weights/reconciliation.py
+++ b/src/ragwortcourse/weights/reconciliation.py
@@ -127,11 +127,11 @@
         return ''
     detail = ''
     if not agent_weights.served.versions:
-        detail = await keep_role(agent_weights, state, wanted)
+        detail = await keep_role(agent_weights, wanted)
     if not detail:
         detail = await _land_model(agent_weights, state, wanted)
     if not detail:
-        detail = await keep_role(agent_weights, state, wanted)
+        detail = await keep_role(agent_weights, wanted)
     if not detail:
         detail = await reconcile_adapters(agent_weights, wanted)
     if not detail:
--- a/src/ragwortcourse/weights/roles.py
+++ b/src/ragwortcourse/weights/roles.py
@@ -25,14 +25,17 @@
 RETRY_SECONDS: Final = 300.0
 
 
-async def keep_role(
-    agent_weights: AgentWeights, state: EngineState, wanted: WantedWeights
-) -> str:
+async def keep_role(agent_weights: AgentWeights, wanted: WantedWeights) -> str:
     """Order the wanted role unless the engine has it.
 
     :return: the failure; empty on success.
     """
-    if wanted.role is None or _has_role(agent_weights, state, wanted):
+    if wanted.role is None:
+        return ''
+    state = await agent_weights.ports.engine.describe()
+    if not isinstance(state, EngineState):
+        return f'the engine is silent: {state.detail}'
+    if _has_role(agent_weights, state, wanted):
         return ''
     if (
         agent_weights.served.versions
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -80,6 +80,27 @@
         assert list_roles(fleet) == ['prefill'] * 2
         await fleet.stop()
 
+    async def test_download_longer_than_the_pause_between_orders(self):
+        """An engine that got its role before a long download is not drained.
+
+        It had another role when the agent started.
+        """
+        fleet = LandingFleet(hosts=1, regions_by_domain={'a': 'r'}, rate=10)
+        (host,) = fleet.hosts.values()
+        host.engine.versions.role = 'prefill'
+        digest = fleet.publish('v1', CONTENT)
+        fleet.deploy('v1', digest, role=EngineRole.DECODE)
+        fleet.start()
+        took = await fleet.wait_for('v1', seconds=1200)
+        lowest = 1
+        for _ in range(100):
+            await asyncio.sleep(0.25)
+            lowest = min(lowest, fleet.count_serving('v1'))
+        assert took > RETRY_SECONDS
+        assert (count_orders(fleet), lowest) == ([1], 1)
+        assert not host.agent_weights.state.detail
+        await fleet.stop()
+
     async def test_changes_under_no_request(self):
         """Running requests end first, and only one batch leaves service."""
         fleet = await start_fleet(checks=True)
