Read an engine's state when its version is admitted

A pass of the reconciliation that ordered the role first admitted the version on a state from before that order (up to 70 s old). An engine that had restarted empty meanwhile got requests for two seconds, which it could not answer.

Landing a version now begins with the state. Evidence: both cases of the new test failed before, and pass.

--- a/src/ragwortcourse/weights/reconciliation.py
+++ b/src/ragwortcourse/weights/reconciliation.py
@@ -129,7 +129,7 @@
     if not agent_weights.served.versions:
         detail = await keep_role(agent_weights, wanted)
     if not detail:
-        detail = await _land_model(agent_weights, state, wanted)
+        detail = await _land_model(agent_weights, wanted)
     if not detail:
         detail = await keep_role(agent_weights, wanted)
     if not detail:
@@ -152,8 +152,13 @@
 
 
 async def _land_model(
-    agent_weights: AgentWeights, state: EngineState, wanted: WantedWeights
+    agent_weights: AgentWeights, wanted: WantedWeights
 ) -> str:
+    # An engine may have restarted while it was ordered its role.
+    state = await agent_weights.ports.engine.describe()
+    if not isinstance(state, EngineState):
+        return f'the engine is silent: {state.detail}'
+    note_instance(agent_weights, state)
     subject = OrderSubject(model=wanted.model, version=wanted.version)
     is_admitted = agent_weights.served.allows(
         wanted.model, wanted.version, None
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -9,6 +9,7 @@
 
 from fakes.landings import MODEL, LandingFleet, LandingHost
 from ragwortcourse.configuration.deployment import Adapter
+from ragwortcourse.configuration.engine_role import EngineRole
 from ragwortcourse.engines.engine import (
     EngineOrder,
     OrderAction,
@@ -156,6 +157,28 @@
         assert fleet.count_serving('v1') == 2
         await fleet.stop()
 
+    async def test_engine_that_restarts_empty_before_it_is_admitted(
+        self, checks
+    ):
+        """A state from before the restart admits nothing.
+
+        The agent starts beside an engine that serves the version, and orders
+        its role first.
+        """
+        fleet = LandingFleet(
+            hosts=1, regions_by_domain={'a': 'r'}, checks_fencing=checks
+        )
+        (host,) = fleet.hosts.values()
+        host.engine.versions.install(V1.model, V1.version)
+        restart_at_order(host, OrderAction.ROLE, is_empty=True)
+        digest = fleet.publish('v1', CONTENT)
+        fleet.deploy('v1', digest, role=EngineRole.DECODE)
+        fleet.start()
+        assert not await watch(fleet, 60)
+        assert host.engine.crashes == 1
+        assert fleet.count_serving('v1') == 1
+        await fleet.stop()
+
 
 class TestAdapter:
     """Adapters whose orders get no answer."""
@@ -214,13 +237,22 @@
         await fleet.stop()
 
 
-def restart_at_order(host: LandingHost, action: OrderAction) -> None:
-    """Let the engine restart when it gets the next order of an action."""
+def restart_at_order(
+    host: LandingHost, action: OrderAction, *, is_empty: bool = False
+) -> None:
+    """Let the engine restart when it gets the next order of an action.
+
+    :param is_empty: it comes back with the role, and without any version.
+    """
 
     async def order(given: EngineOrder) -> OrderOutcome:
         if given.action is not action or host.engine.crashes:
             return await host.engine.order(given)
+        if is_empty:
+            host.engine.versions.active.clear()
         host.engine.die(downtime=0)
+        if is_empty:
+            return await host.engine.order(given)
         return OrderUnknown(detail='the connection broke')
 
     set_order(host, order)
