Show that a late write of a former adapter is not loaded

The engine checks the digest that the order names; the agent collects the chunks again. The tests of agents' orders move to a file of their own name.

--- a/tests/test_late_orders.py
+++ b/tests/test_agent_orders.py
@@ -236,6 +236,37 @@
         assert not served.allows(MODEL, V1.version, adapter.name)
         await fleet.stop()
 
+    async def test_late_write_of_a_former_adapter(self):
+        """Chunks of a former adapter that come late are not loaded.
+
+        The engine keeps chunks by name. It checks the digest of the whole
+        that the order names.
+        """
+        fleet = LandingFleet(hosts=1, regions_by_domain={'a': 'r'})
+        model = fleet.publish('v1', CONTENT)
+        former = make_adapter(fleet, 'a1', CONTENT[:1000])
+        fleet.deploy('v1', model, adapters=(former,))
+        fleet.start()
+        await asyncio.sleep(60)
+        (host,) = fleet.hosts.values()
+        outcomes: list[OrderOutcome] = []
+
+        async def order(given: EngineOrder) -> OrderOutcome:
+            if given.action is OrderAction.LOAD and len(outcomes) == 1:
+                key = (MODEL, V1.version, former.name)
+                host.engine.versions.store(key, 0, CONTENT[:1000])
+            outcomes.append(await host.engine.order(given))
+            return outcomes[-1]
+
+        set_order(host, order)
+        following = make_adapter(fleet, 'a2', OTHER[:1000])
+        fleet.deploy('v1', model, adapters=(following,))
+        await asyncio.sleep(60)
+        refused = [isinstance(each, OrderRefused) for each in outcomes]
+        assert refused == [False, True, False, False]
+        assert fleet.count_serving('v1', 'tone') == 1
+        await fleet.stop()
+
 
 def restart_at_order(
     host: LandingHost, action: OrderAction, *, is_empty: bool = False
