Let the engines of a soak do late what was given up

The engines of a soak called an order with a wrong stage WHOLE, but did each call at once and kept what was staged. While random faults run they now, drawn by seed, perform an order or a staged write 0.5 to 10 s after the loader gave it up, or pause in it, let staged chunks turn bad (excused for 3 s, as by the rule), and stop the loader (SIGSTOP, 0.5 to 4 s) as it reads a staged chunk. They count the orders that they accept, state it as seq, and refuse an order that states another number (expected_rev). One to four more versions are named in each run. A load goes on when its loader leaves; before, the engine stayed closed for good.

--- a/fakes/soak.py
+++ b/fakes/soak.py
@@ -9,6 +9,7 @@
 import signal
 import tempfile
 import time
+from collections.abc import Callable
 
 import click
 
@@ -19,6 +20,7 @@
 from fakes.soak_operators import SoakOperators
 from fakes.soak_plan import (
     HALF_SILENT,
+    PAUSE,
     RESTORE,
     Fault,
     plan_changes,
@@ -38,9 +40,11 @@
     PREFIXES,
     SoakSite,
     list_errors,
+    name_loader,
     wait_ready,
 )
-from fakes.soak_state import SPARE
+from fakes.soak_state import ENGINES, SPARE
+from fakes.soak_target import SoakTarget
 from fakes.soak_watch import describe_stalls, record_stalls, write_stalls
 
 # One of two stays with its daemon.
@@ -97,7 +101,13 @@
             for number in range(CALLERS_PER_FORWARDER * len(site.forwarders))
         ]
         await asyncio.sleep(SETTLE_SECONDS)
+        stops: set[asyncio.Task[None]] = set()
+        for target in site.list_targets(ENGINES):
+            target.trouble.stop_loader = self._build_stop(target, stops)
+        site.set_trouble(is_on=bool(self._setup.fault_seconds))
         await self._inject_all(self._plan_faults())
+        site.set_trouble(is_on=False)
+        await asyncio.gather(*stops)
         if self._setup.planned_seconds:
             await self._work_as_planned()
         site.records.calm_from = time.monotonic()
@@ -114,6 +124,22 @@
         self._check_processes()
         return [*self._findings, *list_findings(site.records)]
 
+    def _build_stop(
+        self, target: SoakTarget, stops: set[asyncio.Task[None]]
+    ) -> Callable[[float], None]:
+        """Build what stops a loader at once, for some seconds.
+
+        :param stops: takes the tasks.
+        """
+
+        def stop(seconds: float) -> None:
+            pause = Fault(
+                at=0, name=PAUSE, whom=name_loader(target), seconds=seconds
+            )
+            stops.add(asyncio.create_task(self._inject(pause)))
+
+        return stop
+
     async def _work_as_planned(self) -> None:
         # Losses count once the last fault is this long ago.
         await asyncio.sleep(CONTACT_SECONDS if self._setup.fault_seconds else 0)
@@ -190,7 +216,7 @@
             self._site.change_settings(fault.whom)
             self._note_signal(fault)
             child.send(signal.SIGHUP)
-        elif fault.name == 'pause':
+        elif fault.name == PAUSE:
             child.send(signal.SIGSTOP)
             await asyncio.sleep(fault.seconds)
             child.send(signal.SIGCONT)
@@ -272,7 +298,10 @@
     :return: the findings and the records behind them.
     """
     site = SoakSite(
-        folder=folder, forwarders=setup.forwarders, targets=setup.targets
+        folder=folder,
+        forwarders=setup.forwarders,
+        targets=setup.targets,
+        seed=setup.seed,
     )
     noting = asyncio.create_task(record_stalls(site.records.stalls))
     findings: list[str] = []
@@ -304,7 +333,8 @@
             click.echo(
                 f'seed {setup.seed}: {len(statuses)} requests, '
                 f'{statuses.count(200)} served, {len(records.faults)} '
-                f'faults, {len(findings)} findings in {folder}'
+                f'faults, {records.loads} loads, {len(records.troubles)} '
+                f'calls in trouble, {len(findings)} findings in {folder}'
             )
             click.echo(f'  {describe_stalls(folder, records.stalls)}')
             for finding in findings[:5]:
--- a/fakes/soak_plan.py
+++ b/fakes/soak_plan.py
@@ -8,7 +8,8 @@
 from fakes.soak_proxy import LinkFault
 from fakes.soak_records import PlannedKind
 
-PROCESS_FAULTS = ('kill', 'pause', PlannedKind.STOP, PlannedKind.HANG_UP)
+PAUSE = 'pause'
+PROCESS_FAULTS = ('kill', PAUSE, PlannedKind.STOP, PlannedKind.HANG_UP)
 LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
 OPERATIONS = (
     Operation.DESIRED_STATE,
@@ -44,6 +45,8 @@
 QUIET_SECONDS = (0.5, 3.0)
 SILENT_SECONDS = (0.3, 1.8)
 MOST_RESTORES = 2
+# New versions of weights beside those that other faults draw.
+NAMINGS = (1, 4)
 # Age of the copy that the store comes back from.
 OLDEST_COPY_SECONDS = 10.0
 SHORTEST_SECONDS = 0.3
@@ -87,7 +90,14 @@
         at += rng.choice(
             (0.05, rng.uniform(0.2, 1), rng.uniform(1, 3), rng.uniform(4, 9))
         )
-    return sorted([*faults, *_plan_restores(seed, seconds)], key=_read_time)
+    return sorted(
+        [
+            *faults,
+            *_plan_restores(seed, seconds),
+            *_plan_namings(seed, seconds),
+        ],
+        key=_read_time,
+    )
 
 
 def plan_changes(
@@ -161,5 +171,19 @@
     ]
 
 
+def _plan_namings(seed: int, seconds: float) -> list[Fault]:
+    """Draw new versions of weights apart, for engines in trouble."""
+    rng = random.Random(f'{seed} namings')
+    return [
+        Fault(
+            at=rng.uniform(1, seconds),
+            name=Operation.WEIGHTS,
+            whom='',
+            seconds=0,
+        )
+        for _ in range(rng.randint(*NAMINGS))
+    ]
+
+
 def _read_time(fault: Fault) -> float:
     return fault.at
--- a/fakes/soak_records.py
+++ b/fakes/soak_records.py
@@ -142,7 +142,11 @@
     :param named: time at which operators set each version of the weights.
     :param stalls: stalls of the event loop of the soak; they excuse no
         violation.
-    :param spoilt_loads: target and version of each load of damaged weights.
+    :param spoilt_loads: target, time, version and chunks of each load of
+        damaged weights.
+    :param loads: number of loads that engines began.
+    :param troubles: trouble of engines with calls of their loaders; it
+        excuses nothing.
     :param calm_from: end of the random faults.
     """
 
@@ -157,6 +161,8 @@
     named: dict[int, float] = dataclasses.field(default_factory=dict)
     stalls: list[Stall] = dataclasses.field(default_factory=list)
     spoilt_loads: list[str] = dataclasses.field(default_factory=list)
+    loads: int = 0
+    troubles: list[InjectedFault] = dataclasses.field(default_factory=list)
     calm_from: float = 0
 
 
@@ -169,6 +175,7 @@
         *records.runs,
         *records.planned,
         *records.faults,
+        *records.troubles,
     )
     lines = [
         json.dumps({type(each).__name__: dataclasses.asdict(each)})
--- a/fakes/soak_site.py
+++ b/fakes/soak_site.py
@@ -17,14 +17,9 @@
 from fakes.ports import pick_address
 from fakes.soak_proxy import LoopbackProxy
 from fakes.soak_records import PlannedKind, PlannedWork, Records
+from fakes.soak_stage import CHUNKS, make_piece
 from fakes.soak_state import ENGINES, PLAIN, SPARE, SoakState
-from fakes.soak_target import (
-    CHUNKS,
-    LAYERS,
-    MODEL,
-    SoakTarget,
-    make_piece,
-)
+from fakes.soak_target import LAYERS, MODEL, SoakTarget
 from fakes.soak_watch import WATCH_LOG
 from ragwortcourse.weights.manifest import digest_bytes
 
@@ -79,12 +74,19 @@
 
     :param forwarders: number of forwarders.
     :param targets: number of targets of each service; engines have a loader.
+    :param seed: seed of the trouble of engines.
     """
 
     def __init__(
-        self, *, folder: pathlib.Path, forwarders: int = 3, targets: int = 2
+        self,
+        *,
+        folder: pathlib.Path,
+        forwarders: int = 3,
+        targets: int = 2,
+        seed: int = 0,
     ) -> None:
         self.folder = folder
+        self._seed = seed
         self.forwarders = {
             f'entry-{number + 1}': DOMAINS[number % 3 // 2]
             for number in range(forwarders)
@@ -173,6 +175,11 @@
             self.store.drop('op', key)
             self._note_change()
 
+    def set_trouble(self, *, is_on: bool) -> None:
+        """Begin or end the trouble of engines with calls of their loaders."""
+        for target in self.list_targets(ENGINES):
+            target.trouble.is_on = is_on
+
     def set_weights_version(self) -> None:
         """Set the next version of the weights, as operators do."""
         self.weights += 1
@@ -227,6 +234,7 @@
             domain=DOMAINS[number % len(DOMAINS)],
             records=self.records,
             version=int(service == ENGINES),
+            seed=self._seed,
         )
         self.targets[name] = target
         self.links[name] = await self._link(
@@ -235,7 +243,7 @@
         self.put_target(name)
 
     async def _start_loader(self, target: SoakTarget, store: str) -> None:
-        name = f'loader-{target.name}'
+        name = name_loader(target)
         link = self.links[f'{name}/store'] = await self._link(store)
         fleet = FLEET_TEXT.format(
             name=name, domain=target.domain, store=link.address
@@ -300,6 +308,11 @@
         return app
 
 
+def name_loader(target: SoakTarget) -> str:
+    """Return the name of the loader beside an engine."""
+    return f'loader-{target.name}'
+
+
 def list_errors(path: pathlib.Path) -> list[str]:
     """List the errors in the log of a daemon, and tracebacks beside it."""
     found = []
--- a/fakes/soak_state.py
+++ b/fakes/soak_state.py
@@ -4,7 +4,8 @@
 
 from fakes.soak_operation import Operation
 from fakes.soak_records import STREAMS, Kind
-from fakes.soak_target import CHUNK_BYTES, CHUNKS, LAYERS, MODEL
+from fakes.soak_stage import CHUNK_BYTES, CHUNKS
+from fakes.soak_target import LAYERS, MODEL
 
 KEYS = [f'parents-{number}' for number in range(12)]
 FEWEST_KEYS = 4
--- a/fakes/soak_target.py
+++ b/fakes/soak_target.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import time
+from collections.abc import Coroutine
+from typing import Any
 
 from aiohttp import web
 
 from fakes.soak_body import make_body
 from fakes.soak_records import Ending, Records, TargetRun
 from fakes.soak_silence import TargetSilence
+from fakes.soak_stage import SoakStage
+from fakes.soak_trouble import EngineCall, EngineTrouble
 
 EVENTS = 8
 EVENT_SECONDS = 0.06
@@ -15,17 +19,10 @@
 PLAIN_STEPS = 3
 PLAIN_SECONDS = 0.013
 LOAD_SECONDS = 0.3
-CHUNKS = 6
-CHUNK_BYTES = 8192
 LAYERS = 16
 MODEL = 'drafts'
 
 
-def make_piece(version: int, index: int) -> bytes:
-    """Build the bytes of a chunk of weights, distinct by version and index."""
-    return f'{version}/{index}/'.encode().ljust(CHUNK_BYTES, b'w')
-
-
 def make_answer(attempt: str, path: str) -> str:
     """Build the body of the answer of a plain target."""
     return f'{attempt} {path}'
@@ -36,9 +33,11 @@
 
     :ivar version: version of the loaded weights; zero for none.
     :ivar has_engine: false for a plain target.
-    :ivar stage: staged chunks of the next version, by index.
+    :ivar stage: staged chunks of the next version.
     :ivar closed: true while weights load; requests are refused.
+    :ivar orders: number of orders accepted.
     :ivar silence: silences after which the target goes on.
+    :ivar trouble: trouble with calls of the loader.
     """
 
     def __init__(
@@ -49,6 +48,7 @@
         domain: str,
         records: Records,
         version: int = 0,
+        seed: int = 0,
     ) -> None:
         self.name = name
         self.service = service
@@ -57,9 +57,14 @@
         self.version = version
         self.has_engine = bool(version)
         self._running: dict[int, tuple[web.Request, TargetRun]] = {}
-        self.stage: dict[int, bytes] = {}
+        self._calls: set[asyncio.Task[web.Response]] = set()
+        self.stage = SoakStage()
         self.closed = False
+        self.orders = 0
         self.silence = TargetSilence(target=name)
+        self.trouble = EngineTrouble(
+            seed=f'{seed} {name}', target=name, records=records
+        )
 
     def build_app(self) -> web.Application:
         """Build the HTTP application that serves the target."""
@@ -146,33 +151,65 @@
             {
                 'busy': self.closed,
                 'running': len(self._running),
+                'seq': self.orders,
                 'layers': held,
             }
         )
 
     async def _read_stage(self, request: web.Request) -> web.Response:
         if 'num' not in request.query:
-            return web.json_response({'held': sorted(self.stage)})
-        content = self.stage.get(int(request.query['num']))
+            return web.json_response({'held': sorted(self.stage.contents)})
+        content = self.stage.contents.get(int(request.query['num']))
+        self.trouble.note_read()
         if content is None:
             return web.Response(status=404)
         return web.Response(body=content)
 
     async def _write_stage(self, request: web.Request) -> web.Response:
-        self.stage[int(request.query['num'])] = await request.read()
+        index, content = int(request.query['num']), await request.read()
+        return await self._perform(self._stage(index, content))
+
+    async def _stage(self, index: int, content: bytes) -> web.Response:
+        await self.trouble.delay(EngineCall.WRITE)
+        self.stage.write(index, content)
+        self.trouble.rot_later(self.stage.rot, index)
         return web.Response()
 
     async def _order(self, request: web.Request) -> web.Response:
-        version = (await request.json())['version']
-        whole = {index: make_piece(version, index) for index in range(CHUNKS)}
-        if self.stage != whole:
-            self.records.spoilt_loads.append(f'{self.name} {version}')
+        order = await request.json()
+        return await self._perform(
+            self._load(order['version'], order.get('expected_rev'))
+        )
+
+    async def _load(self, version: int, expected: int | None) -> web.Response:
+        await self.trouble.delay(EngineCall.ORDER)
+        if self.closed or expected not in {None, self.orders}:
+            return web.Response(status=409)
+        if version == self.version:
+            return web.Response()
+        self.orders += 1
+        self.records.loads += 1
+        spoilt = self.stage.find_spoilt(version)
+        if spoilt:
+            self.records.spoilt_loads.append(
+                f'{self.name} at {time.monotonic():.2f}: '
+                f'version {version}, chunks {spoilt}'
+            )
         self.closed = True
         self._abort_runs()
         await asyncio.sleep(LOAD_SECONDS)
         self.version, self.closed = version, False
         return web.Response(status=202)
 
+    async def _perform(
+        self, call: Coroutine[Any, Any, web.Response]
+    ) -> web.Response:
+        """Perform a call to its end, also after its client has left."""
+        task = asyncio.create_task(call)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+        return await asyncio.shield(task)
+
     def _abort_runs(self) -> None:
         """Break off the requests in progress, as a load order does."""
         for request, run in self._running.values():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,7 @@
 from aiohttp import ServerDisconnectedError
 from aiohttp.test_utils import TestClient, TestServer
 
+from fakes import soak_trouble
 from fakes.soak import Soak, run_soak
 from fakes.soak_body import SIZES, make_body, send_body
 from fakes.soak_checks import list_findings
@@ -46,7 +47,9 @@
 from fakes.soak_setup import SoakSetup
 from fakes.soak_silence import draw_silence
 from fakes.soak_site import SoakSite, list_errors
-from fakes.soak_target import EVENTS, SoakTarget, make_answer
+from fakes.soak_stage import CHUNKS, make_piece
+from fakes.soak_target import EVENTS, MODEL, SoakTarget, make_answer
+from fakes.soak_trouble import EngineCall
 from fakes.soak_watch import (
     NOTED_SECONDS,
     SOAK,
@@ -406,6 +409,86 @@
         assert run.ending is Ending.CUT
 
 
+class TestEngine:
+    """Engines that do late what their loader gave up, and whose stage rots."""
+
+    @pytest.fixture
+    async def engine(self):
+        """Start an engine with all chunks of version 2 staged."""
+        target, records = make_target(version=1)
+        for index in range(CHUNKS):
+            target.stage.write(index, make_piece(2, index))
+        async with TestClient(TestServer(target.build_app())) as client:
+            yield target, records, client
+
+    async def test_order_after_it_was_given_up(self, engine, monkeypatch):
+        """An order whose loader left is accepted with what is staged then."""
+        target, records, client = engine
+        monkeypatch.setitem(soak_trouble.LATE_SHARES, EngineCall.ORDER, 1)
+        monkeypatch.setattr(soak_trouble, 'GIVEN_UP_SECONDS', 0.3)
+        monkeypatch.setattr(soak_trouble, 'LATE_SECONDS', (0.1, 0.2))
+        target.trouble.is_on = True
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await client.post('/order', json={'version': 2})
+        target.stage.write(0, make_piece(3, 0))
+        await wait_until(lambda: target.version == 2)
+        assert target.orders == 1
+        assert 'version 2, chunks [0]' in records.spoilt_loads[0]
+
+    async def test_write_after_it_was_given_up(self, engine, monkeypatch):
+        """A chunk whose loader left is staged over a later one."""
+        target, _, client = engine
+        monkeypatch.setitem(soak_trouble.LATE_SHARES, EngineCall.WRITE, 1)
+        monkeypatch.setattr(soak_trouble, 'GIVEN_UP_SECONDS', 0.3)
+        monkeypatch.setattr(soak_trouble, 'LATE_SECONDS', (0.1, 0.2))
+        target.trouble.is_on = True
+        url = f'/stage-put/{MODEL}?num=0'
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await client.put(url, data=make_piece(1, 0))
+        assert not target.stage.find_spoilt(2)
+        await wait_until(lambda: target.stage.find_spoilt(2) == [0])
+
+    async def test_condition(self, engine):
+        """An order that states another number of orders is refused."""
+        target, records, client = engine
+        statuses = []
+        for version, expected in ((2, 1), (2, 0), (3, 0), (2, 1)):
+            order = {'version': version, 'expected_rev': expected}
+            async with client.post('/order', json=order) as answer:
+                statuses.append(answer.status)
+        assert statuses == [409, 202, 409, 200]
+        assert (target.orders, target.version, records.loads) == (1, 2, 1)
+        assert not records.spoilt_loads
+
+    async def test_loader_that_is_stopped(self, engine, monkeypatch):
+        """A loader may be stopped when it reads a staged chunk."""
+        target, _, client = engine
+        monkeypatch.setattr(soak_trouble, 'STOP_SHARE', 1)
+        stops = []
+        target.trouble.stop_loader = stops.append
+        for is_on in (False, True):
+            target.trouble.is_on = is_on
+            async with client.get(f'/stage-get/{MODEL}?num=0') as answer:
+                assert await answer.read() == make_piece(2, 0)
+        [seconds] = stops
+        assert 0.5 <= seconds <= 4
+
+    @pytest.mark.parametrize(
+        ('version', 'seconds', 'spoilt'),
+        [(2, 0, []), (2, 2.9, []), (2, 3.1, [1]), (3, 0, [*range(CHUNKS)])],
+    )
+    async def test_rot(self, engine, monkeypatch, version, seconds, spoilt):
+        """A chunk that turned bad in the last 3 s excuses its version."""
+        target, _, _ = engine
+        rotten_at = time.monotonic()
+        target.stage.rot(1)
+        target.stage.rot(1)
+        monkeypatch.setattr(time, 'monotonic', lambda: rotten_at + seconds)
+        assert target.stage.find_spoilt(version) == spoilt
+
+
 class TestBodies:
     """Bodies of requests."""
 
