--- a/src/ragwortcourse/weights/reconciliation.py
+++ b/src/ragwortcourse/weights/reconciliation.py
@@ -127,11 +127,11 @@
         return ''
     detail = ''
     if not agent_weights.served.versions:
-        detail = await keep_role(agent_weights, state, wanted)
+        detail = await keep_role(agent_weights, wanted)
     if not detail:
-        detail = await _land_model(agent_weights, state, wanted)
+        detail = await _land_model(agent_weights, wanted)
     if not detail:
-        detail = await keep_role(agent_weights, state, wanted)
+        detail = await keep_role(agent_weights, wanted)
     if not detail:
         detail = await reconcile_adapters(agent_weights, wanted)
     if not detail:
@@ -152,11 +152,22 @@
 
 
 async def _land_model(
-    agent_weights: AgentWeights, state: EngineState, wanted: WantedWeights
+    agent_weights: AgentWeights, wanted: WantedWeights
 ) -> str:
+    # An engine may have restarted while it was ordered its role.
+    state = await agent_weights.ports.engine.describe()
+    if not isinstance(state, EngineState):
+        return f'the engine is silent: {state.detail}'
+    note_instance(agent_weights, state)
     subject = OrderSubject(model=wanted.model, version=wanted.version)
-    if is_serving(state, wanted):
-        if not agent_weights.served.allows(wanted.model, wanted.version, None):
+    is_admitted = agent_weights.served.allows(
+        wanted.model, wanted.version, None
+    )
+    # An earlier order without an answer may end what the state shows; the
+    # order to activate the version comes after it.
+    is_settled = is_admitted or not agent_weights.order_lease.has_unanswered
+    if is_serving(state, wanted) and is_settled:
+        if not is_admitted:
             agent_weights.state.adapters.clear()
             confirm_version(agent_weights, wanted, frozenset())
         retire_others(agent_weights, wanted)
