Count a body without a length that is reset as cut on every path

What callers saw or would see: a target that answers without a length and is reset midway gave callers of the agents' path a 200 with a short body, framed as whole by the agent's last chunk. Chunks, manifests, rows, reports, objects and outcomes of orders that were reset so were taken as whole too; the origin's reservation of a name was read as taken by a shortened digest.

Cause: aiohttp takes any end of the connection as the end of such a body. Only the forwarder's session asked whether its connection had been reset.

Fix: the protocol of the connection breaks an unfinished body when it is lost with an error, and every session of the daemons and the publication uses it. Readers see what they see for a body short of its length, so none of them has a check of its own; that of the forwarder goes.

What held before: no head that is cut at any byte is taken as an answer, by length, chunked, without a length and 204, on new and kept connections and after an interim answer; a body short of its length or without its last chunk is counted as cut. Writes to the store, of chunks to the origin and the cancel of a request go by the status alone, so their bodies may be cut.

--- a/fakes/raw_caller.py
+++ b/fakes/raw_caller.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 from collections.abc import Iterable, Mapping, Sequence
+from http import HTTPStatus
 
 from ragwortcourse.clock import read_clock
 
@@ -99,7 +100,7 @@
         reply.headers = {name.lower(): text for name, text in pairs}
         if reply.headers.get('transfer-encoding') == 'chunked':
             await self._read_chunks(reply)
-        else:
+        elif reply.status != HTTPStatus.NO_CONTENT:
             length = int(reply.headers['content-length'])
             reply.body = await self._reader.readexactly(length)
         reply.is_whole = True
--- a/src/ragwortcourse/forwarding/exchange.py
+++ b/src/ragwortcourse/forwarding/exchange.py
@@ -9,14 +9,11 @@
 import aiohttp
 from yarl import URL
 
+from ragwortcourse.connections import ResetConnector
 from ragwortcourse.forwarding.answer_cut import AnswerCutError
 from ragwortcourse.forwarding.answer_head import AnswerHead
 from ragwortcourse.forwarding.call import PermittedCall
 from ragwortcourse.forwarding.loss_cause import LossCause
-from ragwortcourse.forwarding.target_connection import (
-    TargetConnector,
-    TargetResponse,
-)
 from ragwortcourse.forwarding.wire_format import Dispatch, WireFormat
 
 # Several round trips between the most distant failure domains.
@@ -87,8 +84,6 @@
                 yield piece
         except (aiohttp.ClientError, OSError) as error:
             raise AnswerCutError(repr(error)) from error
-        if self._was_reset():
-            raise AnswerCutError('connection reset')
 
     async def read_whole(self) -> bytes:
         """Read the whole body.
@@ -110,18 +105,6 @@
         """Close the connection, which cancels the request at the target."""
         self._response.close()
 
-    def _was_reset(self) -> bool:
-        """Tell whether a body without a length ended with a reset.
-
-        aiohttp takes any end of the connection as the end of such a body.
-        """
-        response = self._response
-        return (
-            isinstance(response, TargetResponse)
-            and not self.is_framed
-            and response.was_reset()
-        )
-
 
 def open_target_session() -> aiohttp.ClientSession:
     """Open a session whose connections each carry one request.
@@ -129,12 +112,11 @@
     A reused connection may be dead, or may deliver a late answer to another
     request. A new connection costs one round trip.
     """
-    connector = TargetConnector(
+    connector = ResetConnector(
         limit=0, force_close=True, socket_factory=_open_socket
     )
     return aiohttp.ClientSession(
         connector=connector,
-        response_class=TargetResponse,
         auto_decompress=False,
         skip_auto_headers=SKIPPED_HEADERS,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
--- a/src/ragwortcourse/platform/store_session.py
+++ b/src/ragwortcourse/platform/store_session.py
@@ -10,6 +10,8 @@
 
 import aiohttp
 
+from ragwortcourse.connections import ResetConnector
+
 # Idle time before the first keepalive probe, and between two probes.
 PROBE_SECONDS: Final = 1
 # Unanswered probes after which the connection is closed. In total this takes
@@ -28,7 +30,7 @@
 
 def open_store_session() -> aiohttp.ClientSession:
     """Open a session whose connections are probed while calls wait."""
-    connector = aiohttp.TCPConnector(limit=0, socket_factory=_open_socket)
+    connector = ResetConnector(limit=0, socket_factory=_open_socket)
     return aiohttp.ClientSession(connector=connector)
 
 
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -34,6 +34,7 @@
 from ragwortcourse.platform.target_reader import build_target_handler
 from ragwortcourse.platform.weight_source import build_weight_downloader
 from ragwortcourse.platform.wire import build_wire_format
+from ragwortcourse.processes.sessions import open_daemon_session
 from ragwortcourse.processes.tasks import SupervisedTasks
 from ragwortcourse.settings import FleetSettings, Settings
 from ragwortcourse.weights.chunk_cache import ChunkCache
@@ -175,7 +176,7 @@
     fleet = read_fleet_settings(settings)
     rng = random.Random()  # noqa: S311  # load spreading, not security
     state = FleetState()
-    session = ClientSession()
+    session = open_daemon_session()
     target_session = open_target_session()
     store_session = open_store_session()
     tables = build_fleet_tables(
--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -21,7 +21,10 @@
 from ragwortcourse.platform.store_session import open_store_session
 from ragwortcourse.platform.target_reader import read_service
 from ragwortcourse.platform.weight_source import build_weight_downloader
-from ragwortcourse.processes.sessions import open_single_use_session
+from ragwortcourse.processes.sessions import (
+    open_daemon_session,
+    open_single_use_session,
+)
 from ragwortcourse.processes.tasks import SupervisedTasks
 from ragwortcourse.settings import FleetSettings, Settings
 from ragwortcourse.weights.chunk_routes import build_chunk_routes
@@ -99,7 +102,7 @@
     if settings.loader is None:
         raise ValueError(f'{settings.daemon}: settings without [loader]')
     loader = settings.loader
-    session = ClientSession()
+    session = open_daemon_session()
     store_session = open_store_session()
     engine_session = open_single_use_session()
     state = FleetState()
--- a/src/ragwortcourse/processes/sessions.py
+++ b/src/ragwortcourse/processes/sessions.py
@@ -8,7 +8,9 @@
 import dataclasses
 from typing import Final
 
-from aiohttp import ClientSession, TCPConnector
+from aiohttp import ClientSession
+
+from ragwortcourse.connections import ResetConnector
 
 KEEPALIVE_SECONDS: Final = 30.0
 # A relayed message carries only the headers of its sender.
@@ -38,7 +40,7 @@
 def open_sessions() -> Sessions:
     """Open the sessions of a daemon, for its whole run."""
     # Each request in progress at a target needs a connection of its own.
-    connector = TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS)
+    connector = ResetConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS)
     return Sessions(
         relay=ClientSession(
             connector=connector,
@@ -50,6 +52,11 @@
     )
 
 
+def open_daemon_session() -> ClientSession:
+    """Open a session to other daemons and to origins of weights."""
+    return ClientSession(connector=ResetConnector())
+
+
 def open_single_use_session() -> ClientSession:
     """Open a session that uses no connection for a second request.
 
@@ -57,7 +64,7 @@
     unheeded, and its connection would be used again.
     """
     return ClientSession(
-        connector=TCPConnector(limit=0, force_close=True),
+        connector=ResetConnector(limit=0, force_close=True),
         auto_decompress=False,
         skip_auto_headers=SKIPPED_HEADERS,
     )
