Take a stream without a length that ends in its last event as cut

What callers would see: a model's stream that came without a length and closed right after "data: [DONE]", before the empty line that ends the event, was passed on as whole, though its bytes were not all there and a reader of events drops the unfinished one.

Cause: the agent looked for the mark of the end alone. With a length or chunks the target's message shows the end as well; without them nothing else does.

Fix: a stream without a length must end with the end of an event.

--- a/src/ragwortcourse/agent/relay_progress.py
+++ b/src/ragwortcourse/agent/relay_progress.py
@@ -3,9 +3,12 @@
 import dataclasses
 from typing import Final
 
+from ragwortcourse.bodies import is_framed
 from ragwortcourse.engines.engine import EngineAnswer
 
 STREAM_END: Final = b'data: [DONE]'
+# An event ends with an empty line, after any of these line ends.
+EVENT_ENDS: Final = (b'\n\n', b'\r\n\r\n', b'\r\r')
 TAIL_BYTES: Final = 24
 
 
@@ -40,10 +43,13 @@
         """Tell whether a body that ends here may be complete.
 
         The target's HTTP message tells the length of an answer, but of a
-        resumed one only that of the rest.
+        resumed one only that of the rest. A stream without a length may have
+        ended inside its last event.
         """
         if self.is_stream:
-            return STREAM_END in self.tail
+            return STREAM_END in self.tail and (
+                is_framed(self.answer.headers) or self.tail.endswith(EVENT_ENDS)
+            )
         if not self.resumes:
             return True
         if self.length is None:
--- a/src/ragwortcourse/bodies.py
+++ b/src/ragwortcourse/bodies.py
@@ -1,6 +1,6 @@
 """Reading of whole HTTP bodies up to a limit, and of their types."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 import aiohttp
@@ -9,6 +9,7 @@
 SMALL_BODY_BYTES: Final = 1_048_576
 # Rows, manifests and chunks of weights.
 LARGE_BODY_BYTES: Final = 16_777_216
+_FRAMING: Final = frozenset(('content-length', 'transfer-encoding'))
 
 
 class BodyTooLongError(aiohttp.ClientPayloadError):
@@ -32,6 +33,16 @@
     return bytes(body)
 
 
+def is_framed(headers: Iterable[str]) -> bool:
+    """Tell whether the headers of an answer show where its body ends.
+
+    Any other body ends with its connection.
+
+    :param headers: names in any case.
+    """
+    return not _FRAMING.isdisjoint(name.lower() for name in headers)
+
+
 def read_media_type(headers: Mapping[str, str]) -> str:
     """Return the media type of a body, in lower case, without parameters.
 
--- a/src/ragwortcourse/forwarding/exchange.py
+++ b/src/ragwortcourse/forwarding/exchange.py
@@ -9,6 +9,7 @@
 import aiohttp
 from yarl import URL
 
+from ragwortcourse.bodies import is_framed
 from ragwortcourse.connections import ResetConnector
 from ragwortcourse.forwarding.answer_cut import AnswerCutError
 from ragwortcourse.forwarding.answer_head import AnswerHead
@@ -26,8 +27,6 @@
 # Longest body of an answer that is read whole, the same as of a caller's
 # request.
 BODY_BYTES: Final = 4_194_304
-# The end of a body is known from the answer if it has one of these headers.
-FRAMING: Final = frozenset(('content-length', 'transfer-encoding'))
 SKIPPED_HEADERS: Final = (
     'Accept',
     'Accept-Encoding',
@@ -70,9 +69,7 @@
     @property
     def is_framed(self) -> bool:
         """Tell whether the end of the body is known from the answer."""
-        return not FRAMING.isdisjoint(
-            name.lower() for name in self._response.headers
-        )
+        return is_framed(self._response.headers)
 
     async def read_pieces(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
-from fakes.agents import make_agent, make_service_attempt
+from fakes.agents import make_agent, make_attempt, make_service_attempt
 from fakes.fleet_target import ScriptedConnection
 from fakes.forwarder_fleet import LETTER, LOOK, ForwarderFleet
 from fakes.raw_caller import RawCaller
@@ -844,6 +844,24 @@
         return reply.status != 502 and reply.is_whole
 
 
+class TestStreamOfAgent(TestCallerOfAgent):
+    """Streams of models that pass an agent and an entry daemon."""
+
+    headers = (
+        b'x-request-id: a1\r\nx-model-version: v1\r\n'
+        b'Content-Type: text/event-stream\r\n'
+    )
+    body = b'data: a\n\ndata: [DONE]\n\n'
+    shows_cut = True
+    attempt = make_attempt(attempt=AttemptId('a1'))
+
+
+class TestOtherLineEnds(TestStreamOfAgent):
+    """The same streams with other line ends."""
+
+    body = TestStreamOfAgent.body.replace(b'\n', b'\r\n')
+
+
 class TestCallerOfForwarder:
     """Answers of targets without a length that pass a forwarder."""
 
