--- a/src/ragwortcourse/weights/orders.py
+++ b/src/ragwortcourse/weights/orders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from ragwortcourse.configuration.engine_role import EngineRole
 from ragwortcourse.engines.engine import (
@@ -46,15 +47,29 @@
     role: EngineRole | None = None
 
 
+def always() -> bool:
+    """Tell that an order needs no turn in a roll-out."""
+    return True
+
+
 async def order_engine(
-    agent_weights: AgentWeights, action: OrderAction, subject: OrderSubject
+    agent_weights: AgentWeights,
+    action: OrderAction,
+    subject: OrderSubject,
+    has_turn: Callable[[], bool] = always,
 ) -> OrderOutcome:
-    """Send one order while holding the order lease."""
+    """Send one order while holding the order lease.
+
+    :param has_turn: tells whether the target still has its turn in the
+        roll-out, which may lapse while the order lease is acquired.
+    """
     lease = agent_weights.order_lease
     held = await lease.acquire()
     if isinstance(held, LeaseRefused):
         return OrderRefused(detail=held.detail, stale=held.superseded)
     try:
+        if not (lease.is_held() and has_turn()):
+            return OrderRefused(detail='the lease lapsed before the order')
         outcome = await _send(agent_weights, held.fencing, action, subject)
     finally:
         await lease.release()
@@ -79,15 +94,25 @@
         chunks=len(subject.manifest.chunks) if subject.manifest else 0,
         sha256=subject.manifest.sha256 if subject.manifest else None,
     )
-    if not agent_weights.order_lease.is_held():
-        return OrderRefused(detail='the lease lapsed before the order')
+    lease = agent_weights.order_lease
     try:
         async with asyncio.timeout(LONGEST_ORDER_SECONDS):
             outcome = await agent_weights.ports.engine.order(order)
     except TimeoutError:
         outcome = OrderUnknown(detail=f'{action}: no answer in time')
+    except asyncio.CancelledError:
+        lease.note_unanswered()
+        raise
     if isinstance(outcome, OrderUnknown):
-        return await settle_order(agent_weights, action, subject, outcome)
+        # The state does not tell an order from an earlier one.
+        is_first = not lease.has_unanswered
+        lease.note_unanswered()
+        if is_first:
+            outcome = await settle_order(
+                agent_weights, action, subject, outcome
+            )
+    if isinstance(outcome, OrderConfirmed):
+        lease.note_followed()
     return outcome
 
 
@@ -97,7 +122,13 @@
     subject: OrderSubject,
     unknown: OrderUnknown,
 ) -> OrderOutcome:
-    """Resolve an order with a lost answer from the engine state."""
+    """Resolve an order with a lost answer from the engine state.
+
+    An adapter that is to be loaded stays unresolved: the state does not tell
+    it from a former one of the same name.
+    """
+    if action is OrderAction.LOAD and subject.adapter is not None:
+        return unknown
     state = await agent_weights.ports.engine.describe()
     if isinstance(state, EngineSilent):
         return unknown
--- a/src/ragwortcourse/weights/roles.py
+++ b/src/ragwortcourse/weights/roles.py
@@ -1,5 +1,6 @@
 """Order engines to take the role that their deployment names."""
 
+from collections.abc import Callable
 from typing import Final
 
 from ragwortcourse.clock import read_clock
@@ -7,6 +8,7 @@
     EngineState,
     OrderAction,
     OrderConfirmed,
+    OrderRefused,
 )
 from ragwortcourse.weights.activation import (
     Activated,
@@ -23,14 +25,17 @@
 RETRY_SECONDS: Final = 300.0
 
 
-async def keep_role(
-    agent_weights: AgentWeights, state: EngineState, wanted: WantedWeights
-) -> str:
+async def keep_role(agent_weights: AgentWeights, wanted: WantedWeights) -> str:
     """Order the wanted role unless the engine has it.
 
     :return: the failure; empty on success.
     """
-    if wanted.role is None or _has_role(agent_weights, state, wanted):
+    if wanted.role is None:
+        return ''
+    state = await agent_weights.ports.engine.describe()
+    if not isinstance(state, EngineState):
+        return f'the engine is silent: {state.detail}'
+    if _has_role(agent_weights, state, wanted):
         return ''
     if (
         agent_weights.served.versions
@@ -39,8 +44,8 @@
         return f'role {wanted.role}: not followed'
     agent_weights.state.role_retry_at = read_clock() + RETRY_SECONDS
 
-    async def change() -> ActivationOutcome:
-        return await _order_role(agent_weights, wanted)
+    async def change(has_turn: Callable[[], bool]) -> ActivationOutcome:
+        return await _order_role(agent_weights, wanted, has_turn)
 
     outcome = await change_under_rollout_lease(
         agent_weights, wanted, None, change
@@ -56,12 +61,21 @@
 
 
 async def _order_role(
-    agent_weights: AgentWeights, wanted: WantedWeights
+    agent_weights: AgentWeights,
+    wanted: WantedWeights,
+    has_turn: Callable[[], bool],
 ) -> ActivationOutcome:
     subject = OrderSubject(
         model=wanted.model, version=wanted.version, role=wanted.role
     )
-    outcome = await order_engine(agent_weights, OrderAction.ROLE, subject)
+    former = agent_weights.state.role
+    # From here on the engine may have either role.
+    agent_weights.state.role = ''
+    outcome = await order_engine(
+        agent_weights, OrderAction.ROLE, subject, has_turn
+    )
+    if isinstance(outcome, OrderRefused):
+        agent_weights.state.role = former
     if not isinstance(outcome, OrderConfirmed):
         return ActivationFailed(detail=f'role {wanted.role}: {outcome.detail}')
     agent_weights.state.role = str(wanted.role)
--- a/src/ragwortcourse/weights/unanswered_order.py
+++ b/src/ragwortcourse/weights/unanswered_order.py
@@ -12,7 +12,7 @@
 from ragwortcourse.weights.engine_port import EngineReport
 
 # Time after which a call without an answer counts as never performed.
-LATE_CALL_SECONDS: Final = 15.0
+LATE_CALL_SECONDS: Final = 12.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -44,4 +44,9 @@
         return False
     if now - order.sent_at > LATE_CALL_SECONDS:
         return False
-    return order.orders is None or report.orders in {None, order.orders}
+    # A restarted engine counts from zero, and may reach the stated number.
+    return (
+        order.orders is None
+        or report.orders is None
+        or report.orders <= order.orders
+    )
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -3,15 +3,17 @@
 import asyncio
 import dataclasses
 import random
+from unittest import mock
 
 import pytest
 
 from fakes.faults import Fault, Faults
 from fakes.memory_table import MemoryRows, build_memory_table
-from ragwortcourse.clock import read_clock
+from ragwortcourse.clock import SuspensionMeter, read_clock
 from ragwortcourse.identifiers import TargetName
 from ragwortcourse.storage.table import CommitUnknown, ConditionalWrite
 from ragwortcourse.weights.order_lease import (
+    LATE_ORDER_SECONDS,
     LEASE_SECONDS,
     LONGEST_ORDER_SECONDS,
     LeaseHeld,
@@ -50,6 +52,15 @@
         await asyncio.sleep(LEASE_SECONDS)
         assert not lease.is_held()
 
+    async def test_holder_of_a_suspended_host_orders_nothing(self):
+        """A host that was suspended beyond the lease wakes without it."""
+        lease = make_lease(MemoryRows(), 1, checks=False)
+        await lease.acquire()
+        with mock.patch.object(
+            SuspensionMeter, 'read', return_value=LEASE_SECONDS
+        ):
+            assert not lease.is_held()
+
     @pytest.mark.parametrize('released', [True, False])
     @pytest.mark.parametrize('checks', [True, False])
     async def test_next_holder_waits_out_the_former_one(
@@ -72,7 +83,9 @@
         assert isinstance(second, LeaseHeld)
         assert second.fencing > first.fencing
         if not (checks or released):
-            assert waited >= LEASE_SECONDS + LONGEST_ORDER_SECONDS
+            assert waited >= (
+                LEASE_SECONDS + LONGEST_ORDER_SECONDS + LATE_ORDER_SECONDS
+            )
 
     async def test_superseded_holder_gives_up_for_good(self):
         """Of two agents for one target only the later one keeps the lease."""
