--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -1,19 +1,24 @@
 """HTTP handlers of the callers' port of a forwarder."""
 
 import asyncio
+import contextlib
+from collections.abc import Callable, Iterator
 from typing import Final
 
 import msgspec
 from aiohttp import web
 
+from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.account import Account
 from ragwortcourse.forwarding.call import Call, PermittedCall
 from ragwortcourse.forwarding.call_kind import CallKind
 from ragwortcourse.forwarding.call_log import (
     note_answered,
     note_broken,
+    note_left,
     note_refused,
 )
+from ragwortcourse.forwarding.caller_timeouts import DELIVERY_SECONDS
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.permission import permit_call
 from ragwortcourse.forwarding.plain_call import serve_plain
@@ -59,11 +64,14 @@
     permitted = permit_call(forwarder.state, forwarder.fleet, call)
     if isinstance(permitted, Refusal):
         return _write_reply(call, permitted)
-    body = await request.read()
+    with _watch_caller(request, lambda: note_left(call)):
+        body = await request.read()
     if forwarder.closing:
         return _write_reply(call, STOPPING)
     work = _accept(call, *permitted, body)
     tries = Tries(forwarder=forwarder, work=work)
+    if read_clock() >= work.deadline:
+        return _write_reply(call, tries.run_out())
     suspects = tries.suspects
     admission = forwarder.safeguards.crash_admission
     refusal = admission.check(suspects)
@@ -80,22 +88,20 @@
     response: web.StreamResponse | Reply
     try:
         async with asyncio.timeout_at(tries.work.deadline):
-            response = await _serve(tries, request)
+            with _watch_caller(request, lambda: note_left(call, tries)):
+                response = await _serve(tries, request)
     except TimeoutError:
-        response = Refusal(
-            reason=Reason.TIMED_OUT, inputs={'targets': tries.tried}
-        )
         if _is_begun(request):
-            return _break_off(request, call, response)
+            note_broken(call, tries.run_out())
+            return _abort(request)
+        response = tries.failure or tries.run_out()
     except StreamBrokenError as error:
-        return _break_off(request, call, error.refusal)
+        note_broken(call, error.refusal)
+        return _abort(request)
     except OSError as error:
         # The caller closed its connection during a write.
-        return _break_off(
-            request,
-            call,
-            Refusal(reason=Reason.CALLER_LEFT, inputs={'error': repr(error)}),
-        )
+        note_left(call, tries, repr(error))
+        return _abort(request)
     if isinstance(response, Refusal):
         return _write_reply(call, response)
     status = (
@@ -114,7 +120,7 @@
 ) -> PermittedCall:
     limit = route.time_limit
     if call.time_left is not None:
-        limit = min(limit, call.time_left)
+        limit = min(limit, call.time_left - DELIVERY_SECONDS)
     return PermittedCall(
         call=call,
         route=route,
@@ -137,11 +143,22 @@
     return getattr(writer, 'output_size', 0) > 0
 
 
-def _break_off(
-    request: web.Request, call: Call, refusal: Refusal
-) -> web.StreamResponse:
+@contextlib.contextmanager
+def _watch_caller(
+    request: web.Request, note: Callable[[], None]
+) -> Iterator[None]:
+    """Note that the caller left, which cancels the handler."""
+    try:
+        yield
+    except asyncio.CancelledError:
+        # Time limits and the end of the daemon cancel handlers, too.
+        if request.transport is None:
+            note()
+        raise
+
+
+def _abort(request: web.Request) -> web.StreamResponse:
     """Abort the connection so that the answer can't be taken as complete."""
-    note_broken(call, refusal)
     if request.transport is not None:
         request.transport.abort()
     # aiohttp requires a response even after the connection was aborted.
--- a/src/ragwortcourse/forwarding/exchange.py
+++ b/src/ragwortcourse/forwarding/exchange.py
@@ -10,11 +10,11 @@
 from yarl import URL
 
 from ragwortcourse.bodies import is_framed
-from ragwortcourse.connections import ResetConnector
 from ragwortcourse.forwarding.answer_cut import AnswerCutError
 from ragwortcourse.forwarding.answer_head import AnswerHead
 from ragwortcourse.forwarding.call import PermittedCall
 from ragwortcourse.forwarding.loss_cause import LossCause
+from ragwortcourse.forwarding.target_connection import TargetConnector
 from ragwortcourse.forwarding.wire_format import Dispatch, WireFormat
 
 # Several round trips between the most distant failure domains.
@@ -109,7 +109,7 @@
     A reused connection may be dead, or may deliver a late answer to another
     request. A new connection costs one round trip.
     """
-    connector = ResetConnector(
+    connector = TargetConnector(
         limit=0, force_close=True, socket_factory=_open_socket
     )
     return aiohttp.ClientSession(
--- a/src/ragwortcourse/forwarding/plain_call.py
+++ b/src/ragwortcourse/forwarding/plain_call.py
@@ -6,7 +6,7 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.answer_cut import AnswerCutError
 from ragwortcourse.forwarding.open_try import OpenTry
-from ragwortcourse.forwarding.reply import Reason, Refusal, Reply, WholeAnswer
+from ragwortcourse.forwarding.reply import Refusal, Reply, WholeAnswer
 from ragwortcourse.forwarding.tries import Tries
 from ragwortcourse.forwarding.tries_end import TriesEnd
 from ragwortcourse.forwarding.try_lane import TryLane
@@ -32,25 +32,24 @@
             race.start()
             return await _serve(tries, race)
     except TimeoutError:
-        return Refusal(reason=Reason.TIMED_OUT, inputs={'targets': tries.tried})
+        return tries.failure or tries.run_out()
 
 
 async def _serve(
     tries: Tries, race: TryRace[WholeAnswer | Refusal | TriesEnd | None]
 ) -> Reply:
-    failed: WholeAnswer | None = None
     while True:
         lane, end = await race.wait_end()
         if isinstance(end, WholeAnswer):
             if end.head.status < HTTPStatus.INTERNAL_SERVER_ERROR:
                 return end
-            failed = end
+            tries.failure = end
         if not race.is_empty:
             # Another target still has the request.
             continue
         cause = _find_cause(tries, lane, end)
         if cause is not None:
-            return failed or tries.give_up(cause)
+            return tries.failure or tries.give_up(cause)
         race.start()
 
 
--- a/src/ragwortcourse/forwarding/tries_end.py
+++ b/src/ragwortcourse/forwarding/tries_end.py
@@ -11,3 +11,5 @@
     SUSPECT = 'may crash its targets'
     DECLINED = 'declined by too many targets'
     BUDGET = 'retry budget spent'
+    TIME = 'time limit reached'
+    GAP = 'caller waits no longer for an event'
--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -32,7 +32,7 @@
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_load import TargetLoad
 from ragwortcourse.forwarding.target_statements import note_statements
-from ragwortcourse.forwarding.tries import Tries
+from ragwortcourse.forwarding.tries import TIMER_SECONDS, Tries
 from ragwortcourse.forwarding.tries_end import TriesEnd
 from ragwortcourse.forwarding.urgency import rank_request
 from ragwortcourse.forwarding.version_bounds import read_start_limit
@@ -42,8 +42,6 @@
 # Share of the time limit of a route after which a silent target is avoided. A
 # try that ends sooner, as its caller left little time, tells nothing.
 SILENT_SHARE: Final = 0.25
-# Timers fire at most this early.
-TIMER_SECONDS: Final = 0.001
 # Silence for which a target is avoided on routes with a long time limit.
 SILENT_SECONDS: Final = 1.0
 
@@ -137,7 +135,8 @@
         self._is_silent = False
         self._is_passing_on = True
         try:
-            yield
+            with self._tries.history.pass_on():
+                yield
         finally:
             self._is_passing_on = False
             self._sign_at = read_clock()
@@ -266,6 +265,9 @@
             load.answered_sent_at = max(
                 load.answered_sent_at, self.crashes.sent_at
             )
+            self._tries.history.said[opened.target.name] = (
+                f'status {head.status}'
+            )
             return opened
         if head.ran:
             self.fail(
@@ -347,6 +349,7 @@
 ) -> None:
     """Log what became of a request at one target."""
     tries.moved = True
+    tries.history.said[target.name] = f'{message}, {detail}'
     LOGGER.info(
         message,
         extra={
