Reset the connection of a request that is given up

Cause: closing a transport in order first flushes what it still holds, so that a target that does not read gets the rest of the body later; and a target that does not read its connection while it works notices no orderly end.

Evidence: a stopped process as target, 8 MB of body, given up after 0.5 s and woken 0.7 s later, ran the request with the whole body; a target that looks only at its writer went on to the end with a short body too. With the reset the first never begins, and the second stops. A connection with a whole answer still ends in order.

What remains: a target that stood still with a whole short request in its socket begins it, and stops as it notices the reset.

--- a/src/ragwortcourse/forwarding/target_connection.py
+++ b/src/ragwortcourse/forwarding/target_connection.py
@@ -2,11 +2,16 @@
 
 import functools
 import socket
+import struct
+from typing import Final
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
+# Lingers for no time: a close resets the connection.
+RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
+
 
 class TargetProtocol(ResponseHandler):
     """Protocol that records whether its connection was reset.
@@ -17,6 +22,23 @@
 
     was_reset = False
 
+    def close(self) -> None:
+        """Close the connection, by a reset if the answer is not whole.
+
+        After an orderly close the rest of a request still reaches a target
+        that stands still, which runs it as it goes on. A target that does not
+        read notices only a reset.
+        """
+        if self.transport is None or self._is_answered():
+            super().close()
+            return
+        opened: socket.socket | None = self.transport.get_extra_info('socket')
+        if opened is not None:
+            opened.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        self.abort()
+
     def eof_received(self) -> None:
         """Read the pending error of the socket before it is closed."""
         transport = self.transport
@@ -34,6 +56,9 @@
             self.was_reset = True  # noqa: WPS601
         super().connection_lost(exc)
 
+    def _is_answered(self) -> bool:
+        return self._payload is not None and self._payload.is_eof()
+
 
 class TargetConnector(aiohttp.TCPConnector):
     """Connector whose connections use :class:`TargetProtocol`."""
