Answer callers before they leave when their time is up

Cause: the daemon's deadline was the caller's, so that no answer at the deadline could arrive in time.

Now what is due at the time a caller names is due 0.05 s sooner, for the way both ways and the wait in a busy process; time limits of routes stay as they are. Targets are handed the shorter time. A request whose time is up before any target got it is answered 503: it never ran; that was 504, or nothing.

Evidence: test_leaving_callers.py, in virtual time with 10 ms one way: six of its eight tests failed before (look-up, charge, stream not begun, stream begun, no time left, waited for a place), the other two hold on both sides.

What remains: an answer that is ready in the last 0.05 s is not delivered; a caller that is more than 0.05 s away, both ways, still leaves first.

--- a/src/ragwortcourse/forwarding/call.py
+++ b/src/ragwortcourse/forwarding/call.py
@@ -58,7 +58,8 @@
 
     :param account: none on public routes and in fleets without client
         accounts.
-    :param deadline: monotonic seconds at which the final answer is due.
+    :param deadline: monotonic seconds at which the final answer is due, so
+        that its caller still hears it.
     """
 
     call: Call
--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -6,6 +6,7 @@
 import msgspec
 from aiohttp import web
 
+from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.account import Account
 from ragwortcourse.forwarding.call import Call, PermittedCall
 from ragwortcourse.forwarding.call_kind import CallKind
@@ -30,6 +31,10 @@
 )
 from ragwortcourse.forwarding.tries import Tries
 
+# The way of a request and of its answer between a caller and the daemon, and
+# the wait in a busy process. A caller that leaves before its answer arrives
+# learns nothing, and its target may run the request after that.
+DELIVERY_SECONDS: Final = 0.05
 # Another entry daemon can serve the caller at once.
 STOPPING_RETRY_SECONDS: Final = 0.01
 STOPPING: Final = Refusal(
@@ -64,6 +69,8 @@
         return _write_reply(call, STOPPING)
     work = _accept(call, *permitted, body)
     tries = Tries(forwarder=forwarder, work=work)
+    if read_clock() >= work.deadline:
+        return _write_reply(call, tries.run_out())
     suspects = tries.suspects
     admission = forwarder.safeguards.crash_admission
     refusal = admission.check(suspects)
@@ -82,9 +89,7 @@
         async with asyncio.timeout_at(tries.work.deadline):
             response = await _serve(tries, request)
     except TimeoutError:
-        response = Refusal(
-            reason=Reason.TIMED_OUT, inputs={'targets': tries.tried}
-        )
+        response = tries.run_out()
         if _is_begun(request):
             return _break_off(request, call, response)
     except StreamBrokenError as error:
@@ -114,7 +119,7 @@
 ) -> PermittedCall:
     limit = route.time_limit
     if call.time_left is not None:
-        limit = min(limit, call.time_left)
+        limit = min(limit, call.time_left - DELIVERY_SECONDS)
     return PermittedCall(
         call=call,
         route=route,
--- a/src/ragwortcourse/forwarding/plain_call.py
+++ b/src/ragwortcourse/forwarding/plain_call.py
@@ -6,7 +6,7 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.answer_cut import AnswerCutError
 from ragwortcourse.forwarding.open_try import OpenTry
-from ragwortcourse.forwarding.reply import Reason, Refusal, Reply, WholeAnswer
+from ragwortcourse.forwarding.reply import Refusal, Reply, WholeAnswer
 from ragwortcourse.forwarding.tries import Tries
 from ragwortcourse.forwarding.tries_end import TriesEnd
 from ragwortcourse.forwarding.try_lane import TryLane
@@ -32,7 +32,7 @@
             race.start()
             return await _serve(tries, race)
     except TimeoutError:
-        return Refusal(reason=Reason.TIMED_OUT, inputs={'targets': tries.tried})
+        return tries.run_out()
 
 
 async def _serve(
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -120,6 +120,15 @@
         """Take back the run of a target that did not run the request."""
         self.runs -= 1
 
+    def run_out(self) -> Refusal:
+        """Build the refusal of a request whose time limit is reached."""
+        if not self.may_have_run:
+            return self.give_up(TriesEnd.TIME)
+        return Refusal(
+            reason=Reason.TIMED_OUT,
+            inputs={'targets': self.tried, 'runs': self.runs},
+        )
+
     def give_up(self, cause: Refusal | TriesEnd | None) -> Refusal:
         """Build the refusal that ends the tries.
 
--- a/src/ragwortcourse/forwarding/tries_end.py
+++ b/src/ragwortcourse/forwarding/tries_end.py
@@ -11,3 +11,4 @@
     SUSPECT = 'may crash its targets'
     DECLINED = 'declined by too many targets'
     BUDGET = 'retry budget spent'
+    TIME = 'time limit reached'
--- /dev/null
+++ b/tests/test_leaving_callers.py
@@ -0,0 +1,187 @@
+"""Requests whose callers leave when their time is up."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from fakes.fleet_parts import (
+    CHARGE,
+    KEY,
+    LOOKUP,
+    make_desired,
+    make_forwarder,
+    make_plain,
+    make_route,
+    make_state,
+    make_target,
+)
+from fakes.fleet_target import FleetTarget, answer_whole
+from fakes.memory_ports import MemoryPorts, use_memory_ports
+from fakes.raw_caller import RawCaller
+from fakes.virtual_clocks import follow_loop
+from ragwortcourse.forwarding.calls import build_call_routes
+from ragwortcourse.forwarding.exchange import open_target_session
+from ragwortcourse.processes.sites import open_site
+from tests.test_forwarding import CHARGED, LETTER, LOOK, hang
+from tests.test_silent_targets import pause_before, pause_within
+
+pytestmark = pytest.mark.looptime
+
+PORT = 1001
+# One way between a caller and the daemon.
+TRANSIT = 0.01
+# Longer than the callers of these tests wait.
+ROUTES = [
+    make_route(time_limit=4.0),
+    *(
+        make_route(
+            name=each.name,
+            prefix=each.prefix,
+            kind=each.kind,
+            services=each.services,
+            max_tries=each.max_tries,
+            resumable=False,
+            time_limit=4.0,
+        )
+        for each in (LOOKUP, CHARGE)
+    ),
+]
+
+
+class Desk:
+    """Forwarder and targets whose callers leave when their time is up."""
+
+    def __init__(self) -> None:
+        self.targets: list[FleetTarget] = []
+        self.stack = contextlib.AsyncExitStack()
+
+    async def open(self, *scripts, plain: bool = True) -> None:
+        """Start a target for each script, and the forwarder."""
+        self.stack.enter_context(
+            use_memory_ports(
+                asyncio.get_running_loop(), MemoryPorts(transit=TRANSIT)
+            )
+        )
+        self.stack.enter_context(follow_loop())
+        make = make_plain if plain else make_target
+        for script in scripts:
+            target = FleetTarget(script)
+            await target.start()
+            self.stack.push_async_callback(target.stop)
+            self.targets.append(target)
+        state = make_state(
+            *(
+                make(f't-{number}', address=target.address)
+                for number, target in enumerate(self.targets)
+            )
+        )
+        state.desired = make_desired(*ROUTES)
+        session = await self.stack.enter_async_context(open_target_session())
+        self.forwarder = make_forwarder(state, session)
+        runner = await open_site(
+            address=f'127.0.0.1:{PORT}',
+            routes=build_call_routes(self.forwarder),
+        )
+        self.stack.push_async_callback(runner.cleanup)
+
+    async def ask(self, path: str, seconds: float, *, left: float = 2.0):
+        """Ask, and leave when the time is up; return the reply, if any.
+
+        :param seconds: time that the caller names.
+        :param left: time after which it leaves.
+        """
+        caller = RawCaller(port=PORT)
+        await caller.open()
+        headers = {
+            'Host': 'desk.example',
+            'Authorization': f'Bearer {KEY}',
+            'Ragwortcourse-Attempt-Id': 'a1',
+            'Ragwortcourse-Deadline-Ms': str(round(seconds * 1000)),
+        }
+        try:
+            async with asyncio.timeout(min(seconds, left)):
+                return await caller.ask(path, headers.items(), [(0, b'body')])
+        except TimeoutError:
+            return None
+        finally:
+            caller.close()
+            await asyncio.sleep(2 * TRANSIT)
+
+    @property
+    def runs(self) -> int:
+        """Number of requests that reached any target."""
+        return sum(len(target.received) for target in self.targets)
+
+
+@pytest.fixture
+async def desk():
+    """Forwarder that is closed after the test."""
+    opened = Desk()
+    async with opened.stack:
+        yield opened
+
+
+class TestSilentTargets:
+    """Requests whose targets stand still until the callers' time is up."""
+
+    @pytest.mark.parametrize('path', [LOOK, CHARGED, LETTER])
+    async def test_caller_leaves_without_an_answer(self, desk, path):
+        """The caller hears 504 before it leaves.
+
+        It left some milliseconds before the answer, and the target ran the
+        request after that.
+        """
+        await desk.open(hang, hang, plain=path != LETTER)
+        reply = await desk.ask(path, 1.5)
+        assert reply is not None
+        assert reply.status == 504
+        assert reply.ended_at - reply.began_at > 1.4
+
+    async def test_caller_leaves_a_begun_stream(self, desk):
+        """The caller hears that a stream broke off before it leaves."""
+        await desk.open(pause_within(seconds=30), plain=False)
+        reply = await desk.ask(LETTER, 1.5)
+        assert reply is not None
+        assert reply.status == 200
+        assert not reply.is_whole
+
+    async def test_answer_just_in_time(self, desk):
+        """An answer that is ready before that is delivered."""
+        await desk.open(pause_before(1.4, answer_whole))
+        reply = await desk.ask(LOOK, 1.5)
+        assert reply is not None
+        assert reply.status == 200
+
+    async def test_time_limit_of_the_route(self, desk):
+        """The time limit of the route is not shortened."""
+        await desk.open(hang)
+        reply = await desk.ask(LOOK, 6.0, left=5.0)
+        assert reply is not None
+        assert reply.status == 504
+        assert reply.ended_at - reply.began_at >= 4.0
+
+
+class TestNotSent:
+    """Requests whose time is up before a target gets them."""
+
+    async def test_no_time_left(self, desk):
+        """A request that can't be answered in time is sent to no target."""
+        await desk.open(answer_whole)
+        reply = await desk.ask(CHARGED, 0.04, left=1.0)
+        assert reply is not None
+        assert reply.status == 503
+        assert not desk.runs
+
+    async def test_waits_for_a_place(self, desk):
+        """A request that waited for a place all the time has not run."""
+        await desk.open(answer_whole)
+        for target in desk.forwarder.state.targets.values():
+            for _ in range(20):
+                desk.forwarder.find_load(target).count_sent(0)
+        # The caller counts as late, and may wait.
+        desk.forwarder.caller_timeouts.is_first_try('charges', 4.0)
+        reply = await desk.ask(CHARGED, 0.5)
+        assert reply is not None
+        assert reply.status == 503
+        assert not desk.runs
