Answer callers of streams before they abandon them

Callers abandon a stream after a gap without an event: two seconds, four times the objective or eight times the longest gap, whichever is longest, also before the first event. Forwarders did not know that.

Now a stream is answered 0.05 s before that: 504, or 503 if no target got it, and a begun one is broken off. A target is still not left sooner. While a part waits for a caller that does not read, no gap is counted. The line of such an answer has `ended_by`: `caller waits no longer for an event`.

Evidence: test_leaving_callers.py, callers that leave after two seconds: both tests (before the first event, after events) failed before; a stream whose gaps are shorter goes on.

The soak's streams now declare their longest gap, as the protocol has it. Otherwise its callers would count as leaving after 2 s, and its silences add up to more.

--- a/fakes/soak_state.py
+++ b/fakes/soak_state.py
@@ -121,6 +121,7 @@
             'route_type': route_type,
             'timeout_ms': self._timeouts[kind],
             'slo_ms': 500,
+            'gap_target_ms': 400 if kind in STREAMS else 0,
             'split': [
                 {'service': name, 'weight': share}
                 for name, share in shares.items()
--- a/src/ragwortcourse/forwarding/call_log.py
+++ b/src/ragwortcourse/forwarding/call_log.py
@@ -74,10 +74,10 @@
     REQUESTS.add(1, {'answer': str(status)})
     TRIES.add(len(tries.tried))
     DURATION.record(seconds, {'answer': 'target'})
-    if tries.sent_at is not None:
-        WAITING.record(tries.sent_at - call.arrived_at)
-    if tries.first_at is not None:
-        FIRST_EVENT.record(tries.first_at - call.arrived_at)
+    if tries.history.sent_at is not None:
+        WAITING.record(tries.history.sent_at - call.arrived_at)
+    if tries.history.first_at is not None:
+        FIRST_EVENT.record(tries.history.first_at - call.arrived_at)
     if tries.moved or is_sampled(call):
         LOGGER.info(
             'answered',
@@ -88,7 +88,8 @@
                 'targets': tries.tried,
                 'runs': tries.runs,
                 'first_seconds': (
-                    tries.first_at and tries.first_at - call.arrived_at
+                    tries.history.first_at
+                    and tries.history.first_at - call.arrived_at
                 ),
                 'late_already': tries.was_late,
                 'seconds': seconds,
--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -15,6 +15,7 @@
     note_broken,
     note_refused,
 )
+from ragwortcourse.forwarding.caller_timeouts import DELIVERY_SECONDS
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.permission import permit_call
 from ragwortcourse.forwarding.plain_call import serve_plain
@@ -31,10 +32,6 @@
 )
 from ragwortcourse.forwarding.tries import Tries
 
-# The way of a request and of its answer between a caller and the daemon, and
-# the wait in a busy process. A caller that leaves before its answer arrives
-# learns nothing, and its target may run the request after that.
-DELIVERY_SECONDS: Final = 0.05
 # Another entry daemon can serve the caller at once.
 STOPPING_RETRY_SECONDS: Final = 0.01
 STOPPING: Final = Refusal(
--- a/src/ragwortcourse/forwarding/stream_call.py
+++ b/src/ragwortcourse/forwarding/stream_call.py
@@ -70,7 +70,8 @@
     async def serve(self) -> Served:
         """Relay the stream, from another target after each failure.
 
-        :raises TimeoutError: the deadline of the request has passed.
+        :raises TimeoutError: the deadline of the request has passed, or its
+            caller is about to leave.
         :raises StreamBrokenError: no target may continue the stream, and the
             caller has part of it.
         """
@@ -162,7 +163,7 @@
             )
             response.headers.popall('Content-Length', None)
             await response.prepare(self._request)
-            self._tries.first_at = read_clock()
+            self._tries.history.first_at = read_clock()
             self._response = response
             self._first = head
         return self._response
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -1,15 +1,22 @@
 """Progress of one request over the targets that it is sent to."""
 
+import math
 from typing import Final
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.admission import choose_retry_after
 from ragwortcourse.forwarding.call import PermittedCall
+from ragwortcourse.forwarding.call_kind import CallKind
+from ragwortcourse.forwarding.caller_timeouts import (
+    DELIVERY_SECONDS,
+    find_longest_gap,
+)
 from ragwortcourse.forwarding.choice import choose_service, read_demand
 from ragwortcourse.forwarding.choice_refusals import choose_return
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.reply import Reason, Refusal
 from ragwortcourse.forwarding.tries_end import TriesEnd
+from ragwortcourse.forwarding.try_history import TryHistory
 from ragwortcourse.forwarding.urgency import Standing
 from ragwortcourse.identifiers import ServiceName, TargetName
 
@@ -20,6 +27,8 @@
 BESIDE_SHARE: Final = 0.5
 # A target that did not run a request may have a free slot after this time.
 DECLINED_RETRY_SECONDS: Final = 0.2
+# Timers fire at most this early.
+TIMER_SECONDS: Final = 0.001
 
 
 class Tries:
@@ -30,8 +39,6 @@
     ``moved`` is true once a target did not serve the request.
     ``was_misdirected`` is true once another incarnation answered. ``was_late``
     is true if the objective could no longer be met when the request arrived.
-    ``sent_at`` is the time of the first try and ``first_at`` the time at which
-    the response to the caller began, in monotonic seconds.
 
     :param work: the permitted call.
     """
@@ -46,8 +53,9 @@
         self.tried: list[TargetName] = []
         self.moved = False
         self.was_misdirected = False
-        self.sent_at: float | None = None
-        self.first_at: float | None = None
+        self.history = TryHistory(
+            heard_at=work.call.arrived_at, asked_at=work.call.arrived_at
+        )
         self.was_late = self.is_late
 
     @property
@@ -63,10 +71,22 @@
         """Tell whether the objective can no longer be met."""
         return read_demand(self.forwarder, self.work).time_left <= 0
 
+    @property
+    def gap_left(self) -> float:
+        """Seconds in which the next event of a stream still finds its caller.
+
+        Infinite for all other requests.
+        """
+        if self.work.route.kind is not CallKind.STREAMING:
+            return math.inf
+        gap = find_longest_gap(self.work.route) - DELIVERY_SECONDS
+        left = self.history.heard_at + gap - read_clock()
+        return left if left > TIMER_SECONDS else 0
+
     @property
     def standing(self) -> Standing:
         """How urgent the request is beside others of its kind."""
-        if self.first_at is not None:
+        if self.history.first_at is not None:
             return Standing.MOVED
         return Standing.LATE if self.is_late else Standing.FRESH
 
@@ -111,7 +131,8 @@
         """Count a target that gets the request, and that may run it."""
         if not self.sends:
             self.forwarder.safeguards.retry_budget.count_first_try()
-            self.sent_at = now
+            self.history.sent_at = now
+        self.history.asked_at = now
         self.sends += 1
         self.runs += 1
         self.tried.append(target)
@@ -121,12 +142,17 @@
         self.runs -= 1
 
     def run_out(self) -> Refusal:
-        """Build the refusal of a request whose time limit is reached."""
+        """Build the refusal of a request whose caller is about to leave."""
+        cause = TriesEnd.TIME if self.gap_left else TriesEnd.GAP
         if not self.may_have_run:
-            return self.give_up(TriesEnd.TIME)
+            return self.give_up(cause)
         return Refusal(
             reason=Reason.TIMED_OUT,
-            inputs={'targets': self.tried, 'runs': self.runs},
+            inputs={
+                'ended_by': cause,
+                'targets': self.tried,
+                'runs': self.runs,
+            },
         )
 
     def give_up(self, cause: Refusal | TriesEnd | None) -> Refusal:
--- a/src/ragwortcourse/forwarding/tries_end.py
+++ b/src/ragwortcourse/forwarding/tries_end.py
@@ -12,3 +12,4 @@
     DECLINED = 'declined by too many targets'
     BUDGET = 'retry budget spent'
     TIME = 'time limit reached'
+    GAP = 'caller waits no longer for an event'
--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -32,7 +32,7 @@
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_load import TargetLoad
 from ragwortcourse.forwarding.target_statements import note_statements
-from ragwortcourse.forwarding.tries import Tries
+from ragwortcourse.forwarding.tries import TIMER_SECONDS, Tries
 from ragwortcourse.forwarding.tries_end import TriesEnd
 from ragwortcourse.forwarding.urgency import rank_request
 from ragwortcourse.forwarding.version_bounds import read_start_limit
@@ -42,8 +42,6 @@
 # Share of the time limit of a route after which a silent target is avoided. A
 # try that ends sooner, as its caller left little time, tells nothing.
 SILENT_SHARE: Final = 0.25
-# Timers fire at most this early.
-TIMER_SECONDS: Final = 0.001
 # Silence for which a target is avoided on routes with a long time limit.
 SILENT_SECONDS: Final = 1.0
 
@@ -137,7 +135,8 @@
         self._is_silent = False
         self._is_passing_on = True
         try:
-            yield
+            with self._tries.history.pass_on():
+                yield
         finally:
             self._is_passing_on = False
             self._sign_at = read_clock()
--- a/src/ragwortcourse/forwarding/try_race.py
+++ b/src/ragwortcourse/forwarding/try_race.py
@@ -13,8 +13,8 @@
 from typing import Final, Generic, TypeVar
 
 from ragwortcourse.clock import read_clock
-from ragwortcourse.forwarding.tries import Tries
-from ragwortcourse.forwarding.try_lane import TIMER_SECONDS, TryLane
+from ragwortcourse.forwarding.tries import TIMER_SECONDS, Tries
+from ragwortcourse.forwarding.try_lane import TryLane
 
 # Interval at which one more target is looked for.
 ASK_AGAIN_SECONDS: Final = 0.25
@@ -82,16 +82,21 @@
 
         Meanwhile one more target is asked whenever those that have the request
         are silent for too long.
+
+        :raises TimeoutError: the caller of a stream is about to leave, as it
+            has got no event for long.
         """
         while True:
             await asyncio.wait(
                 self._lanes,
-                timeout=self._find_next_ask(),
+                timeout=min(self._find_next_ask(), self._tries.gap_left),
                 return_when=asyncio.FIRST_COMPLETED,
             )
             ended = self._take_ended()
             if ended is not None:
                 return ended
+            if not self._tries.gap_left:
+                raise TimeoutError
             for lane in self._lanes.values():
                 if not lane.patience_left:
                     lane.note_silent()
--- a/tests/test_caller_timeouts.py
+++ b/tests/test_caller_timeouts.py
@@ -2,7 +2,13 @@
 
 import random
 
-from ragwortcourse.forwarding.caller_timeouts import CallerTimeouts
+import pytest
+
+from fakes.fleet_parts import make_route
+from ragwortcourse.forwarding.caller_timeouts import (
+    CallerTimeouts,
+    find_longest_gap,
+)
 
 LIMIT = 6.0
 
@@ -35,3 +41,16 @@
         times = CallerTimeouts()
         times.is_first_try('letters', LIMIT)
         assert times.is_first_try('charges', 1.5)
+
+
+class TestFindLongestGap:
+    """Gap of a stream after which callers abandon it."""
+
+    @pytest.mark.parametrize(
+        ('objective', 'longest_gap', 'expected'),
+        [(0.4, 0.2, 2.0), (0.9, 0.2, 3.6), (0.4, 0.4, 3.2), (0, 0, 2.0)],
+    )
+    def test_longest(self, objective, longest_gap, expected):
+        """The longest of three times holds."""
+        route = make_route(objective=objective, longest_gap=longest_gap)
+        assert find_longest_gap(route) == pytest.approx(expected)
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -31,9 +31,11 @@
 PORT = 1001
 # One way between a caller and the daemon.
 TRANSIT = 0.01
+# Gap after which callers abandon a stream.
+LONGEST_GAP = 2.0
 # Longer than the callers of these tests wait.
 ROUTES = [
-    make_route(time_limit=4.0),
+    make_route(time_limit=4.0, objective=0.5, longest_gap=0.2),
     *(
         make_route(
             name=each.name,
@@ -146,6 +148,33 @@
         assert reply.status == 200
         assert not reply.is_whole
 
+    async def test_caller_leaves_before_the_first_event(self, desk):
+        """The caller hears 504 before it abandons a stream without events.
+
+        Callers do so long before their time limit.
+        """
+        await desk.open(hang, hang, plain=False)
+        reply = await desk.ask(LETTER, 3.9, left=LONGEST_GAP)
+        assert reply is not None
+        assert reply.status == 504
+        assert reply.ended_at - reply.began_at > LONGEST_GAP - 0.1
+
+    async def test_caller_leaves_after_an_event(self, desk):
+        """The caller hears that a begun stream broke off, too."""
+        await desk.open(pause_within(seconds=30), plain=False)
+        reply = await desk.ask(LETTER, 3.9, left=LONGEST_GAP + 3 * TRANSIT)
+        assert reply is not None
+        assert not reply.is_whole
+        assert reply.ended_at - reply.began_at > LONGEST_GAP - 0.1
+
+    async def test_event_before_the_caller_leaves(self, desk):
+        """A stream whose gaps are shorter goes on, however long they are."""
+        script = pause_before(LONGEST_GAP - 0.2, pause_within(1.8))
+        await desk.open(script, plain=False)
+        reply = await desk.ask(LETTER, 3.9, left=3.9)
+        assert reply is not None
+        assert reply.is_whole
+
     async def test_answer_just_in_time(self, desk):
         """An answer that is ready before that is delivered."""
         await desk.open(pause_before(1.4, answer_whole))
