Test that no row puts an address that is none into the state

No running daemon gets there: `Target` is built in `decode_target` alone, which parses the address; relayed rows and full lists pass through the same handler; departures and loaders' notices change no address; a target whose row turns odd is removed. The test holds on the code as it was.

--- a/tests/test_target_reader.py
+++ b/tests/test_target_reader.py
@@ -75,6 +75,24 @@
         handler.change((make_row('odd'),), 0, 0)
         assert state.targets.keys() == {'a', 'odd'}
 
+    @pytest.mark.parametrize(
+        'address', ['127.0.0.1:99999', '[::1:80', 'x..y:80', '']
+    )
+    async def test_address_gets_into_the_state(self, handler, state, address):
+        """No row puts such an address into the state, and none keeps it there.
+
+        Requests that may not be repeated would fail there with 502.
+        """
+        odd = make_row('a', address=address)
+        handler.change((odd,), 0, 0)
+        assert not state.targets
+        handler.replace((make_row('a'),), 0)
+        handler.change((odd,), 0, 0)
+        assert not state.targets
+        handler.replace((make_row('a'), make_row('b')), 0)
+        handler.replace((odd, make_row('b')), 0)
+        assert state.targets.keys() == {'b'}
+
     async def test_good_again(self, handler, state):
         """A target is listed again with the next good version of its row."""
         handler.change((StoreRow(key='a', content=DEEP),), 0, 0)
