Log each caller that leaves before its answer

Nothing was logged of a request whose caller left after `target is silent`, or before any line: a handler that is cancelled logged none, and OPERATIONS.md could not lead from its id to its cause.

Now `caller left before its answer` says what the caller waited for, how long, what it had been told to wait, and what each target had said. Writes that fail as the caller closes get the same line; the reason `caller disconnected` is gone. Nothing is logged where a time limit or the daemon's end cancels.

Evidence: test_leaving_callers.py::TestLines, in virtual time: all but test_answered and test_place, which came with the change, failed before.

--- a/src/ragwortcourse/forwarding/call_log.py
+++ b/src/ragwortcourse/forwarding/call_log.py
@@ -2,7 +2,7 @@
 
 import logging
 import zlib
-from typing import Final
+from typing import Final, NamedTuple
 
 from opentelemetry import metrics
 
@@ -43,6 +43,16 @@
 )
 
 
+class Awaited(NamedTuple):
+    """What the caller of a request waits for.
+
+    :param since: monotonic seconds.
+    """
+
+    what: str
+    since: float
+
+
 def is_sampled(call: Call) -> bool:
     """Tell whether a request is logged although its first target served it."""
     return zlib.crc32((call.attempt or '').encode()) % SAMPLED_ONE_IN == 0
@@ -97,6 +107,46 @@
         )
 
 
+def note_left(
+    call: Call, tries: Tries | None = None, detail: str | None = None
+) -> None:
+    """Log and count a caller that left before the end of its answer.
+
+    :param tries: progress of the request; none if it was not yet whole.
+    :param detail: error of a write to the caller; none without one.
+    """
+    now = read_clock()
+    awaited = _find_awaited(call, tries)
+    REQUESTS.add(1, {'answer': 'left'})
+    LOGGER.info(
+        'caller left before its answer',
+        extra={
+            'request': call.attempt,
+            'path': call.path,
+            'waited_for': awaited.what,
+            'waited_seconds': now - awaited.since,
+            'seconds': now - call.arrived_at,
+            'time_left': call.time_left,
+            'targets': () if tries is None else tries.tried,
+            'said': {} if tries is None else tries.history.said,
+            'runs': 0 if tries is None else tries.runs,
+            'detail': detail,
+        },
+    )
+
+
+def _find_awaited(call: Call, tries: Tries | None) -> Awaited:
+    if tries is None:
+        return Awaited(what='rest of the request', since=call.arrived_at)
+    if tries.history.first_at is not None:
+        # While a part is passed on, the caller itself is late.
+        since = min(tries.history.heard_at, read_clock())
+        return Awaited(what='rest of the answer', since=since)
+    if tries.may_have_run:
+        return Awaited(what='answer of a target', since=tries.history.asked_at)
+    return Awaited(what='place at a target', since=call.arrived_at)
+
+
 def note_broken(call: Call, refusal: Refusal) -> None:
     """Log and count an answer that was aborted after its beginning."""
     seconds = read_clock() - call.arrived_at
--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -1,6 +1,8 @@
 """HTTP handlers of the callers' port of a forwarder."""
 
 import asyncio
+import contextlib
+from collections.abc import Callable, Iterator
 from typing import Final
 
 import msgspec
@@ -13,6 +15,7 @@
 from ragwortcourse.forwarding.call_log import (
     note_answered,
     note_broken,
+    note_left,
     note_refused,
 )
 from ragwortcourse.forwarding.caller_timeouts import DELIVERY_SECONDS
@@ -61,7 +64,8 @@
     permitted = permit_call(forwarder.state, forwarder.fleet, call)
     if isinstance(permitted, Refusal):
         return _write_reply(call, permitted)
-    body = await request.read()
+    with _watch_caller(request, lambda: note_left(call)):
+        body = await request.read()
     if forwarder.closing:
         return _write_reply(call, STOPPING)
     work = _accept(call, *permitted, body)
@@ -84,20 +88,20 @@
     response: web.StreamResponse | Reply
     try:
         async with asyncio.timeout_at(tries.work.deadline):
-            response = await _serve(tries, request)
+            with _watch_caller(request, lambda: note_left(call, tries)):
+                response = await _serve(tries, request)
     except TimeoutError:
         response = tries.run_out()
         if _is_begun(request):
-            return _break_off(request, call, response)
+            note_broken(call, response)
+            return _abort(request)
     except StreamBrokenError as error:
-        return _break_off(request, call, error.refusal)
+        note_broken(call, error.refusal)
+        return _abort(request)
     except OSError as error:
         # The caller closed its connection during a write.
-        return _break_off(
-            request,
-            call,
-            Refusal(reason=Reason.CALLER_LEFT, inputs={'error': repr(error)}),
-        )
+        note_left(call, tries, repr(error))
+        return _abort(request)
     if isinstance(response, Refusal):
         return _write_reply(call, response)
     status = (
@@ -139,11 +143,22 @@
     return getattr(writer, 'output_size', 0) > 0
 
 
-def _break_off(
-    request: web.Request, call: Call, refusal: Refusal
-) -> web.StreamResponse:
+@contextlib.contextmanager
+def _watch_caller(
+    request: web.Request, note: Callable[[], None]
+) -> Iterator[None]:
+    """Note that the caller left, which cancels the handler."""
+    try:
+        yield
+    except asyncio.CancelledError:
+        # Time limits and the end of the daemon cancel handlers, too.
+        if request.transport is None:
+            note()
+        raise
+
+
+def _abort(request: web.Request) -> web.StreamResponse:
     """Abort the connection so that the answer can't be taken as complete."""
-    note_broken(call, refusal)
     if request.transport is not None:
         request.transport.abort()
     # aiohttp requires a response even after the connection was aborted.
--- a/src/ragwortcourse/forwarding/reply.py
+++ b/src/ragwortcourse/forwarding/reply.py
@@ -23,7 +23,6 @@
     NOT_RUN = 'targets did not run it'
     FAILED = 'answer lost or spoilt'
     TIMED_OUT = 'time limit reached'
-    CALLER_LEFT = 'caller disconnected'
 
 
 # All other reasons are answered with 503, which promises that the request has
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -27,6 +27,7 @@
 BESIDE_SHARE: Final = 0.5
 # A target that did not run a request may have a free slot after this time.
 DECLINED_RETRY_SECONDS: Final = 0.2
+NOTHING_SAID: Final = 'nothing'
 # Timers fire at most this early.
 TIMER_SECONDS: Final = 0.001
 
@@ -136,6 +137,7 @@
         self.sends += 1
         self.runs += 1
         self.tried.append(target)
+        self.history.said[target] = NOTHING_SAID
 
     def count_not_run(self) -> None:
         """Take back the run of a target that did not run the request."""
--- a/src/ragwortcourse/forwarding/try_history.py
+++ b/src/ragwortcourse/forwarding/try_history.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 from ragwortcourse.clock import read_clock
+from ragwortcourse.identifiers import TargetName
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -21,12 +22,14 @@
         arrival.
     :param sent_at: time of the first try.
     :param first_at: time at which the response to the caller began.
+    :param said: what each target has said so far, for the log.
     """
 
     heard_at: float
     asked_at: float
     sent_at: float | None = None
     first_at: float | None = None
+    said: dict[TargetName, str] = dataclasses.field(default_factory=dict)
 
     @contextlib.contextmanager
     def pass_on(self) -> Iterator[None]:
--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -265,6 +265,9 @@
             load.answered_sent_at = max(
                 load.answered_sent_at, self.crashes.sent_at
             )
+            self._tries.history.said[opened.target.name] = (
+                f'status {head.status}'
+            )
             return opened
         if head.ran:
             self.fail(
@@ -346,6 +349,7 @@
 ) -> None:
     """Log what became of a request at one target."""
     tries.moved = True
+    tries.history.said[target.name] = f'{message}, {detail}'
     LOGGER.info(
         message,
         extra={
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 
 import pytest
 
@@ -16,14 +17,14 @@
     make_state,
     make_target,
 )
-from fakes.fleet_target import FleetTarget, answer_whole
+from fakes.fleet_target import FleetTarget, answer_whole, begin_with
 from fakes.memory_ports import MemoryPorts, use_memory_ports
 from fakes.raw_caller import RawCaller
 from fakes.virtual_clocks import follow_loop
 from ragwortcourse.forwarding.calls import build_call_routes
 from ragwortcourse.forwarding.exchange import open_target_session
 from ragwortcourse.processes.sites import open_site
-from tests.test_forwarding import CHARGED, LETTER, LOOK, hang
+from tests.test_forwarding import CHARGED, LETTER, LOOK, decline, hang
 from tests.test_silent_targets import pause_before, pause_within
 
 pytestmark = pytest.mark.looptime
@@ -214,3 +215,98 @@
         assert reply is not None
         assert reply.status == 503
         assert not desk.runs
+
+
+LEFT = 'caller left before its answer'
+
+
+@pytest.fixture
+def lines(caplog):
+    """Fields of the log lines about callers that left."""
+    caplog.set_level(logging.INFO, logger='ragwortcourse.forwarding')
+
+    def find() -> list[dict[str, object]]:
+        return [vars(each) for each in caplog.records if each.message == LEFT]
+
+    return find
+
+
+class TestLines:
+    """Log lines about callers that leave before their answer."""
+
+    async def test_target_hangs(self, desk, lines):
+        """The line tells for what the caller waited, and how long."""
+        await desk.open(hang, hang)
+        assert await desk.ask(LOOK, 3.0, left=1.0) is None
+        (line,) = lines()
+        assert line['request'] == 'a1'
+        assert line['waited_for'] == 'answer of a target'
+        assert line['waited_seconds'] == pytest.approx(1.0, abs=0.03)
+        assert line['seconds'] == pytest.approx(1.0, abs=0.03)
+        assert line['runs'] == 1
+
+    async def test_what_targets_said(self, desk, lines):
+        """The line tells what each target had said."""
+        script = begin_with(decline, hang)
+        await desk.open(script, script)
+        assert await desk.ask(LOOK, 3.0, left=1.0) is None
+        (line,) = lines()
+        assert [line['said'][each] for each in line['targets']] == [
+            'target did not run the request, status 503',
+            'nothing',
+        ]
+
+    async def test_silent_target(self, desk, lines):
+        """The line tells which target was silent."""
+        await desk.open(hang, plain=False)
+        assert await desk.ask(LETTER, 3.0, left=1.8) is None
+        (line,) = lines()
+        assert line['targets'] == ['t-0']
+        assert line['said']['t-0'].startswith('target is silent, for 1.2')
+
+    async def test_begun_stream(self, desk, lines):
+        """The line tells that the caller had part of its stream."""
+        await desk.open(pause_within(seconds=30), plain=False)
+        assert await desk.ask(LETTER, 3.0, left=0.5) is None
+        (line,) = lines()
+        assert line['waited_for'] == 'rest of the answer'
+        assert line['waited_seconds'] == pytest.approx(0.45, abs=0.05)
+
+    async def test_body(self, desk, lines):
+        """A caller that leaves amid its request is logged, too."""
+        await desk.open(answer_whole)
+        caller = RawCaller(port=PORT)
+        await caller.open()
+        headers = [
+            ('Host', 'desk.example'),
+            ('Authorization', f'Bearer {KEY}'),
+            ('Ragwortcourse-Attempt-Id', 'a1'),
+        ]
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.5):
+                await caller.ask(LOOK, headers, [(0, b'bo'), (9, b'dy')])
+        caller.close()
+        await asyncio.sleep(2 * TRANSIT)
+        (line,) = lines()
+        assert line['waited_for'] == 'rest of the request'
+        assert not line['targets']
+        assert not desk.runs
+
+    async def test_place(self, desk, lines):
+        """The line tells that no target got the request."""
+        await desk.open(answer_whole)
+        (target,) = desk.forwarder.state.targets.values()
+        for _ in range(20):
+            desk.forwarder.find_load(target).count_sent(0)
+        # The caller counts as late, and may wait.
+        desk.forwarder.caller_timeouts.is_first_try('charges', 9.0)
+        assert await desk.ask(CHARGED, 3.0, left=0.3) is None
+        (line,) = lines()
+        assert line['waited_for'] == 'place at a target'
+        assert line['targets'] == []
+
+    async def test_answered(self, desk, lines):
+        """No such line is written of a caller with an answer."""
+        await desk.open(answer_whole)
+        assert (await desk.ask(LOOK, 3.0)).status == 200
+        assert not lines()
