Pass on a known failure when the time of a request is up

A look-up or stream that one target answered 500, while the other stayed silent, got 504 at its limit: the failure was known only where no target had the request any more. Now it is kept with the tries and passed on at the limit; until then the silent target may still answer.

Evidence: test_leaving_callers.py::TestFailureBesideSilentTarget, both cases of test_known_failure_is_replaced failed before; a begun stream still ends without it.

--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -91,10 +91,10 @@
             with _watch_caller(request, lambda: note_left(call, tries)):
                 response = await _serve(tries, request)
     except TimeoutError:
-        response = tries.run_out()
         if _is_begun(request):
-            note_broken(call, response)
+            note_broken(call, tries.run_out())
             return _abort(request)
+        response = tries.failure or tries.run_out()
     except StreamBrokenError as error:
         note_broken(call, error.refusal)
         return _abort(request)
--- a/src/ragwortcourse/forwarding/plain_call.py
+++ b/src/ragwortcourse/forwarding/plain_call.py
@@ -32,25 +32,24 @@
             race.start()
             return await _serve(tries, race)
     except TimeoutError:
-        return tries.run_out()
+        return tries.failure or tries.run_out()
 
 
 async def _serve(
     tries: Tries, race: TryRace[WholeAnswer | Refusal | TriesEnd | None]
 ) -> Reply:
-    failed: WholeAnswer | None = None
     while True:
         lane, end = await race.wait_end()
         if isinstance(end, WholeAnswer):
             if end.head.status < HTTPStatus.INTERNAL_SERVER_ERROR:
                 return end
-            failed = end
+            tries.failure = end
         if not race.is_empty:
             # Another target still has the request.
             continue
         cause = _find_cause(tries, lane, end)
         if cause is not None:
-            return failed or tries.give_up(cause)
+            return tries.failure or tries.give_up(cause)
         race.start()
 
 
--- a/src/ragwortcourse/forwarding/stream_call.py
+++ b/src/ragwortcourse/forwarding/stream_call.py
@@ -62,7 +62,6 @@
         self._last_event = tries.work.call.last_event
         self._response: web.StreamResponse | None = None
         self._first: AnswerHead | None = None
-        self._failure: WholeAnswer | None = None
         self._race = TryRace(
             tries=tries, run=self._run, choose_patience=self._choose_patience
         )
@@ -89,7 +88,7 @@
             await self._response.write_eof()
             return self._response
         if isinstance(end, WholeAnswer):
-            self._failure = end
+            self._tries.failure = end
         if not self._race.is_empty:
             # Another target still has the request.
             return None
@@ -107,7 +106,7 @@
         refusal = self._tries.give_up(cause)
         if self._response is not None:
             raise StreamBrokenError(refusal)
-        return self._failure or refusal
+        return self._tries.failure or refusal
 
     def _choose_patience(self) -> float:
         return SILENT_SECONDS if self._response is None else STALL_SECONDS
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -14,7 +14,7 @@
 from ragwortcourse.forwarding.choice import choose_service, read_demand
 from ragwortcourse.forwarding.choice_refusals import choose_return
 from ragwortcourse.forwarding.forwarder import Forwarder
-from ragwortcourse.forwarding.reply import Reason, Refusal
+from ragwortcourse.forwarding.reply import Reason, Refusal, WholeAnswer
 from ragwortcourse.forwarding.tries_end import TriesEnd
 from ragwortcourse.forwarding.try_history import TryHistory
 from ragwortcourse.forwarding.urgency import Standing
@@ -37,6 +37,7 @@
 
     ``tried`` are the targets to which the request was sent, in order.
     ``sends`` counts them, and ``runs`` those that may have run the request.
+    ``failure`` is the last failure that a target answered.
     ``moved`` is true once a target did not serve the request.
     ``was_misdirected`` is true once another incarnation answered. ``was_late``
     is true if the objective could no longer be met when the request arrived.
@@ -52,6 +53,7 @@
         self.runs = 0
         self.sends = 0
         self.tried: list[TargetName] = []
+        self.failure: WholeAnswer | None = None
         self.moved = False
         self.was_misdirected = False
         self.history = TryHistory(
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -24,7 +24,7 @@
 from ragwortcourse.forwarding.calls import build_call_routes
 from ragwortcourse.forwarding.exchange import open_target_session
 from ragwortcourse.processes.sites import open_site
-from tests.test_forwarding import CHARGED, LETTER, LOOK, decline, hang
+from tests.test_forwarding import CHARGED, LETTER, LOOK, decline, fail, hang
 from tests.test_silent_targets import pause_before, pause_within
 
 pytestmark = pytest.mark.looptime
@@ -192,6 +192,41 @@
         assert reply.ended_at - reply.began_at >= 4.0
 
 
+class TestFailureBesideSilentTarget:
+    """Requests that one target failed while another one stays silent."""
+
+    @pytest.mark.parametrize('path', [LOOK, LETTER])
+    async def test_known_failure_is_replaced(self, desk, path):
+        """The caller gets the failure when its time is up, not 504."""
+        script = begin_with(hang, fail)
+        await desk.open(script, script, plain=path != LETTER)
+        reply = await desk.ask(path, 1.9)
+        assert desk.runs == 2
+        assert reply is not None
+        assert reply.status == 500
+        assert reply.body == b'broken'
+        assert reply.headers['ragwortcourse-server-stamp'] == 'stamp'
+
+    async def test_begun_stream(self, desk):
+        """A stream of which the caller has a part ends without the failure."""
+        script = begin_with(pause_within(seconds=30), fail)
+        await desk.open(script, script, plain=False)
+        reply = await desk.ask(LETTER, 1.9)
+        assert desk.runs == 2
+        assert reply is not None
+        assert reply.status == 200
+        assert not reply.is_whole
+        assert b'broken' not in reply.body
+
+    async def test_silent_target_answers(self, desk):
+        """An answer that comes after the failure is delivered."""
+        script = begin_with(pause_before(1.6, answer_whole), fail)
+        await desk.open(script, script)
+        reply = await desk.ask(LOOK, 1.9)
+        assert reply is not None
+        assert reply.status == 200
+
+
 class TestNotSent:
     """Requests whose time is up before a target gets them."""
 
