Excuse a cut in rounds of changes only by the last target

A request was excused if any of its targets broke off at any time, also if a sound target had it later and the daemon gave that up. Now the run that ended last, of those that did not decline, must have broken off.

The fault was the stand-in's: after the parts that were left it slept through the pauses of all the others. It ends the stream now.

--- a/fakes/change_judge.py
+++ b/fakes/change_judge.py
@@ -1,6 +1,7 @@
 """Judgment of the requests of a round of changes."""
 
 import dataclasses
+import math
 from collections.abc import Collection, Sequence
 from http import HTTPStatus
 
@@ -50,10 +51,11 @@
 
     @property
     def is_excused(self) -> bool:
-        """Tell whether a target broke off or the time was up."""
+        """Tell whether its last target broke off or the time was up."""
         ended_at = self.reply.ended_at or self.limit_at
-        return ended_at >= self.limit_at - TOLERANCE_SECONDS or any(
-            run.end is RunEnd.BROKE_OFF for run in self.runs
+        return (
+            ended_at >= self.limit_at - TOLERANCE_SECONDS
+            or _is_lost_at_last(self.ran)
         )
 
     @property
@@ -81,6 +83,17 @@
     expired_at: float | None = None
 
 
+def _is_lost_at_last(runs: Sequence[Run]) -> bool:
+    """Tell whether the target that had the request last broke off.
+
+    A run that the daemon gave up later was sound.
+    """
+    if not runs:
+        return False
+    last = max(runs, key=lambda run: run.ended_at or math.inf)
+    return last.end is RunEnd.BROKE_OFF
+
+
 def judge(asked: Asked, around: Circumstances) -> str | None:
     """Judge a request; return what broke the promise, or none."""
     if len(asked.ran) > 1 and not asked.may_repeat:
--- a/fakes/change_target.py
+++ b/fakes/change_target.py
@@ -108,7 +108,8 @@
         return
     first = int(received.headers.get('last-event-id', -1)) + 1
     parts = write_parts(plan, first)
-    for number, pause in enumerate(script.pauses):
+    # A stream that goes on here has fewer parts left.
+    for number, pause in enumerate(script.pauses[: len(parts) + 1]):
         await asyncio.sleep(pause)
         if script.breach is not None and number == script.breaks_at:
             run.finish(RunEnd.BROKE_OFF)
@@ -116,7 +117,7 @@
             return
         if not number:
             await _begin(plan, received, connection, parts)
-        elif number <= len(parts):
+        else:
             run.parts = number
             await connection.send(_frame(plan, parts[number - 1]))
     if plan.is_stream:
--- a/tests/test_change_rounds.py
+++ b/tests/test_change_rounds.py
@@ -4,7 +4,12 @@
 
 import pytest
 
+from fakes.change_judge import Asked, Circumstances, judge
+from fakes.change_plans import RequestPlan, RunPlan
 from fakes.change_rounds import list_kinds, play_round
+from fakes.change_state import RouteName
+from fakes.change_target import Run, RunEnd
+from fakes.raw_caller import RawReply
 from ragwortcourse.forwarding import calls, choice, try_lane
 from ragwortcourse.forwarding.permission import permit_call
 from ragwortcourse.processes.forwarder_daemon import ForwarderDaemon
@@ -89,3 +94,52 @@
 
         monkeypatch.setattr('fakes.change_rounds.permit_call', permit)
         assert any('401 though' in each for each in find('weights'))
+
+
+def judge_cut(*runs: Run) -> str | None:
+    """Judge a stream that was cut after 3 s of its 6."""
+    return judge(
+        Asked(
+            plan=RequestPlan(
+                attempt='100',
+                route=RouteName('letters'),
+                after=0,
+                deadline=6.0,
+                body_pauses=(0,),
+                reuses=False,
+                shared_parts=(),
+                runs=(RunPlan(pauses=(0.1,) * 5),),
+            ),
+            reply=RawReply(began_at=0, sent_at=0, ended_at=3.0, status=200),
+            runs=runs,
+            limit_at=6.0,
+            may_repeat=True,
+            transit=0.001,
+        ),
+        Circumstances(refusable=(), grace_seconds=8),
+    )
+
+
+def end_run(target: str, end: RunEnd, at: float | None) -> Run:
+    """Build a run that ended at a time."""
+    return Run(attempt='100', target=target, began_at=0, end=end, ended_at=at)
+
+
+class TestExcuses:
+    """Requests that are cut after a target broke off."""
+
+    def test_no_target_after_it(self):
+        """Nothing is found if the last target broke off."""
+        broken = end_run('w-0', RunEnd.BROKE_OFF, 2.99)
+        assert judge_cut(broken) is None
+        assert judge_cut(end_run('w-1', RunEnd.LEFT, 1.0), broken) is None
+        declined = end_run('w-1', RunEnd.DECLINED, 3.0)
+        assert judge_cut(broken, declined) is None
+
+    @pytest.mark.parametrize(
+        ('end', 'at'), [(RunEnd.LEFT, 3.001), (RunEnd.RUNNING, None)]
+    )
+    def test_sound_target_after_it(self, end, at):
+        """A target that had the request later excuses nothing."""
+        broken = end_run('w-0', RunEnd.BROKE_OFF, 1.0)
+        assert 'answer cut' in judge_cut(broken, end_run('w-1', end, at))
