Wait for late calls only while the engine answers; find what may be ordered

The time counts anew after each silence now.

A loader that starts beside a nearly complete stage: a late write of an older version hid the order of its predecessor. The missing chunks of the version of most staged chunks are downloaded, and it is ordered again. Chunks of no known version matter only where a named version above the held one has no manifest; before, the loader waited 12 s for each. test_stage_of_an_unknown_version therefore takes away the manifest of a version, and test_judge_staged expects the order of a nearly complete version to be repeated.

--- a/src/ragwortcourse/weights/engine_stage.py
+++ b/src/ragwortcourse/weights/engine_stage.py
@@ -20,6 +20,7 @@
 )
 from ragwortcourse.weights.stage_check import StageCheck, compare_staged
 from ragwortcourse.weights.unanswered_order import (
+    LATE_CALL_SECONDS,
     UnansweredOrder,
     may_be_accepted,
 )
@@ -38,7 +39,7 @@
     def __init__(self, *, engine: EnginePort) -> None:
         self.open_order: UnansweredOrder | None = None
         self.is_inspected = False
-        self.started_at = read_clock_with_suspend()
+        self._answers_since = read_clock_with_suspend()
         self._engine = engine
         self._first_report: EngineReport | None = None
         self._is_reserved = False
@@ -109,20 +110,33 @@
         )
         if outcome is LoadOrderOutcome.BEGUN:
             self.open_order = None
-        elif outcome is not LoadOrderOutcome.UNANSWERED:
+        elif outcome is LoadOrderOutcome.UNANSWERED:
+            self.note_silent()
+        else:
             self.open_order = former
         return outcome
 
+    def note_silent(self) -> None:
+        """Note that the engine does not answer, so that calls wait in it."""
+        self._answers_since = read_clock_with_suspend()
+
     def settle(self, report: EngineReport) -> None:
         """Drop the orders that the engine can't accept any more."""
+        now = read_clock_with_suspend()
         first = self._first_report or report
         self._first_report = first
-        if (report.born, report.orders) != (first.born, first.orders):
+        if (
             # It has restarted, or accepted an order after this loader started.
+            (report.born, report.orders) != (first.born, first.orders)
+            or now - self._answers_since > LATE_CALL_SECONDS
+        ):
             self.is_inspected = True
         order = self.open_order
-        now = read_clock_with_suspend()
-        if order is not None and not may_be_accepted(order, report, now):
+        if order is not None and not may_be_accepted(
+            order,
+            report,
+            seconds=now - max(order.sent_at, self._answers_since),
+        ):
             self.open_order = None
             LOGGER.info(
                 'unanswered order to load a version is settled',
--- a/src/ragwortcourse/weights/engine_switch.py
+++ b/src/ragwortcourse/weights/engine_switch.py
@@ -39,6 +39,8 @@
     """Poll the engine forever and order it to load downloaded versions."""
     while True:
         loader_weights.report = await loader_weights.ports.engine.read_report()
+        if loader_weights.report is None:
+            loader_weights.stage.note_silent()
         if not await _switch_once(loader_weights):
             await asyncio.sleep(WATCH_SECONDS)
 
--- a/src/ragwortcourse/weights/stage_inspection.py
+++ b/src/ragwortcourse/weights/stage_inspection.py
@@ -17,10 +17,7 @@
 from ragwortcourse.weights.engine_port import EngineReport
 from ragwortcourse.weights.loader_weights import LoaderWeights
 from ragwortcourse.weights.stage_check import adopt_staged
-from ragwortcourse.weights.unanswered_order import (
-    LATE_CALL_SECONDS,
-    UnansweredOrder,
-)
+from ragwortcourse.weights.unanswered_order import UnansweredOrder
 
 # Pause before chunks that match no manifest are compared again.
 RETRY_SECONDS: Final = 1.0
@@ -32,33 +29,40 @@
     """What the staged chunks tell about an order of a former loader."""
 
     NONE = 'none'
+    # Of the version of most staged chunks.
     POSSIBLE = 'possible'
-    # Of a version that can't be ordered again.
     UNKNOWN = 'unknown'
 
 
 def judge_staged(
-    found: Mapping[int, int], *, chunks: int, held: int, newest: int
+    found: Mapping[int, int],
+    *,
+    chunks: int,
+    held: int,
+    newest: int,
+    are_newer_known: bool,
 ) -> FormerOrder:
     """Tell whether the engine may still accept an order of a former loader.
 
-    Single chunks may have been spoilt since that order.
+    Single chunks may have been spoilt, or replaced by late writes, since that
+    order.
 
     :param found: number of staged chunks by version; no unknown ones.
     :param chunks: number of staged chunks.
     :param held: version that the engine holds; zero for none.
     :param newest: newest named version.
+    :param are_newer_known: whether the chunks of all named versions above the
+        held one are known.
     """
     version = max(found, key=lambda each: found[each], default=0)
     count = found.get(version, 0)
     unknown = chunks - sum(found.values())
-    if count == chunks and version > held:
+    is_most = count * 2 > chunks and version < newest
+    if version > held and (count == chunks or is_most):
         return FormerOrder.POSSIBLE
-    if newest in found:
-        # A download stages its first chunk when no order is open.
-        return FormerOrder.NONE
-    is_spoilt = unknown > 0 and count * 2 > chunks
-    if unknown * 2 > chunks or (is_spoilt and version > held):
+    # A download of the newest version replaces chunks when no order is open.
+    may_be_newer = not are_newer_known and newest not in found
+    if unknown * 2 > chunks and may_be_newer:
         return FormerOrder.UNKNOWN
     return FormerOrder.NONE
 
@@ -76,57 +80,78 @@
     stage = loader_weights.stage
     if stage.is_inspected:
         return
-    age = read_clock_with_suspend() - stage.started_at
     staged = await loader_weights.ports.engine.list_staged(rules.model)
-    if age > LATE_CALL_SECONDS or len(staged) < rules.chunks:
+    if len(staged) < rules.chunks:
         stage.is_inspected = True
         return
     versions = await _identify(loader_weights, rules)
+    found = {version: len(each.contents) for version, each in versions.items()}
     former = judge_staged(
-        {version: len(each.contents) for version, each in versions.items()},
+        {version: count for version, count in found.items() if count},
         chunks=rules.chunks,
         held=loader_weights.read_held(rules),
         newest=loader_weights.list_named(rules)[-1].version,
+        are_newer_known=_list_newer(loader_weights, rules) <= versions.keys(),
     )
     LOGGER.info(
         'staged chunks of a former loader inspected',
-        extra={'versions': list(versions), 'former_order': former},
+        extra={'versions': found, 'former_order': former},
     )
-    if former is FormerOrder.UNKNOWN:
-        await asyncio.sleep(RETRY_SECONDS)
+    if former is FormerOrder.NONE:
+        stage.is_inspected = True
         return
     if former is FormerOrder.POSSIBLE:
-        stage.open_order = UnansweredOrder(
-            chunks=versions.popitem()[1],
-            orders=report.orders,
-            sent_at=read_clock_with_suspend(),
+        chunks = max(versions.values(), key=lambda each: len(each.contents))
+        await _download_missing(loader_weights, chunks)
+        if not chunks.missing:
+            stage.is_inspected = True
+            stage.open_order = UnansweredOrder(
+                chunks=chunks,
+                orders=report.orders,
+                sent_at=read_clock_with_suspend(),
+            )
+            return
+    await asyncio.sleep(RETRY_SECONDS)
+
+
+async def _download_missing(
+    loader_weights: LoaderWeights, chunks: VersionChunks
+) -> None:
+    """Download the chunks of a version that are no longer staged, once."""
+    for index in chunks.missing:
+        content = await loader_weights.ports.download_chunk(
+            chunks.manifest, index, loader_weights.link_rate
         )
-    stage.is_inspected = True
+        chunks.take(index, content)
 
 
 async def _identify(
     loader_weights: LoaderWeights, rules: EngineProfile
 ) -> dict[int, VersionChunks]:
-    """Return the staged chunks by version, newest first."""
-    held = loader_weights.read_held(rules)
-    named = {each.version for each in loader_weights.list_named(rules)}
-    candidates = sorted({held, *named} - {0}, reverse=True)
+    """Return the staged chunks of the versions whose manifests are known."""
+    candidates = _list_newer(loader_weights, rules)
+    candidates.add(loader_weights.read_held(rules))
     versions: dict[int, VersionChunks] = {}
-    for version in candidates:
+    for version in sorted(candidates - {0}, reverse=True):
         manifest = await loader_weights.ports.read_manifest(
             rules.model, version
         )
-        if manifest is not None and len(manifest.digests) == rules.chunks:
-            chunks = VersionChunks(manifest=manifest)
-            if await adopt_staged(loader_weights.ports.engine, chunks):
-                versions[version] = chunks
-        if version <= held or _is_found(versions, rules):
+        if manifest is None or len(manifest.digests) != rules.chunks:
+            continue
+        versions[version] = VersionChunks(manifest=manifest)
+        await adopt_staged(loader_weights.ports.engine, versions[version])
+        if not versions[version].missing:
             break
     return versions
 
 
-def _is_found(versions: dict[int, VersionChunks], rules: EngineProfile) -> bool:
-    return (
-        sum(len(chunks.contents) for chunks in versions.values())
-        >= rules.chunks
-    )
+def _list_newer(
+    loader_weights: LoaderWeights, rules: EngineProfile
+) -> set[int]:
+    """List the named versions above the held one."""
+    held = loader_weights.read_held(rules)
+    return {
+        each.version
+        for each in loader_weights.list_named(rules)
+        if each.version > held
+    }
--- a/src/ragwortcourse/weights/unanswered_order.py
+++ b/src/ragwortcourse/weights/unanswered_order.py
@@ -11,7 +11,8 @@
 from ragwortcourse.weights.chunk_store import VersionChunks
 from ragwortcourse.weights.engine_port import EngineReport
 
-# Time after which a call without an answer counts as never performed.
+# Time after which a call without an answer counts as never performed, if the
+# engine has answered all the while.
 LATE_CALL_SECONDS: Final = 12.0
 
 
@@ -31,18 +32,18 @@
 
 
 def may_be_accepted(
-    order: UnansweredOrder, report: EngineReport, now: float
+    order: UnansweredOrder, report: EngineReport, *, seconds: float
 ) -> bool:
     """Return whether the engine may still accept an order.
 
     :param report: report that was read after the order was sent.
-    :param now: seconds on the clock of ``sent_at``.
+    :param seconds: time since the order for which the engine has answered.
     """
     held = 0 if report.weights is None else report.weights.version
     # An order of the version that the engine holds has no effect.
     if held == order.chunks.manifest.version:
         return False
-    if now - order.sent_at > LATE_CALL_SECONDS:
+    if seconds > LATE_CALL_SECONDS:
         return False
     # A restarted engine counts from zero, and may reach the stated number.
     return (
