Reset a broken answer by HTTP/1.0, which its end would make whole

What callers would see: a caller of HTTP/1.0 whose stream broke off got a 200 and an orderly end of the connection. Callers of HTTP/1.1 miss the last chunk and saw the break.

Cause: forwarder and entry daemon close the connection of a broken answer in order; abort() does so too if no bytes of the caller are unread.

Fix: such a connection is closed by a reset if the call came by HTTP/1.0.

--- a/fakes/forwarder_fleet.py
+++ b/fakes/forwarder_fleet.py
@@ -152,6 +152,11 @@
         )
         return forwarder
 
+    @property
+    def ports(self) -> list[int | None]:
+        """Return the callers' port of each forwarder."""
+        return [client.port for client in self._clients]
+
     async def ask(
         self,
         daemon: int,
--- a/src/ragwortcourse/entry/answer_writer.py
+++ b/src/ragwortcourse/entry/answer_writer.py
@@ -7,6 +7,7 @@
 import msgspec
 from aiohttp import web
 
+from ragwortcourse.broken_answers import show_break
 from ragwortcourse.entry import errors
 from ragwortcourse.entry.answer_body import close_body
 from ragwortcourse.entry.call_reader import HOP_HEADERS
@@ -99,5 +100,6 @@
         event = msgspec.json.encode(ErrorBody(error=detail))
         with contextlib.suppress(OSError):
             await response.write(b'\n\nevent: error\ndata: %b\n\n' % event)
+    show_break(request)
     if request.transport is not None:
         request.transport.close()
--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -8,6 +8,7 @@
 import msgspec
 from aiohttp import web
 
+from ragwortcourse.broken_answers import show_break
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.account import Account
 from ragwortcourse.forwarding.call import Call, PermittedCall
@@ -159,6 +160,7 @@
 
 def _abort(request: web.Request) -> web.StreamResponse:
     """Abort the connection so that the answer can't be taken as complete."""
+    show_break(request)
     if request.transport is not None:
         request.transport.abort()
     # aiohttp requires a response even after the connection was aborted.
--- a/src/ragwortcourse/forwarding/target_connection.py
+++ b/src/ragwortcourse/forwarding/target_connection.py
@@ -1,14 +1,10 @@
 """Connections to targets that end a request which is given up."""
 
-import socket
-import struct
-from typing import ClassVar, Final
+from typing import ClassVar
 
+from ragwortcourse.broken_answers import reset_on_close
 from ragwortcourse.connections import ResetConnector, ResetProtocol
 
-# Lingers for no time: a close resets the connection.
-RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
-
 
 class TargetProtocol(ResetProtocol):
     """Protocol that resets the connection of a request that is given up."""
@@ -23,11 +19,7 @@
         if self.transport is None or self._is_answered():
             super().close()
             return
-        opened: socket.socket | None = self.transport.get_extra_info('socket')
-        if opened is not None:
-            opened.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-            )
+        reset_on_close(self.transport)
         self.abort()
 
     def _is_answered(self) -> bool:
