Leave a stopping forwarder the time to exit before it is killed

A busy daemon, which handles the signal late, is killed before it has told its callers that their requests may have run.

--- a/fakes/stop_rounds.py
+++ b/fakes/stop_rounds.py
@@ -54,6 +54,8 @@
 SENDING_SECONDS = 0.3
 # From SIGTERM until a busy daemon handles it.
 SIGNAL_SECONDS = (0.0, 0.01, 0.05, 0.2, 0.4)
+# A process needs this long to exit after its daemon has stopped.
+EXIT_SECONDS = 0.3
 OTHER_LISTEN = {
     key: f'127.0.0.1:{port + 1000 * (key != "store")}'
     for key, port in PORTS.items()
@@ -145,7 +147,7 @@
                     f'at the other daemon {text}: {describe_asked(asked)}'
                 )
         stopped_at = self._terminated_at or 0
-        if self._ended_at > stopped_at + GRACE_SECONDS:
+        if self._ended_at + EXIT_SECONDS > stopped_at + GRACE_SECONDS:
             self.findings.append('the daemon was killed')
 
 
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -65,8 +65,10 @@
 # later than 3 s after SIGTERM may not be cut, and a busy daemon handles the
 # signal some tenths of a second late.
 SERVING_SECONDS: Final = 2.5
-# Part of the grace time that is left for the exit of the process.
-EXIT_SECONDS: Final = 1.1
+# Part of the grace time that is left for the last answers and the exit of the
+# process. Requests still in progress may be cut in its last sixth only.
+EXIT_SECONDS: Final = 1.5
+EXIT_SHARE: Final = 0.3
 DRAIN_POLL_SECONDS: Final = 0.05
 DRAINING: Final = 'draining'
 NO_STATE: Final = 'desired state not read yet'
@@ -151,7 +153,7 @@
         """
         self.draining = True
         grace = self.forwarder.fleet.grace_seconds
-        ends_at = read_clock() + grace - EXIT_SECONDS
+        ends_at = read_clock() + grace - min(EXIT_SECONDS, grace * EXIT_SHARE)
         await asyncio.sleep(min(SERVING_SECONDS, grace / 2))
         self.forwarder.close()
         while read_clock() < ends_at and self.forwarder.running:  # noqa: ASYNC110
--- a/tests/test_stop_rounds.py
+++ b/tests/test_stop_rounds.py
@@ -15,6 +15,8 @@
 # Rounds of a busy daemon, which handles SIGTERM late.
 BUSY_SEEDS = (44, 47, 67, 73, 79)
 BUSY_SECONDS = 0.4
+# A body that lasts this long from 2 s after SIGTERM ends beside the last close.
+CLOSING_SECONDS = (4.7, 4.9, 5.1, 5.3)
 CHARGE = RequestPlan(
     attempt='a1',
     route=RouteName('charges'),
@@ -70,15 +72,31 @@
         assert reply.status == 503
 
 
+class TestEnd:
+    """End of a daemon whose requests last longer than its grace time."""
+
+    @pytest.mark.parametrize('signal_seconds', [0.0, 0.2, 0.4])
+    def test_not_killed(self, signal_seconds):
+        """The process has time to exit before it is killed."""
+        findings, reply = play_one(
+            signal_seconds=signal_seconds,
+            deadline=30.0,
+            runs=(RunPlan(pauses=(20.0, 0.0, 0.0)),),
+        )
+        assert findings == []
+        assert reply.status == 502
+
+
 class TestBodies:
     """Requests whose bodies arrive while the daemon stops."""
 
-    def test_end_beside_the_last_close(self):
+    @pytest.mark.parametrize('seconds', CLOSING_SECONDS)
+    def test_end_beside_the_last_close(self, seconds):
         """A body that ends as connections are closed gets a refusal.
 
         The rest of the body was dropped, and the caller got no answer.
         """
-        findings, reply = play_one(after=2.0, body_pauses=(5.3,))
+        findings, reply = play_one(after=2.0, body_pauses=(seconds,))
         assert findings == []
         assert reply.status == 503
 
@@ -101,7 +119,8 @@
         monkeypatch.setattr(CallScopes, 'end_all', lambda _: None)
         assert any(
             'closed without an answer' in each
-            for each in play_stop(5, signal_seconds=0).findings
+            for seconds in CLOSING_SECONDS
+            for each in play_one(after=2.0, body_pauses=(seconds,))[0]
         )
 
     def test_finds_requests_that_are_taken_too_late(self, monkeypatch):
