Refuse what was declined too late to be sent once more

A request that its target declines shortly before a stopping daemon ends was sent to one more target and cut. It got 502, after which callers give up a request that may not be repeated, though it would have run once more elsewhere.

While the daemon stops, a request that no target may have run is refused with 503 instead of sent, unless its time limit or the usual 2 s end before the daemon does. The refusal names another daemon's time to return, 0.01 s. Six tests of TestLateSends failed before, with 502 or a later time to return.

--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -1,7 +1,6 @@
 """HTTP handlers of the callers' port of a forwarder."""
 
 import asyncio
-from typing import Final
 
 import msgspec
 from aiohttp import web
@@ -18,6 +17,7 @@
 from ragwortcourse.forwarding.permission import permit_call
 from ragwortcourse.forwarding.plain_call import serve_plain
 from ragwortcourse.forwarding.reply import (
+    STOPPING,
     Reason,
     Refusal,
     Reply,
@@ -30,12 +30,6 @@
 )
 from ragwortcourse.forwarding.tries import Tries
 
-# Another entry daemon can serve the caller at once.
-STOPPING_RETRY_SECONDS: Final = 0.01
-STOPPING: Final = Refusal(
-    reason=Reason.STOPPING, retry_after=STOPPING_RETRY_SECONDS
-)
-
 
 def build_call_routes(forwarder: Forwarder) -> list[web.RouteDef]:
     """Build the HTTP routes of the callers' port."""
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -29,6 +29,9 @@
 from ragwortcourse.membership.relay_daemons import describe_daemon
 from ragwortcourse.settings import FleetSettings, Settings
 
+# Most requests have their whole answer this long after they were sent.
+USUAL_SECONDS: Final = 2.0
+
 LOGGER: Final = logging.getLogger(__name__)
 
 
@@ -83,13 +86,26 @@
         self.running = 0
         self.closing = False
         self._reading = CallScopes()
+        self._ends_at = math.inf
         self._loads: dict[TargetName, TargetLoad] = {}
 
-    def close(self) -> None:
-        """Refuse requests from now on, and those whose bodies still arrive."""
+    def close(self, *, ends_at: float) -> None:
+        """Refuse requests from now on, and those whose bodies still arrive.
+
+        :param ends_at: when requests in progress are cut, in monotonic seconds.
+        """
         self.closing = True
+        self._ends_at = ends_at
         self._reading.end_all()
 
+    def may_finish(self, deadline: float) -> bool:
+        """Tell whether a request that is sent now may end before the daemon.
+
+        :param deadline: of the request, in monotonic seconds.
+        """
+        usual = read_clock() + USUAL_SECONDS
+        return min(deadline, usual) <= self._ends_at
+
     def open_reading(self) -> contextlib.AbstractAsyncContextManager[None]:
         """Open the scope in which the body of a request is read.
 
--- a/src/ragwortcourse/forwarding/reply.py
+++ b/src/ragwortcourse/forwarding/reply.py
@@ -62,4 +62,10 @@
         return STATUSES.get(self.reason, HTTPStatus.SERVICE_UNAVAILABLE)
 
 
+# Another entry daemon can serve the caller at once.
+STOPPING_RETRY_SECONDS: Final = 0.01
+STOPPING: Final = Refusal(
+    reason=Reason.STOPPING, retry_after=STOPPING_RETRY_SECONDS
+)
+
 Reply = WholeAnswer | Refusal
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -8,7 +8,7 @@
 from ragwortcourse.forwarding.choice import choose_service, read_demand
 from ragwortcourse.forwarding.choice_refusals import choose_return
 from ragwortcourse.forwarding.forwarder import Forwarder
-from ragwortcourse.forwarding.reply import Reason, Refusal
+from ragwortcourse.forwarding.reply import STOPPING, Reason, Refusal
 from ragwortcourse.forwarding.tries_end import TriesEnd
 from ragwortcourse.forwarding.urgency import Standing
 from ragwortcourse.identifiers import ServiceName, TargetName
@@ -97,6 +97,8 @@
 
         :param beside: true if silent targets have the request.
         """
+        if not self.runs and not self.forwarder.may_finish(self.work.deadline):
+            return STOPPING
         safeguards = self.forwarder.safeguards
         # A request may have waited for its target.
         refusal = safeguards.crash_admission.check(self.suspects, running=1)
@@ -126,7 +128,8 @@
         :param cause: why there is no further target.
         """
         if isinstance(cause, Refusal):
-            if not self.sends:
+            is_free = not self.may_have_run and cause is STOPPING
+            if is_free or not self.sends:
                 return cause
             inputs = {**cause.inputs, 'ended_by': cause.reason}
         else:
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -155,7 +155,7 @@
         grace = self.forwarder.fleet.grace_seconds
         ends_at = read_clock() + grace - min(EXIT_SECONDS, grace * EXIT_SHARE)
         await asyncio.sleep(min(SERVING_SECONDS, grace / 2))
-        self.forwarder.close()
+        self.forwarder.close(ends_at=ends_at)
         while read_clock() < ends_at and self.forwarder.running:  # noqa: ASYNC110
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
--- a/tests/test_stop_rounds.py
+++ b/tests/test_stop_rounds.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from fakes.change_plans import RequestPlan, RunPlan
+from fakes.change_plans import Breach, RequestPlan, RunPlan
 from fakes.change_state import RouteName
 from fakes.stop_rounds import play_stop
 from ragwortcourse.forwarding.call_scopes import CallScopes
@@ -15,6 +15,8 @@
 # Rounds of a busy daemon, which handles SIGTERM late.
 BUSY_SEEDS = (44, 47, 67, 73, 79)
 BUSY_SECONDS = 0.4
+# The daemon chooses a service with more than one target for each request.
+SEED = 2
 # A body that lasts this long from 2 s after SIGTERM ends beside the last close.
 CLOSING_SECONDS = (4.7, 4.9, 5.1, 5.3)
 CHARGE = RequestPlan(
@@ -32,7 +34,7 @@
 def play_one(signal_seconds=0.0, **changes):
     """Stop a daemon that has one request; return findings and its reply."""
     plan = dataclasses.replace(CHARGE, **changes)
-    played = play_stop(1, signal_seconds=signal_seconds, requests=[plan])
+    played = play_stop(SEED, signal_seconds=signal_seconds, requests=[plan])
     (asked,) = played.asked
     return played.findings, asked.reply
 
@@ -72,6 +74,49 @@
         assert reply.status == 503
 
 
+class TestLateSends:
+    """Requests that their first target declines late."""
+
+    @pytest.mark.parametrize('kind', ['notes', 'charges'])
+    @pytest.mark.parametrize('seconds', [3.6, 4.5, 5.4])
+    def test_cannot_end(self, kind, seconds):
+        """What can't end before the daemon does is refused, not sent again.
+
+        A request that may not be repeated got 502, and its caller gave up.
+        """
+        findings, reply = play_one(
+            route=RouteName(kind),
+            after=1.4,
+            runs=(
+                RunPlan(
+                    pauses=(seconds, 0.0, 0.0), breach=Breach.DECLINES_LATE
+                ),
+                RunPlan(pauses=(3.0, 0.0, 0.0)),
+            ),
+        )
+        assert findings == []
+        assert reply.status == 503
+        assert float(reply.headers['retry-after']) < 0.1
+
+    @pytest.mark.parametrize('kind', ['notes', 'letters', 'charges', 'lookups'])
+    @pytest.mark.parametrize(('seconds', 'deadline'), [(1.5, 10.0), (4.0, 5.0)])
+    def test_can_end(self, kind, seconds, deadline):
+        """What can end before the daemon does is sent again."""
+        findings, reply = play_one(
+            route=RouteName(kind),
+            after=1.4,
+            deadline=deadline,
+            runs=(
+                RunPlan(
+                    pauses=(seconds, 0.0, 0.0), breach=Breach.DECLINES_LATE
+                ),
+                RunPlan(pauses=(0.1, 0.0, 0.0)),
+            ),
+        )
+        assert findings == []
+        assert reply.status == 200
+
+
 class TestEnd:
     """End of a daemon whose requests last longer than its grace time."""
 
