Answer what is in progress before a stopping forwarder closes its connections

At the end of the grace time the connections to targets were closed, and each request found that out for itself: one try failed, the next could not be sent, and its caller got a 502.

The end of a daemon now ends each request at once, with 503 if no target may have run it and 502 otherwise, and waits up to 0.2 s for these answers. Streams that have begun are broken off as before. The rounds now want an answer also where operators excuse a close.

--- a/fakes/stop_rounds.py
+++ b/fakes/stop_rounds.py
@@ -139,6 +139,11 @@
 
     def _judge(self) -> None:
         super()._judge()
+        for asked in self.asked:
+            if asked.is_received and asked.reply.status is None:
+                self.findings.append(
+                    f'no answer at the end: {describe_asked(asked)}'
+                )
         calm = Circumstances(refusable=frozenset(), grace_seconds=GRACE_SECONDS)
         for asked in self.repeated:
             text = judge(asked, calm)
--- a/src/ragwortcourse/forwarding/call_scopes.py
+++ b/src/ragwortcourse/forwarding/call_scopes.py
@@ -5,6 +5,10 @@
 from collections.abc import AsyncIterator
 
 
+class ScopeEndedError(TimeoutError):
+    """The stop of the daemon ended the scope."""
+
+
 class CallScopes:
     """Scopes of calls that can all be ended at once."""
 
@@ -15,14 +19,19 @@
     async def open(self) -> AsyncIterator[None]:
         """Open a scope that lasts until its body or :meth:`end_all` ends it.
 
-        :raises TimeoutError: the scope was ended.
+        :raises ScopeEndedError: the scope was ended.
         """
-        async with asyncio.timeout(None) as scope:
-            self._scopes.add(scope)
-            try:
+        scope = asyncio.timeout(None)
+        self._scopes.add(scope)
+        try:
+            async with scope:
                 yield
-            finally:
-                self._scopes.discard(scope)
+        except TimeoutError as error:
+            if scope.expired():
+                raise ScopeEndedError from error
+            raise
+        finally:
+            self._scopes.discard(scope)
 
     def end_all(self) -> None:
         """End all open scopes."""
--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -13,6 +13,7 @@
     note_broken,
     note_refused,
 )
+from ragwortcourse.forwarding.call_scopes import ScopeEndedError
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.permission import permit_call
 from ragwortcourse.forwarding.plain_call import serve_plain
@@ -56,7 +57,7 @@
     try:
         async with forwarder.open_reading():
             body = await request.read()
-    except TimeoutError:
+    except ScopeEndedError:
         return _write_reply(call, STOPPING)
     if forwarder.closing:
         return _write_reply(call, STOPPING)
@@ -77,12 +78,13 @@
     call = tries.work.call
     response: web.StreamResponse | Reply
     try:
-        async with asyncio.timeout_at(tries.work.deadline):
+        async with (
+            asyncio.timeout_at(tries.work.deadline),
+            tries.forwarder.open_work(),
+        ):
             response = await _serve(tries, request)
-    except TimeoutError:
-        response = Refusal(
-            reason=Reason.TIMED_OUT, inputs={'targets': tries.tried}
-        )
+    except TimeoutError as error:
+        response = _explain_end(tries, error)
         if _is_begun(request):
             return _break_off(request, call, response)
     except StreamBrokenError as error:
@@ -130,6 +132,12 @@
     return await serve_plain(tries)
 
 
+def _explain_end(tries: Tries, error: TimeoutError) -> Refusal:
+    if isinstance(error, ScopeEndedError):
+        return tries.give_up(STOPPING)
+    return Refusal(reason=Reason.TIMED_OUT, inputs={'targets': tries.tried})
+
+
 def _is_begun(request: web.Request) -> bool:
     writer = request.writer
     return getattr(writer, 'output_size', 0) > 0
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -1,5 +1,6 @@
 """Shared state of the requests that an entry daemon forwards."""
 
+import asyncio
 import contextlib
 import logging
 import math
@@ -31,6 +32,9 @@
 
 # Most requests have their whole answer this long after they were sent.
 USUAL_SECONDS: Final = 2.0
+# Time for callers to take the last answers.
+LAST_ANSWERS_SECONDS: Final = 0.2
+LAST_ANSWERS_POLL_SECONDS: Final = 0.01
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -86,6 +90,7 @@
         self.running = 0
         self.closing = False
         self._reading = CallScopes()
+        self._work = CallScopes()
         self._ends_at = math.inf
         self._loads: dict[TargetName, TargetLoad] = {}
 
@@ -109,10 +114,24 @@
     def open_reading(self) -> contextlib.AbstractAsyncContextManager[None]:
         """Open the scope in which the body of a request is read.
 
-        :meth:`close` ends it with a :class:`TimeoutError`.
+        :meth:`close` ends it with a :class:`ScopeEndedError`.
         """
         return self._reading.open()
 
+    def open_work(self) -> contextlib.AbstractAsyncContextManager[None]:
+        """Open the scope in which a request is sent to targets.
+
+        :meth:`end_work` ends it with a :class:`ScopeEndedError`.
+        """
+        return self._work.open()
+
+    async def end_work(self) -> None:
+        """End all requests, and wait for the answers to their callers."""
+        self._work.end_all()
+        ends_at = read_clock() + LAST_ANSWERS_SECONDS
+        while self.running and read_clock() < ends_at:  # noqa: ASYNC110
+            await asyncio.sleep(LAST_ANSWERS_POLL_SECONDS)
+
     def find_load(self, target: Target) -> TargetLoad:
         """Find the load of a target; a new incarnation starts from zero.
 
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -160,7 +160,8 @@
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def stop(self) -> None:
-        """Release resources other than the background tasks."""
+        """Answer what is in progress, and release resources."""
+        await self.forwarder.end_work()
         await self.cache.stop()
         for session in self.sessions:
             await session.close()
--- a/tests/test_stop_rounds.py
+++ b/tests/test_stop_rounds.py
@@ -120,6 +120,23 @@
 class TestEnd:
     """End of a daemon whose requests last longer than its grace time."""
 
+    @pytest.mark.parametrize('kind', ['notes', 'letters', 'charges', 'lookups'])
+    @pytest.mark.parametrize('seconds', [3.6, 5.2, 5.4, 20.0])
+    def test_begins_no_answer_in_time(self, kind, seconds):
+        """What runs at the end without any of its answer gets 502."""
+        findings, reply = play_one(
+            route=RouteName(kind),
+            after=1.4,
+            runs=(
+                RunPlan(
+                    pauses=(seconds, 0.0, 0.0), breach=Breach.DECLINES_LATE
+                ),
+                RunPlan(pauses=(20.0, 0.0, 0.0)),
+            ),
+        )
+        assert findings == []
+        assert reply.status in {502, 503}
+
     @pytest.mark.parametrize('signal_seconds', [0.0, 0.2, 0.4])
     def test_not_killed(self, signal_seconds):
         """The process has time to exit before it is killed."""
