Answer requests whose bodies arrive while an entry daemon ends its connections

A caller whose request was half sent as the entry daemon or agent ended its connections got no answer. The HTTP server drops what arrives on a connection that it is told to close, and the handler waited 30 s for the rest of the body. It concerns kept connections from 1 s after the drain on, and all of them as the runner is cleaned up.

Connections on which a body arrives are no longer closed; their answers, which say that they are the last, end them. The clean-up waits for such bodies, for as long as it waited for requests. Both cases of the new test timed out before.

--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -19,6 +19,7 @@
 from ragwortcourse.processes.sessions import open_sessions
 from ragwortcourse.processes.sites import (
     end_connections,
+    finish_bodies,
     open_site,
     stop_listening,
 )
@@ -146,6 +147,7 @@
 
     async def _close_runners(self) -> None:
         for runner in self.runners:
+            await finish_bodies(runner)
             await runner.cleanup()
 
     async def _open_daemon(self) -> Daemon:
--- a/src/ragwortcourse/processes/sites.py
+++ b/src/ragwortcourse/processes/sites.py
@@ -5,9 +5,11 @@
 from typing import Final
 
 from aiohttp import web
+from aiohttp.typedefs import Handler
 from aiohttp.web_protocol import RequestHandler
 
 from ragwortcourse.addresses import split_address
+from ragwortcourse.clock import read_clock
 
 LARGEST_BODY_BYTES: Final = 67_108_864
 # Longest line of a head; operators allow callers less in all headers.
@@ -19,6 +21,9 @@
 
 # Connections on which a request was answered.
 SERVED: Final = web.AppKey('SERVED', set[RequestHandler])
+# Requests in progress.
+RUNNING: Final = web.AppKey('RUNNING', dict[RequestHandler, web.Request])
+BODIES_POLL_SECONDS: Final = 0.05
 
 
 async def open_site(
@@ -40,8 +45,10 @@
     """
     application = web.Application(client_max_size=largest_body)
     application.add_routes(routes)
+    application.middlewares.append(_note_running)
     served: set[RequestHandler] = set()
     application[SERVED] = served
+    application[RUNNING] = {}
 
     async def end_connection(
         request: web.Request, response: web.StreamResponse
@@ -72,19 +79,54 @@
     return runner
 
 
+@web.middleware
+async def _note_running(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
+    running = request.app[RUNNING]
+    running[request.protocol] = request
+    try:
+        return await handler(request)
+    finally:
+        running.pop(request.protocol)
+
+
 async def end_connections(runner: web.AppRunner) -> None:
     """Close each connection after the answer to its request in progress.
 
     New connections are still accepted, and one without a request so far stays
     open: its first request is on the way, and its answer ends the connection.
+    So does the answer to a request whose body still arrives: a connection that
+    is closed here drops the rest.
     """
     used = runner.app.get(SERVED, set()).intersection(find_connections(runner))
+    used -= find_arriving(runner)
     # Same as the runner's own clean-up, but with the socket still open.
     for connection in used:
         connection.close()
     await asyncio.gather(*(each.shutdown(SHUTDOWN_SECONDS) for each in used))
 
 
+async def finish_bodies(runner: web.AppRunner) -> None:
+    """Wait until no body is arriving, ``SHUTDOWN_SECONDS`` at most.
+
+    The clean-up of a runner drops what arrives later.
+    """
+    ends_at = read_clock() + SHUTDOWN_SECONDS
+    while find_arriving(runner) and read_clock() < ends_at:  # noqa: ASYNC110
+        await asyncio.sleep(BODIES_POLL_SECONDS)
+
+
+def find_arriving(runner: web.AppRunner) -> set[RequestHandler]:
+    """Return the connections on which the body of a request is arriving."""
+    running = runner.app.get(RUNNING, {})
+    return {
+        connection
+        for connection, request in running.items()
+        if not request.content.is_eof()
+    }
+
+
 def find_connections(runner: web.AppRunner) -> Collection[RequestHandler]:
     """Return the open connections of a server."""
     return () if runner.server is None else runner.server.connections
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -3,10 +3,22 @@
 import asyncio
 
 import aiohttp
+import pytest
 from aiohttp import web
 
 from fakes.ports import pick_address
-from ragwortcourse.processes.sites import end_connections, open_site
+from ragwortcourse.processes.sites import (
+    end_connections,
+    finish_bodies,
+    open_site,
+)
+
+HEAD = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\n'
+
+
+async def repeat(request: web.Request) -> web.Response:
+    """Answer with the body of the request."""
+    return web.Response(body=await request.read())
 
 
 async def greet(request: web.Request) -> web.Response:
@@ -14,6 +26,13 @@
     return web.Response(text='hello')
 
 
+async def end_and_clean_up(runner: web.AppRunner) -> None:
+    """End all connections as a daemon does that stops."""
+    await end_connections(runner)
+    await finish_bodies(runner)
+    await runner.cleanup()
+
+
 class TestLeaving:
     """Idle connections of callers while a daemon drains."""
 
@@ -82,6 +101,42 @@
         await runner.cleanup()
 
 
+class TestBodies:
+    """Requests whose bodies arrive while connections are ended."""
+
+    @pytest.mark.parametrize('used', [True, False])
+    async def test_rest_of_a_body_was_dropped(self, used):
+        """A request whose body arrives meanwhile gets its answer.
+
+        The rest of its body was dropped, on a connection that was used before
+        at once and on any at the end, and its caller got no answer.
+        """
+        leaving = []
+        address = pick_address()
+        runner = await open_site(
+            address=address,
+            routes=[web.post('/', repeat)],
+            is_leaving=lambda: bool(leaving),
+        )
+        host, _, port = address.partition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        if used:
+            writer.write(HEAD + b'before')
+            await reader.readuntil(b'before')
+        writer.write(HEAD + b'beg')
+        await asyncio.sleep(0.05)
+        leaving.append(True)
+        ending = asyncio.ensure_future(end_and_clean_up(runner))
+        await asyncio.sleep(0.05)
+        writer.write(b'end')
+        async with asyncio.timeout(5):
+            answer = await reader.read()
+            await ending
+        writer.close()
+        assert answer.startswith(b'HTTP/1.1 200 ')
+        assert answer.endswith(b'begend')
+
+
 class TestHeaders:
     """Headers of callers' requests."""
 
