Test requests that arrive around the last close of a stopping forwarder

They hold on the code as it is: 300 requests every 0.7 ms around the close of idle connections, on kept connections with and without a long request in progress, and around the end of listening on new ones, with bodies in one and two pieces. Each is refused or its connection was closed before it arrived.

--- a/tests/test_stop_rounds.py
+++ b/tests/test_stop_rounds.py
@@ -29,6 +29,12 @@
     shared_parts=(),
     runs=(RunPlan(pauses=(0.1, 0.0, 0.0)),),
 )
+LONG = dataclasses.replace(
+    CHARGE,
+    attempt='long',
+    deadline=30.0,
+    runs=(RunPlan(pauses=(20.0, 0.0, 0.0)),),
+)
 
 
 def play_one(signal_seconds=0.0, **changes):
@@ -149,6 +155,34 @@
         assert reply.status == 502
 
 
+class TestLastClose:
+    """Requests that arrive every 0.7 ms around the close of idle connections."""
+
+    @pytest.mark.parametrize('pieces', [1, 2])
+    @pytest.mark.parametrize(
+        ('begins_after', 'reuses', 'others'),
+        [(2.75, True, ()), (6.7, True, (LONG,)), (2.4, False, ())],
+    )
+    def test_answered_or_not_read(self, begins_after, reuses, others, pieces):
+        """Each request is answered, or its connection was closed before."""
+        plans = [
+            dataclasses.replace(
+                CHARGE,
+                attempt=f'a{number}',
+                after=begins_after + number * 0.0007,
+                reuses=reuses,
+                lead=begins_after + number * 0.0007 + 1,
+                body_pauses=(0.001,) * pieces,
+            )
+            for number in range(300)
+        ]
+        played = play_stop(SEED, signal_seconds=0, requests=[*plans, *others])
+        statuses = {asked.reply.status for asked in played.asked}
+        assert played.findings == []
+        assert 503 in statuses
+        assert None in statuses or not reuses
+
+
 class TestBodies:
     """Requests whose bodies arrive while the daemon stops."""
 
