--- a/tests/test_forwarder_daemon.py
+++ b/tests/test_forwarder_daemon.py
@@ -40,6 +40,13 @@
     'services': [{'name': 'plain'}],
     'tenants': [{'name': 'parents', 'api_keys': [KEY]}],
 }
+HALF_SENT = (
+    'POST /lookups/1 HTTP/1.1\r\n'
+    'Host: desk.example\r\n'
+    f'Authorization: Bearer {KEY}\r\n'
+    'Ragwortcourse-Attempt-Id: a2\r\n'
+    'Content-Length: 9\r\n\r\nbegin'
+)
 
 
 async def answer_slowly(received: Received, wire: ScriptedConnection) -> None:
@@ -48,6 +55,11 @@
     await wire.answer(received)
 
 
+async def hang(received: Received, wire: ScriptedConnection) -> None:
+    """Leave a request without an answer."""
+    await asyncio.Event().wait()
+
+
 class Site:
     """A forwarder process with a fake store and one target."""
 
@@ -167,6 +179,28 @@
         assert set(statuses) <= {200, 503}
         assert 503 in statuses
 
+    async def test_stop_beside_endless_requests(self, site):
+        """Callers get answers before a process ends that has long requests.
+
+        One request runs until the end, and the body of another one does not
+        arrive.
+        """
+        site.target.scripts = [hang]
+        host, _, port = site.listen['callers'].partition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(HALF_SENT.encode())
+        site.child.send(signal.SIGTERM)
+        await site.wait_ready(503)
+        await asyncio.sleep(1.8)
+        async with aiohttp.ClientSession() as session:
+            running = asyncio.ensure_future(site.ask(session))
+            head = await reader.readuntil(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 503 ')
+            assert not running.done()
+            assert await running == (502, 'close')
+        assert await site.child.wait() == 0
+        writer.close()
+
     async def test_metrics(self, site):
         """The metrics page has the desired state, targets and durations."""
         url = f'http://{site.listen["watch"]}/metrics'
