--- a/tests/test_stop_rounds.py
+++ b/tests/test_stop_rounds.py
@@ -156,7 +156,7 @@
 
 
 class TestLastClose:
-    """Requests that arrive every 0.7 ms around the close of idle connections."""
+    """Requests every 0.7 ms around the close of idle connections."""
 
     @pytest.mark.parametrize('pieces', [1, 2])
     @pytest.mark.parametrize(
