--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Iterator
-from typing import Final
 
 import msgspec
 from aiohttp import web
@@ -19,12 +18,13 @@
     note_left,
     note_refused,
 )
+from ragwortcourse.forwarding.call_scopes import ScopeEndedError
 from ragwortcourse.forwarding.caller_timeouts import DELIVERY_SECONDS
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.permission import permit_call
 from ragwortcourse.forwarding.plain_call import serve_plain
 from ragwortcourse.forwarding.reply import (
-    Reason,
+    STOPPING,
     Refusal,
     Reply,
     WholeAnswer,
@@ -36,12 +36,6 @@
 )
 from ragwortcourse.forwarding.tries import Tries
 
-# Another entry daemon can serve the caller at once.
-STOPPING_RETRY_SECONDS: Final = 0.01
-STOPPING: Final = Refusal(
-    reason=Reason.STOPPING, retry_after=STOPPING_RETRY_SECONDS
-)
-
 
 def build_call_routes(forwarder: Forwarder) -> list[web.RouteDef]:
     """Build the HTTP routes of the callers' port."""
@@ -65,8 +59,12 @@
     permitted = permit_call(forwarder.state, forwarder.fleet, call)
     if isinstance(permitted, Refusal):
         return _write_reply(call, permitted)
-    with _watch_caller(request, lambda: note_left(call)):
-        body = await request.read()
+    try:
+        async with forwarder.open_reading():
+            with _watch_caller(request, lambda: note_left(call)):
+                body = await request.read()
+    except ScopeEndedError:
+        return _write_reply(call, STOPPING)
     if forwarder.closing:
         return _write_reply(call, STOPPING)
     work = _accept(call, *permitted, body)
@@ -88,14 +86,18 @@
     call = tries.work.call
     response: web.StreamResponse | Reply
     try:
-        async with asyncio.timeout_at(tries.work.deadline):
+        async with (
+            asyncio.timeout_at(tries.work.deadline),
+            tries.forwarder.open_work(),
+        ):
             with _watch_caller(request, lambda: note_left(call, tries)):
                 response = await _serve(tries, request)
-    except TimeoutError:
+    except TimeoutError as error:
+        end = _explain_end(tries, error)
         if _is_begun(request):
-            note_broken(call, tries.run_out())
+            note_broken(call, end)
             return _abort(request)
-        response = tries.failure or tries.run_out()
+        response = tries.failure or end
     except StreamBrokenError as error:
         note_broken(call, error.refusal)
         return _abort(request)
@@ -139,6 +141,12 @@
     return await serve_plain(tries)
 
 
+def _explain_end(tries: Tries, error: TimeoutError) -> Refusal:
+    if isinstance(error, ScopeEndedError):
+        return tries.give_up(STOPPING)
+    return tries.run_out()
+
+
 def _is_begun(request: web.Request) -> bool:
     writer = request.writer
     return getattr(writer, 'output_size', 0) > 0
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -1,5 +1,7 @@
 """Shared state of the requests that an entry daemon forwards."""
 
+import asyncio
+import contextlib
 import logging
 import math
 import random
@@ -9,6 +11,7 @@
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.entry.retry_scheduler import RetryScheduler
+from ragwortcourse.forwarding.call_scopes import CallScopes
 from ragwortcourse.forwarding.caller_timeouts import CallerTimeouts
 from ragwortcourse.forwarding.crash_admission import CrashAdmission
 from ragwortcourse.forwarding.crash_guard import CrashGuard
@@ -27,6 +30,12 @@
 from ragwortcourse.membership.relay_daemons import describe_daemon
 from ragwortcourse.settings import FleetSettings, Settings
 
+# Most requests have their whole answer this long after they were sent.
+USUAL_SECONDS: Final = 2.0
+# Time for callers to take the last answers.
+LAST_ANSWERS_SECONDS: Final = 0.2
+LAST_ANSWERS_POLL_SECONDS: Final = 0.01
+
 LOGGER: Final = logging.getLogger(__name__)
 
 
@@ -80,8 +89,49 @@
         self._peers = PeerCounts()
         self.running = 0
         self.closing = False
+        self._reading = CallScopes()
+        self._work = CallScopes()
+        self._ends_at = math.inf
         self._loads: dict[TargetName, TargetLoad] = {}
 
+    def close(self, *, ends_at: float) -> None:
+        """Refuse requests from now on, and those whose bodies still arrive.
+
+        :param ends_at: when requests in progress are cut, in monotonic seconds.
+        """
+        self.closing = True
+        self._ends_at = ends_at
+        self._reading.end_all()
+
+    def may_finish(self, deadline: float) -> bool:
+        """Tell whether a request that is sent now may end before the daemon.
+
+        :param deadline: of the request, in monotonic seconds.
+        """
+        usual = read_clock() + USUAL_SECONDS
+        return min(deadline, usual) <= self._ends_at
+
+    def open_reading(self) -> contextlib.AbstractAsyncContextManager[None]:
+        """Open the scope in which the body of a request is read.
+
+        :meth:`close` ends it with a :class:`ScopeEndedError`.
+        """
+        return self._reading.open()
+
+    def open_work(self) -> contextlib.AbstractAsyncContextManager[None]:
+        """Open the scope in which a request is sent to targets.
+
+        :meth:`end_work` ends it with a :class:`ScopeEndedError`.
+        """
+        return self._work.open()
+
+    async def end_work(self) -> None:
+        """End all requests, and wait for the answers to their callers."""
+        self._work.end_all()
+        ends_at = read_clock() + LAST_ANSWERS_SECONDS
+        while self.running and read_clock() < ends_at:  # noqa: ASYNC110
+            await asyncio.sleep(LAST_ANSWERS_POLL_SECONDS)
+
     def find_load(self, target: Target) -> TargetLoad:
         """Find the load of a target; a new incarnation starts from zero.
 
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -62,10 +62,14 @@
 # serving keys here.
 UNCONFIRMED_SECONDS: Final = 3.2
 # Time after SIGTERM in which requests are still served. The platform removes
-# a daemon after two failed checks, one second apart.
-SERVING_SECONDS: Final = 2.9
-# Part of the grace time that is left for the exit of the process.
-EXIT_SECONDS: Final = 1.1
+# a daemon after two failed checks, one second apart. Requests that are sent
+# later than 3 s after SIGTERM may not be cut, and a busy daemon handles the
+# signal some tenths of a second late.
+SERVING_SECONDS: Final = 2.5
+# Part of the grace time that is left for the last answers and the exit of the
+# process. Requests still in progress may be cut in its last sixth only.
+EXIT_SECONDS: Final = 1.5
+EXIT_SHARE: Final = 0.3
 DRAIN_POLL_SECONDS: Final = 0.05
 DRAINING: Final = 'draining'
 NO_STATE: Final = 'desired state not read yet'
@@ -150,14 +154,15 @@
         """
         self.draining = True
         grace = self.forwarder.fleet.grace_seconds
-        ends_at = read_clock() + grace - EXIT_SECONDS
+        ends_at = read_clock() + grace - min(EXIT_SECONDS, grace * EXIT_SHARE)
         await asyncio.sleep(min(SERVING_SECONDS, grace / 2))
-        self.forwarder.closing = True
+        self.forwarder.close(ends_at=ends_at)
         while read_clock() < ends_at and self.forwarder.running:  # noqa: ASYNC110
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def stop(self) -> None:
-        """Release resources other than the background tasks."""
+        """Answer what is in progress, and release resources."""
+        await self.forwarder.end_work()
         await self.cache.stop()
         for session in self.sessions:
             await session.close()
