Do not end a begun stream for the silence of its target

Streams without an event are still answered. test_caller_leaves_after_an_event wanted the broken stream; in its place test_begun_stream_with_a_long_gap wants it whole, and fails before.

--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -81,11 +81,13 @@
 
     @property
     def gap_left(self) -> float:
-        """Seconds in which the next event of a stream still finds its caller.
+        """Seconds in which the first event of a stream still finds its caller.
 
-        Infinite for all other requests.
+        Infinite for all other requests, and for streams that have begun: the
+        end of their callers' patience tells callers nothing new.
         """
-        if self.work.route.kind is not CallKind.STREAMING:
+        is_stream = self.work.route.kind is CallKind.STREAMING
+        if not is_stream or self.history.first_at is not None:
             return math.inf
         gap = find_longest_gap(self.work.route) - DELIVERY_SECONDS
         left = self.history.heard_at + gap - read_clock()
