--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -152,6 +152,7 @@
     runs: list[TargetRun] | None = None,
     faults: list[InjectedFault] = (),
     others: list[SentRequest] = (),
+    named: dict[int, float] = MappingProxyType({}),
     **changes: object,
 ) -> str:
     """List the losses of a lookup that was cut, joined by spaces.
@@ -159,6 +160,7 @@
     :param work: planned work beside it, by default a stop of its daemon.
     :param runs: runs of the lookup, by default one that the daemon closed.
     :param others: further requests.
+    :param named: times at which versions of weights were set.
     :param changes: fields of the record of the lookup.
     """
     if runs is None:
@@ -174,6 +176,7 @@
         runs=[*runs, *own],
         faults=list(faults),
         planned=[PlannedWork(**{'whom': 'entry-1', **work})] if work else [],
+        named=dict(named),
     )
     return ' '.join(list_losses(records))
 
@@ -671,6 +674,31 @@
             work=None, runs=[make_silent_run(**run)], faults=faults, **changes
         )
 
+    @pytest.mark.parametrize(
+        ('version', 'named_at', 'body', 'excused'),
+        [
+            (1, 92.5, '', True),
+            (1, 92.8, '', True),
+            (1, 93.0, '', False),
+            (1, 92.5, '0 1', False),
+            (2, 92.5, '', False),
+            (0, 92.5, '', False),
+        ],
+    )
+    def test_version_expires(self, version, named_at, body, excused):
+        """No request may begin on an older version from its bound on.
+
+        The request is ended 0.2 s before, unless its answer has begun.
+        """
+        found = find_loss(
+            work=None,
+            runs=[make_silent_run(version=version)],
+            named={2: named_at},
+            kind=Kind.LETTER,
+            body=body,
+        )
+        assert ('merely silent' not in found) == excused
+
 
 class TestChecks:
     """Each check reports the violation that it is for."""
