--- a/tests/test_chunk_cache.py
+++ b/tests/test_chunk_cache.py
@@ -108,6 +108,18 @@
         source.corrupted = False
         assert await source.cache.find(MODEL, 1, 2) == make_chunk(1, 2)
 
+    async def test_download_outlasts_its_version(self):
+        """A chunk that comes after its version was evicted is its own only."""
+        source = Source()
+        late = asyncio.ensure_future(source.cache.find(MODEL, 1, 2))
+        await asyncio.sleep(0.05)
+        later = await asyncio.gather(
+            source.cache.find(MODEL, 2, 2), source.cache.find(MODEL, 3, 2)
+        )
+        assert await late == make_chunk(1, 2)
+        assert later == [make_chunk(2, 2), make_chunk(3, 2)]
+        assert await source.cache.find(MODEL, 3, 2) == make_chunk(3, 2)
+
     async def test_ahead(self):
         """Chunks for which others ask here first are prefetched."""
         source = Source(own=(1, 3, 5))
