Write the rows of a soak's engines as their versions change

Engines of a soak never wrote the version that they loaded into their rows. Real engines write their rows every heartbeat.

--- a/fakes/soak_site.py
+++ b/fakes/soak_site.py
@@ -21,6 +21,7 @@
 from fakes.soak_state import ENGINES, PLAIN, SPARE, SoakState
 from fakes.soak_target import LAYERS, MODEL, SoakTarget
 from fakes.soak_watch import WATCH_LOG
+from ragwortcourse.detached_tasks import end_task
 from ragwortcourse.weights.manifest import digest_bytes
 
 # The last one may be withdrawn.
@@ -34,6 +35,8 @@
 ERROR_LEVELS = frozenset(('ERROR', 'CRITICAL'))
 GRACE_SECONDS = 8
 CLOSE_SECONDS = 0.5
+# Engines write their rows this often, if they have changed.
+BEAT_SECONDS = 1.2
 FLEET_TEXT = f"""
 daemon = "{{name}}"
 host = "{{name}}"
@@ -104,6 +107,7 @@
         self._watch = Child(
             name='watch', module='fakes.soak_watch', log=folder / WATCH_LOG
         )
+        self._written: dict[str, int] = {}
         self._stack = contextlib.AsyncExitStack()
         self._origin = ''
 
@@ -117,6 +121,8 @@
         for service in PREFIXES:
             for number in range(self._per_service):
                 await self._open_target(service, number)
+        beating = asyncio.create_task(self._write_rows())
+        self._stack.push_async_callback(end_task, beating)
         self.put_state()
         for name, domain in self.forwarders.items():
             await self._start_forwarder(name, domain, store)
@@ -159,6 +165,7 @@
                 'version': target.version,
             }
         self.store.put('servers', name, row)
+        self._written[name] = target.version
 
     def put_state(self) -> None:
         """Write the desired state to the store under the next version."""
@@ -212,6 +219,17 @@
             PlannedWork(kind=PlannedKind.CHANGE, whom='', at=time.monotonic())
         )
 
+    async def _write_rows(self) -> None:
+        """Write the rows of engines that hold another version than before."""
+        while True:
+            await asyncio.sleep(BEAT_SECONDS)
+            if self.store.down or self.store.silent:
+                continue
+            for target in self.list_targets(ENGINES):
+                is_listed = self.store.read('servers', target.name) is not None
+                if is_listed and self._written[target.name] != target.version:
+                    self.put_target(target.name)
+
     async def _start_forwarder(
         self, name: str, domain: str, store: str
     ) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,7 +20,7 @@
 from aiohttp import ServerDisconnectedError
 from aiohttp.test_utils import TestClient, TestServer
 
-from fakes import soak_trouble
+from fakes import soak_site, soak_trouble
 from fakes.soak import Soak, run_soak
 from fakes.soak_body import SIZES, make_body, send_body
 from fakes.soak_checks import list_findings
@@ -34,6 +34,7 @@
     plan_changes,
     plan_faults,
 )
+from fakes.soak_proxy import LoopbackProxy
 from fakes.soak_records import (
     Ending,
     InjectedFault,
@@ -48,6 +49,7 @@
 from fakes.soak_silence import draw_silence
 from fakes.soak_site import SoakSite, list_errors
 from fakes.soak_stage import CHUNKS, make_piece
+from fakes.soak_state import ENGINES
 from fakes.soak_target import EVENTS, MODEL, SoakTarget, make_answer
 from fakes.soak_trouble import EngineCall
 from fakes.soak_watch import (
@@ -58,6 +60,7 @@
     read_watch,
     record_stalls,
 )
+from ragwortcourse.detached_tasks import end_task
 
 # Each with the cause of its finding, if it once had one.
 SETUPS = {
@@ -292,6 +295,39 @@
         assert site.store.read('op', 'evacuate/near-b') is None
 
 
+class TestRows:
+    """Rows that engines write into the store."""
+
+    async def test_follow_loads(self, tmp_path, monkeypatch):
+        """A row names the version that its engine loaded last.
+
+        While the store is down nothing is written.
+        """
+        monkeypatch.setattr(soak_site, 'BEAT_SECONDS', 0.01)
+        site = SoakSite(folder=tmp_path)
+        target = SoakTarget(
+            name='i-1',
+            service=ENGINES,
+            domain='near-a',
+            records=site.records,
+            version=1,
+        )
+        site.targets['i-1'] = target
+        site.links['i-1'] = LoopbackProxy(server='')
+        site.put_target('i-1')
+        before = site.store.read('servers', 'i-1')
+        writing = asyncio.create_task(site._write_rows())
+        site.store.down, target.version = True, 2
+        await asyncio.sleep(0.1)
+        assert site.store.read('servers', 'i-1') == before
+        site.store.down = False
+        await wait_until(lambda: site.store.read('servers', 'i-1') != before)
+        assert b'"version":2' in site.store.read('servers', 'i-1').replace(
+            b' ', b''
+        )
+        await end_task(writing)
+
+
 class TestPlan:
     """Schedules of faults."""
 
