Show that a late write can get between the check and the order

A chunk of version 2 whose write was given up is staged over that of version 3 while the engine takes the order to load version 3: the loader reads such a chunk last in its check, but sends the order with the write still open.

The test fails; the loader's path is not changed here.

--- /dev/null
+++ b/tests/test_late_writes.py
@@ -0,0 +1,49 @@
+"""Staged chunks that an engine writes after their loader gave them up."""
+
+import asyncio
+
+import pytest
+
+from fakes.loader_host import LoaderHost
+from fakes.staged_engine import CALL_SECONDS
+from ragwortcourse.clock import read_clock
+from ragwortcourse.weights.engine_port import LoadOrderOutcome
+
+pytestmark = pytest.mark.looptime
+LATE_SECONDS = 10.0
+
+
+async def test_late_write_between_the_check_and_the_order():
+    """A chunk of an older version is not loaded with a newer one.
+
+    The engine takes 0.3 s for the order and does the write meanwhile, if it
+    was given up less than ten seconds ago.
+    """
+    host = LoaderHost(version=1)
+    engine = host.engine
+    write, order = engine.write_staged, engine.order_load
+    given_up: list[tuple[float, int, bytes]] = []
+
+    async def write_staged(model, index, content) -> bool:
+        if given_up:
+            return await write(model, index, content)
+        given_up.append((read_clock() + CALL_SECONDS, index, content))
+        await asyncio.sleep(CALL_SECONDS)
+        return False
+
+    async def order_load(model, version, expected) -> LoadOrderOutcome:
+        await asyncio.sleep(0.3)
+        at, index, content = given_up[0]
+        if version == 3 and read_clock() < at + LATE_SECONDS:
+            engine.stage[index] = content
+        return await order(model, version, expected)
+
+    engine.write_staged, engine.order_load = write_staged, order_load
+    async with host.run():
+        host.name(2)
+        while not given_up:  # no event
+            await asyncio.sleep(0.01)
+        host.name(3)
+        await asyncio.sleep(60)
+    host.check_orders()
+    assert engine.version == 3
