--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,7 +20,7 @@
 from aiohttp import ServerDisconnectedError
 from aiohttp.test_utils import TestClient, TestServer
 
-from fakes import soak_trouble
+from fakes import soak_site, soak_trouble
 from fakes.soak import Soak, run_soak
 from fakes.soak_body import SIZES, make_body, send_body
 from fakes.soak_checks import list_findings
@@ -34,6 +34,7 @@
     plan_changes,
     plan_faults,
 )
+from fakes.soak_proxy import LoopbackProxy
 from fakes.soak_records import (
     Ending,
     InjectedFault,
@@ -48,6 +49,7 @@
 from fakes.soak_silence import draw_silence
 from fakes.soak_site import SoakSite, list_errors
 from fakes.soak_stage import CHUNKS, make_piece
+from fakes.soak_state import ENGINES
 from fakes.soak_target import EVENTS, MODEL, SoakTarget, make_answer
 from fakes.soak_trouble import EngineCall
 from fakes.soak_watch import (
@@ -58,6 +60,7 @@
     read_watch,
     record_stalls,
 )
+from ragwortcourse.detached_tasks import end_task
 
 # Each with the cause of its finding, if it once had one.
 SETUPS = {
@@ -152,6 +155,7 @@
     runs: list[TargetRun] | None = None,
     faults: list[InjectedFault] = (),
     others: list[SentRequest] = (),
+    named: dict[int, float] = MappingProxyType({}),
     **changes: object,
 ) -> str:
     """List the losses of a lookup that was cut, joined by spaces.
@@ -159,6 +163,7 @@
     :param work: planned work beside it, by default a stop of its daemon.
     :param runs: runs of the lookup, by default one that the daemon closed.
     :param others: further requests.
+    :param named: times at which versions of weights were set.
     :param changes: fields of the record of the lookup.
     """
     if runs is None:
@@ -174,6 +179,7 @@
         runs=[*runs, *own],
         faults=list(faults),
         planned=[PlannedWork(**{'whom': 'entry-1', **work})] if work else [],
+        named=dict(named),
     )
     return ' '.join(list_losses(records))
 
@@ -289,6 +295,39 @@
         assert site.store.read('op', 'evacuate/near-b') is None
 
 
+class TestRows:
+    """Rows that engines write into the store."""
+
+    async def test_follow_loads(self, tmp_path, monkeypatch):
+        """A row names the version that its engine loaded last.
+
+        While the store is down nothing is written.
+        """
+        monkeypatch.setattr(soak_site, 'BEAT_SECONDS', 0.01)
+        site = SoakSite(folder=tmp_path)
+        target = SoakTarget(
+            name='i-1',
+            service=ENGINES,
+            domain='near-a',
+            records=site.records,
+            version=1,
+        )
+        site.targets['i-1'] = target
+        site.links['i-1'] = LoopbackProxy(server='')
+        site.put_target('i-1')
+        before = site.store.read('servers', 'i-1')
+        writing = asyncio.create_task(site._write_rows())
+        site.store.down, target.version = True, 2
+        await asyncio.sleep(0.1)
+        assert site.store.read('servers', 'i-1') == before
+        site.store.down = False
+        await wait_until(lambda: site.store.read('servers', 'i-1') != before)
+        assert b'"version":2' in site.store.read('servers', 'i-1').replace(
+            b' ', b''
+        )
+        await end_task(writing)
+
+
 class TestPlan:
     """Schedules of faults."""
 
@@ -671,6 +710,31 @@
             work=None, runs=[make_silent_run(**run)], faults=faults, **changes
         )
 
+    @pytest.mark.parametrize(
+        ('version', 'named_at', 'body', 'excused'),
+        [
+            (1, 92.5, '', True),
+            (1, 92.8, '', True),
+            (1, 93.0, '', False),
+            (1, 92.5, '0 1', False),
+            (2, 92.5, '', False),
+            (0, 92.5, '', False),
+        ],
+    )
+    def test_version_expires(self, version, named_at, body, excused):
+        """No request may begin on an older version from its bound on.
+
+        The request is ended 0.2 s before, unless its answer has begun.
+        """
+        found = find_loss(
+            work=None,
+            runs=[make_silent_run(version=version)],
+            named={2: named_at},
+            kind=Kind.LETTER,
+            body=body,
+        )
+        assert ('merely silent' not in found) == excused
+
 
 class TestChecks:
     """Each check reports the violation that it is for."""
