Send no order while a late write of another version may follow

A download that is given up cancels its write, which was not noted at all. Each write is noted before it is sent now, and no order goes out while one of another version may still be done: until it is seen done, the engine restarts, or it has answered for 12 s. test_late_writes.py failed before.

What it costs: an engine gets a version up to 12 s late after such a write.

--- a/src/ragwortcourse/weights/engine_stage.py
+++ b/src/ragwortcourse/weights/engine_stage.py
@@ -24,6 +24,7 @@
     UnansweredOrder,
     may_be_accepted,
 )
+from ragwortcourse.weights.unanswered_writes import UnansweredWrites
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -42,10 +43,10 @@
         self._answers_since = read_clock_with_suspend()
         self._engine = engine
         self._first_report: EngineReport | None = None
+        self._born = 0
         self._is_reserved = False
         self._writing = asyncio.Lock()
-        # Chunks that an unanswered write may still replace.
-        self._unanswered: set[int] = set()
+        self._writes = UnansweredWrites()
 
     async def stage_chunk(
         self,
@@ -89,10 +90,13 @@
                 self._engine,
                 chunks,
                 write=self._write,
-                # What may change meanwhile is read as late as possible.
-                read_last=frozenset(self._unanswered),
+                note_read=self._writes.note_read,
             )
 
+    def may_change(self, chunks: VersionChunks) -> bool:
+        """Tell whether a late write may still spoil the staged version."""
+        return self._writes.may_replace(chunks)
+
     async def order_load(
         self, chunks: VersionChunks, orders: int | None
     ) -> LoadOrderOutcome:
@@ -131,6 +135,10 @@
             or now - self._answers_since > LATE_CALL_SECONDS
         ):
             self.is_inspected = True
+        if report.born != self._born:
+            self._born = report.born
+            self._writes.clear()
+        self._writes.drop_old(now, self._answers_since)
         order = self.open_order
         if order is not None and not may_be_accepted(
             order,
@@ -149,9 +157,13 @@
             )
 
     async def _write(self, chunks: VersionChunks, index: int) -> bool:
+        # The download of a version may be cancelled meanwhile.
+        write = self._writes.add(chunks, index, read_clock_with_suspend())
         is_staged = await self._engine.write_staged(
             chunks.manifest.model, index, chunks.contents[index]
         )
-        if not is_staged:
-            self._unanswered.add(index)
+        if is_staged:
+            self._writes.note_staged(write)
+        else:
+            self.note_silent()
         return is_staged
--- a/src/ragwortcourse/weights/engine_switch.py
+++ b/src/ragwortcourse/weights/engine_switch.py
@@ -180,7 +180,10 @@
     check = await loader_weights.stage.ensure_staged(downloaded)
     check_age = check.age
     outcome = None
-    if not check.failed and check_age <= LONGEST_CHECK_SECONDS:
+    if (
+        not (check.failed or loader_weights.stage.may_change(downloaded))
+        and check_age <= LONGEST_CHECK_SECONDS
+    ):
         outcome = await loader_weights.stage.order_load(
             downloaded, report.orders
         )
--- a/src/ragwortcourse/weights/stage_check.py
+++ b/src/ragwortcourse/weights/stage_check.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from ragwortcourse.clock import read_clock_with_suspend
@@ -36,16 +36,16 @@
     chunks: VersionChunks,
     *,
     write: Callable[[VersionChunks, int], Awaitable[bool]],
-    read_last: Collection[int] = (),
+    note_read: Callable[[int, bytes | None], None],
 ) -> StageCheck:
     """Compare all staged chunks with a version; stage those that differ.
 
     :param write: stages a chunk; tells whether it succeeded.
-    :param read_last: indexes of the chunks to read after the others.
+    :param note_read: takes each staged chunk.
     """
     began_at = read_clock_with_suspend()
     model = chunks.manifest.model
-    queue = sorted(chunks.contents, key=lambda index: index in read_last)
+    queue = list(chunks.contents)
     written: list[bool] = []
 
     async def compare_some() -> None:
@@ -53,6 +53,7 @@
         while queue and False not in written:
             index = queue.pop(0)
             staged = await engine.read_staged(model, index)
+            note_read(index, staged)
             if staged != chunks.contents[index]:
                 written.append(await write(chunks, index))
 
