Keep an engine in service while a late write holds its order back

The wait for late writes came after the notice that closes the engine to requests, which was repeated until the order went out, for up to 12 s.

--- a/src/ragwortcourse/weights/engine_switch.py
+++ b/src/ragwortcourse/weights/engine_switch.py
@@ -22,6 +22,8 @@
 # Frequent polls are cheap because the engine is on the same host.
 WATCH_SECONDS: Final = 0.2
 LOADING_WATCH_SECONDS: Final = 0.05
+# Between two checks for a late write; each reads all staged chunks.
+LATE_WRITE_WATCH_SECONDS: Final = 1.0
 # The switch notice takes some milliseconds to reach entry daemons, which stop
 # sending requests when it arrives.
 NOTICE_SECONDS: Final = 0.15
@@ -68,6 +70,10 @@
     check = await stage.ensure_staged(downloaded)
     if check.failed:
         return False
+    if stage.may_change(downloaded):
+        # The engine serves requests until the order can go out.
+        await asyncio.sleep(LATE_WRITE_WATCH_SECONDS)
+        return False
     if held:
         await _await_turn(loader_weights, rules, downloaded)
         downloaded = await _await_successor(loader_weights, rules, downloaded)
--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -47,3 +47,17 @@
         await asyncio.sleep(60)
     host.check_orders()
     assert engine.version == 3
+
+
+async def test_engine_serves_while_a_late_write_may_follow():
+    """No notice closes the engine as long as no order can go out."""
+    host = LoaderHost(version=1)
+    host.engine.late_writes = [60.0]
+    async with host.run():
+        host.name(2)
+        await asyncio.sleep(0.35)
+        host.name(3)
+        await asyncio.sleep(10)
+        assert not host.notices
+        await asyncio.sleep(10)
+    assert host.engine.version == 3
