--- a/tests/test_engine_stage.py
+++ b/tests/test_engine_stage.py
@@ -5,6 +5,7 @@
 import pytest
 
 from fakes.fleet_parts import FLEET, MODEL
+from fakes.held_tasks import HeldTasks, make_task
 from fakes.loader_host import (
     CHUNKS,
     ENGINE,
@@ -14,13 +15,15 @@
 )
 from ragwortcourse.forwarding.target import HeldWeights
 from ragwortcourse.weights.chunk_store import VersionChunks
-from ragwortcourse.weights.engine_port import EngineReport
+from ragwortcourse.weights.engine_port import EngineReport, LoadOrderOutcome
+from ragwortcourse.weights.engine_switch import switch_engine
 from ragwortcourse.weights.stage_inspection import FormerOrder, judge_staged
 from ragwortcourse.weights.unanswered_order import (
     LATE_CALL_SECONDS,
     UnansweredOrder,
     may_be_accepted,
 )
+from ragwortcourse.weights.version_drawing import download_versions
 
 pytestmark = pytest.mark.looptime
 VERSION_SECONDS = FLEET.version_ms / 1000
@@ -149,6 +152,70 @@
         host.check_orders()
         assert host.engine.version == 3
 
+    @pytest.mark.parametrize('seconds', [4.0, 9.6])
+    async def test_order_whose_count_a_restarted_engine_reaches_later(
+        self, seconds
+    ):
+        """An order of a former count stays open after another one is begun.
+
+        The engine restarts between report and order, and has accepted two
+        orders again when it takes the late one.
+        """
+        host = LoaderHost(version=1)
+        host.engine.accepted = 2
+        read_staged = host.engine.read_staged
+
+        async def restart_and_read(model, index):
+            if host.engine.late_orders and host.engine.version:
+                host.engine.restart()
+            return await read_staged(model, index)
+
+        async with host.run():
+            host.name(2)
+            while host.loading.store.find_newest_whole() < 2:
+                await asyncio.sleep(0.01)
+            host.engine.running = 16
+            while not host.notices:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.3)
+            host.engine.read_staged = restart_and_read
+            host.engine.late_orders = [seconds]
+            while host.engine.late_orders:
+                await asyncio.sleep(0.01)
+            host.name(3)
+            await asyncio.sleep(LATE_CALL_SECONDS + VERSION_SECONDS)
+        host.check_orders()
+        assert host.engine.version == 3
+
+    @pytest.mark.parametrize('seconds', [13.0, 20.0])
+    async def test_order_beside_a_loader_that_stands_still(self, seconds):
+        """Time in which the loader read no report settles no order.
+
+        The engine stands still as well, and takes the order 0.1 s after it
+        goes on.
+        """
+        loop = asyncio.get_running_loop()
+        loop.set_task_factory(make_task)
+        host = LoaderHost(version=1)
+        tasks = HeldTasks()
+        host.name(2)
+        tasks.start(
+            download_versions(host.loading), switch_engine(host.loading)
+        )
+        host.engine.late_orders = [1.1 + seconds + 0.1]
+        while host.engine.late_orders:
+            await asyncio.sleep(0.01)
+        host.name(3)
+        # The order has got no answer, and the next one is not sent yet.
+        await asyncio.sleep(1.1)
+        tasks.suspension.suspend()
+        await asyncio.sleep(seconds)
+        tasks.suspension.resume()
+        await asyncio.sleep(2 * VERSION_SECONDS)
+        await tasks.kill()
+        host.check_orders()
+        assert host.engine.version == 3
+
 
 class TestMayBeAccepted:
     """Whether an engine may still accept an order that stated two others."""
@@ -242,6 +309,35 @@
         assert host.engine.version == 2
         host.check_orders()
 
+    @pytest.mark.parametrize('seconds', [3.5, 4.0])
+    async def test_list_of_the_staged_chunks_without_an_answer(self, seconds):
+        """An engine that does not answer counts as no empty stage."""
+        host = LoaderHost(version=1)
+        async with host.run():
+            host.name(2)
+            host.engine.late_orders = [seconds]
+            while host.engine.late_orders:
+                await asyncio.sleep(0.01)
+        list_staged = host.engine.list_staged
+        unanswered = [True]
+
+        async def list_later(model):
+            if unanswered:
+                unanswered.clear()
+                await asyncio.sleep(1)
+                return frozenset()
+            return await list_staged(model)
+
+        host.engine.list_staged = list_later
+        successor = LoaderHost(engine=host.engine, link_mbps=0.009)
+        successor.seconds = 1.85
+        async with successor.run():
+            successor.name(2)
+            successor.name(3)
+            await asyncio.sleep(3 * VERSION_SECONDS)
+        successor.check_orders()
+        assert host.engine.version == 3
+
     async def test_stage_of_two_versions(self):
         """A download that a former loader began is continued."""
         host = LoaderHost(version=1)
@@ -391,3 +487,42 @@
             await asyncio.sleep(VERSION_SECONDS)
         assert host.engine.version == 3
         host.check_orders()
+
+
+class TestSwitch:
+    """The loader's loop beside an engine that does not load."""
+
+    async def test_order_in_effect_of_a_version_that_is_not_held(self):
+        """The loader waits between orders that change nothing."""
+        host = LoaderHost()
+        sent = 0
+
+        async def order_load(model, version, expected):
+            nonlocal sent
+            sent += 1
+            # Without it, no time passes in a loop that never waits.
+            await asyncio.sleep(0.001)
+            return LoadOrderOutcome.IN_EFFECT
+
+        host.engine.order_load = order_load
+        async with host.run():
+            host.name(2)
+            await asyncio.sleep(3)
+        assert 0 < sent < 100
+
+    async def test_engine_serves_while_a_late_write_forbids_the_order(self):
+        """No switch is announced as long as no order can be sent."""
+        host = LoaderHost(version=1)
+        async with host.run():
+            host.name(2)
+            host.engine.late_writes = [3600.0]
+            while host.engine.late_writes:
+                await asyncio.sleep(0.01)
+            host.name(3)
+            while host.loading.store.find_newest_whole() < 3:
+                await asyncio.sleep(0.01)
+            host.notices.clear()
+            await asyncio.sleep(6)
+            assert not host.engine.orders
+        # The one that is under way when the loader notices.
+        assert len(host.notices) <= 1
