--- a/src/ragwortcourse/platform/engine.py
+++ b/src/ragwortcourse/platform/engine.py
@@ -93,10 +93,12 @@
             born=wire.born,
         )
 
-    async def list_staged(self, model: ModelName) -> frozenset[int]:
-        """List the indexes of staged chunks, of any version."""
+    async def list_staged(self, model: ModelName) -> frozenset[int] | None:
+        """List the indexes of staged chunks; None without an answer."""
         answer = await self._call('GET', f'/stage-get/{model}')
-        if answer is None or answer[0] != OK:
+        if answer is None:
+            return None
+        if answer[0] != OK:
             return frozenset()
         try:
             held = decode_json(answer[1], WireHeld).held
--- a/src/ragwortcourse/weights/engine_port.py
+++ b/src/ragwortcourse/weights/engine_port.py
@@ -45,8 +45,8 @@
     async def read_report(self) -> EngineReport | None:
         """Read the engine state; None if the engine does not answer."""
 
-    async def list_staged(self, model: ModelName) -> frozenset[int]:
-        """List the indexes of staged chunks of any version."""
+    async def list_staged(self, model: ModelName) -> frozenset[int] | None:
+        """List the indexes of staged chunks; None without an answer."""
 
     async def read_staged(self, model: ModelName, index: int) -> bytes | None:
         """Read a staged chunk without a digest check; None if absent."""
--- a/src/ragwortcourse/weights/engine_stage.py
+++ b/src/ragwortcourse/weights/engine_stage.py
@@ -26,6 +26,9 @@
 )
 from ragwortcourse.weights.unanswered_writes import UnansweredWrites
 
+# Longest time between two reports in which an engine counts as answering.
+LONGEST_GAP_SECONDS: Final = 2.0
+
 LOGGER: Final = logging.getLogger(__name__)
 
 
@@ -33,6 +36,8 @@
     """Writer of one engine's staged chunks, and sender of its load orders.
 
     :ivar open_order: order that the engine may still accept, if any.
+    :ivar answered: seconds for which the engine has answered, a clock that
+        stands still while it does not.
     :ivar is_inspected: whether an order of a former loader is ruled out or
         known; nothing is staged before.
     """
@@ -40,8 +45,9 @@
     def __init__(self, *, engine: EnginePort) -> None:
         self.open_order: UnansweredOrder | None = None
         self.is_inspected = False
-        self._answers_since = read_clock_with_suspend()
         self._engine = engine
+        self.answered: float = 0
+        self._reported_at: float | None = None
         self._first_report: EngineReport | None = None
         self._born = 0
         self._is_reserved = False
@@ -107,43 +113,40 @@
         former = self.open_order
         # A caller that is cancelled learns nothing of the order either.
         self.open_order = UnansweredOrder(
-            chunks=chunks, orders=orders, sent_at=read_clock_with_suspend()
+            chunks=chunks, orders=orders, sent_at=self.answered
         )
         outcome = await self._engine.order_load(
             chunks.manifest.model, chunks.manifest.version, orders
         )
-        if outcome is LoadOrderOutcome.BEGUN:
-            self.open_order = None
-        elif outcome is LoadOrderOutcome.UNANSWERED:
+        if outcome is LoadOrderOutcome.UNANSWERED:
             self.note_silent()
         else:
+            # The next report settles it, unless the engine has restarted.
             self.open_order = former
         return outcome
 
     def note_silent(self) -> None:
         """Note that the engine does not answer, so that calls wait in it."""
-        self._answers_since = read_clock_with_suspend()
+        self._reported_at = None
 
     def settle(self, report: EngineReport) -> None:
-        """Drop the orders that the engine can't accept any more."""
-        now = read_clock_with_suspend()
+        """Drop the calls that the engine can't perform any more."""
+        self._count_answered()
         first = self._first_report or report
         self._first_report = first
         if (
             # It has restarted, or accepted an order after this loader started.
             (report.born, report.orders) != (first.born, first.orders)
-            or now - self._answers_since > LATE_CALL_SECONDS
+            or self.answered > LATE_CALL_SECONDS
         ):
             self.is_inspected = True
         if report.born != self._born:
             self._born = report.born
             self._writes.clear()
-        self._writes.drop_old(now, self._answers_since)
+        self._writes.drop_old(self.answered)
         order = self.open_order
         if order is not None and not may_be_accepted(
-            order,
-            report,
-            seconds=now - max(order.sent_at, self._answers_since),
+            order, report, seconds=self.answered - order.sent_at
         ):
             self.open_order = None
             LOGGER.info(
@@ -152,13 +155,22 @@
                     'version': order.chunks.manifest.version,
                     'stated_orders': order.orders,
                     'orders': report.orders,
-                    'seconds': now - order.sent_at,
+                    'answered_seconds': self.answered - order.sent_at,
                 },
             )
 
+    def _count_answered(self) -> None:
+        """Count the time between two reports that follow each other closely."""
+        now = read_clock_with_suspend()
+        if self._reported_at is not None:
+            seconds = now - self._reported_at
+            if seconds <= LONGEST_GAP_SECONDS:
+                self.answered += seconds
+        self._reported_at = now
+
     async def _write(self, chunks: VersionChunks, index: int) -> bool:
         # The download of a version may be cancelled meanwhile.
-        write = self._writes.add(chunks, index, read_clock_with_suspend())
+        write = self._writes.add(chunks, index, self.answered)
         is_staged = await self._engine.write_staged(
             chunks.manifest.model, index, chunks.contents[index]
         )
--- a/src/ragwortcourse/weights/engine_switch.py
+++ b/src/ragwortcourse/weights/engine_switch.py
@@ -18,6 +18,7 @@
     is_ready_to_switch,
     schedule_switch,
 )
+from ragwortcourse.weights.unanswered_order import holds_version
 
 # Frequent polls are cheap because the engine is on the same host.
 WATCH_SECONDS: Final = 0.2
@@ -29,10 +30,10 @@
 NOTICE_SECONDS: Final = 0.15
 # Covers the order and the loading if the second notice is lost.
 CLOSED_SECONDS: Final = 0.8
-# Longest time from the beginning of the check to the order. Chunks that the
-# engine loads have been whole a call's time limit and this time ago.
+# Longest time from the beginning of the check to the order. An engine that
+# accepts the order within the call's time limit loads chunks that were right
+# less than 3 s before.
 LONGEST_CHECK_SECONDS: Final = 1.5
-STARTED: Final = frozenset((LoadOrderOutcome.BEGUN, LoadOrderOutcome.IN_EFFECT))
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -61,6 +62,8 @@
     if loader_weights.list_named(rules)[-1].version > held:
         await inspect_stage(loader_weights, rules, report)
     if stage.open_order is not None:
+        if holds_version(report, stage.open_order):
+            return False
         await _announce(loader_weights, CLOSED_SECONDS, 0)
         return await _order(loader_weights, rules, stage.open_order.chunks)
     downloaded = loader_weights.find_downloaded(rules)
@@ -153,7 +156,7 @@
     """Order the engine to load a version; return whether loading began."""
     with loader_weights.stage.reserve():
         outcome = await _check_and_order(loader_weights, downloaded)
-    if outcome not in STARTED:
+    if outcome is not LoadOrderOutcome.BEGUN:
         return False
     began_at = read_clock()
     loader_weights.report = await loader_weights.ports.engine.read_report()
--- a/src/ragwortcourse/weights/stage_check.py
+++ b/src/ragwortcourse/weights/stage_check.py
@@ -68,7 +68,7 @@
 async def adopt_staged(engine: EnginePort, chunks: VersionChunks) -> int:
     """Adopt staged chunks of a version; return how many are held then."""
     model = chunks.manifest.model
-    for index in sorted(await engine.list_staged(model)):
+    for index in sorted(await engine.list_staged(model) or ()):
         if index in chunks.missing:
             chunks.take(index, await engine.read_staged(model, index))
     return len(chunks.contents)
--- a/src/ragwortcourse/weights/stage_inspection.py
+++ b/src/ragwortcourse/weights/stage_inspection.py
@@ -2,7 +2,7 @@
 
 A loader that starts knows nothing of the orders that its predecessor sent. An
 order that the engine may still accept is for a version that is staged
-completely, as a loader stages nothing else meanwhile.
+completely, but for single chunks that late writes replaced or that spoilt.
 """
 
 import asyncio
@@ -11,7 +11,6 @@
 from collections.abc import Mapping
 from typing import Final
 
-from ragwortcourse.clock import read_clock_with_suspend
 from ragwortcourse.forwarding.engine_profile import EngineProfile
 from ragwortcourse.weights.chunk_store import VersionChunks
 from ragwortcourse.weights.engine_port import EngineReport
@@ -81,8 +80,8 @@
     if stage.is_inspected:
         return
     staged = await loader_weights.ports.engine.list_staged(rules.model)
-    if len(staged) < rules.chunks:
-        stage.is_inspected = True
+    if staged is None or len(staged) < rules.chunks:
+        stage.is_inspected = staged is not None
         return
     versions = await _identify(loader_weights, rules)
     found = {version: len(each.contents) for version, each in versions.items()}
@@ -108,7 +107,7 @@
             stage.open_order = UnansweredOrder(
                 chunks=chunks,
                 orders=report.orders,
-                sent_at=read_clock_with_suspend(),
+                sent_at=stage.answered,
             )
             return
     await asyncio.sleep(RETRY_SECONDS)
--- a/src/ragwortcourse/weights/unanswered_writes.py
+++ b/src/ragwortcourse/weights/unanswered_writes.py
@@ -1,4 +1,4 @@
-"""Chunks whose writes got no answer, and which an engine may still stage."""
+"""Writes of chunks that are in progress, or that got no answer."""
 
 import dataclasses
 from collections.abc import Callable
@@ -11,7 +11,7 @@
 class UnansweredWrite:
     """Write that the engine may still do.
 
-    :param sent_at: seconds on the clock that counts suspension.
+    :param sent_at: seconds on the clock of the engine's answers.
     :param replaced: whether another chunk was staged in its place since.
     """
 
@@ -43,24 +43,22 @@
                 write.replaced = True
 
     def note_read(self, index: int, staged: bytes | None) -> None:
-        """Drop the writes that were done after their chunk was replaced."""
-        self._keep(
-            lambda write: (
-                not (
-                    write.index == index
-                    and write.replaced
-                    and write.chunks.contents[index] == staged
-                )
-            )
-        )
-
-    def drop_old(self, now: float, answers_since: float) -> None:
+        """Drop one write that was done after its chunk was replaced."""
+        for write in self._writes:
+            if (
+                write.index == index
+                and write.replaced
+                and write.chunks.contents[index] == staged
+            ):
+                self._writes.remove(write)
+                return
+
+    def drop_old(self, answered: float) -> None:
         """Drop the writes that count as never performed.
 
-        :param answers_since: time from which on the engine has answered.
+        :param answered: now, on the clock of the engine's answers.
         """
-        if now - answers_since > LATE_CALL_SECONDS:
-            self._keep(lambda write: now - write.sent_at <= LATE_CALL_SECONDS)
+        self._keep(lambda write: answered - write.sent_at <= LATE_CALL_SECONDS)
 
     def clear(self) -> None:
         """Drop all writes, as the engine has restarted."""
