Close the descriptor of a cancelled connection once

Callers got 500 in a soak.

aiohttp hands a connected socket to the event loop's create_connection(). If that is cancelled, uvloop 0.22.1 closes the descriptor but does not detach the socket, which it does only once the transport is set up. The socket closes its number again when it is freed, late if the cancelled task stays referenced. By then the number may belong to another connection.

The loop of daemons detaches the socket of a cancelled takeover. A takeover can only be cancelled after the transport has the descriptor; a socket that is refused before stays with its caller.

Not shown: that a takeover was cancelled in the failed soak.

--- a/src/ragwortcourse/daemon.py
+++ b/src/ragwortcourse/daemon.py
@@ -14,11 +14,11 @@
 os.environ['UV_USE_IO_URING'] = '0'
 
 import click
-import uvloop
 from aiomisc import entrypoint
 
 from ragwortcourse.configuration.finding import Finding
 from ragwortcourse.configuration.finding_text import format_finding
+from ragwortcourse.event_loop import EventLoop
 from ragwortcourse.processes.service import DaemonService
 from ragwortcourse.processes.unusable_addresses import UnusableAddressesError
 from ragwortcourse.settings import Settings
@@ -79,7 +79,7 @@
         log_config=False,
         pool_size=POOL_SIZE,
         shutdown_timeout=DRAIN_SECONDS,
-        loop_factory=uvloop.new_event_loop,
+        loop_factory=EventLoop,
     ) as loop:
         loop.run_forever()
     telemetry.shut_down()
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -7,7 +7,6 @@
 
 import aiohttp
 import pytest
-import uvloop
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
@@ -28,6 +27,7 @@
 from ragwortcourse.engines.http_engine import build_http_engine
 from ragwortcourse.entry.answer_writer import write_answer
 from ragwortcourse.entry.http_agents import build_http_agents
+from ragwortcourse.event_loop import EventLoop
 from ragwortcourse.forwarding.answer_cut import AnswerCutError
 from ragwortcourse.forwarding.exchange import OpenAnswer, open_target_session
 from ragwortcourse.identifiers import (
@@ -286,8 +286,8 @@
         target = CutTarget()
         target.reset = reset
         target.pause = pause
-        # Daemons use uvloop.
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        # The loop of daemons.
+        with asyncio.Runner(loop_factory=EventLoop) as runner:
             return runner.run(self._find_taken(target, answers, kept))
 
     async def _find_taken(self, target, answers, kept) -> list[bytes]:
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -3,8 +3,8 @@
 import asyncio
 
 import pytest
-import uvloop
 
+from ragwortcourse.event_loop import EventLoop
 from ragwortcourse.forwarding.datagrams import build_datagram_sender
 
 
@@ -41,7 +41,7 @@
             transport.close()
             return received
 
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        with asyncio.Runner(loop_factory=EventLoop) as runner:
             assert runner.run(send_all()) == [b'1', b'2']
         (record,) = caplog.records
         assert record.address == odd
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -6,8 +6,8 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
-import uvloop
 
+from ragwortcourse.event_loop import EventLoop
 from ragwortcourse.forwarding.answer_cut import AnswerCutError
 from ragwortcourse.forwarding.exchange import (
     OpenAnswer,
@@ -51,8 +51,8 @@
 
 
 def run(main: Callable[[], Awaitable[bytes]]) -> bytes:
-    """Run a test on uvloop, which daemons use."""
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    """Run a test on the loop of daemons."""
+    with asyncio.Runner(loop_factory=EventLoop) as runner:
         return runner.run(main())
 
 
