--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -3,13 +3,13 @@
 import asyncio
 
 import pytest
-import uvloop
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
 from fakes.fleet_parts import KEY
 from fakes.forwarder_fleet import LETTER, ForwarderFleet
 from ragwortcourse.entry.answer_writer import write_answer
+from ragwortcourse.event_loop import EventLoop
 from ragwortcourse.identifiers import RequestId
 from ragwortcourse.messages.attempt import AnswerBrokenError
 from ragwortcourse.messages.call import CallAnswer
@@ -80,7 +80,7 @@
         """A caller of HTTP/1.0 sees that its answer is not whole."""
         received = []
         with (
-            asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner,
+            asyncio.Runner(loop_factory=EventLoop) as runner,
             pytest.raises(ConnectionResetError),
         ):
             runner.run(asked(received))
