--- a/src/ragwortcourse/weights/engine_stage.py
+++ b/src/ragwortcourse/weights/engine_stage.py
@@ -99,9 +99,9 @@
                 note_read=self._writes.note_read,
             )
 
-    def may_change(self, chunks: VersionChunks) -> bool:
-        """Tell whether a late write may still spoil the staged version."""
-        return self._writes.may_replace(chunks)
+    def awaits_late_write(self, chunks: VersionChunks) -> bool:
+        """Tell whether a chunk of another version may still get staged."""
+        return self._writes.has_others(chunks)
 
     async def order_load(
         self, chunks: VersionChunks, orders: int | None
@@ -135,8 +135,9 @@
         first = self._first_report or report
         self._first_report = first
         if (
-            # It has restarted, or accepted an order after this loader started.
-            (report.born, report.orders) != (first.born, first.orders)
+            report.born != first.born
+            # It accepted an order after this loader started.
+            or (report.orders or 0) > (first.orders or 0)
             or self.answered > LATE_CALL_SECONDS
         ):
             self.is_inspected = True
--- a/src/ragwortcourse/weights/engine_switch.py
+++ b/src/ragwortcourse/weights/engine_switch.py
@@ -73,7 +73,7 @@
     check = await stage.ensure_staged(downloaded)
     if check.failed:
         return False
-    if stage.may_change(downloaded):
+    if stage.awaits_late_write(downloaded):
         # The engine serves requests until the order can go out.
         await asyncio.sleep(LATE_WRITE_WATCH_SECONDS)
         return False
@@ -189,10 +189,8 @@
     check = await loader_weights.stage.ensure_staged(downloaded)
     check_age = check.age
     outcome = None
-    if (
-        not (check.failed or loader_weights.stage.may_change(downloaded))
-        and check_age <= LONGEST_CHECK_SECONDS
-    ):
+    is_whole = not check.failed and check_age <= LONGEST_CHECK_SECONDS
+    if is_whole and not loader_weights.stage.awaits_late_write(downloaded):
         outcome = await loader_weights.stage.order_load(
             downloaded, report.orders
         )
--- a/src/ragwortcourse/weights/unanswered_writes.py
+++ b/src/ragwortcourse/weights/unanswered_writes.py
@@ -64,8 +64,8 @@
         """Drop all writes, as the engine has restarted."""
         self._writes.clear()
 
-    def may_replace(self, chunks: VersionChunks) -> bool:
-        """Tell whether a chunk of another version may still get staged."""
+    def has_others(self, chunks: VersionChunks) -> bool:
+        """Tell whether a write of another version may still be done."""
         return bool(self._find_others(chunks))
 
     def _find_others(self, chunks: VersionChunks) -> list[UnansweredWrite]:
