--- a/tests/test_platform_engine.py
+++ b/tests/test_platform_engine.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import re
+from collections.abc import AsyncIterator
 
 import pytest
 from aiohttp import ClientSession, web
@@ -55,6 +56,19 @@
         ) + body
 
 
+@contextlib.asynccontextmanager
+async def serve_engine(*routes: web.RouteDef) -> AsyncIterator[Engine]:
+    """Serve the routes of an engine, and yield a client of it."""
+    app = web.Application()
+    app.add_routes(routes)
+    async with TestServer(app) as server, ClientSession() as session:
+        yield Engine(
+            session=session,
+            reports=session,
+            address=f'127.0.0.1:{server.port}',
+        )
+
+
 class TestConnections:
     """Calls to an engine that repeats answers late."""
 
@@ -105,18 +119,8 @@
         async def send_deep(request):
             return web.Response(body=b'{"a":%s}' % (b'[' * 100_000))
 
-        app = web.Application()
-        app.add_routes([web.get('/{path:.*}', send_deep)])
-        async with contextlib.AsyncExitStack() as stack:
-            server = TestServer(app)
-            await server.start_server()
-            stack.push_async_callback(server.close)
-            session = await stack.enter_async_context(ClientSession())
-            yield Engine(
-                session=session,
-                reports=session,
-                address=f'127.0.0.1:{server.port}',
-            )
+        async with serve_engine(web.get('/{path:.*}', send_deep)) as engine:
+            yield engine
 
     async def test_deeply_nested_report_ends_the_loader(self, engine, caplog):
         """The report counts as none, and the log says why."""
@@ -150,18 +154,9 @@
             orders.append(await request.json())
             return web.Response(status=202)
 
-        app = web.Application()
-        app.add_routes([web.get('/report', report), web.post('/order', order)])
-        async with contextlib.AsyncExitStack() as stack:
-            server = TestServer(app)
-            await server.start_server()
-            stack.push_async_callback(server.close)
-            session = await stack.enter_async_context(ClientSession())
-            yield Engine(
-                session=session,
-                reports=session,
-                address=f'127.0.0.1:{server.port}',
-            )
+        routes = (web.get('/report', report), web.post('/order', order))
+        async with serve_engine(*routes) as engine:
+            yield engine
 
     async def test_order_states_the_number_of_the_report(self, engine, orders):
         """The engine can refuse an order that arrives after another one."""
