--- a/review/harness.py
+++ b/review/harness.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import socket
 import subprocess
@@ -210,6 +211,16 @@
         )
         self.record.add('start', process=name)
 
+    def limit_descriptors(self, name: str, count: int) -> None:
+        """Give a process the limit on descriptors of its machine."""
+        pid = self._processes[name].pid
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (count, count))
+
+    def count_descriptors(self, name: str) -> int:
+        """Count the open descriptors of a process."""
+        pid = self._processes[name].pid
+        return len(list(pathlib.Path(f'/proc/{pid}/fd').iterdir()))
+
     def send(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process that this site started."""
         os.kill(self._processes[name].pid, number)
