--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Exit status 1: a request was refused as not run though it has run; 0: the rule held;
+# Exit status 1: a request that crashes workers reached them in too many retries; 0: the rule held;
 # 2: the case could not run. TROUBLE=0 plays it without the disruption.
 # Writes record.txt beside this file.
 cd "$(dirname "$0")/../.." || exit 2
