Send each request once, whatever its method

Cause: aiohttp sends a request of an idempotent method again by itself when its connection ends before the answer. Nothing that counts runs sees the second one, and when it finds a closed port, the error of the second hides the loss of the first. One of ten places that open a session had turned this off, by a private attribute.

Change: client_session.py opens all sessions. A middleware of aiohttp (public, runs once for each try) raises LostAnswerError in place of the errors after which the library repeats. Sessions of reads on kept connections repeat a read once by themselves, logged and counted; the store's session does not, as an answer to a second call would be dated by the first.

--- a/fakes/forwarder_fleet.py
+++ b/fakes/forwarder_fleet.py
@@ -13,6 +13,7 @@
 from aiohttp.test_utils import TestClient, TestServer
 
 from fakes.fleet_parts import (
+    CHARGE,
     KEY,
     LOOKUP,
     make_desired,
@@ -47,8 +48,10 @@
 CONFIRM_SECONDS: Final = 0.5
 LOOK: Final = '/lookups/1'
 LETTER: Final = '/letters/1'
+CHANGE: Final = '/charges/1'
 # A busy machine may stop the event loop for longer than a try of ``LOOKUP``.
 PATIENT_LOOKUP: Final = dataclasses.replace(LOOKUP, time_limit=6.0)
+PATIENT_CHARGE: Final = dataclasses.replace(CHARGE, time_limit=6.0)
 NO_HEADERS: Final[Mapping[str, str]] = types.MappingProxyType({})
 
 
@@ -126,7 +129,9 @@
             open_target_session()
         )
         state = make_state(*self._listed.values())
-        state.desired = make_desired(make_route(), PATIENT_LOOKUP)
+        state.desired = make_desired(
+            make_route(), PATIENT_LOOKUP, PATIENT_CHARGE
+        )
         forwarder = make_forwarder(
             state,
             session,
@@ -163,12 +168,14 @@
         body: bytes,
         path: str = LOOK,
         headers: Mapping[str, str] = NO_HEADERS,
+        method: str = 'POST',
     ) -> aiohttp.ClientResponse:
         """Send a request to one forwarder and read its whole answer.
 
         :param headers: further headers.
         """
-        response = await self._clients[daemon].post(
+        response = await self._clients[daemon].request(
+            method,
             path,
             data=body,
             headers={
--- a/src/ragwortcourse/cli/operator_client.py
+++ b/src/ragwortcourse/cli/operator_client.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ragwortcourse.cli.connection import Connection
+from ragwortcourse.client_session import open_session
 
 CONNECT_TIMEOUT_SECONDS: Final = 3.0
 CONNECT_ERRORS: Final = (
@@ -86,7 +87,7 @@
         sock_connect=min(CONNECT_TIMEOUT_SECONDS, connection.timeout),
     )
     failures: list[Unreached | AnswerLost] = []
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with open_session(timeout=timeout) as session:
         for entry in connection.entries:
             outcome = await _send_to_entry(session, connection, entry, request)
             if isinstance(outcome, Answered):
--- a/src/ragwortcourse/cli/publish_command.py
+++ b/src/ragwortcourse/cli/publish_command.py
@@ -3,7 +3,6 @@
 import asyncio
 import pathlib
 
-import aiohttp
 import click
 import msgspec
 from click.exceptions import Exit
@@ -16,8 +15,8 @@
     report_failure,
     report_local_refusal,
 )
+from ragwortcourse.client_session import open_session
 from ragwortcourse.configuration.rules import build_finding, check_name
-from ragwortcourse.connections import ResetConnector
 from ragwortcourse.identifiers import ModelName, Sha256Hex, VersionName
 from ragwortcourse.messages.outcome import OutcomeKind
 from ragwortcourse.weights.http_origin import build_http_writer
@@ -157,7 +156,7 @@
 
     :param origin: base URL of the origin.
     """
-    async with aiohttp.ClientSession(connector=ResetConnector()) as session:
+    async with open_session() as session:
         writer = build_http_writer(session=session, base_url=origin)
         return await publish_weights(
             writer=writer, path=path, model=model, version=version
--- a/src/ragwortcourse/engines/http_engine.py
+++ b/src/ragwortcourse/engines/http_engine.py
@@ -73,11 +73,8 @@
     service need not name the request that it answers.
 
     :param session: session used only for targets, which uses no connection
-        twice; its automatic retries are turned off.
+        twice.
     """
-    # aiohttp repeats idempotent methods such as PUT and DELETE after a lost
-    # connection, but a service may require that a call runs at most once.
-    session._retry_connection = False  # noqa: WPS437
     base = base_url.rstrip('/')
 
     async def start(request: EngineRequest) -> StartOutcome:
--- a/src/ragwortcourse/forwarding/exchange.py
+++ b/src/ragwortcourse/forwarding/exchange.py
@@ -10,6 +10,7 @@
 from yarl import URL
 
 from ragwortcourse.bodies import is_framed
+from ragwortcourse.client_session import open_session
 from ragwortcourse.forwarding.answer_cut import AnswerCutError
 from ragwortcourse.forwarding.answer_head import AnswerHead
 from ragwortcourse.forwarding.call import PermittedCall
@@ -112,7 +113,7 @@
     connector = TargetConnector(
         limit=0, force_close=True, socket_factory=_open_socket
     )
-    return aiohttp.ClientSession(
+    return open_session(
         connector=connector,
         auto_decompress=False,
         skip_auto_headers=SKIPPED_HEADERS,
--- a/src/ragwortcourse/platform/store_session.py
+++ b/src/ragwortcourse/platform/store_session.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+from ragwortcourse.client_session import open_session
 from ragwortcourse.connections import ResetConnector
 
 # Idle time before the first keepalive probe, and between two probes.
@@ -29,9 +30,13 @@
 
 
 def open_store_session() -> aiohttp.ClientSession:
-    """Open a session whose connections are probed while calls wait."""
+    """Open a session whose connections are probed while calls wait.
+
+    Its reads wait for changes, so a repeat would count as an answer to the
+    first of two calls; their callers repeat them.
+    """
     connector = ResetConnector(limit=0, socket_factory=_open_socket)
-    return aiohttp.ClientSession(connector=connector)
+    return open_session(connector=connector)
 
 
 def _open_socket(info: aiohttp.AddrInfoType) -> socket.socket:
--- a/src/ragwortcourse/processes/sessions.py
+++ b/src/ragwortcourse/processes/sessions.py
@@ -10,6 +10,7 @@
 
 from aiohttp import ClientSession
 
+from ragwortcourse.client_session import open_session
 from ragwortcourse.connections import ResetConnector
 
 KEEPALIVE_SECONDS: Final = 30.0
@@ -42,19 +43,22 @@
     # Each request in progress at a target needs a connection of its own.
     connector = ResetConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS)
     return Sessions(
-        relay=ClientSession(
+        relay=open_session(
             connector=connector,
+            repeats_reads=True,
             auto_decompress=False,
             skip_auto_headers=SKIPPED_HEADERS,
         ),
-        plain=ClientSession(connector=connector, connector_owner=False),
+        plain=open_session(
+            connector=connector, repeats_reads=True, connector_owner=False
+        ),
         targets=open_single_use_session(),
     )
 
 
 def open_daemon_session() -> ClientSession:
     """Open a session to other daemons and to origins of weights."""
-    return ClientSession(connector=ResetConnector())
+    return open_session(repeats_reads=True)
 
 
 def open_single_use_session() -> ClientSession:
@@ -63,7 +67,7 @@
     A ``Connection: close`` header does not ensure this: a target may leave it
     unheeded, and its connection would be used again.
     """
-    return ClientSession(
+    return open_session(
         connector=ResetConnector(limit=0, force_close=True),
         auto_decompress=False,
         skip_auto_headers=SKIPPED_HEADERS,
