Bound the hold of ended entries after a cut from the store

Cause: a daemon can't tell its own cut from an outage if all others are cut as well, and holds entries that are gone for 2.3 s from its first answer. The pause between two calls (up to 1 s) and, without resets, the time limit of a call (1.5 s) came on top. The sum was checked nowhere.

Change: an entry is held no longer than contact_ms after the store is last known not to have answered. While the store is lost, calls for changes overlap by 0.5 s with their whole time limit each, and a feed of rows that may lapse pauses for 0.5 s at most, so that the hold of 2.3 s fits. An older entry that says that its target leaves marks the known one.

--- a/src/ragwortcourse/forwarding/target_list.py
+++ b/src/ragwortcourse/forwarding/target_list.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 from collections.abc import Callable, Collection
 from typing import Final
 
@@ -31,10 +32,17 @@
     An entry that is missing right after a store outage may only have lapsed.
     Its target is kept for the time in which the entry would be restored. A
     leaving target is removed at once. An older entry, from a store that came
-    back from a copy, takes effect after the same time.
+    back from a copy, takes effect after the same time, unless it says that its
+    target leaves.
+
+    The daemon may itself have been cut off from a store that was never away,
+    and has to act on its rows within a given time after the cut. An entry is
+    kept no longer than that.
 
     :param state: state whose targets are updated.
     :param notify: called with each new or changed entry.
+    :param contact_seconds: time after the end of a cut by which the daemon has
+        to act on the rows of the store.
     """
 
     def __init__(
@@ -42,10 +50,13 @@
         *,
         state: FleetState,
         notify: Callable[[Target], None] | None = None,
+        contact_seconds: float = math.inf,
     ) -> None:
         self._state = state
         self._notify = notify
+        self._contact_seconds = contact_seconds
         self._regained_at: float | None = None
+        self._restored_by = -math.inf
         self._awaits_first_read = False
         self._missing: dict[TargetName, asyncio.TimerHandle] = {}
         self._older: dict[TargetName, asyncio.TimerHandle] = {}
@@ -57,6 +68,8 @@
         self._stop_waiting(target.name)
         seconds = self._read_restore_delay()
         if known is not None and _is_older(target, known) and seconds > 0:
+            if target.leaving and target.born == known.born:
+                self._apply(dataclasses.replace(known, leaving=True))
             LOGGER.info(
                 'older entry of a target not applied yet',
                 extra={
@@ -95,18 +108,26 @@
         self._state.targets_known = True
         self._awaits_first_read = False
 
-    def note_store_back(self, seconds_ago: float = 0) -> None:
+    def note_store_back(
+        self, seconds_ago: float = 0, unreached_ago: float = 0
+    ) -> None:
         """Note that the store answers again.
 
         :param seconds_ago: seconds since it did, as seen by this daemon or the
             one that told it.
+        :param unreached_ago: seconds since it did not answer.
         """
-        regained_at = read_clock() - seconds_ago
+        now = read_clock()
+        regained_at = now - seconds_ago
         if self._regained_at is not None and regained_at <= (
             self._regained_at + SAME_RETURN_SECONDS
         ):
             return
         self._regained_at = regained_at
+        self._restored_by = min(
+            regained_at + LAPSE_SECONDS,
+            now - unreached_ago + self._contact_seconds,
+        )
         self._awaits_first_read = True
 
     def remove(self, name: TargetName) -> None:
@@ -138,7 +159,7 @@
         """Compute for how many seconds a missing entry may be restored."""
         if self._regained_at is None:
             return 0
-        left = self._regained_at + LAPSE_SECONDS - read_clock()
+        left = self._restored_by - read_clock()
         return (
             left if self._awaits_first_read else min(left, LATE_LAPSE_SECONDS)
         )
--- a/src/ragwortcourse/platform/feed.py
+++ b/src/ragwortcourse/platform/feed.py
@@ -27,6 +27,8 @@
 # Backoff as a share of the wait of a call: whoever may hear late of a change
 # calls a failing store less often.
 RETRY_SHARE: Final = 0.25
+# Longest backoff of a feed whose rows may lapse while the store is away.
+REGAIN_SECONDS: Final = 0.5
 
 # A single reset connection does not mean that the store is lost; the next
 # call shows whether it is.
@@ -54,7 +56,9 @@
         than those before: changes made since the store was copied are missing.
     :param regain: called on the first success after a failure, and on answers
         of daemons that had lost the store, before ``replace`` or ``change``;
-        takes the seconds since the store could be reached again.
+        takes the seconds since the store could be reached again, and since it
+        could not be reached.
+    :param lapses: whether rows of living writers end while the store is away.
     """
 
     replace: Callable[[tuple[StoreRow, ...], float], None]
@@ -62,7 +66,8 @@
     confirm: Callable[[float], None]
     lose: Callable[[float], None]
     restore: Callable[[], None]
-    regain: Callable[[float], None]
+    regain: Callable[[float, float], None]
+    lapses: bool = False
 
 
 class TableSource(Protocol):
@@ -110,6 +115,8 @@
         spread: float = 0,
     ) -> None:
         self._retry_seconds = max(RETRY_SECONDS, wait * RETRY_SHARE)
+        if handler.lapses:
+            self._retry_seconds = min(self._retry_seconds, REGAIN_SECONDS)
         self._pause_seconds = pause
         self._spread_seconds = spread
         self._store = store
@@ -122,6 +129,7 @@
         self._heard_era = UNKNOWN_ERA
         self._lost = False
         self._failures = 0
+        self._unreached_at = -math.inf
         self._known_at = -math.inf
 
     async def follow(self) -> None:
@@ -189,9 +197,10 @@
         if self._lost:
             self._lost = False
             LOGGER.info('store regained', extra={'table': self._table})
-            self._handler.regain(0)
+            unreached_ago = read_boot_clock() - self._unreached_at
+            self._handler.regain(0, min(unreached_ago, answer.unreached_ago))
         elif math.isfinite(answer.regained_ago):
-            self._handler.regain(answer.regained_ago)
+            self._handler.regain(answer.regained_ago, answer.regained_ago)
         unread_seconds = read_boot_clock() - self._known_at
         if self._position is None:
             if is_restored(self._era, answer.era):
@@ -213,9 +222,11 @@
                 extra={'table': self._table, 'detail': answer.detail},
             )
         self._failures += 1
+        self._unreached_at = read_boot_clock() - answer.overdue
         if self._failures >= FAILURES_TO_LOSE:
             self._handler.lose(read_boot_clock() - sent_at)
-        await asyncio.sleep(self._retry_seconds * self._rng.uniform(0.5, 1))
+        pause = self._retry_seconds * self._rng.uniform(0.5, 1)
+        await asyncio.sleep(max(0, pause - answer.overdue))
 
 
 def _advance(known: StorePosition | None, read: StorePosition) -> StorePosition:
--- a/src/ragwortcourse/platform/operator_rows.py
+++ b/src/ragwortcourse/platform/operator_rows.py
@@ -102,7 +102,7 @@
                     extra={'row': row.key, 'detail': str(error)},
                 )
 
-    def regain(seconds_ago: float) -> None:
+    def regain(seconds_ago: float, unreached_ago: float) -> None:
         """Do nothing: rows of this table do not expire."""
 
     return TableHandler(
--- a/src/ragwortcourse/platform/relay_rows.py
+++ b/src/ragwortcourse/platform/relay_rows.py
@@ -222,7 +222,7 @@
         await asyncio.sleep(rng.uniform(0, REGISTER_SPREAD_SECONDS))
 
 
-def _ignore(seconds: float) -> None:
+def _ignore(*seconds: float) -> None:
     """Do nothing: registrations do not expire, and a stale one costs little."""
 
 
--- a/src/ragwortcourse/platform/store.py
+++ b/src/ragwortcourse/platform/store.py
@@ -8,7 +8,9 @@
 import asyncio
 import base64
 import binascii
+import dataclasses
 import logging
+import math
 from collections.abc import Mapping
 from typing import Final
 
@@ -22,6 +24,7 @@
 from ragwortcourse.nesting import trim_nesting
 from ragwortcourse.platform import names
 from ragwortcourse.platform.answer_delay import AnswerDelay
+from ragwortcourse.platform.overlapping_calls import call_overlapping
 from ragwortcourse.platform.store_era import StoreEra
 from ragwortcourse.platform.store_position import UNKNOWN_ERA, StorePosition
 from ragwortcourse.platform.store_row import (
@@ -34,6 +37,9 @@
 
 # The store answers within some milliseconds, on bad days within some hundred.
 CALL_SECONDS: Final = 1.5
+# Time between two calls that overlap while the store is lost. A daemon notices
+# the return of the store as much later at most.
+OVERLAP_SECONDS: Final = 0.5
 # Added to the time limit of a call; allows for a long answer that is still
 # arriving.
 ARRIVING_SECONDS: Final = 6.0
@@ -149,7 +155,7 @@
             'wait_ms': str(round(wait * 1000)),
         }
         sent_at = read_boot_clock()
-        answer = await self._ask('/rows-feed', query, wait + CALL_SECONDS)
+        answer, sent_after = await self._ask_for_changes(query, wait)
         if not isinstance(answer, WireRows):
             return HistoryGone() if answer == GONE else _read_failure(answer)
         now = read_boot_clock()
@@ -163,7 +169,13 @@
             revision=answer.row_version,
             rows_age=max_transit if has_waited else now - known_at,
             known_age=min(max_transit, now - sent_at),
+            delay=sent_after,
             era=answer.era,
+            unreached_ago=(
+                now - sent_at - sent_after + OVERLAP_SECONDS
+                if sent_after
+                else math.inf
+            ),
         )
 
     async def write_row(self, table: str, key: str, content: bytes) -> bool:
@@ -230,8 +242,8 @@
 
     async def _ask(
         self, path: str, query: Mapping[str, str], limit: float
-    ) -> WireRows | int | str:
-        """Return rows, a status other than success, or an error text.
+    ) -> WireRows | int | StoreSilent:
+        """Return rows, a status other than success, or an error.
 
         :param limit: seconds without data after which the call fails.
         """
@@ -250,9 +262,30 @@
                 )
                 return msgspec.structs.replace(rows, era=era)
         except TimeoutError as error:
-            return f'no answer within {limit} s: {error!r}'
+            return StoreSilent(
+                detail=f'no answer within {limit} s: {error!r}',
+                overdue=CALL_SECONDS,
+            )
         except (aiohttp.ClientError, OSError, UnreadableError) as error:
-            return repr(error)
+            return StoreSilent(detail=repr(error))
+
+    async def _ask_for_changes(
+        self, query: Mapping[str, str], wait: float
+    ) -> tuple[WireRows | int | StoreSilent, float]:
+        """Ask once, or by overlapping calls if they do not wait.
+
+        :return: the answer, and the seconds after which its call was sent.
+        """
+        if wait:
+            return await self._ask('/rows-feed', query, wait + CALL_SECONDS), 0
+        answer, sent_after = await call_overlapping(
+            lambda: self._ask('/rows-feed', query, CALL_SECONDS),
+            every=OVERLAP_SECONDS,
+        )
+        if isinstance(answer, StoreSilent) and answer.overdue:
+            # Later calls are not answered either.
+            answer = dataclasses.replace(answer, overdue=OVERLAP_SECONDS)
+        return answer, sent_after
 
 
 def _decode_answer(content: bytes) -> WireRows:
@@ -305,7 +338,7 @@
     return StoreRow(key=row.key, content=content)
 
 
-def _read_failure(answer: WireRows | int | str) -> StoreSilent:
+def _read_failure(answer: int | StoreSilent) -> StoreSilent:
     if isinstance(answer, int):
         return StoreSilent(detail=f'status {answer}')
-    return StoreSilent(detail=str(answer))
+    return answer
--- a/src/ragwortcourse/platform/store_row.py
+++ b/src/ragwortcourse/platform/store_row.py
@@ -37,6 +37,8 @@
     :param regained_ago: seconds since the daemon that gave the answer, or one
         that it asked, could reach the store again; infinite if it never lost
         the store.
+    :param unreached_ago: seconds since an earlier one of the overlapping calls
+        would have been answered; infinite if there was none.
     """
 
     rows: tuple[StoreRow, ...]
@@ -47,6 +49,7 @@
     delay: float = 0
     era: int = UNKNOWN_ERA
     regained_ago: float = math.inf
+    unreached_ago: float = math.inf
 
     @property
     def position(self) -> StorePosition:
@@ -67,8 +70,11 @@
     :param is_reading: true if a daemon answered that is still at its first
         read and has no rows yet.
     :param is_cut_off: true if a daemon answered that can't reach the store.
+    :param overdue: seconds for which an answer was awaited in vain; zero
+        after an error.
     """
 
     detail: str
     is_reading: bool = False
     is_cut_off: bool = False
+    overdue: float = 0
--- a/src/ragwortcourse/platform/target_reader.py
+++ b/src/ragwortcourse/platform/target_reader.py
@@ -69,6 +69,7 @@
         lose=lose,
         restore=targets.note_store_back,
         regain=targets.note_store_back,
+        lapses=True,
     )
 
 
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -226,7 +226,11 @@
                 pause=TARGETS_PAUSE_SECONDS,
                 spread=TARGETS_SPREAD_SECONDS,
                 handler=build_target_handler(
-                    TargetList(state=state, notify=forwarder.note_listed),
+                    TargetList(
+                        state=state,
+                        notify=forwarder.note_listed,
+                        contact_seconds=fleet.contact_ms / 1000,
+                    ),
                     fleet.failure_domains,
                 ),
                 rng=rng,
--- a/tests/test_feed_eras.py
+++ b/tests/test_feed_eras.py
@@ -53,7 +53,7 @@
             confirm=lambda sent_at: None,
             lose=lambda seconds: None,
             restore=lambda: told.append('restore'),
-            regain=lambda seconds_ago: told.append('regain'),
+            regain=lambda *_: told.append('regain'),
         ),
         rng=random.Random(1),
     )
