Let engines refuse requests on other weights than believed

Cause: a daemon's belief in the weights of an engine never fell. It was the highest version that the entry, an answer or the loader had ever stated, and an answer corrected the loader's word only.

Change: once a version has expired, a request names the version that its target is believed to hold, and an engine on other weights answers 421, which says that it has not run the request. What a target says of a request that was sent after a statement disproves it, whoever stated it.

--- a/fakes/soak_target.py
+++ b/fakes/soak_target.py
@@ -88,6 +88,11 @@
         }
         if request.headers.get('Ragwortcourse-Expect-Instance') != self.name:
             return web.Response(status=421, headers=marks)
+        expected = request.headers.get('Ragwortcourse-Expect-Version')
+        if expected not in {None, str(self.version)}:
+            marks['Ragwortcourse-Instance-Id'] = self.name
+            marks['Ragwortcourse-Weight-Versions'] = str(self.version)
+            return web.Response(status=421, headers=marks)
         if self.closed:
             marks['Ragwortcourse-Not-Executed'] = '1'
             return web.Response(status=503, headers=marks)
--- a/src/ragwortcourse/forwarding/answer_head.py
+++ b/src/ragwortcourse/forwarding/answer_head.py
@@ -6,6 +6,8 @@
 
 from multidict import CIMultiDict
 
+from ragwortcourse.identifiers import TargetName
+
 # Callers send a request again after these, also one that may run once.
 PROMISES: Final = frozenset(
     (
@@ -44,6 +46,7 @@
     :param rest_seconds: how long the target wants nothing from this daemon;
         none: it does not say so.
     :param leaving: true if the target says that it leaves.
+    :param instance: target that answered; none: it does not say so.
     :param headers: headers to pass on to the caller.
     """
 
@@ -58,6 +61,7 @@
     rate_limit_readable: bool = True
     rest_seconds: float | None = None
     leaving: bool = False
+    instance: TargetName | None = None
 
     @property
     def speaks_for_target(self) -> bool:
@@ -66,6 +70,11 @@
             return False
         return self.genuine or not self.ran
 
+    def refuses_version(self, target: TargetName) -> bool:
+        """Tell whether a target refuses a version that it was to hold."""
+        is_refusal = self.status == HTTPStatus.MISDIRECTED_REQUEST
+        return is_refusal and self.instance in {None, target}
+
     @property
     def may_be_passed_on(self) -> bool:
         """Tell whether the answer is the request's, and true for its caller.
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -151,11 +151,12 @@
         return made
 
     def note_listed(self, target: Target) -> None:
-        """Apply the remaining cold time from the entry of a target."""
+        """Apply the new or changed entry of a target."""
         load = self.find_load(target)
-        cold_until = read_clock() + target.cold_seconds
+        now = read_clock()
         # A target may turn cold again at any time.
-        load.cold_until = max(load.cold_until, cold_until)
+        load.cold_until = max(load.cold_until, now + target.cold_seconds)
+        load.stated_version.note_entry(target.version, now)
 
     def note_counts(self, daemon: DaemonId, counts: Counts) -> None:
         """Apply the request counts that another daemon reported."""
--- a/src/ragwortcourse/forwarding/target.py
+++ b/src/ragwortcourse/forwarding/target.py
@@ -47,6 +47,11 @@
     cold_seconds: float = 0
     weights: HeldWeights | None = None
 
+    @property
+    def version(self) -> int:
+        """Version of the weights by the entry; zero without weights."""
+        return 0 if self.weights is None else self.weights.version
+
     def holds(self, layers: int) -> bool:
         """Tell whether the target holds every layer of a model.
 
--- a/src/ragwortcourse/forwarding/target_list.py
+++ b/src/ragwortcourse/forwarding/target_list.py
@@ -190,8 +190,4 @@
         return entry.born < known.born
     if known.leaving and not entry.leaving:
         return True
-    return _read_version(entry) < _read_version(known)
-
-
-def _read_version(target: Target) -> int:
-    return 0 if target.weights is None else target.weights.version
+    return entry.version < known.version
--- a/src/ragwortcourse/forwarding/target_load.py
+++ b/src/ragwortcourse/forwarding/target_load.py
@@ -76,10 +76,11 @@
         self._sign_at = now
 
     def note_head(
-        self, head: AnswerHead, now: float, *, sent_at: float
+        self, head: AnswerHead, now: float, *, target: Target, sent_at: float
     ) -> None:
         """Apply what the head of an answer of the target tells about it.
 
+        :param target: its entry as the request was sent.
         :param sent_at: monotonic seconds at which the request was sent.
         """
         if head.load is not None:
@@ -87,7 +88,12 @@
         if head.cold_seconds is not None:
             self.cold_until = now + head.cold_seconds
         if head.version is not None:
-            self.stated_version.note_answer(head.version, sent_at=sent_at)
+            self.stated_version.note_answer(
+                head.version,
+                listed=target.version,
+                sent_at=sent_at,
+                now=now,
+            )
 
     def note_load(self, load: ReportedLoad, now: float) -> None:
         """Apply a load report of the target."""
@@ -123,11 +129,8 @@
         return now - self._sign_at if self.own else 0
 
     def read_version(self, target: Target) -> int:
-        """Read the version of the weights, by the entry or newer answers."""
-        held = target.weights
-        return max(
-            self.stated_version.number, 0 if held is None else held.version
-        )
+        """Read the version of the weights, by the entry or newer statements."""
+        return self.stated_version.read(target.version)
 
     def is_avoided(self, now: float) -> bool:
         """Tell whether other targets are preferred for now."""
--- a/src/ragwortcourse/forwarding/target_statements.py
+++ b/src/ragwortcourse/forwarding/target_statements.py
@@ -10,7 +10,12 @@
 
 
 def note_statements(
-    forwarder: Forwarder, target: Target, head: AnswerHead, *, sent_at: float
+    forwarder: Forwarder,
+    target: Target,
+    head: AnswerHead,
+    *,
+    sent_at: float,
+    expected_version: int | None = None,
 ) -> None:
     """Apply what the head of an answer states about its target.
 
@@ -18,12 +23,20 @@
     nothing.
 
     :param sent_at: monotonic seconds at which the request was sent.
+    :param expected_version: version that the target had to hold.
     """
+    load = forwarder.find_load(target)
+    if expected_version is not None and head.refuses_version(target.name):
+        load.stated_version.note_refusal(
+            expected_version,
+            held=head.version,
+            sent_at=sent_at,
+            now=read_clock(),
+        )
     if not head.speaks_for_target:
         return
     warn_expired(forwarder, target, head)
-    load = forwarder.find_load(target)
-    load.note_head(head, read_clock(), sent_at=sent_at)
+    load.note_head(head, read_clock(), target=target, sent_at=sent_at)
     if head.leaving:
         departure = Departure(target=target.name, born=target.born)
         note_departure(forwarder.state, departure)
--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -35,7 +35,10 @@
 from ragwortcourse.forwarding.tries import TIMER_SECONDS, Tries
 from ragwortcourse.forwarding.tries_end import TriesEnd
 from ragwortcourse.forwarding.urgency import rank_request
-from ragwortcourse.forwarding.version_bounds import read_start_limit
+from ragwortcourse.forwarding.version_bounds import (
+    read_expected_version,
+    read_start_limit,
+)
 from ragwortcourse.forwarding.version_log import describe_version
 from ragwortcourse.forwarding.wire_format import Dispatch
 
@@ -207,6 +210,7 @@
                 account=tries.work.account,
                 standing=tries.standing,
             ),
+            version=read_expected_version(forwarder, target),
         )
         limit = read_start_limit(forwarder, target)
         try:
@@ -234,7 +238,7 @@
             opened = OpenTry(
                 target=target, load=load, answer=answer, began_at=began_at
             )
-            return self._judge(opened)
+            return self._judge(opened, dispatch.version)
         self._note_lost(target, load, answer)
         return None
 
@@ -251,7 +255,9 @@
         forwarder.safeguards.target_limits.count_sent(target)
         forwarder.state.reach.note_sent(target.failure_domain, began_at)
 
-    def _judge(self, opened: OpenTry) -> OpenTry | None:
+    def _judge(
+        self, opened: OpenTry, expected_version: int | None
+    ) -> OpenTry | None:
         now = read_clock()
         head, load = opened.answer.head, opened.load
         load.note_sign(now)
@@ -259,7 +265,11 @@
             opened.target.failure_domain
         )
         note_statements(
-            self._tries.forwarder, opened.target, head, sent_at=opened.began_at
+            self._tries.forwarder,
+            opened.target,
+            head,
+            sent_at=opened.began_at,
+            expected_version=expected_version,
         )
         if head.may_be_passed_on:
             load.answered_sent_at = max(
--- a/src/ragwortcourse/forwarding/version_bounds.py
+++ b/src/ragwortcourse/forwarding/version_bounds.py
@@ -79,6 +79,22 @@
     return None if bound is None else bound.named.version
 
 
+def read_expected_version(forwarder: Forwarder, target: Target) -> int | None:
+    """Read the version that a target must hold to begin a request.
+
+    Load pattern: an engine is set back to expired weights, and the daemons
+    that send to it still believe in the newer ones. Once a version has
+    expired, the target itself refuses what would begin on it.
+
+    :return: the version that the target is believed to hold; none while no
+        version has expired.
+    """
+    engine = find_engine(forwarder, target)
+    if read_required_version(forwarder, engine) is None:
+        return None
+    return forwarder.find_load(target).read_version(target)
+
+
 def read_start_limit(forwarder: Forwarder, target: Target) -> float | None:
     """Compute the seconds within which a request must begin at a target.
 
--- a/src/ragwortcourse/forwarding/wire_format.py
+++ b/src/ragwortcourse/forwarding/wire_format.py
@@ -18,6 +18,8 @@
 
     :param time_left: seconds until the final answer is due.
     :param last_event: id of the event after which a stream continues.
+    :param version: version of the weights that the target has to hold; none:
+        any.
     :param rank: order in which the target admits waiting requests, zero
         first; none: the target decides.
     """
@@ -26,6 +28,7 @@
     time_left: float
     last_event: str | None = None
     rank: int | None = None
+    version: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/ragwortcourse/platform/names.py
+++ b/src/ragwortcourse/platform/names.py
@@ -6,6 +6,8 @@
 DEADLINE: Final = 'Ragwortcourse-Deadline-Ms'
 EXPECT_INSTANCE: Final = 'Ragwortcourse-Expect-Instance'
 EXPECT_VERSION: Final = 'Ragwortcourse-Expect-Version'
+# Target that made the answer.
+INSTANCE: Final = 'Ragwortcourse-Instance-Id'
 LAST_EVENT_ID: Final = 'Last-Event-Id'
 LOAD: Final = 'Ragwortcourse-Server-Load'
 # Requests a second from all daemons together, a decimal number.
--- a/src/ragwortcourse/platform/wire.py
+++ b/src/ragwortcourse/platform/wire.py
@@ -14,7 +14,7 @@
 from ragwortcourse.forwarding.answer_head import AnswerHead, ReportedLoad
 from ragwortcourse.forwarding.call import Call, PermittedCall
 from ragwortcourse.forwarding.wire_format import Dispatch, WireFormat
-from ragwortcourse.identifiers import AttemptId
+from ragwortcourse.identifiers import AttemptId, TargetName
 from ragwortcourse.platform import names
 from ragwortcourse.platform.prompt_parts import read_shared_parts
 
@@ -88,6 +88,8 @@
         headers[names.TENANT] = work.account.name
     if dispatch.last_event is not None:
         headers[names.LAST_EVENT_ID] = dispatch.last_event
+    if dispatch.version is not None:
+        headers[names.EXPECT_VERSION] = str(dispatch.version)
     if dispatch.rank is not None:
         headers[names.PRIORITY] = str(dispatch.rank)
     return headers
@@ -107,6 +109,7 @@
     rate_limit = received.get(names.RATE_LIMIT)
     rate = None if rate_limit is None else _read_rate(rate_limit)
     stamped = names.STAMP in received
+    instance = received.get(names.INSTANCE)
     return AnswerHead(
         status=status,
         ran=is_other or not refused,
@@ -123,6 +126,7 @@
         rate_limit_readable=rate_limit is None or rate is not None,
         rest_seconds=None if is_other else _read_rest(status, received),
         leaving=_read_leaving(received.get(names.LEAVING)),
+        instance=None if instance is None else TargetName(instance),
     )
 
 
