Read the store from few daemons at a time; refuse by a superseded state

Cause: while the readers of a failure domain waited for the store, each of its daemons read the whole desired state over the same line, and repeated the call twice a second while answers arrived. Change: daemons ask those that rank before them in turn before the store, no call is added while an answer arrives, and load messages carry the version in force, by which a daemon knows that its own is superseded.

--- a/fakes/restore_daemon.py
+++ b/fakes/restore_daemon.py
@@ -96,6 +96,9 @@
             list_upstreams=self.registry.build_upstream_lister(
                 own=self.name, domain=self.domain
             ),
+            list_successors=self.registry.build_successor_lister(
+                own=self.name, domain=self.domain
+            ),
             list_fallbacks=self.registry.build_fallback_lister(
                 own=self.name, domain=self.domain
             ),
--- a/fakes/version_daemon.py
+++ b/fakes/version_daemon.py
@@ -113,6 +113,9 @@
             list_upstreams=registry.build_upstream_lister(
                 own=self.record.daemon, domain=self.record.failure_domain
             ),
+            list_successors=registry.build_successor_lister(
+                own=self.record.daemon, domain=self.record.failure_domain
+            ),
             list_fallbacks=registry.build_fallback_lister(
                 own=self.record.daemon, domain=self.record.failure_domain
             ),
--- a/src/ragwortcourse/forwarding/fleet_state.py
+++ b/src/ragwortcourse/forwarding/fleet_state.py
@@ -6,6 +6,7 @@
 
 from ragwortcourse.forwarding.desired_state import DesiredState
 from ragwortcourse.forwarding.domain_reach import DomainReach
+from ragwortcourse.forwarding.freshness.peer_versions import PeerVersions
 from ragwortcourse.forwarding.named_weights import AnnouncedVersion
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_departures import TargetDepartures
@@ -41,6 +42,7 @@
         an older copy.
     :param reach: failure domains to which connections failed.
     :param departures: targets that said in an answer that they leave.
+    :param peer_versions: newer desired states that other daemons have.
     """
 
     desired: DesiredState | None = None
@@ -60,7 +62,27 @@
     departures: TargetDepartures = dataclasses.field(
         default_factory=TargetDepartures
     )
+    peer_versions: PeerVersions = dataclasses.field(
+        default_factory=PeerVersions
+    )
+
+    @property
+    def version(self) -> int:
+        """Return the version of the desired state in force; zero for none."""
+        return 0 if self.desired is None else self.desired.version
 
     def read_age(self) -> float:
         """Compute the seconds since the desired state was last confirmed."""
         return read_boot_clock() - self.confirmed_at
+
+    def note_peer_version(self, version: int) -> None:
+        """Note the desired state that another daemon has in force."""
+        self.peer_versions.note(
+            version, own=self.version, now=read_boot_clock()
+        )
+
+    def read_behind_seconds(self) -> float:
+        """Compute for how long other daemons have had a newer desired state."""
+        return self.peer_versions.read_behind_seconds(
+            own=self.version, now=read_boot_clock()
+        )
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -110,6 +110,7 @@
             lost=message.store_lost,
             stable_for=message.stable_for,
         )
+        self._forwarder.state.note_peer_version(message.state)
         if message.namings is not None:
             history = _decode_history(message.namings)
             note_history(self._forwarder.state, history, told_by=message.daemon)
@@ -203,6 +204,7 @@
         namings=_encode_history(forwarder) if is_far else None,
         store_lost=forwarder.state.store_lost,
         stable_for=forwarder.store_watch.read_seconds_since_outage(),
+        state=forwarder.state.version,
     )
     content = msgspec.json.encode(message)
     relays = await list_relays()
--- a/src/ragwortcourse/forwarding/load_messages.py
+++ b/src/ragwortcourse/forwarding/load_messages.py
@@ -45,6 +45,8 @@
     :param store_lost: true while the store does not answer the sender.
     :param stable_for: seconds since the sender last knew of a store outage
         of the fleet; none: never.
+    :param state: version of the desired state in force; zero: none, or not
+        told by an older release.
     """
 
     daemon: DaemonId
@@ -52,6 +54,7 @@
     namings: VersionHistoryMessage | None = None
     store_lost: bool = False
     stable_for: Age | None = None
+    state: WholeNumber = 0
 
 
 class SwitchMessage(msgspec.Struct, frozen=True, kw_only=True, tag='switch'):
--- a/src/ragwortcourse/forwarding/permission.py
+++ b/src/ragwortcourse/forwarding/permission.py
@@ -3,7 +3,9 @@
 Load pattern: desired states follow each other while a failure domain hears of
 none of them, its line to the store being cut or full. That a route or a key is
 unknown is a statement about the newest desired state, so a daemon whose state
-may be older than operators allow answers that it can't tell.
+may be older than operators allow answers that it can't tell. So does one that
+has heard for too long that other daemons have a newer state in force: its own
+may send a request to a service, or a region, that is no longer allowed.
 """
 
 from typing import Final
@@ -21,6 +23,9 @@
 # A daemon that just started usually has its desired state after this time.
 NOT_READY_RETRY_SECONDS: Final = 0.5
 STALE_RETRY_SECONDS: Final = 1.0
+# Share of the time in which a desired state must be in force. Other daemons
+# have it in force some tenths of a second after the operators wrote it.
+BEHIND_SHARE: Final = 0.7
 
 
 def permit_call(
@@ -41,6 +46,8 @@
     stale = Refusal(
         reason=Reason.STALE, retry_after=STALE_RETRY_SECONDS, inputs=inputs
     )
+    if is_superseded(state, fleet):
+        return stale
     is_newest = state.read_age() <= fleet.apply_ms / 1000
     if route is None:
         unknown = Refusal(reason=Reason.NO_ROUTE, inputs=inputs)
@@ -66,3 +73,9 @@
         return True
     limit = fleet.revoke_ms / 1000 - REVOCATION_MARGIN_SECONDS
     return state.read_age() < limit
+
+
+def is_superseded(state: FleetState, fleet: FleetSettings) -> bool:
+    """Tell whether a newer desired state must be in force by now."""
+    bound = fleet.apply_ms / 1000 * BEHIND_SHARE
+    return state.read_behind_seconds() > bound
--- a/src/ragwortcourse/membership/readers.py
+++ b/src/ragwortcourse/membership/readers.py
@@ -36,6 +36,22 @@
     return tuple(before[:MAX_READERS])
 
 
+def list_successors(
+    *,
+    relays: Iterable[RelayRecord],
+    own: DaemonId,
+    domain: FailureDomainName,
+) -> tuple[RelayRecord, ...]:
+    """Return the daemons to ask after the upstream readers, before the store.
+
+    They rank between these and the asking daemon. The first ones read the
+    store themselves as soon as the upstream readers wait for it.
+    """
+    names, near = _rank(relays, domain)
+    before = near[: names.index(own)] if own in names else near
+    return tuple(before[MAX_READERS : len(before) - len(before) % MAX_READERS])
+
+
 def list_shared_readers(
     *,
     relays: Iterable[RelayRecord],
--- a/src/ragwortcourse/platform/fleet_tables.py
+++ b/src/ragwortcourse/platform/fleet_tables.py
@@ -78,6 +78,9 @@
         list_upstreams=relays.build_upstream_lister(
             own=settings.daemon, domain=settings.failure_domain
         ),
+        list_successors=relays.build_successor_lister(
+            own=settings.daemon, domain=settings.failure_domain
+        ),
         list_fallbacks=relays.build_fallback_lister(
             own=settings.daemon, domain=settings.failure_domain
         ),
--- a/src/ragwortcourse/platform/relay_rows.py
+++ b/src/ragwortcourse/platform/relay_rows.py
@@ -21,6 +21,7 @@
 from ragwortcourse.membership.readers import (
     list_fallback_readers,
     list_shared_readers,
+    list_successors,
     list_upstream_readers,
 )
 from ragwortcourse.membership.relay_daemons import RelayRecord
@@ -138,6 +139,19 @@
 
         return list_addresses
 
+    def build_successor_lister(
+        self, *, own: DaemonId, domain: FailureDomainName
+    ) -> ListAddresses:
+        """Build a function that lists the daemons to ask after upstreams."""
+
+        async def list_addresses() -> Sequence[str]:
+            successors = list_successors(
+                relays=await self.list(), own=own, domain=domain
+            )
+            return [successor.address for successor in successors]
+
+        return list_addresses
+
     def build_reader_lister(
         self, *, own: DaemonId, domain: FailureDomainName
     ) -> ListAddresses:
--- a/src/ragwortcourse/platform/relayed_store.py
+++ b/src/ragwortcourse/platform/relayed_store.py
@@ -26,6 +26,10 @@
 )
 from ragwortcourse.weights.peer_reach import PeerReach
 
+# Time for which a daemon that waits for the store itself may hold the request
+# of one that ranks after it. In this time a desired state of thousands of
+# routes crosses a narrow line once.
+HOLD_SECONDS: Final = 0.25
 # Rounds of asking daemons that are still at their own first read. Without
 # waiting, all daemons would read the same rows over one line after an outage.
 READING_ROUNDS: Final = 2
@@ -46,6 +50,8 @@
     """Asks other daemons, then the store, and caches the answers.
 
     :param list_upstreams: lists the addresses of daemons to ask first.
+    :param list_successors: lists the addresses of daemons to ask next, if the
+        first ones wait for the store: they read it meanwhile.
     :param list_fallbacks: lists the addresses of daemons to ask if the store
         does not answer.
     :param peer_wait: seconds that a call to a daemon waits for a change.
@@ -57,6 +63,7 @@
     store: Store
     session: aiohttp.ClientSession
     list_upstreams: ListAddresses
+    list_successors: ListAddresses = list_no_daemons
     list_fallbacks: ListAddresses = list_no_daemons
     peer_wait: float
     hold: RestoreHold
@@ -162,10 +169,32 @@
             rounds -= 1
             asked = await self._choose_upstreams()
             answer = await self._ask_daemons(asked, after, self.peer_wait)
+            if isinstance(answer, StoreSilent) and not answer.is_reading:
+                answer = await self._ask_successors(answer, after)
             is_reading = isinstance(answer, StoreSilent) and answer.is_reading
             if not (rounds and is_reading):
                 return answer, bool(asked)
 
+    async def _ask_successors(
+        self, answer: Answer, after: StorePosition | None
+    ) -> Answer:
+        """Ask the daemons that read the store in place of the first ones.
+
+        Load pattern: a full line delays the first readers' answer from the
+        store. If all daemons of a failure domain then read the same rows over
+        the same line, none of their calls ends in time, nor does any later.
+        Each daemon therefore gives those before it a while longer.
+
+        :param answer: of the first ones.
+        """
+        for address in await self._list_responsive(self.list_successors):
+            told = await self._ask_daemons(
+                (address,), after, self.peer_wait, hold=HOLD_SECONDS
+            )
+            if not isinstance(told, StoreSilent):
+                return told
+        return answer
+
     async def _choose_upstreams(self) -> Sequence[str]:
         if is_restored(self._read_era(), self.store.newest_era):
             # They may only have been silent because the store was away. All
@@ -185,8 +214,14 @@
         addresses: Sequence[str],
         after: StorePosition | None,
         wait: float,
+        *,
+        hold: float = 0,
     ) -> Answer:
-        """Return the first answer; ``StoreSilent`` if no rows are fresh."""
+        """Return the first answer; ``StoreSilent`` if no rows are fresh.
+
+        :param hold: seconds for which a daemon without fresh rows may hold the
+            request.
+        """
         began_at = read_boot_clock()
         era = max(self.store.newest_era, self._read_era())
         silent = StoreSilent(detail='no daemon near by has fresh rows')
@@ -199,6 +234,7 @@
                 after=after,
                 era=era,
                 wait=wait,
+                hold=hold,
                 services_only=self.services_only,
             )
             if not isinstance(answer, StoreSilent):
@@ -211,7 +247,7 @@
                 'no fresh rows from a daemon; asking the next source',
                 extra={'detail': answer.detail},
             )
-            if answer.is_reading:
+            if answer.is_reading or answer.is_behind:
                 silent = answer
             else:
                 self.reach.note_silent(address)
--- a/src/ragwortcourse/platform/row_cache.py
+++ b/src/ragwortcourse/platform/row_cache.py
@@ -1,6 +1,7 @@
 """Cache of the rows of one table, from which a daemon answers others."""
 
 import asyncio
+import contextlib
 import dataclasses
 import math
 from collections.abc import Iterable
@@ -50,6 +51,7 @@
         self._is_restored = False
         self._rows: dict[str, CachedRow] = {}
         self._changed = asyncio.Event()
+        self._confirmed = asyncio.Event()
 
     def replace(self, answer: StoreRows, sent_at: float) -> None:
         """Replace the cache by the whole table."""
@@ -77,7 +79,10 @@
             )
         self.position = max(self.position or answer.position, answer.position)
         confirmed_at = sent_at + answer.delay - answer.age
-        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        if confirmed_at > self.confirmed_at:
+            self.confirmed_at = confirmed_at
+            self._confirmed.set()
+            self._confirmed = asyncio.Event()
         self.known_at = max(self.known_at, now - answer.known_age)
         self.regained_at = max(self.regained_at, now - answer.regained_ago)
         if answer.rows:
@@ -128,6 +133,12 @@
         except TimeoutError:
             return
 
+    async def await_confirmation(self, seconds: float) -> None:
+        """Wait until the rows are confirmed again or the time is up."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._confirmed.wait()
+
     def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
--- a/src/ragwortcourse/platform/row_fetch.py
+++ b/src/ragwortcourse/platform/row_fetch.py
@@ -13,6 +13,7 @@
 from ragwortcourse.platform.row_relay import (
     AFTER,
     ERA,
+    HOLD,
     PACKED,
     PART,
     SERVICES,
@@ -40,7 +41,7 @@
 CALL_SECONDS: Final = 1.5
 
 
-async def fetch_rows(
+async def fetch_rows(  # noqa: WPS211  # options of the query
     *,
     session: ClientSession,
     address: str,
@@ -48,6 +49,7 @@
     after: StorePosition | None,
     era: int,
     wait: float,
+    hold: float = 0,
     services_only: bool = False,
 ) -> StoreRows | HistoryGone | StoreSilent:
     """Fetch rows from another daemon.
@@ -57,6 +59,8 @@
     :param after: position after which changes are wanted; None: all rows.
     :param era: rows of an earlier era are not wanted.
     :param wait: seconds after which an answer about changes is empty.
+    :param hold: seconds for which the daemon may hold the request until its
+        rows are fresh again.
     :param services_only: leave out of desired states the routes and client
         accounts, which only daemons with callers need.
     """
@@ -64,10 +68,13 @@
     if services_only:
         query[PART] = SERVICES
     if after is None:
-        wait = FIRST_READING_SECONDS
+        wait = hold or FIRST_READING_SECONDS
     else:
         query[AFTER] = str(after.revision)
     query[WAIT] = str(wait)
+    if hold:
+        query[HOLD] = str(hold)
+        wait += hold
     limits = ClientTimeout(
         total=wait + CALL_SECONDS,
         sock_connect=SILENT_SECONDS,
@@ -87,6 +94,7 @@
                     is_cut_off=(
                         response.status == HTTPStatus.SERVICE_UNAVAILABLE
                     ),
+                    is_behind=response.status == HTTPStatus.GATEWAY_TIMEOUT,
                 )
             body = await read_body(response, limit=LARGE_BODY_BYTES)
             message = decode_json(body, RelayedRows)
--- a/src/ragwortcourse/platform/row_relay.py
+++ b/src/ragwortcourse/platform/row_relay.py
@@ -32,6 +32,7 @@
 AFTER: Final = 'after'
 ERA: Final = 'era'
 WAIT: Final = 'wait'
+HOLD: Final = 'hold'
 PART: Final = 'part'
 SERVICES: Final = 'services'
 PACKED: Final = 'packed'
@@ -108,6 +109,8 @@
         query = request.query
         if _is_behind(cache, query):
             await cache.await_change(float(query.get(WAIT, 0)))
+        if _read_freshness(cache, longest_age) < 0 and not cache.is_cut_off:
+            await cache.await_confirmation(float(query.get(HOLD, 0)))
         _check_fresh(cache, query, longest_age)
         answer = await _find_rows(cache, query, longest_age)
         _check_fresh(cache, query, longest_age)
--- a/src/ragwortcourse/platform/store.py
+++ b/src/ragwortcourse/platform/store.py
@@ -24,7 +24,10 @@
 from ragwortcourse.nesting import trim_nesting
 from ragwortcourse.platform import names
 from ragwortcourse.platform.answer_delay import AnswerDelay
-from ragwortcourse.platform.overlapping_calls import call_overlapping
+from ragwortcourse.platform.overlapping_calls import (
+    NoteArriving,
+    call_overlapping,
+)
 from ragwortcourse.platform.store_era import StoreEra
 from ragwortcourse.platform.store_position import UNKNOWN_ERA, StorePosition
 from ragwortcourse.platform.store_row import (
@@ -241,11 +244,16 @@
         return delay + MAX_HEALTHY_DELAY_SECONDS
 
     async def _ask(
-        self, path: str, query: Mapping[str, str], limit: float
+        self,
+        path: str,
+        query: Mapping[str, str],
+        limit: float,
+        note_arriving: NoteArriving | None = None,
     ) -> WireRows | int | StoreSilent:
         """Return rows, a status other than success, or an error.
 
         :param limit: seconds without data after which the call fails.
+        :param note_arriving: called once the head of the answer is here.
         """
         limits = aiohttp.ClientTimeout(
             total=limit + ARRIVING_SECONDS, connect=limit, sock_read=limit
@@ -254,6 +262,8 @@
             async with self._session.get(
                 f'{self._base}{path}', params=query, timeout=limits
             ) as response:
+                if note_arriving is not None:
+                    note_arriving()
                 era = self._read_era(response)
                 if response.status != OK:
                     return response.status
@@ -279,7 +289,9 @@
         if wait:
             return await self._ask('/rows-feed', query, wait + CALL_SECONDS), 0
         answer, sent_after = await call_overlapping(
-            lambda: self._ask('/rows-feed', query, CALL_SECONDS),
+            lambda note_arriving: self._ask(
+                '/rows-feed', query, CALL_SECONDS, note_arriving
+            ),
             every=OVERLAP_SECONDS,
         )
         if isinstance(answer, StoreSilent) and answer.overdue:
--- a/src/ragwortcourse/platform/store_row.py
+++ b/src/ragwortcourse/platform/store_row.py
@@ -70,6 +70,8 @@
     :param is_reading: true if a daemon answered that is still at its first
         read and has no rows yet.
     :param is_cut_off: true if a daemon answered that can't reach the store.
+    :param is_behind: true if a daemon answered whose rows are not fresh, while
+        it waits for the store itself.
     :param overdue: seconds for which an answer was awaited in vain; zero
         after an error.
     """
@@ -77,4 +79,5 @@
     detail: str
     is_reading: bool = False
     is_cut_off: bool = False
+    is_behind: bool = False
     overdue: float = 0
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -18,6 +18,7 @@
 from ragwortcourse.forwarding.load_exchange import (
     exchange_loads,
 )
+from ragwortcourse.forwarding.permission import is_superseded
 from ragwortcourse.forwarding.target_list import TargetList
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.membership.relay_daemons import describe_daemon
@@ -73,6 +74,7 @@
 DRAIN_POLL_SECONDS: Final = 0.05
 DRAINING: Final = 'draining'
 NO_STATE: Final = 'desired state not read yet'
+SUPERSEDED: Final = 'other daemons have a newer desired state'
 UNCONFIRMED: Final = 'desired state not confirmed of late'
 NO_TARGETS: Final = 'targets not read yet'
 
@@ -143,6 +145,8 @@
             return NO_TARGETS
         if state.read_age() > UNCONFIRMED_SECONDS:
             return UNCONFIRMED
+        if is_superseded(state, self.forwarder.fleet):
+            return SUPERSEDED
         return None
 
     async def drain(self) -> None:
