Pass datagrams for all daemons on inside failure domains

Change: one live daemon of each other failure domain, drawn in each round, gets the datagram and passes it on; domains of fewer than five live daemons are served as before.

--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -20,6 +20,8 @@
     SendDatagram,
     build_datagram_sender,
 )
+from ragwortcourse.forwarding.dissemination.audience import choose_audience
+from ragwortcourse.forwarding.dissemination.broadcast import Broadcast
 from ragwortcourse.forwarding.fleet_updates import note_history
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.load_messages import (
@@ -40,15 +42,17 @@
     note_report,
 )
 from ragwortcourse.forwarding.version_log import RequiredVersionLog
-from ragwortcourse.identifiers import DaemonId
-from ragwortcourse.membership.relay_daemons import RelayRecord
+from ragwortcourse.membership.relay_daemons import (
+    RelayRecord,
+    describe_daemon,
+)
 from ragwortcourse.unreadable import UnreadableError
 
 # Interval of messages within a failure domain; only a few requests arrive
 # during one interval.
 NEAR_SECONDS: Final = 0.1
-# Every this many rounds the message also goes to other failure domains:
-# bandwidth between regions is low.
+# Every this many rounds the message also goes to other failure domains, where
+# one daemon of each passes it on: bandwidth between regions is low.
 FAR_ROUNDS: Final = 4
 # A longer gap between rounds is not explained by a busy host: the daemon or
 # its host was suspended, and messages from the gap are read only now.
@@ -65,9 +69,14 @@
 
 
 class LoadReceiver(asyncio.DatagramProtocol):
-    """Receiver of the messages of other daemons."""
+    """Receiver of the messages of other daemons.
+
+    :ivar broadcast: passes messages on to daemons near by; none before the
+        first round.
+    """
 
     def __init__(self, *, forwarder: Forwarder) -> None:
+        self.broadcast: Broadcast | None = None
         self._forwarder = forwarder
         self._awake_at = read_clock_with_suspend()
         self._late_until = -math.inf
@@ -84,6 +93,8 @@
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Apply one message; log an unreadable one."""
+        if self.broadcast is not None:
+            data = self.broadcast.receive(data)
         try:
             message: Message = decode_json(data, Message)
         except UnreadableError as error:
@@ -162,61 +173,64 @@
 
     :param receiver: learns in each round that the daemon runs.
     """
-    senders = build_report_senders(forwarder, send)
+    broadcast = Broadcast(send=send)
+    receiver.broadcast = broadcast
+    senders = build_report_senders(forwarder, broadcast.send)
     version_log = RequiredVersionLog(forwarder=forwarder)
     sent_counts: Counts = {}
+    relays: Sequence[RelayRecord] = ()
+    own = describe_daemon(forwarder.settings)
     for round_number in itertools.count(1):
         receiver.note_awake()
         version_log.note_round()
         counts = forwarder.count_running()
+        listed = await list_relays()
+        if listed != relays:
+            relays = listed
+            _note_relays(forwarder, relays)
+        forwarder.store_watch.detect_outage([each.daemon for each in relays])
+        broadcast.audience = choose_audience(
+            relays,
+            own=own,
+            is_alive=forwarder.store_watch.has_reported,
+            rng=forwarder.rng,
+        )
         if round_number % FAR_ROUNDS == 0:
-            await _broadcast(forwarder, send, list_relays, is_far=True)
+            broadcast.send_all(_encode_load(forwarder, is_far=True))
         elif counts != sent_counts:
-            await _broadcast(forwarder, send, list_relays, is_far=False)
+            broadcast.send_near(_encode_load(forwarder, is_far=False))
         sent_counts = counts
-        peers = await _list_peers(forwarder.settings.daemon, list_relays)
         for sender in senders:
-            sender.send_round(peers, repeats=round_number % FAR_ROUNDS == 0)
+            sender.send_round(
+                broadcast.audience.addresses,
+                repeats=round_number % FAR_ROUNDS == 0,
+                daemons=len(relays),
+            )
         await asyncio.sleep(NEAR_SECONDS)
 
 
-async def _list_peers(own: DaemonId, list_relays: ListRelays) -> list[str]:
-    return [
-        relay.address for relay in await list_relays() if relay.daemon != own
-    ]
+def _note_relays(forwarder: Forwarder, relays: Sequence[RelayRecord]) -> None:
+    """Note the registered daemons, which share the limits of the fleet."""
+    if relays:
+        # An empty list has not been read yet; the assumed number stays.
+        forwarder.safeguards.retry_budget.daemons = len(relays)
+        forwarder.safeguards.daemon_ranking.register(relays)
 
 
-async def _broadcast(
-    forwarder: Forwarder,
-    send: SendDatagram,
-    list_relays: ListRelays,
-    *,
-    is_far: bool,
-) -> None:
-    """Send a message to the daemons of the own failure domain, or to all.
+def _encode_load(forwarder: Forwarder, *, is_far: bool) -> bytes:
+    """Encode the message about the own requests.
 
-    :param is_far: true to include other failure domains.
+    :param is_far: true for a message to all failure domains.
     """
-    settings = forwarder.settings
     message = LoadMessage(
-        daemon=settings.daemon,
+        daemon=forwarder.settings.daemon,
         counts=forwarder.count_running(),
         namings=_encode_history(forwarder) if is_far else None,
         store_lost=forwarder.state.store_lost,
         stable_for=forwarder.store_watch.read_seconds_since_outage(),
         state=forwarder.state.version,
     )
-    content = msgspec.json.encode(message)
-    relays = await list_relays()
-    if relays:
-        # An empty list has not been read yet; the assumed number stays.
-        forwarder.safeguards.retry_budget.daemons = len(relays)
-        forwarder.safeguards.daemon_ranking.register(relays)
-    forwarder.store_watch.detect_outage([relay.daemon for relay in relays])
-    for relay in relays:
-        is_near = relay.failure_domain == settings.failure_domain
-        if relay.daemon != settings.daemon and (is_near or is_far):
-            send(content, relay.address)
+    return msgspec.json.encode(message)
 
 
 def _encode_history(forwarder: Forwarder) -> VersionHistoryMessage:
--- a/src/ragwortcourse/forwarding/report_sender.py
+++ b/src/ragwortcourse/forwarding/report_sender.py
@@ -55,16 +55,21 @@
         self._rng = rng
         self._sent_until = -math.inf
 
-    def send_round(self, peers: Sequence[str], *, repeats: bool) -> None:
+    def send_round(
+        self, peers: Sequence[str], *, repeats: bool, daemons: int = 0
+    ) -> None:
         """Send reports to other daemons.
 
-        :param peers: addresses of all other daemons.
+        :param peers: addresses that together reach all other daemons.
         :param repeats: true to send again what was sent in earlier rounds.
+        :param daemons: registered daemons, this one included; zero if each
+            address is that of one daemon.
         """
         now = read_clock_with_suspend()
         since = now - NEWS_SECONDS if repeats else self._sent_until
         self._sent_until = now
-        self._send_reports(self._list_news(since, len(peers) + 1), peers)
+        news = self._list_news(since, daemons or len(peers) + 1)
+        self._send_reports(news, peers)
         if repeats:
             chosen = self._rng.sample(peers, min(len(peers), 1))
             self._send_reports(self._list_standing(), chosen)
