Plan the order of version downloads by time without valid weights

Cause: the choice was greedy, and the first version left the list of named versions at the naming of the second, as it has no row. Added engines left it with a few chunks missing, and served nothing until the second was complete.

Change: every order of the named versions is played through over the own link and the origin's, and the one with the least time without a version to begin requests on is taken. The first version stays in the list until the second expires it. The origin's link_mbps is decoded.

--- a/src/ragwortcourse/forwarding/service_rules.py
+++ b/src/ragwortcourse/forwarding/service_rules.py
@@ -17,6 +17,7 @@
     :param origin: ``ip:port`` if the service is an origin of weights; empty
         otherwise.
     :param origin_domain: failure domain of the origin; none otherwise.
+    :param origin_rate: bytes a second of the origin's link; zero if unknown.
     """
 
     name: ServiceName
@@ -25,3 +26,4 @@
     engine: EngineProfile | None = None
     origin: str = ''
     origin_domain: FailureDomainName | None = None
+    origin_rate: float = 0
--- a/src/ragwortcourse/platform/desired_states.py
+++ b/src/ragwortcourse/platform/desired_states.py
@@ -26,6 +26,7 @@
 )
 
 SECONDS_PER_MILLISECOND: Final = 0.001
+BYTES_IN_MEGABIT: Final = 125_000
 
 
 def decode_desired_state(content: bytes) -> DesiredState:
@@ -94,6 +95,7 @@
         engine=None if wire.engine is None else _decode_engine(wire.engine),
         origin=parse_address(wire.origin) if wire.origin else '',
         origin_domain=FailureDomainName(wire.zone) if wire.zone else None,
+        origin_rate=wire.link_mbps * BYTES_IN_MEGABIT,
     )
 
 
--- a/src/ragwortcourse/platform/wire_state.py
+++ b/src/ragwortcourse/platform/wire_state.py
@@ -78,6 +78,8 @@
     :param max_conns: limit on the connections of all callers together.
     :param origin: address of an origin; empty for a service.
     :param zone: failure domain of an origin; empty for a service.
+    :param link_mbps: bandwidth of an origin's link in megabits per second;
+        zero if unknown.
     """
 
     name: str
@@ -86,6 +88,7 @@
     engine: WireEngine | None = None
     origin: str = ''
     zone: str = ''
+    link_mbps: Amount = 0
 
 
 class WireTenant(msgspec.Struct, kw_only=True):
--- a/src/ragwortcourse/weights/loader_weights.py
+++ b/src/ragwortcourse/weights/loader_weights.py
@@ -65,9 +65,18 @@
         return desired.find_engine(self.loader.service)
 
     def list_named(self, rules: EngineProfile) -> Sequence[AnnouncedVersion]:
-        """Return the versions named for the engine's model, newest last."""
-        first = AnnouncedVersion(version=FIRST_VERSION, seen_at=0)
-        return self.state.weights.get(rules.model) or (first,)
+        """Return the versions named for the engine's model, newest last.
+
+        The first version has no row of its own. It may be served until the
+        bound of its successor, so it stays in the list before that.
+        """
+        first = AnnouncedVersion(version=FIRST_VERSION, seen_at=-math.inf)
+        named = self.state.weights.get(rules.model, ())
+        if named and (
+            named[0].version != FIRST_VERSION + 1 or not named[0].observed
+        ):
+            return named
+        return (first, *named)
 
     def read_held(self, rules: EngineProfile) -> int:
         """Return the version that the engine holds completely, or zero."""
@@ -85,10 +94,14 @@
         """
         if self.is_stalled(version):
             return math.inf
-        kept = self.store.find(version)
-        missing = rules.chunks if kept is None else len(kept.missing)
+        missing = self.count_missing(rules, version)
         return missing * rules.chunk_bytes / self.link_rate
 
+    def count_missing(self, rules: EngineProfile, version: int) -> int:
+        """Return the number of chunks of a version that are missing here."""
+        kept = self.store.find(version)
+        return rules.chunks if kept is None else len(kept.missing)
+
     def is_stalled(self, version: int) -> bool:
         """Tell whether no source offered a version recently."""
         return read_clock() < self._stalled_until.get(version, 0)
--- /dev/null
+++ b/src/ragwortcourse/weights/planning/__init__.py
@@ -0,0 +1,1 @@
+"""Plan of the order in which named versions of weights are downloaded."""
--- a/src/ragwortcourse/weights/version_drawing.py
+++ b/src/ragwortcourse/weights/version_drawing.py
@@ -1,16 +1,15 @@
 """Download named versions of weights into a loader's memory."""
 
 import asyncio
-import functools
 import logging
 from typing import Final
 
-from ragwortcourse.clock import read_clock, read_clock_with_suspend
+from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.engine_profile import EngineProfile
 from ragwortcourse.weights.chunk_store import VersionChunks
 from ragwortcourse.weights.loader_weights import LoaderWeights
+from ragwortcourse.weights.planning.loader_plan import choose_next_version
 from ragwortcourse.weights.stage_check import adopt_staged
-from ragwortcourse.weights.version_choice import choose_version
 
 WATCH_SECONDS: Final = 0.2
 RETRY_SECONDS: Final = 0.2
@@ -67,24 +66,6 @@
     return 0 if loader_weights.report is None or wanted <= here else wanted
 
 
-def choose_next_version(
-    loader_weights: LoaderWeights, rules: EngineProfile
-) -> int:
-    """Return the version that the engine is to hold next."""
-    return choose_version(
-        loader_weights.list_named(rules),
-        held=max(
-            loader_weights.read_held(rules),
-            loader_weights.store.find_newest_whole(),
-        ),
-        now=read_clock_with_suspend(),
-        estimate_seconds=functools.partial(
-            loader_weights.estimate_download_seconds, rules
-        ),
-        bound=loader_weights.fleet.version_ms / 1000,
-    ).version
-
-
 async def _download_named(
     loader_weights: LoaderWeights, rules: EngineProfile, version: int
 ) -> bool:
--- a/tests/test_desired_states.py
+++ b/tests/test_desired_states.py
@@ -96,13 +96,19 @@
         """Only a service with an engine has an engine profile."""
         services = [
             {'name': 'svc', 'engine': ENGINE, 'cold_per_s': 36.0},
-            {'name': 'o', 'origin': '10.0.0.9:80', 'zone': 'far-a'},
+            {
+                'name': 'o',
+                'origin': '10.0.0.9:80',
+                'zone': 'far-a',
+                'link_mbps': 4.0,
+            },
         ]
         state = decode(services=services)
         engine = state.find_engine('svc')
         assert engine.model == 'm'
         assert engine.step == pytest.approx(0.00887)
         assert state.services['o'].origin == '10.0.0.9:80'
+        assert state.services['o'].origin_rate == 500_000
         assert state.find_engine('o') is None
         assert state.find_engine('unknown') is None
 
--- a/tests/test_loader_weights.py
+++ b/tests/test_loader_weights.py
@@ -39,6 +39,21 @@
             assert host.engine.version == 2
         host.check_orders()
 
+    async def test_first_version_is_finished(self):
+        """An empty engine finishes the first version after the second's naming.
+
+        The first version has no row, and was left almost complete.
+        """
+        host = LoaderHost(link_mbps=0.03)
+        host.seconds = 0.5
+        async with host.run():
+            while len(host.drawn) < CHUNKS - 1:
+                await asyncio.sleep(0.01)
+            host.name(2)
+            await asyncio.sleep(FLEET.version_ms / 1000)
+        assert [version for version, _ in host.engine.orders] == [1, 2]
+        host.check_orders()
+
     async def test_notices(self):
         """Entry daemons are notified before the order and after loading."""
         host = LoaderHost(version=1)
