--- a/src/ragwortcourse/platform/weight_source.py
+++ b/src/ragwortcourse/platform/weight_source.py
@@ -101,9 +101,12 @@
 
 
 def build_weight_downloader(
-    *, session: aiohttp.ClientSession, state: FleetState
+    *, session: aiohttp.ClientSession, state: FleetState, is_relay: bool = False
 ) -> FleetDownloader:
-    """Build the downloader from other daemons and the origin."""
+    """Build the downloader from other daemons and the origin.
+
+    :param is_relay: whether an entry daemon asks.
+    """
     source = WeightSource(session=session)
     return FleetDownloader(
         session=session,
@@ -111,4 +114,5 @@
         calls=OriginCalls(
             read_manifest=source.read_manifest, read_chunk=source.read_chunk
         ),
+        is_relay=is_relay,
     )
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -40,6 +40,7 @@
 from ragwortcourse.weights.chunk_cache import ChunkCache
 from ragwortcourse.weights.chunk_routes import build_chunk_routes
 from ragwortcourse.weights.manifest_routes import build_manifest_routes
+from ragwortcourse.weights.planning.loader_demand import LoaderDemand
 from ragwortcourse.weights.relay_downloader import RelayDownloader, build_cache
 
 # Longest wait of one long poll to the store. While the store answers, the
@@ -83,6 +84,7 @@
 
     forwarder: Forwarder
     cache: ChunkCache
+    demand: LoaderDemand
     tables: FleetTables
     register: Callable[[], Coroutine[Any, Any, None]]
     crash_keeper: CrashKeeper
@@ -105,7 +107,9 @@
         """Return the routes of the port for other daemons."""
         return [
             *build_chunk_routes(
-                self.cache.find, note_gone=self.cache.note_gone
+                self.cache.find,
+                note_gone=self.cache.note_gone,
+                note_asked=self.demand.note,
             ),
             *build_manifest_routes(self.cache.find_manifest),
             *self.tables.routes,
@@ -198,11 +202,14 @@
         session=target_session,
         rng=rng,
     )
+    demand = LoaderDemand(state=state)
     return ForwarderDaemon(
         forwarder=forwarder,
         cache=build_cache(
-            downloader=_build_downloader(forwarder, session, tables.relays)
+            downloader=_build_downloader(forwarder, session, tables.relays),
+            demand=demand,
         ),
+        demand=demand,
         tables=tables,
         register=functools.partial(
             keep_registered, tables.store, describe_daemon(settings), rng
@@ -247,7 +254,7 @@
     return RelayDownloader(
         settings=forwarder.settings,
         downloader=build_weight_downloader(
-            session=session, state=forwarder.state
+            session=session, state=forwarder.state, is_relay=True
         ),
         list_relays=relays.list,
         rng=forwarder.rng,
--- a/src/ragwortcourse/weights/chunk_cache.py
+++ b/src/ragwortcourse/weights/chunk_cache.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
-from ragwortcourse.clock import read_clock
 from ragwortcourse.detached_tasks import DetachedTasks, end_task
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.weights.chunk_store import (
@@ -14,6 +13,13 @@
     VersionChunks,
 )
 from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.planning.prefetch import (
+    IsWanted,
+    Prefetch,
+    ReadStart,
+    start_at_once,
+    want_always,
+)
 
 ReadManifest = Callable[[ModelName, int], Awaitable[FleetManifest | None]]
 DownloadChunk = Callable[[FleetManifest, int], Awaitable[bytes | None]]
@@ -24,28 +30,20 @@
 ]
 # A version and the addresses of the relays that are gone.
 Replacement = tuple[int, frozenset[str]]
-ReadStart = Callable[[FleetManifest, int], float]
 
-# Chunks of one version that one cache prefetches concurrently.
-CONCURRENT_PREFETCHES: Final = 2
-# Counted from the arrival of the manifest. Afterwards a chunk is downloaded
-# only on request.
-PREFETCH_WINDOW_SECONDS: Final = 20.0
 # Polling reads local state only, and the store reports new versions at once.
 POLL_SECONDS: Final = 0.1
-# Pause after a manifest or a chunk that no source returned.
+# Pause after a manifest that no source returned.
 RETRY_SECONDS: Final = 0.4
 # Prefetches of chunks of other relays that one cache runs concurrently.
 REPLACEMENTS: Final = 8
+# Versions whose chunks one cache prefetches; those that are no longer kept
+# end soon.
+PREFETCHES: Final = 2 * VERSIONS_KEPT
 
 LOGGER: Final = logging.getLogger(__name__)
 
 
-def start_at_once(manifest: FleetManifest, index: int) -> float:
-    """Start every prefetch as soon as the manifest has arrived."""
-    return 0
-
-
 async def replace_nobody(
     manifest: FleetManifest, index: int, gone: tuple[str, ...]
 ) -> tuple[int, ...]:
@@ -66,6 +64,7 @@
         here while some addresses are gone.
     :param read_start: seconds from the arrival of the manifest to the
         prefetch of a chunk.
+    :param is_wanted: tells whether to go on prefetching a version.
     """
 
     def __init__(
@@ -76,11 +75,17 @@
         list_own: ListOwn,
         list_replaced: ListReplaced = replace_nobody,
         read_start: ReadStart = start_at_once,
+        is_wanted: IsWanted = want_always,
     ) -> None:
         self._list_own = list_own
         self._list_replaced = list_replaced
-        self._read_start = read_start
-        self._prefetches = DetachedTasks(limit=VERSIONS_KEPT)
+        self._prefetch = Prefetch(
+            find_chunk=self._find_in,
+            is_kept=self._is_kept,
+            read_start=read_start,
+            is_wanted=is_wanted,
+        )
+        self._prefetches = DetachedTasks(limit=PREFETCHES)
         self._replacements = DetachedTasks(limit=REPLACEMENTS)
         self._replaced: set[Replacement] = set()
         self._read_manifest = read_manifest
@@ -192,7 +197,7 @@
         own = await self._list_own(chunks.manifest)
         # A restarted relay is asked for the later chunks only.
         in_order = sorted(own, key=lambda index: index < first)
-        await self._prefetch(chunks, in_order, first)
+        await self._prefetch.run(chunks, in_order, first)
 
     async def _replace(
         self,
@@ -205,43 +210,12 @@
         chunks = self._store.find(version)
         if manifest is None or chunks is None:
             return
-        await self._prefetch(
+        await self._prefetch.run(
             chunks, await self._list_replaced(manifest, index, gone), index
         )
 
-    async def _prefetch(
-        self, chunks: VersionChunks, indices: Sequence[int], first: int
-    ) -> None:
-        """Download chunks ahead.
-
-        :param first: chunk that is due now; the others are due after it, in
-            order, and then those before it.
-        """
-        opened_at = read_clock()
-        count = len(chunks.manifest.digests)
-        start_seconds = {
-            index: self._read_start(chunks.manifest, (index - first) % count)
-            for index in indices
-        }
-        queue = list(indices)
-
-        async def prefetch_next() -> None:
-            while queue and read_clock() - opened_at < PREFETCH_WINDOW_SECONDS:
-                index = queue.pop(0)
-                await asyncio.sleep(
-                    opened_at + start_seconds[index] - read_clock()
-                )
-                if await self._find_in(chunks, index) is None:
-                    queue.append(index)
-                    await asyncio.sleep(RETRY_SECONDS)
-
-        # Start times that are set per chunk limit the rate by themselves.
-        concurrency = (
-            len(indices)
-            if any(start_seconds.values())
-            else CONCURRENT_PREFETCHES
-        )
-        await asyncio.gather(*(prefetch_next() for _ in range(concurrency)))
+    def _is_kept(self, chunks: VersionChunks) -> bool:
+        return self._store.find(chunks.manifest.version) is chunks
 
     async def _download_verified(
         self, chunks: VersionChunks, index: int
--- a/src/ragwortcourse/weights/chunk_routes.py
+++ b/src/ragwortcourse/weights/chunk_routes.py
@@ -1,7 +1,7 @@
 """HTTP transfer of chunks between the daemons of a fleet."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from aiohttp import (
@@ -18,6 +18,10 @@
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.weights.fleet_manifest import FleetManifest
 from ragwortcourse.weights.peer_reach import PeerReach
+from ragwortcourse.weights.planning.chunk_options import (
+    ChunkOptions,
+    decode_options,
+)
 
 # Time for which a daemon holds a request while it downloads the chunk.
 WAIT_SECONDS: Final = 1.0
@@ -26,14 +30,12 @@
 CONNECT_SECONDS: Final = 0.3
 # Small enough that live requests on the same link are not delayed for long.
 SLICE_BYTES: Final = 4_096
-RATE_OPTION: Final = 'rate'
-# Addresses asked before that did not accept a connection.
-GONE_OPTION: Final = 'gone'
-GONE_SEPARATOR: Final = ','
 OK: Final = 200
+NO_OPTIONS: Final = ChunkOptions()
 
 FindChunk = Callable[[ModelName, int, int], Awaitable[bytes | None]]
 NoteGone = Callable[[ModelName, int, int, tuple[str, ...]], None]
+NoteAsked = Callable[[ModelName, int], None]
 
 
 def build_chunk_routes(
@@ -41,6 +43,7 @@
     *,
     link_rate: int = 0,
     note_gone: NoteGone | None = None,
+    note_asked: NoteAsked | None = None,
 ) -> list[web.RouteDef]:
     """Build the route that serves chunks on the port for other daemons.
 
@@ -48,6 +51,7 @@
         ``None`` if the chunk is not available.
     :param note_gone: called for a request that comes here because the given
         addresses accept no connections.
+    :param note_asked: called for each request of a loader.
     :param link_rate: bytes a second that all chunks together may take of
         this host's link, one chunk after the other; zero: no limit.
     """
@@ -60,22 +64,19 @@
             int(info['version']),
             int(info['index']),
         )
-        gone = _parse_gone(request)
-        if gone and note_gone is not None:
-            note_gone(*asked, gone)
-        try:
-            async with asyncio.timeout(WAIT_SECONDS):
-                content = await find_chunk(*asked)
-        except TimeoutError:
-            content = None
+        options = decode_options(request.query)
+        if note_asked is not None and not options.is_relay:
+            note_asked(*asked[:2])
+        if note_gone is not None and options.gone:
+            note_gone(*asked, tuple(options.gone))
+        content = await _find_in_time(find_chunk(*asked))
         if content is None:
             return web.Response(status=web.HTTPNotFound.status_code)
         if link_rate:
             async with link:
                 return await _send_paced(request, content, link_rate)
-        rate = request.query.get(RATE_OPTION, '')
-        if rate.isdecimal() and int(rate):
-            return await _send_paced(request, content, int(rate))
+        if options.rate:
+            return await _send_paced(request, content, options.rate)
         return web.Response(
             body=content, content_type='application/octet-stream'
         )
@@ -84,9 +85,12 @@
     return [web.get(path, send_chunk)]
 
 
-def _parse_gone(request: web.Request) -> tuple[str, ...]:
-    gone = request.query.get(GONE_OPTION, '')
-    return tuple(filter(None, gone.split(GONE_SEPARATOR)))
+async def _find_in_time(finding: Awaitable[bytes | None]) -> bytes | None:
+    try:
+        async with asyncio.timeout(WAIT_SECONDS):
+            return await finding
+    except TimeoutError:
+        return None
 
 
 async def _send_paced(
@@ -116,24 +120,17 @@
     address: str,
     manifest: FleetManifest,
     index: int,
-    rate: int = 0,
-    gone: Collection[str] = (),
+    options: ChunkOptions = NO_OPTIONS,
 ) -> bytes | None:
     """Fetch a chunk from another daemon, unverified.
 
-    :param rate: bytes a second that the daemon may send; zero: no limit.
-    :param gone: addresses that come before this one and do not accept
-        connections.
     :return: bytes, or ``None`` if the daemon failed or lacks the chunk.
     """
     url = f'http://{address}/chunks/{manifest.model}/{manifest.version}/{index}'
-    options = {RATE_OPTION: str(rate)}
-    if gone:
-        options[GONE_OPTION] = GONE_SEPARATOR.join(gone)
     timeout = ClientTimeout(total=FETCH_SECONDS, sock_connect=CONNECT_SECONDS)
     try:
         async with session.get(
-            url, params=options, timeout=timeout
+            url, params=options.encode(), timeout=timeout
         ) as response:
             if response.status != OK:
                 return None
--- a/src/ragwortcourse/weights/fleet_downloader.py
+++ b/src/ragwortcourse/weights/fleet_downloader.py
@@ -15,6 +15,7 @@
 from ragwortcourse.weights.manifest_routes import fetch_manifest
 from ragwortcourse.weights.origin_calls import OriginCalls
 from ragwortcourse.weights.peer_reach import PeerReach
+from ragwortcourse.weights.planning.chunk_options import ChunkOptions
 
 # Pause between requests for a manifest to the first daemon while the sources
 # after it are slow.
@@ -31,11 +32,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FleetDownloader:
-    """Downloader that asks daemons in a given order, then the origin."""
+    """Downloader that asks daemons in a given order, then the origin.
+
+    :param is_relay: whether an entry daemon asks.
+    """
 
     session: aiohttp.ClientSession
     state: FleetState
     calls: OriginCalls
+    is_relay: bool = False
     reach: PeerReach = dataclasses.field(default_factory=PeerReach)
 
     async def read_manifest(
@@ -81,8 +86,9 @@
                 address=address,
                 manifest=manifest,
                 index=index,
-                rate=rates[address],
-                gone=gone,
+                options=ChunkOptions(
+                    rate=rates[address], gone=gone, is_relay=self.is_relay
+                ),
             )
             if manifest.matches(index, content):
                 return content
--- a/src/ragwortcourse/weights/relay_downloader.py
+++ b/src/ragwortcourse/weights/relay_downloader.py
@@ -14,7 +14,7 @@
 )
 from ragwortcourse.membership.relay_daemons import RelayRecord
 from ragwortcourse.settings import Settings
-from ragwortcourse.weights.chunk_cache import CONCURRENT_PREFETCHES, ChunkCache
+from ragwortcourse.weights.chunk_cache import ChunkCache
 from ragwortcourse.weights.chunk_sources import (
     choose_rate,
     choose_start,
@@ -26,6 +26,8 @@
 from ragwortcourse.weights.fleet_downloader import FleetDownloader, find_origin
 from ragwortcourse.weights.fleet_manifest import FleetManifest
 from ragwortcourse.weights.peer_port import MANIFEST_INDEX
+from ragwortcourse.weights.planning.loader_demand import LoaderDemand
+from ragwortcourse.weights.planning.prefetch import CONCURRENT_PREFETCHES
 
 # Hosts whose engine holds the version that are asked before relays and the
 # origin.
@@ -207,12 +209,18 @@
         return rates
 
 
-def build_cache(*, downloader: RelayDownloader) -> ChunkCache:
-    """Build a cache that downloads from other daemons and the origin."""
+def build_cache(
+    *, downloader: RelayDownloader, demand: LoaderDemand
+) -> ChunkCache:
+    """Build a cache that downloads from other daemons and the origin.
+
+    :param demand: versions that loaders ask for.
+    """
     return ChunkCache(
         read_manifest=downloader.read_manifest,
         download_chunk=downloader.download_chunk,
         list_own=downloader.list_own,
         list_replaced=downloader.list_replaced,
         read_start=downloader.read_start,
+        is_wanted=demand.is_wanted,
     )
--- a/tests/test_chunk_cache.py
+++ b/tests/test_chunk_cache.py
@@ -8,7 +8,7 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.identifiers import DaemonId
 from ragwortcourse.membership.relay_daemons import RelayRecord
-from ragwortcourse.weights.chunk_cache import CONCURRENT_PREFETCHES, ChunkCache
+from ragwortcourse.weights.chunk_cache import ChunkCache
 from ragwortcourse.weights.chunk_sources import (
     DOMAIN_RATE,
     choose_rate,
@@ -17,6 +17,7 @@
 )
 from ragwortcourse.weights.fleet_manifest import FleetManifest
 from ragwortcourse.weights.manifest import digest_bytes
+from ragwortcourse.weights.planning.prefetch import CONCURRENT_PREFETCHES
 
 pytestmark = pytest.mark.looptime
 CHUNKS = 6
--- a/tests/test_stopped_relays.py
+++ b/tests/test_stopped_relays.py
@@ -11,7 +11,7 @@
 from ragwortcourse.identifiers import DaemonId
 from ragwortcourse.membership.relay_daemons import RelayRecord
 from ragwortcourse.weights import fleet_downloader
-from ragwortcourse.weights.chunk_cache import CONCURRENT_PREFETCHES, ChunkCache
+from ragwortcourse.weights.chunk_cache import ChunkCache
 from ragwortcourse.weights.chunk_routes import WAIT_SECONDS
 from ragwortcourse.weights.chunk_sources import (
     choose_rate,
@@ -24,6 +24,7 @@
 from ragwortcourse.weights.loader_sources import LoaderSources
 from ragwortcourse.weights.manifest import digest_bytes
 from ragwortcourse.weights.origin_calls import OriginCalls
+from ragwortcourse.weights.planning.prefetch import CONCURRENT_PREFETCHES
 from ragwortcourse.weights.version_drawing import (
     CONCURRENT_DOWNLOADS,
     RETRY_SECONDS,
@@ -126,9 +127,7 @@
         await asyncio.sleep(CHUNK_BYTES / CROSSING_RATE)
         return make_chunk(index)
 
-    async def fetch(
-        self, *, session, reach, address, manifest, index, rate, gone
-    ):
+    async def fetch(self, *, session, reach, address, manifest, index, options):
         """Fetch a chunk from a relay, which refuses while it is stopped."""
         cache = self.caches.get(address)
         if cache is None:
@@ -136,16 +135,16 @@
             return None
         try:
             async with asyncio.timeout(WAIT_SECONDS):
-                if gone:
+                if options.gone:
                     cache.note_gone(
-                        manifest.model, manifest.version, index, gone
+                        manifest.model, manifest.version, index, options.gone
                     )
                 content = await cache.find(
                     manifest.model, manifest.version, index
                 )
         except TimeoutError:
             return None
-        await asyncio.sleep(CHUNK_BYTES / rate)
+        await asyncio.sleep(CHUNK_BYTES / options.rate)
         return content
 
     def build_sources(self) -> LoaderSources:
