Treat a status outside 100 to 599 as no answer

Cause: the HTTP library takes any status of three digits. Callers got 600 and above, a refusal of an agent with 600 counted as proof that an attempt had not run, and after 000 to 099 a call waited as after an interim answer. Change: the protocol of all sessions ends the connection at such a head, and at a head of another major HTTP version than 1; what follows it in the same bytes is dropped.

--- a/src/ragwortcourse/connections.py
+++ b/src/ragwortcourse/connections.py
@@ -3,6 +3,10 @@
 Load pattern: a faulty server sends bytes that are no answer until its caller
 closes: header after header, interim answers one after the other, or a chunk's
 size line. What has been read of a head is kept in memory until its end.
+
+A failing server also sends heads with a status that HTTP does not define, such
+as 000 or 600. aiohttp takes those from 600 on as answers, and waits on after
+those below 100 as after interim answers.
 """
 
 import functools
@@ -13,12 +17,18 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import BadHttpMessage
+from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import StreamReader
 
 # Bytes of an answer beside its body: interim answers, the head, and framing.
 LONGEST_OVERHEAD: Final = 131_072
 # A chunk of one byte takes six; events come in small chunks.
 FRAMING_FACTOR: Final = 16
+# Bounds of the statuses that HTTP defines.
+LOWEST_STATUS: Final = 100
+HIGHEST_STATUS: Final = 599
+# The framing of other major versions is another one.
+HTTP_MAJOR: Final = 1
 
 
 class ResetProtocol(ResponseHandler):
@@ -53,11 +63,17 @@
         super().data_received(data)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Take a head that was read, unless it is of an interim answer."""
+        """Take a head that was read, unless it is of an interim answer.
+
+        A head that is none ends the connection. What follows it in the same
+        bytes is no answer to the request either.
+        """
         message, body = data
-        if message.code == HTTPStatus.SWITCHING_PROTOCOLS:
-            # No request asks for it, and its body would never end.
-            self._give_up('the server switches protocols')
+        fault = _find_head_fault(message)
+        if self.exception() is not None:
+            return
+        if fault is not None:
+            self._give_up(fault)
         elif message.code >= HTTPStatus.OK:
             self._body = body  # noqa: WPS601
             super().feed_data(data, size)
@@ -88,6 +104,18 @@
             self.transport.abort()
 
 
+def _find_head_fault(message: RawResponseMessage) -> str | None:
+    """Return why a head is none of an answer; none if it may be."""
+    if message.code == HTTPStatus.SWITCHING_PROTOCOLS:
+        # No request asks for it, and its body would never end.
+        return 'the server switches protocols'
+    if not LOWEST_STATUS <= message.code <= HIGHEST_STATUS:
+        return f'status {message.code:03}'
+    if message.version.major != HTTP_MAJOR:
+        return f'HTTP version {message.version.major}.{message.version.minor}'
+    return None
+
+
 class ResetConnector(aiohttp.TCPConnector):
     """Connector whose connections use :class:`ResetProtocol`.
 
