Read the pace in targets' load reports; estimate starts in seconds

Reports with a fourth figure were dropped whole, so the running and waiting requests of such targets were unknown. The figure is decoded as a multiple of the usual time. Reports out of bounds are dropped with a log line.

--- a/src/ragwortcourse/forwarding/admission.py
+++ b/src/ragwortcourse/forwarding/admission.py
@@ -61,6 +61,8 @@
     :param unanswered: requests of ``load`` without an answer yet.
     :param latency: mean seconds to an answer; none: not known.
     :param engine: none for plain services.
+    :param pace: how long work of an engine takes now, as a multiple of the
+        time by its profile. The latency of a plain service contains it.
     """
 
     load: float
@@ -68,6 +70,7 @@
     unanswered: float = 0
     latency: float | None = None
     engine: EngineProfile | None = None
+    pace: float = 1
 
 
 def estimate_slot_interval(place: TargetOccupancy) -> float:
@@ -77,7 +80,8 @@
         return (place.latency or UNKNOWN_SECONDS) / max(place.slots, 1)
     step = engine.step + engine.step_per_request * engine.slots
     reading = engine.mean_prompt_tokens / max(engine.prefill_rate, 1)
-    return reading + engine.mean_answer_tokens * step / max(engine.slots, 1)
+    writing = engine.mean_answer_tokens * step / max(engine.slots, 1)
+    return (reading + writing) * place.pace
 
 
 def estimate_start_seconds(place: TargetOccupancy, demand: Demand) -> float:
@@ -87,7 +91,8 @@
         return place.latency or UNKNOWN_SECONDS
     unread = place.unanswered * engine.mean_prompt_tokens + demand.prompt_tokens
     reading = unread / max(engine.prefill_rate, 1) * READING_STRETCH
-    return reading + estimate_pass_seconds(place, engine) * PASSES
+    passes = estimate_pass_seconds(place, engine) * PASSES
+    return reading * place.pace + passes
 
 
 def estimate_pass_seconds(
@@ -98,9 +103,8 @@
     Prompts of other requests lengthen a pass as load grows.
     """
     step = engine.step + engine.step_per_request * engine.slots
-    return (
-        step * engine.steps_per_pass * (1 + place.load / max(engine.slots, 1))
-    )
+    fullness = place.load / max(engine.slots, 1)
+    return step * engine.steps_per_pass * (1 + fullness) * place.pace
 
 
 def estimate_wait(place: TargetOccupancy) -> float:
--- a/src/ragwortcourse/forwarding/answer_head.py
+++ b/src/ragwortcourse/forwarding/answer_head.py
@@ -21,11 +21,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ReportedLoad:
-    """Load of a target as reported by the target itself."""
+    """Load of a target as reported by the target itself.
+
+    :param pace: how long work takes on the target's machine now, as a multiple
+        of the usual time; none: not reported.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/ragwortcourse/forwarding/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Placement by the expected time of an answer."""
--- a/src/ragwortcourse/platform/wire.py
+++ b/src/ragwortcourse/platform/wire.py
@@ -1,7 +1,6 @@
 """Translation of the platform's requests and answers."""
 
 import logging
-import math
 from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Final
@@ -11,11 +10,13 @@
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.entry.call_reader import HOP_HEADERS
-from ragwortcourse.forwarding.answer_head import AnswerHead, ReportedLoad
+from ragwortcourse.forwarding.answer_head import AnswerHead
 from ragwortcourse.forwarding.call import Call, PermittedCall
 from ragwortcourse.forwarding.wire_format import Dispatch, WireFormat
 from ragwortcourse.identifiers import AttemptId, TargetName
 from ragwortcourse.platform import names
+from ragwortcourse.platform.amounts import read_amount
+from ragwortcourse.platform.load_figures import read_load
 from ragwortcourse.platform.prompt_parts import read_shared_parts
 
 SECONDS_PER_MILLISECOND: Final = 0.001
@@ -33,7 +34,6 @@
     names.TENANT,
 )
 MISDIRECTED: Final = 421
-LOAD_FIELDS: Final = 3
 YES: Final = '1'
 NO: Final = '0'
 
@@ -118,7 +118,7 @@
         genuine=named == attempt
         and stamped
         and 'Content-Encoding' not in received,
-        load=_read_load(received.get(names.LOAD, '')),
+        load=read_load(received.get(names.LOAD, '')),
         cold_seconds=_read_milliseconds(received, names.COLD),
         version=_read_version(received.get(names.VERSION, '')),
         headers=headers,
@@ -134,7 +134,7 @@
     text = received.get(names.RETRY_AFTER)
     if text is None or status != HTTPStatus.SERVICE_UNAVAILABLE:
         return None
-    seconds = _read_amount(text)
+    seconds = read_amount(text)
     if seconds is None:
         LOGGER.warning(
             'unreadable time of rest of a target ignored',
@@ -153,7 +153,7 @@
 
 
 def _read_rate(text: str) -> float | None:
-    rate = _read_amount(text)
+    rate = read_amount(text)
     if rate is None:
         LOGGER.warning(
             'unreadable limit of a target ignored', extra={'content': text}
@@ -161,15 +161,6 @@
     return rate
 
 
-def _read_amount(text: str) -> float | None:
-    """Read a finite number that is not negative; none for anything else."""
-    try:
-        amount = float(text)
-    except ValueError:
-        return None
-    return amount if math.isfinite(amount) and amount >= 0 else None
-
-
 def _drop_hop_headers(headers: CIMultiDict[str]) -> None:
     listed = headers.popall('Connection', [])
     for name in ','.join(listed).split(','):
@@ -198,13 +189,3 @@
 
 def _read_version(text: str) -> int | None:
     return int(text) if text.strip().isdecimal() else None
-
-
-def _read_load(text: str) -> ReportedLoad | None:
-    fields = text.split(',')
-    if len(fields) != LOAD_FIELDS or not all(
-        field.strip().isdecimal() for field in fields
-    ):
-        return None
-    running, waiting, slots = (int(field) for field in fields)
-    return ReportedLoad(running=running, waiting=waiting, slots=slots)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -176,11 +176,29 @@
             ReportedLoad(running=3, waiting=1, slots=8)
         )
 
-    @pytest.mark.parametrize('text', ['', '3', '3,1', 'a,b,c', '1,2,3,4'])
+    def test_pace(self):
+        """The loads of targets that report their pace are not dropped."""
+        assert head(**{'Ragwortcourse-Server-Load': '3, 1,12, 250'}).load == (
+            ReportedLoad(running=3, waiting=1, slots=12, pace=2.5)
+        )
+
+    @pytest.mark.parametrize('text', ['', '3', '3,1', 'a,b,c', '1,2,3,4,5'])
     def test_unreadable_load(self, text):
         """An unreadable load is ignored."""
         assert head(**{'Ragwortcourse-Server-Load': text}).load is None
 
+    @pytest.mark.parametrize(
+        'text',
+        [
+            *('1,2,3,' + pace for pace in ('', 'x', '0', '-9', 'nan', '1e9')),
+            '9' * 5000 + ',2,3',
+        ],
+    )
+    def test_load_out_of_bounds(self, text, caplog):
+        """A figure that no target can mean is neither believed nor hidden."""
+        assert head(**{'Ragwortcourse-Server-Load': text}).load is None
+        assert 'unreadable load of a target ignored' in caplog.text
+
     def test_version_and_cold(self):
         """Weights version and remaining cold time are decoded."""
         answer = head(
