Keep a belief of each target's pace, and tell other daemons of slow ones

The belief weighs the last report by the chance that it still holds, and tends to the long-run mean with age; it has a spread. Reports out of the ordinary of the last moments go along in the load messages; fields with defaults are left out of these, so that most messages shrink.

Services whose targets report no pace are untouched. The retry scheduler moved into the safeguards to make room for the new state of the forwarder.

--- a/src/ragwortcourse/bounded.py
+++ b/src/ragwortcourse/bounded.py
@@ -19,6 +19,9 @@
 # Ages in seconds: below zero by no more than rounding and transit.
 MIN_AGE: Final = -1.0
 MAX_AGE: Final = 1e9
+# From a hundredth of the usual time to a hundred times as long.
+MIN_PACE: Final = 0.01
+MAX_PACE: Final = 100.0
 MAX_SWITCH: Final = 86_400.0
 # Of 18 digits, as an era is read from a header.
 MAX_ERA: Final = 999_999_999_999_999_999
@@ -30,6 +33,8 @@
 # As targets name it, which state any finite rate.
 Rate = Annotated[float, Meta(ge=0)]
 Milliseconds = Annotated[float, Meta(ge=0, le=MAX_MILLISECONDS)]
+# Time that work takes, as a multiple of the usual time.
+Pace = Annotated[float, Meta(ge=MIN_PACE, le=MAX_PACE)]
 # An engine changes its weights within a day.
 SwitchSeconds = Annotated[float, Meta(ge=0, le=MAX_SWITCH)]
 Age = Annotated[float, Meta(ge=MIN_AGE, le=MAX_AGE)]
--- a/src/ragwortcourse/forwarding/choice_refusals.py
+++ b/src/ragwortcourse/forwarding/choice_refusals.py
@@ -46,7 +46,8 @@
     )
     if first_end > 0:
         wait = RESTED_RETRY_SECONDS
-    return first_end + forwarder.retry_scheduler.book(wait, forwarder.rng)
+    scheduler = forwarder.safeguards.retry_scheduler
+    return first_end + scheduler.book(wait, forwarder.rng)
 
 
 def refuse_all(
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -11,6 +11,8 @@
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.entry.retry_scheduler import RetryScheduler
+from ragwortcourse.forwarding.balancing.balancing import Balancing
+from ragwortcourse.forwarding.balancing.target_paces import TargetPaces
 from ragwortcourse.forwarding.call_scopes import CallScopes
 from ragwortcourse.forwarding.caller_timeouts import CallerTimeouts
 from ragwortcourse.forwarding.crash_admission import CrashAdmission
@@ -65,7 +67,6 @@
         self.wire = wire
         self.session = session
         self.rng = rng
-        self.retry_scheduler = RetryScheduler()
         self.caller_timeouts = CallerTimeouts()
         self.store_watch = StoreWatch(state=state)
         ranking = DaemonRanking(
@@ -85,7 +86,9 @@
             daemon_ranking=ranking,
             target_limits=TargetLimits(state=state, ranking=ranking),
             target_rests=TargetRests(state=state),
+            retry_scheduler=RetryScheduler(),
         )
+        self.balancing = Balancing(paces=TargetPaces(state=state))
         self._peers = PeerCounts()
         self.running = 0
         self.closing = False
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -16,6 +16,10 @@
 from ragwortcourse.addresses import split_address
 from ragwortcourse.clock import read_clock, read_clock_with_suspend
 from ragwortcourse.decoding import decode_json
+from ragwortcourse.forwarding.balancing.pace_news import (
+    encode_news,
+    note_news,
+)
 from ragwortcourse.forwarding.datagrams import (
     SendDatagram,
     build_datagram_sender,
@@ -50,6 +54,9 @@
 # Every this many rounds the message also goes to other failure domains:
 # bandwidth between regions is low.
 FAR_ROUNDS: Final = 4
+# Messages repeat the paces of the last message, which may be lost or late.
+NEAR_NEWS_SECONDS: Final = 2 * NEAR_SECONDS
+FAR_NEWS_SECONDS: Final = (FAR_ROUNDS + 1) * NEAR_SECONDS
 # A longer gap between rounds is not explained by a busy host: the daemon or
 # its host was suspended, and messages from the gap are read only now.
 STANDSTILL_SECONDS: Final = 0.5
@@ -110,6 +117,8 @@
             lost=message.store_lost,
             stable_for=message.stable_for,
         )
+        paces = self._forwarder.balancing.paces
+        note_news(paces, message.paces, read_clock())
         if message.namings is not None:
             history = _decode_history(message.namings)
             note_history(self._forwarder.state, history, told_by=message.daemon)
@@ -203,6 +212,11 @@
         namings=_encode_history(forwarder) if is_far else None,
         store_lost=forwarder.state.store_lost,
         stable_for=forwarder.store_watch.read_seconds_since_outage(),
+        paces=encode_news(
+            forwarder.balancing.paces,
+            now=read_clock(),
+            seconds=FAR_NEWS_SECONDS if is_far else NEAR_NEWS_SECONDS,
+        ),
     )
     content = msgspec.json.encode(message)
     relays = await list_relays()
--- a/src/ragwortcourse/forwarding/load_messages.py
+++ b/src/ragwortcourse/forwarding/load_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ragwortcourse.bounded import Age, Count, SwitchSeconds, WholeNumber
+from ragwortcourse.forwarding.balancing.pace_news import PaceNewsMessage
 from ragwortcourse.identifiers import DaemonId, ModelName, TargetName
 
 
@@ -35,7 +36,9 @@
     complete_for: Age | None
 
 
-class LoadMessage(msgspec.Struct, frozen=True, kw_only=True, tag='load'):
+class LoadMessage(
+    msgspec.Struct, frozen=True, kw_only=True, tag='load', omit_defaults=True
+):
     """Requests of one daemon that are running at each target.
 
     :param daemon: the sender.
@@ -45,6 +48,8 @@
     :param store_lost: true while the store does not answer the sender.
     :param stable_for: seconds since the sender last knew of a store outage
         of the fleet; none: never.
+    :param paces: paces that targets lately reported to the sender, where these
+        are out of the ordinary; none in most messages.
     """
 
     daemon: DaemonId
@@ -52,6 +57,7 @@
     namings: VersionHistoryMessage | None = None
     store_lost: bool = False
     stable_for: Age | None = None
+    paces: PaceNewsMessage | None = None
 
 
 class SwitchMessage(msgspec.Struct, frozen=True, kw_only=True, tag='switch'):
--- a/src/ragwortcourse/forwarding/safeguards.py
+++ b/src/ragwortcourse/forwarding/safeguards.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from ragwortcourse.entry.retry_scheduler import RetryScheduler
 from ragwortcourse.forwarding.crash_admission import CrashAdmission
 from ragwortcourse.forwarding.crash_guard import CrashGuard
 from ragwortcourse.forwarding.daemon_ranking import DaemonRanking
@@ -12,7 +13,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Safeguards:
-    """Protections that entry daemons keep in sum, and rests of one daemon."""
+    """Protections that entry daemons keep in sum, and those of one daemon.
+
+    :param target_rests: times for which targets want nothing.
+    :param retry_scheduler: times at which refused callers return.
+    """
 
     retry_budget: FleetRetryBudget
     crash_guard: CrashGuard
@@ -20,3 +25,4 @@
     daemon_ranking: DaemonRanking
     target_limits: TargetLimits
     target_rests: TargetRests
+    retry_scheduler: RetryScheduler
--- a/src/ragwortcourse/forwarding/target_statements.py
+++ b/src/ragwortcourse/forwarding/target_statements.py
@@ -37,6 +37,8 @@
         return
     warn_expired(forwarder, target, head)
     load.note_head(head, read_clock(), target=target, sent_at=sent_at)
+    if head.load is not None:
+        forwarder.balancing.paces.note_report(target, head.load, read_clock())
     if head.leaving:
         departure = Departure(target=target.name, born=target.born)
         note_departure(forwarder.state, departure)
--- a/src/ragwortcourse/platform/load_figures.py
+++ b/src/ragwortcourse/platform/load_figures.py
@@ -3,6 +3,7 @@
 import logging
 from typing import Final
 
+from ragwortcourse.bounded import MAX_PACE, MIN_PACE
 from ragwortcourse.forwarding.answer_head import ReportedLoad
 from ragwortcourse.platform.amounts import read_amount
 
@@ -11,10 +12,6 @@
 LOAD_DIGITS: Final = 7
 # Figure of a target whose work takes as long as usual.
 USUAL_PACE: Final = 100
-# Bounds of a pace that is believed: from a hundredth to a hundred times the
-# usual time.
-MIN_PACE: Final = 0.01
-MAX_PACE: Final = 100.0
 
 LOGGER: Final = logging.getLogger(__name__)
 
