Measure and exchange the demand on a service by urgency

Cause: admission knows neither how urgent the requests at a target are nor how many urgent ones arrive at the other daemons.

Change: where routes of one service have different priorities, each daemon measures its arrivals by urgency and counts its unanswered requests of the two most urgent priorities at each target. Both go into optional fields of the load messages, which leave out fields without a value.

--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -20,6 +20,7 @@
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.peer_counts import Counts, PeerCounts
 from ragwortcourse.forwarding.safeguards import Safeguards
+from ragwortcourse.forwarding.scheduling.scheduling import Scheduling
 from ragwortcourse.forwarding.store_watch import StoreWatch
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_limits import TargetLimits
@@ -86,6 +87,9 @@
             target_limits=TargetLimits(state=state, ranking=ranking),
             target_rests=TargetRests(state=state),
         )
+        self._scheduling = Scheduling(
+            state=state, count_daemons=lambda: budget.daemons
+        )
         self._peers = PeerCounts()
         self.running = 0
         self.closing = False
@@ -94,6 +98,11 @@
         self._ends_at = math.inf
         self._loads: dict[TargetName, TargetLoad] = {}
 
+    @property
+    def scheduling(self) -> Scheduling:
+        """Measurements by which requests are scheduled by urgency."""
+        return self._scheduling
+
     def close(self, *, ends_at: float) -> None:
         """Refuse requests from now on, and those whose bodies still arrive.
 
@@ -140,12 +149,13 @@
         load = self._loads.get(target.name)
         if load is not None and load.born == target.born:
             return load
-        if load is not None and self._is_former(target, load):
+        if load is not None and _is_former(self.state, target, load):
             return self._make_load(target)
         if len(self._loads) >= len(self.state.targets):
             self._forget_gone()
         if load is not None:
             self._peers.forget(target.name)
+            self._scheduling.unanswered.forget(target.name)
         made = self._make_load(target)
         self._loads[target.name] = made
         return made
@@ -181,13 +191,6 @@
             return -math.inf
         return load.answered_sent_at
 
-    def _is_former(self, target: Target, load: TargetLoad) -> bool:
-        """Tell whether a target is listed as a newer incarnation."""
-        listed = self.state.targets.get(target.name)
-        if listed is None or listed.born != load.born:
-            return False
-        return target.born < listed.born
-
     def _make_load(self, target: Target) -> TargetLoad:
         load = TargetLoad(name=target.name, born=target.born, peers=self._peers)
         load.cold_until = read_clock() + target.cold_seconds
@@ -199,6 +202,14 @@
             self._loads.pop(name)
 
 
+def _is_former(state: FleetState, target: Target, load: TargetLoad) -> bool:
+    """Tell whether a target is listed as a newer incarnation."""
+    listed = state.targets.get(target.name)
+    if listed is None or listed.born != load.born:
+        return False
+    return target.born < listed.born
+
+
 def read_fleet_settings(settings: Settings) -> FleetSettings:
     """Read the ``[fleet]`` section of the settings.
 
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -101,6 +101,9 @@
 
     def _take_load(self, message: LoadMessage) -> None:
         self._forwarder.note_counts(message.daemon, message.counts)
+        self._forwarder.scheduling.note_message(
+            message.daemon, message.demand, message.urgent
+        )
         self.note_awake()
         if self._awake_at < self._late_until:
             # The ages in a late message may lack the time of the gap.
@@ -167,6 +170,7 @@
     for round_number in itertools.count(1):
         receiver.note_awake()
         version_log.note_round()
+        forwarder.scheduling.end_reserving()
         counts = forwarder.count_running()
         if round_number % FAR_ROUNDS == 0:
             await _broadcast(forwarder, send, list_relays, is_far=True)
@@ -203,6 +207,8 @@
         namings=_encode_history(forwarder) if is_far else None,
         store_lost=forwarder.state.store_lost,
         stable_for=forwarder.store_watch.read_seconds_since_outage(),
+        demand=forwarder.scheduling.describe_demand(),
+        urgent=forwarder.scheduling.unanswered.own,
     )
     content = msgspec.json.encode(message)
     relays = await list_relays()
--- a/src/ragwortcourse/forwarding/load_messages.py
+++ b/src/ragwortcourse/forwarding/load_messages.py
@@ -5,7 +5,13 @@
 import msgspec
 
 from ragwortcourse.bounded import Age, Count, SwitchSeconds, WholeNumber
-from ragwortcourse.identifiers import DaemonId, ModelName, TargetName
+from ragwortcourse.forwarding.scheduling.service_demand import ServiceDemand
+from ragwortcourse.identifiers import (
+    DaemonId,
+    ModelName,
+    ServiceName,
+    TargetName,
+)
 
 
 class VersionAnnouncement(
@@ -35,7 +41,9 @@
     complete_for: Age | None
 
 
-class LoadMessage(msgspec.Struct, frozen=True, kw_only=True, tag='load'):
+class LoadMessage(
+    msgspec.Struct, frozen=True, kw_only=True, tag='load', omit_defaults=True
+):
     """Requests of one daemon that are running at each target.
 
     :param daemon: the sender.
@@ -45,6 +53,10 @@
     :param store_lost: true while the store does not answer the sender.
     :param stable_for: seconds since the sender last knew of a store outage
         of the fleet; none: never.
+    :param demand: demand of the callers of the sender on services that are
+        scheduled by urgency; none: there is no such service.
+    :param urgent: for each target the requests without an answer of the most
+        urgent priority, and those of the second.
     """
 
     daemon: DaemonId
@@ -52,6 +64,8 @@
     namings: VersionHistoryMessage | None = None
     store_lost: bool = False
     stable_for: Age | None = None
+    demand: Mapping[ServiceName, ServiceDemand] | None = None
+    urgent: Mapping[TargetName, tuple[Count, Count]] = {}
 
 
 class SwitchMessage(msgspec.Struct, frozen=True, kw_only=True, tag='switch'):
--- a/src/ragwortcourse/forwarding/open_try.py
+++ b/src/ragwortcourse/forwarding/open_try.py
@@ -1,6 +1,7 @@
 """A try at a target that has begun to answer."""
 
 import dataclasses
+from collections.abc import Callable
 
 from ragwortcourse.forwarding.exchange import OpenAnswer
 from ragwortcourse.forwarding.target import Target
@@ -12,6 +13,8 @@
     """Try whose answer is being read.
 
     :param began_at: monotonic seconds at which the request was sent.
+    :param note_begun: called when the first part of the body has arrived, and
+        at the end.
     :param started: true once a part of the body has arrived.
     """
 
@@ -19,6 +22,7 @@
     load: TargetLoad
     answer: OpenAnswer
     began_at: float
+    note_begun: Callable[[], None]
     started: bool = False
 
     def note_piece(self, now: float) -> None:
@@ -27,10 +31,12 @@
         if not self.started:
             self.started = True
             self.load.count_answer_begun()
+            self.note_begun()
 
     def close(self) -> None:
         """End the try, which cancels the request at the target."""
         self.answer.close()
+        self.note_begun()
         if not self.started:
             self.load.count_answer_begun()
         self.load.count_ended()
--- a/src/ragwortcourse/forwarding/peer_counts.py
+++ b/src/ragwortcourse/forwarding/peer_counts.py
@@ -48,13 +48,16 @@
 
     def count_running(self, target: TargetName, now: float) -> int:
         """Count the running requests of other daemons at a target."""
-        self._drop_silent(now)
-        return self._sums.get(target, NOTHING)[0]
+        return self.read_sums(target, now)[0]
 
     def count_unanswered(self, target: TargetName, now: float) -> int:
         """Count the requests of other daemons without an answer yet."""
+        return self.read_sums(target, now)[1]
+
+    def read_sums(self, target: TargetName, now: float) -> tuple[int, int]:
+        """Read the sums of both counts of other daemons at a target."""
         self._drop_silent(now)
-        return self._sums.get(target, NOTHING)[1]
+        return self._sums.get(target, NOTHING)
 
     def _drop_silent(self, now: float) -> None:
         while self._reports:
--- /dev/null
+++ b/src/ragwortcourse/forwarding/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Admission by urgency and the waiting queue of a daemon."""
--- /dev/null
+++ b/src/ragwortcourse/forwarding/scheduling/scheduling.py
@@ -0,0 +1,201 @@
+"""Measurements by which requests are scheduled by their urgency."""
+
+import logging
+from collections.abc import Callable, Mapping
+from typing import Final
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.call import NO_ACCOUNT, PermittedCall
+from ragwortcourse.forwarding.desired_state import DesiredState
+from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.forwarding.scheduling.activation import is_scheduled
+from ragwortcourse.forwarding.scheduling.fleet_demand import (
+    FleetDemand,
+    estimate_rates,
+)
+from ragwortcourse.forwarding.scheduling.service_demand import ServiceDemand
+from ragwortcourse.forwarding.scheduling.service_scheduling import (
+    ServiceScheduling,
+)
+from ragwortcourse.forwarding.scheduling.urgent_counts import UrgentCounts
+from ragwortcourse.forwarding.urgency import URGENCIES, read_urgency
+from ragwortcourse.identifiers import DaemonId, ServiceName, TargetName
+
+# Listed targets are counted again after this time at the earliest.
+COUNT_SECONDS: Final = 0.25
+# Requests that leave slots free may be this far apart.
+RESERVING_SECONDS: Final = 2.0
+# One decimal of a rate is exact to a fraction of a slot.
+RATE_DIGITS: Final = 1
+
+LOGGER: Final = logging.getLogger(__name__)
+
+
+class Scheduling:
+    """Demand by urgency of own callers and, as reported, of all others.
+
+    ``unanswered`` counts the unanswered requests at each target.
+
+    :param count_daemons: counts the registered daemons.
+    """
+
+    def __init__(
+        self, *, state: FleetState, count_daemons: Callable[[], int]
+    ) -> None:
+        self.unanswered = UrgentCounts()
+        self.others = FleetDemand()
+        self._state = state
+        self._count_daemons = count_daemons
+        self._desired: DesiredState | None = None
+        self._services: dict[ServiceName, ServiceScheduling] = {}
+        self._unscheduled: set[ServiceName] = set()
+
+    def find(self, service: ServiceName) -> ServiceScheduling | None:
+        """Find the measurements of a service; none if it is not scheduled."""
+        desired = self._state.desired
+        if desired is not self._desired:
+            self._desired = desired
+            self._apply(desired)
+        known = self._services.get(service)
+        if known is not None or service in self._unscheduled:
+            return known
+        if not is_scheduled(desired, service):
+            self._unscheduled.add(service)
+            return None
+        return self._services.setdefault(service, ServiceScheduling())
+
+    def note_arrival(self, service: ServiceName, work: PermittedCall) -> None:
+        """Count a request that arrives in time."""
+        known = self.find(service)
+        if known is not None:
+            now = read_clock()
+            known.demand.note_arrival(_read_urgency(work), now)
+            known.shares.note_arrival(list_kinds(work), now)
+
+    def note_sent(
+        self,
+        service: ServiceName,
+        work: PermittedCall,
+        target: TargetName,
+        *,
+        is_first: bool,
+    ) -> Callable[[], None]:
+        """Count a request that is sent to a target.
+
+        :param is_first: true if it was sent to no other target before.
+        :return: to be called at the beginning of its answer, or at its end.
+        """
+        known = self.find(service)
+        if known is None:
+            return _do_nothing
+        if is_first:
+            known.shares.note_sent(list_kinds(work), read_clock())
+        return self.unanswered.count_sent(target, _read_urgency(work))
+
+    def read_rates(self, service: ServiceName) -> list[float]:
+        """Read the requests a second at all daemons, by urgency."""
+        known = self.find(service)
+        if known is None:
+            return [0 for _ in range(URGENCIES)]
+        now = read_clock()
+        return estimate_rates(
+            recent=known.demand.read_recent(now),
+            steady=known.demand.read_steady(now),
+            others=self.others.sum(service, now),
+            daemons=self._count_daemons(),
+        )
+
+    def count_slots(self, service: ServiceName) -> int:
+        """Count the slots of all targets that may get requests."""
+        known = self.find(service)
+        if known is None:
+            return 0
+        now = read_clock()
+        if known.counted_at is None or now - known.counted_at > COUNT_SECONDS:
+            known.counted_at = now
+            known.slots = sum(
+                target.slots
+                for target in self._state.targets.values()
+                if target.service == service
+                and not target.leaving
+                and target.failure_domain not in self._state.withdrawn
+            )
+        return known.slots
+
+    def note_reserved(self, service: ServiceName, slots: int) -> None:
+        """Note how many slots of a target are kept for urgent requests."""
+        known = self.find(service)
+        if known is None or not slots:
+            return
+        if known.reserved_at is None:
+            LOGGER.info(
+                'service begins to reserve slots',
+                extra={'service': service, 'slots': slots},
+            )
+        known.reserved = slots
+        known.reserved_at = read_clock()
+
+    def end_reserving(self) -> None:
+        """Note which services have reserved nothing for some time."""
+        now = read_clock()
+        for service, known in self._services.items():
+            if (
+                known.reserved_at is not None
+                and now - known.reserved_at > RESERVING_SECONDS
+            ):
+                known.reserved_at = None
+                known.reserved = 0
+                LOGGER.info(
+                    'service ends to reserve slots', extra={'service': service}
+                )
+
+    def describe_demand(self) -> Mapping[ServiceName, ServiceDemand] | None:
+        """Describe the own demand for other daemons; none without any."""
+        now = read_clock()
+        return {
+            service: ServiceDemand(
+                rates=[
+                    round(rate, RATE_DIGITS)
+                    for rate in known.demand.read_recent(now)
+                ],
+                waiting=[],
+            )
+            for service, known in self._services.items()
+        } or None
+
+    def note_message(
+        self,
+        daemon: DaemonId,
+        demand: Mapping[ServiceName, ServiceDemand] | None,
+        urgent: Mapping[TargetName, tuple[int, int]],
+    ) -> None:
+        """Apply the demand and the urgent requests of another daemon."""
+        if demand is not None:
+            now = read_clock()
+            self.others.note(daemon, demand, now)
+            self.unanswered.note_counts(daemon, urgent, now)
+
+    def _apply(self, desired: DesiredState | None) -> None:
+        """Forget services and accounts that a desired state has no more."""
+        self._unscheduled.clear()
+        accounts = (desired and desired.accounts) or {}
+        names = {account.name for account in accounts.values()}
+        for service, known in tuple(self._services.items()):
+            if is_scheduled(desired, service):
+                known.shares.keep({NO_ACCOUNT, *names, *range(URGENCIES)})
+            else:
+                self._services.pop(service)
+
+
+def list_kinds(work: PermittedCall) -> tuple[int, str]:
+    """List the kinds of a request that have guaranteed shares."""
+    account = NO_ACCOUNT if work.account is None else work.account.name
+    return _read_urgency(work), account
+
+
+def _read_urgency(work: PermittedCall) -> int:
+    return read_urgency(route=work.route, account=work.account)
+
+
+def _do_nothing() -> None:
+    """Count nothing."""
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -65,6 +65,8 @@
             heard_at=work.call.arrived_at, asked_at=work.call.arrived_at
         )
         self.was_late = self.is_late
+        if not self.was_late:
+            forwarder.scheduling.note_arrival(self.service, work)
 
     @property
     def may_have_run(self) -> bool:
--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -199,7 +199,7 @@
         tries, forwarder = self._tries, self._tries.forwarder
         began_at = read_clock()
         load = forwarder.find_load(target)
-        self._note_sent(target, load, began_at)
+        note_begun = self._note_sent(target, load, began_at)
         answer: OpenAnswer | NotSent | NoAnswer | None = None
         dispatch = Dispatch(
             target=target,
@@ -232,21 +232,33 @@
             if not isinstance(answer, OpenAnswer):
                 load.count_answer_begun()
                 load.count_ended()
+                note_begun()
             if answer is None:
                 self.crashes.note_abandoned()
         if isinstance(answer, OpenAnswer):
-            opened = OpenTry(
-                target=target, load=load, answer=answer, began_at=began_at
+            return self._judge(
+                OpenTry(
+                    target=target,
+                    load=load,
+                    answer=answer,
+                    began_at=began_at,
+                    note_begun=note_begun,
+                ),
+                dispatch.version,
             )
-            return self._judge(opened, dispatch.version)
         self._note_lost(target, load, answer)
         return None
 
     def _note_sent(
         self, target: Target, load: TargetLoad, began_at: float
-    ) -> None:
-        forwarder = self._tries.forwarder
-        self._tries.count_sent(target.name, began_at)
+    ) -> Callable[[], None]:
+        """Count a request that is sent.
+
+        :return: to be called at the beginning of its answer, or at its end.
+        """
+        tries, forwarder = self._tries, self._tries.forwarder
+        is_first = not tries.sends
+        tries.count_sent(target.name, began_at)
         self._asked = target, load
         self._sign_at = began_at
         self._is_silent = False
@@ -254,6 +266,9 @@
         self.crashes.note_sent(target)
         forwarder.safeguards.target_limits.count_sent(target)
         forwarder.state.reach.note_sent(target.failure_domain, began_at)
+        return forwarder.scheduling.note_sent(
+            tries.service, tries.work, target.name, is_first=is_first
+        )
 
     def _judge(
         self, opened: OpenTry, expected_version: int | None
--- a/src/ragwortcourse/forwarding/urgency.py
+++ b/src/ragwortcourse/forwarding/urgency.py
@@ -13,6 +13,7 @@
 
 # Less urgent priorities share the last rank.
 LEAST_URGENT: Final = 2
+URGENCIES: Final = LEAST_URGENT + 1
 
 
 class Standing(enum.IntEnum):
@@ -30,7 +31,19 @@
 
     The priority of the client account overrides the priority of the route.
     """
-    priority = route.priority
-    if account is not None and account.priority is not None:
-        priority = account.priority
+    priority = _read_priority(route, account)
     return min(priority, LEAST_URGENT) * len(Standing) + standing
+
+
+def read_urgency(*, route: Route, account: Account | None) -> int:
+    """Read how urgent a request is; zero is the most urgent.
+
+    :return: a number below ``URGENCIES``.
+    """
+    return min(max(_read_priority(route, account), 0), LEAST_URGENT)
+
+
+def _read_priority(route: Route, account: Account | None) -> int:
+    if account is not None and account.priority is not None:
+        return account.priority
+    return route.priority
