Admit requests by urgency where priorities of a service differ

Cause: admission counted all requests at a target as ahead of an urgent one, although engines start the more urgent first, and kept no slots for it.

Change: an urgent request counts only those ahead that are at least as urgent. Less urgent ones leave the slots that more urgent arrivals will need until the loads are known again and the next slot is free.

--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -5,11 +5,7 @@
 from typing import Final
 
 from ragwortcourse.clock import read_clock
-from ragwortcourse.forwarding.admission import (
-    Demand,
-    TargetOccupancy,
-    is_admitted,
-)
+from ragwortcourse.forwarding.admission import Demand, TargetOccupancy
 from ragwortcourse.forwarding.call import PermittedCall
 from ragwortcourse.forwarding.choice_refusals import (
     is_limited,
@@ -27,6 +23,7 @@
 from ragwortcourse.forwarding.random_targets import draw_targets
 from ragwortcourse.forwarding.rate_share import compute_share
 from ragwortcourse.forwarding.reply import Reason, Refusal
+from ragwortcourse.forwarding.scheduling.sending import may_send
 from ragwortcourse.forwarding.second_ask import Silence, is_worth_asking
 from ragwortcourse.forwarding.service_rules import ServiceRules
 from ragwortcourse.forwarding.target import Target
@@ -113,7 +110,9 @@
         )
     # A moved request is not refused: its caller may have part of the answer.
     demand = read_demand(forwarder, work)
-    if not tried and not is_admitted(place, demand):
+    if not tried and not may_send(
+        forwarder.scheduling, work, chosen.target, place, demand
+    ):
         return refuse_crowd(forwarder, work, chosen, demand)
     return chosen.target
 
--- /dev/null
+++ b/src/ragwortcourse/forwarding/scheduling/sending.py
@@ -0,0 +1,79 @@
+"""Whether a request is sent to its best target now."""
+
+from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.admission import (
+    Demand,
+    TargetOccupancy,
+    estimate_slot_interval,
+    is_admitted,
+)
+from ragwortcourse.forwarding.call import PermittedCall
+from ragwortcourse.forwarding.scheduling.decision import is_sent_now
+from ragwortcourse.forwarding.scheduling.reservation import count_reserved
+from ragwortcourse.forwarding.scheduling.scheduling import (
+    Scheduling,
+    list_kinds,
+)
+from ragwortcourse.forwarding.target import Target
+from ragwortcourse.forwarding.urgency import (
+    LEAST_URGENT,
+    URGENCIES,
+    read_urgency,
+)
+
+
+def may_send(
+    scheduling: Scheduling,
+    work: PermittedCall,
+    target: Target,
+    place: TargetOccupancy,
+    demand: Demand,
+) -> bool:
+    """Tell whether a request is sent to its best target now.
+
+    :param place: occupancy of the target.
+    """
+    known = scheduling.find(target.service)
+    if known is None:
+        return is_admitted(place, demand)
+    urgency = read_urgency(route=work.route, account=work.account)
+    urgent: float = place.unanswered
+    if demand.time_left <= 0:
+        # A late request leaves room for all that are in time.
+        urgency = URGENCIES
+    elif urgency < LEAST_URGENT:
+        urgent = scheduling.unanswered.estimate(
+            target.name, urgency, read_clock()
+        )
+    is_due = urgency < URGENCIES and known.shares.is_due(list_kinds(work))
+    return is_sent_now(
+        place,
+        demand,
+        urgent=urgent,
+        reserved=(
+            0 if is_due else reserve_slots(scheduling, target, place, urgency)
+        ),
+    )
+
+
+def reserve_slots(
+    scheduling: Scheduling,
+    target: Target,
+    place: TargetOccupancy,
+    urgency: int,
+) -> int:
+    """Count the slots of a target that are kept for more urgent requests.
+
+    :param urgency: of the request that leaves them free.
+    """
+    service = target.service
+    slots = scheduling.count_slots(service)
+    share = place.slots / max(slots, place.slots, 1)
+    reserved = count_reserved(
+        rates=[rate * share for rate in scheduling.read_rates(service)],
+        urgency=urgency,
+        slots=place.slots,
+        slot_interval=estimate_slot_interval(place),
+    )
+    scheduling.note_reserved(service, reserved)
+    return reserved
