--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -119,6 +119,9 @@
 
     def _take_load(self, message: LoadMessage) -> None:
         self._forwarder.note_counts(message.daemon, message.counts)
+        self._forwarder.scheduling.note_message(
+            message.daemon, message.demand, message.urgent
+        )
         self.note_awake()
         if self._awake_at < self._late_until:
             # The ages in a late message may lack the time of the gap.
@@ -192,6 +195,7 @@
     for round_number in itertools.count(1):
         receiver.note_awake()
         version_log.note_round()
+        forwarder.scheduling.end_reserving()
         counts = forwarder.count_running()
         listed = await list_relays()
         if listed != relays:
@@ -243,6 +247,8 @@
             now=read_clock(),
             seconds=FAR_NEWS_SECONDS if is_far else NEAR_NEWS_SECONDS,
         ),
+        demand=forwarder.scheduling.describe_demand(),
+        urgent=forwarder.scheduling.unanswered.own,
     )
     return msgspec.json.encode(message)
 
--- a/src/ragwortcourse/forwarding/load_messages.py
+++ b/src/ragwortcourse/forwarding/load_messages.py
@@ -6,7 +6,13 @@
 
 from ragwortcourse.bounded import Age, Count, SwitchSeconds, WholeNumber
 from ragwortcourse.forwarding.balancing.pace_news import PaceNewsMessage
-from ragwortcourse.identifiers import DaemonId, ModelName, TargetName
+from ragwortcourse.forwarding.scheduling.service_demand import ServiceDemand
+from ragwortcourse.identifiers import (
+    DaemonId,
+    ModelName,
+    ServiceName,
+    TargetName,
+)
 
 
 class VersionAnnouncement(
@@ -52,6 +58,10 @@
         told by an older release.
     :param paces: paces that targets lately reported to the sender, where these
         are out of the ordinary; none in most messages.
+    :param demand: demand of the callers of the sender on services that are
+        scheduled by urgency; none: there is no such service.
+    :param urgent: for each target the requests without an answer of the most
+        urgent priority, and those of the second.
     """
 
     daemon: DaemonId
@@ -61,6 +71,8 @@
     stable_for: Age | None = None
     state: WholeNumber = 0
     paces: PaceNewsMessage | None = None
+    demand: Mapping[ServiceName, ServiceDemand] | None = None
+    urgent: Mapping[TargetName, tuple[Count, Count]] = {}
 
 
 class SwitchMessage(msgspec.Struct, frozen=True, kw_only=True, tag='switch'):
