Draw each chunk over the origin's link once for the whole fleet

Cause: a daemon that lacked a chunk was taken for one that would never have it. After a second, every entry daemon asked the second root and then the origin, and every loader asked the origin, so its link carried up to three copies. After an outage all asked at once, calls were given up after 3 s before their last byte, and no version was ever complete.

Change: a daemon that runs and lacks a chunk is waited for. Only daemons that accept no connection, or answer nothing in time, are passed over at once; a second root draws a chunk that does not arrive while others do. A call ends after 3 s without a byte. Without link_mbps daemons ask as before.

--- a/src/ragwortcourse/platform/weight_source.py
+++ b/src/ragwortcourse/platform/weight_source.py
@@ -16,13 +16,17 @@
 from ragwortcourse.weights.fleet_manifest import FleetManifest
 from ragwortcourse.weights.origin_calls import OriginCalls
 
-# A chunk takes some ten milliseconds over the origin's full link, and much
-# longer when all hosts share the link.
-CALL_SECONDS: Final = 3.0
+# Longest time without a byte. The calls of all roots share the origin's link,
+# and a call that is given up would have to send its first bytes again.
+SILENT_SECONDS: Final = 3.0
+# Longest time of a call in progress.
+CALL_SECONDS: Final = 15.0
 # An origin that is down does not answer; other sources are asked meanwhile.
 CONNECT_SECONDS: Final = 0.4
 TIMEOUT: Final = aiohttp.ClientTimeout(
-    total=CALL_SECONDS, sock_connect=CONNECT_SECONDS
+    total=CALL_SECONDS,
+    sock_connect=CONNECT_SECONDS,
+    sock_read=SILENT_SECONDS,
 )
 OK: Final = 200
 
--- a/src/ragwortcourse/weights/chunk_routes.py
+++ b/src/ragwortcourse/weights/chunk_routes.py
@@ -128,16 +128,22 @@
     """
     url = f'http://{address}/chunks/{manifest.model}/{manifest.version}/{index}'
     timeout = ClientTimeout(total=FETCH_SECONDS, sock_connect=CONNECT_SECONDS)
+    is_answered = False
     try:
         async with session.get(
             url, params=options.encode(), timeout=timeout
         ) as response:
+            is_answered = True
             if response.status != OK:
                 return None
             return await read_body(response, limit=LARGE_BODY_BYTES)
     except (ClientConnectorError, ConnectionTimeoutError):
         reach.note_silent(address)
-        return None
-    except (ClientError, OSError, TimeoutError):
+    except TimeoutError:
+        # A daemon that runs answers within ``WAIT_SECONDS``.
+        if not is_answered:
+            reach.note_silent(address)
+    except (ClientError, OSError):
         # The caller asks the next source.
         return None
+    return None
--- a/src/ragwortcourse/weights/chunk_sources.py
+++ b/src/ragwortcourse/weights/chunk_sources.py
@@ -12,6 +12,7 @@
 with its link idle, unless that relay downloads the following ones ahead.
 """
 
+import math
 from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Final
 
@@ -22,6 +23,7 @@
 )
 from ragwortcourse.membership.relay_daemons import RelayRecord
 from ragwortcourse.membership.rendezvous import score_pair
+from ragwortcourse.weights.planning.origin_link import LEAD_FACTOR
 
 # Relays of its failure domain that a loader asks before other relays.
 RELAYS_IN_DOMAIN: Final = 2
@@ -30,6 +32,8 @@
 # Relays (roots) that download a chunk from the origin for all other relays;
 # the second root is asked if the first one fails.
 ROOTS_PER_CHUNK: Final = 2
+# Rank of relays as roots, beside the ranks for the single chunks.
+ROOTS_KEY: Final = 'roots'
 # Bytes a second that the relays of one failure domain download together from
 # another region: half of the narrowest link between regions, which carries
 # live requests too, and more than a loader's link takes.
@@ -84,6 +88,7 @@
     own: DaemonId,
     origin_region: RegionName,
     index: int,
+    most_roots: int = 0,
 ) -> tuple[RelayRecord, ...]:
     """List the relays that a relay asks for a chunk, in order.
 
@@ -91,55 +96,87 @@
     each other in a cycle.
 
     :param own: the relay that asks.
+    :param most_roots: relays that download from the origin, for all chunks
+        together; zero for no limit.
     :return: empty if the relay downloads the chunk from the origin.
     """
-    ranked = _rank(relays, index)
-    roots = [
-        relay for relay in ranked if relay.region == origin_region
-    ] or ranked
     higher_ranked: list[RelayRecord] = []
-    for root in roots[:ROOTS_PER_CHUNK]:
+    for root in list_roots(
+        relays, origin_region=origin_region, index=index, most_roots=most_roots
+    ):
         if root.daemon == own:
             break
         higher_ranked.append(root)
     return tuple(higher_ranked)
 
 
+def list_roots(
+    relays: Iterable[RelayRecord],
+    *,
+    origin_region: RegionName,
+    index: int,
+    most_roots: int = 0,
+) -> tuple[RelayRecord, ...]:
+    """List the relays that download a chunk from the origin for all others.
+
+    :param most_roots: number of such relays for all chunks; zero: no limit.
+    """
+    known = tuple(relays)
+    near = [relay for relay in known if relay.region == origin_region]
+    roots: Sequence[RelayRecord] = near or known
+    if most_roots:
+        roots = _rank(roots, ROOTS_KEY)[: max(most_roots, ROOTS_PER_CHUNK)]
+    return tuple(_rank(roots, index)[:ROOTS_PER_CHUNK])
+
+
 def choose_rate(
-    *, source: RegionName, own: RegionName, near: int, at_once: int
+    *,
+    source: RegionName,
+    own: RegionName,
+    near: int,
+    at_once: int,
+    domain_rate: int = DOMAIN_RATE,
 ) -> int:
     """Choose the rate at which a relay is sent a chunk.
 
     :param source: region of the sender.
     :param own: region of the relay.
     :param near: live relays of the relay's failure domain, which share
-        ``DOMAIN_RATE``.
+        ``domain_rate``.
     :param at_once: chunks that each of these relays downloads concurrently.
+    :param domain_rate: bytes a second that they download together.
     :return: bytes a second; zero: no limit.
     """
     if source == own:
         return 0
-    return DOMAIN_RATE // min(
+    return domain_rate // min(
         max(near, 1) * at_once, CONCURRENT_CHUNKS_PER_DOMAIN
     )
 
 
 def choose_start(
-    *, origin: RegionName, own: RegionName, index: int, chunk_bytes: int
+    *,
+    origin: RegionName,
+    own: RegionName,
+    index: int,
+    chunk_bytes: int,
+    origin_rate: float = 0,
 ) -> float:
     """Choose when a relay starts to prefetch a chunk.
 
-    Across regions, the chunks of a failure domain start one after the other,
-    whichever relay downloads them. This keeps to ``DOMAIN_RATE`` with any
-    number of relays and any division of the chunks among them.
+    The chunks start one after the other at the rate of the origin's link,
+    whichever relay downloads them, so that the first ones are complete before
+    the last ones start. Across regions they keep to ``DOMAIN_RATE``.
 
     :param origin: region of the origin.
     :param own: region of the relay.
+    :param origin_rate: bytes a second of the origin's link; zero if unknown.
     :return: seconds after the arrival of the manifest.
     """
-    if origin == own:
-        return 0
-    return index * chunk_bytes / DOMAIN_RATE
+    rate = origin_rate * LEAD_FACTOR or math.inf
+    if origin != own:
+        rate = min(rate, DOMAIN_RATE)
+    return index * chunk_bytes / rate
 
 
 def order_prefetch(
@@ -155,9 +192,11 @@
     return tuple(sorted(indices, key=lambda index: (not is_root(index), index)))
 
 
-def _rank(relays: Iterable[RelayRecord], index: int) -> Sequence[RelayRecord]:
+def _rank(
+    relays: Iterable[RelayRecord], subject: int | str
+) -> Sequence[RelayRecord]:
     return sorted(
-        relays, key=lambda relay: score_pair(str(index), relay.daemon)
+        relays, key=lambda relay: score_pair(str(subject), relay.daemon)
     )
 
 
--- a/src/ragwortcourse/weights/planning/loader_plan.py
+++ b/src/ragwortcourse/weights/planning/loader_plan.py
@@ -15,8 +15,8 @@
     FIRST_VERSION,
     AnnouncedVersion,
 )
-from ragwortcourse.weights.fleet_downloader import find_origin
 from ragwortcourse.weights.loader_weights import LoaderWeights
+from ragwortcourse.weights.planning.origin_link import read_origin_rate
 from ragwortcourse.weights.planning.version_need import VersionNeed
 from ragwortcourse.weights.planning.version_plan import plan_empty, plan_fleet
 
@@ -63,8 +63,7 @@
     A version in force comes from the hosts that serve it. How much of another
     one has left the origin is not known here: no less than has arrived.
     """
-    origin = find_origin(loader_weights.state)
-    rate = 0 if origin is None else origin.origin_rate
+    rate = read_origin_rate(loader_weights.state)
     missing = loader_weights.count_missing(rules, named.version)
     is_held = named.version <= in_force or not rate
     return VersionNeed(
--- a/src/ragwortcourse/weights/relay_downloader.py
+++ b/src/ragwortcourse/weights/relay_downloader.py
@@ -21,12 +21,19 @@
     list_loader_sources,
     list_relay_sources,
     list_replaced,
+    list_roots,
     order_prefetch,
 )
-from ragwortcourse.weights.fleet_downloader import FleetDownloader, find_origin
+from ragwortcourse.weights.fleet_downloader import FleetDownloader
 from ragwortcourse.weights.fleet_manifest import FleetManifest
 from ragwortcourse.weights.peer_port import MANIFEST_INDEX
 from ragwortcourse.weights.planning.loader_demand import LoaderDemand
+from ragwortcourse.weights.planning.origin_link import (
+    count_roots,
+    find_origin,
+    read_chunk_bytes,
+    read_origin_rate,
+)
 from ragwortcourse.weights.planning.prefetch import CONCURRENT_PREFETCHES
 
 # Hosts whose engine holds the version that are asked before relays and the
@@ -94,9 +101,17 @@
         self, manifest: FleetManifest, index: int
     ) -> bytes | None:
         """Return a chunk, or ``None``; bytes from the origin are unverified."""
+        holders = self._list_holders(manifest)
+        content = await self._downloader.fetch_held(holders, manifest, index)
+        if content is not None:
+            return content
         relays = await self._list_relays()
-        rates = self._list_sources(manifest, index, relays)
-        return await self._downloader.download_chunk(rates, manifest, index)
+        return await self._downloader.download_chunk(
+            self._list_rates(index, relays),
+            manifest,
+            index,
+            is_substitute=self._is_root(relays, index),
+        )
 
     async def read_manifest(
         self, model: ModelName, version: int
@@ -105,7 +120,10 @@
         relays = await self._list_relays()
         sources = self._list_relay_sources(relays, MANIFEST_INDEX)
         return await self._downloader.read_manifest(
-            [relay.address for relay in sources], model, version
+            [relay.address for relay in sources],
+            model,
+            version,
+            is_substitute=self._is_root(relays, MANIFEST_INDEX),
         )
 
     async def list_own(self, manifest: FleetManifest) -> tuple[int, ...]:
@@ -133,22 +151,12 @@
 
     def read_start(self, manifest: FleetManifest, index: int) -> float:
         """Return the seconds from the manifest to the prefetch of a chunk."""
-        desired = self._state.desired
-        services = () if desired is None else desired.services.values()
-        chunk_bytes = max(
-            (
-                rules.engine.chunk_bytes
-                for rules in services
-                if rules.engine is not None
-                and rules.engine.model == manifest.model
-            ),
-            default=0,
-        )
         return choose_start(
             origin=self._find_origin_region(),
             own=self._settings.region,
             index=index,
-            chunk_bytes=chunk_bytes,
+            chunk_bytes=read_chunk_bytes(self._state, manifest.model),
+            origin_rate=read_origin_rate(self._state),
         )
 
     def _find_origin_region(self) -> RegionName:
@@ -177,36 +185,57 @@
         self, relays: Sequence[RelayRecord], index: int
     ) -> tuple[RelayRecord, ...]:
         return list_relay_sources(
-            relays=relays,
+            relays=self._list_running(relays),
             own=self._settings.daemon,
             origin_region=self._find_origin_region(),
             index=index,
+            most_roots=count_roots(self._state),
         )
 
-    def _list_sources(
-        self,
-        manifest: FleetManifest,
-        index: int,
-        known: Sequence[RelayRecord],
+    def _is_root(self, relays: Sequence[RelayRecord], index: int) -> bool:
+        """Tell whether this relay may draw a chunk from the origin."""
+        roots = list_roots(
+            self._list_running(relays),
+            origin_region=self._find_origin_region(),
+            index=index,
+            most_roots=count_roots(self._state),
+        )
+        return any(root.daemon == self._settings.daemon for root in roots)
+
+    def _list_running(
+        self, relays: Sequence[RelayRecord]
+    ) -> Sequence[RelayRecord]:
+        """List the relays that accept connections, as far as is known."""
+        reach = self._downloader.reach
+        return [relay for relay in relays if not reach.is_silent(relay.address)]
+
+    def _list_holders(self, manifest: FleetManifest) -> list[str]:
+        """List some addresses of hosts whose engine holds a version."""
+        holders = list_holders(
+            self._state, manifest, self._settings.failure_domain
+        )
+        self._rng.shuffle(holders)
+        port = self._settings.listen.peers.rpartition(':')[2]
+        return [f'{host}:{port}' for host in holders[:MAX_HOLDERS]]
+
+    def _list_rates(
+        self, index: int, known: Sequence[RelayRecord]
     ) -> dict[str, int]:
         """Map addresses to rates, in the order in which they are asked."""
         domain = self._settings.failure_domain
-        holders = list_holders(self._state, manifest, domain)
-        self._rng.shuffle(holders)
-        port = self._settings.listen.peers.rpartition(':')[2]
-        rates = {f'{host}:{port}': 0 for host in holders[:MAX_HOLDERS]}
         near = sum(
             relay.failure_domain == domain and self._is_alive(relay.daemon)
             for relay in known
         )
-        for relay in self._list_relay_sources(known, index):
-            rates[relay.address] = choose_rate(
+        return {
+            relay.address: choose_rate(
                 source=relay.region,
                 own=self._settings.region,
                 near=near,
                 at_once=CONCURRENT_PREFETCHES,
             )
-        return rates
+            for relay in self._list_relay_sources(known, index)
+        }
 
 
 def build_cache(
--- /dev/null
+++ b/tests/test_weight_fleet.py
@@ -0,0 +1,41 @@
+"""Versions that a whole fleet downloads, in virtual time."""
+
+import dataclasses
+
+import pytest
+
+from fakes.weight_fleet import CASES, WeightFleet, play_case
+
+# One copy, the manifests, and single chunks that two roots draw.
+MOST_COPIES = 1.15
+
+
+def measure_copies(fleet: WeightFleet, version: int) -> float:
+    """Return how many copies of a version the origin sent."""
+    size = fleet.case.chunks * fleet.case.chunk_bytes
+    return fleet.links.sent[version] / size
+
+
+class TestOriginLink:
+    """Use of the origin's link by a fleet."""
+
+    @pytest.mark.parametrize('case', ['well', 'away-one', 'narrow', 'wide'])
+    def test_one_copy(self, case):
+        """The origin sends each chunk once, also when it comes back.
+
+        It sent 2.0 to 3.0 copies. After an outage, all hosts asked it for the
+        same chunks, and no version was ever complete.
+        """
+        fleet = play_case(CASES[case])
+        newest = 1 + len(fleet.case.namings)
+        assert measure_copies(fleet, newest) <= MOST_COPIES
+        assert fleet.held_at[newest][1]
+
+    def test_many_loaders(self):
+        """The number of loaders does not change what the origin sends."""
+        case = dataclasses.replace(
+            CASES['away-one'], loaders=120, relays=41, seconds=20
+        )
+        fleet = play_case(case)
+        assert measure_copies(fleet, 2) <= MOST_COPIES
+        assert fleet.held_at[2][1]
