Let requests wait for their turn where priorities of a service differ

Cause: a request without room was refused at the first check, and a late one looked again every 80 ms, so what became free went to whoever asked next.

Change: such requests wait in a queue by urgency, fair among accounts, then by the time left. Ends of own requests and messages of other daemons wake it, and it lets requests go one by one. A request waits only if it is expected to be sent while it is of use; waits in vain lower what the next ones may expect. SIGTERM refuses waiting requests with a promise.

--- a/fakes/contended_fleet.py
+++ b/fakes/contended_fleet.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import itertools
+import math
 import random
 from collections import Counter
 from collections.abc import Callable, Coroutine, Sequence
@@ -209,6 +210,8 @@
 
     def _make_forwarder(self, relay: RelayRecord) -> Forwarder:
         state = make_state(*self._targets)
+        # The store confirms the state during the whole run.
+        state.confirmed_at = math.inf
         desired = make_desired(*(each.route for each in self.callers))
         state.desired = dataclasses.replace(
             desired,
@@ -321,6 +324,7 @@
         forwarder = self.forwarders[self.rng.choice(self.alive)]
         call = make_call(
             attempt=AttemptId(f'a{next(self._attempts)}'),
+            path=callers.route.prefix,
             time_left=left,
             prompt_tokens=callers.prompt_tokens,
             arrived_at=read_clock(),
--- a/src/ragwortcourse/agent/fair_queue.py
+++ b/src/ragwortcourse/agent/fair_queue.py
@@ -2,17 +2,27 @@
 
 import collections
 import dataclasses
-from typing import Final
+from typing import Final, Generic, Protocol, TypeVar
 
 from ragwortcourse.agent.ticket import Ticket
-from ragwortcourse.agent.waiter import Waiter
 from ragwortcourse.identifiers import ClientAccountName
 
 LOWEST_WEIGHT: Final = 0.001
 
 
+class Queued(Protocol):
+    """Work with a ticket."""
+
+    @property
+    def ticket(self) -> Ticket:
+        """Admission data of the work."""
+
+
+Work = TypeVar('Work', bound=Queued)
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
-class AccountQueue:
+class AccountQueue(Generic[Work]):
     """Queue and used share of one client account.
 
     :param weight: fair-share weight of the account.
@@ -22,7 +32,7 @@
 
     weight: float
     finish: float = 0
-    waiters: list[Waiter] = dataclasses.field(default_factory=list)
+    waiters: list[Work] = dataclasses.field(default_factory=list)
 
     @property
     def backlog(self) -> float:
@@ -30,7 +40,7 @@
         return len(self.waiters) / self.weight
 
 
-class FairQueue:
+class FairQueue(Generic[Work]):
     """Start-time fair queueing over client accounts.
 
     The start tag of an account's next work is the later of the virtual
@@ -39,7 +49,7 @@
     """
 
     def __init__(self) -> None:
-        self._account_queues: dict[ClientAccountName, AccountQueue] = (
+        self._account_queues: dict[ClientAccountName, AccountQueue[Work]] = (
             collections.defaultdict(lambda: AccountQueue(weight=1))
         )
         self._virtual_time: float = 0
@@ -63,27 +73,46 @@
         self._virtual_time = self._read_start_tag(queue)
         self.charge(ticket, 1)
 
-    def add(self, waiter: Waiter) -> None:
+    def add(self, waiter: Work) -> None:
         """Queue work behind its account's work of the same priority."""
         queue = self._open_account_queue(waiter.ticket)
         queue.waiters.append(waiter)
         queue.waiters.sort(key=lambda other: -other.ticket.priority)
         self._length += 1
 
-    def pop(self) -> Waiter:
+    def pop(self) -> Work:
         """Remove the work that goes next and charge its account."""
-        queue = min(
-            (queue for queue in self._account_queues.values() if queue.waiters),
-            key=self._read_start_tag,
-        )
-        waiter = queue.waiters.pop(0)
+        waiter = self.list_heads()[0]
+        self.take(waiter)
+        return waiter
+
+    def list_heads(self) -> list[Work]:
+        """List the first work of each account, the one that goes next first.
+
+        Work that goes next may not be startable while that of others is.
+        """
+        waiting = [
+            queue for queue in self._account_queues.values() if queue.waiters
+        ]
+        waiting.sort(key=self._read_start_tag)
+        return [queue.waiters[0] for queue in waiting]
+
+    def take(self, waiter: Work) -> None:
+        """Remove the first work of an account and charge the account."""
+        queue = self._account_queues[waiter.ticket.account]
+        queue.waiters.remove(waiter)
         self._length -= 1
         self._virtual_time = self._read_start_tag(queue)
         self.charge(waiter.ticket, 1)
-        self._forget_idle()
-        return waiter
+        idle = [
+            account
+            for account, other in self._account_queues.items()
+            if not other.waiters and other.finish <= self._virtual_time
+        ]
+        for account in idle:
+            self._account_queues.pop(account)
 
-    def discard(self, waiter: Waiter) -> bool:
+    def discard(self, waiter: Work) -> bool:
         """Remove one piece of work.
 
         :return: true if the work was queued.
@@ -95,7 +124,7 @@
         self._length -= 1
         return True
 
-    def evict_for(self, ticket: Ticket) -> Waiter | None:
+    def evict_for(self, ticket: Ticket) -> Work | None:
         """Evict the last work of the account with the largest backlog.
 
         Work of another account is evicted only if the account of the new
@@ -118,7 +147,7 @@
         self._length -= 1
         return longest.waiters.pop()
 
-    def clear(self) -> list[Waiter]:
+    def clear(self) -> list[Work]:
         """Remove and return all work, in no particular order."""
         waiters = [
             waiter
@@ -146,19 +175,10 @@
         )
         return min((ahead + 1) * weights / own.weight, self._length + 1)
 
-    def _open_account_queue(self, ticket: Ticket) -> AccountQueue:
+    def _open_account_queue(self, ticket: Ticket) -> AccountQueue[Work]:
         queue = self._account_queues[ticket.account]
         queue.weight = max(ticket.weight, LOWEST_WEIGHT)
         return queue
 
-    def _read_start_tag(self, queue: AccountQueue) -> float:
+    def _read_start_tag(self, queue: AccountQueue[Work]) -> float:
         return max(self._virtual_time, queue.finish)
-
-    def _forget_idle(self) -> None:
-        idle = [
-            account
-            for account, queue in self._account_queues.items()
-            if not queue.waiters and queue.finish <= self._virtual_time
-        ]
-        for account in idle:
-            self._account_queues.pop(account)
--- a/src/ragwortcourse/agent/gate.py
+++ b/src/ragwortcourse/agent/gate.py
@@ -47,7 +47,7 @@
         self._read_limit = read_limit
         self._read_queue_limit = read_queue_limit
         self._find_admission_refusal = find_admission_refusal
-        self._queue = FairQueue()
+        self._queue = FairQueue[Waiter]()
         self.running = 0
         self._suspect_running = False
         self._average_hold_seconds = FIRST_HOLD_SECONDS
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -111,6 +111,7 @@
         self.closing = True
         self._ends_at = ends_at
         self._reading.end_all()
+        self._scheduling.close()
 
     def may_finish(self, deadline: float) -> bool:
         """Tell whether a request that is sent now may end before the daemon.
--- a/src/ragwortcourse/forwarding/gauges.py
+++ b/src/ragwortcourse/forwarding/gauges.py
@@ -7,12 +7,16 @@
 
 from ragwortcourse.forwarding.choice_refusals import is_limited, is_resting
 from ragwortcourse.forwarding.forwarder import Forwarder
+from ragwortcourse.forwarding.scheduling.scheduling_metrics import (
+    watch_scheduling,
+)
 
 METER: Final = get_meter(__name__)
 
 
 def watch_forwarder(forwarder: Forwarder) -> None:
     """Register the gauges of a forwarder."""
+    watch_scheduling(forwarder.scheduling)
     state = forwarder.state
     _watch(
         'ragwortcourse.forwarding.desired_state_age',
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -170,7 +170,7 @@
     for round_number in itertools.count(1):
         receiver.note_awake()
         version_log.note_round()
-        forwarder.scheduling.end_reserving()
+        forwarder.scheduling.note_round()
         counts = forwarder.count_running()
         if round_number % FAR_ROUNDS == 0:
             await _broadcast(forwarder, send, list_relays, is_far=True)
--- a/src/ragwortcourse/forwarding/scheduling/fleet_demand.py
+++ b/src/ragwortcourse/forwarding/scheduling/fleet_demand.py
@@ -11,6 +11,7 @@
 
 from ragwortcourse.forwarding.peer_counts import FRESH_SECONDS
 from ragwortcourse.forwarding.scheduling.service_demand import ServiceDemand
+from ragwortcourse.forwarding.scheduling.waiting_queue import LATE
 from ragwortcourse.forwarding.urgency import URGENCIES
 from ragwortcourse.identifiers import DaemonId, ServiceName
 
@@ -27,7 +28,7 @@
 
     :param daemons: number of these daemons.
     :param rates: requests a second by urgency.
-    :param waiting: waiting requests by urgency.
+    :param waiting: waiting requests by urgency, late ones last.
     """
 
     daemons: int
@@ -78,8 +79,8 @@
         ]
         return DemandSum(
             daemons=len(reported),
-            rates=_add_up([demand.rates for demand in reported]),
-            waiting=_add_up([demand.waiting for demand in reported]),
+            rates=_add_up([demand.rates for demand in reported], URGENCIES),
+            waiting=_add_up([demand.waiting for demand in reported], LATE + 1),
         )
 
 
@@ -108,9 +109,9 @@
     ]
 
 
-def _add_up(columns: Sequence[Sequence[float]]) -> list[float]:
+def _add_up(columns: Sequence[Sequence[float]], count: int) -> list[float]:
     """Add up figures by urgency; missing ones count as zero."""
     return [
         sum(column[urgency] for column in columns if urgency < len(column))
-        for urgency in range(URGENCIES)
+        for urgency in range(count)
     ]
--- a/src/ragwortcourse/forwarding/scheduling/reservation.py
+++ b/src/ragwortcourse/forwarding/scheduling/reservation.py
@@ -11,8 +11,9 @@
 from collections.abc import Sequence
 from typing import Final
 
-# Mean age of the loads that other daemons report.
-REPORT_AGE_SECONDS: Final = 0.2
+# Mean age of the loads that other daemons report, with a third of them in the
+# own failure domain.
+REPORT_AGE_SECONDS: Final = 0.15
 # Fewer expected requests than this need no slot of their own.
 NEGLIGIBLE_REQUESTS: Final = 0.25
 # Share of the slots of a target that is kept at most: the urgent rate may be
--- a/src/ragwortcourse/forwarding/scheduling/scheduling.py
+++ b/src/ragwortcourse/forwarding/scheduling/scheduling.py
@@ -8,6 +8,7 @@
 from ragwortcourse.forwarding.call import NO_ACCOUNT, PermittedCall
 from ragwortcourse.forwarding.desired_state import DesiredState
 from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.forwarding.reply import STOPPING
 from ragwortcourse.forwarding.scheduling.activation import is_scheduled
 from ragwortcourse.forwarding.scheduling.fleet_demand import (
     FleetDemand,
@@ -34,7 +35,8 @@
 class Scheduling:
     """Demand by urgency of own callers and, as reported, of all others.
 
-    ``unanswered`` counts the unanswered requests at each target.
+    ``unanswered`` counts the unanswered requests at each target, and
+    ``services`` has the services that are scheduled.
 
     :param count_daemons: counts the registered daemons.
     """
@@ -47,7 +49,7 @@
         self._state = state
         self._count_daemons = count_daemons
         self._desired: DesiredState | None = None
-        self._services: dict[ServiceName, ServiceScheduling] = {}
+        self.services: dict[ServiceName, ServiceScheduling] = {}
         self._unscheduled: set[ServiceName] = set()
 
     def find(self, service: ServiceName) -> ServiceScheduling | None:
@@ -56,13 +58,13 @@
         if desired is not self._desired:
             self._desired = desired
             self._apply(desired)
-        known = self._services.get(service)
+        known = self.services.get(service)
         if known is not None or service in self._unscheduled:
             return known
         if not is_scheduled(desired, service):
             self._unscheduled.add(service)
             return None
-        return self._services.setdefault(service, ServiceScheduling())
+        return self.services.setdefault(service, ServiceScheduling())
 
     def note_arrival(self, service: ServiceName, work: PermittedCall) -> None:
         """Count a request that arrives in time."""
@@ -135,10 +137,25 @@
         known.reserved = slots
         known.reserved_at = read_clock()
 
-    def end_reserving(self) -> None:
-        """Note which services have reserved nothing for some time."""
+    def wake(self, service: ServiceName) -> None:
+        """Let waiting requests of a service go if there is room."""
+        known = self.services.get(service)
+        if known is not None:
+            known.queue.wake()
+
+    def close(self) -> None:
+        """Refuse all waiting requests: the daemon stops."""
+        for known in self.services.values():
+            known.queue.end_all(STOPPING)
+
+    def note_round(self) -> None:
+        """Note which services have reserved nothing for some time.
+
+        This also lets waiting requests see changes of the fleet's state.
+        """
         now = read_clock()
-        for service, known in self._services.items():
+        for service, known in self.services.items():
+            known.queue.wake()
             if (
                 known.reserved_at is not None
                 and now - known.reserved_at > RESERVING_SECONDS
@@ -158,9 +175,9 @@
                     round(rate, RATE_DIGITS)
                     for rate in known.demand.read_recent(now)
                 ],
-                waiting=[],
+                waiting=known.queue.count(),
             )
-            for service, known in self._services.items()
+            for service, known in self.services.items()
         } or None
 
     def note_message(
@@ -174,17 +191,20 @@
             now = read_clock()
             self.others.note(daemon, demand, now)
             self.unanswered.note_counts(daemon, urgent, now)
+            for service in demand:
+                self.wake(service)
 
     def _apply(self, desired: DesiredState | None) -> None:
         """Forget services and accounts that a desired state has no more."""
         self._unscheduled.clear()
         accounts = (desired and desired.accounts) or {}
         names = {account.name for account in accounts.values()}
-        for service, known in tuple(self._services.items()):
+        for service, known in tuple(self.services.items()):
             if is_scheduled(desired, service):
                 known.shares.keep({NO_ACCOUNT, *names, *range(URGENCIES)})
             else:
-                self._services.pop(service)
+                self.services.pop(service)
+                known.queue.end_all()
 
 
 def list_kinds(work: PermittedCall) -> tuple[int, str]:
--- a/src/ragwortcourse/forwarding/scheduling/sending.py
+++ b/src/ragwortcourse/forwarding/scheduling/sending.py
@@ -46,7 +46,7 @@
             target.name, urgency, read_clock()
         )
     is_due = urgency < URGENCIES and known.shares.is_due(list_kinds(work))
-    return is_sent_now(
+    is_sent = is_sent_now(
         place,
         demand,
         urgent=urgent,
@@ -54,6 +54,9 @@
             0 if is_due else reserve_slots(scheduling, target, place, urgency)
         ),
     )
+    if not is_sent:
+        known.place = place
+    return is_sent
 
 
 def reserve_slots(
--- a/src/ragwortcourse/forwarding/scheduling/service_demand.py
+++ b/src/ragwortcourse/forwarding/scheduling/service_demand.py
@@ -9,7 +9,7 @@
     """Demand on a service by urgency, the most urgent first.
 
     :param rates: requests a second that arrive in time.
-    :param waiting: requests that wait at the daemon.
+    :param waiting: requests that wait at the daemon, late ones last.
     """
 
     rates: list[Amount]
--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 from collections.abc import Callable, Iterator, Sequence
 from http import HTTPStatus
@@ -27,6 +28,7 @@
 from ragwortcourse.forwarding.open_try import OpenTry
 from ragwortcourse.forwarding.reply import Reason, Refusal
 from ragwortcourse.forwarding.request_crashes import RequestCrashes
+from ragwortcourse.forwarding.scheduling.turns import Turn
 from ragwortcourse.forwarding.second_ask import Silence
 from ragwortcourse.forwarding.start_limit import keep_start_limit
 from ragwortcourse.forwarding.target import Target
@@ -169,29 +171,24 @@
         tried.close()
         self.crashes.note_abandoned()
         self._asked = None
+        self._tries.forwarder.scheduling.wake(self._tries.service)
 
     async def _choose(self) -> Target | Refusal:
-        """Choose the next target; a late request waits for a free slot."""
-        tries = self._tries
-        began_at = read_clock()
-        while True:
-            target = choose_target(
-                tries.forwarder,
-                tries.work,
-                tries.service,
-                tries.tried,
-                combine_silences(self.silent),
-            )
-            if not isinstance(target, Refusal) or self.silent:
-                return target
-            waited = read_clock() - began_at
-            if target.reason is not Reason.OVERLOADED or not tries.is_late:
-                return target
-            if waited > LATE_WAIT_SECONDS:
-                return target
-            await asyncio.sleep(
-                LATE_POLL_SECONDS * tries.forwarder.rng.uniform(0.5, 1)
-            )
+        """Choose the next target; the request may wait for a free slot."""
+        tries, scheduling = self._tries, self._tries.forwarder.scheduling
+        choose = functools.partial(
+            choose_target,
+            tries.forwarder,
+            tries.work,
+            tries.service,
+            tries.tried,
+            combine_silences(self.silent),
+        )
+        known = scheduling.find(tries.service)
+        if known is not None and not self.silent and not tries.tried:
+            turn = Turn(tries=tries, known=known, choose=choose)
+            return await turn.choose()
+        return await _poll(tries, choose, is_beside=bool(self.silent))
 
     async def _send(
         self, target: Target, last_event: str | None
@@ -233,6 +230,7 @@
                 load.count_answer_begun()
                 load.count_ended()
                 note_begun()
+                forwarder.scheduling.wake(tries.service)
             if answer is None:
                 self.crashes.note_abandoned()
         if isinstance(answer, OpenAnswer):
@@ -361,6 +359,28 @@
     return cause
 
 
+async def _poll(
+    tries: Tries, choose: Callable[[], Target | Refusal], *, is_beside: bool
+) -> Target | Refusal:
+    """Choose the next target; a late request waits for a free slot.
+
+    :param is_beside: true if silent targets have the request.
+    """
+    began_at = read_clock()
+    while True:
+        target = choose()
+        if not isinstance(target, Refusal) or is_beside:
+            return target
+        waited = read_clock() - began_at
+        if target.reason is not Reason.OVERLOADED or not tries.is_late:
+            return target
+        if waited > LATE_WAIT_SECONDS:
+            return target
+        await asyncio.sleep(
+            LATE_POLL_SECONDS * tries.forwarder.rng.uniform(0.5, 1)
+        )
+
+
 def _is_gone(state: FleetState, target: Target) -> bool:
     """Tell whether a target has left the list or can't be reached."""
     listed = state.targets.get(target.name)
