--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -195,7 +195,7 @@
     for round_number in itertools.count(1):
         receiver.note_awake()
         version_log.note_round()
-        forwarder.scheduling.end_reserving()
+        forwarder.scheduling.note_round()
         counts = forwarder.count_running()
         listed = await list_relays()
         if listed != relays:
