Lend unused retries to the daemons where failures are

Cause: each daemon could use only its fixed share, about four retries a window at 41 daemons with a reserve of 222; lost requests ended in 502 while other daemons used none. Change: forwarding/retries: a daemon asks others in load messages once half of its share is used, and they lend up to three quarters of their part of the reserve. A grant is withheld from its lender for a window and the time of its use, and used for at most 3 s from its wish. A restarted daemon, known by its registration, lends and borrows nothing for that time. A lost request waits up to 1 s for a grant. fleet_retry_budget.py moved into the package.

--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -16,9 +16,12 @@
 from ragwortcourse.forwarding.crash_admission import CrashAdmission
 from ragwortcourse.forwarding.crash_guard import CrashGuard
 from ragwortcourse.forwarding.daemon_ranking import DaemonRanking
-from ragwortcourse.forwarding.fleet_retry_budget import FleetRetryBudget
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.peer_counts import Counts, PeerCounts
+from ragwortcourse.forwarding.retries.fleet_retry_budget import (
+    FleetRetryBudget,
+)
+from ragwortcourse.forwarding.retries.retry_exchange import RetryExchange
 from ragwortcourse.forwarding.safeguards import Safeguards
 from ragwortcourse.forwarding.store_watch import StoreWatch
 from ragwortcourse.forwarding.target import Target
@@ -76,6 +79,12 @@
         budget = FleetRetryBudget(fleet=self.fleet)
         self.safeguards = Safeguards(
             retry_budget=budget,
+            retry_exchange=RetryExchange(
+                budget=budget,
+                own=describe_daemon(settings),
+                is_alive=self.store_watch.has_reported,
+                rng=rng,
+            ),
             crash_guard=guard,
             crash_admission=CrashAdmission(
                 guard=guard,
--- a/src/ragwortcourse/forwarding/gauges.py
+++ b/src/ragwortcourse/forwarding/gauges.py
@@ -7,6 +7,9 @@
 
 from ragwortcourse.forwarding.choice_refusals import is_limited, is_resting
 from ragwortcourse.forwarding.forwarder import Forwarder
+from ragwortcourse.forwarding.retries.fleet_retry_budget import (
+    FleetRetryBudget,
+)
 
 METER: Final = get_meter(__name__)
 
@@ -57,9 +60,10 @@
     _watch(
         'ragwortcourse.forwarding.retries_left',
         '',
-        'further tries that the own share of the window still allows',
+        'further tries that own and borrowed shares still allow',
         forwarder.safeguards.retry_budget.count_left,
     )
+    _watch_retries(forwarder.safeguards.retry_budget)
     _watch(
         'ragwortcourse.forwarding.weights_version',
         '',
@@ -70,6 +74,28 @@
     )
 
 
+def _watch_retries(budget: FleetRetryBudget) -> None:
+    """Register the gauges of the shares of the retry budget."""
+    _watch(
+        'ragwortcourse.forwarding.retries_own',
+        '',
+        'further tries of the own share in the last window',
+        budget.count_used,
+    )
+    _watch(
+        'ragwortcourse.forwarding.retries_borrowed',
+        '',
+        'further tries that other daemons have lent and that are left',
+        lambda: budget.borrowed.count_left(budget.read_now()),
+    )
+    _watch(
+        'ragwortcourse.forwarding.retries_lent',
+        '',
+        'further tries that are lent to other daemons',
+        lambda: budget.lent.count_held(budget.read_now()),
+    )
+
+
 def _watch(
     name: str, unit: str, description: str, read: Callable[[], float]
 ) -> None:
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -39,6 +39,7 @@
     build_report_senders,
     note_report,
 )
+from ragwortcourse.forwarding.retries.retry_messages import RetryMessage
 from ragwortcourse.forwarding.version_log import RequiredVersionLog
 from ragwortcourse.identifiers import DaemonId
 from ragwortcourse.membership.relay_daemons import RelayRecord
@@ -110,6 +111,10 @@
             lost=message.store_lost,
             stable_for=message.stable_for,
         )
+        if message.retry is not None:
+            self._forwarder.safeguards.retry_exchange.note_message(
+                message.daemon, message.retry
+            )
         if message.namings is not None:
             history = _decode_history(message.namings)
             note_history(self._forwarder.state, history, told_by=message.daemon)
@@ -173,6 +178,7 @@
         elif counts != sent_counts:
             await _broadcast(forwarder, send, list_relays, is_far=False)
         sent_counts = counts
+        await _send_retries(forwarder, send, list_relays)
         peers = await _list_peers(forwarder.settings.daemon, list_relays)
         for sender in senders:
             sender.send_round(peers, repeats=round_number % FAR_ROUNDS == 0)
@@ -197,14 +203,9 @@
     :param is_far: true to include other failure domains.
     """
     settings = forwarder.settings
-    message = LoadMessage(
-        daemon=settings.daemon,
-        counts=forwarder.count_running(),
-        namings=_encode_history(forwarder) if is_far else None,
-        store_lost=forwarder.state.store_lost,
-        stable_for=forwarder.store_watch.read_seconds_since_outage(),
+    content = _encode_message(
+        forwarder, namings=_encode_history(forwarder) if is_far else None
     )
-    content = msgspec.json.encode(message)
     relays = await list_relays()
     if relays:
         # An empty list has not been read yet; the assumed number stays.
@@ -217,6 +218,36 @@
             send(content, relay.address)
 
 
+async def _send_retries(
+    forwarder: Forwarder, send: SendDatagram, list_relays: ListRelays
+) -> None:
+    """Send wishes and grants of retries to the daemons that they are for."""
+    relays = await list_relays()
+    messages = forwarder.safeguards.retry_exchange.write_round(relays)
+    for relay in relays:
+        retry = messages.get(relay.daemon)
+        if retry is not None:
+            send(_encode_message(forwarder, retry=retry), relay.address)
+
+
+def _encode_message(
+    forwarder: Forwarder,
+    *,
+    namings: VersionHistoryMessage | None = None,
+    retry: RetryMessage | None = None,
+) -> bytes:
+    return msgspec.json.encode(
+        LoadMessage(
+            daemon=forwarder.settings.daemon,
+            counts=forwarder.count_running(),
+            namings=namings,
+            store_lost=forwarder.state.store_lost,
+            stable_for=forwarder.store_watch.read_seconds_since_outage(),
+            retry=retry,
+        )
+    )
+
+
 def _encode_history(forwarder: Forwarder) -> VersionHistoryMessage:
     state, now = forwarder.state, read_clock_with_suspend()
     bound = forwarder.fleet.version_ms / 1000
--- a/src/ragwortcourse/forwarding/load_messages.py
+++ b/src/ragwortcourse/forwarding/load_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ragwortcourse.bounded import Age, Count, SwitchSeconds, WholeNumber
+from ragwortcourse.forwarding.retries.retry_messages import RetryMessage
 from ragwortcourse.identifiers import DaemonId, ModelName, TargetName
 
 
@@ -45,6 +46,8 @@
     :param store_lost: true while the store does not answer the sender.
     :param stable_for: seconds since the sender last knew of a store outage
         of the fleet; none: never.
+    :param retry: retries that the sender asks for or lends; none in most
+        messages.
     """
 
     daemon: DaemonId
@@ -52,6 +55,7 @@
     namings: VersionHistoryMessage | None = None
     store_lost: bool = False
     stable_for: Age | None = None
+    retry: RetryMessage | None = None
 
 
 class SwitchMessage(msgspec.Struct, frozen=True, kw_only=True, tag='switch'):
--- /dev/null
+++ b/src/ragwortcourse/forwarding/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budget of the fleet, and its lending between entry daemons."""
--- a/src/ragwortcourse/forwarding/safeguards.py
+++ b/src/ragwortcourse/forwarding/safeguards.py
@@ -5,7 +5,10 @@
 from ragwortcourse.forwarding.crash_admission import CrashAdmission
 from ragwortcourse.forwarding.crash_guard import CrashGuard
 from ragwortcourse.forwarding.daemon_ranking import DaemonRanking
-from ragwortcourse.forwarding.fleet_retry_budget import FleetRetryBudget
+from ragwortcourse.forwarding.retries.fleet_retry_budget import (
+    FleetRetryBudget,
+)
+from ragwortcourse.forwarding.retries.retry_exchange import RetryExchange
 from ragwortcourse.forwarding.target_limits import TargetLimits
 from ragwortcourse.forwarding.target_rests import TargetRests
 
@@ -15,6 +18,7 @@
     """Protections that entry daemons keep in sum, and rests of one daemon."""
 
     retry_budget: FleetRetryBudget
+    retry_exchange: RetryExchange
     crash_guard: CrashGuard
     crash_admission: CrashAdmission
     daemon_ranking: DaemonRanking
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -32,6 +32,10 @@
 BESIDE_SHARE: Final = 0.5
 # A target that did not run a request may have a free slot after this time.
 DECLINED_RETRY_SECONDS: Final = 0.2
+# Time in which other daemons answer a wish for retries, also if one message is
+# lost, and the part of the time left that a request may wait for them.
+RETRY_WAIT_SECONDS: Final = 1.0
+RETRY_WAIT_SHARE: Final = 0.25
 NOTHING_SAID: Final = 'nothing'
 # Timers fire at most this early.
 TIMER_SECONDS: Final = 0.001
@@ -65,6 +69,7 @@
             heard_at=work.call.arrived_at, asked_at=work.call.arrived_at
         )
         self.was_late = self.is_late
+        self._waited: float = 0
 
     @property
     def may_have_run(self) -> bool:
@@ -139,6 +144,22 @@
             return TriesEnd.BUDGET
         return None
 
+    async def await_retry(self, *, beside: bool) -> None:
+        """Wait until a retry is left, or too long for other daemons to lend.
+
+        A request that has not run is refused at once, as its caller may send
+        it again.
+
+        :param beside: true if silent targets have the request.
+        """
+        budget = self.forwarder.safeguards.retry_budget
+        is_lost = self.may_have_run and not beside
+        while is_lost and not budget.count_left():
+            wait = self._read_retry_wait()
+            began_at = read_clock()
+            is_lost = await budget.wait_for_grant(wait)
+            self._waited += read_clock() - began_at
+
     def count_sent(self, target: TargetName, now: float) -> None:
         """Count a target that gets the request, and that may run it."""
         if not self.sends:
@@ -196,3 +217,11 @@
                 self.forwarder, self.service, DECLINED_RETRY_SECONDS
             )
         return Refusal(reason=Reason.NOT_RUN, retry_after=wait, inputs=inputs)
+
+    def _read_retry_wait(self) -> float:
+        time_left = self.work.deadline - read_clock()
+        return min(
+            RETRY_WAIT_SECONDS - self._waited,
+            time_left * RETRY_WAIT_SHARE,
+            self.gap_left,
+        )
--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -122,6 +122,7 @@
             end = self._tries.find_end(beside=bool(self.silent))
             if end is not None:
                 return end
+            await self._tries.await_retry(beside=bool(self.silent))
             target = await self._choose()
             if isinstance(target, Refusal):
                 return target
--- a/src/ragwortcourse/identifiers.py
+++ b/src/ragwortcourse/identifiers.py
@@ -5,6 +5,7 @@
 # Made by ``parse_address`` from what another process named.
 Address = NewType('Address', str)
 AdapterName = NewType('AdapterName', str)
+AskId = NewType('AskId', str)
 AttemptId = NewType('AttemptId', str)
 ChangeId = NewType('ChangeId', str)
 ClientAccountName = NewType('ClientAccountName', str)
--- a/src/ragwortcourse/platform/relay_rows.py
+++ b/src/ragwortcourse/platform/relay_rows.py
@@ -61,13 +61,18 @@
 
 
 class RelayRegistry:
-    """Registered entry daemons as last read from the store."""
+    """Registered entry daemons as last read from the store.
+
+    ``first_read`` are the names of those that were registered before this
+    daemon; none before the first read.
+    """
 
     def __init__(self, *, store: Store, rng: random.Random) -> None:
         self._store = store
         self._rng = rng
         self._records: dict[str, RelayRecord] = {}
         self._reading = asyncio.Lock()
+        self.first_read: frozenset[str] = frozenset()
         self._is_read = False
         self._era = UNKNOWN_ERA
         self._kept_until = -math.inf
@@ -79,8 +84,7 @@
 
         :param source: from which changes are read.
         """
-        while not await self._read_once():  # noqa: ASYNC110
-            await asyncio.sleep(RETRY_SECONDS * self._rng.uniform(0.5, 1))
+        await self.wait_read()
         feed = TableFeed(
             store=source,
             table=TABLE,
@@ -99,6 +103,11 @@
         )
         await feed.follow()
 
+    async def wait_read(self) -> None:
+        """Wait until the registrations have been read."""
+        while not await self._read_once():  # noqa: ASYNC110
+            await asyncio.sleep(RETRY_SECONDS * self._rng.uniform(0.5, 1))
+
     async def read(self) -> bool:
         """Read the registrations; keep the last ones if the store fails.
 
@@ -187,6 +196,8 @@
         is_kept = read_boot_clock() < self._kept_until
         known = self._records if is_kept else {}
         self._records = {**known, **_decode_all(rows)}
+        if not self._is_read:
+            self.first_read = frozenset(self._records)
         self._is_read = True
 
     def _change(self, rows: Sequence[StoreRow]) -> None:
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -120,7 +120,7 @@
         watch_forwarder(self.forwarder)
         for index, feed in enumerate(self.feeds):
             tasks.start(f'follow table {index}', feed.follow())
-        tasks.start('register', self.register())
+        tasks.start('register', self._register())
         tasks.start('keep refused suspects', self.crash_keeper.run())
         relays = self.tables.relays
         tasks.start('follow daemons', relays.follow(self.tables.registrations))
@@ -167,6 +167,17 @@
         for session in self.sessions:
             await session.close()
 
+    async def _register(self) -> None:
+        """Register this daemon, once it is known whether one was before.
+
+        Registrations do not end, so that a predecessor may have run until now.
+        """
+        relays = self.tables.relays
+        await relays.wait_read()
+        if self.forwarder.settings.daemon in relays.first_read:
+            self.forwarder.safeguards.retry_budget.note_predecessor()
+        await self.register()
+
     def _list_named(self) -> list[tuple[ModelName, int]]:
         """Return the newest version that operators named for each model."""
         weights = self.forwarder.state.weights
--- a/tests/test_fleet_retry_budget.py
+++ b/tests/test_fleet_retry_budget.py
@@ -1,11 +1,13 @@
-"""Tests of :mod:`ragwortcourse.forwarding.fleet_retry_budget`."""
+"""Tests of :mod:`ragwortcourse.forwarding.retries.fleet_retry_budget`."""
 
 import asyncio
 
 import pytest
 
 from fakes.fleet_parts import FLEET
-from ragwortcourse.forwarding.fleet_retry_budget import FleetRetryBudget
+from ragwortcourse.forwarding.retries.fleet_retry_budget import (
+    FleetRetryBudget,
+)
 
 pytestmark = pytest.mark.looptime
 DAEMONS = 9
--- a/tests/test_forwarder_daemon.py
+++ b/tests/test_forwarder_daemon.py
@@ -218,6 +218,9 @@
         assert {
             f'{prefix}desired_state_age_seconds',
             f'{prefix}retries_left',
+            f'{prefix}retries_own',
+            f'{prefix}retries_borrowed',
+            f'{prefix}retries_lent',
             f'{prefix}running',
             f'{prefix}waiting_seconds_count',
             f'{prefix}duration_seconds_count',
