--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -11,13 +11,10 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
-import msgspec
-
 from ragwortcourse.addresses import split_address
 from ragwortcourse.clock import read_clock, read_clock_with_suspend
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.balancing.pace_news import (
-    encode_news,
     note_news,
 )
 from ragwortcourse.forwarding.datagrams import (
@@ -26,18 +23,15 @@
 )
 from ragwortcourse.forwarding.dissemination.audience import choose_audience
 from ragwortcourse.forwarding.dissemination.broadcast import Broadcast
+from ragwortcourse.forwarding.dissemination.load_codec import (
+    decode_history,
+    encode_load,
+)
 from ragwortcourse.forwarding.fleet_updates import note_history
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.load_messages import (
     LoadMessage,
     SwitchMessage,
-    VersionAnnouncement,
-    VersionHistoryMessage,
-)
-from ragwortcourse.forwarding.named_weights import (
-    AnnouncedVersion,
-    VersionHistory,
-    list_unexpired,
 )
 from ragwortcourse.forwarding.peer_counts import Counts
 from ragwortcourse.forwarding.report_exchange import (
@@ -58,9 +52,6 @@
 # Every this many rounds the message also goes to other failure domains, where
 # one daemon of each passes it on: bandwidth between regions is low.
 FAR_ROUNDS: Final = 4
-# Messages repeat the paces of the last message, which may be lost or late.
-NEAR_NEWS_SECONDS: Final = 2 * NEAR_SECONDS
-FAR_NEWS_SECONDS: Final = (FAR_ROUNDS + 1) * NEAR_SECONDS
 # A longer gap between rounds is not explained by a busy host: the daemon or
 # its host was suspended, and messages from the gap are read only now.
 STANDSTILL_SECONDS: Final = 0.5
@@ -134,8 +125,12 @@
         self._forwarder.state.note_peer_version(message.state)
         paces = self._forwarder.balancing.paces
         note_news(paces, message.paces, read_clock())
+        if message.retry is not None:
+            self._forwarder.safeguards.retry_exchange.note_message(
+                message.daemon, message.retry
+            )
         if message.namings is not None:
-            history = _decode_history(message.namings)
+            history = decode_history(message.namings)
             note_history(self._forwarder.state, history, told_by=message.daemon)
 
     def _take_report(self, message: ReportMessage) -> None:
@@ -209,10 +204,11 @@
             rng=forwarder.rng,
         )
         if round_number % FAR_ROUNDS == 0:
-            broadcast.send_all(_encode_load(forwarder, is_far=True))
+            broadcast.send_all(encode_load(forwarder, is_far=True))
         elif counts != sent_counts:
-            broadcast.send_near(_encode_load(forwarder, is_far=False))
+            broadcast.send_near(encode_load(forwarder, is_far=False))
         sent_counts = counts
+        _send_retries(forwarder, send, relays)
         for sender in senders:
             sender.send_round(
                 broadcast.audience.addresses,
@@ -230,63 +226,13 @@
         forwarder.safeguards.daemon_ranking.register(relays)
 
 
-def _encode_load(forwarder: Forwarder, *, is_far: bool) -> bytes:
-    """Encode the message about the own requests.
-
-    :param is_far: true for a message to all failure domains.
-    """
-    message = LoadMessage(
-        daemon=forwarder.settings.daemon,
-        counts=forwarder.count_running(),
-        namings=_encode_history(forwarder) if is_far else None,
-        store_lost=forwarder.state.store_lost,
-        stable_for=forwarder.store_watch.read_seconds_since_outage(),
-        state=forwarder.state.version,
-        paces=encode_news(
-            forwarder.balancing.paces,
-            now=read_clock(),
-            seconds=FAR_NEWS_SECONDS if is_far else NEAR_NEWS_SECONDS,
-        ),
-        demand=forwarder.scheduling.describe_demand(),
-        urgent=forwarder.scheduling.unanswered.own,
-    )
-    return msgspec.json.encode(message)
-
-
-def _encode_history(forwarder: Forwarder) -> VersionHistoryMessage:
-    state, now = forwarder.state, read_clock_with_suspend()
-    bound = forwarder.fleet.version_ms / 1000
-    age = now - state.versions_complete_since
-    return VersionHistoryMessage(
-        versions={
-            model: [
-                VersionAnnouncement(
-                    version=each.version,
-                    age=round(now - each.seen_at, 2),
-                    observed=each.observed,
-                )
-                for each in list_unexpired(versions, now=now, bound=bound)
-            ]
-            for model, versions in state.weights.items()
-        },
-        complete_for=None if math.isinf(age) else round(age, 2),
-    )
-
-
-def _decode_history(namings: VersionHistoryMessage) -> VersionHistory:
-    now = read_clock_with_suspend()
-    age = namings.complete_for
-    return VersionHistory(
-        versions={
-            model: [
-                AnnouncedVersion(
-                    version=each.version,
-                    seen_at=now - each.age,
-                    observed=each.observed,
-                )
-                for each in versions
-            ]
-            for model, versions in namings.versions.items()
-        },
-        since=math.inf if age is None else now - age,
-    )
+def _send_retries(
+    forwarder: Forwarder, send: SendDatagram, relays: Sequence[RelayRecord]
+) -> None:
+    """Send wishes and grants of retries to the daemons that they are for."""
+    messages = forwarder.safeguards.retry_exchange.write_round(relays)
+    for relay in relays:
+        retry = messages.get(relay.daemon)
+        if retry is not None:
+            content = encode_load(forwarder, is_far=False, retry=retry)
+            send(content, relay.address)
--- a/src/ragwortcourse/forwarding/load_messages.py
+++ b/src/ragwortcourse/forwarding/load_messages.py
@@ -6,6 +6,7 @@
 
 from ragwortcourse.bounded import Age, Count, SwitchSeconds, WholeNumber
 from ragwortcourse.forwarding.balancing.pace_news import PaceNewsMessage
+from ragwortcourse.forwarding.retries.retry_messages import RetryMessage
 from ragwortcourse.forwarding.scheduling.service_demand import ServiceDemand
 from ragwortcourse.identifiers import (
     DaemonId,
@@ -62,6 +63,8 @@
         scheduled by urgency; none: there is no such service.
     :param urgent: for each target the requests without an answer of the most
         urgent priority, and those of the second.
+    :param retry: retries that the sender asks for or lends; none in most
+        messages.
     """
 
     daemon: DaemonId
@@ -73,6 +76,7 @@
     paces: PaceNewsMessage | None = None
     demand: Mapping[ServiceName, ServiceDemand] | None = None
     urgent: Mapping[TargetName, tuple[Count, Count]] = {}
+    retry: RetryMessage | None = None
 
 
 class SwitchMessage(msgspec.Struct, frozen=True, kw_only=True, tag='switch'):
--- a/src/ragwortcourse/forwarding/safeguards.py
+++ b/src/ragwortcourse/forwarding/safeguards.py
@@ -6,7 +6,10 @@
 from ragwortcourse.forwarding.crash_admission import CrashAdmission
 from ragwortcourse.forwarding.crash_guard import CrashGuard
 from ragwortcourse.forwarding.daemon_ranking import DaemonRanking
-from ragwortcourse.forwarding.fleet_retry_budget import FleetRetryBudget
+from ragwortcourse.forwarding.retries.fleet_retry_budget import (
+    FleetRetryBudget,
+)
+from ragwortcourse.forwarding.retries.retry_exchange import RetryExchange
 from ragwortcourse.forwarding.target_limits import TargetLimits
 from ragwortcourse.forwarding.target_rests import TargetRests
 
@@ -20,6 +23,7 @@
     """
 
     retry_budget: FleetRetryBudget
+    retry_exchange: RetryExchange
     crash_guard: CrashGuard
     crash_admission: CrashAdmission
     daemon_ranking: DaemonRanking
