Test waiting requests through stops, withdrawals and revoked keys

Cause: a request that waits could outlive the state that permitted it, and a daemon without requests of its own was not heard as one, which made the others overestimate the demand.

Change: a daemon describes its demand on each scheduled service from the first message on. No request is sent to a target with twice its slots, which would decline it.

--- a/src/ragwortcourse/forwarding/scheduling/activation.py
+++ b/src/ragwortcourse/forwarding/scheduling/activation.py
@@ -12,10 +12,8 @@
 from ragwortcourse.identifiers import ServiceName
 
 
-def is_scheduled(desired: DesiredState | None, service: ServiceName) -> bool:
+def is_scheduled(desired: DesiredState, service: ServiceName) -> bool:
     """Tell whether the routes of a service have different priorities."""
-    if desired is None:
-        return False
     routes = itertools.chain.from_iterable(desired.routes.values())
     priorities = {
         route.priority for route in routes if _has_traffic(route, service)
--- a/src/ragwortcourse/forwarding/scheduling/scheduling.py
+++ b/src/ragwortcourse/forwarding/scheduling/scheduling.py
@@ -50,21 +50,11 @@
         self._count_daemons = count_daemons
         self._desired: DesiredState | None = None
         self.services: dict[ServiceName, ServiceScheduling] = {}
-        self._unscheduled: set[ServiceName] = set()
 
     def find(self, service: ServiceName) -> ServiceScheduling | None:
         """Find the measurements of a service; none if it is not scheduled."""
-        desired = self._state.desired
-        if desired is not self._desired:
-            self._desired = desired
-            self._apply(desired)
-        known = self.services.get(service)
-        if known is not None or service in self._unscheduled:
-            return known
-        if not is_scheduled(desired, service):
-            self._unscheduled.add(service)
-            return None
-        return self.services.setdefault(service, ServiceScheduling())
+        self._apply_desired()
+        return self.services.get(service)
 
     def note_arrival(self, service: ServiceName, work: PermittedCall) -> None:
         """Count a request that arrives in time."""
@@ -167,7 +157,11 @@
                 )
 
     def describe_demand(self) -> Mapping[ServiceName, ServiceDemand] | None:
-        """Describe the own demand for other daemons; none without any."""
+        """Describe the own demand for other daemons.
+
+        :return: none if no service is scheduled.
+        """
+        self._apply_desired()
         now = read_clock()
         return {
             service: ServiceDemand(
@@ -194,17 +188,30 @@
             for service in demand:
                 self.wake(service)
 
-    def _apply(self, desired: DesiredState | None) -> None:
-        """Forget services and accounts that a desired state has no more."""
-        self._unscheduled.clear()
-        accounts = (desired and desired.accounts) or {}
-        names = {account.name for account in accounts.values()}
+    def _apply_desired(self) -> None:
+        """Apply the desired state in force, once.
+
+        Waiting requests of a service that is not scheduled any more are
+        refused, and accounts that have ended are forgotten.
+        """
+        desired = self._state.desired
+        if desired is self._desired or desired is None:
+            return
+        self._desired = desired
+        scheduled = {
+            service
+            for service in desired.services
+            if is_scheduled(desired, service)
+        }
+        accounts = (desired.accounts or {}).values()
+        kinds = {account.name for account in accounts}
         for service, known in tuple(self.services.items()):
-            if is_scheduled(desired, service):
-                known.shares.keep({NO_ACCOUNT, *names, *range(URGENCIES)})
-            else:
+            known.shares.keep({NO_ACCOUNT, *kinds, *range(URGENCIES)})
+            if service not in scheduled:
                 self.services.pop(service)
                 known.queue.end_all()
+        for service in scheduled:
+            self.services.setdefault(service, ServiceScheduling())
 
 
 def list_kinds(work: PermittedCall) -> tuple[int, str]:
--- a/tests/test_contended_rounds.py
+++ b/tests/test_contended_rounds.py
@@ -6,6 +6,7 @@
 
 from fakes.contended_fleet import SLOTS, ContendedFleet, make_callers, replay
 from fakes.fleet_parts import ENGINES
+from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.admission import TargetOccupancy
 from ragwortcourse.forwarding.scheduling.reservation import MAX_RESERVED_SHARE
 from ragwortcourse.forwarding.scheduling.sending import reserve_slots
@@ -35,6 +36,16 @@
 class TestContendedLoad:
     """Callers of three priorities at 41 daemons."""
 
+    def test_urgent_demand_alone_is_too_much(self):
+        """A priority is served even if a more urgent one would take all."""
+        callers = make_callers('A', 200), make_callers('B', 40)
+        outcomes = replay(8, callers).outcomes
+        total = outcomes['A'].served + outcomes['B'].served
+        asked = outcomes['A'].total + outcomes['B'].total
+        share = outcomes['B'].served_share
+        assert REQUIRED_SHARE * total / asked <= share
+        assert share <= outcomes['A'].served_share
+
     @pytest.mark.parametrize('seed', [1, 2])
     def test_served_by_priority(self, seed):
         """No priority is served less than a less urgent one, and none starves.
@@ -83,3 +94,44 @@
         replay(3.5, LOAD, watch, seed=seed, hears=lambda _, hearer: hearer)
         assert max(seen) <= SLOTS * MAX_RESERVED_SHARE
         assert min(seen[2:]) > 0
+
+
+class TestStoppedDaemon:
+    """Daemons that end while requests wait and others count on them."""
+
+    def test_dead(self):
+        """What a dead daemon reported does not keep slots or capacity."""
+        seen = []
+
+        async def watch(fleet: ContendedFleet) -> None:
+            await asyncio.sleep(1.5)
+            fleet.alive.remove(1)
+            fleet.rounds[1].cancel()
+            for seconds in (0.5, 1.5):
+                await asyncio.sleep(seconds)
+                others = fleet.forwarders[0].scheduling.others
+                seen.append(others.sum(ENGINES, read_clock()).daemons)
+
+        replay(4, LOAD, watch, daemons=9, engines=4)
+        assert seen == [8, 7]
+
+    def test_stop(self):
+        """A daemon that stops refuses what waits, and others serve it."""
+        seen = []
+
+        async def watch(fleet: ContendedFleet) -> None:
+            forwarder = fleet.forwarders[1]
+            await asyncio.sleep(0.5)
+            queue = forwarder.scheduling.services[ENGINES].queue
+            while not any(queue.count()):
+                await asyncio.sleep(0.01)
+            forwarder.close(ends_at=read_clock() + 4)
+            await asyncio.sleep(0.01)
+            for _ in range(100):
+                seen.append(sum(queue.count()))
+                await asyncio.sleep(0.01)
+
+        fleet = replay(4, LOAD, watch, daemons=9, engines=4)
+        assert len(seen) == 100
+        assert not any(seen)
+        assert fleet.outcomes['A'].served_share >= REQUIRED_SHARE
--- a/tests/test_scheduling_decision.py
+++ b/tests/test_scheduling_decision.py
@@ -69,6 +69,11 @@
         assert is_sent_now(place, URGENT, urgent=1, reserved=1)
         assert not is_sent_now(place, URGENT, urgent=1, reserved=2)
 
+    def test_full_queue(self):
+        """No urgent request is sent to an engine that would decline it."""
+        place = make_place(SLOTS * 2, unanswered=SLOTS)
+        assert not is_sent_now(place, URGENT, urgent=0, reserved=0)
+
     @pytest.mark.parametrize('load', range(SLOTS))
     def test_free_slot(self, load):
         """While a slot is free, urgency makes no request start sooner."""
