Check desired states and parts without effect before submission

Cause: a desired state was judged by the daemons alone, which refuse it whole or take it with routes that no request can match. The check of a configuration told neither these nor what would change. Change: ragwortcourse check takes desired states (.json) too, reports all faults of fields, entries that never match and limits that contradict each other, and with --in-force the differences from what an entry daemon or the store holds.

--- a/src/ragwortcourse/cli/configuration_commands.py
+++ b/src/ragwortcourse/cli/configuration_commands.py
@@ -1,4 +1,4 @@
-"""Commands that check, apply, show and compare whole configurations."""
+"""Commands that apply, show and compare whole configurations."""
 
 import difflib
 import pathlib
@@ -32,13 +32,6 @@
 )
 
 
-class CheckReport(msgspec.Struct, frozen=True, kw_only=True):
-    """Output of ``check --json`` for a file without findings."""
-
-    file: str
-    sound: bool = True
-
-
 class Difference(msgspec.Struct, frozen=True, kw_only=True):
     """Output of ``diff --json``.
 
@@ -50,24 +43,6 @@
     lines: tuple[str, ...]
 
 
-@click.command()
-@FILE_ARGUMENT
-@accept_json
-def check(file: pathlib.Path, *, as_json: bool) -> None:
-    """Check a configuration file and report every finding at once.
-
-    Exit code 0: sound. 1: findings, one a line: file, key, value, what is
-    allowed.
-
-    Example: ragwortcourse check configuration.toml
-    """
-    require_configuration(file, as_json=as_json)
-    if as_json:
-        print_json(CheckReport(file=str(file)))
-    else:
-        click.echo(f'{file}: sound')
-
-
 @click.command()
 @FILE_ARGUMENT
 @click.option(
--- a/src/ragwortcourse/cli/program.py
+++ b/src/ragwortcourse/cli/program.py
@@ -3,6 +3,7 @@
 import click
 
 from ragwortcourse.cli import (
+    check_command,
     configuration_commands,
     crasher_commands,
     init_command,
@@ -26,7 +27,7 @@
 
 COMMANDS = (
     init_command.init,
-    configuration_commands.check,
+    check_command.check,
     configuration_commands.apply,
     configuration_commands.show,
     configuration_commands.diff,
