--- a/fakes/uneven_fleet.py
+++ b/fakes/uneven_fleet.py
@@ -33,13 +33,15 @@
 from ragwortcourse.forwarding.call import PermittedCall
 from ragwortcourse.forwarding.choice import choose_target
 from ragwortcourse.forwarding.desired_state import DesiredState
+from ragwortcourse.forwarding.dissemination.load_codec import (
+    FAR_NEWS_SECONDS,
+    NEAR_NEWS_SECONDS,
+)
 from ragwortcourse.forwarding.engine_profile import EngineProfile
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.load_exchange import (
-    FAR_NEWS_SECONDS,
     FAR_ROUNDS,
-    NEAR_NEWS_SECONDS,
     NEAR_SECONDS,
 )
 from ragwortcourse.forwarding.peer_counts import Counts
