Let callers come back late while weights are on their way

Cause: where all engines held expired weights, callers were told to come back after 0.5 to 1 s, as after the loss of a target, and most were refused again; a refusal of one who came back is their last. Change: they come back in the last part of the time that they wait for. One task instead of one a chunk polls whether a version is still to be prefetched. Measured: the new case of test_choice.py fails without the change.

--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -89,7 +89,7 @@
     if best is None:
         if silence is not None:
             return Refusal(reason=Reason.NO_TARGET)
-        return refuse_all(forwarder, service, version)
+        return refuse_all(forwarder, work, service, version)
     chosen, place = best.candidate, best.place
     if silence is not None:
         worth_asking = is_worth_asking(
--- a/src/ragwortcourse/forwarding/choice_refusals.py
+++ b/src/ragwortcourse/forwarding/choice_refusals.py
@@ -51,13 +51,22 @@
 
 
 def refuse_all(
-    forwarder: Forwarder, service: ServiceName, version: int | None
+    forwarder: Forwarder,
+    work: PermittedCall,
+    service: ServiceName,
+    version: int | None,
 ) -> Refusal:
     """Refuse a request for which no target is usable.
 
+    Weights that are still on their way take seconds, and callers come back
+    once, so that they are told to come back as late as they do.
+
     :param version: lowest version of weights that the request may begin on;
         none for any.
     """
+    wait = choose_return(forwarder, service, NO_TARGET_RETRY_SECONDS)
+    if version is not None:
+        wait = max(wait, _choose_late_return(forwarder, work))
     listed = [
         target
         for target in forwarder.state.targets.values()
@@ -65,7 +74,7 @@
     ]
     return Refusal(
         reason=Reason.NO_TARGET,
-        retry_after=choose_return(forwarder, service, NO_TARGET_RETRY_SECONDS),
+        retry_after=wait,
         inputs={
             'service': service,
             'listed': len(listed),
@@ -85,12 +94,9 @@
 
     :param best: the best target for it.
     """
-    wait = choose_retry_after(
-        time_left=work.deadline - read_clock(), chance=forwarder.rng.random()
-    )
     return Refusal(
         reason=Reason.OVERLOADED,
-        retry_after=max(wait, 0),
+        retry_after=_choose_late_return(forwarder, work),
         inputs={
             'best': best.target.name,
             'load': best.load,
@@ -99,3 +105,11 @@
             'objective_left': demand.time_left,
         },
     )
+
+
+def _choose_late_return(forwarder: Forwarder, work: PermittedCall) -> float:
+    """Choose a return in the last part of the time that callers wait for."""
+    wait = choose_retry_after(
+        time_left=work.deadline - read_clock(), chance=forwarder.rng.random()
+    )
+    return max(wait, 0)
--- a/src/ragwortcourse/weights/planning/prefetch.py
+++ b/src/ragwortcourse/weights/planning/prefetch.py
@@ -80,6 +80,8 @@
             for index in indices
         }
         queue = list(indices)
+        # One task polls for all, whatever the number of chunks.
+        polling = asyncio.Lock()
 
         async def prefetch_next() -> None:
             while queue and self._is_due(chunks, began_at):
@@ -87,7 +89,8 @@
                 await asyncio.sleep(
                     began_at + start_seconds[index] - read_clock()
                 )
-                await self._await_wanted(chunks)
+                async with polling:
+                    await self._await_wanted(chunks)
                 if await self._find_chunk(chunks, index) is None:
                     queue.append(index)
                     await asyncio.sleep(RETRY_SECONDS)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -8,6 +8,7 @@
 
 from fakes.fleet_parts import (
     ENGINES,
+    MODEL,
     make_forwarder,
     make_permitted_call,
     make_plain,
@@ -17,6 +18,7 @@
 )
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.choice import choose_target
+from ragwortcourse.forwarding.named_weights import AnnouncedVersion
 from ragwortcourse.forwarding.reply import Reason, Refusal
 from ragwortcourse.identifiers import DaemonId
 from ragwortcourse.membership.relay_daemons import describe_daemon
@@ -124,6 +126,20 @@
         await asyncio.sleep(3.1)
         assert choose(forwarder).name == 't-0'
 
+    async def test_weights_on_their_way(self):
+        """Callers come back late while all engines have expired weights.
+
+        Weights take seconds to arrive. Callers that came back after half a
+        second were refused a second time, their last.
+        """
+        forwarder = open_engines(3)
+        forwarder.state.weights[MODEL] = (
+            AnnouncedVersion(version=2, seen_at=-100, observed=True),
+        )
+        refusals = [choose(forwarder) for _ in range(20)]
+        assert all(each.reason is Reason.NO_TARGET for each in refusals)
+        assert min(each.retry_after for each in refusals) >= 0.85
+
 
 class TestColdTarget:
     """Requests of all daemons together to a cold target."""
