--- a/src/ragwortcourse/forwarding/scheduling/decision.py
+++ b/src/ragwortcourse/forwarding/scheduling/decision.py
@@ -59,7 +59,7 @@
         as urgent.
     :param reserved: slots that it has to leave free.
     """
-    if place.load + 1 > place.slots * MOST_LOAD:
+    if place.load + 1 > max(place.slots, 1) * MOST_LOAD:
         return False
     if reserved and place.load + 1 > place.slots - reserved:
         return False
--- a/src/ragwortcourse/forwarding/scheduling/turns.py
+++ b/src/ragwortcourse/forwarding/scheduling/turns.py
@@ -68,7 +68,6 @@
         if not queue.has_ahead(self._urgency):
             chosen = self._choose()
             if not _is_crowded(chosen):
-                queue.charge(self._urgency, self._make_ticket(0))
                 return chosen
         cause = self._find_cause()
         if cause is not None:
--- a/src/ragwortcourse/forwarding/scheduling/waiting_queue.py
+++ b/src/ragwortcourse/forwarding/scheduling/waiting_queue.py
@@ -12,7 +12,6 @@
 from typing import Final
 
 from ragwortcourse.agent.fair_queue import FairQueue
-from ragwortcourse.agent.ticket import Ticket
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.reply import Refusal
 from ragwortcourse.forwarding.scheduling.waiting_request import WaitingRequest
@@ -58,10 +57,6 @@
         """
         return sum(self.count()) < limit and self._bytes + size <= MAX_BYTES
 
-    def charge(self, urgency: int, ticket: Ticket) -> None:
-        """Charge a request that does not wait to its account."""
-        self._queues[urgency].charge_unqueued(ticket)
-
     async def wait(self, request: WaitingRequest) -> Target | Refusal:
         """Wait until a request has its target, or is refused."""
         loop = asyncio.get_running_loop()
