Split the modules of the replay, and move polling out of the lane

Change: callers and answers of the replay have modules of their own, and so has the polling of services that are not scheduled.

--- a/fakes/contended_fleet.py
+++ b/fakes/contended_fleet.py
@@ -10,13 +10,12 @@
 import itertools
 import math
 import random
-from collections import Counter
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, Final
 from unittest import mock
 
-from multidict import CIMultiDict
-
+from fakes.contended_answer import ContendedAnswer
+from fakes.contended_callers import Callers, Outcomes
 from fakes.contended_engine import ContendedEngine
 from fakes.fleet_parts import (
     ENGINES,
@@ -28,14 +27,12 @@
     make_call,
     make_desired,
     make_forwarder,
-    make_route,
     make_state,
     make_target,
 )
 from fakes.virtual_clocks import run_in_virtual_time
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding import try_lane
-from ragwortcourse.forwarding.answer_head import AnswerHead
 from ragwortcourse.forwarding.call import PermittedCall
 from ragwortcourse.forwarding.caller_timeouts import find_longest_gap
 from ragwortcourse.forwarding.engine_profile import EngineProfile
@@ -44,7 +41,6 @@
 from ragwortcourse.forwarding.load_exchange import LoadReceiver, send_rounds
 from ragwortcourse.forwarding.open_try import OpenTry
 from ragwortcourse.forwarding.reply import Refusal
-from ragwortcourse.forwarding.route import Route
 from ragwortcourse.forwarding.service_rules import ServiceRules
 from ragwortcourse.forwarding.tries import Tries
 from ragwortcourse.forwarding.try_lane import TryLane
@@ -73,94 +69,6 @@
 HONOURED_SHARE: Final = 1 / 3
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Callers:
-    """Callers of one route.
-
-    :param rate: requests a second at all daemons.
-    :param value: of an answer that begins in time, and of a later one.
-    :param begins: seconds of the run at which they begin and end.
-    """
-
-    route: Route
-    rate: float
-    prompt_tokens: int
-    value: tuple[float, float]
-    begins: float = 0
-    ends: float = 1e9
-
-
-def make_callers(name: str, rate: float, **changes: Any) -> Callers:
-    """Build callers of a priority.
-
-    :param name: of the route; begins with A, B or C for the priority.
-    """
-    usual: dict[str, Any] = {
-        'A': (0, 0.406, 1290, (3.6, 0.36)),
-        'B': (1, 0.406, 787, (1.7, 0.42)),
-        'C': (2, 0.805, 607, (0.55, 0.2)),
-    }
-    priority, objective, prompt, value = usual[name[0]]
-    return Callers(
-        route=make_route(
-            name=name,
-            prefix=f'/{name}/',
-            priority=priority,
-            objective=objective,
-        ),
-        rate=rate,
-        prompt_tokens=prompt,
-        value=value,
-        **changes,
-    )
-
-
-class _Answer(OpenAnswer):
-    def __init__(self, status: int, seconds_left: float) -> None:
-        self.seconds_left = seconds_left
-        self.head = AnswerHead(
-            status=status,
-            ran=status == 200,
-            genuine=True,
-            load=None,
-            cold_seconds=None,
-            version=None,
-            headers=CIMultiDict(),
-        )
-
-    def close(self) -> None:
-        """Do nothing."""
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Outcomes:
-    """What became of the requests of one route."""
-
-    counts: Counter[str] = dataclasses.field(default_factory=Counter)
-    value: float = 0
-    held_in_vain: list[float] = dataclasses.field(default_factory=list)
-
-    @property
-    def total(self) -> int:
-        """Number of callers that have ended."""
-        return sum(self.counts.values())
-
-    @property
-    def served(self) -> int:
-        """Number of callers that got an answer."""
-        return self.counts['timely'] + self.counts['late']
-
-    @property
-    def served_share(self) -> float:
-        """Share of the callers that got an answer."""
-        return self.served / max(self.total, 1)
-
-    @property
-    def timely_share(self) -> float:
-        """Share of the callers whose answer began in time."""
-        return self.counts['timely'] / max(self.total, 1)
-
-
 class ContendedFleet:
     """Forwarders with simulated engines and callers.
 
@@ -347,7 +255,7 @@
         except TimeoutError:
             return None
         answer = opened.answer if isinstance(opened, OpenTry) else None
-        if isinstance(opened, OpenTry) and isinstance(answer, _Answer):
+        if isinstance(opened, OpenTry) and isinstance(answer, ContendedAnswer):
             opened.note_piece(read_clock())
             self._start(self._finish(lane, opened, answer.seconds_left))
             return read_clock()
@@ -368,7 +276,11 @@
         left = await engine.begin(
             dispatch.rank or 0, reading + 0.055 * self.rng.uniform(1, 2)
         )
-        return _Answer(503, 0) if left is None else _Answer(200, left)
+        return (
+            ContendedAnswer(503, 0)
+            if left is None
+            else ContendedAnswer(200, left)
+        )
 
 
 async def do_nothing(fleet: ContendedFleet) -> None:
@@ -389,19 +301,3 @@
         return fleet
 
     return run_in_virtual_time(run())
-
-
-def summarise(fleet: ContendedFleet) -> dict[str, Any]:
-    """Summarise the outcomes by route."""
-    return {
-        name: {
-            'n': each.total,
-            **{
-                key: round(n / max(each.total, 1), 3)
-                for key, n in each.counts.items()
-            },
-            'vain': len(each.held_in_vain),
-            'value': round(each.value / max(each.total, 1), 3),
-        }
-        for name, each in fleet.outcomes.items()
-    }
--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -12,10 +12,6 @@
 from typing import Final
 
 from ragwortcourse.clock import read_clock
-from ragwortcourse.forwarding.admission import (
-    LATE_POLL_SECONDS,
-    LATE_WAIT_SECONDS,
-)
 from ragwortcourse.forwarding.choice import choose_target
 from ragwortcourse.forwarding.exchange import (
     NoAnswer,
@@ -26,8 +22,9 @@
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.loss_cause import LossCause
 from ragwortcourse.forwarding.open_try import OpenTry
-from ragwortcourse.forwarding.reply import Reason, Refusal
+from ragwortcourse.forwarding.reply import Refusal
 from ragwortcourse.forwarding.request_crashes import RequestCrashes
+from ragwortcourse.forwarding.scheduling.late_polling import poll_target
 from ragwortcourse.forwarding.scheduling.turns import Turn
 from ragwortcourse.forwarding.second_ask import Silence
 from ragwortcourse.forwarding.start_limit import keep_start_limit
@@ -188,7 +185,7 @@
         if known is not None and not self.silent and not tries.tried:
             turn = Turn(tries=tries, known=known, choose=choose)
             return await turn.choose()
-        return await _poll(tries, choose, is_beside=bool(self.silent))
+        return await poll_target(tries, choose, is_beside=bool(self.silent))
 
     async def _send(
         self, target: Target, last_event: str | None
@@ -359,28 +356,6 @@
     return cause
 
 
-async def _poll(
-    tries: Tries, choose: Callable[[], Target | Refusal], *, is_beside: bool
-) -> Target | Refusal:
-    """Choose the next target; a late request waits for a free slot.
-
-    :param is_beside: true if silent targets have the request.
-    """
-    began_at = read_clock()
-    while True:
-        target = choose()
-        if not isinstance(target, Refusal) or is_beside:
-            return target
-        waited = read_clock() - began_at
-        if target.reason is not Reason.OVERLOADED or not tries.is_late:
-            return target
-        if waited > LATE_WAIT_SECONDS:
-            return target
-        await asyncio.sleep(
-            LATE_POLL_SECONDS * tries.forwarder.rng.uniform(0.5, 1)
-        )
-
-
 def _is_gone(state: FleetState, target: Target) -> bool:
     """Tell whether a target has left the list or can't be reached."""
     listed = state.targets.get(target.name)
--- a/tests/test_contended_rounds.py
+++ b/tests/test_contended_rounds.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from fakes.contended_fleet import SLOTS, ContendedFleet, make_callers, replay
+from fakes.contended_callers import make_callers
+from fakes.contended_fleet import SLOTS, ContendedFleet, replay
 from fakes.fleet_parts import ENGINES
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.admission import TargetOccupancy
