Trust fresh load reports of targets that report their pace

A report is sent as an answer begins and knows more than the counts of other daemons, which are up to 0.4 s old, but it counted by half at most, and only where it was the higher one. Reports with a pace now replace the counts and give way to them over 0.4 s; reports of three figures count as before.

--- a/src/ragwortcourse/forwarding/target_load.py
+++ b/src/ragwortcourse/forwarding/target_load.py
@@ -14,6 +14,9 @@
 REPORT_SECONDS: Final = 3.0
 # A load report of a target is older than the counts that daemons exchange.
 REPORT_SHARE: Final = 0.5
+# A report with a pace comes from an engine as an answer begins. It then knows
+# more than the counts of other daemons, which are up to this old.
+FRESH_REPORT_SECONDS: Final = 0.4
 # Weight of the newest answer in the mean latency.
 LATENCY_SMOOTHING: Final = 0.1
 WINDOW_SECONDS: Final = 1.0
@@ -49,6 +52,7 @@
         self._peers = peers
         self._others: float = 0
         self._reported_at: float = 0
+        self._is_exact = False
         self._sign_at: float = 0
         self._sent_at: list[float] = []
 
@@ -99,6 +103,7 @@
         """Apply a load report of the target."""
         self._others = max(load.running + load.waiting - self.own, 0)
         self._reported_at = now
+        self._is_exact = load.pace is not None
 
     def note_success(self, seconds: float) -> None:
         """Note a successful answer.
@@ -113,6 +118,10 @@
     def estimate(self, now: float) -> float:
         """Estimate the requests of all daemons at the target."""
         age = now - self._reported_at
+        if self._is_exact:
+            counted = self._peers.count_running(self._name, now)
+            share = max(1 - age / FRESH_REPORT_SECONDS, 0)
+            return self.own + counted + (self._others - counted) * share
         weight = max(1 - age / REPORT_SECONDS, 0) * REPORT_SHARE
         reported = self._peers.count_running(self._name, now)
         return self.own + max(reported, self._others * weight)
