Schedule switches by the expiry of the held version

Cause: an engine took its turn by the bound of the downloaded version. If another version had been named before that one and was skipped, the held one expired seconds earlier, and the engine waited with valid weights downloaded.

Change: the time left counts from the first version newer than the held one.

--- a/src/ragwortcourse/weights/engine_switch.py
+++ b/src/ragwortcourse/weights/engine_switch.py
@@ -90,10 +90,12 @@
 ) -> None:
     """Wait for the engine's scheduled switch, then drain its requests."""
     version = downloaded.manifest.version
+    held = loader_weights.read_held(rules)
+    # The held version expires with the first newer one, not with this one.
     seen_at = min(
         named.seen_at
         for named in loader_weights.list_named(rules)
-        if named.version == version
+        if held < named.version <= version
     )
     targets = await loader_weights.ports.list_service()
     schedule = schedule_switch(
