Bound the messages of retry lending; read the number of daemons sooner

Cause: in a failure at all daemons each asked all others every 2 s, four times until an answer; messages stated absent fields as null. The number of daemons was read 0.4 s after the start. Change: a wish is sent twice within 0.35 s, a daemon that had too little is not asked for 3 s, one that did not answer for 1 s; load messages leave out fields at their defaults; the number of daemons is read in each round.

--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -208,8 +208,6 @@
     )
     relays = await list_relays()
     if relays:
-        # An empty list has not been read yet; the assumed number stays.
-        forwarder.safeguards.retry_budget.daemons = len(relays)
         forwarder.safeguards.daemon_ranking.register(relays)
     forwarder.store_watch.detect_outage([relay.daemon for relay in relays])
     for relay in relays:
--- a/src/ragwortcourse/forwarding/load_messages.py
+++ b/src/ragwortcourse/forwarding/load_messages.py
@@ -36,7 +36,9 @@
     complete_for: Age | None
 
 
-class LoadMessage(msgspec.Struct, frozen=True, kw_only=True, tag='load'):
+class LoadMessage(
+    msgspec.Struct, frozen=True, kw_only=True, tag='load', omit_defaults=True
+):
     """Requests of one daemon that are running at each target.
 
     :param daemon: the sender.
--- a/src/ragwortcourse/forwarding/retries/borrowed_retries.py
+++ b/src/ragwortcourse/forwarding/retries/borrowed_retries.py
@@ -8,7 +8,8 @@
 
 import dataclasses
 import itertools
-from collections.abc import Iterable, Sequence
+import math
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from ragwortcourse.forwarding.retries.retry_messages import RetryAsk, RetryGrant
@@ -19,16 +20,22 @@
 VALID_SECONDS: Final = 3.0
 # Time for an answer: two rounds of messages at the lender, and transit.
 ANSWER_SECONDS: Final = 0.35
-# Time for which a daemon that had too little to lend is not asked again.
-EMPTY_SECONDS: Final = 2.0
+# Shortest time after which a wish is sent again; more than one round.
+REPEAT_SECONDS: Final = 0.15
+# Time for which a daemon is not asked again that had too little to lend, as
+# what it lent or used comes back to it after a window; and one that did not
+# answer. In a failure of all daemons each asks all others as often as this.
+EMPTY_SECONDS: Final = 3.0
+SILENT_SECONDS: Final = 1.0
 # Sums of fractions of a retry are this much too small.
 ROUNDING: Final = 1e-6
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class _Wish:
     ask: RetryAsk
     at: float
+    sent_at: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -76,10 +83,15 @@
                 ask=RetryAsk(ask=ask, amount=amount), at=now
             )
 
-    def list_wishes(self, now: float) -> Sequence[tuple[DaemonId, RetryAsk]]:
-        """List the wishes that are not answered yet, to send them again."""
+    def take_unsent(self, now: float) -> Mapping[DaemonId, RetryAsk]:
+        """Return the wishes to send now, also again, by their receivers."""
         self._drop_expired(now)
-        return [(lender, wish.ask) for lender, wish in self._wishes.items()]
+        unsent = {}
+        for lender, wish in self._wishes.items():
+            if now - wish.sent_at >= REPEAT_SECONDS:
+                wish.sent_at = now
+                unsent[lender] = wish.ask
+        return unsent
 
     def count_awaited(self, now: float) -> float:
         """Count the retries in wishes that are not answered yet."""
@@ -128,7 +140,7 @@
         for lender, wish in tuple(self._wishes.items()):
             if now > wish.at + ANSWER_SECONDS:
                 self._wishes.pop(lender)
-                self._empty_until[lender] = now + EMPTY_SECONDS
+                self._empty_until[lender] = now + SILENT_SECONDS
         for lender, until in tuple(self._empty_until.items()):
             if now > until:
                 self._empty_until.pop(lender)
--- a/src/ragwortcourse/forwarding/retries/retry_exchange.py
+++ b/src/ragwortcourse/forwarding/retries/retry_exchange.py
@@ -51,6 +51,9 @@
     ) -> Mapping[DaemonId, RetryMessage]:
         """Return the messages of one round by their receivers."""
         budget, now = self._budget, self._budget.read_now()
+        if registered:
+            # An empty list has not been read yet; the assumed number stays.
+            budget.daemons = len(registered)
         # The first daemon that is alive is enough in most rounds.
         budget.has_lenders = any(map(self._may_lend, registered))
         need = budget.compute_need()
@@ -62,7 +65,7 @@
                 portion=budget.portion,
                 now=now,
             )
-        asks = dict(budget.borrowed.list_wishes(now))
+        asks = budget.borrowed.take_unsent(now)
         grants = budget.lent.take_unsent()
         return {
             daemon: RetryMessage(
--- a/tests/test_forwarder_daemon.py
+++ b/tests/test_forwarder_daemon.py
@@ -95,6 +95,21 @@
         except aiohttp.ClientError:
             return 0
 
+    async def read_metrics(self) -> dict[str, float]:
+        """Return the metrics by their names, of several the last one."""
+        url = f'http://{self.listen["watch"]}/metrics'
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(url) as response,
+        ):
+            page = await response.text()
+        lines = [
+            line.rsplit(' ', 1)
+            for line in page.splitlines()
+            if not line.startswith('#')
+        ]
+        return {name.partition('{')[0]: float(text) for name, text in lines}
+
     async def wait_ready(self, status: int) -> None:
         """Wait until the readiness check returns a status."""
         async with asyncio.timeout(20):
@@ -203,17 +218,9 @@
 
     async def test_metrics(self, site):
         """The metrics page has the desired state, targets and durations."""
-        url = f'http://{site.listen["watch"]}/metrics'
         async with aiohttp.ClientSession() as session:
             assert (await site.ask(session))[0] == 200
-            async with session.get(url) as response:
-                page = await response.text()
-        shown = dict(
-            line.rsplit(' ', 1)
-            for line in page.splitlines()
-            if not line.startswith('#')
-        )
-        shown = {name.partition('{')[0]: text for name, text in shown.items()}
+        shown = await site.read_metrics()
         prefix = 'ragwortcourse_forwarding_'
         assert {
             f'{prefix}desired_state_age_seconds',
@@ -226,8 +233,21 @@
             f'{prefix}duration_seconds_count',
             f'{prefix}requests_total',
         } <= shown.keys()
-        assert float(shown[f'{prefix}targets']) == 1
-        assert float(shown[f'{prefix}desired_state_version']) == 1
+        assert shown[f'{prefix}targets'] == 1
+        assert shown[f'{prefix}desired_state_version'] == 1
+
+    async def test_restarted_daemon_uses_the_share_again(self, site):
+        """BUDGET: a restart forgot the retries of the predecessor."""
+        name = 'ragwortcourse_forwarding_retries_left'
+        async with asyncio.timeout(20):
+            # Until the list of daemons is read, more than one are assumed.
+            while (before := (await site.read_metrics())[name]) < 80:
+                await asyncio.sleep(0.1)
+        await site.child.stop()
+        await site.child.start('--settings', site.path)
+        await site.wait_ready(200)
+        await asyncio.sleep(1)
+        assert 0 < (await site.read_metrics())[name] <= before / 3
 
     async def test_hang_up(self, site):
         """SIGHUP does not end a forwarder."""
--- a/tests/test_retry_lending.py
+++ b/tests/test_retry_lending.py
@@ -232,6 +232,6 @@
 
     @staticmethod
     def _read_ask(borrowed: BorrowedRetries) -> str:
-        ((lender, ask),) = borrowed.list_wishes(1)
+        ((lender, ask),) = borrowed.take_unsent(1).items()
         assert lender == 'e-1'
         return ask.ask
