Read the host's memory and descriptors from the settings

Cause: a daemon knows neither the memory nor the descriptors of its host, so it can't bound what it holds for clients.

--- a/src/ragwortcourse/settings.py
+++ b/src/ragwortcourse/settings.py
@@ -159,6 +159,20 @@
     link_mbps: float
 
 
+class LimitSettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Resources of the host that the daemon may use; zero if unknown.
+
+    :param memory_mb: memory of the host in megabytes.
+    :param descriptors: greatest number of open descriptors; unknown means
+        the soft limit of the process.
+    """
+
+    memory_mb: float = 0
+    descriptors: int = 0
+
+
 class Settings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
@@ -180,4 +194,5 @@
     agent: AgentSettings | None = None
     loader: LoaderSettings | None = None
     fleet: FleetSettings | None = None
+    limits: LimitSettings = LimitSettings()
     known: tuple[HostRecord, ...] = ()
--- a/src/ragwortcourse/settings_check.py
+++ b/src/ragwortcourse/settings_check.py
@@ -191,6 +191,15 @@
         yield _build_range_finding(
             'loader.link_mbps', loader.link_mbps, 'a number above 0'
         )
+    memory, descriptors = settings.limits.memory_mb, settings.limits.descriptors
+    if not 0 <= memory < math.inf:
+        yield _build_range_finding(
+            'limits.memory_mb', memory, 'a number from 0'
+        )
+    if descriptors < 0:
+        yield _build_range_finding(
+            'limits.descriptors', descriptors, 'a number from 0'
+        )
 
 
 def _build_range_finding(place: str, number: float, allowed: str) -> Finding:
