Read the limits of the desired state on callers

Cause: the limits (max_header_bytes, max_body_bytes, header_timeout_ms, idle_timeout_ms) are read nowhere. Change: they are decoded into ClientLimits; zero or absent means no limit.

--- a/src/ragwortcourse/forwarding/desired_state.py
+++ b/src/ragwortcourse/forwarding/desired_state.py
@@ -8,6 +8,7 @@
 from ragwortcourse.forwarding.route import Route
 from ragwortcourse.forwarding.service_rules import ServiceRules
 from ragwortcourse.identifiers import ServiceName
+from ragwortcourse.ingress.client_limits import NO_LIMITS, ClientLimits
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -16,12 +17,14 @@
 
     :param routes: by host in lower case, longest prefix first.
     :param accounts: by key; none if the fleet has no client accounts.
+    :param client_limits: limits on what callers may send, and how slowly.
     """
 
     version: int
     routes: Mapping[str, tuple[Route, ...]]
     services: Mapping[ServiceName, ServiceRules]
     accounts: Mapping[str, Account] | None = None
+    client_limits: ClientLimits = NO_LIMITS
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Find the route with the longest prefix that matches the path.
--- a/src/ragwortcourse/forwarding/fleet_state.py
+++ b/src/ragwortcourse/forwarding/fleet_state.py
@@ -10,6 +10,7 @@
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_departures import TargetDepartures
 from ragwortcourse.identifiers import FailureDomainName, ModelName, TargetName
+from ragwortcourse.ingress.client_limits import NO_LIMITS, ClientLimits
 
 
 def read_boot_clock() -> float:
@@ -64,3 +65,7 @@
     def read_age(self) -> float:
         """Compute the seconds since the desired state was last confirmed."""
         return read_boot_clock() - self.confirmed_at
+
+    def read_client_limits(self) -> ClientLimits:
+        """Read the limits on what callers may send; none before a state."""
+        return NO_LIMITS if self.desired is None else self.desired.client_limits
--- /dev/null
+++ b/src/ragwortcourse/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Memory and descriptors that untrusted clients may take."""
--- a/src/ragwortcourse/platform/desired_states.py
+++ b/src/ragwortcourse/platform/desired_states.py
@@ -1,5 +1,6 @@
 """Decoder of the desired state that operators write."""
 
+import math
 from collections import defaultdict
 from typing import Final
 
@@ -17,8 +18,10 @@
     RegionName,
     ServiceName,
 )
+from ragwortcourse.ingress.client_limits import ClientLimits
 from ragwortcourse.platform.wire_state import (
     WireEngine,
+    WireLimits,
     WireRoute,
     WireService,
     WireState,
@@ -52,6 +55,7 @@
             for service in wire.services
         },
         accounts=_decode_accounts(wire.tenants),
+        client_limits=_decode_limits(wire.limits),
     )
 
 
@@ -115,6 +119,17 @@
     )
 
 
+def _decode_limits(wire: WireLimits) -> ClientLimits:
+    header_seconds = wire.header_timeout_ms * SECONDS_PER_MILLISECOND
+    idle_seconds = wire.idle_timeout_ms * SECONDS_PER_MILLISECOND
+    return ClientLimits(
+        header_bytes=wire.max_header_bytes or math.inf,
+        body_bytes=wire.max_body_bytes or math.inf,
+        header_seconds=header_seconds or math.inf,
+        idle_seconds=idle_seconds or math.inf,
+    )
+
+
 def _decode_accounts(
     tenants: list[WireTenant] | None,
 ) -> dict[str, Account] | None:
--- a/src/ragwortcourse/platform/wire_state.py
+++ b/src/ragwortcourse/platform/wire_state.py
@@ -102,6 +102,21 @@
             raise ValueError(f'no name of a client account: {self.name!r}')
 
 
+class WireLimits(msgspec.Struct, kw_only=True):
+    """Limits on what callers send; zero for none.
+
+    :param max_header_bytes: size of the request line and all header lines.
+    :param header_timeout_ms: time from the first byte of a head to its end.
+    :param idle_timeout_ms: time that a connection may be open without a
+        request.
+    """
+
+    max_header_bytes: WholeNumber = 0
+    max_body_bytes: WholeNumber = 0
+    header_timeout_ms: Milliseconds = 0
+    idle_timeout_ms: Milliseconds = 0
+
+
 class WireState(msgspec.Struct, kw_only=True):
     """One version of the desired state.
 
@@ -112,3 +127,4 @@
     routes: list[WireRoute] = []
     services: list[WireService] = []
     tenants: list[WireTenant] | None = None
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
