--- a/src/ragwortcourse/forwarding/fleet_state.py
+++ b/src/ragwortcourse/forwarding/fleet_state.py
@@ -11,6 +11,7 @@
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.target_departures import TargetDepartures
 from ragwortcourse.identifiers import FailureDomainName, ModelName, TargetName
+from ragwortcourse.ingress.client_limits import NO_LIMITS, ClientLimits
 
 
 def read_boot_clock() -> float:
@@ -86,3 +87,7 @@
         return self.peer_versions.read_behind_seconds(
             own=self.version, now=read_boot_clock()
         )
+
+    def read_client_limits(self) -> ClientLimits:
+        """Read the limits on what callers may send; none before a state."""
+        return NO_LIMITS if self.desired is None else self.desired.client_limits
