Take failure domains without a deployment as sound

Cause: the new check of effects found them, but entry daemons may be alone in a failure domain; the exit code of sound files changed. Change: no finding for them. Result: the example configurations are sound; test_check_command.py passes with the case turned round.

--- a/src/ragwortcourse/configuration/effect_check.py
+++ b/src/ragwortcourse/configuration/effect_check.py
@@ -11,7 +11,6 @@
 from ragwortcourse.configuration.configuration import Configuration
 from ragwortcourse.configuration.deployment import (
     CallPattern,
-    Deployment,
     ServiceDeployment,
 )
 from ragwortcourse.configuration.finding import Finding
@@ -25,7 +24,6 @@
     """Return each entry that can't match, and limits that contradict others."""
     checks = (
         _check_accounts(configuration),
-        _check_domains(configuration),
         _check_models(configuration),
         _check_services(configuration),
     )
@@ -43,26 +41,6 @@
             )
 
 
-def _check_domains(configuration: Configuration) -> Iterator[Finding]:
-    deployments: tuple[Deployment, ...] = (
-        *configuration.models,
-        *configuration.services,
-    )
-    used = {
-        domain
-        for deployment in deployments
-        for domain in deployment.failure_domains
-    }
-    for index, domain in enumerate(configuration.failure_domains):
-        if domain.name not in used:
-            yield build_finding(
-                f'failure_domains[{index}].name',
-                domain.name,
-                'a failure domain of a model or service',
-                'no deployment is there',
-            )
-
-
 def _check_models(configuration: Configuration) -> Iterator[Finding]:
     for index, model in enumerate(configuration.models):
         place = f'models[{index}]'
