Keep requests away from engines without memory for their tokens

An engine crashes when its requests hold more tokens than its memory, and the choice of a target did not know the memory. It is read from kv_capacity in the desired state. Own requests at a target are summed as prompt tokens and expected answer tokens, by the caller's Length-Hint up to its maximum; those of other daemons count by the mean, and load messages tell the tokens of large requests beyond it. Unknown memory is no limit. Token counts of more than nine digits from callers are ignored; they raised an error before.

--- a/fakes/uneven_engine.py
+++ b/fakes/uneven_engine.py
@@ -54,6 +54,7 @@
         self._queue: collections.deque[EngineJob] = collections.deque()
         self._running: list[EngineJob] = []
         self._woken = asyncio.Event()
+        self.most_held = 0
 
     @property
     def pace(self) -> float:
@@ -65,6 +66,7 @@
     def add(self, job: EngineJob) -> None:
         """Add a request to the queue."""
         self._queue.append(job)
+        self.most_held = max(self.most_held, self._count_held())
         self._woken.set()
 
     async def run(self) -> None:
@@ -93,6 +95,12 @@
             job for job in self._running if job.written < job.answer
         ]
 
+    def _count_held(self) -> int:
+        """Count the tokens that its requests need in memory at their end."""
+        return sum(
+            job.prompt + job.answer for job in (*self._queue, *self._running)
+        )
+
     def _report(self) -> ReportedLoad:
         return ReportedLoad(
             running=len(self._running),
--- a/fakes/uneven_fleet.py
+++ b/fakes/uneven_fleet.py
@@ -26,12 +26,15 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.answer_head import ReportedLoad
 from ragwortcourse.forwarding.balancing.pace_news import (
-    PaceNewsMessage,
     encode_news,
     note_news,
 )
-from ragwortcourse.forwarding.call import PermittedCall
-from ragwortcourse.forwarding.choice import choose_target
+from ragwortcourse.forwarding.balancing.token_exchange import (
+    list_excess,
+    note_excess,
+)
+from ragwortcourse.forwarding.call import Call, PermittedCall
+from ragwortcourse.forwarding.choice import choose_target, read_tokens
 from ragwortcourse.forwarding.desired_state import DesiredState
 from ragwortcourse.forwarding.engine_profile import EngineProfile
 from ragwortcourse.forwarding.fleet_state import FleetState
@@ -42,7 +45,7 @@
     NEAR_NEWS_SECONDS,
     NEAR_SECONDS,
 )
-from ragwortcourse.forwarding.peer_counts import Counts
+from ragwortcourse.forwarding.load_messages import LoadMessage
 from ragwortcourse.forwarding.reply import Refusal
 from ragwortcourse.forwarding.service_rules import ServiceRules
 from ragwortcourse.forwarding.target import Target
@@ -58,6 +61,8 @@
 DOMAIN_SHARES = (135, 196, 149)
 DAEMONS = 41
 TARGETS = 20
+# Prompt of a large request, as a multiple of the others.
+LARGE = 10
 LINK_SECONDS = 0.0054
 HOP_SECONDS = 0.0005
 PROFILE = EngineProfile(
@@ -89,6 +94,9 @@
     :param reports_pace: true if targets report their pace.
     :param slow_share: share of the time in which a target is slow.
     :param reports_until: seconds after which answers carry no loads.
+    :param memory: tokens that an engine holds; zero: not known.
+    :param large_share: share of the requests with a prompt that is ten times
+        as long.
     """
 
     seed: int
@@ -97,6 +105,8 @@
     reports_pace: bool = True
     slow_share: float = 0.15
     reports_until: float = math.inf
+    memory: int = 0
+    large_share: float = 0
 
 
 class UnevenFleet:
@@ -154,6 +164,10 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        for each in self.outcomes:
+            if each.target_name:
+                engine = self.engines[TargetName(each.target_name)]
+                each.most_held = engine.most_held
         return [each for each in self.outcomes if each.at > 3]
 
     def _make_daemon(self, number: int) -> Forwarder:
@@ -161,7 +175,14 @@
             desired=DesiredState(
                 version=1,
                 routes={},
-                services={ENGINES: ServiceRules(name=ENGINES, engine=PROFILE)},
+                services={
+                    ENGINES: ServiceRules(
+                        name=ENGINES,
+                        engine=dataclasses.replace(
+                            PROFILE, memory_tokens=self.day.memory
+                        ),
+                    )
+                },
                 accounts={},
             ),
             targets=dict(self.targets),
@@ -186,11 +207,15 @@
         while True:
             turn += 1
             is_far = turn % FAR_ROUNDS == 0
-            counts = sender.count_running()
-            paces = encode_news(
-                sender.balancing.paces,
-                now=read_clock(),
-                seconds=FAR_NEWS_SECONDS if is_far else NEAR_NEWS_SECONDS,
+            message = LoadMessage(
+                daemon=sender.settings.daemon,
+                counts=sender.count_running(),
+                paces=encode_news(
+                    sender.balancing.paces,
+                    now=read_clock(),
+                    seconds=FAR_NEWS_SECONDS if is_far else NEAR_NEWS_SECONDS,
+                ),
+                excess=list_excess(sender),
             )
             own = sender.settings.failure_domain
             for each in self.daemons if is_far else self.near[own]:
@@ -200,9 +225,7 @@
                         HOP_SECONDS if is_near else LINK_SECONDS,
                         _take_news,
                         each,
-                        sender.settings.daemon,
-                        counts,
-                        paces,
+                        message,
                     )
             await asyncio.sleep(NEAR_SECONDS)
 
@@ -214,6 +237,8 @@
         daemon = rng.choice(self.near[domain])
         prompt = max(int(rng.gauss(prompt, prompt / 4)), 20)
         answer = max(int(rng.gauss(answer, answer / 4)), 10)
+        if rng.random() < self.day.large_share:
+            prompt *= LARGE
         outcome = Outcome(domain=domain, route=self.routes[index], at=now)
         self.outcomes.append(outcome)
         call = make_call(
@@ -230,19 +255,20 @@
         if not isinstance(chosen, Refusal):
             outcome.target_name = chosen.name
             outcome.target_domain = chosen.failure_domain
-            self._send(daemon, chosen, outcome, prompt, answer)
+            tokens = read_tokens(daemon, call, ENGINES)
+            self._send(daemon, chosen, outcome, call, tokens)
 
     def _send(
         self,
         daemon: Forwarder,
         target: Target,
         outcome: Outcome,
-        prompt: int,
-        answer: int,
+        call: Call,
+        tokens: float,
     ) -> None:
         loop, load = asyncio.get_running_loop(), daemon.find_load(target)
         engine = self.engines[target.name]
-        load.count_sent(read_clock())
+        load.count_sent(read_clock(), tokens)
         is_near = target.failure_domain == daemon.settings.failure_domain
         link = HOP_SECONDS if is_near else LINK_SECONDS
         last = [0.0]
@@ -260,24 +286,20 @@
                 outcome.pause = max(outcome.pause, now - last[0])
             last[0] = now
             if is_last:
-                load.count_ended()
+                load.count_ended(tokens)
 
         job = EngineJob(
-            prompt=prompt,
-            answer=answer,
+            prompt=call.prompt_tokens,
+            answer=call.answer_tokens,
             notify=lambda *event: loop.call_later(link, take_event, *event),
         )
         loop.call_later(link, engine.add, job)
 
 
-def _take_news(
-    daemon: Forwarder,
-    sender: DaemonId,
-    counts: Counts,
-    paces: PaceNewsMessage | None,
-) -> None:
-    daemon.note_counts(sender, counts)
-    note_news(daemon.balancing.paces, paces, read_clock())
+def _take_news(daemon: Forwarder, message: LoadMessage) -> None:
+    daemon.note_counts(message.daemon, message.counts)
+    note_excess(daemon, message)
+    note_news(daemon.balancing.paces, message.paces, read_clock())
 
 
 def play_day(day: FleetDay) -> list[Outcome]:
--- a/fakes/uneven_outcomes.py
+++ b/fakes/uneven_outcomes.py
@@ -13,6 +13,7 @@
     :param target_name: empty if it was refused.
     :param first: seconds to its first event; none: not begun yet.
     :param pause: longest seconds between two of its events.
+    :param most_held: most tokens that its target held at once, all day.
     """
 
     domain: str
@@ -22,6 +23,7 @@
     target_domain: str = ''
     first: float | None = None
     pause: float = 0
+    most_held: int = 0
 
     @property
     def on_time(self) -> bool:
@@ -45,6 +47,7 @@
     :param worst: seconds to the first event that one in 100 exceeds.
     :param busiest: requests of the busiest target, as a multiple of the mean.
     :param far: share of the sent requests that went to another domain.
+    :param most_held: most tokens that a target held at once.
     """
 
     served: float
@@ -55,6 +58,7 @@
     worst: float
     busiest: float
     far: float
+    most_held: int
 
 
 def compute_figures(outcomes: list[Outcome]) -> DayFigures:
@@ -77,4 +81,5 @@
         worst=starts[len(starts) * 99 // 100],
         busiest=max(counts.values()) * len(counts) / len(sent),
         far=sum(each.target_domain != each.domain for each in sent) / len(sent),
+        most_held=max(each.most_held for each in sent),
     )
--- a/src/ragwortcourse/forwarding/balancing/balancing.py
+++ b/src/ragwortcourse/forwarding/balancing/balancing.py
@@ -3,10 +3,16 @@
 import dataclasses
 
 from ragwortcourse.forwarding.balancing.target_paces import TargetPaces
+from ragwortcourse.forwarding.peer_counts import PeerCounts
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Balancing:
-    """What one daemon knows of its targets for their expected times."""
+    """What one daemon knows of its targets for their expected times.
+
+    :param peer_tokens: tokens of other daemons' requests at each target beyond
+        the mean of the service, as counts.
+    """
 
     paces: TargetPaces
+    peer_tokens: PeerCounts
--- a/src/ragwortcourse/forwarding/call.py
+++ b/src/ragwortcourse/forwarding/call.py
@@ -35,6 +35,8 @@
         received; none for a new stream.
     :param headers: headers to pass on to the target.
     :param arrived_at: monotonic seconds.
+    :param expected_tokens: tokens of the answer by the caller's estimate; none
+        if not given.
     """
 
     attempt: AttemptId | None
@@ -50,6 +52,7 @@
     last_event: str | None
     headers: CIMultiDict[str]
     arrived_at: float
+    expected_tokens: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -9,13 +9,17 @@
     Found,
 )
 from ragwortcourse.forwarding.balancing.drawing import Draw, make_draw
+from ragwortcourse.forwarding.balancing.memory import (
+    estimate_tokens,
+    has_memory,
+)
 from ragwortcourse.forwarding.balancing.scope import Scope
 from ragwortcourse.forwarding.balancing.search import Search
 from ragwortcourse.forwarding.balancing.start_cost import (
     Transfer,
     compute_cost,
 )
-from ragwortcourse.forwarding.call import PermittedCall
+from ragwortcourse.forwarding.call import Call, PermittedCall
 from ragwortcourse.forwarding.choice_refusals import (
     refuse_all,
     refuse_crowd,
@@ -161,6 +165,20 @@
     return Demand(prompt_tokens=call.prompt_tokens, time_left=time_left)
 
 
+def read_tokens(
+    forwarder: Forwarder, call: Call, service: ServiceName
+) -> float:
+    """Read the tokens that a request is expected to need at a target.
+
+    :return: zero for plain services.
+    """
+    desired = forwarder.state.desired
+    rules = None if desired is None else desired.services.get(service)
+    if rules is None or rules.engine is None:
+        return 0
+    return estimate_tokens(call, rules.engine)
+
+
 def _is_usable(
     forwarder: Forwarder,
     work: PermittedCall,
@@ -176,6 +194,8 @@
         return False
     if rules.engine is not None and not target.holds(rules.engine.layers):
         return False
+    if not _has_memory(forwarder, target, rules, work.call):
+        return False
     safeguards = forwarder.safeguards
     if safeguards.target_rests.read_seconds_left(target) > 0:
         return False
@@ -184,6 +204,19 @@
     return _has_cold_room(forwarder, target, rules)
 
 
+def _has_memory(
+    forwarder: Forwarder, target: Target, rules: ServiceRules, call: Call
+) -> bool:
+    now = read_clock()
+    return has_memory(
+        forwarder.find_load(target),
+        rules.engine,
+        call,
+        excess=forwarder.balancing.peer_tokens.count_running(target.name, now),
+        now=now,
+    )
+
+
 def _has_cold_room(
     forwarder: Forwarder, target: Target, rules: ServiceRules
 ) -> bool:
--- a/src/ragwortcourse/forwarding/engine_profile.py
+++ b/src/ragwortcourse/forwarding/engine_profile.py
@@ -20,6 +20,8 @@
     :param layers: layers of the whole model.
     :param chunks: chunks of the weights.
     :param chunk_bytes: bytes of each chunk.
+    :param memory_tokens: tokens of prompts and answers that an engine holds at
+        once, before it crashes; zero: not known.
     """
 
     model: ModelName
@@ -33,3 +35,4 @@
     layers: int
     chunks: int
     chunk_bytes: int
+    memory_tokens: int = 0
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -5,6 +5,7 @@
 import logging
 import math
 import random
+from collections.abc import Iterator
 from typing import Final
 
 import aiohttp
@@ -88,7 +89,9 @@
             target_rests=TargetRests(state=state),
             retry_scheduler=RetryScheduler(),
         )
-        self.balancing = Balancing(paces=TargetPaces(state=state))
+        self.balancing = Balancing(
+            paces=TargetPaces(state=state), peer_tokens=PeerCounts()
+        )
         self._peers = PeerCounts()
         self.running = 0
         self.closing = False
@@ -143,7 +146,7 @@
         load = self._loads.get(target.name)
         if load is not None and load.born == target.born:
             return load
-        if load is not None and self._is_former(target, load):
+        if load is not None and _is_former(self.state, target, load):
             return self._make_load(target)
         if len(self._loads) >= len(self.state.targets):
             self._forget_gone()
@@ -173,10 +176,15 @@
         """
         return {
             name: (load.own, load.unanswered)
-            for name, load in self._loads.items()
-            if load.own
+            for name, load in self.list_loads()
         }
 
+    def list_loads(self) -> Iterator[tuple[TargetName, TargetLoad]]:
+        """List the targets that have requests of this daemon."""
+        for name, load in self._loads.items():
+            if load.own:
+                yield name, load
+
     def _find_answered(self, target: TargetName, born: int) -> float:
         """Find when the newest request was sent that a target answered."""
         load = self._loads.get(target)
@@ -184,13 +192,6 @@
             return -math.inf
         return load.answered_sent_at
 
-    def _is_former(self, target: Target, load: TargetLoad) -> bool:
-        """Tell whether a target is listed as a newer incarnation."""
-        listed = self.state.targets.get(target.name)
-        if listed is None or listed.born != load.born:
-            return False
-        return target.born < listed.born
-
     def _make_load(self, target: Target) -> TargetLoad:
         load = TargetLoad(name=target.name, born=target.born, peers=self._peers)
         load.cold_until = read_clock() + target.cold_seconds
@@ -202,6 +203,14 @@
             self._loads.pop(name)
 
 
+def _is_former(state: FleetState, target: Target, load: TargetLoad) -> bool:
+    """Tell whether a target is listed as a newer incarnation."""
+    listed = state.targets.get(target.name)
+    if listed is None or listed.born != load.born:
+        return False
+    return target.born < listed.born
+
+
 def read_fleet_settings(settings: Settings) -> FleetSettings:
     """Read the ``[fleet]`` section of the settings.
 
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -20,6 +20,10 @@
     encode_news,
     note_news,
 )
+from ragwortcourse.forwarding.balancing.token_exchange import (
+    list_excess,
+    note_excess,
+)
 from ragwortcourse.forwarding.datagrams import (
     SendDatagram,
     build_datagram_sender,
@@ -108,6 +112,7 @@
 
     def _take_load(self, message: LoadMessage) -> None:
         self._forwarder.note_counts(message.daemon, message.counts)
+        note_excess(self._forwarder, message)
         self.note_awake()
         if self._awake_at < self._late_until:
             # The ages in a late message may lack the time of the gap.
@@ -217,6 +222,7 @@
             now=read_clock(),
             seconds=FAR_NEWS_SECONDS if is_far else NEAR_NEWS_SECONDS,
         ),
+        excess=list_excess(forwarder),
     )
     content = msgspec.json.encode(message)
     relays = await list_relays()
--- a/src/ragwortcourse/forwarding/load_messages.py
+++ b/src/ragwortcourse/forwarding/load_messages.py
@@ -50,6 +50,8 @@
         of the fleet; none: never.
     :param paces: paces that targets lately reported to the sender, where these
         are out of the ordinary; none in most messages.
+    :param excess: for targets with large requests, the tokens that these need
+        in memory beyond the mean of their service.
     """
 
     daemon: DaemonId
@@ -58,6 +60,7 @@
     store_lost: bool = False
     stable_for: Age | None = None
     paces: PaceNewsMessage | None = None
+    excess: Mapping[TargetName, WholeNumber] = {}
 
 
 class SwitchMessage(msgspec.Struct, frozen=True, kw_only=True, tag='switch'):
--- a/src/ragwortcourse/forwarding/open_try.py
+++ b/src/ragwortcourse/forwarding/open_try.py
@@ -12,6 +12,7 @@
     """Try whose answer is being read.
 
     :param began_at: monotonic seconds at which the request was sent.
+    :param tokens: with which the request was counted at the target.
     :param started: true once a part of the body has arrived.
     """
 
@@ -19,6 +20,7 @@
     load: TargetLoad
     answer: OpenAnswer
     began_at: float
+    tokens: float = 0
     started: bool = False
 
     def note_piece(self, now: float) -> None:
@@ -33,4 +35,4 @@
         self.answer.close()
         if not self.started:
             self.load.count_answer_begun()
-        self.load.count_ended()
+        self.load.count_ended(self.tokens)
--- a/src/ragwortcourse/forwarding/target_load.py
+++ b/src/ragwortcourse/forwarding/target_load.py
@@ -27,7 +27,8 @@
 
     ``unavailable_until`` is the time at which the target last began, or will
     begin, to take requests. ``own`` counts the requests of this daemon, and
-    ``unanswered`` those of them without an answer yet. ``latency`` is the
+    ``unanswered`` those of them without an answer yet; ``own_tokens`` sums the
+    tokens that they are expected to need in memory. ``latency`` is the
     mean time to the first bytes of an answer, none before the first answer.
     ``answered_sent_at`` is when the newest request was sent that the target
     answered, in seconds of the clock that runs during suspension.
@@ -41,6 +42,7 @@
     ) -> None:
         self.born = born
         self.own = 0
+        self.own_tokens: float = 0
         self.unanswered = 0
         self.unavailable_until: float = 0
         self.cold_until: float = 0
@@ -56,8 +58,12 @@
         self._sign_at: float = 0
         self._sent_at: list[float] = []
 
-    def count_sent(self, now: float) -> None:
-        """Count a request sent to the target."""
+    def count_sent(self, now: float, tokens: float = 0) -> None:
+        """Count a request sent to the target.
+
+        :param tokens: that it is expected to need in the target's memory.
+        """
+        self.own_tokens += tokens
         if not self.own:
             self._sign_at = now
         self.own += 1
@@ -71,9 +77,13 @@
         """Count a request whose answer has begun, or that has failed."""
         self.unanswered -= 1
 
-    def count_ended(self) -> None:
-        """Count a request that has ended."""
+    def count_ended(self, tokens: float = 0) -> None:
+        """Count a request that has ended.
+
+        :param tokens: with which it was counted as sent.
+        """
         self.own -= 1
+        self.own_tokens = max(self.own_tokens - tokens, 0) if self.own else 0
 
     def note_sign(self, now: float) -> None:
         """Note that the target sent data."""
--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -15,7 +15,7 @@
     LATE_POLL_SECONDS,
     LATE_WAIT_SECONDS,
 )
-from ragwortcourse.forwarding.choice import choose_target
+from ragwortcourse.forwarding.choice import choose_target, read_tokens
 from ragwortcourse.forwarding.exchange import (
     NoAnswer,
     NotSent,
@@ -78,6 +78,9 @@
             suspects=tries.suspects,
         )
         self._tries = tries
+        self._tokens = read_tokens(
+            tries.forwarder, tries.work.call, tries.service
+        )
         self._asked: tuple[Target, TargetLoad] | None = None
         self._sign_at = read_clock()
         self._is_silent = False
@@ -231,12 +234,16 @@
         finally:
             if not isinstance(answer, OpenAnswer):
                 load.count_answer_begun()
-                load.count_ended()
+                load.count_ended(self._tokens)
             if answer is None:
                 self.crashes.note_abandoned()
         if isinstance(answer, OpenAnswer):
             opened = OpenTry(
-                target=target, load=load, answer=answer, began_at=began_at
+                target=target,
+                load=load,
+                answer=answer,
+                began_at=began_at,
+                tokens=self._tokens,
             )
             return self._judge(opened, dispatch.version)
         self._note_lost(target, load, answer)
@@ -250,7 +257,7 @@
         self._asked = target, load
         self._sign_at = began_at
         self._is_silent = False
-        load.count_sent(began_at)
+        load.count_sent(began_at, self._tokens)
         self.crashes.note_sent(target)
         forwarder.safeguards.target_limits.count_sent(target)
         forwarder.state.reach.note_sent(target.failure_domain, began_at)
--- a/src/ragwortcourse/platform/desired_states.py
+++ b/src/ragwortcourse/platform/desired_states.py
@@ -112,6 +112,7 @@
         layers=wire.layers,
         chunks=wire.chunks,
         chunk_bytes=wire.chunk_bytes,
+        memory_tokens=wire.kv_capacity,
     )
 
 
--- a/src/ragwortcourse/platform/names.py
+++ b/src/ragwortcourse/platform/names.py
@@ -30,6 +30,8 @@
 TENANT: Final = 'Ragwortcourse-Tenant'
 # Prompt tokens and maximum output tokens, comma-separated.
 TOKENS: Final = 'Ragwortcourse-Token-Count'
+# Caller's estimate of the tokens of the answer.
+LENGTH_HINT: Final = 'Ragwortcourse-Length-Hint'
 # Version of the weights; one number despite the plural.
 VERSION: Final = 'Ragwortcourse-Weight-Versions'
 # 0 is admitted first, 9 last.
--- a/src/ragwortcourse/platform/wire.py
+++ b/src/ragwortcourse/platform/wire.py
@@ -34,6 +34,8 @@
     names.TENANT,
 )
 MISDIRECTED: Final = 421
+# Longest count of tokens that is read: no engine takes more of them.
+TOKEN_DIGITS: Final = 9
 YES: Final = '1'
 NO: Final = '0'
 
@@ -76,6 +78,8 @@
         last_event=request.headers.get(names.LAST_EVENT_ID),
         headers=headers,
         arrived_at=read_clock(),
+        expected_tokens=_read_count(request.headers.get(names.LENGTH_HINT, ''))
+        or None,
     )
 
 
@@ -184,7 +188,10 @@
 
 
 def _read_count(text: str) -> int:
-    return int(text) if text.strip().isdecimal() else 0
+    digits = text.strip()
+    if not digits.isdecimal() or len(digits) > TOKEN_DIGITS:
+        return 0
+    return int(digits)
 
 
 def _read_version(text: str) -> int | None:
--- a/src/ragwortcourse/platform/wire_state.py
+++ b/src/ragwortcourse/platform/wire_state.py
@@ -58,6 +58,7 @@
 
     :param per_seq_ms: added to a step by each request that is generating.
     :param stride: steps of a pass that includes generating requests.
+    :param kv_capacity: tokens that an engine holds at once; zero: not stated.
     """
 
     slots: WholeNumber
@@ -70,6 +71,7 @@
     layers: WholeNumber = 0
     chunks: WholeNumber = 0
     chunk_bytes: WholeNumber = 0
+    kv_capacity: WholeNumber = 0
 
 
 class WireService(msgspec.Struct, kw_only=True):
--- a/tests/test_desired_states.py
+++ b/tests/test_desired_states.py
@@ -37,6 +37,7 @@
     'layers': 16,
     'chunks': 48,
     'chunk_bytes': 49152,
+    'kv_capacity': 317_000,
 }
 TARGET = {
     'service': 'svc',
@@ -102,6 +103,7 @@
         engine = state.find_engine('svc')
         assert engine.model == 'm'
         assert engine.step == pytest.approx(0.00887)
+        assert engine.memory_tokens == 317_000
         assert state.services['o'].origin == '10.0.0.9:80'
         assert state.find_engine('o') is None
         assert state.find_engine('unknown') is None
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -75,13 +75,25 @@
         """A deadline that is not a number is ignored."""
         assert read(**{'Ragwortcourse-Deadline-Ms': text}).time_left is None
 
-    @pytest.mark.parametrize('text', ['', 'many', '5', '-1,2'])
+    @pytest.mark.parametrize(
+        'text', ['', 'many', '5', '-1,2', '9' * 400 + ',2', '9' * 5000]
+    )
     async def test_unreadable_tokens(self, text):
         """Unreadable token counts are read as zero."""
         call = read(**{'Ragwortcourse-Token-Count': text})
         assert call.answer_tokens in {0, 2}
         assert call.prompt_tokens in {0, 5}
 
+    @pytest.mark.parametrize(
+        ('text', 'tokens'),
+        [('60', 60), ('', None), ('0', None), ('x', None), ('9' * 5000, None)],
+    )
+    async def test_expected_tokens(self, text, tokens):
+        """The caller's estimate is read and passed on, nonsense ignored."""
+        call = read(**{'Ragwortcourse-Length-Hint': text})
+        assert call.expected_tokens == tokens
+        assert call.headers['Ragwortcourse-Length-Hint'] == text
+
 
 class TestWriteHeaders:
     """Headers of requests to targets."""
