--- a/src/ragwortcourse/forwarding/dissemination/load_codec.py
+++ b/src/ragwortcourse/forwarding/dissemination/load_codec.py
@@ -7,6 +7,7 @@
 
 from ragwortcourse.clock import read_clock, read_clock_with_suspend
 from ragwortcourse.forwarding.balancing.pace_news import encode_news
+from ragwortcourse.forwarding.balancing.token_exchange import list_excess
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.load_messages import (
     LoadMessage,
@@ -48,6 +49,7 @@
         demand=forwarder.scheduling.describe_demand(),
         urgent=forwarder.scheduling.unanswered.own,
         retry=retry,
+        excess=list_excess(forwarder),
     )
     return msgspec.json.encode(message)
 
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -5,6 +5,7 @@
 import logging
 import math
 import random
+from collections.abc import Iterator
 from typing import Final
 
 import aiohttp
@@ -98,10 +99,12 @@
             target_rests=TargetRests(state=state),
             retry_scheduler=RetryScheduler(),
         )
-        self.balancing = Balancing(paces=TargetPaces(state=state))
         self._scheduling = Scheduling(
             state=state, count_daemons=lambda: budget.daemons
         )
+        self.balancing = Balancing(
+            paces=TargetPaces(state=state), peer_tokens=PeerCounts()
+        )
         self._peers = PeerCounts()
         self.running = 0
         self.closing = False
@@ -165,7 +168,8 @@
         if load is not None and _is_former(self.state, target, load):
             return self._make_load(target)
         if len(self._loads) >= len(self.state.targets):
-            self._forget_gone()
+            for name in self._loads.keys() - self.state.targets.keys():
+                self._loads.pop(name)
         if load is not None:
             self._peers.forget(target.name)
             self._scheduling.unanswered.forget(target.name)
@@ -193,10 +197,15 @@
         """
         return {
             name: (load.own, load.unanswered)
-            for name, load in self._loads.items()
-            if load.own
+            for name, load in self.list_loads()
         }
 
+    def list_loads(self) -> Iterator[tuple[TargetName, TargetLoad]]:
+        """List the targets that have requests of this daemon."""
+        for name, load in self._loads.items():
+            if load.own:
+                yield name, load
+
     def _find_answered(self, target: TargetName, born: int) -> float:
         """Find when the newest request was sent that a target answered."""
         load = self._loads.get(target)
@@ -210,10 +219,6 @@
         load.unavailable_until = read_clock()
         return load
 
-    def _forget_gone(self) -> None:
-        for name in self._loads.keys() - self.state.targets.keys():
-            self._loads.pop(name)
-
 
 def _is_former(state: FleetState, target: Target, load: TargetLoad) -> bool:
     """Tell whether a target is listed as a newer incarnation."""
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -17,6 +17,9 @@
 from ragwortcourse.forwarding.balancing.pace_news import (
     note_news,
 )
+from ragwortcourse.forwarding.balancing.token_exchange import (
+    note_excess,
+)
 from ragwortcourse.forwarding.datagrams import (
     SendDatagram,
     build_datagram_sender,
@@ -113,6 +116,7 @@
         self._forwarder.scheduling.note_message(
             message.daemon, message.demand, message.urgent
         )
+        note_excess(self._forwarder, message)
         self.note_awake()
         if self._awake_at < self._late_until:
             # The ages in a late message may lack the time of the gap.
--- a/src/ragwortcourse/forwarding/load_messages.py
+++ b/src/ragwortcourse/forwarding/load_messages.py
@@ -65,6 +65,8 @@
         urgent priority, and those of the second.
     :param retry: retries that the sender asks for or lends; none in most
         messages.
+    :param excess: for targets with large requests, the tokens that these need
+        in memory beyond the mean of their service.
     """
 
     daemon: DaemonId
@@ -77,6 +79,7 @@
     demand: Mapping[ServiceName, ServiceDemand] | None = None
     urgent: Mapping[TargetName, tuple[Count, Count]] = {}
     retry: RetryMessage | None = None
+    excess: Mapping[TargetName, WholeNumber] = {}
 
 
 class SwitchMessage(msgspec.Struct, frozen=True, kw_only=True, tag='switch'):
--- a/src/ragwortcourse/forwarding/open_try.py
+++ b/src/ragwortcourse/forwarding/open_try.py
@@ -15,6 +15,7 @@
     :param began_at: monotonic seconds at which the request was sent.
     :param note_begun: called when the first part of the body has arrived, and
         at the end.
+    :param tokens: with which the request was counted at the target.
     :param started: true once a part of the body has arrived.
     """
 
@@ -23,6 +24,7 @@
     answer: OpenAnswer
     began_at: float
     note_begun: Callable[[], None]
+    tokens: float = 0
     started: bool = False
 
     def note_piece(self, now: float) -> None:
@@ -39,4 +41,4 @@
         self.note_begun()
         if not self.started:
             self.load.count_answer_begun()
-        self.load.count_ended()
+        self.load.count_ended(self.tokens)
--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 from ragwortcourse.clock import read_clock
-from ragwortcourse.forwarding.choice import choose_target
+from ragwortcourse.forwarding.choice import choose_target, read_tokens
 from ragwortcourse.forwarding.exchange import (
     NoAnswer,
     NotSent,
@@ -77,6 +77,9 @@
             suspects=tries.suspects,
         )
         self._tries = tries
+        self._tokens = read_tokens(
+            tries.forwarder, tries.work.call, tries.service
+        )
         self._asked: tuple[Target, TargetLoad] | None = None
         self._sign_at = read_clock()
         self._is_silent = False
@@ -226,7 +229,7 @@
         finally:
             if not isinstance(answer, OpenAnswer):
                 load.count_answer_begun()
-                load.count_ended()
+                load.count_ended(self._tokens)
                 note_begun()
                 forwarder.scheduling.wake(tries.service)
             if answer is None:
@@ -239,6 +242,7 @@
                     answer=answer,
                     began_at=began_at,
                     note_begun=note_begun,
+                    tokens=self._tokens,
                 ),
                 dispatch.version,
             )
@@ -258,7 +262,7 @@
         self._asked = target, load
         self._sign_at = began_at
         self._is_silent = False
-        load.count_sent(began_at)
+        load.count_sent(began_at, self._tokens)
         self.crashes.note_sent(target)
         forwarder.safeguards.target_limits.count_sent(target)
         forwarder.state.reach.note_sent(target.failure_domain, began_at)
