Get manifests of versions in service from those that serve them

Cause: chunks of the version in force came from hosts that serve it, but its manifest only from the origin. While the origin corrupted what it sent, added engines got none, although 18 others served the version, and each retry drew the manifest twice over the origin's link.

Change: loaders read the manifest of the version that their engine holds at their start, check it against staged chunks, and serve it. Entry daemons ask those loaders first, and keep the manifests of versions in service.

The replay now adds engines before the first naming too: they load version 1, then version 2.

--- a/fakes/weight_fleet.py
+++ b/fakes/weight_fleet.py
@@ -9,7 +9,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
 
 import click
 import msgspec
@@ -49,13 +49,15 @@
 from ragwortcourse.weights.loader_sources import LoaderSources
 from ragwortcourse.weights.loader_weights import LoaderWeights
 from ragwortcourse.weights.loader_weights_ports import LoaderWeightsPorts
+from ragwortcourse.weights.planning.held_manifest import HeldManifest
 from ragwortcourse.weights.planning.loader_demand import LoaderDemand
 from ragwortcourse.weights.relay_downloader import RelayDownloader, build_cache
 from ragwortcourse.weights.version_drawing import download_versions
 
 BYTES_IN_MEGABIT = 125_000
 SAMPLE_SECONDS = 0.05
-START_SECONDS = 1.0
+# Before the first naming; engines are added from then on.
+START_SECONDS = 6.0
 REGISTRATION_SECONDS = 0.5
 
 
@@ -134,14 +136,19 @@
         if version:
             for index in range(fleet.case.chunks):
                 self.engine.stage[index] = make_chunk(version, index)
+        manifest = HeldManifest(loader_weights=self.weights)
         fleet.links.listen(
-            f'{self.host}:1', REGIONS[domain], self.weights.find_chunk
+            f'{self.host}:1',
+            REGIONS[domain],
+            self.weights.find_chunk,
+            manifest.find,
         )
         self.tasks = [
             asyncio.ensure_future(work)
             for work in (
                 download_versions(self.weights),
                 switch_engine(self.weights),
+                manifest.keep(),
             )
         ]
 
@@ -209,7 +216,6 @@
         self.held_at: dict[int, tuple[float, float]] = {}
         self.idle_seconds = 0.0
         self.invalid_share = 0.0
-        self._tasks: list[asyncio.Future[None]] = []
         self._prefetches: dict[DaemonId, asyncio.Future[None]] = {}
         self._began_at = 0.0
         self._rng = random.Random(1)
@@ -229,20 +235,21 @@
         for number in range(self.case.loaders):
             self.loaders.append(FleetLoader(self, number, 1))
         self._register()
+        adding = asyncio.gather(*(self._add(at) for at in self.case.added))
         await asyncio.sleep(START_SECONDS)
         self._began_at = read_clock()
         works = [self._watch(), self._disturb()]
         works += [
             self._name(at, 2 + n) for n, at in enumerate(self.case.namings)
         ]
-        works += [self._add(at) for at in self.case.added]
         works += [self._restart(at) for at in self.case.restarts]
-        await asyncio.gather(*works)
-        for task in (*self._prefetches.values(), *self._tasks):
-            task.cancel()
+        await asyncio.gather(adding, *works)
+        tasks = list(self._prefetches.values())
         for loader in self.loaders:
-            for task in loader.tasks:
-                task.cancel()
+            tasks.extend(loader.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         for cache in self.caches.values():
             await cache.stop()
 
@@ -286,7 +293,10 @@
             demand.note,
         )
         self._prefetches[daemon] = asyncio.ensure_future(
-            cache.prefetch_deployed(self._list_named)
+            _run_both(
+                cache.prefetch_deployed(self._list_named),
+                cache.manifests.keep(demand.list_in_service),
+            )
         )
 
     def _list_named(self) -> list[tuple[ModelName, int]]:
@@ -310,7 +320,7 @@
         self.state.weights[MODEL] = (*known, named)
 
     async def _add(self, at: float) -> None:
-        await asyncio.sleep(max(at + START_SECONDS, 0))
+        await asyncio.sleep(at + START_SECONDS)
         self.loaders.append(FleetLoader(self, len(self.loaders), 0))
 
     async def _disturb(self) -> None:
@@ -399,6 +409,10 @@
 }
 
 
+async def _run_both(*works: Coroutine[None, None, None]) -> None:
+    await asyncio.gather(*works)
+
+
 def play_case(case: FleetCase) -> WeightFleet:
     """Play a case in virtual time."""
     return run_in_virtual_time(_play(case))
--- a/src/ragwortcourse/processes/forwarder_daemon.py
+++ b/src/ragwortcourse/processes/forwarder_daemon.py
@@ -131,6 +131,10 @@
         tasks.start(
             'draw ahead', self.cache.prefetch_deployed(self._list_named)
         )
+        tasks.start(
+            'keep manifests',
+            self.cache.manifests.keep(self.demand.list_in_service),
+        )
         tasks.start(
             'exchange loads',
             exchange_loads(forwarder=self.forwarder, list_relays=relays.list),
--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -32,6 +32,8 @@
 from ragwortcourse.weights.loader_sources import LoaderSources
 from ragwortcourse.weights.loader_weights import LoaderWeights
 from ragwortcourse.weights.loader_weights_ports import LoaderWeightsPorts
+from ragwortcourse.weights.manifest_routes import build_manifest_routes
+from ragwortcourse.weights.planning.held_manifest import HeldManifest
 from ragwortcourse.weights.version_drawing import download_versions
 
 # A loader acts only on changes; a longer wait means fewer calls.
@@ -50,6 +52,7 @@
     """Components of one loader."""
 
     loader_weights: LoaderWeights
+    held_manifest: HeldManifest
     feed: TableFeed
     tables: FleetTables
     sessions: tuple[ClientSession, ...]
@@ -62,10 +65,13 @@
     @property
     def peer_routes(self) -> list[web.RouteDef]:
         """Return the routes of the port for other daemons."""
-        return build_chunk_routes(
-            self.loader_weights.find_chunk,
-            link_rate=self.loader_weights.link_rate,
-        )
+        return [
+            *build_chunk_routes(
+                self.loader_weights.find_chunk,
+                link_rate=self.loader_weights.link_rate,
+            ),
+            *build_manifest_routes(self.held_manifest.find),
+        ]
 
     def apply_fleet_settings(self, fleet: FleetSettings) -> None:
         """Apply changed settings of the fleet."""
@@ -78,6 +84,7 @@
         tasks.start('follow operators', self.feed.follow())
         tasks.start('draw weights', download_versions(self.loader_weights))
         tasks.start('switch engine', switch_engine(self.loader_weights))
+        tasks.start('keep manifest', self.held_manifest.keep())
 
     def find_unready_reason(self) -> str | None:
         """Return why no version can be loaded; none if it can be."""
@@ -101,7 +108,6 @@
     fleet = read_fleet_settings(settings)
     if settings.loader is None:
         raise ValueError(f'{settings.daemon}: settings without [loader]')
-    loader = settings.loader
     session = open_daemon_session()
     store_session = open_store_session()
     engine_session = open_single_use_session()
@@ -124,19 +130,21 @@
         engine=Engine(
             session=engine_session,
             reports=session,
-            address=loader.engine,
+            address=settings.loader.engine,
         ),
         read_manifest=sources.read_manifest,
         download_chunk=sources.download_chunk,
         announce=build_announcement(list_relays=tables.relays.list),
         list_service=functools.partial(
-            read_service, tables.targets, loader.service, fleet
+            read_service, tables.targets, settings.loader.service, fleet
         ),
     )
+    loader_weights = LoaderWeights(
+        fleet=fleet, loader=settings.loader, state=state, ports=ports
+    )
     return LoaderDaemon(
-        loader_weights=LoaderWeights(
-            fleet=fleet, loader=loader, state=state, ports=ports
-        ),
+        loader_weights=loader_weights,
+        held_manifest=HeldManifest(loader_weights=loader_weights),
         feed=TableFeed(
             store=tables.operators,
             table=names.OPERATORS_TABLE,
--- a/src/ragwortcourse/weights/chunk_cache.py
+++ b/src/ragwortcourse/weights/chunk_cache.py
@@ -9,6 +9,10 @@
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.weights.chunk_store import ChunkStore, VersionChunks
 from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.planning.known_manifests import (
+    KnownManifests,
+    ReadManifest,
+)
 from ragwortcourse.weights.planning.loader_demand import IsWanted, want_always
 from ragwortcourse.weights.planning.prefetch import (
     Prefetch,
@@ -16,7 +20,6 @@
     start_at_once,
 )
 
-ReadManifest = Callable[[ModelName, int], Awaitable[FleetManifest | None]]
 DownloadChunk = Callable[[FleetManifest, int], Awaitable[bytes | None]]
 ListDeployed = Callable[[], Sequence[tuple[ModelName, int]]]
 ListOwn = Callable[[FleetManifest], Awaitable[tuple[int, ...]]]
@@ -54,6 +57,8 @@
     The first request for a version starts the prefetch of every chunk for
     which other daemons ask this daemon first, from the requested chunk on.
 
+    :ivar manifests: manifests that were read.
+
     :param download_chunk: downloads the bytes of a chunk, unverified.
     :param list_own: indices of the chunks of a version for which other
         daemons ask this daemon first.
@@ -85,7 +90,7 @@
         self._prefetches = DetachedTasks(limit=PREFETCHES)
         self._replacements = DetachedTasks(limit=REPLACEMENTS)
         self._replaced: set[Replacement] = set()
-        self._read_manifest = read_manifest
+        self.manifests = KnownManifests(read_manifest=read_manifest)
         self._download_chunk = download_chunk
         self._store = ChunkStore(kept=VERSIONS_SERVED)
         self._failed_version = 0
@@ -183,7 +188,7 @@
     async def _open_once(
         self, model: ModelName, version: int, first: int
     ) -> VersionChunks | None:
-        manifest = await self._read_manifest(model, version)
+        manifest = await self.manifests.read(model, version)
         if manifest is None:
             return None
         chunks = self._store.open(manifest)
--- a/src/ragwortcourse/weights/planning/loader_demand.py
+++ b/src/ragwortcourse/weights/planning/loader_demand.py
@@ -66,6 +66,21 @@
         named = self._state.weights.get(model, ())
         return not named or version >= named[-1].version
 
+    def list_in_service(self) -> list[tuple[ModelName, int]]:
+        """List the versions of each model that engines hold completely."""
+        if self._state.desired is None:
+            return []
+        engines = {
+            rules.engine.model
+            for rules in self._state.desired.services.values()
+            if rules.engine is not None
+        }
+        return [
+            (model, version)
+            for model in sorted(engines)
+            for version in sorted(self._list_held(model))
+        ]
+
     def _list_held(self, model: ModelName) -> set[int]:
         """List the versions that engines hold completely."""
         if self._state.desired is None:
--- a/src/ragwortcourse/weights/relay_downloader.py
+++ b/src/ragwortcourse/weights/relay_downloader.py
@@ -26,6 +26,7 @@
 )
 from ragwortcourse.weights.fleet_downloader import FleetDownloader
 from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.manifest_routes import fetch_manifest
 from ragwortcourse.weights.peer_port import MANIFEST_INDEX
 from ragwortcourse.weights.planning.loader_demand import LoaderDemand
 from ragwortcourse.weights.planning.origin_link import (
@@ -45,7 +46,8 @@
 
 def list_holders(
     state: FleetState,
-    manifest: FleetManifest,
+    model: ModelName,
+    version: int,
     domain: FailureDomainName,
 ) -> list[str]:
     """List the loaders' hosts in a failure domain whose engine has a version.
@@ -57,7 +59,7 @@
     engines = {
         name: rules.engine
         for name, rules in state.desired.services.items()
-        if rules.engine is not None and rules.engine.model == manifest.model
+        if rules.engine is not None and rules.engine.model == model
     }
     near = [
         target
@@ -68,7 +70,7 @@
         target.address.rpartition(':')[0]
         for target in near
         if target.weights is not None
-        and target.weights.version == manifest.version
+        and target.weights.version == version
         and target.holds(engines[target.service].layers)
     ]
 
@@ -101,7 +103,7 @@
         self, manifest: FleetManifest, index: int
     ) -> bytes | None:
         """Return a chunk, or ``None``; bytes from the origin are unverified."""
-        holders = self._list_holders(manifest)
+        holders = self._list_holders(manifest.model, manifest.version)
         content = await self._downloader.fetch_held(holders, manifest, index)
         if content is not None:
             return content
@@ -117,6 +119,15 @@
         self, model: ModelName, version: int
     ) -> FleetManifest | None:
         """Return a version's manifest, or ``None`` if no source has it."""
+        held = await fetch_manifest(
+            session=self._downloader.session,
+            reach=self._downloader.reach,
+            addresses=self._list_holders(model, version),
+            model=model,
+            version=version,
+        )
+        if held is not None:
+            return held
         relays = await self._list_relays()
         sources = self._list_relay_sources(relays, MANIFEST_INDEX)
         return await self._downloader.read_manifest(
@@ -209,10 +220,10 @@
         reach = self._downloader.reach
         return [relay for relay in relays if not reach.is_silent(relay.address)]
 
-    def _list_holders(self, manifest: FleetManifest) -> list[str]:
+    def _list_holders(self, model: ModelName, version: int) -> list[str]:
         """List some addresses of hosts whose engine holds a version."""
         holders = list_holders(
-            self._state, manifest, self._settings.failure_domain
+            self._state, model, version, self._settings.failure_domain
         )
         self._rng.shuffle(holders)
         port = self._settings.listen.peers.rpartition(':')[2]
--- a/tests/test_weight_fleet.py
+++ b/tests/test_weight_fleet.py
@@ -63,3 +63,21 @@
         """
         fleet = play_case(CASES['three'])
         assert fleet.invalid_share < 0.01
+
+
+class TestAddedEngines:
+    """Engines that are added while others serve."""
+
+    @pytest.mark.parametrize('case', ['corrupting', 'added'])
+    def test_version_in_force(self, case):
+        """An added engine gets the version in force from those that serve it.
+
+        Its manifest was asked of an origin that corrupted its answers, and an
+        almost complete version was left for the next one.
+        """
+        fleet = play_case(CASES[case])
+        before = [at for at in fleet.case.added if at < fleet.case.namings[0]]
+        added = fleet.loaders[fleet.case.loaders :][: len(before)]
+        orders = [loader.engine.orders for loader in added]
+        assert [each[0][0] for each in orders if each] == [1] * len(before)
+        assert measure_copies(fleet, 1) < 0.1
