Read staged chunks over kept connections

Cause: each read of a staged chunk opened a connection to the engine, as an engine may send a copy of an earlier answer on one that is used again. All chunks are read before the engine's turn and again before its order: 192 connections a version and engine with 96 chunks.

Change: these reads keep their connections. A copy of the answer for another chunk has another digest, so no chunk is read twice over the same connections; new ones are opened before that. Orders, writes and lists of chunks use each connection once, as before: a copy of another answer would pass for theirs.

Result (test_platform_engine): 96 reads open at most 4 connections, and an old answer for the same chunk is not taken.

--- a/src/ragwortcourse/platform/engine.py
+++ b/src/ragwortcourse/platform/engine.py
@@ -11,6 +11,7 @@
 from ragwortcourse.bounded import Count, WholeNumber
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import ModelName
+from ragwortcourse.platform.kept_reads import KeptReads
 from ragwortcourse.platform.target_rows import WireLayers, decode_layers
 from ragwortcourse.unreadable import UnreadableError
 from ragwortcourse.weights.engine_port import EngineReport, LoadOrderOutcome
@@ -54,7 +55,10 @@
     second copy of an answer late, at the place of the next answer on that
     connection, and its answers do not name their requests.
 
-    :param session: session that uses no connection twice.
+    :param session: session that uses no connection twice, for orders and
+        writes: a copy of another answer would pass for theirs.
+    :param reads: sessions for reads of staged chunks, which their readers
+        compare or check by digest; none to use ``session``.
     :param reports: session of the reports. A copy of a report is a report;
         each new connection may hold a slot of the engine, several times a
         second.
@@ -67,8 +71,10 @@
         session: aiohttp.ClientSession,
         reports: aiohttp.ClientSession,
         address: str,
+        reads: KeptReads | None = None,
     ) -> None:
         self._session = session
+        self._reads = reads
         self._reports = reports
         self._base = f'http://{address}'
 
@@ -113,7 +119,12 @@
 
     async def read_staged(self, model: ModelName, index: int) -> bytes | None:
         """Read a staged chunk without verification; None if not staged."""
-        answer = await self._call('GET', f'/stage-get/{model}?num={index}')
+        path = f'/stage-get/{model}?num={index}'
+        if self._reads is None:
+            answer = await self._call('GET', path)
+        else:
+            async with self._reads.use(path) as session:
+                answer = await self._call('GET', path, session=session)
         return answer[1] if answer is not None and answer[0] == OK else None
 
     async def write_staged(
--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -17,12 +17,14 @@
     FleetTables,
     build_fleet_tables,
 )
+from ragwortcourse.platform.kept_reads import KeptReads
 from ragwortcourse.platform.operator_rows import build_operator_handler
 from ragwortcourse.platform.store_session import open_store_session
 from ragwortcourse.platform.target_reader import read_service
 from ragwortcourse.platform.weight_source import build_weight_downloader
 from ragwortcourse.processes.sessions import (
     open_daemon_session,
+    open_read_session,
     open_single_use_session,
 )
 from ragwortcourse.processes.tasks import SupervisedTasks
@@ -55,7 +57,7 @@
     held_manifest: HeldManifest
     feed: TableFeed
     tables: FleetTables
-    sessions: tuple[ClientSession, ...]
+    sessions: tuple[ClientSession | KeptReads, ...]
 
     @property
     def last_connections_seconds(self) -> float:
@@ -111,6 +113,7 @@
     session = open_daemon_session()
     store_session = open_store_session()
     engine_session = open_single_use_session()
+    reads = KeptReads(open_session=open_read_session)
     state = FleetState()
     rng = random.Random()  # noqa: S311  # load spreading, not security
     tables = build_fleet_tables(
@@ -126,21 +129,24 @@
         domain=settings.failure_domain,
         list_relays=tables.relays.list,
     )
-    ports = LoaderWeightsPorts(
-        engine=Engine(
-            session=engine_session,
-            reports=session,
-            address=settings.loader.engine,
-        ),
-        read_manifest=sources.read_manifest,
-        download_chunk=sources.download_chunk,
-        announce=build_announcement(list_relays=tables.relays.list),
-        list_service=functools.partial(
-            read_service, tables.targets, settings.loader.service, fleet
-        ),
-    )
     loader_weights = LoaderWeights(
-        fleet=fleet, loader=settings.loader, state=state, ports=ports
+        fleet=fleet,
+        loader=settings.loader,
+        state=state,
+        ports=LoaderWeightsPorts(
+            engine=Engine(
+                session=engine_session,
+                reports=session,
+                reads=reads,
+                address=settings.loader.engine,
+            ),
+            read_manifest=sources.read_manifest,
+            download_chunk=sources.download_chunk,
+            announce=build_announcement(list_relays=tables.relays.list),
+            list_service=functools.partial(
+                read_service, tables.targets, settings.loader.service, fleet
+            ),
+        ),
     )
     return LoaderDaemon(
         loader_weights=loader_weights,
@@ -154,5 +160,5 @@
             rng=rng,
         ),
         tables=tables,
-        sessions=(session, store_session, engine_session),
+        sessions=(session, store_session, engine_session, reads),
     )
--- a/src/ragwortcourse/processes/sessions.py
+++ b/src/ragwortcourse/processes/sessions.py
@@ -14,6 +14,8 @@
 from ragwortcourse.connections import ResetConnector
 
 KEEPALIVE_SECONDS: Final = 30.0
+# Kept connections hold slots of an engine.
+READS_KEEPALIVE_SECONDS: Final = 1.0
 # A relayed message carries only the headers of its sender.
 SKIPPED_HEADERS: Final = ('Accept-Encoding', 'User-Agent', 'Content-Type')
 
@@ -61,6 +63,21 @@
     return open_session(repeats_reads=True)
 
 
+def open_read_session() -> ClientSession:
+    """Open a session for reads of chunks from the engine on the same host.
+
+    Its connections are closed soon after a series of reads.
+    """
+    return open_session(
+        connector=ResetConnector(
+            limit=0, keepalive_timeout=READS_KEEPALIVE_SECONDS
+        ),
+        repeats_reads=True,
+        auto_decompress=False,
+        skip_auto_headers=SKIPPED_HEADERS,
+    )
+
+
 def open_single_use_session() -> ClientSession:
     """Open a session that uses no connection for a second request.
 
--- a/tests/test_platform_engine.py
+++ b/tests/test_platform_engine.py
@@ -13,7 +13,9 @@
 from fakes.fleet_parts import MODEL, make_settings
 from ragwortcourse.identifiers import ServiceName
 from ragwortcourse.platform.engine import Engine
+from ragwortcourse.platform.kept_reads import KeptReads
 from ragwortcourse.processes.loader_daemon import build_loader_daemon
+from ragwortcourse.processes.sessions import open_read_session
 from ragwortcourse.settings import LoaderSettings, Role
 from ragwortcourse.weights.engine_port import LoadOrderOutcome
 
@@ -109,6 +111,89 @@
         assert await engine.read_staged(MODEL, 0) is None
 
 
+class CopyingStage:
+    """Engine with staged chunks that sends each answer twice, late.
+
+    :ivar chunks: staged chunks, by request line.
+    :ivar connections: number of connections so far.
+    :ivar is_copying: whether answers are sent twice.
+    """
+
+    def __init__(self) -> None:
+        self.chunks: dict[str, bytes] = {}
+        self.connections = 0
+        self.is_copying = False
+
+    async def serve(self, reader, writer) -> None:
+        """Answer the requests of one connection."""
+        self.connections += 1
+        copy = b''
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                writer.write(copy)
+                body = self.chunks[head.split(b' ')[1].decode()]
+                answer = (
+                    b'HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n' % len(body)
+                ) + body
+                writer.write(answer)
+                copy = answer if self.is_copying else b''
+        writer.close()
+
+
+class TestStagedReads:
+    """Reads of staged chunks on kept connections."""
+
+    @pytest.fixture
+    async def stage(self):
+        """Provide an engine with 96 staged chunks."""
+        stage = CopyingStage()
+        for index in range(96):
+            path = f'/stage-get/{MODEL}?num={index}'
+            stage.chunks[path] = b'chunk %d' % index
+        return stage
+
+    @pytest.fixture
+    async def engine(self, stage):
+        """Provide a loader's port to it."""
+        server = await asyncio.start_server(stage.serve, '127.0.0.1', 0)
+        reads = KeptReads(open_session=open_read_session)
+        async with ClientSession() as session:
+            yield Engine(
+                session=session,
+                reports=session,
+                reads=reads,
+                address=f'127.0.0.1:{server.sockets[0].getsockname()[1]}',
+            )
+        await reads.close()
+        server.close()
+
+    async def test_connections(self, stage, engine):
+        """A check of all chunks opens a few connections, not one a chunk."""
+        for index in range(96):
+            content = await engine.read_staged(MODEL, index)
+            assert content == b'chunk %d' % index
+        assert stage.connections <= 4
+
+    async def test_late_copy_of_the_same_chunk(self, stage, engine):
+        """A copy of an old answer does not pass for the present chunk.
+
+        A chunk that rotted between two checks would be loaded.
+        """
+        stage.is_copying = True
+        assert await engine.read_staged(MODEL, 0) == b'chunk 0'
+        stage.chunks[f'/stage-get/{MODEL}?num=0'] = b'rotten'
+        assert await engine.read_staged(MODEL, 0) == b'rotten'
+
+    async def test_late_copy_of_another_chunk(self, stage, engine):
+        """A copy is the answer for another chunk, which its digest tells."""
+        stage.is_copying = True
+        read = [await engine.read_staged(MODEL, index) for index in range(8)]
+        assert read[0] == b'chunk 0'
+        for index, content in enumerate(read):
+            assert content in {b'chunk %d' % index, b'chunk %d' % (index - 1)}
+
+
 class TestOddAnswers:
     """Answers of an engine that are nested too deeply."""
 
