--- a/src/ragwortcourse/processes/loader_daemon.py
+++ b/src/ragwortcourse/processes/loader_daemon.py
@@ -17,12 +17,14 @@
     FleetTables,
     build_fleet_tables,
 )
+from ragwortcourse.platform.kept_reads import KeptReads
 from ragwortcourse.platform.operator_rows import build_operator_handler
 from ragwortcourse.platform.store_session import open_store_session
 from ragwortcourse.platform.target_reader import read_service
 from ragwortcourse.platform.weight_source import build_weight_downloader
 from ragwortcourse.processes.sessions import (
     open_daemon_session,
+    open_read_session,
     open_single_use_session,
 )
 from ragwortcourse.processes.tasks import SupervisedTasks
@@ -32,6 +34,8 @@
 from ragwortcourse.weights.loader_sources import LoaderSources
 from ragwortcourse.weights.loader_weights import LoaderWeights
 from ragwortcourse.weights.loader_weights_ports import LoaderWeightsPorts
+from ragwortcourse.weights.manifest_routes import build_manifest_routes
+from ragwortcourse.weights.planning.held_manifest import HeldManifest
 from ragwortcourse.weights.version_drawing import download_versions
 
 # A loader acts only on changes; a longer wait means fewer calls.
@@ -50,9 +54,10 @@
     """Components of one loader."""
 
     loader_weights: LoaderWeights
+    held_manifest: HeldManifest
     feed: TableFeed
     tables: FleetTables
-    sessions: tuple[ClientSession, ...]
+    sessions: tuple[ClientSession | KeptReads, ...]
 
     @property
     def last_connections_seconds(self) -> float:
@@ -62,10 +67,13 @@
     @property
     def peer_routes(self) -> list[web.RouteDef]:
         """Return the routes of the port for other daemons."""
-        return build_chunk_routes(
-            self.loader_weights.find_chunk,
-            link_rate=self.loader_weights.link_rate,
-        )
+        return [
+            *build_chunk_routes(
+                self.loader_weights.find_chunk,
+                link_rate=self.loader_weights.link_rate,
+            ),
+            *build_manifest_routes(self.held_manifest.find),
+        ]
 
     def apply_fleet_settings(self, fleet: FleetSettings) -> None:
         """Apply changed settings of the fleet."""
@@ -78,6 +86,7 @@
         tasks.start('follow operators', self.feed.follow())
         tasks.start('draw weights', download_versions(self.loader_weights))
         tasks.start('switch engine', switch_engine(self.loader_weights))
+        tasks.start('keep manifest', self.held_manifest.keep())
 
     def find_unready_reason(self) -> str | None:
         """Return why no version can be loaded; none if it can be."""
@@ -101,10 +110,10 @@
     fleet = read_fleet_settings(settings)
     if settings.loader is None:
         raise ValueError(f'{settings.daemon}: settings without [loader]')
-    loader = settings.loader
     session = open_daemon_session()
     store_session = open_store_session()
     engine_session = open_single_use_session()
+    reads = KeptReads(open_session=open_read_session)
     state = FleetState()
     rng = random.Random()  # noqa: S311  # load spreading, not security
     tables = build_fleet_tables(
@@ -120,23 +129,28 @@
         domain=settings.failure_domain,
         list_relays=tables.relays.list,
     )
-    ports = LoaderWeightsPorts(
-        engine=Engine(
-            session=engine_session,
-            reports=session,
-            address=loader.engine,
-        ),
-        read_manifest=sources.read_manifest,
-        download_chunk=sources.download_chunk,
-        announce=build_announcement(list_relays=tables.relays.list),
-        list_service=functools.partial(
-            read_service, tables.targets, loader.service, fleet
+    loader_weights = LoaderWeights(
+        fleet=fleet,
+        loader=settings.loader,
+        state=state,
+        ports=LoaderWeightsPorts(
+            engine=Engine(
+                session=engine_session,
+                reports=session,
+                reads=reads,
+                address=settings.loader.engine,
+            ),
+            read_manifest=sources.read_manifest,
+            download_chunk=sources.download_chunk,
+            announce=build_announcement(list_relays=tables.relays.list),
+            list_service=functools.partial(
+                read_service, tables.targets, settings.loader.service, fleet
+            ),
         ),
     )
     return LoaderDaemon(
-        loader_weights=LoaderWeights(
-            fleet=fleet, loader=loader, state=state, ports=ports
-        ),
+        loader_weights=loader_weights,
+        held_manifest=HeldManifest(loader_weights=loader_weights),
         feed=TableFeed(
             store=tables.operators,
             table=names.OPERATORS_TABLE,
@@ -146,5 +160,5 @@
             rng=rng,
         ),
         tables=tables,
-        sessions=(session, store_session, engine_session),
+        sessions=(session, store_session, engine_session, reads),
     )
