Schedule requests also where targets report a pace

Cause: the queue is asked for where targets of a service report their pace, too. Reports arrive long after the desired state that was looked at.

Change: is_scheduled takes that fact, and Scheduling a function that tells it, which nothing passes yet. Such a service stays scheduled until the next desired state without a reported pace.

Result: tests/test_turns.py and tests/test_scheduling_decision.py pass.

--- a/src/ragwortcourse/forwarding/scheduling/activation.py
+++ b/src/ragwortcourse/forwarding/scheduling/activation.py
@@ -1,8 +1,8 @@
 """Services whose requests are scheduled by urgency.
 
 Load pattern: routes of different priorities compete for the targets of one
-service. Where all routes have one priority, no request goes before another
-and admission is as without this package.
+service, or targets are slowed down for some time by other work. Elsewhere no
+request goes before another, and admission is as without this package.
 """
 
 import itertools
@@ -12,8 +12,16 @@
 from ragwortcourse.identifiers import ServiceName
 
 
-def is_scheduled(desired: DesiredState, service: ServiceName) -> bool:
-    """Tell whether the routes of a service have different priorities."""
+def is_scheduled(
+    desired: DesiredState, service: ServiceName, *, reports_pace: bool = False
+) -> bool:
+    """Tell whether the requests for a service are scheduled.
+
+    :param reports_pace: true if targets of the service report their pace.
+    :return: true also if its routes have different priorities.
+    """
+    if reports_pace:
+        return True
     routes = itertools.chain.from_iterable(desired.routes.values())
     priorities = {
         route.priority for route in routes if _has_traffic(route, service)
--- a/src/ragwortcourse/forwarding/scheduling/scheduling.py
+++ b/src/ragwortcourse/forwarding/scheduling/scheduling.py
@@ -32,6 +32,11 @@
 LOGGER: Final = logging.getLogger(__name__)
 
 
+def _report_no_pace(service: ServiceName) -> bool:
+    """Take the targets of a service to report no pace."""
+    return False
+
+
 class Scheduling:
     """Demand by urgency of own callers and, as reported, of all others.
 
@@ -39,22 +44,32 @@
     ``services`` has the services that are scheduled.
 
     :param count_daemons: counts the registered daemons.
+    :param reports_pace: tells whether targets of a service report their pace.
     """
 
     def __init__(
-        self, *, state: FleetState, count_daemons: Callable[[], int]
+        self,
+        *,
+        state: FleetState,
+        count_daemons: Callable[[], int],
+        reports_pace: Callable[[ServiceName], bool] = _report_no_pace,
     ) -> None:
         self.unanswered = UrgentCounts()
         self.others = FleetDemand()
         self._state = state
         self._count_daemons = count_daemons
+        self._reports_pace = reports_pace
         self._desired: DesiredState | None = None
         self.services: dict[ServiceName, ServiceScheduling] = {}
 
     def find(self, service: ServiceName) -> ServiceScheduling | None:
         """Find the measurements of a service; none if it is not scheduled."""
         self._apply_desired()
-        return self.services.get(service)
+        known = self.services.get(service)
+        if known is None and self._reports_pace(service):
+            # Targets report their pace some time after they were listed.
+            known = self.services.setdefault(service, ServiceScheduling())
+        return known
 
     def note_arrival(self, service: ServiceName, work: PermittedCall) -> None:
         """Count a request that arrives in time."""
@@ -206,7 +221,9 @@
         scheduled = {
             service
             for service in desired.services
-            if is_scheduled(desired, service)
+            if is_scheduled(
+                desired, service, reports_pace=self._reports_pace(service)
+            )
         }
         accounts = (desired.accounts or {}).values()
         kinds = {account.name for account in accounts}
--- a/tests/test_scheduling_decision.py
+++ b/tests/test_scheduling_decision.py
@@ -47,6 +47,7 @@
         desired = make_desired(urgent, make_route(priority=1), other)
         assert is_scheduled(desired, ENGINES)
         assert not is_scheduled(desired, PLAIN)
+        assert is_scheduled(desired, PLAIN, reports_pace=True)
 
 
 class TestIsSentNow:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -20,6 +20,7 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.choice import choose_target
 from ragwortcourse.forwarding.reply import Reason
+from ragwortcourse.forwarding.scheduling.scheduling import Scheduling
 from ragwortcourse.forwarding.scheduling.turns import Turn
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.tries import Tries
@@ -76,6 +77,23 @@
         yield Crowded
 
 
+class TestScheduling:
+    """Services that are scheduled."""
+
+    async def test_pace(self):
+        """A service whose targets report a pace later on is scheduled, too."""
+        paced = set()
+        scheduling = Scheduling(
+            state=make_state(),
+            count_daemons=lambda: 1,
+            reports_pace=paced.__contains__,
+        )
+        assert scheduling.find(ENGINES) is None
+        paced.add(ENGINES)
+        assert scheduling.find(ENGINES) is not None
+        assert ENGINES in scheduling.describe_demand()
+
+
 class TestTurn:
     """Requests that wait for their turn."""
 
