Let the route decide among accounts of the usual priority

Change: services that are scheduled rank accounts first, then routes, in four urgencies; other services are ranked as before. Measured: test_urgency.py; test_contended_rounds.py names the least urgent requests by the constant, as the number has changed.

--- a/src/ragwortcourse/forwarding/scheduling/sending.py
+++ b/src/ragwortcourse/forwarding/scheduling/sending.py
@@ -14,9 +14,11 @@
     Scheduling,
     list_kinds,
 )
+from ragwortcourse.forwarding.scheduling.urgent_counts import (
+    COUNTED_URGENCIES,
+)
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.urgency import (
-    LEAST_URGENT,
     URGENCIES,
     read_urgency,
 )
@@ -41,7 +43,7 @@
     if demand.time_left <= 0:
         # A late request leaves room for all that are in time.
         urgency = URGENCIES
-    elif urgency < LEAST_URGENT:
+    elif urgency < COUNTED_URGENCIES:
         urgent = scheduling.unanswered.estimate(
             target.name, urgency, read_clock()
         )
--- a/src/ragwortcourse/forwarding/scheduling/urgent_counts.py
+++ b/src/ragwortcourse/forwarding/scheduling/urgent_counts.py
@@ -4,16 +4,17 @@
 from typing import Final
 
 from ragwortcourse.forwarding.peer_counts import Counts, PeerCounts
-from ragwortcourse.forwarding.urgency import LEAST_URGENT
 from ragwortcourse.identifiers import DaemonId, TargetName
 
+# The most urgent priorities, which are counted; few bytes tell two counts.
+COUNTED_URGENCIES: Final = 2
 NO_COUNTS: Final = (0, 0)
 
 
 class UrgentCounts:
     """Unanswered requests of all daemons of the two most urgent priorities.
 
-    The least urgent ones are the rest of all unanswered requests.
+    All others are the rest of the unanswered requests.
     """
 
     def __init__(self) -> None:
@@ -32,7 +33,7 @@
 
         :return: to be called at the beginning of its answer, or at its end.
         """
-        if urgency >= LEAST_URGENT:
+        if urgency >= COUNTED_URGENCIES:
             return _do_nothing
         self._shift(target, urgency, 1)
         is_counted = True
@@ -56,7 +57,7 @@
     def estimate(self, target: TargetName, urgency: int, now: float) -> int:
         """Estimate the unanswered requests that are at least as urgent.
 
-        :param urgency: less than the least urgent.
+        :param urgency: below ``COUNTED_URGENCIES``.
         """
         own = self._own.get(target, NO_COUNTS)
         others = self._peers.read_sums(target, now)
--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -33,7 +33,7 @@
 from ragwortcourse.forwarding.target_statements import note_statements
 from ragwortcourse.forwarding.tries import TIMER_SECONDS, Tries
 from ragwortcourse.forwarding.tries_end import TriesEnd
-from ragwortcourse.forwarding.urgency import rank_request
+from ragwortcourse.forwarding.urgency import rank_request, rank_scheduled
 from ragwortcourse.forwarding.version_bounds import (
     read_expected_version,
     read_start_limit,
@@ -203,11 +203,7 @@
             target=target,
             time_left=tries.work.deadline - began_at,
             last_event=last_event,
-            rank=rank_request(
-                route=tries.work.route,
-                account=tries.work.account,
-                standing=tries.standing,
-            ),
+            rank=_rank(tries),
             version=read_expected_version(forwarder, target),
         )
         limit = read_start_limit(forwarder, target)
@@ -354,6 +350,17 @@
     )
 
 
+def _rank(tries: Tries) -> int:
+    """Compute the rank of a request in the queue of an engine."""
+    is_scheduled = tries.forwarder.scheduling.find(tries.service)
+    rank = rank_scheduled if is_scheduled else rank_request
+    return rank(
+        route=tries.work.route,
+        account=tries.work.account,
+        standing=tries.standing,
+    )
+
+
 def _explain(load: TargetLoad, cause: LossCause) -> LossCause:
     """Explain a loss by what its target has announced."""
     if load.unavailable_until > read_clock():
--- a/tests/test_contended_rounds.py
+++ b/tests/test_contended_rounds.py
@@ -11,6 +11,7 @@
 from ragwortcourse.forwarding.admission import TargetOccupancy
 from ragwortcourse.forwarding.scheduling.reservation import MAX_RESERVED_SHARE
 from ragwortcourse.forwarding.scheduling.sending import reserve_slots
+from ragwortcourse.forwarding.urgency import LEAST_URGENT
 
 # Requests a second, against 150 that the engines serve.
 LOAD = (
@@ -31,7 +32,7 @@
     target = forwarder.state.targets['t-0']
     engine = forwarder.state.desired.services[ENGINES].engine
     place = TargetOccupancy(load=5, slots=target.slots, engine=engine)
-    return reserve_slots(forwarder.scheduling, target, place, 2)
+    return reserve_slots(forwarder.scheduling, target, place, LEAST_URGENT)
 
 
 class TestContendedLoad:
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -6,7 +6,13 @@
 import pytest
 
 from fakes.fleet_parts import ACCOUNT, make_route
-from ragwortcourse.forwarding.urgency import Standing, rank_request
+from ragwortcourse.forwarding.urgency import (
+    URGENCIES,
+    Standing,
+    rank_request,
+    rank_scheduled,
+    read_urgency,
+)
 
 WIRE_RANKS = range(10)
 
@@ -62,3 +68,44 @@
         heapq.heapify(queue)
         begun = [heapq.heappop(queue)[2] for _ in range(4)]
         assert begun == [Standing.FRESH] * 4
+
+
+class TestScheduledUrgency:
+    """Urgency of requests of a service that is scheduled."""
+
+    def read(self, route: int, account: int | None) -> int:
+        """Read the urgency by the priorities of a route and an account."""
+        return read_urgency(
+            route=make_route(priority=route),
+            account=dataclasses.replace(ACCOUNT, priority=account),
+        )
+
+    def test_account_goes_first(self):
+        """No route of a usual account goes before one of an urgent account."""
+        assert self.read(2, 0) < self.read(0, 1)
+        assert self.read(0, 2) > self.read(1, 1)
+
+    @pytest.mark.parametrize('account', [None, 1])
+    def test_route_decides(self, account):
+        """Among accounts of one priority that of the route counts.
+
+        Where nearly all accounts have one, the least urgent routes were
+        served best: all requests were as urgent.
+        """
+        urgencies = [self.read(priority, account) for priority in range(3)]
+        assert urgencies == sorted(set(urgencies))
+        assert self.read(9, account) == URGENCIES - 1
+
+    def test_ranks(self):
+        """Late requests of an urgency go before fresh ones of the next."""
+        ranks = [
+            rank_scheduled(
+                route=make_route(priority=priority),
+                account=ACCOUNT,
+                standing=standing,
+            )
+            for priority in range(3)
+            for standing in Standing
+        ]
+        assert ranks == sorted(ranks)
+        assert set(ranks) <= set(WIRE_RANKS)
