--- a/src/ragwortcourse/weights/fleet_downloader.py
+++ b/src/ragwortcourse/weights/fleet_downloader.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 import aiohttp
+from opentelemetry.metrics import get_meter
 
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.identifiers import ModelName
@@ -29,6 +30,11 @@
 # after it are slow.
 REPEAT_SECONDS: Final = 0.3
 
+ORIGIN_CHUNKS: Final = get_meter(__name__).create_counter(
+    'ragwortcourse.weights.origin_chunks',
+    description='chunks that this daemon asked the origin for',
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FleetDownloader:
@@ -187,6 +193,7 @@
         async with self.origin_turns.take(version, index):
             if not self.is_current(model, version):
                 return None
+            ORIGIN_CHUNKS.add(1)
             return await self.calls.read_chunk(origin.origin, manifest, index)
 
     async def _ask_all(
--- a/src/ragwortcourse/weights/version_drawing.py
+++ b/src/ragwortcourse/weights/version_drawing.py
@@ -85,6 +85,14 @@
     loader_weights: LoaderWeights, rules: EngineProfile, chunks: VersionChunks
 ) -> None:
     began_at = read_clock()
+    LOGGER.info(
+        'version download begins',
+        extra={
+            'version': chunks.manifest.version,
+            'newest': loader_weights.list_named(rules)[-1].version,
+            'missing': len(chunks.missing),
+        },
+    )
     staged = await adopt_staged(loader_weights.ports.engine, chunks)
     await _download_missing(loader_weights, rules, chunks)
     LOGGER.info(
