End prefetches of versions that stay unwanted

Cause: a prefetch whose version was evicted or not wanted for long would have gone on to download it, and each waiting prefetch looked at all targets twenty times a second.

Change: such a prefetch ends; the versions that engines hold are looked up at most five times a second.

--- a/src/ragwortcourse/weights/planning/loader_demand.py
+++ b/src/ragwortcourse/weights/planning/loader_demand.py
@@ -6,7 +6,8 @@
 follow what loaders ask for.
 """
 
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Iterator
 from typing import Final
 
 from ragwortcourse.clock import read_clock
@@ -16,9 +17,13 @@
 # A loader that downloads a version asks the daemons of its failure domain
 # several times in this time.
 DEMAND_SECONDS: Final = 1.5
+# Between two looks at all targets, of which there may be thousands.
+HELD_SECONDS: Final = 0.2
 
 IsWanted = Callable[[ModelName, int], bool]
 AskedAt = dict[ModelName, dict[int, float]]
+# Time of a look at all targets, and the versions found.
+HeldAt = tuple[float, frozenset[int]]
 
 
 def want_always(model: ModelName, version: int) -> bool:
@@ -33,6 +38,7 @@
         self._state = state
         self._by_loaders: AskedAt = {}
         self._by_relays: AskedAt = {}
+        self._held: dict[ModelName, HeldAt] = {}
 
     def note(self, model: ModelName, version: int, *, is_relay: bool) -> None:
         """Note that a loader or another daemon asked for a chunk."""
@@ -81,20 +87,28 @@
             for version in sorted(self._list_held(model))
         ]
 
-    def _list_held(self, model: ModelName) -> set[int]:
-        """List the versions that engines hold completely."""
-        if self._state.desired is None:
-            return set()
+    def _list_held(self, model: ModelName) -> frozenset[int]:
+        """List the versions that engines hold completely, as of late."""
+        read_at, held = self._held.get(model, (-math.inf, frozenset()))
+        now = read_clock()
+        if now - read_at > HELD_SECONDS:
+            held = frozenset(self._find_held(model))
+            self._held[model] = (now, held)
+        return held
+
+    def _find_held(self, model: ModelName) -> Iterator[int]:
+        desired = self._state.desired
+        services = {} if desired is None else desired.services
         layers = {
             name: rules.engine.layers
-            for name, rules in self._state.desired.services.items()
+            for name, rules in services.items()
             if rules.engine is not None and rules.engine.model == model
         }
-        return {
-            target.version
-            for target in self._state.targets.values()
-            if target.service in layers and target.holds(layers[target.service])
-        }
+        for target in self._state.targets.values():
+            if target.service in layers and target.holds(
+                layers[target.service]
+            ):
+                yield target.version
 
 
 def _list_recent(asked_at: AskedAt, model: ModelName) -> dict[int, float]:
--- a/src/ragwortcourse/weights/planning/prefetch.py
+++ b/src/ragwortcourse/weights/planning/prefetch.py
@@ -24,6 +24,8 @@
 # Counted from the first prefetch of the version. Afterwards a chunk is
 # downloaded only on request.
 PREFETCH_WINDOW_SECONDS: Final = 20.0
+# Longest wait for a version to be wanted. Afterwards the same holds.
+WANTED_SECONDS: Final = 60.0
 # Pause after a chunk that no source returned.
 RETRY_SECONDS: Final = 0.4
 # Between two questions whether a version is wanted, which read local state.
@@ -65,7 +67,8 @@
         :param first: chunk that is due now; the others are due after it, in
             order, and then those before it.
         """
-        await self._await_wanted(chunks)
+        if not await self._becomes_wanted(chunks):
+            return
         began_at = read_clock()
         manifest = chunks.manifest
         count = len(manifest.digests)
@@ -81,7 +84,8 @@
                 await asyncio.sleep(
                     began_at + start_seconds[index] - read_clock()
                 )
-                await self._await_wanted(chunks)
+                if not await self._becomes_wanted(chunks):
+                    return
                 if await self._find_chunk(chunks, index) is None:
                     queue.append(index)
                     await asyncio.sleep(RETRY_SECONDS)
@@ -98,11 +102,15 @@
         is_recent = read_clock() - began_at < PREFETCH_WINDOW_SECONDS
         return is_recent and self._is_kept(chunks)
 
-    async def _await_wanted(self, chunks: VersionChunks) -> None:
-        """Wait while another version is wanted, and this one is kept."""
+    async def _becomes_wanted(self, chunks: VersionChunks) -> bool:
+        """Wait while another version is wanted.
+
+        :return: false if this one is evicted or not wanted for long.
+        """
         manifest = chunks.manifest
-        while (  # noqa: ASYNC110  # the wish ends with time, without an event
-            self._is_kept(chunks)
-            and not self._is_wanted(manifest.model, manifest.version)
-        ):
+        until = read_clock() + WANTED_SECONDS
+        while self._is_kept(chunks) and read_clock() < until:
+            if self._is_wanted(manifest.model, manifest.version):
+                return True
             await asyncio.sleep(WANTED_POLL_SECONDS)
+        return False
--- a/tests/test_chunk_cache.py
+++ b/tests/test_chunk_cache.py
@@ -331,3 +331,28 @@
             since = began_at + tenths / 10
             carried = line.measure(since, since + 1)
             assert carried <= DOMAIN_RATE * 1.1
+
+
+class TestWantedVersions:
+    """Prefetches of versions that no loader downloads."""
+
+    async def test_abandoned_version(self):
+        """A version that becomes unwanted takes no more of any link."""
+        source = Source(own=tuple(range(CHUNKS)))
+        wanted = {1}
+        source.cache = ChunkCache(
+            read_manifest=source.read_manifest,
+            download_chunk=source.draw,
+            list_own=source.list_own,
+            is_wanted=lambda model, version: version in wanted,
+        )
+        await source.cache.find_manifest(MODEL, 1)
+        await asyncio.sleep(0.15)
+        wanted.clear()
+        await asyncio.sleep(2)
+        drawn = len(source.draws)
+        assert drawn < CHUNKS
+        wanted.add(1)
+        await asyncio.sleep(2)
+        assert len(source.draws) == CHUNKS
+        await source.cache.stop()
