Count an idle target of one slot elsewhere as free

Cause: the share of slots that stays free for late news (8 or 25 in 100) left less than one slot at targets of one slot, so that an idle one in another failure domain never had room, and the request was refused at the full near targets. Change: the reserve never takes the only slot. Measured: the new test found the near full target in 100 of 100 searches before, the idle far one in 100 of 100 now.

--- a/src/ragwortcourse/forwarding/balancing/search.py
+++ b/src/ragwortcourse/forwarding/balancing/search.py
@@ -103,7 +103,8 @@
 
 
 def _has_free_slot(found: Found, reserve: float) -> bool:
-    return found.place.load + 1 <= found.place.slots * (1 - reserve)
+    # A target of one slot has nothing to reserve, and is free when idle.
+    return found.place.load + 1 <= max(found.place.slots * (1 - reserve), 1)
 
 
 def _find_cheapest(rated: Sequence[_Rated]) -> Found | None:
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -27,7 +27,7 @@
     name: str, *, load: float = 0, is_far: bool = False, **changes
 ) -> Found:
     """Build a target with some requests."""
-    pace = changes.pop('pace', 1)
+    pace, slots = changes.pop('pace', 1), changes.pop('slots', 16)
     target = make_target(
         name, **({'failure_domain': FAR_DOMAIN} if is_far else {})
     )
@@ -37,7 +37,9 @@
         distance=Distance.OTHER_REGION if is_far else Distance.SAME_DOMAIN,
         **changes,
     )
-    place = TargetOccupancy(load=load, slots=16, engine=ENGINE_RULES, pace=pace)
+    place = TargetOccupancy(
+        load=load, slots=slots, engine=ENGINE_RULES, pace=pace
+    )
     return Found(candidate=candidate, place=place)
 
 
@@ -107,6 +109,17 @@
         free = make_found('free', load=4, is_far=True)
         assert find(*near, *far, free) == {'free': 100}
 
+    def test_one_slot(self):
+        """An idle target of one slot elsewhere is free.
+
+        A reserve of part of its slot would leave it idle for ever.
+        """
+        near, far = (
+            make_found(name, load=load, is_far=bool(far), slots=1)
+            for name, load, far in (('near', 4, 0), ('far', 0, 1))
+        )
+        assert find(near, far) == {'far': 100}
+
     def test_failing(self):
         """A near target that fails is not preferred to a sound one."""
         silent = make_found('silent', silent=True)
