Download nothing of a version that is dropped while on hold

Cause: a prefetch that waits until its version is wanted again also went on when the cache dropped the version. Each waiting task, one for each chunk where starts are spread, then downloaded one more chunk, as a relay, which counts as demand at the daemon that draws from the origin. Change: the prefetch ends there.

--- a/src/ragwortcourse/weights/planning/prefetch.py
+++ b/src/ragwortcourse/weights/planning/prefetch.py
@@ -85,6 +85,9 @@
                 )
                 async with polling:
                     await self._await_wanted(chunks)
+                if not self._is_kept(chunks):
+                    # Others would draw it from the origin for this daemon.
+                    return
                 if await self._find_chunk(chunks, index) is None:
                     queue.append(index)
                     await asyncio.sleep(RETRY_SECONDS)
