Pass no datagrams on that were read after a stall

Cause: a daemon that stalled ignores the ages in the messages that queued up meanwhile, but passed these messages on to its failure domain. Daemons that had not stalled took the ages as they were: a version of weights counted as named later, by up to the length of the stall, so that requests could begin on its predecessor after the bound, and dead daemons counted as alive. Change: messages that are read late are applied as before and not passed on; the stall is noted before anything is passed on. Measured: the new test saw a message of a stall of 4 s passed on before, none now; messages after the stall are passed on.

--- a/src/ragwortcourse/forwarding/dissemination/broadcast.py
+++ b/src/ragwortcourse/forwarding/dissemination/broadcast.py
@@ -37,10 +37,15 @@
         for address in self.audience.addresses:
             self.send(content, address)
 
-    def receive(self, data: bytes) -> bytes:
-        """Pass a datagram on if it says so; return its message."""
+    def receive(self, data: bytes, *, is_late: bool = False) -> bytes:
+        """Pass a datagram on if it says so; return its message.
+
+        :param is_late: whether it was read so late that the ages in it are
+            wrong. Its next receiver could not tell, so it is not passed on.
+        """
         if not data.startswith(PASS_ON):
             return data
         content = data.removeprefix(PASS_ON)
-        self.send_near(content)
+        if not is_late:
+            self.send_near(content)
         return content
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -91,8 +91,9 @@
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Apply one message; log an unreadable one."""
+        self.note_awake()
         if self.broadcast is not None:
-            data = self.broadcast.receive(data)
+            data = self.broadcast.receive(data, is_late=self._is_late)
         try:
             message: Message = decode_json(data, Message)
         except UnreadableError as error:
@@ -108,13 +109,17 @@
         else:
             self._take_report(message)
 
+    @property
+    def _is_late(self) -> bool:
+        """Tell whether messages that are read now may be from a gap."""
+        return self._awake_at < self._late_until
+
     def _take_load(self, message: LoadMessage) -> None:
         self._forwarder.note_counts(message.daemon, message.counts)
         self._forwarder.scheduling.note_message(
             message.daemon, message.demand, message.urgent
         )
-        self.note_awake()
-        if self._awake_at < self._late_until:
+        if self._is_late:
             # The ages in a late message may lack the time of the gap.
             return
         self._forwarder.store_watch.note_peer(
@@ -134,8 +139,7 @@
             note_history(self._forwarder.state, history, told_by=message.daemon)
 
     def _take_report(self, message: ReportMessage) -> None:
-        self.note_awake()
-        if self._awake_at >= self._late_until:
+        if not self._is_late:
             note_report(self._forwarder, message)
 
     def _take_switch(self, message: SwitchMessage) -> None:
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -21,6 +21,11 @@
 from fakes.ports import pick_address
 from ragwortcourse import clock
 from ragwortcourse.clock import read_clock_with_suspend
+from ragwortcourse.forwarding.dissemination.audience import Audience
+from ragwortcourse.forwarding.dissemination.broadcast import (
+    PASS_ON,
+    Broadcast,
+)
 from ragwortcourse.forwarding.load_exchange import (
     FAR_ROUNDS,
     NEAR_SECONDS,
@@ -169,6 +174,27 @@
         send(receiver, message)
         assert forwarder.state.weights
 
+    async def test_passed_on_late(self):
+        """Messages read after a stall are not passed on.
+
+        Daemons that did not stall would take the ages in them as they are,
+        and begin requests on an old version for as long as the stall.
+        """
+        passed_on = []
+        _, receiver = make_receiver()
+        receiver.broadcast = Broadcast(
+            send=lambda content, address: passed_on.append(address)
+        )
+        receiver.broadcast.audience = Audience(near=('10.0.0.3:1',))
+        receiver.note_awake()
+        await asyncio.sleep(4)
+        content = msgspec.json.encode(LoadMessage(daemon='e2', counts={}))
+        receiver.datagram_received(PASS_ON + content, ('10.0.0.2', 1))
+        assert not passed_on
+        await asyncio.sleep(NEAR_SECONDS * 2)
+        receiver.datagram_received(PASS_ON + content, ('10.0.0.2', 1))
+        assert passed_on == ['10.0.0.3:1']
+
     async def test_suspended(self, monkeypatch):
         """The bound on old versions runs on while the host is suspended."""
         forwarder, receiver = make_receiver()
