Pass no datagram on that has two marks

Cause: a daemon removes one mark and sends the rest to its failure domain. With further marks, each receiver sends the rest to all others again, so that one malformed datagram becomes a power of the number of daemons. Measured: the new test saw it passed on before, not now.

--- a/src/ragwortcourse/forwarding/dissemination/broadcast.py
+++ b/src/ragwortcourse/forwarding/dissemination/broadcast.py
@@ -46,6 +46,7 @@
         if not data.startswith(PASS_ON):
             return data
         content = data.removeprefix(PASS_ON)
-        if not is_late:
+        # A second mark would make each receiver pass it on to all others.
+        if not is_late and not content.startswith(PASS_ON):
             self.send_near(content)
         return content
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -6,9 +6,13 @@
 
 from ragwortcourse.forwarding.dissemination.audience import (
     SMALLEST_DOMAIN,
+    Audience,
     choose_audience,
 )
-from ragwortcourse.forwarding.dissemination.broadcast import Broadcast
+from ragwortcourse.forwarding.dissemination.broadcast import (
+    PASS_ON,
+    Broadcast,
+)
 from ragwortcourse.membership.relay_daemons import RelayRecord
 
 DOMAINS = ('a', 'b', 'c')
@@ -137,3 +141,14 @@
         assert sent == ['a-1:1', 'a-2:1']
         assert broadcast.receive(b'{}') == b'{}'
         assert len(sent) == 2
+
+    def test_two_marks(self):
+        """A datagram with two marks is not passed on.
+
+        Each receiver would send it to all others once more for each mark.
+        """
+        sent = []
+        broadcast = Broadcast(send=lambda content, to: sent.append(to))
+        broadcast.audience = Audience(near=('a-1:1', 'a-2:1'))
+        assert broadcast.receive(PASS_ON * 2 + b'{}') == PASS_ON + b'{}'
+        assert not sent
