Send waiting requests by the route of the state in force

Cause: a request that waits for its turn was checked against the state in force when its turn came, but its target was chosen by the route and account of the state in force when it arrived, up to its whole time limit before. It could begin in a region, or at a service, that operators had closed to it longer ago than their bound. Change: the turn applies the current route and account. Where the route no longer leads to the service, the request is refused, which is counted with cause 'moved'. Measured: in both cases of the new test the request was sent before; it is refused now.

--- a/src/ragwortcourse/forwarding/scheduling/scheduling_metrics.py
+++ b/src/ragwortcourse/forwarding/scheduling/scheduling_metrics.py
@@ -26,6 +26,7 @@
     TOO_LONG = 'too_long'
     FULL = 'full'
     MISSED = 'missed'
+    MOVED = 'moved'
     STOPPING = 'stopping'
 
 
--- a/src/ragwortcourse/forwarding/scheduling/turns.py
+++ b/src/ragwortcourse/forwarding/scheduling/turns.py
@@ -103,11 +103,17 @@
         record_wait(self._urgency, now - began_at, is_served=is_served)
 
     def _offer(self) -> Target | Refusal | None:
-        """Choose the target as of now; none while there is no room."""
+        """Choose the target as of now; none while there is no room.
+
+        The desired state may have changed since the request came.
+        """
         forwarder, work = self._tries.forwarder, self._tries.work
         permitted = permit_call(forwarder.state, forwarder.fleet, work.call)
         if isinstance(permitted, Refusal):
             return permitted
+        route, account = permitted
+        if not self._tries.renew_permission(route, account):
+            return self._refuse(RefusalCause.MOVED)
         chosen = self._choose()
         return None if _is_crowded(chosen) else chosen
 
--- a/src/ragwortcourse/forwarding/tries.py
+++ b/src/ragwortcourse/forwarding/tries.py
@@ -1,9 +1,11 @@
 """Progress of one request over the targets that it is sent to."""
 
+import dataclasses
 import math
 from typing import Final
 
 from ragwortcourse.clock import read_clock
+from ragwortcourse.forwarding.account import Account
 from ragwortcourse.forwarding.admission import choose_retry_after
 from ragwortcourse.forwarding.call import PermittedCall
 from ragwortcourse.forwarding.call_kind import CallKind
@@ -20,6 +22,7 @@
     Refusal,
     WholeAnswer,
 )
+from ragwortcourse.forwarding.route import Route
 from ragwortcourse.forwarding.tries_end import TriesEnd
 from ragwortcourse.forwarding.try_history import TryHistory
 from ragwortcourse.forwarding.urgency import Standing
@@ -107,6 +110,20 @@
             return Standing.MOVED
         return Standing.LATE if self.is_late else Standing.FRESH
 
+    def renew_permission(self, route: Route, account: Account | None) -> bool:
+        """Apply the route and account of a newer desired state.
+
+        :return: false if the route no longer leads to the service.
+        """
+        if route is self.work.route and account is self.work.account:
+            return True
+        is_kept = route.kind is self.work.route.kind
+        self.work = dataclasses.replace(self.work, route=route, account=account)
+        return is_kept and any(
+            share.service == self.service and share.weight > 0
+            for share in route.services
+        )
+
     def find_end(self, *, beside: bool = False) -> TriesEnd | None:
         """Find why no further target may be tried; none if one may.
 
--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import contextlib
-import functools
 import logging
 from collections.abc import Callable, Iterator, Sequence
 from http import HTTPStatus
@@ -174,14 +173,16 @@
     async def _choose(self) -> Target | Refusal:
         """Choose the next target; the request may wait for a free slot."""
         tries, scheduling = self._tries, self._tries.forwarder.scheduling
-        choose = functools.partial(
-            choose_target,
-            tries.forwarder,
-            tries.work,
-            tries.service,
-            tries.tried,
-            combine_silences(self.silent),
-        )
+
+        def choose() -> Target | Refusal:
+            return choose_target(
+                tries.forwarder,
+                tries.work,
+                tries.service,
+                tries.tried,
+                combine_silences(self.silent),
+            )
+
         known = scheduling.find(tries.service)
         if known is not None and not self.silent and not tries.tried:
             turn = Turn(tries=tries, known=known, choose=choose)
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -7,8 +7,11 @@
 
 from fakes.fleet_parts import (
     ENGINES,
+    FAR_DOMAIN,
     KEY,
     NEAR_DOMAIN,
+    PLAIN_SHARE,
+    REGIONS,
     make_desired,
     make_forwarder,
     make_permitted_call,
@@ -56,7 +59,7 @@
         known = self.forwarder.scheduling.find(ENGINES)
 
         def choose():
-            return choose_target(self.forwarder, work, ENGINES, ())
+            return choose_target(self.forwarder, tries.work, ENGINES, ())
 
         turn = Turn(tries=tries, known=known, choose=choose)
         task = asyncio.ensure_future(turn.choose())
@@ -112,6 +115,30 @@
         await fleet.wake()
         assert task.result().reason is Reason.UNKNOWN_KEY
 
+    @pytest.mark.parametrize(
+        ('changes', 'reason'),
+        [
+            ({'regions': frozenset({REGIONS[FAR_DOMAIN]})}, Reason.NO_TARGET),
+            ({'services': PLAIN_SHARE}, Reason.OVERLOADED),
+        ],
+    )
+    async def test_changed_route(self, crowded, changes, reason):
+        """A waiting request goes where its route leads now.
+
+        By the state in force when it came, it could begin in a region or at
+        a service that is no longer allowed.
+        """
+        fleet = crowded()
+        task = await fleet.start()
+        other = dataclasses.replace(ROUTE, name='other', prefix='/other/')
+        fleet.state.desired = make_desired(
+            URGENT, other, dataclasses.replace(ROUTE, **changes), version=2
+        )
+        for load in fleet.loads:
+            load.own = 0
+        await fleet.wake()
+        assert task.result().reason is reason
+
     async def test_equal_priorities(self, crowded):
         """No request is forgotten when its service is not scheduled any more.
 
