--- a/src/ragwortcourse/weights/planning/prefetch.py
+++ b/src/ragwortcourse/weights/planning/prefetch.py
@@ -79,15 +79,17 @@
         queue = list(indices)
         # One task polls for all, whatever the number of chunks.
         polling = asyncio.Lock()
+        is_wanted = True
 
         async def prefetch_next() -> None:
+            nonlocal is_wanted  # noqa: WPS420
             while queue and self._is_due(chunks, began_at):
                 index = queue.pop(0)
                 await asyncio.sleep(
                     began_at + start_seconds[index] - read_clock()
                 )
                 async with polling:
-                    is_wanted = await self._becomes_wanted(chunks)
+                    is_wanted = is_wanted and await self._becomes_wanted(chunks)
                 if not is_wanted:
                     return
                 if await self._find_chunk(chunks, index) is None:
