--- a/src/ragwortcourse/forwarding/balancing/balancing.py
+++ b/src/ragwortcourse/forwarding/balancing/balancing.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from ragwortcourse.forwarding.balancing.home_share import HomeShare
 from ragwortcourse.forwarding.balancing.target_paces import TargetPaces
 from ragwortcourse.forwarding.peer_counts import PeerCounts
 
@@ -15,4 +16,5 @@
     """
 
     paces: TargetPaces
+    home_share: HomeShare
     peer_tokens: PeerCounts
--- a/src/ragwortcourse/forwarding/balancing/drawing.py
+++ b/src/ragwortcourse/forwarding/balancing/drawing.py
@@ -16,6 +16,7 @@
     draw_targets,
 )
 from ragwortcourse.forwarding.target import Target
+from ragwortcourse.identifiers import ServiceName
 
 # Draws up to a number of usable targets.
 Draw = Callable[[int, Scope], Sequence[Found]]
@@ -54,6 +55,22 @@
     return draw
 
 
+def read_home_share(forwarder: Forwarder, service: ServiceName) -> float:
+    """Read the share of requests that look at the own domain first."""
+    home_share, now = forwarder.balancing.home_share, read_clock()
+    if not home_share.is_fresh(service, now):
+        usable = [
+            target
+            for target in forwarder.state.targets.values()
+            if target.service == service
+            and not target.leaving
+            and target.failure_domain not in forwarder.state.withdrawn
+            and not _is_avoided(forwarder, target)
+        ]
+        home_share.count(service, usable, now)
+    return home_share.read(service)
+
+
 def _is_within(forwarder: Forwarder, target: Target, scope: Scope) -> bool:
     if scope is Scope.ALL:
         return True
--- a/src/ragwortcourse/forwarding/balancing/memory.py
+++ b/src/ragwortcourse/forwarding/balancing/memory.py
@@ -16,6 +16,8 @@
 # Share of the memory that is used: the requests that other daemons sent lately
 # are not known yet.
 USED_SHARE: Final = 0.8
+# Another daemon may send a request as large within the age of its messages.
+LATE_REQUESTS: Final = 2
 
 
 def estimate_tokens(call: Call, engine: EngineProfile) -> float:
@@ -65,4 +67,4 @@
     others = load.estimate(now) - load.own
     mean = engine.mean_prompt_tokens + engine.mean_answer_tokens
     used = load.own_tokens + others * mean + excess
-    return used + needed <= engine.memory_tokens * USED_SHARE
+    return used + LATE_REQUESTS * needed <= (engine.memory_tokens * USED_SHARE)
--- a/src/ragwortcourse/forwarding/balancing/search.py
+++ b/src/ragwortcourse/forwarding/balancing/search.py
@@ -41,6 +41,7 @@
     :param has_room: tells whether the request should be sent to a target now.
     :param compute_cost: computes the expected seconds to the first event, with
         all penalties.
+    :param home_share: share of the searches that begin in the own domain.
     """
 
     def __init__(
@@ -49,11 +50,13 @@
         draw: Draw,
         has_room: Callable[[Found], bool],
         compute_cost: Callable[[Found], float],
+        home_share: float,
         rng: random.Random,
     ) -> None:
         self._draw = draw
         self._has_room = has_room
         self._compute_cost = compute_cost
+        self._home_share = home_share
         self._rng = rng
 
     def find_soonest(self) -> Found | None:
@@ -62,7 +65,10 @@
         :return: the cheapest of the nearest few if none has room; none if no
             target is usable.
         """
-        near = self._rate(SAMPLED_TARGETS, Scope.OWN_DOMAIN)
+        is_home = self._rng.random() < self._home_share
+        near = self._rate(
+            SAMPLED_TARGETS, Scope.OWN_DOMAIN if is_home else Scope.ALL
+        )
         # Only the cheapest of them: with any that has room, daemons that all
         # look at full targets sent too much to the few that seemed free.
         roomy = self._keep_roomy(sorted(near, key=_read_cost)[:1], reserve=0)
--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -8,7 +8,11 @@
 from ragwortcourse.forwarding.balancing.description import (
     Found,
 )
-from ragwortcourse.forwarding.balancing.drawing import Draw, make_draw
+from ragwortcourse.forwarding.balancing.drawing import (
+    Draw,
+    make_draw,
+    read_home_share,
+)
 from ragwortcourse.forwarding.balancing.memory import (
     estimate_tokens,
     has_memory,
@@ -123,7 +127,9 @@
     targets of the service report their pace, and by their load elsewhere.
     """
     if forwarder.balancing.paces.reports_pace(service, read_clock()):
-        return _find_soonest(forwarder, work, draw)
+        return _find_soonest(
+            forwarder, work, draw, read_home_share(forwarder, service)
+        )
     sampled = {
         found.candidate.target.name: found
         for found in draw(SAMPLED_TARGETS, Scope.ALL)
@@ -135,7 +141,7 @@
 
 
 def _find_soonest(
-    forwarder: Forwarder, work: PermittedCall, draw: Draw
+    forwarder: Forwarder, work: PermittedCall, draw: Draw, home_share: float
 ) -> Found | None:
     demand = read_demand(forwarder, work)
     transfer = Transfer(
@@ -147,6 +153,7 @@
         draw=draw,
         has_room=lambda found: is_admitted(found.place, demand),
         compute_cost=lambda found: compute_cost(found, demand, transfer),
+        home_share=home_share,
         rng=forwarder.rng,
     ).find_soonest()
 
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.entry.retry_scheduler import RetryScheduler
 from ragwortcourse.forwarding.balancing.balancing import Balancing
+from ragwortcourse.forwarding.balancing.home_share import HomeShare
 from ragwortcourse.forwarding.balancing.target_paces import TargetPaces
 from ragwortcourse.forwarding.call_scopes import CallScopes
 from ragwortcourse.forwarding.caller_timeouts import CallerTimeouts
@@ -90,7 +91,12 @@
             retry_scheduler=RetryScheduler(),
         )
         self.balancing = Balancing(
-            paces=TargetPaces(state=state), peer_tokens=PeerCounts()
+            paces=TargetPaces(state=state),
+            home_share=HomeShare(
+                own=settings.failure_domain,
+                domains=len(self.fleet.failure_domains),
+            ),
+            peer_tokens=PeerCounts(),
         )
         self._peers = PeerCounts()
         self.running = 0
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -59,6 +59,7 @@
         draw=draw,
         has_room=lambda found: is_admitted(found.place, DEMAND),
         compute_cost=lambda found: compute_cost(found, DEMAND, TRANSFER),
+        home_share=1,
         rng=rng,
     )
     for _ in range(100):
