--- a/src/ragwortcourse/forwarding/balancing/target_paces.py
+++ b/src/ragwortcourse/forwarding/balancing/target_paces.py
@@ -101,6 +101,14 @@
         reported_at = self._reported_at.get(service, -math.inf)
         return now - reported_at < REPORTING_SECONDS
 
+    def count_slow(self, now: float) -> int:
+        """Count the targets that are known to be slower than the mean now."""
+        slow = self._fleet.mean + NEWS_CHANGE
+        return sum(
+            known.last >= slow and known.weigh_last(now) > 0
+            for known in self._paces.values()
+        )
+
     def estimate(self, target: Target, now: float) -> PaceEstimate:
         """Estimate the pace of a target.
 
--- a/src/ragwortcourse/forwarding/gauges.py
+++ b/src/ragwortcourse/forwarding/gauges.py
@@ -5,6 +5,7 @@
 
 from opentelemetry.metrics import CallbackOptions, Observation, get_meter
 
+from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.choice_refusals import is_limited, is_resting
 from ragwortcourse.forwarding.forwarder import Forwarder
 
@@ -42,6 +43,12 @@
             is_resting(forwarder, target) for target in state.targets.values()
         ),
     )
+    _watch(
+        'ragwortcourse.forwarding.slow_targets',
+        '',
+        'targets whose machines are known to be slow for now',
+        lambda: forwarder.balancing.paces.count_slow(read_clock()),
+    )
     _watch(
         'ragwortcourse.forwarding.targets',
         '',
--- a/tests/test_target_paces.py
+++ b/tests/test_target_paces.py
@@ -51,6 +51,8 @@
         paces.note_report(TARGET, report(SLOW), 0)
         estimate = paces.estimate(TARGET, 0)
         assert (estimate.pace, estimate.spread) == (SLOW, 0)
+        assert paces.count_slow(0) == 1
+        assert paces.count_slow(HOLD_SECONDS) == 0
 
     def test_tends_to_the_mean(self):
         """An outdated report neither attracts nor repels requests."""
