--- a/src/ragwortcourse/forwarding/balancing/token_exchange.py
+++ b/src/ragwortcourse/forwarding/balancing/token_exchange.py
@@ -19,11 +19,12 @@
     state = forwarder.state
     services = {} if state.desired is None else state.desired.services
     found: dict[TargetName, int] = {}
-    for name, load in forwarder.list_loads():
+    for name in forwarder.count_running():
         target = state.targets.get(name)
         rules = None if target is None else services.get(target.service)
-        engine = None if rules is None else rules.engine
-        excess = 0 if engine is None else count_excess(load, engine)
+        if target is None or rules is None or rules.engine is None:
+            continue
+        excess = count_excess(forwarder.find_load(target), rules.engine)
         if excess:
             found[name] = excess
     return found
--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -5,7 +5,6 @@
 import logging
 import math
 import random
-from collections.abc import Iterator
 from typing import Final
 
 import aiohttp
@@ -182,15 +181,10 @@
         """
         return {
             name: (load.own, load.unanswered)
-            for name, load in self.list_loads()
+            for name, load in self._loads.items()
+            if load.own
         }
 
-    def list_loads(self) -> Iterator[tuple[TargetName, TargetLoad]]:
-        """List the targets that have requests of this daemon."""
-        for name, load in self._loads.items():
-            if load.own:
-                yield name, load
-
     def _find_answered(self, target: TargetName, born: int) -> float:
         """Find when the newest request was sent that a target answered."""
         load = self._loads.get(target)
