--- a/src/ragwortcourse/forwarding/forwarder.py
+++ b/src/ragwortcourse/forwarding/forwarder.py
@@ -5,7 +5,6 @@
 import logging
 import math
 import random
-from collections.abc import Iterator
 from typing import Final
 
 import aiohttp
@@ -13,6 +12,7 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.entry.retry_scheduler import RetryScheduler
 from ragwortcourse.forwarding.balancing.balancing import Balancing
+from ragwortcourse.forwarding.balancing.home_share import HomeShare
 from ragwortcourse.forwarding.balancing.target_paces import TargetPaces
 from ragwortcourse.forwarding.call_scopes import CallScopes
 from ragwortcourse.forwarding.caller_timeouts import CallerTimeouts
@@ -103,7 +103,12 @@
             state=state, count_daemons=lambda: budget.daemons
         )
         self.balancing = Balancing(
-            paces=TargetPaces(state=state), peer_tokens=PeerCounts()
+            paces=TargetPaces(state=state),
+            home_share=HomeShare(
+                own=settings.failure_domain,
+                domains=len(self.fleet.failure_domains),
+            ),
+            peer_tokens=PeerCounts(),
         )
         self._peers = PeerCounts()
         self.running = 0
@@ -197,15 +202,10 @@
         """
         return {
             name: (load.own, load.unanswered)
-            for name, load in self.list_loads()
+            for name, load in self._loads.items()
+            if load.own
         }
 
-    def list_loads(self) -> Iterator[tuple[TargetName, TargetLoad]]:
-        """List the targets that have requests of this daemon."""
-        for name, load in self._loads.items():
-            if load.own:
-                yield name, load
-
     def _find_answered(self, target: TargetName, born: int) -> float:
         """Find when the newest request was sent that a target answered."""
         load = self._loads.get(target)
