Count all requests ahead where none is less urgent

Change: without demand of less urgent priorities, a request is admitted as if the service were not scheduled; so is one of the least urgent priority.

--- a/src/ragwortcourse/forwarding/scheduling/decision.py
+++ b/src/ragwortcourse/forwarding/scheduling/decision.py
@@ -33,7 +33,8 @@
 
     :param urgent: requests without an answer that are at least as urgent.
     """
-    if place.load < place.slots:
+    if place.load < place.slots or urgent >= place.unanswered:
+        # None waits, or none is less urgent.
         return place
     waiting = place.load - place.slots
     begun = max(place.unanswered - waiting, 0)
--- a/src/ragwortcourse/forwarding/scheduling/sending.py
+++ b/src/ragwortcourse/forwarding/scheduling/sending.py
@@ -1,5 +1,7 @@
 """Whether a request is sent to its best target now."""
 
+from typing import Final
+
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.admission import (
     Demand,
@@ -15,11 +17,10 @@
     list_kinds,
 )
 from ragwortcourse.forwarding.target import Target
-from ragwortcourse.forwarding.urgency import (
-    LEAST_URGENT,
-    URGENCIES,
-    read_urgency,
-)
+from ragwortcourse.forwarding.urgency import URGENCIES, read_urgency
+
+# Requests a second of all daemons below which there are none to overtake.
+NO_RATE: Final = 0.5
 
 
 def may_send(
@@ -37,19 +38,19 @@
     if known is None:
         return is_admitted(place, demand)
     urgency = read_urgency(route=work.route, account=work.account)
-    urgent: float = place.unanswered
     if demand.time_left <= 0:
         # A late request leaves room for all that are in time.
         urgency = URGENCIES
-    elif urgency < LEAST_URGENT:
-        urgent = scheduling.unanswered.estimate(
-            target.name, urgency, read_clock()
-        )
+    less_urgent = sum(scheduling.read_rates(target.service)[urgency + 1 :])
     is_due = urgency < URGENCIES and known.shares.is_due(list_kinds(work))
     is_sent = is_sent_now(
         place,
         demand,
-        urgent=urgent,
+        urgent=(
+            scheduling.unanswered.estimate(target.name, urgency, read_clock())
+            if less_urgent > NO_RATE
+            else place.unanswered
+        ),
         reserved=(
             0 if is_due else reserve_slots(scheduling, target, place, urgency)
         ),
