Write whole answers in pieces, and read all bodies against the budget

Heads that were refused stayed in the parser. Ports of entry daemons, agents and operators read bodies whole without a budget. Change: long answers are written in pieces; refused connections release their parser at once; all handlers read bodies by read_request_body.

--- a/src/ragwortcourse/agent/server.py
+++ b/src/ragwortcourse/agent/server.py
@@ -20,6 +20,7 @@
 from ragwortcourse.agent.status import answer_heartbeat
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import AttemptId
+from ragwortcourse.ingress.request_guard import read_request_body
 from ragwortcourse.messages import headers as names
 from ragwortcourse.messages.attempt import (
     AnswerBrokenError,
@@ -59,7 +60,7 @@
         attempt = decode_attempt(
             AttemptId(request.match_info['attempt']),
             request.headers,
-            await request.read(),
+            await read_request_body(request),
         )
         if isinstance(attempt, AttemptMalformed):
             return build_malformed(attempt.detail)
@@ -83,7 +84,7 @@
 
     async def handle_status(request: web.Request) -> web.Response:
         try:
-            heartbeat = decode_json(await request.read(), Heartbeat)
+            heartbeat = decode_json(await read_request_body(request), Heartbeat)
         except UnreadableError as error:
             return build_malformed(str(error))
         return build_json(await answer_heartbeat(agent, heartbeat))
--- a/src/ragwortcourse/entry/call_reader.py
+++ b/src/ragwortcourse/entry/call_reader.py
@@ -6,12 +6,14 @@
 
 from aiohttp import ClientError, web
 
+from ragwortcourse.bodies import BodyTooLongError
 from ragwortcourse.entry import errors
 from ragwortcourse.identifiers import (
     DeploymentName,
     IdempotencyKey,
     RequestId,
 )
+from ragwortcourse.ingress.request_guard import read_request_body
 from ragwortcourse.messages import headers
 from ragwortcourse.messages.call import Call
 from ragwortcourse.messages.outcome import NotRun
@@ -88,12 +90,10 @@
 async def _read_body(request: web.Request) -> bytes:
     if (request.content_length or 0) > BODY_LIMIT_BYTES:
         raise BodyTooLargeError
-    body = bytearray()
-    async for chunk in request.content.iter_any():
-        body += chunk
-        if len(body) > BODY_LIMIT_BYTES:
-            raise BodyTooLargeError
-    return bytes(body)
+    try:
+        return await read_request_body(request, limit=BODY_LIMIT_BYTES)
+    except BodyTooLongError as error:
+        raise BodyTooLargeError from error
 
 
 def _refuse(code: str, detail: str) -> BadCall:
--- a/src/ragwortcourse/entry/claim_batch_router.py
+++ b/src/ragwortcourse/entry/claim_batch_router.py
@@ -18,6 +18,7 @@
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.entry.claim_batcher import ClaimBatcher
 from ragwortcourse.identifiers import DaemonId, FailureDomainName
+from ragwortcourse.ingress.request_guard import read_request_body
 from ragwortcourse.membership.hosts import HostRecord, HostState
 from ragwortcourse.messages.claim_write import (
     ClaimWrite,
@@ -185,7 +186,7 @@
 
     async def collect(request: web.Request) -> web.Response:
         try:
-            message = decode_json(await request.read(), ClaimWrite)
+            message = decode_json(await read_request_body(request), ClaimWrite)
         except UnreadableError as error:
             return web.Response(status=HTTPStatus.BAD_REQUEST, text=str(error))
         outcome = await batcher.commit(
--- a/src/ragwortcourse/entry/crasher_peers.py
+++ b/src/ragwortcourse/entry/crasher_peers.py
@@ -11,6 +11,7 @@
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.entry.crasher_sync import merge_crasher
 from ragwortcourse.entry.crashers import CrasherRegistry
+from ragwortcourse.ingress.request_guard import read_request_body
 from ragwortcourse.messages.shared_crasher import SharedCrasher
 from ragwortcourse.unreadable import UnreadableError
 
@@ -70,7 +71,9 @@
 
     async def take(request: web.Request) -> web.Response:
         try:
-            crasher = decode_json(await request.read(), SharedCrasher)
+            crasher = decode_json(
+                await read_request_body(request), SharedCrasher
+            )
         except UnreadableError as error:
             return web.Response(status=HTTPStatus.BAD_REQUEST, text=str(error))
         merge_crasher(crashers, crasher)
--- a/src/ragwortcourse/entry/operator_changes.py
+++ b/src/ragwortcourse/entry/operator_changes.py
@@ -43,6 +43,7 @@
     FailureDomainName,
     TargetName,
 )
+from ragwortcourse.ingress.request_guard import read_request_body
 from ragwortcourse.messages.operator import (
     AvailabilityChange,
     ChangeAccepted,
@@ -60,7 +61,7 @@
     operators: OperatorContext, request: web.Request
 ) -> web.Response:
     """Replace the configuration if its base generation is still in force."""
-    body = read_message(await request.read(), ConfigurationChange)
+    body = read_message(await read_request_body(request), ConfigurationChange)
     if isinstance(body, tuple):
         return answer_findings(body)
     findings = check_id('change', body.change) + check_configuration(
@@ -95,7 +96,7 @@
     operators: OperatorContext, request: web.Request
 ) -> web.Response:
     """Take a failure domain or a target out of service."""
-    part = _read_part(operators, await request.read())
+    part = _read_part(operators, await read_request_body(request))
     if isinstance(part, tuple):
         return answer_findings(part)
     accepted = await apply_withdrawal(operators.holder, operators.store, part)
@@ -114,7 +115,7 @@
     operators: OperatorContext, request: web.Request
 ) -> web.Response:
     """Return a failure domain or a target to service."""
-    part = _read_part(operators, await request.read())
+    part = _read_part(operators, await read_request_body(request))
     if isinstance(part, tuple):
         return answer_findings(part)
     outcome = await apply_return(operators.holder, operators.store, part)
@@ -125,7 +126,7 @@
     operators: OperatorContext, request: web.Request
 ) -> web.Response:
     """Cancel the rollout of a version to a deployment's targets."""
-    body = read_message(await request.read(), RolloutCancellation)
+    body = read_message(await read_request_body(request), RolloutCancellation)
     if isinstance(body, tuple):
         return answer_findings(body)
     findings = check_id('change', body.change)
--- a/src/ragwortcourse/forwarding/calls.py
+++ b/src/ragwortcourse/forwarding/calls.py
@@ -35,7 +35,7 @@
     StreamCall,
 )
 from ragwortcourse.forwarding.tries import Tries
-from ragwortcourse.ingress.request_guard import read_body
+from ragwortcourse.ingress.request_guard import read_request_body
 
 
 def build_call_routes(forwarder: Forwarder) -> list[web.RouteDef]:
@@ -63,7 +63,7 @@
     try:
         async with forwarder.open_reading():
             with _watch_caller(request, lambda: note_left(call)):
-                body = await read_body(request)
+                body = await read_request_body(request)
     except ScopeEndedError:
         return _write_reply(call, STOPPING)
     if forwarder.closing:
--- a/src/ragwortcourse/ingress/guarded_protocol.py
+++ b/src/ragwortcourse/ingress/guarded_protocol.py
@@ -60,6 +60,7 @@
         self._pending = 0
         self._body: StreamReader | None = None
         self._beside = 0
+        self._body_received = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Admit the connection, or close it."""
@@ -81,7 +82,8 @@
         """Release what is held for the connection."""
         self._note_lost(self.inner)
         if self.connection is not None:
-            self._detach(exc)
+            if not self._is_detached:
+                self.inner.connection_lost(exc)
             self._ingress.forget(self.connection)
 
     def data_received(self, data: bytes) -> None:
@@ -118,9 +120,10 @@
     def begin_request(self, body: StreamReader, head_bytes: int) -> None:
         """Begin the request that aiohttp read next."""
         self._body = body
-        self._beside = 0
         begun = head_bytes + body.total_bytes
         self._pending = max(self._pending - begun, 0)
+        self._body_received = self._pending + body.total_bytes
+        self._beside = self._pending
         if self.connection is not None:
             self.connection.enter(Phase.RUNNING)
             heads = (self._pending + head_bytes) * HEAD_COPIES
@@ -138,11 +141,16 @@
         else:
             # aiohttp reads the rest for some seconds, then closes.
             connection.begin_closing(BODY_LEFT)
+            if self._is_dropping:
+                # The parser holds what it has read of the trailers.
+                self._end_sending()
 
     def _count_head(self, connection: Connection, data: bytes) -> bool:
         if connection.phase is Phase.IDLE:
             connection.enter(Phase.HEAD)
             self._head = HeadEnd()
+            self._pending = 0
+            connection.release_to(CONNECTION_BYTES)
         is_whole = self._head.find(data)
         limit = connection.limits.header_bytes
         if not is_whole and self._head.size > limit:
@@ -161,14 +169,15 @@
         self, connection: Connection, body: StreamReader, data: bytes
     ) -> None:
         """Pass part of a body on, and count what is not part of it."""
-        before = body.total_bytes
         self.inner.data_received(data)
-        beside = max(len(data) - body.total_bytes + before, 0)
-        self._beside += beside
-        most = LONGEST_OVERHEAD + body.total_bytes * FRAMING_FACTOR
-        if self._beside > most:
+        self._body_received += len(data)
+        # What the parser has not read yet counts too, until it has.
+        beside = self._body_received - body.total_bytes
+        grown = max(beside - self._beside, 0)
+        self._beside += grown
+        if beside > LONGEST_OVERHEAD + body.total_bytes * FRAMING_FACTOR:
             self._refuse(connection, OVERHEAD_TOO_LARGE)
-        elif not connection.hold(beside * HEAD_COPIES):
+        elif not connection.hold(grown * HEAD_COPIES):
             self._refuse(connection, BUDGET_SPENT)
 
     def _refuse(self, connection: Connection, cause: str) -> bool:
@@ -177,11 +186,16 @@
         connection.end(cause)
         return False
 
-    def _detach(self, exc: BaseException | None) -> None:
-        """Let aiohttp's protocol release what it has read, once."""
+    def _end_sending(self) -> None:
+        """Send nothing more; the client closes, or the next checks abort."""
+        transport = self._transport
+        if transport is not None and not transport.is_closing():
+            transport.write_eof()
+            # A detached protocol would close it, and drop the refusal.
+            self.inner.transport = None
         if not self._is_detached:
             self._is_detached = True
-            self.inner.connection_lost(exc)
+            self.inner.connection_lost(None)
 
     def _close(self, phase: Phase) -> None:
         """Close the connection in a way that fits its phase."""
@@ -191,11 +205,7 @@
         if phase is Phase.IDLE:
             transport.close()
         elif phase is Phase.HEAD and self.connection is not None:
-            # The refusal is written after this, so that a detached protocol
-            # must not close the transport.
-            self.inner.transport = None
-            self._detach(None)
             transport.write(write_refusal(self.connection.cause))
-            transport.write_eof()
+            self._end_sending()
         else:
             transport.abort()
--- a/src/ragwortcourse/ingress/request_guard.py
+++ b/src/ragwortcourse/ingress/request_guard.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import contextvars
+import math
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Final
 
 from aiohttp import web
 from aiohttp.typedefs import Handler, Middleware
 from aiohttp.web_protocol import RequestHandler
 
+from ragwortcourse.bodies import BodyTooLongError
 from ragwortcourse.ingress.connection import Connection, ReadingEndedError
 from ragwortcourse.ingress.guarded_protocol import GuardedProtocol
 from ragwortcourse.ingress.ingress import note_ended
@@ -26,6 +29,12 @@
 _LINE_BYTES: Final = 4
 # Spaces, version and line ends of the request line, and the empty line.
 _FIRST_LINE_BYTES: Final = 14
+# Part of an answer that is written at once.
+PIECE_BYTES: Final = 65_536
+HEAD: Final = 'HEAD'
+EMPTY_STATUSES: Final = frozenset(
+    (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+)
 CURRENT: Final = contextvars.ContextVar[Connection | None](
     'CURRENT', default=None
 )
@@ -64,6 +73,7 @@
         try:
             return await _answer(request, handler, connection, head_bytes)
         except BodyRefusedError as error:
+            await _write(request, error.response)
             return error.response
         finally:
             guarded.end_request()
@@ -80,34 +90,56 @@
     )
 
 
-async def read_body(request: web.Request) -> bytes:
+async def read_request_body(
+    request: web.Request, *, limit: float = math.inf
+) -> bytes:
     """Read the body of a request against the budget of the process.
 
-    Without a guard the application's own limit holds.
+    Without a guard and a limit the application's own limit holds.
 
+    :param limit: maximum number of bytes, with an answer of the caller's own.
+    :raises BodyTooLongError: the body is longer than ``limit``.
     :raises BodyRefusedError: the body is too large or too slow, or there is no
         room for it.
     """
     connection = CURRENT.get()
     if connection is None:
-        return await request.read()
+        return await _read_unguarded(request, limit)
     connection.enter(Phase.BODY)
     try:
         async with connection.open_reading():
-            body = await _read_pieces(request, connection)
+            body = await _read_pieces(request, connection, limit)
     except ReadingEndedError as error:
         raise BodyRefusedError(build_refusal(connection.cause)) from error
     connection.enter(Phase.RUNNING)
     return body
 
 
-async def _read_pieces(request: web.Request, connection: Connection) -> bytes:
+async def _read_unguarded(request: web.Request, limit: float) -> bytes:
+    if limit == math.inf:
+        return await request.read()
+    body = bytearray()
+    async for piece in request.content.iter_any():
+        body += piece
+        _check_length(body, limit)
+    return bytes(body)
+
+
+def _check_length(body: bytearray, limit: float) -> None:
+    if len(body) > limit:
+        raise BodyTooLongError(f'body longer than {limit} bytes')
+
+
+async def _read_pieces(
+    request: web.Request, connection: Connection, limit: float
+) -> bytes:
     body = bytearray()
     while True:
         piece = await request.content.readany()
         if not piece:
             return bytes(body)
         body += piece
+        _check_length(body, limit)
         if len(body) > connection.most_body_bytes:
             raise _refuse(connection, BODY_TOO_LARGE)
         if not connection.hold(len(piece) * BODY_COPIES):
@@ -148,8 +180,7 @@
 async def _write(request: web.Request, response: web.Response) -> None:
     """Write a whole answer, unless the client has left."""
     try:
-        await response.prepare(request)
-        await response.write_eof()
+        await _write_pieces(request, response)
     except (ConnectionError, asyncio.CancelledError) as error:
         # The traceback and the future that the writer waited for refer to each
         # other, and would keep the answer until the next garbage collection.
@@ -158,3 +189,24 @@
         # aiohttp notes a client that has left when it ends the response.
         if isinstance(error, asyncio.CancelledError):
             raise
+
+
+async def _write_pieces(request: web.Request, response: web.Response) -> None:
+    """Write an answer in pieces, each once the client took those before.
+
+    aiohttp copies a body that is written whole, and does not wait for the
+    client to take it.
+    """
+    body = response.body
+    await response.prepare(request)
+    if _is_long(request, response) and isinstance(body, bytes):
+        response.body = None
+        for begin in range(0, len(body), PIECE_BYTES):
+            await request.writer.write(body[begin : begin + PIECE_BYTES])
+    await response.write_eof()
+
+
+def _is_long(request: web.Request, response: web.Response) -> bool:
+    if request.method == HEAD or response.status in EMPTY_STATUSES:
+        return False
+    return (response.content_length or 0) > PIECE_BYTES
--- a/src/ragwortcourse/membership/routes.py
+++ b/src/ragwortcourse/membership/routes.py
@@ -4,6 +4,7 @@
 from aiohttp import web
 
 from ragwortcourse.decoding import decode_json
+from ragwortcourse.ingress.request_guard import read_request_body
 from ragwortcourse.membership.exchange import answer_exchange
 from ragwortcourse.membership.membership import Membership
 from ragwortcourse.messages.heartbeat import Heartbeat
@@ -15,7 +16,7 @@
 
     async def post_exchange(request: web.Request) -> web.Response:
         try:
-            heartbeat = decode_json(await request.read(), Heartbeat)
+            heartbeat = decode_json(await read_request_body(request), Heartbeat)
         except UnreadableError as error:
             return web.Response(
                 status=web.HTTPBadRequest.status_code, text=str(error)
--- a/src/ragwortcourse/processes/service.py
+++ b/src/ragwortcourse/processes/service.py
@@ -12,6 +12,7 @@
 from aiomisc import Service
 
 from ragwortcourse.configuration.finding import Finding
+from ragwortcourse.ingress.gauges import watch_ingress
 from ragwortcourse.ingress.resources import build_ingress
 from ragwortcourse.processes.assembly import Daemon, build_daemon
 from ragwortcourse.processes.health import build_health_routes
@@ -79,6 +80,7 @@
             await self._close()
             raise UnusableAddressesError(findings=tuple(self._findings))
         self.daemon.start(self.tasks)
+        watch_ingress(self.ingress)
         self.tasks.start('watch clients', self.ingress.run())
         self.tasks.start(
             'follow settings',
