Count no failure for answers that were cut as their callers did not read

Cause: targets cut an answer that stays unread for some seconds; the cut counted against their health and as a crash.

--- a/src/ragwortcourse/forwarding/exchange.py
+++ b/src/ragwortcourse/forwarding/exchange.py
@@ -11,6 +11,7 @@
 
 from ragwortcourse.bodies import is_framed
 from ragwortcourse.client_session import open_session
+from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.answer_cut import AnswerCutError
 from ragwortcourse.forwarding.answer_head import AnswerHead
 from ragwortcourse.forwarding.call import PermittedCall
@@ -26,6 +27,8 @@
 UNACKNOWLEDGED_MS: Final = 2000
 # Targets may add headers to those that callers are allowed to send.
 HEADER_BYTES: Final = 65_536
+# Targets cut an answer that is not read for some seconds.
+UNREAD_SECONDS: Final = 1.0
 # Part of an answer that waits for its caller, in the kernel and in aiohttp,
 # which reads up to twice as much before it stops reading from the target.
 # Pieces of 256 KB, as the kernel delivers them otherwise, took 0.8 MB a stream.
@@ -77,16 +80,20 @@
         """Tell whether the end of the body is known from the answer."""
         return is_framed(self._response.headers)
 
-    async def read_pieces(self) -> AsyncIterator[bytes]:
+    async def read_pieces(
+        self, *, is_unread: bool = False
+    ) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
+        :param is_unread: true if the body was not read for long.
         :raises AnswerCutError: the connection ended before the body did.
         """
         try:
             async for piece in self._response.content.iter_any():
                 yield piece
         except (aiohttp.ClientError, OSError) as error:
-            raise AnswerCutError(repr(error)) from error
+            cause = LossCause.UNREAD if is_unread else LossCause.CUT
+            raise AnswerCutError(repr(error), cause=cause) from error
 
     async def read_whole(self) -> bytes:
         """Read the whole body, once there is room for it.
@@ -97,8 +104,10 @@
         body = bytearray()
         length = self._response.headers.get('Content-Length', '')
         held = min(int(length), BODY_BYTES) if length.isdecimal() else 0
+        began_at = read_clock()
         await hold_answer(held)
-        async for piece in self.read_pieces():
+        is_unread = read_clock() - began_at >= UNREAD_SECONDS
+        async for piece in self.read_pieces(is_unread=is_unread):
             body += piece
             if len(body) > held:
                 await hold_answer(len(body) - held)
--- a/src/ragwortcourse/forwarding/loss_cause.py
+++ b/src/ragwortcourse/forwarding/loss_cause.py
@@ -14,3 +14,6 @@
     ANNOUNCED = 'announced'
     # The target sent something that is no answer to the request.
     INVALID = 'invalid'
+    # The connection ended after the daemon had not read the answer for long,
+    # as its caller did not take it. Targets cut such answers.
+    UNREAD = 'unread'
--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 from collections.abc import Callable, Iterator, Sequence
 from http import HTTPStatus
 from typing import Final
@@ -17,6 +18,7 @@
 )
 from ragwortcourse.forwarding.choice import choose_target
 from ragwortcourse.forwarding.exchange import (
+    UNREAD_SECONDS,
     NoAnswer,
     NotSent,
     OpenAnswer,
@@ -47,6 +49,8 @@
 SILENT_SHARE: Final = 0.25
 # Silence for which a target is avoided on routes with a long time limit.
 SILENT_SECONDS: Final = 1.0
+# What arrived before the cut is passed on within this time.
+UNREAD_CUT_SECONDS: Final = 5.0
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -82,6 +86,7 @@
         self._sign_at = read_clock()
         self._is_silent = False
         self._is_passing_on = False
+        self._unread_until = -math.inf
 
     @property
     def may_answer_soon(self) -> bool:
@@ -137,12 +142,13 @@
         """Pass on what the target sent; its silence begins anew after that."""
         self._is_silent = False
         self._is_passing_on = True
+        began_at = read_clock()
         try:
             with self._tries.history.pass_on():
                 yield
         finally:
             self._is_passing_on = False
-            self._sign_at = read_clock()
+            self._note_passed_on(began_at)
 
     def note_silent(self) -> None:
         """Record that the target of this lane is silent, once."""
@@ -160,7 +166,11 @@
 
     def fail(self, tried: OpenTry, detail: str, cause: LossCause) -> None:
         """Record a try whose answer was cut or invalid."""
-        tried.load.target_health.note_failure(read_clock())
+        now = read_clock()
+        if cause is LossCause.CUT and now < self._unread_until:
+            cause = LossCause.UNREAD
+        if cause is not LossCause.UNREAD:
+            tried.load.target_health.note_failure(now)
         self.crashes.note_lost(_explain(tried.load, cause))
         _log(self._tries, 'answer cut or invalid', tried.target, detail)
 
@@ -170,6 +180,11 @@
         self.crashes.note_abandoned()
         self._asked = None
 
+    def _note_passed_on(self, began_at: float) -> None:
+        self._sign_at = read_clock()
+        if self._sign_at - began_at >= UNREAD_SECONDS:
+            self._unread_until = self._sign_at + UNREAD_CUT_SECONDS
+
     async def _choose(self) -> Target | Refusal:
         """Choose the next target; a late request waits for a free slot."""
         tries = self._tries
