Compute costs of targets with room only; judge pauses with the spread

All targets were rated before those without room were dropped. The expected pause now takes the spread of the pace.

--- a/src/ragwortcourse/forwarding/balancing/description.py
+++ b/src/ragwortcourse/forwarding/balancing/description.py
@@ -6,6 +6,7 @@
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.admission import TargetOccupancy
+from ragwortcourse.forwarding.balancing.pace_mean import USUAL_PACE
 from ragwortcourse.forwarding.choice_refusals import is_limited
 from ragwortcourse.forwarding.engine_profile import EngineProfile
 from ragwortcourse.forwarding.forwarder import Forwarder
@@ -19,10 +20,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Found:
-    """Target found for a request, with its occupancy."""
+    """Target found for a request, with its occupancy.
+
+    :param cautious_pace: pace that the target seldom exceeds.
+    """
 
     candidate: Candidate
     place: TargetOccupancy
+    cautious_pace: float = USUAL_PACE
 
 
 def describe_targets(
@@ -52,15 +57,18 @@
             silent=load.read_silence(now) > SILENT_SECONDS,
             seconds_available=now - load.unavailable_until,
         )
+        pace = forwarder.balancing.paces.estimate(target, now)
         place = TargetOccupancy(
             load=candidate.load,
             unanswered=candidate.unanswered,
             slots=target.slots,
             latency=load.latency,
             engine=engine,
-            pace=forwarder.balancing.paces.estimate(target, now).pace,
+            pace=pace.pace,
+        )
+        yield Found(
+            candidate=candidate, place=place, cautious_pace=pace.cautious
         )
-        yield Found(candidate=candidate, place=place)
 
 
 def _measure_distance(forwarder: Forwarder, target: Target) -> Distance:
--- a/src/ragwortcourse/forwarding/balancing/search.py
+++ b/src/ragwortcourse/forwarding/balancing/search.py
@@ -32,8 +32,6 @@
 # domain is compared with others: a failure some seconds ago.
 SOUND_PENALTY: Final = 0.25
 
-_Rated = tuple[float, Found]
-
 
 class Search:
     """Search for the target of one request.
@@ -66,43 +64,40 @@
             target is usable.
         """
         is_home = self._rng.random() < self._home_share
-        near = self._rate(
+        near = self._draw(
             SAMPLED_TARGETS, Scope.OWN_DOMAIN if is_home else Scope.ALL
         )
         # Only the cheapest of them: with any that has room, daemons that all
         # look at full targets sent too much to the few that seemed free.
-        roomy = self._keep_roomy(sorted(near, key=_read_cost)[:1], reserve=0)
-        if roomy and roomy[0][1].candidate.penalty < SOUND_PENALTY:
-            return roomy[0][1]
-        far = self._rate(SAMPLED_TARGETS, Scope.ELSEWHERE)
+        roomy = self._keep_roomy(self._find_cheapest(near), reserve=0)
+        if roomy and roomy[0].candidate.penalty < SOUND_PENALTY:
+            return roomy[0]
+        far = self._draw(SAMPLED_TARGETS, Scope.ELSEWHERE)
         roomy += self._keep_roomy(far, reserve=ELSEWHERE_RESERVE)
-        if roomy:
-            return _find_cheapest(roomy)
-        every = self._rate(MOST_TARGETS, Scope.ALL)
-        roomy = self._keep_roomy(every, reserve=WIDE_RESERVE)
-        few = near or far or every[:SAMPLED_TARGETS]
-        return _find_cheapest(roomy or few)
-
-    def _rate(self, count: int, scope: Scope) -> list[_Rated]:
-        return [
-            (
-                self._compute_cost(found) + self._rng.random() * JITTER_SECONDS,
-                found,
-            )
-            for found in self._draw(count, scope)
-        ]
+        if not roomy:
+            every = self._draw(MOST_TARGETS, Scope.ALL)
+            roomy = self._keep_roomy(every, reserve=WIDE_RESERVE)
+            far = far or every[:SAMPLED_TARGETS]
+        return next(iter(self._find_cheapest(roomy or near or far)), None)
+
+    def _find_cheapest(self, targets: Sequence[Found]) -> Sequence[Found]:
+        """Find the cheapest of some targets; empty if there is none."""
+        return sorted(targets, key=self._rate)[:1]
+
+    def _rate(self, found: Found) -> float:
+        return self._compute_cost(found) + self._rng.random() * JITTER_SECONDS
 
     def _keep_roomy(
-        self, rated: Iterable[_Rated], *, reserve: float
-    ) -> list[_Rated]:
+        self, targets: Iterable[Found], *, reserve: float
+    ) -> list[Found]:
         """Keep the targets that have room.
 
         :param reserve: share of the slots that has to stay free; zero: none
             has to be free.
         """
         return [
-            (cost, found)
-            for cost, found in rated
+            found
+            for found in targets
             if (not reserve or _has_free_slot(found, reserve))
             and self._has_room(found)
         ]
@@ -110,11 +105,3 @@
 
 def _has_free_slot(found: Found, reserve: float) -> bool:
     return found.place.load + 1 <= found.place.slots * (1 - reserve)
-
-
-def _find_cheapest(rated: Sequence[_Rated]) -> Found | None:
-    return min(rated, key=_read_cost)[1] if rated else None
-
-
-def _read_cost(rated: _Rated) -> float:
-    return rated[0]
--- a/src/ragwortcourse/forwarding/balancing/start_cost.py
+++ b/src/ragwortcourse/forwarding/balancing/start_cost.py
@@ -72,7 +72,8 @@
     if candidate.distance is Distance.OTHER_REGION:
         sent = transfer.request_bytes + transfer.answer_tokens * BYTES_PER_TOKEN
         cost += sent / REGION_BYTES_PER_SECOND
-    if 0 < transfer.longest_gap < expected.pause:
+    pause = expected.pause * max(found.cautious_pace / place.pace, 1)
+    if 0 < transfer.longest_gap < pause:
         cost += LONG_PAUSE_SECONDS
     return cost
 
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -1,8 +1,11 @@
 """Tests of :mod:`ragwortcourse.forwarding.balancing.search`."""
 
+import dataclasses
 import random
 from collections import Counter
 
+import pytest
+
 from fakes.fleet_parts import ENGINE_RULES, FAR_DOMAIN, make_target
 from ragwortcourse.forwarding.admission import (
     Demand,
@@ -13,6 +16,7 @@
 from ragwortcourse.forwarding.balancing.scope import Scope
 from ragwortcourse.forwarding.balancing.search import Search
 from ragwortcourse.forwarding.balancing.start_cost import (
+    LONG_PAUSE_SECONDS,
     Transfer,
     compute_cost,
 )
@@ -121,11 +125,14 @@
 
     def test_long_pause(self):
         """A target whose passes make streams late is a bad choice."""
-        slow, slower = make_found('a', pace=3.9), make_found('b', pace=9)
+        slow = make_found('a', pace=3.9)
+        uncertain = dataclasses.replace(slow, cautious_pace=9)
         costs = [
-            compute_cost(found, DEMAND, TRANSFER) for found in (slow, slower)
+            compute_cost(found, DEMAND, TRANSFER)
+            for found in (slow, uncertain, make_found('b', pace=9))
         ]
-        assert costs[1] > costs[0] + 0.5
+        assert costs[2] > costs[0] + 0.5
+        assert costs[1] == pytest.approx(costs[0] + LONG_PAUSE_SECONDS)
 
     def test_last_slot(self):
         """The last free slot may be taken already, the first not."""
