Tell other daemons only of large requests that matter to the memory

Requests somewhat above the mean of their service would have been told in most messages, which cross priced links. They are told from a hundredth of the engine's memory on.

--- a/src/ragwortcourse/forwarding/balancing/memory.py
+++ b/src/ragwortcourse/forwarding/balancing/memory.py
@@ -16,6 +16,9 @@
 # Share of the memory that is used: the requests that other daemons sent lately
 # are not known yet.
 USED_SHARE: Final = 0.8
+# Share of the memory from which on other daemons are told of large requests:
+# as many untold ones as an engine has slots fit into what is not used.
+TOLD_SHARE: Final = 0.01
 # Another daemon may send a request as large within the age of its messages.
 LATE_REQUESTS: Final = 2
 
@@ -38,7 +41,8 @@
     """
     mean = engine.mean_prompt_tokens + engine.mean_answer_tokens
     excess = load.own_tokens - load.own * mean
-    if not engine.memory_tokens or excess < mean:
+    least = max(mean, engine.memory_tokens * TOLD_SHARE)
+    if not engine.memory_tokens or excess < least:
         return 0
     return round(excess)
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -18,6 +18,7 @@
 from fakes.uneven_outcomes import compute_figures
 from ragwortcourse.forwarding.balancing.memory import (
     MEAN_OF_MEDIAN,
+    count_excess,
     estimate_tokens,
     has_memory,
 )
@@ -63,6 +64,20 @@
         assert estimate_tokens(call, ENGINE) == 500 + answer
 
 
+class TestCountExcess:
+    """Large requests that other daemons are told of."""
+
+    def test_large(self):
+        """Messages do not carry sizes that hardly matter."""
+        mean = ENGINE.mean_prompt_tokens + ENGINE.mean_answer_tokens
+        wide = dataclasses.replace(ENGINE, memory_tokens=500_000)
+        load = make_load(mean, 4 * mean)
+        assert count_excess(load, ENGINE) == 3 * mean
+        assert count_excess(load, wide) == 0
+        assert count_excess(load, ENGINE_RULES) == 0
+        assert count_excess(make_load(10_000), wide) == 10_000 - mean
+
+
 class TestHasMemory:
     """Room for one more request."""
 
