Measure the demand of a daemon that began of late in full

Cause: the rate by which a daemon that hears of no others reserves is measured over four seconds, and a daemon that began a second ago counted the time before as time without requests. It reserved nothing for urgent requests at first. Change: the rate is related to the part of the time that was measured.

--- a/src/ragwortcourse/forwarding/scheduling/own_demand.py
+++ b/src/ragwortcourse/forwarding/scheduling/own_demand.py
@@ -1,5 +1,6 @@
 """Demand of the callers of one daemon on one service."""
 
+import math
 from typing import Final
 
 from ragwortcourse.forwarding.scheduling.decaying_rate import DecayingRate
@@ -19,9 +20,12 @@
     def __init__(self) -> None:
         self._recent = _make_rates(RECENT_SECONDS)
         self._steady = _make_rates(STEADY_SECONDS)
+        self._began_at: float | None = None
 
     def note_arrival(self, urgency: int, now: float) -> None:
         """Count a request that arrives in time."""
+        if self._began_at is None:
+            self._began_at = now
         self._recent[urgency].add(now)
         self._steady[urgency].add(now)
 
@@ -30,8 +34,15 @@
         return [rate.read(now) for rate in self._recent]
 
     def read_steady(self, now: float) -> list[float]:
-        """Read the same over a longer time."""
-        return [rate.read(now) for rate in self._steady]
+        """Read the same over a longer time.
+
+        A daemon that began of late has seen only a part of that time.
+        """
+        if self._began_at is None:
+            return [0 for _ in self._steady]
+        seen = max(now - self._began_at, RECENT_SECONDS)
+        share = 1 - math.exp(-seen / STEADY_SECONDS)
+        return [rate.read(now) / share for rate in self._steady]
 
 
 def _make_rates(seconds: float) -> list[DecayingRate]:
