Log the expected wait of refused requests as JSON

Cause: a request that would wait for ever was logged with an infinite expected wait, which the log wrote as Infinity. Readers that keep to JSON, such as the operators' program, could not read the line. Change: the wait is null there. Measured: the new test failed to decode the fields before, and reads null now.

--- a/src/ragwortcourse/forwarding/scheduling/turns.py
+++ b/src/ragwortcourse/forwarding/scheduling/turns.py
@@ -1,6 +1,7 @@
 """Choice of the target of a request that may have to wait for its turn."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -195,6 +196,7 @@
             time_left=work.deadline - read_clock(),
             chance=forwarder.rng.random(),
         )
+        expected = self._estimate(self._urgency)
         return Refusal(
             reason=Reason.OVERLOADED,
             retry_after=max(wait, 0),
@@ -202,7 +204,8 @@
                 'cause': cause,
                 'urgency': self._urgency,
                 'waiting': self._known.queue.count(),
-                'expected_wait': self._estimate(self._urgency),
+                # JSON has no infinity.
+                'expected_wait': expected if math.isfinite(expected) else None,
             },
         )
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import dataclasses
+import json
 
+import msgspec
 import pytest
 
 from fakes.fleet_parts import (
@@ -23,6 +25,7 @@
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.choice import choose_target
 from ragwortcourse.forwarding.reply import Reason
+from ragwortcourse.forwarding.scheduling.service_demand import ServiceDemand
 from ragwortcourse.forwarding.scheduling.turns import Turn
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.tries import Tries
@@ -170,3 +173,16 @@
         assert 0 < refusal.retry_after < ROUTE.time_limit / 3
         for task in tasks:
             task.cancel()
+
+    async def test_readable_reason(self, crowded):
+        """The line about a request that would wait for ever is JSON.
+
+        Readers of the logs, such as the operators' program, do not take
+        infinity for a number, and would skip the line.
+        """
+        fleet = crowded()
+        demand = ServiceDemand(rates=[1000, 0, 0], waiting=[0, 0, 0, 0])
+        fleet.forwarder.scheduling.note_message('e-2', {ENGINES: demand}, {})
+        refusal = (await fleet.start()).result()
+        inputs = msgspec.json.decode(json.dumps(refusal.inputs))
+        assert inputs['expected_wait'] is None
