Let waiting requests pass those with other home regions

Cause: of each urgency and account, only the first waiting request was looked at. One that is allowed in full regions only held all others behind it, and new ones that came, until it was late, while targets that these may use were free. Change: the first request of each account and set of home regions gets a look; three of each urgency at most, as before.

--- a/src/ragwortcourse/agent/fair_queue.py
+++ b/src/ragwortcourse/agent/fair_queue.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Callable, Hashable
 from typing import Final, Generic, Protocol, TypeVar
 
 from ragwortcourse.agent.ticket import Ticket
@@ -82,23 +83,36 @@
 
     def pop(self) -> Work:
         """Remove the work that goes next and charge its account."""
-        waiter = self.list_heads()[0]
+        queue = min(
+            (queue for queue in self._account_queues.values() if queue.waiters),
+            key=self._read_start_tag,
+        )
+        waiter = queue.waiters[0]
         self.take(waiter)
         return waiter
 
-    def list_heads(self) -> list[Work]:
+    def list_heads(self, find_kind: Callable[[Work], Hashable]) -> list[Work]:
         """List the first work of each account, the one that goes next first.
 
         Work that goes next may not be startable while that of others is.
+
+        :param find_kind: the first work of each kind is listed; work of one
+            kind is startable at the same time.
         """
         waiting = [
             queue for queue in self._account_queues.values() if queue.waiters
         ]
         waiting.sort(key=self._read_start_tag)
-        return [queue.waiters[0] for queue in waiting]
+        heads: list[Work] = []
+        for queue in waiting:
+            first: dict[Hashable, Work] = {}
+            for waiter in queue.waiters:
+                first.setdefault(find_kind(waiter), waiter)
+            heads.extend(first.values())
+        return heads
 
     def take(self, waiter: Work) -> None:
-        """Remove the first work of an account and charge the account."""
+        """Remove queued work and charge its account."""
         queue = self._account_queues[waiter.ticket.account]
         queue.waiters.remove(waiter)
         self._length -= 1
--- a/src/ragwortcourse/forwarding/call.py
+++ b/src/ragwortcourse/forwarding/call.py
@@ -13,6 +13,7 @@
     AttemptId,
     ClientAccountName,
     PromptPartId,
+    RegionName,
 )
 
 NO_ACCOUNT: Final = ClientAccountName('')
@@ -68,6 +69,15 @@
     body: bytes
     deadline: float
 
+    def list_homes(self) -> tuple[frozenset[RegionName], ...]:
+        """List the regions that the route and the account allow.
+
+        An empty set allows all.
+        """
+        if self.account is None:
+            return (self.route.regions,)
+        return self.route.regions, self.account.regions
+
     def list_suspects(self) -> tuple[Suspect, ...]:
         """List what may crash targets: the request, and parts of its prompt.
 
--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -178,10 +178,7 @@
 ) -> bool:
     if target.leaving or target.failure_domain in forwarder.state.withdrawn:
         return False
-    homes = [work.route.regions]
-    if work.account is not None:
-        homes.append(work.account.regions)
-    if any(home and target.region not in home for home in homes):
+    if any(home and target.region not in home for home in work.list_homes()):
         return False
     if rules.engine is not None and not target.holds(rules.engine.layers):
         return False
--- a/src/ragwortcourse/forwarding/scheduling/turns.py
+++ b/src/ragwortcourse/forwarding/scheduling/turns.py
@@ -90,6 +90,7 @@
             may_stay=lambda: self._is_of_use(LATE),
             refuse=lambda: self._refuse(RefusalCause.MISSED),
             verdict=asyncio.get_running_loop().create_future(),
+            homes=self._tries.work.list_homes(),
         )
         try:
             return await self._known.queue.wait(request)
--- a/src/ragwortcourse/forwarding/scheduling/waiting_queue.py
+++ b/src/ragwortcourse/forwarding/scheduling/waiting_queue.py
@@ -8,7 +8,7 @@
 """
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Hashable, Sequence
 from typing import Final
 
 from ragwortcourse.agent.fair_queue import FairQueue
@@ -25,8 +25,8 @@
 # Other daemons report some hundred times a second; one look at all targets
 # in this time finds the room that all of them made.
 WAKE_SECONDS: Final = 0.01
-# Requests of each urgency, each of another account, that get a look at a
-# time: the first may be allowed in some regions only.
+# Requests of each urgency, each of another account or with other home regions,
+# that get a look at a time: the first may be allowed in some regions only.
 MAX_HEADS: Final = 3
 
 
@@ -102,7 +102,7 @@
         self._wake = None
         self._woken_at = read_clock()
         for queue in self._queues:
-            for request in queue.list_heads()[:MAX_HEADS]:
+            for request in queue.list_heads(_read_homes)[:MAX_HEADS]:
                 chosen = request.offer()
                 if chosen is not None:
                     queue.take(request)
@@ -124,6 +124,10 @@
         self._queues[LATE].add(request)
 
 
+def _read_homes(request: WaitingRequest) -> Hashable:
+    return request.homes
+
+
 def _give_up(request: WaitingRequest) -> None:
     _resolve(request, request.refuse())
 
--- a/src/ragwortcourse/forwarding/scheduling/waiting_request.py
+++ b/src/ragwortcourse/forwarding/scheduling/waiting_request.py
@@ -7,6 +7,7 @@
 from ragwortcourse.agent.ticket import Ticket
 from ragwortcourse.forwarding.reply import Refusal
 from ragwortcourse.forwarding.target import Target
+from ragwortcourse.identifiers import RegionName
 
 
 @dataclasses.dataclass(eq=False, slots=True, kw_only=True)
@@ -16,6 +17,7 @@
     :param ticket: its account, and its place among requests as urgent.
     :param urgency: zero is the most urgent; ``LATE`` behind all in time.
     :param size: bytes of its body.
+    :param homes: regions that its route and its account allow.
     :param fresh_until: monotonic seconds until which it may begin in time.
     :param leaves_at: monotonic seconds at which its caller is about to leave.
     :param offer: chooses its target; none while there is no room.
@@ -33,3 +35,4 @@
     may_stay: Callable[[], bool]
     refuse: Callable[[], Refusal]
     verdict: asyncio.Future[Target | Refusal]
+    homes: tuple[frozenset[RegionName], ...] = ()
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -55,9 +55,9 @@
         """Waiting requests."""
         return self.forwarder.scheduling.services[ENGINES].queue
 
-    async def start(self, **changes):
+    async def start(self, route=ROUTE, **changes):
         """Start the turn of a request, which has no room yet."""
-        work = make_permitted_call(ROUTE, arrived_at=read_clock(), **changes)
+        work = make_permitted_call(route, arrived_at=read_clock(), **changes)
         tries = Tries(forwarder=self.forwarder, work=work)
         known = self.forwarder.scheduling.find(ENGINES)
 
@@ -96,6 +96,30 @@
         assert isinstance(task.result(), Target)
         assert not any(fleet.queue.count())
 
+    async def test_other_homes(self, crowded):
+        """A request is not held by one that is allowed in full regions only.
+
+        All requests of its urgency and account would wait behind that one
+        while targets elsewhere are free.
+        """
+        fleet = crowded()
+        far = frozenset({REGIONS[FAR_DOMAIN]})
+        full = make_target('t-far', failure_domain=FAR_DOMAIN)
+        fleet.state.targets[full.name] = full
+        fleet.forwarder.find_load(full).own = CROWD
+        homebound = dataclasses.replace(
+            ROUTE, name='homebound', prefix='/letters/1', regions=far
+        )
+        fleet.state.desired = make_desired(URGENT, ROUTE, homebound)
+        held = await fleet.start(homebound)
+        free = await fleet.start(path='/letters/2')
+        for load in fleet.loads:
+            load.own = 0
+        await fleet.wake()
+        assert not held.done()
+        assert isinstance(free.result(), Target)
+        held.cancel()
+
     async def test_withdrawal(self, crowded):
         """A waiting request is not sent to a withdrawn domain."""
         fleet = crowded()
