--- a/src/ragwortcourse/forwarding/scheduling/turns.py
+++ b/src/ragwortcourse/forwarding/scheduling/turns.py
@@ -1,6 +1,7 @@
 """Choice of the target of a request that may have to wait for its turn."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -89,6 +90,7 @@
             may_stay=lambda: self._is_of_use(LATE),
             refuse=lambda: self._refuse(RefusalCause.MISSED),
             verdict=asyncio.get_running_loop().create_future(),
+            homes=self._tries.work.list_homes(),
         )
         try:
             return await self._known.queue.wait(request)
@@ -195,6 +197,7 @@
             time_left=work.deadline - read_clock(),
             chance=forwarder.rng.random(),
         )
+        expected = self._estimate(self._urgency)
         return Refusal(
             reason=Reason.OVERLOADED,
             retry_after=max(wait, 0),
@@ -202,7 +205,8 @@
                 'cause': cause,
                 'urgency': self._urgency,
                 'waiting': self._known.queue.count(),
-                'expected_wait': self._estimate(self._urgency),
+                # JSON has no infinity.
+                'expected_wait': expected if math.isfinite(expected) else None,
             },
         )
 
--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -151,8 +151,8 @@
         finally:
             self._is_passing_on = False
             self._sign_at = read_clock()
-            if self._sign_at - began_at >= UNREAD_SECONDS:
-                self._unread_until = self._sign_at + UNREAD_CUT_SECONDS
+        if self._sign_at - began_at >= UNREAD_SECONDS:
+            self._unread_until = self._sign_at + UNREAD_CUT_SECONDS
 
     def note_silent(self) -> None:
         """Record that the target of this lane is silent, once."""
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import dataclasses
+import json
 
+import msgspec
 import pytest
 
 from fakes.fleet_parts import (
@@ -24,6 +26,7 @@
 from ragwortcourse.forwarding.choice import choose_target
 from ragwortcourse.forwarding.reply import Reason
 from ragwortcourse.forwarding.scheduling.scheduling import Scheduling
+from ragwortcourse.forwarding.scheduling.service_demand import ServiceDemand
 from ragwortcourse.forwarding.scheduling.turns import Turn
 from ragwortcourse.forwarding.target import Target
 from ragwortcourse.forwarding.tries import Tries
@@ -53,9 +56,9 @@
         """Waiting requests."""
         return self.forwarder.scheduling.services[ENGINES].queue
 
-    async def start(self, **changes):
+    async def start(self, route=ROUTE, **changes):
         """Start the turn of a request, which has no room yet."""
-        work = make_permitted_call(ROUTE, arrived_at=read_clock(), **changes)
+        work = make_permitted_call(route, arrived_at=read_clock(), **changes)
         tries = Tries(forwarder=self.forwarder, work=work)
         known = self.forwarder.scheduling.find(ENGINES)
 
@@ -111,6 +114,30 @@
         assert isinstance(task.result(), Target)
         assert not any(fleet.queue.count())
 
+    async def test_other_homes(self, crowded):
+        """A request is not held by one that is allowed in full regions only.
+
+        All requests of its urgency and account would wait behind that one
+        while targets elsewhere are free.
+        """
+        fleet = crowded()
+        far = frozenset({REGIONS[FAR_DOMAIN]})
+        full = make_target('t-far', failure_domain=FAR_DOMAIN)
+        fleet.state.targets[full.name] = full
+        fleet.forwarder.find_load(full).own = CROWD
+        homebound = dataclasses.replace(
+            ROUTE, name='homebound', prefix='/letters/1', regions=far
+        )
+        fleet.state.desired = make_desired(URGENT, ROUTE, homebound)
+        held = await fleet.start(homebound)
+        free = await fleet.start(path='/letters/2')
+        for load in fleet.loads:
+            load.own = 0
+        await fleet.wake()
+        assert not held.done()
+        assert isinstance(free.result(), Target)
+        held.cancel()
+
     async def test_withdrawal(self, crowded):
         """A waiting request is not sent to a withdrawn domain."""
         fleet = crowded()
@@ -188,3 +215,16 @@
         assert 0 < refusal.retry_after < ROUTE.time_limit / 3
         for task in tasks:
             task.cancel()
+
+    async def test_readable_reason(self, crowded):
+        """The line about a request that would wait for ever is JSON.
+
+        Readers of the logs, such as the operators' program, do not take
+        infinity for a number, and would skip the line.
+        """
+        fleet = crowded()
+        demand = ServiceDemand(rates=[1000, 0, 0], waiting=[0, 0, 0, 0])
+        fleet.forwarder.scheduling.note_message('e-2', {ENGINES: demand}, {})
+        refusal = (await fleet.start()).result()
+        inputs = msgspec.json.decode(json.dumps(refusal.inputs))
+        assert inputs['expected_wait'] is None
