--- a/src/ragwortcourse/weights/relay_downloader.py
+++ b/src/ragwortcourse/weights/relay_downloader.py
@@ -4,11 +4,9 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
-from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.forwarder import read_fleet_settings
 from ragwortcourse.identifiers import (
     DaemonId,
-    FailureDomainName,
     ModelName,
     RegionName,
 )
@@ -28,6 +26,7 @@
 from ragwortcourse.weights.fleet_manifest import FleetManifest
 from ragwortcourse.weights.manifest_routes import fetch_manifest
 from ragwortcourse.weights.peer_port import MANIFEST_INDEX
+from ragwortcourse.weights.planning.holders import list_holders
 from ragwortcourse.weights.planning.loader_demand import LoaderDemand
 from ragwortcourse.weights.planning.origin_link import (
     count_roots,
@@ -44,37 +43,6 @@
 ListRelays = Callable[[], Awaitable[Sequence[RelayRecord]]]
 
 
-def list_holders(
-    state: FleetState,
-    model: ModelName,
-    version: int,
-    domain: FailureDomainName,
-) -> list[str]:
-    """List the loaders' hosts in a failure domain whose engine has a version.
-
-    :return: addresses without port.
-    """
-    if state.desired is None:
-        return []
-    engines = {
-        name: rules.engine
-        for name, rules in state.desired.services.items()
-        if rules.engine is not None and rules.engine.model == model
-    }
-    near = [
-        target
-        for target in state.targets.values()
-        if target.service in engines and target.failure_domain == domain
-    ]
-    return [
-        target.address.rpartition(':')[0]
-        for target in near
-        if target.weights is not None
-        and target.weights.version == version
-        and target.holds(engines[target.service].layers)
-    ]
-
-
 class RelayDownloader:
     """Downloader that asks hosts with the version, relays, then the origin.
 
