--- a/src/ragwortcourse/forwarding/try_lane.py
+++ b/src/ragwortcourse/forwarding/try_lane.py
@@ -148,7 +148,9 @@
                 yield
         finally:
             self._is_passing_on = False
-            self._note_passed_on(began_at)
+            self._sign_at = read_clock()
+        if self._sign_at - began_at >= UNREAD_SECONDS:
+            self._unread_until = self._sign_at + UNREAD_CUT_SECONDS
 
     def note_silent(self) -> None:
         """Record that the target of this lane is silent, once."""
@@ -180,11 +182,6 @@
         self.crashes.note_abandoned()
         self._asked = None
 
-    def _note_passed_on(self, began_at: float) -> None:
-        self._sign_at = read_clock()
-        if self._sign_at - began_at >= UNREAD_SECONDS:
-            self._unread_until = self._sign_at + UNREAD_CUT_SECONDS
-
     async def _choose(self) -> Target | Refusal:
         """Choose the next target; a late request waits for a free slot."""
         tries = self._tries
