--- a/src/ragwortcourse/platform/desired_states.py
+++ b/src/ragwortcourse/platform/desired_states.py
@@ -1,9 +1,12 @@
 """Decoder of the desired state that operators write."""
 
+import logging
 import math
 from collections import defaultdict
 from typing import Final
 
+import msgspec
+
 from ragwortcourse.addresses import parse_address
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.account import Account
@@ -18,7 +21,7 @@
     RegionName,
     ServiceName,
 )
-from ragwortcourse.ingress.client_limits import ClientLimits
+from ragwortcourse.ingress.client_limits import NO_LIMITS, ClientLimits
 from ragwortcourse.platform.wire_state import (
     WireEngine,
     WireLimits,
@@ -31,6 +34,8 @@
 SECONDS_PER_MILLISECOND: Final = 0.001
 BYTES_IN_MEGABIT: Final = 125_000
 
+LOGGER: Final = logging.getLogger(__name__)
+
 
 def decode_desired_state(content: bytes) -> DesiredState:
     """Decode the desired state in a row.
@@ -122,7 +127,18 @@
     )
 
 
-def _decode_limits(wire: WireLimits) -> ClientLimits:
+def _decode_limits(content: object) -> ClientLimits:
+    """Decode the limits on clients; unreadable ones limit nothing."""
+    if content is None:
+        return NO_LIMITS
+    try:
+        wire = msgspec.convert(content, WireLimits)
+    except msgspec.ValidationError as error:
+        LOGGER.warning(
+            'unreadable limits on clients ignored',
+            extra={'detail': str(error)},
+        )
+        return NO_LIMITS
     header_seconds = wire.header_timeout_ms * SECONDS_PER_MILLISECOND
     idle_seconds = wire.idle_timeout_ms * SECONDS_PER_MILLISECOND
     return ClientLimits(
--- a/src/ragwortcourse/platform/wire_state.py
+++ b/src/ragwortcourse/platform/wire_state.py
@@ -1,5 +1,7 @@
 """Format in which the platform writes the operators' desired state."""
 
+from typing import Any
+
 import msgspec
 
 from ragwortcourse.bounded import Amount, Milliseconds, WholeNumber
@@ -126,10 +128,11 @@
     """One version of the desired state.
 
     :param tenants: None if requests need no key.
+    :param limits: read as ``WireLimits`` for themselves; null for none.
     """
 
     version: WholeNumber
     routes: list[WireRoute] = []
     services: list[WireService] = []
     tenants: list[WireTenant] | None = None
-    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    limits: Any = None
--- a/tests/test_desired_states.py
+++ b/tests/test_desired_states.py
@@ -6,6 +6,7 @@
 
 from fakes.fleet_parts import REGIONS
 from ragwortcourse.forwarding.call_kind import CallKind
+from ragwortcourse.ingress.client_limits import NO_LIMITS, ClientLimits
 from ragwortcourse.platform.desired_states import decode_desired_state
 from ragwortcourse.platform.target_rows import decode_target
 from ragwortcourse.unreadable import UnreadableError
@@ -62,6 +63,25 @@
 class TestDecodeDesiredState:
     """Decoding of the desired state."""
 
+    @pytest.mark.parametrize(
+        'limits', [None, 7, {'idle_timeout_ms': 'x'}, {'max_body_bytes': -1}]
+    )
+    def test_odd_limits(self, limits):
+        """Limits that can't be read take no route or service with them.
+
+        Loaders get the state without limits from other daemons. As long as
+        these were decoded strictly, no loader had any state.
+        """
+        state = decode(limits=limits)
+        assert state.routes
+        assert state.client_limits == NO_LIMITS
+
+    def test_limits(self):
+        """Limits that are absent or zero limit nothing."""
+        limits = {'idle_timeout_ms': 15_000, 'max_body_bytes': 0}
+        expected = ClientLimits(idle_seconds=15)
+        assert decode(limits=limits).client_limits == expected
+
     def test_route(self):
         """Milliseconds become seconds; fields get the project's names."""
         (route,) = decode().routes['desk.example']
