Judge expected waits only by requests that were decided

Cause: a caller that left while it waited counted as one that waited in vain, which halves the wait that the next ones may expect. Change: only requests that were sent or refused count. Measured: the new case of test_turns.py fails without the change.

--- a/src/ragwortcourse/forwarding/scheduling/turns.py
+++ b/src/ragwortcourse/forwarding/scheduling/turns.py
@@ -101,7 +101,9 @@
         verdict, now = request.verdict, read_clock()
         is_decided = verdict.done() and not verdict.cancelled()
         is_served = is_decided and isinstance(verdict.result(), Target)
-        self._known.confidence.note(self._urgency, now, is_served=is_served)
+        if is_decided:
+            # A caller that leaves tells nothing about the wait of others.
+            self._known.confidence.note(self._urgency, now, is_served=is_served)
         record_wait(self._urgency, now - began_at, is_served=is_served)
 
     def _offer(self) -> Target | Refusal | None:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -114,6 +114,21 @@
         assert isinstance(task.result(), Target)
         assert not any(fleet.queue.count())
 
+    async def test_callers_that_leave(self, crowded):
+        """Callers that leave shorten nobody's accepted wait.
+
+        Clients that connect and leave could have others refused at once.
+        """
+        fleet = crowded()
+        task = await fleet.start()
+        known = fleet.forwarder.scheduling.find(ENGINES)
+        urgency = fleet.queue.count().index(1)
+        share = known.confidence.read(urgency, read_clock())
+        task.cancel()
+        await asyncio.sleep(0.01)
+        later = known.confidence.read(urgency, read_clock())
+        assert later == pytest.approx(share)
+
     async def test_other_homes(self, crowded):
         """A request is not held by one that is allowed in full regions only.
 
