--- a/tests/test_fleet_demand.py
+++ b/tests/test_fleet_demand.py
@@ -12,7 +12,8 @@
 from ragwortcourse.forwarding.scheduling.own_demand import OwnDemand
 from ragwortcourse.forwarding.scheduling.service_demand import ServiceDemand
 
-DEMAND = {ENGINES: ServiceDemand(rates=[2, 1, 0.5], waiting=[0, 1, 0])}
+RATES = [2, 1, 0.5, 0.25]
+DEMAND = {ENGINES: ServiceDemand(rates=RATES, waiting=[0, 1, 0, 0, 0])}
 DAEMONS = 37
 # Bytes of a datagram that the demand on one service may add.
 MAX_BYTES = 64
@@ -21,8 +22,8 @@
 def estimate(fleet: FleetDemand, now: float) -> list[float]:
     """Estimate the rates of a fleet whose daemons are all alike."""
     return estimate_rates(
-        recent=[2, 1, 0.5],
-        steady=[2, 1, 0.5],
+        recent=RATES,
+        steady=RATES,
         others=fleet.sum(ENGINES, now),
         daemons=DAEMONS,
     )
@@ -37,7 +38,9 @@
         fleet = FleetDemand()
         for number in range(heard):
             fleet.note(f'e-{number}', DEMAND, 1)
-        assert estimate(fleet, 1) == pytest.approx([74, 37, 18.5])
+        assert estimate(fleet, 1) == pytest.approx(
+            [DAEMONS * rate for rate in RATES]
+        )
 
     def test_dead_daemons(self):
         """The demand at a daemon that sends nothing any more expires."""
--- a/tests/test_unread_answers.py
+++ b/tests/test_unread_answers.py
@@ -33,7 +33,13 @@
         patience=math.inf,
     )
     load = forwarder.find_load(target)
-    opened = OpenTry(target=target, load=load, answer=None, began_at=0)
+    opened = OpenTry(
+        target=target,
+        load=load,
+        answer=None,
+        began_at=0,
+        note_begun=lambda: None,
+    )
     with follow_loop():
         lane.crashes.note_sent(target)
         with lane.pass_on():
--- a/tests/test_waiting_queue.py
+++ b/tests/test_waiting_queue.py
@@ -101,7 +101,7 @@
         await room.add_slots(3)
         assert len(room.sent) == 3
         assert room.free == 0
-        assert room.queue.count() == [0, 2, 0, 0]
+        assert room.queue.count() == [0, 2, 0, 0, 0]
 
     async def test_missed(self):
         """A request that can't begin in time waits behind all others."""
