Take the age of a fresh message from one constant

Cause: three modules named the same 1.5 s after which a daemon that sends no messages no longer counts. Change: peer_versions and store_watch import it from peer_counts. No value or behaviour changes. Measured: lint, types and the tests of these modules pass.

--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -5,9 +5,7 @@
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.admission import Demand
-from ragwortcourse.forwarding.balancing.description import (
-    Found,
-)
+from ragwortcourse.forwarding.balancing.description import Found
 from ragwortcourse.forwarding.balancing.drawing import (
     Draw,
     make_draw,
--- a/src/ragwortcourse/forwarding/freshness/peer_versions.py
+++ b/src/ragwortcourse/forwarding/freshness/peer_versions.py
@@ -7,11 +7,8 @@
 """
 
 import dataclasses
-from typing import Final
 
-# Daemons repeat their version more often than this. A version that nobody
-# repeats is not held against this daemon.
-FRESH_SECONDS: Final = 1.5
+from ragwortcourse.forwarding.peer_counts import FRESH_SECONDS
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -23,7 +20,10 @@
 
 
 class PeerVersions:
-    """Versions in force at other daemons, newer than the own one."""
+    """Versions in force at other daemons, newer than the own one.
+
+    A version that nobody repeats is not held against this daemon.
+    """
 
     def __init__(self) -> None:
         self._sightings: dict[int, _Sighting] = {}
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -229,6 +229,7 @@
 def _note_relays(forwarder: Forwarder, relays: Sequence[RelayRecord]) -> None:
     """Note the registered daemons, which share the limits of the fleet."""
     if relays:
+        # An empty list has not been read yet; the assumed ones stay.
         forwarder.safeguards.daemon_ranking.register(relays)
 
 
--- a/src/ragwortcourse/forwarding/store_watch.py
+++ b/src/ragwortcourse/forwarding/store_watch.py
@@ -12,10 +12,9 @@
 
 from ragwortcourse.clock import read_clock_with_suspend
 from ragwortcourse.forwarding.fleet_state import FleetState
+from ragwortcourse.forwarding.peer_counts import FRESH_SECONDS
 from ragwortcourse.identifiers import DaemonId
 
-# Live entry daemons send messages more often than this.
-FRESH_SECONDS: Final = 1.5
 # Fewer daemons can't tell a store outage from a network partition.
 MIN_VOTING_DAEMONS: Final = 3
 # Greater than the share of daemons in one failure domain, which may be cut
--- a/tests/test_peer_versions.py
+++ b/tests/test_peer_versions.py
@@ -1,9 +1,7 @@
 """Tests of :mod:`ragwortcourse.forwarding.freshness.peer_versions`."""
 
-from ragwortcourse.forwarding.freshness.peer_versions import (
-    FRESH_SECONDS,
-    PeerVersions,
-)
+from ragwortcourse.forwarding.freshness.peer_versions import PeerVersions
+from ragwortcourse.forwarding.peer_counts import FRESH_SECONDS
 
 
 class TestPeerVersions:
