--- a/review/rig.py
+++ b/review/rig.py
@@ -177,8 +177,11 @@
         await self._runner.cleanup()
         shutil.rmtree(self._folder, ignore_errors=True)
 
-    def put_config(self, *routes, version=1, keys=(KEY,)):
-        """Write a desired state as the operator does."""
+    def put_config(self, *routes, version=1, keys=(KEY,), services=()):
+        """Write a desired state as the operator does.
+
+        :param services: instead of the plain one.
+        """
         tenant = {
             'name': 'parents',
             'api_keys': list(keys),
@@ -189,27 +192,37 @@
         state = {
             'version': version,
             'routes': list(routes),
-            'services': [service],
+            'services': list(services) or [service],
             'limits': LIMITS,
             'tenants': [tenant],
         }
         self.store.put('op', 'config', state)
 
+    def add_loader(self, name, zone, *, engine, service):
+        """Start a loader with the settings of a side machine."""
+        listen = f'peers = "{pick_address()}"\nwatch = "{pick_address()}"\n'
+        loader = (
+            f'[loader]\nengine = "{engine}"\nservice = "{service}"\n'
+            'link_mbps = 4.7\n'
+        )
+        self._start(name, zone, 'loader', listen, 168, loader)
+
     def _add_forwarder(self, name, zone):
         """Start a forwarder with the settings of an edge machine."""
         peers, watch, front = (pick_address() for _ in range(3))
         self.fronts[name], self._ready[name] = front, watch
+        listen = f'peers = "{peers}"\nwatch = "{watch}"\ncallers = "{front}"\n'
+        self._start(name, zone, 'forwarder', listen, self.site.memory_mb)
+
+    def _start(self, name, zone, role, listen, memory_mb, loader=''):
         site = self.site
-        text = f"""role = "forwarder"
+        text = f"""role = "{role}"
 daemon = "{name}"
 host = "{name}"
 failure_domain = "{zone}"
 region = "near"
 [listen]
-peers = "{peers}"
-watch = "{watch}"
-callers = "{front}"
-[fleet]
+{listen}[fleet]
 store = "{self._store_address}"
 grace_seconds = 8
 strict_revocation = true
@@ -221,12 +234,12 @@
 retry_reserve = {site.reserve}
 apply_ms = {site.apply_ms}
 [limits]
-memory_mb = {site.memory_mb}
-descriptors = 4100
+memory_mb = {memory_mb}
+descriptors = {1124 if loader else 4100}
 [fleet.failure_domains]
 """
         text += ''.join(f'"{each}" = "near"\n' for each in self.zones)
-        made = Daemon(name=name, settings=text, folder=self._folder)
+        made = Daemon(name=name, settings=text + loader, folder=self._folder)
         self.daemons[name] = made
         made.start()
 
@@ -265,10 +278,18 @@
 
 
 async def read_body(reader, headers):
-    """Read a body by its length, or to the end of the channel."""
+    """Read a body by its length, in chunks, or to the end of the channel."""
     if 'content-length' in headers:
         return await reader.readexactly(int(headers['content-length']))
-    return await reader.read()
+    if 'chunked' not in headers.get('transfer-encoding', ''):
+        return await reader.read()
+    body = b''
+    while True:
+        size = int((await reader.readline()).split(b';')[0], 16)
+        piece = await reader.readexactly(size + 2)
+        if not size:
+            return body
+        body += piece[:size]
 
 
 def write_request(method, path, headers, body=b''):
@@ -488,7 +509,7 @@
     writer.write('\r\n'.join([*lines, '', '']).encode() + body)
 
 
-def make_route(name, kind='idempotent', timeout_ms=1500):
+def make_route(name, kind='idempotent', timeout_ms=1500, service='plain'):
     """Build a route of a desired state."""
     return {
         'name': name,
@@ -498,7 +519,7 @@
         'timeout_ms': timeout_ms,
         'slo_ms': 404,
         'priority': 1,
-        'service': 'plain',
+        'service': service,
         'max_attempts': 2 if kind == 'idempotent' else 1,
         'public': False,
         'allowed_regions': [],
