Tell weights apart by model and version number

Cause: each model numbers its versions by itself, but forwarders kept manifests, chunks and downloads by the number alone, nobody compared the model of a manifest that it received with the one that it had asked for, and reports and entries of engines were read without the model that they name.

Change: ModelVersion, a model and its number, is the key of all that is kept, waited for, refused or counted; a bare number is a type error. Manifests of other weights are passed over with a warning. HeldWeights names its model: a target with another model gets no requests and is loaded again. Models that wait for the origin take turns. Limits on prefetches hold for each model, and a manifest that takes long to read delays no other model.

--- a/src/ragwortcourse/forwarding/choice.py
+++ b/src/ragwortcourse/forwarding/choice.py
@@ -203,7 +203,7 @@
         return False
     if any(home and target.region not in home for home in work.list_homes()):
         return False
-    if rules.engine is not None and not target.holds(rules.engine.layers):
+    if rules.engine is not None and not target.holds(rules.engine):
         return False
     if not _has_memory(forwarder, target, rules, work.call):
         return False
--- a/src/ragwortcourse/forwarding/gauges.py
+++ b/src/ragwortcourse/forwarding/gauges.py
@@ -7,6 +7,7 @@
 
 from ragwortcourse.clock import read_clock
 from ragwortcourse.forwarding.choice_refusals import is_limited, is_resting
+from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.forwarder import Forwarder
 from ragwortcourse.forwarding.retries.fleet_retry_budget import (
     FleetRetryBudget,
@@ -75,14 +76,7 @@
         forwarder.safeguards.retry_budget.count_left,
     )
     _watch_retries(forwarder.safeguards.retry_budget)
-    _watch(
-        'ragwortcourse.forwarding.weights_version',
-        '',
-        'newest version of weights that was named; zero for none',
-        lambda: max(
-            (named[-1].version for named in state.weights.values()), default=0
-        ),
-    )
+    _watch_weights(state)
 
 
 def _watch_retries(budget: FleetRetryBudget) -> None:
@@ -107,6 +101,22 @@
     )
 
 
+def _watch_weights(state: FleetState) -> None:
+    """Register the gauge of the newest version of each model."""
+
+    def observe(options: CallbackOptions) -> Iterable[Observation]:
+        return tuple(
+            Observation(named[-1].version, {'model': model})
+            for model, named in state.weights.items()
+        )
+
+    METER.create_observable_gauge(
+        'ragwortcourse.forwarding.weights_version',
+        callbacks=(observe,),
+        description='newest version of weights that was named, by model',
+    )
+
+
 def _watch(
     name: str, unit: str, description: str, read: Callable[[], float]
 ) -> None:
--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -42,6 +42,7 @@
     build_report_senders,
     note_report,
 )
+from ragwortcourse.forwarding.version_bounds import find_engine
 from ragwortcourse.forwarding.version_log import RequiredVersionLog
 from ragwortcourse.membership.relay_daemons import (
     RelayRecord,
@@ -148,7 +149,10 @@
 
     def _take_switch(self, message: SwitchMessage) -> None:
         for target in self._forwarder.state.targets.values():
-            if target.address == message.address:
+            engine = find_engine(self._forwarder, target)
+            model = None if engine is None else engine.model
+            is_own = message.model in {None, model}
+            if target.address == message.address and is_own:
                 load = self._forwarder.find_load(target)
                 load.unavailable_until = read_clock() + message.seconds
                 load.stated_version.note_loader(message.version, read_clock())
--- a/src/ragwortcourse/forwarding/load_messages.py
+++ b/src/ragwortcourse/forwarding/load_messages.py
@@ -89,8 +89,10 @@
     :param seconds: how long the engine takes no requests; zero: the engine
         takes requests again.
     :param version: version of the weights after the change; zero: unchanged.
+    :param model: model of the version; none: not told by an older release.
     """
 
     address: str
     seconds: SwitchSeconds
     version: WholeNumber
+    model: ModelName | None = None
--- a/src/ragwortcourse/forwarding/target.py
+++ b/src/ragwortcourse/forwarding/target.py
@@ -2,9 +2,11 @@
 
 import dataclasses
 
+from ragwortcourse.forwarding.engine_profile import EngineProfile
 from ragwortcourse.identifiers import (
     Address,
     FailureDomainName,
+    ModelName,
     RegionName,
     ServiceName,
     TargetName,
@@ -17,11 +19,19 @@
 
     :param first: index of the first layer.
     :param end: index after the last layer.
+    :param model: none if the engine does not state it; it then counts as the
+        model of the engine's service.
     """
 
     version: int
     first: int
     end: int
+    model: ModelName | None = None
+
+    def covers(self, engine: EngineProfile) -> bool:
+        """Tell whether these are all layers of the service's model."""
+        is_own = self.model in {None, engine.model}
+        return is_own and self.first == 0 and self.end >= engine.layers
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -52,10 +62,6 @@
         """Version of the weights by the entry; zero without weights."""
         return 0 if self.weights is None else self.weights.version
 
-    def holds(self, layers: int) -> bool:
-        """Tell whether the target holds every layer of a model.
-
-        :param layers: number of layers of the model.
-        """
-        held = self.weights
-        return held is not None and held.first == 0 and held.end >= layers
+    def holds(self, engine: EngineProfile) -> bool:
+        """Tell whether the target holds every layer of the service's model."""
+        return self.weights is not None and self.weights.covers(engine)
--- a/src/ragwortcourse/platform/engine.py
+++ b/src/ragwortcourse/platform/engine.py
@@ -12,7 +12,11 @@
 from ragwortcourse.decoding import decode_json
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.platform.kept_reads import KeptReads
-from ragwortcourse.platform.target_rows import WireLayers, decode_layers
+from ragwortcourse.platform.target_rows import (
+    WireHeldModel,
+    WireLayers,
+    decode_layers,
+)
 from ragwortcourse.unreadable import UnreadableError
 from ragwortcourse.weights.engine_port import EngineReport, LoadOrderOutcome
 
@@ -40,6 +44,7 @@
     seq: WholeNumber | None = None
     born: WholeNumber = 0
     layers: WireLayers | None = None
+    models: list[WireHeldModel] = []
 
 
 class WireHeld(msgspec.Struct, kw_only=True):
@@ -94,7 +99,7 @@
         return EngineReport(
             busy=wire.busy,
             running=wire.running,
-            weights=decode_layers(wire.layers),
+            weights=decode_layers(wire.layers, wire.models),
             orders=wire.seq,
             born=wire.born,
         )
--- a/src/ragwortcourse/platform/target_rows.py
+++ b/src/ragwortcourse/platform/target_rows.py
@@ -1,5 +1,6 @@
 """Decoder of the rows in which targets register."""
 
+from collections.abc import Sequence
 from typing import Final
 
 import msgspec
@@ -10,6 +11,7 @@
 from ragwortcourse.forwarding.target import HeldWeights, Target
 from ragwortcourse.identifiers import (
     FailureDomainName,
+    ModelName,
     RegionName,
     ServiceName,
     TargetName,
@@ -31,6 +33,13 @@
     version: WholeNumber = 0
 
 
+class WireHeldModel(msgspec.Struct, kw_only=True):
+    """Model that an engine holds."""
+
+    name: str
+    version: WholeNumber = 0
+
+
 class WireTarget(msgspec.Struct, kw_only=True):
     """Row of one target.
 
@@ -46,6 +55,7 @@
     cold_left_ms: MillisecondsLeft
     born: WholeNumber = 0
     layers: WireLayers | None = None
+    models: list[WireHeldModel] = []
 
 
 def decode_target(
@@ -73,7 +83,7 @@
         slots=wire.slots,
         leaving=wire.state == 'draining',
         cold_seconds=wire.cold_left_ms * SECONDS_PER_MILLISECOND,
-        weights=decode_layers(wire.layers),
+        weights=decode_layers(wire.layers, wire.models),
     )
 
 
@@ -87,8 +97,20 @@
     return TargetName(key)
 
 
-def decode_layers(wire: WireLayers | None) -> HeldWeights | None:
-    """Decode the layers that an engine holds; None if it holds none."""
+def decode_layers(
+    wire: WireLayers | None, models: Sequence[WireHeldModel]
+) -> HeldWeights | None:
+    """Decode the layers that an engine holds; None if it holds none.
+
+    :param models: models that the engine lists beside its layers.
+    """
     if wire is None or wire.to <= wire.first:
         return None
-    return HeldWeights(version=wire.version, first=wire.first, end=wire.to)
+    names = [each.name for each in models if each.version == wire.version]
+    names += [each.name for each in models]
+    return HeldWeights(
+        version=wire.version,
+        first=wire.first,
+        end=wire.to,
+        model=ModelName(names[0]) if names else None,
+    )
--- a/src/ragwortcourse/platform/weight_source.py
+++ b/src/ragwortcourse/platform/weight_source.py
@@ -40,9 +40,11 @@
 class WireManifest(msgspec.Struct, kw_only=True):
     """Chunk digests of one version.
 
+    :param model: empty if the origin does not state it.
     :param digests: hex SHA-256 of each chunk, in order.
     """
 
+    model: str = ''
     version: WholeNumber
     digests: list[str]
 
@@ -80,7 +82,16 @@
                 },
             )
             return None
-        if wire.version != version:
+        if wire.version != version or wire.model not in {'', model}:
+            LOGGER.warning(
+                'manifest of other weights from an origin',
+                extra={
+                    'model': model,
+                    'version': version,
+                    'found_model': wire.model,
+                    'found_version': wire.version,
+                },
+            )
             return None
         return FleetManifest(
             model=model,
--- a/src/ragwortcourse/weights/chunk_cache.py
+++ b/src/ragwortcourse/weights/chunk_cache.py
@@ -1,14 +1,17 @@
 """Cache of the chunks that an entry daemon serves to other daemons."""
 
 import asyncio
+import itertools
 import logging
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
-from ragwortcourse.detached_tasks import DetachedTasks, end_task
+from ragwortcourse.detached_tasks import end_task
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.weights.chunk_store import ChunkStore, VersionChunks
 from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.model_tasks import ModelTasks
+from ragwortcourse.weights.model_version import ModelVersion
 from ragwortcourse.weights.planning.known_manifests import (
     KnownManifests,
     ReadManifest,
@@ -27,7 +30,7 @@
     [FleetManifest, int, tuple[str, ...]], Awaitable[tuple[int, ...]]
 ]
 # A version and the addresses of the relays that are gone.
-Replacement = tuple[int, frozenset[str]]
+Replacement = tuple[ModelVersion, frozenset[str]]
 
 # The version in force, which added engines download, and two named since.
 VERSIONS_SERVED: Final = 3
@@ -35,10 +38,11 @@
 POLL_SECONDS: Final = 0.1
 # Pause after a manifest that no source returned.
 RETRY_SECONDS: Final = 0.4
-# Prefetches of chunks of other relays that one cache runs concurrently.
+# Prefetches of chunks of other relays that one cache runs concurrently for a
+# model.
 REPLACEMENTS: Final = 8
-# Versions whose chunks one cache prefetches; those that are no longer kept
-# end soon.
+# Versions of a model whose chunks one cache prefetches; those that are no
+# longer kept end soon.
 PREFETCHES: Final = 2 * VERSIONS_SERVED
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -87,23 +91,29 @@
             read_start=read_start,
             is_wanted=is_wanted,
         )
-        self._prefetches = DetachedTasks(limit=PREFETCHES)
-        self._replacements = DetachedTasks(limit=REPLACEMENTS)
+        self._openings = ModelTasks(limit=1)
+        self._prefetches = ModelTasks(limit=PREFETCHES)
+        self._replacements = ModelTasks(limit=REPLACEMENTS)
         self._replaced: set[Replacement] = set()
         self.manifests = KnownManifests(read_manifest=read_manifest)
         self._download_chunk = download_chunk
         self._store = ChunkStore(kept=VERSIONS_SERVED)
-        self._failed_version = 0
-        self._manifests: dict[int, asyncio.Task[VersionChunks | None]] = {}
-        self._downloads: dict[tuple[int, int], asyncio.Task[bytes | None]] = {}
+        self._failed: set[ModelVersion] = set()
+        self._manifests: dict[
+            ModelVersion, asyncio.Task[VersionChunks | None]
+        ] = {}
+        self._downloads: dict[
+            tuple[ModelVersion, int], asyncio.Task[bytes | None]
+        ] = {}
 
     async def find(
         self, model: ModelName, version: int, index: int
     ) -> bytes | None:
         """Return a chunk, after downloading it if it is not cached."""
-        chunks = self._store.find(version)
+        wanted = ModelVersion(model, version)
+        chunks = self._store.find(wanted)
         if chunks is None:
-            chunks = await self._open(model, version, index)
+            chunks = await self._open(wanted, index)
         if chunks is None or index >= len(chunks.manifest.digests):
             return None
         return await self._find_in(chunks, index)
@@ -112,9 +122,10 @@
         self, model: ModelName, version: int
     ) -> FleetManifest | None:
         """Return a version's manifest, after reading it if not cached."""
-        chunks = self._store.find(version)
+        wanted = ModelVersion(model, version)
+        chunks = self._store.find(wanted)
         if chunks is None:
-            chunks = await self._open(model, version)
+            chunks = await self._open(wanted)
         return None if chunks is None else chunks.manifest
 
     async def prefetch_deployed(self, list_named: ListDeployed) -> None:
@@ -123,10 +134,12 @@
         :param list_named: lists the newest version of each model.
         """
         while True:
-            for model, version in list_named():
-                if await self.find_manifest(model, version) is None:
-                    # Many daemons ask the same few daemons or the origin.
-                    await asyncio.sleep(RETRY_SECONDS)
+            for deployed in itertools.starmap(ModelVersion, list_named()):
+                if self._store.find(deployed) is None:
+                    # A manifest that takes long delays no other model.
+                    self._openings.spawn(
+                        deployed.model, _open_deployed(self, deployed)
+                    )
             await asyncio.sleep(POLL_SECONDS)
 
     def note_gone(
@@ -141,18 +154,21 @@
         :param index: the chunk that is asked for here.
         :param gone: addresses that do not accept connections.
         """
-        key = (version, frozenset(gone))
+        key = (ModelVersion(model, version), frozenset(gone))
         if key in self._replaced:
             return
         self._replaced = {
             known for known in self._replaced if self._store.find(known[0])
         }
         self._replaced.add(key)
-        self._replacements.spawn(self._replace(model, version, index, gone))
+        self._replacements.spawn(
+            model, self._replace(model, version, index, gone)
+        )
 
     async def stop(self) -> None:
         """Cancel the downloads and prefetches."""
         # Each of these starts some of the next.
+        await self._openings.cancel()
         await self._replacements.cancel()
         await asyncio.gather(*map(end_task, self._manifests.values()))
         await self._prefetches.cancel()
@@ -162,7 +178,7 @@
         content = chunks.contents.get(index)
         if content is not None:
             return content
-        key = (chunks.manifest.version, index)
+        key = (chunks.manifest.model_version, index)
         if key not in self._downloads:
             self._downloads[key] = asyncio.create_task(
                 self._download_verified(chunks, index)
@@ -174,25 +190,25 @@
         return await asyncio.shield(self._downloads[key])
 
     async def _open(
-        self, model: ModelName, version: int, first: int = 0
+        self, wanted: ModelVersion, first: int = 0
     ) -> VersionChunks | None:
-        if version not in self._manifests:
-            self._manifests[version] = asyncio.create_task(
-                self._open_once(model, version, first)
+        if wanted not in self._manifests:
+            self._manifests[wanted] = asyncio.create_task(
+                self._open_once(wanted, first)
             )
-            self._manifests[version].add_done_callback(
-                lambda _task: self._manifests.pop(version, None)
+            self._manifests[wanted].add_done_callback(
+                lambda _task: self._manifests.pop(wanted, None)
             )
-        return await asyncio.shield(self._manifests[version])
+        return await asyncio.shield(self._manifests[wanted])
 
     async def _open_once(
-        self, model: ModelName, version: int, first: int
+        self, wanted: ModelVersion, first: int
     ) -> VersionChunks | None:
-        manifest = await self.manifests.read(model, version)
+        manifest = await self.manifests.read(wanted.model, wanted.version)
         if manifest is None:
             return None
         chunks = self._store.open(manifest)
-        self._prefetches.spawn(self._prefetch_own(chunks, first))
+        self._prefetches.spawn(wanted.model, self._prefetch_own(chunks, first))
         return chunks
 
     async def _prefetch_own(self, chunks: VersionChunks, first: int) -> None:
@@ -209,7 +225,7 @@
         gone: tuple[str, ...],
     ) -> None:
         manifest = await self.find_manifest(model, version)
-        chunks = self._store.find(version)
+        chunks = self._store.find(ModelVersion(model, version))
         if manifest is None or chunks is None:
             return
         await self._prefetch.run(
@@ -217,7 +233,7 @@
         )
 
     def _is_kept(self, chunks: VersionChunks) -> bool:
-        return self._store.find(chunks.manifest.version) is chunks
+        return self._store.find(chunks.manifest.model_version) is chunks
 
     async def _download_verified(
         self, chunks: VersionChunks, index: int
@@ -225,14 +241,25 @@
         content = await self._download_chunk(chunks.manifest, index)
         if chunks.take(index, content):
             return content
-        self._note_failure(chunks.manifest.version)
+        self._note_failure(chunks.manifest.model_version)
         return None
 
-    def _note_failure(self, version: int) -> None:
+    def _note_failure(self, failed: ModelVersion) -> None:
         """Log the first failure of a version only."""
-        if self._failed_version != version:
-            LOGGER.warning(
-                'no source returned a valid chunk; download will be retried',
-                extra={'version': version},
-            )
-        self._failed_version = version
+        if failed in self._failed:
+            return
+        self._failed = {
+            known for known in self._failed if self._store.find(known)
+        }
+        self._failed.add(failed)
+        LOGGER.warning(
+            'no source returned a valid chunk; download will be retried',
+            extra={'model': failed.model, 'version': failed.version},
+        )
+
+
+async def _open_deployed(cache: ChunkCache, deployed: ModelVersion) -> None:
+    """Read a manifest; pause if no source has it."""
+    if await cache.find_manifest(*deployed) is None:
+        # Many daemons ask the same few daemons or the origin.
+        await asyncio.sleep(RETRY_SECONDS)
--- a/src/ragwortcourse/weights/chunk_store.py
+++ b/src/ragwortcourse/weights/chunk_store.py
@@ -2,7 +2,9 @@
 
 from typing import Final
 
+from ragwortcourse.identifiers import ModelName
 from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.model_version import ModelVersion
 
 # The deployed version and its successor.
 VERSIONS_KEPT: Final = 2
@@ -33,37 +35,42 @@
 
 
 class ChunkStore:
-    """Chunks of the newest versions of one model, by version number.
+    """Chunks of the newest versions of each model.
 
-    :param kept: number of versions that are kept.
+    :param kept: number of versions that are kept of a model.
     """
 
     def __init__(self, *, kept: int = VERSIONS_KEPT) -> None:
         self._kept = kept
-        self._versions: dict[int, VersionChunks] = {}
+        self._versions: dict[ModelVersion, VersionChunks] = {}
 
-    def find(self, version: int) -> VersionChunks | None:
+    def find(self, version: ModelVersion) -> VersionChunks | None:
         """Return the chunks of a version, or ``None`` if it is not kept."""
         return self._versions.get(version)
 
-    def find_newest_whole(self) -> int:
-        """Return the newest complete version, or zero if there is none."""
+    def find_newest_whole(self, model: ModelName) -> int:
+        """Return a model's newest complete version, or zero without one."""
         complete = (
-            version
-            for version, chunks in self._versions.items()
-            if not chunks.missing
+            known.version
+            for known, chunks in self._versions.items()
+            if known.model == model and not chunks.missing
         )
         return max(complete, default=0)
 
     def open(self, manifest: FleetManifest) -> VersionChunks:
         """Return the chunks of a version, which is kept from now on.
 
-        Beyond the number of kept versions, the oldest other one is evicted.
+        Beyond the number of kept versions, the model's oldest other one is
+        evicted.
         """
-        version = manifest.version
-        if version not in self._versions:
-            self._versions[version] = VersionChunks(manifest=manifest)
-        others = sorted(self._versions.keys() - {version})
+        opened = manifest.model_version
+        if opened not in self._versions:
+            self._versions[opened] = VersionChunks(manifest=manifest)
+        others = sorted(
+            known
+            for known in self._versions
+            if known.model == opened.model and known != opened
+        )
         for old in others[: 1 - self._kept]:
             self._versions.pop(old)
-        return self._versions[version]
+        return self._versions[opened]
--- a/src/ragwortcourse/weights/engine_stage.py
+++ b/src/ragwortcourse/weights/engine_stage.py
@@ -153,6 +153,7 @@
             LOGGER.info(
                 'unanswered order to load a version is settled',
                 extra={
+                    'model': order.chunks.manifest.model,
                     'version': order.chunks.manifest.version,
                     'stated_orders': order.orders,
                     'orders': report.orders,
--- a/src/ragwortcourse/weights/engine_switch.py
+++ b/src/ragwortcourse/weights/engine_switch.py
@@ -62,9 +62,11 @@
     if loader_weights.list_named(rules)[-1].version > held:
         await inspect_stage(loader_weights, rules, report)
     if stage.open_order is not None:
-        if holds_version(report, stage.open_order):
+        # An order of a model that the service no longer has is not repeated.
+        is_own = stage.open_order.chunks.manifest.model == rules.model
+        if not is_own or holds_version(report, stage.open_order):
             return False
-        await _announce(loader_weights, CLOSED_SECONDS, 0)
+        await _announce(loader_weights, rules, CLOSED_SECONDS)
         return await _order(loader_weights, rules, stage.open_order.chunks)
     downloaded = loader_weights.find_downloaded(rules)
     if downloaded is None or not stage.is_inspected:
@@ -106,7 +108,9 @@
         - read_clock_with_suspend(),
     )
     await asyncio.sleep(schedule.delay)
-    await _announce(loader_weights, CLOSED_SECONDS + schedule.drain_seconds, 0)
+    await _announce(
+        loader_weights, rules, CLOSED_SECONDS + schedule.drain_seconds
+    )
     order_by = read_clock() + schedule.drain_seconds
     await asyncio.sleep(NOTICE_SECONDS)
     while read_clock() < order_by and not await _is_ready(  # noqa: ASYNC110
@@ -138,13 +142,19 @@
     if newest > downloaded.manifest.version and is_near:
         LOGGER.info(
             'waiting for a newer version that is nearly downloaded',
-            extra={'version': newest, 'drawn': downloaded.manifest.version},
+            extra={
+                'model': rules.model,
+                'version': newest,
+                'drawn': downloaded.manifest.version,
+            },
+        )
+        await _announce(
+            loader_weights, rules, CLOSED_SECONDS + SUCCESSOR_SECONDS
         )
-        await _announce(loader_weights, CLOSED_SECONDS + SUCCESSOR_SECONDS, 0)
         give_up_at = read_clock() + SUCCESSOR_SECONDS
         while (  # noqa: ASYNC110
             read_clock() < give_up_at
-            and loader_weights.store.find_newest_whole() < newest
+            and loader_weights.store.find_newest_whole(rules.model) < newest
         ):
             await asyncio.sleep(LOADING_WATCH_SECONDS)
     return loader_weights.find_downloaded(rules) or downloaded
@@ -166,10 +176,11 @@
         await asyncio.sleep(LOADING_WATCH_SECONDS)
         loader_weights.report = await loader_weights.ports.engine.read_report()
     held = loader_weights.read_held(rules)
-    await _announce(loader_weights, 0, held)
+    await _announce(loader_weights, rules, 0, held)
     LOGGER.info(
         'engine finished loading a version',
         extra={
+            'model': downloaded.manifest.model,
             'version': downloaded.manifest.version,
             'held': held,
             'seconds': read_clock() - began_at,
@@ -199,6 +210,7 @@
     LOGGER.info(
         'order to load a version ended',
         extra={
+            'model': downloaded.manifest.model,
             'version': downloaded.manifest.version,
             'outcome': outcome or 'not sent',
             'running': report.running,
@@ -212,12 +224,16 @@
 
 
 async def _announce(
-    loader_weights: LoaderWeights, seconds: float, version: int
+    loader_weights: LoaderWeights,
+    rules: EngineProfile,
+    seconds: float,
+    version: int = 0,
 ) -> None:
     await loader_weights.ports.announce(
         SwitchMessage(
             address=loader_weights.loader.engine,
             seconds=seconds,
+            model=rules.model,
             version=version,
         )
     )
--- a/src/ragwortcourse/weights/fleet_downloader.py
+++ b/src/ragwortcourse/weights/fleet_downloader.py
@@ -116,7 +116,7 @@
         ):
             content = await self._ask_origin(manifest, index)
         if manifest.matches(index, content):
-            self.patience.note_arrived(manifest.version, index)
+            self.patience.note_arrived(manifest.model_version, index)
         return content
 
     async def fetch_held(
@@ -126,7 +126,7 @@
         for address in self.reach.order(list(addresses)):
             content = await self._fetch(address, manifest, index)
             if manifest.matches(index, content):
-                self.patience.note_arrived(manifest.version, index)
+                self.patience.note_arrived(manifest.model_version, index)
                 return content
         return None
 
@@ -170,7 +170,7 @@
         """Tell whether to wait for a daemon that is downloading a chunk."""
         seconds = measure_patience(self.state, manifest.model)
         return bool(seconds) and not self.patience.is_over(
-            manifest.version, index, seconds
+            manifest.model_version, index, seconds
         )
 
     def _is_any_running(
@@ -189,9 +189,8 @@
         origin = find_origin(self.state)
         if origin is None:
             return None
-        model, version = manifest.model, manifest.version
-        async with self.origin_turns.take(version, index):
-            if not self.is_current(model, version):
+        async with self.origin_turns.take(manifest.model_version, index):
+            if not self.is_current(manifest.model, manifest.version):
                 return None
             ORIGIN_CHUNKS.add(1)
             return await self.calls.read_chunk(origin.origin, manifest, index)
--- a/src/ragwortcourse/weights/loader_weights.py
+++ b/src/ragwortcourse/weights/loader_weights.py
@@ -17,6 +17,7 @@
 from ragwortcourse.weights.engine_port import EngineReport
 from ragwortcourse.weights.engine_stage import EngineStage
 from ragwortcourse.weights.loader_weights_ports import LoaderWeightsPorts
+from ragwortcourse.weights.model_version import ModelVersion
 
 # Share of the link for chunk contents; the rest carries chunk headers, reports
 # and operators' writes.
@@ -50,7 +51,7 @@
         self.store = ChunkStore()
         self.stage = EngineStage(engine=ports.engine)
         self.report: EngineReport | None = None
-        self._stalled_until: dict[int, float] = {}
+        self._stalled_until: dict[ModelVersion, float] = {}
 
     @property
     def link_rate(self) -> int:
@@ -81,9 +82,7 @@
     def read_held(self, rules: EngineProfile) -> int:
         """Return the version that the engine holds completely, or zero."""
         held = None if self.report is None else self.report.weights
-        if held is None or held.first > 0 or held.end < rules.layers:
-            return 0
-        return held.version
+        return held.version if held and held.covers(rules) else 0
 
     def estimate_download_seconds(
         self, rules: EngineProfile, version: int
@@ -92,35 +91,37 @@
 
         :return: infinity while no source offers the version.
         """
-        if self.is_stalled(version):
+        if self.is_stalled(ModelVersion(rules.model, version)):
             return math.inf
         missing = self.count_missing(rules, version)
         return missing * rules.chunk_bytes / self.link_rate
 
     def count_missing(self, rules: EngineProfile, version: int) -> int:
         """Return the number of chunks of a version that are missing here."""
-        kept = self.store.find(version)
+        kept = self.store.find(ModelVersion(rules.model, version))
         return rules.chunks if kept is None else len(kept.missing)
 
-    def is_stalled(self, version: int) -> bool:
+    def is_stalled(self, version: ModelVersion) -> bool:
         """Tell whether no source offered a version recently."""
         return read_clock() < self._stalled_until.get(version, 0)
 
-    def note_stalled(self, version: int) -> None:
+    def note_stalled(self, version: ModelVersion) -> None:
         """Record that no source offers the missing chunks of a version."""
         self._stalled_until[version] = read_clock() + STALLED_SECONDS
 
-    def note_offered(self, version: int) -> None:
+    def note_offered(self, version: ModelVersion) -> None:
         """Record that a source offers a version."""
         self._stalled_until.pop(version, None)
 
     def find_downloaded(self, rules: EngineProfile) -> VersionChunks | None:
         """Return the newest complete version if it is newer than the held."""
-        newest = self.store.find_newest_whole()
+        newest = self.store.find_newest_whole(rules.model)
         if newest <= self.read_held(rules):
             return None
         named = {each.version for each in self.list_named(rules)}
-        return self.store.find(newest) if newest in named else None
+        if newest not in named:
+            return None
+        return self.store.find(ModelVersion(rules.model, newest))
 
     async def find_chunk(
         self, model: ModelName, version: int, index: int
@@ -135,7 +136,7 @@
             return None
         if self.read_held(rules) != version or index >= rules.chunks:
             return None
-        kept = self.store.find(version)
+        kept = self.store.find(ModelVersion(model, version))
         if kept is not None and index in kept.contents:
             return kept.contents[index]
         # The receiver checks the content against the digest.
--- a/src/ragwortcourse/weights/manifest_routes.py
+++ b/src/ragwortcourse/weights/manifest_routes.py
@@ -9,6 +9,7 @@
 from aiohttp import (
     ClientConnectorError,
     ClientError,
+    ClientResponse,
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
@@ -20,6 +21,7 @@
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.unreadable import UnreadableError
 from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.model_version import ModelVersion
 from ragwortcourse.weights.peer_reach import PeerReach
 
 # Time for which a daemon holds a request while it reads the manifest.
@@ -77,15 +79,14 @@
 
     :return: ``None`` if no daemon has the manifest.
     """
+    wanted = ModelVersion(model, version)
     for address in reach.order(list(addresses)):
         url = f'http://{address}/manifests/{model}/{version}'
         try:
             async with session.get(url, timeout=TIMEOUT) as response:
-                if response.status == OK:
-                    return decode_json(
-                        await read_body(response, limit=LARGE_BODY_BYTES),
-                        FleetManifest,
-                    )
+                manifest = await _read_manifest(response, wanted)
+                if manifest is not None:
+                    return manifest
         except (ClientConnectorError, ConnectionTimeoutError):
             reach.note_silent(address)
         except FAILURES as error:
@@ -94,3 +95,26 @@
                 extra={'address': address, 'detail': repr(error)},
             )
     return None
+
+
+async def _read_manifest(
+    response: ClientResponse, wanted: ModelVersion
+) -> FleetManifest | None:
+    """Read the manifest of a version; none if the answer has no such one."""
+    if response.status != OK:
+        return None
+    body = await read_body(response, limit=LARGE_BODY_BYTES)
+    manifest = decode_json(body, FleetManifest)
+    if manifest.model_version == wanted:
+        return manifest
+    LOGGER.warning(
+        'manifest of other weights from a daemon; asking the next daemon',
+        extra={
+            'address': str(response.url.authority),
+            'model': wanted.model,
+            'version': wanted.version,
+            'found_model': manifest.model,
+            'found_version': manifest.version,
+        },
+    )
+    return None
--- a/src/ragwortcourse/weights/planning/held_manifest.py
+++ b/src/ragwortcourse/weights/planning/held_manifest.py
@@ -14,6 +14,7 @@
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.weights.fleet_manifest import FleetManifest
 from ragwortcourse.weights.loader_weights import LoaderWeights
+from ragwortcourse.weights.model_version import ModelVersion
 
 # Between two looks at the held version, which read local state.
 WATCH_SECONDS: Final = 0.5
@@ -37,12 +38,12 @@
         self, model: ModelName, version: int
     ) -> FleetManifest | None:
         """Return the manifest of a version if it is known here."""
-        downloaded = self._loader_weights.store.find(version)
+        wanted = ModelVersion(model, version)
+        downloaded = self._loader_weights.store.find(wanted)
         manifest = self._kept if downloaded is None else downloaded.manifest
-        if manifest is None:
+        if manifest is None or manifest.model_version != wanted:
             return None
-        is_asked_for = manifest.model == model and manifest.version == version
-        return manifest if is_asked_for else None
+        return manifest
 
     async def keep(self) -> None:
         """Keep the manifest of the held version, forever."""
@@ -69,7 +70,11 @@
             if staged is not None and not manifest.matches(index, staged):
                 LOGGER.info(
                     'manifest does not fit a staged chunk',
-                    extra={'version': version, 'chunk': index},
+                    extra={
+                        'model': rules.model,
+                        'version': version,
+                        'chunk': index,
+                    },
                 )
                 return None
         return manifest
--- a/src/ragwortcourse/weights/planning/holders.py
+++ b/src/ragwortcourse/weights/planning/holders.py
@@ -35,5 +35,5 @@
         for target in near
         if target.weights is not None
         and target.weights.version == version
-        and target.holds(engines[target.service].layers)
+        and target.holds(engines[target.service])
     ]
--- a/src/ragwortcourse/weights/planning/known_manifests.py
+++ b/src/ragwortcourse/weights/planning/known_manifests.py
@@ -11,13 +11,14 @@
 
 from ragwortcourse.identifiers import ModelName
 from ragwortcourse.weights.fleet_manifest import FleetManifest
+from ragwortcourse.weights.model_version import ModelVersion
 
 ReadManifest = Callable[[ModelName, int], Awaitable[FleetManifest | None]]
 ListVersions = Callable[[], Sequence[tuple[ModelName, int]]]
 
 # Between two looks at the versions that engines hold, which read local state.
 WATCH_SECONDS: Final = 1.0
-# Manifests that are kept, some kilobytes each.
+# Manifests of a model that are kept, some kilobytes each.
 MANIFESTS_KEPT: Final = 8
 
 
@@ -29,19 +30,21 @@
 
     def __init__(self, *, read_manifest: ReadManifest) -> None:
         self._read_manifest = read_manifest
-        self._known: dict[tuple[ModelName, int], FleetManifest] = {}
+        self._known: dict[ModelVersion, FleetManifest] = {}
 
     async def read(
         self, model: ModelName, version: int
     ) -> FleetManifest | None:
         """Return a manifest that was read before, or read it."""
-        known = self._known.get((model, version))
+        wanted = ModelVersion(model, version)
+        known = self._known.get(wanted)
         if known is not None:
             return known
         manifest = await self._read_manifest(model, version)
         if manifest is not None:
-            self._known[model, version] = manifest
-            for old in sorted(self._known)[:-MANIFESTS_KEPT]:
+            self._known[wanted] = manifest
+            same = sorted(each for each in self._known if each.model == model)
+            for old in same[:-MANIFESTS_KEPT]:
                 self._known.pop(old)
         return manifest
 
--- a/src/ragwortcourse/weights/planning/loader_demand.py
+++ b/src/ragwortcourse/weights/planning/loader_demand.py
@@ -99,15 +99,14 @@
     def _find_held(self, model: ModelName) -> Iterator[int]:
         desired = self._state.desired
         services = {} if desired is None else desired.services
-        layers = {
-            name: rules.engine.layers
+        engines = {
+            name: rules.engine
             for name, rules in services.items()
             if rules.engine is not None and rules.engine.model == model
         }
         for target in self._state.targets.values():
-            if target.service in layers and target.holds(
-                layers[target.service]
-            ):
+            engine = engines.get(target.service)
+            if engine is not None and target.holds(engine):
                 yield target.version
 
 
--- a/src/ragwortcourse/weights/planning/loader_plan.py
+++ b/src/ragwortcourse/weights/planning/loader_plan.py
@@ -39,7 +39,7 @@
     ]
     held = max(
         loader_weights.read_held(rules),
-        loader_weights.store.find_newest_whole(),
+        loader_weights.store.find_newest_whole(rules.model),
     )
     plan = plan_fleet(needs, held=held or in_force, now=now, bound=bound)
     if not held:
--- a/src/ragwortcourse/weights/stage_check.py
+++ b/src/ragwortcourse/weights/stage_check.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from ragwortcourse.clock import read_clock_with_suspend
+from ragwortcourse.identifiers import ModelName
 from ragwortcourse.weights.chunk_store import VersionChunks
 from ragwortcourse.weights.engine_port import EnginePort
 
@@ -36,7 +37,7 @@
     chunks: VersionChunks,
     *,
     write: Callable[[VersionChunks, int], Awaitable[bool]],
-    note_read: Callable[[int, bytes | None], None],
+    note_read: Callable[[ModelName, int, bytes | None], None],
 ) -> StageCheck:
     """Compare all staged chunks with a version; stage those that differ.
 
@@ -53,7 +54,7 @@
         while queue and False not in written:
             index = queue.pop(0)
             staged = await engine.read_staged(model, index)
-            note_read(index, staged)
+            note_read(model, index, staged)
             if staged != chunks.contents[index]:
                 written.append(await write(chunks, index))
 
--- a/src/ragwortcourse/weights/stage_inspection.py
+++ b/src/ragwortcourse/weights/stage_inspection.py
@@ -94,7 +94,11 @@
     )
     LOGGER.info(
         'staged chunks of a former loader inspected',
-        extra={'versions': found, 'former_order': former},
+        extra={
+            'model': rules.model,
+            'versions': found,
+            'former_order': former,
+        },
     )
     if former is FormerOrder.NONE:
         stage.is_inspected = True
--- a/src/ragwortcourse/weights/unanswered_order.py
+++ b/src/ragwortcourse/weights/unanswered_order.py
@@ -51,5 +51,7 @@
 
 def holds_version(report: EngineReport, order: UnansweredOrder) -> bool:
     """Return whether the engine holds the version of an order."""
-    held = 0 if report.weights is None else report.weights.version
-    return held == order.chunks.manifest.version
+    held, manifest = report.weights, order.chunks.manifest
+    if held is None or held.model not in {None, manifest.model}:
+        return False
+    return held.version == manifest.version
--- a/src/ragwortcourse/weights/unanswered_writes.py
+++ b/src/ragwortcourse/weights/unanswered_writes.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
+from ragwortcourse.identifiers import ModelName
 from ragwortcourse.weights.chunk_store import VersionChunks
 from ragwortcourse.weights.unanswered_order import LATE_CALL_SECONDS
 
@@ -42,11 +43,14 @@
             if write.index == staged.index:
                 write.replaced = True
 
-    def note_read(self, index: int, staged: bytes | None) -> None:
+    def note_read(
+        self, model: ModelName, index: int, staged: bytes | None
+    ) -> None:
         """Drop one write that was done after its chunk was replaced."""
         for write in self._writes:
             if (
-                write.index == index
+                write.chunks.manifest.model == model
+                and write.index == index
                 and write.replaced
                 and write.chunks.contents[index] == staged
             ):
@@ -69,11 +73,13 @@
         return bool(self._find_others(chunks))
 
     def _find_others(self, chunks: VersionChunks) -> list[UnansweredWrite]:
-        version = chunks.manifest.version
+        """List the writes of other versions to the model's staging area."""
+        own = chunks.manifest
         return [
             write
             for write in self._writes
-            if write.chunks.manifest.version != version
+            if write.chunks.manifest.model == own.model
+            and write.chunks.manifest.version != own.version
         ]
 
     def _keep(self, is_kept: Callable[[UnansweredWrite], bool]) -> None:
--- a/src/ragwortcourse/weights/version_drawing.py
+++ b/src/ragwortcourse/weights/version_drawing.py
@@ -8,6 +8,7 @@
 from ragwortcourse.forwarding.engine_profile import EngineProfile
 from ragwortcourse.weights.chunk_store import VersionChunks
 from ragwortcourse.weights.loader_weights import LoaderWeights
+from ragwortcourse.weights.model_version import ModelVersion
 from ragwortcourse.weights.planning.chunk_queue import ChunkQueue
 from ragwortcourse.weights.planning.loader_plan import choose_next_version
 from ragwortcourse.weights.stage_check import adopt_staged
@@ -29,7 +30,7 @@
 
 async def download_versions(loader_weights: LoaderWeights) -> None:
     """Download wanted versions one after the other, forever."""
-    refused = 0
+    refused: ModelVersion | None = None
     while True:
         rules = loader_weights.find_rules()
         wanted = (
@@ -42,12 +43,12 @@
             and wanted
             and not await _download_named(loader_weights, rules, wanted)
         ):
-            if refused != wanted:
+            if refused != (rules.model, wanted):
                 LOGGER.warning(
                     'no valid manifest from the origin; retrying',
-                    extra={'version': wanted},
+                    extra={'model': rules.model, 'version': wanted},
                 )
-            refused = wanted
+            refused = ModelVersion(rules.model, wanted)
         await asyncio.sleep(WATCH_SECONDS)
 
 
@@ -61,7 +62,7 @@
     """
     wanted = choose_next_version(loader_weights, rules)
     here = max(
-        loader_weights.store.find_newest_whole(),
+        loader_weights.store.find_newest_whole(rules.model),
         loader_weights.read_held(rules),
     )
     return 0 if loader_weights.report is None or wanted <= here else wanted
@@ -73,7 +74,7 @@
     """Download a version; return whether its manifest was available."""
     manifest = await loader_weights.ports.read_manifest(rules.model, version)
     if manifest is None or len(manifest.digests) != rules.chunks:
-        loader_weights.note_stalled(version)
+        loader_weights.note_stalled(ModelVersion(rules.model, version))
         return False
     await _download_version(
         loader_weights, rules, loader_weights.store.open(manifest)
@@ -88,6 +89,7 @@
     LOGGER.info(
         'version download begins',
         extra={
+            'model': chunks.manifest.model,
             'version': chunks.manifest.version,
             'newest': loader_weights.list_named(rules)[-1].version,
             'missing': len(chunks.missing),
@@ -100,6 +102,7 @@
         if chunks.missing
         else 'version downloaded',
         extra={
+            'model': chunks.manifest.model,
             'version': chunks.manifest.version,
             'staged_before': staged,
             'missing': len(chunks.missing),
@@ -112,7 +115,7 @@
     loader_weights: LoaderWeights, rules: EngineProfile, chunks: VersionChunks
 ) -> None:
     """Download missing chunks until done or another version is wanted."""
-    version = chunks.manifest.version
+    manifest = chunks.manifest
     queue = ChunkQueue(chunks.missing)
     received_at = read_clock()
     chunk_seconds = (
@@ -126,7 +129,7 @@
             index = queue.take()
             if await _download_one(loader_weights, rules, chunks, index):
                 received_at = read_clock()
-                loader_weights.note_offered(version)
+                loader_weights.note_offered(manifest.model_version)
             else:
                 queue.put_back(index)
                 await asyncio.sleep(RETRY_SECONDS)
@@ -135,16 +138,16 @@
         *(download_some() for _ in range(CONCURRENT_DOWNLOADS))
     )
     probing = asyncio.ensure_future(
-        _probe_newest(loader_weights, rules, version)
+        _probe_newest(loader_weights, rules, manifest.version)
     )
     try:
         while (
-            choose_next_version(loader_weights, rules) == version
+            choose_next_version(loader_weights, rules) == manifest.version
             and not downloading.done()
         ):
             await asyncio.wait((downloading,), timeout=WATCH_SECONDS)
             if read_clock() - received_at > stall_limit:
-                loader_weights.note_stalled(version)
+                loader_weights.note_stalled(manifest.model_version)
     finally:
         for running in (downloading, probing):
             running.cancel()
@@ -160,9 +163,11 @@
     """
     while True:
         await asyncio.sleep(PROBE_SECONDS)
-        newest = loader_weights.list_named(rules)[-1].version
+        newest = ModelVersion(
+            rules.model, loader_weights.list_named(rules)[-1].version
+        )
         if (
-            newest != version
+            newest.version != version
             and loader_weights.is_stalled(newest)
             and await _is_offered(loader_weights, rules, newest)
         ):
@@ -170,7 +175,7 @@
 
 
 async def _is_offered(
-    loader_weights: LoaderWeights, rules: EngineProfile, version: int
+    loader_weights: LoaderWeights, rules: EngineProfile, version: ModelVersion
 ) -> bool:
     """Tell whether a source offers what is missing of a version.
 
@@ -179,7 +184,7 @@
     ports = loader_weights.ports
     kept = loader_weights.store.find(version)
     if kept is None:
-        manifest = await ports.read_manifest(rules.model, version)
+        manifest = await ports.read_manifest(*version)
         return manifest is not None and len(manifest.digests) == rules.chunks
     index = kept.missing[0]
     rate = loader_weights.link_rate // CONCURRENT_DOWNLOADS
--- a/tests/test_desired_states.py
+++ b/tests/test_desired_states.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from fakes.fleet_parts import REGIONS
+from fakes.fleet_parts import ENGINE_RULES, REGIONS
 from ragwortcourse.forwarding.call_kind import CallKind
 from ragwortcourse.ingress.client_limits import NO_LIMITS, ClientLimits
 from ragwortcourse.platform.desired_states import decode_desired_state
@@ -281,7 +281,7 @@
         assert target.born == 1700
         assert target.region == 'near'
         assert target.cold_seconds == pytest.approx(1.5)
-        assert target.holds(16)
+        assert target.holds(ENGINE_RULES)
         assert target.weights.version == 2
 
     def test_leaving(self):
@@ -295,12 +295,12 @@
         """A target whose engine has no layers holds no weights."""
         target = decode_row(layers=layers)
         assert target.weights is None
-        assert not target.holds(16)
+        assert not target.holds(ENGINE_RULES)
 
     def test_part_of_the_layers(self):
         """An engine with a part of the layers does not hold the model."""
         layers = {'from': 0, 'to': 8, 'version': 2}
-        assert not decode_row(layers=layers).holds(16)
+        assert not decode_row(layers=layers).holds(ENGINE_RULES)
 
     @pytest.mark.parametrize(
         'changes',
--- a/tests/test_engine_stage.py
+++ b/tests/test_engine_stage.py
@@ -118,7 +118,7 @@
 
         async with host.run():
             host.name(2)
-            while host.loading.store.find_newest_whole() < 2:
+            while host.loading.store.find_newest_whole(MODEL) < 2:
                 await asyncio.sleep(0.01)
             host.engine.running = 16
             while not host.notices:
@@ -172,7 +172,7 @@
 
         async with host.run():
             host.name(2)
-            while host.loading.store.find_newest_whole() < 2:
+            while host.loading.store.find_newest_whole(MODEL) < 2:
                 await asyncio.sleep(0.01)
             host.engine.running = 16
             while not host.notices:
@@ -519,7 +519,7 @@
             while host.engine.late_writes:
                 await asyncio.sleep(0.01)
             host.name(3)
-            while host.loading.store.find_newest_whole() < 3:
+            while host.loading.store.find_newest_whole(MODEL) < 3:
                 await asyncio.sleep(0.01)
             host.notices.clear()
             await asyncio.sleep(6)
--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from fakes.fleet_parts import MODEL
 from fakes.loader_host import ENGINE, LoaderHost, make_chunk
 from fakes.staged_engine import CALL_SECONDS
 from ragwortcourse.clock import read_clock
@@ -97,7 +98,7 @@
         while len(given_up) < 2:  # no event
             await asyncio.sleep(0.01)
         host.name(3)
-        while host.loading.store.find_newest_whole() < 3:
+        while host.loading.store.find_newest_whole(MODEL) < 3:
             await asyncio.sleep(0.01)
         while make_chunk(3, given_up[0][1]) not in engine.stage.values():
             await asyncio.sleep(0.01)
--- a/tests/test_loader_weights.py
+++ b/tests/test_loader_weights.py
@@ -184,7 +184,7 @@
         host.service += [f'10.0.0.{each}:1' for each in range(2, 12)]
         async with host.run():
             host.name(2)
-            while host.loading.store.find_newest_whole() < 2:
+            while host.loading.store.find_newest_whole(MODEL) < 2:
                 await asyncio.sleep(0.01)
             host.seconds = 1.85
             host.name(3)
--- a/tests/test_origin_turns.py
+++ b/tests/test_origin_turns.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from fakes.fleet_parts import MODEL
+from ragwortcourse.weights.model_version import ModelVersion
 from ragwortcourse.weights.planning.origin_turns import OriginTurns
 
 pytestmark = pytest.mark.looptime
@@ -18,7 +20,7 @@
         called = []
 
         async def call(version, index):
-            async with turns.take(version, index):
+            async with turns.take(ModelVersion(MODEL, version), index):
                 called.append((version, index))
                 await asyncio.sleep(1)
 
@@ -31,7 +33,7 @@
         turns = OriginTurns(limit=1)
 
         async def call():
-            async with turns.take(2, 0):
+            async with turns.take(ModelVersion(MODEL, 2), 0):
                 await asyncio.sleep(1)
 
         for _ in range(3):
@@ -41,5 +43,5 @@
                 each.cancel()
             await asyncio.gather(*calls, return_exceptions=True)
         async with asyncio.timeout(0.1):
-            async with turns.take(2, 1):
+            async with turns.take(ModelVersion(MODEL, 2), 1):
                 pass
