Tell heads from bodies by their bytes

Cause: bytes that arrived before the handler of their request began counted as head. The handler begins in a task of its own, and the loop reads up to 256 KB several times before it runs.

Change: RequestFraming reads the boundaries of heads, bodies and requests from the bytes, so that the moment of their arrival makes no difference. Arrivals holds the bounds on what no handler has read; waiting bodies count once. A pipelined request beyond a bound is refused after the requests before it are answered.

--- a/src/ragwortcourse/ingress/guarded_protocol.py
+++ b/src/ragwortcourse/ingress/guarded_protocol.py
@@ -12,27 +12,15 @@
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 
-from ragwortcourse.ingress.connection import CONNECTION_BYTES, Connection
-from ragwortcourse.ingress.head_end import HeadEnd
+from ragwortcourse.ingress.arrivals import Arrivals
+from ragwortcourse.ingress.connection import Connection
 from ragwortcourse.ingress.ingress import Ingress, note_ended
 from ragwortcourse.ingress.phase import Phase
 from ragwortcourse.ingress.refusals import (
     BODY_LEFT,
-    BUDGET_SPENT,
-    HEAD_TOO_LARGE,
-    OVERHEAD_TOO_LARGE,
     write_refusal,
 )
 
-# aiohttp keeps the bytes of a head and their text; measured on long lines.
-HEAD_COPIES: Final = 3
-# Pipelined requests of a connection. 32 of them with heads and bodies of the
-# usual size are fewer bytes.
-PIPELINED_BYTES: Final = 1_048_576
-# Chunk headers, extensions and trailers of a body.
-LONGEST_OVERHEAD: Final = 65_536
-# A chunk of one byte takes six.
-FRAMING_FACTOR: Final = 16
 # Size at which the writers of answers wait for the client.
 WRITE_BUFFER_BYTES: Final = 65_536
 
@@ -56,11 +44,9 @@
         self._ingress = ingress
         self._is_limited = is_limited
         self._transport: asyncio.Transport | None = None
-        self._head = HeadEnd()
-        self._pending = 0
+        self._arrivals = Arrivals()
+        self._late_refusal: str | None = None
         self._body: StreamReader | None = None
-        self._beside = 0
-        self._body_received = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Admit the connection, or close it."""
@@ -95,15 +81,11 @@
                 self.inner.data_received(data)
             return
         connection.note_moved(len(data))
-        if self._body is None:
-            is_taken = self._count_head(connection, data)
-        elif self._body.is_eof():
-            is_taken = self._count_pipelined(connection, data)
-        else:
-            self._take_body(connection, self._body, data)
-            return
-        if is_taken:
-            self.inner.data_received(data)
+        if connection.phase is Phase.IDLE:
+            connection.enter(Phase.HEAD)
+        if self._late_refusal is None:
+            self._arrivals.feed(data)
+            self._pass_on(connection, data)
 
     def pause_writing(self) -> None:
         """Note that the client does not take its answer."""
@@ -117,27 +99,26 @@
         if not self._is_detached:
             self.inner.resume_writing()
 
-    def begin_request(self, body: StreamReader, head_bytes: int) -> None:
+    def begin_request(self, body: StreamReader) -> None:
         """Begin the request that aiohttp read next."""
         self._body = body
-        begun = head_bytes + body.total_bytes
-        self._pending = max(self._pending - begun, 0)
-        self._body_received = self._pending + body.total_bytes
-        self._beside = self._pending
+        self._arrivals.sizes.begin()
         if self.connection is not None:
             self.connection.enter(Phase.RUNNING)
-            heads = (self._pending + head_bytes) * HEAD_COPIES
-            self.connection.release_to(CONNECTION_BYTES + heads)
+            self._arrivals.release(self.connection)
 
     def end_request(self) -> None:
         """Return what was held for the request."""
         connection = self.connection
         if connection is None or self._body is None:
             return
-        connection.release_to(CONNECTION_BYTES + self._pending * HEAD_COPIES)
+        self._arrivals.sizes.end()
+        self._arrivals.release(connection)
         if self._body.is_eof():
             self._body = None
-            connection.enter(Phase.IDLE)
+            is_idle = not self._arrivals.sizes.waiting_overhead
+            connection.enter(Phase.IDLE if is_idle else Phase.HEAD)
+            self._refuse_late(connection)
         else:
             # aiohttp reads the rest for some seconds, then closes.
             connection.begin_closing(BODY_LEFT)
@@ -145,46 +126,29 @@
                 # The parser holds what it has read of the trailers.
                 self._end_sending()
 
-    def _count_head(self, connection: Connection, data: bytes) -> bool:
-        if connection.phase is Phase.IDLE:
-            connection.enter(Phase.HEAD)
-            self._head = HeadEnd()
-            self._pending = 0
-            connection.release_to(CONNECTION_BYTES)
-        is_whole = self._head.find(data)
-        limit = connection.limits.header_bytes
-        if not is_whole and self._head.size > limit:
-            return self._refuse(connection, HEAD_TOO_LARGE)
-        return self._count_pipelined(connection, data)
-
-    def _count_pipelined(self, connection: Connection, data: bytes) -> bool:
-        self._pending += len(data)
-        if self._pending > PIPELINED_BYTES:
-            return self._refuse(connection, HEAD_TOO_LARGE)
-        if not connection.hold(len(data) * HEAD_COPIES):
-            return self._refuse(connection, BUDGET_SPENT)
-        return True
-
-    def _take_body(
-        self, connection: Connection, body: StreamReader, data: bytes
-    ) -> None:
-        """Pass part of a body on, and count what is not part of it."""
-        self.inner.data_received(data)
-        self._body_received += len(data)
-        # What the parser has not read yet counts too, until it has.
-        beside = self._body_received - body.total_bytes
-        grown = max(beside - self._beside, 0)
-        self._beside += grown
-        if beside > LONGEST_OVERHEAD + body.total_bytes * FRAMING_FACTOR:
-            self._refuse(connection, OVERHEAD_TOO_LARGE)
-        elif not connection.hold(grown * HEAD_COPIES):
-            self._refuse(connection, BUDGET_SPENT)
-
-    def _refuse(self, connection: Connection, cause: str) -> bool:
+    def _pass_on(self, connection: Connection, data: bytes) -> None:
+        """Pass bytes on that were counted, unless a bound is exceeded."""
+        cause = self._arrivals.find_refusal(connection)
+        if cause is None:
+            self.inner.data_received(data)
+        elif self._arrivals.sizes.is_preceded:
+            # The requests before are answered first.
+            self._late_refusal = cause
+            before = max(len(data) - self._arrivals.partial_head, 0)
+            self.inner.data_received(data[:before])
+        else:
+            self._refuse(connection, cause)
+
+    def _refuse_late(self, connection: Connection) -> None:
+        """Refuse the last request once those before it have ended."""
+        cause = self._late_refusal
+        if cause is not None and not self._arrivals.sizes.is_preceded:
+            self._refuse(connection, cause)
+
+    def _refuse(self, connection: Connection, cause: str) -> None:
         self._is_dropping = True
         note_ended(cause, connection)
         connection.end(cause)
-        return False
 
     def _end_sending(self) -> None:
         """Send nothing more; the client closes, or the next checks abort."""
--- a/src/ragwortcourse/ingress/request_guard.py
+++ b/src/ragwortcourse/ingress/request_guard.py
@@ -68,7 +68,7 @@
         if guarded is None or connection is None:
             return await handler(request)
         head_bytes = measure_head(request)
-        guarded.begin_request(request.content, head_bytes)
+        guarded.begin_request(request.content)
         CURRENT.set(connection)
         try:
             return await _answer(request, handler, connection, head_bytes)
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -15,7 +15,6 @@
     ConnectionCost,
     choose_costliest,
 )
-from ragwortcourse.ingress.head_end import HeadEnd
 from ragwortcourse.ingress.ingress import Ingress
 from ragwortcourse.ingress.phase import Phase
 from ragwortcourse.ingress.request_guard import read_request_body
@@ -177,20 +176,6 @@
         assert not budget.used
 
 
-class TestHeadEnd:
-    """Search for the end of a head."""
-
-    def test_any_split(self):
-        """The end is found wherever the pieces of a head are split."""
-        head = HEAD + b'\r\n'
-        for first in range(len(head)):
-            for second in range(first, len(head)):
-                search = HeadEnd()
-                pieces = (head[:first], head[first:second], head[second:])
-                assert [search.find(piece) for piece in pieces][-1]
-                assert search.size == len(head)
-
-
 def make_cost(number: int, **changes: object) -> ConnectionCost:
     """Make the cost of a fast ordinary request, with some fields replaced."""
     usual: dict[str, object] = {
