Judge a crash from the last loss, not from the first sign

It crashes its targets a second or more after it begins, and these answer others until then.

Cause: an incarnation had one note under a suspect, with the moment of its first loss. A silence that was noted as a loss counted as outlived once the target answered anybody, and the cut that followed was merged into that note, with the earlier time and the better fate. The same hid a crash after an earlier loss that was outlived, or that an answer had cleared. The evidence is in the forwarders' lines on: `target outlived a lost answer, no crash counted` between `target is silent` and the reset of the same run.

Change: LostRun tells when the answer was lost in the way that counts, and how many losses the incarnation had outlived before; the later ones hold. Merging stays associative and commutative. Reports and rows carry both at their end; older releases leave them out.

--- a/fakes/crash_daemon.py
+++ b/fakes/crash_daemon.py
@@ -83,12 +83,14 @@
         end: RunEnd = RunEnd.CUT,
     ) -> None:
         """Lose the answer of a target to a request now."""
+        now = read_clock_with_suspend()
         run = LostRun(
             target=TargetName(name),
             born=1,
             sent_at=sent_at,
-            lost_at=read_clock_with_suspend(),
+            lost_at=now,
             end=end,
+            ended_at=now,
         )
         self.guard.note_lost(suspects or (REQUEST,), run)
 
--- a/src/ragwortcourse/forwarding/crash_evidence.py
+++ b/src/ragwortcourse/forwarding/crash_evidence.py
@@ -40,7 +40,7 @@
     def newest_at(self) -> float:
         """Time of the newest loss."""
         return max(
-            (run.lost_at for run in self.runs.values()), default=-math.inf
+            (run.ended_at for run in self.runs.values()), default=-math.inf
         )
 
     @property
@@ -48,6 +48,22 @@
         """Targets that ended and still count."""
         return [run.target for run in self._list_ended()]
 
+    def note_loss(self, run: LostRun) -> None:
+        """Note a run that was just lost.
+
+        A loss that the incarnation has outlived, or that an answer has
+        cleared, says nothing about this one.
+        """
+        known = self.runs.get((run.target, run.born))
+        if known is None:
+            self.note_run(run)
+            return
+        is_cleared = known.lost_at <= self.answered_at
+        is_over = known.fate is Fate.SURVIVED or is_cleared
+        is_later = is_over and known.sent_at < run.sent_at
+        losses = known.losses + is_later
+        self.note_run(dataclasses.replace(run, losses=losses))
+
     def note_run(self, run: LostRun) -> None:
         """Merge one lost run."""
         key = run.target, run.born
--- a/src/ragwortcourse/forwarding/crash_guard.py
+++ b/src/ragwortcourse/forwarding/crash_guard.py
@@ -127,20 +127,26 @@
         if listed is not None and listed.leaving:
             # A leaving target may cut answers without a crash.
             return
+        now = read_clock_with_suspend()
         for suspect in suspects:
             evidence = self._find(suspect)
-            evidence.note_run(run)
-            evidence.note_own_news(read_clock_with_suspend())
+            self._settle(suspect, evidence, now)
+            evidence.note_loss(run)
+            evidence.note_own_news(now)
 
-    def note_survived(self, suspects: Iterable[Suspect], run: LostRun) -> None:
+    def note_survived(
+        self, suspects: Iterable[Suspect], target: Target
+    ) -> None:
         """Note that a target lives whose silence was noted as a loss."""
-        survived = dataclasses.replace(run, fate=Fate.SURVIVED)
         for suspect in suspects:
             evidence = self.store.find(suspect)
-            if evidence is None or (run.target, run.born) not in evidence.runs:
+            if evidence is None:
                 continue
-            evidence.note_run(survived)
-            evidence.note_own_news(read_clock_with_suspend())
+            known = evidence.runs.get((target.name, target.born))
+            if known is not None:
+                survived = dataclasses.replace(known, fate=Fate.SURVIVED)
+                evidence.note_run(survived)
+                evidence.note_own_news(read_clock_with_suspend())
 
     def merge(self, suspect: Suspect, evidence: CrashEvidence) -> None:
         """Merge the evidence of another daemon."""
@@ -226,7 +232,7 @@
                     _log_fate(suspect, evidence, run, fate)
 
     def _read_fate(self, run: LostRun, now: float) -> Fate:
-        if self._find_answered(run.target, run.born) > run.lost_at:
+        if self._find_answered(run.target, run.born) > run.ended_at:
             return Fate.SURVIVED
         if run.fate is not Fate.UNKNOWN or not self._state.targets_known:
             return run.fate
@@ -234,7 +240,7 @@
         if listed is None or listed.born != run.born:
             return Fate.ENDED
         # Rows do not change while the store is away.
-        known_since = max(run.lost_at, self._store_lost_at)
+        known_since = max(run.ended_at, self._store_lost_at)
         if listed.leaving or now - known_since > SURVIVAL_SECONDS:
             return Fate.SURVIVED
         return Fate.UNKNOWN
@@ -263,7 +269,8 @@
             'target': run.target,
             'born': run.born,
             'crashes': evidence.count_proven(),
-            'seconds_ago': read_clock_with_suspend() - run.lost_at,
+            'seconds_ago': read_clock_with_suspend() - run.ended_at,
+            'end': run.end.name.lower(),
             'answered_since': evidence.answered_at >= run.lost_at,
         },
     )
--- a/src/ragwortcourse/forwarding/crash_messages.py
+++ b/src/ragwortcourse/forwarding/crash_messages.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ragwortcourse.bounded import Age, WholeNumber
+from ragwortcourse.bounded import Age, Count, WholeNumber
 from ragwortcourse.crashes.suspect import Suspect, SuspectKind
 from ragwortcourse.forwarding.crash_evidence import CrashEvidence
 from ragwortcourse.forwarding.crash_rules import RULES
@@ -17,7 +17,10 @@
 
 
 class RunReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Lost run; ages are seconds."""
+    """Lost run; ages are seconds.
+
+    :param ended_age: none: not told by an older release, as ``lost_age``.
+    """
 
     target: TargetName
     born: WholeNumber
@@ -25,6 +28,8 @@
     lost_age: Age
     fate: Fate
     end: RunEnd = RunEnd.CUT
+    ended_age: Age | None = None
+    losses: Count = 0
 
 
 class CrashReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -112,10 +117,15 @@
         lost_age=round(now - run.lost_at, 3),
         fate=run.fate,
         end=run.end,
+        ended_age=round(now - run.ended_at, 3),
+        losses=run.losses,
     )
 
 
 def _read_run(report: RunReport, now: float) -> LostRun:
+    ended_age = (
+        report.lost_age if report.ended_age is None else report.ended_age
+    )
     return LostRun(
         target=report.target,
         born=report.born,
@@ -123,4 +133,6 @@
         lost_at=now - report.lost_age,
         fate=report.fate,
         end=report.end,
+        ended_at=now - ended_age,
+        losses=report.losses,
     )
--- a/src/ragwortcourse/forwarding/request_crashes.py
+++ b/src/ragwortcourse/forwarding/request_crashes.py
@@ -61,10 +61,7 @@
         """Note that the last target did not run the request."""
         if self._target is not None and self._is_settled:
             # Its silence was noted before it answered.
-            self._guard.note_survived(
-                self.suspects,
-                self._describe_run(self._target, RunEnd.SILENT),
-            )
+            self._guard.note_survived(self.suspects, self._target)
         self._is_settled = True
         self._target = None
 
@@ -136,10 +133,12 @@
         ]
 
     def _describe_run(self, target: Target, end: RunEnd) -> LostRun:
+        now = read_clock_with_suspend()
         return LostRun(
             target=target.name,
             born=target.born,
             sent_at=self.sent_at,
-            lost_at=read_clock_with_suspend(),
+            lost_at=now,
             end=end,
+            ended_at=now,
         )
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -13,13 +13,13 @@
     CrashEvidence,
 )
 from ragwortcourse.forwarding.crash_rules import RULES
-from ragwortcourse.forwarding.lost_run import Fate, LostRun
+from ragwortcourse.forwarding.lost_run import Fate, LostRun, RunEnd
 from ragwortcourse.identifiers import TargetName
 
 
 def make_run(name: str, sent_at: float, lost_at: float, **changes) -> LostRun:
     """Build a lost run at an incarnation that ended."""
-    usual = {'born': 1, 'fate': Fate.ENDED}
+    usual = {'born': 1, 'fate': Fate.ENDED, 'ended_at': lost_at}
     return LostRun(
         target=TargetName(name),
         sent_at=sent_at,
@@ -102,6 +102,9 @@
     strategies.integers(6, 9),
     born=strategies.integers(1, 2),
     fate=strategies.sampled_from(Fate),
+    end=strategies.sampled_from(RunEnd),
+    ended_at=strategies.integers(6, 9),
+    losses=strategies.integers(0, 1),
 )
 
 
