Look for the engine of a switch notice's target only

Cause: the model of a notice was compared for every target, and Arrivals.find_refusal held bytes beside what its name says. Change: targets at other addresses are passed over first; find_refusal is hold, which says both.

--- a/src/ragwortcourse/forwarding/load_exchange.py
+++ b/src/ragwortcourse/forwarding/load_exchange.py
@@ -149,10 +149,11 @@
 
     def _take_switch(self, message: SwitchMessage) -> None:
         for target in self._forwarder.state.targets.values():
+            if target.address != message.address:
+                continue
             engine = find_engine(self._forwarder, target)
             model = None if engine is None else engine.model
-            is_own = message.model in {None, model}
-            if target.address == message.address and is_own:
+            if message.model in {None, model}:
                 load = self._forwarder.find_load(target)
                 load.unavailable_until = read_clock() + message.seconds
                 load.stated_version.note_loader(message.version, read_clock())
--- a/src/ragwortcourse/ingress/arrivals.py
+++ b/src/ragwortcourse/ingress/arrivals.py
@@ -50,10 +50,10 @@
         """Count the next bytes of the connection."""
         self._framing.feed(received)
 
-    def find_refusal(self, connection: Connection) -> str | None:
-        """Hold what has arrived, or find why it is refused.
+    def hold(self, connection: Connection) -> str | None:
+        """Hold what has arrived, unless a bound is exceeded.
 
-        :return: none if everything is within its bounds.
+        :return: the cause of a refusal; none if it is held.
         """
         arriving = self.sizes.arriving
         if self.partial_head > connection.limits.header_bytes:
--- a/src/ragwortcourse/ingress/guarded_protocol.py
+++ b/src/ragwortcourse/ingress/guarded_protocol.py
@@ -128,7 +128,7 @@
 
     def _pass_on(self, connection: Connection, data: bytes) -> None:
         """Pass bytes on that were counted, unless a bound is exceeded."""
-        cause = self._arrivals.find_refusal(connection)
+        cause = self._arrivals.hold(connection)
         if cause is None:
             self.inner.data_received(data)
         elif self._arrivals.sizes.is_preceded:
