Soak two models, bodies in one write and requests that crash late

Cause: no stand-in had two models, a body that arrives with its head, or a request that crashes its target a second after it began, so that the soak kept all its checks on code that broke WHOLE, DENIED and BUDGET. Change: a second service of engines has a model whose versions get the same numbers; three tenths of the bodies, up to 600 KB, are one write with their head; one caller sends a request that ends each plain target that runs it. Checks for orders of another model, for 400, 411, 413, 417 and 431, and for runs later than the contact time after the third crash.

--- a/fakes/soak.py
+++ b/fakes/soak.py
@@ -15,6 +15,7 @@
 
 from fakes.soak_caller import run_caller
 from fakes.soak_checks import RECOVER_SECONDS, list_findings
+from fakes.soak_crasher import run_crasher
 from fakes.soak_losses import CONTACT_SECONDS
 from fakes.soak_operation import Operation
 from fakes.soak_operators import SoakOperators
@@ -43,7 +44,7 @@
     name_loader,
     wait_ready,
 )
-from fakes.soak_state import ENGINES, SPARE
+from fakes.soak_state import SPARE
 from fakes.soak_target import SoakTarget
 from fakes.soak_watch import describe_stalls, record_stalls, write_stalls
 
@@ -100,9 +101,14 @@
             )
             for number in range(CALLERS_PER_FORWARDER * len(site.forwarders))
         ]
+        callers.append(
+            asyncio.create_task(
+                run_crasher(site, random.Random(f'{self._setup.seed} crasher'))
+            )
+        )
         await asyncio.sleep(SETTLE_SECONDS)
         stops: set[asyncio.Task[None]] = set()
-        for target in site.list_targets(ENGINES):
+        for target in site.list_engines():
             target.trouble.stop_loader = self._build_stop(target, stops)
         site.set_trouble(is_on=bool(self._setup.fault_seconds))
         await self._inject_all(self._plan_faults())
--- a/fakes/soak_body.py
+++ b/fakes/soak_body.py
@@ -4,11 +4,13 @@
 import random
 from collections.abc import AsyncIterator
 
-SIZES = (0, 300, 6000, 150_000)
+SIZES = (0, 300, 6000, 150_000, 600_000)
 PIECE_BYTES = 16_384
 # Share of bodies that arrive slowly.
 SLOW_SHARE = 0.15
 SLOW_SECONDS = 0.03
+# Share of bodies that are sent in one write with their head.
+WHOLE_SHARE = 0.3
 
 
 def make_body(attempt: str) -> bytes:
@@ -18,9 +20,12 @@
 
 
 async def send_body(attempt: str) -> AsyncIterator[bytes]:
-    """Yield the body in pieces, with pauses if it is a slow one."""
+    """Yield the body in pieces, at once, or with pauses if it is slow."""
     body = make_body(attempt)
-    is_slow = random.Random(f'{attempt} pace').random() < SLOW_SHARE
+    pace = random.Random(f'{attempt} pace').random()
+    if pace > 1 - WHOLE_SHARE:
+        yield body
+        return
     for begin in range(0, len(body), PIECE_BYTES):
-        await asyncio.sleep(SLOW_SECONDS if is_slow else 0)
+        await asyncio.sleep(SLOW_SECONDS if pace < SLOW_SHARE else 0)
         yield body[begin : begin + PIECE_BYTES]
--- a/fakes/soak_checks.py
+++ b/fakes/soak_checks.py
@@ -24,6 +24,8 @@
 from fakes.soak_target import EVENTS, make_answer
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# No caller sends a malformed or too large request.
+DENIED_STATUSES = frozenset((400, 411, 413, 417, 431))
 HTTP_OK = 200
 # Documented bounds; they hold for daemons that no fault cuts off.
 REVOKE_SECONDS = FLEET.revoke_ms / 1000
@@ -33,6 +35,9 @@
 # Allowance past the time limit of a route.
 ALLOWANCE_SECONDS = 0.5
 RECOVERED_SHARE = 0.75
+CRASHES_TO_REFUSE = 3
+# Runs later than the contact time after the last of these.
+ALLOWED_CRASH_RUNS = 3
 
 
 def list_findings(records: Records) -> list[str]:
@@ -42,6 +47,7 @@
         *_check_answers(records),
         *_check_operators(records),
         *_check_held(records),
+        *_check_crashes(records),
         *list_losses(records),
         *_check_recovery(records),
         *(
@@ -74,6 +80,8 @@
 def _check_answers(records: Records) -> Iterator[str]:
     whole = ' '.join(str(number) for number in range(EVENTS))
     for each in records.requests:
+        if each.status in DENIED_STATUSES:
+            yield f'DENIED: {each}'
         is_stream = each.kind in STREAMS
         is_partial = each.ending in {Ending.CUT, Ending.LEFT}
         if is_stream and is_partial and not whole.startswith(each.body):
@@ -128,6 +136,22 @@
             yield f'held for {held:.2f} s: {each}'
 
 
+def _check_crashes(records: Records) -> Iterator[str]:
+    if len(records.crashes) < CRASHES_TO_REFUSE:
+        return
+    known_at = sorted(records.crashes)[CRASHES_TO_REFUSE - 1]
+    late = [
+        (attempt, at)
+        for attempt, at in records.crash_runs
+        if at > known_at + CONTACT_SECONDS
+        and _is_undisturbed(
+            records, records.crash_requests[attempt], at, CONTACT_SECONDS
+        )
+    ]
+    if len(late) > ALLOWED_CRASH_RUNS:
+        yield f'BUDGET: third crash at {known_at}, later runs {late}'
+
+
 def _check_recovery(records: Records) -> Iterator[str]:
     begin = records.calm_from + RECOVER_SECONDS
     late = [
--- a/fakes/soak_records.py
+++ b/fakes/soak_records.py
@@ -147,6 +147,9 @@
     :param loads: number of loads that engines began.
     :param troubles: trouble of engines with calls of their loaders; it
         excuses nothing.
+    :param crashes: times at which targets crashed under a request.
+    :param crash_requests: requests that crash targets, by attempt.
+    :param crash_runs: attempt and start of each run of these.
     :param calm_from: end of the random faults.
     """
 
@@ -163,6 +166,13 @@
     spoilt_loads: list[str] = dataclasses.field(default_factory=list)
     loads: int = 0
     troubles: list[InjectedFault] = dataclasses.field(default_factory=list)
+    crashes: list[float] = dataclasses.field(default_factory=list)
+    crash_requests: dict[str, SentRequest] = dataclasses.field(
+        default_factory=dict
+    )
+    crash_runs: list[tuple[str, float]] = dataclasses.field(
+        default_factory=list
+    )
     calm_from: float = 0
 
 
@@ -172,6 +182,7 @@
     """Write findings, requests, runs and what was done, one in a line."""
     kept: tuple[SentRequest | TargetRun | PlannedWork | InjectedFault, ...] = (
         *records.requests,
+        *records.crash_requests.values(),
         *records.runs,
         *records.planned,
         *records.faults,
--- a/fakes/soak_site.py
+++ b/fakes/soak_site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import os
 import pathlib
@@ -18,16 +19,23 @@
 from fakes.soak_proxy import LoopbackProxy
 from fakes.soak_records import PlannedKind, PlannedWork, Records
 from fakes.soak_stage import CHUNKS, make_piece
-from fakes.soak_state import ENGINES, PLAIN, SPARE, SoakState
-from fakes.soak_target import LAYERS, MODEL, SoakTarget
+from fakes.soak_state import (
+    ENGINES,
+    MODELS,
+    PLAIN,
+    SKETCHERS,
+    SPARE,
+    SoakState,
+)
+from fakes.soak_target import MODEL, SoakTarget
 from fakes.soak_watch import WATCH_LOG
-from ragwortcourse.detached_tasks import end_task
+from ragwortcourse.detached_tasks import DetachedTasks, end_task
 from ragwortcourse.weights.manifest import digest_bytes
 
 # The last one may be withdrawn.
 DOMAINS = ('near-a', 'near-b')
 # Prefix of the names of targets, by service.
-PREFIXES = {ENGINES: 'i', PLAIN: 'p', SPARE: 's'}
+PREFIXES = {ENGINES: 'i', SKETCHERS: 'k', PLAIN: 'p', SPARE: 's'}
 RESERVES = ('retry_reserve = 106', 'retry_reserve = 107')
 # Processes that start together share the processors.
 START_SECONDS = 30.0
@@ -37,6 +45,8 @@
 CLOSE_SECONDS = 0.5
 # Engines write their rows this often, if they have changed.
 BEAT_SECONDS = 1.2
+# From the crash of a target until its next incarnation serves.
+DOWN_SECONDS = 2.0
 FLEET_TEXT = f"""
 daemon = "{{name}}"
 host = "{{name}}"
@@ -60,7 +70,7 @@
 watch = "{watch}"
 [loader]
 engine = "{engine}"
-service = "engines"
+service = "{service}"
 link_mbps = 4.7
 """
 
@@ -107,7 +117,9 @@
         self._watch = Child(
             name='watch', module='fakes.soak_watch', log=folder / WATCH_LOG
         )
-        self._written: dict[str, int] = {}
+        # Version and incarnation in the row of each target.
+        self._written: dict[str, tuple[int, int]] = {}
+        self._restarts = DetachedTasks()
         self._stack = contextlib.AsyncExitStack()
         self._origin = ''
 
@@ -123,10 +135,11 @@
                 await self._open_target(service, number)
         beating = asyncio.create_task(self._write_rows())
         self._stack.push_async_callback(end_task, beating)
+        self._stack.push_async_callback(self._restarts.cancel)
         self.put_state()
         for name, domain in self.forwarders.items():
             await self._start_forwarder(name, domain, store)
-        for target in self.list_targets(ENGINES):
+        for target in self.list_engines():
             await self._start_loader(target, store)
 
     async def close(self) -> None:
@@ -146,6 +159,10 @@
             if target.service == service
         ]
 
+    def list_engines(self) -> list[SoakTarget]:
+        """List the engines of all models."""
+        return [each for each in self.targets.values() if each.has_engine]
+
     def put_target(self, name: str) -> None:
         """Write the store row of a target from its present state."""
         target = self.targets[name]
@@ -156,16 +173,12 @@
             'slots': 16,
             'state': 'ready',
             'cold_left_ms': 0,
-            'born': 1,
+            'born': target.born,
         }
         if target.has_engine:
-            row['layers'] = {
-                'from': 0,
-                'to': LAYERS,
-                'version': target.version,
-            }
+            row |= target.describe_weights()
         self.store.put('servers', name, row)
-        self._written[name] = target.version
+        self._written[name] = target.version, target.born
 
     def put_state(self) -> None:
         """Write the desired state to the store under the next version."""
@@ -184,15 +197,16 @@
 
     def set_trouble(self, *, is_on: bool) -> None:
         """Begin or end the trouble of engines with calls of their loaders."""
-        for target in self.list_targets(ENGINES):
+        for target in self.list_engines():
             target.trouble.is_on = is_on
 
     def set_weights_version(self) -> None:
-        """Set the next version of the weights, as operators do."""
+        """Set the next version of the weights of each model at once."""
         self.weights += 1
-        self._put_as_operator(
-            f'version/{MODEL}', {'model': MODEL, 'version': self.weights}
-        )
+        for model in MODELS.values():
+            self._put_as_operator(
+                f'version/{model}', {'model': model, 'version': self.weights}
+            )
         self.records.named[self.weights] = time.monotonic()
 
     async def start_child(self, name: str) -> None:
@@ -220,15 +234,16 @@
         )
 
     async def _write_rows(self) -> None:
-        """Write the rows of engines that hold another version than before."""
+        """Write the rows of targets that are not as they were."""
         while True:
             await asyncio.sleep(BEAT_SECONDS)
             if self.store.down or self.store.silent:
                 continue
-            for target in self.list_targets(ENGINES):
-                is_listed = self.store.read('servers', target.name) is not None
-                if is_listed and self._written[target.name] != target.version:
-                    self.put_target(target.name)
+            for name, target in self.targets.items():
+                is_listed = self.store.read('servers', name) is not None
+                state = target.version, target.born
+                if is_listed and self._written[name] != state:
+                    self.put_target(name)
 
     async def _start_forwarder(
         self, name: str, domain: str, store: str
@@ -251,15 +266,30 @@
             service=service,
             domain=DOMAINS[number % len(DOMAINS)],
             records=self.records,
-            version=int(service == ENGINES),
+            version=int(service in MODELS),
+            model=MODELS.get(service, MODEL),
             seed=self._seed,
         )
         self.targets[name] = target
+        if not target.has_engine:
+            target.note_crash = functools.partial(self._restart_target, target)
         self.links[name] = await self._link(
             await self._serve(target.build_app())
         )
         self.put_target(name)
 
+    def _restart_target(self, target: SoakTarget) -> None:
+        """Let a target that has crashed come back as another incarnation."""
+
+        async def come_back() -> None:
+            await asyncio.sleep(DOWN_SECONDS)
+            target.born += 1
+            target.closed = False
+            if not (self.store.down or self.store.silent):
+                self.put_target(target.name)
+
+        self._restarts.spawn(come_back())
+
     async def _start_loader(self, target: SoakTarget, store: str) -> None:
         name = name_loader(target)
         link = self.links[f'{name}/store'] = await self._link(store)
@@ -271,6 +301,7 @@
             peers=pick_address(),
             watch=pick_address(),
             engine=self.links[target.name].address,
+            service=target.service,
         )
         await self._start(name, text)
 
@@ -303,18 +334,22 @@
 
         async def read_manifest(request: web.Request) -> web.Response:
             check()
+            model = request.match_info['model']
             version = int(request.query['version'])
             digests = [
-                digest_bytes(make_piece(version, index))
+                digest_bytes(make_piece(model, version, index))
                 for index in range(CHUNKS)
             ]
-            return web.json_response({'version': version, 'digests': digests})
+            return web.json_response(
+                {'model': model, 'version': version, 'digests': digests}
+            )
 
         async def read_piece(request: web.Request) -> web.Response:
             check()
             version = int(request.query['version'])
             index = int(request.query['num'])
-            return web.Response(body=make_piece(version, index))
+            model = request.match_info['model']
+            return web.Response(body=make_piece(model, version, index))
 
         app = web.Application()
         app.add_routes(
--- a/fakes/soak_stage.py
+++ b/fakes/soak_stage.py
@@ -9,9 +9,9 @@
 EXCUSED_SECONDS = 3.0
 
 
-def make_piece(version: int, index: int) -> bytes:
-    """Build the bytes of a chunk of weights, distinct by version and index."""
-    return f'{version}/{index}/'.encode().ljust(CHUNK_BYTES, b'w')
+def make_piece(model: str, version: int, index: int) -> bytes:
+    """Build the bytes of a chunk of weights, which only this chunk has."""
+    return f'{model}/{version}/{index}/'.encode().ljust(CHUNK_BYTES, b'w')
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -27,9 +27,10 @@
 
 
 class SoakStage:
-    """Chunks that an engine loads as they are, without a check."""
+    """Chunks of a model that an engine loads as they are, without a check."""
 
-    def __init__(self) -> None:
+    def __init__(self, model: str) -> None:
+        self._model = model
         self.contents: dict[int, bytes] = {}
         self._rotten: dict[int, Rot] = {}
 
@@ -55,6 +56,6 @@
             rotten = self._rotten.get(index)
             if rotten is not None and rotten.at > since:
                 content = rotten.written
-            if content != make_piece(version, index):
+            if content != make_piece(self._model, version, index):
                 spoilt.append(index)
         return spoilt
--- a/fakes/soak_state.py
+++ b/fakes/soak_state.py
@@ -5,7 +5,7 @@
 from fakes.soak_operation import Operation
 from fakes.soak_records import STREAMS, Kind
 from fakes.soak_stage import CHUNK_BYTES, CHUNKS
-from fakes.soak_target import LAYERS, MODEL
+from fakes.soak_target import LAYERS, MODEL, OTHER_MODEL
 
 KEYS = [f'parents-{number}' for number in range(12)]
 FEWEST_KEYS = 4
@@ -16,6 +16,9 @@
 # Longest time for which a daemon may serve an earlier state.
 APPLY_SECONDS = 3.0
 ENGINES = 'engines'
+SKETCHERS = 'sketchers'
+# Operators give the versions of both models the same numbers.
+MODELS = {ENGINES: MODEL, SKETCHERS: OTHER_MODEL}
 PLAIN = 'plain'
 SPARE = 'spare'
 
@@ -72,7 +75,6 @@
         if not self._drops:
             routes.append(self._make_route(Kind.NOTE, 'streaming'))
         engine = {
-            'models': [{'name': MODEL}],
             'slots': 16,
             'step_ms': 9,
             'per_seq_ms': 0.04,
@@ -84,9 +86,10 @@
             'chunk_bytes': CHUNK_BYTES,
         }
         services: list[dict[str, object]] = [
-            {'name': ENGINES, 'engine': engine},
-            {'name': 'origin', 'origin': origin, 'zone': 'near-a'},
+            {'name': name, 'engine': {**engine, 'models': [{'name': model}]}}
+            for name, model in MODELS.items()
         ]
+        services.append({'name': 'origin', 'origin': origin, 'zone': 'near-a'})
         services.extend({'name': each} for each in self._list_shares())
         return {
             'version': self.version,
@@ -114,7 +117,8 @@
         return {name: share for name, share in shares.items() if share}
 
     def _make_route(self, kind: Kind, route_type: str) -> dict[str, object]:
-        shares = {ENGINES: 1.0} if kind in STREAMS else self._list_shares()
+        engines = SKETCHERS if kind is Kind.NOTE else ENGINES
+        shares = {engines: 1.0} if kind in STREAMS else self._list_shares()
         return {
             'name': kind.value,
             'host': 'desk.example',
--- a/fakes/soak_target.py
+++ b/fakes/soak_target.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from aiohttp import web
@@ -21,6 +21,10 @@
 LOAD_SECONDS = 0.3
 LAYERS = 16
 MODEL = 'drafts'
+OTHER_MODEL = 'sketches'
+# A request for this path crashes each plain target that runs it.
+CRASH_PATH = '/lookups/crash'
+CRASH_SECONDS = 1.0
 
 
 def make_answer(attempt: str, path: str) -> str:
@@ -35,6 +39,8 @@
     :ivar has_engine: false for a plain target.
     :ivar stage: staged chunks of the next version.
     :ivar closed: true while weights load; requests are refused.
+    :ivar born: number of the incarnation.
+    :ivar note_crash: called as the target crashes; none if it never does.
     :ivar orders: number of orders accepted.
     :ivar silence: silences after which the target goes on.
     :ivar trouble: trouble with calls of the loader.
@@ -48,6 +54,7 @@
         domain: str,
         records: Records,
         version: int = 0,
+        model: str = MODEL,
         seed: int = 0,
     ) -> None:
         self.name = name
@@ -55,17 +62,28 @@
         self.domain = domain
         self.records = records
         self.version = version
+        self.model = model
         self.has_engine = bool(version)
         self._running: dict[int, tuple[web.Request, TargetRun]] = {}
         self._calls: set[asyncio.Task[web.Response]] = set()
-        self.stage = SoakStage()
+        self.stage = SoakStage(model)
         self.closed = False
+        self.born = 1
+        self.note_crash: Callable[[], None] | None = None
         self.orders = 0
         self.silence = TargetSilence(target=name)
         self.trouble = EngineTrouble(
             seed=f'{seed} {name}', target=name, records=records
         )
 
+    def describe_weights(self) -> dict[str, object]:
+        """Describe the loaded weights, as in reports and rows of engines."""
+        version = self.version
+        return {
+            'models': [{'name': self.model, 'version': version}],
+            'layers': {'from': 0, 'to': LAYERS, 'version': version},
+        }
+
     def build_app(self) -> web.Application:
         """Build the HTTP application that serves the target."""
         app = web.Application()
@@ -96,6 +114,9 @@
         if self.closed:
             marks['Ragwortcourse-Not-Executed'] = '1'
             return web.Response(status=503, headers=marks)
+        if request.path == CRASH_PATH and self.note_crash is not None:
+            await self._crash(request, attempt, self.note_crash)
+            return web.Response()
         body = await request.read()
         run = TargetRun(
             attempt=attempt,
@@ -149,15 +170,32 @@
         await response.write_eof()
         return response
 
+    async def _crash(
+        self,
+        request: web.Request,
+        attempt: str,
+        note_crash: Callable[[], None],
+    ) -> None:
+        """End under a request, unless its connection has ended before."""
+        self.records.crash_runs.append((attempt, time.monotonic()))
+        await asyncio.sleep(CRASH_SECONDS)
+        transport = request.transport
+        if transport is None or transport.is_closing() or self.closed:
+            return
+        self.closed = True
+        self.records.crashes.append(time.monotonic())
+        transport.abort()
+        self._abort_runs()
+        note_crash()
+
     async def _report(self, request: web.Request) -> web.Response:
         await self.silence.keep()
-        held = {'from': 0, 'to': LAYERS, 'version': self.version}
         return web.json_response(
             {
+                **self.describe_weights(),
                 'busy': self.closed,
                 'running': len(self._running),
                 'seq': self.orders,
-                'layers': held,
             }
         )
 
@@ -172,6 +210,9 @@
 
     async def _write_stage(self, request: web.Request) -> web.Response:
         index, content = int(request.query['num']), await request.read()
+        if request.match_info['model'] != self.model:
+            # Engines keep the chunks of each model apart.
+            return web.Response()
         return await self._perform(self._stage(index, content))
 
     async def _stage(self, index: int, content: bytes) -> web.Response:
@@ -182,6 +223,11 @@
 
     async def _order(self, request: web.Request) -> web.Response:
         order = await request.json()
+        if order.get('model', self.model) != self.model:
+            self.records.spoilt_loads.append(
+                f'{self.name} at {time.monotonic():.2f}: {order}'
+            )
+            return web.Response(status=409)
         return await self._perform(
             self._load(order['version'], order.get('expected_rev'))
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,7 +20,7 @@
 from aiohttp import ServerDisconnectedError
 from aiohttp.test_utils import TestClient, TestServer
 
-from fakes import soak_site, soak_trouble
+from fakes import soak_site, soak_target, soak_trouble
 from fakes.soak import Soak, run_soak
 from fakes.soak_body import SIZES, make_body, send_body
 from fakes.soak_checks import list_findings
@@ -50,7 +50,14 @@
 from fakes.soak_site import SoakSite, list_errors
 from fakes.soak_stage import CHUNKS, make_piece
 from fakes.soak_state import ENGINES
-from fakes.soak_target import EVENTS, MODEL, SoakTarget, make_answer
+from fakes.soak_target import (
+    CRASH_PATH,
+    EVENTS,
+    MODEL,
+    OTHER_MODEL,
+    SoakTarget,
+    make_answer,
+)
 from fakes.soak_trouble import EngineCall
 from fakes.soak_watch import (
     NOTED_SECONDS,
@@ -69,7 +76,10 @@
     'hang up': SoakSetup(seed=1, fault_seconds=15),
     'planned': SoakSetup(seed=38, planned_seconds=12),
 }
-PROCESSES = {'entry-1', 'entry-2', 'entry-3', 'loader-i-1', 'loader-i-2'}
+PROCESSES = {
+    *(f'entry-{number}' for number in (1, 2, 3)),
+    *(f'loader-{name}' for name in ('i-1', 'i-2', 'k-1', 'k-2')),
+}
 CHARGE = '/charges/1'
 # The target has no silence of its own for this attempt.
 HEADERS = {
@@ -448,6 +458,30 @@
         assert run.ending is Ending.CUT
 
 
+class TestCrash:
+    """Plain targets that end under a request."""
+
+    @pytest.mark.parametrize('leaves', [False, True])
+    async def test_end(self, monkeypatch, leaves):
+        """A target ends, unless the caller has left before."""
+        monkeypatch.setattr(soak_target, 'CRASH_SECONDS', 0.2)
+        target, records = make_target(version=0)
+        ended = []
+        target.note_crash = lambda: ended.append(target.name)
+        async with TestClient(TestServer(target.build_app())) as client:
+            asked = asyncio.create_task(
+                client.post(CRASH_PATH, headers=HEADERS)
+            )
+            await wait_until(lambda: records.crash_runs)
+            if leaves:
+                asked.cancel()
+            await asyncio.gather(asked, return_exceptions=True)
+            await asyncio.sleep(0.3)
+        assert target.closed is not leaves
+        assert bool(records.crashes) is not leaves
+        assert bool(ended) is not leaves
+
+
 class TestEngine:
     """Engines that do late what their loader gave up, and whose stage rots."""
 
@@ -456,7 +490,7 @@
         """Start an engine with all chunks of version 2 staged."""
         target, records = make_target(version=1)
         for index in range(CHUNKS):
-            target.stage.write(index, make_piece(2, index))
+            target.stage.write(index, make_piece(MODEL, 2, index))
         async with TestClient(TestServer(target.build_app())) as client:
             yield target, records, client
 
@@ -470,7 +504,7 @@
         with pytest.raises(TimeoutError):
             async with asyncio.timeout(0.1):
                 await client.post('/order', json={'version': 2})
-        target.stage.write(0, make_piece(3, 0))
+        target.stage.write(0, make_piece(MODEL, 3, 0))
         await wait_until(lambda: target.version == 2)
         assert target.orders == 1
         assert 'version 2, chunks [0]' in records.spoilt_loads[0]
@@ -485,7 +519,7 @@
         url = f'/stage-put/{MODEL}?num=0'
         with pytest.raises(TimeoutError):
             async with asyncio.timeout(0.1):
-                await client.put(url, data=make_piece(1, 0))
+                await client.put(url, data=make_piece(MODEL, 1, 0))
         assert not target.stage.find_spoilt(2)
         await wait_until(lambda: target.stage.find_spoilt(2) == [0])
 
@@ -501,6 +535,18 @@
         assert (target.orders, target.version, records.loads) == (1, 2, 1)
         assert not records.spoilt_loads
 
+    async def test_another_model(self, engine):
+        """An order to load another model is found, and does nothing."""
+        target, records, client = engine
+        order = {'model': OTHER_MODEL, 'version': 2}
+        async with client.post('/order', json=order) as answer:
+            assert answer.status == 409
+        assert target.version == 1
+        assert OTHER_MODEL in records.spoilt_loads[0]
+        url = f'/stage-put/{OTHER_MODEL}?num=0'
+        await client.put(url, data=make_piece(OTHER_MODEL, 2, 0))
+        assert not target.stage.find_spoilt(2)
+
     async def test_loader_that_is_stopped(self, engine, monkeypatch):
         """A loader may be stopped when it reads a staged chunk."""
         target, _, client = engine
@@ -510,7 +556,7 @@
         for is_on in (False, True):
             target.trouble.is_on = is_on
             async with client.get(f'/stage-get/{MODEL}?num=0') as answer:
-                assert await answer.read() == make_piece(2, 0)
+                assert await answer.read() == make_piece(MODEL, 2, 0)
         [seconds] = stops
         assert 0.5 <= seconds <= 4
 
@@ -749,6 +795,7 @@
         [
             ({}, 2, 'TWICE'),
             ({'status': 503}, 1, 'REFUSED'),
+            ({'status': 431}, 0, 'DENIED'),
             ({'body': 'other'}, 1, 'MIXED'),
             ({'stamp': ''}, 1, 'MIXED'),
             ({'ended_at': 104.0}, 1, 'held'),
@@ -802,6 +849,26 @@
         excused = find(make_request(), run, faults=[fault], **records)
         assert finding not in excused
 
+    def test_crashing_request(self):
+        """A request that is passed on after its third crash is found."""
+        requests = {
+            str(number): make_request(attempt=str(number))
+            for number in range(4)
+        }
+        records = {
+            'crashes': [80.0, 90.0, 92.0, 96.0],
+            'crash_requests': requests,
+            'crash_runs': [(number, 95.1) for number in requests],
+        }
+        assert 'BUDGET' in find(make_request(), make_run(), **records)
+        fault = InjectedFault(
+            name='pause', whom='entry-1', began_at=91, ended_at=93
+        )
+        excused = find(make_request(), make_run(), faults=[fault], **records)
+        assert 'BUDGET' not in excused
+        records['crash_runs'].pop()
+        assert 'BUDGET' not in find(make_request(), make_run(), **records)
+
     def test_no_recovery(self):
         """A fleet that does not serve again after the faults is found."""
         assert 'RECOVER' in find(make_request(status=502), calm_from=50)
