Give the soak the limits of a site, and crashes after a silence

Cause: the soak's desired state had no limits on what callers send, so that no body could be refused as a head; and its request crashed targets after 1.0 s, before a daemon counts a target of that route as silent (1.25 s). Change: limits as on the sites; crashes after 1.8 s.

--- a/fakes/soak_state.py
+++ b/fakes/soak_state.py
@@ -13,6 +13,12 @@
 # With the longest silence, an answer ends before the shortest of them.
 TIMEOUTS_MS = (2700, 2850, ROUTE_MS)
 SHARES = (0, 0.3, 0.5, 1)
+LIMITS = {
+    'max_header_bytes': 16_384,
+    'max_body_bytes': 4_194_304,
+    'header_timeout_ms': 3000,
+    'idle_timeout_ms': 15_000,
+}
 # Longest time for which a daemon may serve an earlier state.
 APPLY_SECONDS = 3.0
 ENGINES = 'engines'
@@ -95,6 +101,7 @@
             'version': self.version,
             'routes': routes,
             'services': services,
+            'limits': LIMITS,
             'tenants': [{'name': 'parents', 'api_keys': self.keys}],
         }
 
--- a/fakes/soak_target.py
+++ b/fakes/soak_target.py
@@ -24,7 +24,8 @@
 OTHER_MODEL = 'sketches'
 # A request for this path crashes each plain target that runs it.
 CRASH_PATH = '/lookups/crash'
-CRASH_SECONDS = 1.0
+# Longer than daemons wait before they count the target as silent.
+CRASH_SECONDS = 1.8
 
 
 def make_answer(attempt: str, path: str) -> str:
