Read pipelined heads without copying what follows them

Cause: RequestFraming copied the rest of a piece for each head in it, so that many small requests in one piece cost with the square of their number; and the soak's crasher wrote the headers of a caller again. Change: a head is searched where it lies unless part of it came before; both callers of the soak use make_headers. Behaviour is as it was.

--- a/fakes/soak_caller.py
+++ b/fakes/soak_caller.py
@@ -49,6 +49,16 @@
             await asyncio.sleep(pause / 4 if stays else pause)
 
 
+def make_headers(request: SentRequest, deadline_ms: int) -> dict[str, str]:
+    """Build the headers that every request of a caller has."""
+    return {
+        'Host': 'desk.example',
+        'Authorization': f'Bearer {request.key}',
+        'Ragwortcourse-Attempt-Id': request.attempt,
+        'Ragwortcourse-Deadline-Ms': str(deadline_ms),
+    }
+
+
 def _draw_key(rng: random.Random, valid: list[str]) -> str:
     """Draw a key; callers keep using revoked ones."""
     return rng.choice(KEYS if rng.random() < OLD_KEY_SHARE else valid)
@@ -64,12 +74,7 @@
 async def _send(
     session: aiohttp.ClientSession, site: SoakSite, request: SentRequest
 ) -> None:
-    headers = {
-        'Host': 'desk.example',
-        'Authorization': f'Bearer {request.key}',
-        'Ragwortcourse-Attempt-Id': request.attempt,
-        'Ragwortcourse-Deadline-Ms': str(DEADLINE_MS),
-    }
+    headers = make_headers(request, DEADLINE_MS)
     size = len(make_body(request.attempt))
     # The others are sent in chunks.
     if request.attempt < HALF:
--- a/fakes/soak_crasher.py
+++ b/fakes/soak_crasher.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from fakes.soak_caller import make_headers
 from fakes.soak_records import Kind, SentRequest
 from fakes.soak_site import SoakSite
 from fakes.soak_target import CRASH_PATH
@@ -37,12 +38,7 @@
 async def _send(
     session: aiohttp.ClientSession, site: SoakSite, request: SentRequest
 ) -> None:
-    headers = {
-        'Host': 'desk.example',
-        'Authorization': f'Bearer {request.key}',
-        'Ragwortcourse-Attempt-Id': request.attempt,
-        'Ragwortcourse-Deadline-Ms': str(DEADLINE_MS),
-    }
+    headers = make_headers(request, DEADLINE_MS)
     url = f'http://{site.callers[request.daemon]}{request.path}'
     with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
         async with (
--- a/src/ragwortcourse/ingress/request_framing.py
+++ b/src/ragwortcourse/ingress/request_framing.py
@@ -58,18 +58,20 @@
             # Servers ignore empty lines before a request.
             return 1
         known = len(self._partial)
-        lines = bytes(self._partial) + received[position:]
-        end = lines.find(HEAD_END, max(known - len(HEAD_END), 0))
+        lines, start = received, position
+        if known:
+            lines, start = bytes(self._partial) + received[position:], 0
+        end = lines.find(HEAD_END, start + max(known - len(HEAD_END), 0))
         if end < 0:
             self.sizes.count(head=len(received) - position)
             # Only the last line may go on.
-            kept = max(lines.rfind(LINE_END), 0)
-            self._headers.update(_find_headers(lines, kept))
+            kept = max(lines.rfind(LINE_END, start), start)
+            self._headers.update(_find_headers(lines, start, kept))
             self._partial = bytearray(lines[kept:])
             return len(received) - position
-        taken = end + len(HEAD_END) - known
+        taken = end + len(HEAD_END) - start - known
         self.sizes.count(head=taken)
-        self._headers.update(_find_headers(lines, end))
+        self._headers.update(_find_headers(lines, start, end))
         self._begin_body()
         return taken
 
@@ -154,9 +156,9 @@
         self._read = self._read_head
 
 
-def _find_headers(lines: bytes, end: int) -> dict[bytes, bytes]:
-    """Find the headers that say how long a body is, before a position."""
+def _find_headers(lines: bytes, start: int, end: int) -> dict[bytes, bytes]:
+    """Find the headers that say how long a body is, between two positions."""
     return {
         name.lower(): text.strip().lower()
-        for name, text in FRAMING_HEADER.findall(lines, 0, end)
+        for name, text in FRAMING_HEADER.findall(lines, start, end)
     }
