Show that a crashing request whose caller leaves is never refused

Cause: a run whose caller has left leaves no evidence against the request, though its target ends right after. Workers of the stand-ins can come back on their port, and SIGTERM to a script ends its processes.

--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -400,8 +400,11 @@
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        """Listen on a free port, after a stop on the same one."""
+        _, _, port = self.address.rpartition(':')
+        self._server = await asyncio.start_server(
+            self._serve, HOST, int(port or 0)
+        )
         self.address = read_address(self._server)
 
     async def stop(self) -> None:
@@ -811,6 +814,12 @@
 
     async def run() -> bool:
         site = Site(folder=folder)
+        task = asyncio.current_task()
+        if task is not None:
+            # The processes of the case end with it.
+            asyncio.get_running_loop().add_signal_handler(
+                signal.SIGTERM, task.cancel
+            )
         try:
             await site.open()
             return await play(site, has_trouble)
@@ -819,6 +828,6 @@
 
     try:
         return 0 if asyncio.run(asyncio.wait_for(run(), CASE_SECONDS)) else 1
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         sys.stderr.write(f'case not run: {error!r}\n')
         return 2
