--- a/src/ragwortcourse/platform/store.py
+++ b/src/ragwortcourse/platform/store.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import base64
-import binascii
 import dataclasses
 import logging
 import math
@@ -18,10 +17,7 @@
 import msgspec
 
 from ragwortcourse.bodies import LARGE_BODY_BYTES, read_body
-from ragwortcourse.bounded import ClockMilliseconds, Era, WholeNumber
-from ragwortcourse.decoding import decode_json
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
-from ragwortcourse.nesting import trim_nesting
 from ragwortcourse.platform import names
 from ragwortcourse.platform.answer_delay import AnswerDelay
 from ragwortcourse.platform.overlapping_calls import (
@@ -36,6 +32,11 @@
     StoreRows,
     StoreSilent,
 )
+from ragwortcourse.platform.wire_rows import (
+    WireRows,
+    decode_answer,
+    decode_rows,
+)
 from ragwortcourse.unreadable import UnreadableError
 
 # The store answers within some milliseconds, on bad days within some hundred.
@@ -49,50 +50,12 @@
 # Longest transit of a change from a healthy store.
 MAX_HEALTHY_DELAY_SECONDS: Final = 0.15
 SECONDS_PER_MILLISECOND: Final = 0.001
-# Levels of an answer down to the parts of its rows.
-ROW_LEVELS: Final = 3
-# Part of an odd row in the log.
-ODD_BYTES: Final = 200
 OK: Final = 200
 GONE: Final = 410
 
 LOGGER: Final = logging.getLogger(__name__)
 
 
-class WireRow(msgspec.Struct, kw_only=True):
-    """A row as the store sends it.
-
-    :param value: base64; absent for deleted rows.
-    """
-
-    key: str
-    value: str = ''
-    deleted: bool = False
-
-
-class WireKey(msgspec.Struct, kw_only=True):
-    """Key of a row whose other parts may be of any type."""
-
-    key: str
-
-
-class WireRows(msgspec.Struct, kw_only=True):
-    """Answer of the store to a read.
-
-    :param rows: each a ``WireRow``, decoded for itself.
-    :param row_version: newest transaction, not the version of a row.
-    :param now_ms: the store's monotonic clock, milliseconds; None if the
-        store does not send it.
-    :param era: era of the store, from the header of the answer.
-    """
-
-    rows: tuple[msgspec.Raw, ...]
-    row_version: WholeNumber
-    has_more: bool = False
-    now_ms: ClockMilliseconds | None = None
-    era: Era = UNKNOWN_ERA
-
-
 class Store:
     """Client of the store; each call has a time limit.
 
@@ -128,7 +91,7 @@
             now = read_boot_clock()
             # Every answer improves the estimate of the clock offset.
             self._read_delay(answer, sent_at, now)
-            page = _decode_rows(answer)
+            page = decode_rows(answer)
             rows.extend(page)
             if not (answer.has_more and page):
                 return StoreRows(
@@ -168,7 +131,7 @@
         # and a call that took longer than its wait was late to arrive there.
         has_waited = max_transit < now - sent_at <= wait + max_transit
         return StoreRows(
-            rows=_decode_rows(answer),
+            rows=decode_rows(answer),
             revision=answer.row_version,
             rows_age=max_transit if has_waited else now - known_at,
             known_age=min(max_transit, now - sent_at),
@@ -267,7 +230,7 @@
                 era = self._read_era(response)
                 if response.status != OK:
                     return response.status
-                rows = _decode_answer(
+                rows = decode_answer(
                     await read_body(response, limit=LARGE_BODY_BYTES)
                 )
                 return msgspec.structs.replace(rows, era=era)
@@ -300,56 +263,6 @@
         return answer, sent_after
 
 
-def _decode_answer(content: bytes) -> WireRows:
-    """Decode an answer, without what is nested too deeply in its rows.
-
-    :raises UnreadableError: the content is no answer with rows.
-    """
-    try:
-        return decode_json(content, WireRows)
-    except UnreadableError:
-        return decode_json(trim_nesting(content, ROW_LEVELS), WireRows)
-
-
-def _decode_rows(answer: WireRows) -> tuple[StoreRow, ...]:
-    rows = (_decode_row(bytes(row)) for row in answer.rows)
-    return tuple(row for row in rows if row is not None)
-
-
-def _decode_row(content: bytes) -> StoreRow | None:
-    """Decode a row; one that is odd beside its key has empty content.
-
-    :return: none for a row without a key, which is logged.
-    """
-    try:
-        return _read_row(decode_json(content, WireRow))
-    except UnreadableError as error:
-        LOGGER.warning(
-            'odd row of the store',
-            extra={'content': repr(content[:ODD_BYTES]), 'detail': str(error)},
-        )
-    try:
-        # The readers log empty content with the row's key.
-        return StoreRow(key=decode_json(content, WireKey).key, content=b'')
-    except UnreadableError as error:
-        LOGGER.warning(
-            'row of the store without a key ignored',
-            extra={'detail': str(error)},
-        )
-        return None
-
-
-def _read_row(row: WireRow) -> StoreRow:
-    if row.deleted:
-        return StoreRow(key=row.key, content=None)
-    try:
-        content = base64.b64decode(row.value, validate=True)
-    except binascii.Error:
-        # The readers log content that they can't decode, with the row's key.
-        content = row.value.encode()
-    return StoreRow(key=row.key, content=content)
-
-
 def _read_failure(answer: int | StoreSilent) -> StoreSilent:
     if isinstance(answer, int):
         return StoreSilent(detail=f'status {answer}')
--- a/tests/test_wire_types.py
+++ b/tests/test_wire_types.py
@@ -24,11 +24,11 @@
 )
 from ragwortcourse.platform.restore_hold import VersionedContent
 from ragwortcourse.platform.row_relay import RelayedRows
-from ragwortcourse.platform.store import WireRow, WireRows
 from ragwortcourse.platform.store_row import StoreRow
 from ragwortcourse.platform.target_reader import build_target_handler
 from ragwortcourse.platform.target_rows import WireTarget
 from ragwortcourse.platform.weight_source import WireManifest
+from ragwortcourse.platform.wire_rows import WireRow, WireRows
 from ragwortcourse.platform.wire_state import WireState
 from ragwortcourse.unreadable import UnreadableError
 from ragwortcourse.weights.fleet_manifest import FleetManifest
