Read tables of several pages as of one moment

What callers saw: a key that was taken away is served without end by all forwarders of a failure domain; a route that was added is answered 404, or 503, until the next desired state; targets that left get requests.

Cause: the store answers a read in pages, each of its own moment. Store.read_table gave all of them the revision of the last one, and changes were followed from there, so that a change to an early page before a later page was asked for is in neither.

Change: a read keeps the revision of its first page and asks behind the last one for the changes since. With them, the rows are those of the moment of that answer. The read ends however fast rows change, as only changes up to the last page have to be in. Without the history, or after a restore between two pages, the table is read again, three times at most, and then counts as not read. FleetStore sends pages, as the store does.

Why it works: rows of each page are no older than the first page, and each change since the first page is in the answer of the feed.

--- a/fakes/fleet_store.py
+++ b/fakes/fleet_store.py
@@ -4,6 +4,7 @@
 import base64
 import contextlib
 import dataclasses
+import itertools
 import json
 import time
 from collections.abc import Callable, Iterator
@@ -17,6 +18,9 @@
 # Tables that operators and targets write; what a restore lost of them is
 # written again.
 OUTSIDE_TABLES = frozenset(('op', 'servers'))
+# Limits of one page of a table.
+PAGE_ROWS = 500
+PAGE_BYTES = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -55,6 +59,8 @@
     :ivar arrival_delay: seconds by which calls are delayed before the store
         handles them.
     :ivar calls: paths of all calls received.
+    :ivar page_rows: rows in one page of a table at most.
+    :ivar after_page: called after each page of a table that is not the last.
     """
 
     def __init__(
@@ -68,6 +74,8 @@
         self.clock_from: float = 0
         self.failing: dict[str, int] = {}
         self.calls: list[str] = []
+        self.page_rows = PAGE_ROWS
+        self.after_page: Callable[[], None] = lambda: None
         self.era: int | str | None = 1
         self.revision = 0
         self._restores = 0
@@ -192,12 +200,28 @@
 
     async def _get(self, request: web.Request) -> web.Response:
         await self._check(request)
-        rows = [
-            row
-            for row in self._list(request.query['table'], 0)
-            if 'deleted' not in row
-        ]
-        return self._answer(rows)
+        first_key = request.query.get('from', '')
+        rows = sorted(
+            (
+                row
+                for row in self._list(request.query['table'], 0)
+                if 'deleted' not in row and str(row['key']) >= first_key
+            ),
+            key=lambda row: str(row['key']),
+        )
+        page = self._cut_page(rows)
+        answer = self._answer(page, has_more=len(page) < len(rows))
+        if len(page) < len(rows):
+            self.after_page()
+        return answer
+
+    def _cut_page(
+        self, rows: list[dict[str, object]]
+    ) -> list[dict[str, object]]:
+        """Return the first rows, as many as one answer holds."""
+        sizes = itertools.accumulate(len(str(row)) for row in rows)
+        fitting = sum(size <= PAGE_BYTES for size in sizes)
+        return rows[: max(min(fitting, self.page_rows), 1)]
 
     async def _feed(self, request: web.Request) -> web.Response:
         await self._check(request)
@@ -241,11 +265,13 @@
             self._change(row['table'], row['key'], None)
         return self._answer([])
 
-    def _answer(self, rows: list[dict[str, object]]) -> web.Response:
+    def _answer(
+        self, rows: list[dict[str, object]], *, has_more: bool = False
+    ) -> web.Response:
         return web.json_response(
             {
                 'rows': rows,
-                'has_more': False,
+                'has_more': has_more,
                 'row_version': self.revision,
                 'now_ms': (self._read_clock() - self.clock_from) * 1000,
             },
--- a/src/ragwortcourse/platform/store.py
+++ b/src/ragwortcourse/platform/store.py
@@ -28,10 +28,10 @@
 from ragwortcourse.platform.store_position import UNKNOWN_ERA, StorePosition
 from ragwortcourse.platform.store_row import (
     HistoryGone,
-    StoreRow,
     StoreRows,
     StoreSilent,
 )
+from ragwortcourse.platform.table_read import TablePage, read_whole_table
 from ragwortcourse.platform.wire_rows import (
     WireRows,
     decode_answer,
@@ -47,6 +47,8 @@
 # Added to the time limit of a call; allows for a long answer that is still
 # arriving.
 ARRIVING_SECONDS: Final = 6.0
+# Reads of a table, if the store can't tell what changed during the last one.
+MAX_READS: Final = 3
 # Longest transit of a change from a healthy store.
 MAX_HEALTHY_DELAY_SECONDS: Final = 0.15
 SECONDS_PER_MILLISECOND: Final = 0.001
@@ -76,32 +78,51 @@
         return self.era.newest
 
     async def read_table(self, table: str) -> StoreRows | StoreSilent:
-        """Read every row of a table in the partition with the empty name."""
-        rows: list[StoreRow] = []
+        """Read every row of a table in the partition with the empty name.
+
+        The rows are those of one moment, whatever changes during the read.
+        """
+        for _ in range(MAX_READS):
+            answer = await read_whole_table(self, table)
+            if not isinstance(answer, HistoryGone):
+                return answer
+            LOGGER.info(
+                'store restored, or its history discarded, during a read of '
+                'a table',
+                extra={'table': table},
+            )
+        return StoreSilent(detail=f'no read of one moment in {MAX_READS}')
+
+    async def read_page(
+        self, table: str, first_key: str
+    ) -> TablePage | StoreSilent:
+        """Read one page of a table in the partition with the empty name.
+
+        :param first_key: key from which rows are read.
+        """
         query = {'table': table, 'part': ''}
+        if first_key:
+            query['from'] = first_key
         sent_at = read_boot_clock()
-        era: int | None = None
-        while True:
-            answer = await self._ask('/rows-get', query, CALL_SECONDS)
-            if not isinstance(answer, WireRows):
-                return _read_failure(answer)
-            if answer.era != (era or answer.era):
-                return StoreSilent(detail='store restored during the read')
-            era = answer.era
-            now = read_boot_clock()
-            # Every answer improves the estimate of the clock offset.
-            self._read_delay(answer, sent_at, now)
-            page = decode_rows(answer)
-            rows.extend(page)
-            if not (answer.has_more and page):
-                return StoreRows(
-                    rows=tuple(rows),
-                    revision=answer.row_version,
-                    known_age=now - sent_at,
-                    era=answer.era,
-                )
+        answer = await self._ask('/rows-get', query, CALL_SECONDS)
+        if not isinstance(answer, WireRows):
+            return _read_failure(answer)
+        now = read_boot_clock()
+        # Every answer improves the estimate of the clock offset.
+        self._read_delay(answer, sent_at, now)
+        rows = decode_rows(answer)
+        if answer.has_more and not rows:
+            return StoreSilent(detail='page without keys, but not the last')
+        return TablePage(
+            rows=StoreRows(
+                rows=rows,
+                revision=answer.row_version,
+                known_age=now - sent_at,
+                era=answer.era,
+            ),
             # The lowest key above the last received one.
-            query['from'] = f'{page[-1].key}\0'
+            next_key=f'{rows[-1].key}\0' if answer.has_more else None,
+        )
 
     async def await_changes(
         self, table: str, after: StorePosition, *, wait: float, known_at: float
