Have lists of targets confirmed once a second

What callers saw: charges were sent to a target that had left, and ended with 502, by a forwarder that had its way to the store; both daemons from which it takes the list of targets had lost theirs.

Cause: a reader's call to the store waits 4 s for a change, and until it ends, 5.5 s at most, the reader can't tell a quiet store from a lost one. Its rows were passed on until they were 6 s old, and a follower asked nobody else.

Ruled out: its own calls (operators' table) were answered all the while.

Change: rows have a time at which they were certainly complete. Answers about any table state the newest transaction of the store, so that those about the operators' table confirm the list at no cost while nothing is written. A daemon whose list is due after 1 s asks the first reader, which confirms it with the store once for all, or says within 0.3 s that it can't; then the next two daemons, then the store. A reader that gets no answer is not taken for a store that was away, so that removed entries are not kept for followers that had the store all the while.

Why it works: the store is asked 1.0 + 0.4 + 0.4 s after the list was complete at the latest, whatever two or three of the readers do; nothing is refused for the age of a list.

--- a/src/ragwortcourse/platform/fleet_tables.py
+++ b/src/ragwortcourse/platform/fleet_tables.py
@@ -92,6 +92,6 @@
         store=store,
         relays=relays,
         operators=operators,
-        targets=share(pace=TARGETS_PACE),
-        registrations=share(pace=DAEMONS_PACE),
+        targets=share(pace=TARGETS_PACE, witness=operators.cache),
+        registrations=share(pace=DAEMONS_PACE, witness=operators.cache),
     )
--- a/src/ragwortcourse/platform/row_cache.py
+++ b/src/ragwortcourse/platform/row_cache.py
@@ -31,21 +31,27 @@
 class RowCache:
     """The newest rows, including deleted ones, and their freshness.
 
+    :param witness: cache of another table of the same store. Answers about
+        any table state the newest transaction of the whole store.
     :ivar position: newest transaction read; None until the table was read.
     :ivar confirmed_at: boot-clock time at which the rows were certainly the
         newest: when the answer that confirmed them was requested.
     :ivar known_at: boot-clock time at which that answer was given.
     :ivar is_cut_off: true while neither the store nor the upstream daemons
         answer.
+    :ivar is_refused: true if the store refused the last of these calls rather
+        than left it without an answer.
     :ivar regained_at: boot-clock time at which the store could last be
         reached again, by this daemon or one that it asked.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, witness: 'RowCache | None' = None) -> None:
+        self._witness = witness
         self.position: StorePosition | None = None
         self.confirmed_at: float = 0
         self.known_at: float = 0
         self.is_cut_off = False
+        self.is_refused = False
         self.regained_at = -math.inf
         self._oldest_revision = 0
         self._is_restored = False
@@ -53,6 +59,19 @@
         self._changed = asyncio.Event()
         self._confirmed = asyncio.Event()
 
+    @property
+    def complete_at(self) -> float:
+        """Boot-clock time at which the rows were certainly complete.
+
+        They are complete for as long as the store has no newer transaction.
+        """
+        other = self._witness
+        if other is None or other.position is None or self.position is None:
+            return self.known_at
+        if not self.position.includes(other.position):
+            return self.known_at
+        return max(self.known_at, other.known_at)
+
     def replace(self, answer: StoreRows, sent_at: float) -> None:
         """Replace the cache by the whole table."""
         if self.position is not None:
@@ -88,8 +107,11 @@
         if answer.rows:
             self._wake()
 
-    def note_cut_off(self, *, is_cut_off: bool) -> None:
+    def note_cut_off(
+        self, *, is_cut_off: bool, is_refused: bool = True
+    ) -> None:
         """Set ``is_cut_off``; wake the waiting calls if it is true."""
+        self.is_refused = is_cut_off and is_refused
         if self.is_cut_off and not is_cut_off:
             self.regained_at = read_boot_clock()
         self.is_cut_off = is_cut_off
@@ -166,5 +188,5 @@
             rows_age=max(
                 (now - each.present_since for each in found), default=0
             ),
-            known_age=now - self.known_at,
+            known_age=now - self.complete_at,
         )
--- a/src/ragwortcourse/platform/row_fetch.py
+++ b/src/ragwortcourse/platform/row_fetch.py
@@ -12,6 +12,7 @@
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.platform.row_relay import (
     AFTER,
+    AGE,
     ERA,
     HOLD,
     PACKED,
@@ -51,6 +52,7 @@
     wait: float,
     hold: float = 0,
     services_only: bool = False,
+    longest_age: float = math.inf,
 ) -> StoreRows | HistoryGone | StoreSilent:
     """Fetch rows from another daemon.
 
@@ -63,6 +65,8 @@
         rows are fresh again.
     :param services_only: leave out of desired states the routes and client
         accounts, which only daemons with callers need.
+    :param longest_age: age of the rows in seconds, above which the daemon has
+        to confirm them first; infinite to take them as they are.
     """
     query = {PACKED: '1', ERA: str(era if after is None else after.era)}
     if services_only:
@@ -72,6 +76,8 @@
     else:
         query[AFTER] = str(after.revision)
     query[WAIT] = str(wait)
+    if math.isfinite(longest_age):
+        query[AGE] = str(longest_age)
     if hold:
         query[HOLD] = str(hold)
         wait += hold
--- a/src/ragwortcourse/platform/row_relay.py
+++ b/src/ragwortcourse/platform/row_relay.py
@@ -20,6 +20,7 @@
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.platform import names
 from ragwortcourse.platform.row_cache import RowCache
+from ragwortcourse.platform.row_freshness import Confirm, RowFreshness
 from ragwortcourse.platform.store_position import UNKNOWN_ERA, StorePosition
 from ragwortcourse.platform.store_row import (
     HistoryGone,
@@ -33,6 +34,7 @@
 ERA: Final = 'era'
 WAIT: Final = 'wait'
 HOLD: Final = 'hold'
+AGE: Final = 'age'
 PART: Final = 'part'
 SERVICES: Final = 'services'
 PACKED: Final = 'packed'
@@ -97,23 +99,32 @@
     *,
     path: str = OPERATORS_PATH,
     longest_age: float = LONGEST_AGE_SECONDS,
+    confirm: Confirm | None = None,
 ) -> list[web.RouteDef]:
     """Build the routes that send cached rows to other daemons.
 
     :param longest_age: age of the rows in seconds, above which they are not
         passed on.
+    :param confirm: asks the store whether the rows are the newest, for daemons
+        that need younger rows.
     """
+    freshness = RowFreshness(
+        cache=cache, longest_age=longest_age, confirm=confirm
+    )
 
     async def send_rows(request: web.Request) -> web.Response:
         arrived_at = read_boot_clock()
         query = request.query
+        limit = _read_limit(query)
         if _is_behind(cache, query):
             await cache.await_change(float(query.get(WAIT, 0)))
-        if _read_freshness(cache, longest_age) < 0 and not cache.is_cut_off:
-            await cache.await_confirmation(float(query.get(HOLD, 0)))
-        _check_fresh(cache, query, longest_age)
-        answer = await _find_rows(cache, query, longest_age)
-        _check_fresh(cache, query, longest_age)
+        await freshness.regain(limit, hold=float(query.get(HOLD, 0)))
+        _check_fresh(freshness, query)
+        answer = await _find_rows(freshness, query)
+        if isinstance(answer, StoreRows) and not answer.rows:
+            await freshness.regain(limit, hold=0)
+            answer = _list_rows(cache, query)
+        _check_fresh(freshness, query)
         if isinstance(answer, HistoryGone):
             raise web.HTTPGone
         message = RelayedRows(
@@ -148,41 +159,49 @@
     return int(query.get(ERA, UNKNOWN_ERA))
 
 
-def _check_fresh(
-    cache: RowCache, query: Mapping[str, str], longest_age: float
-) -> None:
+def _read_limit(query: Mapping[str, str]) -> float | None:
+    """Read the longest age that the asking daemon accepts, in seconds."""
+    return float(query[AGE]) if AGE in query else None
+
+
+def _check_fresh(freshness: RowFreshness, query: Mapping[str, str]) -> None:
     """Reject the request if the cached rows are not fresh.
 
     :raises HTTPException: the rows may not be the newest, or none have been
         read yet.
     """
+    cache = freshness.cache
     if _is_behind(cache, query):
         raise _TooEarlyError
-    if cache.is_cut_off:
+    if cache.is_cut_off and cache.is_refused:
         raise web.HTTPServiceUnavailable
-    if _read_freshness(cache, longest_age) < 0:
+    if cache.is_cut_off or freshness.read_seconds_left(_read_limit(query)) < 0:
         # Not 503, as the store is not lost: a call that waits for a change
-        # confirms no rows until its end.
+        # confirms no rows until its end, and a store that does not answer
+        # this daemon may answer others.
         raise web.HTTPGatewayTimeout
 
 
-def _read_freshness(cache: RowCache, longest_age: float) -> float:
-    """Return the seconds for which the rows are still fresh."""
-    return cache.confirmed_at + longest_age - read_boot_clock()
+async def _find_rows(
+    freshness: RowFreshness, query: Mapping[str, str]
+) -> StoreRows | HistoryGone:
+    cache = freshness.cache
+    answer = _list_rows(cache, query)
+    if AFTER in query and isinstance(answer, StoreRows) and not answer.rows:
+        left = freshness.read_seconds_left(None)
+        await cache.await_change(min(float(query[WAIT]), left))
+        answer = _list_rows(cache, query)
+    return answer
 
 
-async def _find_rows(
-    cache: RowCache, query: Mapping[str, str], longest_age: float
+def _list_rows(
+    cache: RowCache, query: Mapping[str, str]
 ) -> StoreRows | HistoryGone:
     if AFTER not in query:
         return cache.list_all()
-    after = StorePosition(era=_read_era(query), revision=int(query[AFTER]))
-    answer = cache.list_after(after)
-    if isinstance(answer, StoreRows) and not answer.rows:
-        wait = min(float(query[WAIT]), _read_freshness(cache, longest_age))
-        await cache.await_change(wait)
-        answer = cache.list_after(after)
-    return answer
+    return cache.list_after(
+        StorePosition(era=_read_era(query), revision=int(query[AFTER]))
+    )
 
 
 def _encode_row(row: StoreRow, query: Mapping[str, str]) -> RelayedRow:
--- a/src/ragwortcourse/platform/shared_table.py
+++ b/src/ragwortcourse/platform/shared_table.py
@@ -9,6 +9,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
@@ -17,13 +18,16 @@
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.identifiers import DaemonId, FailureDomainName
 from ragwortcourse.membership.readers import MAX_READERS
+from ragwortcourse.platform import names
+from ragwortcourse.platform.relay_rows import TABLE as DAEMONS_TABLE
 from ragwortcourse.platform.relay_rows import (
     ListAddresses,
     RelayRegistry,
     RelaysUnknownError,
 )
 from ragwortcourse.platform.row_cache import RowCache
-from ragwortcourse.platform.row_fetch import fetch_rows
+from ragwortcourse.platform.row_confirmation import RowConfirmation
+from ragwortcourse.platform.row_fetch import SILENT_SECONDS, fetch_rows
 from ragwortcourse.platform.row_relay import build_row_routes
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.store_position import StorePosition
@@ -34,8 +38,12 @@
 )
 from ragwortcourse.weights.peer_reach import PeerReach
 
-# Calls to readers in a row, each to two of them, before the store is asked.
+# Rounds of calls to readers before the store is asked. The first is for the
+# two that usually read; most daemons find an answer in the second.
 MAX_ROUNDS: Final = 3
+# Time for rounds after the first call is due. Readers that fall silent spend
+# it, so that the store is asked in time.
+ROUNDS_SECONDS: Final = 0.5
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -44,32 +52,43 @@
 class TablePace:
     """How daemons exchange the rows of a table.
 
+    :param table: name of the table in the store.
     :param path: path of the rows at a daemon.
-    :param wait: seconds that a call to a reader waits for a change. Readers
-        that fall silent delay a change by little more.
+    :param wait: seconds that a call to a reader waits for a change.
+    :param due_age: age in seconds at which a daemon has its rows confirmed. A
+        change that nobody passes on is found by then, and a little later if
+        readers have lost the store or fall silent.
     :param longest_age: age of the rows in seconds, above which a reader does
-        not pass them on; longer than its own call to the store.
+        not pass them on, changes included; longer than its own call to the
+        store.
     """
 
+    table: str
     path: str
     wait: float
+    due_age: float
     longest_age: float
 
 
-# A target that leaves gets no new requests after a few seconds.
+# A target that leaves gets no new requests after 2 s and more.
 TARGETS_WAIT_SECONDS: Final = 1.0
+TARGETS_DUE_SECONDS: Final = 1.0
 TARGETS_LONGEST_AGE_SECONDS: Final = 6.0
 TARGETS_PACE: Final = TablePace(
+    table=names.TARGETS_TABLE,
     path='/targets',
     wait=TARGETS_WAIT_SECONDS,
+    due_age=TARGETS_DUE_SECONDS,
     longest_age=TARGETS_LONGEST_AGE_SECONDS,
 )
 # Daemons rarely come and go; a stale entry costs one failed connection.
 DAEMONS_WAIT_SECONDS: Final = 8.0
 DAEMONS_LONGEST_AGE_SECONDS: Final = 15.0
 DAEMONS_PACE: Final = TablePace(
+    table=DAEMONS_TABLE,
     path='/daemons',
     wait=DAEMONS_WAIT_SECONDS,
+    due_age=DAEMONS_LONGEST_AGE_SECONDS,
     longest_age=DAEMONS_LONGEST_AGE_SECONDS,
 )
 
@@ -82,7 +101,10 @@
     """Follows two readers at once, and the store if none of them answers.
 
     A change counts as soon as the first reader tells it, so that one which is
-    cut off, slow or suspended makes no rows older.
+    cut off, slow or suspended makes no rows older. A reader whose own call
+    still waits does not know whether it has lost the store. The first reader
+    therefore confirms its rows when they are due, and the next ones do if it
+    can't.
 
     :param list_readers: lists the addresses of the daemons that may read the
         store for this one, in order; empty if this one reads for others.
@@ -93,7 +115,8 @@
     session: ClientSession
     list_readers: ListAddresses
     pace: TablePace
-    cache: RowCache = dataclasses.field(default_factory=RowCache)
+    cache: RowCache
+    confirmation: RowConfirmation
     reach: PeerReach = dataclasses.field(default_factory=PeerReach)
 
     @property
@@ -108,6 +131,7 @@
             self.cache,
             path=self.pace.path,
             longest_age=self.pace.longest_age,
+            confirm=self.confirmation.confirm,
         )
 
     async def read_table(self, table: str) -> Answer:
@@ -167,7 +191,7 @@
             return told
         asked_at = read_boot_clock()
         answer = await ask_store(is_follower)
-        self.cache.note_cut_off(is_cut_off=isinstance(answer, StoreSilent))
+        self._note_store(answer)
         if not isinstance(answer, StoreRows):
             return answer
         return dataclasses.replace(
@@ -176,6 +200,14 @@
             regained_ago=0 if told.is_cut_off else answer.regained_ago,
         )
 
+    def _note_store(self, answer: Answer) -> None:
+        if isinstance(answer, StoreSilent):
+            self.cache.note_cut_off(
+                is_cut_off=True, is_refused=not answer.overdue
+            )
+        else:
+            self.cache.note_cut_off(is_cut_off=False)
+
     def _note_told(self, answer: StoreRows | HistoryGone) -> None:
         self.cache.note_cut_off(is_cut_off=False)
         if isinstance(answer, StoreRows):
@@ -183,34 +215,71 @@
             self.store.era.hear(answer.era)
 
     async def _ask_readers(self, after: StorePosition | None) -> Answer:
-        """Ask two readers, and the next two if the first have lost the store.
+        """Ask two readers, and the next two if these can't confirm their rows.
 
-        Readers that fall silent are not followed by others: the time that a
-        change may take is spent.
+        The first call is due when this daemon's own rows are, so that it takes
+        no longer to notice a reader that falls silent.
         """
-        told = StoreSilent(detail='no reader asked')
-        for _ in range(MAX_ROUNDS):
-            addresses = [
-                address
-                for address in await self.list_readers()
-                if not self.reach.is_silent(address)
-            ]
-            if not addresses:
+        told: Answer = StoreSilent(detail='no reader asked')
+        wait = self._read_wait()
+        ends_at = read_boot_clock() + wait + ROUNDS_SECONDS
+        for round_ in range(MAX_ROUNDS):
+            addresses = await self._list_responsive()
+            if not addresses or read_boot_clock() > ends_at:
                 break
-            answer = await self._ask_two(addresses[:MAX_READERS], after)
-            if not isinstance(answer, StoreSilent):
+            asked = addresses[:MAX_READERS]
+            # The second reader only passes on changes at first.
+            is_shared = after is not None and not round_
+            confirming = asked[:1] if is_shared else asked
+            answer = await self._ask_two(asked, confirming, after, wait)
+            if self._is_current(answer):
                 return answer
-            told = answer
-            if not told.is_cut_off:
-                break
+            told = answer if isinstance(answer, StoreSilent) else told
+            wait = 0
         return told
 
+    def _is_current(self, answer: Answer) -> bool:
+        """Tell whether an answer has changes, or rows that are not due."""
+        if not isinstance(answer, StoreRows):
+            return isinstance(answer, HistoryGone)
+        longest_age = self.pace.due_age + SILENT_SECONDS
+        return bool(answer.rows) or answer.known_age <= longest_age
+
+    def _read_wait(self) -> float:
+        """Return the seconds for which no row of this daemon is due."""
+        due_at = self.cache.complete_at + self.pace.due_age
+        return min(max(due_at - read_boot_clock(), 0), self.pace.wait)
+
+    async def _list_responsive(self) -> Sequence[str]:
+        return [
+            address
+            for address in await self.list_readers()
+            if not self.reach.is_silent(address)
+        ]
+
     async def _ask_two(
-        self, addresses: Sequence[str], after: StorePosition | None
+        self,
+        addresses: Sequence[str],
+        confirming: Sequence[str],
+        after: StorePosition | None,
+        wait: float,
     ) -> Answer:
-        """Return the first answer with rows, else the best of all answers."""
+        """Return the first answer with rows, else the best of all answers.
+
+        :param confirming: those of the addresses that have to confirm their
+            rows.
+        """
         asked = [
-            asyncio.ensure_future(self._ask_reader(address, after))
+            asyncio.ensure_future(
+                self._ask_reader(
+                    address,
+                    after,
+                    wait=wait,
+                    longest_age=(
+                        self.pace.due_age if address in confirming else math.inf
+                    ),
+                )
+            )
             for address in addresses
         ]
         best: Answer = StoreSilent(detail='no reader asked')
@@ -225,7 +294,12 @@
         return best
 
     async def _ask_reader(
-        self, address: str, after: StorePosition | None
+        self,
+        address: str,
+        after: StorePosition | None,
+        *,
+        wait: float,
+        longest_age: float,
     ) -> Answer:
         answer = await fetch_rows(
             session=self.session,
@@ -233,7 +307,8 @@
             path=self.pace.path,
             after=after,
             era=self.store.newest_era,
-            wait=self.pace.wait,
+            wait=wait,
+            longest_age=longest_age,
         )
         if not isinstance(answer, StoreSilent):
             self.reach.note_answered(address)
@@ -254,13 +329,40 @@
     own: DaemonId,
     domain: FailureDomainName,
     pace: TablePace,
+    witness: RowCache | None = None,
 ) -> SharedTable:
-    """Build the source of a table for a daemon of a failure domain."""
-    return SharedTable(
+    """Build the source of a table for a daemon of a failure domain.
+
+    :param witness: cache of another table, whose answers also show that this
+        one has not changed.
+    """
+    return build_shared_table(
         store=store,
         session=session,
         list_readers=relays.build_reader_lister(own=own, domain=domain),
         pace=pace,
+        cache=RowCache(witness=witness),
+    )
+
+
+def build_shared_table(
+    *,
+    store: Store,
+    session: ClientSession,
+    list_readers: ListAddresses,
+    pace: TablePace,
+    cache: RowCache,
+) -> SharedTable:
+    """Build the source of a table with these readers."""
+    return SharedTable(
+        store=store,
+        session=session,
+        list_readers=list_readers,
+        pace=pace,
+        cache=cache,
+        confirmation=RowConfirmation(
+            store=store, cache=cache, table=pace.table
+        ),
     )
 
 
@@ -282,5 +384,5 @@
     return other
 
 
-def _rank_rows(answer: StoreRows) -> tuple[StorePosition, float]:
-    return answer.position, -answer.age
+def _rank_rows(answer: StoreRows) -> tuple[bool, float]:
+    return bool(answer.rows), -answer.known_age
--- a/src/ragwortcourse/platform/store_position.py
+++ b/src/ragwortcourse/platform/store_position.py
@@ -21,6 +21,13 @@
     era: int
     revision: int
 
+    def includes(self, other: 'StorePosition') -> bool:
+        """Tell whether a transaction is this one, or one before it.
+
+        Transactions of different eras can't be compared so.
+        """
+        return self.era == other.era and self.revision >= other.revision
+
 
 def is_restored(before: int, after: int) -> bool:
     """Tell whether the store was restored between two eras.
--- a/tests/test_shared_table.py
+++ b/tests/test_shared_table.py
@@ -25,9 +25,11 @@
     keep_registered,
     register_relay,
 )
+from ragwortcourse.platform.row_cache import RowCache
 from ragwortcourse.platform.shared_table import (
     TARGETS_PACE,
     SharedTable,
+    build_shared_table,
     share_table,
 )
 from ragwortcourse.platform.store import Store
@@ -73,6 +75,8 @@
 
     :ivar calls: calls to the store, as path and table.
     :ivar is_cut_off: the store refuses its calls.
+    :ivar is_partitioned: nothing passes between it and the store; calls and
+        answers are lost.
     :ivar is_frozen: it answers no other daemon.
     """
 
@@ -80,6 +84,7 @@
     state: FleetState = dataclasses.field(default_factory=FleetState)
     calls: list[tuple[str, str]] = dataclasses.field(default_factory=list)
     is_cut_off: bool = False
+    is_partitioned: bool = False
     is_frozen: bool = False
     task: asyncio.Task[None] | None = None
     table: SharedTable | None = None
@@ -127,6 +132,31 @@
         """List the daemons that read the store."""
         return [each for each in self.followers if self._is_reader(each)]
 
+    def list_others(self) -> list[Follower]:
+        """List the daemons that follow others, in the order of ranks."""
+        relays = [make_relay(each.number) for each in self.followers]
+        listed = {
+            each.number: len(
+                list_shared_readers(
+                    relays=relays,
+                    own=DaemonId(f'd-{each.number}'),
+                    domain=NEAR_DOMAIN,
+                )
+            )
+            for each in self.followers
+        }
+        return sorted(
+            (each for each in self.followers if listed[each.number]),
+            key=lambda each: listed[each.number],
+        )
+
+    async def confirm(self) -> None:
+        """Change a row, so that all daemons have just heard of a change."""
+        self.fake.put(names.TARGETS_TABLE, 't-2', describe_target())
+        await wait_for(
+            lambda: all('t-2' in each.state.targets for each in self.followers)
+        )
+
     def leave(self) -> None:
         """Let the target leave."""
         self.fake.put(names.TARGETS_TABLE, TARGET, describe_target('draining'))
@@ -153,7 +183,10 @@
             follower.calls.append((path, table))
             if follower.is_cut_off:
                 raise web.HTTPServiceUnavailable
-            return await handler(request)
+            answer = await handler(request)
+            if follower.is_partitioned:
+                await asyncio.Event().wait()
+            return answer
 
         @web.middleware
         async def freeze(request, handler):
@@ -343,6 +376,115 @@
         assert all(each.knows(leaving=True) for each in domain.followers)
 
 
+def know_departure(followers: list[Follower]) -> bool:
+    """Tell whether none of the daemons sends to the target any more."""
+    return not any(each.knows(leaving=False) for each in followers)
+
+
+def cut_both(readers: list[Follower], _others: list[Follower]) -> list:
+    """Cut both readers from the store."""
+    for reader in readers:
+        reader.is_partitioned = True
+    return readers
+
+
+def cut_and_stop(readers: list[Follower], _others: list[Follower]) -> list:
+    """Cut a reader from the store and suspend the other."""
+    readers[0].is_partitioned = True
+    readers[1].is_frozen = True
+    return readers
+
+
+def stop_and_cut(readers: list[Follower], others: list[Follower]) -> list:
+    """Cut a reader from the store and suspend the other."""
+    return cut_and_stop(readers[::-1], others)
+
+
+def cut_three(readers: list[Follower], others: list[Follower]) -> list:
+    """Cut both readers, and the daemon that takes their place."""
+    return cut_both([*readers, others[0]], others)
+
+
+def stop_both_cut_next(readers: list[Follower], others: list[Follower]) -> list:
+    """Suspend both readers, and cut the daemon that takes their place."""
+    for reader in readers:
+        reader.is_frozen = True
+    others[0].is_partitioned = True
+    return [*readers, others[0]]
+
+
+class TestReadersWithoutStore:
+    """Readers that lose the store while their followers keep it."""
+
+    @pytest.mark.parametrize(
+        'harm',
+        [cut_both, cut_and_stop, stop_and_cut, cut_three, stop_both_cut_next],
+    )
+    @pytest.mark.parametrize('is_removed', [False, True])
+    async def test_target_that_left(self, domain, harm, is_removed):
+        """Followers of cut readers sent to a target that had left.
+
+        Review, case 14: a list that is confirmed only seconds later by the
+        readers' own calls was passed on as the newest.
+        """
+        await domain.confirm()
+        harmed = harm(domain.list_readers(), domain.list_others())
+        if is_removed:
+            domain.fake.drop(names.TARGETS_TABLE, TARGET)
+        else:
+            domain.leave()
+        sound = [each for each in domain.followers if each not in harmed]
+        async with asyncio.timeout(DRAIN_SECONDS):
+            await wait_for(lambda: know_departure(sound))
+
+    async def test_removal_during_a_long_cut(self, domain):
+        """Followers kept a target, as if the store had just come back.
+
+        It was there for them all the while; only their readers had lost it.
+        """
+        cut_both(domain.list_readers(), domain.list_others())
+        await asyncio.sleep(FEED_SECONDS + 2 * DRAIN_SECONDS)
+        domain.fake.drop(names.TARGETS_TABLE, TARGET)
+        async with asyncio.timeout(DRAIN_SECONDS):
+            await wait_for(lambda: know_departure(domain.list_others()))
+
+    async def test_rush_at_a_cut_reader(self, domain):
+        """Daemons that ask the next reader do not ask the store besides."""
+        domain.list_readers()[0].is_partitioned = True
+        await asyncio.sleep(0.1)
+        domain.clear_calls()
+        domain.leave()
+        await asyncio.sleep(2 * DRAIN_SECONDS)
+        callers = [each for each in domain.followers if each.count(FEED)]
+        assert set(map(id, callers)) <= set(map(id, domain.list_readers()))
+
+    async def test_rush_at_two_cut_readers(self, domain):
+        """Two daemons take the place of two readers, not all of them."""
+        for reader in domain.list_readers():
+            reader.is_partitioned = True
+        await asyncio.sleep(0.1)
+        domain.clear_calls()
+        await asyncio.sleep(2 * DRAIN_SECONDS)
+        callers = [each for each in domain.list_others() if each.count(FEED)]
+        assert 0 < len(callers) <= MAX_READERS
+
+    async def test_domain_cut_off(self, domain):
+        """Daemons that have all lost the store keep the targets they know."""
+        for each in domain.followers:
+            each.is_partitioned = True
+        await asyncio.sleep(3 * DRAIN_SECONDS)
+        assert all(each.knows(leaving=False) for each in domain.followers)
+
+    async def test_calls_in_calm(self, domain):
+        """Confirmations are asked for once for all daemons."""
+        await asyncio.sleep(0.5)
+        domain.clear_calls()
+        seconds = 4
+        await asyncio.sleep(seconds)
+        waiting = MAX_READERS * (seconds / FEED_SECONDS + 1)
+        assert domain.count(FEED) <= waiting + seconds / TARGETS_PACE.due_age
+
+
 class TestOutages:
     """What readers tell about an outage of the store."""
 
@@ -456,11 +598,12 @@
             return readers
 
         store = PatientStore()
-        table = SharedTable(
+        table = build_shared_table(
             store=store,
             session=None,
             list_readers=list_readers,
             pace=TARGETS_PACE,
+            cache=RowCache(),
         )
         for address in readers:
             table.reach.note_silent(address)
