Ask the readers of a table in a module of their own

Read again, the calls to readers had a fault: rows that the second reader had not confirmed counted as current until they were 1.4 s old, so that three cut daemons could cost more than the 2 s in which a target leaves; and a daemon that had its answer from one of two still waited for the other. Change: platform/reader_calls.py asks readers, platform/table_pace.py says how often; rows without changes count only if they are not due, or confirmed; a daemon whose rows are due takes the first answer. The tests of calls state what is to hold: two daemons beside the readers at most, and two calls a second for a failure domain whatever its size.

--- a/src/ragwortcourse/platform/fleet_tables.py
+++ b/src/ragwortcourse/platform/fleet_tables.py
@@ -11,13 +11,9 @@
 from ragwortcourse.platform.relayed_store import RelayedStore
 from ragwortcourse.platform.restore_hold import RestoreHold
 from ragwortcourse.platform.row_relay import build_row_routes
-from ragwortcourse.platform.shared_table import (
-    DAEMONS_PACE,
-    TARGETS_PACE,
-    SharedTable,
-    share_table,
-)
+from ragwortcourse.platform.shared_table import SharedTable, share_table
 from ragwortcourse.platform.store import Store
+from ragwortcourse.platform.table_pace import DAEMONS_PACE, TARGETS_PACE
 from ragwortcourse.settings import Settings
 
 
