Wait for changes at readers whose own call is long under way

Cause: a reader ended the wait of other daemons once its rows had been confirmed over 6 s ago, which its own call of 4 s makes them each eight seconds, also where the asking daemon had stated a limit of its own that the rows met. Followers asked again at once, hundreds of times a second, for two seconds of eight. Second readers were passed over for that time. Change: a daemon that states a limit is kept waiting for as long as it asks; it states one also to the second reader, without end. Measured: both cases of test_reader_in_a_long_call fail before it. The tests of shared tables and of relayed rows pass.

--- a/src/ragwortcourse/platform/row_fetch.py
+++ b/src/ragwortcourse/platform/row_fetch.py
@@ -52,7 +52,7 @@
     wait: float,
     hold: float = 0,
     services_only: bool = False,
-    longest_age: float = math.inf,
+    longest_age: float | None = None,
 ) -> StoreRows | HistoryGone | StoreSilent:
     """Fetch rows from another daemon.
 
@@ -66,7 +66,8 @@
     :param services_only: leave out of desired states the routes and client
         accounts, which only daemons with callers need.
     :param longest_age: age of the rows in seconds, above which the daemon has
-        to confirm them first; infinite to take them as they are.
+        to confirm them first; infinite to take them as they are, None if the
+        daemon has a limit of its own.
     """
     query = {PACKED: '1', ERA: str(era if after is None else after.era)}
     if services_only:
@@ -76,7 +77,7 @@
     else:
         query[AFTER] = str(after.revision)
     query[WAIT] = str(wait)
-    if math.isfinite(longest_age):
+    if longest_age is not None:
         query[AGE] = str(longest_age)
     if hold:
         query[HOLD] = str(hold)
--- a/src/ragwortcourse/platform/row_relay.py
+++ b/src/ragwortcourse/platform/row_relay.py
@@ -188,8 +188,10 @@
     cache = freshness.cache
     answer = _list_rows(cache, query)
     if AFTER in query and isinstance(answer, StoreRows) and not answer.rows:
-        left = freshness.read_seconds_left(None)
-        await cache.await_change(min(float(query[WAIT]), left))
+        wait = float(query[WAIT])
+        if AGE not in query:
+            wait = min(wait, freshness.read_seconds_left(None))
+        await cache.await_change(wait)
         answer = _list_rows(cache, query)
     return answer
 
--- a/tests/test_row_relay.py
+++ b/tests/test_row_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 
 import msgspec
 import pytest
@@ -135,6 +136,7 @@
         assert cache.confirmed_at == pytest.approx(sent_at - 1.5)
 
 
+WAITED = 0.3
 # A large failure domain whose hosts have narrow links. Requests need the other
 # half of a link, and a desired state must reach all daemons within a second.
 ASKERS = 16
@@ -166,16 +168,24 @@
     async def __aexit__(self, *exc):
         await self._stack.aclose()
 
-    async def fetch(self, *, wait: float = 0, services_only: bool = False):
+    async def fetch(
+        self,
+        *,
+        after: StorePosition | None = None,
+        wait: float = 0,
+        services_only: bool = False,
+        longest_age: float | None = None,
+    ):
         """Fetch rows as another daemon does."""
         return await fetch_rows(
             session=self._session,
             address=self.address,
             path=OPERATORS_PATH,
-            after=make_position(1),
+            after=after or make_position(1),
             era=UNKNOWN_ERA,
             wait=wait,
             services_only=services_only,
+            longest_age=longest_age,
         )
 
     async def read_plain(self) -> bytes:
@@ -203,6 +213,32 @@
     return cache
 
 
+class TestWait:
+    """Requests for changes that wait until there are some."""
+
+    @pytest.mark.parametrize('longest_age', [1.0, math.inf])
+    async def test_reader_in_a_long_call(self, longest_age):
+        """Daemons asked again at once, hundreds of times in a second.
+
+        Seen in a score: the reader's own call to the store had waited for
+        longer than its rows may be passed on unconfirmed.
+        """
+
+        async def confirm():
+            cache.known_at = read_boot_clock()
+
+        cache = make_full_cache(b'x')
+        cache.confirmed_at -= 2 * LONGEST_AGE_SECONDS
+        routes = build_row_routes(cache, confirm=confirm)
+        async with Answerer(routes) as answerer:
+            began_at = read_boot_clock()
+            answer = await answerer.fetch(
+                after=make_position(2), wait=WAITED, longest_age=longest_age
+            )
+        assert isinstance(answer, StoreRows)
+        assert read_boot_clock() - began_at >= WAITED
+
+
 class TestLongAnswers:
     """Exchange of desired states with many routes."""
 
--- a/tests/test_shared_table.py
+++ b/tests/test_shared_table.py
@@ -42,6 +42,8 @@
 FEED_SECONDS = 4.0
 # Time after which a leaving target gets no requests on the smallest sites.
 DRAIN_SECONDS = 2.0
+# Calls of a daemon to a reader; it waits for a change for most of a second.
+ASKED_A_SECOND = 3
 TARGET = 't-1'
 FEED = '/rows-feed'
 READ = '/rows-get'
@@ -75,6 +77,7 @@
     """A daemon that follows the list of targets.
 
     :ivar calls: calls to the store, as path and table.
+    :ivar asked: calls of other daemons.
     :ivar is_cut_off: the store refuses its calls.
     :ivar is_partitioned: nothing passes between it and the store; calls and
         answers are lost.
@@ -83,6 +86,7 @@
 
     number: int
     state: FleetState = dataclasses.field(default_factory=FleetState)
+    asked: int = 0
     calls: list[tuple[str, str]] = dataclasses.field(default_factory=list)
     is_cut_off: bool = False
     is_partitioned: bool = False
@@ -191,6 +195,7 @@
 
         @web.middleware
         async def freeze(request, handler):
+            follower.asked += 1
             if follower.is_frozen:
                 await asyncio.Event().wait()
             return await handler(request)
@@ -478,16 +483,23 @@
         assert all(each.knows(leaving=False) for each in domain.followers)
 
     async def test_calls_in_calm(self, domain):
-        """Confirmations are asked for once for all daemons."""
+        """Confirmations are asked for once for all daemons.
+
+        The time is that of two calls of a reader.
+        """
         await asyncio.sleep(0.5)
         domain.clear_calls()
-        seconds = 4
+        asked = [each.asked for each in domain.list_readers()]
+        seconds = 2 * FEED_SECONDS
         await asyncio.sleep(seconds)
         waiting = seconds / FEED_SECONDS + 1
         confirming = seconds / TARGETS_PACE.due_age + 1
         assert domain.count(FEED) <= MAX_READERS * (waiting + confirming)
         callers = [each for each in domain.followers if each.count(FEED)]
         assert callers == domain.list_readers()
+        for before, reader in zip(asked, domain.list_readers(), strict=True):
+            each_second = (reader.asked - before) / seconds
+            assert each_second <= ASKED_A_SECOND * len(domain.list_others())
 
 
 class TestOutages:
