Soak leaving targets, cut readers and changes between pages

Change: targets of the plain service leave, by a row that says so or by its end, and come back as another incarnation; DRAIN is judged. The store sends 1, 2 or 500 rows in a page, by seed, and keys are taken away between pages.

--- a/fakes/soak.py
+++ b/fakes/soak.py
@@ -60,6 +60,8 @@
 # rows that it lost are written again within the second one.
 RESTORE_SECONDS = 0.7
 REWRITE_SECONDS = 1.0
+# Of the pages that are not the last of a read.
+CHANGED_SHARE = 0.2
 # Longer than engines may go on serving older weights.
 ORIGIN_SECONDS = 9.5
 FINAL_CHANGES = tuple(
@@ -82,6 +84,8 @@
         self._setup = setup
         self._rng = random.Random(setup.seed)
         self._operators = SoakOperators(site=site, rng=self._rng)
+        self._page_rng = random.Random(f'{setup.seed} between pages')
+        site.store.after_page = self._change_between_pages
         self._findings: list[str] = []
         self._began_at = time.monotonic()
         self._store_busy = asyncio.Lock()
@@ -160,6 +164,11 @@
             )
         )
 
+    def _change_between_pages(self) -> None:
+        """Take a key away while a daemon reads a table, for some pages."""
+        if self._page_rng.random() < CHANGED_SHARE:
+            self._operators.revoke()
+
     def _plan_faults(self) -> list[Fault]:
         if not self._setup.fault_seconds:
             return []
@@ -173,6 +182,7 @@
                 for name in self._site.links
                 if not name.startswith(PREFIXES[SPARE])
             ],
+            reader_links=self._site.list_reader_links(),
         )
 
     async def _inject_all(self, faults: list[Fault]) -> None:
--- a/fakes/soak_checks.py
+++ b/fakes/soak_checks.py
@@ -30,6 +30,7 @@
 # Documented bounds; they hold for daemons that no fault cuts off.
 REVOKE_SECONDS = FLEET.revoke_ms / 1000
 EVACUATE_SECONDS = 5.0
+DRAIN_SECONDS = 2.0
 RECOVER_SECONDS = 12.0
 ROUTE_SECONDS = 3.0
 # Allowance past the time limit of a route.
@@ -106,6 +107,7 @@
             yield f'CONFIG: key was taken away at {revoked}, {run}'
         if _is_undisturbed(records, sent, run.at, CONTACT_SECONDS):
             yield from _check_withdrawn(records, run)
+            yield from _check_departures(records, run)
         # The bound on versions holds only if no fault hit the daemon for the
         # whole length of the bound.
         if _is_undisturbed(records, sent, run.at, VERSION_SECONDS):
@@ -119,6 +121,13 @@
             yield f'EVAC: withdrawn at {began_at}, {run}'
 
 
+def _check_departures(records: Records, run: TargetRun) -> Iterator[str]:
+    for target, began_at, ended_at in records.departures:
+        late = began_at + DRAIN_SECONDS < run.at < ended_at
+        if run.target == target and late:
+            yield f'DRAIN: leaving since {began_at}, {run}'
+
+
 def _check_version(records: Records, run: TargetRun) -> Iterator[str]:
     for version, named_at in records.named.items():
         is_older = 0 < run.version < version
--- a/fakes/soak_operation.py
+++ b/fakes/soak_operation.py
@@ -15,5 +15,6 @@
     WITHDRAW = 'withdraw'
     WITHDRAW_BRIEFLY = 'withdraw briefly'
     WEIGHTS = 'weights'
+    LEAVE = 'leave'
     ORIGIN_DOWN = 'origin down'
     HISTORY_GONE = 'history gone'
--- a/fakes/soak_operators.py
+++ b/fakes/soak_operators.py
@@ -7,10 +7,13 @@
 from fakes.soak_operation import Operation
 from fakes.soak_plan import Fault
 from fakes.soak_site import SoakSite
+from fakes.soak_state import PLAIN
 
 # Longer than a withdrawal takes to come into force.
 WITHDRAWN_SECONDS = 8.0
 DOMAIN = 'near-b'
+# Of the targets that leave; the rows of others end.
+LISTED_SHARE = 0.6
 
 
 class SoakOperators:
@@ -20,6 +23,7 @@
         self._site = site
         self._rng = rng
         self._withdrawals = 0
+        self._leaving = asyncio.Lock()
 
     async def change(self, fault: Fault) -> None:
         """Apply one change, and take back what lasts for a time only."""
@@ -36,16 +40,23 @@
             await self._withdraw(fault.seconds)
         elif fault.name == Operation.WEIGHTS:
             site.set_weights_version()
+        elif fault.name == Operation.LEAVE:
+            await self._leave(fault.seconds)
         else:
             await self._change_state(fault)
 
+    def revoke(self) -> None:
+        """Take a key away."""
+        site = self._site
+        key = site.state.revoke_key()
+        site.put_state()
+        if key is not None:
+            site.records.revoked[key] = time.monotonic()
+
     async def _change_state(self, fault: Fault) -> None:
         site = self._site
         if fault.name == Operation.REVOKE:
-            key = site.state.revoke_key()
-            site.put_state()
-            if key is not None:
-                site.records.revoked[key] = time.monotonic()
+            self.revoke()
         elif fault.name == Operation.DROP_ROUTE:
             site.state.drop_route()
             site.put_state()
@@ -56,6 +67,17 @@
             site.state.change(fault.name, self._rng)
             site.put_state()
 
+    async def _leave(self, seconds: float) -> None:
+        """Let a target leave, by its row or without it, and come back."""
+        site = self._site
+        async with self._leaving:
+            name = self._rng.choice(site.list_targets(PLAIN)).name
+            began_at = time.monotonic()
+            site.set_leaving(name, is_listed=self._rng.random() < LISTED_SHARE)
+            await asyncio.sleep(seconds)
+            site.records.departures.append((name, began_at, time.monotonic()))
+            site.come_back(name)
+
     async def _withdraw(self, seconds: float) -> None:
         began_at = time.monotonic()
         self._withdrawals += 1
--- a/fakes/soak_plan.py
+++ b/fakes/soak_plan.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import random
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 from fakes.soak_operation import Operation
 from fakes.soak_proxy import LinkFault
@@ -45,6 +45,12 @@
 QUIET_SECONDS = (0.5, 3.0)
 SILENT_SECONDS = (0.3, 1.8)
 MOST_RESTORES = 2
+MOST_CUTS_OF_READERS = 2
+# Longer and shorter than calls of readers to the store.
+CUT_SECONDS = (1.0, 8.0)
+MOST_DEPARTURES = 4
+LEAVING_SECONDS = (3.0, 6.0)
+LEAVING_AFTER_SECONDS = 0.5
 # New versions of weights beside those that other faults draw.
 NAMINGS = (1, 4)
 # Age of the copy that the store comes back from.
@@ -70,9 +76,17 @@
 
 
 def plan_faults(
-    *, seed: int, seconds: float, daemons: list[str], links: list[str]
+    *,
+    seed: int,
+    seconds: float,
+    daemons: list[str],
+    links: list[str],
+    reader_links: Sequence[str] = (),
 ) -> list[Fault]:
-    """Draw the faults in order of time; they come in bursts and may overlap."""
+    """Draw the faults in order of time; they come in bursts and may overlap.
+
+    :param reader_links: links that are cut together besides.
+    """
     rng = random.Random(seed)
     faults: list[Fault] = []
     at = 1.0
@@ -95,6 +109,8 @@
             *faults,
             *_plan_restores(seed, seconds),
             *_plan_namings(seed, seconds),
+            *_plan_cuts(seed, seconds, reader_links),
+            *_plan_departures(seed, seconds),
         ],
         key=_read_time,
     )
@@ -132,7 +148,7 @@
             )
             at += rng.choice((0.02, rng.uniform(0.1, 0.5), rng.uniform(0.3, 1)))
         at = ends_at + rng.uniform(*QUIET_SECONDS)
-    return sorted(faults, key=_read_time)
+    return sorted([*faults, *_plan_departures(seed, seconds)], key=_read_time)
 
 
 def _draw_change(rng: random.Random) -> Operation:
@@ -185,5 +201,42 @@
     ]
 
 
+def _plan_cuts(
+    seed: int, seconds: float, links: Sequence[str]
+) -> Iterator[Fault]:
+    """Draw times at which all of some links lose what they carry.
+
+    A target leaves just after each of them.
+    """
+    rng = random.Random(f'{seed} cuts of readers')
+    for _ in range(rng.randint(0, MOST_CUTS_OF_READERS)):
+        at, lasts = rng.uniform(1, seconds), rng.uniform(*CUT_SECONDS)
+        for link in links:
+            yield Fault(
+                at=at, name=LinkFault.SILENT.value, whom=link, seconds=lasts
+            )
+        if links:
+            yield Fault(
+                at=at + rng.uniform(0, LEAVING_AFTER_SECONDS),
+                name=Operation.LEAVE,
+                whom='',
+                seconds=max(LEAVING_SECONDS),
+            )
+
+
+def _plan_departures(seed: int, seconds: float) -> list[Fault]:
+    """Draw targets that leave, each until it comes back."""
+    rng = random.Random(f'{seed} departures')
+    return [
+        Fault(
+            at=rng.uniform(1, seconds),
+            name=Operation.LEAVE,
+            whom='',
+            seconds=rng.uniform(*LEAVING_SECONDS),
+        )
+        for _ in range(rng.randint(1, MOST_DEPARTURES))
+    ]
+
+
 def _read_time(fault: Fault) -> float:
     return fault.at
--- a/fakes/soak_records.py
+++ b/fakes/soak_records.py
@@ -139,6 +139,8 @@
     :param planned: signals and changes by operators, in order of time.
     :param revoked: time at which the store had the revocation, by API key.
     :param withdrawn: failure domain, start and end of each withdrawal.
+    :param departures: target, start and end of each time for which the store
+        told that it leaves or had left; it serves what reaches it.
     :param named: time at which operators set each version of the weights.
     :param stalls: stalls of the event loop of the soak; they excuse no
         violation.
@@ -161,6 +163,9 @@
     withdrawn: list[tuple[str, float, float]] = dataclasses.field(
         default_factory=list
     )
+    departures: list[tuple[str, float, float]] = dataclasses.field(
+        default_factory=list
+    )
     named: dict[int, float] = dataclasses.field(default_factory=dict)
     stalls: list[Stall] = dataclasses.field(default_factory=list)
     spoilt_loads: list[str] = dataclasses.field(default_factory=list)
--- a/fakes/soak_site.py
+++ b/fakes/soak_site.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import time
 
@@ -30,6 +31,8 @@
 from fakes.soak_target import MODEL, SoakTarget
 from fakes.soak_watch import WATCH_LOG
 from ragwortcourse.detached_tasks import DetachedTasks, end_task
+from ragwortcourse.membership.readers import MAX_READERS
+from ragwortcourse.membership.rendezvous import score_pair
 from ragwortcourse.weights.manifest import digest_bytes
 
 # The last one may be withdrawn.
@@ -45,6 +48,8 @@
 CLOSE_SECONDS = 0.5
 # Engines write their rows this often, if they have changed.
 BEAT_SECONDS = 1.2
+# Rows of a page, so that most tables take several.
+PAGE_ROWS = (1, 2, 500)
 # From the crash of a target until its next incarnation serves.
 DOWN_SECONDS = 2.0
 FLEET_TEXT = f"""
@@ -107,6 +112,8 @@
         self._per_service = targets
         self.records = Records()
         self.store = FleetStore()
+        rng = random.Random(f'{seed} pages')
+        self.store.page_rows = rng.choice(PAGE_ROWS)
         self.targets: dict[str, SoakTarget] = {}
         self.children: dict[str, Child] = {}
         self.links: dict[str, LoopbackProxy] = {}
@@ -171,7 +178,7 @@
             'address': self.links[name].address,
             'zone': target.domain,
             'slots': 16,
-            'state': 'ready',
+            'state': 'draining' if target.is_leaving else 'ready',
             'cold_left_ms': 0,
             'born': target.born,
         }
@@ -180,6 +187,28 @@
         self.store.put('servers', name, row)
         self._written[name] = target.version, target.born
 
+    def set_leaving(self, name: str, *, is_listed: bool) -> None:
+        """Let the store tell that a target leaves, or that it has left."""
+        self.targets[name].is_leaving = True
+        if is_listed:
+            self.put_target(name)
+        else:
+            self.store.drop('servers', name)
+
+    def come_back(self, name: str) -> None:
+        """Register another incarnation of a target that had left."""
+        target = self.targets[name]
+        target.is_leaving = False
+        target.born += 1
+        self.put_target(name)
+
+    def list_reader_links(self) -> list[str]:
+        """List the links to the store of a failure domain's two readers."""
+        domain = DOMAINS[0]
+        near = [name for name, of in self.forwarders.items() if of == domain]
+        ranked = sorted(near, key=lambda name: score_pair(domain, name))
+        return [f'{name}/store' for name in ranked[:MAX_READERS]]
+
     def put_state(self) -> None:
         """Write the desired state to the store under the next version."""
         at = time.monotonic()
--- a/fakes/soak_target.py
+++ b/fakes/soak_target.py
@@ -41,6 +41,7 @@
     :ivar stage: staged chunks of the next version.
     :ivar closed: true while weights load; requests are refused.
     :ivar born: number of the incarnation.
+    :ivar is_leaving: true while the store tells that it leaves; it serves on.
     :ivar note_crash: called as the target crashes; none if it never does.
     :ivar orders: number of orders accepted.
     :ivar silence: silences after which the target goes on.
@@ -70,6 +71,7 @@
         self.stage = SoakStage(model)
         self.closed = False
         self.born = 1
+        self.is_leaving = False
         self.note_crash: Callable[[], None] | None = None
         self.orders = 0
         self.silence = TargetSilence(target=name)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -305,6 +305,26 @@
         assert site.store.read('op', 'evacuate/near-b') is None
 
 
+class TestLeavingTargets:
+    """Targets that leave and come back."""
+
+    @pytest.mark.parametrize('is_listed', [False, True])
+    async def test_leave(self, tmp_path, is_listed):
+        """A target is draining or unlisted until another incarnation of it."""
+        site = SoakSite(folder=tmp_path)
+        site.targets['p-1'] = target = SoakTarget(
+            name='p-1', service='plain', domain='near-a', records=site.records
+        )
+        site.links['p-1'] = LoopbackProxy(server='')
+        site.set_leaving('p-1', is_listed=is_listed)
+        row = site.store.read('servers', 'p-1')
+        assert (row is None) is not is_listed
+        assert row is None or b'draining' in row
+        site.come_back('p-1')
+        assert b'ready' in site.store.read('servers', 'p-1')
+        assert target.born == 2
+
+
 class TestRows:
     """Rows that engines write into the store."""
 
@@ -368,8 +388,33 @@
             )
         assert {'kill', 'pause', 'stop', 'hang up', 'silent', 'deaf'} <= names
         assert {'revoke', 'withdraw', 'weights', 'rows lapse', RESTORE} <= names
+        assert Operation.LEAVE in names
         assert overlaps > 40
 
+    def test_links_of_readers(self):
+        """Links of readers are cut at one moment, and for as long."""
+        plans = [
+            plan_faults(
+                seed=seed,
+                seconds=20,
+                daemons=['d'],
+                links=['l'],
+                reader_links=['a', 'b'],
+            )
+            for seed in range(20)
+        ]
+        cut = [
+            {
+                (fault.at, fault.seconds)
+                for plan in plans
+                for fault in plan
+                if fault.whom == link
+            }
+            for link in ('a', 'b')
+        ]
+        assert cut[0]
+        assert cut[0] == cut[1]
+
     def test_changes_same_seed(self):
         """The same seed gives the same planned work."""
         plans = [
@@ -390,6 +435,7 @@
         assert names == {
             *CHANGES,
             Operation.WEIGHTS,
+            Operation.LEAVE,
             HALF_SILENT,
             'stop',
             'hang up',
@@ -836,6 +882,7 @@
         ('records', 'finding'),
         [
             ({'withdrawn': [('near-b', 90.0, 110.0)]}, 'EVAC'),
+            ({'departures': [('p-1', 97.0, 110.0)]}, 'DRAIN'),
             ({'named': {2: 91.0}}, 'VERSION'),
         ],
     )
