--- a/src/ragwortcourse/platform/reader_calls.py
+++ b/src/ragwortcourse/platform/reader_calls.py
@@ -115,7 +115,7 @@
             asyncio.ensure_future(
                 self._ask_confirming(address, after, wait)
                 if address in confirming
-                else self._ask_as_it_is(address, after, wait)
+                else self._ask_unconfirmed(address, after, wait)
             )
             for address in addresses
         ]
@@ -139,7 +139,7 @@
         # A reader of an older release does not confirm them.
         return _check_age(answer, due_age + SILENT_SECONDS)
 
-    async def _ask_as_it_is(
+    async def _ask_unconfirmed(
         self, address: str, after: StorePosition | None, wait: float
     ) -> Answer:
         """Ask a reader for the changes that it knows of."""
