Share what reads of the store had twice

No behaviour changes. The union of a read's answers stands in store_row.py for the four modules that use it; StoreRows.add_delay replaces three copies of the same sum, PeerReach.list_responsive three filters of addresses. `is_refused` implies `is_cut_off`, so that only the first is asked for. Three tests open clients of the fake store by fakes/store_client.py; their assertions are as they were.

--- a/src/ragwortcourse/platform/reader_calls.py
+++ b/src/ragwortcourse/platform/reader_calls.py
@@ -23,6 +23,7 @@
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.store_position import StorePosition
 from ragwortcourse.platform.store_row import (
+    Answer,
     HistoryGone,
     StoreRows,
     StoreSilent,
@@ -39,8 +40,6 @@
 
 LOGGER: Final = logging.getLogger(__name__)
 
-Answer = StoreRows | HistoryGone | StoreSilent
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ReaderCalls:
@@ -70,7 +69,8 @@
         wait = self._read_wait()
         ends_at = read_boot_clock() + wait + ROUNDS_SECONDS
         for round_ in range(MAX_ROUNDS):
-            addresses = await self._list_responsive()
+            readers = await self.list_readers()
+            addresses = self.reach.list_responsive(readers)
             if not addresses or read_boot_clock() > ends_at:
                 break
             asked = addresses[:MAX_READERS]
@@ -90,13 +90,6 @@
         due_at = self.cache.complete_at + self.pace.due_age
         return min(max(due_at - read_boot_clock(), 0), self.pace.wait)
 
-    async def _list_responsive(self) -> Sequence[str]:
-        return [
-            address
-            for address in await self.list_readers()
-            if not self.reach.is_silent(address)
-        ]
-
     async def _ask_two(
         self,
         addresses: Sequence[str],
--- a/src/ragwortcourse/platform/relayed_store.py
+++ b/src/ragwortcourse/platform/relayed_store.py
@@ -20,6 +20,7 @@
     is_restored,
 )
 from ragwortcourse.platform.store_row import (
+    Answer,
     HistoryGone,
     StoreRows,
     StoreSilent,
@@ -36,7 +37,6 @@
 
 LOGGER: Final = logging.getLogger(__name__)
 
-Answer = StoreRows | HistoryGone | StoreSilent
 AskStore = Callable[[bool], Awaitable[Answer]]
 
 
@@ -203,11 +203,7 @@
         return await self._list_responsive(self.list_upstreams)
 
     async def _list_responsive(self, list_daemons: ListAddresses) -> list[str]:
-        return [
-            address
-            for address in await list_daemons()
-            if not self.reach.is_silent(address)
-        ]
+        return self.reach.list_responsive(await list_daemons())
 
     async def _ask_daemons(
         self,
@@ -264,5 +260,5 @@
 def _add_delay(answer: Answer, seconds: float) -> Answer:
     """Add the time spent on asking others before to the answer's delay."""
     if isinstance(answer, StoreRows):
-        return dataclasses.replace(answer, delay=answer.delay + seconds)
+        return answer.add_delay(seconds)
     return answer
--- a/src/ragwortcourse/platform/row_confirmation.py
+++ b/src/ragwortcourse/platform/row_confirmation.py
@@ -15,11 +15,7 @@
 from ragwortcourse.platform.row_cache import RowCache
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.store_position import StorePosition
-from ragwortcourse.platform.store_row import (
-    HistoryGone,
-    StoreRows,
-    StoreSilent,
-)
+from ragwortcourse.platform.store_row import Answer, StoreRows
 
 # Less than daemons wait for an answer that is due.
 CONFIRM_SECONDS: Final = 0.3
@@ -31,8 +27,6 @@
 )
 LOGGER: Final = logging.getLogger(__name__)
 
-Answer = StoreRows | HistoryGone | StoreSilent
-
 
 class RowConfirmation:
     """Confirms the rows of a cache by a call beside the one that waits.
--- a/src/ragwortcourse/platform/row_relay.py
+++ b/src/ragwortcourse/platform/row_relay.py
@@ -173,7 +173,7 @@
     cache = freshness.cache
     if _is_behind(cache, query):
         raise _TooEarlyError
-    if cache.is_cut_off and cache.is_refused:
+    if cache.is_refused:
         raise web.HTTPServiceUnavailable
     if cache.is_cut_off or freshness.read_seconds_left(_read_limit(query)) < 0:
         # Not 503, as the store is not lost: a call that waits for a change
--- a/src/ragwortcourse/platform/shared_table.py
+++ b/src/ragwortcourse/platform/shared_table.py
@@ -13,7 +13,7 @@
 
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.identifiers import DaemonId, FailureDomainName
-from ragwortcourse.platform.reader_calls import Answer, ReaderCalls
+from ragwortcourse.platform.reader_calls import ReaderCalls
 from ragwortcourse.platform.relay_rows import (
     ListAddresses,
     RelayRegistry,
@@ -25,6 +25,7 @@
 from ragwortcourse.platform.store import Store
 from ragwortcourse.platform.store_position import StorePosition
 from ragwortcourse.platform.store_row import (
+    Answer,
     HistoryGone,
     StoreRows,
     StoreSilent,
@@ -132,11 +133,9 @@
         self._note_store(answer)
         if not isinstance(answer, StoreRows):
             return answer
-        return dataclasses.replace(
-            answer,
-            delay=answer.delay + asked_at - began_at,
-            regained_ago=0 if told.is_cut_off else answer.regained_ago,
-        )
+        if told.is_cut_off:
+            answer = dataclasses.replace(answer, regained_ago=0)
+        return answer.add_delay(asked_at - began_at)
 
     def _note_store(self, answer: Answer) -> None:
         if isinstance(answer, StoreSilent):
--- a/src/ragwortcourse/platform/store_row.py
+++ b/src/ragwortcourse/platform/store_row.py
@@ -56,6 +56,10 @@
         """Return the newest transaction that the answer includes."""
         return StorePosition(era=self.era, revision=self.revision)
 
+    def add_delay(self, seconds: float) -> 'StoreRows':
+        """Return these rows with time spent before their request."""
+        return dataclasses.replace(self, delay=self.delay + seconds)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class HistoryGone:
@@ -81,3 +85,6 @@
     is_cut_off: bool = False
     is_behind: bool = False
     overdue: float = 0
+
+
+Answer = StoreRows | HistoryGone | StoreSilent
--- a/src/ragwortcourse/platform/table_read.py
+++ b/src/ragwortcourse/platform/table_read.py
@@ -13,6 +13,7 @@
 from ragwortcourse.forwarding.fleet_state import read_boot_clock
 from ragwortcourse.platform.store_position import StorePosition
 from ragwortcourse.platform.store_row import (
+    Answer,
     HistoryGone,
     StoreRows,
     StoreSilent,
@@ -41,13 +42,11 @@
 
     async def await_changes(
         self, table: str, after: StorePosition, *, wait: float, known_at: float
-    ) -> StoreRows | HistoryGone | StoreSilent:
+    ) -> Answer:
         """Wait for changes after a position."""
 
 
-async def read_whole_table(
-    store: PagedStore, table: str
-) -> StoreRows | HistoryGone | StoreSilent:
+async def read_whole_table(store: PagedStore, table: str) -> Answer:
     """Read every row of a table, as of one moment.
 
     :return: ``HistoryGone`` if the pages can't be brought to one moment: the
@@ -73,7 +72,7 @@
         if changes.era != oldest.era or changes.position <= read.position:
             return HistoryGone()
         rows.update({row.key: row for row in changes.rows})
-        read = _add_delay(changes, asked_at - began_at)
+        read = changes.add_delay(asked_at - began_at)
     present = (row for row in rows.values() if row.content is not None)
     return dataclasses.replace(read, rows=tuple(present))
 
@@ -90,10 +89,6 @@
         page = await store.read_page(table, next_key)
         if isinstance(page, StoreSilent):
             return page
-        pages.append(_add_delay(page.rows, asked_at - began_at))
+        pages.append(page.rows.add_delay(asked_at - began_at))
         next_key = page.next_key
     return pages
-
-
-def _add_delay(answer: StoreRows, seconds: float) -> StoreRows:
-    return dataclasses.replace(answer, delay=answer.delay + seconds)
--- a/src/ragwortcourse/weights/fleet_downloader.py
+++ b/src/ragwortcourse/weights/fleet_downloader.py
@@ -180,7 +180,7 @@
 
         Daemons whose origin's rate is unknown are not waited for.
         """
-        running = [each for each in addresses if not self.reach.is_silent(each)]
+        running = self.reach.list_responsive(addresses)
         return bool(running and measure_patience(self.state, model))
 
     async def _ask_origin(
--- a/src/ragwortcourse/weights/peer_reach.py
+++ b/src/ragwortcourse/weights/peer_reach.py
@@ -1,5 +1,6 @@
 """Record of the daemons that recently refused connections or timed out."""
 
+from collections.abc import Iterable
 from typing import Final
 
 from ragwortcourse.clock import read_clock
@@ -31,6 +32,10 @@
         """Tell whether a connection to an address failed recently."""
         return self._silent_until.get(address, 0) > read_clock()
 
+    def list_responsive(self, addresses: Iterable[str]) -> list[str]:
+        """List the addresses that are not silent."""
+        return [each for each in addresses if not self.is_silent(each)]
+
     def order(self, addresses: list[str]) -> list[str]:
         """Return the addresses in order, with the silent ones last."""
         return sorted(addresses, key=self.is_silent)
--- a/tests/test_crash_rows.py
+++ b/tests/test_crash_rows.py
@@ -1,14 +1,12 @@
 """Tests of :mod:`ragwortcourse.platform.crash_rows`."""
 
-import contextlib
 import json
 
 import pytest
-from aiohttp import ClientSession
-from aiohttp.test_utils import TestServer
 
 from fakes.crash_daemon import REQUEST, CrashDaemon, make_part
 from fakes.fleet_store import FleetStore
+from fakes.store_client import open_store_client
 from ragwortcourse.crashes.evidence_store import SUSPICION_SECONDS
 from ragwortcourse.crashes.verdict import Verdict
 from ragwortcourse.platform.crash_rows import TABLE, CrashKeeper
@@ -36,14 +34,8 @@
 async def stage():
     """Stage whose store is served until the end of the test."""
     fake = FleetStore()
-    async with contextlib.AsyncExitStack() as stack:
-        server = TestServer(fake.build_app())
-        await server.start_server()
-        stack.push_async_callback(server.close)
-        session = await stack.enter_async_context(ClientSession())
-        yield Stage(
-            Store(session=session, address=f'127.0.0.1:{server.port}'), fake
-        )
+    async with open_store_client(fake) as store:
+        yield Stage(store, fake)
 
 
 async def crash(daemon: CrashDaemon, *suspects) -> None:
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -7,12 +7,11 @@
 import time
 
 import pytest
-from aiohttp import ClientSession
-from aiohttp.test_utils import TestServer
 
 from fakes.conditions import wait_for
 from fakes.fleet_parts import FLEET, REGIONS
 from fakes.fleet_store import FleetStore
+from fakes.store_client import open_store_client
 from ragwortcourse.clock import read_clock_with_suspend
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.target_list import TargetList
@@ -24,7 +23,7 @@
     build_operator_handler,
 )
 from ragwortcourse.platform.relay_rows import RelayRegistry, register_relay
-from ragwortcourse.platform.store import CALL_SECONDS, Store
+from ragwortcourse.platform.store import CALL_SECONDS
 from ragwortcourse.platform.target_reader import build_target_handler
 
 ROW = {
@@ -55,11 +54,9 @@
 
     async def open(self) -> None:
         """Start the fake store and open a client of it."""
-        server = TestServer(self.fake.build_app())
-        await server.start_server()
-        self.stack.push_async_callback(server.close)
-        session = await self.stack.enter_async_context(ClientSession())
-        self.store = Store(session=session, address=f'127.0.0.1:{server.port}')
+        self.store = await self.stack.enter_async_context(
+            open_store_client(self.fake)
+        )
 
     def follow(self, *, pause: float = 0) -> None:
         """Start the feeds of both tables."""
--- a/tests/test_table_read.py
+++ b/tests/test_table_read.py
@@ -6,12 +6,11 @@
 
 import msgspec
 import pytest
-from aiohttp import ClientSession
-from aiohttp.test_utils import TestServer
 
 from fakes.conditions import wait_for
 from fakes.fleet_parts import FLEET, NEAR_DOMAIN, REGIONS
 from fakes.fleet_store import FleetStore
+from fakes.store_client import open_store_client
 from ragwortcourse.forwarding.fleet_state import FleetState
 from ragwortcourse.forwarding.target_list import TargetList
 from ragwortcourse.identifiers import DaemonId
@@ -21,21 +20,14 @@
 from ragwortcourse.platform.operator_rows import build_operator_handler
 from ragwortcourse.platform.relay_rows import TABLE as DAEMONS_TABLE
 from ragwortcourse.platform.relay_rows import RelayRegistry
-from ragwortcourse.platform.store import MAX_READS, Store
+from ragwortcourse.platform.store import MAX_READS
 from ragwortcourse.platform.store_row import StoreRows, StoreSilent
 from ragwortcourse.platform.target_reader import build_target_handler
+from tests.test_shared_table import describe_target
 
 KEYS = ('a', 'b', 'c', 'd', 'e')
 FIRST, LAST = KEYS[0], KEYS[-1]
 READ = '/rows-get'
-TARGET = {
-    'service': 'svc',
-    'address': '10.0.0.1:80',
-    'zone': 'near-a',
-    'slots': 16,
-    'state': 'ready',
-    'cold_left_ms': 0,
-}
 FEED_SECONDS = 0.2
 
 
@@ -54,11 +46,9 @@
 
     async def open(self) -> None:
         """Start the fake store and open a client of it."""
-        server = TestServer(self.fake.build_app())
-        await server.start_server()
-        self.stack.push_async_callback(server.close)
-        session = await self.stack.enter_async_context(ClientSession())
-        self.store = Store(session=session, address=f'127.0.0.1:{server.port}')
+        self.store = await self.stack.enter_async_context(
+            open_store_client(self.fake)
+        )
 
     def write(self, *keys: str, table: str = 't') -> None:
         """Write rows, with the number of the write as content."""
@@ -206,10 +196,10 @@
     async def test_leaving_target(self, reader):
         """A target that left between two pages was sent requests."""
         for key in KEYS:
-            reader.fake.put(names.TARGETS_TABLE, key, TARGET)
+            reader.fake.put(names.TARGETS_TABLE, key, describe_target())
         reader.changes = [
             lambda: reader.fake.put(
-                names.TARGETS_TABLE, FIRST, {**TARGET, 'state': 'draining'}
+                names.TARGETS_TABLE, FIRST, describe_target('draining')
             )
         ]
         state = FleetState()
